Shared types: records, fleet, platform interfaces, log stand-in

Cause: the work is split by package, so that the types and interfaces between the packages have to stand first.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,19 @@
+# All set-up is in `make test` (what CI runs) and `make demo`.
+GO ?= go
+BIN := bin
+
+.PHONY: build test demo bench matrix fmt-check lint
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+fmt-check:
+	@bad=$$(gofmt -l $$(git ls-files '*.go' --cached --others --exclude-standard)); \
+	if [ -n "$$bad" ]; then echo "not formatted: $$bad"; exit 1; fi
+
+lint:
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+test: fmt-check lint
+	$(GO) test ./...
--- /dev/null
+++ b/internal/protocol/fleet.go
@@ -0,0 +1,104 @@
+package protocol
+
+import "time"
+
+// Fleet is the whole configuration in force, merged from the objects that
+// operators publish. A Fleet that has been handed out is never changed.
+type Fleet struct {
+	// Version is the offset of the last accepted change. It never decreases.
+	Version Offset `cbor:"1,keyasint" json:"version"`
+	// Organisations by id.
+	Organisations map[OrganisationID]Organisation `cbor:"2,keyasint" json:"organisations"`
+	// Keys by id, including withdrawn ones.
+	Keys map[KeyID]Key `cbor:"3,keyasint" json:"keys"`
+	// Models by the name callers use.
+	Models map[ModelName]Model `cbor:"4,keyasint" json:"models"`
+	// Services by name: model runners and plain services.
+	Services map[ServiceName]Service `cbor:"5,keyasint" json:"services"`
+	// Domains are the failure domains with their share of every rate.
+	Domains map[Domain]DomainShare `cbor:"6,keyasint" json:"domains"`
+}
+
+// Organisation is a tenant with its share of the fleet.
+type Organisation struct {
+	ID   OrganisationID `cbor:"1,keyasint" json:"id" yaml:"id"`
+	Name string         `cbor:"2,keyasint,omitempty" json:"name,omitempty" yaml:"name,omitempty"`
+	// Rate is in online requests a second over the whole fleet.
+	Rate float64 `cbor:"3,keyasint" json:"rate" yaml:"rate"`
+	// Burst is in requests over the whole fleet, at least 1.
+	Burst float64 `cbor:"4,keyasint" json:"burst" yaml:"burst"`
+	// Weight is the fair share under contention; 0 means 1.
+	Weight float64 `cbor:"5,keyasint,omitempty" json:"weight,omitempty" yaml:"weight,omitempty"`
+	// Objectives are the service levels that the burn report measures.
+	Objectives Objectives `cbor:"6,keyasint" json:"objectives,omitzero" yaml:"objectives,omitempty"`
+}
+
+// Objectives are service-level objectives. A zero field is not measured.
+type Objectives struct {
+	// FirstToken is the longest good time to the first token.
+	FirstToken time.Duration `cbor:"1,keyasint,omitempty" json:"first_token,omitempty" yaml:"first_token,omitempty"`
+	// BetweenTokens is the longest good mean gap between tokens of a stream.
+	BetweenTokens time.Duration `cbor:"2,keyasint,omitempty" json:"between_tokens,omitempty" yaml:"between_tokens,omitempty"`
+	// Target is the share of calls that must be good, such as 0.99.
+	Target float64 `cbor:"3,keyasint,omitempty" json:"target,omitempty" yaml:"target,omitempty"`
+	// BatchOnTime is the share of batch items done by their deadline.
+	BatchOnTime float64 `cbor:"4,keyasint,omitempty" json:"batch_on_time,omitempty" yaml:"batch_on_time,omitempty"`
+}
+
+// Key lets callers act for one organisation. The secret itself is stored
+// nowhere.
+type Key struct {
+	ID           KeyID          `cbor:"1,keyasint" json:"id" yaml:"id"`
+	Organisation OrganisationID `cbor:"2,keyasint" json:"organisation" yaml:"organisation"`
+	// SHA256 is the lower-case hexadecimal hash of the secret.
+	SHA256 string `cbor:"3,keyasint" json:"sha256" yaml:"sha256"`
+	// Withdrawn is a tombstone. Once true it stays true.
+	Withdrawn bool `cbor:"4,keyasint,omitempty" json:"withdrawn,omitempty" yaml:"withdrawn,omitempty"`
+}
+
+// Model maps the name callers use to a service and the version it must run.
+type Model struct {
+	Name    ModelName   `cbor:"1,keyasint" json:"name" yaml:"name"`
+	Service ServiceName `cbor:"2,keyasint" json:"service" yaml:"service"`
+	// Version is the weight version the service's targets must have loaded.
+	Version string `cbor:"3,keyasint,omitempty" json:"version,omitempty" yaml:"version,omitempty"`
+	// Adapter is an optional adapter loaded beside the model.
+	Adapter string `cbor:"4,keyasint,omitempty" json:"adapter,omitempty" yaml:"adapter,omitempty"`
+}
+
+// ServiceKind tells model runners from plain services.
+type ServiceKind string
+
+const (
+	// KindModel targets are engines that batch continuously and stream tokens.
+	KindModel ServiceKind = "model"
+	// KindPlain targets are ordinary HTTP services.
+	KindPlain ServiceKind = "plain"
+)
+
+// Service is a set of interchangeable targets.
+type Service struct {
+	Name ServiceName `cbor:"1,keyasint" json:"name" yaml:"name"`
+	Kind ServiceKind `cbor:"2,keyasint" json:"kind" yaml:"kind"`
+	// ChecksFencing says that the targets refuse an order with an old number.
+	ChecksFencing bool `cbor:"3,keyasint,omitempty" json:"checks_fencing,omitempty" yaml:"checks_fencing,omitempty"`
+	// Repeatable says that a call may be sent again when its fate is unknown.
+	// Calls to a service that is not repeatable are dispatched at most once.
+	Repeatable bool `cbor:"4,keyasint,omitempty" json:"repeatable,omitempty" yaml:"repeatable,omitempty"`
+	// Slots is the number of streams one target runs well at the same time.
+	Slots int `cbor:"5,keyasint,omitempty" json:"slots,omitempty" yaml:"slots,omitempty"`
+	// LongestOrder bounds how long a target works on an order.
+	LongestOrder time.Duration `cbor:"6,keyasint,omitempty" json:"longest_order,omitempty" yaml:"longest_order,omitempty"`
+	// Role is the role that targets of this service are ordered to take, such
+	// as "mixed", "prefill" or "decode".
+	Role string `cbor:"7,keyasint,omitempty" json:"role,omitempty" yaml:"role,omitempty"`
+}
+
+// DomainShare fixes what part of each organisation's rate and burst a failure
+// domain serves when it is cut off from the others.
+type DomainShare struct {
+	Domain Domain `cbor:"1,keyasint" json:"domain" yaml:"domain"`
+	Region string `cbor:"2,keyasint,omitempty" json:"region,omitempty" yaml:"region,omitempty"`
+	// Share is relative: a domain's part is Share ÷ the sum of all shares.
+	Share float64 `cbor:"3,keyasint" json:"share" yaml:"share"`
+}
--- /dev/null
+++ b/internal/ring/ring.go
@@ -0,0 +1,86 @@
+// Package ring joins the duties of a process by bounded queues whose depth and
+// drops are counted in expvar.
+package ring
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"sync/atomic"
+)
+
+var published = expvar.NewMap("ring")
+
+// Ring is a bounded queue between two duties.
+type Ring[T any] struct {
+	items   chan T
+	dropped atomic.Int64
+}
+
+// New returns a ring of the given capacity, counted under its name. Tests that
+// make several rings give an empty name, which publishes nothing.
+func New[T any](name string, capacity int) *Ring[T] {
+	r := &Ring[T]{items: make(chan T, capacity)}
+	if name != "" {
+		published.Set(name, expvar.Func(r.stats))
+	}
+	return r
+}
+
+func (r *Ring[T]) stats() any {
+	return map[string]int64{
+		"depth":    int64(len(r.items)),
+		"capacity": int64(cap(r.items)),
+		"dropped":  r.dropped.Load(),
+	}
+}
+
+// Offer adds an item without waiting. It reports false, and counts a drop, if
+// the ring is full.
+func (r *Ring[T]) Offer(item T) bool {
+	select {
+	case r.items <- item:
+		return true
+	default:
+		r.dropped.Add(1)
+		return false
+	}
+}
+
+// Put adds an item and waits for room until ctx ends.
+func (r *Ring[T]) Put(ctx context.Context, item T) error {
+	select {
+	case r.items <- item:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("ring: %w", ctx.Err())
+	}
+}
+
+// Take removes the oldest item and waits for one until ctx ends.
+func (r *Ring[T]) Take(ctx context.Context) (T, error) {
+	select {
+	case item := <-r.items:
+		return item, nil
+	case <-ctx.Done():
+		var none T
+		return none, fmt.Errorf("ring: %w", ctx.Err())
+	}
+}
+
+// TryTake removes the oldest item if there is one.
+func (r *Ring[T]) TryTake() (T, bool) {
+	select {
+	case item := <-r.items:
+		return item, true
+	default:
+		var none T
+		return none, false
+	}
+}
+
+// Len is the number of waiting items.
+func (r *Ring[T]) Len() int { return len(r.items) }
+
+// Dropped counts the items that Offer could not add.
+func (r *Ring[T]) Dropped() int64 { return r.dropped.Load() }
--- /dev/null
+++ b/internal/standin/memlog/memlog_test.go
@@ -0,0 +1,38 @@
+package memlog
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/platform"
+)
+
+// The platform keeps entries for a limited time. A reader that was away for
+// longer must be told so, or it would miss what was agreed meanwhile.
+func TestReadPastRetentionIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := New(Options{Retention: time.Minute})
+		_, err := log.Append(t.Context(), "s", []byte("a"))
+		require.NoError(t, err)
+		<-time.After(2 * time.Minute)
+		page, err := log.Read(t.Context(), "s", 0, 10, 0)
+		require.ErrorIs(t, err, platform.ErrTrimmed)
+		require.EqualValues(t, 1, page.Oldest)
+	})
+}
+
+// An append takes effect and its answer is lost on the way back. The caller
+// sees a failure, and the entry stands in the stream.
+func TestLostAnswerLeavesTheEntry(t *testing.T) {
+	log := New(Options{})
+	log.SetFault(func(string, string, []byte) Fault { return LoseAnswer })
+	_, err := log.Append(t.Context(), "s", []byte("a"))
+	require.ErrorIs(t, err, platform.ErrUnavailable)
+	log.SetFault(nil)
+	page, err := log.Read(t.Context(), "s", 0, 10, 0)
+	require.NoError(t, err)
+	require.Len(t, page.Entries, 1)
+}
