--- /dev/null
+++ b/internal/coordination/headroom/core.go
@@ -0,0 +1,249 @@
+package headroom
+
+import (
+	"math"
+	"time"
+
+	"merlintiller/internal/protocol"
+)
+
+// Target is a target as the instance sees it now.
+type Target struct {
+	ID      protocol.TargetID
+	Service protocol.ServiceName
+	Domain  protocol.Domain
+	Address string
+	// Slots is the number of streams it runs well at the same time.
+	Slots int
+	// Usable is false for a leaving, dead or ejected target.
+	Usable bool
+	// Online is the number of this instance's own online calls in flight.
+	Online int
+	// Reported is the number of streams in the target's last report, from all
+	// instances and of all kinds, and ReportedAt the time it stood for.
+	Reported   int
+	ReportedAt time.Time
+}
+
+// SlotID names a batch slot.
+type SlotID uint64
+
+// sample is the own load of a target at a time.
+type sample struct {
+	at  time.Time
+	own int
+}
+
+// samplesKept bounds the remembered own load: a few seconds at a tick's pace
+// while it changes.
+const samplesKept = 512
+
+// window is the state of one fed target.
+type window struct {
+	target Target
+	// size is how many batch items may be placed now.
+	size float64
+	// slots are the placed items, oldest first.
+	slots    []SlotID
+	grownAt  time.Time
+	shrunkAt time.Time
+	samples  []sample
+	// others is the load of the other instances by the last report.
+	others     int
+	reportedAt time.Time
+}
+
+// Core decides the batch windows of the targets that one instance feeds. It has
+// no clock, no I/O and no goroutine, and is not safe for concurrent use.
+type Core struct {
+	settings Settings
+	windows  map[protocol.TargetID]*window
+	owners   map[SlotID]protocol.TargetID
+	nextID   SlotID
+}
+
+// NewCore returns the state without any target.
+func NewCore(settings Settings) *Core {
+	return &Core{
+		settings: settings,
+		windows:  map[protocol.TargetID]*window{},
+		owners:   map[SlotID]protocol.TargetID{},
+	}
+}
+
+// Observe takes in what is known of the fed targets and returns the slots to
+// revoke, newest first. A target that is no longer fed, or not usable, loses
+// all its slots.
+func (c *Core) Observe(now time.Time, fed []Target) []SlotID {
+	var revoked []SlotID
+	seen := make(map[protocol.TargetID]bool, len(fed))
+	for _, t := range fed {
+		seen[t.ID] = true
+		w, ok := c.windows[t.ID]
+		if !ok {
+			w = &window{grownAt: now}
+			c.windows[t.ID] = w
+		}
+		w.target = t
+		revoked = append(revoked, c.follow(now, w)...)
+	}
+	for id, w := range c.windows {
+		if seen[id] {
+			continue
+		}
+		w.target.Usable = false
+		revoked = append(revoked, c.follow(now, w)...)
+		if len(w.slots) == 0 {
+			delete(c.windows, id)
+		}
+	}
+	return revoked
+}
+
+// OnlineStarted counts an online call at the moment it is routed, before any
+// tick, and returns the slots to revoke.
+func (c *Core) OnlineStarted(now time.Time, target protocol.TargetID, online int) []SlotID {
+	w, ok := c.windows[target]
+	if !ok {
+		return nil
+	}
+	w.target.Online = online
+	return c.follow(now, w)
+}
+
+// follow brings a window to the load and returns the slots to revoke.
+func (c *Core) follow(now time.Time, w *window) []SlotID {
+	w.learn(now, c.settings)
+	w.remember(now)
+	room := w.room()
+	if room < w.size {
+		w.size = room
+	} else {
+		c.grow(now, w, room)
+	}
+	return c.revoke(now, w)
+}
+
+// room is what online traffic leaves free.
+func (w *window) room() float64 {
+	if !w.target.Usable {
+		return 0
+	}
+	return float64(max(0, w.target.Slots-w.target.Online-w.others))
+}
+
+// grow widens a window step by step, and leaves some slots free.
+func (c *Core) grow(now time.Time, w *window, room float64) {
+	if now.Sub(w.shrunkAt) < c.settings.CalmAfter || now.Sub(w.grownAt) < c.settings.GrowEvery {
+		return
+	}
+	spare := math.Ceil(c.settings.Spare * float64(w.target.Slots))
+	step := math.Max(1, math.Floor(c.settings.GrowPart*float64(w.target.Slots)))
+	if aim := room - spare; aim > w.size {
+		w.size = min(aim, w.size+step)
+		w.grownAt = now
+	}
+}
+
+// revoke takes back what the window does not hold any more, newest first.
+func (c *Core) revoke(now time.Time, w *window) []SlotID {
+	var revoked []SlotID
+	for len(w.slots) > int(w.size) {
+		last := len(w.slots) - 1
+		revoked = append(revoked, w.slots[last])
+		delete(c.owners, w.slots[last])
+		w.slots = w.slots[:last]
+		w.shrunkAt = now
+	}
+	return revoked
+}
+
+// learn takes the others' load out of a new report: what it counts beyond the
+// own load at the time it stood for.
+func (w *window) learn(now time.Time, settings Settings) {
+	t := &w.target
+	if t.ReportedAt.IsZero() || !t.ReportedAt.After(w.reportedAt) || now.Sub(t.ReportedAt) > settings.ReportMaxAge {
+		return
+	}
+	w.reportedAt = t.ReportedAt
+	w.others = max(0, t.Reported-w.ownAt(t.ReportedAt))
+}
+
+// remember notes the own load when it changes.
+func (w *window) remember(now time.Time) {
+	own := w.target.Online + len(w.slots)
+	if n := len(w.samples); n > 0 && w.samples[n-1].own == own {
+		return
+	}
+	if len(w.samples) >= samplesKept {
+		copy(w.samples, w.samples[samplesKept/2:])
+		w.samples = w.samples[:len(w.samples)-samplesKept/2]
+	}
+	w.samples = append(w.samples, sample{at: now, own: own})
+}
+
+// ownAt is the own load at a time.
+func (w *window) ownAt(at time.Time) int {
+	own := 0
+	for _, s := range w.samples {
+		if s.at.After(at) {
+			break
+		}
+		own = s.own
+	}
+	return own
+}
+
+// Place gives a batch slot at the target of the service with the most room. ok
+// is false if there is none.
+func (c *Core) Place(now time.Time, service protocol.ServiceName) (id SlotID, target Target, ok bool) {
+	var best *window
+	bestRoom := 0.0
+	for _, w := range c.windows {
+		if w.target.Service != service || !w.target.Usable {
+			continue
+		}
+		room := math.Floor(w.size) - float64(len(w.slots))
+		if room < 1 || room < bestRoom || (room == bestRoom && best != nil && w.target.ID > best.target.ID) {
+			continue
+		}
+		best, bestRoom = w, room
+	}
+	if best == nil {
+		return 0, Target{}, false
+	}
+	c.nextID++
+	best.slots = append(best.slots, c.nextID)
+	c.owners[c.nextID] = best.target.ID
+	best.remember(now)
+	return c.nextID, best.target, true
+}
+
+// Release gives a slot back. It is idempotent.
+func (c *Core) Release(now time.Time, id SlotID) {
+	target, ok := c.owners[id]
+	if !ok {
+		return
+	}
+	delete(c.owners, id)
+	w := c.windows[target]
+	for i := range w.slots {
+		if w.slots[i] == id {
+			w.slots = append(w.slots[:i], w.slots[i+1:]...)
+			break
+		}
+	}
+	w.remember(now)
+}
+
+// Places is the number of batch items of a service that fit at this instance
+// now, placed ones included: how much work is worth claiming.
+func (c *Core) Places(service protocol.ServiceName) int {
+	sum := 0
+	for _, w := range c.windows {
+		if w.target.Service == service {
+			sum += int(w.size)
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/coordination/headroom/headroom.go
@@ -0,0 +1,193 @@
+package headroom
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"merlintiller/internal/coordination"
+	"merlintiller/internal/protocol"
+)
+
+var stats = expvar.NewMap("headroom")
+
+// Source shows the targets and the instances as they are known now.
+type Source interface {
+	// Targets are all targets, with the own online calls in flight.
+	Targets() []Target
+	// Members are the instances with an open session, the own one included.
+	Members() []Member
+}
+
+// Config wires a Headroom.
+type Config struct {
+	Self     protocol.InstanceID
+	Source   Source
+	Settings Settings
+	// Report tells the router how a batch call went; may be nil.
+	Report func(protocol.TargetID, coordination.CallResult)
+}
+
+// Headroom implements coordination.BatchSlots around the pure Core.
+type Headroom struct {
+	Config
+
+	mu    sync.Mutex
+	core  *Core
+	slots map[SlotID]*slot
+	// changed is closed when a place may have become free.
+	changed chan struct{}
+}
+
+// New returns a Headroom without any target. Its Services must run.
+func New(config Config) *Headroom {
+	return &Headroom{
+		Config:  config,
+		core:    NewCore(config.Settings),
+		slots:   map[SlotID]*slot{},
+		changed: make(chan struct{}),
+	}
+}
+
+// Services are the duties, for the supervisor.
+func (h *Headroom) Services() []suture.Service {
+	return []suture.Service{&windowService{headroom: h}}
+}
+
+// Acquire implements coordination.BatchSlots.
+func (h *Headroom) Acquire(ctx context.Context, service protocol.ServiceName) (coordination.BatchSlot, error) {
+	for {
+		s, changed := h.tryAcquire(service)
+		if s != nil {
+			return s, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, fmt.Errorf("waiting for a batch slot of %s: %w", service, ctx.Err())
+		}
+	}
+}
+
+func (h *Headroom) tryAcquire(service protocol.ServiceName) (*slot, <-chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	id, target, ok := h.core.Place(time.Now(), service)
+	if !ok {
+		return nil, h.changed
+	}
+	s := &slot{
+		headroom: h,
+		id:       id,
+		pick:     coordination.Pick{Target: target.ID, Address: target.Address, Domain: target.Domain},
+		revoked:  make(chan struct{}),
+	}
+	h.slots[id] = s
+	stats.Add("placed", 1)
+	return s, nil
+}
+
+// Places is how many batch items of a service fit at this instance now, placed
+// ones included.
+func (h *Headroom) Places(service protocol.ServiceName) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.core.Places(service)
+}
+
+// OnlineStarted is called by the router at the moment it routes an online call,
+// with the own online calls now in flight at the target, so that batch yields
+// before the call reaches the target.
+func (h *Headroom) OnlineStarted(target protocol.TargetID, online int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.revoke(h.core.OnlineStarted(time.Now(), target, online))
+}
+
+// revoke tells the holders. The caller holds the lock.
+func (h *Headroom) revoke(ids []SlotID) {
+	for _, id := range ids {
+		if s, ok := h.slots[id]; ok {
+			close(s.revoked)
+			delete(h.slots, id)
+			stats.Add("revoked", 1)
+		}
+	}
+}
+
+// observe follows the targets.
+func (h *Headroom) observe() {
+	targets := h.Source.Targets()
+	feeders := Feeders(targets, h.Source.Members())
+	fed := targets[:0:0]
+	for _, t := range targets {
+		if feeders[t.ID] == h.Self {
+			fed = append(fed, t)
+		}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.revoke(h.core.Observe(time.Now(), fed))
+	h.wake()
+}
+
+// wake lets waiting batch items look again. The caller holds the lock.
+func (h *Headroom) wake() {
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// slot implements coordination.BatchSlot.
+type slot struct {
+	headroom *Headroom
+	id       SlotID
+	pick     coordination.Pick
+	revoked  chan struct{}
+	once     sync.Once
+}
+
+// Pick implements coordination.BatchSlot.
+func (s *slot) Pick() coordination.Pick { return s.pick }
+
+// Revoked implements coordination.BatchSlot.
+func (s *slot) Revoked() <-chan struct{} { return s.revoked }
+
+// Release implements coordination.BatchSlot.
+func (s *slot) Release(result coordination.CallResult) {
+	s.once.Do(func() { s.headroom.release(s, result) })
+}
+
+func (h *Headroom) release(s *slot, result coordination.CallResult) {
+	h.mu.Lock()
+	h.core.Release(time.Now(), s.id)
+	delete(h.slots, s.id)
+	h.wake()
+	h.mu.Unlock()
+	if h.Report != nil {
+		h.Report(s.pick.Target, result)
+	}
+}
+
+// windowService follows the load at a steady pace.
+type windowService struct{ headroom *Headroom }
+
+// String names the service for the supervisor.
+func (s *windowService) String() string { return "headroom-windows" }
+
+// Serve implements suture.Service.
+func (s *windowService) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(s.headroom.Settings.Tick)
+	defer ticker.Stop()
+	for {
+		s.headroom.observe()
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/limiter/agreed.go
@@ -0,0 +1,95 @@
+package limiter
+
+import (
+	"merlintiller/internal/coordination"
+	"merlintiller/internal/protocol"
+	"merlintiller/internal/state/replica"
+)
+
+// sessionTrace is what this instance remembers of a session, also after it
+// ended: replay forgets whose it was.
+type sessionTrace struct {
+	instance protocol.InstanceID
+	// last and earlier are the two latest distinct renewals seen. The session
+	// has surely read back the earlier one: a writer sends its next record only
+	// when it knows the fate of the one before.
+	last, earlier protocol.Offset
+}
+
+// agreed reads the slots out of the replayed state.
+type agreed struct {
+	journal coordination.Journal
+	traces  map[protocol.SessionID]*sessionTrace
+}
+
+func newAgreed(journal coordination.Journal) *agreed {
+	return &agreed{journal: journal, traces: map[protocol.SessionID]*sessionTrace{}}
+}
+
+// view shows the slots of the domains that have a share.
+func (a *agreed) view(fleet *protocol.Fleet) View {
+	view := View{Holdings: map[SlotKey]Holding{}}
+	a.journal.View(func(state *replica.State) {
+		for _, info := range state.Sessions.All() {
+			a.trace(info.Session, info.Instance, info.LastRenewal)
+			view.Members = append(view.Members, Member{
+				Instance: info.Instance,
+				Session:  info.Session,
+				Domain:   info.Domain,
+				Opened:   info.OpenedAt,
+			})
+		}
+		for domain := range fleet.Domains {
+			for slot := range SlotsPerDomain {
+				a.holding(state, SlotKey{Domain: domain, Slot: slot}, view.Holdings)
+			}
+		}
+	})
+	a.forget(view)
+	return view
+}
+
+func (a *agreed) trace(session protocol.SessionID, instance protocol.InstanceID, renewal protocol.Offset) {
+	t, ok := a.traces[session]
+	if !ok {
+		t = &sessionTrace{instance: instance, last: renewal, earlier: protocol.NoOffset}
+		a.traces[session] = t
+	}
+	if renewal > t.last {
+		t.earlier, t.last = t.last, renewal
+	}
+}
+
+func (a *agreed) holding(state *replica.State, key SlotKey, into map[SlotKey]Holding) {
+	lease, ok := state.Leases.Last(key.Resource())
+	if !ok {
+		return
+	}
+	h := Holding{
+		Session: lease.Session,
+		Fence:   lease.Fence,
+		Ended:   lease.EndedAt != protocol.NoOffset,
+		Settled: lease.Fence,
+	}
+	if t, ok := a.traces[lease.Session]; ok {
+		h.Instance = t.instance
+		h.Settled = max(h.Settled, t.earlier)
+	}
+	into[key] = h
+}
+
+// forget drops sessions that neither are open nor hold a slot.
+func (a *agreed) forget(view View) {
+	keep := make(map[protocol.SessionID]bool)
+	for _, m := range view.Members {
+		keep[m.Session] = true
+	}
+	for _, h := range view.Holdings {
+		keep[h.Session] = true
+	}
+	for session := range a.traces {
+		if !keep[session] {
+			delete(a.traces, session)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/limiter/limiter.go
@@ -0,0 +1,162 @@
+package limiter
+
+import (
+	"context"
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/thejerf/suture/v4"
+
+	"merlintiller/internal/coordination"
+	"merlintiller/internal/protocol"
+	"merlintiller/internal/ring"
+)
+
+// ReceiverName is the name under which the Endpoint is registered with net/rpc.
+const ReceiverName = "Limiter"
+
+var stats = expvar.NewMap("limiter")
+
+// Config wires a Limiter.
+type Config struct {
+	Self     protocol.InstanceID
+	Domain   protocol.Domain
+	Journal  coordination.Journal
+	Peers    coordination.Peers
+	Settings Settings
+	Logger   log.Logger
+}
+
+// Limiter implements coordination.Limits: it runs the pure Core against the
+// clock, the journal and the other instances.
+type Limiter struct {
+	Config
+	agreed *agreed
+
+	mu        sync.Mutex
+	core      *Core
+	claims    *Claims
+	extension *extension
+	// session is the one under which the core's slots are held.
+	session protocol.SessionID
+	leaving bool
+
+	ahead   *ring.Ring[*Ask]
+	actions *ring.Ring[ClaimAction]
+}
+
+// Capacities of the rings between the duties. A drop costs an exchange later.
+const (
+	aheadCapacity  = 256
+	actionCapacity = 2 * SlotsPerDomain
+)
+
+// New returns a limiter that holds nothing yet. Its Services must run.
+func New(config Config) *Limiter {
+	return &Limiter{
+		Config:    config,
+		agreed:    newAgreed(config.Journal),
+		core:      NewCore(config.Self, config.Domain, config.Settings),
+		claims:    NewClaims(config.Self, config.Domain, config.Settings),
+		extension: newExtension(config.Settings),
+		ahead:     ring.New[*Ask]("", aheadCapacity),
+		actions:   ring.New[ClaimAction]("", actionCapacity),
+	}
+}
+
+// Services are the limiter's duties, for the supervisor.
+func (l *Limiter) Services() []suture.Service {
+	return []suture.Service{
+		&slotService{limiter: l},
+		&claimService{limiter: l},
+		&promiseService{limiter: l},
+		&fetchService{limiter: l},
+	}
+}
+
+// Endpoint is the net/rpc receiver, to be registered under ReceiverName.
+func (l *Limiter) Endpoint() *Endpoint {
+	return &Endpoint{limiter: l}
+}
+
+// Admit implements coordination.Limits.
+func (l *Limiter) Admit(ctx context.Context, org protocol.OrganisationID, tokens float64) *protocol.Refusal {
+	ctx, cancel := context.WithTimeout(ctx, l.Settings.ExchangeTimeout)
+	defer cancel()
+	request := Request{Organisation: org, Tokens: tokens}
+	for {
+		verdict := l.decide(&request)
+		switch {
+		case verdict.Granted:
+			stats.Add("admitted", 1)
+			l.fetch(verdict.Ahead)
+			return nil
+		case verdict.Unknown:
+			return protocol.Refuse(protocol.CodeForbidden, 0, "organisation %s is not configured", org)
+		case verdict.Ask != nil && ctx.Err() == nil:
+			l.exchange(ctx, verdict.Ask)
+		default:
+			stats.Add("refused", 1)
+			return protocol.Refuse(protocol.CodeRateLimited, verdict.retryAfter(), "organisation %s is above its rate", org)
+		}
+	}
+}
+
+// minRetryAfter is told when exchanges ran out of time: tokens may be there.
+const minRetryAfter = 100 * time.Millisecond
+
+func (v Verdict) retryAfter() time.Duration {
+	return max(v.RetryAfter, minRetryAfter)
+}
+
+func (l *Limiter) decide(request *Request) Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	l.authorise(now)
+	return l.core.Decide(now, request)
+}
+
+// authorise says until when the held slots may be used. It is asked at every
+// decision, because a process that was paused must notice before it grants.
+func (l *Limiter) authorise(now time.Time) {
+	switch {
+	case l.leaving || l.session == 0 || l.Journal.Session() != l.session:
+		l.core.Extend(time.Time{})
+	case l.Journal.MayHold():
+		l.core.Extend(now.Add(1))
+	default:
+		l.core.Extend(l.extension.end())
+	}
+}
+
+// fetch takes tokens ahead of need in the background.
+func (l *Limiter) fetch(ask *Ask) {
+	if ask == nil || l.ahead.Offer(ask) {
+		return
+	}
+	l.answered(ask, TakeReply{}, true)
+}
+
+// exchange asks a holder and takes in its answer.
+func (l *Limiter) exchange(ctx context.Context, ask *Ask) {
+	ctx, cancel := context.WithTimeout(ctx, l.Settings.AskTimeout)
+	defer cancel()
+	var reply TakeReply
+	err := l.Peers.Call(ctx, ask.Holder, ReceiverName+".Take", &ask.Args, &reply)
+	stats.Add("takes", 1)
+	if err != nil {
+		stats.Add("takes_failed", 1)
+		// net/rpc may still be writing to the abandoned reply.
+		reply = TakeReply{}
+	}
+	l.answered(ask, reply, err != nil)
+}
+
+func (l *Limiter) answered(ask *Ask, reply TakeReply, failed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.core.Answered(time.Now(), ask, reply, failed)
+}
--- /dev/null
+++ b/internal/coordination/limiter/messages.go
@@ -0,0 +1,44 @@
+package limiter
+
+import (
+	"time"
+
+	"merlintiller/internal/protocol"
+)
+
+// TakeArgs asks the holder of a slot for tokens.
+type TakeArgs struct {
+	Organisation protocol.OrganisationID
+	Slot         SlotKey
+	// Now is the number of tokens for requests that wait, to be used within
+	// the exchange timeout or never.
+	Now float64
+	// Ahead is the number of tokens for the next moments.
+	Ahead float64
+}
+
+// TakeReply moves tokens to the asker. The holder has debited them before the
+// reply is sent, so a lost reply loses tokens and never doubles them.
+type TakeReply struct {
+	// Holder is false if the asked instance does not hold the slot now.
+	Holder bool
+	// Now and Ahead are whole tokens, each with its own life, counted by the
+	// asker from the moment it sent the request.
+	Now, Ahead float64
+	// Level is what is left in the slot, in tokens.
+	Level float64
+	// Wait is the time until the slot has the next whole token.
+	Wait time.Duration
+	// Version is the configuration that the holder's part follows.
+	Version protocol.Offset
+}
+
+// Ask is a decision to ask another instance for tokens.
+type Ask struct {
+	Holder protocol.InstanceID
+	Args   TakeArgs
+	// Sent is the time of the decision, from which the tokens' lives count.
+	Sent time.Time
+	// part is the index of the slot among the organisation's parts.
+	part int
+}
--- /dev/null
+++ b/internal/coordination/limiter/services.go
@@ -0,0 +1,246 @@
+package limiter
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"merlintiller/internal/protocol"
+)
+
+const (
+	// slotInterval is how often the slots are looked at besides every change.
+	slotInterval = 500 * time.Millisecond
+	// changeDebounce bounds how often changes make the slots be looked at.
+	changeDebounce = 50 * time.Millisecond
+	// submitTimeout bounds the wait for the fate of a claim. Its fate is seen
+	// in the replayed state anyway.
+	submitTimeout = 5 * time.Second
+	// promiseRefresh is the part of a promise's life after which it is asked
+	// for anew.
+	promiseRefresh = 4
+)
+
+// slotService follows what is agreed: configuration, holders, own slots.
+type slotService struct{ limiter *Limiter }
+
+// String names the service for the supervisor.
+func (s *slotService) String() string { return "limiter-slots" }
+
+// Serve implements suture.Service.
+func (s *slotService) Serve(ctx context.Context) error {
+	for {
+		changed := s.limiter.Journal.Changed()
+		s.limiter.look(time.Now())
+		if !pause(ctx, changeDebounce) {
+			return ctx.Err()
+		}
+		timer := time.NewTimer(slotInterval)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+// pause waits, and reports false if ctx ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// look brings the core to what replay says now.
+func (l *Limiter) look(now time.Time) {
+	fleet := l.Journal.Fleet()
+	session := l.Journal.Session()
+	mayHold := l.Journal.MayHold()
+	view := l.agreed.view(fleet)
+
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.core.Configure(now, fleet)
+	l.core.SetHolders(view.holders())
+	l.followSlots(now, session, view)
+	mates := view.mates(l.Domain)
+	if mayHold && session == l.session {
+		l.extension.renewed(now, session, mates)
+	} else {
+		l.extension.seen(mates)
+	}
+	l.core.Tidy(now)
+	if l.leaving {
+		return
+	}
+	for _, key := range l.core.GivenUp() {
+		l.actions.Offer(ClaimAction{Key: key, Release: true})
+	}
+	for _, action := range l.claims.Step(now, session, view) {
+		l.actions.Offer(action)
+	}
+}
+
+// followSlots takes up the slots that replay gives to the own session, and
+// drops all others.
+func (l *Limiter) followSlots(now time.Time, session protocol.SessionID, view View) {
+	if session != l.session {
+		l.core.DropAll()
+		l.session = session
+	}
+	for key, h := range view.Holdings {
+		if session != 0 && h.Session == session && !h.Ended {
+			l.core.Hold(now, key, h.Fence)
+		} else {
+			l.core.Drop(key)
+		}
+	}
+	l.core.Keep(func(key SlotKey) bool {
+		h, ok := view.Holdings[key]
+		return ok && h.Session == session && !h.Ended
+	})
+}
+
+// claimService submits claims and releases, one at a time.
+type claimService struct{ limiter *Limiter }
+
+// String names the service for the supervisor.
+func (s *claimService) String() string { return "limiter-claims" }
+
+// Serve implements suture.Service.
+func (s *claimService) Serve(ctx context.Context) error {
+	for {
+		action, err := s.limiter.actions.Take(ctx)
+		if err != nil {
+			return ctx.Err()
+		}
+		s.limiter.act(ctx, action)
+	}
+}
+
+func (l *Limiter) act(ctx context.Context, action ClaimAction) {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	switch {
+	case action.Release:
+		l.release(ctx, action.Key)
+	case action.AskGone != "":
+		l.askGone(ctx, action)
+	default:
+		l.submit(ctx, protocol.Record{LeaseClaim: &protocol.LeaseClaim{
+			Resource: action.Key.Resource(),
+			Replaces: action.Replaces,
+		}})
+	}
+}
+
+func (l *Limiter) submit(ctx context.Context, rec protocol.Record) {
+	if !l.Journal.LogUp() {
+		return
+	}
+	outcome := l.Journal.Submit(ctx, rec)
+	if !outcome.Accepted() {
+		_ = level.Debug(l.Logger).Log("event", "slot_record_not_accepted", "kind", rec.Kind(),
+			"verdict", outcome.Verdict, "run", outcome.Run, "err", outcome.Err)
+	}
+}
+
+// release gives a slot up. The core stops using it before the record is sent:
+// whoever reads the record may claim at once.
+func (l *Limiter) release(ctx context.Context, key SlotKey) {
+	l.mu.Lock()
+	l.core.GiveUp(key)
+	l.mu.Unlock()
+	l.submit(ctx, protocol.Record{LeaseRelease: &protocol.LeaseRelease{Resource: key.Resource()}})
+}
+
+func (l *Limiter) askGone(ctx context.Context, action ClaimAction) {
+	var reply GoneReply
+	args := &GoneArgs{Session: action.Session}
+	err := l.Peers.Call(ctx, action.AskGone, ReceiverName+".Gone", args, &reply)
+	if err != nil || !reply.Gone {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.claims.Gone(action.Session)
+}
+
+// promiseService asks the mates for promises while the session can't be
+// renewed.
+type promiseService struct{ limiter *Limiter }
+
+// String names the service for the supervisor.
+func (s *promiseService) String() string { return "limiter-promises" }
+
+// Serve implements suture.Service.
+func (s *promiseService) Serve(ctx context.Context) error {
+	for pause(ctx, slotInterval) {
+		s.limiter.askPromises(ctx)
+	}
+	return ctx.Err()
+}
+
+func (l *Limiter) askPromises(ctx context.Context) {
+	session := l.Journal.Session()
+	if session == 0 || (l.Journal.LogUp() && l.Journal.MayHold()) {
+		return
+	}
+	for _, mate := range l.promisesWanted(time.Now()) {
+		l.askPromise(ctx, session, mate)
+	}
+}
+
+// promisesWanted are the mates whose promise ends soon.
+func (l *Limiter) promisesWanted(now time.Time) []protocol.InstanceID {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	soon := now.Add(l.Settings.Promise - l.Settings.Promise/promiseRefresh)
+	var wanted []protocol.InstanceID
+	for mate := range l.extension.electorate {
+		if l.extension.promised[mate].Before(soon) {
+			wanted = append(wanted, mate)
+		}
+	}
+	return wanted
+}
+
+func (l *Limiter) askPromise(ctx context.Context, session protocol.SessionID, mate protocol.InstanceID) {
+	ctx, cancel := context.WithTimeout(ctx, l.Settings.ExchangeTimeout)
+	defer cancel()
+	sent := time.Now()
+	var reply PromiseReply
+	err := l.Peers.Call(ctx, mate, ReceiverName+".Promise", &PromiseArgs{Session: session}, &reply)
+	if err != nil || !reply.Given {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.extension.session == session {
+		l.extension.promise(mate, sent)
+	}
+}
+
+// fetchService takes tokens ahead of need.
+type fetchService struct{ limiter *Limiter }
+
+// String names the service for the supervisor.
+func (s *fetchService) String() string { return "limiter-fetch" }
+
+// Serve implements suture.Service.
+func (s *fetchService) Serve(ctx context.Context) error {
+	for {
+		ask, err := s.limiter.ahead.Take(ctx)
+		if err != nil {
+			return ctx.Err()
+		}
+		s.limiter.exchange(ctx, ask)
+	}
+}
--- /dev/null
+++ b/internal/coordination/limiter/view.go
@@ -0,0 +1,56 @@
+package limiter
+
+import (
+	"merlintiller/internal/protocol"
+)
+
+// Holding is what replay says of a slot's lease.
+type Holding struct {
+	Session  protocol.SessionID
+	Instance protocol.InstanceID
+	// Fence is the offset of the claim that won the slot.
+	Fence protocol.Offset
+	// Ended says that the session expired. A session that closed, or released
+	// the slot, leaves no holding.
+	Ended bool
+	// Settled is the offset of a record of the session that the holder surely
+	// read back: an earlier renewal than its last, or its claim.
+	Settled protocol.Offset
+}
+
+// Member is an open session of an instance.
+type Member struct {
+	Instance protocol.InstanceID
+	Session  protocol.SessionID
+	Domain   protocol.Domain
+	// Opened is the offset of the record that opened the session.
+	Opened protocol.Offset
+}
+
+// View is what replay says of the slots, as of one position in the stream.
+type View struct {
+	Holdings map[SlotKey]Holding
+	// Members are all open sessions, the own one included.
+	Members []Member
+}
+
+// mates are the members of a failure domain.
+func (v View) mates(domain protocol.Domain) []Member {
+	var mates []Member
+	for _, m := range v.Members {
+		if m.Domain == domain {
+			mates = append(mates, m)
+		}
+	}
+	return mates
+}
+
+// holders says whom to ask for each slot: also the holder whose session ended,
+// which may still hold by its mates' promises.
+func (v View) holders() map[SlotKey]protocol.InstanceID {
+	holders := make(map[SlotKey]protocol.InstanceID, len(v.Holdings))
+	for key, h := range v.Holdings {
+		holders[key] = h.Instance
+	}
+	return holders
+}
