--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,208 @@
+package settings
+
+import (
+	"net/netip"
+	"reflect"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"merlintiller/internal/protocol"
+	"merlintiller/internal/strictyaml"
+)
+
+// clockDrift is how much faster an observer's clock may run than a holder's.
+// Quartz clocks differ by less than 0.0002; 0.05 leaves room for slewing.
+const clockDrift = 0.05
+
+var (
+	namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+	hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+)
+
+func check(s *Settings, doc *strictyaml.Document) {
+	checkName(doc, "instance", string(s.Instance))
+	checkName(doc, "domain", string(s.Domain))
+	checkListen(s, doc)
+	checkAddress(doc, "platform.log", s.Platform.Log)
+	checkAddress(doc, "platform.list", s.Platform.List)
+	checkAddress(doc, "platform.weights", s.Platform.Weights)
+	checkTLS(s, doc)
+	checkOperatorKeys(s, doc)
+	checkPositive(doc, "", reflect.ValueOf(s).Elem())
+	checkTimings(s, doc)
+	checkBatch(s, doc)
+	checkLog(s, doc)
+}
+
+func checkName(doc *strictyaml.Document, field, value string) {
+	if value == "" {
+		doc.Report(field, "is missing")
+		return
+	}
+	if !namePattern.MatchString(value) {
+		doc.Report(field, "%q must be lower-case letters, digits and hyphens, at most 63", value)
+	}
+}
+
+func checkListen(s *Settings, doc *strictyaml.Document) {
+	fields := []struct{ name, value string }{
+		{"listen.callers", s.Listen.Callers},
+		{"listen.peers", s.Listen.Peers},
+		{"listen.operators", s.Listen.Operators},
+	}
+	used := map[string]string{}
+	for _, field := range fields {
+		if !checkAddress(doc, field.name, field.value) {
+			continue
+		}
+		if other, ok := used[field.value]; ok {
+			doc.Report(field.name, "%s is the address of %s already", field.value, other)
+		}
+		used[field.value] = field.name
+	}
+}
+
+// checkAddress reports whether an address is whole. Names are refused: a name
+// service is one more thing that can be cut off, and instances are told their
+// addresses by IP number.
+func checkAddress(doc *strictyaml.Document, field, value string) bool {
+	if value == "" {
+		doc.Report(field, "is missing; give an address such as 10.0.0.1:8080")
+		return false
+	}
+	address, err := netip.ParseAddrPort(value)
+	if err != nil || address.Port() == 0 {
+		doc.Report(field, "%q must be an IP number with a port, such as 10.0.0.1:8080", value)
+		return false
+	}
+	if address.Addr().IsUnspecified() {
+		doc.Report(field, "%q can't be told to others; give the IP number that they reach", value)
+		return false
+	}
+	return true
+}
+
+func checkTLS(s *Settings, doc *strictyaml.Document) {
+	checkFiles(doc, "tls.callers", s.Listen.Callers, s.TLS.AllowPlaintext,
+		file{"cert", s.TLS.Callers.Cert}, file{"key", s.TLS.Callers.Key})
+	checkFiles(doc, "tls.peers", s.Listen.Peers, s.TLS.AllowPlaintext,
+		file{"cert", s.TLS.Peers.Cert}, file{"key", s.TLS.Peers.Key}, file{"ca", s.TLS.Peers.CA})
+	checkFiles(doc, "tls.operators", s.Listen.Operators, s.TLS.AllowPlaintext,
+		file{"cert", s.TLS.Operators.Cert}, file{"key", s.TLS.Operators.Key}, file{"ca", s.TLS.Operators.CA})
+}
+
+type file struct{ name, path string }
+
+// checkFiles wants all files of a listener or none, and none only where
+// plaintext is allowed.
+func checkFiles(doc *strictyaml.Document, field, address string, plaintext bool, files ...file) {
+	given := 0
+	for _, f := range files {
+		if f.path != "" {
+			given++
+		}
+	}
+	if given == 0 {
+		if !plaintext && !isLoopback(address) {
+			doc.Report(field, "is missing, and %s is not loopback; give the files or set tls.allow_plaintext", address)
+		}
+		return
+	}
+	for _, f := range files {
+		if f.path == "" {
+			doc.Report(field+"."+f.name, "is missing")
+		}
+	}
+}
+
+func isLoopback(address string) bool {
+	parsed, err := netip.ParseAddrPort(address)
+	return err == nil && parsed.Addr().IsLoopback()
+}
+
+func checkOperatorKeys(s *Settings, doc *strictyaml.Document) {
+	if len(s.OperatorKeys) == 0 {
+		doc.Report("operator_keys", "is missing; without a key no operator can use this instance")
+	}
+	seen := map[string]bool{}
+	for i, key := range s.OperatorKeys {
+		field := indexed("operator_keys", i)
+		checkName(doc, field+".id", key.ID)
+		if seen[key.ID] {
+			doc.Report(field+".id", "%q stands twice", key.ID)
+		}
+		seen[key.ID] = true
+		if !hashPattern.MatchString(key.SHA256) {
+			// The value is not shown: it may be the secret itself.
+			doc.Report(field+".sha256", "must be the 64 hexadecimal digits of a SHA-256 hash")
+		}
+	}
+}
+
+// checkPositive refuses zero and negative numbers and times anywhere: no field
+// has a use for them.
+func checkPositive(doc *strictyaml.Document, field string, value reflect.Value) {
+	switch value.Kind() {
+	case reflect.Struct:
+		for i := range value.NumField() {
+			name := value.Type().Field(i).Tag.Get("yaml")
+			checkPositive(doc, strings.TrimPrefix(field+"."+name, "."), value.Field(i))
+		}
+	case reflect.Int, reflect.Int64:
+		if value.Int() <= 0 {
+			doc.Report(field, "must be above 0")
+		}
+	case reflect.Float64:
+		if !(value.Float() > 0) {
+			doc.Report(field, "must be above 0")
+		}
+	}
+}
+
+func checkTimings(s *Settings, doc *strictyaml.Document) {
+	t := s.Timings
+	if 2*t.Renew > t.Hold {
+		doc.Report("timings.renew", "%s must be at most half of timings.hold (%s), or one lost renewal stops work", t.Renew, t.Hold)
+	}
+	if float64(t.Expire) < float64(t.Hold)*(1+clockDrift) {
+		doc.Report("timings.expire", "%s must be larger than timings.hold (%s) by clock drift, or two instances hold the same work",
+			t.Expire, t.Hold)
+	}
+	if t.PeerSilent < 2*t.Heartbeat {
+		doc.Report("timings.peer_silent", "%s must be at least twice timings.heartbeat (%s)", t.PeerSilent, t.Heartbeat)
+	}
+	if t.PlatformTimeout <= t.LogWait {
+		doc.Report("timings.platform_timeout", "%s must be longer than timings.log_wait (%s)", t.PlatformTimeout, t.LogWait)
+	}
+}
+
+func checkBatch(s *Settings, doc *strictyaml.Document) {
+	if s.Batch.ChunkItems > protocol.MaxChunkItems {
+		doc.Report("batch.chunk_items", "%d must be at most %d", s.Batch.ChunkItems, protocol.MaxChunkItems)
+	}
+	if s.Batch.ResultsReadable < time.Hour {
+		doc.Report("batch.results_readable", "%s must be at least 1h", s.Batch.ResultsReadable)
+	}
+	if s.Calls.RetryShare > 1 {
+		doc.Report("calls.retry_share", "%g must be at most 1", s.Calls.RetryShare)
+	}
+}
+
+func checkLog(s *Settings, doc *strictyaml.Document) {
+	switch s.Log.Level {
+	case LevelDebug, LevelInfo, LevelWarn, LevelError:
+	default:
+		doc.Report("log.level", "%q must be debug, info, warn or error", string(s.Log.Level))
+	}
+	switch s.Log.Format {
+	case FormatLogfmt, FormatJSON:
+	default:
+		doc.Report("log.format", "%q must be logfmt or json", string(s.Log.Format))
+	}
+}
+
+func indexed(field string, i int) string {
+	return field + "[" + strconv.Itoa(i) + "]"
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,108 @@
+package settings
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/strictyaml"
+)
+
+const zeroHash = "0000000000000000000000000000000000000000000000000000000000000000"
+
+const whole = `instance: sea-1
+domain: pnw-sea
+listen:
+  callers: 127.0.0.1:8001
+  peers: 127.0.0.1:8002
+  operators: 127.0.0.1:8003
+platform:
+  log: 127.0.0.1:9000
+  list: 127.0.0.1:9000
+  weights: 127.0.0.1:9000
+operator_keys:
+  - id: ana
+    sha256: "` + zeroHash + `"
+`
+
+func TestWholeFileKeepsDefaults(t *testing.T) {
+	s, err := Parse("sea-1.yaml", []byte(whole+"timings: {renew: 1s}\n"))
+	require.NoError(t, err)
+	require.EqualValues(t, "sea-1", s.Instance)
+	require.Equal(t, time.Second, s.Timings.Renew)
+	require.Equal(t, Default().Timings.Hold, s.Timings.Hold)
+}
+
+// An operator mistypes a field or a unit. Taken silently, the instance would
+// run with a default that nobody chose, and the mistake would show as odd
+// behaviour days later. The start fails instead and names the place.
+func TestMistakesNameFileLineAndField(t *testing.T) {
+	cases := map[string]struct{ old, new, want string }{
+		"unknown field":     {"domain: pnw-sea", "domian: pnw-sea", "s.yaml:2: domian: unknown field; did you mean domain?"},
+		"missing domain":    {"domain: pnw-sea\n", "", "s.yaml:1: domain: is missing"},
+		"missing address":   {"  peers: 127.0.0.1:8002\n", "", "s.yaml:3: listen.peers: is missing"},
+		"missing platform":  {"  log: 127.0.0.1:9000\n", "", "s.yaml:7: platform.log: is missing"},
+		"name for address":  {"peers: 127.0.0.1:8002", "peers: localhost:8002", "s.yaml:5: listen.peers: \"localhost:8002\" must be an IP number"},
+		"unspecified":       {"peers: 127.0.0.1:8002", "peers: 0.0.0.0:8002", "s.yaml:5: listen.peers: \"0.0.0.0:8002\" can't be told"},
+		"same address":      {"peers: 127.0.0.1:8002", "peers: 127.0.0.1:8001", "s.yaml:5: listen.peers: 127.0.0.1:8001 is the address of listen.callers"},
+		"plaintext":         {"peers: 127.0.0.1:8002", "peers: 10.0.0.9:8002", "tls.peers: is missing, and 10.0.0.9:8002 is not loopback"},
+		"duplicate":         {"domain: pnw-sea", "domain: pnw-sea\ndomain: pnw-pdx", "s.yaml:3: domain: stands twice"},
+		"bad unit":          {"platform:", "timings:\n  renew: 2 parsecs\nplatform:", "s.yaml:8: timings.renew: \"2 parsecs\" must be a time with its unit"},
+		"no unit":           {"platform:", "timings: {renew: 2}\nplatform:", "s.yaml:7: timings.renew: \"2\" must be a time with its unit"},
+		"negative":          {"platform:", "timings: {renew: -2s}\nplatform:", "s.yaml:7: timings.renew: must be above 0"},
+		"text for number":   {"platform:", "limits: {body_bytes: 4MB}\nplatform:", "s.yaml:7: limits.body_bytes: \"4MB\" must be a whole number"},
+		"no value":          {"platform:", "limits: {body_bytes: }\nplatform:", "s.yaml:7: limits.body_bytes: has no value"},
+		"chunk too large":   {"platform:", "batch: {chunk_items: 257}\nplatform:", "s.yaml:7: batch.chunk_items: 257 must be at most 256"},
+		"expire below hold": {"platform:", "timings:\n  expire: 6s\nplatform:", "s.yaml:8: timings.expire: 6s must be larger than timings.hold"},
+		"renew too slow":    {"platform:", "timings: {renew: 4s}\nplatform:", "timings.renew: 4s must be at most half"},
+		"half of TLS":       {"platform:", "tls:\n  peers: {cert: a.pem, key: b.pem}\nplatform:", "s.yaml:8: tls.peers.ca: is missing"},
+		"log level":         {"platform:", "log: {level: loud}\nplatform:", "s.yaml:7: log.level: \"loud\" must be debug"},
+		"secret for hash":   {zeroHash, "hunter2", "s.yaml:13: operator_keys[0].sha256: must be the 64"},
+		"two same keys":     {"operator_keys:\n", "operator_keys:\n  - {id: ana, sha256: \"" + zeroHash + "\"}\n", "operator_keys[1].id: \"ana\" stands twice"},
+		"list for field":    {"domain: pnw-sea", "domain: [pnw-sea]", "s.yaml:2: domain: must be a text"},
+		"alias":             {"domain: pnw-sea", "domain: &a pnw-sea", "s.yaml:2: domain: anchors and aliases are not allowed"},
+		"two documents":     {"operator_keys:", "---\noperator_keys:", "holds more than one document"},
+		"not YAML":          {"domain: pnw-sea", "domain: [pnw-sea", "s.yaml: "},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			text := strings.Replace(whole, c.old, c.new, 1)
+			require.NotEqual(t, whole, text)
+			_, err := Parse("s.yaml", []byte(text))
+			require.ErrorContains(t, err, c.want)
+			require.NotContains(t, err.Error(), "hunter2")
+		})
+	}
+}
+
+func TestAllMistakesAreListedAtOnce(t *testing.T) {
+	_, err := Parse("s.yaml", []byte("domain: pnw-sea\n"))
+	var problems strictyaml.Problems
+	require.True(t, errors.As(err, &problems))
+	require.GreaterOrEqual(t, len(problems), 7)
+}
+
+func TestMissingFileIsNamed(t *testing.T) {
+	_, err := Load(t.TempDir() + "/absent.yaml")
+	require.ErrorContains(t, err, "absent.yaml")
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(whole))
+	f.Add([]byte("a: &a [*a]"))
+	f.Add([]byte("operator_keys: [1, {id: x}]"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := Parse("s.yaml", data)
+		if err != nil {
+			var problems strictyaml.Problems
+			require.True(t, errors.As(err, &problems))
+			require.NotEmpty(t, problems)
+			return
+		}
+		require.NotEmpty(t, s.Instance)
+		require.NotEmpty(t, s.Platform.Log)
+	})
+}
