Fleet configuration as a folder: merge, check, and diff against what is in force

Objects are replaced whole by a later file: merging field by field was weighed and dropped, since a reader would then have to look at every file to know one rate. Keys are never removed and never revived by a folder. Two example folders with the users' names and sizes; keys are created by the tool, so no secret and no hash of a known secret is committed.

--- /dev/null
+++ b/internal/fleetdir/fleetdir_test.go
@@ -0,0 +1,134 @@
+package fleetdir
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/protocol"
+	"merlintiller/internal/strictyaml"
+)
+
+const hash = "aa00000000000000000000000000000000000000000000000000000000000000"
+
+func sources(pairs ...string) []Source {
+	var out []Source
+	for i := 0; i < len(pairs); i += 2 {
+		out = append(out, Source{Name: pairs[i], Data: []byte(pairs[i+1])})
+	}
+	return out
+}
+
+func TestLaterFileReplacesEarlierObject(t *testing.T) {
+	objects, err := Merge(sources(
+		"90-tonight.yaml", "organisations: [{id: ana, rate: 9, burst: 9}]",
+		"10-usual.yaml", "organisations: [{id: ana, rate: 1, burst: 2, weight: 3}, {id: bob, rate: 1, burst: 1}]",
+	))
+	require.NoError(t, err)
+	require.Equal(t, protocol.Organisation{ID: "ana", Rate: 9, Burst: 9}, objects.Organisations["ana"])
+	require.Len(t, objects.Organisations, 2)
+}
+
+// An operator makes a slip in one of many small files. Published in part, it
+// would leave callers refused or a rate unlimited; the folder is refused whole
+// and the place of the slip is named.
+func TestMistakesNameFileLineAndField(t *testing.T) {
+	cases := map[string]struct{ text, want string }{
+		"unknown field":   {"organisations:\n  - id: ana\n    rate: 1\n    brust: 2\n", "a.yaml:4: organisations[0].brust: unknown field; did you mean burst?"},
+		"unknown list":    {"organizations: []\n", "a.yaml:1: organizations: unknown field; did you mean organisations?"},
+		"twice":           {"organisations:\n  - {id: ana, rate: 1, burst: 1}\n  - {id: ana, rate: 2, burst: 1}\n", "a.yaml:3: organisations[1].id: \"ana\" stands twice in this file"},
+		"no id":           {"organisations: [{rate: 1, burst: 1}]\n", "a.yaml:1: organisations[0].id: is missing"},
+		"bad id":          {"organisations: [{id: Ana B, rate: 1, burst: 1}]\n", "organisations[0].id: \"Ana B\" must be lower-case"},
+		"no rate":         {"organisations: [{id: ana, burst: 1}]\n", "organisations[0].rate: is missing or not above 0"},
+		"not a number":    {"organisations: [{id: ana, rate: .nan, burst: 1}]\n", "organisations[0].rate: NaN must be between"},
+		"burst below one": {"organisations: [{id: ana, rate: 1, burst: 0.5}]\n", "organisations[0].burst: 0.5 must be between 1"},
+		"objective unit":  {"organisations:\n  - id: ana\n    rate: 1\n    burst: 1\n    objectives:\n      first_token: 2\n", "a.yaml:6: organisations[0].objectives.first_token: \"2\" must be a time with its unit"},
+		"objective of 1":  {"organisations: [{id: ana, rate: 1, burst: 1, objectives: {target: 1}}]\n", "objectives.target: 1 must be at least 0 and below 1"},
+		"orphan key":      {"keys:\n  - {id: k1, organisation: ana, sha256: " + hash + "}\n", "a.yaml:2: keys[0].organisation: \"ana\" is no organisation"},
+		"secret for hash": {"keys: [{id: k1, organisation: ana, sha256: hunter2}]\n", "keys[0].sha256: must be the 64"},
+		"orphan model":    {"models: [{name: m, service: s}]\n", "models[0].service: \"s\" is no service"},
+		"no kind":         {"services: [{name: s, slots: 1}]\n", "services[0].kind: is missing"},
+		"bad kind":        {"services: [{name: s, kind: magic, slots: 1}]\n", "services[0].kind: \"magic\" must be model or plain"},
+		"no slots":        {"services: [{name: s, kind: plain}]\n", "services[0].slots: 0 must be between 1"},
+		"no order time":   {"services: [{name: s, kind: model, slots: 1}]\n", "services[0].longest_order: is missing"},
+		"zero share":      {"domains: [{domain: d, share: 0}]\n", "domains[0].share: is missing or not above 0"},
+		"empty file":      {"# nothing\n", "a.yaml: is empty"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := Merge(sources("a.yaml", c.text))
+			require.ErrorContains(t, err, c.want)
+			require.NotContains(t, err.Error(), "hunter2")
+		})
+	}
+}
+
+func TestFolderRefusesStrayFiles(t *testing.T) {
+	dir := t.TempDir()
+	_, err := Load(dir)
+	require.ErrorContains(t, err, "holds no .yaml file")
+	for name, text := range map[string]string{"a.yaml": "domains: []", "README.md": "x", ".swp": "x", "b.yml": "x"} {
+		require.NoError(t, os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600))
+	}
+	_, err = Load(dir)
+	require.ErrorContains(t, err, "b.yml: is not a .yaml file")
+	require.Equal(t, 1, strings.Count(err.Error(), "\n")+1)
+}
+
+func TestDiffOfAppliedFolderIsEmpty(t *testing.T) {
+	for _, name := range []string{"cascadia", "dobrescu"} {
+		wanted, err := Load("../../examples/" + name)
+		require.NoError(t, err)
+		require.Len(t, wanted.Organisations, 10)
+		require.Len(t, wanted.Domains, 3)
+		plan := Diff(&protocol.Fleet{Version: protocol.NoOffset}, wanted)
+		require.Len(t, plan.Change.Set, wanted.Count())
+		inForce := &protocol.Fleet{Organisations: wanted.Organisations, Models: wanted.Models, Services: wanted.Services, Domains: wanted.Domains}
+		require.True(t, Diff(inForce, wanted).Empty())
+	}
+}
+
+// An operator applies a folder that is older than a key's withdrawal, or that
+// never held the key. A stolen key that came back to life that way would let
+// its thief in again, and a dropped one would lock callers out.
+func TestApplyNeverRevivesOrDropsKeys(t *testing.T) {
+	current := &protocol.Fleet{Version: 7, Keys: map[protocol.KeyID]protocol.Key{
+		"k1": {ID: "k1", Organisation: "ana", SHA256: hash, Withdrawn: true},
+		"k2": {ID: "k2", Organisation: "ana", SHA256: hash},
+		"k3": {ID: "k3", Organisation: "ana", SHA256: hash},
+		"k4": {ID: "k4", Organisation: "ana", SHA256: hash},
+	}, Organisations: map[protocol.OrganisationID]protocol.Organisation{"ana": {ID: "ana"}}}
+	wanted := Objects{Keys: map[protocol.KeyID]protocol.Key{
+		"k1": {ID: "k1", Organisation: "ana", SHA256: hash},
+		"k3": {ID: "k3", Organisation: "bob", SHA256: hash},
+		"k4": {ID: "k4", Organisation: "ana", SHA256: hash, Withdrawn: true},
+	}}
+	plan := Diff(current, wanted)
+	require.Equal(t, protocol.Offset(7), plan.Change.BasedOn)
+	require.Len(t, plan.Change.Set, 1)
+	require.Equal(t, protocol.KeyID("k4"), plan.Change.Set[0].Key.ID)
+	require.Equal(t, []protocol.FleetRef{{Organisation: "ana"}}, plan.Change.Remove)
+	require.Len(t, plan.Notes, 3)
+	require.Contains(t, plan.Notes[2], "2 of its keys are in use")
+}
+
+func FuzzMerge(f *testing.F) {
+	f.Add([]byte("organisations: [{id: ana, rate: 1, burst: 1}]"))
+	f.Add([]byte("services: [{name: s, kind: model, slots: 1, longest_order: 1s}]"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		objects, err := Merge(sources("a.yaml", string(data)))
+		if err != nil {
+			var problems strictyaml.Problems
+			require.True(t, errors.As(err, &problems))
+			return
+		}
+		for _, org := range objects.Organisations {
+			require.Greater(t, org.Rate, 0.0)
+			require.GreaterOrEqual(t, org.Burst, 1.0)
+		}
+	})
+}
