--- a/internal/protocol/record.go
+++ b/internal/protocol/record.go
@@ -162,6 +162,9 @@
 	InputFile string `cbor:"8,keyasint,omitempty"`
 	// Metadata is the caller's own, given back as it came.
 	Metadata map[string]string `cbor:"9,keyasint,omitempty"`
+	// InputHash is the hash of the input file's bytes. It tells a resent job,
+	// whose file may have been uploaded anew, from a reused idempotency key.
+	InputHash uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // ChunkClaim takes chunks of a job for the writer's session. Each chunk is
@@ -190,6 +193,8 @@
 	Items []byte `cbor:"4,keyasint"`
 	// Failed is a bitmap of the items that ended as a failed result.
 	Failed []byte `cbor:"5,keyasint,omitempty"`
+	// At is the writer's wall clock in Unix seconds; replay never compares it.
+	At int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // JobCancel stops a job. Results that precede it in the stream stand.
@@ -197,12 +202,16 @@
 	Job JobID `cbor:"1,keyasint"`
 	// Organisation must own the job.
 	Organisation OrganisationID `cbor:"2,keyasint"`
+	// At is the writer's wall clock in Unix seconds; replay never compares it.
+	At int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // JobExpire ends a job whose deadline has passed on the writer's clock. Items
 // without a result end as expired.
 type JobExpire struct {
 	Job JobID `cbor:"1,keyasint"`
+	// At is the writer's wall clock in Unix seconds; replay never compares it.
+	At int64 `cbor:"2,keyasint,omitempty"`
 }
 
 // DataMoved says that an entry of DataStream that was about to leave retention
--- /dev/null
+++ b/internal/state/ledger/view.go
@@ -0,0 +1,214 @@
+package ledger
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"merlintiller/internal/protocol"
+	"merlintiller/internal/state"
+)
+
+// JobView is a copy of what the ledger knows of a job.
+type JobView struct {
+	ID             protocol.JobID
+	Organisation   protocol.OrganisationID
+	IdempotencyKey string
+	Endpoint       string
+	InputFile      string
+	InputHash      uint64
+	Metadata       map[string]string
+	Created        time.Time
+	Deadline       time.Time
+	Status         Status
+	// Accepted and Ended are positions in ControlStream; Ended is NoOffset
+	// while the job is in progress.
+	Accepted, Ended protocol.Offset
+	// EndedAt is in Unix seconds on the clock of the instance that ended the
+	// job, for display and for the time results stay readable.
+	EndedAt int64
+	// Total counts the items, Completed those with a good result and Failed
+	// those with a failed one.
+	Total, Completed, Failed int
+	// Chunks is the number of chunks.
+	Chunks int
+}
+
+func (j *job) view() JobView {
+	return JobView{
+		ID:             j.id,
+		Organisation:   j.organisation,
+		IdempotencyKey: j.idempotencyKey,
+		Endpoint:       j.endpoint,
+		InputFile:      j.inputFile,
+		InputHash:      j.inputHash,
+		Metadata:       maps.Clone(j.metadata),
+		Created:        j.created,
+		Deadline:       j.deadline,
+		Status:         j.status,
+		Accepted:       j.accepted,
+		Ended:          j.ended,
+		EndedAt:        j.endedAt,
+		Total:          j.total,
+		Completed:      j.done - j.failed,
+		Failed:         j.failed,
+		Chunks:         len(j.chunks),
+	}
+}
+
+// Job returns a job by its id.
+func (l *Ledger) Job(id protocol.JobID) (JobView, bool) {
+	j, ok := l.jobs[id]
+	if !ok {
+		return JobView{}, false
+	}
+	return j.view(), true
+}
+
+// Submitted finds the job that won an organisation's idempotency key.
+func (l *Ledger) Submitted(org protocol.OrganisationID, key string) (JobView, bool) {
+	id, ok := l.first[submitKey{org, key}]
+	if !ok {
+		return JobView{}, false
+	}
+	return l.Job(id)
+}
+
+// Jobs lists the jobs of an organisation, the newest first.
+func (l *Ledger) Jobs(org protocol.OrganisationID) []JobView {
+	var views []JobView
+	for _, j := range l.jobs {
+		if j.organisation == org {
+			views = append(views, j.view())
+		}
+	}
+	slices.SortFunc(views, func(a, b JobView) int { return cmp.Compare(b.Accepted, a.Accepted) })
+	return views
+}
+
+// Running lists the jobs that have not ended, the oldest first.
+func (l *Ledger) Running() []JobView { return sortedViews(l.running) }
+
+// All lists every job, the oldest first.
+func (l *Ledger) All() []JobView { return sortedViews(l.jobs) }
+
+func sortedViews(jobs map[protocol.JobID]*job) []JobView {
+	views := make([]JobView, 0, len(jobs))
+	for _, j := range jobs {
+		views = append(views, j.view())
+	}
+	slices.SortFunc(views, func(a, b JobView) int { return cmp.Compare(a.Accepted, b.Accepted) })
+	return views
+}
+
+// Claimable lists chunks of a job that a session may take, at most limit,
+// beginning the search at chunk number from and going round.
+func (l *Ledger) Claimable(id protocol.JobID, sessions state.Sessions, from, limit int) []int {
+	j, ok := l.running[id]
+	if !ok {
+		return nil
+	}
+	var numbers []int
+	for i := range j.chunks {
+		if len(numbers) >= limit {
+			break
+		}
+		number := (from + i) % len(j.chunks)
+		if j.chunks[number].claimable(sessions) {
+			numbers = append(numbers, number)
+		}
+	}
+	return numbers
+}
+
+// ChunkID names a chunk of a job.
+type ChunkID struct {
+	Job   protocol.JobID
+	Chunk int
+}
+
+// HeldBy lists the chunks that a session holds, in order of job and number.
+func (l *Ledger) HeldBy(session protocol.SessionID) []ChunkID {
+	var held []ChunkID
+	for _, j := range l.running {
+		for number := range j.chunks {
+			if j.chunks[number].holder == session {
+				held = append(held, ChunkID{j.id, number})
+			}
+		}
+	}
+	slices.SortFunc(held, compareChunkID)
+	return held
+}
+
+func compareChunkID(a, b ChunkID) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Chunk, b.Chunk))
+}
+
+// ChunkView is a copy of what the ledger knows of a chunk.
+type ChunkView struct {
+	// Input is the offset of the items in DataStream.
+	Input protocol.Offset
+	Items int
+	// Holder is the session that claimed the chunk, 0 if none did.
+	Holder protocol.SessionID
+	// Won are the items that have a result.
+	Won Bitmap
+	// Segments hold the winning results in stream order.
+	Segments []Segment
+}
+
+// Chunk returns a chunk of a job.
+func (l *Ledger) Chunk(id ChunkID) (ChunkView, bool) {
+	j, ok := l.jobs[id.Job]
+	if !ok {
+		return ChunkView{}, false
+	}
+	c := j.chunk(id.Chunk)
+	if c == nil {
+		return ChunkView{}, false
+	}
+	return ChunkView{
+		Input:    c.input,
+		Items:    int(c.items),
+		Holder:   c.holder,
+		Won:      c.won(),
+		Segments: c.segments(),
+	}, true
+}
+
+// ResultSegments lists the entries that hold the winning results of a chunk.
+func (l *Ledger) ResultSegments(id protocol.JobID, number int) []Segment {
+	view, _ := l.Chunk(ChunkID{id, number})
+	return view.Segments
+}
+
+// DataRef says that a chunk needs an entry of DataStream.
+type DataRef struct {
+	ChunkID
+	Offset protocol.Offset
+}
+
+// DataBefore lists what a job still needs of DataStream at offsets below a
+// limit: the input of chunks with items that have no result, and all results.
+func (l *Ledger) DataBefore(id protocol.JobID, limit protocol.Offset) []DataRef {
+	j, ok := l.jobs[id]
+	if !ok {
+		return nil
+	}
+	var refs []DataRef
+	for number := range j.chunks {
+		c := &j.chunks[number]
+		name := ChunkID{id, number}
+		if !c.complete() && c.input < limit {
+			refs = append(refs, DataRef{name, c.input})
+		}
+		for _, segment := range c.segments() {
+			if segment.Data < limit {
+				refs = append(refs, DataRef{name, segment.Data})
+			}
+		}
+	}
+	return refs
+}
