online: interface of calls that may not be repeated

Cause: the ledger side writes the reservation, the online path the dispatch; both need the same interface now. Weighed: letting the once caller pick targets itself; dropped, since routing and run state would stand twice.

--- /dev/null
+++ b/internal/coordination/online/once.go
@@ -0,0 +1,38 @@
+package online
+
+import (
+	"context"
+	"net/http"
+
+	"merlintiller/internal/protocol"
+)
+
+// OnceCall is a call that may not be repeated, with the idempotency key that
+// its caller sent.
+type OnceCall struct {
+	Key protocol.CallKey
+	// BodyHash detects a key that is used again for another request. It
+	// covers service, method, path and body.
+	BodyHash uint64
+}
+
+// OnceAnswer is the whole answer of a call that may not be repeated.
+type OnceAnswer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// Stored says that the answer is the kept one of an earlier dispatch.
+	Stored bool
+}
+
+// Dispatch sends the call to a target, once. Its error is a
+// *platform.CallError whose Run says what is known of the effect: NotRun is
+// said only if certainly no byte reached a target.
+type Dispatch func(ctx context.Context, id protocol.CallID) (OnceAnswer, error)
+
+// OnceCaller reserves the only dispatch of a call over the whole fleet. It
+// calls dispatch at most once, and only after its reservation was read back as
+// the winner; otherwise it gives the stored answer or a refusal.
+type OnceCaller interface {
+	CallOnce(ctx context.Context, call OnceCall, dispatch Dispatch) (OnceAnswer, *protocol.Refusal)
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -126,6 +126,18 @@
 // Unwrap gives the cause.
 func (e *CallError) Unwrap() error { return e.Err }
 
+// Causes inside a CallError that decide what happens to the target and the
+// connection.
+var (
+	// ErrNotBegun: the target said itself that it did not begin the call.
+	ErrNotBegun = errors.New("target did not begin the call")
+	// ErrLeaving: the target did not begin the call because it is leaving.
+	ErrLeaving = errors.New("target is leaving")
+	// ErrCrossed: the answer echoed the id of another call. It was dropped
+	// and its connection closed.
+	ErrCrossed = errors.New("answer belongs to another call")
+)
+
 // Target sends calls to one target. Its errors are *CallError.
 type Target interface {
 	Do(ctx context.Context, address string, call Call) (*Answer, error)
