Platform stand-in over HTTP and net/rpc between instances

Cause: the whole path needs processes that talk: the platform, and instances. Weighed: one listener with a header for the failure domain against a listener for each domain. The listener is kept: a cut then needs nothing from the caller. Weighed: one connection an instance against one a receiver.

--- /dev/null
+++ b/internal/standin/platformsrv/server.go
@@ -0,0 +1,250 @@
+// Package platformsrv is the stand-in for the platform as a process: it serves
+// the log, the lagging list of targets and instances, and the rate-limited
+// weight store over HTTP, each with fault switches.
+//
+// It listens at several addresses, one for each failure domain, so that one
+// domain can be cut off from the platform while the others are not.
+package platformsrv
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"merlintiller/internal/platform"
+	"merlintiller/internal/protocol"
+	"merlintiller/internal/standin/memlog"
+	"merlintiller/internal/transport/platformhttp"
+)
+
+// Options set the limits of the stand-in.
+type Options struct {
+	Log memlog.Options
+	// ListLag is how old the list is that is served.
+	ListLag time.Duration
+	// WeightsPerSecond limits looks at the weight store.
+	WeightsPerSecond float64
+}
+
+// Faults are the switches, set by POST /faults.
+type Faults struct {
+	// Log is "", "down", "lose_answer", "throttle" or "hang".
+	Log string `json:"log"`
+	// List is "" or "down".
+	List string `json:"list"`
+	// DelayMS delays every answer.
+	DelayMS int `json:"delay_ms"`
+	// Cut names the listeners whose callers are cut off.
+	Cut []string `json:"cut"`
+}
+
+var logFaults = map[string]memlog.Fault{
+	"":            memlog.None,
+	"down":        memlog.Down,
+	"lose_answer": memlog.LoseAnswer,
+	"throttle":    memlog.Throttle,
+	"hang":        memlog.Hang,
+}
+
+type version struct {
+	at      time.Time
+	listing platform.Listing
+}
+
+// Server is the platform stand-in.
+type Server struct {
+	opts    Options
+	log     *memlog.Log
+	weights *rate.Limiter
+
+	mu       sync.Mutex
+	faults   Faults
+	listing  platform.Listing
+	versions []version
+}
+
+// New returns a stand-in with an empty log and list.
+func New(opts Options) *Server {
+	s := &Server{opts: opts, log: memlog.New(opts.Log)}
+	s.weights = rate.NewLimiter(rate.Limit(opts.WeightsPerSecond), 1)
+	s.log.SetFault(func(string, string, []byte) memlog.Fault { return logFaults[s.current().Log] })
+	return s
+}
+
+func (s *Server) current() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// Handler serves the platform to the callers of one listener.
+func (s *Server) Handler(listener string) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /log/{stream}", s.append)
+	mux.HandleFunc("GET /log/{stream}", s.read)
+	mux.HandleFunc("GET /list", s.list)
+	mux.HandleFunc("PUT /list/targets/{id}", s.putTarget)
+	mux.HandleFunc("DELETE /list/targets/{id}", s.deleteTarget)
+	mux.HandleFunc("GET /weights/{model}/{version}", s.weight)
+	mux.HandleFunc("POST /faults", s.setFaults)
+	mux.HandleFunc("GET /appends", s.appends)
+	return s.withFaults(listener, mux)
+}
+
+// withFaults cuts or delays callers. The switches themselves stay reachable.
+func (s *Server) withFaults(listener string, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		faults := s.current()
+		if r.URL.Path != "/faults" {
+			for _, cut := range faults.Cut {
+				if cut == listener {
+					panic(http.ErrAbortHandler)
+				}
+			}
+			time.Sleep(time.Duration(faults.DelayMS) * time.Millisecond)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) append(w http.ResponseWriter, r *http.Request) {
+	payload, err := io.ReadAll(http.MaxBytesReader(w, r.Body, protocol.MaxEntryBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	offset, err := s.log.Append(r.Context(), r.PathValue("stream"), payload)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, platformhttp.AppendReply{Offset: offset})
+}
+
+func (s *Server) read(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	from, err1 := strconv.ParseInt(query.Get("from"), 10, 64)
+	limit, err2 := strconv.Atoi(query.Get("limit"))
+	wait, err3 := strconv.ParseInt(query.Get("wait_ms"), 10, 64)
+	if err := errors.Join(err1, err2, err3); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	page, err := s.log.Read(r.Context(), r.PathValue("stream"), protocol.Offset(from), limit, time.Duration(wait)*time.Millisecond)
+	trimmed := errors.Is(err, platform.ErrTrimmed)
+	if err != nil && !trimmed {
+		writeError(w, err)
+		return
+	}
+	wire := platformhttp.PageWire{Oldest: page.Oldest, Next: page.Next, Trimmed: trimmed}
+	for _, entry := range page.Entries {
+		wire.Entries = append(wire.Entries, platformhttp.EntryWire(entry))
+	}
+	data, err := protocol.Marshal(wire)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(data)
+}
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	if s.current().List == "down" {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(w, s.lagging(time.Now()))
+}
+
+// lagging returns the newest listing that is at least ListLag old.
+func (s *Server) lagging(now time.Time) platform.Listing {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.versions) > 1 && now.Sub(s.versions[1].at) >= s.opts.ListLag {
+		s.versions = s.versions[1:]
+	}
+	if len(s.versions) == 0 || now.Sub(s.versions[0].at) < s.opts.ListLag {
+		return platform.Listing{}
+	}
+	return s.versions[0].listing
+}
+
+func (s *Server) putTarget(w http.ResponseWriter, r *http.Request) {
+	var target platform.ListedTarget
+	if err := json.NewDecoder(r.Body).Decode(&target); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	target.ID = protocol.TargetID(r.PathValue("id"))
+	s.changeTargets(target.ID, &target)
+}
+
+func (s *Server) deleteTarget(w http.ResponseWriter, r *http.Request) {
+	s.changeTargets(protocol.TargetID(r.PathValue("id")), nil)
+}
+
+func (s *Server) changeTargets(id protocol.TargetID, put *platform.ListedTarget) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var targets []platform.ListedTarget
+	for _, target := range s.listing.Targets {
+		if target.ID != id {
+			targets = append(targets, target)
+		}
+	}
+	if put != nil {
+		targets = append(targets, *put)
+	}
+	s.listing.Targets = targets
+	s.versions = append(s.versions, version{at: time.Now(), listing: s.listing})
+}
+
+func (s *Server) weight(w http.ResponseWriter, r *http.Request) {
+	if !s.weights.Allow() {
+		writeError(w, platform.ErrThrottled)
+		return
+	}
+	const standInBytes = 16 << 30
+	writeJSON(w, platformhttp.WeightReply{Bytes: standInBytes})
+}
+
+func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if _, ok := logFaults[faults.Log]; !ok {
+		http.Error(w, "unknown log fault "+faults.Log, http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+}
+
+func (s *Server) appends(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, s.log.Appends())
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	status := http.StatusServiceUnavailable
+	switch {
+	case errors.Is(err, platform.ErrThrottled):
+		status = http.StatusTooManyRequests
+	case errors.Is(err, platform.ErrEntryTooLarge):
+		status = http.StatusRequestEntityTooLarge
+	}
+	http.Error(w, err.Error(), status)
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/internal/standin/platformsrv/server_test.go
@@ -0,0 +1,60 @@
+package platformsrv
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/platform"
+	"merlintiller/internal/protocol"
+	"merlintiller/internal/standin/memlog"
+	"merlintiller/internal/transport/platformhttp"
+)
+
+func serve(t *testing.T, s *Server, listener string) *platformhttp.Client {
+	t.Helper()
+	server := httptest.NewServer(s.Handler(listener))
+	t.Cleanup(server.Close)
+	return platformhttp.New(strings.TrimPrefix(server.URL, "http://"))
+}
+
+func TestLogOverHTTP(t *testing.T) {
+	s := New(Options{})
+	client := serve(t, s, "a")
+	offset, err := client.Append(t.Context(), "s", []byte("x"))
+	require.NoError(t, err)
+	require.EqualValues(t, 0, offset)
+	page, err := client.Read(t.Context(), "s", 0, 10, time.Second)
+	require.NoError(t, err)
+	require.Equal(t, []platform.Entry{{Offset: 0, Payload: []byte("x")}}, page.Entries)
+	s.log.Trim("s", 1)
+	page, err = client.Read(t.Context(), "s", 0, 10, 0)
+	require.ErrorIs(t, err, platform.ErrTrimmed)
+	require.Equal(t, protocol.Offset(1), page.Oldest)
+}
+
+// A failure domain is cut off from the platform. Its instances see an outage
+// while the others go on appending.
+func TestCutListenerSeesAnOutage(t *testing.T) {
+	s := New(Options{})
+	cut, whole := serve(t, s, "a"), serve(t, s, "b")
+	s.faults.Cut = []string{"a"}
+	_, err := cut.Append(t.Context(), "s", nil)
+	require.ErrorIs(t, err, platform.ErrUnavailable)
+	_, err = whole.Append(t.Context(), "s", nil)
+	require.NoError(t, err)
+}
+
+// The log limits appends. The refusal comes back as a throttle, which says
+// that nothing was appended, and not as an outage, which would not.
+func TestThrottleIsToldFromAnOutage(t *testing.T) {
+	s := New(Options{Log: memlog.Options{AppendsPerSecond: 0.001}})
+	client := serve(t, s, "a")
+	_, err := client.Append(t.Context(), "s", nil)
+	require.NoError(t, err)
+	_, err = client.Append(t.Context(), "s", nil)
+	require.ErrorIs(t, err, platform.ErrThrottled)
+}
--- /dev/null
+++ b/internal/transport/peer/server.go
@@ -0,0 +1,151 @@
+// Package peer carries calls between instances by net/rpc over TCP, with
+// mutual TLS where the settings give certificates. It counts the bytes that
+// control costs, and keeps a connection for each receiver, so that a snapshot
+// on its way never delays a question about rates.
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"expvar"
+	"fmt"
+	"net"
+	"net/rpc"
+	"sync"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/gravitational/trace"
+)
+
+var (
+	bytesRead    = expvar.NewInt("peer.bytes_read")
+	bytesWritten = expvar.NewInt("peer.bytes_written")
+	refused      = expvar.NewInt("peer.refused")
+)
+
+// maxConnections bounds the connections that other instances hold here: a few
+// receivers for each instance that has this one in its partial view.
+const maxConnections = 512
+
+// Server serves receivers to other instances. It is a suture service.
+type Server struct {
+	listener net.Listener
+	tls      *tls.Config
+	rpc      *rpc.Server
+	logger   log.Logger
+
+	mu     sync.Mutex
+	closed bool
+	conns  map[net.Conn]struct{}
+}
+
+// NewServer takes over a listener. A nil tlsConfig means plaintext, which
+// settings allow only on loopback or when they say so.
+func NewServer(listener net.Listener, tlsConfig *tls.Config, logger log.Logger) *Server {
+	return &Server{
+		listener: listener,
+		tls:      tlsConfig,
+		rpc:      rpc.NewServer(),
+		logger:   logger,
+		conns:    map[net.Conn]struct{}{},
+	}
+}
+
+// Register offers the methods of a receiver under a name.
+func (s *Server) Register(name string, receiver any) error {
+	return trace.Wrap(s.rpc.RegisterName(name, receiver))
+}
+
+// String names the service for the supervisor.
+func (s *Server) String() string { return "peer-server" }
+
+// Serve accepts connections until ctx ends.
+func (s *Server) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, s.close)
+	defer stop()
+	for {
+		conn, err := s.listener.Accept()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			return trace.Wrap(err, "accepting peer connections")
+		}
+		if !s.add(conn) {
+			refused.Add(1)
+			_ = conn.Close()
+			continue
+		}
+		go s.serveConn(ctx, conn)
+	}
+}
+
+func (s *Server) add(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || len(s.conns) >= maxConnections {
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	return true
+}
+
+func (s *Server) remove(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+	_ = conn.Close()
+}
+
+func (s *Server) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	_ = s.listener.Close()
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+}
+
+// serveConn refuses a caller that shows no certificate of the fleet before any
+// byte reaches net/rpc, and logs it: an outsider that could call a receiver
+// could give itself tokens or withdraw keys.
+func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+	defer s.remove(conn)
+	var stream net.Conn = &countingConn{Conn: conn}
+	if s.tls != nil {
+		secured := tls.Server(stream, s.tls)
+		if err := s.handshake(ctx, secured); err != nil {
+			refused.Add(1)
+			_ = level.Warn(s.logger).Log("event", "peer_refused", "remote", conn.RemoteAddr(), "err", err)
+			return
+		}
+		stream = secured
+	}
+	s.rpc.ServeConn(stream)
+}
+
+func (s *Server) handshake(ctx context.Context, conn *tls.Conn) error {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	if err := conn.HandshakeContext(ctx); err != nil {
+		return fmt.Errorf("handshake: %w", err)
+	}
+	return nil
+}
+
+// countingConn counts the bytes of control traffic.
+type countingConn struct{ net.Conn }
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	bytesRead.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	bytesWritten.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/internal/transport/platformhttp/client.go
@@ -0,0 +1,158 @@
+package platformhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"merlintiller/internal/platform"
+	"merlintiller/internal/protocol"
+)
+
+const (
+	// dialTimeout bounds a connect; the platform is a few milliseconds away.
+	dialTimeout = 2 * time.Second
+	// replyTimeout bounds the wait for an answer beyond the wait that a read
+	// asked for. A hung platform is then an outage, not a stuck duty.
+	replyTimeout = 5 * time.Second
+	// maxPageBytes bounds a page: a reader never holds more.
+	maxPageBytes = 8 << 20
+	// idleConns keeps one connection for each duty that talks to the platform.
+	idleConns = 16
+)
+
+// Client reaches one platform address.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+var (
+	_ platform.Log          = (*Client)(nil)
+	_ platform.InstanceList = (*Client)(nil)
+	_ platform.WeightStore  = (*Client)(nil)
+)
+
+// New returns a client of the platform at "ip:port".
+func New(address string) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idleConns,
+		DisableCompression:  true,
+	}
+	return &Client{base: "http://" + address, http: &http.Client{Transport: transport}}
+}
+
+// Append implements platform.Log. net/http sends a POST once: an append whose
+// answer is lost comes back as ErrUnavailable, and the journal decides.
+func (c *Client) Append(ctx context.Context, stream string, payload []byte) (protocol.Offset, error) {
+	target := c.base + "/log/" + url.PathEscape(stream)
+	body, err := c.do(ctx, http.MethodPost, target, payload, replyTimeout)
+	if err != nil {
+		return protocol.NoOffset, err
+	}
+	var reply AppendReply
+	if err := json.Unmarshal(body, &reply); err != nil {
+		return protocol.NoOffset, fmt.Errorf("%w: append answer: %w", platform.ErrUnavailable, err)
+	}
+	return reply.Offset, nil
+}
+
+// Read implements platform.Log.
+func (c *Client) Read(ctx context.Context, stream string, from protocol.Offset, limit int, wait time.Duration) (platform.Page, error) {
+	query := url.Values{
+		"from":    {strconv.FormatInt(int64(from), 10)},
+		"limit":   {strconv.Itoa(limit)},
+		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	target := c.base + "/log/" + url.PathEscape(stream) + "?" + query.Encode()
+	body, err := c.do(ctx, http.MethodGet, target, nil, replyTimeout+wait)
+	if err != nil {
+		return platform.Page{}, err
+	}
+	var wire PageWire
+	if err := protocol.Unmarshal(body, &wire); err != nil {
+		return platform.Page{}, fmt.Errorf("%w: page: %w", platform.ErrUnavailable, err)
+	}
+	return wire.page()
+}
+
+func (w PageWire) page() (platform.Page, error) {
+	page := platform.Page{Oldest: w.Oldest, Next: w.Next}
+	for _, entry := range w.Entries {
+		page.Entries = append(page.Entries, platform.Entry(entry))
+	}
+	if w.Trimmed {
+		return page, platform.ErrTrimmed
+	}
+	return page, nil
+}
+
+// List implements platform.InstanceList.
+func (c *Client) List(ctx context.Context) (platform.Listing, error) {
+	body, err := c.do(ctx, http.MethodGet, c.base+"/list", nil, replyTimeout)
+	if err != nil {
+		return platform.Listing{}, err
+	}
+	var listing platform.Listing
+	if err := json.Unmarshal(body, &listing); err != nil {
+		return platform.Listing{}, fmt.Errorf("%w: list: %w", platform.ErrUnavailable, err)
+	}
+	return listing, nil
+}
+
+// Stat implements platform.WeightStore.
+func (c *Client) Stat(ctx context.Context, model protocol.ModelName, version string) (int64, error) {
+	target := c.base + "/weights/" + url.PathEscape(string(model)) + "/" + url.PathEscape(version)
+	body, err := c.do(ctx, http.MethodGet, target, nil, replyTimeout)
+	if err != nil {
+		return 0, err
+	}
+	var reply WeightReply
+	if err := json.Unmarshal(body, &reply); err != nil {
+		return 0, fmt.Errorf("%w: weights: %w", platform.ErrUnavailable, err)
+	}
+	return reply.Bytes, nil
+}
+
+func (c *Client) do(ctx context.Context, method, target string, payload []byte, timeout time.Duration) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(payload))
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPageBytes))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	return body, statusError(resp.StatusCode)
+}
+
+// statusError maps the platform's answers. An answer that is neither success
+// nor a known refusal says nothing about the effect.
+func statusError(status int) error {
+	switch status {
+	case http.StatusOK:
+		return nil
+	case http.StatusTooManyRequests:
+		return platform.ErrThrottled
+	case http.StatusRequestEntityTooLarge:
+		return platform.ErrEntryTooLarge
+	default:
+		return fmt.Errorf("%w: status %d", platform.ErrUnavailable, status)
+	}
+}
