--- /dev/null
+++ b/cmd/standin/platform.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"net/http"
+	"time"
+
+	"merlintiller/internal/standin/memlog"
+	"merlintiller/internal/standin/platformsrv"
+)
+
+type platformCmd struct {
+	Listen           []string      `required:"" help:"Address for one failure domain, as NAME=ip:port. Repeatable."`
+	AppendsPerSecond float64       `default:"400" help:"Limit on appends to the log."`
+	Retention        time.Duration `default:"24h" help:"How long log entries are kept."`
+	ListLag          time.Duration `default:"1s" help:"Age of the list that is served."`
+	WeightsPerSecond float64       `default:"5" help:"Limit on looks at the weight store."`
+}
+
+// Run serves until the process is ended.
+func (c *platformCmd) Run() error {
+	server := platformsrv.New(platformsrv.Options{
+		Log: memlog.Options{
+			AppendsPerSecond: c.AppendsPerSecond,
+			Retention:        c.Retention,
+		},
+		ListLag:          c.ListLag,
+		WeightsPerSecond: c.WeightsPerSecond,
+	})
+	failed := make(chan error, len(c.Listen))
+	for _, listen := range c.Listen {
+		name, address, err := splitListen(listen)
+		if err != nil {
+			return err
+		}
+		go func() { failed <- http.ListenAndServe(address, server.Handler(name)) }()
+	}
+	return <-failed
+}
--- /dev/null
+++ b/internal/harness/usage.go
@@ -0,0 +1,64 @@
+package harness
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// clockTick is the unit of processor time in /proc: Linux gives user space 100
+// ticks a second on every machine.
+const clockTick = 10 * time.Millisecond
+
+// Usage is what a process has used.
+type Usage struct {
+	CPU time.Duration
+	// ResidentBytes is the memory that the process holds now.
+	ResidentBytes int64
+}
+
+// Usage reads the process's processor time and memory.
+func (p *Process) Usage() (Usage, error) {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.PID()))
+	if err != nil {
+		return Usage{}, err
+	}
+	cpu, err := cpuTime(string(stat))
+	if err != nil {
+		return Usage{}, err
+	}
+	statm, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.PID()))
+	if err != nil {
+		return Usage{}, err
+	}
+	fields := strings.Fields(string(statm))
+	if len(fields) < 2 {
+		return Usage{}, fmt.Errorf("statm of %s: too short", p.Name)
+	}
+	pages, err := strconv.ParseInt(fields[1], 10, 64)
+	if err != nil {
+		return Usage{}, err
+	}
+	return Usage{CPU: cpu, ResidentBytes: pages * int64(os.Getpagesize())}, nil
+}
+
+// cpuTime adds user and system time: fields 14 and 15 of the line, which are
+// the 12th and 13th after the closing parenthesis of the program's name.
+func cpuTime(stat string) (time.Duration, error) {
+	_, rest, ok := strings.Cut(stat, ") ")
+	fields := strings.Fields(rest)
+	if !ok || len(fields) < 13 {
+		return 0, fmt.Errorf("stat line %q: too short", stat)
+	}
+	user, err := strconv.ParseInt(fields[11], 10, 64)
+	if err != nil {
+		return 0, err
+	}
+	system, err := strconv.ParseInt(fields[12], 10, 64)
+	if err != nil {
+		return 0, err
+	}
+	return time.Duration(user+system) * clockTick, nil
+}
