--- a/internal/coordination/limiter/agreed.go
+++ b/internal/coordination/limiter/agreed.go
@@ -20,10 +20,16 @@
 type agreed struct {
 	journal coordination.Journal
 	traces  map[protocol.SessionID]*sessionTrace
+	// resources are the slots' lease names, made once.
+	resources map[SlotKey]protocol.Resource
 }
 
 func newAgreed(journal coordination.Journal) *agreed {
-	return &agreed{journal: journal, traces: map[protocol.SessionID]*sessionTrace{}}
+	return &agreed{
+		journal:   journal,
+		traces:    map[protocol.SessionID]*sessionTrace{},
+		resources: map[SlotKey]protocol.Resource{},
+	}
 }
 
 // view shows the slots of the domains that have a share.
@@ -37,6 +43,7 @@
 				Session:  info.Session,
 				Domain:   info.Domain,
 				Opened:   info.OpenedAt,
+				Renewed:  info.LastRenewal,
 			})
 		}
 		for domain := range fleet.Domains {
@@ -61,7 +68,12 @@
 }
 
 func (a *agreed) holding(state *replica.State, key SlotKey, into map[SlotKey]Holding) {
-	lease, ok := state.Leases.Last(key.Resource())
+	resource, ok := a.resources[key]
+	if !ok {
+		resource = key.Resource()
+		a.resources[key] = resource
+	}
+	lease, ok := state.Leases.Last(resource)
 	if !ok {
 		return
 	}
@@ -93,3 +105,15 @@
 		}
 	}
 }
+
+// ownRenewal is the latest renewal of an open session, NoOffset if it is not
+// open.
+func (a *agreed) ownRenewal(session protocol.SessionID) protocol.Offset {
+	renewal := protocol.NoOffset
+	a.journal.View(func(state *replica.State) {
+		if info, ok := state.Sessions.Get(session); ok {
+			renewal = info.LastRenewal
+		}
+	})
+	return renewal
+}
--- a/internal/coordination/limiter/bucket.go
+++ b/internal/coordination/limiter/bucket.go
@@ -54,16 +54,6 @@
 	b.at = to
 }
 
-// spend removes tokens that are used at this very moment.
-func (b *bucket) spend(now time.Time, amount float64) bool {
-	b.advance(now)
-	if b.tokens < amount {
-		return false
-	}
-	b.tokens -= amount
-	return true
-}
-
 // lend removes up to want whole tokens that may be used elsewhere until a time.
 func (b *bucket) lend(now time.Time, want float64, until time.Time) float64 {
 	b.advance(now)
--- a/internal/coordination/limiter/claims.go
+++ b/internal/coordination/limiter/claims.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"slices"
 	"time"
 
 	"merlintiller/internal/protocol"
@@ -28,6 +29,9 @@
 	// expiredAt is when this instance first read that a session had ended.
 	expiredAt map[protocol.SessionID]time.Time
 	gone      map[protocol.SessionID]bool
+	// wanted is the assignment for members, which change seldom.
+	wanted  [SlotsPerDomain]protocol.InstanceID
+	members []protocol.InstanceID
 }
 
 // NewClaims returns the decisions of an instance.
@@ -36,7 +40,7 @@
 		settings:  settings,
 		self:      self,
 		domain:    domain,
-		promises:  newPromises(settings.longer(settings.Promise)),
+		promises:  newPromises(settings.longer(settings.Promise), 2*settings.Grace),
 		expiredAt: map[protocol.SessionID]time.Time{},
 		gone:      map[protocol.SessionID]bool{},
 	}
@@ -61,9 +65,11 @@
 		return nil
 	}
 	c.forget(now, view)
-	wanted := Assign(c.domain, ids)
+	if !slices.Equal(ids, c.members) {
+		c.members, c.wanted = ids, Assign(c.domain, ids)
+	}
 	var actions []ClaimAction
-	for slot, holder := range wanted {
+	for slot, holder := range c.wanted {
 		key := SlotKey{Domain: c.domain, Slot: slot}
 		h, held := view.Holdings[key]
 		if action, ok := c.decide(now, own, key, h, held, holder); ok {
@@ -96,8 +102,10 @@
 		release := ClaimAction{Key: key, Release: true}
 		return release, h.Session == own.Session && wanted != c.self
 	}
-	if h.Session == own.Session {
-		return ClaimAction{}, false
+	if h.Session == own.Session || h.Instance == c.self {
+		// This process uses the slots of its present session only, and no
+		// other process answers for this instance.
+		c.gone[h.Session] = true
 	}
 	return c.decideEnded(now, own, key, h, wanted)
 }
@@ -133,8 +141,7 @@
 	for _, h := range view.Holdings {
 		holding[h.Session] = true
 	}
-	holds := func(s protocol.SessionID) bool { return holding[s] }
-	c.promises.forget(holds, now)
+	c.promises.forget(now)
 	for session := range c.expiredAt {
 		if !holding[session] {
 			delete(c.expiredAt, session)
--- /dev/null
+++ b/internal/coordination/limiter/fakes_test.go
@@ -0,0 +1,369 @@
+package limiter
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/thejerf/suture/v4"
+
+	"merlintiller/internal/coordination"
+	"merlintiller/internal/protocol"
+	"merlintiller/internal/state/replica"
+)
+
+// errCut is what a call over a cut link fails with.
+var errCut = errors.New("cut")
+
+// fakeLog is one stream that every fakeJournal replays at once, unless cut.
+type fakeLog struct {
+	mu       sync.Mutex
+	frames   []protocol.Frame
+	journals []*fakeJournal
+	// loseAnswers makes submits take effect and report that they may have.
+	loseAnswers bool
+}
+
+func (l *fakeLog) append(rec protocol.Record) protocol.Offset {
+	l.mu.Lock()
+	l.frames = append(l.frames, protocol.Frame{Records: []protocol.Record{rec}})
+	at := protocol.Offset(len(l.frames) - 1)
+	journals := append([]*fakeJournal(nil), l.journals...)
+	l.mu.Unlock()
+	for _, j := range journals {
+		j.catchUp()
+	}
+	return at
+}
+
+func (l *fakeLog) from(at int) []protocol.Frame {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.frames[at:]
+}
+
+// fakeJournal is a coordination.Journal over a fakeLog. The test says when the
+// session may hold and when the log can't be reached.
+type fakeJournal struct {
+	log *fakeLog
+	mu  sync.Mutex
+
+	state    *replica.State
+	applied  int
+	verdicts map[protocol.RecordID]coordination.Outcome
+	session  protocol.SessionID
+	seq      uint64
+	cut      bool
+	mayHold  bool
+	changed  chan struct{}
+}
+
+func newFakeJournal(l *fakeLog, instance protocol.InstanceID, domain protocol.Domain, session protocol.SessionID) *fakeJournal {
+	j := &fakeJournal{
+		log: l, state: replica.New(), verdicts: map[protocol.RecordID]coordination.Outcome{},
+		session: session, mayHold: true, changed: make(chan struct{}),
+	}
+	l.mu.Lock()
+	l.journals = append(l.journals, j)
+	l.mu.Unlock()
+	j.submit(protocol.Record{SessionOpen: &protocol.SessionOpen{Instance: instance, Domain: domain}})
+	return j
+}
+
+func (j *fakeJournal) catchUp() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.cut {
+		return
+	}
+	frames := j.log.from(j.applied)
+	for _, frame := range frames {
+		at := protocol.Offset(j.applied)
+		for i, verdict := range j.state.Apply(at, frame) {
+			j.verdicts[frame.Records[i].ID] = coordination.Outcome{Verdict: verdict, Offset: at, Run: protocol.Completed}
+		}
+		j.applied++
+	}
+	if len(frames) > 0 {
+		close(j.changed)
+		j.changed = make(chan struct{})
+	}
+}
+
+func (j *fakeJournal) setCut(cut, mayHold bool) {
+	j.mu.Lock()
+	j.cut, j.mayHold = cut, mayHold
+	j.mu.Unlock()
+	j.catchUp()
+}
+
+// renew keeps the session open as long as the log can be reached.
+func (j *fakeJournal) renew(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(2 * time.Second):
+			j.submit(protocol.Record{SessionRenew: &protocol.SessionRenew{}})
+		}
+	}
+}
+
+func (j *fakeJournal) submit(rec protocol.Record) coordination.Outcome {
+	j.mu.Lock()
+	if j.cut {
+		j.mu.Unlock()
+		return coordination.Outcome{Run: protocol.NotRun, Err: errCut}
+	}
+	j.seq++
+	rec.ID = protocol.RecordID{Session: j.session, Seq: j.seq}
+	j.mu.Unlock()
+	j.log.append(rec)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.log.loseAnswers {
+		return coordination.Outcome{Run: protocol.MayHaveRun, Err: errCut}
+	}
+	return j.verdicts[rec.ID]
+}
+
+func (j *fakeJournal) Submit(_ context.Context, rec protocol.Record) coordination.Outcome {
+	return j.submit(rec)
+}
+
+func (j *fakeJournal) View(read func(*replica.State)) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	read(j.state)
+}
+
+func (j *fakeJournal) Fleet() *protocol.Fleet {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.state.Fleet.Fleet()
+}
+
+func (j *fakeJournal) Session() protocol.SessionID {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.session
+}
+
+func (j *fakeJournal) MayHold() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.mayHold
+}
+
+func (j *fakeJournal) Changed() <-chan struct{} {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.changed
+}
+
+func (j *fakeJournal) LogUp() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return !j.cut
+}
+
+func (j *fakeJournal) AppendData(context.Context, []byte) (protocol.Offset, error) {
+	return protocol.NoOffset, errCut
+}
+
+func (j *fakeJournal) ReadData(context.Context, protocol.Offset) ([]byte, error) {
+	return nil, errCut
+}
+
+// fakeNet connects limiters. Cut pairs and stopped instances don't answer.
+type fakeNet struct {
+	mu       sync.Mutex
+	limiters map[protocol.InstanceID]*Limiter
+	down     map[protocol.InstanceID]bool
+	cut      map[[2]protocol.Domain]bool
+	// dropReplies loses the answers of Take after their effect.
+	dropReplies bool
+}
+
+func newFakeNet() *fakeNet {
+	return &fakeNet{
+		limiters: map[protocol.InstanceID]*Limiter{},
+		down:     map[protocol.InstanceID]bool{},
+		cut:      map[[2]protocol.Domain]bool{},
+	}
+}
+
+func (n *fakeNet) cutDomains(a, b protocol.Domain) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[[2]protocol.Domain{a, b}] = true
+	n.cut[[2]protocol.Domain{b, a}] = true
+}
+
+func (n *fakeNet) stop(id protocol.InstanceID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.down[id] = true
+}
+
+// fakePeers is the net as one instance sees it.
+type fakePeers struct {
+	net    *fakeNet
+	self   protocol.InstanceID
+	domain protocol.Domain
+}
+
+func (p *fakePeers) List() []coordination.Peer { return nil }
+
+func (p *fakePeers) Call(ctx context.Context, to protocol.InstanceID, method string, args, reply any) error {
+	p.net.mu.Lock()
+	l := p.net.limiters[to]
+	gone := l == nil || p.net.down[to] || p.net.down[p.self] || p.net.cut[[2]protocol.Domain{p.domain, l.Domain}]
+	drop := p.net.dropReplies
+	p.net.mu.Unlock()
+	if gone {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	<-time.After(200 * time.Microsecond)
+	e := l.Endpoint()
+	switch a := args.(type) {
+	case *TakeArgs:
+		var r TakeReply
+		_ = e.Take(a, &r)
+		if drop {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		*reply.(*TakeReply) = r
+		return nil
+	case *PromiseArgs:
+		return e.Promise(a, reply.(*PromiseReply))
+	case *GoneArgs:
+		return e.Gone(a, reply.(*GoneReply))
+	}
+	return errors.New("unknown method " + method)
+}
+
+// fakeFleet is a few limiters with their services running.
+type fakeFleet struct {
+	t    *testing.T
+	log  *fakeLog
+	net  *fakeNet
+	all  map[protocol.InstanceID]*Limiter
+	next protocol.SessionID
+}
+
+func newFakeFleet(t *testing.T) *fakeFleet {
+	t.Helper()
+	f := &fakeFleet{t: t, log: &fakeLog{}, net: newFakeNet(), all: map[protocol.InstanceID]*Limiter{}, next: 1}
+	return f
+}
+
+func (f *fakeFleet) start(id protocol.InstanceID, domain protocol.Domain) *Limiter {
+	f.t.Helper()
+	journal := newFakeJournal(f.log, id, domain, f.next)
+	f.next++
+	l := New(Config{
+		Self: id, Domain: domain, Journal: journal,
+		Peers:    &fakePeers{net: f.net, self: id, domain: domain},
+		Settings: testSettings(), Logger: log.NewNopLogger(),
+	})
+	f.net.mu.Lock()
+	f.net.limiters[id] = l
+	delete(f.net.down, id)
+	f.net.mu.Unlock()
+	f.all[id] = l
+	super := suture.NewSimple(string(id))
+	for _, s := range l.Services() {
+		super.Add(s)
+	}
+	super.ServeBackground(f.t.Context())
+	go journal.renew(f.t.Context())
+	return l
+}
+
+func (f *fakeFleet) journal(id protocol.InstanceID) *fakeJournal {
+	return f.all[id].Journal.(*fakeJournal)
+}
+
+// configure publishes a configuration through one instance.
+func (f *fakeFleet) configure(through protocol.InstanceID, shares map[protocol.Domain]protocol.DomainShare, orgs ...protocol.Organisation) {
+	f.t.Helper()
+	j := f.journal(through)
+	change := &protocol.FleetChange{BasedOn: j.Fleet().Version, ChangeID: time.Now().String()}
+	for _, share := range shares {
+		change.Set = append(change.Set, protocol.FleetObject{Domain: &share})
+	}
+	for _, org := range orgs {
+		change.Set = append(change.Set, protocol.FleetObject{Organisation: &org})
+	}
+	if outcome := j.submit(protocol.Record{FleetChange: change}); !outcome.Accepted() {
+		f.t.Fatalf("configuration not accepted: %+v", outcome)
+	}
+}
+
+// expire ends a session through another instance.
+func (f *fakeFleet) expire(through protocol.InstanceID, session protocol.SessionID) {
+	f.t.Helper()
+	j := f.journal(through)
+	var last protocol.Offset
+	j.View(func(s *replica.State) {
+		info, _ := s.Sessions.Get(session)
+		last = info.LastRenewal
+	})
+	if outcome := j.submit(protocol.Record{SessionExpire: &protocol.SessionExpire{Session: session, LastRenewal: last}}); !outcome.Accepted() {
+		f.t.Fatalf("session not expired: %+v", outcome)
+	}
+}
+
+// admitted counts how many of a number of requests an instance admits.
+func (f *fakeFleet) admitted(id protocol.InstanceID, org protocol.OrganisationID, requests int) int {
+	f.t.Helper()
+	count := 0
+	for range requests {
+		if f.all[id].Admit(f.t.Context(), org, 1) == nil {
+			count++
+		}
+	}
+	return count
+}
+
+func wait(d time.Duration) { <-time.After(d) }
+
+// id checks that an instance exists.
+func (f *fakeFleet) id(name string) protocol.InstanceID {
+	f.t.Helper()
+	id := protocol.InstanceID(name)
+	if f.all[id] == nil {
+		f.t.Fatalf("no instance %s", name)
+	}
+	return id
+}
+
+// heldBy are the slots that an instance may use now.
+func (f *fakeFleet) heldBy(id protocol.InstanceID) []SlotKey {
+	l := f.all[id]
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	l.authorise(now)
+	var keys []SlotKey
+	for slot := range SlotsPerDomain {
+		key := SlotKey{Domain: l.Domain, Slot: slot}
+		if l.core.Holds(now, key) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// testSettings have a short grace: virtual hours of a fleet take real seconds.
+func testSettings() Settings {
+	settings := Defaults()
+	settings.Grace = 10 * time.Minute
+	return settings
+}
--- a/internal/coordination/limiter/limiter.go
+++ b/internal/coordination/limiter/limiter.go
@@ -42,6 +42,8 @@
 	// session is the one under which the core's slots are held.
 	session protocol.SessionID
 	leaving bool
+	// renewedAt is when the own latest renewal was first seen.
+	renewedAt time.Time
 
 	ahead   *ring.Ring[*Ask]
 	actions *ring.Ring[ClaimAction]
@@ -127,8 +129,12 @@
 		l.core.Extend(time.Time{})
 	case l.Journal.MayHold():
 		l.core.Extend(now.Add(1))
+	case l.agreed.ownRenewal(l.session) != l.extension.settled:
+		// The electorate may miss a mate that the journal has read already, or
+		// the session has ended. The next look tells.
+		l.core.Extend(time.Time{})
 	default:
-		l.core.Extend(l.extension.end())
+		l.core.Extend(l.extension.until(now))
 	}
 }
 
--- /dev/null
+++ b/internal/coordination/limiter/limiter_test.go
@@ -0,0 +1,57 @@
+package limiter
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/protocol"
+)
+
+func threeDomains(t *testing.T) *fakeFleet {
+	t.Helper()
+	f := newFakeFleet(t)
+	f.start("a1", "a")
+	f.start("a2", "a")
+	f.start("a3", "a")
+	f.start("b1", "b")
+	f.start("c1", "c")
+	f.configure("a1", domains("a", "b", "c"), protocol.Organisation{ID: "o", Rate: 30, Burst: 30})
+	wait(10 * time.Second)
+	return f
+}
+
+// All callers of an organisation gather at one instance. It holds only a few
+// of the organisation's slots, and a user would see refusals inside the rate
+// if the tokens of the other instances stayed where they are.
+func TestCallersAtOneInstanceGetTheWholeBurst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := threeDomains(t)
+		require.Equal(t, 30, f.admitted("a1", "o", 60))
+	})
+}
+
+// A failure domain is cut off from the others. Its callers get the domain's
+// part, at once and without waiting for the other domains' answers each time.
+func TestCutDomainServesItsPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := threeDomains(t)
+		f.net.cutDomains("a", "b")
+		f.net.cutDomains("a", "c")
+		require.Equal(t, 10, f.admitted("a1", "o", 60))
+	})
+}
+
+func TestRefusalTellsWhenToComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := threeDomains(t)
+		f.admitted("b1", "o", 60)
+		refusal := f.all["b1"].Admit(t.Context(), "o", 1)
+		require.Equal(t, protocol.CodeRateLimited, refusal.Code)
+		require.Equal(t, protocol.NotRun, refusal.Run)
+		require.Greater(t, refusal.RetryAfter, 30*time.Millisecond)
+		require.Less(t, refusal.RetryAfter, time.Second)
+	})
+}
--- a/internal/coordination/limiter/services.go
+++ b/internal/coordination/limiter/services.go
@@ -13,7 +13,7 @@
 	// slotInterval is how often the slots are looked at besides every change.
 	slotInterval = 500 * time.Millisecond
 	// changeDebounce bounds how often changes make the slots be looked at.
-	changeDebounce = 50 * time.Millisecond
+	changeDebounce = 200 * time.Millisecond
 	// submitTimeout bounds the wait for the fate of a claim. Its fate is seen
 	// in the replayed state anyway.
 	submitTimeout = 5 * time.Second
@@ -70,12 +70,7 @@
 	l.core.Configure(now, fleet)
 	l.core.SetHolders(view.holders())
 	l.followSlots(now, session, view)
-	mates := view.mates(l.Domain)
-	if mayHold && session == l.session {
-		l.extension.renewed(now, session, mates)
-	} else {
-		l.extension.seen(mates)
-	}
+	l.followRenewal(now, session, mayHold, view)
 	l.core.Tidy(now)
 	if l.leaving {
 		return
@@ -88,6 +83,20 @@
 	}
 }
 
+// followRenewal brings the extension to what replay says of the own session.
+func (l *Limiter) followRenewal(now time.Time, session protocol.SessionID, mayHold bool, view View) {
+	renewed := view.renewed(session)
+	if renewed != l.extension.settled {
+		l.renewedAt = now
+	}
+	if mayHold {
+		l.extension.renewed(now, session)
+	}
+	if renewed != protocol.NoOffset {
+		l.extension.seen(view.mates(l.Domain), renewed, view.readBack(session))
+	}
+}
+
 // followSlots takes up the slots that replay gives to the own session, and
 // drops all others.
 func (l *Limiter) followSlots(now time.Time, session protocol.SessionID, view View) {
@@ -190,7 +199,7 @@
 
 func (l *Limiter) askPromises(ctx context.Context) {
 	session := l.Journal.Session()
-	if session == 0 || (l.Journal.LogUp() && l.Journal.MayHold()) {
+	if session == 0 || (l.Journal.LogUp() && !l.renewalLate(time.Now())) {
 		return
 	}
 	for _, mate := range l.promisesWanted(time.Now()) {
@@ -198,6 +207,13 @@
 	}
 }
 
+// renewalLate reports whether the own session was not renewed for a while.
+func (l *Limiter) renewalLate(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Sub(l.renewedAt) > l.Settings.RenewalLate
+}
+
 // promisesWanted are the mates whose promise ends soon.
 func (l *Limiter) promisesWanted(now time.Time) []protocol.InstanceID {
 	l.mu.Lock()
@@ -224,7 +240,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.extension.session == session {
-		l.extension.promise(mate, sent)
+		l.extension.promise(time.Now(), mate, sent, l.Journal.MayHold())
 	}
 }
 
--- a/internal/coordination/limiter/view.go
+++ b/internal/coordination/limiter/view.go
@@ -25,6 +25,8 @@
 	Domain   protocol.Domain
 	// Opened is the offset of the record that opened the session.
 	Opened protocol.Offset
+	// Renewed is the offset of its latest renewal, or of the open record.
+	Renewed protocol.Offset
 }
 
 // View is what replay says of the slots, as of one position in the stream.
@@ -45,6 +47,28 @@
 	return mates
 }
 
+// renewed is the latest renewal of a session, NoOffset if it is not open.
+func (v View) renewed(session protocol.SessionID) protocol.Offset {
+	for _, m := range v.Members {
+		if m.Session == session {
+			return m.Renewed
+		}
+	}
+	return protocol.NoOffset
+}
+
+// readBack is the latest record that an open session surely knows to be its
+// own: its latest renewal or the claim of a slot it holds.
+func (v View) readBack(session protocol.SessionID) protocol.Offset {
+	latest := v.renewed(session)
+	for _, h := range v.Holdings {
+		if h.Session == session {
+			latest = max(latest, h.Fence)
+		}
+	}
+	return latest
+}
+
 // holders says whom to ask for each slot: also the holder whose session ended,
 // which may still hold by its mates' promises.
 func (v View) holders() map[SlotKey]protocol.InstanceID {
