online: thin path from callers to targets

Weighed: http.Client against RoundTrip for targets (a Client follows redirects and so sends twice: dropped); httptrace's WroteHeaders against a byte count on the connection for the run state (the trace fires on a buffer, the count on what was handed to the network: count kept). Change: stand-in target, targethttp adapter, router core and shell, online path, callers' edge, openai-go client against it. Conclusion: whole and streamed chat, text, models and errors pass with openai-go.

--- /dev/null
+++ b/internal/coordination/online/options.go
@@ -0,0 +1,84 @@
+package online
+
+import (
+	"time"
+
+	"github.com/go-kit/log"
+
+	"merlintiller/internal/coordination"
+	"merlintiller/internal/platform"
+	"merlintiller/internal/protocol"
+)
+
+// KeyActive tells whether a key may still be served. access.Keys is one.
+type KeyActive interface {
+	Active(id protocol.KeyID) bool
+}
+
+// Options set up a Path. Limits, Admission, Once and Observe may be nil.
+type Options struct {
+	Fleet     func() *protocol.Fleet
+	Keys      KeyActive
+	Limits    coordination.Limits
+	Admission coordination.Admission
+	Router    coordination.Router
+	// Target sends repeatable calls, OnceTarget those that may not be
+	// repeated, over connections of its own.
+	Target     platform.Target
+	OnceTarget platform.Target
+	Once       OnceCaller
+	// Observe is told how each call went, for the burn report. It must not
+	// block.
+	Observe func(Observation)
+	Logger  log.Logger
+	// Policy holds the settings.
+	Policy Policy
+}
+
+// Policy is the path's settings. A zero field takes its default.
+type Policy struct {
+	// Timeout bounds a call whose caller sent no deadline. Default 2 min.
+	Timeout time.Duration
+	// FirstByteTimeout gives up an attempt of a repeatable call that shows no
+	// first byte. Default 10 s: five times the aim for the first token, so
+	// that only a dead or frozen target meets it.
+	FirstByteTimeout time.Duration
+	// StallTimeout gives up a stream that shows no further event. Default 5 s,
+	// more than a hundred times the aim between tokens.
+	StallTimeout time.Duration
+	// Attempts bounds the attempts of one call. Default 3.
+	Attempts int
+	// RetryRatio, RetryPerSecond and RetryMost are the retry budget: retries
+	// allowed for each call, for each second, and saved up at most. Defaults
+	// 0.1, 1 and 20: a fleet in trouble gets at most a tenth more load.
+	RetryRatio, RetryPerSecond, RetryMost float64
+	// MaxAnswer bounds a whole answer in bytes. Default 16 MiB.
+	MaxAnswer int64
+	// RetryAfter is told to callers that were refused for want of a target.
+	// Default 1 s.
+	RetryAfter time.Duration
+	// AllowHeaders are further headers that may pass to targets.
+	AllowHeaders []string
+	// CancelTimeout bounds a cancel at a target. Default 1 s.
+	CancelTimeout time.Duration
+}
+
+func (p Policy) withDefaults() Policy {
+	setDefault(&p.Timeout, 2*time.Minute)
+	setDefault(&p.FirstByteTimeout, 10*time.Second)
+	setDefault(&p.StallTimeout, 5*time.Second)
+	setDefault(&p.Attempts, 3)
+	setDefault(&p.RetryRatio, 0.1)
+	setDefault(&p.RetryPerSecond, 1)
+	setDefault(&p.RetryMost, 20)
+	setDefault(&p.MaxAnswer, 16<<20)
+	setDefault(&p.RetryAfter, time.Second)
+	setDefault(&p.CancelTimeout, time.Second)
+	return p
+}
+
+func setDefault[T int | int64 | float64 | time.Duration](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/coordination/routing/options.go
@@ -0,0 +1,81 @@
+// Package routing chooses targets for calls.
+//
+// Core is the decision: power of two choices on own calls in flight and the
+// lagging reports of load, own failure domain first, slow and failing targets
+// ejected for a while, leaving targets without new work. It has no clock, no
+// I/O and no goroutine, so that the daemon, the tests and the policy bench
+// drive the same code. Router puts a lock and a clock around it.
+package routing
+
+import (
+	"time"
+
+	"merlintiller/internal/protocol"
+)
+
+// Options are the policy's settings. A zero field takes its default.
+type Options struct {
+	// Domain is the instance's own failure domain.
+	Domain protocol.Domain
+	// Seed makes the random choices reproducible.
+	Seed uint64
+	// SlotsPerTarget is used for services that configure none. Default 16.
+	SlotsPerTarget int
+	// SpillAt is the load per slot from which another domain's target may be
+	// taken. Default 1: below it the local target runs well, so crossing
+	// domains would cost latency for nothing.
+	SpillAt float64
+	// SpillGain is by how much less loaded per slot the other domain's target
+	// must be. Default 0.25, so that two full domains don't trade calls.
+	SpillGain float64
+	// ReportHalfLife is the age at which a load report counts half; the other
+	// half is the mean over the service. Default 2 s: with a report every
+	// second and streams of seconds, older news says little of one target.
+	ReportHalfLife time.Duration
+	// AffinityLoad is how far above the mean load per slot a target that
+	// holds the prompt's prefix is still preferred. Zero is no affinity.
+	AffinityLoad float64
+	// FailuresToEject is the run of failures that ejects a target. Default 3.
+	FailuresToEject int
+	// EjectFor is the first ejection; it doubles up to EjectMost. Defaults
+	// 2 s and 60 s.
+	EjectFor, EjectMost time.Duration
+	// EjectShare bounds the part of a service that is ejected at the same
+	// time. Default 0.5: one of three failure domains may be dead as a whole;
+	// beyond a half the cause is more likely shared, and the rest could not
+	// carry the load.
+	EjectShare float64
+	// SlowFactor ejects a target whose mean time to the first byte is so many
+	// times the service's. Default 4.
+	SlowFactor float64
+	// SlowSamples is how many answers the mean needs. Default 8.
+	SlowSamples int
+	// SlowFloor is a time to the first byte that is never slow. Default
+	// 100 ms, so that jitter on a fast service ejects nobody.
+	SlowFloor time.Duration
+	// LeavingFor keeps a target that said it is leaving out of use until the
+	// list has dropped it. Default 60 s.
+	LeavingFor time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.SlotsPerTarget, 16)
+	setDefault(&o.SpillAt, 1)
+	setDefault(&o.SpillGain, 0.25)
+	setDefault(&o.ReportHalfLife, 2*time.Second)
+	setDefault(&o.FailuresToEject, 3)
+	setDefault(&o.EjectFor, 2*time.Second)
+	setDefault(&o.EjectMost, time.Minute)
+	setDefault(&o.EjectShare, 0.5)
+	setDefault(&o.SlowFactor, 4)
+	setDefault(&o.SlowSamples, 8)
+	setDefault(&o.SlowFloor, 100*time.Millisecond)
+	setDefault(&o.LeavingFor, time.Minute)
+	return o
+}
+
+func setDefault[T int | float64 | time.Duration](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/coordination/routing/pollers.go
@@ -0,0 +1,162 @@
+package routing
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/thejerf/suture/v4"
+
+	"merlintiller/internal/platform"
+	"merlintiller/internal/protocol"
+)
+
+// PollOptions set up the duties that keep a Router informed.
+type PollOptions struct {
+	Router *Router
+	List   platform.InstanceList
+	Loads  platform.LoadReports
+	// Fleet gives the configuration in force.
+	Fleet  func() *protocol.Fleet
+	Logger log.Logger
+	// ListEvery is the time between reads of the platform's list. Default 1 s,
+	// so that a leaving target gets no new work after about a second.
+	ListEvery time.Duration
+	// LoadsPerSecond bounds the load reports read a second. Default 20: each
+	// of ten targets twice a second, and at hundreds of targets a round of
+	// them within the control budget.
+	LoadsPerSecond float64
+	// LoadEvery is the least time between two reads of one target's load.
+	// Default 1 s, the lag of the reports.
+	LoadEvery time.Duration
+	// Domain is read first and more often than the others.
+	Domain protocol.Domain
+	// Listed is told each listing too, for other users of the list. May be nil.
+	Listed func(platform.Listing)
+}
+
+func (o PollOptions) withDefaults() PollOptions {
+	setDefault(&o.ListEvery, time.Second)
+	setDefault(&o.LoadsPerSecond, 20)
+	setDefault(&o.LoadEvery, time.Second)
+	if o.Logger == nil {
+		o.Logger = log.NewNopLogger()
+	}
+	return o
+}
+
+// Pollers returns the duties that read the platform's list and the targets'
+// load reports.
+func Pollers(opts PollOptions) []suture.Service {
+	opts = opts.withDefaults()
+	return []suture.Service{&listPoller{opts: opts}, &loadPoller{opts: opts, read: map[protocol.TargetID]time.Time{}}}
+}
+
+// listPoller keeps the router informed of who may exist.
+type listPoller struct {
+	opts PollOptions
+	down bool
+}
+
+// String names the duty.
+func (l *listPoller) String() string { return "target list" }
+
+// Serve implements suture.Service.
+func (l *listPoller) Serve(ctx context.Context) error {
+	for {
+		l.poll(ctx)
+		if !sleep(ctx, l.opts.ListEvery) {
+			return ctx.Err()
+		}
+	}
+}
+
+// poll reads the list once. While it can't be read the last one stays in use.
+func (l *listPoller) poll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, l.opts.ListEvery*2)
+	defer cancel()
+	listing, err := l.opts.List.List(ctx)
+	if err != nil {
+		if !l.down {
+			_ = l.opts.Logger.Log("event", "target_list_unreadable", "err", err)
+		}
+		l.down = true
+		return
+	}
+	if l.down {
+		_ = l.opts.Logger.Log("event", "target_list_readable")
+	}
+	l.down = false
+	l.opts.Router.SetServices(l.opts.Fleet().Services)
+	l.opts.Router.Listing(listing)
+	if l.opts.Listed != nil {
+		l.opts.Listed(listing)
+	}
+}
+
+// loadPoller reads the load of one target after the other. A frozen target
+// costs its own timeout and stops nobody else's report for longer.
+type loadPoller struct {
+	opts PollOptions
+	read map[protocol.TargetID]time.Time
+}
+
+// String names the duty.
+func (l *loadPoller) String() string { return "load reports" }
+
+// Serve implements suture.Service.
+func (l *loadPoller) Serve(ctx context.Context) error {
+	step := time.Duration(float64(time.Second) / l.opts.LoadsPerSecond)
+	for {
+		l.poll(ctx, time.Now(), step)
+		if !sleep(ctx, step) {
+			return ctx.Err()
+		}
+	}
+}
+
+func (l *loadPoller) poll(ctx context.Context, now time.Time, step time.Duration) {
+	next, ok := l.next(now)
+	if !ok {
+		return
+	}
+	l.read[next.Target] = now
+	ctx, cancel := context.WithTimeout(ctx, 4*step)
+	defer cancel()
+	load, err := l.opts.Loads.Load(ctx, next.Address)
+	if err != nil {
+		return
+	}
+	load.Target = next.Target
+	l.opts.Router.Report(load)
+}
+
+// remoteEvery is how many times rarer targets of other domains are read.
+const remoteEvery = 4
+
+// next is the target whose report is most overdue.
+func (l *loadPoller) next(now time.Time) (Status, bool) {
+	var best Status
+	longest := time.Duration(0)
+	for _, t := range l.opts.Router.Targets() {
+		due := l.opts.LoadEvery
+		if t.Domain != l.opts.Domain {
+			due *= remoteEvery
+		}
+		if over := now.Sub(l.read[t.Target]) - due; over >= 0 && over >= longest {
+			best, longest = t, over
+		}
+	}
+	return best, best.Target != ""
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/coordination/routing/router.go
@@ -0,0 +1,78 @@
+package routing
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"merlintiller/internal/coordination"
+	"merlintiller/internal/platform"
+	"merlintiller/internal/protocol"
+)
+
+// Router is a Core behind a lock and the process's clock. It implements
+// coordination.Router.
+type Router struct {
+	mu   sync.Mutex
+	core *Core
+}
+
+// NewRouter returns a router that knows no target.
+func NewRouter(opts Options) *Router {
+	return &Router{core: NewCore(opts)}
+}
+
+// Pick implements coordination.Router.
+func (r *Router) Pick(req coordination.PickRequest) (coordination.Pick, func(coordination.CallResult), bool) {
+	r.mu.Lock()
+	choice, ok := r.core.Pick(time.Now(), req)
+	r.mu.Unlock()
+	if !ok {
+		return coordination.Pick{}, nil, false
+	}
+	var ended atomic.Bool
+	done := func(result coordination.CallResult) {
+		if ended.Swap(true) {
+			return
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.core.Done(time.Now(), choice, result)
+	}
+	return choice.Pick, done, true
+}
+
+// OnlineInFlight counts the own online calls at a target.
+func (r *Router) OnlineInFlight(id protocol.TargetID) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.OnlineInFlight(id)
+}
+
+// Targets lists all known targets, by id.
+func (r *Router) Targets() []Status {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.Targets(time.Now())
+}
+
+// Listing takes in the platform's list.
+func (r *Router) Listing(listing platform.Listing) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.core.Listing(time.Now(), listing)
+}
+
+// Report takes in a load report.
+func (r *Router) Report(load platform.Load) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.core.Report(time.Now(), load)
+}
+
+// SetServices takes in the configured services.
+func (r *Router) SetServices(services map[protocol.ServiceName]protocol.Service) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.core.SetServices(services)
+}
--- /dev/null
+++ b/internal/standin/target/plain.go
@@ -0,0 +1,34 @@
+package target
+
+import (
+	"net/http"
+
+	"merlintiller/internal/protocol"
+)
+
+// PlainAnswer is what a plain service answers.
+type PlainAnswer struct {
+	Target protocol.TargetID `json:"target"`
+	Method string            `json:"method"`
+	Path   string            `json:"path"`
+	// Body is the BodyKey of the request's body.
+	Body string `json:"body"`
+}
+
+// plain runs a call that may not be repeated.
+func (t *Target) plain(w http.ResponseWriter, r *http.Request, body []byte, faults Faults) {
+	t.effect(r.Header.Get(HeaderCallID), body)
+	if !pause(r, t.cfg.CallTime) {
+		return
+	}
+	if faults.LoseAnswer {
+		hangUp()
+	}
+	answer := PlainAnswer{Target: t.cfg.ID, Method: r.Method, Path: r.URL.Path, Body: BodyKey(body)}
+	if faults.CutAfter > 0 {
+		w.Header().Set("Content-Length", "1000000")
+		writeJSON(w, answer)
+		hangUp()
+	}
+	writeJSON(w, answer)
+}
--- /dev/null
+++ b/internal/transport/edge/system_test.go
@@ -0,0 +1,153 @@
+package edge
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/thejerf/suture/v4"
+
+	"merlintiller/internal/coordination/access"
+	"merlintiller/internal/coordination/online"
+	"merlintiller/internal/coordination/routing"
+	"merlintiller/internal/platform"
+	"merlintiller/internal/protocol"
+	"merlintiller/internal/standin/target"
+	"merlintiller/internal/transport/targethttp"
+)
+
+const (
+	testSecret    = "sk-firewater-1"
+	testModel     = "report-writer"
+	testService   = protocol.ServiceName("tiller-reports")
+	plainService  = protocol.ServiceName("code-lookup")
+	testDomain    = protocol.Domain("pnw-sea")
+	testKey       = protocol.KeyID("k1")
+	testOrg       = protocol.OrganisationID("cascadia")
+	modelTargets  = 3
+	answerTokens  = 12
+	plainTargetID = protocol.TargetID("lookup-1")
+)
+
+func hashOf(secret string) string {
+	sum := sha256.Sum256([]byte(secret))
+	return hex.EncodeToString(sum[:])
+}
+
+func testFleet() *protocol.Fleet {
+	return &protocol.Fleet{
+		Organisations: map[protocol.OrganisationID]protocol.Organisation{testOrg: {ID: testOrg, Rate: 100, Burst: 100}},
+		Keys:          map[protocol.KeyID]protocol.Key{testKey: {ID: testKey, Organisation: testOrg, SHA256: hashOf(testSecret)}},
+		Models:        map[protocol.ModelName]protocol.Model{testModel: {Name: testModel, Service: testService}},
+		Services: map[protocol.ServiceName]protocol.Service{
+			testService:  {Name: testService, Kind: protocol.KindModel, Repeatable: true, Slots: 8},
+			plainService: {Name: plainService, Kind: protocol.KindPlain},
+		},
+	}
+}
+
+// system is one entry instance before stand-in targets, on loopback.
+type system struct {
+	fleet   atomic.Pointer[protocol.Fleet]
+	targets []*target.Target
+	servers []*httptest.Server
+	plain   *target.Target
+	router  *routing.Router
+	client  *targethttp.Client
+	path    *online.Path
+	edge    *Edge
+	url     string
+	address string
+}
+
+type systemOptions struct {
+	policy online.Policy
+	limits Limits
+	once   online.OnceCaller
+	// target replaces the way to the targets.
+	target platform.Target
+	tokens int
+}
+
+func newSystem(t testing.TB, opts systemOptions) *system {
+	s := &system{router: routing.NewRouter(routing.Options{Domain: testDomain, Seed: 1})}
+	s.fleet.Store(testFleet())
+	if opts.tokens == 0 {
+		opts.tokens = answerTokens
+	}
+	s.startTargets(t, opts.tokens)
+	s.client = targethttp.New(targethttp.Options{})
+	once := targethttp.New(targethttp.Options{FreshConnections: true})
+	var calls, onceCalls platform.Target = s.client, once
+	if opts.target != nil {
+		calls, onceCalls = opts.target, opts.target
+	}
+	s.path = online.New(online.Options{
+		Fleet: s.fleet.Load, Keys: access.New(s.fleet.Load), Router: s.router,
+		Target: calls, OnceTarget: onceCalls, Once: opts.once, Policy: opts.policy,
+	})
+	s.edge = New(Options{
+		Listen: s.listen, Fleet: s.fleet.Load, Keys: access.New(s.fleet.Load),
+		Online: s.path, Limits: opts.limits,
+	})
+	s.start(t)
+	return s
+}
+
+func (s *system) startTargets(t testing.TB, tokens int) {
+	var listing platform.Listing
+	add := func(id protocol.TargetID, cfg target.Config) *target.Target {
+		cfg.ID, cfg.Domain = id, testDomain
+		standin := target.New(cfg)
+		server := httptest.NewServer(standin)
+		t.Cleanup(server.Close)
+		s.servers = append(s.servers, server)
+		listing.Targets = append(listing.Targets, platform.ListedTarget{
+			ID: id, Service: cfg.Service, Domain: testDomain, Address: strings.TrimPrefix(server.URL, "http://"),
+		})
+		return standin
+	}
+	for i := range modelTargets {
+		id := protocol.TargetID("runner-" + string(rune('1'+i)))
+		s.targets = append(s.targets, add(id, target.Config{Service: testService, Tokens: tokens}))
+	}
+	s.plain = add(plainTargetID, target.Config{Service: plainService, Kind: protocol.KindPlain})
+	s.router.SetServices(s.fleet.Load().Services)
+	s.router.Listing(listing)
+}
+
+func (s *system) listen() (net.Listener, error) {
+	return net.Listen("tcp", s.address)
+}
+
+func (s *system) start(t testing.TB) {
+	probe, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s.address = probe.Addr().String()
+	s.url = "http://" + s.address
+	listener := probe
+	s.edge.opts.Listen = func() (net.Listener, error) { return listener, nil }
+	supervisor := suture.NewSimple("test")
+	for _, service := range append(s.path.Services(), s.edge.Services()...) {
+		supervisor.Add(service)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := supervisor.ServeBackground(ctx)
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+}
+
+// setFaults gives all model targets the same faults.
+func (s *system) setFaults(faults target.Faults) {
+	for _, standin := range s.targets {
+		standin.SetFaults(faults)
+	}
+}
