Batch jobs from upload to results, and their HTTP handlers

Weighed: a control record for each uploaded file (costs the control stream an append a file) against a file id that holds the offset of the description; the latter is taken. Results of several chunks share one data entry, which saves appends.

--- /dev/null
+++ b/internal/coordination/batch/files.go
@@ -0,0 +1,202 @@
+package batch
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"io"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+
+	"merlintiller/internal/coordination/bulk"
+	"merlintiller/internal/protocol"
+)
+
+// File is a file as callers see it.
+type File struct {
+	ID      string
+	Name    string
+	Bytes   int64
+	Purpose string
+	Created time.Time
+	// Expires is when the file may no longer be there.
+	Expires time.Time
+}
+
+// The purposes of files.
+const (
+	PurposeBatch  = "batch"
+	PurposeOutput = "batch_output"
+)
+
+// UploadFile stores an input file. It is acknowledged once its last entry
+// stands in the log, and outlives the instance from then on.
+func (s *Service) UploadFile(ctx context.Context, org protocol.OrganisationID, name string, input io.Reader) (File, *protocol.Refusal) {
+	chunks := newChunker(s.opts, input)
+	var refs []protocol.ChunkRef
+	for {
+		items, err := chunks.next()
+		if err != nil {
+			return File{}, refuseInput(err)
+		}
+		if len(items) == 0 {
+			break
+		}
+		at, err := s.appendEntry(ctx, bulk.Entry{Items: items})
+		if err != nil {
+			return File{}, s.refuseStorage(err, "the upload")
+		}
+		refs = append(refs, protocol.ChunkRef{Offset: at, Items: len(items)})
+	}
+	if len(refs) == 0 {
+		return File{}, badRequest("file", "the file has no items")
+	}
+	return s.describe(ctx, bulk.File{
+		Organisation: org,
+		Name:         name,
+		Bytes:        chunks.bytes,
+		Items:        chunks.items,
+		Hash:         chunks.hash.Sum64(),
+		Endpoint:     chunks.endpoint,
+		Chunks:       refs,
+		Models:       slices.Sorted(maps.Keys(chunks.models)),
+		Created:      time.Now().UTC().Truncate(time.Second),
+	})
+}
+
+// describe appends the description, after which the file exists.
+func (s *Service) describe(ctx context.Context, file bulk.File) (File, *protocol.Refusal) {
+	if refusal := s.checkModels(file.Models); refusal != nil {
+		return File{}, refusal
+	}
+	payload, err := bulk.Encode(bulk.Entry{At: time.Now().Unix(), File: &file})
+	if err != nil {
+		return File{}, protocol.Refuse(protocol.CodeTooLarge, 0, "the file has too many chunks")
+	}
+	at, err := s.journal.AppendData(ctx, payload)
+	if err != nil {
+		return File{}, s.refuseStorage(err, "the upload")
+	}
+	return s.fileView(fileID(at, payload), &file), nil
+}
+
+func (s *Service) fileView(id string, file *bulk.File) File {
+	return File{
+		ID:      id,
+		Name:    file.Name,
+		Bytes:   file.Bytes,
+		Purpose: PurposeBatch,
+		Created: file.Created,
+		Expires: file.Created.Add(s.opts.FileKept),
+	}
+}
+
+// checkModels refuses models that batch can't run. Items run again when an
+// instance dies in the middle of one, so they may only go to services whose
+// calls may be repeated.
+func (s *Service) checkModels(models []protocol.ModelName) *protocol.Refusal {
+	fleet := s.journal.Fleet()
+	for _, name := range models {
+		model, known := fleet.Models[name]
+		if !known {
+			refusal := protocol.Refuse(protocol.CodeUnknownModel, 0, "model %q does not exist", name)
+			refusal.Param = "body.model"
+			return refusal
+		}
+		if !fleet.Services[model.Service].Repeatable {
+			return badRequest("body.model", "model %q is served by a service whose calls may not be repeated, which batch needs", name)
+		}
+	}
+	return nil
+}
+
+func badRequest(param, format string, args ...any) *protocol.Refusal {
+	refusal := protocol.Refuse(protocol.CodeBadRequest, 0, format, args...)
+	refusal.Param = param
+	return refusal
+}
+
+func refuseInput(err error) *protocol.Refusal {
+	var line *LineError
+	if errors.As(err, &line) {
+		return badRequest(cmp.Or(line.Field, "file"), "%s", line.Error())
+	}
+	if errors.Is(err, errTooLarge) {
+		return protocol.Refuse(protocol.CodeTooLarge, 0, "%s", err)
+	}
+	return badRequest("file", "the upload broke off: %s", err)
+}
+
+func (s *Service) appendEntry(ctx context.Context, entry bulk.Entry) (protocol.Offset, error) {
+	entry.At = time.Now().Unix()
+	payload, err := bulk.Encode(entry)
+	if err != nil {
+		return protocol.NoOffset, trace.Wrap(err)
+	}
+	at, err := s.journal.AppendData(ctx, payload)
+	return at, trace.Wrap(err)
+}
+
+// File returns a file of the organisation. To any other it does not exist.
+func (s *Service) File(ctx context.Context, org protocol.OrganisationID, id string) (File, *protocol.Refusal) {
+	if job, failed, ok := parseResultFileID(id); ok {
+		return s.resultFile(ctx, org, job, failed)
+	}
+	file, refusal := s.readFile(ctx, org, id)
+	if refusal != nil {
+		return File{}, refusal
+	}
+	return s.fileView(id, file), nil
+}
+
+// readFile reads the description of an uploaded file and checks that the id
+// belongs to it and to the organisation.
+func (s *Service) readFile(ctx context.Context, org protocol.OrganisationID, id string) (*bulk.File, *protocol.Refusal) {
+	unknown := protocol.Refuse(protocol.CodeNotFound, 0, "file %q does not exist", id)
+	at, hash, ok := parseFileID(id)
+	if !ok {
+		return nil, unknown
+	}
+	payload, err := s.journal.ReadData(ctx, at)
+	if err != nil {
+		return nil, s.refuseStorage(err, "file "+id)
+	}
+	if xxhash.Sum64(payload) != hash {
+		return nil, unknown
+	}
+	entry, err := bulk.Decode(payload)
+	if err != nil || entry.File == nil || entry.File.Organisation != org {
+		return nil, unknown
+	}
+	return entry.File, nil
+}
+
+// FileContent writes the content of a file. It refuses before the first byte
+// or not at all; an error after that leaves the content short, and the caller
+// must break the connection so that nobody takes it for whole.
+func (s *Service) FileContent(ctx context.Context, org protocol.OrganisationID, id string, out io.Writer) (*protocol.Refusal, error) {
+	if job, failed, ok := parseResultFileID(id); ok {
+		return s.resultContent(ctx, org, job, failed, out)
+	}
+	file, refusal := s.readFile(ctx, org, id)
+	if refusal != nil {
+		return refusal, nil
+	}
+	for i, ref := range file.Chunks {
+		items, err := readItems(ctx, s.journal, ref.Offset)
+		if err != nil && i == 0 {
+			return s.refuseStorage(err, "file "+id), nil
+		}
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		if err := writeInput(out, file.Endpoint, items); err != nil {
+			return nil, trace.Wrap(err)
+		}
+	}
+	return nil, nil
+}
--- /dev/null
+++ b/internal/coordination/batch/options.go
@@ -0,0 +1,130 @@
+package batch
+
+import (
+	"time"
+
+	"merlintiller/internal/coordination/bulk"
+)
+
+// Options are the settings of the batch duties. The zero value of a field
+// takes its default.
+type Options struct {
+	// MaxLineBytes bounds a line of an input file. Default 256 KiB: a line must
+	// fit in a log entry with room for others.
+	MaxLineBytes int
+	// MaxFileBytes bounds an input file. Default 4 GiB.
+	MaxFileBytes int64
+	// MaxFileItems bounds the items of a file. Default 1,000,000: the largest
+	// job foreseen has 760,000.
+	MaxFileItems int
+	// MaxResultBytes bounds the body of one result. Default 512 KiB. A longer
+	// one ends as a failed result, since it would not fit in a log entry.
+	MaxResultBytes int
+	// FileKept is how long after its upload a file can be used for a job.
+	// Default 24 h. Retention must be longer by a margin, because an uploaded
+	// file is not carried forward until a job needs it.
+	FileKept time.Duration
+	// MaxWindow bounds the completion window of a job. Default 7 days.
+	MaxWindow time.Duration
+	// ResultsReadable is how long results stay readable after a job ended.
+	// Default 7 days.
+	ResultsReadable time.Duration
+	// SubmitTimeout bounds the wait for a manifest to be read back. Default
+	// 10 s: a caller would rather resend than hang.
+	SubmitTimeout time.Duration
+	// ReadLag is how long a read of an unknown job waits for this instance to
+	// replay a manifest that another one has just acknowledged. Default 300 ms.
+	ReadLag time.Duration
+	// RetryAfter is what callers are told when the log is down. Default 5 s.
+	RetryAfter time.Duration
+
+	// MaxHeldChunks bounds the chunks an instance holds. Default 8: two
+	// thousand items keep an instance busy while a claim is on its way.
+	MaxHeldChunks int
+	// MaxInFlight bounds the items an instance runs at a time. Default 256.
+	MaxInFlight int
+	// LowWater is the number of waiting items at which an instance claims
+	// more. Default 128.
+	LowWater int
+	// PlanEvery is the shortest time between two plans. Default 500 ms: a plan
+	// passes over all running jobs.
+	PlanEvery time.Duration
+	// UrgentLaxity is the spare time under which a job goes ahead of fairness
+	// between organisations. Default 10 min.
+	UrgentLaxity time.Duration
+	// ItemTime is the time one item is assumed to take when the spare time of
+	// a job is estimated. Default 10 s.
+	ItemTime time.Duration
+
+	// MaxAttempts bounds the attempts at an item. Default 5; then it ends as
+	// a failed result, so that a job never hangs on one item.
+	MaxAttempts int
+	// BackoffFirst and BackoffMax are the waits between attempts, doubling
+	// from the first. Defaults 1 s and 1 min.
+	BackoffFirst, BackoffMax time.Duration
+
+	// FlushAfter is the longest a result waits for others to be appended with
+	// it. Default 1 min: results go at once when their chunk is whole, so this
+	// bounds only what a crash makes run again.
+	FlushAfter time.Duration
+	// FlushBytes of waiting results are appended at once. Default 512 KiB.
+	FlushBytes int
+	// BufferBytes bounds the results that wait while the log is down. Default
+	// 8 MiB, an eighth of the memory an instance may use. Beyond it the
+	// executor starts no more items.
+	BufferBytes int
+	// DeadlineMargin before a job's deadline results are appended without
+	// waiting for others. Default 30 s.
+	DeadlineMargin time.Duration
+	// DrainTimeout bounds the wait for items in flight at a graceful shutdown.
+	// Default 30 s; the rest is cancelled and runs elsewhere.
+	DrainTimeout time.Duration
+
+	// KeepEvery is the time between two passes of the Keeper. Default 1 s.
+	KeepEvery time.Duration
+	// CarryAge is the age at which live data is appended anew. Default 24 h.
+	// A quarter of the retention time or less leaves room for an outage.
+	CarryAge time.Duration
+	// CarryEvery is the time between two looks for old data. Default 10 min.
+	CarryEvery time.Duration
+}
+
+func orDefault[T comparable](value *T, preset T) {
+	var zero T
+	if *value == zero {
+		*value = preset
+	}
+}
+
+func (o Options) withDefaults() Options {
+	orDefault(&o.MaxLineBytes, 256<<10)
+	orDefault(&o.MaxFileBytes, 4<<30)
+	orDefault(&o.MaxFileItems, 1_000_000)
+	orDefault(&o.MaxResultBytes, 512<<10)
+	orDefault(&o.FileKept, 24*time.Hour)
+	orDefault(&o.MaxWindow, 7*24*time.Hour)
+	orDefault(&o.ResultsReadable, 7*24*time.Hour)
+	orDefault(&o.SubmitTimeout, 10*time.Second)
+	orDefault(&o.ReadLag, 300*time.Millisecond)
+	orDefault(&o.RetryAfter, 5*time.Second)
+	orDefault(&o.MaxHeldChunks, 8)
+	orDefault(&o.MaxInFlight, 256)
+	orDefault(&o.LowWater, 128)
+	orDefault(&o.PlanEvery, 500*time.Millisecond)
+	orDefault(&o.UrgentLaxity, 10*time.Minute)
+	orDefault(&o.ItemTime, 10*time.Second)
+	orDefault(&o.MaxAttempts, 5)
+	orDefault(&o.BackoffFirst, time.Second)
+	orDefault(&o.BackoffMax, time.Minute)
+	orDefault(&o.FlushAfter, time.Minute)
+	orDefault(&o.FlushBytes, 512<<10)
+	orDefault(&o.BufferBytes, 8<<20)
+	orDefault(&o.DeadlineMargin, 30*time.Second)
+	orDefault(&o.DrainTimeout, 30*time.Second)
+	orDefault(&o.KeepEvery, time.Second)
+	orDefault(&o.CarryAge, 24*time.Hour)
+	orDefault(&o.CarryEvery, 10*time.Minute)
+	o.MaxLineBytes = min(o.MaxLineBytes, bulk.MaxPayload/2)
+	o.MaxResultBytes = min(o.MaxResultBytes, bulk.MaxPayload/2)
+	return o
+}
--- /dev/null
+++ b/internal/coordination/batch/planner.go
@@ -0,0 +1,148 @@
+package batch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"merlintiller/internal/protocol"
+)
+
+// Candidate is a running job as the planner sees it.
+type Candidate struct {
+	Job          protocol.JobID
+	Organisation protocol.OrganisationID
+	// Weight is the organisation's fair share; 0 means 1.
+	Weight   float64
+	Deadline time.Time
+	// Remaining counts the items without a result, Chunks all chunks.
+	Remaining, Chunks int
+}
+
+// PlanInput is what a plan depends on.
+type PlanInput struct {
+	Now  time.Time
+	Jobs []Candidate
+	// HeldBy counts the chunks that this instance holds of each organisation.
+	HeldBy map[protocol.OrganisationID]int
+	// Free is the number of chunks that this instance may still take.
+	Free int
+	// Instances counts the open sessions.
+	Instances int
+	// Spread differs between instances, so that they do not all reach for the
+	// same chunk first.
+	Spread uint64
+	// Claimable lists chunks of a job that may be taken, searching from a
+	// chunk number on.
+	Claimable func(job protocol.JobID, from, limit int) []int
+}
+
+// ClaimPlan is one claim to make.
+type ClaimPlan struct {
+	Job    protocol.JobID
+	Chunks []int
+}
+
+// Planner decides which chunks to claim. It is pure.
+type Planner struct {
+	// UrgentLaxity and ItemTime are as in Options.
+	UrgentLaxity, ItemTime time.Duration
+}
+
+// laxity is the spare time of a job: what is left to its deadline when its
+// items have run, a chunk at a time on every instance.
+func (p Planner) laxity(c *Candidate, in *PlanInput) time.Duration {
+	lanes := max(1, min(c.Chunks, in.Instances)) * lanesPerChunk
+	work := time.Duration(c.Remaining) * p.ItemTime / time.Duration(lanes)
+	return c.Deadline.Sub(in.Now) - work
+}
+
+// lanesPerChunk is the number of items of a chunk assumed to run at a time.
+const lanesPerChunk = 8
+
+// Plan chooses claims until no more chunks are free. Jobs short of time come
+// first; otherwise the organisation with the fewest chunks for its weight is
+// served, so that one that sends many jobs does not displace the rest. Within
+// an organisation the job with the least spare time goes first.
+func (p Planner) Plan(in PlanInput) []ClaimPlan {
+	jobs := p.order(&in)
+	held := make(map[protocol.OrganisationID]float64, len(in.HeldBy))
+	for org, count := range in.HeldBy {
+		held[org] = float64(count)
+	}
+	var plans []ClaimPlan
+	free := in.Free
+	for free > 0 && len(jobs) > 0 {
+		next := pickJob(jobs, held)
+		job := jobs[next]
+		chunks := in.Claimable(job.Job, in.start(job), in.share(job, free))
+		jobs = slices.Delete(jobs, next, next+1)
+		if len(chunks) == 0 {
+			continue
+		}
+		plans = append(plans, ClaimPlan{Job: job.Job, Chunks: chunks})
+		held[job.Organisation] += float64(len(chunks)) / weightOf(job)
+		free -= len(chunks)
+	}
+	return plans
+}
+
+type rankedJob struct {
+	*Candidate
+	laxity time.Duration
+	urgent bool
+}
+
+func (p Planner) order(in *PlanInput) []rankedJob {
+	jobs := make([]rankedJob, 0, len(in.Jobs))
+	for i := range in.Jobs {
+		c := &in.Jobs[i]
+		laxity := p.laxity(c, in)
+		jobs = append(jobs, rankedJob{Candidate: c, laxity: laxity, urgent: laxity < p.UrgentLaxity})
+	}
+	slices.SortFunc(jobs, func(a, b rankedJob) int {
+		return cmp.Or(cmp.Compare(a.laxity, b.laxity), cmp.Compare(a.Job, b.Job))
+	})
+	return jobs
+}
+
+// pickJob finds the first job, in order of spare time, of the organisation
+// that holds least, among the urgent jobs if there are any.
+func pickJob(jobs []rankedJob, held map[protocol.OrganisationID]float64) int {
+	best := 0
+	for i := range jobs {
+		if jobs[i].urgent != jobs[best].urgent {
+			if jobs[i].urgent {
+				best = i
+			}
+			continue
+		}
+		if held[jobs[i].Organisation] < held[jobs[best].Organisation] {
+			best = i
+		}
+	}
+	return best
+}
+
+func weightOf(job rankedJob) float64 {
+	if job.Weight <= 0 {
+		return 1
+	}
+	return job.Weight
+}
+
+// start is where the search for free chunks of a job begins.
+func (in *PlanInput) start(job rankedJob) int {
+	if job.Chunks == 0 {
+		return 0
+	}
+	return int(in.Spread % uint64(job.Chunks))
+}
+
+// share bounds one claim. Towards the end of a job claims shrink, so that the
+// last chunks do not all wait behind each other at one instance.
+func (in *PlanInput) share(job rankedJob, free int) int {
+	left := (job.Remaining + protocol.MaxChunkItems - 1) / protocol.MaxChunkItems
+	fair := left / (2 * max(1, in.Instances))
+	return max(1, min(free, fair))
+}
--- /dev/null
+++ b/internal/coordination/batch/results.go
@@ -0,0 +1,170 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"merlintiller/internal/coordination/bulk"
+	"merlintiller/internal/protocol"
+	"merlintiller/internal/state/ledger"
+	"merlintiller/internal/state/replica"
+)
+
+// resultFile describes the output or error file of an ended job.
+func (s *Service) resultFile(ctx context.Context, org protocol.OrganisationID, id protocol.JobID, failed bool) (File, *protocol.Refusal) {
+	view, refusal := s.endedJob(ctx, org, id)
+	if refusal != nil {
+		return File{}, refusal
+	}
+	file := File{
+		ID:      OutputFileID(id),
+		Name:    string(id) + "_output.jsonl",
+		Purpose: PurposeOutput,
+		Created: time.Unix(view.EndedAt, 0).UTC(),
+		Expires: readableUntil(view, s.opts.ResultsReadable),
+	}
+	if failed {
+		file.ID = ErrorFileID(id)
+		file.Name = string(id) + "_error.jsonl"
+	}
+	return file, nil
+}
+
+// endedJob finds a job whose results no longer change.
+func (s *Service) endedJob(ctx context.Context, org protocol.OrganisationID, id protocol.JobID) (ledger.JobView, *protocol.Refusal) {
+	view, refusal := s.find(ctx, org, id)
+	if refusal != nil {
+		return ledger.JobView{}, refusal
+	}
+	if view.Status == ledger.InProgress {
+		return ledger.JobView{}, protocol.Refuse(protocol.CodeConflict, s.opts.RetryAfter, "job %q is still in progress", id)
+	}
+	return view, nil
+}
+
+// resultContent streams the results of a job in input order: the good ones, or
+// the failed ones with those that never came.
+func (s *Service) resultContent(ctx context.Context, org protocol.OrganisationID, id protocol.JobID, failed bool, out io.Writer) (*protocol.Refusal, error) {
+	view, refusal := s.endedJob(ctx, org, id)
+	if refusal != nil {
+		return refusal, nil
+	}
+	for number := range view.Chunks {
+		results, err := s.chunkResults(ctx, view, ledger.ChunkID{Job: id, Chunk: number}, failed)
+		if err != nil && number == 0 {
+			return s.refuseStorage(err, "the result of job "+string(id)), nil
+		}
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		if err := writeResults(out, id, number, results); err != nil {
+			return nil, trace.Wrap(err)
+		}
+	}
+	return nil, nil
+}
+
+func writeResults(out io.Writer, job protocol.JobID, chunk int, results []bulk.Result) error {
+	encoder := json.NewEncoder(out)
+	encoder.SetEscapeHTML(false)
+	for i := range results {
+		id := fmt.Sprintf("batch_req_%s_%d_%d", job, chunk, results[i].Item)
+		if err := encoder.Encode(outputLine(id, &results[i])); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// chunkResults collects the results of one chunk in the order of its items.
+func (s *Service) chunkResults(ctx context.Context, view ledger.JobView, id ledger.ChunkID, failed bool) ([]bulk.Result, error) {
+	var chunk ledger.ChunkView
+	var found bool
+	s.journal.View(func(state *replica.State) { chunk, found = state.Ledger.Chunk(id) })
+	if !found {
+		return nil, trace.Wrap(fmt.Errorf("chunk %v: %w", id, protocol.ErrMalformed))
+	}
+	results := make([]*bulk.Result, chunk.Items)
+	for _, segment := range chunk.Segments {
+		if err := s.fill(ctx, results, segment, id, failed); err != nil {
+			return nil, err
+		}
+	}
+	if failed && chunk.Won.Count() < chunk.Items {
+		if err := s.fillMissing(ctx, results, chunk, view.Status); err != nil {
+			return nil, err
+		}
+	}
+	return present(results), nil
+}
+
+// fill takes from an entry just the results that won: the entry may also hold
+// results of items that another instance reported first.
+func (s *Service) fill(ctx context.Context, results []*bulk.Result, segment ledger.Segment, id ledger.ChunkID, failed bool) error {
+	if failed && segment.Failed.Count() == 0 {
+		return nil
+	}
+	stored, err := readResults(ctx, s.journal, segment.Data, id)
+	if err != nil {
+		return err
+	}
+	for i := range stored {
+		item := stored[i].Item
+		if item < 0 || item >= len(results) || !segment.Items.Has(item) {
+			continue
+		}
+		if segment.Failed.Has(item) == failed {
+			results[item] = &stored[i]
+		}
+	}
+	return nil
+}
+
+// fillMissing gives the items without a result an error line, so that every
+// line of the input is accounted for.
+func (s *Service) fillMissing(ctx context.Context, results []*bulk.Result, chunk ledger.ChunkView, status ledger.Status) error {
+	items, err := readItems(ctx, s.journal, chunk.Input)
+	if err != nil {
+		return err
+	}
+	for number, item := range items {
+		if number >= len(results) || chunk.Won.Has(number) {
+			continue
+		}
+		results[number] = &bulk.Result{
+			Item:     number,
+			CustomID: item.CustomID,
+			Code:     missingCode(status),
+			Message:  "the job ended as " + string(status) + " before this item had a result",
+		}
+	}
+	return nil
+}
+
+// Codes of items that a job ended without.
+const (
+	codeBatchExpired   protocol.Code = "batch_expired"
+	codeBatchCancelled protocol.Code = "batch_cancelled"
+)
+
+func missingCode(status ledger.Status) protocol.Code {
+	if status == ledger.Expired {
+		return codeBatchExpired
+	}
+	return codeBatchCancelled
+}
+
+func present(results []*bulk.Result) []bulk.Result {
+	var found []bulk.Result
+	for _, result := range results {
+		if result != nil {
+			found = append(found, *result)
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/coordination/batch/wire.go
@@ -0,0 +1,127 @@
+package batch
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+
+	"merlintiller/internal/coordination/bulk"
+	"merlintiller/internal/protocol"
+)
+
+// Endpoints are the paths that batch items may ask for.
+var Endpoints = []string{"/v1/chat/completions", "/v1/completions", "/v1/embeddings", "/v1/responses"}
+
+// InputLine is one line of an input file, as OpenAI's batch API has it.
+type InputLine struct {
+	CustomID string          `json:"custom_id"`
+	Method   string          `json:"method"`
+	URL      string          `json:"url"`
+	Body     json.RawMessage `json:"body"`
+}
+
+// OutputLine is one line of an output or error file.
+type OutputLine struct {
+	ID       string          `json:"id"`
+	CustomID string          `json:"custom_id"`
+	Response *OutputResponse `json:"response"`
+	Error    *OutputError    `json:"error"`
+}
+
+// OutputResponse is the answer of the target.
+type OutputResponse struct {
+	StatusCode int             `json:"status_code"`
+	RequestID  string          `json:"request_id"`
+	Body       json.RawMessage `json:"body"`
+}
+
+// OutputError says why an item has no good result.
+type OutputError struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+}
+
+// LineError names the line, counted from 1, and the field that is wrong.
+type LineError struct {
+	Line   int
+	Field  string
+	Reason string
+}
+
+// Error gives the one sentence that callers read.
+func (e *LineError) Error() string {
+	if e.Field == "" {
+		return fmt.Sprintf("line %d: %s", e.Line, e.Reason)
+	}
+	return fmt.Sprintf("line %d: %s: %s", e.Line, e.Field, e.Reason)
+}
+
+// maxCustomID bounds custom ids, in bytes.
+const maxCustomID = 512
+
+// parseLine checks one line and returns its item and endpoint.
+func parseLine(number int, data []byte) (bulk.Item, string, error) {
+	fail := func(field, reason string) (bulk.Item, string, error) {
+		return bulk.Item{}, "", &LineError{Line: number, Field: field, Reason: reason}
+	}
+	var line InputLine
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&line); err != nil {
+		return fail("", "not a batch request: "+err.Error())
+	}
+	if decoder.More() {
+		return fail("", "more than one JSON value")
+	}
+	if line.CustomID == "" || len(line.CustomID) > maxCustomID {
+		return fail("custom_id", fmt.Sprintf("must have 1 to %d bytes", maxCustomID))
+	}
+	if line.Method != http.MethodPost {
+		return fail("method", "must be POST")
+	}
+	if !slices.Contains(Endpoints, line.URL) {
+		return fail("url", "is not an endpoint for batch items")
+	}
+	var body struct {
+		Model protocol.ModelName `json:"model"`
+	}
+	if err := json.Unmarshal(line.Body, &body); err != nil {
+		return fail("body", "must be a JSON object")
+	}
+	if body.Model == "" {
+		return fail("body.model", "must name a model")
+	}
+	return bulk.Item{CustomID: line.CustomID, Model: body.Model, Body: line.Body}, line.URL, nil
+}
+
+// outputLine renders a result for the output or the error file.
+func outputLine(id string, result *bulk.Result) OutputLine {
+	line := OutputLine{ID: id, CustomID: result.CustomID}
+	if result.Status != 0 {
+		line.Response = &OutputResponse{
+			StatusCode: result.Status,
+			RequestID:  result.RequestID,
+			Body:       jsonBody(result.Body),
+		}
+	}
+	if result.Failed() {
+		line.Error = &OutputError{Code: string(result.Code), Message: result.Message}
+	}
+	return line
+}
+
+// jsonBody keeps a JSON body as it is and quotes any other, so that the line
+// stays valid JSON whatever a target sent.
+func jsonBody(body []byte) json.RawMessage {
+	var compact bytes.Buffer
+	if len(body) > 0 && json.Compact(&compact, body) == nil {
+		return compact.Bytes()
+	}
+	quoted, err := json.Marshal(string(body))
+	if err != nil {
+		return json.RawMessage(`""`)
+	}
+	return quoted
+}
--- /dev/null
+++ b/internal/coordination/batch/workset.go
@@ -0,0 +1,336 @@
+package batch
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"merlintiller/internal/coordination/bulk"
+	"merlintiller/internal/protocol"
+	"merlintiller/internal/state/ledger"
+)
+
+// taskState is where an item of a held chunk stands.
+type taskState int
+
+const (
+	taskWaiting taskState = iota
+	taskRunning
+	// taskReported: the result waits to be appended.
+	taskReported
+)
+
+// task is an item of a held chunk that has no result yet.
+type task struct {
+	item  Item
+	state taskState
+	// attempts counts the runs that failed; a task with any is a straggler and
+	// waits behind all that have none.
+	attempts  int
+	notBefore time.Time
+	// stop cancels the run, with errJobEnded or errRevoked as cause.
+	stop context.CancelCauseFunc
+}
+
+// heldChunk is a chunk under this instance's claim.
+type heldChunk struct {
+	id           ledger.ChunkID
+	organisation protocol.OrganisationID
+	deadline     time.Time
+	// order is the position of the claim, to finish chunks one after another.
+	order int
+	// lost says that the claim is gone: nothing more of the chunk starts here,
+	// and what runs may finish.
+	lost  bool
+	tasks map[int]*task
+}
+
+// startable says that items of the chunk may start. After the deadline they
+// would run for a result that nobody takes.
+func (c *heldChunk) startable(now time.Time) bool {
+	return !c.lost && c.deadline.After(now)
+}
+
+// Causes with which a run is cancelled.
+var (
+	errJobEnded = errors.New("job ended")
+	errRevoked  = errors.New("place taken back")
+	errStopping = errors.New("instance is stopping")
+)
+
+// workset is what an executor holds. It is pure; the executor locks it.
+type workset struct {
+	chunks map[ledger.ChunkID]*heldChunk
+	claims int
+}
+
+func newWorkset() *workset {
+	return &workset{chunks: map[ledger.ChunkID]*heldChunk{}}
+}
+
+// loadedChunk is a claimed chunk with its input.
+type loadedChunk struct {
+	id           ledger.ChunkID
+	organisation protocol.OrganisationID
+	endpoint     string
+	deadline     time.Time
+	won          ledger.Bitmap
+	items        []bulk.Item
+}
+
+// add takes a claimed chunk. Items of an earlier claim of the same chunk that
+// still run here are not started again.
+func (w *workset) add(in loadedChunk) {
+	w.claims++
+	c := &heldChunk{
+		id:           in.id,
+		organisation: in.organisation,
+		deadline:     in.deadline,
+		order:        w.claims,
+		tasks:        map[int]*task{},
+	}
+	if before, again := w.chunks[in.id]; again {
+		c.tasks = before.tasks
+	}
+	w.chunks[in.id] = c
+	for number, item := range in.items {
+		if number >= protocol.MaxChunkItems || in.won.Has(number) || c.tasks[number] != nil {
+			continue
+		}
+		c.tasks[number] = &task{item: Item{
+			ChunkID:      in.id,
+			Number:       number,
+			Organisation: in.organisation,
+			Endpoint:     in.endpoint,
+			CustomID:     item.CustomID,
+			Model:        item.Model,
+			Body:         item.Body,
+			Deadline:     in.deadline,
+			Attempt:      1,
+		}}
+	}
+	w.dropIfDone(c)
+}
+
+// services maps models to services; unknown models to none.
+type services func(protocol.ModelName) (protocol.ServiceName, bool)
+
+// start takes the best waiting item for a service.
+func (w *workset) start(service protocol.ServiceName, now time.Time, of services, stop context.CancelCauseFunc) (Item, bool) {
+	var best *task
+	var bestChunk *heldChunk
+	for _, c := range w.chunks {
+		if !c.startable(now) {
+			continue
+		}
+		for _, t := range c.tasks {
+			if t.state != taskWaiting || t.notBefore.After(now) {
+				continue
+			}
+			if name, known := of(t.item.Model); !known || name != service {
+				continue
+			}
+			if best == nil || compareTasks(t, c, best, bestChunk) < 0 {
+				best, bestChunk = t, c
+			}
+		}
+	}
+	if best == nil {
+		return Item{}, false
+	}
+	best.state = taskRunning
+	best.stop = stop
+	best.item.Attempt = best.attempts + 1
+	return best.item, true
+}
+
+// compareTasks orders items: stragglers behind the rest, then by deadline,
+// then chunk by chunk, those with partial output first.
+func compareTasks(a *task, ac *heldChunk, b *task, bc *heldChunk) int {
+	return cmp.Or(
+		cmp.Compare(a.attempts, b.attempts),
+		ac.deadline.Compare(bc.deadline),
+		cmp.Compare(ac.order, bc.order),
+		-cmp.Compare(resumable(a), resumable(b)),
+		cmp.Compare(a.item.Number, b.item.Number),
+	)
+}
+
+func resumable(t *task) int {
+	if t.item.Resume == nil {
+		return 0
+	}
+	return 1
+}
+
+func (w *workset) find(item Item) (*heldChunk, *task) {
+	c := w.chunks[item.ChunkID]
+	if c == nil {
+		return nil, nil
+	}
+	return c, c.tasks[item.Number]
+}
+
+// reported notes that an item has a result on its way to the log.
+func (w *workset) reported(item Item) {
+	if _, t := w.find(item); t != nil {
+		t.state = taskReported
+		t.stop = nil
+		// The input is not needed any more; the result may wait for long.
+		t.item.Body = nil
+		t.item.Resume = nil
+	}
+}
+
+// requeue puts an item back after a run without a result. An item of a lost
+// claim is dropped: its chunk's holder runs it.
+func (w *workset) requeue(item Item, attempts int, notBefore time.Time, resume *Resume) {
+	c, t := w.find(item)
+	if t == nil {
+		return
+	}
+	t.state = taskWaiting
+	t.stop = nil
+	t.attempts = attempts
+	t.notBefore = notBefore
+	t.item.Resume = resume
+	if c.lost {
+		delete(c.tasks, item.Number)
+		w.dropIfDone(c)
+	}
+}
+
+// settled notes that results of a chunk stand in the log.
+func (w *workset) settled(id ledger.ChunkID, numbers []int) {
+	c := w.chunks[id]
+	if c == nil {
+		return
+	}
+	for _, number := range numbers {
+		delete(c.tasks, number)
+	}
+	w.dropIfDone(c)
+}
+
+func (w *workset) dropIfDone(c *heldChunk) {
+	if len(c.tasks) == 0 {
+		delete(w.chunks, c.id)
+	}
+}
+
+// agreed is what the ledger says of a held chunk.
+type agreed struct {
+	// ended says that the job has ended or is not known.
+	ended bool
+	// held says that the claim stands.
+	held bool
+	won  ledger.Bitmap
+}
+
+// reconcile follows the ledger: runs of ended jobs are cancelled, nothing
+// starts of a chunk whose claim is gone, nor an item that has its result.
+func (w *workset) reconcile(id ledger.ChunkID, now agreed) {
+	c := w.chunks[id]
+	if c == nil {
+		return
+	}
+	c.lost = !now.held
+	for number, t := range c.tasks {
+		if now.ended && t.state == taskRunning {
+			t.stop(errJobEnded)
+		}
+		drop := now.ended || c.lost || now.won.Has(number)
+		if drop && t.state == taskWaiting {
+			delete(c.tasks, number)
+		}
+	}
+	w.dropIfDone(c)
+}
+
+// stopAll cancels every run.
+func (w *workset) stopAll(cause error) {
+	for _, c := range w.chunks {
+		for _, t := range c.tasks {
+			if t.state == taskRunning {
+				t.stop(cause)
+			}
+		}
+	}
+}
+
+// ids lists the held chunks, lost ones included, in a fixed order.
+func (w *workset) ids() []ledger.ChunkID {
+	ids := make([]ledger.ChunkID, 0, len(w.chunks))
+	for id := range w.chunks {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b ledger.ChunkID) int {
+		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Chunk, b.Chunk))
+	})
+	return ids
+}
+
+// load counts what is held, for planning.
+type load struct {
+	chunks int
+	byOrg  map[protocol.OrganisationID]int
+	// fresh counts waiting items that were not tried yet.
+	fresh   int
+	running int
+}
+
+func (w *workset) load() load {
+	l := load{byOrg: map[protocol.OrganisationID]int{}}
+	for _, c := range w.chunks {
+		if !c.lost {
+			l.chunks++
+			l.byOrg[c.organisation]++
+		}
+		for _, t := range c.tasks {
+			if t.state == taskWaiting && t.attempts == 0 {
+				l.fresh++
+			}
+			if t.state == taskRunning {
+				l.running++
+			}
+		}
+	}
+	return l
+}
+
+// ready lists the services that have an item to start, and when the next
+// straggler may run if none has.
+func (w *workset) ready(now time.Time, of services) (names []protocol.ServiceName, unknown []Item, next time.Time) {
+	for _, c := range w.chunks {
+		if !c.startable(now) {
+			continue
+		}
+		for _, t := range c.tasks {
+			if t.state != taskWaiting {
+				continue
+			}
+			if t.notBefore.After(now) {
+				next = earliest(next, t.notBefore)
+				continue
+			}
+			name, known := of(t.item.Model)
+			if !known {
+				unknown = append(unknown, t.item)
+				continue
+			}
+			if !slices.Contains(names, name) {
+				names = append(names, name)
+			}
+		}
+	}
+	return names, unknown, next
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -84,3 +84,6 @@
 
 // Dropped counts the items that Offer could not add.
 func (r *Ring[T]) Dropped() int64 { return r.dropped.Load() }
+
+// Chan gives the items in order, for a duty that waits for other things too.
+func (r *Ring[T]) Chan() <-chan T { return r.items }
--- /dev/null
+++ b/internal/transport/batchapi/files.go
@@ -0,0 +1,142 @@
+package batchapi
+
+import (
+	"errors"
+	"io"
+	"mime/multipart"
+	"net/http"
+
+	"merlintiller/internal/coordination/batch"
+	"merlintiller/internal/protocol"
+)
+
+// fileObject is OpenAI's file object.
+type fileObject struct {
+	ID        string `json:"id"`
+	Object    string `json:"object"`
+	Bytes     int64  `json:"bytes"`
+	CreatedAt int64  `json:"created_at"`
+	ExpiresAt int64  `json:"expires_at,omitempty"`
+	Filename  string `json:"filename"`
+	Purpose   string `json:"purpose"`
+	Status    string `json:"status"`
+}
+
+func newFileObject(file batch.File) fileObject {
+	return fileObject{
+		ID:        file.ID,
+		Object:    "file",
+		Bytes:     file.Bytes,
+		CreatedAt: unix(file.Created),
+		ExpiresAt: unix(file.Expires),
+		Filename:  file.Name,
+		Purpose:   file.Purpose,
+		Status:    "processed",
+	}
+}
+
+// maxFieldBytes bounds a form field other than the file.
+const maxFieldBytes = 1 << 10
+
+// uploadFile streams the file to the service as it comes: nothing is kept on a
+// disk, which instances do not have. A purpose that comes after the file is
+// checked after it, which leaves an unused copy in the log if it is wrong.
+func (a *API) uploadFile(w http.ResponseWriter, r *http.Request) {
+	parts, err := r.MultipartReader()
+	if err != nil {
+		a.refuse(w, badRequest("file", "the request must be multipart/form-data"))
+		return
+	}
+	upload := upload{api: a, request: r}
+	if refusal := upload.read(parts); refusal != nil {
+		a.refuse(w, refusal)
+		return
+	}
+	a.reply(w, http.StatusOK, newFileObject(upload.file))
+}
+
+type upload struct {
+	api     *API
+	request *http.Request
+	file    batch.File
+	stored  bool
+	purpose string
+}
+
+func (u *upload) read(parts *multipart.Reader) *protocol.Refusal {
+	for {
+		part, err := parts.NextPart()
+		if errors.Is(err, io.EOF) {
+			return u.check()
+		}
+		if err != nil {
+			return badRequest("file", "the upload broke off")
+		}
+		if refusal := u.take(part); refusal != nil {
+			return refusal
+		}
+	}
+}
+
+func (u *upload) take(part *multipart.Part) *protocol.Refusal {
+	switch part.FormName() {
+	case "purpose":
+		value, err := io.ReadAll(io.LimitReader(part, maxFieldBytes))
+		if err != nil || string(value) != batch.PurposeBatch {
+			return badRequest("purpose", "must be %q", batch.PurposeBatch)
+		}
+		u.purpose = string(value)
+	case "file":
+		if u.stored {
+			return badRequest("file", "stands twice")
+		}
+		org := u.api.organisation(u.request)
+		file, refusal := u.api.service.UploadFile(u.request.Context(), org, part.FileName(), part)
+		if refusal != nil {
+			return refusal
+		}
+		u.file = file
+		u.stored = true
+	}
+	return nil
+}
+
+func (u *upload) check() *protocol.Refusal {
+	if !u.stored {
+		return badRequest("file", "is missing")
+	}
+	if u.purpose == "" {
+		return badRequest("purpose", "must be %q", batch.PurposeBatch)
+	}
+	return nil
+}
+
+func badRequest(param, format string, args ...any) *protocol.Refusal {
+	refusal := protocol.Refuse(protocol.CodeBadRequest, 0, format, args...)
+	refusal.Param = param
+	return refusal
+}
+
+func (a *API) getFile(w http.ResponseWriter, r *http.Request) {
+	file, refusal := a.service.File(r.Context(), a.organisation(r), r.PathValue("id"))
+	if refusal != nil {
+		a.refuse(w, refusal)
+		return
+	}
+	a.reply(w, http.StatusOK, newFileObject(file))
+}
+
+// fileContent streams a file. If the log fails in the middle the connection is
+// broken: a short file with a good status would be taken for the whole.
+func (a *API) fileContent(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "application/jsonl")
+	refusal, err := a.service.FileContent(r.Context(), a.organisation(r), r.PathValue("id"), w)
+	if refusal != nil {
+		a.refuse(w, refusal)
+		return
+	}
+	if err != nil {
+		_ = a.logger.Log("event", "content_cut", "file", r.PathValue("id"), "err", err)
+		panic(http.ErrAbortHandler)
+	}
+}
