Operators' calls and tillerctl: config, key and batch commands

A withdrawal goes three ways at once (here, each reachable instance, the log), so that it works while the log is down; the answer names who was not reached. Weighed: reusing callers' keys for operators, dropped since a bad change of the configuration could then lock all operators out.

--- /dev/null
+++ b/internal/ctl/batch.go
@@ -0,0 +1,242 @@
+package ctl
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"mime/multipart"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// Paths of the callers' batch calls.
+const (
+	pathFiles   = "/v1/files"
+	pathBatches = "/v1/batches"
+)
+
+type batchCommands struct {
+	Submit  batchSubmit  `cmd:"" help:"Submit a batch job."`
+	Status  batchStatus  `cmd:"" help:"Show a job, or wait for its end."`
+	List    batchList    `cmd:"" help:"List the organisation's jobs."`
+	Cancel  batchCancel  `cmd:"" help:"Cancel a job. Results that came before stay readable."`
+	Results batchResults `cmd:"" help:"Fetch the results of a job."`
+}
+
+// job is a batch job as the callers' API shows it.
+type job struct {
+	ID           string `json:"id"`
+	Status       string `json:"status"`
+	Endpoint     string `json:"endpoint"`
+	InputFileID  string `json:"input_file_id"`
+	OutputFileID string `json:"output_file_id,omitempty"`
+	ErrorFileID  string `json:"error_file_id,omitempty"`
+	CreatedAt    int64  `json:"created_at"`
+	ExpiresAt    int64  `json:"expires_at,omitempty"`
+	Counts       struct {
+		Total     int `json:"total"`
+		Completed int `json:"completed"`
+		Failed    int `json:"failed"`
+	} `json:"request_counts"`
+	Metadata map[string]string `json:"metadata,omitempty"`
+}
+
+// ended reports whether a job's state is final.
+func (j job) ended() bool {
+	switch j.Status {
+	case "completed", "failed", "expired", "cancelled":
+		return true
+	default:
+		return false
+	}
+}
+
+func jobTable(jobs ...job) table {
+	t := table{heading: []string{"JOB", "STATUS", "DONE", "FAILED", "TOTAL", "DUE"}}
+	for _, j := range jobs {
+		due := "-"
+		if j.ExpiresAt > 0 {
+			due = time.Unix(j.ExpiresAt, 0).UTC().Format(time.RFC3339)
+		}
+		t.add(j.ID, j.Status, fmt.Sprint(j.Counts.Completed), fmt.Sprint(j.Counts.Failed), fmt.Sprint(j.Counts.Total), due)
+	}
+	return t
+}
+
+type batchSubmit struct {
+	File     string        `arg:"" help:"JSONL file, one request a line." type:"existingfile"`
+	Endpoint string        `help:"Path that each item is sent to." default:"/v1/chat/completions"`
+	Within   time.Duration `help:"Time to finish the job." default:"24h"`
+	Again    string        `help:"A word that makes the same file a new job. Without it the same file and endpoint are the same job."`
+}
+
+// Help shows examples.
+func (batchSubmit) Help() string {
+	return lines("The idempotency key is worked out from the file, the endpoint and --again, so running the command again",
+		"after a lost answer finds the first job and starts no second one.",
+		"", "Example: tillerctl batch submit reports.jsonl --within 8h --instance 10.0.0.1:8001")
+}
+
+// Run uploads the file and submits the job.
+func (c *batchSubmit) Run(env *Env) error {
+	data, err := os.ReadFile(c.File)
+	if err != nil {
+		return fail(ExitBadInput, "", "%v", err)
+	}
+	file, err := upload(env, filepath.Base(c.File), data)
+	if err != nil {
+		return err
+	}
+	body, err := json.Marshal(map[string]string{
+		"input_file_id":     file,
+		"endpoint":          c.Endpoint,
+		"completion_window": c.Within.String(),
+	})
+	if err != nil {
+		return err
+	}
+	var submitted job
+	err = env.Caller.JSON(env.Context, request{
+		method: http.MethodPost,
+		path:   pathBatches,
+		header: http.Header{
+			"Content-Type":    {"application/json"},
+			"Idempotency-Key": {c.idempotencyKey(data)},
+		},
+		body:       body,
+		repeatable: true,
+	}, &submitted)
+	if err != nil {
+		return err
+	}
+	return env.show(result{data: submitted, table: jobTable(submitted),
+		did:  fmt.Sprintf("job %s is accepted with %d items", submitted.ID, submitted.Counts.Total),
+		next: "tillerctl batch status " + submitted.ID + " --wait"})
+}
+
+// idempotencyKey is the same whenever the same job is meant.
+func (c *batchSubmit) idempotencyKey(data []byte) string {
+	hash := sha256.New()
+	fmt.Fprintf(hash, "%s\n%s\n", c.Endpoint, c.Again)
+	hash.Write(data)
+	return "ctl-" + hex.EncodeToString(hash.Sum(nil)[:16])
+}
+
+// upload sends the input file. Sent twice it leaves an unused copy behind,
+// which retention removes.
+func upload(env *Env, name string, data []byte) (string, error) {
+	var body bytes.Buffer
+	form := multipart.NewWriter(&body)
+	if err := form.WriteField("purpose", "batch"); err != nil {
+		return "", err
+	}
+	part, err := form.CreateFormFile("file", name)
+	if err != nil {
+		return "", err
+	}
+	if _, err := part.Write(data); err != nil {
+		return "", err
+	}
+	if err := form.Close(); err != nil {
+		return "", err
+	}
+	var file struct {
+		ID string `json:"id"`
+	}
+	err = env.Caller.JSON(env.Context, request{
+		method:     http.MethodPost,
+		path:       pathFiles,
+		header:     http.Header{"Content-Type": {form.FormDataContentType()}},
+		body:       body.Bytes(),
+		repeatable: true,
+	}, &file)
+	return file.ID, err
+}
+
+func fetchJob(env *Env, id string) (job, error) {
+	var j job
+	err := env.Caller.Get(env.Context, pathBatches+"/"+url.PathEscape(id), &j)
+	return j, err
+}
+
+type batchList struct{}
+
+// Help shows examples.
+func (batchList) Help() string { return "Example: tillerctl batch list --instance 10.0.0.1:8001" }
+
+// Run lists the jobs.
+func (c *batchList) Run(env *Env) error {
+	var page struct {
+		Data []job `json:"data"`
+	}
+	if err := env.Caller.Get(env.Context, pathBatches, &page); err != nil {
+		return err
+	}
+	return env.show(result{data: page.Data, table: jobTable(page.Data...), did: fmt.Sprintf("%d jobs", len(page.Data))})
+}
+
+type batchCancel struct {
+	Job string `arg:"" help:"Id of the job."`
+}
+
+// Help shows examples.
+func (batchCancel) Help() string {
+	return lines("Running it again does no harm.", "", "Example: tillerctl batch cancel batch_7f3a")
+}
+
+// Run cancels the job.
+func (c *batchCancel) Run(env *Env) error {
+	var j job
+	path := pathBatches + "/" + url.PathEscape(c.Job) + "/cancel"
+	if err := env.Caller.JSON(env.Context, request{method: http.MethodPost, path: path, repeatable: true}, &j); err != nil {
+		return err
+	}
+	return env.show(result{data: j, table: jobTable(j), did: fmt.Sprintf("job %s is %s", c.Job, j.Status),
+		next: "tillerctl batch results " + c.Job + " fetches what came before"})
+}
+
+type batchResults struct {
+	Job  string `arg:"" help:"Id of the job."`
+	To   string `help:"File to write; without it the results go to the standard output." placeholder:"FILE"`
+	Fail bool   `name:"errors" help:"Fetch the failed items in place of the results."`
+}
+
+// Help shows examples.
+func (batchResults) Help() string {
+	return "Example: tillerctl batch results batch_7f3a --to reports-out.jsonl"
+}
+
+// Run fetches the results.
+func (c *batchResults) Run(env *Env) error {
+	j, err := fetchJob(env, c.Job)
+	if err != nil {
+		return err
+	}
+	file := j.OutputFileID
+	if c.Fail {
+		file = j.ErrorFileID
+	}
+	if file == "" {
+		return fail(ExitFailed, "tillerctl batch status "+c.Job+" --wait", "job %s is %s and has no such results", c.Job, j.Status)
+	}
+	path := pathFiles + "/" + url.PathEscape(file) + "/content"
+	data, err := env.Caller.Bytes(env.Context, request{method: http.MethodGet, path: path, repeatable: true})
+	if err != nil {
+		return err
+	}
+	if c.To == "" {
+		_, err = env.Stdout.Write(data)
+	} else {
+		err = os.WriteFile(c.To, data, 0o600)
+	}
+	if err != nil {
+		return fail(ExitFailed, "name a file that can be written", "%v", err)
+	}
+	fmt.Fprintf(env.Stderr, "%d results of job %s, which is %s\n", bytes.Count(data, []byte("\n")), c.Job, j.Status)
+	return nil
+}
--- /dev/null
+++ b/internal/ctl/config.go
@@ -0,0 +1,214 @@
+package ctl
+
+import (
+	"errors"
+	"fmt"
+
+	"merlintiller/internal/fleetdir"
+	"merlintiller/internal/protocol"
+	"merlintiller/internal/strictyaml"
+	"merlintiller/internal/transport/operatorapi"
+)
+
+type configCommands struct {
+	Check configCheck `cmd:"" help:"Check a configuration folder without asking the fleet."`
+	Diff  configDiff  `cmd:"" help:"Show what applying a folder would change."`
+	Apply configApply `cmd:"" help:"Publish a folder, so that it is in force in the whole fleet."`
+	Show  configShow  `cmd:"" help:"Show the configuration in force."`
+}
+
+type configCheck struct {
+	Folder string `arg:"" help:"Folder of YAML files."`
+}
+
+// Help shows examples.
+func (configCheck) Help() string {
+	return lines("Reads the files in the order of their names and lists every mistake with file, line and field.",
+		"", "Example: tillerctl config check examples/cascadia")
+}
+
+// Run checks the folder.
+func (c *configCheck) Run(env *Env) error {
+	objects, err := loadFolder(c.Folder)
+	if err != nil {
+		return err
+	}
+	counts := countsOf(objects)
+	return env.show(result{
+		data: counts, table: counts.table(),
+		did:  fmt.Sprintf("%s is whole: %d objects", c.Folder, objects.Count()),
+		next: "tillerctl config diff " + c.Folder,
+	})
+}
+
+func loadFolder(folder string) (fleetdir.Objects, error) {
+	objects, err := fleetdir.Load(folder)
+	var problems strictyaml.Problems
+	if errors.As(err, &problems) {
+		return objects, fail(ExitBadInput, "mend these places; nothing was changed", "%d mistakes in %s\n%s", len(problems), folder, problems.Error())
+	}
+	if err != nil {
+		return objects, fail(ExitBadInput, "name a folder that can be read", "%v", err)
+	}
+	return objects, nil
+}
+
+type folderCounts struct {
+	Organisations int `json:"organisations"`
+	Keys          int `json:"keys"`
+	Models        int `json:"models"`
+	Services      int `json:"services"`
+	Domains       int `json:"domains"`
+}
+
+func countsOf(o fleetdir.Objects) folderCounts {
+	return folderCounts{len(o.Organisations), len(o.Keys), len(o.Models), len(o.Services), len(o.Domains)}
+}
+
+func (c folderCounts) table() table {
+	t := table{heading: []string{"KIND", "OBJECTS"}}
+	t.add("organisations", fmt.Sprint(c.Organisations))
+	t.add("keys", fmt.Sprint(c.Keys))
+	t.add("models", fmt.Sprint(c.Models))
+	t.add("services", fmt.Sprint(c.Services))
+	t.add("domains", fmt.Sprint(c.Domains))
+	return t
+}
+
+type configDiff struct {
+	Folder string `arg:"" help:"Folder of YAML files."`
+}
+
+// Help shows examples.
+func (configDiff) Help() string {
+	return lines("Compares the folder with the configuration in force at an instance. Changes nothing.",
+		"", "Example: tillerctl config diff examples/cascadia --instance 10.0.0.1:8003")
+}
+
+// Run shows the difference.
+func (c *configDiff) Run(env *Env) error {
+	plan, _, err := planFor(env, c.Folder)
+	if err != nil {
+		return err
+	}
+	shown := planned(plan)
+	next := "tillerctl config apply " + c.Folder
+	if plan.Empty() {
+		next = "nothing: the folder is in force"
+	}
+	return env.show(result{data: shown, table: shown.table(),
+		did: fmt.Sprintf("compared with version %d; nothing was changed", plan.Change.BasedOn), next: next})
+}
+
+func planFor(env *Env, folder string) (fleetdir.Plan, operatorapi.FleetAnswer, error) {
+	objects, err := loadFolder(folder)
+	if err != nil {
+		return fleetdir.Plan{}, operatorapi.FleetAnswer{}, err
+	}
+	answer, err := fetchFleet(env)
+	if err != nil {
+		return fleetdir.Plan{}, operatorapi.FleetAnswer{}, err
+	}
+	return fleetdir.Diff(answer.Fleet, objects), answer, nil
+}
+
+func fetchFleet(env *Env) (operatorapi.FleetAnswer, error) {
+	var answer operatorapi.FleetAnswer
+	if err := env.Operator.Get(env.Context, operatorapi.PathFleet, &answer); err != nil {
+		return answer, err
+	}
+	if answer.Fleet == nil {
+		return answer, fail(ExitFailed, "", "the instance answered without a configuration")
+	}
+	return answer, nil
+}
+
+type configApply struct {
+	Folder string `arg:"" help:"Folder of YAML files."`
+}
+
+// Help shows examples.
+func (configApply) Help() string {
+	return lines("Publishes what differs. If another operator's change comes first, nothing is changed and the exit code is 3.",
+		"After a lost answer run it again: what is in force already is not published again.",
+		"", "Example: tillerctl config apply examples/cascadia --instance 10.0.0.1:8003 --instance 10.0.0.2:8003")
+}
+
+// Run publishes the folder.
+func (c *configApply) Run(env *Env) error {
+	plan, answer, err := planFor(env, c.Folder)
+	if err != nil {
+		return err
+	}
+	shown := planned(plan)
+	if plan.Empty() {
+		return env.show(result{data: shown, table: shown.table(),
+			did:  fmt.Sprintf("nothing to do: the folder is in force as version %d at %s", answer.Fleet.Version, answer.Instance),
+			next: "tillerctl status"})
+	}
+	done, err := publish(env, plan.Change)
+	if err != nil {
+		return c.settleLost(env, err)
+	}
+	shown.Version = done.Version
+	return env.show(result{data: shown, table: shown.table(), did: done.Message, next: done.Next})
+}
+
+// settleLost looks whether a change whose answer was lost is in force. If it
+// is not, it may still come: the exit code says so.
+func (c *configApply) settleLost(env *Env, cause error) error {
+	if asFailure(cause).Exit != ExitMayHaveTakenEffect {
+		return cause
+	}
+	plan, answer, err := planFor(env, c.Folder)
+	if err != nil || !plan.Empty() {
+		return cause
+	}
+	shown := planned(plan)
+	shown.Version = answer.Fleet.Version
+	return env.show(result{data: shown, table: shown.table(),
+		did:  fmt.Sprintf("the answer was lost, but the folder is in force as version %d at %s", answer.Fleet.Version, answer.Instance),
+		next: "tillerctl status"})
+}
+
+// publish sends a change under an id of its own.
+func publish(env *Env, change protocol.FleetChange) (operatorapi.ChangeAnswer, error) {
+	var answer operatorapi.ChangeAnswer
+	id, err := randomID(env, "chg")
+	if err != nil {
+		return answer, err
+	}
+	err = env.Operator.Post(env.Context, operatorapi.PathChanges, operatorapi.ChangeRequest{
+		ChangeID: id,
+		BasedOn:  change.BasedOn,
+		Set:      change.Set,
+		Remove:   change.Remove,
+		At:       env.Now(),
+	}, &answer)
+	return answer, err
+}
+
+type configShow struct{}
+
+// Help shows examples.
+func (configShow) Help() string {
+	return "Example: tillerctl config show --output yaml --instance 10.0.0.1:8003"
+}
+
+// Run shows the configuration in force.
+func (c *configShow) Run(env *Env) error {
+	answer, err := fetchFleet(env)
+	if err != nil {
+		return err
+	}
+	shown, err := fleetView(answer)
+	if err != nil {
+		return err
+	}
+	next := ""
+	if !answer.LogUp {
+		next = "the instance can't reach the log: there may be a newer version; ask an instance of another domain"
+	}
+	return env.show(result{data: shown, table: fleetTable(answer.Fleet),
+		did: fmt.Sprintf("version %d is in force at %s", answer.Fleet.Version, answer.Instance), next: next})
+}
--- /dev/null
+++ b/internal/ctl/configview.go
@@ -0,0 +1,163 @@
+package ctl
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"go.yaml.in/yaml/v3"
+
+	"merlintiller/internal/fleetdir"
+	"merlintiller/internal/protocol"
+	"merlintiller/internal/transport/operatorapi"
+)
+
+// plannedChange is a difference as it is shown.
+type plannedChange struct {
+	BasedOn protocol.Offset `json:"based_on"`
+	// Version is the version that the change made, 0 if none was made.
+	Version protocol.Offset        `json:"version,omitempty"`
+	Set     []protocol.FleetObject `json:"set,omitempty"`
+	Remove  []protocol.FleetRef    `json:"remove,omitempty"`
+	Notes   []string               `json:"notes,omitempty"`
+}
+
+func planned(plan fleetdir.Plan) plannedChange {
+	return plannedChange{BasedOn: plan.Change.BasedOn, Set: plan.Change.Set, Remove: plan.Change.Remove, Notes: plan.Notes}
+}
+
+func (p plannedChange) table() table {
+	t := table{}
+	if len(p.Set)+len(p.Remove)+len(p.Notes) > 0 {
+		t.heading = []string{"CHANGE", "KIND", "NAME", "VALUE"}
+	}
+	for _, object := range p.Set {
+		kind, name, value := describeObject(object)
+		t.add("set", kind, name, value)
+	}
+	for _, ref := range p.Remove {
+		kind, name := describeRef(ref)
+		t.add("remove", kind, name, "")
+	}
+	for _, note := range p.Notes {
+		t.add("note", "", "", note)
+	}
+	return t
+}
+
+func describeObject(object protocol.FleetObject) (kind, name, value string) {
+	switch {
+	case object.Organisation != nil:
+		o := object.Organisation
+		return "organisation", string(o.ID), organisationText(*o)
+	case object.Key != nil:
+		k := object.Key
+		return "key", string(k.ID), fmt.Sprintf("organisation %s, withdrawn %t", k.Organisation, k.Withdrawn)
+	case object.Model != nil:
+		m := object.Model
+		return "model", string(m.Name), fmt.Sprintf("service %s, version %q, adapter %q", m.Service, m.Version, m.Adapter)
+	case object.Service != nil:
+		s := object.Service
+		return "service", string(s.Name), serviceText(*s)
+	case object.Domain != nil:
+		d := object.Domain
+		return "domain", string(d.Domain), fmt.Sprintf("region %s, share %g", d.Region, d.Share)
+	default:
+		return "unknown", "", ""
+	}
+}
+
+func organisationText(o protocol.Organisation) string {
+	return fmt.Sprintf("rate %g/s, burst %g, weight %g", o.Rate, o.Burst, max(o.Weight, 1))
+}
+
+func serviceText(s protocol.Service) string {
+	return fmt.Sprintf("%s, %d slots, repeatable %t, checks fencing %t", s.Kind, s.Slots, s.Repeatable, s.ChecksFencing)
+}
+
+func describeRef(ref protocol.FleetRef) (kind, name string) {
+	switch {
+	case ref.Organisation != "":
+		return "organisation", string(ref.Organisation)
+	case ref.Model != "":
+		return "model", string(ref.Model)
+	case ref.Service != "":
+		return "service", string(ref.Service)
+	default:
+		return "domain", string(ref.Domain)
+	}
+}
+
+// folderForm is the configuration in the form of a folder's files, so that
+// what is shown can be kept as a file.
+type folderForm struct {
+	Domains       []protocol.DomainShare  `yaml:"domains"`
+	Services      []protocol.Service      `yaml:"services"`
+	Models        []protocol.Model        `yaml:"models"`
+	Organisations []protocol.Organisation `yaml:"organisations"`
+	Keys          []protocol.Key          `yaml:"keys"`
+}
+
+// fleetView gives the configuration with times in their usual form ("2s"),
+// which encoding/json would show as nanoseconds.
+func fleetView(answer operatorapi.FleetAnswer) (map[string]any, error) {
+	fleet := answer.Fleet
+	encoded, err := yaml.Marshal(folderForm{
+		Domains:       values(fleet.Domains),
+		Services:      values(fleet.Services),
+		Models:        values(fleet.Models),
+		Organisations: values(fleet.Organisations),
+		Keys:          values(fleet.Keys),
+	})
+	if err != nil {
+		return nil, err
+	}
+	view := map[string]any{}
+	if err := yaml.Unmarshal(encoded, &view); err != nil {
+		return nil, err
+	}
+	view["version"] = json.Number(fmt.Sprint(int64(fleet.Version)))
+	view["instance"] = answer.Instance
+	view["log_up"] = answer.LogUp
+	return view, nil
+}
+
+func fleetTable(fleet *protocol.Fleet) table {
+	t := table{heading: []string{"KIND", "NAME", "VALUE"}}
+	var objects []protocol.FleetObject
+	for _, d := range values(fleet.Domains) {
+		objects = append(objects, protocol.FleetObject{Domain: &d})
+	}
+	for _, s := range values(fleet.Services) {
+		objects = append(objects, protocol.FleetObject{Service: &s})
+	}
+	for _, m := range values(fleet.Models) {
+		objects = append(objects, protocol.FleetObject{Model: &m})
+	}
+	for _, o := range values(fleet.Organisations) {
+		objects = append(objects, protocol.FleetObject{Organisation: &o})
+	}
+	for _, k := range values(fleet.Keys) {
+		objects = append(objects, protocol.FleetObject{Key: &k})
+	}
+	for _, object := range objects {
+		kind, name, value := describeObject(object)
+		t.add(kind, name, value)
+	}
+	return t
+}
+
+// values gives the objects of a map in the order of their ids.
+func values[K cmp.Ordered, T any](objects map[K]T) []T {
+	ids := make([]K, 0, len(objects))
+	for id := range objects {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	out := make([]T, 0, len(ids))
+	for _, id := range ids {
+		out = append(out, objects[id])
+	}
+	return out
+}
--- /dev/null
+++ b/internal/ctl/key.go
@@ -0,0 +1,197 @@
+package ctl
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+
+	"merlintiller/internal/protocol"
+	"merlintiller/internal/transport/operatorapi"
+)
+
+// secretBytes is the size of a secret: 256 random bits can't be guessed.
+const secretBytes = 32
+
+// idBytes is the size of a random id. Collisions among 10^6 ids have a chance
+// of 10^-12.
+const idBytes = 10
+
+type keyCommands struct {
+	Create   keyCreate   `cmd:"" help:"Create a key for an organisation. Its secret is shown once."`
+	Withdraw keyWithdraw `cmd:"" help:"Withdraw a key, so that it stops working within seconds."`
+	List     keyList     `cmd:"" help:"List keys."`
+}
+
+type keyCreate struct {
+	Organisation string `arg:"" help:"Organisation that the key acts for."`
+}
+
+// Help shows examples.
+func (keyCreate) Help() string {
+	return lines("The secret is printed to the standard output once and kept nowhere: the configuration holds its hash.",
+		"After a lost answer run it again for a new key and withdraw the id that was named.",
+		"", "Example: tillerctl key create hollister-field")
+}
+
+// createdKey is what key create shows.
+type createdKey struct {
+	ID           protocol.KeyID          `json:"id"`
+	Organisation protocol.OrganisationID `json:"organisation"`
+	Secret       string                  `json:"secret"`
+	Version      protocol.Offset         `json:"version"`
+}
+
+// Run creates the key and shows its secret once the key is in force.
+func (c *keyCreate) Run(env *Env) error {
+	answer, err := fetchFleet(env)
+	if err != nil {
+		return err
+	}
+	org := protocol.OrganisationID(c.Organisation)
+	if _, ok := answer.Fleet.Organisations[org]; !ok {
+		return fail(ExitBadInput, "tillerctl config show lists the organisations", "organisation %q is not in the configuration in force", c.Organisation)
+	}
+	key, secret, err := newKey(env, org)
+	if err != nil {
+		return err
+	}
+	version, err := publishKey(env, answer.Fleet.Version, key)
+	if err != nil {
+		return err
+	}
+	created := createdKey{ID: key.ID, Organisation: org, Secret: secret, Version: version}
+	t := table{heading: []string{"KEY", "ORGANISATION", "SECRET"}}
+	t.add(string(key.ID), c.Organisation, secret)
+	return env.show(result{data: created, table: t,
+		did:  fmt.Sprintf("key %s is in force as version %d; the secret above is shown this once", key.ID, version),
+		next: "hand the secret to the callers; tillerctl key withdraw " + string(key.ID) + " ends it"})
+}
+
+// keyTries bounds how often a key is published anew after a conflict. A new key
+// clashes with no other change, so the operator needs not decide anything.
+const keyTries = 5
+
+func publishKey(env *Env, basedOn protocol.Offset, key protocol.Key) (protocol.Offset, error) {
+	for range keyTries {
+		change := protocol.FleetChange{BasedOn: basedOn, Set: []protocol.FleetObject{{Key: &key}}}
+		done, err := publish(env, change)
+		if err == nil {
+			return done.Version, nil
+		}
+		exit := asFailure(err).Exit
+		if exit != ExitConflict && exit != ExitMayHaveTakenEffect {
+			return 0, err
+		}
+		answer, lookErr := fetchFleet(env)
+		if lookErr != nil {
+			return 0, lostKey(err, key.ID)
+		}
+		if _, ok := answer.Fleet.Keys[key.ID]; ok {
+			return answer.Fleet.Version, nil
+		}
+		if exit == ExitMayHaveTakenEffect {
+			return 0, lostKey(err, key.ID)
+		}
+		basedOn = answer.Fleet.Version
+	}
+	return 0, fail(ExitConflict, "run the same command again", "other changes came first %d times; no key was created", keyTries)
+}
+
+// lostKey: a key whose creation is uncertain has a secret that nobody saw, so
+// it does no harm, and is withdrawn for tidiness.
+func lostKey(err error, id protocol.KeyID) error {
+	failure := asFailure(err)
+	if failure.Exit != ExitMayHaveTakenEffect {
+		return err
+	}
+	return fail(failure.Exit, fmt.Sprintf("run key withdraw %s, then key create again", id),
+		"%s; key %s may exist, its secret was not shown", failure.Message, id)
+}
+
+func newKey(env *Env, org protocol.OrganisationID) (protocol.Key, string, error) {
+	id, err := randomID(env, "key")
+	if err != nil {
+		return protocol.Key{}, "", err
+	}
+	random := make([]byte, secretBytes)
+	if _, err := io.ReadFull(env.Random, random); err != nil {
+		return protocol.Key{}, "", err
+	}
+	secret := "mt-" + base64.RawURLEncoding.EncodeToString(random)
+	sum := sha256.Sum256([]byte(secret))
+	return protocol.Key{ID: protocol.KeyID(id), Organisation: org, SHA256: hex.EncodeToString(sum[:])}, secret, nil
+}
+
+func randomID(env *Env, prefix string) (string, error) {
+	random := make([]byte, idBytes)
+	if _, err := io.ReadFull(env.Random, random); err != nil {
+		return "", err
+	}
+	return prefix + "-" + hex.EncodeToString(random), nil
+}
+
+type keyWithdraw struct {
+	Key string `arg:"" help:"Id of the key."`
+}
+
+// Help shows examples.
+func (keyWithdraw) Help() string {
+	return lines("Works also while the platform's log is down: the instance refuses the key at once and tells the others.",
+		"Running it again does no harm.",
+		"", "Example: tillerctl key withdraw key-0a1b2c3d4e5f60718293 --instance 10.0.0.1:8003")
+}
+
+// Run withdraws the key.
+func (c *keyWithdraw) Run(env *Env) error {
+	var answer operatorapi.WithdrawAnswer
+	path := operatorapi.PathKeys + url.PathEscape(c.Key) + "/withdraw"
+	// A withdrawal may be repeated, so every instance is tried in turn.
+	err := env.Operator.JSON(env.Context, request{method: http.MethodPost, path: path, repeatable: true}, &answer)
+	if err != nil {
+		return err
+	}
+	t := table{heading: []string{"KEY", "IN LOG", "TOLD", "NOT REACHED"}}
+	t.add(c.Key, fmt.Sprint(answer.InLog), fmt.Sprint(len(answer.Told)), fmt.Sprint(answer.Unreached))
+	return env.show(result{data: answer, table: t, did: answer.Message, next: answer.Next})
+}
+
+type keyList struct {
+	Organisation string `help:"Only keys of this organisation."`
+}
+
+// Help shows examples.
+func (keyList) Help() string { return "Example: tillerctl key list --organisation hollister-field" }
+
+// listedKey is a key without its hash, which nobody needs to see.
+type listedKey struct {
+	ID           protocol.KeyID          `json:"id"`
+	Organisation protocol.OrganisationID `json:"organisation"`
+	Withdrawn    bool                    `json:"withdrawn"`
+}
+
+// Run lists the keys.
+func (c *keyList) Run(env *Env) error {
+	answer, err := fetchFleet(env)
+	if err != nil {
+		return err
+	}
+	listed := []listedKey{}
+	t := table{heading: []string{"KEY", "ORGANISATION", "STATE"}}
+	for _, key := range values(answer.Fleet.Keys) {
+		if c.Organisation != "" && string(key.Organisation) != c.Organisation {
+			continue
+		}
+		listed = append(listed, listedKey{key.ID, key.Organisation, key.Withdrawn})
+		state := "in use"
+		if key.Withdrawn {
+			state = "withdrawn"
+		}
+		t.add(string(key.ID), string(key.Organisation), state)
+	}
+	return env.show(result{data: listed, table: t,
+		did: fmt.Sprintf("%d keys of version %d at %s", len(listed), answer.Fleet.Version, answer.Instance)})
+}
--- /dev/null
+++ b/internal/transport/operatorapi/change.go
@@ -0,0 +1,117 @@
+package operatorapi
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"github.com/go-kit/log/level"
+
+	"merlintiller/internal/coordination"
+	"merlintiller/internal/coordination/withdrawal"
+	"merlintiller/internal/protocol"
+)
+
+func (h *Handler) change(w http.ResponseWriter, r *http.Request) {
+	var request ChangeRequest
+	if refusal := read(w, r, &request); refusal != nil {
+		refuse(w, refusal, "mend the request; nothing was changed")
+		return
+	}
+	if request.ChangeID == "" || len(request.Set)+len(request.Remove) == 0 {
+		refuse(w, protocol.Refuse(protocol.CodeBadRequest, 0, "a change needs a change_id and something to set or remove"),
+			"mend the request; nothing was changed")
+		return
+	}
+	// The record is submitted even if the operator's connection breaks: the
+	// operator learns its fate from the version in force.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), submitTimeout)
+	defer cancel()
+	outcome := h.config.Journal.Submit(ctx, protocol.Record{FleetChange: &protocol.FleetChange{
+		ChangeID: request.ChangeID,
+		BasedOn:  request.BasedOn,
+		Set:      request.Set,
+		Remove:   request.Remove,
+		Operator: operatorOf(r),
+		At:       request.At,
+	}})
+	level.Info(h.config.Logger).Log("event", "fleet_change", "operator", operatorOf(r), "change", request.ChangeID,
+		"based_on", int64(request.BasedOn), "verdict", string(outcome.Verdict), "run", string(outcome.Run),
+		"offset", int64(outcome.Offset), "err", outcome.Err)
+	h.answerChange(w, request, outcome)
+}
+
+func (h *Handler) answerChange(w http.ResponseWriter, request ChangeRequest, outcome coordination.Outcome) {
+	if refusal, next := h.changeRefusal(request, outcome); refusal != nil {
+		refuse(w, refusal, next)
+		return
+	}
+	result := ChangeAnswer{Verdict: outcome.Verdict, Version: outcome.Offset}
+	result.Message = fmt.Sprintf("version %d is in force at %s", outcome.Offset, h.config.Instance)
+	if outcome.Verdict == protocol.Duplicate {
+		result.Version = h.config.Journal.Fleet().Version
+		result.Message = "this change took effect before; nothing was done again"
+	}
+	result.Next = "run status to see it in force at every instance"
+	answer(w, http.StatusOK, result)
+}
+
+// changeRefusal turns an outcome that is no success into the final answer.
+func (h *Handler) changeRefusal(request ChangeRequest, outcome coordination.Outcome) (*protocol.Refusal, string) {
+	switch outcome.Run {
+	case protocol.NotRun:
+		return protocol.Refuse(protocol.CodePlatformDown, retryLogDown, "the platform's log can't be reached; nothing was changed"),
+			"run the same command again when the platform is back; withdrawing a key works meanwhile"
+	case protocol.MayHaveRun:
+		return protocol.Uncertain(protocol.CodeMayHaveTakenPlace, "the log did not confirm the change; it may have taken effect"),
+			"run the same command again: it does nothing if the change is in force already"
+	}
+	switch outcome.Verdict {
+	case protocol.Accepted, protocol.Duplicate:
+		return nil, ""
+	case protocol.Conflict:
+		return protocol.Refuse(protocol.CodeConflict, 0,
+			"another change came first: yours was made from version %d and version %d is in force; yours was not applied",
+			request.BasedOn, h.config.Journal.Fleet().Version), "look at config diff, then apply again"
+	case protocol.NoSession:
+		return protocol.Refuse(protocol.CodeInstanceStarting, retryLogDown, "the instance has no session; nothing was changed"),
+			"run the same command again, or use another instance"
+	default:
+		return protocol.Refuse(protocol.CodeBadRequest, 0, "the change was rejected as %s; nothing was changed", outcome.Verdict),
+			"run config check on the folder"
+	}
+}
+
+func (h *Handler) withdraw(w http.ResponseWriter, r *http.Request) {
+	key := protocol.KeyID(r.PathValue("id"))
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), submitTimeout)
+	defer cancel()
+	result := h.config.Withdraw.Withdraw(ctx, key, operatorOf(r))
+	level.Info(h.config.Logger).Log("event", "key_withdrawn", "operator", operatorOf(r), "key", string(key),
+		"in_log", inLog(result), "told", len(result.Told), "unreached", len(result.Unreached), "err", result.Log.Err)
+	status := http.StatusOK
+	if !inLog(result) {
+		// Accepted, not done: it has not reached every instance for sure.
+		status = http.StatusAccepted
+	}
+	answer(w, status, h.withdrawAnswer(key, result))
+}
+
+func inLog(result withdrawal.Result) bool {
+	return result.Log.Run == protocol.Completed &&
+		(result.Log.Verdict == protocol.Accepted || result.Log.Verdict == protocol.Duplicate)
+}
+
+func (h *Handler) withdrawAnswer(key protocol.KeyID, result withdrawal.Result) WithdrawAnswer {
+	out := WithdrawAnswer{Key: key, InLog: inLog(result), Told: result.Told, Unreached: result.Unreached}
+	if out.InLog {
+		out.Message = fmt.Sprintf("key %s is withdrawn: %s and %d other instances refuse it, and the log brings it to all that read it",
+			key, h.config.Instance, len(result.Told))
+		out.Next = "nothing; an instance cut off from the log and from its peers learns of it when it is reachable again"
+		return out
+	}
+	out.Message = fmt.Sprintf("key %s is refused at %s and %d other instances; the log has not confirmed it",
+		key, h.config.Instance, len(result.Told))
+	out.Next = "run the same command again when the log is back; meanwhile run it at one instance of each domain that is cut off"
+	return out
+}
--- /dev/null
+++ b/internal/transport/operatorapi/handler_test.go
@@ -0,0 +1,208 @@
+package operatorapi
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/coordination"
+	"merlintiller/internal/coordination/withdrawal"
+	"merlintiller/internal/protocol"
+	"merlintiller/internal/settings"
+)
+
+const operatorSecret = "op-secret-for-tests"
+
+// journal answers every record with one outcome and keeps what it was given.
+type journal struct {
+	coordination.Journal
+	outcome coordination.Outcome
+	fleet   *protocol.Fleet
+	records []protocol.Record
+}
+
+func (j *journal) Submit(_ context.Context, rec protocol.Record) coordination.Outcome {
+	j.records = append(j.records, rec)
+	return j.outcome
+}
+
+func (j *journal) Fleet() *protocol.Fleet { return j.fleet }
+func (j *journal) LogUp() bool            { return j.outcome.Run == protocol.Completed }
+
+// peers reaches all instances but the ones named in cut.
+type peers struct {
+	known []protocol.InstanceID
+	cut   map[protocol.InstanceID]bool
+}
+
+func (p *peers) List() []coordination.Peer {
+	var list []coordination.Peer
+	for _, id := range p.known {
+		list = append(list, coordination.Peer{Instance: id})
+	}
+	return list
+}
+
+func (p *peers) Call(_ context.Context, to protocol.InstanceID, _ string, _, _ any) error {
+	if p.cut[to] {
+		return errors.New("unreachable")
+	}
+	return nil
+}
+
+// local remembers the keys withdrawn here.
+type local map[protocol.KeyID]bool
+
+func (l local) WithdrawLocally(key protocol.KeyID) { l[key] = true }
+
+type fixture struct {
+	journal *journal
+	peers   *peers
+	local   local
+	logs    *bytes.Buffer
+	handler *Handler
+}
+
+func newFixture(outcome coordination.Outcome) *fixture {
+	f := &fixture{
+		journal: &journal{outcome: outcome, fleet: &protocol.Fleet{Version: 9}},
+		peers:   &peers{known: []protocol.InstanceID{"b", "c"}, cut: map[protocol.InstanceID]bool{}},
+		local:   local{},
+		logs:    &bytes.Buffer{},
+	}
+	sum := sha256.Sum256([]byte(operatorSecret))
+	f.handler = New(Config{
+		Instance: "a",
+		Keys:     []settings.OperatorKey{{ID: "ana", SHA256: hex.EncodeToString(sum[:])}},
+		Journal:  f.journal,
+		Withdraw: &withdrawal.Service{Journal: f.journal, Peers: f.peers, Local: f.local, PeerTimeout: time.Second},
+		Logger:   log.NewLogfmtLogger(f.logs),
+	})
+	return f
+}
+
+func (f *fixture) call(method, path, secret, body string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	if secret != "" {
+		r.Header.Set("Authorization", "Bearer "+secret)
+	}
+	w := httptest.NewRecorder()
+	f.handler.ServeHTTP(w, r)
+	return w
+}
+
+func accepted(at protocol.Offset) coordination.Outcome {
+	return coordination.Outcome{Verdict: protocol.Accepted, Offset: at, Run: protocol.Completed}
+}
+
+const smallChange = `{"change_id":"c1","based_on":9,"set":[{"domain":{"domain":"d","share":1}}],"at":"2026-01-01T00:00:00Z"}`
+
+func TestCallsWithoutOperatorKeyAreRefused(t *testing.T) {
+	f := newFixture(accepted(10))
+	for _, secret := range []string{"", "callers-secret", operatorSecret + "x"} {
+		w := f.call("POST", PathChanges, secret, smallChange)
+		require.Equal(t, http.StatusUnauthorized, w.Code)
+	}
+	require.Empty(t, f.journal.records)
+	require.Contains(t, f.logs.String(), "event=operator_refused")
+	require.NotContains(t, f.logs.String(), "callers-secret")
+}
+
+func TestAcceptedChangeNamesVersionAndOperator(t *testing.T) {
+	f := newFixture(accepted(10))
+	w := f.call("POST", PathChanges, operatorSecret, smallChange)
+	require.Equal(t, http.StatusOK, w.Code, w.Body)
+	var answer ChangeAnswer
+	require.NoError(t, json.Unmarshal(w.Body.Bytes(), &answer))
+	require.Equal(t, protocol.Offset(10), answer.Version)
+	require.Equal(t, "ana", f.journal.records[0].FleetChange.Operator)
+	require.Equal(t, protocol.Offset(9), f.journal.records[0].FleetChange.BasedOn)
+}
+
+// Two operators publish at the same time, or the log is down, or its answer is
+// lost after the append. An operator who is told the wrong thing applies twice,
+// or believes in a change that never came. Each fate has its own answer.
+func TestEachFateOfAChangeHasItsAnswer(t *testing.T) {
+	completed := func(v protocol.Verdict) coordination.Outcome {
+		return coordination.Outcome{Verdict: v, Run: protocol.Completed}
+	}
+	cases := map[string]struct {
+		outcome coordination.Outcome
+		status  int
+		code    protocol.Code
+		run     protocol.RunState
+	}{
+		"lost race":   {completed(protocol.Conflict), http.StatusConflict, protocol.CodeConflict, protocol.NotRun},
+		"no session":  {completed(protocol.NoSession), http.StatusServiceUnavailable, protocol.CodeInstanceStarting, protocol.NotRun},
+		"rejected":    {completed(protocol.UnknownSubject), http.StatusBadRequest, protocol.CodeBadRequest, protocol.NotRun},
+		"log down":    {coordination.Outcome{Run: protocol.NotRun}, http.StatusServiceUnavailable, protocol.CodePlatformDown, protocol.NotRun},
+		"answer lost": {coordination.Outcome{Run: protocol.MayHaveRun}, http.StatusGatewayTimeout, protocol.CodeMayHaveTakenPlace, protocol.MayHaveRun},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newFixture(c.outcome).call("POST", PathChanges, operatorSecret, smallChange)
+			require.Equal(t, c.status, w.Code, w.Body)
+			var answer ErrorAnswer
+			require.NoError(t, json.Unmarshal(w.Body.Bytes(), &answer))
+			require.Equal(t, c.code, answer.Error.Code)
+			require.Equal(t, c.run, answer.Error.Run)
+			require.NotEmpty(t, answer.Error.Next)
+		})
+	}
+}
+
+func TestMalformedChangesAreRefused(t *testing.T) {
+	cases := map[string]string{
+		"not JSON":      "{",
+		"unknown field": `{"change_id":"c1","organization":{}}`,
+		"no id":         `{"set":[{"domain":{"domain":"d","share":1}}]}`,
+		"nothing":       `{"change_id":"c1"}`,
+		"two values":    smallChange + smallChange,
+	}
+	for name, body := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(accepted(1))
+			require.Equal(t, http.StatusBadRequest, f.call("POST", PathChanges, operatorSecret, body).Code)
+			require.Empty(t, f.journal.records)
+		})
+	}
+	f := newFixture(accepted(1))
+	huge := `{"change_id":"` + strings.Repeat("x", protocol.MaxEntryBytes) + `"}`
+	require.Equal(t, http.StatusRequestEntityTooLarge, f.call("POST", PathChanges, operatorSecret, huge).Code)
+}
+
+// A key is stolen while the platform's log is down and one instance is cut
+// off. The operator withdraws it at one instance. It must stop working there
+// and at every instance that can be reached, and the operator must be told
+// which could not.
+func TestWithdrawalTakesEffectWhileLogIsDown(t *testing.T) {
+	f := newFixture(coordination.Outcome{Run: protocol.NotRun})
+	f.peers.cut["c"] = true
+	w := f.call("POST", PathKeys+"key-1/withdraw", operatorSecret, "")
+	require.Equal(t, http.StatusAccepted, w.Code)
+	var answer WithdrawAnswer
+	require.NoError(t, json.Unmarshal(w.Body.Bytes(), &answer))
+	require.False(t, answer.InLog)
+	require.Equal(t, []protocol.InstanceID{"b"}, answer.Told)
+	require.Equal(t, []protocol.InstanceID{"c"}, answer.Unreached)
+	require.True(t, f.local["key-1"])
+}
+
+func TestWithdrawalGoesToTheLog(t *testing.T) {
+	f := newFixture(accepted(11))
+	w := f.call("POST", PathKeys+"key-1/withdraw", operatorSecret, "")
+	require.Equal(t, http.StatusOK, w.Code)
+	require.Equal(t, protocol.KeyID("key-1"), f.journal.records[0].KeyWithdraw.Key)
+	require.Equal(t, "ana", f.journal.records[0].KeyWithdraw.Operator)
+}
