TLS for callers, mutual TLS for peers and operators, reloaded from files

Files are compared by content and not by their time: a rotation by symbolic link keeps old times. A pair that does not belong together is left alone until the next look.

--- /dev/null
+++ b/internal/transport/tlsconfig/tlsconfig_test.go
@@ -0,0 +1,244 @@
+package tlsconfig
+
+import (
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/settings"
+	"merlintiller/internal/transport/peer"
+)
+
+// authority signs certificates for one test.
+type authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	pem  []byte
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"},
+		NotBefore: time.Unix(0, 0), NotAfter: time.Now().Add(1000 * time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	require.NoError(t, err)
+	cert, err := x509.ParseCertificate(der)
+	require.NoError(t, err)
+	return &authority{cert, key, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})}
+}
+
+// issue writes a certificate with its key and the authority's certificate.
+func (a *authority) issue(t *testing.T, dir string, serial int64) Files {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: "instance"},
+		NotBefore: time.Unix(0, 0), NotAfter: time.Now().Add(999 * time.Hour),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	require.NoError(t, err)
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	require.NoError(t, err)
+	files := Files{Cert: filepath.Join(dir, "cert.pem"), Key: filepath.Join(dir, "key.pem"), CA: filepath.Join(dir, "ca.pem")}
+	write(t, files.Cert, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}))
+	write(t, files.Key, pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: keyDER}))
+	write(t, files.CA, a.pem)
+	return files
+}
+
+func write(t *testing.T, path string, data []byte) {
+	t.Helper()
+	require.NoError(t, os.WriteFile(path, data, 0o600))
+}
+
+func open(t *testing.T, files Files) *Source {
+	t.Helper()
+	source, err := Open("test", files, time.Second, log.NewNopLogger())
+	require.NoError(t, err)
+	return source
+}
+
+type echo struct{}
+
+// Say gives the text back.
+func (echo) Say(args string, reply *string) error {
+	*reply = args
+	return nil
+}
+
+// events is a logger that hands each event to the test.
+type events chan string
+
+func (e events) Log(keyvals ...any) error {
+	for i := 0; i+1 < len(keyvals); i += 2 {
+		if keyvals[i] == "event" {
+			e <- keyvals[i+1].(string)
+		}
+	}
+	return nil
+}
+
+func startPeer(t *testing.T, config *tls.Config, logger log.Logger) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := peer.NewServer(listener, config, logger)
+	require.NoError(t, server.Register("Echo", echo{}))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = server.Serve(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return listener.Addr().String()
+}
+
+func say(t *testing.T, config *tls.Config, address string) error {
+	t.Helper()
+	client := peer.NewClient(config)
+	defer client.Close()
+	var reply string
+	return client.Call(t.Context(), address, "Echo.Say", "hello", &reply)
+}
+
+// Somebody on the network finds the port of the calls between instances. If it
+// were let in, it could hand itself tokens or withdraw every key. It is cut off
+// in the handshake, whether it shows nothing, plaintext, or a certificate of
+// its own making.
+func TestPeerCallsFromOutsideAreRefused(t *testing.T) {
+	fleet := newAuthority(t)
+	server := open(t, fleet.issue(t, t.TempDir(), 2))
+	member := open(t, fleet.issue(t, t.TempDir(), 3))
+	stranger := open(t, newAuthority(t).issue(t, t.TempDir(), 4))
+	logged := make(events, 8)
+	address := startPeer(t, server.Server(), logged)
+
+	require.NoError(t, say(t, member.Client(), address))
+	bare := &tls.Config{InsecureSkipVerify: true}
+	require.Error(t, say(t, bare, address))
+	require.Error(t, say(t, nil, address))
+	forged := stranger.Client()
+	forged.VerifyConnection = nil
+	require.Error(t, say(t, forged, address))
+	for range 3 {
+		require.Equal(t, "peer_refused", <-logged)
+	}
+}
+
+// An instance is pointed at a port that a stranger has taken over. It must not
+// hand its state to it.
+func TestInstanceRefusesForeignServer(t *testing.T) {
+	member := open(t, newAuthority(t).issue(t, t.TempDir(), 2))
+	stranger := open(t, newAuthority(t).issue(t, t.TempDir(), 3))
+	config := stranger.Server()
+	address := startPeer(t, config, log.NewNopLogger())
+	require.ErrorContains(t, say(t, member.Client(), address), "unknown authority")
+}
+
+func serialSeen(t *testing.T, source *Source) int64 {
+	t.Helper()
+	near, far := net.Pipe()
+	go func() { _ = tls.Server(far, source.Server()).Handshake() }()
+	client := tls.Client(near, &tls.Config{InsecureSkipVerify: true})
+	require.NoError(t, client.Handshake())
+	defer near.Close()
+	return client.ConnectionState().PeerCertificates[0].SerialNumber.Int64()
+}
+
+// A certificate is rotated while calls run. The connection that stands goes on,
+// and the next one gets the new certificate, without a restart.
+func TestRotationCutsNoConnection(t *testing.T) {
+	fleet := newAuthority(t)
+	dir := t.TempDir()
+	files := fleet.issue(t, dir, 10)
+	server := open(t, files)
+	member := open(t, fleet.issue(t, t.TempDir(), 3))
+	address := startPeer(t, server.Server(), log.NewNopLogger())
+	client := peer.NewClient(member.Client())
+	defer client.Close()
+	var reply string
+	require.NoError(t, client.Call(t.Context(), address, "Echo.Say", "before", &reply))
+
+	fleet.issue(t, dir, 11)
+	server.reload()
+	require.NoError(t, client.Call(t.Context(), address, "Echo.Say", "after", &reply))
+	require.Equal(t, "after", reply)
+	require.Equal(t, int64(11), server.current.Load().pair.Leaf.SerialNumber.Int64())
+}
+
+// The tool that rotates certificates has written the new certificate and not
+// yet the new key. Loaded like that, every handshake would fail. The old pair
+// stays in use until the new one is whole.
+func TestHalfWrittenRotationKeepsTheOldCertificate(t *testing.T) {
+	fleet := newAuthority(t)
+	dir := t.TempDir()
+	files := fleet.issue(t, dir, 10)
+	files.CA = ""
+	source := open(t, files)
+	next := fleet.issue(t, t.TempDir(), 11)
+	cert, err := os.ReadFile(next.Cert)
+	require.NoError(t, err)
+	write(t, files.Cert, cert)
+	source.reload()
+	require.Equal(t, int64(10), serialSeen(t, source))
+	key, err := os.ReadFile(next.Key)
+	require.NoError(t, err)
+	write(t, files.Key, key)
+	source.reload()
+	require.Equal(t, int64(11), serialSeen(t, source))
+}
+
+func TestServeLooksForChangedFiles(t *testing.T) {
+	fleet := newAuthority(t)
+	dir := t.TempDir()
+	files := fleet.issue(t, dir, 10)
+	synctest.Test(t, func(t *testing.T) {
+		source := open(t, files)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- source.Serve(ctx) }()
+		fleet.issue(t, dir, 11)
+		<-time.After(1500 * time.Millisecond)
+		synctest.Wait()
+		require.Equal(t, int64(11), source.current.Load().pair.Leaf.SerialNumber.Int64())
+		cancel()
+		require.ErrorIs(t, <-done, context.Canceled)
+	})
+}
+
+func TestOpenAllWarnsOfPlaintextBeyondLoopback(t *testing.T) {
+	var logs bytes.Buffer
+	s := settings.Default()
+	s.Listen = settings.Listen{Callers: "10.0.0.1:1", Peers: "127.0.0.1:2", Operators: "127.0.0.1:3"}
+	set, err := OpenAll(s, log.NewLogfmtLogger(&logs))
+	require.NoError(t, err)
+	require.Nil(t, set.Callers.Server())
+	require.Nil(t, set.Peers.Client())
+	require.Empty(t, set.Services())
+	require.Equal(t, 1, bytes.Count(logs.Bytes(), []byte("event=plaintext_listener")))
+	s.TLS.Callers.Cert = "absent.pem"
+	_, err = OpenAll(s, log.NewNopLogger())
+	require.ErrorContains(t, err, "certificate of callers")
+}
