--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -8,6 +8,7 @@
 
 type cli struct {
 	Platform platformCmd `cmd:"" help:"Run the platform: log, list and weight store."`
+	Target   targetCmd   `cmd:"" help:"Run a target: a model runner or a plain service."`
 }
 
 func main() {
