--- a/internal/coordination/journal/harness_test.go
+++ b/internal/coordination/journal/harness_test.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/thejerf/suture/v4"
 
+	"merlintiller/internal/coordination/member"
 	"merlintiller/internal/platform"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/standin/memlog"
@@ -19,9 +21,12 @@
 type node struct {
 	*Journal
 	t      *testing.T
+	ctx    context.Context
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 	link   *link
+	// heartbeats is set by startPeer.
+	heartbeats *member.Heartbeats
 }
 
 // link is the way of one instance to the log. It can be cut for this instance
@@ -119,15 +124,18 @@
 		f(&opts)
 	}
 	n := &node{Journal: New(opts), t: t, link: l}
-	ctx, cancel := context.WithCancel(context.Background())
-	n.cancel = cancel
+	n.ctx, n.cancel = context.WithCancel(context.Background())
 	for _, service := range n.Services() {
-		n.done.Go(func() { _ = service.Serve(ctx) })
+		n.run(service)
 	}
 	t.Cleanup(n.kill)
 	return n
 }
 
+func (n *node) run(service suture.Service) {
+	n.done.Go(func() { _ = service.Serve(n.ctx) })
+}
+
 // sessionsOf draws distinct, repeatable session ids.
 func sessionsOf(name string) func() protocol.SessionID {
 	var count uint64
