Calls that may not be repeated: one dispatch over the fleet

Weighed: an answer delivered before its outcome is recorded (faster by one append, but an answer lost on the way is then unknown if the instance dies) against recording first within a bounded time; the second is taken. Change: coordination/oncecall implements online.OnceCaller; batch duties use the session table and member.Rank.

--- a/internal/coordination/batch/claimer.go
+++ b/internal/coordination/batch/claimer.go
@@ -77,10 +77,10 @@
 			Now:       time.Now(),
 			HeldBy:    now.byOrg,
 			Free:      free,
-			Instances: openSessions(state),
+			Instances: len(openIDs(state)),
 			Spread:    uint64(session),
 			Claimable: func(job protocol.JobID, from, limit int) []int {
-				return state.Ledger.Claimable(job, sessionsOf(state), from, limit)
+				return state.Ledger.Claimable(job, state.Sessions, from, limit)
 			},
 		}
 		for _, job := range state.Ledger.Running() {
--- a/internal/coordination/batch/files.go
+++ b/internal/coordination/batch/files.go
@@ -77,7 +77,7 @@
 	if err != nil {
 		return File{}, protocol.Refuse(protocol.CodeTooLarge, 0, "the file has too many chunks")
 	}
-	at, err := s.journal.AppendData(ctx, payload)
+	at, err := s.appendData(ctx, payload)
 	if err != nil {
 		return File{}, s.refuseStorage(err, "the upload")
 	}
@@ -137,10 +137,18 @@
 	if err != nil {
 		return protocol.NoOffset, trace.Wrap(err)
 	}
-	at, err := s.journal.AppendData(ctx, payload)
+	at, err := s.appendData(ctx, payload)
 	return at, trace.Wrap(err)
 }
 
+// appendData bounds one append: the journal goes on trying for as long as it
+// is let, and a caller is better told to come back.
+func (s *Service) appendData(ctx context.Context, payload []byte) (protocol.Offset, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.opts.SubmitTimeout)
+	defer cancel()
+	return s.journal.AppendData(ctx, payload)
+}
+
 // File returns a file of the organisation. To any other it does not exist.
 func (s *Service) File(ctx context.Context, org protocol.OrganisationID, id string) (File, *protocol.Refusal) {
 	if job, failed, ok := parseResultFileID(id); ok {
--- a/internal/coordination/batch/flusher.go
+++ b/internal/coordination/batch/flusher.go
@@ -102,6 +102,8 @@
 	f.busy = true
 	sections := f.buffer.take(bulk.MaxPayload)
 	go func() {
+		ctx, cancel := context.WithTimeout(ctx, f.opts.SubmitTimeout)
+		defer cancel()
 		f.appending <- appended{sections: sections, all: f.append(ctx, sections)}
 	}()
 }
--- a/internal/coordination/batch/service.go
+++ b/internal/coordination/batch/service.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/gravitational/trace"
 
 	"merlintiller/internal/coordination"
 	"merlintiller/internal/platform"
@@ -42,7 +43,7 @@
 	if errors.Is(err, platform.ErrTrimmed) {
 		return protocol.Refuse(protocol.CodeGone, 0, "%s has left the platform's retention", what)
 	}
-	if errors.Is(err, protocol.ErrMalformed) {
+	if errors.Is(err, protocol.ErrMalformed) || trace.IsNotFound(err) {
 		return protocol.Refuse(protocol.CodeNotFound, 0, "%s does not exist", what)
 	}
 	return protocol.Refuse(protocol.CodePlatformDown, s.opts.RetryAfter, "the platform's log does not answer for %s", what)
--- /dev/null
+++ b/internal/coordination/oncecall/caller.go
@@ -0,0 +1,215 @@
+// Package oncecall dispatches calls that may not be repeated, at most once over
+// the whole fleet.
+//
+// A call with an idempotency key is reserved by a control record, and the
+// instance that reads its record back as the first one sends it. Everyone else
+// that gets the same call answers from the reservation. A reservation without
+// an outcome is never sent again, whatever became of its holder: that a call
+// did run can't be excluded, and nothing in the log could say so.
+//
+// What remains is stated, not hidden: an instance that is stopped between its
+// last check and the send may send late, after its caller was told that the
+// outcome is unknown. It is still the only send.
+package oncecall
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"expvar"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"merlintiller/internal/coordination"
+	"merlintiller/internal/coordination/online"
+	"merlintiller/internal/platform"
+	"merlintiller/internal/protocol"
+	"merlintiller/internal/ring"
+	"merlintiller/internal/state/once"
+	"merlintiller/internal/state/replica"
+)
+
+var counters = expvar.NewMap("oncecall")
+
+// Options are the settings. The zero value of a field takes its default.
+type Options struct {
+	// ReserveTimeout bounds the wait for a reservation to be read back. Default
+	// 3 s: the caller is better told to come back than kept.
+	ReserveTimeout time.Duration
+	// DispatchTimeout bounds a dispatch whose caller set no deadline. Default
+	// 5 min.
+	DispatchTimeout time.Duration
+	// RecordTimeout bounds the wait for the outcome to stand in the log before
+	// the caller gets the answer. Default 1 s. Later it is recorded in the
+	// background.
+	RecordTimeout time.Duration
+	// JoinTimeout bounds how long a resend waits for the first dispatch to end.
+	// Default 2 s.
+	JoinTimeout time.Duration
+	// RetryAfter is what callers are told when the log is down. Default 5 s.
+	RetryAfter time.Duration
+	// Remember is how long a key is remembered. Default 24 h, less than the
+	// platform's retention, since stored answers are not carried forward.
+	Remember time.Duration
+	// Unrecorded bounds the outcomes that wait for the log. Default 1024.
+	Unrecorded int
+}
+
+func orDefault[T comparable](value *T, preset T) {
+	var zero T
+	if *value == zero {
+		*value = preset
+	}
+}
+
+func (o Options) withDefaults() Options {
+	orDefault(&o.ReserveTimeout, 3*time.Second)
+	orDefault(&o.DispatchTimeout, 5*time.Minute)
+	orDefault(&o.RecordTimeout, time.Second)
+	orDefault(&o.JoinTimeout, 2*time.Second)
+	orDefault(&o.RetryAfter, 5*time.Second)
+	orDefault(&o.Remember, 24*time.Hour)
+	orDefault(&o.Unrecorded, 1024)
+	return o
+}
+
+// joinRetry is when a caller is told to ask again for a call that runs.
+const joinRetry = time.Second
+
+// Caller implements online.OnceCaller.
+type Caller struct {
+	journal coordination.Journal
+	opts    Options
+	logger  log.Logger
+	// unrecorded joins the callers and the duty that records what could not be
+	// recorded at once.
+	unrecorded *ring.Ring[note]
+}
+
+var _ online.OnceCaller = (*Caller)(nil)
+
+// New returns a Caller. name distinguishes its ring in expvar; empty publishes
+// nothing.
+func New(name string, journal coordination.Journal, opts Options, logger log.Logger) *Caller {
+	opts = opts.withDefaults()
+	return &Caller{
+		journal:    journal,
+		opts:       opts,
+		logger:     logger,
+		unrecorded: ring.New[note](name, opts.Unrecorded),
+	}
+}
+
+// newCallID draws the id of a dispatch: 128 random bits.
+func newCallID() protocol.CallID {
+	var random [16]byte
+	_, _ = rand.Read(random[:])
+	return protocol.CallID("call_" + hex.EncodeToString(random[:]))
+}
+
+// CallOnce implements online.OnceCaller. Once the call is under way it goes on
+// when the caller leaves, so that a resend finds the answer.
+func (c *Caller) CallOnce(ctx context.Context, call online.OnceCall, dispatch online.Dispatch) (online.OnceAnswer, *protocol.Refusal) {
+	if known, found := c.lookup(call.Key); found {
+		return c.join(ctx, call, known)
+	}
+	id := newCallID()
+	outcome := c.reserve(ctx, call, id)
+	if outcome.Run == protocol.NotRun {
+		return online.OnceAnswer{}, c.refuseLog()
+	}
+	if outcome.Run != protocol.Completed {
+		// The reservation may stand. The call was not sent and never will be
+		// under this id, so it must be withdrawn, or every resend would be told
+		// that the outcome is unknown.
+		c.later(note{release: true, key: call.Key, id: id})
+		return online.OnceAnswer{}, c.refuseLog()
+	}
+	switch outcome.Verdict {
+	case protocol.Accepted:
+		return c.send(ctx, call.Key, id, dispatch)
+	case protocol.AlreadyHeld:
+		known, found := c.lookup(call.Key)
+		if !found {
+			return online.OnceAnswer{}, running("the call was settled a moment ago")
+		}
+		return c.join(ctx, call, known)
+	case protocol.NoSession:
+		return online.OnceAnswer{}, protocol.Refuse(protocol.CodeInstanceStarting, c.opts.RetryAfter, "this instance has no session now")
+	}
+	return online.OnceAnswer{}, protocol.Refuse(protocol.CodeInternal, 0, "the call could not be reserved: %s", outcome.Verdict)
+}
+
+func (c *Caller) refuseLog() *protocol.Refusal {
+	return protocol.Refuse(protocol.CodePlatformDown, c.opts.RetryAfter, "the platform's log does not confirm that this call is the only one; it was not sent")
+}
+
+func (c *Caller) reserve(ctx context.Context, call online.OnceCall, id protocol.CallID) coordination.Outcome {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.ReserveTimeout)
+	defer cancel()
+	return c.journal.Submit(ctx, protocol.Record{CallReserve: &protocol.CallReserve{
+		Call:     call.Key,
+		ID:       id,
+		BodyHash: call.BodyHash,
+		At:       time.Now().UTC(),
+	}})
+}
+
+func (c *Caller) lookup(key protocol.CallKey) (call once.Call, found bool) {
+	c.journal.View(func(state *replica.State) { call, found = state.Once.Call(key) })
+	return call, found
+}
+
+// send makes the only dispatch of a reserved call.
+func (c *Caller) send(ctx context.Context, key protocol.CallKey, id protocol.CallID, dispatch online.Dispatch) (online.OnceAnswer, *protocol.Refusal) {
+	if ctx.Err() != nil || !c.stillHolds(key, id) {
+		// An instance that was paused here would send a call whose caller has
+		// long been told something else.
+		counters.Add("not_sent_after_pause", 1)
+		c.record(ctx, note{release: true, key: key, id: id})
+		return online.OnceAnswer{}, protocol.Refuse(protocol.CodeInstanceStarting, c.opts.RetryAfter, "this instance lost its session before it sent the call")
+	}
+	sendCtx, cancel := c.detach(ctx)
+	defer cancel()
+	answer, err := dispatch(sendCtx, id)
+	if err != nil {
+		return online.OnceAnswer{}, c.failed(sendCtx, key, id, err)
+	}
+	c.record(sendCtx, note{key: key, id: id, answer: &answer})
+	return answer, nil
+}
+
+// stillHolds is the last check before the send: the session under which the
+// call was reserved is open and may be used.
+func (c *Caller) stillHolds(key protocol.CallKey, id protocol.CallID) bool {
+	if !c.journal.MayHold() {
+		return false
+	}
+	call, found := c.lookup(key)
+	return found && call.ID == id && call.Session == c.journal.Session()
+}
+
+// detach keeps the deadline of a caller and not its leaving.
+func (c *Caller) detach(ctx context.Context) (context.Context, context.CancelFunc) {
+	free := context.WithoutCancel(ctx)
+	if deadline, ok := ctx.Deadline(); ok {
+		return context.WithDeadline(free, deadline)
+	}
+	return context.WithTimeout(free, c.opts.DispatchTimeout)
+}
+
+func (c *Caller) failed(ctx context.Context, key protocol.CallKey, id protocol.CallID, err error) *protocol.Refusal {
+	var callError *platform.CallError
+	if errors.As(err, &callError) && callError.Run == protocol.NotRun {
+		c.record(ctx, note{release: true, key: key, id: id})
+		return protocol.Refuse(protocol.CodeNoTarget, c.opts.RetryAfter, "no target took the call")
+	}
+	c.record(ctx, note{key: key, id: id})
+	return unknownOutcome()
+}
+
+func unknownOutcome() *protocol.Refusal {
+	return protocol.Uncertain(protocol.CodeOutcomeUnknown, "the call was sent and no whole answer came back; it will not be sent again")
+}
--- /dev/null
+++ b/internal/coordination/oncecall/forget.go
@@ -0,0 +1,64 @@
+package oncecall
+
+import (
+	"context"
+	"time"
+
+	"merlintiller/internal/coordination/member"
+	"merlintiller/internal/protocol"
+	"merlintiller/internal/state/replica"
+)
+
+// Forgetter is the duty that drops reservations whose time is over, so that
+// the memory of every instance stays bounded.
+type Forgetter struct{ caller *Caller }
+
+// Forgetter returns the duty of a Caller, for the supervisor.
+func (c *Caller) Forgetter() *Forgetter { return &Forgetter{c} }
+
+// String names the duty.
+func (f *Forgetter) String() string { return "once-call forgetter" }
+
+// forgetEvery is the time between two looks for old reservations.
+const forgetEvery = time.Minute
+
+// Serve looks for old reservations until ctx ends.
+func (f *Forgetter) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(forgetEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			f.pass(ctx)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (f *Forgetter) pass(ctx context.Context) {
+	c := f.caller
+	session := c.journal.Session()
+	if session == 0 || !c.journal.LogUp() {
+		return
+	}
+	last := protocol.NoOffset
+	first := false
+	c.journal.View(func(state *replica.State) {
+		last = state.Once.LastBefore(time.Now().Add(-c.opts.Remember))
+		first = member.Rank("oncecall/forget", session, openIDs(state)) == 0
+	})
+	if last == protocol.NoOffset || !first {
+		return
+	}
+	c.journal.Submit(ctx, protocol.Record{CallForget: &protocol.CallForget{UpTo: last}})
+}
+
+func openIDs(state *replica.State) []protocol.SessionID {
+	infos := state.Sessions.All()
+	ids := make([]protocol.SessionID, len(infos))
+	for i := range infos {
+		ids[i] = infos[i].Session
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/coordination/oncecall/join.go
@@ -0,0 +1,95 @@
+package oncecall
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"merlintiller/internal/coordination/bulk"
+	"merlintiller/internal/coordination/online"
+	"merlintiller/internal/platform"
+	"merlintiller/internal/protocol"
+	"merlintiller/internal/state/once"
+	"merlintiller/internal/state/replica"
+)
+
+// join answers a resend from the reservation of the first call, and waits for
+// its outcome for a little while if it still runs.
+func (c *Caller) join(ctx context.Context, call online.OnceCall, known once.Call) (online.OnceAnswer, *protocol.Refusal) {
+	if known.BodyHash != call.BodyHash {
+		return online.OnceAnswer{}, protocol.Refuse(protocol.CodeConflict, 0, "the idempotency key was used for another request")
+	}
+	limit := time.NewTimer(c.opts.JoinTimeout)
+	defer limit.Stop()
+	for {
+		changed := c.journal.Changed()
+		known, found := c.lookup(call.Key)
+		if !found {
+			return online.OnceAnswer{}, protocol.Refuse(protocol.CodeConflict, joinRetry, "the first attempt did not run; send the call again")
+		}
+		if known.Settled {
+			return c.stored(ctx, known)
+		}
+		if !c.holderLives(known) {
+			return online.OnceAnswer{}, unknownOutcome()
+		}
+		select {
+		case <-changed:
+		case <-limit.C:
+			return online.OnceAnswer{}, running("the call is running; ask again")
+		case <-ctx.Done():
+			return online.OnceAnswer{}, running("the call is running; ask again")
+		}
+	}
+}
+
+func running(message string) *protocol.Refusal {
+	return &protocol.Refusal{Code: protocol.CodeConflict, Message: message, Run: protocol.MayHaveRun, RetryAfter: joinRetry}
+}
+
+func (c *Caller) holderLives(known once.Call) (open bool) {
+	c.journal.View(func(state *replica.State) { open = state.Sessions.Open(known.Session) })
+	return open
+}
+
+// stored gives the answer of the first dispatch.
+func (c *Caller) stored(ctx context.Context, known once.Call) (online.OnceAnswer, *protocol.Refusal) {
+	if known.Status == 0 {
+		return online.OnceAnswer{}, unknownOutcome()
+	}
+	if known.Data == protocol.NoOffset {
+		return online.OnceAnswer{}, gone()
+	}
+	payload, err := c.journal.ReadData(ctx, known.Data)
+	if errors.Is(err, platform.ErrTrimmed) {
+		return online.OnceAnswer{}, gone()
+	}
+	if err != nil {
+		return online.OnceAnswer{}, &protocol.Refusal{
+			Code:       protocol.CodePlatformDown,
+			Message:    "the call ran; the platform's log does not give its answer now",
+			Run:        protocol.Completed,
+			RetryAfter: c.opts.RetryAfter,
+		}
+	}
+	entry, err := bulk.Decode(payload)
+	if err != nil || entry.Answer == nil {
+		return online.OnceAnswer{}, gone()
+	}
+	return online.OnceAnswer{
+		Status: entry.Answer.Status,
+		Header: entry.Answer.Header,
+		Body:   entry.Answer.Body,
+		Stored: true,
+	}, nil
+}
+
+// gone is the answer to a resend of a call that ran and whose answer was too
+// large to keep or is past its time.
+func gone() *protocol.Refusal {
+	return &protocol.Refusal{
+		Code:    protocol.CodeGone,
+		Message: "the call ran; its answer is not kept any more",
+		Run:     protocol.Completed,
+	}
+}
