--- /dev/null
+++ b/internal/state/once/once_test.go
@@ -0,0 +1,157 @@
+package once
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"merlintiller/internal/protocol"
+)
+
+type openSet map[protocol.SessionID]bool
+
+func (o openSet) Open(id protocol.SessionID) bool { return o[id] }
+
+var key = protocol.CallKey{Organisation: "dobrescu", Key: "swap-17"}
+
+func reserve(id string) protocol.Record {
+	return protocol.Record{
+		ID:          protocol.RecordID{Session: 1},
+		CallReserve: &protocol.CallReserve{Call: key, ID: protocol.CallID(id), BodyHash: 9, At: time.Unix(50, 0).UTC()},
+	}
+}
+
+func outcome(id string, status int) protocol.Record {
+	return protocol.Record{CallOutcome: &protocol.CallOutcome{Call: key, ID: protocol.CallID(id), Status: status, Data: 7}}
+}
+
+func release(id string) protocol.Record {
+	return protocol.Record{CallRelease: &protocol.CallRelease{Call: key, ID: protocol.CallID(id)}}
+}
+
+func apply(t *Table, at protocol.Offset, rec protocol.Record) protocol.Verdict {
+	return t.Apply(at, &rec, openSet{1: true})
+}
+
+// A caller resends a swap request through another instance while the first one
+// is on its way. Two sends would swap twice; the first reservation wins.
+func TestFirstReservationWins(t *testing.T) {
+	table := New()
+	require.Equal(t, protocol.Accepted, apply(table, 0, reserve("a")))
+	require.Equal(t, protocol.AlreadyHeld, apply(table, 1, reserve("b")))
+	call, found := table.Call(key)
+	require.True(t, found)
+	require.EqualValues(t, "a", call.ID)
+	require.EqualValues(t, 9, call.BodyHash)
+	require.EqualValues(t, 1, call.Session)
+}
+
+// The loser of a reservation reports or withdraws. It must not touch what the
+// winner did.
+func TestOnlyTheReservedDispatchSettles(t *testing.T) {
+	table := New()
+	apply(table, 0, reserve("a"))
+	require.Equal(t, protocol.NotHolder, apply(table, 1, outcome("b", 200)))
+	require.Equal(t, protocol.NotHolder, apply(table, 2, release("b")))
+	require.Equal(t, protocol.Accepted, apply(table, 3, outcome("a", 200)))
+	require.Equal(t, protocol.AlreadyEnded, apply(table, 4, outcome("a", 500)))
+	call, _ := table.Call(key)
+	require.Equal(t, 200, call.Status)
+}
+
+// A call ran, and its release arrives late. Releasing it would let a resend
+// run it again.
+func TestSettledCallIsNotReleased(t *testing.T) {
+	table := New()
+	apply(table, 0, reserve("a"))
+	apply(table, 1, outcome("a", 0))
+	require.Equal(t, protocol.AlreadyEnded, apply(table, 2, release("a")))
+	require.Equal(t, protocol.AlreadyHeld, apply(table, 3, reserve("c")))
+}
+
+// A target refused the connection, so the call certainly did not run. A resend
+// may try again.
+func TestReleasedCallMayBeReservedAgain(t *testing.T) {
+	table := New()
+	apply(table, 0, reserve("a"))
+	require.Equal(t, protocol.Accepted, apply(table, 1, release("a")))
+	require.Equal(t, protocol.UnknownSubject, apply(table, 2, release("a")))
+	require.Equal(t, protocol.Accepted, apply(table, 3, reserve("b")))
+}
+
+// Old reservations are dropped to bound memory. One whose call may still be in
+// flight must stay, or a resend would run beside it.
+func TestCallInFlightIsNotForgotten(t *testing.T) {
+	table := New()
+	apply(table, 0, reserve("a"))
+	require.EqualValues(t, 0, table.LastBefore(time.Unix(51, 0)))
+	require.EqualValues(t, protocol.NoOffset, table.LastBefore(time.Unix(50, 0)))
+	forget := protocol.Record{CallForget: &protocol.CallForget{UpTo: 0}}
+	require.Equal(t, protocol.UnknownSubject, apply(table, 1, forget))
+	apply(table, 2, outcome("a", 200))
+	require.Equal(t, protocol.Accepted, apply(table, 3, forget))
+	require.Zero(t, table.Len())
+}
+
+// The holder died with the call in flight. Its reservation is forgotten when
+// its time is over, and not before.
+func TestUnsettledCallOfAnEndedSessionIsForgotten(t *testing.T) {
+	table := New()
+	apply(table, 5, reserve("a"))
+	early := protocol.Record{CallForget: &protocol.CallForget{UpTo: 4}}
+	require.Equal(t, protocol.UnknownSubject, table.Apply(6, &early, openSet{}))
+	due := protocol.Record{CallForget: &protocol.CallForget{UpTo: 5}}
+	require.Equal(t, protocol.Accepted, table.Apply(7, &due, openSet{}))
+	require.Zero(t, table.Len())
+}
+
+// Reservations, outcomes and releases come in any order from several
+// instances. A key has one dispatch at a time, and after an outcome no other
+// ever. A state restored from any snapshot goes on like the whole one.
+func TestOneDispatchAKeyInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := New()
+		cut := rapid.IntRange(0, 30).Draw(t, "cut")
+		var restored *Table
+		winner, settled := protocol.CallID(""), false
+		for at := range protocol.Offset(30) {
+			if int(at) == cut {
+				restored = Restore(roundTrip(t, table.Snapshot()))
+			}
+			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")
+			rec := rapid.SampledFrom([]protocol.Record{reserve(id), outcome(id, 200), release(id)}).Draw(t, "record")
+			verdict := apply(table, at, rec)
+			if restored != nil {
+				require.Equal(t, verdict, apply(restored, at, rec))
+			}
+			if verdict != protocol.Accepted {
+				continue
+			}
+			require.False(t, settled)
+			switch {
+			case rec.CallReserve != nil:
+				require.Empty(t, winner)
+				winner = protocol.CallID(id)
+			case rec.CallOutcome != nil:
+				require.EqualValues(t, winner, id)
+				settled = true
+			case rec.CallRelease != nil:
+				require.EqualValues(t, winner, id)
+				winner = ""
+			}
+		}
+		if restored != nil {
+			require.Equal(t, table.Snapshot(), restored.Snapshot())
+		}
+	})
+}
+
+func roundTrip(t require.TestingT, s Snapshot) Snapshot {
+	data, err := protocol.Marshal(s)
+	require.NoError(t, err)
+	var back Snapshot
+	require.NoError(t, protocol.Unmarshal(data, &back))
+	return back
+}
