--- a/internal/transport/targethttp/control.go
+++ b/internal/transport/targethttp/control.go
@@ -84,18 +84,36 @@
 // Current implements platform.Orders.
 func (c *Client) Current(ctx context.Context, address string) (platform.OrderState, error) {
 	var state platform.OrderState
-	err := c.get(ctx, address, "/orders", &state)
-	return state, err
+	data, err := c.get(ctx, address, "/orders")
+	if err != nil {
+		return state, err
+	}
+	return state, decodeControl(data, &state)
 }
 
 // Load implements platform.LoadReports.
 func (c *Client) Load(ctx context.Context, address string) (platform.Load, error) {
+	data, err := c.get(ctx, address, "/load")
+	if err != nil {
+		return platform.Load{}, err
+	}
+	return decodeLoad(data)
+}
+
+// maxReport bounds the numbers of a load report: streams of one target and an
+// age of a day in milliseconds. A target that reports nonsense must not shift
+// the means of its whole service.
+const maxReport = 24 * 60 * 60 * 1000
+
+func decodeLoad(data []byte) (platform.Load, error) {
 	var load platform.Load
-	if err := c.get(ctx, address, "/load", &load); err != nil {
+	if err := decodeControl(data, &load); err != nil {
 		return platform.Load{}, err
 	}
-	if load.Running < 0 || load.Waiting < 0 || load.AgeMS < 0 {
-		return platform.Load{}, trace.Wrap(protocol.ErrMalformed, "load report with a negative number")
+	for _, n := range []int64{int64(load.Running), int64(load.Waiting), load.AgeMS} {
+		if n < 0 || n > maxReport {
+			return platform.Load{}, trace.Wrap(protocol.ErrMalformed, "load report with the number %d", n)
+		}
 	}
 	return load, nil
 }
@@ -103,19 +121,22 @@
 // Events implements platform.CacheEvents.
 func (c *Client) Events(ctx context.Context, address string, after uint64) ([]platform.CacheEvent, error) {
 	var events []platform.CacheEvent
-	err := c.get(ctx, address, "/cache-events?after="+strconv.FormatUint(after, 10), &events)
-	return events, err
+	data, err := c.get(ctx, address, "/cache-events?after="+strconv.FormatUint(after, 10))
+	if err != nil {
+		return nil, err
+	}
+	return events, decodeControl(data, &events)
 }
 
-func (c *Client) get(ctx context.Context, address, at string, value any) error {
+func (c *Client) get(ctx context.Context, address, at string) ([]byte, error) {
 	status, data, err := c.control(ctx, http.MethodGet, address, at, nil)
 	if err != nil {
-		return trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
 	if status != http.StatusOK {
-		return trace.Wrap(errStatus, "%s: %d", at, status)
+		return nil, trace.Wrap(errStatus, "%s: %d", at, status)
 	}
-	return decodeControl(data, value)
+	return data, nil
 }
 
 func decodeControl(data []byte, value any) error {
