Batch item that a target can't resume starts anew in the same run

Cause: the executor keeps the partial answer over a failed attempt, so an item whose target can't resume would have used up its attempts and ended as failed. Ruled out: dropping the partial answer in the executor on every failure, which would throw tokens away when a target merely dies. Measured: the test now asks for the whole result, not only for no joined one.

--- a/internal/coordination/itemrun/runner.go
+++ b/internal/coordination/itemrun/runner.go
@@ -69,27 +69,45 @@
 func (r *Runner) Run(ctx context.Context, slot coordination.BatchSlot, item batch.Item) batch.ItemOutcome {
 	one := &run{
 		opts: r.opts, item: item, pick: slot.Pick(),
-		id: protocol.CallID("item_" + rand.Text()), started: time.Now(),
+		id: newID(), started: time.Now(),
 	}
 	return one.do(ctx)
 }
 
+func newID() protocol.CallID { return protocol.CallID("item_" + rand.Text()) }
+
 func (r *run) do(ctx context.Context) batch.ItemOutcome {
 	limited, cancel := context.WithTimeout(ctx, r.opts.Timeout)
 	defer cancel()
 	r.resume()
+	outcome, anew := r.attempt(limited, ctx)
+	if anew {
+		outcome, _ = r.attempt(limited, ctx)
+	}
+	return outcome
+}
+
+// attempt sends one call. anew asks for another from the beginning: the target
+// can't resume, and the next one that the item meets may not either.
+func (r *run) attempt(limited, ctx context.Context) (outcome batch.ItemOutcome, anew bool) {
 	answer, err := r.opts.Target.Do(limited, r.pick.Address, r.call())
 	if err != nil {
-		return r.broken(ctx, err)
+		return r.broken(ctx, err), false
 	}
 	defer answer.Body.Close()
 	if answer.Status != http.StatusOK {
-		return r.refused(ctx, answer)
+		return r.refused(ctx, answer), false
+	}
+	if !r.stream {
+		return r.readWhole(ctx, answer), false
 	}
-	if r.stream {
-		return r.readStream(ctx, answer)
+	outcome, err = r.readStream(ctx, answer)
+	if errors.Is(err, errNotResumed) {
+		r.answer = partial{}
+		r.id = newID()
+		return outcome, true
 	}
-	return r.readWhole(ctx, answer)
+	return outcome, false
 }
 
 // resume takes up what an interrupted run kept. What can't be decoded is
@@ -116,26 +134,26 @@
 	}
 }
 
-func (r *run) readStream(ctx context.Context, answer *platform.Answer) batch.ItemOutcome {
+// readStream reads until the end mark. Its error is errNotResumed or nil.
+func (r *run) readStream(ctx context.Context, answer *platform.Answer) (batch.ItemOutcome, error) {
 	events := sse.NewReader(answer.Body)
 	resumed := r.answer.Position > 0
 	for {
 		event, err := events.Next()
 		if err != nil {
-			return r.broken(ctx, err)
+			return r.broken(ctx, err), nil
 		}
 		if r.first == 0 {
 			r.first = time.Since(r.started)
 		}
 		if event.Done {
-			return r.whole(answer.Status)
+			return r.whole(answer.Status), nil
 		}
 		if err := r.answer.add(event, resumed); err != nil {
-			r.answer = partial{}
-			return r.broken(ctx, err)
+			return r.broken(ctx, err), err
 		}
 		if int64(len(r.answer.Text)) > r.opts.MaxAnswer {
-			return r.tooLong()
+			return r.tooLong(), nil
 		}
 		resumed = false
 	}
@@ -202,7 +220,7 @@
 	}
 	outcome := r.failed(protocol.CodeTargetFailed, err.Error())
 	outcome.Kind = batch.Retry
-	outcome.Call.Failed = !errors.Is(err, errNotResumed)
+	outcome.Call.Failed = true
 	return outcome
 }
 
--- a/internal/coordination/itemrun/runner_test.go
+++ b/internal/coordination/itemrun/runner_test.go
@@ -119,8 +119,8 @@
 	again.Resume = &batch.Resume{Tokens: 3, Output: kept}
 	stream := fixed("id: 1\ndata: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\ndata: [DONE]\n\n")
 	outcome := New(Options{Target: stream}).Run(t.Context(), slot{}, again)
-	require.Equal(t, batch.Retry, outcome.Kind)
-	require.Nil(t, outcome.Resume)
+	require.Equal(t, batch.Done, outcome.Kind)
+	require.Equal(t, "a", content(t, outcome.Result.Body))
 }
 
 // A stream ends without its end mark, because the target died. The text so far
