--- /dev/null
+++ b/internal/transport/targethttp/control.go
@@ -0,0 +1,170 @@
+package targethttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"path"
+	"strconv"
+	"strings"
+
+	"github.com/gravitational/trace"
+
+	"merlintiller/internal/platform"
+	"merlintiller/internal/protocol"
+)
+
+// maxControlBody bounds the answer to a control request: a target that sends
+// without end can't fill the instance's memory.
+const maxControlBody = 1 << 20
+
+// errStatus is an answer with a status that was not expected.
+var errStatus = errors.New("unexpected status")
+
+// errControlPath is a caller's call to a path that is kept for control.
+var errControlPath = errors.New("the path is not open to callers")
+
+// controlPaths are where a target takes orders and answers about itself.
+var controlPaths = []string{"/orders", "/load", "/cache-events", "/cancel"}
+
+// isControl reports whether a call would reach a control path.
+//
+// What goes wrong without it: the path of a call to a plain service comes from
+// the caller, so anyone with a key could give orders to a target or cancel the
+// calls of others.
+func isControl(target string) bool {
+	parsed, err := url.ParseRequestURI(target)
+	if err != nil {
+		return true
+	}
+	clean := path.Clean("/" + parsed.Path)
+	for _, control := range controlPaths {
+		if clean == control || strings.HasPrefix(clean, control+"/") {
+			return true
+		}
+	}
+	return false
+}
+
+// Cancel implements platform.Target.
+func (c *Client) Cancel(ctx context.Context, address string, id protocol.CallID) error {
+	status, _, err := c.control(ctx, http.MethodPost, address, "/cancel/"+url.PathEscape(string(id)), nil)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if status == http.StatusNotFound || status < 300 {
+		return nil
+	}
+	return trace.Wrap(errStatus, "cancel: %d", status)
+}
+
+// Give implements platform.Orders.
+func (c *Client) Give(ctx context.Context, address string, order platform.Order) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	status, _, err := c.control(ctx, http.MethodPost, address, "/orders", body)
+	switch {
+	case err != nil:
+		return trace.Wrap(err)
+	case status == http.StatusPreconditionFailed:
+		return platform.ErrStaleFence
+	case status >= 300:
+		return trace.Wrap(errStatus, "order: %d", status)
+	}
+	return nil
+}
+
+// Current implements platform.Orders.
+func (c *Client) Current(ctx context.Context, address string) (platform.OrderState, error) {
+	var state platform.OrderState
+	data, err := c.get(ctx, address, "/orders")
+	if err != nil {
+		return state, err
+	}
+	return state, decodeControl(data, &state)
+}
+
+// Load implements platform.LoadReports.
+func (c *Client) Load(ctx context.Context, address string) (platform.Load, error) {
+	data, err := c.get(ctx, address, "/load")
+	if err != nil {
+		return platform.Load{}, err
+	}
+	return decodeLoad(data)
+}
+
+// maxReport bounds the numbers of a load report: streams of one target and an
+// age of a day in milliseconds. A target that reports nonsense must not shift
+// the means of its whole service.
+const maxReport = 24 * 60 * 60 * 1000
+
+func decodeLoad(data []byte) (platform.Load, error) {
+	var load platform.Load
+	if err := decodeControl(data, &load); err != nil {
+		return platform.Load{}, err
+	}
+	for _, n := range []int64{int64(load.Running), int64(load.Waiting), load.AgeMS} {
+		if n < 0 || n > maxReport {
+			return platform.Load{}, trace.Wrap(protocol.ErrMalformed, "load report with the number %d", n)
+		}
+	}
+	return load, nil
+}
+
+// Events implements platform.CacheEvents.
+func (c *Client) Events(ctx context.Context, address string, after uint64) ([]platform.CacheEvent, error) {
+	var events []platform.CacheEvent
+	data, err := c.get(ctx, address, "/cache-events?after="+strconv.FormatUint(after, 10))
+	if err != nil {
+		return nil, err
+	}
+	return events, decodeControl(data, &events)
+}
+
+func (c *Client) get(ctx context.Context, address, at string) ([]byte, error) {
+	status, data, err := c.control(ctx, http.MethodGet, address, at, nil)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if status != http.StatusOK {
+		return nil, trace.Wrap(errStatus, "%s: %d", at, status)
+	}
+	return data, nil
+}
+
+func decodeControl(data []byte, value any) error {
+	if err := json.Unmarshal(data, value); err != nil {
+		return trace.Wrap(fmt.Errorf("%w: %w", protocol.ErrMalformed, err))
+	}
+	return nil
+}
+
+// control makes one short request and reads its whole answer.
+func (c *Client) control(ctx context.Context, method, address, at string, body []byte) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.ControlTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+at, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	resp, err := c.transport.RoundTrip(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxControlBody+1))
+	if err != nil {
+		return 0, nil, err
+	}
+	if len(data) > maxControlBody {
+		return 0, nil, fmt.Errorf("%w: answer of more than %d bytes", protocol.ErrMalformed, maxControlBody)
+	}
+	return resp.StatusCode, data, nil
+}
