Daemon: the duties of an entry instance as one supervised process

Cause: the packages stand; tillerd joins them. Weighed: one flat supervisor against a branch for each concern. Branches are kept, so that a duty that keeps failing backs off without its neighbours.

--- a/internal/coordination/routing/listing.go
+++ b/internal/coordination/routing/listing.go
@@ -114,6 +114,10 @@
 	Batch  int `json:"batch"`
 	// Others is the estimate of what other instances have in flight.
 	Others float64 `json:"others"`
+	// Reported is the number of streams in the target's last report, from all
+	// instances, and ReportedAt the time it speaks of, zero if none came.
+	Reported   int       `json:"reported"`
+	ReportedAt time.Time `json:"reported_at,omitzero"`
 	// FirstByteMS is the mean time to the first byte in milliseconds.
 	FirstByteMS float64 `json:"first_byte_ms"`
 	Ejected     bool    `json:"ejected,omitempty"`
@@ -132,6 +136,8 @@
 			Online:      t.online,
 			Batch:       t.batch,
 			Others:      t.othersNow(now, &c.opts),
+			Reported:    t.reported,
+			ReportedAt:  t.reportedAt,
 			FirstByteMS: t.health.firstByte * 1000,
 			Ejected:     t.health.ejected(now),
 			Leaving:     t.leaving(now, &c.opts),
--- a/internal/coordination/routing/target.go
+++ b/internal/coordination/routing/target.go
@@ -21,6 +21,7 @@
 	// reported is the target's last report, as of reportedAt; others is the
 	// part of it that other instances sent.
 	reportedAt time.Time
+	reported   int
 	others     float64
 	history    flightHistory
 
@@ -71,6 +72,7 @@
 	}
 	own := t.history.at(at)
 	t.reportedAt = at
+	t.reported = load.Running + load.Waiting
 	t.others = max(0, float64(load.Running+load.Waiting-own))
 	if load.Leaving {
 		t.saidLeaving = now
--- /dev/null
+++ b/internal/daemon/agreement.go
@@ -0,0 +1,106 @@
+package daemon
+
+import (
+	"net"
+
+	"github.com/gravitational/trace"
+	"github.com/thejerf/suture/v4"
+
+	"merlintiller/internal/coordination/journal"
+	"merlintiller/internal/coordination/member"
+	"merlintiller/internal/coordination/withdrawal"
+	"merlintiller/internal/protocol"
+	"merlintiller/internal/settings"
+	"merlintiller/internal/transport/peer"
+)
+
+// agreement is what is agreed and kept, and the way to the other instances.
+type agreement struct {
+	journal    *journal.Journal
+	heartbeats *member.Heartbeats
+	peers      *peer.Server
+	client     *peer.Client
+}
+
+func (a *agreement) services() []suture.Service {
+	return append(a.journal.Services(), a.heartbeats, a.peers)
+}
+
+func (d *Daemon) joinAgreement() error {
+	s := d.settings
+	listener, err := net.Listen("tcp", s.Listen.Peers)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	a := &d.agreement
+	a.peers = peer.NewServer(listener, d.tls.Peers.Server(), d.logger)
+	a.client = peer.NewClient(d.tls.Peers.Client())
+	a.heartbeats = member.NewHeartbeats(member.Options{
+		Instance: s.Instance,
+		Domain:   s.Domain,
+		Address:  s.Listen.Peers,
+		Caller:   a.client,
+		Logger:   d.logger,
+		Every:    s.Timings.Heartbeat,
+		Timeout:  s.Timings.PeerTimeout,
+	})
+	a.journal = journal.New(journal.Options{
+		Log:           d.outside.log,
+		Instance:      s.Instance,
+		Domain:        s.Domain,
+		PeerAddress:   s.Listen.Peers,
+		CallerAddress: s.Listen.Callers,
+		Snapshots:     a.heartbeats,
+		Logger:        d.logger,
+		Seed:          seedOf(s.Instance),
+		RingName:      "journal",
+		Timings:       journalTimings(s.Timings),
+	})
+	a.heartbeats.Attach(a.journal)
+	return nil
+}
+
+func journalTimings(t settings.Timings) journal.Timings {
+	session := member.DefaultTimings()
+	session.Renew = t.Renew
+	session.Hold = t.Hold
+	session.Expire = t.Expire
+	return journal.Timings{
+		Session:       session,
+		PollWait:      t.LogWait,
+		AppendTimeout: t.PlatformTimeout,
+		ReadTimeout:   t.PlatformTimeout,
+		SnapshotAfter: t.Snapshot,
+	}
+}
+
+// keyWithdrawer lets operators withdraw keys at this instance.
+type keyWithdrawer struct {
+	journal *journal.Journal
+	origin  string
+}
+
+// WithdrawLocally implements withdrawal.Local.
+func (k keyWithdrawer) WithdrawLocally(key protocol.KeyID) {
+	k.journal.WithdrawLocally(key, k.origin)
+}
+
+func (d *Daemon) keyWithdrawer() withdrawal.Local {
+	return keyWithdrawer{journal: d.agreement.journal, origin: string(d.settings.Instance)}
+}
+
+// registerReceivers offers what other instances may call.
+func (d *Daemon) registerReceivers() error {
+	receivers := map[string]any{
+		member.ServiceName:     d.agreement.heartbeats.Receiver(),
+		withdrawal.ServiceName: &withdrawal.Receiver{Local: d.keyWithdrawer()},
+		limiterName:            d.fleet.limits.Endpoint(),
+		burnName:               d.operators.burnReceiver(),
+	}
+	for name, receiver := range receivers {
+		if err := d.agreement.peers.Register(name, receiver); err != nil {
+			return trace.Wrap(err, "receiver %s", name)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/daemon/batch.go
@@ -0,0 +1,54 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/thejerf/suture/v4"
+
+	"merlintiller/internal/coordination/batch"
+	"merlintiller/internal/coordination/itemrun"
+	"merlintiller/internal/coordination/oncecall"
+	"merlintiller/internal/settings"
+)
+
+// batchWork is the batch jobs: accepting them, running their items, and keeping
+// what they need.
+type batchWork struct {
+	service  *batch.Service
+	executor *batch.Executor
+	keeper   *batch.Keeper
+	carrier  *batch.Carrier
+	once     *oncecall.Caller
+}
+
+func (b *batchWork) services() []suture.Service {
+	out := append([]suture.Service{}, b.executor.Services()...)
+	return append(out, b.keeper, b.carrier, b.once.Recorder(), b.once.Forgetter())
+}
+
+func (b *batchWork) drain(ctx context.Context) error {
+	b.executor.Drain(ctx)
+	return ctx.Err()
+}
+
+func (d *Daemon) joinBatch() {
+	j := d.agreement.journal
+	opts := batchOptions(d.settings)
+	runner := itemrun.New(itemrun.Options{Target: d.outside.batch})
+	d.batch = batchWork{
+		service:  batch.NewService(j, opts, d.logger),
+		executor: batch.NewExecutor("batch.results", j, d.fleet.headroom, runner, opts, d.logger),
+		keeper:   batch.NewKeeper(j, opts, d.logger),
+		carrier:  batch.NewCarrier(j, opts, d.logger),
+		once:     oncecall.New("once.outcomes", j, oncecall.Options{Remember: d.settings.Calls.Remember}, d.logger),
+	}
+}
+
+func batchOptions(s *settings.Settings) batch.Options {
+	return batch.Options{
+		MaxFileBytes:    s.Limits.FileBytes,
+		ResultsReadable: s.Batch.ResultsReadable,
+		MaxAttempts:     s.Batch.Attempts,
+		BufferBytes:     int(s.Batch.ResultBufferBytes),
+	}
+}
--- /dev/null
+++ b/internal/daemon/callers.go
@@ -0,0 +1,97 @@
+package daemon
+
+import (
+	"crypto/tls"
+	"net"
+	"net/http"
+
+	"github.com/thejerf/suture/v4"
+
+	"merlintiller/internal/coordination/access"
+	"merlintiller/internal/coordination/online"
+	"merlintiller/internal/protocol"
+	"merlintiller/internal/settings"
+	"merlintiller/internal/transport/batchapi"
+	"merlintiller/internal/transport/edge"
+)
+
+// callers is the way of online calls, and the callers' HTTP server.
+type callers struct {
+	path *online.Path
+	edge *edge.Edge
+}
+
+func (c *callers) services() []suture.Service {
+	return append(c.path.Services(), c.edge.Services()...)
+}
+
+func (d *Daemon) joinCallers() {
+	d.operators.recorder = newRecorder(d.agreement.journal.Fleet)
+	d.callers.path = online.New(online.Options{
+		Fleet:      d.agreement.journal.Fleet,
+		Keys:       d.keys,
+		Limits:     d.fleet.limits,
+		Admission:  d.fleet.admission,
+		Router:     &onlineRouter{Router: d.fleet.router, router: d.fleet.router, headroom: d.fleet.headroom},
+		Target:     d.outside.online,
+		OnceTarget: d.outside.once,
+		Once:       d.batch.once,
+		Observe:    d.operators.observe,
+		Logger:     d.logger,
+		Policy: online.Policy{
+			Timeout:    d.settings.Calls.Deadline,
+			RetryRatio: d.settings.Calls.RetryShare,
+		},
+	})
+	batchAPI := batchapi.New(d.batch.service, organisationOf, d.logger)
+	d.callers.edge = edge.New(edge.Options{
+		Listen: secured(d.settings.Listen.Callers, d.tls.Callers.Server()),
+		Fleet:  d.agreement.journal.Fleet,
+		Keys:   d.keys,
+		Online: d.callers.path,
+		Batch:  batchAPI.Handler(),
+		Ready:  d.ready,
+		Logger: d.logger,
+		Limits: edgeLimits(d.settings),
+	})
+}
+
+// ready says that the instance knows a state to serve by. Before, it would
+// refuse every key.
+func (d *Daemon) ready() bool {
+	select {
+	case <-d.agreement.journal.Loaded():
+		return true
+	default:
+		return false
+	}
+}
+
+// organisationOf names the organisation whose key came with the request.
+func organisationOf(r *http.Request) protocol.OrganisationID {
+	caller, _ := access.FromContext(r.Context())
+	return caller.Organisation
+}
+
+func edgeLimits(s *settings.Settings) edge.Limits {
+	return edge.Limits{
+		MaxConnections: s.Limits.Connections,
+		MaxBody:        s.Limits.BodyBytes,
+		MaxFile:        s.Limits.FileBytes,
+		MaxHeaderBytes: s.Limits.HeaderBytes,
+		HeaderTimeout:  s.Limits.HeaderTimeout,
+		BodyTimeout:    s.Limits.BodyTimeout,
+		WriteTimeout:   s.Limits.WriteTimeout,
+		IdleTimeout:    s.Limits.IdleTimeout,
+		DrainLag:       s.Timings.DrainNotice,
+	}
+}
+
+// secured opens a listener with TLS, or a plain one where settings give no
+// certificate.
+func secured(address string, config *tls.Config) func() (net.Listener, error) {
+	if config == nil {
+		return listen(address)
+	}
+	return func() (net.Listener, error) { return tls.Listen("tcp", address, config) }
+}
--- /dev/null
+++ b/internal/daemon/logger.go
@@ -0,0 +1,28 @@
+package daemon
+
+import (
+	"io"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"merlintiller/internal/settings"
+)
+
+var levels = map[settings.LogLevel]level.Option{
+	settings.LevelDebug: level.AllowDebug(),
+	settings.LevelInfo:  level.AllowInfo(),
+	settings.LevelWarn:  level.AllowWarn(),
+	settings.LevelError: level.AllowError(),
+}
+
+// NewLogger writes one line of key=value pairs for each event.
+func NewLogger(w io.Writer, s settings.Log) log.Logger {
+	w = log.NewSyncWriter(w)
+	logger := log.NewLogfmtLogger(w)
+	if s.Format == settings.FormatJSON {
+		logger = log.NewJSONLogger(w)
+	}
+	logger = level.NewFilter(logger, levels[s.Level], level.SquelchNoLevel(false))
+	return log.With(logger, "at", log.DefaultTimestampUTC)
+}
--- /dev/null
+++ b/internal/daemon/outside.go
@@ -0,0 +1,34 @@
+package daemon
+
+import (
+	"merlintiller/internal/platform"
+	"merlintiller/internal/settings"
+	"merlintiller/internal/transport/platformhttp"
+	"merlintiller/internal/transport/targethttp"
+)
+
+// outside holds the adapters to the platform and to the targets. Online calls,
+// batch items, calls that may not be repeated and control each have their own
+// connections, so that none waits behind another.
+type outside struct {
+	log     platform.Log
+	list    platform.InstanceList
+	weights platform.WeightStore
+
+	online  *targethttp.Client
+	once    *targethttp.Client
+	batch   *targethttp.Client
+	control *targethttp.Client
+}
+
+func newOutside(s *settings.Settings) outside {
+	return outside{
+		log:     platformhttp.New(s.Platform.Log),
+		list:    platformhttp.New(s.Platform.List),
+		weights: platformhttp.New(s.Platform.Weights),
+		online:  targethttp.New(targethttp.Options{Name: "online"}),
+		once:    targethttp.New(targethttp.Options{Name: "once", FreshConnections: true}),
+		batch:   targethttp.New(targethttp.Options{Name: "batch"}),
+		control: targethttp.New(targethttp.Options{Name: "control"}),
+	}
+}
