--- /dev/null
+++ b/cmd/fleettest/main.go
@@ -0,0 +1,52 @@
+// Command fleettest starts the whole system as processes on loopback: a
+// demonstration that checks every answer, and the measurements.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+
+	"github.com/alecthomas/kong"
+
+	"merlintiller/internal/harness/demo"
+	"merlintiller/internal/harness/matrix"
+)
+
+type cli struct {
+	Demo   demoCmd   `cmd:"" help:"Run the demonstration."`
+	Matrix matrixCmd "cmd:\"\" help:\"Sum up the fault matrix from the events of `go test -json`, read from the standard input.\""
+}
+
+type demoCmd struct {
+	Bin      string `default:"bin" help:"Folder of the built programs."`
+	Dir      string `default:".demo" help:"Folder for settings and logs, emptied first."`
+	Examples string `default:"examples/cascadia" help:"Configuration folder to apply."`
+}
+
+// Run runs the demonstration.
+func (c *demoCmd) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	return demo.Run(ctx, demo.Options{Dir: c.Dir, Bin: c.Bin, Examples: c.Examples, Out: os.Stdout})
+}
+
+type matrixCmd struct{}
+
+// Run fails if a cell is red or a test of the matrix failed unseen.
+func (c *matrixCmd) Run() error {
+	report, err := matrix.Read(os.Stdin)
+	if err != nil {
+		return err
+	}
+	report.Write(os.Stdout)
+	if report.Count(matrix.Red) > 0 || len(report.Silent) > 0 {
+		os.Exit(1)
+	}
+	return nil
+}
+
+func main() {
+	ctx := kong.Parse(&cli{})
+	ctx.FatalIfErrorf(ctx.Run())
+}
--- /dev/null
+++ b/internal/harness/ctl.go
@@ -0,0 +1,42 @@
+package harness
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+)
+
+// Ctl runs tillerctl and returns what it printed to its standard output.
+func (f *Fleet) Ctl(ctx context.Context, callerSecret string, args ...string) (string, error) {
+	cmd := exec.CommandContext(ctx, f.program("tillerctl"), args...)
+	cmd.Env = append(os.Environ(), "TILLER_OPERATOR_SECRET="+f.OperatorSecret, "TILLER_CALLER_SECRET="+callerSecret)
+	var out, problems bytes.Buffer
+	cmd.Stdout = &out
+	cmd.Stderr = &problems
+	if err := cmd.Run(); err != nil {
+		return out.String(), fmt.Errorf("tillerctl %v: %w: %s", args, err, problems.String())
+	}
+	return out.String(), nil
+}
+
+// OperatorFlags name the operators' addresses of the instances that run.
+func (f *Fleet) OperatorFlags() []string {
+	return f.flags(func(i *Instance) string { return i.Operators })
+}
+
+// CallerFlags name the callers' addresses of the instances that run.
+func (f *Fleet) CallerFlags() []string {
+	return f.flags(func(i *Instance) string { return i.Callers })
+}
+
+func (f *Fleet) flags(address func(*Instance) string) []string {
+	var flags []string
+	for _, instance := range f.Instances {
+		if !instance.Process.Exited() {
+			flags = append(flags, "--instance="+address(instance))
+		}
+	}
+	return flags
+}
--- /dev/null
+++ b/internal/harness/demo/batch.go
@@ -0,0 +1,164 @@
+package demo
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"merlintiller/internal/harness"
+	"merlintiller/internal/standin/target"
+)
+
+func itemID(n int) string { return fmt.Sprintf("report-%05d", n) }
+
+func itemPrompt(n int) string { return fmt.Sprintf("annual report of building %d", n) }
+
+// submit writes the input file and submits it as a job.
+func (d *demo) submit(ctx context.Context) (string, error) {
+	var lines bytes.Buffer
+	for n := range batchItems {
+		body := harness.ChatBody(model, itemPrompt(n), batchTokens, false)
+		fmt.Fprintf(&lines, `{"custom_id":%q,"method":"POST","url":"/v1/chat/completions","body":%s}`+"\n", itemID(n), body)
+	}
+	if err := os.WriteFile(d.inputFile(), lines.Bytes(), 0o600); err != nil {
+		return "", err
+	}
+	began := time.Now()
+	args := append([]string{"batch", "submit", d.inputFile(), "--output=json"}, d.fleet.CallerFlags()...)
+	out, err := d.fleet.Ctl(ctx, d.secret, args...)
+	if err != nil {
+		return "", err
+	}
+	var job struct{ ID string }
+	if err := json.Unmarshal([]byte(out), &job); err != nil || job.ID == "" {
+		return "", fmt.Errorf("batch submit printed %q: %w", out, err)
+	}
+	d.say("job accepted items=%d took=%s", batchItems, time.Since(began).Round(time.Millisecond))
+	return job.ID, nil
+}
+
+// jobState is what the demonstration reads of a job.
+type jobState struct {
+	Status        string `json:"status"`
+	RequestCounts struct {
+		Total, Completed, Failed int
+	} `json:"request_counts"`
+}
+
+func (d *demo) job(ctx context.Context, id string) (jobState, error) {
+	args := append([]string{"batch", "status", id, "--output=json"}, d.fleet.CallerFlags()...)
+	out, err := d.fleet.Ctl(ctx, d.secret, args...)
+	if err != nil {
+		return jobState{}, err
+	}
+	var state jobState
+	return state, json.Unmarshal([]byte(out), &state)
+}
+
+// killSome kills an instance and a target without warning, once the job is
+// under way.
+func (d *demo) killSome(ctx context.Context, job string) error {
+	for {
+		state, err := d.job(ctx, job)
+		if err != nil {
+			return err
+		}
+		if state.RequestCounts.Completed >= killAfterItems || state.Status == "completed" {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	instance := d.fleet.Instances[0]
+	target := d.fleet.Targets[1]
+	instance.Process.Kill()
+	target.Process.Kill()
+	d.say("killed instance=%s target=%s", instance.ID, target.Listed.ID)
+	return nil
+}
+
+// finishJob waits for the end of the job and checks its results.
+func (d *demo) finishJob(ctx context.Context, job string) error {
+	began := time.Now()
+	for {
+		state, err := d.job(ctx, job)
+		if err != nil {
+			return err
+		}
+		if state.Status != "in_progress" && state.Status != "finalizing" && state.Status != "validating" {
+			d.say("job ended status=%s completed=%d failed=%d after_kill=%s", state.Status,
+				state.RequestCounts.Completed, state.RequestCounts.Failed, time.Since(began).Round(time.Millisecond))
+			return d.checkResults(ctx, job)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// checkResults reads the output: every item once, with its own whole answer.
+func (d *demo) checkResults(ctx context.Context, job string) error {
+	path := filepath.Join(d.Dir, "results.jsonl")
+	args := append([]string{"batch", "results", job, "--to=" + path}, d.fleet.CallerFlags()...)
+	if _, err := d.fleet.Ctl(ctx, d.secret, args...); err != nil {
+		return err
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	seen := map[string]int{}
+	wrong := 0
+	scanner := bufio.NewScanner(bytes.NewReader(data))
+	scanner.Buffer(nil, 1<<20)
+	for scanner.Scan() {
+		id, whole := checkLine(scanner.Bytes())
+		seen[id]++
+		if !whole {
+			wrong++
+		}
+	}
+	return d.judge(seen, wrong)
+}
+
+func checkLine(line []byte) (id string, whole bool) {
+	var result struct {
+		CustomID string `json:"custom_id"`
+		Response struct {
+			Body struct {
+				Choices []struct {
+					Message struct{ Content string }
+				}
+			}
+		}
+	}
+	if json.Unmarshal(line, &result) != nil || len(result.Response.Body.Choices) != 1 {
+		return result.CustomID, false
+	}
+	var n int
+	if _, err := fmt.Sscanf(strings.TrimPrefix(result.CustomID, "report-"), "%d", &n); err != nil {
+		return result.CustomID, false
+	}
+	want := target.Text(target.ChatText(itemPrompt(n)), batchTokens)
+	return result.CustomID, result.Response.Body.Choices[0].Message.Content == want
+}
+
+func (d *demo) judge(seen map[string]int, wrong int) error {
+	missing, doubled := 0, 0
+	for n := range batchItems {
+		switch count := seen[itemID(n)]; {
+		case count == 0:
+			missing++
+		case count > 1:
+			doubled++
+		}
+	}
+	d.say("results items=%d missing=%d doubled=%d wrong=%d", len(seen), missing, doubled, wrong)
+	if missing+doubled+wrong > 0 {
+		return fmt.Errorf("batch: %d missing, %d doubled, %d wrong of %d", missing, doubled, wrong, batchItems)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/harness/demo/demo.go
@@ -0,0 +1,182 @@
+// Package demo shows the whole system at work and at fault on one machine: a
+// configuration is applied, online calls and a batch job run at the same time,
+// an instance and a target are killed in the middle, and every answer and
+// every result is checked.
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"merlintiller/internal/harness"
+	"merlintiller/internal/protocol"
+)
+
+// The sizes of the demonstration: Cascadia's three failure domains.
+const (
+	perDomain      = 3
+	modelTargets   = 10
+	plainTargets   = 2
+	batchItems     = 4000
+	batchTokens    = 4
+	onlineCallers  = 8
+	onlineTokens   = 12
+	filings        = 40
+	killAfterItems = 500
+	model          = "tiller-reports"
+	organisation   = "hollister-field"
+)
+
+// Options of the demonstration.
+type Options struct {
+	Dir, Bin string
+	// Examples is the configuration folder to apply.
+	Examples string
+	Out      io.Writer
+}
+
+// demo is one run.
+type demo struct {
+	Options
+	fleet  *harness.Fleet
+	secret string
+	caller *harness.Caller
+}
+
+// Run returns an error unless every promise held.
+func Run(ctx context.Context, opts Options) error {
+	if err := os.RemoveAll(opts.Dir); err != nil {
+		return err
+	}
+	d := &demo{Options: opts}
+	if err := d.start(ctx); err != nil {
+		return err
+	}
+	defer d.fleet.Kill()
+	if err := d.traffic(ctx); err != nil {
+		return err
+	}
+	began := time.Now()
+	if err := d.fleet.Stop(); err != nil {
+		return fmt.Errorf("graceful stop: %w", err)
+	}
+	d.say("stopped took=%s", time.Since(began).Round(time.Millisecond))
+	return nil
+}
+
+func (d *demo) say(format string, args ...any) {
+	fmt.Fprintf(d.Out, "demo "+format+"\n", args...)
+}
+
+func (d *demo) start(ctx context.Context) error {
+	began := time.Now()
+	fleet, err := harness.StartFleet(ctx, harness.Options{
+		Dir:       d.Dir,
+		Bin:       d.Bin,
+		Domains:   []protocol.Domain{"pnw-sea", "pnw-pdx", "pnw-spk"},
+		PerDomain: perDomain,
+		Targets: []harness.TargetGroup{
+			{Service: "tiller-reports", Kind: protocol.KindModel, Count: modelTargets, Args: []string{"--checks-fencing"}},
+			{Service: "report-filing", Kind: protocol.KindPlain, Count: plainTargets},
+		},
+		Settings: "timings:\n  drain_notice: 500ms\n",
+	})
+	if err != nil {
+		return err
+	}
+	d.fleet = fleet
+	d.say("started instances=%d targets=%d took=%s", len(fleet.Instances), len(fleet.Targets), time.Since(began).Round(time.Millisecond))
+	if err := d.configure(ctx); err != nil {
+		fleet.Kill()
+		return err
+	}
+	return nil
+}
+
+// configure applies the folder and creates a key, both through tillerctl.
+func (d *demo) configure(ctx context.Context) error {
+	began := time.Now()
+	if _, err := d.fleet.Ctl(ctx, "", append([]string{"config", "apply", d.Examples}, d.fleet.OperatorFlags()...)...); err != nil {
+		return err
+	}
+	d.say("configuration applied took=%s", time.Since(began).Round(time.Millisecond))
+	out, err := d.fleet.Ctl(ctx, "", append([]string{"key", "create", organisation, "--output=json"}, d.fleet.OperatorFlags()...)...)
+	if err != nil {
+		return err
+	}
+	var created struct{ Secret string }
+	if err := json.Unmarshal([]byte(out), &created); err != nil {
+		return fmt.Errorf("key create: %w", err)
+	}
+	d.secret = created.Secret
+	d.caller = harness.NewCaller(d.secret, d.callerAddresses)
+	return d.awaitFirstAnswer(ctx)
+}
+
+// callerAddresses are the instances that the platform's balancer would use.
+func (d *demo) callerAddresses() []string {
+	var out []string
+	for _, instance := range d.fleet.Instances {
+		if !instance.Process.Exited() {
+			out = append(out, instance.Callers)
+		}
+	}
+	return out
+}
+
+// awaitFirstAnswer waits until each instance has served a call: the key is in
+// force there and the targets' list has come, which lags.
+func (d *demo) awaitFirstAnswer(ctx context.Context) error {
+	began := time.Now()
+	for _, address := range d.callerAddresses() {
+		one := harness.NewCaller(d.secret, func() []string { return []string{address} })
+		if err := awaitAnswer(ctx, one); err != nil {
+			return err
+		}
+	}
+	d.say("every instance serves took=%s", time.Since(began).Round(time.Millisecond))
+	return nil
+}
+
+func awaitAnswer(ctx context.Context, caller *harness.Caller) error {
+	const patience = 10 * time.Second
+	limit := time.Now().Add(patience)
+	for {
+		answer, err := caller.Post(ctx, "/v1/chat/completions", harness.ChatBody(model, "ready?", 1, false), nil)
+		if err == nil && answer.IsOwnAnswer("ready?", 1, false) {
+			return nil
+		}
+		if time.Now().After(limit) {
+			return fmt.Errorf("no answer within %s: %v %w", patience, answer, err)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// traffic runs the batch job, online calls and filings at the same time, and
+// kills an instance and a target while they run.
+func (d *demo) traffic(ctx context.Context) error {
+	job, err := d.submit(ctx)
+	if err != nil {
+		return err
+	}
+	online := d.startOnline(ctx)
+	filed := d.startFilings(ctx)
+	if err := d.killSome(ctx, job); err != nil {
+		return err
+	}
+	jobErr := d.finishJob(ctx, job)
+	return errors.Join(jobErr, online.finish(d), filed.finish(ctx, d))
+}
+
+func (d *demo) inputFile() string { return filepath.Join(d.Dir, "items.jsonl") }
