Fault matrix of batch jobs and of calls that may not be repeated

Change: coordination/faulttest runs three instances with real journals on one log in virtual time. What it broke first: a pool of targets dead for 20 s failed every item in flight, since refused connections counted as attempts (now OutcomeKind NotStarted); results that left retention made a whole file unreadable (now a line says so item by item); a file whose content had gone was accepted as a job (now refused as gone); a cancel between the load of a chunk and its start was seen only with the next frame (the claimer now reconciles). Broken variants: acknowledge before append, no first-result rule, ledger not followed, result reported before its data, retry of a call, no reservation, false run state; each turns its cells red.

--- a/internal/coordination/batch/claimer.go
+++ b/internal/coordination/batch/claimer.go
@@ -109,7 +109,11 @@
 	if session == 0 || c.isDraining() {
 		return
 	}
-	for _, chunk := range c.missing(session) {
+	missing := c.missing(session)
+	// What was agreed while the input was read, such as a cancel, was agreed
+	// before the chunk was in the work set, and the watcher did not see it.
+	defer c.reconcile()
+	for _, chunk := range missing {
 		items, err := readItems(ctx, c.journal, chunk.input)
 		if err != nil && !isLost(err) {
 			_ = c.logger.Log("event", "chunk_load_failed", "job", chunk.id.Job, "chunk", chunk.id.Chunk, "err", err)
--- a/internal/coordination/batch/jobs.go
+++ b/internal/coordination/batch/jobs.go
@@ -77,6 +77,9 @@
 	if refusal != nil {
 		return nil, refusal
 	}
+	if len(file.Chunks) == 0 {
+		return nil, protocol.Refuse(protocol.CodeNotFound, 0, "file %q has no content", req.InputFile)
+	}
 	now := time.Now().UTC().Truncate(time.Second)
 	if now.Sub(file.Created) > s.opts.FileKept {
 		return nil, protocol.Refuse(protocol.CodeGone, 0, "file %q was kept for %s only; upload it again", req.InputFile, s.opts.FileKept)
@@ -87,6 +90,11 @@
 	if refusal := s.checkModels(file.Models); refusal != nil {
 		return nil, refusal
 	}
+	// Retention drops the oldest entry first: if that one is there, all are. A
+	// job over lost input would be accepted only to fail.
+	if _, err := readItems(ctx, s.journal, file.Chunks[0].Offset); err != nil {
+		return nil, s.refuseStorage(err, "the content of file "+req.InputFile)
+	}
 	key = scopedKey(key, req.InputFile)
 	return &protocol.JobSubmit{
 		Job:            newJobID(),
--- a/internal/coordination/batch/results.go
+++ b/internal/coordination/batch/results.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -95,10 +96,11 @@
 			return nil, err
 		}
 	}
-	if failed && chunk.Won.Count() < chunk.Items {
-		if err := s.fillMissing(ctx, results, chunk, view.Status); err != nil {
-			return nil, err
-		}
+	if failed {
+		markMissing(results, chunk, view.Status)
+	}
+	if err := s.nameLost(ctx, results, chunk); err != nil {
+		return nil, err
 	}
 	return present(results), nil
 }
@@ -106,10 +108,11 @@
 // fill takes from an entry just the results that won: the entry may also hold
 // results of items that another instance reported first.
 func (s *Service) fill(ctx context.Context, results []*bulk.Result, segment ledger.Segment, id ledger.ChunkID, failed bool) error {
-	if failed && segment.Failed.Count() == 0 {
+	stored, err := readResults(ctx, s.journal, segment.Data, id)
+	if isLost(err) {
+		markLost(results, segment, failed)
 		return nil
 	}
-	stored, err := readResults(ctx, s.journal, segment.Data, id)
 	if err != nil {
 		return err
 	}
@@ -125,27 +128,56 @@
 	return nil
 }
 
-// fillMissing gives the items without a result an error line, so that every
+// markLost stands in for results that left retention with a line that says so:
+// a file that is short must not pass for all there was.
+func markLost(results []*bulk.Result, segment ledger.Segment, failed bool) {
+	for number := range results {
+		if !segment.Items.Has(number) || segment.Failed.Has(number) != failed {
+			continue
+		}
+		results[number] = &bulk.Result{
+			Item:    number,
+			Code:    protocol.CodeGone,
+			Message: "the item ran, and its result has left the platform's retention",
+		}
+	}
+}
+
+// markMissing gives the items without a result an error line, so that every
 // line of the input is accounted for.
-func (s *Service) fillMissing(ctx context.Context, results []*bulk.Result, chunk ledger.ChunkView, status ledger.Status) error {
+func markMissing(results []*bulk.Result, chunk ledger.ChunkView, status ledger.Status) {
+	for number := range results {
+		if chunk.Won.Has(number) {
+			continue
+		}
+		results[number] = &bulk.Result{
+			Item:    number,
+			Code:    missingCode(status),
+			Message: "the job ended as " + string(status) + " before this item had a result",
+		}
+	}
+}
+
+// nameLost finds the custom ids of the lines that stand in for a result. They
+// stay empty if the input is gone too.
+func (s *Service) nameLost(ctx context.Context, results []*bulk.Result, chunk ledger.ChunkView) error {
+	if !slices.ContainsFunc(results, isNameless) {
+		return nil
+	}
 	items, err := readItems(ctx, s.journal, chunk.Input)
-	if err != nil {
+	if err != nil && !isLost(err) {
 		return err
 	}
 	for number, item := range items {
-		if number >= len(results) || chunk.Won.Has(number) {
-			continue
-		}
-		results[number] = &bulk.Result{
-			Item:     number,
-			CustomID: item.CustomID,
-			Code:     missingCode(status),
-			Message:  "the job ended as " + string(status) + " before this item had a result",
+		if number < len(results) && isNameless(results[number]) {
+			results[number].CustomID = item.CustomID
 		}
 	}
 	return nil
 }
 
+func isNameless(result *bulk.Result) bool { return result != nil && result.CustomID == "" }
+
 // Codes of items that a job ended without.
 const (
 	codeBatchExpired   protocol.Code = "batch_expired"
--- a/internal/coordination/batch/run.go
+++ b/internal/coordination/batch/run.go
@@ -41,6 +41,10 @@
 		e.update(func(w *workset) { w.requeue(item, item.Attempt-1, time.Time{}, outcome.Resume) })
 	case Retry:
 		e.retry(ctx, item, outcome)
+	case NotStarted:
+		counters.Add("not_started", 1)
+		wait := max(outcome.RetryAfter, e.opts.BackoffFirst)
+		e.update(func(w *workset) { w.requeue(item, item.Attempt-1, time.Now().Add(wait), item.Resume) })
 	}
 }
 
--- a/internal/coordination/batch/runner.go
+++ b/internal/coordination/batch/runner.go
@@ -48,6 +48,10 @@
 	Interrupted
 	// Retry: the run failed in a way that another attempt may mend.
 	Retry
+	// NotStarted: no target took the item, so it certainly did not run. It is
+	// tried again until the deadline and does not count as an attempt: a dead
+	// pool of targets would otherwise fail every item within a minute.
+	NotStarted
 )
 
 // ItemOutcome is how a run of an item ended.
--- a/internal/coordination/batch/watcher.go
+++ b/internal/coordination/batch/watcher.go
@@ -29,20 +29,21 @@
 	}
 }
 
-func (w *watcher) reconcile() {
+// reconcile follows the ledger for every held chunk.
+func (e *Executor) reconcile() {
 	var ids []ledger.ChunkID
-	w.inspect(func(work *workset) { ids = work.ids() })
+	e.inspect(func(work *workset) { ids = work.ids() })
 	if len(ids) == 0 {
 		return
 	}
-	session := w.journal.Session()
+	session := e.journal.Session()
 	states := make([]agreed, len(ids))
-	w.journal.View(func(state *replica.State) {
+	e.journal.View(func(state *replica.State) {
 		for i, id := range ids {
 			states[i] = agreedOn(state, id, session)
 		}
 	})
-	w.update(func(work *workset) {
+	e.update(func(work *workset) {
 		for i, id := range ids {
 			work.reconcile(id, states[i])
 		}
--- /dev/null
+++ b/internal/coordination/faulttest/broken_test.go
@@ -0,0 +1,226 @@
+package faulttest
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/coordination"
+	"merlintiller/internal/coordination/batch"
+	"merlintiller/internal/coordination/bulk"
+	"merlintiller/internal/coordination/online"
+	"merlintiller/internal/protocol"
+	"merlintiller/internal/state/ledger"
+	"merlintiller/internal/state/replica"
+)
+
+// redCells counts the faults under which a broken variant is noticed.
+func redCells(t *testing.T, strike func(*testing.T, fault) []string, faults ...fault) (red int) {
+	for _, f := range faults {
+		t.Run(string(f), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				wrong := strike(t, f)
+				if len(wrong) > 0 {
+					red++
+					t.Logf("noticed: %s", wrong[0])
+				}
+			})
+		})
+	}
+	return red
+}
+
+func batchStrike(name string, broken variant) func(*testing.T, fault) []string {
+	for _, s := range batchSteps {
+		if s.name == name {
+			return func(t *testing.T, f fault) []string { return s.strike(t, f, broken) }
+		}
+	}
+	panic("no step " + name)
+}
+
+func callStrike(name string, broken variant) func(*testing.T, fault) []string {
+	for _, s := range callSteps {
+		if s.name == name {
+			return func(t *testing.T, f fault) []string {
+				wrong, _ := s.strike(t, f, broken)
+				return wrong
+			}
+		}
+	}
+	panic("no step " + name)
+}
+
+func journalVariant(wrap func(coordination.Journal) coordination.Journal) variant {
+	return variant{journal: wrap}
+}
+
+// hasty acknowledges a manifest before it is appended.
+type hasty struct{ coordination.Journal }
+
+func (h hasty) Submit(ctx context.Context, rec protocol.Record) coordination.Outcome {
+	if rec.JobSubmit == nil {
+		return h.Journal.Submit(ctx, rec)
+	}
+	go h.Journal.Submit(context.WithoutCancel(ctx), rec)
+	h.View(func(state *replica.State) {
+		own := rec
+		own.ID.Session = h.Session()
+		state.Ledger.Apply(state.Applied(), &own, state.Sessions)
+	})
+	return coordination.Outcome{Verdict: protocol.Accepted, Run: protocol.Completed}
+}
+
+// If a job were acknowledged before its manifest stands in the log, the
+// instance could die in between and the job be lost. The cells of acceptance
+// must notice.
+func TestBrokenAcknowledgeBeforeAppendIsNoticed(t *testing.T) {
+	broken := journalVariant(func(j coordination.Journal) coordination.Journal { return hasty{j} })
+	require.Equal(t, 1, redCells(t, batchStrike("accept", broken), killBefore))
+}
+
+// Without the rule that the first result of an item stands, a caller would get
+// every result that was ever appended: two of an item that ran at a paused
+// instance and at the one that took over.
+func TestBrokenFirstResultRuleIsNoticed(t *testing.T) {
+	broken := variant{lines: allResults}
+	require.Equal(t, 2, redCells(t, batchStrike("result-append", broken), answerLost, pauseLong))
+}
+
+// allResults delivers all results in the data stream.
+func allResults(w *world, id protocol.JobID) []line {
+	page, err := w.log.Read(w.ctx, protocol.DataStream, 0, 1<<20, 0)
+	if err != nil {
+		panic(err)
+	}
+	var lines []line
+	for _, entry := range page.Entries {
+		decoded, err := bulk.Decode(entry.Payload)
+		if err != nil {
+			panic(err)
+		}
+		for _, section := range decoded.Results {
+			for _, result := range section.Results {
+				if section.Job == id {
+					lines = append(lines, line{batch.OutputLine{
+						CustomID: result.CustomID,
+						Response: &batch.OutputResponse{Body: result.Body},
+					}, false})
+				}
+			}
+		}
+	}
+	return lines
+}
+
+// frozen shows its executor the ledger as it was when its instance had claimed
+// its first chunks.
+type frozen struct {
+	coordination.Journal
+	mu   sync.Mutex
+	past *replica.State
+}
+
+func (f *frozen) View(read func(*replica.State)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.past != nil {
+		read(f.past)
+		return
+	}
+	session := f.Session()
+	f.Journal.View(func(state *replica.State) {
+		read(state)
+		if len(state.Ledger.HeldBy(session)) > 0 {
+			f.past = &replica.State{Sessions: state.Sessions, Ledger: ledger.Restore(state.Ledger.Snapshot())}
+		}
+	})
+}
+
+// If executors did not follow the ledger, a cancelled job would go on.
+func TestBrokenCancelIsNoticed(t *testing.T) {
+	broken := variant{executor: func(j coordination.Journal) coordination.Journal { return &frozen{Journal: j} }}
+	require.Equal(t, 2, redCells(t, batchStrike("cancel", broken), late, answerLost))
+}
+
+// trusting takes an append of data that got no answer for done.
+type trusting struct{ coordination.Journal }
+
+func (t trusting) AppendData(ctx context.Context, payload []byte) (protocol.Offset, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Millisecond)
+	defer cancel()
+	at, err := t.Journal.AppendData(ctx, payload)
+	if err != nil {
+		return 0, nil
+	}
+	return at, nil
+}
+
+// If a result were reported before its data stands in the log, its items would
+// count as completed and nobody could read them.
+func TestBrokenDataOrderIsNoticed(t *testing.T) {
+	broken := journalVariant(func(j coordination.Journal) coordination.Journal { return trusting{j} })
+	require.Equal(t, 1, redCells(t, batchStrike("result-append", broken), answerLost))
+}
+
+// retrying sends a call again when its answer did not come.
+type retrying struct{ online.OnceCaller }
+
+func (r retrying) CallOnce(ctx context.Context, call online.OnceCall, dispatch online.Dispatch) (online.OnceAnswer, *protocol.Refusal) {
+	return r.OnceCaller.CallOnce(ctx, call, func(ctx context.Context, id protocol.CallID) (online.OnceAnswer, error) {
+		answer, err := dispatch(ctx, id)
+		if err != nil {
+			return dispatch(ctx, id)
+		}
+		return answer, nil
+	})
+}
+
+// If a call that may not be repeated were sent again after its answer was lost,
+// it would run twice.
+func TestBrokenRetryOfACallIsNoticed(t *testing.T) {
+	broken := variant{caller: func(c online.OnceCaller) online.OnceCaller { return retrying{c} }}
+	require.Equal(t, 3, redCells(t, callStrike("call-answer", broken), answerLost, crossed, targetDead))
+}
+
+// greedy sends without asking who won the reservation.
+type greedy struct{}
+
+func (greedy) CallOnce(ctx context.Context, _ online.OnceCall, dispatch online.Dispatch) (online.OnceAnswer, *protocol.Refusal) {
+	answer, err := dispatch(ctx, "call")
+	if err == nil {
+		return answer, nil
+	}
+	return online.OnceAnswer{}, protocol.Uncertain(protocol.CodeOutcomeUnknown, "no answer")
+}
+
+// If the reservation were not decided over the whole fleet, two instances that
+// get the same call would both send it.
+func TestBrokenReservationIsNoticed(t *testing.T) {
+	broken := variant{caller: func(online.OnceCaller) online.OnceCaller { return greedy{} }}
+	require.Equal(t, 2, redCells(t, callStrike("call-dispatch", broken), crossed, answerLost))
+}
+
+// boastful says that a call did not run whenever it has no answer.
+type boastful struct{ online.OnceCaller }
+
+func (b boastful) CallOnce(ctx context.Context, call online.OnceCall, dispatch online.Dispatch) (online.OnceAnswer, *protocol.Refusal) {
+	answer, refusal := b.OnceCaller.CallOnce(ctx, call, dispatch)
+	if refusal != nil && refusal.Run == protocol.MayHaveRun {
+		return answer, protocol.Refuse(protocol.CodeNoTarget, joinAgain, "not run")
+	}
+	return answer, refusal
+}
+
+const joinAgain = 1e9
+
+// If a call without an answer were refused as not run, the caller would make it
+// again under another key.
+func TestBrokenRunStateIsNoticed(t *testing.T) {
+	broken := variant{caller: func(c online.OnceCaller) online.OnceCaller { return boastful{c} }}
+	require.Equal(t, 1, redCells(t, callStrike("call-answer", broken), answerLost))
+}
--- /dev/null
+++ b/internal/coordination/faulttest/link_test.go
@@ -0,0 +1,191 @@
+package faulttest
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"merlintiller/internal/coordination/bulk"
+	"merlintiller/internal/platform"
+	"merlintiller/internal/protocol"
+)
+
+// point is a place in a path at which a fault can strike.
+type point string
+
+// The points. Those of a log operation strike the operation, the others the
+// run of an item or call at a target.
+const (
+	atUpload      point = "upload"
+	atAccept      point = "accept"
+	atAcknowledge point = "acknowledge"
+	atClaim       point = "claim"
+	atDispatch    point = "dispatch"
+	atAnswer      point = "answer"
+	atResultData  point = "result-append"
+	atResult      point = "result-record"
+	atDeliver     point = "deliver"
+	atCancel      point = "cancel"
+	atReserve     point = "reserve"
+	atStore       point = "answer-append"
+	atOutcome     point = "outcome"
+)
+
+// pointOfAppend tells which step an append belongs to, "" if to none.
+func pointOfAppend(stream string, payload []byte) point {
+	if stream == protocol.DataStream {
+		return pointOfData(payload)
+	}
+	if stream != protocol.ControlStream {
+		return ""
+	}
+	frame, err := protocol.DecodeFrame(payload)
+	if err != nil {
+		return ""
+	}
+	for i := range frame.Records {
+		if at := pointOfRecord(&frame.Records[i]); at != "" {
+			return at
+		}
+	}
+	return ""
+}
+
+func pointOfRecord(rec *protocol.Record) point {
+	switch {
+	case rec.JobSubmit != nil:
+		return atAccept
+	case rec.ChunkClaim != nil:
+		return atClaim
+	case rec.ChunkResult != nil:
+		return atResult
+	case rec.JobCancel != nil:
+		return atCancel
+	case rec.CallReserve != nil:
+		return atReserve
+	case rec.CallOutcome != nil:
+		return atOutcome
+	}
+	return ""
+}
+
+func pointOfData(payload []byte) point {
+	entry, err := bulk.Decode(payload)
+	switch {
+	case err != nil:
+		return ""
+	case entry.Items != nil, entry.File != nil:
+		return atUpload
+	case entry.Results != nil:
+		return atResultData
+	case entry.Answer != nil:
+		return atStore
+	}
+	return ""
+}
+
+// pointOfPage tells whether a read brings back a manifest or reservation that
+// its submitter waits for.
+func pointOfPage(stream string, page platform.Page) point {
+	if stream != protocol.ControlStream {
+		return ""
+	}
+	for _, entry := range page.Entries {
+		at := pointOfAppend(stream, entry.Payload)
+		if at == atAccept || at == atReserve {
+			return atAcknowledge
+		}
+	}
+	return ""
+}
+
+// link is the way of one instance to the log. Faults strike its operations.
+type link struct {
+	log  platform.Log
+	node *node
+
+	mu   sync.Mutex
+	down bool
+	// resumed is closed while the instance is not paused.
+	resumed chan struct{}
+}
+
+func newLink(log platform.Log) *link {
+	running := make(chan struct{})
+	close(running)
+	return &link{log: log, resumed: running}
+}
+
+func (l *link) setDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
+// pause stops the instance at its next operation, as SIGSTOP does: the
+// operation is neither made nor refused until resume.
+func (l *link) pause() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.resumed = make(chan struct{})
+}
+
+func (l *link) resume() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	close(l.resumed)
+}
+
+// pass waits out a pause and reports whether the log is reachable.
+func (l *link) pass() bool {
+	l.mu.Lock()
+	resumed := l.resumed
+	l.mu.Unlock()
+	select {
+	case <-resumed:
+	case <-l.node.ctx.Done():
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.down
+}
+
+// Append implements platform.Log.
+func (l *link) Append(ctx context.Context, stream string, payload []byte) (protocol.Offset, error) {
+	if !l.pass() {
+		return protocol.NoOffset, platform.ErrUnavailable
+	}
+	offset, err := protocol.NoOffset, platform.ErrUnavailable
+	effect := func() {
+		// The operation left the instance: its own time limit no longer stops
+		// the effect.
+		offset, err = l.log.Append(context.WithoutCancel(ctx), stream, payload)
+	}
+	if !l.node.strike(pointOfAppend(stream, payload), effect) {
+		return protocol.NoOffset, platform.ErrUnavailable
+	}
+	if ctx.Err() != nil {
+		return protocol.NoOffset, platform.ErrUnavailable
+	}
+	return offset, err
+}
+
+// Read implements platform.Log.
+func (l *link) Read(ctx context.Context, stream string, from protocol.Offset, limit int, wait time.Duration) (platform.Page, error) {
+	if !l.pass() {
+		return platform.Page{}, platform.ErrUnavailable
+	}
+	page, err := l.log.Read(ctx, stream, from, limit, wait)
+	if !l.pass() {
+		return platform.Page{}, platform.ErrUnavailable
+	}
+	at := pointOfPage(stream, page)
+	if stream == protocol.DataStream && l.node.delivering.Load() {
+		at = atDeliver
+	}
+	if !l.node.strike(at, func() {}) {
+		return platform.Page{}, platform.ErrUnavailable
+	}
+	return page, err
+}
--- /dev/null
+++ b/internal/coordination/faulttest/targets_test.go
@@ -0,0 +1,140 @@
+package faulttest
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"merlintiller/internal/coordination"
+	"merlintiller/internal/coordination/batch"
+	"merlintiller/internal/coordination/bulk"
+	"merlintiller/internal/protocol"
+)
+
+// run is one run of an item or call at a target.
+type run struct {
+	name  string
+	began time.Time
+}
+
+// targets stand for all targets of the fleet: they note what ran.
+type targets struct {
+	mu   sync.Mutex
+	runs []run
+	dead time.Time
+	// itemTime is how long a run takes; never lists items that always fail.
+	itemTime time.Duration
+	never    map[string]bool
+}
+
+func newTargets() *targets {
+	return &targets{itemTime: time.Second, never: map[string]bool{}}
+}
+
+func (t *targets) die(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.dead = time.Now().Add(d)
+}
+
+// begin notes a run, and is false if the connection is refused.
+func (t *targets) begin(name string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if time.Now().Before(t.dead) {
+		return false
+	}
+	t.runs = append(t.runs, run{name: name, began: time.Now()})
+	return true
+}
+
+func (t *targets) failing(name string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.never[name] || time.Now().Before(t.dead)
+}
+
+func (t *targets) count(name string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	count := 0
+	for _, r := range t.runs {
+		if r.name == name {
+			count++
+		}
+	}
+	return count
+}
+
+// beganAfter counts the runs that began after a time.
+func (t *targets) beganAfter(limit time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	count := 0
+	for _, r := range t.runs {
+		if r.began.After(limit) {
+			count++
+		}
+	}
+	return count
+}
+
+// slots hands out places of one instance.
+type slots struct{ places chan struct{} }
+
+func newSlots(count int) *slots { return &slots{places: make(chan struct{}, count)} }
+
+// Acquire implements coordination.BatchSlots.
+func (s *slots) Acquire(ctx context.Context, _ protocol.ServiceName) (coordination.BatchSlot, error) {
+	select {
+	case s.places <- struct{}{}:
+		return &slot{from: s, revoked: make(chan struct{})}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+type slot struct {
+	from    *slots
+	once    sync.Once
+	revoked chan struct{}
+}
+
+// Pick implements coordination.BatchSlot.
+func (s *slot) Pick() coordination.Pick { return coordination.Pick{Target: "t1"} }
+
+// Revoked implements coordination.BatchSlot.
+func (s *slot) Revoked() <-chan struct{} { return s.revoked }
+
+// Release implements coordination.BatchSlot.
+func (s *slot) Release(coordination.CallResult) {
+	s.once.Do(func() { <-s.from.places })
+}
+
+// runner runs items of one instance at the targets.
+type runner struct{ node *node }
+
+// Run implements batch.Runner.
+func (r *runner) Run(ctx context.Context, _ coordination.BatchSlot, item batch.Item) batch.ItemOutcome {
+	retry := batch.ItemOutcome{Kind: batch.Retry, Result: bulk.Result{Code: protocol.CodeTargetFailed, Message: "no answer"}}
+	r.node.link.pass()
+	refused := false
+	if !r.node.strike(atDispatch, func() { refused = !r.node.world.targets.begin(item.CustomID) }) {
+		return retry
+	}
+	if refused {
+		return batch.ItemOutcome{Kind: batch.NotStarted}
+	}
+	select {
+	case <-time.After(r.node.world.targets.itemTime):
+	case <-ctx.Done():
+		return batch.ItemOutcome{Kind: batch.Interrupted}
+	}
+	r.node.link.pass()
+	if !r.node.strike(atAnswer, func() {}) || r.node.world.targets.failing(item.CustomID) {
+		return retry
+	}
+	body, _ := json.Marshal(map[string]string{"echo": item.CustomID})
+	return batch.ItemOutcome{Kind: batch.Done, Result: bulk.Result{Status: 200, RequestID: "r-" + item.CustomID, Body: body}}
+}
