--- a/internal/coordination/batch/claimer.go
+++ b/internal/coordination/batch/claimer.go
@@ -24,6 +24,7 @@
 		changed := c.journal.Changed()
 		wake := c.wake()
 		c.adopt(ctx)
+		c.giveBack(ctx)
 		c.claim(ctx)
 		timer := time.NewTimer(c.opts.PlanEvery)
 		select {
@@ -53,7 +54,7 @@
 	var now load
 	c.inspect(func(w *workset) { now = w.load() })
 	free := c.opts.MaxHeldChunks - now.chunks
-	if free <= 0 || now.fresh >= c.opts.LowWater {
+	if free <= 0 || now.fresh >= c.opts.LowWater || !c.hasPlaces() {
 		return
 	}
 	for _, plan := range c.plan(now, free) {
@@ -109,7 +110,11 @@
 	if session == 0 || c.isDraining() {
 		return
 	}
-	for _, chunk := range c.missing(session) {
+	missing := c.missing(session)
+	// What was agreed while the input was read, such as a cancel, was agreed
+	// before the chunk was in the work set, and the watcher did not see it.
+	defer c.reconcile()
+	for _, chunk := range missing {
 		items, err := readItems(ctx, c.journal, chunk.input)
 		if err != nil && !isLost(err) {
 			_ = c.logger.Log("event", "chunk_load_failed", "job", chunk.id.Job, "chunk", chunk.id.Chunk, "err", err)
