Headroom: instances tell a target's feeder of their online calls

Cause: the feeder saw online calls of other instances only in the target's report, a second late, so a burst would have met full batch windows. And reports count batch items, so admission took targets full of batch as full. Weighed: a split window at each instance (loses the idle part of the others' split), waiting for the report (a second of harm a burst). Change: the router's picks are watched; a start is told to the target's feeder with the next tick, an end with the next calm message; the answer says how many batch items are there, which admission takes off the reported load.

--- a/internal/coordination/headroom/core.go
+++ b/internal/coordination/headroom/core.go
@@ -17,8 +17,6 @@
 	Slots int
 	// Usable is false for a leaving, dead or ejected target.
 	Usable bool
-	// Online is the number of this instance's own online calls in flight.
-	Online int
 	// Reported is the number of streams in the target's last report, from all
 	// instances and of all kinds, and ReportedAt the time it stood for.
 	Reported   int
@@ -28,7 +26,7 @@
 // SlotID names a batch slot.
 type SlotID uint64
 
-// sample is the own load of a target at a time.
+// sample is the known load of a target at a time.
 type sample struct {
 	at  time.Time
 	own int
@@ -41,6 +39,9 @@
 // window is the state of one fed target.
 type window struct {
 	target Target
+	// online is the number of online calls in flight that are known of at
+	// once: own ones, and those of instances that send notices.
+	online int
 	// size is how many batch items may be placed now.
 	size float64
 	// slots are the placed items, oldest first.
@@ -48,7 +49,8 @@
 	grownAt  time.Time
 	shrunkAt time.Time
 	samples  []sample
-	// others is the load of the other instances by the last report.
+	// others is the load beyond the known one by the last report: instances
+	// that can't send notices, and batch items of a second feeder.
 	others     int
 	reportedAt time.Time
 }
@@ -60,6 +62,8 @@
 	windows  map[protocol.TargetID]*window
 	owners   map[SlotID]protocol.TargetID
 	nextID   SlotID
+	traffics map[protocol.TargetID]*traffic
+	outbox   *outbox
 }
 
 // NewCore returns the state without any target.
@@ -68,6 +72,8 @@
 		settings: settings,
 		windows:  map[protocol.TargetID]*window{},
 		owners:   map[SlotID]protocol.TargetID{},
+		traffics: map[protocol.TargetID]*traffic{},
+		outbox:   newOutbox(settings),
 	}
 }
 
@@ -100,19 +106,18 @@
 	return revoked
 }
 
-// OnlineStarted counts an online call at the moment it is routed, before any
-// tick, and returns the slots to revoke.
-func (c *Core) OnlineStarted(now time.Time, target protocol.TargetID, online int) []SlotID {
-	w, ok := c.windows[target]
+// followTarget brings the window of one target to the load.
+func (c *Core) followTarget(now time.Time, id protocol.TargetID) []SlotID {
+	w, ok := c.windows[id]
 	if !ok {
 		return nil
 	}
-	w.target.Online = online
 	return c.follow(now, w)
 }
 
 // follow brings a window to the load and returns the slots to revoke.
 func (c *Core) follow(now time.Time, w *window) []SlotID {
+	w.online = c.traffic(w.target.ID).sum(now, c.settings.NoticeLife)
 	w.learn(now, c.settings)
 	w.remember(now)
 	room := w.room()
@@ -129,7 +134,7 @@
 	if !w.target.Usable {
 		return 0
 	}
-	return float64(max(0, w.target.Slots-w.target.Online-w.others))
+	return float64(max(0, w.target.Slots-w.online-w.others))
 }
 
 // grow widens a window step by step, and leaves some slots free.
@@ -159,7 +164,7 @@
 }
 
 // learn takes the others' load out of a new report: what it counts beyond the
-// own load at the time it stood for.
+// known load at the time it stood for.
 func (w *window) learn(now time.Time, settings Settings) {
 	t := &w.target
 	if t.ReportedAt.IsZero() || !t.ReportedAt.After(w.reportedAt) || now.Sub(t.ReportedAt) > settings.ReportMaxAge {
@@ -169,9 +174,9 @@
 	w.others = max(0, t.Reported-w.ownAt(t.ReportedAt))
 }
 
-// remember notes the own load when it changes.
+// remember notes the known load when it changes.
 func (w *window) remember(now time.Time) {
-	own := w.target.Online + len(w.slots)
+	own := w.online + len(w.slots)
 	if n := len(w.samples); n > 0 && w.samples[n-1].own == own {
 		return
 	}
@@ -182,7 +187,7 @@
 	w.samples = append(w.samples, sample{at: now, own: own})
 }
 
-// ownAt is the own load at a time.
+// ownAt is the known load at a time.
 func (w *window) ownAt(at time.Time) int {
 	own := 0
 	for _, s := range w.samples {
--- a/internal/coordination/headroom/core_test.go
+++ b/internal/coordination/headroom/core_test.go
@@ -5,12 +5,14 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/protocol"
 )
 
 var epoch = time.Unix(1_000_000, 0)
 
-func target(online int) Target {
-	return Target{ID: "t", Service: "s", Slots: 16, Usable: true, Online: online}
+func target() Target {
+	return Target{ID: "t", Service: "s", Slots: 16, Usable: true}
 }
 
 // grown is a core whose window for one idle target is as wide as it gets.
@@ -19,7 +21,7 @@
 	c := NewCore(Defaults())
 	now := epoch
 	for range 100 {
-		require.Empty(t, c.Observe(now, []Target{target(0)}))
+		require.Empty(t, c.Observe(now, []Target{target()}))
 		now = now.Add(100 * time.Millisecond)
 	}
 	return c, now
@@ -42,7 +44,10 @@
 func TestOnlineBurstTakesNewestSlotsBackAtOnce(t *testing.T) {
 	c, now := grown(t)
 	ids := place(t, c, now, 15)
-	revoked := c.OnlineStarted(now, "t", 4)
+	var revoked []SlotID
+	for range 4 {
+		revoked = append(revoked, c.OnlineStarted(now, "t")...)
+	}
 	require.Equal(t, []SlotID{ids[14], ids[13], ids[12]}, revoked)
 	_, _, ok := c.Place(now, "s")
 	require.False(t, ok)
@@ -54,7 +59,7 @@
 	c, now := grown(t)
 	place(t, c, now, 15)
 	later := now.Add(time.Second)
-	reported := target(0)
+	reported := target()
 	reported.Reported, reported.ReportedAt = 20, now.Add(500*time.Millisecond)
 	require.Len(t, c.Observe(later, []Target{reported}), 4)
 }
@@ -62,7 +67,7 @@
 func TestReportOfOwnItemsTakesNothingBack(t *testing.T) {
 	c, now := grown(t)
 	place(t, c, now, 15)
-	reported := target(0)
+	reported := target()
 	reported.Reported, reported.ReportedAt = 15, now.Add(500*time.Millisecond)
 	require.Empty(t, c.Observe(now.Add(time.Second), []Target{reported}))
 }
@@ -74,3 +79,34 @@
 	_, _, ok := c.Place(now, "s")
 	require.False(t, ok)
 }
+
+// Online calls start at another instance, and the target's report shows them
+// only a second later. Its notice to the feeder makes room at once.
+func TestNoticeOfAnotherInstanceTakesSlotsBack(t *testing.T) {
+	c, now := grown(t)
+	place(t, c, now, 15)
+	require.Len(t, c.Noticed(now, "other", []TargetCount{{Target: "t", Count: 5}}), 4)
+	require.Empty(t, c.Noticed(now, "other", []TargetCount{{Target: "t", Count: 5}}), "a repeated notice")
+}
+
+// The other instance dies with its calls. Its count must not keep batch out
+// for ever.
+func TestOldNoticesAreForgotten(t *testing.T) {
+	c, now := grown(t)
+	c.Noticed(now, "other", []TargetCount{{Target: "t", Count: 16}})
+	now = now.Add(time.Minute)
+	for range 50 {
+		now = now.Add(100 * time.Millisecond)
+		c.Observe(now, []Target{target()})
+	}
+	place(t, c, now, 10)
+}
+
+func TestNoticesGoToTheFeeder(t *testing.T) {
+	c := NewCore(Defaults())
+	feeders := map[protocol.TargetID]protocol.InstanceID{"t": "feeder", "own": "self"}
+	c.OnlineStarted(epoch, "t")
+	c.OnlineStarted(epoch, "own")
+	notices := c.Notices(epoch, feeders, "self")
+	require.Equal(t, map[protocol.InstanceID][]TargetCount{"feeder": {{Target: "t", Count: 1}}}, notices)
+}
--- a/internal/coordination/headroom/headroom.go
+++ b/internal/coordination/headroom/headroom.go
@@ -11,13 +11,17 @@
 
 	"merlintiller/internal/coordination"
 	"merlintiller/internal/protocol"
+	"merlintiller/internal/ring"
 )
 
 var stats = expvar.NewMap("headroom")
 
+// ReceiverName is the name under which the Endpoint is registered with net/rpc.
+const ReceiverName = "Headroom"
+
 // Source shows the targets and the instances as they are known now.
 type Source interface {
-	// Targets are all targets, with the own online calls in flight.
+	// Targets are all targets.
 	Targets() []Target
 	// Members are the instances with an open session, the own one included.
 	Members() []Member
@@ -27,6 +31,7 @@
 type Config struct {
 	Self     protocol.InstanceID
 	Source   Source
+	Peers    coordination.Peers
 	Settings Settings
 	// Started tells the router of a batch call at a target; may be nil.
 	Started func(protocol.TargetID)
@@ -41,10 +46,20 @@
 	mu    sync.Mutex
 	core  *Core
 	slots map[SlotID]*slot
+	// feeders says who feeds which target.
+	feeders     map[protocol.TargetID]protocol.InstanceID
+	refreshedAt time.Time
+	// lookedAt is used by the windowService alone.
+	lookedAt time.Time
 	// changed is closed when a place may have become free.
 	changed chan struct{}
+	notices *ring.Ring[map[protocol.InstanceID][]TargetCount]
 }
 
+// noticeCapacity bounds the ticks whose notices wait. A drop is repaired by the
+// next repeat.
+const noticeCapacity = 16
+
 // New returns a Headroom without any target. Its Services must run.
 func New(config Config) *Headroom {
 	return &Headroom{
@@ -52,12 +67,13 @@
 		core:    NewCore(config.Settings),
 		slots:   map[SlotID]*slot{},
 		changed: make(chan struct{}),
+		notices: ring.New[map[protocol.InstanceID][]TargetCount]("", noticeCapacity),
 	}
 }
 
 // Services are the duties, for the supervisor.
 func (h *Headroom) Services() []suture.Service {
-	return []suture.Service{&windowService{headroom: h}}
+	return []suture.Service{&windowService{headroom: h}, &noticeService{headroom: h}}
 }
 
 // Acquire implements coordination.BatchSlots.
@@ -104,15 +120,6 @@
 	return h.core.Places(service)
 }
 
-// OnlineStarted is called by the router at the moment it routes an online call,
-// with the own online calls now in flight at the target, so that batch yields
-// before the call reaches the target.
-func (h *Headroom) OnlineStarted(target protocol.TargetID, online int) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.revoke(h.core.OnlineStarted(time.Now(), target, online))
-}
-
 // revoke tells the holders. The caller holds the lock.
 func (h *Headroom) revoke(ids []SlotID) {
 	for _, id := range ids {
@@ -124,33 +131,36 @@
 	}
 }
 
-// observe follows the targets.
-func (h *Headroom) observe() {
-	targets := h.Source.Targets()
-	feeders := Feeders(usable(targets), h.Source.Members())
-	fed := targets[:0:0]
-	for _, t := range targets {
-		if feeders[t.ID] == h.Self || !t.Usable {
-			fed = append(fed, t)
-		}
+// tick returns the notices to send, and looks at the targets when it is time.
+func (h *Headroom) tick(now time.Time) map[protocol.InstanceID][]TargetCount {
+	if now.Sub(h.lookedAt) >= h.Settings.Look {
+		h.lookedAt = now
+		h.look(now)
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.revoke(h.core.Observe(time.Now(), fed))
-	h.wake()
+	return h.core.Notices(now, h.feeders, h.Self)
 }
 
-// usable are the targets that take new work. Only they are shared out: an
-// instance whose only target died would otherwise feed nothing, while the
-// others feed two.
-func usable(targets []Target) []Target {
-	out := targets[:0:0]
+// look follows the targets and who feeds them.
+func (h *Headroom) look(now time.Time) {
+	targets := h.Source.Targets()
+	members := h.Source.Members()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if now.Sub(h.refreshedAt) >= h.Settings.Refresh {
+		h.refreshedAt = now
+		h.feeders = Feeders(targets, members)
+		h.core.Known(targets)
+	}
+	fed := targets[:0:0]
 	for _, t := range targets {
-		if t.Usable {
-			out = append(out, t)
+		if h.feeders[t.ID] == h.Self {
+			fed = append(fed, t)
 		}
 	}
-	return out
+	h.revoke(h.core.Observe(now, fed))
+	h.wake()
 }
 
 // wake lets waiting batch items look again. The caller holds the lock.
@@ -201,7 +211,7 @@
 	ticker := time.NewTicker(s.headroom.Settings.Tick)
 	defer ticker.Stop()
 	for {
-		s.headroom.observe()
+		s.headroom.notices.Offer(s.headroom.tick(time.Now()))
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
--- a/internal/coordination/headroom/settings.go
+++ b/internal/coordination/headroom/settings.go
@@ -4,10 +4,25 @@
 
 // Settings are the policy constants of the batch windows.
 type Settings struct {
-	// Tick is how often the windows follow the online load, besides at every
-	// online call that starts here. It bounds how long batch may be in the way
-	// of online traffic that another instance sends and a report shows.
+	// Tick is how often notices leave. It bounds how long the
+	// feeder of a target does not know of an online call that started at
+	// another instance.
 	Tick time.Duration `yaml:"tick"`
+	// NoticeCalm is how long the end of an online call may wait before the
+	// target's feeder is told. A start is told with the next tick.
+	NoticeCalm time.Duration `yaml:"notice_calm"`
+	// NoticeRepeat is how often counts are told again, in case one got lost.
+	NoticeRepeat time.Duration `yaml:"notice_repeat"`
+	// NoticeAll is how often counts are told of all targets, also without own
+	// calls, to learn of their batch items from the answer.
+	NoticeAll time.Duration `yaml:"notice_all"`
+	// NoticeLife is the age from which a count is not believed; then only the
+	// target's report shows the instance's calls.
+	NoticeLife time.Duration `yaml:"notice_life"`
+	// Look is how often the targets and their reports are looked at.
+	Look time.Duration `yaml:"look"`
+	// Refresh is how often the feeders are chosen anew.
+	Refresh time.Duration `yaml:"refresh"`
 	// GrowEvery is how often a window may grow by one step. Growing slowly
 	// keeps short dips of the online load from placing batch items that the
 	// next second takes back.
@@ -28,6 +43,12 @@
 func Defaults() Settings {
 	return Settings{
 		Tick:         10 * time.Millisecond,
+		NoticeCalm:   100 * time.Millisecond,
+		NoticeRepeat: 2 * time.Second,
+		NoticeAll:    10 * time.Second,
+		NoticeLife:   5 * time.Second,
+		Look:         50 * time.Millisecond,
+		Refresh:      time.Second,
 		GrowEvery:    100 * time.Millisecond,
 		GrowPart:     0.125,
 		CalmAfter:    500 * time.Millisecond,
--- a/internal/daemon/agreement.go
+++ b/internal/daemon/agreement.go
@@ -95,6 +95,7 @@
 		member.ServiceName:     d.agreement.heartbeats.Receiver(),
 		withdrawal.ServiceName: &withdrawal.Receiver{Local: d.keyWithdrawer()},
 		limiterName:            d.fleet.limits.Endpoint(),
+		headroomName:           d.fleet.headroom.Endpoint(),
 		burnName:               d.operators.burnReceiver(),
 	}
 	for name, receiver := range receivers {
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -32,7 +32,7 @@
 		Keys:       d.keys,
 		Limits:     d.fleet.limits,
 		Admission:  d.fleet.admission,
-		Router:     &onlineRouter{Router: d.fleet.router, router: d.fleet.router, headroom: d.fleet.headroom},
+		Router:     d.fleet.headroom.Watch(d.fleet.router),
 		Target:     d.outside.online,
 		OnceTarget: d.outside.once,
 		Once:       d.batch.once,
--- a/internal/daemon/fleetpolicy.go
+++ b/internal/daemon/fleetpolicy.go
@@ -4,7 +4,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/thejerf/suture/v4"
 
-	"merlintiller/internal/coordination"
 	"merlintiller/internal/coordination/admission"
 	"merlintiller/internal/coordination/headroom"
 	"merlintiller/internal/coordination/limiter"
@@ -12,7 +11,10 @@
 	"merlintiller/internal/protocol"
 )
 
-const limiterName = limiter.ReceiverName
+const (
+	limiterName  = limiter.ReceiverName
+	headroomName = headroom.ReceiverName
+)
 
 // fleetPolicy is who may use the fleet's targets, when and which.
 type fleetPolicy struct {
@@ -51,32 +53,19 @@
 		Journal: j, Peers: d.agreement.heartbeats,
 		Settings: limiter.Defaults(), Logger: d.logger,
 	})
-	shown := &view{router: f.router, journal: j}
+	shown := &view{router: f.router, journal: j, batch: f.batchAt}
 	f.admission = admission.New(admission.Config{Fleet: j.Fleet, Capacities: shown, Settings: admission.Defaults()})
 	f.headroom = headroom.New(headroom.Config{Self: s.Instance, Source: shown, Settings: headroom.Defaults(),
+		Peers:   d.agreement.heartbeats,
 		Started: f.router.BatchStarted, Report: f.router.BatchDone,
 	})
 }
 
+// batchAt is the number of batch items at a target.
+func (f *fleetPolicy) batchAt(target protocol.TargetID) int { return f.headroom.Batch(target) }
+
 // seedOf makes the random choices of instances differ and those of a restart
 // the same.
 func seedOf(instance protocol.InstanceID) uint64 {
 	return xxhash.Sum64String(string(instance))
 }
-
-// onlineRouter tells the headroom of every online pick, so that a burst takes
-// places back at once and not with the next look at the counts.
-type onlineRouter struct {
-	coordination.Router
-	router   *routing.Router
-	headroom *headroom.Headroom
-}
-
-// Pick implements coordination.Router.
-func (o *onlineRouter) Pick(req coordination.PickRequest) (coordination.Pick, func(coordination.CallResult), bool) {
-	pick, done, ok := o.Router.Pick(req)
-	if ok && !req.Batch {
-		o.headroom.OnlineStarted(pick.Target, o.router.OnlineInFlight(pick.Target))
-	}
-	return pick, done, ok
-}
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -20,6 +20,8 @@
 type view struct {
 	router  *routing.Router
 	journal *journal.Journal
+	// batch is the number of batch items at a target.
+	batch func(protocol.TargetID) int
 }
 
 var (
@@ -43,7 +45,8 @@
 			continue
 		}
 		capacity.Slots += v.slots(service)
-		others += target.Others
+		// Batch items yield, so they must not make an online call wait.
+		others += max(0, target.Others-float64(v.batch(target.Target)))
 	}
 	capacity.Others = int(math.Round(others))
 	return capacity
@@ -61,7 +64,6 @@
 			Address:    status.Address,
 			Slots:      v.slots(status.Service),
 			Usable:     !status.Ejected && !status.Leaving,
-			Online:     status.Online,
 			Reported:   status.Reported,
 			ReportedAt: status.ReportedAt,
 		})
