Limiter: put tokens together from several slots; policy bench of rates

Change: a nearly full slot is asked before the own are drained, and a token is put together from fractions, which are given back if they are not enough.

--- a/internal/coordination/limiter/account.go
+++ b/internal/coordination/limiter/account.go
@@ -14,9 +14,10 @@
 	// level and levelAt are the holder's last answer.
 	level   float64
 	levelAt time.Time
-	// quietUntil is the time before which asking is useless: the slot is
-	// empty or its holder did not answer.
-	quietUntil time.Time
+	// quietUntil is the time before which asking for a whole token is useless:
+	// the slot has none or its holder did not answer. failedUntil is the time
+	// before which its holder is left alone for not answering.
+	quietUntil, failedUntil time.Time
 }
 
 // account is what the instance knows of one organisation.
--- a/internal/coordination/limiter/bucket.go
+++ b/internal/coordination/limiter/bucket.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -10,6 +11,10 @@
 type lent struct {
 	until  time.Time
 	amount float64
+	// id names a fraction that may be given back, 0 for whole tokens. part is
+	// the index of the slot it came from, at the asker.
+	id   uint64
+	part int
 }
 
 // bucket is a slot's token bucket of one organisation.
@@ -54,16 +59,21 @@
 	b.at = to
 }
 
-// lend removes up to want whole tokens that may be used elsewhere until a time.
-func (b *bucket) lend(now time.Time, want float64, until time.Time) float64 {
+// lend removes up to want tokens that may be used elsewhere until a time: whole
+// ones, unless a fraction helps.
+// id is not 0 for a fraction that may be given back.
+func (b *bucket) lend(now time.Time, want float64, id uint64, until time.Time) float64 {
 	b.advance(now)
-	amount := math.Floor(min(want, b.tokens))
-	if amount < 1 {
+	amount := min(want, b.tokens)
+	if id == 0 {
+		amount = math.Floor(amount)
+	}
+	if amount <= 0 {
 		return 0
 	}
 	b.tokens -= amount
 	b.outSum += amount
-	b.remember(lent{until: until, amount: amount})
+	b.remember(lent{until: until, amount: amount, id: id})
 	return amount
 }
 
@@ -76,14 +86,31 @@
 // a little too long, never too short.
 func (b *bucket) remember(entry lent) {
 	last := len(b.out) - 1
-	if last >= 0 && entry.until.Sub(b.out[last].until) < lendSlack {
+	if last >= 0 && entry.id == 0 && b.out[last].id == 0 && entry.until.Sub(b.out[last].until) < lendSlack {
 		b.out[last].amount += entry.amount
 		if entry.until.After(b.out[last].until) {
 			b.out[last].until = entry.until
 		}
 		return
 	}
-	b.out = append(b.out, entry)
+	i := len(b.out)
+	for i > 0 && b.out[i-1].until.After(entry.until) {
+		i--
+	}
+	b.out = slices.Insert(b.out, i, entry)
+}
+
+// giveBack takes back what is left of a lent fraction. A second copy, or one
+// that comes when the fraction's life is over, finds no entry and does nothing.
+func (b *bucket) giveBack(now time.Time, id uint64, amount float64) {
+	b.advance(now)
+	i := slices.IndexFunc(b.out, func(l lent) bool { return l.id == id })
+	if id == 0 || i < 0 {
+		return
+	}
+	b.outSum -= b.out[i].amount
+	b.tokens += max(0, min(amount, b.out[i].amount, b.burst-b.tokens-b.outSum))
+	b.out = slices.Delete(b.out, i, i+1)
 }
 
 // resize follows a change of the slot's part. Tokens above the new burst go.
--- a/internal/coordination/limiter/core.go
+++ b/internal/coordination/limiter/core.go
@@ -40,6 +40,8 @@
 	// holders says whom to ask. It is a hint: the asked instance decides.
 	holders   map[SlotKey]protocol.InstanceID
 	handovers handovers
+	// fractions numbers the lent fractions.
+	fractions uint64
 }
 
 // NewCore returns a limiter that holds nothing.
@@ -186,6 +188,10 @@
 		return a
 	}
 	a.demand, a.grants, a.fetching = old.demand, old.grants, old.fetching
+	for i := range a.grants {
+		// The slots are numbered anew, so a fraction's slot is not known.
+		a.grants[i].id = 0
+	}
 	for i := range old.sources {
 		a.keepBucket(now, &old.sources[i], c.settings)
 	}
@@ -241,15 +247,26 @@
 			continue
 		}
 		b := c.bucketOf(now, a, s)
-		reply.Holder = true
-		reply.Now = b.lend(now, args.Now, now.Add(c.settings.longer(c.settings.ExchangeTimeout)))
-		reply.Ahead = b.lend(now, c.spare(b, args.Ahead), now.Add(c.settings.longer(c.settings.GrantLife)))
-		reply.Level = b.tokens
-		reply.Wait = b.wait(1)
+		b.giveBack(now, args.GiveBack, args.Back)
+		c.lend(now, b, args, &reply)
 	}
 	return reply
 }
 
+func (c *Core) lend(now time.Time, b *bucket, args TakeArgs, reply *TakeReply) {
+	reply.Holder = true
+	if args.Fraction {
+		// Numbers of an earlier process must not be met again: a fraction it
+		// lent could be given back here in place of another.
+		c.fractions = max(c.fractions+1, uint64(now.UnixNano()))
+		reply.Fraction = c.fractions
+	}
+	reply.Now = b.lend(now, args.Now, reply.Fraction, now.Add(c.settings.longer(c.settings.ExchangeTimeout)))
+	reply.Ahead = b.lend(now, c.spare(b, args.Ahead), 0, now.Add(c.settings.longer(c.settings.GrantLife)))
+	reply.Level = b.tokens
+	reply.Wait = b.wait(1)
+}
+
 // spare bounds what one asker may take ahead of need: half of what is there, so
 // that the last tokens stay where everybody finds them.
 func (c *Core) spare(b *bucket, want float64) float64 {
--- a/internal/coordination/limiter/core_test.go
+++ b/internal/coordination/limiter/core_test.go
@@ -56,7 +56,7 @@
 func TestTakenTokensCountAgainstTheBurst(t *testing.T) {
 	b := newBucket(10, 5, epoch)
 	now := epoch.Add(time.Second)
-	require.Equal(t, 5.0, b.lend(now, 5, now.Add(time.Second)))
+	require.Equal(t, 5.0, b.lend(now, 5, 0, now.Add(time.Second)))
 	b.advance(now.Add(900 * time.Millisecond))
 	require.Zero(t, b.tokens, "the burst is out, so nothing may fill in")
 	b.advance(now.Add(1100 * time.Millisecond))
--- a/internal/coordination/limiter/decide.go
+++ b/internal/coordination/limiter/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/bits"
 	"time"
 
 	"merlintiller/internal/protocol"
@@ -11,9 +12,12 @@
 type Request struct {
 	Organisation protocol.OrganisationID
 	Tokens       float64
-	// asked has a bit for each part that was asked.
-	asked uint64
-	begun bool
+	// asked has a bit for each part that was asked for whole tokens, and
+	// gathered for each that was asked for less than one.
+	asked, gathered uint64
+	// levelled says that a fuller slot was considered.
+	levelled bool
+	begun    bool
 }
 
 // Verdict is the state of a decision.
@@ -27,8 +31,11 @@
 	Ahead *Ask
 	// Unknown: the configuration has no such organisation.
 	Unknown bool
-	// RetryAfter says when to come back, if nothing else is set.
+	// Refused: RetryAfter says when to come back. Returns are to be sent; they
+	// give back fractions that were not enough.
+	Refused    bool
 	RetryAfter time.Duration
+	Returns    []*Ask
 }
 
 // Decide grants a request from the tokens at hand, or says whom to ask, or
@@ -42,6 +49,9 @@
 		r.begun = true
 		a.demand.add(now, r.Tokens)
 	}
+	if ask := c.level(now, a, r); ask != nil {
+		return Verdict{Ask: ask}
+	}
 	missing := c.spend(now, a, r.Tokens)
 	if missing == 0 {
 		return Verdict{Granted: true, Ahead: c.ahead(now, a)}
@@ -49,7 +59,26 @@
 	if ask := c.ask(now, a, r, missing); ask != nil {
 		return Verdict{Ask: ask}
 	}
-	return Verdict{RetryAfter: c.retryAfter(now, a, r.Tokens)}
+	if ask := c.gather(now, a, r, missing); ask != nil {
+		return Verdict{Ask: ask}
+	}
+	return Verdict{Refused: true, RetryAfter: c.retryAfter(now, a, r.Tokens), Returns: c.returns(now, a)}
+}
+
+// returns gives back the fractions at hand. They are debited here first, so
+// that a lost message loses them and never doubles them.
+func (c *Core) returns(now time.Time, a *account) []*Ask {
+	var asks []*Ask
+	kept := a.grants[:0]
+	for _, g := range a.grants {
+		if g.id == 0 || g.amount <= 0 || g.part >= len(a.sources) {
+			kept = append(kept, g)
+			continue
+		}
+		asks = append(asks, c.askPart(now, a, g.part, TakeArgs{GiveBack: g.id, Back: g.amount}))
+	}
+	a.grants = kept
+	return asks
 }
 
 // spend uses tokens at hand if there are enough, and returns how many miss.
@@ -79,6 +108,32 @@
 	return 0
 }
 
+// level asks a slot that is nearly full, and so is about to lose refill, before
+// the slots held here are drained. It matters when callers gather in one place:
+// their tokens would run out beside full slots elsewhere.
+func (c *Core) level(now time.Time, a *account, r *Request) *Ask {
+	if r.levelled {
+		return nil
+	}
+	r.levelled = true
+	have, burst := a.granted(now), 0.0
+	for i := range a.sources {
+		if b := c.bucketOf(now, a, &a.sources[i]); b != nil {
+			have += b.tokens
+			burst += b.burst
+		}
+	}
+	if burst == 0 || have < r.Tokens || have > c.settings.NearlyFull*burst-c.settings.OwnBonus*burst {
+		return nil
+	}
+	best := c.bestSource(now, a, 0)
+	if best < 0 || a.sources[best].fullness(now) < c.settings.NearlyFull || a.sources[best].estimate(now) < r.Tokens+1 {
+		return nil
+	}
+	r.asked |= 1 << uint(best)
+	return c.askPart(now, a, best, TakeArgs{Now: math.Ceil(r.Tokens)})
+}
+
 // ask chooses the slot most likely to have the missing tokens.
 func (c *Core) ask(now time.Time, a *account, r *Request, missing float64) *Ask {
 	if c.askedEnough(r) {
@@ -89,55 +144,86 @@
 		return nil
 	}
 	r.asked |= 1 << uint(best)
-	want := math.Ceil(missing)
 	ahead := math.Floor(a.demand.over(c.settings.Ahead))
-	return c.askPart(now, a, best, want, ahead)
+	return c.askPart(now, a, best, TakeArgs{Now: math.Ceil(missing), Ahead: ahead})
 }
 
-func (c *Core) askedEnough(r *Request) bool {
-	count := 0
-	for bits := r.asked; bits != 0; bits &= bits - 1 {
-		count++
+// gather puts a token together from slots that have less than one each. Without
+// it an organisation with a small burst, cut over many slots, would be refused
+// with more than a token left.
+func (c *Core) gather(now time.Time, a *account, r *Request, missing float64) *Ask {
+	if c.askedEnough(r) {
+		return nil
+	}
+	best := -1
+	sum := 0.0
+	for i := range min(len(a.sources), maxParts) {
+		s := &a.sources[i]
+		if r.gathered&(1<<uint(i)) != 0 || s.failedUntil.After(now) || !c.elsewhere(s) {
+			continue
+		}
+		level := s.estimate(now)
+		sum += level
+		if best < 0 || level > a.sources[best].estimate(now) {
+			best = i
+		}
+	}
+	if best < 0 || sum < missing {
+		return nil
 	}
-	return count >= c.settings.Asks
+	r.gathered |= 1 << uint(best)
+	want := min(missing*(1+gatherMargin), a.sources[best].estimate(now))
+	return c.askPart(now, a, best, TakeArgs{Now: want, Fraction: true})
 }
 
-func (c *Core) askPart(now time.Time, a *account, part int, want, ahead float64) *Ask {
-	key := a.sources[part].part.Key
-	return &Ask{
-		Holder: c.holders[key],
-		Args:   TakeArgs{Organisation: a.id, Slot: key, Now: want, Ahead: ahead},
-		Sent:   now,
-		part:   part,
-	}
+// gatherMargin covers the rounding of sums.
+const gatherMargin = 1e-9
+
+func (c *Core) askedEnough(r *Request) bool {
+	return bits.OnesCount64(r.asked)+bits.OnesCount64(r.gathered) >= c.settings.Asks
+}
+
+func (c *Core) askPart(now time.Time, a *account, part int, args TakeArgs) *Ask {
+	args.Organisation = a.id
+	args.Slot = a.sources[part].part.Key
+	return &Ask{Holder: c.holders[args.Slot], Args: args, Sent: now, part: part}
+}
+
+// elsewhere reports whether another instance is known to hold a slot.
+func (c *Core) elsewhere(s *source) bool {
+	holder := c.holders[s.part.Key]
+	return holder != "" && holder != c.self
 }
 
 // maxParts is the number of parts a Request can remember to have asked.
 const maxParts = 64
 
-// bestSource returns the index of the slot to ask, own failure domain first,
-// then by the level last heard of, or -1.
+// bestSource returns the index of the slot to ask, or -1: the fullest by the
+// level last heard of, with a bonus for the own failure domain.
 func (c *Core) bestSource(now time.Time, a *account, asked uint64) int {
 	best := -1
-	bestLevel := 0.0
-	bestOwn := false
+	bestScore := 0.0
 	for i := range min(len(a.sources), maxParts) {
 		s := &a.sources[i]
-		if asked&(1<<uint(i)) != 0 || s.quietUntil.After(now) {
+		if asked&(1<<uint(i)) != 0 || s.quietUntil.After(now) || !c.elsewhere(s) {
 			continue
 		}
-		if holder := c.holders[s.part.Key]; holder == "" || holder == c.self {
-			continue
+		score := s.fullness(now)
+		if s.part.Key.Domain == c.domain {
+			score += c.settings.OwnBonus
 		}
-		own := s.part.Key.Domain == c.domain
-		level := s.estimate(now)
-		if best < 0 || (own && !bestOwn) || (own == bestOwn && level > bestLevel) {
-			best, bestLevel, bestOwn = i, level, own
+		if best < 0 || score > bestScore {
+			best, bestScore = i, score
 		}
 	}
 	return best
 }
 
+// fullness is the part of the burst that a slot may hold by now.
+func (s *source) fullness(now time.Time) float64 {
+	return s.estimate(now) / s.part.Burst
+}
+
 // estimate is the level a slot may have by now.
 func (s *source) estimate(now time.Time) float64 {
 	if s.levelAt.IsZero() {
@@ -161,7 +247,7 @@
 		return nil
 	}
 	a.fetching = true
-	return c.askPart(now, a, best, 0, forecast)
+	return c.askPart(now, a, best, TakeArgs{Ahead: forecast})
 }
 
 // holdsAny reports whether the instance holds a slot of the organisation that
@@ -181,7 +267,7 @@
 	if a == nil {
 		return
 	}
-	if ask.Args.Now == 0 {
+	if ask.Args.Now == 0 && ask.Args.GiveBack == 0 {
 		a.fetching = false
 	}
 	if failed || !reply.Holder {
@@ -190,12 +276,12 @@
 	}
 	// Lives count from the sending, so they end here before the holder stops
 	// counting the tokens as out.
-	a.add(lent{until: ask.Sent.Add(c.settings.ExchangeTimeout), amount: reply.Now})
+	a.add(lent{until: ask.Sent.Add(c.settings.ExchangeTimeout), amount: reply.Now, id: reply.Fraction, part: ask.part})
 	a.add(lent{until: ask.Sent.Add(c.settings.GrantLife), amount: reply.Ahead})
 	if ask.part < len(a.sources) && a.sources[ask.part].part.Key == ask.Args.Slot {
 		s := &a.sources[ask.part]
 		s.level, s.levelAt = reply.Level, now
-		if reply.Now+reply.Ahead < ask.Args.Now {
+		if reply.Now < ask.Args.Now && !ask.Args.Fraction {
 			s.quietUntil = now.Add(reply.Wait)
 		}
 	}
@@ -216,7 +302,8 @@
 	for _, other := range c.accounts {
 		for i := range other.sources {
 			if c.holders[other.sources[i].part.Key] == holder {
-				other.sources[i].quietUntil = now.Add(c.settings.PeerBackoff)
+				until := now.Add(c.settings.PeerBackoff)
+				other.sources[i].quietUntil, other.sources[i].failedUntil = until, until
 			}
 		}
 	}
--- a/internal/coordination/limiter/limiter.go
+++ b/internal/coordination/limiter/limiter.go
@@ -102,6 +102,9 @@
 			l.exchange(ctx, verdict.Ask)
 		default:
 			stats.Add("refused", 1)
+			for _, back := range verdict.Returns {
+				l.fetch(back)
+			}
 			return protocol.Refuse(protocol.CodeRateLimited, verdict.retryAfter(), "organisation %s is above its rate", org)
 		}
 	}
--- a/internal/coordination/limiter/messages.go
+++ b/internal/coordination/limiter/messages.go
@@ -15,6 +15,13 @@
 	Now float64
 	// Ahead is the number of tokens for the next moments.
 	Ahead float64
+	// Fraction says that less than a whole token helps: the asker puts one
+	// together from several slots.
+	Fraction bool
+	// GiveBack is the id of a fraction that was not enough, of which Back
+	// tokens were not used. The asker has debited them.
+	GiveBack uint64
+	Back     float64
 }
 
 // TakeReply moves tokens to the asker. The holder has debited them before the
@@ -22,9 +29,11 @@
 type TakeReply struct {
 	// Holder is false if the asked instance does not hold the slot now.
 	Holder bool
-	// Now and Ahead are whole tokens, each with its own life, counted by the
-	// asker from the moment it sent the request.
+	// Now and Ahead are tokens, each with its own life, counted by the asker
+	// from the moment it sent the request.
 	Now, Ahead float64
+	// Fraction is the id under which a fraction may be given back.
+	Fraction uint64
 	// Level is what is left in the slot, in tokens.
 	Level float64
 	// Wait is the time until the slot has the next whole token.
--- a/internal/coordination/limiter/settings.go
+++ b/internal/coordination/limiter/settings.go
@@ -30,9 +30,16 @@
 	AskTimeout time.Duration `yaml:"ask_timeout"`
 	// Ahead is the time of forecast use that an instance takes ahead of need.
 	Ahead time.Duration `yaml:"ahead"`
-	// Asks bounds the holders asked in one decision: enough for the slots of
-	// the own domain and of two others.
+	// Asks bounds the exchanges of one decision: enough for the slots of the
+	// own domain and of two others, and to put a token together.
 	Asks int `yaml:"asks"`
+	// OwnBonus is how much fuller, as a part of its burst, another failure
+	// domain's slot must be than one of the own domain to be asked first: a
+	// hop between domains is paid only to keep slots from losing refill.
+	OwnBonus float64 `yaml:"own_bonus"`
+	// NearlyFull is the part of its burst from which a slot is asked although
+	// there are tokens here: what it has is about to be lost.
+	NearlyFull float64 `yaml:"nearly_full"`
 	// PeerBackoff is how long a holder that did not answer is left alone, so
 	// that a cut domain costs one timeout a second and not one a request.
 	PeerBackoff time.Duration `yaml:"peer_backoff"`
@@ -62,7 +69,9 @@
 		ExchangeTimeout: 50 * time.Millisecond,
 		AskTimeout:      20 * time.Millisecond,
 		Ahead:           100 * time.Millisecond,
-		Asks:            9,
+		Asks:            12,
+		OwnBonus:        0.1,
+		NearlyFull:      0.75,
 		PeerBackoff:     time.Second,
 		Promise:         30 * time.Second,
 		RenewalLate:     3 * time.Second,
--- /dev/null
+++ b/internal/policybench/clock.go
@@ -0,0 +1,73 @@
+package policybench
+
+import (
+	"container/heap"
+	"time"
+)
+
+// start is the virtual time at which every run begins.
+var start = time.Unix(1_700_000_000, 0)
+
+// event is something that happens at a virtual time.
+type event struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+// clock runs events in the order of their times, and of their making.
+type clock struct {
+	now    time.Time
+	seq    int
+	events eventHeap
+}
+
+func newClock() *clock { return &clock{now: start} }
+
+// after runs do when a virtual time has passed.
+func (c *clock) after(d time.Duration, do func()) {
+	c.seq++
+	heap.Push(&c.events, event{at: c.now.Add(d), seq: c.seq, do: do})
+}
+
+// every runs do again and again.
+func (c *clock) every(d time.Duration, do func()) {
+	c.after(d, func() {
+		do()
+		c.every(d, do)
+	})
+}
+
+// run runs the events of a time.
+func (c *clock) run(d time.Duration) {
+	end := c.now.Add(d)
+	for len(c.events) > 0 && !c.events[0].at.After(end) {
+		e := heap.Pop(&c.events).(event)
+		c.now = e.at
+		e.do()
+	}
+	c.now = end
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at.Equal(h[j].at) {
+		return h[i].seq < h[j].seq
+	}
+	return h[i].at.Before(h[j].at)
+}
+
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	old[len(old)-1].do = nil
+	*h = old[:len(old)-1]
+	return e
+}
--- /dev/null
+++ b/internal/policybench/ratefleet.go
@@ -0,0 +1,238 @@
+package policybench
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"merlintiller/internal/coordination/limiter"
+	"merlintiller/internal/protocol"
+)
+
+// Times of the model.
+const (
+	hopInside  = 100 * time.Microsecond
+	hopBetween = 400 * time.Microsecond
+	// takeover is the time from a death to the claim of its slots: the expiry
+	// of its session and the look of its mates.
+	takeover = 9 * time.Second
+	// restart is the time from a death to the replacement.
+	restart = 30 * time.Second
+)
+
+// ratePolicy is one way of holding organisations to their rates.
+type ratePolicy struct {
+	name     string
+	settings limiter.Settings
+	// homeOnly leaves out the slots of other failure domains.
+	homeOnly bool
+}
+
+// rateInstance is one instance of the model.
+type rateInstance struct {
+	core  *limiter.Core
+	alive bool
+	born  int
+}
+
+// rateFleet runs the real limiter cores of a fleet.
+type rateFleet struct {
+	clock     *clock
+	random    *rand.Rand
+	user      user
+	fleet     *protocol.Fleet
+	policy    ratePolicy
+	instances []*rateInstance
+	// slots is who holds each slot, as the log has it.
+	slots map[protocol.Domain]limiter.Assignment
+	fence protocol.Offset
+	// cut is the failure domain that reaches neither the others nor the log.
+	cut       protocol.Domain
+	exchanges int
+}
+
+func newRateFleet(u user, policy ratePolicy, c *clock, random *rand.Rand) *rateFleet {
+	f := &rateFleet{
+		clock: c, random: random, user: u, fleet: u.fleet(), policy: policy,
+		slots: map[protocol.Domain]limiter.Assignment{},
+	}
+	for i := range u.instances {
+		f.instances = append(f.instances, &rateInstance{alive: true})
+		f.boot(i)
+	}
+	for _, domain := range u.domains {
+		f.assign(domain)
+	}
+	return f
+}
+
+// boot starts a process that knows the configuration and holds nothing.
+func (f *rateFleet) boot(i int) {
+	core := limiter.NewCore(f.user.instance(i), f.user.domainOf(i), f.policy.settings)
+	core.Configure(f.clock.now, f.fleet, true)
+	f.instances[i].core = core
+	f.instances[i].alive = true
+	f.instances[i].born++
+	f.tell()
+}
+
+// assign moves the slots of a domain as its instances would claim them.
+func (f *rateFleet) assign(domain protocol.Domain) {
+	if f.cut == domain {
+		return
+	}
+	var ids []protocol.InstanceID
+	for i, inst := range f.instances {
+		if inst.alive && f.user.domainOf(i) == domain {
+			ids = append(ids, f.user.instance(i))
+		}
+	}
+	before := f.slots[domain]
+	wanted := limiter.Assign(domain, ids, before)
+	for slot, id := range wanted {
+		if before[slot] != id {
+			f.move(limiter.SlotKey{Domain: domain, Slot: slot}, before[slot], id)
+		}
+	}
+	f.slots[domain] = wanted
+	f.tell()
+}
+
+// move hands a slot over from an instance that lives.
+func (f *rateFleet) move(key limiter.SlotKey, from, to protocol.InstanceID) {
+	target := f.byID(to)
+	if old := f.byID(from); old != nil && old.alive {
+		old.core.Extend(f.clock.now.Add(time.Hour))
+		if balances, ok := old.core.GiveUp(f.clock.now, key); ok {
+			target.core.Receive(f.clock.now, balances)
+		}
+		old.core.Drop(key)
+	}
+	f.fence++
+	target.core.Extend(f.clock.now.Add(24 * time.Hour))
+	target.core.Hold(f.clock.now, key, f.fence)
+}
+
+func (f *rateFleet) byID(id protocol.InstanceID) *rateInstance {
+	for i, inst := range f.instances {
+		if f.user.instance(i) == id {
+			return inst
+		}
+	}
+	return nil
+}
+
+// tell shows every instance who holds what.
+func (f *rateFleet) tell() {
+	for i, inst := range f.instances {
+		holders := map[limiter.SlotKey]protocol.InstanceID{}
+		for domain, slots := range f.slots {
+			if f.policy.homeOnly && domain != f.user.domainOf(i) {
+				continue
+			}
+			for slot, id := range slots {
+				holders[limiter.SlotKey{Domain: domain, Slot: slot}] = id
+			}
+		}
+		inst.core.SetHolders(holders)
+	}
+}
+
+// kill ends a process; its replacement comes later at the same address.
+func (f *rateFleet) kill(i int) {
+	f.instances[i].alive = false
+	domain := f.user.domainOf(i)
+	dead := f.user.instance(i)
+	f.clock.after(takeover, func() {
+		slots := f.slots[domain]
+		if f.cut == domain || f.instances[i].alive {
+			return
+		}
+		for slot := range slots {
+			if slots[slot] == dead {
+				slots[slot] = ""
+			}
+		}
+		f.slots[domain] = slots
+		f.assign(domain)
+	})
+	f.clock.after(restart, func() {
+		f.boot(i)
+		f.assign(domain)
+	})
+}
+
+// alive are the instances that the balancer may choose.
+func (f *rateFleet) choose(weights []float64) int {
+	sum := 0.0
+	for i, inst := range f.instances {
+		if inst.alive {
+			sum += weights[i]
+		}
+	}
+	point := f.random.Float64() * sum
+	last := 0
+	for i, inst := range f.instances {
+		if !inst.alive {
+			continue
+		}
+		last = i
+		if point -= weights[i]; point < 0 {
+			return i
+		}
+	}
+	return last
+}
+
+// admit decides on a request at an instance and reports the decision.
+func (f *rateFleet) admit(i int, org protocol.OrganisationID, decided func(granted bool)) {
+	request := &limiter.Request{Organisation: org, Tokens: 1}
+	f.decide(i, request, f.clock.now.Add(f.policy.settings.ExchangeTimeout), decided)
+}
+
+func (f *rateFleet) decide(i int, request *limiter.Request, deadline time.Time, decided func(bool)) {
+	verdict := f.instances[i].core.Decide(f.clock.now, request)
+	for _, back := range verdict.Returns {
+		f.exchange(i, back, func() {})
+	}
+	if verdict.Ahead != nil {
+		f.exchange(i, verdict.Ahead, func() {})
+	}
+	switch {
+	case verdict.Granted:
+		decided(true)
+	case verdict.Ask != nil && f.clock.now.Before(deadline):
+		f.exchange(i, verdict.Ask, func() { f.decide(i, request, deadline, decided) })
+	default:
+		decided(false)
+	}
+}
+
+// exchange carries a Take to its holder and the answer back.
+func (f *rateFleet) exchange(i int, ask *limiter.Ask, then func()) {
+	f.exchanges++
+	asker := f.instances[i]
+	holder := f.byID(ask.Holder)
+	if !holder.alive || f.isCut(i, ask.Args.Slot.Domain) {
+		f.clock.after(f.policy.settings.AskTimeout, func() {
+			asker.core.Answered(f.clock.now, ask, limiter.TakeReply{}, true)
+			then()
+		})
+		return
+	}
+	hop := hopInside
+	if ask.Args.Slot.Domain != f.user.domainOf(i) {
+		hop = hopBetween
+	}
+	f.clock.after(hop, func() {
+		reply := holder.core.Take(f.clock.now, ask.Args)
+		f.clock.after(hop, func() {
+			asker.core.Answered(f.clock.now, ask, reply, false)
+			then()
+		})
+	})
+}
+
+func (f *rateFleet) isCut(i int, domain protocol.Domain) bool {
+	own := f.user.domainOf(i)
+	return own != domain && (own == f.cut || domain == f.cut)
+}
