Batch: bounded claims ahead, fair order on the instance, work goes on in an outage

Cause: three faults that focused tests showed in virtual time. A job of 200 items of one organisation ended 99.5 s after its submission behind 3,000 items of another (two instances, 16 places each): newly claimed chunks with the earlier deadline overtook it for ever. Items stopped 6 s into an outage of the log, when the hold on the session ran out, though nobody could take the chunks. An instance claimed up to 8 chunks at once. Weighed: order by deadline on the instance (starves) against the order of the claims, which the planner chose, with chunks near their deadline first. Change: the latter; claims reach 10 s ahead of the pace; items of held chunks go on while the log can't be read.

--- a/internal/coordination/batch/claimer.go
+++ b/internal/coordination/batch/claimer.go
@@ -13,7 +13,10 @@
 )
 
 // claimer is the duty that claims chunks and loads their input.
-type claimer struct{ *Executor }
+type claimer struct {
+	*Executor
+	pace pace
+}
 
 // String names the duty.
 func (c *claimer) String() string { return "batch claimer" }
@@ -47,16 +50,20 @@
 const idlePlan = 5 * time.Second
 
 func (c *claimer) claim(ctx context.Context) {
-	if !c.mayStart() || !c.journal.LogUp() {
+	if !c.mayClaim() {
 		return
 	}
 	var now load
-	c.inspect(func(w *workset) { now = w.load() })
-	free := c.opts.MaxHeldChunks - now.chunks
-	if free <= 0 || now.fresh >= c.opts.LowWater {
+	started := 0
+	c.inspect(func(w *workset) {
+		now = w.load()
+		started = c.started
+	})
+	want := c.want(now, c.pace.update(started, time.Now()))
+	if want <= 0 {
 		return
 	}
-	for _, plan := range c.plan(now, free) {
+	for _, plan := range c.plan(now, want) {
 		body := &protocol.ChunkClaim{Job: plan.Job, Chunks: plan.Chunks}
 		outcome := c.journal.Submit(ctx, protocol.Record{ChunkClaim: body})
 		if !outcome.Accepted() {
@@ -68,6 +75,45 @@
 	}
 }
 
+// want is the number of chunks to take: enough to be busy while the next claim
+// is on its way, and no more, so that a job of another organisation that comes
+// meanwhile does not wait behind chunks taken early.
+func (c *claimer) want(now load, itemsASecond float64) int {
+	ahead := max(float64(c.opts.LowWater), itemsASecond*c.opts.ClaimAhead.Seconds())
+	lacking := int(ahead) - now.fresh
+	if lacking <= 0 {
+		return 0
+	}
+	chunks := (lacking + protocol.MaxChunkItems - 1) / protocol.MaxChunkItems
+	return min(chunks, c.opts.MaxHeldChunks-now.chunks)
+}
+
+// pace measures how many items an instance starts a second.
+type pace struct {
+	started int
+	at      time.Time
+	rate    float64
+}
+
+// paceWindow is the time over which the pace is averaged.
+const paceWindow = 10 * time.Second
+
+func (p *pace) update(started int, now time.Time) float64 {
+	if p.at.IsZero() {
+		p.started, p.at = started, now
+		return 0
+	}
+	elapsed := now.Sub(p.at)
+	if elapsed <= 0 {
+		return p.rate
+	}
+	latest := float64(started-p.started) / elapsed.Seconds()
+	weight := min(1, elapsed.Seconds()/paceWindow.Seconds())
+	p.rate += weight * (latest - p.rate)
+	p.started, p.at = started, now
+	return p.rate
+}
+
 func (c *claimer) plan(now load, free int) []ClaimPlan {
 	session := c.journal.Session()
 	fleet := c.journal.Fleet()
--- a/internal/coordination/batch/dispatcher.go
+++ b/internal/coordination/batch/dispatcher.go
@@ -172,6 +172,11 @@
 	if !e.mayStart() {
 		return Item{}, false
 	}
-	e.inspect(func(w *workset) { item, ok = w.start(name, time.Now(), e.service, stop) })
+	e.inspect(func(w *workset) {
+		item, ok = w.start(name, time.Now(), e.service, stop)
+		if ok {
+			e.started++
+		}
+	})
 	return item, ok
 }
--- a/internal/coordination/batch/executor.go
+++ b/internal/coordination/batch/executor.go
@@ -41,8 +41,10 @@
 	// flushNow asks for an early append, at a drain.
 	flushNow chan chan struct{}
 
-	mu       sync.Mutex
-	work     *workset
+	mu   sync.Mutex
+	work *workset
+	// started counts the items started since the executor began.
+	started  int
 	draining bool
 	// changed is closed when the work set changes.
 	changed chan struct{}
@@ -61,7 +63,7 @@
 		planner:  Planner{UrgentLaxity: opts.UrgentLaxity, ItemTime: opts.ItemTime},
 		results:  ring.New[finished](name, opts.MaxInFlight),
 		flushNow: make(chan chan struct{}),
-		work:     newWorkset(),
+		work:     newWorkset(opts.UrgentLaxity),
 		changed:  make(chan struct{}),
 	}
 }
@@ -69,7 +71,7 @@
 // Services are the duties for the process's supervisor.
 func (e *Executor) Services() []suture.Service {
 	return []suture.Service{
-		&claimer{e},
+		&claimer{Executor: e},
 		&dispatcher{executor: e},
 		&watcher{e},
 		newFlusher(e),
@@ -104,10 +106,24 @@
 	return e.draining
 }
 
-// mayStart says whether new work may begin: the session holds, and results can
-// still be handed over.
+// mayStart says whether items of held chunks may start: the claims stand as
+// far as this instance can know, and results can still be handed over.
+//
+// While the log can't be read, items go on although the hold on the session
+// has run out. If the log is down for all, nobody can take the chunks, and
+// stopping would leave the targets idle. If only this instance is cut off,
+// another takes the chunks and what runs twice costs work; the first result
+// wins. The chunks held bound that work.
 func (e *Executor) mayStart() bool {
-	return !e.isDraining() && e.journal.MayHold() && e.results.Len() < e.opts.MaxInFlight/2
+	if e.isDraining() || e.results.Len() >= e.opts.MaxInFlight/2 {
+		return false
+	}
+	return e.journal.MayHold() || !e.journal.LogUp()
+}
+
+// mayClaim says whether more chunks may be taken.
+func (e *Executor) mayClaim() bool {
+	return e.mayStart() && e.journal.MayHold() && e.journal.LogUp()
 }
 
 // service resolves a model in the configuration in force. A service whose
--- a/internal/coordination/batch/options.go
+++ b/internal/coordination/batch/options.go
@@ -43,9 +43,14 @@
 	MaxHeldChunks int
 	// MaxInFlight bounds the items an instance runs at a time. Default 256.
 	MaxInFlight int
-	// LowWater is the number of waiting items at which an instance claims
-	// more. Default 128.
+	// LowWater is the number of waiting items below which an instance claims
+	// more. Default 64.
 	LowWater int
+	// ClaimAhead is the time for which an instance claims work ahead at the
+	// pace at which it starts items. Default 10 s: several times what a claim
+	// takes, also with the log slow. More would save appends and make other
+	// organisations wait longer.
+	ClaimAhead time.Duration
 	// PlanEvery is the shortest time between two plans. Default 500 ms: a plan
 	// passes over all running jobs.
 	PlanEvery time.Duration
@@ -109,7 +114,8 @@
 	orDefault(&o.RetryAfter, 5*time.Second)
 	orDefault(&o.MaxHeldChunks, 8)
 	orDefault(&o.MaxInFlight, 256)
-	orDefault(&o.LowWater, 128)
+	orDefault(&o.LowWater, 64)
+	orDefault(&o.ClaimAhead, 10*time.Second)
 	orDefault(&o.PlanEvery, 500*time.Millisecond)
 	orDefault(&o.UrgentLaxity, 10*time.Minute)
 	orDefault(&o.ItemTime, 10*time.Second)
--- a/internal/coordination/batch/workset.go
+++ b/internal/coordination/batch/workset.go
@@ -64,10 +64,12 @@
 type workset struct {
 	chunks map[ledger.ChunkID]*heldChunk
 	claims int
+	// urgent is how long before its deadline a chunk goes ahead of others.
+	urgent time.Duration
 }
 
-func newWorkset() *workset {
-	return &workset{chunks: map[ledger.ChunkID]*heldChunk{}}
+func newWorkset(urgent time.Duration) *workset {
+	return &workset{chunks: map[ledger.ChunkID]*heldChunk{}, urgent: urgent}
 }
 
 // loadedChunk is a claimed chunk with its input.
@@ -132,7 +134,7 @@
 			if name, known := of(t.item.Model); !known || name != service {
 				continue
 			}
-			if best == nil || compareTasks(t, c, best, bestChunk) < 0 {
+			if best == nil || w.compareTasks(t, c, best, bestChunk, now) < 0 {
 				best, bestChunk = t, c
 			}
 		}
@@ -146,18 +148,26 @@
 	return best.item, true
 }
 
-// compareTasks orders items: stragglers behind the rest, then by deadline,
-// then chunk by chunk, those with partial output first.
-func compareTasks(a *task, ac *heldChunk, b *task, bc *heldChunk) int {
+// compareTasks orders items: stragglers behind the rest, then chunks whose
+// deadline is near, then chunk by chunk in the order of their claims, which the
+// planner chose; in a chunk those with partial output go first. Ordering by
+// deadline alone would let every newly claimed chunk of an early job overtake
+// a chunk of a later one, for ever.
+func (w *workset) compareTasks(a *task, ac *heldChunk, b *task, bc *heldChunk, now time.Time) int {
 	return cmp.Or(
 		cmp.Compare(a.attempts, b.attempts),
-		ac.deadline.Compare(bc.deadline),
+		-cmp.Compare(w.urgency(ac, now), w.urgency(bc, now)),
 		cmp.Compare(ac.order, bc.order),
 		-cmp.Compare(resumable(a), resumable(b)),
 		cmp.Compare(a.item.Number, b.item.Number),
 	)
 }
 
+// urgency is how far a chunk is into the time in which it goes ahead of others.
+func (w *workset) urgency(c *heldChunk, now time.Time) time.Duration {
+	return max(0, w.urgent-c.deadline.Sub(now))
+}
+
 func resumable(t *task) int {
 	if t.item.Resume == nil {
 		return 0
--- /dev/null
+++ b/internal/coordination/faulttest/jobs_test.go
@@ -0,0 +1,327 @@
+package faulttest
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/coordination/batch"
+	"merlintiller/internal/protocol"
+	"merlintiller/internal/standin/memlog"
+	"merlintiller/internal/state/ledger"
+	"merlintiller/internal/state/replica"
+)
+
+// submitted starts a fleet and a job in it.
+func submitted(t *testing.T, count, items int, window string, setup func(*world)) (*world, *client, batch.Job) {
+	w := newWorldWith(t, count, setup)
+	c := newClient(w)
+	job, err := c.submit("key", items, window)
+	require.NoError(t, err)
+	return w, c, job
+}
+
+// requireEnd waits for the end of a job and reads its lines.
+func (w *world) requireEnd(c *client, id protocol.JobID, limit time.Duration, items int) (good, failed int, lines []line) {
+	w.t.Helper()
+	w.await(limit, "end of the job", func() bool { return w.ended(id) })
+	v := &verdicts{}
+	lines = w.readLines(v, c, id)
+	good, failed = checkLines(v, lines, items)
+	require.Empty(w.t, v.wrong)
+	return good, failed, lines
+}
+
+// A burst of online traffic takes every batch place back, again and again. The
+// items must go on later from where they stopped: work is not lost, and being
+// pushed aside is no failed attempt.
+func TestRevokedItemsResumeWhereTheyStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, c, job := submitted(t, 1, 64, "1h", func(w *world) { w.targets.itemTime = 10 * time.Second })
+		for range 8 {
+			<-time.After(1500 * time.Millisecond)
+			w.nodes[0].slots.revokeAll()
+		}
+		good, _, _ := w.requireEnd(c, job.ID, 5*time.Minute, 64)
+		require.Equal(t, 64, good)
+		require.Equal(t, 64*10*time.Second, w.targets.worked)
+	})
+}
+
+// A few items can never be done. They must not hold up the rest, and must end
+// as failed results, or the job would never end.
+func TestStragglersEndAsFailedResults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, c, job := submitted(t, 1, 300, "1h", func(w *world) {
+			for _, i := range []int{0, 17, 299} {
+				w.targets.never[customID(i)] = true
+			}
+		})
+		good, failed, lines := w.requireEnd(c, job.ID, 5*time.Minute, 300)
+		require.Equal(t, 297, good)
+		require.Equal(t, 3, failed)
+		require.Equal(t, 5, w.targets.count(customID(17)))
+		last := w.targets.runs[len(w.targets.runs)-1]
+		require.Contains(t, []string{customID(0), customID(17), customID(299)}, last.name)
+		for _, l := range lines {
+			if l.failed {
+				require.Equal(t, string(protocol.CodeTargetFailed), l.Error.Code)
+			}
+		}
+	})
+}
+
+// The deadline comes before the items are done. What is done stays readable;
+// the rest is told item by item, and nothing runs on.
+func TestDeadlineEndsTheJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, c, job := submitted(t, 1, 600, "20s", func(*world) {})
+		good, failed, lines := w.requireEnd(c, job.ID, time.Minute, 600)
+		ended := time.Now()
+		view, _ := w.jobOf(w.nodes[0], job.ID)
+		require.Equal(t, ledger.Expired, view.Status)
+		require.Greater(t, good, 200)
+		require.Equal(t, view.Completed, good)
+		require.Equal(t, 600-good, failed)
+		require.Equal(t, "batch_expired", lines[len(lines)-1].Error.Code)
+		<-time.After(10 * time.Second)
+		require.Zero(t, w.targets.beganAfter(ended))
+	})
+}
+
+// An instance leaves. Its items in flight finish, its results are kept, and the
+// others go on with its chunks at once instead of waiting for its session.
+func TestDrainGivesChunksBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, c, job := submitted(t, 2, 1024, "1h", func(w *world) { w.targets.itemTime = 2 * time.Second })
+		leaver := w.nodes[0]
+		w.await(time.Minute, "work at both", func() bool {
+			return len(w.held(w.nodes[0])) > 0 && len(w.held(w.nodes[1])) > 0
+		})
+		<-time.After(7 * time.Second)
+		began := time.Now()
+		leaver.executor.Drain(w.ctx)
+		require.Less(t, time.Since(began), 5*time.Second)
+		require.Empty(t, w.held(leaver))
+		require.NoError(t, leaver.Close(w.ctx))
+		leaver.crash()
+		good, _, _ := w.requireEnd(c, job.ID, 10*time.Minute, 1024)
+		require.Equal(t, 1024, good)
+		for i := range 1024 {
+			require.Equal(t, 1, w.targets.count(customID(i)), customID(i))
+		}
+	})
+}
+
+// The log is down for minutes. Claimed items go on, and their results wait in a
+// bounded buffer. When it is full, no more items start: they would run for
+// results that can't be kept.
+func TestOutageKeepsResultsWithinBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, c, job := submitted(t, 1, 2000, "1h", func(w *world) {
+			w.opts.BufferBytes = 30_000
+			w.opts.MaxHeldChunks = 8
+		})
+		<-time.After(5 * time.Second)
+		before := len(w.targets.runs)
+		w.outage(3 * time.Minute)
+		<-time.After(2 * time.Minute)
+		inOutage := len(w.targets.runs) - before
+		require.Greater(t, inOutage, 100)
+		require.Less(t, inOutage, 300)
+		<-time.After(30 * time.Second)
+		require.Equal(t, inOutage, len(w.targets.runs)-before)
+		good, _, _ := w.requireEnd(c, job.ID, 10*time.Minute, 2000)
+		require.Equal(t, 2000, good)
+		require.Len(t, w.targets.runs, 2000)
+	})
+}
+
+// A job outlasts the platform's retention. Its input and results must be
+// carried forward, or items would be lost that were accepted.
+func TestDataOutlivesRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, c, job := submitted(t, 1, 600, "3h", func(w *world) {
+			w.log = memlog.New(memlog.Options{Retention: 20 * time.Minute})
+			w.places = 2
+			w.targets.itemTime = 10 * time.Second
+			w.opts.FlushAfter = time.Minute
+			w.opts.CarryAge = 5 * time.Minute
+			w.opts.CarryEvery = time.Minute
+		})
+		<-time.After(90 * time.Minute)
+		good, _, _ := w.requireEnd(c, job.ID, time.Minute, 600)
+		require.Equal(t, 600, good)
+		require.Len(t, w.targets.runs, 600)
+	})
+}
+
+// Results are kept for a stated time. After it the job is forgotten, and its
+// memory with it.
+func TestJobIsForgottenAfterItsTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, c, job := submitted(t, 2, 10, "1h", func(w *world) { w.opts.ResultsReadable = time.Minute })
+		w.requireEnd(c, job.ID, time.Minute, 10)
+		got, refusal := w.nodes[1].service.GetBatch(w.ctx, cascadia, job.ID)
+		require.Nil(t, refusal)
+		require.Equal(t, time.Unix(got.EndedAt, 0).UTC().Add(time.Minute), got.ResultsUntil)
+		<-time.After(2 * time.Minute)
+		_, refusal = w.nodes[1].service.GetBatch(w.ctx, cascadia, job.ID)
+		require.Equal(t, protocol.CodeNotFound, refusal.Code)
+	})
+}
+
+// One organisation sends many large jobs, another a small one a little later.
+// The small one must not wait until the large ones are done.
+func TestOneOrganisationDoesNotDisplaceAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, _, _ := submitted(t, 2, 3000, "24h", func(*world) {})
+		<-time.After(5 * time.Second)
+		small := newClient(w)
+		small.organisation = "dobrescu"
+		job, err := small.submit("key", 200, "24h")
+		require.NoError(t, err)
+		began := time.Now()
+		w.await(5*time.Minute, "end of the small job", func() bool { return w.ended(job.ID) })
+		t.Logf("small job of 200 items ended %s after its submission", time.Since(began))
+		require.Less(t, time.Since(began), time.Minute)
+	})
+}
+
+// A caller uses the id of another organisation's file or job. It must look as
+// if they did not exist.
+func TestOrganisationsSeeOnlyTheirOwn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, c, job := submitted(t, 1, 10, "1h", func(*world) {})
+		w.requireEnd(c, job.ID, time.Minute, 10)
+		service := w.nodes[0].service
+		_, refusal := service.GetBatch(w.ctx, "dobrescu", job.ID)
+		require.Equal(t, protocol.CodeNotFound, refusal.Code)
+		_, refusal = service.CancelBatch(w.ctx, "dobrescu", job.ID)
+		require.Equal(t, protocol.CodeNotFound, refusal.Code)
+		for _, id := range []string{job.InputFile, batch.OutputFileID(job.ID), batch.ErrorFileID(job.ID)} {
+			_, refusal = service.File(w.ctx, "dobrescu", id)
+			require.Equal(t, protocol.CodeNotFound, refusal.Code, id)
+			var out strings.Builder
+			refusal, err := service.FileContent(w.ctx, "dobrescu", id, &out)
+			require.NoError(t, err)
+			require.Equal(t, protocol.CodeNotFound, refusal.Code, id)
+			require.Empty(t, out.String())
+		}
+		_, refusal = service.CreateBatch(w.ctx, "dobrescu", batch.JobRequest{InputFile: job.InputFile, Endpoint: path, Window: "1h"}, "")
+		require.Equal(t, protocol.CodeNotFound, refusal.Code)
+	})
+}
+
+// An idempotency key is used again for another input. Taking it for a resend
+// would lose the second job; it is refused as a conflict.
+func TestReusedKeyIsAConflict(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, c, first := submitted(t, 1, 10, "1h", func(*world) {})
+		other := c.upload(w.nodes[0], 11)
+		request := batch.JobRequest{InputFile: other.ID, Endpoint: path, Window: "1h"}
+		_, refusal := w.nodes[0].service.CreateBatch(w.ctx, cascadia, request, "key")
+		require.Equal(t, protocol.CodeConflict, refusal.Code)
+		// The same input uploaded anew is a resend.
+		again := c.upload(w.nodes[0], 10)
+		request.InputFile = again.ID
+		job, refusal := w.nodes[0].service.CreateBatch(w.ctx, cascadia, request, "key")
+		require.Nil(t, refusal)
+		require.Equal(t, first.ID, job.ID)
+		// Without a key the file stands for it.
+		request.InputFile = other.ID
+		one, refusal := w.nodes[0].service.CreateBatch(w.ctx, cascadia, request, "")
+		require.Nil(t, refusal)
+		two, refusal := w.nodes[0].service.CreateBatch(w.ctx, cascadia, request, "")
+		require.Nil(t, refusal)
+		require.Equal(t, one.ID, two.ID)
+	})
+}
+
+// The log is down. A submission must be refused at once, truly as not run, with
+// the time to come back.
+func TestSubmissionIsRefusedWhileTheLogIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, c, job := submitted(t, 1, 10, "1h", func(*world) {})
+		w.outage(time.Minute)
+		<-time.After(10 * time.Second)
+		began := time.Now()
+		_, refusal := w.nodes[0].service.UploadFile(w.ctx, cascadia, "f", strings.NewReader(string(input(3))))
+		require.Equal(t, protocol.CodePlatformDown, refusal.Code)
+		require.Equal(t, protocol.NotRun, refusal.Run)
+		require.Positive(t, refusal.RetryAfter)
+		require.Zero(t, time.Since(began))
+		_, refusal = w.nodes[0].service.GetBatch(w.ctx, cascadia, job.ID)
+		require.Nil(t, refusal)
+		_, refusal = w.nodes[0].service.GetBatch(w.ctx, cascadia, "batch_unknown")
+		require.Equal(t, protocol.CodePlatformDown, refusal.Code)
+		<-time.After(2 * time.Minute)
+		w.requireEnd(c, job.ID, time.Minute, 10)
+	})
+}
+
+// An instance is cut from the log while others are not. It can't know that, so
+// it goes on with the chunks it holds; another takes them when its session has
+// ended. Its results are reported under its next session and lose, item by
+// item, to those that were first. What ran twice is bounded by what it held.
+func TestInstanceCutFromTheLogLosesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, c, job := submitted(t, 2, 3000, "1h", func(*world) {})
+		<-time.After(4 * time.Second)
+		cut := w.nodes[0]
+		held := len(w.held(cut)) * protocol.MaxChunkItems
+		cut.link.setDown(true)
+		<-time.After(time.Minute)
+		require.False(t, cut.MayHold())
+		cut.link.setDown(false)
+		good, _, _ := w.requireEnd(c, job.ID, 10*time.Minute, 3000)
+		require.Equal(t, 3000, good)
+		twice := len(w.targets.runs) - 3000
+		t.Logf("%d items ran twice, %d were held", twice, held)
+		require.LessOrEqual(t, twice, held)
+	})
+}
+
+// The cancel of a caller reaches executors with the next frame and stops items
+// in flight.
+func TestCancelStopsItemsInFlight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, c, job := submitted(t, 2, 100, "1h", func(w *world) { w.targets.itemTime = time.Hour })
+		<-time.After(5 * time.Second)
+		_, err := c.cancel(job.ID)
+		require.NoError(t, err)
+		<-time.After(time.Second)
+		for _, n := range w.nodes {
+			require.Zero(t, n.executor.Stats().Running)
+			require.Zero(t, n.executor.Stats().HeldChunks)
+		}
+		_, failed, lines := w.requireEnd(c, job.ID, time.Second, 100)
+		require.Equal(t, 100, failed)
+		require.Equal(t, "batch_cancelled", lines[0].Error.Code)
+	})
+}
+
+// A model is withdrawn from the configuration while its items wait. They are
+// tried again for a while and then end as failed results.
+func TestItemsOfAnUnknownModelEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, c, job := submitted(t, 1, 40, "1h", func(w *world) {
+			w.places = 4
+			w.targets.itemTime = 5 * time.Second
+		})
+		<-time.After(7 * time.Second)
+		var version protocol.Offset
+		w.nodes[0].View(func(state *replica.State) { version = state.Fleet.Fleet().Version })
+		outcome := w.nodes[0].Submit(context.Background(), protocol.Record{FleetChange: &protocol.FleetChange{
+			ChangeID: "two", BasedOn: version, Operator: "test", Remove: []protocol.FleetRef{{Model: model}},
+		}})
+		require.True(t, outcome.Accepted(), "%+v", outcome)
+		good, failed, _ := w.requireEnd(c, job.ID, 5*time.Minute, 40)
+		require.Positive(t, good)
+		require.Equal(t, 40-good, failed)
+	})
+}
