--- /dev/null
+++ b/internal/coordination/batch/planner_test.go
@@ -0,0 +1,114 @@
+package batch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"merlintiller/internal/protocol"
+)
+
+var (
+	noon        = time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
+	testPlanner = Planner{UrgentLaxity: 10 * time.Minute, ItemTime: 10 * time.Second}
+)
+
+func candidate(job, org string, chunks int, due time.Duration) Candidate {
+	return Candidate{
+		Job:          protocol.JobID(job),
+		Organisation: protocol.OrganisationID(org),
+		Deadline:     noon.Add(due),
+		Remaining:    chunks * protocol.MaxChunkItems,
+		Chunks:       chunks,
+	}
+}
+
+// free says that every chunk may be taken.
+func free(jobs []Candidate) func(protocol.JobID, int, int) []int {
+	return func(id protocol.JobID, from, limit int) []int {
+		var numbers []int
+		for _, job := range jobs {
+			if job.Job != id {
+				continue
+			}
+			for i := range min(limit, job.Chunks) {
+				numbers = append(numbers, (from+i)%job.Chunks)
+			}
+		}
+		return numbers
+	}
+}
+
+func input(jobs ...Candidate) PlanInput {
+	return PlanInput{Now: noon, Jobs: jobs, Free: 1, Instances: 1, Claimable: free(jobs)}
+}
+
+// Two jobs wait. The one with less time to spare goes first, also if its
+// deadline is the later one but it is much larger.
+func TestLeastSpareTimeGoesFirst(t *testing.T) {
+	plans := testPlanner.Plan(input(candidate("late", "a", 1, 9*time.Hour), candidate("soon", "a", 1, 8*time.Hour)))
+	require.EqualValues(t, "soon", plans[0].Job)
+	plans = testPlanner.Plan(input(candidate("large", "a", 100, 9*time.Hour), candidate("small", "a", 1, 8*time.Hour)))
+	require.EqualValues(t, "large", plans[0].Job)
+}
+
+// One organisation holds chunks already. Another one's job goes first although
+// its deadline is later.
+func TestOrganisationThatHoldsLessGoesFirst(t *testing.T) {
+	in := input(candidate("one", "a", 9, 5*time.Hour), candidate("two", "b", 1, 9*time.Hour))
+	in.HeldBy = map[protocol.OrganisationID]int{"a": 2}
+	require.EqualValues(t, "two", testPlanner.Plan(in)[0].Job)
+}
+
+// A job is about to miss its deadline. It goes ahead of fairness.
+func TestUrgentJobGoesFirst(t *testing.T) {
+	in := input(candidate("urgent", "a", 1, 11*time.Minute), candidate("two", "b", 1, 9*time.Hour))
+	in.HeldBy = map[protocol.OrganisationID]int{"a": 5}
+	require.EqualValues(t, "urgent", testPlanner.Plan(in)[0].Job)
+}
+
+// Whatever the jobs, a plan takes no more than is free, no chunk twice, and
+// something if there is anything to take.
+func TestPlanKeepsItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var jobs []Candidate
+		total := 0
+		for i := range rapid.IntRange(0, 8).Draw(t, "jobs") {
+			org := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "org")
+			chunks := rapid.IntRange(1, 20).Draw(t, "chunks")
+			due := time.Duration(rapid.IntRange(1, 100_000).Draw(t, "due")) * time.Second
+			jobs = append(jobs, candidate(fmt.Sprint(i), org, chunks, due))
+			total += chunks
+		}
+		in := input(jobs...)
+		in.Free = rapid.IntRange(0, 10).Draw(t, "free")
+		in.Instances = rapid.IntRange(0, 12).Draw(t, "instances")
+		in.Spread = rapid.Uint64().Draw(t, "spread")
+		taken := 0
+		seen := map[string]bool{}
+		for _, plan := range testPlanner.Plan(in) {
+			for _, number := range plan.Chunks {
+				name := fmt.Sprint(plan.Job, "/", number)
+				require.False(t, seen[name])
+				seen[name] = true
+				taken++
+			}
+		}
+		require.LessOrEqual(t, taken, in.Free)
+		require.Equal(t, in.Free > 0 && total > 0, taken > 0)
+	})
+}
+
+// Towards the end of a job one instance must not take all that is left, or the
+// others would wait for it with nothing to do.
+func TestLastChunksAreShared(t *testing.T) {
+	in := input(candidate("one", "a", 8, time.Hour))
+	in.Free = 8
+	in.Instances = 4
+	require.Len(t, testPlanner.Plan(in)[0].Chunks, 1)
+	in.Instances = 1
+	require.Len(t, testPlanner.Plan(in)[0].Chunks, 4)
+}
--- /dev/null
+++ b/internal/coordination/bulk/bulk_test.go
@@ -0,0 +1,40 @@
+package bulk
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/protocol"
+)
+
+func TestEntrySurvivesEncoding(t *testing.T) {
+	entry := Entry{At: 5, Results: []Section{{Job: "j", Chunk: 2, Results: []Result{
+		{Item: 1, CustomID: "a", Status: 200, RequestID: "r", Body: []byte("{}")},
+		{Item: 2, CustomID: "b", Code: protocol.CodeTargetFailed, Message: "no answer"},
+	}}}}
+	data, err := Encode(entry)
+	require.NoError(t, err)
+	back, err := Decode(data)
+	require.NoError(t, err)
+	require.Equal(t, entry, back)
+	require.True(t, back.Results[0].Results[1].Failed())
+}
+
+// An entry that does not fit would be refused by the platform after the work
+// was done. It is refused before.
+func TestLargeEntryIsRefused(t *testing.T) {
+	_, err := Encode(Entry{Answer: &Answer{Body: make([]byte, protocol.MaxEntryBytes)}})
+	require.ErrorIs(t, err, protocol.ErrFrameTooLarge)
+}
+
+func FuzzDecode(f *testing.F) {
+	seed, _ := Encode(Entry{At: 1, Items: []Item{{CustomID: "a", Model: "m", Body: []byte("{}")}}})
+	f.Add(seed)
+	f.Add([]byte{0xa1, 0x02, 0x9b, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if _, err := Decode(data); err != nil {
+			require.ErrorIs(t, err, protocol.ErrMalformed)
+		}
+	})
+}
