--- a/internal/coordination/batch/chunker_test.go
+++ b/internal/coordination/batch/chunker_test.go
@@ -100,11 +100,11 @@
 
 func (errReader) Read([]byte) (int, error) { return 0, errBroken }
 
-// A file of any mix of line sizes is cut into chunks. Each must fit in a log
+// A file of any mix of line sizes is cut into entries. Each must fit in a log
 // entry and keep every item in its order, or items would be lost.
 func TestChunksFitAndKeepEveryItem(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		count := rapid.IntRange(1, 600).Draw(t, "items")
+		count := rapid.IntRange(1, 2600).Draw(t, "items")
 		size := rapid.SampledFrom([]int{0, 100, 20_000, 200_000}).Draw(t, "size")
 		if size*count > 4<<20 {
 			count = 4 << 20 / size
@@ -115,7 +115,7 @@
 		}
 		next := 0
 		for _, chunk := range chunksOf(t, Options{}, text.String()) {
-			require.LessOrEqual(t, len(chunk), protocol.MaxChunkItems)
+			require.LessOrEqual(t, len(chunk), entryItems)
 			data, err := bulk.Encode(bulk.Entry{At: 1 << 40, Items: chunk})
 			require.NoError(t, err)
 			require.LessOrEqual(t, len(data), protocol.MaxEntryBytes)
@@ -152,7 +152,9 @@
 		if ok {
 			require.GreaterOrEqual(t, int64(at), int64(0))
 		}
-		parseResultFileID(id)
+		if job, _, ok := parseResultFileID(id); ok {
+			require.NotEmpty(t, job)
+		}
 	})
 }
 
--- a/internal/coordination/batch/claimer.go
+++ b/internal/coordination/batch/claimer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"merlintiller/internal/coordination/bulk"
@@ -16,6 +17,8 @@
 type claimer struct {
 	*Executor
 	pace pace
+	// idleSince is since when the instance wants chunks and none falls to it.
+	idleSince time.Time
 }
 
 // String names the duty.
@@ -27,6 +30,7 @@
 		changed := c.journal.Changed()
 		wake := c.wake()
 		c.adopt(ctx)
+		c.giveBack(ctx)
 		c.claim(ctx)
 		timer := time.NewTimer(c.opts.PlanEvery)
 		select {
@@ -50,7 +54,7 @@
 const idlePlan = 5 * time.Second
 
 func (c *claimer) claim(ctx context.Context) {
-	if !c.mayClaim() {
+	if !c.mayClaim() || !c.hasPlaces() {
 		return
 	}
 	var now load
@@ -59,11 +63,20 @@
 		now = w.load()
 		started = c.started
 	})
-	want := c.want(now, c.pace.update(started, time.Now()))
-	if want <= 0 {
+	room := c.opts.MaxHeldChunks - now.chunks
+	if room <= 0 {
 		return
 	}
-	for _, plan := range c.plan(now, want) {
+	// With enough work at hand, only a job that is short of time is a reason
+	// to take more: its items go ahead of the others here.
+	want := c.want(now, c.pace.update(started, time.Now()))
+	urgentOnly := want <= 0
+	free := min(max(want, 1), room)
+	plans := c.plan(now, free, urgentOnly, false)
+	if c.maySteal(len(plans) > 0) {
+		plans = c.plan(now, free, urgentOnly, true)
+	}
+	for _, plan := range plans {
 		body := &protocol.ChunkClaim{Job: plan.Job, Chunks: plan.Chunks}
 		outcome := c.journal.Submit(ctx, protocol.Record{ChunkClaim: body})
 		if !outcome.Accepted() {
@@ -85,7 +98,7 @@
 		return 0
 	}
 	chunks := (lacking + protocol.MaxChunkItems - 1) / protocol.MaxChunkItems
-	return min(chunks, c.opts.MaxHeldChunks-now.chunks)
+	return chunks
 }
 
 // pace measures how many items an instance starts a second.
@@ -114,19 +127,39 @@
 	return p.rate
 }
 
-func (c *claimer) plan(now load, free int) []ClaimPlan {
+// maySteal says whether to take chunks that fall to others: after a while
+// without any of its own, so that those to whom they fall have had their turn.
+func (c *claimer) maySteal(hasOwn bool) bool {
+	if hasOwn {
+		c.idleSince = time.Time{}
+		return false
+	}
+	if c.idleSince.IsZero() {
+		c.idleSince = time.Now()
+	}
+	wait := c.opts.StealAfter + time.Duration(uint64(c.journal.Session())%stealStagger)*c.opts.PlanEvery
+	return time.Since(c.idleSince) >= wait
+}
+
+// stealStagger spreads the instances that steal over so many plans.
+const stealStagger = 4
+
+func (c *claimer) plan(now load, free int, urgentOnly, steal bool) []ClaimPlan {
 	session := c.journal.Session()
 	fleet := c.journal.Fleet()
 	var plans []ClaimPlan
 	c.journal.View(func(state *replica.State) {
+		open := openIDs(state)
 		in := PlanInput{
-			Now:       time.Now(),
-			HeldBy:    now.byOrg,
-			Free:      free,
-			Instances: len(openIDs(state)),
-			Spread:    uint64(session),
-			Claimable: func(job protocol.JobID, from, limit int) []int {
-				return state.Ledger.Claimable(job, state.Sessions, from, limit)
+			Now:        time.Now(),
+			HeldBy:     now.byOrg,
+			Free:       free,
+			UrgentOnly: urgentOnly,
+			Steal:      steal,
+			Instances:  len(open),
+			Index:      max(0, slices.Index(open, session)),
+			Claimable: func(job protocol.JobID, from, count, limit int) []int {
+				return state.Ledger.Claimable(job, state.Sessions, from, count, limit)
 			},
 		}
 		for _, job := range state.Ledger.Running() {
@@ -177,8 +210,7 @@
 // unloadedChunk is a held chunk whose input is not here yet.
 type unloadedChunk struct {
 	loadedChunk
-	input protocol.Offset
-	total int
+	input protocol.ChunkRef
 }
 
 func (c *claimer) missing(session protocol.SessionID) []unloadedChunk {
@@ -205,7 +237,6 @@
 					won:          view.Won,
 				},
 				input: view.Input,
-				total: view.Items,
 			})
 		}
 	})
@@ -224,7 +255,7 @@
 func (c *claimer) giveUp(ctx context.Context, chunk unloadedChunk) {
 	_ = c.logger.Log("event", "chunk_input_lost", "job", chunk.id.Job, "chunk", chunk.id.Chunk)
 	counters.Add("input_lost", 1)
-	chunk.items = make([]bulk.Item, chunk.total)
+	chunk.items = make([]bulk.Item, chunk.input.Items)
 	c.update(func(w *workset) { w.add(chunk.loadedChunk) })
 	var tasks []Item
 	c.inspect(func(w *workset) {
--- a/internal/coordination/batch/planner.go
+++ b/internal/coordination/batch/planner.go
@@ -3,8 +3,11 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"merlintiller/internal/protocol"
 )
 
@@ -27,14 +30,16 @@
 	HeldBy map[protocol.OrganisationID]int
 	// Free is the number of chunks that this instance may still take.
 	Free int
-	// Instances counts the open sessions.
-	Instances int
-	// Spread differs between instances, so that they do not all reach for the
-	// same chunk first.
-	Spread uint64
-	// Claimable lists chunks of a job that may be taken, searching from a
-	// chunk number on.
-	Claimable func(job protocol.JobID, from, limit int) []int
+	// UrgentOnly leaves out jobs that have time to spare.
+	UrgentOnly bool
+	// Instances counts the open sessions, and Index is the place of the own one
+	// among them.
+	Instances, Index int
+	// Steal takes any chunk, and not just those that fall to this instance.
+	Steal bool
+	// Claimable lists chunks of a job that may be taken, at most limit, among
+	// count chunks from a number on, going round.
+	Claimable func(job protocol.JobID, from, count, limit int) []int
 }
 
 // ClaimPlan is one claim to make.
@@ -75,7 +80,8 @@
 	for free > 0 && len(jobs) > 0 {
 		next := pickJob(jobs, held)
 		job := jobs[next]
-		chunks := in.Claimable(job.Job, in.start(job), in.share(job, free))
+		from, count := in.span(job)
+		chunks := in.Claimable(job.Job, from, count, in.share(job, free))
 		jobs = slices.Delete(jobs, next, next+1)
 		if len(chunks) == 0 {
 			continue
@@ -98,7 +104,10 @@
 	for i := range in.Jobs {
 		c := &in.Jobs[i]
 		laxity := p.laxity(c, in)
-		jobs = append(jobs, rankedJob{Candidate: c, laxity: laxity, urgent: laxity < p.UrgentLaxity})
+		urgent := laxity < p.UrgentLaxity
+		if urgent || !in.UrgentOnly {
+			jobs = append(jobs, rankedJob{Candidate: c, laxity: laxity, urgent: urgent})
+		}
 	}
 	slices.SortFunc(jobs, func(a, b rankedJob) int {
 		return cmp.Or(cmp.Compare(a.laxity, b.laxity), cmp.Compare(a.Job, b.Job))
@@ -131,18 +140,27 @@
 	return job.Weight
 }
 
-// start is where the search for free chunks of a job begins.
-func (in *PlanInput) start(job rankedJob) int {
-	if job.Chunks == 0 {
-		return 0
+// span is the range of chunks of a job that this instance looks at. Each chunk
+// falls to one instance, so that they do not all reach for the same and lose
+// their claims to each other; every lost claim is an append for nothing. Who has
+// nothing of its own steals, from a place of its own.
+func (in *PlanInput) span(job rankedJob) (from, count int) {
+	hash := xxhash.Sum64String(string(job.Job))
+	if in.Steal || in.Instances < 1 || job.Chunks == 0 {
+		own := xxhash.Sum64String(string(job.Job) + "/" + strconv.Itoa(in.Index))
+		return int(own % uint64(max(1, job.Chunks))), job.Chunks
 	}
-	return int(in.Spread % uint64(job.Chunks))
+	slot := (in.Index + int(hash%uint64(in.Instances))) % in.Instances
+	from = ceilDivide(slot*job.Chunks, in.Instances)
+	return from, ceilDivide((slot+1)*job.Chunks, in.Instances) - from
 }
 
+func ceilDivide(a, b int) int { return (a + b - 1) / b }
+
 // share bounds one claim. Towards the end of a job claims shrink, so that the
 // last chunks do not all wait behind each other at one instance.
 func (in *PlanInput) share(job rankedJob, free int) int {
-	left := (job.Remaining + protocol.MaxChunkItems - 1) / protocol.MaxChunkItems
+	left := ceilDivide(job.Remaining, protocol.MaxChunkItems)
 	fair := left / (2 * max(1, in.Instances))
 	return max(1, min(free, fair))
 }
--- a/internal/coordination/batch/planner_test.go
+++ b/internal/coordination/batch/planner_test.go
@@ -27,14 +27,14 @@
 }
 
 // free says that every chunk may be taken.
-func free(jobs []Candidate) func(protocol.JobID, int, int) []int {
-	return func(id protocol.JobID, from, limit int) []int {
+func free(jobs []Candidate) func(protocol.JobID, int, int, int) []int {
+	return func(id protocol.JobID, from, count, limit int) []int {
 		var numbers []int
 		for _, job := range jobs {
 			if job.Job != id {
 				continue
 			}
-			for i := range min(limit, job.Chunks) {
+			for i := range min(limit, count, job.Chunks) {
 				numbers = append(numbers, (from+i)%job.Chunks)
 			}
 		}
@@ -43,7 +43,7 @@
 }
 
 func input(jobs ...Candidate) PlanInput {
-	return PlanInput{Now: noon, Jobs: jobs, Free: 1, Instances: 1, Claimable: free(jobs)}
+	return PlanInput{Now: noon, Jobs: jobs, Free: 1, Instances: 1, Steal: true, Claimable: free(jobs)}
 }
 
 // Two jobs wait. The one with less time to spare goes first, also if its
@@ -86,7 +86,7 @@
 		in := input(jobs...)
 		in.Free = rapid.IntRange(0, 10).Draw(t, "free")
 		in.Instances = rapid.IntRange(0, 12).Draw(t, "instances")
-		in.Spread = rapid.Uint64().Draw(t, "spread")
+		in.Index = rapid.IntRange(0, 12).Draw(t, "index")
 		taken := 0
 		seen := map[string]bool{}
 		for _, plan := range testPlanner.Plan(in) {
@@ -112,3 +112,25 @@
 	in.Instances = 1
 	require.Len(t, testPlanner.Plan(in)[0].Chunks, 4)
 }
+
+// Every chunk of a job falls to exactly one of the instances. One that fell to
+// none would wait until somebody steals it; one that fell to two would cost
+// lost claims.
+func TestEveryChunkFallsToOneInstance(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		job := candidate(rapid.String().Draw(t, "job"), "a", rapid.IntRange(1, 300).Draw(t, "chunks"), time.Hour)
+		in := input(job)
+		in.Steal = false
+		in.Instances = rapid.IntRange(1, 340).Draw(t, "instances")
+		owners := make([]int, job.Chunks)
+		for in.Index = range in.Instances {
+			from, count := in.span(rankedJob{Candidate: &job})
+			for number := range count {
+				owners[from+number]++
+			}
+		}
+		for number, count := range owners {
+			require.Equal(t, 1, count, "chunk %d", number)
+		}
+	})
+}
--- a/internal/coordination/batch/resultbuffer.go
+++ b/internal/coordination/batch/resultbuffer.go
@@ -33,7 +33,7 @@
 	return numbers
 }
 
-func (s *section) record(at protocol.Offset) *protocol.ChunkResult {
+func (s *section) record(at protocol.Offset) protocol.ChunkResult {
 	var items, failed ledger.Bitmap
 	for i := range s.results {
 		items.Set(s.results[i].Item)
@@ -41,7 +41,7 @@
 			failed.Set(s.results[i].Item)
 		}
 	}
-	return &protocol.ChunkResult{
+	return protocol.ChunkResult{
 		Job:    s.id.Job,
 		Chunk:  s.id.Chunk,
 		Data:   at,
--- a/internal/coordination/faulttest/targets_test.go
+++ b/internal/coordination/faulttest/targets_test.go
@@ -95,6 +95,9 @@
 	taken  map[*slot]bool
 }
 
+// Places implements coordination.BatchSlots.
+func (s *slots) Places(protocol.ServiceName) int { return cap(s.places) }
+
 func newSlots(count int) *slots {
 	return &slots{places: make(chan struct{}, count), taken: map[*slot]bool{}}
 }
--- a/internal/state/ledger/job.go
+++ b/internal/state/ledger/job.go
@@ -46,6 +46,8 @@
 	parts  *[]Segment
 	items  uint16
 	done   uint16
+	// first is the index of the first item in the entry at input.
+	first uint16
 }
 
 // Segment is an entry of DataStream that holds winning results of a chunk.
@@ -74,7 +76,7 @@
 		chunks:         make([]chunk, len(body.Chunks)),
 	}
 	for i, ref := range body.Chunks {
-		j.chunks[i] = chunk{input: ref.Offset, whole: protocol.NoOffset, items: uint16(ref.Items)}
+		j.chunks[i] = chunk{input: ref.Offset, first: uint16(ref.First), whole: protocol.NoOffset, items: uint16(ref.Items)}
 		j.total += ref.Items
 	}
 	return j
--- a/internal/state/ledger/ledger.go
+++ b/internal/state/ledger/ledger.go
@@ -6,6 +6,8 @@
 package ledger
 
 import (
+	"math"
+
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/state"
 )
@@ -45,6 +47,8 @@
 		return l.release(rec.ID.Session, rec.ChunkRelease)
 	case rec.ChunkResult != nil:
 		return l.result(at, rec.ChunkResult)
+	case rec.ChunkResults != nil:
+		return l.results(at, rec.ChunkResults)
 	case rec.JobCancel != nil:
 		return l.cancel(at, rec.JobCancel)
 	case rec.JobExpire != nil:
@@ -90,6 +94,9 @@
 		if ref.Offset < 0 || ref.Items < 1 || ref.Items > protocol.MaxChunkItems {
 			return false
 		}
+		if ref.First < 0 || ref.First > math.MaxUint16 {
+			return false
+		}
 	}
 	return true
 }
--- a/internal/state/ledger/result.go
+++ b/internal/state/ledger/result.go
@@ -2,6 +2,18 @@
 
 import "merlintiller/internal/protocol"
 
+// results decides each part by itself.
+func (l *Ledger) results(at protocol.Offset, body *protocol.ChunkResults) protocol.Verdict {
+	verdict := protocol.Malformed
+	for i := range body.Parts {
+		part := l.result(at, &body.Parts[i])
+		if verdict != protocol.Accepted {
+			verdict = part
+		}
+	}
+	return verdict
+}
+
 // result gives each item that has none yet its result. The first one in stream
 // order stands: an instance that was paused past its lease, or one whose
 // append was repeated, reports results that another has reported, and taking
--- a/internal/state/ledger/view.go
+++ b/internal/state/ledger/view.go
@@ -102,20 +102,27 @@
 	return views
 }
 
-// Claimable lists chunks of a job that a session may take, at most limit,
-// beginning the search at chunk number from and going round.
-func (l *Ledger) Claimable(id protocol.JobID, sessions state.Sessions, from, limit int) []int {
+// Claimable lists chunks of a job that a session may take, at most limit. It
+// looks at count chunks from a number on, going round, and lists those of ended
+// sessions first.
+func (l *Ledger) Claimable(id protocol.JobID, sessions state.Sessions, from, count, limit int) []int {
 	j, ok := l.running[id]
 	if !ok {
 		return nil
 	}
-	var numbers []int
-	for i := range j.chunks {
+	// First those of ended sessions: they have waited longest.
+	numbers := j.claimable(sessions, from, count, limit, true)
+	return append(numbers, j.claimable(sessions, from, count, limit-len(numbers), false)...)
+}
+
+func (j *job) claimable(sessions state.Sessions, from, count, limit int, orphans bool) (numbers []int) {
+	for i := range min(count, len(j.chunks)) {
 		if len(numbers) >= limit {
 			break
 		}
 		number := (from + i) % len(j.chunks)
-		if j.chunks[number].claimable(sessions) {
+		c := &j.chunks[number]
+		if (c.holder != 0) == orphans && c.claimable(sessions) {
 			numbers = append(numbers, number)
 		}
 	}
@@ -148,9 +155,8 @@
 
 // ChunkView is a copy of what the ledger knows of a chunk.
 type ChunkView struct {
-	// Input is the offset of the items in DataStream.
-	Input protocol.Offset
-	Items int
+	// Input says where the items are in DataStream.
+	Input protocol.ChunkRef
 	// Holder is the session that claimed the chunk, 0 if none did.
 	Holder protocol.SessionID
 	// Won are the items that have a result.
@@ -170,8 +176,7 @@
 		return ChunkView{}, false
 	}
 	return ChunkView{
-		Input:    c.input,
-		Items:    int(c.items),
+		Input:    protocol.ChunkRef{Offset: c.input, Items: int(c.items), First: int(c.first)},
 		Holder:   c.holder,
 		Won:      c.won(),
 		Segments: c.segments(),
