--- a/cmd/fleettest/main.go
+++ b/cmd/fleettest/main.go
@@ -9,12 +9,14 @@
 
 	"github.com/alecthomas/kong"
 
+	"merlintiller/internal/harness/bench"
 	"merlintiller/internal/harness/demo"
 	"merlintiller/internal/harness/matrix"
 )
 
 type cli struct {
 	Demo   demoCmd   `cmd:"" help:"Run the demonstration."`
+	Bench  benchCmd  `cmd:"" help:"Take the measurements with processes."`
 	Matrix matrixCmd "cmd:\"\" help:\"Sum up the fault matrix from the events of `go test -json`, read from the standard input.\""
 }
 
@@ -31,6 +33,19 @@
 	return demo.Run(ctx, demo.Options{Dir: c.Dir, Bin: c.Bin, Examples: c.Examples, Out: os.Stdout})
 }
 
+type benchCmd struct {
+	Bin  string `default:"bin" help:"Folder of the built programs."`
+	Dir  string `default:".demo/bench" help:"Folder for settings and logs, emptied first."`
+	Only string `enum:",entry,control,agreement,start" default:"" help:"Take only one group of measurements."`
+}
+
+// Run takes the measurements.
+func (c *benchCmd) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	return bench.Run(ctx, bench.Options{Dir: c.Dir, Bin: c.Bin, Out: os.Stdout}, c.Only)
+}
+
 type matrixCmd struct{}
 
 // Run fails if a cell is red or a test of the matrix failed unseen.
--- a/internal/harness/caller.go
+++ b/internal/harness/caller.go
@@ -150,3 +150,27 @@
 func (a *Answer) String() string {
 	return fmt.Sprintf("status=%d run_state=%s whole=%t body=%.200s", a.Status, a.RunState, a.Whole, a.Body)
 }
+
+// answerPatience is how long AwaitAnswer tries: the targets' list lags.
+const answerPatience = 15 * time.Second
+
+// AwaitAnswer waits until a call is served: the key is in force and targets
+// are known.
+func (c *Caller) AwaitAnswer(ctx context.Context, model string) error {
+	const prompt = "ready?"
+	limit := time.Now().Add(answerPatience)
+	for {
+		answer, err := c.Post(ctx, "/v1/chat/completions", ChatBody(model, prompt, 1, false), nil)
+		if err == nil && answer.IsOwnAnswer(prompt, 1, false) {
+			return nil
+		}
+		if time.Now().After(limit) {
+			return fmt.Errorf("no answer within %s: %v %w", answerPatience, answer, err)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(pollPeriod):
+		}
+	}
+}
--- a/internal/harness/ctl.go
+++ b/internal/harness/ctl.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"os"
 	"os/exec"
@@ -40,3 +41,17 @@
 	}
 	return flags
 }
+
+// CreateKey creates a key for an organisation and returns its secret.
+func (f *Fleet) CreateKey(ctx context.Context, organisation string) (string, error) {
+	args := append([]string{"key", "create", organisation, "--output=json"}, f.OperatorFlags()...)
+	out, err := f.Ctl(ctx, "", args...)
+	if err != nil {
+		return "", err
+	}
+	var created struct{ Secret string }
+	if err := json.Unmarshal([]byte(out), &created); err != nil {
+		return "", fmt.Errorf("key create: %w", err)
+	}
+	return created.Secret, nil
+}
--- a/internal/harness/usage.go
+++ b/internal/harness/usage.go
@@ -17,6 +17,9 @@
 	CPU time.Duration
 	// ResidentBytes is the memory that the process holds now.
 	ResidentBytes int64
+	// IOBytes is all that the process has read and written: sockets, its log
+	// and its settings.
+	IOBytes int64
 }
 
 // Usage reads the process's processor time and memory.
@@ -41,7 +44,32 @@
 	if err != nil {
 		return Usage{}, err
 	}
-	return Usage{CPU: cpu, ResidentBytes: pages * int64(os.Getpagesize())}, nil
+	io, err := os.ReadFile(fmt.Sprintf("/proc/%d/io", p.PID()))
+	if err != nil {
+		return Usage{}, err
+	}
+	moved, err := ioBytes(string(io))
+	if err != nil {
+		return Usage{}, err
+	}
+	return Usage{CPU: cpu, ResidentBytes: pages * int64(os.Getpagesize()), IOBytes: moved}, nil
+}
+
+// ioBytes adds what went through read and write calls, sockets included.
+func ioBytes(text string) (int64, error) {
+	var sum int64
+	for line := range strings.Lines(text) {
+		name, value, _ := strings.Cut(line, ": ")
+		if name != "rchar" && name != "wchar" {
+			continue
+		}
+		n, err := strconv.ParseInt(strings.TrimSpace(value), 10, 64)
+		if err != nil {
+			return 0, err
+		}
+		sum += n
+	}
+	return sum, nil
 }
 
 // cpuTime adds user and system time: fields 14 and 15 of the line, which are
