--- a/internal/coordination/journal/harness_test.go
+++ b/internal/coordination/journal/harness_test.go
@@ -35,6 +35,55 @@
 	platform.Log
 	mu    sync.Mutex
 	fault memlog.FaultFunc
+	// hook and readHook meet one append, or one page, and are then removed.
+	hook     appendHook
+	readHook readHook
+}
+
+// appendHook returns what to do instead of an append, if it wants that one.
+type appendHook func(stream string, payload []byte) (do func() error, hit bool)
+
+// readHook returns the page to deliver, and what happens before.
+type readHook func(page platform.Page) (changed platform.Page, do func() error, hit bool)
+
+func (l *link) setHook(hook appendHook) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hook = hook
+}
+
+func (l *link) setReadHook(hook readHook) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.readHook = hook
+}
+
+// struckAppend takes the hook if it wants an append.
+func (l *link) struckAppend(stream string, payload []byte) (func() error, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.hook == nil {
+		return nil, false
+	}
+	do, hit := l.hook(stream, payload)
+	if hit {
+		l.hook = nil
+	}
+	return do, hit
+}
+
+// struckRead takes the hook if it wants a page.
+func (l *link) struckRead(page platform.Page) (platform.Page, func() error, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.readHook == nil {
+		return page, nil, false
+	}
+	changed, do, hit := l.readHook(page)
+	if hit {
+		l.readHook = nil
+	}
+	return changed, do, hit
 }
 
 func (l *link) set(fault memlog.FaultFunc) {
@@ -54,6 +103,9 @@
 }
 
 func (l *link) Append(ctx context.Context, stream string, payload []byte) (protocol.Offset, error) {
+	if do, hit := l.struckAppend(stream, payload); hit {
+		return protocol.NoOffset, do()
+	}
 	switch l.decide("append", stream, payload) {
 	case memlog.Down:
 		return protocol.NoOffset, platform.ErrUnavailable
@@ -72,7 +124,14 @@
 func (l *link) Read(ctx context.Context, stream string, from protocol.Offset, limit int, wait time.Duration) (platform.Page, error) {
 	switch l.decide("read", stream, nil) {
 	case memlog.None:
-		return l.Log.Read(ctx, stream, from, limit, wait)
+		page, err := l.Log.Read(ctx, stream, from, limit, wait)
+		if stream != protocol.ControlStream {
+			return page, err
+		}
+		if changed, do, hit := l.struckRead(page); hit {
+			return changed, do()
+		}
+		return page, err
 	case memlog.Hang:
 		<-ctx.Done()
 	}
--- a/internal/coordination/journal/heartbeats_test.go
+++ b/internal/coordination/journal/heartbeats_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"merlintiller/internal/coordination/member"
+	"merlintiller/internal/platform"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/standin/memlog"
 )
@@ -63,7 +64,7 @@
 }
 
 // startPeer runs an instance that exchanges heartbeats.
-func startPeer(t *testing.T, log *memlog.Log, network *network, name string, domain protocol.Domain, adjust ...func(*Options)) *node {
+func startPeer(t *testing.T, log platform.Log, network *network, name string, domain protocol.Domain, adjust ...func(*Options)) *node {
 	t.Helper()
 	address := name + ":7000"
 	heartbeats := member.NewHeartbeats(member.Options{
--- a/internal/coordination/journal/reader.go
+++ b/internal/coordination/journal/reader.go
@@ -77,30 +77,45 @@
 }
 
 // applyPage applies the entries of a page. It fails if an entry is missing
-// among them.
+// among them; entries delivered again are passed over.
 func (r *reader) applyPage(page platform.Page, from protocol.Offset) error {
 	if len(page.Entries) == 0 {
 		return nil
 	}
-	frames := make([]*protocol.Frame, len(page.Entries))
-	for i, entry := range page.Entries {
-		if entry.Offset != from+protocol.Offset(i) {
-			return errMissing
+	frames, err := r.decode(page.Entries, from)
+	if err != nil {
+		return err
+	}
+	results := r.replay(from, frames)
+	counters.Add(countEntries, int64(len(frames)))
+	r.publish()
+	r.conclude(results)
+	r.announce()
+	return nil
+}
+
+// decode decodes the entries from an offset on; one that does not decode gives
+// nil.
+func (r *reader) decode(entries []platform.Entry, from protocol.Offset) ([]*protocol.Frame, error) {
+	frames := make([]*protocol.Frame, 0, len(entries))
+	for _, entry := range entries {
+		next := from + protocol.Offset(len(frames))
+		if entry.Offset < next {
+			continue
+		}
+		if entry.Offset > next {
+			return nil, errMissing
 		}
 		frame, err := protocol.DecodeFrame(entry.Payload)
 		if err != nil {
 			counters.Add(countMalformed, 1)
 			r.event("entry_malformed", "offset", entry.Offset, "err", err)
+			frames = append(frames, nil)
 			continue
 		}
-		frames[i] = &frame
+		frames = append(frames, &frame)
 	}
-	results := r.replay(from, frames)
-	counters.Add(countEntries, int64(len(frames)))
-	r.publish()
-	r.conclude(results)
-	r.announce()
-	return nil
+	return frames, nil
 }
 
 // result is the verdict on one record that this instance may care about.
