--- a/internal/coordination/journal/errors.go
+++ b/internal/coordination/journal/errors.go
@@ -34,8 +34,11 @@
 	errStale      = errors.New("snapshot is not ahead of the replayed state")
 )
 
-// errShrunk: the log says that it holds less than was read from it. Nothing
-// that was agreed may be undone, so the reader waits for an operator.
+// errShrunk: the log says that it holds less than was read from it, and will
+// give the lost offsets out again. An instance that followed would take new
+// records for the continuation of what it had replayed, and would disagree with
+// those that start afresh. So the reader stops for good; an operator has to
+// restart the instances once it is clear which log is right.
 func errShrunk(from, next protocol.Offset) error {
 	return fmt.Errorf("control stream ends at %d although %d was read: the log lost entries", next, from-1)
 }
--- /dev/null
+++ b/internal/coordination/journal/gap_test.go
@@ -0,0 +1,310 @@
+package journal
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/coordination"
+	"merlintiller/internal/platform"
+	"merlintiller/internal/protocol"
+	"merlintiller/internal/standin/memlog"
+	"merlintiller/internal/state/replica"
+)
+
+func nextOf(t *testing.T, log platform.Log, stream string) protocol.Offset {
+	page, err := log.Read(t.Context(), stream, 1<<40, 1, 0)
+	require.NoError(t, err)
+	return page.Next
+}
+
+// A new instance finds a control stream whose first entries have left
+// retention, no snapshot and no peer. If it began at the oldest kept entry, it
+// would not know the keys and would run finished items again.
+func TestStartWithoutTheBeginningIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := memlog.New(memlog.Options{})
+		a := startNode(t, log, "a")
+		a.ready()
+		a.kill()
+		log.Trim(protocol.ControlStream, 1)
+		b := startNode(t, log, "b")
+		pass(time.Minute)
+		require.False(t, b.isLoaded())
+		require.Contains(t, b.Trouble(), "the control stream begins at 1 and there is no snapshot")
+		require.Equal(t, protocol.NotRun, b.Submit(t.Context(), claim("r", protocol.NoOffset)).Run)
+	})
+}
+
+// A new instance starts long after the first entries have left retention. The
+// state it needs is larger than one log entry.
+func TestStartFromTheSnapshotStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := memlog.New(memlog.Options{})
+		a := startNode(t, log, "a", func(o *Options) { o.Timings.SnapshotEvery = 50 })
+		a.ready()
+		a.put(change("1", protocol.NoOffset, bigOrganisations()...))
+		for i := range 60 {
+			a.put(claim(protocol.Resource(fmt.Sprint("r", i)), protocol.NoOffset))
+		}
+		await(t, 30*time.Second, "a snapshot in several chunks", func() bool { return nextOf(t, log, protocol.SnapshotStream) >= 3 })
+		data, err := a.newestSnapshot(t.Context())
+		require.NoError(t, err)
+		covered, err := replica.Restore(data)
+		require.NoError(t, err)
+		log.Trim(protocol.ControlStream, covered.Applied()+1)
+		b := startNode(t, log, "b")
+		b.ready()
+		require.Len(t, b.Fleet().Organisations, 2500)
+		require.Equal(t, protocol.AlreadyHeld, b.put(claim("r59", protocol.NoOffset)))
+	})
+}
+
+// bigOrganisations take more than one log entry in a snapshot and less than
+// one in a change.
+func bigOrganisations() []protocol.FleetObject {
+	var objects []protocol.FleetObject
+	for i := range 2500 {
+		object := organisation(protocol.OrganisationID(fmt.Sprint("organisation-", i)), 1)
+		object.Organisation.Name = string(bytes.Repeat([]byte("n"), 350))
+		objects = append(objects, object)
+	}
+	return objects
+}
+
+// The newest snapshot is damaged, or its writer died before its manifest. An
+// instance that used it would start with a torn state.
+func TestDamagedSnapshotIsPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := memlog.New(memlog.Options{})
+		a := startNode(t, log, "a")
+		a.ready()
+		applied, data, err := a.Snapshot()
+		require.NoError(t, err)
+		require.NoError(t, a.appendSnapshot(t.Context(), applied, data))
+
+		chunk, err := a.appendSnapshotEntry(t.Context(), snapshotEntry{Chunk: data[:len(data)/2]})
+		require.NoError(t, err)
+		for _, manifest := range []snapshotManifest{
+			{Applied: 999, Chunks: []protocol.Offset{chunk}, Bytes: len(data), Sum: 1},
+			{Applied: 999, Chunks: []protocol.Offset{chunk}, Bytes: len(data) / 2, Sum: 1},
+			{Applied: 999, Chunks: []protocol.Offset{77777}, Bytes: 5, Sum: 1},
+			{Applied: 999, Chunks: []protocol.Offset{chunk}, Bytes: -1},
+		} {
+			_, err := a.appendSnapshotEntry(t.Context(), snapshotEntry{Manifest: &manifest})
+			require.NoError(t, err)
+		}
+		_, err = log.Append(t.Context(), protocol.SnapshotStream, []byte{0xff})
+		require.NoError(t, err)
+		found, err := a.newestSnapshot(t.Context())
+		require.NoError(t, err)
+		require.Equal(t, data, found)
+	})
+}
+
+// An instance is cut off so long that the entries it needs are gone, with a
+// record of its own among them. It must not tell its submitter that the record
+// did not run, and must go on from a peer's state.
+func TestRecordInAGapMayHaveRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, network := memlog.New(memlog.Options{}), newNetwork()
+		a := startPeer(t, log, network, "a", "pnw-sea")
+		b := startPeer(t, log, network, "b", "pnw-sea")
+		a.ready()
+		b.ready()
+		network.setCut("a:7000", true)
+		reads := func(operation, _ string, _ []byte) memlog.Fault {
+			if operation == "read" {
+				return memlog.Down
+			}
+			return memlog.None
+		}
+		a.link.set(reads)
+		// The read that was under way still brings entries.
+		pass(1500 * time.Millisecond)
+		outcome := make(chan coordination.Outcome, 1)
+		go func() { outcome <- a.Submit(t.Context(), claim("r", protocol.NoOffset)) }()
+		await(t, 5*time.Second, "the claim at b", func() bool { return holdsNamed(b, "r") })
+		pass(time.Minute)
+		log.Trim(protocol.ControlStream, nextOf(t, log, protocol.ControlStream))
+		network.setCut("a:7000", false)
+		a.link.set(nil)
+		got := <-outcome
+		require.Equal(t, protocol.MayHaveRun, got.Run)
+		require.ErrorIs(t, got.Err, ErrGap)
+		a.ready()
+		require.Equal(t, a.Applied(), b.Applied())
+	})
+}
+
+func holdsNamed(n *node, resource protocol.Resource) bool {
+	found := false
+	n.View(func(s *replica.State) { _, _, found = s.Leases.Holder(resource) })
+	return found
+}
+
+// The platform loses the end of its log and gives offsets out again. What an
+// instance has replayed can't be taken back, so it stops following instead of
+// letting configuration go back, and says so.
+func TestShrunkLogIsNotFollowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		old, fresh := memlog.New(memlog.Options{}), memlog.New(memlog.Options{})
+		a := startNode(t, old, "a")
+		a.ready()
+		a.put(change("1", protocol.NoOffset, organisation("o", 1)))
+		version := a.Fleet().Version
+		a.link.replace(fresh)
+		pass(10 * time.Minute)
+		require.False(t, a.LogUp())
+		require.False(t, a.MayHold())
+		require.Equal(t, version, a.Fleet().Version)
+		require.Contains(t, a.Trouble(), "the log lost entries")
+	})
+}
+
+// A faulty writer appends bytes that are no frame. All readers must pass over
+// them alike and go on.
+func TestMalformedEntryStopsNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := memlog.New(memlog.Options{})
+		a, b := startNode(t, log, "a"), startNode(t, log, "b")
+		a.ready()
+		b.ready()
+		_, err := log.Append(t.Context(), protocol.ControlStream, []byte("no frame"))
+		require.NoError(t, err)
+		require.Equal(t, protocol.Accepted, a.put(claim("r", protocol.NoOffset)))
+		await(t, time.Second, "the claim at b", func() bool { return holdsNamed(b, "r") })
+	})
+}
+
+// An instance is paused for ten minutes, and a key is withdrawn meanwhile. Woken
+// with requests waiting, it must not let them in by the keys of before.
+func TestPausedInstanceIsNotCurrentWhenItWakes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := memlog.New(memlog.Options{})
+		a, b := startNode(t, log, "a"), startNode(t, log, "b")
+		a.ready()
+		b.ready()
+		require.Equal(t, protocol.Accepted, b.put(change("1", protocol.NoOffset, organisation("o", 1), keyOf("k", "o", "1"))))
+		pass(time.Second)
+		require.True(t, a.Current())
+		a.link.pause(10 * time.Minute)
+		pass(5 * time.Second)
+		require.Equal(t, protocol.Accepted, b.put(protocol.Record{KeyWithdraw: &protocol.KeyWithdraw{Key: "k"}}))
+		pass(10*time.Minute - 6*time.Second)
+		require.True(t, a.KeyActive("k"), "the paused instance can't know yet")
+		require.False(t, a.Current())
+		await(t, 5*time.Second, "current again", a.Current)
+		require.False(t, a.KeyActive("k"))
+	})
+}
+
+// An instance that is cut off from the log for long goes on serving what it
+// knows.
+func TestCutOffInstanceStaysCurrent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, fault := range []memlog.Fault{memlog.Down, memlog.Hang} {
+			a := startNode(t, memlog.New(memlog.Options{}), "a")
+			a.ready()
+			a.link.set(func(string, string, []byte) memlog.Fault { return fault })
+			for range 120 {
+				pass(500 * time.Millisecond)
+				require.True(t, a.Current())
+			}
+			a.kill()
+		}
+	})
+}
+
+// The operator's tool loses the answer and sends its change again through
+// another instance. It must learn that the change was accepted, not that it
+// lost to itself.
+func TestResentChangeIsRecognised(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := memlog.New(memlog.Options{})
+		a, b := startNode(t, log, "a"), startNode(t, log, "b")
+		a.ready()
+		b.ready()
+		rec := change("1", protocol.NoOffset, organisation("o", 1))
+		require.Equal(t, protocol.Accepted, a.put(rec))
+		require.Equal(t, protocol.Duplicate, b.put(rec))
+		b.View(func(s *replica.State) {
+			version, ok := s.Fleet.VersionOf("1")
+			require.True(t, ok)
+			require.Equal(t, a.Fleet().Version, version)
+		})
+	})
+}
+
+// The platform throttles appends while many submitters wait. All of them must
+// be served in time by few appends, or batch work would stand still.
+func TestManySubmittersShareFewAppends(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := memlog.New(memlog.Options{AppendsPerSecond: 10})
+		a := startNode(t, log, "a")
+		a.ready()
+		before := log.Appends()
+		outcomes := make(chan coordination.Outcome, 2000)
+		for i := range cap(outcomes) {
+			go func() {
+				outcomes <- a.Submit(t.Context(), claim(protocol.Resource(fmt.Sprint("r", i)), protocol.NoOffset))
+			}()
+		}
+		for range cap(outcomes) {
+			require.True(t, (<-outcomes).Accepted())
+		}
+		require.Less(t, log.Appends()-before, int64(20))
+	})
+}
+
+// A record that fits into no log entry is refused as not run, and the records
+// that wait behind it are not held up.
+func TestOversizedRecordIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := startNode(t, memlog.New(memlog.Options{}), "a")
+		a.ready()
+		huge := claim(protocol.Resource(bytes.Repeat([]byte("r"), protocol.MaxEntryBytes)), protocol.NoOffset)
+		outcome := a.Submit(t.Context(), huge)
+		require.Equal(t, protocol.NotRun, outcome.Run)
+		require.ErrorIs(t, outcome.Err, protocol.ErrFrameTooLarge)
+		require.Equal(t, protocol.Accepted, a.put(claim("r", protocol.NoOffset)))
+	})
+}
+
+// A graceful shutdown closes the session, so that others take over at once
+// instead of after its expiry.
+func TestCloseFreesWhatTheInstanceHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := memlog.New(memlog.Options{})
+		a, b := startNode(t, log, "a"), startNode(t, log, "b")
+		a.ready()
+		b.ready()
+		a.put(claim("r", protocol.NoOffset))
+		require.NoError(t, a.Close(t.Context()))
+		await(t, time.Second, "free at b", func() bool { return !holdsNamed(b, "r") })
+		require.Zero(t, a.Session())
+		pass(time.Minute)
+		require.Zero(t, a.Session(), "a session was opened again")
+	})
+}
+
+func FuzzSnapshotEntry(f *testing.F) {
+	seed, _ := protocol.Marshal(snapshotEntry{Manifest: &snapshotManifest{Chunks: []protocol.Offset{1}, Bytes: 5}})
+	f.Add(seed)
+	f.Add([]byte{0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		entry := decodeSnapshotEntry(data)
+		log := memlog.New(memlog.Options{})
+		_, err := log.Append(t.Context(), protocol.SnapshotStream, data)
+		require.NoError(t, err)
+		found, err := New(Options{Log: log}).newestSnapshot(t.Context())
+		if err == nil {
+			require.NotNil(t, entry.Manifest)
+			require.Len(t, found, entry.Manifest.Bytes)
+		}
+	})
+}
--- a/internal/coordination/journal/harness_test.go
+++ b/internal/coordination/journal/harness_test.go
@@ -92,6 +92,19 @@
 	l.fault = fault
 }
 
+// replace puts another log in the place of the present one.
+func (l *link) replace(log platform.Log) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Log = log
+}
+
+func (l *link) log() platform.Log {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.Log
+}
+
 func (l *link) decide(operation, stream string, payload []byte) memlog.Fault {
 	l.mu.Lock()
 	fault := l.fault
@@ -115,16 +128,16 @@
 		<-ctx.Done()
 		return protocol.NoOffset, platform.ErrUnavailable
 	case memlog.LoseAnswer:
-		_, _ = l.Log.Append(ctx, stream, payload)
+		_, _ = l.log().Append(ctx, stream, payload)
 		return protocol.NoOffset, platform.ErrUnavailable
 	}
-	return l.Log.Append(ctx, stream, payload)
+	return l.log().Append(ctx, stream, payload)
 }
 
 func (l *link) Read(ctx context.Context, stream string, from protocol.Offset, limit int, wait time.Duration) (platform.Page, error) {
 	switch l.decide("read", stream, nil) {
 	case memlog.None:
-		page, err := l.Log.Read(ctx, stream, from, limit, wait)
+		page, err := l.log().Read(ctx, stream, from, limit, wait)
 		if stream != protocol.ControlStream {
 			return page, err
 		}
--- a/internal/coordination/journal/load.go
+++ b/internal/coordination/journal/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/gravitational/trace"
 
@@ -36,6 +37,7 @@
 	r.mu.Unlock()
 	r.backoff.reset()
 	r.status.set("")
+	r.progress.finished(time.Now())
 	r.publish()
 	close(r.status.loaded)
 	r.announce()
@@ -97,10 +99,11 @@
 // oldest kept entry would silently lack what it missed, and would disagree
 // with the others from there on.
 func (r *reader) repair(ctx context.Context, from, oldest protocol.Offset) error {
-	counters.Add(countGaps, 1)
 	r.progress.behind()
-	r.status.set(fmt.Sprintf("control stream has a gap from %d to %d", from, oldest))
-	r.event("control_gap", "from", from, "oldest", oldest)
+	if r.status.set(fmt.Sprintf("control stream has a gap from %d to %d", from, oldest)) {
+		counters.Add(countGaps, 1)
+		r.event("control_gap", "from", from, "oldest", oldest)
+	}
 	state, err := r.fromPeer(ctx)
 	if err == nil && state.Applied()+1 >= oldest {
 		if err = r.install(state); err == nil {
--- a/internal/coordination/journal/options.go
+++ b/internal/coordination/journal/options.go
@@ -38,6 +38,10 @@
 	// platform takes several hundred appends a second from all instances: 12
 	// instances at 20 ms stay at 600 when all are busy at once.
 	FrameSpacing time.Duration
+	// ReadSpacing is the least time between two reads that brought entries, 0
+	// by default. With hundreds of instances it lets entries gather into fewer
+	// reads, at the price of as much delay.
+	ReadSpacing time.Duration
 	// BackoffBase and BackoffMax bound the wait before a retry.
 	BackoffBase time.Duration
 	BackoffMax  time.Duration
--- a/internal/coordination/journal/reader.go
+++ b/internal/coordination/journal/reader.go
@@ -14,6 +14,8 @@
 type reader struct {
 	*Journal
 	backoff *backoff
+	// shrunk is set for good when the log was found to have lost entries.
+	shrunk error
 }
 
 // String names the service.
@@ -40,6 +42,9 @@
 	asked := time.Now()
 	from := r.Applied() + 1
 	page, err := r.read(ctx, from)
+	if err != nil {
+		r.progress.finished(asked)
+	}
 	if errors.Is(err, platform.ErrTrimmed) {
 		return r.repair(ctx, from, page.Oldest)
 	}
@@ -47,7 +52,11 @@
 		return err
 	}
 	if page.Next < from {
-		return errShrunk(from, page.Next)
+		r.shrunk = errShrunk(from, page.Next)
+		r.status.set(r.shrunk.Error())
+	}
+	if r.shrunk != nil {
+		return r.shrunk
 	}
 	if err := r.applyPage(page, from); err != nil {
 		return r.repair(ctx, from, page.Oldest)
@@ -57,6 +66,10 @@
 		return nil
 	}
 	r.progress.atEnd(asked, time.Now(), r.timings.DownAfter)
+	r.progress.finished(asked)
+	if len(page.Entries) > 0 && r.timings.ReadSpacing > 0 {
+		pause(ctx, r.timings.ReadSpacing, nil)
+	}
 	return nil
 }
 
--- a/internal/coordination/journal/snapshotter.go
+++ b/internal/coordination/journal/snapshotter.go
@@ -81,12 +81,8 @@
 
 // Snapshot encodes the replayed state, for the snapshot stream and for peers.
 func (j *Journal) Snapshot() (protocol.Offset, []byte, error) {
-	var applied protocol.Offset
-	var data []byte
-	var err error
-	j.View(func(s *replica.State) {
-		applied = s.Applied()
-		data, err = s.Snapshot()
-	})
-	return applied, data, err
+	var capture *replica.Capture
+	j.View(func(s *replica.State) { capture = s.Capture() })
+	data, err := capture.Encode()
+	return capture.Applied(), data, err
 }
--- a/internal/coordination/journal/status.go
+++ b/internal/coordination/journal/status.go
@@ -37,6 +37,21 @@
 	asked, answered time.Time
 	// since is when the present run of such reads began.
 	since time.Time
+	// tried is when the latest read began that reached the end or failed.
+	tried time.Time
+}
+
+// finished notes that a read which began at a time reached the end or failed.
+func (p *progress) finished(asked time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tried = asked
+}
+
+func (p *progress) current(now time.Time, longest time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.tried) < longest
 }
 
 // atEnd notes a read that reached the end of the stream. After a pause of the
--- a/internal/state/fleet/fleet.go
+++ b/internal/state/fleet/fleet.go
@@ -136,6 +136,9 @@
 	if body.Key == "" {
 		return protocol.Malformed
 	}
+	if t.fleet.Keys[body.Key].Withdrawn {
+		return protocol.Accepted
+	}
 	t.fleet = Withdraw(t.fleet, body.Key)
 	t.fleet.Version = at
 	t.remember(Change{
--- a/internal/state/replica/snapshot.go
+++ b/internal/state/replica/snapshot.go
@@ -25,9 +25,15 @@
 	Once     once.Snapshot    `cbor:"7,keyasint"`
 }
 
-// Snapshot encodes the whole state. Equal states give equal bytes.
-func (s *State) Snapshot() ([]byte, error) {
-	return protocol.Marshal(snapshot{
+// Capture is a copy of the state that is encoded later, so that readers of the
+// state don't have to wait for the encoding.
+type Capture struct {
+	content snapshot
+}
+
+// Capture copies the state.
+func (s *State) Capture() *Capture {
+	return &Capture{content: snapshot{
 		Format:   snapshotFormat,
 		Applied:  s.applied,
 		Sessions: s.Sessions.Snapshot(),
@@ -35,9 +41,18 @@
 		Fleet:    s.Fleet.Snapshot(),
 		Ledger:   s.Ledger.Snapshot(),
 		Once:     s.Once.Snapshot(),
-	})
+	}}
 }
 
+// Applied is the offset of the last entry that the copy covers.
+func (c *Capture) Applied() protocol.Offset { return c.content.Applied }
+
+// Encode gives the bytes that Restore reads. Equal states give equal bytes.
+func (c *Capture) Encode() ([]byte, error) { return protocol.Marshal(c.content) }
+
+// Snapshot copies and encodes the whole state.
+func (s *State) Snapshot() ([]byte, error) { return s.Capture().Encode() }
+
 // Restore makes the state that a snapshot was taken of. Its error wraps
 // protocol.ErrMalformed.
 func Restore(data []byte) (*State, error) {
