Configuration keeps its pointer while its content stays

Readers index keys once for each pointer. While a withdrawal waited for the log, every applied page gave a new copy, so every page cost an index of all keys. DownAfter now follows PollWait, so a longer poll can't make an idle log look down.

--- a/internal/coordination/journal/heartbeats_test.go
+++ b/internal/coordination/journal/heartbeats_test.go
@@ -148,7 +148,7 @@
 		c := startPeer(t, log, network, "c", "pnw-spk")
 		c.ready()
 		require.True(t, c.Fleet().Keys["k"].Withdrawn)
-		a.put(change("2", a.Fleet().Version, keyOf("k", "o", "1")))
+		require.Equal(t, protocol.Accepted, a.put(change("2", a.Fleet().Version, keyOf("k", "o", "1"))))
 		require.False(t, a.KeyActive("k"), "a later change revived the key")
 	})
 }
@@ -217,3 +217,26 @@
 		require.NoError(t, a.heartbeats.Call(t.Context(), "b", member.MethodHeartbeat, &member.Beat{}, &member.Beat{}))
 	})
 }
+
+// Readers index the keys once for each configuration they are given. If every
+// renewal in the stream gave a new one, a withdrawal that waits for the log
+// would make each request pay for an index of all keys.
+func TestFleetChangesItsPointerOnlyWithItsContent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := memlog.New(memlog.Options{})
+		a := startNode(t, log, "a")
+		a.ready()
+		require.Equal(t, protocol.Accepted, a.put(change("1", protocol.NoOffset, organisation("o", 1), keyOf("k", "o", "1"))))
+		log.SetFault(appendsDown)
+		before := a.Fleet()
+		a.WithdrawLocally("k", "op")
+		during := a.Fleet()
+		require.NotSame(t, before, during)
+		require.False(t, before.Keys["k"].Withdrawn, "a configuration that was handed out changed")
+		pass(5 * time.Second)
+		require.Same(t, during, a.Fleet())
+		log.SetFault(nil)
+		await(t, 15*time.Second, "withdrawal in the log", func() bool { return len(a.Tombstones()) == 0 })
+		require.True(t, a.Fleet().Keys["k"].Withdrawn)
+	})
+}
--- a/internal/coordination/journal/journal.go
+++ b/internal/coordination/journal/journal.go
@@ -35,10 +35,12 @@
 
 	// fleet is the replayed configuration with the locally withdrawn keys.
 	fleet atomic.Pointer[protocol.Fleet]
-	// soft holds keys that were withdrawn without the log; fleetMu orders its
-	// changes with those of fleet.
-	fleetMu sync.Mutex
-	soft    *member.Tombstones
+	// published is the replayed configuration that fleet was made of, and soft
+	// the keys that were withdrawn without the log. fleetMu orders the changes
+	// of all three.
+	fleetMu   sync.Mutex
+	published *protocol.Fleet
+	soft      *member.Tombstones
 
 	// pending guards waiting, renewals and the phases of submissions.
 	pending sync.Mutex
@@ -80,7 +82,8 @@
 		wake:        make(chan struct{}, 1),
 	}
 	j.status.loaded = make(chan struct{})
-	j.fleet.Store(j.state.Fleet.Fleet())
+	j.published = j.state.Fleet.Fleet()
+	j.fleet.Store(j.published)
 	return j
 }
 
--- a/internal/coordination/journal/options.go
+++ b/internal/coordination/journal/options.go
@@ -32,7 +32,7 @@
 	AppendTimeout time.Duration
 	ReadTimeout   time.Duration
 	// DownAfter is how long the end of the stream may stay unread until the
-	// log counts as down. It must exceed PollWait.
+	// log counts as down. It must exceed PollWait, and is 2 s more by default.
 	DownAfter time.Duration
 	// FrameSpacing is the least time between two appends of the writer. The
 	// platform takes several hundred appends a second from all instances: 12
@@ -58,6 +58,10 @@
 	Tick time.Duration
 }
 
+// downMargin is what a read may take beyond its wait before the log counts as
+// down. One lost answer with its retry fits into it.
+const downMargin = 2 * time.Second
+
 // DefaultTimings returns the defaults.
 func DefaultTimings() Timings {
 	return Timings{
@@ -65,7 +69,7 @@
 		PollWait:      time.Second,
 		AppendTimeout: 2 * time.Second,
 		ReadTimeout:   2 * time.Second,
-		DownAfter:     3 * time.Second,
+		DownAfter:     time.Second + downMargin,
 		FrameSpacing:  20 * time.Millisecond,
 		BackoffBase:   50 * time.Millisecond,
 		BackoffMax:    2 * time.Second,
@@ -90,7 +94,7 @@
 	orDefault(&t.PollWait, d.PollWait)
 	orDefault(&t.AppendTimeout, d.AppendTimeout)
 	orDefault(&t.ReadTimeout, d.ReadTimeout)
-	orDefault(&t.DownAfter, d.DownAfter)
+	orDefault(&t.DownAfter, t.PollWait+downMargin)
 	orDefault(&t.FrameSpacing, d.FrameSpacing)
 	orDefault(&t.BackoffBase, d.BackoffBase)
 	orDefault(&t.BackoffMax, d.BackoffMax)
--- a/internal/coordination/journal/publish.go
+++ b/internal/coordination/journal/publish.go
@@ -6,19 +6,28 @@
 )
 
 // publish makes the replayed configuration, with the locally withdrawn keys,
-// the one that Fleet returns. It never goes back to an older version.
+// the one that Fleet returns. It never goes back to an older version, and gives
+// a new pointer only if something changed, since readers index a configuration
+// once for each pointer.
 func (j *Journal) publish() {
 	j.fleetMu.Lock()
 	defer j.fleetMu.Unlock()
 	j.mu.RLock()
 	replayed := j.state.Fleet.Fleet()
 	j.mu.RUnlock()
-	if replayed.Version < j.fleet.Load().Version {
+	if replayed == j.published || replayed.Version < j.fleet.Load().Version {
 		return
 	}
-	next := replayed
+	j.published = replayed
+	j.overlay()
+}
+
+// overlay withdraws the local keys in the replayed configuration. The caller
+// holds j.fleetMu.
+func (j *Journal) overlay() {
+	next := j.published
 	for _, tombstone := range j.soft.All() {
-		if replayed.Keys[tombstone.Key].Withdrawn {
+		if j.published.Keys[tombstone.Key].Withdrawn {
 			j.soft.Forget(tombstone.Key)
 			continue
 		}
@@ -47,10 +56,13 @@
 			j.event("key_withdrawn_locally", "key", tombstone.Key, "operator", tombstone.Operator)
 		}
 	}
-	if news {
-		j.publish()
-		j.announce()
+	if !news {
+		return
 	}
+	j.fleetMu.Lock()
+	j.overlay()
+	j.fleetMu.Unlock()
+	j.announce()
 }
 
 // Tombstones returns the withdrawals that are not yet in the replayed state.
