online: what a failed call says of its target

Cause: a caller with short deadlines or a closed path could get targets ejected. Change: CallResult.Abandoned speaks neither way; platform.ErrPathClosed ends the call as not found. Weighed: counting every failure (a caller could empty a pool); chosen: only failures that the target shows itself, or silence for a quarter of the first-byte timeout.

--- a/internal/coordination/online/call.go
+++ b/internal/coordination/online/call.go
@@ -107,12 +107,18 @@
 	begun := time.Now()
 	answer, err := c.path.opts.Target.Do(attemptCtx, pick.Address, c.message(id))
 	if err != nil {
-		return c.refused(ctx, pick, id, err)
+		return c.refused(ctx, pick, id, begun, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
-	seen := coordination.CallResult{FirstByte: time.Since(begun)}
+	var seen coordination.CallResult
+	if c.req.Stream {
+		// The first byte of a whole answer comes after its last token, so it
+		// says nothing of how fast the target begins.
+		seen.FirstByte = time.Since(begun)
+	}
 	outcome, sound := c.relay(ctx, answer, dog)
 	seen.Failed = !sound
+	seen.Abandoned = sound && outcome != delivered
 	if outcome != delivered {
 		c.path.cancels.offer(pick.Address, id)
 	}
@@ -131,23 +137,50 @@
 }
 
 // refused handles an attempt that brought no answer.
-func (c *call) refused(ctx context.Context, pick coordination.Pick, id protocol.CallID, err error) (ending, coordination.CallResult) {
+func (c *call) refused(ctx context.Context, pick coordination.Pick, id protocol.CallID, begun time.Time, err error) (ending, coordination.CallResult) {
 	run := runOf(err)
 	if run == protocol.MayHaveRun {
 		c.path.cancels.offer(pick.Address, id)
 	}
-	if ctx.Err() != nil {
+	seen := c.judge(ctx, begun, err)
+	switch {
+	case errors.Is(err, platform.ErrPathClosed):
+		c.result.Refusal = pathClosed()
+		return final, seen
+	case ctx.Err() != nil:
 		c.expired(ctx, run)
-		return final, coordination.CallResult{}
-	}
-	if errors.Is(err, platform.ErrCrossed) {
+		return final, seen
+	case errors.Is(err, platform.ErrCrossed):
 		published.Add("crossed", 1)
 	}
 	c.fail(run, "the target gave no answer")
-	leaving := errors.Is(err, platform.ErrLeaving)
-	return again, coordination.CallResult{Failed: !leaving, Leaving: leaving}
+	return again, seen
+}
+
+func pathClosed() *protocol.Refusal {
+	return protocol.Refuse(protocol.CodeNotFound, 0, "the path is not open to callers")
+}
+
+// judge tells what a call without an answer says of its target. A caller that
+// leaves or sets a short deadline must not get targets ejected; a target that
+// showed nothing for a good part of the time it is given should be.
+func (c *call) judge(ctx context.Context, begun time.Time, err error) coordination.CallResult {
+	switch {
+	case errors.Is(err, platform.ErrPathClosed):
+		return coordination.CallResult{Abandoned: true}
+	case errors.Is(err, platform.ErrLeaving):
+		return coordination.CallResult{Leaving: true}
+	case ctx.Err() != nil && time.Since(begun) < c.path.policy.FirstByteTimeout/slowPart:
+		return coordination.CallResult{Abandoned: true}
+	default:
+		return coordination.CallResult{Failed: true}
+	}
 }
 
+// slowPart is the part of FirstByteTimeout after which a target that showed
+// nothing counts as failed, although it was the call that ended first.
+const slowPart = 4
+
 func runOf(err error) protocol.RunState {
 	var failed *platform.CallError
 	if errors.As(err, &failed) {
--- a/internal/coordination/online/oncepath.go
+++ b/internal/coordination/online/oncepath.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -50,6 +51,8 @@
 func (c *call) onceRefusal(ctx context.Context, err error) *protocol.Refusal {
 	run := runOf(err)
 	switch {
+	case errors.Is(err, platform.ErrPathClosed):
+		return pathClosed()
 	case run == protocol.NotRun && errors.Is(err, errNoTarget):
 		return protocol.Refuse(protocol.CodeNoTarget, c.path.policy.RetryAfter, "no target of %q may be used now", c.req.Service)
 	case run == protocol.NotRun:
@@ -91,6 +94,9 @@
 		if err == nil || runOf(err) != protocol.NotRun {
 			return answer, err
 		}
+		if errors.Is(err, platform.ErrPathClosed) {
+			return OnceAnswer{}, err
+		}
 		last = err
 		c.failed = append(c.failed, pick.Target)
 		if !c.mayRetry(ctx) {
@@ -100,10 +106,10 @@
 }
 
 func (c *call) dispatchTo(ctx context.Context, pick coordination.Pick, id protocol.CallID) (OnceAnswer, coordination.CallResult, error) {
+	begun := time.Now()
 	answer, err := c.path.opts.OnceTarget.Do(ctx, pick.Address, c.message(id))
 	if err != nil {
-		leaving := errors.Is(err, platform.ErrLeaving)
-		return OnceAnswer{}, coordination.CallResult{Failed: !leaving, Leaving: leaving}, err
+		return OnceAnswer{}, c.judge(ctx, begun, err), err
 	}
 	defer func() { _ = answer.Body.Close() }()
 	body, err := readWhole(answer.Body, c.path.policy.MaxAnswer)
@@ -111,7 +117,7 @@
 		err = wholeStream(body)
 	}
 	if err != nil {
-		return OnceAnswer{}, coordination.CallResult{Failed: true}, &platform.CallError{Run: protocol.MayHaveRun, Err: err}
+		return OnceAnswer{}, c.judge(ctx, begun, err), &platform.CallError{Run: protocol.MayHaveRun, Err: err}
 	}
 	return OnceAnswer{Status: answer.Status, Header: keptHeader(answer.Header), Body: body}, coordination.CallResult{}, nil
 }
--- a/internal/coordination/ports.go
+++ b/internal/coordination/ports.go
@@ -55,6 +55,9 @@
 	FirstByte time.Duration
 	// Leaving says that the target refused because it is leaving.
 	Leaving bool
+	// Abandoned says that the call ended on this side, because its caller
+	// left or it was revoked. It speaks neither for nor against the target.
+	Abandoned bool
 }
 
 // Router chooses targets.
--- a/internal/coordination/routing/core.go
+++ b/internal/coordination/routing/core.go
@@ -157,6 +157,7 @@
 	t := choice.target
 	c.count(now, t, choice.batch, -1)
 	switch {
+	case result.Abandoned:
 	case result.Leaving:
 		t.saidLeaving = now
 		t.pool.rebuild(now, &c.opts)
--- /dev/null
+++ b/internal/transport/edge/badinput_test.go
@@ -0,0 +1,230 @@
+package edge
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/protocol"
+)
+
+const testPath = "/v1/chat/completions"
+
+func chatBody(question string, stream bool) string {
+	return fmt.Sprintf(`{"model":%q,"stream":%t,"messages":[{"role":"user","content":%q}]}`, testModel, stream, question)
+}
+
+// post sends a body with the test key.
+func (s *system) post(t testing.TB, path, body string, header http.Header) *http.Response {
+	req, err := http.NewRequest(http.MethodPost, s.url+path, strings.NewReader(body))
+	require.NoError(t, err)
+	req.Header = header.Clone()
+	if req.Header == nil {
+		req.Header = http.Header{}
+	}
+	if req.Header.Get("Authorization") == "" {
+		req.Header.Set("Authorization", "Bearer "+testSecret)
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = resp.Body.Close() })
+	return resp
+}
+
+// refusalOf reads the error that a response carries.
+func refusalOf(t testing.TB, resp *http.Response) errorDetail {
+	var body errorBody
+	require.NoError(t, json.NewDecoder(resp.Body).Decode(&body))
+	require.NotEmpty(t, resp.Header.Get("X-Request-Id"))
+	require.Equal(t, string(body.Error.RunState), resp.Header.Get("X-Run-State"))
+	return body.Error
+}
+
+// Callers send what can't be served. Each one is told what is wrong and that
+// nothing ran, and no target sees the request.
+func TestBadRequestsGetClearErrors(t *testing.T) {
+	s := newSystem(t, systemOptions{limits: Limits{MaxBody: 1000, MaxHeaders: 20}})
+	many := http.Header{}
+	for i := range 30 {
+		many.Add("X-Filler", fmt.Sprint(i))
+	}
+	cases := []struct {
+		name, path, body string
+		header           http.Header
+		status           int
+		code             protocol.Code
+		param            string
+	}{
+		{"malformed body", testPath, `{"model":`, nil, 400, protocol.CodeBadRequest, ""},
+		{"not an object", testPath, `[1]`, nil, 400, protocol.CodeBadRequest, ""},
+		{"no model", testPath, `{}`, nil, 400, protocol.CodeBadRequest, "model"},
+		{"unknown model", testPath, `{"model":"x"}`, nil, 404, protocol.CodeUnknownModel, "model"},
+		{"over-long body", testPath, strings.Repeat("x", 1001), nil, 413, protocol.CodeTooLarge, ""},
+		{"wrong key", testPath, chatBody("q", false), http.Header{"Authorization": {"Bearer no"}}, 401, protocol.CodeUnauthorized, ""},
+		{"no bearer", testPath, chatBody("q", false), http.Header{"Authorization": {"Basic no"}}, 401, protocol.CodeUnauthorized, ""},
+		{"many headers", testPath, chatBody("q", false), many, 431, protocol.CodeTooLarge, ""},
+		{"unknown path", "/v1/nothing", "", nil, 404, protocol.CodeNotFound, ""},
+		{"unknown service", "/v1/services/none/a", "", nil, 404, protocol.CodeNotFound, ""},
+		{"engine as plain service", "/v1/services/" + string(testService) + "/orders", "", nil, 404, protocol.CodeNotFound, ""},
+		{"dot segments", "/v1/services/code-lookup/a/%2e%2e/orders", "", nil, 400, protocol.CodeBadRequest, ""},
+		{"control path", "/v1/services/code-lookup/orders", "{}", nil, 404, protocol.CodeNotFound, ""},
+		{"bad deadline", testPath, chatBody("q", false), http.Header{"X-Deadline-Ms": {"-1"}}, 400, protocol.CodeBadRequest, ""},
+		{"bad deadline time", testPath, chatBody("q", false), http.Header{"X-Deadline": {"soon"}}, 400, protocol.CodeBadRequest, ""},
+		{"passed deadline", testPath, chatBody("q", false), http.Header{"X-Deadline": {"2001-01-01T00:00:00Z"}}, 504, protocol.CodeDeadline, ""},
+		{"key in the body", testPath, chatBody(testSecret, false), nil, 400, protocol.CodeBadRequest, ""},
+		{"key in the query", "/v1/services/code-lookup/a?k=%73k-firewater-1", "", nil, 400, protocol.CodeBadRequest, ""},
+		{"key in a passing header", testPath, chatBody("q", false), http.Header{"Traceparent": {testSecret}}, 400, protocol.CodeBadRequest, ""},
+		{"long idempotency key", testPath, chatBody("q", false), http.Header{"Idempotency-Key": {strings.Repeat("k", 300)}}, 400, protocol.CodeBadRequest, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			resp := s.post(t, c.path, c.body, c.header)
+			refusal := refusalOf(t, resp)
+			require.Equal(t, c.status, resp.StatusCode, refusal.Message)
+			require.Equal(t, c.code, refusal.Code)
+			require.Equal(t, protocol.NotRun, refusal.RunState)
+			if c.param != "" {
+				require.Equal(t, c.param, *refusal.Param)
+			}
+			require.NotContains(t, refusal.Message, testSecret)
+		})
+	}
+	for _, standin := range append(s.targets, s.plain) {
+		require.Empty(t, standin.Counted().ByCall)
+	}
+}
+
+// raw opens a connection and sends bytes as they are.
+func (s *system) raw(t testing.TB, text string) net.Conn {
+	conn, err := net.Dial("tcp", s.address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	_, err = io.WriteString(conn, text)
+	require.NoError(t, err)
+	return conn
+}
+
+func rawHeader(extra string) string {
+	return "POST " + testPath + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + testSecret + "\r\n" + extra
+}
+
+// A caller floods the instance with an endless header. It is cut off at the
+// limit and told so.
+func TestHugeHeaderIsRefused(t *testing.T) {
+	s := newSystem(t, systemOptions{limits: Limits{MaxHeaderBytes: 4 << 10}})
+	conn := s.raw(t, rawHeader("X-Long: "+strings.Repeat("x", 16<<10)+"\r\n\r\n"))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, resp.StatusCode)
+}
+
+// A caller sends half a header and then nothing. The connection is closed
+// after the limit; without it such callers take up all connections.
+func TestHalfHeaderIsShed(t *testing.T) {
+	s := newSystem(t, systemOptions{limits: Limits{HeaderTimeout: 20 * time.Millisecond}})
+	conn := s.raw(t, "POST "+testPath+" HTTP/1.1\r\nHost: x\r\n")
+	_, err := io.ReadAll(conn)
+	require.NoError(t, err, "the connection ends")
+}
+
+// A caller sends half a body and then nothing. It is told so after the limit
+// and has held no place at a target.
+func TestHalfBodyIsShed(t *testing.T) {
+	s := newSystem(t, systemOptions{limits: Limits{BodyTimeout: 20 * time.Millisecond}})
+	conn := s.raw(t, rawHeader("Content-Length: 100\r\n\r\n{\"model\":"))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	require.Equal(t, http.StatusRequestTimeout, resp.StatusCode)
+	require.Equal(t, protocol.NotRun, refusalOf(t, resp).RunState)
+	require.Zero(t, s.inFlightAtTargets())
+}
+
+func (s *system) inFlightAtTargets() int {
+	n := 0
+	for _, standin := range s.targets {
+		n += standin.InFlight()
+	}
+	return n
+}
+
+// A caller asks for a long stream and stops reading. Its call must not hold a
+// place at the target: it is cancelled there once a write has waited too long.
+func TestCallerThatStopsReadingIsShed(t *testing.T) {
+	s := newSystem(t, systemOptions{tokens: 1 << 20, limits: Limits{WriteTimeout: 50 * time.Millisecond}})
+	conn := s.raw(t, "")
+	require.NoError(t, conn.(*net.TCPConn).SetReadBuffer(4<<10))
+	body := chatBody("q", true)
+	_, err := io.WriteString(conn, rawHeader(fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return s.inFlightAtTargets() == 1 }, waitLong, time.Millisecond)
+	require.Eventually(t, func() bool { return s.inFlightAtTargets() == 0 && s.edge.InFlight() == 0 }, waitLong, time.Millisecond)
+}
+
+// waitLong bounds waits for things that come about by themselves; no verdict
+// depends on how long they take.
+const waitLong = 30 * time.Second
+
+// More connections come than the instance takes. Those beyond the limit are
+// closed at once, the others are served, and a place that gets free is used.
+func TestConnectionsBeyondTheLimitAreShed(t *testing.T) {
+	s := newSystem(t, systemOptions{limits: Limits{MaxConnections: 1}})
+	first := s.raw(t, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+	in := bufio.NewReader(first)
+	resp, err := http.ReadResponse(in, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	second := s.raw(t, "")
+	_, err = io.ReadAll(second)
+	require.NoError(t, err)
+	require.NoError(t, first.Close())
+	require.Eventually(t, func() bool { return s.healthy() }, waitLong, time.Millisecond)
+}
+
+func (s *system) healthy() bool {
+	transport := &http.Transport{DisableKeepAlives: true}
+	req, _ := http.NewRequestWithContext(context.Background(), http.MethodGet, s.url+"/healthz", nil)
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func FuzzEnvelope(f *testing.F) {
+	f.Add([]byte(chatBody("q", true)))
+	f.Add([]byte(`{"model":"m","messages":` + strings.Repeat("[", 100)))
+	f.Add([]byte(`{"model":null}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		asked, err := decodeEnvelope(data)
+		if err != nil {
+			return
+		}
+		require.NotEmpty(t, *asked.Model)
+		asked.prefix()
+	})
+}
+
+func FuzzDeadline(f *testing.F) {
+	f.Add("1500", "")
+	f.Add("", "2026-01-02T03:04:05Z")
+	f.Add("99999999999999999999", "x")
+	now := time.Unix(1_000_000, 0)
+	f.Fuzz(func(t *testing.T, ms, at string) {
+		deadline, err := deadlineOf(http.Header{headerDeadlineMS: {ms}, headerDeadline: {at}}, now)
+		if err == nil && ms != "" {
+			require.True(t, deadline.After(now))
+		}
+	})
+}
--- a/internal/transport/targethttp/client.go
+++ b/internal/transport/targethttp/client.go
@@ -66,7 +66,7 @@
 // Do implements platform.Target.
 func (c *Client) Do(ctx context.Context, address string, call platform.Call) (*platform.Answer, error) {
 	if isControl(call.Path) {
-		return nil, c.failed(protocol.NotRun, errControlPath)
+		return nil, c.failed(protocol.NotRun, platform.ErrPathClosed)
 	}
 	var sent sending
 	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(ctx, sent.trace()))
--- a/internal/transport/targethttp/control.go
+++ b/internal/transport/targethttp/control.go
@@ -26,9 +26,6 @@
 // errStatus is an answer with a status that was not expected.
 var errStatus = errors.New("unexpected status")
 
-// errControlPath is a caller's call to a path that is kept for control.
-var errControlPath = errors.New("the path is not open to callers")
-
 // controlPaths are where a target takes orders and answers about itself.
 var controlPaths = []string{"/orders", "/load", "/cache-events", "/cancel"}
 
