--- a/internal/coordination/routing/target.go
+++ b/internal/coordination/routing/target.go
@@ -87,13 +87,15 @@
 
 const (
 	historyLength = 32
-	// historyStep is the least time between two entries.
+	// historyStep is the least time between two entries: a report is matched
+	// to own calls no finer than this.
 	historyStep = 125 * time.Millisecond
 )
 
 func (h *flightHistory) note(now time.Time, count int) {
 	last := (h.next + historyLength - 1) % historyLength
 	if now.Sub(h.times[last]) < historyStep {
+		h.counts[last] = count
 		return
 	}
 	h.times[h.next] = now
