--- a/internal/coordination/journal/journal.go
+++ b/internal/coordination/journal/journal.go
@@ -35,10 +35,12 @@
 
 	// fleet is the replayed configuration with the locally withdrawn keys.
 	fleet atomic.Pointer[protocol.Fleet]
-	// soft holds keys that were withdrawn without the log; fleetMu orders its
-	// changes with those of fleet.
-	fleetMu sync.Mutex
-	soft    *member.Tombstones
+	// published is the replayed configuration that fleet was made of, and soft
+	// the keys that were withdrawn without the log. fleetMu orders the changes
+	// of all three.
+	fleetMu   sync.Mutex
+	published *protocol.Fleet
+	soft      *member.Tombstones
 
 	// pending guards waiting, renewals and the phases of submissions.
 	pending sync.Mutex
@@ -80,7 +82,8 @@
 		wake:        make(chan struct{}, 1),
 	}
 	j.status.loaded = make(chan struct{})
-	j.fleet.Store(j.state.Fleet.Fleet())
+	j.published = j.state.Fleet.Fleet()
+	j.fleet.Store(j.published)
 	return j
 }
 
@@ -141,6 +144,17 @@
 	return j.isLoaded() && j.progress.up(time.Now(), j.timings.DownAfter)
 }
 
+// Current reports whether the configuration is as new as this instance can have
+// it. An instance that was paused for minutes wakes with requests waiting and
+// the keys of before the pause, and would let in callers whose keys were
+// withdrawn meanwhile. So after a pause it is not current until one read of the
+// log has come to an end. A read that fails counts too: an instance that is cut
+// off goes on serving what it knows.
+func (j *Journal) Current() bool {
+	oneRead := j.timings.PollWait + j.timings.ReadTimeout
+	return j.isLoaded() && j.progress.current(time.Now(), 2*oneRead+j.timings.BackoffMax)
+}
+
 // Loaded returns a channel that is closed once the replayed state is there.
 // Before that the configuration is empty and the instance isn't ready.
 func (j *Journal) Loaded() <-chan struct{} { return j.status.loaded }
