--- a/internal/coordination/batch/options.go
+++ b/internal/coordination/batch/options.go
@@ -43,9 +43,17 @@
 	MaxHeldChunks int
 	// MaxInFlight bounds the items an instance runs at a time. Default 256.
 	MaxInFlight int
-	// LowWater is the number of waiting items at which an instance claims
-	// more. Default 128.
+	// LowWater is the number of waiting items below which an instance claims
+	// more. Default 64.
 	LowWater int
+	// ClaimAhead is the time for which an instance claims work ahead at the
+	// pace at which it starts items. Default 10 s: several times what a claim
+	// takes, also with the log slow. More would save appends and make other
+	// organisations wait longer.
+	ClaimAhead time.Duration
+	// StealAfter is how long an instance that wants work leaves a chunk to the
+	// instance to which it falls. Default 1 s, two plans.
+	StealAfter time.Duration
 	// GiveBackAfter is how long a chunk may be held without a place for any of
 	// its items before it is given back. Default 5 s: longer than targets take
 	// to change their feeder, short beside a session's expiry.
@@ -68,10 +76,12 @@
 	BackoffFirst, BackoffMax time.Duration
 
 	// FlushAfter is the longest a result waits for others to be appended with
-	// it. Default 1 min: results go at once when their chunk is whole, so this
-	// bounds only what a crash makes run again.
+	// it. Default 3 min: at two items a second an instance then appends 360
+	// results together, and a crash makes as many run again. When no chunk of
+	// a job is left to take, its chunks are appended as soon as they are whole.
 	FlushAfter time.Duration
-	// FlushBytes of waiting results are appended at once. Default 512 KiB.
+	// FlushBytes of waiting results are appended at once. Default 896 KiB,
+	// close to the largest log entry.
 	FlushBytes int
 	// BufferBytes bounds the results that wait while the log is down. Default
 	// 8 MiB, an eighth of the memory an instance may use. Beyond it the
@@ -112,17 +122,19 @@
 	orDefault(&o.ReadLag, 300*time.Millisecond)
 	orDefault(&o.RetryAfter, 5*time.Second)
 	orDefault(&o.MaxHeldChunks, 8)
+	orDefault(&o.StealAfter, time.Second)
 	orDefault(&o.GiveBackAfter, 5*time.Second)
 	orDefault(&o.MaxInFlight, 256)
-	orDefault(&o.LowWater, 128)
+	orDefault(&o.LowWater, 64)
+	orDefault(&o.ClaimAhead, 10*time.Second)
 	orDefault(&o.PlanEvery, 500*time.Millisecond)
 	orDefault(&o.UrgentLaxity, 10*time.Minute)
 	orDefault(&o.ItemTime, 10*time.Second)
 	orDefault(&o.MaxAttempts, 5)
 	orDefault(&o.BackoffFirst, time.Second)
 	orDefault(&o.BackoffMax, time.Minute)
-	orDefault(&o.FlushAfter, time.Minute)
-	orDefault(&o.FlushBytes, 512<<10)
+	orDefault(&o.FlushAfter, 3*time.Minute)
+	orDefault(&o.FlushBytes, 896<<10)
 	orDefault(&o.BufferBytes, 8<<20)
 	orDefault(&o.DeadlineMargin, 30*time.Second)
 	orDefault(&o.DrainTimeout, 30*time.Second)
--- a/internal/state/ledger/ledger_test.go
+++ b/internal/state/ledger/ledger_test.go
@@ -109,9 +109,9 @@
 	r := newReplay(t)
 	r.put(first, manifest("a", "", 2))
 	r.put(first, claimOf("a", 0))
-	require.Empty(t, r.Claimable("a", r.open, 0, 10))
+	require.Empty(t, r.Claimable("a", r.open, 0, 9, 10))
 	delete(r.open, first)
-	require.Equal(t, []int{0}, r.Claimable("a", r.open, 0, 10))
+	require.Equal(t, []int{0}, r.Claimable("a", r.open, 0, 9, 10))
 	require.Equal(t, protocol.Accepted, r.put(second, claimOf("a", 0)))
 	require.Equal(t, []ChunkID{{"a", 0}}, r.HeldBy(second))
 }
@@ -124,7 +124,7 @@
 	release := protocol.Record{ChunkRelease: &protocol.ChunkRelease{Job: "a", Chunks: []int{0}}}
 	require.Equal(t, protocol.NotHolder, r.put(second, release))
 	require.Equal(t, protocol.Accepted, r.put(first, release))
-	require.Equal(t, []int{0}, r.Claimable("a", r.open, 0, 10))
+	require.Equal(t, []int{0}, r.Claimable("a", r.open, 0, 9, 10))
 }
 
 // A paused instance wakes up and reports items that another has reported since.
--- a/internal/state/ledger/property_test.go
+++ b/internal/state/ledger/property_test.go
@@ -31,11 +31,15 @@
 		r.ended[rec.JobExpire.Job] = true
 	case rec.ChunkResult != nil:
 		r.result(rec.ChunkResult)
+	case rec.ChunkResults != nil:
+		for i := range rec.ChunkResults.Parts {
+			r.result(&rec.ChunkResults.Parts[i])
+		}
 	}
 }
 
 func (r *reference) result(body *protocol.ChunkResult) {
-	if r.ended[body.Job] {
+	if r.ended[body.Job] || body.Chunk >= drawnChunks {
 		return
 	}
 	items, _ := ParseBitmap(body.Items)
@@ -72,6 +76,11 @@
 		rec = protocol.Record{JobCancel: &protocol.JobCancel{Job: job, Organisation: "cascadia"}}
 	case 5:
 		rec = protocol.Record{JobExpire: &protocol.JobExpire{Job: job}}
+	case 6:
+		rec = grouped(
+			resultOf(string(job), chunk, 1000+at, items, failed),
+			resultOf(string(job), rapid.IntRange(0, drawnChunks).Draw(t, "other"), 1000+at, items, nil),
+		)
 	default:
 		rec = resultOf(string(job), chunk, 1000+at, items, failed)
 	}
@@ -79,6 +88,16 @@
 	return rec
 }
 
+// grouped reports several chunks in one record, of which the last may not
+// exist.
+func grouped(records ...protocol.Record) protocol.Record {
+	body := &protocol.ChunkResults{}
+	for _, rec := range records {
+		body.Parts = append(body.Parts, *rec.ChunkResult)
+	}
+	return protocol.Record{ChunkResults: body}
+}
+
 // Several executors on one stream report the same items, late and twice, while
 // callers cancel. Whatever the order, an item has the first result reported
 // before its job ended, and no other.
--- a/internal/state/ledger/snapshot.go
+++ b/internal/state/ledger/snapshot.go
@@ -40,6 +40,7 @@
 	Holder   protocol.SessionID
 	Whole    protocol.Offset
 	Segments []Segment
+	First    uint16
 }
 
 // Snapshot copies the state.
@@ -76,7 +77,7 @@
 }
 
 func (c *chunk) snapshot() ChunkSnapshot {
-	s := ChunkSnapshot{Input: c.input, Items: c.items, Holder: c.holder, Whole: c.whole}
+	s := ChunkSnapshot{Input: c.input, Items: c.items, Holder: c.holder, Whole: c.whole, First: c.first}
 	if c.parts != nil {
 		s.Segments = append(s.Segments, *c.parts...)
 	}
@@ -122,7 +123,7 @@
 }
 
 func (s *ChunkSnapshot) restore() chunk {
-	c := chunk{input: s.Input, items: s.Items, holder: s.Holder, whole: s.Whole}
+	c := chunk{input: s.Input, items: s.Items, holder: s.Holder, whole: s.Whole, first: s.First}
 	if len(s.Segments) > 0 {
 		parts := append([]Segment(nil), s.Segments...)
 		c.parts = &parts
