Operators' calls: history, instances, targets, status, drain and burn

Withdrawal, status and burn ask all known instances in one way (fanout), which names those that were not reached. A change is checked by replay's own check first, so that the operator reads the reason and not just a verdict. An organisation whose keys are in use is not removed by a folder: replay rejects the whole change then.

--- a/internal/burn/collector.go
+++ b/internal/burn/collector.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	"merlintiller/internal/coordination"
+	"merlintiller/internal/coordination/fanout"
 	"merlintiller/internal/protocol"
 )
 
@@ -35,42 +35,20 @@
 	if err := merged.add(own); err != nil {
 		return Report{}, err
 	}
-	report := Report{At: c.Now(), Merged: []protocol.InstanceID{c.Instance}, Unreached: []protocol.InstanceID{}}
+	report := Report{At: c.Now(), Merged: []protocol.InstanceID{c.Instance}}
 	c.gather(ctx, request, merged, &report)
 	slices.Sort(report.Merged)
-	slices.Sort(report.Unreached)
 	report.Lines = merged.lines(c.Fleet())
 	return report, nil
 }
 
 func (c *Collector) gather(ctx context.Context, request Request, merged *merger, report *Report) {
-	var mu sync.Mutex
-	var wait sync.WaitGroup
-	places := make(chan struct{}, collectWidth)
-	for _, peer := range c.Peers.List() {
-		places <- struct{}{}
-		wait.Go(func() {
-			defer func() { <-places }()
-			snapshot, err := c.ask(ctx, peer.Instance, request)
-			mu.Lock()
-			defer mu.Unlock()
-			if err == nil {
-				err = merged.add(snapshot)
-			}
-			if err != nil {
-				report.Unreached = append(report.Unreached, peer.Instance)
-				return
-			}
-			report.Merged = append(report.Merged, peer.Instance)
-		})
-	}
-	wait.Wait()
-}
-
-func (c *Collector) ask(ctx context.Context, to protocol.InstanceID, request Request) (Snapshot, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.PeerTimeout)
-	defer cancel()
-	var snapshot Snapshot
-	err := c.Peers.Call(ctx, to, MethodReport, request, &snapshot)
-	return snapshot, err
+	question := fanout.Question{Method: MethodReport, Args: request, Timeout: c.PeerTimeout, Width: collectWidth}
+	report.Unreached = fanout.Ask(ctx, c.Peers, question, func(from protocol.InstanceID, snapshot Snapshot) error {
+		if err := merged.add(snapshot); err != nil {
+			return err
+		}
+		report.Merged = append(report.Merged, from)
+		return nil
+	})
 }
--- /dev/null
+++ b/internal/coordination/fleetstatus/status.go
@@ -0,0 +1,154 @@
+// Package fleetstatus tells operators what each instance knows: which
+// configuration is in force there, whether it sees the log, and which jobs are
+// late.
+package fleetstatus
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"merlintiller/internal/coordination"
+	"merlintiller/internal/coordination/fanout"
+	"merlintiller/internal/protocol"
+	"merlintiller/internal/state/replica"
+)
+
+// askWidth is the number of instances asked at the same time: 340 of them are
+// asked in 11 rounds.
+const askWidth = 32
+
+// mostLate bounds the late jobs that a status lists.
+const mostLate = 20
+
+// Instance is what one instance says of itself.
+type Instance struct {
+	Instance protocol.InstanceID `json:"instance"`
+	Domain   protocol.Domain     `json:"domain"`
+	// Session is zero while the instance has none.
+	Session string `json:"session"`
+	// Version is the configuration in force there.
+	Version protocol.Offset `json:"version"`
+	// Applied is the last entry of the control stream that it replayed.
+	Applied protocol.Offset `json:"applied"`
+	// LogUp says that it reads the log to its end.
+	LogUp bool `json:"log_up"`
+	// MayHold says that it may do exclusive work.
+	MayHold  bool `json:"may_hold"`
+	Draining bool `json:"draining"`
+	// UpSeconds is the time since the process started.
+	UpSeconds int64 `json:"up_s"`
+	// Trouble is a sentence while the instance can't go on, else empty.
+	Trouble string `json:"trouble,omitempty"`
+}
+
+// LateJob is a running job that is past its deadline, or has little time left
+// for what is not done.
+type LateJob struct {
+	Job          protocol.JobID          `json:"job"`
+	Organisation protocol.OrganisationID `json:"organisation"`
+	Deadline     time.Time               `json:"deadline"`
+	Left         int                     `json:"items_left"`
+	Total        int                     `json:"items"`
+}
+
+// Status is the fleet as one instance could find out.
+type Status struct {
+	At time.Time `json:"at"`
+	// Asked is the instance that asked the others.
+	Asked     protocol.InstanceID `json:"asked"`
+	Instances []Instance          `json:"instances"`
+	// Unreached are known instances that did not answer.
+	Unreached   []protocol.InstanceID `json:"unreached"`
+	JobsRunning int                   `json:"jobs_running"`
+	Late        []LateJob             `json:"late"`
+}
+
+// Newest is the highest version in force anywhere.
+func (s Status) Newest() protocol.Offset {
+	newest := protocol.NoOffset
+	for _, instance := range s.Instances {
+		newest = max(newest, instance.Version)
+	}
+	return newest
+}
+
+// Source says what this instance knows of itself.
+type Source struct {
+	Instance protocol.InstanceID
+	Domain   protocol.Domain
+	Journal  coordination.Journal
+	// Draining reports whether the instance is leaving; nil means never.
+	Draining func() bool
+	// Trouble gives a sentence while the journal can't go on; nil means none.
+	Trouble func() string
+	Now     func() time.Time
+	Started time.Time
+}
+
+// Own is the status of this instance.
+func (s *Source) Own() Instance {
+	own := Instance{
+		Instance:  s.Instance,
+		Domain:    s.Domain,
+		Session:   s.Journal.Session().String(),
+		Version:   s.Journal.Fleet().Version,
+		LogUp:     s.Journal.LogUp(),
+		MayHold:   s.Journal.MayHold(),
+		UpSeconds: int64(s.Now().Sub(s.Started) / time.Second),
+	}
+	s.Journal.View(func(state *replica.State) { own.Applied = state.Applied() })
+	if s.Draining != nil {
+		own.Draining = s.Draining()
+	}
+	if s.Trouble != nil {
+		own.Trouble = s.Trouble()
+	}
+	return own
+}
+
+// Collector asks the others.
+type Collector struct {
+	Source      *Source
+	Peers       coordination.Peers
+	PeerTimeout time.Duration
+	// LateWithin is the time left to its deadline at which an unfinished job
+	// is listed.
+	LateWithin time.Duration
+}
+
+// Status asks every known instance.
+func (c *Collector) Status(ctx context.Context) Status {
+	now := c.Source.Now()
+	status := Status{At: now, Asked: c.Source.Instance, Instances: []Instance{c.Source.Own()}, Late: []LateJob{}}
+	question := fanout.Question{Method: MethodOwn, Args: Request{}, Timeout: c.PeerTimeout, Width: askWidth}
+	status.Unreached = fanout.Ask(ctx, c.Peers, question, func(_ protocol.InstanceID, answer Instance) error {
+		status.Instances = append(status.Instances, answer)
+		return nil
+	})
+	slices.SortFunc(status.Instances, func(a, b Instance) int {
+		return cmp.Or(cmp.Compare(a.Domain, b.Domain), cmp.Compare(a.Instance, b.Instance))
+	})
+	c.jobs(now, &status)
+	return status
+}
+
+func (c *Collector) jobs(now time.Time, status *Status) {
+	c.Source.Journal.View(func(state *replica.State) {
+		for _, job := range state.Ledger.Running() {
+			status.JobsRunning++
+			if job.Deadline.Sub(now) > c.LateWithin {
+				continue
+			}
+			status.Late = append(status.Late, LateJob{
+				Job: job.ID, Organisation: job.Organisation, Deadline: job.Deadline,
+				Left: job.Total - job.Completed - job.Failed, Total: job.Total,
+			})
+		}
+	})
+	slices.SortFunc(status.Late, func(a, b LateJob) int { return a.Deadline.Compare(b.Deadline) })
+	if len(status.Late) > mostLate {
+		status.Late = status.Late[:mostLate]
+	}
+}
--- a/internal/coordination/withdrawal/rpc.go
+++ b/internal/coordination/withdrawal/rpc.go
@@ -11,6 +11,8 @@
 // Request asks an instance to withdraw a key.
 type Request struct {
 	Key protocol.KeyID
+	// Operator is the id of the operator's key.
+	Operator string
 }
 
 // Done confirms that the key no longer works at the instance.
@@ -23,6 +25,6 @@
 
 // Withdraw makes a key stop working before it answers.
 func (r *Receiver) Withdraw(request Request, _ *Done) error {
-	r.Local.WithdrawLocally(request.Key)
+	r.Local.WithdrawLocally(request.Key, request.Operator)
 	return nil
 }
--- a/internal/coordination/withdrawal/withdrawal.go
+++ b/internal/coordination/withdrawal/withdrawal.go
@@ -10,11 +10,12 @@
 
 import (
 	"context"
-	"sort"
+	"slices"
 	"sync"
 	"time"
 
 	"merlintiller/internal/coordination"
+	"merlintiller/internal/coordination/fanout"
 	"merlintiller/internal/protocol"
 )
 
@@ -25,7 +26,7 @@
 // Local makes a key stop working at this instance.
 type Local interface {
 	// WithdrawLocally takes effect before it returns and may be repeated.
-	WithdrawLocally(key protocol.KeyID)
+	WithdrawLocally(key protocol.KeyID, operator string)
 }
 
 // Result says how far a withdrawal went.
@@ -50,51 +51,29 @@
 // Withdraw withdraws a key. It returns when the record is settled or ctx ends,
 // and every known instance was asked.
 func (s *Service) Withdraw(ctx context.Context, key protocol.KeyID, operator string) Result {
-	s.Local.WithdrawLocally(key)
+	s.Local.WithdrawLocally(key, operator)
 	var result Result
 	var wait sync.WaitGroup
 	wait.Go(func() {
 		record := protocol.Record{KeyWithdraw: &protocol.KeyWithdraw{Key: key, Operator: operator}}
 		result.Log = s.Journal.Submit(ctx, record)
 	})
-	wait.Go(func() { result.Told, result.Unreached = s.spread(ctx, key) })
+	wait.Go(func() { result.Told, result.Unreached = s.spread(ctx, key, operator) })
 	wait.Wait()
 	return result
 }
 
-// spread tells every known instance, also those that seem unreachable: a
-// missed heartbeat is no proof.
-func (s *Service) spread(ctx context.Context, key protocol.KeyID) (told, unreached []protocol.InstanceID) {
-	var mu sync.Mutex
-	var wait sync.WaitGroup
-	places := make(chan struct{}, spreadWidth)
-	for _, peer := range s.Peers.List() {
-		places <- struct{}{}
-		wait.Go(func() {
-			defer func() { <-places }()
-			ok := s.tell(ctx, peer.Instance, key)
-			mu.Lock()
-			defer mu.Unlock()
-			if ok {
-				told = append(told, peer.Instance)
-			} else {
-				unreached = append(unreached, peer.Instance)
-			}
-		})
+func (s *Service) spread(ctx context.Context, key protocol.KeyID, operator string) (told, unreached []protocol.InstanceID) {
+	question := fanout.Question{
+		Method:  MethodWithdraw,
+		Args:    Request{Key: key, Operator: operator},
+		Timeout: s.PeerTimeout,
+		Width:   spreadWidth,
 	}
-	wait.Wait()
-	sortInstances(told)
-	sortInstances(unreached)
+	unreached = fanout.Ask(ctx, s.Peers, question, func(to protocol.InstanceID, _ Done) error {
+		told = append(told, to)
+		return nil
+	})
+	slices.Sort(told)
 	return told, unreached
 }
-
-func (s *Service) tell(ctx context.Context, to protocol.InstanceID, key protocol.KeyID) bool {
-	ctx, cancel := context.WithTimeout(ctx, s.PeerTimeout)
-	defer cancel()
-	var done Done
-	return s.Peers.Call(ctx, to, MethodWithdraw, Request{Key: key}, &done) == nil
-}
-
-func sortInstances(ids []protocol.InstanceID) {
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
-}
--- a/internal/fleetdir/diff.go
+++ b/internal/fleetdir/diff.go
@@ -22,7 +22,8 @@
 
 // Diff compares the configuration in force with a folder. Keys are never
 // removed: a key that the folder does not hold stays, and a withdrawn key
-// stays withdrawn whatever the folder says.
+// stays withdrawn whatever the folder says. An organisation stays while keys
+// of it are in use, since replay rejects a change that orphans a key.
 func Diff(current *protocol.Fleet, wanted Objects) Plan {
 	plan := Plan{Change: protocol.FleetChange{BasedOn: current.Version}}
 	for _, d := range changed(current.Domains, wanted.Domains) {
@@ -75,10 +76,11 @@
 		p.Change.Remove = append(p.Change.Remove, protocol.FleetRef{Domain: name})
 	}
 	for _, id := range missing(current.Organisations, wanted.Organisations) {
-		p.Change.Remove = append(p.Change.Remove, protocol.FleetRef{Organisation: id})
 		if n := liveKeys(current, wanted, id); n > 0 {
-			p.note("organisation %s is removed while %d of its keys are in use: their callers will be refused", id, n)
+			p.note("organisation %s is left as it is: %d of its keys are in use; withdraw them, then apply again", id, n)
+			continue
 		}
+		p.Change.Remove = append(p.Change.Remove, protocol.FleetRef{Organisation: id})
 	}
 }
 
--- a/internal/fleetdir/fleetdir_test.go
+++ b/internal/fleetdir/fleetdir_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"merlintiller/internal/protocol"
+	"merlintiller/internal/state/fleet"
 	"merlintiller/internal/strictyaml"
 )
 
@@ -111,11 +112,35 @@
 	require.Equal(t, protocol.Offset(7), plan.Change.BasedOn)
 	require.Len(t, plan.Change.Set, 1)
 	require.Equal(t, protocol.KeyID("k4"), plan.Change.Set[0].Key.ID)
-	require.Equal(t, []protocol.FleetRef{{Organisation: "ana"}}, plan.Change.Remove)
+	require.Empty(t, plan.Change.Remove)
 	require.Len(t, plan.Notes, 3)
 	require.Contains(t, plan.Notes[2], "2 of its keys are in use")
 }
 
+func TestOrganisationWithoutKeysInUseIsRemoved(t *testing.T) {
+	current := &protocol.Fleet{
+		Keys:          map[protocol.KeyID]protocol.Key{"k1": {ID: "k1", Organisation: "ana", SHA256: hash, Withdrawn: true}},
+		Organisations: map[protocol.OrganisationID]protocol.Organisation{"ana": {ID: "ana"}},
+	}
+	plan := Diff(current, Objects{})
+	require.Equal(t, []protocol.FleetRef{{Organisation: "ana"}}, plan.Change.Remove)
+	require.Empty(t, plan.Notes)
+}
+
+// What the folder check lets through and replay rejects would be published and
+// have no effect. Both examples and a change with every kind of object pass
+// replay's own check.
+func TestDiffPassesTheCheckOfReplay(t *testing.T) {
+	for _, name := range []string{"cascadia", "dobrescu"} {
+		wanted, err := Load("../../examples/" + name)
+		require.NoError(t, err)
+		base := fleet.New().Fleet()
+		plan := Diff(base, wanted)
+		plan.Change.ChangeID = "chg-1"
+		require.NoError(t, fleet.Validate(base, &plan.Change))
+	}
+}
+
 func FuzzMerge(f *testing.F) {
 	f.Add([]byte("organisations: [{id: ana, rate: 1, burst: 1}]"))
 	f.Add([]byte("services: [{name: s, kind: model, slots: 1, longest_order: 1s}]"))
--- a/internal/transport/operatorapi/change.go
+++ b/internal/transport/operatorapi/change.go
@@ -10,6 +10,8 @@
 	"merlintiller/internal/coordination"
 	"merlintiller/internal/coordination/withdrawal"
 	"merlintiller/internal/protocol"
+	"merlintiller/internal/state/fleet"
+	"merlintiller/internal/state/replica"
 )
 
 func (h *Handler) change(w http.ResponseWriter, r *http.Request) {
@@ -23,24 +25,47 @@
 			"mend the request; nothing was changed")
 		return
 	}
-	// The record is submitted even if the operator's connection breaks: the
-	// operator learns its fate from the version in force.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), submitTimeout)
-	defer cancel()
-	outcome := h.config.Journal.Submit(ctx, protocol.Record{FleetChange: &protocol.FleetChange{
+	change := protocol.FleetChange{
 		ChangeID: request.ChangeID,
 		BasedOn:  request.BasedOn,
 		Set:      request.Set,
 		Remove:   request.Remove,
 		Operator: operatorOf(r),
 		At:       request.At,
-	}})
-	level.Info(h.config.Logger).Log("event", "fleet_change", "operator", operatorOf(r), "change", request.ChangeID,
+	}
+	if refusal := h.validate(&change); refusal != nil {
+		refuse(w, refusal, "mend the folder; nothing was changed")
+		return
+	}
+	// The record is submitted even if the operator's connection breaks: the
+	// operator learns its fate from the version in force.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), submitTimeout)
+	defer cancel()
+	outcome := h.config.Journal.Submit(ctx, protocol.Record{FleetChange: &change})
+	_ = level.Info(h.config.Logger).Log("event", "fleet_change", "operator", operatorOf(r), "change", request.ChangeID,
 		"based_on", int64(request.BasedOn), "verdict", string(outcome.Verdict), "run", string(outcome.Run),
 		"offset", int64(outcome.Offset), "err", outcome.Err)
 	h.answerChange(w, request, outcome)
 }
 
+// validate refuses a change that fits in no log entry, or that replay would reject, with the reason, which a
+// verdict does not carry. It only speaks for the version that the change was
+// made from: of another one a conflict is the truer answer.
+func (h *Handler) validate(change *protocol.FleetChange) *protocol.Refusal {
+	frame := protocol.Frame{Records: []protocol.Record{{FleetChange: change}}}
+	if _, err := protocol.EncodeFrame(frame); err != nil {
+		return protocol.Refuse(protocol.CodeTooLarge, 0, "the change can't be one log entry: %v; apply the folder in parts", err)
+	}
+	current := h.config.Journal.Fleet()
+	if current.Version != change.BasedOn {
+		return nil
+	}
+	if err := fleet.Validate(current, change); err != nil {
+		return protocol.Refuse(protocol.CodeBadRequest, 0, "%v", err)
+	}
+	return nil
+}
+
 func (h *Handler) answerChange(w http.ResponseWriter, request ChangeRequest, outcome coordination.Outcome) {
 	if refusal, next := h.changeRefusal(request, outcome); refusal != nil {
 		refuse(w, refusal, next)
@@ -49,7 +74,9 @@
 	result := ChangeAnswer{Verdict: outcome.Verdict, Version: outcome.Offset}
 	result.Message = fmt.Sprintf("version %d is in force at %s", outcome.Offset, h.config.Instance)
 	if outcome.Verdict == protocol.Duplicate {
-		result.Version = h.config.Journal.Fleet().Version
+		h.config.Journal.View(func(state *replica.State) {
+			result.Version, _ = state.Fleet.VersionOf(request.ChangeID)
+		})
 		result.Message = "this change took effect before; nothing was done again"
 	}
 	result.Next = "run status to see it in force at every instance"
@@ -87,7 +114,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), submitTimeout)
 	defer cancel()
 	result := h.config.Withdraw.Withdraw(ctx, key, operatorOf(r))
-	level.Info(h.config.Logger).Log("event", "key_withdrawn", "operator", operatorOf(r), "key", string(key),
+	_ = level.Info(h.config.Logger).Log("event", "key_withdrawn", "operator", operatorOf(r), "key", string(key),
 		"in_log", inLog(result), "told", len(result.Told), "unreached", len(result.Unreached), "err", result.Log.Err)
 	status := http.StatusOK
 	if !inLog(result) {
--- a/internal/transport/operatorapi/handler.go
+++ b/internal/transport/operatorapi/handler.go
@@ -9,6 +9,7 @@
 package operatorapi
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -19,7 +20,10 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"merlintiller/internal/burn"
 	"merlintiller/internal/coordination"
+	"merlintiller/internal/coordination/fleetstatus"
+	"merlintiller/internal/coordination/routing"
 	"merlintiller/internal/coordination/withdrawal"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/settings"
@@ -32,14 +36,25 @@
 // retryLogDown is when to come back after the log was found down.
 const retryLogDown = 5 * time.Second
 
-// Config holds what the operators' calls need. Views that are nil answer that
-// the instance does not offer them.
+// maxBodyBytes bounds a request. JSON takes about twice the bytes of the log
+// entry that it becomes.
+const maxBodyBytes = 4 * protocol.MaxEntryBytes
+
+// Config holds what the operators' calls need. Targets and Drain may be nil.
 type Config struct {
 	Instance protocol.InstanceID
 	Keys     []settings.OperatorKey
 	Journal  coordination.Journal
+	Peers    coordination.Peers
 	Withdraw *withdrawal.Service
-	Logger   log.Logger
+	Status   *fleetstatus.Collector
+	Burn     *burn.Collector
+	// Targets gives what the router knows.
+	Targets func() []routing.Status
+	// Drain makes the instance leave. It returns at once and may be called
+	// again.
+	Drain  func()
+	Logger log.Logger
 }
 
 // Handler serves the operators' calls.
@@ -53,7 +68,14 @@
 	h := &Handler{config: config, mux: http.NewServeMux()}
 	h.mux.HandleFunc("GET "+PathFleet, h.fleet)
 	h.mux.HandleFunc("POST "+PathChanges, h.change)
+	h.mux.HandleFunc("GET "+PathHistory, h.history)
 	h.mux.HandleFunc("POST "+PathKeys+"{id}/withdraw", h.withdraw)
+	h.mux.HandleFunc("GET "+PathInstances, h.instances)
+	h.mux.HandleFunc("GET "+PathTargets, h.targets)
+	h.mux.HandleFunc("GET "+PathStatus, h.status)
+	h.mux.HandleFunc("POST "+PathDrain, h.drain)
+	h.mux.HandleFunc("GET "+PathBurn, h.burn)
+	h.mux.HandleFunc("/", h.unknown)
 	return h
 }
 
@@ -61,13 +83,20 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	operator, ok := identify(r, h.config.Keys)
 	if !ok {
-		level.Warn(h.config.Logger).Log("event", "operator_refused", "remote", r.RemoteAddr, "path", r.URL.Path)
+		_ = level.Warn(h.config.Logger).Log("event", "operator_refused", "remote", r.RemoteAddr, "path", r.URL.Path)
 		refuse(w, protocol.Refuse(protocol.CodeUnauthorized, 0, "no valid operator key came with the call"),
 			"give an operator's secret; its hash stands under operator_keys in the settings")
 		return
 	}
-	level.Info(h.config.Logger).Log("event", "operator_call", "operator", operator, "method", r.Method, "path", r.URL.Path)
-	h.mux.ServeHTTP(w, withOperator(r, operator))
+	_ = level.Info(h.config.Logger).Log("event", "operator_call", "operator", operator, "method", r.Method, "path", r.URL.Path)
+	ctx, cancel := context.WithTimeout(r.Context(), statusTimeout)
+	defer cancel()
+	h.mux.ServeHTTP(w, withOperator(r.WithContext(ctx), operator))
+}
+
+func (h *Handler) unknown(w http.ResponseWriter, r *http.Request) {
+	refuse(w, protocol.Refuse(protocol.CodeNotFound, 0, "there is no operators' call %s %s", r.Method, r.URL.Path),
+		"check that tool and instance are of the same release")
 }
 
 func (h *Handler) fleet(w http.ResponseWriter, _ *http.Request) {
@@ -101,7 +130,7 @@
 // read decodes a body strictly. A field that the instance does not know might
 // carry the operator's intention, so it is refused and not dropped.
 func read(w http.ResponseWriter, r *http.Request, into any) *protocol.Refusal {
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, protocol.MaxEntryBytes))
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	decoder.DisallowUnknownFields()
 	err := decoder.Decode(into)
 	if err == nil && decoder.Decode(&struct{}{}) != io.EOF {
--- a/internal/transport/operatorapi/handler_test.go
+++ b/internal/transport/operatorapi/handler_test.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -16,10 +17,15 @@
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
+	"merlintiller/internal/burn"
 	"merlintiller/internal/coordination"
+	"merlintiller/internal/coordination/fleetstatus"
+	"merlintiller/internal/coordination/routing"
 	"merlintiller/internal/coordination/withdrawal"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/settings"
+	"merlintiller/internal/state/fleet"
+	"merlintiller/internal/state/replica"
 )
 
 const operatorSecret = "op-secret-for-tests"
@@ -29,6 +35,7 @@
 	coordination.Journal
 	outcome coordination.Outcome
 	fleet   *protocol.Fleet
+	state   *replica.State
 	records []protocol.Record
 }
 
@@ -39,6 +46,10 @@
 
 func (j *journal) Fleet() *protocol.Fleet { return j.fleet }
 func (j *journal) LogUp() bool            { return j.outcome.Run == protocol.Completed }
+func (j *journal) MayHold() bool          { return j.LogUp() }
+
+func (j *journal) Session() protocol.SessionID    { return 7 }
+func (j *journal) View(read func(*replica.State)) { read(j.state) }
 
 // peers reaches all instances but the ones named in cut.
 type peers struct {
@@ -54,31 +65,36 @@
 	return list
 }
 
-func (p *peers) Call(_ context.Context, to protocol.InstanceID, _ string, _, _ any) error {
+func (p *peers) Call(_ context.Context, to protocol.InstanceID, _ string, _, reply any) error {
 	if p.cut[to] {
 		return errors.New("unreachable")
 	}
+	if own, ok := reply.(*fleetstatus.Instance); ok {
+		*own = fleetstatus.Instance{Instance: to, Domain: "d2", Version: 8}
+	}
 	return nil
 }
 
 // local remembers the keys withdrawn here.
 type local map[protocol.KeyID]bool
 
-func (l local) WithdrawLocally(key protocol.KeyID) { l[key] = true }
+func (l local) WithdrawLocally(key protocol.KeyID, _ string) { l[key] = true }
 
 type fixture struct {
 	journal *journal
 	peers   *peers
 	local   local
+	drained *int
 	logs    *bytes.Buffer
 	handler *Handler
 }
 
 func newFixture(outcome coordination.Outcome) *fixture {
 	f := &fixture{
-		journal: &journal{outcome: outcome, fleet: &protocol.Fleet{Version: 9}},
+		journal: &journal{outcome: outcome, fleet: versionNine(), state: replica.New()},
 		peers:   &peers{known: []protocol.InstanceID{"b", "c"}, cut: map[protocol.InstanceID]bool{}},
 		local:   local{},
+		drained: new(int),
 		logs:    &bytes.Buffer{},
 	}
 	sum := sha256.Sum256([]byte(operatorSecret))
@@ -87,11 +103,35 @@
 		Keys:     []settings.OperatorKey{{ID: "ana", SHA256: hex.EncodeToString(sum[:])}},
 		Journal:  f.journal,
 		Withdraw: &withdrawal.Service{Journal: f.journal, Peers: f.peers, Local: f.local, PeerTimeout: time.Second},
+		Peers:    f.peers,
+		Status:   f.status(),
+		Burn:     &burn.Collector{Instance: "a", Recorder: f.recorder(), Peers: f.peers, Fleet: f.journal.Fleet, Now: clock, PeerTimeout: time.Second},
+		Targets:  func() []routing.Status { return []routing.Status{{Target: "t1"}} },
+		Drain:    func() { *f.drained++ },
 		Logger:   log.NewLogfmtLogger(f.logs),
 	})
 	return f
 }
 
+func versionNine() *protocol.Fleet {
+	inForce := *fleet.New().Fleet()
+	inForce.Version = 9
+	return &inForce
+}
+
+func clock() time.Time { return time.Unix(1_800_000_000, 0) }
+
+func (f *fixture) recorder() *burn.Recorder {
+	recorder := burn.NewRecorder(func(protocol.OrganisationID) protocol.Objectives { return protocol.Objectives{} }, clock)
+	recorder.Record("ana", "lm", time.Second, 0, true)
+	return recorder
+}
+
+func (f *fixture) status() *fleetstatus.Collector {
+	source := &fleetstatus.Source{Instance: "a", Domain: "d1", Journal: f.journal, Now: clock, Started: clock().Add(-time.Minute)}
+	return &fleetstatus.Collector{Source: source, Peers: f.peers, PeerTimeout: time.Second, LateWithin: time.Hour}
+}
+
 func (f *fixture) call(method, path, secret, body string) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(method, path, strings.NewReader(body))
 	if secret != "" {
@@ -169,6 +209,7 @@
 		"no id":         `{"set":[{"domain":{"domain":"d","share":1}}]}`,
 		"nothing":       `{"change_id":"c1"}`,
 		"two values":    smallChange + smallChange,
+		"bad object":    `{"change_id":"c1","based_on":9,"set":[{"organisation":{"id":"ana","rate":-1,"burst":1}}]}`,
 	}
 	for name, body := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -178,7 +219,7 @@
 		})
 	}
 	f := newFixture(accepted(1))
-	huge := `{"change_id":"` + strings.Repeat("x", protocol.MaxEntryBytes) + `"}`
+	huge := `{"change_id":"` + strings.Repeat("x", maxBodyBytes) + `"}`
 	require.Equal(t, http.StatusRequestEntityTooLarge, f.call("POST", PathChanges, operatorSecret, huge).Code)
 }
 
@@ -206,3 +247,81 @@
 	require.Equal(t, protocol.KeyID("key-1"), f.journal.records[0].KeyWithdraw.Key)
 	require.Equal(t, "ana", f.journal.records[0].KeyWithdraw.Operator)
 }
+
+func get[T any](t *testing.T, f *fixture, path string) T {
+	t.Helper()
+	w := f.call("GET", path, operatorSecret, "")
+	require.Equal(t, http.StatusOK, w.Code, w.Body)
+	var out T
+	require.NoError(t, json.Unmarshal(w.Body.Bytes(), &out))
+	return out
+}
+
+func apply(t *testing.T, state *replica.State, at protocol.Offset, rec protocol.Record) {
+	t.Helper()
+	require.Equal(t, []protocol.Verdict{protocol.Accepted}, state.Apply(at, protocol.Frame{Records: []protocol.Record{rec}}))
+}
+
+// One instance is cut off and another has not seen the newest configuration.
+// An operator who asks whether a change is in force everywhere must see both.
+func TestStatusNamesWhoIsBehindAndWhoIsCutOff(t *testing.T) {
+	f := newFixture(accepted(1))
+	f.peers.cut["c"] = true
+	status := get[fleetstatus.Status](t, f, PathStatus)
+	require.Equal(t, []protocol.InstanceID{"c"}, status.Unreached)
+	require.Len(t, status.Instances, 2)
+	require.Equal(t, protocol.Offset(9), status.Newest())
+	require.Equal(t, protocol.Offset(8), status.Instances[1].Version)
+	require.EqualValues(t, 60, status.Instances[0].UpSeconds)
+}
+
+func TestStatusListsLateJobs(t *testing.T) {
+	f := newFixture(accepted(1))
+	open := protocol.Record{ID: protocol.RecordID{Session: 7, Seq: 1}, SessionOpen: &protocol.SessionOpen{Instance: "a", Domain: "d1"}}
+	apply(t, f.journal.state, 0, open)
+	for i, deadline := range []time.Time{clock().Add(-time.Minute), clock().Add(3 * time.Hour)} {
+		apply(t, f.journal.state, protocol.Offset(i+1), protocol.Record{
+			ID: protocol.RecordID{Session: 7, Seq: uint64(i + 2)},
+			JobSubmit: &protocol.JobSubmit{
+				Job: protocol.JobID(fmt.Sprint("job", i)), Organisation: "ana", IdempotencyKey: fmt.Sprint(i), Endpoint: "/v1/completions",
+				Chunks: []protocol.ChunkRef{{Items: 3}}, Deadline: deadline,
+			},
+		})
+	}
+	status := get[fleetstatus.Status](t, f, PathStatus)
+	require.Equal(t, 2, status.JobsRunning)
+	require.Len(t, status.Late, 1)
+	require.Equal(t, protocol.JobID("job0"), status.Late[0].Job)
+	require.Equal(t, 3, status.Late[0].Left)
+	instances := get[InstancesAnswer](t, f, PathInstances)
+	require.Len(t, instances.Instances, 3)
+}
+
+func TestHistoryShowsNewestFirst(t *testing.T) {
+	f := newFixture(accepted(1))
+	apply(t, f.journal.state, 0, protocol.Record{ID: protocol.RecordID{Session: 7, Seq: 1}, SessionOpen: &protocol.SessionOpen{Instance: "a", Domain: "d1"}})
+	for i := range 2 {
+		apply(t, f.journal.state, protocol.Offset(i+1), protocol.Record{ID: protocol.RecordID{Session: 7, Seq: uint64(i + 2)},
+			FleetChange: &protocol.FleetChange{ChangeID: fmt.Sprint("c", i), BasedOn: protocol.Offset(2*i - 1), Operator: "ana",
+				Set: []protocol.FleetObject{{Domain: &protocol.DomainShare{Domain: "d", Share: float64(i + 1)}}}}})
+	}
+	history := get[HistoryAnswer](t, f, PathHistory)
+	require.Equal(t, "c1", history.Changes[0].ChangeID)
+	require.Len(t, history.Changes, 2)
+	// A resent change is answered with the version that it made.
+	f.journal.outcome = coordination.Outcome{Verdict: protocol.Duplicate, Run: protocol.Completed}
+	w := f.call("POST", PathChanges, operatorSecret, strings.Replace(smallChange, "c1", "c0", 1))
+	var answer ChangeAnswer
+	require.NoError(t, json.Unmarshal(w.Body.Bytes(), &answer))
+	require.Equal(t, protocol.Offset(1), answer.Version)
+}
+
+func TestTargetsBurnAndDrain(t *testing.T) {
+	f := newFixture(accepted(1))
+	require.Len(t, get[TargetsAnswer](t, f, PathTargets).Targets, 1)
+	report := get[burn.Report](t, f, PathBurn+"?organisation=ana")
+	require.NotEmpty(t, report.Lines)
+	require.Equal(t, http.StatusAccepted, f.call("POST", PathDrain, operatorSecret, "").Code)
+	require.Equal(t, 1, *f.drained)
+	require.Equal(t, http.StatusNotFound, f.call("GET", "/operator/v1/nothing", operatorSecret, "").Code)
+}
