--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -15,6 +15,8 @@
 	Diff  configDiff  `cmd:"" help:"Show what applying a folder would change."`
 	Apply configApply `cmd:"" help:"Publish a folder, so that it is in force in the whole fleet."`
 	Show  configShow  `cmd:"" help:"Show the configuration in force."`
+
+	History configHistory `cmd:"" help:"Show the changes of the configuration."`
 }
 
 type configCheck struct {
--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -53,9 +53,17 @@
 type Commands struct {
 	Options
 
-	Config configCommands `cmd:"" help:"Check, compare and publish the fleet configuration."`
-	Key    keyCommands    `cmd:"" help:"Create and withdraw callers' keys."`
-	Batch  batchCommands  `cmd:"" help:"Submit and follow batch jobs, as a caller."`
+	Config     configCommands    `cmd:"" help:"Check, compare and publish the fleet configuration."`
+	Org        orgCommands       `cmd:"" help:"Show organisations."`
+	Key        keyCommands       `cmd:"" help:"Create and withdraw callers' keys."`
+	Batch      batchCommands     `cmd:"" help:"Submit and follow batch jobs, as a caller."`
+	Status     statusCommand     `cmd:"" help:"Show what is in force where, who is cut off, and what is late."`
+	Instances  instancesCommand  `cmd:"" help:"List the entry instances."`
+	Targets    targetsCommand    `cmd:"" help:"List the targets."`
+	Drain      drainCommand      `cmd:"" help:"Make one instance leave without cutting a call."`
+	Burn       burnCommand       `cmd:"" help:"Show the service-level burn."`
+	Settings   settingsCommands  `cmd:"" help:"Check settings of tillerd."`
+	Completion completionCommand `cmd:"" help:"Print a completion script for a shell."`
 }
 
 // Process is what main hands over.
--- /dev/null
+++ b/internal/ctl/status.go
@@ -0,0 +1,173 @@
+package ctl
+
+import (
+	"fmt"
+	"time"
+
+	"merlintiller/internal/coordination/fleetstatus"
+	"merlintiller/internal/protocol"
+	"merlintiller/internal/transport/operatorapi"
+)
+
+type statusCommand struct{}
+
+// Help shows examples.
+func (statusCommand) Help() string {
+	return lines("One screen: which version is in force at each instance, who is cut off, which jobs are late.",
+		"The exit code is 0 if all is well and 1 if something needs an operator.",
+		"", "Example: tillerctl status --instance 10.0.0.1:8003")
+}
+
+// Run shows the status.
+func (c *statusCommand) Run(env *Env) error {
+	var status fleetstatus.Status
+	if err := env.Operator.Get(env.Context, operatorapi.PathStatus, &status); err != nil {
+		return err
+	}
+	troubles := troublesOf(status)
+	err := env.show(result{data: status, table: statusTable(status),
+		did: fmt.Sprintf("version %d is the newest; %d instances answered, %d jobs run", status.Newest(), len(status.Instances), status.JobsRunning)})
+	if err != nil {
+		return err
+	}
+	if len(troubles) > 0 {
+		return fail(ExitFailed, "docs/OPERATIONS.md says what each means", "%s", lines(troubles...))
+	}
+	fmt.Fprintln(env.Stderr, "next: nothing, all is well")
+	return nil
+}
+
+func statusTable(status fleetstatus.Status) table {
+	t := table{heading: []string{"INSTANCE", "DOMAIN", "VERSION", "LOG", "WORK", "UP", "NOTE"}}
+	newest := status.Newest()
+	for _, i := range status.Instances {
+		version := fmt.Sprint(i.Version)
+		if i.Version < newest {
+			version += " (old)"
+		}
+		t.add(string(i.Instance), string(i.Domain), version, pick(i.LogUp, "up", "DOWN"), pick(i.MayHold, "holds", "NONE"),
+			(time.Duration(i.UpSeconds) * time.Second).String(), noteOf(i))
+	}
+	for _, id := range status.Unreached {
+		t.add(string(id), "?", "?", "?", "?", "?", "not reached")
+	}
+	for _, job := range status.Late {
+		t.add("job "+string(job.Job), "", "", "", "", "", fmt.Sprintf("%d of %d items left, due %s, organisation %s",
+			job.Left, job.Total, job.Deadline.UTC().Format(time.RFC3339), job.Organisation))
+	}
+	return t
+}
+
+func noteOf(i fleetstatus.Instance) string {
+	if i.Draining {
+		return "draining"
+	}
+	return i.Trouble
+}
+
+func pick(condition bool, yes, no string) string {
+	if condition {
+		return yes
+	}
+	return no
+}
+
+// troublesOf lists what needs an operator.
+func troublesOf(status fleetstatus.Status) []string {
+	var out []string
+	newest := status.Newest()
+	for _, i := range status.Instances {
+		switch {
+		case i.Trouble != "":
+			out = append(out, fmt.Sprintf("%s: %s", i.Instance, i.Trouble))
+		case !i.LogUp:
+			out = append(out, fmt.Sprintf("%s can't read the log", i.Instance))
+		case i.Version < newest:
+			out = append(out, fmt.Sprintf("%s has version %d, not %d", i.Instance, i.Version, newest))
+		}
+	}
+	for _, id := range status.Unreached {
+		out = append(out, fmt.Sprintf("%s can't be reached from %s", id, status.Asked))
+	}
+	if len(status.Late) > 0 {
+		out = append(out, fmt.Sprintf("%d jobs are late or close to their deadline", len(status.Late)))
+	}
+	return out
+}
+
+type instancesCommand struct{}
+
+// Help shows examples.
+func (instancesCommand) Help() string { return "Example: tillerctl instances --output json" }
+
+// Run lists the instances.
+func (c *instancesCommand) Run(env *Env) error {
+	var answer operatorapi.InstancesAnswer
+	if err := env.Operator.Get(env.Context, operatorapi.PathInstances, &answer); err != nil {
+		return err
+	}
+	t := table{heading: []string{"INSTANCE", "DOMAIN", "SESSION", "PEER ADDRESS", "HEARD"}}
+	for _, i := range answer.Instances {
+		session := i.Session
+		if session == "" {
+			session = "none"
+		}
+		heard := pick(i.Heard, "yes", fmt.Sprintf("no, silent for %s", time.Duration(i.SilentMS)*time.Millisecond))
+		t.add(string(i.Instance), string(i.Domain), session, i.PeerAddress, heard)
+	}
+	return env.show(result{data: answer, table: t, did: fmt.Sprintf("%d instances as %s knows them", len(answer.Instances), answer.Instance),
+		next: "tillerctl status asks each of them"})
+}
+
+type targetsCommand struct {
+	Service string `help:"Only targets of this service."`
+}
+
+// Help shows examples.
+func (targetsCommand) Help() string { return "Example: tillerctl targets --service tiller-reports" }
+
+// Run lists the targets.
+func (c *targetsCommand) Run(env *Env) error {
+	var answer operatorapi.TargetsAnswer
+	if err := env.Operator.Get(env.Context, operatorapi.PathTargets, &answer); err != nil {
+		return err
+	}
+	shown := answer.Targets[:0]
+	t := table{heading: []string{"TARGET", "SERVICE", "DOMAIN", "ADDRESS", "ONLINE", "BATCH", "OTHERS", "FIRST BYTE", "STATE"}}
+	for _, target := range answer.Targets {
+		if c.Service != "" && target.Service != protocol.ServiceName(c.Service) {
+			continue
+		}
+		shown = append(shown, target)
+		state := pick(target.Leaving, "leaving", pick(target.Ejected, "ejected", "in use"))
+		t.add(string(target.Target), string(target.Service), string(target.Domain), target.Address, fmt.Sprint(target.Online),
+			fmt.Sprint(target.Batch), fmt.Sprintf("%.1f", target.Others), fmt.Sprintf("%.1f ms", target.FirstByteMS), state)
+	}
+	answer.Targets = shown
+	return env.show(result{data: answer, table: t, did: fmt.Sprintf("%d targets as %s knows them; ONLINE and BATCH are its own calls", len(shown), answer.Instance)})
+}
+
+type drainCommand struct {
+	Yes bool `help:"Do it. Without it the command only says what it would do."`
+}
+
+// Help shows examples.
+func (drainCommand) Help() string {
+	return lines("The instance takes no new calls, finishes those in flight, hands over what it holds, and ends. No call is cut.",
+		"Give exactly one instance.", "", "Example: tillerctl drain --yes --instance 10.0.0.1:8003")
+}
+
+// Run drains the instance.
+func (c *drainCommand) Run(env *Env) error {
+	if len(env.Operator.Bases) != 1 {
+		return fail(ExitBadInput, "give --instance once", "drain needs exactly one instance, or the wrong one could leave")
+	}
+	if !c.Yes {
+		return env.show(result{data: struct{}{}, did: "would drain " + env.Operator.Bases[0] + "; nothing was done", next: "the same command with --yes"})
+	}
+	var answer operatorapi.DrainAnswer
+	if err := env.Operator.Post(env.Context, operatorapi.PathDrain, struct{}{}, &answer); err != nil {
+		return err
+	}
+	return env.show(result{data: answer, did: answer.Message, next: answer.Next})
+}
