--- a/internal/ctl/batch_test.go
+++ b/internal/ctl/batch_test.go
@@ -83,6 +83,7 @@
 			return
 		}
 		_ = json.NewEncoder(w).Encode(j)
+		return
 	}
 }
 
