--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -21,8 +21,10 @@
 
 // Organisation is a tenant with its share of the fleet.
 type Organisation struct {
-	ID   OrganisationID `cbor:"1,keyasint" json:"id" yaml:"id"`
-	Name string         `cbor:"2,keyasint,omitempty" json:"name,omitempty" yaml:"name,omitempty"`
+	// ID names the organisation.
+	ID OrganisationID `cbor:"1,keyasint" json:"id" yaml:"id"`
+	// Name is for people.
+	Name string `cbor:"2,keyasint,omitempty" json:"name,omitempty" yaml:"name,omitempty"`
 	// Rate is in online requests a second over the whole fleet.
 	Rate float64 `cbor:"3,keyasint" json:"rate" yaml:"rate"`
 	// Burst is in requests over the whole fleet, at least 1.
@@ -48,7 +50,9 @@
 // Key lets callers act for one organisation. The secret itself is stored
 // nowhere.
 type Key struct {
-	ID           KeyID          `cbor:"1,keyasint" json:"id" yaml:"id"`
+	// ID is public and never used again for another secret.
+	ID KeyID `cbor:"1,keyasint" json:"id" yaml:"id"`
+	// Organisation is the one that callers with the key act for.
 	Organisation OrganisationID `cbor:"2,keyasint" json:"organisation" yaml:"organisation"`
 	// SHA256 is the lower-case hexadecimal hash of the secret.
 	SHA256 string `cbor:"3,keyasint" json:"sha256" yaml:"sha256"`
@@ -58,7 +62,9 @@
 
 // Model maps the name callers use to a service and the version it must run.
 type Model struct {
-	Name    ModelName   `cbor:"1,keyasint" json:"name" yaml:"name"`
+	// Name is the name that callers ask for.
+	Name ModelName `cbor:"1,keyasint" json:"name" yaml:"name"`
+	// Service is the model service whose targets run it.
 	Service ServiceName `cbor:"2,keyasint" json:"service" yaml:"service"`
 	// Version is the weight version the service's targets must have loaded.
 	Version string `cbor:"3,keyasint,omitempty" json:"version,omitempty" yaml:"version,omitempty"`
@@ -78,7 +84,9 @@
 
 // Service is a set of interchangeable targets.
 type Service struct {
+	// Name is the name that the platform's list of targets shows.
 	Name ServiceName `cbor:"1,keyasint" json:"name" yaml:"name"`
+	// Kind is model for model runners and plain for ordinary HTTP services.
 	Kind ServiceKind `cbor:"2,keyasint" json:"kind" yaml:"kind"`
 	// ChecksFencing says that the targets refuse an order with an old number.
 	ChecksFencing bool `cbor:"3,keyasint,omitempty" json:"checks_fencing,omitempty" yaml:"checks_fencing,omitempty"`
@@ -97,7 +105,9 @@
 // DomainShare fixes what part of each organisation's rate and burst a failure
 // domain serves when it is cut off from the others.
 type DomainShare struct {
+	// Domain is the failure domain, as settings of instances name it.
 	Domain Domain `cbor:"1,keyasint" json:"domain" yaml:"domain"`
+	// Region groups failure domains that are close to each other.
 	Region string `cbor:"2,keyasint,omitempty" json:"region,omitempty" yaml:"region,omitempty"`
 	// Share is relative: a domain's part is Share ÷ the sum of all shares.
 	Share float64 `cbor:"3,keyasint" json:"share" yaml:"share"`
