Daemon: operators' calls wired whole; batch items in the burn report

Items of ended jobs are counted by the one instance that rendezvous hashing names. Callers' own mistakes and calls above the rate burn nothing.

--- a/internal/daemon/agreement.go
+++ b/internal/daemon/agreement.go
@@ -6,10 +6,11 @@
 	"github.com/gravitational/trace"
 	"github.com/thejerf/suture/v4"
 
+	"merlintiller/internal/burn"
+	"merlintiller/internal/coordination/fleetstatus"
 	"merlintiller/internal/coordination/journal"
 	"merlintiller/internal/coordination/member"
 	"merlintiller/internal/coordination/withdrawal"
-	"merlintiller/internal/protocol"
 	"merlintiller/internal/settings"
 	"merlintiller/internal/transport/peer"
 )
@@ -74,28 +75,14 @@
 	}
 }
 
-// keyWithdrawer lets operators withdraw keys at this instance.
-type keyWithdrawer struct {
-	journal *journal.Journal
-	origin  string
-}
-
-// WithdrawLocally implements withdrawal.Local.
-func (k keyWithdrawer) WithdrawLocally(key protocol.KeyID) {
-	k.journal.WithdrawLocally(key, k.origin)
-}
-
-func (d *Daemon) keyWithdrawer() withdrawal.Local {
-	return keyWithdrawer{journal: d.agreement.journal, origin: string(d.settings.Instance)}
-}
-
 // registerReceivers offers what other instances may call.
 func (d *Daemon) registerReceivers() error {
 	receivers := map[string]any{
-		member.ServiceName:     d.agreement.heartbeats.Receiver(),
-		withdrawal.ServiceName: &withdrawal.Receiver{Local: d.keyWithdrawer()},
-		limiterName:            d.fleet.limits.Endpoint(),
-		burnName:               d.operators.burnReceiver(),
+		member.ServiceName:      d.agreement.heartbeats.Receiver(),
+		withdrawal.ServiceName:  &withdrawal.Receiver{Local: d.agreement.journal},
+		limiterName:             d.fleet.limits.Endpoint(),
+		burn.ServiceName:        &burn.Receiver{Recorder: d.operators.recorder},
+		fleetstatus.ServiceName: &fleetstatus.Receiver{Source: d.operators.source},
 	}
 	for name, receiver := range receivers {
 		if err := d.agreement.peers.Register(name, receiver); err != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -110,6 +110,7 @@
 // leave ends the duties towards the outside in an order in which each still
 // has what it needs: calls need targets and limits, results need the session.
 func (d *Daemon) leave() {
+	d.operators.leaving.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Timings.DrainLimit)
 	defer cancel()
 	steps := []struct {
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -6,35 +6,54 @@
 	"expvar"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/thejerf/suture/v4"
 
 	"merlintiller/internal/burn"
+	"merlintiller/internal/coordination/fleetstatus"
 	"merlintiller/internal/coordination/online"
 	"merlintiller/internal/coordination/withdrawal"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/transport/operatorapi"
 )
 
-const burnName = "Burn"
+// lateWithin is the time left to its deadline at which status lists a job that
+// is not done: an operator can still do something about it.
+const lateWithin = time.Hour
 
 // operators is what operators see and order at this instance.
 type operators struct {
-	recorder   *burn.Recorder
-	server     *operatorServer
+	recorder *burn.Recorder
+	jobs     *burn.JobWatcher
+	source   *fleetstatus.Source
+	server   *operatorServer
+	// drainAsked is closed once an operator has ordered the instance to leave.
 	drainAsked chan struct{}
+	drainOnce  sync.Once
+	// leaving says that the instance has begun to leave, for whatever reason.
+	leaving atomic.Bool
 }
 
-func (o *operators) services() []suture.Service { return []suture.Service{o.server} }
+func (o *operators) services() []suture.Service { return []suture.Service{o.server, o.jobs} }
 
-func (o *operators) burnReceiver() *burn.Receiver { return &burn.Receiver{Recorder: o.recorder} }
+// drain makes the daemon leave. It returns at once.
+func (o *operators) drain() { o.drainOnce.Do(func() { close(o.drainAsked) }) }
 
-// observe records a finished call for the burn report.
+// observe records a finished call for the burn report. Only a stream shows when
+// its first token came.
 func (o *operators) observe(seen online.Observation) {
-	ok := seen.Result.Refusal == nil
-	o.recorder.Record(seen.Organisation, seen.Service, seen.Result.FirstByte, seen.Result.BetweenEvents, ok)
+	if !burn.Measured(seen.Result.Refusal) {
+		return
+	}
+	var firstToken, between time.Duration
+	if seen.Result.Events > 0 {
+		firstToken, between = seen.Result.FirstByte, seen.Result.BetweenEvents
+	}
+	o.recorder.Record(seen.Organisation, seen.Service, firstToken, between, seen.Result.Refusal == nil)
 }
 
 func newRecorder(fleet func() *protocol.Fleet) *burn.Recorder {
@@ -45,18 +64,35 @@
 }
 
 func (d *Daemon) joinOperators() {
-	d.operators.drainAsked = make(chan struct{})
+	o := &d.operators
+	j := d.agreement.journal
+	peers := d.agreement.heartbeats
+	timeout := d.settings.Timings.PeerTimeout
+	o.drainAsked = make(chan struct{})
+	o.jobs = &burn.JobWatcher{Journal: j, Recorder: o.recorder}
+	o.source = &fleetstatus.Source{
+		Instance: d.settings.Instance,
+		Domain:   d.settings.Domain,
+		Journal:  j,
+		Draining: o.leaving.Load,
+		Trouble:  j.Trouble,
+		Now:      time.Now,
+		Started:  time.Now(),
+	}
 	handler := operatorapi.New(operatorapi.Config{
 		Instance: d.settings.Instance,
 		Keys:     d.settings.OperatorKeys,
-		Journal:  d.agreement.journal,
-		Withdraw: &withdrawal.Service{
-			Journal:     d.agreement.journal,
-			Peers:       d.agreement.heartbeats,
-			Local:       d.keyWithdrawer(),
-			PeerTimeout: d.settings.Timings.PeerTimeout,
+		Journal:  j,
+		Peers:    peers,
+		Withdraw: &withdrawal.Service{Journal: j, Peers: peers, Local: j, PeerTimeout: timeout},
+		Status:   &fleetstatus.Collector{Source: o.source, Peers: peers, PeerTimeout: timeout, LateWithin: lateWithin},
+		Burn: &burn.Collector{
+			Instance: d.settings.Instance, Recorder: o.recorder, Peers: peers,
+			Fleet: j.Fleet, Now: time.Now, PeerTimeout: timeout,
 		},
-		Logger: d.logger,
+		Targets: d.fleet.router.Targets,
+		Drain:   o.drain,
+		Logger:  d.logger,
 	})
 	mux := http.NewServeMux()
 	mux.Handle("/operator/", handler)
