Settings: every policy constant of the duties, and a test that each is read

Settings that no duty read are gone (chunk_items, ring_depth, deadline of jobs, queue_per_organisation, which admission has), and with chunk_items its test case; cases of the new bounds stand in its place. Weighed: yaml tags on every package's options, dropped where these hold functions beside constants. Shown to fail: a setting that is not passed on turns TestEverySettingReachesADuty red.

--- a/internal/daemon/agreement.go
+++ b/internal/daemon/agreement.go
@@ -11,7 +11,6 @@
 	"merlintiller/internal/coordination/journal"
 	"merlintiller/internal/coordination/member"
 	"merlintiller/internal/coordination/withdrawal"
-	"merlintiller/internal/settings"
 	"merlintiller/internal/transport/peer"
 )
 
@@ -42,8 +41,10 @@
 		Address:  s.Listen.Peers,
 		Caller:   a.client,
 		Logger:   d.logger,
+		Seeds:    s.Seeds,
 		Every:    s.Timings.Heartbeat,
 		Timeout:  s.Timings.PeerTimeout,
+		Limits:   viewLimits(s.Timings),
 	})
 	a.journal = journal.New(journal.Options{
 		Log:           d.outside.log,
@@ -61,20 +62,6 @@
 	return nil
 }
 
-func journalTimings(t settings.Timings) journal.Timings {
-	session := member.DefaultTimings()
-	session.Renew = t.Renew
-	session.Hold = t.Hold
-	session.Expire = t.Expire
-	return journal.Timings{
-		Session:       session,
-		PollWait:      t.LogWait,
-		AppendTimeout: t.PlatformTimeout,
-		ReadTimeout:   t.PlatformTimeout,
-		SnapshotAfter: t.Snapshot,
-	}
-}
-
 // registerReceivers offers what other instances may call.
 func (d *Daemon) registerReceivers() error {
 	receivers := map[string]any{
--- a/internal/daemon/batch.go
+++ b/internal/daemon/batch.go
@@ -8,7 +8,6 @@
 	"merlintiller/internal/coordination/batch"
 	"merlintiller/internal/coordination/itemrun"
 	"merlintiller/internal/coordination/oncecall"
-	"merlintiller/internal/settings"
 )
 
 // batchWork is the batch jobs: accepting them, running their items, and keeping
@@ -40,15 +39,9 @@
 		executor: batch.NewExecutor("batch.results", j, d.fleet.headroom, runner, opts, d.logger),
 		keeper:   batch.NewKeeper(j, opts, d.logger),
 		carrier:  batch.NewCarrier(j, opts, d.logger),
-		once:     oncecall.New("once.outcomes", j, oncecall.Options{Remember: d.settings.Calls.Remember}, d.logger),
-	}
-}
-
-func batchOptions(s *settings.Settings) batch.Options {
-	return batch.Options{
-		MaxFileBytes:    s.Limits.FileBytes,
-		ResultsReadable: s.Batch.ResultsReadable,
-		MaxAttempts:     s.Batch.Attempts,
-		BufferBytes:     int(s.Batch.ResultBufferBytes),
+		once: oncecall.New("once.outcomes", j, oncecall.Options{
+			ReserveTimeout: d.settings.Calls.ReserveTimeout,
+			Remember:       d.settings.Calls.Remember,
+		}, d.logger),
 	}
 }
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -10,7 +10,6 @@
 	"merlintiller/internal/coordination/access"
 	"merlintiller/internal/coordination/online"
 	"merlintiller/internal/protocol"
-	"merlintiller/internal/settings"
 	"merlintiller/internal/transport/batchapi"
 	"merlintiller/internal/transport/edge"
 )
@@ -38,10 +37,7 @@
 		Once:       d.batch.once,
 		Observe:    d.operators.observe,
 		Logger:     d.logger,
-		Policy: online.Policy{
-			Timeout:    d.settings.Calls.Deadline,
-			RetryRatio: d.settings.Calls.RetryShare,
-		},
+		Policy:     onlinePolicy(d.settings.Calls),
 	})
 	batchAPI := batchapi.New(d.batch.service, organisationOf, d.logger)
 	d.callers.edge = edge.New(edge.Options{
@@ -73,20 +69,6 @@
 	return caller.Organisation
 }
 
-func edgeLimits(s *settings.Settings) edge.Limits {
-	return edge.Limits{
-		MaxConnections: s.Limits.Connections,
-		MaxBody:        s.Limits.BodyBytes,
-		MaxFile:        s.Limits.FileBytes,
-		MaxHeaderBytes: s.Limits.HeaderBytes,
-		HeaderTimeout:  s.Limits.HeaderTimeout,
-		BodyTimeout:    s.Limits.BodyTimeout,
-		WriteTimeout:   s.Limits.WriteTimeout,
-		IdleTimeout:    s.Limits.IdleTimeout,
-		DrainLag:       s.Timings.DrainNotice,
-	}
-}
-
 // secured opens a listener with TLS, or a plain one where settings give no
 // certificate.
 func secured(address string, config *tls.Config) func() (net.Listener, error) {
--- a/internal/daemon/fleetpolicy.go
+++ b/internal/daemon/fleetpolicy.go
@@ -35,7 +35,7 @@
 	s := d.settings
 	j := d.agreement.journal
 	f := &d.fleet
-	f.router = routing.NewRouter(routing.Options{Domain: s.Domain, Seed: seedOf(s.Instance)})
+	f.router = routing.NewRouter(routingOptions(s))
 	f.pollers = routing.Pollers(routing.PollOptions{
 		Router:    f.router,
 		List:      d.outside.list,
@@ -49,11 +49,11 @@
 	f.limits = limiter.New(limiter.Config{
 		Self: s.Instance, Domain: s.Domain,
 		Journal: j, Peers: d.agreement.heartbeats,
-		Settings: limiter.Defaults(), Logger: d.logger,
+		Settings: s.Limiter, Logger: d.logger,
 	})
 	shown := &view{router: f.router, journal: j}
-	f.admission = admission.New(admission.Config{Fleet: j.Fleet, Capacities: shown, Settings: admission.Defaults()})
-	f.headroom = headroom.New(headroom.Config{Self: s.Instance, Source: shown, Settings: headroom.Defaults()})
+	f.admission = admission.New(admission.Config{Fleet: j.Fleet, Capacities: shown, Settings: s.Admission})
+	f.headroom = headroom.New(headroom.Config{Self: s.Instance, Source: shown, Settings: s.Headroom})
 }
 
 // seedOf makes the random choices of instances differ and those of a restart
--- /dev/null
+++ b/internal/daemon/options.go
@@ -0,0 +1,103 @@
+package daemon
+
+import (
+	"merlintiller/internal/coordination/batch"
+	"merlintiller/internal/coordination/journal"
+	"merlintiller/internal/coordination/member"
+	"merlintiller/internal/coordination/online"
+	"merlintiller/internal/coordination/routing"
+	"merlintiller/internal/settings"
+	"merlintiller/internal/transport/edge"
+)
+
+// journalTimings are the journal's constants.
+func journalTimings(t settings.Timings) journal.Timings {
+	return journal.Timings{
+		Session: member.Timings{
+			Renew:   t.Renew,
+			Hold:    t.Hold,
+			Expire:  t.Expire,
+			Stagger: t.Stagger,
+			Drift:   t.ClockDrift,
+		},
+		PollWait:      t.LogWait,
+		AppendTimeout: t.PlatformTimeout,
+		ReadTimeout:   t.PlatformTimeout,
+		DownAfter:     t.LogDownAfter,
+		FrameSpacing:  t.AppendSpacing,
+		SnapshotAfter: t.Snapshot,
+	}
+}
+
+// viewLimits bound what heartbeats know of other instances.
+func viewLimits(t settings.Timings) member.ViewLimits {
+	limits := member.DefaultViewLimits()
+	limits.Reachable = t.PeerSilent
+	limits.Forget = t.PeerForget
+	return limits
+}
+
+func batchOptions(s *settings.Settings) batch.Options {
+	return batch.Options{
+		MaxLineBytes:    s.Batch.LineBytes,
+		MaxFileBytes:    s.Limits.FileBytes,
+		MaxFileItems:    s.Batch.FileItems,
+		MaxResultBytes:  s.Batch.ResultBytes,
+		FileKept:        s.Batch.FileKept,
+		MaxWindow:       s.Batch.LongestWindow,
+		ResultsReadable: s.Batch.ResultsReadable,
+		MaxHeldChunks:   s.Batch.HeldChunks,
+		MaxInFlight:     s.Batch.InFlight,
+		UrgentLaxity:    s.Batch.UrgentLaxity,
+		MaxAttempts:     s.Batch.Attempts,
+		BackoffFirst:    s.Batch.FirstBackoff,
+		BackoffMax:      s.Batch.LongestBackoff,
+		FlushAfter:      s.Batch.ResultFlush,
+		BufferBytes:     s.Batch.ResultBufferBytes,
+		CarryAge:        s.Batch.CarryAge,
+	}
+}
+
+func onlinePolicy(c settings.Calls) online.Policy {
+	return online.Policy{
+		Timeout:          c.Deadline,
+		FirstByteTimeout: c.FirstByteTimeout,
+		StallTimeout:     c.StallTimeout,
+		Attempts:         c.Attempts,
+		RetryRatio:       c.RetryShare,
+		MaxAnswer:        c.AnswerBytes,
+		AllowHeaders:     c.AllowHeaders,
+	}
+}
+
+func routingOptions(s *settings.Settings) routing.Options {
+	return routing.Options{
+		Domain:          s.Domain,
+		Seed:            seedOf(s.Instance),
+		SpillAt:         s.Routing.SpillAt,
+		SpillGain:       s.Routing.SpillGain,
+		ReportHalfLife:  s.Routing.ReportHalfLife,
+		AffinityLoad:    s.Routing.AffinityLoad,
+		FailuresToEject: s.Routing.FailuresToEject,
+		EjectFor:        s.Routing.EjectFor,
+		EjectMost:       s.Routing.LongestEjection,
+		EjectShare:      s.Routing.EjectShare,
+		SlowFactor:      s.Routing.SlowFactor,
+	}
+}
+
+func edgeLimits(s *settings.Settings) edge.Limits {
+	return edge.Limits{
+		MaxConnections: s.Limits.Connections,
+		MaxBody:        s.Limits.BodyBytes,
+		MaxFile:        s.Limits.FileBytes,
+		MaxHeaderBytes: s.Limits.HeaderBytes,
+		MaxHeaders:     s.Limits.Headers,
+		HeaderTimeout:  s.Limits.HeaderTimeout,
+		BodyTimeout:    s.Limits.BodyTimeout,
+		FileTimeout:    s.Limits.FileTimeout,
+		WriteTimeout:   s.Limits.WriteTimeout,
+		IdleTimeout:    s.Limits.IdleTimeout,
+		DrainLag:       s.Timings.DrainNotice,
+	}
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"math"
 	"net/netip"
 	"reflect"
 	"regexp"
@@ -12,9 +13,9 @@
 	"merlintiller/internal/strictyaml"
 )
 
-// clockDrift is how much faster an observer's clock may run than a holder's.
-// Quartz clocks differ by less than 0.0002; 0.05 leaves room for slewing.
-const clockDrift = 0.05
+// mostDrift is the largest clock error that settings may name. A larger one is
+// a broken clock.
+const mostDrift = 0.5
 
 var (
 	namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
@@ -25,6 +26,9 @@
 	checkName(doc, "instance", string(s.Instance))
 	checkName(doc, "domain", string(s.Domain))
 	checkListen(s, doc)
+	for i, seed := range s.Seeds {
+		checkAddress(doc, indexed("seeds", i), seed)
+	}
 	checkAddress(doc, "platform.log", s.Platform.Log)
 	checkAddress(doc, "platform.list", s.Platform.List)
 	checkAddress(doc, "platform.weights", s.Platform.Weights)
@@ -33,6 +37,7 @@
 	checkPositive(doc, "", reflect.ValueOf(s).Elem())
 	checkTimings(s, doc)
 	checkBatch(s, doc)
+	checkShares(s, doc)
 	checkLog(s, doc)
 }
 
@@ -141,8 +146,14 @@
 	}
 }
 
-// checkPositive refuses zero and negative numbers and times anywhere: no field
-// has a use for them.
+// mayBeZero are the numbers that have a use for 0.
+var mayBeZero = map[string]bool{
+	"routing.affinity_load": true,
+	"headroom.spare":        true,
+}
+
+// checkPositive refuses negative numbers and times anywhere, and zero where it
+// has no use: a period of 0 would spin, a limit of 0 refuse everything.
 func checkPositive(doc *strictyaml.Document, field string, value reflect.Value) {
 	switch value.Kind() {
 	case reflect.Struct:
@@ -155,8 +166,10 @@
 			doc.Report(field, "must be above 0")
 		}
 	case reflect.Float64:
-		if !(value.Float() > 0) {
-			doc.Report(field, "must be above 0")
+		number := value.Float()
+		allowed := number > 0 || number == 0 && mayBeZero[field]
+		if !allowed || math.IsInf(number, 0) {
+			doc.Report(field, "must be a number above 0")
 		}
 	}
 }
@@ -166,27 +179,53 @@
 	if 2*t.Renew > t.Hold {
 		doc.Report("timings.renew", "%s must be at most half of timings.hold (%s), or one lost renewal stops work", t.Renew, t.Hold)
 	}
-	if float64(t.Expire) < float64(t.Hold)*(1+clockDrift) {
-		doc.Report("timings.expire", "%s must be larger than timings.hold (%s) by clock drift, or two instances hold the same work",
-			t.Expire, t.Hold)
+	if t.ClockDrift >= mostDrift {
+		doc.Report("timings.clock_drift", "%g must be below %g", t.ClockDrift, mostDrift)
+	}
+	slowest := time.Duration(float64(t.Hold) * (1 + t.ClockDrift) / (1 - t.ClockDrift))
+	if t.Expire <= slowest {
+		doc.Report("timings.expire", "%s must be larger than timings.hold (%s on the slowest clock), or two instances hold the same work",
+			t.Expire, slowest)
 	}
 	if t.PeerSilent < 2*t.Heartbeat {
 		doc.Report("timings.peer_silent", "%s must be at least twice timings.heartbeat (%s)", t.PeerSilent, t.Heartbeat)
 	}
+	if t.LogDownAfter <= t.LogWait {
+		doc.Report("timings.log_down_after", "%s must be longer than timings.log_wait (%s)", t.LogDownAfter, t.LogWait)
+	}
 	if t.PlatformTimeout <= t.LogWait {
 		doc.Report("timings.platform_timeout", "%s must be longer than timings.log_wait (%s)", t.PlatformTimeout, t.LogWait)
 	}
 }
 
 func checkBatch(s *Settings, doc *strictyaml.Document) {
-	if s.Batch.ChunkItems > protocol.MaxChunkItems {
-		doc.Report("batch.chunk_items", "%d must be at most %d", s.Batch.ChunkItems, protocol.MaxChunkItems)
-	}
 	if s.Batch.ResultsReadable < time.Hour {
 		doc.Report("batch.results_readable", "%s must be at least 1h", s.Batch.ResultsReadable)
 	}
-	if s.Calls.RetryShare > 1 {
-		doc.Report("calls.retry_share", "%g must be at most 1", s.Calls.RetryShare)
+	if s.Batch.LineBytes > protocol.MaxEntryBytes/2 {
+		doc.Report("batch.line_bytes", "%d must be at most %d, half of a log entry", s.Batch.LineBytes, protocol.MaxEntryBytes/2)
+	}
+	if s.Batch.ResultBytes > protocol.MaxEntryBytes/2 {
+		doc.Report("batch.result_bytes", "%d must be at most %d, half of a log entry", s.Batch.ResultBytes, protocol.MaxEntryBytes/2)
+	}
+}
+
+// checkShares wants parts of a whole to be at most the whole.
+func checkShares(s *Settings, doc *strictyaml.Document) {
+	shares := []struct {
+		field string
+		value float64
+	}{
+		{"calls.retry_share", s.Calls.RetryShare},
+		{"routing.eject_share", s.Routing.EjectShare},
+		{"headroom.spare", s.Headroom.Spare},
+		{"headroom.grow_part", s.Headroom.GrowPart},
+		{"admission.hold_memory", s.Admission.HoldMemory},
+	}
+	for _, share := range shares {
+		if share.value > 1 {
+			doc.Report(share.field, "%g must be at most 1", share.value)
+		}
 	}
 }
 
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -1,6 +1,12 @@
 package settings
 
-import "time"
+import (
+	"time"
+
+	"merlintiller/internal/coordination/admission"
+	"merlintiller/internal/coordination/headroom"
+	"merlintiller/internal/coordination/limiter"
+)
 
 // day is a calendar-free day.
 const day = 24 * time.Hour
@@ -14,7 +20,12 @@
 		Timings: defaultTimings(),
 		Batch:   defaultBatch(),
 		Calls:   defaultCalls(),
-		Log:     Log{Level: LevelInfo, Format: FormatLogfmt},
+		Routing: defaultRouting(),
+		// The reasons stand in these packages, beside what was measured.
+		Limiter:   limiter.Defaults(),
+		Admission: admission.Defaults(),
+		Headroom:  headroom.Defaults(),
+		Log:       Log{Level: LevelInfo, Format: FormatLogfmt},
 	}
 }
 
@@ -31,26 +42,27 @@
 		// A prompt of 128 k tokens is about 0.5 MB of JSON; 4 MB leaves room
 		// for escapes while 100 such calls still fit in memory.
 		BodyBytes: 4 << 20,
-		// 760,000 items at 250 bytes are 190 MB.
-		FileBytes: 200 << 20,
+		// 760,000 items at 700 bytes are 530 MB. A file passes through in
+		// chunks and is never in memory whole.
+		FileBytes: 512 << 20,
 		// Keys, ids and the usual client headers stay below 4 KB.
 		HeaderBytes: 16 << 10,
+		// Clients and balancers send some twenty lines.
+		Headers: 100,
 		// At about 40 KB a connection: 80 MB at worst.
 		Connections: 2048,
 		// A caller is a few milliseconds away and its header fits in a few
 		// packets, so 5 s allows for several lost ones.
 		HeaderTimeout: 5 * time.Second,
-		// A body at the limit over a 1 Mbit/s link takes 34 s.
-		BodyTimeout: 60 * time.Second,
+		// A body at the limit takes 17 s over 2 Mbit/s, a poor mobile link.
+		BodyTimeout: 20 * time.Second,
+		// A file at the limit takes 7 minutes over 10 Mbit/s.
+		FileTimeout: 10 * time.Minute,
 		// The platform's balancer keeps connections for a minute.
 		IdleTimeout: 75 * time.Second,
 		// A caller that reads nothing for this long has gone; its stream
 		// would otherwise hold a place at a target.
-		WriteTimeout: 10 * time.Second,
-		// More would wait past any online deadline at 10 targets.
-		QueuePerOrganisation: 64,
-		// Some hundreds of milliseconds of messages at the target size.
-		RingDepth: 1024,
+		WriteTimeout: 5 * time.Second,
 	}
 }
 
@@ -64,11 +76,19 @@
 		// Larger than Hold by far more than clock drift and by the time that
 		// a holder needs to notice.
 		Expire: 8 * time.Second,
-		// Peers are under a millisecond away; two missed ones are noticed
-		// within PeerSilent.
-		Heartbeat: 500 * time.Millisecond,
+		// Longer than an append takes, so that the first in line is heard
+		// before the second proposes the same.
+		Stagger: time.Second,
+		// Quartz clocks differ by less than 0.0002; this leaves room for a
+		// clock that is being slewed.
+		ClockDrift: 0.01,
+		// Peers are under a millisecond away; a second keeps the cost of 66
+		// partners inside the budget for control.
+		Heartbeat: time.Second,
 		// Three heartbeats, so that a single lost one changes nothing.
-		PeerSilent: 1500 * time.Millisecond,
+		PeerSilent: 3 * time.Second,
+		// An instance that is replaced is back within this.
+		PeerForget: time.Minute,
 		// Hundreds of round trips; longer would hold up the call that asks.
 		PeerTimeout: 500 * time.Millisecond,
 		// Longer than LogWait, so that a waiting read is not taken for a
@@ -76,12 +96,18 @@
 		PlatformTimeout: 3 * time.Second,
 		// Waiting reads keep an idle instance at one read a second.
 		LogWait: time.Second,
+		// Three times LogWait, so that one slow read is no outage.
+		LogDownAfter: 3 * time.Second,
+		// The platform takes several hundred appends a second: 12 instances
+		// at 20 ms stay at 600 when all are busy at once.
+		AppendSpacing: 20 * time.Millisecond,
 		// The list itself lags by more than this.
 		ListPoll: time.Second,
 		// Reports lag by about a second; asking more often shows nothing new.
-		LoadPoll: 500 * time.Millisecond,
-		// Replaying some minutes of the stream takes below a second.
-		Snapshot: 2 * time.Minute,
+		LoadPoll: time.Second,
+		// A small part of the retention time; replaying as much takes below a
+		// second.
+		Snapshot: 10 * time.Minute,
 		// The balancer and the list notice within this.
 		DrainNotice: 3 * time.Second,
 		// Longer than any online deadline.
@@ -91,29 +117,86 @@
 
 func defaultBatch() Batch {
 	return Batch{
-		// The most that a chunk may hold: fewer appends for each item.
-		ChunkItems: 256,
-		// A second and third try ride out a dying target; more only delays
-		// the end of an item that can never be done.
-		Attempts: 3,
-		// The usual batch window of the callers' API.
-		Deadline: day,
+		// A line must fit in a log entry with room for others.
+		LineBytes: 256 << 10,
+		// The largest job foreseen has 760,000.
+		FileItems: 1_000_000,
+		// A result must fit in a log entry with room for others.
+		ResultBytes: 512 << 10,
+		// Less than the platform's retention, since a file that no job uses
+		// is not carried forward.
+		FileKept: day,
+		// A job that is not done in a week will never be.
+		LongestWindow: 7 * day,
 		// A week lets an office fetch Friday's results on Monday.
 		ResultsReadable: 7 * day,
-		// Group commits keep appends low; a second is nothing to a job.
-		ResultFlush: time.Second,
-		// Half an hour of results at 10 items a second of 1 KB.
-		ResultBufferBytes: 16 << 20,
+		// Two thousand items keep an instance busy while a claim is on its way.
+		HeldChunks: 8,
+		// More than the headroom of 10 targets at 16 slots.
+		InFlight: 256,
+		// Ten minutes of an hour's job are enough to bring it home.
+		UrgentLaxity: 10 * time.Minute,
+		// Further tries ride out a dying target; more only delay the end of
+		// an item that can never be done.
+		Attempts: 5,
+		// A target that was busy is free again after a second.
+		FirstBackoff: time.Second,
+		// Longer waits would show as lateness of the whole job.
+		LongestBackoff: time.Minute,
+		// Results go at once when their chunk is whole, so this bounds only
+		// what a crash makes run again.
+		ResultFlush: time.Minute,
+		// An eighth of the memory that an instance may use.
+		ResultBufferBytes: 8 << 20,
+		// A quarter of the retention time or less leaves room for an outage.
+		CarryAge: day,
 	}
 }
 
 func defaultCalls() Calls {
 	return Calls{
-		// A person waits; later answers are not used.
-		Deadline: 60 * time.Second,
+		// 2,000 tokens at 36 ms take 72 s.
+		Deadline: 2 * time.Minute,
+		// Five times the aim for the first token, so that only a dead or
+		// frozen target meets it.
+		FirstByteTimeout: 10 * time.Second,
+		// More than a hundred times the aim between tokens.
+		StallTimeout: 5 * time.Second,
+		// A third target is rarely better than a second.
+		Attempts: 3,
 		// One retry for ten calls cannot double the load on a failing pool.
 		RetryShare: 0.1,
+		// 128 k tokens with their JSON are about 2 MB; it is held in memory.
+		AnswerBytes: 16 << 20,
+		// A caller is better told to come back than kept.
+		ReserveTimeout: 3 * time.Second,
 		// Longer than any client goes on resending.
 		Remember: day,
 	}
 }
+
+func defaultRouting() Routing {
+	return Routing{
+		// Below it the local target runs well, and crossing domains would
+		// cost latency for nothing.
+		SpillAt: 1,
+		// Two full domains would otherwise trade calls.
+		SpillGain: 0.25,
+		// With a report every second and streams of seconds, older news says
+		// little of one target.
+		ReportHalfLife: 2 * time.Second,
+		// Off until a measurement shows a gain.
+		AffinityLoad: 0,
+		// One failure may be the call's own.
+		FailuresToEject: 3,
+		// A restarting target is back after some seconds.
+		EjectFor: 2 * time.Second,
+		// A target that stays dead costs one call a minute.
+		LongestEjection: time.Minute,
+		// Beyond a half the cause is more likely shared, and the rest could
+		// not carry the load.
+		EjectShare: 0.5,
+		// The tail of a healthy target stays below it.
+		SlowFactor: 4,
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,6 +8,9 @@
 import (
 	"time"
 
+	"merlintiller/internal/coordination/admission"
+	"merlintiller/internal/coordination/headroom"
+	"merlintiller/internal/coordination/limiter"
 	"merlintiller/internal/protocol"
 )
 
@@ -21,6 +24,9 @@
 	Domain protocol.Domain `yaml:"domain"`
 	// Listen holds the addresses that this process listens on.
 	Listen Listen `yaml:"listen"`
+	// Seeds are peer addresses of some other instances. They are asked for the
+	// state when this one starts while the log is down. May be empty.
+	Seeds []string `yaml:"seeds"`
 	// Platform says where the platform's services stand.
 	Platform Platform `yaml:"platform"`
 	// TLS holds the certificate files.
@@ -36,6 +42,14 @@
 	Batch Batch `yaml:"batch"`
 	// Calls holds the constants of online calls.
 	Calls Calls `yaml:"calls"`
+	// Routing holds the constants of choosing targets.
+	Routing Routing `yaml:"routing"`
+	// Limiter holds the constants of organisations' rates.
+	Limiter limiter.Settings `yaml:"limiter"`
+	// Admission holds the constants of the queues of online calls.
+	Admission admission.Settings `yaml:"admission"`
+	// Headroom holds the constants of the batch windows at targets.
+	Headroom headroom.Settings `yaml:"headroom"`
 	// Log says what is logged and how.
 	Log Log `yaml:"log"`
 }
@@ -111,21 +125,20 @@
 	FileBytes int64 `yaml:"file_bytes"`
 	// HeaderBytes is the largest request header, in bytes.
 	HeaderBytes int `yaml:"header_bytes"`
+	// Headers is the number of lines in a request header.
+	Headers int `yaml:"headers"`
 	// Connections is the number of callers' connections open at once.
 	Connections int `yaml:"connections"`
 	// HeaderTimeout ends a connection that does not send a whole header.
 	HeaderTimeout time.Duration `yaml:"header_timeout"`
 	// BodyTimeout ends a call whose body does not arrive whole.
 	BodyTimeout time.Duration `yaml:"body_timeout"`
+	// FileTimeout ends an upload that does not arrive whole.
+	FileTimeout time.Duration `yaml:"file_timeout"`
 	// IdleTimeout ends a connection without a call.
 	IdleTimeout time.Duration `yaml:"idle_timeout"`
 	// WriteTimeout ends a call whose caller stops reading, for one write.
 	WriteTimeout time.Duration `yaml:"write_timeout"`
-	// QueuePerOrganisation is the number of online calls of one organisation
-	// that wait for a place at once.
-	QueuePerOrganisation int `yaml:"queue_per_organisation"`
-	// RingDepth is the capacity of the rings between duties, in messages.
-	RingDepth int `yaml:"ring_depth"`
 }
 
 // Timings are periods and timeouts.
@@ -138,16 +151,29 @@
 	// Expire is how long after reading the last renewal another instance may
 	// end the session.
 	Expire time.Duration `yaml:"expire"`
+	// Stagger is the further wait of each instance that is not the first in
+	// line to end another's session.
+	Stagger time.Duration `yaml:"stagger"`
+	// ClockDrift bounds the relative error of a monotonic clock.
+	ClockDrift float64 `yaml:"clock_drift"`
 	// Heartbeat is the period of the direct messages between instances.
 	Heartbeat time.Duration `yaml:"heartbeat"`
 	// PeerSilent is the silence after which a peer counts as unreachable.
 	PeerSilent time.Duration `yaml:"peer_silent"`
+	// PeerForget is the silence after which a peer without an open session is
+	// dropped from memory.
+	PeerForget time.Duration `yaml:"peer_forget"`
 	// PeerTimeout is the limit on one call to another instance.
 	PeerTimeout time.Duration `yaml:"peer_timeout"`
 	// PlatformTimeout is the limit on one call to the platform.
 	PlatformTimeout time.Duration `yaml:"platform_timeout"`
 	// LogWait is how long a read of the log waits for a new entry.
 	LogWait time.Duration `yaml:"log_wait"`
+	// LogDownAfter is how long the end of the log may stay unread until the
+	// log counts as down.
+	LogDownAfter time.Duration `yaml:"log_down_after"`
+	// AppendSpacing is the least time between two appends of an instance.
+	AppendSpacing time.Duration `yaml:"append_spacing"`
 	// ListPoll is the period of reading the platform's list.
 	ListPoll time.Duration `yaml:"list_poll"`
 	// LoadPoll is the period of reading a target's load report.
@@ -163,31 +189,91 @@
 
 // Batch holds the constants of batch jobs.
 type Batch struct {
-	// ChunkItems is the number of items in a chunk, at most 256.
-	ChunkItems int `yaml:"chunk_items"`
-	// Attempts is how often an item is tried before it ends as failed.
-	Attempts int `yaml:"attempts"`
-	// Deadline is the time to finish a job that names none.
-	Deadline time.Duration `yaml:"deadline"`
+	// LineBytes is the longest line of an input file, in bytes.
+	LineBytes int `yaml:"line_bytes"`
+	// FileItems is the largest number of items of an input file.
+	FileItems int `yaml:"file_items"`
+	// ResultBytes is the longest result of an item, in bytes. A longer one
+	// ends as a failed result.
+	ResultBytes int `yaml:"result_bytes"`
+	// FileKept is how long after its upload a file can be used for a job.
+	FileKept time.Duration `yaml:"file_kept"`
+	// LongestWindow is the longest completion window of a job.
+	LongestWindow time.Duration `yaml:"longest_window"`
 	// ResultsReadable is how long results stay readable after a job ended.
 	ResultsReadable time.Duration `yaml:"results_readable"`
+	// HeldChunks is the number of chunks that an instance holds at once.
+	HeldChunks int `yaml:"held_chunks"`
+	// InFlight is the number of items that an instance runs at once.
+	InFlight int `yaml:"in_flight"`
+	// UrgentLaxity is the spare time under which a job goes ahead of fairness
+	// between organisations.
+	UrgentLaxity time.Duration `yaml:"urgent_laxity"`
+	// Attempts is how often an item is tried before it ends as failed.
+	Attempts int `yaml:"attempts"`
+	// FirstBackoff is the wait before the second attempt. It doubles after
+	// each further one.
+	FirstBackoff time.Duration `yaml:"first_backoff"`
+	// LongestBackoff bounds the wait between attempts.
+	LongestBackoff time.Duration `yaml:"longest_backoff"`
 	// ResultFlush is the longest time a result waits for a group commit.
 	ResultFlush time.Duration `yaml:"result_flush"`
 	// ResultBufferBytes bounds the results kept while the log is down.
-	ResultBufferBytes int64 `yaml:"result_buffer_bytes"`
+	ResultBufferBytes int `yaml:"result_buffer_bytes"`
+	// CarryAge is the age at which live data is appended anew, so that it
+	// outlives the platform's retention.
+	CarryAge time.Duration `yaml:"carry_age"`
 }
 
 // Calls holds the constants of online calls.
 type Calls struct {
 	// Deadline is the time for a call that names none.
 	Deadline time.Duration `yaml:"deadline"`
+	// FirstByteTimeout gives up an attempt of a repeatable call that shows no
+	// first byte.
+	FirstByteTimeout time.Duration `yaml:"first_byte_timeout"`
+	// StallTimeout gives up a stream that shows no further event.
+	StallTimeout time.Duration `yaml:"stall_timeout"`
+	// Attempts is the number of attempts of one repeatable call.
+	Attempts int `yaml:"attempts"`
 	// RetryShare is the number of retries allowed for each call that began.
 	RetryShare float64 `yaml:"retry_share"`
+	// AnswerBytes is the largest whole answer of a target, in bytes.
+	AnswerBytes int64 `yaml:"answer_bytes"`
+	// AllowHeaders are further request headers that may pass to targets.
+	AllowHeaders []string `yaml:"allow_headers"`
+	// ReserveTimeout is the limit on reserving a call that may not be repeated.
+	ReserveTimeout time.Duration `yaml:"reserve_timeout"`
 	// Remember is how long the outcome of a call that may not be repeated is
 	// remembered.
 	Remember time.Duration `yaml:"remember"`
 }
 
+// Routing holds the constants of choosing targets.
+type Routing struct {
+	// SpillAt is the load per slot from which a target of another failure
+	// domain may be taken.
+	SpillAt float64 `yaml:"spill_at"`
+	// SpillGain is by how much less loaded per slot that target must be.
+	SpillGain float64 `yaml:"spill_gain"`
+	// ReportHalfLife is the age at which a load report counts half.
+	ReportHalfLife time.Duration `yaml:"report_half_life"`
+	// AffinityLoad is how far above the mean load per slot a target that holds
+	// the prompt's prefix is still preferred; 0 is no affinity.
+	AffinityLoad float64 `yaml:"affinity_load"`
+	// FailuresToEject is the run of failures that ejects a target.
+	FailuresToEject int `yaml:"failures_to_eject"`
+	// EjectFor is the time of a first ejection. It doubles with each further.
+	EjectFor time.Duration `yaml:"eject_for"`
+	// LongestEjection bounds the time of an ejection.
+	LongestEjection time.Duration `yaml:"longest_ejection"`
+	// EjectShare bounds the part of a service that is ejected at once.
+	EjectShare float64 `yaml:"eject_share"`
+	// SlowFactor ejects a target whose mean time to the first byte is so many
+	// times the service's.
+	SlowFactor float64 `yaml:"slow_factor"`
+}
+
 // Log says what is logged and how.
 type Log struct {
 	// Level is the lowest level that is logged.
