--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -188,6 +188,12 @@
 	require.Equal(t, ExitBadInput, run("key", "create", "nobody", "--instance", address).code)
 }
 
+func TestSecretForAnIdIsSentNowhere(t *testing.T) {
+	got := run("key", "withdraw", protocol.SecretPrefix+"hunter2", "--instance", "127.0.0.1:1")
+	require.Equal(t, ExitBadInput, got.code)
+	require.NotContains(t, got.stderr, "hunter2")
+}
+
 func TestBadInputExits2(t *testing.T) {
 	dir := t.TempDir()
 	require.NoError(t, os.WriteFile(filepath.Join(dir, "a.yaml"), []byte("organisations:\n  - {id: ana, rat: 1}\n"), 0o600))
--- a/internal/ctl/key.go
+++ b/internal/ctl/key.go
@@ -121,7 +121,7 @@
 	if _, err := io.ReadFull(env.Random, random); err != nil {
 		return protocol.Key{}, "", err
 	}
-	secret := "mt-" + base64.RawURLEncoding.EncodeToString(random)
+	secret := protocol.SecretPrefix + base64.RawURLEncoding.EncodeToString(random)
 	sum := sha256.Sum256([]byte(secret))
 	return protocol.Key{ID: protocol.KeyID(id), Organisation: org, SHA256: hex.EncodeToString(sum[:])}, secret, nil
 }
@@ -147,6 +147,9 @@
 
 // Run withdraws the key.
 func (c *keyWithdraw) Run(env *Env) error {
+	if protocol.KeyID(c.Key).LooksLikeSecret() {
+		return fail(ExitBadInput, "tillerctl key list shows the ids", "this is the secret of a key, not its id; it was sent nowhere")
+	}
 	var answer operatorapi.WithdrawAnswer
 	path := operatorapi.PathKeys + url.PathEscape(c.Key) + "/withdraw"
 	// A withdrawal may be repeated, so every instance is tried in turn.
--- a/internal/fleetdir/check.go
+++ b/internal/fleetdir/check.go
@@ -25,7 +25,7 @@
 		checkOrganisation(o)
 	}
 	for id, k := range m.keys {
-		checkID(k, "id", string(id))
+		checkKeyID(k, id)
 		m.checkKey(k)
 	}
 	for name, model := range m.models {
@@ -50,6 +50,15 @@
 	}
 }
 
+func checkKeyID(k placed[protocol.Key], id protocol.KeyID) {
+	if id.LooksLikeSecret() {
+		// It is not shown, as checkID would.
+		k.report("id", "begins like a secret; give the id and the hash, never the secret")
+		return
+	}
+	checkID(k, "id", string(id))
+}
+
 // checkRange also refuses NaN, which compares as neither below nor above.
 func checkRange[T any](object placed[T], field string, value, least, most float64) {
 	if value >= least && value <= most {
--- a/internal/fleetdir/fleetdir_test.go
+++ b/internal/fleetdir/fleetdir_test.go
@@ -51,6 +51,7 @@
 		"objective of 1":  {"organisations: [{id: ana, rate: 1, burst: 1, objectives: {target: 1}}]\n", "objectives.target: 1 must be at least 0 and below 1"},
 		"orphan key":      {"keys:\n  - {id: k1, organisation: ana, sha256: " + hash + "}\n", "a.yaml:2: keys[0].organisation: \"ana\" is no organisation"},
 		"secret for hash": {"keys: [{id: k1, organisation: ana, sha256: hunter2}]\n", "keys[0].sha256: must be the 64"},
+		"secret for id":   {"keys: [{id: mt-hunter2-X, organisation: ana, sha256: " + hash + "}]\n", "keys[0].id: begins like a secret"},
 		"orphan model":    {"models: [{name: m, service: s}]\n", "models[0].service: \"s\" is no service"},
 		"no kind":         {"services: [{name: s, slots: 1}]\n", "services[0].kind: is missing"},
 		"bad kind":        {"services: [{name: s, kind: magic, slots: 1}]\n", "services[0].kind: \"magic\" must be model or plain"},
--- a/internal/protocol/ids.go
+++ b/internal/protocol/ids.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 )
 
 // InstanceID names one entry instance, as its settings give it. A restarted
@@ -19,6 +20,14 @@
 // reused, so that a withdrawal needs no order.
 type KeyID string
 
+// SecretPrefix begins the secret of every caller's key. Ids never begin with
+// it, so that a secret that somebody puts where an id belongs is noticed
+// before it is logged or published.
+const SecretPrefix = "mt-"
+
+// LooksLikeSecret reports whether a text that should be an id is a secret.
+func (id KeyID) LooksLikeSecret() bool { return strings.HasPrefix(string(id), SecretPrefix) }
+
 // TargetID names one model runner or plain service process.
 type TargetID string
 
--- a/internal/transport/operatorapi/change.go
+++ b/internal/transport/operatorapi/change.go
@@ -52,6 +52,11 @@
 // verdict does not carry. It only speaks for the version that the change was
 // made from: of another one a conflict is the truer answer.
 func (h *Handler) validate(change *protocol.FleetChange) *protocol.Refusal {
+	for _, object := range change.Set {
+		if object.Key != nil && object.Key.ID.LooksLikeSecret() {
+			return protocol.Refuse(protocol.CodeBadRequest, 0, "the id of a key begins like a secret; give the id and the hash, never the secret")
+		}
+	}
 	frame := protocol.Frame{Records: []protocol.Record{{FleetChange: change}}}
 	if _, err := protocol.EncodeFrame(frame); err != nil {
 		return protocol.Refuse(protocol.CodeTooLarge, 0, "the change can't be one log entry: %v; apply the folder in parts", err)
@@ -109,8 +114,17 @@
 	}
 }
 
+// maxKeyID bounds the id of a key, in bytes.
+const maxKeyID = 63
+
 func (h *Handler) withdraw(w http.ResponseWriter, r *http.Request) {
 	key := protocol.KeyID(r.PathValue("id"))
+	if key.LooksLikeSecret() || len(key) > maxKeyID {
+		// Published, it would stand in the log for everybody to read.
+		refuse(w, protocol.Refuse(protocol.CodeBadRequest, 0, "this is no id of a key; nothing was changed"),
+			"give the id, which key list shows, and never the secret")
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), submitTimeout)
 	defer cancel()
 	result := h.config.Withdraw.Withdraw(ctx, key, operatorOf(r))
--- a/internal/transport/operatorapi/handler.go
+++ b/internal/transport/operatorapi/handler.go
@@ -81,21 +81,24 @@
 
 // ServeHTTP checks the operator's key and answers the call.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// The pattern is logged and not the path, in which a secret may stand by
+	// mistake.
+	_, call := h.mux.Handler(r)
 	operator, ok := identify(r, h.config.Keys)
 	if !ok {
-		_ = level.Warn(h.config.Logger).Log("event", "operator_refused", "remote", r.RemoteAddr, "path", r.URL.Path)
+		_ = level.Warn(h.config.Logger).Log("event", "operator_refused", "remote", r.RemoteAddr, "call", call)
 		refuse(w, protocol.Refuse(protocol.CodeUnauthorized, 0, "no valid operator key came with the call"),
 			"give an operator's secret; its hash stands under operator_keys in the settings")
 		return
 	}
-	_ = level.Info(h.config.Logger).Log("event", "operator_call", "operator", operator, "method", r.Method, "path", r.URL.Path)
+	_ = level.Info(h.config.Logger).Log("event", "operator_call", "operator", operator, "call", call)
 	ctx, cancel := context.WithTimeout(r.Context(), statusTimeout)
 	defer cancel()
 	h.mux.ServeHTTP(w, withOperator(r.WithContext(ctx), operator))
 }
 
-func (h *Handler) unknown(w http.ResponseWriter, r *http.Request) {
-	refuse(w, protocol.Refuse(protocol.CodeNotFound, 0, "there is no operators' call %s %s", r.Method, r.URL.Path),
+func (h *Handler) unknown(w http.ResponseWriter, _ *http.Request) {
+	refuse(w, protocol.Refuse(protocol.CodeNotFound, 0, "there is no such operators' call"),
 		"check that tool and instance are of the same release")
 }
 
