--- a/internal/configdoc/configdoc_test.go
+++ b/internal/configdoc/configdoc_test.go
@@ -87,13 +87,36 @@
 			page = head + begin + want + end + tail
 			continue
 		}
-		require.Equal(t, want, old, "table %s: run go test ./internal/configdoc -update", table.name)
+		requireSameLines(t, table.name, want, old)
 	}
 	if *update {
 		require.NoError(t, os.WriteFile(document, []byte(page), 0o644))
 	}
 }
 
+// requireSameLines names only the lines that differ: the whole table would hide
+// them.
+func requireSameLines(t *testing.T, name, want, got string) {
+	t.Helper()
+	missing, extra := linesNotIn(want, got), linesNotIn(got, want)
+	if want == got {
+		return
+	}
+	t.Fatalf("table %s of docs/CONFIGURATION.md differs from the code; run go test ./internal/configdoc -update\nmissing:\n%s\nextra:\n%s",
+		name, strings.Join(missing, "\n"), strings.Join(extra, "\n"))
+}
+
+func linesNotIn(text, other string) []string {
+	known := set(strings.Split(other, "\n")...)
+	var out []string
+	for _, line := range strings.Split(text, "\n") {
+		if !known[line] {
+			out = append(out, line)
+		}
+	}
+	return out
+}
+
 // rows describes the fields of a struct, each group behind its own fields.
 func rows(t *testing.T, comments *comments, table table, value reflect.Value, prefix string) string {
 	var out strings.Builder
@@ -143,7 +166,7 @@
 	if table.required[path] || strings.Contains(path, "[].") {
 		return "required"
 	}
-	if value.IsZero() {
+	if value.IsZero() && !value.CanFloat() {
 		return "none"
 	}
 	if duration, ok := value.Interface().(time.Duration); ok {
