--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -187,6 +187,9 @@
 		doc.Report("timings.expire", "%s must be larger than timings.hold (%s on the slowest clock), or two instances hold the same work",
 			t.Expire, slowest)
 	}
+	if s.Limiter.RenewalLate >= t.Hold {
+		doc.Report("limiter.renewal_late", "%s must be below timings.hold (%s), or promises are asked for too late", s.Limiter.RenewalLate, t.Hold)
+	}
 	if t.PeerSilent < 2*t.Heartbeat {
 		doc.Report("timings.peer_silent", "%s must be at least twice timings.heartbeat (%s)", t.PeerSilent, t.Heartbeat)
 	}
