status tells instances that left from those that were cut off just now

Trial with two processes: after a graceful drain status named the instance as unreachable and nothing else. It now says that its session has ended. Instances with a session that no heartbeat named count as unreached too. Bars of the burn page are eight, since twelve labels ran into each other in the drawn plot.

--- a/internal/burn/page/page.go
+++ b/internal/burn/page/page.go
@@ -23,10 +23,11 @@
 
 const (
 	// mostBars keeps the plots readable; the table below them has all lines.
-	mostBars   = 12
+	mostBars   = 8
 	plotWidth  = 24 * vg.Centimeter
 	plotHeight = 9 * vg.Centimeter
-	barWidth   = 5
+	barWidth   = 7
+	labelSize  = 7
 )
 
 // Write writes the page.
@@ -142,7 +143,7 @@
 }
 
 func render(p *plot.Plot) (template.HTML, error) {
-	p.X.Tick.Label.Font.Size = vg.Points(7)
+	p.X.Tick.Label.Font.Size = vg.Points(labelSize)
 	canvas := vgsvg.New(plotWidth, plotHeight)
 	p.Draw(draw.New(canvas))
 	var out bytes.Buffer
--- a/internal/coordination/fleetstatus/status.go
+++ b/internal/coordination/fleetstatus/status.go
@@ -60,9 +60,17 @@
 	Asked     protocol.InstanceID `json:"asked"`
 	Instances []Instance          `json:"instances"`
 	// Unreached are known instances that did not answer.
-	Unreached   []protocol.InstanceID `json:"unreached"`
-	JobsRunning int                   `json:"jobs_running"`
-	Late        []LateJob             `json:"late"`
+	Unreached   []Unreached `json:"unreached"`
+	JobsRunning int         `json:"jobs_running"`
+	Late        []LateJob   `json:"late"`
+}
+
+// Unreached is a known instance that did not answer.
+type Unreached struct {
+	Instance protocol.InstanceID `json:"instance"`
+	// SessionOpen tells an instance that died or was cut off just now from
+	// one that has left, or was cut off for so long that its session ended.
+	SessionOpen bool `json:"session_open"`
 }
 
 // Newest is the highest version in force anywhere.
@@ -123,17 +131,45 @@
 	now := c.Source.Now()
 	status := Status{At: now, Asked: c.Source.Instance, Instances: []Instance{c.Source.Own()}, Late: []LateJob{}}
 	question := fanout.Question{Method: MethodOwn, Args: Request{}, Timeout: c.PeerTimeout, Width: askWidth}
-	status.Unreached = fanout.Ask(ctx, c.Peers, question, func(_ protocol.InstanceID, answer Instance) error {
+	unreached := fanout.Ask(ctx, c.Peers, question, func(_ protocol.InstanceID, answer Instance) error {
 		status.Instances = append(status.Instances, answer)
 		return nil
 	})
 	slices.SortFunc(status.Instances, func(a, b Instance) int {
 		return cmp.Or(cmp.Compare(a.Domain, b.Domain), cmp.Compare(a.Instance, b.Instance))
 	})
+	c.unreached(unreached, &status)
 	c.jobs(now, &status)
 	return status
 }
 
+// unreached also counts instances that the log has a session of and that no
+// heartbeat ever named here, such as those of a domain that was cut off before
+// this instance started.
+func (c *Collector) unreached(silent []protocol.InstanceID, status *Status) {
+	open := map[protocol.InstanceID]bool{}
+	c.Source.Journal.View(func(state *replica.State) {
+		for _, info := range state.Sessions.All() {
+			open[info.Instance] = true
+		}
+	})
+	missing := map[protocol.InstanceID]bool{}
+	for id := range open {
+		missing[id] = true
+	}
+	for _, id := range silent {
+		missing[id] = true
+	}
+	for _, instance := range status.Instances {
+		delete(missing, instance.Instance)
+	}
+	status.Unreached = make([]Unreached, 0, len(missing))
+	for id := range missing {
+		status.Unreached = append(status.Unreached, Unreached{Instance: id, SessionOpen: open[id]})
+	}
+	slices.SortFunc(status.Unreached, func(a, b Unreached) int { return cmp.Compare(a.Instance, b.Instance) })
+}
+
 func (c *Collector) jobs(now time.Time, status *Status) {
 	c.Source.Journal.View(func(state *replica.State) {
 		for _, job := range state.Ledger.Running() {
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -48,8 +48,8 @@
 		t.add(string(i.Instance), string(i.Domain), version, pick(i.LogUp, "up", "DOWN"), pick(i.MayHold, "holds", "NONE"),
 			(time.Duration(i.UpSeconds) * time.Second).String(), noteOf(i))
 	}
-	for _, id := range status.Unreached {
-		t.add(string(id), "?", "?", "?", "?", "?", "not reached")
+	for _, missing := range status.Unreached {
+		t.add(string(missing.Instance), "?", "?", "?", "?", "?", pick(missing.SessionOpen, "not reached", "not reached, session ended"))
 	}
 	for _, job := range status.Late {
 		t.add("job "+string(job.Job), "", "", "", "", "", fmt.Sprintf("%d of %d items left, due %s, organisation %s",
@@ -86,8 +86,12 @@
 			out = append(out, fmt.Sprintf("%s has version %d, not %d", i.Instance, i.Version, newest))
 		}
 	}
-	for _, id := range status.Unreached {
-		out = append(out, fmt.Sprintf("%s can't be reached from %s", id, status.Asked))
+	for _, missing := range status.Unreached {
+		text := fmt.Sprintf("%s can't be reached from %s", missing.Instance, status.Asked)
+		if !missing.SessionOpen {
+			text += ", and its session has ended: it left, or is cut off from the log too"
+		}
+		out = append(out, text)
 	}
 	if len(status.Late) > 0 {
 		out = append(out, fmt.Sprintf("%d jobs are late or close to their deadline", len(status.Late)))
--- a/internal/ctl/views_test.go
+++ b/internal/ctl/views_test.go
@@ -42,7 +42,7 @@
 		{Instance: "b", Version: 8, LogUp: true},
 		{Instance: "c", Version: 9},
 		{Instance: "e", Version: 9, LogUp: true, Trouble: "the log is gone"},
-	}, Unreached: []protocol.InstanceID{"d"}, Late: []fleetstatus.LateJob{{Job: "j", Deadline: time.Unix(0, 0)}}}
+	}, Unreached: []fleetstatus.Unreached{{Instance: "d"}}, Late: []fleetstatus.LateJob{{Job: "j", Deadline: time.Unix(0, 0)}}}
 	got := run("status", "--instance", serve(t, map[string]any{operatorapi.PathStatus: status}))
 	require.Equal(t, ExitFailed, got.code)
 	for _, want := range []string{"b has version 8, not 9", "c can't read the log", "d can't be reached from a", "e: the log is gone", "1 jobs are late"} {
--- a/internal/transport/operatorapi/handler_test.go
+++ b/internal/transport/operatorapi/handler_test.go
@@ -268,7 +268,7 @@
 	f := newFixture(accepted(1))
 	f.peers.cut["c"] = true
 	status := get[fleetstatus.Status](t, f, PathStatus)
-	require.Equal(t, []protocol.InstanceID{"c"}, status.Unreached)
+	require.Equal(t, []fleetstatus.Unreached{{Instance: "c"}}, status.Unreached)
 	require.Len(t, status.Instances, 2)
 	require.Equal(t, protocol.Offset(9), status.Newest())
 	require.Equal(t, protocol.Offset(8), status.Instances[1].Version)
@@ -288,13 +288,16 @@
 			},
 		})
 	}
+	// An instance with a session that nobody here has ever heard of counts too.
+	apply(t, f.journal.state, 3, protocol.Record{ID: protocol.RecordID{Session: 8, Seq: 1}, SessionOpen: &protocol.SessionOpen{Instance: "never-heard"}})
 	status := get[fleetstatus.Status](t, f, PathStatus)
+	require.Equal(t, []fleetstatus.Unreached{{Instance: "never-heard", SessionOpen: true}}, status.Unreached)
 	require.Equal(t, 2, status.JobsRunning)
 	require.Len(t, status.Late, 1)
 	require.Equal(t, protocol.JobID("job0"), status.Late[0].Job)
 	require.Equal(t, 3, status.Late[0].Left)
 	instances := get[InstancesAnswer](t, f, PathInstances)
-	require.Len(t, instances.Instances, 3)
+	require.Len(t, instances.Instances, 4)
 }
 
 func TestHistoryShowsNewestFirst(t *testing.T) {
