--- a/internal/daemon/agreement.go
+++ b/internal/daemon/agreement.go
@@ -6,11 +6,11 @@
 	"github.com/gravitational/trace"
 	"github.com/thejerf/suture/v4"
 
+	"merlintiller/internal/burn"
+	"merlintiller/internal/coordination/fleetstatus"
 	"merlintiller/internal/coordination/journal"
 	"merlintiller/internal/coordination/member"
 	"merlintiller/internal/coordination/withdrawal"
-	"merlintiller/internal/protocol"
-	"merlintiller/internal/settings"
 	"merlintiller/internal/transport/peer"
 )
 
@@ -41,8 +41,10 @@
 		Address:  s.Listen.Peers,
 		Caller:   a.client,
 		Logger:   d.logger,
+		Seeds:    s.Seeds,
 		Every:    s.Timings.Heartbeat,
 		Timeout:  s.Timings.PeerTimeout,
+		Limits:   viewLimits(s.Timings),
 	})
 	a.journal = journal.New(journal.Options{
 		Log:           d.outside.log,
@@ -60,43 +62,15 @@
 	return nil
 }
 
-func journalTimings(t settings.Timings) journal.Timings {
-	session := member.DefaultTimings()
-	session.Renew = t.Renew
-	session.Hold = t.Hold
-	session.Expire = t.Expire
-	return journal.Timings{
-		Session:       session,
-		PollWait:      t.LogWait,
-		AppendTimeout: t.PlatformTimeout,
-		ReadTimeout:   t.PlatformTimeout,
-		SnapshotAfter: t.Snapshot,
-	}
-}
-
-// keyWithdrawer lets operators withdraw keys at this instance.
-type keyWithdrawer struct {
-	journal *journal.Journal
-	origin  string
-}
-
-// WithdrawLocally implements withdrawal.Local.
-func (k keyWithdrawer) WithdrawLocally(key protocol.KeyID) {
-	k.journal.WithdrawLocally(key, k.origin)
-}
-
-func (d *Daemon) keyWithdrawer() withdrawal.Local {
-	return keyWithdrawer{journal: d.agreement.journal, origin: string(d.settings.Instance)}
-}
-
 // registerReceivers offers what other instances may call.
 func (d *Daemon) registerReceivers() error {
 	receivers := map[string]any{
-		member.ServiceName:     d.agreement.heartbeats.Receiver(),
-		withdrawal.ServiceName: &withdrawal.Receiver{Local: d.keyWithdrawer()},
-		limiterName:            d.fleet.limits.Endpoint(),
-		headroomName:           d.fleet.headroom.Endpoint(),
-		burnName:               d.operators.burnReceiver(),
+		member.ServiceName:      d.agreement.heartbeats.Receiver(),
+		withdrawal.ServiceName:  &withdrawal.Receiver{Local: d.agreement.journal},
+		limiterName:             d.fleet.limits.Endpoint(),
+		headroomName:            d.fleet.headroom.Endpoint(),
+		burn.ServiceName:        &burn.Receiver{Recorder: d.operators.recorder},
+		fleetstatus.ServiceName: &fleetstatus.Receiver{Source: d.operators.source},
 	}
 	for name, receiver := range receivers {
 		if err := d.agreement.peers.Register(name, receiver); err != nil {
--- a/internal/fleetdir/fleetdir_test.go
+++ b/internal/fleetdir/fleetdir_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"merlintiller/internal/protocol"
+	"merlintiller/internal/state/fleet"
 	"merlintiller/internal/strictyaml"
 )
 
@@ -50,6 +51,7 @@
 		"objective of 1":  {"organisations: [{id: ana, rate: 1, burst: 1, objectives: {target: 1}}]\n", "objectives.target: 1 must be at least 0 and below 1"},
 		"orphan key":      {"keys:\n  - {id: k1, organisation: ana, sha256: " + hash + "}\n", "a.yaml:2: keys[0].organisation: \"ana\" is no organisation"},
 		"secret for hash": {"keys: [{id: k1, organisation: ana, sha256: hunter2}]\n", "keys[0].sha256: must be the 64"},
+		"secret for id":   {"keys: [{id: mt-hunter2-X, organisation: ana, sha256: " + hash + "}]\n", "keys[0].id: begins like a secret"},
 		"orphan model":    {"models: [{name: m, service: s}]\n", "models[0].service: \"s\" is no service"},
 		"no kind":         {"services: [{name: s, slots: 1}]\n", "services[0].kind: is missing"},
 		"bad kind":        {"services: [{name: s, kind: magic, slots: 1}]\n", "services[0].kind: \"magic\" must be model or plain"},
@@ -111,11 +113,35 @@
 	require.Equal(t, protocol.Offset(7), plan.Change.BasedOn)
 	require.Len(t, plan.Change.Set, 1)
 	require.Equal(t, protocol.KeyID("k4"), plan.Change.Set[0].Key.ID)
-	require.Equal(t, []protocol.FleetRef{{Organisation: "ana"}}, plan.Change.Remove)
+	require.Empty(t, plan.Change.Remove)
 	require.Len(t, plan.Notes, 3)
 	require.Contains(t, plan.Notes[2], "2 of its keys are in use")
 }
 
+func TestOrganisationWithoutKeysInUseIsRemoved(t *testing.T) {
+	current := &protocol.Fleet{
+		Keys:          map[protocol.KeyID]protocol.Key{"k1": {ID: "k1", Organisation: "ana", SHA256: hash, Withdrawn: true}},
+		Organisations: map[protocol.OrganisationID]protocol.Organisation{"ana": {ID: "ana"}},
+	}
+	plan := Diff(current, Objects{})
+	require.Equal(t, []protocol.FleetRef{{Organisation: "ana"}}, plan.Change.Remove)
+	require.Empty(t, plan.Notes)
+}
+
+// What the folder check lets through and replay rejects would be published and
+// have no effect. Both examples and a change with every kind of object pass
+// replay's own check.
+func TestDiffPassesTheCheckOfReplay(t *testing.T) {
+	for _, name := range []string{"cascadia", "dobrescu"} {
+		wanted, err := Load("../../examples/" + name)
+		require.NoError(t, err)
+		base := fleet.New().Fleet()
+		plan := Diff(base, wanted)
+		plan.Change.ChangeID = "chg-1"
+		require.NoError(t, fleet.Validate(base, &plan.Change))
+	}
+}
+
 func FuzzMerge(f *testing.F) {
 	f.Add([]byte("organisations: [{id: ana, rate: 1, burst: 1}]"))
 	f.Add([]byte("services: [{name: s, kind: model, slots: 1, longest_order: 1s}]"))
