--- a/internal/coordination/batch/files.go
+++ b/internal/coordination/batch/files.go
@@ -50,7 +50,7 @@
 		if err != nil {
 			return File{}, s.refuseStorage(err, "the upload")
 		}
-		refs = append(refs, protocol.ChunkRef{Offset: at, Items: len(items)})
+		refs = append(refs, split(at, len(items))...)
 	}
 	if len(refs) == 0 {
 		return File{}, badRequest("file", "the file has no items")
@@ -68,6 +68,15 @@
 	})
 }
 
+// split cuts the items of an entry into chunks.
+func split(at protocol.Offset, items int) (refs []protocol.ChunkRef) {
+	for first := 0; first < items; first += protocol.MaxChunkItems {
+		count := min(protocol.MaxChunkItems, items-first)
+		refs = append(refs, protocol.ChunkRef{Offset: at, Items: count, First: first})
+	}
+	return refs
+}
+
 // describe appends the description, after which the file exists.
 func (s *Service) describe(ctx context.Context, file bulk.File) (File, *protocol.Refusal) {
 	if refusal := s.checkModels(file.Models); refusal != nil {
@@ -195,7 +204,7 @@
 		return refusal, nil
 	}
 	for i, ref := range file.Chunks {
-		items, err := readItems(ctx, s.journal, ref.Offset)
+		items, err := readItems(ctx, s.journal, ref)
 		if err != nil && i == 0 {
 			return s.refuseStorage(err, "file "+id), nil
 		}
--- a/internal/coordination/batch/jobs.go
+++ b/internal/coordination/batch/jobs.go
@@ -92,7 +92,7 @@
 	}
 	// Retention drops the oldest entry first: if that one is there, all are. A
 	// job over lost input would be accepted only to fail.
-	if _, err := readItems(ctx, s.journal, file.Chunks[0].Offset); err != nil {
+	if _, err := readItems(ctx, s.journal, file.Chunks[0]); err != nil {
 		return nil, s.refuseStorage(err, "the content of file "+req.InputFile)
 	}
 	key = scopedKey(key, req.InputFile)
--- a/internal/daemon/fleetpolicy.go
+++ b/internal/daemon/fleetpolicy.go
@@ -1,12 +1,15 @@
 package daemon
 
 import (
+	"context"
+
 	"github.com/cespare/xxhash/v2"
 	"github.com/thejerf/suture/v4"
 
 	"merlintiller/internal/coordination/admission"
 	"merlintiller/internal/coordination/headroom"
 	"merlintiller/internal/coordination/limiter"
+	"merlintiller/internal/coordination/orders"
 	"merlintiller/internal/coordination/routing"
 	"merlintiller/internal/protocol"
 )
@@ -22,6 +25,7 @@
 	limits    *limiter.Limiter
 	admission *admission.Admission
 	headroom  *headroom.Headroom
+	orders    *orders.Reconciler
 	pollers   []suture.Service
 }
 
@@ -30,14 +34,24 @@
 	out = append(out, f.pollers...)
 	out = append(out, f.limits.Services()...)
 	out = append(out, f.admission.Services()...)
-	return append(out, f.headroom.Services()...)
+	out = append(out, f.headroom.Services()...)
+	return append(out, f.orders.Services()...)
 }
 
 func (d *Daemon) joinFleetPolicy() {
 	s := d.settings
 	j := d.agreement.journal
 	f := &d.fleet
-	f.router = routing.NewRouter(routing.Options{Domain: s.Domain, Seed: seedOf(s.Instance)})
+	f.router = routing.NewRouter(routingOptions(s))
+	f.orders = orders.New(orders.Options{
+		Instance: s.Instance,
+		Domain:   s.Domain,
+		Journal:  j,
+		Peers:    d.agreement.heartbeats,
+		Orders:   d.outside.control,
+		Logger:   d.logger,
+		Policy:   orders.Policy{Hold: s.Timings.Hold},
+	})
 	f.pollers = routing.Pollers(routing.PollOptions{
 		Router:    f.router,
 		List:      d.outside.list,
@@ -47,15 +61,16 @@
 		ListEvery: s.Timings.ListPoll,
 		LoadEvery: s.Timings.LoadPoll,
 		Domain:    s.Domain,
+		Listed:    f.orders.Listing,
 	})
 	f.limits = limiter.New(limiter.Config{
 		Self: s.Instance, Domain: s.Domain,
 		Journal: j, Peers: d.agreement.heartbeats,
-		Settings: limiter.Defaults(), Logger: d.logger,
+		Settings: s.Limiter, Logger: d.logger,
 	})
 	shown := &view{router: f.router, journal: j, batch: f.batchAt}
-	f.admission = admission.New(admission.Config{Fleet: j.Fleet, Capacities: shown, Settings: admission.Defaults()})
-	f.headroom = headroom.New(headroom.Config{Self: s.Instance, Source: shown, Settings: headroom.Defaults(),
+	f.admission = admission.New(admission.Config{Fleet: j.Fleet, Capacities: shown, Settings: s.Admission})
+	f.headroom = headroom.New(headroom.Config{Self: s.Instance, Source: shown, Settings: s.Headroom,
 		Peers:   d.agreement.heartbeats,
 		Started: f.router.BatchStarted, Report: f.router.BatchDone,
 	})
@@ -64,6 +79,14 @@
 // batchAt is the number of batch items at a target.
 func (f *fleetPolicy) batchAt(target protocol.TargetID) int { return f.headroom.Batch(target) }
 
+// leave gives up the duties and hands the rate's tokens to others. No call runs
+// any more.
+func (f *fleetPolicy) leave(ctx context.Context) error {
+	f.orders.Release(ctx)
+	f.limits.Leave(ctx)
+	return ctx.Err()
+}
+
 // seedOf makes the random choices of instances differ and those of a restart
 // the same.
 func seedOf(instance protocol.InstanceID) uint64 {
