--- a/internal/policybench/bench.go
+++ b/internal/policybench/bench.go
@@ -6,7 +6,7 @@
 func Run(w io.Writer) {
 	for _, u := range users() {
 		rates, _ := measureRates(u)
-		for _, m := range rates {
+		for _, m := range append(rates, measureServing(u)...) {
 			m.print(w)
 		}
 	}
