--- a/internal/coordination/headroom/core.go
+++ b/internal/coordination/headroom/core.go
@@ -26,6 +26,12 @@
 // SlotID names a batch slot.
 type SlotID uint64
 
+// placed is a batch item at a target.
+type placed struct {
+	id SlotID
+	at time.Time
+}
+
 // sample is the known load of a target at a time.
 type sample struct {
 	at  time.Time
@@ -45,10 +51,13 @@
 	// size is how many batch items may be placed now.
 	size float64
 	// slots are the placed items, oldest first.
-	slots    []SlotID
-	grownAt  time.Time
-	shrunkAt time.Time
-	samples  []sample
+	slots    []placed
+	placedAt time.Time
+	// startedAt is when the last known online call started.
+	startedAt time.Time
+	grownAt   time.Time
+	shrunkAt  time.Time
+	samples   []sample
 	// others is the load beyond the known one by the last report: instances
 	// that can't send notices, and batch items of a second feeder.
 	others     int
@@ -154,15 +163,42 @@
 func (c *Core) revoke(now time.Time, w *window) []SlotID {
 	var revoked []SlotID
 	for len(w.slots) > int(w.size) {
-		last := len(w.slots) - 1
-		revoked = append(revoked, w.slots[last])
-		delete(c.owners, w.slots[last])
-		w.slots = w.slots[:last]
+		revoked = append(revoked, c.revokeNewest(w))
 		w.shrunkAt = now
 	}
 	return revoked
 }
 
+func (c *Core) revokeNewest(w *window) SlotID {
+	last := len(w.slots) - 1
+	id := w.slots[last].id
+	delete(c.owners, id)
+	w.slots = w.slots[:last]
+	return id
+}
+
+// revokeYoung takes back the items that the target probably still reads the
+// prompt of. Prompts share the processor in the order they come, so an online
+// call would wait for its first token behind them. An item that was taken back
+// so has made nothing yet.
+func (c *Core) revokeYoung(now time.Time, w *window) []SlotID {
+	var revoked []SlotID
+	for n := len(w.slots); n > 0 && now.Sub(w.slots[n-1].at) < c.settings.Young; n-- {
+		revoked = append(revoked, c.revokeNewest(w))
+	}
+	return revoked
+}
+
+// started notes that online calls started at a target and makes room for them.
+func (c *Core) started(now time.Time, id protocol.TargetID) []SlotID {
+	w, ok := c.windows[id]
+	if !ok {
+		return nil
+	}
+	w.startedAt = now
+	return append(c.revokeYoung(now, w), c.follow(now, w)...)
+}
+
 // learn takes the others' load out of a new report: what it counts beyond the
 // known load at the time it stood for.
 func (w *window) learn(now time.Time, settings Settings) {
@@ -209,6 +245,9 @@
 			continue
 		}
 		room := math.Floor(w.size) - float64(len(w.slots))
+		if w.startsTooSoon(now, c.settings) {
+			continue
+		}
 		if room < 1 || room < bestRoom || (room == bestRoom && best != nil && w.target.ID > best.target.ID) {
 			continue
 		}
@@ -218,12 +257,18 @@
 		return 0, Target{}, false
 	}
 	c.nextID++
-	best.slots = append(best.slots, c.nextID)
+	best.slots = append(best.slots, placed{id: c.nextID, at: now})
+	best.placedAt = now
 	c.owners[c.nextID] = best.target.ID
 	best.remember(now)
 	return c.nextID, best.target, true
 }
 
+// startsTooSoon reports whether the target probably reads a prompt now.
+func (w *window) startsTooSoon(now time.Time, settings Settings) bool {
+	return now.Sub(w.placedAt) < settings.StartGap || now.Sub(w.startedAt) < settings.QuietBefore
+}
+
 // Release gives a slot back. It is idempotent.
 func (c *Core) Release(now time.Time, id SlotID) {
 	target, ok := c.owners[id]
@@ -233,7 +278,7 @@
 	delete(c.owners, id)
 	w := c.windows[target]
 	for i := range w.slots {
-		if w.slots[i] == id {
+		if w.slots[i].id == id {
 			w.slots = append(w.slots[:i], w.slots[i+1:]...)
 			break
 		}
--- a/internal/coordination/headroom/core_test.go
+++ b/internal/coordination/headroom/core_test.go
@@ -24,14 +24,15 @@
 		require.Empty(t, c.Observe(now, []Target{target()}))
 		now = now.Add(100 * time.Millisecond)
 	}
-	return c, now
+	return c, now.Add(time.Minute)
 }
 
 func place(t *testing.T, c *Core, now time.Time, count int) []SlotID {
 	t.Helper()
 	var ids []SlotID
-	for range count {
-		id, _, ok := c.Place(now, "s")
+	for i := range count {
+		// The items are old: placed one after another.
+		id, _, ok := c.Place(now.Add(-time.Duration(count-i)*time.Second), "s")
 		require.True(t, ok)
 		ids = append(ids, id)
 	}
--- a/internal/coordination/headroom/online.go
+++ b/internal/coordination/headroom/online.go
@@ -1,6 +1,7 @@
 package headroom
 
 import (
+	"slices"
 	"time"
 
 	"merlintiller/internal/protocol"
@@ -86,6 +87,7 @@
 		clear(o.calm)
 	}
 	clear(o.urgent)
+	slices.Sort(ids)
 	return ids
 }
 
@@ -94,7 +96,7 @@
 func (c *Core) OnlineStarted(now time.Time, target protocol.TargetID) []SlotID {
 	c.traffic(target).own++
 	c.outbox.urgent[target] = true
-	return c.followTarget(now, target)
+	return c.started(now, target)
 }
 
 // OnlineEnded counts the end of an own online call.
@@ -115,8 +117,13 @@
 		if t.notices == nil {
 			t.notices = map[protocol.InstanceID]notice{}
 		}
+		before := t.notices[from].online
 		t.notices[from] = notice{online: max(0, count.Count), at: now}
-		revoked = append(revoked, c.followTarget(now, count.Target)...)
+		if count.Count > before {
+			revoked = append(revoked, c.started(now, count.Target)...)
+		} else {
+			revoked = append(revoked, c.followTarget(now, count.Target)...)
+		}
 	}
 	return revoked
 }
--- a/internal/coordination/headroom/settings.go
+++ b/internal/coordination/headroom/settings.go
@@ -34,6 +34,14 @@
 	// Spare is the part of the slots that growth leaves free, so that the
 	// usual jitter of online traffic fits without taking batch items back.
 	Spare float64 `yaml:"spare"`
+	// Young is the age up to which a batch item is taken back when an online
+	// call starts: the time in which a target usually reads a prompt.
+	Young time.Duration `yaml:"young"`
+	// StartGap is the least time between batch starts at one target, so that
+	// at most about one batch prompt is read at a time.
+	StartGap time.Duration `yaml:"start_gap"`
+	// QuietBefore is how long a batch start waits after an online start.
+	QuietBefore time.Duration `yaml:"quiet_before"`
 	// ReportMaxAge is the age from which a load report is not believed; the
 	// others' load then counts as what the last report said.
 	ReportMaxAge time.Duration `yaml:"report_max_age"`
@@ -53,6 +61,9 @@
 		GrowPart:     0.125,
 		CalmAfter:    500 * time.Millisecond,
 		Spare:        0.05,
+		Young:        80 * time.Millisecond,
+		StartGap:     80 * time.Millisecond,
+		QuietBefore:  50 * time.Millisecond,
 		ReportMaxAge: 5 * time.Second,
 	}
 }
--- a/internal/policybench/batchside.go
+++ b/internal/policybench/batchside.go
@@ -1,6 +1,8 @@
 package policybench
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"merlintiller/internal/coordination"
@@ -11,7 +13,9 @@
 func (s *servingSim) notices() {
 	for i, n := range s.nodes {
 		from := s.user.instance(i)
-		for feeder, counts := range n.headroom.Notices(s.clock.now, s.feeders, from) {
+		notices := n.headroom.Notices(s.clock.now, s.feeders, from)
+		for _, feeder := range slices.Sorted(maps.Keys(notices)) {
+			counts := notices[feeder]
 			s.clock.after(noticeHop, func() {
 				for j, other := range s.nodes {
 					if s.user.instance(j) == feeder {
@@ -47,7 +51,9 @@
 			return
 		}
 		key := s.key(i, id)
-		n.router.BatchStarted(s.clock.now, target.ID)
+		if !s.blind {
+			n.router.BatchStarted(s.clock.now, target.ID)
+		}
 		item := &batchItem{engine: s.byID[target.ID], stream: s.nextItem()}
 		item.stream.ended = func(st *stream) {
 			delete(s.placed, key)
@@ -115,3 +121,12 @@
 		}
 	}
 }
+
+// batchLook is how often waiting batch items look for a place.
+const batchLook = 10 * time.Millisecond
+
+func (s *servingSim) placeAny() {
+	for i := range s.nodes {
+		s.place(i)
+	}
+}
--- a/internal/policybench/bench_test.go
+++ b/internal/policybench/bench_test.go
@@ -1,6 +1,8 @@
 package policybench
 
 import (
+	"fmt"
+	"merlintiller/internal/coordination/headroom"
 	"os"
 	"testing"
 	"time"
@@ -61,3 +63,27 @@
 		}
 	}
 }
+
+func TestDiag(t *testing.T) {
+	u := users()[0]
+	run := servingRun{user: u, length: servingLength, online: true, bursts: true, overload: -1, headroom: headroom.Defaults()}
+	show := func(name string, r servingResult) {
+		t.Log(name, "n", len(r.firstToken), "refused", r.refused, "ft p50", quantile(r.firstToken, .5), "p90", quantile(r.firstToken, .9), "p99", quantile(r.firstToken, .99), "p999", quantile(r.firstToken, .999),
+			"bt p50", quantile(r.between, .5), "p95", quantile(r.between, .95), "batch", r.batchUseful/r.oracle, "rev", r.revoked)
+	}
+	show("alone", run.run())
+	run.batch = batchYields
+	show("yields", run.run())
+	for _, v := range [][6]int{{10, 80, 80, 50, 12, 5}, {10, 80, 80, 50, 12, 5}, {2, 80, 80, 50, 12, 5}, {2, 80, 80, 50, 12, -5}, {2, 80, 80, 50, 12, 5}} {
+		run.blind = v[5] < 0
+		v[5] = max(v[5], -v[5])
+		run.headroom.Tick = time.Duration(v[0]) * time.Millisecond
+		run.headroom.Young = time.Duration(v[1]) * time.Millisecond
+		run.headroom.StartGap = time.Duration(v[2]) * time.Millisecond
+		run.headroom.QuietBefore = time.Duration(v[3]) * time.Millisecond
+		run.headroom.GrowPart = float64(v[4]) / 100
+		run.headroom.Spare = float64(v[5]) / 100
+		r := run.run()
+		show(fmt.Sprint(v, r.wastedPercent()), r)
+	}
+}
--- a/internal/policybench/figures.go
+++ b/internal/policybench/figures.go
@@ -7,7 +7,7 @@
 	"merlintiller/internal/coordination/headroom"
 )
 
-const servingLength = 2 * time.Minute
+const servingLength = 4 * time.Minute
 
 func quantile(values []float64, q float64) float64 {
 	if len(values) == 0 {
--- a/internal/policybench/serving.go
+++ b/internal/policybench/serving.go
@@ -35,7 +35,9 @@
 	// overload is the organisation that sends five times its rate, -1 if none.
 	overload int
 	// unfair leaves out the rates and queues all organisations as one.
-	unfair   bool
+	unfair bool
+	// blind shows the routers online calls only.
+	blind    bool
 	headroom headroom.Settings
 }
 
@@ -209,6 +211,7 @@
 	s.clock.every(capacityEvery, s.capacities)
 	s.clock.every(s.headroom.Tick, s.notices)
 	s.clock.every(s.headroom.Look, s.windows)
+	s.clock.every(batchLook, s.placeAny)
 	s.clock.every(reportEvery, s.reports)
 }
 
@@ -225,7 +228,11 @@
 
 func (s *servingSim) reports() {
 	for _, e := range s.engines {
-		e.history = append(e.history, len(e.streams))
+		running := len(e.streams)
+		if s.blind {
+			running = e.online()
+		}
+		e.history = append(e.history, running)
 		lag := int(reportLag / reportEvery)
 		if len(e.history) <= lag {
 			continue
