Routing and admission count online calls only; batch counts carry their time

Cause: reports count batch items with online calls. Change: a feeder answers notices with its batch counts; they are remembered with their time and taken off each report as of its time.

--- a/internal/coordination/headroom/core.go
+++ b/internal/coordination/headroom/core.go
@@ -32,16 +32,6 @@
 	at time.Time
 }
 
-// sample is the known load of a target at a time.
-type sample struct {
-	at  time.Time
-	own int
-}
-
-// samplesKept bounds the remembered own load: a few seconds at a tick's pace
-// while it changes.
-const samplesKept = 512
-
 // window is the state of one fed target.
 type window struct {
 	target Target
@@ -57,7 +47,7 @@
 	startedAt time.Time
 	grownAt   time.Time
 	shrunkAt  time.Time
-	samples   []sample
+	known     history
 	// others is the load beyond the known one by the last report: instances
 	// that can't send notices, and batch items of a second feeder.
 	others     int
@@ -207,32 +197,12 @@
 		return
 	}
 	w.reportedAt = t.ReportedAt
-	w.others = max(0, t.Reported-w.ownAt(t.ReportedAt))
+	w.others = max(0, t.Reported-w.known.at(t.ReportedAt))
 }
 
-// remember notes the known load when it changes.
+// remember notes the known load.
 func (w *window) remember(now time.Time) {
-	own := w.online + len(w.slots)
-	if n := len(w.samples); n > 0 && w.samples[n-1].own == own {
-		return
-	}
-	if len(w.samples) >= samplesKept {
-		copy(w.samples, w.samples[samplesKept/2:])
-		w.samples = w.samples[:len(w.samples)-samplesKept/2]
-	}
-	w.samples = append(w.samples, sample{at: now, own: own})
-}
-
-// ownAt is the known load at a time.
-func (w *window) ownAt(at time.Time) int {
-	own := 0
-	for _, s := range w.samples {
-		if s.at.After(at) {
-			break
-		}
-		own = s.own
-	}
-	return own
+	w.known.note(now, w.online+len(w.slots))
 }
 
 // Place gives a batch slot at the target of the service with the most room. ok
--- a/internal/coordination/headroom/notices.go
+++ b/internal/coordination/headroom/notices.go
@@ -80,11 +80,12 @@
 	h.core.Told(time.Now(), reply.Batch)
 }
 
-// Batch is the number of batch items at a target, as far as it is known here.
-func (h *Headroom) Batch(target protocol.TargetID) int {
+// BatchElsewhere is the number of batch items that another instance had at a
+// target at a time, as far as it is known here.
+func (h *Headroom) BatchElsewhere(target protocol.TargetID, at time.Time) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.core.Batch(time.Now(), target)
+	return h.core.BatchElsewhere(target, at)
 }
 
 // Watch returns a router that tells of every online call it routes, so that
--- a/internal/coordination/headroom/online.go
+++ b/internal/coordination/headroom/online.go
@@ -23,9 +23,8 @@
 type traffic struct {
 	own     int
 	notices map[protocol.InstanceID]notice
-	// batch is what the target's feeder said it has placed.
-	batch   int
-	batchAt time.Time
+	// told is what the target's feeder said it has placed, oldest first.
+	told history
 }
 
 func (t *traffic) sum(now time.Time, life time.Duration) int {
@@ -142,21 +141,21 @@
 // Told takes in the batch items that a feeder has placed.
 func (c *Core) Told(now time.Time, placed []TargetCount) {
 	for _, p := range placed {
-		t := c.traffic(p.Target)
-		t.batch, t.batchAt = max(0, p.Count), now
+		c.traffic(p.Target).told.note(now, max(0, p.Count))
 	}
 }
 
-// Batch is the number of batch items at a target, as far as it is known here.
-func (c *Core) Batch(now time.Time, id protocol.TargetID) int {
-	if w, ok := c.windows[id]; ok {
-		return len(w.slots)
-	}
-	t, ok := c.traffics[id]
-	if !ok || now.Sub(t.batchAt) > c.settings.NoticeLife+c.settings.NoticeAll {
+// BatchElsewhere is the number of batch items that another instance had at a
+// target at a time, as far as it is known here. Reports lag, so what they count
+// has to be compared with what was there then.
+func (c *Core) BatchElsewhere(id protocol.TargetID, at time.Time) int {
+	if _, fed := c.windows[id]; fed {
 		return 0
 	}
-	return t.batch
+	if t, ok := c.traffics[id]; ok {
+		return t.told.at(at)
+	}
+	return 0
 }
 
 // Notices are the counts to tell other instances now, by feeder.
--- a/internal/coordination/routing/core.go
+++ b/internal/coordination/routing/core.go
@@ -147,8 +147,8 @@
 		t.batch += by
 	} else {
 		t.online += by
+		t.pool.own += by
 	}
-	t.pool.own += by
 	t.history.note(now, t.online+t.batch)
 }
 
@@ -205,6 +205,14 @@
 	t.pool.rebuild(now, &c.opts)
 }
 
+// SetBatchElsewhere tells how many batch items other instances have at a target,
+// which its next reports count among its streams.
+func (c *Core) SetBatchElsewhere(id protocol.TargetID, items int) {
+	if t, ok := c.targets[id]; ok {
+		t.batchElsewhere = items
+	}
+}
+
 // Report takes in a target's load report.
 func (c *Core) Report(now time.Time, load platform.Load) {
 	t, ok := c.targets[load.Target]
--- a/internal/coordination/routing/router.go
+++ b/internal/coordination/routing/router.go
@@ -15,11 +15,13 @@
 type Router struct {
 	mu   sync.Mutex
 	core *Core
+	// batchElsewhere is asked without the lock held, since it takes its own.
+	batchElsewhere func(protocol.TargetID, time.Time) int
 }
 
 // NewRouter returns a router that knows no target.
 func NewRouter(opts Options) *Router {
-	return &Router{core: NewCore(opts)}
+	return &Router{core: NewCore(opts), batchElsewhere: opts.BatchElsewhere}
 }
 
 // Pick implements coordination.Router.
@@ -79,9 +81,15 @@
 
 // Report takes in a load report.
 func (r *Router) Report(load platform.Load) {
+	now := time.Now()
+	elsewhere := 0
+	if r.batchElsewhere != nil {
+		elsewhere = r.batchElsewhere(load.Target, now.Add(-time.Duration(load.AgeMS)*time.Millisecond))
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.core.Report(time.Now(), load)
+	r.core.SetBatchElsewhere(load.Target, elsewhere)
+	r.core.Report(now, load)
 }
 
 // SetServices takes in the configured services.
--- a/internal/coordination/routing/target.go
+++ b/internal/coordination/routing/target.go
@@ -18,6 +18,8 @@
 
 	// online and batch count own calls in flight.
 	online, batch int
+	// batchElsewhere counts the batch items that another instance has there.
+	batchElsewhere int
 	// reported is the target's last report, as of reportedAt; others is the
 	// part of it that other instances sent.
 	reportedAt time.Time
@@ -41,10 +43,11 @@
 	return !t.saidLeaving.IsZero() && now.Sub(t.saidLeaving) < o.LeavingFor
 }
 
-// load is the estimated number of streams per slot at the target.
+// load is the estimated number of online streams per slot at the target. Batch
+// items fill what online calls leave free and yield to them: counted in, they
+// would make all targets look alike, and online calls would gather at some.
 func (t *target) load(now time.Time, o *Options) float64 {
-	own := float64(t.online + t.batch)
-	return (own + t.othersNow(now, o)) / t.slots
+	return (float64(t.online) + t.othersNow(now, o)) / t.slots
 }
 
 // othersNow blends the target's report with the mean over the pool by the age
@@ -73,7 +76,7 @@
 	own := t.history.at(at)
 	t.reportedAt = at
 	t.reported = load.Running + load.Waiting
-	t.others = max(0, float64(load.Running+load.Waiting-own))
+	t.others = max(0, float64(load.Running+load.Waiting-own-t.batchElsewhere))
 	if load.Leaving {
 		t.saidLeaving = now
 	}
--- a/internal/daemon/fleetpolicy.go
+++ b/internal/daemon/fleetpolicy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/thejerf/suture/v4"
@@ -42,7 +43,9 @@
 	s := d.settings
 	j := d.agreement.journal
 	f := &d.fleet
-	f.router = routing.NewRouter(routingOptions(s))
+	options := routingOptions(s)
+	options.BatchElsewhere = f.batchElsewhere
+	f.router = routing.NewRouter(options)
 	f.orders = orders.New(orders.Options{
 		Instance: s.Instance,
 		Domain:   s.Domain,
@@ -68,7 +71,7 @@
 		Journal: j, Peers: d.agreement.heartbeats,
 		Settings: s.Limiter, Logger: d.logger,
 	})
-	shown := &view{router: f.router, journal: j, batch: f.batchAt}
+	shown := &view{router: f.router, journal: j}
 	f.admission = admission.New(admission.Config{Fleet: j.Fleet, Capacities: shown, Settings: s.Admission})
 	f.headroom = headroom.New(headroom.Config{Self: s.Instance, Source: shown, Settings: s.Headroom,
 		Peers:   d.agreement.heartbeats,
@@ -76,8 +79,11 @@
 	})
 }
 
-// batchAt is the number of batch items at a target.
-func (f *fleetPolicy) batchAt(target protocol.TargetID) int { return f.headroom.Batch(target) }
+// batchElsewhere is the number of batch items that other instances had at a
+// target.
+func (f *fleetPolicy) batchElsewhere(target protocol.TargetID, at time.Time) int {
+	return f.headroom.BatchElsewhere(target, at)
+}
 
 // leave gives up the duties and hands the rate's tokens to others. No call runs
 // any more.
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -20,8 +20,6 @@
 type view struct {
 	router  *routing.Router
 	journal *journal.Journal
-	// batch is the number of batch items at a target.
-	batch func(protocol.TargetID) int
 }
 
 var (
@@ -45,8 +43,7 @@
 			continue
 		}
 		capacity.Slots += v.slots(service)
-		// Batch items yield, so they must not make an online call wait.
-		others += max(0, target.Others-float64(v.batch(target.Target)))
+		others += target.Others
 	}
 	capacity.Others = int(math.Round(others))
 	return capacity
--- a/internal/policybench/batchside.go
+++ b/internal/policybench/batchside.go
@@ -51,9 +51,7 @@
 			return
 		}
 		key := s.key(i, id)
-		if !s.blind {
-			n.router.BatchStarted(s.clock.now, target.ID)
-		}
+		n.router.BatchStarted(s.clock.now, target.ID)
 		item := &batchItem{engine: s.byID[target.ID], stream: s.nextItem()}
 		item.stream.ended = func(st *stream) {
 			delete(s.placed, key)
--- a/internal/policybench/bench_test.go
+++ b/internal/policybench/bench_test.go
@@ -74,7 +74,7 @@
 	show("alone", run.run())
 	run.batch = batchYields
 	show("yields", run.run())
-	for _, v := range [][6]int{{10, 80, 80, 50, 12, 5}, {10, 80, 80, 50, 12, 5}, {2, 80, 80, 50, 12, 5}, {2, 80, 80, 50, 12, -5}, {2, 80, 80, 50, 12, 5}} {
+	for _, v := range [][6]int{{10, 80, 80, 50, 12, 5}, {10, 80, 80, 50, 12, 5}, {2, 80, 80, 50, 12, 5}, {2, 80, 80, 50, 12, -5}, {2, 80, 80, 50, 12, 2}, {5, 80, 80, 50, 25, 5}} {
 		run.blind = v[5] < 0
 		v[5] = max(v[5], -v[5])
 		run.headroom.Tick = time.Duration(v[0]) * time.Millisecond
--- a/internal/policybench/serving.go
+++ b/internal/policybench/serving.go
@@ -228,17 +228,16 @@
 
 func (s *servingSim) reports() {
 	for _, e := range s.engines {
-		running := len(e.streams)
-		if s.blind {
-			running = e.online()
-		}
-		e.history = append(e.history, running)
+		e.history = append(e.history, len(e.streams))
 		lag := int(reportLag / reportEvery)
 		if len(e.history) <= lag {
 			continue
 		}
 		load := platform.Load{Target: e.id, Running: e.history[len(e.history)-1-lag], AgeMS: reportLag.Milliseconds()}
 		for _, n := range s.nodes {
+			if !s.blind {
+				n.router.SetBatchElsewhere(e.id, n.headroom.BatchElsewhere(e.id, s.clock.now.Add(-reportLag)))
+			}
 			n.router.Report(s.clock.now, load)
 		}
 	}
@@ -253,7 +252,7 @@
 				continue
 			}
 			capacity.Slots += slotsPerTarget
-			others += max(0, status.Others-float64(n.headroom.Batch(s.clock.now, status.Target)))
+			others += status.Others
 		}
 		capacity.Others = int(others)
 		n.admission.SetCapacity(s.user.service, capacity)
