--- a/internal/policybench/serving.go
+++ b/internal/policybench/serving.go
@@ -22,6 +22,8 @@
 	batchYields
 	// batchStays places batch items up to all slots and takes none back.
 	batchStays
+	// batchReserve leaves the slots of a burst free all the time.
+	batchReserve
 )
 
 // servingRun is a load on a whole fleet.
@@ -55,6 +57,8 @@
 	serveBurstLen = 5 * time.Second
 	// rampUp is the time in which a burst reaches its height.
 	rampUp = time.Second
+	// drainTime is longer than an online request lasts.
+	drainTime = 10 * time.Second
 	// ratesUse is the part of the fleet's slots that the rates add up to, in
 	// the runs that hold organisations to them.
 	ratesUse = 0.6
@@ -89,7 +93,10 @@
 	// partial are revoked items that wait for a resume.
 	partial []*stream
 	inside  []*exactBucket
-	result  servingResult
+	// countUntil is when requests are counted no more: later ones may not end
+	// within the run.
+	countUntil time.Time
+	result     servingResult
 }
 
 // servingResult is what came of a run.
@@ -118,6 +125,7 @@
 			s.arrive(i)
 		}
 	}
+	s.countUntil = s.clock.now.Add(r.length - drainTime)
 	s.clock.run(r.length)
 	return s.result
 }
@@ -305,7 +313,7 @@
 }
 
 func (s *servingSim) request(org int) {
-	inRate := s.inside[org].take(s.clock.now) && org != s.overload
+	inRate := s.inside[org].take(s.clock.now) && org != s.overload && s.clock.now.Before(s.countUntil)
 	if inRate {
 		s.result.inRate[org]++
 	}
