--- a/internal/coordination/journal/gap_test.go
+++ b/internal/coordination/journal/gap_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -166,6 +167,61 @@
 	})
 }
 
+// laggingLog takes appends and answers reads from another, empty copy.
+type laggingLog struct {
+	platform.Log
+	copied platform.Log
+}
+
+func (l laggingLog) Read(ctx context.Context, stream string, from protocol.Offset, limit int, wait time.Duration) (platform.Page, error) {
+	return l.copied.Read(ctx, stream, from, limit, wait)
+}
+
+// The platform answers for a while from a copy that lags behind what was read
+// already. That is no loss, and the instance goes on when the copy has caught up.
+func TestLaggingLogIsFollowedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := memlog.New(memlog.Options{})
+		a := startNode(t, log, "a")
+		a.ready()
+		a.link.replace(laggingLog{Log: log, copied: memlog.New(memlog.Options{})})
+		pass(time.Second)
+		await(t, 20*time.Second, "log doubted", func() bool { return !a.LogUp() })
+		a.link.replace(log)
+		a.ready()
+		require.Equal(t, protocol.Accepted, a.put(claim("r", protocol.NoOffset)))
+	})
+}
+
+// An instance that is cut off takes a peer's state while its own read is still
+// on its way. The page that arrives then must not be applied a second time.
+func TestPageThatCrossesASnapshotIsPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := memlog.New(memlog.Options{})
+		a, b := startNode(t, log, "a"), startNode(t, log, "b")
+		a.ready()
+		b.ready()
+		a.link.pause(10 * time.Second)
+		for i := range 5 {
+			require.Equal(t, protocol.Accepted, b.put(claim(protocol.Resource(fmt.Sprint("r", i)), protocol.NoOffset)))
+		}
+		pass(5 * time.Second)
+		_, data, err := b.Snapshot()
+		require.NoError(t, err)
+		a.link.setReadHook(func(page platform.Page) (platform.Page, func() error, bool) {
+			return page, func() error { return a.InstallSnapshot(data) }, len(page.Entries) > 0
+		})
+		pass(10 * time.Second)
+		a.ready()
+		await(t, time.Second, "the same position", func() bool { return a.Applied() == b.Applied() })
+		_, mine, err := a.Snapshot()
+		require.NoError(t, err)
+		_, theirs, err := b.Snapshot()
+		require.NoError(t, err)
+		require.Equal(t, theirs, mine)
+	})
+}
+
 // A faulty writer appends bytes that are no frame. All readers must pass over
 // them alike and go on.
 func TestMalformedEntryStopsNobody(t *testing.T) {
--- a/internal/coordination/journal/matrix_test.go
+++ b/internal/coordination/journal/matrix_test.go
@@ -159,15 +159,9 @@
 	return w.nodes[:1]
 }
 
-// runCell runs a step with a fault and returns what was violated.
-func runCell(t *testing.T, s step, f fault, adjust ...func(*Options)) []string {
-	w := newWorld(t, adjust...)
-	defer w.close()
-	a, _, _ := w.begin()
-	sessions := map[*node]protocol.SessionID{}
-	for _, n := range w.nodes {
-		sessions[n] = n.Session()
-	}
+// strikeOnce lets a fault meet a step once, and returns how often the step came
+// where the fault waits.
+func (w *world) strikeOnce(s step, f fault) *atomic.Int32 {
 	var struck atomic.Int32
 	do := func(w *world, n *node, forward func() error) error {
 		if struck.Add(1) > 1 {
@@ -182,6 +176,20 @@
 		}
 		w.strikeAppend(n, s.matches, do)
 	}
+	return &struck
+}
+
+// runCell runs a step with a fault and returns what was violated.
+func runCell(t *testing.T, s step, f fault, adjust ...func(*Options)) []string {
+	w := newWorld(t, adjust...)
+	defer w.close()
+	w.single = true
+	a, _, _ := w.begin()
+	sessions := map[*node]protocol.SessionID{}
+	for _, n := range w.nodes {
+		sessions[n] = n.Session()
+	}
+	struck := w.strikeOnce(s, f)
 	if s.prompt != nil {
 		s.prompt(w, a)
 	}
--- a/internal/coordination/journal/reader.go
+++ b/internal/coordination/journal/reader.go
@@ -14,8 +14,7 @@
 type reader struct {
 	*Journal
 	backoff *backoff
-	// shrunk is set for good when the log was found to have lost entries.
-	shrunk error
+	last    lastEntry
 }
 
 // String names the service.
@@ -51,12 +50,8 @@
 	if err != nil {
 		return err
 	}
-	if page.Next < from {
-		r.shrunk = errShrunk(from, page.Next)
-		r.status.set(r.shrunk.Error())
-	}
-	if r.shrunk != nil {
-		return r.shrunk
+	if err := r.sameLog(ctx, page, from); err != nil {
+		return err
 	}
 	if err := r.applyPage(page, from); err != nil {
 		return r.repair(ctx, from, page.Oldest)
@@ -100,6 +95,7 @@
 		return err
 	}
 	results := r.replay(from, frames)
+	r.last.note(page.Entries[len(page.Entries)-1])
 	counters.Add(countEntries, int64(len(frames)))
 	r.publish()
 	r.conclude(results)
@@ -139,13 +135,17 @@
 }
 
 // replay applies frames from an offset on; nil stands for an entry that does
-// not decode.
+// not decode. A peer's snapshot may have been installed while the page was on
+// its way, so what the state covers already is passed over.
 func (r *reader) replay(from protocol.Offset, frames []*protocol.Frame) []result {
 	var results []result
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i, frame := range frames {
 		at := from + protocol.Offset(i)
+		if at <= r.state.Applied() {
+			continue
+		}
 		if frame == nil {
 			r.state.Skip(at)
 			continue
--- /dev/null
+++ b/internal/state/replica/bench_test.go
@@ -0,0 +1,139 @@
+package replica
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/protocol"
+)
+
+// Sizes of a stream with a million live items.
+const (
+	liveItems = 1_000_000
+	liveJobs  = 10
+	// framed is how many records share a frame under group commit.
+	framed = 8
+)
+
+// stream builds the encoded frames of a control stream that leaves a million
+// items live: the jobs, a claim of every chunk, and results of half the items.
+func stream(tb testing.TB) (payloads [][]byte, records int) {
+	open := protocol.Record{
+		ID:          protocol.RecordID{Session: 1, Seq: 1},
+		SessionOpen: &protocol.SessionOpen{Instance: "i", Domain: "pnw-sea"},
+	}
+	pending := []protocol.Record{open}
+	seq := uint64(1)
+	flush := func() {
+		payload, err := protocol.EncodeFrame(protocol.Frame{Records: pending})
+		require.NoError(tb, err)
+		payloads = append(payloads, payload)
+		records += len(pending)
+		pending = nil
+	}
+	add := func(rec protocol.Record) {
+		seq++
+		rec.ID = protocol.RecordID{Session: 1, Seq: seq}
+		pending = append(pending, rec)
+		if len(pending) >= framed || rec.JobSubmit != nil {
+			flush()
+		}
+	}
+	for j := range liveJobs {
+		for _, rec := range jobRecords(j) {
+			add(rec)
+		}
+	}
+	flush()
+	return payloads, records
+}
+
+func jobRecords(j int) []protocol.Record {
+	const items = liveItems / liveJobs
+	job := protocol.JobID(fmt.Sprintf("batch_%020d", j))
+	submit := &protocol.JobSubmit{
+		Job:          job,
+		Organisation: "harbor",
+		Endpoint:     "/v1/chat/completions",
+		Created:      time.Unix(1, 0).UTC(),
+		Deadline:     time.Unix(100000, 0).UTC(),
+	}
+	records := []protocol.Record{{JobSubmit: submit}}
+	for first := 0; first < items; first += protocol.MaxChunkItems {
+		n := min(protocol.MaxChunkItems, items-first)
+		chunk := len(submit.Chunks)
+		submit.Chunks = append(submit.Chunks, protocol.ChunkRef{Offset: protocol.Offset(chunk), Items: n})
+		bitmap := make([]byte, (n+7)/8)
+		for i := range bitmap {
+			bitmap[i] = 0x55
+		}
+		records = append(records,
+			protocol.Record{ChunkClaim: &protocol.ChunkClaim{Job: job, Chunks: []int{chunk}}},
+			protocol.Record{ChunkResult: &protocol.ChunkResult{Job: job, Chunk: chunk, Data: protocol.Offset(chunk), Items: bitmap}})
+	}
+	return records
+}
+
+func replayAll(tb testing.TB, payloads [][]byte) *State {
+	state := New()
+	for at, payload := range payloads {
+		frame, err := protocol.DecodeFrame(payload)
+		require.NoError(tb, err)
+		for _, verdict := range state.Apply(protocol.Offset(at), frame) {
+			require.Equal(tb, protocol.Accepted, verdict)
+		}
+	}
+	return state
+}
+
+// BenchmarkReplay gives the records decoded and applied in a second on one
+// core.
+func BenchmarkReplay(b *testing.B) {
+	payloads, records := stream(b)
+	for b.Loop() {
+		replayAll(b, payloads)
+	}
+	b.ReportMetric(float64(records)*float64(b.N)/b.Elapsed().Seconds(), "records/s")
+}
+
+// BenchmarkRestore gives the time to start from a snapshot of a million live
+// items, and its size.
+func BenchmarkRestore(b *testing.B) {
+	payloads, _ := stream(b)
+	data, err := replayAll(b, payloads).Snapshot()
+	require.NoError(b, err)
+	for b.Loop() {
+		_, err := Restore(data)
+		require.NoError(b, err)
+	}
+	b.ReportMetric(float64(len(data)), "snapshot-bytes")
+}
+
+// BenchmarkCapture gives the time for which readers of the state wait while a
+// snapshot is taken.
+func BenchmarkCapture(b *testing.B) {
+	payloads, _ := stream(b)
+	state := replayAll(b, payloads)
+	for b.Loop() {
+		state.Capture()
+	}
+}
+
+// BenchmarkLiveMemory gives the heap that a million live items take.
+func BenchmarkLiveMemory(b *testing.B) {
+	payloads, _ := stream(b)
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		state := replayAll(b, payloads)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "heap-bytes")
+		runtime.KeepAlive(state)
+	}
+}
