--- a/internal/coordination/batch/chunker.go
+++ b/internal/coordination/batch/chunker.go
@@ -16,8 +16,8 @@
 // errTooLarge: an input file or line exceeds its bound.
 var errTooLarge = errors.New("too large")
 
-// chunker cuts an input file into chunks while it streams by, so that a file
-// of any size takes the memory of one chunk.
+// chunker cuts an input file into entries while it streams by, so that a file
+// of any size takes the memory of one entry.
 type chunker struct {
 	opts   Options
 	reader *bufio.Reader
@@ -45,11 +45,15 @@
 	}
 }
 
-// next returns the items of the next chunk, none at the end of the file.
+// entryItems bounds the items of an entry to a few chunks. More would save
+// appends, and make whoever takes one chunk read all the others.
+const entryItems = 4 * protocol.MaxChunkItems
+
+// next returns the items of the next entry, none at the end of the file.
 func (c *chunker) next() ([]bulk.Item, error) {
 	var chunk []bulk.Item
 	size := 0
-	for len(chunk) < protocol.MaxChunkItems {
+	for len(chunk) < entryItems {
 		item, err := c.item()
 		if errors.Is(err, io.EOF) {
 			return chunk, nil
--- a/internal/coordination/batch/claimer.go
+++ b/internal/coordination/batch/claimer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"merlintiller/internal/coordination/bulk"
@@ -13,7 +14,12 @@
 )
 
 // claimer is the duty that claims chunks and loads their input.
-type claimer struct{ *Executor }
+type claimer struct {
+	*Executor
+	pace pace
+	// idleSince is since when the instance wants chunks and none falls to it.
+	idleSince time.Time
+}
 
 // String names the duty.
 func (c *claimer) String() string { return "batch claimer" }
@@ -48,16 +54,29 @@
 const idlePlan = 5 * time.Second
 
 func (c *claimer) claim(ctx context.Context) {
-	if !c.mayStart() || !c.journal.LogUp() {
+	if !c.mayClaim() || !c.hasPlaces() {
 		return
 	}
 	var now load
-	c.inspect(func(w *workset) { now = w.load() })
-	free := c.opts.MaxHeldChunks - now.chunks
-	if free <= 0 || now.fresh >= c.opts.LowWater || !c.hasPlaces() {
+	started := 0
+	c.inspect(func(w *workset) {
+		now = w.load()
+		started = c.started
+	})
+	room := c.opts.MaxHeldChunks - now.chunks
+	if room <= 0 {
 		return
 	}
-	for _, plan := range c.plan(now, free) {
+	// With enough work at hand, only a job that is short of time is a reason
+	// to take more: its items go ahead of the others here.
+	want := c.want(now, c.pace.update(started, time.Now()))
+	urgentOnly := want <= 0
+	free := min(max(want, 1), room)
+	plans := c.plan(now, free, urgentOnly, false)
+	if c.maySteal(len(plans) > 0) {
+		plans = c.plan(now, free, urgentOnly, true)
+	}
+	for _, plan := range plans {
 		body := &protocol.ChunkClaim{Job: plan.Job, Chunks: plan.Chunks}
 		outcome := c.journal.Submit(ctx, protocol.Record{ChunkClaim: body})
 		if !outcome.Accepted() {
@@ -69,19 +88,78 @@
 	}
 }
 
-func (c *claimer) plan(now load, free int) []ClaimPlan {
+// want is the number of chunks to take: enough to be busy while the next claim
+// is on its way, and no more, so that a job of another organisation that comes
+// meanwhile does not wait behind chunks taken early.
+func (c *claimer) want(now load, itemsASecond float64) int {
+	ahead := max(float64(c.opts.LowWater), itemsASecond*c.opts.ClaimAhead.Seconds())
+	lacking := int(ahead) - now.fresh
+	if lacking <= 0 {
+		return 0
+	}
+	chunks := (lacking + protocol.MaxChunkItems - 1) / protocol.MaxChunkItems
+	return chunks
+}
+
+// pace measures how many items an instance starts a second.
+type pace struct {
+	started int
+	at      time.Time
+	rate    float64
+}
+
+// paceWindow is the time over which the pace is averaged.
+const paceWindow = 10 * time.Second
+
+func (p *pace) update(started int, now time.Time) float64 {
+	if p.at.IsZero() {
+		p.started, p.at = started, now
+		return 0
+	}
+	elapsed := now.Sub(p.at)
+	if elapsed <= 0 {
+		return p.rate
+	}
+	latest := float64(started-p.started) / elapsed.Seconds()
+	weight := min(1, elapsed.Seconds()/paceWindow.Seconds())
+	p.rate += weight * (latest - p.rate)
+	p.started, p.at = started, now
+	return p.rate
+}
+
+// maySteal says whether to take chunks that fall to others: after a while
+// without any of its own, so that those to whom they fall have had their turn.
+func (c *claimer) maySteal(hasOwn bool) bool {
+	if hasOwn {
+		c.idleSince = time.Time{}
+		return false
+	}
+	if c.idleSince.IsZero() {
+		c.idleSince = time.Now()
+	}
+	wait := c.opts.StealAfter + time.Duration(uint64(c.journal.Session())%stealStagger)*c.opts.PlanEvery
+	return time.Since(c.idleSince) >= wait
+}
+
+// stealStagger spreads the instances that steal over so many plans.
+const stealStagger = 4
+
+func (c *claimer) plan(now load, free int, urgentOnly, steal bool) []ClaimPlan {
 	session := c.journal.Session()
 	fleet := c.journal.Fleet()
 	var plans []ClaimPlan
 	c.journal.View(func(state *replica.State) {
+		open := openIDs(state)
 		in := PlanInput{
-			Now:       time.Now(),
-			HeldBy:    now.byOrg,
-			Free:      free,
-			Instances: len(openIDs(state)),
-			Spread:    uint64(session),
-			Claimable: func(job protocol.JobID, from, limit int) []int {
-				return state.Ledger.Claimable(job, state.Sessions, from, limit)
+			Now:        time.Now(),
+			HeldBy:     now.byOrg,
+			Free:       free,
+			UrgentOnly: urgentOnly,
+			Steal:      steal,
+			Instances:  len(open),
+			Index:      max(0, slices.Index(open, session)),
+			Claimable: func(job protocol.JobID, from, count, limit int) []int {
+				return state.Ledger.Claimable(job, state.Sessions, from, count, limit)
 			},
 		}
 		for _, job := range state.Ledger.Running() {
@@ -132,8 +210,7 @@
 // unloadedChunk is a held chunk whose input is not here yet.
 type unloadedChunk struct {
 	loadedChunk
-	input protocol.Offset
-	total int
+	input protocol.ChunkRef
 }
 
 func (c *claimer) missing(session protocol.SessionID) []unloadedChunk {
@@ -160,7 +237,6 @@
 					won:          view.Won,
 				},
 				input: view.Input,
-				total: view.Items,
 			})
 		}
 	})
@@ -179,7 +255,7 @@
 func (c *claimer) giveUp(ctx context.Context, chunk unloadedChunk) {
 	_ = c.logger.Log("event", "chunk_input_lost", "job", chunk.id.Job, "chunk", chunk.id.Chunk)
 	counters.Add("input_lost", 1)
-	chunk.items = make([]bulk.Item, chunk.total)
+	chunk.items = make([]bulk.Item, chunk.input.Items)
 	c.update(func(w *workset) { w.add(chunk.loadedChunk) })
 	var tasks []Item
 	c.inspect(func(w *workset) {
--- a/internal/coordination/limiter/limiter.go
+++ b/internal/coordination/limiter/limiter.go
@@ -75,6 +75,7 @@
 		&claimService{limiter: l},
 		&promiseService{limiter: l},
 		&fetchService{limiter: l},
+		&settleService{limiter: l},
 	}
 }
 
@@ -101,6 +102,9 @@
 			l.exchange(ctx, verdict.Ask)
 		default:
 			stats.Add("refused", 1)
+			for _, back := range verdict.Returns {
+				l.fetch(back)
+			}
 			return protocol.Refuse(protocol.CodeRateLimited, verdict.retryAfter(), "organisation %s is above its rate", org)
 		}
 	}
@@ -125,7 +129,7 @@
 // decision, because a process that was paused must notice before it grants.
 func (l *Limiter) authorise(now time.Time) {
 	switch {
-	case l.leaving || l.session == 0 || l.Journal.Session() != l.session:
+	case l.session == 0 || l.Journal.Session() != l.session:
 		l.core.Extend(time.Time{})
 	case l.Journal.MayHold():
 		l.core.Extend(now.Add(1))
--- a/internal/protocol/record.go
+++ b/internal/protocol/record.go
@@ -47,6 +47,7 @@
 	JobExpire    *JobExpire    `cbor:"45,keyasint,omitempty"`
 	DataMoved    *DataMoved    `cbor:"46,keyasint,omitempty"`
 	JobForget    *JobForget    `cbor:"47,keyasint,omitempty"`
+	ChunkResults *ChunkResults `cbor:"48,keyasint,omitempty"`
 
 	CallReserve *CallReserve `cbor:"50,keyasint,omitempty"`
 	CallOutcome *CallOutcome `cbor:"51,keyasint,omitempty"`
@@ -139,6 +140,9 @@
 	Offset Offset `cbor:"1,keyasint"`
 	// Items is the number of items in the chunk, at most MaxChunkItems.
 	Items int `cbor:"2,keyasint"`
+	// First is the index of the chunk's first item in the entry. Chunks share
+	// an entry where their items are small.
+	First int `cbor:"3,keyasint,omitempty"`
 }
 
 // MaxChunkItems bounds the items of one chunk, so that a bitmap of a chunk's
@@ -197,6 +201,13 @@
 	At int64 `cbor:"6,keyasint,omitempty"`
 }
 
+// ChunkResults reports results of several chunks in one record, so that a group
+// of results that was appended together costs one frame. Each part is decided
+// by itself; the record is accepted if one of them is.
+type ChunkResults struct {
+	Parts []ChunkResult `cbor:"1,keyasint"`
+}
+
 // JobCancel stops a job. Results that precede it in the stream stand.
 type JobCancel struct {
 	Job JobID `cbor:"1,keyasint"`
