--- a/internal/coordination/member/timings.go
+++ b/internal/coordination/member/timings.go
@@ -18,7 +18,9 @@
 	// proposed. It must exceed Hold by more than the clocks may drift apart.
 	Expire time.Duration
 	// Stagger is the further wait of each observer that is not the first in
-	// line to propose an expiry, so that one proposes and not all at once.
+	// line to propose an expiry, so that one proposes and not all at once. It
+	// must cover a poll of the log and a tick of the observer, or the second
+	// proposes before it can have read the first one's record.
 	Stagger time.Duration
 	// Drift is by how much a clock may run too fast or too slow, as a ratio.
 	Drift float64
@@ -30,7 +32,7 @@
 		Renew:   2 * time.Second,
 		Hold:    6 * time.Second,
 		Expire:  8 * time.Second,
-		Stagger: time.Second,
+		Stagger: 2 * time.Second,
 		Drift:   0.01,
 	}
 }
