--- a/internal/coordination/journal/journal.go
+++ b/internal/coordination/journal/journal.go
@@ -81,7 +81,7 @@
 		renewals:    map[protocol.RecordID]time.Time{},
 		holder:      member.NewHolder(timings.Session),
 		wake:        make(chan struct{}, 1),
-		pacer:       newPacer(),
+		pacer:       newPacer(timings.Pace),
 	}
 	j.status.loaded = make(chan struct{})
 	j.published = j.state.Fleet.Fleet()
--- a/internal/coordination/journal/options.go
+++ b/internal/coordination/journal/options.go
@@ -45,6 +45,11 @@
 	// BackoffBase and BackoffMax bound the wait before a retry.
 	BackoffBase time.Duration
 	BackoffMax  time.Duration
+	// ThrottledWait bounds the wait after a control record was refused for the
+	// rate limit. Control records are few and urgent, and data gives way.
+	ThrottledWait time.Duration
+	// Pace spaces the appends of bulk data.
+	Pace Pace
 	// Queue is how many submissions may wait for the writer.
 	Queue int
 	// PageEntries is how many entries one read asks for.
@@ -73,6 +78,8 @@
 		FrameSpacing:  20 * time.Millisecond,
 		BackoffBase:   50 * time.Millisecond,
 		BackoffMax:    2 * time.Second,
+		ThrottledWait: 250 * time.Millisecond,
+		Pace:          DefaultPace(),
 		Queue:         4096,
 		PageEntries:   256,
 		SnapshotEvery: 20000,
@@ -98,6 +105,8 @@
 	orDefault(&t.FrameSpacing, d.FrameSpacing)
 	orDefault(&t.BackoffBase, d.BackoffBase)
 	orDefault(&t.BackoffMax, d.BackoffMax)
+	orDefault(&t.ThrottledWait, d.ThrottledWait)
+	orDefault(&t.Pace, d.Pace)
 	orDefault(&t.Queue, d.Queue)
 	orDefault(&t.PageEntries, d.PageEntries)
 	orDefault(&t.SnapshotEvery, d.SnapshotEvery)
--- a/internal/coordination/journal/pacer.go
+++ b/internal/coordination/journal/pacer.go
@@ -5,18 +5,27 @@
 	"time"
 )
 
-// Limits of the pacer, in appends a second. The platform takes several hundred
-// from all instances; what is one instance's part is found out by asking.
-const (
-	pacerStart = 100.0
-	pacerLeast = 1.0
-	pacerMost  = 400.0
-	// pacerStep is the rise a second while nothing is throttled.
-	pacerStep = 5.0
-	// pacerDeaf is the time after a halving in which further refusals count as
-	// part of the same congestion.
-	pacerDeaf = 500 * time.Millisecond
-)
+// Pace are the rates of the appends of bulk data, in appends a second. The
+// platform takes several hundred from all instances; what one instance's part
+// is it finds out by asking.
+type Pace struct {
+	// Start is the first rate. 100 lets an upload of 25,000 items through in a
+	// second where nothing else is going on.
+	Start float64
+	// Least and Most bound the rate.
+	Least, Most float64
+	// Step is the rise a second while nothing is refused. Trials with 10 let
+	// renewals lapse under a flood of data, with 5 none did.
+	Step float64
+	// Deaf is the time after a halving in which further refusals count as part
+	// of the same congestion.
+	Deaf time.Duration
+}
+
+// DefaultPace returns the defaults.
+func DefaultPace() Pace {
+	return Pace{Start: 100, Least: 1, Most: 400, Step: 5, Deaf: 500 * time.Millisecond}
+}
 
 // pacer spaces the appends of bulk data by additive increase and multiplicative
 // decrease.
@@ -30,6 +39,8 @@
 //
 // It is pure, time comes in as an argument, and safe for concurrent use.
 type pacer struct {
+	pace Pace
+
 	mu     sync.Mutex
 	rate   float64
 	next   time.Time
@@ -37,7 +48,7 @@
 	grown  time.Time
 }
 
-func newPacer() *pacer { return &pacer{rate: pacerStart} }
+func newPacer(pace Pace) *pacer { return &pacer{pace: pace, rate: pace.Start} }
 
 // reserve takes the next place and returns the time to wait for it.
 func (p *pacer) reserve(now time.Time) time.Duration {
@@ -56,11 +67,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.grown = now
-	if now.Sub(p.halved) < pacerDeaf {
+	if now.Sub(p.halved) < p.pace.Deaf {
 		return
 	}
 	p.halved = now
-	p.rate = max(pacerLeast, p.rate/2)
+	p.rate = max(p.pace.Least, p.rate/2)
 }
 
 // succeeded notes that the platform took a data append.
@@ -70,5 +81,5 @@
 	// A pause without appends is no evidence that more would pass.
 	elapsed := min(now.Sub(p.grown), time.Second)
 	p.grown = now
-	p.rate = min(pacerMost, p.rate+pacerStep*elapsed.Seconds())
+	p.rate = min(p.pace.Most, p.rate+p.pace.Step*elapsed.Seconds())
 }
--- a/internal/coordination/journal/writer.go
+++ b/internal/coordination/journal/writer.go
@@ -197,14 +197,10 @@
 	}
 }
 
-// throttledWait bounds the wait after a refusal for the rate limit. Control
-// records are few and urgent, and data has given way by then.
-const throttledWait = 250 * time.Millisecond
-
 func (w *writer) wait(err error) time.Duration {
 	wait := w.backoff.next()
 	if errors.Is(err, platform.ErrThrottled) {
-		return min(wait, throttledWait)
+		return min(wait, w.timings.ThrottledWait)
 	}
 	return wait
 }
