--- a/internal/transport/tlsconfig/tlsconfig_test.go
+++ b/internal/transport/tlsconfig/tlsconfig_test.go
@@ -3,17 +3,9 @@
 import (
 	"bytes"
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
 	"net"
 	"os"
-	"path/filepath"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,53 +13,27 @@
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
+	"merlintiller/internal/harness"
 	"merlintiller/internal/settings"
 	"merlintiller/internal/transport/peer"
 )
 
 // authority signs certificates for one test.
-type authority struct {
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-	pem  []byte
-}
+type authority struct{ *harness.Authority }
 
-func newAuthority(t *testing.T) *authority {
+func newAuthority(t *testing.T) authority {
 	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	require.NoError(t, err)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"},
-		NotBefore: time.Unix(0, 0), NotAfter: time.Now().Add(1000 * time.Hour),
-		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	require.NoError(t, err)
-	cert, err := x509.ParseCertificate(der)
+	made, err := harness.NewAuthority()
 	require.NoError(t, err)
-	return &authority{cert, key, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})}
+	return authority{made}
 }
 
 // issue writes a certificate with its key and the authority's certificate.
-func (a *authority) issue(t *testing.T, dir string, serial int64) Files {
+func (a authority) issue(t *testing.T, dir string, serial int64) Files {
 	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	require.NoError(t, err)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: "instance"},
-		NotBefore: time.Unix(0, 0), NotAfter: time.Now().Add(999 * time.Hour),
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
-	require.NoError(t, err)
-	keyDER, err := x509.MarshalECPrivateKey(key)
+	files, err := a.Issue(dir, serial)
 	require.NoError(t, err)
-	files := Files{Cert: filepath.Join(dir, "cert.pem"), Key: filepath.Join(dir, "key.pem"), CA: filepath.Join(dir, "ca.pem")}
-	write(t, files.Cert, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}))
-	write(t, files.Key, pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: keyDER}))
-	write(t, files.CA, a.pem)
-	return files
+	return Files(files)
 }
 
 func write(t *testing.T, path string, data []byte) {
