--- a/internal/coordination/batch/results.go
+++ b/internal/coordination/batch/results.go
@@ -90,7 +90,7 @@
 	if !found {
 		return nil, trace.Wrap(fmt.Errorf("chunk %v: %w", id, protocol.ErrMalformed))
 	}
-	results := make([]*bulk.Result, chunk.Items)
+	results := make([]*bulk.Result, chunk.Input.Items)
 	for _, segment := range chunk.Segments {
 		if err := s.fill(ctx, results, segment, id, failed); err != nil {
 			return nil, err
--- a/internal/coordination/faulttest/link_test.go
+++ b/internal/coordination/faulttest/link_test.go
@@ -57,7 +57,7 @@
 		return atAccept
 	case rec.ChunkClaim != nil:
 		return atClaim
-	case rec.ChunkResult != nil:
+	case rec.ChunkResults != nil:
 		return atResult
 	case rec.JobCancel != nil:
 		return atCancel
--- a/internal/daemon/agreement.go
+++ b/internal/daemon/agreement.go
@@ -68,6 +68,7 @@
 		member.ServiceName:      d.agreement.heartbeats.Receiver(),
 		withdrawal.ServiceName:  &withdrawal.Receiver{Local: d.agreement.journal},
 		limiterName:             d.fleet.limits.Endpoint(),
+		headroomName:            d.fleet.headroom.Endpoint(),
 		burn.ServiceName:        &burn.Receiver{Recorder: d.operators.recorder},
 		fleetstatus.ServiceName: &fleetstatus.Receiver{Source: d.operators.source},
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -119,6 +119,7 @@
 	}{
 		{"callers", d.callers.edge.Drain},
 		{"batch", d.batch.drain},
+		{"fleet policy", d.fleet.leave},
 		{"session", d.agreement.journal.Close},
 	}
 	for _, step := range steps {
--- a/internal/daemon/fleetpolicy.go
+++ b/internal/daemon/fleetpolicy.go
@@ -1,18 +1,23 @@
 package daemon
 
 import (
+	"context"
+
 	"github.com/cespare/xxhash/v2"
 	"github.com/thejerf/suture/v4"
 
-	"merlintiller/internal/coordination"
 	"merlintiller/internal/coordination/admission"
 	"merlintiller/internal/coordination/headroom"
 	"merlintiller/internal/coordination/limiter"
+	"merlintiller/internal/coordination/orders"
 	"merlintiller/internal/coordination/routing"
 	"merlintiller/internal/protocol"
 )
 
-const limiterName = limiter.ReceiverName
+const (
+	limiterName  = limiter.ReceiverName
+	headroomName = headroom.ReceiverName
+)
 
 // fleetPolicy is who may use the fleet's targets, when and which.
 type fleetPolicy struct {
@@ -20,6 +25,7 @@
 	limits    *limiter.Limiter
 	admission *admission.Admission
 	headroom  *headroom.Headroom
+	orders    *orders.Reconciler
 	pollers   []suture.Service
 }
 
@@ -28,7 +34,8 @@
 	out = append(out, f.pollers...)
 	out = append(out, f.limits.Services()...)
 	out = append(out, f.admission.Services()...)
-	return append(out, f.headroom.Services()...)
+	out = append(out, f.headroom.Services()...)
+	return append(out, f.orders.Services()...)
 }
 
 func (d *Daemon) joinFleetPolicy() {
@@ -36,6 +43,15 @@
 	j := d.agreement.journal
 	f := &d.fleet
 	f.router = routing.NewRouter(routingOptions(s))
+	f.orders = orders.New(orders.Options{
+		Instance: s.Instance,
+		Domain:   s.Domain,
+		Journal:  j,
+		Peers:    d.agreement.heartbeats,
+		Orders:   d.outside.control,
+		Logger:   d.logger,
+		Policy:   orders.Policy{Hold: s.Timings.Hold},
+	})
 	f.pollers = routing.Pollers(routing.PollOptions{
 		Router:    f.router,
 		List:      d.outside.list,
@@ -45,38 +61,34 @@
 		ListEvery: s.Timings.ListPoll,
 		LoadEvery: s.Timings.LoadPoll,
 		Domain:    s.Domain,
+		Listed:    f.orders.Listing,
 	})
 	f.limits = limiter.New(limiter.Config{
 		Self: s.Instance, Domain: s.Domain,
 		Journal: j, Peers: d.agreement.heartbeats,
 		Settings: s.Limiter, Logger: d.logger,
 	})
-	shown := &view{router: f.router, journal: j}
+	shown := &view{router: f.router, journal: j, batch: f.batchAt}
 	f.admission = admission.New(admission.Config{Fleet: j.Fleet, Capacities: shown, Settings: s.Admission})
 	f.headroom = headroom.New(headroom.Config{Self: s.Instance, Source: shown, Settings: s.Headroom,
+		Peers:   d.agreement.heartbeats,
 		Started: f.router.BatchStarted, Report: f.router.BatchDone,
 	})
 }
 
+// batchAt is the number of batch items at a target.
+func (f *fleetPolicy) batchAt(target protocol.TargetID) int { return f.headroom.Batch(target) }
+
+// leave gives up the duties and hands the rate's tokens to others. No call runs
+// any more.
+func (f *fleetPolicy) leave(ctx context.Context) error {
+	f.orders.Release(ctx)
+	f.limits.Leave(ctx)
+	return ctx.Err()
+}
+
 // seedOf makes the random choices of instances differ and those of a restart
 // the same.
 func seedOf(instance protocol.InstanceID) uint64 {
 	return xxhash.Sum64String(string(instance))
 }
-
-// onlineRouter tells the headroom of every online pick, so that a burst takes
-// places back at once and not with the next look at the counts.
-type onlineRouter struct {
-	coordination.Router
-	router   *routing.Router
-	headroom *headroom.Headroom
-}
-
-// Pick implements coordination.Router.
-func (o *onlineRouter) Pick(req coordination.PickRequest) (coordination.Pick, func(coordination.CallResult), bool) {
-	pick, done, ok := o.Router.Pick(req)
-	if ok && !req.Batch {
-		o.headroom.OnlineStarted(pick.Target, o.router.OnlineInFlight(pick.Target))
-	}
-	return pick, done, ok
-}
