tillerctl: large files go through without being held in memory

Results of more than 64 MB were refused and an input file was held in memory twice; a job of 760,000 items has several hundred megabytes of both.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -17,6 +17,9 @@
 // maxAnswerBytes bounds an answer that is kept in memory.
 const maxAnswerBytes = 64 << 20
 
+// maxErrorBytes bounds the body of an error.
+const maxErrorBytes = 1 << 20
+
 // Client calls one of several instances. They are tried in turn as long as it
 // is certain that the call had no effect at the ones before.
 type Client struct {
@@ -31,6 +34,9 @@
 	method, path string
 	header       http.Header
 	body         []byte
+	// open gives a body that is too large for memory, with its length. It is
+	// called anew for each attempt. If it is nil, body is sent.
+	open func() (io.ReadCloser, int64, error)
 	// repeatable says that the call may be made again after a lost answer.
 	repeatable bool
 }
@@ -77,14 +83,45 @@
 
 // Bytes makes a call and gives its answer as it came.
 func (c *Client) Bytes(ctx context.Context, req request) ([]byte, error) {
+	answer, err := c.send(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	defer answer.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
+	if err != nil {
+		return nil, lostAnswer(req, err)
+	}
+	if len(data) > maxAnswerBytes {
+		return nil, fail(ExitFailed, "ask for less at a time", "the answer is larger than %d bytes", maxAnswerBytes)
+	}
+	return data, nil
+}
+
+// Copy makes a call and passes its answer on as it comes, however large. After
+// an error what was written is only a part of it.
+func (c *Client) Copy(ctx context.Context, req request, to io.Writer) error {
+	answer, err := c.send(ctx, req)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	if _, err := io.Copy(to, answer.Body); err != nil {
+		return fail(ExitUnavailable, "run the command again, for long answers with a larger --timeout", "the answer was cut: %v", err)
+	}
+	return nil
+}
+
+// send tries the instances in turn until one answers well.
+func (c *Client) send(ctx context.Context, req request) (*http.Response, error) {
 	if len(c.Bases) == 0 {
 		return nil, fail(ExitBadInput, "give --instance, or set TILLER_INSTANCE", "no instance was named")
 	}
 	var last error
 	for _, base := range c.Bases {
-		data, err := c.once(ctx, base, req)
+		answer, err := c.once(ctx, base, req)
 		if err == nil {
-			return data, nil
+			return answer, nil
 		}
 		last = err
 		if !mayTryNext(err, req) {
@@ -104,11 +141,18 @@
 	return failure.Exit == ExitMayHaveTakenEffect && req.repeatable
 }
 
-func (c *Client) once(ctx context.Context, base string, req request) ([]byte, error) {
-	out, err := http.NewRequestWithContext(ctx, req.method, base+req.path, bytes.NewReader(req.body))
+// once asks one instance. Its answer, if there is one, has a good status.
+func (c *Client) once(ctx context.Context, base string, req request) (*http.Response, error) {
+	body, length, err := req.reader()
+	if err != nil {
+		return nil, fail(ExitBadInput, "name a file that can be read", "%v", err)
+	}
+	out, err := http.NewRequestWithContext(ctx, req.method, base+req.path, body)
 	if err != nil {
+		_ = body.Close()
 		return nil, fail(ExitBadInput, "give an address such as 10.0.0.1:8003", "%s: %v", base, err)
 	}
+	out.ContentLength = length
 	for name, values := range req.header {
 		out.Header[name] = values
 	}
@@ -119,18 +163,26 @@
 	if err != nil {
 		return nil, sendFailure(base, req, err)
 	}
+	if answer.StatusCode/100 == 2 {
+		return answer, nil
+	}
 	defer answer.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
+	data, err := io.ReadAll(io.LimitReader(answer.Body, maxErrorBytes))
 	if err != nil {
 		return nil, lostAnswer(req, err)
 	}
-	if len(data) > maxAnswerBytes {
-		return nil, fail(ExitFailed, "ask for less at a time", "the answer is larger than %d bytes", maxAnswerBytes)
+	return nil, statusFailure(base, answer.StatusCode, data)
+}
+
+// reader gives the body of one attempt.
+func (r request) reader() (io.ReadCloser, int64, error) {
+	if r.open != nil {
+		return r.open()
 	}
-	if answer.StatusCode/100 != 2 {
-		return nil, statusFailure(base, answer.StatusCode, data)
+	if len(r.body) == 0 {
+		return http.NoBody, 0, nil
 	}
-	return data, nil
+	return io.NopCloser(bytes.NewReader(r.body)), int64(len(r.body)), nil
 }
 
 // sendFailure tells a connection that never stood, after which nothing can
