--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/gob"
 	"errors"
 	"fmt"
 	"runtime"
@@ -190,3 +191,61 @@
 		recorder.Record("ana", "lm", 300*time.Millisecond, 20*time.Millisecond, true)
 	}
 }
+
+// An operator asks for the report while callers are served. If the recorder
+// were locked while it encodes, calls that end meanwhile would wait a tenth of
+// a second, and the report of the online tail would harm the online tail. The
+// clock is read once for each series; a call is recorded at each such moment.
+func TestReportDoesNotHoldUpCalls(t *testing.T) {
+	c := newClock()
+	var recorder *Recorder
+	inside := 0
+	recorder = NewRecorder(func(protocol.OrganisationID) protocol.Objectives { return levels }, func() time.Time {
+		if inside == 1 {
+			inside = 2
+			recorder.Record("ana", "lm", time.Second, 0, true)
+			inside = 1
+		}
+		return c.now
+	})
+	for i := range 10 {
+		recorder.Record(protocol.OrganisationID(fmt.Sprint(i)), "lm", time.Second, 0, true)
+	}
+	inside = 1
+	snapshot, err := recorder.Snapshot(Request{})
+	require.NoError(t, err)
+	require.Len(t, snapshot.Series, 10)
+	inside = 0
+	seen, err := recorder.Snapshot(Request{Organisation: "ana"})
+	require.NoError(t, err)
+	require.EqualValues(t, 10, seen.Series[0].Windows[FiveMinutes][Availability].Good)
+}
+
+// countingWriter counts what a snapshot takes on its way between instances.
+type countingWriter struct{ bytes int64 }
+
+func (w *countingWriter) Write(p []byte) (int, error) {
+	w.bytes += int64(len(p))
+	return len(p), nil
+}
+
+// BenchmarkSnapshot gives the cost of one instance's part in a report when its
+// recorder is full.
+func BenchmarkSnapshot(b *testing.B) {
+	c := newClock()
+	recorder := newTestRecorder(c)
+	for i := range maxSeries {
+		for call := range 20 {
+			took := time.Duration(100+i%50+call*20) * time.Millisecond
+			recorder.Record(protocol.OrganisationID(fmt.Sprint(i)), "tiller-reports", took, 30*time.Millisecond, true)
+		}
+	}
+	var size countingWriter
+	for b.Loop() {
+		snapshot, err := recorder.Snapshot(Request{})
+		require.NoError(b, err)
+		size.bytes = 0
+		require.NoError(b, gob.NewEncoder(&size).Encode(snapshot))
+	}
+	b.ReportMetric(float64(size.bytes), "bytes/report")
+}
--- a/internal/burn/snapshot.go
+++ b/internal/burn/snapshot.go
@@ -33,25 +33,18 @@
 	Latency [latencySignals][]byte
 }
 
-// Snapshot gives what the recorder holds now.
+// Snapshot gives what the recorder holds now. It locks the recorder for one
+// series at a time: encoding a full one takes a tenth of a second, for which
+// every online call that ends here would otherwise wait.
 func (r *Recorder) Snapshot(request Request) (Snapshot, error) {
-	now := r.now()
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	var out Snapshot
-	for key, rec := range r.series {
-		if request.Organisation != "" && request.Organisation != key.Organisation {
-			continue
-		}
-		if now.Sub(rec.used) > longest {
+	for _, key := range r.keys(request) {
+		line, latency, ok := r.read(key)
+		if !ok {
 			continue
 		}
-		line := SeriesSnapshot{Series: key, Windows: rec.windows.sums(now)}
-		for signal := range line.Latency {
-			if rec.latency == nil {
-				continue
-			}
-			encoded, err := encode(rec.latency.merged(now, Signal(signal)))
+		for signal, h := range latency {
+			encoded, err := encode(h)
 			if err != nil {
 				return Snapshot{}, err
 			}
@@ -62,6 +55,38 @@
 	return out, nil
 }
 
+func (r *Recorder) keys(request Request) []Series {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	keys := make([]Series, 0, len(r.series))
+	for key := range r.series {
+		if request.Organisation == "" || request.Organisation == key.Organisation {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// read copies one series. It is not ok if no window shows it any more.
+func (r *Recorder) read(key Series) (line SeriesSnapshot, latency [latencySignals]*hdrhistogram.Histogram, ok bool) {
+	now := r.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rec := r.series[key]
+	if rec == nil || now.Sub(rec.used) > longest {
+		return line, latency, false
+	}
+	line = SeriesSnapshot{Series: key, Windows: rec.windows.sums(now)}
+	if rec.latency == nil {
+		return line, latency, true
+	}
+	for signal := range latency {
+		// merged copies the histograms, so that they can be encoded unlocked.
+		latency[signal] = rec.latency.merged(now, Signal(signal))
+	}
+	return line, latency, true
+}
+
 func encode(h *hdrhistogram.Histogram) ([]byte, error) {
 	if h == nil {
 		return nil, nil
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -25,6 +25,10 @@
 // is not done: an operator can still do something about it.
 const lateWithin = time.Hour
 
+// burnTimeout bounds one instance's part in a burn report. A full recorder was
+// measured to take a quarter of a second to encode.
+const burnTimeout = 5 * time.Second
+
 // operators is what operators see and order at this instance.
 type operators struct {
 	recorder *burn.Recorder
@@ -88,7 +92,7 @@
 		Status:   &fleetstatus.Collector{Source: o.source, Peers: peers, PeerTimeout: timeout, LateWithin: lateWithin},
 		Burn: &burn.Collector{
 			Instance: d.settings.Instance, Recorder: o.recorder, Peers: peers,
-			Fleet: j.Fleet, Now: time.Now, PeerTimeout: timeout,
+			Fleet: j.Fleet, Now: time.Now, PeerTimeout: burnTimeout,
 		},
 		Targets: d.fleet.router.Targets,
 		Drain:   o.drain,
