--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -5,7 +5,6 @@
 	"fmt"
 
 	"merlintiller/internal/fleetdir"
-	"merlintiller/internal/protocol"
 	"merlintiller/internal/strictyaml"
 	"merlintiller/internal/transport/operatorapi"
 )
@@ -124,93 +123,3 @@
 	}
 	return answer, nil
 }
-
-type configApply struct {
-	Folder string `arg:"" help:"Folder of YAML files."`
-}
-
-// Help shows examples.
-func (configApply) Help() string {
-	return lines("Publishes what differs. If another operator's change comes first, nothing is changed and the exit code is 3.",
-		"After a lost answer run it again: what is in force already is not published again.",
-		"", "Example: tillerctl config apply examples/cascadia --instance 10.0.0.1:8003 --instance 10.0.0.2:8003")
-}
-
-// Run publishes the folder.
-func (c *configApply) Run(env *Env) error {
-	plan, answer, err := planFor(env, c.Folder)
-	if err != nil {
-		return err
-	}
-	shown := planned(plan)
-	if plan.Empty() {
-		return env.show(result{data: shown, table: shown.table(),
-			did:  fmt.Sprintf("nothing to do: the folder is in force as version %d at %s", answer.Fleet.Version, answer.Instance),
-			next: "tillerctl status"})
-	}
-	done, err := publish(env, plan.Change)
-	if err != nil {
-		return c.settleLost(env, err)
-	}
-	shown.Version = done.Version
-	return env.show(result{data: shown, table: shown.table(), did: done.Message, next: done.Next})
-}
-
-// settleLost looks whether a change whose answer was lost is in force. If it
-// is not, it may still come: the exit code says so.
-func (c *configApply) settleLost(env *Env, cause error) error {
-	if asFailure(cause).Exit != ExitMayHaveTakenEffect {
-		return cause
-	}
-	plan, answer, err := planFor(env, c.Folder)
-	if err != nil || !plan.Empty() {
-		return cause
-	}
-	shown := planned(plan)
-	shown.Version = answer.Fleet.Version
-	return env.show(result{data: shown, table: shown.table(),
-		did:  fmt.Sprintf("the answer was lost, but the folder is in force as version %d at %s", answer.Fleet.Version, answer.Instance),
-		next: "tillerctl status"})
-}
-
-// publish sends a change under an id of its own.
-func publish(env *Env, change protocol.FleetChange) (operatorapi.ChangeAnswer, error) {
-	var answer operatorapi.ChangeAnswer
-	id, err := randomID(env, "chg")
-	if err != nil {
-		return answer, err
-	}
-	err = env.Operator.Post(env.Context, operatorapi.PathChanges, operatorapi.ChangeRequest{
-		ChangeID: id,
-		BasedOn:  change.BasedOn,
-		Set:      change.Set,
-		Remove:   change.Remove,
-		At:       env.Now(),
-	}, &answer)
-	return answer, err
-}
-
-type configShow struct{}
-
-// Help shows examples.
-func (configShow) Help() string {
-	return "Example: tillerctl config show --output yaml --instance 10.0.0.1:8003"
-}
-
-// Run shows the configuration in force.
-func (c *configShow) Run(env *Env) error {
-	answer, err := fetchFleet(env)
-	if err != nil {
-		return err
-	}
-	shown, err := fleetView(answer)
-	if err != nil {
-		return err
-	}
-	next := ""
-	if !answer.LogUp {
-		next = "the instance can't reach the log: there may be a newer version; ask an instance of another domain"
-	}
-	return env.show(result{data: shown, table: fleetTable(answer.Fleet),
-		did: fmt.Sprintf("version %d is in force at %s", answer.Fleet.Version, answer.Instance), next: next})
-}
--- /dev/null
+++ b/internal/ctl/configapply.go
@@ -0,0 +1,145 @@
+package ctl
+
+import (
+	"fmt"
+	"time"
+
+	"merlintiller/internal/coordination/fleetstatus"
+	"merlintiller/internal/fleetdir"
+	"merlintiller/internal/protocol"
+	"merlintiller/internal/transport/operatorapi"
+)
+
+// inForceEvery is the period of asking whether a version is in force at every
+// instance. It is there within a second as a rule.
+const inForceEvery = 250 * time.Millisecond
+
+type configApply struct {
+	Folder string `arg:"" help:"Folder of YAML files."`
+	Wait   bool   `help:"Wait until every instance that can be reached has the change in force."`
+}
+
+// Help shows examples.
+func (configApply) Help() string {
+	return lines("Publishes what differs. If another operator's change comes first, nothing is changed and the exit code is 3.",
+		"After a lost answer run it again: what is in force already is not published again.",
+		"A change that is too large for one log entry is published in parts, each of them whole in itself.",
+		"", "Example: tillerctl config apply examples/cascadia --wait --instance 10.0.0.1:8003 --instance 10.0.0.2:8003")
+}
+
+// Run publishes the folder.
+func (c *configApply) Run(env *Env) error {
+	plan, answer, err := planFor(env, c.Folder)
+	if err != nil {
+		return err
+	}
+	shown := planned(plan)
+	if plan.Empty() {
+		return env.show(result{data: shown, table: shown.table(),
+			did:  fmt.Sprintf("nothing to do: the folder is in force as version %d at %s", answer.Fleet.Version, answer.Instance),
+			next: "tillerctl status"})
+	}
+	done, err := c.publishParts(env, plan.Change)
+	if err != nil {
+		return c.settleLost(env, err)
+	}
+	shown.Version = done.Version
+	if c.Wait {
+		return c.wait(env, shown, done)
+	}
+	return env.show(result{data: shown, table: shown.table(), did: done.Message, next: done.Next})
+}
+
+// publishParts publishes a change, in parts if it must be. Between two parts
+// another operator may come first; then the parts before stand.
+func (c *configApply) publishParts(env *Env, change protocol.FleetChange) (operatorapi.ChangeAnswer, error) {
+	parts := fleetdir.Split(change)
+	var done operatorapi.ChangeAnswer
+	for i, part := range parts {
+		if i > 0 {
+			part.BasedOn = done.Version
+		}
+		answer, err := publish(env, part)
+		if err != nil && i > 0 {
+			failure := asFailure(err)
+			return done, fail(failure.Exit, "run the same command again: it publishes the rest",
+				"%d of %d parts are in force as version %d; the next one: %s", i, len(parts), done.Version, failure.Message)
+		}
+		if err != nil {
+			return done, err
+		}
+		done = answer
+	}
+	return done, nil
+}
+
+// settleLost looks whether a change whose answer was lost is in force. If it
+// is not, it may still come: the exit code says so.
+func (c *configApply) settleLost(env *Env, cause error) error {
+	if asFailure(cause).Exit != ExitMayHaveTakenEffect {
+		return cause
+	}
+	plan, answer, err := planFor(env, c.Folder)
+	if err != nil || !plan.Empty() {
+		return cause
+	}
+	shown := planned(plan)
+	shown.Version = answer.Fleet.Version
+	return env.show(result{data: shown, table: shown.table(),
+		did:  fmt.Sprintf("the answer was lost, but the folder is in force as version %d at %s", answer.Fleet.Version, answer.Instance),
+		next: "tillerctl status"})
+}
+
+// wait asks until every instance that answers has the version.
+func (c *configApply) wait(env *Env, shown plannedChange, done operatorapi.ChangeAnswer) error {
+	begun := env.Now()
+	for {
+		var status fleetstatus.Status
+		if err := env.Operator.Get(env.Context, operatorapi.PathStatus, &status); err != nil {
+			return err
+		}
+		behind := behind(status, done.Version)
+		if behind == 0 {
+			did := fmt.Sprintf("version %d is in force at all %d instances that can be reached, seen after %s",
+				done.Version, len(status.Instances), env.Now().Sub(begun).Round(time.Millisecond))
+			next := "nothing"
+			if len(status.Unreached) > 0 {
+				did += fmt.Sprintf("; %d were not reached", len(status.Unreached))
+				next = "tillerctl status names them"
+			}
+			return env.show(result{data: shown, table: shown.table(), did: did, next: next})
+		}
+		select {
+		case <-env.Context.Done():
+			return fail(ExitUnavailable, "tillerctl status names them", "version %d is accepted and not yet in force at %d instances", done.Version, behind)
+		case <-env.After(inForceEvery):
+		}
+	}
+}
+
+func behind(status fleetstatus.Status, version protocol.Offset) int {
+	count := 0
+	for _, instance := range status.Instances {
+		if instance.Version < version {
+			count++
+		}
+	}
+	return count
+}
+
+// publish sends a change under an id of its own.
+func publish(env *Env, change protocol.FleetChange) (operatorapi.ChangeAnswer, error) {
+	var answer operatorapi.ChangeAnswer
+	id, err := randomID(env, "chg")
+	if err != nil {
+		return answer, err
+	}
+	err = env.Operator.Post(env.Context, operatorapi.PathChanges, operatorapi.ChangeRequest{
+		ChangeID: id,
+		BasedOn:  change.BasedOn,
+		Set:      change.Set,
+		Remove:   change.Remove,
+		At:       env.Now(),
+	}, &answer)
+	return answer, err
+}
--- a/internal/ctl/configview.go
+++ b/internal/ctl/configview.go
@@ -89,27 +89,29 @@
 	}
 }
 
-// folderForm is the configuration in the form of a folder's files, so that
-// what is shown can be kept as a file.
+// folderForm is the configuration in the form of a folder's file.
 type folderForm struct {
-	Domains       []protocol.DomainShare  `yaml:"domains"`
-	Services      []protocol.Service      `yaml:"services"`
-	Models        []protocol.Model        `yaml:"models"`
-	Organisations []protocol.Organisation `yaml:"organisations"`
-	Keys          []protocol.Key          `yaml:"keys"`
+	Domains       []protocol.DomainShare  `yaml:"domains,omitempty"`
+	Services      []protocol.Service      `yaml:"services,omitempty"`
+	Models        []protocol.Model        `yaml:"models,omitempty"`
+	Organisations []protocol.Organisation `yaml:"organisations,omitempty"`
+	Keys          []protocol.Key          `yaml:"keys,omitempty"`
 }
 
-// fleetView gives the configuration with times in their usual form ("2s"),
-// which encoding/json would show as nanoseconds.
-func fleetView(answer operatorapi.FleetAnswer) (map[string]any, error) {
-	fleet := answer.Fleet
-	encoded, err := yaml.Marshal(folderForm{
+func formOf(fleet *protocol.Fleet) folderForm {
+	return folderForm{
 		Domains:       values(fleet.Domains),
 		Services:      values(fleet.Services),
 		Models:        values(fleet.Models),
 		Organisations: values(fleet.Organisations),
 		Keys:          values(fleet.Keys),
-	})
+	}
+}
+
+// fleetView gives the configuration with times in their usual form ("2s"),
+// which encoding/json would show as nanoseconds.
+func fleetView(answer operatorapi.FleetAnswer) (map[string]any, error) {
+	encoded, err := yaml.Marshal(formOf(answer.Fleet))
 	if err != nil {
 		return nil, err
 	}
@@ -117,7 +119,7 @@
 	if err := yaml.Unmarshal(encoded, &view); err != nil {
 		return nil, err
 	}
-	view["version"] = json.Number(fmt.Sprint(int64(fleet.Version)))
+	view["version"] = json.Number(fmt.Sprint(int64(answer.Fleet.Version)))
 	view["instance"] = answer.Instance
 	view["log_up"] = answer.LogUp
 	return view, nil
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -12,9 +13,12 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"merlintiller/internal/coordination/fleetstatus"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/transport/operatorapi"
 )
@@ -30,10 +34,19 @@
 	ignore int
 	// overtake publishes that many other changes ahead of the next ones.
 	overtake int
+	// lagging is how often status shows an instance that is behind.
+	lagging int
 }
 
 func newFleetServer(t *testing.T) (*fleetServer, string) {
-	s := &fleetServer{fleet: protocol.Fleet{
+	s := emptyFleetServer()
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	return s, strings.TrimPrefix(server.URL, "http://")
+}
+
+func emptyFleetServer() *fleetServer {
+	return &fleetServer{fleet: protocol.Fleet{
 		Version:       protocol.NoOffset,
 		Organisations: map[protocol.OrganisationID]protocol.Organisation{},
 		Keys:          map[protocol.KeyID]protocol.Key{},
@@ -41,9 +54,6 @@
 		Services:      map[protocol.ServiceName]protocol.Service{},
 		Domains:       map[protocol.Domain]protocol.DomainShare{},
 	}}
-	server := httptest.NewServer(s)
-	t.Cleanup(server.Close)
-	return s, strings.TrimPrefix(server.URL, "http://")
 }
 
 func (s *fleetServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -54,6 +64,14 @@
 		_ = json.NewEncoder(w).Encode(operatorapi.FleetAnswer{Instance: "a", LogUp: true, Fleet: &s.fleet})
 	case operatorapi.PathChanges:
 		s.change(w, r)
+	case operatorapi.PathStatus:
+		other := fleetstatus.Instance{Instance: "b", Version: s.fleet.Version}
+		if s.lagging > 0 {
+			s.lagging--
+			other.Version = protocol.NoOffset
+		}
+		_ = json.NewEncoder(w).Encode(fleetstatus.Status{Unreached: []fleetstatus.Unreached{{Instance: "c"}},
+			Instances: []fleetstatus.Instance{{Instance: "a", Version: s.fleet.Version}, other}})
 	default:
 		http.NotFound(w, r)
 	}
@@ -127,6 +145,36 @@
 	require.Contains(t, show.stdout, "first_token: 2s")
 }
 
+func TestConfigurationInForceCanBeKeptAsAFile(t *testing.T) {
+	server, address := newFleetServer(t)
+	require.Equal(t, ExitOK, run("config", "apply", folder, "--instance", address).code)
+	require.Equal(t, ExitOK, run("key", "create", "puget-risers", "--instance", address).code)
+	file := run("config", "show", "--as-file", "--instance", address)
+	dir := t.TempDir()
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "10-all.yaml"), []byte(file.stdout), 0o600))
+	changes := server.changes
+	again := run("config", "apply", dir, "--instance", address)
+	require.Contains(t, again.stderr, "nothing to do", file.stdout)
+	require.Equal(t, changes, server.changes)
+}
+
+// An instance is still at the old version when the change is accepted. An
+// operator who goes on would meet it there; with --wait the tool comes back only
+// when the change is in force.
+func TestApplyWaitsUntilInForceEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := emptyFleetServer()
+		server.lagging = 2
+		var stdout, stderr bytes.Buffer
+		client := &Client{Bases: []string{"http://a"}, HTTP: &http.Client{Transport: handlerTransport{server}}}
+		env := &Env{Context: t.Context(), Stdout: &stdout, Stderr: &stderr, Output: OutputTable, Operator: client,
+			Now: time.Now, After: time.After, Random: rand.Reader}
+		require.NoError(t, (&configApply{Folder: folder, Wait: true}).Run(env))
+		require.Contains(t, stderr.String(), "version 0 is in force at all 2 instances that can be reached, seen after 500ms; 1 were not reached")
+		require.Zero(t, server.lagging)
+	})
+}
+
 // The instance publishes a change and its answer is lost on the way back. An
 // operator who hears "failed" would publish it again or undo it by hand. The
 // tool looks for itself and says what is in force.
--- a/internal/ctl/output.go
+++ b/internal/ctl/output.go
@@ -29,6 +29,8 @@
 	// did says what the command did, next what to do now. Both go to the
 	// error stream, so that data can be piped on.
 	did, next string
+	// quiet says that the command has printed its data itself.
+	quiet bool
 }
 
 // table is a heading and rows of cells.
@@ -66,6 +68,9 @@
 }
 
 func (e *Env) showData(r result) error {
+	if r.quiet {
+		return nil
+	}
 	switch e.Output {
 	case OutputJSON:
 		out := json.NewEncoder(e.Stdout)
--- a/internal/fleetdir/fleetdir_test.go
+++ b/internal/fleetdir/fleetdir_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -142,6 +144,42 @@
 	}
 }
 
+// The fleet of the target size is published for the first time. In one change it
+// would not fit into a log entry and could not be published at all.
+func TestLargeChangeIsPublishedInPartsThatAreEachValid(t *testing.T) {
+	wanted := Objects{
+		Organisations: map[protocol.OrganisationID]protocol.Organisation{},
+		Keys:          map[protocol.KeyID]protocol.Key{},
+	}
+	for i := range 3400 {
+		org := protocol.OrganisationID(fmt.Sprintf("organisation-%04d", i))
+		wanted.Organisations[org] = protocol.Organisation{ID: org, Name: "Organisation of some length", Rate: 10, Burst: 30, Weight: 1,
+			Objectives: protocol.Objectives{FirstToken: time.Second, BetweenTokens: time.Millisecond, Target: 0.95, BatchOnTime: 0.99}}
+		for k := range 2 {
+			id := protocol.KeyID(fmt.Sprintf("key-%08d-%d", i, k))
+			wanted.Keys[id] = protocol.Key{ID: id, Organisation: org, SHA256: fmt.Sprintf("%062d%02d", i, k)}
+		}
+	}
+	store := fleet.New()
+	plan := Diff(store.Fleet(), wanted)
+	parts := Split(plan.Change)
+	require.Len(t, parts, 3)
+	for i, part := range parts {
+		part.ChangeID, part.BasedOn = fmt.Sprint(i), store.Fleet().Version
+		record := protocol.Record{FleetChange: &part}
+		_, err := protocol.EncodeFrame(protocol.Frame{Records: []protocol.Record{record}})
+		require.NoError(t, err)
+		require.NoError(t, fleet.Validate(store.Fleet(), &part))
+		require.Equal(t, protocol.Accepted, store.Apply(protocol.Offset(i), &record, nil))
+	}
+	require.True(t, Diff(store.Fleet(), wanted).Empty())
+}
+
+func TestSmallChangeIsOnePart(t *testing.T) {
+	change := protocol.FleetChange{BasedOn: 4, Remove: []protocol.FleetRef{{Organisation: "ana"}}}
+	require.Equal(t, []protocol.FleetChange{change}, Split(change))
+}
+
 func FuzzMerge(f *testing.F) {
 	f.Add([]byte("organisations: [{id: ana, rate: 1, burst: 1}]"))
 	f.Add([]byte("services: [{name: s, kind: model, slots: 1, longest_order: 1s}]"))
