--- a/internal/ctl/configview.go
+++ b/internal/ctl/configview.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 
 	"go.yaml.in/yaml/v3"
@@ -152,13 +153,8 @@
 
 // values gives the objects of a map in the order of their ids.
 func values[K cmp.Ordered, T any](objects map[K]T) []T {
-	ids := make([]K, 0, len(objects))
-	for id := range objects {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	out := make([]T, 0, len(ids))
-	for _, id := range ids {
+	out := make([]T, 0, len(objects))
+	for _, id := range slices.Sorted(maps.Keys(objects)) {
 		out = append(out, objects[id])
 	}
 	return out
--- a/internal/fleetdir/diff.go
+++ b/internal/fleetdir/diff.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 
 	"merlintiller/internal/protocol"
@@ -99,7 +100,7 @@
 // order of their ids.
 func changed[K cmp.Ordered, T comparable](current, wanted map[K]T) []T {
 	var out []T
-	for _, id := range sorted(wanted) {
+	for _, id := range slices.Sorted(maps.Keys(wanted)) {
 		before, ok := current[id]
 		if !ok || before != wanted[id] {
 			out = append(out, wanted[id])
@@ -111,19 +112,10 @@
 // missing gives the ids in force that are not wanted.
 func missing[K cmp.Ordered, T any](current, wanted map[K]T) []K {
 	var out []K
-	for _, id := range sorted(current) {
+	for _, id := range slices.Sorted(maps.Keys(current)) {
 		if _, ok := wanted[id]; !ok {
 			out = append(out, id)
 		}
 	}
 	return out
 }
-
-func sorted[K cmp.Ordered, T any](objects map[K]T) []K {
-	ids := make([]K, 0, len(objects))
-	for id := range objects {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
