--- a/internal/configdoc/operations_test.go
+++ b/internal/configdoc/operations_test.go
@@ -76,18 +76,3 @@
 	}
 	requireSame(t, found(t, metricInCode), explained, "metric")
 }
-
-func requireSame(t *testing.T, inCode, explained map[string]bool, kind string) {
-	t.Helper()
-	require.NotEmpty(t, inCode)
-	for name := range inCode {
-		if !explained[name] {
-			t.Errorf("%s %s has no row in docs/OPERATIONS.md", kind, name)
-		}
-	}
-	for name := range explained {
-		if !inCode[name] {
-			t.Errorf("%s %s stands in docs/OPERATIONS.md and not in the code", kind, name)
-		}
-	}
-}
