--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/http"
 	"net/netip"
 	"reflect"
 	"regexp"
@@ -18,8 +19,9 @@
 const mostDrift = 0.5
 
 var (
-	namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
-	hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+	namePattern   = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+	headerPattern = regexp.MustCompile(`^[A-Za-z0-9-]{1,64}$`)
+	hashPattern   = regexp.MustCompile(`^[0-9a-f]{64}$`)
 )
 
 func check(s *Settings, doc *strictyaml.Document) {
@@ -38,6 +40,7 @@
 	checkTimings(s, doc)
 	checkBatch(s, doc)
 	checkShares(s, doc)
+	checkHeaders(s, doc)
 	checkLog(s, doc)
 }
 
@@ -232,6 +235,28 @@
 	}
 }
 
+// credentialHeaders may hold the caller's key. Passed to a target, it would let
+// whoever runs that target act for the organisation.
+var credentialHeaders = map[string]bool{
+	"Authorization":       true,
+	"Proxy-Authorization": true,
+	"Cookie":              true,
+	"X-Api-Key":           true,
+	"Api-Key":             true,
+}
+
+func checkHeaders(s *Settings, doc *strictyaml.Document) {
+	for i, name := range s.Calls.AllowHeaders {
+		field := indexed("calls.allow_headers", i)
+		switch {
+		case credentialHeaders[http.CanonicalHeaderKey(name)]:
+			doc.Report(field, "%q may hold the caller's key, which no target may see", name)
+		case !headerPattern.MatchString(name):
+			doc.Report(field, "%q is no name of a header", name)
+		}
+	}
+}
+
 func checkLog(s *Settings, doc *strictyaml.Document) {
 	switch s.Log.Level {
 	case LevelDebug, LevelInfo, LevelWarn, LevelError:
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -61,6 +61,8 @@
 		"infinite":          {"platform:", "admission: {overcommit: .inf}\nplatform:", "s.yaml:7: admission.overcommit: must be a number above 0"},
 		"seed by name":      {"platform:", "seeds: [10.0.0.1:1, peer]\nplatform:", "s.yaml:7: seeds[1]: \"peer\" must be an IP number"},
 		"late promises":     {"platform:", "limiter: {renewal_late: 6s}\nplatform:", "s.yaml:7: limiter.renewal_late: 6s must be below timings.hold"},
+		"key to targets":    {"platform:", "calls: {allow_headers: [X-Trace, authorization]}\nplatform:", "s.yaml:7: calls.allow_headers[1]: \"authorization\" may hold the caller's key"},
+		"no header":         {"platform:", "calls: {allow_headers: [\"a b\"]}\nplatform:", "s.yaml:7: calls.allow_headers[0]: \"a b\" is no name of a header"},
 		"log wait":          {"platform:", "timings: {log_wait: 3s}\nplatform:", "timings.log_down_after: 3s must be longer than"},
 		"expire below hold": {"platform:", "timings:\n  expire: 6s\nplatform:", "s.yaml:8: timings.expire: 6s must be larger than timings.hold"},
 		"renew too slow":    {"platform:", "timings: {renew: 4s}\nplatform:", "timings.renew: 4s must be at most half"},
