Batch: eight chunks may share an input entry, read once for neighbours

Change: up to eight chunks share an entry (four before); the claimer keeps the entry it read last, since the chunks that fall to an instance are neighbours.

--- a/internal/coordination/batch/chunker.go
+++ b/internal/coordination/batch/chunker.go
@@ -47,7 +47,7 @@
 
 // entryItems bounds the items of an entry to a few chunks. More would save
 // appends, and make whoever takes one chunk read all the others.
-const entryItems = 4 * protocol.MaxChunkItems
+const entryItems = 8 * protocol.MaxChunkItems
 
 // next returns the items of the next entry, none at the end of the file.
 func (c *chunker) next() ([]bulk.Item, error) {
--- a/internal/coordination/batch/claimer.go
+++ b/internal/coordination/batch/claimer.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"merlintiller/internal/coordination/bulk"
 	"merlintiller/internal/platform"
 	"merlintiller/internal/protocol"
@@ -17,6 +19,10 @@
 type claimer struct {
 	*Executor
 	pace pace
+	// last is the entry that was read last, at lastAt: the next chunk that
+	// falls to this instance is often in the same one.
+	last   bulk.Entry
+	lastAt protocol.Offset
 	// idleSince is since when the instance wants chunks and none falls to it.
 	idleSince time.Time
 }
@@ -193,7 +199,7 @@
 	// before the chunk was in the work set, and the watcher did not see it.
 	defer c.reconcile()
 	for _, chunk := range missing {
-		items, err := readItems(ctx, c.journal, chunk.input)
+		items, err := c.load(ctx, chunk.input)
 		if err != nil && !isLost(err) {
 			_ = c.logger.Log("event", "chunk_load_failed", "job", chunk.id.Job, "chunk", chunk.id.Chunk, "err", err)
 			return
@@ -207,6 +213,17 @@
 	}
 }
 
+func (c *claimer) load(ctx context.Context, ref protocol.ChunkRef) ([]bulk.Item, error) {
+	if c.lastAt != ref.Offset || c.last.Items == nil {
+		entry, err := readEntry(ctx, c.journal, ref.Offset)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		c.last, c.lastAt = entry, ref.Offset
+	}
+	return cut(c.last, ref)
+}
+
 // unloadedChunk is a held chunk whose input is not here yet.
 type unloadedChunk struct {
 	loadedChunk
--- a/internal/coordination/batch/entries.go
+++ b/internal/coordination/batch/entries.go
@@ -30,6 +30,10 @@
 	if err != nil {
 		return nil, err
 	}
+	return cut(entry, ref)
+}
+
+func cut(entry bulk.Entry, ref protocol.ChunkRef) ([]bulk.Item, error) {
 	if ref.First < 0 || ref.Items < 1 || ref.First+ref.Items > len(entry.Items) {
 		return nil, trace.Wrap(fmt.Errorf("entry %d does not hold the chunk: %w", ref.Offset, protocol.ErrMalformed))
 	}
--- a/internal/coordination/faulttest/faults_test.go
+++ b/internal/coordination/faulttest/faults_test.go
@@ -155,6 +155,16 @@
 	case <-n.ctx.Done():
 	}
 	n.link.resume()
+	n.world.mu.Lock()
+	defer n.world.mu.Unlock()
+	n.world.resumed = time.Now()
+}
+
+// resumedAt is when a paused instance went on, zero if none was paused.
+func (w *world) resumedAt() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.resumed
 }
 
 // outage takes the log away from all instances for a while.
--- a/internal/coordination/faulttest/world_test.go
+++ b/internal/coordination/faulttest/world_test.go
@@ -58,6 +58,7 @@
 	background sync.WaitGroup
 	mu         sync.Mutex
 	waiting    []*waiter
+	resumed    time.Time
 }
 
 // testOptions shorten what a test would wait for.
