--- a/internal/state/ledger/size_test.go
+++ b/internal/state/ledger/size_test.go
@@ -104,7 +104,7 @@
 	before = heap()
 	plain := make(map[itemID]itemState, liveItems/10)
 	for i := range liveItems / 10 {
-		plain[itemID{"job", i / protocol.MaxChunkItems, i % protocol.MaxChunkItems}] = itemState{}
+		plain[itemID{"job", i / protocol.MaxChunkItems, i % protocol.MaxChunkItems}] = itemState{holder: 1, data: protocol.Offset(i), failed: false}
 	}
 	baseline := heap() - before
 	runtime.KeepAlive(plain)
