--- a/internal/harness/bench/agreement.go
+++ b/internal/harness/bench/agreement.go
@@ -256,28 +256,46 @@
 	return nil
 }
 
-// takeover kills an instance in the middle of a job and waits for the end of
-// the job. What the others would have needed without the kill is small against
-// it, so the time is an upper bound of the takeover.
+// takeover kills an instance that holds chunks and waits for the end of the
+// job. The items are few and short against it, so the time is an upper bound of
+// the takeover.
 func takeover(ctx context.Context, opts Options, f *fleet) error {
-	const items = 12 * protocol.MaxChunkItems
-	job, err := f.submit(ctx, "taken", items, 64)
+	const items = 40 * protocol.MaxChunkItems
+	job, err := f.submit(ctx, "taken", items, 32)
 	if err != nil {
 		return err
 	}
-	err = await(ctx, func() bool {
-		line, err := f.job(ctx, job)
-		return err == nil && line.RequestCounts.Completed > 0
-	})
+	killed, err := f.awaitBusy(ctx)
 	if err != nil {
 		return err
 	}
-	killed := f.Instances[len(f.Instances)-1]
 	killed.Process.Kill()
 	began := time.Now()
 	if err := f.awaitJob(ctx, job); err != nil {
 		return err
 	}
-	opts.print(Measure{Name: "takeover_s", Unit: "s", Now: seconds(time.Since(began)), Note: "from=kill to=job_completed"})
+	took := time.Since(began)
+	if took < sessionExpire {
+		return fmt.Errorf("the job ended %s after the kill, before the session could expire: nothing was taken over", took)
+	}
+	opts.print(Measure{Name: "takeover_s", Unit: "s", Now: seconds(took), Note: "from=kill to=job_completed"})
 	return nil
 }
+
+// sessionExpire is the default of timings.expire: what a dead instance held
+// can't be taken over sooner.
+const sessionExpire = 8 * time.Second
+
+// awaitBusy waits until an instance has begun with items of the job.
+func (f *fleet) awaitBusy(ctx context.Context) (*harness.Instance, error) {
+	candidate := f.Instances[len(f.Instances)-1]
+	before, err := candidate.Counter("headroom", "placed")
+	if err != nil {
+		return nil, err
+	}
+	err = await(ctx, func() bool {
+		placed, err := candidate.Counter("headroom", "placed")
+		return err == nil && placed > before
+	})
+	return candidate, err
+}
--- a/internal/harness/bench/start.go
+++ b/internal/harness/bench/start.go
@@ -46,7 +46,8 @@
 		return started{}, err
 	}
 	defer f.Kill()
-	if err := fill(ctx, platformhttp.New(f.Addresses[domains[0]]), items); err != nil {
+	entries, err := fill(ctx, platformhttp.New(f.Addresses[domains[0]]), items)
+	if err != nil {
 		return started{}, err
 	}
 	began := time.Now()
@@ -57,6 +58,13 @@
 		return started{}, err
 	}
 	took := seconds(time.Since(began))
+	applied, err := f.Instances[0].Counter("journal", "entries_applied")
+	if err != nil {
+		return started{}, err
+	}
+	if applied < float64(entries) {
+		return started{}, fmt.Errorf("ready after %g of %d entries", applied, entries)
+	}
 	usage, err := f.Instances[0].Process.Usage()
 	if err != nil {
 		return started{}, err
@@ -64,8 +72,9 @@
 	return started{seconds: took, megabytes: float64(usage.ResidentBytes) / 1e6}, nil
 }
 
-// fill appends jobs with their claims, as an instance would have.
-func fill(ctx context.Context, log *platformhttp.Client, items int) error {
+// fill appends jobs with their claims, as an instance would have, and returns
+// the number of entries.
+func fill(ctx context.Context, log *platformhttp.Client, items int) (entries int, err error) {
 	const writer = protocol.SessionID(1)
 	seq := uint64(0)
 	put := func(rec protocol.Record) error {
@@ -75,28 +84,29 @@
 		if err != nil {
 			return err
 		}
+		entries++
 		_, err = log.Append(ctx, protocol.ControlStream, data)
 		return err
 	}
 	if items == 0 {
-		return nil
+		return 0, nil
 	}
 	if err := put(protocol.Record{SessionOpen: &protocol.SessionOpen{Instance: "gone", Domain: domains[0]}}); err != nil {
-		return err
+		return entries, err
 	}
 	for n := 0; n < items; n += itemsPerJob {
 		job := protocol.JobID(fmt.Sprintf("batch_%d", n))
 		chunks := itemsPerJob / protocol.MaxChunkItems
 		if err := put(protocol.Record{JobSubmit: manifest(job, chunks)}); err != nil {
-			return err
+			return entries, err
 		}
 		for chunk := range chunks {
 			if err := put(protocol.Record{ChunkClaim: &protocol.ChunkClaim{Job: job, Chunks: []int{chunk}}}); err != nil {
-				return err
+				return entries, err
 			}
 		}
 	}
-	return nil
+	return entries, nil
 }
 
 func manifest(job protocol.JobID, chunks int) *protocol.JobSubmit {
