--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build test demo bench matrix fmt-check lint
+.PHONY: build docs test demo bench matrix fmt-check lint
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -15,6 +15,10 @@
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
+# Write the tables of docs/CONFIGURATION.md after a setting has changed.
+docs:
+	$(GO) test ./internal/configdoc -update
+
 test: fmt-check lint
 	$(GO) test ./...
 
--- a/internal/configdoc/configdoc_test.go
+++ b/internal/configdoc/configdoc_test.go
@@ -102,7 +102,7 @@
 	if want == got {
 		return
 	}
-	t.Fatalf("table %s of docs/CONFIGURATION.md differs from the code; run go test ./internal/configdoc -update\nmissing:\n%s\nextra:\n%s",
+	t.Fatalf("table %s of docs/CONFIGURATION.md differs from the code; run make docs\nmissing:\n%s\nextra:\n%s",
 		name, strings.Join(missing, "\n"), strings.Join(extra, "\n"))
 }
 
