Instances that decide a record differently notice it

Instances of different releases, or with damaged memory, could part silently: from one record on an item might complete twice with nobody seeing why. Replay now chains a hash over all verdicts, heartbeats carry it with its offset, and a difference is logged as replica_diverged and counted. It can't tell which side is right, so it changes nothing by itself.

Weighed: hashing the whole state; ruled out, since it would cost an encoding of the state for each comparison.

--- a/internal/coordination/journal/harness_test.go
+++ b/internal/coordination/journal/harness_test.go
@@ -1,6 +1,7 @@
 package journal
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"sync"
@@ -25,8 +26,9 @@
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 	link   *link
-	// heartbeats is set by startPeer.
+	// heartbeats and their log lines are set by startPeer.
 	heartbeats *member.Heartbeats
+	events     *bytes.Buffer
 }
 
 // link is the way of one instance to the log. It can be cut for this instance
--- a/internal/coordination/journal/heartbeats_test.go
+++ b/internal/coordination/journal/heartbeats_test.go
@@ -1,6 +1,7 @@
 package journal
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"sync"
@@ -8,12 +9,14 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
 	"merlintiller/internal/coordination/member"
 	"merlintiller/internal/platform"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/standin/memlog"
+	"merlintiller/internal/state/replica"
 )
 
 // network carries calls between instances of one test.
@@ -64,10 +67,12 @@
 }
 
 // startPeer runs an instance that exchanges heartbeats.
-func startPeer(t *testing.T, log platform.Log, network *network, name string, domain protocol.Domain, adjust ...func(*Options)) *node {
+func startPeer(t *testing.T, stream platform.Log, network *network, name string, domain protocol.Domain, adjust ...func(*Options)) *node {
 	t.Helper()
 	address := name + ":7000"
+	events := &bytes.Buffer{}
 	heartbeats := member.NewHeartbeats(member.Options{
+		Logger:   log.NewLogfmtLogger(log.NewSyncWriter(events)),
 		Instance: protocol.InstanceID(name),
 		Domain:   domain,
 		Address:  address,
@@ -78,7 +83,8 @@
 		o.Domain = domain
 		o.Snapshots = heartbeats
 	})
-	n := startNode(t, log, name, adjust...)
+	n := startNode(t, stream, name, adjust...)
+	n.events = events
 	heartbeats.Attach(n.Journal)
 	network.mu.Lock()
 	network.peers[address] = heartbeats.Receiver()
@@ -205,6 +211,10 @@
 			n.ready()
 		}
 		pass(3 * time.Second)
+		defer func() {
+			a.kill()
+			require.NotContains(t, a.events.String(), "replica_diverged")
+		}()
 		list := a.heartbeats.List()
 		require.Len(t, list, 2)
 		require.EqualValues(t, "c", list[0].Instance)
@@ -240,3 +250,26 @@
 		require.True(t, a.Fleet().Keys["k"].Withdrawn)
 	})
 }
+
+// One instance runs a release that decides a record differently. Both go on
+// working, and an item may complete twice with nobody seeing why, unless they
+// find out that their verdicts differ.
+func TestInstancesThatDecideDifferentlyNoticeIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stream, network := memlog.New(memlog.Options{}), newNetwork()
+		a := startPeer(t, stream, network, "a", "pnw-sea")
+		b := startPeer(t, stream, network, "b", "pnw-sea", func(o *Options) {
+			o.Log = &anyBase{Log: o.Log, shadow: replica.New()}
+		})
+		a.ready()
+		b.ready()
+		pass(10 * time.Second)
+		require.Equal(t, protocol.Accepted, a.put(change("1", protocol.NoOffset, organisation("o", 1))))
+		require.Equal(t, protocol.Conflict, a.put(change("2", protocol.NoOffset, organisation("p", 1))))
+		pass(5 * time.Second)
+		a.kill()
+		b.kill()
+		require.Contains(t, a.events.String(), "replica_diverged")
+		require.Contains(t, b.events.String(), "replica_diverged")
+	})
+}
--- a/internal/coordination/journal/journal.go
+++ b/internal/coordination/journal/journal.go
@@ -28,10 +28,11 @@
 	stopped  chan struct{}
 	stopOnce sync.Once
 
-	// mu guards state and changed.
+	// mu guards state, changed and digests.
 	mu      sync.RWMutex
 	state   *replica.State
 	changed chan struct{}
+	digests digests
 
 	// fleet is the replayed configuration with the locally withdrawn keys.
 	fleet atomic.Pointer[protocol.Fleet]
@@ -78,6 +79,7 @@
 		stopped:     make(chan struct{}),
 		state:       replica.New(),
 		changed:     make(chan struct{}),
+		digests:     digests{},
 		soft:        member.NewTombstones(),
 		waiting:     map[protocol.RecordID]*submission{},
 		renewals:    map[protocol.RecordID]time.Time{},
--- a/internal/coordination/journal/load.go
+++ b/internal/coordination/journal/load.go
@@ -139,6 +139,7 @@
 		return errStale
 	}
 	j.state = state
+	clear(j.digests)
 	j.mu.Unlock()
 	counters.Add(countInstalls, 1)
 	j.event("state_installed", "applied", state.Applied())
--- a/internal/coordination/journal/reader.go
+++ b/internal/coordination/journal/reader.go
@@ -146,13 +146,21 @@
 		if at <= r.state.Applied() {
 			continue
 		}
-		if frame == nil {
-			r.state.Skip(at)
-			continue
-		}
-		for k, verdict := range r.state.Apply(at, *frame) {
-			results = append(results, result{rec: &frame.Records[k], at: at, verdict: verdict})
-		}
+		results = append(results, r.replayOne(at, frame)...)
+		r.digests.note(at, r.state.Digest())
+	}
+	return results
+}
+
+func (r *reader) replayOne(at protocol.Offset, frame *protocol.Frame) []result {
+	if frame == nil {
+		r.state.Skip(at)
+		return nil
+	}
+	verdicts := r.state.Apply(at, *frame)
+	results := make([]result, len(verdicts))
+	for i, verdict := range verdicts {
+		results[i] = result{rec: &frame.Records[i], at: at, verdict: verdict}
 	}
 	return results
 }
--- a/internal/coordination/member/beat.go
+++ b/internal/coordination/member/beat.go
@@ -12,8 +12,10 @@
 	Address string
 	// Loaded says that the sender has a replayed state to share.
 	Loaded bool
-	// Applied is the last entry that the sender replayed.
+	// Applied is the last entry that the sender replayed, and Digest the hash
+	// over all its verdicts up to there.
 	Applied protocol.Offset
+	Digest  uint64
 	// FleetVersion is the version in force at the sender.
 	FleetVersion protocol.Offset
 	// Tombstones are the withdrawals that the sender knows and that the
--- a/internal/coordination/member/heartbeats.go
+++ b/internal/coordination/member/heartbeats.go
@@ -28,7 +28,8 @@
 type Local interface {
 	Session() protocol.SessionID
 	Fleet() *protocol.Fleet
-	Applied() protocol.Offset
+	Digest() (protocol.Offset, uint64)
+	DigestAt(at protocol.Offset) (uint64, bool)
 	LogUp() bool
 	Loaded() <-chan struct{}
 	View(read func(*replica.State))
@@ -219,7 +220,7 @@
 	tombstones := local.Tombstones()
 	beat.Session = local.Session()
 	beat.Loaded = true
-	beat.Applied = local.Applied()
+	beat.Applied, beat.Digest = local.Digest()
 	beat.FleetVersion = local.Fleet().Version
 	beat.Tombstones = tombstones[:min(len(tombstones), MaxBeatTombstones)]
 	return beat
@@ -240,9 +241,24 @@
 	h.view.Heard(time.Now(), beat)
 	local := h.local
 	h.mu.Unlock()
-	if local != nil {
-		local.MergeTombstones(beat.Tombstones)
+	if local == nil {
+		return
+	}
+	local.MergeTombstones(beat.Tombstones)
+	h.compare(local, beat)
+}
+
+// compare notices that another instance decided some record differently. From
+// there on the two may both complete an item, or hold a resource. Nothing here
+// can tell which is right, so an operator is told: the instances of one of the
+// two releases have to be replaced.
+func (h *Heartbeats) compare(local Local, beat Beat) {
+	own, known := local.DigestAt(beat.Applied)
+	if !beat.Loaded || !known || own == beat.Digest {
+		return
 	}
+	counters.Add("diverged", 1)
+	_ = h.logger.Log("event", "replica_diverged", "peer", beat.Instance, "applied", beat.Applied)
 }
 
 // catchUp fetches a newer configuration from a peer while the log can't be
--- a/internal/state/replica/interleaving_test.go
+++ b/internal/state/replica/interleaving_test.go
@@ -135,12 +135,12 @@
 	h.check()
 }
 
-// content is the state without its position.
+// content is the state without its position and its digest of verdicts.
 func (h *history) content() []byte {
-	applied := h.state.applied
-	h.state.applied = 0
+	applied, digest := h.state.applied, h.state.digest
+	h.state.applied, h.state.digest = 0, 0
 	data, err := h.state.Snapshot()
-	h.state.applied = applied
+	h.state.applied, h.state.digest = applied, digest
 	if err != nil {
 		panic(err)
 	}
--- a/internal/state/replica/replica.go
+++ b/internal/state/replica/replica.go
@@ -2,6 +2,10 @@
 package replica
 
 import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/state/fleet"
 	"merlintiller/internal/state/lease"
@@ -20,6 +24,9 @@
 	Once     *once.Table
 
 	applied protocol.Offset
+	digest  uint64
+	// scratch is reused by chain.
+	scratch []byte
 }
 
 // New returns the state before the first record.
@@ -45,12 +52,34 @@
 	for i := range frame.Records {
 		verdicts[i] = s.applyRecord(at, &frame.Records[i])
 	}
+	s.chain(verdicts)
 	return verdicts
 }
 
 // Skip passes over an entry that does not decode. Every reader fails to decode
 // it alike, so skipping keeps them equal.
-func (s *State) Skip(at protocol.Offset) { s.advance(at) }
+func (s *State) Skip(at protocol.Offset) {
+	s.advance(at)
+	s.chain(nil)
+}
+
+// Digest is a hash over all verdicts up to Applied. Instances that have applied
+// the same prefix must have the same one. If instances of different releases,
+// or with damaged memory, decide a record differently, an item may complete
+// twice and nobody would see why; comparing digests shows that it happened.
+func (s *State) Digest() uint64 { return s.digest }
+
+func (s *State) chain(verdicts []protocol.Verdict) {
+	buffer := s.scratch[:0]
+	buffer = binary.BigEndian.AppendUint64(buffer, s.digest)
+	buffer = binary.BigEndian.AppendUint64(buffer, uint64(s.applied))
+	for _, verdict := range verdicts {
+		buffer = append(buffer, verdict...)
+		buffer = append(buffer, 0)
+	}
+	s.digest = xxhash.Sum64(buffer)
+	s.scratch = buffer
+}
 
 // advance panics if an entry is missed or applied twice: the state would part
 // from that of the other instances, and an item could complete twice.
--- a/internal/state/replica/snapshot.go
+++ b/internal/state/replica/snapshot.go
@@ -23,6 +23,7 @@
 	Fleet    fleet.Snapshot   `cbor:"5,keyasint"`
 	Ledger   ledger.Snapshot  `cbor:"6,keyasint"`
 	Once     once.Snapshot    `cbor:"7,keyasint"`
+	Digest   uint64           `cbor:"8,keyasint"`
 }
 
 // Capture is a copy of the state that is encoded later, so that readers of the
@@ -41,6 +42,7 @@
 		Fleet:    s.Fleet.Snapshot(),
 		Ledger:   s.Ledger.Snapshot(),
 		Once:     s.Once.Snapshot(),
+		Digest:   s.digest,
 	}}
 }
 
@@ -73,5 +75,6 @@
 		Ledger:   ledger.Restore(snap.Ledger),
 		Once:     once.Restore(snap.Once),
 		applied:  snap.Applied,
+		digest:   snap.Digest,
 	}, nil
 }
