--- a/internal/coordination/online/call.go
+++ b/internal/coordination/online/call.go
@@ -60,7 +60,7 @@
 			return
 		}
 		c.failed = append(c.failed, pick.Target)
-		if !c.mayRetry(ctx) {
+		if !c.mayRetry(ctx) || !c.keyActive(c.result.Refusal.Run) {
 			return
 		}
 		published.Add("retries", 1)
@@ -255,7 +255,7 @@
 
 // deliver writes a whole answer.
 func (c *call) deliver(answer OnceAnswer) ending {
-	if !c.keyActive() {
+	if !c.keyActive(protocol.MayHaveRun) {
 		return final
 	}
 	header := toCaller(c.req, answer.Header, protocol.Completed)
@@ -297,12 +297,17 @@
 	}
 }
 
-// keyActive ends the call if the caller's key was withdrawn meanwhile.
-func (c *call) keyActive() bool {
+// keyActive ends the call, with what is known of its run, if the caller's key
+// was withdrawn meanwhile.
+func (c *call) keyActive(run protocol.RunState) bool {
 	if c.path.opts.Keys == nil || c.path.opts.Keys.Active(c.req.Caller.Key) {
 		return true
 	}
-	c.result.Refusal = protocol.Uncertain(protocol.CodeKeyWithdrawn, "the key was withdrawn while the call ran")
+	c.result.Refusal = &protocol.Refusal{
+		Code:    protocol.CodeKeyWithdrawn,
+		Message: "the key was withdrawn while the call ran",
+		Run:     run,
+	}
 	return false
 }
 
--- a/internal/coordination/online/stream.go
+++ b/internal/coordination/online/stream.go
@@ -56,7 +56,7 @@
 			c.fail(protocol.MayHaveRun, "the target did not resume the stream where it broke off")
 			c.position = 0
 			return again, false
-		case !c.keyActive():
+		case !c.keyActive(protocol.MayHaveRun):
 			return final, true
 		}
 		if resumed {
--- a/internal/standin/target/call.go
+++ b/internal/standin/target/call.go
@@ -63,7 +63,7 @@
 			return
 		}
 		if faults.Cross {
-			t.cross(w, r, run, body)
+			t.cross(w, r, run, body, faults)
 			return
 		}
 		run(w, r, body, faults)
@@ -159,17 +159,20 @@
 func (c *crossed) Write(p []byte) (int, error) { return c.body.Write(p) }
 func (c *crossed) Flush()                      {}
 
-// crossWait is how long an answer waits for another to be swapped with; after
-// it the answer is given an id that was never asked for.
+// crossWait is the default of Faults.CrossWaitMS.
 const crossWait = 50 * time.Millisecond
 
 // cross gives this call the answer of another one that runs now.
-func (t *Target) cross(w http.ResponseWriter, r *http.Request, run work, body []byte) {
+func (t *Target) cross(w http.ResponseWriter, r *http.Request, run work, body []byte, faults Faults) {
 	own := &crossed{header: http.Header{}, status: http.StatusOK}
 	own.header.Set(HeaderCallID, r.Header.Get(HeaderCallID))
 	run(own, r, body, Faults{})
 	other := own
-	timer := time.NewTimer(crossWait)
+	wait := crossWait
+	if faults.CrossWaitMS > 0 {
+		wait = time.Duration(faults.CrossWaitMS) * time.Millisecond
+	}
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case t.crossing <- own:
--- a/internal/standin/target/chat.go
+++ b/internal/standin/target/chat.go
@@ -139,7 +139,7 @@
 	g.tokens = g.request.tokens(t.cfg.Tokens)
 	g.id = fmt.Sprintf("cmpl-%016x", xxhash.Sum64String(g.prompt))
 	t.effect(r.Header.Get(HeaderCallID), body)
-	t.cache.add(t.cfg.ID, xxhash.Sum64String(g.prompt))
+	t.cached(xxhash.Sum64String(g.prompt))
 	if !pause(r, t.cfg.PrefillTime) {
 		return
 	}
@@ -198,6 +198,9 @@
 
 func (g *generation) stream(w http.ResponseWriter, r *http.Request, faults Faults) {
 	from, _ := strconv.Atoi(r.Header.Get(HeaderResumeAt))
+	if faults.IgnoreResume {
+		from = 0
+	}
 	if faults.LoseAnswer {
 		hangUp()
 	}
@@ -206,12 +209,9 @@
 		if !pause(r, g.target.tokenTime()) {
 			return
 		}
-		if faults.EndAfter > 0 && i >= faults.EndAfter {
+		if !g.proceeds(r, faults, i) {
 			return
 		}
-		if faults.CutAfter > 0 && i >= faults.CutAfter {
-			hangUp()
-		}
 		g.event(w, i+1, g.token(i))
 	}
 	if from <= g.tokens {
@@ -225,6 +225,17 @@
 	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
 }
 
+// proceeds shows the faults of a stream before token i.
+func (g *generation) proceeds(r *http.Request, faults Faults, i int) bool {
+	if faults.CutAfter > 0 && i == faults.CutAfter {
+		hangUp()
+	}
+	if faults.HoldAfter > 0 && i == faults.HoldAfter {
+		return g.target.hold(r)
+	}
+	return faults.EndAfter == 0 || i < faults.EndAfter
+}
+
 func (g *generation) token(i int) completion {
 	chunk := g.answer("chat.completion.chunk", "text_completion")
 	c := choice{}
--- a/internal/standin/target/faults.go
+++ b/internal/standin/target/faults.go
@@ -16,13 +16,21 @@
 	DelayMS int `json:"delay_ms,omitempty"`
 	// LoseAnswer runs the call and closes the connection without an answer.
 	LoseAnswer bool `json:"lose_answer,omitempty"`
-	// CutAfter closes the connection after so many tokens of a stream.
+	// CutAfter closes the connection of a stream that comes to this token.
 	CutAfter int `json:"cut_after,omitempty"`
 	// EndAfter ends a stream after so many tokens, tidily but without its end
 	// mark.
 	EndAfter int `json:"end_after,omitempty"`
+	// HoldAfter stops a stream after so many tokens until the switches are
+	// set again.
+	HoldAfter int `json:"hold_after,omitempty"`
+	// IgnoreResume starts every stream at its beginning.
+	IgnoreResume bool `json:"ignore_resume,omitempty"`
 	// Cross swaps the answers of two calls that run at the same time.
 	Cross bool `json:"cross,omitempty"`
+	// CrossWaitMS is how long a call waits for another to swap answers with;
+	// after it the answer echoes an id that nobody asked for. Default 50.
+	CrossWaitMS int `json:"cross_wait_ms,omitempty"`
 	// Freeze accepts connections and answers nothing until it is switched
 	// off, as a paused process does.
 	Freeze bool `json:"freeze,omitempty"`
@@ -44,13 +52,8 @@
 func (t *Target) SetFaults(faults Faults) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.thawed != nil {
-		close(t.thawed)
-		t.thawed = nil
-	}
-	if faults.Freeze {
-		t.thawed = make(chan struct{})
-	}
+	close(t.changed)
+	t.changed = make(chan struct{})
 	t.faults = faults
 }
 
@@ -71,17 +74,35 @@
 // frozen holds a request back while the target is frozen.
 func (t *Target) frozen(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		t.mu.Lock()
-		thawed := t.thawed
-		t.mu.Unlock()
-		if thawed != nil {
-			select {
-			case <-thawed:
-			case <-r.Context().Done():
+		for {
+			t.mu.Lock()
+			frozen, changed := t.faults.Freeze, t.changed
+			t.mu.Unlock()
+			if !frozen {
+				next(w, r)
+				return
+			}
+			if !waitFor(r, changed) {
 				return
 			}
 		}
-		next(w, r)
+	}
+}
+
+// hold stops a stream until the switches are set again.
+func (t *Target) hold(r *http.Request) bool {
+	t.mu.Lock()
+	changed := t.changed
+	t.mu.Unlock()
+	return waitFor(r, changed)
+}
+
+func waitFor(r *http.Request, changed <-chan struct{}) bool {
+	select {
+	case <-changed:
+		return true
+	case <-r.Context().Done():
+		return false
 	}
 }
 
--- a/internal/standin/target/load.go
+++ b/internal/standin/target/load.go
@@ -79,6 +79,13 @@
 	}
 }
 
+// cached notes that the target holds the cache of a prompt.
+func (t *Target) cached(prefix uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.cache.add(t.cfg.ID, prefix)
+}
+
 func (t *Target) cacheEvents(w http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	t.mu.Lock()
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -18,9 +18,10 @@
 	cfg Config
 	mux *http.ServeMux
 
-	mu       sync.Mutex
-	faults   Faults
-	thawed   chan struct{}
+	mu     sync.Mutex
+	faults Faults
+	// changed is closed when the faults are set anew.
+	changed  chan struct{}
 	running  map[protocol.CallID]context.CancelFunc
 	loads    []loadSample
 	leaving  bool
@@ -35,6 +36,7 @@
 	t := &Target{
 		cfg:      cfg.withDefaults(),
 		mux:      http.NewServeMux(),
+		changed:  make(chan struct{}),
 		running:  map[protocol.CallID]context.CancelFunc{},
 		crossing: make(chan *crossed),
 		runs:     Executions{ByCall: map[protocol.CallID]int{}, ByBody: map[string]int{}},
--- a/internal/transport/edge/system_test.go
+++ b/internal/transport/edge/system_test.go
@@ -62,8 +62,10 @@
 	client  *targethttp.Client
 	path    *online.Path
 	edge    *Edge
+	listing platform.Listing
 	url     string
 	address string
+	stop    context.CancelFunc
 }
 
 type systemOptions struct {
@@ -101,14 +103,15 @@
 }
 
 func (s *system) startTargets(t testing.TB, tokens int) {
-	var listing platform.Listing
 	add := func(id protocol.TargetID, cfg target.Config) *target.Target {
 		cfg.ID, cfg.Domain = id, testDomain
 		standin := target.New(cfg)
 		server := httptest.NewServer(standin)
 		t.Cleanup(server.Close)
+		// A server waits at its end for calls that are frozen or held.
+		t.Cleanup(func() { standin.SetFaults(target.Faults{}) })
 		s.servers = append(s.servers, server)
-		listing.Targets = append(listing.Targets, platform.ListedTarget{
+		s.listing.Targets = append(s.listing.Targets, platform.ListedTarget{
 			ID: id, Service: cfg.Service, Domain: testDomain, Address: strings.TrimPrefix(server.URL, "http://"),
 		})
 		return standin
@@ -119,7 +122,7 @@
 	}
 	s.plain = add(plainTargetID, target.Config{Service: plainService, Kind: protocol.KindPlain})
 	s.router.SetServices(s.fleet.Load().Services)
-	s.router.Listing(listing)
+	s.router.Listing(s.listing)
 }
 
 func (s *system) listen() (net.Listener, error) {
@@ -138,6 +141,7 @@
 		supervisor.Add(service)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	s.stop = cancel
 	ended := supervisor.ServeBackground(ctx)
 	t.Cleanup(func() {
 		cancel()
@@ -151,3 +155,11 @@
 		standin.SetFaults(faults)
 	}
 }
+
+// kill ends the instance without ceremony.
+func (s *system) kill() {
+	s.stop()
+}
+
+// plainServer is the server of the plain target.
+func (s *system) plainServer() *httptest.Server { return s.servers[modelTargets] }
