--- a/internal/coordination/batch/entries.go
+++ b/internal/coordination/batch/entries.go
@@ -24,15 +24,20 @@
 	return entry, trace.Wrap(err)
 }
 
-func readItems(ctx context.Context, journal coordination.Journal, at protocol.Offset) ([]bulk.Item, error) {
-	entry, err := readEntry(ctx, journal, at)
+// readItems returns the items of a chunk.
+func readItems(ctx context.Context, journal coordination.Journal, ref protocol.ChunkRef) ([]bulk.Item, error) {
+	entry, err := readEntry(ctx, journal, ref.Offset)
 	if err != nil {
 		return nil, err
 	}
-	if len(entry.Items) == 0 {
-		return nil, trace.Wrap(fmt.Errorf("entry %d holds no items: %w", at, protocol.ErrMalformed))
+	return cut(entry, ref)
+}
+
+func cut(entry bulk.Entry, ref protocol.ChunkRef) ([]bulk.Item, error) {
+	if ref.First < 0 || ref.Items < 1 || ref.First+ref.Items > len(entry.Items) {
+		return nil, trace.Wrap(fmt.Errorf("entry %d does not hold the chunk: %w", ref.Offset, protocol.ErrMalformed))
 	}
-	return entry.Items, nil
+	return entry.Items[ref.First : ref.First+ref.Items], nil
 }
 
 // readResults returns the results of a chunk that an entry holds.
--- a/internal/coordination/batch/flusher.go
+++ b/internal/coordination/batch/flusher.go
@@ -2,18 +2,18 @@
 
 import (
 	"context"
-	"sync"
+	"math"
 	"time"
 
 	"merlintiller/internal/coordination"
 	"merlintiller/internal/coordination/bulk"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/state/ledger"
+	"merlintiller/internal/state/replica"
 )
 
 // flusher is the duty that appends results in groups: one entry of DataStream
-// for the results of all chunks at hand, then a control record for each chunk,
-// which the journal puts into one frame.
+// for the results of all chunks at hand, then one control record about it.
 //
 // One append is under way at a time, and results are taken meanwhile, so that
 // an outage of the log fills the buffer and not the places at the targets.
@@ -126,8 +126,9 @@
 	f.waiters = nil
 }
 
-// due says whether the waiting results must be appended now: a chunk is whole,
-// there are many, they are old, or a job's deadline is near.
+// due says whether the waiting results must be appended now: there are many,
+// they are old, a job's deadline is near, or a chunk is whole and its job has no
+// other left to take, so that somebody may wait for just this one.
 func (f *flusher) due(now time.Time) bool {
 	if now.Before(f.buffer.notBefore) {
 		return false
@@ -138,13 +139,29 @@
 	if f.buffer.deadline.Sub(now) < f.opts.DeadlineMargin {
 		return true
 	}
-	whole := false
+	return f.lastOfJob()
+}
+
+// lastOfJob says whether a whole chunk waits whose job has none left to take.
+func (f *flusher) lastOfJob() bool {
+	var whole []ledger.ChunkID
 	f.inspect(func(w *workset) {
 		for id := range f.buffer.chunks {
-			whole = whole || w.whole(id)
+			if w.whole(id) {
+				whole = append(whole, id)
+			}
 		}
 	})
-	return whole
+	if len(whole) == 0 {
+		return false
+	}
+	last := false
+	f.journal.View(func(state *replica.State) {
+		for _, id := range whole {
+			last = last || len(state.Ledger.Claimable(id.Job, state.Sessions, id.Chunk, math.MaxInt, 1)) == 0
+		}
+	})
+	return last
 }
 
 // whole says that every item of a chunk that this instance may still run has
@@ -162,8 +179,8 @@
 	return true
 }
 
-// append stores sections and reports them. It is false if the fate of some is
-// not known: they are reported again, and replay drops what already stands.
+// append stores sections and reports them. It is false if their fate is not
+// known: they are reported again, and replay drops what already stands.
 func (f *flusher) append(ctx context.Context, sections []*section) bool {
 	entry := bulk.Entry{At: time.Now().Unix()}
 	for _, s := range sections {
@@ -182,26 +199,22 @@
 	return f.reportAll(ctx, at, sections)
 }
 
+// reportAll writes one record for all sections. Once replay has decided it,
+// whatever the verdict, nothing remains to be done for them.
 func (f *flusher) reportAll(ctx context.Context, at protocol.Offset, sections []*section) bool {
-	outcomes := make([]coordination.Outcome, len(sections))
-	var wait sync.WaitGroup
-	for i, s := range sections {
-		wait.Go(func() {
-			outcomes[i] = f.journal.Submit(ctx, protocol.Record{ChunkResult: s.record(at)})
-		})
-	}
-	wait.Wait()
-	all := true
-	for i, s := range sections {
-		if !isSettled(outcomes[i]) {
-			all = false
-			continue
-		}
-		counters.Add("results_"+string(outcomes[i].Verdict), int64(len(s.results)))
+	body := &protocol.ChunkResults{}
+	for _, s := range sections {
+		body.Parts = append(body.Parts, s.record(at))
+	}
+	outcome := f.journal.Submit(ctx, protocol.Record{ChunkResults: body})
+	if !isSettled(outcome) {
+		return false
+	}
+	for _, s := range sections {
+		counters.Add("results_"+string(outcome.Verdict), int64(len(s.results)))
 		f.update(func(w *workset) { w.settled(s.id, s.numbers()) })
-		s.results = nil
 	}
-	return all
+	return true
 }
 
 // isSettled says that replay has decided the record for good. Without a
--- a/internal/coordination/orders/reconciler.go
+++ b/internal/coordination/orders/reconciler.go
@@ -308,7 +308,7 @@
 		counted = "stale"
 	}
 	published.Add(counted, 1)
-	_ = w.opts.Logger.Log("event", "order_"+counted, "target", t.action.Target.ID, "model", t.action.Give.Model,
+	_ = w.opts.Logger.Log("event", "order", "outcome", counted, "target", t.action.Target.ID, "model", t.action.Give.Model,
 		"version", t.action.Give.Version, "fence", t.fence, "err", err)
 	return err
 }
--- /dev/null
+++ b/internal/daemon/agreement.go
@@ -0,0 +1,81 @@
+package daemon
+
+import (
+	"net"
+
+	"github.com/gravitational/trace"
+	"github.com/thejerf/suture/v4"
+
+	"merlintiller/internal/burn"
+	"merlintiller/internal/coordination/fleetstatus"
+	"merlintiller/internal/coordination/journal"
+	"merlintiller/internal/coordination/member"
+	"merlintiller/internal/coordination/withdrawal"
+	"merlintiller/internal/transport/peer"
+)
+
+// agreement is what is agreed and kept, and the way to the other instances.
+type agreement struct {
+	journal    *journal.Journal
+	heartbeats *member.Heartbeats
+	peers      *peer.Server
+	client     *peer.Client
+}
+
+func (a *agreement) services() []suture.Service {
+	return append(a.journal.Services(), a.heartbeats, a.peers)
+}
+
+func (d *Daemon) joinAgreement() error {
+	s := d.settings
+	listener, err := net.Listen("tcp", s.Listen.Peers)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	a := &d.agreement
+	a.peers = peer.NewServer(listener, d.tls.Peers.Server(), d.logger)
+	a.client = peer.NewClient(d.tls.Peers.Client())
+	a.heartbeats = member.NewHeartbeats(member.Options{
+		Instance: s.Instance,
+		Domain:   s.Domain,
+		Address:  s.Listen.Peers,
+		Caller:   a.client,
+		Logger:   d.logger,
+		Seeds:    s.Seeds,
+		Every:    s.Timings.Heartbeat,
+		Timeout:  s.Timings.PeerTimeout,
+		Limits:   viewLimits(s.Timings),
+	})
+	a.journal = journal.New(journal.Options{
+		Log:           d.outside.log,
+		Instance:      s.Instance,
+		Domain:        s.Domain,
+		PeerAddress:   s.Listen.Peers,
+		CallerAddress: s.Listen.Callers,
+		Snapshots:     a.heartbeats,
+		Logger:        d.logger,
+		Seed:          seedOf(s.Instance),
+		RingName:      "journal",
+		Timings:       journalTimings(s.Timings),
+	})
+	a.heartbeats.Attach(a.journal)
+	return nil
+}
+
+// registerReceivers offers what other instances may call.
+func (d *Daemon) registerReceivers() error {
+	receivers := map[string]any{
+		member.ServiceName:      d.agreement.heartbeats.Receiver(),
+		withdrawal.ServiceName:  &withdrawal.Receiver{Local: d.agreement.journal},
+		limiterName:             d.fleet.limits.Endpoint(),
+		headroomName:            d.fleet.headroom.Endpoint(),
+		burn.ServiceName:        &burn.Receiver{Recorder: d.operators.recorder},
+		fleetstatus.ServiceName: &fleetstatus.Receiver{Source: d.operators.source},
+	}
+	for name, receiver := range receivers {
+		if err := d.agreement.peers.Register(name, receiver); err != nil {
+			return trace.Wrap(err, "receiver %s", name)
+		}
+	}
+	return nil
+}
--- a/internal/fleetdir/diff.go
+++ b/internal/fleetdir/diff.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 
 	"merlintiller/internal/protocol"
@@ -22,7 +23,8 @@
 
 // Diff compares the configuration in force with a folder. Keys are never
 // removed: a key that the folder does not hold stays, and a withdrawn key
-// stays withdrawn whatever the folder says.
+// stays withdrawn whatever the folder says. An organisation stays while keys
+// of it are in use, since replay rejects a change that orphans a key.
 func Diff(current *protocol.Fleet, wanted Objects) Plan {
 	plan := Plan{Change: protocol.FleetChange{BasedOn: current.Version}}
 	for _, d := range changed(current.Domains, wanted.Domains) {
@@ -75,10 +77,11 @@
 		p.Change.Remove = append(p.Change.Remove, protocol.FleetRef{Domain: name})
 	}
 	for _, id := range missing(current.Organisations, wanted.Organisations) {
-		p.Change.Remove = append(p.Change.Remove, protocol.FleetRef{Organisation: id})
 		if n := liveKeys(current, wanted, id); n > 0 {
-			p.note("organisation %s is removed while %d of its keys are in use: their callers will be refused", id, n)
+			p.note("organisation %s is left as it is: %d of its keys are in use; withdraw them, then apply again", id, n)
+			continue
 		}
+		p.Change.Remove = append(p.Change.Remove, protocol.FleetRef{Organisation: id})
 	}
 }
 
@@ -97,7 +100,7 @@
 // order of their ids.
 func changed[K cmp.Ordered, T comparable](current, wanted map[K]T) []T {
 	var out []T
-	for _, id := range sorted(wanted) {
+	for _, id := range slices.Sorted(maps.Keys(wanted)) {
 		before, ok := current[id]
 		if !ok || before != wanted[id] {
 			out = append(out, wanted[id])
@@ -109,19 +112,10 @@
 // missing gives the ids in force that are not wanted.
 func missing[K cmp.Ordered, T any](current, wanted map[K]T) []K {
 	var out []K
-	for _, id := range sorted(current) {
+	for _, id := range slices.Sorted(maps.Keys(current)) {
 		if _, ok := wanted[id]; !ok {
 			out = append(out, id)
 		}
 	}
 	return out
 }
-
-func sorted[K cmp.Ordered, T any](objects map[K]T) []K {
-	ids := make([]K, 0, len(objects))
-	for id := range objects {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -7,10 +7,12 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"merlintiller/internal/platform"
@@ -166,7 +168,7 @@
 	for number := range f.opts.PerDomain {
 		for _, domain := range f.opts.Domains {
 			id := protocol.InstanceID(fmt.Sprintf("%s-%d", domain, number))
-			if err := f.addInstance(id, domain); err != nil {
+			if err := f.AddInstance(id, domain); err != nil {
 				return err
 			}
 		}
@@ -174,7 +176,8 @@
 	return f.WaitReady(ctx)
 }
 
-func (f *Fleet) addInstance(id protocol.InstanceID, domain protocol.Domain) error {
+// AddInstance starts one more instance, with the names of its addresses new.
+func (f *Fleet) AddInstance(id protocol.InstanceID, domain protocol.Domain) error {
 	addresses, err := FreeAddresses(3)
 	if err != nil {
 		return err
@@ -228,18 +231,23 @@
 
 // Stop ends every process gracefully, instances first.
 func (f *Fleet) Stop() error {
-	failed := make(chan error, len(f.Instances))
+	var mu sync.Mutex
+	var failed error
+	var stopping sync.WaitGroup
 	for _, instance := range f.Instances {
-		go func() { failed <- instance.Process.Stop() }()
-	}
-	var first error
-	for range f.Instances {
-		if err := <-failed; err != nil && first == nil {
-			first = err
+		if instance.Process.Exited() {
+			continue
 		}
+		stopping.Go(func() {
+			err := instance.Process.Stop()
+			mu.Lock()
+			defer mu.Unlock()
+			failed = errors.Join(failed, err)
+		})
 	}
+	stopping.Wait()
 	f.Kill()
-	return first
+	return failed
 }
 
 // Kill ends every process at once.
--- a/internal/transport/operatorapi/handler_test.go
+++ b/internal/transport/operatorapi/handler_test.go
@@ -16,10 +16,15 @@
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
+	"merlintiller/internal/burn"
 	"merlintiller/internal/coordination"
+	"merlintiller/internal/coordination/fleetstatus"
+	"merlintiller/internal/coordination/routing"
 	"merlintiller/internal/coordination/withdrawal"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/settings"
+	"merlintiller/internal/state/fleet"
+	"merlintiller/internal/state/replica"
 )
 
 const operatorSecret = "op-secret-for-tests"
@@ -29,6 +34,7 @@
 	coordination.Journal
 	outcome coordination.Outcome
 	fleet   *protocol.Fleet
+	state   *replica.State
 	records []protocol.Record
 }
 
@@ -39,6 +45,10 @@
 
 func (j *journal) Fleet() *protocol.Fleet { return j.fleet }
 func (j *journal) LogUp() bool            { return j.outcome.Run == protocol.Completed }
+func (j *journal) MayHold() bool          { return j.LogUp() }
+
+func (j *journal) Session() protocol.SessionID    { return 7 }
+func (j *journal) View(read func(*replica.State)) { read(j.state) }
 
 // peers reaches all instances but the ones named in cut.
 type peers struct {
@@ -54,31 +64,36 @@
 	return list
 }
 
-func (p *peers) Call(_ context.Context, to protocol.InstanceID, _ string, _, _ any) error {
+func (p *peers) Call(_ context.Context, to protocol.InstanceID, _ string, _, reply any) error {
 	if p.cut[to] {
 		return errors.New("unreachable")
 	}
+	if own, ok := reply.(*fleetstatus.Instance); ok {
+		*own = fleetstatus.Instance{Instance: to, Domain: "d2", Version: 8}
+	}
 	return nil
 }
 
 // local remembers the keys withdrawn here.
 type local map[protocol.KeyID]bool
 
-func (l local) WithdrawLocally(key protocol.KeyID) { l[key] = true }
+func (l local) WithdrawLocally(key protocol.KeyID, _ string) { l[key] = true }
 
 type fixture struct {
 	journal *journal
 	peers   *peers
 	local   local
+	drained *int
 	logs    *bytes.Buffer
 	handler *Handler
 }
 
 func newFixture(outcome coordination.Outcome) *fixture {
 	f := &fixture{
-		journal: &journal{outcome: outcome, fleet: &protocol.Fleet{Version: 9}},
+		journal: &journal{outcome: outcome, fleet: versionNine(), state: replica.New()},
 		peers:   &peers{known: []protocol.InstanceID{"b", "c"}, cut: map[protocol.InstanceID]bool{}},
 		local:   local{},
+		drained: new(int),
 		logs:    &bytes.Buffer{},
 	}
 	sum := sha256.Sum256([]byte(operatorSecret))
@@ -87,11 +102,35 @@
 		Keys:     []settings.OperatorKey{{ID: "ana", SHA256: hex.EncodeToString(sum[:])}},
 		Journal:  f.journal,
 		Withdraw: &withdrawal.Service{Journal: f.journal, Peers: f.peers, Local: f.local, PeerTimeout: time.Second},
+		Peers:    f.peers,
+		Status:   f.status(),
+		Burn:     &burn.Collector{Instance: "a", Recorder: f.recorder(), Peers: f.peers, Fleet: f.journal.Fleet, Now: clock, PeerTimeout: time.Second},
+		Targets:  func() []routing.Status { return []routing.Status{{Target: "t1"}} },
+		Drain:    func() { *f.drained++ },
 		Logger:   log.NewLogfmtLogger(f.logs),
 	})
 	return f
 }
 
+func versionNine() *protocol.Fleet {
+	inForce := *fleet.New().Fleet()
+	inForce.Version = 9
+	return &inForce
+}
+
+func clock() time.Time { return time.Unix(1_800_000_000, 0) }
+
+func (f *fixture) recorder() *burn.Recorder {
+	recorder := burn.NewRecorder(func(protocol.OrganisationID) protocol.Objectives { return protocol.Objectives{} }, clock)
+	recorder.Record("ana", "lm", time.Second, 0, true)
+	return recorder
+}
+
+func (f *fixture) status() *fleetstatus.Collector {
+	source := &fleetstatus.Source{Instance: "a", Domain: "d1", Journal: f.journal, Now: clock, Started: clock().Add(-time.Minute)}
+	return &fleetstatus.Collector{Source: source, Peers: f.peers, PeerTimeout: time.Second, LateWithin: time.Hour}
+}
+
 func (f *fixture) call(method, path, secret, body string) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(method, path, strings.NewReader(body))
 	if secret != "" {
@@ -169,6 +208,7 @@
 		"no id":         `{"set":[{"domain":{"domain":"d","share":1}}]}`,
 		"nothing":       `{"change_id":"c1"}`,
 		"two values":    smallChange + smallChange,
+		"bad object":    `{"change_id":"c1","based_on":9,"set":[{"organisation":{"id":"ana","rate":-1,"burst":1}}]}`,
 	}
 	for name, body := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -178,7 +218,7 @@
 		})
 	}
 	f := newFixture(accepted(1))
-	huge := `{"change_id":"` + strings.Repeat("x", protocol.MaxEntryBytes) + `"}`
+	huge := `{"change_id":"` + strings.Repeat("x", maxBodyBytes) + `"}`
 	require.Equal(t, http.StatusRequestEntityTooLarge, f.call("POST", PathChanges, operatorSecret, huge).Code)
 }
 
