--- a/internal/coordination/online/call.go
+++ b/internal/coordination/online/call.go
@@ -60,7 +60,7 @@
 			return
 		}
 		c.failed = append(c.failed, pick.Target)
-		if !c.mayRetry(ctx) || !c.keyActive(c.result.Refusal.Run) {
+		if !c.keyActive(c.result.Refusal.Run) || !c.mayRetry(ctx) {
 			return
 		}
 		published.Add("retries", 1)
@@ -101,7 +101,7 @@
 func (c *call) attempt(ctx context.Context, pick coordination.Pick) (ending, coordination.CallResult) {
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	dog := newWatchdog(c.path.policy.FirstByteTimeout, cancel)
+	dog := newWatchdog(c.path.policy.FirstByteTimeout, c.active, c.signOfLife(pick), cancel)
 	defer dog.stop()
 	id := c.path.nextID()
 	begun := time.Now()
@@ -117,14 +117,32 @@
 		seen.FirstByte = time.Since(begun)
 	}
 	outcome, sound := c.relay(ctx, answer, dog)
-	seen.Failed = !sound
-	seen.Abandoned = sound && outcome != delivered
+	withdrawn := dog.stop()
+	seen.Failed = !sound && !withdrawn
+	seen.Abandoned = withdrawn || (sound && outcome != delivered)
 	if outcome != delivered {
 		c.path.cancels.offer(pick.Address, id)
 	}
 	return outcome, seen
 }
 
+// signOfLife asks a target whether it still answers at all, for a whole answer
+// that is long in coming. A stream needs none: its events are the sign.
+func (c *call) signOfLife(pick coordination.Pick) func() bool {
+	if c.req.Stream {
+		return nil
+	}
+	return func() bool {
+		if c.path.opts.Loads == nil {
+			return true
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), c.path.policy.ProbeTimeout)
+		defer cancel()
+		_, err := c.path.opts.Loads.Load(ctx, pick.Address)
+		return err == nil
+	}
+}
+
 func (c *call) message(id protocol.CallID) platform.Call {
 	return platform.Call{
 		ID:       id,
@@ -143,6 +161,9 @@
 		c.path.cancels.offer(pick.Address, id)
 	}
 	seen := c.judge(ctx, begun, err)
+	if !c.active() {
+		seen = coordination.CallResult{Abandoned: true}
+	}
 	switch {
 	case errors.Is(err, platform.ErrPathClosed):
 		c.result.Refusal = pathClosed()
@@ -300,7 +321,7 @@
 // keyActive ends the call, with what is known of its run, if the caller's key
 // was withdrawn meanwhile.
 func (c *call) keyActive(run protocol.RunState) bool {
-	if c.path.opts.Keys == nil || c.path.opts.Keys.Active(c.req.Caller.Key) {
+	if c.active() {
 		return true
 	}
 	c.result.Refusal = &protocol.Refusal{
@@ -311,6 +332,10 @@
 	return false
 }
 
+func (c *call) active() bool {
+	return c.path.opts.Keys == nil || c.path.opts.Keys.Active(c.req.Caller.Key)
+}
+
 // gone ends a call whose caller does not take the answer.
 func (c *call) gone() ending {
 	published.Add("caller_gone", 1)
--- a/internal/coordination/online/options.go
+++ b/internal/coordination/online/options.go
@@ -27,6 +27,9 @@
 	Target     platform.Target
 	OnceTarget platform.Target
 	Once       OnceCaller
+	// Loads asks a target for a sign of life while a whole answer is long in
+	// coming. Without it only the deadline ends such a call.
+	Loads platform.LoadReports
 	// Observe is told how each call went, for the burn report. It must not
 	// block.
 	Observe func(Observation)
@@ -41,8 +44,11 @@
 	Timeout time.Duration
 	// FirstByteTimeout gives up an attempt of a repeatable call that shows no
 	// first byte. Default 10 s: five times the aim for the first token, so
-	// that only a dead or frozen target meets it.
+	// that only a dead or frozen target meets it. A whole answer may take
+	// longer as long as its target answers a look at its load.
 	FirstByteTimeout time.Duration
+	// ProbeTimeout bounds that look. Default 2 s.
+	ProbeTimeout time.Duration
 	// StallTimeout gives up a stream that shows no further event. Default 5 s,
 	// more than a hundred times the aim between tokens.
 	StallTimeout time.Duration
@@ -66,6 +72,7 @@
 func (p Policy) withDefaults() Policy {
 	setDefault(&p.Timeout, 2*time.Minute)
 	setDefault(&p.FirstByteTimeout, 10*time.Second)
+	setDefault(&p.ProbeTimeout, 2*time.Second)
 	setDefault(&p.StallTimeout, 5*time.Second)
 	setDefault(&p.Attempts, 3)
 	setDefault(&p.RetryRatio, 0.1)
--- a/internal/coordination/online/stream.go
+++ b/internal/coordination/online/stream.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"merlintiller/internal/platform"
@@ -16,29 +15,6 @@
 	return strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
 }
 
-// watchdog cancels an attempt that shows nothing for too long.
-//
-// What goes wrong without it: a frozen target keeps its connection open, so
-// nothing fails; the caller waits until its deadline although another target
-// could answer.
-type watchdog struct {
-	timer *time.Timer
-	bit   atomic.Bool
-}
-
-func newWatchdog(limit time.Duration, cancel context.CancelFunc) *watchdog {
-	dog := &watchdog{}
-	dog.timer = time.AfterFunc(limit, func() {
-		dog.bit.Store(true)
-		cancel()
-	})
-	return dog
-}
-
-func (d *watchdog) feed(limit time.Duration) { d.timer.Reset(limit) }
-
-func (d *watchdog) stop() { d.timer.Stop() }
-
 // stream passes events on as they come, byte for byte.
 func (c *call) stream(ctx context.Context, answer *platform.Answer, dog *watchdog) (ending, bool) {
 	events := sse.NewReader(answer.Body)
@@ -64,7 +40,7 @@
 			c.result.Resumed++
 			published.Add("resumed", 1)
 		}
-		dog.feed(c.path.policy.StallTimeout)
+		dog.feed(time.Now(), c.path.policy.StallTimeout)
 		if err := c.event(event, answer, !events.More()); err != nil {
 			return c.gone(), true
 		}
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -35,6 +35,7 @@
 		Target:     d.outside.online,
 		OnceTarget: d.outside.once,
 		Once:       d.batch.once,
+		Loads:      d.outside.control,
 		Observe:    d.operators.observe,
 		Logger:     d.logger,
 		Policy:     onlinePolicy(d.settings.Calls),
