--- /dev/null
+++ b/internal/coordination/routing/ways_test.go
@@ -0,0 +1,259 @@
+package routing
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/coordination"
+	"merlintiller/internal/platform"
+	"merlintiller/internal/protocol"
+)
+
+// The ways of routing are compared in virtual time: instances in three failure
+// domains before ten engines that batch continuously and cache a few prompt
+// prefixes each. All figures follow from the seed.
+
+const (
+	simInstances = 9
+	simTargets   = 10
+	simStep      = 5 * time.Millisecond
+	simLength    = 120 * time.Second
+	simPrefixes  = 60
+	simCached    = 12
+	simOutput    = 50.0
+	// simHit and simMiss are the work of a prompt in tokens.
+	simHit, simMiss = 10.0, 60.0
+	simReportLag    = time.Second
+)
+
+// way is one way of routing.
+type way struct {
+	name    string
+	opts    Options
+	reports bool
+	// pick overrides the core.
+	pick func(s *sim) *simEngine
+}
+
+func ways() []way {
+	return []way{
+		{name: "random", pick: func(s *sim) *simEngine { return s.engines[s.random.IntN(len(s.engines))] }},
+		{name: "own-counts"},
+		{name: "own-counts+reports", reports: true},
+		{name: "affinity-0.25", reports: true, opts: Options{AffinityLoad: 0.25}},
+		{name: "affinity-0.5", reports: true, opts: Options{AffinityLoad: 0.5}},
+		{name: "affinity-1", reports: true, opts: Options{AffinityLoad: 1}},
+		{name: "oracle-least-loaded", pick: (*sim).leastLoaded},
+	}
+}
+
+type simStream struct {
+	begun  time.Time
+	prompt float64
+	output float64
+	choice Choice
+	from   *Core
+	first  time.Duration
+}
+
+type simEngine struct {
+	id      protocol.TargetID
+	slow    float64
+	streams []*simStream
+	cache   []uint64
+	history []int
+}
+
+// speed is tokens per second of each stream: the more there are, the slower.
+func (e *simEngine) speed() float64 {
+	n := float64(len(e.streams))
+	return 100 / (1 + 0.1*max(0, n-1)) / e.slow
+}
+
+// prompt is the work of a prompt; the engine caches its prefix.
+func (e *simEngine) prompt(prefix uint64) float64 {
+	work := simMiss
+	if i := slices.Index(e.cache, prefix); i >= 0 {
+		e.cache = slices.Delete(e.cache, i, i+1)
+		work = simHit
+	}
+	e.cache = append(e.cache, prefix)
+	if len(e.cache) > simCached {
+		e.cache = e.cache[1:]
+	}
+	return work
+}
+
+type sim struct {
+	way     way
+	random  *rand.Rand
+	now     time.Time
+	cores   []*Core
+	engines []*simEngine
+	first   []time.Duration
+	hits    int
+}
+
+func newSim(w way, slow float64) *sim {
+	s := &sim{way: w, random: rand.New(rand.NewPCG(7, 7)), now: start}
+	domains := []protocol.Domain{"pnw-sea", "pnw-pdx", "pnw-spk"}
+	var listing platform.Listing
+	for i := range simTargets {
+		e := &simEngine{id: protocol.TargetID(fmt.Sprint("t", i)), slow: 1}
+		if i == 0 {
+			e.slow = slow
+		}
+		s.engines = append(s.engines, e)
+		listing.Targets = append(listing.Targets, platform.ListedTarget{ID: e.id, Service: service, Domain: domains[i%3], Address: "a"})
+	}
+	for i := range simInstances {
+		opts := w.opts
+		opts.Domain, opts.Seed = domains[i%3], uint64(i)
+		core := NewCore(opts)
+		core.Listing(s.now, listing)
+		s.cores = append(s.cores, core)
+	}
+	return s
+}
+
+func (s *sim) leastLoaded() *simEngine {
+	return slices.MinFunc(s.engines, func(a, b *simEngine) int { return len(a.streams) - len(b.streams) })
+}
+
+// prefix is drawn so that few prefixes have most of the calls.
+func (s *sim) prefix() uint64 {
+	return 1 + uint64(float64(simPrefixes)*math.Pow(s.random.Float64(), 2))
+}
+
+func (s *sim) arrive() {
+	core := s.cores[s.random.IntN(len(s.cores))]
+	prefix := s.prefix()
+	stream := &simStream{begun: s.now, output: simOutput * s.random.ExpFloat64(), from: core}
+	var engine *simEngine
+	if s.way.pick != nil {
+		engine = s.way.pick(s)
+		stream.from = nil
+	} else {
+		choice, _ := core.Pick(s.now, coordination.PickRequest{Service: service, Prefix: prefix})
+		stream.choice = choice
+		engine = s.engine(choice.Target)
+	}
+	stream.prompt = engine.prompt(prefix)
+	if stream.prompt == simHit {
+		s.hits++
+	}
+	engine.streams = append(engine.streams, stream)
+}
+
+func (s *sim) engine(id protocol.TargetID) *simEngine {
+	for _, e := range s.engines {
+		if e.id == id {
+			return e
+		}
+	}
+	panic("no such engine")
+}
+
+func (s *sim) advance(e *simEngine) {
+	work := e.speed() * simStep.Seconds()
+	e.streams = slices.DeleteFunc(e.streams, func(st *simStream) bool {
+		if st.prompt > 0 {
+			st.prompt -= work
+			if st.prompt <= 0 {
+				st.first = s.now.Sub(st.begun)
+				s.first = append(s.first, st.first)
+			}
+			return false
+		}
+		st.output -= work
+		if st.output > 0 {
+			return false
+		}
+		if st.from != nil {
+			st.from.Done(s.now, st.choice, coordination.CallResult{FirstByte: st.first})
+		}
+		return true
+	})
+	e.history = append(e.history, len(e.streams))
+}
+
+func (s *sim) report() {
+	for _, e := range s.engines {
+		back := len(e.history) - int(simReportLag/simStep)
+		if back < 0 {
+			continue
+		}
+		for _, core := range s.cores {
+			core.Report(s.now, platform.Load{Target: e.id, Running: e.history[back], AgeMS: simReportLag.Milliseconds()})
+		}
+	}
+}
+
+// run lets rate calls a second come and gives the time to the first token in
+// milliseconds at the quantiles.
+func (s *sim) run(rate float64, quantiles ...float64) []float64 {
+	steps := int(simLength / simStep)
+	next := 0.0
+	for i := range steps {
+		s.now = s.now.Add(simStep)
+		for next <= float64(i)*simStep.Seconds() {
+			s.arrive()
+			next += s.random.ExpFloat64() / rate
+		}
+		for _, e := range s.engines {
+			s.advance(e)
+		}
+		if s.way.reports && i%int(time.Second/simStep) == 0 {
+			s.report()
+		}
+	}
+	slices.Sort(s.first)
+	var out []float64
+	for _, q := range quantiles {
+		out = append(out, float64(s.first[int(q*float64(len(s.first)-1))].Microseconds())/1000)
+	}
+	return out
+}
+
+// BenchmarkWays prints the time to the first token of each way, at two loads
+// and with one slow target.
+func BenchmarkWays(b *testing.B) {
+	for _, load := range []struct {
+		name string
+		rate float64
+		slow float64
+	}{{"half", 35, 1}, {"high", 60, 1}, {"slow-target", 35, 5}} {
+		for _, w := range ways() {
+			b.Run(load.name+"/"+w.name, func(b *testing.B) {
+				var s *sim
+				var figures []float64
+				for b.Loop() {
+					s = newSim(w, load.slow)
+					figures = s.run(load.rate, 0.5, 0.95, 0.99)
+				}
+				b.ReportMetric(figures[0], "p50-ms")
+				b.ReportMetric(figures[1], "p95-ms")
+				b.ReportMetric(figures[2], "p99-ms")
+				b.ReportMetric(100*float64(s.hits)/float64(len(s.first)), "cached-%")
+			})
+		}
+	}
+}
+
+// Routing without reports sees only its own part of the load. This guards the
+// choice: with reports the tail must be better than by chance alone, also when
+// one target is slow.
+func TestRoutingBeatsChance(t *testing.T) {
+	for _, slow := range []float64{1, 5} {
+		all := ways()
+		chance := newSim(all[0], slow).run(35, 0.99)[0]
+		routed := newSim(all[2], slow).run(35, 0.99)[0]
+		require.Less(t, routed, chance)
+	}
+}
