routing: load reports in rounds; edge: limits on batch answers

Cause: the load poller sorted all targets every 50 ms; reports of another process at a target's address were believed; a caller that stops reading a batch result held its connection for ever. Change: rounds, a check of the reported id, write limits on batch answers.

--- a/internal/coordination/routing/budget.go
+++ b/internal/coordination/routing/budget.go
@@ -12,6 +12,9 @@
 	at               time.Time
 }
 
+// rounding is what sums of fractions may fall short by.
+const rounding = 1e-9
+
 // NewBudget returns a budget that allows ratio retries a call and perSecond
 // retries a second beside, of which most can be saved up.
 func NewBudget(ratio, perSecond, most float64) *Budget {
@@ -29,7 +32,7 @@
 		b.tokens = min(b.most, b.tokens+b.perSecond*now.Sub(b.at).Seconds())
 	}
 	b.at = now
-	if b.tokens < 1 {
+	if b.tokens < 1-rounding {
 		return false
 	}
 	b.tokens--
--- a/internal/coordination/routing/pollers.go
+++ b/internal/coordination/routing/pollers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"expvar"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log"
@@ -11,6 +13,9 @@
 	"merlintiller/internal/protocol"
 )
 
+// published counts what the duties met.
+var published = expvar.NewMap("routing")
+
 // PollOptions set up the duties that keep a Router informed.
 type PollOptions struct {
 	Router *Router
@@ -99,6 +104,9 @@
 type loadPoller struct {
 	opts PollOptions
 	read map[protocol.TargetID]time.Time
+	// round holds the targets of the current round, those due first at its
+	// end.
+	round []Status
 }
 
 // String names the duty.
@@ -115,18 +123,27 @@
 	}
 }
 
+// pollSteps is how many steps one read may take: a frozen target delays the
+// others by as much.
+const pollSteps = 4
+
 func (l *loadPoller) poll(ctx context.Context, now time.Time, step time.Duration) {
 	next, ok := l.next(now)
 	if !ok {
 		return
 	}
 	l.read[next.Target] = now
-	ctx, cancel := context.WithTimeout(ctx, 4*step)
+	ctx, cancel := context.WithTimeout(ctx, pollSteps*step)
 	defer cancel()
 	load, err := l.opts.Loads.Load(ctx, next.Address)
 	if err != nil {
 		return
 	}
+	if load.Target != "" && load.Target != next.Target {
+		// Another process has taken over the address; the list will say so.
+		published.Add("load_of_another_target", 1)
+		return
+	}
 	load.Target = next.Target
 	l.opts.Router.Report(load)
 }
@@ -134,20 +151,39 @@
 // remoteEvery is how many times rarer targets of other domains are read.
 const remoteEvery = 4
 
-// next is the target whose report is most overdue.
+// next is the most overdue target of the round.
 func (l *loadPoller) next(now time.Time) (Status, bool) {
-	var best Status
-	longest := time.Duration(0)
+	if len(l.round) == 0 {
+		l.begin(now)
+	}
+	if len(l.round) == 0 {
+		return Status{}, false
+	}
+	last := len(l.round) - 1
+	next := l.round[last]
+	l.round = l.round[:last]
+	return next, true
+}
+
+// begin starts a round with all targets whose report is due.
+func (l *loadPoller) begin(now time.Time) {
+	known := make(map[protocol.TargetID]time.Time, len(l.read))
 	for _, t := range l.opts.Router.Targets() {
-		due := l.opts.LoadEvery
-		if t.Domain != l.opts.Domain {
-			due *= remoteEvery
-		}
-		if over := now.Sub(l.read[t.Target]) - due; over >= 0 && over >= longest {
-			best, longest = t, over
+		known[t.Target] = l.read[t.Target]
+		if now.Sub(l.read[t.Target]) >= l.due(t) {
+			l.round = append(l.round, t)
 		}
 	}
-	return best, best.Target != ""
+	// Targets that are gone are forgotten with the old map.
+	l.read = known
+	slices.SortFunc(l.round, func(a, b Status) int { return known[b.Target].Compare(known[a.Target]) })
+}
+
+func (l *loadPoller) due(t Status) time.Duration {
+	if t.Domain != l.opts.Domain {
+		return remoteEvery * l.opts.LoadEvery
+	}
+	return l.opts.LoadEvery
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
--- a/internal/transport/edge/badinput_test.go
+++ b/internal/transport/edge/badinput_test.go
@@ -228,3 +228,20 @@
 		}
 	})
 }
+
+// A caller downloads a large batch result and stops reading. The connection is
+// shed, also there.
+func TestCallerThatStopsReadingResultsIsShed(t *testing.T) {
+	failed := make(chan error, 1)
+	endless := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for {
+			if _, err := w.Write(make([]byte, 64<<10)); err != nil {
+				failed <- err
+				return
+			}
+		}
+	})
+	s := newSystem(t, systemOptions{limits: Limits{WriteTimeout: 50 * time.Millisecond}, batch: endless})
+	s.raw(t, "GET /v1/files/f1/content HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+testSecret+"\r\n\r\n")
+	require.Error(t, <-failed)
+}
--- a/internal/transport/edge/routes.go
+++ b/internal/transport/edge/routes.go
@@ -158,12 +158,17 @@
 	x.refuse(protocol.Refuse(protocol.CodeNotFound, 0, "no such path: %s %s", x.r.Method, x.r.URL.Path))
 }
 
-// batch passes a request on to the batch API.
+// batch passes a request on to the batch API. Its answers are limited like
+// those of online calls: a caller that stops reading is shed.
 func (e *Edge) batch(x *exchange) {
 	controller := http.NewResponseController(x.w)
-	e.limitRead(controller, e.limits.FileTimeout)
+	if x.r.ContentLength != 0 {
+		e.limitRead(controller, e.limits.FileTimeout)
+	}
 	x.r.Body = http.MaxBytesReader(x.w, x.r.Body, e.limits.MaxFile)
-	e.opts.Batch.ServeHTTP(x.w, x.r.WithContext(access.WithCaller(x.r.Context(), x.caller)))
+	limited := &limitedWriter{ResponseWriter: x.w, writer: newWriter(x.w, e.limits.WriteTimeout)}
+	e.opts.Batch.ServeHTTP(limited, x.r.WithContext(access.WithCaller(x.r.Context(), x.caller)))
+	limited.writer.end()
 }
 
 func writeJSON(w http.ResponseWriter, value any) {
--- a/internal/transport/edge/system_test.go
+++ b/internal/transport/edge/system_test.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
@@ -75,6 +76,7 @@
 	// target replaces the way to the targets.
 	target platform.Target
 	tokens int
+	batch  http.Handler
 }
 
 func newSystem(t testing.TB, opts systemOptions) *system {
@@ -96,7 +98,7 @@
 	})
 	s.edge = New(Options{
 		Listen: s.listen, Fleet: s.fleet.Load, Keys: access.New(s.fleet.Load),
-		Online: s.path, Limits: opts.limits,
+		Online: s.path, Limits: opts.limits, Batch: opts.batch,
 	})
 	s.start(t)
 	return s
--- a/internal/transport/edge/writer.go
+++ b/internal/transport/edge/writer.go
@@ -50,3 +50,17 @@
 func (w *writer) end() {
 	_ = w.controller.SetWriteDeadline(time.Time{})
 }
+
+// limitedWriter is an http.ResponseWriter whose writes are limited in time.
+type limitedWriter struct {
+	http.ResponseWriter
+	writer *writer
+}
+
+// Write implements http.ResponseWriter.
+func (l *limitedWriter) Write(p []byte) (int, error) {
+	return l.writer.Write(p)
+}
+
+// Unwrap lets http.ResponseController find the connection.
+func (l *limitedWriter) Unwrap() http.ResponseWriter { return l.ResponseWriter }
