--- a/internal/coordination/online/options.go
+++ b/internal/coordination/online/options.go
@@ -40,7 +40,8 @@
 
 // Policy is the path's settings. A zero field takes its default.
 type Policy struct {
-	// Timeout bounds a call whose caller sent no deadline. Default 2 min.
+	// Timeout bounds every call, also one whose caller sent a later deadline
+	// or none, so that a leaving instance can wait for all. Default 2 min.
 	Timeout time.Duration
 	// FirstByteTimeout gives up an attempt of a repeatable call that shows no
 	// first byte. Default 10 s: five times the aim for the first token, so
--- a/internal/coordination/online/path.go
+++ b/internal/coordination/online/path.go
@@ -75,8 +75,8 @@
 }
 
 func (p *Path) serve(ctx context.Context, start time.Time, req *Request, w Writer) Result {
-	if req.Deadline.IsZero() {
-		req.Deadline = start.Add(p.policy.Timeout)
+	if longest := start.Add(p.policy.Timeout); req.Deadline.IsZero() || req.Deadline.After(longest) {
+		req.Deadline = longest
 	}
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
--- a/internal/coordination/online/path_test.go
+++ b/internal/coordination/online/path_test.go
@@ -360,6 +360,20 @@
 	})
 }
 
+// A caller asks for more time than a leaving instance waits. Its call would be
+// cut by a graceful shutdown; it ends with a true answer before.
+func TestDeadlineIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(Policy{}, answers(time.Hour, "application/json", "", io.EOF))
+		req := b.request(testService, false)
+		begun := time.Now()
+		req.Deadline = begun.Add(24 * time.Hour)
+		result := b.path.Serve(context.Background(), req, b.writer)
+		require.Equal(t, protocol.CodeDeadline, result.Refusal.Code)
+		require.Equal(t, 2*time.Minute, time.Since(begun))
+	})
+}
+
 func TestTargetsGetNeitherKeyNorHopByHopHeaders(t *testing.T) {
 	b := newBench(Policy{AllowHeaders: []string{"x-extra"}}, answers(0, "application/json", "{}", io.EOF))
 	req := b.request(testService, false)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -193,6 +193,9 @@
 	if s.Limiter.RenewalLate >= t.Hold {
 		doc.Report("limiter.renewal_late", "%s must be below timings.hold (%s), or promises are asked for too late", s.Limiter.RenewalLate, t.Hold)
 	}
+	if longest := t.DrainNotice + s.Calls.Deadline; t.DrainLimit < longest {
+		doc.Report("timings.drain_limit", "%s must be at least timings.drain_notice and calls.deadline together (%s), or a shutdown cuts calls", t.DrainLimit, longest)
+	}
 	if t.PeerSilent < 2*t.Heartbeat {
 		doc.Report("timings.peer_silent", "%s must be at least twice timings.heartbeat (%s)", t.PeerSilent, t.Heartbeat)
 	}
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -110,8 +110,9 @@
 		Snapshot: 10 * time.Minute,
 		// The balancer and the list notice within this.
 		DrainNotice: 3 * time.Second,
-		// Longer than any online deadline.
-		DrainLimit: 90 * time.Second,
+		// The notice and the longest call, and time for batch work and the
+		// session after them.
+		DrainLimit: 3 * time.Minute,
 	}
 }
 
@@ -155,7 +156,8 @@
 
 func defaultCalls() Calls {
 	return Calls{
-		// 2,000 tokens at 36 ms take 72 s.
+		// 2,000 tokens at 36 ms take 72 s. Callers can ask for less, not for
+		// more: a leaving instance must be able to wait for every call.
 		Deadline: 2 * time.Minute,
 		// Five times the aim for the first token, so that only a dead or
 		// frozen target meets it.
--- a/internal/transport/edge/completion.go
+++ b/internal/transport/edge/completion.go
@@ -117,11 +117,15 @@
 	w.end()
 }
 
-// tell writes the final answer of a call that was given up on.
+// tell writes the final answer of a call that was given up on. Refusals of
+// calls that did not run are counted and not logged: in an overload their lines
+// would cost more than the refusals.
 func (e *Edge) tell(x *exchange, req *online.Request, w *writer, result online.Result) {
-	_ = e.opts.Logger.Log("event", "call_refused", "request", req.ID, "organisation", req.Caller.Organisation,
-		"service", req.Service, "code", result.Refusal.Code, "run_state", result.Refusal.Run,
-		"target", result.Target, "attempts", result.Attempts, "begun", result.Begun)
+	if result.Refusal.Run != protocol.NotRun {
+		_ = e.opts.Logger.Log("event", "call_given_up", "request", req.ID, "organisation", req.Caller.Organisation,
+			"service", req.Service, "code", result.Refusal.Code, "run_state", result.Refusal.Run,
+			"target", result.Target, "attempts", result.Attempts, "begun", result.Begun)
+	}
 	if !result.Begun {
 		w.limit()
 		x.refuse(result.Refusal)
