--- a/internal/coordination/faulttest/world_test.go
+++ b/internal/coordination/faulttest/world_test.go
@@ -52,6 +52,7 @@
 	plans   []*plan
 	variant variant
 	opts    batch.Options
+	calls   oncecall.Options
 	// places is the number of places at targets that each instance has.
 	places int
 
@@ -203,7 +204,7 @@
 		executing = w.variant.executor(n.seen)
 	}
 	n.executor = batch.NewExecutor("", executing, n.slots, &runner{n}, w.opts, logger)
-	calls := oncecall.New("", n.seen, oncecall.Options{}, logger)
+	calls := oncecall.New("", n.seen, w.calls, logger)
 	n.caller = calls
 	if w.variant.caller != nil {
 		n.caller = w.variant.caller(calls)
