--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -143,9 +143,9 @@
 		FirstBackoff: time.Second,
 		// Longer waits would show as lateness of the whole job.
 		LongestBackoff: time.Minute,
-		// Results go at once when their chunk is whole, so this bounds only
-		// what a crash makes run again.
-		ResultFlush: time.Minute,
+		// At two items a second 360 results share an append, and a crash makes
+		// as many run again. At the end of a job whole chunks go at once.
+		ResultFlush: 3 * time.Minute,
 		// An eighth of the memory that an instance may use.
 		ResultBufferBytes: 8 << 20,
 		// A quarter of the retention time or less leaves room for an outage.
