--- a/internal/coordination/batch/carry.go
+++ b/internal/coordination/batch/carry.go
@@ -126,7 +126,7 @@
 // olderThan says whether an entry was written before a time. An entry that has
 // gone is old, and so is one that can't be read: carrying too much is harmless.
 func (c *Carrier) olderThan(ctx context.Context, at protocol.Offset, since time.Time) (bool, error) {
-	entry, err := readEntry(ctx, c.journal, at)
+	entry, err := newEntryReader(c.journal).read(ctx, at)
 	if isLost(err) {
 		return true, nil
 	}
@@ -167,7 +167,7 @@
 	if err := c.pace.Wait(ctx); err != nil {
 		return trace.Wrap(err)
 	}
-	entry, err := readEntry(ctx, c.journal, from)
+	entry, err := newEntryReader(c.journal).read(ctx, from)
 	if err != nil {
 		return err
 	}
--- a/internal/coordination/batch/claimer.go
+++ b/internal/coordination/batch/claimer.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/gravitational/trace"
-
 	"merlintiller/internal/coordination/bulk"
 	"merlintiller/internal/platform"
 	"merlintiller/internal/protocol"
@@ -18,11 +16,8 @@
 // claimer is the duty that claims chunks and loads their input.
 type claimer struct {
 	*Executor
-	pace pace
-	// last is the entry that was read last, at lastAt: the next chunk that
-	// falls to this instance is often in the same one.
-	last   bulk.Entry
-	lastAt protocol.Offset
+	pace    pace
+	entries *entryReader
 	// idleSince is since when the instance wants chunks and none falls to it.
 	idleSince time.Time
 }
@@ -94,45 +89,6 @@
 	}
 }
 
-// want is the number of chunks to take: enough to be busy while the next claim
-// is on its way, and no more, so that a job of another organisation that comes
-// meanwhile does not wait behind chunks taken early.
-func (c *claimer) want(now load, itemsASecond float64) int {
-	ahead := max(float64(c.opts.LowWater), itemsASecond*c.opts.ClaimAhead.Seconds())
-	lacking := int(ahead) - now.fresh
-	if lacking <= 0 {
-		return 0
-	}
-	chunks := (lacking + protocol.MaxChunkItems - 1) / protocol.MaxChunkItems
-	return chunks
-}
-
-// pace measures how many items an instance starts a second.
-type pace struct {
-	started int
-	at      time.Time
-	rate    float64
-}
-
-// paceWindow is the time over which the pace is averaged.
-const paceWindow = 10 * time.Second
-
-func (p *pace) update(started int, now time.Time) float64 {
-	if p.at.IsZero() {
-		p.started, p.at = started, now
-		return 0
-	}
-	elapsed := now.Sub(p.at)
-	if elapsed <= 0 {
-		return p.rate
-	}
-	latest := float64(started-p.started) / elapsed.Seconds()
-	weight := min(1, elapsed.Seconds()/paceWindow.Seconds())
-	p.rate += weight * (latest - p.rate)
-	p.started, p.at = started, now
-	return p.rate
-}
-
 // maySteal says whether to take chunks that fall to others: after a while
 // without any of its own, so that those to whom they fall have had their turn.
 func (c *claimer) maySteal(hasOwn bool) bool {
@@ -199,7 +155,7 @@
 	// before the chunk was in the work set, and the watcher did not see it.
 	defer c.reconcile()
 	for _, chunk := range missing {
-		items, err := c.load(ctx, chunk.input)
+		items, err := c.entries.items(ctx, chunk.input)
 		if err != nil && !isLost(err) {
 			_ = c.logger.Log("event", "chunk_load_failed", "job", chunk.id.Job, "chunk", chunk.id.Chunk, "err", err)
 			return
@@ -213,17 +169,6 @@
 	}
 }
 
-func (c *claimer) load(ctx context.Context, ref protocol.ChunkRef) ([]bulk.Item, error) {
-	if c.lastAt != ref.Offset || c.last.Items == nil {
-		entry, err := readEntry(ctx, c.journal, ref.Offset)
-		if err != nil {
-			return nil, trace.Wrap(err)
-		}
-		c.last, c.lastAt = entry, ref.Offset
-	}
-	return cut(c.last, ref)
-}
-
 // unloadedChunk is a held chunk whose input is not here yet.
 type unloadedChunk struct {
 	loadedChunk
--- a/internal/coordination/batch/executor.go
+++ b/internal/coordination/batch/executor.go
@@ -71,7 +71,7 @@
 // Services are the duties for the process's supervisor.
 func (e *Executor) Services() []suture.Service {
 	return []suture.Service{
-		&claimer{Executor: e},
+		&claimer{Executor: e, entries: newEntryReader(e.journal)},
 		&dispatcher{executor: e},
 		&watcher{e},
 		newFlusher(e),
--- a/internal/coordination/batch/files.go
+++ b/internal/coordination/batch/files.go
@@ -33,6 +33,10 @@
 	PurposeOutput = "batch_output"
 )
 
+// maxChunks bounds the chunks of a file, since all their offsets stand in the
+// manifest, which must fit in a log entry with others.
+const maxChunks = 20_000
+
 // UploadFile stores an input file. It is acknowledged once its last entry
 // stands in the log, and outlives the instance from then on.
 func (s *Service) UploadFile(ctx context.Context, org protocol.OrganisationID, name string, input io.Reader) (File, *protocol.Refusal) {
@@ -51,6 +55,9 @@
 			return File{}, s.refuseStorage(err, "the upload")
 		}
 		refs = append(refs, split(at, len(items))...)
+		if len(refs) > maxChunks {
+			return File{}, protocol.Refuse(protocol.CodeTooLarge, 0, "the file has more than %d chunks", maxChunks)
+		}
 	}
 	if len(refs) == 0 {
 		return File{}, badRequest("file", "the file has no items")
@@ -203,8 +210,9 @@
 	if refusal != nil {
 		return refusal, nil
 	}
+	entries := newEntryReader(s.journal)
 	for i, ref := range file.Chunks {
-		items, err := readItems(ctx, s.journal, ref)
+		items, err := entries.items(ctx, ref)
 		if err != nil && i == 0 {
 			return s.refuseStorage(err, "file "+id), nil
 		}
--- a/internal/coordination/batch/jobs.go
+++ b/internal/coordination/batch/jobs.go
@@ -51,6 +51,9 @@
 	if first, found := s.submitted(org, manifest.IdempotencyKey); found {
 		return s.sameJob(first, manifest)
 	}
+	if refusal := s.checkCount(org); refusal != nil {
+		return Job{}, refusal
+	}
 	ctx, cancel := context.WithTimeout(ctx, s.opts.SubmitTimeout)
 	defer cancel()
 	outcome := s.journal.Submit(ctx, protocol.Record{JobSubmit: manifest})
@@ -68,6 +71,18 @@
 	return Job{}, protocol.Refuse(protocol.CodeInternal, s.opts.RetryAfter, "the job was not accepted: %s", outcome.Verdict)
 }
 
+// checkCount bounds the running jobs of an organisation, which every instance
+// holds in memory. Instances that accept at the same moment may pass the bound
+// by a few.
+func (s *Service) checkCount(org protocol.OrganisationID) *protocol.Refusal {
+	count := 0
+	s.journal.View(func(state *replica.State) { count = state.Ledger.RunningOf(org) })
+	if count < s.opts.MaxJobs {
+		return nil
+	}
+	return protocol.Refuse(protocol.CodeRateLimited, s.opts.RetryAfter, "the organisation has %d jobs in progress, the most allowed", count)
+}
+
 func (s *Service) manifest(ctx context.Context, org protocol.OrganisationID, req JobRequest, key string) (*protocol.JobSubmit, *protocol.Refusal) {
 	window, refusal := s.checkRequest(req, key)
 	if refusal != nil {
@@ -92,7 +107,7 @@
 	}
 	// Retention drops the oldest entry first: if that one is there, all are. A
 	// job over lost input would be accepted only to fail.
-	if _, err := readItems(ctx, s.journal, file.Chunks[0]); err != nil {
+	if _, err := newEntryReader(s.journal).items(ctx, file.Chunks[0]); err != nil {
 		return nil, s.refuseStorage(err, "the content of file "+req.InputFile)
 	}
 	key = scopedKey(key, req.InputFile)
--- a/internal/coordination/batch/options.go
+++ b/internal/coordination/batch/options.go
@@ -20,6 +20,9 @@
 	// MaxResultBytes bounds the body of one result. Default 512 KiB. A longer
 	// one ends as a failed result, since it would not fit in a log entry.
 	MaxResultBytes int
+	// MaxJobs bounds the jobs in progress of one organisation. Default 1,000:
+	// half of all jobs foreseen in a day.
+	MaxJobs int
 	// FileKept is how long after its upload a file can be used for a job.
 	// Default 24 h. Retention must be longer by a margin, because an uploaded
 	// file is not carried forward until a job needs it.
@@ -115,6 +118,7 @@
 	orDefault(&o.MaxFileBytes, 4<<30)
 	orDefault(&o.MaxFileItems, 1_000_000)
 	orDefault(&o.MaxResultBytes, 512<<10)
+	orDefault(&o.MaxJobs, 1000)
 	orDefault(&o.FileKept, 24*time.Hour)
 	orDefault(&o.MaxWindow, 7*24*time.Hour)
 	orDefault(&o.ResultsReadable, 7*24*time.Hour)
--- a/internal/coordination/batch/results.go
+++ b/internal/coordination/batch/results.go
@@ -10,6 +10,7 @@
 
 	"github.com/gravitational/trace"
 
+	"merlintiller/internal/coordination"
 	"merlintiller/internal/coordination/bulk"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/state/ledger"
@@ -55,8 +56,9 @@
 	if refusal != nil {
 		return refusal, nil
 	}
+	reading := &resultReader{journal: s.journal, entries: newEntryReader(s.journal), status: view.Status, failed: failed}
 	for number := range view.Chunks {
-		results, err := s.chunkResults(ctx, view, ledger.ChunkID{Job: id, Chunk: number}, failed)
+		results, err := reading.chunk(ctx, ledger.ChunkID{Job: id, Chunk: number})
 		if err != nil && number == 0 {
 			return s.refuseStorage(err, "the result of job "+string(id)), nil
 		}
@@ -82,24 +84,32 @@
 	return nil
 }
 
-// chunkResults collects the results of one chunk in the order of its items.
-func (s *Service) chunkResults(ctx context.Context, view ledger.JobView, id ledger.ChunkID, failed bool) ([]bulk.Result, error) {
+// resultReader reads the good or the failed results of an ended job.
+type resultReader struct {
+	journal coordination.Journal
+	entries *entryReader
+	status  ledger.Status
+	failed  bool
+}
+
+// chunk collects the results of one chunk in the order of its items.
+func (r *resultReader) chunk(ctx context.Context, id ledger.ChunkID) ([]bulk.Result, error) {
 	var chunk ledger.ChunkView
 	var found bool
-	s.journal.View(func(state *replica.State) { chunk, found = state.Ledger.Chunk(id) })
+	r.journal.View(func(state *replica.State) { chunk, found = state.Ledger.Chunk(id) })
 	if !found {
 		return nil, trace.Wrap(fmt.Errorf("chunk %v: %w", id, protocol.ErrMalformed))
 	}
 	results := make([]*bulk.Result, chunk.Input.Items)
 	for _, segment := range chunk.Segments {
-		if err := s.fill(ctx, results, segment, id, failed); err != nil {
+		if err := r.fill(ctx, results, segment, id); err != nil {
 			return nil, err
 		}
 	}
-	if failed {
-		markMissing(results, chunk, view.Status)
+	if r.failed {
+		markMissing(results, chunk, r.status)
 	}
-	if err := s.nameLost(ctx, results, chunk); err != nil {
+	if err := r.nameLost(ctx, results, chunk); err != nil {
 		return nil, err
 	}
 	return present(results), nil
@@ -107,10 +117,10 @@
 
 // fill takes from an entry just the results that won: the entry may also hold
 // results of items that another instance reported first.
-func (s *Service) fill(ctx context.Context, results []*bulk.Result, segment ledger.Segment, id ledger.ChunkID, failed bool) error {
-	stored, err := readResults(ctx, s.journal, segment.Data, id)
+func (r *resultReader) fill(ctx context.Context, results []*bulk.Result, segment ledger.Segment, id ledger.ChunkID) error {
+	stored, err := r.entries.results(ctx, segment.Data, id)
 	if isLost(err) {
-		markLost(results, segment, failed)
+		markLost(results, segment, r.failed)
 		return nil
 	}
 	if err != nil {
@@ -121,7 +131,7 @@
 		if item < 0 || item >= len(results) || !segment.Items.Has(item) {
 			continue
 		}
-		if segment.Failed.Has(item) == failed {
+		if segment.Failed.Has(item) == r.failed {
 			results[item] = &stored[i]
 		}
 	}
@@ -160,11 +170,11 @@
 
 // nameLost finds the custom ids of the lines that stand in for a result. They
 // stay empty if the input is gone too.
-func (s *Service) nameLost(ctx context.Context, results []*bulk.Result, chunk ledger.ChunkView) error {
+func (r *resultReader) nameLost(ctx context.Context, results []*bulk.Result, chunk ledger.ChunkView) error {
 	if !slices.ContainsFunc(results, isNameless) {
 		return nil
 	}
-	items, err := readItems(ctx, s.journal, chunk.Input)
+	items, err := r.entries.items(ctx, chunk.Input)
 	if err != nil && !isLost(err) {
 		return err
 	}
--- a/internal/coordination/batch/workset.go
+++ b/internal/coordination/batch/workset.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"merlintiller/internal/coordination/bulk"
@@ -271,78 +270,3 @@
 		}
 	}
 }
-
-// ids lists the held chunks, lost ones included, in a fixed order.
-func (w *workset) ids() []ledger.ChunkID {
-	ids := make([]ledger.ChunkID, 0, len(w.chunks))
-	for id := range w.chunks {
-		ids = append(ids, id)
-	}
-	slices.SortFunc(ids, func(a, b ledger.ChunkID) int {
-		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Chunk, b.Chunk))
-	})
-	return ids
-}
-
-// load counts what is held, for planning.
-type load struct {
-	chunks int
-	byOrg  map[protocol.OrganisationID]int
-	// fresh counts waiting items that were not tried yet.
-	fresh   int
-	running int
-}
-
-func (w *workset) load() load {
-	l := load{byOrg: map[protocol.OrganisationID]int{}}
-	for _, c := range w.chunks {
-		if !c.lost {
-			l.chunks++
-			l.byOrg[c.organisation]++
-		}
-		for _, t := range c.tasks {
-			if t.state == taskWaiting && t.attempts == 0 {
-				l.fresh++
-			}
-			if t.state == taskRunning {
-				l.running++
-			}
-		}
-	}
-	return l
-}
-
-// ready lists the services that have an item to start, and when the next
-// straggler may run if none has.
-func (w *workset) ready(now time.Time, of services) (names []protocol.ServiceName, unknown []Item, next time.Time) {
-	for _, c := range w.chunks {
-		if !c.startable(now) {
-			continue
-		}
-		for _, t := range c.tasks {
-			if t.state != taskWaiting {
-				continue
-			}
-			if t.notBefore.After(now) {
-				next = earliest(next, t.notBefore)
-				continue
-			}
-			name, known := of(t.item.Model)
-			if !known {
-				unknown = append(unknown, t.item)
-				continue
-			}
-			if !slices.Contains(names, name) {
-				names = append(names, name)
-			}
-		}
-	}
-	return names, unknown, next
-}
-
-func earliest(a, b time.Time) time.Time {
-	if a.IsZero() || b.Before(a) {
-		return b
-	}
-	return a
-}
--- /dev/null
+++ b/internal/coordination/batch/writeinput.go
@@ -0,0 +1,23 @@
+package batch
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"merlintiller/internal/coordination/bulk"
+)
+
+// writeInput writes items as the lines they came in, in a canonical order of
+// fields.
+func writeInput(out io.Writer, endpoint string, items []bulk.Item) error {
+	encoder := json.NewEncoder(out)
+	encoder.SetEscapeHTML(false)
+	for _, item := range items {
+		line := InputLine{CustomID: item.CustomID, Method: http.MethodPost, URL: endpoint, Body: item.Body}
+		if err := encoder.Encode(line); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/coordination/oncecall/caller.go
+++ b/internal/coordination/oncecall/caller.go
@@ -78,6 +78,9 @@
 // joinRetry is when a caller is told to ask again for a call that runs.
 const joinRetry = time.Second
 
+// maxKey bounds an idempotency key, which every instance remembers, in bytes.
+const maxKey = 256
+
 // Caller implements online.OnceCaller.
 type Caller struct {
 	journal coordination.Journal
@@ -112,6 +115,9 @@
 // CallOnce implements online.OnceCaller. Once the call is under way it goes on
 // when the caller leaves, so that a resend finds the answer.
 func (c *Caller) CallOnce(ctx context.Context, call online.OnceCall, dispatch online.Dispatch) (online.OnceAnswer, *protocol.Refusal) {
+	if len(call.Key.Key) > maxKey {
+		return online.OnceAnswer{}, protocol.Refuse(protocol.CodeBadRequest, 0, "the idempotency key must have at most %d bytes", maxKey)
+	}
 	if known, found := c.lookup(call.Key); found {
 		return c.join(ctx, call, known)
 	}
--- a/internal/state/ledger/size_test.go
+++ b/internal/state/ledger/size_test.go
@@ -85,11 +85,12 @@
 	return int64(stats.HeapAlloc)
 }
 
-// itemState is what a plain ledger would keep of each item.
+// itemState is what a plain ledger would keep of each item: its holder, the
+// offset of its result, and whether it failed.
 type itemState struct {
-	holder protocol.SessionID
-	data   protocol.Offset
-	failed bool
+	_ protocol.SessionID
+	_ protocol.Offset
+	_ bool
 }
 
 // An instance has 64 MB for control. The ledger must stay far below it with a
--- a/internal/state/ledger/view.go
+++ b/internal/state/ledger/view.go
@@ -96,6 +96,17 @@
 // metadata: it is called often.
 func (l *Ledger) Running() []JobView { return sortedViews(l.running) }
 
+// RunningOf counts the jobs of an organisation that have not ended.
+func (l *Ledger) RunningOf(org protocol.OrganisationID) int {
+	count := 0
+	for _, j := range l.running {
+		if j.organisation == org {
+			count++
+		}
+	}
+	return count
+}
+
 // All lists every job, the oldest first, without their metadata.
 func (l *Ledger) All() []JobView { return sortedViews(l.jobs) }
 
--- a/internal/transport/batchapi/client_test.go
+++ b/internal/transport/batchapi/client_test.go
@@ -279,7 +279,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := start(t)
 		var text bytes.Buffer
-		for i := range 600 {
+		for i := range 3000 {
 			text.WriteString(lines(fmt.Sprint(i)))
 		}
 		file, err := f.upload(text.String())
