Calls that may not be repeated: 126 bytes each, and a bound on them

Change: hashes in place of strings; 126 bytes measured the same way. Beyond 200,000 remembered calls new ones are refused as not run, since forgetting one early could run it twice.

--- a/internal/coordination/faulttest/calls_test.go
+++ b/internal/coordination/faulttest/calls_test.go
@@ -189,3 +189,19 @@
 		require.Zero(t, known())
 	})
 }
+
+// More calls come than can be remembered. Forgetting one early could run it
+// twice, so that new ones are refused, truly as not run.
+func TestCallsBeyondMemoryAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorldWith(t, 1, func(w *world) { w.calls.MaxCalls = 1 })
+		runs := 0
+		_, refusal := w.nodes[0].caller.CallOnce(w.ctx, onceCall("a", 1), answering(&runs, time.Second, nil))
+		require.Nil(t, refusal)
+		_, refusal = w.nodes[0].caller.CallOnce(w.ctx, onceCall("b", 1), never(t))
+		require.Equal(t, protocol.CodeOverloaded, refusal.Code)
+		require.Equal(t, protocol.NotRun, refusal.Run)
+		_, refusal = w.nodes[0].caller.CallOnce(w.ctx, onceCall("a", 1), never(t))
+		require.Nil(t, refusal)
+	})
+}
--- a/internal/coordination/oncecall/caller.go
+++ b/internal/coordination/oncecall/caller.go
@@ -53,6 +53,10 @@
 	// Remember is how long a key is remembered. Default 24 h, less than the
 	// platform's retention, since stored answers are not carried forward.
 	Remember time.Duration
+	// MaxCalls bounds the keys that are remembered. Default 200,000, which take
+	// 25 MB. Beyond it calls are refused as not run: forgetting one early could
+	// run it twice.
+	MaxCalls int
 	// Unrecorded bounds the outcomes that wait for the log. Default 1024.
 	Unrecorded int
 }
@@ -71,6 +75,7 @@
 	orDefault(&o.JoinTimeout, 2*time.Second)
 	orDefault(&o.RetryAfter, 5*time.Second)
 	orDefault(&o.Remember, 24*time.Hour)
+	orDefault(&o.MaxCalls, 200_000)
 	orDefault(&o.Unrecorded, 1024)
 	return o
 }
@@ -121,6 +126,9 @@
 	if known, found := c.lookup(call.Key); found {
 		return c.join(ctx, call, known)
 	}
+	if c.remembered() >= c.opts.MaxCalls {
+		return online.OnceAnswer{}, protocol.Refuse(protocol.CodeOverloaded, fullRetry, "too many calls with an idempotency key are remembered")
+	}
 	id := newCallID()
 	outcome := c.reserve(ctx, call, id)
 	if outcome.Run == protocol.NotRun {
@@ -148,6 +156,15 @@
 	return online.OnceAnswer{}, protocol.Refuse(protocol.CodeInternal, 0, "the call could not be reserved: %s", outcome.Verdict)
 }
 
+// fullRetry is when a caller is told to come back while too many calls are
+// remembered: some are forgotten every minute.
+const fullRetry = time.Minute
+
+func (c *Caller) remembered() (count int) {
+	c.journal.View(func(state *replica.State) { count = state.Once.Len() })
+	return count
+}
+
 func (c *Caller) refuseLog() *protocol.Refusal {
 	return protocol.Refuse(protocol.CodePlatformDown, c.opts.RetryAfter, "the platform's log does not confirm that this call is the only one; it was not sent")
 }
@@ -194,7 +211,7 @@
 		return false
 	}
 	call, found := c.lookup(key)
-	return found && call.ID == id && call.Session == c.journal.Session()
+	return found && call.Is(id) && call.Session == c.journal.Session()
 }
 
 // detach keeps the deadline of a caller and not its leaving.
--- a/internal/state/once/once.go
+++ b/internal/state/once/once.go
@@ -4,39 +4,66 @@
 package once
 
 import (
+	"bytes"
 	"cmp"
+	"crypto/sha256"
+	"fmt"
+	"math"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/state"
 )
 
-// Call is what is known of one reserved call.
+// Call is what is known of one reserved call. It holds no strings: a day's calls
+// are remembered by every instance.
 type Call struct {
-	Key protocol.CallKey `cbor:"1,keyasint"`
-	// ID is the only dispatch.
-	ID       protocol.CallID `cbor:"2,keyasint"`
-	BodyHash uint64          `cbor:"3,keyasint"`
-	// At is the reserving instance's wall clock; replay never compares it.
-	At time.Time `cbor:"4,keyasint"`
+	// Key is the hash of the call's key.
+	Key Key `cbor:"1,keyasint"`
+	// ID is the hash of the id of the only dispatch.
+	ID       uint64 `cbor:"2,keyasint"`
+	BodyHash uint64 `cbor:"3,keyasint"`
+	// At is the reserving instance's wall clock in Unix seconds; replay never
+	// compares it.
+	At int64 `cbor:"4,keyasint"`
 	// Session is the one that reserved, and Reserved where its record stands.
 	Session  protocol.SessionID `cbor:"5,keyasint"`
 	Reserved protocol.Offset    `cbor:"6,keyasint"`
+	Data     protocol.Offset    `cbor:"7,keyasint"`
 	// Settled says that Status and Data are known. Status 0 then means that
 	// the outcome will never be known.
-	Settled bool            `cbor:"7,keyasint,omitempty"`
-	Status  int             `cbor:"8,keyasint,omitempty"`
-	Data    protocol.Offset `cbor:"9,keyasint"`
+	Status  uint16 `cbor:"8,keyasint,omitempty"`
+	Settled bool   `cbor:"9,keyasint,omitempty"`
+}
+
+// Is reports whether the call is reserved for a dispatch.
+func (c *Call) Is(id protocol.CallID) bool { return c.ID == hashID(id) }
+
+// Key is a hash of a call's key: 128 bits of SHA-256, so that nobody can choose
+// two keys that meet.
+type Key [16]byte
+
+func hashKey(key protocol.CallKey) (short Key) {
+	// The length keeps organisation and key apart.
+	text := fmt.Sprintf("%d/%s/%s", len(key.Organisation), key.Organisation, key.Key)
+	long := sha256.Sum256([]byte(text))
+	copy(short[:], long[:])
+	return short
 }
 
+// hashID shortens the random id of a dispatch.
+func hashID(id protocol.CallID) uint64 { return xxhash.Sum64String(string(id)) }
+
 // Table is the replayed state. It is not safe for concurrent use.
 type Table struct {
-	calls map[protocol.CallKey]Call
+	calls map[Key]Call
 }
 
 // New returns the empty state.
-func New() *Table { return &Table{calls: map[protocol.CallKey]Call{}} }
+func New() *Table { return &Table{calls: map[Key]Call{}} }
 
 // Apply implements state.Machine.
 func (t *Table) Apply(at protocol.Offset, rec *protocol.Record, sessions state.Sessions) protocol.Verdict {
@@ -57,14 +84,15 @@
 	if body.Call.Key == "" || body.Call.Organisation == "" || body.ID == "" {
 		return protocol.Malformed
 	}
-	if _, taken := t.calls[body.Call]; taken {
+	key := hashKey(body.Call)
+	if _, taken := t.calls[key]; taken {
 		return protocol.AlreadyHeld
 	}
-	t.calls[body.Call] = Call{
-		Key:      body.Call,
-		ID:       body.ID,
+	t.calls[key] = Call{
+		Key:      key,
+		ID:       hashID(body.ID),
 		BodyHash: body.BodyHash,
-		At:       body.At,
+		At:       body.At.Unix(),
 		Session:  by,
 		Reserved: at,
 		Data:     protocol.NoOffset,
@@ -76,14 +104,17 @@
 // may write it: an instance that was paused past its lease still knows what
 // the target answered.
 func (t *Table) settle(body *protocol.CallOutcome) protocol.Verdict {
+	if body.Status < 0 || body.Status > math.MaxUint16 {
+		return protocol.Malformed
+	}
 	call, verdict := t.unsettled(body.Call, body.ID)
 	if verdict != protocol.Accepted {
 		return verdict
 	}
 	call.Settled = true
-	call.Status = body.Status
+	call.Status = uint16(body.Status)
 	call.Data = body.Data
-	t.calls[body.Call] = call
+	t.calls[call.Key] = call
 	return protocol.Accepted
 }
 
@@ -94,16 +125,16 @@
 	if _, verdict := t.unsettled(body.Call, body.ID); verdict != protocol.Accepted {
 		return verdict
 	}
-	delete(t.calls, body.Call)
+	delete(t.calls, hashKey(body.Call))
 	return protocol.Accepted
 }
 
 func (t *Table) unsettled(key protocol.CallKey, id protocol.CallID) (Call, protocol.Verdict) {
-	call, ok := t.calls[key]
+	call, ok := t.calls[hashKey(key)]
 	if !ok {
 		return Call{}, protocol.UnknownSubject
 	}
-	if call.ID != id {
+	if !call.Is(id) {
 		return Call{}, protocol.NotHolder
 	}
 	if call.Settled {
@@ -135,7 +166,7 @@
 
 // Call returns the reservation of a key.
 func (t *Table) Call(key protocol.CallKey) (Call, bool) {
-	call, ok := t.calls[key]
+	call, ok := t.calls[hashKey(key)]
 	return call, ok
 }
 
@@ -147,7 +178,7 @@
 func (t *Table) LastBefore(limit time.Time) protocol.Offset {
 	last := protocol.NoOffset
 	for _, call := range t.calls {
-		if call.At.Before(limit) {
+		if call.At < limit.Unix() {
 			last = max(last, call.Reserved)
 		}
 	}
@@ -169,8 +200,7 @@
 	slices.SortFunc(s.Calls, func(a, b Call) int {
 		return cmp.Or(
 			cmp.Compare(a.Reserved, b.Reserved),
-			cmp.Compare(a.Key.Organisation, b.Key.Organisation),
-			cmp.Compare(a.Key.Key, b.Key.Key),
+			bytes.Compare(a.Key[:], b.Key[:]),
 		)
 	})
 	return s
