Batch: small jobs spread over all instances, organisations share places at once

Cause: a job of 500 items made two chunks, so that two instances, each with the targets it feeds, ran it while the others were idle. A small job of another organisation waited until a long chunk was done. Change: chunks of 16 to 256 items, four for each open session; an instance takes a chunk of an organisation that has nothing there at once, and shares its places between organisations by weight.

--- a/internal/coordination/batch/claimer.go
+++ b/internal/coordination/batch/claimer.go
@@ -64,18 +64,19 @@
 		now = w.load()
 		started = c.started
 	})
-	room := c.opts.MaxHeldChunks - now.chunks
+	room := c.opts.MaxHeldChunks*protocol.MaxChunkItems - now.items
 	if room <= 0 {
 		return
 	}
-	// With enough work at hand, only a job that is short of time is a reason
-	// to take more: its items go ahead of the others here.
+	// With enough work at hand, only a job that is short of time or of an
+	// organisation that has nothing here is a reason to take more: its items go
+	// ahead of the others.
 	want := c.want(now, c.pace.update(started, time.Now()))
-	urgentOnly := want <= 0
-	free := min(max(want, 1), room)
-	plans := c.plan(now, free, urgentOnly, false)
+	needyOnly := want <= 0
+	want = min(max(want, 1), room)
+	plans := c.plan(now, want, needyOnly, false)
 	if c.maySteal(len(plans) > 0) {
-		plans = c.plan(now, free, urgentOnly, true)
+		plans = c.plan(now, want, needyOnly, true)
 	}
 	for _, plan := range plans {
 		body := &protocol.ChunkClaim{Job: plan.Job, Chunks: plan.Chunks}
@@ -106,20 +107,20 @@
 // stealStagger spreads the instances that steal over so many plans.
 const stealStagger = 4
 
-func (c *claimer) plan(now load, free int, urgentOnly, steal bool) []ClaimPlan {
+func (c *claimer) plan(now load, want int, needyOnly, steal bool) []ClaimPlan {
 	session := c.journal.Session()
 	fleet := c.journal.Fleet()
 	var plans []ClaimPlan
 	c.journal.View(func(state *replica.State) {
 		open := openIDs(state)
 		in := PlanInput{
-			Now:        time.Now(),
-			HeldBy:     now.byOrg,
-			Free:       free,
-			UrgentOnly: urgentOnly,
-			Steal:      steal,
-			Instances:  len(open),
-			Index:      max(0, slices.Index(open, session)),
+			Now:       time.Now(),
+			HeldBy:    now.byOrg,
+			Want:      want,
+			NeedyOnly: needyOnly,
+			Steal:     steal,
+			Instances: len(open),
+			Index:     max(0, slices.Index(open, session)),
 			Claimable: func(job protocol.JobID, from, count, limit int) []int {
 				return state.Ledger.Claimable(job, state.Sessions, from, count, limit)
 			},
@@ -134,6 +135,7 @@
 				Weight:       fleet.Organisations[job.Organisation].Weight,
 				Deadline:     job.Deadline,
 				Remaining:    job.Total - job.Completed - job.Failed,
+				Items:        job.Total,
 				Chunks:       job.Chunks,
 			})
 		}
--- a/internal/coordination/batch/executor.go
+++ b/internal/coordination/batch/executor.go
@@ -63,8 +63,10 @@
 		planner:  Planner{UrgentLaxity: opts.UrgentLaxity, ItemTime: opts.ItemTime},
 		results:  ring.New[finished](name, opts.MaxInFlight),
 		flushNow: make(chan chan struct{}),
-		work:     newWorkset(opts.UrgentLaxity),
-		changed:  make(chan struct{}),
+		work: newWorkset(opts.UrgentLaxity, func(org protocol.OrganisationID) float64 {
+			return weightOf(journal.Fleet().Organisations[org].Weight)
+		}),
+		changed: make(chan struct{}),
 	}
 }
 
--- a/internal/coordination/batch/files.go
+++ b/internal/coordination/batch/files.go
@@ -14,6 +14,7 @@
 
 	"merlintiller/internal/coordination/bulk"
 	"merlintiller/internal/protocol"
+	"merlintiller/internal/state/replica"
 )
 
 // File is a file as callers see it.
@@ -41,7 +42,7 @@
 // stands in the log, and outlives the instance from then on.
 func (s *Service) UploadFile(ctx context.Context, org protocol.OrganisationID, name string, input io.Reader) (File, *protocol.Refusal) {
 	chunks := newChunker(s.opts, input)
-	var refs []protocol.ChunkRef
+	var entries []protocol.ChunkRef
 	for {
 		items, err := chunks.next()
 		if err != nil {
@@ -54,14 +55,15 @@
 		if err != nil {
 			return File{}, s.refuseStorage(err, "the upload")
 		}
-		refs = append(refs, split(at, len(items))...)
-		if len(refs) > maxChunks {
-			return File{}, protocol.Refuse(protocol.CodeTooLarge, 0, "the file has more than %d chunks", maxChunks)
-		}
+		entries = append(entries, protocol.ChunkRef{Offset: at, Items: len(items)})
 	}
-	if len(refs) == 0 {
+	if len(entries) == 0 {
 		return File{}, badRequest("file", "the file has no items")
 	}
+	refs := split(entries, s.chunkItems(chunks.items))
+	if len(refs) > maxChunks {
+		return File{}, protocol.Refuse(protocol.CodeTooLarge, 0, "the file has more than %d chunks", maxChunks)
+	}
 	return s.describe(ctx, bulk.File{
 		Organisation: org,
 		Name:         name,
@@ -75,11 +77,29 @@
 	})
 }
 
-// split cuts the items of an entry into chunks.
-func split(at protocol.Offset, items int) (refs []protocol.ChunkRef) {
-	for first := 0; first < items; first += protocol.MaxChunkItems {
-		count := min(protocol.MaxChunkItems, items-first)
-		refs = append(refs, protocol.ChunkRef{Offset: at, Items: count, First: first})
+// Bounds of the size of chunks. Smaller ones spread a small job over all
+// instances, each of which reaches only the targets it feeds; larger ones cost
+// fewer appends.
+const (
+	minChunkItems     = 16
+	chunksPerInstance = 4
+)
+
+// chunkItems chooses the size of the chunks of a file.
+func (s *Service) chunkItems(items int) int {
+	instances := 0
+	s.journal.View(func(state *replica.State) { instances = len(openIDs(state)) })
+	size := ceilDivide(items, max(1, instances)*chunksPerInstance)
+	return min(max(size, minChunkItems), protocol.MaxChunkItems)
+}
+
+// split cuts the items of entries into chunks.
+func split(entries []protocol.ChunkRef, size int) (refs []protocol.ChunkRef) {
+	for _, entry := range entries {
+		for first := 0; first < entry.Items; first += size {
+			count := min(size, entry.Items-first)
+			refs = append(refs, protocol.ChunkRef{Offset: entry.Offset, Items: count, First: first})
+		}
 	}
 	return refs
 }
--- a/internal/coordination/batch/options.go
+++ b/internal/coordination/batch/options.go
@@ -41,8 +41,9 @@
 	// RetryAfter is what callers are told when the log is down. Default 5 s.
 	RetryAfter time.Duration
 
-	// MaxHeldChunks bounds the chunks an instance holds. Default 8: two
-	// thousand items keep an instance busy while a claim is on its way.
+	// MaxHeldChunks bounds the work an instance holds, in full chunks of 256
+	// items. Default 8: two thousand items keep an instance busy while a claim
+	// is on its way.
 	MaxHeldChunks int
 	// MaxInFlight bounds the items an instance runs at a time. Default 256.
 	MaxInFlight int
--- a/internal/coordination/batch/pace.go
+++ b/internal/coordination/batch/pace.go
@@ -1,22 +1,13 @@
 package batch
 
-import (
-	"time"
+import "time"
 
-	"merlintiller/internal/protocol"
-)
-
-// want is the number of chunks to take: enough to be busy while the next claim
+// want is the number of items to take: enough to be busy while the next claim
 // is on its way, and no more, so that a job of another organisation that comes
 // meanwhile does not wait behind chunks taken early.
 func (c *claimer) want(now load, itemsASecond float64) int {
 	ahead := max(float64(c.opts.LowWater), itemsASecond*c.opts.ClaimAhead.Seconds())
-	lacking := int(ahead) - now.fresh
-	if lacking <= 0 {
-		return 0
-	}
-	chunks := (lacking + protocol.MaxChunkItems - 1) / protocol.MaxChunkItems
-	return chunks
+	return int(ahead) - now.fresh
 }
 
 // pace measures how many items an instance starts a second.
--- a/internal/coordination/batch/planner.go
+++ b/internal/coordination/batch/planner.go
@@ -18,20 +18,28 @@
 	// Weight is the organisation's fair share; 0 means 1.
 	Weight   float64
 	Deadline time.Time
-	// Remaining counts the items without a result, Chunks all chunks.
-	Remaining, Chunks int
+	// Remaining counts the items without a result, Items all, and Chunks the
+	// chunks they stand in.
+	Remaining, Items, Chunks int
+}
+
+// chunkItems is the usual number of items of a chunk.
+func (c *Candidate) chunkItems() int {
+	return max(1, ceilDivide(c.Items, max(1, c.Chunks)))
 }
 
 // PlanInput is what a plan depends on.
 type PlanInput struct {
 	Now  time.Time
 	Jobs []Candidate
-	// HeldBy counts the chunks that this instance holds of each organisation.
+	// HeldBy counts the items that this instance holds of each organisation.
 	HeldBy map[protocol.OrganisationID]int
-	// Free is the number of chunks that this instance may still take.
-	Free int
-	// UrgentOnly leaves out jobs that have time to spare.
-	UrgentOnly bool
+	// Want is the number of items that this instance is to take, rounded up to
+	// whole chunks.
+	Want int
+	// NeedyOnly leaves out jobs that have time to spare and whose organisation
+	// holds something here: there is enough work at hand without them.
+	NeedyOnly bool
 	// Instances counts the open sessions, and Index is the place of the own one
 	// among them.
 	Instances, Index int
@@ -65,8 +73,8 @@
 // lanesPerChunk is the number of items of a chunk assumed to run at a time.
 const lanesPerChunk = 8
 
-// Plan chooses claims until no more chunks are free. Jobs short of time come
-// first; otherwise the organisation with the fewest chunks for its weight is
+// Plan chooses claims until there is enough. Jobs short of time come
+// first; otherwise the organisation with the fewest items for its weight is
 // served, so that one that sends many jobs does not displace the rest. Within
 // an organisation the job with the least spare time goes first.
 func (p Planner) Plan(in PlanInput) []ClaimPlan {
@@ -76,19 +84,20 @@
 		held[org] = float64(count)
 	}
 	var plans []ClaimPlan
-	free := in.Free
-	for free > 0 && len(jobs) > 0 {
+	want := in.Want
+	for want > 0 && len(jobs) > 0 {
 		next := pickJob(jobs, held)
 		job := jobs[next]
 		from, count := in.span(job)
-		chunks := in.Claimable(job.Job, from, count, in.share(job, free))
+		chunks := in.Claimable(job.Job, from, count, in.share(job, want))
 		jobs = slices.Delete(jobs, next, next+1)
 		if len(chunks) == 0 {
 			continue
 		}
 		plans = append(plans, ClaimPlan{Job: job.Job, Chunks: chunks})
-		held[job.Organisation] += float64(len(chunks)) / weightOf(job)
-		free -= len(chunks)
+		items := len(chunks) * job.chunkItems()
+		held[job.Organisation] += float64(items) / weightOf(job.Weight)
+		want -= items
 	}
 	return plans
 }
@@ -105,7 +114,7 @@
 		c := &in.Jobs[i]
 		laxity := p.laxity(c, in)
 		urgent := laxity < p.UrgentLaxity
-		if urgent || !in.UrgentOnly {
+		if urgent || !in.NeedyOnly || in.HeldBy[c.Organisation] == 0 {
 			jobs = append(jobs, rankedJob{Candidate: c, laxity: laxity, urgent: urgent})
 		}
 	}
@@ -133,11 +142,12 @@
 	return best
 }
 
-func weightOf(job rankedJob) float64 {
-	if job.Weight <= 0 {
+// weightOf is the fair share that a configured weight stands for.
+func weightOf(configured float64) float64 {
+	if configured <= 0 {
 		return 1
 	}
-	return job.Weight
+	return configured
 }
 
 // span is the range of chunks of a job that this instance looks at. Each chunk
@@ -157,10 +167,11 @@
 
 func ceilDivide(a, b int) int { return (a + b - 1) / b }
 
-// share bounds one claim. Towards the end of a job claims shrink, so that the
-// last chunks do not all wait behind each other at one instance.
-func (in *PlanInput) share(job rankedJob, free int) int {
-	left := ceilDivide(job.Remaining, protocol.MaxChunkItems)
-	fair := left / (2 * max(1, in.Instances))
-	return max(1, min(free, fair))
+// share bounds one claim, in chunks: to what is wanted, and to an equal part of
+// what is left of the job. Towards its end claims shrink, so that the last
+// chunks do not all wait behind each other at one instance.
+func (in *PlanInput) share(job rankedJob, want int) int {
+	left := ceilDivide(job.Remaining, job.chunkItems())
+	equal := ceilDivide(left, max(1, in.Instances))
+	return max(1, min(ceilDivide(want, job.chunkItems()), equal))
 }
--- a/internal/coordination/batch/workset.go
+++ b/internal/coordination/batch/workset.go
@@ -67,10 +67,12 @@
 	claims int
 	// urgent is how long before its deadline a chunk goes ahead of others.
 	urgent time.Duration
+	// weight is the fair share of an organisation, above 0.
+	weight func(protocol.OrganisationID) float64
 }
 
-func newWorkset(urgent time.Duration) *workset {
-	return &workset{chunks: map[ledger.ChunkID]*heldChunk{}, urgent: urgent}
+func newWorkset(urgent time.Duration, weight func(protocol.OrganisationID) float64) *workset {
+	return &workset{chunks: map[ledger.ChunkID]*heldChunk{}, urgent: urgent, weight: weight}
 }
 
 // loadedChunk is a claimed chunk with its input.
@@ -124,6 +126,7 @@
 func (w *workset) start(service protocol.ServiceName, now time.Time, of services, stop context.CancelCauseFunc) (Item, bool) {
 	var best *task
 	var bestChunk *heldChunk
+	order := w.ordering(now)
 	for _, c := range w.chunks {
 		if !c.startable(now) {
 			continue
@@ -135,7 +138,7 @@
 			if name, known := of(t.item.Model); !known || name != service {
 				continue
 			}
-			if best == nil || w.compareTasks(t, c, best, bestChunk, now) < 0 {
+			if best == nil || order.compare(t, c, best, bestChunk) < 0 {
 				best, bestChunk = t, c
 			}
 		}
@@ -149,15 +152,36 @@
 	return best.item, true
 }
 
-// compareTasks orders items: stragglers behind the rest, then chunks whose
-// deadline is near, then chunk by chunk in the order of their claims, which the
-// planner chose; in a chunk those with partial output go first. Ordering by
-// deadline alone would let every newly claimed chunk of an early job overtake
-// a chunk of a later one, for ever.
-func (w *workset) compareTasks(a *task, ac *heldChunk, b *task, bc *heldChunk, now time.Time) int {
+// ordering is the order of items at one moment.
+type ordering struct {
+	work *workset
+	now  time.Time
+	// running counts the items in flight of each organisation by its weight.
+	running map[protocol.OrganisationID]float64
+}
+
+func (w *workset) ordering(now time.Time) ordering {
+	running := map[protocol.OrganisationID]float64{}
+	for _, c := range w.chunks {
+		for _, t := range c.tasks {
+			if t.state == taskRunning {
+				running[c.organisation] += 1 / w.weight(c.organisation)
+			}
+		}
+	}
+	return ordering{work: w, now: now, running: running}
+}
+
+// compare orders items: stragglers behind the rest, then chunks whose deadline
+// is near, then the organisation with the fewest items in flight for its weight,
+// then chunk by chunk in the order of their claims; in a chunk those with partial
+// output go first. Ordering by deadline alone would let every newly claimed
+// chunk of an early job overtake a chunk of a later one, for ever.
+func (o *ordering) compare(a *task, ac *heldChunk, b *task, bc *heldChunk) int {
 	return cmp.Or(
 		cmp.Compare(a.attempts, b.attempts),
-		-cmp.Compare(w.urgency(ac, now), w.urgency(bc, now)),
+		-cmp.Compare(o.work.urgency(ac, o.now), o.work.urgency(bc, o.now)),
+		cmp.Compare(o.running[ac.organisation], o.running[bc.organisation]),
 		cmp.Compare(ac.order, bc.order),
 		-cmp.Compare(resumable(a), resumable(b)),
 		cmp.Compare(a.item.Number, b.item.Number),
--- a/internal/coordination/batch/worksetload.go
+++ b/internal/coordination/batch/worksetload.go
@@ -24,7 +24,9 @@
 // load counts what is held, for planning.
 type load struct {
 	chunks int
-	byOrg  map[protocol.OrganisationID]int
+	// items counts those without a result on its way; byOrg by organisation.
+	items int
+	byOrg map[protocol.OrganisationID]int
 	// fresh counts waiting items that were not tried yet.
 	fresh   int
 	running int
@@ -35,9 +37,12 @@
 	for _, c := range w.chunks {
 		if !c.lost {
 			l.chunks++
-			l.byOrg[c.organisation]++
 		}
 		for _, t := range c.tasks {
+			if t.state != taskReported && !c.lost {
+				l.items++
+				l.byOrg[c.organisation]++
+			}
 			if t.state == taskWaiting && t.attempts == 0 {
 				l.fresh++
 			}
