--- a/internal/coordination/faulttest/measure_test.go
+++ b/internal/coordination/faulttest/measure_test.go
@@ -1,6 +1,7 @@
 package faulttest
 
 import (
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -148,3 +149,24 @@
 	})
 	return all
 }
+
+// A job should take little longer than on one instance that has all places at
+// once. What it takes beyond that is places that stood idle: before the first
+// claims, and at the end, when some instances have nothing left.
+func TestMeasureJobAgainstOracle(t *testing.T) {
+	const instances, itemTime = 12, 5 * time.Second
+	for _, jobItems := range []int{500, 4_000, 20_480} {
+		synctest.Test(t, func(t *testing.T) {
+			w, c, job := submitted(t, instances, jobItems, "24h", func(w *world) {
+				w.opts = batch.Options{}
+				w.targets.itemTime = itemTime
+			})
+			began := time.Now()
+			w.requireEnd(c, job.ID, 4*time.Hour, jobItems)
+			took := time.Since(began).Seconds()
+			rounds := math.Ceil(float64(jobItems) / float64(instances*w.places))
+			oracle := rounds * itemTime.Seconds()
+			t.Logf("measure name=batch.job_of_oracle unit=ratio now=%.2f items=%d took_s=%.1f oracle_s=%.1f", oracle/took, jobItems, took, oracle)
+		})
+	}
+}
