--- a/internal/ctl/configview.go
+++ b/internal/ctl/configview.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 
 	"go.yaml.in/yaml/v3"
@@ -89,27 +90,29 @@
 	}
 }
 
-// folderForm is the configuration in the form of a folder's files, so that
-// what is shown can be kept as a file.
+// folderForm is the configuration in the form of a folder's file.
 type folderForm struct {
-	Domains       []protocol.DomainShare  `yaml:"domains"`
-	Services      []protocol.Service      `yaml:"services"`
-	Models        []protocol.Model        `yaml:"models"`
-	Organisations []protocol.Organisation `yaml:"organisations"`
-	Keys          []protocol.Key          `yaml:"keys"`
+	Domains       []protocol.DomainShare  `yaml:"domains,omitempty"`
+	Services      []protocol.Service      `yaml:"services,omitempty"`
+	Models        []protocol.Model        `yaml:"models,omitempty"`
+	Organisations []protocol.Organisation `yaml:"organisations,omitempty"`
+	Keys          []protocol.Key          `yaml:"keys,omitempty"`
 }
 
-// fleetView gives the configuration with times in their usual form ("2s"),
-// which encoding/json would show as nanoseconds.
-func fleetView(answer operatorapi.FleetAnswer) (map[string]any, error) {
-	fleet := answer.Fleet
-	encoded, err := yaml.Marshal(folderForm{
+func formOf(fleet *protocol.Fleet) folderForm {
+	return folderForm{
 		Domains:       values(fleet.Domains),
 		Services:      values(fleet.Services),
 		Models:        values(fleet.Models),
 		Organisations: values(fleet.Organisations),
 		Keys:          values(fleet.Keys),
-	})
+	}
+}
+
+// fleetView gives the configuration with times in their usual form ("2s"),
+// which encoding/json would show as nanoseconds.
+func fleetView(answer operatorapi.FleetAnswer) (map[string]any, error) {
+	encoded, err := yaml.Marshal(formOf(answer.Fleet))
 	if err != nil {
 		return nil, err
 	}
@@ -117,7 +120,7 @@
 	if err := yaml.Unmarshal(encoded, &view); err != nil {
 		return nil, err
 	}
-	view["version"] = json.Number(fmt.Sprint(int64(fleet.Version)))
+	view["version"] = json.Number(fmt.Sprint(int64(answer.Fleet.Version)))
 	view["instance"] = answer.Instance
 	view["log_up"] = answer.LogUp
 	return view, nil
@@ -150,13 +153,8 @@
 
 // values gives the objects of a map in the order of their ids.
 func values[K cmp.Ordered, T any](objects map[K]T) []T {
-	ids := make([]K, 0, len(objects))
-	for id := range objects {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	out := make([]T, 0, len(ids))
-	for _, id := range ids {
+	out := make([]T, 0, len(objects))
+	for _, id := range slices.Sorted(maps.Keys(objects)) {
 		out = append(out, objects[id])
 	}
 	return out
