--- a/internal/coordination/batch/options.go
+++ b/internal/coordination/batch/options.go
@@ -20,6 +20,9 @@
 	// MaxResultBytes bounds the body of one result. Default 512 KiB. A longer
 	// one ends as a failed result, since it would not fit in a log entry.
 	MaxResultBytes int
+	// MaxJobs bounds the jobs in progress of one organisation. Default 1,000:
+	// half of all jobs foreseen in a day.
+	MaxJobs int
 	// FileKept is how long after its upload a file can be used for a job.
 	// Default 24 h. Retention must be longer by a margin, because an uploaded
 	// file is not carried forward until a job needs it.
@@ -38,14 +41,12 @@
 	// RetryAfter is what callers are told when the log is down. Default 5 s.
 	RetryAfter time.Duration
 
-	// MaxHeldChunks bounds the chunks an instance holds. Default 8: two
-	// thousand items keep an instance busy while a claim is on its way.
+	// MaxHeldChunks bounds the work an instance holds, in full chunks of 256
+	// items. Default 8: two thousand items keep an instance busy while a claim
+	// is on its way.
 	MaxHeldChunks int
 	// MaxInFlight bounds the items an instance runs at a time. Default 256.
 	MaxInFlight int
-	// LowWater is the number of waiting items below which an instance claims
-	// more. Default 64.
-	LowWater int
 	// ClaimAhead is the time for which an instance claims work ahead at the
 	// pace at which it starts items. Default 10 s: several times what a claim
 	// takes, also with the log slow. More would save appends and make other
@@ -115,6 +116,7 @@
 	orDefault(&o.MaxFileBytes, 4<<30)
 	orDefault(&o.MaxFileItems, 1_000_000)
 	orDefault(&o.MaxResultBytes, 512<<10)
+	orDefault(&o.MaxJobs, 1000)
 	orDefault(&o.FileKept, 24*time.Hour)
 	orDefault(&o.MaxWindow, 7*24*time.Hour)
 	orDefault(&o.ResultsReadable, 7*24*time.Hour)
@@ -125,7 +127,6 @@
 	orDefault(&o.StealAfter, time.Second)
 	orDefault(&o.GiveBackAfter, 5*time.Second)
 	orDefault(&o.MaxInFlight, 256)
-	orDefault(&o.LowWater, 64)
 	orDefault(&o.ClaimAhead, 10*time.Second)
 	orDefault(&o.PlanEvery, 500*time.Millisecond)
 	orDefault(&o.UrgentLaxity, 10*time.Minute)
