--- a/internal/coordination/faulttest/measure_test.go
+++ b/internal/coordination/faulttest/measure_test.go
@@ -1,6 +1,7 @@
 package faulttest
 
 import (
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -40,7 +41,7 @@
 		}
 	}
 	for _, entry := range w.entries(protocol.ControlStream) {
-		if pointOfAppend(protocol.ControlStream, entry) != "" {
+		if len(pointsOfAppend(protocol.ControlStream, entry)) > 0 {
 			c.appends++
 			c.itemSteps += itemsOfFrame(w.t, entry)
 		}
@@ -148,3 +149,37 @@
 	})
 	return all
 }
+
+// A job should take little longer than on one instance that has all places at
+// once. What it takes beyond that is places that stood idle: before the first
+// claims, and at the end, when some instances have nothing left. Targets fall to
+// instances by hash, so that some feed none and others several.
+func TestMeasureJobAgainstOracle(t *testing.T) {
+	for name, places := range map[string][]int{
+		"even":   {16, 16, 16, 16, 16, 16, 16, 16, 16, 16, 16, 16},
+		"uneven": {0, 16, 16, 32, 0, 16, 48, 0, 16, 16, 0, 32},
+	} {
+		for _, jobItems := range []int{500, 4_000} {
+			synctest.Test(t, func(t *testing.T) { measureAgainstOracle(t, name, places, jobItems) })
+		}
+	}
+}
+
+func measureAgainstOracle(t *testing.T, name string, places []int, jobItems int) {
+	const itemTime = 5 * time.Second
+	w, c, job := submitted(t, len(places), jobItems, "24h", func(w *world) {
+		w.opts = batch.Options{}
+		w.targets.itemTime = itemTime
+		w.uneven = places
+	})
+	began := time.Now()
+	w.requireEnd(c, job.ID, 4*time.Hour, jobItems)
+	took := time.Since(began).Seconds()
+	total := 0
+	for _, count := range places {
+		total += count
+	}
+	oracle := math.Ceil(float64(jobItems)/float64(total)) * itemTime.Seconds()
+	t.Logf("measure name=batch.job_of_oracle unit=ratio now=%.2f places=%s items=%d took_s=%.1f oracle_s=%.1f",
+		oracle/took, name, jobItems, took, oracle)
+}
--- a/internal/coordination/journal/data.go
+++ b/internal/coordination/journal/data.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/gravitational/trace"
 
@@ -28,12 +29,18 @@
 func (j *Journal) appendRetrying(ctx context.Context, stream string, payload []byte) (protocol.Offset, error) {
 	wait := newBackoff(j.timings.BackoffBase, j.timings.BackoffMax, j.opts.Seed, dataDuty)
 	for {
+		j.awaitPlace(ctx)
 		appendCtx, cancel := context.WithTimeout(ctx, j.timings.AppendTimeout)
 		offset, err := j.log.Append(appendCtx, stream, payload)
 		cancel()
 		if err == nil {
+			j.pacer.succeeded(time.Now())
 			return offset, nil
 		}
+		if errors.Is(err, platform.ErrThrottled) {
+			counters.Add(countThrottled, 1)
+			j.pacer.throttled(time.Now())
+		}
 		if errors.Is(err, platform.ErrEntryTooLarge) || ctx.Err() != nil {
 			return protocol.NoOffset, trace.Wrap(err)
 		}
@@ -41,6 +48,23 @@
 	}
 }
 
+// awaitPlace waits for the pacer, one after the other.
+func (j *Journal) awaitPlace(ctx context.Context) {
+	select {
+	case j.pacing <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	defer func() { <-j.pacing }()
+	for ctx.Err() == nil {
+		wait := j.pacer.take(time.Now())
+		if wait == 0 {
+			return
+		}
+		pause(ctx, wait, nil)
+	}
+}
+
 // ReadData implements coordination.Journal.
 func (j *Journal) ReadData(ctx context.Context, at protocol.Offset) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, j.timings.ReadTimeout)
