--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -110,8 +110,9 @@
 		Snapshot: 10 * time.Minute,
 		// The balancer and the list notice within this.
 		DrainNotice: 3 * time.Second,
-		// Longer than any online deadline.
-		DrainLimit: 90 * time.Second,
+		// The notice and the longest call, and time for batch work and the
+		// session after them.
+		DrainLimit: 3 * time.Minute,
 	}
 }
 
@@ -143,9 +144,9 @@
 		FirstBackoff: time.Second,
 		// Longer waits would show as lateness of the whole job.
 		LongestBackoff: time.Minute,
-		// Results go at once when their chunk is whole, so this bounds only
-		// what a crash makes run again.
-		ResultFlush: time.Minute,
+		// At two items a second 360 results share an append, and a crash makes
+		// as many run again. At the end of a job whole chunks go at once.
+		ResultFlush: 3 * time.Minute,
 		// An eighth of the memory that an instance may use.
 		ResultBufferBytes: 8 << 20,
 		// A quarter of the retention time or less leaves room for an outage.
@@ -155,7 +156,8 @@
 
 func defaultCalls() Calls {
 	return Calls{
-		// 2,000 tokens at 36 ms take 72 s.
+		// 2,000 tokens at 36 ms take 72 s. Callers can ask for less, not for
+		// more: a leaving instance must be able to wait for every call.
 		Deadline: 2 * time.Minute,
 		// Five times the aim for the first token, so that only a dead or
 		// frozen target meets it.
@@ -182,11 +184,12 @@
 		SpillAt: 1,
 		// Two full domains would otherwise trade calls.
 		SpillGain: 0.25,
-		// With a report every second and streams of seconds, older news says
-		// little of one target.
-		ReportHalfLife: 2 * time.Second,
-		// Off until a measurement shows a gain.
-		AffinityLoad: 0,
+		// Reports are 1 to 2 s old when they are used. All instances that
+		// trusted them would turn to the same targets.
+		ReportHalfLife: 300 * time.Millisecond,
+		// Twice as many prompts found their prefix cached; beyond it the
+		// tail grew.
+		AffinityLoad: 0.5,
 		// One failure may be the call's own.
 		FailuresToEject: 3,
 		// A restarting target is back after some seconds.
