--- a/internal/coordination/batch/claimer.go
+++ b/internal/coordination/batch/claimer.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/gravitational/trace"
-
 	"merlintiller/internal/coordination/bulk"
 	"merlintiller/internal/platform"
 	"merlintiller/internal/protocol"
@@ -18,11 +16,8 @@
 // claimer is the duty that claims chunks and loads their input.
 type claimer struct {
 	*Executor
-	pace pace
-	// last is the entry that was read last, at lastAt: the next chunk that
-	// falls to this instance is often in the same one.
-	last   bulk.Entry
-	lastAt protocol.Offset
+	pace    pace
+	entries *entryReader
 	// idleSince is since when the instance wants chunks and none falls to it.
 	idleSince time.Time
 }
@@ -69,18 +64,19 @@
 		now = w.load()
 		started = c.started
 	})
-	room := c.opts.MaxHeldChunks - now.chunks
+	room := c.opts.MaxHeldChunks*protocol.MaxChunkItems - now.items
 	if room <= 0 {
 		return
 	}
-	// With enough work at hand, only a job that is short of time is a reason
-	// to take more: its items go ahead of the others here.
+	// With enough work at hand, only a job that is short of time or of an
+	// organisation that has nothing here is a reason to take more: its items go
+	// ahead of the others.
 	want := c.want(now, c.pace.update(started, time.Now()))
-	urgentOnly := want <= 0
-	free := min(max(want, 1), room)
-	plans := c.plan(now, free, urgentOnly, false)
+	needyOnly := want <= 0
+	want = min(max(want, 1), room)
+	plans := c.plan(now, want, needyOnly, false)
 	if c.maySteal(len(plans) > 0) {
-		plans = c.plan(now, free, urgentOnly, true)
+		plans = c.plan(now, want, needyOnly, true)
 	}
 	for _, plan := range plans {
 		body := &protocol.ChunkClaim{Job: plan.Job, Chunks: plan.Chunks}
@@ -94,45 +90,6 @@
 	}
 }
 
-// want is the number of chunks to take: enough to be busy while the next claim
-// is on its way, and no more, so that a job of another organisation that comes
-// meanwhile does not wait behind chunks taken early.
-func (c *claimer) want(now load, itemsASecond float64) int {
-	ahead := max(float64(c.opts.LowWater), itemsASecond*c.opts.ClaimAhead.Seconds())
-	lacking := int(ahead) - now.fresh
-	if lacking <= 0 {
-		return 0
-	}
-	chunks := (lacking + protocol.MaxChunkItems - 1) / protocol.MaxChunkItems
-	return chunks
-}
-
-// pace measures how many items an instance starts a second.
-type pace struct {
-	started int
-	at      time.Time
-	rate    float64
-}
-
-// paceWindow is the time over which the pace is averaged.
-const paceWindow = 10 * time.Second
-
-func (p *pace) update(started int, now time.Time) float64 {
-	if p.at.IsZero() {
-		p.started, p.at = started, now
-		return 0
-	}
-	elapsed := now.Sub(p.at)
-	if elapsed <= 0 {
-		return p.rate
-	}
-	latest := float64(started-p.started) / elapsed.Seconds()
-	weight := min(1, elapsed.Seconds()/paceWindow.Seconds())
-	p.rate += weight * (latest - p.rate)
-	p.started, p.at = started, now
-	return p.rate
-}
-
 // maySteal says whether to take chunks that fall to others: after a while
 // without any of its own, so that those to whom they fall have had their turn.
 func (c *claimer) maySteal(hasOwn bool) bool {
@@ -150,20 +107,20 @@
 // stealStagger spreads the instances that steal over so many plans.
 const stealStagger = 4
 
-func (c *claimer) plan(now load, free int, urgentOnly, steal bool) []ClaimPlan {
+func (c *claimer) plan(now load, want int, needyOnly, steal bool) []ClaimPlan {
 	session := c.journal.Session()
 	fleet := c.journal.Fleet()
 	var plans []ClaimPlan
 	c.journal.View(func(state *replica.State) {
 		open := openIDs(state)
 		in := PlanInput{
-			Now:        time.Now(),
-			HeldBy:     now.byOrg,
-			Free:       free,
-			UrgentOnly: urgentOnly,
-			Steal:      steal,
-			Instances:  len(open),
-			Index:      max(0, slices.Index(open, session)),
+			Now:       time.Now(),
+			HeldBy:    now.byOrg,
+			Want:      want,
+			NeedyOnly: needyOnly,
+			Steal:     steal,
+			Instances: len(open),
+			Index:     max(0, slices.Index(open, session)),
 			Claimable: func(job protocol.JobID, from, count, limit int) []int {
 				return state.Ledger.Claimable(job, state.Sessions, from, count, limit)
 			},
@@ -178,6 +135,7 @@
 				Weight:       fleet.Organisations[job.Organisation].Weight,
 				Deadline:     job.Deadline,
 				Remaining:    job.Total - job.Completed - job.Failed,
+				Items:        job.Total,
 				Chunks:       job.Chunks,
 			})
 		}
@@ -199,7 +157,7 @@
 	// before the chunk was in the work set, and the watcher did not see it.
 	defer c.reconcile()
 	for _, chunk := range missing {
-		items, err := c.load(ctx, chunk.input)
+		items, err := c.entries.items(ctx, chunk.input)
 		if err != nil && !isLost(err) {
 			_ = c.logger.Log("event", "chunk_load_failed", "job", chunk.id.Job, "chunk", chunk.id.Chunk, "err", err)
 			return
@@ -213,17 +171,6 @@
 	}
 }
 
-func (c *claimer) load(ctx context.Context, ref protocol.ChunkRef) ([]bulk.Item, error) {
-	if c.lastAt != ref.Offset || c.last.Items == nil {
-		entry, err := readEntry(ctx, c.journal, ref.Offset)
-		if err != nil {
-			return nil, trace.Wrap(err)
-		}
-		c.last, c.lastAt = entry, ref.Offset
-	}
-	return cut(c.last, ref)
-}
-
 // unloadedChunk is a held chunk whose input is not here yet.
 type unloadedChunk struct {
 	loadedChunk
--- a/internal/coordination/faulttest/world_test.go
+++ b/internal/coordination/faulttest/world_test.go
@@ -52,8 +52,11 @@
 	plans   []*plan
 	variant variant
 	opts    batch.Options
+	calls   oncecall.Options
 	// places is the number of places at targets that each instance has.
 	places int
+	// uneven gives each instance its own number of places, if set.
+	uneven []int
 
 	background sync.WaitGroup
 	mu         sync.Mutex
@@ -68,7 +71,6 @@
 		DeadlineMargin: 10 * time.Second,
 		MaxInFlight:    32,
 		MaxHeldChunks:  3,
-		LowWater:       16,
 		BackoffMax:     5 * time.Second,
 	}
 }
@@ -183,7 +185,7 @@
 func (w *world) start(name string) *node {
 	n := &node{world: w, name: name, link: newLink(w.log)}
 	n.ctx, n.cancel = context.WithCancel(w.ctx)
-	n.slots = newSlots(w.places)
+	n.slots = newSlots(w.placesOf(len(w.nodes)))
 	n.link.node = n
 	n.Journal = journal.New(journal.Options{
 		Log:        n.link,
@@ -203,7 +205,7 @@
 		executing = w.variant.executor(n.seen)
 	}
 	n.executor = batch.NewExecutor("", executing, n.slots, &runner{n}, w.opts, logger)
-	calls := oncecall.New("", n.seen, oncecall.Options{}, logger)
+	calls := oncecall.New("", n.seen, w.calls, logger)
 	n.caller = calls
 	if w.variant.caller != nil {
 		n.caller = w.variant.caller(calls)
@@ -218,6 +220,13 @@
 	return n
 }
 
+func (w *world) placesOf(index int) int {
+	if w.uneven == nil {
+		return w.places
+	}
+	return w.uneven[index%len(w.uneven)]
+}
+
 // sessionsOf draws distinct, repeatable session ids.
 func sessionsOf(base uint64) func() protocol.SessionID {
 	var count uint64
--- a/internal/transport/edge/system_test.go
+++ b/internal/transport/edge/system_test.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
@@ -62,8 +63,10 @@
 	client  *targethttp.Client
 	path    *online.Path
 	edge    *Edge
+	listing platform.Listing
 	url     string
 	address string
+	stop    context.CancelFunc
 }
 
 type systemOptions struct {
@@ -73,6 +76,7 @@
 	// target replaces the way to the targets.
 	target platform.Target
 	tokens int
+	batch  http.Handler
 }
 
 func newSystem(t testing.TB, opts systemOptions) *system {
@@ -94,21 +98,22 @@
 	})
 	s.edge = New(Options{
 		Listen: s.listen, Fleet: s.fleet.Load, Keys: access.New(s.fleet.Load),
-		Online: s.path, Limits: opts.limits,
+		Online: s.path, Limits: opts.limits, Batch: opts.batch,
 	})
 	s.start(t)
 	return s
 }
 
 func (s *system) startTargets(t testing.TB, tokens int) {
-	var listing platform.Listing
 	add := func(id protocol.TargetID, cfg target.Config) *target.Target {
 		cfg.ID, cfg.Domain = id, testDomain
 		standin := target.New(cfg)
 		server := httptest.NewServer(standin)
 		t.Cleanup(server.Close)
+		// A server waits at its end for calls that are frozen or held.
+		t.Cleanup(func() { standin.SetFaults(target.Faults{}) })
 		s.servers = append(s.servers, server)
-		listing.Targets = append(listing.Targets, platform.ListedTarget{
+		s.listing.Targets = append(s.listing.Targets, platform.ListedTarget{
 			ID: id, Service: cfg.Service, Domain: testDomain, Address: strings.TrimPrefix(server.URL, "http://"),
 		})
 		return standin
@@ -119,7 +124,7 @@
 	}
 	s.plain = add(plainTargetID, target.Config{Service: plainService, Kind: protocol.KindPlain})
 	s.router.SetServices(s.fleet.Load().Services)
-	s.router.Listing(listing)
+	s.router.Listing(s.listing)
 }
 
 func (s *system) listen() (net.Listener, error) {
@@ -138,6 +143,7 @@
 		supervisor.Add(service)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	s.stop = cancel
 	ended := supervisor.ServeBackground(ctx)
 	t.Cleanup(func() {
 		cancel()
@@ -151,3 +157,11 @@
 		standin.SetFaults(faults)
 	}
 }
+
+// kill ends the instance without ceremony.
+func (s *system) kill() {
+	s.stop()
+}
+
+// plainServer is the server of the plain target.
+func (s *system) plainServer() *httptest.Server { return s.servers[modelTargets] }
