A woken instance is not ready until it has looked at the log

Readiness asked only whether a state had been loaded once. An instance that was paused for minutes served its first requests by the keys of before the pause.

--- a/internal/coordination/journal/journal.go
+++ b/internal/coordination/journal/journal.go
@@ -159,7 +159,7 @@
 // off goes on serving what it knows.
 func (j *Journal) Current() bool {
 	oneRead := j.timings.PollWait + j.timings.ReadTimeout
-	return j.isLoaded() && j.progress.current(time.Now(), 2*oneRead+j.timings.BackoffMax)
+	return j.isLoaded() && j.progress.current(time.Now(), 2*(oneRead+j.timings.BackoffMax))
 }
 
 // Loaded returns a channel that is closed once the replayed state is there.
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -54,15 +54,9 @@
 }
 
 // ready says that the instance knows a state to serve by. Before, it would
-// refuse every key.
-func (d *Daemon) ready() bool {
-	select {
-	case <-d.agreement.journal.Loaded():
-		return true
-	default:
-		return false
-	}
-}
+// refuse every key; and after a pause of the process it would let in callers
+// whose keys were withdrawn meanwhile.
+func (d *Daemon) ready() bool { return d.agreement.journal.Current() }
 
 // organisationOf names the organisation whose key came with the request.
 func organisationOf(r *http.Request) protocol.OrganisationID {
