A panic in a duty stops the process

The supervisor caught panics and started the duty again. A panic is a broken invariant here: a reader started again would replay onto a half-applied entry, and a writer that had stopped would refuse every record of a process that looked alive.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -59,7 +59,7 @@
 // plant puts every duty into the supervisor's tree, a branch for each concern,
 // so that one that keeps failing backs off without its neighbours.
 func (d *Daemon) plant() {
-	d.tree = suture.New("tillerd", suture.Spec{EventHook: d.event})
+	d.tree = suture.New("tillerd", d.spec())
 	d.branch("agreement", d.agreement.services())
 	d.branch("fleet policy", d.fleet.services())
 	d.branch("batch", d.batch.services())
@@ -70,8 +70,16 @@
 	}
 }
 
+// spec lets a panic stop the process. A panic is a broken invariant: a duty that
+// was started again after it would go on with a state that parts from that of
+// the other instances, or serve with its neighbours' channels closed. A new
+// process starts from what is agreed.
+func (d *Daemon) spec() suture.Spec {
+	return suture.Spec{EventHook: d.event, PassThroughPanics: true}
+}
+
 func (d *Daemon) branch(name string, services []suture.Service) {
-	branch := suture.New(name, suture.Spec{EventHook: d.event})
+	branch := suture.New(name, d.spec())
 	for _, service := range services {
 		branch.Add(service)
 	}
