routing: affinity needs fresh reports, and less of it

Cause: at hundreds of instances own counts can't bound what a popular prefix draws to its target. Lost trials: two owners of a prefix, a bound on the report taken at its word. Default now 0.25.

--- a/internal/coordination/routing/core.go
+++ b/internal/coordination/routing/core.go
@@ -95,11 +95,7 @@
 	if first == nil {
 		return nil
 	}
-	second := c.any(from, exclude, first)
-	if second == nil || first.load(now, &c.opts) <= second.load(now, &c.opts) {
-		return first
-	}
-	return second
+	return c.lessLoaded(now, first, c.any(from, exclude, first))
 }
 
 // any is a random target beside the excluded ones and other. It starts at a
@@ -120,26 +116,32 @@
 }
 
 // withPrefix is the target of the own domain that the prompt's prefix belongs
-// to by rendezvous hashing, unless its load is too far above the mean.
+// to by rendezvous hashing, unless its load is too far above the mean or not
+// known.
 func (c *Core) withPrefix(now time.Time, p *pool, req *coordination.PickRequest) *target {
 	if req.Prefix == 0 || c.opts.AffinityLoad <= 0 {
 		return nil
 	}
-	var best *target
-	var highest uint64
-	for _, t := range p.local {
-		if score := mix(t.hash ^ req.Prefix); score >= highest {
-			best, highest = t, score
-		}
-	}
-	if best == nil || slices.Contains(req.Exclude, best.id) {
+	t := p.owner(req.Prefix)
+	if t == nil || slices.Contains(req.Exclude, t.id) || !t.freshly(now, &c.opts) {
 		return nil
 	}
 	bound := (1+c.opts.AffinityLoad)*p.meanLoad() + 1/p.slots
-	if best.load(now, &c.opts) > bound {
+	if t.load(now, &c.opts) > bound {
 		return nil
 	}
-	return best
+	return t
+}
+
+// lessLoaded is the less loaded of two targets, either of which may be nil.
+func (c *Core) lessLoaded(now time.Time, first, second *target) *target {
+	if first == nil || second == nil {
+		return first
+	}
+	if second.load(now, &c.opts) < first.load(now, &c.opts) {
+		return second
+	}
+	return first
 }
 
 func (c *Core) count(now time.Time, t *target, batch bool, by int) {
--- a/internal/coordination/routing/core_test.go
+++ b/internal/coordination/routing/core_test.go
@@ -217,7 +217,11 @@
 }
 
 func TestPrefixKeepsItsTargetUntilItIsFull(t *testing.T) {
-	core := newTestCore(Options{AffinityLoad: 1}, listed(8, here)...)
+	targets := listed(8, here)
+	core := newTestCore(Options{AffinityLoad: 1}, targets...)
+	for _, one := range targets {
+		core.Report(start, platform.Load{Target: one.ID})
+	}
 	req := coordination.PickRequest{Service: service, Prefix: 42}
 	first, _ := core.Pick(start, req)
 	core.Done(start, first, coordination.CallResult{})
@@ -231,6 +235,25 @@
 	require.Greater(t, len(seen), 3, "a popular prefix must not overload one target")
 }
 
+// No load report has come for a while. Each of hundreds of instances sees
+// hardly a call of its own at the target of a popular prefix, and all together
+// they would overrun it; so the prefix draws no calls then.
+func TestPrefixDrawsNoCallsWithoutReports(t *testing.T) {
+	targets := listed(8, here)
+	core := newTestCore(Options{AffinityLoad: 1}, targets...)
+	for _, one := range targets {
+		core.Report(start, platform.Load{Target: one.ID})
+	}
+	seen := map[protocol.TargetID]bool{}
+	late := start.Add(time.Minute)
+	for range 50 {
+		choice, _ := core.Pick(late, coordination.PickRequest{Service: service, Prefix: 42})
+		core.Done(late, choice, coordination.CallResult{})
+		seen[choice.Target] = true
+	}
+	require.Greater(t, len(seen), 3)
+}
+
 func TestExcludedTargetsAreNotPicked(t *testing.T) {
 	targets := listed(3, here)
 	core := newTestCore(Options{}, targets...)
@@ -320,6 +343,9 @@
 			b.Run(fmt.Sprintf("targets=%d/affinity=%g", n, affinity), func(b *testing.B) {
 				core := newTestCore(Options{AffinityLoad: affinity}, append(listed(n/4+1, here), listed(n-n/4-1, there)...)...)
 				now := start
+				for id := range core.targets {
+					core.Report(now, platform.Load{Target: id})
+				}
 				var prefix uint64
 				for b.Loop() {
 					prefix++
--- a/internal/coordination/routing/options.go
+++ b/internal/coordination/routing/options.go
@@ -35,8 +35,12 @@
 	ReportHalfLife time.Duration
 	// AffinityLoad is how far above the mean load per slot a target that
 	// holds the prompt's prefix is still preferred. Zero is no affinity; the
-	// daemon's setting is 0.5.
+	// daemon's setting is 0.25.
 	AffinityLoad float64
+	// AffinityFresh is the greatest age of a load report with which a prefix
+	// may draw calls to its target. Default 4 s: two reports a second apart
+	// may fail.
+	AffinityFresh time.Duration
 	// FailuresToEject is the run of failures that ejects a target. Default 3.
 	FailuresToEject int
 	// EjectFor is the first ejection; it doubles up to EjectMost. Defaults
@@ -68,6 +72,7 @@
 	setDefault(&o.SpillAt, 1)
 	setDefault(&o.SpillGain, 0.25)
 	setDefault(&o.ReportHalfLife, 300*time.Millisecond)
+	setDefault(&o.AffinityFresh, 4*time.Second)
 	setDefault(&o.FailuresToEject, 3)
 	setDefault(&o.EjectFor, 2*time.Second)
 	setDefault(&o.EjectMost, time.Minute)
--- a/internal/coordination/routing/pool.go
+++ b/internal/coordination/routing/pool.go
@@ -84,6 +84,19 @@
 	return ejected < most
 }
 
+// owner is the target of the own domain with the highest rendezvous hash for a
+// prefix.
+func (p *pool) owner(prefix uint64) *target {
+	var owner *target
+	var highest uint64
+	for _, t := range p.local {
+		if score := mix(t.hash ^ prefix); score >= highest {
+			owner, highest = t, score
+		}
+	}
+	return owner
+}
+
 // meanLoad is the mean number of streams per slot.
 func (p *pool) meanLoad() float64 {
 	if len(p.all) == 0 {
--- a/internal/coordination/routing/target.go
+++ b/internal/coordination/routing/target.go
@@ -50,6 +50,16 @@
 	return (float64(t.online) + t.othersNow(now, o)) / t.slots
 }
 
+// freshly reports whether the last report is young enough to bound what a
+// prefix draws to the target.
+//
+// What goes wrong without it: each of hundreds of instances has hardly one call
+// of a popular prefix at the target, so own counts show nothing; without the
+// reports the target gets them all and their tail grows.
+func (t *target) freshly(now time.Time, o *Options) bool {
+	return !t.reportedAt.IsZero() && now.Sub(t.reportedAt) <= o.AffinityFresh
+}
+
 // othersNow blends the target's report with the mean over the pool by the age
 // of the report: fresh news counts for itself, old news is only as good as an
 // average.
--- a/internal/coordination/routing/ways_test.go
+++ b/internal/coordination/routing/ways_test.go
@@ -20,13 +20,11 @@
 // prefixes each. All figures follow from the seed.
 
 const (
-	simInstances = 9
-	simTargets   = 10
-	simStep      = 5 * time.Millisecond
-	simLength    = 120 * time.Second
-	simPrefixes  = 60
-	simCached    = 12
-	simOutput    = 50.0
+	simStep     = 5 * time.Millisecond
+	simLength   = 120 * time.Second
+	simPrefixes = 60
+	simCached   = 12
+	simOutput   = 50.0
 	// simHit and simMiss are the work of a prompt in tokens.
 	simHit, simMiss = 10.0, 60.0
 	simReportLag    = time.Second
@@ -94,6 +92,7 @@
 }
 
 type sim struct {
+	size
 	way     way
 	random  *rand.Rand
 	now     time.Time
@@ -103,19 +102,40 @@
 	hits    int
 }
 
-func newSim(w way, slow float64) *sim {
-	s := &sim{way: w, random: rand.New(rand.NewPCG(7, 7)), now: start}
+// size is how many instances stand before how many targets, how many calls come
+// a second and how much slower the first target is.
+type size struct {
+	name               string
+	instances, targets int
+	rate, slow         float64
+	// popular is the part of the calls that have the same prefix.
+	popular float64
+}
+
+func sizes() []size {
+	return []size{
+		{"half", 9, 10, 35, 1, 0},
+		{"high", 9, 10, 60, 1, 0},
+		{"slow-target", 9, 10, 35, 5, 0},
+		{"many-instances", 180, 60, 210, 1, 0},
+		{"many-instances-popular", 180, 60, 210, 1, 0.4},
+		{"many-instances-one-prefix", 180, 60, 210, 1, 0.9},
+	}
+}
+
+func newSim(w way, of size) *sim {
+	s := &sim{size: of, way: w, random: rand.New(rand.NewPCG(7, 7)), now: start}
 	domains := []protocol.Domain{"pnw-sea", "pnw-pdx", "pnw-spk"}
 	var listing platform.Listing
-	for i := range simTargets {
+	for i := range of.targets {
 		e := &simEngine{id: protocol.TargetID(fmt.Sprint("t", i)), slow: 1}
 		if i == 0 {
-			e.slow = slow
+			e.slow = of.slow
 		}
 		s.engines = append(s.engines, e)
 		listing.Targets = append(listing.Targets, platform.ListedTarget{ID: e.id, Service: service, Domain: domains[i%3], Address: "a"})
 	}
-	for i := range simInstances {
+	for i := range of.instances {
 		opts := w.opts
 		opts.Domain, opts.Seed = domains[i%3], uint64(i)
 		core := NewCore(opts)
@@ -131,6 +151,9 @@
 
 // prefix is drawn so that few prefixes have most of the calls.
 func (s *sim) prefix() uint64 {
+	if s.random.Float64() < s.popular {
+		return 1
+	}
 	return 1 + uint64(float64(simPrefixes)*math.Pow(s.random.Float64(), 2))
 }
 
@@ -198,16 +221,16 @@
 	}
 }
 
-// run lets rate calls a second come and gives the time to the first token in
+// run lets the calls come and gives the time to the first token in
 // milliseconds at the quantiles.
-func (s *sim) run(rate float64, quantiles ...float64) []float64 {
+func (s *sim) run(quantiles ...float64) []float64 {
 	steps := int(simLength / simStep)
 	next := 0.0
 	for i := range steps {
 		s.now = s.now.Add(simStep)
 		for next <= float64(i)*simStep.Seconds() {
 			s.arrive()
-			next += s.random.ExpFloat64() / rate
+			next += s.random.ExpFloat64() / s.rate
 		}
 		for _, e := range s.engines {
 			s.advance(e)
@@ -227,18 +250,14 @@
 // BenchmarkWays prints the time to the first token of each way, at two loads
 // and with one slow target.
 func BenchmarkWays(b *testing.B) {
-	for _, load := range []struct {
-		name string
-		rate float64
-		slow float64
-	}{{"half", 35, 1}, {"high", 60, 1}, {"slow-target", 35, 5}} {
+	for _, load := range sizes() {
 		for _, w := range ways() {
 			b.Run(load.name+"/"+w.name, func(b *testing.B) {
 				var s *sim
 				var figures []float64
 				for b.Loop() {
-					s = newSim(w, load.slow)
-					figures = s.run(load.rate, 0.5, 0.95, 0.99)
+					s = newSim(w, load)
+					figures = s.run(0.5, 0.95, 0.99)
 				}
 				b.ReportMetric(figures[0], "p50-ms")
 				b.ReportMetric(figures[1], "p95-ms")
@@ -253,10 +272,10 @@
 // choice: with reports the tail must be better than by chance alone, also when
 // one target is slow.
 func TestRoutingBeatsChance(t *testing.T) {
-	for _, slow := range []float64{1, 5} {
+	for _, of := range []size{sizes()[0], sizes()[2]} {
 		all := ways()
-		chance := newSim(all[0], slow).run(35, 0.99)[0]
-		routed := newSim(all[2], slow).run(35, 0.99)[0]
+		chance := newSim(all[0], of).run(0.99)[0]
+		routed := newSim(all[2], of).run(0.99)[0]
 		require.Less(t, routed, chance)
 	}
 }
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -187,9 +187,9 @@
 		// Reports are 1 to 2 s old when they are used. All instances that
 		// trusted them would turn to the same targets.
 		ReportHalfLife: 300 * time.Millisecond,
-		// Twice as many prompts found their prefix cached; beyond it the
-		// tail grew.
-		AffinityLoad: 0.5,
+		// Nearly twice as many prompts found their prefix cached; with more,
+		// the tail grows where one prefix has most of the calls.
+		AffinityLoad: 0.25,
 		// One failure may be the call's own.
 		FailuresToEject: 3,
 		// A restarting target is back after some seconds.
