Batch: last results of a job together; a released call is tried at once

A resend that met a reservation just released was told to come again, although the call could be sent. The matrix' cancel under an outage met a job that had completed (the items were too short for the scenario). Change: an instance appends the last results of a job once nothing of it runs there, which can't delay the job's end; CallOnce goes on to reserve after a release; the scenario has long items, so the cancel is always what ends the job.

--- a/internal/coordination/batch/flusher.go
+++ b/internal/coordination/batch/flusher.go
@@ -127,8 +127,8 @@
 }
 
 // due says whether the waiting results must be appended now: there are many,
-// they are old, a job's deadline is near, or a chunk is whole and its job has no
-// other left to take, so that somebody may wait for just this one.
+// they are old, a job's deadline is near, or they are the last of a job, so that
+// somebody may wait for just them.
 func (f *flusher) due(now time.Time) bool {
 	if now.Before(f.buffer.notBefore) {
 		return false
@@ -142,28 +142,40 @@
 	return f.lastOfJob()
 }
 
-// lastOfJob says whether a whole chunk waits whose job has none left to take.
+// lastOfJob says whether results wait of a job that has no chunk left to take,
+// and of which nothing runs here any more. The job ends with its last chunk, so
+// appending one of several earlier would only cost appends.
 func (f *flusher) lastOfJob() bool {
-	var whole []ledger.ChunkID
+	var done []protocol.JobID
 	f.inspect(func(w *workset) {
 		for id := range f.buffer.chunks {
-			if w.whole(id) {
-				whole = append(whole, id)
+			if w.doneWith(id.Job) {
+				done = append(done, id.Job)
 			}
 		}
 	})
-	if len(whole) == 0 {
+	if len(done) == 0 {
 		return false
 	}
 	last := false
 	f.journal.View(func(state *replica.State) {
-		for _, id := range whole {
-			last = last || len(state.Ledger.Claimable(id.Job, state.Sessions, id.Chunk, math.MaxInt, 1)) == 0
+		for _, job := range done {
+			last = last || len(state.Ledger.Claimable(job, state.Sessions, 0, math.MaxInt, 1)) == 0
 		}
 	})
 	return last
 }
 
+// doneWith says that every held item of a job has its result at hand.
+func (w *workset) doneWith(job protocol.JobID) bool {
+	for id := range w.chunks {
+		if id.Job == job && !w.whole(id) {
+			return false
+		}
+	}
+	return true
+}
+
 // whole says that every item of a chunk that this instance may still run has
 // its result at hand.
 func (w *workset) whole(id ledger.ChunkID) bool {
--- a/internal/coordination/faulttest/batchmatrix_test.go
+++ b/internal/coordination/faulttest/batchmatrix_test.go
@@ -151,6 +151,8 @@
 // runCancel cancels a job while its items run.
 func runCancel(w *world) *verdicts {
 	v := &verdicts{}
+	// Long items, so that the job can't complete in an outage before the cancel.
+	w.targets.itemTime = 10 * time.Second
 	c := newClient(w)
 	job, err := c.submit("night-run", items, "1h")
 	if err != nil {
--- a/internal/coordination/oncecall/caller.go
+++ b/internal/coordination/oncecall/caller.go
@@ -123,37 +123,53 @@
 	if len(call.Key.Key) > maxKey {
 		return online.OnceAnswer{}, protocol.Refuse(protocol.CodeBadRequest, 0, "the idempotency key must have at most %d bytes", maxKey)
 	}
-	if known, found := c.lookup(call.Key); found {
-		return c.join(ctx, call, known)
+	for range maxTurns {
+		if known, found := c.lookup(call.Key); found {
+			answer, refusal, released := c.join(ctx, call, known)
+			if !released {
+				return answer, refusal
+			}
+		}
+		answer, refusal, lost := c.attempt(ctx, call, dispatch)
+		if !lost {
+			return answer, refusal
+		}
 	}
+	return online.OnceAnswer{}, running("the call is tried through other instances; ask again")
+}
+
+// maxTurns bounds how often a call is reserved after another instance released
+// it or won the reservation.
+const maxTurns = 3
+
+// attempt reserves the call and sends it. lost says that another instance has
+// the reservation.
+func (c *Caller) attempt(ctx context.Context, call online.OnceCall, dispatch online.Dispatch) (answer online.OnceAnswer, refusal *protocol.Refusal, lost bool) {
 	if c.remembered() >= c.opts.MaxCalls {
-		return online.OnceAnswer{}, protocol.Refuse(protocol.CodeOverloaded, fullRetry, "too many calls with an idempotency key are remembered")
+		return answer, protocol.Refuse(protocol.CodeOverloaded, fullRetry, "too many calls with an idempotency key are remembered"), false
 	}
 	id := newCallID()
 	outcome := c.reserve(ctx, call, id)
 	if outcome.Run == protocol.NotRun {
-		return online.OnceAnswer{}, c.refuseLog()
+		return answer, c.refuseLog(), false
 	}
 	if outcome.Run != protocol.Completed {
 		// The reservation may stand. The call was not sent and never will be
 		// under this id, so it must be withdrawn, or every resend would be told
 		// that the outcome is unknown.
 		c.later(note{release: true, key: call.Key, id: id})
-		return online.OnceAnswer{}, c.refuseLog()
+		return answer, c.refuseLog(), false
 	}
 	switch outcome.Verdict {
 	case protocol.Accepted:
-		return c.send(ctx, call.Key, id, dispatch)
+		answer, refusal = c.send(ctx, call.Key, id, dispatch)
+		return answer, refusal, false
 	case protocol.AlreadyHeld:
-		known, found := c.lookup(call.Key)
-		if !found {
-			return online.OnceAnswer{}, running("the call was settled a moment ago")
-		}
-		return c.join(ctx, call, known)
+		return answer, nil, true
 	case protocol.NoSession:
-		return online.OnceAnswer{}, protocol.Refuse(protocol.CodeInstanceStarting, c.opts.RetryAfter, "this instance has no session now")
+		return answer, protocol.Refuse(protocol.CodeInstanceStarting, c.opts.RetryAfter, "this instance has no session now"), false
 	}
-	return online.OnceAnswer{}, protocol.Refuse(protocol.CodeInternal, 0, "the call could not be reserved: %s", outcome.Verdict)
+	return answer, protocol.Refuse(protocol.CodeInternal, 0, "the call could not be reserved: %s", outcome.Verdict), false
 }
 
 // fullRetry is when a caller is told to come back while too many calls are
--- a/internal/coordination/oncecall/join.go
+++ b/internal/coordination/oncecall/join.go
@@ -14,31 +14,32 @@
 )
 
 // join answers a resend from the reservation of the first call, and waits for
-// its outcome for a little while if it still runs.
-func (c *Caller) join(ctx context.Context, call online.OnceCall, known once.Call) (online.OnceAnswer, *protocol.Refusal) {
+// its outcome for a little while if it still runs. released says that the first
+// dispatch did not run and the call may be reserved again.
+func (c *Caller) join(ctx context.Context, call online.OnceCall, known once.Call) (answer online.OnceAnswer, refusal *protocol.Refusal, released bool) {
 	if known.BodyHash != call.BodyHash {
-		return online.OnceAnswer{}, protocol.Refuse(protocol.CodeConflict, 0, "the idempotency key was used for another request")
+		return answer, protocol.Refuse(protocol.CodeConflict, 0, "the idempotency key was used for another request"), false
 	}
 	limit := time.NewTimer(c.opts.JoinTimeout)
 	defer limit.Stop()
 	for {
 		changed := c.journal.Changed()
 		known, found := c.lookup(call.Key)
-		if !found {
-			return online.OnceAnswer{}, protocol.Refuse(protocol.CodeConflict, joinRetry, "the first attempt did not run; send the call again")
-		}
-		if known.Settled {
-			return c.stored(ctx, known)
-		}
-		if !c.holderLives(known) {
-			return online.OnceAnswer{}, unknownOutcome()
+		switch {
+		case !found:
+			return answer, nil, true
+		case known.Settled:
+			answer, refusal = c.stored(ctx, known)
+			return answer, refusal, false
+		case !c.holderLives(known):
+			return answer, unknownOutcome(), false
 		}
 		select {
 		case <-changed:
 		case <-limit.C:
-			return online.OnceAnswer{}, running("the call is running; ask again")
+			return answer, running("the call is running; ask again"), false
 		case <-ctx.Done():
-			return online.OnceAnswer{}, running("the call is running; ask again")
+			return answer, running("the call is running; ask again"), false
 		}
 	}
 }
