--- a/internal/coordination/journal/writer.go
+++ b/internal/coordination/journal/writer.go
@@ -38,6 +38,17 @@
 	carried *submission
 	sentAt  time.Time
 	backoff *backoff
+	// throttled gives the shorter waits after a refusal for the rate limit.
+	throttled *backoff
+}
+
+func (j *Journal) newWriter() *writer {
+	t := j.timings
+	return &writer{
+		Journal:   j,
+		backoff:   newBackoff(t.BackoffBase, t.BackoffMax, j.opts.Seed, 2),
+		throttled: newBackoff(t.BackoffBase, t.ThrottledWait, j.opts.Seed, 4),
+	}
 }
 
 // String names the service.
@@ -171,6 +182,7 @@
 // numbers, so a late copy of this one is dropped by replay.
 func (w *writer) send(ctx context.Context, frame *flight) {
 	w.backoff.reset()
+	w.throttled.reset()
 	for ctx.Err() == nil {
 		payload := w.encode(frame)
 		if payload == nil {
@@ -182,6 +194,7 @@
 			return
 		case errors.Is(err, platform.ErrThrottled):
 			counters.Add(countThrottled, 1)
+			w.pacer.throttled(time.Now())
 			w.unsend(frame)
 		case errors.Is(err, platform.ErrEntryTooLarge):
 			w.abandon(frame, err)
@@ -190,12 +203,19 @@
 			counters.Add(countAppendErrors, 1)
 			frame.uncertain = true
 		}
-		wait := w.backoff.next()
+		wait := w.wait(err)
 		w.event("append_retry", "err", err, "records", len(frame.subs), "wait", wait)
 		pause(ctx, wait, frame.finished)
 	}
 }
 
+func (w *writer) wait(err error) time.Duration {
+	if errors.Is(err, platform.ErrThrottled) {
+		return w.throttled.next()
+	}
+	return w.backoff.next()
+}
+
 // encode marks the frame's submissions as sent and encodes those that are
 // still wanted. It returns nil if none is. A frame that may stand in the
 // stream already is sent again whole, so that both copies are alike.
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -110,8 +110,9 @@
 		Snapshot: 10 * time.Minute,
 		// The balancer and the list notice within this.
 		DrainNotice: 3 * time.Second,
-		// Longer than any online deadline.
-		DrainLimit: 90 * time.Second,
+		// The notice and the longest call, and time for batch work and the
+		// session after them.
+		DrainLimit: 3 * time.Minute,
 	}
 }
 
@@ -155,7 +156,8 @@
 
 func defaultCalls() Calls {
 	return Calls{
-		// 2,000 tokens at 36 ms take 72 s.
+		// 2,000 tokens at 36 ms take 72 s. Callers can ask for less, not for
+		// more: a leaving instance must be able to wait for every call.
 		Deadline: 2 * time.Minute,
 		// Five times the aim for the first token, so that only a dead or
 		// frozen target meets it.
@@ -182,11 +184,12 @@
 		SpillAt: 1,
 		// Two full domains would otherwise trade calls.
 		SpillGain: 0.25,
-		// With a report every second and streams of seconds, older news says
-		// little of one target.
-		ReportHalfLife: 2 * time.Second,
-		// Off until a measurement shows a gain.
-		AffinityLoad: 0,
+		// Reports are 1 to 2 s old when they are used. All instances that
+		// trusted them would turn to the same targets.
+		ReportHalfLife: 300 * time.Millisecond,
+		// Twice as many prompts found their prefix cached; beyond it the
+		// tail grew.
+		AffinityLoad: 0.5,
 		// One failure may be the call's own.
 		FailuresToEject: 3,
 		// A restarting target is back after some seconds.
