--- a/internal/coordination/journal/heartbeats_test.go
+++ b/internal/coordination/journal/heartbeats_test.go
@@ -257,12 +257,14 @@
 func TestInstancesThatDecideDifferentlyNoticeIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		stream, network := memlog.New(memlog.Options{}), newNetwork()
-		a := startPeer(t, stream, network, "a", "pnw-sea")
+		// The instance of the other release starts first: its variant has to
+		// read the stream from the first entry.
 		b := startPeer(t, stream, network, "b", "pnw-sea", func(o *Options) {
 			o.Log = &anyBase{Log: o.Log, shadow: replica.New()}
 		})
-		a.ready()
 		b.ready()
+		a := startPeer(t, stream, network, "a", "pnw-sea")
+		a.ready()
 		pass(10 * time.Second)
 		require.Equal(t, protocol.Accepted, a.put(change("1", protocol.NoOffset, organisation("o", 1))))
 		require.Equal(t, protocol.Conflict, a.put(change("2", protocol.NoOffset, organisation("p", 1))))
