--- a/internal/coordination/member/heartbeats.go
+++ b/internal/coordination/member/heartbeats.go
@@ -19,63 +19,6 @@
 // counters are published as "heartbeats" in expvar.
 var counters = expvar.NewMap("heartbeats")
 
-// Caller invokes a net/rpc method at an address.
-type Caller interface {
-	Call(ctx context.Context, address, method string, args, reply any) error
-}
-
-// Local is the instance's own replayed state, as heartbeats need it.
-type Local interface {
-	Session() protocol.SessionID
-	Fleet() *protocol.Fleet
-	Applied() protocol.Offset
-	LogUp() bool
-	Loaded() <-chan struct{}
-	View(read func(*replica.State))
-	Tombstones() []protocol.KeyWithdraw
-	MergeTombstones(tombstones []protocol.KeyWithdraw)
-	Snapshot() (protocol.Offset, []byte, error)
-	InstallSnapshot(data []byte) error
-}
-
-// Options make Heartbeats.
-type Options struct {
-	Instance protocol.InstanceID
-	Domain   protocol.Domain
-	// Address is the own peer address, "ip:port".
-	Address string
-	// Seeds are peer addresses from the settings. They are asked while no
-	// other peer is known, such as at a start while the log is down.
-	Seeds  []string
-	Caller Caller
-	Logger log.Logger
-	// Every is the time between two rounds of heartbeats, 1 s by default. At
-	// 340 instances it is raised to stay inside the budget for control.
-	Every time.Duration
-	// Timeout bounds one heartbeat, FetchTimeout the transfer of a snapshot.
-	Timeout      time.Duration
-	FetchTimeout time.Duration
-	Limits       ViewLimits
-}
-
-func (o *Options) setDefaults() {
-	if o.Every == 0 {
-		o.Every = time.Second
-	}
-	if o.Timeout == 0 {
-		o.Timeout = time.Second
-	}
-	if o.FetchTimeout == 0 {
-		o.FetchTimeout = 10 * time.Second
-	}
-	if o.Limits == (ViewLimits{}) {
-		o.Limits = DefaultViewLimits()
-	}
-	if o.Logger == nil {
-		o.Logger = log.NewNopLogger()
-	}
-}
-
 // Heartbeats is the duty that keeps in touch with other instances. It
 // implements coordination.Peers and journal.SnapshotSource.
 type Heartbeats struct {
@@ -219,7 +162,7 @@
 	tombstones := local.Tombstones()
 	beat.Session = local.Session()
 	beat.Loaded = true
-	beat.Applied = local.Applied()
+	beat.Applied, beat.Digest = local.Digest()
 	beat.FleetVersion = local.Fleet().Version
 	beat.Tombstones = tombstones[:min(len(tombstones), MaxBeatTombstones)]
 	return beat
@@ -240,9 +183,24 @@
 	h.view.Heard(time.Now(), beat)
 	local := h.local
 	h.mu.Unlock()
-	if local != nil {
-		local.MergeTombstones(beat.Tombstones)
+	if local == nil {
+		return
+	}
+	local.MergeTombstones(beat.Tombstones)
+	h.compare(local, beat)
+}
+
+// compare notices that another instance decided some record differently. From
+// there on the two may both complete an item, or hold a resource. Nothing here
+// can tell which is right, so an operator is told: the instances of one of the
+// two releases have to be replaced.
+func (h *Heartbeats) compare(local Local, beat Beat) {
+	own, known := local.DigestAt(beat.Applied)
+	if !beat.Loaded || !known || own == beat.Digest {
+		return
 	}
+	counters.Add("diverged", 1)
+	_ = h.logger.Log("event", "replica_diverged", "peer", beat.Instance, "applied", beat.Applied)
 }
 
 // catchUp fetches a newer configuration from a peer while the log can't be
