--- a/internal/coordination/journal/journal.go
+++ b/internal/coordination/journal/journal.go
@@ -28,10 +28,11 @@
 	stopped  chan struct{}
 	stopOnce sync.Once
 
-	// mu guards state and changed.
+	// mu guards state, changed and digests.
 	mu      sync.RWMutex
 	state   *replica.State
 	changed chan struct{}
+	digests digests
 
 	// fleet is the replayed configuration with the locally withdrawn keys.
 	fleet atomic.Pointer[protocol.Fleet]
@@ -53,6 +54,9 @@
 	holder   *member.Holder
 	wake     chan struct{}
 
+	pacer *pacer
+	// pacing is held by the one data append that waits for the pacer.
+	pacing   chan struct{}
 	progress progress
 	status   status
 }
@@ -75,11 +79,14 @@
 		stopped:     make(chan struct{}),
 		state:       replica.New(),
 		changed:     make(chan struct{}),
+		digests:     digests{},
 		soft:        member.NewTombstones(),
 		waiting:     map[protocol.RecordID]*submission{},
 		renewals:    map[protocol.RecordID]time.Time{},
 		holder:      member.NewHolder(timings.Session),
 		wake:        make(chan struct{}, 1),
+		pacer:       newPacer(timings.Pace),
+		pacing:      make(chan struct{}, 1),
 	}
 	j.status.loaded = make(chan struct{})
 	j.published = j.state.Fleet.Fleet()
@@ -92,7 +99,7 @@
 	t := j.timings
 	return []suture.Service{
 		&reader{Journal: j, backoff: newBackoff(t.BackoffBase, t.BackoffMax, j.opts.Seed, 1)},
-		&writer{Journal: j, backoff: newBackoff(t.BackoffBase, t.BackoffMax, j.opts.Seed, 2)},
+		j.newWriter(),
 		&renewer{Journal: j},
 		&observer{Journal: j, decide: member.NewObserver(t.Session)},
 		&snapshotter{Journal: j},
@@ -152,7 +159,7 @@
 // off goes on serving what it knows.
 func (j *Journal) Current() bool {
 	oneRead := j.timings.PollWait + j.timings.ReadTimeout
-	return j.isLoaded() && j.progress.current(time.Now(), 2*oneRead+j.timings.BackoffMax)
+	return j.isLoaded() && j.progress.current(time.Now(), 2*(oneRead+j.timings.BackoffMax))
 }
 
 // Loaded returns a channel that is closed once the replayed state is there.
--- a/internal/coordination/oncecall/caller.go
+++ b/internal/coordination/oncecall/caller.go
@@ -53,6 +53,10 @@
 	// Remember is how long a key is remembered. Default 24 h, less than the
 	// platform's retention, since stored answers are not carried forward.
 	Remember time.Duration
+	// MaxCalls bounds the keys that are remembered. Default 200,000, which take
+	// 25 MB. Beyond it calls are refused as not run: forgetting one early could
+	// run it twice.
+	MaxCalls int
 	// Unrecorded bounds the outcomes that wait for the log. Default 1024.
 	Unrecorded int
 }
@@ -71,6 +75,7 @@
 	orDefault(&o.JoinTimeout, 2*time.Second)
 	orDefault(&o.RetryAfter, 5*time.Second)
 	orDefault(&o.Remember, 24*time.Hour)
+	orDefault(&o.MaxCalls, 200_000)
 	orDefault(&o.Unrecorded, 1024)
 	return o
 }
@@ -78,6 +83,9 @@
 // joinRetry is when a caller is told to ask again for a call that runs.
 const joinRetry = time.Second
 
+// maxKey bounds an idempotency key, which every instance remembers, in bytes.
+const maxKey = 256
+
 // Caller implements online.OnceCaller.
 type Caller struct {
 	journal coordination.Journal
@@ -112,34 +120,65 @@
 // CallOnce implements online.OnceCaller. Once the call is under way it goes on
 // when the caller leaves, so that a resend finds the answer.
 func (c *Caller) CallOnce(ctx context.Context, call online.OnceCall, dispatch online.Dispatch) (online.OnceAnswer, *protocol.Refusal) {
-	if known, found := c.lookup(call.Key); found {
-		return c.join(ctx, call, known)
+	if len(call.Key.Key) > maxKey {
+		return online.OnceAnswer{}, protocol.Refuse(protocol.CodeBadRequest, 0, "the idempotency key must have at most %d bytes", maxKey)
+	}
+	for range maxTurns {
+		if known, found := c.lookup(call.Key); found {
+			answer, refusal, released := c.join(ctx, call, known)
+			if !released {
+				return answer, refusal
+			}
+		}
+		answer, refusal, lost := c.attempt(ctx, call, dispatch)
+		if !lost {
+			return answer, refusal
+		}
+	}
+	return online.OnceAnswer{}, running("the call is tried through other instances; ask again")
+}
+
+// maxTurns bounds how often a call is reserved after another instance released
+// it or won the reservation.
+const maxTurns = 3
+
+// attempt reserves the call and sends it. lost says that another instance has
+// the reservation.
+func (c *Caller) attempt(ctx context.Context, call online.OnceCall, dispatch online.Dispatch) (answer online.OnceAnswer, refusal *protocol.Refusal, lost bool) {
+	if c.remembered() >= c.opts.MaxCalls {
+		return answer, protocol.Refuse(protocol.CodeOverloaded, fullRetry, "too many calls with an idempotency key are remembered"), false
 	}
 	id := newCallID()
 	outcome := c.reserve(ctx, call, id)
 	if outcome.Run == protocol.NotRun {
-		return online.OnceAnswer{}, c.refuseLog()
+		return answer, c.refuseLog(), false
 	}
 	if outcome.Run != protocol.Completed {
 		// The reservation may stand. The call was not sent and never will be
 		// under this id, so it must be withdrawn, or every resend would be told
 		// that the outcome is unknown.
 		c.later(note{release: true, key: call.Key, id: id})
-		return online.OnceAnswer{}, c.refuseLog()
+		return answer, c.refuseLog(), false
 	}
 	switch outcome.Verdict {
 	case protocol.Accepted:
-		return c.send(ctx, call.Key, id, dispatch)
+		answer, refusal = c.send(ctx, call.Key, id, dispatch)
+		return answer, refusal, false
 	case protocol.AlreadyHeld:
-		known, found := c.lookup(call.Key)
-		if !found {
-			return online.OnceAnswer{}, running("the call was settled a moment ago")
-		}
-		return c.join(ctx, call, known)
+		return answer, nil, true
 	case protocol.NoSession:
-		return online.OnceAnswer{}, protocol.Refuse(protocol.CodeInstanceStarting, c.opts.RetryAfter, "this instance has no session now")
+		return answer, protocol.Refuse(protocol.CodeInstanceStarting, c.opts.RetryAfter, "this instance has no session now"), false
 	}
-	return online.OnceAnswer{}, protocol.Refuse(protocol.CodeInternal, 0, "the call could not be reserved: %s", outcome.Verdict)
+	return answer, protocol.Refuse(protocol.CodeInternal, 0, "the call could not be reserved: %s", outcome.Verdict), false
+}
+
+// fullRetry is when a caller is told to come back while too many calls are
+// remembered: some are forgotten every minute.
+const fullRetry = time.Minute
+
+func (c *Caller) remembered() (count int) {
+	c.journal.View(func(state *replica.State) { count = state.Once.Len() })
+	return count
 }
 
 func (c *Caller) refuseLog() *protocol.Refusal {
@@ -188,7 +227,7 @@
 		return false
 	}
 	call, found := c.lookup(key)
-	return found && call.ID == id && call.Session == c.journal.Session()
+	return found && call.Is(id) && call.Session == c.journal.Session()
 }
 
 // detach keeps the deadline of a caller and not its leaving.
--- a/internal/coordination/routing/options.go
+++ b/internal/coordination/routing/options.go
@@ -29,12 +29,18 @@
 	// must be. Default 0.25, so that two full domains don't trade calls.
 	SpillGain float64
 	// ReportHalfLife is the age at which a load report counts half; the other
-	// half is the mean over the service. Default 2 s: with a report every
-	// second and streams of seconds, older news says little of one target.
+	// half is the mean over the service. Default 300 ms: reports are 1 to 2 s
+	// old when they are used, and all instances that trusted them would turn
+	// to the same targets (docs/design/10-routing.md has the figures).
 	ReportHalfLife time.Duration
 	// AffinityLoad is how far above the mean load per slot a target that
-	// holds the prompt's prefix is still preferred. Zero is no affinity.
+	// holds the prompt's prefix is still preferred. Zero is no affinity; the
+	// daemon's setting is 0.25.
 	AffinityLoad float64
+	// AffinityFresh is the greatest age of a load report with which a prefix
+	// may draw calls to its target. Default 4 s: two reports a second apart
+	// may fail.
+	AffinityFresh time.Duration
 	// FailuresToEject is the run of failures that ejects a target. Default 3.
 	FailuresToEject int
 	// EjectFor is the first ejection; it doubles up to EjectMost. Defaults
@@ -65,7 +71,8 @@
 	setDefault(&o.SlotsPerTarget, 16)
 	setDefault(&o.SpillAt, 1)
 	setDefault(&o.SpillGain, 0.25)
-	setDefault(&o.ReportHalfLife, 2*time.Second)
+	setDefault(&o.ReportHalfLife, 300*time.Millisecond)
+	setDefault(&o.AffinityFresh, 4*time.Second)
 	setDefault(&o.FailuresToEject, 3)
 	setDefault(&o.EjectFor, 2*time.Second)
 	setDefault(&o.EjectMost, time.Minute)
