--- a/internal/coordination/limiter/assignment.go
+++ b/internal/coordination/limiter/assignment.go
@@ -23,11 +23,8 @@
 		return a.wanted
 	}
 	a.limit = (SlotsPerDomain + len(instances) - 1) / len(instances)
-	for slot, id := range held {
-		if slices.Contains(instances, id) && a.load[id] < a.limit {
-			a.give(slot, id)
-		}
-	}
+	a.keep(held, true)
+	a.keep(held, false)
 	for slot := range a.wanted {
 		if a.wanted[slot] == "" {
 			a.give(slot, a.choose(slot))
@@ -44,6 +41,19 @@
 	wanted    Assignment
 }
 
+// keep leaves slots with their holders. Of a holder that has too many, those
+// that lie apart are kept first.
+func (a *assigner) keep(held Assignment, apart bool) {
+	for slot, id := range held {
+		if a.wanted[slot] != "" || a.load[id] >= a.limit || !slices.Contains(a.instances, id) {
+			continue
+		}
+		if !apart || !a.nearby(slot, id) {
+			a.give(slot, id)
+		}
+	}
+}
+
 func (a *assigner) give(slot int, id protocol.InstanceID) {
 	a.wanted[slot] = id
 	a.load[id]++
--- a/internal/coordination/limiter/core_test.go
+++ b/internal/coordination/limiter/core_test.go
@@ -77,3 +77,18 @@
 	}
 	require.Equal(t, SlotsPerDomain/4, moved)
 }
+
+// A domain starts with one instance that takes all slots, and others join. Were
+// its slots not spread, its death would take some organisations' whole part.
+func TestSlotsAreSpreadAsInstancesJoin(t *testing.T) {
+	held := Assign("a", []protocol.InstanceID{"i1"}, Assignment{})
+	held = Assign("a", []protocol.InstanceID{"i1", "i2"}, held)
+	held = Assign("a", []protocol.InstanceID{"i1", "i2", "i3"}, held)
+	beside := 0
+	for slot := 1; slot < len(held); slot++ {
+		if held[slot] == held[slot-1] {
+			beside++
+		}
+	}
+	require.LessOrEqual(t, beside, len(held)/4)
+}
--- a/internal/coordination/limiter/leave_test.go
+++ b/internal/coordination/limiter/leave_test.go
@@ -32,19 +32,19 @@
 	c := NewCore("i", "a", Defaults())
 	c.Configure(epoch, &protocol.Fleet{
 		Version:       1,
-		Organisations: map[protocol.OrganisationID]protocol.Organisation{"o": {ID: "o", Rate: 1, Burst: 4}},
+		Organisations: map[protocol.OrganisationID]protocol.Organisation{"o0": {ID: "o0", Rate: 1, Burst: 4}},
 		Domains:       domains("a"),
 	}, true)
 	c.Extend(epoch.Add(time.Hour))
-	key := Divide(c.fleet.Organisations["o"], c.fleet.Domains)[0].Key
-	args := SlotBalances{Slot: key, Fence: 5, Balances: []Balance{{Organisation: "o", Tokens: 3}}}
+	key := Divide(c.fleet.Organisations["o0"], c.fleet.Domains)[0].Key
+	args := SlotBalances{Slot: key, Fence: 5, Balances: []Balance{{Organisation: "o0", Tokens: 3}}}
 	c.Receive(epoch, args)
 	c.Hold(epoch, key, 6)
-	require.Equal(t, 3.0, c.Take(epoch, TakeArgs{Organisation: "o", Slot: key, Now: 9}).Now)
+	require.Equal(t, 3.0, c.Take(epoch, TakeArgs{Organisation: "o0", Slot: key, Now: 9}).Now)
 	c.Drop(key)
 	c.Receive(epoch, args)
 	c.Hold(epoch, key, 9)
-	require.Zero(t, c.Take(epoch, TakeArgs{Organisation: "o", Slot: key, Now: 9}).Now)
+	require.Zero(t, c.Take(epoch, TakeArgs{Organisation: "o0", Slot: key, Now: 9}).Now)
 }
 
 // The rate is raised. The new part may grow only when every holder follows the
@@ -52,9 +52,9 @@
 func TestRaisedRateIsInForceWithinSeconds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := threeDomains(t)
-		f.configure("a1", domains("a", "b", "c"), protocol.Organisation{ID: "o", Rate: 60, Burst: 90})
+		f.configure("a1", domains("a", "b", "c"), protocol.Organisation{ID: "o0", Rate: 60, Burst: 90})
 		wait(5 * time.Second)
-		require.Equal(t, 90, f.admitted("a1", "o", 200))
+		require.Equal(t, 90, f.admitted("a1", "o0", 200))
 	})
 }
 
@@ -69,15 +69,15 @@
 		f.net.cutDomains("b", "c")
 		shares := domains("a", "b", "c")
 		shares["a"] = protocol.DomainShare{Domain: "a", Share: 8}
-		f.configure("a1", shares, protocol.Organisation{ID: "o", Rate: 30, Burst: 30})
+		f.configure("a1", shares, protocol.Organisation{ID: "o0", Rate: 30, Burst: 30})
 		wait(20 * time.Second)
-		total := f.admitted("a1", "o", 60) + f.admitted("b1", "o", 60) + f.admitted("c1", "o", 60)
+		total := f.admitted("a1", "o0", 60) + f.admitted("b1", "o0", 60) + f.admitted("c1", "o0", 60)
 		require.LessOrEqual(t, total, 30)
 		f.net.mu.Lock()
 		clear(f.net.cut)
 		f.net.mu.Unlock()
 		f.journal("b1").setCut(false, true)
 		wait(20 * time.Second)
-		require.Equal(t, 30, f.admitted("a1", "o", 60))
+		require.Equal(t, 30, f.admitted("a1", "o0", 60))
 	})
 }
--- a/internal/coordination/limiter/limiter_test.go
+++ b/internal/coordination/limiter/limiter_test.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,7 +19,11 @@
 	f.start("a3", "a")
 	f.start("b1", "b")
 	f.start("c1", "c")
-	f.configure("a1", domains("a", "b", "c"), protocol.Organisation{ID: "o", Rate: 30, Burst: 30})
+	var orgs []protocol.Organisation
+	for i := range 12 {
+		orgs = append(orgs, protocol.Organisation{ID: protocol.OrganisationID(fmt.Sprintf("o%d", i)), Rate: 30, Burst: 30})
+	}
+	f.configure("a1", domains("a", "b", "c"), orgs...)
 	wait(10*time.Second + 300*time.Millisecond)
 	return f
 }
@@ -29,7 +34,7 @@
 func TestCallersAtOneInstanceGetTheWholeBurst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := threeDomains(t)
-		require.Equal(t, 30, f.admitted("a1", "o", 60))
+		require.Equal(t, 30, f.admitted("a1", "o0", 60))
 	})
 }
 
@@ -40,15 +45,15 @@
 		f := threeDomains(t)
 		f.net.cutDomains("a", "b")
 		f.net.cutDomains("a", "c")
-		require.Equal(t, 10, f.admitted("a1", "o", 60))
+		require.Equal(t, 10, f.admitted("a1", "o0", 60))
 	})
 }
 
 func TestRefusalTellsWhenToComeBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := threeDomains(t)
-		f.admitted("b1", "o", 60)
-		refusal := f.all["b1"].Admit(t.Context(), "o", 1)
+		f.admitted("b1", "o0", 60)
+		refusal := f.all["b1"].Admit(t.Context(), "o0", 1)
 		require.Equal(t, protocol.CodeRateLimited, refusal.Code)
 		require.Equal(t, protocol.NotRun, refusal.Run)
 		require.Greater(t, refusal.RetryAfter, 30*time.Millisecond)
--- a/internal/coordination/limiter/matrix_test.go
+++ b/internal/coordination/limiter/matrix_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -23,6 +24,8 @@
 	stop   chan struct{}
 	paused map[protocol.InstanceID]bool
 	struck bool
+	// org is an organisation of which a1 holds a slot.
+	org protocol.OrganisationID
 }
 
 // The session of a dead or paused instance is expired by its mates after this
@@ -36,7 +39,7 @@
 func newCellWorld(t *testing.T) *cellWorld {
 	t.Helper()
 	w := &cellWorld{fakeFleet: threeDomains(t), stop: make(chan struct{}), paused: map[protocol.InstanceID]bool{}}
-	require.Equal(t, protocol.InstanceID("a1"), w.holderIn("a"), "the fault must strike a holder")
+	w.org = w.organisationOf("a1")
 	w.exact = oracle{rate: 30, burst: 30, level: 30, at: time.Now()}
 	for id := range w.all {
 		go w.load(id)
@@ -61,7 +64,7 @@
 		w.mu.Lock()
 		idle := w.paused[id]
 		w.mu.Unlock()
-		if idle || w.all[id].Admit(w.t.Context(), "o", 1) != nil {
+		if idle || w.all[id].Admit(w.t.Context(), w.org, 1) != nil {
 			return
 		}
 		w.mu.Lock()
@@ -121,16 +124,20 @@
 	j.submit(protocol.Record{SessionExpire: &protocol.SessionExpire{Session: session, LastRenewal: last}})
 }
 
-// holderIn is the instance that holds a slot of the organisation in a domain.
-func (w *cellWorld) holderIn(domain protocol.Domain) protocol.InstanceID {
-	fleet := w.journal("a1").Fleet()
-	view := w.all["a1"].agreed.view(fleet)
-	for _, part := range Divide(fleet.Organisations["o"], fleet.Domains) {
-		if part.Key.Domain == domain {
-			return view.Holdings[part.Key].Instance
+// organisationOf is an organisation of which an instance holds a slot, so that a
+// fault of that instance matters.
+func (w *cellWorld) organisationOf(id protocol.InstanceID) protocol.OrganisationID {
+	fleet := w.journal(id).Fleet()
+	view := w.all[id].agreed.view(fleet)
+	for i := range len(fleet.Organisations) {
+		org := protocol.OrganisationID(fmt.Sprintf("o%d", i))
+		for _, part := range Divide(fleet.Organisations[org], fleet.Domains) {
+			if view.Holdings[part.Key].Instance == id {
+				return org
+			}
 		}
 	}
-	w.t.Fatal("the organisation has no part in the domain")
+	w.t.Fatal("the instance holds nothing")
 	return ""
 }
 
@@ -184,7 +191,7 @@
 		shares := domains("a", "b", "c")
 		shares["a"] = protocol.DomainShare{Domain: "a", Share: 4}
 		w.loosen(45, 45)
-		w.configure("a2", shares, protocol.Organisation{ID: "o", Rate: 45, Burst: 45})
+		w.configure("a2", shares, protocol.Organisation{ID: w.org, Rate: 45, Burst: 45})
 	}},
 }
 
@@ -271,13 +278,13 @@
 			w.loosen(45, 45)
 			for _, id := range []protocol.InstanceID{"b1", "c1"} {
 				j := w.journal(id)
-				org := protocol.Organisation{ID: "o", Rate: 36, Burst: 36}
+				org := protocol.Organisation{ID: w.org, Rate: 36, Burst: 36}
 				j.submit(protocol.Record{FleetChange: &protocol.FleetChange{
 					BasedOn: w.journal("b1").Fleet().Version - 1, ChangeID: "race-" + string(id),
 					Set: []protocol.FleetObject{{Organisation: &org}},
 				}})
 			}
-			w.configure("b1", nil, protocol.Organisation{ID: "o", Rate: 40, Burst: 40})
+			w.configure("b1", nil, protocol.Organisation{ID: w.org, Rate: 40, Burst: 40})
 			wait(outage)
 		}},
 }
@@ -329,8 +336,8 @@
 	for _, domain := range []string{"a", "b", "c"} {
 		w.requireHeld(domain, SlotsPerDomain)
 	}
-	burst := w.journal("b1").Fleet().Organisations["o"].Burst
-	require.InDelta(w.t, burst, w.admitted("b1", "o", 100), 1)
+	burst := w.journal("b1").Fleet().Organisations[w.org].Burst
+	require.InDelta(w.t, burst, w.admitted("b1", w.org, 100), 1)
 }
 
 func TestMatrixRates(t *testing.T) {
@@ -375,9 +382,8 @@
 func TestMatrixSeesSlotsReassignedEarly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newCellWorld(t)
-		holder := w.holderIn("a")
-		w.loseLog(holder)
-		session := w.journal(holder).Session()
+		w.loseLog("a1")
+		session := w.journal("a1").Session()
 		wait(expireTime)
 		for _, l := range w.all {
 			l.mu.Lock()
--- a/internal/coordination/limiter/tenure_test.go
+++ b/internal/coordination/limiter/tenure_test.go
@@ -72,7 +72,7 @@
 		f.expire("b1", 3)
 		wait(5 * time.Minute)
 		f.requireHeld("a", SlotsPerDomain)
-		require.Equal(t, 30, f.admitted("a1", "o", 60))
+		require.Equal(t, 30, f.admitted("a1", "o0", 60))
 	})
 }
 
