Control cost at size: conditional list, spaced reads, and a scale measurement

Cause: at 850 targets the platform's list once a second is about 100 kB/s, six times an instance's budget; and each entry of the control stream woke a read of its own, some 50 a second at 340 instances. Weighed: a longer poll of the list (a leaving target would get work for longer) against a conditional request. The latter is kept: an unchanged list costs a 304.

--- a/cmd/fleettest/main.go
+++ b/cmd/fleettest/main.go
@@ -36,7 +36,7 @@
 type benchCmd struct {
 	Bin  string `default:"bin" help:"Folder of the built programs."`
 	Dir  string `default:".demo/bench" help:"Folder for settings and logs, emptied first."`
-	Only string `enum:",entry,control,agreement,start" default:"" help:"Take only one group of measurements."`
+	Only string `enum:",entry,control,agreement,start,scale" default:"" help:"Take only one group of measurements."`
 }
 
 // Run takes the measurements.
--- a/internal/daemon/options.go
+++ b/internal/daemon/options.go
@@ -25,6 +25,7 @@
 		ReadTimeout:   t.PlatformTimeout,
 		DownAfter:     t.LogDownAfter,
 		FrameSpacing:  t.AppendSpacing,
+		ReadSpacing:   t.ReadSpacing,
 		SnapshotAfter: t.Snapshot,
 	}
 }
--- a/internal/harness/bench/bench.go
+++ b/internal/harness/bench/bench.go
@@ -56,6 +56,7 @@
 		{"control", Control},
 		{"agreement", Agreement},
 		{"start", Start},
+		{"scale", Scale},
 	}
 	for _, step := range steps {
 		if only != "" && only != step.name {
--- a/internal/harness/bench/control.go
+++ b/internal/harness/bench/control.go
@@ -16,22 +16,51 @@
 	idleTime = 15 * time.Second
 )
 
-// Control measures what an idle instance costs, at several sizes: the slopes
-// of the capacity page.
+// size is a fleet to measure.
+type size struct{ instances, targets int }
+
+// Control measures what an idle instance costs at the users' sizes of today,
+// with the default settings.
 func Control(ctx context.Context, opts Options) error {
-	for _, size := range []struct{ instances, targets int }{{3, 10}, {6, 10}, {12, 10}, {24, 10}, {12, 40}} {
-		if err := control(ctx, opts, size.instances, size.targets); err != nil {
+	return controlAt(ctx, opts, "", "default", []size{{3, 10}, {6, 10}, {12, 10}})
+}
+
+// largeSettings are the periods for 340 instances, as docs/CAPACITY.md gives
+// them.
+const largeSettings = `timings:
+  renew: 10s
+  hold: 30s
+  expire: 40s
+  log_wait: 2s
+  log_down_after: 6s
+  read_spacing: 200ms
+  heartbeat: 5s
+  peer_silent: 15s
+  list_poll: 2s
+  load_poll: 10s
+`
+
+// Scale measures the slopes of the capacity page: more instances, and more
+// targets, with the settings of the target size.
+func Scale(ctx context.Context, opts Options) error {
+	return controlAt(ctx, opts, largeSettings, "large", []size{{12, 20}, {24, 20}, {48, 20}, {96, 20}, {12, 60}, {12, 120}})
+}
+
+func controlAt(ctx context.Context, opts Options, settings, profile string, sizes []size) error {
+	for _, one := range sizes {
+		if err := control(ctx, opts, settings, profile, one); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func control(ctx context.Context, opts Options, instances, targets int) error {
+func control(ctx context.Context, opts Options, settings, profile string, size size) error {
 	f, err := start(ctx, harness.Options{
-		Dir: fmt.Sprintf("%s-%d-%d", opts.Dir, instances, targets), Bin: opts.Bin,
-		Domains: domains, PerDomain: instances / len(domains),
-		Targets: []harness.TargetGroup{{Service: service, Kind: protocol.KindModel, Count: targets}},
+		Dir: fmt.Sprintf("%s-%d-%d", opts.Dir, size.instances, size.targets), Bin: opts.Bin,
+		Domains: domains, PerDomain: size.instances / len(domains),
+		Targets:  []harness.TargetGroup{{Service: service, Kind: protocol.KindModel, Count: size.targets}},
+		Settings: settings,
 	})
 	if err != nil {
 		return err
@@ -47,7 +76,7 @@
 	if err != nil {
 		return err
 	}
-	note := fmt.Sprintf("instances=%d targets=%d", instances, targets)
+	note := fmt.Sprintf("instances=%d targets=%d settings=%s", size.instances, size.targets, profile)
 	count := float64(len(f.Instances))
 	cpu := (after.CPU - before.CPU).Seconds() / idleTime.Seconds() / count * 100
 	opts.print(Measure{Name: "control.cpu_percent", Unit: "percent_of_core", Now: cpu, Note: note})
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -101,6 +101,10 @@
 		// The platform takes several hundred appends a second: 12 instances
 		// at 20 ms stay at 600 when all are busy at once.
 		AppendSpacing: 20 * time.Millisecond,
+		// It delays what is agreed by as much, so it is short for 12 instances,
+		// which write a few entries a second. At 340 it is 200 ms: some 50
+		// entries a second then share five answers.
+		ReadSpacing: 10 * time.Millisecond,
 		// The list itself lags by more than this.
 		ListPoll: time.Second,
 		// Reports lag by about a second; asking more often shows nothing new.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -174,6 +174,9 @@
 	LogDownAfter time.Duration `yaml:"log_down_after"`
 	// AppendSpacing is the least time between two appends of an instance.
 	AppendSpacing time.Duration `yaml:"append_spacing"`
+	// ReadSpacing is the wait after a read of the log that brought entries, so
+	// that one read brings several where many instances write.
+	ReadSpacing time.Duration `yaml:"read_spacing"`
 	// ListPoll is the period of reading the platform's list.
 	ListPoll time.Duration `yaml:"list_poll"`
 	// LoadPoll is the period of reading a target's load report.
--- a/internal/standin/platformsrv/server.go
+++ b/internal/standin/platformsrv/server.go
@@ -54,6 +54,7 @@
 
 type version struct {
 	at      time.Time
+	number  int
 	listing platform.Listing
 }
 
@@ -67,6 +68,7 @@
 	faults   Faults
 	listing  platform.Listing
 	versions []version
+	changes  int
 }
 
 // New returns a stand-in with an empty log and list.
@@ -159,20 +161,28 @@
 		http.Error(w, "down", http.StatusServiceUnavailable)
 		return
 	}
-	writeJSON(w, s.lagging(time.Now()))
+	listing, number := s.lagging(time.Now())
+	tag := strconv.Quote(strconv.Itoa(number))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	writeJSON(w, listing)
 }
 
-// lagging returns the newest listing that is at least ListLag old.
-func (s *Server) lagging(now time.Time) platform.Listing {
+// lagging returns the newest listing that is at least ListLag old, and its
+// number.
+func (s *Server) lagging(now time.Time) (platform.Listing, int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for len(s.versions) > 1 && now.Sub(s.versions[1].at) >= s.opts.ListLag {
 		s.versions = s.versions[1:]
 	}
 	if len(s.versions) == 0 || now.Sub(s.versions[0].at) < s.opts.ListLag {
-		return platform.Listing{}
+		return platform.Listing{}, 0
 	}
-	return s.versions[0].listing
+	return s.versions[0].listing, s.versions[0].number
 }
 
 func (s *Server) putTarget(w http.ResponseWriter, r *http.Request) {
@@ -202,7 +212,8 @@
 		targets = append(targets, *put)
 	}
 	s.listing.Targets = targets
-	s.versions = append(s.versions, version{at: time.Now(), listing: s.listing})
+	s.changes++
+	s.versions = append(s.versions, version{at: time.Now(), number: s.changes, listing: s.listing})
 }
 
 func (s *Server) weight(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/platformsrv/server_test.go
+++ b/internal/standin/platformsrv/server_test.go
@@ -48,6 +48,23 @@
 	require.NoError(t, err)
 }
 
+// A target joins. Instances ask for the list with the tag of the one they have:
+// they must see the change, and the unchanged list must still be the whole one.
+func TestListIsSentOnlyWhenItChanged(t *testing.T) {
+	s := New(Options{})
+	client := serve(t, s, "a")
+	s.changeTargets("one", &platform.ListedTarget{ID: "one"})
+	for range 2 {
+		listing, err := client.List(t.Context())
+		require.NoError(t, err)
+		require.Len(t, listing.Targets, 1)
+	}
+	s.changeTargets("two", &platform.ListedTarget{ID: "two"})
+	listing, err := client.List(t.Context())
+	require.NoError(t, err)
+	require.Len(t, listing.Targets, 2)
+}
+
 // The log limits appends. The refusal comes back as a throttle, which says
 // that nothing was appended, and not as an outage, which would not.
 func TestThrottleIsToldFromAnOutage(t *testing.T) {
--- a/internal/transport/platformhttp/client.go
+++ b/internal/transport/platformhttp/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"merlintiller/internal/platform"
@@ -32,6 +33,13 @@
 type Client struct {
 	base string
 	http *http.Client
+
+	// listed is the last listing with its entity tag: a list that did not
+	// change is answered by a few bytes. At 850 targets the whole of it once a
+	// second would cost six times an instance's budget for control.
+	listMu    sync.Mutex
+	listed    platform.Listing
+	listedTag string
 }
 
 var (
@@ -98,14 +106,23 @@
 
 // List implements platform.InstanceList.
 func (c *Client) List(ctx context.Context) (platform.Listing, error) {
-	body, err := c.do(ctx, http.MethodGet, c.base+"/list", nil, replyTimeout)
+	c.listMu.Lock()
+	defer c.listMu.Unlock()
+	reply, err := c.exchange(ctx, http.MethodGet, c.base+"/list", nil, replyTimeout, c.listedTag)
 	if err != nil {
 		return platform.Listing{}, err
 	}
+	if reply.status == http.StatusNotModified && c.listedTag != "" {
+		return c.listed, nil
+	}
+	if err := statusError(reply.status); err != nil {
+		return platform.Listing{}, err
+	}
 	var listing platform.Listing
-	if err := json.Unmarshal(body, &listing); err != nil {
+	if err := json.Unmarshal(reply.body, &listing); err != nil {
 		return platform.Listing{}, fmt.Errorf("%w: list: %w", platform.ErrUnavailable, err)
 	}
+	c.listed, c.listedTag = listing, reply.tag
 	return listing, nil
 }
 
@@ -124,12 +141,32 @@
 }
 
 func (c *Client) do(ctx context.Context, method, target string, payload []byte, timeout time.Duration) ([]byte, error) {
+	reply, err := c.exchange(ctx, method, target, payload, timeout, "")
+	if err != nil {
+		return nil, err
+	}
+	return reply.body, statusError(reply.status)
+}
+
+// reply is an answer of the platform, whatever its status.
+type reply struct {
+	status int
+	tag    string
+	body   []byte
+}
+
+// exchange sends one request. With a tag it asks for an answer only if what
+// the tag stands for has changed.
+func (c *Client) exchange(ctx context.Context, method, target string, payload []byte, timeout time.Duration, tag string) (*reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(payload))
 	if err != nil {
 		return nil, err
 	}
+	if tag != "" {
+		req.Header.Set("If-None-Match", tag)
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
@@ -139,7 +176,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
 	}
-	return body, statusError(resp.StatusCode)
+	return &reply{status: resp.StatusCode, tag: resp.Header.Get("ETag"), body: body}, nil
 }
 
 // statusError maps the platform's answers. An answer that is neither success
