Batch: what an instance holds is bounded in bytes; removed organisations wait

Cause: since claims are counted in items, 2,000 items of 200 kB could be held; the ring of results held 256 of any size while the log was down; items of an organisation that was removed went on. Change: MaxHeldBytes (8 MiB) with claims sized by the bodies loaded last; results not yet settled are counted in bytes and stop new starts; such items wait for the organisation's return until the deadline.

--- a/internal/coordination/batch/claimer.go
+++ b/internal/coordination/batch/claimer.go
@@ -18,6 +18,8 @@
 	*Executor
 	pace    pace
 	entries *entryReader
+	// bodyBytes is the mean size of the bodies loaded last.
+	bodyBytes int
 	// idleSince is since when the instance wants chunks and none falls to it.
 	idleSince time.Time
 }
@@ -64,7 +66,7 @@
 		now = w.load()
 		started = c.started
 	})
-	room := c.opts.MaxHeldChunks*protocol.MaxChunkItems - now.items
+	room := c.room(now)
 	if room <= 0 {
 		return
 	}
@@ -126,13 +128,14 @@
 			},
 		}
 		for _, job := range state.Ledger.Running() {
-			if !job.Deadline.After(in.Now) {
+			owner, known := fleet.Organisations[job.Organisation]
+			if !known || !job.Deadline.After(in.Now) {
 				continue
 			}
 			in.Jobs = append(in.Jobs, Candidate{
 				Job:          job.ID,
 				Organisation: job.Organisation,
-				Weight:       fleet.Organisations[job.Organisation].Weight,
+				Weight:       owner.Weight,
 				Deadline:     job.Deadline,
 				Remaining:    job.Total - job.Completed - job.Failed,
 				Items:        job.Total,
@@ -167,6 +170,7 @@
 			continue
 		}
 		chunk.items = items
+		c.bodyBytes = meanBody(items)
 		c.update(func(w *workset) { w.add(chunk.loadedChunk) })
 	}
 }
--- a/internal/coordination/batch/executor.go
+++ b/internal/coordination/batch/executor.go
@@ -4,6 +4,7 @@
 	"context"
 	"expvar"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -38,6 +39,9 @@
 	// results joins the runs and the duty that appends. It is bounded: while
 	// the log is down it fills, runs wait to hand over, and no more start.
 	results *ring.Ring[finished]
+	// unsettled counts the bytes of results that wait for the log, in the ring
+	// or behind it.
+	unsettled atomic.Int64
 	// flushNow asks for an early append, at a drain.
 	flushNow chan chan struct{}
 
@@ -63,10 +67,19 @@
 		planner:  Planner{UrgentLaxity: opts.UrgentLaxity, ItemTime: opts.ItemTime},
 		results:  ring.New[finished](name, opts.MaxInFlight),
 		flushNow: make(chan chan struct{}),
-		work: newWorkset(opts.UrgentLaxity, func(org protocol.OrganisationID) float64 {
-			return weightOf(journal.Fleet().Organisations[org].Weight)
-		}),
-		changed: make(chan struct{}),
+		work:     newWorkset(opts.UrgentLaxity, weights(journal)),
+		changed:  make(chan struct{}),
+	}
+}
+
+// weights gives the fair share of organisations, 0 to those not configured.
+func weights(journal coordination.Journal) func(protocol.OrganisationID) float64 {
+	return func(org protocol.OrganisationID) float64 {
+		owner, known := journal.Fleet().Organisations[org]
+		if !known {
+			return 0
+		}
+		return weightOf(owner.Weight)
 	}
 }
 
@@ -117,12 +130,18 @@
 // another takes the chunks and what runs twice costs work; the first result
 // wins. The chunks held bound that work.
 func (e *Executor) mayStart() bool {
-	if e.isDraining() || e.results.Len() >= e.opts.MaxInFlight/2 {
+	if e.isDraining() || e.resultsFull() {
 		return false
 	}
 	return e.journal.MayHold() || !e.journal.LogUp()
 }
 
+// resultsFull says that no more results may come than those of items in
+// flight: the log does not take them, and memory is bounded.
+func (e *Executor) resultsFull() bool {
+	return e.unsettled.Load() >= int64(e.opts.BufferBytes) || e.results.Len() >= e.opts.MaxInFlight/2
+}
+
 // mayClaim says whether more chunks may be taken.
 func (e *Executor) mayClaim() bool {
 	return e.mayStart() && e.journal.MayHold() && e.journal.LogUp()
--- a/internal/coordination/batch/flusher.go
+++ b/internal/coordination/batch/flusher.go
@@ -224,6 +224,7 @@
 	}
 	for _, s := range sections {
 		counters.Add("results_"+string(outcome.Verdict), int64(len(s.results)))
+		f.unsettled.Add(-int64(s.bytes))
 		f.update(func(w *workset) { w.settled(s.id, s.numbers()) })
 	}
 	return true
--- a/internal/coordination/batch/options.go
+++ b/internal/coordination/batch/options.go
@@ -45,6 +45,9 @@
 	// items. Default 8: two thousand items keep an instance busy while a claim
 	// is on its way.
 	MaxHeldChunks int
+	// MaxHeldBytes is the size of held items' bodies beyond which an instance
+	// claims no more. Default 8 MiB, an eighth of the memory it may use.
+	MaxHeldBytes int
 	// MaxInFlight bounds the items an instance runs at a time. Default 256.
 	MaxInFlight int
 	// ClaimAhead is the time for which an instance claims work ahead at the
@@ -126,6 +129,7 @@
 	orDefault(&o.MaxHeldChunks, 8)
 	orDefault(&o.StealAfter, time.Second)
 	orDefault(&o.GiveBackAfter, 5*time.Second)
+	orDefault(&o.MaxHeldBytes, 8<<20)
 	orDefault(&o.MaxInFlight, 256)
 	orDefault(&o.ClaimAhead, 10*time.Second)
 	orDefault(&o.PlanEvery, 500*time.Millisecond)
--- a/internal/coordination/batch/pace.go
+++ b/internal/coordination/batch/pace.go
@@ -1,6 +1,11 @@
 package batch
 
-import "time"
+import (
+	"time"
+
+	"merlintiller/internal/coordination/bulk"
+	"merlintiller/internal/protocol"
+)
 
 // want is the number of items to take: enough to be busy while the next claim
 // is on its way, and no more, so that a job of another organisation that comes
@@ -11,6 +16,28 @@
 	return int(ahead) - now.fresh
 }
 
+// room is the number of items that may still be held, by their number and by
+// the memory that they are likely to take.
+func (c *claimer) room(now load) int {
+	room := c.opts.MaxHeldChunks*protocol.MaxChunkItems - now.items
+	left := c.opts.MaxHeldBytes - now.bytes
+	if left <= 0 {
+		return 0
+	}
+	if c.bodyBytes > 0 {
+		room = min(room, max(1, left/c.bodyBytes))
+	}
+	return room
+}
+
+func meanBody(items []bulk.Item) int {
+	total := 0
+	for i := range items {
+		total += len(items[i].Body)
+	}
+	return total / max(1, len(items))
+}
+
 // pace measures how many items an instance starts a second.
 type pace struct {
 	started int
--- a/internal/coordination/batch/run.go
+++ b/internal/coordination/batch/run.go
@@ -92,6 +92,7 @@
 			Message:   "the answer is larger than a batch result may be",
 		}
 	}
+	e.unsettled.Add(int64(resultSize(&result)))
 	// First handed over, then noted: a drain that saw no more runs would
 	// otherwise append what is there and miss this one.
 	if err := e.results.Put(ctx, finished{item: item, result: result}); err != nil {
--- a/internal/coordination/batch/workset.go
+++ b/internal/coordination/batch/workset.go
@@ -49,9 +49,10 @@
 }
 
 // startable says that items of the chunk may start. After the deadline they
-// would run for a result that nobody takes.
-func (c *heldChunk) startable(now time.Time) bool {
-	return !c.lost && c.deadline.After(now)
+// would run for a result that nobody takes; those of an organisation that was
+// removed from the configuration wait, in case that was a mistake.
+func (w *workset) startable(c *heldChunk, now time.Time) bool {
+	return !c.lost && c.deadline.After(now) && w.weight(c.organisation) > 0
 }
 
 // Causes with which a run is cancelled.
@@ -67,7 +68,7 @@
 	claims int
 	// urgent is how long before its deadline a chunk goes ahead of others.
 	urgent time.Duration
-	// weight is the fair share of an organisation, above 0.
+	// weight is the fair share of an organisation, 0 if there is none such.
 	weight func(protocol.OrganisationID) float64
 }
 
@@ -128,7 +129,7 @@
 	var bestChunk *heldChunk
 	order := w.ordering(now)
 	for _, c := range w.chunks {
-		if !c.startable(now) {
+		if !w.startable(c, now) {
 			continue
 		}
 		for _, t := range c.tasks {
--- a/internal/coordination/batch/worksetload.go
+++ b/internal/coordination/batch/worksetload.go
@@ -24,8 +24,10 @@
 // load counts what is held, for planning.
 type load struct {
 	chunks int
-	// items counts those without a result on its way; byOrg by organisation.
+	// items counts those without a result on its way; byOrg by organisation;
+	// bytes what their bodies take.
 	items int
+	bytes int
 	byOrg map[protocol.OrganisationID]int
 	// fresh counts waiting items that were not tried yet.
 	fresh   int
@@ -41,6 +43,7 @@
 		for _, t := range c.tasks {
 			if t.state != taskReported && !c.lost {
 				l.items++
+				l.bytes += len(t.item.Body)
 				l.byOrg[c.organisation]++
 			}
 			if t.state == taskWaiting && t.attempts == 0 {
@@ -58,7 +61,7 @@
 // straggler may run if none has.
 func (w *workset) ready(now time.Time, of services) (names []protocol.ServiceName, unknown []Item, next time.Time) {
 	for _, c := range w.chunks {
-		if !c.startable(now) {
+		if !w.startable(c, now) {
 			continue
 		}
 		for _, t := range c.tasks {
--- a/internal/coordination/faulttest/jobs_test.go
+++ b/internal/coordination/faulttest/jobs_test.go
@@ -1,7 +1,7 @@
 package faulttest
 
 import (
-	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -180,7 +180,7 @@
 		w, _, _ := submitted(t, 2, 3000, "24h", func(*world) {})
 		<-time.After(5 * time.Second)
 		small := newClient(w)
-		small.organisation = "dobrescu"
+		small.organisation = dobrescu
 		job, err := small.submit("key", 200, "24h")
 		require.NoError(t, err)
 		began := time.Now()
@@ -231,6 +231,16 @@
 	})
 }
 
+// removal publishes the removal of an object.
+func (w *world) removal(ref protocol.FleetRef) {
+	var version protocol.Offset
+	w.nodes[0].View(func(state *replica.State) { version = state.Fleet.Fleet().Version })
+	outcome := w.nodes[0].Submit(w.ctx, protocol.Record{FleetChange: &protocol.FleetChange{
+		ChangeID: "removal", BasedOn: version, Operator: "test", Remove: []protocol.FleetRef{ref},
+	}})
+	require.True(w.t, outcome.Accepted(), "%+v", outcome)
+}
+
 // A model is withdrawn from the configuration while its items wait. They are
 // tried again for a while and then end as failed results.
 func TestItemsOfAnUnknownModelEnd(t *testing.T) {
@@ -240,14 +250,51 @@
 			w.targets.itemTime = 5 * time.Second
 		})
 		<-time.After(7 * time.Second)
-		var version protocol.Offset
-		w.nodes[0].View(func(state *replica.State) { version = state.Fleet.Fleet().Version })
-		outcome := w.nodes[0].Submit(context.Background(), protocol.Record{FleetChange: &protocol.FleetChange{
-			ChangeID: "two", BasedOn: version, Operator: "test", Remove: []protocol.FleetRef{{Model: model}},
-		}})
-		require.True(t, outcome.Accepted(), "%+v", outcome)
+		w.removal(protocol.FleetRef{Model: model})
 		good, failed, _ := w.requireEnd(c, job.ID, 5*time.Minute, 40)
 		require.Positive(t, good)
 		require.Equal(t, 40-good, failed)
 	})
 }
+
+// An organisation is removed while its job runs. Nothing more of it starts, and
+// at the deadline the rest is told as expired.
+func TestRemovedOrganisationStartsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, c, job := submitted(t, 2, 400, "2m", func(*world) {})
+		<-time.After(4 * time.Second)
+		w.removal(protocol.FleetRef{Organisation: cascadia})
+		<-time.After(time.Second)
+		began := w.targets.total()
+		good, failed, _ := w.requireEnd(c, job.ID, 3*time.Minute, 400)
+		require.Equal(t, began, w.targets.total())
+		require.Equal(t, began, good)
+		require.Equal(t, 400-good, failed)
+	})
+}
+
+// Items with long bodies are claimed. What an instance holds of them must stay
+// within its memory, whatever their number.
+func TestLongItemsAreHeldWithinBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, c, _ := submitted(t, 1, 10, "1h", func(w *world) {
+			w.opts.MaxHeldBytes = 1 << 20
+			w.opts.MaxHeldChunks = 8
+		})
+		padding := `,"p":"` + strings.Repeat("x", 200_000) + `"}}`
+		long := strings.ReplaceAll(string(input(60)), "}]}}", "}]"+padding)
+		file, refusal := w.nodes[0].service.UploadFile(w.ctx, cascadia, "long", strings.NewReader(long))
+		require.Nil(t, refusal)
+		job, refusal := w.nodes[0].service.CreateBatch(w.ctx, cascadia, batch.JobRequest{InputFile: file.ID, Endpoint: path, Window: "1h"}, "long")
+		require.Nil(t, refusal)
+		most := 0
+		for !w.ended(job.ID) {
+			stats := w.nodes[0].executor.Stats()
+			most = max(most, stats.Waiting+stats.Running)
+			<-time.After(100 * time.Millisecond)
+		}
+		t.Logf("at most %d items of 200 kB held", most)
+		require.Less(t, most, 30)
+		_, _, _ = w.requireEnd(c, job.ID, time.Second, 60)
+	})
+}
--- a/internal/coordination/faulttest/world_test.go
+++ b/internal/coordination/faulttest/world_test.go
@@ -24,6 +24,7 @@
 
 const (
 	cascadia protocol.OrganisationID = "cascadia"
+	dobrescu protocol.OrganisationID = "dobrescu"
 	model    protocol.ModelName      = "tiller-8b"
 	runners  protocol.ServiceName    = "tiller-reports"
 	path                             = "/v1/chat/completions"
@@ -128,6 +129,7 @@
 		Operator: "test",
 		Set: []protocol.FleetObject{
 			{Organisation: &protocol.Organisation{ID: cascadia, Rate: 10, Burst: 10}},
+			{Organisation: &protocol.Organisation{ID: dobrescu, Rate: 10, Burst: 10}},
 			{Service: &protocol.Service{Name: runners, Kind: protocol.KindModel, Repeatable: true}},
 			{Model: &protocol.Model{Name: model, Service: runners}},
 		},
--- a/internal/transport/batchapi/client_test.go
+++ b/internal/transport/batchapi/client_test.go
@@ -91,6 +91,7 @@
 	<-time.After(time.Second)
 	outcome := j.Submit(ctx, protocol.Record{FleetChange: &protocol.FleetChange{
 		ChangeID: "one", BasedOn: protocol.NoOffset, Operator: "test", Set: []protocol.FleetObject{
+			{Organisation: &protocol.Organisation{ID: "cascadia", Rate: 10, Burst: 10}},
 			{Service: &protocol.Service{Name: "s", Kind: protocol.KindModel, Repeatable: true}},
 			{Service: &protocol.Service{Name: "roster", Kind: protocol.KindPlain}},
 			{Model: &protocol.Model{Name: "m", Service: "s"}},
