edge: bodies of calls in flight are bounded together

Cause: every body is read whole before anything is decided; a few keys with large bodies could take an instance's memory. Change: limits.buffered_bytes, refused as not run beyond it.

--- a/internal/daemon/options.go
+++ b/internal/daemon/options.go
@@ -90,6 +90,7 @@
 	return edge.Limits{
 		MaxConnections: s.Limits.Connections,
 		MaxBody:        s.Limits.BodyBytes,
+		MaxBuffered:    s.Limits.BufferedBytes,
 		MaxFile:        s.Limits.FileBytes,
 		MaxHeaderBytes: s.Limits.HeaderBytes,
 		MaxHeaders:     s.Limits.Headers,
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -42,6 +42,8 @@
 		// A prompt of 128 k tokens is about 0.5 MB of JSON; 4 MB leaves room
 		// for escapes while 100 such calls still fit in memory.
 		BodyBytes: 4 << 20,
+		// 64 of the largest bodies; a usual one takes some KB.
+		BufferedBytes: 256 << 20,
 		// 760,000 items at 700 bytes are 530 MB. A file passes through in
 		// chunks and is never in memory whole.
 		FileBytes: 512 << 20,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -121,6 +121,9 @@
 type Limits struct {
 	// BodyBytes is the largest body of an online call, in bytes.
 	BodyBytes int64 `yaml:"body_bytes"`
+	// BufferedBytes is what the bodies of all online calls in flight may take
+	// of the memory together, in bytes. Calls beyond it are refused.
+	BufferedBytes int64 `yaml:"buffered_bytes"`
 	// FileBytes is the largest batch input file, in bytes.
 	FileBytes int64 `yaml:"file_bytes"`
 	// HeaderBytes is the largest request header, in bytes.
--- a/internal/transport/edge/badinput_test.go
+++ b/internal/transport/edge/badinput_test.go
@@ -245,3 +245,20 @@
 	s.raw(t, "GET /v1/files/f1/content HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+testSecret+"\r\n\r\n")
 	require.Error(t, <-failed)
 }
+
+// Callers send more large bodies at once than the instance may hold in memory.
+// Those beyond the limit are refused as not run and told when to come back;
+// small requests and later ones are served.
+func TestLargeBodiesInFlightAreBounded(t *testing.T) {
+	s := newSystem(t, systemOptions{limits: Limits{MaxBody: 1000, MaxBuffered: 1500}})
+	half := s.raw(t, rawHeader("Content-Length: 900\r\n\r\n{"))
+	require.Eventually(t, func() bool { return s.edge.buffered.Load() == 900 }, waitLong, time.Millisecond)
+	large := strings.Repeat("x", 700)
+	refusal := refusalOf(t, s.post(t, testPath, chatBody(large, false), nil))
+	require.Equal(t, protocol.CodeOverloaded, refusal.Code)
+	require.Equal(t, protocol.NotRun, refusal.RunState)
+	require.Equal(t, http.StatusOK, s.post(t, testPath, chatBody("small", false), nil).StatusCode)
+	require.NoError(t, half.Close())
+	require.Eventually(t, func() bool { return s.edge.buffered.Load() == 0 }, waitLong, time.Millisecond)
+	require.Equal(t, http.StatusOK, s.post(t, testPath, chatBody(large, false), nil).StatusCode)
+}
--- a/internal/transport/edge/body.go
+++ b/internal/transport/edge/body.go
@@ -13,8 +13,28 @@
 const (
 	drainRetryAfter = 100 * time.Millisecond
 	startRetryAfter = time.Second
+	// bufferRetryAfter is about the time of a call with a large body.
+	bufferRetryAfter = time.Second
 )
 
+// reserve takes room for a body of the stated length, or the longest one.
+func (e *Edge) reserve(x *exchange) bool {
+	size := x.r.ContentLength
+	if size < 0 || size > e.limits.MaxBody {
+		size = e.limits.MaxBody
+	}
+	if e.buffered.Add(size) > e.limits.MaxBuffered {
+		e.buffered.Add(-size)
+		return false
+	}
+	x.reserved = size
+	return true
+}
+
+func (e *Edge) release(x *exchange) {
+	e.buffered.Add(-x.reserved)
+}
+
 // limitRead bounds the time to read the body. net/http sets it back at the
 // next request of the connection.
 func (e *Edge) limitRead(controller *http.ResponseController, limit time.Duration) {
@@ -24,6 +44,11 @@
 // readBody reads the whole body before anything is decided, so that a request
 // that is half sent holds no place and no tokens.
 func (e *Edge) readBody(x *exchange) ([]byte, bool) {
+	if !e.reserve(x) {
+		x.w.Header().Set("Connection", "close")
+		x.refuse(protocol.Refuse(protocol.CodeOverloaded, bufferRetryAfter, "too many large requests are in flight"))
+		return nil, false
+	}
 	controller := http.NewResponseController(x.w)
 	e.limitRead(controller, e.limits.BodyTimeout)
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, e.limits.MaxBody))
--- a/internal/transport/edge/options.go
+++ b/internal/transport/edge/options.go
@@ -46,6 +46,10 @@
 	MaxConnections int
 	// MaxBody bounds a request body in bytes. Default 4 MiB.
 	MaxBody int64
+	// MaxBuffered bounds the bodies in memory of all calls in flight, in
+	// bytes. Default 256 MiB: hundreds of keys with large prompts must not
+	// take the memory that everyone's calls need.
+	MaxBuffered int64
 	// MaxFile bounds an uploaded file in bytes. Default 512 MiB.
 	MaxFile int64
 	// MaxHeaderBytes bounds the header. Default 32 KiB.
@@ -72,6 +76,7 @@
 func (l Limits) withDefaults() Limits {
 	setDefault(&l.MaxConnections, 10_000)
 	setDefault(&l.MaxBody, 4<<20)
+	setDefault(&l.MaxBuffered, 256<<20)
 	setDefault(&l.MaxFile, 512<<20)
 	setDefault(&l.MaxHeaderBytes, 32<<10)
 	setDefault(&l.MaxHeaders, 100)
--- a/internal/transport/edge/routes.go
+++ b/internal/transport/edge/routes.go
@@ -39,6 +39,8 @@
 	id     string
 	caller access.Caller
 	secret string
+	// reserved is what the body takes of Limits.MaxBuffered.
+	reserved int64
 }
 
 // refuse answers with the status that goes with the refusal's code.
@@ -124,6 +126,7 @@
 			return
 		}
 		x.caller = caller
+		defer e.release(x)
 		next(x)
 	})
 }
--- a/internal/transport/edge/server.go
+++ b/internal/transport/edge/server.go
@@ -25,6 +25,8 @@
 	handler  http.Handler
 	phase    atomic.Int32
 	inFlight atomic.Int64
+	// buffered is the size of the bodies in memory, in bytes.
+	buffered atomic.Int64
 
 	mu     sync.Mutex
 	server *http.Server
