online: after a pause nothing is served by the keys of before it

Cause: an instance paused while a key was withdrawn woke with requests and tokens waiting and served them by its old configuration. Change: the edge refuses (instance_starting, not run) and streams wait until one read of the log has come to an end; cell withdraw/pause-past-lease is held in place of not applicable.

--- a/internal/coordination/online/call.go
+++ b/internal/coordination/online/call.go
@@ -145,6 +145,7 @@
 // keyActive ends the call, with what is known of its run, if the caller's key
 // was withdrawn meanwhile.
 func (c *call) keyActive(run protocol.RunState) bool {
+	c.catchUp()
 	if c.active() {
 		return true
 	}
@@ -156,6 +157,28 @@
 	return false
 }
 
+// catchUpStep is the time between two looks at whether the configuration is
+// current. It is so only for the time of one read of the log after a pause.
+const catchUpStep = 5 * time.Millisecond
+
+// catchUp waits until the configuration is current.
+//
+// What goes wrong without it: a process that was paused for a minute wakes with
+// tokens waiting and the keys of before the pause, and shows them to a caller
+// whose key was withdrawn meanwhile.
+func (c *call) catchUp() {
+	current := c.path.opts.Current
+	if current == nil || current() {
+		return
+	}
+	timer := time.NewTimer(catchUpStep)
+	defer timer.Stop()
+	for !current() && time.Now().Before(c.req.Deadline) {
+		<-timer.C
+		timer.Reset(catchUpStep)
+	}
+}
+
 func (c *call) active() bool {
 	return c.path.opts.Keys == nil || c.path.opts.Keys.Active(c.req.Caller.Key)
 }
--- a/internal/coordination/online/options.go
+++ b/internal/coordination/online/options.go
@@ -27,6 +27,10 @@
 	Target     platform.Target
 	OnceTarget platform.Target
 	Once       OnceCaller
+	// Current reports whether the configuration is as new as this instance
+	// can have it; after a long pause it is not, for the time of a read. Nil
+	// is always current.
+	Current func() bool
 	// Loads asks a target for a sign of life while a whole answer is long in
 	// coming. Without it only the deadline ends such a call.
 	Loads platform.LoadReports
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -36,6 +36,7 @@
 		OnceTarget: d.outside.once,
 		Once:       d.batch.once,
 		Loads:      d.outside.control,
+		Current:    d.agreement.journal.Current,
 		Observe:    d.operators.observe,
 		Logger:     d.logger,
 		Policy:     onlinePolicy(d.settings.Calls),
@@ -53,16 +54,10 @@
 	})
 }
 
-// ready says that the instance knows a state to serve by. Before, it would
-// refuse every key.
-func (d *Daemon) ready() bool {
-	select {
-	case <-d.agreement.journal.Loaded():
-		return true
-	default:
-		return false
-	}
-}
+// ready says that the instance knows the configuration that it has to serve by.
+// Before its start it would refuse every key, and after a long pause it would
+// take keys that were withdrawn meanwhile.
+func (d *Daemon) ready() bool { return d.agreement.journal.Current() }
 
 // organisationOf names the organisation whose key came with the request.
 func organisationOf(r *http.Request) protocol.OrganisationID {
--- a/internal/transport/edge/matrix_withdraw_test.go
+++ b/internal/transport/edge/matrix_withdraw_test.go
@@ -19,7 +19,7 @@
 	return []cell{
 		{step, "kill-before", withdrawInLog, systemOptions{}, nil},
 		{step, "kill-after", "The instance restarts after the withdrawal. The key stays refused.", systemOptions{}, withdrawnIsRefused},
-		{step, "pause-past-lease", withdrawInLog, systemOptions{}, nil},
+		{step, "pause-past-lease", "The instance is paused while the key is withdrawn. It wakes with requests and tokens waiting, and serves none of them by the keys of before.", systemOptions{}, withdrawWhilePaused},
 		{step, "log-down", "The log is down and the withdrawal comes from a peer. The key is refused at the next request.", systemOptions{}, withdrawnIsRefused},
 		{step, "answer-lost", withdrawTold, systemOptions{}, nil},
 		{step, "duplicate", "The withdrawal arrives twice. The key stays refused.", systemOptions{}, withdrawTwice},
@@ -123,6 +123,23 @@
 	return first(<-stream, s.calls(1))
 }
 
+func withdrawWhilePaused(s *system) error {
+	s.setFaults(target.Faults{HoldAfter: 3})
+	stream := begin(func() error { return s.brokenStream("riser") })
+	if err := s.held(1); err != nil {
+		return err
+	}
+	s.outdated.Store(true)
+	s.setFaults(target.Faults{})
+	got := s.call(context.Background(), testPath, chatBody("pump", false), nil)
+	if s.edge.InFlight() != 1 {
+		return errors.New("the stream went on by the keys of before the pause")
+	}
+	s.change(withdraw)
+	s.outdated.Store(false)
+	return first(got.refused(protocol.CodeInstanceStarting, protocol.NotRun), <-stream, s.refusesKey())
+}
+
 func withdrawRacing(s *system) error {
 	s.change(func(fleet *protocol.Fleet) {
 		withdraw(fleet)
--- a/internal/transport/edge/options.go
+++ b/internal/transport/edge/options.go
@@ -32,8 +32,9 @@
 	// Batch serves /v1/files and /v1/batches for authenticated callers, who
 	// are found by access.FromContext. May be nil.
 	Batch http.Handler
-	// Ready reports whether the instance knows a configuration and may serve.
-	// Nil is always ready.
+	// Ready reports whether the instance knows the configuration that it has
+	// to serve by: after its start, and again after a long pause. Nil is
+	// always ready.
 	Ready  func() bool
 	Logger log.Logger
 	Limits Limits
--- a/internal/transport/edge/routes.go
+++ b/internal/transport/edge/routes.go
@@ -136,7 +136,7 @@
 		return protocol.Refuse(protocol.CodeDraining, drainRetryAfter, "the instance is leaving; send the request again")
 	}
 	if e.opts.Ready != nil && !e.opts.Ready() {
-		return protocol.Refuse(protocol.CodeInstanceStarting, startRetryAfter, "the instance has no configuration yet")
+		return protocol.Refuse(protocol.CodeInstanceStarting, startRetryAfter, "the instance does not know the configuration in force yet")
 	}
 	return nil
 }
--- a/internal/transport/edge/system_test.go
+++ b/internal/transport/edge/system_test.go
@@ -55,18 +55,20 @@
 
 // system is one entry instance before stand-in targets, on loopback.
 type system struct {
-	fleet   atomic.Pointer[protocol.Fleet]
-	targets []*target.Target
-	servers []*httptest.Server
-	plain   *target.Target
-	router  *routing.Router
-	client  *targethttp.Client
-	path    *online.Path
-	edge    *Edge
-	listing platform.Listing
-	url     string
-	address string
-	stop    context.CancelFunc
+	fleet atomic.Pointer[protocol.Fleet]
+	// outdated is what the journal says after a pause.
+	outdated atomic.Bool
+	targets  []*target.Target
+	servers  []*httptest.Server
+	plain    *target.Target
+	router   *routing.Router
+	client   *targethttp.Client
+	path     *online.Path
+	edge     *Edge
+	listing  platform.Listing
+	url      string
+	address  string
+	stop     context.CancelFunc
 }
 
 type systemOptions struct {
@@ -94,16 +96,18 @@
 	}
 	s.path = online.New(online.Options{
 		Fleet: s.fleet.Load, Keys: access.New(s.fleet.Load), Router: s.router,
-		Target: calls, OnceTarget: onceCalls, Once: opts.once, Policy: opts.policy,
+		Target: calls, OnceTarget: onceCalls, Once: opts.once, Policy: opts.policy, Current: s.current,
 	})
 	s.edge = New(Options{
 		Listen: s.listen, Fleet: s.fleet.Load, Keys: access.New(s.fleet.Load),
-		Online: s.path, Limits: opts.limits, Batch: opts.batch,
+		Online: s.path, Limits: opts.limits, Batch: opts.batch, Ready: s.current,
 	})
 	s.start(t)
 	return s
 }
 
+func (s *system) current() bool { return !s.outdated.Load() }
+
 func (s *system) startTargets(t testing.TB, tokens int) {
 	add := func(id protocol.TargetID, cfg target.Config) *target.Target {
 		cfg.ID, cfg.Domain = id, testDomain
