--- a/internal/transport/edge/options.go
+++ b/internal/transport/edge/options.go
@@ -32,8 +32,9 @@
 	// Batch serves /v1/files and /v1/batches for authenticated callers, who
 	// are found by access.FromContext. May be nil.
 	Batch http.Handler
-	// Ready reports whether the instance knows a configuration and may serve.
-	// Nil is always ready.
+	// Ready reports whether the instance knows the configuration that it has
+	// to serve by: after its start, and again after a long pause. Nil is
+	// always ready.
 	Ready  func() bool
 	Logger log.Logger
 	Limits Limits
@@ -46,6 +47,10 @@
 	MaxConnections int
 	// MaxBody bounds a request body in bytes. Default 4 MiB.
 	MaxBody int64
+	// MaxBuffered bounds the bodies in memory of all calls in flight, in
+	// bytes. Default 256 MiB: hundreds of keys with large prompts must not
+	// take the memory that everyone's calls need.
+	MaxBuffered int64
 	// MaxFile bounds an uploaded file in bytes. Default 512 MiB.
 	MaxFile int64
 	// MaxHeaderBytes bounds the header. Default 32 KiB.
@@ -72,6 +77,7 @@
 func (l Limits) withDefaults() Limits {
 	setDefault(&l.MaxConnections, 10_000)
 	setDefault(&l.MaxBody, 4<<20)
+	setDefault(&l.MaxBuffered, 256<<20)
 	setDefault(&l.MaxFile, 512<<20)
 	setDefault(&l.MaxHeaderBytes, 32<<10)
 	setDefault(&l.MaxHeaders, 100)
--- a/internal/transport/edge/routes.go
+++ b/internal/transport/edge/routes.go
@@ -39,6 +39,8 @@
 	id     string
 	caller access.Caller
 	secret string
+	// reserved is what the body takes of Limits.MaxBuffered.
+	reserved int64
 }
 
 // refuse answers with the status that goes with the refusal's code.
@@ -124,6 +126,7 @@
 			return
 		}
 		x.caller = caller
+		defer e.release(x)
 		next(x)
 	})
 }
@@ -133,7 +136,7 @@
 		return protocol.Refuse(protocol.CodeDraining, drainRetryAfter, "the instance is leaving; send the request again")
 	}
 	if e.opts.Ready != nil && !e.opts.Ready() {
-		return protocol.Refuse(protocol.CodeInstanceStarting, startRetryAfter, "the instance has no configuration yet")
+		return protocol.Refuse(protocol.CodeInstanceStarting, startRetryAfter, "the instance does not know the configuration in force yet")
 	}
 	return nil
 }
