--- /dev/null
+++ b/internal/coordination/member/bench_test.go
@@ -0,0 +1,85 @@
+package member
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/protocol"
+	"merlintiller/internal/state/session"
+)
+
+var fleetSizes = []int{12, 85, 340}
+
+// BenchmarkObserve gives the cost of one look at the open sessions, of which
+// there are two a second.
+func BenchmarkObserve(b *testing.B) {
+	for _, size := range fleetSizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			table := session.New()
+			for i := range size {
+				table.Apply(protocol.Offset(i), &protocol.Record{
+					ID:          protocol.RecordID{Session: protocol.SessionID(i + 1), Seq: 1},
+					SessionOpen: &protocol.SessionOpen{Instance: protocol.InstanceID(fmt.Sprint("i", i))},
+				}, nil)
+			}
+			o := NewObserver(DefaultTimings())
+			now := start
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				o.Observe(now, Evidence{Asked: start, CaughtUpSince: start, Confirmed: true, Own: 1}, table.All())
+			}
+		})
+	}
+}
+
+// BenchmarkRound gives the cost of choosing the partners of a round of
+// heartbeats, and how many there are, with eight failure domains at 340.
+func BenchmarkRound(b *testing.B) {
+	for _, size := range fleetSizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			domains := max(3, size/42)
+			var known []Known
+			for i := range size {
+				known = append(known, Known{
+					Instance: protocol.InstanceID(fmt.Sprint("i", i)),
+					Domain:   protocol.Domain(fmt.Sprint("d", i%domains)),
+					Address:  fmt.Sprintf("10.0.0.%d:7000", i),
+				})
+			}
+			v := NewView("i0", "d0", DefaultViewLimits())
+			partners := 0
+			for b.Loop() {
+				v.Listed(start, known)
+				partners = len(v.Partners())
+			}
+			b.ReportMetric(float64(partners), "partners")
+			b.ReportMetric(float64(partners*2*beatBytes(b)), "bytes/round")
+		})
+	}
+}
+
+// beatBytes is the encoded size of one direction of a heartbeat on a connection
+// that has carried one before.
+func beatBytes(tb testing.TB) int {
+	var buffer bytes.Buffer
+	encoder := gob.NewEncoder(&buffer)
+	beat := Beat{
+		Instance:     "pnw-sea-entry-117",
+		Session:      1 << 60,
+		Domain:       "pnw-sea",
+		Address:      "10.20.30.40:7000",
+		Loaded:       true,
+		Applied:      1 << 40,
+		Digest:       1 << 60,
+		FleetVersion: 1 << 40,
+	}
+	require.NoError(tb, encoder.Encode(beat))
+	first := buffer.Len()
+	require.NoError(tb, encoder.Encode(beat))
+	return buffer.Len() - first
+}
