--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -36,6 +36,7 @@
 		OnceTarget: d.outside.once,
 		Once:       d.batch.once,
 		Loads:      d.outside.control,
+		Current:    d.agreement.journal.Current,
 		Observe:    d.operators.observe,
 		Logger:     d.logger,
 		Policy:     onlinePolicy(d.settings.Calls),
--- a/internal/daemon/options.go
+++ b/internal/daemon/options.go
@@ -25,6 +25,7 @@
 		ReadTimeout:   t.PlatformTimeout,
 		DownAfter:     t.LogDownAfter,
 		FrameSpacing:  t.AppendSpacing,
+		ReadSpacing:   t.ReadSpacing,
 		SnapshotAfter: t.Snapshot,
 	}
 }
@@ -90,6 +91,7 @@
 	return edge.Limits{
 		MaxConnections: s.Limits.Connections,
 		MaxBody:        s.Limits.BodyBytes,
+		MaxBuffered:    s.Limits.BufferedBytes,
 		MaxFile:        s.Limits.FileBytes,
 		MaxHeaderBytes: s.Limits.HeaderBytes,
 		MaxHeaders:     s.Limits.Headers,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -121,6 +121,9 @@
 type Limits struct {
 	// BodyBytes is the largest body of an online call, in bytes.
 	BodyBytes int64 `yaml:"body_bytes"`
+	// BufferedBytes is what the bodies of all online calls in flight may take
+	// of the memory together, in bytes. Calls beyond it are refused.
+	BufferedBytes int64 `yaml:"buffered_bytes"`
 	// FileBytes is the largest batch input file, in bytes.
 	FileBytes int64 `yaml:"file_bytes"`
 	// HeaderBytes is the largest request header, in bytes.
@@ -174,6 +177,9 @@
 	LogDownAfter time.Duration `yaml:"log_down_after"`
 	// AppendSpacing is the least time between two appends of an instance.
 	AppendSpacing time.Duration `yaml:"append_spacing"`
+	// ReadSpacing is the wait after a read of the log that brought entries, so
+	// that one read brings several where many instances write.
+	ReadSpacing time.Duration `yaml:"read_spacing"`
 	// ListPoll is the period of reading the platform's list.
 	ListPoll time.Duration `yaml:"list_poll"`
 	// LoadPoll is the period of reading a target's load report.
