--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -42,6 +42,8 @@
 		// A prompt of 128 k tokens is about 0.5 MB of JSON; 4 MB leaves room
 		// for escapes while 100 such calls still fit in memory.
 		BodyBytes: 4 << 20,
+		// 64 of the largest bodies; a usual one takes some KB.
+		BufferedBytes: 256 << 20,
 		// 760,000 items at 700 bytes are 530 MB. A file passes through in
 		// chunks and is never in memory whole.
 		FileBytes: 512 << 20,
@@ -101,6 +103,10 @@
 		// The platform takes several hundred appends a second: 12 instances
 		// at 20 ms stay at 600 when all are busy at once.
 		AppendSpacing: 20 * time.Millisecond,
+		// It delays what is agreed by as much, so it is short for 12 instances,
+		// which write a few entries a second. At 340 it is 200 ms: some 50
+		// entries a second then share five answers.
+		ReadSpacing: 10 * time.Millisecond,
 		// The list itself lags by more than this.
 		ListPoll: time.Second,
 		// Reports lag by about a second; asking more often shows nothing new.
