Limiter: notice a suspended machine

Cause: a suspended virtual machine's monotonic clock stands still, so tokens and promises looked young and would have been used after others counted them as ended. Weighed: the wall clock alone (a step forward would create tokens by refill). Change: when the wall clock went further than the monotonic one, tokens at hand, handovers and promises are dropped; refill stays on the monotonic clock.

--- a/internal/coordination/limiter/limiter.go
+++ b/internal/coordination/limiter/limiter.go
@@ -40,8 +40,9 @@
 	claims    *Claims
 	extension *extension
 	// session is the one under which the core's slots are held.
-	session protocol.SessionID
-	leaving bool
+	session    protocol.SessionID
+	leaving    bool
+	suspension suspension
 	// renewedAt is when the own latest renewal was first seen.
 	renewedAt time.Time
 
@@ -128,6 +129,10 @@
 // authorise says until when the held slots may be used. It is asked at every
 // decision, because a process that was paused must notice before it grants.
 func (l *Limiter) authorise(now time.Time) {
+	if l.suspension.passed(now) {
+		l.core.forgetPerishable()
+		l.extension.lapsed = true
+	}
 	switch {
 	case l.session == 0 || l.Journal.Session() != l.session:
 		l.core.Extend(time.Time{})
--- a/internal/coordination/limiter/services.go
+++ b/internal/coordination/limiter/services.go
@@ -69,6 +69,7 @@
 
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.authorise(now)
 	l.core.Configure(now, fleet, l.agreed.direct(l.core.Version(), fleet.Version))
 	l.core.SetHolders(view.holders())
 	l.followSlots(now, session, view)
