--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,11 @@
 test: fmt-check lint
 	$(GO) test ./...
 
+# All measurements: processes on this machine, then policies in virtual time.
+bench: build
+	$(BIN)/fleettest bench
+	$(BIN)/fleettest policy
+
 # Every fault at every step: a row for each step, the sum last.
 matrix: build
 	$(GO) test -count=1 -json -run '^TestMatrix' ./... | $(BIN)/fleettest matrix
--- a/cmd/fleettest/main.go
+++ b/cmd/fleettest/main.go
@@ -12,11 +12,13 @@
 	"merlintiller/internal/harness/bench"
 	"merlintiller/internal/harness/demo"
 	"merlintiller/internal/harness/matrix"
+	"merlintiller/internal/policybench"
 )
 
 type cli struct {
 	Demo   demoCmd   `cmd:"" help:"Run the demonstration."`
 	Bench  benchCmd  `cmd:"" help:"Take the measurements with processes."`
+	Policy policyCmd `cmd:"" help:"Take the measurements of the policies in virtual time."`
 	Matrix matrixCmd "cmd:\"\" help:\"Sum up the fault matrix from the events of `go test -json`, read from the standard input.\""
 }
 
@@ -46,6 +48,15 @@
 	return bench.Run(ctx, bench.Options{Dir: c.Dir, Bin: c.Bin, Out: os.Stdout}, c.Only)
 }
 
+type policyCmd struct{}
+
+// Run takes the measurements, which are the same on every machine but for the
+// costs of decisions.
+func (c *policyCmd) Run() error {
+	policybench.Run(os.Stdout)
+	return nil
+}
+
 type matrixCmd struct{}
 
 // Run fails if a cell is red or a test of the matrix failed unseen.
--- a/internal/harness/bench/entry.go
+++ b/internal/harness/bench/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -46,7 +47,10 @@
 		added := at(throughTimes, quantile.q) - base
 		opts.print(Measure{Name: quantile.name, Unit: "ms", Baseline: &base, Now: added, Note: "baseline_is=direct_call"})
 	}
-	return throughput(ctx, opts, f, through)
+	if err := throughput(ctx, opts, f, through); err != nil {
+		return err
+	}
+	return streaming(ctx, opts, f, through)
 }
 
 // latencies calls both ways in turn and returns the sorted times in ms.
@@ -82,14 +86,39 @@
 	return sorted[int(quantile*float64(len(sorted)-1))]
 }
 
+// streamTokens is the length of the measured streams.
+const streamTokens = 256
+
+// streaming divides the tokens relayed in streams by the processor time that
+// the instance took for them.
+func streaming(ctx context.Context, opts Options, f *fleet, caller *harness.Caller) error {
+	body := harness.ChatBody(model, "riser", streamTokens, true)
+	served, cores, err := underLoad(ctx, f, caller, body)
+	if err != nil {
+		return err
+	}
+	opts.print(Measure{Name: "entry.tokens_per_core", Unit: "1/s", Now: float64(served*streamTokens) / cores})
+	return nil
+}
+
 // throughput divides the calls served under load by the processor time that
 // the instance took for them.
 func throughput(ctx context.Context, opts Options, f *fleet, caller *harness.Caller) error {
-	before, err := f.Instances[0].Process.Usage()
+	served, cores, err := underLoad(ctx, f, caller, harness.ChatBody(model, "valve", 1, false))
 	if err != nil {
 		return err
 	}
-	body := harness.ChatBody(model, "valve", 1, false)
+	opts.print(Measure{Name: "entry.rps_per_core", Unit: "1/s", Now: float64(served) / cores})
+	return nil
+}
+
+// underLoad sends a request again and again for some seconds and returns how
+// many were served whole, and the processor time of the instance in seconds.
+func underLoad(ctx context.Context, f *fleet, caller *harness.Caller, body []byte) (calls int64, cores float64, err error) {
+	before, err := f.Instances[0].Process.Usage()
+	if err != nil {
+		return 0, 0, err
+	}
 	var served atomic.Int64
 	var running sync.WaitGroup
 	until := time.Now().Add(loadTime)
@@ -97,7 +126,7 @@
 		running.Go(func() {
 			for time.Now().Before(until) {
 				answer, err := caller.Post(ctx, "/v1/chat/completions", body, nil)
-				if err == nil && answer.Status == 200 {
+				if err == nil && answer.Status == http.StatusOK && answer.Whole {
 					served.Add(1)
 				}
 			}
@@ -106,9 +135,7 @@
 	running.Wait()
 	after, err := f.Instances[0].Process.Usage()
 	if err != nil {
-		return err
+		return 0, 0, err
 	}
-	cores := (after.CPU - before.CPU).Seconds()
-	opts.print(Measure{Name: "entry.rps_per_core", Unit: "1/s", Now: float64(served.Load()) / cores})
-	return nil
+	return served.Load(), (after.CPU - before.CPU).Seconds(), nil
 }
