--- a/internal/coordination/journal/journal.go
+++ b/internal/coordination/journal/journal.go
@@ -28,10 +28,11 @@
 	stopped  chan struct{}
 	stopOnce sync.Once
 
-	// mu guards state and changed.
+	// mu guards state, changed and digests.
 	mu      sync.RWMutex
 	state   *replica.State
 	changed chan struct{}
+	digests digests
 
 	// fleet is the replayed configuration with the locally withdrawn keys.
 	fleet atomic.Pointer[protocol.Fleet]
@@ -78,6 +79,7 @@
 		stopped:     make(chan struct{}),
 		state:       replica.New(),
 		changed:     make(chan struct{}),
+		digests:     digests{},
 		soft:        member.NewTombstones(),
 		waiting:     map[protocol.RecordID]*submission{},
 		renewals:    map[protocol.RecordID]time.Time{},
@@ -157,7 +159,7 @@
 // off goes on serving what it knows.
 func (j *Journal) Current() bool {
 	oneRead := j.timings.PollWait + j.timings.ReadTimeout
-	return j.isLoaded() && j.progress.current(time.Now(), 2*oneRead+j.timings.BackoffMax)
+	return j.isLoaded() && j.progress.current(time.Now(), 2*(oneRead+j.timings.BackoffMax))
 }
 
 // Loaded returns a channel that is closed once the replayed state is there.
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -54,9 +54,9 @@
 	})
 }
 
-// ready says that the instance knows the configuration that it has to serve by.
-// Before its start it would refuse every key, and after a long pause it would
-// take keys that were withdrawn meanwhile.
+// ready says that the instance knows a state to serve by. Before, it would
+// refuse every key; and after a pause of the process it would let in callers
+// whose keys were withdrawn meanwhile.
 func (d *Daemon) ready() bool { return d.agreement.journal.Current() }
 
 // organisationOf names the organisation whose key came with the request.
