--- a/internal/coordination/limiter/agreed.go
+++ b/internal/coordination/limiter/agreed.go
@@ -9,9 +9,8 @@
 )
 
 // sessionTrace is what this instance remembers of a session, also after it
-// ended: replay forgets whose it was.
+// ended.
 type sessionTrace struct {
-	instance protocol.InstanceID
 	// last and earlier are the two latest distinct renewals seen. The session
 	// has surely read back the earlier one: a writer sends its next record only
 	// when it knows the fate of the one before.
@@ -43,7 +42,7 @@
 	view := View{Holdings: map[SlotKey]Holding{}}
 	a.journal.View(func(state *replica.State) {
 		for _, info := range state.Sessions.All() {
-			a.trace(info.Session, info.Instance, info.LastRenewal)
+			a.trace(info.Session, info.LastRenewal)
 			view.Members = append(view.Members, Member{
 				Instance: info.Instance,
 				Session:  info.Session,
@@ -62,10 +61,10 @@
 	return view
 }
 
-func (a *agreed) trace(session protocol.SessionID, instance protocol.InstanceID, renewal protocol.Offset) {
+func (a *agreed) trace(session protocol.SessionID, renewal protocol.Offset) {
 	t, ok := a.traces[session]
 	if !ok {
-		t = &sessionTrace{instance: instance, last: renewal, earlier: protocol.NoOffset}
+		t = &sessionTrace{last: renewal, earlier: protocol.NoOffset}
 		a.traces[session] = t
 	}
 	if renewal > t.last {
@@ -85,12 +84,14 @@
 	}
 	h := Holding{
 		Session: lease.Session,
-		Fence:   lease.Fence,
-		Ended:   lease.EndedAt != protocol.NoOffset,
-		Settled: lease.Fence,
+		// From the lease, since an instance that started after the session
+		// ended has never seen it.
+		Instance: lease.Instance,
+		Fence:    lease.Fence,
+		Ended:    lease.EndedAt != protocol.NoOffset,
+		Settled:  lease.Fence,
 	}
 	if t, ok := a.traces[lease.Session]; ok {
-		h.Instance = t.instance
 		h.Settled = max(h.Settled, t.earlier)
 	}
 	into[key] = h
--- a/internal/coordination/limiter/services.go
+++ b/internal/coordination/limiter/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -215,9 +216,13 @@
 	if session == 0 || (l.Journal.LogUp() && !l.renewalLate(time.Now())) {
 		return
 	}
+	// At once: a mate that does not answer must not use up the time in which
+	// the others could.
+	var wait sync.WaitGroup
 	for _, mate := range l.promisesWanted(time.Now()) {
-		l.askPromise(ctx, session, mate)
+		wait.Go(func() { l.askPromise(ctx, session, mate) })
 	}
+	wait.Wait()
 }
 
 // renewalLate reports whether the own session was not renewed for a while.
--- a/internal/coordination/limiter/tenure_test.go
+++ b/internal/coordination/limiter/tenure_test.go
@@ -139,3 +139,25 @@
 		require.Len(t, f.heldBy("a1"), SlotsPerDomain)
 	})
 }
+
+// A domain loses power. Its only instance is back after its session has expired,
+// under the same address, and has never seen the old session open. Its slots
+// must not rest for hours.
+func TestReplacementAfterTheExpiryClaimsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(t)
+		f.start("a1", "a")
+		f.start("b1", "b")
+		f.configure("a1", domains("a"))
+		wait(10 * time.Second)
+		f.net.stop("a1")
+		f.journal("a1").end()
+		f.journal("a1").setCut(true, false)
+		wait(time.Second)
+		f.expire("b1", 1)
+		wait(time.Minute)
+		f.start("a1", "a")
+		wait(5 * time.Second)
+		require.Len(t, f.heldBy("a1"), SlotsPerDomain)
+	})
+}
--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -28,6 +28,9 @@
 	Fence protocol.Offset `cbor:"3,keyasint"`
 	// EndedAt is where the holder's session ended, NoOffset while it is open.
 	EndedAt protocol.Offset `cbor:"4,keyasint"`
+	// Instance is whose session it is. It outlives the session, so that a
+	// claimer can ask the process at its address whether the holder is gone.
+	Instance protocol.InstanceID `cbor:"5,keyasint,omitempty"`
 }
 
 func (l *Lease) held() bool { return l.EndedAt == protocol.NoOffset }
@@ -84,11 +87,20 @@
 	return found
 }
 
+// instances tells whose a session is, if the sessions know it.
+type instances interface {
+	Instance(id protocol.SessionID) protocol.InstanceID
+}
+
 // Apply implements state.Machine for the lease records.
-func (t *Table) Apply(at protocol.Offset, rec *protocol.Record, _ state.Sessions) protocol.Verdict {
+func (t *Table) Apply(at protocol.Offset, rec *protocol.Record, sessions state.Sessions) protocol.Verdict {
 	switch {
 	case rec.LeaseClaim != nil:
-		return t.applyClaim(at, rec.ID.Session, rec.LeaseClaim)
+		verdict := t.applyClaim(at, rec.ID.Session, rec.LeaseClaim)
+		if known, ok := sessions.(instances); ok && verdict == protocol.Accepted {
+			t.leases[rec.LeaseClaim.Resource].Instance = known.Instance(rec.ID.Session)
+		}
+		return verdict
 	case rec.LeaseRelease != nil:
 		return t.applyRelease(rec.ID.Session, rec.LeaseRelease.Resource)
 	}
--- a/internal/state/session/session.go
+++ b/internal/state/session/session.go
@@ -69,6 +69,12 @@
 	return *info, true
 }
 
+// Instance is whose an open session is, empty if it is not open.
+func (t *Table) Instance(id protocol.SessionID) protocol.InstanceID {
+	info, _ := t.Get(id)
+	return info.Instance
+}
+
 // All returns the open sessions in the order in which they were opened.
 func (t *Table) All() []Info {
 	all := make([]Info, 0, len(t.open))
