Limiter: only the process at a holder's or mate's address speaks for it

Cause: a replacement started elsewhere under the id of an instance that is cut off but alive would have said that the old session is gone, or promised in its name, and two holders could have granted the same tokens. Change: leases keep the holder's instance and peer address; an answer counts only from that address.

--- a/internal/coordination/limiter/agreed.go
+++ b/internal/coordination/limiter/agreed.go
@@ -47,6 +47,7 @@
 				Instance: info.Instance,
 				Session:  info.Session,
 				Domain:   info.Domain,
+				Address:  info.PeerAddress,
 				Opened:   info.OpenedAt,
 				Renewed:  info.LastRenewal,
 			})
@@ -87,6 +88,7 @@
 		// From the lease, since an instance that started after the session
 		// ended has never seen it.
 		Instance: lease.Instance,
+		Address:  lease.Address,
 		Fence:    lease.Fence,
 		Ended:    lease.EndedAt != protocol.NoOffset,
 		Settled:  lease.Fence,
--- a/internal/coordination/limiter/claims.go
+++ b/internal/coordination/limiter/claims.go
@@ -15,7 +15,9 @@
 	// Release gives the slot back instead, for another instance to claim.
 	Release bool
 	// AskGone: before anything, ask this instance whether Session is gone.
+	// Its answer counts only if it comes from Address.
 	AskGone protocol.InstanceID
+	Address string
 	Session protocol.SessionID
 }
 
@@ -154,9 +156,9 @@
 		release := ClaimAction{Key: key, Release: true}
 		return release, h.Session == own.Session && wanted != c.self
 	}
-	if h.Session == own.Session || h.Instance == c.self {
+	if h.Session == own.Session || h.Instance == c.self && h.Address == own.Address {
 		// This process uses the slots of its present session only, and no
-		// other process answers for this instance.
+		// other process can be at its address.
 		c.gone[h.Session] = true
 	}
 	return c.decideEnded(now, own, key, h, wanted)
@@ -188,7 +190,7 @@
 	if now.Sub(c.expiredAt[h.Session]) >= grace {
 		return claim, true
 	}
-	return ClaimAction{Key: key, AskGone: h.Instance, Session: h.Session}, true
+	return ClaimAction{Key: key, AskGone: h.Instance, Address: h.Address, Session: h.Session}, true
 }
 
 // forget drops what is known of sessions that hold no slot any more.
--- a/internal/coordination/limiter/endpoint.go
+++ b/internal/coordination/limiter/endpoint.go
@@ -29,6 +29,7 @@
 	l := e.limiter
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	reply.Address = l.Address
 	reply.Given = l.claims.Promise(time.Now(), args.Session)
 	return nil
 }
@@ -38,6 +39,7 @@
 	l := e.limiter
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	reply.Address = l.Address
 	reply.Gone = l.session != args.Session && l.Journal.Session() != args.Session
 	return nil
 }
--- a/internal/coordination/limiter/fakes_test.go
+++ b/internal/coordination/limiter/fakes_test.go
@@ -60,6 +60,7 @@
 	log      *fakeLog
 	instance protocol.InstanceID
 	domain   protocol.Domain
+	address  string
 	// writing keeps one record in flight. A channel, since virtual time stands
 	// still while a goroutine waits for a mutex.
 	writing chan struct{}
@@ -77,9 +78,9 @@
 	changed chan struct{}
 }
 
-func newFakeJournal(l *fakeLog, instance protocol.InstanceID, domain protocol.Domain) *fakeJournal {
+func newFakeJournal(l *fakeLog, instance protocol.InstanceID, domain protocol.Domain, address string) *fakeJournal {
 	j := &fakeJournal{
-		log: l, instance: instance, domain: domain, writing: make(chan struct{}, 1),
+		log: l, instance: instance, domain: domain, address: address, writing: make(chan struct{}, 1),
 		state: replica.New(), verdicts: map[protocol.RecordID]coordination.Outcome{},
 		session: l.newSession(), mayHold: true, changed: make(chan struct{}),
 	}
@@ -104,7 +105,7 @@
 }
 
 func (j *fakeJournal) open() {
-	j.submit(protocol.Record{SessionOpen: &protocol.SessionOpen{Instance: j.instance, Domain: j.domain}})
+	j.submit(protocol.Record{SessionOpen: &protocol.SessionOpen{Instance: j.instance, Domain: j.domain, PeerAddress: j.address}})
 }
 
 // reopen opens another session if the own one has ended.
@@ -289,7 +290,11 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	<-time.After(200 * time.Microsecond)
+	select {
+	case <-time.After(200 * time.Microsecond):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	deliver := func() error { return deliverTo(l.Endpoint(), method, args, reply) }
 	if intercept != nil {
 		return intercept(ctx, p.self, method, deliver)
@@ -329,9 +334,14 @@
 
 func (f *fakeFleet) start(id protocol.InstanceID, domain protocol.Domain) *Limiter {
 	f.t.Helper()
-	journal := newFakeJournal(f.log, id, domain)
+	return f.startAt(id, domain, "host-"+string(id))
+}
+
+func (f *fakeFleet) startAt(id protocol.InstanceID, domain protocol.Domain, address string) *Limiter {
+	f.t.Helper()
+	journal := newFakeJournal(f.log, id, domain, address)
 	l := New(Config{
-		Self: id, Domain: domain, Journal: journal,
+		Self: id, Domain: domain, Address: address, Journal: journal,
 		Peers:    &fakePeers{net: f.net, self: id, domain: domain},
 		Settings: testSettings(), Logger: log.NewNopLogger(),
 	})
--- a/internal/coordination/limiter/limiter.go
+++ b/internal/coordination/limiter/limiter.go
@@ -21,8 +21,10 @@
 
 // Config wires a Limiter.
 type Config struct {
-	Self     protocol.InstanceID
-	Domain   protocol.Domain
+	Self   protocol.InstanceID
+	Domain protocol.Domain
+	// Address is the own peer address, as the session's open record has it.
+	Address  string
 	Journal  coordination.Journal
 	Peers    coordination.Peers
 	Settings Settings
--- a/internal/coordination/limiter/promises.go
+++ b/internal/coordination/limiter/promises.go
@@ -16,6 +16,9 @@
 	// Given: the mate claims none of the session's slots for the promise time,
 	// counted by the asker from the moment it sent the request.
 	Given bool
+	// Address is the peer address of the process that answers. A process with
+	// the mate's id at another address does not speak for the mate.
+	Address string
 }
 
 // GoneArgs asks an instance whether it still uses the slots of a session.
@@ -27,6 +30,8 @@
 // one that can have held slots as that instance, so its word is final.
 type GoneReply struct {
 	Gone bool
+	// Address is the peer address of the process that answers.
+	Address string
 }
 
 // promises are this instance's own promises not to claim.
@@ -109,18 +114,24 @@
 	heldAt time.Time
 	// electorate are the mates whose promise is needed. It only grows until
 	// the session holds by itself again.
-	electorate map[protocol.InstanceID]bool
+	electorate map[mate]bool
 	// settled is the own renewal up to which the electorate is complete.
 	settled protocol.Offset
 	// promised is, for each mate, the time its promise ends.
-	promised map[protocol.InstanceID]time.Time
+	promised map[mate]time.Time
 	lapsed   bool
 }
 
+// mate is an instance at an address.
+type mate struct {
+	instance protocol.InstanceID
+	address  string
+}
+
 func newExtension(settings Settings) *extension {
 	return &extension{
 		settings: settings,
-		promised: map[protocol.InstanceID]time.Time{},
+		promised: map[mate]time.Time{},
 		settled:  protocol.NoOffset,
 		lapsed:   true,
 	}
@@ -133,7 +144,7 @@
 	}
 	e.session = session
 	e.heldAt = now
-	e.electorate = map[protocol.InstanceID]bool{}
+	e.electorate = map[mate]bool{}
 	e.lapsed = false
 }
 
@@ -146,18 +157,18 @@
 	}
 	for _, m := range mates {
 		if m.Session != e.session && m.Opened < readBack {
-			e.electorate[m.Instance] = true
+			e.electorate[mate{instance: m.Instance, address: m.Address}] = true
 		}
 	}
 }
 
 // promise notes a mate's promise to a request that was sent at a time. holding
 // says that the session still holds by itself.
-func (e *extension) promise(now time.Time, mate protocol.InstanceID, sent time.Time, holding bool) {
+func (e *extension) promise(now time.Time, from mate, sent time.Time, holding bool) {
 	if !holding && !now.Before(e.until(now)) {
 		return
 	}
-	e.promised[mate] = sent.Add(e.settings.shorter(e.settings.Promise))
+	e.promised[from] = sent.Add(e.settings.shorter(e.settings.Promise))
 }
 
 // until is the time until which the slots may be used by promises alone. It is
@@ -167,8 +178,8 @@
 		return time.Time{}
 	}
 	end := e.heldAt.Add(e.settings.shorter(e.settings.Grace))
-	for mate := range e.electorate {
-		if promised := e.promised[mate]; promised.Before(end) {
+	for m := range e.electorate {
+		if promised := e.promised[m]; promised.Before(end) {
 			end = promised
 		}
 	}
--- a/internal/coordination/limiter/services.go
+++ b/internal/coordination/limiter/services.go
@@ -188,7 +188,7 @@
 	var reply GoneReply
 	args := &GoneArgs{Session: action.Session}
 	err := l.Peers.Call(ctx, action.AskGone, ReceiverName+".Gone", args, &reply)
-	if err != nil || !reply.Gone {
+	if err != nil || !reply.Gone || reply.Address != action.Address {
 		return
 	}
 	l.mu.Lock()
@@ -219,8 +219,8 @@
 	// At once: a mate that does not answer must not use up the time in which
 	// the others could.
 	var wait sync.WaitGroup
-	for _, mate := range l.promisesWanted(time.Now()) {
-		wait.Go(func() { l.askPromise(ctx, session, mate) })
+	for _, m := range l.promisesWanted(time.Now()) {
+		wait.Go(func() { l.askPromise(ctx, session, m) })
 	}
 	wait.Wait()
 }
@@ -233,32 +233,32 @@
 }
 
 // promisesWanted are the mates whose promise ends soon.
-func (l *Limiter) promisesWanted(now time.Time) []protocol.InstanceID {
+func (l *Limiter) promisesWanted(now time.Time) []mate {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	soon := now.Add(l.Settings.Promise - l.Settings.Promise/promiseRefresh)
-	var wanted []protocol.InstanceID
-	for mate := range l.extension.electorate {
-		if l.extension.promised[mate].Before(soon) {
-			wanted = append(wanted, mate)
+	var wanted []mate
+	for m := range l.extension.electorate {
+		if l.extension.promised[m].Before(soon) {
+			wanted = append(wanted, m)
 		}
 	}
 	return wanted
 }
 
-func (l *Limiter) askPromise(ctx context.Context, session protocol.SessionID, mate protocol.InstanceID) {
+func (l *Limiter) askPromise(ctx context.Context, session protocol.SessionID, from mate) {
 	ctx, cancel := context.WithTimeout(ctx, l.Settings.ExchangeTimeout)
 	defer cancel()
 	sent := time.Now()
 	var reply PromiseReply
-	err := l.Peers.Call(ctx, mate, ReceiverName+".Promise", &PromiseArgs{Session: session}, &reply)
-	if err != nil || !reply.Given {
+	err := l.Peers.Call(ctx, from.instance, ReceiverName+".Promise", &PromiseArgs{Session: session}, &reply)
+	if err != nil || !reply.Given || reply.Address != from.address {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.extension.session == session {
-		l.extension.promise(time.Now(), mate, sent, l.Journal.MayHold())
+		l.extension.promise(time.Now(), from, sent, l.Journal.MayHold())
 	}
 }
 
--- a/internal/coordination/limiter/tenure_test.go
+++ b/internal/coordination/limiter/tenure_test.go
@@ -161,3 +161,23 @@
 		require.Len(t, f.heldBy("a1"), SlotsPerDomain)
 	})
 }
+
+// A replacement starts elsewhere under the id of an instance that is cut off and
+// goes on. It can't speak for the old process, and must not claim its slots.
+func TestReplacementElsewhereDoesNotClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(t)
+		old := f.start("a1", "a")
+		f.start("b1", "b")
+		f.configure("a1", domains("a"))
+		wait(10 * time.Second)
+		f.journal("a1").setCut(true, false)
+		f.startAt("a1", "a", "elsewhere")
+		wait(time.Second)
+		f.expire("b1", 1)
+		wait(time.Minute)
+		require.Empty(t, f.heldBy("a1"), "the replacement")
+		f.all["a1"] = old
+		require.Len(t, f.heldBy("a1"), SlotsPerDomain, "the old process")
+	})
+}
--- a/internal/coordination/limiter/view.go
+++ b/internal/coordination/limiter/view.go
@@ -8,6 +8,9 @@
 type Holding struct {
 	Session  protocol.SessionID
 	Instance protocol.InstanceID
+	// Address is the holder's peer address. Only the process there can say
+	// that the holder is gone.
+	Address string
 	// Fence is the offset of the claim that won the slot.
 	Fence protocol.Offset
 	// Ended says that the session expired. A session that closed, or released
@@ -23,6 +26,8 @@
 	Instance protocol.InstanceID
 	Session  protocol.SessionID
 	Domain   protocol.Domain
+	// Address is where the process answers other instances.
+	Address string
 	// Opened is the offset of the record that opened the session.
 	Opened protocol.Offset
 	// Renewed is the offset of its latest renewal, or of the open record.
--- a/internal/daemon/fleetpolicy.go
+++ b/internal/daemon/fleetpolicy.go
@@ -67,7 +67,7 @@
 		Listed:    f.orders.Listing,
 	})
 	f.limits = limiter.New(limiter.Config{
-		Self: s.Instance, Domain: s.Domain,
+		Self: s.Instance, Domain: s.Domain, Address: s.Listen.Peers,
 		Journal: j, Peers: d.agreement.heartbeats,
 		Settings: s.Limiter, Logger: d.logger,
 	})
--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -31,6 +31,9 @@
 	// Instance is whose session it is. It outlives the session, so that a
 	// claimer can ask the process at its address whether the holder is gone.
 	Instance protocol.InstanceID `cbor:"5,keyasint,omitempty"`
+	// Address is the holder's peer address: a process with the same instance id
+	// at another address may run beside the holder and can't speak for it.
+	Address string `cbor:"6,keyasint,omitempty"`
 }
 
 func (l *Lease) held() bool { return l.EndedAt == protocol.NoOffset }
@@ -89,7 +92,7 @@
 
 // instances tells whose a session is, if the sessions know it.
 type instances interface {
-	Instance(id protocol.SessionID) protocol.InstanceID
+	Instance(id protocol.SessionID) (instance protocol.InstanceID, peerAddress string)
 }
 
 // Apply implements state.Machine for the lease records.
@@ -98,7 +101,8 @@
 	case rec.LeaseClaim != nil:
 		verdict := t.applyClaim(at, rec.ID.Session, rec.LeaseClaim)
 		if known, ok := sessions.(instances); ok && verdict == protocol.Accepted {
-			t.leases[rec.LeaseClaim.Resource].Instance = known.Instance(rec.ID.Session)
+			lease := t.leases[rec.LeaseClaim.Resource]
+			lease.Instance, lease.Address = known.Instance(rec.ID.Session)
 		}
 		return verdict
 	case rec.LeaseRelease != nil:
--- a/internal/state/session/session.go
+++ b/internal/state/session/session.go
@@ -69,10 +69,11 @@
 	return *info, true
 }
 
-// Instance is whose an open session is, empty if it is not open.
-func (t *Table) Instance(id protocol.SessionID) protocol.InstanceID {
+// Instance is whose an open session is and its peer address, empty if it is not
+// open.
+func (t *Table) Instance(id protocol.SessionID) (instance protocol.InstanceID, peerAddress string) {
 	info, _ := t.Get(id)
-	return info.Instance
+	return info.Instance, info.PeerAddress
 }
 
 // All returns the open sessions in the order in which they were opened.
