--- a/internal/coordination/limiter/claims.go
+++ b/internal/coordination/limiter/claims.go
@@ -31,6 +31,8 @@
 	// expiredAt is when this instance first read that a session had ended.
 	expiredAt map[protocol.SessionID]time.Time
 	gone      map[protocol.SessionID]bool
+	// askedAt is when an instance was last asked whether a session is gone.
+	askedAt map[protocol.SessionID]time.Time
 	// wanted, held and members are of the latest step.
 	wanted  Assignment
 	held    Assignment
@@ -52,6 +54,7 @@
 		promises:  newPromises(settings.longer(settings.Promise), 2*settings.Grace),
 		expiredAt: map[protocol.SessionID]time.Time{},
 		gone:      map[protocol.SessionID]bool{},
+		askedAt:   map[protocol.SessionID]time.Time{},
 		left:      map[protocol.SessionID]bool{},
 	}
 }
@@ -164,6 +167,11 @@
 	return c.decideEnded(now, own, key, h, wanted)
 }
 
+// askGoneEvery is how often an instance is asked whether a session is gone, once
+// for all the session's slots: a dead one does not answer, and asking must not
+// hold up claims that wait behind it.
+const askGoneEvery = 2 * time.Second
+
 // claimPatience is how long a slot is left to the instance that should hold it.
 // That one may not be allowed to claim: it may have started too late for the old
 // holder to know it. After that any instance that may claims the slot.
@@ -190,6 +198,10 @@
 	if now.Sub(c.expiredAt[h.Session]) >= grace {
 		return claim, true
 	}
+	if now.Sub(c.askedAt[h.Session]) < askGoneEvery {
+		return ClaimAction{}, false
+	}
+	c.askedAt[h.Session] = now
 	return ClaimAction{Key: key, AskGone: h.Instance, Address: h.Address, Session: h.Session}, true
 }
 
@@ -214,6 +226,11 @@
 			delete(c.left, session)
 		}
 	}
+	for session := range c.askedAt {
+		if !holding[session] {
+			delete(c.askedAt, session)
+		}
+	}
 	for session := range c.gone {
 		if !holding[session] {
 			delete(c.gone, session)
--- a/internal/coordination/limiter/limiter.go
+++ b/internal/coordination/limiter/limiter.go
@@ -50,6 +50,8 @@
 
 	ahead   *ring.Ring[*Ask]
 	actions *ring.Ring[ClaimAction]
+	// pending are the slots with an action in the ring.
+	pending map[SlotKey]bool
 }
 
 // Capacities of the rings between the duties. A drop costs an exchange later.
@@ -68,6 +70,7 @@
 		extension: newExtension(config.Settings),
 		ahead:     ring.New[*Ask]("", aheadCapacity),
 		actions:   ring.New[ClaimAction]("", actionCapacity),
+		pending:   map[SlotKey]bool{},
 	}
 }
 
--- a/internal/coordination/limiter/matrix_test.go
+++ b/internal/coordination/limiter/matrix_test.go
@@ -103,6 +103,12 @@
 	w.loseLog(id)
 }
 
+// kill ends a process for good.
+func (w *cellWorld) kill(id protocol.InstanceID) {
+	w.journal(id).end()
+	w.freeze(id)
+}
+
 // loseLog cuts an instance off from the log; its session's hold ends in time
 // and its mates expire it.
 func (w *cellWorld) loseLog(id protocol.InstanceID) {
@@ -180,12 +186,10 @@
 		w.all["a1"].Leave(w.t.Context())
 		w.journal("a1").submit(protocol.Record{SessionClose: &protocol.SessionClose{}})
 		// The process ends. If the log was down, its session is still open.
-		w.journal("a1").end()
-		w.freeze("a1")
+		w.kill("a1")
 	}},
 	{name: "claim-slot", claim: true, act: func(w *cellWorld) {
-		w.journal("a3").end()
-		w.freeze("a3")
+		w.kill("a3")
 	}},
 	{name: "change-rate", method: ReceiverName + ".Version", act: func(w *cellWorld) {
 		shares := domains("a", "b", "c")
@@ -204,20 +208,18 @@
 	strike strike
 	// around strikes at no step of a1 but while it goes on.
 	around func(w *cellWorld)
-	// dies says that a1 is gone for good.
-	dies bool
 }
 
 var cellFaults = []cellFault{
-	{name: "kill-before", story: "a1 dies just before the step. What it held must come back to its mates, once.", dies: true,
+	{name: "kill-before", story: "a1 dies just before the step. What it held must come back to its mates, once.",
 		strike: func(w *cellWorld, _ func() error) error {
-			w.freeze("a1")
+			w.kill("a1")
 			return errCut
 		}},
-	{name: "kill-after", story: "a1 dies just after the step took effect. Tokens on their way to it are lost and must not be there twice.", dies: true,
+	{name: "kill-after", story: "a1 dies just after the step took effect. Tokens on their way to it are lost and must not be there twice.",
 		strike: func(w *cellWorld, forward func() error) error {
 			_ = forward()
-			w.freeze("a1")
+			w.kill("a1")
 			return errCut
 		}},
 	{name: "pause-past-lease", story: "a1 is paused in the step until its session has expired and its slots have new holders. It wakes and grants before it has read anything.",
--- a/internal/coordination/limiter/services.go
+++ b/internal/coordination/limiter/services.go
@@ -80,10 +80,18 @@
 		return
 	}
 	for _, key := range l.core.GivenUp() {
-		l.actions.Offer(ClaimAction{Key: key, Release: true})
+		l.offer(ClaimAction{Key: key, Release: true})
 	}
 	for _, action := range l.claims.Step(now, session, view) {
-		l.actions.Offer(action)
+		l.offer(action)
+	}
+}
+
+// offer queues an action unless one for the slot waits already. The caller
+// holds the lock.
+func (l *Limiter) offer(action ClaimAction) {
+	if !l.pending[action.Key] {
+		l.pending[action.Key] = l.actions.Offer(action)
 	}
 }
 
@@ -139,6 +147,7 @@
 }
 
 func (l *Limiter) act(ctx context.Context, action ClaimAction) {
+	defer l.acted(action.Key)
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
 	switch {
@@ -154,6 +163,12 @@
 	}
 }
 
+func (l *Limiter) acted(key SlotKey) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.pending, key)
+}
+
 func (l *Limiter) submit(ctx context.Context, rec protocol.Record) {
 	if !l.Journal.LogUp() {
 		return
@@ -185,6 +200,8 @@
 }
 
 func (l *Limiter) askGone(ctx context.Context, action ClaimAction) {
+	ctx, cancel := context.WithTimeout(ctx, l.Settings.ExchangeTimeout)
+	defer cancel()
 	var reply GoneReply
 	args := &GoneArgs{Session: action.Session}
 	err := l.Peers.Call(ctx, action.AskGone, ReceiverName+".Gone", args, &reply)
