--- a/internal/coordination/routing/core.go
+++ b/internal/coordination/routing/core.go
@@ -17,6 +17,8 @@
 	random  uint64
 	pools   map[protocol.ServiceName]*pool
 	targets map[protocol.TargetID]*target
+	// ordered is the targets by id, nil if one came or went since.
+	ordered []*target
 	// services is the configuration that slots come from.
 	services map[protocol.ServiceName]protocol.Service
 }
--- a/internal/coordination/routing/listing.go
+++ b/internal/coordination/routing/listing.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -81,6 +83,7 @@
 	}
 	p.all = append(p.all, t)
 	c.targets[t.id] = t
+	c.ordered = nil
 	return t
 }
 
@@ -89,6 +92,7 @@
 	p.all = slices.DeleteFunc(p.all, func(other *target) bool { return other == t })
 	p.forgetReport(t)
 	delete(c.targets, t.id)
+	c.ordered = nil
 }
 
 // forgetGone drops targets that left the list and have no own call in flight.
@@ -124,10 +128,36 @@
 	Leaving     bool    `json:"leaving,omitempty"`
 }
 
+// inOrder is all targets by id. The order is kept until a target comes or goes:
+// the list is looked at many times a second.
+func (c *Core) inOrder() []*target {
+	if c.ordered == nil {
+		c.ordered = slices.SortedFunc(maps.Values(c.targets), func(a, b *target) int { return cmp.Compare(a.id, b.id) })
+	}
+	return c.ordered
+}
+
+// Capacity is what a service's usable targets hold: their slots, and the
+// estimate of what other instances have in flight there.
+func (c *Core) Capacity(now time.Time, service protocol.ServiceName) (slots int, others float64) {
+	p, ok := c.pools[service]
+	if !ok {
+		return 0, 0
+	}
+	for _, t := range p.all {
+		if t.health.ejected(now) || t.leaving(now, &c.opts) {
+			continue
+		}
+		slots += int(t.slots)
+		others += t.othersNow(now, &c.opts)
+	}
+	return slots, others
+}
+
 // Targets lists what the core knows, by target id.
 func (c *Core) Targets(now time.Time) []Status {
 	out := make([]Status, 0, len(c.targets))
-	for _, t := range c.targets {
+	for _, t := range c.inOrder() {
 		out = append(out, Status{
 			Target:      t.id,
 			Service:     t.pool.service,
@@ -143,12 +173,6 @@
 			Leaving:     t.leaving(now, &c.opts),
 		})
 	}
-	slices.SortFunc(out, func(a, b Status) int {
-		if a.Target < b.Target {
-			return -1
-		}
-		return 1
-	})
 	return out
 }
 
--- a/internal/coordination/routing/router.go
+++ b/internal/coordination/routing/router.go
@@ -65,6 +65,14 @@
 	return r.core.OnlineInFlight(id)
 }
 
+// Capacity is what a service's usable targets hold and what other instances
+// have in flight there.
+func (r *Router) Capacity(service protocol.ServiceName) (slots int, others float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.Capacity(time.Now(), service)
+}
+
 // Targets lists all known targets, by id.
 func (r *Router) Targets() []Status {
 	r.mu.Lock()
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"sync"
+	"time"
 
 	"merlintiller/internal/coordination/admission"
 	"merlintiller/internal/coordination/headroom"
@@ -20,8 +22,17 @@
 type view struct {
 	router  *routing.Router
 	journal *journal.Journal
+
+	mu        sync.Mutex
+	members   []headroom.Member
+	membersAt time.Time
 }
 
+// membersFresh is how long the members are kept. They change when an instance
+// comes or goes, are asked for many times a second, and decide only who feeds
+// which target and how a target's slots are divided.
+const membersFresh = time.Second
+
 var (
 	_ admission.Capacities = (*view)(nil)
 	_ headroom.Source      = (*view)(nil)
@@ -36,17 +47,12 @@
 
 // Capacity implements admission.Capacities.
 func (v *view) Capacity(service protocol.ServiceName) admission.Capacity {
-	capacity := admission.Capacity{Instances: max(1, len(v.Members()))}
-	others := 0.0
-	for _, target := range v.router.Targets() {
-		if target.Service != service || target.Ejected || target.Leaving {
-			continue
-		}
-		capacity.Slots += v.slots(service)
-		others += target.Others
+	slots, others := v.router.Capacity(service)
+	return admission.Capacity{
+		Slots:     slots,
+		Others:    int(math.Round(others)),
+		Instances: max(1, len(v.Members())),
 	}
-	capacity.Others = int(math.Round(others))
-	return capacity
 }
 
 // Targets implements headroom.Source.
@@ -70,11 +76,18 @@
 
 // Members implements headroom.Source.
 func (v *view) Members() []headroom.Member {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := time.Now()
+	if v.members != nil && now.Sub(v.membersAt) < membersFresh {
+		return v.members
+	}
 	var members []headroom.Member
 	v.journal.View(func(s *replica.State) {
 		for _, info := range s.Sessions.All() {
 			members = append(members, headroom.Member{Instance: info.Instance, Domain: info.Domain})
 		}
 	})
+	v.members, v.membersAt = members, now
 	return members
 }
--- /dev/null
+++ b/internal/daemon/view_test.go
@@ -0,0 +1,55 @@
+package daemon
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"merlintiller/internal/coordination/journal"
+	"merlintiller/internal/coordination/routing"
+	"merlintiller/internal/platform"
+	"merlintiller/internal/protocol"
+	"merlintiller/internal/standin/memlog"
+)
+
+// BenchmarkLooks gives the cost of what an instance looks at many times a
+// second, over the targets and services of the target size.
+func BenchmarkLooks(b *testing.B) {
+	for _, targets := range []int{10, 100, 850} {
+		v := viewOf(targets)
+		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
+			for b.Loop() {
+				v.Targets()
+			}
+		})
+		b.Run(fmt.Sprintf("capacities=%d", targets), func(b *testing.B) {
+			for b.Loop() {
+				for service := range services {
+					v.Capacity(serviceName(service))
+				}
+			}
+		})
+	}
+}
+
+const services = 38
+
+func serviceName(n int) protocol.ServiceName {
+	return protocol.ServiceName(fmt.Sprintf("service-%d", n))
+}
+
+func viewOf(targets int) *view {
+	router := routing.NewRouter(routing.Options{Domain: "d"})
+	var listing platform.Listing
+	for i := range targets {
+		listing.Targets = append(listing.Targets, platform.ListedTarget{
+			ID: protocol.TargetID(fmt.Sprintf("target-%d", i)), Service: serviceName(i % services),
+			Domain: "d", Address: "127.0.0.1:1",
+		})
+	}
+	router.Listing(listing)
+	for _, target := range listing.Targets {
+		router.Report(platform.Load{Target: target.ID, Running: 3, AgeMS: time.Second.Milliseconds()})
+	}
+	return &view{router: router, journal: journal.New(journal.Options{Log: memlog.New(memlog.Options{})})}
+}
--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -20,6 +20,9 @@
 	"merlintiller/internal/standin/platformsrv"
 )
 
+// readyPatience only ends a hang: an instance is ready within a second.
+const readyPatience = 60 * time.Second
+
 // pollPeriod is how often the harness looks whether a process is ready.
 const pollPeriod = 50 * time.Millisecond
 
@@ -218,6 +221,8 @@
 
 // WaitReady waits until every instance that runs says that it is ready.
 func (f *Fleet) WaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyPatience)
+	defer cancel()
 	for _, instance := range f.Instances {
 		if instance.Process.Exited() {
 			continue
--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -6,7 +6,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -90,33 +89,3 @@
 		return false
 	}
 }
-
-// FreeAddress returns a loopback address with a port that was free just now.
-func FreeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
-}
-
-// FreeAddresses returns several addresses that differ.
-func FreeAddresses(count int) ([]string, error) {
-	listeners := make([]net.Listener, 0, count)
-	defer func() {
-		for _, listener := range listeners {
-			_ = listener.Close()
-		}
-	}()
-	addresses := make([]string, 0, count)
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		listeners = append(listeners, listener)
-		addresses = append(addresses, listener.Addr().String())
-	}
-	return addresses, nil
-}
--- a/internal/state/replica/bench_test.go
+++ b/internal/state/replica/bench_test.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"runtime"
 	"testing"
@@ -9,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"merlintiller/internal/protocol"
+	"merlintiller/internal/state/fleet"
 )
 
 // Sizes of a stream with a million live items.
@@ -123,6 +126,49 @@
 	}
 }
 
+// BenchmarkFleetMemory gives the heap and the snapshot of the configuration of
+// the target size: 3,400 organisations with three keys each and 38 models.
+func BenchmarkFleetMemory(b *testing.B) {
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		change := &protocol.Record{FleetChange: targetConfiguration()}
+		store := fleet.New()
+		require.Equal(b, protocol.Accepted, store.Apply(0, change, nil))
+		change = nil
+		runtime.GC()
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "heap-bytes")
+		data, err := protocol.Marshal(store.Snapshot())
+		require.NoError(b, err)
+		b.ReportMetric(float64(len(data)), "snapshot-bytes")
+		runtime.KeepAlive(store)
+	}
+}
+
+func targetConfiguration() *protocol.FleetChange {
+	change := &protocol.FleetChange{ChangeID: "target", BasedOn: protocol.NoOffset}
+	put := func(object protocol.FleetObject) { change.Set = append(change.Set, object) }
+	for i := range 38 {
+		service := protocol.ServiceName(fmt.Sprintf("service-%d", i))
+		put(protocol.FleetObject{Service: &protocol.Service{Name: service, Kind: protocol.KindModel, Repeatable: true, Slots: 16, LongestOrder: time.Minute}})
+		put(protocol.FleetObject{Model: &protocol.Model{Name: protocol.ModelName(service), Service: service, Version: "1"}})
+	}
+	for i := range 3400 {
+		id := protocol.OrganisationID(fmt.Sprintf("organisation-%d", i))
+		put(protocol.FleetObject{Organisation: &protocol.Organisation{ID: id, Rate: 1, Burst: 5}})
+		for k := range 3 {
+			hash := sha256.Sum256([]byte{byte(i), byte(i >> 8), byte(k)})
+			key := protocol.KeyID(fmt.Sprintf("key-%d-%d", i, k))
+			put(protocol.FleetObject{Key: &protocol.Key{ID: key, Organisation: id, SHA256: hex.EncodeToString(hash[:])}})
+		}
+	}
+	return change
+}
+
 // BenchmarkLiveMemory gives the heap that a million live items take.
 func BenchmarkLiveMemory(b *testing.B) {
 	payloads, _ := stream(b)
