Limiter: an organisation configured just now is told to come back

Cause: keys follow a new configuration at once and the limiter up to 200 ms later. Ruled out: letting the call look at the replayed state itself, since two looks at a time could apply an older view of the slots after a newer one. Measured: the new test failed with 'forbidden' before and passes now.

--- a/internal/coordination/limiter/limiter.go
+++ b/internal/coordination/limiter/limiter.go
@@ -103,7 +103,7 @@
 			l.fetch(verdict.Ahead)
 			return nil
 		case verdict.Unknown:
-			return protocol.Refuse(protocol.CodeForbidden, 0, "organisation %s is not configured", org)
+			return l.unknown(org)
 		case verdict.Ask != nil && ctx.Err() == nil:
 			l.exchange(ctx, verdict.Ask)
 		default:
@@ -116,6 +116,17 @@
 	}
 }
 
+// unknown refuses an organisation that the core does not know. A configuration
+// is in force for the keys at once and for the core up to changeDebounce later:
+// a caller with a new key must not be told to go away for good meanwhile.
+func (l *Limiter) unknown(org protocol.OrganisationID) *protocol.Refusal {
+	stats.Add("refused", 1)
+	if _, ok := l.Journal.Fleet().Organisations[org]; ok {
+		return protocol.Refuse(protocol.CodeRateLimited, changeDebounce, "organisation %s came into force just now and has no tokens yet", org)
+	}
+	return protocol.Refuse(protocol.CodeForbidden, 0, "organisation %s is not configured", org)
+}
+
 // minRetryAfter is told when exchanges ran out of time: tokens may be there.
 const minRetryAfter = 100 * time.Millisecond
 
--- a/internal/coordination/limiter/limiter_test.go
+++ b/internal/coordination/limiter/limiter_test.go
@@ -49,6 +49,21 @@
 	})
 }
 
+// An operator adds an organisation, and its first call comes in the same
+// instant. A refusal for good would make its client give up, although the
+// organisation is configured; it is told to come back.
+func TestOrganisationConfiguredJustNowIsToldToComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := threeDomains(t)
+		f.configure("a1", domains("a", "b", "c"), protocol.Organisation{ID: "new", Rate: 30, Burst: 30})
+		refusal := f.all["b1"].Admit(t.Context(), "new", 1)
+		require.Equal(t, protocol.CodeRateLimited, refusal.Code)
+		require.Positive(t, refusal.RetryAfter)
+		refusal = f.all["b1"].Admit(t.Context(), "none", 1)
+		require.Equal(t, protocol.CodeForbidden, refusal.Code)
+	})
+}
+
 func TestRefusalTellsWhenToComeBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := threeDomains(t)
