--- a/internal/coordination/headroom/feeder.go
+++ b/internal/coordination/headroom/feeder.go
@@ -32,22 +32,28 @@
 	}
 	feeders := make(map[protocol.TargetID]protocol.InstanceID, len(targets))
 	load := make(map[protocol.InstanceID]int)
+	adopted := make(map[protocol.InstanceID]int)
 	for _, t := range targets {
-		candidates := byDomain[t.Domain]
-		limit := 0
+		candidates, taken := byDomain[t.Domain], load
+		limit := evenShare(count[t.Domain], len(candidates))
 		if len(candidates) == 0 {
-			candidates, limit = all, len(targets)
-		} else {
-			limit = (count[t.Domain] + len(candidates) - 1) / len(candidates)
+			candidates, taken, limit = all, adopted, len(targets)
 		}
-		if best := rendezvous(t.ID, candidates, load, limit); best != "" {
+		if best := rendezvous(t.ID, candidates, taken, limit); best != "" {
 			feeders[t.ID] = best
-			load[best]++
+			taken[best]++
 		}
 	}
 	return feeders
 }
 
+func evenShare(targets, instances int) int {
+	if instances == 0 {
+		return 0
+	}
+	return (targets + instances - 1) / instances
+}
+
 func rendezvous(target protocol.TargetID, candidates []protocol.InstanceID, load map[protocol.InstanceID]int, limit int) protocol.InstanceID {
 	var best protocol.InstanceID
 	var bestScore uint64
--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -297,7 +297,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
+	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusNoContent {
 		return fmt.Errorf("%s %s: status %d", method, url, resp.StatusCode)
 	}
 	return nil
--- /dev/null
+++ b/internal/harness/proctest/main_test.go
@@ -0,0 +1,35 @@
+// Package proctest holds the tests with real processes: a small fleet on
+// loopback whose processes are killed, paused and cut off by signals and fault
+// switches. The verdicts are counts and values; a time limit only ends a hang.
+package proctest
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"testing"
+)
+
+// programs is the folder of the built programs.
+var programs string
+
+// TestMain builds the programs once for all tests.
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "proctest")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	programs = dir
+	build := exec.Command("go", "build", "-o", dir+"/", "merlintiller/cmd/tillerd", "merlintiller/cmd/tillerctl", "merlintiller/cmd/standin")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "building: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
