Batch: a half-done chunk without places is given back at once, its results first

Cause: a chunk of which some results waited to be appended counted as at work, so its other items, for which the instance had no place any more, waited until the results were appended: up to batch.result_flush, 3 min. Seen in the failed runs of TestKillRightAfterAcknowledgement, where the job stood still although another instance was idle. Weighed: appending a chunk's results as soon as it has no place (a flush for every short dip of the windows) against at the moment it is given back; the latter is taken, so that the next holder runs only what is missing. Before/after: TestHalfDoneChunkWithoutPlacesIsGivenBack fails on the former code and passes now; TestChunkAtWorkIsNotGivenBack stands unchanged.

--- a/internal/coordination/batch/giveback.go
+++ b/internal/coordination/batch/giveback.go
@@ -39,11 +39,13 @@
 		return
 	}
 	counters.Add("given_back", int64(len(stranded)))
+	// Results first, or the next holder runs their items again.
+	c.flush(ctx)
 	c.releaseChunks(ctx, stranded)
 }
 
-// stranded lists the chunks of which nothing runs and nothing could have
-// started since a time.
+// stranded lists the chunks that have items to start, of which nothing runs and
+// nothing could have started since a time.
 func (w *workset) stranded(now time.Time, after time.Duration, of services, places func(protocol.ServiceName) int) []ledger.ChunkID {
 	var out []ledger.ChunkID
 	for id, c := range w.chunks {
@@ -59,16 +61,21 @@
 	return out
 }
 
-// canProgress says that an item of the chunk runs, has its result on the way
-// to the log, or could start here.
+// canProgress says that an item of the chunk runs or could start here, or that
+// none is left to start. Results that wait to be appended are no progress of the
+// items beside them: those would wait as long as the results may.
 func (c *heldChunk) canProgress(of services, places func(protocol.ServiceName) int) bool {
+	waiting := false
 	for _, t := range c.tasks {
-		if t.state != taskWaiting {
-			return true
-		}
-		if name, known := of(t.item.Model); !known || places(name) > 0 {
+		switch t.state {
+		case taskRunning:
 			return true
+		case taskWaiting:
+			waiting = true
+			if name, known := of(t.item.Model); !known || places(name) > 0 {
+				return true
+			}
 		}
 	}
-	return false
+	return !waiting
 }
--- a/internal/coordination/batch/giveback_test.go
+++ b/internal/coordination/batch/giveback_test.go
@@ -50,3 +50,20 @@
 		require.Empty(t, w.stranded(start.Add(passed), 5*time.Second, of, none))
 	}
 }
+
+// A chunk is half done when the instance loses its only target. The results
+// may wait minutes for others to be appended with, and the other half must not
+// wait for that: the job would stand still for as long.
+func TestHalfDoneChunkWithoutPlacesIsGivenBack(t *testing.T) {
+	start := time.Unix(0, 0)
+	of := func(protocol.ModelName) (protocol.ServiceName, bool) { return "reports", true }
+	none := func(protocol.ServiceName) int { return 0 }
+	w := newWorkset(time.Minute, equalWeights)
+	id := ledger.ChunkID{Job: "j"}
+	w.add(loadedChunk{id: id, deadline: start.Add(time.Hour), items: []bulk.Item{{CustomID: "a"}, {CustomID: "b"}}})
+	item, ok := w.start("reports", start, of, func(error) {})
+	require.True(t, ok)
+	w.reported(item)
+	require.Empty(t, w.stranded(start, 5*time.Second, of, none))
+	require.Equal(t, []ledger.ChunkID{id}, w.stranded(start.Add(5*time.Second), 5*time.Second, of, none))
+}
