--- /dev/null
+++ b/internal/harness/proctest/pause_test.go
@@ -0,0 +1,141 @@
+package proctest
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/harness"
+	"merlintiller/internal/protocol"
+	"merlintiller/internal/standin/target"
+)
+
+// An instance stands still for longer than its session lasts, as a machine does
+// that is moved to other hardware, and wakes with a batch of results that others
+// have long produced. A user would notice a report that is sent twice.
+func TestPausePastTheSessionLeavesEachItemOnce(t *testing.T) {
+	const items, tokens = 240, 100
+	f := start(t, options{settings: shortTimings})
+	paused, other := f.Instances[0], f.Instances[1]
+	before, _, err := f.session(paused)
+	require.NoError(t, err)
+	job := f.submit(f.client(paused, f.secret), items, tokens)
+	f.awaitClaim(paused)
+	require.NoError(t, paused.Process.Pause())
+	f.awaitExpired(other, paused.ID)
+	require.NoError(t, paused.Process.Continue())
+	f.poll(func(context.Context) (bool, error) {
+		now, mayHold, err := f.session(paused)
+		return err == nil && mayHold && now != before, err
+	})
+	f.awaitServed(paused, f.secret)
+	f.requireWhole(f.client(other, f.secret), job, items, tokens)
+	f.requireWhole(f.client(paused, f.secret), job, items, tokens)
+}
+
+// awaitClaim waits until an instance has won a claim on chunks.
+func (f *fleet) awaitClaim(i *harness.Instance) {
+	f.t.Helper()
+	f.poll(func(context.Context) (bool, error) {
+		won, err := i.Counter("batch", "claims_won")
+		return err == nil && won > 0, err
+	})
+}
+
+// awaitExpired waits until an instance sees that another's session has ended.
+func (f *fleet) awaitExpired(at *harness.Instance, gone protocol.InstanceID) {
+	f.t.Helper()
+	f.poll(func(ctx context.Context) (bool, error) {
+		status, err := f.Status(ctx, at)
+		if err != nil {
+			return false, err
+		}
+		for _, silent := range status.Unreached {
+			if silent.Instance == gone {
+				return !silent.SessionOpen, nil
+			}
+		}
+		return false, nil
+	})
+}
+
+// A filing is under way through an instance that stands still, and its caller
+// sends it again through another one. Filed twice it is billed twice; and an
+// answer "not run" would make the caller file it anew under another key.
+func TestResendWhileTheFirstInstanceIsPausedRunsOnce(t *testing.T) {
+	f := start(t, options{settings: shortTimings, plainArgs: []string{"--call-time=1500ms"}})
+	paused, other := f.Instances[0], f.Instances[1]
+	body := []byte(`{"filing":7}`)
+	header := map[string]string{"Idempotency-Key": "filing-7"}
+	post := func(i *harness.Instance) (*harness.Answer, error) {
+		return f.at(i, f.secret).Post(f.ctx, "/v1/services/"+filing+"/file", body, header)
+	}
+	first := make(chan *harness.Answer, 1)
+	go func() {
+		answer, err := post(paused)
+		if err != nil {
+			answer = &harness.Answer{RunState: string(protocol.MayHaveRun)}
+		}
+		first <- answer
+	}()
+	f.awaitExecutions(body, 1)
+	require.NoError(t, paused.Process.Pause())
+	second := f.finalAnswer(func() (*harness.Answer, error) { return post(other) })
+	f.awaitExpired(other, paused.ID)
+	require.NoError(t, paused.Process.Continue())
+	answers := []*harness.Answer{second, <-first}
+	f.awaitServed(paused, f.secret)
+	answers = append(answers, f.finalAnswer(func() (*harness.Answer, error) { return post(paused) }))
+	for _, answer := range answers {
+		require.NotEqual(t, string(protocol.NotRun), answer.RunState, "it ran: %s", answer)
+	}
+	require.Equal(t, 1, f.executions(body))
+}
+
+// finalAnswer sends a call again as long as it is told to come back.
+func (f *fleet) finalAnswer(post func() (*harness.Answer, error)) (last *harness.Answer) {
+	f.t.Helper()
+	f.poll(func(context.Context) (bool, error) {
+		answer, err := post()
+		if err != nil {
+			return false, err
+		}
+		last = answer
+		return answer.RetryAfter == "", nil
+	})
+	return last
+}
+
+func (f *fleet) awaitExecutions(body []byte, want int) {
+	f.t.Helper()
+	f.poll(func(context.Context) (bool, error) { return f.executions(body) >= want, nil })
+}
+
+// executions is how often a body took effect at any plain target.
+func (f *fleet) executions(body []byte) int {
+	f.t.Helper()
+	sum := 0
+	for _, one := range f.Targets {
+		if one.Listed.Service != filing {
+			continue
+		}
+		runs, err := f.Executions(f.ctx, one)
+		require.NoError(f.t, err)
+		sum += runs.ByBody[target.BodyKey(body)]
+	}
+	return sum
+}
+
+// refusalCode is the stable code of a refusal.
+func refusalCode(answer *harness.Answer) protocol.Code {
+	var reply struct {
+		Error struct{ Code protocol.Code }
+	}
+	if answer.Status == http.StatusOK || json.Unmarshal(answer.Body, &reply) != nil {
+		return ""
+	}
+	return reply.Error.Code
+}
