--- /dev/null
+++ b/internal/configdoc/proofs_test.go
@@ -0,0 +1,50 @@
+package configdoc
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+var (
+	// provenBy is a test as docs/PROOFS.md names it: `package.TestName`.
+	provenBy = regexp.MustCompile("`([a-z0-9/]+)\\.((?:Test|Fuzz)[A-Za-z0-9_]+)`")
+	testFunc = regexp.MustCompile(`(?m)^func ((?:Test|Fuzz)[A-Za-z0-9_]+)\(`)
+	// bareTest is any mention of a test, with or without its package.
+	bareTest = regexp.MustCompile(`\b(?:Test|Fuzz)[A-Z][A-Za-z0-9_]+`)
+)
+
+// A test is renamed or dropped and the page goes on naming it: a reader would
+// take a promise for proved that nothing checks any more.
+func TestEveryTestOfTheProofsPageExists(t *testing.T) {
+	data, err := os.ReadFile(root + "/docs/PROOFS.md")
+	require.NoError(t, err)
+	named := provenBy.FindAllStringSubmatch(string(data), -1)
+	require.NotEmpty(t, named)
+	require.Len(t, bareTest.FindAllString(string(data), -1), len(named), "a test is named without its package")
+	known := map[string]map[string]bool{}
+	for _, match := range named {
+		if known[match[1]] == nil {
+			known[match[1]] = testsOf(t, filepath.Join(root, "internal", match[1]))
+		}
+		require.True(t, known[match[1]][match[2]], "docs/PROOFS.md names %s in %s, which has no such test", match[2], match[1])
+	}
+}
+
+func testsOf(t *testing.T, dir string) map[string]bool {
+	files, err := filepath.Glob(filepath.Join(dir, "*_test.go"))
+	require.NoError(t, err)
+	require.NotEmpty(t, files, "%s has no tests", dir)
+	found := map[string]bool{}
+	for _, name := range files {
+		data, err := os.ReadFile(name)
+		require.NoError(t, err)
+		for _, match := range testFunc.FindAllStringSubmatch(string(data), -1) {
+			found[match[1]] = true
+		}
+	}
+	return found
+}
