--- a/internal/coordination/limiter/tenure_test.go
+++ b/internal/coordination/limiter/tenure_test.go
@@ -72,7 +72,7 @@
 		f.expire("b1", 3)
 		wait(5 * time.Minute)
 		f.requireHeld("a", SlotsPerDomain)
-		require.Equal(t, 30, f.admitted("a1", "o", 60))
+		require.Equal(t, 30, f.admitted("a1", "o0", 60))
 	})
 }
 
@@ -139,3 +139,45 @@
 		require.Len(t, f.heldBy("a1"), SlotsPerDomain)
 	})
 }
+
+// A domain loses power. Its only instance is back after its session has expired,
+// under the same address, and has never seen the old session open. Its slots
+// must not rest for hours.
+func TestReplacementAfterTheExpiryClaimsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(t)
+		f.start("a1", "a")
+		f.start("b1", "b")
+		f.configure("a1", domains("a"))
+		wait(10 * time.Second)
+		f.net.stop("a1")
+		f.journal("a1").end()
+		f.journal("a1").setCut(true, false)
+		wait(time.Second)
+		f.expire("b1", 1)
+		wait(time.Minute)
+		f.start("a1", "a")
+		wait(5 * time.Second)
+		require.Len(t, f.heldBy("a1"), SlotsPerDomain)
+	})
+}
+
+// A replacement starts elsewhere under the id of an instance that is cut off and
+// goes on. It can't speak for the old process, and must not claim its slots.
+func TestReplacementElsewhereDoesNotClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(t)
+		old := f.start("a1", "a")
+		f.start("b1", "b")
+		f.configure("a1", domains("a"))
+		wait(10 * time.Second)
+		f.journal("a1").setCut(true, false)
+		f.startAt("a1", "a", "elsewhere")
+		wait(time.Second)
+		f.expire("b1", 1)
+		wait(time.Minute)
+		require.Empty(t, f.heldBy("a1"), "the replacement")
+		f.all["a1"] = old
+		require.Len(t, f.heldBy("a1"), SlotsPerDomain, "the old process")
+	})
+}
