--- a/internal/coordination/limiter/limiter.go
+++ b/internal/coordination/limiter/limiter.go
@@ -21,8 +21,10 @@
 
 // Config wires a Limiter.
 type Config struct {
-	Self     protocol.InstanceID
-	Domain   protocol.Domain
+	Self   protocol.InstanceID
+	Domain protocol.Domain
+	// Address is the own peer address, as the session's open record has it.
+	Address  string
 	Journal  coordination.Journal
 	Peers    coordination.Peers
 	Settings Settings
@@ -40,13 +42,16 @@
 	claims    *Claims
 	extension *extension
 	// session is the one under which the core's slots are held.
-	session protocol.SessionID
-	leaving bool
+	session    protocol.SessionID
+	leaving    bool
+	suspension suspension
 	// renewedAt is when the own latest renewal was first seen.
 	renewedAt time.Time
 
 	ahead   *ring.Ring[*Ask]
 	actions *ring.Ring[ClaimAction]
+	// pending are the slots with an action in the ring.
+	pending map[SlotKey]bool
 }
 
 // Capacities of the rings between the duties. A drop costs an exchange later.
@@ -65,6 +70,7 @@
 		extension: newExtension(config.Settings),
 		ahead:     ring.New[*Ask]("", aheadCapacity),
 		actions:   ring.New[ClaimAction]("", actionCapacity),
+		pending:   map[SlotKey]bool{},
 	}
 }
 
@@ -128,6 +134,10 @@
 // authorise says until when the held slots may be used. It is asked at every
 // decision, because a process that was paused must notice before it grants.
 func (l *Limiter) authorise(now time.Time) {
+	if l.suspension.passed(now) {
+		l.core.forgetPerishable()
+		l.extension.lapsed = true
+	}
 	switch {
 	case l.session == 0 || l.Journal.Session() != l.session:
 		l.core.Extend(time.Time{})
--- a/internal/coordination/limiter/services.go
+++ b/internal/coordination/limiter/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -69,6 +70,7 @@
 
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.authorise(now)
 	l.core.Configure(now, fleet, l.agreed.direct(l.core.Version(), fleet.Version))
 	l.core.SetHolders(view.holders())
 	l.followSlots(now, session, view)
@@ -78,10 +80,18 @@
 		return
 	}
 	for _, key := range l.core.GivenUp() {
-		l.actions.Offer(ClaimAction{Key: key, Release: true})
+		l.offer(ClaimAction{Key: key, Release: true})
 	}
 	for _, action := range l.claims.Step(now, session, view) {
-		l.actions.Offer(action)
+		l.offer(action)
+	}
+}
+
+// offer queues an action unless one for the slot waits already. The caller
+// holds the lock.
+func (l *Limiter) offer(action ClaimAction) {
+	if !l.pending[action.Key] {
+		l.pending[action.Key] = l.actions.Offer(action)
 	}
 }
 
@@ -137,6 +147,7 @@
 }
 
 func (l *Limiter) act(ctx context.Context, action ClaimAction) {
+	defer l.acted(action.Key)
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
 	switch {
@@ -152,6 +163,12 @@
 	}
 }
 
+func (l *Limiter) acted(key SlotKey) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.pending, key)
+}
+
 func (l *Limiter) submit(ctx context.Context, rec protocol.Record) {
 	if !l.Journal.LogUp() {
 		return
@@ -183,10 +200,12 @@
 }
 
 func (l *Limiter) askGone(ctx context.Context, action ClaimAction) {
+	ctx, cancel := context.WithTimeout(ctx, l.Settings.ExchangeTimeout)
+	defer cancel()
 	var reply GoneReply
 	args := &GoneArgs{Session: action.Session}
 	err := l.Peers.Call(ctx, action.AskGone, ReceiverName+".Gone", args, &reply)
-	if err != nil || !reply.Gone {
+	if err != nil || !reply.Gone || reply.Address != action.Address {
 		return
 	}
 	l.mu.Lock()
@@ -214,9 +233,13 @@
 	if session == 0 || (l.Journal.LogUp() && !l.renewalLate(time.Now())) {
 		return
 	}
-	for _, mate := range l.promisesWanted(time.Now()) {
-		l.askPromise(ctx, session, mate)
+	// At once: a mate that does not answer must not use up the time in which
+	// the others could.
+	var wait sync.WaitGroup
+	for _, m := range l.promisesWanted(time.Now()) {
+		wait.Go(func() { l.askPromise(ctx, session, m) })
 	}
+	wait.Wait()
 }
 
 // renewalLate reports whether the own session was not renewed for a while.
@@ -227,32 +250,32 @@
 }
 
 // promisesWanted are the mates whose promise ends soon.
-func (l *Limiter) promisesWanted(now time.Time) []protocol.InstanceID {
+func (l *Limiter) promisesWanted(now time.Time) []mate {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	soon := now.Add(l.Settings.Promise - l.Settings.Promise/promiseRefresh)
-	var wanted []protocol.InstanceID
-	for mate := range l.extension.electorate {
-		if l.extension.promised[mate].Before(soon) {
-			wanted = append(wanted, mate)
+	var wanted []mate
+	for m := range l.extension.electorate {
+		if l.extension.promised[m].Before(soon) {
+			wanted = append(wanted, m)
 		}
 	}
 	return wanted
 }
 
-func (l *Limiter) askPromise(ctx context.Context, session protocol.SessionID, mate protocol.InstanceID) {
+func (l *Limiter) askPromise(ctx context.Context, session protocol.SessionID, from mate) {
 	ctx, cancel := context.WithTimeout(ctx, l.Settings.ExchangeTimeout)
 	defer cancel()
 	sent := time.Now()
 	var reply PromiseReply
-	err := l.Peers.Call(ctx, mate, ReceiverName+".Promise", &PromiseArgs{Session: session}, &reply)
-	if err != nil || !reply.Given {
+	err := l.Peers.Call(ctx, from.instance, ReceiverName+".Promise", &PromiseArgs{Session: session}, &reply)
+	if err != nil || !reply.Given || reply.Address != from.address {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.extension.session == session {
-		l.extension.promise(time.Now(), mate, sent, l.Journal.MayHold())
+		l.extension.promise(time.Now(), from, sent, l.Journal.MayHold())
 	}
 }
 
