A cancel reaches instances that are cut off from the log

Cause: the matrix lacked the cells of an instance cut off from the log. The new cell cancel/cut-from-log was red: the cut instance went on with its chunks, and 18 items of the cancelled job began more than a second after the cancel. Ruled out: stopping batch work at the loss of the log, since a platform outage would then stop every job. Change: the instance whose cancel replay accepted tells the others by net/rpc; they stop the job's runs and start none until they have read the log.

--- a/internal/coordination/admission/matrix_test.go
+++ b/internal/coordination/admission/matrix_test.go
@@ -164,6 +164,8 @@
 		{"cut-from-log", "", queueLogDown},
 		{"cut-from-domain", "", queueCut},
 		{"operators-racing", "", queueOperators},
+		{"crossed", "a call that waits has asked no target yet", nil},
+		{"target-dead", "a call that waits has no target yet; the next look at the capacity lacks the dead one's slots", nil},
 	}
 	for _, c := range cells {
 		t.Run("queue/"+c.fault, func(t *testing.T) {
--- a/internal/coordination/batch/workset.go
+++ b/internal/coordination/batch/workset.go
@@ -52,7 +52,7 @@
 // would run for a result that nobody takes; those of an organisation that was
 // removed from the configuration wait, in case that was a mistake.
 func (w *workset) startable(c *heldChunk, now time.Time) bool {
-	return !c.lost && c.deadline.After(now) && w.weight(c.organisation) > 0
+	return !c.lost && !w.told[c.id.Job] && c.deadline.After(now) && w.weight(c.organisation) > 0
 }
 
 // Causes with which a run is cancelled.
@@ -70,10 +70,13 @@
 	urgent time.Duration
 	// weight is the fair share of an organisation, 0 if there is none such.
 	weight func(protocol.OrganisationID) float64
+	// told are jobs of which another instance said that they were cancelled,
+	// before this one has read it.
+	told map[protocol.JobID]bool
 }
 
 func newWorkset(urgent time.Duration, weight func(protocol.OrganisationID) float64) *workset {
-	return &workset{chunks: map[ledger.ChunkID]*heldChunk{}, urgent: urgent, weight: weight}
+	return &workset{chunks: map[ledger.ChunkID]*heldChunk{}, urgent: urgent, weight: weight, told: map[protocol.JobID]bool{}}
 }
 
 // loadedChunk is a claimed chunk with its input.
@@ -273,6 +276,9 @@
 		return
 	}
 	c.lost = !now.held
+	if now.ended {
+		delete(w.told, id.Job)
+	}
 	for number, t := range c.tasks {
 		if now.ended && t.state == taskRunning {
 			t.stop(errJobEnded)
--- a/internal/coordination/faulttest/batchmatrix_test.go
+++ b/internal/coordination/faulttest/batchmatrix_test.go
@@ -52,7 +52,7 @@
 func TestMatrixBatch(t *testing.T) {
 	for _, s := range batchSteps {
 		t.Run(s.name, func(t *testing.T) {
-			for _, f := range allFaults {
+			for _, f := range matrixFaults {
 				t.Run(string(f), func(t *testing.T) {
 					t.Parallel()
 					s.cell(t, f)
@@ -63,7 +63,11 @@
 }
 
 func (s step) cell(t *testing.T, f fault) {
-	if reason, none := s.none[f]; none {
+	reason, none := s.none[f]
+	if general, all := everywhere[f]; all {
+		reason, none = general, true
+	}
+	if none {
 		t.Logf("matrix step=%s fault=%s result=not-applicable reason=%q", s.name, f, reason)
 		return
 	}
--- a/internal/coordination/faulttest/broken_test.go
+++ b/internal/coordination/faulttest/broken_test.go
@@ -75,7 +75,12 @@
 	own := rec
 	own.ID.Session = h.Session()
 	h.pending = &own
-	go h.Journal.Submit(context.WithoutCancel(ctx), rec)
+	go func() {
+		// The acknowledgement must be out before the fault can strike the
+		// append, or the caller resends and the defect hides.
+		<-time.After(time.Millisecond)
+		h.Journal.Submit(context.WithoutCancel(ctx), rec)
+	}()
 	return coordination.Outcome{Verdict: protocol.Accepted, Run: protocol.Completed}
 }
 
--- a/internal/coordination/faulttest/callmatrix_test.go
+++ b/internal/coordination/faulttest/callmatrix_test.go
@@ -39,7 +39,7 @@
 func TestMatrixCall(t *testing.T) {
 	for _, s := range callSteps {
 		t.Run(s.name, func(t *testing.T) {
-			for _, f := range allFaults {
+			for _, f := range matrixFaults {
 				t.Run(string(f), func(t *testing.T) {
 					t.Parallel()
 					s.cell(t, f)
@@ -50,7 +50,11 @@
 }
 
 func (s callStep) cell(t *testing.T, f fault) {
-	if reason, none := s.none[f]; none {
+	reason, none := s.none[f]
+	if general, all := everywhere[f]; all {
+		reason, none = general, true
+	}
+	if none {
 		t.Logf("matrix step=%s fault=%s result=not-applicable reason=%q", s.name, f, reason)
 		return
 	}
--- a/internal/coordination/faulttest/faults_test.go
+++ b/internal/coordination/faulttest/faults_test.go
@@ -24,6 +24,10 @@
 	crossed    fault = "crossed"
 	targetDead fault = "target-dead"
 	trimmed    fault = "expired-retention"
+	cutFromLog fault = "cut-from-log"
+	// cutFromDomain and operatorsRacing touch no step here.
+	cutFromDomain   fault = "cut-from-domain"
+	operatorsRacing fault = "operators-racing"
 )
 
 var allFaults = []fault{
@@ -31,6 +35,16 @@
 	duplicate, late, crossed, targetDead, trimmed,
 }
 
+// matrixFaults are those of single cells. The seeded pairs draw from allFaults
+// alone, so that each seed stays the pair it was.
+var matrixFaults = append(slices.Clone(allFaults), cutFromLog, cutFromDomain, operatorsRacing)
+
+// everywhere says why some faults are none at any step of batch jobs and calls.
+var everywhere = map[fault]string{
+	cutFromDomain:   "the step calls no other instance; a target that can't be reached is the cell target-dead",
+	operatorsRacing: "no operator takes part in the step",
+}
+
 // Durations of faults. A session ends 8 to 10 s after its last renewal.
 const (
 	pauseTime  = 25 * time.Second
@@ -116,6 +130,13 @@
 			return true
 		}
 		return false
+	case cutFromLog:
+		n.cutOff(outageTime)
+		if at == atDispatch || at == atAnswer {
+			effect()
+			return true
+		}
+		return false
 	case answerLost:
 		effect()
 		return false
@@ -173,6 +194,19 @@
 	return w.resumed
 }
 
+// cutOff takes the log away from one instance for a while. The others go on and
+// end its session meanwhile.
+func (n *node) cutOff(d time.Duration) {
+	n.link.setDown(true)
+	n.world.background.Go(func() {
+		select {
+		case <-time.After(d):
+		case <-n.world.ctx.Done():
+		}
+		n.link.setDown(false)
+	})
+}
+
 // outage takes the log away from all instances for a while.
 func (w *world) outage(d time.Duration) {
 	for _, n := range w.nodes {
--- a/internal/coordination/faulttest/link_test.go
+++ b/internal/coordination/faulttest/link_test.go
@@ -138,6 +138,18 @@
 	close(l.resumed)
 }
 
+// isPaused says that the instance is stopped now, and so hears nobody.
+func (l *link) isPaused() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case <-l.resumed:
+		return false
+	default:
+		return true
+	}
+}
+
 // pass waits out a pause and reports whether the log is reachable.
 func (l *link) pass() bool {
 	l.mu.Lock()
--- a/internal/coordination/faulttest/world_test.go
+++ b/internal/coordination/faulttest/world_test.go
@@ -202,6 +202,7 @@
 	}
 	logger := log.NewNopLogger()
 	n.service = batch.NewService(n.seen, w.opts, logger)
+	n.service.Cancelled = func(job protocol.JobID) { w.tell(n, job) }
 	executing := n.seen
 	if w.variant.executor != nil {
 		executing = w.variant.executor(n.seen)
@@ -222,6 +223,16 @@
 	return n
 }
 
+// tell brings a cancel to the other instances, as the notices between instances
+// do. They go over no log. A notice to a paused instance runs into its timeout.
+func (w *world) tell(from *node, job protocol.JobID) {
+	for _, n := range w.nodes {
+		if n != from && n.ctx.Err() == nil && !n.link.isPaused() {
+			n.executor.Stop(job)
+		}
+	}
+}
+
 func (w *world) placesOf(index int) int {
 	if w.uneven == nil {
 		return w.places
--- a/internal/coordination/headroom/matrix_test.go
+++ b/internal/coordination/headroom/matrix_test.go
@@ -124,6 +124,8 @@
 		{"cut-from-log", noLog, nil},
 		{"cut-from-domain", "", revokeCut},
 		{"operators-racing", "", revokeOperators},
+		{"crossed", "places are given and taken inside the instance; notices carry their target's id", nil},
+		{"target-dead", "a dead target's items end by themselves, which the cell dispatch/target-dead strikes", nil},
 	}
 	for _, c := range cells {
 		t.Run("revoke/"+c.fault, func(t *testing.T) {
--- a/internal/coordination/limiter/matrix_test.go
+++ b/internal/coordination/limiter/matrix_test.go
@@ -349,6 +349,11 @@
 				synctest.Test(t, func(t *testing.T) { runCell(t, s, f) })
 			})
 		}
+		for _, fault := range []string{"crossed", "target-dead"} {
+			t.Run(s.name+"/"+fault, func(t *testing.T) {
+				t.Logf("matrix step=%s fault=%s result=not-applicable reason=%q", s.name, fault, "the step calls no target")
+			})
+		}
 	}
 }
 
--- a/internal/daemon/agreement.go
+++ b/internal/daemon/agreement.go
@@ -7,6 +7,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"merlintiller/internal/burn"
+	"merlintiller/internal/coordination/batch"
 	"merlintiller/internal/coordination/fleetstatus"
 	"merlintiller/internal/coordination/journal"
 	"merlintiller/internal/coordination/member"
@@ -67,6 +68,7 @@
 	receivers := map[string]any{
 		member.ServiceName:      d.agreement.heartbeats.Receiver(),
 		withdrawal.ServiceName:  &withdrawal.Receiver{Local: d.agreement.journal},
+		batch.ReceiverName:      &batch.Receiver{Executor: d.batch.executor},
 		limiterName:             d.fleet.limits.Endpoint(),
 		headroomName:            d.fleet.headroom.Endpoint(),
 		burn.ServiceName:        &burn.Receiver{Recorder: d.operators.recorder},
--- a/internal/daemon/batch.go
+++ b/internal/daemon/batch.go
@@ -18,11 +18,12 @@
 	keeper   *batch.Keeper
 	carrier  *batch.Carrier
 	once     *oncecall.Caller
+	notices  *batch.CancelNotices
 }
 
 func (b *batchWork) services() []suture.Service {
 	out := append([]suture.Service{}, b.executor.Services()...)
-	return append(out, b.keeper, b.carrier, b.once.Recorder(), b.once.Forgetter())
+	return append(out, b.keeper, b.carrier, b.once.Recorder(), b.once.Forgetter(), b.notices)
 }
 
 func (b *batchWork) drain(ctx context.Context) error {
@@ -43,5 +44,7 @@
 			ReserveTimeout: d.settings.Calls.ReserveTimeout,
 			Remember:       d.settings.Calls.Remember,
 		}, d.logger),
+		notices: batch.NewCancelNotices("batch.cancel_notices", d.agreement.heartbeats, d.settings.Timings.PeerTimeout),
 	}
+	d.batch.service.Cancelled = d.batch.notices.Tell
 }
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -60,6 +60,11 @@
 	statuses := v.router.Targets()
 	targets := make([]headroom.Target, 0, len(statuses))
 	for _, status := range statuses {
+		// Shared out too, a plain service's targets would leave an instance
+		// that feeds only those without any batch work.
+		if v.journal.Fleet().Services[status.Service].Kind == protocol.KindPlain {
+			continue
+		}
 		targets = append(targets, headroom.Target{
 			ID:         status.Target,
 			Service:    status.Service,
