--- a/internal/harness/proctest/openai_test.go
+++ b/internal/harness/proctest/openai_test.go
@@ -1,6 +1,7 @@
 package proctest
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"testing"
@@ -68,9 +69,14 @@
 		require.NoError(t, err)
 		require.Equal(t, openai.BatchStatusCancelled, ended.Status)
 		elsewhere := f.client(f.Instances[2], f.secret)
-		seen, err := elsewhere.Batches.Get(f.ctx, job)
-		require.NoError(t, err)
-		require.Equal(t, openai.BatchStatusCancelled, seen.Status)
+		// Another instance reads the cancel some milliseconds later. Until then
+		// it may only show the job as it was, and never as anything else.
+		f.poll(func(ctx context.Context) (bool, error) {
+			seen, err := elsewhere.Batches.Get(ctx, job)
+			require.NoError(t, err)
+			require.Contains(t, []openai.BatchStatus{openai.BatchStatusInProgress, openai.BatchStatusCancelled}, seen.Status)
+			return seen.Status == openai.BatchStatusCancelled, nil
+		})
 	})
 }
 
