--- a/internal/harness/bench/agreement.go
+++ b/internal/harness/bench/agreement.go
@@ -177,6 +177,7 @@
 		return err
 	}
 	idlePerSecond := float64(before-idleBefore) / seconds(began.Sub(idleBegan))
+	opts.print(Measure{Name: "log.idle_appends_per_s", Unit: "1/s", Now: idlePerSecond, Note: "instances=12"})
 	job, err := f.submit(ctx, "many", items, 1)
 	if err != nil {
 		return err
