Setting for the load reports read a second

Cause: at 850 targets 20 reports a second are most of the processor time and bytes that targets cost an instance, and each report is 42 s old all the same. Change: routing.loads_per_second, 20 by default, 5 at the target size; the poll periods are checked like the other settings to reach their duty.

--- a/internal/daemon/fleetpolicy.go
+++ b/internal/daemon/fleetpolicy.go
@@ -55,17 +55,14 @@
 		Logger:   d.logger,
 		Policy:   orders.Policy{Hold: s.Timings.Hold},
 	})
-	f.pollers = routing.Pollers(routing.PollOptions{
-		Router:    f.router,
-		List:      d.outside.list,
-		Loads:     d.outside.control,
-		Fleet:     j.Fleet,
-		Logger:    d.logger,
-		ListEvery: s.Timings.ListPoll,
-		LoadEvery: s.Timings.LoadPoll,
-		Domain:    s.Domain,
-		Listed:    f.orders.Listing,
-	})
+	polls := pollOptions(s)
+	polls.Router = f.router
+	polls.List = d.outside.list
+	polls.Loads = d.outside.control
+	polls.Fleet = j.Fleet
+	polls.Logger = d.logger
+	polls.Listed = f.orders.Listing
+	f.pollers = routing.Pollers(polls)
 	f.limits = limiter.New(limiter.Config{
 		Self: s.Instance, Domain: s.Domain, Address: s.Listen.Peers,
 		Journal: j, Peers: d.agreement.heartbeats,
--- a/internal/daemon/options.go
+++ b/internal/daemon/options.go
@@ -103,3 +103,13 @@
 		DrainLag:       s.Timings.DrainNotice,
 	}
 }
+
+// pollOptions are the periods of looking at the list and at load reports.
+func pollOptions(s *settings.Settings) routing.PollOptions {
+	return routing.PollOptions{
+		Domain:         s.Domain,
+		ListEvery:      s.Timings.ListPoll,
+		LoadEvery:      s.Timings.LoadPoll,
+		LoadsPerSecond: s.Routing.LoadsPerSecond,
+	}
+}
--- a/internal/daemon/options_test.go
+++ b/internal/daemon/options_test.go
@@ -13,12 +13,12 @@
 var wired = map[string]bool{
 	"Instance": true, "Domain": true, "Listen": true, "Seeds": true, "Platform": true, "TLS": true,
 	"OperatorKeys": true, "Limiter": true, "Admission": true, "Headroom": true, "Log": true,
-	"Timings.Heartbeat": true, "Timings.PeerTimeout": true, "Timings.ListPoll": true, "Timings.LoadPoll": true,
+	"Timings.Heartbeat": true, "Timings.PeerTimeout": true,
 	"Timings.DrainLimit": true, "Calls.ReserveTimeout": true, "Calls.Remember": true,
 }
 
 func mapped(s *settings.Settings) []any {
-	return []any{journalTimings(s.Timings), viewLimits(s.Timings), batchOptions(s), onlinePolicy(s.Calls), routingOptions(s), edgeLimits(s)}
+	return []any{journalTimings(s.Timings), viewLimits(s.Timings), batchOptions(s), onlinePolicy(s.Calls), routingOptions(s), pollOptions(s), edgeLimits(s)}
 }
 
 // A setting is added and documented, and nobody passes it on. An operator
--- a/internal/harness/bench/control.go
+++ b/internal/harness/bench/control.go
@@ -38,6 +38,8 @@
   peer_silent: 15s
   list_poll: 2s
   load_poll: 10s
+routing:
+  loads_per_second: 5
 `
 
 // Scale measures the slopes of the capacity page: more instances, and more
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -205,6 +205,9 @@
 		// Beyond a half the cause is more likely shared, and the rest could
 		// not carry the load.
 		EjectShare: 0.5,
+		// Each of ten targets is read each second with room to spare. At 850
+		// targets reports are old at any rate within the budget, so 5 do.
+		LoadsPerSecond: 20,
 		// The tail of a healthy target stays below it.
 		SlowFactor: 4,
 	}
--- a/internal/settings/policy.go
+++ b/internal/settings/policy.go
@@ -82,6 +82,8 @@
 	EjectFor time.Duration `yaml:"eject_for"`
 	// LongestEjection bounds the time of an ejection.
 	LongestEjection time.Duration `yaml:"longest_ejection"`
+	// LoadsPerSecond bounds the load reports that an instance reads a second.
+	LoadsPerSecond float64 `yaml:"loads_per_second"`
 	// EjectShare bounds the part of a service that is ejected at once.
 	EjectShare float64 `yaml:"eject_share"`
 	// SlowFactor ejects a target whose mean time to the first byte is so many
