--- a/internal/coordination/faulttest/callmatrix_test.go
+++ b/internal/coordination/faulttest/callmatrix_test.go
@@ -50,12 +50,7 @@
 }
 
 func (s callStep) cell(t *testing.T, f fault) {
-	reason, none := s.none[f]
-	if general, all := everywhere[f]; all {
-		reason, none = general, true
-	}
-	if none {
-		t.Logf("matrix step=%s fault=%s result=not-applicable reason=%q", s.name, f, reason)
+	if notApplicable(t, s.name, s.none, f) {
 		return
 	}
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/coordination/faulttest/faults_test.go
+++ b/internal/coordination/faulttest/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"testing"
 	"time"
 
 	"merlintiller/internal/protocol"
@@ -45,6 +46,18 @@
 	operatorsRacing: "no operator takes part in the step",
 }
 
+// notApplicable logs the cell of a fault that a step can't meet.
+func notApplicable(t *testing.T, step string, none map[fault]string, f fault) bool {
+	reason, no := none[f]
+	if general, all := everywhere[f]; all {
+		reason, no = general, true
+	}
+	if no {
+		t.Logf("matrix step=%s fault=%s result=not-applicable reason=%q", step, f, reason)
+	}
+	return no
+}
+
 // Durations of faults. A session ends 8 to 10 s after its last renewal.
 const (
 	pauseTime  = 25 * time.Second
--- a/internal/coordination/journal/gap_test.go
+++ b/internal/coordination/journal/gap_test.go
@@ -197,10 +197,7 @@
 // on its way. The page that arrives then must not be applied a second time.
 func TestPageThatCrossesASnapshotIsPassedOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := memlog.New(memlog.Options{})
-		a, b := startNode(t, log, "a"), startNode(t, log, "b")
-		a.ready()
-		b.ready()
+		_, a, b := startTwo(t)
 		a.link.pause(10 * time.Second)
 		for i := range 5 {
 			require.Equal(t, protocol.Accepted, b.put(claim(protocol.Resource(fmt.Sprint("r", i)), protocol.NoOffset)))
@@ -226,10 +223,7 @@
 // them alike and go on.
 func TestMalformedEntryStopsNobody(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := memlog.New(memlog.Options{})
-		a, b := startNode(t, log, "a"), startNode(t, log, "b")
-		a.ready()
-		b.ready()
+		log, a, b := startTwo(t)
 		_, err := log.Append(t.Context(), protocol.ControlStream, []byte("no frame"))
 		require.NoError(t, err)
 		require.Equal(t, protocol.Accepted, a.put(claim("r", protocol.NoOffset)))
@@ -241,10 +235,7 @@
 // with requests waiting, it must not let them in by the keys of before.
 func TestPausedInstanceIsNotCurrentWhenItWakes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := memlog.New(memlog.Options{})
-		a, b := startNode(t, log, "a"), startNode(t, log, "b")
-		a.ready()
-		b.ready()
+		_, a, b := startTwo(t)
 		require.Equal(t, protocol.Accepted, b.put(change("1", protocol.NoOffset, organisation("o", 1), keyOf("k", "o", "1"))))
 		pass(time.Second)
 		require.True(t, a.Current())
--- a/internal/coordination/journal/harness_test.go
+++ b/internal/coordination/journal/harness_test.go
@@ -182,6 +182,16 @@
 	}
 }
 
+// startTwo starts two instances over one log and waits until both may serve.
+func startTwo(t *testing.T) (log *memlog.Log, a, b *node) {
+	t.Helper()
+	log = memlog.New(memlog.Options{})
+	a, b = startNode(t, log, "a"), startNode(t, log, "b")
+	a.ready()
+	b.ready()
+	return log, a, b
+}
+
 // startNode runs an instance on a log until the test ends or it is killed.
 func startNode(t *testing.T, log platform.Log, name string, adjust ...func(*Options)) *node {
 	t.Helper()
--- a/internal/coordination/journal/sessions_test.go
+++ b/internal/coordination/journal/sessions_test.go
@@ -74,10 +74,7 @@
 // it must work under a new session.
 func TestInstanceCutFromTheLogStopsBeforeItIsReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := memlog.New(memlog.Options{})
-		a, b := startNode(t, log, "a"), startNode(t, log, "b")
-		a.ready()
-		b.ready()
+		_, a, b := startTwo(t)
 		old := a.Session()
 		a.link.set(down)
 		await(t, 20*time.Second, "expiry", func() bool { return openSessions(b) == 1 })
--- a/internal/coordination/journal/submit_test.go
+++ b/internal/coordination/journal/submit_test.go
@@ -20,10 +20,7 @@
 // lost to itself.
 func TestResentChangeIsRecognised(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := memlog.New(memlog.Options{})
-		a, b := startNode(t, log, "a"), startNode(t, log, "b")
-		a.ready()
-		b.ready()
+		_, a, b := startTwo(t)
 		rec := change("1", protocol.NoOffset, organisation("o", 1))
 		require.Equal(t, protocol.Accepted, a.put(rec))
 		require.Equal(t, protocol.Duplicate, b.put(rec))
@@ -74,10 +71,7 @@
 // instead of after its expiry.
 func TestCloseFreesWhatTheInstanceHeld(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := memlog.New(memlog.Options{})
-		a, b := startNode(t, log, "a"), startNode(t, log, "b")
-		a.ready()
-		b.ready()
+		_, a, b := startTwo(t)
 		a.put(claim("r", protocol.NoOffset))
 		require.NoError(t, a.Close(t.Context()))
 		await(t, time.Second, "free at b", func() bool { return !holdsNamed(b, "r") })
