Defaults of options are set in one place

Cause: the newcomer's read-through; the same small function stood seven times under two names. Ruled out: one function for both rules, since some options take zero as a value.

--- a/internal/coordination/batch/options.go
+++ b/internal/coordination/batch/options.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"merlintiller/internal/coordination/bulk"
+	"merlintiller/internal/defaults"
 )
 
 // Options are the settings of the batch duties. The zero value of a field
@@ -107,45 +108,38 @@
 	CarryEvery time.Duration
 }
 
-func orDefault[T comparable](value *T, preset T) {
-	var zero T
-	if *value == zero {
-		*value = preset
-	}
-}
-
 func (o Options) withDefaults() Options {
-	orDefault(&o.MaxLineBytes, 256<<10)
-	orDefault(&o.MaxFileBytes, 4<<30)
-	orDefault(&o.MaxFileItems, 1_000_000)
-	orDefault(&o.MaxResultBytes, 512<<10)
-	orDefault(&o.MaxJobs, 1000)
-	orDefault(&o.FileKept, 24*time.Hour)
-	orDefault(&o.MaxWindow, 7*24*time.Hour)
-	orDefault(&o.ResultsReadable, 7*24*time.Hour)
-	orDefault(&o.SubmitTimeout, 10*time.Second)
-	orDefault(&o.ReadLag, 300*time.Millisecond)
-	orDefault(&o.RetryAfter, 5*time.Second)
-	orDefault(&o.MaxHeldChunks, 8)
-	orDefault(&o.StealAfter, time.Second)
-	orDefault(&o.GiveBackAfter, 5*time.Second)
-	orDefault(&o.MaxHeldBytes, 8<<20)
-	orDefault(&o.MaxInFlight, 256)
-	orDefault(&o.ClaimAhead, 10*time.Second)
-	orDefault(&o.PlanEvery, 500*time.Millisecond)
-	orDefault(&o.UrgentLaxity, 10*time.Minute)
-	orDefault(&o.ItemTime, 10*time.Second)
-	orDefault(&o.MaxAttempts, 5)
-	orDefault(&o.BackoffFirst, time.Second)
-	orDefault(&o.BackoffMax, time.Minute)
-	orDefault(&o.FlushAfter, 3*time.Minute)
-	orDefault(&o.FlushBytes, 896<<10)
-	orDefault(&o.BufferBytes, 8<<20)
-	orDefault(&o.DeadlineMargin, 30*time.Second)
-	orDefault(&o.DrainTimeout, 30*time.Second)
-	orDefault(&o.KeepEvery, time.Second)
-	orDefault(&o.CarryAge, 24*time.Hour)
-	orDefault(&o.CarryEvery, 10*time.Minute)
+	defaults.Set(&o.MaxLineBytes, 256<<10)
+	defaults.Set(&o.MaxFileBytes, 4<<30)
+	defaults.Set(&o.MaxFileItems, 1_000_000)
+	defaults.Set(&o.MaxResultBytes, 512<<10)
+	defaults.Set(&o.MaxJobs, 1000)
+	defaults.Set(&o.FileKept, 24*time.Hour)
+	defaults.Set(&o.MaxWindow, 7*24*time.Hour)
+	defaults.Set(&o.ResultsReadable, 7*24*time.Hour)
+	defaults.Set(&o.SubmitTimeout, 10*time.Second)
+	defaults.Set(&o.ReadLag, 300*time.Millisecond)
+	defaults.Set(&o.RetryAfter, 5*time.Second)
+	defaults.Set(&o.MaxHeldChunks, 8)
+	defaults.Set(&o.StealAfter, time.Second)
+	defaults.Set(&o.GiveBackAfter, 5*time.Second)
+	defaults.Set(&o.MaxHeldBytes, 8<<20)
+	defaults.Set(&o.MaxInFlight, 256)
+	defaults.Set(&o.ClaimAhead, 10*time.Second)
+	defaults.Set(&o.PlanEvery, 500*time.Millisecond)
+	defaults.Set(&o.UrgentLaxity, 10*time.Minute)
+	defaults.Set(&o.ItemTime, 10*time.Second)
+	defaults.Set(&o.MaxAttempts, 5)
+	defaults.Set(&o.BackoffFirst, time.Second)
+	defaults.Set(&o.BackoffMax, time.Minute)
+	defaults.Set(&o.FlushAfter, 3*time.Minute)
+	defaults.Set(&o.FlushBytes, 896<<10)
+	defaults.Set(&o.BufferBytes, 8<<20)
+	defaults.Set(&o.DeadlineMargin, 30*time.Second)
+	defaults.Set(&o.DrainTimeout, 30*time.Second)
+	defaults.Set(&o.KeepEvery, time.Second)
+	defaults.Set(&o.CarryAge, 24*time.Hour)
+	defaults.Set(&o.CarryEvery, 10*time.Minute)
 	o.MaxLineBytes = min(o.MaxLineBytes, bulk.MaxPayload/2)
 	o.MaxResultBytes = min(o.MaxResultBytes, bulk.MaxPayload/2)
 	return o
--- a/internal/coordination/journal/options.go
+++ b/internal/coordination/journal/options.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 
 	"merlintiller/internal/coordination/member"
+	"merlintiller/internal/defaults"
 	"merlintiller/internal/platform"
 	"merlintiller/internal/protocol"
 )
@@ -88,30 +89,23 @@
 	}
 }
 
-func orDefault[T comparable](value *T, fallback T) {
-	var zero T
-	if *value == zero {
-		*value = fallback
-	}
-}
-
 func (t Timings) withDefaults() Timings {
 	d := DefaultTimings()
-	orDefault(&t.Session, d.Session)
-	orDefault(&t.PollWait, d.PollWait)
-	orDefault(&t.AppendTimeout, d.AppendTimeout)
-	orDefault(&t.ReadTimeout, d.ReadTimeout)
-	orDefault(&t.DownAfter, t.PollWait+downMargin)
-	orDefault(&t.FrameSpacing, d.FrameSpacing)
-	orDefault(&t.BackoffBase, d.BackoffBase)
-	orDefault(&t.BackoffMax, d.BackoffMax)
-	orDefault(&t.ThrottledWait, d.ThrottledWait)
-	orDefault(&t.Pace, d.Pace)
-	orDefault(&t.Queue, d.Queue)
-	orDefault(&t.PageEntries, d.PageEntries)
-	orDefault(&t.SnapshotEvery, d.SnapshotEvery)
-	orDefault(&t.SnapshotAfter, d.SnapshotAfter)
-	orDefault(&t.Tick, d.Tick)
+	defaults.Set(&t.Session, d.Session)
+	defaults.Set(&t.PollWait, d.PollWait)
+	defaults.Set(&t.AppendTimeout, d.AppendTimeout)
+	defaults.Set(&t.ReadTimeout, d.ReadTimeout)
+	defaults.Set(&t.DownAfter, t.PollWait+downMargin)
+	defaults.Set(&t.FrameSpacing, d.FrameSpacing)
+	defaults.Set(&t.BackoffBase, d.BackoffBase)
+	defaults.Set(&t.BackoffMax, d.BackoffMax)
+	defaults.Set(&t.ThrottledWait, d.ThrottledWait)
+	defaults.Set(&t.Pace, d.Pace)
+	defaults.Set(&t.Queue, d.Queue)
+	defaults.Set(&t.PageEntries, d.PageEntries)
+	defaults.Set(&t.SnapshotEvery, d.SnapshotEvery)
+	defaults.Set(&t.SnapshotAfter, d.SnapshotAfter)
+	defaults.Set(&t.Tick, d.Tick)
 	return t
 }
 
--- a/internal/coordination/oncecall/caller.go
+++ b/internal/coordination/oncecall/caller.go
@@ -24,6 +24,7 @@
 
 	"merlintiller/internal/coordination"
 	"merlintiller/internal/coordination/online"
+	"merlintiller/internal/defaults"
 	"merlintiller/internal/platform"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/ring"
@@ -61,22 +62,15 @@
 	Unrecorded int
 }
 
-func orDefault[T comparable](value *T, preset T) {
-	var zero T
-	if *value == zero {
-		*value = preset
-	}
-}
-
 func (o Options) withDefaults() Options {
-	orDefault(&o.ReserveTimeout, 3*time.Second)
-	orDefault(&o.DispatchTimeout, 5*time.Minute)
-	orDefault(&o.RecordTimeout, time.Second)
-	orDefault(&o.JoinTimeout, 2*time.Second)
-	orDefault(&o.RetryAfter, 5*time.Second)
-	orDefault(&o.Remember, 24*time.Hour)
-	orDefault(&o.MaxCalls, 200_000)
-	orDefault(&o.Unrecorded, 1024)
+	defaults.Set(&o.ReserveTimeout, 3*time.Second)
+	defaults.Set(&o.DispatchTimeout, 5*time.Minute)
+	defaults.Set(&o.RecordTimeout, time.Second)
+	defaults.Set(&o.JoinTimeout, 2*time.Second)
+	defaults.Set(&o.RetryAfter, 5*time.Second)
+	defaults.Set(&o.Remember, 24*time.Hour)
+	defaults.Set(&o.MaxCalls, 200_000)
+	defaults.Set(&o.Unrecorded, 1024)
 	return o
 }
 
--- a/internal/coordination/online/options.go
+++ b/internal/coordination/online/options.go
@@ -6,6 +6,7 @@
 	"github.com/go-kit/log"
 
 	"merlintiller/internal/coordination"
+	"merlintiller/internal/defaults"
 	"merlintiller/internal/platform"
 	"merlintiller/internal/protocol"
 )
@@ -75,22 +76,16 @@
 }
 
 func (p Policy) withDefaults() Policy {
-	setDefault(&p.Timeout, 2*time.Minute)
-	setDefault(&p.FirstByteTimeout, 10*time.Second)
-	setDefault(&p.ProbeTimeout, 2*time.Second)
-	setDefault(&p.StallTimeout, 5*time.Second)
-	setDefault(&p.Attempts, 3)
-	setDefault(&p.RetryRatio, 0.1)
-	setDefault(&p.RetryPerSecond, 1)
-	setDefault(&p.RetryMost, 20)
-	setDefault(&p.MaxAnswer, 16<<20)
-	setDefault(&p.RetryAfter, time.Second)
-	setDefault(&p.CancelTimeout, time.Second)
+	defaults.SetPositive(&p.Timeout, 2*time.Minute)
+	defaults.SetPositive(&p.FirstByteTimeout, 10*time.Second)
+	defaults.SetPositive(&p.ProbeTimeout, 2*time.Second)
+	defaults.SetPositive(&p.StallTimeout, 5*time.Second)
+	defaults.SetPositive(&p.Attempts, 3)
+	defaults.SetPositive(&p.RetryRatio, 0.1)
+	defaults.SetPositive(&p.RetryPerSecond, 1)
+	defaults.SetPositive(&p.RetryMost, 20)
+	defaults.SetPositive(&p.MaxAnswer, 16<<20)
+	defaults.SetPositive(&p.RetryAfter, time.Second)
+	defaults.SetPositive(&p.CancelTimeout, time.Second)
 	return p
 }
-
-func setDefault[T int | int64 | float64 | time.Duration](field *T, value T) {
-	if *field <= 0 {
-		*field = value
-	}
-}
--- a/internal/coordination/orders/doc.go
+++ b/internal/coordination/orders/doc.go
@@ -15,6 +15,7 @@
 	"slices"
 	"time"
 
+	"merlintiller/internal/defaults"
 	"merlintiller/internal/platform"
 	"merlintiller/internal/protocol"
 )
@@ -42,21 +43,15 @@
 }
 
 func (p Policy) withDefaults() Policy {
-	setDefault(&p.Hold, 10*time.Second)
-	setDefault(&p.Check, 5*time.Second)
-	setDefault(&p.Retry, 2*time.Second)
-	setDefault(&p.ClaimStep, 2*time.Second)
-	setDefault(&p.ChangeShare, 0.25)
-	setDefault(&p.LongestOrder, 2*time.Minute)
+	defaults.SetPositive(&p.Hold, 10*time.Second)
+	defaults.SetPositive(&p.Check, 5*time.Second)
+	defaults.SetPositive(&p.Retry, 2*time.Second)
+	defaults.SetPositive(&p.ClaimStep, 2*time.Second)
+	defaults.SetPositive(&p.ChangeShare, 0.25)
+	defaults.SetPositive(&p.LongestOrder, 2*time.Minute)
 	return p
 }
 
-func setDefault[T float64 | time.Duration](field *T, value T) {
-	if *field <= 0 {
-		*field = value
-	}
-}
-
 // Resource names the duty to order a service's targets in a failure domain.
 func Resource(service protocol.ServiceName, domain protocol.Domain) protocol.Resource {
 	return protocol.Resource("orders/" + string(service) + "/" + string(domain))
--- a/internal/coordination/orders/reconciler.go
+++ b/internal/coordination/orders/reconciler.go
@@ -15,6 +15,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"merlintiller/internal/coordination"
+	"merlintiller/internal/defaults"
 	"merlintiller/internal/platform"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/ring"
@@ -75,7 +76,7 @@
 
 // New returns a reconciler that knows no target.
 func New(opts Options) *Reconciler {
-	setDefault(&opts.Tick, time.Second)
+	defaults.SetPositive(&opts.Tick, time.Second)
 	if opts.Logger == nil {
 		opts.Logger = log.NewNopLogger()
 	}
--- a/internal/coordination/routing/options.go
+++ b/internal/coordination/routing/options.go
@@ -10,6 +10,7 @@
 import (
 	"time"
 
+	"merlintiller/internal/defaults"
 	"merlintiller/internal/protocol"
 )
 
@@ -68,24 +69,18 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.SlotsPerTarget, 16)
-	setDefault(&o.SpillAt, 1)
-	setDefault(&o.SpillGain, 0.25)
-	setDefault(&o.ReportHalfLife, 300*time.Millisecond)
-	setDefault(&o.AffinityFresh, 4*time.Second)
-	setDefault(&o.FailuresToEject, 3)
-	setDefault(&o.EjectFor, 2*time.Second)
-	setDefault(&o.EjectMost, time.Minute)
-	setDefault(&o.EjectShare, 0.5)
-	setDefault(&o.SlowFactor, 4)
-	setDefault(&o.SlowSamples, 8)
-	setDefault(&o.SlowFloor, 100*time.Millisecond)
-	setDefault(&o.LeavingFor, time.Minute)
+	defaults.SetPositive(&o.SlotsPerTarget, 16)
+	defaults.SetPositive(&o.SpillAt, 1)
+	defaults.SetPositive(&o.SpillGain, 0.25)
+	defaults.SetPositive(&o.ReportHalfLife, 300*time.Millisecond)
+	defaults.SetPositive(&o.AffinityFresh, 4*time.Second)
+	defaults.SetPositive(&o.FailuresToEject, 3)
+	defaults.SetPositive(&o.EjectFor, 2*time.Second)
+	defaults.SetPositive(&o.EjectMost, time.Minute)
+	defaults.SetPositive(&o.EjectShare, 0.5)
+	defaults.SetPositive(&o.SlowFactor, 4)
+	defaults.SetPositive(&o.SlowSamples, 8)
+	defaults.SetPositive(&o.SlowFloor, 100*time.Millisecond)
+	defaults.SetPositive(&o.LeavingFor, time.Minute)
 	return o
 }
-
-func setDefault[T int | float64 | time.Duration](field *T, value T) {
-	if *field <= 0 {
-		*field = value
-	}
-}
--- a/internal/coordination/routing/pollers.go
+++ b/internal/coordination/routing/pollers.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log"
 	"github.com/thejerf/suture/v4"
 
+	"merlintiller/internal/defaults"
 	"merlintiller/internal/platform"
 	"merlintiller/internal/protocol"
 )
@@ -41,9 +42,9 @@
 }
 
 func (o PollOptions) withDefaults() PollOptions {
-	setDefault(&o.ListEvery, time.Second)
-	setDefault(&o.LoadsPerSecond, 20)
-	setDefault(&o.LoadEvery, time.Second)
+	defaults.SetPositive(&o.ListEvery, time.Second)
+	defaults.SetPositive(&o.LoadsPerSecond, 20)
+	defaults.SetPositive(&o.LoadEvery, time.Second)
 	if o.Logger == nil {
 		o.Logger = log.NewNopLogger()
 	}
--- a/internal/transport/edge/options.go
+++ b/internal/transport/edge/options.go
@@ -14,6 +14,7 @@
 
 	"merlintiller/internal/coordination/access"
 	"merlintiller/internal/coordination/online"
+	"merlintiller/internal/defaults"
 	"merlintiller/internal/protocol"
 )
 
@@ -75,23 +76,17 @@
 }
 
 func (l Limits) withDefaults() Limits {
-	setDefault(&l.MaxConnections, 10_000)
-	setDefault(&l.MaxBody, 4<<20)
-	setDefault(&l.MaxBuffered, 256<<20)
-	setDefault(&l.MaxFile, 512<<20)
-	setDefault(&l.MaxHeaderBytes, 32<<10)
-	setDefault(&l.MaxHeaders, 100)
-	setDefault(&l.HeaderTimeout, 5*time.Second)
-	setDefault(&l.BodyTimeout, 10*time.Second)
-	setDefault(&l.FileTimeout, 10*time.Minute)
-	setDefault(&l.WriteTimeout, 5*time.Second)
-	setDefault(&l.IdleTimeout, 75*time.Second)
-	setDefault(&l.DrainLag, 5*time.Second)
+	defaults.SetPositive(&l.MaxConnections, 10_000)
+	defaults.SetPositive(&l.MaxBody, 4<<20)
+	defaults.SetPositive(&l.MaxBuffered, 256<<20)
+	defaults.SetPositive(&l.MaxFile, 512<<20)
+	defaults.SetPositive(&l.MaxHeaderBytes, 32<<10)
+	defaults.SetPositive(&l.MaxHeaders, 100)
+	defaults.SetPositive(&l.HeaderTimeout, 5*time.Second)
+	defaults.SetPositive(&l.BodyTimeout, 10*time.Second)
+	defaults.SetPositive(&l.FileTimeout, 10*time.Minute)
+	defaults.SetPositive(&l.WriteTimeout, 5*time.Second)
+	defaults.SetPositive(&l.IdleTimeout, 75*time.Second)
+	defaults.SetPositive(&l.DrainLag, 5*time.Second)
 	return l
 }
-
-func setDefault[T int | int64 | time.Duration](field *T, value T) {
-	if *field <= 0 {
-		*field = value
-	}
-}
