Tests that need an address where nobody listens keep it from others

Cause: TestRefusedConnectionIsNotRun failed once in some ten runs of the whole suite. It closed a listener and dialled its address; in between another test process had been given the port, took the call, and 'may have run' was true. Ruled out: the client's run state (200 of 200 with nobody at the address). Change: the port of an open connection's own end, and for the replaced instance a port below the range that the kernel gives out.

--- a/internal/transport/peer/peer_test.go
+++ b/internal/transport/peer/peer_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/harness"
 )
 
 type echo struct{ release chan struct{} }
@@ -66,9 +68,11 @@
 // An instance is replaced at the same address. The first call after that finds
 // a dead connection; the one after it dials anew and is answered.
 func TestReplacedInstanceIsDialledAnew(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	// An address that no other process is given while nobody listens there.
+	address, err := harness.FreeAddress()
+	require.NoError(t, err)
+	listener, err := net.Listen("tcp", address)
 	require.NoError(t, err)
-	address := listener.Addr().String()
 	run := func(l net.Listener) (stop func()) {
 		server := NewServer(l, nil, log.NewNopLogger())
 		require.NoError(t, server.Register("Echo", &echo{}))
--- a/internal/transport/targethttp/client_test.go
+++ b/internal/transport/targethttp/client_test.go
@@ -116,11 +116,15 @@
 // Nobody listens at the target's address, as after its death. The caller may
 // be told that the call did not run, and it is true.
 func TestRefusedConnectionIsNotRun(t *testing.T) {
+	// The port of an open connection's own end: nobody listens there, and no
+	// other process can begin to.
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	address := listener.Addr().String()
-	require.NoError(t, listener.Close())
-	_, err = newTestClient(t, Options{}).Do(context.Background(), address, testCall("c1"))
+	defer listener.Close()
+	holder, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	defer holder.Close()
+	_, err = newTestClient(t, Options{}).Do(context.Background(), holder.LocalAddr().String(), testCall("c1"))
 	require.Equal(t, protocol.NotRun, runState(t, err))
 }
 
