--- a/internal/coordination/headroom/headroom.go
+++ b/internal/coordination/headroom/headroom.go
@@ -67,7 +67,7 @@
 		core:    NewCore(config.Settings),
 		slots:   map[SlotID]*slot{},
 		changed: make(chan struct{}),
-		notices: ring.New[map[protocol.InstanceID][]TargetCount]("", noticeCapacity),
+		notices: ring.New[map[protocol.InstanceID][]TargetCount]("headroom.notices", noticeCapacity),
 	}
 }
 
--- a/internal/coordination/limiter/limiter.go
+++ b/internal/coordination/limiter/limiter.go
@@ -68,8 +68,8 @@
 		core:      NewCore(config.Self, config.Domain, config.Settings),
 		claims:    NewClaims(config.Self, config.Domain, config.Settings),
 		extension: newExtension(config.Settings),
-		ahead:     ring.New[*Ask]("", aheadCapacity),
-		actions:   ring.New[ClaimAction]("", actionCapacity),
+		ahead:     ring.New[*Ask]("limiter.ahead", aheadCapacity),
+		actions:   ring.New[ClaimAction]("limiter.actions", actionCapacity),
 		pending:   map[SlotKey]bool{},
 	}
 }
