Demonstration: refused callers come back when they are told to

Cause: the callers came back every 20 ms whatever the refusal said, so that most of their calls were refused.

--- a/internal/harness/demo/online.go
+++ b/internal/harness/demo/online.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -47,6 +48,7 @@
 	body := harness.ChatBody(model, prompt, onlineTokens, stream)
 	for ctx.Err() == nil {
 		answer, err := d.caller.Post(context.WithoutCancel(ctx), "/v1/chat/completions", body, nil)
+		wait := resendWait
 		l.mu.Lock()
 		switch {
 		case err != nil:
@@ -54,6 +56,7 @@
 		case answer.Status == http.StatusTooManyRequests || answer.Status == http.StatusServiceUnavailable:
 			l.refused++
 			l.checkRefusal(answer)
+			wait = max(wait, comeBack(answer))
 		case answer.IsOwnAnswer(prompt, onlineTokens, stream):
 			l.whole++
 			l.first = append(l.first, answer.FirstByte)
@@ -65,10 +68,26 @@
 			return
 		}
 		l.mu.Unlock()
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(wait)
 	}
 }
 
+// resendWait is the wait before a call is sent again that got no answer.
+const resendWait = 20 * time.Millisecond
+
+// comeBack is when a refused caller was told to come back.
+func comeBack(answer *harness.Answer) time.Duration {
+	var refusal struct {
+		Error struct {
+			RetryAfterMS int64 `json:"retry_after_ms"`
+		}
+	}
+	if json.Unmarshal(answer.Body, &refusal) != nil {
+		return 0
+	}
+	return time.Duration(refusal.Error.RetryAfterMS) * time.Millisecond
+}
+
 func (l *onlineLoad) checkRefusal(answer *harness.Answer) {
 	if answer.RetryAfter == "" {
 		l.problem = errors.Join(l.problem, fmt.Errorf("refusal without Retry-After: %s", answer))
