Stopped duties answer nothing more: closing is waited for

Cause: Serve of the peer server returned as soon as its listener was closed, while close(), running beside it by context.AfterFunc, had yet to close the open connections. A stopped server could answer one more call. That is the red test TestReplacedInstanceIsDialledAnew (the call after the stop succeeded). Ruled out: another process taking the port (harness.FreeAddress keeps it), the client dialling anew (the address has no listener). Change: internal/closing waits for the end to have run; used by the peer server and by the same shape at the edge, the operators' server and the stand-in target.

--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -14,6 +14,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"merlintiller/internal/burn"
+	"merlintiller/internal/closing"
 	"merlintiller/internal/coordination/fleetstatus"
 	"merlintiller/internal/coordination/online"
 	"merlintiller/internal/coordination/withdrawal"
@@ -125,8 +126,8 @@
 		return trace.Wrap(err)
 	}
 	server := &http.Server{Handler: o.handler, ReadHeaderTimeout: o.timeout}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
+	wait := closing.When(ctx, func() { _ = server.Close() })
+	defer wait()
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return trace.Wrap(err)
 	}
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -10,6 +10,7 @@
 
 	"github.com/gravitational/trace"
 
+	"merlintiller/internal/closing"
 	"merlintiller/internal/protocol"
 )
 
@@ -81,8 +82,8 @@
 		return trace.Wrap(err)
 	}
 	server := &http.Server{Handler: New(cfg), ReadHeaderTimeout: 10 * time.Second}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
+	wait := closing.When(ctx, func() { _ = server.Close() })
+	defer wait()
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return trace.Wrap(err)
 	}
--- a/internal/transport/edge/server.go
+++ b/internal/transport/edge/server.go
@@ -12,7 +12,9 @@
 
 	"github.com/go-kit/log"
 	"github.com/gravitational/trace"
+
 	"github.com/thejerf/suture/v4"
+	"merlintiller/internal/closing"
 )
 
 // published counts refusals by code and shed connections.
@@ -76,8 +78,8 @@
 		ErrorLog:          errorLog(e.opts.Logger),
 	}
 	e.setServer(server)
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
+	wait := closing.When(ctx, func() { _ = server.Close() })
+	defer wait()
 	err = server.Serve(limitConnections(listener, e.limits.MaxConnections))
 	if !errors.Is(err, http.ErrServerClosed) {
 		return trace.Wrap(err)
--- a/internal/transport/peer/peer_test.go
+++ b/internal/transport/peer/peer_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
@@ -94,3 +97,47 @@
 	require.NoError(t, client.Call(t.Context(), address, "Echo.Say", "three", &reply))
 	require.Equal(t, "three", reply)
 }
+
+// slowCloser is a listener that wakes its accept loop a while before Close
+// returns, as a busy kernel may.
+type slowCloser struct {
+	woken chan struct{}
+	first net.Conn
+}
+
+func (l *slowCloser) Accept() (net.Conn, error) {
+	if conn := l.first; conn != nil {
+		l.first = nil
+		return conn, nil
+	}
+	<-l.woken
+	return nil, net.ErrClosed
+}
+
+func (l *slowCloser) Close() error {
+	close(l.woken)
+	<-time.After(time.Second)
+	return nil
+}
+
+func (l *slowCloser) Addr() net.Addr { return &net.TCPAddr{} }
+
+// An instance is stopped and its address is given to another one. Its accept
+// loop ends at once, its open connections a moment later. If it counted as
+// stopped between the two, a call to the new instance could still be answered
+// by the old one.
+func TestStoppedServerAnswersNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		server := NewServer(&slowCloser{woken: make(chan struct{}), first: near}, nil, log.NewNopLogger())
+		require.NoError(t, server.Register("Echo", &echo{}))
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); _ = server.Serve(ctx) }()
+		synctest.Wait()
+		cancel()
+		<-done
+		_, err := far.Write([]byte("x"))
+		require.ErrorIs(t, err, io.ErrClosedPipe)
+	})
+}
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -16,6 +16,8 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/gravitational/trace"
+
+	"merlintiller/internal/closing"
 )
 
 var (
@@ -62,8 +64,8 @@
 
 // Serve accepts connections until ctx ends.
 func (s *Server) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, s.close)
-	defer stop()
+	wait := closing.When(ctx, s.close)
+	defer wait()
 	for {
 		conn, err := s.listener.Accept()
 		if ctx.Err() != nil {
