--- a/cmd/tillerd/main.go
+++ b/cmd/tillerd/main.go
@@ -11,6 +11,8 @@
 	"github.com/alecthomas/kong"
 
 	"merlintiller/internal/daemon"
+	"merlintiller/internal/daemon/routed"
+	"merlintiller/internal/logline"
 	"merlintiller/internal/settings"
 )
 
@@ -23,14 +25,46 @@
 
 type cli struct {
 	Settings string `required:"" help:"Path of the settings file." type:"path"`
+	Routed   bool   `help:"Serve the routes that operators publish in a shared store. The file holds settings for that."`
 }
 
 func main() {
 	var args cli
 	kong.Parse(&args, kong.Name("tillerd"), kong.Description("Run one entry instance of merlintiller."))
+	if args.Routed {
+		os.Exit(runRouted(args))
+	}
 	os.Exit(run(args))
 }
 
+// runRouted runs an instance that serves routes of a shared store.
+func runRouted(args cli) int {
+	s, err := settings.LoadRouted(args.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitBadSettings
+	}
+	lines := logline.NewWriter(os.Stdout)
+	logger := daemon.NewLogger(lines, s.Log)
+	defer lines.Flush()
+	go func() { _ = lines.Serve(context.Background()) }()
+	d, err := routed.New(s, logger)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	go d.Reload(ctx, hangup, func() (*settings.Routed, error) { return settings.LoadRouted(args.Settings) })
+	if err := d.Run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return 0
+}
+
 func run(args cli) int {
 	s, err := settings.Load(args.Settings)
 	if err != nil {
--- a/internal/coordination/batch/carry.go
+++ b/internal/coordination/batch/carry.go
@@ -12,7 +12,7 @@
 
 	"merlintiller/internal/coordination"
 	"merlintiller/internal/coordination/bulk"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/state/ledger"
 	"merlintiller/internal/state/replica"
@@ -149,7 +149,7 @@
 	})
 	for _, at := range order {
 		err := c.move(ctx, at, chunksAt[at])
-		if errors.Is(err, platform.ErrTrimmed) {
+		if errors.Is(err, external.ErrTrimmed) {
 			counters.Add("carried_too_late", 1)
 			_ = c.logger.Log("event", "data_lost", "job", job, "offset", at)
 			continue
--- a/internal/coordination/batch/claimer.go
+++ b/internal/coordination/batch/claimer.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"merlintiller/internal/coordination/bulk"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/state/ledger"
 	"merlintiller/internal/state/replica"
@@ -214,7 +214,7 @@
 // isLost tells input that will never come back from input that can't be read
 // just now.
 func isLost(err error) bool {
-	return errors.Is(err, platform.ErrTrimmed) || errors.Is(err, protocol.ErrMalformed)
+	return errors.Is(err, external.ErrTrimmed) || errors.Is(err, protocol.ErrMalformed)
 }
 
 // giveUp ends the items of a chunk whose input is gone as failed results, so
--- a/internal/coordination/batch/service.go
+++ b/internal/coordination/batch/service.go
@@ -11,7 +11,7 @@
 	"github.com/gravitational/trace"
 
 	"merlintiller/internal/coordination"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 )
 
@@ -43,7 +43,7 @@
 // points at an entry whose append failed, so "not run" is true even if the
 // entry stands.
 func (s *Service) refuseStorage(err error, what string) *protocol.Refusal {
-	if errors.Is(err, platform.ErrTrimmed) {
+	if errors.Is(err, external.ErrTrimmed) {
 		return protocol.Refuse(protocol.CodeGone, 0, "%s has left the platform's retention", what)
 	}
 	if errors.Is(err, protocol.ErrMalformed) || trace.IsNotFound(err) {
--- /dev/null
+++ b/internal/coordination/batchjobs/answer.go
@@ -0,0 +1,86 @@
+package batchjobs
+
+import (
+	"context"
+	"time"
+
+	"merlintiller/internal/state/jobs"
+)
+
+// results waits for results of a job and gives them.
+func (h *holding) results(ctx context.Context, call ResultsCall) ResultsReply {
+	ctx, cancel := context.WithTimeout(ctx, call.Wait)
+	defer cancel()
+	for {
+		found, changed := h.job(call.Job)
+		if !found.known || found.listed.Organisation != call.Organisation {
+			return ResultsReply{Verdict: h.absent(found)}
+		}
+		if len(found.listed.Results) > call.After || !found.listed.Open() || call.Wait <= 0 {
+			return page(&found.listed, call.After)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			call.Wait = 0
+		}
+	}
+}
+
+// absent is the verdict on a job that is not there.
+func (h *holding) absent(found snapshot) Verdict {
+	if !found.loaded {
+		return NotDone
+	}
+	return Missing
+}
+
+// page gives the results from a position on, at least one if there is one, and
+// no more than fit into an answer.
+func page(l *jobs.Listed, after int) ResultsReply {
+	reply := ResultsReply{Verdict: Done, Total: len(l.Items)}
+	size := 0
+	for position := min(after, len(l.Results)); position < len(l.Results); position++ {
+		size += len(l.Results[position].Text)
+		if len(reply.Results) > 0 && size > pageBytes {
+			break
+		}
+		reply.Results = append(reply.Results, l.Results[position])
+	}
+	return reply
+}
+
+// body gives the body of an item that is not listed.
+func (h *holding) body(call BodyCall) BodyReply {
+	found, _ := h.job(call.Job)
+	if !found.known || found.listed.Organisation != call.Organisation {
+		return BodyReply{Verdict: h.absent(found)}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	l, known := h.state.Job(call.Job)
+	if !known || l.Ended || l.Done(call.Item) {
+		return BodyReply{Verdict: Missing}
+	}
+	item, ok := l.Item(call.Item)
+	if !ok {
+		return BodyReply{Verdict: Missing}
+	}
+	return BodyReply{Verdict: Done, Body: item.Body}
+}
+
+// known says whether a job is there.
+func (h *holding) known(job string) Verdict {
+	found, _ := h.job(job)
+	if found.known {
+		return Done
+	}
+	return h.absent(found)
+}
+
+// ready reads what is new, and everything at first.
+func (h *holding) ready(ctx context.Context, within time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	return h.read(ctx, 0)
+}
--- /dev/null
+++ b/internal/coordination/batchjobs/holding.go
@@ -0,0 +1,220 @@
+package batchjobs
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"merlintiller/internal/external"
+	"merlintiller/internal/state/jobs"
+)
+
+const (
+	// tailWait is how long one read waits for new jobs. A watch that hears
+	// nothing is noticed when it ends.
+	tailWait = 2 * time.Second
+	// retryFirst and retryMost bound the wait after a failed call to the store.
+	retryFirst = 50 * time.Millisecond
+	retryMost  = 500 * time.Millisecond
+	// pageBytes bounds the results of one answer to a caller.
+	pageBytes = 1 << 20
+)
+
+// holding is the jobs of one partition as this instance keeps them.
+type holding struct {
+	opts      *Options
+	partition external.Partition
+	logger    log.Logger
+	// onChange is told that jobs came or ended.
+	onChange func(*holding)
+
+	mu      sync.Mutex
+	state   *jobs.Partition
+	loaded  bool
+	changed chan struct{}
+	// finished are results that are still to be listed.
+	finished []finished
+	wake     chan struct{}
+}
+
+// finished is an item with its end.
+type finished struct {
+	job    string
+	result jobs.Result
+}
+
+func newHolding(opts *Options, p external.Partition, onChange func(*holding)) *holding {
+	return &holding{
+		opts: opts, partition: p, onChange: onChange,
+		logger:  log.With(opts.Logger, "partition", p.Number),
+		state:   jobs.NewPartition(),
+		changed: make(chan struct{}),
+		wake:    make(chan struct{}, 1),
+	}
+}
+
+// serve loads the partition, follows it and lists results until ctx ends.
+func (h *holding) serve(ctx context.Context) {
+	var duties sync.WaitGroup
+	duties.Go(func() { h.follow(ctx) })
+	duties.Go(func() { h.list(ctx) })
+	duties.Wait()
+}
+
+// follow keeps the state up to date.
+func (h *holding) follow(ctx context.Context) {
+	retry := retryFirst
+	for ctx.Err() == nil {
+		err := h.read(ctx, tailWait)
+		if err == nil {
+			retry = retryFirst
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		_ = level.Warn(h.logger).Log("event", "jobs_read_failed", "retry_ms", retry.Milliseconds(), "err", err)
+		sleep(ctx, retry)
+		retry = min(2*retry, retryMost)
+	}
+}
+
+// read takes over what is new, and everything if nothing is known or what is
+// next has left the store's history.
+func (h *holding) read(ctx context.Context, wait time.Duration) error {
+	h.mu.Lock()
+	loaded, next := h.loaded, h.state.Next()
+	h.mu.Unlock()
+	if !loaded {
+		return h.load(ctx)
+	}
+	page, err := h.opts.Log.Read(ctx, h.partition, next, wait)
+	if errors.Is(err, external.ErrTrimmed) {
+		return h.load(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	h.opts.StoreAnswered()
+	h.apply(page)
+	return nil
+}
+
+func (h *holding) load(ctx context.Context) error {
+	page, err := h.opts.Log.Newest(ctx, h.partition)
+	if err != nil {
+		return err
+	}
+	h.opts.StoreAnswered()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.loaded && page.Next <= h.state.Next() {
+		return nil
+	}
+	state := jobs.NewPartition()
+	if err := state.Load(page); err != nil {
+		_ = level.Error(h.logger).Log("event", "job_records_unreadable", "err", err)
+	}
+	h.state = state
+	h.loaded = true
+	_ = level.Info(h.logger).Log("event", "jobs_loaded", "jobs", len(state.Jobs()), "next", state.Next())
+	h.tell()
+	return nil
+}
+
+func (h *holding) apply(page external.KeyedPage) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if page.Next <= h.state.Next() {
+		return
+	}
+	if err := h.state.Apply(page); err != nil {
+		_ = level.Error(h.logger).Log("event", "job_records_unreadable", "err", err)
+	}
+	h.tell()
+}
+
+// tell wakes those who wait for a change. It needs the lock.
+func (h *holding) tell() {
+	close(h.changed)
+	h.changed = make(chan struct{})
+	if h.onChange != nil {
+		go h.onChange(h)
+	}
+}
+
+// job gives a job as of now, and what is closed at the next change.
+func (h *holding) job(id string) (found snapshot, changed <-chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	found.loaded = h.loaded
+	if l, ok := h.state.Job(id); ok {
+		found.known = true
+		found.listed = *l
+		found.listed.Results = l.Results[:len(l.Results):len(l.Results)]
+	}
+	return found, h.changed
+}
+
+// snapshot is a job as it was at one moment.
+type snapshot struct {
+	loaded, known bool
+	listed        jobs.Listed
+}
+
+// open gives the items that are to be run.
+func (h *holding) open() []openItem {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.loaded {
+		return nil
+	}
+	pending := make(map[itemID]bool, len(h.finished))
+	for _, f := range h.finished {
+		pending[itemID{f.job, f.result.Item}] = true
+	}
+	var out []openItem
+	for _, l := range h.state.Jobs() {
+		if !l.Open() {
+			continue
+		}
+		for i := range l.Items {
+			id := itemID{l.ID, l.Items[i].ID}
+			if !l.Done(id.item) && !pending[id] {
+				out = append(out, openItem{id: id, item: l.Items[i], job: jobOf(l)})
+			}
+		}
+	}
+	return out
+}
+
+// jobOf is the job without its items.
+func jobOf(l *jobs.Listed) jobs.Job {
+	job := l.Job
+	job.Items = nil
+	return job
+}
+
+// finish has a result listed.
+func (h *holding) finish(f finished) {
+	h.mu.Lock()
+	h.finished = append(h.finished, f)
+	h.mu.Unlock()
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/coordination/batchjobs/options.go
@@ -0,0 +1,64 @@
+package batchjobs
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log"
+
+	"merlintiller/internal/coordination/mesh"
+	"merlintiller/internal/coordination/placement"
+	"merlintiller/internal/external"
+	"merlintiller/internal/protocol/exchange"
+	"merlintiller/internal/state/route"
+)
+
+// Peers are the other instances.
+type Peers interface {
+	Peers() []mesh.Peer
+	Holder(partition int) (mesh.Peer, bool)
+}
+
+// Placer chooses targets.
+type Placer interface {
+	Pick(placement.Want) (placement.Choice, bool)
+	Done(placement.Choice, placement.Result)
+	Told(id string, load *exchange.Load)
+}
+
+// Caller invokes a net/rpc method at an address.
+type Caller interface {
+	Call(ctx context.Context, address, method string, args, reply any) error
+}
+
+// Options make a Desk and its duties.
+type Options struct {
+	// Member names this life of the instance in the group.
+	Member string
+	// Topic and Partitions say where the jobs stand, Group who deals them.
+	Topic      string
+	Partitions int
+	Group      string
+	// RecordBytes and CallBytes are the store's bounds on one record and on the
+	// records of one append.
+	RecordBytes, CallBytes int
+
+	Log    external.KeyedLog
+	Groups external.Groups
+	Peers  Peers
+	Caller Caller
+	// Table is the configuration in force, StoreAge the time since the store
+	// answered, StoreAnswered notes that it did.
+	Table         func() *route.Table
+	StoreAge      func() time.Duration
+	StoreAnswered func()
+	Targets       external.Sender
+	Placer        Placer
+	Logger        log.Logger
+}
+
+// partitionOf gives the partition of a job.
+func (o *Options) partitionOf(job string) external.Partition {
+	return external.Partition{Topic: o.Topic, Number: int(xxhash.Sum64String(job) % uint64(o.Partitions))}
+}
--- /dev/null
+++ b/internal/coordination/batchjobs/runner.go
@@ -0,0 +1,231 @@
+package batchjobs
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log/level"
+
+	"merlintiller/internal/coordination/placement"
+	"merlintiller/internal/state/jobs"
+)
+
+const (
+	// tryEvery is how often waiting items look for a free slot. Slots come free
+	// every few milliseconds over all targets.
+	tryEvery = 25 * time.Millisecond
+	// yieldPause is how long an item waits that gave up its slot.
+	yieldPause = 60 * time.Millisecond
+	// failPause is how long an item waits after a failed run, doubled with each
+	// further one up to failMost.
+	failPause = 100 * time.Millisecond
+	failMost  = 2 * time.Second
+)
+
+var (
+	itemRuns   = metrics.NewCounter(`batch_item_runs_total`)
+	itemYields = metrics.NewCounter(`batch_item_yields_total`)
+)
+
+// itemID names an item of a job.
+type itemID struct{ job, item string }
+
+// openItem is an item that is to be run.
+type openItem struct {
+	id   itemID
+	item jobs.Item
+	job  jobs.Job
+}
+
+// Runner runs the items of the partitions that are held. It is a duty.
+type Runner struct {
+	opts *Options
+	wake chan struct{}
+
+	mu      sync.Mutex
+	tasks   map[itemID]*task
+	waiting []*task
+	ctx     context.Context
+}
+
+// NewRunner returns a runner without items.
+func NewRunner(opts *Options) *Runner {
+	r := &Runner{opts: opts, wake: make(chan struct{}, 1), tasks: map[itemID]*task{}}
+	metrics.GetOrCreateGauge(`batch_items{state="open"}`, func() float64 {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return float64(len(r.tasks))
+	})
+	return r
+}
+
+// String names the duty.
+func (r *Runner) String() string { return "jobs-runner" }
+
+// Serve starts items where slots are free until ctx ends.
+func (r *Runner) Serve(ctx context.Context) error {
+	r.mu.Lock()
+	r.ctx = ctx
+	r.mu.Unlock()
+	ticker := time.NewTicker(tryEvery)
+	defer ticker.Stop()
+	for {
+		if !r.start() {
+			select {
+			case <-r.wake:
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (r *Runner) poke() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// refresh takes over which items of a partition are open.
+func (r *Runner) refresh(h *holding) {
+	open := h.open()
+	r.mu.Lock()
+	wanted := make(map[itemID]bool, len(open))
+	for i := range open {
+		o := &open[i]
+		wanted[o.id] = true
+		if known := r.tasks[o.id]; known == nil || known.home != h {
+			t := &task{openItem: *o, runner: r, home: h, position: -1}
+			r.tasks[o.id] = t
+			r.waiting = append(r.waiting, t)
+		}
+	}
+	for id, t := range r.tasks {
+		if t.home == h && !wanted[id] {
+			r.forget(t)
+		}
+	}
+	r.sort()
+	r.mu.Unlock()
+	r.poke()
+}
+
+// drop forgets the items of a partition that is held no more.
+func (r *Runner) drop(h *holding) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, t := range r.tasks {
+		if t.home == h {
+			r.forget(t)
+		}
+	}
+}
+
+// forget ends a task. It needs the lock.
+func (r *Runner) forget(t *task) {
+	if r.tasks[t.id] == t {
+		delete(r.tasks, t.id)
+	}
+	t.ended = true
+	if t.cancel != nil {
+		t.cancel()
+	}
+	r.waiting = slices.DeleteFunc(r.waiting, func(w *task) bool { return w == t })
+}
+
+// sort puts the items that are due first at the head.
+func (r *Runner) sort() {
+	slices.SortStableFunc(r.waiting, func(a, b *task) int {
+		return cmp.Or(a.job.Due.Compare(b.job.Due), cmp.Compare(a.id.job, b.id.job))
+	})
+}
+
+// start starts items until no slot is free. It reports whether any waits.
+func (r *Runner) start() bool {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	kept := r.waiting[:0]
+	full := false
+	for _, t := range r.waiting {
+		if full || now.Before(t.notBefore) || !t.begin(now, &full) {
+			kept = append(kept, t)
+		}
+	}
+	clear(r.waiting[len(kept):])
+	r.waiting = kept
+	return len(kept) > 0
+}
+
+// requeue lets a task wait for its next run.
+func (r *Runner) requeue(t *task, pause time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t.cancel = nil
+	if t.ended {
+		return
+	}
+	t.notBefore = time.Now().Add(pause)
+	r.waiting = append(r.waiting, t)
+	r.sort()
+	r.poke()
+}
+
+// finish ends a task with a result.
+func (r *Runner) finish(t *task, result jobs.Result) {
+	r.mu.Lock()
+	ended := t.ended
+	if !ended {
+		// The result waits in its partition now; until it is listed there, the
+		// item counts as pending and is not run again.
+		t.ended = true
+		delete(r.tasks, t.id)
+	}
+	r.mu.Unlock()
+	if !ended {
+		t.home.finish(finished{job: t.id.job, result: result})
+	}
+}
+
+// Yield frees a slot at a target, if an item runs there. The item goes on
+// elsewhere from where it is; the one that is due last gives way.
+func (r *Runner) Yield(target string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var last *task
+	for _, t := range r.tasks {
+		if t.cancel == nil || t.yielding || t.choice.ID != target {
+			continue
+		}
+		if last == nil || t.job.Due.After(last.job.Due) {
+			last = t
+		}
+	}
+	if last == nil {
+		return false
+	}
+	last.yielding = true
+	last.cancel()
+	itemYields.Inc()
+	_ = level.Info(r.opts.Logger).Log("event", "item_yields", "item", last.id.item, "job", last.id.job, "target", target,
+		"due_in_ms", time.Until(last.job.Due).Milliseconds())
+	return true
+}
+
+// runs notes that a task has begun. It needs the lock.
+func (r *Runner) runs(t *task, choice placement.Choice) {
+	ctx, cancel := context.WithCancel(r.ctx)
+	t.cancel, t.choice, t.yielding = cancel, choice, false
+	itemRuns.Inc()
+	go t.run(ctx, choice)
+}
--- /dev/null
+++ b/internal/coordination/batchjobs/task.go
@@ -0,0 +1,261 @@
+package batchjobs
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"merlintiller/internal/coordination/placement"
+	"merlintiller/internal/external"
+	"merlintiller/internal/protocol/exchange"
+	"merlintiller/internal/protocol/sse"
+	"merlintiller/internal/state/jobs"
+	"merlintiller/internal/state/route"
+)
+
+const (
+	// stallLimit ends a run whose target does not go on; the item goes on
+	// elsewhere. Targets make an event each 20 to 30 ms, slowed ones some times
+	// as long, and a full one lets an item wait.
+	stallLimit = 1500 * time.Millisecond
+	// longestRun bounds the time that a target is given for a run.
+	longestRun = 2 * time.Minute
+)
+
+// task is an item on its way to its result. The runner's lock guards the fields
+// that it and the runs share; text and position belong to the run.
+type task struct {
+	openItem
+	runner *Runner
+	home   *holding
+
+	notBefore time.Time
+	cancel    context.CancelFunc
+	choice    placement.Choice
+	yielding  bool
+	ended     bool
+
+	text     strings.Builder
+	events   int
+	position int
+	// failures are runs that the target ended as failed, troubles those that
+	// broke off in a row.
+	failures, troubles int
+}
+
+// begin starts a run if a slot is free. It is called with the runner's lock.
+func (t *task) begin(now time.Time, full *bool) bool {
+	table := t.runner.opts.Table()
+	if table == nil {
+		return false
+	}
+	if reason := t.hopeless(now, table); reason != "" {
+		t.giveUp(reason)
+		return true
+	}
+	r, ok := table.Match(t.job.Host, t.job.Prefix)
+	if !ok {
+		return false
+	}
+	service, ok := r.Choose(t.id.item)
+	if !ok {
+		return false
+	}
+	choice, ok := t.runner.opts.Placer.Pick(placement.Want{Service: service, Batch: true})
+	if !ok {
+		*full = true
+		return false
+	}
+	t.runner.runs(t, choice)
+	return true
+}
+
+// hopeless says why an item can't be done any more.
+func (t *task) hopeless(now time.Time, table *route.Table) string {
+	if !t.job.GiveUp.IsZero() && now.After(t.job.GiveUp) {
+		return "expired"
+	}
+	r, ok := table.Match(t.job.Host, t.job.Prefix)
+	// A configuration older than the job does not know its route yet.
+	if (!ok || r.Kind != route.Batch) && table.Version() >= t.job.ConfigVersion {
+		return "route_removed"
+	}
+	if ok && t.failures >= r.MaxAttempts {
+		return "failed"
+	}
+	return ""
+}
+
+// giveUp ends the item as failed. It may be called with the runner's lock.
+func (t *task) giveUp(reason string) {
+	_ = level.Info(t.runner.opts.Logger).Log("event", "item_failed", "item", t.id.item, "job", t.id.job, "reason", reason,
+		"failures", t.failures, "position", t.position)
+	go t.runner.finish(t, jobs.Result{Item: t.id.item, Outcome: jobs.Failed, Text: t.text.String()})
+}
+
+// ending is how a run ended.
+type ending int
+
+const (
+	whole ending = iota
+	refused
+	failedRun
+	impossible
+	broken
+	left
+)
+
+// run sends the item to a target and reads its output to the end.
+func (t *task) run(ctx context.Context, choice placement.Choice) {
+	opts := t.runner.opts
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var silent atomic.Bool
+	stall := time.AfterFunc(stallLimit, func() {
+		silent.Store(true)
+		cancel()
+	})
+	defer stall.Stop()
+	began, from := time.Now(), t.position
+	how, result, err := t.exchange(ctx, choice, stall)
+	if silent.Load() {
+		how, result = broken, placement.Silent
+	}
+	opts.Placer.Done(choice, result)
+	_ = level.Info(opts.Logger).Log("event", "item_run", "item", t.id.item, "job", t.id.job, "target", choice.ID,
+		"how", how.String(), "from", from, "position", t.position, "took_ms", time.Since(began).Milliseconds(),
+		"due_in_ms", time.Until(t.job.Due).Milliseconds(), "err", err)
+	t.after(how)
+}
+
+// String names an ending in logs.
+func (e ending) String() string {
+	return [...]string{"whole", "refused", "failed", "impossible", "broken", "left"}[e]
+}
+
+// after says what comes after a run.
+func (t *task) after(how ending) {
+	r := t.runner
+	switch how {
+	case whole:
+		r.finish(t, jobs.Result{Item: t.id.item, Outcome: jobs.Succeeded, Text: t.text.String()})
+	case impossible:
+		t.giveUp("impossible")
+	case refused:
+		r.requeue(t, yieldPause)
+	case left:
+		r.requeue(t, yieldPause)
+	case failedRun:
+		t.failures++
+		t.restart()
+		r.requeue(t, failPause<<min(t.failures, 4))
+	case broken:
+		t.troubles++
+		r.requeue(t, min(failMost, failPause<<min(t.troubles, 5)))
+	}
+}
+
+// restart forgets the output of a run that failed.
+func (t *task) restart() {
+	t.text.Reset()
+	t.events, t.position = 0, exchange.FromStart
+}
+
+func (t *task) exchange(ctx context.Context, choice placement.Choice, stall *time.Timer) (ending, placement.Result, error) {
+	opts := t.runner.opts
+	answer, err := opts.Targets.Send(ctx, choice.Address, t.dispatch(choice))
+	if err != nil {
+		switch {
+		case ctx.Err() != nil:
+			return left, placement.Left, err
+		case errors.Is(err, external.ErrNotSent):
+			return refused, placement.Unreachable, err
+		default:
+			return broken, placement.Broken, err
+		}
+	}
+	defer answer.Close()
+	head := answer.Head()
+	opts.Placer.Told(choice.ID, head.Load)
+	switch {
+	case head.Elsewhere:
+		opts.Targets.Forget(choice.Address)
+		return refused, placement.Replaced, nil
+	case head.NotRun:
+		return refused, placement.Full, nil
+	case head.Status == http.StatusUnprocessableEntity:
+		return impossible, placement.Served, nil
+	case head.Status == http.StatusInternalServerError:
+		return failedRun, placement.Served, nil
+	case !head.Success():
+		return broken, placement.Broken, nil
+	}
+	return t.read(ctx, answer, stall)
+}
+
+func (t *task) dispatch(choice placement.Choice) *exchange.Dispatch {
+	header := make(http.Header, len(t.item.Header))
+	for name, value := range t.item.Header {
+		header.Set(name, value)
+	}
+	most := longestRun
+	if !t.job.GiveUp.IsZero() {
+		most = min(most, time.Until(t.job.GiveUp))
+	}
+	return &exchange.Dispatch{
+		ID: t.id.item, Method: http.MethodPost, Host: t.job.Host, Path: t.item.Path,
+		Target: choice.ID, Organisation: t.job.Organisation, Left: max(time.Second, most),
+		After: t.position, Header: header, Body: t.item.Body,
+	}
+}
+
+// errGap: an event is missing, so what follows can't be joined to what is there.
+var errGap = errors.New("an event is missing")
+
+// read takes the output in, event by event, so that a run that breaks off goes
+// on after the last whole one.
+func (t *task) read(ctx context.Context, answer external.OpenAnswer, stall *time.Timer) (ending, placement.Result, error) {
+	events := sse.NewReader(answer)
+	for {
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			t.troubles = 0
+			return whole, placement.Served, nil
+		}
+		if err != nil {
+			if ctx.Err() != nil {
+				return left, placement.Left, err
+			}
+			return broken, placement.Broken, err
+		}
+		stall.Reset(stallLimit)
+		if err := t.take(&event); err != nil {
+			return broken, placement.Broken, err
+		}
+	}
+}
+
+// take adds one event.
+func (t *task) take(event *sse.Event) error {
+	if event.Numbered {
+		switch {
+		case t.position != exchange.FromStart && event.Position <= t.position:
+			return nil
+		case t.position != exchange.FromStart && event.Position != t.position+1:
+			return errGap
+		}
+		t.position = event.Position
+	}
+	if t.events > 0 {
+		t.text.WriteByte('\n')
+	}
+	t.events++
+	t.text.Write(event.Data())
+	return nil
+}
--- a/internal/coordination/faulttest/callmatrix_test.go
+++ b/internal/coordination/faulttest/callmatrix_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"merlintiller/internal/coordination/online"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 )
 
@@ -188,15 +188,15 @@
 		n.link.pass()
 		refused := false
 		if !n.strike(func() { refused = n.alive() && !n.world.targets.begin(name) }, atDispatch) {
-			return online.OnceAnswer{}, &platform.CallError{Run: protocol.MayHaveRun, Err: errNoAnswer}
+			return online.OnceAnswer{}, &external.CallError{Run: protocol.MayHaveRun, Err: errNoAnswer}
 		}
 		if refused {
-			return online.OnceAnswer{}, &platform.CallError{Run: protocol.NotRun, Err: errNoAnswer}
+			return online.OnceAnswer{}, &external.CallError{Run: protocol.NotRun, Err: errNoAnswer}
 		}
 		<-time.After(500 * time.Millisecond)
 		n.link.pass()
 		if !n.strike(func() {}, atAnswer) || n.world.targets.failing(name) {
-			return online.OnceAnswer{}, &platform.CallError{Run: protocol.MayHaveRun, Err: errNoAnswer}
+			return online.OnceAnswer{}, &external.CallError{Run: protocol.MayHaveRun, Err: errNoAnswer}
 		}
 		return online.OnceAnswer{Status: 200, Body: []byte("swapped")}, nil
 	}
--- a/internal/coordination/faulttest/calls_test.go
+++ b/internal/coordination/faulttest/calls_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"merlintiller/internal/coordination/online"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/state/replica"
 )
@@ -27,7 +27,7 @@
 		case <-time.After(takes):
 			return online.OnceAnswer{Status: 201, Header: map[string][]string{"X-Roster": {"7"}}, Body: body}, nil
 		case <-ctx.Done():
-			return online.OnceAnswer{}, &platform.CallError{Run: protocol.MayHaveRun, Err: ctx.Err()}
+			return online.OnceAnswer{}, &external.CallError{Run: protocol.MayHaveRun, Err: ctx.Err()}
 		}
 	}
 }
@@ -161,7 +161,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 2, variant{})
 		_, refusal := w.nodes[0].caller.CallOnce(w.ctx, onceCall("k", 1), func(context.Context, protocol.CallID) (online.OnceAnswer, error) {
-			return online.OnceAnswer{}, &platform.CallError{Run: protocol.NotRun, Err: errNoAnswer}
+			return online.OnceAnswer{}, &external.CallError{Run: protocol.NotRun, Err: errNoAnswer}
 		})
 		require.Equal(t, protocol.NotRun, refusal.Run)
 		runs := 0
--- a/internal/coordination/faulttest/link_test.go
+++ b/internal/coordination/faulttest/link_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"merlintiller/internal/coordination/bulk"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 )
 
@@ -88,7 +88,7 @@
 
 // pointOfPage tells whether a read brings back a manifest or reservation that
 // its submitter waits for.
-func pointOfPage(stream string, page platform.Page) point {
+func pointOfPage(stream string, page external.Page) point {
 	if stream != protocol.ControlStream {
 		return ""
 	}
@@ -103,7 +103,7 @@
 
 // link is the way of one instance to the log. Faults strike its operations.
 type link struct {
-	log  platform.Log
+	log  external.Log
 	node *node
 
 	mu   sync.Mutex
@@ -112,7 +112,7 @@
 	resumed chan struct{}
 }
 
-func newLink(log platform.Log) *link {
+func newLink(log external.Log) *link {
 	running := make(chan struct{})
 	close(running)
 	return &link{log: log, resumed: running}
@@ -165,41 +165,41 @@
 	return !l.down
 }
 
-// Append implements platform.Log.
+// Append implements external.Log.
 func (l *link) Append(ctx context.Context, stream string, payload []byte) (protocol.Offset, error) {
 	if !l.pass() {
-		return protocol.NoOffset, platform.ErrUnavailable
+		return protocol.NoOffset, external.ErrUnavailable
 	}
-	offset, err := protocol.NoOffset, platform.ErrUnavailable
+	offset, err := protocol.NoOffset, external.ErrUnavailable
 	effect := func() {
 		// The operation left the instance: its own time limit no longer stops
 		// the effect.
 		offset, err = l.log.Append(context.WithoutCancel(ctx), stream, payload)
 	}
 	if !l.node.strike(effect, pointsOfAppend(stream, payload)...) {
-		return protocol.NoOffset, platform.ErrUnavailable
+		return protocol.NoOffset, external.ErrUnavailable
 	}
 	if ctx.Err() != nil {
-		return protocol.NoOffset, platform.ErrUnavailable
+		return protocol.NoOffset, external.ErrUnavailable
 	}
 	return offset, err
 }
 
-// Read implements platform.Log.
-func (l *link) Read(ctx context.Context, stream string, from protocol.Offset, limit int, wait time.Duration) (platform.Page, error) {
+// Read implements external.Log.
+func (l *link) Read(ctx context.Context, stream string, from protocol.Offset, limit int, wait time.Duration) (external.Page, error) {
 	if !l.pass() {
-		return platform.Page{}, platform.ErrUnavailable
+		return external.Page{}, external.ErrUnavailable
 	}
 	page, err := l.log.Read(ctx, stream, from, limit, wait)
 	if !l.pass() {
-		return platform.Page{}, platform.ErrUnavailable
+		return external.Page{}, external.ErrUnavailable
 	}
 	at := pointOfPage(stream, page)
 	if stream == protocol.DataStream && l.node.delivering.Load() {
 		at = atDeliver
 	}
 	if !l.node.strike(func() {}, at) {
-		return platform.Page{}, platform.ErrUnavailable
+		return external.Page{}, external.ErrUnavailable
 	}
 	return page, err
 }
--- a/internal/coordination/faulttest/world_test.go
+++ b/internal/coordination/faulttest/world_test.go
@@ -17,7 +17,7 @@
 	"merlintiller/internal/coordination/journal"
 	"merlintiller/internal/coordination/oncecall"
 	"merlintiller/internal/coordination/online"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/standin/memlog"
 )
@@ -262,4 +262,4 @@
 	return nodes
 }
 
-var _ platform.Log = (*link)(nil)
+var _ external.Log = (*link)(nil)
--- /dev/null
+++ b/internal/coordination/fleetview/view.go
@@ -0,0 +1,240 @@
+package fleetview
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"merlintiller/internal/external"
+	"merlintiller/internal/state/roster"
+	"merlintiller/internal/state/route"
+)
+
+const (
+	// lapseGrace is how long targets are used whose entries vanished while the
+	// store was away. Entries of living targets are back within two seconds.
+	lapseGrace = 2 * time.Second
+	// outageMemory is how long after the store's return entries may still
+	// vanish because of its absence.
+	outageMemory = time.Second
+	// outageAfter is the time without an answer that counts as the store being
+	// away: one read with its wait, and one lost.
+	outageAfter = 2500 * time.Millisecond
+)
+
+// Decoders read what operators and targets wrote.
+type Decoders struct {
+	Config func(value []byte) (route.Config, error)
+	Target func(id string, value []byte) (roster.Target, error)
+}
+
+// Sources says where in the store things stand.
+type Sources struct {
+	Operators external.Partition
+	// ConfigKey is the key of the configuration among what operators write.
+	ConfigKey string
+	Targets   external.Partition
+}
+
+// Options make a View.
+type Options struct {
+	Log      external.KeyedLog
+	Sources  Sources
+	Decoders Decoders
+	Logger   log.Logger
+	// OnConfig and OnTargets are told of each change, in order.
+	OnConfig  func(*route.Table)
+	OnTargets func([]roster.Target)
+}
+
+// View is what the instance knows. It is safe for concurrent use.
+type View struct {
+	opts   Options
+	logger log.Logger
+	table  atomic.Pointer[route.Table]
+
+	mu sync.Mutex
+	// raw is the configuration in force as operators wrote it, for others.
+	raw    []byte
+	roster *roster.Roster
+	// listed says that the list of targets was read at least once.
+	listed bool
+	// answered is when the store answered last, back when it did so again
+	// after an outage.
+	answered, back time.Time
+	changed        chan struct{}
+}
+
+// New returns a view that knows nothing.
+func New(opts Options) *View {
+	v := &View{opts: opts, logger: opts.Logger, roster: roster.New(), changed: make(chan struct{})}
+	metrics.GetOrCreateGauge("config_version_in_force", func() float64 { return float64(v.Version()) })
+	metrics.GetOrCreateGauge("store_age_seconds", func() float64 { return v.StoreAge().Seconds() })
+	return v
+}
+
+// Table is the configuration in force, nil before the first one.
+func (v *View) Table() *route.Table { return v.table.Load() }
+
+// Version is that of the configuration in force, 0 before the first one.
+func (v *View) Version() int64 {
+	if table := v.Table(); table != nil {
+		return table.Version()
+	}
+	return 0
+}
+
+// Ready says that requests can be served: the configuration and the targets are
+// known.
+func (v *View) Ready() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.listed && v.Table() != nil
+}
+
+// StoreAge is the time since the store answered.
+func (v *View) StoreAge() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.answered.IsZero() {
+		return time.Hour
+	}
+	return time.Since(v.answered)
+}
+
+// StoreAnswered notes that the store answered a call.
+func (v *View) StoreAnswered() {
+	now := time.Now()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.answered.IsZero() && now.Sub(v.answered) > outageAfter {
+		v.back = now
+		_ = level.Info(v.logger).Log("event", "store_back", "away_ms", now.Sub(v.answered).Milliseconds())
+	}
+	v.answered = now
+}
+
+// Mark is how far the list of targets was read.
+func (v *View) Mark() int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.roster.Mark()
+}
+
+// Changed is closed at the next change of the configuration.
+func (v *View) Changed() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
+
+// lapseUntil is until when targets are used whose entries vanish now.
+func (v *View) lapseUntil(now time.Time) time.Time {
+	if !v.back.IsZero() && now.Sub(v.back) < outageMemory {
+		return v.back.Add(lapseGrace)
+	}
+	return time.Time{}
+}
+
+// TakeConfig takes over a configuration if it is newer than the one in force.
+func (v *View) TakeConfig(raw []byte, from string) {
+	config, err := v.opts.Decoders.Config(raw)
+	if err != nil {
+		_ = level.Error(v.logger).Log("event", "config_unreadable", "from", from, "err", err)
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.Table() != nil && config.Version <= v.Version() {
+		return
+	}
+	before := v.Version()
+	table := route.NewTable(config)
+	v.table.Store(table)
+	v.raw = raw
+	close(v.changed)
+	v.changed = make(chan struct{})
+	_ = level.Info(v.logger).Log("event", "config_in_force", "version", config.Version, "before", before, "from", from,
+		"routes", len(config.Routes), "organisations", len(config.Organisations))
+	v.opts.OnConfig(table)
+}
+
+// Config gives the configuration as operators wrote it if it is newer than a
+// version.
+func (v *View) Config(than int64) []byte {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.Version() <= than {
+		return nil
+	}
+	return v.raw
+}
+
+// Targets gives the list and how far it was read, if that is newer than a mark.
+func (v *View) Targets(than int64) ([]roster.Target, int64, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.listed || v.roster.Mark() <= than {
+		return nil, 0, false
+	}
+	return v.roster.All(), v.roster.Mark(), true
+}
+
+// TakeTargets takes over a list that another instance read.
+func (v *View) TakeTargets(list []roster.Target, mark int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.roster.Replace(mark, list, v.lapseUntil(time.Now())) {
+		v.listed = true
+		v.tellTargets()
+	}
+}
+
+// tellTargets needs the lock.
+func (v *View) tellTargets() {
+	v.opts.OnTargets(v.roster.Usable(time.Now()))
+}
+
+// replaceTargets takes over the list as the store gave it.
+func (v *View) replaceTargets(page external.KeyedPage) {
+	list := make([]roster.Target, 0, len(page.Records))
+	for _, record := range page.Records {
+		if t, ok := v.decoded(record); ok {
+			list = append(list, t)
+		}
+	}
+	v.TakeTargets(list, page.End)
+}
+
+// applyTargets takes over changes of the list.
+func (v *View) applyTargets(page external.KeyedPage) {
+	now := time.Now()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, record := range page.Records {
+		if len(record.Value) == 0 {
+			v.roster.Drop(record.Offset, record.Key, v.lapseUntil(now))
+			_ = level.Info(v.logger).Log("event", "target_unlisted", "target", record.Key, "offset", record.Offset)
+			continue
+		}
+		if t, ok := v.decoded(record); ok {
+			v.roster.Put(record.Offset, t)
+		} else {
+			v.roster.Skip(record.Offset, record.Key)
+		}
+	}
+	v.tellTargets()
+}
+
+func (v *View) decoded(record external.KeyedRecord) (roster.Target, bool) {
+	t, err := v.opts.Decoders.Target(record.Key, record.Value)
+	if err != nil {
+		_ = level.Warn(v.logger).Log("event", "target_entry_unreadable", "target", record.Key, "offset", record.Offset, "err", err)
+		return roster.Target{}, false
+	}
+	return t, true
+}
--- /dev/null
+++ b/internal/coordination/fleetview/watch.go
@@ -0,0 +1,127 @@
+package fleetview
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log/level"
+	"github.com/thejerf/suture/v4"
+
+	"merlintiller/internal/external"
+)
+
+const (
+	// configWait is how long one read waits for a new configuration.
+	// Configurations are due in force within two seconds, and a watch that
+	// hears nothing is noticed when it ends.
+	configWait = time.Second
+	// targetsWait is the same for the list of targets.
+	targetsWait = time.Second
+	// targetsPause is the wait after a read that brought something. Each target
+	// writes about once a second, so that a read without it would bring one
+	// entry each; leaving targets must be left within two seconds.
+	targetsPause = 500 * time.Millisecond
+	// retryFirst and retryMost bound the wait after a failed read.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = time.Second
+	// refreshEvery is how often everything is read anew.
+	refreshEvery = 10 * time.Second
+)
+
+var watchFailures = metrics.NewCounter(`store_watch_failures_total`)
+
+// Duties are the watches, to be run by a supervisor.
+func (v *View) Duties() []suture.Service {
+	return []suture.Service{
+		&watch{
+			view: v, name: "config", partition: v.opts.Sources.Operators, wait: configWait,
+			replace: v.takeOperators, apply: v.takeOperators,
+		},
+		&watch{
+			view: v, name: "targets", partition: v.opts.Sources.Targets, wait: targetsWait, pause: targetsPause,
+			replace: v.replaceTargets, apply: v.applyTargets,
+		},
+	}
+}
+
+func (v *View) takeOperators(page external.KeyedPage) {
+	for _, record := range page.Records {
+		if record.Key == v.opts.Sources.ConfigKey && len(record.Value) > 0 {
+			v.TakeConfig(record.Value, "store")
+		}
+	}
+}
+
+// watch follows one partition of the store.
+type watch struct {
+	view      *View
+	name      string
+	partition external.Partition
+	wait      time.Duration
+	pause     time.Duration
+	// replace takes over the newest records of all keys, apply later changes.
+	replace, apply func(external.KeyedPage)
+}
+
+// String names the duty.
+func (w *watch) String() string { return "watch-" + w.name }
+
+// Serve follows the partition until ctx ends.
+func (w *watch) Serve(ctx context.Context) error {
+	retry := retryFirst
+	for ctx.Err() == nil {
+		err := w.follow(ctx)
+		if err == nil || errors.Is(err, external.ErrTrimmed) {
+			retry = retryFirst
+			continue
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		watchFailures.Inc()
+		_ = level.Warn(w.view.logger).Log("event", "store_watch_failed", "watch", w.name, "retry_ms", retry.Milliseconds(), "err", err)
+		sleep(ctx, retry)
+		retry = min(2*retry, retryMost)
+	}
+	return ctx.Err()
+}
+
+// follow reads everything and then the changes, for a while.
+func (w *watch) follow(ctx context.Context) error {
+	page, err := w.view.opts.Log.Newest(ctx, w.partition)
+	if err != nil {
+		return err
+	}
+	w.view.StoreAnswered()
+	w.replace(page)
+	from := page.End
+	until := time.Now().Add(refreshEvery)
+	for time.Now().Before(until) {
+		page, err = w.view.opts.Log.Read(ctx, w.partition, from, w.wait)
+		if err != nil {
+			return err
+		}
+		w.view.StoreAnswered()
+		w.apply(page)
+		if page.Next == from {
+			continue
+		}
+		from = page.Next
+		sleep(ctx, w.pause)
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/coordination/itemrun/runner.go
+++ b/internal/coordination/itemrun/runner.go
@@ -12,7 +12,7 @@
 	"merlintiller/internal/coordination"
 	"merlintiller/internal/coordination/batch"
 	"merlintiller/internal/coordination/bulk"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/protocol/sse"
 )
@@ -20,7 +20,7 @@
 // Options set up a Runner. Zero fields take their defaults.
 type Options struct {
 	// Target sends calls over connections that online calls don't use.
-	Target platform.Target
+	Target external.Target
 	// MaxAnswer bounds a whole answer in bytes. Default 512 KiB, the largest
 	// result that the ledger keeps.
 	MaxAnswer int64
@@ -121,10 +121,10 @@
 	}
 }
 
-func (r *run) call() platform.Call {
+func (r *run) call() external.Call {
 	body, ok := streamable(r.item.Endpoint, r.item.Body)
 	r.stream = ok
-	return platform.Call{
+	return external.Call{
 		ID:       r.id,
 		Method:   http.MethodPost,
 		Path:     r.item.Endpoint,
@@ -135,7 +135,7 @@
 }
 
 // readStream reads until the end mark. Its error is errNotResumed or nil.
-func (r *run) readStream(ctx context.Context, answer *platform.Answer) (batch.ItemOutcome, error) {
+func (r *run) readStream(ctx context.Context, answer *external.Answer) (batch.ItemOutcome, error) {
 	events := sse.NewReader(answer.Body)
 	resumed := r.answer.Position > 0
 	for {
@@ -167,7 +167,7 @@
 	return r.done(bulk.Result{Status: status, RequestID: string(r.id), Body: body})
 }
 
-func (r *run) readWhole(ctx context.Context, answer *platform.Answer) batch.ItemOutcome {
+func (r *run) readWhole(ctx context.Context, answer *external.Answer) batch.ItemOutcome {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, r.opts.MaxAnswer+1))
 	if err != nil {
 		return r.broken(ctx, err)
@@ -196,7 +196,7 @@
 
 // refused settles an answer that is not a success. The target's own no to the
 // request is final; trouble of its own is worth another attempt.
-func (r *run) refused(ctx context.Context, answer *platform.Answer) batch.ItemOutcome {
+func (r *run) refused(ctx context.Context, answer *external.Answer) batch.ItemOutcome {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, r.opts.MaxAnswer))
 	if err != nil {
 		return r.broken(ctx, err)
@@ -220,7 +220,7 @@
 	}
 	outcome := r.failed(protocol.CodeTargetFailed, err.Error())
 	outcome.Kind = batch.Retry
-	var failed *platform.CallError
+	var failed *external.CallError
 	if errors.As(err, &failed) && failed.Run == protocol.NotRun {
 		// A dead target fails at once and so draws item after item. None of
 		// them was tried, so none may lose an attempt.
--- a/internal/coordination/itemrun/runner_test.go
+++ b/internal/coordination/itemrun/runner_test.go
@@ -14,7 +14,7 @@
 
 	"merlintiller/internal/coordination"
 	"merlintiller/internal/coordination/batch"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/protocol/sse"
 	"merlintiller/internal/standin/target"
@@ -59,12 +59,12 @@
 
 // cutting ends the run's context after some events, as a revoked place does.
 type cutting struct {
-	platform.Target
+	external.Target
 	events int
 	cancel context.CancelFunc
 }
 
-func (c *cutting) Do(ctx context.Context, address string, call platform.Call) (*platform.Answer, error) {
+func (c *cutting) Do(ctx context.Context, address string, call external.Call) (*external.Answer, error) {
 	answer, err := c.Target.Do(ctx, address, call)
 	if err != nil {
 		return nil, err
@@ -104,8 +104,8 @@
 // fixed answers every call with the same stream.
 type fixed string
 
-func (f fixed) Do(context.Context, string, platform.Call) (*platform.Answer, error) {
-	return &platform.Answer{Status: http.StatusOK, Body: io.NopCloser(strings.NewReader(string(f)))}, nil
+func (f fixed) Do(context.Context, string, external.Call) (*external.Answer, error) {
+	return &external.Answer{Status: http.StatusOK, Body: io.NopCloser(strings.NewReader(string(f)))}, nil
 }
 
 func (f fixed) Cancel(context.Context, string, protocol.CallID) error { return nil }
--- a/internal/coordination/journal/broken_test.go
+++ b/internal/coordination/journal/broken_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/state/replica"
 )
@@ -81,11 +81,11 @@
 
 // anyBase makes replay accept a change whatever it was made from.
 type anyBase struct {
-	platform.Log
+	external.Log
 	shadow *replica.State
 }
 
-func (l *anyBase) Read(ctx context.Context, stream string, from protocol.Offset, limit int, wait time.Duration) (platform.Page, error) {
+func (l *anyBase) Read(ctx context.Context, stream string, from protocol.Offset, limit int, wait time.Duration) (external.Page, error) {
 	page, err := l.Log.Read(ctx, stream, from, limit, wait)
 	if err != nil || stream != protocol.ControlStream {
 		return page, err
@@ -96,7 +96,7 @@
 	return page, nil
 }
 
-func (l *anyBase) rebase(entry platform.Entry) []byte {
+func (l *anyBase) rebase(entry external.Entry) []byte {
 	frame, err := protocol.DecodeFrame(entry.Payload)
 	if err != nil || entry.Offset != l.shadow.Applied()+1 {
 		return entry.Payload
--- a/internal/coordination/journal/continuity.go
+++ b/internal/coordination/journal/continuity.go
@@ -7,7 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 )
 
@@ -27,7 +27,7 @@
 	lost bool
 }
 
-func (l *lastEntry) note(entry platform.Entry) {
+func (l *lastEntry) note(entry external.Entry) {
 	l.known = true
 	l.at = entry.Offset
 	l.sum = xxhash.Sum64(entry.Payload)
@@ -44,7 +44,7 @@
 // only be a copy that lags. If another entry stands there, the reader stops for
 // good; an operator has to restart the instances once it is clear which log is
 // right.
-func (r *reader) sameLog(ctx context.Context, page platform.Page, from protocol.Offset) error {
+func (r *reader) sameLog(ctx context.Context, page external.Page, from protocol.Offset) error {
 	if page.Next < from {
 		r.last.doubted = true
 		return r.distrust(fmt.Errorf("%w: it ends at %d although %d was read", errLostEntries, page.Next, from-1))
@@ -67,7 +67,7 @@
 	ctx, cancel := context.WithTimeout(ctx, r.timings.ReadTimeout)
 	defer cancel()
 	page, err := r.log.Read(ctx, protocol.ControlStream, r.last.at, 1, 0)
-	if err != nil && !errors.Is(err, platform.ErrTrimmed) {
+	if err != nil && !errors.Is(err, external.ErrTrimmed) {
 		return err
 	}
 	if len(page.Entries) > 0 && xxhash.Sum64(page.Entries[0].Payload) != r.last.sum {
--- a/internal/coordination/journal/data.go
+++ b/internal/coordination/journal/data.go
@@ -7,7 +7,7 @@
 
 	"github.com/gravitational/trace"
 
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 )
 
@@ -17,7 +17,7 @@
 // AppendData implements coordination.Journal.
 func (j *Journal) AppendData(ctx context.Context, payload []byte) (protocol.Offset, error) {
 	if len(payload) > protocol.MaxEntryBytes {
-		return protocol.NoOffset, trace.Wrap(platform.ErrEntryTooLarge)
+		return protocol.NoOffset, trace.Wrap(external.ErrEntryTooLarge)
 	}
 	if !j.LogUp() {
 		return protocol.NoOffset, trace.Wrap(ErrLogDown)
@@ -37,11 +37,11 @@
 			j.pacer.succeeded(time.Now())
 			return offset, nil
 		}
-		if errors.Is(err, platform.ErrThrottled) {
+		if errors.Is(err, external.ErrThrottled) {
 			counters.Add(countThrottled, 1)
 			j.pacer.throttled(time.Now())
 		}
-		if errors.Is(err, platform.ErrEntryTooLarge) || ctx.Err() != nil {
+		if errors.Is(err, external.ErrEntryTooLarge) || ctx.Err() != nil {
 			return protocol.NoOffset, trace.Wrap(err)
 		}
 		pause(ctx, wait.next(), nil)
--- a/internal/coordination/journal/faults_test.go
+++ b/internal/coordination/journal/faults_test.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/standin/memlog"
 	"merlintiller/internal/state/replica"
@@ -35,12 +35,12 @@
 var faults = []fault{
 	{name: "kill-before", kills: true, strike: func(w *world, n *node, _ func() error) error {
 		w.die(n)
-		return platform.ErrUnavailable
+		return external.ErrUnavailable
 	}},
 	{name: "kill-after", kills: true, strike: func(w *world, n *node, forward func() error) error {
 		_ = forward()
 		w.die(n)
-		return platform.ErrUnavailable
+		return external.ErrUnavailable
 	}},
 	{name: "pause-past-lease", strike: func(_ *world, n *node, forward func() error) error {
 		n.link.pause(away)
@@ -50,12 +50,12 @@
 	{name: "log-down", settles: true, keeps: true, strike: func(w *world, _ *node, _ func() error) error {
 		w.memory.SetFault(down)
 		w.later(away, func() { w.memory.SetFault(nil) })
-		return platform.ErrUnavailable
+		return external.ErrUnavailable
 	}},
 	{name: "appends-down", settles: true, keeps: true, strike: func(w *world, _ *node, _ func() error) error {
 		w.memory.SetFault(appendsDown)
 		w.later(away, func() { w.memory.SetFault(nil) })
-		return platform.ErrUnavailable
+		return external.ErrUnavailable
 	}},
 	{name: "log-back-unevenly", settles: true, keeps: true, strike: func(w *world, _ *node, _ func() error) error {
 		alive := w.alive()
@@ -64,11 +64,11 @@
 			order := time.Duration(len(alive) - 1 - i)
 			w.later(away+2*time.Second*order, func() { n.link.set(nil) })
 		}
-		return platform.ErrUnavailable
+		return external.ErrUnavailable
 	}},
 	{name: "answer-lost", settles: true, keeps: true, strike: func(_ *world, _ *node, forward func() error) error {
 		_ = forward()
-		return platform.ErrUnavailable
+		return external.ErrUnavailable
 	}},
 	{name: "duplicate", settles: true, keeps: true, strike: func(_ *world, _ *node, forward func() error) error {
 		err := forward()
@@ -77,12 +77,12 @@
 	}},
 	{name: "late", settles: true, keeps: true, strike: func(w *world, _ *node, forward func() error) error {
 		w.later(away, func() { _ = forward() })
-		return platform.ErrUnavailable
+		return external.ErrUnavailable
 	}},
 	{name: "cut-from-log", strike: func(w *world, n *node, _ func() error) error {
 		n.link.set(down)
 		w.later(away, func() { n.link.set(nil) })
-		return platform.ErrUnavailable
+		return external.ErrUnavailable
 	}},
 	{name: "cut-from-domain", settles: true, keeps: true, strike: func(w *world, n *node, forward func() error) error {
 		w.network.setCut(n.opts.PeerAddress, true)
@@ -98,7 +98,7 @@
 			<-time.After(time.Second)
 			w.network.setCut(n.opts.PeerAddress, false)
 		})
-		return platform.ErrUnavailable
+		return external.ErrUnavailable
 	}},
 }
 
@@ -163,7 +163,7 @@
 // matching record is on its way back: the record stands in the stream, and its
 // writer doesn't know yet. The page itself is delivered twice.
 func (w *world) strikeRead(n *node, matches func(*protocol.Record) bool, do strike) {
-	n.link.setReadHook(func(page platform.Page) (platform.Page, func() error, bool) {
+	n.link.setReadHook(func(page external.Page) (external.Page, func() error, bool) {
 		for _, entry := range page.Entries {
 			if frameHas(entry.Payload, matches) {
 				page.Entries = append(slices.Clone(page.Entries), page.Entries...)
--- a/internal/coordination/journal/gap_test.go
+++ b/internal/coordination/journal/gap_test.go
@@ -11,13 +11,13 @@
 	"github.com/stretchr/testify/require"
 
 	"merlintiller/internal/coordination"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/standin/memlog"
 	"merlintiller/internal/state/replica"
 )
 
-func nextOf(t *testing.T, log platform.Log, stream string) protocol.Offset {
+func nextOf(t *testing.T, log external.Log, stream string) protocol.Offset {
 	page, err := log.Read(t.Context(), stream, 1<<40, 1, 0)
 	require.NoError(t, err)
 	return page.Next
@@ -169,11 +169,11 @@
 
 // laggingLog takes appends and answers reads from another, empty copy.
 type laggingLog struct {
-	platform.Log
-	copied platform.Log
+	external.Log
+	copied external.Log
 }
 
-func (l laggingLog) Read(ctx context.Context, stream string, from protocol.Offset, limit int, wait time.Duration) (platform.Page, error) {
+func (l laggingLog) Read(ctx context.Context, stream string, from protocol.Offset, limit int, wait time.Duration) (external.Page, error) {
 	return l.copied.Read(ctx, stream, from, limit, wait)
 }
 
@@ -205,7 +205,7 @@
 		pass(5 * time.Second)
 		_, data, err := b.Snapshot()
 		require.NoError(t, err)
-		a.link.setReadHook(func(page platform.Page) (platform.Page, func() error, bool) {
+		a.link.setReadHook(func(page external.Page) (external.Page, func() error, bool) {
 			return page, func() error { return a.InstallSnapshot(data) }, len(page.Entries) > 0
 		})
 		pass(10 * time.Second)
--- a/internal/coordination/journal/harness_test.go
+++ b/internal/coordination/journal/harness_test.go
@@ -13,7 +13,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"merlintiller/internal/coordination/member"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/standin/memlog"
 )
@@ -34,7 +34,7 @@
 // link is the way of one instance to the log. It can be cut for this instance
 // alone.
 type link struct {
-	platform.Log
+	external.Log
 	mu    sync.Mutex
 	fault memlog.FaultFunc
 	// hook and readHook meet one append, or one page, and are then removed.
@@ -46,7 +46,7 @@
 type appendHook func(stream string, payload []byte) (do func() error, hit bool)
 
 // readHook returns the page to deliver, and what happens before.
-type readHook func(page platform.Page) (changed platform.Page, do func() error, hit bool)
+type readHook func(page external.Page) (changed external.Page, do func() error, hit bool)
 
 func (l *link) setHook(hook appendHook) {
 	l.mu.Lock()
@@ -75,7 +75,7 @@
 }
 
 // struckRead takes the hook if it wants a page.
-func (l *link) struckRead(page platform.Page) (platform.Page, func() error, bool) {
+func (l *link) struckRead(page external.Page) (external.Page, func() error, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.readHook == nil {
@@ -95,13 +95,13 @@
 }
 
 // replace puts another log in the place of the present one.
-func (l *link) replace(log platform.Log) {
+func (l *link) replace(log external.Log) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.Log = log
 }
 
-func (l *link) log() platform.Log {
+func (l *link) log() external.Log {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.Log
@@ -123,20 +123,20 @@
 	}
 	switch l.decide("append", stream, payload) {
 	case memlog.Down:
-		return protocol.NoOffset, platform.ErrUnavailable
+		return protocol.NoOffset, external.ErrUnavailable
 	case memlog.Throttle:
-		return protocol.NoOffset, platform.ErrThrottled
+		return protocol.NoOffset, external.ErrThrottled
 	case memlog.Hang:
 		<-ctx.Done()
-		return protocol.NoOffset, platform.ErrUnavailable
+		return protocol.NoOffset, external.ErrUnavailable
 	case memlog.LoseAnswer:
 		_, _ = l.log().Append(ctx, stream, payload)
-		return protocol.NoOffset, platform.ErrUnavailable
+		return protocol.NoOffset, external.ErrUnavailable
 	}
 	return l.log().Append(ctx, stream, payload)
 }
 
-func (l *link) Read(ctx context.Context, stream string, from protocol.Offset, limit int, wait time.Duration) (platform.Page, error) {
+func (l *link) Read(ctx context.Context, stream string, from protocol.Offset, limit int, wait time.Duration) (external.Page, error) {
 	switch l.decide("read", stream, nil) {
 	case memlog.None:
 		page, err := l.log().Read(ctx, stream, from, limit, wait)
@@ -150,7 +150,7 @@
 	case memlog.Hang:
 		<-ctx.Done()
 	}
-	return platform.Page{}, platform.ErrUnavailable
+	return external.Page{}, external.ErrUnavailable
 }
 
 func down(string, string, []byte) memlog.Fault { return memlog.Down }
@@ -193,7 +193,7 @@
 }
 
 // startNode runs an instance on a log until the test ends or it is killed.
-func startNode(t *testing.T, log platform.Log, name string, adjust ...func(*Options)) *node {
+func startNode(t *testing.T, log external.Log, name string, adjust ...func(*Options)) *node {
 	t.Helper()
 	l := &link{Log: log}
 	opts := Options{
--- a/internal/coordination/journal/heartbeats_test.go
+++ b/internal/coordination/journal/heartbeats_test.go
@@ -13,7 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"merlintiller/internal/coordination/member"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/standin/memlog"
 	"merlintiller/internal/state/replica"
@@ -67,7 +67,7 @@
 }
 
 // startPeer runs an instance that exchanges heartbeats.
-func startPeer(t *testing.T, stream platform.Log, network *network, name string, domain protocol.Domain, adjust ...func(*Options)) *node {
+func startPeer(t *testing.T, stream external.Log, network *network, name string, domain protocol.Domain, adjust ...func(*Options)) *node {
 	t.Helper()
 	address := name + ":7000"
 	events := &bytes.Buffer{}
--- a/internal/coordination/journal/journal.go
+++ b/internal/coordination/journal/journal.go
@@ -10,7 +10,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"merlintiller/internal/coordination/member"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/ring"
 	"merlintiller/internal/state/replica"
@@ -20,7 +20,7 @@
 type Journal struct {
 	opts    Options
 	timings Timings
-	log     platform.Log
+	log     external.Log
 	logger  log.Logger
 
 	submissions *ring.Ring[*submission]
--- a/internal/coordination/journal/load.go
+++ b/internal/coordination/journal/load.go
@@ -8,7 +8,7 @@
 
 	"github.com/gravitational/trace"
 
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/state/replica"
 )
@@ -88,7 +88,7 @@
 	ctx, cancel := context.WithTimeout(ctx, r.timings.ReadTimeout)
 	defer cancel()
 	page, err := r.log.Read(ctx, protocol.ControlStream, 0, 1, 0)
-	if errors.Is(err, platform.ErrTrimmed) {
+	if errors.Is(err, external.ErrTrimmed) {
 		return fmt.Errorf("the control stream begins at %d and there is no snapshot", page.Oldest)
 	}
 	return err
--- a/internal/coordination/journal/options.go
+++ b/internal/coordination/journal/options.go
@@ -11,7 +11,7 @@
 
 	"merlintiller/internal/coordination/member"
 	"merlintiller/internal/defaults"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 )
 
@@ -128,7 +128,7 @@
 
 // Options make a Journal.
 type Options struct {
-	Log      platform.Log
+	Log      external.Log
 	Instance protocol.InstanceID
 	Domain   protocol.Domain
 	// PeerAddress and CallerAddress are published in the open record.
--- a/internal/coordination/journal/reader.go
+++ b/internal/coordination/journal/reader.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"merlintiller/internal/coordination"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 )
 
@@ -44,7 +44,7 @@
 	if err != nil {
 		r.progress.finished(asked)
 	}
-	if errors.Is(err, platform.ErrTrimmed) {
+	if errors.Is(err, external.ErrTrimmed) {
 		return r.repair(ctx, from, page.Oldest)
 	}
 	if err != nil {
@@ -68,7 +68,7 @@
 	return nil
 }
 
-func (r *reader) read(ctx context.Context, from protocol.Offset) (platform.Page, error) {
+func (r *reader) read(ctx context.Context, from protocol.Offset) (external.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.timings.PollWait+r.timings.ReadTimeout)
 	defer cancel()
 	return r.log.Read(ctx, protocol.ControlStream, from, r.timings.PageEntries, r.timings.PollWait)
@@ -86,7 +86,7 @@
 
 // applyPage applies the entries of a page. It fails if an entry is missing
 // among them; entries delivered again are passed over.
-func (r *reader) applyPage(page platform.Page, from protocol.Offset) error {
+func (r *reader) applyPage(page external.Page, from protocol.Offset) error {
 	if len(page.Entries) == 0 {
 		return nil
 	}
@@ -105,7 +105,7 @@
 
 // decode decodes the entries from an offset on; one that does not decode gives
 // nil.
-func (r *reader) decode(entries []platform.Entry, from protocol.Offset) ([]*protocol.Frame, error) {
+func (r *reader) decode(entries []external.Entry, from protocol.Offset) ([]*protocol.Frame, error) {
 	frames := make([]*protocol.Frame, 0, len(entries))
 	for _, entry := range entries {
 		next := from + protocol.Offset(len(frames))
--- a/internal/coordination/journal/snapshotstream.go
+++ b/internal/coordination/journal/snapshotstream.go
@@ -9,7 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 )
 
@@ -94,13 +94,13 @@
 
 func (j *Journal) snapshotBounds(ctx context.Context) (oldest, next protocol.Offset, err error) {
 	page, err := j.readSnapshotPage(ctx, 0, 1)
-	if errors.Is(err, platform.ErrTrimmed) {
+	if errors.Is(err, external.ErrTrimmed) {
 		page, err = j.readSnapshotPage(ctx, page.Oldest, 1)
 	}
 	return page.Oldest, page.Next, err
 }
 
-func (j *Journal) readSnapshotPage(ctx context.Context, from protocol.Offset, limit int) (platform.Page, error) {
+func (j *Journal) readSnapshotPage(ctx context.Context, from protocol.Offset, limit int) (external.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, j.timings.ReadTimeout)
 	defer cancel()
 	return j.log.Read(ctx, protocol.SnapshotStream, from, limit, 0)
@@ -110,7 +110,7 @@
 // come back empty.
 func (j *Journal) readSnapshotEntries(ctx context.Context, from protocol.Offset, count int) ([]snapshotEntry, error) {
 	page, err := j.readSnapshotPage(ctx, from, count)
-	if err != nil && !errors.Is(err, platform.ErrTrimmed) {
+	if err != nil && !errors.Is(err, external.ErrTrimmed) {
 		return nil, trace.Wrap(err)
 	}
 	entries := make([]snapshotEntry, 0, len(page.Entries))
--- a/internal/coordination/journal/world_test.go
+++ b/internal/coordination/journal/world_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"merlintiller/internal/coordination"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/standin/memlog"
 	"merlintiller/internal/state/replica"
@@ -18,7 +18,7 @@
 // recorder keeps every entry of the control stream for the checker, whatever
 // the stream itself forgets.
 type recorder struct {
-	platform.Log
+	external.Log
 	mu      sync.Mutex
 	entries [][]byte
 }
--- a/internal/coordination/journal/writer.go
+++ b/internal/coordination/journal/writer.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 )
 
@@ -192,11 +192,11 @@
 		switch {
 		case err == nil:
 			return
-		case errors.Is(err, platform.ErrThrottled):
+		case errors.Is(err, external.ErrThrottled):
 			counters.Add(countThrottled, 1)
 			w.pacer.throttled(time.Now())
 			w.unsend(frame)
-		case errors.Is(err, platform.ErrEntryTooLarge):
+		case errors.Is(err, external.ErrEntryTooLarge):
 			w.abandon(frame, err)
 			return
 		default:
@@ -210,7 +210,7 @@
 }
 
 func (w *writer) wait(err error) time.Duration {
-	if errors.Is(err, platform.ErrThrottled) {
+	if errors.Is(err, external.ErrThrottled) {
 		return w.throttled.next()
 	}
 	return w.backoff.next()
--- /dev/null
+++ b/internal/coordination/mesh/beat.go
@@ -0,0 +1,67 @@
+package mesh
+
+import (
+	"time"
+
+	"merlintiller/internal/coordination/placement"
+	"merlintiller/internal/coordination/quota"
+	"merlintiller/internal/state/roster"
+)
+
+// Instance names one life of an instance.
+type Instance struct {
+	Name   string
+	Domain string
+	// Address is where it takes calls of other instances, "ip:port".
+	Address string
+	// Start is when its process started, in Unix milliseconds.
+	Start int64
+}
+
+// Beat is what an instance tells of itself.
+type Beat struct {
+	From Instance
+	// Seq grows with each message of one life.
+	Seq uint64
+	// Leaving says that the instance will end and holds nothing new.
+	Leaving bool
+	// ConfigVersion is the version in force, RosterMark how far the list of
+	// targets was read.
+	ConfigVersion int64
+	RosterMark    int64
+	// StoreAge is the time since the platform's store answered this instance.
+	StoreAge time.Duration
+	// Held is what the instance has at targets.
+	Held []placement.Held
+	// Admitted are the requests that it let in.
+	Admitted quota.Counts
+	// Partitions are those of batch jobs that it holds, as of a generation.
+	Partitions []int
+	Generation int64
+}
+
+// SnapshotArgs asks for what the caller lacks.
+type SnapshotArgs struct {
+	ConfigVersion int64
+	RosterMark    int64
+}
+
+// SnapshotReply carries what is newer than asked for.
+type SnapshotReply struct {
+	// Config is the configuration as operators wrote it, empty if it is not
+	// newer.
+	Config []byte
+	// Targets is the whole list as of RosterMark, if Listed.
+	Listed     bool
+	Targets    []roster.Target
+	RosterMark int64
+	// Instances are all that the answering one knows.
+	Instances []Instance
+}
+
+// Names of the net/rpc methods.
+const (
+	ServiceName    = "Mesh"
+	methodExchange = ServiceName + ".Exchange"
+	methodSnapshot = ServiceName + ".Snapshot"
+)
--- a/internal/coordination/oncecall/caller.go
+++ b/internal/coordination/oncecall/caller.go
@@ -25,7 +25,7 @@
 	"merlintiller/internal/coordination"
 	"merlintiller/internal/coordination/online"
 	"merlintiller/internal/defaults"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/ring"
 	"merlintiller/internal/state/once"
@@ -234,7 +234,7 @@
 }
 
 func (c *Caller) failed(ctx context.Context, key protocol.CallKey, id protocol.CallID, err error) *protocol.Refusal {
-	var callError *platform.CallError
+	var callError *external.CallError
 	if errors.As(err, &callError) && callError.Run == protocol.NotRun {
 		c.record(ctx, note{release: true, key: key, id: id})
 		return protocol.Refuse(protocol.CodeNoTarget, c.opts.RetryAfter, "no target took the call")
--- a/internal/coordination/oncecall/join.go
+++ b/internal/coordination/oncecall/join.go
@@ -7,7 +7,7 @@
 
 	"merlintiller/internal/coordination/bulk"
 	"merlintiller/internal/coordination/online"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/state/once"
 	"merlintiller/internal/state/replica"
@@ -62,7 +62,7 @@
 		return online.OnceAnswer{}, gone()
 	}
 	payload, err := c.journal.ReadData(ctx, known.Data)
-	if errors.Is(err, platform.ErrTrimmed) {
+	if errors.Is(err, external.ErrTrimmed) {
 		return online.OnceAnswer{}, gone()
 	}
 	if err != nil {
--- a/internal/coordination/online/attempt.go
+++ b/internal/coordination/online/attempt.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"merlintiller/internal/coordination"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 )
 
@@ -59,8 +59,8 @@
 	}
 }
 
-func (c *call) message(id protocol.CallID) platform.Call {
-	return platform.Call{
+func (c *call) message(id protocol.CallID) external.Call {
+	return external.Call{
 		ID:       id,
 		Method:   c.req.Method,
 		Path:     c.req.Path,
@@ -81,13 +81,13 @@
 		seen = coordination.CallResult{Abandoned: true}
 	}
 	switch {
-	case errors.Is(err, platform.ErrPathClosed):
+	case errors.Is(err, external.ErrPathClosed):
 		c.result.Refusal = pathClosed()
 		return final, seen
 	case ctx.Err() != nil:
 		c.expired(ctx, run)
 		return final, seen
-	case errors.Is(err, platform.ErrCrossed):
+	case errors.Is(err, external.ErrCrossed):
 		published.Add("crossed", 1)
 	}
 	c.fail(run, "the target gave no answer")
@@ -103,9 +103,9 @@
 // showed nothing for a good part of the time it is given should be.
 func (c *call) judge(ctx context.Context, begun time.Time, err error) coordination.CallResult {
 	switch {
-	case errors.Is(err, platform.ErrPathClosed):
+	case errors.Is(err, external.ErrPathClosed):
 		return coordination.CallResult{Abandoned: true}
-	case errors.Is(err, platform.ErrLeaving):
+	case errors.Is(err, external.ErrLeaving):
 		return coordination.CallResult{Leaving: true}
 	case ctx.Err() != nil && time.Since(begun) < c.path.policy.FirstByteTimeout/slowPart:
 		return coordination.CallResult{Abandoned: true}
@@ -119,7 +119,7 @@
 const slowPart = 4
 
 // relay passes an answer on. sound says that the target did its part.
-func (c *call) relay(ctx context.Context, answer *platform.Answer, dog *watchdog) (outcome ending, sound bool) {
+func (c *call) relay(ctx context.Context, answer *external.Answer, dog *watchdog) (outcome ending, sound bool) {
 	switch {
 	case answer.Status >= http.StatusInternalServerError || answer.Status == http.StatusTooManyRequests:
 		c.fail(protocol.MayHaveRun, "the target answered "+http.StatusText(answer.Status))
@@ -135,7 +135,7 @@
 
 // whole reads an answer to its end before the first byte goes to the caller,
 // so that a cut answer can't be taken for a whole one.
-func (c *call) whole(ctx context.Context, answer *platform.Answer) (ending, bool) {
+func (c *call) whole(ctx context.Context, answer *external.Answer) (ending, bool) {
 	body, err := readWhole(answer.Body, c.path.policy.MaxAnswer)
 	if ctx.Err() != nil {
 		c.expired(ctx, protocol.MayHaveRun)
--- a/internal/coordination/online/call.go
+++ b/internal/coordination/online/call.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"merlintiller/internal/coordination"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 )
 
@@ -96,7 +96,7 @@
 }
 
 func runOf(err error) protocol.RunState {
-	var failed *platform.CallError
+	var failed *external.CallError
 	if errors.As(err, &failed) {
 		return failed.Run
 	}
--- a/internal/coordination/online/cancel.go
+++ b/internal/coordination/online/cancel.go
@@ -7,7 +7,7 @@
 
 	"github.com/thejerf/suture/v4"
 
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/ring"
 )
@@ -28,12 +28,12 @@
 
 // canceller sends cancels off the callers' path.
 type canceller struct {
-	target  platform.Target
+	target  external.Target
 	timeout time.Duration
 	waiting *ring.Ring[cancellation]
 }
 
-func newCanceller(target platform.Target, timeout time.Duration) *canceller {
+func newCanceller(target external.Target, timeout time.Duration) *canceller {
 	return &canceller{target: target, timeout: timeout, waiting: ring.New[cancellation]("cancel", cancelDepth)}
 }
 
--- a/internal/coordination/online/once.go
+++ b/internal/coordination/online/once.go
@@ -26,7 +26,7 @@
 }
 
 // Dispatch sends the call to a target, once. Its error is a
-// *platform.CallError whose Run says what is known of the effect: NotRun is
+// *external.CallError whose Run says what is known of the effect: NotRun is
 // said only if certainly no byte reached a target.
 type Dispatch func(ctx context.Context, id protocol.CallID) (OnceAnswer, error)
 
--- a/internal/coordination/online/oncepath.go
+++ b/internal/coordination/online/oncepath.go
@@ -10,7 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"merlintiller/internal/coordination"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/protocol/sse"
 )
@@ -51,7 +51,7 @@
 func (c *call) onceRefusal(ctx context.Context, err error) *protocol.Refusal {
 	run := runOf(err)
 	switch {
-	case errors.Is(err, platform.ErrPathClosed):
+	case errors.Is(err, external.ErrPathClosed):
 		return pathClosed()
 	case run == protocol.NotRun && errors.Is(err, errNoTarget):
 		return protocol.Refuse(protocol.CodeNoTarget, c.path.policy.RetryAfter, "no target of %q may be used now", c.req.Service)
@@ -81,7 +81,7 @@
 // dispatch sends the call until a byte of it has left, and never again after.
 func (c *call) dispatch(ctx context.Context, id protocol.CallID) (OnceAnswer, error) {
 	c.path.called(c.req.Service)
-	var last error = &platform.CallError{Run: protocol.NotRun, Err: errNoTarget}
+	var last error = &external.CallError{Run: protocol.NotRun, Err: errNoTarget}
 	for {
 		pick, done, ok := c.pick()
 		if !ok {
@@ -94,7 +94,7 @@
 		if err == nil || runOf(err) != protocol.NotRun {
 			return answer, err
 		}
-		if errors.Is(err, platform.ErrPathClosed) {
+		if errors.Is(err, external.ErrPathClosed) {
 			return OnceAnswer{}, err
 		}
 		last = err
@@ -117,7 +117,7 @@
 		err = wholeStream(body)
 	}
 	if err != nil {
-		return OnceAnswer{}, c.judge(ctx, begun, err), &platform.CallError{Run: protocol.MayHaveRun, Err: err}
+		return OnceAnswer{}, c.judge(ctx, begun, err), &external.CallError{Run: protocol.MayHaveRun, Err: err}
 	}
 	return OnceAnswer{Status: answer.Status, Header: keptHeader(answer.Header), Body: body}, coordination.CallResult{}, nil
 }
--- a/internal/coordination/online/options.go
+++ b/internal/coordination/online/options.go
@@ -7,7 +7,7 @@
 
 	"merlintiller/internal/coordination"
 	"merlintiller/internal/defaults"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 )
 
@@ -25,8 +25,8 @@
 	Router    coordination.Router
 	// Target sends repeatable calls, OnceTarget those that may not be
 	// repeated, over connections of its own.
-	Target     platform.Target
-	OnceTarget platform.Target
+	Target     external.Target
+	OnceTarget external.Target
 	Once       OnceCaller
 	// Current reports whether the configuration is as new as this instance
 	// can have it; after a long pause it is not, for the time of a read. Nil
@@ -34,7 +34,7 @@
 	Current func() bool
 	// Loads asks a target for a sign of life while a whole answer is long in
 	// coming. Without it only the deadline ends such a call.
-	Loads platform.LoadReports
+	Loads external.LoadReports
 	// Observe is told how each call went, for the burn report. It must not
 	// block.
 	Observe func(Observation)
--- a/internal/coordination/online/path_test.go
+++ b/internal/coordination/online/path_test.go
@@ -17,7 +17,7 @@
 
 	"merlintiller/internal/coordination"
 	"merlintiller/internal/coordination/access"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 )
 
@@ -29,19 +29,19 @@
 var errCut = errors.New("connection cut")
 
 // attemptFunc is what a target does with one call.
-type attemptFunc func(ctx context.Context, call platform.Call) (*platform.Answer, error)
+type attemptFunc func(ctx context.Context, call external.Call) (*external.Answer, error)
 
 // fakeTarget plays one attemptFunc after the other, the last one for ever.
 type fakeTarget struct {
 	mu       sync.Mutex
 	script   []attemptFunc
-	calls    []platform.Call
+	calls    []external.Call
 	cancels  int
 	probes   int
 	deadLoad bool
 }
 
-func (f *fakeTarget) Do(ctx context.Context, _ string, call platform.Call) (*platform.Answer, error) {
+func (f *fakeTarget) Do(ctx context.Context, _ string, call external.Call) (*external.Answer, error) {
 	f.mu.Lock()
 	f.calls = append(f.calls, call)
 	play := f.script[min(len(f.calls), len(f.script))-1]
@@ -56,14 +56,14 @@
 	return nil
 }
 
-func (f *fakeTarget) Load(context.Context, string) (platform.Load, error) {
+func (f *fakeTarget) Load(context.Context, string) (external.Load, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.probes++
 	if f.deadLoad {
-		return platform.Load{}, errCut
+		return external.Load{}, errCut
 	}
-	return platform.Load{}, nil
+	return external.Load{}, nil
 }
 
 // fakeRouter offers targets in turn and notes how the calls went.
@@ -150,16 +150,16 @@
 
 // answers gives a body after a while.
 func answers(after time.Duration, contentType, body string, end error) attemptFunc {
-	return func(ctx context.Context, call platform.Call) (*platform.Answer, error) {
+	return func(ctx context.Context, call external.Call) (*external.Answer, error) {
 		timer := time.NewTimer(after)
 		defer timer.Stop()
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
-			return nil, &platform.CallError{Run: protocol.MayHaveRun, Err: ctx.Err()}
+			return nil, &external.CallError{Run: protocol.MayHaveRun, Err: ctx.Err()}
 		}
 		reader := io.MultiReader(strings.NewReader(body), bodyEnd(ctx, end))
-		return &platform.Answer{EchoedID: call.ID, Status: 200, Header: http.Header{"Content-Type": {contentType}}, Body: io.NopCloser(reader)}, nil
+		return &external.Answer{EchoedID: call.ID, Status: 200, Header: http.Header{"Content-Type": {contentType}}, Body: io.NopCloser(reader)}, nil
 	}
 }
 
@@ -181,8 +181,8 @@
 func (r readFunc) Read([]byte) (int, error) { return 0, r() }
 
 func fails(run protocol.RunState, err error) attemptFunc {
-	return func(context.Context, platform.Call) (*platform.Answer, error) {
-		return nil, &platform.CallError{Run: run, Err: err}
+	return func(context.Context, external.Call) (*external.Answer, error) {
+		return nil, &external.CallError{Run: run, Err: err}
 	}
 }
 
@@ -302,7 +302,7 @@
 // One attempt may have run and the next was not begun. The call as a whole may
 // have run; "not run" would be a lie.
 func TestOneAttemptThatMayHaveRunDecidesTheRunState(t *testing.T) {
-	b := newBench(Policy{Attempts: 2}, fails(protocol.MayHaveRun, errCut), fails(protocol.NotRun, platform.ErrNotBegun))
+	b := newBench(Policy{Attempts: 2}, fails(protocol.MayHaveRun, errCut), fails(protocol.NotRun, external.ErrNotBegun))
 	result := b.serve(testService, false)
 	require.Equal(t, protocol.MayHaveRun, result.Refusal.Run)
 }
--- a/internal/coordination/online/stream.go
+++ b/internal/coordination/online/stream.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/protocol/sse"
 )
@@ -16,7 +16,7 @@
 }
 
 // stream passes events on as they come, byte for byte.
-func (c *call) stream(ctx context.Context, answer *platform.Answer, dog *watchdog) (ending, bool) {
+func (c *call) stream(ctx context.Context, answer *external.Answer, dog *watchdog) (ending, bool) {
 	events := sse.NewReader(answer.Body)
 	resumed := c.result.Begun
 	for {
@@ -60,7 +60,7 @@
 }
 
 // event writes one event to the caller.
-func (c *call) event(event sse.Event, answer *platform.Answer, flush bool) error {
+func (c *call) event(event sse.Event, answer *external.Answer, flush bool) error {
 	now := time.Now()
 	if !c.result.Begun {
 		c.result.FirstByte = now.Sub(c.start)
--- a/internal/coordination/orders/doc.go
+++ b/internal/coordination/orders/doc.go
@@ -16,7 +16,7 @@
 	"time"
 
 	"merlintiller/internal/defaults"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 )
 
@@ -60,7 +60,7 @@
 // Wanted is the order that the configuration asks for. ok is false if no model
 // names the service. Of several models the first by name counts, since a
 // target takes one order.
-func Wanted(fleet *protocol.Fleet, name protocol.ServiceName) (order platform.Order, ok bool) {
+func Wanted(fleet *protocol.Fleet, name protocol.ServiceName) (order external.Order, ok bool) {
 	var models []protocol.Model
 	for _, model := range fleet.Models {
 		if model.Service == name {
@@ -68,7 +68,7 @@
 		}
 	}
 	if len(models) == 0 {
-		return platform.Order{}, false
+		return external.Order{}, false
 	}
 	first := slices.MinFunc(models, func(a, b protocol.Model) int {
 		if a.Name < b.Name {
@@ -76,7 +76,7 @@
 		}
 		return 1
 	})
-	return platform.Order{
+	return external.Order{
 		Model:   first.Name,
 		Version: first.Version,
 		Adapter: first.Adapter,
--- a/internal/coordination/orders/duty.go
+++ b/internal/coordination/orders/duty.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/state/lease"
 )
@@ -24,9 +24,9 @@
 	Rank int
 	// Service and Wanted are the configuration; Wanted has no fencing number.
 	Service protocol.Service
-	Wanted  platform.Order
+	Wanted  external.Order
 	// Targets are the service's targets in the domain.
-	Targets []platform.ListedTarget
+	Targets []external.ListedTarget
 }
 
 // Action is what a step asks for. Exactly one of its parts is set.
@@ -34,10 +34,10 @@
 	// Claim is a record to submit.
 	Claim *protocol.LeaseClaim
 	// Give is an order to send to Target.
-	Give *platform.Order
+	Give *external.Order
 	// Look asks for what Target runs.
 	Look   bool
-	Target platform.ListedTarget
+	Target external.ListedTarget
 }
 
 // Duty decides for one service in one domain at one instance. It has no clock
@@ -64,7 +64,7 @@
 
 // known is what is known of one target.
 type known struct {
-	state platform.OrderState
+	state external.OrderState
 	// read says that state was read under the own fence and may be acted on,
 	// seen that it was read at all.
 	read, seen bool
@@ -193,13 +193,13 @@
 // overdue reports that a target which was seen to run what was wanted runs
 // something else than what is wanted now: a change need not wait for the next
 // look.
-func (d *Duty) overdue(k *known, wanted platform.Order) bool {
+func (d *Duty) overdue(k *known, wanted external.Order) bool {
 	return k.read && !sameContent(k.state.Order, wanted)
 }
 
 // decide looks first; it orders if what it saw under its own fence is not what
 // is wanted. changes says that the target will have to load something.
-func (d *Duty) decide(k *known, wanted platform.Order, listed platform.ListedTarget) (action Action, changes bool) {
+func (d *Duty) decide(k *known, wanted external.Order, listed external.ListedTarget) (action Action, changes bool) {
 	look := Action{Look: true, Target: listed}
 	if !k.read {
 		return look, false
@@ -218,7 +218,7 @@
 	return !d.service.ChecksFencing || k.state.Fence == d.fence
 }
 
-func sameContent(a, b platform.Order) bool {
+func sameContent(a, b external.Order) bool {
 	a.Fence, b.Fence = 0, 0
 	return a == b
 }
@@ -249,9 +249,9 @@
 	return k
 }
 
-func (d *Duty) forget(targets []platform.ListedTarget) {
+func (d *Duty) forget(targets []external.ListedTarget) {
 	for id, k := range d.targets {
-		gone := !slices.ContainsFunc(targets, func(l platform.ListedTarget) bool { return l.ID == id })
+		gone := !slices.ContainsFunc(targets, func(l external.ListedTarget) bool { return l.ID == id })
 		if gone && !k.asked {
 			delete(d.targets, id)
 		}
@@ -259,7 +259,7 @@
 }
 
 // Looked tells what a target said it runs, to a look made under a fence.
-func (d *Duty) Looked(now time.Time, id protocol.TargetID, fence protocol.Offset, state platform.OrderState, err error) {
+func (d *Duty) Looked(now time.Time, id protocol.TargetID, fence protocol.Offset, state external.OrderState, err error) {
 	k, ok := d.targets[id]
 	if !ok || fence != d.fence {
 		return
@@ -337,7 +337,7 @@
 	Target protocol.TargetID `json:"target"`
 	// Fence is that of the duty.
 	Fence protocol.Offset     `json:"fence"`
-	Runs  platform.OrderState `json:"runs"`
+	Runs  external.OrderState `json:"runs"`
 	// Changes says that an order to load something is being worked on.
 	Changes bool `json:"changes,omitempty"`
 }
--- a/internal/coordination/orders/reconciler.go
+++ b/internal/coordination/orders/reconciler.go
@@ -16,7 +16,7 @@
 
 	"merlintiller/internal/coordination"
 	"merlintiller/internal/defaults"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/ring"
 	"merlintiller/internal/state/lease"
@@ -33,7 +33,7 @@
 	Journal  coordination.Journal
 	// Peers ranks the candidates for a duty. May be nil.
 	Peers  coordination.Peers
-	Orders platform.Orders
+	Orders external.Orders
 	Logger log.Logger
 	// Tick is the time between two steps. Default 1 s.
 	Tick   time.Duration
@@ -49,7 +49,7 @@
 	mu sync.Mutex
 	// leaving stops all duties for good.
 	leaving bool
-	listing platform.Listing
+	listing external.Listing
 	duties  map[protocol.ServiceName]*Duty
 }
 
@@ -63,7 +63,7 @@
 // result is what became of a task.
 type result struct {
 	task
-	state platform.OrderState
+	state external.OrderState
 	err   error
 }
 
@@ -98,7 +98,7 @@
 }
 
 // Listing takes in the platform's list.
-func (r *Reconciler) Listing(listing platform.Listing) {
+func (r *Reconciler) Listing(listing external.Listing) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.listing = listing
@@ -153,7 +153,7 @@
 		case done.action.Look:
 			duty.Looked(now, done.action.Target.ID, done.fence, done.state, done.err)
 		default:
-			duty.Given(now, done.action.Target.ID, done.fence, errors.Is(done.err, platform.ErrStaleFence), done.err)
+			duty.Given(now, done.action.Target.ID, done.fence, errors.Is(done.err, external.ErrStaleFence), done.err)
 		}
 	}
 }
@@ -189,7 +189,7 @@
 	case t.action.Claim != nil:
 		duty.Claimed()
 	case t.action.Look:
-		duty.Looked(now, t.action.Target.ID, t.fence, platform.OrderState{}, errNoRoom)
+		duty.Looked(now, t.action.Target.ID, t.fence, external.OrderState{}, errNoRoom)
 	default:
 		duty.Given(now, t.action.Target.ID, t.fence, false, errNoRoom)
 	}
@@ -206,7 +206,7 @@
 	return duty
 }
 
-func (r *Reconciler) view(service protocol.Service, wanted platform.Order) View {
+func (r *Reconciler) view(service protocol.Service, wanted external.Order) View {
 	view := View{
 		Session: r.opts.Journal.Session(),
 		MayHold: r.opts.Journal.MayHold(),
@@ -305,7 +305,7 @@
 	if err != nil {
 		counted = "failed"
 	}
-	if errors.Is(err, platform.ErrStaleFence) {
+	if errors.Is(err, external.ErrStaleFence) {
 		counted = "stale"
 	}
 	published.Add(counted, 1)
--- a/internal/coordination/orders/reconciler_test.go
+++ b/internal/coordination/orders/reconciler_test.go
@@ -11,7 +11,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"merlintiller/internal/coordination"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/state/replica"
 )
@@ -59,26 +59,26 @@
 // fakeOrders are targets that load at once.
 type fakeOrders struct {
 	mu    sync.Mutex
-	runs  map[string]platform.Order
-	given []platform.Order
+	runs  map[string]external.Order
+	given []external.Order
 }
 
-func (o *fakeOrders) Give(_ context.Context, address string, order platform.Order) error {
+func (o *fakeOrders) Give(_ context.Context, address string, order external.Order) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if order.Fence < o.runs[address].Fence {
-		return platform.ErrStaleFence
+		return external.ErrStaleFence
 	}
 	o.runs[address] = order
 	o.given = append(o.given, order)
 	return nil
 }
 
-func (o *fakeOrders) Current(_ context.Context, address string) (platform.OrderState, error) {
+func (o *fakeOrders) Current(_ context.Context, address string) (external.OrderState, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	order := o.runs[address]
-	return platform.OrderState{Fence: order.Fence, Order: order}, nil
+	return external.OrderState{Fence: order.Fence, Order: order}, nil
 }
 
 func (o *fakeOrders) count() int {
@@ -99,8 +99,8 @@
 func TestReconcilersHandTheDutyOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := &fakeLog{state: replica.New(), fleet: ordersFleet()}
-		targets := &fakeOrders{runs: map[string]platform.Order{}}
-		listing := platform.Listing{Targets: []platform.ListedTarget{
+		targets := &fakeOrders{runs: map[string]external.Order{}}
+		listing := external.Listing{Targets: []external.ListedTarget{
 			{ID: "r1", Service: testService, Domain: testDomain, Address: "a:1"},
 			{ID: "r2", Service: testService, Domain: testDomain, Address: "a:2"},
 			{ID: "r3", Service: testService, Domain: "bucuresti-s4", Address: "a:3"},
@@ -119,7 +119,7 @@
 		ended := supervisor.ServeBackground(ctx)
 		<-time.After(20 * time.Second)
 		require.Equal(t, 2, targets.count())
-		require.Equal(t, platform.Order{Fence: targets.runs["a:1"].Fence, Model: "roster", Version: "v1", Role: "mixed"}, targets.runs["a:1"])
+		require.Equal(t, external.Order{Fence: targets.runs["a:1"].Fence, Model: "roster", Version: "v1", Role: "mixed"}, targets.runs["a:1"])
 		holder, other := both[0], both[1]
 		if len(holder.Targets()) == 0 {
 			holder, other = other, holder
--- a/internal/coordination/orders/world_test.go
+++ b/internal/coordination/orders/world_test.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/state/lease"
 )
@@ -41,7 +41,7 @@
 	nodes   []*node
 	targets []*fakeTarget
 	service protocol.Service
-	wanted  platform.Order
+	wanted  external.Order
 	logDown bool
 	// orderFate decides over each order; nil lets it arrive.
 	orderFate func(n *node, target protocol.TargetID) fate
@@ -78,14 +78,14 @@
 	checks  bool
 	dead    bool
 	highest protocol.Offset
-	runs    platform.Order
+	runs    external.Order
 	working []job
 	// regressions counts orders with an old fencing number that took effect.
 	regressions int
 }
 
 type job struct {
-	order platform.Order
+	order external.Order
 	end   time.Time
 }
 
@@ -94,7 +94,7 @@
 		now:     time.Unix(1_000_000, 0),
 		leases:  lease.New(),
 		service: protocol.Service{Name: testService, Kind: protocol.KindModel, ChecksFencing: checks, LongestOrder: 5 * time.Second},
-		wanted:  platform.Order{Model: "roster", Version: "v1"},
+		wanted:  external.Order{Model: "roster", Version: "v1"},
 		v:       v,
 	}
 	policy := Policy{Hold: testHold, ChangeShare: 0.34}
@@ -157,7 +157,7 @@
 		view.Lease = last
 	}
 	for _, t := range w.targets {
-		view.Targets = append(view.Targets, platform.ListedTarget{ID: t.id, Service: testService, Domain: testDomain})
+		view.Targets = append(view.Targets, external.ListedTarget{ID: t.id, Service: testService, Domain: testDomain})
 	}
 	for _, action := range n.duty.Step(w.now, view) {
 		w.do(n, action)
@@ -188,9 +188,9 @@
 	panic("no such target")
 }
 
-func (w *world) look(id protocol.TargetID) (platform.OrderState, error) {
+func (w *world) look(id protocol.TargetID) (external.OrderState, error) {
 	if w.target(id).dead {
-		return platform.OrderState{}, errNoAnswer
+		return external.OrderState{}, errNoAnswer
 	}
 	if w.crossLooks {
 		last := w.targets[len(w.targets)-1]
@@ -227,7 +227,7 @@
 		fallthrough
 	default:
 		err := t.take(w.now, order, fence)
-		n.duty.Given(w.now, t.id, fence, errors.Is(err, platform.ErrStaleFence), err)
+		n.duty.Given(w.now, t.id, fence, errors.Is(err, external.ErrStaleFence), err)
 	}
 }
 
@@ -240,9 +240,9 @@
 }
 
 // take begins an order. claim is the true fencing number, for the check.
-func (t *fakeTarget) take(now time.Time, order platform.Order, claim protocol.Offset) error {
+func (t *fakeTarget) take(now time.Time, order external.Order, claim protocol.Offset) error {
 	if t.checks && order.Fence < t.highest {
-		return platform.ErrStaleFence
+		return external.ErrStaleFence
 	}
 	if t.checks && claim < t.lastClaim() {
 		t.regressions++
@@ -278,8 +278,8 @@
 	t.working = left
 }
 
-func (t *fakeTarget) state() platform.OrderState {
-	return platform.OrderState{Fence: t.runs.Fence, Order: t.runs, Busy: len(t.working) > 0}
+func (t *fakeTarget) state() external.OrderState {
+	return external.OrderState{Fence: t.runs.Fence, Order: t.runs, Busy: len(t.working) > 0}
 }
 
 // settled checks that all living targets run what is wanted and that no target
--- /dev/null
+++ b/internal/coordination/placement/core.go
@@ -0,0 +1,249 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"merlintiller/internal/protocol/exchange"
+	"merlintiller/internal/state/roster"
+)
+
+const (
+	// defaultSlots is used for a target whose slots nobody told.
+	defaultSlots = 8
+	// queueEach is how many online requests may wait at a target beyond its
+	// slots. With 8 slots and answers of 0.7 s a place comes free every 90 ms,
+	// so that two that wait are still on time for an objective of 300 ms.
+	queueEach = 2
+	// remoteCost is how much busier, as a part of its slots, a target of the own
+	// failure domain may be than another one. Two of eight slots: bytes between
+	// failure domains cost, waiting costs more.
+	remoteCost = 0.25
+	// connectCost is the same for a target to which no connection is kept.
+	connectCost = 0.13
+	// avoidedCost puts targets under suspicion behind all others.
+	avoidedCost = 100
+	// fullCost puts targets without a free slot behind those with one.
+	fullCost = 10
+	// unseenFor is how long a report of unknown load counts. Answers come many
+	// times a second where there is load.
+	unseenFor = 300 * time.Millisecond
+	// avoidFirst and avoidMost bound how long a target is avoided after it
+	// failed, doubling each time: a crashed one is back within seconds, and an
+	// item or a repeatable request tries it.
+	avoidFirst = 400 * time.Millisecond
+	avoidMost  = 3 * time.Second
+	// strikesToAvoid is how many lost answers in a row make a target avoided. A
+	// refused connection weighs as much by itself. Targets that lose one answer
+	// in twenty would otherwise be avoided for most of the time.
+	strikesToAvoid = 2
+)
+
+// Options make a Core.
+type Options struct {
+	// Domain is the own failure domain.
+	Domain string
+	// Connected says that an idle connection to an address is kept.
+	Connected func(address string) bool
+	// Random breaks ties. Instances must differ in it, or all of them would
+	// choose the same target between two messages.
+	Random *rand.Rand
+}
+
+// Core keeps counts and chooses. It is not safe for concurrent use.
+type Core struct {
+	opts    Options
+	targets map[string]*target
+	// peers are the counts that other instances told last.
+	peers map[string][]Held
+}
+
+// Held is what an instance has at a target.
+type Held struct {
+	Target        string
+	Online, Batch int
+}
+
+// Want is what a target is chosen for.
+type Want struct {
+	Service string
+	// Batch items take free slots only.
+	Batch bool
+	// Exclude are targets that had the request before.
+	Exclude []string
+}
+
+// Choice is a target that was chosen, with the request counted there.
+type Choice struct {
+	roster.Target
+	// Crowded says that all slots were taken when it was chosen and that batch
+	// items hold some of them.
+	Crowded bool
+	// Busy and Slots are what the choice was made by.
+	Busy, Slots int
+	batch       bool
+}
+
+// New returns a core that knows no target.
+func New(opts Options) *Core {
+	return &Core{opts: opts, targets: map[string]*target{}, peers: map[string][]Held{}}
+}
+
+// SetTargets takes over the targets that may be used. Counts of those that stay
+// are kept, and of those that go until their requests have ended.
+func (c *Core) SetTargets(list []roster.Target) {
+	listed := make(map[string]bool, len(list))
+	for _, entry := range list {
+		listed[entry.ID] = true
+		t := c.targets[entry.ID]
+		if t == nil || t.Started != entry.Started || t.Address != entry.Address {
+			t = &target{slots: defaultSlots}
+			c.targets[entry.ID] = t
+		}
+		t.Target = entry
+		t.listed = true
+		if entry.Slots > 0 {
+			t.slots = entry.Slots
+		}
+	}
+	for id, t := range c.targets {
+		if listed[id] {
+			continue
+		}
+		t.listed = false
+		if t.online+t.batch == 0 {
+			delete(c.targets, id)
+		}
+	}
+	c.countPeers()
+}
+
+// SetPeer takes over what another instance has at the targets. Nothing forgets
+// the instance.
+func (c *Core) SetPeer(name string, held []Held) {
+	if len(held) == 0 {
+		delete(c.peers, name)
+	} else {
+		c.peers[name] = held
+	}
+	c.countPeers()
+}
+
+func (c *Core) countPeers() {
+	for _, t := range c.targets {
+		t.elsewhereOnline, t.elsewhereBatch = 0, 0
+	}
+	for _, held := range c.peers {
+		for _, h := range held {
+			if t := c.targets[h.Target]; t != nil {
+				t.elsewhereOnline += h.Online
+				t.elsewhereBatch += h.Batch
+			}
+		}
+	}
+}
+
+// Held gives what this instance has at the targets.
+func (c *Core) Held() []Held {
+	var out []Held
+	for id, t := range c.targets {
+		if t.online+t.batch > 0 {
+			out = append(out, Held{Target: id, Online: t.online, Batch: t.batch})
+		}
+	}
+	return out
+}
+
+// Pick chooses a target and counts the request there until Done. It fails if
+// none is known or all are full.
+func (c *Core) Pick(now time.Time, want Want) (Choice, bool) {
+	best, least := (*target)(nil), 0.0
+	for id, t := range c.targets {
+		if !t.listed || t.Service != want.Service || slices.Contains(want.Exclude, id) {
+			continue
+		}
+		cost, ok := c.cost(now, t, want)
+		if ok && (best == nil || cost < least) {
+			best, least = t, cost
+		}
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	busy := best.busy(now)
+	choice := Choice{
+		Target: best.Target, Busy: busy, Slots: best.slots, batch: want.Batch,
+		Crowded: !want.Batch && busy >= best.slots && best.batches() > 0,
+	}
+	if want.Batch {
+		best.batch++
+	} else {
+		best.online++
+	}
+	return choice, true
+}
+
+// cost ranks a target, the least first. It is not ok if the target can't take
+// the request.
+func (c *Core) cost(now time.Time, t *target, want Want) (float64, bool) {
+	busy := t.busy(now)
+	avoided := t.health.avoided(now)
+	if want.Batch {
+		return c.batchCost(t, busy, avoided)
+	}
+	// Batch items give way, so they don't count against the queue.
+	if busy-t.batches() >= t.slots+queueEach {
+		return 0, false
+	}
+	cost := c.placeCost(t) + float64(busy)/float64(t.slots)
+	if busy >= t.slots {
+		cost += fullCost + float64(busy-t.batches())/float64(t.slots)
+	}
+	if avoided {
+		cost += avoidedCost
+	}
+	return cost, true
+}
+
+// batchCost lets items in where a slot is free.
+func (c *Core) batchCost(t *target, busy int, avoided bool) (float64, bool) {
+	if busy >= t.slots {
+		return 0, false
+	}
+	cost := c.placeCost(t) + float64(busy)/float64(t.slots)
+	if avoided {
+		cost += avoidedCost
+	}
+	return cost, true
+}
+
+// placeCost prefers the own failure domain and kept connections.
+func (c *Core) placeCost(t *target) float64 {
+	const tie = 0.01
+	cost := tie * c.opts.Random.Float64()
+	if t.Domain != c.opts.Domain {
+		cost += remoteCost
+	}
+	if c.opts.Connected != nil && !c.opts.Connected(t.Address) {
+		cost += connectCost
+	}
+	return cost
+}
+
+// Known says whether any target of a service may be used now.
+func (c *Core) Known(service string) bool {
+	for _, t := range c.targets {
+		if t.listed && t.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
+// Told takes in what a target says of its load.
+func (c *Core) Told(now time.Time, id string, load exchange.Load) {
+	if t := c.targets[id]; t != nil {
+		t.told(now, load)
+	}
+}
--- /dev/null
+++ b/internal/coordination/placement/result.go
@@ -0,0 +1,82 @@
+package placement
+
+import "time"
+
+// Result is how an exchange with a target ended.
+type Result int
+
+const (
+	// Served: the target answered, whatever the answer was.
+	Served Result = iota
+	// Full: the target refused the request because it has no place.
+	Full
+	// Replaced: another target has the address by now.
+	Replaced
+	// Unreachable: no connection came about.
+	Unreachable
+	// Broken: the connection ended before the whole answer was there.
+	Broken
+	// Silent: the target did not go on in time, and was left.
+	Silent
+	// Left: the exchange was ended from this side for a reason that says
+	// nothing about the target.
+	Left
+)
+
+// fullFor is how long a target that refused counts as full. A slot comes free
+// every 90 ms at a target whose 8 slots each take 0.7 s.
+const fullFor = 90 * time.Millisecond
+
+// Done ends the exchange of a choice.
+func (c *Core) Done(now time.Time, choice Choice, result Result) {
+	t := c.targets[choice.ID]
+	if t == nil {
+		return
+	}
+	if choice.Started == t.Started && choice.Address == t.Address {
+		t.release(choice.batch)
+	}
+	switch result {
+	case Served:
+		t.health.good()
+	case Full:
+		t.unseen = max(0, t.slots+queueEach-t.busy(now))
+		t.unseenUntil = now.Add(fullFor)
+	case Replaced:
+		t.listed = false
+		t.health.bad(now, strikesToAvoid)
+	case Unreachable:
+		t.health.bad(now, strikesToAvoid)
+	case Broken:
+		t.health.bad(now, 1)
+	case Silent:
+		t.health.bad(now, strikesToAvoid)
+	case Left:
+	}
+	if !t.listed && t.online+t.batch == 0 {
+		delete(c.targets, choice.ID)
+	}
+}
+
+func (t *target) release(batch bool) {
+	if batch {
+		t.batch = max(0, t.batch-1)
+	} else {
+		t.online = max(0, t.online-1)
+	}
+}
+
+// Waiting notes that an exchange waits longer than it should; GoesOn that it
+// went on or ended. Meanwhile the target is avoided.
+func (c *Core) Waiting(choice Choice) {
+	if t := c.targets[choice.ID]; t != nil {
+		t.health.waiting++
+	}
+}
+
+// GoesOn takes a note of Waiting back.
+func (c *Core) GoesOn(choice Choice) {
+	if t := c.targets[choice.ID]; t != nil {
+		t.health.waiting = max(0, t.health.waiting-1)
+	}
+}
--- /dev/null
+++ b/internal/coordination/placement/target.go
@@ -0,0 +1,80 @@
+package placement
+
+import (
+	"time"
+
+	"merlintiller/internal/protocol/exchange"
+	"merlintiller/internal/state/roster"
+)
+
+// target is what is known of one target.
+type target struct {
+	roster.Target
+	slots int
+	// listed says that the target may still get requests.
+	listed bool
+	// online and batch are this instance's own requests there.
+	online, batch int
+	// elsewhereOnline and elsewhereBatch are those of other instances.
+	elsewhereOnline, elsewhereBatch int
+	// unseen are requests that the target reported beyond the known ones: those
+	// of instances that can't tell. They count until unseenUntil.
+	unseen      int
+	unseenUntil time.Time
+	health      health
+}
+
+func (t *target) busy(now time.Time) int {
+	n := t.online + t.batch + t.elsewhereOnline + t.elsewhereBatch
+	if now.Before(t.unseenUntil) {
+		n += t.unseen
+	}
+	return n
+}
+
+func (t *target) batches() int { return t.batch + t.elsewhereBatch }
+
+// told takes in what the target says of its own load.
+func (t *target) told(now time.Time, load exchange.Load) {
+	if load.Slots > 0 {
+		t.slots = load.Slots
+	}
+	known := t.online + t.batch + t.elsewhereOnline + t.elsewhereBatch
+	t.unseen = max(0, load.Running+load.Waiting-known)
+	t.unseenUntil = now.Add(unseenFor)
+}
+
+// health says whether a target can be trusted with a request.
+type health struct {
+	// strikes are failures in a row.
+	strikes int
+	// avoidedUntil keeps requests away.
+	avoidedUntil time.Time
+	backoff      time.Duration
+	// waiting are exchanges that wait longer than they should.
+	waiting int
+}
+
+// avoided says that the target is chosen only if there is no other.
+func (h *health) avoided(now time.Time) bool {
+	return h.waiting > 0 || now.Before(h.avoidedUntil)
+}
+
+func (h *health) avoid(now time.Time) {
+	h.backoff = min(max(avoidFirst, 2*h.backoff), avoidMost)
+	h.avoidedUntil = now.Add(h.backoff)
+}
+
+func (h *health) good() {
+	h.strikes = 0
+	h.backoff = 0
+	h.avoidedUntil = time.Time{}
+}
+
+// bad counts a failure of a weight; at the limit the target is avoided.
+func (h *health) bad(now time.Time, weight int) {
+	h.strikes += weight
+	if h.strikes >= strikesToAvoid {
+		h.avoid(now)
+	}
+}
--- /dev/null
+++ b/internal/coordination/relay/relay.go
@@ -0,0 +1,248 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"merlintiller/internal/coordination/placement"
+	"merlintiller/internal/external"
+	"merlintiller/internal/protocol/exchange"
+	"merlintiller/internal/state/route"
+)
+
+const (
+	// mostTries bounds the targets that are asked for one request, runs or not.
+	// Each that is dead costs up to a connect's timeout.
+	mostTries = 4
+	// fullRetryAfter is told when all slots are taken: half of the time that a
+	// stream takes, in which half of the slots come free.
+	fullRetryAfter = 350 * time.Millisecond
+	// startRetryAfter is told when no target is known yet. The list of targets
+	// is read within a second.
+	startRetryAfter = time.Second
+)
+
+// Placer chooses targets.
+type Placer interface {
+	Pick(placement.Want) (placement.Choice, bool)
+	Done(placement.Choice, placement.Result)
+	Told(id string, load *exchange.Load)
+	Known(service string) bool
+	Waiting(placement.Choice) (goesOn func())
+}
+
+// Sink is the caller's side of an answer.
+type Sink interface {
+	// Begin sends the head.
+	Begin(reply *exchange.Reply)
+	// Pass sends a part of the body at once.
+	Pass(part []byte) error
+}
+
+// Options make a Relay.
+type Options struct {
+	Targets external.Sender
+	Placer  Placer
+	// Crowded tells that an online request was sent to a target whose slots are
+	// taken, some of them by batch items.
+	Crowded func(target string)
+	Logger  log.Logger
+}
+
+// Relay serves requests.
+type Relay struct{ opts Options }
+
+// New returns a relay.
+func New(opts Options) *Relay { return &Relay{opts: opts} }
+
+// Job is a request with what was decided of it before.
+type Job struct {
+	Request      *exchange.Request
+	Route        *route.Route
+	Service      string
+	Organisation string
+	// Began is when the request came, Deadline when it must have ended.
+	Began, Deadline time.Time
+}
+
+// Serve sends a request to targets until one answers it, or says why not. The
+// context ends when the caller leaves.
+func (r *Relay) Serve(ctx context.Context, job *Job, sink Sink) Outcome {
+	ctx, cancel := context.WithDeadline(ctx, job.Deadline)
+	defer cancel()
+	c := &call{Relay: r, Job: job, sink: sink, position: job.Request.After}
+	c.run(ctx)
+	if !c.outcome.Begun() && c.outcome.Reason != CallerLeft {
+		c.outcome.Status = c.outcome.refusal()
+	}
+	return c.outcome
+}
+
+// call is one request on its way.
+type call struct {
+	*Relay
+	*Job
+	sink    Sink
+	outcome Outcome
+	// position is the last event that the caller has.
+	position int
+	// tried are the targets that had the request.
+	tried []string
+	begun bool
+}
+
+// verdict says what comes after an attempt.
+type verdict int
+
+const (
+	// finish: the request has its outcome.
+	finish verdict = iota
+	// another: another target may be tried.
+	another
+)
+
+func (c *call) run(ctx context.Context) {
+	for len(c.tried) < mostTries {
+		choice, ok := c.opts.Placer.Pick(placement.Want{Service: c.Service, Exclude: c.tried})
+		if !ok {
+			c.nowhere()
+			return
+		}
+		if choice.Crowded {
+			c.opts.Crowded(choice.ID)
+		}
+		c.tried = append(c.tried, choice.ID)
+		c.outcome.Target = choice.ID
+		c.outcome.Attempts++
+		if c.attempt(ctx, choice) == finish {
+			return
+		}
+	}
+	c.nowhere()
+}
+
+// nowhere ends a request for which there is no further target.
+func (c *call) nowhere() {
+	switch {
+	case c.begun:
+		c.outcome.Reason = CutOff
+	case c.outcome.Runs > 0:
+		c.outcome.Reason = Lost
+	case c.outcome.Attempts > 0:
+		c.outcome.Reason, c.outcome.RetryAfter = NotTaken, fullRetryAfter
+	case c.opts.Placer.Known(c.Service):
+		c.outcome.Reason, c.outcome.RetryAfter = AllFull, fullRetryAfter
+	default:
+		c.outcome.Reason, c.outcome.RetryAfter = NoTarget, startRetryAfter
+	}
+}
+
+// attempt sends the request to one target.
+func (c *call) attempt(ctx context.Context, choice placement.Choice) verdict {
+	watch := c.watch(ctx, choice)
+	defer watch.stop()
+	answer, err := c.opts.Targets.Send(watch.ctx, choice.Address, c.dispatch(choice))
+	if err != nil {
+		return c.failed(ctx, choice, watch, err)
+	}
+	c.opts.Placer.Told(choice.ID, answer.Head().Load)
+	if answer.Head().NotRun {
+		return c.notRun(choice, answer)
+	}
+	c.outcome.Runs++
+	if c.begun && !answer.Head().Success() {
+		// The rest of a stream was refused as if it had run.
+		answer.Close()
+		c.opts.Placer.Done(choice, placement.Served)
+		return c.afterLoss(choice, "status", nil)
+	}
+	return c.pass(ctx, choice, watch, answer)
+}
+
+func (c *call) dispatch(choice placement.Choice) *exchange.Dispatch {
+	return &exchange.Dispatch{
+		ID:           c.Request.ID,
+		Method:       c.Request.Method,
+		Host:         c.Request.Host,
+		Path:         c.Request.Path,
+		Query:        c.Request.Query,
+		Target:       choice.ID,
+		Organisation: c.Organisation,
+		Left:         time.Until(c.Deadline),
+		After:        c.position,
+		Header:       c.Request.Header,
+		Body:         c.Request.Body,
+	}
+}
+
+// notRun handles an answer that promises that the target did not run the
+// request.
+func (c *call) notRun(choice placement.Choice, answer external.OpenAnswer) verdict {
+	answer.Close()
+	result := placement.Full
+	if answer.Head().Elsewhere {
+		result = placement.Replaced
+		c.opts.Targets.Forget(choice.Address)
+	}
+	c.opts.Placer.Done(choice, result)
+	c.note(choice, "not_run", "status", answer.Head().Status)
+	return another
+}
+
+// failed handles a request that was sent and not answered, or not sent.
+func (c *call) failed(ctx context.Context, choice placement.Choice, watch *watch, err error) verdict {
+	notSent := errors.Is(err, external.ErrNotSent)
+	if !notSent {
+		c.outcome.Runs++
+	}
+	if ended := c.ended(ctx); ended {
+		c.opts.Placer.Done(choice, watch.result(placement.Left))
+		return finish
+	}
+	if notSent {
+		c.opts.Placer.Done(choice, placement.Unreachable)
+		c.note(choice, "unreachable", "err", err)
+		return another
+	}
+	c.opts.Placer.Done(choice, watch.result(placement.Broken))
+	return c.afterLoss(choice, "err", err)
+}
+
+// ended notes that the caller left or the time is over.
+func (c *call) ended(ctx context.Context) bool {
+	switch {
+	case ctx.Err() == nil:
+		return false
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		c.outcome.Reason = TimedOut
+		if c.begun {
+			c.outcome.Reason = CutOff
+		}
+	default:
+		c.outcome.Reason = CallerLeft
+	}
+	return true
+}
+
+// afterLoss says whether a request that may have run may run once more.
+func (c *call) afterLoss(choice placement.Choice, key string, cause any) verdict {
+	c.note(choice, "lost", key, cause)
+	if c.Route.Repeatable() && c.outcome.Runs < c.Route.MaxAttempts {
+		return another
+	}
+	c.outcome.Reason = Lost
+	if c.begun {
+		c.outcome.Reason = CutOff
+	}
+	return finish
+}
+
+// note logs an attempt that did not bring the answer.
+func (c *call) note(choice placement.Choice, what string, key string, value any) {
+	_ = level.Info(c.opts.Logger).Log("event", "attempt_failed", "request", c.Request.ID, "target", choice.ID, "how", what,
+		"busy", choice.Busy, "slots", choice.Slots, "position", c.position, "runs", c.outcome.Runs, key, value)
+}
--- a/internal/coordination/routing/core.go
+++ b/internal/coordination/routing/core.go
@@ -7,7 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"merlintiller/internal/coordination"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 )
 
@@ -218,7 +218,7 @@
 }
 
 // Report takes in a target's load report.
-func (c *Core) Report(now time.Time, load platform.Load) {
+func (c *Core) Report(now time.Time, load external.Load) {
 	t, ok := c.targets[load.Target]
 	if !ok {
 		return
--- a/internal/coordination/routing/core_test.go
+++ b/internal/coordination/routing/core_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	"merlintiller/internal/coordination"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 )
 
@@ -21,21 +21,21 @@
 
 var start = time.Unix(1_000_000, 0)
 
-func listed(n int, domain protocol.Domain) []platform.ListedTarget {
-	var out []platform.ListedTarget
+func listed(n int, domain protocol.Domain) []external.ListedTarget {
+	var out []external.ListedTarget
 	for i := range n {
 		id := protocol.TargetID(fmt.Sprintf("%s-%02d", domain, i))
-		out = append(out, platform.ListedTarget{ID: id, Service: service, Domain: domain, Address: "127.0.0.1:" + fmt.Sprint(7000+i)})
+		out = append(out, external.ListedTarget{ID: id, Service: service, Domain: domain, Address: "127.0.0.1:" + fmt.Sprint(7000+i)})
 	}
 	return out
 }
 
-func newTestCore(opts Options, targets ...platform.ListedTarget) *Core {
+func newTestCore(opts Options, targets ...external.ListedTarget) *Core {
 	opts.Domain = here
 	opts.Seed = 1
 	core := NewCore(opts)
 	core.SetServices(map[protocol.ServiceName]protocol.Service{service: {Name: service, Slots: 4}})
-	core.Listing(start, platform.Listing{Targets: targets})
+	core.Listing(start, external.Listing{Targets: targets})
 	return core
 }
 
@@ -72,8 +72,8 @@
 func TestReportsOfOthersCount(t *testing.T) {
 	core := newTestCore(Options{}, listed(2, here)...)
 	busy := listed(2, here)[0].ID
-	core.Report(start, platform.Load{Target: busy, Running: 3})
-	core.Report(start, platform.Load{Target: listed(2, here)[1].ID})
+	core.Report(start, external.Load{Target: busy, Running: 3})
+	core.Report(start, external.Load{Target: listed(2, here)[1].ID})
 	require.Zero(t, picks(t, core, start, 3)[busy])
 }
 
@@ -83,7 +83,7 @@
 	core := newTestCore(Options{}, listed(1, here)...)
 	picks(t, core, start, 3)
 	later := start.Add(time.Second)
-	core.Report(later, platform.Load{Target: listed(1, here)[0].ID, Running: 5, AgeMS: 500})
+	core.Report(later, external.Load{Target: listed(1, here)[0].ID, Running: 5, AgeMS: 500})
 	require.InDelta(t, 2, core.Targets(later)[0].Others, 0.01, "5 running, 3 of them own")
 }
 
@@ -94,7 +94,7 @@
 	core := newTestCore(Options{}, targets...)
 	choice, _ := core.Pick(start, coordination.PickRequest{Service: service})
 	core.Done(start, choice, coordination.CallResult{Leaving: true})
-	core.Listing(start.Add(time.Second), platform.Listing{Targets: targets})
+	core.Listing(start.Add(time.Second), external.Listing{Targets: targets})
 	require.Zero(t, picks(t, core, start.Add(2*time.Second), 20)[choice.Target])
 }
 
@@ -102,10 +102,10 @@
 	targets := listed(2, here)
 	core := newTestCore(Options{}, targets...)
 	targets[0].Leaving = true
-	core.Listing(start, platform.Listing{Targets: targets})
+	core.Listing(start, external.Listing{Targets: targets})
 	require.Zero(t, picks(t, core, start, 20)[targets[0].ID])
 	targets[1].Leaving = true
-	core.Listing(start, platform.Listing{Targets: targets})
+	core.Listing(start, external.Listing{Targets: targets})
 	_, ok := core.Pick(start, coordination.PickRequest{Service: service})
 	require.False(t, ok, "all are leaving")
 }
@@ -114,7 +114,7 @@
 // targets are all alive; an instance that believed the list would refuse all.
 func TestEmptyListKeepsTheLastTargets(t *testing.T) {
 	core := newTestCore(Options{}, listed(3, here)...)
-	core.Listing(start, platform.Listing{})
+	core.Listing(start, external.Listing{})
 	picks(t, core, start, 3)
 }
 
@@ -126,12 +126,12 @@
 		choice, _ := core.Pick(start, coordination.PickRequest{Service: service})
 		kept = append(kept, choice)
 	}
-	core.Listing(start, platform.Listing{Targets: targets[:1]})
+	core.Listing(start, external.Listing{Targets: targets[:1]})
 	require.Len(t, core.Targets(start), 2)
 	for _, choice := range kept {
 		core.Done(start, choice, coordination.CallResult{})
 	}
-	core.Listing(start, platform.Listing{Targets: targets[:1]})
+	core.Listing(start, external.Listing{Targets: targets[:1]})
 	require.Len(t, core.Targets(start), 1)
 }
 
@@ -220,7 +220,7 @@
 	targets := listed(8, here)
 	core := newTestCore(Options{AffinityLoad: 1}, targets...)
 	for _, one := range targets {
-		core.Report(start, platform.Load{Target: one.ID})
+		core.Report(start, external.Load{Target: one.ID})
 	}
 	req := coordination.PickRequest{Service: service, Prefix: 42}
 	first, _ := core.Pick(start, req)
@@ -242,7 +242,7 @@
 	targets := listed(8, here)
 	core := newTestCore(Options{AffinityLoad: 1}, targets...)
 	for _, one := range targets {
-		core.Report(start, platform.Load{Target: one.ID})
+		core.Report(start, external.Load{Target: one.ID})
 	}
 	seen := map[protocol.TargetID]bool{}
 	late := start.Add(time.Minute)
@@ -298,14 +298,14 @@
 				open = open[1:]
 			},
 			"list": func(t *rapid.T) {
-				some := append([]platform.ListedTarget(nil), all[:rapid.IntRange(0, len(all)).Draw(t, "n")]...)
+				some := append([]external.ListedTarget(nil), all[:rapid.IntRange(0, len(all)).Draw(t, "n")]...)
 				leaving = map[protocol.TargetID]bool{}
 				if len(some) > 0 {
 					i := rapid.IntRange(0, len(some)-1).Draw(t, "leaving")
 					some[i].Leaving = true
 					leaving[some[i].ID] = true
 				}
-				core.Listing(now, platform.Listing{Targets: some})
+				core.Listing(now, external.Listing{Targets: some})
 				if len(some) == 0 {
 					for _, one := range core.Targets(now) {
 						leaving[one.Target] = one.Leaving
@@ -313,7 +313,7 @@
 				}
 			},
 			"report": func(t *rapid.T) {
-				core.Report(now, platform.Load{Target: all[rapid.IntRange(0, len(all)-1).Draw(t, "i")].ID, Running: rapid.IntRange(0, 50).Draw(t, "running"), AgeMS: int64(rapid.IntRange(0, 3000).Draw(t, "age"))})
+				core.Report(now, external.Load{Target: all[rapid.IntRange(0, len(all)-1).Draw(t, "i")].ID, Running: rapid.IntRange(0, 50).Draw(t, "running"), AgeMS: int64(rapid.IntRange(0, 3000).Draw(t, "age"))})
 			},
 			"": func(t *rapid.T) { checkCore(t, core, now, len(open)) },
 		})
@@ -344,7 +344,7 @@
 				core := newTestCore(Options{AffinityLoad: affinity}, append(listed(n/4+1, here), listed(n-n/4-1, there)...)...)
 				now := start
 				for id := range core.targets {
-					core.Report(now, platform.Load{Target: id})
+					core.Report(now, external.Load{Target: id})
 				}
 				var prefix uint64
 				for b.Loop() {
--- a/internal/coordination/routing/listing.go
+++ b/internal/coordination/routing/listing.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 )
 
@@ -30,7 +30,7 @@
 
 // Listing takes in the platform's list. Targets that are not on it any more
 // get no new work and are forgotten once their calls have ended.
-func (c *Core) Listing(now time.Time, listing platform.Listing) {
+func (c *Core) Listing(now time.Time, listing external.Listing) {
 	for _, t := range c.targets {
 		t.listed = false
 	}
@@ -46,7 +46,7 @@
 	}
 }
 
-func (c *Core) list(listed platform.ListedTarget) {
+func (c *Core) list(listed external.ListedTarget) {
 	t, ok := c.targets[listed.ID]
 	if ok && t.pool.service != listed.Service {
 		c.remove(t)
@@ -67,7 +67,7 @@
 	t.listedLeaving = listed.Leaving
 }
 
-func (c *Core) add(listed platform.ListedTarget) *target {
+func (c *Core) add(listed external.ListedTarget) *target {
 	p, ok := c.pools[listed.Service]
 	if !ok {
 		p = &pool{service: listed.Service, slots: c.slotsOf(listed.Service)}
--- a/internal/coordination/routing/pollers.go
+++ b/internal/coordination/routing/pollers.go
@@ -10,7 +10,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"merlintiller/internal/defaults"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 )
 
@@ -20,8 +20,8 @@
 // PollOptions set up the duties that keep a Router informed.
 type PollOptions struct {
 	Router *Router
-	List   platform.InstanceList
-	Loads  platform.LoadReports
+	List   external.InstanceList
+	Loads  external.LoadReports
 	// Fleet gives the configuration in force.
 	Fleet  func() *protocol.Fleet
 	Logger log.Logger
@@ -38,7 +38,7 @@
 	// Domain is read first and more often than the others.
 	Domain protocol.Domain
 	// Listed is told each listing too, for other users of the list. May be nil.
-	Listed func(platform.Listing)
+	Listed func(external.Listing)
 }
 
 func (o PollOptions) withDefaults() PollOptions {
--- a/internal/coordination/routing/pollers_test.go
+++ b/internal/coordination/routing/pollers_test.go
@@ -12,30 +12,30 @@
 	"github.com/thejerf/suture/v4"
 
 	"merlintiller/internal/coordination"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 )
 
 // fakePlatform serves a list and load reports.
 type fakePlatform struct {
 	mu      sync.Mutex
-	listing platform.Listing
+	listing external.Listing
 	down    bool
 	frozen  string
 	wrong   bool
 	reads   map[string]int
 }
 
-func (f *fakePlatform) List(context.Context) (platform.Listing, error) {
+func (f *fakePlatform) List(context.Context) (external.Listing, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return platform.Listing{}, platform.ErrUnavailable
+		return external.Listing{}, external.ErrUnavailable
 	}
 	return f.listing, nil
 }
 
-func (f *fakePlatform) Load(ctx context.Context, address string) (platform.Load, error) {
+func (f *fakePlatform) Load(ctx context.Context, address string) (external.Load, error) {
 	f.mu.Lock()
 	frozen := f.frozen == address
 	f.reads[address]++
@@ -43,12 +43,12 @@
 	f.mu.Unlock()
 	if frozen {
 		<-ctx.Done()
-		return platform.Load{}, errors.New("no answer")
+		return external.Load{}, errors.New("no answer")
 	}
 	if wrong {
-		return platform.Load{Target: "somebody", Running: 9}, nil
+		return external.Load{Target: "somebody", Running: 9}, nil
 	}
-	return platform.Load{Running: 3}, nil
+	return external.Load{Running: 3}, nil
 }
 
 func (f *fakePlatform) set(change func()) {
@@ -99,7 +99,7 @@
 	polled(t, func(f *fakePlatform, router *Router) {
 		<-time.After(2 * time.Second)
 		f.set(func() {
-			f.listing.Targets = append([]platform.ListedTarget{{ID: "ploiesti-00", Service: service, Domain: here, Address: "n0", Leaving: true}}, f.listing.Targets[1:]...)
+			f.listing.Targets = append([]external.ListedTarget{{ID: "ploiesti-00", Service: service, Domain: here, Address: "n0", Leaving: true}}, f.listing.Targets[1:]...)
 		})
 		<-time.After(1100 * time.Millisecond)
 		for range 20 {
--- a/internal/coordination/routing/router.go
+++ b/internal/coordination/routing/router.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"merlintiller/internal/coordination"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 )
 
@@ -81,14 +81,14 @@
 }
 
 // Listing takes in the platform's list.
-func (r *Router) Listing(listing platform.Listing) {
+func (r *Router) Listing(listing external.Listing) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.core.Listing(time.Now(), listing)
 }
 
 // Report takes in a load report.
-func (r *Router) Report(load platform.Load) {
+func (r *Router) Report(load external.Load) {
 	now := time.Now()
 	elsewhere := 0
 	if r.batchElsewhere != nil {
--- a/internal/coordination/routing/target.go
+++ b/internal/coordination/routing/target.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 )
 
@@ -78,7 +78,7 @@
 
 // report takes in a load report. The own calls that the report counted are
 // taken out, as of the time that the report speaks of.
-func (t *target) report(now time.Time, load platform.Load) {
+func (t *target) report(now time.Time, load external.Load) {
 	at := now.Add(-time.Duration(load.AgeMS) * time.Millisecond)
 	if at.Before(t.reportedAt) {
 		return
--- a/internal/coordination/routing/ways_test.go
+++ b/internal/coordination/routing/ways_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"merlintiller/internal/coordination"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 )
 
@@ -126,14 +126,14 @@
 func newSim(w way, of size) *sim {
 	s := &sim{size: of, way: w, random: rand.New(rand.NewPCG(7, 7)), now: start}
 	domains := []protocol.Domain{"pnw-sea", "pnw-pdx", "pnw-spk"}
-	var listing platform.Listing
+	var listing external.Listing
 	for i := range of.targets {
 		e := &simEngine{id: protocol.TargetID(fmt.Sprint("t", i)), slow: 1}
 		if i == 0 {
 			e.slow = of.slow
 		}
 		s.engines = append(s.engines, e)
-		listing.Targets = append(listing.Targets, platform.ListedTarget{ID: e.id, Service: service, Domain: domains[i%3], Address: "a"})
+		listing.Targets = append(listing.Targets, external.ListedTarget{ID: e.id, Service: service, Domain: domains[i%3], Address: "a"})
 	}
 	for i := range of.instances {
 		opts := w.opts
@@ -216,7 +216,7 @@
 			continue
 		}
 		for _, core := range s.cores {
-			core.Report(s.now, platform.Load{Target: e.id, Running: e.history[back], AgeMS: simReportLag.Milliseconds()})
+			core.Report(s.now, external.Load{Target: e.id, Running: e.history[back], AgeMS: simReportLag.Milliseconds()})
 		}
 	}
 }
--- a/internal/daemon/outside.go
+++ b/internal/daemon/outside.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/settings"
 	"merlintiller/internal/transport/platformhttp"
 	"merlintiller/internal/transport/targethttp"
@@ -13,9 +13,9 @@
 // batch items, calls that may not be repeated and control each have their own
 // connections, so that none waits behind another.
 type outside struct {
-	log     platform.Log
-	list    platform.InstanceList
-	weights platform.WeightStore
+	log     external.Log
+	list    external.InstanceList
+	weights external.WeightStore
 
 	online  *targethttp.Client
 	once    *targethttp.Client
--- /dev/null
+++ b/internal/daemon/routed/daemon.go
@@ -0,0 +1,217 @@
+package routed
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/gravitational/trace"
+	"github.com/thejerf/suture/v4"
+
+	"merlintiller/internal/coordination/batchjobs"
+	"merlintiller/internal/coordination/fleetview"
+	"merlintiller/internal/coordination/mesh"
+	"merlintiller/internal/coordination/placement"
+	"merlintiller/internal/coordination/quota"
+	"merlintiller/internal/coordination/relay"
+	"merlintiller/internal/external"
+	"merlintiller/internal/settings"
+	"merlintiller/internal/state/roster"
+	"merlintiller/internal/state/route"
+	"merlintiller/internal/transport/front"
+	"merlintiller/internal/transport/peer"
+	"merlintiller/internal/transport/targetconn"
+	"merlintiller/platform"
+)
+
+const (
+	// jobsTopic holds batch jobs; instancesTopic holds who is there.
+	jobsTopic      = "keyed.jobs"
+	instancesTopic = "keyed.instances"
+	jobsGroup      = "jobs"
+	// memoryShare is the part of the memory that the collector keeps the heap
+	// below.
+	memoryShare = 0.6
+)
+
+// Daemon is one instance.
+type Daemon struct {
+	settings *settings.Routed
+	logger   log.Logger
+	self     mesh.Instance
+
+	store   *platform.Store
+	targets *targetconn.Client
+	view    *fleetview.View
+	placer  *placement.Placer
+	meter   *quota.Meter
+	mesh    *mesh.Mesh
+	peers   *peer.Server
+	calls   *peer.Client
+	keeper  *batchjobs.Keeper
+	runner  *batchjobs.Runner
+	desk    *batchjobs.Desk
+	front   *front.Front
+
+	leaving atomic.Bool
+	tree    *suture.Supervisor
+}
+
+// New wires an instance. Nothing runs before Run.
+func New(s *settings.Routed, logger log.Logger) (*Daemon, error) {
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
+	d := &Daemon{
+		settings: s, logger: logger,
+		self: mesh.Instance{
+			Name: string(s.Instance), Domain: string(s.Domain),
+			Address: s.Listen.Peers, Start: time.Now().UnixMilli(),
+		},
+		store: platform.NewStore(s.Store.Address, s.Store.Timeout),
+		targets: targetconn.New(targetconn.Codec{
+			EncodeDispatch: platform.EncodeDispatch, DecodeReply: platform.DecodeReply,
+		}),
+		meter: quota.NewMeter(mesh.SilentAfter),
+		calls: peer.NewClient(nil),
+	}
+	d.placer = placement.NewPlacer(d.self.Domain, d.targets.Connected, xxhash.Sum64String(d.self.Name))
+	d.joinView()
+	if err := d.joinPeers(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	d.joinJobs()
+	d.joinFront()
+	if err := d.register(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	d.plant()
+	return d, nil
+}
+
+func (d *Daemon) joinView() {
+	d.view = fleetview.New(fleetview.Options{
+		Log: d.store,
+		Sources: fleetview.Sources{
+			Operators: platform.Operators, ConfigKey: platform.ConfigurationKey, Targets: platform.Targets,
+		},
+		Decoders:  fleetview.Decoders{Config: platform.DecodeConfiguration, Target: platform.DecodeTarget},
+		Logger:    d.logger,
+		OnConfig:  func(t *route.Table) { d.meter.SetOrganisations(t.Organisations()) },
+		OnTargets: func(list []roster.Target) { d.placer.SetTargets(list) },
+	})
+}
+
+func (d *Daemon) joinPeers() error {
+	listener, err := net.Listen("tcp", d.settings.Listen.Peers)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	d.peers = peer.NewServer(listener, nil, d.logger)
+	d.mesh = mesh.New(mesh.Config{Self: d.self, Seeds: d.settings.Seeds, Caller: d.calls, Logger: d.logger})
+	d.mesh.Attach(&local{Daemon: d})
+	return nil
+}
+
+func (d *Daemon) joinJobs() {
+	s := d.settings.Store
+	opts := &batchjobs.Options{
+		Member: fmt.Sprintf("%s/%d", d.self.Name, d.self.Start),
+		Topic:  jobsTopic, Partitions: s.Partitions, Group: jobsGroup,
+		RecordBytes: s.RecordBytes, CallBytes: s.CallBytes,
+		Log: d.store, Groups: d.store, Peers: d.mesh, Caller: d.calls,
+		Table: d.view.Table, StoreAge: d.view.StoreAge, StoreAnswered: d.view.StoreAnswered,
+		Targets: d.targets, Placer: d.placer, Logger: d.logger,
+	}
+	d.runner = batchjobs.NewRunner(opts)
+	d.keeper = batchjobs.NewKeeper(opts, d.runner)
+	d.desk = batchjobs.NewDesk(opts, d.keeper, d.runner)
+}
+
+func (d *Daemon) joinFront() {
+	d.front = front.New(front.Options{
+		Listen: listen(d.settings.Listen.Callers),
+		Codec: front.Codec{
+			DecodeRequest: platform.DecodeRequest, DecodeJobCall: platform.DecodeJobCall,
+			DecodeItems: platform.DecodeItems, EncodeResults: platform.EncodeResults,
+			EncodeRetryAfter: platform.EncodeRetryAfter,
+		},
+		Table: d.view.Table,
+		Quota: d.meter,
+		Relay: relay.New(relay.Options{Targets: d.targets, Placer: d.placer, Crowded: d.desk.Crowded, Logger: d.logger}),
+		Desk:  d.desk, Logger: d.logger,
+	})
+}
+
+func (d *Daemon) register() error {
+	receivers := map[string]any{
+		mesh.ServiceName:       d.mesh.Receiver(),
+		batchjobs.ReceiverName: d.desk.Receiver(),
+		batchjobs.WaiterName:   d.desk.Waiter(),
+	}
+	for name, receiver := range receivers {
+		if err := d.peers.Register(name, receiver); err != nil {
+			return trace.Wrap(err, "receiver %s", name)
+		}
+	}
+	return nil
+}
+
+// plant puts every duty into the supervisor's tree. A panic is a broken
+// invariant and stops the process; the platform starts it again.
+func (d *Daemon) plant() {
+	d.tree = suture.New("tillerd", suture.Spec{EventHook: d.event, PassThroughPanics: true})
+	for _, duty := range d.view.Duties() {
+		d.tree.Add(duty)
+	}
+	d.tree.Add(d.peers)
+	d.tree.Add(d.mesh)
+	d.tree.Add(&registration{daemon: d})
+	d.tree.Add(d.runner)
+	d.tree.Add(d.keeper)
+	d.tree.Add(d.front)
+	d.tree.Add(&readiness{daemon: d, listen: listen(d.settings.Listen.Readiness)})
+	if d.settings.Listen.Metrics != "" {
+		d.tree.Add(&metricsServer{listen: listen(d.settings.Listen.Metrics)})
+	}
+}
+
+func (d *Daemon) event(e suture.Event) {
+	_ = level.Warn(d.logger).Log("event", "duty_failed", "detail", e.String())
+}
+
+// Run serves until ctx ends, and then leaves gracefully.
+func (d *Daemon) Run(ctx context.Context) error {
+	treeCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	ended := d.tree.ServeBackground(treeCtx)
+	_ = level.Info(d.logger).Log("event", "started", "instance", d.self.Name, "domain", d.self.Domain,
+		"callers", d.settings.Listen.Callers, "peers", d.settings.Listen.Peers, "store", d.settings.Store.Address)
+	select {
+	case <-ctx.Done():
+	case err := <-ended:
+		return trace.Wrap(err)
+	}
+	d.leave()
+	stop()
+	if err := <-ended; err != nil && !errors.Is(err, context.Canceled) {
+		return trace.Wrap(err)
+	}
+	_ = level.Info(d.logger).Log("event", "stopped")
+	return nil
+}
+
+func listen(address string) func() (net.Listener, error) {
+	return func() (net.Listener, error) { return net.Listen("tcp", address) }
+}
+
+var (
+	_ external.KeyedLog = (*platform.Store)(nil)
+	_ external.Groups   = (*platform.Store)(nil)
+	_ external.Sender   = (*targetconn.Client)(nil)
+)
--- /dev/null
+++ b/internal/daemon/routed/leave.go
@@ -0,0 +1,59 @@
+package routed
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+)
+
+const (
+	// leaveMargin is left of the grace for the end of the process itself.
+	leaveMargin = 1200 * time.Millisecond
+	// inFlightCheck is how often a leaving instance looks whether all requests
+	// have ended.
+	inFlightCheck = 50 * time.Millisecond
+	// storeStep bounds a step that needs the store.
+	storeStep = 500 * time.Millisecond
+)
+
+// leave ends the duties towards the outside: not ready first, then the jobs to
+// other instances, then the balancer's lag, then the end of the requests in
+// flight. No request is cut.
+func (d *Daemon) leave() {
+	began := time.Now()
+	d.leaving.Store(true)
+	d.front.Leave()
+	_ = level.Info(d.logger).Log("event", "leaving", "in_flight", d.front.InFlight())
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(d.settings.Grace-leaveMargin))
+	defer cancel()
+	d.step(ctx, "jobs", d.keeper.Leave)
+	wait(ctx, time.Until(began.Add(d.settings.DrainNotice)))
+	for d.front.InFlight() > 0 && ctx.Err() == nil {
+		wait(ctx, inFlightCheck)
+	}
+	d.step(ctx, "withdraw", func(ctx context.Context) {
+		if err := d.withdraw(ctx); err != nil {
+			_ = level.Warn(d.logger).Log("event", "withdraw_failed", "err", err)
+		}
+	})
+	err := d.front.Finish(ctx)
+	_ = level.Info(d.logger).Log("event", "left", "in_flight", d.front.InFlight(), "took_ms", time.Since(began).Milliseconds(), "err", err)
+}
+
+func (d *Daemon) step(ctx context.Context, name string, run func(context.Context)) {
+	ctx, cancel := context.WithTimeout(ctx, storeStep)
+	defer cancel()
+	began := time.Now()
+	run(ctx)
+	_ = level.Info(d.logger).Log("event", "drained", "step", name, "took_ms", time.Since(began).Milliseconds())
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/daemon/routed/local.go
@@ -0,0 +1,53 @@
+package routed
+
+import "merlintiller/internal/coordination/mesh"
+
+// local joins what instances tell each other with those who know and use it.
+type local struct{ *Daemon }
+
+// Describe implements mesh.Local.
+func (l *local) Describe(beat *mesh.Beat) {
+	beat.Leaving = l.leaving.Load()
+	beat.ConfigVersion = l.view.Version()
+	beat.RosterMark = l.view.Mark()
+	beat.StoreAge = l.view.StoreAge()
+	beat.Held = l.placer.Held()
+	beat.Admitted = l.meter.Own()
+	beat.Partitions, beat.Generation = l.keeper.Holding()
+}
+
+// Newer implements mesh.Local.
+func (l *local) Newer(args mesh.SnapshotArgs) mesh.SnapshotReply {
+	reply := mesh.SnapshotReply{Config: l.view.Config(args.ConfigVersion)}
+	reply.Targets, reply.RosterMark, reply.Listed = l.view.Targets(args.RosterMark)
+	return reply
+}
+
+// Adopt implements mesh.Local.
+func (l *local) Adopt(reply mesh.SnapshotReply) {
+	if len(reply.Config) > 0 {
+		l.view.TakeConfig(reply.Config, "peer")
+	}
+	if reply.Listed {
+		l.view.TakeTargets(reply.Targets, reply.RosterMark)
+	}
+}
+
+// PeerHeard implements mesh.Local.
+func (l *local) PeerHeard(beat mesh.Beat) {
+	l.placer.SetPeer(beat.From.Name, beat.Held)
+	l.meter.Heard(beat.From.Name, beat.From.Start, beat.Admitted)
+}
+
+// PeerSilent implements mesh.Local. What a silent instance has at targets is not
+// known any more; targets tell of it themselves.
+func (l *local) PeerSilent(name string) { l.placer.SetPeer(name, nil) }
+
+// PeerGone implements mesh.Local.
+func (l *local) PeerGone(name string) {
+	l.placer.SetPeer(name, nil)
+	l.meter.Gone(name)
+}
+
+// PeerListed implements mesh.Local.
+func (l *local) PeerListed(name string) { l.meter.Expect(name) }
--- a/internal/daemon/secret_test.go
+++ b/internal/daemon/secret_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 )
 
@@ -22,7 +22,7 @@
 	for _, stream := range []string{protocol.ControlStream, protocol.DataStream, protocol.SnapshotStream} {
 		from := protocol.Offset(0)
 		for {
-			var page platform.Page
+			var page external.Page
 			page, err := i.platform.Read(i.t.Context(), stream, from, 256, 0)
 			require.NoError(i.t, err)
 			for _, entry := range page.Entries {
--- a/internal/daemon/view_test.go
+++ b/internal/daemon/view_test.go
@@ -7,7 +7,7 @@
 
 	"merlintiller/internal/coordination/journal"
 	"merlintiller/internal/coordination/routing"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/standin/memlog"
 )
@@ -40,16 +40,16 @@
 
 func viewOf(targets int) *view {
 	router := routing.NewRouter(routing.Options{Domain: "d"})
-	var listing platform.Listing
+	var listing external.Listing
 	for i := range targets {
-		listing.Targets = append(listing.Targets, platform.ListedTarget{
+		listing.Targets = append(listing.Targets, external.ListedTarget{
 			ID: protocol.TargetID(fmt.Sprintf("target-%d", i)), Service: serviceName(i % services),
 			Domain: "d", Address: "127.0.0.1:1",
 		})
 	}
 	router.Listing(listing)
 	for _, target := range listing.Targets {
-		router.Report(platform.Load{Target: target.ID, Running: 3, AgeMS: time.Second.Milliseconds()})
+		router.Report(external.Load{Target: target.ID, Running: 3, AgeMS: time.Second.Milliseconds()})
 	}
 	return &view{router: router, journal: journal.New(journal.Options{Log: memlog.New(memlog.Options{})})}
 }
--- a/internal/platform/platform.go
+++ b/internal/external/external.go
@@ -1,9 +1,9 @@
-// Package platform holds the narrow interfaces behind which merlintiller meets
+// Package external holds the narrow interfaces behind which merlintiller meets
 // everything outside itself: the platform's log, instance list and weight
 // store, and the targets with their calls, orders, load reports and cache
 // events. Nothing else in the code knows a wire form; the thin HTTP adapters
 // live in internal/transport.
-package platform
+package external
 
 import (
 	"context"
--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -15,7 +15,7 @@
 	"sync"
 	"time"
 
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/standin/platformsrv"
 )
@@ -61,7 +61,7 @@
 
 // Target is a target stand-in as a process.
 type Target struct {
-	Listed  platform.ListedTarget
+	Listed  external.ListedTarget
 	Process *Process
 }
 
@@ -133,7 +133,7 @@
 	if err != nil {
 		return err
 	}
-	listed := platform.ListedTarget{
+	listed := external.ListedTarget{
 		ID:      protocol.TargetID(fmt.Sprintf("%s-%d", group.Service, number)),
 		Service: group.Service,
 		Domain:  domain,
@@ -156,7 +156,7 @@
 }
 
 // List puts a target on the platform's list.
-func (f *Fleet) List(ctx context.Context, target platform.ListedTarget) error {
+func (f *Fleet) List(ctx context.Context, target external.ListedTarget) error {
 	address := f.Addresses[f.opts.Domains[0]]
 	return put(ctx, http.MethodPut, "http://"+address+"/list/targets/"+string(target.ID), target)
 }
--- a/internal/policybench/cost.go
+++ b/internal/policybench/cost.go
@@ -12,7 +12,7 @@
 	"merlintiller/internal/coordination"
 	"merlintiller/internal/coordination/limiter"
 	"merlintiller/internal/coordination/routing"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 )
 
@@ -158,9 +158,9 @@
 func measureRouterCost() measure {
 	core := routing.NewCore(routing.Options{Domain: "r1-a", Seed: 1})
 	u := bigUser()
-	listing := platform.Listing{}
+	listing := external.Listing{}
 	for i := range bigTargets {
-		listing.Targets = append(listing.Targets, platform.ListedTarget{
+		listing.Targets = append(listing.Targets, external.ListedTarget{
 			ID: protocol.TargetID(fmt.Sprintf("t%03d", i)), Service: u.service, Domain: u.domainOf(i),
 		})
 	}
@@ -170,7 +170,7 @@
 	random := rand.New(rand.NewPCG(1, 1))
 	for i, listed := range listing.Targets {
 		loads[i] = random.IntN(slotsPerTarget)
-		core.Report(start, platform.Load{Target: listed.ID, Running: loads[i]})
+		core.Report(start, external.Load{Target: listed.ID, Running: loads[i]})
 	}
 	now := start
 	begin := time.Now()
--- a/internal/policybench/serving.go
+++ b/internal/policybench/serving.go
@@ -9,7 +9,7 @@
 	"merlintiller/internal/coordination/admission"
 	"merlintiller/internal/coordination/headroom"
 	"merlintiller/internal/coordination/routing"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 )
 
@@ -161,9 +161,9 @@
 }
 
 func (s *servingSim) buildNodes() {
-	listing := platform.Listing{}
+	listing := external.Listing{}
 	for _, e := range s.engines {
-		listing.Targets = append(listing.Targets, platform.ListedTarget{
+		listing.Targets = append(listing.Targets, external.ListedTarget{
 			ID: e.id, Service: s.user.service, Domain: e.domain, Address: string(e.id),
 		})
 	}
@@ -241,7 +241,7 @@
 		if len(e.history) <= lag {
 			continue
 		}
-		load := platform.Load{Target: e.id, Running: e.history[len(e.history)-1-lag], AgeMS: reportLag.Milliseconds()}
+		load := external.Load{Target: e.id, Running: e.history[len(e.history)-1-lag], AgeMS: reportLag.Milliseconds()}
 		for _, n := range s.nodes {
 			if !s.blind {
 				n.router.SetBatchElsewhere(e.id, n.headroom.BatchElsewhere(e.id, s.clock.now.Add(-reportLag)))
--- a/internal/protocol/sse/sse.go
+++ b/internal/protocol/sse/sse.go
@@ -27,10 +27,32 @@
 	// Position is the number in the event's id field: how many events a
 	// reader has once it got this one. 0 if there is none.
 	Position int
+	// Numbered says that there is an id field with a number, which may be 0.
+	Numbered bool
 	// Done says that this is the end mark.
 	Done bool
 }
 
+// Data joins the event's data fields by line feeds, as the standard wants it.
+func (e *Event) Data() []byte {
+	var data []byte
+	found := false
+	for rest := e.Raw; len(rest) > 0; {
+		var line []byte
+		line, rest, _ = bytes.Cut(rest, []byte{'\n'})
+		value, ok := bytes.CutPrefix(bytes.TrimSuffix(line, []byte{'\r'}), dataField)
+		if !ok {
+			continue
+		}
+		if found {
+			data = append(data, '\n')
+		}
+		found = true
+		data = append(data, bytes.TrimPrefix(value, []byte{' '})...)
+	}
+	return data
+}
+
 // Reader reads events.
 type Reader struct {
 	from       io.Reader
@@ -142,7 +164,7 @@
 		var line []byte
 		line, rest, _ = bytes.Cut(rest, []byte{'\n'})
 		if value, ok := bytes.CutPrefix(line, idField); ok {
-			event.Position = position(value)
+			event.Position, event.Numbered = position(value)
 		} else if value, ok := bytes.CutPrefix(line, dataField); ok {
 			event.Done = bytes.Equal(bytes.TrimSpace(value), doneMark)
 		}
@@ -150,10 +172,10 @@
 	return event
 }
 
-func position(value []byte) int {
+func position(value []byte) (n int, ok bool) {
 	n, err := strconv.Atoi(string(bytes.TrimSpace(value)))
 	if err != nil || n < 0 {
-		return 0
+		return 0, false
 	}
-	return n
+	return n, true
 }
--- a/internal/protocol/sse/sse_test.go
+++ b/internal/protocol/sse/sse_test.go
@@ -95,3 +95,16 @@
 		require.True(t, bytes.HasPrefix(data, joined))
 	})
 }
+
+func TestDataIsJoinedByLineFeeds(t *testing.T) {
+	for raw, want := range map[string]string{
+		"id: 3\ndata: one\n\n":                 "one",
+		"data:one\r\ndata:  two\r\n\r\n":       "one\n two",
+		"event: x\n\n":                         "",
+		"weight: 4\nid: 0\ndata:\ndata: b\n\n": "\nb",
+	} {
+		event, err := NewReader(strings.NewReader(raw)).Next()
+		require.NoError(t, err, raw)
+		require.Equal(t, want, string(event.Data()), raw)
+	}
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -41,7 +41,7 @@
 	checkBatch(s, doc)
 	checkShares(s, doc)
 	checkHeaders(s, doc)
-	checkLog(s, doc)
+	checkLog(doc, s.Log)
 }
 
 func checkName(doc *strictyaml.Document, field, value string) {
@@ -55,11 +55,17 @@
 }
 
 func checkListen(s *Settings, doc *strictyaml.Document) {
-	fields := []struct{ name, value string }{
+	checkDistinct(doc, []namedAddress{
 		{"listen.callers", s.Listen.Callers},
 		{"listen.peers", s.Listen.Peers},
 		{"listen.operators", s.Listen.Operators},
-	}
+	})
+}
+
+type namedAddress struct{ name, value string }
+
+// checkDistinct wants whole addresses, each of them once.
+func checkDistinct(doc *strictyaml.Document, fields []namedAddress) {
 	used := map[string]string{}
 	for _, field := range fields {
 		if !checkAddress(doc, field.name, field.value) {
@@ -260,16 +266,16 @@
 	}
 }
 
-func checkLog(s *Settings, doc *strictyaml.Document) {
-	switch s.Log.Level {
+func checkLog(doc *strictyaml.Document, l Log) {
+	switch l.Level {
 	case LevelDebug, LevelInfo, LevelWarn, LevelError:
 	default:
-		doc.Report("log.level", "%q must be debug, info, warn or error", string(s.Log.Level))
+		doc.Report("log.level", "%q must be debug, info, warn or error", string(l.Level))
 	}
-	switch s.Log.Format {
+	switch l.Format {
 	case FormatLogfmt, FormatJSON:
 	default:
-		doc.Report("log.format", "%q must be logfmt or json", string(s.Log.Format))
+		doc.Report("log.format", "%q must be logfmt or json", string(l.Format))
 	}
 }
 
--- a/internal/standin/memlog/memlog.go
+++ b/internal/standin/memlog/memlog.go
@@ -1,6 +1,6 @@
 // Package memlog is the stand-in for the platform's append-only log: streams
 // with offsets, limited retention, a limit on appends, and fault switches. The
-// stand-in program serves it over HTTP; tests use it directly as platform.Log.
+// stand-in program serves it over HTTP; tests use it directly as external.Log.
 package memlog
 
 import (
@@ -10,7 +10,7 @@
 
 	"golang.org/x/time/rate"
 
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 )
 
@@ -46,7 +46,7 @@
 type FaultFunc func(operation, stream string, payload []byte) Fault
 
 type stream struct {
-	entries []platform.Entry
+	entries []external.Entry
 	times   []time.Time
 	oldest  protocol.Offset
 	grown   chan struct{}
@@ -56,7 +56,7 @@
 	return s.oldest + protocol.Offset(len(s.entries))
 }
 
-// Log is an in-memory platform.Log.
+// Log is an in-memory external.Log.
 type Log struct {
 	mu      sync.Mutex
 	opts    Options
@@ -139,33 +139,33 @@
 	return fault(operation, stream, payload)
 }
 
-// Append implements platform.Log.
+// Append implements external.Log.
 func (l *Log) Append(ctx context.Context, name string, payload []byte) (protocol.Offset, error) {
 	fault := l.decide("append", name, payload)
 	switch fault {
 	case Down:
-		return protocol.NoOffset, platform.ErrUnavailable
+		return protocol.NoOffset, external.ErrUnavailable
 	case Throttle:
-		return protocol.NoOffset, platform.ErrThrottled
+		return protocol.NoOffset, external.ErrThrottled
 	case Hang:
 		<-ctx.Done()
-		return protocol.NoOffset, platform.ErrUnavailable
+		return protocol.NoOffset, external.ErrUnavailable
 	}
 	if len(payload) > protocol.MaxEntryBytes {
-		return protocol.NoOffset, platform.ErrEntryTooLarge
+		return protocol.NoOffset, external.ErrEntryTooLarge
 	}
 	if err := ctx.Err(); err != nil {
-		return protocol.NoOffset, platform.ErrUnavailable
+		return protocol.NoOffset, external.ErrUnavailable
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
 	if !l.limiter.AllowN(now, 1) {
-		return protocol.NoOffset, platform.ErrThrottled
+		return protocol.NoOffset, external.ErrThrottled
 	}
 	offset := l.add(name, payload, now)
 	if fault == LoseAnswer {
-		return protocol.NoOffset, platform.ErrUnavailable
+		return protocol.NoOffset, external.ErrUnavailable
 	}
 	return offset, nil
 }
@@ -173,7 +173,7 @@
 func (l *Log) add(name string, payload []byte, now time.Time) protocol.Offset {
 	s := l.stream(name)
 	offset := s.next()
-	s.entries = append(s.entries, platform.Entry{Offset: offset, Payload: append([]byte(nil), payload...)})
+	s.entries = append(s.entries, external.Entry{Offset: offset, Payload: append([]byte(nil), payload...)})
 	s.times = append(s.times, now)
 	l.appends++
 	l.retain(s, now)
@@ -182,14 +182,14 @@
 	return offset
 }
 
-// Read implements platform.Log.
-func (l *Log) Read(ctx context.Context, name string, from protocol.Offset, limit int, wait time.Duration) (platform.Page, error) {
+// Read implements external.Log.
+func (l *Log) Read(ctx context.Context, name string, from protocol.Offset, limit int, wait time.Duration) (external.Page, error) {
 	switch l.decide("read", name, nil) {
 	case Down, Throttle, LoseAnswer:
-		return platform.Page{}, platform.ErrUnavailable
+		return external.Page{}, external.ErrUnavailable
 	case Hang:
 		<-ctx.Done()
-		return platform.Page{}, platform.ErrUnavailable
+		return external.Page{}, external.ErrUnavailable
 	}
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
@@ -203,19 +203,19 @@
 		case <-timeout.C:
 			return page, nil
 		case <-ctx.Done():
-			return page, platform.ErrUnavailable
+			return page, external.ErrUnavailable
 		}
 	}
 }
 
-func (l *Log) page(name string, from protocol.Offset, limit int) (platform.Page, <-chan struct{}, error) {
+func (l *Log) page(name string, from protocol.Offset, limit int) (external.Page, <-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(name)
 	l.retain(s, time.Now())
-	page := platform.Page{Oldest: s.oldest, Next: s.next()}
+	page := external.Page{Oldest: s.oldest, Next: s.next()}
 	if from < s.oldest {
-		return page, s.grown, platform.ErrTrimmed
+		return page, s.grown, external.ErrTrimmed
 	}
 	if from >= s.next() {
 		return page, s.grown, nil
--- a/internal/standin/memlog/memlog_test.go
+++ b/internal/standin/memlog/memlog_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 )
 
 // The platform keeps entries for a limited time. A reader that was away for
@@ -19,7 +19,7 @@
 		require.NoError(t, err)
 		<-time.After(2 * time.Minute)
 		page, err := log.Read(t.Context(), "s", 0, 10, 0)
-		require.ErrorIs(t, err, platform.ErrTrimmed)
+		require.ErrorIs(t, err, external.ErrTrimmed)
 		require.EqualValues(t, 1, page.Oldest)
 	})
 }
@@ -30,7 +30,7 @@
 	log := New(Options{})
 	log.SetFault(func(string, string, []byte) Fault { return LoseAnswer })
 	_, err := log.Append(t.Context(), "s", []byte("a"))
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.ErrorIs(t, err, external.ErrUnavailable)
 	log.SetFault(nil)
 	page, err := log.Read(t.Context(), "s", 0, 10, 0)
 	require.NoError(t, err)
--- a/internal/standin/platformsrv/server.go
+++ b/internal/standin/platformsrv/server.go
@@ -17,7 +17,7 @@
 
 	"golang.org/x/time/rate"
 
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/standin/memlog"
 	"merlintiller/internal/transport/platformhttp"
@@ -55,7 +55,7 @@
 type version struct {
 	at      time.Time
 	number  int
-	listing platform.Listing
+	listing external.Listing
 }
 
 // Server is the platform stand-in.
@@ -66,7 +66,7 @@
 
 	mu       sync.Mutex
 	faults   Faults
-	listing  platform.Listing
+	listing  external.Listing
 	versions []version
 	changes  int
 }
@@ -139,7 +139,7 @@
 		return
 	}
 	page, err := s.log.Read(r.Context(), r.PathValue("stream"), protocol.Offset(from), limit, time.Duration(wait)*time.Millisecond)
-	trimmed := errors.Is(err, platform.ErrTrimmed)
+	trimmed := errors.Is(err, external.ErrTrimmed)
 	if err != nil && !trimmed {
 		writeError(w, err)
 		return
@@ -173,20 +173,20 @@
 
 // lagging returns the newest listing that is at least ListLag old, and its
 // number.
-func (s *Server) lagging(now time.Time) (platform.Listing, int) {
+func (s *Server) lagging(now time.Time) (external.Listing, int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for len(s.versions) > 1 && now.Sub(s.versions[1].at) >= s.opts.ListLag {
 		s.versions = s.versions[1:]
 	}
 	if len(s.versions) == 0 || now.Sub(s.versions[0].at) < s.opts.ListLag {
-		return platform.Listing{}, 0
+		return external.Listing{}, 0
 	}
 	return s.versions[0].listing, s.versions[0].number
 }
 
 func (s *Server) putTarget(w http.ResponseWriter, r *http.Request) {
-	var target platform.ListedTarget
+	var target external.ListedTarget
 	if err := json.NewDecoder(r.Body).Decode(&target); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -199,10 +199,10 @@
 	s.changeTargets(protocol.TargetID(r.PathValue("id")), nil)
 }
 
-func (s *Server) changeTargets(id protocol.TargetID, put *platform.ListedTarget) {
+func (s *Server) changeTargets(id protocol.TargetID, put *external.ListedTarget) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var targets []platform.ListedTarget
+	var targets []external.ListedTarget
 	for _, target := range s.listing.Targets {
 		if target.ID != id {
 			targets = append(targets, target)
@@ -218,7 +218,7 @@
 
 func (s *Server) weight(w http.ResponseWriter, r *http.Request) {
 	if !s.weights.Allow() {
-		writeError(w, platform.ErrThrottled)
+		writeError(w, external.ErrThrottled)
 		return
 	}
 	const standInBytes = 16 << 30
@@ -247,9 +247,9 @@
 func writeError(w http.ResponseWriter, err error) {
 	status := http.StatusServiceUnavailable
 	switch {
-	case errors.Is(err, platform.ErrThrottled):
+	case errors.Is(err, external.ErrThrottled):
 		status = http.StatusTooManyRequests
-	case errors.Is(err, platform.ErrEntryTooLarge):
+	case errors.Is(err, external.ErrEntryTooLarge):
 		status = http.StatusRequestEntityTooLarge
 	}
 	http.Error(w, err.Error(), status)
--- a/internal/standin/platformsrv/server_test.go
+++ b/internal/standin/platformsrv/server_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/standin/memlog"
 	"merlintiller/internal/transport/platformhttp"
@@ -29,10 +29,10 @@
 	require.EqualValues(t, 0, offset)
 	page, err := client.Read(t.Context(), "s", 0, 10, time.Second)
 	require.NoError(t, err)
-	require.Equal(t, []platform.Entry{{Offset: 0, Payload: []byte("x")}}, page.Entries)
+	require.Equal(t, []external.Entry{{Offset: 0, Payload: []byte("x")}}, page.Entries)
 	s.log.Trim("s", 1)
 	page, err = client.Read(t.Context(), "s", 0, 10, 0)
-	require.ErrorIs(t, err, platform.ErrTrimmed)
+	require.ErrorIs(t, err, external.ErrTrimmed)
 	require.Equal(t, protocol.Offset(1), page.Oldest)
 }
 
@@ -43,7 +43,7 @@
 	cut, whole := serve(t, s, "a"), serve(t, s, "b")
 	s.faults.Cut = []string{"a"}
 	_, err := cut.Append(t.Context(), "s", nil)
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.ErrorIs(t, err, external.ErrUnavailable)
 	_, err = whole.Append(t.Context(), "s", nil)
 	require.NoError(t, err)
 }
@@ -53,13 +53,13 @@
 func TestListIsSentOnlyWhenItChanged(t *testing.T) {
 	s := New(Options{})
 	client := serve(t, s, "a")
-	s.changeTargets("one", &platform.ListedTarget{ID: "one"})
+	s.changeTargets("one", &external.ListedTarget{ID: "one"})
 	for range 2 {
 		listing, err := client.List(t.Context())
 		require.NoError(t, err)
 		require.Len(t, listing.Targets, 1)
 	}
-	s.changeTargets("two", &platform.ListedTarget{ID: "two"})
+	s.changeTargets("two", &external.ListedTarget{ID: "two"})
 	listing, err := client.List(t.Context())
 	require.NoError(t, err)
 	require.Len(t, listing.Targets, 2)
@@ -73,5 +73,5 @@
 	_, err := client.Append(t.Context(), "s", nil)
 	require.NoError(t, err)
 	_, err = client.Append(t.Context(), "s", nil)
-	require.ErrorIs(t, err, platform.ErrThrottled)
+	require.ErrorIs(t, err, external.ErrThrottled)
 }
--- a/internal/standin/target/load.go
+++ b/internal/standin/target/load.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"time"
 
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 )
 
@@ -40,7 +40,7 @@
 
 func (t *Target) load(w http.ResponseWriter, _ *http.Request) {
 	t.mu.Lock()
-	report := platform.Load{
+	report := external.Load{
 		Target:  t.cfg.ID,
 		Running: t.lagged(time.Now()),
 		Leaving: t.leaving,
@@ -64,7 +64,7 @@
 
 // cacheLog keeps the last cache events.
 type cacheLog struct {
-	events []platform.CacheEvent
+	events []external.CacheEvent
 	seq    uint64
 }
 
@@ -73,7 +73,7 @@
 
 func (c *cacheLog) add(id protocol.TargetID, prefix uint64) {
 	c.seq++
-	c.events = append(c.events, platform.CacheEvent{Target: id, Prefix: prefix, Seq: c.seq})
+	c.events = append(c.events, external.CacheEvent{Target: id, Prefix: prefix, Seq: c.seq})
 	if len(c.events) > maxCacheEvents {
 		c.events = c.events[1:]
 	}
@@ -89,7 +89,7 @@
 func (t *Target) cacheEvents(w http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	t.mu.Lock()
-	events := []platform.CacheEvent{}
+	events := []external.CacheEvent{}
 	for _, e := range t.cache.events {
 		if e.Seq > after {
 			events = append(events, e)
--- a/internal/standin/target/orders.go
+++ b/internal/standin/target/orders.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"time"
 
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 )
 
@@ -13,13 +13,13 @@
 type orderBook struct {
 	// highest is the largest fencing number seen.
 	highest protocol.Offset
-	current platform.Order
-	taken   []platform.Order
+	current external.Order
+	taken   []external.Order
 	busy    time.Time
 }
 
 func (t *Target) giveOrder(w http.ResponseWriter, r *http.Request) {
-	var order platform.Order
+	var order external.Order
 	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -34,7 +34,7 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (t *Target) takeOrder(order platform.Order) bool {
+func (t *Target) takeOrder(order external.Order) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.cfg.ChecksFencing && order.Fence < t.order.highest {
@@ -48,15 +48,15 @@
 }
 
 // Taken lists the orders that had an effect, oldest first.
-func (t *Target) Taken() []platform.Order {
+func (t *Target) Taken() []external.Order {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return append([]platform.Order(nil), t.order.taken...)
+	return append([]external.Order(nil), t.order.taken...)
 }
 
 func (t *Target) currentOrder(w http.ResponseWriter, _ *http.Request) {
 	t.mu.Lock()
-	state := platform.OrderState{
+	state := external.OrderState{
 		Fence: t.order.current.Fence,
 		Order: t.order.current,
 		Busy:  time.Now().Before(t.order.busy),
--- /dev/null
+++ b/internal/state/jobs/job.go
@@ -0,0 +1,74 @@
+package jobs
+
+import "time"
+
+// Item is one request of a job.
+type Item struct {
+	ID   string `cbor:"1,keyasint"`
+	Path string `cbor:"2,keyasint"`
+	// Header is sent to the target.
+	Header map[string]string `cbor:"3,keyasint,omitempty"`
+	Body   []byte            `cbor:"4,keyasint,omitempty"`
+	// Tokens are those of the prompt and the most output together.
+	Tokens int `cbor:"5,keyasint,omitempty"`
+}
+
+// Job is what was submitted.
+type Job struct {
+	ID           string
+	Organisation string
+	// Host and Prefix are those of the route that took it. The items run at the
+	// service that this route names when they run.
+	Host, Prefix string
+	// ConfigVersion is the configuration under which it was taken.
+	ConfigVersion int64
+	Submitted     time.Time
+	// Due is when all results are due, GiveUp from when on an item may be given
+	// up.
+	Due, GiveUp time.Time
+	Items       []Item
+}
+
+// Outcome says how an item ended.
+type Outcome string
+
+// The outcomes of items.
+const (
+	// Succeeded: the text is the item's whole output.
+	Succeeded Outcome = "succeeded"
+	// Failed: the item can't be done, or was given up.
+	Failed Outcome = "failed"
+)
+
+// Result is the end of one item.
+type Result struct {
+	Item    string
+	Outcome Outcome
+	Text    string
+}
+
+// Listed is a job with its results by position.
+type Listed struct {
+	Job
+	Results []Result
+	// Ended says that its caller ended it.
+	Ended bool
+	// done are the items that are listed.
+	done map[string]bool
+}
+
+// Done says that an item is listed.
+func (l *Listed) Done(item string) bool { return l.done[item] }
+
+// Open says that the job has items that are still to be done.
+func (l *Listed) Open() bool { return !l.Ended && len(l.done) < len(l.Items) }
+
+// Item gives an item by id.
+func (l *Listed) Item(id string) (*Item, bool) {
+	for i := range l.Items {
+		if l.Items[i].ID == id {
+			return &l.Items[i], true
+		}
+	}
+	return nil, false
+}
--- /dev/null
+++ b/internal/state/route/table.go
@@ -0,0 +1,122 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Table answers look-ups in one Config.
+type Table struct {
+	config   Config
+	byHost   map[string][]*Route
+	services map[string]*Service
+	bySecret map[string]*Organisation
+	byName   map[string]*Organisation
+}
+
+// NewTable prepares a configuration for look-ups.
+func NewTable(config Config) *Table {
+	t := &Table{
+		config:   config,
+		byHost:   map[string][]*Route{},
+		services: map[string]*Service{},
+		bySecret: map[string]*Organisation{},
+		byName:   map[string]*Organisation{},
+	}
+	for i := range config.Routes {
+		r := &config.Routes[i]
+		t.byHost[hostKey(r.Host)] = append(t.byHost[hostKey(r.Host)], r)
+	}
+	for _, routes := range t.byHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for i := range config.Services {
+		t.services[config.Services[i].Name] = &config.Services[i]
+	}
+	for i := range config.Organisations {
+		o := &config.Organisations[i]
+		t.byName[o.Name] = o
+		for _, secret := range o.Secrets {
+			t.bySecret[secret] = o
+		}
+	}
+	return t
+}
+
+// Version is the configuration's version.
+func (t *Table) Version() int64 { return t.config.Version }
+
+// Limits are the bounds on what callers send.
+func (t *Table) Limits() Limits { return t.config.Limits }
+
+// Guarded says that requests of routes that are not public need a key.
+func (t *Table) Guarded() bool { return len(t.config.Organisations) > 0 }
+
+// Organisations are all organisations.
+func (t *Table) Organisations() []Organisation { return t.config.Organisations }
+
+// Services are all services.
+func (t *Table) Services() []Service { return t.config.Services }
+
+// Match gives the route with the longest prefix of a path.
+func (t *Table) Match(host, path string) (*Route, bool) {
+	for _, r := range t.byHost[hostKey(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// HasBatch says that a host has a route that takes jobs.
+func (t *Table) HasBatch(host string) bool {
+	return slices.ContainsFunc(t.byHost[hostKey(host)], func(r *Route) bool { return r.Kind == Batch })
+}
+
+// Caller gives the organisation that a secret belongs to.
+func (t *Table) Caller(secret string) (*Organisation, bool) {
+	o, ok := t.bySecret[secret]
+	return o, ok
+}
+
+// Organisation gives an organisation by name.
+func (t *Table) Organisation(name string) (*Organisation, bool) {
+	o, ok := t.byName[name]
+	return o, ok
+}
+
+// Service gives a service by name.
+func (t *Table) Service(name string) (*Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
+
+// Choose gives the service that a request of a route goes to. The same request
+// id goes to the same service at every instance and at every attempt.
+func (r *Route) Choose(requestID string) (string, bool) {
+	total := 0.0
+	for _, w := range r.Split {
+		total += w.Weight
+	}
+	if total <= 0 {
+		return "", false
+	}
+	const resolution = 1 << 53
+	point := float64(xxhash.Sum64String(requestID)%resolution) / resolution * total
+	for _, w := range r.Split {
+		if point < w.Weight {
+			return w.Service, true
+		}
+		point -= w.Weight
+	}
+	return r.Split[len(r.Split)-1].Service, true
+}
+
+// hostKey is a host without its port, in lower case.
+func hostKey(host string) string {
+	host, _, _ = strings.Cut(host, ":")
+	return strings.ToLower(host)
+}
--- /dev/null
+++ b/internal/state/route/table_test.go
@@ -0,0 +1,51 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	table := NewTable(Config{Routes: []Route{
+		{Name: "wide", Host: "a.example", Prefix: "/x/"},
+		{Name: "narrow", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "other", Host: "b.example", Prefix: "/x/y/z/"},
+	}})
+	for path, want := range map[string]string{"/x/1": "wide", "/x/y": "wide", "/x/y/1": "narrow", "/x/y/z/1": "narrow"} {
+		r, ok := table.Match("A.example:80", path)
+		require.True(t, ok, path)
+		require.Equal(t, want, r.Name, path)
+	}
+	_, ok := table.Match("a.example", "/x")
+	require.False(t, ok)
+	_, ok = table.Match("c.example", "/x/1")
+	require.False(t, ok)
+}
+
+func TestSplitFollowsWeights(t *testing.T) {
+	r := Route{Split: []Weighted{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c", Weight: 0}}}
+	counts := map[string]int{}
+	for i := range 10_000 {
+		service, ok := r.Choose(fmt.Sprint("request-", i))
+		require.True(t, ok)
+		counts[service]++
+	}
+	require.InDelta(t, 9_000, counts["a"], 200)
+	require.InDelta(t, 1_000, counts["b"], 200)
+	require.Zero(t, counts["c"])
+	_, ok := (&Route{Split: []Weighted{{Service: "a"}}}).Choose("x")
+	require.False(t, ok)
+}
+
+func TestCallersAreFoundBySecret(t *testing.T) {
+	table := NewTable(Config{Organisations: []Organisation{{Name: "one", Secrets: []string{"s1", "s2"}}, {Name: "two"}}})
+	caller, ok := table.Caller("s2")
+	require.True(t, ok)
+	require.Equal(t, "one", caller.Name)
+	_, ok = table.Caller("")
+	require.False(t, ok)
+	require.True(t, table.Guarded())
+	require.False(t, NewTable(Config{}).Guarded())
+}
--- a/internal/transport/edge/matrix_answer_test.go
+++ b/internal/transport/edge/matrix_answer_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/standin/target"
 )
@@ -92,7 +92,7 @@
 
 func answerCutFromDomain(s *system) error {
 	far := s.listing
-	far.Targets = append([]platform.ListedTarget(nil), s.listing.Targets...)
+	far.Targets = append([]external.ListedTarget(nil), s.listing.Targets...)
 	far.Targets[0].Domain = "pnw-pdx"
 	for i := 1; i < modelTargets; i++ {
 		far.Targets[i].Leaving = true
--- a/internal/transport/edge/matrix_dispatch_test.go
+++ b/internal/transport/edge/matrix_dispatch_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"merlintiller/internal/coordination/online"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/standin/target"
 	"merlintiller/internal/transport/targethttp"
@@ -62,7 +62,7 @@
 	*targethttp.Client
 }
 
-func (p *pausedTarget) Do(ctx context.Context, address string, call platform.Call) (*platform.Answer, error) {
+func (p *pausedTarget) Do(ctx context.Context, address string, call external.Call) (*external.Answer, error) {
 	<-ctx.Done()
 	return p.Client.Do(ctx, address, call)
 }
@@ -123,7 +123,7 @@
 func dispatchCutFromDomain(s *system) error {
 	listing := s.listing
 	for _, id := range []protocol.TargetID{"far-1", "far-2"} {
-		listing.Targets = append(listing.Targets, platform.ListedTarget{ID: id, Service: testService, Domain: "pnw-pdx", Address: "127.0.0.1:1"})
+		listing.Targets = append(listing.Targets, external.ListedTarget{ID: id, Service: testService, Domain: "pnw-pdx", Address: "127.0.0.1:1"})
 	}
 	s.router.Listing(listing)
 	for i := range 24 {
--- a/internal/transport/edge/matrix_helpers_test.go
+++ b/internal/transport/edge/matrix_helpers_test.go
@@ -15,7 +15,7 @@
 	"github.com/openai/openai-go/v3/option"
 
 	"merlintiller/internal/coordination/online"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/standin/target"
 	"merlintiller/internal/transport/targethttp"
@@ -35,7 +35,7 @@
 	v variant
 }
 
-func (b *brokenTarget) Do(ctx context.Context, address string, call platform.Call) (*platform.Answer, error) {
+func (b *brokenTarget) Do(ctx context.Context, address string, call external.Call) (*external.Answer, error) {
 	if b.v.trustEcho {
 		return doTrusting(ctx, address, call)
 	}
@@ -47,18 +47,18 @@
 }
 
 // doTrusting makes a call as any HTTP client does.
-func doTrusting(ctx context.Context, address string, call platform.Call) (*platform.Answer, error) {
+func doTrusting(ctx context.Context, address string, call external.Call) (*external.Answer, error) {
 	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
-		return nil, &platform.CallError{Run: protocol.NotRun, Err: err}
+		return nil, &external.CallError{Run: protocol.NotRun, Err: err}
 	}
 	req.Header = call.Header.Clone()
 	req.Header.Set("X-Call-Id", string(call.ID))
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
-		return nil, &platform.CallError{Run: protocol.MayHaveRun, Err: err}
+		return nil, &external.CallError{Run: protocol.MayHaveRun, Err: err}
 	}
-	return &platform.Answer{EchoedID: call.ID, Status: resp.StatusCode, Header: resp.Header, Body: resp.Body}, nil
+	return &external.Answer{EchoedID: call.ID, Status: resp.StatusCode, Header: resp.Header, Body: resp.Body}, nil
 }
 
 func newVariantSystem(t testing.TB, v variant, opts systemOptions) *system {
@@ -238,7 +238,7 @@
 // swaps their answers. The others are of another domain and well.
 func (s *system) crossAtFirst(call func(question string) error) error {
 	far := s.listing
-	far.Targets = append([]platform.ListedTarget(nil), s.listing.Targets...)
+	far.Targets = append([]external.ListedTarget(nil), s.listing.Targets...)
 	for i := 1; i < modelTargets; i++ {
 		far.Targets[i].Domain = "pnw-pdx"
 	}
--- a/internal/transport/edge/system_test.go
+++ b/internal/transport/edge/system_test.go
@@ -17,7 +17,7 @@
 	"merlintiller/internal/coordination/access"
 	"merlintiller/internal/coordination/online"
 	"merlintiller/internal/coordination/routing"
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/standin/target"
 	"merlintiller/internal/transport/targethttp"
@@ -65,7 +65,7 @@
 	client   *targethttp.Client
 	path     *online.Path
 	edge     *Edge
-	listing  platform.Listing
+	listing  external.Listing
 	url      string
 	address  string
 	stop     context.CancelFunc
@@ -76,7 +76,7 @@
 	limits Limits
 	once   online.OnceCaller
 	// target replaces the way to the targets.
-	target platform.Target
+	target external.Target
 	tokens int
 	batch  http.Handler
 }
@@ -90,7 +90,7 @@
 	s.startTargets(t, opts.tokens)
 	s.client = targethttp.New(targethttp.Options{})
 	once := targethttp.New(targethttp.Options{FreshConnections: true})
-	var calls, onceCalls platform.Target = s.client, once
+	var calls, onceCalls external.Target = s.client, once
 	if opts.target != nil {
 		calls, onceCalls = opts.target, opts.target
 	}
@@ -117,7 +117,7 @@
 		// A server waits at its end for calls that are frozen or held.
 		t.Cleanup(func() { standin.SetFaults(target.Faults{}) })
 		s.servers = append(s.servers, server)
-		s.listing.Targets = append(s.listing.Targets, platform.ListedTarget{
+		s.listing.Targets = append(s.listing.Targets, external.ListedTarget{
 			ID: id, Service: cfg.Service, Domain: testDomain, Address: strings.TrimPrefix(server.URL, "http://"),
 		})
 		return standin
--- /dev/null
+++ b/internal/transport/front/online.go
@@ -0,0 +1,112 @@
+package front
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"merlintiller/internal/coordination/relay"
+	"merlintiller/internal/protocol/exchange"
+	"merlintiller/internal/state/route"
+)
+
+var firstByte = metrics.NewHistogram("request_first_byte_seconds")
+
+// online serves a request by a target.
+func (v *visit) online() {
+	service, ok := v.route.Choose(v.request.ID)
+	if !ok {
+		v.refuse(http.StatusServiceUnavailable, lightRetry, "no_service")
+		return
+	}
+	organisation := v.organisationName()
+	if admitted, wait := v.opts.Quota.Admit(organisation); !admitted {
+		v.refuse(http.StatusTooManyRequests, wait, "over_rate")
+		return
+	}
+	sink := &sink{w: v.w, control: http.NewResponseController(v.w)}
+	outcome := v.opts.Relay.Serve(v.r.Context(), &relay.Job{
+		Request: &v.request, Route: v.route, Service: service, Organisation: organisation,
+		Began: v.began, Deadline: v.began.Add(v.patience()),
+	}, sink)
+	if outcome.Runs == 0 {
+		v.opts.Quota.GiveBack(organisation)
+	}
+	v.end(&outcome)
+}
+
+// patience is how long the request may take: as long as the caller waits, and
+// not longer than the route allows.
+func (v *visit) patience() time.Duration {
+	patience := v.request.Patience
+	if patience <= 0 {
+		patience = defaultPatience
+	}
+	if v.route.Timeout > 0 && v.route.Kind != route.Batch {
+		patience = min(patience, v.route.Timeout)
+	}
+	return patience
+}
+
+// end tells the caller how its request ended, unless its answer told it.
+func (v *visit) end(o *relay.Outcome) {
+	if o.Begun() {
+		firstByte.Update(o.FirstByte.Seconds())
+	}
+	outcome := "refused"
+	switch {
+	case o.Finished():
+		outcome = "answered"
+	case o.Begun():
+		outcome = "cut_off"
+	case o.Reason == relay.CallerLeft:
+		outcome = "caller_left"
+	case o.Runs > 0:
+		outcome = "failed"
+	}
+	v.log(outcome, o.Status, string(o.Reason), "target", o.Target, "attempts", o.Attempts, "runs", o.Runs,
+		"first_byte_ms", o.FirstByte.Milliseconds(), "events", o.Events, "retry_ms", o.RetryAfter.Milliseconds())
+	switch {
+	case o.Finished():
+	case o.Begun(), o.Reason == relay.CallerLeft:
+		// An answer that ends early must not look whole.
+		panic(http.ErrAbortHandler)
+	default:
+		if o.RetryAfter > 0 {
+			v.w.Header().Set("Retry-After", v.opts.Codec.EncodeRetryAfter(o.RetryAfter))
+		}
+		v.answer(o.Status, nil, "")
+	}
+}
+
+// sink passes an answer on to the caller's connection.
+type sink struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+}
+
+// Begin implements relay.Sink.
+func (s *sink) Begin(reply *exchange.Reply) {
+	header := s.w.Header()
+	for name, values := range reply.Header {
+		header[name] = values
+	}
+	if len(header["Content-Type"]) == 0 {
+		// Keeps net/http from guessing one.
+		header["Content-Type"] = nil
+	}
+	s.w.WriteHeader(reply.Status)
+}
+
+// Pass implements relay.Sink.
+func (s *sink) Pass(part []byte) error {
+	if err := s.control.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return fmt.Errorf("write deadline: %w", err)
+	}
+	if _, err := s.w.Write(part); err != nil {
+		return err
+	}
+	return s.control.Flush()
+}
--- a/internal/transport/platformhttp/client.go
+++ b/internal/transport/platformhttp/client.go
@@ -13,7 +13,7 @@
 	"sync"
 	"time"
 
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 )
 
@@ -38,14 +38,14 @@
 	// change is answered by a few bytes. At 850 targets the whole of it once a
 	// second would cost six times an instance's budget for control.
 	listMu    sync.Mutex
-	listed    platform.Listing
+	listed    external.Listing
 	listedTag string
 }
 
 var (
-	_ platform.Log          = (*Client)(nil)
-	_ platform.InstanceList = (*Client)(nil)
-	_ platform.WeightStore  = (*Client)(nil)
+	_ external.Log          = (*Client)(nil)
+	_ external.InstanceList = (*Client)(nil)
+	_ external.WeightStore  = (*Client)(nil)
 )
 
 // New returns a client of the platform at "ip:port".
@@ -59,7 +59,7 @@
 	return &Client{base: "http://" + address, http: &http.Client{Transport: transport}}
 }
 
-// Append implements platform.Log. net/http sends a POST once: an append whose
+// Append implements external.Log. net/http sends a POST once: an append whose
 // answer is lost comes back as ErrUnavailable, and the journal decides.
 func (c *Client) Append(ctx context.Context, stream string, payload []byte) (protocol.Offset, error) {
 	target := c.base + "/log/" + url.PathEscape(stream)
@@ -69,13 +69,13 @@
 	}
 	var reply AppendReply
 	if err := json.Unmarshal(body, &reply); err != nil {
-		return protocol.NoOffset, fmt.Errorf("%w: append answer: %w", platform.ErrUnavailable, err)
+		return protocol.NoOffset, fmt.Errorf("%w: append answer: %w", external.ErrUnavailable, err)
 	}
 	return reply.Offset, nil
 }
 
-// Read implements platform.Log.
-func (c *Client) Read(ctx context.Context, stream string, from protocol.Offset, limit int, wait time.Duration) (platform.Page, error) {
+// Read implements external.Log.
+func (c *Client) Read(ctx context.Context, stream string, from protocol.Offset, limit int, wait time.Duration) (external.Page, error) {
 	query := url.Values{
 		"from":    {strconv.FormatInt(int64(from), 10)},
 		"limit":   {strconv.Itoa(limit)},
@@ -84,49 +84,49 @@
 	target := c.base + "/log/" + url.PathEscape(stream) + "?" + query.Encode()
 	body, err := c.do(ctx, http.MethodGet, target, nil, replyTimeout+wait)
 	if err != nil {
-		return platform.Page{}, err
+		return external.Page{}, err
 	}
 	var wire PageWire
 	if err := protocol.Unmarshal(body, &wire); err != nil {
-		return platform.Page{}, fmt.Errorf("%w: page: %w", platform.ErrUnavailable, err)
+		return external.Page{}, fmt.Errorf("%w: page: %w", external.ErrUnavailable, err)
 	}
 	return wire.page()
 }
 
-func (w PageWire) page() (platform.Page, error) {
-	page := platform.Page{Oldest: w.Oldest, Next: w.Next}
+func (w PageWire) page() (external.Page, error) {
+	page := external.Page{Oldest: w.Oldest, Next: w.Next}
 	for _, entry := range w.Entries {
-		page.Entries = append(page.Entries, platform.Entry(entry))
+		page.Entries = append(page.Entries, external.Entry(entry))
 	}
 	if w.Trimmed {
-		return page, platform.ErrTrimmed
+		return page, external.ErrTrimmed
 	}
 	return page, nil
 }
 
-// List implements platform.InstanceList.
-func (c *Client) List(ctx context.Context) (platform.Listing, error) {
+// List implements external.InstanceList.
+func (c *Client) List(ctx context.Context) (external.Listing, error) {
 	c.listMu.Lock()
 	defer c.listMu.Unlock()
 	reply, err := c.exchange(ctx, http.MethodGet, c.base+"/list", nil, replyTimeout, c.listedTag)
 	if err != nil {
-		return platform.Listing{}, err
+		return external.Listing{}, err
 	}
 	if reply.status == http.StatusNotModified && c.listedTag != "" {
 		return c.listed, nil
 	}
 	if err := statusError(reply.status); err != nil {
-		return platform.Listing{}, err
+		return external.Listing{}, err
 	}
-	var listing platform.Listing
+	var listing external.Listing
 	if err := json.Unmarshal(reply.body, &listing); err != nil {
-		return platform.Listing{}, fmt.Errorf("%w: list: %w", platform.ErrUnavailable, err)
+		return external.Listing{}, fmt.Errorf("%w: list: %w", external.ErrUnavailable, err)
 	}
 	c.listed, c.listedTag = listing, reply.tag
 	return listing, nil
 }
 
-// Stat implements platform.WeightStore.
+// Stat implements external.WeightStore.
 func (c *Client) Stat(ctx context.Context, model protocol.ModelName, version string) (int64, error) {
 	target := c.base + "/weights/" + url.PathEscape(string(model)) + "/" + url.PathEscape(version)
 	body, err := c.do(ctx, http.MethodGet, target, nil, replyTimeout)
@@ -135,7 +135,7 @@
 	}
 	var reply WeightReply
 	if err := json.Unmarshal(body, &reply); err != nil {
-		return 0, fmt.Errorf("%w: weights: %w", platform.ErrUnavailable, err)
+		return 0, fmt.Errorf("%w: weights: %w", external.ErrUnavailable, err)
 	}
 	return reply.Bytes, nil
 }
@@ -169,12 +169,12 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return nil, fmt.Errorf("%w: %w", external.ErrUnavailable, err)
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPageBytes))
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return nil, fmt.Errorf("%w: %w", external.ErrUnavailable, err)
 	}
 	return &reply{status: resp.StatusCode, tag: resp.Header.Get("ETag"), body: body}, nil
 }
@@ -186,10 +186,10 @@
 	case http.StatusOK:
 		return nil
 	case http.StatusTooManyRequests:
-		return platform.ErrThrottled
+		return external.ErrThrottled
 	case http.StatusRequestEntityTooLarge:
-		return platform.ErrEntryTooLarge
+		return external.ErrEntryTooLarge
 	default:
-		return fmt.Errorf("%w: status %d", platform.ErrUnavailable, status)
+		return fmt.Errorf("%w: status %d", external.ErrUnavailable, status)
 	}
 }
--- a/internal/transport/platformhttp/client_test.go
+++ b/internal/transport/platformhttp/client_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 )
 
@@ -35,7 +35,7 @@
 		defer server.Close()
 		client := New(strings.TrimPrefix(server.URL, "http://"))
 		known := func(err error) bool {
-			for _, want := range []error{platform.ErrUnavailable, platform.ErrThrottled, platform.ErrTrimmed, platform.ErrEntryTooLarge} {
+			for _, want := range []error{external.ErrUnavailable, external.ErrThrottled, external.ErrTrimmed, external.ErrEntryTooLarge} {
 				if err == nil || errors.Is(err, want) {
 					return true
 				}
--- a/internal/transport/targethttp/client.go
+++ b/internal/transport/targethttp/client.go
@@ -11,7 +11,7 @@
 	"net/http/httptrace"
 	"strconv"
 
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 )
 
@@ -63,10 +63,10 @@
 // Close drops the idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
-// Do implements platform.Target.
-func (c *Client) Do(ctx context.Context, address string, call platform.Call) (*platform.Answer, error) {
+// Do implements external.Target.
+func (c *Client) Do(ctx context.Context, address string, call external.Call) (*external.Answer, error) {
 	if isControl(call.Path) {
-		return nil, c.failed(protocol.NotRun, platform.ErrPathClosed)
+		return nil, c.failed(protocol.NotRun, external.ErrPathClosed)
 	}
 	var sent sending
 	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(ctx, sent.trace()))
@@ -95,7 +95,7 @@
 // header makes it look safe and the body can be had again. A call that may not
 // be repeated would run twice, seen only in the target's own books. A body
 // without GetBody that is not http.NoBody rules it out on every such path.
-func newRequest(ctx context.Context, address string, call platform.Call) (*http.Request, error) {
+func newRequest(ctx context.Context, address string, call external.Call) (*http.Request, error) {
 	url := "http://" + address + call.Path
 	req, err := http.NewRequestWithContext(ctx, call.Method, url, nil)
 	if err != nil {
@@ -115,7 +115,7 @@
 }
 
 // check decides whether an answer is this call's own.
-func (c *Client) check(call platform.Call, resp *http.Response, cancel context.CancelFunc) (*platform.Answer, error) {
+func (c *Client) check(call external.Call, resp *http.Response, cancel context.CancelFunc) (*external.Answer, error) {
 	echoed := protocol.CallID(resp.Header.Get(headerCallID))
 	if echoed != call.ID {
 		// Cancelled before it is read to the end, so the connection is closed
@@ -123,7 +123,7 @@
 		cancel()
 		_ = resp.Body.Close()
 		c.counts.Add("crossed", 1)
-		return nil, c.failed(protocol.MayHaveRun, fmt.Errorf("%w: it echoes %q", platform.ErrCrossed, echoed))
+		return nil, c.failed(protocol.MayHaveRun, fmt.Errorf("%w: it echoes %q", external.ErrCrossed, echoed))
 	}
 	if err := notBegun(resp); err != nil {
 		drain(resp.Body)
@@ -131,7 +131,7 @@
 		return nil, c.failed(protocol.NotRun, err)
 	}
 	body := &body{ReadCloser: resp.Body, cancel: cancel}
-	return &platform.Answer{EchoedID: echoed, Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+	return &external.Answer{EchoedID: echoed, Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
 // notBegun is the target's own word that the call did not begin.
@@ -140,9 +140,9 @@
 		return nil
 	}
 	if resp.Header.Get(headerLeaving) == "true" {
-		return platform.ErrLeaving
+		return external.ErrLeaving
 	}
-	return platform.ErrNotBegun
+	return external.ErrNotBegun
 }
 
 // maxDrain is how much of an unwanted body is read so that its connection can
@@ -156,7 +156,7 @@
 
 func (c *Client) failed(run protocol.RunState, err error) error {
 	c.counts.Add(string(run), 1)
-	return &platform.CallError{Run: run, Err: err}
+	return &external.CallError{Run: run, Err: err}
 }
 
 // body ends the call's context when it is closed.
--- a/internal/transport/targethttp/client_test.go
+++ b/internal/transport/targethttp/client_test.go
@@ -16,7 +16,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 )
 
@@ -75,8 +75,8 @@
 	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Call-Id: "+req.Header.Get("X-Call-Id")+"\r\nContent-Length: 2\r\n\r\nok")
 }
 
-func testCall(id string) platform.Call {
-	return platform.Call{
+func testCall(id string) external.Call {
+	return external.Call{
 		ID: protocol.CallID(id), Method: http.MethodPost, Path: "/work", Body: []byte("body of " + id),
 		Header: http.Header{"Idempotency-Key": {"k"}, "X-Idempotency-Key": {"k"}},
 	}
@@ -89,12 +89,12 @@
 }
 
 func runState(t *testing.T, err error) protocol.RunState {
-	var failed *platform.CallError
+	var failed *external.CallError
 	require.True(t, errors.As(err, &failed), "%v", err)
 	return failed.Run
 }
 
-func readAll(t *testing.T, answer *platform.Answer) string {
+func readAll(t *testing.T, answer *external.Answer) string {
 	data, err := io.ReadAll(answer.Body)
 	require.NoError(t, err)
 	require.NoError(t, answer.Body.Close())
@@ -166,7 +166,7 @@
 func TestGetOnStaleConnectionIsSentOnce(t *testing.T) {
 	raw := newRawTarget(t, dieOnSecond)
 	client := newTestClient(t, Options{})
-	get := platform.Call{ID: "c1", Method: http.MethodGet, Path: "/work"}
+	get := external.Call{ID: "c1", Method: http.MethodGet, Path: "/work"}
 	answer, err := client.Do(context.Background(), raw.address(), get)
 	require.NoError(t, err)
 	require.Equal(t, "ok", readAll(t, answer))
@@ -216,8 +216,8 @@
 		leaving string
 		want    error
 	}{
-		{"refused", "", platform.ErrNotBegun},
-		{"leaving", "true", platform.ErrLeaving},
+		{"refused", "", external.ErrNotBegun},
+		{"leaving", "true", external.ErrLeaving},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -249,7 +249,7 @@
 	})
 	client := newTestClient(t, Options{})
 	_, err := client.Do(context.Background(), raw.address(), testCall("c1"))
-	require.ErrorIs(t, err, platform.ErrCrossed)
+	require.ErrorIs(t, err, external.ErrCrossed)
 	require.Equal(t, protocol.MayHaveRun, runState(t, err))
 	require.EqualValues(t, 1, client.Count("crossed"))
 	answer, err := client.Do(context.Background(), raw.address(), testCall("c2"))
--- a/internal/transport/targethttp/control.go
+++ b/internal/transport/targethttp/control.go
@@ -15,7 +15,7 @@
 
 	"github.com/gravitational/trace"
 
-	"merlintiller/internal/platform"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 )
 
@@ -48,7 +48,7 @@
 	return false
 }
 
-// Cancel implements platform.Target.
+// Cancel implements external.Target.
 func (c *Client) Cancel(ctx context.Context, address string, id protocol.CallID) error {
 	status, _, err := c.control(ctx, http.MethodPost, address, "/cancel/"+url.PathEscape(string(id)), nil)
 	if err != nil {
@@ -60,8 +60,8 @@
 	return trace.Wrap(errStatus, "cancel: %d", status)
 }
 
-// Give implements platform.Orders.
-func (c *Client) Give(ctx context.Context, address string, order platform.Order) error {
+// Give implements external.Orders.
+func (c *Client) Give(ctx context.Context, address string, order external.Order) error {
 	body, err := json.Marshal(order)
 	if err != nil {
 		return trace.Wrap(err)
@@ -71,16 +71,16 @@
 	case err != nil:
 		return trace.Wrap(err)
 	case status == http.StatusPreconditionFailed:
-		return platform.ErrStaleFence
+		return external.ErrStaleFence
 	case status >= 300:
 		return trace.Wrap(errStatus, "order: %d", status)
 	}
 	return nil
 }
 
-// Current implements platform.Orders.
-func (c *Client) Current(ctx context.Context, address string) (platform.OrderState, error) {
-	var state platform.OrderState
+// Current implements external.Orders.
+func (c *Client) Current(ctx context.Context, address string) (external.OrderState, error) {
+	var state external.OrderState
 	data, err := c.get(ctx, address, "/orders")
 	if err != nil {
 		return state, err
@@ -88,11 +88,11 @@
 	return state, decodeControl(data, &state)
 }
 
-// Load implements platform.LoadReports.
-func (c *Client) Load(ctx context.Context, address string) (platform.Load, error) {
+// Load implements external.LoadReports.
+func (c *Client) Load(ctx context.Context, address string) (external.Load, error) {
 	data, err := c.get(ctx, address, "/load")
 	if err != nil {
-		return platform.Load{}, err
+		return external.Load{}, err
 	}
 	return decodeLoad(data)
 }
@@ -102,22 +102,22 @@
 // the means of its whole service.
 const maxReport = 24 * 60 * 60 * 1000
 
-func decodeLoad(data []byte) (platform.Load, error) {
-	var load platform.Load
+func decodeLoad(data []byte) (external.Load, error) {
+	var load external.Load
 	if err := decodeControl(data, &load); err != nil {
-		return platform.Load{}, err
+		return external.Load{}, err
 	}
 	for _, n := range []int64{int64(load.Running), int64(load.Waiting), load.AgeMS} {
 		if n < 0 || n > maxReport {
-			return platform.Load{}, trace.Wrap(protocol.ErrMalformed, "load report with the number %d", n)
+			return external.Load{}, trace.Wrap(protocol.ErrMalformed, "load report with the number %d", n)
 		}
 	}
 	return load, nil
 }
 
-// Events implements platform.CacheEvents.
-func (c *Client) Events(ctx context.Context, address string, after uint64) ([]platform.CacheEvent, error) {
-	var events []platform.CacheEvent
+// Events implements external.CacheEvents.
+func (c *Client) Events(ctx context.Context, address string, after uint64) ([]external.CacheEvent, error) {
+	var events []external.CacheEvent
 	data, err := c.get(ctx, address, "/cache-events?after="+strconv.FormatUint(after, 10))
 	if err != nil {
 		return nil, err
