Leaving instances take no request that they can't finish; fleet in memory for tests

Callers keep sending on the connections that they have. The leaving instance waited for a moment without any request, never had one, and ended at its deadline in the middle of the last ones. Ruled out: the balancer's lag (the requests came 6 s after the signal, on kept connections). Change: after the balancer's lag idle connections are closed and the others after their request, and only then the process ends. The lag is 2.5 s instead of 3 s.

--- a/cmd/tillerd/main.go
+++ b/cmd/tillerd/main.go
@@ -7,11 +7,13 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 
 	"merlintiller/internal/daemon"
 	"merlintiller/internal/daemon/routed"
+	"merlintiller/internal/external"
 	"merlintiller/internal/logline"
 	"merlintiller/internal/settings"
 )
@@ -23,6 +25,9 @@
 	exitBadSettings = 2
 )
 
+// dialTimeout bounds a connect of any kind; most callers of it wait less.
+const dialTimeout = time.Second
+
 type cli struct {
 	Settings string `required:"" help:"Path of the settings file." type:"path"`
 	Routed   bool   `help:"Serve the routes that operators publish in a shared store. The file holds settings for that."`
@@ -48,7 +53,7 @@
 	logger := daemon.NewLogger(lines, s.Log)
 	defer lines.Flush()
 	go func() { _ = lines.Serve(context.Background()) }()
-	d, err := routed.New(s, logger)
+	d, err := routed.New(s, external.OSNetwork{Timeout: dialTimeout}, logger)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -44,6 +44,7 @@
 // Daemon is one instance.
 type Daemon struct {
 	settings *settings.Routed
+	network  external.Network
 	logger   log.Logger
 	self     mesh.Instance
 
@@ -62,24 +63,28 @@
 
 	leaving atomic.Bool
 	tree    *suture.Supervisor
+	// killed ends all duties without leaving, for tests of sudden deaths.
+	killed context.Context
+	kill   context.CancelFunc
 }
 
-// New wires an instance. Nothing runs before Run.
-func New(s *settings.Routed, logger log.Logger) (*Daemon, error) {
+// New wires an instance on a network. Nothing runs before Run.
+func New(s *settings.Routed, network external.Network, logger log.Logger) (*Daemon, error) {
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
 	d := &Daemon{
-		settings: s, logger: logger,
+		settings: s, network: network, logger: logger,
 		self: mesh.Instance{
 			Name: string(s.Instance), Domain: string(s.Domain),
 			Address: s.Listen.Peers, Start: time.Now().UnixMilli(),
 		},
-		store: platform.NewStore(s.Store.Address, s.Store.Timeout),
-		targets: targetconn.New(targetconn.Codec{
+		store: platform.NewStore(network, s.Store.Address, s.Store.Timeout),
+		targets: targetconn.New(network, targetconn.Codec{
 			EncodeDispatch: platform.EncodeDispatch, DecodeReply: platform.DecodeReply,
 		}),
 		meter: quota.NewMeter(mesh.SilentAfter),
-		calls: peer.NewClient(nil),
+		calls: peer.NewClientOn(network),
 	}
+	d.killed, d.kill = context.WithCancel(context.Background())
 	d.placer = placement.NewPlacer(d.self.Domain, d.targets.Connected, xxhash.Sum64String(d.self.Name))
 	d.joinView()
 	if err := d.joinPeers(); err != nil {
@@ -108,7 +113,7 @@
 }
 
 func (d *Daemon) joinPeers() error {
-	listener, err := net.Listen("tcp", d.settings.Listen.Peers)
+	listener, err := d.network.Listen(d.settings.Listen.Peers)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -135,7 +140,7 @@
 
 func (d *Daemon) joinFront() {
 	d.front = front.New(front.Options{
-		Listen: listen(d.settings.Listen.Callers),
+		Listen: d.listen(d.settings.Listen.Callers),
 		Codec: front.Codec{
 			DecodeRequest: platform.DecodeRequest, DecodeJobCall: platform.DecodeJobCall,
 			DecodeItems: platform.DecodeItems, EncodeResults: platform.EncodeResults,
@@ -175,12 +180,19 @@
 	d.tree.Add(d.runner)
 	d.tree.Add(d.keeper)
 	d.tree.Add(d.front)
-	d.tree.Add(&readiness{daemon: d, listen: listen(d.settings.Listen.Readiness)})
+	d.tree.Add(&readiness{daemon: d, listen: d.listen(d.settings.Listen.Readiness)})
 	if d.settings.Listen.Metrics != "" {
-		d.tree.Add(&metricsServer{listen: listen(d.settings.Listen.Metrics)})
+		d.tree.Add(&metricsServer{listen: d.listen(d.settings.Listen.Metrics)})
 	}
 }
 
+// closeConnections closes what the duties have left open.
+func (d *Daemon) closeConnections() {
+	d.targets.Close()
+	d.store.Close()
+	d.calls.Close()
+}
+
 func (d *Daemon) event(e suture.Event) {
 	_ = level.Warn(d.logger).Log("event", "duty_failed", "detail", e.String())
 }
@@ -194,11 +206,13 @@
 		"callers", d.settings.Listen.Callers, "peers", d.settings.Listen.Peers, "store", d.settings.Store.Address)
 	select {
 	case <-ctx.Done():
+		d.leave()
+	case <-d.killed.Done():
 	case err := <-ended:
 		return trace.Wrap(err)
 	}
-	d.leave()
 	stop()
+	defer d.closeConnections()
 	if err := <-ended; err != nil && !errors.Is(err, context.Canceled) {
 		return trace.Wrap(err)
 	}
@@ -206,8 +220,8 @@
 	return nil
 }
 
-func listen(address string) func() (net.Listener, error) {
-	return func() (net.Listener, error) { return net.Listen("tcp", address) }
+func (d *Daemon) listen(address string) func() (net.Listener, error) {
+	return func() (net.Listener, error) { return d.network.Listen(address) }
 }
 
 var (
--- a/internal/daemon/routed/leave.go
+++ b/internal/daemon/routed/leave.go
@@ -10,9 +10,6 @@
 const (
 	// leaveMargin is left of the grace for the end of the process itself.
 	leaveMargin = 1200 * time.Millisecond
-	// inFlightCheck is how often a leaving instance looks whether all requests
-	// have ended.
-	inFlightCheck = 50 * time.Millisecond
 	// storeStep bounds a step that needs the store.
 	storeStep = 500 * time.Millisecond
 )
@@ -29,15 +26,15 @@
 	defer cancel()
 	d.step(ctx, "jobs", d.keeper.Leave)
 	wait(ctx, time.Until(began.Add(d.settings.DrainNotice)))
-	for d.front.InFlight() > 0 && ctx.Err() == nil {
-		wait(ctx, inFlightCheck)
-	}
+	// The balancer sends nobody any more. Callers that have connections would
+	// go on sending until the end, and the last request would be cut by it; so
+	// idle connections are closed now, and the others after their request.
+	err := d.front.Finish(ctx)
 	d.step(ctx, "withdraw", func(ctx context.Context) {
 		if err := d.withdraw(ctx); err != nil {
 			_ = level.Warn(d.logger).Log("event", "withdraw_failed", "err", err)
 		}
 	})
-	err := d.front.Finish(ctx)
 	_ = level.Info(d.logger).Log("event", "left", "in_flight", d.front.InFlight(), "took_ms", time.Since(began).Milliseconds(), "err", err)
 }
 
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -78,8 +78,8 @@
 		},
 		MemoryMB: 256,
 		Grace:    8 * time.Second,
-		// Two misses a second apart, and the time until the second is seen.
-		DrainNotice: 3 * time.Second,
+		// Two misses a second apart, and some time for the second to be seen.
+		DrainNotice: 2500 * time.Millisecond,
 		Log:         Log{Level: LevelInfo, Format: FormatLogfmt},
 	}
 }
--- /dev/null
+++ b/internal/standin/engine/answer.go
@@ -0,0 +1,52 @@
+package engine
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+)
+
+// body is where an answer's body goes.
+type body struct {
+	io.Writer
+	flush func()
+	// end ends a body that has no length of its own.
+	end func()
+}
+
+// begin sends the head of an answer.
+func (e *Engine) begin(w http.ResponseWriter, entry *Run, fault Fault) body {
+	header := w.Header()
+	header.Set("Content-Type", "text/event-stream")
+	header.Set("Response-Seal", "seal-"+entry.ID)
+	header.Set("Server-Load", e.load())
+	header.Set("Keep-Alive", "timeout=5")
+	if fault.Crossed || fault.Unframed {
+		return e.raw(w, fault)
+	}
+	control := http.NewResponseController(w)
+	w.WriteHeader(http.StatusOK)
+	return body{Writer: w, flush: func() { _ = control.Flush() }, end: func() {}}
+}
+
+// raw takes the connection over, to send what net/http would not.
+func (e *Engine) raw(w http.ResponseWriter, fault Fault) body {
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	if fault.Crossed {
+		_, _ = fmt.Fprint(buffered, "HTTP/1.1 200 OK\r\nRequest-Id: another\r\nResponse-Seal: seal-another\r\nContent-Length: 5\r\n\r\nwrong")
+	}
+	_, _ = fmt.Fprint(buffered, "HTTP/1.1 200 OK\r\n")
+	_ = w.Header().Write(buffered)
+	_, _ = fmt.Fprint(buffered, "\r\n")
+	return body{
+		Writer: buffered,
+		flush:  func() { _ = buffered.Flush() },
+		end: func() {
+			_ = buffered.Flush()
+			_ = conn.Close()
+		},
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,242 @@
+// Package engine stands in for a target of the users' platform in tests: a model
+// runner with slots and a queue that streams numbered events, on the wire form of
+// the platform. It keeps a ledger of what it ran, so that a test can check what
+// no caller sees.
+package engine
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Options make an Engine.
+type Options struct {
+	ID string
+	// Slots run at once, Queue wait. Step is the time of one event.
+	Slots, Queue int
+	Step         time.Duration
+	// Misbehave, if set, says what is wrong with the answer to a request.
+	Misbehave func(id string) Fault
+}
+
+// Fault is what is wrong with one answer.
+type Fault struct {
+	// Status answers with a failure after the run.
+	Status int
+	// BreakAfter ends the connection after so many events, in the middle of the
+	// next one, if it is above 0. LoseAnswer ends it before the answer.
+	BreakAfter int
+	LoseAnswer bool
+	// HangAfter stops sending after so many events, if it is above 0.
+	HangAfter int
+	// Crossed sends the answer to another request first.
+	Crossed bool
+	// Unframed sends the answer without a length, up to the connection's end.
+	Unframed bool
+}
+
+// Run is one entry of the ledger.
+type Run struct {
+	ID           string
+	Organisation string
+	// Path is the path with its query, Body what came, KeyShown whether the
+	// caller's key came along.
+	Path     string
+	Body     string
+	KeyShown bool
+	// After is the event after which it was resumed, -1 from the start.
+	After int
+	Began time.Time
+	// Ended is zero while it runs. Whole says that all events were sent.
+	Ended time.Time
+	Whole bool
+}
+
+// Engine is an http.Handler.
+type Engine struct {
+	opts Options
+
+	mu      sync.Mutex
+	running int
+	waiting int
+	free    chan struct{}
+	ledger  []*Run
+	leaving bool
+}
+
+// New returns an engine.
+func New(opts Options) *Engine {
+	e := &Engine{opts: opts, free: make(chan struct{}, opts.Slots)}
+	for range opts.Slots {
+		e.free <- struct{}{}
+	}
+	return e
+}
+
+// Runs gives the ledger.
+func (e *Engine) Runs() []Run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make([]Run, len(e.ledger))
+	for i, r := range e.ledger {
+		out[i] = *r
+	}
+	return out
+}
+
+// Load gives how many requests run and wait.
+func (e *Engine) Load() (running, waiting int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running, e.waiting
+}
+
+// Event gives the data of an event, which follows from the request's id alone.
+func Event(id string, n int) string { return fmt.Sprintf("%s#%d", id, n) }
+
+// ServeHTTP implements http.Handler.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header()["Date"] = nil
+	id := r.Header.Get("Request-Id")
+	w.Header().Set("Request-Id", id)
+	w.Header().Set("Instance-Id", e.opts.ID)
+	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != e.opts.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body := make([]byte, 1<<16)
+	n := 0
+	for {
+		read, err := r.Body.Read(body[n:])
+		n += read
+		if err != nil || n == len(body) {
+			break
+		}
+	}
+	if !e.admit(r) {
+		w.Header().Set("Not-Executed", "1")
+		w.Header().Set("Server-Load", e.load())
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer func() { e.free <- struct{}{} }()
+	e.run(w, r, id, string(body[:n]))
+}
+
+// admit waits for a slot, unless the queue is full or the caller leaves.
+func (e *Engine) admit(r *http.Request) bool {
+	e.mu.Lock()
+	if len(e.free) == 0 && e.waiting >= e.opts.Queue {
+		e.mu.Unlock()
+		return false
+	}
+	e.waiting++
+	e.mu.Unlock()
+	admitted := false
+	select {
+	case <-e.free:
+		admitted = true
+	case <-r.Context().Done():
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.waiting--
+	return admitted
+}
+
+func (e *Engine) load() string {
+	running, waiting := e.Load()
+	return fmt.Sprintf("%d,%d,%d", running, waiting, e.opts.Slots)
+}
+
+func (e *Engine) run(w http.ResponseWriter, r *http.Request, id, body string) {
+	entry := &Run{
+		ID: id, Organisation: r.Header.Get("Tenant"), Path: r.RequestURI, Body: body,
+		KeyShown: r.Header.Get("Authorization") != "", After: -1, Began: time.Now(),
+	}
+	if after, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
+		entry.After = after
+	}
+	e.mu.Lock()
+	e.running++
+	e.ledger = append(e.ledger, entry)
+	e.mu.Unlock()
+	defer func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.running--
+		entry.Ended = time.Now()
+	}()
+	var fault Fault
+	if e.opts.Misbehave != nil {
+		fault = e.opts.Misbehave(id)
+	}
+	e.stream(w, r, entry, fault)
+}
+
+// stream sends the events. A path that ends in a number asks for so many.
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, entry *Run, fault Fault) {
+	if !e.step(r) {
+		return
+	}
+	switch {
+	case fault.LoseAnswer:
+		panic(http.ErrAbortHandler)
+	case fault.Status != 0:
+		w.Header().Set("Response-Seal", "seal-"+entry.ID)
+		w.WriteHeader(fault.Status)
+		return
+	}
+	out := e.begin(w, entry, fault)
+	events := Events(r.URL.Path)
+	for n := entry.After + 1; n < events; n++ {
+		sent := n - entry.After - 1
+		if fault.BreakAfter > 0 && sent == fault.BreakAfter {
+			_, _ = fmt.Fprintf(out, "id: %d\ndata: %s", n, Event(entry.ID, n)[:3])
+			out.flush()
+			panic(http.ErrAbortHandler)
+		}
+		if fault.HangAfter > 0 && sent == fault.HangAfter {
+			<-r.Context().Done()
+			return
+		}
+		_, _ = fmt.Fprintf(out, "id: %d\ndata: %s\n\n", n, Event(entry.ID, n))
+		out.flush()
+		if n+1 < events && !e.step(r) {
+			return
+		}
+	}
+	out.end()
+	e.mu.Lock()
+	entry.Whole = true
+	e.mu.Unlock()
+}
+
+// step takes the time of one event, unless the caller leaves.
+func (e *Engine) step(r *http.Request) bool {
+	timer := time.NewTimer(e.opts.Step)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// Events is the number of events that a path asks for: its last segment.
+func Events(path string) int {
+	const usual = 10
+	for i := len(path) - 1; i >= 0; i-- {
+		if path[i] == '/' {
+			if n, err := strconv.Atoi(path[i+1:]); err == nil {
+				return n
+			}
+			break
+		}
+	}
+	return usual
+}
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"merlintiller/internal/external"
 )
 
 const (
@@ -33,15 +35,21 @@
 
 // Client calls other instances. It is safe for concurrent use.
 type Client struct {
-	tls *tls.Config
+	tls     *tls.Config
+	network external.Network
 
 	mu    sync.Mutex
 	links map[lane]*link
 }
 
+// NewClientOn returns a client without TLS on a network.
+func NewClientOn(network external.Network) *Client {
+	return &Client{network: network, links: map[lane]*link{}}
+}
+
 // NewClient returns a client; a nil tlsConfig means plaintext.
 func NewClient(tlsConfig *tls.Config) *Client {
-	return &Client{tls: tlsConfig, links: map[lane]*link{}}
+	return &Client{tls: tlsConfig, network: external.OSNetwork{Timeout: dialTimeout}, links: map[lane]*link{}}
 }
 
 // Call invokes "Receiver.Method" at an address and waits for the reply until
@@ -126,8 +134,7 @@
 func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := c.network.Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/transport/targetconn/client.go
+++ b/internal/transport/targetconn/client.go
@@ -49,10 +49,13 @@
 }
 
 // New returns a client without connections.
-func New(codec Codec) *Client {
-	return &Client{codec: codec, pool: newPool(time.Now)}
+func New(network external.Network, codec Codec) *Client {
+	return &Client{codec: codec, pool: newPool(network, time.Now)}
 }
 
+// Close closes the idle connections.
+func (c *Client) Close() { c.pool.closeAll() }
+
 // Connected says that an idle connection to an address is kept.
 func (c *Client) Connected(address string) bool { return c.pool.has(address) }
 
--- a/internal/transport/targetconn/conn.go
+++ b/internal/transport/targetconn/conn.go
@@ -8,16 +8,8 @@
 	"time"
 )
 
-const (
-	// readBuffer holds an answer's head and some events.
-	readBuffer = 4 << 10
-	// unansweredLimit ends a connection on which sent bytes stay
-	// unacknowledged. Targets are at most some milliseconds away.
-	unansweredLimit = 5 * time.Second
-	// tcpUserTimeout is the socket option for it, in milliseconds. Package
-	// syscall does not name it.
-	tcpUserTimeout = 18
-)
+// readBuffer holds an answer's head and some events.
+const readBuffer = 4 << 10
 
 // conn is a connection to a target. One exchange uses it at a time.
 type conn struct {
@@ -34,19 +26,6 @@
 	return &conn{net: c, reader: bufio.NewReaderSize(c, readBuffer), address: address}
 }
 
-// control sets the bound on unacknowledged bytes.
-//
-// What goes wrong without it: packets to a target are dropped without a reset.
-// A write succeeds, nothing ever comes back, and the connection counts as in use
-// until the process ends.
-func control(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unansweredLimit.Milliseconds()))
-	})
-	return errors.Join(err, failed)
-}
-
 // quiet says that nothing was received on an idle connection: neither its end
 // nor bytes that belong to no request.
 func (c *conn) quiet() bool {
--- a/internal/transport/targetconn/pool.go
+++ b/internal/transport/targetconn/pool.go
@@ -5,13 +5,15 @@
 	"net"
 	"sync"
 	"time"
+
+	"merlintiller/internal/external"
 )
 
 const (
-	// DialTimeout bounds a connect. Targets stand within a few milliseconds; a
+	// dialTimeout bounds a connect. Targets stand within a few milliseconds; a
 	// connect that takes longer meets a cut or a dead machine, and the request
 	// still has time to go elsewhere.
-	DialTimeout = 250 * time.Millisecond
+	dialTimeout = 250 * time.Millisecond
 	// idleUnknown is how long a connection is kept whose target did not say.
 	idleUnknown = 10 * time.Second
 	// idleMargin is how much earlier than the target this side stops using an
@@ -26,22 +28,35 @@
 // pool keeps idle connections, the one used last first, so that the others run
 // out of their time.
 type pool struct {
-	dial func(ctx context.Context, address string) (net.Conn, error)
-	now  func() time.Time
+	network external.Network
+	now     func() time.Time
 
 	mu    sync.Mutex
 	idle  map[string][]*conn
 	swept time.Time
 }
 
-func newPool(now func() time.Time) *pool {
-	dialer := &net.Dialer{Timeout: DialTimeout, KeepAlive: -1, Control: control}
-	return &pool{
-		dial: func(ctx context.Context, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp", address)
-		},
-		now:  now,
-		idle: map[string][]*conn{},
+func newPool(network external.Network, now func() time.Time) *pool {
+	return &pool{network: network, now: now, idle: map[string][]*conn{}}
+}
+
+// dial opens a connection.
+func (p *pool) dial(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return p.network.Dial(ctx, address)
+}
+
+// closeAll closes all idle connections.
+func (p *pool) closeAll() {
+	p.mu.Lock()
+	all := p.idle
+	p.idle = map[string][]*conn{}
+	p.mu.Unlock()
+	for _, list := range all {
+		for _, c := range list {
+			c.close()
+		}
 	}
 }
 
