Requests wait for a slot in order of use; dead targets and silent domains are left

With all slots taken online requests queued first come first served in the targets, 55 of 200 at the peak beyond their objective. Late batch items went before those that could still be in time. Ruled out: too slow preemption (66 yields, a slot comes free 1 to 2 ms after). Change: targets that failed are probed by one repeatable request or item, never used as overflow; the targets of a failure domain whose instances all went silent are treated the same. Requests wait at the instance, those that can still be on time first. Items that can't be in time go behind the others.

--- a/internal/coordination/batchjobs/runner.go
+++ b/internal/coordination/batchjobs/runner.go
@@ -47,6 +47,7 @@
 	wake chan struct{}
 
 	mu      sync.Mutex
+	pace    pace
 	tasks   map[itemID]*task
 	waiting []*task
 	ctx     context.Context
@@ -54,7 +55,7 @@
 
 // NewRunner returns a runner without items.
 func NewRunner(opts *Options) *Runner {
-	r := &Runner{opts: opts, wake: make(chan struct{}, 1), tasks: map[itemID]*task{}}
+	r := &Runner{opts: opts, wake: make(chan struct{}, 1), pace: newPace(), tasks: map[itemID]*task{}}
 	metrics.GetOrCreateGauge(`batch_items{state="open"}`, func() float64 {
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -115,7 +116,6 @@
 			r.forget(t)
 		}
 	}
-	r.sort()
 	r.mu.Unlock()
 	r.poke()
 }
@@ -143,9 +143,23 @@
 	r.waiting = slices.DeleteFunc(r.waiting, func(w *task) bool { return w == t })
 }
 
-// sort puts the items that are due first at the head.
-func (r *Runner) sort() {
+// sort puts the items first that are due first, and behind them those that can't
+// be done in time.
+//
+// The load it answers: for some seconds there are more items than slots. By due
+// time alone, the items that are late already would take the slots, and the next
+// ones would get late behind them, one after the other.
+func (r *Runner) sort(now time.Time) {
+	for _, t := range r.waiting {
+		t.late = now.Add(r.pace.left(t.events)).After(t.job.Due)
+	}
 	slices.SortStableFunc(r.waiting, func(a, b *task) int {
+		if a.late != b.late {
+			if a.late {
+				return 1
+			}
+			return -1
+		}
 		return cmp.Or(a.job.Due.Compare(b.job.Due), cmp.Compare(a.id.job, b.id.job))
 	})
 }
@@ -155,6 +169,7 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.sort(now)
 	kept := r.waiting[:0]
 	full := false
 	for _, t := range r.waiting {
@@ -177,7 +192,6 @@
 	}
 	t.notBefore = time.Now().Add(pause)
 	r.waiting = append(r.waiting, t)
-	r.sort()
 	r.poke()
 }
 
@@ -185,6 +199,9 @@
 func (r *Runner) finish(t *task, result jobs.Result) {
 	r.mu.Lock()
 	ended := t.ended
+	if result.Outcome == jobs.Succeeded {
+		r.pace.learn(t.events, t.worked)
+	}
 	if !ended {
 		// The result waits in its partition now; until it is listed there, the
 		// item counts as pending and is not run again.
--- a/internal/coordination/batchjobs/task.go
+++ b/internal/coordination/batchjobs/task.go
@@ -40,6 +40,10 @@
 	choice    placement.Choice
 	yielding  bool
 	ended     bool
+	// late says that the item can't be done in time any more.
+	late bool
+	// worked is the time that runs have taken so far.
+	worked time.Duration
 
 	text     strings.Builder
 	events   int
@@ -127,6 +131,7 @@
 	if silent.Load() {
 		how, result = broken, placement.Silent
 	}
+	t.worked += time.Since(began)
 	opts.Placer.Done(choice, result)
 	_ = level.Info(opts.Logger).Log("event", "item_run", "item", t.id.item, "job", t.id.job, "target", choice.ID,
 		"how", how.String(), "from", from, "position", t.position, "took_ms", time.Since(began).Milliseconds(),
@@ -164,7 +169,7 @@
 // restart forgets the output of a run that failed.
 func (t *task) restart() {
 	t.text.Reset()
-	t.events, t.position = 0, exchange.FromStart
+	t.events, t.position, t.worked = 0, exchange.FromStart, 0
 }
 
 func (t *task) exchange(ctx context.Context, choice placement.Choice, stall *time.Timer) (ending, placement.Result, error) {
--- a/internal/coordination/mesh/mesh.go
+++ b/internal/coordination/mesh/mesh.go
@@ -60,6 +60,9 @@
 	// is not there or was forgotten.
 	PeerSilent(name string)
 	PeerGone(name string)
+	// DomainSilent tells whether all instances of another failure domain are
+	// silent. It is called again and again.
+	DomainSilent(domain string, silent bool)
 	// PeerListed tells that an instance exists that was not heard yet.
 	PeerListed(name string)
 }
@@ -78,6 +81,7 @@
 	busy     map[string]bool
 	retryAt  map[string]time.Time
 	states   map[string]State
+	silent   map[string]bool
 	fetching bool
 }
 
@@ -98,6 +102,7 @@
 		busy:    map[string]bool{},
 		retryAt: map[string]time.Time{},
 		states:  map[string]State{},
+		silent:  map[string]bool{},
 	}
 }
 
@@ -271,7 +276,15 @@
 	m.mu.Lock()
 	gone := m.view.Forget(now)
 	peers := m.view.Peers(now)
+	domains := m.view.SilentDomains(now)
 	m.mu.Unlock()
+	for domain, silent := range domains {
+		if m.silent[domain] != silent {
+			m.silent[domain] = silent
+			_ = level.Info(m.logger).Log("event", "domain_silent", "domain", domain, "silent", silent)
+		}
+		m.local.DomainSilent(domain, silent)
+	}
 	for _, name := range gone {
 		m.changed(Peer{Instance: Instance{Name: name}, State: Down})
 		delete(m.states, name)
--- a/internal/coordination/mesh/view.go
+++ b/internal/coordination/mesh/view.go
@@ -137,6 +137,31 @@
 	}
 }
 
+// SilentDomains says of each other failure domain whether all of its instances
+// that were heard before are silent. While nobody at all is heard, none counts as
+// silent: then this instance is the one that is cut off, and its paths to targets
+// may be whole.
+func (v *View) SilentDomains(now time.Time) map[string]bool {
+	silent := map[string]bool{}
+	anyUp := false
+	for _, e := range v.peers {
+		state := v.state(now, e)
+		anyUp = anyUp || state == Up
+		if e.Domain == v.self.Domain || state == Unheard || state == Down {
+			continue
+		}
+		if before, known := silent[e.Domain]; !known || before {
+			silent[e.Domain] = state == Silent
+		}
+	}
+	if !anyUp {
+		for domain := range silent {
+			silent[domain] = false
+		}
+	}
+	return silent
+}
+
 // Known gives all instances, this one included.
 func (v *View) Known() []Instance {
 	out := []Instance{v.self}
--- a/internal/coordination/placement/core.go
+++ b/internal/coordination/placement/core.go
@@ -12,26 +12,20 @@
 const (
 	// defaultSlots is used for a target whose slots nobody told.
 	defaultSlots = 8
-	// queueEach is how many online requests may wait at a target beyond its
-	// slots. With 8 slots and answers of 0.7 s a place comes free every 90 ms,
-	// so that two that wait are still on time for an objective of 300 ms.
-	queueEach = 2
 	// remoteCost is how much busier, as a part of its slots, a target of the own
 	// failure domain may be than another one. Two of eight slots: bytes between
 	// failure domains cost, waiting costs more.
 	remoteCost = 0.25
 	// connectCost is the same for a target to which no connection is kept.
 	connectCost = 0.13
-	// avoidedCost puts targets under suspicion behind all others.
-	avoidedCost = 100
 	// fullCost puts targets without a free slot behind those with one.
 	fullCost = 10
 	// unseenFor is how long a report of unknown load counts. Answers come many
 	// times a second where there is load.
 	unseenFor = 300 * time.Millisecond
-	// avoidFirst and avoidMost bound how long a target is avoided after it
-	// failed, doubling each time: a crashed one is back within seconds, and an
-	// item or a repeatable request tries it.
+	// avoidFirst and avoidMost bound how long a target is left alone after it
+	// failed, doubling each time: a crashed one is back within seconds. Then one
+	// batch item or repeatable request probes it.
 	avoidFirst = 400 * time.Millisecond
 	avoidMost  = 3 * time.Second
 	// strikesToAvoid is how many lost answers in a row make a target avoided. A
@@ -55,6 +49,8 @@
 type Core struct {
 	opts    Options
 	targets map[string]*target
+	// silent are the failure domains whose instances are all silent.
+	silent map[string]bool
 	// peers are the counts that other instances told last.
 	peers map[string][]Held
 }
@@ -70,6 +66,8 @@
 	Service string
 	// Batch items take free slots only.
 	Batch bool
+	// Repeatable requests may probe a target that failed.
+	Repeatable bool
 	// Exclude are targets that had the request before.
 	Exclude []string
 }
@@ -87,7 +85,7 @@
 
 // New returns a core that knows no target.
 func New(opts Options) *Core {
-	return &Core{opts: opts, targets: map[string]*target{}, peers: map[string][]Held{}}
+	return &Core{opts: opts, targets: map[string]*target{}, silent: map[string]bool{}, peers: map[string][]Held{}}
 }
 
 // SetTargets takes over the targets that may be used. Counts of those that stay
@@ -119,6 +117,29 @@
 	c.countPeers()
 }
 
+// SetDomainSilent notes that all instances of another failure domain are silent,
+// while those of others are not, or that one is heard again. The targets of a
+// silent domain are probed before they get requests that may not be repeated.
+//
+// What goes wrong without it: the path to a failure domain is cut. Each target
+// there shows it only by requests that wait in vain, and those that may not be
+// repeated are lost.
+func (c *Core) SetDomainSilent(now time.Time, domain string, silent bool) {
+	if c.silent[domain] == silent {
+		return
+	}
+	c.silent[domain] = silent
+	for _, t := range c.targets {
+		switch {
+		case t.Domain != domain:
+		case silent:
+			t.health.avoid(now)
+		default:
+			t.health.good()
+		}
+	}
+}
+
 // SetPeer takes over what another instance has at the targets. Nothing forgets
 // the instance.
 func (c *Core) SetPeer(name string, held []Held) {
@@ -158,15 +179,10 @@
 // Pick chooses a target and counts the request there until Done. It fails if
 // none is known or all are full.
 func (c *Core) Pick(now time.Time, want Want) (Choice, bool) {
-	best, least := (*target)(nil), 0.0
-	for id, t := range c.targets {
-		if !t.listed || t.Service != want.Service || slices.Contains(want.Exclude, id) {
-			continue
-		}
-		cost, ok := c.cost(now, t, want)
-		if ok && (best == nil || cost < least) {
-			best, least = t, cost
-		}
+	best, any := c.best(now, want, trusted)
+	if best == nil && !any && !want.Batch {
+		// No target is trusted. Refusing would be worse than a try.
+		best, _ = c.best(now, want, suspected)
 	}
 	if best == nil {
 		return Choice{}, false
@@ -184,38 +200,43 @@
 	return choice, true
 }
 
-// cost ranks a target, the least first. It is not ok if the target can't take
-// the request.
+// trusted lets a target be chosen that has not failed lately, or that this
+// request may probe. suspected lets all others be chosen.
+func trusted(now time.Time, t *target, want Want) bool {
+	return t.health.trusted() || (want.Batch || want.Repeatable) && t.mayProbe(now)
+}
+
+func suspected(now time.Time, t *target, want Want) bool { return !trusted(now, t, want) }
+
+// best is the target with the least cost among those that are allowed. It also
+// says whether any is allowed, be it full.
+func (c *Core) best(now time.Time, want Want, allowed func(time.Time, *target, Want) bool) (best *target, any bool) {
+	least := 0.0
+	for id, t := range c.targets {
+		if !t.listed || t.Service != want.Service || slices.Contains(want.Exclude, id) || !allowed(now, t, want) {
+			continue
+		}
+		any = true
+		cost, ok := c.cost(now, t, want)
+		if ok && (best == nil || cost < least) {
+			best, least = t, cost
+		}
+	}
+	return best, any
+}
+
+// cost ranks a target, the least first. It is not ok if the target is full.
+// Batch items give way, so that they keep no online request out.
 func (c *Core) cost(now time.Time, t *target, want Want) (float64, bool) {
 	busy := t.busy(now)
-	avoided := t.health.avoided(now)
-	if want.Batch {
-		return c.batchCost(t, busy, avoided)
-	}
-	// Batch items give way, so they don't count against the queue.
-	if busy-t.batches() >= t.slots+queueEach {
-		return 0, false
-	}
 	cost := c.placeCost(t) + float64(busy)/float64(t.slots)
-	if busy >= t.slots {
-		cost += fullCost + float64(busy-t.batches())/float64(t.slots)
-	}
-	if avoided {
-		cost += avoidedCost
+	if want.Batch {
+		return cost, busy < t.slots
 	}
-	return cost, true
-}
-
-// batchCost lets items in where a slot is free.
-func (c *Core) batchCost(t *target, busy int, avoided bool) (float64, bool) {
 	if busy >= t.slots {
-		return 0, false
-	}
-	cost := c.placeCost(t) + float64(busy)/float64(t.slots)
-	if avoided {
-		cost += avoidedCost
+		cost += fullCost
 	}
-	return cost, true
+	return cost, busy-t.batches() < t.slots
 }
 
 // placeCost prefers the own failure domain and kept connections.
--- a/internal/coordination/placement/result.go
+++ b/internal/coordination/placement/result.go
@@ -40,7 +40,7 @@
 	case Served:
 		t.health.good()
 	case Full:
-		t.unseen = max(0, t.slots+queueEach-t.busy(now))
+		t.unseen = max(0, t.slots-t.busy(now))
 		t.unseenUntil = now.Add(fullFor)
 	case Replaced:
 		t.listed = false
--- a/internal/coordination/placement/target.go
+++ b/internal/coordination/placement/target.go
@@ -44,34 +44,42 @@
 	t.unseenUntil = now.Add(unseenFor)
 }
 
+// mayProbe says that the target may be tried by one request.
+func (t *target) mayProbe(now time.Time) bool {
+	return !now.Before(t.health.avoidedUntil) && t.health.waiting == 0 && t.online+t.batch == 0
+}
+
 // health says whether a target can be trusted with a request.
 type health struct {
 	// strikes are failures in a row.
 	strikes int
-	// avoidedUntil keeps requests away.
+	// suspect says that the target failed and has not answered since. It is
+	// left alone until avoidedUntil and probed after that.
+	suspect      bool
 	avoidedUntil time.Time
 	backoff      time.Duration
 	// waiting are exchanges that wait longer than they should.
 	waiting int
 }
 
-// avoided says that the target is chosen only if there is no other.
-func (h *health) avoided(now time.Time) bool {
-	return h.waiting > 0 || now.Before(h.avoidedUntil)
+// trusted says that the target gets any request.
+func (h *health) trusted() bool {
+	return !h.suspect && h.waiting == 0
 }
 
 func (h *health) avoid(now time.Time) {
+	h.suspect = true
 	h.backoff = min(max(avoidFirst, 2*h.backoff), avoidMost)
 	h.avoidedUntil = now.Add(h.backoff)
 }
 
 func (h *health) good() {
 	h.strikes = 0
+	h.suspect = false
 	h.backoff = 0
-	h.avoidedUntil = time.Time{}
 }
 
-// bad counts a failure of a weight; at the limit the target is avoided.
+// bad counts a failure of a weight; at the limit the target is left alone.
 func (h *health) bad(now time.Time, weight int) {
 	h.strikes += weight
 	if h.strikes >= strikesToAvoid {
--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -21,6 +21,12 @@
 	// fullRetryAfter is told when all slots are taken: half of the time that a
 	// stream takes, in which half of the slots come free.
 	fullRetryAfter = 350 * time.Millisecond
+	// answerTime is the time from sending a request to a free target to the first
+	// bytes of its answer at the caller.
+	answerTime = 60 * time.Millisecond
+	// waitShare is the part of its time that a request waits for a place. After
+	// that it is refused, so that its caller can still be served elsewhere.
+	waitShare = 0.4
 	// startRetryAfter is told when no target is known yet. The list of targets
 	// is read within a second.
 	startRetryAfter = time.Second
@@ -28,7 +34,7 @@
 
 // Placer chooses targets.
 type Placer interface {
-	Pick(placement.Want) (placement.Choice, bool)
+	Place(context.Context, placement.Want, placement.Patience) (placement.Choice, bool)
 	Done(placement.Choice, placement.Result)
 	Told(id string, load *exchange.Load)
 	Known(service string) bool
@@ -107,9 +113,12 @@
 
 func (c *call) run(ctx context.Context) {
 	for len(c.tried) < mostTries {
-		choice, ok := c.opts.Placer.Pick(placement.Want{Service: c.Service, Exclude: c.tried})
+		want := placement.Want{Service: c.Service, Exclude: c.tried, Repeatable: c.Route.Repeatable()}
+		choice, ok := c.opts.Placer.Place(ctx, want, c.waiting())
 		if !ok {
-			c.nowhere()
+			if !c.ended(ctx) {
+				c.nowhere()
+			}
 			return
 		}
 		if choice.Crowded {
@@ -125,6 +134,16 @@
 	c.nowhere()
 }
 
+// waiting says how long the request may wait for a place.
+func (c *call) waiting() placement.Patience {
+	onTime := c.Began.Add(c.Route.Objective - answerTime)
+	if c.begun {
+		// A stream that goes on must do so before its pause is too long.
+		onTime = time.Now().Add(c.gapLimit())
+	}
+	return placement.Patience{OnTimeUntil: onTime, Until: c.Began.Add(time.Duration(waitShare * float64(c.Deadline.Sub(c.Began))))}
+}
+
 // nowhere ends a request for which there is no further target.
 func (c *call) nowhere() {
 	switch {
--- a/internal/coordination/relay/watch.go
+++ b/internal/coordination/relay/watch.go
@@ -16,6 +16,9 @@
 	firstShare = 0.5
 	// gapShare is the same between two events, as a part of the longest pause.
 	gapShare = 0.6
+	// queueLimit is added where the request was sent to a target whose slots
+	// were taken.
+	queueLimit = 300 * time.Millisecond
 	// firstLeast and gapLeast bound the limits from below, so that a short
 	// objective does not make every target suspect.
 	firstLeast = 100 * time.Millisecond
@@ -35,6 +38,7 @@
 	mu      sync.Mutex
 	timer   *time.Timer
 	clear   func()
+	queued  bool
 	silent  bool
 	stopped bool
 }
@@ -66,6 +70,12 @@
 	if w.stopped || w.clear != nil {
 		return
 	}
+	if w.choice.Busy >= w.choice.Slots && !w.call.begun && !w.queued {
+		// It waits in the target's queue, for an item to give way.
+		w.queued = true
+		w.timer.Reset(queueLimit)
+		return
+	}
 	w.clear = w.call.opts.Placer.Waiting(w.choice)
 	if w.mayMove {
 		w.silent = true
--- a/internal/daemon/routed/local.go
+++ b/internal/daemon/routed/local.go
@@ -49,5 +49,8 @@
 	l.meter.Gone(name)
 }
 
+// DomainSilent implements mesh.Local.
+func (l *local) DomainSilent(domain string, silent bool) { l.placer.SetDomainSilent(domain, silent) }
+
 // PeerListed implements mesh.Local.
 func (l *local) PeerListed(name string) { l.meter.Expect(name) }
