Jobs through others where the store turns an instance away; running items stay put

When partitions were dealt anew, the old holder dropped its running items and the new one ran them from the start. Instances that started together read the list before the others stood there and knew only their seed for 10 s, so that neither counts nor claims reached most of them. Ruled out: slow loading of partitions (13 ms), late reads of results. Change: a job is written here or by another instance, whichever answers first. Items that run stay where they run as claims told in the messages, and their results go to the holder; a leaving instance hands over what items have of their output. Ends, results and bodies are had through others too.

--- a/internal/coordination/batchjobs/answer.go
+++ b/internal/coordination/batchjobs/answer.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"merlintiller/internal/state/jobs"
 )
 
 // results waits for results of a job and gives them.
@@ -13,11 +11,11 @@
 	defer cancel()
 	for {
 		found, changed := h.job(call.Job)
-		if !found.known || found.listed.Organisation != call.Organisation {
+		if !found.known || found.organisation != call.Organisation {
 			return ResultsReply{Verdict: h.absent(found)}
 		}
-		if len(found.listed.Results) > call.After || !found.listed.Open() || call.Wait <= 0 {
-			return page(&found.listed, call.After)
+		if len(found.results) > call.After || !found.open() || call.Wait <= 0 {
+			return page(&found, call.After)
 		}
 		select {
 		case <-changed:
@@ -37,15 +35,15 @@
 
 // page gives the results from a position on, at least one if there is one, and
 // no more than fit into an answer.
-func page(l *jobs.Listed, after int) ResultsReply {
-	reply := ResultsReply{Verdict: Done, Total: len(l.Items)}
+func page(s *snapshot, after int) ResultsReply {
+	reply := ResultsReply{Verdict: Done, Total: s.total}
 	size := 0
-	for position := min(after, len(l.Results)); position < len(l.Results); position++ {
-		size += len(l.Results[position].Text)
+	for position := min(after, len(s.results)); position < len(s.results); position++ {
+		size += len(s.results[position].Text)
 		if len(reply.Results) > 0 && size > pageBytes {
 			break
 		}
-		reply.Results = append(reply.Results, l.Results[position])
+		reply.Results = append(reply.Results, s.results[position])
 	}
 	return reply
 }
@@ -53,7 +51,7 @@
 // body gives the body of an item that is not listed.
 func (h *holding) body(call BodyCall) BodyReply {
 	found, _ := h.job(call.Job)
-	if !found.known || found.listed.Organisation != call.Organisation {
+	if !found.known || found.organisation != call.Organisation {
 		return BodyReply{Verdict: h.absent(found)}
 	}
 	h.mu.Lock()
--- a/internal/coordination/batchjobs/calls.go
+++ b/internal/coordination/batchjobs/calls.go
@@ -74,6 +74,9 @@
 	Job jobs.Job
 }
 
+// ResultOf is a result on its way to the holder of its partition.
+type ResultOf jobs.Result
+
 // YieldCall asks for a slot at a target.
 type YieldCall struct {
 	Target string
--- a/internal/coordination/batchjobs/desk.go
+++ b/internal/coordination/batchjobs/desk.go
@@ -24,8 +24,14 @@
 	// storeAway is the time without an answer of the store after which another
 	// instance is asked to write instead.
 	storeAway = 1200 * time.Millisecond
-	// appendRetry is the wait before an append is tried again.
+	// hedgeAfter is how long one way of writing a job may take until the other is
+	// tried beside it. The store answers within some 20 ms; callers want a job
+	// accepted within some hundred.
+	hedgeAfter = 150 * time.Millisecond
+	// appendRetry is the wait before an append is tried again, doubled each time,
+	// appendTries how often that is done: about a second in all.
 	appendRetry = 60 * time.Millisecond
+	appendTries = 4
 	// handOverTimeout bounds the writing through another instance.
 	handOverTimeout = 1200 * time.Millisecond
 )
@@ -70,19 +76,50 @@
 	return verdict
 }
 
+// submit writes a job, here or through another instance, whichever is answered
+// first. Writing it twice does no harm.
+//
+// What goes wrong without the second way: the store turns some instances away
+// and serves the others. A caller whose attempts meet two of those has its job
+// refused, or waits for a store that does not answer, though the store is there.
 func (d *Desk) submit(ctx context.Context, job *jobs.Job) Verdict {
 	if d.known(ctx, job.ID) {
 		return Done
 	}
-	verdict := NotDone
-	if d.opts.StoreAge() < storeAway {
-		verdict = d.write(ctx, job)
+	ways := make(chan Verdict, 2)
+	tries := 0
+	start := func(way func(context.Context, *jobs.Job) Verdict) {
+		tries++
+		go func() { ways <- way(ctx, job) }()
 	}
-	if verdict == Done || ctx.Err() != nil {
-		return verdict
+	here := d.opts.StoreAge() < storeAway
+	if here {
+		start(d.write)
+	} else {
+		start(d.handOver)
 	}
-	if through := d.handOver(ctx, job); through == Done || verdict == NotDone {
-		return through
+	slow := time.NewTimer(hedgeAfter)
+	defer slow.Stop()
+	verdict := NotDone
+	for ended := 0; ended < tries; {
+		select {
+		case way := <-ways:
+			ended++
+			if way == Done {
+				return Done
+			}
+			if way != NotDone {
+				verdict = Unsure
+			}
+		case <-slow.C:
+		}
+		if tries == 1 && ctx.Err() == nil {
+			if here {
+				start(d.handOver)
+			} else {
+				start(d.write)
+			}
+		}
 	}
 	return verdict
 }
@@ -146,10 +183,10 @@
 // recordHead is what the store counts beside a record's key and value.
 const recordHead = 8
 
-// appendOnce repeats one append until it is answered or ctx ends.
+// appendOnce repeats one append a few times until it is answered or ctx ends.
 func (d *Desk) appendOnce(ctx context.Context, p external.Partition, records []external.KeyedRecord) Verdict {
 	verdict := NotDone
-	for {
+	for try := 0; ; try++ {
 		_, err := d.opts.Log.Append(ctx, p, records, external.AnyEnd)
 		if err == nil {
 			d.opts.StoreAnswered()
@@ -159,10 +196,10 @@
 		if errors.Is(err, external.ErrUnavailable) {
 			verdict = Unsure
 		}
-		if errors.Is(err, external.ErrFull) || d.opts.StoreAge() >= storeAway {
+		if errors.Is(err, external.ErrFull) || try == appendTries {
 			return verdict
 		}
-		sleep(ctx, appendRetry)
+		sleep(ctx, appendRetry<<try)
 		if ctx.Err() != nil {
 			return verdict
 		}
@@ -170,37 +207,48 @@
 }
 
 // handOver has another instance write a job, one that the store answers.
-//
-// What goes wrong without it: the store turns some instances away and serves the
-// others. A caller whose attempts meet two of those has its job refused, though
-// the store is there.
 func (d *Desk) handOver(ctx context.Context, job *jobs.Job) Verdict {
 	verdict := NotDone
-	tried := 0
+	d.elsewhere(ctx, func(ctx context.Context, address string) bool {
+		var reply JobReply
+		err := d.opts.Caller.Call(ctx, address, methodAccept, &AcceptCall{Job: *job}, &reply)
+		switch {
+		case err == nil && reply.Verdict == Done:
+			verdict = Done
+		case err != nil || reply.Verdict != NotDone:
+			verdict = Unsure
+		}
+		return verdict == Done
+	})
+	return verdict
+}
+
+// mostElsewhere bounds the instances that are asked in place of the store.
+const mostElsewhere = 2
+
+// elsewhere asks instances that the store answers, one after the other, until
+// one has done what is asked.
+func (d *Desk) elsewhere(ctx context.Context, ask func(ctx context.Context, address string) bool) {
+	asked := 0
 	for _, p := range d.opts.Peers.Peers() {
 		if p.State != mesh.Up || p.Beat.Leaving || p.Beat.StoreAge >= storeAway {
 			continue
 		}
-		if tried++; tried > 2 || ctx.Err() != nil {
-			break
+		if asked == mostElsewhere || ctx.Err() != nil {
+			return
 		}
-		ask, cancel := context.WithTimeout(ctx, handOverTimeout)
-		var reply JobReply
-		err := d.opts.Caller.Call(ask, p.Address, methodAccept, &AcceptCall{Job: *job}, &reply)
+		asked++
+		limited, cancel := context.WithTimeout(ctx, handOverTimeout)
+		done := ask(limited, p.Address)
 		cancel()
-		switch {
-		case err != nil:
-			verdict = Unsure
-		case reply.Verdict == Done:
-			return Done
-		case reply.Verdict != NotDone:
-			verdict = Unsure
+		if done {
+			return
 		}
 	}
-	return verdict
 }
 
-// Results gives results of a job.
+// Results gives results of a job: from the holder of its partition, else from the
+// store, else through an instance that the store answers.
 func (d *Desk) Results(ctx context.Context, call ResultsCall) ResultsReply {
 	number := d.opts.partitionOf(call.Job).Number
 	if h, ok := d.keeper.holding(number); ok {
@@ -210,11 +258,26 @@
 	} else if reply, ok := d.askResults(ctx, number, call); ok && reply.Verdict == Done {
 		return reply
 	}
-	h, err := d.fresh(ctx, number)
+	call.Wait = 0
+	reply := d.resultsHere(ctx, call)
+	if reply.Verdict == NotDone {
+		d.elsewhere(ctx, func(ctx context.Context, address string) bool {
+			var theirs ResultsReply
+			if d.opts.Caller.Call(ctx, address, methodReadFor, &call, &theirs) == nil {
+				reply = theirs
+			}
+			return reply.Verdict != NotDone
+		})
+	}
+	return reply
+}
+
+// resultsHere gives results as the store has them now.
+func (d *Desk) resultsHere(ctx context.Context, call ResultsCall) ResultsReply {
+	h, err := d.fresh(ctx, d.opts.partitionOf(call.Job).Number)
 	if err != nil {
 		return ResultsReply{Verdict: NotDone}
 	}
-	call.Wait = 0
 	return h.results(ctx, call)
 }
 
@@ -242,30 +305,67 @@
 	if reply.Verdict == Done {
 		return reply
 	}
-	h, err := d.fresh(ctx, number)
+	reply = d.bodyHere(ctx, call)
+	if reply.Verdict == NotDone {
+		d.elsewhere(ctx, func(ctx context.Context, address string) bool {
+			var theirs BodyReply
+			if d.opts.Caller.Call(ctx, address, methodBodyFor, &call, &theirs) == nil {
+				reply = theirs
+			}
+			return reply.Verdict != NotDone
+		})
+	}
+	return reply
+}
+
+// bodyHere gives an item's body as the store has it now.
+func (d *Desk) bodyHere(ctx context.Context, call BodyCall) BodyReply {
+	h, err := d.fresh(ctx, d.opts.partitionOf(call.Job).Number)
 	if err != nil {
 		return BodyReply{Verdict: NotDone}
 	}
 	return h.body(call)
 }
 
-// End ends a job.
+// End ends a job, here or through an instance that the store answers.
 func (d *Desk) End(ctx context.Context, call JobCall) Verdict {
-	number := d.opts.partitionOf(call.Job).Number
-	h, err := d.fresh(ctx, number)
+	verdict := NotDone
+	if d.opts.StoreAge() < storeAway {
+		verdict = d.endHere(ctx, call)
+	}
+	if verdict == NotDone || verdict == Unsure {
+		d.elsewhere(ctx, func(ctx context.Context, address string) bool {
+			var reply JobReply
+			if err := d.opts.Caller.Call(ctx, address, methodEndFor, &call, &reply); err != nil {
+				verdict = Unsure
+				return false
+			}
+			if reply.Verdict == Done || reply.Verdict == Missing {
+				verdict = reply.Verdict
+				return true
+			}
+			return false
+		})
+	}
+	_ = level.Info(d.opts.Logger).Log("event", "job_ended", "job", call.Job, "outcome", verdict)
+	return verdict
+}
+
+// endHere writes the mark that ends a job. The mark is written once: a repeat
+// finds it.
+func (d *Desk) endHere(ctx context.Context, call JobCall) Verdict {
+	h, err := d.fresh(ctx, d.opts.partitionOf(call.Job).Number)
 	if err != nil {
-		return Unsure
+		return NotDone
 	}
 	found, _ := h.job(call.Job)
 	switch {
-	case !found.known || found.listed.Organisation != call.Organisation:
+	case !found.known || found.organisation != call.Organisation:
 		return h.absent(found)
-	case found.listed.Ended:
+	case found.ended:
 		return Done
 	}
-	verdict := d.append(ctx, d.opts.partitionOf(call.Job), []external.KeyedRecord{jobs.EncodeEnd(call.Job)})
-	_ = level.Info(d.opts.Logger).Log("event", "job_ended", "job", call.Job, "outcome", verdict)
-	return verdict
+	return d.append(ctx, d.opts.partitionOf(call.Job), []external.KeyedRecord{jobs.EncodeEnd(call.Job)})
 }
 
 // fresh gives a partition as the store has it now. Nobody may say that a job
--- a/internal/coordination/batchjobs/holding.go
+++ b/internal/coordination/batchjobs/holding.go
@@ -36,6 +36,12 @@
 	state   *jobs.Partition
 	loaded  bool
 	changed chan struct{}
+	// held is when the holding began.
+	held time.Time
+	// onPart is told of output that another instance handed back; parts keeps
+	// it until the item is taken up.
+	onPart func(itemID, Part)
+	parts  map[itemID]Part
 	// finished are results that are still to be listed.
 	finished []finished
 	wake     chan struct{}
@@ -54,6 +60,8 @@
 		state:   jobs.NewPartition(),
 		changed: make(chan struct{}),
 		wake:    make(chan struct{}, 1),
+		held:    time.Now(),
+		parts:   map[itemID]Part{},
 	}
 }
 
@@ -154,24 +162,33 @@
 	found.loaded = h.loaded
 	if l, ok := h.state.Job(id); ok {
 		found.known = true
-		found.listed = *l
-		found.listed.Results = l.Results[:len(l.Results):len(l.Results)]
+		found.organisation = l.Organisation
+		found.total = len(l.Items)
+		found.results = l.Results[:len(l.Results):len(l.Results)]
+		found.ended = l.Ended
 	}
 	return found, h.changed
 }
 
-// snapshot is a job as it was at one moment.
+// snapshot is a job as it was at one moment. Results that are listed never
+// change, so that they may be shared.
 type snapshot struct {
 	loaded, known bool
-	listed        jobs.Listed
+	organisation  string
+	total         int
+	results       []jobs.Result
+	ended         bool
 }
 
-// open gives the items that are to be run.
-func (h *holding) open() []openItem {
+// open says that results are still to come.
+func (s *snapshot) open() bool { return !s.ended && len(s.results) < s.total }
+
+// open gives the items that are to be run, and since when the partition is held.
+func (h *holding) open() ([]openItem, time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.loaded {
-		return nil
+		return nil, h.held
 	}
 	pending := make(map[itemID]bool, len(h.finished))
 	for _, f := range h.finished {
@@ -189,7 +206,7 @@
 			}
 		}
 	}
-	return out
+	return out, h.held
 }
 
 // jobOf is the job without its items.
--- a/internal/coordination/batchjobs/keeper.go
+++ b/internal/coordination/batchjobs/keeper.go
@@ -40,7 +40,9 @@
 
 // NewKeeper returns a keeper that holds nothing.
 func NewKeeper(opts *Options, runner *Runner) *Keeper {
-	return &Keeper{opts: opts, runner: runner, held: map[int]*held{}}
+	k := &Keeper{opts: opts, runner: runner, held: map[int]*held{}}
+	runner.local = k.holding
+	return k
 }
 
 // String names the duty.
@@ -127,6 +129,7 @@
 func (k *Keeper) start(ctx context.Context, p external.Partition) {
 	ctx, stop := context.WithCancel(ctx)
 	h := newHolding(k.opts, p, k.runner.refresh)
+	h.onPart = k.runner.partCame
 	k.held[p.Number] = &held{holding: h, stop: stop}
 	go h.serve(ctx)
 }
--- a/internal/coordination/batchjobs/rpc.go
+++ b/internal/coordination/batchjobs/rpc.go
@@ -1,6 +1,10 @@
 package batchjobs
 
-import "context"
+import (
+	"context"
+
+	"merlintiller/internal/state/jobs"
+)
 
 // Names of the net/rpc receivers. Calls that wait for results have connections
 // of their own, so that a wait that ends by its time holds up no other call.
@@ -8,11 +12,17 @@
 	ReceiverName = "Jobs"
 	WaiterName   = "JobResults"
 
-	methodKnown   = ReceiverName + ".Known"
-	methodAccept  = ReceiverName + ".Accept"
-	methodBody    = ReceiverName + ".Body"
-	methodYield   = ReceiverName + ".Yield"
-	methodResults = WaiterName + ".Results"
+	methodKnown  = ReceiverName + ".Known"
+	methodAccept = ReceiverName + ".Accept"
+	methodBody   = ReceiverName + ".Body"
+	methodYield  = ReceiverName + ".Yield"
+
+	methodFinish   = ReceiverName + ".Finish"
+	methodHandBack = ReceiverName + ".HandBack"
+	methodEndFor   = ReceiverName + ".EndFor"
+	methodBodyFor  = ReceiverName + ".BodyFor"
+	methodReadFor  = WaiterName + ".ResultsFor"
+	methodResults  = WaiterName + ".Results"
 )
 
 // Receiver answers other instances. It is registered under ReceiverName.
@@ -56,6 +66,51 @@
 	return nil
 }
 
+// Finish takes the result of an item that was run for this holder.
+func (r *Receiver) Finish(args *FinishCall, reply *JobReply) error {
+	reply.Verdict = NotHeld
+	if h, ok := r.desk.keeper.holding(r.desk.opts.partitionOf(args.Job).Number); ok {
+		h.finish(finished{job: args.Job, result: jobs.Result(args.Result)})
+		r.desk.runner.settle(itemID{args.Job, args.Result.Item})
+		reply.Verdict = Done
+	}
+	return nil
+}
+
+// HandBack takes the output of an item that is not whole.
+func (r *Receiver) HandBack(args *Part, reply *JobReply) error {
+	reply.Verdict = NotHeld
+	if h, ok := r.desk.keeper.holding(r.desk.opts.partitionOf(args.Job).Number); ok {
+		h.takeBack(*args)
+		reply.Verdict = Done
+	}
+	return nil
+}
+
+// EndFor ends a job for an instance that does not reach the store.
+func (r *Receiver) EndFor(args *JobCall, reply *JobReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	reply.Verdict = r.desk.endHere(ctx, *args)
+	return nil
+}
+
+// BodyFor gives the body of an item to an instance that does not reach the store.
+func (r *Receiver) BodyFor(args *BodyCall, reply *BodyReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	*reply = r.desk.bodyHere(ctx, *args)
+	return nil
+}
+
+// ResultsFor gives results to an instance that does not reach the store.
+func (w *Waiter) ResultsFor(args *ResultsCall, reply *ResultsReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	*reply = w.desk.resultsHere(ctx, *args)
+	return nil
+}
+
 // Waiter answers calls that may wait. It is registered under WaiterName.
 type Waiter struct{ desk *Desk }
 
--- a/internal/coordination/batchjobs/runner.go
+++ b/internal/coordination/batchjobs/runner.go
@@ -5,12 +5,15 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log/level"
 
+	"merlintiller/internal/coordination/mesh"
 	"merlintiller/internal/coordination/placement"
+	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/state/jobs"
 )
 
@@ -24,6 +27,11 @@
 	// further one up to failMost.
 	failPause = 100 * time.Millisecond
 	failMost  = 2 * time.Second
+	// claimWait is how long a new holder waits for others to claim the items
+	// that they run: two messages of another failure domain.
+	claimWait = 400 * time.Millisecond
+	// claimsFresh is how long a look at the claims counts.
+	claimsFresh = 50 * time.Millisecond
 )
 
 var (
@@ -45,17 +53,28 @@
 type Runner struct {
 	opts *Options
 	wake chan struct{}
+	// handing counts what is being handed to holders.
+	handing atomic.Int64
+	// local gives a partition that is held here.
+	local func(number int) (*holding, bool)
 
 	mu      sync.Mutex
 	pace    pace
 	tasks   map[itemID]*task
 	waiting []*task
 	ctx     context.Context
+	// delivering are results on their way to the holders of their partitions.
+	delivering map[itemID]bool
+	// leaving says that nothing new is begun.
+	leaving bool
+	// claimed are the items that others run, as of claimedAt.
+	claimed   map[itemID]bool
+	claimedAt time.Time
 }
 
 // NewRunner returns a runner without items.
 func NewRunner(opts *Options) *Runner {
-	r := &Runner{opts: opts, wake: make(chan struct{}, 1), pace: newPace(), tasks: map[itemID]*task{}}
+	r := &Runner{opts: opts, wake: make(chan struct{}, 1), pace: newPace(), tasks: map[itemID]*task{}, delivering: map[itemID]bool{}}
 	metrics.GetOrCreateGauge(`batch_items{state="open"}`, func() float64 {
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -99,36 +118,110 @@
 
 // refresh takes over which items of a partition are open.
 func (r *Runner) refresh(h *holding) {
-	open := h.open()
+	open, held := h.open()
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	wanted := make(map[itemID]bool, len(open))
 	for i := range open {
 		o := &open[i]
 		wanted[o.id] = true
-		if known := r.tasks[o.id]; known == nil || known.home != h {
-			t := &task{openItem: *o, runner: r, home: h, position: -1}
-			r.tasks[o.id] = t
-			r.waiting = append(r.waiting, t)
+		if known := r.tasks[o.id]; known != nil {
+			// An item of a partition that was lost and is held again.
+			known.home = h
+			continue
 		}
+		t := &task{openItem: *o, runner: r, home: h, position: exchange.FromStart}
+		if o.job.Submitted.Before(held) {
+			t.notBefore = held.Add(claimWait)
+		}
+		t.adopt(h.handedBack(o.id))
+		r.tasks[o.id] = t
+		r.waiting = append(r.waiting, t)
 	}
 	for id, t := range r.tasks {
 		if t.home == h && !wanted[id] {
 			r.forget(t)
 		}
 	}
-	r.mu.Unlock()
 	r.poke()
 }
 
-// drop forgets the items of a partition that is held no more.
+// drop lets go of the items of a partition that is held no more. Those that run
+// go on, as claims; what the others have is handed to the new holder.
 func (r *Runner) drop(h *holding) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, t := range r.tasks {
-		if t.home == h {
-			r.forget(t)
+		if t.home != h {
+			continue
+		}
+		t.home = nil
+		if t.cancel == nil {
+			r.handBack(t)
+		}
+	}
+	for _, f := range h.takeFinished() {
+		r.delivers(f)
+		go r.deliver(f)
+	}
+}
+
+// settle ends the task of an item whose result came from elsewhere.
+func (r *Runner) settle(id itemID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t := r.tasks[id]; t != nil {
+		r.forget(t)
+	}
+}
+
+// handBack gives what a waiting task has to the holder of its partition and
+// forgets the task. It needs the lock.
+func (r *Runner) handBack(t *task) {
+	r.forget(t)
+	if t.events > 0 {
+		r.handing.Add(1)
+		go r.deliverPart(t.part())
+	}
+}
+
+// Claims gives the items that run here though their partition is held elsewhere.
+func (r *Runner) Claims() []mesh.Claim {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var claims []mesh.Claim
+	for id, t := range r.tasks {
+		if t.home == nil {
+			claims = append(claims, mesh.Claim{Job: id.job, Item: id.item})
 		}
 	}
+	for id := range r.delivering {
+		claims = append(claims, mesh.Claim{Job: id.job, Item: id.item})
+	}
+	return claims
+}
+
+// Leave ends all runs and hands what they have to the holders of their
+// partitions. It comes after the partitions were given up.
+func (r *Runner) Leave(ctx context.Context) {
+	r.mu.Lock()
+	r.leaving = true
+	for _, t := range r.tasks {
+		if t.cancel != nil {
+			t.cancel()
+		}
+	}
+	r.mu.Unlock()
+	for ctx.Err() == nil && r.busy() {
+		sleep(ctx, tryEvery)
+	}
+}
+
+// busy says that something is still to be handed over.
+func (r *Runner) busy() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.tasks) > 0 || r.handing.Load() > 0
 }
 
 // forget ends a task. It needs the lock.
@@ -169,11 +262,15 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.leaving {
+		return false
+	}
 	r.sort(now)
+	r.readClaims(now)
 	kept := r.waiting[:0]
 	full := false
 	for _, t := range r.waiting {
-		if full || now.Before(t.notBefore) || !t.begin(now, &full) {
+		if full || now.Before(t.notBefore) || r.claimed[t.id] || !t.begin(now, &full) {
 			kept = append(kept, t)
 		}
 	}
@@ -190,6 +287,10 @@
 	if t.ended {
 		return
 	}
+	if t.home == nil || r.leaving {
+		r.handBack(t)
+		return
+	}
 	t.notBefore = time.Now().Add(pause)
 	r.waiting = append(r.waiting, t)
 	r.poke()
@@ -204,13 +305,40 @@
 	}
 	if !ended {
 		// The result waits in its partition now; until it is listed there, the
-		// item counts as pending and is not run again.
+		// item counts as pending and is not run again. Where the partition is
+		// held elsewhere, the holder is told.
 		t.ended = true
 		delete(r.tasks, t.id)
 	}
+	home := t.home
+	f := finished{job: t.id.job, result: result}
+	if !ended && home == nil {
+		r.delivers(f)
+	}
 	r.mu.Unlock()
-	if !ended {
-		t.home.finish(finished{job: t.id.job, result: result})
+	switch {
+	case ended:
+	case home != nil:
+		home.finish(f)
+	default:
+		r.deliver(f)
+	}
+}
+
+// readClaims takes over what other instances say that they run.
+func (r *Runner) readClaims(now time.Time) {
+	if now.Sub(r.claimedAt) < claimsFresh {
+		return
+	}
+	r.claimedAt = now
+	r.claimed = map[itemID]bool{}
+	for _, p := range r.opts.Peers.Peers() {
+		if p.State != mesh.Up {
+			continue
+		}
+		for _, c := range p.Beat.Claims {
+			r.claimed[itemID{c.Job, c.Item}] = true
+		}
 	}
 }
 
--- a/internal/coordination/mesh/beat.go
+++ b/internal/coordination/mesh/beat.go
@@ -23,6 +23,8 @@
 	From Instance
 	// Seq grows with each message of one life.
 	Seq uint64
+	// Known is a digest of the instances that the sender knows.
+	Known uint64
 	// Leaving says that the instance will end and holds nothing new.
 	Leaving bool
 	// ConfigVersion is the version in force, RosterMark how far the list of
@@ -38,8 +40,14 @@
 	// Partitions are those of batch jobs that it holds, as of a generation.
 	Partitions []int
 	Generation int64
+	// Claims are batch items that it runs though it holds their partition no
+	// more. The holder leaves them to it as long as it is heard.
+	Claims []Claim
 }
 
+// Claim is an item of a batch job.
+type Claim struct{ Job, Item string }
+
 // SnapshotArgs asks for what the caller lacks.
 type SnapshotArgs struct {
 	ConfigVersion int64
--- a/internal/coordination/mesh/mesh.go
+++ b/internal/coordination/mesh/mesh.go
@@ -83,6 +83,8 @@
 	states   map[string]State
 	silent   map[string]bool
 	fetching bool
+	// comparedAt is when the lists of instances were compared last.
+	comparedAt time.Time
 }
 
 // Config makes a Mesh.
@@ -197,7 +199,7 @@
 func (m *Mesh) beat() Beat {
 	m.mu.Lock()
 	m.seq++
-	beat := Beat{From: m.self, Seq: m.seq}
+	beat := Beat{From: m.self, Seq: m.seq, Known: m.view.Digest()}
 	m.mu.Unlock()
 	m.local.Describe(&beat)
 	return beat
@@ -221,18 +223,24 @@
 	m.local.Describe(&own)
 	newer := beat.ConfigVersion > own.ConfigVersion ||
 		beat.RosterMark > own.RosterMark && own.StoreAge > beat.StoreAge+staleStore
-	if !newer {
-		return
-	}
+	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.fetching {
+	if !newer && beat.Known != m.view.Digest() && now.Sub(m.comparedAt) > compareEvery {
+		m.comparedAt = now
+		newer = true
+	}
+	if !newer || m.fetching {
 		return
 	}
 	m.fetching = true
 	go m.fetch(beat.From.Address, SnapshotArgs{ConfigVersion: own.ConfigVersion, RosterMark: own.RosterMark})
 }
 
+// compareEvery is the least time between two comparisons of the lists of known
+// instances. They differ for a moment whenever one comes or goes.
+const compareEvery = 700 * time.Millisecond
+
 // staleStore is how much longer than another instance this one must have been
 // without the store before it asks for the list of targets: two periods of its
 // own reads.
@@ -270,6 +278,13 @@
 	m.view.Listed(time.Now(), list)
 }
 
+// Lost gives instances that are not there any more, as far as can be told.
+func (m *Mesh) Lost() []Instance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.Lost(time.Now(), ForgetAfter/2)
+}
+
 // settle tells what changed by the passing of time.
 func (m *Mesh) settle() {
 	now := time.Now()
--- a/internal/coordination/mesh/view.go
+++ b/internal/coordination/mesh/view.go
@@ -3,7 +3,10 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // State is what is known of another instance's process.
@@ -171,6 +174,32 @@
 	return out
 }
 
+// Digest sums up which instances are known, so that two that know different ones
+// notice.
+func (v *View) Digest() uint64 {
+	digest := hashOf(v.self)
+	for _, e := range v.peers {
+		digest ^= hashOf(e.Instance)
+	}
+	return digest
+}
+
+func hashOf(i Instance) uint64 {
+	return xxhash.Sum64String(i.Name + "/" + strconv.FormatInt(i.Start, 10))
+}
+
+// Lost names instances whose process is not there, or that were silent for so
+// long.
+func (v *View) Lost(now time.Time, silentFor time.Duration) []Instance {
+	var out []Instance
+	for _, e := range v.peers {
+		if e.down || now.Sub(e.heard) > silentFor {
+			out = append(out, e.Instance)
+		}
+	}
+	return out
+}
+
 // Holder gives the instance that holds a partition by the latest generation
 // that anybody told. Silent instances are not asked.
 func (v *View) Holder(now time.Time, partition int) (Peer, bool) {
--- /dev/null
+++ b/internal/daemon/routed/jobs_test.go
@@ -0,0 +1,174 @@
+package routed
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/standin/engine"
+)
+
+// submit hands jobs in and gives their ids.
+func (w *world) submit(n *node, count, items, events int) []string {
+	w.t.Helper()
+	var ids []string
+	for i := range count {
+		id := fmt.Sprintf("job-%s-%d", n.name, i)
+		require.Equal(w.t, http.StatusAccepted, n.send(jobOf(id, items, events)).status, "%s", n.logs)
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// fromStart counts the runs of a job's items that began with the first event.
+func (w *world) fromStart(job string, items int) int {
+	count := 0
+	for i := range items {
+		for _, run := range w.runs(itemOf(job, i)) {
+			if run.After < 0 {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// The store deals all partitions anew at once. The instances that ran items hold
+// other partitions from then on. Running the items from the start once more would
+// take the slots of others and make results late.
+func TestRedealingRunsNoItemTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, size{domains: 2, nodes: 2, targets: 2})
+		ids := w.submit(w.nodes[0], 6, 4, 150)
+		pass(800 * time.Millisecond)
+		w.store.Redeal()
+		for _, id := range ids {
+			w.requireWhole(id, w.nodes[3].allResults(id, 12*time.Second), 150)
+			require.Equal(t, 4, w.fromStart(id, 4), "job %s", id)
+		}
+	})
+}
+
+// An instance leaves with items half done. What they have of their output is
+// handed over, and the others go on from there.
+func TestLeavingInstanceHandsOutputOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, size{domains: 1, nodes: 2, targets: 3})
+		ids := w.submit(w.nodes[1], 6, 3, 300)
+		pass(1500 * time.Millisecond)
+		w.nodes[0].terminate()
+		for _, id := range ids {
+			w.requireWhole(id, w.nodes[1].allResults(id, 15*time.Second), 300)
+			require.Equal(t, 3, w.fromStart(id, 3), "job %s\n%s", id, w.nodes[0].logs)
+		}
+	})
+}
+
+// An instance is killed, or loses its power, while its items run. The others find
+// out by the silence and run the items again; each result is listed once.
+func TestItemsOfADeadInstanceAreRunByOthers(t *testing.T) {
+	for name, end := range map[string]func(*node){
+		"killed": func(n *node) { n.kill() },
+		"dark": func(n *node) {
+			n.world.net.PowerOff(n.ip)
+			n.kill()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, size{domains: 1, nodes: 3, targets: 2})
+				ids := w.submit(w.nodes[1], 6, 2, 100)
+				pass(700 * time.Millisecond)
+				end(w.nodes[0])
+				for _, id := range ids {
+					w.requireWhole(id, w.nodes[2].allResults(id, 10*time.Second), 100)
+				}
+			})
+		})
+	}
+}
+
+// All instances lose their power right after a job was accepted. They come back
+// empty, and the job must be done all the same.
+func TestAcceptedJobOutlivesAllInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, size{domains: 2, nodes: 2, targets: 2})
+		ids := w.submit(w.nodes[0], 2, 3, 60)
+		for _, n := range w.nodes {
+			n.kill()
+		}
+		pass(time.Second)
+		for _, n := range w.nodes {
+			n.start()
+		}
+		w.awaitReady()
+		for _, id := range ids {
+			w.requireWhole(id, w.nodes[2].allResults(id, 8*time.Second), 60)
+		}
+	})
+}
+
+// A job is ended while its items run and wait. Nothing of it may be begun after
+// that, also not by an instance that holds its partition no more.
+func TestEndedJobRunsNothingMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, size{domains: 1, nodes: 3, targets: 1})
+		ids := w.submit(w.nodes[0], 3, 12, 100)
+		pass(time.Second)
+		w.store.Redeal()
+		for _, id := range ids {
+			got := w.nodes[1].send(ask{method: http.MethodDelete, path: "/lots/" + id, key: keyOne})
+			require.Equal(t, http.StatusOK, got.status)
+			require.Equal(t, http.StatusOK, w.nodes[2].send(ask{method: http.MethodDelete, path: "/lots/" + id, key: keyOne}).status)
+		}
+		ended := time.Now()
+		pass(8 * time.Second)
+		for _, target := range w.targets {
+			for _, run := range target.Runs() {
+				require.False(t, run.Began.After(ended.Add(3*time.Second)), "item %s began %s after the end", run.ID, run.Began.Sub(ended))
+			}
+		}
+	})
+}
+
+// An item's runs break off in the middle of an event, again and again, and
+// another one fails each time. The first goes on where it was and is whole; the
+// second is given up after as many tries as its route allows.
+func TestItemsThatBreakOffAndItemsThatFail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		breaks, failing, impossible := itemOf("job", 0), itemOf("job", 1), itemOf("job", 2)
+		w := newWorld(t, size{domains: 1, nodes: 2, targets: 2, target: engine.Options{
+			Slots: 8, Queue: 24, Step: 20 * time.Millisecond,
+			Misbehave: func(id string) engine.Fault {
+				switch id {
+				case breaks:
+					return engine.Fault{BreakAfter: 30}
+				case failing:
+					return engine.Fault{Status: http.StatusInternalServerError}
+				case impossible:
+					return engine.Fault{Status: http.StatusUnprocessableEntity}
+				}
+				return engine.Fault{}
+			},
+		}})
+		require.Equal(t, http.StatusAccepted, w.nodes[0].send(jobOf("job", 4, 100)).status)
+		got := w.nodes[1].allResults("job", 15*time.Second)
+		states := map[string]string{}
+		for _, r := range got.Results {
+			states[r.ID] = r.State
+			if r.State == "succeeded" {
+				require.Equal(t, text(r.ID, 100), r.Text)
+			}
+		}
+		require.Equal(t, map[string]string{
+			breaks: "succeeded", failing: "dead_letter", impossible: "dead_letter", itemOf("job", 3): "succeeded",
+		}, states)
+		require.Len(t, w.runs(failing), 3)
+		require.Len(t, w.runs(impossible), 1)
+		require.Equal(t, 1, w.fromStart("job", 1))
+	})
+}
--- a/internal/daemon/routed/leave.go
+++ b/internal/daemon/routed/leave.go
@@ -12,6 +12,9 @@
 	leaveMargin = 1200 * time.Millisecond
 	// storeStep bounds a step that needs the store.
 	storeStep = 500 * time.Millisecond
+	// handOverStep bounds the handing over of items: others take the partitions
+	// up within some hundred milliseconds and tell so.
+	handOverStep = 1500 * time.Millisecond
 )
 
 // leave ends the duties towards the outside: not ready first, then the jobs to
@@ -24,13 +27,14 @@
 	_ = level.Info(d.logger).Log("event", "leaving", "in_flight", d.front.InFlight())
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(d.settings.Grace-leaveMargin))
 	defer cancel()
-	d.step(ctx, "jobs", d.keeper.Leave)
+	d.step(ctx, storeStep, "jobs", d.keeper.Leave)
 	wait(ctx, time.Until(began.Add(d.settings.DrainNotice)))
 	// The balancer sends nobody any more. Callers that have connections would
 	// go on sending until the end, and the last request would be cut by it; so
 	// idle connections are closed now, and the others after their request.
 	err := d.front.Finish(ctx)
-	d.step(ctx, "withdraw", func(ctx context.Context) {
+	d.step(ctx, handOverStep, "items", d.runner.Leave)
+	d.step(ctx, storeStep, "withdraw", func(ctx context.Context) {
 		if err := d.withdraw(ctx); err != nil {
 			_ = level.Warn(d.logger).Log("event", "withdraw_failed", "err", err)
 		}
@@ -38,8 +42,8 @@
 	_ = level.Info(d.logger).Log("event", "left", "in_flight", d.front.InFlight(), "took_ms", time.Since(began).Milliseconds(), "err", err)
 }
 
-func (d *Daemon) step(ctx context.Context, name string, run func(context.Context)) {
-	ctx, cancel := context.WithTimeout(ctx, storeStep)
+func (d *Daemon) step(ctx context.Context, most time.Duration, name string, run func(context.Context)) {
+	ctx, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
 	began := time.Now()
 	run(ctx)
--- a/internal/daemon/routed/local.go
+++ b/internal/daemon/routed/local.go
@@ -14,6 +14,7 @@
 	beat.Held = l.placer.Held()
 	beat.Admitted = l.meter.Own()
 	beat.Partitions, beat.Generation = l.keeper.Holding()
+	beat.Claims = l.runner.Claims()
 }
 
 // Newer implements mesh.Local.
--- /dev/null
+++ b/internal/daemon/routed/mesh_test.go
@@ -0,0 +1,47 @@
+package routed
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/coordination/mesh"
+)
+
+// All instances of a fleet start at the same moment, as after an outage. Each
+// must know all others soon: one that knows too few leaves out their requests when
+// it chooses targets, and runs items that they run.
+func TestInstancesThatStartTogetherFindEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, size{domains: 3, nodes: 3, targets: 1})
+		for _, n := range w.nodes {
+			up := 0
+			for _, p := range n.daemon.mesh.Peers() {
+				if p.State == mesh.Up {
+					up++
+				}
+			}
+			require.Equal(t, 8, up, n.name)
+		}
+	})
+}
+
+// An instance is gone for good. It must leave the list, or each instance that
+// starts keeps a part of every rate for it.
+func TestLostInstanceLeavesTheList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, size{domains: 1, nodes: 3, targets: 1})
+		w.nodes[2].kill()
+		pass(25 * time.Second)
+		_, listed := w.store.Newest(instancesTopic, 0, w.nodes[2].name)
+		require.False(t, listed)
+		_, listed = w.store.Newest(instancesTopic, 0, w.nodes[1].name)
+		require.True(t, listed)
+		w.nodes[2].start()
+		pass(2 * time.Second)
+		_, listed = w.store.Newest(instancesTopic, 0, w.nodes[2].name)
+		require.True(t, listed)
+	})
+}
--- a/internal/standin/sharedstore/store.go
+++ b/internal/standin/sharedstore/store.go
@@ -128,6 +128,8 @@
 	generation int64
 	members    map[string]*member
 	owner      map[int]string
+	// shift turns the order of the members at each dealing anew.
+	shift int
 }
 
 type member struct {
@@ -160,7 +162,7 @@
 	m.seen = g.generation
 	names := slices.Sorted(maps.Keys(g.members))
 	for number := range s.parts {
-		wanted := names[number%len(names)]
+		wanted := names[(number+g.shift)%len(names)]
 		switch owner := g.owner[number]; {
 		case owner == who && wanted != who:
 			delete(g.owner, number)
@@ -187,12 +189,14 @@
 	}
 }
 
-// Redeal takes all partitions of all groups from their members.
+// Redeal takes all partitions of all groups from their members and gives them to
+// the next ones.
 func (s *Store) Redeal() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, g := range s.groups {
 		g.generation++
+		g.shift++
 		g.owner = map[int]string{}
 	}
 }
