Restarted instances take the buckets of the rates over instead of others' history

An instance that had just started heard the totals that the others had let in since their own starts, took them for news, and refused every organisation until the debt was paid. Change: what instances let in before this one started counts in the buckets that are taken over from one that knows them; until then only the own part is used. Instances that refuse connections keep their totals, so that one that comes back in the same life is not taken for new. The line of a refusal gives level and share.

--- a/internal/coordination/mesh/beat.go
+++ b/internal/coordination/mesh/beat.go
@@ -35,8 +35,11 @@
 	StoreAge time.Duration
 	// Held is what the instance has at targets.
 	Held []placement.Held
-	// Admitted are the requests that it let in.
+	// Admitted are the requests that it let in, Levels the buckets of the rates
+	// that are not full, if Informed.
 	Admitted quota.Counts
+	Levels   quota.Levels
+	Informed bool
 	// Partitions are those of batch jobs that it holds, as of a generation.
 	Partitions []int
 	Generation int64
--- a/internal/coordination/quota/meter.go
+++ b/internal/coordination/quota/meter.go
@@ -13,9 +13,9 @@
 	ledger *Ledger
 }
 
-// NewMeter returns a meter that knows no limit.
-func NewMeter(silentAfter time.Duration) *Meter {
-	return &Meter{ledger: New(silentAfter)}
+// NewMeter returns a meter of an instance that starts now, see New.
+func NewMeter(silentAfter time.Duration, start int64) *Meter {
+	return &Meter{ledger: New(silentAfter, time.Now(), start)}
 }
 
 // SetOrganisations takes over the limits of a configuration.
@@ -30,7 +30,7 @@
 }
 
 // Admit lets a request in, or says how long it takes until one more may come.
-func (m *Meter) Admit(org string) (ok bool, wait time.Duration) {
+func (m *Meter) Admit(org string) Decision {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.ledger.Admit(time.Now(), org)
@@ -50,11 +50,19 @@
 	return m.ledger.Own()
 }
 
-// Heard takes over what another instance let in since its start.
-func (m *Meter) Heard(name string, start int64, counts Counts) {
+// Heard takes over what another instance let in since its start, and the buckets
+// as it knows them.
+func (m *Meter) Heard(name string, start int64, counts Counts, levels Levels) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.ledger.Heard(time.Now(), name, start, counts)
+	m.ledger.Heard(time.Now(), name, start, counts, levels)
+}
+
+// Levels gives the buckets that are not full, nil if they are not known.
+func (m *Meter) Levels() Levels {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.ledger.Levels(time.Now())
 }
 
 // Expect makes an instance known that was not heard yet.
@@ -64,7 +72,7 @@
 	m.ledger.Expect(name)
 }
 
-// Gone forgets an instance that can let nothing in any more.
+// Gone notes that an instance can let nothing in any more.
 func (m *Meter) Gone(name string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -10,16 +10,26 @@
 // An instance that has not been heard may let requests in all the same, cut off
 // with callers of its own. Its part of the rate and burst is left to it while it
 // is silent. Both sides of a cut do so, and the parts add up to the whole.
+//
+// An instance that has just started knows nothing of the buckets. It takes them
+// over from one that does, and until then uses no more than its part.
 package quota
 
 import (
-	"math"
 	"time"
 )
 
-// leastCap is the smallest burst that an instance keeps to itself when the
-// others are silent. Below one token it could let nothing in at all.
-const leastCap = 1
+const (
+	// leastCap is the smallest burst that an instance keeps to itself when the
+	// others are silent. Below one token it could let nothing in at all.
+	leastCap = 1
+	// aloneAfter is how long an instance waits to hear of the buckets from one
+	// that knows them. All instances may have started anew.
+	aloneAfter = time.Second
+	// fullMargin is how far below its cap a bucket may be to count as full, so
+	// that it is not told.
+	fullMargin = 0.5
+)
 
 // Limit is what an organisation may ask of the whole fleet. A rate of 0 is no
 // limit.
@@ -32,35 +42,50 @@
 // those that were given back.
 type Counts map[string]int64
 
+// Levels are the buckets that are not full. Nil says that they are not known.
+type Levels map[string]float64
+
 // Ledger keeps the buckets. It is pure and not safe for concurrent use.
 type Ledger struct {
 	// silentAfter is the silence after which an instance's part is left to it.
 	silentAfter time.Duration
-	limits      map[string]Limit
-	accounts    map[string]*account
-	peers       map[string]*peer
+	// start is this life's own start, began when that was.
+	start int64
+	began time.Time
+	// informed says that the buckets were taken over from one that knew them, or
+	// that nobody did.
+	informed bool
+	limits   map[string]Limit
+	accounts map[string]*account
+	peers    map[string]*peer
 }
 
 type account struct {
 	level float64
 	at    time.Time
 	own   int64
-	// share is the part of the fleet that is not silent, as of at.
+	// share is the part of the fleet that may be used here, as of at.
 	share float64
 }
 
 type peer struct {
-	start  int64
-	heard  time.Time
-	counts Counts
+	start int64
+	heard time.Time
+	gone  bool
+	// informed says that it knows the buckets.
+	informed bool
+	counts   Counts
 	// left is what was left to the peer while it was silent, by organisation.
 	left map[string]float64
 }
 
-// New returns a ledger that knows no limit.
-func New(silentAfter time.Duration) *Ledger {
+// New returns a ledger of an instance that starts now. The start tells its lives
+// apart and grows with each of them.
+func New(silentAfter time.Duration, now time.Time, start int64) *Ledger {
 	return &Ledger{
 		silentAfter: silentAfter,
+		start:       start,
+		began:       now,
 		limits:      map[string]Limit{},
 		accounts:    map[string]*account{},
 		peers:       map[string]*peer{},
@@ -70,9 +95,7 @@
 // SetLimits takes over the limits of all organisations. Buckets keep their
 // level, cut to a smaller burst.
 func (l *Ledger) SetLimits(now time.Time, limits map[string]Limit) {
-	for name := range l.accounts {
-		l.refill(now, name)
-	}
+	l.refillAll(now)
 	l.limits = limits
 	for name, a := range l.accounts {
 		limit, known := limits[name]
@@ -84,28 +107,87 @@
 	}
 }
 
-// Heard takes over what another instance says it let in since its start. The
-// start tells two lives of one instance apart.
-func (l *Ledger) Heard(now time.Time, name string, start int64, counts Counts) {
-	for org := range l.accounts {
-		l.refill(now, org)
-	}
+// Heard takes over what another instance says it let in since its start, and the
+// buckets as it knows them. Each message replaces the one before.
+func (l *Ledger) Heard(now time.Time, name string, start int64, counts Counts, levels Levels) {
+	l.refillAll(now)
 	p, known := l.peers[name]
 	if !known || p.start != start {
 		p = &peer{start: start, counts: Counts{}, left: map[string]float64{}}
+		if start < l.start {
+			// It has been there for longer. What it let in before counts in the
+			// buckets that are taken over.
+			p.counts = counts
+		}
 		l.peers[name] = p
 	}
-	p.heard = now
+	p.heard, p.gone, p.informed = now, false, levels != nil
+	l.returnLeft(p)
+	for org, count := range counts {
+		l.account(now, org).level -= float64(count - p.counts[org])
+	}
+	p.counts = counts
+	l.inform(now, levels)
+}
+
+// returnLeft gives back what was left to a peer that is heard again: what it let
+// in shows in its counts.
+func (l *Ledger) returnLeft(p *peer) {
 	for org, left := range p.left {
 		if a := l.accounts[org]; a != nil {
 			a.level += left
 		}
 	}
 	clear(p.left)
-	for org, count := range counts {
-		l.account(now, org).level -= float64(count - p.counts[org])
-		p.counts[org] = count
+}
+
+// inform takes the buckets over, once.
+func (l *Ledger) inform(now time.Time, levels Levels) {
+	if l.informed || levels == nil {
+		return
+	}
+	l.informed = true
+	l.refillAll(now)
+	for org, limit := range l.limits {
+		a := l.account(now, org)
+		a.level = l.cap(limit, a.share)
+		if level, told := levels[org]; told {
+			a.level = min(a.level, level)
+		}
+	}
+}
+
+// Levels gives the buckets that are not full, nil if they are not known.
+func (l *Ledger) Levels(now time.Time) Levels {
+	if !l.knows(now) {
+		return nil
+	}
+	levels := Levels{}
+	for org, a := range l.accounts {
+		l.refill(now, org)
+		if a.level < l.cap(l.limits[org], a.share)-fullMargin {
+			levels[org] = a.level
+		}
+	}
+	return levels
+}
+
+// knows says whether the buckets are known. If nobody else can know them, they
+// are taken as they are here.
+func (l *Ledger) knows(now time.Time) bool {
+	if !l.informed && (l.nobodyKnows() || now.Sub(l.began) > aloneAfter) {
+		l.informed = true
 	}
+	return l.informed
+}
+
+func (l *Ledger) nobodyKnows() bool {
+	for _, p := range l.peers {
+		if !p.gone && (p.heard.IsZero() || p.informed) {
+			return false
+		}
+	}
+	return true
 }
 
 // Expect makes an instance known that was not heard yet.
@@ -115,24 +197,40 @@
 	}
 }
 
-// Gone forgets an instance that can let nothing in any more.
-func (l *Ledger) Gone(name string) { delete(l.peers, name) }
+// Gone notes that an instance can let nothing in any more.
+func (l *Ledger) Gone(name string) {
+	if p := l.peers[name]; p != nil {
+		p.gone = true
+	}
+}
+
+// Decision is whether a request is let in, and by what that was decided.
+type Decision struct {
+	Admitted bool
+	// Wait is how long it takes until one more may come, if it is not.
+	Wait time.Duration
+	// Level is the tokens that were there, Share the part of the fleet that may
+	// be used here.
+	Level, Share float64
+}
 
 // Admit lets a request in, or says how long it takes until one more may come.
-func (l *Ledger) Admit(now time.Time, org string) (ok bool, wait time.Duration) {
+func (l *Ledger) Admit(now time.Time, org string) Decision {
 	limit, known := l.limits[org]
 	if !known || limit.Rate <= 0 {
-		return true, 0
+		return Decision{Admitted: true, Share: 1}
 	}
 	a := l.account(now, org)
 	l.refill(now, org)
+	d := Decision{Level: a.level, Share: a.share}
 	if a.level >= 1 {
 		a.level--
 		a.own++
-		return true, 0
+		d.Admitted = true
+		return d
 	}
-	rate := limit.Rate * max(a.share, 1/float64(1+len(l.peers)))
-	return false, time.Duration((1 - a.level) / rate * float64(time.Second))
+	d.Wait = time.Duration((1 - a.level) / (limit.Rate * a.share) * float64(time.Second))
+	return d
 }
 
 // GiveBack returns the token of a request that did not run.
@@ -154,13 +252,6 @@
 	return counts
 }
 
-// Level gives the tokens of an organisation's bucket, for reports.
-func (l *Ledger) Level(now time.Time, org string) float64 {
-	a := l.account(now, org)
-	l.refill(now, org)
-	return a.level
-}
-
 func (l *Ledger) account(now time.Time, org string) *account {
 	a := l.accounts[org]
 	if a == nil {
@@ -171,6 +262,12 @@
 	return a
 }
 
+func (l *Ledger) refillAll(now time.Time) {
+	for org := range l.accounts {
+		l.refill(now, org)
+	}
+}
+
 // refill adds the tokens of the time since the last look and notes what is left
 // to silent instances.
 func (l *Ledger) refill(now time.Time, org string) {
@@ -180,9 +277,8 @@
 	a.at = now
 	a.share = l.share(now)
 	whole := limit.Rate * seconds
-	a.level += whole * a.share
-	a.level = min(a.level, l.cap(limit, a.share))
-	part := whole / float64(1+len(l.peers))
+	a.level = min(a.level+whole*a.share, l.cap(limit, a.share))
+	part := whole / l.size()
 	for _, p := range l.peers {
 		if l.silent(now, p) {
 			p.left[org] = min(p.left[org]+part, limit.Burst)
@@ -196,27 +292,32 @@
 	return max(leastCap, limit.Burst*share)
 }
 
-// share is the part of the fleet that is not silent.
+// size is the number of instances that may let requests in.
+func (l *Ledger) size() float64 {
+	n := 1
+	for _, p := range l.peers {
+		if !p.gone {
+			n++
+		}
+	}
+	return float64(n)
+}
+
+// share is the part of the fleet that may be used here: all but the silent ones,
+// and the own part alone while the buckets are not known.
 func (l *Ledger) share(now time.Time) float64 {
+	if !l.knows(now) {
+		return 1 / l.size()
+	}
 	silent := 0
 	for _, p := range l.peers {
 		if l.silent(now, p) {
 			silent++
 		}
 	}
-	return 1 - float64(silent)/float64(1+len(l.peers))
+	return 1 - float64(silent)/l.size()
 }
 
 func (l *Ledger) silent(now time.Time, p *peer) bool {
-	return p.heard.IsZero() || now.Sub(p.heard) > l.silentAfter
-}
-
-// Lowest bounds a level from below, so that a debt is paid within a while.
-//
-// What goes wrong without it: a limit is lowered under load, or counts of a
-// long cut arrive at once. The debt would refuse an organisation for minutes.
-func (l *Ledger) Lowest(seconds float64) {
-	for org, a := range l.accounts {
-		a.level = math.Max(a.level, -l.limits[org].Rate*seconds)
-	}
+	return !p.gone && (p.heard.IsZero() || now.Sub(p.heard) > l.silentAfter)
 }
--- /dev/null
+++ b/internal/coordination/quota/quota_test.go
@@ -0,0 +1,220 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Unix(1_000, 0)
+
+const silentAfter = 500 * time.Millisecond
+
+// member is an instance of a fleet that is played in steps.
+type member struct {
+	*Ledger
+	name  string
+	start int64
+	// side tells apart who hears whom.
+	side int
+}
+
+// fleet plays instances that tell each other their counts every 100 ms.
+type fleet struct {
+	t       *testing.T
+	now     time.Time
+	limits  map[string]Limit
+	members []*member
+	starts  int64
+	// admitted are the times at which requests were let in.
+	admitted []time.Time
+	refused  int
+}
+
+func newFleet(t *testing.T, size int, limit Limit) *fleet {
+	f := &fleet{t: t, now: start, limits: map[string]Limit{"o": limit}}
+	for i := range size {
+		f.members = append(f.members, f.fresh(fmt.Sprint("n", i)))
+	}
+	f.tell()
+	return f
+}
+
+// fresh is an instance that has just started and knows who is there.
+func (f *fleet) fresh(name string) *member {
+	f.starts++
+	m := &member{Ledger: New(silentAfter, f.now, f.starts), name: name, start: f.starts}
+	m.SetLimits(f.now, f.limits)
+	for _, other := range f.members {
+		if other.name != name {
+			m.Expect(other.name)
+		}
+	}
+	return m
+}
+
+func (f *fleet) tell() {
+	for _, from := range f.members {
+		for _, to := range f.members {
+			if from != to && from.side == to.side {
+				to.Heard(f.now, from.name, from.start, from.Own(), from.Levels(f.now))
+			}
+		}
+	}
+}
+
+// play lets so many requests a second come to random instances for a while.
+func (f *fleet) play(random *rand.Rand, perSecond float64, d time.Duration) {
+	const step = 10 * time.Millisecond
+	for elapsed := time.Duration(0); elapsed < d; elapsed += step {
+		f.now = f.now.Add(step)
+		if elapsed%(100*time.Millisecond) == 0 {
+			f.tell()
+		}
+		for due := perSecond * step.Seconds(); random.Float64() < due; due-- {
+			m := f.members[random.IntN(len(f.members))]
+			if m.Admit(f.now, "o").Admitted {
+				f.admitted = append(f.admitted, f.now)
+			} else {
+				f.refused++
+			}
+		}
+	}
+}
+
+// most is the largest number let in within any window.
+func (f *fleet) most(window time.Duration) int {
+	most, first := 0, 0
+	for i, at := range f.admitted {
+		for at.Sub(f.admitted[first]) > window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// allowed is what users bear within five seconds: a tenth and twenty above the
+// rate and the burst.
+func allowed(l Limit) int { return int((5*l.Rate+l.Burst)*1.1 + 20) }
+
+func TestNothingIsRefusedBelowTheRate(t *testing.T) {
+	f := newFleet(t, 9, Limit{Rate: 20, Burst: 20})
+	f.play(rand.New(rand.NewPCG(1, 1)), 17, 30*time.Second)
+	require.Zero(t, f.refused)
+}
+
+// One organisation sends several times its rate. What is let in over all
+// instances stays within what users bear, and is not much less than the rate.
+func TestRateHoldsOverAllInstances(t *testing.T) {
+	for _, limit := range []Limit{{Rate: 8, Burst: 8}, {Rate: 35, Burst: 35}} {
+		f := newFleet(t, 12, limit)
+		f.play(rand.New(rand.NewPCG(1, 2)), 7*limit.Rate, 20*time.Second)
+		require.LessOrEqual(t, f.most(5*time.Second), allowed(limit))
+		require.Greater(t, float64(len(f.admitted)), 0.95*20*limit.Rate)
+	}
+}
+
+// The fleet is cut in two, or every instance from all others, while the
+// organisation sends several times its rate. All sides go on serving, and their
+// sum stays within what users bear.
+func TestRateHoldsWhileInstancesAreCutOff(t *testing.T) {
+	for _, sides := range []int{2, 9} {
+		for _, limit := range []Limit{{Rate: 8, Burst: 8}, {Rate: 35, Burst: 35}} {
+			f := newFleet(t, 9, limit)
+			random := rand.New(rand.NewPCG(1, 3))
+			f.play(random, 5*limit.Rate, 3*time.Second)
+			for i, m := range f.members {
+				m.side = i % sides
+			}
+			before := len(f.admitted)
+			f.play(random, 5*limit.Rate, 10*time.Second)
+			require.LessOrEqual(t, f.most(5*time.Second), allowed(limit), "%d sides", sides)
+			require.Greater(t, float64(len(f.admitted)-before), 0.8*10*limit.Rate, "%d sides", sides)
+			for _, m := range f.members {
+				m.side = 0
+			}
+			f.play(random, 5*limit.Rate, 5*time.Second)
+			require.LessOrEqual(t, f.most(5*time.Second), allowed(limit), "%d sides", sides)
+		}
+	}
+}
+
+// Instances are restarted one after the other, as in a release. Each new one hears
+// of everything that the others let in since their own starts. Taking that for
+// news, it would refuse every caller for many seconds, though all are inside their
+// rates.
+func TestRestartedInstanceRefusesNobodyInsideTheRate(t *testing.T) {
+	f := newFleet(t, 9, Limit{Rate: 20, Burst: 20})
+	random := rand.New(rand.NewPCG(1, 4))
+	f.play(random, 14, 60*time.Second)
+	for i, old := range f.members {
+		f.members[i] = f.fresh(old.name)
+		for _, m := range f.members {
+			if m.name != old.name {
+				m.Gone(old.name)
+			}
+		}
+		f.tell()
+		f.play(random, 14, 2*time.Second)
+	}
+	require.Zero(t, f.refused)
+}
+
+// The same while the organisation sends several times its rate: each new instance
+// that began with a full bucket would let in a burst of its own.
+func TestRestartedInstancesBringNoBurstOfTheirOwn(t *testing.T) {
+	limit := Limit{Rate: 35, Burst: 35}
+	f := newFleet(t, 9, limit)
+	random := rand.New(rand.NewPCG(1, 5))
+	f.play(random, 5*limit.Rate, 5*time.Second)
+	for i, old := range f.members {
+		f.members[i] = f.fresh(old.name)
+		for _, m := range f.members {
+			if m.name != old.name {
+				m.Gone(old.name)
+			}
+		}
+		f.play(random, 5*limit.Rate, 500*time.Millisecond)
+	}
+	require.LessOrEqual(t, f.most(5*time.Second), allowed(limit))
+}
+
+// The whole fleet loses its power and starts anew.
+func TestFleetThatStartsAnewServesAtOnce(t *testing.T) {
+	limit := Limit{Rate: 20, Burst: 20}
+	f := newFleet(t, 9, limit)
+	random := rand.New(rand.NewPCG(1, 6))
+	f.play(random, 60, 5*time.Second)
+	for i, old := range f.members {
+		f.members[i] = f.fresh(old.name)
+	}
+	for _, m := range f.members {
+		for _, other := range f.members {
+			if m != other {
+				m.Expect(other.name)
+			}
+		}
+	}
+	refused := f.refused
+	f.play(random, 12, 10*time.Second)
+	require.Equal(t, refused, f.refused)
+}
+
+func TestLowerLimitCutsTheBucket(t *testing.T) {
+	f := newFleet(t, 1, Limit{Rate: 20, Burst: 20})
+	m := f.members[0]
+	m.SetLimits(f.now, map[string]Limit{"o": {Rate: 2, Burst: 3}})
+	for range 3 {
+		require.True(t, m.Admit(f.now, "o").Admitted)
+	}
+	d := m.Admit(f.now, "o")
+	require.False(t, d.Admitted)
+	require.Equal(t, 500*time.Millisecond, d.Wait)
+	m.GiveBack("o")
+	require.True(t, m.Admit(f.now, "o").Admitted)
+	require.True(t, m.Admit(f.now, "unknown").Admitted)
+}
--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -81,9 +81,9 @@
 		targets: targetconn.New(network, targetconn.Codec{
 			EncodeDispatch: platform.EncodeDispatch, DecodeReply: platform.DecodeReply,
 		}),
-		meter: quota.NewMeter(mesh.SilentAfter),
 		calls: peer.NewClientOn(network),
 	}
+	d.meter = quota.NewMeter(mesh.SilentAfter, d.self.Start)
 	d.killed, d.kill = context.WithCancel(context.Background())
 	d.placer = placement.NewPlacer(d.self.Domain, d.targets.Connected, xxhash.Sum64String(d.self.Name))
 	d.joinView()
--- a/internal/daemon/routed/local.go
+++ b/internal/daemon/routed/local.go
@@ -1,6 +1,9 @@
 package routed
 
-import "merlintiller/internal/coordination/mesh"
+import (
+	"merlintiller/internal/coordination/mesh"
+	"merlintiller/internal/coordination/quota"
+)
 
 // local joins what instances tell each other with those who know and use it.
 type local struct{ *Daemon }
@@ -13,6 +16,8 @@
 	beat.StoreAge = l.view.StoreAge()
 	beat.Held = l.placer.Held()
 	beat.Admitted = l.meter.Own()
+	beat.Levels = l.meter.Levels()
+	beat.Informed = beat.Levels != nil
 	beat.Partitions, beat.Generation = l.keeper.Holding()
 	beat.Claims = l.runner.Claims()
 }
@@ -37,7 +42,12 @@
 // PeerHeard implements mesh.Local.
 func (l *local) PeerHeard(beat mesh.Beat) {
 	l.placer.SetPeer(beat.From.Name, beat.Held)
-	l.meter.Heard(beat.From.Name, beat.From.Start, beat.Admitted)
+	levels := beat.Levels
+	if beat.Informed && levels == nil {
+		// An empty map is lost on the way.
+		levels = quota.Levels{}
+	}
+	l.meter.Heard(beat.From.Name, beat.From.Start, beat.Admitted, levels)
 }
 
 // PeerSilent implements mesh.Local. What a silent instance has at targets is not
--- a/internal/transport/front/online.go
+++ b/internal/transport/front/online.go
@@ -22,8 +22,9 @@
 		return
 	}
 	organisation := v.organisationName()
-	if admitted, wait := v.opts.Quota.Admit(organisation); !admitted {
-		v.refuse(http.StatusTooManyRequests, wait, "over_rate")
+	if decision := v.opts.Quota.Admit(organisation); !decision.Admitted {
+		v.refuse(http.StatusTooManyRequests, decision.Wait, "over_rate",
+			"level", fmt.Sprintf("%.2f", decision.Level), "share", fmt.Sprintf("%.2f", decision.Share))
 		return
 	}
 	sink := &sink{w: v.w, control: http.NewResponseController(v.w)}
--- a/internal/transport/front/server.go
+++ b/internal/transport/front/server.go
@@ -14,6 +14,7 @@
 
 	"merlintiller/internal/closing"
 	"merlintiller/internal/coordination/batchjobs"
+	"merlintiller/internal/coordination/quota"
 	"merlintiller/internal/coordination/relay"
 	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/state/jobs"
@@ -49,7 +50,7 @@
 
 // Quota holds organisations to their rates.
 type Quota interface {
-	Admit(organisation string) (ok bool, wait time.Duration)
+	Admit(organisation string) quota.Decision
 	GiveBack(organisation string)
 }
 
--- a/internal/transport/front/visit.go
+++ b/internal/transport/front/visit.go
@@ -105,12 +105,12 @@
 }
 
 // refuse answers a request that did not run.
-func (v *visit) refuse(status int, retry time.Duration, reason string) {
+func (v *visit) refuse(status int, retry time.Duration, reason string, more ...any) {
 	if retry > 0 {
 		v.w.Header().Set("Retry-After", v.opts.Codec.EncodeRetryAfter(retry))
 	}
 	v.answer(status, nil, "")
-	v.log("refused", status, reason, "retry_ms", retry.Milliseconds())
+	v.log("refused", status, reason, append(more, "retry_ms", retry.Milliseconds())...)
 }
 
 // answer sends a whole answer.
