An item that finishes twice is listed once

Two instances had run the item after its partition was dealt anew. Both results waited at the holder at the same moment, and one append gave each a position: the items of an append were checked against what is listed, not against each other. Ruled out: the condition on the partition's end (TestTwoHoldersListEachItemOnce and TestLostAnswerOfAnAppend hold without the change). Change: a result is taken only if none of the same item waits. Measured: TestItemThatFinishesTwiceIsListedOnce fails without it.

--- a/internal/coordination/batchjobs/holding.go
+++ b/internal/coordination/batchjobs/holding.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -216,10 +217,16 @@
 	return job
 }
 
-// finish has a result listed.
+// finish has a result listed. An item that was run twice may finish twice; the
+// first result counts, as long as it waits here and once it is listed.
 func (h *holding) finish(f finished) {
 	h.mu.Lock()
-	h.finished = append(h.finished, f)
+	waits := slices.ContainsFunc(h.finished, func(other finished) bool {
+		return other.job == f.job && other.result.Item == f.result.Item
+	})
+	if !waits {
+		h.finished = append(h.finished, f)
+	}
 	h.mu.Unlock()
 	select {
 	case h.wake <- struct{}{}:
