A broker for each failure domain gives every slot away once

Counts of other instances were 50 to 100 ms old, and all instances chose the same target meanwhile. Change: the first instance of a domain by rendezvous hashing keeps who holds which slot; others ask it before they send and tell it when a slot is free. Requests wait there, those that can still be on time first, over all instances. A batch item that must give way is chosen by the broker, the one due last. Without an answer the next instance is asked, then counts decide as before. Instances tell all that they hold again and again, from which a new broker learns.

--- a/internal/coordination/batchjobs/calls.go
+++ b/internal/coordination/batchjobs/calls.go
@@ -77,7 +77,7 @@
 // ResultOf is a result on its way to the holder of its partition.
 type ResultOf jobs.Result
 
-// YieldCall asks for a slot at a target.
+// YieldCall asks for the slot back that was given under a number.
 type YieldCall struct {
-	Target string
+	Number uint64
 }
--- a/internal/coordination/batchjobs/desk.go
+++ b/internal/coordination/batchjobs/desk.go
@@ -389,30 +389,19 @@
 	return h
 }
 
-// Crowded frees a slot at a target for an online request, here or at an instance
-// that has batch items there.
-func (d *Desk) Crowded(target string) {
-	if d.runner.Yield(target) {
-		return
-	}
+// Yield gives the slot of a batch item back that a broker gave to an instance.
+func (d *Desk) Yield(instance string, number uint64) {
 	for _, p := range d.opts.Peers.Peers() {
-		if p.State != mesh.Up {
+		if p.Name != instance {
 			continue
 		}
-		for _, held := range p.Beat.Held {
-			if held.Target == target && held.Batch > 0 {
-				go d.askToYield(p.Address, target)
-				return
-			}
+		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+		defer cancel()
+		var reply JobReply
+		if err := d.opts.Caller.Call(ctx, p.Address, methodYield, &YieldCall{Number: number}, &reply); err != nil {
+			_ = level.Info(d.opts.Logger).Log("event", "yield_failed", "peer", instance, "err", err)
 		}
+		return
 	}
-}
-
-func (d *Desk) askToYield(address, target string) {
-	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
-	defer cancel()
-	var reply JobReply
-	if err := d.opts.Caller.Call(ctx, address, methodYield, &YieldCall{Target: target}, &reply); err != nil {
-		_ = level.Info(d.opts.Logger).Log("event", "yield_failed", "peer", address, "target", target, "err", err)
-	}
+	d.runner.Yield(number)
 }
--- a/internal/coordination/batchjobs/options.go
+++ b/internal/coordination/batchjobs/options.go
@@ -22,7 +22,9 @@
 
 // Placer chooses targets.
 type Placer interface {
-	Pick(placement.Want) (placement.Choice, bool)
+	// PlaceItems gives targets for items of a service that are due at some times,
+	// in Unix milliseconds, as many as there are free slots.
+	PlaceItems(ctx context.Context, service string, due []int64) []placement.Choice
 	Done(placement.Choice, placement.Result)
 	Told(id string, load *exchange.Load)
 }
--- a/internal/coordination/batchjobs/rpc.go
+++ b/internal/coordination/batchjobs/rpc.go
@@ -57,10 +57,10 @@
 	return nil
 }
 
-// Yield frees a slot at a target.
+// Yield gives a slot back.
 func (r *Receiver) Yield(args *YieldCall, reply *JobReply) error {
 	reply.Verdict = Missing
-	if r.desk.runner.Yield(args.Target) {
+	if r.desk.runner.Yield(args.Number) {
 		reply.Verdict = Done
 	}
 	return nil
--- a/internal/coordination/batchjobs/runner.go
+++ b/internal/coordination/batchjobs/runner.go
@@ -94,7 +94,7 @@
 	ticker := time.NewTicker(tryEvery)
 	defer ticker.Stop()
 	for {
-		if !r.start() {
+		if !r.start(ctx) {
 			select {
 			case <-r.wake:
 			case <-ctx.Done():
@@ -233,7 +233,7 @@
 	if t.cancel != nil {
 		t.cancel()
 	}
-	r.waiting = slices.DeleteFunc(r.waiting, func(w *task) bool { return w == t })
+	r.unqueue(t)
 }
 
 // sort puts the items first that are due first, and behind them those that can't
@@ -257,26 +257,68 @@
 	})
 }
 
-// start starts items until no slot is free. It reports whether any waits.
-func (r *Runner) start() bool {
-	now := time.Now()
+// start starts items where slots are free. It reports whether any waits.
+func (r *Runner) start(ctx context.Context) bool {
+	wanted, waiting := r.wanted(time.Now())
+	for service, tasks := range wanted {
+		due := make([]int64, len(tasks))
+		for i, t := range tasks {
+			due[i] = t.job.Due.UnixMilli()
+		}
+		choices := r.opts.Placer.PlaceItems(ctx, service, due)
+		r.begin(tasks, choices)
+	}
+	return waiting
+}
+
+// mostAtOnce bounds the items that are placed by one message.
+const mostAtOnce = 8
+
+// wanted gives the items that may begin now, by service and in order.
+func (r *Runner) wanted(now time.Time) (wanted map[string][]*task, waiting bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.leaving {
-		return false
+	table := r.opts.Table()
+	if r.leaving || table == nil {
+		return nil, len(r.waiting) > 0 && !r.leaving
 	}
 	r.sort(now)
 	r.readClaims(now)
-	kept := r.waiting[:0]
-	full := false
-	for _, t := range r.waiting {
-		if full || now.Before(t.notBefore) || r.claimed[t.id] || !t.begin(now, &full) {
-			kept = append(kept, t)
+	wanted = map[string][]*task{}
+	for _, t := range slices.Clone(r.waiting) {
+		if now.Before(t.notBefore) || r.claimed[t.id] {
+			continue
+		}
+		if reason := t.hopeless(now, table); reason != "" {
+			t.giveUp(reason)
+			r.unqueue(t)
+			continue
+		}
+		if service, ok := t.service(table); ok && len(wanted[service]) < mostAtOnce {
+			wanted[service] = append(wanted[service], t)
+		}
+	}
+	return wanted, len(r.waiting) > 0
+}
+
+// begin begins items at the targets that were chosen for them. Some may have
+// ended meanwhile.
+func (r *Runner) begin(tasks []*task, choices []placement.Choice) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, choice := range choices {
+		t := tasks[i]
+		if t.ended || t.cancel != nil || r.leaving {
+			go r.opts.Placer.Done(choice, placement.Left)
+			continue
 		}
+		r.unqueue(t)
+		r.runs(t, choice)
 	}
-	clear(r.waiting[len(kept):])
-	r.waiting = kept
-	return len(kept) > 0
+}
+
+func (r *Runner) unqueue(t *task) {
+	r.waiting = slices.DeleteFunc(r.waiting, func(w *task) bool { return w == t })
 }
 
 // requeue lets a task wait for its next run.
@@ -342,29 +384,23 @@
 	}
 }
 
-// Yield frees a slot at a target, if an item runs there. The item goes on
-// elsewhere from where it is; the one that is due last gives way.
-func (r *Runner) Yield(target string) bool {
+// Yield gives the slot back that a broker gave under a number, if an item still
+// has it. The item goes on elsewhere from where it is.
+func (r *Runner) Yield(number uint64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var last *task
 	for _, t := range r.tasks {
-		if t.cancel == nil || t.yielding || t.choice.ID != target {
+		if t.cancel == nil || t.yielding || t.choice.Number != number {
 			continue
 		}
-		if last == nil || t.job.Due.After(last.job.Due) {
-			last = t
-		}
-	}
-	if last == nil {
-		return false
+		t.yielding = true
+		t.cancel()
+		itemYields.Inc()
+		_ = level.Info(r.opts.Logger).Log("event", "item_yields", "item", t.id.item, "job", t.id.job, "target", t.choice.ID,
+			"due_in_ms", time.Until(t.job.Due).Milliseconds())
+		return true
 	}
-	last.yielding = true
-	last.cancel()
-	itemYields.Inc()
-	_ = level.Info(r.opts.Logger).Log("event", "item_yields", "item", last.id.item, "job", last.id.job, "target", target,
-		"due_in_ms", time.Until(last.job.Due).Milliseconds())
-	return true
+	return false
 }
 
 // runs notes that a task has begun. It needs the lock.
--- a/internal/coordination/batchjobs/task.go
+++ b/internal/coordination/batchjobs/task.go
@@ -53,31 +53,13 @@
 	failures, troubles int
 }
 
-// begin starts a run if a slot is free. It is called with the runner's lock.
-func (t *task) begin(now time.Time, full *bool) bool {
-	table := t.runner.opts.Table()
-	if table == nil {
-		return false
-	}
-	if reason := t.hopeless(now, table); reason != "" {
-		t.giveUp(reason)
-		return true
-	}
+// service is where the item runs by the configuration in force.
+func (t *task) service(table *route.Table) (string, bool) {
 	r, ok := table.Match(t.job.Host, t.job.Prefix)
 	if !ok {
-		return false
-	}
-	service, ok := r.Choose(t.id.item)
-	if !ok {
-		return false
-	}
-	choice, ok := t.runner.opts.Placer.Pick(placement.Want{Service: service, Batch: true})
-	if !ok {
-		*full = true
-		return false
+		return "", false
 	}
-	t.runner.runs(t, choice)
-	return true
+	return r.Choose(t.id.item)
 }
 
 // hopeless says why an item can't be done any more.
--- /dev/null
+++ b/internal/coordination/broker/client.go
@@ -0,0 +1,342 @@
+package broker
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"merlintiller/internal/coordination/mesh"
+	"merlintiller/internal/coordination/placement"
+	"merlintiller/internal/protocol/exchange"
+	"merlintiller/internal/state/roster"
+)
+
+const (
+	// askTimeout bounds an ask beside the time that it waits. A broker answers
+	// within a millisecond or two; one that does not is gone around, and the
+	// request must still be on time.
+	askTimeout = 60 * time.Millisecond
+	// badFor is how long a broker is left alone that did not answer.
+	badFor = time.Second
+	// waitChunk is how long a request waits at one broker until it asks the
+	// others once more.
+	waitChunk = 100 * time.Millisecond
+	// freeFresh is how long it is believed that a domain has no free slot.
+	freeFresh = 50 * time.Millisecond
+	// tellEvery is how often a broker is told all that is held.
+	tellEvery = 400 * time.Millisecond
+)
+
+var (
+	asks       = metrics.NewCounter(`broker_asks_total{outcome="answered"}`)
+	unanswered = metrics.NewCounter(`broker_asks_total{outcome="failed"}`)
+	unbrokered = metrics.NewCounter(`broker_choices_without_total`)
+)
+
+// Peers are the other instances.
+type Peers interface {
+	Peers() []mesh.Peer
+}
+
+// Caller invokes a net/rpc method at an address.
+type Caller interface {
+	Call(ctx context.Context, address, method string, args, reply any) error
+}
+
+// ClientOptions make a Client.
+type ClientOptions struct {
+	Self   mesh.Instance
+	Peers  Peers
+	Caller Caller
+	// Broker is this instance's own, for the times when it is the first.
+	Broker *Broker
+	// Local decides where no broker answers, and knows which targets this
+	// instance does not trust.
+	Local *placement.Placer
+	// Connected says that an idle connection to an address is kept.
+	Connected func(address string) bool
+	Logger    log.Logger
+}
+
+// Client asks brokers for slots. It is a duty and safe for concurrent use.
+type Client struct {
+	opts ClientOptions
+
+	mu      sync.Mutex
+	number  uint64
+	held    map[uint64]Hold
+	targets map[string]roster.Target
+	domains map[string]*domain
+	outbox  map[string]*outbox
+	bad     map[string]time.Time
+	told    map[string]time.Time
+}
+
+// domain is what is known of the targets of one failure domain.
+type domain struct {
+	// free are the slots that its broker said are left, at a time.
+	free int
+	at   time.Time
+}
+
+// NewClient returns a client that holds nothing.
+func NewClient(opts ClientOptions) *Client {
+	return &Client{
+		opts: opts, held: map[uint64]Hold{}, targets: map[string]roster.Target{}, domains: map[string]*domain{},
+		outbox: map[string]*outbox{}, bad: map[string]time.Time{}, told: map[string]time.Time{},
+	}
+}
+
+// SetTargets takes over the targets that may be used.
+func (c *Client) SetTargets(list []roster.Target) {
+	c.opts.Local.SetTargets(list)
+	c.opts.Broker.SetTargets(list)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.targets)
+	for _, t := range list {
+		c.targets[t.ID] = t
+		if c.domains[t.Domain] == nil {
+			c.domains[t.Domain] = &domain{}
+		}
+	}
+}
+
+// Place chooses a target for an online request and counts it there until Done.
+// While all are full it waits; it fails if none is known, or if the patience or
+// ctx ends.
+func (c *Client) Place(ctx context.Context, want placement.Want, patience placement.Patience) (placement.Choice, bool) {
+	began := time.Now()
+	waitAt := ""
+	for {
+		choice, answered := c.tryAll(ctx, want, patience, began, waitAt != "")
+		if choice.ID != "" {
+			return choice, true
+		}
+		if answered == "" {
+			unbrokered.Inc()
+			return c.opts.Local.Place(ctx, want, patience)
+		}
+		waitAt = answered
+		left := time.Until(patience.Until)
+		if left <= 0 || ctx.Err() != nil {
+			return placement.Choice{}, false
+		}
+		choice, _ = c.ask(ctx, waitAt, want, patience, began, min(left, waitChunk))
+		if choice.ID != "" {
+			return choice, true
+		}
+	}
+}
+
+// tryAll asks the brokers of all domains, the own one first. It also gives the
+// first domain whose broker answered. Domains that had no slot a moment ago are
+// left out of a second round.
+func (c *Client) tryAll(ctx context.Context, want placement.Want, patience placement.Patience, began time.Time, again bool) (placement.Choice, string) {
+	answered := ""
+	for _, name := range c.order(want) {
+		if again && name != c.opts.Self.Domain && c.knownFull(name) {
+			continue
+		}
+		choice, ok := c.ask(ctx, name, want, patience, began, 0)
+		if choice.ID != "" {
+			return choice, name
+		}
+		if ok && answered == "" {
+			answered = name
+		}
+	}
+	return placement.Choice{}, answered
+}
+
+// ask asks the broker of one domain for one slot. It is not ok if none answers.
+func (c *Client) ask(ctx context.Context, name string, want placement.Want, patience placement.Patience, began time.Time, wait time.Duration) (choice placement.Choice, ok bool) {
+	now := time.Now()
+	ask := &Ask{
+		Domain: name, Want: want, Wait: wait,
+		OnTimeIn: patience.OnTimeUntil.Sub(now), Age: now.Sub(began),
+	}
+	choices, ok := c.send(ctx, ask, 1)
+	if len(choices) == 0 {
+		return placement.Choice{}, ok
+	}
+	return choices[0], true
+}
+
+// PlaceItems chooses targets for batch items that are due at some times, in Unix
+// milliseconds. It gives as many as there are free slots, the first items first.
+func (c *Client) PlaceItems(ctx context.Context, service string, due []int64) []placement.Choice {
+	want := placement.Want{Service: service, Batch: true}
+	var out []placement.Choice
+	answered := false
+	for _, name := range c.order(want) {
+		if len(out) == len(due) {
+			break
+		}
+		if c.knownFull(name) {
+			answered = true
+			continue
+		}
+		ask := &Ask{Domain: name, Want: want, Due: due[len(out):]}
+		choices, ok := c.send(ctx, ask, len(due)-len(out))
+		answered = answered || ok
+		out = append(out, choices...)
+	}
+	for !answered && len(out) < len(due) {
+		choice, ok := c.opts.Local.Pick(want)
+		if !ok {
+			break
+		}
+		unbrokered.Inc()
+		out = append(out, choice)
+	}
+	return out
+}
+
+// order gives the failure domains with targets of a service, the own one first
+// and then those that had the most free slots.
+func (c *Client) order(want placement.Want) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	has := map[string]bool{}
+	for _, t := range c.targets {
+		if t.Service == want.Service {
+			has[t.Domain] = true
+		}
+	}
+	return ordered(has, c.opts.Self.Domain, func(name string) int { return c.domains[name].free })
+}
+
+func (c *Client) knownFull(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := c.domains[name]
+	return d != nil && d.free == 0 && time.Since(d.at) < freeFresh
+}
+
+// send sends an ask for so many slots to the broker of its domain, and to the
+// next one if that does not answer.
+func (c *Client) send(ctx context.Context, ask *Ask, count int) (choices []placement.Choice, ok bool) {
+	ask.Want.Exclude = append(c.opts.Local.Distrusted(ask.Want), ask.Want.Exclude...)
+	ask.Want.Connected = c.connected(ask.Domain, ask.Want.Service)
+	ask.Numbers = c.numbers(count)
+	for _, address := range c.Brokers(ask.Domain) {
+		reply, err := c.sendTo(ctx, address, ask)
+		if err != nil {
+			c.failed(address, ask.Domain, err)
+			continue
+		}
+		asks.Inc()
+		return c.take(address, ask, reply), true
+	}
+	return nil, false
+}
+
+func (c *Client) sendTo(ctx context.Context, address string, ask *Ask) (Reply, error) {
+	ask.Told = c.toldOf(address, ask.Domain, false)
+	if address == c.opts.Self.Address {
+		return c.opts.Broker.Place(ctx, ask), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout+ask.Wait)
+	defer cancel()
+	var reply Reply
+	err := c.opts.Caller.Call(ctx, address, methodPlace, ask, &reply)
+	return reply, err
+}
+
+// failed leaves a broker alone for a while. A slot that it gave all the same is
+// free again once it is told what is held.
+func (c *Client) failed(address, name string, err error) {
+	unanswered.Inc()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bad[address] = time.Now().Add(badFor)
+	_ = level.Info(c.opts.Logger).Log("event", "broker_unanswered", "broker", address, "domain", name, "err", err)
+}
+
+// take counts the slots that were given.
+func (c *Client) take(address string, ask *Ask, reply Reply) []placement.Choice {
+	var out []placement.Choice
+	c.mu.Lock()
+	if d := c.domains[ask.Domain]; d != nil {
+		d.free, d.at = reply.Free, time.Now()
+	}
+	for i, grant := range reply.Grants {
+		h := Hold{Number: grant.Number, Target: grant.Target.ID, Batch: ask.Want.Batch}
+		if i < len(ask.Due) {
+			h.Due = ask.Due[i]
+		}
+		c.held[grant.Number] = h
+	}
+	c.mu.Unlock()
+	for _, grant := range reply.Grants {
+		choice := c.opts.Local.Take(grant.Target, ask.Want.Batch)
+		choice.Busy, choice.Slots = grant.Busy, grant.Slots
+		choice.Number, choice.Broker = grant.Number, address
+		out = append(out, choice)
+	}
+	return out
+}
+
+func (c *Client) numbers(count int) []uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make([]uint64, count)
+	for i := range out {
+		c.number++
+		out[i] = c.number
+	}
+	return out
+}
+
+// connected gives the targets of a domain to which a connection is kept.
+func (c *Client) connected(name, service string) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []string
+	for id, t := range c.targets {
+		if t.Domain == name && t.Service == service && c.opts.Connected(t.Address) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// Done ends the exchange of a choice.
+func (c *Client) Done(choice placement.Choice, result placement.Result) {
+	c.opts.Local.Done(choice, result)
+	if choice.Number == 0 {
+		return
+	}
+	c.mu.Lock()
+	delete(c.held, choice.Number)
+	c.mu.Unlock()
+	c.release(choice.Broker, choice.Number)
+}
+
+// Told takes in what a target says of its load.
+func (c *Client) Told(id string, load *exchange.Load) {
+	if load == nil {
+		return
+	}
+	c.opts.Local.Told(id, load)
+	c.mu.Lock()
+	t, known := c.targets[id]
+	c.mu.Unlock()
+	if known && t.Domain == c.opts.Self.Domain {
+		c.opts.Broker.Loaded(id, *load)
+	}
+}
+
+// Known says whether any target of a service may be used.
+func (c *Client) Known(service string) bool { return c.opts.Local.Known(service) }
+
+// Waiting notes that an exchange waits longer than it should, see
+// placement.Placer.
+func (c *Client) Waiting(choice placement.Choice) (goesOn func()) {
+	return c.opts.Local.Waiting(choice)
+}
--- a/internal/coordination/placement/lineup.go
+++ b/internal/coordination/broker/lineup.go
@@ -1,11 +1,25 @@
-package placement
+package broker
 
 import (
 	"slices"
 	"time"
+
+	"merlintiller/internal/coordination/placement"
 )
 
-// lineup is the online requests that wait for a slot.
+// entry is a request that waits for a slot.
+type entry struct {
+	instance string
+	hold     Hold
+	want     placement.Want
+	// onTimeUntil is when it must be sent for its answer to be on time, arrived
+	// when it came to the instance that asks.
+	onTimeUntil, arrived time.Time
+	// placed gets the grant, once.
+	placed chan Grant
+}
+
+// lineup is the online requests that wait at a broker.
 //
 // The load it answers: at the peak of a swing, or when targets are lost, more
 // requests come than slots come free, for some seconds. First come first served
@@ -17,17 +31,6 @@
 	entries []*entry
 }
 
-// entry is one request that waits.
-type entry struct {
-	want Want
-	// onTimeUntil is when its sending must have happened for its answer to be
-	// on time.
-	onTimeUntil time.Time
-	arrived     time.Time
-	// placed gets the choice, once.
-	placed chan Choice
-}
-
 func (l *lineup) add(e *entry) { l.entries = append(l.entries, e) }
 
 func (l *lineup) remove(e *entry) {
@@ -54,8 +57,8 @@
 	return l.entries
 }
 
-// place gives places to waiting requests, as far as there are any.
-func (l *lineup) place(now time.Time, pick func(Want) (Choice, bool)) {
+// place gives slots to waiting requests, as far as there are any.
+func (l *lineup) place(now time.Time, place func(*entry) (Grant, bool)) {
 	full := map[string]bool{}
 	kept := make([]*entry, 0, len(l.entries))
 	for _, e := range l.order(now) {
@@ -63,15 +66,15 @@
 			kept = append(kept, e)
 			continue
 		}
-		choice, ok := pick(e.want)
+		grant, ok := place(e)
 		if !ok {
-			// One that has been to some targets finds no place where another
+			// One that has been to some targets finds no slot where another
 			// one may.
 			full[e.want.Service] = len(e.want.Exclude) == 0
 			kept = append(kept, e)
 			continue
 		}
-		e.placed <- choice
+		e.placed <- grant
 	}
 	l.entries = kept
 }
--- /dev/null
+++ b/internal/coordination/broker/messages.go
@@ -0,0 +1,68 @@
+package broker
+
+import (
+	"time"
+
+	"merlintiller/internal/coordination/placement"
+	"merlintiller/internal/state/roster"
+)
+
+// Hold is a request that an instance has at a target, under a number of its own.
+type Hold struct {
+	Number uint64
+	Target string
+	Batch  bool
+	// Due is when a batch item is due, in Unix milliseconds.
+	Due int64
+}
+
+// Told is what an instance says that it holds at the targets of one domain.
+type Told struct {
+	Instance string
+	// Start tells the lives of the instance apart.
+	Start int64
+	// Whole says that Held is all that the instance holds. Otherwise only
+	// Released counts.
+	Whole    bool
+	Held     []Hold
+	Released []uint64
+}
+
+// Ask asks for slots of targets of one domain.
+type Ask struct {
+	Told
+	Domain string
+	// Numbers are given to the holds, in order; there are as many slots wanted.
+	Numbers []uint64
+	Want    placement.Want
+	// OnTimeIn is how long it takes until the request is late, Wait how long it
+	// may be kept waiting. Batch items are kept waiting by nobody.
+	OnTimeIn time.Duration
+	Wait     time.Duration
+	// Age is how long the request has been waiting already.
+	Age time.Duration
+	// Due is when the batch items are due, in Unix milliseconds, in order.
+	Due []int64
+}
+
+// Grant is a slot that was given.
+type Grant struct {
+	Number uint64
+	Target roster.Target
+	// Busy and Slots are what the target was chosen by.
+	Busy, Slots int
+}
+
+// Reply is the answer to an Ask.
+type Reply struct {
+	Grants []Grant
+	// Free are the slots that are left in the domain.
+	Free int
+}
+
+// Names of the net/rpc methods.
+const (
+	ReceiverName = "Broker"
+	methodPlace  = ReceiverName + ".Place"
+	methodTell   = ReceiverName + ".Tell"
+)
--- a/internal/coordination/placement/core.go
+++ b/internal/coordination/placement/core.go
@@ -68,8 +68,12 @@
 	Batch bool
 	// Repeatable requests may probe a target that failed.
 	Repeatable bool
-	// Exclude are targets that had the request before.
+	// Exclude are targets that had the request before, or that the asking
+	// instance does not trust.
 	Exclude []string
+	// Connected are targets to which the asking instance keeps a connection, if
+	// that is another one.
+	Connected []string
 }
 
 // Choice is a target that was chosen, with the request counted there.
@@ -80,7 +84,11 @@
 	Crowded bool
 	// Busy and Slots are what the choice was made by.
 	Busy, Slots int
-	batch       bool
+	// Number and Broker say under which number which broker gave the slot, if
+	// one did.
+	Number uint64
+	Broker string
+	batch  bool
 }
 
 // New returns a core that knows no target.
@@ -192,11 +200,7 @@
 		Target: best.Target, Busy: busy, Slots: best.slots, batch: want.Batch,
 		Crowded: !want.Batch && busy >= best.slots && best.batches() > 0,
 	}
-	if want.Batch {
-		best.batch++
-	} else {
-		best.online++
-	}
+	best.take(want.Batch)
 	return choice, true
 }
 
@@ -229,7 +233,7 @@
 // Batch items give way, so that they keep no online request out.
 func (c *Core) cost(now time.Time, t *target, want Want) (float64, bool) {
 	busy := t.busy(now)
-	cost := c.placeCost(t) + float64(busy)/float64(t.slots)
+	cost := c.placeCost(t, want) + float64(busy)/float64(t.slots)
 	if want.Batch {
 		return cost, busy < t.slots
 	}
@@ -240,18 +244,69 @@
 }
 
 // placeCost prefers the own failure domain and kept connections.
-func (c *Core) placeCost(t *target) float64 {
+func (c *Core) placeCost(t *target, want Want) float64 {
 	const tie = 0.01
 	cost := tie * c.opts.Random.Float64()
 	if t.Domain != c.opts.Domain {
 		cost += remoteCost
 	}
-	if c.opts.Connected != nil && !c.opts.Connected(t.Address) {
+	connected := slices.Contains(want.Connected, t.ID) || c.opts.Connected != nil && c.opts.Connected(t.Address)
+	if !connected {
 		cost += connectCost
 	}
 	return cost
 }
 
+// Take counts a request at a target that was chosen elsewhere.
+func (c *Core) Take(now time.Time, id string, batch bool) (Choice, bool) {
+	t := c.targets[id]
+	if t == nil {
+		return Choice{}, false
+	}
+	choice := Choice{Target: t.Target, Busy: t.busy(now), Slots: t.slots, batch: batch}
+	t.take(batch)
+	return choice, true
+}
+
+// Release takes a count back, without saying anything of the target.
+func (c *Core) Release(choice Choice) {
+	if t := c.targets[choice.ID]; t != nil && t.same(choice) {
+		t.release(choice.batch)
+	}
+}
+
+// Free counts the free slots of all targets that are trusted.
+func (c *Core) Free(now time.Time) int {
+	free := 0
+	for _, t := range c.targets {
+		if t.listed && t.health.trusted() {
+			free += max(0, t.slots-t.busy(now))
+		}
+	}
+	return free
+}
+
+// Distrusted gives the targets that a request should not go to. If it could go
+// to no other, none are given: refusing would be worse than a try.
+func (c *Core) Distrusted(now time.Time, want Want) []string {
+	var out []string
+	others := false
+	for id, t := range c.targets {
+		if !t.listed || t.Service != want.Service || slices.Contains(want.Exclude, id) {
+			continue
+		}
+		if trusted(now, t, want) {
+			others = true
+		} else {
+			out = append(out, id)
+		}
+	}
+	if !others {
+		return nil
+	}
+	return out
+}
+
 // Known says whether any target of a service may be used now.
 func (c *Core) Known(service string) bool {
 	for _, t := range c.targets {
--- a/internal/coordination/placement/placer.go
+++ b/internal/coordination/placement/placer.go
@@ -10,25 +10,14 @@
 	"merlintiller/internal/state/roster"
 )
 
-const (
-	// lookEvery is how often waiting requests look for a slot beside the moments
-	// at which something is known to have changed. Slots that other instances
-	// free are told within 100 ms.
-	lookEvery = 20 * time.Millisecond
-	// mostWaiting bounds the requests that wait at an instance. At a rate of
-	// nine a second each, which is twice the mean of today's instances, more
-	// would wait for longer than callers stay.
-	mostWaiting = 40
-)
+// lookEvery is how often a waiting request looks for a slot where no broker
+// answers. Slots that other instances free are told within 100 ms.
+const lookEvery = 20 * time.Millisecond
 
-// Placer is a Core that many goroutines use, with the online requests that wait
-// for a slot.
+// Placer is a Core that many goroutines use.
 type Placer struct {
-	mu     sync.Mutex
-	core   *Core
-	lineup lineup
-	// looking says that a look is due.
-	looking bool
+	mu   sync.Mutex
+	core *Core
 }
 
 // NewPlacer returns a placer that knows no target.
@@ -44,7 +33,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.core.SetTargets(list)
-	p.serve(time.Now())
 }
 
 // SetPeer takes over what another instance has at the targets.
@@ -52,7 +40,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.core.SetPeer(name, held)
-	p.serve(time.Now())
 }
 
 // Held gives what this instance has at the targets.
@@ -71,71 +58,24 @@
 }
 
 // Place chooses a target for an online request and counts it there until Done.
-// While all are full it waits; it fails if none is known, if too many wait, or
-// if the patience or ctx ends.
+// While all are full it waits; it fails if none is known, or if the patience or
+// ctx ends. It is for the times when no broker answers.
 func (p *Placer) Place(ctx context.Context, want Want, patience Patience) (Choice, bool) {
-	now := time.Now()
-	p.mu.Lock()
-	if p.lineup.len() == 0 {
-		if choice, ok := p.core.Pick(now, want); ok {
-			p.mu.Unlock()
+	ticker := time.NewTicker(lookEvery)
+	defer ticker.Stop()
+	for {
+		if choice, ok := p.Pick(want); ok {
 			return choice, true
 		}
+		if !p.Known(want.Service) || !time.Now().Before(patience.Until) {
+			return Choice{}, false
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return Choice{}, false
+		}
 	}
-	if !p.core.Known(want.Service) || p.lineup.len() >= mostWaiting || !now.Before(patience.Until) {
-		p.mu.Unlock()
-		return Choice{}, false
-	}
-	e := &entry{want: want, onTimeUntil: patience.OnTimeUntil, arrived: now, placed: make(chan Choice, 1)}
-	p.lineup.add(e)
-	p.serve(now)
-	p.look()
-	p.mu.Unlock()
-	return p.await(ctx, e, patience.Until.Sub(now))
-}
-
-func (p *Placer) await(ctx context.Context, e *entry, patience time.Duration) (Choice, bool) {
-	timer := time.NewTimer(patience)
-	defer timer.Stop()
-	select {
-	case choice := <-e.placed:
-		return choice, true
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.lineup.remove(e)
-	select {
-	case choice := <-e.placed:
-		// The place came at the same moment.
-		p.core.Done(time.Now(), choice, Left)
-		p.serve(time.Now())
-	default:
-	}
-	return Choice{}, false
-}
-
-// serve gives places to those who wait. It needs the lock.
-func (p *Placer) serve(now time.Time) {
-	if p.lineup.len() > 0 {
-		p.lineup.place(now, func(want Want) (Choice, bool) { return p.core.Pick(now, want) })
-	}
-}
-
-// look serves again after a while, as long as anybody waits. It needs the lock.
-func (p *Placer) look() {
-	if p.looking || p.lineup.len() == 0 {
-		return
-	}
-	p.looking = true
-	time.AfterFunc(lookEvery, func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.looking = false
-		p.serve(time.Now())
-		p.look()
-	})
 }
 
 // SetDomainSilent notes that all instances of a failure domain are silent, or
@@ -146,14 +86,11 @@
 	p.core.SetDomainSilent(time.Now(), domain, silent)
 }
 
-// Pick chooses a target for a batch item and counts it there until Done. Items
-// take no place that an online request waits for.
+// Pick chooses a target and counts the request there until Done. It fails if none
+// is known or all are full.
 func (p *Placer) Pick(want Want) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.lineup.len() > 0 {
-		return Choice{}, false
-	}
 	return p.core.Pick(time.Now(), want)
 }
 
@@ -162,7 +99,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.core.Done(time.Now(), choice, result)
-	p.serve(time.Now())
 }
 
 // Told takes in what a target says of its load.
@@ -175,6 +111,26 @@
 	p.core.Told(time.Now(), id, *load)
 }
 
+// Take counts a request at a target that a broker chose.
+func (p *Placer) Take(target roster.Target, batch bool) Choice {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	choice, ok := p.core.Take(time.Now(), target.ID, batch)
+	if !ok {
+		// It left the list here a moment ago, or is not yet on it.
+		return Choice{Target: target, batch: batch}
+	}
+	return choice
+}
+
+// Distrusted gives the targets that a request should not go to, unless there is
+// no other: then none are given, and each may be tried.
+func (p *Placer) Distrusted(want Want) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.core.Distrusted(time.Now(), want)
+}
+
 // Known says whether any target of a service may be used.
 func (p *Placer) Known(service string) bool {
 	p.mu.Lock()
--- a/internal/coordination/placement/result.go
+++ b/internal/coordination/placement/result.go
@@ -33,7 +33,7 @@
 	if t == nil {
 		return
 	}
-	if choice.Started == t.Started && choice.Address == t.Address {
+	if t.same(choice) {
 		t.release(choice.batch)
 	}
 	switch result {
@@ -58,6 +58,19 @@
 	}
 }
 
+// same says that a choice was made in this life of the target.
+func (t *target) same(choice Choice) bool {
+	return choice.Started == t.Started && choice.Address == t.Address
+}
+
+func (t *target) take(batch bool) {
+	if batch {
+		t.batch++
+	} else {
+		t.online++
+	}
+}
+
 func (t *target) release(batch bool) {
 	if batch {
 		t.batch = max(0, t.batch-1)
--- a/internal/coordination/relay/outcome.go
+++ b/internal/coordination/relay/outcome.go
@@ -40,6 +40,11 @@
 	// Attempts are the targets that the request was sent to, Runs those of them
 	// that may have begun it.
 	Attempts, Runs int
+	// Waited is the time until the last target was chosen, Broker who chose it,
+	// empty for this instance itself, Busy and Slots what it was chosen by.
+	Waited      time.Duration
+	Broker      string
+	Busy, Slots int
 	// FirstByte is the time to the answer's first bytes, 0 if there were none.
 	FirstByte time.Duration
 	// Events counts the events of a stream that were passed on.
--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -53,9 +53,6 @@
 type Options struct {
 	Targets external.Sender
 	Placer  Placer
-	// Crowded tells that an online request was sent to a target whose slots are
-	// taken, some of them by batch items.
-	Crowded func(target string)
 	Logger  log.Logger
 }
 
@@ -121,11 +118,10 @@
 			}
 			return
 		}
-		if choice.Crowded {
-			c.opts.Crowded(choice.ID)
-		}
 		c.tried = append(c.tried, choice.ID)
 		c.outcome.Target = choice.ID
+		c.outcome.Waited = time.Since(c.Began)
+		c.outcome.Busy, c.outcome.Slots, c.outcome.Broker = choice.Busy, choice.Slots, choice.Broker
 		c.outcome.Attempts++
 		if c.attempt(ctx, choice) == finish {
 			return
--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"merlintiller/internal/coordination/batchjobs"
+	"merlintiller/internal/coordination/broker"
 	"merlintiller/internal/coordination/fleetview"
 	"merlintiller/internal/coordination/mesh"
 	"merlintiller/internal/coordination/placement"
@@ -52,6 +53,8 @@
 	targets *targetconn.Client
 	view    *fleetview.View
 	placer  *placement.Placer
+	broker  *broker.Broker
+	slots   *broker.Client
 	meter   *quota.Meter
 	mesh    *mesh.Mesh
 	peers   *peer.Server
@@ -90,6 +93,7 @@
 	if err := d.joinPeers(); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	d.joinBroker()
 	d.joinJobs()
 	d.joinFront()
 	if err := d.register(); err != nil {
@@ -108,7 +112,7 @@
 		Decoders:  fleetview.Decoders{Config: platform.DecodeConfiguration, Target: platform.DecodeTarget},
 		Logger:    d.logger,
 		OnConfig:  func(t *route.Table) { d.meter.SetOrganisations(t.Organisations()) },
-		OnTargets: func(list []roster.Target) { d.placer.SetTargets(list) },
+		OnTargets: func(list []roster.Target) { d.slots.SetTargets(list) },
 	})
 }
 
@@ -123,6 +127,15 @@
 	return nil
 }
 
+func (d *Daemon) joinBroker() {
+	yield := func(instance string, number uint64) { d.desk.Yield(instance, number) }
+	d.broker = broker.New(d.self.Domain, xxhash.Sum64String(d.self.Name), yield)
+	d.slots = broker.NewClient(broker.ClientOptions{
+		Self: d.self, Peers: d.mesh, Caller: d.calls, Broker: d.broker, Local: d.placer,
+		Connected: d.targets.Connected, Logger: d.logger,
+	})
+}
+
 func (d *Daemon) joinJobs() {
 	s := d.settings.Store
 	opts := &batchjobs.Options{
@@ -131,7 +144,7 @@
 		RecordBytes: s.RecordBytes, CallBytes: s.CallBytes,
 		Log: d.store, Groups: d.store, Peers: d.mesh, Caller: d.calls,
 		Table: d.view.Table, StoreAge: d.view.StoreAge, StoreAnswered: d.view.StoreAnswered,
-		Targets: d.targets, Placer: d.placer, Logger: d.logger,
+		Targets: d.targets, Placer: d.slots, Logger: d.logger,
 	}
 	d.runner = batchjobs.NewRunner(opts)
 	d.keeper = batchjobs.NewKeeper(opts, d.runner)
@@ -148,7 +161,7 @@
 		},
 		Table: d.view.Table,
 		Quota: d.meter,
-		Relay: relay.New(relay.Options{Targets: d.targets, Placer: d.placer, Crowded: d.desk.Crowded, Logger: d.logger}),
+		Relay: relay.New(relay.Options{Targets: d.targets, Placer: d.slots, Logger: d.logger}),
 		Desk:  d.desk, Logger: d.logger,
 	})
 }
@@ -156,6 +169,7 @@
 func (d *Daemon) register() error {
 	receivers := map[string]any{
 		mesh.ServiceName:       d.mesh.Receiver(),
+		broker.ReceiverName:    d.broker.Receiver(),
 		batchjobs.ReceiverName: d.desk.Receiver(),
 		batchjobs.WaiterName:   d.desk.Waiter(),
 	}
@@ -177,6 +191,8 @@
 	d.tree.Add(d.peers)
 	d.tree.Add(d.mesh)
 	d.tree.Add(&registration{daemon: d})
+	d.tree.Add(d.broker)
+	d.tree.Add(d.slots)
 	d.tree.Add(d.runner)
 	d.tree.Add(d.keeper)
 	d.tree.Add(d.front)
--- a/internal/daemon/routed/local.go
+++ b/internal/daemon/routed/local.go
@@ -57,6 +57,7 @@
 // PeerGone implements mesh.Local.
 func (l *local) PeerGone(name string) {
 	l.placer.SetPeer(name, nil)
+	l.broker.Gone(name)
 	l.meter.Gone(name)
 }
 
--- a/internal/transport/front/online.go
+++ b/internal/transport/front/online.go
@@ -68,6 +68,7 @@
 		outcome = "failed"
 	}
 	v.log(outcome, o.Status, string(o.Reason), "target", o.Target, "attempts", o.Attempts, "runs", o.Runs,
+		"waited_ms", o.Waited.Milliseconds(), "busy", o.Busy, "slots", o.Slots, "broker", o.Broker,
 		"first_byte_ms", o.FirstByte.Milliseconds(), "events", o.Events, "retry_ms", o.RetryAfter.Milliseconds())
 	switch {
 	case o.Finished():
