--- a/internal/daemon/routed/load_test.go
+++ b/internal/daemon/routed/load_test.go
@@ -55,7 +55,7 @@
 		answered, late, refused := w.peak(85, 2400*time.Millisecond, 35, 300*time.Millisecond)
 		require.Zero(t, refused)
 		require.Greater(t, answered, 150)
-				require.LessOrEqual(t, late, answered/100)
+		require.LessOrEqual(t, late, answered/100)
 	})
 }
 
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -64,7 +64,6 @@
 	waiting int
 	free    chan struct{}
 	ledger  []*Run
-	leaving bool
 }
 
 // New returns an engine.
