Holders that the store turns away give way; a late change revives no dropped partition

Two ways by which an instance goes on with a partition that it does not hold, and does not hear of the end of jobs, were found by reading: a change told while the partition was given up was taken in after that and tied the items to the ended holding; and a holder whose joins failed kept its partitions although others were dealt them. Ruled out: claims (a claim that stops is handed back, never begun again). Change: an ended holding is never refreshed; a holder whose joins fail gives way to whoever holds the partition since a later dealing, its running items become claims.

--- a/internal/coordination/batchjobs/holding.go
+++ b/internal/coordination/batchjobs/holding.go
@@ -39,6 +39,8 @@
 	changed chan struct{}
 	// held is when the holding began.
 	held time.Time
+	// dropped says that the holding has ended. The runner's lock guards it.
+	dropped bool
 	// onPart is told of output that another instance handed back; parts keeps
 	// it until the item is taken up.
 	onPart func(itemID, Part)
--- a/internal/coordination/batchjobs/keeper.go
+++ b/internal/coordination/batchjobs/keeper.go
@@ -81,10 +81,8 @@
 	}
 	assignment, err := k.opts.Groups.Join(ctx, k.member())
 	if err != nil {
-		// While the store is away nothing is dealt to others, so what is held is
-		// kept. If only this instance is turned away, others list its items
-		// first, and its own results are dropped.
 		_ = level.Warn(k.opts.Logger).Log("event", "jobs_join_failed", "err", err)
+		k.giveWay()
 		return
 	}
 	k.opts.StoreAnswered()
@@ -103,6 +101,24 @@
 	k.keep(ctx, assignment.Partitions)
 }
 
+// giveWay lets go of partitions that others say they hold since a later dealing.
+// While the whole store is away nothing is dealt, and what is held is kept.
+//
+// What goes wrong without it: the store turns only this instance away and deals
+// its partitions to others. Both would run the items, and this one would not hear
+// of the end of a job.
+func (k *Keeper) giveWay() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for number := range k.held {
+		if other, ok := k.opts.Peers.Holder(number); ok && other.Beat.Generation > k.generation {
+			_ = level.Info(k.opts.Logger).Log("event", "jobs_given_way", "partition", number, "holder", other.Name,
+				"generation", other.Beat.Generation, "own", k.generation)
+			k.end(number)
+		}
+	}
+}
+
 // keep starts holding what is new and ends holding what is not listed.
 func (k *Keeper) keep(ctx context.Context, partitions []external.Partition) {
 	k.mu.Lock()
@@ -117,15 +133,21 @@
 			k.start(ctx, p)
 		}
 	}
-	for number, h := range k.held {
+	for number := range k.held {
 		if !listed[number] {
-			h.stop()
-			k.runner.drop(h.holding)
-			delete(k.held, number)
+			k.end(number)
 		}
 	}
 }
 
+// end ends the holding of a partition. It needs the lock.
+func (k *Keeper) end(number int) {
+	h := k.held[number]
+	h.stop()
+	k.runner.drop(h.holding)
+	delete(k.held, number)
+}
+
 func (k *Keeper) start(ctx context.Context, p external.Partition) {
 	ctx, stop := context.WithCancel(ctx)
 	h := newHolding(k.opts, p, k.runner.refresh)
--- a/internal/coordination/batchjobs/runner.go
+++ b/internal/coordination/batchjobs/runner.go
@@ -121,6 +121,9 @@
 	open, held := h.open()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if h.dropped {
+		return
+	}
 	wanted := make(map[itemID]bool, len(open))
 	for i := range open {
 		o := &open[i]
@@ -151,6 +154,7 @@
 func (r *Runner) drop(h *holding) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	h.dropped = true
 	for _, t := range r.tasks {
 		if t.home != h {
 			continue
--- a/internal/daemon/routed/jobs_test.go
+++ b/internal/daemon/routed/jobs_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"merlintiller/internal/standin/engine"
+	"merlintiller/internal/standin/sharedstore"
 )
 
 // submit hands jobs in and gives their ids.
@@ -172,3 +173,24 @@
 		require.Equal(t, 1, w.fromStart("job", 1))
 	})
 }
+
+// The store turns one holder away for several seconds and deals its partitions to
+// others. The items that it runs must stay with it, and it must begin none of
+// those any more that others hold: it would not learn that their job was ended.
+func TestHolderThatTheStoreTurnsAwayGivesWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, size{domains: 1, nodes: 3, targets: 2})
+		ids := w.submit(w.nodes[1], 9, 4, 250)
+		pass(time.Second)
+		cut := w.nodes[0]
+		cut.door.Set(sharedstore.Fault{Silent: true})
+		pass(4 * time.Second)
+		held, _ := cut.daemon.keeper.Holding()
+		require.Empty(t, held, "others hold them by now")
+		for _, id := range ids {
+			w.requireWhole(id, w.nodes[2].allResults(id, 25*time.Second), 250)
+			require.Equal(t, 4, w.fromStart(id, 4), "job %s", id)
+		}
+		cut.door.Set(sharedstore.Fault{})
+	})
+}
