A connection between instances that went silent is replaced

Cause: found by reading: a call to another instance that timed out left its connection in use. Change: a connection on which nothing came back during a call that timed out is dropped; one on which other calls were answered is kept.

--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -31,6 +31,8 @@
 type link struct {
 	client *rpc.Client
 	used   time.Time
+	// answered is when the last reply came.
+	answered time.Time
 }
 
 // Client calls other instances. It is safe for concurrent use.
@@ -63,24 +65,46 @@
 	if err != nil {
 		return trace.Wrap(err, "connecting to instance at %s", address)
 	}
+	began := time.Now()
 	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 		return c.settle(key, client, call.Error)
 	case <-ctx.Done():
+		c.unanswered(key, client, began)
 		return trace.Wrap(ctx.Err(), "calling %s at %s", method, address)
 	}
 }
 
+// unanswered drops a connection on which nothing came back during a call that
+// timed out. A slow receiver that answers other calls keeps its connection.
+//
+// What goes wrong without it: a connection goes silent without a reset, while new
+// ones would work. Each call on it times out, and the instance at its other end
+// seems to be gone.
+func (c *Client) unanswered(key lane, client *rpc.Client, began time.Time) {
+	c.mu.Lock()
+	found, ok := c.links[key]
+	silent := ok && found.client == client && found.answered.Before(began)
+	c.mu.Unlock()
+	if silent {
+		c.drop(key, client)
+	}
+}
+
 // settle drops the connection after any error that is not the receiver's own
 // answer, so that the next call dials anew.
 func (c *Client) settle(key lane, client *rpc.Client, err error) error {
-	if err == nil {
-		return nil
-	}
-	if _, answered := err.(rpc.ServerError); !answered {
+	_, answered := err.(rpc.ServerError)
+	if err != nil && !answered {
 		c.drop(key, client)
+		return trace.Wrap(err)
 	}
+	c.mu.Lock()
+	if found, ok := c.links[key]; ok && found.client == client {
+		found.answered = time.Now()
+	}
+	c.mu.Unlock()
 	return trace.Wrap(err)
 }
 
