A request leaves a silent target only for a free place; busy targets are no suspects

Change: a target that was heard within 120 ms is busy, not silent; a request leaves only when another place is given at once. Items tell targets that they may work for 15 s, so that one behind a cut does not keep its slot for two minutes.

--- a/internal/coordination/batchjobs/options.go
+++ b/internal/coordination/batchjobs/options.go
@@ -27,6 +27,7 @@
 	PlaceItems(ctx context.Context, service string, due []int64) []placement.Choice
 	Done(placement.Choice, placement.Result)
 	Told(id string, load *exchange.Load)
+	Heard(id string)
 }
 
 // Caller invokes a net/rpc method at an address.
--- a/internal/coordination/batchjobs/task.go
+++ b/internal/coordination/batchjobs/task.go
@@ -24,8 +24,11 @@
 	// elsewhere. Targets make an event each 20 to 30 ms, slowed ones some times
 	// as long, and a full one lets an item wait.
 	stallLimit = 1500 * time.Millisecond
-	// longestRun bounds the time that a target is given for a run.
-	longestRun = 2 * time.Minute
+	// longestRun bounds the time that a target is given for a run: twice the
+	// usual run, and some more. Where the path to a target is cut, the item
+	// goes on elsewhere, and the target must not keep the slot for long. An item
+	// that needs more goes on at the next target.
+	longestRun = 15 * time.Second
 )
 
 // task is an item on its way to its result. The runner's lock guards the fields
@@ -222,6 +225,7 @@
 			return broken, placement.Broken, err
 		}
 		stall.Reset(stallLimit)
+		t.runner.opts.Placer.Heard(t.choice.ID)
 		if err := t.take(&event); err != nil {
 			return broken, placement.Broken, err
 		}
--- a/internal/coordination/broker/client.go
+++ b/internal/coordination/broker/client.go
@@ -335,6 +335,20 @@
 // Known says whether any target of a service may be used.
 func (c *Client) Known(service string) bool { return c.opts.Local.Known(service) }
 
+// TryPlace chooses a target for an online request that has one already. It waits
+// for none.
+func (c *Client) TryPlace(ctx context.Context, want placement.Want) (placement.Choice, bool) {
+	now := time.Now()
+	choice, answered := c.tryAll(ctx, want, placement.Patience{OnTimeUntil: now, Until: now}, now, false)
+	if choice.ID == "" && answered == "" {
+		return c.opts.Local.Pick(want)
+	}
+	return choice, choice.ID != ""
+}
+
+// Heard notes that something came from a target.
+func (c *Client) Heard(id string) { c.opts.Local.Heard(id) }
+
 // Waiting notes that an exchange waits longer than it should, see
 // placement.Placer.
 func (c *Client) Waiting(choice placement.Choice) (goesOn func()) {
--- a/internal/coordination/placement/placer.go
+++ b/internal/coordination/placement/placer.go
@@ -139,14 +139,23 @@
 }
 
 // Waiting notes that an exchange waits longer than it should. The returned
-// function takes the note back, once.
+// function takes the note back, once; it is nil if the target is only busy.
 func (p *Placer) Waiting(choice Choice) (goesOn func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.core.Waiting(choice)
+	if !p.core.Waiting(time.Now(), choice) {
+		return nil
+	}
 	return sync.OnceFunc(func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.core.GoesOn(choice)
 	})
 }
+
+// Heard notes that something came from a target.
+func (p *Placer) Heard(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.core.Heard(time.Now(), id)
+}
--- a/internal/coordination/placement/result.go
+++ b/internal/coordination/placement/result.go
@@ -79,12 +79,28 @@
 	}
 }
 
-// Waiting notes that an exchange waits longer than it should; GoesOn that it
-// went on or ended. Meanwhile the target is avoided.
-func (c *Core) Waiting(choice Choice) {
-	if t := c.targets[choice.ID]; t != nil {
-		t.health.waiting++
+// heardLately is how short ago a target must have been heard for an exchange that
+// waits to be thought to stand in a queue. Targets make an event each 20 to 30 ms
+// for each request that they run.
+const heardLately = 120 * time.Millisecond
+
+// Heard notes that something came from a target.
+func (c *Core) Heard(now time.Time, id string) {
+	if t := c.targets[id]; t != nil {
+		t.heard = now
+	}
+}
+
+// Waiting notes that an exchange waits longer than it should, unless the target
+// was heard a moment ago: then it is only busy. GoesOn notes that it went on or
+// ended. Meanwhile the target is avoided.
+func (c *Core) Waiting(now time.Time, choice Choice) bool {
+	t := c.targets[choice.ID]
+	if t == nil || now.Sub(t.heard) < heardLately {
+		return false
 	}
+	t.health.waiting++
+	return true
 }
 
 // GoesOn takes a note of Waiting back.
--- a/internal/coordination/placement/target.go
+++ b/internal/coordination/placement/target.go
@@ -21,7 +21,9 @@
 	// of instances that can't tell. They count until unseenUntil.
 	unseen      int
 	unseenUntil time.Time
-	health      health
+	// heard is when anything came from the target last.
+	heard  time.Time
+	health health
 }
 
 func (t *target) busy(now time.Time) int {
--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log"
@@ -34,7 +35,10 @@
 
 // Placer chooses targets.
 type Placer interface {
+	// Place waits for a place, TryPlace does not.
 	Place(context.Context, placement.Want, placement.Patience) (placement.Choice, bool)
+	TryPlace(context.Context, placement.Want) (placement.Choice, bool)
+	Heard(id string)
 	Done(placement.Choice, placement.Result)
 	Told(id string, load *exchange.Load)
 	Known(service string) bool
@@ -95,6 +99,9 @@
 	position int
 	// tried are the targets that had the request.
 	tried []string
+	// next is a target that was found for a request that waits too long at
+	// another one.
+	next  *placement.Choice
 	begun bool
 }
 
@@ -110,8 +117,7 @@
 
 func (c *call) run(ctx context.Context) {
 	for len(c.tried) < mostTries {
-		want := placement.Want{Service: c.Service, Exclude: c.tried, Repeatable: c.Route.Repeatable()}
-		choice, ok := c.opts.Placer.Place(ctx, want, c.waiting())
+		choice, ok := c.place(ctx)
 		if !ok {
 			if !c.ended(ctx) {
 				c.nowhere()
@@ -124,12 +130,28 @@
 		c.outcome.Busy, c.outcome.Slots, c.outcome.Broker = choice.Busy, choice.Slots, choice.Broker
 		c.outcome.Attempts++
 		if c.attempt(ctx, choice) == finish {
+			c.giveBack()
 			return
 		}
 	}
 	c.nowhere()
 }
 
+// place gives the next target: the one that an attempt was given up for, or
+// whichever is chosen now.
+func (c *call) place(ctx context.Context) (placement.Choice, bool) {
+	if c.next != nil {
+		choice := *c.next
+		c.next = nil
+		return choice, true
+	}
+	return c.opts.Placer.Place(ctx, c.want(), c.waiting())
+}
+
+func (c *call) want() placement.Want {
+	return placement.Want{Service: c.Service, Exclude: slices.Clone(c.tried), Repeatable: c.Route.Repeatable()}
+}
+
 // waiting says how long the request may wait for a place.
 func (c *call) waiting() placement.Patience {
 	onTime := c.Began.Add(c.Route.Objective - answerTime)
@@ -140,6 +162,14 @@
 	return placement.Patience{OnTimeUntil: onTime, Until: c.Began.Add(time.Duration(waitShare * float64(c.Deadline.Sub(c.Began))))}
 }
 
+// giveBack gives a target back that was found too late to be needed.
+func (c *call) giveBack() {
+	if c.next != nil {
+		c.opts.Placer.Done(*c.next, placement.Left)
+		c.next = nil
+	}
+}
+
 // nowhere ends a request for which there is no further target.
 func (c *call) nowhere() {
 	switch {
@@ -159,7 +189,7 @@
 // attempt sends the request to one target.
 func (c *call) attempt(ctx context.Context, choice placement.Choice) verdict {
 	watch := c.watch(ctx, choice)
-	defer watch.stop()
+	defer func() { c.next = watch.stop() }()
 	answer, err := c.opts.Targets.Send(watch.ctx, choice.Address, c.dispatch(choice))
 	if err != nil {
 		return c.failed(ctx, choice, watch, err)
--- a/internal/coordination/relay/watch.go
+++ b/internal/coordination/relay/watch.go
@@ -10,43 +10,44 @@
 
 const (
 	// firstShare is the part of the objective after which a target that has not
-	// begun to answer is under suspicion, and a repeatable request goes to
+	// begun to answer is under suspicion, and a repeatable request looks for
 	// another one. A free target answers in a tenth of it; the other one needs
 	// as long, and still answers in time.
 	firstShare = 0.5
 	// gapShare is the same between two events, as a part of the longest pause.
 	gapShare = 0.6
-	// queueLimit is added where the request was sent to a target whose slots
-	// were taken.
-	queueLimit = 300 * time.Millisecond
 	// firstLeast and gapLeast bound the limits from below, so that a short
 	// objective does not make every target suspect.
 	firstLeast = 100 * time.Millisecond
 	gapLeast   = 250 * time.Millisecond
+	// againEvery is how often a request that waits too long looks again.
+	againEvery = 150 * time.Millisecond
 )
 
 // watch looks after one exchange: it puts a target under suspicion that does not
-// go on, and ends the exchange if the request can go on elsewhere.
+// go on, and ends the exchange if the request can go on elsewhere at once. A
+// request that left without having another place would wait for one, behind
+// others, while its target may only be busy.
 type watch struct {
 	ctx    context.Context
 	cancel context.CancelFunc
 	call   *call
 	choice placement.Choice
-	// mayMove says that the request could go on at another target.
+	// want is what another target would be chosen for, if that is allowed.
+	want    placement.Want
 	mayMove bool
 
 	mu      sync.Mutex
 	timer   *time.Timer
 	clear   func()
-	queued  bool
-	silent  bool
+	next    *placement.Choice
 	stopped bool
 }
 
 func (c *call) watch(ctx context.Context, choice placement.Choice) *watch {
 	ctx, cancel := context.WithCancel(ctx)
 	w := &watch{
-		ctx: ctx, cancel: cancel, call: c, choice: choice,
+		ctx: ctx, cancel: cancel, call: c, choice: choice, want: c.want(),
 		mayMove: c.Route.Repeatable() && c.outcome.Runs+1 < c.Route.MaxAttempts,
 	}
 	limit := c.gapLimit()
@@ -66,25 +67,38 @@
 // late is called when nothing came for too long.
 func (w *watch) late() {
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.stopped || w.clear != nil {
+	if w.stopped {
+		w.mu.Unlock()
 		return
 	}
-	if w.choice.Busy >= w.choice.Slots && !w.call.begun && !w.queued {
-		// It waits in the target's queue, for an item to give way.
-		w.queued = true
-		w.timer.Reset(queueLimit)
-		return
+	if w.clear == nil {
+		w.clear = w.call.opts.Placer.Waiting(w.choice)
 	}
-	w.clear = w.call.opts.Placer.Waiting(w.choice)
+	w.mu.Unlock()
 	if w.mayMove {
-		w.silent = true
+		w.move()
+	}
+}
+
+// move looks for another target and ends the exchange if there is one.
+func (w *watch) move() {
+	choice, found := w.call.opts.Placer.TryPlace(w.ctx, w.want)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case !found:
+		w.timer.Reset(againEvery)
+	case w.stopped:
+		go w.call.opts.Placer.Done(choice, placement.Left)
+	default:
+		w.next = &choice
 		w.cancel()
 	}
 }
 
 // goesOn notes that something came.
 func (w *watch) goesOn() {
+	w.call.opts.Placer.Heard(w.choice.ID)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.clear != nil {
@@ -94,18 +108,22 @@
 	w.timer.Reset(w.call.gapLimit())
 }
 
-// result is the result of an exchange that ended: silent if it was ended for
-// that.
+// result is the result of an exchange that ended: silent if the target is under
+// suspicion.
 func (w *watch) result(otherwise placement.Result) placement.Result {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.silent || w.clear != nil {
+	if w.clear != nil {
 		return placement.Silent
 	}
+	if w.next != nil {
+		return placement.Left
+	}
 	return otherwise
 }
 
-func (w *watch) stop() {
+// stop ends the watch and gives the target for which the exchange was given up.
+func (w *watch) stop() *placement.Choice {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stopped = true
@@ -114,4 +132,5 @@
 		w.clear()
 	}
 	w.cancel()
+	return w.next
 }
