Batch items of the whole fleet stand in one line at the brokers

Change: an instance keeps one ask for its most urgent item waiting at the broker of each domain; the broker serves items by due time, those that can't be in time last. TestItemsOfAllInstancesStandInOneLine.

--- a/internal/coordination/batchjobs/options.go
+++ b/internal/coordination/batchjobs/options.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 
+	"merlintiller/internal/coordination/broker"
 	"merlintiller/internal/coordination/mesh"
 	"merlintiller/internal/coordination/placement"
 	"merlintiller/internal/external"
@@ -22,9 +23,10 @@
 
 // Placer chooses targets.
 type Placer interface {
-	// PlaceItems gives targets for items of a service that are due at some times,
-	// in Unix milliseconds, as many as there are free slots.
-	PlaceItems(ctx context.Context, service string, due []int64) []placement.Choice
+	// Domains are the failure domains that have targets. PlaceItem gives a target
+	// in one of them, and waits a while for a slot.
+	Domains() []string
+	PlaceItem(ctx context.Context, domain string, item broker.Item) (placement.Choice, bool)
 	Done(placement.Choice, placement.Result)
 	Told(id string, load *exchange.Load)
 	Heard(id string)
--- a/internal/coordination/batchjobs/runner.go
+++ b/internal/coordination/batchjobs/runner.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log/level"
 
+	"merlintiller/internal/coordination/broker"
 	"merlintiller/internal/coordination/mesh"
 	"merlintiller/internal/coordination/placement"
 	"merlintiller/internal/protocol/exchange"
@@ -18,9 +19,9 @@
 )
 
 const (
-	// tryEvery is how often waiting items look for a free slot. Slots come free
-	// every few milliseconds over all targets.
-	tryEvery = 25 * time.Millisecond
+	// lookEvery is how often it is looked whether an item that waits for a while
+	// may begin.
+	lookEvery = 40 * time.Millisecond
 	// yieldPause is how long an item waits that gave up its slot.
 	yieldPause = 60 * time.Millisecond
 	// failPause is how long an item waits after a failed run, doubled with each
@@ -52,14 +53,15 @@
 // Runner runs the items of the partitions that are held. It is a duty.
 type Runner struct {
 	opts *Options
-	wake chan struct{}
 	// handing counts what is being handed to holders.
 	handing atomic.Int64
 	// local gives a partition that is held here.
 	local func(number int) (*holding, bool)
 
-	mu      sync.Mutex
-	pace    pace
+	mu   sync.Mutex
+	pace pace
+	// changed is closed when items come or may begin.
+	changed chan struct{}
 	tasks   map[itemID]*task
 	waiting []*task
 	ctx     context.Context
@@ -74,7 +76,7 @@
 
 // NewRunner returns a runner without items.
 func NewRunner(opts *Options) *Runner {
-	r := &Runner{opts: opts, wake: make(chan struct{}, 1), pace: newPace(), tasks: map[itemID]*task{}, delivering: map[itemID]bool{}}
+	r := &Runner{opts: opts, changed: make(chan struct{}), pace: newPace(), tasks: map[itemID]*task{}, delivering: map[itemID]bool{}}
 	metrics.GetOrCreateGauge(`batch_items{state="open"}`, func() float64 {
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -86,36 +88,59 @@
 // String names the duty.
 func (r *Runner) String() string { return "jobs-runner" }
 
-// Serve starts items where slots are free until ctx ends.
+// Serve finds slots for the items that wait until ctx ends, in each failure domain
+// by a goroutine of its own.
 func (r *Runner) Serve(ctx context.Context) error {
 	r.mu.Lock()
 	r.ctx = ctx
 	r.mu.Unlock()
-	ticker := time.NewTicker(tryEvery)
-	defer ticker.Stop()
-	for {
-		if !r.start(ctx) {
-			select {
-			case <-r.wake:
-			case <-ctx.Done():
-				return ctx.Err()
-			}
+	var seekers sync.WaitGroup
+	for i := range mostDomains {
+		seekers.Go(func() { r.seek(ctx, i) })
+	}
+	seekers.Wait()
+	return ctx.Err()
+}
+
+// mostDomains bounds the failure domains in which slots are sought at once.
+const mostDomains = 4
+
+// seek finds slots in the failure domain that comes at a place in the order of
+// this instance.
+func (r *Runner) seek(ctx context.Context, place int) {
+	for ctx.Err() == nil {
+		domains := r.opts.Placer.Domains()
+		item, ok := r.mostUrgent(time.Now())
+		if !ok || place >= len(domains) {
+			r.idle(ctx)
+			continue
 		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return ctx.Err()
+		if choice, found := r.opts.Placer.PlaceItem(ctx, domains[place], item); found {
+			r.begin(item.Service, choice)
 		}
 	}
 }
 
-func (r *Runner) poke() {
+// idle waits until something may have changed.
+func (r *Runner) idle(ctx context.Context) {
+	r.mu.Lock()
+	changed := r.changed
+	r.mu.Unlock()
+	timer := time.NewTimer(lookEvery)
+	defer timer.Stop()
 	select {
-	case r.wake <- struct{}{}:
-	default:
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
 	}
 }
 
+// poke wakes those who seek slots. It needs the lock.
+func (r *Runner) poke() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
 // refresh takes over which items of a partition are open.
 func (r *Runner) refresh(h *holding) {
 	open, held := h.open()
@@ -217,7 +242,7 @@
 	}
 	r.mu.Unlock()
 	for ctx.Err() == nil && r.busy() {
-		sleep(ctx, tryEvery)
+		sleep(ctx, lookEvery)
 	}
 }
 
@@ -261,34 +286,26 @@
 	})
 }
 
-// start starts items where slots are free. It reports whether any waits.
-func (r *Runner) start(ctx context.Context) bool {
-	wanted, waiting := r.wanted(time.Now())
-	for service, tasks := range wanted {
-		due := make([]int64, len(tasks))
-		for i, t := range tasks {
-			due[i] = t.job.Due.UnixMilli()
-		}
-		choices := r.opts.Placer.PlaceItems(ctx, service, due)
-		r.begin(tasks, choices)
+// mostUrgent gives the item that should begin first.
+func (r *Runner) mostUrgent(now time.Time) (broker.Item, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t, service := r.first(now, "")
+	if t == nil {
+		return broker.Item{}, false
 	}
-	return waiting
+	return broker.Item{Service: service, Due: t.job.Due, BeginBy: t.job.Due.Add(-r.pace.left(t.events))}, true
 }
 
-// mostAtOnce bounds the items that are placed by one message.
-const mostAtOnce = 8
-
-// wanted gives the items that may begin now, by service and in order.
-func (r *Runner) wanted(now time.Time) (wanted map[string][]*task, waiting bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+// first gives the waiting item that should begin first, of one service or of all.
+// Items that can't be done any more are given up on the way. It needs the lock.
+func (r *Runner) first(now time.Time, of string) (*task, string) {
 	table := r.opts.Table()
 	if r.leaving || table == nil {
-		return nil, len(r.waiting) > 0 && !r.leaving
+		return nil, ""
 	}
 	r.sort(now)
 	r.readClaims(now)
-	wanted = map[string][]*task{}
 	for _, t := range slices.Clone(r.waiting) {
 		if now.Before(t.notBefore) || r.claimed[t.id] {
 			continue
@@ -298,27 +315,24 @@
 			r.unqueue(t)
 			continue
 		}
-		if service, ok := t.service(table); ok && len(wanted[service]) < mostAtOnce {
-			wanted[service] = append(wanted[service], t)
+		if service, ok := t.service(table); ok && (of == "" || of == service) {
+			return t, service
 		}
 	}
-	return wanted, len(r.waiting) > 0
+	return nil, ""
 }
 
-// begin begins items at the targets that were chosen for them. Some may have
-// ended meanwhile.
-func (r *Runner) begin(tasks []*task, choices []placement.Choice) {
+// begin begins the item that is the most urgent one now at a target.
+func (r *Runner) begin(service string, choice placement.Choice) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for i, choice := range choices {
-		t := tasks[i]
-		if t.ended || t.cancel != nil || r.leaving {
-			go r.opts.Placer.Done(choice, placement.Left)
-			continue
-		}
-		r.unqueue(t)
-		r.runs(t, choice)
+	t, _ := r.first(time.Now(), service)
+	if t == nil {
+		go r.opts.Placer.Done(choice, placement.Left)
+		return
 	}
+	r.unqueue(t)
+	r.runs(t, choice)
 }
 
 func (r *Runner) unqueue(t *task) {
--- a/internal/coordination/broker/broker.go
+++ b/internal/coordination/broker/broker.go
@@ -19,8 +19,21 @@
 	yielded = metrics.NewCounter(`broker_yields_total`)
 )
 
-// expireEvery is how often the holds of silent instances are looked for.
-const expireEvery = 500 * time.Millisecond
+// calmAfter is how long after an item had to give way no further item gets a slot.
+//
+// The load it answers: at a peak a slot comes free every few milliseconds and is
+// wanted by an online request a few milliseconds later. Given to an item in
+// between, it is taken back before the item has read its prompt again, and the
+// item needs a new connection each time.
+const calmAfter = 80 * time.Millisecond
+
+const (
+	// expireEvery is how often the holds of silent instances are looked for.
+	expireEvery = 500 * time.Millisecond
+	// lookEvery is how often those who wait are looked after when nothing else
+	// happens: the pause after a yield may have ended.
+	lookEvery = 20 * time.Millisecond
+)
 
 // Broker divides the slots of the targets of its own failure domain, for as long
 // as others ask it to. It is a duty.
@@ -32,6 +45,10 @@
 	mu     sync.Mutex
 	book   *Book
 	lineup lineup
+	// yieldedAt is when an item had to give way last.
+	yieldedAt time.Time
+	// looking says that a look is due.
+	looking bool
 }
 
 // New returns a broker of a failure domain.
@@ -57,6 +74,21 @@
 	}
 }
 
+// lookAgain serves once more after a while, as long as anybody waits. It needs the
+// lock.
+func (b *Broker) lookAgain() {
+	if b.looking || b.lineup.len() == 0 {
+		return
+	}
+	b.looking = true
+	time.AfterFunc(lookEvery, func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.looking = false
+		b.serve(time.Now())
+	})
+}
+
 // SetTargets takes over the targets that may be used.
 func (b *Broker) SetTargets(list []roster.Target) {
 	var own []roster.Target
@@ -90,8 +122,10 @@
 // serve gives slots to those who wait. It needs the lock.
 func (b *Broker) serve(now time.Time) {
 	if b.lineup.len() > 0 {
-		b.lineup.place(now, func(e *entry) (Grant, bool) { return b.give(now, e.instance, e.hold, e.want) })
+		calm := now.Sub(b.yieldedAt) >= calmAfter
+		b.lineup.place(now, !calm, func(e *entry) (Grant, bool) { return b.give(now, e.instance, e.hold, e.want) })
 	}
+	b.lookAgain()
 }
 
 // give gives one slot. It needs the lock.
@@ -107,54 +141,30 @@
 	}
 	if yields != nil {
 		yielded.Inc()
+		b.yieldedAt = now
 		go b.yield(yields.instance, yields.Number)
 	}
 	return grant, true
 }
 
-// Place gives slots to an instance, as many as it asks for or there are. An online
-// request that finds none is kept waiting as long as it wants.
+// Place gives a slot to an instance. If there is none, it is kept waiting for one
+// as long as it wants.
 func (b *Broker) Place(ctx context.Context, ask *Ask) Reply {
 	now := time.Now()
-	b.mu.Lock()
-	b.book.Tell(now, ask.Told)
-	if ask.Want.Batch {
-		defer b.mu.Unlock()
-		return b.fill(now, ask)
-	}
-	reply := Reply{}
 	e := &entry{
-		instance: ask.Instance, hold: Hold{Number: ask.Numbers[0]}, want: ask.Want,
+		instance: ask.Instance, hold: Hold{Number: ask.Number, Due: ask.Due}, want: ask.Want,
 		onTimeUntil: now.Add(ask.OnTimeIn), arrived: now.Add(-ask.Age), placed: make(chan Grant, 1),
 	}
+	b.mu.Lock()
+	b.book.Tell(now, ask.Told)
 	b.lineup.add(e)
 	b.serve(now)
-	reply.Free = b.book.Free(now)
 	b.mu.Unlock()
-	if grant, ok := b.await(ctx, e, ask.Wait); ok {
-		reply.Grants = []Grant{grant}
-	}
-	return reply
-}
-
-// fill gives free slots to batch items. It needs the lock.
-func (b *Broker) fill(now time.Time, ask *Ask) Reply {
 	reply := Reply{}
-	for i, number := range ask.Numbers {
-		if b.lineup.len() > 0 {
-			break
-		}
-		h := Hold{Number: number}
-		if i < len(ask.Due) {
-			h.Due = ask.Due[i]
-		}
-		grant, ok := b.give(now, ask.Instance, h, ask.Want)
-		if !ok {
-			break
-		}
-		reply.Grants = append(reply.Grants, grant)
-	}
-	reply.Free = b.book.Free(now)
+	reply.Grant, reply.Granted = b.await(ctx, e, ask.Wait)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	reply.Free = b.book.Free(time.Now())
 	return reply
 }
 
--- a/internal/coordination/broker/broker_test.go
+++ b/internal/coordination/broker/broker_test.go
@@ -22,7 +22,7 @@
 
 func askOf(number uint64, onTimeIn, wait time.Duration) *Ask {
 	return &Ask{
-		Told: Told{Instance: fmt.Sprint("n", number%3)}, Numbers: []uint64{number},
+		Told: Told{Instance: fmt.Sprint("n", number%3)}, Number: number,
 		Want: placement.Want{Service: "s"}, OnTimeIn: onTimeIn, Wait: wait,
 	}
 }
@@ -47,7 +47,7 @@
 				began := time.Now()
 				number := uint64(i)
 				reply := b.Place(t.Context(), askOf(number, objective, 5*time.Second))
-				require.Len(t, reply.Grants, 1)
+				require.True(t, reply.Granted)
 				mu.Lock()
 				if time.Since(began) <= objective {
 					onTime++
@@ -70,20 +70,20 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestBroker(1)
 		first := b.Place(t.Context(), askOf(1, time.Second, 0))
-		require.Len(t, first.Grants, 1)
+		require.True(t, first.Granted)
 		var waiting sync.WaitGroup
 		waiting.Go(func() {
 			reply := b.Place(t.Context(), askOf(2, time.Second, 5*time.Second))
-			require.Len(t, reply.Grants, 1)
+			require.True(t, reply.Granted)
 		})
 		synctest.Wait()
-		items := &Ask{Told: Told{Instance: "n0"}, Numbers: []uint64{7, 8}, Want: placement.Want{Service: "s", Batch: true}}
-		require.Empty(t, b.Place(t.Context(), items).Grants)
+		items := &Ask{Told: Told{Instance: "n0"}, Number: 7, Want: placement.Want{Service: "s", Batch: true}, OnTimeIn: time.Hour}
+		require.False(t, b.Place(t.Context(), items).Granted)
 		b.Tell(&Told{Instance: "n1", Released: []uint64{1}})
 		waiting.Wait()
-		require.Empty(t, b.Place(t.Context(), items).Grants)
+		require.False(t, b.Place(t.Context(), items).Granted)
 		b.Tell(&Told{Instance: "n2", Released: []uint64{2}})
-		require.Len(t, b.Place(t.Context(), items).Grants, 1)
+		require.True(t, b.Place(t.Context(), items).Granted)
 	})
 }
 
@@ -92,9 +92,39 @@
 func TestRequestThatGivesUpKeepsNoSlot(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestBroker(1)
-		require.Len(t, b.Place(t.Context(), askOf(1, time.Second, 0)).Grants, 1)
-		require.Empty(t, b.Place(t.Context(), askOf(2, time.Second, 100*time.Millisecond)).Grants)
+		require.True(t, b.Place(t.Context(), askOf(1, time.Second, 0)).Granted)
+		require.False(t, b.Place(t.Context(), askOf(2, time.Second, 100*time.Millisecond)).Granted)
 		b.Tell(&Told{Instance: "n1", Released: []uint64{1}})
-		require.Len(t, b.Place(t.Context(), askOf(3, time.Second, 0)).Grants, 1)
+		require.True(t, b.Place(t.Context(), askOf(3, time.Second, 0)).Granted)
+	})
+}
+
+// Items of two instances wait for slots. The one that is due first must begin
+// first, whoever asks, and one that can't be done in time any more comes last.
+func TestItemsOfAllInstancesStandInOneLine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBroker(1)
+		require.True(t, b.Place(t.Context(), askOf(1, time.Second, 0)).Granted)
+		var order []int64
+		var waiting sync.WaitGroup
+		for i, due := range []int64{9_000, 5_000, 1_000, 7_000} {
+			onTimeIn := time.Duration(due)*time.Millisecond - 2*time.Second
+			waiting.Go(func() {
+				number := uint64(10 + i)
+				instance := fmt.Sprint("n", i%2)
+				reply := b.Place(t.Context(), &Ask{
+					Told: Told{Instance: instance}, Number: number, Due: due, OnTimeIn: onTimeIn, Wait: 10 * time.Second,
+					Want: placement.Want{Service: "s", Batch: true},
+				})
+				require.True(t, reply.Granted)
+				order = append(order, due)
+				<-time.After(100 * time.Millisecond)
+				b.Tell(&Told{Instance: instance, Released: []uint64{number}})
+			})
+		}
+		synctest.Wait()
+		b.Tell(&Told{Instance: "n1", Released: []uint64{1}})
+		waiting.Wait()
+		require.Equal(t, []int64{5_000, 7_000, 9_000, 1_000}, order)
 	})
 }
--- a/internal/coordination/broker/client.go
+++ b/internal/coordination/broker/client.go
@@ -25,6 +25,8 @@
 	// waitChunk is how long a request waits at one broker until it asks the
 	// others once more.
 	waitChunk = 100 * time.Millisecond
+	// itemWait is the same for a batch item.
+	itemWait = 200 * time.Millisecond
 	// freeFresh is how long it is believed that a domain has no free slot.
 	freeFresh = 50 * time.Millisecond
 	// tellEvery is how often a broker is told all that is held.
@@ -160,41 +162,54 @@
 		Domain: name, Want: want, Wait: wait,
 		OnTimeIn: patience.OnTimeUntil.Sub(now), Age: now.Sub(began),
 	}
-	choices, ok := c.send(ctx, ask, 1)
-	if len(choices) == 0 {
-		return placement.Choice{}, ok
+	return c.send(ctx, ask)
+}
+
+// Item is a batch item that wants a slot.
+type Item struct {
+	Service string
+	// Due is when it is due, BeginBy when it must have begun to be done by then.
+	Due, BeginBy time.Time
+}
+
+// PlaceItem chooses a target of one failure domain for a batch item, and waits a
+// while for a slot.
+func (c *Client) PlaceItem(ctx context.Context, name string, item Item) (placement.Choice, bool) {
+	ask := &Ask{
+		Domain: name, Want: placement.Want{Service: item.Service, Batch: true}, Wait: itemWait,
+		OnTimeIn: time.Until(item.BeginBy), Due: item.Due.UnixMilli(),
+	}
+	choice, answered := c.send(ctx, ask)
+	if answered {
+		return choice, choice.ID != ""
 	}
-	return choices[0], true
+	choice, ok := c.opts.Local.Pick(ask.Want)
+	if !ok {
+		pause(ctx, itemWait)
+		return choice, false
+	}
+	unbrokered.Inc()
+	return choice, true
 }
 
-// PlaceItems chooses targets for batch items that are due at some times, in Unix
-// milliseconds. It gives as many as there are free slots, the first items first.
-func (c *Client) PlaceItems(ctx context.Context, service string, due []int64) []placement.Choice {
-	want := placement.Want{Service: service, Batch: true}
-	var out []placement.Choice
-	answered := false
-	for _, name := range c.order(want) {
-		if len(out) == len(due) {
-			break
-		}
-		if c.knownFull(name) {
-			answered = true
-			continue
-		}
-		ask := &Ask{Domain: name, Want: want, Due: due[len(out):]}
-		choices, ok := c.send(ctx, ask, len(due)-len(out))
-		answered = answered || ok
-		out = append(out, choices...)
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
 	}
-	for !answered && len(out) < len(due) {
-		choice, ok := c.opts.Local.Pick(want)
-		if !ok {
-			break
-		}
-		unbrokered.Inc()
-		out = append(out, choice)
+}
+
+// Domains gives the failure domains that have targets, the own one first.
+func (c *Client) Domains() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	has := map[string]bool{}
+	for _, t := range c.targets {
+		has[t.Domain] = true
 	}
-	return out
+	return ordered(has, c.opts.Self.Domain, func(string) int { return 0 })
 }
 
 // order gives the failure domains with targets of a service, the own one first
@@ -218,12 +233,12 @@
 	return d != nil && d.free == 0 && time.Since(d.at) < freeFresh
 }
 
-// send sends an ask for so many slots to the broker of its domain, and to the
-// next one if that does not answer.
-func (c *Client) send(ctx context.Context, ask *Ask, count int) (choices []placement.Choice, ok bool) {
+// send sends an ask to the broker of its domain, and to the next one if that does
+// not answer.
+func (c *Client) send(ctx context.Context, ask *Ask) (choice placement.Choice, answered bool) {
 	ask.Want.Exclude = append(c.opts.Local.Distrusted(ask.Want), ask.Want.Exclude...)
 	ask.Want.Connected = c.connected(ask.Domain, ask.Want.Service)
-	ask.Numbers = c.numbers(count)
+	ask.Number = c.nextNumber()
 	for _, address := range c.Brokers(ask.Domain) {
 		reply, err := c.sendTo(ctx, address, ask)
 		if err != nil {
@@ -233,7 +248,7 @@
 		asks.Inc()
 		return c.take(address, ask, reply), true
 	}
-	return nil, false
+	return placement.Choice{}, false
 }
 
 func (c *Client) sendTo(ctx context.Context, address string, ask *Ask) (Reply, error) {
@@ -258,39 +273,30 @@
 	_ = level.Info(c.opts.Logger).Log("event", "broker_unanswered", "broker", address, "domain", name, "err", err)
 }
 
-// take counts the slots that were given.
-func (c *Client) take(address string, ask *Ask, reply Reply) []placement.Choice {
-	var out []placement.Choice
+// take counts the slot that was given, if one was.
+func (c *Client) take(address string, ask *Ask, reply Reply) placement.Choice {
 	c.mu.Lock()
 	if d := c.domains[ask.Domain]; d != nil {
 		d.free, d.at = reply.Free, time.Now()
 	}
-	for i, grant := range reply.Grants {
-		h := Hold{Number: grant.Number, Target: grant.Target.ID, Batch: ask.Want.Batch}
-		if i < len(ask.Due) {
-			h.Due = ask.Due[i]
-		}
-		c.held[grant.Number] = h
+	if reply.Granted {
+		c.held[ask.Number] = Hold{Number: ask.Number, Target: reply.Grant.Target.ID, Batch: ask.Want.Batch, Due: ask.Due}
 	}
 	c.mu.Unlock()
-	for _, grant := range reply.Grants {
-		choice := c.opts.Local.Take(grant.Target, ask.Want.Batch)
-		choice.Busy, choice.Slots = grant.Busy, grant.Slots
-		choice.Number, choice.Broker = grant.Number, address
-		out = append(out, choice)
+	if !reply.Granted {
+		return placement.Choice{}
 	}
-	return out
+	choice := c.opts.Local.Take(reply.Grant.Target, ask.Want.Batch)
+	choice.Busy, choice.Slots = reply.Grant.Busy, reply.Grant.Slots
+	choice.Number, choice.Broker = ask.Number, address
+	return choice
 }
 
-func (c *Client) numbers(count int) []uint64 {
+func (c *Client) nextNumber() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out := make([]uint64, count)
-	for i := range out {
-		c.number++
-		out[i] = c.number
-	}
-	return out
+	c.number++
+	return c.number
 }
 
 // connected gives the targets of a domain to which a connection is kept.
--- a/internal/coordination/broker/messages.go
+++ b/internal/coordination/broker/messages.go
@@ -32,17 +32,18 @@
 type Ask struct {
 	Told
 	Domain string
-	// Numbers are given to the holds, in order; there are as many slots wanted.
-	Numbers []uint64
-	Want    placement.Want
-	// OnTimeIn is how long it takes until the request is late, Wait how long it
-	// may be kept waiting. Batch items are kept waiting by nobody.
+	// Number is given to the hold.
+	Number uint64
+	Want   placement.Want
+	// OnTimeIn is how long it takes until an online request is late, or until a
+	// batch item must have begun to be done in time. Wait is how long it may be
+	// kept waiting.
 	OnTimeIn time.Duration
 	Wait     time.Duration
-	// Age is how long the request has been waiting already.
+	// Age is how long an online request has been waiting already.
 	Age time.Duration
-	// Due is when the batch items are due, in Unix milliseconds, in order.
-	Due []int64
+	// Due is when a batch item is due, in Unix milliseconds.
+	Due int64
 }
 
 // Grant is a slot that was given.
@@ -55,7 +56,8 @@
 
 // Reply is the answer to an Ask.
 type Reply struct {
-	Grants []Grant
+	Granted bool
+	Grant   Grant
 	// Free are the slots that are left in the domain.
 	Free int
 }
