--- a/internal/configdoc/operations_test.go
+++ b/internal/configdoc/operations_test.go
@@ -12,8 +12,8 @@
 )
 
 var (
-	eventInCode  = regexp.MustCompile(`"event", "([a-z_]+)"|\.event\("([a-z_]+)"`)
-	metricInCode = regexp.MustCompile(`expvar\.New[A-Za-z]+\("([^"]+)"\)`)
+	eventInCode  = regexp.MustCompile(`"event", "([a-z_]+)"|\.event\("([a-z_]+)"|"event=([a-z_]+) `)
+	metricInCode = regexp.MustCompile(`expvar\.New[A-Za-z]+\("([^"]+)"\)|metrics\.(?:New|GetOrCreate)[A-Za-z]+\([` + "`" + `"]([a-z_]+)`)
 	eventRow     = regexp.MustCompile("(?m)^\\| `([a-z_]+)` \\| [^|]+ \\| [^|]+ \\|$")
 	backQuoted   = regexp.MustCompile("`([^`]+)`")
 )
