--- a/internal/transport/front/visit.go
+++ b/internal/transport/front/visit.go
@@ -5,6 +5,7 @@
 	"io"
 	stdlog "log"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -46,6 +47,10 @@
 		v.jobCall(call)
 		return
 	}
+	if most := v.table.Limits().HeaderBytes; most > 0 && headSize(v.r) > most {
+		v.refuse(http.StatusRequestHeaderFieldsTooLarge, 0, "head_too_large")
+		return
+	}
 	found, ok := v.table.Match(v.request.Host, v.request.Path)
 	if !ok {
 		v.refuse(http.StatusNotFound, 0, "no_route")
@@ -82,20 +87,49 @@
 	return v.organisation.Name
 }
 
+// headSize is the size of a request's head on the wire.
+func headSize(r *http.Request) int64 {
+	const (
+		// space, space, version and the end of the line; colon, space and end.
+		lineExtra  = 12
+		fieldExtra = 4
+	)
+	size := len(r.Method) + len(r.RequestURI) + lineExtra + len("Host") + len(r.Host) + fieldExtra
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + fieldExtra
+		}
+	}
+	return int64(size)
+}
+
 // readBody reads the whole body, so that the request can be sent again.
+//
+// What goes wrong without the bound on its time: a caller that sends a byte now
+// and then holds memory and a connection for good. It would show as requests in
+// flight that never end.
 func (v *visit) readBody() bool {
 	most := v.table.Limits().BodyBytes
 	if most <= 0 {
 		most = bodyBytes
 	}
+	control := http.NewResponseController(v.w)
+	if err := control.SetReadDeadline(v.began.Add(v.patience())); err != nil {
+		v.gone("connection_closed")
+		return false
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(v.w, v.r.Body, most))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
+		// A failure shows as the end of the connection, as any other.
+		_ = control.SetReadDeadline(time.Time{})
 		v.request.Body = body
 		return true
 	case errors.As(err, &tooLarge):
 		v.refuse(http.StatusRequestEntityTooLarge, 0, "body_too_large")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		v.refuse(http.StatusRequestTimeout, 0, "body_too_slow")
 	case v.r.Context().Err() != nil:
 		v.gone("caller_left")
 	default:
