Settings of routed instances: short graces, checked by the tool, documented

Ruled out: taking any grace silently, since an explicit notice that does not fit is a mistake. Measured: TestShortGraceShortensTheNotice and TestDeployedTemplateGivesSettings fail before and pass after.

--- a/internal/configdoc/configdoc_test.go
+++ b/internal/configdoc/configdoc_test.go
@@ -46,7 +46,11 @@
 		{name: "services", value: reflect.ValueOf(protocol.Service{}), required: set("name", "kind", "slots")},
 		{name: "domains", value: reflect.ValueOf(protocol.DomainShare{}), required: set("domain", "share")},
 	}
-	return append([]table{{name: "settings", value: reflect.ValueOf(*settings.Default()), required: requiredSettings(t)}}, fleet...)
+	files := []table{
+		{name: "settings", value: reflect.ValueOf(*settings.Default()), required: requiredSettings(t, settings.Parse)},
+		{name: "routed", value: reflect.ValueOf(*settings.RoutedDefault()), required: requiredSettings(t, settings.ParseRouted)},
+	}
+	return append(files, fleet...)
 }
 
 func set(names ...string) map[string]bool {
@@ -58,8 +62,8 @@
 }
 
 // requiredSettings are the fields that an almost empty file is told to lack.
-func requiredSettings(t *testing.T) map[string]bool {
-	_, err := settings.Parse("s", []byte("log: {}\n"))
+func requiredSettings[S any](t *testing.T, parse func(string, []byte) (S, error)) map[string]bool {
+	_, err := parse("s", []byte("log: {}\n"))
 	var problems strictyaml.Problems
 	require.True(t, errors.As(err, &problems))
 	out := map[string]bool{}
@@ -145,7 +149,7 @@
 		return "duration"
 	case strings.HasSuffix(path, "_bytes"):
 		return "bytes"
-	case strings.HasPrefix(path, "listen.") || strings.HasPrefix(path, "platform.") || path == "seeds":
+	case strings.HasPrefix(path, "listen.") || strings.HasPrefix(path, "platform.") || path == "seeds" || path == "store.address":
 		return "ip:port"
 	case strings.HasPrefix(path, "tls.") && kind.Kind() == reflect.String:
 		return "file"
--- a/internal/ctl/views_test.go
+++ b/internal/ctl/views_test.go
@@ -121,6 +121,19 @@
 	require.Contains(t, got.stderr, "s.yaml:1: instanse: unknown field; did you mean instance?")
 }
 
+func TestSettingsCheckOfARoutedInstance(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s.yaml")
+	whole := "instance: a\ndomain: d\nlisten: {callers: '127.0.0.1:1', readiness: '127.0.0.1:2', peers: '127.0.0.1:3'}\nstore: {address: '127.0.0.1:4'}\n"
+	require.NoError(t, os.WriteFile(path, []byte(whole), 0o600))
+	got := run("settings", "check", "--routed", path)
+	require.Equal(t, ExitOK, got.code, got.stderr)
+	require.Contains(t, got.stdout, "127.0.0.1:4")
+	require.NoError(t, os.WriteFile(path, []byte(whole+"graze: 2s\n"), 0o600))
+	got = run("settings", "check", "--routed", path)
+	require.Equal(t, ExitBadInput, got.code)
+	require.Contains(t, got.stderr, "s.yaml:5: graze: unknown field; did you mean grace?")
+}
+
 func TestCompletionOffersCommands(t *testing.T) {
 	bash := run("completion", "bash")
 	require.Equal(t, ExitOK, bash.code)
--- a/internal/daemon/routed/leave.go
+++ b/internal/daemon/routed/leave.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// leaveMargin is left of the grace for the end of the process itself.
-	leaveMargin = 1200 * time.Millisecond
+	// leaveMargin is left of the grace for the end of the process itself, at most
+	// leaveMarginShare of it.
+	leaveMargin      = 1200 * time.Millisecond
+	leaveMarginShare = 0.15
 	// storeStep bounds a step that needs the store.
 	storeStep = 500 * time.Millisecond
 	// handOverStep bounds the handing over of items: others take the partitions
@@ -25,7 +27,7 @@
 	d.leaving.Store(true)
 	d.front.Leave()
 	_ = level.Info(d.logger).Log("event", "leaving", "in_flight", d.front.InFlight())
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(d.settings.Grace-leaveMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(d.settings.Grace-d.leaveMargin()))
 	defer cancel()
 	d.step(ctx, storeStep, "jobs", d.keeper.Leave)
 	wait(ctx, time.Until(began.Add(d.settings.DrainNotice)))
@@ -42,6 +44,10 @@
 	_ = level.Info(d.logger).Log("event", "left", "in_flight", d.front.InFlight(), "took_ms", time.Since(began).Milliseconds(), "err", err)
 }
 
+func (d *Daemon) leaveMargin() time.Duration {
+	return min(leaveMargin, time.Duration(leaveMarginShare*float64(d.settings.Grace)))
+}
+
 func (d *Daemon) step(ctx context.Context, most time.Duration, name string, run func(context.Context)) {
 	ctx, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -34,7 +34,7 @@
 	Grace time.Duration `yaml:"grace"`
 	// DrainNotice is how long a leaving instance goes on taking requests after
 	// it said that it is not ready: the balancer asks once a second and takes an
-	// instance out after two misses.
+	// instance out after two misses. Left out, it is at most two fifths of grace.
 	DrainNotice time.Duration `yaml:"drain_notice"`
 	// Log says what is logged and how.
 	Log Log `yaml:"log"`
@@ -97,6 +97,9 @@
 func ParseRouted(name string, data []byte) (*Routed, error) {
 	s := RoutedDefault()
 	doc := strictyaml.Decode(name, data, s)
+	if !doc.Has("drain_notice") {
+		s.DrainNotice = min(s.DrainNotice, time.Duration(noticeShare*float64(s.Grace)))
+	}
 	if len(doc.Problems()) == 0 {
 		checkRouted(s, doc)
 	}
@@ -106,6 +109,10 @@
 	return s, nil
 }
 
+// noticeShare is the part of a short grace that a leaving instance goes on taking
+// requests; the rest is for those in flight.
+const noticeShare = 0.4
+
 // leastRecord holds the head of a job and any item of usual size.
 const leastRecord = 4 << 10
 
--- /dev/null
+++ b/internal/settings/routed_test.go
@@ -0,0 +1,97 @@
+package settings
+
+import (
+	"errors"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/strictyaml"
+)
+
+const wholeRouted = `instance: sea-1
+domain: pnw-sea
+listen:
+  callers: 10.0.0.1:8001
+  readiness: 10.0.0.1:8002
+  peers: 10.0.0.1:8003
+store:
+  address: 10.0.9.1:9000
+`
+
+func TestRoutedFileKeepsDefaults(t *testing.T) {
+	s, err := ParseRouted("s.yaml", []byte(wholeRouted))
+	require.NoError(t, err)
+	require.Equal(t, RoutedDefault().DrainNotice, s.DrainNotice)
+	require.Equal(t, RoutedDefault().Store.Timeout, s.Store.Timeout)
+}
+
+// A place gives processes less time to stop than usual. If the usual notice did
+// not fit and the file were refused, the process would not start at all; if the
+// notice took all the time, requests would be cut at each stop.
+func TestShortGraceShortensTheNotice(t *testing.T) {
+	for _, grace := range []time.Duration{time.Second, 2 * time.Second, 5 * time.Second, 30 * time.Second} {
+		s, err := ParseRouted("s.yaml", []byte(wholeRouted+"grace: "+grace.String()+"\n"))
+		require.NoError(t, err, grace)
+		require.LessOrEqual(t, s.DrainNotice, grace/2)
+		require.Positive(t, s.DrainNotice)
+	}
+}
+
+func TestMistakesInRoutedFiles(t *testing.T) {
+	cases := map[string]struct{ old, new, want string }{
+		"unknown field":   {"domain: pnw-sea", "domian: pnw-sea", "s.yaml:2: domian: unknown field; did you mean domain?"},
+		"missing store":   {"store:\n  address: 10.0.9.1:9000\n", "", "store.address: is missing"},
+		"same address":    {"peers: 10.0.0.1:8003", "peers: 10.0.0.1:8001", "s.yaml:6: listen.peers: 10.0.0.1:8001 is the address of listen.callers"},
+		"name of a store": {"address: 10.0.9.1:9000", "address: store:9000", "s.yaml:8: store.address: \"store:9000\" must be an IP number"},
+		"long notice":     {"store:", "grace: 4s\ndrain_notice: 4s\nstore:", "s.yaml:8: drain_notice: 4s must be shorter than grace (4s)"},
+		"small records":   {"store:", "store:\n  record_bytes: 100", "s.yaml:8: store.record_bytes: 100 must be at least 4096"},
+		"no seeds":        {"store:", "seeds: [nobody]\nstore:", "s.yaml:7: seeds[0]: \"nobody\" must be an IP number"},
+		"spaces":          {"instance: sea-1", "instance: sea 1", "s.yaml:1: instance: \"sea 1\" must not hold spaces"},
+		"empty":           {wholeRouted, "", "is empty"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			text := strings.Replace(wholeRouted, c.old, c.new, 1)
+			require.NotEqual(t, wholeRouted, text)
+			_, err := ParseRouted("s.yaml", []byte(text))
+			require.ErrorContains(t, err, c.want)
+			var problems strictyaml.Problems
+			require.True(t, errors.As(err, &problems))
+		})
+	}
+}
+
+var (
+	listSection = regexp.MustCompile(`\{\{#seeds\}\}.*\{\{/seeds\}\}`)
+	placeholder = regexp.MustCompile(`\{\{([a-z_.]+)\}\}`)
+)
+
+// The platform fills the template in at every start. A mistake in it would keep
+// every instance from starting. Fields that a place does not have come out empty.
+func TestDeployedTemplateGivesSettings(t *testing.T) {
+	template, err := os.ReadFile("../../deploy/settings.yaml")
+	require.NoError(t, err)
+	values := map[string]string{
+		"node_name": "edge-a-1", "zone": "a", "ip": "10.1.0.2", "listen.front": "10.1.0.2:8689", "listen.ready": "10.1.0.2:8687",
+		"listen.control": "10.1.0.2:8683", "platform.address": "10.2.0.7:8688", "platform.parts": "12",
+		"platform.record_bytes": "262144", "platform.call_bytes": "2097152", "limits.memory_mb": "184", "bounds.grace_s": "2.5",
+	}
+	for _, seeds := range []string{"", `"10.1.0.3:8683","10.1.0.4:8683"`} {
+		text := listSection.ReplaceAllString(string(template), seeds)
+		text = placeholder.ReplaceAllStringFunc(text, func(found string) string {
+			value, ok := values[placeholder.FindStringSubmatch(found)[1]]
+			require.True(t, ok, found)
+			return value
+		})
+		require.NotContains(t, text, "{{")
+		s, err := ParseRouted("settings.yaml", []byte(text))
+		require.NoError(t, err)
+		require.Equal(t, 2500*time.Millisecond, s.Grace)
+		require.Equal(t, 184, s.MemoryMB)
+	}
+}
