Messages of an instance do not grow with the fleet

Cause: each instance told every other one of itself ten times a second, so that an instance at 62 or 91 would send and hear more than a thousand messages a second, and each carried all counts of the rates and all that is held. Ruled out: a tree or a random choice of partners, which would make counts of the rates older than the 5 s in which users look at them. Change: beyond 16 instances the period grows with the fleet; a message tells only the counts that changed, all of them every 16th time; places at targets go to the own domain only, buckets to those who do not know them; a silent domain shows before its instances do; the order of brokers is kept for 50 ms.

--- a/internal/coordination/broker/client.go
+++ b/internal/coordination/broker/client.go
@@ -76,6 +76,7 @@
 	outbox  map[string]*outbox
 	bad     map[string]time.Time
 	told    map[string]time.Time
+	ranked  map[string]*ranking
 }
 
 // domain is what is known of the targets of one failure domain.
@@ -89,7 +90,7 @@
 func NewClient(opts ClientOptions) *Client {
 	return &Client{
 		opts: opts, held: map[uint64]Hold{}, targets: map[string]roster.Target{}, domains: map[string]*domain{},
-		outbox: map[string]*outbox{}, bad: map[string]time.Time{}, told: map[string]time.Time{},
+		outbox: map[string]*outbox{}, bad: map[string]time.Time{}, told: map[string]time.Time{}, ranked: map[string]*ranking{},
 	}
 }
 
--- a/internal/coordination/broker/telling.go
+++ b/internal/coordination/broker/telling.go
@@ -16,6 +16,34 @@
 // Brokers gives the addresses of the two instances that come first as brokers of
 // a domain, without those that did not answer a moment ago.
 func (c *Client) Brokers(name string) []string {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	found := c.ranked[name]
+	if found == nil || now.Sub(found.at) > rankedFresh {
+		found = &ranking{at: now, addresses: c.rank(name)}
+		c.ranked[name] = found
+	}
+	var out []string
+	for _, address := range found.addresses {
+		if len(out) < mostBrokers && !now.Before(c.bad[address]) {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
+// ranking is the instances of a domain in the order in which they are asked.
+type ranking struct {
+	at        time.Time
+	addresses []string
+}
+
+// rankedFresh is how long a ranking counts. It changes when instances come and go.
+const rankedFresh = 50 * time.Millisecond
+
+// rank orders the instances of a domain by rendezvous hashing.
+func (c *Client) rank(name string) []string {
 	type candidate struct {
 		address string
 		rank    uint64
@@ -33,14 +61,9 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(a.rank, b.rank) })
-	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var out []string
-	for _, found := range list {
-		if len(out) < mostBrokers && !now.Before(c.bad[found.address]) {
-			out = append(out, found.address)
-		}
+	out := make([]string, len(list))
+	for i, found := range list {
+		out[i] = found.address
 	}
 	return out
 }
--- a/internal/coordination/mesh/beat.go
+++ b/internal/coordination/mesh/beat.go
@@ -35,11 +35,14 @@
 	StoreAge time.Duration
 	// Held is what the instance has at targets.
 	Held []placement.Held
-	// Admitted are the requests that it let in, Levels the buckets of the rates
-	// that are not full, if Informed.
+	// Admitted are the requests that it let in: all counts if Whole, else those
+	// that changed since the last message.
 	Admitted quota.Counts
-	Levels   quota.Levels
+	Whole    bool
+	// Informed says that it knows the buckets of the rates, Levels are those that
+	// are not full. An instance that is informed itself is not told them.
 	Informed bool
+	Levels   quota.Levels
 	// Partitions are those of batch jobs that it holds, as of a generation.
 	Partitions []int
 	Generation int64
--- a/internal/coordination/mesh/rpc.go
+++ b/internal/coordination/mesh/rpc.go
@@ -12,7 +12,7 @@
 // Exchange takes over what the caller tells and tells of this instance.
 func (r *Receiver) Exchange(args *Beat, reply *Beat) error {
 	r.mesh.take(*args)
-	*reply = r.mesh.beat()
+	*reply = r.mesh.beatFor(args.From)
 	return nil
 }
 
--- a/internal/coordination/mesh/view.go
+++ b/internal/coordination/mesh/view.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"cmp"
 	"slices"
 	"strconv"
 	"time"
@@ -43,14 +42,30 @@
 // concurrent use.
 type View struct {
 	self        Instance
-	silentAfter time.Duration
 	forgetAfter time.Duration
 	peers       map[string]*entry
+	// names are those of the peers, in order.
+	names []string
 }
 
 // NewView returns a view that knows nobody.
-func NewView(self Instance, silentAfter, forgetAfter time.Duration) *View {
-	return &View{self: self, silentAfter: silentAfter, forgetAfter: forgetAfter, peers: map[string]*entry{}}
+func NewView(self Instance, forgetAfter time.Duration) *View {
+	return &View{self: self, forgetAfter: forgetAfter, peers: map[string]*entry{}}
+}
+
+// pace is how often messages go to and fro in a fleet of this size.
+func (v *View) pace() pace { return paceOf(1 + len(v.peers)) }
+
+func (v *View) add(name string, e *entry) {
+	v.peers[name] = e
+	at, _ := slices.BinarySearch(v.names, name)
+	v.names = slices.Insert(v.names, at, name)
+}
+
+// informed says that an instance knows the buckets of the rates.
+func (v *View) informed(name string) bool {
+	e := v.peers[name]
+	return e != nil && e.beat.Informed
 }
 
 // Listed adds instances that somebody names. What an instance told itself goes
@@ -62,7 +77,7 @@
 		}
 		known := v.peers[i.Name]
 		if known == nil {
-			v.peers[i.Name] = &entry{Instance: i, heard: now.Add(-v.silentAfter)}
+			v.add(i.Name, &entry{Instance: i, heard: now.Add(-SilentAfter)})
 			continue
 		}
 		if i.Start > known.Start {
@@ -81,7 +96,7 @@
 	known := v.peers[name]
 	if known == nil {
 		known = &entry{}
-		v.peers[name] = known
+		v.add(name, known)
 	}
 	later := beat.From.Start > known.beat.From.Start ||
 		beat.From.Start == known.beat.From.Start && beat.Seq > known.beat.Seq
@@ -106,58 +121,64 @@
 	return names
 }
 
-// Forget drops instances that were silent for long and names them.
-func (v *View) Forget(now time.Time) (names []string) {
+// Forget drops instances that were silent for long and gives them.
+func (v *View) Forget(now time.Time) (gone []Instance) {
 	for name, e := range v.peers {
 		if now.Sub(e.heard) > v.forgetAfter {
+			gone = append(gone, e.Instance)
 			delete(v.peers, name)
-			names = append(names, name)
+			v.names = slices.DeleteFunc(v.names, func(other string) bool { return other == name })
 		}
 	}
-	return names
+	return gone
 }
 
 // Peers gives the other instances by name.
 func (v *View) Peers(now time.Time) []Peer {
 	out := make([]Peer, 0, len(v.peers))
-	for _, e := range v.peers {
-		out = append(out, Peer{Instance: e.Instance, State: v.state(now, e), Beat: e.beat, Heard: e.heard})
+	pace := v.pace()
+	for _, name := range v.names {
+		e := v.peers[name]
+		out = append(out, Peer{Instance: e.Instance, State: v.state(now, e, pace), Beat: e.beat, Heard: e.heard})
 	}
-	slices.SortFunc(out, func(a, b Peer) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
 
-func (v *View) state(now time.Time, e *entry) State {
+func (v *View) state(now time.Time, e *entry, pace pace) State {
 	switch {
 	case e.down:
 		return Down
 	case e.beat.Seq == 0:
 		return Unheard
-	case now.Sub(e.heard) > v.silentAfter:
+	case now.Sub(e.heard) > pace.patience(e.Domain == v.self.Domain):
 		return Silent
 	default:
 		return Up
 	}
 }
 
-// SilentDomains says of each other failure domain whether all of its instances
-// that were heard before are silent. While nobody at all is heard, none counts as
-// silent: then this instance is the one that is cut off, and its paths to targets
-// may be whole.
+// SilentDomains says of each other failure domain whether nobody of it was heard
+// for a while, of those that were heard before and whose processes are there. In a
+// large fleet that shows before each single instance counts as silent. While nobody
+// at all is heard, no domain counts as silent: then this instance is the one that
+// is cut off, and its paths to targets may be whole.
 func (v *View) SilentDomains(now time.Time) map[string]bool {
 	silent := map[string]bool{}
-	anyUp := false
+	anyHeard := false
 	for _, e := range v.peers {
-		state := v.state(now, e)
-		anyUp = anyUp || state == Up
-		if e.Domain == v.self.Domain || state == Unheard || state == Down {
+		if e.beat.Seq == 0 || e.down {
+			continue
+		}
+		quiet := now.Sub(e.heard) > SilentAfter
+		anyHeard = anyHeard || !quiet
+		if e.Domain == v.self.Domain {
 			continue
 		}
 		if before, known := silent[e.Domain]; !known || before {
-			silent[e.Domain] = state == Silent
+			silent[e.Domain] = quiet
 		}
 	}
-	if !anyUp {
+	if !anyHeard {
 		for domain := range silent {
 			silent[domain] = false
 		}
--- a/internal/coordination/quota/meter.go
+++ b/internal/coordination/quota/meter.go
@@ -14,8 +14,8 @@
 }
 
 // NewMeter returns a meter of an instance that starts now, see New.
-func NewMeter(silentAfter time.Duration, start int64) *Meter {
-	return &Meter{ledger: New(silentAfter, time.Now(), start)}
+func NewMeter(start int64) *Meter {
+	return &Meter{ledger: New(time.Now(), start)}
 }
 
 // SetOrganisations takes over the limits of a configuration.
@@ -50,12 +50,11 @@
 	return m.ledger.Own()
 }
 
-// Heard takes over what another instance let in since its start, and the buckets
-// as it knows them.
-func (m *Meter) Heard(name string, start int64, counts Counts, levels Levels) {
+// Heard takes over what another instance tells.
+func (m *Meter) Heard(r Report) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.ledger.Heard(time.Now(), name, start, counts, levels)
+	m.ledger.Heard(time.Now(), r)
 }
 
 // Levels gives the buckets that are not full, nil if they are not known.
--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -16,6 +16,7 @@
 package quota
 
 import (
+	"maps"
 	"time"
 )
 
@@ -47,8 +48,6 @@
 
 // Ledger keeps the buckets. It is pure and not safe for concurrent use.
 type Ledger struct {
-	// silentAfter is the silence after which an instance's part is left to it.
-	silentAfter time.Duration
 	// start is this life's own start, began when that was.
 	start int64
 	began time.Time
@@ -72,8 +71,10 @@
 	start int64
 	heard time.Time
 	gone  bool
-	// informed says that it knows the buckets.
-	informed bool
+	// informed says that it knows the buckets, met that its counts are known.
+	informed, met bool
+	// patience is the silence after which its part is left to it.
+	patience time.Duration
 	counts   Counts
 	// left is what was left to the peer while it was silent, by organisation.
 	left map[string]float64
@@ -81,14 +82,13 @@
 
 // New returns a ledger of an instance that starts now. The start tells its lives
 // apart and grows with each of them.
-func New(silentAfter time.Duration, now time.Time, start int64) *Ledger {
+func New(now time.Time, start int64) *Ledger {
 	return &Ledger{
-		silentAfter: silentAfter,
-		start:       start,
-		began:       now,
-		limits:      map[string]Limit{},
-		accounts:    map[string]*account{},
-		peers:       map[string]*peer{},
+		start:    start,
+		began:    now,
+		limits:   map[string]Limit{},
+		accounts: map[string]*account{},
+		peers:    map[string]*peer{},
 	}
 }
 
@@ -107,27 +107,64 @@
 	}
 }
 
-// Heard takes over what another instance says it let in since its start, and the
-// buckets as it knows them. Each message replaces the one before.
-func (l *Ledger) Heard(now time.Time, name string, start int64, counts Counts, levels Levels) {
+// Report is what another instance tells.
+type Report struct {
+	Instance string
+	// Start tells its lives apart.
+	Start int64
+	// Counts are what it let in since its start: all if Whole, else those that
+	// changed.
+	Counts Counts
+	Whole  bool
+	// Levels are the buckets as it knows them.
+	Levels Levels
+	// Patience is the silence after which its part is left to it.
+	Patience time.Duration
+}
+
+// Heard takes over what another instance tells.
+func (l *Ledger) Heard(now time.Time, r Report) {
 	l.refillAll(now)
-	p, known := l.peers[name]
-	if !known || p.start != start {
-		p = &peer{start: start, counts: Counts{}, left: map[string]float64{}}
-		if start < l.start {
-			// It has been there for longer. What it let in before counts in the
-			// buckets that are taken over.
-			p.counts = counts
-		}
-		l.peers[name] = p
+	p := l.peers[r.Instance]
+	if p == nil || p.start != r.Start {
+		p = l.meet(p, r)
 	}
-	p.heard, p.gone, p.informed = now, false, levels != nil
+	p.heard, p.gone, p.informed, p.patience = now, false, r.Levels != nil, r.Patience
 	l.returnLeft(p)
-	for org, count := range counts {
-		l.account(now, org).level -= float64(count - p.counts[org])
+	if p.met {
+		for org, count := range r.Counts {
+			l.account(now, org).level -= float64(count - p.counts[org])
+			p.counts[org] = count
+		}
+	}
+	l.inform(now, r.Levels)
+}
+
+// meet notes an instance, or a new life of one. Its counts are taken from the
+// first message that has all of them.
+func (l *Ledger) meet(before *peer, r Report) *peer {
+	p := &peer{start: r.Start, counts: Counts{}, left: map[string]float64{}}
+	if before != nil && before.start == 0 {
+		p.left = before.left
+	}
+	l.peers[r.Instance] = p
+	if r.Start >= l.start {
+		// All that it let in counts here, also what is told later.
+		p.met = true
+		return p
+	}
+	// It has been there for longer. What it let in before counts in the buckets
+	// that are taken over.
+	if r.Whole {
+		p.met = true
+		p.counts = maps.Clone(r.Counts)
+		if p.counts == nil {
+			p.counts = Counts{}
+		}
+	} else {
+		p.start = 0
 	}
-	p.counts = counts
-	l.inform(now, levels)
+	return p
 }
 
 // returnLeft gives back what was left to a peer that is heard again: what it let
@@ -319,5 +356,5 @@
 }
 
 func (l *Ledger) silent(now time.Time, p *peer) bool {
-	return !p.gone && (p.heard.IsZero() || now.Sub(p.heard) > l.silentAfter)
+	return !p.gone && (p.heard.IsZero() || now.Sub(p.heard) > p.patience)
 }
--- a/internal/coordination/quota/quota_test.go
+++ b/internal/coordination/quota/quota_test.go
@@ -46,7 +46,7 @@
 // fresh is an instance that has just started and knows who is there.
 func (f *fleet) fresh(name string) *member {
 	f.starts++
-	m := &member{Ledger: New(silentAfter, f.now, f.starts), name: name, start: f.starts}
+	m := &member{Ledger: New(f.now, f.starts), name: name, start: f.starts}
 	m.SetLimits(f.now, f.limits)
 	for _, other := range f.members {
 		if other.name != name {
@@ -60,7 +60,10 @@
 	for _, from := range f.members {
 		for _, to := range f.members {
 			if from != to && from.side == to.side {
-				to.Heard(f.now, from.name, from.start, from.Own(), from.Levels(f.now))
+				to.Heard(f.now, Report{
+					Instance: from.name, Start: from.start, Counts: from.Own(), Whole: true,
+					Levels: from.Levels(f.now), Patience: silentAfter,
+				})
 			}
 		}
 	}
@@ -218,3 +221,24 @@
 	require.True(t, m.Admit(f.now, "o").Admitted)
 	require.True(t, m.Admit(f.now, "unknown").Admitted)
 }
+
+// An instance starts and hears of another one that has been there for long. The
+// first messages have only the counts that changed; taken for all that was let
+// in, the counts of the next whole message would look like a burst, and requests
+// within the rate would be refused here.
+func TestCountsOfOlderInstancesBeginWithAWholeReport(t *testing.T) {
+	const org = "o"
+	l := New(start, 100)
+	l.SetLimits(start, map[string]Limit{org: {Rate: 10, Burst: 10}})
+	l.Expect("old")
+	report := func(counts Counts, whole bool) {
+		l.Heard(start, Report{Instance: "old", Start: 1, Counts: counts, Whole: whole, Levels: Levels{}, Patience: silentAfter})
+	}
+	report(Counts{}, false)
+	report(Counts{org: 5000}, false)
+	report(Counts{org: 5000}, true)
+	require.True(t, l.Admit(start, org).Admitted)
+	before := l.Levels(start)[org]
+	report(Counts{org: 5003}, false)
+	require.InDelta(t, before-3, l.Levels(start)[org], 0.01)
+}
--- a/internal/daemon/routed/local.go
+++ b/internal/daemon/routed/local.go
@@ -1,6 +1,8 @@
 package routed
 
 import (
+	"time"
+
 	"merlintiller/internal/coordination/mesh"
 	"merlintiller/internal/coordination/quota"
 )
@@ -8,12 +10,14 @@
 // local joins what instances tell each other with those who know and use it.
 type local struct{ *Daemon }
 
+// Versions implements mesh.Local.
+func (l *local) Versions() mesh.Versions {
+	return mesh.Versions{Config: l.view.Version(), RosterMark: l.view.Mark(), StoreAge: l.view.StoreAge()}
+}
+
 // Describe implements mesh.Local.
 func (l *local) Describe(beat *mesh.Beat) {
 	beat.Leaving = l.leaving.Load()
-	beat.ConfigVersion = l.view.Version()
-	beat.RosterMark = l.view.Mark()
-	beat.StoreAge = l.view.StoreAge()
 	beat.Held = l.placer.Held()
 	beat.Admitted = l.meter.Own()
 	beat.Levels = l.meter.Levels()
@@ -40,14 +44,17 @@
 }
 
 // PeerHeard implements mesh.Local.
-func (l *local) PeerHeard(beat mesh.Beat) {
+func (l *local) PeerHeard(beat mesh.Beat, patience time.Duration) {
 	l.placer.SetPeer(beat.From.Name, beat.Held)
 	levels := beat.Levels
 	if beat.Informed && levels == nil {
 		// An empty map is lost on the way.
 		levels = quota.Levels{}
 	}
-	l.meter.Heard(beat.From.Name, beat.From.Start, beat.Admitted, levels)
+	l.meter.Heard(quota.Report{
+		Instance: beat.From.Name, Start: beat.From.Start,
+		Counts: beat.Admitted, Whole: beat.Whole, Levels: levels, Patience: patience,
+	})
 }
 
 // PeerSilent implements mesh.Local. What a silent instance has at targets is not
