Closed jobs leave the store; results of several records keep their places on loading

The test of it showed a second fault: a result whose text takes several records came before its text on loading, so that the results after it lost their positions ("result 2 comes before result 1"). Ruled out: dropping at the caller's last read, which the product can't know; dropping under no condition, which could race with another holder's listing.

--- a/internal/coordination/batchjobs/listing.go
+++ b/internal/coordination/batchjobs/listing.go
@@ -21,12 +21,20 @@
 	listConflicts = metrics.NewCounter(`batch_listing_conflicts_total`)
 )
 
-// list writes finished results until ctx ends.
+// list writes finished results, and drops jobs that nobody may read any more,
+// until ctx ends.
 func (h *holding) list(ctx context.Context) {
 	retry := retryFirst
+	dropping := time.NewTicker(dropEvery)
+	defer dropping.Stop()
 	for {
 		select {
 		case <-h.wake:
+		case <-dropping.C:
+			if err := h.drop(ctx); err != nil {
+				_ = level.Warn(h.logger).Log("event", "jobs_not_dropped", "err", err)
+			}
+			continue
 		case <-ctx.Done():
 			return
 		}
--- a/internal/coordination/batchjobs/options.go
+++ b/internal/coordination/batchjobs/options.go
@@ -49,6 +49,9 @@
 	// records of one append.
 	RecordBytes, CallBytes int
 
+	// Readable is how long a job can be read, counted from its submission.
+	Readable time.Duration
+
 	Log    external.KeyedLog
 	Groups external.Groups
 	Peers  Peers
--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -141,7 +141,7 @@
 	opts := &batchjobs.Options{
 		Member: fmt.Sprintf("%s/%d", d.self.Name, d.self.Start),
 		Topic:  jobsTopic, Partitions: s.Partitions, Group: jobsGroup,
-		RecordBytes: s.RecordBytes, CallBytes: s.CallBytes,
+		RecordBytes: s.RecordBytes, CallBytes: s.CallBytes, Readable: d.settings.ResultsReadable,
 		Log: d.store, Groups: d.store, Peers: d.mesh, Caller: d.calls,
 		Table: d.view.Table, StoreAge: d.view.StoreAge, StoreAnswered: d.view.StoreAnswered,
 		Targets: d.targets, Placer: d.slots, Logger: d.logger,
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -28,6 +28,9 @@
 	Seeds []string `yaml:"seeds"`
 	// Store says where the shared store stands and what it takes.
 	Store Store `yaml:"store"`
+	// ResultsReadable is how long a batch job can be read, counted from its
+	// submission. One that is still open stays until it is closed.
+	ResultsReadable time.Duration `yaml:"results_readable"`
 	// MemoryMB is the memory that the process may use, in megabytes.
 	MemoryMB int `yaml:"memory_mb"`
 	// Grace is the time from the order to stop to the end of the process.
@@ -76,8 +79,10 @@
 			// A store sixty times slower than usual still answers within it.
 			Timeout: 1500 * time.Millisecond,
 		},
-		MemoryMB: 256,
-		Grace:    8 * time.Second,
+		// The morning after, and a day to ask about it.
+		ResultsReadable: 36 * time.Hour,
+		MemoryMB:        256,
+		Grace:           8 * time.Second,
 		// Two misses a second apart, and some time for the second to be seen.
 		DrainNotice: 2500 * time.Millisecond,
 		Log:         Log{Level: LevelInfo, Format: FormatLogfmt},
--- a/internal/settings/routed_test.go
+++ b/internal/settings/routed_test.go
@@ -68,6 +68,7 @@
 
 var (
 	listSection = regexp.MustCompile(`\{\{#seeds\}\}.*\{\{/seeds\}\}`)
+	readable    = regexp.MustCompile(`\{\{#bounds.status_s\}\}(.*)\{\{\.\}\}(.*)\{\{/bounds.status_s\}\}`)
 	placeholder = regexp.MustCompile(`\{\{([a-z_.]+)\}\}`)
 )
 
@@ -81,8 +82,9 @@
 		"listen.control": "10.1.0.2:8683", "platform.address": "10.2.0.7:8688", "platform.parts": "12",
 		"platform.record_bytes": "262144", "platform.call_bytes": "2097152", "limits.memory_mb": "184", "bounds.grace_s": "2.5",
 	}
-	for _, seeds := range []string{"", `"10.1.0.3:8683","10.1.0.4:8683"`} {
+	for seeds, bound := range map[string]string{"": "", `"10.1.0.3:8683","10.1.0.4:8683"`: "${1}120${2}"} {
 		text := listSection.ReplaceAllString(string(template), seeds)
+		text = readable.ReplaceAllString(text, bound)
 		text = placeholder.ReplaceAllStringFunc(text, func(found string) string {
 			value, ok := values[placeholder.FindStringSubmatch(found)[1]]
 			require.True(t, ok, found)
@@ -93,5 +95,6 @@
 		require.NoError(t, err)
 		require.Equal(t, 2500*time.Millisecond, s.Grace)
 		require.Equal(t, 184, s.MemoryMB)
+		require.Equal(t, bound != "", s.ResultsReadable == 2*time.Minute)
 	}
 }
--- a/internal/state/jobs/job.go
+++ b/internal/state/jobs/job.go
@@ -55,6 +55,10 @@
 	Ended bool
 	// done are the items that are listed.
 	done map[string]bool
+	// itemParts is the number of records that hold the items, textParts the same
+	// of results that did not fit into one, by position.
+	itemParts int
+	textParts map[int]int
 }
 
 // Done says that an item is listed.
--- a/internal/state/jobs/partition.go
+++ b/internal/state/jobs/partition.go
@@ -19,7 +19,6 @@
 	incomplete map[string]*parts
 	texts      map[string]*parts
 	ended      map[string]bool
-	itemParts  map[string]int
 	next       int64
 }
 
@@ -37,7 +36,6 @@
 		incomplete: map[string]*parts{},
 		texts:      map[string]*parts{},
 		ended:      map[string]bool{},
-		itemParts:  map[string]int{},
 	}
 }
 
@@ -60,10 +58,14 @@
 	return errors.Join(problems...)
 }
 
-// rank puts results behind the jobs that they belong to.
+// rank puts results behind the jobs that they belong to and behind the texts that
+// did not fit into them: a result that waits for its text would keep the ones after
+// it from their positions.
 func rank(key string) int {
 	switch {
-	case strings.HasPrefix(key, resultKey), strings.HasPrefix(key, textKey):
+	case strings.HasPrefix(key, resultKey):
+		return 2
+	case strings.HasPrefix(key, textKey):
 		return 1
 	default:
 		return 0
@@ -93,9 +95,6 @@
 // Jobs gives all jobs.
 func (p *Partition) Jobs() map[string]*Listed { return p.jobs }
 
-// ItemParts is the number of records that hold a job's items.
-func (p *Partition) ItemParts(id string) int { return p.itemParts[id] }
-
 func (p *Partition) record(record external.KeyedRecord) error {
 	if len(record.Key) < len(headKey) {
 		return nil
@@ -128,7 +127,6 @@
 	switch kind {
 	case headKey:
 		delete(p.jobs, rest)
-		delete(p.itemParts, rest)
 	case endKey:
 		delete(p.ended, rest)
 	case itemsKey:
@@ -180,8 +178,10 @@
 			ID: id, Organisation: h.Organisation, Host: h.Host, Prefix: h.Prefix, ConfigVersion: h.ConfigVersion,
 			Submitted: fromMillis(h.Submitted), Due: fromMillis(h.Due), GiveUp: fromMillis(h.GiveUp),
 		},
-		Ended: p.ended[id],
-		done:  map[string]bool{},
+		Ended:     p.ended[id],
+		done:      map[string]bool{},
+		itemParts: h.Parts,
+		textParts: map[int]int{},
 	}
 	for n := range h.Parts {
 		var items []Item
@@ -192,7 +192,6 @@
 	}
 	delete(p.incomplete, id)
 	p.jobs[id] = job
-	p.itemParts[id] = h.Parts
 	return nil
 }
 
@@ -247,6 +246,9 @@
 	}
 	job.Results = append(job.Results, Result{Item: e.Item, Outcome: e.Outcome, Text: e.Text})
 	job.done[e.Item] = true
+	if e.Parts > 0 {
+		job.textParts[position] = e.Parts
+	}
 	if item, ok := job.Item(e.Item); ok {
 		// The body is asked for only until the item is listed.
 		item.Body = nil
--- a/internal/state/jobs/record.go
+++ b/internal/state/jobs/record.go
@@ -120,14 +120,18 @@
 	return append(records, external.KeyedRecord{Key: key, Value: value}), nil
 }
 
-// EncodeDrop gives the records that remove all of a job.
-func EncodeDrop(l *Listed, parts int) []external.KeyedRecord {
+// EncodeDrop gives the records that remove all of a job, its head first: a reader
+// that finds only some of them finds no job.
+func EncodeDrop(l *Listed) []external.KeyedRecord {
 	records := []external.KeyedRecord{{Key: headKey + l.ID}, {Key: endKey + l.ID}}
-	for n := range parts {
+	for n := range l.itemParts {
 		records = append(records, external.KeyedRecord{Key: part(itemsKey+l.ID, n)})
 	}
 	for position := range l.Results {
 		records = append(records, external.KeyedRecord{Key: position6(resultKey+l.ID, position)})
+		for n := range l.textParts[position] {
+			records = append(records, external.KeyedRecord{Key: part(position6(textKey+l.ID, position), n)})
+		}
 	}
 	return records
 }
