Failures explained from logs: bounded lines, histograms, tillerctl explain

Cause: a request of a process that was killed left no line at all; a flood of one event had no bound but the ring's; there were no histograms of waiting, of pauses between events or of store calls, and nobody but a reader of the code could tell causes. Change: a line when a request goes to a target; 200 lines a second for each event and outcome, 600 in all, what is left out counted and told; histograms in the usual form and gauges of what is believed; tillerctl explain and tillerctl logs summary. Ruled out: sampling of answered requests, which would leave holes in stories.

--- a/internal/configdoc/operations_test.go
+++ b/internal/configdoc/operations_test.go
@@ -13,7 +13,7 @@
 
 var (
 	eventInCode  = regexp.MustCompile(`"event", "([a-z_]+)"|\.event\("([a-z_]+)"|"event=([a-z_]+) `)
-	metricInCode = regexp.MustCompile(`expvar\.New[A-Za-z]+\("([^"]+)"\)|metrics\.(?:New|GetOrCreate)[A-Za-z]+\([` + "`" + `"]([a-z_]+)`)
+	metricInCode = regexp.MustCompile(`expvar\.New[A-Za-z]+\("([^"]+)"\)|metrics\.(?:New|GetOrCreate|WriteGauge)[A-Za-z0-9]*\((?:w, )?(?:fmt\.Sprintf\()?[` + "`" + `"]([a-z_]+)`)
 	eventRow     = regexp.MustCompile("(?m)^\\| `([a-z_]+)` \\| [^|]+ \\| [^|]+ \\|$")
 	backQuoted   = regexp.MustCompile("`([^`]+)`")
 )
@@ -22,7 +22,7 @@
 func found(t *testing.T, pattern *regexp.Regexp) map[string]bool {
 	t.Helper()
 	out := map[string]bool{}
-	for _, dir := range []string{"internal", "cmd"} {
+	for _, dir := range []string{"internal", "cmd", "platform"} {
 		err := filepath.WalkDir(filepath.Join(root, dir), func(path string, entry fs.DirEntry, err error) error {
 			if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 				return err
--- a/internal/coordination/fleetview/view.go
+++ b/internal/coordination/fleetview/view.go
@@ -59,7 +59,9 @@
 
 	mu sync.Mutex
 	// raw is the configuration in force as operators wrote it, for others.
-	raw    []byte
+	raw []byte
+	// since is when it took effect here.
+	since  time.Time
 	roster *roster.Roster
 	// listed says that the list of targets was read at least once.
 	listed bool
@@ -73,7 +75,10 @@
 func New(opts Options) *View {
 	v := &View{opts: opts, logger: opts.Logger, roster: roster.New(), changed: make(chan struct{})}
 	metrics.GetOrCreateGauge("config_version_in_force", func() float64 { return float64(v.Version()) })
+	metrics.GetOrCreateGauge("config_age_seconds", func() float64 { return v.ConfigAge().Seconds() })
 	metrics.GetOrCreateGauge("store_age_seconds", func() float64 { return v.StoreAge().Seconds() })
+	metrics.GetOrCreateGauge(`targets_listed{state="ready"}`, func() float64 { return float64(v.countTargets(false)) })
+	metrics.GetOrCreateGauge(`targets_listed{state="leaving"}`, func() float64 { return float64(v.countTargets(true)) })
 	return v
 }
 
@@ -88,6 +93,29 @@
 	return 0
 }
 
+// ConfigAge is the time since the configuration in force took effect here, 0
+// before the first one.
+func (v *View) ConfigAge() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.since.IsZero() {
+		return 0
+	}
+	return time.Since(v.since)
+}
+
+// countTargets counts the targets that are listed as leaving, or as not.
+func (v *View) countTargets(leaving bool) (count int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, t := range v.roster.All() {
+		if t.Leaving == leaving {
+			count++
+		}
+	}
+	return count
+}
+
 // Ready says that requests can be served: the configuration and the targets are
 // known.
 func (v *View) Ready() bool {
@@ -155,7 +183,7 @@
 	before := v.Version()
 	table := route.NewTable(config)
 	v.table.Store(table)
-	v.raw = raw
+	v.raw, v.since = raw, time.Now()
 	close(v.changed)
 	v.changed = make(chan struct{})
 	_ = level.Info(v.logger).Log("event", "config_in_force", "version", config.Version, "before", before, "from", from,
--- a/internal/coordination/placement/placer.go
+++ b/internal/coordination/placement/placer.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/state/roster"
 )
@@ -22,10 +24,28 @@
 
 // NewPlacer returns a placer that knows no target.
 func NewPlacer(domain string, connected func(address string) bool, seed uint64) *Placer {
-	return &Placer{core: New(Options{
+	p := &Placer{core: New(Options{
 		Domain: domain, Connected: connected,
 		Random: rand.New(rand.NewPCG(seed, seed)),
 	})}
+	metrics.GetOrCreateGauge(`slots_used{kind="online"}`, func() float64 {
+		online, _ := p.used()
+		return float64(online)
+	})
+	metrics.GetOrCreateGauge(`slots_used{kind="batch"}`, func() float64 {
+		_, batch := p.used()
+		return float64(batch)
+	})
+	return p
+}
+
+// used counts what this instance has at all targets.
+func (p *Placer) used() (online, batch int) {
+	for _, h := range p.Held() {
+		online += h.Online
+		batch += h.Batch
+	}
+	return online, batch
 }
 
 // SetTargets takes over the targets that may be used.
--- a/internal/coordination/quota/meter.go
+++ b/internal/coordination/quota/meter.go
@@ -1,9 +1,16 @@
 package quota
 
 import (
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"merlintiller/internal/state/route"
 )
 
@@ -15,7 +22,24 @@
 
 // NewMeter returns a meter of an instance that starts now, see New.
 func NewMeter(start int64) *Meter {
-	return &Meter{ledger: New(time.Now(), start)}
+	m := &Meter{ledger: New(time.Now(), start)}
+	metrics.RegisterMetricsWriter(m.writeLevels)
+	return m
+}
+
+// mostLevels bounds the buckets that are shown, the emptiest first.
+const mostLevels = 100
+
+// writeLevels writes what is left of the rates of organisations whose buckets are
+// not full.
+func (m *Meter) writeLevels(w io.Writer) {
+	levels := m.Levels()
+	names := slices.SortedFunc(maps.Keys(levels), func(a, b string) int {
+		return cmp.Or(cmp.Compare(levels[a], levels[b]), cmp.Compare(a, b))
+	})
+	for _, name := range names[:min(len(names), mostLevels)] {
+		metrics.WriteGaugeFloat64(w, fmt.Sprintf("rate_left{organisation=%q}", name), levels[name])
+	}
 }
 
 // SetOrganisations takes over the limits of a configuration.
--- a/internal/coordination/relay/pass.go
+++ b/internal/coordination/relay/pass.go
@@ -6,6 +6,8 @@
 	"io"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"merlintiller/internal/coordination/placement"
 	"merlintiller/internal/external"
 	"merlintiller/internal/protocol/sse"
@@ -16,6 +18,9 @@
 // so that one that breaks off can be asked for again.
 const wholeAnswer = 256 << 10
 
+// eventGaps are the pauses between two events of a stream at this instance.
+var eventGaps = metrics.NewPrometheusHistogram("stream_event_gap_seconds")
+
 // pass passes an answer on.
 func (c *call) pass(ctx context.Context, choice placement.Choice, watch *watch, answer external.OpenAnswer) verdict {
 	var err error
@@ -50,6 +55,7 @@
 // caller must not get a part of it twice.
 func (c *call) passStream(watch *watch, answer external.OpenAnswer) error {
 	events := sse.NewReader(answer)
+	var last time.Time
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -59,6 +65,11 @@
 			return err
 		}
 		watch.goesOn()
+		now := time.Now()
+		if !last.IsZero() {
+			eventGaps.Update(now.Sub(last).Seconds())
+		}
+		last = now
 		if err := c.begin(answer); err != nil {
 			return err
 		}
--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -129,6 +129,7 @@
 		c.outcome.Waited = time.Since(c.Began)
 		c.outcome.Busy, c.outcome.Slots, c.outcome.Broker = choice.Busy, choice.Slots, choice.Broker
 		c.outcome.Attempts++
+		c.placed(choice)
 		if c.attempt(ctx, choice) == finish {
 			c.giveBack()
 			return
@@ -286,6 +287,15 @@
 	return finish
 }
 
+// placed logs where a request goes before it goes there. A process that dies with
+// the request leaves no other line of it.
+func (c *call) placed(choice placement.Choice) {
+	_ = level.Info(c.opts.Logger).Log("event", "request_placed", "request", c.Request.ID, "target", choice.ID,
+		"domain", choice.Domain, "broker", choice.Broker, "busy", choice.Busy, "slots", choice.Slots,
+		"waited_ms", c.outcome.Waited.Milliseconds(), "left_ms", time.Until(c.Deadline).Milliseconds(),
+		"attempt", c.outcome.Attempts, "position", c.position)
+}
+
 // note logs an attempt that did not bring the answer.
 func (c *call) note(choice placement.Choice, what string, key string, value any) {
 	_ = level.Info(c.opts.Logger).Log("event", "attempt_failed", "request", c.Request.ID, "target", choice.ID, "how", what,
--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -62,6 +62,8 @@
 	Targets    targetsCommand    `cmd:"" help:"List the targets."`
 	Drain      drainCommand      `cmd:"" help:"Make one instance leave without cutting a call."`
 	Burn       burnCommand       `cmd:"" help:"Show the service-level burn."`
+	Explain    explainCommand    `cmd:"" help:"Tell from logs why a request, job or item ended as it did."`
+	Logs       logsCommands      `cmd:"" help:"Count what logs tell."`
 	Settings   settingsCommands  `cmd:"" help:"Check settings of tillerd."`
 	Completion completionCommand `cmd:"" help:"Print a completion script for a shell."`
 }
--- a/internal/daemon/logger.go
+++ b/internal/daemon/logger.go
@@ -2,10 +2,12 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"merlintiller/internal/logline"
 	"merlintiller/internal/settings"
 )
 
@@ -16,13 +18,15 @@
 	settings.LevelError: level.AllowError(),
 }
 
-// NewLogger writes one line of key=value pairs for each event.
+// NewLogger writes one line of key=value pairs for each event, within the budget of
+// package logline.
 func NewLogger(w io.Writer, s settings.Log) log.Logger {
 	w = log.NewSyncWriter(w)
 	logger := log.NewLogfmtLogger(w)
 	if s.Format == settings.FormatJSON {
 		logger = log.NewJSONLogger(w)
 	}
+	logger = logline.NewBudget(logger, time.Now)
 	logger = level.NewFilter(logger, levels[s.Level], level.SquelchNoLevel(false))
 	return log.With(logger, "at", log.DefaultTimestampUTC)
 }
--- a/internal/transport/front/online.go
+++ b/internal/transport/front/online.go
@@ -12,7 +12,10 @@
 	"merlintiller/internal/state/route"
 )
 
-var firstByte = metrics.NewHistogram("request_first_byte_seconds")
+var (
+	firstByte = metrics.NewPrometheusHistogram("request_first_byte_seconds")
+	waited    = metrics.NewPrometheusHistogram("request_wait_seconds")
+)
 
 // online serves a request by a target.
 func (v *visit) online() {
@@ -53,6 +56,9 @@
 
 // end tells the caller how its request ended, unless its answer told it.
 func (v *visit) end(o *relay.Outcome) {
+	if o.Attempts > 0 {
+		waited.Update(o.Waited.Seconds())
+	}
 	if o.Begun() {
 		firstByte.Update(o.FirstByte.Seconds())
 	}
