Slots of items of silent instances are not given away before their time

Change: items of an instance that is not heard for 500 ms, or that could not be asked, keep their slots until the target should be done with them; once the instance is heard, they give way as before. Three tests fail before and pass after.

--- a/internal/coordination/batchjobs/desk.go
+++ b/internal/coordination/batchjobs/desk.go
@@ -389,8 +389,9 @@
 	return h
 }
 
-// Yield gives the slot of a batch item back that a broker gave to an instance.
-func (d *Desk) Yield(instance string, number uint64) {
+// Yield gives the slot of a batch item back that a broker gave to an instance. It
+// says whether the instance was reached.
+func (d *Desk) Yield(instance string, number uint64) bool {
 	for _, p := range d.opts.Peers.Peers() {
 		if p.Name != instance {
 			continue
@@ -400,8 +401,10 @@
 		var reply JobReply
 		if err := d.opts.Caller.Call(ctx, p.Address, methodYield, &YieldCall{Number: number}, &reply); err != nil {
 			_ = level.Info(d.opts.Logger).Log("event", "yield_failed", "peer", instance, "err", err)
+			return false
 		}
-		return
+		return true
 	}
 	d.runner.Yield(number)
+	return true
 }
--- a/internal/coordination/batchjobs/runner.go
+++ b/internal/coordination/batchjobs/runner.go
@@ -24,6 +24,9 @@
 	lookEvery = 40 * time.Millisecond
 	// yieldPause is how long an item waits that gave up its slot.
 	yieldPause = 60 * time.Millisecond
+	// lastsMost is how much longer than usual a target may be busy with an item.
+	// Lengths of items differ by a quarter.
+	lastsMost = 1.5
 	// failPause is how long an item waits after a failed run, doubled with each
 	// further one up to failMost.
 	failPause = 100 * time.Millisecond
@@ -294,7 +297,11 @@
 	if t == nil {
 		return broker.Item{}, false
 	}
-	return broker.Item{Service: service, Due: t.job.Due, BeginBy: t.job.Due.Add(-r.pace.left(t.events))}, true
+	left := r.pace.left(t.events)
+	return broker.Item{
+		Service: service, Due: t.job.Due, BeginBy: t.job.Due.Add(-left),
+		Lasts: time.Duration(lastsMost * float64(left)),
+	}, true
 }
 
 // first gives the waiting item that should begin first, of one service or of all.
--- a/internal/coordination/broker/book.go
+++ b/internal/coordination/broker/book.go
@@ -12,9 +12,12 @@
 	// underway is how old a hold must be before it is dropped because its
 	// instance does not tell of it: the grant may still be on its way there.
 	underway = 300 * time.Millisecond
-	// forgetAfter is how long the holds of an instance count that tells nothing.
-	// It tells every tellEvery.
+	// forgetAfter is how long the holds of an instance count at least that tells
+	// nothing. It tells every tellEvery.
 	forgetAfter = 2 * time.Second
+	// usualLasts is taken for the time that a target is busy with an online request.
+	// Streams take 0.7 s; one that takes longer is noticed by the target's reports.
+	usualLasts = 2 * time.Second
 )
 
 // Book keeps which instance holds which slot. It is pure and not safe for
@@ -24,6 +27,8 @@
 	holds   map[holdKey]*held
 	heard   map[string]life
 	targets map[string]roster.Target
+	// stuck counts the holds that are stuck.
+	stuck int
 }
 
 type holdKey struct {
@@ -36,8 +41,18 @@
 	instance string
 	choice   placement.Choice
 	since    time.Time
-	// yields says that the batch item was asked to give its slot back.
-	yields bool
+	// yields says that the batch item was asked to give its slot back, stuck that
+	// it can't be asked.
+	yields, stuck bool
+}
+
+// ends is when a target should be done with a request at the latest.
+func (h *held) ends() time.Time {
+	lasts := h.Lasts
+	if lasts <= 0 {
+		lasts = usualLasts
+	}
+	return h.since.Add(lasts)
 }
 
 type life struct {
@@ -68,6 +83,7 @@
 		b.Gone(told.Instance)
 	}
 	b.heard[told.Instance] = life{start: told.Start, at: now}
+	b.loosen(told.Instance)
 	for _, number := range told.Released {
 		b.release(holdKey{told.Instance, number})
 	}
@@ -104,6 +120,9 @@
 		return
 	}
 	delete(b.holds, key)
+	if h.stuck {
+		b.stuck--
+	}
 	if !h.yields {
 		b.core.Release(h.choice)
 	}
@@ -119,11 +138,78 @@
 	delete(b.heard, instance)
 }
 
-// Expire drops the holds of instances that have told nothing for long.
+// Silent notes that an instance is not heard. Its batch items can't be asked to
+// give way, and those that were asked may not have heard of it.
+//
+// What goes wrong without it: a failure domain is cut off, or instances lose power.
+// What they sent to targets elsewhere goes on running there to its end, since no
+// connection is closed. A slot that the broker counts on is given away a second
+// time, and the request stands in the target's queue for as long as an item takes.
+func (b *Book) Silent(now time.Time, instance string) {
+	for key, h := range b.holds {
+		if key.instance == instance {
+			b.stick(now, h)
+		}
+	}
+}
+
+// NotYielded notes that an item could not be asked to give way.
+func (b *Book) NotYielded(now time.Time, instance string, number uint64) {
+	if h := b.holds[holdKey{instance, number}]; h != nil && h.yields {
+		b.stick(now, h)
+	}
+}
+
+// stick counts an item's slot as one that nobody gives back before its time.
+func (b *Book) stick(now time.Time, h *held) {
+	switch {
+	case !h.Batch || h.stuck:
+		return
+	case h.yields:
+		h.yields = false
+		choice, ok := b.core.Take(now, h.Target, false)
+		if !ok {
+			return
+		}
+		h.choice = choice
+	default:
+		h.choice = b.core.Recount(h.choice, false)
+	}
+	h.stuck = true
+	b.stuck++
+}
+
+// loosen takes back what Silent noted, once an instance is heard.
+func (b *Book) loosen(instance string) {
+	if b.stuck == 0 {
+		return
+	}
+	for key, h := range b.holds {
+		if key.instance == instance && h.stuck {
+			h.choice = b.core.Recount(h.choice, true)
+			h.stuck = false
+			b.stuck--
+		}
+	}
+}
+
+// Expire drops the holds of instances that have told nothing for long, each when the
+// target should be done with it.
 func (b *Book) Expire(now time.Time) {
+	holding := map[string]bool{}
+	for key, h := range b.holds {
+		l, known := b.heard[key.instance]
+		switch {
+		case known && now.Sub(l.at) <= forgetAfter:
+		case now.After(h.ends()):
+			b.release(key)
+		default:
+			holding[key.instance] = true
+		}
+	}
 	for instance, l := range b.heard {
-		if now.Sub(l.at) > forgetAfter {
-			b.Gone(instance)
+		if now.Sub(l.at) > forgetAfter && !holding[instance] {
+			delete(b.heard, instance)
 		}
 	}
 }
@@ -151,7 +237,7 @@
 func (b *Book) lastDue(target string) *held {
 	var last *held
 	for _, h := range b.holds {
-		if !h.Batch || h.yields || h.Target != target {
+		if !h.Batch || h.yields || h.stuck || h.Target != target {
 			continue
 		}
 		if last == nil || cmp.Compare(h.Due, last.Due) > 0 {
--- a/internal/coordination/broker/book_test.go
+++ b/internal/coordination/broker/book_test.go
@@ -117,3 +117,48 @@
 		}
 	}
 }
+
+// An instance is cut off. Its items go on running at the target, which can't be
+// told, and nobody can ask them to give way. Given away a second time, their slots
+// would bring requests into the target's queue for as long as items take.
+func TestItemsOfASilentInstanceKeepTheirSlots(t *testing.T) {
+	b := newTestBook(1)
+	b.Tell(start, Told{Instance: "cut", Start: 1})
+	for n := range uint64(2) {
+		_, _, ok := b.Place(start, "cut", Hold{Number: n, Lasts: 5 * time.Second}, item())
+		require.True(t, ok)
+	}
+	_, yields, ok := b.Place(start, "n1", Hold{Number: 1}, online())
+	require.True(t, ok)
+	require.Equal(t, "cut", yields.instance)
+	b.Tell(start, Told{Instance: "n1", Start: 1, Released: []uint64{1}})
+	require.Equal(t, 1, b.Free(start), "it was asked to give way")
+
+	b.Silent(after(500*time.Millisecond), "cut")
+	require.Zero(t, b.Free(after(500*time.Millisecond)), "it may not have heard that")
+	_, _, ok = b.Place(after(time.Second), "n1", Hold{Number: 2}, online())
+	require.False(t, ok)
+	b.Expire(after(4 * time.Second))
+	require.Zero(t, b.Free(after(4*time.Second)), "its items still run")
+	b.Expire(after(5100 * time.Millisecond))
+	require.Equal(t, 2, b.Free(after(5100*time.Millisecond)))
+}
+
+// The instance was only silent for a moment. Its items give way again as before.
+func TestItemsOfAnInstanceThatIsHeardAgainGiveWay(t *testing.T) {
+	b := newTestBook(1)
+	var held []Hold
+	for n := range uint64(2) {
+		grant, _, ok := b.Place(start, "n0", Hold{Number: n, Lasts: 5 * time.Second}, item())
+		require.True(t, ok)
+		held = append(held, Hold{Number: n, Target: grant.Target.ID, Batch: true})
+	}
+	b.Silent(start, "n0")
+	_, _, ok := b.Place(start, "n1", Hold{Number: 1}, online())
+	require.False(t, ok)
+	b.Tell(start, Told{Instance: "n0", Whole: true, Held: held})
+	_, yields, ok := b.Place(start, "n1", Hold{Number: 1}, online())
+	require.True(t, ok)
+	require.NotNil(t, yields)
+	require.Zero(t, b.Free(start))
+}
--- a/internal/coordination/broker/broker.go
+++ b/internal/coordination/broker/broker.go
@@ -39,8 +39,9 @@
 // as others ask it to. It is a duty.
 type Broker struct {
 	domain string
-	// yield asks an instance to give the slot of a batch item back.
-	yield func(instance string, number uint64)
+	// yield asks an instance to give the slot of a batch item back. It says whether
+	// the instance was reached.
+	yield func(instance string, number uint64) bool
 
 	mu     sync.Mutex
 	book   *Book
@@ -52,7 +53,7 @@
 }
 
 // New returns a broker of a failure domain.
-func New(domain string, seed uint64, yield func(instance string, number uint64)) *Broker {
+func New(domain string, seed uint64, yield func(instance string, number uint64) bool) *Broker {
 	core := placement.New(placement.Options{Domain: domain, Random: rand.New(rand.NewPCG(seed, seed))})
 	return &Broker{domain: domain, yield: yield, book: NewBook(core)}
 }
@@ -105,6 +106,11 @@
 	b.change(func(time.Time) { b.book.Gone(instance) })
 }
 
+// Silent notes that an instance is not heard.
+func (b *Broker) Silent(instance string) {
+	b.change(func(now time.Time) { b.book.Silent(now, instance) })
+}
+
 // Loaded takes in what a target of the domain says of its load.
 func (b *Broker) Loaded(id string, load exchange.Load) {
 	b.change(func(now time.Time) { b.book.core.Told(now, id, load) })
@@ -142,17 +148,23 @@
 	if yields != nil {
 		yielded.Inc()
 		b.yieldedAt = now
-		go b.yield(yields.instance, yields.Number)
+		go b.askToYield(yields.instance, yields.Number)
 	}
 	return grant, true
 }
 
+func (b *Broker) askToYield(instance string, number uint64) {
+	if !b.yield(instance, number) {
+		b.change(func(now time.Time) { b.book.NotYielded(now, instance, number) })
+	}
+}
+
 // Place gives a slot to an instance. If there is none, it is kept waiting for one
 // as long as it wants.
 func (b *Broker) Place(ctx context.Context, ask *Ask) Reply {
 	now := time.Now()
 	e := &entry{
-		instance: ask.Instance, hold: Hold{Number: ask.Number, Due: ask.Due}, want: ask.Want,
+		instance: ask.Instance, hold: Hold{Number: ask.Number, Due: ask.Due, Lasts: ask.Lasts}, want: ask.Want,
 		onTimeUntil: now.Add(ask.OnTimeIn), arrived: now.Add(-ask.Age), placed: make(chan Grant, 1),
 	}
 	b.mu.Lock()
--- a/internal/coordination/broker/broker_test.go
+++ b/internal/coordination/broker/broker_test.go
@@ -15,7 +15,7 @@
 
 // newTestBroker is a broker of one target with some slots.
 func newTestBroker(slots int) *Broker {
-	b := New("d", 1, func(string, uint64) {})
+	b := New("d", 1, func(string, uint64) bool { return true })
 	b.SetTargets([]roster.Target{{ID: "t", Service: "s", Domain: "d", Address: "10.0.0.1:1", Slots: slots}})
 	return b
 }
@@ -128,3 +128,19 @@
 		require.Equal(t, []int64{5_000, 7_000, 9_000, 1_000}, order)
 	})
 }
+
+// An item can't be asked to give way, since the path to its instance is cut. The
+// request that got its slot finds out in the target's queue; the next ones must not.
+func TestSlotOfAnItemThatCannotBeAskedIsNotFree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New("d", 1, func(string, uint64) bool { return false })
+		b.SetTargets([]roster.Target{{ID: "t", Service: "s", Domain: "d", Address: "10.0.0.1:1", Slots: 1}})
+		ask := askOf(1, time.Second, 0)
+		ask.Want.Batch, ask.Lasts = true, 5*time.Second
+		require.True(t, b.Place(t.Context(), ask).Granted)
+		require.True(t, b.Place(t.Context(), askOf(2, time.Second, 0)).Granted)
+		synctest.Wait()
+		b.Tell(&Told{Instance: "n2", Released: []uint64{2}})
+		require.False(t, b.Place(t.Context(), askOf(3, time.Second, 0)).Granted)
+	})
+}
--- a/internal/coordination/broker/client.go
+++ b/internal/coordination/broker/client.go
@@ -173,6 +173,8 @@
 	Service string
 	// Due is when it is due, BeginBy when it must have begun to be done by then.
 	Due, BeginBy time.Time
+	// Lasts is how long a target is busy with it at most.
+	Lasts time.Duration
 }
 
 // PlaceItem chooses a target of one failure domain for a batch item, and waits a
@@ -180,7 +182,7 @@
 func (c *Client) PlaceItem(ctx context.Context, name string, item Item) (placement.Choice, bool) {
 	ask := &Ask{
 		Domain: name, Want: placement.Want{Service: item.Service, Batch: true}, Wait: itemWait,
-		OnTimeIn: time.Until(item.BeginBy), Due: item.Due.UnixMilli(),
+		OnTimeIn: time.Until(item.BeginBy), Due: item.Due.UnixMilli(), Lasts: item.Lasts,
 	}
 	choice, answered := c.send(ctx, ask)
 	if answered {
@@ -283,7 +285,7 @@
 		d.free, d.at = reply.Free, time.Now()
 	}
 	if reply.Granted {
-		c.held[ask.Number] = Hold{Number: ask.Number, Target: reply.Grant.Target.ID, Batch: ask.Want.Batch, Due: ask.Due}
+		c.held[ask.Number] = Hold{Number: ask.Number, Target: reply.Grant.Target.ID, Batch: ask.Want.Batch, Due: ask.Due, Lasts: ask.Lasts}
 	}
 	c.mu.Unlock()
 	if !reply.Granted {
--- a/internal/coordination/broker/messages.go
+++ b/internal/coordination/broker/messages.go
@@ -14,6 +14,8 @@
 	Batch  bool
 	// Due is when a batch item is due, in Unix milliseconds.
 	Due int64
+	// Lasts is how long a target is busy with it at most. 0: as usual.
+	Lasts time.Duration
 }
 
 // Told is what an instance says that it holds at the targets of one domain.
@@ -42,8 +44,10 @@
 	Wait     time.Duration
 	// Age is how long an online request has been waiting already.
 	Age time.Duration
-	// Due is when a batch item is due, in Unix milliseconds.
-	Due int64
+	// Due is when a batch item is due, in Unix milliseconds, and Lasts how long a
+	// target is busy with it at most.
+	Due   int64
+	Lasts time.Duration
 }
 
 // Grant is a slot that was given.
--- a/internal/coordination/placement/core.go
+++ b/internal/coordination/placement/core.go
@@ -276,6 +276,17 @@
 	}
 }
 
+// Recount counts a request as another kind from now on, without saying anything of
+// the target.
+func (c *Core) Recount(choice Choice, batch bool) Choice {
+	c.Release(choice)
+	choice.batch = batch
+	if t := c.targets[choice.ID]; t != nil && t.same(choice) {
+		t.take(batch)
+	}
+	return choice
+}
+
 // Free counts the free slots of all targets that are trusted.
 func (c *Core) Free(now time.Time) int {
 	free := 0
--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -128,7 +128,7 @@
 }
 
 func (d *Daemon) joinBroker() {
-	yield := func(instance string, number uint64) { d.desk.Yield(instance, number) }
+	yield := func(instance string, number uint64) bool { return d.desk.Yield(instance, number) }
 	d.broker = broker.New(d.self.Domain, xxhash.Sum64String(d.self.Name), yield)
 	d.slots = broker.NewClient(broker.ClientOptions{
 		Self: d.self, Peers: d.mesh, Caller: d.calls, Broker: d.broker, Local: d.placer,
--- a/internal/daemon/routed/local.go
+++ b/internal/daemon/routed/local.go
@@ -59,7 +59,10 @@
 
 // PeerSilent implements mesh.Local. What a silent instance has at targets is not
 // known any more; targets tell of it themselves.
-func (l *local) PeerSilent(name string) { l.placer.SetPeer(name, nil) }
+func (l *local) PeerSilent(name string) {
+	l.placer.SetPeer(name, nil)
+	l.broker.Silent(name)
+}
 
 // PeerGone implements mesh.Local.
 func (l *local) PeerGone(name string) {
