Items go past no broker while a failure domain is cut off

Each item that sought a slot in the cut-off domain, where no broker answered, was placed at any target of the service by what its instance knew by itself. Online requests found these targets full or silent, and waited or were refused for 4 s, also in the valley. Ruled out: capacity (19 of 24 slots for the domain's own requests), stuck items alone. TestItemsGoPastNoBrokerWhileADomainIsCutOff fails before and passes after.

--- a/internal/coordination/broker/client.go
+++ b/internal/coordination/broker/client.go
@@ -188,7 +188,7 @@
 	if answered {
 		return choice, choice.ID != ""
 	}
-	choice, ok := c.opts.Local.Pick(ask.Want)
+	choice, ok := c.opts.Local.Pick(placement.Want{Service: item.Service, Domain: name, Batch: true})
 	if !ok {
 		pause(ctx, itemWait)
 		return choice, false
--- a/internal/coordination/placement/core.go
+++ b/internal/coordination/placement/core.go
@@ -64,6 +64,8 @@
 // Want is what a target is chosen for.
 type Want struct {
 	Service string
+	// Domain is the only failure domain whose targets may be chosen. Empty: any.
+	Domain string
 	// Batch items take free slots only.
 	Batch bool
 	// Repeatable requests may probe a target that failed.
@@ -76,6 +78,11 @@
 	Connected []string
 }
 
+// fits says that a target may be chosen, whatever its state.
+func (w *Want) fits(t *target) bool {
+	return t.listed && t.Service == w.Service && (w.Domain == "" || t.Domain == w.Domain)
+}
+
 // Choice is a target that was chosen, with the request counted there.
 type Choice struct {
 	roster.Target
@@ -83,7 +90,7 @@
 	// items hold some of them.
 	Crowded bool
 	// Busy and Slots are what the choice was made by, Unseen the part of Busy that
-	// only the target told of.
+	// no instance tells of now.
 	Busy, Unseen, Slots int
 	// Number and Broker say under which number which broker gave the slot, if
 	// one did.
@@ -218,7 +225,7 @@
 func (c *Core) best(now time.Time, want Want, allowed func(time.Time, *target, Want) bool) (best *target, any bool) {
 	least := 0.0
 	for id, t := range c.targets {
-		if !t.listed || t.Service != want.Service || slices.Contains(want.Exclude, id) || !allowed(now, t, want) {
+		if !want.fits(t) || slices.Contains(want.Exclude, id) || !allowed(now, t, want) {
 			continue
 		}
 		any = true
@@ -304,7 +311,7 @@
 	var out []string
 	others := false
 	for id, t := range c.targets {
-		if !t.listed || t.Service != want.Service || slices.Contains(want.Exclude, id) {
+		if !want.fits(t) || slices.Contains(want.Exclude, id) {
 			continue
 		}
 		if trusted(now, t, want) {
--- a/internal/daemon/routed/jobs_test.go
+++ b/internal/daemon/routed/jobs_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -194,3 +195,41 @@
 		cut.door.Set(sharedstore.Fault{})
 	})
 }
+
+// domainIPs are the addresses of the instances and targets of a failure domain.
+func (w *world) domainIPs(domain string) (ips []string) {
+	for _, n := range w.nodes {
+		if n.domain == domain {
+			ips = append(ips, n.ip)
+		}
+	}
+	for _, target := range w.targets {
+		if target.domain == domain {
+			ips = append(ips, target.ip)
+		}
+	}
+	return ips
+}
+
+// A failure domain is cut off from the other one, and nobody there answers for its
+// slots. Items that look for a slot there must not go to the targets that are left
+// past the broker of those: it would give the same slots to online requests.
+func TestItemsGoPastNoBrokerWhileADomainIsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, size{domains: 2, nodes: 2, targets: 2})
+		w.submit(w.nodes[0], 8, 10, 150)
+		w.net.Part(w.domainIPs("d0"), w.domainIPs("d1"))
+		pass(8 * time.Second)
+		seen := 0
+		for _, n := range w.nodes[:2] {
+			for line := range strings.Lines(n.logs.String()) {
+				if !strings.Contains(line, "event=item_run") || !strings.Contains(line, "target=t-0-") {
+					continue
+				}
+				seen++
+				require.NotContains(t, line, "broker= ", "a target of the own domain, whose broker answers")
+			}
+		}
+		require.Greater(t, seen, 8)
+	})
+}
