Targets say that stuck items have ended

Change: whoever gets a slot at such a target tells the broker what the target says of its load; if that is less than what is known to run there, the oldest stuck holds are dropped. Ruled out: a shorter time, which gives slots away that are taken. TestTargetSaysThatStuckItemsHaveEnded fails before and passes after.

--- a/internal/coordination/broker/book.go
+++ b/internal/coordination/broker/book.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"merlintiller/internal/coordination/placement"
+	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/state/roster"
 )
 
@@ -15,6 +17,9 @@
 	// forgetAfter is how long the holds of an instance count at least that tells
 	// nothing. It tells every tellEvery.
 	forgetAfter = 2 * time.Second
+	// arrives is how long it takes at most until a request for which a slot was given
+	// is at its target.
+	arrives = 50 * time.Millisecond
 	// usualLasts is taken for the time that a target is busy with an online request.
 	// Streams take 0.7 s; one that takes longer is noticed by the target's reports.
 	usualLasts = 2 * time.Second
@@ -230,7 +235,42 @@
 		b.core.Release(yields.choice)
 	}
 	b.holds[holdKey{instance, h.Number}] = &held{Hold: h, instance: instance, choice: choice, since: now}
-	return Grant{Number: h.Number, Target: choice.Target, Busy: choice.Busy, Unseen: choice.Unseen, Slots: choice.Slots}, yields, true
+	grant = Grant{Number: h.Number, Target: choice.Target, Busy: choice.Busy, Slots: choice.Slots}
+	grant.Unsure = choice.Unseen + len(b.stuckAt(choice.ID))
+	return grant, yields, true
+}
+
+// stuckAt gives the holds at a target that are stuck, the oldest first.
+func (b *Book) stuckAt(target string) (list []*held) {
+	if b.stuck == 0 {
+		return nil
+	}
+	for _, h := range b.holds {
+		if h.stuck && h.Target == target {
+			list = append(list, h)
+		}
+	}
+	slices.SortFunc(list, func(a, b *held) int { return a.since.Compare(b.since) })
+	return list
+}
+
+// Loaded takes in what a target says of its load. If it has less to do than is
+// counted there, stuck requests have ended.
+func (b *Book) Loaded(now time.Time, id string, load exchange.Load) {
+	stuck := b.stuckAt(id)
+	if len(stuck) > 0 {
+		told := 0
+		for _, h := range b.holds {
+			if h.Target == id && !h.stuck && !h.yields && now.Sub(h.since) > arrives {
+				told++
+			}
+		}
+		for len(stuck) > max(0, load.Running+load.Waiting-told) {
+			b.release(holdKey{stuck[0].instance, stuck[0].Number})
+			stuck = stuck[1:]
+		}
+	}
+	b.core.Told(now, id, load)
 }
 
 // lastDue is the batch item at a target that is due last.
--- a/internal/coordination/broker/book_test.go
+++ b/internal/coordination/broker/book_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"merlintiller/internal/coordination/placement"
+	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/state/roster"
 )
 
@@ -162,3 +163,22 @@
 	require.NotNil(t, yields)
 	require.Zero(t, b.Free(start))
 }
+
+// The target is done with the items of a silent instance sooner than they might have
+// taken, and says so with its next answer. Kept for longer, their slots would be
+// idle while requests wait.
+func TestTargetSaysThatStuckItemsHaveEnded(t *testing.T) {
+	b := newTestBook(1)
+	b.Tell(start, Told{Instance: "cut", Start: 1})
+	_, _, ok := b.Place(start, "cut", Hold{Number: 1, Lasts: time.Minute}, item())
+	require.True(t, ok)
+	b.Silent(start, "cut")
+	grant, _, ok := b.Place(start, "n1", Hold{Number: 1}, online())
+	require.True(t, ok)
+	require.Equal(t, 1, grant.Unsure, "whoever goes there is asked to tell what the target says")
+	later := after(time.Second)
+	b.Loaded(later, "t0", exchange.Load{Running: 2, Slots: 2})
+	require.Zero(t, b.Free(later))
+	b.Loaded(later, "t0", exchange.Load{Running: 1, Slots: 2})
+	require.Equal(t, 1, b.Free(later))
+}
--- a/internal/coordination/broker/broker.go
+++ b/internal/coordination/broker/broker.go
@@ -113,7 +113,7 @@
 
 // Loaded takes in what a target of the domain says of its load.
 func (b *Broker) Loaded(id string, load exchange.Load) {
-	b.change(func(now time.Time) { b.book.core.Told(now, id, load) })
+	b.change(func(now time.Time) { b.book.Loaded(now, id, load) })
 }
 
 // change changes the book and serves those who wait.
--- a/internal/coordination/broker/client.go
+++ b/internal/coordination/broker/client.go
@@ -178,7 +178,12 @@
 }
 
 // PlaceItem chooses a target of one failure domain for a batch item, and waits a
-// while for a slot.
+// while for a slot. If no broker of the domain answers, it decides by itself among
+// the domain's targets.
+//
+// What goes wrong if it then chose among all: a failure domain is cut off, and each
+// item that would have gone there goes to targets of the others past their brokers.
+// They get twice what they have slots for, and online requests wait in their queues.
 func (c *Client) PlaceItem(ctx context.Context, name string, item Item) (placement.Choice, bool) {
 	ask := &Ask{
 		Domain: name, Want: placement.Want{Service: item.Service, Batch: true}, Wait: itemWait,
@@ -292,7 +297,7 @@
 		return placement.Choice{}
 	}
 	choice := c.opts.Local.Take(reply.Grant.Target, ask.Want.Batch)
-	choice.Busy, choice.Unseen, choice.Slots = reply.Grant.Busy, reply.Grant.Unseen, reply.Grant.Slots
+	choice.Busy, choice.Unseen, choice.Slots = reply.Grant.Busy, reply.Grant.Unsure, reply.Grant.Slots
 	choice.Number, choice.Broker = ask.Number, address
 	return choice
 }
--- a/internal/coordination/broker/messages.go
+++ b/internal/coordination/broker/messages.go
@@ -54,9 +54,9 @@
 type Grant struct {
 	Number uint64
 	Target roster.Target
-	// Busy and Slots are what the target was chosen by, Unseen the part of Busy
-	// that only the target told of.
-	Busy, Unseen, Slots int
+	// Busy and Slots are what the target was chosen by, Unsure the part of Busy that
+	// no instance tells of now.
+	Busy, Unsure, Slots int
 }
 
 // Reply is the answer to an Ask.
