--- a/internal/coordination/mesh/mesh_test.go
+++ b/internal/coordination/mesh/mesh_test.go
@@ -132,8 +132,8 @@
 // in, and an organisation would get more than its rate.
 func TestLostChangesOfCountsAreToldAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		random := rand.New(rand.NewPCG(3, 4))
-		w := &wire{lost: func() bool { return random.Float64() < 0.3 }}
+		random, losses := rand.New(rand.NewPCG(3, 4)), rand.New(rand.NewPCG(5, 6))
+		w := &wire{lost: func() bool { return losses.Float64() < 0.3 }}
 		locals := fleet(t.Context(), 3, w)
 		for range 200 {
 			locals[random.IntN(len(locals))].admit([]string{"x", "y", "z"}[random.IntN(3)])
