Items go on from their last second after kills and cuts

Ruled out: handing output to peers, which serves planned stops only and stays for them. Change: a holder keeps the new output of its running items in the store once a second, in parts of a chain; a new holder goes on after the last part that follows. Parts of other chains, after other positions or with a gap are left out, so that two runs are joined only where the second was asked to go on; a listed result drops its parts.

--- a/internal/coordination/batchjobs/answer.go
+++ b/internal/coordination/batchjobs/answer.go
@@ -60,7 +60,7 @@
 	if !known || l.Ended || l.Done(call.Item) {
 		return BodyReply{Verdict: Missing}
 	}
-	item, ok := l.Item(call.Item)
+	item, _, ok := l.Item(call.Item)
 	if !ok {
 		return BodyReply{Verdict: Missing}
 	}
--- a/internal/coordination/batchjobs/handover.go
+++ b/internal/coordination/batchjobs/handover.go
@@ -104,6 +104,8 @@
 	t.text.Reset()
 	t.text.WriteString(p.Text)
 	t.events, t.position, t.worked = p.Events, p.Position, p.Worked
+	t.output.begin()
+	t.output.add(p.Text, p.Events, p.Position)
 }
 
 // takeBack keeps what another instance has of an item's output until the item is
--- a/internal/coordination/batchjobs/holding.go
+++ b/internal/coordination/batchjobs/holding.go
@@ -45,6 +45,8 @@
 	// it until the item is taken up.
 	onPart func(itemID, Part)
 	parts  map[itemID]Part
+	// pieces gives what came out of items that run here since it was kept last.
+	pieces func(*holding) []unkept
 	// finished are results that are still to be listed.
 	finished []finished
 	wake     chan struct{}
@@ -73,6 +75,7 @@
 	var duties sync.WaitGroup
 	duties.Go(func() { h.follow(ctx) })
 	duties.Go(func() { h.list(ctx) })
+	duties.Go(func() { h.keepProgress(ctx) })
 	duties.Wait()
 }
 
@@ -205,7 +208,8 @@
 		for i := range l.Items {
 			id := itemID{l.ID, l.Items[i].ID}
 			if !l.Done(id.item) && !pending[id] {
-				out = append(out, openItem{id: id, item: l.Items[i], job: jobOf(l)})
+				kept, _ := l.Progress(i)
+				out = append(out, openItem{id: id, item: l.Items[i], job: jobOf(l), place: i, kept: kept})
 			}
 		}
 	}
--- a/internal/coordination/batchjobs/keeper.go
+++ b/internal/coordination/batchjobs/keeper.go
@@ -151,7 +151,7 @@
 func (k *Keeper) start(ctx context.Context, p external.Partition) {
 	ctx, stop := context.WithCancel(ctx)
 	h := newHolding(k.opts, p, k.runner.refresh)
-	h.onPart = k.runner.partCame
+	h.onPart, h.pieces = k.runner.partCame, k.runner.unkept
 	k.held[p.Number] = &held{holding: h, stop: stop}
 	go h.serve(ctx)
 }
--- a/internal/coordination/batchjobs/listing.go
+++ b/internal/coordination/batchjobs/listing.go
@@ -127,6 +127,9 @@
 			return b, err
 		}
 		positions[f.job]++
+		if _, place, ok := l.Item(f.result.Item); ok {
+			records = append(records, l.DropProgress(place)...)
+		}
 		b.records = append(b.records, records...)
 		b.count++
 	}
--- a/internal/coordination/batchjobs/runner.go
+++ b/internal/coordination/batchjobs/runner.go
@@ -51,6 +51,9 @@
 	id   itemID
 	item jobs.Item
 	job  jobs.Job
+	// place is that of the item in its job, kept what was kept of its output.
+	place int
+	kept  jobs.Progress
 }
 
 // Runner runs the items of the partitions that are held. It is a duty.
@@ -165,6 +168,7 @@
 		if o.job.Submitted.Before(held) {
 			t.notBefore = held.Add(claimWait)
 		}
+		t.resume(o.kept)
 		t.adopt(h.handedBack(o.id))
 		r.tasks[o.id] = t
 		r.waiting = append(r.waiting, t)
@@ -431,7 +435,7 @@
 // runs notes that a task has begun. It needs the lock.
 func (r *Runner) runs(t *task, choice placement.Choice) {
 	ctx, cancel := context.WithCancel(r.ctx)
-	t.cancel, t.choice, t.yielding = cancel, choice, false
+	t.cancel, t.choice, t.yielding, t.began = cancel, choice, false, time.Now()
 	itemRuns.Inc()
 	go t.run(ctx, choice)
 }
--- a/internal/coordination/batchjobs/task.go
+++ b/internal/coordination/batchjobs/task.go
@@ -45,9 +45,12 @@
 	ended     bool
 	// late says that the item can't be done in time any more.
 	late bool
-	// worked is the time that runs have taken so far.
+	// worked is the time that runs have taken so far, began when the last one did.
 	worked time.Duration
+	began  time.Time
 
+	// output is what came since it was kept last.
+	output   output
 	text     strings.Builder
 	events   int
 	position int
@@ -116,7 +119,7 @@
 	if silent.Load() {
 		how, result = broken, placement.Silent
 	}
-	t.worked += time.Since(began)
+	t.hasWorked(time.Since(began))
 	opts.Placer.Done(choice, result)
 	_ = level.Info(opts.Logger).Log("event", "item_run", "item", t.id.item, "job", t.id.job, "target", choice.ID,
 		"broker", choice.Broker, "busy", choice.Busy, "slots", choice.Slots, "how", how.String(), "from", from, "position", t.position, "took_ms", time.Since(began).Milliseconds(),
@@ -151,10 +154,21 @@
 	}
 }
 
+// hasWorked counts the time of a run.
+func (t *task) hasWorked(d time.Duration) {
+	t.runner.mu.Lock()
+	defer t.runner.mu.Unlock()
+	t.worked += d
+}
+
 // restart forgets the output of a run that failed.
 func (t *task) restart() {
 	t.text.Reset()
-	t.events, t.position, t.worked = 0, exchange.FromStart, 0
+	t.events, t.position = 0, exchange.FromStart
+	t.output.begin()
+	t.runner.mu.Lock()
+	defer t.runner.mu.Unlock()
+	t.worked = 0
 }
 
 func (t *task) exchange(ctx context.Context, choice placement.Choice, stall *time.Timer) (ending, placement.Result, error) {
@@ -247,6 +261,8 @@
 		t.text.WriteByte('\n')
 	}
 	t.events++
-	t.text.Write(event.Data())
+	data := event.Data()
+	t.text.Write(data)
+	t.output.add(string(data), 1, t.position)
 	return nil
 }
--- a/internal/daemon/routed/jobs_test.go
+++ b/internal/daemon/routed/jobs_test.go
@@ -233,3 +233,25 @@
 		require.Greater(t, seen, 8)
 	})
 }
+
+// All instances are killed at once while items run, and start again. Items that ran
+// for seconds must go on where they were, or they would be late with all others.
+func TestItemsGoOnAfterAllInstancesWereKilled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, size{domains: 2, nodes: 2, targets: 1})
+		ids := w.submit(w.nodes[0], 2, 6, 250)
+		pass(3500 * time.Millisecond)
+		for _, n := range w.nodes {
+			n.kill()
+		}
+		began := time.Now()
+		for _, n := range w.nodes {
+			n.start()
+		}
+		for _, id := range ids {
+			w.requireWhole(id, w.nodes[1].allResults(id, 12*time.Second), 250)
+			require.Equal(t, 6, w.fromStart(id, 6), "job %s: no item begins anew", id)
+		}
+		require.Less(t, time.Since(began), 7*time.Second, "5 s of work, of which 3.5 were done")
+	})
+}
--- a/internal/state/jobs/job.go
+++ b/internal/state/jobs/job.go
@@ -59,6 +59,8 @@
 	// of results that did not fit into one, by position.
 	itemParts int
 	textParts map[int]int
+	// progress is what was kept of items that are not listed, by their place.
+	progress map[int]*kept
 }
 
 // Done says that an item is listed.
@@ -67,12 +69,12 @@
 // Open says that the job has items that are still to be done.
 func (l *Listed) Open() bool { return !l.Ended && len(l.done) < len(l.Items) }
 
-// Item gives an item by id.
-func (l *Listed) Item(id string) (*Item, bool) {
+// Item gives an item by id, and its place in the job.
+func (l *Listed) Item(id string) (*Item, int, bool) {
 	for i := range l.Items {
 		if l.Items[i].ID == id {
-			return &l.Items[i], true
+			return &l.Items[i], i, true
 		}
 	}
-	return nil, false
+	return nil, 0, false
 }
--- a/internal/state/jobs/partition.go
+++ b/internal/state/jobs/partition.go
@@ -65,7 +65,7 @@
 	switch {
 	case strings.HasPrefix(key, resultKey):
 		return 2
-	case strings.HasPrefix(key, textKey):
+	case strings.HasPrefix(key, textKey), strings.HasPrefix(key, pieceKey):
 		return 1
 	default:
 		return 0
@@ -113,6 +113,8 @@
 		return p.resultRecord(rest, record.Value)
 	case textKey:
 		return p.textRecord(rest, record.Value)
+	case pieceKey:
+		return p.pieceRecord(rest, record.Value)
 	case endKey:
 		p.ended[rest] = true
 		if job := p.jobs[rest]; job != nil {
@@ -182,6 +184,7 @@
 		done:      map[string]bool{},
 		itemParts: h.Parts,
 		textParts: map[int]int{},
+		progress:  map[int]*kept{},
 	}
 	for n := range h.Parts {
 		var items []Item
@@ -249,9 +252,13 @@
 	if e.Parts > 0 {
 		job.textParts[position] = e.Parts
 	}
-	if item, ok := job.Item(e.Item); ok {
-		// The body is asked for only until the item is listed.
+	if item, place, ok := job.Item(e.Item); ok {
+		// The body is asked for only until the item is listed, and nobody goes on
+		// with it any more.
 		item.Body = nil
+		if found := job.progress[place]; found != nil {
+			found.Progress = Progress{}
+		}
 	}
 	return nil
 }
--- a/internal/state/jobs/partition_test.go
+++ b/internal/state/jobs/partition_test.go
@@ -75,3 +75,70 @@
 	_, known := p.Job("job")
 	require.False(t, known)
 }
+
+// pieces puts parts of the first item into a partition that has a job, in order.
+func withPieces(t *testing.T, pieces ...Piece) *Listed {
+	t.Helper()
+	p := NewPartition()
+	require.NoError(t, p.Load(external.KeyedPage{Records: script(t, 12)[:3+1]}))
+	var records []external.KeyedRecord
+	for i, piece := range pieces {
+		record, err := EncodePiece("job", piece, recordBytes)
+		require.NoError(t, err)
+		record.Offset = int64(100 + i)
+		records = append(records, record)
+	}
+	require.NoError(t, p.Apply(external.KeyedPage{Records: records, Next: 200}))
+	l, ok := p.Job("job")
+	require.True(t, ok)
+	return l
+}
+
+func TestPartsOfOneChainAreJoined(t *testing.T) {
+	first := Piece{Chain: 7, After: -1, Events: 2, Position: 1, Text: "a\nb", Worked: time.Second}
+	second := Piece{Chain: 7, Number: 1, After: 1, Events: 1, Position: 2, Text: "c", Worked: 2 * time.Second}
+	got, ok := withPieces(t, first, second).Progress(0)
+	require.True(t, ok)
+	require.Equal(t, Progress{Chain: 7, Parts: 2, Events: 3, Position: 2, Text: "a\nb\nc", Worked: 2 * time.Second}, got)
+}
+
+// An instance that was thought dead goes on writing parts, or an item began anew and
+// old parts are still there. Joined with the new ones, the text would hold pieces of
+// two runs of which the second was not asked to go on there, or an event twice.
+func TestPartsThatDoNotFollowAreLeftOut(t *testing.T) {
+	first := Piece{Chain: 7, After: -1, Events: 2, Position: 1, Text: "a\nb"}
+	for name, other := range map[string]Piece{
+		"of another chain":       {Chain: 8, Number: 1, After: 1, Events: 1, Position: 2, Text: "x"},
+		"after another position": {Chain: 7, Number: 1, After: 0, Events: 1, Position: 1, Text: "x"},
+		"with a gap":             {Chain: 7, Number: 2, After: 1, Events: 1, Position: 2, Text: "x"},
+	} {
+		got, ok := withPieces(t, first, other).Progress(0)
+		require.True(t, ok, name)
+		require.Equal(t, "a\nb", got.Text, name)
+		require.Equal(t, 1, got.Parts, name)
+	}
+	anew := Piece{Chain: 9, After: -1, Events: 1, Position: 0, Text: "z"}
+	got, _ := withPieces(t, first, anew).Progress(0)
+	require.Equal(t, "z", got.Text)
+	_, ok := withPieces(t, Piece{Chain: 7, Number: 1, After: 1, Events: 1, Position: 2, Text: "x"}).Progress(0)
+	require.False(t, ok, "the beginning is missing")
+}
+
+// Parts of an item that is listed are of no use, and one that comes late must not be
+// left in the store when the job is dropped.
+func TestLatePartsAreDroppedWithTheJob(t *testing.T) {
+	p := NewPartition()
+	require.NoError(t, p.Load(external.KeyedPage{Records: script(t, 12)}))
+	record, err := EncodePiece("job", Piece{Chain: 7, After: -1, Events: 1, Position: 0, Text: "a"}, recordBytes)
+	require.NoError(t, err)
+	record.Offset = 500
+	require.NoError(t, p.Apply(external.KeyedPage{Records: []external.KeyedRecord{record}, Next: 501}))
+	l, _ := p.Job("job")
+	_, ok := l.Progress(0)
+	require.False(t, ok)
+	var named []string
+	for _, dropped := range EncodeDrop(l) {
+		named = append(named, dropped.Key)
+	}
+	require.Contains(t, named, record.Key)
+}
--- /dev/null
+++ b/internal/state/jobs/progress.go
@@ -0,0 +1,141 @@
+package jobs
+
+import (
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/gravitational/trace"
+
+	"merlintiller/internal/external"
+	"merlintiller/internal/protocol/exchange"
+)
+
+// Progress is the output of an item that is not whole, as far as it was kept.
+//
+// It is kept in parts, each the events that follow the part before. Parts belong to
+// a chain, which begins with the item's first event; an item that begins anew begins
+// a new chain. So the output of two runs is joined only where the second one was
+// asked to go on after the last event of the first.
+type Progress struct {
+	Chain int64
+	// Parts is how many there are, and the number of the next one.
+	Parts int
+	// Events counts the events, Position is the last of them.
+	Events, Position int
+	Text             string
+	// Worked is the time that runs have taken for them.
+	Worked time.Duration
+}
+
+// Piece is a part on its way into the log.
+type Piece struct {
+	// Item is the item's place in its job.
+	Item  int
+	Chain int64
+	// Number is that of the part in its chain, After the position that it follows.
+	Number, After    int
+	Events, Position int
+	Text             string
+	Worked           time.Duration
+}
+
+// piece is the record of a part.
+type piece struct {
+	Chain    int64  `cbor:"1,keyasint"`
+	After    int    `cbor:"2,keyasint"`
+	Position int    `cbor:"3,keyasint"`
+	Events   int    `cbor:"4,keyasint"`
+	Text     string `cbor:"5,keyasint"`
+	// Worked is in milliseconds.
+	Worked int64 `cbor:"6,keyasint"`
+}
+
+// EncodePiece gives the record of a part. A part that does not fit into a record is
+// an error; its item runs on without being kept.
+func EncodePiece(job string, p Piece, recordBytes int) (external.KeyedRecord, error) {
+	if len(p.Text) > recordBytes-recordOverhead {
+		return external.KeyedRecord{}, trace.LimitExceeded("part %d of item %d of job %s is too large for a record", p.Number, p.Item, job)
+	}
+	value, err := cbor.Marshal(piece{
+		Chain: p.Chain, After: p.After, Position: p.Position, Events: p.Events, Text: p.Text, Worked: p.Worked.Milliseconds(),
+	})
+	if err != nil {
+		return external.KeyedRecord{}, trace.Wrap(err)
+	}
+	return external.KeyedRecord{Key: part(position6(pieceKey+job, p.Item), p.Number), Value: value}, nil
+}
+
+// DropProgress gives the records that remove what was kept of an item.
+func (l *Listed) DropProgress(item int) []external.KeyedRecord {
+	kept := l.progress[item]
+	if kept == nil {
+		return nil
+	}
+	records := make([]external.KeyedRecord, 0, kept.most)
+	for n := range kept.most {
+		records = append(records, external.KeyedRecord{Key: part(position6(pieceKey+l.ID, item), n)})
+	}
+	return records
+}
+
+// kept is the progress of one item, with the number of parts there ever were.
+type kept struct {
+	Progress
+	most int
+}
+
+// Progress gives what was kept of an item.
+func (l *Listed) Progress(item int) (Progress, bool) {
+	found := l.progress[item]
+	if found == nil || found.Parts == 0 {
+		return Progress{}, false
+	}
+	return found.Progress, true
+}
+
+// pieceRecord adds a part, if it follows what there is.
+func (p *Partition) pieceRecord(rest string, value []byte) error {
+	rest, number, ok := cutNumber(rest)
+	id, item, okItem := cutNumber(rest)
+	if !ok || !okItem {
+		return trace.BadParameter("part of an item under key %q", rest)
+	}
+	job := p.jobs[id]
+	if job == nil || item >= len(job.Items) {
+		return nil
+	}
+	found := job.progress[item]
+	if found == nil {
+		found = &kept{}
+		job.progress[item] = found
+	}
+	found.most = max(found.most, number+1)
+	if job.done[job.Items[item].ID] {
+		return nil
+	}
+	var record piece
+	if err := cbor.Unmarshal(value, &record); err != nil {
+		return trace.Wrap(err, "part %d of item %d of job %s", number, item, id)
+	}
+	found.add(number, record)
+	return nil
+}
+
+func (k *kept) add(number int, record piece) {
+	switch {
+	case number == 0 && record.After == exchange.FromStart:
+		k.Progress = Progress{Chain: record.Chain}
+	case k.Parts == 0 || record.Chain != k.Chain || number != k.Parts || record.After != k.Position:
+		return
+	}
+	if k.Parts > 0 {
+		k.Text = strings.Join([]string{k.Text, record.Text}, "\n")
+	} else {
+		k.Text = record.Text
+	}
+	k.Parts++
+	k.Events += record.Events
+	k.Position = record.Position
+	k.Worked = time.Duration(record.Worked) * time.Millisecond
+}
--- a/internal/state/jobs/record.go
+++ b/internal/state/jobs/record.go
@@ -19,6 +19,7 @@
 	resultKey = "r/"
 	textKey   = "t/"
 	endKey    = "e/"
+	pieceKey  = "p/"
 	// MaxID is the longest id of a job, so that all keys fit into the log's
 	// bound of 255 bytes.
 	MaxID = 200
@@ -133,6 +134,9 @@
 			records = append(records, external.KeyedRecord{Key: part(position6(textKey+l.ID, position), n)})
 		}
 	}
+	for item := range l.Items {
+		records = append(records, l.DropProgress(item)...)
+	}
 	return records
 }
 
