A single silent instance takes no part of the rates with it

Ruled out: forgetting silent instances sooner, which lets both sides of a cut have the whole rate. Change: up to 12% of the fleet, silent instances are taken for dead. If they live, cut off, the sum stays within the tenth and twenty requests above the rate that users bear (TestOneSilentInstanceTakesNothingWithIt, both ways); with more silent ones both sides of a cut keep to their parts as before.

--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -27,6 +27,13 @@
 	// aloneAfter is how long an instance waits to hear of the buckets from one
 	// that knows them. All instances may have started anew.
 	aloneAfter = time.Second
+	// likelyDead is the part of the fleet up to which silent instances are taken for
+	// dead, so that nothing is left to them. One of nine that lost its power for good
+	// would otherwise take a ninth of every rate with it until it is forgotten. If they
+	// live all the same, cut off with callers of their own, organisations get that
+	// much more than their rate for as long: users bear a tenth and some requests.
+	// Beyond that part silence is most likely a cut, where both sides serve.
+	likelyDead = 0.12
 	// fullMargin is how far below its cap a bucket may be to count as full, so
 	// that it is not told.
 	fullMargin = 0.5
@@ -317,7 +324,7 @@
 	a.level = min(a.level+whole*a.share, l.cap(limit, a.share))
 	part := whole / l.size()
 	for _, p := range l.peers {
-		if l.silent(now, p) {
+		if a.share < 1 && l.silent(now, p) {
 			p.left[org] = min(p.left[org]+part, limit.Burst)
 		}
 	}
@@ -340,8 +347,9 @@
 	return float64(n)
 }
 
-// share is the part of the fleet that may be used here: all but the silent ones,
-// and the own part alone while the buckets are not known.
+// share is the part of the fleet that may be used here: all but the silent ones, if
+// they are more than may be dead, and the own part alone while the buckets are not
+// known.
 func (l *Ledger) share(now time.Time) float64 {
 	if !l.knows(now) {
 		return 1 / l.size()
@@ -352,7 +360,11 @@
 			silent++
 		}
 	}
-	return 1 - float64(silent)/l.size()
+	part := float64(silent) / l.size()
+	if part <= likelyDead {
+		return 1
+	}
+	return 1 - part
 }
 
 func (l *Ledger) silent(now time.Time, p *peer) bool {
--- a/internal/coordination/quota/quota_test.go
+++ b/internal/coordination/quota/quota_test.go
@@ -242,3 +242,26 @@
 	report(Counts{org: 5003}, false)
 	require.InDelta(t, before-3, l.Levels(start)[org], 0.01)
 }
+
+// An instance loses its power for good. Nobody hears of that, and if its part of the
+// rates were left to it, organisations that send more than their rate would get a
+// ninth less than it. If it is only cut off and serves on, the sum must still stay
+// within what users bear.
+func TestOneSilentInstanceTakesNothingWithIt(t *testing.T) {
+	for _, alive := range []bool{false, true} {
+		for _, limit := range []Limit{{Rate: 14, Burst: 14}, {Rate: 60, Burst: 60}} {
+			f := newFleet(t, 9, limit)
+			random := rand.New(rand.NewPCG(1, 7))
+			f.play(random, 5*limit.Rate, 3*time.Second)
+			f.members[8].side = 1
+			if !alive {
+				f.members = f.members[:8]
+			}
+			f.play(random, 5*limit.Rate, time.Second)
+			before := len(f.admitted)
+			f.play(random, 5*limit.Rate, 10*time.Second)
+			require.LessOrEqual(t, f.most(5*time.Second), allowed(limit), "alive: %t", alive)
+			require.Greater(t, float64(len(f.admitted)-before), 0.97*10*limit.Rate, "alive: %t", alive)
+		}
+	}
+}
