Explained failures: ids of early refusals, callers that left, repeated lines

Change: the request is read before the configuration is looked at; the caller's end is told as such; what is said again is told once with its last time; an empty id is refused.

--- a/internal/ctl/logs.go
+++ b/internal/ctl/logs.go
@@ -36,6 +36,9 @@
 
 // Run explains an id.
 func (c *explainCommand) Run(env *Env) error {
+	if c.ID == "" {
+		return fail(ExitBadInput, "give the id of a request, a job or an item", "the id is empty")
+	}
 	logs, err := readLogs(c.Logs)
 	if err != nil {
 		return err
--- a/internal/ctl/logs_test.go
+++ b/internal/ctl/logs_test.go
@@ -33,6 +33,7 @@
 
 func TestExplainNamesWhatCannotBeRead(t *testing.T) {
 	require.Equal(t, ExitBadInput, run("explain", "r1").code)
+	require.Equal(t, ExitBadInput, run("explain", "", "--logs", t.TempDir()).code)
 	require.Equal(t, ExitBadInput, run("explain", "r1", "--logs", filepath.Join(t.TempDir(), "none")).code)
 	foreign := filepath.Join(t.TempDir(), "x.log")
 	require.NoError(t, os.WriteFile(foreign, []byte("nothing of ours\n"), 0o600))
--- a/internal/daemon/routed/calm_test.go
+++ b/internal/daemon/routed/calm_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/standin/sharedstore"
 )
 
 // TestCalmDay plays a small day: online streams at all instances, a job that is
@@ -86,3 +88,20 @@
 		}
 	})
 }
+
+// A caller comes before its instance knows any configuration, and asks afterwards why
+// it was refused. The line must have its request's id.
+func TestRefusalBeforeTheFirstConfigurationNamesTheRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, size{domains: 1, nodes: 1, targets: 1})
+		n := w.nodes[0]
+		n.kill()
+		n.door.Set(sharedstore.Fault{Silent: true})
+		n.start()
+		pass(100 * time.Millisecond)
+		got := n.send(ask{id: "early", path: "/once/1", key: keyOne})
+		require.Equal(t, http.StatusServiceUnavailable, got.status)
+		require.NotEmpty(t, got.header.Get("Retry-After"))
+		require.Contains(t, n.logs.String(), "event=request request=early route= organisation= config=0 outcome=refused reason=no_config")
+	})
+}
--- a/internal/explain/causes.go
+++ b/internal/explain/causes.go
@@ -138,6 +138,9 @@
 		}
 		return text
 	case "cut_off":
+		if r.Fields["reason"] == "caller_left" {
+			return fmt.Sprintf("the caller closed its connection after %s events and %s", r.Fields["events"], took)
+		}
 		return fmt.Sprintf("its answer was cut off after %s events and %s: %s", r.Fields["events"], took, why)
 	case "caller_left":
 		return fmt.Sprintf("the caller closed its connection after %s; %s events had been passed on", took, number(r.Fields["events"]))
@@ -213,13 +216,25 @@
 }
 
 // background tells of what the instances came to believe meanwhile that explains
-// trouble.
+// trouble. What an instance says again and again is told once, with its last time.
 func background(story *Story) []string {
+	type said struct{ source, sentence string }
+	places := map[said]int{}
 	var out []string
 	for i := range story.Beside {
-		if sentence := besideSentence(story, &story.Beside[i]); sentence != "" {
-			out = append(out, fmt.Sprintf("meanwhile %s %s: %s", clock(story.Beside[i].At), story.Beside[i].Source, sentence))
+		r := &story.Beside[i]
+		sentence := besideSentence(story, r)
+		if sentence == "" {
+			continue
+		}
+		key := said{r.Source, sentence}
+		if place, again := places[key]; again {
+			first, _, _ := strings.Cut(out[place], " (again until ")
+			out[place] = fmt.Sprintf("%s (again until %s)", first, clock(r.At))
+			continue
 		}
+		places[key] = len(out)
+		out = append(out, fmt.Sprintf("meanwhile %s %s: %s", clock(r.At), r.Source, sentence))
 	}
 	return out
 }
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -110,3 +110,17 @@
 		logs.Summary()
 	})
 }
+
+// The store was away for long, and each try left a line. The lines of the request
+// must not drown in them.
+func TestWhatIsSaidAgainIsToldOnce(t *testing.T) {
+	logs := read(t, map[string]string{"a": `
+at=2026-12-03T10:00:01Z event=store_watch_failed watch=config err="reset"
+at=2026-12-03T10:00:01.5Z event=store_watch_failed watch=targets err="reset"
+at=2026-12-03T10:00:02Z event=request request=r1 outcome=cut_off reason=caller_left status=200 events=3 took_ms=70
+at=2026-12-03T10:00:03Z event=store_watch_failed watch=config err="reset"
+`})
+	story := logs.Explain("r1")
+	require.Len(t, story.Causes, 2)
+	requireCause(t, story, "the caller closed its connection after 3 events", "the store did not answer (reset) (again until 10:00:03.000)")
+}
--- a/internal/transport/front/visit.go
+++ b/internal/transport/front/visit.go
@@ -38,11 +38,11 @@
 
 // serve finds out what the request is and answers it.
 func (f *Front) serve(v *visit) {
+	v.request = f.opts.Codec.DecodeRequest(v.r)
 	if v.table == nil {
 		v.refuse(http.StatusServiceUnavailable, noConfigRetry, "no_config")
 		return
 	}
-	v.request = f.opts.Codec.DecodeRequest(v.r)
 	if call, ok := f.opts.Codec.DecodeJobCall(v.r); ok && v.table.HasBatch(v.r.Host) {
 		v.jobCall(call)
 		return
