--- a/internal/configdoc/proofs_test.go
+++ b/internal/configdoc/proofs_test.go
@@ -20,17 +20,19 @@
 // A test is renamed or dropped and the page goes on naming it: a reader would
 // take a promise for proved that nothing checks any more.
 func TestEveryTestOfTheProofsPageExists(t *testing.T) {
-	data, err := os.ReadFile(root + "/docs/PROOFS.md")
-	require.NoError(t, err)
-	named := provenBy.FindAllStringSubmatch(string(data), -1)
-	require.NotEmpty(t, named)
-	require.Len(t, bareTest.FindAllString(string(data), -1), len(named), "a test is named without its package")
-	known := map[string]map[string]bool{}
-	for _, match := range named {
-		if known[match[1]] == nil {
-			known[match[1]] = testsOf(t, filepath.Join(root, "internal", match[1]))
+	for _, page := range []string{"docs/PROOFS.md", "docs/TROUBLE.md"} {
+		data, err := os.ReadFile(root + "/" + page)
+		require.NoError(t, err)
+		named := provenBy.FindAllStringSubmatch(string(data), -1)
+		require.NotEmpty(t, named)
+		require.Len(t, bareTest.FindAllString(string(data), -1), len(named), "%s: a test is named without its package", page)
+		known := map[string]map[string]bool{}
+		for _, match := range named {
+			if known[match[1]] == nil {
+				known[match[1]] = testsOf(t, filepath.Join(root, "internal", match[1]))
+			}
+			require.True(t, known[match[1]][match[2]], "%s names %s in %s, which has no such test", page, match[2], match[1])
 		}
-		require.True(t, known[match[1]][match[2]], "docs/PROOFS.md names %s in %s, which has no such test", match[2], match[1])
 	}
 }
 
