--- /dev/null
+++ b/internal/coordination/batchjobs/claims.go
@@ -0,0 +1,43 @@
+package batchjobs
+
+import (
+	"time"
+
+	"merlintiller/internal/coordination/mesh"
+)
+
+// claimsFresh is how long a look at the claims counts.
+const claimsFresh = 50 * time.Millisecond
+
+// Claims gives the items that run here though their partition is held elsewhere.
+func (r *Runner) Claims() []mesh.Claim {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var claims []mesh.Claim
+	for id, t := range r.tasks {
+		if t.home == nil {
+			claims = append(claims, mesh.Claim{Job: id.job, Item: id.item})
+		}
+	}
+	for id := range r.delivering {
+		claims = append(claims, mesh.Claim{Job: id.job, Item: id.item})
+	}
+	return claims
+}
+
+// readClaims takes over what other instances say that they run.
+func (r *Runner) readClaims(now time.Time) {
+	if now.Sub(r.claimedAt) < claimsFresh {
+		return
+	}
+	r.claimedAt = now
+	r.claimed = map[itemID]bool{}
+	for _, p := range r.opts.Peers.Peers() {
+		if p.State != mesh.Up {
+			continue
+		}
+		for _, c := range p.Beat.Claims {
+			r.claimed[itemID{c.Job, c.Item}] = true
+		}
+	}
+}
--- a/internal/coordination/batchjobs/desk.go
+++ b/internal/coordination/batchjobs/desk.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log/level"
 
 	"merlintiller/internal/coordination/mesh"
@@ -24,22 +22,6 @@
 	// storeAway is the time without an answer of the store after which another
 	// instance is asked to write instead.
 	storeAway = 1200 * time.Millisecond
-	// hedgeAfter is how long one way of writing a job may take until the other is
-	// tried beside it. The store answers within some 20 ms; callers want a job
-	// accepted within some hundred.
-	hedgeAfter = 150 * time.Millisecond
-	// appendRetry is the wait before an append is tried again, doubled each time,
-	// appendTries how often that is done: about a second in all.
-	appendRetry = 60 * time.Millisecond
-	appendTries = 4
-	// handOverTimeout bounds the writing through another instance.
-	handOverTimeout = 1200 * time.Millisecond
-)
-
-var (
-	jobsAccepted = metrics.NewCounter(`batch_jobs_total{outcome="accepted"}`)
-	jobsRefused  = metrics.NewCounter(`batch_jobs_total{outcome="refused"}`)
-	jobsUnsure   = metrics.NewCounter(`batch_jobs_total{outcome="unsure"}`)
 )
 
 // Desk takes the calls of batch jobs at any instance.
@@ -59,71 +41,6 @@
 	return &Desk{opts: opts, keeper: keeper, runner: runner, copies: map[int]*holding{}}
 }
 
-// Submit has a job kept. Done means that it lasts.
-func (d *Desk) Submit(ctx context.Context, job *jobs.Job) Verdict {
-	verdict := d.submit(ctx, job)
-	switch verdict {
-	case Done:
-		jobsAccepted.Inc()
-	case NotDone:
-		jobsRefused.Inc()
-	default:
-		jobsUnsure.Inc()
-	}
-	_ = level.Info(d.opts.Logger).Log("event", "job_submitted", "job", job.ID, "organisation", job.Organisation,
-		"items", len(job.Items), "partition", d.opts.partitionOf(job.ID).Number, "outcome", verdict,
-		"store_age_ms", d.opts.StoreAge().Milliseconds())
-	return verdict
-}
-
-// submit writes a job, here or through another instance, whichever is answered
-// first. Writing it twice does no harm.
-//
-// What goes wrong without the second way: the store turns some instances away
-// and serves the others. A caller whose attempts meet two of those has its job
-// refused, or waits for a store that does not answer, though the store is there.
-func (d *Desk) submit(ctx context.Context, job *jobs.Job) Verdict {
-	if d.known(ctx, job.ID) {
-		return Done
-	}
-	ways := make(chan Verdict, 2)
-	tries := 0
-	start := func(way func(context.Context, *jobs.Job) Verdict) {
-		tries++
-		go func() { ways <- way(ctx, job) }()
-	}
-	here := d.opts.StoreAge() < storeAway
-	if here {
-		start(d.write)
-	} else {
-		start(d.handOver)
-	}
-	slow := time.NewTimer(hedgeAfter)
-	defer slow.Stop()
-	verdict := NotDone
-	for ended := 0; ended < tries; {
-		select {
-		case way := <-ways:
-			ended++
-			if way == Done {
-				return Done
-			}
-			if way != NotDone {
-				verdict = Unsure
-			}
-		case <-slow.C:
-		}
-		if tries == 1 && ctx.Err() == nil {
-			if here {
-				start(d.handOver)
-			} else {
-				start(d.write)
-			}
-		}
-	}
-	return verdict
-}
-
 // known asks the holder whether a job is there already, as after a repeat. The
 // answer saves writing the job once more; without one it is written.
 func (d *Desk) known(ctx context.Context, job string) bool {
@@ -149,80 +66,6 @@
 	return d.opts.Caller.Call(ctx, holder.Address, method, args, reply) == nil
 }
 
-// write appends a job's records. A job may be written twice: the second time
-// changes nothing.
-func (d *Desk) write(ctx context.Context, job *jobs.Job) Verdict {
-	records, err := jobs.EncodeJob(job, d.opts.RecordBytes)
-	if err != nil {
-		_ = level.Warn(d.opts.Logger).Log("event", "job_not_encoded", "job", job.ID, "err", err)
-		return NotDone
-	}
-	return d.append(ctx, d.opts.partitionOf(job.ID), records)
-}
-
-// append writes records in as many calls as the store's bound wants, the last of
-// which makes them count.
-func (d *Desk) append(ctx context.Context, p external.Partition, records []external.KeyedRecord) Verdict {
-	for len(records) > 0 {
-		n, size := 0, 0
-		for n < len(records) {
-			size += len(records[n].Key) + len(records[n].Value) + recordHead
-			if n > 0 && size > d.opts.CallBytes {
-				break
-			}
-			n++
-		}
-		if verdict := d.appendOnce(ctx, p, records[:n]); verdict != Done {
-			return verdict
-		}
-		records = records[n:]
-	}
-	return Done
-}
-
-// recordHead is what the store counts beside a record's key and value.
-const recordHead = 8
-
-// appendOnce repeats one append a few times until it is answered or ctx ends.
-func (d *Desk) appendOnce(ctx context.Context, p external.Partition, records []external.KeyedRecord) Verdict {
-	verdict := NotDone
-	for try := 0; ; try++ {
-		_, err := d.opts.Log.Append(ctx, p, records, external.AnyEnd)
-		if err == nil {
-			d.opts.StoreAnswered()
-			return Done
-		}
-		_ = level.Warn(d.opts.Logger).Log("event", "job_append_failed", "partition", p.Number, "err", err)
-		if errors.Is(err, external.ErrUnavailable) {
-			verdict = Unsure
-		}
-		if errors.Is(err, external.ErrFull) || try == appendTries {
-			return verdict
-		}
-		sleep(ctx, appendRetry<<try)
-		if ctx.Err() != nil {
-			return verdict
-		}
-	}
-}
-
-// handOver has another instance write a job, one that the store answers.
-func (d *Desk) handOver(ctx context.Context, job *jobs.Job) Verdict {
-	verdict := NotDone
-	d.elsewhere(ctx, func(ctx context.Context, address string) bool {
-		var reply JobReply
-		err := d.opts.Caller.Call(ctx, address, methodAccept, &AcceptCall{Job: *job}, &reply)
-		switch {
-		case err == nil && reply.Verdict == Done:
-			verdict = Done
-		case err != nil || reply.Verdict != NotDone:
-			verdict = Unsure
-		}
-		return verdict == Done
-	})
-	return verdict
-}
-
 // mostElsewhere bounds the instances that are asked in place of the store.
 const mostElsewhere = 2
 
@@ -261,17 +104,23 @@
 	call.Wait = 0
 	reply := d.resultsHere(ctx, call)
 	if reply.Verdict == NotDone {
-		d.elsewhere(ctx, func(ctx context.Context, address string) bool {
-			var theirs ResultsReply
-			if d.opts.Caller.Call(ctx, address, methodReadFor, &call, &theirs) == nil {
-				reply = theirs
-			}
-			return reply.Verdict != NotDone
-		})
+		throughOthers(ctx, d, methodReadFor, &call, &reply, func(r *ResultsReply) Verdict { return r.Verdict })
 	}
 	return reply
 }
 
+// throughOthers has instances that the store answers read what could not be read
+// here, until one of them has.
+func throughOthers[R any](ctx context.Context, d *Desk, method string, call any, reply *R, verdict func(*R) Verdict) {
+	d.elsewhere(ctx, func(ctx context.Context, address string) bool {
+		var theirs R
+		if d.opts.Caller.Call(ctx, address, method, call, &theirs) == nil {
+			*reply = theirs
+		}
+		return verdict(reply) != NotDone
+	})
+}
+
 // resultsHere gives results as the store has them now.
 func (d *Desk) resultsHere(ctx context.Context, call ResultsCall) ResultsReply {
 	h, err := d.fresh(ctx, d.opts.partitionOf(call.Job).Number)
@@ -307,13 +156,7 @@
 	}
 	reply = d.bodyHere(ctx, call)
 	if reply.Verdict == NotDone {
-		d.elsewhere(ctx, func(ctx context.Context, address string) bool {
-			var theirs BodyReply
-			if d.opts.Caller.Call(ctx, address, methodBodyFor, &call, &theirs) == nil {
-				reply = theirs
-			}
-			return reply.Verdict != NotDone
-		})
+		throughOthers(ctx, d, methodBodyFor, &call, &reply, func(r *BodyReply) Verdict { return r.Verdict })
 	}
 	return reply
 }
--- a/internal/coordination/batchjobs/runner.go
+++ b/internal/coordination/batchjobs/runner.go
@@ -1,9 +1,7 @@
 package batchjobs
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,8 +9,6 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log/level"
 
-	"merlintiller/internal/coordination/broker"
-	"merlintiller/internal/coordination/mesh"
 	"merlintiller/internal/coordination/placement"
 	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/state/jobs"
@@ -24,9 +20,6 @@
 	lookEvery = 40 * time.Millisecond
 	// yieldPause is how long an item waits that gave up its slot.
 	yieldPause = 60 * time.Millisecond
-	// lastsMost is how much longer than usual a target may be busy with an item.
-	// Lengths of items differ by a quarter.
-	lastsMost = 1.5
 	// failPause is how long an item waits after a failed run, doubled with each
 	// further one up to failMost.
 	failPause = 100 * time.Millisecond
@@ -34,8 +27,6 @@
 	// claimWait is how long a new holder waits for others to claim the items
 	// that they run: two messages of another failure domain.
 	claimWait = 400 * time.Millisecond
-	// claimsFresh is how long a look at the claims counts.
-	claimsFresh = 50 * time.Millisecond
 )
 
 var (
@@ -221,22 +212,6 @@
 	}
 }
 
-// Claims gives the items that run here though their partition is held elsewhere.
-func (r *Runner) Claims() []mesh.Claim {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var claims []mesh.Claim
-	for id, t := range r.tasks {
-		if t.home == nil {
-			claims = append(claims, mesh.Claim{Job: id.job, Item: id.item})
-		}
-	}
-	for id := range r.delivering {
-		claims = append(claims, mesh.Claim{Job: id.job, Item: id.item})
-	}
-	return claims
-}
-
 // Leave ends all runs and hands what they have to the holders of their
 // partitions. It comes after the partitions were given up.
 func (r *Runner) Leave(ctx context.Context) {
@@ -272,101 +247,6 @@
 	r.unqueue(t)
 }
 
-// sort puts the items first that are due first, and behind them those that can't
-// be done in time.
-//
-// The load it answers: for some seconds there are more items than slots. By due
-// time alone, the items that are late already would take the slots, and the next
-// ones would get late behind them, one after the other.
-func (r *Runner) sort(now time.Time) {
-	for _, t := range r.waiting {
-		t.late = now.Add(r.pace.left(t.events)).After(t.job.Due)
-	}
-	slices.SortStableFunc(r.waiting, func(a, b *task) int {
-		if a.late != b.late {
-			if a.late {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Or(a.job.Due.Compare(b.job.Due), cmp.Compare(a.id.job, b.id.job))
-	})
-}
-
-// mostUrgent gives the item that should begin first.
-func (r *Runner) mostUrgent(now time.Time) (broker.Item, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	t, service := r.first(now, "")
-	if t == nil {
-		return broker.Item{}, false
-	}
-	left := r.pace.left(t.events)
-	return broker.Item{
-		Service: service, Due: t.job.Due, BeginBy: t.job.Due.Add(-left),
-		Lasts: time.Duration(lastsMost * float64(left)),
-	}, true
-}
-
-// first gives the waiting item that should begin first, of one service or of all.
-// Items that can't be done any more are given up on the way. It needs the lock.
-func (r *Runner) first(now time.Time, of string) (*task, string) {
-	table := r.opts.Table()
-	if r.leaving || table == nil {
-		return nil, ""
-	}
-	r.sort(now)
-	r.readClaims(now)
-	for _, t := range slices.Clone(r.waiting) {
-		if now.Before(t.notBefore) || r.claimed[t.id] {
-			continue
-		}
-		if reason := t.hopeless(now, table); reason != "" {
-			t.giveUp(reason)
-			r.unqueue(t)
-			continue
-		}
-		if service, ok := t.service(table); ok && (of == "" || of == service) {
-			return t, service
-		}
-	}
-	return nil, ""
-}
-
-// begin begins the item that is the most urgent one now at a target.
-func (r *Runner) begin(service string, choice placement.Choice) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	t, _ := r.first(time.Now(), service)
-	if t == nil {
-		go r.opts.Placer.Done(choice, placement.Left)
-		return
-	}
-	r.unqueue(t)
-	r.runs(t, choice)
-}
-
-func (r *Runner) unqueue(t *task) {
-	r.waiting = slices.DeleteFunc(r.waiting, func(w *task) bool { return w == t })
-}
-
-// requeue lets a task wait for its next run.
-func (r *Runner) requeue(t *task, pause time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	t.cancel = nil
-	if t.ended {
-		return
-	}
-	if t.home == nil || r.leaving {
-		r.handBack(t)
-		return
-	}
-	t.notBefore = time.Now().Add(pause)
-	r.waiting = append(r.waiting, t)
-	r.poke()
-}
-
 // finish ends a task with a result.
 func (r *Runner) finish(t *task, result jobs.Result) {
 	r.mu.Lock()
@@ -396,23 +276,6 @@
 	}
 }
 
-// readClaims takes over what other instances say that they run.
-func (r *Runner) readClaims(now time.Time) {
-	if now.Sub(r.claimedAt) < claimsFresh {
-		return
-	}
-	r.claimedAt = now
-	r.claimed = map[itemID]bool{}
-	for _, p := range r.opts.Peers.Peers() {
-		if p.State != mesh.Up {
-			continue
-		}
-		for _, c := range p.Beat.Claims {
-			r.claimed[itemID{c.Job, c.Item}] = true
-		}
-	}
-}
-
 // Yield gives the slot back that a broker gave under a number, if an item still
 // has it. The item goes on elsewhere from where it is.
 func (r *Runner) Yield(number uint64) bool {
