A head that keeps to the operators' bound by its caller's own count is not refused

Cause: the bound was compared with the head as counted here, request line and ends of lines included; a caller that counts its fields only could be refused with 431 though it keeps to the bound. Change: 1 KB of slack.

--- a/internal/transport/front/visit.go
+++ b/internal/transport/front/visit.go
@@ -47,7 +47,7 @@
 		v.jobCall(call)
 		return
 	}
-	if most := v.table.Limits().HeaderBytes; most > 0 && headSize(v.r) > most {
+	if most := v.table.Limits().HeaderBytes; most > 0 && headSize(v.r) > most+headSlack {
 		v.refuse(http.StatusRequestHeaderFieldsTooLarge, 0, "head_too_large")
 		return
 	}
@@ -87,6 +87,11 @@
 	return v.organisation.Name
 }
 
+// headSlack is how much larger than the operators' bound a head may be. Callers may
+// count neither the request line nor the ends of lines; one that keeps to the bound
+// by its own count must not be refused.
+const headSlack = 1 << 10
+
 // headSize is the size of a request's head on the wire.
 func headSize(r *http.Request) int64 {
 	const (
