A job at the end of a long partition is found

One answer of the store holds a megabyte at most (seen: 309 records, 8 before the end), and a job behind that was taken for one that does not exist. Parts of running items' output make it likelier, by about half of the bytes. Change: fresh reads go on to the end; no progress before the end is an error, not an end; a line job_not_found tells by what that was decided; the stand-in store bounds its answers too.

--- a/internal/coordination/batchjobs/answer.go
+++ b/internal/coordination/batchjobs/answer.go
@@ -12,7 +12,7 @@
 	for {
 		found, changed := h.job(call.Job)
 		if !found.known || found.organisation != call.Organisation {
-			return ResultsReply{Verdict: h.absent(found)}
+			return ResultsReply{Verdict: h.absent(found, call.Job, call.Organisation)}
 		}
 		if len(found.results) > call.After || !found.open() || call.Wait <= 0 {
 			return page(&found, call.After)
@@ -26,10 +26,11 @@
 }
 
 // absent is the verdict on a job that is not there.
-func (h *holding) absent(found snapshot) Verdict {
+func (h *holding) absent(found snapshot, job, organisation string) Verdict {
 	if !found.loaded {
 		return NotDone
 	}
+	h.missing(job, organisation)
 	return Missing
 }
 
@@ -52,7 +53,7 @@
 func (h *holding) body(call BodyCall) BodyReply {
 	found, _ := h.job(call.Job)
 	if !found.known || found.organisation != call.Organisation {
-		return BodyReply{Verdict: h.absent(found)}
+		return BodyReply{Verdict: h.absent(found, call.Job, call.Organisation)}
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -70,15 +71,19 @@
 // known says whether a job is there.
 func (h *holding) known(job string) Verdict {
 	found, _ := h.job(job)
-	if found.known {
+	switch {
+	case found.known:
 		return Done
+	case found.loaded:
+		return Missing
+	default:
+		return NotDone
 	}
-	return h.absent(found)
 }
 
-// ready reads what is new, and everything at first.
+// ready reads all that is new, and everything at first.
 func (h *holding) ready(ctx context.Context, within time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
-	return h.read(ctx, 0)
+	return h.readToEnd(ctx)
 }
--- a/internal/coordination/batchjobs/desk.go
+++ b/internal/coordination/batchjobs/desk.go
@@ -204,7 +204,7 @@
 	found, _ := h.job(call.Job)
 	switch {
 	case !found.known || found.organisation != call.Organisation:
-		return h.absent(found)
+		return h.absent(found, call.Job, call.Organisation)
 	case found.ended:
 		return Done
 	}
--- a/internal/coordination/batchjobs/dropping_test.go
+++ b/internal/coordination/batchjobs/dropping_test.go
@@ -68,7 +68,7 @@
 		p := newPlace(t, 1)
 		p.opts.Readable = time.Minute
 		h := newHolding(p.opts, p.at, nil)
-		require.NoError(t, h.read(t.Context(), 0))
+		require.NoError(t, h.readToEnd(t.Context()))
 		h.finish(done(0, "short"))
 		_, err := h.listOnce(t.Context())
 		require.NoError(t, err)
--- a/internal/coordination/batchjobs/holding.go
+++ b/internal/coordination/batchjobs/holding.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -83,7 +84,7 @@
 func (h *holding) follow(ctx context.Context) {
 	retry := retryFirst
 	for ctx.Err() == nil {
-		err := h.read(ctx, tailWait)
+		_, err := h.read(ctx, tailWait)
 		if err == nil {
 			retry = retryFirst
 			continue
@@ -98,24 +99,42 @@
 }
 
 // read takes over what is new, and everything if nothing is known or what is
-// next has left the store's history.
-func (h *holding) read(ctx context.Context, wait time.Duration) error {
+// next has left the store's history. It says whether there was more than one
+// answer of the store holds, or may have been.
+func (h *holding) read(ctx context.Context, wait time.Duration) (more bool, err error) {
 	h.mu.Lock()
 	loaded, next := h.loaded, h.state.Next()
 	h.mu.Unlock()
 	if !loaded {
-		return h.load(ctx)
+		return true, h.load(ctx)
 	}
 	page, err := h.opts.Log.Read(ctx, h.partition, next, wait)
 	if errors.Is(err, external.ErrTrimmed) {
-		return h.load(ctx)
+		return true, h.load(ctx)
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	h.opts.StoreAnswered()
+	if page.Next == next && next < page.End {
+		return false, fmt.Errorf("%w: nothing read at %d before the end at %d", external.ErrUnavailable, next, page.End)
+	}
 	h.apply(page)
-	return nil
+	return page.Next < page.End, nil
+}
+
+// readToEnd takes over all that the store has now.
+//
+// What goes wrong with a single read: one answer holds a megabyte at most, and the
+// newest records of all keys come in pages that are no snapshot. A job behind that
+// would be taken for one that does not exist, and its caller told so.
+func (h *holding) readToEnd(ctx context.Context) error {
+	for {
+		more, err := h.read(ctx, 0)
+		if err != nil || !more {
+			return err
+		}
+	}
 }
 
 func (h *holding) load(ctx context.Context) error {
@@ -176,6 +195,15 @@
 	return found, h.changed
 }
 
+// missing logs that a job is not there, with what that was decided by.
+func (h *holding) missing(job, organisation string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_, known := h.state.Job(job)
+	_ = level.Info(h.logger).Log("event", "job_not_found", "job", job, "organisation", organisation,
+		"of_another", known, "jobs", len(h.state.Jobs()), "next", h.state.Next())
+}
+
 // snapshot is a job as it was at one moment. Results that are listed never
 // change, so that they may be shared.
 type snapshot struct {
--- a/internal/coordination/batchjobs/holding_test.go
+++ b/internal/coordination/batchjobs/holding_test.go
@@ -166,3 +166,24 @@
 }
 
 func pass(d time.Duration) { <-time.After(d) }
+
+// An instance has not looked at a partition for a while, and what came since then is
+// more than one answer of the store holds. A caller asks it for a job that stands at
+// the end: it was accepted, and must not be said not to exist.
+func TestFreshReadGoesOnToTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlace(t, 2)
+		d := NewDesk(p.opts, &Keeper{opts: p.opts, held: map[int]*held{}}, nil)
+		require.Equal(t, Done, d.resultsHere(t.Context(), ResultsCall{Job: jobID, Organisation: "o"}).Verdict)
+		p.store.MostRead = 3
+		for n := range 10 {
+			job := &jobs.Job{ID: fmt.Sprint("later-", n), Organisation: "o", Submitted: time.Now(), Items: []jobs.Item{{ID: "i", Path: "/"}}}
+			records, err := jobs.EncodeJob(job, p.opts.RecordBytes)
+			require.NoError(t, err)
+			_, err = p.store.Append(t.Context(), p.at, records, external.AnyEnd)
+			require.NoError(t, err)
+		}
+		require.Equal(t, Done, d.resultsHere(t.Context(), ResultsCall{Job: "later-9", Organisation: "o"}).Verdict)
+		require.Equal(t, Missing, d.resultsHere(t.Context(), ResultsCall{Job: "never", Organisation: "o"}).Verdict)
+	})
+}
--- a/internal/coordination/batchjobs/listing.go
+++ b/internal/coordination/batchjobs/listing.go
@@ -82,11 +82,11 @@
 	case errors.As(err, &moved):
 		listConflicts.Inc()
 		_ = level.Info(h.logger).Log("event", "results_append_moved", "expected", b.next, "end", moved.End)
-		return true, h.read(ctx, 0)
+		return true, h.readToEnd(ctx)
 	case errors.Is(err, external.ErrUnavailable):
 		// It may have been done, or be done later. Reading shows the first;
 		// the condition prevents the second once anything else is appended.
-		return true, errors.Join(err, h.read(ctx, 0))
+		return true, errors.Join(err, h.readToEnd(ctx))
 	case err != nil:
 		return true, err
 	}
--- a/internal/standin/sharedstore/direct.go
+++ b/internal/standin/sharedstore/direct.go
@@ -13,6 +13,8 @@
 	Store *Store
 	// Before, if set, is called before each append and may make it fail.
 	Before func(records []external.KeyedRecord) error
+	// MostRead bounds the records of one read, if it is above 0.
+	MostRead int
 }
 
 // Append implements external.KeyedLog.
@@ -48,6 +50,10 @@
 		changed := p.changed
 		if from >= p.first {
 			for i, record := range p.records[min(from-p.first, int64(len(p.records))):] {
+				if d.MostRead > 0 && i == d.MostRead {
+					page.Next = from + int64(i)
+					break
+				}
 				page.Records = append(page.Records, external.KeyedRecord{
 					Key: string(record[1 : 1+int(record[0])]), Value: record[1+int(record[0]):], Offset: from + int64(i),
 				})
--- a/internal/standin/sharedstore/door.go
+++ b/internal/standin/sharedstore/door.go
@@ -166,6 +166,10 @@
 	topic, number := named(r)
 	from, _ := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	most := 1024
+	if n, err := strconv.Atoi(r.URL.Query().Get("max_kb")); err == nil {
+		most = n
+	}
 	deadline := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer deadline.Stop()
 	for over := wait == 0; ; {
@@ -184,7 +188,7 @@
 			answer(w, http.StatusGone, map[string]int64{"first": first})
 			return
 		case len(records) > 0 || over:
-			_, _ = w.Write(joinRecords(end, first, records))
+			_, _ = w.Write(joinRecords(end, first, atMost(records, most<<10)))
 			return
 		}
 		select {
@@ -197,6 +201,17 @@
 	}
 }
 
+// atMost gives the first records up to a size, one at least.
+func atMost(records [][]byte, size int) [][]byte {
+	for i, record := range records {
+		size -= len(record)
+		if size < 0 && i > 0 {
+			return records[:i]
+		}
+	}
+	return records
+}
+
 func (s *Store) newestCall(r *http.Request) (status int, reply any) {
 	topic, number := named(r)
 	s.mu.Lock()
