Failures of an item are known to its next holder

Ten answers of 500 came before one holder had seen three. Ruled out: items that are tried by two holders at once; the count of 422s, which end an item at once. Change: the count goes with what is handed over and with what is kept in the store, over all chains; a failure is kept at once and not a second later.

--- a/internal/coordination/batchjobs/handover.go
+++ b/internal/coordination/batchjobs/handover.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+
+	"merlintiller/internal/protocol/exchange"
 )
 
 const (
@@ -23,6 +25,8 @@
 	Position int
 	// Worked is the time that runs have taken so far.
 	Worked time.Duration
+	// Failures are the runs that targets ended as failed.
+	Failures int
 }
 
 // FinishCall tells the holder of a partition that an item was done elsewhere.
@@ -92,12 +96,23 @@
 func (t *task) part() Part {
 	return Part{
 		Job: t.id.job, Item: t.id.item, Text: t.text.String(),
-		Events: t.events, Position: t.position, Worked: t.worked,
+		Events: t.events, Position: t.position, Worked: t.worked, Failures: t.failures,
 	}
 }
 
-// adopt goes on from what another instance has of the output, if that is more.
+// adopt goes on from what another instance has of the output, if that is more, and
+// counts the failures that it saw.
+//
+// What goes wrong without the failures: partitions are dealt anew again and again, as
+// in a rolling stop. Each new holder would try an item that always fails as often as
+// its route allows, and the item would be at targets for as long as that goes on.
 func (t *task) adopt(p Part, ok bool) {
+	if ok && p.Failures > t.failures {
+		t.failures = p.Failures
+		t.output.failed(t.failures)
+		t.text.Reset()
+		t.events, t.position, t.worked = 0, exchange.FromStart, 0
+	}
 	if !ok || p.Events <= t.events {
 		return
 	}
--- a/internal/coordination/batchjobs/holding.go
+++ b/internal/coordination/batchjobs/holding.go
@@ -48,6 +48,8 @@
 	parts  map[itemID]Part
 	// pieces gives what came out of items that run here since it was kept last.
 	pieces func(*holding) []unkept
+	// keepNow asks for keeping what came out at once.
+	keepNow chan struct{}
 	// finished are results that are still to be listed.
 	finished []finished
 	wake     chan struct{}
@@ -66,6 +68,7 @@
 		state:   jobs.NewPartition(),
 		changed: make(chan struct{}),
 		wake:    make(chan struct{}, 1),
+		keepNow: make(chan struct{}, 1),
 		held:    time.Now(),
 		parts:   map[itemID]Part{},
 	}
--- a/internal/coordination/batchjobs/progress.go
+++ b/internal/coordination/batchjobs/progress.go
@@ -38,6 +38,8 @@
 	text          strings.Builder
 	// events counts the events in text, position is the last of them.
 	events, position int
+	// failures are the failed runs, told are those of them that are kept.
+	failures, told int
 }
 
 // begin begins a new chain: the item starts anew, or goes on from output that is
@@ -47,7 +49,15 @@
 	defer o.mu.Unlock()
 	o.chain, o.number, o.after = time.Now().UnixNano(), 0, exchange.FromStart
 	o.text.Reset()
-	o.events = 0
+	o.events, o.position = 0, exchange.FromStart
+}
+
+// failed begins anew after a run that failed, and counts it.
+func (o *output) failed(failures int) {
+	o.begin()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.failures = failures
 }
 
 // follow goes on with a chain of which some is kept.
@@ -55,6 +65,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.chain, o.number, o.after = p.Chain, p.Parts, p.Position
+	o.failures, o.told = p.Failures, p.Failures
 }
 
 // add adds events.
@@ -72,16 +83,22 @@
 	o.position = position
 }
 
-// piece gives what is there as a part, if it is worth one.
+// piece gives what is there as a part, if it is worth one: enough events, or a
+// failure that nobody else knows of.
 func (o *output) piece(place int) (jobs.Piece, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.events < keepEvents || o.position == exchange.FromStart {
+	enough := o.events >= keepEvents && o.position != exchange.FromStart
+	if !enough && o.failures == o.told {
 		return jobs.Piece{}, false
 	}
+	position := o.position
+	if o.events == 0 {
+		position = o.after
+	}
 	return jobs.Piece{
 		Item: place, Chain: o.chain, Number: o.number, After: o.after,
-		Events: o.events, Position: o.position, Text: o.text.String(),
+		Events: o.events, Position: position, Text: o.text.String(), Failures: o.failures,
 	}, true
 }
 
@@ -96,6 +113,7 @@
 	o.text.Reset()
 	o.text.WriteString(strings.TrimPrefix(rest, "\n"))
 	o.events -= p.Events
+	o.told = max(o.told, p.Failures)
 	o.number++
 	o.after = p.Position
 }
@@ -112,7 +130,7 @@
 		return
 	}
 	t.text.WriteString(p.Text)
-	t.events, t.position, t.worked = p.Events, p.Position, p.Worked
+	t.events, t.position, t.worked, t.failures = p.Events, p.Position, p.Worked, p.Failures
 	t.output.follow(p)
 	resumed.Inc()
 }
@@ -148,6 +166,7 @@
 	for {
 		select {
 		case <-ticker.C:
+		case <-h.keepNow:
 		case <-ctx.Done():
 			return
 		}
@@ -160,6 +179,15 @@
 	}
 }
 
+// keepSoon has the output of running items kept now, as after a failure: an instance
+// that is killed again and again would never come to count it.
+func (h *holding) keepSoon() {
+	select {
+	case h.keepNow <- struct{}{}:
+	default:
+	}
+}
+
 // keepOnce writes what came since the last time. A part whose append was not
 // answered is written again with what came meanwhile, under the same key.
 func (h *holding) keepOnce(ctx context.Context) error {
--- a/internal/coordination/batchjobs/runner.go
+++ b/internal/coordination/batchjobs/runner.go
@@ -206,7 +206,7 @@
 // forgets the task. It needs the lock.
 func (r *Runner) handBack(t *task) {
 	r.forget(t)
-	if t.events > 0 {
+	if t.events > 0 || t.failures > 0 {
 		r.handing.Add(1)
 		go r.deliverPart(t.part())
 	}
--- a/internal/coordination/batchjobs/task.go
+++ b/internal/coordination/batchjobs/task.go
@@ -145,7 +145,6 @@
 	case left:
 		r.requeue(t, yieldPause)
 	case failedRun:
-		t.failures++
 		t.restart()
 		r.requeue(t, failPause<<min(t.failures, 4))
 	case broken:
@@ -161,14 +160,17 @@
 	t.worked += d
 }
 
-// restart forgets the output of a run that failed.
+// restart counts a run that failed and forgets its output.
 func (t *task) restart() {
 	t.text.Reset()
-	t.events, t.position = 0, exchange.FromStart
-	t.output.begin()
 	t.runner.mu.Lock()
 	defer t.runner.mu.Unlock()
-	t.worked = 0
+	t.failures++
+	t.events, t.position, t.worked = 0, exchange.FromStart, 0
+	t.output.failed(t.failures)
+	if t.home != nil {
+		t.home.keepSoon()
+	}
 }
 
 func (t *task) exchange(ctx context.Context, choice placement.Choice, stall *time.Timer) (ending, placement.Result, error) {
--- a/internal/daemon/routed/jobs_test.go
+++ b/internal/daemon/routed/jobs_test.go
@@ -255,3 +255,45 @@
 		require.Less(t, time.Since(began), 7*time.Second, "5 s of work, of which 3.5 were done")
 	})
 }
+
+// Instances are stopped and started in turn, so that partitions are dealt anew again
+// and again, or all are killed. An item that fails at every target must not be tried
+// from the beginning by each new holder.
+func TestFailuresOfAnItemAreKnownToItsNextHolder(t *testing.T) {
+	for name, disturb := range map[string]func(*world){
+		"dealt anew": func(w *world) { w.store.Redeal() },
+		"killed": func(w *world) {
+			for _, n := range w.nodes {
+				n.kill()
+			}
+			for _, n := range w.nodes {
+				n.start()
+			}
+			w.awaitReady()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				failing := itemOf("job", 0)
+				w := newWorld(t, size{domains: 1, nodes: 3, targets: 2, target: engine.Options{
+					Slots: 8, Queue: 24, Step: 20 * time.Millisecond,
+					Misbehave: func(id string) engine.Fault {
+						if id == failing {
+							return engine.Fault{Status: http.StatusInternalServerError}
+						}
+						return engine.Fault{}
+					},
+				}})
+				require.Equal(t, http.StatusAccepted, w.nodes[0].send(jobOf("job", 1, 10)).status)
+				for range 8 {
+					pass(700 * time.Millisecond)
+					disturb(w)
+				}
+				got := w.nodes[1].allResults("job", 10*time.Second)
+				require.Len(t, got.Results, 1)
+				require.Equal(t, "dead_letter", got.Results[0].State)
+				require.LessOrEqual(t, len(w.runs(failing)), 2*3)
+			})
+		})
+	}
+}
--- a/internal/state/jobs/partition_test.go
+++ b/internal/state/jobs/partition_test.go
@@ -142,3 +142,15 @@
 	}
 	require.Contains(t, named, record.Key)
 }
+
+// An item that always fails goes from holder to holder. Each must know how often it
+// failed before, also after it began anew.
+func TestFailuresOutliveChains(t *testing.T) {
+	failed := Piece{Chain: 8, After: -1, Position: -1, Failures: 2}
+	got, ok := withPieces(t, Piece{Chain: 7, After: -1, Events: 2, Position: 1, Text: "a\nb", Failures: 1}, failed).Progress(0)
+	require.True(t, ok)
+	require.Equal(t, Progress{Chain: 8, Parts: 1, Position: -1, Failures: 2}, got)
+	next := Piece{Chain: 8, Number: 1, After: -1, Events: 1, Position: 0, Text: "z", Failures: 2}
+	got, _ = withPieces(t, failed, next).Progress(0)
+	require.Equal(t, Progress{Chain: 8, Parts: 2, Events: 1, Position: 0, Text: "z", Failures: 2}, got)
+}
--- a/internal/state/jobs/progress.go
+++ b/internal/state/jobs/progress.go
@@ -26,6 +26,8 @@
 	Text             string
 	// Worked is the time that runs have taken for them.
 	Worked time.Duration
+	// Failures are the runs that targets ended as failed, over all chains.
+	Failures int
 }
 
 // Piece is a part on its way into the log.
@@ -38,6 +40,7 @@
 	Events, Position int
 	Text             string
 	Worked           time.Duration
+	Failures         int
 }
 
 // piece is the record of a part.
@@ -48,7 +51,8 @@
 	Events   int    `cbor:"4,keyasint"`
 	Text     string `cbor:"5,keyasint"`
 	// Worked is in milliseconds.
-	Worked int64 `cbor:"6,keyasint"`
+	Worked   int64 `cbor:"6,keyasint"`
+	Failures int   `cbor:"7,keyasint,omitempty"`
 }
 
 // EncodePiece gives the record of a part. A part that does not fit into a record is
@@ -59,6 +63,7 @@
 	}
 	value, err := cbor.Marshal(piece{
 		Chain: p.Chain, After: p.After, Position: p.Position, Events: p.Events, Text: p.Text, Worked: p.Worked.Milliseconds(),
+		Failures: p.Failures,
 	})
 	if err != nil {
 		return external.KeyedRecord{}, trace.Wrap(err)
@@ -123,13 +128,14 @@
 }
 
 func (k *kept) add(number int, record piece) {
+	k.Failures = max(k.Failures, record.Failures)
 	switch {
 	case number == 0 && record.After == exchange.FromStart:
-		k.Progress = Progress{Chain: record.Chain}
+		k.Progress = Progress{Chain: record.Chain, Failures: k.Failures}
 	case k.Parts == 0 || record.Chain != k.Chain || number != k.Parts || record.After != k.Position:
 		return
 	}
-	if k.Parts > 0 {
+	if k.Events > 0 {
 		k.Text = strings.Join([]string{k.Text, record.Text}, "\n")
 	} else {
 		k.Text = record.Text
