A target whose entry went is left within its two seconds

Cause: an instance cut from the store for seconds takes an entry that is missing at the return for one that the outage swallowed, and uses its target for a grace. The grace was as long as the bound on leaving targets (2 s), was counted from when the return was noticed, and its end was seen only at the next read of the list, up to 1 s later. A target that was taken out at the return without saying that it leaves got a request after 2085 ms (bound 2000).

Ruled out: a list read late (the watch retried 0.8 s after the return), a list of a peer (its own list has the newer mark), a placed request that waited.

Change: the grace is 1.5 s, and a timer tells of its end.

--- a/internal/coordination/fleetview/view.go
+++ b/internal/coordination/fleetview/view.go
@@ -15,9 +15,13 @@
 )
 
 const (
-	// lapseGrace is how long targets are used whose entries vanished while the
-	// store was away. Entries of living targets are back within two seconds.
-	lapseGrace = 2 * time.Second
+	// lapseGrace is how long after the store's return targets are used whose
+	// entries vanished. Living targets register about once a second and are back
+	// within two; a target that left at the return wants no request two seconds
+	// after its entry went. The return is noticed up to a retry later, and a
+	// request that is placed takes a few milliseconds to arrive: half a second
+	// is left for both.
+	lapseGrace = 1500 * time.Millisecond
 	// outageMemory is how long after the store's return entries may still
 	// vanish because of its absence.
 	outageMemory = time.Second
@@ -69,6 +73,8 @@
 	// after an outage.
 	answered, back time.Time
 	changed        chan struct{}
+	// graceEnd runs when the next target without an entry is to be left.
+	graceEnd *time.Timer
 }
 
 // New returns a view that knows nothing.
@@ -222,9 +228,25 @@
 	}
 }
 
-// tellTargets needs the lock.
+// tellTargets needs the lock. It tells again when a target without an entry is
+// no longer to be used: the next read of the list may come a second later.
 func (v *View) tellTargets() {
-	v.opts.OnTargets(v.roster.Usable(time.Now()))
+	now := time.Now()
+	v.opts.OnTargets(v.roster.Usable(now))
+	if v.graceEnd != nil {
+		v.graceEnd.Stop()
+		v.graceEnd = nil
+	}
+	if end := v.roster.NextEnd(); !end.IsZero() {
+		v.graceEnd = time.AfterFunc(end.Sub(now), v.endGrace)
+	}
+}
+
+// endGrace tells of the targets whose time without an entry is over.
+func (v *View) endGrace() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.tellTargets()
 }
 
 // replaceTargets takes over the list as the store gave it.
--- /dev/null
+++ b/internal/coordination/fleetview/view_test.go
@@ -0,0 +1,164 @@
+package fleetview
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/external"
+	"merlintiller/internal/state/roster"
+	"merlintiller/internal/state/route"
+)
+
+const (
+	// leaveBound is how long after its entry went a target may get requests.
+	leaveBound = 2 * time.Second
+	// toArrive is the most that a placed request takes to its target here.
+	toArrive = 100 * time.Millisecond
+)
+
+var errAway = errors.New("store away")
+
+// listLog is a store that holds one list of targets and can be away. Only the
+// watch's duty and the test use it, never at once: synctest orders them.
+type listLog struct {
+	away    bool
+	records []external.KeyedRecord
+	changes []external.KeyedRecord
+}
+
+func (l *listLog) Append(context.Context, external.Partition, []external.KeyedRecord, int64) (int64, error) {
+	return 0, errAway
+}
+
+func (l *listLog) Newest(context.Context, external.Partition) (external.KeyedPage, error) {
+	if l.away {
+		return external.KeyedPage{}, errAway
+	}
+	return external.KeyedPage{Records: slices.Clone(l.records), End: l.end(), Next: l.end()}, nil
+}
+
+func (l *listLog) Read(ctx context.Context, _ external.Partition, from int64, wait time.Duration) (external.KeyedPage, error) {
+	if err := ctx.Err(); err != nil {
+		return external.KeyedPage{}, err
+	}
+	if l.away {
+		return external.KeyedPage{}, errAway
+	}
+	if from >= l.end() {
+		sleep(ctx, wait)
+		return external.KeyedPage{Next: from, End: l.end()}, nil
+	}
+	return external.KeyedPage{Records: slices.Clone(l.changes[from:]), Next: l.end(), End: l.end()}, nil
+}
+
+func (l *listLog) end() int64 { return int64(len(l.changes)) }
+
+func (l *listLog) list(id string) {
+	record := external.KeyedRecord{Key: id, Value: []byte(id), Offset: l.end()}
+	l.changes = append(l.changes, record)
+	l.records = append(l.records, record)
+}
+
+func (l *listLog) drop(id string) {
+	l.changes = append(l.changes, external.KeyedRecord{Key: id, Offset: l.end()})
+	l.records = slices.DeleteFunc(l.records, func(r external.KeyedRecord) bool { return r.Key == id })
+}
+
+// viewing is a view of a listLog, and what it last said of the targets.
+type viewing struct {
+	view   *View
+	usable []string
+}
+
+func viewOf(l *listLog) *viewing {
+	out := &viewing{}
+	out.view = New(Options{
+		Log: l, Logger: log.NewNopLogger(),
+		Decoders: Decoders{Target: func(id string, _ []byte) (roster.Target, error) { return roster.Target{ID: id}, nil }},
+		OnConfig: func(*route.Table) {},
+		OnTargets: func(targets []roster.Target) {
+			out.usable = nil
+			for _, t := range targets {
+				out.usable = append(out.usable, t.ID)
+			}
+		},
+	})
+	return out
+}
+
+// watchTargets runs the watch of the targets until ctx ends.
+func (v *viewing) watchTargets(ctx context.Context) {
+	for _, duty := range v.view.Duties() {
+		if w := duty.(*watch); w.name == "targets" {
+			go func() { _ = w.Serve(ctx) }()
+		}
+	}
+}
+
+// A store's link to one instance is cut for seconds. At its end a target is
+// taken out of the list without having said that it leaves. The instance notes
+// the return a little later, and must not take the missing entry for one that
+// the outage swallowed for longer than the target still serves; a caller's
+// request would reach a target that is gone.
+func TestTargetThatGoesAtTheStoresReturnIsLeftInTime(t *testing.T) {
+	for _, noticed := range []time.Duration{0, 80 * time.Millisecond, 300 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			store := &listLog{}
+			store.list("stays")
+			store.list("goes")
+			v := viewOf(store)
+			v.watchTargets(t.Context())
+			time.Sleep(time.Second)
+			synctest.Wait()
+			require.Equal(t, []string{"goes", "stays"}, v.usable)
+
+			store.away = true
+			time.Sleep(7 * time.Second)
+			store.away = false
+			store.drop("goes")
+			time.Sleep(noticed)
+			v.view.StoreAnswered()
+
+			time.Sleep(leaveBound - toArrive - noticed)
+			synctest.Wait()
+			require.Equal(t, []string{"stays"}, v.usable, "return noticed after %s", noticed)
+		})
+	}
+}
+
+// The store is away for longer than entries of targets last. On its return the
+// list is empty for a moment although every target serves; callers must not be
+// refused meanwhile.
+func TestTargetsWhoseEntriesTheOutageSwallowedAreUsedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &listLog{}
+		store.list("a")
+		store.list("b")
+		v := viewOf(store)
+		v.watchTargets(t.Context())
+		time.Sleep(time.Second)
+
+		store.away = true
+		time.Sleep(20 * time.Second)
+		store.drop("a")
+		store.drop("b")
+		store.away = false
+		v.view.StoreAnswered()
+		for range 13 {
+			time.Sleep(100 * time.Millisecond)
+			synctest.Wait()
+			require.Equal(t, []string{"a", "b"}, v.usable)
+		}
+		store.list("b")
+		time.Sleep(leaveBound)
+		synctest.Wait()
+		require.Equal(t, []string{"b"}, v.usable)
+	})
+}
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -130,6 +130,17 @@
 	return out
 }
 
+// NextEnd is when the next target that is used without an entry stops being
+// used, zero if there is none. Usable gives another list from then on.
+func (r *Roster) NextEnd() (end time.Time) {
+	for _, l := range r.lapsed {
+		if end.IsZero() || l.until.Before(end) {
+			end = l.until
+		}
+	}
+	return end
+}
+
 // All gives the listed targets, by id.
 func (r *Roster) All() []Target {
 	return slices.SortedFunc(maps.Values(r.targets), byID)
