A result that comes before its partition is listed

Cause: a partition is dealt to another instance while its last item ends at the one that held it. The result reaches the new holder (16.359 s) before the store has given it the partition (16.488 s). The listing wakes, finds nothing loaded and waits for the next result, which never comes; meanwhile the item counts as done, so that it is not run again either.

Ruled out: a claim that never ends, a stale look at the open items, a slot seeker that blocks: the log shows item_handed_over, then no results_listed.

Change: loading a partition wakes the listing.

--- a/internal/coordination/batchjobs/holding.go
+++ b/internal/coordination/batchjobs/holding.go
@@ -140,6 +140,12 @@
 	}
 }
 
+// load takes over the partition as it is, and has results listed that came before.
+//
+// What goes wrong without the second: a partition moves while one of its items ends
+// elsewhere. The result reaches the new holder before the store has given it the
+// partition, when there is no job to list it in. Nothing else asks for listing it,
+// and the item counts as done here: it is neither listed nor run again.
 func (h *holding) load(ctx context.Context) error {
 	page, err := h.opts.Log.Newest(ctx, h.partition)
 	if err != nil {
@@ -159,6 +165,7 @@
 	h.loaded = true
 	_ = level.Info(h.logger).Log("event", "jobs_loaded", "jobs", len(state.Jobs()), "next", state.Next())
 	h.tell()
+	h.wakeListing()
 	return nil
 }
 
@@ -265,10 +272,7 @@
 		h.finished = append(h.finished, f)
 	}
 	h.mu.Unlock()
-	select {
-	case h.wake <- struct{}{}:
-	default:
-	}
+	h.wakeListing()
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/coordination/batchjobs/holding_test.go
+++ b/internal/coordination/batchjobs/holding_test.go
@@ -1,6 +1,7 @@
 package batchjobs
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -165,6 +166,35 @@
 	})
 }
 
+// slowStart is a store that takes a while to give a whole partition.
+type slowStart struct {
+	*sharedstore.Direct
+	takes time.Duration
+}
+
+// Newest implements external.KeyedLog.
+func (s slowStart) Newest(ctx context.Context, at external.Partition) (external.KeyedPage, error) {
+	sleep(ctx, s.takes)
+	return s.Direct.Newest(ctx, at)
+}
+
+// A partition goes to another instance while the last item of a job ends at the one
+// that held it, and the store is slow. The result reaches the new holder before the
+// store has given it the job. The caller waits for that result until the end of the
+// job's time, though the item was done, and no target works on it.
+func TestResultThatComesBeforeItsPartitionIsListed(t *testing.T) {
+	for _, takes := range []time.Duration{0, listingPause / 2, time.Second, 20 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			p := newPlace(t, 1)
+			p.opts.Log = slowStart{Direct: p.store, takes: takes}
+			h := p.hold()
+			h.finish(done(0, "text"))
+			pass(takes + time.Second)
+			p.requireEachOnce(1)
+		})
+	}
+}
+
 func pass(d time.Duration) { <-time.After(d) }
 
 // An instance has not looked at a partition for a while, and what came since then is
--- a/internal/coordination/batchjobs/listing.go
+++ b/internal/coordination/batchjobs/listing.go
@@ -55,6 +55,14 @@
 	}
 }
 
+// wakeListing asks for results that wait to be listed now.
+func (h *holding) wakeListing() {
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
 // batch is what one append lists.
 type batch struct {
 	records []external.KeyedRecord
