Open items are looked at when they are taken in

Cause: each change of a partition is told in a goroutine of its own, which looked at the open items before it had the runner's lock. Of two changes close together the older look could be taken in last, and had the items forgotten that the newer one brought, until the next change of the partition.

Found by reading the path of a lost item; no play is known to have shown it.

Change: the look is made under the lock. TestItemsAreThoseOfTheMomentAtWhichTheyAreTakenIn fails without it.

--- a/internal/coordination/batchjobs/runner.go
+++ b/internal/coordination/batchjobs/runner.go
@@ -138,14 +138,16 @@
 	r.changed = make(chan struct{})
 }
 
-// refresh takes over which items of a partition are open.
+// refresh takes over which items of a partition are open. It looks while it has the
+// runner's lock: of two changes that come close together, the older look could be
+// taken in last, and would have the items forgotten that the newer one brought.
 func (r *Runner) refresh(h *holding) {
-	open, held := h.open()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if h.dropped {
 		return
 	}
+	open, held := h.open()
 	wanted := make(map[itemID]bool, len(open))
 	for i := range open {
 		o := &open[i]
--- a/internal/coordination/batchjobs/runner_test.go
+++ b/internal/coordination/batchjobs/runner_test.go
@@ -25,3 +25,25 @@
 		require.Empty(t, r.tasks)
 	})
 }
+
+// Two changes of a partition come close together, the second of them a job. The look
+// at the partition that the first one caused is taken in last, and is older than the
+// job. Its items would be forgotten, and no target would get them until the next
+// change of the partition, which may never come.
+func TestItemsAreThoseOfTheMomentAtWhichTheyAreTakenIn(t *testing.T) {
+	p := newPlace(t, 3)
+	r := NewRunner(p.opts)
+	h := newHolding(p.opts, p.at, nil)
+	r.mu.Lock()
+	over := make(chan struct{})
+	go func() {
+		defer close(over)
+		r.refresh(h)
+	}()
+	// Time for the goroutine to look too early, if it does so at all.
+	time.Sleep(20 * time.Millisecond)
+	require.NoError(t, h.load(t.Context()))
+	r.mu.Unlock()
+	<-over
+	require.Len(t, r.tasks, 3)
+}
