Broker: who gets which slot is a pure step of its own

Cause: the line of those who wait, the pause of items after one gave way and the book of slots were entwined with the goroutines, locks and channels of the broker, so that only a played network could try them. Ruled out: a change of behaviour. The order, the pause and the book are the same. Change: Allotter takes asks and the time and gives allotments; Broker is a thin shell with a channel for each who waits. Measured: tests of the package and of the daemon pass.

--- /dev/null
+++ b/internal/coordination/broker/allotter.go
@@ -0,0 +1,99 @@
+package broker
+
+import (
+	"time"
+
+	"merlintiller/internal/coordination/placement"
+	"merlintiller/internal/state/roster"
+)
+
+// calmAfter is how long after an item had to give way no further item gets a slot.
+//
+// The load it answers: at a peak a slot comes free every few milliseconds and is
+// wanted by an online request a few milliseconds later. Given to an item in
+// between, it is taken back before the item has read its prompt again, and the
+// item needs a new connection each time.
+const calmAfter = 80 * time.Millisecond
+
+// Allotter decides which request or item gets which slot of one failure domain. It
+// is pure: inputs and the time come in, allotments go out. It is not safe for
+// concurrent use.
+type Allotter struct {
+	*Book
+	lineup lineup
+	// calmAfter is the pause of items after one had to give way at yieldedAt.
+	calmAfter time.Duration
+	yieldedAt time.Time
+}
+
+// Allotment is a slot for one who waited.
+type Allotment struct {
+	Waiter *Waiter
+	Grant  Grant
+	// Yield is the hold of a batch item that must give its slot back for it, if
+	// Yields says that there is one.
+	Yield  Yield
+	Yields bool
+}
+
+// Yield names the hold that an instance is to give back.
+type Yield struct {
+	Instance string
+	Number   uint64
+}
+
+// NewAllotter returns an allotter of the targets that a core knows.
+func NewAllotter(core *placement.Core) *Allotter {
+	return &Allotter{Book: NewBook(core), calmAfter: calmAfter}
+}
+
+// Enter puts an ask into the line. Allot says what becomes of it.
+func (a *Allotter) Enter(now time.Time, ask *Ask) *Waiter {
+	w := &Waiter{
+		instance: ask.Instance, hold: Hold{Number: ask.Number, Due: ask.Due, Lasts: ask.Lasts}, want: ask.Want,
+		onTimeUntil: now.Add(ask.OnTimeIn), arrived: now.Add(-ask.Age),
+	}
+	a.Tell(now, ask.Told)
+	a.lineup.add(w)
+	return w
+}
+
+// Withdraw takes one who waits out of the line.
+func (a *Allotter) Withdraw(w *Waiter) { a.lineup.remove(w) }
+
+// Waiting counts those who wait.
+func (a *Allotter) Waiting() int { return a.lineup.len() }
+
+// Allot gives slots to those who wait, as far as there are any.
+func (a *Allotter) Allot(now time.Time) []Allotment {
+	if a.lineup.len() == 0 {
+		return nil
+	}
+	var out []Allotment
+	itemsWait := now.Sub(a.yieldedAt) < a.calmAfter
+	a.lineup.place(now, itemsWait, func(w *Waiter) bool {
+		grant, yields, ok := a.Place(now, w.instance, w.hold, w.want)
+		if !ok {
+			return false
+		}
+		allotment := Allotment{Waiter: w, Grant: grant}
+		if yields != nil {
+			a.yieldedAt = now
+			allotment.Yield, allotment.Yields = Yield{Instance: yields.instance, Number: yields.Number}, true
+		}
+		out = append(out, allotment)
+		return true
+	})
+	return out
+}
+
+// SetDomainTargets takes over those of the targets that are in a failure domain.
+func (a *Allotter) SetDomainTargets(domain string, list []roster.Target) {
+	var own []roster.Target
+	for _, t := range list {
+		if t.Domain == domain {
+			own = append(own, t)
+		}
+	}
+	a.SetTargets(own)
+}
--- a/internal/coordination/broker/broker.go
+++ b/internal/coordination/broker/broker.go
@@ -19,14 +19,6 @@
 	yielded = metrics.NewCounter(`broker_yields_total`)
 )
 
-// calmAfter is how long after an item had to give way no further item gets a slot.
-//
-// The load it answers: at a peak a slot comes free every few milliseconds and is
-// wanted by an online request a few milliseconds later. Given to an item in
-// between, it is taken back before the item has read its prompt again, and the
-// item needs a new connection each time.
-const calmAfter = 80 * time.Millisecond
-
 const (
 	// expireEvery is how often the holds of silent instances are looked for.
 	expireEvery = 500 * time.Millisecond
@@ -43,11 +35,10 @@
 	// the instance was reached.
 	yield func(instance string, number uint64) bool
 
-	mu     sync.Mutex
-	book   *Book
-	lineup lineup
-	// yieldedAt is when an item had to give way last.
-	yieldedAt time.Time
+	mu       sync.Mutex
+	allotter *Allotter
+	// placed takes the grant of each who waits, once.
+	placed map[*Waiter]chan Grant
 	// looking says that a look is due.
 	looking bool
 }
@@ -55,7 +46,7 @@
 // New returns a broker of a failure domain.
 func New(domain string, seed uint64, yield func(instance string, number uint64) bool) *Broker {
 	core := placement.New(placement.Options{Domain: domain, Random: rand.New(rand.NewPCG(seed, seed))})
-	return &Broker{domain: domain, yield: yield, book: NewBook(core)}
+	return &Broker{domain: domain, yield: yield, allotter: NewAllotter(core), placed: map[*Waiter]chan Grant{}}
 }
 
 // String names the duty.
@@ -71,14 +62,14 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		b.change(func(now time.Time) { b.book.Expire(now) })
+		b.change(func(now time.Time) { b.allotter.Expire(now) })
 	}
 }
 
 // lookAgain serves once more after a while, as long as anybody waits. It needs the
 // lock.
 func (b *Broker) lookAgain() {
-	if b.looking || b.lineup.len() == 0 {
+	if b.looking || b.allotter.Waiting() == 0 {
 		return
 	}
 	b.looking = true
@@ -92,28 +83,22 @@
 
 // SetTargets takes over the targets that may be used.
 func (b *Broker) SetTargets(list []roster.Target) {
-	var own []roster.Target
-	for _, t := range list {
-		if t.Domain == b.domain {
-			own = append(own, t)
-		}
-	}
-	b.change(func(time.Time) { b.book.SetTargets(own) })
+	b.change(func(time.Time) { b.allotter.SetDomainTargets(b.domain, list) })
 }
 
 // Gone drops the holds of an instance whose process is not there.
 func (b *Broker) Gone(instance string) {
-	b.change(func(time.Time) { b.book.Gone(instance) })
+	b.change(func(time.Time) { b.allotter.Gone(instance) })
 }
 
 // Silent notes that an instance is not heard.
 func (b *Broker) Silent(instance string) {
-	b.change(func(now time.Time) { b.book.Silent(now, instance) })
+	b.change(func(now time.Time) { b.allotter.Silent(now, instance) })
 }
 
 // Loaded takes in what a target of the domain says of its load.
 func (b *Broker) Loaded(id string, load exchange.Load) {
-	b.change(func(now time.Time) { b.book.Loaded(now, id, load) })
+	b.change(func(now time.Time) { b.allotter.Loaded(now, id, load) })
 }
 
 // change changes the book and serves those who wait.
@@ -127,35 +112,24 @@
 
 // serve gives slots to those who wait. It needs the lock.
 func (b *Broker) serve(now time.Time) {
-	if b.lineup.len() > 0 {
-		calm := now.Sub(b.yieldedAt) >= calmAfter
-		b.lineup.place(now, !calm, func(e *entry) (Grant, bool) { return b.give(now, e.instance, e.hold, e.want) })
+	for _, a := range b.allotter.Allot(now) {
+		b.placed[a.Waiter] <- a.Grant
+		if a.Waiter.want.Batch {
+			filled.Inc()
+		} else {
+			granted.Inc()
+		}
+		if a.Yields {
+			yielded.Inc()
+			go b.askToYield(a.Yield)
+		}
 	}
 	b.lookAgain()
 }
 
-// give gives one slot. It needs the lock.
-func (b *Broker) give(now time.Time, instance string, h Hold, want placement.Want) (Grant, bool) {
-	grant, yields, ok := b.book.Place(now, instance, h, want)
-	if !ok {
-		return Grant{}, false
-	}
-	if want.Batch {
-		filled.Inc()
-	} else {
-		granted.Inc()
-	}
-	if yields != nil {
-		yielded.Inc()
-		b.yieldedAt = now
-		go b.askToYield(yields.instance, yields.Number)
-	}
-	return grant, true
-}
-
-func (b *Broker) askToYield(instance string, number uint64) {
-	if !b.yield(instance, number) {
-		b.change(func(now time.Time) { b.book.NotYielded(now, instance, number) })
+func (b *Broker) askToYield(y Yield) {
+	if !b.yield(y.Instance, y.Number) {
+		b.change(func(now time.Time) { b.allotter.NotYielded(now, y.Instance, y.Number) })
 	}
 }
 
@@ -163,54 +137,62 @@
 // as long as it wants.
 func (b *Broker) Place(ctx context.Context, ask *Ask) Reply {
 	now := time.Now()
-	e := &entry{
-		instance: ask.Instance, hold: Hold{Number: ask.Number, Due: ask.Due, Lasts: ask.Lasts}, want: ask.Want,
-		onTimeUntil: now.Add(ask.OnTimeIn), arrived: now.Add(-ask.Age), placed: make(chan Grant, 1),
-	}
+	placed := make(chan Grant, 1)
 	b.mu.Lock()
-	b.book.Tell(now, ask.Told)
-	b.lineup.add(e)
+	w := b.allotter.Enter(now, ask)
+	b.placed[w] = placed
 	b.serve(now)
 	b.mu.Unlock()
 	reply := Reply{}
-	reply.Grant, reply.Granted = b.await(ctx, e, ask.Wait)
+	reply.Grant, reply.Granted = b.await(ctx, w, placed, ask.Wait)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	reply.Free = b.book.Free(time.Now())
+	reply.Free = b.allotter.Free(time.Now())
 	return reply
 }
 
-func (b *Broker) await(ctx context.Context, e *entry, wait time.Duration) (Grant, bool) {
+// await waits for a grant, for a while at most.
+func (b *Broker) await(ctx context.Context, w *Waiter, placed <-chan Grant, wait time.Duration) (Grant, bool) {
+	grant, granted := receive(ctx, placed, wait)
+	b.forget(w)
+	if granted {
+		return grant, true
+	}
+	// It may have come at the moment at which the wait ended.
+	return receive(ctx, placed, 0)
+}
+
+func receive(ctx context.Context, placed <-chan Grant, wait time.Duration) (Grant, bool) {
 	select {
-	case grant := <-e.placed:
+	case grant := <-placed:
 		return grant, true
 	default:
 	}
-	if wait > 0 {
-		timer := time.NewTimer(wait)
-		defer timer.Stop()
-		select {
-		case grant := <-e.placed:
-			return grant, true
-		case <-timer.C:
-		case <-ctx.Done():
-		}
+	if wait <= 0 {
+		return Grant{}, false
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.lineup.remove(e)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
 	select {
-	case grant := <-e.placed:
-		// It came at the same moment.
+	case grant := <-placed:
 		return grant, true
-	default:
-		return Grant{}, false
+	case <-timer.C:
+	case <-ctx.Done():
 	}
+	return Grant{}, false
+}
+
+// forget takes one out of the line who got a slot or waits no more.
+func (b *Broker) forget(w *Waiter) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.allotter.Withdraw(w)
+	delete(b.placed, w)
 }
 
 // Tell takes over what an instance holds.
 func (b *Broker) Tell(told *Told) {
-	b.change(func(now time.Time) { b.book.Tell(now, *told) })
+	b.change(func(now time.Time) { b.allotter.Tell(now, *told) })
 }
 
 // Receiver is the net/rpc receiver, registered under ReceiverName.
--- a/internal/coordination/broker/lineup.go
+++ b/internal/coordination/broker/lineup.go
@@ -8,16 +8,14 @@
 	"merlintiller/internal/coordination/placement"
 )
 
-// entry is a request that waits for a slot.
-type entry struct {
+// Waiter is a request or a batch item that waits for a slot.
+type Waiter struct {
 	instance string
 	hold     Hold
 	want     placement.Want
 	// onTimeUntil is when it must be sent for its answer to be on time, arrived
 	// when it came to the instance that asks.
 	onTimeUntil, arrived time.Time
-	// placed gets the grant, once.
-	placed chan Grant
 }
 
 // lineup is the requests and batch items that wait at a broker.
@@ -34,69 +32,66 @@
 // of the fleet stand in one line, or an item that is due soon would wait at one
 // instance while another one begins items that have a lot of time.
 type lineup struct {
-	entries []*entry
+	waiters []*Waiter
 }
 
-func (l *lineup) add(e *entry) { l.entries = append(l.entries, e) }
+func (l *lineup) add(w *Waiter) { l.waiters = append(l.waiters, w) }
 
-func (l *lineup) remove(e *entry) {
-	l.entries = slices.DeleteFunc(l.entries, func(other *entry) bool { return other == e })
+func (l *lineup) remove(w *Waiter) {
+	l.waiters = slices.DeleteFunc(l.waiters, func(other *Waiter) bool { return other == w })
 }
 
-func (l *lineup) len() int { return len(l.entries) }
+func (l *lineup) len() int { return len(l.waiters) }
 
 // rank tells the four parts of the line apart.
-func (e *entry) rank(now time.Time) int {
+func (w *Waiter) rank(now time.Time) int {
 	rank := 0
-	if e.want.Batch {
+	if w.want.Batch {
 		rank = 2
 	}
-	if now.After(e.onTimeUntil) {
+	if now.After(w.onTimeUntil) {
 		rank++
 	}
 	return rank
 }
 
-// key orders the entries of one part.
-func (e *entry) key(rank int) int64 {
+// key orders those of one part.
+func (w *Waiter) key(rank int) int64 {
 	switch {
-	case e.want.Batch:
-		return e.hold.Due
+	case w.want.Batch:
+		return w.hold.Due
 	case rank > 0:
-		return e.arrived.UnixNano()
+		return w.arrived.UnixNano()
 	default:
-		return e.onTimeUntil.UnixNano()
+		return w.onTimeUntil.UnixNano()
 	}
 }
 
-// order puts the entries into the order in which they are served.
-func (l *lineup) order(now time.Time) []*entry {
-	slices.SortStableFunc(l.entries, func(a, b *entry) int {
+// order puts those who wait into the order in which they are served.
+func (l *lineup) order(now time.Time) []*Waiter {
+	slices.SortStableFunc(l.waiters, func(a, b *Waiter) int {
 		rankA, rankB := a.rank(now), b.rank(now)
 		return cmp.Or(cmp.Compare(rankA, rankB), cmp.Compare(a.key(rankA), b.key(rankB)))
 	})
-	return l.entries
+	return l.waiters
 }
 
-// place gives slots to those who wait, as far as there are any. Items may have to
-// wait though slots are free.
-func (l *lineup) place(now time.Time, itemsWait bool, place func(*entry) (Grant, bool)) {
+// place has a slot sought for each who waits, in turn, until there is none. Items
+// may have to wait though slots are free.
+func (l *lineup) place(now time.Time, itemsWait bool, place func(*Waiter) bool) {
 	full := map[string]bool{}
-	kept := make([]*entry, 0, len(l.entries))
-	for _, e := range l.order(now) {
-		if full[e.want.Service] || e.want.Batch && itemsWait {
-			kept = append(kept, e)
+	kept := make([]*Waiter, 0, len(l.waiters))
+	for _, w := range l.order(now) {
+		if full[w.want.Service] || w.want.Batch && itemsWait {
+			kept = append(kept, w)
 			continue
 		}
-		grant, ok := place(e)
-		if !ok {
-			// One that has been to some targets finds no slot where another
-			// one may.
-			full[e.want.Service] = len(e.want.Exclude) == 0
-			kept = append(kept, e)
+		if place(w) {
 			continue
 		}
-		e.placed <- grant
+		// One that has been to some targets finds no slot where another one may.
+		full[w.want.Service] = len(w.want.Exclude) == 0
+		kept = append(kept, w)
 	}
-	l.entries = kept
+	l.waiters = kept
 }
