--- a/cmd/fleettest/main.go
+++ b/cmd/fleettest/main.go
@@ -13,12 +13,14 @@
 	"merlintiller/internal/harness/demo"
 	"merlintiller/internal/harness/matrix"
 	"merlintiller/internal/policybench"
+	"merlintiller/internal/policybench/slots"
 )
 
 type cli struct {
 	Demo   demoCmd   `cmd:"" help:"Run the demonstration."`
 	Bench  benchCmd  `cmd:"" help:"Take the measurements with processes."`
 	Policy policyCmd `cmd:"" help:"Take the measurements of the policies in virtual time."`
+	Slots  slotsCmd  `cmd:"" help:"Compare ways of dividing the slots of targets, in virtual time."`
 	Matrix matrixCmd "cmd:\"\" help:\"Sum up the fault matrix from the events of `go test -json`, read from the standard input.\""
 }
 
@@ -57,6 +59,16 @@
 	return nil
 }
 
+type slotsCmd struct {
+	Days int `default:"40" help:"Days of each kind, each with a seed of its own."`
+}
+
+// Run plays the days.
+func (c *slotsCmd) Run() error {
+	slots.Run(os.Stdout, c.Days)
+	return nil
+}
+
 type matrixCmd struct{}
 
 // Run fails if a cell is red or a test of the matrix failed unseen.
--- a/internal/policybench/batchside.go
+++ b/internal/policybench/batchside.go
@@ -13,14 +13,14 @@
 func (s *servingSim) notices() {
 	for i, n := range s.nodes {
 		from := s.user.instance(i)
-		notices := n.headroom.Notices(s.clock.now, s.feeders, from)
+		notices := n.headroom.Notices(s.clock.Now(), s.feeders, from)
 		for _, feeder := range slices.Sorted(maps.Keys(notices)) {
 			counts := notices[feeder]
-			s.clock.after(noticeHop, func() {
+			s.clock.After(noticeHop, func() {
 				for j, other := range s.nodes {
 					if s.user.instance(j) == feeder {
-						s.revoke(j, other.headroom.Noticed(s.clock.now, from, counts))
-						n.headroom.Told(s.clock.now, other.headroom.Placed(counts))
+						s.revoke(j, other.headroom.Noticed(s.clock.Now(), from, counts))
+						n.headroom.Told(s.clock.Now(), other.headroom.Placed(counts))
 					}
 				}
 			})
@@ -31,7 +31,7 @@
 // windows lets every feeder look at its targets and place what fits.
 func (s *servingSim) windows() {
 	for i, n := range s.nodes {
-		s.revoke(i, n.headroom.Observe(s.clock.now, s.fed(i)))
+		s.revoke(i, n.headroom.Observe(s.clock.Now(), s.fed(i)))
 		s.place(i)
 	}
 }
@@ -49,18 +49,18 @@
 	}
 	n := s.nodes[i]
 	for {
-		id, target, ok := n.headroom.Place(s.clock.now, s.user.service)
+		id, target, ok := n.headroom.Place(s.clock.Now(), s.user.service)
 		if !ok {
 			return
 		}
 		key := s.key(i, id)
-		n.router.BatchStarted(s.clock.now, target.ID)
+		n.router.BatchStarted(s.clock.Now(), target.ID)
 		item := &batchItem{engine: s.byID[target.ID], stream: s.nextItem()}
 		item.stream.ended = func(st *stream) {
 			delete(s.placed, key)
 			s.result.batchUseful += st.tokens
-			n.headroom.Release(s.clock.now, id)
-			n.router.BatchDone(s.clock.now, target.ID, coordination.CallResult{FirstByte: st.firstAt.Sub(st.arrived)})
+			n.headroom.Release(s.clock.Now(), id)
+			n.router.BatchDone(s.clock.Now(), target.ID, coordination.CallResult{FirstByte: st.firstAt.Sub(st.arrived)})
 			s.place(i)
 		}
 		s.placed[key] = item
@@ -76,11 +76,11 @@
 // nextItem resumes a revoked item, or begins a new one.
 func (s *servingSim) nextItem() *stream {
 	if len(s.partial) == 0 {
-		return &stream{arrived: s.clock.now, prefill: batchPrefill, tokens: batchTokens}
+		return &stream{arrived: s.clock.Now(), prefill: batchPrefill, tokens: batchTokens}
 	}
 	st := s.partial[0]
 	s.partial = s.partial[1:]
-	st.arrived = s.clock.now
+	st.arrived = s.clock.Now()
 	st.prefill = batchPrefill + time.Duration(st.made)*resumePrefill
 	return st
 }
@@ -92,7 +92,7 @@
 		item := s.placed[key]
 		delete(s.placed, key)
 		item.engine.remove(item.stream)
-		s.nodes[node].router.BatchDone(s.clock.now, item.engine.id, coordination.CallResult{})
+		s.nodes[node].router.BatchDone(s.clock.Now(), item.engine.id, coordination.CallResult{})
 		s.waste(item.stream)
 	}
 }
--- a/internal/policybench/bench_test.go
+++ b/internal/policybench/bench_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"merlintiller/internal/coordination/headroom"
+	"merlintiller/internal/policybench/virtual"
 )
 
 func shortRates() rateRun {
@@ -38,7 +39,7 @@
 	bucket := newExactBucket(users()[0].organisation(0))
 	excess := 0.0
 	for range 1000 {
-		excess += bucket.above(start)
+		excess += bucket.above(virtual.Start)
 	}
 	require.Greater(t, excess, 500.0)
 }
--- a/internal/policybench/cost.go
+++ b/internal/policybench/cost.go
@@ -13,6 +13,7 @@
 	"merlintiller/internal/coordination/limiter"
 	"merlintiller/internal/coordination/routing"
 	"merlintiller/internal/external"
+	"merlintiller/internal/policybench/virtual"
 	"merlintiller/internal/protocol"
 )
 
@@ -68,10 +69,10 @@
 func limiterCost(u user) (ns, state float64) {
 	random := rand.New(rand.NewPCG(u.seed, 5))
 	before := heapBytes()
-	fleet := newRateFleet(u, slotPolicy(), newClock(), random)
+	fleet := newRateFleet(u, slotPolicy(), virtual.NewClock(), random)
 	shared := heapBytes() - before
 	core := fleet.instances[0].core
-	clock := start.Add(warmUp)
+	clock := virtual.Start.Add(warmUp)
 	ids := make([]protocol.OrganisationID, len(u.rates))
 	for i := range ids {
 		ids[i] = u.organisation(i).ID
@@ -113,7 +114,7 @@
 		buckets[ids[i]] = newExactBucket(u.organisation(i))
 	}
 	state = heapBytes() - before
-	clock := start
+	clock := virtual.Start
 	begin := time.Now()
 	for i := range costRounds {
 		clock = clock.Add(100 * time.Microsecond)
@@ -165,14 +166,14 @@
 		})
 	}
 	core.SetServices(map[protocol.ServiceName]protocol.Service{u.service: {Name: u.service, Slots: slotsPerTarget}})
-	core.Listing(start, listing)
+	core.Listing(virtual.Start, listing)
 	loads := make([]int, bigTargets)
 	random := rand.New(rand.NewPCG(1, 1))
 	for i, listed := range listing.Targets {
 		loads[i] = random.IntN(slotsPerTarget)
-		core.Report(start, external.Load{Target: listed.ID, Running: loads[i]})
+		core.Report(virtual.Start, external.Load{Target: listed.ID, Running: loads[i]})
 	}
-	now := start
+	now := virtual.Start
 	begin := time.Now()
 	for range costRounds {
 		now = now.Add(100 * time.Microsecond)
--- a/internal/policybench/ratefleet.go
+++ b/internal/policybench/ratefleet.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"merlintiller/internal/coordination/limiter"
+	"merlintiller/internal/policybench/virtual"
 	"merlintiller/internal/protocol"
 )
 
@@ -35,7 +36,7 @@
 
 // rateFleet runs the real limiter cores of a fleet.
 type rateFleet struct {
-	clock     *clock
+	clock     *virtual.Clock
 	random    *rand.Rand
 	user      user
 	fleet     *protocol.Fleet
@@ -50,7 +51,7 @@
 	exchanges int
 }
 
-func newRateFleet(u user, policy ratePolicy, c *clock, random *rand.Rand) *rateFleet {
+func newRateFleet(u user, policy ratePolicy, c *virtual.Clock, random *rand.Rand) *rateFleet {
 	f := &rateFleet{
 		clock: c, random: random, user: u, fleet: u.fleet(), policy: policy,
 		slots: map[protocol.Domain]limiter.Assignment{},
@@ -75,7 +76,7 @@
 
 func (f *rateFleet) start(i int) {
 	core := limiter.NewCore(f.user.instance(i), f.user.domainOf(i), f.policy.settings)
-	core.Configure(f.clock.now, f.fleet, true)
+	core.Configure(f.clock.Now(), f.fleet, true)
 	f.instances[i].core = core
 	f.instances[i].alive = true
 }
@@ -106,15 +107,15 @@
 func (f *rateFleet) move(key limiter.SlotKey, from, to protocol.InstanceID) {
 	target := f.byID(to)
 	if old := f.byID(from); old != nil && old.alive {
-		old.core.Extend(f.clock.now.Add(time.Hour))
-		if balances, ok := old.core.GiveUp(f.clock.now, key); ok {
-			target.core.Receive(f.clock.now, balances)
+		old.core.Extend(f.clock.Now().Add(time.Hour))
+		if balances, ok := old.core.GiveUp(f.clock.Now(), key); ok {
+			target.core.Receive(f.clock.Now(), balances)
 		}
 		old.core.Drop(key)
 	}
 	f.fence++
-	target.core.Extend(f.clock.now.Add(24 * time.Hour))
-	target.core.Hold(f.clock.now, key, f.fence)
+	target.core.Extend(f.clock.Now().Add(24 * time.Hour))
+	target.core.Hold(f.clock.Now(), key, f.fence)
 }
 
 func (f *rateFleet) byID(id protocol.InstanceID) *rateInstance { return f.ids[id] }
@@ -140,7 +141,7 @@
 	f.instances[i].alive = false
 	domain := f.user.domainOf(i)
 	dead := f.user.instance(i)
-	f.clock.after(takeover, func() {
+	f.clock.After(takeover, func() {
 		slots := f.slots[domain]
 		if f.cut == domain || f.instances[i].alive {
 			return
@@ -153,7 +154,7 @@
 		f.slots[domain] = slots
 		f.assign(domain)
 	})
-	f.clock.after(restart, func() {
+	f.clock.After(restart, func() {
 		f.boot(i)
 		f.assign(domain)
 	})
@@ -184,11 +185,11 @@
 // admit decides on a request at an instance and reports the decision.
 func (f *rateFleet) admit(i int, org protocol.OrganisationID, decided func(granted bool)) {
 	request := &limiter.Request{Organisation: org, Tokens: 1}
-	f.decide(i, request, f.clock.now.Add(f.policy.settings.ExchangeTimeout), decided)
+	f.decide(i, request, f.clock.Now().Add(f.policy.settings.ExchangeTimeout), decided)
 }
 
 func (f *rateFleet) decide(i int, request *limiter.Request, deadline time.Time, decided func(bool)) {
-	verdict := f.instances[i].core.Decide(f.clock.now, request)
+	verdict := f.instances[i].core.Decide(f.clock.Now(), request)
 	for _, back := range verdict.Returns {
 		f.exchange(i, back, func() {})
 	}
@@ -198,7 +199,7 @@
 	switch {
 	case verdict.Granted:
 		decided(true)
-	case verdict.Ask != nil && f.clock.now.Before(deadline):
+	case verdict.Ask != nil && f.clock.Now().Before(deadline):
 		f.exchange(i, verdict.Ask, func() { f.decide(i, request, deadline, decided) })
 	default:
 		decided(false)
@@ -211,8 +212,8 @@
 	asker := f.instances[i]
 	holder := f.byID(ask.Holder)
 	if !holder.alive || f.isCut(i, ask.Args.Slot.Domain) {
-		f.clock.after(f.policy.settings.AskTimeout, func() {
-			asker.core.Answered(f.clock.now, ask, limiter.TakeReply{}, true)
+		f.clock.After(f.policy.settings.AskTimeout, func() {
+			asker.core.Answered(f.clock.Now(), ask, limiter.TakeReply{}, true)
 			then()
 		})
 		return
@@ -221,10 +222,10 @@
 	if ask.Args.Slot.Domain != f.user.domainOf(i) {
 		hop = hopBetween
 	}
-	f.clock.after(hop, func() {
-		reply := holder.core.Take(f.clock.now, ask.Args)
-		f.clock.after(hop, func() {
-			asker.core.Answered(f.clock.now, ask, reply, false)
+	f.clock.After(hop, func() {
+		reply := holder.core.Take(f.clock.Now(), ask.Args)
+		f.clock.After(hop, func() {
+			asker.core.Answered(f.clock.Now(), ask, reply, false)
 			then()
 		})
 	})
--- a/internal/policybench/rates.go
+++ b/internal/policybench/rates.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"merlintiller/internal/coordination/limiter"
+	"merlintiller/internal/policybench/virtual"
 	"merlintiller/internal/protocol"
 )
 
@@ -15,7 +16,7 @@
 }
 
 func newExactBucket(org protocol.Organisation) *exactBucket {
-	return &exactBucket{rate: org.Rate, burst: org.Burst, level: org.Burst, at: start}
+	return &exactBucket{rate: org.Rate, burst: org.Burst, level: org.Burst, at: virtual.Start}
 }
 
 func (b *exactBucket) advance(now time.Time) {
@@ -125,7 +126,7 @@
 
 type rateSim struct {
 	rateRun
-	clock   *clock
+	clock   *virtual.Clock
 	random  *rand.Rand
 	fleet   *rateFleet
 	weights []float64
@@ -142,7 +143,7 @@
 
 func (r rateRun) run() rateResult {
 	random := rand.New(rand.NewPCG(r.user.seed, 7))
-	s := &rateSim{rateRun: r, clock: newClock(), random: random, weights: r.user.balancer()}
+	s := &rateSim{rateRun: r, clock: virtual.NewClock(), random: random, weights: r.user.balancer()}
 	if r.even {
 		for i := range s.weights {
 			s.weights[i] = 1
@@ -157,13 +158,13 @@
 		s.split = append(s.split, s.equalParts(org))
 		s.sides = append(s.sides, newSidedBucket(org))
 	}
-	s.clock.run(warmUp)
+	s.clock.Run(warmUp)
 	for i := range r.user.rates {
 		s.arrive(i)
 		s.bursts(i)
 	}
 	s.faults()
-	s.clock.run(r.length)
+	s.clock.Run(r.length)
 	return s.finish()
 }
 
@@ -184,7 +185,7 @@
 		use = overloadUse
 	}
 	gap := s.random.ExpFloat64() / (use * s.user.rates[org])
-	s.clock.after(time.Duration(gap*float64(time.Second)), func() {
+	s.clock.After(time.Duration(gap*float64(time.Second)), func() {
 		s.request(org)
 		s.arrive(org)
 	})
@@ -193,10 +194,10 @@
 // bursts makes an organisation's bursts.
 func (s *rateSim) bursts(org int) {
 	gap := time.Duration(s.random.ExpFloat64() * float64(burstEvery))
-	s.clock.after(gap, func() {
+	s.clock.After(gap, func() {
 		count := int(burstPart * s.user.organisation(org).Burst)
 		for range count {
-			s.clock.after(time.Duration(s.random.Float64()*float64(time.Second)), func() { s.request(org) })
+			s.clock.After(time.Duration(s.random.Float64()*float64(time.Second)), func() { s.request(org) })
 		}
 		s.bursts(org)
 	})
@@ -204,8 +205,8 @@
 
 func (s *rateSim) faults() {
 	if s.cut {
-		s.clock.after(cutFrom, func() { s.fleet.cut = s.user.domains[2] })
-		s.clock.after(cutFrom+cutLength, func() {
+		s.clock.After(cutFrom, func() { s.fleet.cut = s.user.domains[2] })
+		s.clock.After(cutFrom+cutLength, func() {
 			s.fleet.cut = ""
 			for _, domain := range s.user.domains {
 				s.fleet.assign(domain)
@@ -213,12 +214,12 @@
 		})
 	}
 	if s.kills {
-		s.clock.every(killEvery, func() { s.fleet.kill(s.random.IntN(s.user.instances)) })
+		s.clock.Every(killEvery, func() { s.fleet.kill(s.random.IntN(s.user.instances)) })
 	}
 }
 
 func (s *rateSim) request(org int) {
-	now := s.clock.now
+	now := s.clock.Now()
 	inside := s.inside[org].take(now) && org != s.overload
 	s.result.requests++
 	if inside {
@@ -239,7 +240,7 @@
 func (s *rateSim) decided(org int, inside, granted bool) {
 	if granted {
 		s.granted[org]++
-		s.result.above += s.exact[org].above(s.clock.now)
+		s.result.above += s.exact[org].above(s.clock.Now())
 	} else if inside {
 		s.result.refusedInside++
 	}
--- a/internal/policybench/serving.go
+++ b/internal/policybench/serving.go
@@ -10,6 +10,7 @@
 	"merlintiller/internal/coordination/headroom"
 	"merlintiller/internal/coordination/routing"
 	"merlintiller/internal/external"
+	"merlintiller/internal/policybench/virtual"
 	"merlintiller/internal/protocol"
 )
 
@@ -80,7 +81,7 @@
 // servingSim drives the real cores of every instance.
 type servingSim struct {
 	servingRun
-	clock   *clock
+	clock   *virtual.Clock
 	random  *rand.Rand
 	nodes   []*node
 	engines []*engine
@@ -113,20 +114,20 @@
 
 func (r servingRun) run() servingResult {
 	s := &servingSim{
-		servingRun: r, clock: newClock(), random: rand.New(rand.NewPCG(r.user.seed, 11)),
+		servingRun: r, clock: virtual.NewClock(), random: rand.New(rand.NewPCG(r.user.seed, 11)),
 		byID: map[protocol.TargetID]*engine{}, weights: r.user.balancer(),
 		placed: map[headroom.SlotID]*batchItem{},
 	}
 	s.build()
-	s.clock.run(warmUp)
+	s.clock.Run(warmUp)
 	s.duties()
 	if r.online {
 		for i := range r.user.rates {
 			s.arrive(i)
 		}
 	}
-	s.countUntil = s.clock.now.Add(r.length - drainTime)
-	s.clock.run(r.length)
+	s.countUntil = s.clock.Now().Add(r.length - drainTime)
+	s.clock.Run(r.length)
 	return s.result
 }
 
@@ -177,7 +178,7 @@
 			waiting:   map[admission.WaitID]func(){},
 		}
 		n.router.SetServices(s.rates.fleet.Services)
-		n.router.Listing(s.clock.now, listing)
+		n.router.Listing(s.clock.Now(), listing)
 		n.headroom.Known(s.targets(i))
 		s.nodes = append(s.nodes, n)
 	}
@@ -190,7 +191,7 @@
 	var targets []headroom.Target
 	reported := map[protocol.TargetID]routing.Status{}
 	if i < len(s.nodes) {
-		for _, status := range s.nodes[i].router.Targets(s.clock.now) {
+		for _, status := range s.nodes[i].router.Targets(s.clock.Now()) {
 			reported[status.Target] = status
 		}
 	}
@@ -215,19 +216,19 @@
 }
 
 func (s *servingSim) duties() {
-	s.clock.every(engineStep, s.stepEngines)
-	s.clock.every(capacityEvery, s.capacities)
-	s.clock.every(s.headroom.Tick, s.notices)
-	s.clock.every(s.headroom.Look, s.windows)
-	s.clock.every(batchLook, s.placeAny)
-	s.clock.every(reportEvery, s.reports)
+	s.clock.Every(engineStep, s.stepEngines)
+	s.clock.Every(capacityEvery, s.capacities)
+	s.clock.Every(s.headroom.Tick, s.notices)
+	s.clock.Every(s.headroom.Look, s.windows)
+	s.clock.Every(batchLook, s.placeAny)
+	s.clock.Every(reportEvery, s.reports)
 }
 
 func (s *servingSim) stepEngines() {
 	for _, e := range s.engines {
 		free := max(0, slotsPerTarget-e.online())
 		s.result.oracle += float64(free) * engineStep.Seconds() / tokenTime.Seconds() * oracleShare
-		e.step(s.clock.now)
+		e.step(s.clock.Now())
 	}
 }
 
@@ -244,9 +245,9 @@
 		load := external.Load{Target: e.id, Running: e.history[len(e.history)-1-lag], AgeMS: reportLag.Milliseconds()}
 		for _, n := range s.nodes {
 			if !s.blind {
-				n.router.SetBatchElsewhere(e.id, n.headroom.BatchElsewhere(e.id, s.clock.now.Add(-reportLag)))
+				n.router.SetBatchElsewhere(e.id, n.headroom.BatchElsewhere(e.id, s.clock.Now().Add(-reportLag)))
 			}
-			n.router.Report(s.clock.now, load)
+			n.router.Report(s.clock.Now(), load)
 		}
 	}
 }
@@ -255,7 +256,7 @@
 	for _, n := range s.nodes {
 		capacity := admission.Capacity{Instances: s.user.instances}
 		others := 0.0
-		for _, status := range n.router.Targets(s.clock.now) {
+		for _, status := range n.router.Targets(s.clock.Now()) {
 			if status.Ejected {
 				continue
 			}
@@ -283,10 +284,10 @@
 	gap := time.Duration(s.random.ExpFloat64() / rate * float64(time.Second))
 	// A long gap is cut, so that a burst that begins meanwhile is noticed.
 	if gap > rampUp/4 {
-		s.clock.after(rampUp/4, func() { s.arrive(org) })
+		s.clock.After(rampUp/4, func() { s.arrive(org) })
 		return
 	}
-	s.clock.after(gap, func() {
+	s.clock.After(gap, func() {
 		s.request(org)
 		s.arrive(org)
 	})
@@ -301,7 +302,7 @@
 	if !s.bursts {
 		return use
 	}
-	at := s.clock.now.Sub(start) % serveBurstGap
+	at := s.clock.Now().Sub(virtual.Start) % serveBurstGap
 	switch {
 	case at < rampUp:
 		return use * (1 + (serveBurst-1)*float64(at)/float64(rampUp))
@@ -313,12 +314,12 @@
 }
 
 func (s *servingSim) request(org int) {
-	inRate := s.inside[org].take(s.clock.now) && org != s.overload && s.clock.now.Before(s.countUntil)
+	inRate := s.inside[org].take(s.clock.Now()) && org != s.overload && s.clock.Now().Before(s.countUntil)
 	if inRate {
 		s.result.inRate[org]++
 	}
 	at := s.rates.choose(s.weights)
-	arrived := s.clock.now
+	arrived := s.clock.Now()
 	if s.unfair {
 		s.enter(at, org, "all", arrived, inRate)
 		return
@@ -335,7 +336,7 @@
 
 func (s *servingSim) enter(at, org int, queue protocol.OrganisationID, arrived time.Time, inRate bool) {
 	n := s.nodes[at]
-	decision := n.admission.Enter(s.clock.now, admission.Call{
+	decision := n.admission.Enter(s.clock.Now(), admission.Call{
 		Organisation: queue, Service: s.user.service, Deadline: arrived.Add(firstDeadline),
 	})
 	run := func() { s.dispatch(at, org, arrived, inRate) }
@@ -346,7 +347,7 @@
 		s.result.refused++
 	default:
 		n.waiting[decision.Wait] = run
-		s.clock.after(arrived.Add(firstDeadline).Sub(s.clock.now), func() {
+		s.clock.After(arrived.Add(firstDeadline).Sub(s.clock.Now()), func() {
 			if n.admission.Remove(queue, s.user.service, decision.Wait) {
 				delete(n.waiting, decision.Wait)
 				s.result.refused++
@@ -357,20 +358,20 @@
 
 func (s *servingSim) dispatch(at, org int, arrived time.Time, inRate bool) {
 	n := s.nodes[at]
-	began := s.clock.now
-	choice, ok := n.router.Pick(s.clock.now, coordination.PickRequest{Service: s.user.service})
+	began := s.clock.Now()
+	choice, ok := n.router.Pick(s.clock.Now(), coordination.PickRequest{Service: s.user.service})
 	if !ok {
 		panic("policybench: no target")
 	}
-	s.revoke(at, n.headroom.OnlineStarted(s.clock.now, choice.Target))
+	s.revoke(at, n.headroom.OnlineStarted(s.clock.Now(), choice.Target))
 	e := s.byID[choice.Target]
 	e.streams = append(e.streams, &stream{
 		online: true, arrived: arrived, prefill: onlinePrefill, tokens: onlineTokens,
 		ended: func(st *stream) {
 			s.onlineEnded(st, org, inRate)
-			n.router.Done(s.clock.now, choice, coordination.CallResult{FirstByte: st.firstAt.Sub(began)})
+			n.router.Done(s.clock.Now(), choice, coordination.CallResult{FirstByte: st.firstAt.Sub(began)})
 			n.headroom.OnlineEnded(choice.Target)
-			n.admission.Release(s.user.service, s.clock.now.Sub(began))
+			n.admission.Release(s.user.service, s.clock.Now().Sub(began))
 			s.next(n)
 		},
 	})
@@ -378,7 +379,7 @@
 
 func (s *servingSim) onlineEnded(st *stream, org int, inRate bool) {
 	first := st.firstAt.Sub(st.arrived)
-	between := s.clock.now.Sub(st.firstAt).Seconds() / onlineTokens
+	between := s.clock.Now().Sub(st.firstAt).Seconds() / onlineTokens
 	s.result.firstToken = append(s.result.firstToken, first.Seconds())
 	s.result.between = append(s.result.between, between)
 	if inRate && first <= firstDeadline {
--- a/internal/policybench/virtual/clock.go
+++ b/internal/policybench/virtual/clock.go
@@ -1,12 +1,14 @@
-package policybench
+// Package virtual runs events in virtual time, so that what is played takes no longer
+// than its decisions and is the same on every machine.
+package virtual
 
 import (
 	"container/heap"
 	"time"
 )
 
-// start is the virtual time at which every run begins.
-var start = time.Unix(1_700_000_000, 0)
+// Start is the virtual time at which every run begins.
+var Start = time.Unix(1_700_000_000, 0)
 
 // event is something that happens at a virtual time.
 type event struct {
@@ -15,31 +17,36 @@
 	do  func()
 }
 
-// clock runs events in the order of their times, and of their making.
-type clock struct {
+// Clock runs events in the order of their times, and of their making. It is not safe
+// for concurrent use.
+type Clock struct {
 	now    time.Time
 	seq    int
 	events eventHeap
 }
 
-func newClock() *clock { return &clock{now: start} }
+// NewClock returns a clock that stands at Start.
+func NewClock() *Clock { return &Clock{now: Start} }
 
-// after runs do when a virtual time has passed.
-func (c *clock) after(d time.Duration, do func()) {
+// Now is the virtual time.
+func (c *Clock) Now() time.Time { return c.now }
+
+// After runs do when a virtual time has passed.
+func (c *Clock) After(d time.Duration, do func()) {
 	c.seq++
 	heap.Push(&c.events, event{at: c.now.Add(d), seq: c.seq, do: do})
 }
 
-// every runs do again and again.
-func (c *clock) every(d time.Duration, do func()) {
-	c.after(d, func() {
+// Every runs do again and again.
+func (c *Clock) Every(d time.Duration, do func()) {
+	c.After(d, func() {
 		do()
-		c.every(d, do)
+		c.Every(d, do)
 	})
 }
 
-// run runs the events of a time.
-func (c *clock) run(d time.Duration) {
+// Run runs the events of a time.
+func (c *Clock) Run(d time.Duration) {
 	end := c.now.Add(d)
 	for len(c.events) > 0 && !c.events[0].at.After(end) {
 		e := heap.Pop(&c.events).(event)
