One copy of the waits of duties and of the caller between instances

Cause: six packages had a wait of their own that ends with its context, eleven duties the same loop over a ticker, four packages the same interface of a caller. Change: package wait; protocol.Caller. Ruled out: a change of behaviour; loops with a first call at once keep it.

--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -10,6 +10,7 @@
 
 	"merlintiller/internal/coordination"
 	"merlintiller/internal/protocol"
+	"merlintiller/internal/wait"
 )
 
 var stats = expvar.NewMap("admission")
@@ -164,16 +165,7 @@
 
 // Serve implements suture.Service.
 func (r *refresher) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(r.admission.Settings.Refresh)
-	defer ticker.Stop()
-	for {
-		r.admission.refresh()
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
+	return wait.AtOnceAndEvery(ctx, r.admission.Settings.Refresh, r.admission.refresh)
 }
 
 func (a *Admission) refresh() {
--- a/internal/coordination/batch/carry.go
+++ b/internal/coordination/batch/carry.go
@@ -16,6 +16,7 @@
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/state/ledger"
 	"merlintiller/internal/state/replica"
+	"merlintiller/internal/wait"
 )
 
 // Carrier is the duty that appends live data anew before the platform drops
@@ -49,18 +50,11 @@
 
 // Serve looks for old data until ctx ends.
 func (c *Carrier) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(c.opts.CarryEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
+	return wait.Every(ctx, c.opts.CarryEvery, func() {
 		if err := c.pass(ctx); err != nil {
 			_ = c.logger.Log("event", "carry_stopped", "err", err)
 		}
-	}
+	})
 }
 
 func (c *Carrier) pass(ctx context.Context) error {
--- a/internal/coordination/batchjobs/handover.go
+++ b/internal/coordination/batchjobs/handover.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log/level"
 
 	"merlintiller/internal/protocol/exchange"
+	"merlintiller/internal/wait"
 )
 
 const (
@@ -75,7 +76,7 @@
 			_ = level.Info(r.opts.Logger).Log("event", "item_handed_over", "item", item, "job", job, "call", method)
 			return
 		}
-		sleep(ctx, deliverEvery)
+		wait.For(ctx, deliverEvery)
 	}
 	_ = level.Warn(r.opts.Logger).Log("event", "item_not_handed_over", "item", item, "job", job, "call", method)
 }
--- a/internal/coordination/batchjobs/holding.go
+++ b/internal/coordination/batchjobs/holding.go
@@ -13,6 +13,7 @@
 
 	"merlintiller/internal/external"
 	"merlintiller/internal/state/jobs"
+	"merlintiller/internal/wait"
 )
 
 const (
@@ -96,7 +97,7 @@
 			return
 		}
 		_ = level.Warn(h.logger).Log("event", "jobs_read_failed", "retry_ms", retry.Milliseconds(), "err", err)
-		sleep(ctx, retry)
+		wait.For(ctx, retry)
 		retry = min(2*retry, retryMost)
 	}
 }
@@ -274,12 +275,3 @@
 	h.mu.Unlock()
 	h.wakeListing()
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/coordination/batchjobs/holding_test.go
+++ b/internal/coordination/batchjobs/holding_test.go
@@ -13,6 +13,7 @@
 	"merlintiller/internal/external"
 	"merlintiller/internal/standin/sharedstore"
 	"merlintiller/internal/state/jobs"
+	"merlintiller/internal/wait"
 )
 
 // place is a partition in a store, with a job of some items.
@@ -174,7 +175,7 @@
 
 // Newest implements external.KeyedLog.
 func (s slowStart) Newest(ctx context.Context, at external.Partition) (external.KeyedPage, error) {
-	sleep(ctx, s.takes)
+	wait.For(ctx, s.takes)
 	return s.Direct.Newest(ctx, at)
 }
 
--- a/internal/coordination/batchjobs/listing.go
+++ b/internal/coordination/batchjobs/listing.go
@@ -10,6 +10,7 @@
 
 	"merlintiller/internal/external"
 	"merlintiller/internal/state/jobs"
+	"merlintiller/internal/wait"
 )
 
 // listingPause lets results gather, so that one append lists several. Callers
@@ -38,7 +39,7 @@
 		case <-ctx.Done():
 			return
 		}
-		sleep(ctx, listingPause)
+		wait.For(ctx, listingPause)
 		for ctx.Err() == nil {
 			left, err := h.listOnce(ctx)
 			if err == nil {
@@ -49,7 +50,7 @@
 				continue
 			}
 			_ = level.Warn(h.logger).Log("event", "results_append_failed", "retry_ms", retry.Milliseconds(), "err", err)
-			sleep(ctx, retry)
+			wait.For(ctx, retry)
 			retry = min(2*retry, retryMost)
 		}
 	}
--- a/internal/coordination/batchjobs/options.go
+++ b/internal/coordination/batchjobs/options.go
@@ -11,6 +11,7 @@
 	"merlintiller/internal/coordination/mesh"
 	"merlintiller/internal/coordination/placement"
 	"merlintiller/internal/external"
+	"merlintiller/internal/protocol"
 	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/state/route"
 )
@@ -34,11 +35,6 @@
 	Heard(id string)
 }
 
-// Caller invokes a net/rpc method at an address.
-type Caller interface {
-	Call(ctx context.Context, address, method string, args, reply any) error
-}
-
 // Options make a Desk and its duties.
 type Options struct {
 	// Member names this life of the instance in the group.
@@ -57,7 +53,7 @@
 	Log    external.KeyedLog
 	Groups external.Groups
 	Peers  Peers
-	Caller Caller
+	Caller protocol.Caller
 	// Table is the configuration in force, StoreAge the time since the store
 	// answered, StoreAnswered notes that it did.
 	Table         func() *route.Table
--- a/internal/coordination/batchjobs/runner.go
+++ b/internal/coordination/batchjobs/runner.go
@@ -12,6 +12,7 @@
 	"merlintiller/internal/coordination/placement"
 	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/state/jobs"
+	"merlintiller/internal/wait"
 )
 
 const (
@@ -230,7 +231,7 @@
 	}
 	r.mu.Unlock()
 	for ctx.Err() == nil && r.busy() {
-		sleep(ctx, lookEvery)
+		wait.For(ctx, lookEvery)
 	}
 }
 
--- a/internal/coordination/batchjobs/submit.go
+++ b/internal/coordination/batchjobs/submit.go
@@ -10,6 +10,7 @@
 
 	"merlintiller/internal/external"
 	"merlintiller/internal/state/jobs"
+	"merlintiller/internal/wait"
 )
 
 const (
@@ -147,7 +148,7 @@
 		if errors.Is(err, external.ErrFull) || try == appendTries {
 			return verdict
 		}
-		sleep(ctx, appendRetry<<try)
+		wait.For(ctx, appendRetry<<try)
 		if ctx.Err() != nil {
 			return verdict
 		}
--- a/internal/coordination/broker/broker.go
+++ b/internal/coordination/broker/broker.go
@@ -11,6 +11,7 @@
 	"merlintiller/internal/coordination/placement"
 	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/state/roster"
+	"merlintiller/internal/wait"
 )
 
 var (
@@ -54,16 +55,9 @@
 
 // Serve drops the holds of silent instances until ctx ends.
 func (b *Broker) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(expireEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
+	return wait.Every(ctx, expireEvery, func() {
 		b.change(func(now time.Time) { b.allotter.Expire(now) })
-	}
+	})
 }
 
 // lookAgain serves once more after a while, as long as anybody waits. It needs the
--- a/internal/coordination/broker/client.go
+++ b/internal/coordination/broker/client.go
@@ -11,7 +11,9 @@
 
 	"merlintiller/internal/coordination/mesh"
 	"merlintiller/internal/coordination/placement"
+	"merlintiller/internal/protocol"
 	"merlintiller/internal/state/roster"
+	"merlintiller/internal/wait"
 )
 
 const (
@@ -47,16 +49,11 @@
 	Up(domain string) []mesh.Instance
 }
 
-// Caller invokes a net/rpc method at an address.
-type Caller interface {
-	Call(ctx context.Context, address, method string, args, reply any) error
-}
-
 // ClientOptions make a Client.
 type ClientOptions struct {
 	Self   mesh.Instance
 	Peers  Peers
-	Caller Caller
+	Caller protocol.Caller
 	// Broker is this instance's own, for the times when it is the first.
 	Broker *Broker
 	// Local decides where no broker answers, and knows which targets this
@@ -196,22 +193,13 @@
 	}
 	choice, ok := c.opts.Local.Pick(placement.Want{Service: item.Service, Domain: name, Batch: true})
 	if !ok {
-		pause(ctx, itemWait)
+		wait.For(ctx, itemWait)
 		return choice, false
 	}
 	unbrokered.Inc()
 	return choice, true
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // Domains gives the failure domains that have targets, the own one first.
 func (c *Client) Domains() []string {
 	c.mu.Lock()
--- a/internal/coordination/broker/telling.go
+++ b/internal/coordination/broker/telling.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"merlintiller/internal/coordination/mesh"
+	"merlintiller/internal/wait"
 )
 
 // Brokers gives the addresses of the two instances that come first as brokers of
@@ -164,16 +165,7 @@
 
 // Serve tells the brokers what is held until ctx ends.
 func (c *Client) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(tellEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-		c.tellAll()
-	}
+	return wait.Every(ctx, tellEvery, c.tellAll)
 }
 
 // tellAll tells the first broker of each domain in which anything is held.
--- a/internal/coordination/fleetview/view_test.go
+++ b/internal/coordination/fleetview/view_test.go
@@ -14,6 +14,7 @@
 	"merlintiller/internal/external"
 	"merlintiller/internal/state/roster"
 	"merlintiller/internal/state/route"
+	"merlintiller/internal/wait"
 )
 
 const (
@@ -44,7 +45,7 @@
 	return external.KeyedPage{Records: slices.Clone(l.records), End: l.end(), Next: l.end()}, nil
 }
 
-func (l *listLog) Read(ctx context.Context, _ external.Partition, from int64, wait time.Duration) (external.KeyedPage, error) {
+func (l *listLog) Read(ctx context.Context, _ external.Partition, from int64, longest time.Duration) (external.KeyedPage, error) {
 	if err := ctx.Err(); err != nil {
 		return external.KeyedPage{}, err
 	}
@@ -52,7 +53,7 @@
 		return external.KeyedPage{}, errAway
 	}
 	if from >= l.end() {
-		sleep(ctx, wait)
+		wait.For(ctx, longest)
 		return external.KeyedPage{Next: from, End: l.end()}, nil
 	}
 	return external.KeyedPage{Records: slices.Clone(l.changes[from:]), Next: l.end(), End: l.end()}, nil
--- a/internal/coordination/fleetview/watch.go
+++ b/internal/coordination/fleetview/watch.go
@@ -10,6 +10,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"merlintiller/internal/external"
+	"merlintiller/internal/wait"
 )
 
 const (
@@ -82,7 +83,7 @@
 		}
 		watchFailures.Inc()
 		_ = level.Warn(w.view.logger).Log("event", "store_watch_failed", "watch", w.name, "retry_ms", retry.Milliseconds(), "err", err)
-		sleep(ctx, retry)
+		wait.For(ctx, retry)
 		retry = min(2*retry, retryMost)
 	}
 	return ctx.Err()
@@ -109,19 +110,7 @@
 			continue
 		}
 		from = page.Next
-		sleep(ctx, w.pause)
+		wait.For(ctx, w.pause)
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/coordination/headroom/headroom.go
+++ b/internal/coordination/headroom/headroom.go
@@ -12,6 +12,7 @@
 	"merlintiller/internal/coordination"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/ring"
+	"merlintiller/internal/wait"
 )
 
 var stats = expvar.NewMap("headroom")
@@ -231,14 +232,7 @@
 
 // Serve implements suture.Service.
 func (s *windowService) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(s.headroom.Settings.Tick)
-	defer ticker.Stop()
-	for {
+	return wait.AtOnceAndEvery(ctx, s.headroom.Settings.Tick, func() {
 		s.headroom.notices.Offer(s.headroom.tick(time.Now()))
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
+	})
 }
--- a/internal/coordination/journal/sessions.go
+++ b/internal/coordination/journal/sessions.go
@@ -8,6 +8,7 @@
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/state/replica"
 	"merlintiller/internal/state/session"
+	"merlintiller/internal/wait"
 )
 
 // renewer is the duty that keeps the own session.
@@ -90,16 +91,7 @@
 
 // Serve looks at the open sessions at each tick until ctx ends.
 func (o *observer) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(o.timings.Tick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			o.look(ctx)
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
+	return wait.Every(ctx, o.timings.Tick, func() { o.look(ctx) })
 }
 
 func (o *observer) look(ctx context.Context) {
--- a/internal/coordination/journal/snapshotter.go
+++ b/internal/coordination/journal/snapshotter.go
@@ -6,6 +6,7 @@
 
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/state/replica"
+	"merlintiller/internal/wait"
 )
 
 // snapshotDuty is the name by which rendezvous hashing chooses the instance
@@ -33,16 +34,7 @@
 	}
 	s.wroteAt = time.Now()
 	s.wroteOffset = s.Applied()
-	ticker := time.NewTicker(s.timings.Tick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			s.look(ctx)
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
+	return wait.Every(ctx, s.timings.Tick, func() { s.look(ctx) })
 }
 
 func (s *snapshotter) look(ctx context.Context) {
--- a/internal/coordination/limiter/fakes_test.go
+++ b/internal/coordination/limiter/fakes_test.go
@@ -379,7 +379,7 @@
 		if j.submit(protocol.Record{FleetChange: change}).Accepted() {
 			return
 		}
-		wait(time.Second)
+		pass(time.Second)
 	}
 }
 
@@ -409,7 +409,7 @@
 	return count
 }
 
-func wait(d time.Duration) { <-time.After(d) }
+func pass(d time.Duration) { <-time.After(d) }
 
 // id checks that an instance exists.
 func (f *fakeFleet) id(name string) protocol.InstanceID {
--- a/internal/coordination/limiter/leave_test.go
+++ b/internal/coordination/limiter/leave_test.go
@@ -16,10 +16,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := threeDomains(t)
 		f.configure("a1", domains("a", "b", "c"), protocol.Organisation{ID: "slow", Rate: 0.3, Burst: 30})
-		wait(3 * time.Minute)
+		pass(3 * time.Minute)
 		f.all["a1"].Leave(t.Context())
 		f.journal("a1").submit(protocol.Record{SessionClose: &protocol.SessionClose{}})
-		wait(time.Second)
+		pass(time.Second)
 		f.requireHeld("a", SlotsPerDomain)
 		require.Empty(t, f.heldBy("a1"))
 		require.GreaterOrEqual(t, f.admitted("a2", "slow", 60), 29)
@@ -53,7 +53,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := threeDomains(t)
 		f.configure("a1", domains("a", "b", "c"), protocol.Organisation{ID: "o0", Rate: 60, Burst: 90})
-		wait(5 * time.Second)
+		pass(5 * time.Second)
 		require.Equal(t, 90, f.admitted("a1", "o0", 200))
 	})
 }
@@ -70,14 +70,14 @@
 		shares := domains("a", "b", "c")
 		shares["a"] = protocol.DomainShare{Domain: "a", Share: 8}
 		f.configure("a1", shares, protocol.Organisation{ID: "o0", Rate: 30, Burst: 30})
-		wait(20 * time.Second)
+		pass(20 * time.Second)
 		total := f.admitted("a1", "o0", 60) + f.admitted("b1", "o0", 60) + f.admitted("c1", "o0", 60)
 		require.LessOrEqual(t, total, 30)
 		f.net.mu.Lock()
 		clear(f.net.cut)
 		f.net.mu.Unlock()
 		f.journal("b1").setCut(false, true)
-		wait(20 * time.Second)
+		pass(20 * time.Second)
 		require.Equal(t, 30, f.admitted("a1", "o0", 60))
 	})
 }
--- a/internal/coordination/limiter/limiter_test.go
+++ b/internal/coordination/limiter/limiter_test.go
@@ -24,7 +24,7 @@
 		orgs = append(orgs, protocol.Organisation{ID: protocol.OrganisationID(fmt.Sprintf("o%d", i)), Rate: 30, Burst: 30})
 	}
 	f.configure("a1", domains("a", "b", "c"), orgs...)
-	wait(10*time.Second + 300*time.Millisecond)
+	pass(10*time.Second + 300*time.Millisecond)
 	return f
 }
 
--- a/internal/coordination/limiter/matrix_test.go
+++ b/internal/coordination/limiter/matrix_test.go
@@ -225,7 +225,7 @@
 	{name: "pause-past-lease", story: "a1 is paused in the step until its session has expired and its slots have new holders. It wakes and grants before it has read anything.",
 		strike: func(w *cellWorld, forward func() error) error {
 			w.freeze("a1")
-			wait(outage)
+			pass(outage)
 			w.thaw("a1")
 			return forward()
 		}},
@@ -234,11 +234,11 @@
 			for id := range w.all {
 				w.journal(id).setCut(true, true)
 			}
-			wait(holdTime)
+			pass(holdTime)
 			for id := range w.all {
 				w.journal(id).setCut(true, false)
 			}
-			wait(outage)
+			pass(outage)
 			for id := range w.all {
 				if !w.journal(id).gone() {
 					w.journal(id).setCut(false, true)
@@ -257,7 +257,7 @@
 		}},
 	{name: "late", story: "The step is held up until the tokens' lives are over, and then its answer comes.",
 		strike: func(_ *cellWorld, forward func() error) error {
-			wait(600 * time.Millisecond)
+			pass(600 * time.Millisecond)
 			return forward()
 		}},
 	{name: "cut-from-log", story: "a1 alone loses the log. It goes on by promises while its mates want its slots.",
@@ -270,7 +270,7 @@
 		around: func(w *cellWorld) {
 			w.net.cutDomains("a", "b")
 			w.net.cutDomains("a", "c")
-			wait(outage)
+			pass(outage)
 			w.net.mu.Lock()
 			clear(w.net.cut)
 			w.net.mu.Unlock()
@@ -287,7 +287,7 @@
 				}})
 			}
 			w.configure("b1", nil, protocol.Organisation{ID: w.org, Rate: 40, Burst: 40})
-			wait(outage)
+			pass(outage)
 		}},
 }
 
@@ -334,7 +334,7 @@
 func (w *cellWorld) requireWhole() {
 	w.t.Helper()
 	close(w.stop)
-	wait(40 * time.Second)
+	pass(40 * time.Second)
 	for _, domain := range []string{"a", "b", "c"} {
 		w.requireHeld(domain, SlotsPerDomain)
 	}
@@ -360,7 +360,7 @@
 func runCell(t *testing.T, s cellStep, f cellFault) {
 	t.Helper()
 	w := newCellWorld(t)
-	wait(time.Second)
+	pass(time.Second)
 	w.arm(s, f)
 	if f.around != nil {
 		go s.act(w)
@@ -368,9 +368,9 @@
 	} else {
 		s.act(w)
 	}
-	wait(outage + 5*time.Second)
+	pass(outage + 5*time.Second)
 	w.expireDead()
-	wait(5 * time.Second)
+	pass(5 * time.Second)
 	w.requireWithinRate()
 	if f.strike != nil {
 		w.mu.Lock()
@@ -391,13 +391,13 @@
 		w := newCellWorld(t)
 		w.loseLog("a1")
 		session := w.journal("a1").Session()
-		wait(expireTime)
+		pass(expireTime)
 		for _, l := range w.all {
 			l.mu.Lock()
 			l.claims.Gone(session)
 			l.mu.Unlock()
 		}
-		wait(outage)
+		pass(outage)
 		close(w.stop)
 		w.mu.Lock()
 		defer w.mu.Unlock()
--- a/internal/coordination/limiter/services.go
+++ b/internal/coordination/limiter/services.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 
 	"merlintiller/internal/protocol"
+	"merlintiller/internal/wait"
 )
 
 const (
@@ -34,7 +35,7 @@
 	for {
 		changed := s.limiter.Journal.Changed()
 		s.limiter.look(time.Now())
-		if !pause(ctx, changeDebounce) {
+		if !wait.For(ctx, changeDebounce) {
 			return ctx.Err()
 		}
 		timer := time.NewTimer(slotInterval)
@@ -47,18 +48,6 @@
 	}
 }
 
-// pause waits, and reports false if ctx ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // look brings the core to what replay says now.
 func (l *Limiter) look(now time.Time) {
 	session := l.Journal.Session()
@@ -222,7 +211,7 @@
 
 // Serve implements suture.Service.
 func (s *promiseService) Serve(ctx context.Context) error {
-	for pause(ctx, slotInterval) {
+	for wait.For(ctx, slotInterval) {
 		s.limiter.askPromises(ctx)
 	}
 	return ctx.Err()
--- a/internal/coordination/limiter/settle.go
+++ b/internal/coordination/limiter/settle.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"merlintiller/internal/protocol"
+	"merlintiller/internal/wait"
 )
 
 // settleInterval is how often the holders are asked while a change of rates has
@@ -20,7 +21,7 @@
 
 // Serve implements suture.Service.
 func (s *settleService) Serve(ctx context.Context) error {
-	for pause(ctx, settleInterval) {
+	for wait.For(ctx, settleInterval) {
 		s.limiter.settle(ctx)
 	}
 	return ctx.Err()
--- a/internal/coordination/member/heartbeats.go
+++ b/internal/coordination/member/heartbeats.go
@@ -14,6 +14,7 @@
 	"merlintiller/internal/coordination"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/state/replica"
+	"merlintiller/internal/wait"
 )
 
 // counters are published as "heartbeats" in expvar.
@@ -55,16 +56,7 @@
 
 // Serve exchanges heartbeats at each interval until ctx ends.
 func (h *Heartbeats) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(h.opts.Every)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			h.round(ctx)
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
+	return wait.Every(ctx, h.opts.Every, func() { h.round(ctx) })
 }
 
 func (h *Heartbeats) round(ctx context.Context) {
--- a/internal/coordination/member/options.go
+++ b/internal/coordination/member/options.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"context"
 	"time"
 
 	"github.com/go-kit/log"
@@ -10,11 +9,6 @@
 	"merlintiller/internal/state/replica"
 )
 
-// Caller invokes a net/rpc method at an address.
-type Caller interface {
-	Call(ctx context.Context, address, method string, args, reply any) error
-}
-
 // Local is the instance's own replayed state, as heartbeats need it.
 type Local interface {
 	Session() protocol.SessionID
@@ -39,7 +33,7 @@
 	// Seeds are peer addresses from the settings. They are asked while no
 	// other peer is known, such as at a start while the log is down.
 	Seeds  []string
-	Caller Caller
+	Caller protocol.Caller
 	Logger log.Logger
 	// Every is the time between two rounds of heartbeats, 1 s by default. At
 	// 340 instances it is raised to stay inside the budget for control.
--- a/internal/coordination/mesh/mesh.go
+++ b/internal/coordination/mesh/mesh.go
@@ -7,6 +7,9 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
+
+	"merlintiller/internal/protocol"
+	"merlintiller/internal/wait"
 )
 
 const (
@@ -27,11 +30,6 @@
 	unheard = metrics.NewCounter(`peer_messages_total{outcome="failed"}`)
 )
 
-// Caller invokes a net/rpc method at an address.
-type Caller interface {
-	Call(ctx context.Context, address, method string, args, reply any) error
-}
-
 // Versions are what an instance has of the things that others may have newer.
 type Versions struct {
 	Config     int64
@@ -67,7 +65,7 @@
 // Mesh is the duty that keeps in touch.
 type Mesh struct {
 	self   Instance
-	caller Caller
+	caller protocol.Caller
 	local  Local
 	logger log.Logger
 
@@ -95,7 +93,7 @@
 	Self Instance
 	// Seeds are addresses of instances that are asked while no other is known.
 	Seeds  []string
-	Caller Caller
+	Caller protocol.Caller
 	Logger log.Logger
 }
 
@@ -168,17 +166,10 @@
 
 // Serve exchanges messages until ctx ends.
 func (m *Mesh) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
-	for {
+	return wait.AtOnceAndEvery(ctx, tickEvery, func() {
 		m.settle()
 		for _, p := range m.due(time.Now()) {
 			go m.exchange(ctx, p)
 		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
+	})
 }
--- a/internal/coordination/oncecall/forget.go
+++ b/internal/coordination/oncecall/forget.go
@@ -7,6 +7,7 @@
 	"merlintiller/internal/coordination/member"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/state/replica"
+	"merlintiller/internal/wait"
 )
 
 // Forgetter is the duty that drops reservations whose time is over, so that
@@ -24,16 +25,7 @@
 
 // Serve looks for old reservations until ctx ends.
 func (f *Forgetter) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(forgetEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			f.pass(ctx)
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
+	return wait.Every(ctx, forgetEvery, func() { f.pass(ctx) })
 }
 
 func (f *Forgetter) pass(ctx context.Context) {
--- a/internal/coordination/orders/reconciler.go
+++ b/internal/coordination/orders/reconciler.go
@@ -21,6 +21,7 @@
 	"merlintiller/internal/ring"
 	"merlintiller/internal/state/lease"
 	"merlintiller/internal/state/replica"
+	"merlintiller/internal/wait"
 )
 
 // published counts orders given, refused as stale and failed.
@@ -121,17 +122,10 @@
 
 // Serve implements suture.Service.
 func (r *Reconciler) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(r.opts.Tick)
-	defer ticker.Stop()
-	for {
+	return wait.AtOnceAndEvery(ctx, r.opts.Tick, func() {
 		r.settle(time.Now())
 		r.step(time.Now())
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-	}
+	})
 }
 
 // settle tells the duties what became of their actions.
--- a/internal/coordination/routing/pollers.go
+++ b/internal/coordination/routing/pollers.go
@@ -12,6 +12,7 @@
 	"merlintiller/internal/defaults"
 	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
+	"merlintiller/internal/wait"
 )
 
 // published counts what the duties met.
@@ -71,7 +72,7 @@
 func (l *listPoller) Serve(ctx context.Context) error {
 	for {
 		l.poll(ctx)
-		if !sleep(ctx, l.opts.ListEvery) {
+		if !wait.For(ctx, l.opts.ListEvery) {
 			return ctx.Err()
 		}
 	}
@@ -118,7 +119,7 @@
 	step := time.Duration(float64(time.Second) / l.opts.LoadsPerSecond)
 	for {
 		l.poll(ctx, time.Now(), step)
-		if !sleep(ctx, step) {
+		if !wait.For(ctx, step) {
 			return ctx.Err()
 		}
 	}
@@ -186,14 +187,3 @@
 	}
 	return l.opts.LoadEvery
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/policybench/slots/engine.go
+++ b/internal/policybench/slots/engine.go
@@ -9,12 +9,12 @@
 
 // The users' engines. A step makes one token for each request that runs.
 const (
-	slotsEach    = 8
-	stepTime     = 2890 * time.Microsecond
-	stepPerRun   = 101 * time.Microsecond
-	tokensByMs   = 55
-	firstExtra   = 15 * time.Millisecond
-	eventTokens  = 6
+	slotsEach   = 8
+	stepTime    = 2890 * time.Microsecond
+	stepPerRun  = 101 * time.Microsecond
+	tokensByMs  = 55
+	firstExtra  = 15 * time.Millisecond
+	eventTokens = 6
 	// queueEach are the requests that wait at an engine at most.
 	queueEach    = 24
 	connectTime  = time.Millisecond
