Rates: the time until a cut is noticed is paid for

Cause: found while the parts of rates were reworked. Until instances notice that they are cut off from each other, each side uses the whole rate, and nobody paid for it later. The test for cuts did not show it, since its fleet began without knowing its buckets. Ruled out: noticing sooner, which takes more messages. Change: when peers turn silent, their parts of what was used here since they were heard last are left to them; what was not used is not paid for. Test: coordination/quota.TestTimeUntilACutIsNoticedIsPaidFor (2, 3 and 9 sides).

--- a/internal/coordination/quota/quota.go
+++ b/internal/coordination/quota/quota.go
@@ -72,6 +72,41 @@
 	own   int64
 	// share is the part of the fleet that may be used here, as of at.
 	share float64
+	// marks are what own was at some moments, the last one at the end.
+	marks [marksKept]mark
+}
+
+// mark is what an instance had let in at a moment.
+type mark struct {
+	at  time.Time
+	own int64
+}
+
+const (
+	// markEvery and marksKept cover the longest silence that is not noticed yet: two
+	// seconds, in a fleet of 90.
+	markEvery = 250 * time.Millisecond
+	marksKept = 8
+)
+
+// mark notes what was let in so far.
+func (a *account) mark(now time.Time) {
+	if now.Sub(a.marks[marksKept-1].at) < markEvery {
+		return
+	}
+	copy(a.marks[:], a.marks[1:])
+	a.marks[marksKept-1] = mark{at: now, own: a.own}
+}
+
+// since gives what was let in since a moment, or a little more.
+func (a *account) since(t time.Time) float64 {
+	from := a.marks[0]
+	for _, m := range a.marks {
+		if !m.at.After(t) {
+			from = m
+		}
+	}
+	return max(0, float64(a.own-from.own))
 }
 
 type peer struct {
@@ -83,8 +118,10 @@
 	// patience is the silence after which its part is left to it.
 	patience time.Duration
 	counts   Counts
-	// left is what was left to the peer while it was silent, by organisation.
+	// left is what was left to the peer while it was silent, by organisation, paid
+	// whether that was done for the time until the silence was noticed.
 	left map[string]float64
+	paid bool
 }
 
 // New returns a ledger of an instance that starts now. The start tells its lives
@@ -139,7 +176,7 @@
 	if p == nil || p.start != r.Start {
 		p = l.meet(p, r)
 	}
-	p.heard, p.gone, p.informed, p.patience = now, false, r.Levels != nil, r.Patience
+	p.heard, p.gone, p.paid, p.informed, p.patience = now, false, false, r.Levels != nil, r.Patience
 	l.returnLeft(p)
 	if p.met {
 		for org, count := range r.Counts {
@@ -271,6 +308,7 @@
 	a := l.account(now, org)
 	l.refill(now, org, l.parts(now))
 	d := Decision{Level: a.level, Share: a.share}
+	a.mark(now)
 	if a.level >= 1 {
 		a.level--
 		a.own++
@@ -323,6 +361,7 @@
 // refill adds the tokens of the time since the last look and notes what is left
 // to silent instances.
 func (l *Ledger) refill(now time.Time, org string, parts parts) {
+	l.payForSilence(parts)
 	a := l.accounts[org]
 	limit := l.limits[org]
 	seconds := max(0, now.Sub(a.at).Seconds())
@@ -331,10 +370,40 @@
 	whole := limit.Rate * seconds
 	a.level = min(a.level+whole*a.share, l.cap(limit, a.share))
 	for _, p := range parts.left {
-		p.left[org] = min(p.left[org]+whole/parts.size, limit.Burst)
+		l.leave(p, org, whole/parts.size)
 	}
 }
 
+// payForSilence leaves to peers that are newly silent what they may have let in since
+// they were heard last.
+//
+// What goes wrong without it: instances are cut off from each other while an
+// organisation sends more than its rate. Until they notice, each side uses the whole
+// rate. Nine instances on their own let in eighty requests too many in that half
+// second, three sides a rate's half second each. What was not used is not paid for.
+func (l *Ledger) payForSilence(parts parts) {
+	for _, p := range parts.left {
+		if p.paid {
+			continue
+		}
+		p.paid = true
+		if p.heard.IsZero() {
+			continue
+		}
+		for org, a := range l.accounts {
+			unnoticed := max(0, a.at.Sub(p.heard).Seconds())
+			part := min(l.limits[org].Rate*unnoticed, a.since(p.heard)) / parts.size
+			l.leave(p, org, part)
+			a.level -= part
+		}
+	}
+}
+
+// leave notes what is left to a silent peer, its burst at most.
+func (l *Ledger) leave(p *peer, org string, tokens float64) {
+	p.left[org] = min(p.left[org]+tokens, l.limits[org].Burst)
+}
+
 // cap is the most tokens that a bucket holds: the burst, less the parts of
 // silent instances.
 func (l *Ledger) cap(limit Limit, share float64) float64 {
--- a/internal/coordination/quota/quota_test.go
+++ b/internal/coordination/quota/quota_test.go
@@ -146,6 +146,30 @@
 	}
 }
 
+// An organisation begins to send several times its rate to a fleet that has been there
+// for a while, and uses its burst up. Then instances are cut off from each other. Until
+// they notice it, each of them uses the whole rate. If none paid for that later, nine
+// instances would let in some eighty requests too many.
+func TestTimeUntilACutIsNoticedIsPaidFor(t *testing.T) {
+	small, large := Limit{Rate: 35, Burst: 35}, Limit{Rate: 100, Burst: 100}
+	for _, c := range []struct {
+		sides int
+		limit Limit
+	}{{2, small}, {3, small}, {9, small}, {2, large}, {3, large}} {
+		f := newFleet(t, 9, c.limit)
+		random := rand.New(rand.NewPCG(1, 8))
+		f.play(random, 0.3*c.limit.Rate, 3*time.Second)
+		f.play(random, 5*c.limit.Rate, 3*time.Second)
+		for i, m := range f.members {
+			m.side = i % c.sides
+		}
+		before := len(f.admitted)
+		f.play(random, 5*c.limit.Rate, 10*time.Second)
+		require.LessOrEqual(t, f.most(5*time.Second), allowed(c.limit), "%v", c)
+		require.Greater(t, float64(len(f.admitted)-before), 0.8*10*c.limit.Rate, "%v", c)
+	}
+}
+
 // Instances are restarted one after the other, as in a release. Each new one hears
 // of everything that the others let in since their own starts. Taking that for
 // news, it would refuse every caller for many seconds, though all are inside their
