--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build docs test demo bench matrix fmt-check lint
+.PHONY: build docs test demo bench slots matrix fmt-check lint
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -27,6 +27,10 @@
 	$(BIN)/fleettest bench
 	$(BIN)/fleettest policy
 
+# Ways of dividing the slots of targets, in virtual time: some minutes of a core.
+slots: build
+	$(BIN)/fleettest slots
+
 # Every fault at every step: a row for each step, the sum last.
 matrix: build
 	$(GO) test -count=1 -json -run '^TestMatrix' ./... | $(BIN)/fleettest matrix
