--- a/internal/coordination/broker/allotter.go
+++ b/internal/coordination/broker/allotter.go
@@ -17,7 +17,7 @@
 const CalmAfter = 80 * time.Millisecond
 
 // SpareFor is how long after an item had to give way items leave slots free, and
-// spareFactor how many: that times the square root of the slots of the domain, since
+// spareFactor how many: that times the square root of the domain's slots of a service, since
 // the swings of requests that come at random grow with the square root of their number.
 //
 // The load it answers: near a peak nearly all slots are taken, and an item that gets
@@ -88,9 +88,8 @@
 	}
 	var out []Allotment
 	itemsWait := now.Sub(a.yieldedAt) < a.CalmAfter
-	spare := a.spare(now)
 	a.lineup.place(now, itemsWait, func(w *Waiter) bool {
-		if w.want.Batch && a.Free(now) <= spare {
+		if w.want.Batch && a.spared(now, w.want.Service) {
 			return false
 		}
 		grant, yields, ok := a.Place(now, w.instance, w.hold, w.want)
@@ -108,12 +107,13 @@
 	return out
 }
 
-// spare is how many slots items leave free now.
-func (a *Allotter) spare(now time.Time) int {
+// spared says that the slots of a service that are free now are left to requests.
+func (a *Allotter) spared(now time.Time, service string) bool {
 	if now.Sub(a.yieldedAt) >= a.SpareFor {
-		return 0
+		return false
 	}
-	return int(math.Round(spareFactor * math.Sqrt(float64(a.Slots()))))
+	all, free := a.core.Slots(now, service)
+	return free <= int(math.Round(spareFactor*math.Sqrt(float64(all))))
 }
 
 // SetDomainTargets takes over those of the targets that are in a failure domain.
--- a/internal/coordination/broker/allotter_test.go
+++ b/internal/coordination/broker/allotter_test.go
@@ -12,10 +12,14 @@
 	"merlintiller/internal/state/roster"
 )
 
-// newTestAllotter is an allotter of one target with some slots.
+// newTestAllotter is an allotter of a target with some slots, beside one of another
+// service that nobody uses.
 func newTestAllotter(slots int) *Allotter {
 	a := NewAllotter(placement.New(placement.Options{Domain: "d", Random: rand.New(rand.NewPCG(1, 1))}))
-	a.SetTargets([]roster.Target{{ID: "t", Service: "s", Domain: "d", Address: "10.0.0.1:1", Slots: slots}})
+	a.SetTargets([]roster.Target{
+		{ID: "t", Service: "s", Domain: "d", Address: "10.0.0.1:1", Slots: slots},
+		{ID: "u", Service: "other", Domain: "d", Address: "10.0.0.2:1", Slots: slots},
+	})
 	return a
 }
 
--- a/internal/coordination/broker/book.go
+++ b/internal/coordination/broker/book.go
@@ -289,6 +289,3 @@
 
 // Free counts the slots that are free.
 func (b *Book) Free(now time.Time) int { return b.core.Free(now) }
-
-// Slots counts all slots of the targets that may be used.
-func (b *Book) Slots() int { return b.core.Slots() }
--- a/internal/coordination/placement/core.go
+++ b/internal/coordination/placement/core.go
@@ -333,15 +333,16 @@
 	return free
 }
 
-// Slots counts the slots of all targets that are trusted.
-func (c *Core) Slots() int {
-	slots := 0
+// Slots counts the slots of a service at targets that are trusted, and those of them
+// that are free.
+func (c *Core) Slots(now time.Time, service string) (all, free int) {
 	for _, t := range c.targets {
-		if t.listed && t.health.trusted() {
-			slots += t.slots
+		if t.listed && t.Service == service && t.health.trusted() {
+			all += t.slots
+			free += max(0, t.slots-t.busy(now))
 		}
 	}
-	return slots
+	return all, free
 }
 
 // Distrusted gives the targets that a request should not go to. If it could go
