--- a/internal/policybench/slots/engine.go
+++ b/internal/policybench/slots/engine.go
@@ -16,8 +16,10 @@
 	firstExtra  = 15 * time.Millisecond
 	eventTokens = 6
 	// queueEach are the requests that wait at an engine at most.
-	queueEach    = 24
-	connectTime  = time.Millisecond
+	queueEach = 24
+	// connectTime is the time of a new connection.
+	connectTime = time.Millisecond
+	// promptTokens are those of a prompt, shared parts included.
 	promptTokens = 450
 )
 
--- a/internal/policybench/slots/play.go
+++ b/internal/policybench/slots/play.go
@@ -118,12 +118,14 @@
 	return p.result
 }
 
-// arrive has something come at random moments, at a rate that changes with the day.
+// arrive has something come at random moments, at a rate that changes with the day:
+// moments are drawn at the largest rate, and some of them are left out.
 func (p *day) arrive(perSecond float64, factor func(at time.Duration) float64, come func()) {
 	at := p.clock.Now().Sub(virtual.Start)
 	if at >= dayLength {
 		return
 	}
+	// most is above every factor of a day.
 	const most = 10.0
 	gap := time.Duration(p.random.ExpFloat64() / (perSecond * most) * float64(time.Second))
 	p.clock.After(gap, func() {
