Targets that lapsed behind a cut are used on

Cause: an instance that comes back from a cut hears a peer some 40 ms before it hears the store, and takes the list of targets from it. The entries of its own domain's targets lapsed behind the cut, so the list lacks them.

Ruled out: a slow broker; items that ran twice.

Change: entries that vanish while the store is away for this instance lapse as well. Test: TestTargetsThatLapsedBehindACutAreUsedOn, failed before.

--- a/internal/coordination/fleetview/view.go
+++ b/internal/coordination/fleetview/view.go
@@ -167,11 +167,21 @@
 }
 
 // lapseUntil is until when targets are used whose entries vanish now.
+//
+// An instance that comes back from a cut hears another instance before it hears the
+// store, and takes the list from it: entries that it lacks lapsed behind the cut. If
+// they were taken for gone, the instances of that failure domain would leave their
+// own targets until those register again, a second later, and send everything to
+// the others.
 func (v *View) lapseUntil(now time.Time) time.Time {
-	if !v.back.IsZero() && now.Sub(v.back) < outageMemory {
+	switch {
+	case !v.answered.IsZero() && now.Sub(v.answered) > outageAfter:
+		return now.Add(lapseGrace)
+	case !v.back.IsZero() && now.Sub(v.back) < outageMemory:
 		return v.back.Add(lapseGrace)
+	default:
+		return time.Time{}
 	}
-	return time.Time{}
 }
 
 // TakeConfig takes over a configuration if it is newer than the one in force.
--- a/internal/coordination/fleetview/view_test.go
+++ b/internal/coordination/fleetview/view_test.go
@@ -163,3 +163,33 @@
 		require.Equal(t, []string{"b"}, v.usable)
 	})
 }
+
+// A failure domain is cut off for longer than entries of targets last. When the cut
+// ends, its instances hear one of another domain a moment before the store, and that
+// one's list lacks all targets of their domain. These serve all the while; callers
+// must not wait for the slots of other domains until they register again.
+func TestTargetsThatLapsedBehindACutAreUsedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &listLog{}
+		store.list("own")
+		store.list("far")
+		v := viewOf(store)
+		v.watchTargets(t.Context())
+		time.Sleep(time.Second)
+
+		store.away = true
+		time.Sleep(5 * time.Second)
+		store.drop("own")
+		v.view.TakeTargets([]roster.Target{{ID: "far"}}, store.end())
+		require.Equal(t, []string{"far", "own"}, v.usable)
+
+		store.away = false
+		time.Sleep(time.Second)
+		synctest.Wait()
+		require.Equal(t, []string{"far", "own"}, v.usable)
+
+		time.Sleep(leaveBound - time.Second - toArrive)
+		synctest.Wait()
+		require.Equal(t, []string{"far"}, v.usable, "one that does not register again is gone")
+	})
+}
