Instances that fall silent are spoken to over new connections

Cause: after a cut of 5.2 s the connections from before are still silent, since their senders try again after pauses that double.

Change: connections to an instance that counts as silent are closed; calls that hang on them fail at once and the next one dials anew. Test: TestForgottenInstanceIsDialledAnew.

--- a/internal/coordination/mesh/mesh.go
+++ b/internal/coordination/mesh/mesh.go
@@ -53,7 +53,7 @@
 	PeerHeard(beat Beat, patience time.Duration)
 	// PeerSilent tells that an instance is silent, PeerGone that its process
 	// is not there or was forgotten.
-	PeerSilent(name string)
+	PeerSilent(Instance)
 	PeerGone(name string)
 	// DomainSilent tells whether nobody of another failure domain is heard. It is
 	// called again and again.
--- a/internal/coordination/mesh/mesh_test.go
+++ b/internal/coordination/mesh/mesh_test.go
@@ -67,7 +67,7 @@
 
 func (l *told) Newer(SnapshotArgs) SnapshotReply { return SnapshotReply{} }
 func (l *told) Adopt(SnapshotReply)              {}
-func (l *told) PeerSilent(string)                {}
+func (l *told) PeerSilent(Instance)              {}
 func (l *told) PeerGone(string)                  {}
 func (l *told) DomainSilent(string, bool)        {}
 func (l *told) PeerListed(string)                {}
--- a/internal/coordination/mesh/settle.go
+++ b/internal/coordination/mesh/settle.go
@@ -58,7 +58,7 @@
 	case Unheard:
 		m.local.PeerListed(p.Name)
 	case Silent:
-		m.local.PeerSilent(p.Name)
+		m.local.PeerSilent(p.Instance)
 	case Down:
 		m.local.PeerGone(p.Name)
 	case Up:
--- a/internal/daemon/routed/local.go
+++ b/internal/daemon/routed/local.go
@@ -59,9 +59,10 @@
 
 // PeerSilent implements mesh.Local. What a silent instance has at targets is not
 // known any more; targets tell of it themselves.
-func (l *local) PeerSilent(name string) {
-	l.placer.SetPeer(name, nil)
-	l.broker.Silent(name)
+func (l *local) PeerSilent(i mesh.Instance) {
+	l.placer.SetPeer(i.Name, nil)
+	l.broker.Silent(i.Name)
+	l.calls.Forget(i.Address)
 }
 
 // PeerGone implements mesh.Local.
--- a/internal/transport/peer/silent_test.go
+++ b/internal/transport/peer/silent_test.go
@@ -78,3 +78,39 @@
 	}
 	return f.Host("10.0.0.1").Dial(ctx, "10.0.0.3:80")
 }
+
+// A failure domain is cut off for seconds. When the cut ends, the connections from
+// before are still silent, and a request that asks for a slot over one of them waits
+// for nothing. An instance that was silent is spoken to over new connections, and
+// calls that hang on old ones fail at once, so that their callers go elsewhere.
+func TestForgottenInstanceIsDialledAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.New(time.Millisecond)
+		const address = "10.0.0.2:80"
+		listener, err := network.Host("10.0.0.2").Listen(address)
+		require.NoError(t, err)
+		server := NewServer(listener, nil, log.NewNopLogger())
+		require.NoError(t, server.Register("Echo", &echo{release: make(chan struct{})}))
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); _ = server.Serve(ctx) }()
+		client := NewClientOn(&firstSilent{Network: network})
+		var lost, reply string
+		hangs := make(chan error, 1)
+		go func() { hangs <- client.Call(ctx, address, "Echo.Say", "hello", &lost) }()
+		time.Sleep(time.Second)
+
+		client.Forget("10.0.0.9:80")
+		synctest.Wait()
+		require.Empty(t, hangs, "another instance was forgotten")
+
+		began := time.Now()
+		client.Forget(address)
+		require.Error(t, <-hangs)
+		require.NoError(t, client.Call(ctx, address, "Echo.Say", "hello", &reply))
+		require.Less(t, time.Since(began), 10*time.Millisecond)
+		client.Close()
+		cancel()
+		<-done
+	})
+}
