A failure domain that refuses altogether is cut off, not dead

Cause: some cuts reset connections.

Change: a refusal means that a process is not there only if another instance of its domain is heard. CutOff says that no other domain is heard, whatever the way. Tests: TestDomainThatRefusesAltogetherIsCutOff, TestCutOffWhenNoOtherDomainIsHeard.

--- a/internal/coordination/mesh/mesh.go
+++ b/internal/coordination/mesh/mesh.go
@@ -147,6 +147,13 @@
 	return m.view.Up(time.Now(), domain)
 }
 
+// CutOff says that nobody of another failure domain is heard any more.
+func (m *Mesh) CutOff() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.CutOff(time.Now())
+}
+
 // Claimed gives the batch items that instances which are heard run for others.
 func (m *Mesh) Claimed() []Claim {
 	m.mu.Lock()
--- a/internal/coordination/mesh/view.go
+++ b/internal/coordination/mesh/view.go
@@ -203,6 +203,10 @@
 
 func (v *View) state(now time.Time, e *entry, pace pace) State {
 	switch {
+	case e.down && v.vouched(now, e.Domain):
+		return Down
+	case e.down && e.beat.Seq > 0:
+		return Silent
 	case e.down:
 		return Down
 	case e.beat.Seq == 0:
@@ -214,8 +218,30 @@
 	}
 }
 
+// vouched says that a refused connection to a failure domain means that a process is
+// not there, since another instance of the domain is heard. Cuts between failure
+// domains refuse connections too.
+//
+// What goes wrong if each refusal is believed: a cut resets connections, and each
+// side takes the other for dead. Both then use the whole of each rate, and the slots
+// of the others' runs count as free while targets still work on them.
+func (v *View) vouched(now time.Time, domain string) bool {
+	if domain == v.self.Domain {
+		return true
+	}
+	for _, e := range v.peers {
+		if e.Domain == domain && !e.quiet(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// quiet says that an instance was not heard for a while.
+func (e *entry) quiet(now time.Time) bool { return e.down || now.Sub(e.heard) > SilentAfter }
+
 // SilentDomains says of each other failure domain whether nobody of it was heard
-// for a while, of those that were heard before and whose processes are there. In a
+// for a while, of those that were heard before. In a
 // large fleet that shows before each single instance counts as silent. While nobody
 // at all is heard, no domain counts as silent: then this instance is the one that
 // is cut off, and its paths to targets may be whole.
@@ -223,10 +249,10 @@
 	silent := map[string]bool{}
 	anyHeard := false
 	for _, e := range v.peers {
-		if e.beat.Seq == 0 || e.down {
+		if e.beat.Seq == 0 {
 			continue
 		}
-		quiet := now.Sub(e.heard) > SilentAfter
+		quiet := e.quiet(now)
 		anyHeard = anyHeard || !quiet
 		if e.Domain == v.self.Domain {
 			continue
@@ -243,6 +269,22 @@
 	return silent
 }
 
+// CutOff says that nobody of another failure domain is heard, though instances there
+// were heard before. Some cuts refuse connections, others swallow them.
+func (v *View) CutOff(now time.Time) bool {
+	cut := false
+	for _, e := range v.peers {
+		if e.Domain == v.self.Domain || e.beat.Seq == 0 {
+			continue
+		}
+		if !e.quiet(now) {
+			return false
+		}
+		cut = true
+	}
+	return cut
+}
+
 // Known gives all instances, this one included.
 func (v *View) Known() []Instance {
 	out := []Instance{v.self}
--- a/internal/coordination/mesh/view_test.go
+++ b/internal/coordination/mesh/view_test.go
@@ -101,3 +101,42 @@
 	_, ok = v.Holder(viewStart, 4)
 	require.False(t, ok)
 }
+
+// A cut between failure domains resets connections. Each refusal looks as if a process
+// were gone; were all of them believed, both sides would use the whole of each rate,
+// and organisations would get twice as much as they may.
+func TestDomainThatRefusesAltogetherIsCutOff(t *testing.T) {
+	v := NewView(instance("a", 0), ForgetAfter)
+	near, one, two := instance("a", 1), instance("b", 0), instance("b", 1)
+	for _, i := range []Instance{near, one, two} {
+		heard(v, viewStart, i, 1)
+	}
+	v.Refused(one.Address)
+	require.Equal(t, Down, stateOf(t, v, viewStart, one), "another one of its domain is heard")
+	require.False(t, v.CutOff(viewStart))
+
+	v.Refused(two.Address)
+	require.Equal(t, Silent, stateOf(t, v, viewStart, one))
+	require.Equal(t, Silent, stateOf(t, v, viewStart, two))
+	require.Equal(t, map[string]bool{"b": true}, v.SilentDomains(viewStart))
+	require.True(t, v.CutOff(viewStart))
+	v.Refused(near.Address)
+	require.Equal(t, Down, stateOf(t, v, viewStart, near))
+
+	heard(v, viewStart, two, 2)
+	require.Equal(t, Up, stateOf(t, v, viewStart, two))
+	require.Equal(t, Down, stateOf(t, v, viewStart, one))
+	require.False(t, v.CutOff(viewStart))
+}
+
+// The last instance that is heard of the others falls silent without a refusal.
+func TestCutOffWhenNoOtherDomainIsHeard(t *testing.T) {
+	v := NewView(instance("a", 0), ForgetAfter)
+	require.False(t, v.CutOff(viewStart), "no other domain is known")
+	heard(v, viewStart, instance("a", 1), 1)
+	v.Listed(viewStart, []Instance{instance("b", 0)})
+	require.False(t, v.CutOff(viewStart), "nobody was heard yet")
+	heard(v, viewStart, instance("b", 0), 1)
+	require.False(t, v.CutOff(viewStart.Add(SilentAfter)))
+	require.True(t, v.CutOff(viewStart.Add(SilentAfter+time.Millisecond)))
+}
