Items begin again at once after all instances were killed

Cause: each life of an instance was a member of its own in the store's group.

Change: an instance keeps its name in the group over its lives, so it has its partitions at once. Where nobody that is heard can run items of a partition that comes here (all have just started, none lost a partition), items begin after 150 ms.

--- a/internal/coordination/batchjobs/claims.go
+++ b/internal/coordination/batchjobs/claims.go
@@ -36,3 +36,25 @@
 		r.claimed[itemID{c.Job, c.Item}] = true
 	}
 }
+
+// youngFor is how long after its start an instance can't hold anything from before
+// that it does not know to be lost: it joins the group several times meanwhile.
+const youngFor = 2 * time.Second
+
+// takeOver says until when items of a partition that came here at a time wait to be
+// begun, and until when another instance may claim that it runs them.
+//
+// The load it answers: all instances were killed and start again. Nobody can run
+// anything, and items that are due within seconds would wait for claims that nobody
+// makes, beside targets that are idle.
+func (r *Runner) takeOver(now, held time.Time) (begin, claims time.Time) {
+	for _, p := range r.opts.Peers.Peers() {
+		if p.State != mesh.Up {
+			continue
+		}
+		if p.Beat.HasLost || now.Sub(time.UnixMilli(p.Start)) > youngFor {
+			return held.Add(claimWait), held.Add(claimWait)
+		}
+	}
+	return held.Add(startWait), held
+}
--- a/internal/coordination/batchjobs/holding_test.go
+++ b/internal/coordination/batchjobs/holding_test.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
+	"merlintiller/internal/coordination/mesh"
 	"merlintiller/internal/external"
 	"merlintiller/internal/standin/sharedstore"
 	"merlintiller/internal/state/jobs"
@@ -33,7 +34,7 @@
 	}
 	p.opts = &Options{
 		Topic: p.at.Topic, Partitions: 1, RecordBytes: 64 << 10, CallBytes: 256 << 10,
-		Log: p.store, StoreAnswered: func() {}, Logger: log.NewNopLogger(),
+		Log: p.store, StoreAnswered: func() {}, Peers: nobody{}, Logger: log.NewNopLogger(),
 	}
 	job := &jobs.Job{ID: jobID, Organisation: "o", Submitted: time.Now()}
 	for i := range items {
@@ -46,6 +47,13 @@
 	return p
 }
 
+// nobody is a fleet without other instances.
+type nobody struct{}
+
+func (nobody) Peers() []mesh.Peer           { return nil }
+func (nobody) Holder(int) (mesh.Peer, bool) { return mesh.Peer{}, false }
+func (nobody) Claimed() []mesh.Claim        { return nil }
+
 // hold begins to hold the partition.
 func (p *place) hold() *holding {
 	h := newHolding(p.opts, p.at, nil)
--- a/internal/coordination/batchjobs/keeper.go
+++ b/internal/coordination/batchjobs/keeper.go
@@ -30,6 +30,8 @@
 	generation int64
 	held       map[int]*held
 	leaving    bool
+	// hasLost says that a partition went to another instance in this life.
+	hasLost bool
 }
 
 // held is a partition with the end of its duties.
@@ -146,6 +148,7 @@
 	h.stop()
 	k.runner.drop(h.holding)
 	delete(k.held, number)
+	k.hasLost = true
 }
 
 func (k *Keeper) start(ctx context.Context, p external.Partition) {
@@ -167,6 +170,13 @@
 	return partitions, k.generation
 }
 
+// HasLost says whether a partition went to another instance in this life.
+func (k *Keeper) HasLost() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.hasLost
+}
+
 // holding gives a partition that is held here.
 func (k *Keeper) holding(number int) (*holding, bool) {
 	k.mu.Lock()
--- a/internal/coordination/batchjobs/options.go
+++ b/internal/coordination/batchjobs/options.go
@@ -30,6 +30,8 @@
 	// in one of them, and waits a while for a slot.
 	Domains() []string
 	PlaceItem(ctx context.Context, domain string, item broker.Item) (placement.Choice, bool)
+	// Runs notes under which id a target runs an item.
+	Runs(choice placement.Choice, id string)
 	Done(placement.Choice, placement.Result)
 	Told(choice placement.Choice, load *exchange.Load)
 	Heard(id string)
--- a/internal/coordination/batchjobs/runner.go
+++ b/internal/coordination/batchjobs/runner.go
@@ -28,6 +28,10 @@
 	// claimWait is how long a new holder waits for others to claim the items
 	// that they run: two messages of another failure domain.
 	claimWait = 400 * time.Millisecond
+	// startWait is the same after a restart of all instances, when nobody has anything
+	// to claim: until the instances have found each other and asked the targets what
+	// they run.
+	startWait = 150 * time.Millisecond
 )
 
 var (
@@ -165,7 +169,8 @@
 		t := &task{openItem: *o, runner: r, home: h, position: exchange.FromStart}
 		t.output.begin()
 		if o.job.Submitted.Before(held) {
-			t.notBefore = held.Add(claimWait)
+			t.inherited = true
+			t.notBefore, t.claimsUntil = r.takeOver(time.Now(), held)
 		}
 		t.resume(o.kept)
 		t.adopt(h.handedBack(o.id))
--- a/internal/coordination/batchjobs/task.go
+++ b/internal/coordination/batchjobs/task.go
@@ -45,6 +45,10 @@
 	ended     bool
 	// late says that the item can't be done in time any more.
 	late bool
+	// inherited says that another instance may have begun the item; until claimsUntil
+	// it may still say that it runs it.
+	inherited   bool
+	claimsUntil time.Time
 	// worked is the time that runs have taken so far, began when the last one did.
 	worked time.Duration
 	began  time.Time
--- a/internal/coordination/mesh/beat.go
+++ b/internal/coordination/mesh/beat.go
@@ -46,6 +46,9 @@
 	// Partitions are those of batch jobs that it holds, as of a generation.
 	Partitions []int
 	Generation int64
+	// HasLost says that it has lost partitions in this life, so that items of theirs
+	// may run there.
+	HasLost bool
 	// Claims are batch items that it runs though it holds their partition no
 	// more. The holder leaves them to it as long as it is heard.
 	Claims []Claim
--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"runtime/debug"
 	"sync/atomic"
@@ -139,7 +138,7 @@
 func (d *Daemon) joinJobs() {
 	s := d.settings.Store
 	opts := &batchjobs.Options{
-		Member: fmt.Sprintf("%s/%d", d.self.Name, d.self.Start),
+		Member: d.self.Name,
 		Topic:  jobsTopic, Partitions: s.Partitions, Group: jobsGroup,
 		RecordBytes: s.RecordBytes, CallBytes: s.CallBytes, Readable: d.settings.ResultsReadable,
 		Log: d.store, Groups: d.store, Peers: d.mesh, Caller: d.calls,
--- a/internal/daemon/routed/jobs_test.go
+++ b/internal/daemon/routed/jobs_test.go
@@ -256,6 +256,41 @@
 	})
 }
 
+// All instances are killed at once and start again half a second later. Until callers
+// are back there is nothing to do but their jobs, whose items are due within seconds;
+// slots that stay empty meanwhile make them late.
+func TestItemsBeginAgainSoonAfterARestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, size{domains: 2, nodes: 3, targets: 3})
+		ids := w.submit(w.nodes[0], 4, 8, 250)
+		pass(2500 * time.Millisecond)
+		for _, n := range w.nodes {
+			n.kill()
+		}
+		pass(500 * time.Millisecond)
+		began := time.Now()
+		for _, n := range w.nodes {
+			n.start()
+		}
+		pass(600 * time.Millisecond)
+		again := 0
+		for _, id := range ids {
+			for i := range 8 {
+				for _, run := range w.runs(itemOf(id, i)) {
+					if run.Began.After(began) {
+						again++
+						break
+					}
+				}
+			}
+		}
+		require.Equal(t, 4*8, again, "items that go on")
+		for _, id := range ids {
+			w.requireWhole(id, w.nodes[4].allResults(id, 10*time.Second), 250)
+		}
+	})
+}
+
 // Instances are stopped and started in turn, so that partitions are dealt anew again
 // and again, or all are killed. An item that fails at every target must not be tried
 // from the beginning by each new holder.
--- a/internal/daemon/routed/local.go
+++ b/internal/daemon/routed/local.go
@@ -23,6 +23,7 @@
 	beat.Levels = l.meter.Levels()
 	beat.Informed = beat.Levels != nil
 	beat.Partitions, beat.Generation = l.keeper.Holding()
+	beat.HasLost = l.keeper.HasLost()
 	beat.Claims = l.runner.Claims()
 }
 
