Runs that nobody reads are ended at their targets

Cause: when instances lose their power or a failure domain is cut off, no connection is closed, and targets go on with the items of those instances to the last event, up to five seconds.

Change: the broker of a domain ends items of instances that stay silent. For some seconds after a loss or its own start it asks its targets what they run, and has ended what the holders of the items say nobody reads. A run is ended by the targets' own call that moves its memory, which is freed at once. It also gives the broker the targets' true load from its first moments on. Requests carry their ids in holds, so that runs are told apart.

--- a/internal/coordination/batchjobs/options.go
+++ b/internal/coordination/batchjobs/options.go
@@ -39,7 +39,9 @@
 
 // Options make a Desk and its duties.
 type Options struct {
-	// Member names this life of the instance in the group.
+	// Member names the instance in the group. It is the same in each life: one that is
+	// killed and starts again has its partitions at once, and not only after the
+	// silence that gives those of its former life to others.
 	Member string
 	// Topic and Partitions say where the jobs stand, Group who deals them.
 	Topic      string
--- a/internal/coordination/batchjobs/rpc.go
+++ b/internal/coordination/batchjobs/rpc.go
@@ -12,10 +12,11 @@
 	ReceiverName = "Jobs"
 	WaiterName   = "JobResults"
 
-	methodKnown  = ReceiverName + ".Known"
-	methodAccept = ReceiverName + ".Accept"
-	methodBody   = ReceiverName + ".Body"
-	methodYield  = ReceiverName + ".Yield"
+	methodKnown   = ReceiverName + ".Known"
+	methodAccept  = ReceiverName + ".Accept"
+	methodBody    = ReceiverName + ".Body"
+	methodYield   = ReceiverName + ".Yield"
+	methodOrphans = ReceiverName + ".Orphans"
 
 	methodFinish   = ReceiverName + ".Finish"
 	methodHandBack = ReceiverName + ".HandBack"
--- a/internal/coordination/broker/book.go
+++ b/internal/coordination/broker/book.go
@@ -49,6 +49,9 @@
 	// yields says that the batch item was asked to give its slot back, stuck that
 	// it can't be asked.
 	yields, stuck bool
+	// stuckAt is when it got stuck, ending says that its target was asked to end it.
+	stuckAt time.Time
+	ending  bool
 }
 
 // ends is when a target should be done with a request at the latest.
@@ -110,7 +113,8 @@
 // adopt takes over a hold that another broker gave.
 func (b *Book) adopt(now time.Time, instance string, h Hold) {
 	key := holdKey{instance, h.Number}
-	if b.holds[key] != nil {
+	if known := b.holds[key]; known != nil {
+		known.Run = h.Run
 		return
 	}
 	choice, ok := b.core.Take(now, h.Target, h.Batch)
@@ -180,7 +184,7 @@
 	default:
 		h.choice = b.core.Recount(h.choice, false)
 	}
-	h.stuck = true
+	h.stuck, h.stuckAt, h.ending = true, now, false
 	b.stuck++
 }
 
@@ -226,7 +230,7 @@
 	if !ok {
 		return Grant{}, nil, false
 	}
-	h.Target, h.Batch = choice.ID, want.Batch
+	h.Target, h.Batch, h.Run = choice.ID, want.Batch, want.Run
 	if choice.Crowded {
 		yields = b.lastDue(choice.ID)
 	}
--- a/internal/coordination/broker/broker.go
+++ b/internal/coordination/broker/broker.go
@@ -42,12 +42,13 @@
 	placed map[*Waiter]chan Grant
 	// looking says that a look is due.
 	looking bool
+	sweep   *sweep
 }
 
 // New returns a broker of a failure domain.
 func New(domain string, seed uint64, yield func(instance string, number uint64) bool) *Broker {
 	core := placement.New(placement.Options{Domain: domain, Random: rand.New(rand.NewPCG(seed, seed))})
-	return &Broker{domain: domain, yield: yield, allotter: NewAllotter(core), placed: map[*Waiter]chan Grant{}}
+	return &Broker{domain: domain, yield: yield, allotter: NewAllotter(core), placed: map[*Waiter]chan Grant{}, sweep: newSweep(time.Now())}
 }
 
 // String names the duty.
@@ -82,12 +83,18 @@
 
 // Gone drops the holds of an instance whose process is not there.
 func (b *Broker) Gone(instance string) {
-	b.change(func(time.Time) { b.allotter.Gone(instance) })
+	b.change(func(now time.Time) {
+		b.allotter.Gone(instance)
+		b.sweep.begin(now)
+	})
 }
 
 // Silent notes that an instance is not heard.
 func (b *Broker) Silent(instance string) {
-	b.change(func(now time.Time) { b.allotter.Silent(now, instance) })
+	b.change(func(now time.Time) {
+		b.allotter.Silent(now, instance)
+		b.sweep.begin(now)
+	})
 }
 
 // Loaded takes in what a target of the domain says of its load.
--- a/internal/coordination/broker/client.go
+++ b/internal/coordination/broker/client.go
@@ -279,7 +279,7 @@
 		d.free, d.at = reply.Free, time.Now()
 	}
 	if reply.Granted {
-		c.held[ask.Number] = Hold{Number: ask.Number, Target: reply.Grant.Target.ID, Batch: ask.Want.Batch, Due: ask.Due, Lasts: ask.Lasts}
+		c.held[ask.Number] = Hold{Number: ask.Number, Target: reply.Grant.Target.ID, Batch: ask.Want.Batch, Due: ask.Due, Lasts: ask.Lasts, Run: ask.Want.Run}
 	}
 	c.mu.Unlock()
 	if !reply.Granted {
@@ -323,6 +323,16 @@
 	c.release(choice.Broker, choice.Number)
 }
 
+// Runs notes under which id the target of a choice runs a batch item.
+func (c *Client) Runs(choice placement.Choice, id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if h, ok := c.held[choice.Number]; ok {
+		h.Run = id
+		c.held[choice.Number] = h
+	}
+}
+
 // Known says whether any target of a service may be used.
 func (c *Client) Known(service string) bool { return c.opts.Local.Known(service) }
 
--- a/internal/coordination/broker/messages.go
+++ b/internal/coordination/broker/messages.go
@@ -16,6 +16,8 @@
 	Due int64
 	// Lasts is how long a target is busy with it at most. 0: as usual.
 	Lasts time.Duration
+	// Run is the id under which the target runs it. Empty: not known yet.
+	Run string
 }
 
 // Told is what an instance says that it holds at the targets of one domain.
--- /dev/null
+++ b/internal/coordination/broker/sweeper.go
@@ -0,0 +1,88 @@
+package broker
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"merlintiller/internal/external"
+	"merlintiller/internal/state/roster"
+	"merlintiller/internal/wait"
+)
+
+const (
+	// sweepEvery is how often it is looked whether there is anything to end.
+	sweepEvery = 100 * time.Millisecond
+	// inspectTimeout bounds a question to a target, and the end of a run.
+	inspectTimeout = 400 * time.Millisecond
+)
+
+var orphansEnded = metrics.NewCounter(`broker_orphans_ended_total`)
+
+// Sweeper ends runs at the targets of a failure domain that nobody reads, for as
+// long as this instance is the domain's broker. It is a duty.
+type Sweeper struct {
+	// Broker knows who holds what.
+	Broker *Broker
+	// First says that this instance is the domain's broker.
+	First   func() bool
+	Targets external.Inspector
+	// Orphans gives the runs, of those named at a target, that the holders of their
+	// items say nobody reads.
+	Orphans func(ctx context.Context, target string, runs []string) []string
+	Logger  log.Logger
+}
+
+// String names the duty.
+func (s *Sweeper) String() string { return "sweeper" }
+
+// Serve sweeps until ctx ends.
+func (s *Sweeper) Serve(ctx context.Context) error {
+	return wait.Every(ctx, sweepEvery, func() {
+		if !s.First() {
+			return
+		}
+		orphans, ask := s.Broker.Sweep(time.Now())
+		for _, o := range orphans {
+			go s.end(ctx, o, "instance_silent")
+		}
+		for _, t := range ask {
+			go s.ask(ctx, t)
+		}
+	})
+}
+
+// ask asks a target what it runs, and has ended what nobody reads.
+func (s *Sweeper) ask(ctx context.Context, t roster.Target) {
+	limited, cancel := context.WithTimeout(ctx, inspectTimeout)
+	defer cancel()
+	report, err := s.Targets.Report(limited, t.Address)
+	if err != nil {
+		_ = level.Info(s.Logger).Log("event", "target_not_reporting", "target", t.ID, "err", err)
+		return
+	}
+	unexplained := s.Broker.Reported(t.ID, report)
+	if len(unexplained) == 0 {
+		return
+	}
+	for _, run := range s.Orphans(ctx, t.ID, unexplained) {
+		if o, ok := s.Broker.OrphanOf(t.ID, run); ok {
+			go s.end(ctx, o, "item_elsewhere")
+		}
+	}
+}
+
+// end ends a run.
+func (s *Sweeper) end(ctx context.Context, o Orphan, reason string) {
+	ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
+	defer cancel()
+	err := s.Targets.EndRun(ctx, o.Target.Address, o.Run, o.By)
+	if err == nil {
+		s.Broker.Ended(o)
+		orphansEnded.Inc()
+	}
+	_ = level.Info(s.Logger).Log("event", "orphan_ended", "run", o.Run, "target", o.Target.ID, "reason", reason, "err", err)
+}
--- a/internal/coordination/broker/telling.go
+++ b/internal/coordination/broker/telling.go
@@ -67,6 +67,12 @@
 	return out
 }
 
+// First says that this instance is the broker of its failure domain.
+func (c *Client) First() bool {
+	addresses := c.Brokers(c.opts.Self.Domain)
+	return len(addresses) > 0 && addresses[0] == c.opts.Self.Address
+}
+
 // mostBrokers is how many are asked for one slot.
 const mostBrokers = 2
 
--- a/internal/coordination/placement/core.go
+++ b/internal/coordination/placement/core.go
@@ -67,6 +67,8 @@
 // Want is what a target is chosen for.
 type Want struct {
 	Service string
+	// Run is the id under which the target will run it. Empty: not known yet.
+	Run string
 	// Domain is the only failure domain whose targets may be chosen. Empty: any.
 	Domain string
 	// Batch items take free slots only.
@@ -333,6 +335,14 @@
 	return free
 }
 
+// FreeAt counts the free slots of one target.
+func (c *Core) FreeAt(now time.Time, id string) int {
+	if t := c.targets[id]; t != nil && t.health.trusted() {
+		return max(0, t.slots-t.busy(now))
+	}
+	return 0
+}
+
 // Slots counts the slots of a service at targets that are trusted, and those of them
 // that are free.
 func (c *Core) Slots(now time.Time, service string) (all, free int) {
--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -150,7 +150,7 @@
 }
 
 func (c *call) want() placement.Want {
-	return placement.Want{Service: c.Service, Exclude: slices.Clone(c.tried), Repeatable: c.Route.Repeatable()}
+	return placement.Want{Service: c.Service, Run: c.Request.ID, Exclude: slices.Clone(c.tried), Repeatable: c.Route.Repeatable()}
 }
 
 // waiting says how long the request may wait for a place.
--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -82,6 +82,9 @@
 		store: platform.NewStore(network, s.Store.Address, s.Store.Timeout),
 		targets: targetconn.New(network, targetconn.Codec{
 			EncodeDispatch: platform.EncodeDispatch, DecodeReply: platform.DecodeReply,
+			ReportPath: platform.ReportPath, DecodeReport: platform.DecodeReport,
+			EndRunPath: platform.EndRunPath, EncodeEndRun: platform.EncodeEndRun, DecodeEndRun: platform.DecodeEndRun,
+			HandlePath: platform.HandlePath,
 		}),
 		calls: peer.NewClientOn(network),
 	}
@@ -192,6 +195,9 @@
 	d.tree.Add(&registration{daemon: d})
 	d.tree.Add(d.broker)
 	d.tree.Add(d.slots)
+	d.tree.Add(&broker.Sweeper{
+		Broker: d.broker, First: d.slots.First, Targets: d.targets, Orphans: d.desk.Orphans, Logger: d.logger,
+	})
 	d.tree.Add(d.runner)
 	d.tree.Add(d.keeper)
 	d.tree.Add(d.front)
--- a/internal/external/targets.go
+++ b/internal/external/targets.go
@@ -27,6 +27,16 @@
 	Close()
 }
 
+// Inspector asks targets what they work on, and has them end it. Neither takes a
+// slot.
+type Inspector interface {
+	// Report gives what a target works on, as of some hundred milliseconds ago.
+	Report(ctx context.Context, address string) (exchange.Report, error)
+	// EndRun ends a run. Its memory goes by way of another target of the service
+	// that has room, and is freed there. A run that has ended by itself is no error.
+	EndRun(ctx context.Context, address, id, by string) error
+}
+
 // Sender sends requests to targets.
 type Sender interface {
 	// Send sends a request and waits for the head of its answer. When ctx ends,
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -73,6 +73,13 @@
 	Running, Waiting, Slots int
 }
 
+// Report is what a target says of itself when it is asked.
+type Report struct {
+	Load Load
+	// Runs are the ids of the requests that it works on.
+	Runs []string
+}
+
 // Reply is the head of a target's answer.
 type Reply struct {
 	Status int
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -5,6 +5,7 @@
 package engine
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -53,6 +54,10 @@
 	// Ended is zero while it runs. Whole says that all events were sent.
 	Ended time.Time
 	Whole bool
+	// MovedBy is the address that took its memory when it was ended, empty if it was
+	// not.
+	MovedBy string
+	end     context.CancelFunc
 }
 
 // Engine is an http.Handler.
@@ -64,11 +69,13 @@
 	waiting int
 	free    chan struct{}
 	ledger  []*Run
+	// kept is memory of runs that were moved away and not freed yet, by handle.
+	kept map[string]bool
 }
 
 // New returns an engine.
 func New(opts Options) *Engine {
-	e := &Engine{opts: opts, free: make(chan struct{}, opts.Slots)}
+	e := &Engine{opts: opts, free: make(chan struct{}, opts.Slots), kept: map[string]bool{}}
 	for range opts.Slots {
 		e.free <- struct{}{}
 	}
@@ -99,6 +106,9 @@
 // ServeHTTP implements http.Handler.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header()["Date"] = nil
+	if e.inspect(w, r) {
+		return
+	}
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
 	w.Header().Set("Instance-Id", e.opts.ID)
@@ -159,6 +169,9 @@
 	if after, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		entry.After = after
 	}
+	ctx, end := context.WithCancel(r.Context())
+	defer end()
+	r, entry.end = r.WithContext(ctx), end
 	e.mu.Lock()
 	e.running++
 	e.ledger = append(e.ledger, entry)
--- a/internal/transport/targetconn/client.go
+++ b/internal/transport/targetconn/client.go
@@ -40,6 +40,15 @@
 type Codec struct {
 	EncodeDispatch func(*exchange.Dispatch) http.Header
 	DecodeReply    func(status int, header http.Header) exchange.Reply
+	// ReportPath is where a target reports of itself.
+	ReportPath   string
+	DecodeReport func(body []byte) (exchange.Report, error)
+	// EndRunPath is where a run is ended. Its answer may name memory that the target
+	// keeps, which is freed at HandlePath.
+	EndRunPath   string
+	EncodeEndRun func(id, by string) ([]byte, error)
+	DecodeEndRun func(status int, body []byte) (handle string, err error)
+	HandlePath   func(handle string) string
 }
 
 // Client sends requests to targets.
@@ -78,15 +87,9 @@
 // Send implements external.Sender. When ctx ends, the connection is closed, and
 // the target drops the request then.
 func (c *Client) Send(ctx context.Context, address string, d *exchange.Dispatch) (external.OpenAnswer, error) {
-	link, kept := c.pool.take(address)
-	if !kept {
-		socket, err := c.pool.dial(ctx, address)
-		if err != nil {
-			failed.Inc()
-			return nil, fmt.Errorf("%w: %w", external.ErrNotSent, err)
-		}
-		dialled.Inc()
-		link = newConn(address, socket)
+	link, err := c.link(ctx, address)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", external.ErrNotSent, err)
 	}
 	stop := context.AfterFunc(ctx, link.close)
 	opened, err := c.exchange(link, d)
@@ -102,6 +105,20 @@
 	return opened, nil
 }
 
+// link gives a connection that was kept, or a new one.
+func (c *Client) link(ctx context.Context, address string) (*conn, error) {
+	if kept, ok := c.pool.take(address); ok {
+		return kept, nil
+	}
+	socket, err := c.pool.dial(ctx, address)
+	if err != nil {
+		failed.Inc()
+		return nil, err
+	}
+	dialled.Inc()
+	return newConn(address, socket), nil
+}
+
 func (c *Client) exchange(link *conn, d *exchange.Dispatch) (*answer, error) {
 	request := c.request(d)
 	written, err := write(link, request, len(d.Body))
