A failure domain that is cut off sends its jobs elsewhere

Cause: while a domain is cut off its instances can keep no job, but stayed ready, so the balancer sent them all jobs of the domain's callers. Each attempt waited 0.9 to 1 s and failed.

Change: an instance that hears neither the store nor another failure domain is not ready, and refuses jobs at once with the time after which the balancer sends elsewhere. Online requests that come are served as before. While the store is away for all, all stay ready.

--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -63,6 +63,8 @@
 	desk    *batchjobs.Desk
 	front   *front.Front
 
+	isolation *isolation
+
 	leaving atomic.Bool
 	tree    *suture.Supervisor
 	// killed ends all duties without leaving, for tests of sudden deaths.
@@ -97,6 +99,7 @@
 	}
 	d.joinBroker()
 	d.joinJobs()
+	d.isolation = &isolation{cutOff: d.mesh.CutOff, storeAge: d.view.StoreAge, daemon: d}
 	d.joinFront()
 	if err := d.register(); err != nil {
 		return nil, trace.Wrap(err)
@@ -164,7 +167,7 @@
 		Table: d.view.Table,
 		Quota: d.meter,
 		Relay: relay.New(relay.Options{Targets: d.targets, Placer: d.slots, Logger: d.logger}),
-		Desk:  d.desk, Logger: d.logger,
+		Desk:  d.desk, NoJobs: d.isolation.jobRetry, Logger: d.logger,
 	})
 }
 
--- /dev/null
+++ b/internal/daemon/routed/isolation.go
@@ -0,0 +1,65 @@
+package routed
+
+import (
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+)
+
+const (
+	// isolatedAfter is how long the store must not have answered for an instance that
+	// hears no other failure domain to be cut off. The store answers several times a
+	// second.
+	isolatedAfter = 700 * time.Millisecond
+	// balancerNotice is the time after which the balancer sends new connections of
+	// this failure domain elsewhere: it asks once a second and wants two misses.
+	balancerNotice = 2200 * time.Millisecond
+	// leastRetry is told for what can be tried again at once.
+	leastRetry = 300 * time.Millisecond
+)
+
+// isolation notices that this instance is cut off: neither the store nor another
+// failure domain is heard.
+//
+// The load it answers: a failure domain is cut off for seconds, and callers still
+// reach it. It serves online requests by its own targets, but can keep no job: each
+// one that comes would be lost. So its instances are not ready meanwhile. The
+// balancer sends new connections to other failure domains once all of them say so,
+// and jobs that were refused are taken there.
+type isolation struct {
+	// cutOff says that no other failure domain is heard, storeAge gives the time
+	// since the store answered.
+	cutOff   func() bool
+	storeAge func() time.Duration
+	daemon   *Daemon
+
+	mu    sync.Mutex
+	since time.Time
+}
+
+// look says since when the instance is cut off, zero if it is not.
+func (i *isolation) look(now time.Time) time.Time {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	is := i.storeAge() > isolatedAfter && i.cutOff()
+	switch {
+	case is && i.since.IsZero():
+		i.since = now
+		_ = level.Info(i.daemon.logger).Log("event", "isolated", "store_age_ms", i.storeAge().Milliseconds())
+	case !is && !i.since.IsZero():
+		_ = level.Info(i.daemon.logger).Log("event", "isolation_ended", "took_ms", now.Sub(i.since).Milliseconds())
+		i.since = time.Time{}
+	}
+	return i.since
+}
+
+// jobRetry says whether no job can be kept now, and when its caller may come back.
+func (i *isolation) jobRetry() (time.Duration, bool) {
+	now := time.Now()
+	since := i.look(now)
+	if since.IsZero() {
+		return 0, false
+	}
+	return max(leastRetry, since.Add(balancerNotice).Sub(now)), true
+}
--- a/internal/daemon/routed/servers.go
+++ b/internal/daemon/routed/servers.go
@@ -32,7 +32,7 @@
 }
 
 func (r *readiness) answer(w http.ResponseWriter, _ *http.Request) {
-	if r.daemon.leaving.Load() || !r.daemon.view.Ready() {
+	if r.daemon.leaving.Load() || !r.daemon.view.Ready() || !r.daemon.isolation.look(time.Now()).IsZero() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/transport/front/batch.go
+++ b/internal/transport/front/batch.go
@@ -33,6 +33,10 @@
 		v.refuse(http.StatusBadRequest, 0, "job_unreadable")
 		return
 	}
+	if retry, none := v.opts.NoJobs(); none {
+		v.refuse(http.StatusServiceUnavailable, retry, "isolated")
+		return
+	}
 	now := time.Now()
 	job := &jobs.Job{
 		ID: v.request.ID, Organisation: v.organisationName(),
--- a/internal/transport/front/server.go
+++ b/internal/transport/front/server.go
@@ -75,6 +75,9 @@
 	Quota  Quota
 	Relay  Relay
 	Desk   Desk
+	// NoJobs says whether no batch job can be kept now, and when its caller may come
+	// back.
+	NoJobs func() (retry time.Duration, none bool)
 	Logger log.Logger
 }
 
