--- a/internal/coordination/batchjobs/submit.go
+++ b/internal/coordination/batchjobs/submit.go
@@ -15,8 +15,8 @@
 
 const (
 	// hedgeAfter is how long one way of writing a job may take until the other is
-	// tried beside it. The store answers within some 20 ms; callers want a job
-	// accepted within some hundred.
+	// tried beside it: many times what the store takes, and a part of the time in which
+	// callers want a job accepted.
 	hedgeAfter = 150 * time.Millisecond
 	// appendRetry is the wait before an append is tried again, doubled each time,
 	// appendTries how often that is done: about a second in all.
--- a/internal/coordination/batchjobs/task.go
+++ b/internal/coordination/batchjobs/task.go
@@ -21,8 +21,8 @@
 
 const (
 	// stallLimit ends a run whose target does not go on; the item goes on
-	// elsewhere. Targets make an event each 20 to 30 ms, slowed ones some times
-	// as long, and a full one lets an item wait.
+	// elsewhere. Slowed targets make several events in that time, and a full one lets
+	// an item wait.
 	stallLimit = 1500 * time.Millisecond
 	// longestRun bounds the time that a target is given for a run: twice the
 	// usual run, and some more. Where the path to a target is cut, the item
--- a/internal/coordination/broker/allotter.go
+++ b/internal/coordination/broker/allotter.go
@@ -21,9 +21,8 @@
 // the swings of requests that come at random grow with the square root of their number.
 //
 // The load it answers: near a peak nearly all slots are taken, and an item that gets
-// the last one is taken back by one of the next requests. With two of 24 slots left
-// free for one and a half seconds, items are run 2.6 times each and not 4.0 times, as
-// many are done in time, and no more requests are late (fleettest slots, bursts).
+// the last one is taken back by one of the next requests. Some slots left free for a
+// while save a third of the runs of items; as many are done in time.
 const (
 	SpareFor    = 1500 * time.Millisecond
 	spareFactor = 0.4
--- a/internal/coordination/broker/book.go
+++ b/internal/coordination/broker/book.go
@@ -21,7 +21,7 @@
 	// is at its target.
 	arrives = 50 * time.Millisecond
 	// usualLasts is taken for the time that a target is busy with an online request.
-	// Streams take 0.7 s; one that takes longer is noticed by the target's reports.
+	// One that takes longer is noticed by the target's reports.
 	usualLasts = 2 * time.Second
 )
 
--- a/internal/coordination/broker/doc.go
+++ b/internal/coordination/broker/doc.go
@@ -4,9 +4,8 @@
 // the peak to six in seven of them at once. Each instance by itself knows what
 // the others have only as of their last message. All of them see the same target
 // with a free slot and send there at the same moment, and whoever comes second
-// waits in the target's queue although slots are free elsewhere. With counts 50
-// to 100 ms old, one in ten requests of a calm day was late for that; with counts
-// 10 ms old, one in sixty, at ten times the messages.
+// waits in the target's queue although slots are free elsewhere. Telling each other
+// more often makes that rarer, at many times the messages.
 //
 // So the targets of a failure domain have a broker: the instance of the domain
 // that comes first by rendezvous hashing of those that are heard. An instance asks
--- a/internal/coordination/mesh/exchange.go
+++ b/internal/coordination/mesh/exchange.go
@@ -124,8 +124,8 @@
 }
 
 // describedFresh is how long a description of this instance serves for all messages.
-// It is short beside the 100 ms between two messages to the same instance, and at 90
-// instances, which send and answer 160 messages a second, one in three needs a new one.
+// It is short beside the time between two messages to the same instance, and saves
+// most descriptions in a large fleet.
 const describedFresh = 20 * time.Millisecond
 
 // described gives what all instances are told of this one. Its maps and slices are
--- a/internal/coordination/mesh/pace.go
+++ b/internal/coordination/mesh/pace.go
@@ -5,15 +5,15 @@
 const (
 	// nearEvery is the period of messages inside the failure domain of a small
 	// fleet. Messages go both ways and both sides begin, so that each hears twice
-	// as often. What is let in of a rate is told with them, and 50 ms of an
-	// organisation that sends several times its rate are a few requests.
+	// as often. What is let in of a rate is told with them, and an organisation that
+	// sends several times its rate sends a few requests between two of them.
 	nearEvery = 100 * time.Millisecond
 	// farFactor is how much longer the period is to other failure domains, where
 	// bytes cost.
 	farFactor = 2
 	// smallFleet is the number of instances up to which the periods hold. Beyond
 	// it they grow with the fleet, so that an instance sends and hears the same
-	// number of messages at any size: 160 a second at most.
+	// number of messages at any size.
 	smallFleet = 16
 	// SilentAfter is the silence after which an instance of a small fleet counts
 	// as silent, and after which a failure domain does of which nobody is heard.
--- a/internal/coordination/mesh/view.go
+++ b/internal/coordination/mesh/view.go
@@ -169,8 +169,8 @@
 }
 
 // each calls do for each of the other instances, by name. It copies nothing: what an
-// instance told last is several hundred bytes, and at 90 instances and 40 looks a
-// second the copies of all of them were half of what an idle instance allocated.
+// instance told last is several hundred bytes, and a large fleet is looked through many
+// times a second.
 func (v *View) each(now time.Time, do func(e *entry, state State)) {
 	pace := v.pace()
 	for _, name := range v.names {
--- a/internal/coordination/placement/placer.go
+++ b/internal/coordination/placement/placer.go
@@ -13,7 +13,7 @@
 )
 
 // lookEvery is how often a waiting request looks for a slot where no broker
-// answers. Slots that other instances free are told within 100 ms.
+// answers. Other instances tell several times a second which slots they free.
 const lookEvery = 20 * time.Millisecond
 
 // Placer is a Core that many goroutines use.
--- a/internal/coordination/placement/result.go
+++ b/internal/coordination/placement/result.go
@@ -23,8 +23,8 @@
 	Left
 )
 
-// fullFor is how long a target that refused counts as full. A slot comes free
-// every 90 ms at a target whose 8 slots each take 0.7 s.
+// fullFor is how long a target that refused counts as full: about the time until one
+// of its slots comes free.
 const fullFor = 90 * time.Millisecond
 
 // Done ends the exchange of a choice.
@@ -80,8 +80,7 @@
 }
 
 // heardLately is how short ago a target must have been heard for an exchange that
-// waits to be thought to stand in a queue. Targets make an event each 20 to 30 ms
-// for each request that they run.
+// waits to be thought to stand in a queue: several events of one request.
 const heardLately = 120 * time.Millisecond
 
 // Heard notes that something came from a target.
--- a/internal/coordination/quota/marks.go
+++ b/internal/coordination/quota/marks.go
@@ -9,8 +9,8 @@
 }
 
 const (
-	// markEvery and marksKept cover the longest silence that is not noticed yet: two
-	// seconds, in a fleet of 90.
+	// markEvery and marksKept cover the longest silence that is not noticed yet, that
+	// of a large fleet.
 	markEvery = 250 * time.Millisecond
 	marksKept = 8
 )
--- a/internal/coordination/quota/shares.go
+++ b/internal/coordination/quota/shares.go
@@ -55,9 +55,8 @@
 }
 
 // parts says how the rates are divided among the instances now. It is the same for
-// all organisations, and made from all instances: at 62 instances and 73
-// organisations, making it anew for each organisation with each message took most of
-// what an instance spent on rates.
+// all organisations, and made from all instances, so it is kept and not made anew for
+// each organisation with each message.
 type parts struct {
 	// size is the number of instances that may let requests in.
 	size float64
