Coordination of routed instances stands in a folder of its own

internal/coordination held the parts of two programs side by side, told apart by a list in DEVELOPERS.md.

--- a/internal/coordination/batchjobs/claims.go
+++ b/internal/coordination/routed/batchjobs/claims.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"merlintiller/internal/coordination/mesh"
+	"merlintiller/internal/coordination/routed/mesh"
 )
 
 // claimsFresh is how long a look at the claims counts.
--- a/internal/coordination/batchjobs/desk.go
+++ b/internal/coordination/routed/batchjobs/desk.go
@@ -7,7 +7,7 @@
 
 	"github.com/go-kit/log/level"
 
-	"merlintiller/internal/coordination/mesh"
+	"merlintiller/internal/coordination/routed/mesh"
 	"merlintiller/internal/external"
 	"merlintiller/internal/state/jobs"
 )
--- a/internal/coordination/batchjobs/holding_test.go
+++ b/internal/coordination/routed/batchjobs/holding_test.go
@@ -10,7 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
-	"merlintiller/internal/coordination/mesh"
+	"merlintiller/internal/coordination/routed/mesh"
 	"merlintiller/internal/external"
 	"merlintiller/internal/standin/sharedstore"
 	"merlintiller/internal/state/jobs"
--- a/internal/coordination/batchjobs/options.go
+++ b/internal/coordination/routed/batchjobs/options.go
@@ -7,9 +7,9 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 
-	"merlintiller/internal/coordination/broker"
-	"merlintiller/internal/coordination/mesh"
-	"merlintiller/internal/coordination/placement"
+	"merlintiller/internal/coordination/routed/broker"
+	"merlintiller/internal/coordination/routed/mesh"
+	"merlintiller/internal/coordination/routed/placement"
 	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/protocol/exchange"
--- a/internal/coordination/batchjobs/orphans.go
+++ b/internal/coordination/routed/batchjobs/orphans.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"merlintiller/internal/coordination/mesh"
+	"merlintiller/internal/coordination/routed/mesh"
 )
 
 // orphansTimeout bounds the question which runs nobody listens to. What is not
--- a/internal/coordination/batchjobs/queue.go
+++ b/internal/coordination/routed/batchjobs/queue.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"merlintiller/internal/coordination/broker"
-	"merlintiller/internal/coordination/placement"
+	"merlintiller/internal/coordination/routed/broker"
+	"merlintiller/internal/coordination/routed/placement"
 )
 
 // lastsMost is how much longer than usual a target may be busy with an item.
--- a/internal/coordination/batchjobs/runner.go
+++ b/internal/coordination/routed/batchjobs/runner.go
@@ -9,7 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log/level"
 
-	"merlintiller/internal/coordination/placement"
+	"merlintiller/internal/coordination/routed/placement"
 	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/state/jobs"
 	"merlintiller/internal/wait"
--- a/internal/coordination/batchjobs/task.go
+++ b/internal/coordination/routed/batchjobs/task.go
@@ -11,7 +11,7 @@
 
 	"github.com/go-kit/log/level"
 
-	"merlintiller/internal/coordination/placement"
+	"merlintiller/internal/coordination/routed/placement"
 	"merlintiller/internal/external"
 	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/protocol/sse"
--- a/internal/coordination/broker/allotter.go
+++ b/internal/coordination/routed/broker/allotter.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"merlintiller/internal/coordination/placement"
+	"merlintiller/internal/coordination/routed/placement"
 	"merlintiller/internal/state/roster"
 )
 
--- a/internal/coordination/broker/book.go
+++ b/internal/coordination/routed/broker/book.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"merlintiller/internal/coordination/placement"
+	"merlintiller/internal/coordination/routed/placement"
 	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/state/roster"
 )
--- a/internal/coordination/broker/book_test.go
+++ b/internal/coordination/routed/broker/book_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"merlintiller/internal/coordination/placement"
+	"merlintiller/internal/coordination/routed/placement"
 	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/state/roster"
 )
--- a/internal/coordination/broker/broker.go
+++ b/internal/coordination/routed/broker/broker.go
@@ -8,7 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"merlintiller/internal/coordination/placement"
+	"merlintiller/internal/coordination/routed/placement"
 	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/state/roster"
 	"merlintiller/internal/wait"
--- a/internal/coordination/broker/broker_test.go
+++ b/internal/coordination/routed/broker/broker_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"merlintiller/internal/coordination/placement"
+	"merlintiller/internal/coordination/routed/placement"
 	"merlintiller/internal/state/roster"
 )
 
--- a/internal/coordination/broker/client.go
+++ b/internal/coordination/routed/broker/client.go
@@ -9,8 +9,8 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"merlintiller/internal/coordination/mesh"
-	"merlintiller/internal/coordination/placement"
+	"merlintiller/internal/coordination/routed/mesh"
+	"merlintiller/internal/coordination/routed/placement"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/state/roster"
 	"merlintiller/internal/wait"
--- a/internal/coordination/broker/lineup.go
+++ b/internal/coordination/routed/broker/lineup.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"merlintiller/internal/coordination/placement"
+	"merlintiller/internal/coordination/routed/placement"
 )
 
 // Waiter is a request or a batch item that waits for a slot.
--- a/internal/coordination/broker/loads.go
+++ b/internal/coordination/routed/broker/loads.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"merlintiller/internal/coordination/placement"
+	"merlintiller/internal/coordination/routed/placement"
 	"merlintiller/internal/protocol/exchange"
 )
 
--- a/internal/coordination/broker/messages.go
+++ b/internal/coordination/routed/broker/messages.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"merlintiller/internal/coordination/placement"
+	"merlintiller/internal/coordination/routed/placement"
 	"merlintiller/internal/state/roster"
 )
 
--- a/internal/coordination/broker/telling.go
+++ b/internal/coordination/routed/broker/telling.go
@@ -10,7 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"merlintiller/internal/coordination/mesh"
+	"merlintiller/internal/coordination/routed/mesh"
 	"merlintiller/internal/wait"
 )
 
--- a/internal/coordination/mesh/beat.go
+++ b/internal/coordination/routed/mesh/beat.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"merlintiller/internal/coordination/placement"
-	"merlintiller/internal/coordination/quota"
+	"merlintiller/internal/coordination/routed/placement"
+	"merlintiller/internal/coordination/routed/quota"
 	"merlintiller/internal/state/roster"
 )
 
--- a/internal/coordination/mesh/bench_test.go
+++ b/internal/coordination/routed/mesh/bench_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/go-kit/log"
 
-	"merlintiller/internal/coordination/placement"
-	"merlintiller/internal/coordination/quota"
+	"merlintiller/internal/coordination/routed/placement"
+	"merlintiller/internal/coordination/routed/quota"
 	"merlintiller/internal/transport/peer"
 )
 
--- a/internal/coordination/mesh/cost_test.go
+++ b/internal/coordination/routed/mesh/cost_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"merlintiller/internal/coordination/quota"
+	"merlintiller/internal/coordination/routed/quota"
 )
 
 // largeFleet is a mesh that has heard of 90 instances, none of which is due a message.
--- a/internal/coordination/mesh/exchange.go
+++ b/internal/coordination/routed/mesh/exchange.go
@@ -7,7 +7,7 @@
 	"syscall"
 	"time"
 
-	"merlintiller/internal/coordination/quota"
+	"merlintiller/internal/coordination/routed/quota"
 )
 
 // wholeEvery is how many messages go to an instance until it is told all counts
--- a/internal/coordination/mesh/mesh_test.go
+++ b/internal/coordination/routed/mesh/mesh_test.go
@@ -13,7 +13,7 @@
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
-	"merlintiller/internal/coordination/quota"
+	"merlintiller/internal/coordination/routed/quota"
 )
 
 // wire joins the meshes of a fleet in memory, by address.
--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/routed/relay/relay.go
@@ -9,7 +9,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"merlintiller/internal/coordination/placement"
+	"merlintiller/internal/coordination/routed/placement"
 	"merlintiller/internal/external"
 	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/state/route"
--- a/internal/coordination/relay/watch.go
+++ b/internal/coordination/routed/relay/watch.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"merlintiller/internal/coordination/placement"
+	"merlintiller/internal/coordination/routed/placement"
 )
 
 const (
--- a/internal/daemon/routed/local.go
+++ b/internal/daemon/routed/local.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"merlintiller/internal/coordination/mesh"
-	"merlintiller/internal/coordination/quota"
+	"merlintiller/internal/coordination/routed/mesh"
+	"merlintiller/internal/coordination/routed/quota"
 )
 
 // local joins what instances tell each other with those who know and use it.
--- a/internal/daemon/routed/mesh_test.go
+++ b/internal/daemon/routed/mesh_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"merlintiller/internal/coordination/mesh"
+	"merlintiller/internal/coordination/routed/mesh"
 )
 
 // All instances of a fleet start at the same moment, as after an outage. Each
--- a/internal/daemon/routed/registration.go
+++ b/internal/daemon/routed/registration.go
@@ -7,7 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-kit/log/level"
 
-	"merlintiller/internal/coordination/mesh"
+	"merlintiller/internal/coordination/routed/mesh"
 	"merlintiller/internal/external"
 )
 
--- a/internal/policybench/slots/brokered.go
+++ b/internal/policybench/slots/brokered.go
@@ -4,8 +4,8 @@
 	"math/rand/v2"
 	"time"
 
-	"merlintiller/internal/coordination/broker"
-	"merlintiller/internal/coordination/placement"
+	"merlintiller/internal/coordination/routed/broker"
+	"merlintiller/internal/coordination/routed/placement"
 	"merlintiller/internal/state/roster"
 )
 
--- a/internal/policybench/slots/counted.go
+++ b/internal/policybench/slots/counted.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"merlintiller/internal/coordination/placement"
+	"merlintiller/internal/coordination/routed/placement"
 )
 
 // toldEvery is how often instances tell each other what they have at targets.
--- a/internal/policybench/slots/play.go
+++ b/internal/policybench/slots/play.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"time"
 
-	"merlintiller/internal/coordination/placement"
+	"merlintiller/internal/coordination/routed/placement"
 	"merlintiller/internal/policybench/virtual"
 )
 
--- a/internal/policybench/slots/ways.go
+++ b/internal/policybench/slots/ways.go
@@ -5,7 +5,7 @@
 	"io"
 	"time"
 
-	"merlintiller/internal/coordination/broker"
+	"merlintiller/internal/coordination/routed/broker"
 )
 
 // Way is a way of dividing slots.
--- a/internal/transport/front/batch.go
+++ b/internal/transport/front/batch.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"time"
 
-	"merlintiller/internal/coordination/batchjobs"
+	"merlintiller/internal/coordination/routed/batchjobs"
 	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/state/jobs"
 )
--- a/internal/transport/front/online.go
+++ b/internal/transport/front/online.go
@@ -7,7 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"merlintiller/internal/coordination/relay"
+	"merlintiller/internal/coordination/routed/relay"
 	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/state/route"
 )
--- a/internal/transport/front/server.go
+++ b/internal/transport/front/server.go
@@ -13,9 +13,9 @@
 	"github.com/gravitational/trace"
 
 	"merlintiller/internal/closing"
-	"merlintiller/internal/coordination/batchjobs"
-	"merlintiller/internal/coordination/quota"
-	"merlintiller/internal/coordination/relay"
+	"merlintiller/internal/coordination/routed/batchjobs"
+	"merlintiller/internal/coordination/routed/quota"
+	"merlintiller/internal/coordination/routed/relay"
 	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/state/jobs"
 	"merlintiller/internal/state/route"
