A domain that is left alone for long is ready again

An instance can't tell a cut from the loss of the store and of all other failure domains. In the second case its callers have nobody else, and would be sent nowhere for as long as it says that it is not ready.

--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -99,7 +99,7 @@
 	}
 	d.joinBroker()
 	d.joinJobs()
-	d.isolation = &isolation{cutOff: d.mesh.CutOff, storeAge: d.view.StoreAge, daemon: d}
+	d.isolation = &isolation{cutOff: d.mesh.CutOff, storeAge: d.view.StoreAge, logger: d.logger}
 	d.joinFront()
 	if err := d.register(); err != nil {
 		return nil, trace.Wrap(err)
--- a/internal/daemon/routed/isolation.go
+++ b/internal/daemon/routed/isolation.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 )
 
@@ -15,6 +16,10 @@
 	// balancerNotice is the time after which the balancer sends new connections of
 	// this failure domain elsewhere: it asks once a second and wants two misses.
 	balancerNotice = 2200 * time.Millisecond
+	// unreadyMost is how long a cut keeps an instance from being ready. It can't tell a
+	// cut from the loss of the store and of all other failure domains; if that lasts,
+	// its callers have nobody else.
+	unreadyMost = 10 * time.Second
 	// leastRetry is told for what can be tried again at once.
 	leastRetry = 300 * time.Millisecond
 )
@@ -32,7 +37,7 @@
 	// since the store answered.
 	cutOff   func() bool
 	storeAge func() time.Duration
-	daemon   *Daemon
+	logger   log.Logger
 
 	mu    sync.Mutex
 	since time.Time
@@ -46,14 +51,21 @@
 	switch {
 	case is && i.since.IsZero():
 		i.since = now
-		_ = level.Info(i.daemon.logger).Log("event", "isolated", "store_age_ms", i.storeAge().Milliseconds())
+		_ = level.Info(i.logger).Log("event", "isolated", "store_age_ms", i.storeAge().Milliseconds())
 	case !is && !i.since.IsZero():
-		_ = level.Info(i.daemon.logger).Log("event", "isolation_ended", "took_ms", now.Sub(i.since).Milliseconds())
+		_ = level.Info(i.logger).Log("event", "isolation_ended", "took_ms", now.Sub(i.since).Milliseconds())
 		i.since = time.Time{}
 	}
 	return i.since
 }
 
+// ready says whether the balancer may send callers here.
+func (i *isolation) ready() bool {
+	now := time.Now()
+	since := i.look(now)
+	return since.IsZero() || now.Sub(since) >= unreadyMost
+}
+
 // jobRetry says whether no job can be kept now, and when its caller may come back.
 func (i *isolation) jobRetry() (time.Duration, bool) {
 	now := time.Now()
--- a/internal/daemon/routed/servers.go
+++ b/internal/daemon/routed/servers.go
@@ -32,7 +32,7 @@
 }
 
 func (r *readiness) answer(w http.ResponseWriter, _ *http.Request) {
-	if r.daemon.leaving.Load() || !r.daemon.view.Ready() || !r.daemon.isolation.look(time.Now()).IsZero() {
+	if r.daemon.leaving.Load() || !r.daemon.view.Ready() || !r.daemon.isolation.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
