Holders are asked once a round for all runs that nobody tells of

Cause: each target with unexplained runs had every holder of a partition asked, up to eight times a second. At 65 instances, 30 targets a domain and 24 holders that is some thousands of calls a second right after a power loss; at the target size (212 targets a domain) more than a broker can make.

Change: a round asks its targets side by side, at most 48 of them, and then each holder once for all runs. A target that does not answer holds a round up for 0.15 s at most. Test: TestTargetsOfALargeDomainAreAskedInParts.

--- a/internal/coordination/routed/batchjobs/orphans.go
+++ b/internal/coordination/routed/batchjobs/orphans.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"merlintiller/internal/coordination/routed/broker"
 	"merlintiller/internal/coordination/routed/mesh"
 )
 
@@ -12,44 +13,44 @@
 // answered is asked again soon.
 const orphansTimeout = 150 * time.Millisecond
 
-// RunsCall asks which of the runs at a target are of items of the holder's that
-// nobody reads.
-type RunsCall struct {
-	Target string
-	IDs    []string
-}
+// RunsCall asks which of some runs are of items of the holder's that nobody reads.
+type RunsCall struct{ Runs []broker.TargetRun }
 
 // RunsReply names them.
-type RunsReply struct{ IDs []string }
+type RunsReply struct{ Runs []broker.TargetRun }
 
-// Orphans gives the ids, of the runs at a target, of items that are to be run or run
-// elsewhere: the instance that began these runs is gone, and no other one says that
-// it reads them. Whatever the target still makes of them reaches nobody.
-func (r *Runner) Orphans(now time.Time, target string, ids []string) []string {
-	named := make(map[string]bool, len(ids))
-	for _, id := range ids {
-		named[id] = true
+// Orphans gives those of some runs whose items are to be run or run elsewhere: the
+// instance that began these runs is gone, and no other one says that it reads them.
+// Whatever the targets still make of them reaches nobody.
+func (r *Runner) Orphans(now time.Time, runs []broker.TargetRun) []broker.TargetRun {
+	named := map[string][]broker.TargetRun{}
+	for _, run := range runs {
+		named[run.Run] = append(named[run.Run], run)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.readClaims(now)
-	var out []string
+	var out []broker.TargetRun
 	for _, t := range r.tasks {
-		own := t.cancel != nil && t.choice.ID == target
-		if !named[t.id.item] || !t.inherited || own || t.home == nil || r.claimed[t.id] || now.Before(t.claimsUntil) {
+		found := named[t.id.item]
+		if len(found) == 0 || !t.inherited || t.home == nil || r.claimed[t.id] || now.Before(t.claimsUntil) {
 			continue
 		}
-		out = append(out, t.id.item)
+		for _, run := range found {
+			if t.cancel == nil || t.choice.ID != run.Target {
+				out = append(out, run)
+			}
+		}
 	}
 	return out
 }
 
-// Orphans gives the runs, of those named at a target, that nobody reads, as the
-// holders of the items say that are heard.
-func (d *Desk) Orphans(ctx context.Context, target string, ids []string) []string {
+// Orphans gives those of some runs that nobody reads, as the holders of the items say
+// that are heard.
+func (d *Desk) Orphans(ctx context.Context, runs []broker.TargetRun) []broker.TargetRun {
 	ctx, cancel := context.WithTimeout(ctx, orphansTimeout)
 	defer cancel()
-	out := d.runner.Orphans(time.Now(), target, ids)
+	out := d.runner.Orphans(time.Now(), runs)
 	var mu sync.Mutex
 	var asked sync.WaitGroup
 	for _, p := range d.opts.Peers.Peers() {
@@ -58,13 +59,13 @@
 		}
 		asked.Go(func() {
 			var reply RunsReply
-			if d.opts.Caller.Call(ctx, p.Address, methodOrphans, &RunsCall{Target: target, IDs: ids}, &reply) != nil {
+			if d.opts.Caller.Call(ctx, p.Address, methodOrphans, &RunsCall{Runs: runs}, &reply) != nil {
 				// It is asked again as long as the runs go on.
 				return
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			out = append(out, reply.IDs...)
+			out = append(out, reply.Runs...)
 		})
 	}
 	asked.Wait()
@@ -73,6 +74,6 @@
 
 // Orphans gives the runs that nobody reads.
 func (r *Receiver) Orphans(args *RunsCall, reply *RunsReply) error {
-	reply.IDs = r.desk.runner.Orphans(time.Now(), args.Target, args.IDs)
+	reply.Runs = r.desk.runner.Orphans(time.Now(), args.Runs)
 	return nil
 }
--- a/internal/coordination/routed/broker/orphans.go
+++ b/internal/coordination/routed/broker/orphans.go
@@ -18,6 +18,9 @@
 	// that makes it count as silent, until the item's run is ended. One that only
 	// paused for a moment still takes what comes.
 	orphanAfter = 500 * time.Millisecond
+	// mostAsked bounds the targets that are asked at once. In a large failure domain the
+	// others come with the next looks.
+	mostAsked = 48
 )
 
 // Orphan is the run of a batch item that nobody reads.
@@ -71,7 +74,7 @@
 }
 
 // Unexplained gives the runs of a target that no hold names.
-func (b *Book) Unexplained(target string, runs []string) (out []string) {
+func (b *Book) Unexplained(target string, runs []string) (out []TargetRun) {
 	named := map[string]bool{}
 	for _, h := range b.holds {
 		if h.Target == target && h.Run != "" {
@@ -80,7 +83,7 @@
 	}
 	for _, run := range runs {
 		if !named[run] {
-			out = append(out, run)
+			out = append(out, TargetRun{Target: target, Run: run})
 		}
 	}
 	return out
@@ -128,7 +131,7 @@
 		return nil
 	}
 	for id, t := range targets {
-		if !s.clean[id] && now.Sub(s.asked[id]) >= askAgain {
+		if len(out) < mostAsked && !s.clean[id] && now.Sub(s.asked[id]) >= askAgain {
 			s.asked[id] = now
 			out = append(out, t)
 		}
@@ -137,7 +140,7 @@
 }
 
 // told notes what a target's answer came to.
-func (s *sweep) told(target string, unexplained []string) {
+func (s *sweep) told(target string, unexplained []TargetRun) {
 	if len(unexplained) == 0 {
 		s.clean[target] = true
 	}
@@ -152,7 +155,7 @@
 
 // Reported takes in what a target says that it runs, and gives what of it may be
 // nobody's.
-func (b *Broker) Reported(target string, report exchange.Report) (unexplained []string) {
+func (b *Broker) Reported(target string, report exchange.Report) (unexplained []TargetRun) {
 	b.change(func(now time.Time) {
 		b.allotter.Loaded(now, target, report.Load)
 		unexplained = b.allotter.Unexplained(target, report.Runs)
@@ -162,10 +165,10 @@
 }
 
 // OrphanOf says how a run that nobody reads is ended.
-func (b *Broker) OrphanOf(target, run string) (Orphan, bool) {
+func (b *Broker) OrphanOf(run TargetRun) (Orphan, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.allotter.orphan(time.Now(), target, run)
+	return b.allotter.orphan(time.Now(), run.Target, run.Run)
 }
 
 // Ended notes that a run has ended.
--- a/internal/coordination/routed/broker/orphans_test.go
+++ b/internal/coordination/routed/broker/orphans_test.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -69,7 +70,7 @@
 	_, _, ok := b.Place(start, "n0", Hold{Number: 1}, want)
 	require.True(t, ok)
 	require.Empty(t, b.Unexplained("t0", []string{"request"}))
-	require.Equal(t, []string{"stranger"}, b.Unexplained("t0", []string{"request", "stranger"}))
+	require.Equal(t, []TargetRun{{Target: "t0", Run: "stranger"}}, b.Unexplained("t0", []string{"request", "stranger"}))
 }
 
 // Targets are asked after an instance was lost, and again only while they run what
@@ -79,7 +80,7 @@
 	targets := map[string]roster.Target{"t0": {ID: "t0"}}
 	require.Len(t, s.due(start, targets), 1)
 	require.Empty(t, s.due(after(askAgain-time.Millisecond), targets))
-	s.told("t0", []string{"stranger"})
+	s.told("t0", []TargetRun{{Target: "t0", Run: "stranger"}})
 	require.Len(t, s.due(after(askAgain), targets), 1)
 	s.told("t0", nil)
 	require.Empty(t, s.due(after(time.Second), targets))
@@ -88,6 +89,26 @@
 	require.Empty(t, s.due(lost, targets))
 	s.begin(lost)
 	require.Len(t, s.due(lost, targets), 1)
-	s.told("t0", []string{"stranger"})
+	s.told("t0", []TargetRun{{Target: "t0", Run: "stranger"}})
 	require.Empty(t, s.due(lost.Add(sweepFor+time.Millisecond), targets), "whatever it is, it is no item")
 }
+
+// A failure domain has hundreds of targets. Asked all at once, they would keep the broker
+// busy as callers come back.
+func TestTargetsOfALargeDomainAreAskedInParts(t *testing.T) {
+	s := newSweep(start)
+	targets := map[string]roster.Target{}
+	for i := range 2*mostAsked + 5 {
+		id := fmt.Sprint("t", i)
+		targets[id] = roster.Target{ID: id}
+	}
+	asked := map[string]bool{}
+	for look := range 3 {
+		due := s.due(after(time.Duration(look)*askAgain/3), targets)
+		require.LessOrEqual(t, len(due), mostAsked)
+		for _, target := range due {
+			asked[target.ID] = true
+		}
+	}
+	require.Len(t, asked, len(targets))
+}
--- a/internal/coordination/routed/broker/sweeper.go
+++ b/internal/coordination/routed/broker/sweeper.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -16,26 +18,29 @@
 const (
 	// sweepEvery is how often it is looked whether there is anything to end.
 	sweepEvery = 100 * time.Millisecond
-	// inspectTimeout bounds a question to a target, and the end of a run.
-	inspectTimeout = 400 * time.Millisecond
+	// inspectTimeout bounds a question to a target, and the end of a run. One that does
+	// not answer must not hold up what the others said for long.
+	inspectTimeout = 150 * time.Millisecond
 )
 
 var orphansEnded = metrics.NewCounter(`broker_orphans_ended_total`)
 
-// Sweeper ends runs at the targets of a failure domain that nobody reads, for as
-// long as this instance is the domain's broker. It is a duty.
+// Sweeper ends runs at the targets of a failure domain that nobody reads, for as long as
+// this instance is the domain's broker. It is a duty.
 type Sweeper struct {
 	// Broker knows who holds what.
 	Broker *Broker
 	// First says that this instance is the domain's broker.
 	First   func() bool
 	Targets external.Inspector
-	// Orphans gives the runs, of those named at a target, that the holders of their
-	// items say nobody reads.
-	Orphans func(ctx context.Context, target string, runs []string) []string
+	// Orphans gives those of some runs that the holders of their items say nobody reads.
+	Orphans func(ctx context.Context, runs []TargetRun) []TargetRun
 	Logger  log.Logger
 }
 
+// TargetRun names a run at a target.
+type TargetRun struct{ Target, Run string }
+
 // String names the duty.
 func (s *Sweeper) String() string { return "sweeper" }
 
@@ -49,32 +54,44 @@
 		for _, o := range orphans {
 			go s.end(ctx, o, "instance_silent")
 		}
-		for _, t := range ask {
-			go s.ask(ctx, t)
+		if len(ask) > 0 {
+			go s.inspect(ctx, ask)
 		}
 	})
 }
 
-// ask asks a target what it runs, and has ended what nobody reads.
-func (s *Sweeper) ask(ctx context.Context, t roster.Target) {
-	limited, cancel := context.WithTimeout(ctx, inspectTimeout)
-	defer cancel()
-	report, err := s.Targets.Report(limited, t.Address)
-	if err != nil {
-		_ = level.Info(s.Logger).Log("event", "target_not_reporting", "target", t.ID, "err", err)
-		return
+// inspect asks targets what they run, and has ended what nobody reads. The holders of
+// the items are asked once for all of them.
+func (s *Sweeper) inspect(ctx context.Context, targets []roster.Target) {
+	unexplained := make([][]TargetRun, len(targets))
+	var asked sync.WaitGroup
+	for i, t := range targets {
+		asked.Go(func() { unexplained[i] = s.ask(ctx, t) })
 	}
-	unexplained := s.Broker.Reported(t.ID, report)
-	if len(unexplained) == 0 {
+	asked.Wait()
+	runs := slices.Concat(unexplained...)
+	if len(runs) == 0 {
 		return
 	}
-	for _, run := range s.Orphans(ctx, t.ID, unexplained) {
-		if o, ok := s.Broker.OrphanOf(t.ID, run); ok {
+	for _, run := range s.Orphans(ctx, runs) {
+		if o, ok := s.Broker.OrphanOf(run); ok {
 			go s.end(ctx, o, "item_elsewhere")
 		}
 	}
 }
 
+// ask asks a target what it runs, and gives what of it may be nobody's.
+func (s *Sweeper) ask(ctx context.Context, t roster.Target) []TargetRun {
+	ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
+	defer cancel()
+	report, err := s.Targets.Report(ctx, t.Address)
+	if err != nil {
+		_ = level.Info(s.Logger).Log("event", "target_not_reporting", "target", t.ID, "err", err)
+		return nil
+	}
+	return s.Broker.Reported(t.ID, report)
+}
+
 // end ends a run.
 func (s *Sweeper) end(ctx context.Context, o Orphan, reason string) {
 	ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
