A domain without batch routes stays ready while it is cut off

A cut domain is not ready so that its jobs go where they can be kept. A deployment that takes no jobs gains nothing by that, and its callers would crowd the targets of the other domains. Test: TestDomainWithoutJobsStaysReadyInACut.

--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -99,7 +99,13 @@
 	}
 	d.joinBroker()
 	d.joinJobs()
-	d.isolation = &isolation{cutOff: d.mesh.CutOff, storeAge: d.view.StoreAge, logger: d.logger}
+	d.isolation = &isolation{
+		cutOff: d.mesh.CutOff, storeAge: d.view.StoreAge, logger: d.logger,
+		takesJobs: func() bool {
+			table := d.view.Table()
+			return table != nil && table.TakesJobs()
+		},
+	}
 	d.joinFront()
 	if err := d.register(); err != nil {
 		return nil, trace.Wrap(err)
--- a/internal/daemon/routed/isolation.go
+++ b/internal/daemon/routed/isolation.go
@@ -37,7 +37,10 @@
 	// since the store answered.
 	cutOff   func() bool
 	storeAge func() time.Duration
-	logger   log.Logger
+	// takesJobs says that there are routes for batch jobs. Without them the instance
+	// can do all that it is for, and stays ready.
+	takesJobs func() bool
+	logger    log.Logger
 
 	mu    sync.Mutex
 	since time.Time
@@ -47,7 +50,7 @@
 func (i *isolation) look(now time.Time) time.Time {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	is := i.storeAge() > isolatedAfter && i.cutOff()
+	is := i.storeAge() > isolatedAfter && i.cutOff() && i.takesJobs()
 	switch {
 	case is && i.since.IsZero():
 		i.since = now
--- a/internal/daemon/routed/isolation_test.go
+++ b/internal/daemon/routed/isolation_test.go
@@ -84,3 +84,19 @@
 		}
 	})
 }
+
+// A failure domain of a deployment that takes no batch jobs is cut off. Its instances can
+// serve all that comes to them by their own targets; sent elsewhere, callers would crowd
+// the targets of the others.
+func TestDomainWithoutJobsStaysReadyInACut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, size{domains: 2, nodes: 2, targets: 2})
+		w.configure(func(config map[string]any) { config["routes"] = config["routes"].([]any)[:2] })
+		pass(1500 * time.Millisecond)
+		w.cutOff("d0")
+		for range 6 {
+			pass(500 * time.Millisecond)
+			require.True(t, w.nodes[0].ready())
+		}
+	})
+}
--- a/internal/state/route/table.go
+++ b/internal/state/route/table.go
@@ -76,6 +76,11 @@
 	return slices.ContainsFunc(t.byHost[hostKey(host)], func(r *Route) bool { return r.Kind == Batch })
 }
 
+// TakesJobs says that any host has a route that takes jobs.
+func (t *Table) TakesJobs() bool {
+	return slices.ContainsFunc(t.config.Routes, func(r Route) bool { return r.Kind == Batch })
+}
+
 // Caller gives the organisation that a secret belongs to.
 func (t *Table) Caller(secret string) (*Organisation, bool) {
 	o, ok := t.bySecret[secret]
