The stand-in of the list of targets is locked

go test -race reported races of this test's own store and of what the test reads, also on the tests that stood before. The store and what was told have locks now; every assertion is as it was.

--- a/internal/coordination/routed/fleetview/view_test.go
+++ b/internal/coordination/routed/fleetview/view_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,9 +27,9 @@
 
 var errAway = errors.New("store away")
 
-// listLog is a store that holds one list of targets and can be away. Only the
-// watch's duty and the test use it, never at once: synctest orders them.
+// listLog is a store that holds one list of targets and can be away.
 type listLog struct {
+	mu      sync.Mutex
 	away    bool
 	records []external.KeyedRecord
 	changes []external.KeyedRecord
@@ -39,43 +40,78 @@
 }
 
 func (l *listLog) Newest(context.Context, external.Partition) (external.KeyedPage, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.away {
 		return external.KeyedPage{}, errAway
 	}
-	return external.KeyedPage{Records: slices.Clone(l.records), End: l.end(), Next: l.end()}, nil
+	end := int64(len(l.changes))
+	return external.KeyedPage{Records: slices.Clone(l.records), End: end, Next: end}, nil
 }
 
 func (l *listLog) Read(ctx context.Context, _ external.Partition, from int64, longest time.Duration) (external.KeyedPage, error) {
 	if err := ctx.Err(); err != nil {
 		return external.KeyedPage{}, err
 	}
+	page, err := l.after(from)
+	if err == nil && page.Next == from {
+		wait.For(ctx, longest)
+		page.End = l.end()
+	}
+	return page, err
+}
+
+// after gives the changes from an offset on.
+func (l *listLog) after(from int64) (external.KeyedPage, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.away {
 		return external.KeyedPage{}, errAway
 	}
-	if from >= l.end() {
-		wait.For(ctx, longest)
-		return external.KeyedPage{Next: from, End: l.end()}, nil
-	}
-	return external.KeyedPage{Records: slices.Clone(l.changes[from:]), Next: l.end(), End: l.end()}, nil
+	end := int64(len(l.changes))
+	return external.KeyedPage{Records: slices.Clone(l.changes[min(from, end):]), Next: max(from, end), End: end}, nil
 }
 
-func (l *listLog) end() int64 { return int64(len(l.changes)) }
+func (l *listLog) setAway(away bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.away = away
+}
+
+func (l *listLog) end() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return int64(len(l.changes))
+}
 
 func (l *listLog) list(id string) {
-	record := external.KeyedRecord{Key: id, Value: []byte(id), Offset: l.end()}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	record := external.KeyedRecord{Key: id, Value: []byte(id), Offset: int64(len(l.changes))}
 	l.changes = append(l.changes, record)
 	l.records = append(l.records, record)
 }
 
 func (l *listLog) drop(id string) {
-	l.changes = append(l.changes, external.KeyedRecord{Key: id, Offset: l.end()})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.changes = append(l.changes, external.KeyedRecord{Key: id, Offset: int64(len(l.changes))})
 	l.records = slices.DeleteFunc(l.records, func(r external.KeyedRecord) bool { return r.Key == id })
 }
 
 // viewing is a view of a listLog, and what it last said of the targets.
 type viewing struct {
-	view   *View
-	usable []string
+	view *View
+
+	mu   sync.Mutex
+	told []string
+}
+
+// usable gives the targets that may be used.
+func (v *viewing) usable() []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.told
 }
 
 func viewOf(l *listLog) *viewing {
@@ -85,9 +121,11 @@
 		Decoders: Decoders{Target: func(id string, _ []byte) (roster.Target, error) { return roster.Target{ID: id}, nil }},
 		OnConfig: func(*route.Table) {},
 		OnTargets: func(targets []roster.Target) {
-			out.usable = nil
+			out.mu.Lock()
+			defer out.mu.Unlock()
+			out.told = nil
 			for _, t := range targets {
-				out.usable = append(out.usable, t.ID)
+				out.told = append(out.told, t.ID)
 			}
 		},
 	})
@@ -118,18 +156,18 @@
 			v.watchTargets(t.Context())
 			time.Sleep(time.Second)
 			synctest.Wait()
-			require.Equal(t, []string{"goes", "stays"}, v.usable)
+			require.Equal(t, []string{"goes", "stays"}, v.usable())
 
-			store.away = true
+			store.setAway(true)
 			time.Sleep(7 * time.Second)
-			store.away = false
+			store.setAway(false)
 			store.drop("goes")
 			time.Sleep(noticed)
 			v.view.StoreAnswered()
 
 			time.Sleep(leaveBound - toArrive - noticed)
 			synctest.Wait()
-			require.Equal(t, []string{"stays"}, v.usable, "return noticed after %s", noticed)
+			require.Equal(t, []string{"stays"}, v.usable(), "return noticed after %s", noticed)
 		})
 	}
 }
@@ -146,21 +184,21 @@
 		v.watchTargets(t.Context())
 		time.Sleep(time.Second)
 
-		store.away = true
+		store.setAway(true)
 		time.Sleep(20 * time.Second)
 		store.drop("a")
 		store.drop("b")
-		store.away = false
+		store.setAway(false)
 		v.view.StoreAnswered()
 		for range 13 {
 			time.Sleep(100 * time.Millisecond)
 			synctest.Wait()
-			require.Equal(t, []string{"a", "b"}, v.usable)
+			require.Equal(t, []string{"a", "b"}, v.usable())
 		}
 		store.list("b")
 		time.Sleep(leaveBound)
 		synctest.Wait()
-		require.Equal(t, []string{"b"}, v.usable)
+		require.Equal(t, []string{"b"}, v.usable())
 	})
 }
 
@@ -177,19 +215,20 @@
 		v.watchTargets(t.Context())
 		time.Sleep(time.Second)
 
-		store.away = true
+		store.setAway(true)
 		time.Sleep(5 * time.Second)
+		synctest.Wait()
 		store.drop("own")
 		v.view.TakeTargets([]roster.Target{{ID: "far"}}, store.end())
-		require.Equal(t, []string{"far", "own"}, v.usable)
+		require.Equal(t, []string{"far", "own"}, v.usable())
 
-		store.away = false
+		store.setAway(false)
 		time.Sleep(time.Second)
 		synctest.Wait()
-		require.Equal(t, []string{"far", "own"}, v.usable)
+		require.Equal(t, []string{"far", "own"}, v.usable())
 
 		time.Sleep(leaveBound - time.Second - toArrive)
 		synctest.Wait()
-		require.Equal(t, []string{"far"}, v.usable, "one that does not register again is gone")
+		require.Equal(t, []string{"far"}, v.usable(), "one that does not register again is gone")
 	})
 }
