--- a/internal/coordination/routed/broker/book.go
+++ b/internal/coordination/routed/broker/book.go
@@ -49,9 +49,9 @@
 	// yields says that the batch item was asked to give its slot back, stuck that
 	// it can't be asked.
 	yields, stuck bool
-	// stuckAt is when it got stuck, ending says that its target was asked to end it.
-	stuckAt time.Time
-	ending  bool
+	// stuckSince is when it got stuck, ending says that its target was asked to end it.
+	stuckSince time.Time
+	ending     bool
 }
 
 // ends is when a target should be done with a request at the latest.
@@ -184,7 +184,7 @@
 	default:
 		h.choice = b.core.Recount(h.choice, false)
 	}
-	h.stuck, h.stuckAt, h.ending = true, now, false
+	h.stuck, h.stuckSince, h.ending = true, now, false
 	b.stuck++
 }
 
--- a/internal/coordination/routed/broker/orphans.go
+++ b/internal/coordination/routed/broker/orphans.go
@@ -32,7 +32,7 @@
 		return nil
 	}
 	for _, h := range b.holds {
-		if !h.stuck || h.ending || h.Run == "" || now.Sub(h.stuckAt) < orphanAfter {
+		if !h.stuck || h.ending || h.Run == "" || now.Sub(h.stuckSince) < orphanAfter {
 			continue
 		}
 		if orphan, ok := b.orphan(now, h.Target, h.Run); ok {
