--- a/internal/daemon/routed/jobs_test.go
+++ b/internal/daemon/routed/jobs_test.go
@@ -100,13 +100,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, size{domains: 2, nodes: 2, targets: 2})
 		ids := w.submit(w.nodes[0], 2, 3, 60)
-		for _, n := range w.nodes {
-			n.kill()
-		}
+		w.killAll()
 		pass(time.Second)
-		for _, n := range w.nodes {
-			n.start()
-		}
+		w.startAll()
 		w.awaitReady()
 		for _, id := range ids {
 			w.requireWhole(id, w.nodes[2].allResults(id, 8*time.Second), 60)
@@ -241,13 +237,9 @@
 		w := newWorld(t, size{domains: 2, nodes: 2, targets: 1})
 		ids := w.submit(w.nodes[0], 2, 6, 250)
 		pass(3500 * time.Millisecond)
-		for _, n := range w.nodes {
-			n.kill()
-		}
+		w.killAll()
 		began := time.Now()
-		for _, n := range w.nodes {
-			n.start()
-		}
+		w.startAll()
 		for _, id := range ids {
 			w.requireWhole(id, w.nodes[1].allResults(id, 12*time.Second), 250)
 			require.Equal(t, 6, w.fromStart(id, 6), "job %s: no item begins anew", id)
@@ -264,14 +256,10 @@
 		w := newWorld(t, size{domains: 2, nodes: 3, targets: 3})
 		ids := w.submit(w.nodes[0], 4, 8, 250)
 		pass(2500 * time.Millisecond)
-		for _, n := range w.nodes {
-			n.kill()
-		}
+		w.killAll()
 		pass(500 * time.Millisecond)
 		began := time.Now()
-		for _, n := range w.nodes {
-			n.start()
-		}
+		w.startAll()
 		pass(600 * time.Millisecond)
 		again := 0
 		for _, id := range ids {
--- a/internal/daemon/routed/orphans_test.go
+++ b/internal/daemon/routed/orphans_test.go
@@ -55,9 +55,7 @@
 		w := newWorld(t, size{domains: 2, nodes: 3, targets: 3})
 		ids := w.submit(w.nodes[0], 2, 6, 200)
 		pass(300 * time.Millisecond)
-		for _, n := range w.nodes {
-			n.kill()
-		}
+		w.killAll()
 		pass(time.Second)
 		for i := range 6 {
 			w.targets[i].runAs(itemOf(ids[0], i), 400)
@@ -65,9 +63,7 @@
 		// A run that is no item of this system is nobody's to end.
 		w.targets[0].occupy(1, 150)
 		pass(400 * time.Millisecond)
-		for _, n := range w.nodes {
-			n.start()
-		}
+		w.startAll()
 		pass(800 * time.Millisecond)
 		require.Len(t, w.endedRuns(), 6)
 		for _, id := range ids {
--- a/internal/daemon/routed/world_test.go
+++ b/internal/daemon/routed/world_test.go
@@ -259,6 +259,19 @@
 	<-n.done
 }
 
+// killAll kills all instances at once, and startAll starts them again.
+func (w *world) killAll() {
+	for _, n := range w.nodes {
+		n.kill()
+	}
+}
+
+func (w *world) startAll() {
+	for _, n := range w.nodes {
+		n.start()
+	}
+}
+
 // terminate asks the process to stop and waits until it has.
 func (n *node) terminate() {
 	n.term()
