Items: no looks without items, and nothing given up by a clock that is ahead

Cause: four goroutines looked every 40 ms for an item that may begin, on instances that hold no partition as well, which are most of a large fleet: 100 wake-ups a second each.

With it: an item's time was over by the holder's wall clock, while the end came from the clock of who took the job. A jump of seconds gave items up too early; the holder now adds 10 s for the difference of two clocks.

--- a/internal/coordination/routed/batchjobs/runner.go
+++ b/internal/coordination/routed/batchjobs/runner.go
@@ -127,16 +127,21 @@
 	}
 }
 
-// idle waits until something may have changed.
+// idle waits until something may have changed. While no item waits, nothing changes by
+// the passing of time, and most instances of a large fleet hold no partition at all.
 func (r *Runner) idle(ctx context.Context) {
 	r.mu.Lock()
-	changed := r.changed
+	changed, waiting := r.changed, len(r.waiting)
 	r.mu.Unlock()
-	timer := time.NewTimer(lookEvery)
-	defer timer.Stop()
+	var look <-chan time.Time
+	if waiting > 0 {
+		timer := time.NewTimer(lookEvery)
+		defer timer.Stop()
+		look = timer.C
+	}
 	select {
 	case <-changed:
-	case <-timer.C:
+	case <-look:
 	case <-ctx.Done():
 	}
 }
--- a/internal/coordination/routed/batchjobs/runner_test.go
+++ b/internal/coordination/routed/batchjobs/runner_test.go
@@ -1,11 +1,16 @@
 package batchjobs
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/state/jobs"
+	"merlintiller/internal/state/route"
 )
 
 // A change of a partition is told while the partition is being given up. Taken in
@@ -47,3 +52,32 @@
 	<-over
 	require.Len(t, r.tasks, 3)
 }
+
+// Most instances of a large fleet have no items. Looking for some all the time would take
+// a part of a small processor from the callers.
+func TestRunnerWithoutItemsDoesNotLookForThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlace(t, 0)
+		var looks atomic.Int64
+		p.opts.Table = func() *route.Table {
+			looks.Add(1)
+			return nil
+		}
+		r := NewRunner(p.opts)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		require.Error(t, r.Serve(ctx))
+		require.LessOrEqual(t, looks.Load(), int64(mostDomains))
+	})
+}
+
+// The clock of the instance that took a job was seconds behind, or that of the holder has
+// jumped ahead. By the holder's clock the item's time is over, and its caller would be told
+// that it was given up while it could still be done.
+func TestItemIsNotGivenUpByAClockThatIsAhead(t *testing.T) {
+	now := time.Unix(1_000, 0)
+	item := &task{openItem: openItem{job: jobs.Job{GiveUp: now.Add(-clockMargin / 2)}}}
+	table := route.NewTable(route.Config{})
+	require.NotEqual(t, "expired", item.hopeless(now, table))
+	require.Equal(t, "expired", item.hopeless(now.Add(clockMargin), table))
+}
--- a/internal/coordination/routed/batchjobs/task.go
+++ b/internal/coordination/routed/batchjobs/task.go
@@ -72,9 +72,16 @@
 	return r.Choose(t.id.item)
 }
 
+// clockMargin is how far the wall clocks of two instances may be apart, one of which took
+// the job. They may jump by seconds, and back again.
+const clockMargin = 10 * time.Second
+
+// expires is when the item's time is over by anybody's clock.
+func (t *task) expires() time.Time { return t.job.GiveUp.Add(clockMargin) }
+
 // hopeless says why an item can't be done any more.
 func (t *task) hopeless(now time.Time, table *route.Table) string {
-	if !t.job.GiveUp.IsZero() && now.After(t.job.GiveUp) {
+	if !t.job.GiveUp.IsZero() && now.After(t.expires()) {
 		return "expired"
 	}
 	r, ok := table.Match(t.job.Host, t.job.Prefix)
@@ -216,7 +223,7 @@
 	}
 	most := longestRun
 	if !t.job.GiveUp.IsZero() {
-		most = min(most, time.Until(t.job.GiveUp))
+		most = min(most, time.Until(t.expires()))
 	}
 	return &exchange.Dispatch{
 		ID: t.id.item, Method: http.MethodPost, Host: t.job.Host, Path: t.item.Path,
