Broker: a life with an earlier start than the one before is heard

Cause: a process's start is read from the wall clock. That jumps back, the process is restarted, and its new life has the smaller start. The broker took it for a late message of a dead one: its holds did not count, and those of the dead life blocked slots until they were forgotten.

Change: any start that is not the one before is a new life; only the life that was known to have ended is ignored.

--- a/internal/coordination/routed/broker/book.go
+++ b/internal/coordination/routed/broker/book.go
@@ -63,8 +63,12 @@
 	return h.since.Add(lasts)
 }
 
+// life is a process of an instance. Starts are read from wall clocks, which jump, so that
+// a later life may have the smaller one.
 type life struct {
 	start int64
+	// ended is the start of the life before, whose last messages may come late.
+	ended int64
 	at    time.Time
 }
 
@@ -84,13 +88,15 @@
 
 // Tell takes over what an instance holds.
 func (b *Book) Tell(now time.Time, told Told) {
-	if before, known := b.heard[told.Instance]; known && before.start != told.Start {
-		if before.start > told.Start {
+	before, known := b.heard[told.Instance]
+	if known && before.start != told.Start {
+		if before.ended == told.Start {
 			return
 		}
 		b.Gone(told.Instance)
+		before = life{ended: before.start}
 	}
-	b.heard[told.Instance] = life{start: told.Start, at: now}
+	b.heard[told.Instance] = life{start: told.Start, ended: before.ended, at: now}
 	b.loosen(told.Instance)
 	for _, number := range told.Released {
 		b.release(holdKey{told.Instance, number})
--- a/internal/coordination/routed/broker/book_test.go
+++ b/internal/coordination/routed/broker/book_test.go
@@ -182,3 +182,16 @@
 	b.Loaded(later, "t0", exchange.Load{Running: 1, Slots: 2})
 	require.Equal(t, 1, b.Free(later))
 }
+
+// The wall clock of an instance jumps back, and its process is restarted: the new life has
+// the smaller start. Were it not heard, what it holds would not count, and what the dead
+// one held would block slots until it is forgotten.
+func TestLifeAfterAClockJumpedBackIsHeard(t *testing.T) {
+	b := newTestBook(1)
+	b.Tell(start, Told{Instance: "n0", Start: 9, Whole: true, Held: []Hold{{Number: 1, Target: "t0"}, {Number: 2, Target: "t0"}}})
+	require.Zero(t, b.Free(start))
+	b.Tell(start, Told{Instance: "n0", Start: 5, Whole: true, Held: []Hold{{Number: 1, Target: "t0"}}})
+	require.Equal(t, 1, b.Free(start))
+	b.Tell(start, Told{Instance: "n0", Start: 9, Whole: true, Held: []Hold{{Number: 7, Target: "t0"}}})
+	require.Equal(t, 1, b.Free(start), "a late message of the life that ended")
+}
