Rates: what found a full bucket behind a cut is left to the other side

Until the cut was noticed its buckets were full and took in nothing, since its own callers used little; then it left the others what its own use had been in that time. When they were heard again, all of them at once through relays, what they had let in then came as a debt.

Change: what came in while the bucket was full is left to the silent ones as well, without being paid for here. Tests of the rate across cuts hold as they are.

--- a/internal/coordination/routed/quota/marks.go
+++ b/internal/coordination/routed/quota/marks.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-// mark is what an instance had let in at a moment.
+// mark is what a total was at a moment.
 type mark struct {
-	at  time.Time
-	own int64
+	at    time.Time
+	total float64
 }
 
 const (
@@ -15,22 +15,34 @@
 	marksKept = 8
 )
 
-// mark notes what was let in so far.
-func (a *account) mark(now time.Time) {
-	if now.Sub(a.marks[marksKept-1].at) < markEvery {
+// history keeps what a growing total was at some moments, the last one at the end.
+type history [marksKept]mark
+
+func (h *history) note(now time.Time, total float64) {
+	if now.Sub(h[marksKept-1].at) < markEvery {
 		return
 	}
-	copy(a.marks[:], a.marks[1:])
-	a.marks[marksKept-1] = mark{at: now, own: a.own}
+	copy(h[:], h[1:])
+	h[marksKept-1] = mark{at: now, total: total}
 }
 
-// since gives what was let in since a moment, or a little more.
-func (a *account) since(t time.Time) float64 {
-	from := a.marks[0]
-	for _, m := range a.marks {
+// mostSince gives how much a total has grown since a moment, or a little more.
+func (h *history) mostSince(t time.Time, total float64) float64 {
+	from := h[0]
+	for _, m := range h {
 		if !m.at.After(t) {
 			from = m
 		}
 	}
-	return max(0, float64(a.own-from.own))
+	return max(0, total-from.total)
+}
+
+// leastSince gives the same, or a little less.
+func (h *history) leastSince(t time.Time, total float64) float64 {
+	for _, m := range h {
+		if !m.at.Before(t) {
+			return total - m.total
+		}
+	}
+	return 0
 }
--- a/internal/coordination/routed/quota/quota.go
+++ b/internal/coordination/routed/quota/quota.go
@@ -71,8 +71,10 @@
 	own   int64
 	// share is the part of the fleet that may be used here, as of at.
 	share float64
-	// marks are what own was at some moments, the last one at the end.
-	marks [marksKept]mark
+	// spilled is what has come in while the bucket was full.
+	spilled float64
+	// owns and spills are what own and spilled were.
+	owns, spills history
 }
 
 type peer struct {
@@ -298,7 +300,7 @@
 	a := l.account(now, org)
 	l.refill(now, org, l.parts(now))
 	d := Decision{Level: a.level, Share: a.share}
-	a.mark(now)
+	a.owns.note(now, float64(a.own))
 	if a.level >= 1 {
 		a.level--
 		a.own++
--- a/internal/coordination/routed/quota/quota_test.go
+++ b/internal/coordination/routed/quota/quota_test.go
@@ -321,3 +321,30 @@
 	l.Alive(now.Add(silentAfter), []Sign{{Instance: "far", Start: 0, At: now.Add(silentAfter)}})
 	require.InDelta(t, 0.5, l.Admit(now.Add(silentAfter), "o").Share, 0.01)
 }
+
+// A failure domain is cut off for some seconds while an organisation stays below its rate,
+// most of it at the others. Until the cut is noticed its bucket is full here and takes in
+// nothing more. Once the others are heard again, what they let in in that time must not
+// count against the organisation twice: its callers here would be refused for a second.
+func TestEndOfACutRefusesNobodyBelowTheRate(t *testing.T) {
+	const peers, patience = 9, 1250 * time.Millisecond
+	limit := Limit{Rate: 40, Burst: 40}
+	l, now := New(start), start
+	l.SetLimits(now, map[string]Limit{"o": limit})
+	report := func(count int64) {
+		for i := range peers {
+			l.Heard(now, Report{
+				Instance: fmt.Sprint("n", i), Start: 1, Counts: Counts{"o": count}, Whole: true,
+				Informed: true, Levels: Levels{}, Patience: patience,
+			})
+		}
+	}
+	report(0)
+	const cut, step = 6 * time.Second, 250 * time.Millisecond
+	for now.Before(start.Add(cut)) {
+		now = now.Add(step)
+		require.True(t, l.Admit(now, "o").Admitted)
+	}
+	report(int64(0.75 * limit.Rate * cut.Seconds() / peers))
+	require.True(t, l.Admit(now, "o").Admitted)
+}
--- a/internal/coordination/routed/quota/shares.go
+++ b/internal/coordination/routed/quota/shares.go
@@ -12,7 +12,10 @@
 	a.at = now
 	a.share = parts.own
 	whole := limit.Rate * seconds
-	a.level = min(a.level+whole*a.share, l.cap(limit, a.share))
+	filled := a.level + whole*a.share
+	a.level = min(filled, l.cap(limit, a.share))
+	a.spilled += filled - a.level
+	a.spills.note(now, a.spilled)
 	for _, p := range parts.left {
 		l.leave(p, org, whole/parts.size)
 	}
@@ -24,7 +27,9 @@
 // What goes wrong without it: instances are cut off from each other while an
 // organisation sends more than its rate. Until they notice, each side uses the whole
 // rate. Nine instances on their own let in eighty requests too many in that half
-// second, three sides a rate's half second each. What was not used is not paid for.
+// second, three sides a rate's half second each. What was not used is not paid for. What
+// found the bucket full is left to the peer without that: it was used by nobody here, and
+// what the peer let in by it would be a debt of this side once the peer is heard again.
 func (l *Ledger) payForSilence(parts parts) {
 	for _, p := range parts.left {
 		if p.paid {
@@ -36,8 +41,8 @@
 		}
 		for org, a := range l.accounts {
 			unnoticed := max(0, a.at.Sub(p.heard).Seconds())
-			part := min(l.limits[org].Rate*unnoticed, a.since(p.heard)) / parts.size
-			l.leave(p, org, part)
+			part := min(l.limits[org].Rate*unnoticed, a.owns.mostSince(p.heard, float64(a.own))) / parts.size
+			l.leave(p, org, part+a.spills.leastSince(p.heard, a.spilled)/parts.size)
 			a.level -= part
 		}
 	}
