The list of targets is read by relays and told on; the strong do more

Cause: every instance read every renewal of every target's entry, twice a second, and four duties woke an idle instance 40, 100, 10 and 20 times a second.

Change: an instance of a large fleet reads the list only while it is a relay, or while none of its relays read it and is answered by the store. The others compare a digest of the list and fetch it where it differs.

Relays and brokers are the strongest instances of a domain by a new setting, `processor`, equal ones by hash as before.

--- a/internal/coordination/routed/broker/broker.go
+++ b/internal/coordination/routed/broker/broker.go
@@ -43,12 +43,14 @@
 	// looking says that a look is due.
 	looking bool
 	sweep   *sweep
+	// sweepBegins has something in it once a sweep begins.
+	sweepBegins chan struct{}
 }
 
 // New returns a broker of a failure domain.
 func New(domain string, seed uint64, yield func(instance string, number uint64) bool) *Broker {
 	core := placement.New(placement.Options{Domain: domain, Random: rand.New(rand.NewPCG(seed, seed))})
-	return &Broker{domain: domain, yield: yield, allotter: NewAllotter(core), placed: map[*Waiter]chan Grant{}, sweep: newSweep(time.Now())}
+	return &Broker{domain: domain, yield: yield, allotter: NewAllotter(core), placed: map[*Waiter]chan Grant{}, sweep: newSweep(time.Now()), sweepBegins: make(chan struct{}, 1)}
 }
 
 // String names the duty.
@@ -85,7 +87,7 @@
 func (b *Broker) Gone(instance string) {
 	b.change(func(now time.Time) {
 		b.allotter.Gone(instance)
-		b.sweep.begin(now)
+		b.beginSweep(now)
 	})
 }
 
@@ -93,7 +95,7 @@
 func (b *Broker) Silent(instance string) {
 	b.change(func(now time.Time) {
 		b.allotter.Silent(now, instance)
-		b.sweep.begin(now)
+		b.beginSweep(now)
 	})
 }
 
--- a/internal/coordination/routed/broker/sweep.go
+++ b/internal/coordination/routed/broker/sweep.go
@@ -67,6 +67,25 @@
 	}
 }
 
+// beginSweep has the targets asked what they run. It needs the lock.
+func (b *Broker) beginSweep(now time.Time) {
+	b.sweep.begin(now)
+	select {
+	case b.sweepBegins <- struct{}{}:
+	default:
+	}
+}
+
+// SweepBegins has something in it once a sweep begins.
+func (b *Broker) SweepBegins() <-chan struct{} { return b.sweepBegins }
+
+// Sweeping says that there may be something to sweep.
+func (b *Broker) Sweeping(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !now.After(b.sweep.until) || b.allotter.stuck > 0
+}
+
 // Sweep gives the runs to end and the targets to ask now.
 func (b *Broker) Sweep(now time.Time) (orphans []Orphan, ask []roster.Target) {
 	b.mu.Lock()
--- a/internal/coordination/routed/broker/sweeper.go
+++ b/internal/coordination/routed/broker/sweeper.go
@@ -12,12 +12,13 @@
 
 	"merlintiller/internal/external"
 	"merlintiller/internal/state/roster"
-	"merlintiller/internal/wait"
 )
 
 const (
 	// sweepEvery is how often it is looked whether there is anything to end.
 	sweepEvery = 100 * time.Millisecond
+	// sweepIdle is the same while there is nothing to sweep, or for another instance to do.
+	sweepIdle = 500 * time.Millisecond
 	// inspectTimeout bounds a question to a target, and the end of a run. One that does
 	// not answer must not hold up what the others said for long.
 	inspectTimeout = 150 * time.Millisecond
@@ -46,18 +47,36 @@
 
 // Serve sweeps until ctx ends.
 func (s *Sweeper) Serve(ctx context.Context) error {
-	return wait.Every(ctx, sweepEvery, func() {
-		if !s.First() {
-			return
+	for ctx.Err() == nil {
+		pause := sweepIdle
+		if s.Broker.Sweeping(time.Now()) && s.First() {
+			s.sweep(ctx)
+			pause = sweepEvery
 		}
-		orphans, ask := s.Broker.Sweep(time.Now())
-		for _, o := range orphans {
-			go s.end(ctx, o, "instance_silent")
-		}
-		if len(ask) > 0 {
-			go s.inspect(ctx, ask)
-		}
-	})
+		s.await(ctx, pause)
+	}
+	return ctx.Err()
+}
+
+// await waits until the next look, or until a sweep begins.
+func (s *Sweeper) await(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-s.Broker.SweepBegins():
+	case <-ctx.Done():
+	}
+}
+
+func (s *Sweeper) sweep(ctx context.Context) {
+	orphans, ask := s.Broker.Sweep(time.Now())
+	for _, o := range orphans {
+		go s.end(ctx, o, "instance_silent")
+	}
+	if len(ask) > 0 {
+		go s.inspect(ctx, ask)
+	}
 }
 
 // inspect asks targets what they run, and has ended what nobody reads. The holders of
--- a/internal/coordination/routed/broker/telling.go
+++ b/internal/coordination/routed/broker/telling.go
@@ -8,8 +8,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"merlintiller/internal/coordination/routed/mesh"
 	"merlintiller/internal/wait"
 )
@@ -43,7 +41,8 @@
 // rankedFresh is how long a ranking counts. It changes when instances come and go.
 const rankedFresh = 50 * time.Millisecond
 
-// rank orders the instances of a domain by rendezvous hashing.
+// rank orders the instances of a domain: the strongest first, since the first one has to
+// answer all others.
 func (c *Client) rank(name string) []string {
 	type candidate struct {
 		address string
@@ -51,7 +50,7 @@
 	}
 	var list []candidate
 	add := func(i mesh.Instance) {
-		list = append(list, candidate{i.Address, xxhash.Sum64String(name + "/" + i.Name)})
+		list = append(list, candidate{i.Address, mesh.Rank("broker/"+name, i)})
 	}
 	if name == c.opts.Self.Domain {
 		add(c.opts.Self)
--- a/internal/coordination/routed/fleetview/view.go
+++ b/internal/coordination/routed/fleetview/view.go
@@ -1,11 +1,13 @@
 package fleetview
 
 import (
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
@@ -53,6 +55,8 @@
 	// OnConfig and OnTargets are told of each change, in order.
 	OnConfig  func(*route.Table)
 	OnTargets func([]roster.Target)
+	// Follows says that other instances tell of the list of targets. Nil: never.
+	Follows func() bool
 }
 
 // View is what the instance knows. It is safe for concurrent use.
@@ -69,6 +73,8 @@
 	roster *roster.Roster
 	// listed says that the list of targets was read at least once.
 	listed bool
+	// digest sums up the list.
+	digest uint64
 	// answered is when the store answered last, back when it did so again
 	// after an outage.
 	answered, back time.Time
@@ -159,6 +165,34 @@
 	return v.roster.Mark()
 }
 
+// Digest sums up the list of targets, so that two instances whose lists differ notice.
+func (v *View) Digest() uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.digest
+}
+
+// digestOf leaves out what changes with each renewal of an entry.
+func digestOf(list []roster.Target) uint64 {
+	digest := xxhash.New()
+	for _, t := range list {
+		t.WarmUp = 0
+		_, _ = fmt.Fprintf(digest, "%+v\n", t)
+	}
+	return digest.Sum64()
+}
+
+// follows says that nothing need be read of the targets: the list was read once, and
+// other instances tell what changes.
+func (v *View) follows() bool {
+	if v.opts.Follows == nil || !v.opts.Follows() {
+		return false
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.listed
+}
+
 // Changed is closed at the next change of the configuration.
 func (v *View) Changed() <-chan struct{} {
 	v.mu.Lock()
@@ -242,6 +276,7 @@
 // no longer to be used: the next read of the list may come a second later.
 func (v *View) tellTargets() {
 	now := time.Now()
+	v.digest = digestOf(v.roster.All())
 	v.opts.OnTargets(v.roster.Usable(now))
 	if v.graceEnd != nil {
 		v.graceEnd.Stop()
--- a/internal/coordination/routed/fleetview/watch.go
+++ b/internal/coordination/routed/fleetview/watch.go
@@ -29,6 +29,8 @@
 	retryMost  = time.Second
 	// refreshEvery is how often everything is read anew.
 	refreshEvery = 10 * time.Second
+	// followLook is how often an instance that follows others looks whether it still does.
+	followLook = 500 * time.Millisecond
 )
 
 var watchFailures = metrics.NewCounter(`store_watch_failures_total`)
@@ -42,7 +44,7 @@
 		},
 		&watch{
 			view: v, name: "targets", partition: v.opts.Sources.Targets, wait: targetsWait, pause: targetsPause,
-			replace: v.replaceTargets, apply: v.applyTargets,
+			replace: v.replaceTargets, apply: v.applyTargets, follows: v.follows,
 		},
 	}
 }
@@ -64,6 +66,8 @@
 	pause     time.Duration
 	// replace takes over the newest records of all keys, apply later changes.
 	replace, apply func(external.KeyedPage)
+	// follows says that others tell what is here, and that nothing need be read. Nil: never.
+	follows func() bool
 }
 
 // String names the duty.
@@ -73,6 +77,10 @@
 func (w *watch) Serve(ctx context.Context) error {
 	retry := retryFirst
 	for ctx.Err() == nil {
+		if w.left() {
+			wait.For(ctx, followLook)
+			continue
+		}
 		err := w.follow(ctx)
 		if err == nil || errors.Is(err, external.ErrTrimmed) {
 			retry = retryFirst
@@ -89,6 +97,9 @@
 	return ctx.Err()
 }
 
+// left says that reading is left to others.
+func (w *watch) left() bool { return w.follows != nil && w.follows() }
+
 // follow reads everything and then the changes, for a while.
 func (w *watch) follow(ctx context.Context) error {
 	page, err := w.view.opts.Log.Newest(ctx, w.partition)
@@ -99,7 +110,7 @@
 	w.replace(page)
 	from := page.End
 	until := time.Now().Add(refreshEvery)
-	for time.Now().Before(until) {
+	for time.Now().Before(until) && !w.left() {
 		page, err = w.view.opts.Log.Read(ctx, w.partition, from, w.wait)
 		if err != nil {
 			return err
--- a/internal/coordination/routed/mesh/beat.go
+++ b/internal/coordination/routed/mesh/beat.go
@@ -16,6 +16,9 @@
 	Address string
 	// Start is when its process started, in Unix milliseconds.
 	Start int64
+	// Strength is how much processor it has, on a logarithmic scale: one more is half as
+	// much again.
+	Strength int
 }
 
 // Beat is what an instance tells of itself.
@@ -31,6 +34,9 @@
 	// targets was read.
 	ConfigVersion int64
 	RosterMark    int64
+	RosterDigest  uint64
+	// Reads says that the sender reads the list of targets from the store itself.
+	Reads bool
 	// StoreAge is the time since the platform's store answered this instance.
 	StoreAge time.Duration
 	// Held is what the instance has at targets.
--- a/internal/coordination/routed/mesh/exchange.go
+++ b/internal/coordination/routed/mesh/exchange.go
@@ -21,8 +21,11 @@
 	// busy says that a message is on its way, nextAt when the next one is due.
 	busy   bool
 	nextAt time.Time
-	// failedAt is when a message stayed without an answer last.
-	failedAt time.Time
+	// failedAt is when a message stayed without an answer last, answeredAt when one came,
+	// and storeAge what it said.
+	failedAt, answeredAt time.Time
+	storeAge             time.Duration
+	reads                bool
 	// start is the life of the instance there, as it told last.
 	start int64
 	// told are the counts that it was told, messages how many since all were.
@@ -60,7 +63,7 @@
 
 func (m *Mesh) add(now time.Time, out []Instance, to Instance, period time.Duration) []Instance {
 	l := m.link(to.Address)
-	if l.busy || now.Before(l.nextAt) {
+	if l.busy || now.Add(m.slack()).Before(l.nextAt) {
 		return out
 	}
 	if l.nextAt.IsZero() {
@@ -71,6 +74,14 @@
 	return append(out, to)
 }
 
+// slack is how much too early a message may go.
+func (m *Mesh) slack() time.Duration {
+	if m.view.large() && !m.relay {
+		return relayedTickEvery / 2
+	}
+	return 0
+}
+
 func (m *Mesh) link(address string) *link {
 	l := m.links[address]
 	if l == nil {
@@ -94,6 +105,8 @@
 	if err != nil {
 		l.told, l.failedAt = nil, time.Now()
 		m.failed(to.Address, l, err)
+	} else {
+		l.answeredAt, l.storeAge, l.reads = time.Now(), reply.StoreAge, reply.Reads
 	}
 	m.mu.Unlock()
 	if err != nil {
@@ -182,7 +195,8 @@
 		versions := m.local.Versions()
 		m.description = Beat{
 			From: m.Self(), Uptime: now.Sub(m.began), Young: now.Sub(m.began) < youngFor,
-			ConfigVersion: versions.Config, RosterMark: versions.RosterMark, StoreAge: versions.StoreAge,
+			ConfigVersion: versions.Config, RosterMark: versions.RosterMark, RosterDigest: versions.RosterDigest,
+			StoreAge: versions.StoreAge, Reads: !m.Follows(),
 		}
 		m.local.Describe(&m.description)
 		m.describedAt = now
--- a/internal/coordination/routed/mesh/mesh.go
+++ b/internal/coordination/routed/mesh/mesh.go
@@ -16,9 +16,10 @@
 
 const (
 	// tickEvery is how often it is looked which messages are due, relayedTickEvery the
-	// same in a large fleet, where each look goes through many instances.
+	// same of an instance that only speaks to relays. What is due within half of it goes
+	// at once, so that messages to several relays go together.
 	tickEvery        = 25 * time.Millisecond
-	relayedTickEvery = 50 * time.Millisecond
+	relayedTickEvery = 200 * time.Millisecond
 	// callTimeout bounds a message. Instances are some milliseconds apart.
 	callTimeout = 300 * time.Millisecond
 	// ForgetAfter is the silence after which an instance is no longer known. One
@@ -41,6 +42,8 @@
 type Versions struct {
 	Config     int64
 	RosterMark int64
+	// RosterDigest sums up the list of targets.
+	RosterDigest uint64
 	// StoreAge is the time since the platform's store answered.
 	StoreAge time.Duration
 }
@@ -98,7 +101,11 @@
 	// read, by name.
 	feed    *feed
 	intakes map[string]*intake
-	// chosen are the partners in a large fleet, as of chosenAt.
+	// behindSince is when it was first heard that there is a newer configuration.
+	behindSince time.Time
+	// chosen are the partners in a large fleet, as of chosenAt, and relay that this
+	// instance is one.
+	relay    bool
 	chosen   []partner
 	chosenAt time.Time
 	began    time.Time
@@ -219,7 +226,7 @@
 func (m *Mesh) tick() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.view.large() {
+	if m.view.large() && !m.relay {
 		return relayedTickEvery
 	}
 	return tickEvery
--- a/internal/coordination/routed/mesh/partners.go
+++ b/internal/coordination/routed/mesh/partners.go
@@ -14,6 +14,9 @@
 	relayEvery = 200 * time.Millisecond
 	// partnersFresh is how long a choice of partners counts.
 	partnersFresh = 100 * time.Millisecond
+	// followFresh is how old a relay's answer may be, and the store's to the relay, for an
+	// instance to rely on it.
+	followFresh = time.Second
 	// avoidFor is how long an instance that did not answer is no relay while there
 	// are others.
 	avoidFor = 1500 * time.Millisecond
@@ -62,8 +65,8 @@
 // telling all others of itself, or tell them so seldom that a lost one is noticed
 // after many seconds. So each speaks to the relays of its failure domain only, and
 // these speak to those of the other domains. Relays pass on what they hear. They are
-// the first instances by rendezvous hashing of those that are heard, so that all
-// choose the same ones as soon as they know the same instances. Any instance that is
+// the strongest instances of those that are heard, equal ones by rendezvous hashing, so
+// that all choose the same ones as soon as they know the same instances. Any instance that is
 // asked passes on what it knows, whoever takes it for a relay.
 func (m *Mesh) partners(now time.Time) []partner {
 	if !m.chosenAt.IsZero() && now.Sub(m.chosenAt) < partnersFresh {
@@ -92,9 +95,9 @@
 		}
 		found.offer(candidate{e, m.order(now, e, state)})
 	})
-	isRelay := ahead < relays
+	m.relay = ahead < relays
 	for domain, found := range domains {
-		if domain != m.self.Domain && !isRelay {
+		if domain != m.self.Domain && !m.relay {
 			continue
 		}
 		for _, c := range found {
@@ -103,12 +106,39 @@
 			}
 		}
 	}
-	if isRelay {
+	if m.relay {
 		out = m.probes(now, out)
 	}
 	return out
 }
 
+// Follows says that this instance learns through relays what the store's list of targets
+// holds: it is no relay itself, and one of its relays answered it a moment ago, reads the
+// list and is answered by the store.
+//
+// The load it answers: each target renews its entry about once a second. With hundreds of
+// instances that each read all of it, every renewal is sent and decoded hundreds of times.
+func (m *Mesh) Follows() bool {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.follows(now)
+}
+
+// follows needs the lock.
+func (m *Mesh) follows(now time.Time) bool {
+	if !m.view.large() || m.relay {
+		return false
+	}
+	for _, p := range m.chosen {
+		l := m.link(p.Address)
+		if l.reads && now.Sub(l.answeredAt) < followFresh && l.storeAge < followFresh {
+			return true
+		}
+	}
+	return false
+}
+
 // order sorts candidates, see candidate.
 func (m *Mesh) order(now time.Time, e *entry, state State) int64 {
 	if l := m.links[e.Address]; l != nil && now.Sub(l.failedAt) < avoidFor {
--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -79,7 +79,7 @@
 		settings: s, network: network, logger: logger,
 		self: mesh.Instance{
 			Name: string(s.Instance), Domain: string(s.Domain),
-			Address: s.Listen.Peers, Start: time.Now().UnixMilli(),
+			Address: s.Listen.Peers, Start: time.Now().UnixMilli(), Strength: mesh.StrengthOf(s.Processor),
 		},
 		store: platform.NewStore(network, s.Store.Address, s.Store.Timeout),
 		targets: targetconn.New(network, targetconn.Codec{
@@ -124,6 +124,7 @@
 		Logger:    d.logger,
 		OnConfig:  func(t *route.Table) { d.meter.SetOrganisations(t.Organisations()) },
 		OnTargets: func(list []roster.Target) { d.slots.SetTargets(list) },
+		Follows:   func() bool { return d.mesh.Follows() },
 	})
 }
 
--- a/internal/settings/routed_test.go
+++ b/internal/settings/routed_test.go
@@ -80,7 +80,7 @@
 	values := map[string]string{
 		"node_name": "edge-a-1", "zone": "a", "ip": "10.1.0.2", "listen.front": "10.1.0.2:8689", "listen.ready": "10.1.0.2:8687",
 		"listen.control": "10.1.0.2:8683", "platform.address": "10.2.0.7:8688", "platform.parts": "12",
-		"platform.record_bytes": "262144", "platform.call_bytes": "2097152", "limits.memory_mb": "184", "bounds.grace_s": "2.5",
+		"platform.record_bytes": "262144", "platform.call_bytes": "2097152", "limits.memory_mb": "184", "limits.cpu_share": "0.192", "bounds.grace_s": "2.5",
 	}
 	for seeds, bound := range map[string]string{"": "", `"10.1.0.3:8683","10.1.0.4:8683"`: "${1}120${2}"} {
 		text := listSection.ReplaceAllString(string(template), seeds)
@@ -95,6 +95,7 @@
 		require.NoError(t, err)
 		require.Equal(t, 2500*time.Millisecond, s.Grace)
 		require.Equal(t, 184, s.MemoryMB)
+		require.InDelta(t, 0.192, s.Processor, 0)
 		require.Equal(t, bound != "", s.ResultsReadable == 2*time.Minute)
 	}
 }
