--- a/internal/coordination/routed/broker/allotter.go
+++ b/internal/coordination/routed/broker/allotter.go
@@ -33,7 +33,7 @@
 // concurrent use.
 type Allotter struct {
 	*Book
-	lineup lineup
+	queue waitQueue
 	// CalmAfter is the pause of items after one had to give way.
 	CalmAfter time.Duration
 	// SpareFor is how long after one gave way items leave some slots free.
@@ -70,24 +70,24 @@
 		onTimeUntil: now.Add(ask.OnTimeIn), arrived: now.Add(-ask.Age),
 	}
 	a.Tell(now, ask.Told)
-	a.lineup.add(w)
+	a.queue.add(w)
 	return w
 }
 
 // Withdraw takes one who waits out of the line.
-func (a *Allotter) Withdraw(w *Waiter) { a.lineup.remove(w) }
+func (a *Allotter) Withdraw(w *Waiter) { a.queue.remove(w) }
 
 // Waiting counts those who wait.
-func (a *Allotter) Waiting() int { return a.lineup.len() }
+func (a *Allotter) Waiting() int { return a.queue.len() }
 
 // Allot gives slots to those who wait, as far as there are any.
 func (a *Allotter) Allot(now time.Time) []Allotment {
-	if a.lineup.len() == 0 {
+	if a.queue.len() == 0 {
 		return nil
 	}
 	var out []Allotment
 	itemsWait := now.Sub(a.yieldedAt) < a.CalmAfter
-	a.lineup.place(now, itemsWait, func(w *Waiter) bool {
+	a.queue.place(now, itemsWait, func(w *Waiter) bool {
 		if w.want.Batch && a.spared(now, w.want.Service) {
 			return false
 		}
--- a/internal/coordination/routed/broker/lineup.go
+++ b/internal/coordination/routed/broker/waitqueue.go
@@ -18,7 +18,7 @@
 	onTimeUntil, arrived time.Time
 }
 
-// lineup is the requests and batch items that wait at a broker.
+// waitQueue is the requests and batch items that wait at a broker.
 //
 // The load it answers: at the peak of a swing, or when targets are lost, more
 // requests come than slots come free, for some seconds. First come first served
@@ -31,17 +31,17 @@
 // done in time by when they are due, and those that can't behind them. All items
 // of the fleet stand in one line, or an item that is due soon would wait at one
 // instance while another one begins items that have a lot of time.
-type lineup struct {
+type waitQueue struct {
 	waiters []*Waiter
 }
 
-func (l *lineup) add(w *Waiter) { l.waiters = append(l.waiters, w) }
+func (q *waitQueue) add(w *Waiter) { q.waiters = append(q.waiters, w) }
 
-func (l *lineup) remove(w *Waiter) {
-	l.waiters = slices.DeleteFunc(l.waiters, func(other *Waiter) bool { return other == w })
+func (q *waitQueue) remove(w *Waiter) {
+	q.waiters = slices.DeleteFunc(q.waiters, func(other *Waiter) bool { return other == w })
 }
 
-func (l *lineup) len() int { return len(l.waiters) }
+func (q *waitQueue) len() int { return len(q.waiters) }
 
 // rank tells the four parts of the line apart.
 func (w *Waiter) rank(now time.Time) int {
@@ -68,20 +68,20 @@
 }
 
 // order puts those who wait into the order in which they are served.
-func (l *lineup) order(now time.Time) []*Waiter {
-	slices.SortStableFunc(l.waiters, func(a, b *Waiter) int {
+func (q *waitQueue) order(now time.Time) []*Waiter {
+	slices.SortStableFunc(q.waiters, func(a, b *Waiter) int {
 		rankA, rankB := a.rank(now), b.rank(now)
 		return cmp.Or(cmp.Compare(rankA, rankB), cmp.Compare(a.key(rankA), b.key(rankB)))
 	})
-	return l.waiters
+	return q.waiters
 }
 
 // place has a slot sought for each who waits, in turn, until there is none. Items
 // may have to wait though slots are free.
-func (l *lineup) place(now time.Time, itemsWait bool, place func(*Waiter) bool) {
+func (q *waitQueue) place(now time.Time, itemsWait bool, place func(*Waiter) bool) {
 	full := map[string]bool{}
-	kept := make([]*Waiter, 0, len(l.waiters))
-	for _, w := range l.order(now) {
+	kept := make([]*Waiter, 0, len(q.waiters))
+	for _, w := range q.order(now) {
 		if full[w.want.Service] || w.want.Batch && itemsWait {
 			kept = append(kept, w)
 			continue
@@ -93,5 +93,5 @@
 		full[w.want.Service] = len(w.want.Exclude) == 0
 		kept = append(kept, w)
 	}
-	l.waiters = kept
+	q.waiters = kept
 }
--- a/internal/coordination/routed/mesh/doc.go
+++ b/internal/coordination/routed/mesh/doc.go
@@ -8,6 +8,11 @@
 // order, lost or repeated: counts are totals since the sender's start, versions
 // only grow, and a sender's later message replaces its earlier one.
 //
+// In a small fleet each instance speaks to all others. In a larger one it speaks to the
+// relays of its failure domain, which speak to those of the other domains and pass on what
+// they hear: what each instance told, never a sum of several, so that it may come by any
+// number of ways.
+//
 // A message is a hint, never a proof of death. Only a refused connection says
 // that a process is not there; silence may be a cut, and whoever is silent may
 // serve callers of its own.
--- /dev/null
+++ b/internal/coordination/routed/mesh/intake.go
@@ -0,0 +1,176 @@
+package mesh
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-kit/log/level"
+
+	"merlintiller/internal/coordination/routed/quota"
+)
+
+// intake is how far the feed of a relay was read here.
+type intake struct {
+	feed, next uint64
+	// instances are those that the relay introduced, by index.
+	instances []Instance
+}
+
+func (in *intake) introduce(n *News) (Instance, bool) {
+	if n.Index < 0 || n.Index > len(in.instances)+mostSkipped {
+		return Instance{}, false
+	}
+	for n.Index >= len(in.instances) {
+		in.instances = append(in.instances, Instance{})
+	}
+	if n.Instance != nil {
+		in.instances[n.Index] = *n.Instance
+	}
+	found := in.instances[n.Index]
+	return found, found.Name != ""
+}
+
+// mostSkipped bounds the indexes that a feed leaves out, so that a damaged one does
+// not take all memory.
+const mostSkipped = 100_000
+
+func decodeNews(batches [][]byte) (all []News, err error) {
+	for _, data := range batches {
+		var list []News
+		if err := cbor.Unmarshal(data, &list); err != nil {
+			return nil, err
+		}
+		all = append(all, list...)
+	}
+	return all, nil
+}
+
+// pull asks for what an instance has heard, if the fleet speaks through relays.
+func (m *Mesh) pull(name string) *Pull {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.view.large() {
+		return nil
+	}
+	if in := m.intakes[name]; in != nil {
+		return &Pull{Feed: in.feed, Next: in.next}
+	}
+	return &Pull{}
+}
+
+// feedFor answers a Pull.
+func (m *Mesh) feedFor(pull Pull) *Feed {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	feed, err := m.feed.answer(time.Now(), m.view, pull)
+	if err != nil {
+		_ = level.Error(m.logger).Log("event", "feed_not_encoded", "err", err)
+		return nil
+	}
+	return feed
+}
+
+// takeFeed takes over what a relay passes on.
+func (m *Mesh) takeFeed(relay string, feed *Feed) {
+	news, err := decodeNews(feed.Batches)
+	if err != nil {
+		_ = level.Error(m.logger).Log("event", "feed_unreadable", "peer", relay, "err", err)
+		return
+	}
+	m.applying.Lock()
+	defer m.applying.Unlock()
+	beats, alive := m.read(relay, feed, news)
+	for i := range beats {
+		m.local.PeerHeard(beats[i], relayedSilentAfter)
+	}
+	m.local.PeersAlive(alive)
+}
+
+// read enters what a relay passes on, and gives what of it is new.
+func (m *Mesh) read(relay string, feed *Feed, news []News) (beats []Beat, alive []quota.Sign) {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	in := m.intakes[relay]
+	if in == nil || in.feed != feed.ID {
+		in = &intake{feed: feed.ID}
+		m.intakes[relay] = in
+	}
+	in.next = feed.Next
+	beats = make([]Beat, 0, len(news))
+	alive = make([]quota.Sign, 0, len(feed.Ages))
+	for i := range news {
+		from, known := in.introduce(&news[i])
+		if !known {
+			continue
+		}
+		if beat, fresh := m.view.Relayed(now, from, &news[i]); fresh {
+			beats = append(beats, beat)
+		}
+	}
+	for i, age := range feed.Ages {
+		if age == ageUnknown || i >= len(in.instances) {
+			continue
+		}
+		at := now.Add(-time.Duration(age) * ageStep)
+		if from := in.instances[i]; m.view.Vouch(at, from) {
+			alive = append(alive, quota.Sign{Instance: from.Name, Start: from.Start, At: at})
+		}
+	}
+	return beats, alive
+}
+
+// Relayed takes over what a relay passes on of an instance, and gives it as the
+// instance's message. It is not fresh if a later one came before.
+func (v *View) Relayed(now time.Time, from Instance, news *News) (beat Beat, fresh bool) {
+	if from.Name == v.self.Name {
+		return Beat{}, false
+	}
+	e := v.peers[from.Name]
+	if e == nil {
+		e = v.add(from)
+		e.heard = now.Add(-v.pace().silentAfter)
+	}
+	switch {
+	case from.Start < e.Start:
+		return Beat{}, false
+	case from.Start > e.Start:
+		v.rename(e, from)
+		e.down = false
+	}
+	if e.beat.From.Start != from.Start {
+		e.beat = Beat{}
+	}
+	if e.born.IsZero() && news.Uptime > 0 {
+		e.born = now.Add(-news.Uptime)
+	}
+	if at := now.Add(-news.Refused); news.Down && !e.down && at.After(e.heard) {
+		e.down, e.downAt, e.dirty = true, at, true
+	}
+	if news.Seq <= e.beat.Seq && (e.complete || !news.Whole) {
+		return Beat{}, false
+	}
+	beat = e.beat
+	beat.From, beat.Seq, beat.Relayed = from, max(news.Seq, e.beat.Seq), true
+	beat.Admitted, beat.Whole, beat.Uptime = news.Admitted, news.Whole, e.uptime(now)
+	if news.Standing != nil {
+		news.Standing.apply(&beat)
+	}
+	e.beat = beat
+	e.note(&beat)
+	return beat, true
+}
+
+// Vouch takes over when a relay heard of an instance. It says whether that is news.
+func (v *View) Vouch(at time.Time, i Instance) bool {
+	e := v.peers[i.Name]
+	if e == nil || e.Start != i.Start || !at.After(e.heard) {
+		return false
+	}
+	e.heard = at
+	if e.down && !at.After(e.downAt) {
+		return false
+	}
+	e.down = false
+	return true
+}
--- a/internal/coordination/routed/mesh/relay.go
+++ b/internal/coordination/routed/mesh/relay.go
@@ -236,39 +236,3 @@
 	}
 	return out
 }
-
-// intake is how far the feed of a relay was read here.
-type intake struct {
-	feed, next uint64
-	// instances are those that the relay introduced, by index.
-	instances []Instance
-}
-
-func (in *intake) introduce(n *News) (Instance, bool) {
-	if n.Index < 0 || n.Index > len(in.instances)+mostSkipped {
-		return Instance{}, false
-	}
-	for n.Index >= len(in.instances) {
-		in.instances = append(in.instances, Instance{})
-	}
-	if n.Instance != nil {
-		in.instances[n.Index] = *n.Instance
-	}
-	found := in.instances[n.Index]
-	return found, found.Name != ""
-}
-
-// mostSkipped bounds the indexes that a feed leaves out, so that a damaged one does
-// not take all memory.
-const mostSkipped = 100_000
-
-func decodeNews(batches [][]byte) (all []News, err error) {
-	for _, data := range batches {
-		var list []News
-		if err := cbor.Unmarshal(data, &list); err != nil {
-			return nil, err
-		}
-		all = append(all, list...)
-	}
-	return all, nil
-}
--- a/internal/coordination/routed/mesh/view.go
+++ b/internal/coordination/routed/mesh/view.go
@@ -1,13 +1,9 @@
 package mesh
 
 import (
-	"math"
 	"slices"
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"merlintiller/internal/coordination/routed/quota"
 )
 
@@ -34,29 +30,6 @@
 	Heard time.Time
 }
 
-type entry struct {
-	Instance
-	beat  Beat
-	heard time.Time
-	down  bool
-	// hash is the part of the instance in the digest.
-	hash uint64
-	// rank orders the instances of a failure domain as relays.
-	rank uint64
-
-	// downAt is when a connection was refused, born when this life started by the
-	// steady clock here.
-	downAt, born time.Time
-	// counts are all that it told of its requests in this life, complete that none is
-	// missing. changed are those that were not passed on yet.
-	counts, changed quota.Counts
-	complete        bool
-	// standing is what it told last, moved that it was not passed on yet, introduced
-	// that this life was, and dirty that there is anything to pass on.
-	standing                 Standing
-	moved, introduced, dirty bool
-}
-
 // View keeps what is known of the other instances. It is pure and not safe for
 // concurrent use.
 type View struct {
@@ -167,22 +140,6 @@
 	return true
 }
 
-// uptime is the time since the instance's start.
-func (e *entry) uptime(now time.Time) time.Duration {
-	if e.born.IsZero() {
-		return 0
-	}
-	return now.Sub(e.born)
-}
-
-// refused is the time since a connection was refused, 0 if none was.
-func (e *entry) refused(now time.Time) time.Duration {
-	if !e.down {
-		return 0
-	}
-	return now.Sub(e.downAt)
-}
-
 // Superseded gives the start of the life that is known of an instance if that is later
 // than a sender's, else 0.
 //
@@ -196,80 +153,6 @@
 	return 0
 }
 
-// note keeps what an instance told, to be passed on.
-func (e *entry) note(beat *Beat) {
-	e.complete = e.complete || beat.Whole
-	for org, count := range beat.Admitted {
-		if e.counts[org] == count {
-			continue
-		}
-		if e.changed == nil {
-			e.changed = quota.Counts{}
-		}
-		e.counts[org], e.changed[org] = count, count
-		e.dirty = true
-	}
-	if standing := standingOf(beat); !e.standing.equal(&standing) {
-		e.standing, e.moved, e.dirty = standing, true, true
-	}
-	e.dirty = e.dirty || !e.introduced
-}
-
-// Relayed takes over what a relay passes on of an instance, and gives it as the
-// instance's message. It is not fresh if a later one came before.
-func (v *View) Relayed(now time.Time, from Instance, news *News) (beat Beat, fresh bool) {
-	if from.Name == v.self.Name {
-		return Beat{}, false
-	}
-	e := v.peers[from.Name]
-	if e == nil {
-		e = v.add(from)
-		e.heard = now.Add(-v.pace().silentAfter)
-	}
-	switch {
-	case from.Start < e.Start:
-		return Beat{}, false
-	case from.Start > e.Start:
-		v.rename(e, from)
-		e.down = false
-	}
-	if e.beat.From.Start != from.Start {
-		e.beat = Beat{}
-	}
-	if e.born.IsZero() && news.Uptime > 0 {
-		e.born = now.Add(-news.Uptime)
-	}
-	if at := now.Add(-news.Refused); news.Down && !e.down && at.After(e.heard) {
-		e.down, e.downAt, e.dirty = true, at, true
-	}
-	if news.Seq <= e.beat.Seq && (e.complete || !news.Whole) {
-		return Beat{}, false
-	}
-	beat = e.beat
-	beat.From, beat.Seq, beat.Relayed = from, max(news.Seq, e.beat.Seq), true
-	beat.Admitted, beat.Whole, beat.Uptime = news.Admitted, news.Whole, e.uptime(now)
-	if news.Standing != nil {
-		news.Standing.apply(&beat)
-	}
-	e.beat = beat
-	e.note(&beat)
-	return beat, true
-}
-
-// Vouch takes over when a relay heard of an instance. It says whether that is news.
-func (v *View) Vouch(at time.Time, i Instance) bool {
-	e := v.peers[i.Name]
-	if e == nil || e.Start != i.Start || !at.After(e.heard) {
-		return false
-	}
-	e.heard = at
-	if e.down && !at.After(e.downAt) {
-		return false
-	}
-	e.down = false
-	return true
-}
-
 // Refused notes that an address refused a connection.
 func (v *View) Refused(now time.Time, address string) (names []string) {
 	for name, e := range v.peers {
@@ -299,10 +182,6 @@
 	return out
 }
 
-func (e *entry) peer(state State) Peer {
-	return Peer{Instance: e.Instance, State: state, Beat: e.beat, Heard: e.heard}
-}
-
 // each calls do for each of the other instances, by name. It copies nothing: what an
 // instance told last is several hundred bytes, and a large fleet is looked through many
 // times a second.
@@ -372,9 +251,6 @@
 	return false
 }
 
-// quiet says that an instance was not heard for a while.
-func (e *entry) quiet(now time.Time) bool { return e.down || now.Sub(e.heard) > SilentAfter }
-
 // SilentDomains says of each other failure domain whether nobody of it was heard
 // for a while, of those that were heard before. In a
 // large fleet that shows before each single instance counts as silent. While nobody
@@ -433,30 +309,6 @@
 // notice.
 func (v *View) Digest() uint64 { return v.digest }
 
-// rankOf orders the instances of a failure domain as relays.
-func rankOf(i Instance) uint64 { return Rank("relay/"+i.Domain, i) }
-
-// Rank orders instances for a duty that one or a few of them have for others, the
-// smallest first: the strongest, and equal ones by rendezvous hashing.
-func Rank(duty string, i Instance) uint64 {
-	const strengthBits = 8
-	weak := uint64(max(0, 1<<strengthBits-1-max(0, i.Strength)))
-	return weak<<(64-strengthBits) | xxhash.Sum64String(duty+"/"+i.Name)>>strengthBits
-}
-
-// StrengthOf puts processor, in cores, on the scale of Instance.Strength.
-func StrengthOf(processor float64) int {
-	const step, middle = 1.5, 128
-	if processor <= 0 {
-		return 0
-	}
-	return middle + int(math.Round(math.Log(processor)/math.Log(step)))
-}
-
-func hashOf(i Instance) uint64 {
-	return xxhash.Sum64String(i.Name + "/" + strconv.FormatInt(i.Start, 10))
-}
-
 // Lost names instances whose process is not there, or that were silent for so
 // long.
 func (v *View) Lost(now time.Time, silentFor time.Duration) []Instance {
