Relays: only one of the own domain is asked what it has heard

Cause: each instance of a large fleet decoded the same news twice, from both relays of its domain.

Change: the second relay is asked only if the first has not answered for 0.6 s.

--- a/internal/coordination/routed/mesh/exchange.go
+++ b/internal/coordination/routed/mesh/exchange.go
@@ -96,7 +96,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	args := m.beatFor(to, false)
-	args.Pull = m.pull(to.Name)
+	args.Pull = m.pull(to)
 	var reply Beat
 	err := m.caller.Call(ctx, to.Address, methodExchange, &args, &reply)
 	m.mu.Lock()
--- a/internal/coordination/routed/mesh/intake.go
+++ b/internal/coordination/routed/mesh/intake.go
@@ -45,19 +45,39 @@
 	return all, nil
 }
 
-// pull asks for what an instance has heard, if the fleet speaks through relays.
-func (m *Mesh) pull(name string) *Pull {
+// pull asks for what an instance has heard, if the fleet speaks through relays. Of the
+// relays of the own domain only the first one that answers is asked: both tell the same.
+// Those of other domains are all asked, since one that comes back from a cut hears some of
+// its domain through another one, a step later.
+func (m *Mesh) pull(to Instance) *Pull {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.view.large() {
+	if !m.view.large() || m.told(time.Now(), to) {
 		return nil
 	}
-	if in := m.intakes[name]; in != nil {
+	if in := m.intakes[to.Name]; in != nil {
 		return &Pull{Feed: in.feed, Next: in.next}
 	}
 	return &Pull{}
 }
 
+// told says that a relay of the own domain that comes before an instance answered a
+// moment ago. It needs the lock.
+func (m *Mesh) told(now time.Time, to Instance) bool {
+	if to.Domain != m.self.Domain {
+		return false
+	}
+	for _, p := range m.chosen {
+		if p.Address == to.Address {
+			return false
+		}
+		if p.Domain == to.Domain && now.Sub(m.link(p.Address).answeredAt) < pullFresh {
+			return true
+		}
+	}
+	return false
+}
+
 // feedFor answers a Pull.
 func (m *Mesh) feedFor(pull Pull) *Feed {
 	m.mu.Lock()
--- a/internal/coordination/routed/mesh/partners.go
+++ b/internal/coordination/routed/mesh/partners.go
@@ -14,6 +14,9 @@
 	relayEvery = 200 * time.Millisecond
 	// partnersFresh is how long a choice of partners counts.
 	partnersFresh = 100 * time.Millisecond
+	// pullFresh is how old the answer of a relay may be for the next one not to be asked
+	// what it has heard: two periods and a lost message.
+	pullFresh = 600 * time.Millisecond
 	// followFresh is how old a relay's answer may be, and the store's to the relay, for an
 	// instance to rely on it.
 	followFresh = time.Second
