Who is a relay and who reads the list of targets shows in the logs

Cause: with relays, what an instance knows depends on two others; nothing told an engineer on call which ones, or that an instance leaves reading to them.

--- a/internal/coordination/routed/fleetview/watch.go
+++ b/internal/coordination/routed/fleetview/watch.go
@@ -68,6 +68,8 @@
 	replace, apply func(external.KeyedPage)
 	// follows says that others tell what is here, and that nothing need be read. Nil: never.
 	follows func() bool
+	// wasLeft says that reading was left to others at the last look.
+	wasLeft bool
 }
 
 // String names the duty.
@@ -78,9 +80,11 @@
 	retry := retryFirst
 	for ctx.Err() == nil {
 		if w.left() {
+			w.note(true)
 			wait.For(ctx, followLook)
 			continue
 		}
+		w.note(false)
 		err := w.follow(ctx)
 		if err == nil || errors.Is(err, external.ErrTrimmed) {
 			retry = retryFirst
@@ -97,6 +101,14 @@
 	return ctx.Err()
 }
 
+// note tells of a change of who reads.
+func (w *watch) note(left bool) {
+	if left != w.wasLeft {
+		w.wasLeft = left
+		_ = level.Info(w.view.logger).Log("event", "store_watch_left", "watch", w.name, "left", left)
+	}
+}
+
 // left says that reading is left to others.
 func (w *watch) left() bool { return w.follows != nil && w.follows() }
 
--- a/internal/coordination/routed/mesh/partners.go
+++ b/internal/coordination/routed/mesh/partners.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"time"
+
+	"github.com/go-kit/log/level"
 )
 
 const (
@@ -75,8 +77,12 @@
 	if !m.chosenAt.IsZero() && now.Sub(m.chosenAt) < partnersFresh {
 		return m.chosen
 	}
+	was := m.relay
 	m.chosenAt = now
 	m.chosen = m.choose(now, m.chosen[:0])
+	if was != m.relay {
+		_ = level.Info(m.logger).Log("event", "relay_changed", "relay", m.relay, "partners", len(m.chosen))
+	}
 	return m.chosen
 }
 
