Relayed news of an older message change no standing

An instance whose counts are not all known takes them from an older message of another relay. What else that message tells is older than what is known, and was taken over as well.

--- a/internal/coordination/routed/mesh/intake.go
+++ b/internal/coordination/routed/mesh/intake.go
@@ -16,6 +16,8 @@
 	instances []Instance
 }
 
+// introduce gives the instance that news are of. It is not known if the relay has not
+// introduced it, which a damaged feed may have lost.
 func (in *intake) introduce(n *News) (Instance, bool) {
 	if n.Index < 0 || n.Index > len(in.instances)+mostSkipped {
 		return Instance{}, false
@@ -52,7 +54,7 @@
 func (m *Mesh) pull(to Instance) *Pull {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.view.large() || m.told(time.Now(), to) {
+	if !m.view.large() || m.hasEarlierRelay(time.Now(), to) {
 		return nil
 	}
 	if in := m.intakes[to.Name]; in != nil {
@@ -61,9 +63,9 @@
 	return &Pull{}
 }
 
-// told says that a relay of the own domain that comes before an instance answered a
+// hasEarlierRelay says that a relay of the own domain that comes before an instance answered a
 // moment ago. It needs the lock.
-func (m *Mesh) told(now time.Time, to Instance) bool {
+func (m *Mesh) hasEarlierRelay(now time.Time, to Instance) bool {
 	if to.Domain != m.self.Domain {
 		return false
 	}
@@ -171,11 +173,11 @@
 		return Beat{}, false
 	}
 	beat = e.beat
-	beat.From, beat.Seq, beat.Relayed = from, max(news.Seq, e.beat.Seq), true
-	beat.Admitted, beat.Whole, beat.Uptime = news.Admitted, news.Whole, e.uptime(now)
-	if news.Standing != nil {
+	if news.Standing != nil && news.Seq > e.beat.Seq {
 		news.Standing.apply(&beat)
 	}
+	beat.From, beat.Seq, beat.Relayed = from, max(news.Seq, e.beat.Seq), true
+	beat.Admitted, beat.Whole, beat.Uptime = news.Admitted, news.Whole, e.uptime(now)
 	e.beat = beat
 	e.note(&beat)
 	return beat, true
