--- a/internal/coordination/routed/mesh/mesh.go
+++ b/internal/coordination/routed/mesh/mesh.go
@@ -103,12 +103,13 @@
 	intakes map[string]*intake
 	// behindSince is when it was first heard that there is a newer configuration.
 	behindSince time.Time
-	// chosen are the partners in a large fleet, as of chosenAt, and relay that this
-	// instance is one.
-	relay    bool
+	// chosen are the partners in a large fleet, as of chosenAt; relay says that this
+	// instance is a relay.
 	chosen   []partner
 	chosenAt time.Time
-	began    time.Time
+	relay    bool
+	// began is when this life started, by the steady clock.
+	began time.Time
 
 	// description is what others are told of this instance, as of describedAt, and seq
 	// the number of the last message.
