A graceful stop answers every request, also one that crosses it

What callers saw: requests that were sent while an instance stopped gracefully ended with "EOF" or "connection reset by peer" instead of an answer or a refusal, so that a caller could not tell whether they ran.

EOF: the connection was idle or new when Server.Shutdown of net/http began, then active, then closed 0.5 ms later without a response: net/http looks for a shutdown after it has read a request and returns, and a connection counts as idle until its header is read whole. Reset: idle, never active, closed as the request arrived. These idle connections had ended a response that began before the notice and so didn't say "Connection: close"; streams longer than the notice always do.

Cause: Server.Shutdown answers neither a request that it reads after it has begun, nor one that crosses the close of an idle connection, nor one in the kernel's queue. Both daemons used it for callers.

Change: transport/graceful replaces it in both. The server goes on reading and answering. An idle connection gets the refusal "503, not run" before it is closed: a request that is on the way has its answer. Once bytes of a request have arrived the connection is served and not refused; a request that was refused never runs, also a pipelined one.

Why it works: no request is dropped after it was read, and each connection is closed either after a response that says so or with a response for whatever is on the way.

--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -5,10 +5,12 @@
 	"net"
 	"net/http"
 
+	"github.com/gravitational/trace"
 	"github.com/thejerf/suture/v4"
 
 	"merlintiller/internal/coordination/access"
 	"merlintiller/internal/coordination/online"
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/transport/batchapi"
 	"merlintiller/internal/transport/edge"
@@ -71,5 +73,20 @@
 	if config == nil {
 		return listenTCP(address)
 	}
-	return func() (net.Listener, error) { return tls.Listen("tcp", address, config) }
+	return func() (net.Listener, error) {
+		listener, err := external.ListenTCP(address)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		return &tlsListener{Listener: tls.NewListener(listener, config), tcp: listener}, nil
+	}
+}
+
+// tlsListener accepts TLS connections from a TCP listener.
+type tlsListener struct {
+	net.Listener
+	tcp net.Listener
 }
+
+// Unwrap returns the TCP listener.
+func (l *tlsListener) Unwrap() net.Listener { return l.tcp }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"merlintiller/internal/coordination/access"
+	"merlintiller/internal/external"
 	"merlintiller/internal/settings"
 	"merlintiller/internal/transport/tlsconfig"
 )
@@ -142,5 +143,5 @@
 
 // listenTCP returns a function that opens a TCP listener.
 func listenTCP(address string) func() (net.Listener, error) {
-	return func() (net.Listener, error) { return net.Listen("tcp", address) }
+	return func() (net.Listener, error) { return external.ListenTCP(address) }
 }
--- a/internal/daemon/routed/shutdown_test.go
+++ b/internal/daemon/routed/shutdown_test.go
@@ -1,7 +1,9 @@
 package routed
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net/http"
 	"sync"
 	"testing"
@@ -47,6 +49,40 @@
 	})
 }
 
+// Guards against a request that is sent on an idle connection while the instance closes the
+// connection, and gets no response.
+func TestRequestThatCrossesCloseOfIdleConnectionIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newTestFleet(t, fleetSize{domains: 1, instances: 2, targets: 2})
+		inst := fleet.instances[0]
+		conn, err := fleet.net.Host(callerIP).Dial(t.Context(), inst.ip+":80")
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		reader := bufio.NewReader(conn)
+		send := func(id string) {
+			_, _ = fmt.Fprintf(conn, "POST /once/a/35 HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nAuthorization: Bearer %s\r\nContent-Length: 0\r\n\r\n", host, id, keyOne)
+		}
+		receive := func() *http.Response {
+			response, err := http.ReadResponse(reader, nil)
+			require.NoError(t, err)
+			_, err = io.Copy(io.Discard, response.Body)
+			require.NoError(t, err)
+			return response
+		}
+		send("first")
+		require.Equal(t, http.StatusOK, receive().StatusCode)
+		inst.cancel()
+		// The instance has refused or closed the connection when the caller can read.
+		_, _ = reader.Peek(1)
+		send("second")
+		refused := receive()
+		require.Equal(t, http.StatusServiceUnavailable, refused.StatusCode)
+		require.NotEmpty(t, refused.Header.Get("Retry-After"))
+		<-inst.done
+		require.Empty(t, fleet.runsOf("second"))
+	})
+}
+
 // An instance that shuts down owns partitions of jobs. Other instances must resume its
 // items at once, or their results are late.
 func TestShutdownHandsJobsOver(t *testing.T) {
--- a/internal/external/network.go
+++ b/internal/external/network.go
@@ -19,7 +19,7 @@
 }
 
 // Listen implements Network.
-func (n OSNetwork) Listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+func (n OSNetwork) Listen(address string) (net.Listener, error) { return ListenTCP(address) }
 
 // Dial implements Network.
 func (n OSNetwork) Dial(ctx context.Context, address string) (net.Conn, error) {
--- a/internal/transport/edge/errors.go
+++ b/internal/transport/edge/errors.go
@@ -70,6 +70,10 @@
 // calls that are not idempotent and may have run.
 func writeRefusal(w http.ResponseWriter, refusal *protocol.Refusal, status int) {
 	counters.Add(string(refusal.Code), 1)
+	writeErrorResponse(w, refusal, status)
+}
+
+func writeErrorResponse(w http.ResponseWriter, refusal *protocol.Refusal, status int) {
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set(online.HeaderRunState, string(refusal.Run))
--- a/internal/transport/edge/routes.go
+++ b/internal/transport/edge/routes.go
@@ -140,7 +140,7 @@
 // checkServing returns a refusal if the instance does not accept requests now.
 func (e *Edge) checkServing() *protocol.Refusal {
 	if e.phase.Load() == phaseRejecting {
-		return protocol.Refuse(protocol.CodeDraining, drainRetryAfter, "the instance is shutting down; send the request again")
+		return drainingRefusal()
 	}
 	if e.opts.Ready != nil && !e.opts.Ready() {
 		return protocol.Refuse(protocol.CodeInstanceStarting, startRetryAfter, "the instance has not loaded the current configuration yet")
@@ -148,6 +148,18 @@
 	return nil
 }
 
+// drainingRefusal returns the refusal of a request that a draining instance does not run.
+func drainingRefusal() *protocol.Refusal {
+	return protocol.Refuse(protocol.CodeDraining, drainRetryAfter, "the instance is shutting down; send the request again")
+}
+
+// writeDrainingRefusal writes the refusal of a request that a draining instance does not
+// read.
+func writeDrainingRefusal(w http.ResponseWriter) {
+	refusal := drainingRefusal()
+	writeErrorResponse(w, refusal, refusal.Code.HTTPStatus())
+}
+
 func (e *Edge) healthz(w http.ResponseWriter, _ *http.Request) {
 	_, _ = w.Write([]byte("ok\n"))
 }
--- a/internal/transport/edge/server.go
+++ b/internal/transport/edge/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/thejerf/suture/v4"
 	"merlintiller/internal/closing"
+	"merlintiller/internal/transport/graceful"
 )
 
 // counters holds the number of refusals by code and of connections closed at the
@@ -32,7 +33,7 @@
 	buffered atomic.Int64
 
 	mu     sync.Mutex
-	server *http.Server
+	server *graceful.Server
 }
 
 // The shutdown phases of an instance, in order.
@@ -71,13 +72,18 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	server := &http.Server{
-		Handler:           e.handler,
-		ReadHeaderTimeout: e.limits.HeaderTimeout,
-		IdleTimeout:       e.limits.IdleTimeout,
-		MaxHeaderBytes:    e.limits.MaxHeaderBytes,
-		ErrorLog:          errorLog(e.opts.Logger),
-	}
+	server := graceful.New(graceful.Options{
+		Name: "callers",
+		HTTP: &http.Server{
+			Handler:           e.handler,
+			ReadHeaderTimeout: e.limits.HeaderTimeout,
+			IdleTimeout:       e.limits.IdleTimeout,
+			MaxHeaderBytes:    e.limits.MaxHeaderBytes,
+			ErrorLog:          errorLog(e.opts.Logger),
+		},
+		Refusal: writeDrainingRefusal,
+		Logger:  e.opts.Logger,
+	})
 	e.setServer(server)
 	wait := closing.OnDone(ctx, func() { _ = server.Close() })
 	defer wait()
@@ -91,7 +97,7 @@
 	return ctx.Err()
 }
 
-func (e *Edge) setServer(server *http.Server) {
+func (e *Edge) setServer(server *graceful.Server) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.server = server
@@ -141,6 +147,9 @@
 	slots chan struct{}
 }
 
+// Unwrap returns the listener that l limits.
+func (l *limitedListener) Unwrap() net.Listener { return l.Listener }
+
 // Accept implements net.Listener.
 func (l *limitedListener) Accept() (net.Conn, error) {
 	for {
@@ -170,3 +179,11 @@
 	c.once.Do(c.release)
 	return err
 }
+
+// CloseWrite closes the sending side of the connection.
+func (c *limitedConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
--- a/internal/transport/front/server.go
+++ b/internal/transport/front/server.go
@@ -19,6 +19,7 @@
 	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/state/jobs"
 	"merlintiller/internal/state/route"
+	"merlintiller/internal/transport/graceful"
 )
 
 const (
@@ -40,6 +41,9 @@
 	defaultTimeout = 30 * time.Second
 	// writeTimeout limits the time of each write to a caller.
 	writeTimeout = 5 * time.Second
+	// drainRetryAfter is the retry delay while the instance shuts down. Another instance
+	// can serve the request at once.
+	drainRetryAfter = 0
 )
 
 // Codec decodes callers' requests and encodes responses.
@@ -89,7 +93,7 @@
 	opts     Options
 	inFlight atomic.Int64
 	draining atomic.Bool
-	server   atomic.Pointer[http.Server]
+	server   atomic.Pointer[graceful.Server]
 }
 
 // New returns a Front. Serve opens its listener.
@@ -108,13 +112,18 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	server := &http.Server{
-		Handler:           f,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          newErrorLog(f.opts.Logger),
-	}
+	server := graceful.New(graceful.Options{
+		Name: "callers",
+		HTTP: &http.Server{
+			Handler:           f,
+			ReadHeaderTimeout: headerTimeout,
+			IdleTimeout:       idleTimeout,
+			MaxHeaderBytes:    maxHeaderBytes,
+			ErrorLog:          newErrorLog(f.opts.Logger),
+		},
+		Refusal: f.writeDrainingRefusal,
+		Logger:  f.opts.Logger,
+	})
 	f.server.Store(server)
 	wait := closing.OnDone(ctx, func() { _ = server.Close() })
 	defer wait()
@@ -139,6 +148,13 @@
 // StartDraining makes each response ask its caller to close the connection.
 func (f *Front) StartDraining() { f.draining.Store(true) }
 
+// writeDrainingRefusal writes the response to a request that the instance does not read
+// because it shuts down.
+func (f *Front) writeDrainingRefusal(w http.ResponseWriter) {
+	w.Header().Set("Retry-After", f.opts.Codec.EncodeRetryAfter(drainRetryAfter))
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // InFlight returns the number of requests in flight.
 func (f *Front) InFlight() int64 { return f.inFlight.Load() }
 
--- /dev/null
+++ b/internal/transport/graceful/conn.go
@@ -0,0 +1,169 @@
+package graceful
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+)
+
+const (
+	// firstRequestTimeout is the time for which a shutdown waits for the first request of
+	// a connection. Callers send it right after they have connected, and their libraries
+	// don't expect a response before.
+	firstRequestTimeout = 5 * time.Second
+	// refusalWriteTimeout limits the write of a refusal. An idle connection has an empty
+	// send buffer.
+	refusalWriteTimeout = 100 * time.Millisecond
+	// lingerTimeout is the time for which a refused connection stays open until its caller
+	// closes it. The close of a connection with unread bytes would reset it, and the caller
+	// might lose the refusal.
+	lingerTimeout = 500 * time.Millisecond
+)
+
+type connState int
+
+const (
+	// connNew: no request has begun.
+	connNew connState = iota
+	// connActive: a handler runs, or its response is being written.
+	connActive
+	// connIdle: the last response is written.
+	connIdle
+	// connRefused: the refusal was written. Bytes from the caller are dropped.
+	connRefused
+)
+
+// conn is a connection of a caller.
+type conn struct {
+	net.Conn
+	// refusal is the encoded response for a request that is not read.
+	refusal []byte
+	// since is when the connection was accepted.
+	since time.Time
+
+	mu    sync.Mutex
+	state connState
+	// received reports whether bytes of the next request have arrived.
+	received bool
+}
+
+type connKey struct{}
+
+// connOf returns the connection of a request.
+func connOf(ctx context.Context) *conn {
+	c, _ := ctx.Value(connKey{}).(*conn)
+	return c
+}
+
+// Read implements net.Conn. It drops what arrives after the refusal.
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if n > 0 && c.receive() {
+			return n, err
+		}
+		if err != nil {
+			return 0, err
+		}
+		if n == 0 {
+			return 0, nil
+		}
+	}
+}
+
+// receive records that bytes have arrived. It returns false if they must be dropped.
+func (c *conn) receive() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == connRefused {
+		return false
+	}
+	c.received = true
+	return true
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	if c.isRefused() {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(p)
+}
+
+// SetReadDeadline implements net.Conn. The deadline of a refused connection is fixed.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == connRefused {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// CloseWrite closes the sending side, so that the caller reads to the end of the response.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// beginRequest records that the handler of a request begins. It returns false if the
+// request was refused already and must not run.
+func (c *conn) beginRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == connRefused {
+		return false
+	}
+	c.state = connActive
+	return true
+}
+
+// becomeIdle records that a response was written.
+func (c *conn) becomeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == connActive {
+		c.state = connIdle
+		c.received = false
+	}
+}
+
+func (c *conn) isRefused() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state == connRefused
+}
+
+func (c *conn) isActive() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state == connActive || c.received
+}
+
+// refuse writes the refusal to a connection on which no request has begun, and closes its
+// sending side. A caller whose request is on the way takes it for the response, and one
+// that sends nothing finds its connection closed.
+func (c *conn) refuse() {
+	if !c.markRefused() {
+		return
+	}
+	refusedIdle.Add(1)
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
+	_, _ = c.Conn.Write(c.refusal)
+	_ = c.CloseWrite()
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+}
+
+func (c *conn) markRefused() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	waiting := c.state == connIdle || c.state == connNew && time.Since(c.since) >= firstRequestTimeout
+	if !waiting || c.received {
+		return false
+	}
+	c.state = connRefused
+	return true
+}
--- /dev/null
+++ b/internal/transport/graceful/connset.go
@@ -0,0 +1,66 @@
+package graceful
+
+import "sync"
+
+// connSet holds the open connections of a server.
+type connSet struct {
+	mu   sync.Mutex
+	open map[*conn]struct{}
+	// refused is the number of connections that were closed after a refusal.
+	refused int
+}
+
+func (s *connSet) add(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open[c] = struct{}{}
+}
+
+func (s *connSet) remove(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, c)
+	if c.isRefused() {
+		s.refused++
+	}
+}
+
+// list returns the open connections.
+func (s *connSet) list() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]*conn, 0, len(s.open))
+	for c := range s.open {
+		out = append(out, c)
+	}
+	return out
+}
+
+func (s *connSet) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open)
+}
+
+// countActive returns the number of connections with a request in flight.
+func (s *connSet) countActive() (active int) {
+	for _, c := range s.list() {
+		if c.isActive() {
+			active++
+		}
+	}
+	return active
+}
+
+func (s *connSet) refusedCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refused
+}
+
+// refuseIdle refuses the next request of every idle connection.
+func (s *connSet) refuseIdle() {
+	for _, c := range s.list() {
+		c.refuse()
+	}
+}
