An instance doesn't take its own pause for silence of its targets

What callers saw: after a pause of the instance's process a call ended with "502, the target did not respond", or its stream broke off and went on at another target, although the target had answered. The targets counted as failed.

Cause: the watchdog of an attempt measured silence by the clock. When a paused process goes on, the timer runs before the answers are read that arrived meanwhile.

Change: first the missing log: attempt_failed in the first daemon, with the call, the target, the attempt, what is known of its run, the error, and why it was cancelled. Then the watchdog checks 16 times within a timeout and doesn't count the time by which a check is late, which is the time for which this process didn't run.

Elsewhere, read but not shown by a run: the routed daemon's relay/stall.go and batchjobs/task.go measure silence by the clock too. They fail over only if another target has a free slot.

--- a/internal/coordination/online/attempt.go
+++ b/internal/coordination/online/attempt.go
@@ -15,15 +15,17 @@
 
 // attempt sends the call to one target and forwards the response to the caller.
 func (c *call) attempt(ctx context.Context, pick coordination.Pick) (attemptOutcome, coordination.CallResult) {
-	attemptCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	attemptCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	wd := newWatchdog(c.handler.policy.FirstByteTimeout, c.keyIsActive, c.targetProbe(pick), cancel)
 	defer wd.stop()
 	id := c.handler.nextID()
 	started := time.Now()
 	response, err := c.handler.opts.Target.Do(attemptCtx, pick.Address, c.targetCall(id))
 	if err != nil {
-		return c.attemptError(ctx, pick, id, started, err)
+		outcome, callResult := c.attemptError(ctx, pick, id, started, err)
+		c.logFailedAttempt(attemptCtx, outcome, pick, id, started)
+		return outcome, callResult
 	}
 	defer func() { _ = response.Body.Close() }()
 	var callResult coordination.CallResult
@@ -34,6 +36,7 @@
 		callResult.FirstByte = time.Since(started)
 	}
 	outcome, targetOK := c.forward(ctx, response, wd)
+	c.logFailedAttempt(attemptCtx, outcome, pick, id, started)
 	keyWithdrawn := wd.stop()
 	callResult.Failed = !targetOK && !keyWithdrawn
 	callResult.Abandoned = keyWithdrawn || (targetOK && outcome != outcomeDelivered)
@@ -92,7 +95,7 @@
 	case errors.Is(err, external.ErrCallIDMismatch):
 		counters.Add("crossed", 1)
 	}
-	c.recordFailure(run, "the target did not respond")
+	c.recordFailure(run, "the target did not respond", err)
 	return outcomeRetry, callResult
 }
 
@@ -128,12 +131,12 @@
 func (c *call) forward(ctx context.Context, response *external.Answer, wd *watchdog) (outcome attemptOutcome, targetOK bool) {
 	switch {
 	case response.Status >= http.StatusInternalServerError || response.Status == http.StatusTooManyRequests:
-		c.recordFailure(protocol.MayHaveRun, "the target returned status "+http.StatusText(response.Status))
+		c.recordFailure(protocol.MayHaveRun, "the target returned status "+http.StatusText(response.Status), nil)
 		return outcomeRetry, false
 	case c.req.Stream && isEventStream(response.Header):
 		return c.forwardStream(ctx, response, wd)
 	case c.result.Started:
-		c.recordFailure(protocol.MayHaveRun, "the target did not resume the stream")
+		c.recordFailure(protocol.MayHaveRun, "the target did not resume the stream", nil)
 		return outcomeRetry, false
 	}
 	return c.forwardComplete(ctx, response)
@@ -149,7 +152,7 @@
 		return outcomeFinal, true
 	}
 	if err != nil {
-		c.recordFailure(protocol.MayHaveRun, "the target's response was truncated or too large")
+		c.recordFailure(protocol.MayHaveRun, "the target's response was truncated or too large", err)
 		return outcomeRetry, false
 	}
 	c.recordFirstByte()
--- a/internal/coordination/online/call.go
+++ b/internal/coordination/online/call.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"merlintiller/internal/coordination"
 	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
@@ -28,6 +30,15 @@
 	// firstEventAt and lastEventAt are the times at which the first and the
 	// last event were sent to the caller.
 	firstEventAt, lastEventAt time.Time
+	// failure is why the last attempt failed.
+	failure attemptFailure
+}
+
+// attemptFailure is why an attempt failed.
+type attemptFailure struct {
+	run    protocol.RunState
+	reason string
+	err    error
 }
 
 // attemptOutcome is the outcome of one attempt.
@@ -99,6 +110,21 @@
 	return c.handler.mayRetry(c.req.Service)
 }
 
+// logFailedAttempt logs an attempt after which another target may be tried. The cause of
+// ctx is set if the watchdog cancelled the attempt.
+func (c *call) logFailedAttempt(ctx context.Context, outcome attemptOutcome, pick coordination.Pick, id protocol.CallID, started time.Time) {
+	if outcome != outcomeRetry {
+		return
+	}
+	how := "lost"
+	if c.failure.run == protocol.NotRun {
+		how = "not_run"
+	}
+	_ = level.Info(c.handler.opts.Logger).Log("event", "attempt_failed", "request", c.req.ID, "call", id,
+		"target", pick.Target, "attempt", c.result.Attempts, "how", how, "position", c.lastPosition,
+		"reason", c.failure.reason, "cancelled", context.Cause(ctx), "took_ms", time.Since(started).Milliseconds(), "err", c.failure.err)
+}
+
 // runStateOf returns what is known about whether a failed call ran: MayHaveRun
 // if err does not say.
 func runStateOf(err error) protocol.RunState {
@@ -111,7 +137,8 @@
 
 // recordFailure sets the refusal with which the call ends if no further attempt
 // is made. If any attempt may have run, the call counts as possibly run.
-func (c *call) recordFailure(run protocol.RunState, message string) {
+func (c *call) recordFailure(run protocol.RunState, message string, err error) {
+	c.failure = attemptFailure{run: run, reason: message, err: err}
 	previous := c.result.Refusal
 	if run == protocol.NotRun && !c.result.Started && (previous == nil || previous.Run == protocol.NotRun) {
 		c.result.Refusal = protocol.Refuse(protocol.CodeTargetFailed, c.handler.policy.RetryAfter, "%s", message)
--- a/internal/coordination/online/stream.go
+++ b/internal/coordination/online/stream.go
@@ -26,10 +26,10 @@
 			c.endExpired(ctx, protocol.MayHaveRun)
 			return outcomeFinal, true
 		case err != nil:
-			c.recordFailure(protocol.MayHaveRun, "the target's stream was interrupted")
+			c.recordFailure(protocol.MayHaveRun, "the target's stream was interrupted", err)
 			return outcomeRetry, false
 		case resumed && !c.isNextEvent(event):
-			c.recordFailure(protocol.MayHaveRun, "the target did not resume the stream at the requested position")
+			c.recordFailure(protocol.MayHaveRun, "the target did not resume the stream at the requested position", nil)
 			c.lastPosition = 0
 			return outcomeRetry, false
 		case !c.checkKey(protocol.MayHaveRun):
@@ -40,7 +40,7 @@
 			c.result.Resumed++
 			counters.Add("resumed", 1)
 		}
-		wd.extend(time.Now(), c.handler.policy.StallTimeout)
+		wd.extend(c.handler.policy.StallTimeout)
 		if err := c.writeEvent(event, response, !events.More()); err != nil {
 			return c.callerGone(), true
 		}
--- a/internal/coordination/online/watchdog.go
+++ b/internal/coordination/online/watchdog.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"sync"
 	"time"
 )
@@ -11,6 +13,23 @@
 // arrives.
 const keyCheckInterval = time.Second
 
+// stallChecks is the number of checks within a timeout. A stall of this process is seen by
+// the check that it delays.
+const stallChecks = 16
+
+var errKeyWithdrawn = errors.New("the key was withdrawn")
+
+// silenceError is the cause of an attempt that was cancelled because its target was silent.
+type silenceError struct {
+	timeout time.Duration
+	stalled time.Duration
+}
+
+// Error implements error.
+func (e *silenceError) Error() string {
+	return fmt.Sprintf("the target was silent for %s, not counting %s for which this process was stalled", e.timeout, e.stalled)
+}
+
 // watchdog cancels an attempt that makes no progress for too long or whose key
 // has been withdrawn. A call without streaming shows no progress until its last
 // token, so in that case the watchdog probes the target before it cancels the
@@ -21,58 +40,92 @@
 // could respond. A call without streaming that takes a minute would run for a
 // minute after its key was withdrawn.
 type watchdog struct {
-	cancel      context.CancelFunc
+	cancel      context.CancelCauseFunc
 	keyIsActive func() bool
 	// probe reports whether the target still responds. It is nil for a stream.
 	probe   func() bool
 	timeout time.Duration
+	now     func() time.Time
 
-	mu       sync.Mutex
-	timer    *time.Timer
+	mu    sync.Mutex
+	timer *time.Timer
+	// interval is the time between two checks, and dueAt the time of the next one.
+	interval time.Duration
+	dueAt    time.Time
+	// deadline is the time of the next sign of progress, at most allowed after the last
+	// one. stalled is how long this process did not run since then: checks are late by it.
 	deadline time.Time
+	allowed  time.Duration
+	stalled  time.Duration
 	stopped  bool
 	// keyWithdrawn reports whether the last check found the key withdrawn, for
 	// which the watchdog cancels the attempt.
 	keyWithdrawn bool
 }
 
-func newWatchdog(timeout time.Duration, keyIsActive, probe func() bool, cancel context.CancelFunc) *watchdog {
-	d := &watchdog{cancel: cancel, keyIsActive: keyIsActive, probe: probe, timeout: timeout, deadline: time.Now().Add(timeout)}
+func newWatchdog(timeout time.Duration, keyIsActive, probe func() bool, cancel context.CancelCauseFunc) *watchdog {
+	d := &watchdog{cancel: cancel, keyIsActive: keyIsActive, probe: probe, timeout: timeout, now: time.Now}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.timer = time.AfterFunc(min(timeout, keyCheckInterval), d.check)
+	d.extendLocked(timeout)
+	d.dueAt = d.now().Add(d.interval)
+	d.timer = time.AfterFunc(d.interval, d.check)
 	return d
 }
 
 // check runs on the timer. It cancels the attempt or resets the timer.
 func (d *watchdog) check() {
 	d.mu.Lock()
-	timedOut := time.Until(d.deadline) <= 0
+	d.recordStall()
+	timedOut := d.remaining() <= 0
 	d.mu.Unlock()
 	// The probe may take up to ProbeTimeout, so it runs without the lock.
 	if timedOut && d.probe != nil && d.probe() {
-		d.extend(time.Now(), d.timeout)
+		d.extend(d.timeout)
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.stopped {
 		return
 	}
-	remaining := time.Until(d.deadline)
 	d.keyWithdrawn = !d.keyIsActive()
-	if remaining <= 0 || d.keyWithdrawn {
-		d.cancel()
-		return
+	switch {
+	case d.keyWithdrawn:
+		d.cancel(errKeyWithdrawn)
+	case d.remaining() <= 0:
+		d.cancel(&silenceError{timeout: d.allowed, stalled: d.stalled})
+	default:
+		wait := min(d.remaining(), d.interval)
+		d.dueAt = d.now().Add(wait)
+		d.timer.Reset(wait)
 	}
-	d.timer.Reset(min(remaining, keyCheckInterval))
 }
 
-// extend sets the deadline for the target's next sign of progress to timeout
-// after now.
-func (d *watchdog) extend(now time.Time, timeout time.Duration) {
+// recordStall adds the time for which this process did not run. The caller holds mu.
+func (d *watchdog) recordStall() {
+	if late := d.now().Sub(d.dueAt); late > 0 {
+		d.stalled += late
+	}
+}
+
+// remaining returns the time that the target has left, not counting the time for which
+// this process did not run. The caller holds mu.
+func (d *watchdog) remaining() time.Duration {
+	return d.deadline.Add(d.stalled).Sub(d.now())
+}
+
+// extend gives the target a timeout from now on for its next sign of progress.
+func (d *watchdog) extend(timeout time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.deadline = now.Add(timeout)
+	d.extendLocked(timeout)
+}
+
+func (d *watchdog) extendLocked(timeout time.Duration) {
+	d.allowed = timeout
+	d.interval = min(timeout/stallChecks, keyCheckInterval)
+	d.deadline = d.now().Add(timeout)
+	d.stalled = 0
 }
 
 // stop stops the watchdog and reports whether it cancelled the attempt because
--- a/internal/harness/proctest/pause_test.go
+++ b/internal/harness/proctest/pause_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"net/http"
 	"testing"
 
@@ -141,3 +143,62 @@
 	}
 	return reply.Error.Code
 }
+
+// shortSilence ends attempts whose target is silent for less time than a session lasts.
+const shortSilence = shortTimings + `
+calls:
+  first_byte_timeout: 1s
+  stall_timeout: 1s
+`
+
+// Guards against an instance that cancels the streams of all its callers after a pause,
+// since it takes its own pause for silence of the targets.
+func TestPausedInstanceKeepsStreamsOfItsCallers(t *testing.T) {
+	const callers, tokens = 8, 100
+	f := start(t, options{settings: shortSilence, modelArgs: []string{"--token-time=10ms"}})
+	paused := f.Instances[0]
+	retriesBefore, executionsBefore := f.retries(paused), f.modelExecutions()
+	answers := make(chan error, callers)
+	for n := range callers {
+		go func() {
+			prompt := fmt.Sprint("riser ", n)
+			answer, err := f.callerFor(paused, f.secret).Post(f.ctx, "/v1/chat/completions", harness.ChatBody(model, prompt, tokens, true), nil)
+			if err == nil && !answer.MatchesPrompt(prompt, tokens, true) {
+				err = errors.New(answer.String())
+			}
+			answers <- err
+		}()
+	}
+	f.poll(func(context.Context) (bool, error) { return f.modelExecutions() >= executionsBefore+callers, nil })
+	require.NoError(t, paused.Process.Pause())
+	f.awaitExpired(f.Instances[1], paused.ID)
+	require.NoError(t, paused.Process.Continue())
+	for range callers {
+		require.NoError(t, <-answers)
+	}
+	require.Equal(t, retriesBefore, f.retries(paused))
+}
+
+// retries returns the number of attempts of an instance that followed a failed one.
+func (f *fleet) retries(i *harness.Instance) float64 {
+	f.t.Helper()
+	_, err := i.Counter("online", "ok")
+	require.NoError(f.t, err)
+	// The counter does not exist before the first retry.
+	count, _ := i.Counter("online", "retries")
+	return count
+}
+
+// modelExecutions returns the number of calls that began at the model targets.
+func (f *fleet) modelExecutions() (count int) {
+	f.t.Helper()
+	for _, one := range f.Targets {
+		if one.Listed.Service != model {
+			continue
+		}
+		executions, err := f.Executions(f.ctx, one)
+		require.NoError(f.t, err)
+		count += len(executions.ByCall)
+	}
+	return count
+}
