A graceful stop answers the operators' calls in flight

What operators saw: a call that was in flight while the instance stopped ended with "EOF", so that they could not tell whether their change was made.

Change: the operators' server is a graceful.Server too and is shut down before the session is closed. What edge, front and it do alike (open the listener, serve, close at the end) is graceful.Service, so it stands once.

Why it works: Shutdown waits for the calls in flight and refuses what crosses the close.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -132,6 +132,7 @@
 		{"callers", d.callers.edge.Drain},
 		{"batch", d.batch.drain},
 		{"fleet policy", d.fleet.leave},
+		{"operators", d.operators.server.Shutdown},
 		{"session", d.cluster.journal.Close},
 	}
 	for _, step := range steps {
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -1,24 +1,20 @@
 package daemon
 
 import (
-	"context"
-	"errors"
 	"expvar"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/gravitational/trace"
 	"github.com/thejerf/suture/v4"
 
 	"merlintiller/internal/burn"
-	"merlintiller/internal/closing"
 	"merlintiller/internal/coordination/fleetstatus"
 	"merlintiller/internal/coordination/online"
 	"merlintiller/internal/coordination/withdrawal"
 	"merlintiller/internal/protocol"
+	"merlintiller/internal/transport/graceful"
 	"merlintiller/internal/transport/operatorapi"
 )
 
@@ -102,34 +98,21 @@
 	mux := http.NewServeMux()
 	mux.Handle("/operator/", handler)
 	mux.Handle("GET /debug/vars", expvar.Handler())
-	d.operators.server = &operatorServer{
-		listen:  listenOptionalTLS(d.settings.Listen.Operators, d.tls.Operators.Server()),
-		handler: mux,
-		timeout: d.settings.Limits.HeaderTimeout,
-	}
+	listen := listenOptionalTLS(d.settings.Listen.Operators, d.tls.Operators.Server())
+	o.server = &operatorServer{graceful.NewService(listen, func() graceful.Options {
+		return graceful.Options{
+			Name:    "operators",
+			HTTP:    &http.Server{Handler: mux, ReadHeaderTimeout: d.settings.Limits.HeaderTimeout},
+			Refusal: operatorapi.WriteLeavingRefusal,
+			Logger:  d.logger,
+		}
+	})}
 }
 
 // operatorServer is the HTTP server for operators. It implements suture.Service.
 type operatorServer struct {
-	listen  func() (net.Listener, error)
-	handler http.Handler
-	timeout time.Duration
+	*graceful.Service
 }
 
 // String returns the name of the service for the supervisor.
 func (o *operatorServer) String() string { return "operators" }
-
-// Serve implements suture.Service.
-func (o *operatorServer) Serve(ctx context.Context) error {
-	listener, err := o.listen()
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	server := &http.Server{Handler: o.handler, ReadHeaderTimeout: o.timeout}
-	wait := closing.OnDone(ctx, func() { _ = server.Close() })
-	defer wait()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return trace.Wrap(err)
-	}
-	return ctx.Err()
-}
--- a/internal/transport/edge/server.go
+++ b/internal/transport/edge/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"expvar"
 	"net"
 	"net/http"
@@ -14,7 +13,6 @@
 	"github.com/gravitational/trace"
 
 	"github.com/thejerf/suture/v4"
-	"merlintiller/internal/closing"
 	"merlintiller/internal/transport/graceful"
 )
 
@@ -31,9 +29,7 @@
 	inFlight atomic.Int64
 	// buffered is the total size of the request bodies in memory, in bytes.
 	buffered atomic.Int64
-
-	mu     sync.Mutex
-	server *graceful.Server
+	server   *graceful.Service
 }
 
 // The shutdown phases of an instance, in order.
@@ -53,6 +49,7 @@
 	}
 	e := &Edge{opts: opts, limits: opts.Limits.withDefaults()}
 	e.handler = e.routes()
+	e.server = graceful.NewService(e.listen, e.serverOptions)
 	return e
 }
 
@@ -68,11 +65,19 @@
 // Serve implements suture.Service. For a graceful shutdown, call Drain before
 // cancelling ctx.
 func (e *Edge) Serve(ctx context.Context) error {
+	return e.server.Serve(ctx)
+}
+
+func (e *Edge) listen() (net.Listener, error) {
 	listener, err := e.opts.Listen()
 	if err != nil {
-		return trace.Wrap(err)
+		return nil, err
 	}
-	server := graceful.New(graceful.Options{
+	return limitConnections(listener, e.limits.MaxConnections), nil
+}
+
+func (e *Edge) serverOptions() graceful.Options {
+	return graceful.Options{
 		Name: "callers",
 		HTTP: &http.Server{
 			Handler:           e.handler,
@@ -83,24 +88,7 @@
 		},
 		Refusal: writeDrainingRefusal,
 		Logger:  e.opts.Logger,
-	})
-	e.setServer(server)
-	wait := closing.OnDone(ctx, func() { _ = server.Close() })
-	defer wait()
-	err = server.Serve(limitConnections(listener, e.limits.MaxConnections))
-	if !errors.Is(err, http.ErrServerClosed) {
-		return trace.Wrap(err)
 	}
-	// After Shutdown the requests in flight continue; Serve returns when ctx is
-	// cancelled.
-	<-ctx.Done()
-	return ctx.Err()
-}
-
-func (e *Edge) setServer(server *graceful.Server) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.server = server
 }
 
 // Drain takes the instance out of service without interrupting a request. It
@@ -118,13 +106,7 @@
 		return trace.Wrap(ctx.Err())
 	}
 	e.phase.Store(phaseRejecting)
-	e.mu.Lock()
-	server := e.server
-	e.mu.Unlock()
-	if server == nil {
-		return nil
-	}
-	err := server.Shutdown(ctx)
+	err := e.server.Shutdown(ctx)
 	_ = e.opts.Logger.Log("event", "drain_ended", "in_flight", e.inFlight.Load(), "err", err)
 	return trace.Wrap(err)
 }
--- a/internal/transport/edge/shutdown_test.go
+++ b/internal/transport/edge/shutdown_test.go
@@ -161,7 +161,7 @@
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	served := startCall(func() error { return edge.Serve(ctx) })
-	require.NoError(t, eventually("not serving", edge.hasServer))
+	require.NoError(t, eventually("not serving", edge.server.Serving))
 	caller := newRawCaller(t, listener.Addr().String())
 	caller.send("riser", false)
 	drained := startCall(func() error { return edge.Drain(context.Background()) })
@@ -170,9 +170,3 @@
 	cancel()
 	require.ErrorIs(t, <-served, context.Canceled)
 }
-
-func (e *Edge) hasServer() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.server != nil
-}
--- a/internal/transport/front/server.go
+++ b/internal/transport/front/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -10,9 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
-	"github.com/gravitational/trace"
 
-	"merlintiller/internal/closing"
 	"merlintiller/internal/coordination/routed/batchjobs"
 	"merlintiller/internal/coordination/routed/quota"
 	"merlintiller/internal/coordination/routed/relay"
@@ -93,12 +90,13 @@
 	opts     Options
 	inFlight atomic.Int64
 	draining atomic.Bool
-	server   atomic.Pointer[graceful.Server]
+	server   *graceful.Service
 }
 
 // New returns a Front. Serve opens its listener.
 func New(opts Options) *Front {
 	f := &Front{opts: opts}
+	f.server = graceful.NewService(opts.Listen, f.serverOptions)
 	metrics.GetOrCreateGauge("requests_in_flight", func() float64 { return float64(f.inFlight.Load()) })
 	return f
 }
@@ -108,11 +106,11 @@
 
 // Serve serves callers until ctx is cancelled.
 func (f *Front) Serve(ctx context.Context) error {
-	listener, err := f.opts.Listen()
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	server := graceful.New(graceful.Options{
+	return f.server.Serve(ctx)
+}
+
+func (f *Front) serverOptions() graceful.Options {
+	return graceful.Options{
 		Name: "callers",
 		HTTP: &http.Server{
 			Handler:           f,
@@ -123,15 +121,7 @@
 		},
 		Refusal: f.writeDrainingRefusal,
 		Logger:  f.opts.Logger,
-	})
-	f.server.Store(server)
-	wait := closing.OnDone(ctx, func() { _ = server.Close() })
-	defer wait()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return trace.Wrap(err)
 	}
-	<-ctx.Done()
-	return ctx.Err()
 }
 
 // ServeHTTP implements http.Handler.
@@ -160,9 +150,5 @@
 
 // Shutdown closes the listener and waits for the requests in flight.
 func (f *Front) Shutdown(ctx context.Context) error {
-	server := f.server.Load()
-	if server == nil {
-		return nil
-	}
-	return trace.Wrap(server.Shutdown(ctx))
+	return f.server.Shutdown(ctx)
 }
--- a/internal/transport/operatorapi/handler.go
+++ b/internal/transport/operatorapi/handler.go
@@ -151,3 +151,14 @@
 		return protocol.Refuse(protocol.CodeBadRequest, 0, "request body is invalid: %v", err)
 	}
 }
+
+// leavingRetryAfter is the retry delay while the instance shuts down. Another instance can
+// serve the call at once.
+const leavingRetryAfter = 100 * time.Millisecond
+
+// WriteLeavingRefusal writes the response to a call that the instance does not read because
+// it shuts down.
+func WriteLeavingRefusal(w http.ResponseWriter) {
+	refusal := protocol.Refuse(protocol.CodeDraining, leavingRetryAfter, "the instance is shutting down")
+	writeRefusal(w, refusal, "send the call to another instance")
+}
