A silent TLS handshake doesn't hold up a graceful stop

The stop wrote refusals one after the other and set the read deadline last, so that one silent connection held up all others until its header timeout.

Change: the read deadline comes first, and refusals are written on goroutines of their own, one a connection.

--- a/internal/transport/graceful/conn.go
+++ b/internal/transport/graceful/conn.go
@@ -143,20 +143,21 @@
 	return c.state == connActive || c.received
 }
 
-// refuse writes the refusal to a connection on which no request has begun, and closes its
-// sending side. A caller whose request is on the way takes it for the response, and one
-// that sends nothing finds its connection closed.
-func (c *conn) refuse() {
-	if !c.markRefused() {
-		return
-	}
+// writeRefusal writes the refusal to a connection for which markRefused returned true, and
+// closes its sending side. A caller whose request is on the way takes it for the response,
+// and one that sends nothing finds its connection closed.
+func (c *conn) writeRefusal() {
 	refusedIdle.Add(1)
+	// The read deadline comes first: while a TLS handshake waits for the caller, a write
+	// waits for the handshake.
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
 	_, _ = c.Conn.Write(c.refusal)
 	_ = c.CloseWrite()
-	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
 }
 
+// markRefused marks a connection as refused. It returns false if a request has begun on it,
+// or may still come as the first one.
 func (c *conn) markRefused() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/transport/graceful/connset.go
+++ b/internal/transport/graceful/connset.go
@@ -58,9 +58,12 @@
 	return s.refused
 }
 
-// refuseIdle refuses the next request of every idle connection.
+// refuseIdle refuses the next request of every idle connection. The writes run on
+// goroutines of their own, since a slow caller must not hold up the others.
 func (s *connSet) refuseIdle() {
 	for _, c := range s.list() {
-		c.refuse()
+		if c.markRefused() {
+			go c.writeRefusal()
+		}
 	}
 }
--- a/internal/transport/graceful/graceful_test.go
+++ b/internal/transport/graceful/graceful_test.go
@@ -119,6 +119,43 @@
 	})
 }
 
+// handshakingConn is a connection on which a write waits for a read, as during a TLS
+// handshake.
+type handshakingConn struct {
+	net.Conn
+	// turn holds one token for the read or write that may run.
+	turn chan struct{}
+}
+
+func (c *handshakingConn) Read(p []byte) (int, error) {
+	<-c.turn
+	defer func() { c.turn <- struct{}{} }()
+	return c.Conn.Read(p)
+}
+
+func (c *handshakingConn) Write(p []byte) (int, error) {
+	<-c.turn
+	defer func() { c.turn <- struct{}{} }()
+	return c.Conn.Write(p)
+}
+
+// Guards against a shutdown that waits for one silent handshake after the other.
+func TestSilentHandshakesDoNotHoldUpShutdown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server, listener := startServer(t, answerOK)
+		for range 20 {
+			near, far := net.Pipe()
+			defer func() { _ = near.Close() }()
+			turn := make(chan struct{}, 1)
+			turn <- struct{}{}
+			listener.conns <- &handshakingConn{Conn: far, turn: turn}
+		}
+		start := time.Now()
+		require.NoError(t, server.Shutdown(t.Context()))
+		require.Less(t, time.Since(start), firstRequestTimeout+2*lingerTimeout)
+	})
+}
+
 // Guards against a refusal that says "not run" for a request that then runs, because its
 // bytes arrived together with those of the request before.
 func TestPipelinedRequestDoesNotRunAfterRefusal(t *testing.T) {
--- a/internal/transport/graceful/server.go
+++ b/internal/transport/graceful/server.go
@@ -164,8 +164,8 @@
 	switch state {
 	case http.StateIdle:
 		tracked.becomeIdle()
-		if s.listenerClosed() {
-			tracked.refuse()
+		if s.listenerClosed() && tracked.markRefused() {
+			tracked.writeRefusal()
 		}
 	case http.StateClosed, http.StateHijacked:
 		s.conns.remove(tracked)
