--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -232,7 +232,7 @@
 			continue
 		}
 		if err := waitStatus(ctx, "http://"+instance.Callers+"/readyz", http.StatusOK); err != nil {
-			return fmt.Errorf("instance %s: %w", instance.ID, err)
+			return fmt.Errorf("instance %s (%s): %w", instance.ID, instance.Process.describe(), err)
 		}
 	}
 	return nil
--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -17,6 +17,9 @@
 // process.
 const stopTimeout = 20 * time.Second
 
+// describedBytes is the length of the output in the description of a process.
+const describedBytes = 600
+
 // Process is a started program.
 type Process struct {
 	Name string
@@ -84,6 +87,19 @@
 	}
 }
 
+// describe returns whether the process runs and the end of its output, for error messages.
+func (p *Process) describe() string {
+	state := "running"
+	if p.Exited() {
+		state = fmt.Sprintf("exited: %v", p.err)
+	}
+	output, err := os.ReadFile(p.LogFile)
+	if err != nil {
+		return fmt.Sprintf("%s, no output: %v", state, err)
+	}
+	return fmt.Sprintf("%s, output ends with %q", state, output[max(0, len(output)-describedBytes):])
+}
+
 // Exited reports whether the process has exited.
 func (p *Process) Exited() bool {
 	select {
