A line for each call on a job that is answered from the store

Cause: the caller of a job that can't be read gets a 503, and the logs don't say why its instance went to the store (no owner known, owner not reached, owner not loaded, owner without the job), nor whether it read the whole partition. An owner whose load fails logs jobs_read_failed without what it had received or how long it took, and a load for a call on a job logs nothing.

Change, logs and metrics only: - Event job_read_from_store: job, partition, call, why, owner, owner_err, outcome, took_ms, whole, from, next, err. The functions of JobService return why the owner did not answer in place of a bool; which calls are made, in which order and with which time limits is as before. Three calls of resultsFromStore in TestCatchUpReadsToTheEnd have one more argument; what it checks is the same.

--- a/internal/coordination/routed/batchjobs/owner.go
+++ b/internal/coordination/routed/batchjobs/owner.go
@@ -161,6 +161,7 @@
 func (o *PartitionOwner) acquire(ctx context.Context, p external.Partition) {
 	ctx, stop := context.WithCancel(ctx)
 	replica := newPartitionReplica(o.opts, p, o.runner.syncItems)
+	replica.owned = true
 	replica.onPartialOutput, replica.unstored = o.runner.adoptPartialOutput, o.runner.unstoredSegments
 	o.owned[p.Number] = &ownedPartition{partitionReplica: replica, stop: stop}
 	go replica.serve(ctx)
--- a/internal/coordination/routed/batchjobs/replica.go
+++ b/internal/coordination/routed/batchjobs/replica.go
@@ -33,6 +33,8 @@
 	opts      *Options
 	partition external.Partition
 	logger    log.Logger
+	// owned says that this instance owns the partition.
+	owned bool
 	// onChange, if set, is called after jobs were added, changed or removed.
 	onChange func(*partitionReplica)
 
@@ -152,8 +154,10 @@
 // the job is not known yet. Nothing else would trigger its publication, and since the
 // item counts as done at this instance, it would not run again either.
 func (p *partitionReplica) load(ctx context.Context) error {
+	began := time.Now()
 	page, err := p.opts.Log.Newest(ctx, p.partition)
 	if err != nil {
+		p.logLoadFailed(time.Since(began), err)
 		return err
 	}
 	p.opts.StoreAnswered()
@@ -168,12 +172,23 @@
 	}
 	p.state = state
 	p.loaded = true
-	_ = level.Info(p.logger).Log("event", "jobs_loaded", "jobs", len(state.Jobs()), "next", state.Next())
+	_ = level.Info(p.logger).Log("event", "jobs_loaded", "jobs", len(state.Jobs()), "next", state.Next(),
+		"owned", p.owned, "records", len(page.Records), "took_ms", time.Since(began).Milliseconds())
 	p.notifyChange()
 	p.wakePublisher()
 	return nil
 }
 
+// logLoadFailed logs that the partition could not be loaded, with what had been received.
+func (p *partitionReplica) logLoadFailed(took time.Duration, err error) {
+	var received external.IncompleteReadError
+	if incomplete := (*external.IncompleteReadError)(nil); errors.As(err, &incomplete) {
+		received = *incomplete
+	}
+	_ = level.Warn(p.logger).Log("event", "jobs_load_failed", "owned", p.owned, "pages", received.Pages,
+		"records", received.Records, "bytes", received.Bytes, "took_ms", took.Milliseconds(), "err", err)
+}
+
 // apply applies a page of records that follows the known state.
 func (p *partitionReplica) apply(page external.KeyedPage) {
 	p.mu.Lock()
--- a/internal/coordination/routed/batchjobs/replica_test.go
+++ b/internal/coordination/routed/batchjobs/replica_test.go
@@ -213,7 +213,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := newTestPartition(t, 2)
 		service := NewJobService(p.opts, &PartitionOwner{opts: p.opts, owned: map[int]*ownedPartition{}}, nil)
-		require.Equal(t, Done, service.resultsFromStore(t.Context(), ResultsCall{Job: jobID, Organisation: "o"}).Verdict)
+		require.Equal(t, Done, service.resultsFromStore(t.Context(), ResultsCall{Job: jobID, Organisation: "o"}, readCause{}).Verdict)
 		p.store.MaxReadRecords = 3
 		for n := range 10 {
 			job := &jobs.Job{ID: fmt.Sprint("later-", n), Organisation: "o", Submitted: time.Now(), Items: []jobs.Item{{ID: "i", Path: "/"}}}
@@ -222,7 +222,7 @@
 			_, err = p.store.Append(t.Context(), p.at, records, external.AnyEnd)
 			require.NoError(t, err)
 		}
-		require.Equal(t, Done, service.resultsFromStore(t.Context(), ResultsCall{Job: "later-9", Organisation: "o"}).Verdict)
-		require.Equal(t, Missing, service.resultsFromStore(t.Context(), ResultsCall{Job: "never", Organisation: "o"}).Verdict)
+		require.Equal(t, Done, service.resultsFromStore(t.Context(), ResultsCall{Job: "later-9", Organisation: "o"}, readCause{}).Verdict)
+		require.Equal(t, Missing, service.resultsFromStore(t.Context(), ResultsCall{Job: "never", Organisation: "o"}, readCause{}).Verdict)
 	})
 }
--- a/internal/coordination/routed/batchjobs/rpc.go
+++ b/internal/coordination/routed/batchjobs/rpc.go
@@ -92,7 +92,7 @@
 func (r *Receiver) EndFor(args *JobCall, reply *JobReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), viaPeerTimeout)
 	defer cancel()
-	reply.Verdict = r.service.cancelInStore(ctx, *args)
+	reply.Verdict = r.service.cancelInStore(ctx, *args, readCause{why: forPeer})
 	return nil
 }
 
@@ -100,7 +100,7 @@
 func (r *Receiver) BodyFor(args *BodyCall, reply *BodyReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), viaPeerTimeout)
 	defer cancel()
-	*reply = r.service.bodyFromStore(ctx, *args)
+	*reply = r.service.bodyFromStore(ctx, *args, readCause{why: forPeer})
 	return nil
 }
 
@@ -108,7 +108,7 @@
 func (w *Waiter) ResultsFor(args *ResultsCall, reply *ResultsReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), viaPeerTimeout)
 	defer cancel()
-	*reply = w.service.resultsFromStore(ctx, *args)
+	*reply = w.service.resultsFromStore(ctx, *args, readCause{why: forPeer})
 	return nil
 }
 
--- a/internal/coordination/routed/batchjobs/service.go
+++ b/internal/coordination/routed/batchjobs/service.go
@@ -52,22 +52,20 @@
 		return p.lookUp(job) == Done
 	}
 	var reply JobReply
-	if !s.callOwner(ctx, number, methodKnown, &JobCall{Job: job}, &reply) {
-		return false
-	}
-	return reply.Verdict == Done
+	from := s.callOwner(ctx, number, methodKnown, &JobCall{Job: job}, &reply)
+	return from.answered() && reply.Verdict == Done
 }
 
-// callOwner calls the owner of a partition. It returns false if no owner is known
-// or the call failed.
-func (s *JobService) callOwner(ctx context.Context, number int, method string, args, reply any) bool {
+// callOwner calls the owner of a partition, and says whether it answered.
+func (s *JobService) callOwner(ctx context.Context, number int, method string, args, reply any) ownerReply {
 	owner, ok := s.opts.Peers.OwnerOf(number)
 	if !ok {
-		return false
+		return ownerReply{}
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
-	return s.opts.Caller.Call(ctx, owner.Address, method, args, reply) == nil
+	err := s.opts.Caller.Call(ctx, owner.Address, method, args, reply)
+	return ownerReply{known: true, owner: owner.Name, err: err}
 }
 
 // maxPeersTried bounds the instances that one call tries in place of the store.
@@ -97,16 +95,12 @@
 // Results returns results of a job: from the owner of its partition, else from the
 // store, else through an instance that reaches the store.
 func (s *JobService) Results(ctx context.Context, call ResultsCall) ResultsReply {
-	number := s.opts.partitionOf(call.Job).Number
-	if p, ok := s.owner.replicaOf(number); ok {
-		if reply := p.results(ctx, call); reply.Verdict == Done {
-			return reply
-		}
-	} else if reply, ok := s.resultsFromOwner(ctx, number, call); ok && reply.Verdict == Done {
+	reply, fromOwner := s.resultsFromOwner(ctx, call)
+	if reply.Verdict == Done && fromOwner.answered() {
 		return reply
 	}
 	call.Wait = 0
-	reply := s.resultsFromStore(ctx, call)
+	reply = s.resultsFromStore(ctx, call, fromOwner.cause())
 	if reply.Verdict == NotDone {
 		readViaPeers(ctx, s, methodResultsFor, &call, &reply, func(r *ResultsReply) Verdict { return r.Verdict })
 	}
@@ -126,61 +120,77 @@
 }
 
 // resultsFromStore returns results from the current content of the store.
-func (s *JobService) resultsFromStore(ctx context.Context, call ResultsCall) ResultsReply {
-	p, err := s.upToDate(ctx, s.opts.partitionOf(call.Job).Number)
-	if err != nil {
-		return ResultsReply{Verdict: NotDone}
+func (s *JobService) resultsFromStore(ctx context.Context, call ResultsCall, cause readCause) ResultsReply {
+	read := &storeRead{call: "results", job: call.Job, cause: cause}
+	p, err := s.catchUpFor(ctx, read)
+	reply := ResultsReply{Verdict: NotDone}
+	if err == nil {
+		reply = p.results(ctx, call)
 	}
-	return p.results(ctx, call)
+	s.logStoreRead(read, p, reply.Verdict, err)
+	return reply
 }
 
-// resultsFromOwner asks the owner of a partition for results. It returns false if no
-// owner is known or the call failed.
-func (s *JobService) resultsFromOwner(ctx context.Context, number int, call ResultsCall) (ResultsReply, bool) {
+// resultsFromOwner asks the owner of a partition, which may be this instance, for results.
+func (s *JobService) resultsFromOwner(ctx context.Context, call ResultsCall) (reply ResultsReply, from ownerReply) {
+	number := s.opts.partitionOf(call.Job).Number
+	if p, ok := s.owner.replicaOf(number); ok {
+		reply = p.results(ctx, call)
+		return reply, ownerReply{known: true, owner: s.opts.Member, verdict: reply.Verdict}
+	}
 	owner, ok := s.opts.Peers.OwnerOf(number)
 	if !ok {
-		return ResultsReply{}, false
+		return reply, ownerReply{}
 	}
 	ctx, cancel := context.WithTimeout(ctx, call.Wait+peerCallTimeout)
 	defer cancel()
-	var reply ResultsReply
 	err := s.opts.Caller.Call(ctx, owner.Address, methodResults, &call, &reply)
-	return reply, err == nil
+	return reply, ownerReply{known: true, owner: owner.Name, verdict: reply.Verdict, err: err}
 }
 
 // Body returns the body of an item that has no published result yet.
 func (s *JobService) Body(ctx context.Context, call BodyCall) BodyReply {
-	number := s.opts.partitionOf(call.Job).Number
-	var reply BodyReply
-	if p, ok := s.owner.replicaOf(number); ok {
-		reply = p.body(call)
-	} else if !s.callOwner(ctx, number, methodBody, &call, &reply) {
-		reply.Verdict = NotHeld
-	}
-	if reply.Verdict == Done {
+	reply, fromOwner := s.bodyFromOwner(ctx, call)
+	if reply.Verdict == Done && fromOwner.answered() {
 		return reply
 	}
-	reply = s.bodyFromStore(ctx, call)
+	reply = s.bodyFromStore(ctx, call, fromOwner.cause())
 	if reply.Verdict == NotDone {
 		readViaPeers(ctx, s, methodBodyFor, &call, &reply, func(r *BodyReply) Verdict { return r.Verdict })
 	}
 	return reply
 }
 
+// bodyFromOwner asks the owner of a partition, which may be this instance, for an item's
+// body.
+func (s *JobService) bodyFromOwner(ctx context.Context, call BodyCall) (reply BodyReply, from ownerReply) {
+	number := s.opts.partitionOf(call.Job).Number
+	if p, ok := s.owner.replicaOf(number); ok {
+		reply = p.body(call)
+		return reply, ownerReply{known: true, owner: s.opts.Member, verdict: reply.Verdict}
+	}
+	from = s.callOwner(ctx, number, methodBody, &call, &reply)
+	from.verdict = reply.Verdict
+	return reply, from
+}
+
 // bodyFromStore returns an item's body from the current content of the store.
-func (s *JobService) bodyFromStore(ctx context.Context, call BodyCall) BodyReply {
-	p, err := s.upToDate(ctx, s.opts.partitionOf(call.Job).Number)
-	if err != nil {
-		return BodyReply{Verdict: NotDone}
+func (s *JobService) bodyFromStore(ctx context.Context, call BodyCall, cause readCause) BodyReply {
+	read := &storeRead{call: "body", job: call.Job, cause: cause}
+	p, err := s.catchUpFor(ctx, read)
+	reply := BodyReply{Verdict: NotDone}
+	if err == nil {
+		reply = p.body(call)
 	}
-	return p.body(call)
+	s.logStoreRead(read, p, reply.Verdict, err)
+	return reply
 }
 
 // Cancel cancels a job, here or through an instance that reaches the store.
 func (s *JobService) Cancel(ctx context.Context, call JobCall) Verdict {
 	verdict := NotDone
 	if s.opts.StoreAge() < storeUnreachableAfter {
-		verdict = s.cancelInStore(ctx, call)
+		verdict = s.cancelInStore(ctx, call, readCause{why: isCancellation})
 	}
 	if verdict == NotDone || verdict == Unsure {
 		s.tryPeersWithStore(ctx, func(ctx context.Context, address string) bool {
@@ -202,11 +212,19 @@
 
 // cancelInStore appends the record that cancels a job, unless an earlier call has
 // done so.
-func (s *JobService) cancelInStore(ctx context.Context, call JobCall) Verdict {
-	p, err := s.upToDate(ctx, s.opts.partitionOf(call.Job).Number)
-	if err != nil {
-		return NotDone
+func (s *JobService) cancelInStore(ctx context.Context, call JobCall, cause readCause) Verdict {
+	read := &storeRead{call: "cancel", job: call.Job, cause: cause}
+	p, err := s.catchUpFor(ctx, read)
+	verdict := NotDone
+	if err == nil {
+		verdict = s.cancelIn(ctx, p, call)
 	}
+	s.logStoreRead(read, p, verdict, err)
+	return verdict
+}
+
+// cancelIn is cancelInStore for a partition that was read to its end.
+func (s *JobService) cancelIn(ctx context.Context, p *partitionReplica, call JobCall) Verdict {
 	found, _ := p.job(call.Job)
 	switch {
 	case !found.known || found.organisation != call.Organisation:
@@ -217,15 +235,14 @@
 	return s.appendRecords(ctx, s.opts.partitionOf(call.Job), []external.KeyedRecord{jobs.EncodeCancellation(call.Job)})
 }
 
-// upToDate returns a partition after reading all that the store has now. An
-// instance must do so before it reports that a job does not exist: its own state
-// may be older than the job.
-func (s *JobService) upToDate(ctx context.Context, number int) (*partitionReplica, error) {
-	p, owned := s.owner.replicaOf(number)
-	if !owned {
-		p = s.replica(number)
+// replicaFor returns the replica of a partition that a call is answered from. It must be
+// read to its end before the instance reports that a job does not exist: its state may be
+// older than the job.
+func (s *JobService) replicaFor(number int) *partitionReplica {
+	if p, owned := s.owner.replicaOf(number); owned {
+		return p
 	}
-	return p, p.catchUp(ctx, storeReadTimeout)
+	return s.replica(number)
 }
 
 // replica returns the replica of a partition that another instance owns.
--- a/internal/explain/causes.go
+++ b/internal/explain/causes.go
@@ -26,7 +26,8 @@
 	if len(out) == 0 {
 		out = append(out, "no line that names this id records a decision; -o json prints the lines")
 	}
-	return append(out, background(explanation)...)
+	out = append(out, background(explanation)...)
+	return append(out, storeCalls(explanation.Background)...)
 }
 
 // describe gives a sentence for one line, "" if the line records no decision.
@@ -43,6 +44,8 @@
 		return fmt.Sprintf("job with %s items received; outcome reported to the caller: %q", r.Fields["items"], r.Fields["outcome"])
 	case "job_ended":
 		return fmt.Sprintf("the caller ended the job: %s", r.Fields["outcome"])
+	case "job_read_from_store":
+		return describeStoreRead(r)
 	case "item_run":
 		return describeItemRun(r)
 	case "item_yields":
@@ -114,10 +117,14 @@
 // innermostError gives the last part of a line's error. Errors are wrapped by each
 // layer, so the cause is the last part.
 func innermostError(r *Record) string {
-	err := r.Fields["err"]
-	if err == "null" {
+	if r.Fields["err"] == "null" {
 		return ""
 	}
+	return lastPart(r.Fields["err"])
+}
+
+// lastPart returns the last part of the text of an error.
+func lastPart(err string) string {
 	if at := strings.LastIndex(err, ": "); at >= 0 {
 		return err[at+2:]
 	}
@@ -267,6 +274,8 @@
 		return fmt.Sprintf("target %s was no longer listed", r.Fields["target"])
 	case "leaving":
 		return "the instance began to shut down"
+	case "jobs_load_failed", "jobs_loaded":
+		return describeOwnerLoad(r)
 	case "lines_left_out", "log_dropped":
 		return fmt.Sprintf("%s log lines were dropped", r.Fields["lines"])
 	default:
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 )
@@ -28,7 +29,8 @@
 	ID   string
 	Kind Kind
 	// Lines are the lines that name the id. Background holds the state changes that
-	// the same instances logged around that time.
+	// the same instances logged around that time, and what the owners of the partitions
+	// that Lines name logged of loading them.
 	Lines, Background []Record
 	// Causes are sentences that say what happened and why: first those from Lines,
 	// then those from Background, each in the order of time.
@@ -83,7 +85,9 @@
 }
 
 // backgroundOf returns the state events that the instances of some lines logged
-// within backgroundWindow of the lines.
+// within backgroundWindow of the lines, and in the same time the loads of the
+// partitions that the lines name and the calls of the store by those instances and
+// the partitions' owners.
 func (l *Logs) backgroundOf(lines []Record) []Record {
 	if len(lines) == 0 {
 		return nil
@@ -93,9 +97,14 @@
 		sources[line.Source] = true
 	}
 	from, to := startOf(&lines[0]).Add(-backgroundWindow), lines[len(lines)-1].At.Add(backgroundWindow)
-	var out []Record
+	out := l.ownerLoads(lines, from, to)
+	callers := maps.Clone(sources)
+	for _, load := range out {
+		callers[load.Source] = true
+	}
 	for _, r := range l.Records {
-		if sources[r.Source] && stateEvents[r.Event] && r.At.After(from) && r.At.Before(to) {
+		ofInterest := sources[r.Source] && stateEvents[r.Event] || callers[r.Source] && r.Event == "store_calls"
+		if ofInterest && r.At.After(from) && r.At.Before(to) {
 			out = append(out, r)
 		}
 	}
