A failed read of a watch no longer causes a read of the whole partition

Cause, read in the code and shown by a unit test: after any failed read the watcher began anew with the newest records of all keys, so a rejected call that costs the store nothing was followed by one that costs it the whole configuration, at each instance, and by the same again when that one failed.

Now the watcher goes on at the offset that it knows. It reads everything if nothing is loaded yet, at the reload interval, or if the offset is useless: the store no longer has the records (410), or the partition ends before it. A periodic full read that fails waits for the next interval, and changes are still read meanwhile. After a suspension it reads everything, since peers may have sent a newer list.

The list of targets is also read in full when the last successful read is more than two seconds old: each target renews its entry about once a second, so the changes of a longer time are more bytes than the list. So after a long outage entries that expired are seen as before.

What stays bounded by the reload interval only: a record that the store returns but that can't be decoded as a page. Before, the full read after the error went past it.

The delays are unchanged, so a configuration is seen as soon as before when the store works.

Tests, on the code before: TestFailedReadsCauseNoFullRead: expected 1 full read, actual 6 (five failed reads) TestFailedReloadDelaysNoChange: [a b] does not contain "c", two seconds after its record TestTrimmedRecordsAreReadInFull: expected 2 full reads, actual 6 Green after. TestEndBeforeKnownOffsetCausesFullRead, TestListOfTargetsIsReadInFullAfterLongOutage and TestAllKeysAreReadInFullPeriodically pass before and after; each was seen red with its condition taken out of the new code. Green as well: coordination/routed/..., daemon/routed, platform, explain, configdoc.

--- a/internal/coordination/routed/fleetview/view_test.go
+++ b/internal/coordination/routed/fleetview/view_test.go
@@ -116,7 +116,7 @@
 	return v.usableIDs
 }
 
-func newTestView(store *fakeStore) *testView {
+func newTestView(store external.KeyedLog) *testView {
 	out := &testView{}
 	out.view = New(Options{
 		Log: store, Logger: log.NewNopLogger(),
@@ -135,9 +135,12 @@
 }
 
 // watchTargets runs the watcher of the targets until ctx ends.
-func (v *testView) watchTargets(ctx context.Context) {
+func (v *testView) watchTargets(ctx context.Context) { v.watch(ctx, "targets") }
+
+// watch runs the watcher with a name until ctx ends.
+func (v *testView) watch(ctx context.Context, name string) {
 	for _, service := range v.view.BackgroundServices() {
-		if w := service.(*watcher); w.name == "targets" {
+		if w := service.(*watcher); w.name == name {
 			go func() { _ = w.Serve(ctx) }()
 		}
 	}
--- a/internal/coordination/routed/fleetview/watcher.go
+++ b/internal/coordination/routed/fleetview/watcher.go
@@ -32,11 +32,18 @@
 	maxRetryDelay = time.Second
 	// reloadInterval is how often all keys are read in full.
 	reloadInterval = 10 * time.Second
+	// targetsMaxAge is the age of the list of targets from which it is read in full. The
+	// renewed entries of one second are about as large as the list, so the changes of a
+	// longer time are larger.
+	targetsMaxAge = 2 * time.Second
 	// suspendedPollInterval is how often a suspended watcher checks whether it has
 	// to read again.
 	suspendedPollInterval = 500 * time.Millisecond
 )
 
+// errEndsEarlier reports that a partition ends before the offset that was already read.
+var errEndsEarlier = errors.New("partition ends before the known offset")
+
 // watchFailures counts failed reads of a watched partition.
 var watchFailures = metrics.NewCounter(`store_watch_failures_total`)
 
@@ -49,7 +56,7 @@
 		},
 		&watcher{
 			view: v, name: "targets", partition: v.opts.Sources.Targets, readWait: targetsReadWait, readPause: targetsReadPause,
-			load: v.loadTargets, apply: v.applyTargets, suspended: v.targetsFromPeers,
+			maxAge: targetsMaxAge, load: v.loadTargets, apply: v.applyTargets, suspended: v.targetsFromPeers,
 		},
 	}
 }
@@ -88,6 +95,9 @@
 	// read that returned records.
 	readWait  time.Duration
 	readPause time.Duration
+	// maxAge is the time since the last successful read after which all keys are read in
+	// full. 0: the changes are always the smaller read.
+	maxAge time.Duration
 	// load adopts the newest records of all keys, apply applies later records.
 	load, apply func(external.KeyedPage)
 	// suspended reports whether other instances send the content of the partition,
@@ -95,6 +105,14 @@
 	suspended func() bool
 	// wasSuspended is the result of the last check.
 	wasSuspended bool
+
+	// loaded is set while next is known: the offset up to which the partition was read.
+	loaded bool
+	next   int64
+	// readAt is the time of the last successful read, reloadAt that of the next full read.
+	readAt, reloadAt time.Time
+	// retry is the delay after the next failed read.
+	retry time.Duration
 }
 
 // String names the service for the supervisor.
@@ -102,30 +120,30 @@
 
 // Serve reads the partition until ctx ends.
 func (w *watcher) Serve(ctx context.Context) error {
-	retry := minRetryDelay
+	w.retry = minRetryDelay
 	for ctx.Err() == nil {
 		if w.isSuspended() {
 			w.logSuspended(true)
+			w.loaded = false
 			wait.For(ctx, suspendedPollInterval)
 			continue
 		}
 		w.logSuspended(false)
-		err := w.follow(ctx)
-		if err == nil || errors.Is(err, external.ErrTrimmed) {
-			retry = minRetryDelay
-			continue
+		if err := w.update(ctx); err != nil && ctx.Err() == nil {
+			w.pauseAfter(ctx, err)
 		}
-		if ctx.Err() != nil {
-			break
-		}
-		watchFailures.Inc()
-		_ = level.Warn(w.view.logger).Log("event", "store_watch_failed", "watch", w.name, "retry_ms", retry.Milliseconds(), "err", err)
-		wait.For(ctx, retry)
-		retry = min(2*retry, maxRetryDelay)
 	}
 	return ctx.Err()
 }
 
+// pauseAfter logs a failed read and waits before the next one.
+func (w *watcher) pauseAfter(ctx context.Context, err error) {
+	watchFailures.Inc()
+	_ = level.Warn(w.view.logger).Log("event", "store_watch_failed", "watch", w.name, "retry_ms", w.retry.Milliseconds(), "err", err)
+	wait.For(ctx, w.retry)
+	w.retry = min(2*w.retry, maxRetryDelay)
+}
+
 // logSuspended logs when reading is suspended or resumed.
 func (w *watcher) logSuspended(suspended bool) {
 	if suspended != w.wasSuspended {
@@ -137,28 +155,62 @@
 // isSuspended reports whether reading is suspended now.
 func (w *watcher) isSuspended() bool { return w.suspended != nil && w.suspended() }
 
-// follow reads the newest records of all keys and then the changes, for at most
-// reloadInterval.
-func (w *watcher) follow(ctx context.Context) error {
+// update makes one read: of the newest records of all keys if that is due, otherwise of
+// the changes.
+func (w *watcher) update(ctx context.Context) error {
+	if w.reloadDue(time.Now()) {
+		return w.reload(ctx)
+	}
+	return w.readChanges(ctx)
+}
+
+// reloadDue reports whether all keys are to be read in full. A failed read alone is no
+// reason: the known offset is still valid, and a full read would add to the load of a
+// store that rejects calls because it is busy.
+func (w *watcher) reloadDue(now time.Time) bool {
+	switch {
+	case !w.loaded:
+		return true
+	case w.maxAge > 0 && now.Sub(w.readAt) > w.maxAge:
+		return true
+	default:
+		return !now.Before(w.reloadAt)
+	}
+}
+
+// reload reads the newest records of all keys. If that fails, the changes are still read
+// from the known offset until the next full read.
+func (w *watcher) reload(ctx context.Context) error {
+	w.reloadAt = time.Now().Add(reloadInterval)
 	page, err := w.view.opts.Log.Newest(ctx, w.partition)
 	if err != nil {
 		return err
 	}
 	w.view.StoreAnswered()
 	w.load(page)
-	from := page.End
-	until := time.Now().Add(reloadInterval)
-	for time.Now().Before(until) && !w.isSuspended() {
-		page, err = w.view.opts.Log.Read(ctx, w.partition, from, w.readWait)
-		if err != nil {
-			return err
-		}
-		w.view.StoreAnswered()
-		w.apply(page)
-		if page.Next == from {
-			continue
-		}
-		from = page.Next
+	w.loaded, w.next, w.readAt = true, page.End, time.Now()
+	return nil
+}
+
+// readChanges reads on from the known offset.
+func (w *watcher) readChanges(ctx context.Context) error {
+	page, err := w.view.opts.Log.Read(ctx, w.partition, w.next, w.readWait)
+	if errors.Is(err, external.ErrTrimmed) {
+		w.loaded = false
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	w.view.StoreAnswered()
+	if page.End < w.next {
+		w.loaded = false
+		return errEndsEarlier
+	}
+	w.retry, w.readAt = minRetryDelay, time.Now()
+	w.apply(page)
+	if page.Next != w.next {
+		w.next = page.Next
 		wait.For(ctx, w.readPause)
 	}
 	return nil
