The watchers' retries and full reads get a random part of a quarter

Cause, read in the code and shown by a unit test: the delays of the watchers are fixed, so instances that start together, or whose reads fail together, go on reading together: each retry meets all the others, and every ten seconds all read the whole configuration at once.

Now each delay lies within a quarter of its value (wait.Jitter), drawn from a generator that is seeded with the instance's name, so tests are deterministic. The mean of the reload interval stays 10 s, so there are no more calls than before. The longest retry delay goes from 1 s to 0.8 s, since with its random part it must stay below the second (returnWindow) in which the entries missing after an outage are attributed to it; 1 s was not below it.

Tests, with fixed delays (the option Seed is there, and not used): TestRetriesOfInstancesSpreadOut: 50 of 50 instances read at the same time, allowed are < 10 TestFullReadsOfInstancesSpreadOut: 50 of 50 at the same time, allowed are < 25 TestRetriesComeWithinReturnWindow: "1s" is not less than "1s" Green after, and wait.TestJitterStaysAroundDelay. Green as well: coordination/routed/..., daemon/routed, platform, configdoc.

--- a/internal/coordination/routed/fleetview/view.go
+++ b/internal/coordination/routed/fleetview/view.go
@@ -58,6 +58,8 @@
 	Sources  Sources
 	Decoders Decoders
 	Logger   log.Logger
+	// Seed determines the random parts of delays. It has to differ between instances.
+	Seed uint64
 	// OnConfig and OnTargets are called on each change, in order. They are called
 	// with the View's lock held.
 	OnConfig  func(*route.Table)
--- a/internal/coordination/routed/fleetview/watcher.go
+++ b/internal/coordination/routed/fleetview/watcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -27,10 +28,10 @@
 	// no new requests after two seconds.
 	targetsReadPause = 500 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the exponential backoff after a failed
-	// read.
+	// read. Even with the largest jitter the delay is shorter than returnWindow.
 	minRetryDelay = 100 * time.Millisecond
-	maxRetryDelay = time.Second
-	// reloadInterval is how often all keys are read in full.
+	maxRetryDelay = 800 * time.Millisecond
+	// reloadInterval is how often, on average, all keys are read in full.
 	reloadInterval = 10 * time.Second
 	// targetsMaxAge is the age of the list of targets from which it is read in full. The
 	// renewed entries of one second are about as large as the list, so the changes of a
@@ -53,10 +54,12 @@
 		&watcher{
 			view: v, name: "config", partition: v.opts.Sources.Operators, readWait: configReadWait,
 			load: v.loadOperatorRecords, apply: v.applyOperatorRecords,
+			random: rand.New(rand.NewPCG(v.opts.Seed, 1)),
 		},
 		&watcher{
 			view: v, name: "targets", partition: v.opts.Sources.Targets, readWait: targetsReadWait, readPause: targetsReadPause,
 			maxAge: targetsMaxAge, load: v.loadTargets, apply: v.applyTargets, suspended: v.targetsFromPeers,
+			random: rand.New(rand.NewPCG(v.opts.Seed, 2)),
 		},
 	}
 }
@@ -103,6 +106,9 @@
 	// suspended reports whether other instances send the content of the partition,
 	// so that it need not be read. Nil: never.
 	suspended func() bool
+	// random draws the jitter of delays. Instances that start together, or whose reads fail
+	// together, would otherwise go on reading at the same times.
+	random *rand.Rand
 	// wasSuspended is the result of the last check.
 	wasSuspended bool
 
@@ -139,8 +145,9 @@
 // pauseAfter logs a failed read and waits before the next one.
 func (w *watcher) pauseAfter(ctx context.Context, err error) {
 	watchFailures.Inc()
-	_ = level.Warn(w.view.logger).Log("event", "store_watch_failed", "watch", w.name, "retry_ms", w.retry.Milliseconds(), "err", err)
-	wait.For(ctx, w.retry)
+	delay := wait.Jitter(w.random, w.retry)
+	_ = level.Warn(w.view.logger).Log("event", "store_watch_failed", "watch", w.name, "retry_ms", delay.Milliseconds(), "err", err)
+	wait.For(ctx, delay)
 	w.retry = min(2*w.retry, maxRetryDelay)
 }
 
@@ -181,7 +188,7 @@
 // reload reads the newest records of all keys. If that fails, the changes are still read
 // from the known offset until the next full read.
 func (w *watcher) reload(ctx context.Context) error {
-	w.reloadAt = time.Now().Add(reloadInterval)
+	w.reloadAt = time.Now().Add(wait.Jitter(w.random, reloadInterval))
 	page, err := w.view.opts.Log.Newest(ctx, w.partition)
 	if err != nil {
 		return err
--- a/internal/coordination/routed/fleetview/watcher_test.go
+++ b/internal/coordination/routed/fleetview/watcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -108,8 +109,12 @@
 // watchDrains runs the watcher of the operators' records, each of which drains the
 // domain that its key names, and returns the View.
 func watchDrains(t *testing.T, store external.KeyedLog) *View {
+	return watchDrainsWithSeed(t, store, 1)
+}
+
+func watchDrainsWithSeed(t *testing.T, store external.KeyedLog, seed uint64) *View {
 	view := New(Options{
-		Log: store, Logger: log.NewNopLogger(),
+		Log: store, Logger: log.NewNopLogger(), Seed: seed,
 		Decoders:  Decoders{Drain: func(key string) (string, bool) { return key, true }},
 		OnConfig:  func(*route.Table) {},
 		OnTargets: func([]roster.Target) {},
@@ -230,3 +235,75 @@
 		require.InDelta(t, 7, store.newestCalls(), 1)
 	})
 }
+
+// watchTogether starts the watchers of instances at the same time.
+func watchTogether(t *testing.T, store external.KeyedLog, instances int) {
+	for seed := range instances {
+		watchDrainsWithSeed(t, store, uint64(seed))
+	}
+}
+
+// mostAtOnce returns the largest number of calls at the same time after a time.
+func (s *countingStore) mostAtOnce(calls *[]time.Time, after time.Time) (most int) {
+	s.callsMu.Lock()
+	defer s.callsMu.Unlock()
+	count := map[time.Time]int{}
+	for _, at := range *calls {
+		if at.After(after) {
+			count[at]++
+			most = max(most, count[at])
+		}
+	}
+	return most
+}
+
+// Guards against a store that is overloaded by retries: instances whose reads failed at the
+// same time repeat them at the same time.
+func TestRetriesOfInstancesSpreadOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const instances = 50
+		store := &countingStore{}
+		watchTogether(t, store, instances)
+		sleep(1500 * time.Millisecond)
+		store.setDown(true)
+		sleep(time.Second)
+		firstFailure := time.Now()
+		sleep(5 * time.Second)
+		require.Less(t, store.mostAtOnce(&store.reads, firstFailure), instances/5)
+	})
+}
+
+// Guards against a store that is overloaded every few seconds by instances that started at
+// the same time and read all keys at the same time.
+func TestFullReadsOfInstancesSpreadOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const instances = 50
+		store := &countingStore{}
+		watchTogether(t, store, instances)
+		sleep(time.Second)
+		started := time.Now()
+		sleep(time.Minute)
+		require.Less(t, store.mostAtOnce(&store.newest, started), instances/2)
+		require.InDelta(t, 6*instances, store.newestCalls()-instances, instances)
+	})
+}
+
+// Guards against a target that stays unused after a store outage because the retry comes
+// after returnWindow, when its missing entry is no longer attributed to the outage.
+func TestRetriesComeWithinReturnWindow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &countingStore{}
+		watchTogether(t, store, 1)
+		sleep(1500 * time.Millisecond)
+		store.setDown(true)
+		sleep(time.Second)
+		outage := time.Now()
+		sleep(5 * time.Minute)
+		calls := slices.SortedFunc(slices.Values(slices.Concat(store.reads, store.newest)), time.Time.Compare)
+		calls = slices.DeleteFunc(calls, outage.After)
+		require.Greater(t, len(calls), 200)
+		for i := range len(calls) - 1 {
+			require.Less(t, calls[i+1].Sub(calls[i]), returnWindow)
+		}
+	})
+}
--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -125,6 +125,7 @@
 			Config: platform.DecodeConfiguration, Drain: platform.DecodeDrain, Target: platform.DecodeTarget,
 		},
 		Logger:    d.logger,
+		Seed:      xxhash.Sum64String(d.self.Name),
 		OnConfig:  func(t *route.Table) { d.limiter.SetOrganisations(t.Organisations()) },
 		OnTargets: func(list []roster.Target) { d.brokerClient.SetTargets(list) },
 		// A broker limits the requests that start at targets in their warm-up period, and
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -3,9 +3,19 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 )
 
+// jitterShare is the largest part of a delay by which Jitter changes it.
+const jitterShare = 0.25
+
+// Jitter returns a random delay around d, so that processes which began a wait at the same
+// time do not end it at the same time. The mean is d, the largest delay five quarters of it.
+func Jitter(random *rand.Rand, d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 + jitterShare*(2*random.Float64()-1)))
+}
+
 // For waits for d. It returns false if ctx is done first.
 func For(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
--- a/internal/wait/wait_test.go
+++ b/internal/wait/wait_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,3 +35,19 @@
 		require.Equal(t, 4, calls, "the first call is immediate, even if the context is done")
 	})
 }
+
+// Guards against delays that grow on average, that exceed their bound, or that differ between
+// two runs with the same seed.
+func TestJitterStaysAroundDelay(t *testing.T) {
+	random, same := rand.New(rand.NewPCG(1, 2)), rand.New(rand.NewPCG(1, 2))
+	least, most, sum := time.Hour, time.Duration(0), time.Duration(0)
+	const draws = 10000
+	for range draws {
+		d := Jitter(random, time.Second)
+		require.Equal(t, d, Jitter(same, time.Second))
+		least, most, sum = min(least, d), max(most, d), sum+d
+	}
+	require.InDelta(t, 750*time.Millisecond, least, float64(time.Millisecond))
+	require.InDelta(t, 1250*time.Millisecond, most, float64(time.Millisecond))
+	require.InDelta(t, time.Second, sum/draws, float64(5*time.Millisecond))
+}
