A registration that fails is retried less and less often, and not in step

What callers saw: on the large site, after all 295 instances started together, the store answered 503 to most reads until the end, with no fault in force, and accepted jobs could not be read (issue LOST). registration_failed came 500 times a second there.

Cause, read in the code and shown by tests: after any failure the instance read the list of instances again after 0.5 s, for ever, at the same times as those that started with it. The list has an entry for each instance, so with n instances the retries read n x n entries. An instance that had not yet read the list wrote its entry again with each retry as well.

Now the delay doubles from 0.5 s up to the usual interval of 10 s, and is 0.5 s again after a success. Two cases stay short, since others discover an instance by its entry: up to 1 s while this instance has not written it (a small write, no read), and up to 2 s while it knows no other instance; one read that succeeds anywhere connects all that are listed, and ends this for them. An entry that was written is not written again before the list was read. Each delay lies within a quarter of its value, from a generator that is seeded with the instance's name.

What gets slower: an instance that was removed from the list while it was cut off, and still knows others, adds itself again up to 12.5 s after it reaches the store (0.5 s before). Those that know it get its heartbeats meanwhile.

The stand-in of the store can now reject some kinds of calls only.

Tests, on the code before: TestFailedRegistrationsSpreadOutAndBecomeRare: 102 failures of an instance in a minute, allowed are < 15. With backoff and no random part: 10 of 10 instances within 50 ms, allowed are < 5 (run with 2 minutes). TestListedInstanceIsNotWrittenAgain: 60 writes in 30 s, expected 1 Green after, 20 runs of each with -cpu 2. TestInstanceIsListedSoonAfterStoreReturns, TestInstancesDiscoverEachOtherSoonAfterListIsServed (10 runs) and TestRegistrationRetriesAreShortAgainAfterSuccess pass before and after; each was seen red with its part of the new code broken (bounds of 10 s, no reset). Green as well: coordination/routed/..., daemon/..., platform, wait, configdoc, standin/...

--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -209,7 +209,7 @@
 	}
 	d.supervisor.Add(d.peerServer)
 	d.supervisor.Add(d.mesh)
-	d.supervisor.Add(&registration{daemon: d})
+	d.supervisor.Add(newRegistration(d))
 	d.supervisor.Add(d.broker)
 	d.supervisor.Add(d.brokerClient)
 	d.supervisor.Add(&broker.Sweeper{
--- a/internal/daemon/routed/registration.go
+++ b/internal/daemon/routed/registration.go
@@ -2,25 +2,36 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-kit/log/level"
 
 	"merlintiller/internal/coordination/routed/mesh"
 	"merlintiller/internal/external"
+	"merlintiller/internal/wait"
 )
 
 const (
-	// listInterval is the interval between two reads of the list of instances. Instances
+	// listInterval is the mean interval between two reads of the list of instances. Instances
 	// that start together discover each other through an instance that both know; further
 	// reads only find instances that this missed.
 	listInterval = 10 * time.Second
 	// secondReadDelay is the delay between the first and the second read, when other
 	// instances may be starting too.
 	secondReadDelay = time.Second
-	// retryDelay is the delay after a failed read or write.
-	retryDelay = 500 * time.Millisecond
+	// minRetryDelay is the delay after the first failed read or write. It doubles with
+	// each further failure: the list has an entry for each instance, so the reads of all
+	// instances together grow with the square of their number and can keep a busy store
+	// overloaded. listInterval, or one of the next two constants, bounds it.
+	minRetryDelay = 500 * time.Millisecond
+	// maxUnlistedDelay bounds the delay while this instance is not listed. Others do not
+	// know it until then, and the write is small.
+	maxUnlistedDelay = time.Second
+	// maxAloneDelay bounds the delay while this instance knows no other one.
+	maxAloneDelay = 2 * time.Second
 )
 
 var instancesPartition = external.Partition{Topic: instancesTopic}
@@ -29,8 +40,17 @@
 // instances in the store, reads the other entries, and removes dead instances.
 type registration struct {
 	daemon *Daemon
-	// reads counts the successful reads of the list.
-	reads int
+	// random draws the jitter of delays. Instances that start together, or whose reads fail
+	// together, would otherwise go on reading at the same times.
+	random *rand.Rand
+	// listed is set once this instance has added itself, reads counts the successful reads
+	// of the list, and failures those that failed since.
+	listed          bool
+	reads, failures int
+}
+
+func newRegistration(d *Daemon) *registration {
+	return &registration{daemon: d, random: rand.New(rand.NewPCG(xxhash.Sum64String(d.self.Name), 3))}
 }
 
 // String returns the name of the service for the supervisor.
@@ -39,31 +59,54 @@
 // Serve reads the list every listInterval until ctx ends.
 func (r *registration) Serve(ctx context.Context) error {
 	for {
-		pause := listInterval
-		err := r.refresh(ctx)
-		switch {
-		case err != nil:
-			_ = level.Warn(r.daemon.logger).Log("event", "registration_failed", "err", err)
-			pause = retryDelay
-		case r.reads == 1:
-			pause = secondReadDelay
-		}
-		timer := time.NewTimer(pause)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		pause := r.pauseAfter(r.refresh(ctx))
+		if !wait.For(ctx, wait.Jitter(r.random, pause)) {
 			return ctx.Err()
 		}
 	}
 }
 
-// refresh adds this instance if it is not listed, and reads the list. The first call
+// pauseAfter returns the mean delay after a call of refresh with this result.
+func (r *registration) pauseAfter(err error) time.Duration {
+	if err != nil {
+		_ = level.Warn(r.daemon.logger).Log("event", "registration_failed", "err", err)
+		r.failures++
+		return r.retryDelay()
+	}
+	r.failures = 0
+	if r.reads == 1 {
+		return secondReadDelay
+	}
+	return listInterval
+}
+
+// retryDelay returns the mean delay after the last of a number of failures in a row.
+func (r *registration) retryDelay() time.Duration {
+	longest := r.longestRetryDelay()
+	delay := minRetryDelay
+	for n := 1; n < r.failures && delay < longest; n++ {
+		delay *= 2
+	}
+	return min(delay, longest)
+}
+
+func (r *registration) longestRetryDelay() time.Duration {
+	switch {
+	case !r.listed:
+		return maxUnlistedDelay
+	case len(r.daemon.mesh.Peers()) == 0:
+		return maxAloneDelay
+	default:
+		return listInterval
+	}
+}
+
+// refresh adds this instance if it is not listed, and reads the list. At the start it
 // writes before it reads, so that of two instances that start together at least one
 // finds the other.
 func (r *registration) refresh(ctx context.Context) error {
 	d := r.daemon
-	if r.reads == 0 {
+	if !r.listed && !d.leaving.Load() {
 		if err := r.addOwnEntry(ctx); err != nil {
 			return err
 		}
@@ -93,7 +136,9 @@
 	if err != nil {
 		return err
 	}
-	return r.daemon.writeInstanceRecords(ctx, external.KeyedRecord{Key: r.daemon.self.Name, Value: value})
+	err = r.daemon.writeInstanceRecords(ctx, external.KeyedRecord{Key: r.daemon.self.Name, Value: value})
+	r.listed = err == nil
+	return err
 }
 
 // removeDead removes the entries of instances that are presumed dead. An instance that
--- a/internal/standin/sharedstore/endpoint.go
+++ b/internal/standin/sharedstore/endpoint.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -15,6 +16,9 @@
 type Fault struct {
 	// Status is the HTTP status that answers every call. 0 means no fault.
 	Status int
+	// RejectedCalls are the kinds of calls, such as "log-read", that are answered with
+	// status 503.
+	RejectedCalls []string
 	// Silent leaves every call unanswered until the fault is replaced or the
 	// caller gives up. Reset closes the connection of every call.
 	Silent, Reset bool
@@ -94,6 +98,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	kind := strings.TrimPrefix(r.URL.Path, "/")
+	if slices.Contains(fault.RejectedCalls, kind) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	e.store.mu.Lock()
 	e.store.calls[kind]++
 	e.store.mu.Unlock()
