--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -128,6 +128,7 @@
 			Config: platform.DecodeConfiguration, Drain: platform.DecodeDrain, Target: platform.DecodeTarget,
 		},
 		Logger:    d.logger,
+		Seed:      xxhash.Sum64String(d.self.Name),
 		OnConfig:  func(t *route.Table) { d.limiter.SetOrganisations(t.Organisations()) },
 		OnTargets: func(list []roster.Target) { d.brokerClient.SetTargets(list) },
 		// A broker limits the requests that start at targets in their warm-up period, and
@@ -212,7 +213,7 @@
 	d.supervisor.Add(d.storeCalls)
 	d.supervisor.Add(d.peerServer)
 	d.supervisor.Add(d.mesh)
-	d.supervisor.Add(&registration{daemon: d})
+	d.supervisor.Add(newRegistration(d))
 	d.supervisor.Add(d.broker)
 	d.supervisor.Add(d.brokerClient)
 	d.supervisor.Add(&broker.Sweeper{
