--- a/internal/external/keyedlog.go
+++ b/internal/external/keyedlog.go
@@ -33,7 +33,7 @@
 }
 
 // IncompleteReadError reports that reading the newest records of all keys failed after some
-// pages of them, which are not returned.
+// pages of them, which are not returned. The next call may continue after them.
 type IncompleteReadError struct {
 	// Pages, Records and Bytes count what had been received.
 	Pages, Records, Bytes int
