Reads of a partition that isn't owned here share one load, which outlives them

Callers saw 503 for each read of an accepted job at an instance that doesn't own its partition, for as long as a load of the partition takes longer than 0.8 s.

Cause: each request for a job loaded the whole partition from the store by itself, ended its load after 0.8 s and threw it away. Concurrent requests multiplied the load, and a partition that takes longer was never loaded.

Now a replica makes one read of the store at a time. Concurrent requests wait for the same one. It has a limit of its own, 15 s, and goes on when the requests' time is up, so the next request finds the partition and reads only what is new. A request waits for a read that begins after it: an earlier one may be older than the job that is asked for, and would report it as missing. After a failed read the waiting requests fail as well, so that no load is made for callers that have given up.

go test -cpu 2 ./internal/coordination/routed/batchjobs/, before: TestConcurrentReadsShareOneLoad expected: int(1) actual: int64(20) TestLoadOutlivesTheRequest expected: map[Verdict]int{Done:5} actual: map[Verdict]int{NotDone:5} After: both pass. TestCatchUpThatBeganEarlierDoesNotDecideMissing passes before and after; it guards the new sharing. ./internal/coordination/routed/..., ./internal/daemon/routed/ and ./platform/ pass.

--- a/internal/coordination/routed/batchjobs/answer.go
+++ b/internal/coordination/routed/batchjobs/answer.go
@@ -1,9 +1,6 @@
 package batchjobs
 
-import (
-	"context"
-	"time"
-)
+import "context"
 
 // results returns results of a job, and waits for the first one up to call.Wait.
 func (p *partitionReplica) results(ctx context.Context, call ResultsCall) ResultsReply {
@@ -81,10 +78,3 @@
 		return NotDone
 	}
 }
-
-// catchUp reads all new records, or the whole partition if it is not loaded yet.
-func (p *partitionReplica) catchUp(ctx context.Context, within time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, within)
-	defer cancel()
-	return p.readToEnd(ctx)
-}
--- a/internal/coordination/routed/batchjobs/replica.go
+++ b/internal/coordination/routed/batchjobs/replica.go
@@ -53,6 +53,9 @@
 	unstored func(*partitionReplica) []unstoredSegment
 	// storeNow asks for that output to be stored at once.
 	storeNow chan struct{}
+	// catchingUp says that catchUpLoop runs; nextCatchUp is the run that it makes next.
+	catchingUp  bool
+	nextCatchUp *catchUpRun
 	// unpublished holds results without a position in their job yet.
 	unpublished []finishedItem
 	publishNow  chan struct{}
