The owner of a partition decides on its jobs: other instances don't load it for that

Cause: an instance that asked the owner and got anything else than the job read the partition from the store itself, all of it. So it did while the owner was loading, which takes a part of the store's read rate from the owner; for each body of an item that has its result; for each unknown job; and for each cancellation, without asking the owner at all.

Now: - An owner that is reached and has not loaded its partition is answered for with 503 at once. Nobody else loads it, and the owner doesn't load it a second time for a request. - If the owner does not have the job, it is asked once more, by the calls ...For, which make it read the store up to its end first. Its answer then is final. If it can't read, the answer is 503. The requests for unknown jobs share the owner's reads. - An owner answers ...For calls on a job that it has from memory, without the store. - A cancellation goes to the owner first, and is tried in the other ways if that fails or is unsure. An unsure attempt followed by one without effect stays unsure.

TestOwnerReadsTheStoreBeforeMissing, TestOwnerWithoutStoreDoesNotDecideMissing and TestCancelThatMayHaveTakenEffectIsUnsure pass before and after; they guard the answers that are now the owner's. ./internal/coordination/routed/..., ./internal/daemon/routed/ and ./platform/ pass.

--- a/internal/coordination/routed/batchjobs/calls.go
+++ b/internal/coordination/routed/batchjobs/calls.go
@@ -28,6 +28,18 @@
 	return [...]string{"done", "missing", "not_done", "unsure", "not_held"}[v]
 }
 
+// isFinal says that a further attempt would not change the outcome.
+func (v Verdict) isFinal() bool { return v == Done || v == Missing }
+
+// then is the verdict on a call whose first attempt ended with v and whose next one ended
+// with other. What was unsure stays so, unless the next attempt settles it.
+func (v Verdict) then(other Verdict) Verdict {
+	if v == Unsure && !other.isFinal() {
+		return Unsure
+	}
+	return other
+}
+
 // ResultsCall asks for a job's results.
 type ResultsCall struct {
 	Job          string
--- a/internal/coordination/routed/batchjobs/reads_test.go
+++ b/internal/coordination/routed/batchjobs/reads_test.go
@@ -82,6 +82,8 @@
 // newServiceFleet starts instances that know each other for some time.
 func newServiceFleet(t *testing.T, instances int, loadTime time.Duration) *serviceFleet {
 	f := &serviceFleet{testPartition: newTestPartition(t, 2), unreachable: map[string]bool{}}
+	// Loads go on after the requests that began them, and a bubble must not end before.
+	t.Cleanup(func() { sleep(2 * catchUpLimit) })
 	for n := range instances {
 		f.instances = append(f.instances, f.newInstance(fmt.Sprint("n-", n), loadTime))
 	}
@@ -267,3 +269,116 @@
 		}
 	})
 }
+
+// After a restart of all instances the owner of a partition is still loading it. If
+// instances that are asked for its jobs loaded it as well, the store's read rate would be
+// shared by hundreds of loads and the owner could not finish its own.
+func TestReadsLoadNothingWhileTheOwnerLoads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newServiceFleet(t, 6, 5*time.Second)
+		f.instances[0].own()
+		sleep(time.Second)
+		start := time.Now()
+		require.Equal(t, map[Verdict]int{NotDone: 30}, f.readEverywhere(f.instances, jobID, 5))
+		require.Less(t, time.Since(start), 100*time.Millisecond, "not now, at once")
+		started, _ := f.loads()
+		require.EqualValues(t, 1, started, "the owner's load")
+		sleep(5 * time.Second)
+		require.Equal(t, map[Verdict]int{Done: 30}, f.readEverywhere(f.instances, jobID, 5))
+	})
+}
+
+// Callers ask an instance that does not own the partition for a job that does not exist,
+// for bodies of items that have their results, and cancel a job. All of these the owner
+// can decide; a load of the partition for each would use up the store's read rate.
+func TestOwnerDecidesInPlaceOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newServiceFleet(t, 3, 10*time.Millisecond)
+		f.instances[0].own().addResult(succeeded(0, "text"))
+		sleep(time.Second)
+		for _, inst := range f.instances {
+			require.Equal(t, Missing, inst.read("unknown"))
+			body := func(item string) BodyReply {
+				return inst.Body(t.Context(), BodyCall{Job: jobID, Item: item, Organisation: "o"})
+			}
+			require.Equal(t, Missing, body("item-0").Verdict)
+			require.Equal(t, BodyReply{Verdict: Done, Body: []byte("body")}, body("item-1"))
+			require.Equal(t, Missing, inst.Cancel(t.Context(), JobCall{Job: "unknown", Organisation: "o"}))
+			require.Equal(t, Missing, inst.Cancel(t.Context(), JobCall{Job: jobID, Organisation: "other"}))
+		}
+		require.Equal(t, Done, f.instances[1].Cancel(t.Context(), JobCall{Job: jobID, Organisation: "o"}))
+		require.True(t, f.publishedJob().Cancelled)
+		require.Equal(t, Done, f.instances[2].Cancel(t.Context(), JobCall{Job: jobID, Organisation: "o"}))
+		started, _ := f.loads()
+		require.EqualValues(t, 1, started, "the owner's load")
+	})
+}
+
+// A job was accepted just now and the owner's reader has not returned it yet, as with a
+// store that notifies late. The owner must read the store before any instance tells the
+// caller that its job is missing.
+func TestOwnerReadsTheStoreBeforeMissing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newServiceFleet(t, 2, 0)
+		owner := f.instances[0]
+		p := newPartitionReplica(owner.opts, f.at, nil)
+		owner.JobService.owner.owned[f.at.Number] = &ownedPartition{partitionReplica: p}
+		f.owner = owner
+		require.NoError(t, p.load(t.Context()))
+		for n, inst := range f.instances {
+			f.addJob(fmt.Sprint("results-", n))
+			require.Equal(t, Done, inst.read(fmt.Sprint("results-", n)))
+			f.addJob(fmt.Sprint("body-", n))
+			require.Equal(t, Done, inst.Body(t.Context(), BodyCall{Job: fmt.Sprint("body-", n), Item: "i", Organisation: "o"}).Verdict)
+			f.addJob(fmt.Sprint("cancel-", n))
+			require.Equal(t, Done, inst.Cancel(t.Context(), JobCall{Job: fmt.Sprint("cancel-", n), Organisation: "o"}))
+		}
+	})
+}
+
+// The owner has loaded its partition and the store no longer answers it. It can't know
+// whether a job that it does not have exists, so callers must not be told that it doesn't.
+func TestOwnerWithoutStoreDoesNotDecideMissing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newServiceFleet(t, 2, 0)
+		f.instances[0].own()
+		sleep(time.Second)
+		f.instances[0].log.unreachable.Store(true)
+		f.addJob("new")
+		for _, inst := range f.instances {
+			require.Equal(t, Done, inst.read(jobID))
+			require.NotEqual(t, Missing, inst.read("new"))
+			require.NotEqual(t, Missing, inst.Body(t.Context(), BodyCall{Job: "new", Item: "i", Organisation: "o"}).Verdict)
+			require.NotEqual(t, Missing, inst.Cancel(t.Context(), JobCall{Job: "new", Organisation: "o"}))
+		}
+	})
+}
+
+// Many callers ask for jobs that do not exist. Their owner reads the store for them, and
+// a read for each request would use up the store's calls per second.
+func TestRequestsForUnknownJobsShareTheOwnersReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newServiceFleet(t, 4, 0)
+		f.instances[0].own()
+		sleep(time.Second)
+		before := f.instances[0].log.reads.Load()
+		require.Equal(t, map[Verdict]int{Missing: 400}, f.readEverywhere(f.instances, "unknown", 100))
+		require.LessOrEqual(t, f.instances[0].log.reads.Load()-before, int64(10))
+		started, _ := f.loads()
+		require.EqualValues(t, 1, started, "the owner's load")
+	})
+}
+
+// The call that cancels a job reached the owner and its answer was lost, and no other
+// instance can cancel it. The caller must not be told that the call had no effect.
+func TestCancelThatMayHaveTakenEffectIsUnsure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newServiceFleet(t, 3, 0)
+		f.instances[0].own()
+		sleep(time.Second)
+		f.fail(f.instances[0])
+		f.instances[1].log.unreachable.Store(true)
+		f.instances[2].log.unreachable.Store(true)
+		require.Equal(t, Unsure, f.instances[1].Cancel(t.Context(), JobCall{Job: jobID, Organisation: "o"}))
+	})
+}
--- a/internal/coordination/routed/batchjobs/replica.go
+++ b/internal/coordination/routed/batchjobs/replica.go
@@ -215,6 +215,13 @@
 	return found, p.changed
 }
 
+// isLoaded says whether the partition was loaded from the store.
+func (p *partitionReplica) isLoaded() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.loaded
+}
+
 // logNotFound logs that a job was not found, with the state of the partition that
 // this is based on.
 func (p *partitionReplica) logNotFound(job, organisation string) {
--- a/internal/coordination/routed/batchjobs/service.go
+++ b/internal/coordination/routed/batchjobs/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -25,6 +26,9 @@
 	storeUnreachableAfter = 1200 * time.Millisecond
 )
 
+// errNotLoaded: the owner of a partition has not loaded it yet.
+var errNotLoaded = fmt.Errorf("%w: partition not loaded", external.ErrUnavailable)
+
 // JobService serves the calls on batch jobs. Every instance has one.
 type JobService struct {
 	opts   *Options
@@ -65,9 +69,14 @@
 	if !ok {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
+	return s.callPeer(ctx, owner.Address, peerCallTimeout, method, args, reply) == nil
+}
+
+// callPeer calls another instance within a time limit.
+func (s *JobService) callPeer(ctx context.Context, address string, limit time.Duration, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	return s.opts.Caller.Call(ctx, owner.Address, method, args, reply) == nil
+	return s.opts.Caller.Call(ctx, address, method, args, reply)
 }
 
 // maxPeersTried bounds the instances that one call tries in place of the store.
@@ -94,116 +103,112 @@
 	}
 }
 
-// Results returns results of a job: from the owner of its partition, else from the
-// store, else through an instance that reaches the store.
+// Results returns results of a job: from the owner of its partition, and from the store if
+// the owner can't be reached.
 func (s *JobService) Results(ctx context.Context, call ResultsCall) ResultsReply {
 	number := s.opts.partitionOf(call.Job).Number
+	now := call
+	now.Wait = 0
 	if p, ok := s.owner.replicaOf(number); ok {
 		if reply := p.results(ctx, call); reply.Verdict == Done {
 			return reply
 		}
-	} else if reply, ok := s.resultsFromOwner(ctx, number, call); ok && reply.Verdict == Done {
-		return reply
+		return s.resultsFromStore(ctx, now)
 	}
-	call.Wait = 0
-	reply := s.resultsFromStore(ctx, call)
-	if reply.Verdict == NotDone {
-		readViaPeers(ctx, s, methodResultsFor, &call, &reply, func(r *ResultsReply) Verdict { return r.Verdict })
+	read := &jobRead[ResultsReply]{
+		number: number, ownerMethod: methodResults, ownerCall: &call, ownerLimit: call.Wait + peerCallTimeout,
+		storeMethod: methodResultsFor, storeCall: &now,
+		here: func(ctx context.Context) ResultsReply { return s.resultsFromStore(ctx, now) },
 	}
-	return reply
-}
-
-// readViaPeers makes a read that failed here through instances that reach the
-// store, until one of them succeeds.
-func readViaPeers[R any](ctx context.Context, s *JobService, method string, call any, reply *R, verdict func(*R) Verdict) {
-	s.tryPeersWithStore(ctx, func(ctx context.Context, address string) bool {
-		var peerReply R
-		if s.opts.Caller.Call(ctx, address, method, call, &peerReply) == nil {
-			*reply = peerReply
-		}
-		return verdict(reply) != NotDone
-	})
+	return read.do(ctx, s)
 }
 
 // resultsFromStore returns results from the current content of the store.
 func (s *JobService) resultsFromStore(ctx context.Context, call ResultsCall) ResultsReply {
-	p, err := s.upToDate(ctx, s.opts.partitionOf(call.Job).Number)
+	p, err := s.upToDate(ctx, call.Job, call.Organisation)
 	if err != nil {
 		return ResultsReply{Verdict: NotDone}
 	}
 	return p.results(ctx, call)
 }
 
-// resultsFromOwner asks the owner of a partition for results. It returns false if no
-// owner is known or the call failed.
-func (s *JobService) resultsFromOwner(ctx context.Context, number int, call ResultsCall) (ResultsReply, bool) {
-	owner, ok := s.opts.Peers.OwnerOf(number)
-	if !ok {
-		return ResultsReply{}, false
-	}
-	ctx, cancel := context.WithTimeout(ctx, call.Wait+peerCallTimeout)
-	defer cancel()
-	var reply ResultsReply
-	err := s.opts.Caller.Call(ctx, owner.Address, methodResults, &call, &reply)
-	return reply, err == nil
-}
-
 // Body returns the body of an item that has no published result yet.
 func (s *JobService) Body(ctx context.Context, call BodyCall) BodyReply {
 	number := s.opts.partitionOf(call.Job).Number
-	var reply BodyReply
-	if p, ok := s.owner.replicaOf(number); ok {
-		reply = p.body(call)
-	} else if !s.callOwner(ctx, number, methodBody, &call, &reply) {
-		reply.Verdict = NotHeld
-	}
-	if reply.Verdict == Done {
-		return reply
+	if _, ok := s.owner.replicaOf(number); ok {
+		return s.bodyFromStore(ctx, call)
 	}
-	reply = s.bodyFromStore(ctx, call)
-	if reply.Verdict == NotDone {
-		readViaPeers(ctx, s, methodBodyFor, &call, &reply, func(r *BodyReply) Verdict { return r.Verdict })
+	read := &jobRead[BodyReply]{
+		number: number, ownerMethod: methodBody, ownerCall: &call, ownerLimit: peerCallTimeout,
+		storeMethod: methodBodyFor, storeCall: &call,
+		here: func(ctx context.Context) BodyReply { return s.bodyFromStore(ctx, call) },
 	}
-	return reply
+	return read.do(ctx, s)
 }
 
 // bodyFromStore returns an item's body from the current content of the store.
 func (s *JobService) bodyFromStore(ctx context.Context, call BodyCall) BodyReply {
-	p, err := s.upToDate(ctx, s.opts.partitionOf(call.Job).Number)
+	p, err := s.upToDate(ctx, call.Job, call.Organisation)
 	if err != nil {
 		return BodyReply{Verdict: NotDone}
 	}
 	return p.body(call)
 }
 
-// Cancel cancels a job, here or through an instance that reaches the store.
+// Cancel cancels a job: through the owner of its partition, else here or through an
+// instance that reaches the store.
 func (s *JobService) Cancel(ctx context.Context, call JobCall) Verdict {
-	verdict := NotDone
-	if s.opts.StoreAge() < storeUnreachableAfter {
-		verdict = s.cancelInStore(ctx, call)
+	verdict, decided := s.cancelAtOwner(ctx, call)
+	if !decided && s.opts.StoreAge() < storeUnreachableAfter {
+		verdict = verdict.then(s.cancelInStore(ctx, call))
+		decided = verdict.isFinal()
 	}
-	if verdict == NotDone || verdict == Unsure {
-		s.tryPeersWithStore(ctx, func(ctx context.Context, address string) bool {
-			var reply JobReply
-			if err := s.opts.Caller.Call(ctx, address, methodCancelFor, &call, &reply); err != nil {
-				verdict = Unsure
-				return false
-			}
-			if reply.Verdict == Done || reply.Verdict == Missing {
-				verdict = reply.Verdict
-				return true
-			}
-			return false
-		})
+	if !decided {
+		verdict = s.cancelViaPeers(ctx, call, verdict)
 	}
 	_ = level.Info(s.opts.Logger).Log("event", "job_ended", "job", call.Job, "outcome", verdict)
 	return verdict
 }
 
+// cancelAtOwner cancels a job through another instance that owns its partition. It returns
+// false if the attempt is to be repeated in another way.
+//
+// The owner has the partition in memory. An instance that doesn't own it would have to
+// load it first.
+func (s *JobService) cancelAtOwner(ctx context.Context, call JobCall) (verdict Verdict, decided bool) {
+	number := s.opts.partitionOf(call.Job).Number
+	if p, ok := s.owner.replicaOf(number); ok {
+		return NotDone, !p.isLoaded()
+	}
+	owner, ok := s.opts.Peers.OwnerOf(number)
+	if !ok {
+		return NotDone, false
+	}
+	var reply JobReply
+	if s.callPeer(ctx, owner.Address, viaPeerTimeout, methodCancelFor, &call, &reply) != nil {
+		return Unsure, false
+	}
+	return reply.Verdict, reply.Verdict != Unsure
+}
+
+// cancelViaPeers cancels a job through instances that reach the store, after an attempt
+// with another verdict.
+func (s *JobService) cancelViaPeers(ctx context.Context, call JobCall, verdict Verdict) Verdict {
+	s.tryPeersWithStore(ctx, func(ctx context.Context, address string) bool {
+		var reply JobReply
+		if s.opts.Caller.Call(ctx, address, methodCancelFor, &call, &reply) != nil {
+			reply.Verdict = Unsure
+		}
+		verdict = verdict.then(reply.Verdict)
+		return verdict.isFinal()
+	})
+	return verdict
+}
+
 // cancelInStore appends the record that cancels a job, unless an earlier call has
 // done so.
 func (s *JobService) cancelInStore(ctx context.Context, call JobCall) Verdict {
-	p, err := s.upToDate(ctx, s.opts.partitionOf(call.Job).Number)
+	p, err := s.upToDate(ctx, call.Job, call.Organisation)
 	if err != nil {
 		return NotDone
 	}
@@ -217,13 +222,25 @@
 	return s.appendRecords(ctx, s.opts.partitionOf(call.Job), []external.KeyedRecord{jobs.EncodeCancellation(call.Job)})
 }
 
-// upToDate returns a partition after reading all that the store has now. An
-// instance must do so before it reports that a job does not exist: its own state
-// may be older than the job.
-func (s *JobService) upToDate(ctx context.Context, number int) (*partitionReplica, error) {
+// upToDate returns the partition of a job, in a state that is sufficient for answers on
+// it. Only an owner answers from what it has, and only on a job that it has. An instance
+// must read all that the store has before it reports that a job does not exist: its own
+// state may be older than the job.
+//
+// That also holds for an owner whose partition was reassigned without its knowledge.
+func (s *JobService) upToDate(ctx context.Context, job, organisation string) (*partitionReplica, error) {
+	number := s.opts.partitionOf(job).Number
 	p, owned := s.owner.replicaOf(number)
 	if !owned {
 		p = s.replica(number)
+		return p, p.catchUp(ctx, storeReadTimeout)
+	}
+	switch found, _ := p.job(job); {
+	case !found.loaded:
+		// The owner's own reader loads the partition.
+		return p, errNotLoaded
+	case found.known && found.organisation == organisation:
+		return p, nil
 	}
 	return p, p.catchUp(ctx, storeReadTimeout)
 }
