At most two instances load a partition whose owner isn't reached, and none that just started

It multiplies the reads of the store while owners are missing, as after a restart of all instances or while a domain is cut off.

Cause: each instance that was asked for a job loaded the partition itself if it knew no owner or did not reach it. With some hundred instances this is the partition some hundred times, and all of them do it at the same time.

Now two stand-ins do so for the others. They are chosen by mesh.Rank among the instances that are up, not leaving, not young and have a recent answer of the store, so all instances that know the same others choose the same ones. An instance reads the store itself only if it is a stand-in, or if neither stand-in answers and the store answers it. In the first 2 s after its start an instance loads nothing for others: it doesn't know all of them, and the partitions are being assigned. Cancellations take the same way after the owner.

go test -cpu 2 ./internal/coordination/routed/batchjobs/, before: TestFewInstancesLoadPartitionWithoutOwner (40 instances) loads: "39" is not less than or equal to "2", both cases TestInstancesThatJustStartedLoadNothingForOthers expected 20 x not now, actual 20 x done (a load at each) TestInstancesWithoutStoreLoadNothing the same After: all pass, 5 times, and once with -race. TestReadsSurviveFailureOfStandIns and TestInstanceWithoutStoreReadsThroughStandIn pass before and after. ./internal/coordination/routed/..., ./internal/daemon/routed/ and ./platform/ pass.

--- a/internal/coordination/routed/batchjobs/doc.go
+++ b/internal/coordination/routed/batchjobs/doc.go
@@ -5,7 +5,8 @@
 // divided into partitions by their ids, and the store assigns the partitions to
 // instances. The owner of a partition runs its items and publishes their
 // results: it gives each result its position in the job. Every other instance
-// asks the owner, or reads the store itself if the owner can't be reached.
+// asks the owner. If the owner can't be reached, a few instances read the store in
+// its place, and the others ask these.
 //
 // Ownership saves work; correctness does not depend on it. While a partition is
 // being reassigned, two instances may own it and both may run an item, which
--- a/internal/coordination/routed/batchjobs/options.go
+++ b/internal/coordination/routed/batchjobs/options.go
@@ -18,6 +18,8 @@
 
 // Peers gives access to the other instances.
 type Peers interface {
+	// Self returns this instance, Peers the others.
+	Self() mesh.Instance
 	Peers() []mesh.Peer
 	OwnerOf(partition int) (mesh.Peer, bool)
 	// Claims returns the items that reachable instances run for other owners.
--- a/internal/coordination/routed/batchjobs/reads.go
+++ b/internal/coordination/routed/batchjobs/reads.go
@@ -23,18 +23,16 @@
 	storeCall   any
 	// here reads the store at this instance.
 	here func(ctx context.Context) R
+	// notDone is the reply if the store could not be read.
+	notDone R
 }
 
-// do asks the owner, else reads the store, here or through an instance that reaches it.
+// do asks the owner, else instances that read the store in its place.
 func (r *jobRead[R]) do(ctx context.Context, s *JobService) R {
 	if reply, ok := r.fromOwner(ctx, s); ok {
 		return reply
 	}
-	reply := r.here(ctx)
-	if reply.verdict() == NotDone {
-		readViaPeers(ctx, s, r.storeMethod, r.storeCall, &reply)
-	}
-	return reply
+	return r.fromStandIns(ctx, s)
 }
 
 // fromOwner asks the owner. It returns false if no owner is known or reached. The owner's
@@ -57,15 +55,3 @@
 	err := s.callPeer(ctx, owner.Address, viaPeerTimeout, r.storeMethod, r.storeCall, &current)
 	return current, err == nil
 }
-
-// readViaPeers makes a read that failed here through instances that reach the store, until
-// one of them succeeds.
-func readViaPeers[R answer](ctx context.Context, s *JobService, method string, call any, reply *R) {
-	s.tryPeersWithStore(ctx, func(ctx context.Context, address string) bool {
-		var peerReply R
-		if s.opts.Caller.Call(ctx, address, method, call, &peerReply) == nil {
-			*reply = peerReply
-		}
-		return (*reply).verdict() != NotDone
-	})
-}
--- a/internal/coordination/routed/batchjobs/reads_test.go
+++ b/internal/coordination/routed/batchjobs/reads_test.go
@@ -77,6 +77,7 @@
 	self     mesh.Instance
 	log      *countingLog
 	storeAge time.Duration
+	started  time.Time
 }
 
 // newServiceFleet starts instances that know each other for some time.
@@ -94,7 +95,7 @@
 func (f *serviceFleet) newInstance(name string, loadTime time.Duration) *serviceInstance {
 	inst := &serviceInstance{
 		fleet: f, self: mesh.Instance{Name: name, Address: name + ":1"},
-		log: &countingLog{Direct: f.store, loadTime: loadTime},
+		log: &countingLog{Direct: f.store, loadTime: loadTime}, started: time.Now(),
 	}
 	opts := *f.opts
 	opts.Member, opts.Log, opts.Peers, opts.Caller = name, inst.log, inst, inst
@@ -113,7 +114,8 @@
 }
 
 func (i *serviceInstance) peer() mesh.Peer {
-	return mesh.Peer{Instance: i.self, State: mesh.Up, Heartbeat: mesh.Heartbeat{StoreAge: i.storeAge}}
+	heartbeat := mesh.Heartbeat{StoreAge: i.storeAge, Young: time.Since(i.started) < 2*time.Second}
+	return mesh.Peer{Instance: i.self, State: mesh.Up, Heartbeat: heartbeat}
 }
 
 // Self, Peers, OwnerOf and Claims implement Peers.
@@ -382,3 +384,99 @@
 		require.Equal(t, Unsure, f.instances[1].Cancel(t.Context(), JobCall{Job: jobID, Organisation: "o"}))
 	})
 }
+
+// A partition has no owner that can be reached, and its jobs are read at all instances. If
+// each of them loaded the partition, the number of loads would grow with the fleet.
+func TestFewInstancesLoadPartitionWithoutOwner(t *testing.T) {
+	for name, owner := range map[string]bool{"unknown": false, "fails": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newServiceFleet(t, 40, 300*time.Millisecond)
+				if owner {
+					f.owner = f.instances[0]
+					f.fail(f.owner)
+				}
+				callers := f.instances[1:]
+				require.Equal(t, map[Verdict]int{Done: 195}, f.readEverywhere(callers, jobID, 5))
+				require.Equal(t, map[Verdict]int{Missing: 195}, f.readEverywhere(callers, "unknown", 5))
+				require.Equal(t, Done, callers[0].Cancel(t.Context(), JobCall{Job: jobID, Organisation: "o"}))
+				started, _ := f.loads()
+				require.LessOrEqual(t, started, int64(maxStandIns))
+			})
+		})
+	}
+}
+
+// The instances that load a partition in place of its owner fail one after the other. The
+// jobs must stay readable at the others.
+func TestReadsSurviveFailureOfStandIns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newServiceFleet(t, 6, 10*time.Millisecond)
+		for len(f.unreachable) < 5 {
+			for _, inst := range f.instances {
+				if !f.isUnreachable(inst.self.Address) {
+					require.Equal(t, Done, inst.read(jobID))
+				}
+			}
+			loaded := f.loadedInstance()
+			require.NotNil(t, loaded, "after %d failures", len(f.unreachable))
+			f.fail(loaded)
+		}
+	})
+}
+
+// loadedInstance returns a reachable instance that has loaded the partition.
+func (f *serviceFleet) loadedInstance() *serviceInstance {
+	for _, inst := range f.instances {
+		if !f.isUnreachable(inst.self.Address) && inst.log.loadsDone.Load() > 0 {
+			return inst
+		}
+	}
+	return nil
+}
+
+// All instances have just started, no owner is known yet, and each instance knows a few
+// others. They would choose different instances to load the partition, so the loads of
+// many would delay those of the owners.
+func TestInstancesThatJustStartedLoadNothingForOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newServiceFleet(t, 20, 300*time.Millisecond)
+		for n := range f.instances {
+			f.instances[n] = f.newInstance(f.instances[n].self.Name, 300*time.Millisecond)
+		}
+		require.Equal(t, map[Verdict]int{NotDone: 20}, f.readEverywhere(f.instances, jobID, 1))
+		started, _ := f.loads()
+		require.Zero(t, started)
+	})
+}
+
+// The store answers no instance. None of them can load a partition, and the attempts of
+// all of them would delay the store's recovery.
+func TestInstancesWithoutStoreLoadNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newServiceFleet(t, 20, 300*time.Millisecond)
+		for _, inst := range f.instances {
+			inst.storeAge = 2 * storeUnreachableAfter
+		}
+		require.Equal(t, map[Verdict]int{NotDone: 20}, f.readEverywhere(f.instances, jobID, 1))
+		started, _ := f.loads()
+		require.Zero(t, started)
+	})
+}
+
+// The store turns away the instance that a caller asks, and no owner is reached. The
+// caller must get the job through an instance that reaches the store.
+func TestInstanceWithoutStoreReadsThroughStandIn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newServiceFleet(t, 6, 10*time.Millisecond)
+		for _, inst := range f.instances {
+			inst.storeAge = 2 * storeUnreachableAfter
+			inst.log.unreachable.Store(true)
+			require.Equal(t, Done, inst.read(jobID))
+			require.Equal(t, Missing, inst.read("unknown"))
+			require.Equal(t, Done, inst.Body(t.Context(), BodyCall{Job: jobID, Item: "item-1", Organisation: "o"}).Verdict)
+			inst.storeAge = 0
+			inst.log.unreachable.Store(false)
+		}
+	})
+}
--- a/internal/coordination/routed/batchjobs/replica_test.go
+++ b/internal/coordination/routed/batchjobs/replica_test.go
@@ -50,6 +50,7 @@
 // noPeers is a fleet without other instances.
 type noPeers struct{}
 
+func (noPeers) Self() mesh.Instance           { return mesh.Instance{} }
 func (noPeers) Peers() []mesh.Peer            { return nil }
 func (noPeers) OwnerOf(int) (mesh.Peer, bool) { return mesh.Peer{}, false }
 func (noPeers) Claims() []mesh.Claim          { return nil }
--- a/internal/coordination/routed/batchjobs/service.go
+++ b/internal/coordination/routed/batchjobs/service.go
@@ -18,8 +18,8 @@
 	// instances takes some milliseconds; an instance that does not answer in time
 	// is bypassed.
 	peerCallTimeout = 300 * time.Millisecond
-	// storeReadTimeout bounds the read of the store that precedes the answer that
-	// a job does not exist.
+	// storeReadTimeout bounds the wait for the read of the store that precedes the
+	// answer that a job does not exist.
 	storeReadTimeout = 800 * time.Millisecond
 	// storeUnreachableAfter is the time without an answer from the store after
 	// which the instance writes through another instance instead.
@@ -34,17 +34,19 @@
 	opts   *Options
 	owner  *PartitionOwner
 	runner *Runner
+	// startedAt is when the service was created.
+	startedAt time.Time
 
 	mu sync.Mutex
 	// replicas holds, by number, partitions that other instances own. They are
-	// read from the store when their owners can't be reached.
+	// read from the store while this instance is a stand-in for their owners.
 	replicas map[int]*partitionReplica
 }
 
 // NewJobService returns a service that answers from the partitions of owner, the
 // store and other instances.
 func NewJobService(opts *Options, owner *PartitionOwner, runner *Runner) *JobService {
-	return &JobService{opts: opts, owner: owner, runner: runner, replicas: map[int]*partitionReplica{}}
+	return &JobService{opts: opts, owner: owner, runner: runner, startedAt: time.Now(), replicas: map[int]*partitionReplica{}}
 }
 
 // jobExists asks the owner whether a job exists already, as after a repeated
@@ -118,7 +120,8 @@
 	read := &jobRead[ResultsReply]{
 		number: number, ownerMethod: methodResults, ownerCall: &call, ownerLimit: call.Wait + peerCallTimeout,
 		storeMethod: methodResultsFor, storeCall: &now,
-		here: func(ctx context.Context) ResultsReply { return s.resultsFromStore(ctx, now) },
+		here:    func(ctx context.Context) ResultsReply { return s.resultsFromStore(ctx, now) },
+		notDone: ResultsReply{Verdict: NotDone},
 	}
 	return read.do(ctx, s)
 }
@@ -141,7 +144,8 @@
 	read := &jobRead[BodyReply]{
 		number: number, ownerMethod: methodBody, ownerCall: &call, ownerLimit: peerCallTimeout,
 		storeMethod: methodBodyFor, storeCall: &call,
-		here: func(ctx context.Context) BodyReply { return s.bodyFromStore(ctx, call) },
+		here:    func(ctx context.Context) BodyReply { return s.bodyFromStore(ctx, call) },
+		notDone: BodyReply{Verdict: NotDone},
 	}
 	return read.do(ctx, s)
 }
@@ -155,30 +159,26 @@
 	return p.body(call)
 }
 
-// Cancel cancels a job: through the owner of its partition, else here or through an
-// instance that reaches the store.
+// Cancel cancels a job: through the owner of its partition, else through instances that
+// read the store in its place.
 func (s *JobService) Cancel(ctx context.Context, call JobCall) Verdict {
 	verdict, decided := s.cancelAtOwner(ctx, call)
-	if !decided && s.opts.StoreAge() < storeUnreachableAfter {
-		verdict = verdict.then(s.cancelInStore(ctx, call))
-		decided = verdict.isFinal()
-	}
 	if !decided {
-		verdict = s.cancelViaPeers(ctx, call, verdict)
+		verdict = s.cancelAtStandIns(ctx, call, verdict)
 	}
 	_ = level.Info(s.opts.Logger).Log("event", "job_ended", "job", call.Job, "outcome", verdict)
 	return verdict
 }
 
-// cancelAtOwner cancels a job through another instance that owns its partition. It returns
-// false if the attempt is to be repeated in another way.
+// cancelAtOwner cancels a job at the owner of its partition. It returns false if the
+// attempt is to be repeated in another way.
 //
 // The owner has the partition in memory. An instance that doesn't own it would have to
 // load it first.
 func (s *JobService) cancelAtOwner(ctx context.Context, call JobCall) (verdict Verdict, decided bool) {
 	number := s.opts.partitionOf(call.Job).Number
 	if p, ok := s.owner.replicaOf(number); ok {
-		return NotDone, !p.isLoaded()
+		return s.cancelAsOwner(ctx, p, call)
 	}
 	owner, ok := s.opts.Peers.OwnerOf(number)
 	if !ok {
@@ -191,18 +191,16 @@
 	return reply.Verdict, reply.Verdict != Unsure
 }
 
-// cancelViaPeers cancels a job through instances that reach the store, after an attempt
-// with another verdict.
-func (s *JobService) cancelViaPeers(ctx context.Context, call JobCall, verdict Verdict) Verdict {
-	s.tryPeersWithStore(ctx, func(ctx context.Context, address string) bool {
-		var reply JobReply
-		if s.opts.Caller.Call(ctx, address, methodCancelFor, &call, &reply) != nil {
-			reply.Verdict = Unsure
-		}
-		verdict = verdict.then(reply.Verdict)
-		return verdict.isFinal()
-	})
-	return verdict
+// cancelAsOwner is cancelAtOwner for a partition that this instance owns.
+func (s *JobService) cancelAsOwner(ctx context.Context, p *partitionReplica, call JobCall) (verdict Verdict, decided bool) {
+	if !p.isLoaded() {
+		return NotDone, true
+	}
+	if s.opts.StoreAge() >= storeUnreachableAfter {
+		return NotDone, false
+	}
+	verdict = s.cancelInStore(ctx, call)
+	return verdict, verdict.isFinal()
 }
 
 // cancelInStore appends the record that cancels a job, unless an earlier call has
