--- a/internal/daemon/routed/jobs_test.go
+++ b/internal/daemon/routed/jobs_test.go
@@ -322,3 +322,41 @@
 		})
 	}
 }
+
+// Callers ask all instances for results, for bodies of items that are done, for unknown
+// jobs and for the end of jobs. If instances loaded the partitions of other owners for
+// that, the loads would use up the store's read rate in a large fleet.
+func TestOnlyOwnersLoadPartitions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newTestFleet(t, fleetSize{domains: 2, instances: 3, targets: 1})
+		ids := fleet.submit(fleet.instances[0], 4, 2, 5)
+		for _, id := range ids {
+			fleet.requireComplete(id, fleet.instances[5].allResults(id, 8*time.Second), 5)
+		}
+		before := fleet.loggedPartitionLoads()
+		for _, inst := range fleet.instances {
+			for _, id := range ids {
+				_, status := inst.results(id, 0)
+				require.Equal(t, http.StatusOK, status)
+				_, status = inst.results("unknown-"+id, 0)
+				require.Equal(t, http.StatusNotFound, status)
+				path := fmt.Sprintf("/items/%s?id=%s", id, itemID(id, 0))
+				got := inst.send(callerRequest{method: http.MethodGet, path: path, key: keyOne})
+				require.Equal(t, http.StatusNotFound, got.status)
+			}
+		}
+		for n, id := range ids {
+			got := fleet.instances[n].send(callerRequest{method: http.MethodDelete, path: "/lots/" + id, key: keyOne})
+			require.Equal(t, http.StatusOK, got.status)
+		}
+		require.Equal(t, before, fleet.loggedPartitionLoads())
+	})
+}
+
+// loggedPartitionLoads returns how many loads of partitions of jobs the logs show.
+func (fleet *testFleet) loggedPartitionLoads() (count int) {
+	for _, inst := range fleet.instances {
+		count += strings.Count(inst.logs.String(), "event=jobs_loaded")
+	}
+	return count
+}
