Merge reads: the owner decides on its jobs, loads are shared

With the lines of branch evidence: a call is logged as read from the store only if the store was read for it (job_read_from_store); one that is rejected since the owner is still loading has a line of its own (job_call_not_done).

--- a/internal/coordination/routed/batchjobs/replica.go
+++ b/internal/coordination/routed/batchjobs/replica.go
@@ -55,6 +55,9 @@
 	unstored func(*partitionReplica) []unstoredSegment
 	// storeNow asks for that output to be stored at once.
 	storeNow chan struct{}
+	// catchingUp says that catchUpLoop runs; nextCatchUp is the run that it makes next.
+	catchingUp  bool
+	nextCatchUp *catchUpRun
 	// unpublished holds results without a position in their job yet.
 	unpublished []finishedItem
 	publishNow  chan struct{}
@@ -227,6 +230,13 @@
 	return found, p.changed
 }
 
+// isLoaded says whether the partition was loaded from the store.
+func (p *partitionReplica) isLoaded() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.loaded
+}
+
 // logNotFound logs that a job was not found, with the state of the partition that
 // this is based on.
 func (p *partitionReplica) logNotFound(job, organisation string) {
--- a/internal/coordination/routed/batchjobs/service.go
+++ b/internal/coordination/routed/batchjobs/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -17,30 +18,35 @@
 	// instances takes some milliseconds; an instance that does not answer in time
 	// is bypassed.
 	peerCallTimeout = 300 * time.Millisecond
-	// storeReadTimeout bounds the read of the store that precedes the answer that
-	// a job does not exist.
+	// storeReadTimeout bounds the wait for the read of the store that precedes the
+	// answer that a job does not exist.
 	storeReadTimeout = 800 * time.Millisecond
 	// storeUnreachableAfter is the time without an answer from the store after
 	// which the instance writes through another instance instead.
 	storeUnreachableAfter = 1200 * time.Millisecond
 )
 
+// errNotLoaded: the owner of a partition has not loaded it yet.
+var errNotLoaded = fmt.Errorf("%w: partition not loaded", external.ErrUnavailable)
+
 // JobService serves the calls on batch jobs. Every instance has one.
 type JobService struct {
 	opts   *Options
 	owner  *PartitionOwner
 	runner *Runner
+	// startedAt is when the service was created.
+	startedAt time.Time
 
 	mu sync.Mutex
 	// replicas holds, by number, partitions that other instances own. They are
-	// read from the store when their owners can't be reached.
+	// read from the store while this instance is a stand-in for their owners.
 	replicas map[int]*partitionReplica
 }
 
 // NewJobService returns a service that answers from the partitions of owner, the
 // store and other instances.
 func NewJobService(opts *Options, owner *PartitionOwner, runner *Runner) *JobService {
-	return &JobService{opts: opts, owner: owner, runner: runner, replicas: map[int]*partitionReplica{}}
+	return &JobService{opts: opts, owner: owner, runner: runner, startedAt: time.Now(), replicas: map[int]*partitionReplica{}}
 }
 
 // jobExists asks the owner whether a job exists already, as after a repeated
@@ -52,20 +58,27 @@
 		return p.lookUp(job) == Done
 	}
 	var reply JobReply
-	from := s.callOwner(ctx, number, methodKnown, &JobCall{Job: job}, &reply)
-	return from.answered() && reply.Verdict == Done
+	if !s.callOwner(ctx, number, methodKnown, &JobCall{Job: job}, &reply) {
+		return false
+	}
+	return reply.Verdict == Done
 }
 
-// callOwner calls the owner of a partition, and says whether it answered.
-func (s *JobService) callOwner(ctx context.Context, number int, method string, args, reply any) ownerReply {
+// callOwner calls the owner of a partition. It returns false if no owner is known
+// or the call failed.
+func (s *JobService) callOwner(ctx context.Context, number int, method string, args, reply any) bool {
 	owner, ok := s.opts.Peers.OwnerOf(number)
 	if !ok {
-		return ownerReply{}
+		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
+	return s.callPeer(ctx, owner.Address, peerCallTimeout, method, args, reply) == nil
+}
+
+// callPeer calls another instance within a time limit.
+func (s *JobService) callPeer(ctx context.Context, address string, limit time.Duration, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	err := s.opts.Caller.Call(ctx, owner.Address, method, args, reply)
-	return ownerReply{known: true, owner: owner.Name, err: err}
+	return s.opts.Caller.Call(ctx, address, method, args, reply)
 }
 
 // maxPeersTried bounds the instances that one call tries in place of the store.
@@ -92,37 +105,34 @@
 	}
 }
 
-// Results returns results of a job: from the owner of its partition, else from the
-// store, else through an instance that reaches the store.
+// Results returns results of a job: from the owner of its partition, and from the store if
+// the owner can't be reached.
 func (s *JobService) Results(ctx context.Context, call ResultsCall) ResultsReply {
-	reply, fromOwner := s.resultsFromOwner(ctx, call)
-	if reply.Verdict == Done && fromOwner.answered() {
-		return reply
+	number := s.opts.partitionOf(call.Job).Number
+	now := call
+	now.Wait = 0
+	if p, ok := s.owner.replicaOf(number); ok {
+		if reply := p.results(ctx, call); reply.Verdict == Done {
+			return reply
+		}
+		return s.resultsFromStore(ctx, now, s.ownCause(p))
 	}
-	call.Wait = 0
-	reply = s.resultsFromStore(ctx, call, fromOwner.cause())
-	if reply.Verdict == NotDone {
-		readViaPeers(ctx, s, methodResultsFor, &call, &reply, func(r *ResultsReply) Verdict { return r.Verdict })
+	read := &jobRead[ResultsReply]{
+		call: callResults, job: call.Job,
+		number: number, ownerMethod: methodResults, ownerCall: &call, ownerLimit: call.Wait + peerCallTimeout,
+		storeMethod: methodResultsFor, storeCall: &now,
+		here: func(ctx context.Context, cause readCause) ResultsReply {
+			return s.resultsFromStore(ctx, now, cause)
+		},
+		notDone: ResultsReply{Verdict: NotDone},
 	}
-	return reply
-}
-
-// readViaPeers makes a read that failed here through instances that reach the
-// store, until one of them succeeds.
-func readViaPeers[R any](ctx context.Context, s *JobService, method string, call any, reply *R, verdict func(*R) Verdict) {
-	s.tryPeersWithStore(ctx, func(ctx context.Context, address string) bool {
-		var peerReply R
-		if s.opts.Caller.Call(ctx, address, method, call, &peerReply) == nil {
-			*reply = peerReply
-		}
-		return verdict(reply) != NotDone
-	})
+	return read.do(ctx, s)
 }
 
 // resultsFromStore returns results from the current content of the store.
 func (s *JobService) resultsFromStore(ctx context.Context, call ResultsCall, cause readCause) ResultsReply {
-	read := &storeRead{call: "results", job: call.Job, cause: cause}
-	p, err := s.catchUpFor(ctx, read)
+	read := &storeRead{call: callResults, job: call.Job, cause: cause}
+	p, err := s.upToDate(ctx, read, call.Organisation)
 	reply := ResultsReply{Verdict: NotDone}
 	if err == nil {
 		reply = p.results(ctx, call)
@@ -131,53 +141,28 @@
 	return reply
 }
 
-// resultsFromOwner asks the owner of a partition, which may be this instance, for results.
-func (s *JobService) resultsFromOwner(ctx context.Context, call ResultsCall) (reply ResultsReply, from ownerReply) {
-	number := s.opts.partitionOf(call.Job).Number
-	if p, ok := s.owner.replicaOf(number); ok {
-		reply = p.results(ctx, call)
-		return reply, ownerReply{known: true, owner: s.opts.Member, verdict: reply.Verdict}
-	}
-	owner, ok := s.opts.Peers.OwnerOf(number)
-	if !ok {
-		return reply, ownerReply{}
-	}
-	ctx, cancel := context.WithTimeout(ctx, call.Wait+peerCallTimeout)
-	defer cancel()
-	err := s.opts.Caller.Call(ctx, owner.Address, methodResults, &call, &reply)
-	return reply, ownerReply{known: true, owner: owner.Name, verdict: reply.Verdict, err: err}
-}
-
 // Body returns the body of an item that has no published result yet.
 func (s *JobService) Body(ctx context.Context, call BodyCall) BodyReply {
-	reply, fromOwner := s.bodyFromOwner(ctx, call)
-	if reply.Verdict == Done && fromOwner.answered() {
-		return reply
-	}
-	reply = s.bodyFromStore(ctx, call, fromOwner.cause())
-	if reply.Verdict == NotDone {
-		readViaPeers(ctx, s, methodBodyFor, &call, &reply, func(r *BodyReply) Verdict { return r.Verdict })
-	}
-	return reply
-}
-
-// bodyFromOwner asks the owner of a partition, which may be this instance, for an item's
-// body.
-func (s *JobService) bodyFromOwner(ctx context.Context, call BodyCall) (reply BodyReply, from ownerReply) {
 	number := s.opts.partitionOf(call.Job).Number
 	if p, ok := s.owner.replicaOf(number); ok {
-		reply = p.body(call)
-		return reply, ownerReply{known: true, owner: s.opts.Member, verdict: reply.Verdict}
+		return s.bodyFromStore(ctx, call, s.ownCause(p))
+	}
+	read := &jobRead[BodyReply]{
+		call: callBody, job: call.Job,
+		number: number, ownerMethod: methodBody, ownerCall: &call, ownerLimit: peerCallTimeout,
+		storeMethod: methodBodyFor, storeCall: &call,
+		here: func(ctx context.Context, cause readCause) BodyReply {
+			return s.bodyFromStore(ctx, call, cause)
+		},
+		notDone: BodyReply{Verdict: NotDone},
 	}
-	from = s.callOwner(ctx, number, methodBody, &call, &reply)
-	from.verdict = reply.Verdict
-	return reply, from
+	return read.do(ctx, s)
 }
 
 // bodyFromStore returns an item's body from the current content of the store.
 func (s *JobService) bodyFromStore(ctx context.Context, call BodyCall, cause readCause) BodyReply {
-	read := &storeRead{call: "body", job: call.Job, cause: cause}
-	p, err := s.catchUpFor(ctx, read)
+	read := &storeRead{call: callBody, job: call.Job, cause: cause}
+	p, err := s.upToDate(ctx, read, call.Organisation)
 	reply := BodyReply{Verdict: NotDone}
 	if err == nil {
 		reply = p.body(call)
@@ -186,35 +171,56 @@
 	return reply
 }
 
-// Cancel cancels a job, here or through an instance that reaches the store.
+// Cancel cancels a job: through the owner of its partition, else through instances that
+// read the store in its place.
 func (s *JobService) Cancel(ctx context.Context, call JobCall) Verdict {
-	verdict := NotDone
-	if s.opts.StoreAge() < storeUnreachableAfter {
-		verdict = s.cancelInStore(ctx, call, readCause{why: isCancellation})
-	}
-	if verdict == NotDone || verdict == Unsure {
-		s.tryPeersWithStore(ctx, func(ctx context.Context, address string) bool {
-			var reply JobReply
-			if err := s.opts.Caller.Call(ctx, address, methodCancelFor, &call, &reply); err != nil {
-				verdict = Unsure
-				return false
-			}
-			if reply.Verdict == Done || reply.Verdict == Missing {
-				verdict = reply.Verdict
-				return true
-			}
-			return false
-		})
+	verdict, decided := s.cancelAtOwner(ctx, call)
+	if !decided {
+		verdict = s.cancelAtStandIns(ctx, call, verdict)
 	}
 	_ = level.Info(s.opts.Logger).Log("event", "job_ended", "job", call.Job, "outcome", verdict)
 	return verdict
 }
 
+// cancelAtOwner cancels a job at the owner of its partition. It returns false if the
+// attempt is to be repeated in another way.
+//
+// The owner has the partition in memory. An instance that doesn't own it would have to
+// load it first.
+func (s *JobService) cancelAtOwner(ctx context.Context, call JobCall) (verdict Verdict, decided bool) {
+	number := s.opts.partitionOf(call.Job).Number
+	if p, ok := s.owner.replicaOf(number); ok {
+		return s.cancelAsOwner(ctx, p, call)
+	}
+	owner, ok := s.opts.Peers.OwnerOf(number)
+	if !ok {
+		return NotDone, false
+	}
+	var reply JobReply
+	if s.callPeer(ctx, owner.Address, viaPeerTimeout, methodCancelFor, &call, &reply) != nil {
+		return Unsure, false
+	}
+	return reply.Verdict, reply.Verdict != Unsure
+}
+
+// cancelAsOwner is cancelAtOwner for a partition that this instance owns.
+func (s *JobService) cancelAsOwner(ctx context.Context, p *partitionReplica, call JobCall) (verdict Verdict, decided bool) {
+	if !p.isLoaded() {
+		s.logNotDone(callCancel, call.Job, s.ownCause(p))
+		return NotDone, true
+	}
+	if s.opts.StoreAge() >= storeUnreachableAfter {
+		return NotDone, false
+	}
+	verdict = s.cancelInStore(ctx, call, readCause{why: isCancellation, owner: s.opts.Member})
+	return verdict, verdict.isFinal()
+}
+
 // cancelInStore appends the record that cancels a job, unless an earlier call has
 // done so.
 func (s *JobService) cancelInStore(ctx context.Context, call JobCall, cause readCause) Verdict {
-	read := &storeRead{call: "cancel", job: call.Job, cause: cause}
-	p, err := s.catchUpFor(ctx, read)
+	read := &storeRead{call: callCancel, job: call.Job, cause: cause}
+	p, err := s.upToDate(ctx, read, call.Organisation)
 	verdict := NotDone
 	if err == nil {
 		verdict = s.cancelIn(ctx, p, call)
@@ -223,7 +229,7 @@
 	return verdict
 }
 
-// cancelIn is cancelInStore for a partition that was read to its end.
+// cancelIn is cancelInStore for a partition that is up to date.
 func (s *JobService) cancelIn(ctx context.Context, p *partitionReplica, call JobCall) Verdict {
 	found, _ := p.job(call.Job)
 	switch {
@@ -235,14 +241,27 @@
 	return s.appendRecords(ctx, s.opts.partitionOf(call.Job), []external.KeyedRecord{jobs.EncodeCancellation(call.Job)})
 }
 
-// replicaFor returns the replica of a partition that a call is answered from. It must be
-// read to its end before the instance reports that a job does not exist: its state may be
-// older than the job.
-func (s *JobService) replicaFor(number int) *partitionReplica {
-	if p, owned := s.owner.replicaOf(number); owned {
-		return p
+// upToDate returns the partition of a job, in a state that is sufficient for answers on
+// it. Only an owner answers from what it has, and only on a job that it has. An instance
+// must read all that the store has before it reports that a job does not exist: its own
+// state may be older than the job.
+//
+// That also holds for an owner whose partition was reassigned without its knowledge.
+func (s *JobService) upToDate(ctx context.Context, read *storeRead, organisation string) (*partitionReplica, error) {
+	number := s.opts.partitionOf(read.job).Number
+	p, owned := s.owner.replicaOf(number)
+	if !owned {
+		p = s.replica(number)
+		return p, read.catchUp(ctx, p)
+	}
+	switch found, _ := p.job(read.job); {
+	case !found.loaded:
+		// The owner's own reader loads the partition.
+		return p, errNotLoaded
+	case found.known && found.organisation == organisation:
+		return p, nil
 	}
-	return s.replica(number)
+	return p, read.catchUp(ctx, p)
 }
 
 // replica returns the replica of a partition that another instance owns.
--- a/internal/coordination/routed/batchjobs/storereads.go
+++ b/internal/coordination/routed/batchjobs/storereads.go
@@ -25,35 +25,6 @@
 	forPeer readReason = "for_peer"
 )
 
-// ownerReply is how the owner of a partition replied to a call.
-type ownerReply struct {
-	// known says that an owner is known, which may be this instance; owner is its name.
-	known bool
-	owner string
-	// err is the error of the call to the owner, verdict its reply if err is nil.
-	err     error
-	verdict Verdict
-}
-
-// answered says that an owner replied.
-func (r *ownerReply) answered() bool { return r.known && r.err == nil }
-
-// cause says why a reply with another verdict than Done does not answer the call.
-func (r *ownerReply) cause() readCause {
-	cause := readCause{why: ownerNotLoaded, owner: r.owner, ownerErr: r.err}
-	switch {
-	case !r.known:
-		cause.why = noOwnerKnown
-	case r.err != nil:
-		cause.why = ownerNotReached
-	case r.verdict == Missing:
-		cause.why = ownerMissing
-	case r.verdict == NotHeld:
-		cause.why = notHeld
-	}
-	return cause
-}
-
 // readCause says why a call is answered from the store, and which owner did not answer it.
 type readCause struct {
 	why      readReason
@@ -61,28 +32,48 @@
 	ownerErr error
 }
 
-// storeRead is a call on a job that is answered from the store. It is logged when it ends.
+// Names of the calls on a job in logs.
+const (
+	callResults = "results"
+	callBody    = "body"
+	callCancel  = "cancel"
+)
+
+// ownCause says why this instance does not answer from a partition that it owns.
+func (s *JobService) ownCause(p *partitionReplica) readCause {
+	if p.isLoaded() {
+		return readCause{why: ownerMissing, owner: s.opts.Member}
+	}
+	return readCause{why: ownerNotLoaded, owner: s.opts.Member}
+}
+
+// storeRead is a call on a job that may be answered from the store. It is logged when it ends.
 type storeRead struct {
 	call, job string
 	cause     readCause
 
+	// began is when reading the store began, zero if it was not read.
 	began time.Time
 	// from is the offset that reading began at; whole says that nothing was loaded before.
 	from  int64
 	whole bool
 }
 
-// catchUpFor returns the partition of a call's job after reading all that the store has
-// now. The read notes what was known before.
-func (s *JobService) catchUpFor(ctx context.Context, read *storeRead) (*partitionReplica, error) {
-	p := s.replicaFor(s.opts.partitionOf(read.job).Number)
-	read.began = time.Now()
-	read.from, read.whole = p.position()
-	return p, p.catchUp(ctx, storeReadTimeout)
+// catchUp reads all that the store has now. It notes what was known before.
+func (r *storeRead) catchUp(ctx context.Context, p *partitionReplica) error {
+	r.began = time.Now()
+	r.from, r.whole = p.position()
+	return p.catchUp(ctx, storeReadTimeout)
 }
 
-// logStoreRead logs and counts a read that ended. err is the error of reading the store.
+// logStoreRead logs and counts a call that ended. err is the error of reading the store.
 func (s *JobService) logStoreRead(read *storeRead, p *partitionReplica, verdict Verdict, err error) {
+	if read.began.IsZero() {
+		if !verdict.isFinal() {
+			s.logNotDone(read.call, read.job, read.cause)
+		}
+		return
+	}
 	metrics.GetOrCreateCounter(fmt.Sprintf("batch_reads_from_store_total{call=%q,why=%q,outcome=%q}", read.call, read.cause.why, verdict)).Inc()
 	next, _ := p.position()
 	_ = level.Info(s.opts.Logger).Log("event", "job_read_from_store", "job", read.job, "partition", p.partition.Number,
@@ -90,6 +81,13 @@
 		"took_ms", time.Since(read.began).Milliseconds(), "whole", read.whole, "from", read.from, "next", next, "err", err)
 }
 
+// logNotDone logs and counts a call that was rejected, without a read of the store here.
+func (s *JobService) logNotDone(call, job string, cause readCause) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("batch_calls_not_done_total{call=%q,why=%q}", call, cause.why)).Inc()
+	_ = level.Info(s.opts.Logger).Log("event", "job_call_not_done", "job", job, "partition", s.opts.partitionOf(job).Number,
+		"call", call, "why", cause.why, "owner", cause.owner, "owner_err", cause.ownerErr)
+}
+
 // position returns the offset of the next record to read, and whether nothing is loaded.
 func (p *partitionReplica) position() (next int64, unloaded bool) {
 	p.mu.Lock()
--- a/internal/explain/causes.go
+++ b/internal/explain/causes.go
@@ -46,6 +46,8 @@
 		return fmt.Sprintf("the caller ended the job: %s", r.Fields["outcome"])
 	case "job_read_from_store":
 		return describeStoreRead(r)
+	case "job_call_not_done":
+		return fmt.Sprintf("call %q on the job was rejected, to come back, since %s", r.Fields["call"], storeReadReason(r))
 	case "item_run":
 		return describeItemRun(r)
 	case "item_yields":
--- a/internal/explain/storecalls.go
+++ b/internal/explain/storecalls.go
@@ -32,7 +32,7 @@
 	case "not_held":
 		return fmt.Sprintf("%s was no longer the owner", owner)
 	case "cancel":
-		return "a cancellation always does"
+		return "its owner could not be asked to cancel it"
 	case "for_peer":
 		return "another instance that could not read the store asked for it"
 	default:
@@ -54,7 +54,7 @@
 func (l *Logs) ownerLoads(lines []Record, from, to time.Time) (out []Record) {
 	partitions := map[string]bool{}
 	for i := range lines {
-		if lines[i].Event == "job_read_from_store" {
+		if lines[i].Event == "job_read_from_store" || lines[i].Event == "job_call_not_done" {
 			partitions[lines[i].Fields["partition"]] = true
 		}
 	}
