Stand-in store: a limit on the bytes that all instances read a second

The users' store sends the answers to all reads over one channel of read_mb_per_s and refuses reads with 503 while more than 2 s are waiting. The stand-in had no such limit, so no test of the fleet could overload it.

A page of log-newest now holds at most 1 MB, as the users' page says. Each endpoint counts its reads, their bytes, and the bytes sent after the caller had left, by kind and topic.

That an answer takes its whole time in the queue although its caller has left is an assumption, and marked as one.

go test -race ./internal/standin/sharedstore, and ./internal/daemon/routed and ./internal/coordination/routed/batchjobs: green.

--- a/internal/standin/sharedstore/endpoint.go
+++ b/internal/standin/sharedstore/endpoint.go
@@ -38,10 +38,13 @@
 	fault Fault
 	// changed is closed when the fault is replaced, which ends silent calls.
 	changed chan struct{}
+	reads   map[ReadSource]ReadCount
 }
 
 // NewEndpoint returns a new Endpoint of the store, without faults.
-func (s *Store) NewEndpoint() *Endpoint { return &Endpoint{store: s, changed: make(chan struct{})} }
+func (s *Store) NewEndpoint() *Endpoint {
+	return &Endpoint{store: s, changed: make(chan struct{}), reads: map[ReadSource]ReadCount{}}
+}
 
 // Set replaces the injected faults.
 func (e *Endpoint) Set(f Fault) {
@@ -120,10 +123,9 @@
 		status, reply := e.store.appendCall(r, body)
 		writeJSON(w, status, reply)
 	case "log-read":
-		e.store.readCall(w, r, fault.NoReadWakeup)
+		e.readCall(w, r, fault.NoReadWakeup)
 	case "log-newest":
-		status, reply := e.store.newestCall(r)
-		writeJSON(w, status, reply)
+		e.newestCall(w, r)
 	case "log-join", "log-leave":
 		status, reply := e.store.membershipCall(kind, body)
 		writeJSON(w, status, reply)
@@ -166,8 +168,13 @@
 	return http.StatusOK, map[string]int64{"offset": offset, "end": p.end()}
 }
 
-func (s *Store) readCall(w http.ResponseWriter, r *http.Request, noWakeup bool) {
+func (e *Endpoint) readCall(w http.ResponseWriter, r *http.Request, noWakeup bool) {
+	s := e.store
 	topic, number := topicAndPartition(r)
+	source := ReadSource{Kind: "log-read", Topic: topic, Number: number}
+	if e.refuseRead(w, source) {
+		return
+	}
 	from, _ := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	maxKB := 1024
@@ -192,7 +199,7 @@
 			writeJSON(w, http.StatusGone, map[string]int64{"first": first})
 			return
 		case len(records) > 0 || timedOut:
-			_, _ = w.Write(joinRecords(end, first, limitBytes(records, maxKB<<10)))
+			e.sendRead(w, r, source, joinRecords(end, first, limitBytes(records, maxKB<<10)))
 			return
 		}
 		select {
@@ -217,16 +224,31 @@
 	return records
 }
 
-func (s *Store) newestCall(r *http.Request) (status int, reply any) {
+func (e *Endpoint) newestCall(w http.ResponseWriter, r *http.Request) {
 	topic, number := topicAndPartition(r)
+	source := ReadSource{Kind: "log-newest", Topic: topic, Number: number}
+	if e.refuseRead(w, source) {
+		return
+	}
+	data, err := e.store.newestPage(topic, number, r.URL.Query().Get("after"))
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	e.sendRead(w, r, source, data)
+}
+
+// newestPage returns the encoded page of the newest records after a key.
+func (s *Store) newestPage(topic string, number int, after string) ([]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.partition(topic, number)
-	items, more := p.newestAfter(r.URL.Query().Get("after"))
+	items, more := p.newestAfter(after)
 	if items == nil {
 		items = []newest{}
 	}
-	return http.StatusOK, map[string]any{"items": items, "more": more, "end": p.end()}
+	return json.Marshal(map[string]any{"items": items, "more": more, "end": p.end()})
 }
 
 func (s *Store) membershipCall(kind string, body []byte) (status int, reply any) {
--- a/internal/standin/sharedstore/store.go
+++ b/internal/standin/sharedstore/store.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"cmp"
+	"encoding/base64"
 	"encoding/binary"
 	"maps"
 	"slices"
@@ -18,6 +19,7 @@
 	topics map[string][]*partition
 	groups map[string]*group
 	calls  map[string]int
+	reads  readChannel
 }
 
 // New returns an empty store in which each topic has the given number of partitions.
@@ -106,18 +108,24 @@
 	p.changed = make(chan struct{})
 }
 
-// newestPageSize is the maximum number of keys in one reply to log-newest.
-const newestPageSize = 500
+// newestPageSize is the maximum number of keys in one reply to log-newest, and
+// newestPageBytes the maximum size of their encoded values. A reply has at least one key.
+const (
+	newestPageSize  = 500
+	newestPageBytes = 1 << 20
+)
 
 // newestAfter returns the newest records whose key sorts after the given one, in
-// key order, up to newestPageSize. more reports whether further keys follow.
+// key order, as many as fit into one reply. more reports whether further keys follow.
 func (p *partition) newestAfter(after string) (items []newest, more bool) {
 	keys := slices.Sorted(maps.Keys(p.newest))
+	size := 0
 	for _, key := range keys {
 		if key <= after {
 			continue
 		}
-		if len(items) == newestPageSize {
+		size += base64.StdEncoding.EncodedLen(len(p.newest[key].Value))
+		if len(items) == newestPageSize || len(items) > 0 && size > newestPageBytes {
 			return items, true
 		}
 		items = append(items, p.newest[key])
