--- a/internal/explain/storecalls_test.go
+++ b/internal/explain/storecalls_test.go
@@ -39,3 +39,16 @@
 		require.NotContains(t, text, unrelated)
 	}
 }
+
+// A caller gets 503 for an accepted job while its owner loads the partition. The line names the
+// owner, whose loads explain it.
+func TestExplainsCallThatWasRejectedWhileTheOwnerLoads(t *testing.T) {
+	logs := readLogs(t, map[string]string{"reader": `
+at=2026-12-03T10:00:10Z event=job_call_not_done job=j partition=7 call=results why=owner_not_loaded owner=o owner_err=null
+`, "owner": `
+at=2026-12-03T10:00:09Z event=jobs_load_failed partition=7 owned=true pages=2 records=9 bytes=2048 took_ms=1500 err="platform did not perform the operation"
+`})
+	requireCause(t, logs.Explain("j"),
+		`reader: call "results" on the job was rejected, to come back, since owner o had not loaded the partition`,
+		"meanwhile 10:00:09.000 owner: the owner could not load partition 7 (platform did not perform the operation)")
+}
