front: a request whose body is cut gets no 200

What callers saw: a caller that closes its sending side in the middle of a body got "HTTP/1.1 200 OK, Content-Length: 0", though nothing ran. The log said outcome=caller_left.

Cause: on a body that ends early, the handler logged caller_left and returned without a response. net/http completes such a handler with 200.

Now the handler is aborted, as for callers that leave later, which closes the connection without a response.

--- /dev/null
+++ b/internal/transport/front/front_test.go
@@ -0,0 +1,118 @@
+package front
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/coordination/routed/quota"
+	"merlintiller/internal/coordination/routed/relay"
+	"merlintiller/internal/protocol/exchange"
+	"merlintiller/internal/state/route"
+)
+
+const host = "calls.example"
+
+// relayFunc is a Relay.
+type relayFunc func(sink relay.Sink) relay.Outcome
+
+func (f relayFunc) Serve(_ context.Context, _ *relay.RoutedRequest, sink relay.Sink) relay.Outcome {
+	return f(sink)
+}
+
+// noQuota admits every request.
+type noQuota struct{}
+
+func (noQuota) Admit(string) quota.Decision { return quota.Decision{Admitted: true} }
+func (noQuota) Refund(string)               {}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// testFront is a Front with one route. Its log lines are kept.
+type testFront struct {
+	t       *testing.T
+	address string
+	logs    *lockedBuffer
+}
+
+func startFront(t *testing.T, serve relayFunc) *testFront {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	table := route.NewTable(route.Config{Version: 1, Routes: []route.Route{{
+		Name: "r", Host: host, Prefix: "/", Kind: route.Idempotent, Timeout: 5 * time.Second, MaxAttempts: 1,
+		Split: []route.WeightedService{{Service: "svc", Weight: 1}},
+	}}})
+	logs := &lockedBuffer{}
+	f := New(Options{
+		Listen: func() (net.Listener, error) { return listener, nil },
+		Codec: Codec{
+			DecodeRequest: func(r *http.Request) exchange.Request {
+				return exchange.Request{ID: r.Header.Get("Request-Id"), Method: r.Method, Host: r.Host, Path: r.URL.Path}
+			},
+			DecodeJobCall:    func(*http.Request) (exchange.JobCall, bool) { return exchange.JobCall{}, false },
+			EncodeRetryAfter: func(d time.Duration) string { return d.String() },
+		},
+		Table: func() *route.Table { return table }, Quota: noQuota{}, Relay: serve,
+		Logger: log.NewLogfmtLogger(logs),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = f.Serve(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return &testFront{t: t, address: listener.Addr().String(), logs: logs}
+}
+
+// exchange sends bytes on a new connection, closes its sending side, and returns what it
+// receives until the connection ends.
+func (f *testFront) exchange(request string) string {
+	f.t.Helper()
+	conn, err := net.Dial("tcp", f.address)
+	require.NoError(f.t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, request)
+	require.NoError(f.t, err)
+	require.NoError(f.t, conn.(*net.TCPConn).CloseWrite())
+	received, err := io.ReadAll(conn)
+	require.NoError(f.t, err)
+	return string(received)
+}
+
+func request(id string, contentLength int, body string) string {
+	return fmt.Sprintf("POST /x HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nContent-Length: %d\r\n\r\n%s", host, id, contentLength, body)
+}
+
+// Guards against a success that the caller gets for a request that never ran, since its
+// body ended early.
+func TestCutBodyGetsNoSuccess(t *testing.T) {
+	f := startFront(t, func(relay.Sink) relay.Outcome {
+		t.Error("a request without its whole body must not run")
+		return relay.Outcome{}
+	})
+	require.NotContains(t, f.exchange(request("cut", 10, "abc")), " 200 ")
+	require.Contains(t, f.logs.String(), "request=cut")
+}
--- a/internal/transport/front/request.go
+++ b/internal/transport/front/request.go
@@ -126,8 +126,7 @@
 	}
 	controller := http.NewResponseController(c.w)
 	if err := controller.SetReadDeadline(c.receivedAt.Add(c.timeout())); err != nil {
-		c.logCallerLeft("connection_closed")
-		return false
+		c.abortCallerLeft("connection_closed")
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
 	var tooLarge *http.MaxBytesError
@@ -143,7 +142,7 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.reject(http.StatusRequestTimeout, 0, "body_too_slow")
 	case c.r.Context().Err() != nil:
-		c.logCallerLeft("caller_left")
+		c.abortCallerLeft("caller_left")
 	default:
 		c.reject(http.StatusBadRequest, 0, "body_unreadable")
 	}
@@ -171,9 +170,12 @@
 	}
 }
 
-// logCallerLeft logs a caller that disconnected before it received a response.
-func (c *callerRequest) logCallerLeft(reason string) {
+// abortCallerLeft ends a request whose caller disconnected before it was read whole. It
+// closes the connection: net/http would otherwise respond with 200, which a caller that has
+// only closed its sending side would take for a success.
+func (c *callerRequest) abortCallerLeft(reason string) {
 	c.log("caller_left", 0, reason)
+	panic(http.ErrAbortHandler)
 }
 
 // log writes the log line of a request's outcome and counts the outcome.
