front: a panic of a handler is answered and logged

What callers saw: a request that was read whole and whose handler panics ended with a closed connection.

Cause: net/http recovers the panic, closes the connection and writes a stack that names no request. There was no `event=request` line and no count, so the request looked like one that ended with its process.

If a response has begun, the connection is still closed, so that it does not look complete.

TestPanicIsAnsweredAndLogged before: the caller received nothing. TestPanicInResponseClosesConnection before: no line of the request. After: green, 20 times.

--- a/internal/transport/front/front_test.go
+++ b/internal/transport/front/front_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -116,3 +117,25 @@
 	require.NotContains(t, f.exchange(request("cut", 10, "abc")), " 200 ")
 	require.Contains(t, f.logs.String(), "request=cut")
 }
+
+// Guards against a request that ends without a response and without a log line, because a
+// fault of this program made its handler panic.
+func TestPanicIsAnsweredAndLogged(t *testing.T) {
+	f := startFront(t, func(relay.Sink) relay.Outcome { panic("broken invariant") })
+	require.Contains(t, f.exchange(request("first", 0, "")), "HTTP/1.1 500 ")
+	require.Regexp(t, `event=request request=first .*outcome=failed reason=panic status=500 .*err="broken invariant"`, f.logs.String())
+}
+
+// Guards against a truncated response that looks complete, because the panic of its handler
+// was answered.
+func TestPanicInResponseClosesConnection(t *testing.T) {
+	f := startFront(t, func(sink relay.Sink) relay.Outcome {
+		sink.SendHead(&exchange.Reply{Status: http.StatusOK})
+		if err := sink.SendBody([]byte("part")); err != nil {
+			t.Error(err)
+		}
+		panic("broken invariant")
+	})
+	require.True(t, strings.HasSuffix(f.exchange(request("first", 0, "")), "4\r\npart\r\n"))
+	require.Regexp(t, `event=request request=first .*outcome=cut_off reason=panic status=500 `, f.logs.String())
+}
--- a/internal/transport/front/online.go
+++ b/internal/transport/front/online.go
@@ -30,7 +30,7 @@
 			"level", fmt.Sprintf("%.2f", decision.Level), "share", fmt.Sprintf("%.2f", decision.Share))
 		return
 	}
-	sink := &responseSink{w: c.w, controller: http.NewResponseController(c.w)}
+	sink := &responseSink{request: c, controller: http.NewResponseController(c.w)}
 	outcome := c.opts.Relay.Serve(c.r.Context(), &relay.RoutedRequest{
 		Request: &c.request, Route: c.route, Service: service, Organisation: organisation,
 		ReceivedAt: c.receivedAt, Deadline: c.receivedAt.Add(c.timeout()),
@@ -93,13 +93,13 @@
 
 // responseSink writes a response to the caller's connection.
 type responseSink struct {
-	w          http.ResponseWriter
+	request    *callerRequest
 	controller *http.ResponseController
 }
 
 // SendHead implements relay.Sink.
 func (s *responseSink) SendHead(reply *exchange.Reply) {
-	header := s.w.Header()
+	header := s.request.w.Header()
 	for name, values := range reply.Header {
 		header[name] = values
 	}
@@ -107,7 +107,8 @@
 		// Prevents net/http from detecting a content type.
 		header["Content-Type"] = nil
 	}
-	s.w.WriteHeader(reply.Status)
+	s.request.responded = true
+	s.request.w.WriteHeader(reply.Status)
 }
 
 // SendBody implements relay.Sink.
@@ -115,7 +116,7 @@
 	if err := s.controller.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return fmt.Errorf("write deadline: %w", err)
 	}
-	if _, err := s.w.Write(part); err != nil {
+	if _, err := s.request.w.Write(part); err != nil {
 		return err
 	}
 	return s.controller.Flush()
--- a/internal/transport/front/request.go
+++ b/internal/transport/front/request.go
@@ -2,10 +2,12 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	stdlog "log"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -27,6 +29,8 @@
 	request      exchange.Request
 	route        *route.Route
 	organisation *route.Organisation
+	// responded is set once the head of a response was written.
+	responded bool
 }
 
 const (
@@ -163,6 +167,7 @@
 	if contentType != "" {
 		c.w.Header().Set("Content-Type", contentType)
 	}
+	c.responded = true
 	c.w.WriteHeader(status)
 	if len(body) > 0 {
 		// A failed write means that the caller has closed the connection.
@@ -178,6 +183,30 @@
 	panic(http.ErrAbortHandler)
 }
 
+// answerPanic logs the panic of a handler and responds with an error. It must be deferred. If
+// a response has begun, the connection is closed, so that the response does not look complete.
+//
+// Without it, net/http would close the connection without a response, and no log line would
+// name the request.
+func (c *callerRequest) answerPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause == http.ErrAbortHandler {
+		panic(cause)
+	}
+	outcome := "failed"
+	if c.responded {
+		outcome = "cut_off"
+	}
+	c.log(outcome, http.StatusInternalServerError, "panic", "err", fmt.Sprint(cause), "stack", string(debug.Stack()))
+	if c.responded {
+		panic(http.ErrAbortHandler)
+	}
+	c.respond(http.StatusInternalServerError, nil, "")
+}
+
 // log writes the log line of a request's outcome and counts the outcome.
 func (c *callerRequest) log(outcome string, status int, reason string, more ...any) {
 	var version int64
--- a/internal/transport/front/server.go
+++ b/internal/transport/front/server.go
@@ -132,7 +132,9 @@
 	if f.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	f.serve(&callerRequest{Front: f, w: w, r: r, receivedAt: time.Now(), table: f.opts.Table()})
+	c := &callerRequest{Front: f, w: w, r: r, receivedAt: time.Now(), table: f.opts.Table()}
+	defer c.answerPanic()
+	f.serve(c)
 }
 
 // StartDraining makes each response ask its caller to close the connection.
