routed: a test that a shutdown without the store ends within the grace period

The fault was suspected and not found: the store silent, resetting, busy or behind a partition, cut off before or at three moments of the shutdown; all 16 cases end in time on the code before this test too.

--- a/internal/daemon/routed/shutdown_test.go
+++ b/internal/daemon/routed/shutdown_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/standin/sharedstore"
 )
 
 // An instance is told to stop while callers keep sending on open connections. If it
@@ -101,3 +103,34 @@
 		require.Less(t, time.Since(start), 8*time.Second)
 	})
 }
+
+// Guards against an instance that does not stop within its grace period because it can't
+// reach the store, which is cut off before or during the shutdown.
+func TestShutdownWithoutStoreEndsInTime(t *testing.T) {
+	setFault := func(fault sharedstore.Fault) func(*testFleet) {
+		return func(fleet *testFleet) { fleet.instances[0].storeAccess.Set(fault) }
+	}
+	for name, cutOff := range map[string]func(*testFleet){
+		"silent":      setFault(sharedstore.Fault{Silent: true}),
+		"reset":       setFault(sharedstore.Fault{Reset: true}),
+		"busy":        setFault(sharedstore.Fault{Status: http.StatusServiceUnavailable}),
+		"partitioned": func(fleet *testFleet) { fleet.isolateDomain("d0") },
+	} {
+		// The shutdown starts after two seconds. The connections are closed 2.5 s later.
+		for _, cutAt := range []time.Duration{0, 2 * time.Second, 3 * time.Second, 4700 * time.Millisecond} {
+			t.Run(fmt.Sprint(name, " ", cutAt), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					fleet := newTestFleet(t, fleetSize{domains: 2, instances: 2, targets: 2})
+					inst := fleet.instances[0]
+					require.Equal(t, http.StatusAccepted, inst.send(batchJob("job", 6, 200)).status)
+					time.AfterFunc(cutAt, func() { cutOff(fleet) })
+					sleep(2 * time.Second)
+					start := time.Now()
+					inst.terminate()
+					require.Less(t, time.Since(start), inst.settings.Grace)
+					require.Contains(t, inst.logs.String(), "event=stopped")
+				})
+			})
+		}
+	}
+}
