Requests that the end of the grace period interrupts are answered and logged

What callers saw: a request that was read whole and still ran 1.2 s before the end of the grace period ended with EOF, and its line said that the caller had left: "outcome=cut_off reason=caller_left status=200 took_ms=4499 events=44" beside "connections_closed interrupted=1" (test below on the code before).

Cause: at its limit, the shutdown left the handlers alone, and the connections were closed under them a moment later.

Now the shutdown first cancels the context of the requests in flight with a cause of its own, and waits up to 100 ms for their responses. Those whose response has not begun get 503 if they can't have run, else 502; the others are cut. Both have reason=interrupted.

TestRequestAtEndOfGracePeriodIsAnswered before: EOF. TestStreamAtEndOfGracePeriodIsCut before: reason=caller_left. TestHandlersAreInterruptedAtLimitOfShutdown guards the limit itself.

--- a/internal/coordination/routed/relay/outcome.go
+++ b/internal/coordination/routed/relay/outcome.go
@@ -28,6 +28,8 @@
 	Truncated Reason = "cut_off"
 	// CallerDisconnected: the caller closed its connection.
 	CallerDisconnected Reason = "caller_left"
+	// Interrupted: the instance exits and can't wait for the answer.
+	Interrupted Reason = "interrupted"
 )
 
 // Outcome is the result of a request.
@@ -78,6 +80,11 @@
 			return http.StatusServiceUnavailable
 		}
 		return http.StatusGatewayTimeout
+	case Interrupted:
+		if o.PossibleRuns == 0 {
+			return http.StatusServiceUnavailable
+		}
+		return http.StatusBadGateway
 	default:
 		return http.StatusBadGateway
 	}
--- a/internal/coordination/routed/relay/relay.go
+++ b/internal/coordination/routed/relay/relay.go
@@ -277,8 +277,12 @@
 	return c.afterLostAnswer(choice, "err", err)
 }
 
+// ErrInterrupted is the cause with which the context of a request is cancelled if the
+// instance exits before the request has ended.
+var ErrInterrupted = errors.New("instance exits")
+
 // contextEnded reports whether the context has ended, and if so sets the reason:
-// the deadline passed or the caller disconnected.
+// the deadline passed, the instance exits or the caller disconnected.
 func (c *call) contextEnded(ctx context.Context) bool {
 	switch {
 	case ctx.Err() == nil:
@@ -288,6 +292,8 @@
 		if c.headSent {
 			c.outcome.Reason = Truncated
 		}
+	case errors.Is(context.Cause(ctx), ErrInterrupted):
+		c.outcome.Reason = Interrupted
 	default:
 		c.outcome.Reason = CallerDisconnected
 	}
--- a/internal/daemon/routed/shutdown_test.go
+++ b/internal/daemon/routed/shutdown_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"merlintiller/internal/standin/engine"
 	"merlintiller/internal/standin/sharedstore"
 )
 
@@ -134,3 +135,41 @@
 		}
 	}
 }
+
+// Guards against requests that end without a response at the end of the grace period, and
+// whose log line says that the caller left.
+func TestRequestAtEndOfGracePeriodIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		got, logs := sendAtEndOfGracePeriod(t, time.Minute)
+		require.NoError(t, got.err)
+		require.Equal(t, http.StatusBadGateway, got.status)
+		require.Regexp(t, "request=late .*outcome=failed reason=interrupted status=502", logs)
+		require.Contains(t, logs, "interrupted=1")
+	})
+}
+
+// Guards against a response that looks complete though the instance cut it at the end of the
+// grace period, and against a log line that says that the caller left.
+func TestStreamAtEndOfGracePeriodIsCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		got, logs := sendAtEndOfGracePeriod(t, 100*time.Millisecond)
+		require.Error(t, got.err)
+		require.NotEmpty(t, got.body)
+		require.Regexp(t, "request=late .*outcome=cut_off reason=interrupted status=200", logs)
+	})
+}
+
+// sendAtEndOfGracePeriod sends a request to an instance that shuts down, so late that it is
+// still running at the end of the grace period, and returns its response and the instance's
+// log lines.
+func sendAtEndOfGracePeriod(t *testing.T, eventInterval time.Duration) (callerResponse, string) {
+	fleet := newTestFleet(t, fleetSize{domains: 1, instances: 2, targets: 1, engine: engine.Options{
+		Slots: 8, QueueSize: 24, EventInterval: eventInterval,
+	}})
+	inst := fleet.instances[0]
+	inst.cancel()
+	sleep(inst.settings.DrainNotice - 200*time.Millisecond)
+	got := inst.send(callerRequest{id: "late", path: "/once/a/100", key: keyOne})
+	<-inst.done
+	return got, inst.logs.String()
+}
--- a/internal/explain/causes.go
+++ b/internal/explain/causes.go
@@ -185,6 +185,8 @@
 		return fmt.Sprintf("the answer of target %s was lost, and the request must not run twice", r.Fields["target"])
 	case "cut_off":
 		return fmt.Sprintf("target %s stopped in the middle of the answer, and no other target can continue it", r.Fields["target"])
+	case "interrupted":
+		return "the instance exited before the answer was complete"
 	case "timed_out":
 		return fmt.Sprintf("it timed out; target %s ran it last", r.Fields["target"])
 	default:
--- a/internal/transport/front/server.go
+++ b/internal/transport/front/server.go
@@ -91,11 +91,15 @@
 	inFlight atomic.Int64
 	draining atomic.Bool
 	server   *graceful.Service
+	// requests is the parent of the context of every request. interrupt cancels it.
+	requests  context.Context
+	interrupt context.CancelCauseFunc
 }
 
 // New returns a Front. Serve opens its listener.
 func New(opts Options) *Front {
 	f := &Front{opts: opts}
+	f.requests, f.interrupt = context.WithCancelCause(context.Background())
 	f.server = graceful.NewService(opts.Listen, f.serverOptions)
 	metrics.GetOrCreateGauge("requests_in_flight", func() float64 { return float64(f.inFlight.Load()) })
 	return f
@@ -118,9 +122,11 @@
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
 			ErrorLog:          newErrorLog(f.opts.Logger),
+			BaseContext:       func(net.Listener) context.Context { return f.requests },
 		},
-		Refusal: f.writeDrainingRefusal,
-		Logger:  f.opts.Logger,
+		Refusal:   f.writeDrainingRefusal,
+		Interrupt: func() { f.interrupt(relay.ErrInterrupted) },
+		Logger:    f.opts.Logger,
 	}
 }
 
@@ -150,7 +156,8 @@
 // InFlight returns the number of requests in flight.
 func (f *Front) InFlight() int64 { return f.inFlight.Load() }
 
-// Shutdown closes the listener and waits for the requests in flight.
+// Shutdown closes the listener and waits for the requests in flight. Those that are left when
+// ctx is done get an error response, unless their response has begun.
 func (f *Front) Shutdown(ctx context.Context) error {
 	return f.server.Shutdown(ctx)
 }
--- a/internal/transport/graceful/graceful_test.go
+++ b/internal/transport/graceful/graceful_test.go
@@ -221,3 +221,38 @@
 		require.Equal(t, http.StatusOK, receiveStatus(t, caller))
 	})
 }
+
+// Guards against a request that gets no response at the limit of a shutdown though its
+// handler could give one, and against a handler that holds up the shutdown beyond its limit.
+func TestHandlersAreInterruptedAtLimitOfShutdown(t *testing.T) {
+	for name, responds := range map[string]bool{"responds": true, "hangs": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				interrupt, release := make(chan struct{}), make(chan struct{})
+				server, listener := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+					<-interrupt
+					if !responds {
+						<-release
+					}
+					w.Header().Set("Connection", "close")
+					w.WriteHeader(http.StatusBadGateway)
+				})
+				server.opts.Interrupt = func() { close(interrupt) }
+				caller := listener.dial()
+				_, err := io.WriteString(caller, request)
+				require.NoError(t, err)
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				start := time.Now()
+				done := startShutdown(ctx, server)
+				if responds {
+					require.Equal(t, http.StatusBadGateway, receiveStatus(t, caller))
+				}
+				require.ErrorContains(t, <-done, "1 requests are still in flight")
+				require.LessOrEqual(t, time.Since(start), time.Second+interruptTimeout)
+				require.NoError(t, server.Close())
+				close(release)
+			})
+		})
+	}
+}
--- a/internal/transport/graceful/server.go
+++ b/internal/transport/graceful/server.go
@@ -29,8 +29,12 @@
 	interrupted = expvar.NewInt("shutdown.interrupted")
 )
 
-// checkInterval is the interval at which a shutdown checks the open connections.
-const checkInterval = 20 * time.Millisecond
+const (
+	// checkInterval is the interval at which a shutdown checks the open connections.
+	checkInterval = 20 * time.Millisecond
+	// interruptTimeout is the time that the handlers have to respond after Interrupt.
+	interruptTimeout = 100 * time.Millisecond
+)
 
 // Options configure a Server.
 type Options struct {
@@ -42,7 +46,9 @@
 	// Refusal writes the response that tells a caller that its request was not read and
 	// may be sent to another instance.
 	Refusal func(http.ResponseWriter)
-	Logger  log.Logger
+	// Interrupt, if set, makes the handlers of the requests in flight respond at once.
+	Interrupt func()
+	Logger    log.Logger
 }
 
 // Server is an HTTP server with a graceful shutdown.
@@ -110,14 +116,31 @@
 			return nil
 		}
 		if !wait.For(ctx, checkInterval) {
-			left := s.conns.countActive()
-			interrupted.Add(int64(left))
-			s.logClosed(left)
-			return trace.LimitExceeded("%d requests are still in flight", left)
+			return s.interrupt()
 		}
 	}
 }
 
+// interrupt ends the requests that are in flight at the limit of a shutdown.
+func (s *Server) interrupt() error {
+	left := s.conns.countActive()
+	interrupted.Add(int64(left))
+	if s.opts.Interrupt != nil {
+		s.opts.Interrupt()
+		s.awaitResponses()
+	}
+	s.logClosed(left)
+	return trace.LimitExceeded("%d requests are still in flight", left)
+}
+
+// awaitResponses waits for the responses after an interrupt.
+func (s *Server) awaitResponses() {
+	ctx, cancel := context.WithTimeout(context.Background(), interruptTimeout)
+	defer cancel()
+	for s.conns.countActive() > 0 && wait.For(ctx, checkInterval) {
+	}
+}
+
 func (s *Server) logClosed(left int) {
 	_ = level.Info(s.opts.Logger).Log("event", "connections_closed", "server", s.opts.Name,
 		"refused_idle", s.conns.refusedCount(), "interrupted", left)
