front: the log tells a caller that does not read from one that left

What callers saw: a caller that reads nothing for 5 s gets its response cut, which is intended. The line of the request said "outcome=cut_off reason=caller_left took_ms=5000", as for a caller that closed its connection.

Now the line has the error of the write in write_err, if there was one.

TestLogTellsCallerThatDoesNotReadFromOneThatLeft before: no write_err.

--- a/internal/transport/front/front_test.go
+++ b/internal/transport/front/front_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-kit/log"
@@ -18,6 +19,7 @@
 	"merlintiller/internal/coordination/routed/quota"
 	"merlintiller/internal/coordination/routed/relay"
 	"merlintiller/internal/protocol/exchange"
+	"merlintiller/internal/standin/memnet"
 	"merlintiller/internal/state/route"
 )
 
@@ -64,6 +66,11 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
+	return startFrontOn(t, listener, serve)
+}
+
+func startFrontOn(t *testing.T, listener net.Listener, serve relayFunc) *testFront {
+	t.Helper()
 	table := route.NewTable(route.Config{Version: 1, Routes: []route.Route{{
 		Name: "r", Host: host, Prefix: "/", Kind: route.Idempotent, Timeout: 5 * time.Second, MaxAttempts: 1,
 		Split: []route.WeightedService{{Service: "svc", Weight: 1}},
@@ -139,3 +146,28 @@
 	require.True(t, strings.HasSuffix(f.exchange(request("first", 0, "")), "4\r\npart\r\n"))
 	require.Regexp(t, `event=request request=first .*outcome=cut_off reason=panic status=500 `, f.logs.String())
 }
+
+// Guards against a log line that says that the caller left, where the caller was connected
+// and did not read its response.
+func TestLogTellsCallerThatDoesNotReadFromOneThatLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.New(time.Millisecond)
+		listener, err := network.Host("10.0.0.2").Listen("10.0.0.2:80")
+		require.NoError(t, err)
+		ended := make(chan struct{})
+		f := startFrontOn(t, listener, func(sink relay.Sink) relay.Outcome {
+			defer close(ended)
+			sink.SendHead(&exchange.Reply{Status: http.StatusOK})
+			require.Error(t, sink.SendBody(make([]byte, 1<<20)))
+			return relay.Outcome{Reason: relay.CallerDisconnected, Status: http.StatusOK, TimeToFirstByte: 1}
+		})
+		caller, err := network.Host("10.0.0.1").Dial(t.Context(), "10.0.0.2:80")
+		require.NoError(t, err)
+		_, err = io.WriteString(caller, request("slow", 0, ""))
+		require.NoError(t, err)
+		<-ended
+		synctest.Wait()
+		require.Regexp(t, `request=slow .*reason=caller_left .*write_err="?i/o timeout`, f.logs.String())
+		require.NoError(t, caller.Close())
+	})
+}
--- a/internal/transport/front/online.go
+++ b/internal/transport/front/online.go
@@ -113,6 +113,11 @@
 
 // SendBody implements relay.Sink.
 func (s *responseSink) SendBody(part []byte) error {
+	s.request.writeErr = s.write(part)
+	return s.request.writeErr
+}
+
+func (s *responseSink) write(part []byte) error {
 	if err := s.controller.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return fmt.Errorf("write deadline: %w", err)
 	}
--- a/internal/transport/front/request.go
+++ b/internal/transport/front/request.go
@@ -31,6 +31,8 @@
 	organisation *route.Organisation
 	// responded is set once the head of a response was written.
 	responded bool
+	// writeErr is the error of writing a part of the response.
+	writeErr error
 }
 
 const (
@@ -223,6 +225,9 @@
 		"event", "request", "request", c.request.ID, "route", name, "organisation", c.organisationName(),
 		"config", version, "outcome", outcome, "reason", reason, "status", status, "took_ms", elapsed.Milliseconds(),
 	}, more...)
+	if c.writeErr != nil {
+		fields = append(fields, "write_err", c.writeErr)
+	}
 	_ = level.Info(c.opts.Logger).Log(fields...)
 }
 
