--- a/internal/daemon/routed/shutdown_test.go
+++ b/internal/daemon/routed/shutdown_test.go
@@ -11,6 +11,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/standin/engine"
+	"merlintiller/internal/standin/sharedstore"
 )
 
 // An instance is told to stop while callers keep sending on open connections. If it
@@ -101,3 +104,72 @@
 		require.Less(t, time.Since(start), 8*time.Second)
 	})
 }
+
+// Guards against an instance that does not stop within its grace period because it can't
+// reach the store, which is cut off before or during the shutdown.
+func TestShutdownWithoutStoreEndsInTime(t *testing.T) {
+	setFault := func(fault sharedstore.Fault) func(*testFleet) {
+		return func(fleet *testFleet) { fleet.instances[0].storeAccess.Set(fault) }
+	}
+	for name, cutOff := range map[string]func(*testFleet){
+		"silent":      setFault(sharedstore.Fault{Silent: true}),
+		"reset":       setFault(sharedstore.Fault{Reset: true}),
+		"busy":        setFault(sharedstore.Fault{Status: http.StatusServiceUnavailable}),
+		"partitioned": func(fleet *testFleet) { fleet.isolateDomain("d0") },
+	} {
+		// The shutdown starts after two seconds. The connections are closed 2.5 s later.
+		for _, cutAt := range []time.Duration{0, 2 * time.Second, 3 * time.Second, 4700 * time.Millisecond} {
+			t.Run(fmt.Sprint(name, " ", cutAt), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					fleet := newTestFleet(t, fleetSize{domains: 2, instances: 2, targets: 2})
+					inst := fleet.instances[0]
+					require.Equal(t, http.StatusAccepted, inst.send(batchJob("job", 6, 200)).status)
+					time.AfterFunc(cutAt, func() { cutOff(fleet) })
+					sleep(2 * time.Second)
+					start := time.Now()
+					inst.terminate()
+					require.Less(t, time.Since(start), inst.settings.Grace)
+					require.Contains(t, inst.logs.String(), "event=stopped")
+				})
+			})
+		}
+	}
+}
+
+// Guards against requests that end without a response at the end of the grace period, and
+// whose log line says that the caller left.
+func TestRequestAtEndOfGracePeriodIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		got, logs := sendAtEndOfGracePeriod(t, time.Minute)
+		require.NoError(t, got.err)
+		require.Equal(t, http.StatusBadGateway, got.status)
+		require.Regexp(t, "request=late .*outcome=failed reason=interrupted status=502", logs)
+		require.Contains(t, logs, "interrupted=1")
+	})
+}
+
+// Guards against a response that looks complete though the instance cut it at the end of the
+// grace period, and against a log line that says that the caller left.
+func TestStreamAtEndOfGracePeriodIsCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		got, logs := sendAtEndOfGracePeriod(t, 100*time.Millisecond)
+		require.Error(t, got.err)
+		require.NotEmpty(t, got.body)
+		require.Regexp(t, "request=late .*outcome=cut_off reason=interrupted status=200", logs)
+	})
+}
+
+// sendAtEndOfGracePeriod sends a request to an instance that shuts down, so late that it is
+// still running at the end of the grace period, and returns its response and the instance's
+// log lines.
+func sendAtEndOfGracePeriod(t *testing.T, eventInterval time.Duration) (callerResponse, string) {
+	fleet := newTestFleet(t, fleetSize{domains: 1, instances: 2, targets: 1, engine: engine.Options{
+		Slots: 8, QueueSize: 24, EventInterval: eventInterval,
+	}})
+	inst := fleet.instances[0]
+	inst.cancel()
+	sleep(inst.settings.DrainNotice - 200*time.Millisecond)
+	got := inst.send(callerRequest{id: "late", path: "/once/a/100", key: keyOne})
+	<-inst.done
+	return got, inst.logs.String()
+}
--- a/internal/transport/front/request.go
+++ b/internal/transport/front/request.go
@@ -2,10 +2,12 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	stdlog "log"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -27,6 +29,10 @@
 	request      exchange.Request
 	route        *route.Route
 	organisation *route.Organisation
+	// responded is set once the head of a response was written.
+	responded bool
+	// writeErr is the error of writing a part of the response.
+	writeErr error
 }
 
 const (
@@ -126,8 +132,7 @@
 	}
 	controller := http.NewResponseController(c.w)
 	if err := controller.SetReadDeadline(c.receivedAt.Add(c.timeout())); err != nil {
-		c.logCallerLeft("connection_closed")
-		return false
+		c.abortCallerLeft("connection_closed")
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
 	var tooLarge *http.MaxBytesError
@@ -143,7 +148,7 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.reject(http.StatusRequestTimeout, 0, "body_too_slow")
 	case c.r.Context().Err() != nil:
-		c.logCallerLeft("caller_left")
+		c.abortCallerLeft("caller_left")
 	default:
 		c.reject(http.StatusBadRequest, 0, "body_unreadable")
 	}
@@ -164,6 +169,7 @@
 	if contentType != "" {
 		c.w.Header().Set("Content-Type", contentType)
 	}
+	c.responded = true
 	c.w.WriteHeader(status)
 	if len(body) > 0 {
 		// A failed write means that the caller has closed the connection.
@@ -171,9 +177,36 @@
 	}
 }
 
-// logCallerLeft logs a caller that disconnected before it received a response.
-func (c *callerRequest) logCallerLeft(reason string) {
+// abortCallerLeft ends a request whose caller disconnected before it was read whole. It
+// closes the connection: net/http would otherwise respond with 200, which a caller that has
+// only closed its sending side would take for a success.
+func (c *callerRequest) abortCallerLeft(reason string) {
 	c.log("caller_left", 0, reason)
+	panic(http.ErrAbortHandler)
+}
+
+// answerPanic logs the panic of a handler and responds with an error. It must be deferred. If
+// a response has begun, the connection is closed, so that the response does not look complete.
+//
+// Without it, net/http would close the connection without a response, and no log line would
+// name the request.
+func (c *callerRequest) answerPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause == http.ErrAbortHandler {
+		panic(cause)
+	}
+	outcome := "failed"
+	if c.responded {
+		outcome = "cut_off"
+	}
+	c.log(outcome, http.StatusInternalServerError, "panic", "err", fmt.Sprint(cause), "stack", string(debug.Stack()))
+	if c.responded {
+		panic(http.ErrAbortHandler)
+	}
+	c.respond(http.StatusInternalServerError, nil, "")
 }
 
 // log writes the log line of a request's outcome and counts the outcome.
@@ -192,6 +225,9 @@
 		"event", "request", "request", c.request.ID, "route", name, "organisation", c.organisationName(),
 		"config", version, "outcome", outcome, "reason", reason, "status", status, "took_ms", elapsed.Milliseconds(),
 	}, more...)
+	if c.writeErr != nil {
+		fields = append(fields, "write_err", c.writeErr)
+	}
 	_ = level.Info(c.opts.Logger).Log(fields...)
 }
 
