Test: calls of instances at nearly the same time count as simultaneous

What it let pass: mostAtOnce counted calls at exactly the same instant, so that TestRetriesOfInstancesSpreadOut passed with a jitter of up to 50 ns, which spreads no load. Now calls within any 10 ms count together; the bounds stay as they were.

Shown with a replaced internal/wait: without jitter both tests are red (50 of 50 instances at once); with a jitter of up to 50 ns both are red (50 and 48), where the old count left TestRetriesOfInstancesSpreadOut green.

--- a/internal/coordination/routed/fleetview/watcher_test.go
+++ b/internal/coordination/routed/fleetview/watcher_test.go
@@ -243,15 +243,19 @@
 	}
 }
 
-// mostAtOnce returns the largest number of calls at the same time after a time.
+// mostAtOnce returns the largest number of calls within any 10 ms after a time.
 func (s *countingStore) mostAtOnce(calls *[]time.Time, after time.Time) (most int) {
+	const window = 10 * time.Millisecond
 	s.callsMu.Lock()
 	defer s.callsMu.Unlock()
-	count := map[time.Time]int{}
-	for _, at := range *calls {
+	sorted := slices.SortedFunc(slices.Values(*calls), time.Time.Compare)
+	first := 0
+	for last, at := range sorted {
+		for at.Sub(sorted[first]) > window || (first < last && !sorted[first].After(after)) {
+			first++
+		}
 		if at.After(after) {
-			count[at]++
-			most = max(most, count[at])
+			most = max(most, last-first+1)
 		}
 	}
 	return most
