After an outage a watch asks what it missed before it reads in full

What callers see: when the store returns after some seconds, each instance reads every version of the configuration of that time, each tens to hundreds of kilobytes, at the moment at which the store is busiest. On the other side, while the store answers none, each retry of the watch of the targets is a full read, whose transfer is lost if it comes too late.

Cause: both are one decision, which read follows a long time without one. The watch of the configuration always read on from its offset, that of the targets always in full, and neither knew whether the store answers.

Why the fix works: once the last successful read is older than 2 s, both watches first read beyond the end of the partition, with no wait. The answer has the end and no records. Up to two missed records are read from the offset; for more there is one full read in place of all versions. If that fails, the next such one comes 1 to 4 s later, with backoff and jitter per instance. Retries while the store answers none are reads of this small kind, as frequent as before; the full read of each 10 s stays.

--- a/internal/coordination/routed/fleetview/watcher.go
+++ b/internal/coordination/routed/fleetview/watcher.go
@@ -33,10 +33,19 @@
 	maxRetryDelay = 800 * time.Millisecond
 	// reloadInterval is how often, on average, all keys are read in full.
 	reloadInterval = 10 * time.Second
-	// targetsMaxAge is the age of the list of targets from which it is read in full. The
-	// renewed entries of one second are about as large as the list, so the changes of a
-	// longer time are larger.
-	targetsMaxAge = 2 * time.Second
+	// maxReadAge is the time since the last successful read after which the changes may be
+	// larger than the newest records of all keys: each version of the configuration is
+	// whole, and the entries of targets that are renewed in one second are about as large
+	// as their list.
+	maxReadAge = 2 * time.Second
+	// maxMissedRecords is the number of records up to which the changes are read even then.
+	maxMissedRecords = 2
+	// beyondEnd is added to an offset to get one that the partition does not reach.
+	beyondEnd = 1 << 40
+	// minReloadDelay and maxReloadDelay bound the exponential backoff after a full read
+	// that failed though the store answers small reads: it may be too busy for large ones.
+	minReloadDelay = time.Second
+	maxReloadDelay = 4 * time.Second
 	// suspendedPollInterval is how often a suspended watcher checks whether it has
 	// to read again.
 	suspendedPollInterval = 500 * time.Millisecond
@@ -58,7 +67,7 @@
 		},
 		&watcher{
 			view: v, name: "targets", partition: v.opts.Sources.Targets, readWait: targetsReadWait, readPause: targetsReadPause,
-			maxAge: targetsMaxAge, load: v.loadTargets, apply: v.applyTargets, suspended: v.targetsFromPeers,
+			load: v.loadTargets, apply: v.applyTargets, suspended: v.targetsFromPeers,
 			random: rand.New(rand.NewPCG(v.opts.Seed, 2)),
 		},
 	}
@@ -98,9 +107,6 @@
 	// read that returned records.
 	readWait  time.Duration
 	readPause time.Duration
-	// maxAge is the time since the last successful read after which all keys are read in
-	// full. 0: the changes are always the smaller read.
-	maxAge time.Duration
 	// load adopts the newest records of all keys, apply applies later records.
 	load, apply func(external.KeyedPage)
 	// suspended reports whether other instances send the content of the partition,
@@ -119,6 +125,10 @@
 	readAt, reloadAt time.Time
 	// retry is the delay after the next failed read.
 	retry time.Duration
+	// reloadAllowedAt is the time before which missed records cause no full read,
+	// reloadRetry the delay after the next full read that fails.
+	reloadAllowedAt time.Time
+	reloadRetry     time.Duration
 }
 
 // String names the service for the supervisor.
@@ -126,7 +136,7 @@
 
 // Serve reads the partition until ctx ends.
 func (w *watcher) Serve(ctx context.Context) error {
-	w.retry = minRetryDelay
+	w.retry, w.reloadRetry = minRetryDelay, minReloadDelay
 	for ctx.Err() == nil {
 		if w.isSuspended() {
 			w.logSuspended(true)
@@ -165,24 +175,46 @@
 // update makes one read: of the newest records of all keys if that is due, otherwise of
 // the changes.
 func (w *watcher) update(ctx context.Context) error {
-	if w.reloadDue(time.Now()) {
+	now := time.Now()
+	switch {
+	case !w.loaded, !now.Before(w.reloadAt):
 		return w.reload(ctx)
+	case now.Sub(w.readAt) > maxReadAge:
+		return w.catchUp(ctx)
+	default:
+		return w.readChanges(ctx)
 	}
-	return w.readChanges(ctx)
 }
 
-// reloadDue reports whether all keys are to be read in full. A failed read alone is no
-// reason: the known offset is still valid, and a full read would add to the load of a
-// store that rejects calls because it is busy.
-func (w *watcher) reloadDue(now time.Time) bool {
+// catchUp reads what was missed since the last successful read: the changes if they are
+// few, otherwise the newest records of all keys. It first asks how many there are, which
+// costs a store that answers late or not at all hardly anything.
+func (w *watcher) catchUp(ctx context.Context) error {
+	missed, err := w.countMissed(ctx)
 	switch {
-	case !w.loaded:
-		return true
-	case w.maxAge > 0 && now.Sub(w.readAt) > w.maxAge:
-		return true
-	default:
-		return !now.Before(w.reloadAt)
+	case err != nil:
+		return err
+	case missed <= maxMissedRecords:
+		return w.readChanges(ctx)
+	case time.Now().Before(w.reloadAllowedAt):
+		wait.For(ctx, wait.Jitter(w.random, maxRetryDelay))
+		return nil
+	}
+	err = w.reload(ctx)
+	if err != nil {
+		w.delayReload()
 	}
+	return err
+}
+
+// countMissed returns the number of records from the known offset on. It reads beyond the
+// partition's end, so that the answer has the end and no records.
+func (w *watcher) countMissed(ctx context.Context) (int64, error) {
+	page, err := w.view.opts.Log.Read(ctx, w.partition, w.next+beyondEnd, 0)
+	if err != nil {
+		return 0, err
+	}
+	return page.End - w.next, nil
 }
 
 // reload reads the newest records of all keys. If that fails, the changes are still read
@@ -196,9 +228,16 @@
 	w.view.StoreAnswered()
 	w.load(page)
 	w.loaded, w.next, w.readAt = true, page.End, time.Now()
+	w.reloadRetry = minReloadDelay
 	return nil
 }
 
+// delayReload sets the time before which missed records cause no further full read.
+func (w *watcher) delayReload() {
+	w.reloadAllowedAt = time.Now().Add(wait.Jitter(w.random, w.reloadRetry))
+	w.reloadRetry = min(2*w.reloadRetry, maxReloadDelay)
+}
+
 // readChanges reads on from the known offset.
 func (w *watcher) readChanges(ctx context.Context) error {
 	page, err := w.view.opts.Log.Read(ctx, w.partition, w.next, w.readWait)
@@ -214,7 +253,7 @@
 		w.loaded = false
 		return errEndsEarlier
 	}
-	w.retry, w.readAt = minRetryDelay, time.Now()
+	w.retry, w.reloadRetry, w.readAt = minRetryDelay, minReloadDelay, time.Now()
 	w.apply(page)
 	if page.Next != w.next {
 		w.next = page.Next
