--- a/internal/coordination/routed/fleetview/versions_test.go
+++ b/internal/coordination/routed/fleetview/versions_test.go
@@ -1,6 +1,7 @@
 package fleetview
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -111,3 +112,30 @@
 		}
 	}
 }
+
+// strictStore rejects reads beyond the end of the partition.
+type strictStore struct{ countingStore }
+
+func (s *strictStore) Read(ctx context.Context, p external.Partition, from int64, longest time.Duration) (external.KeyedPage, error) {
+	if from > s.end() {
+		return external.KeyedPage{}, external.ErrTrimmed
+	}
+	return s.countingStore.Read(ctx, p, from, longest)
+}
+
+// Guards against a store that does not tell how many records were missed, so that the watch
+// asks again and again and reads none of them.
+func TestChangesAreReadAfterOutageOfStoreThatRejectsReadsBeyondTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &strictStore{}
+		store.put("a")
+		view := watchDrains(t, store)
+		sleep(1500 * time.Millisecond)
+		store.fail(1<<30, 1<<30)
+		sleep(4 * time.Second)
+		store.put("b")
+		store.fail(0, 0)
+		sleep(1500 * time.Millisecond)
+		require.Contains(t, view.Drains().Domains, "b")
+	})
+}
--- a/internal/coordination/routed/fleetview/watcher.go
+++ b/internal/coordination/routed/fleetview/watcher.go
@@ -211,6 +211,10 @@
 // partition's end, so that the answer has the end and no records.
 func (w *watcher) countMissed(ctx context.Context) (int64, error) {
 	page, err := w.view.opts.Log.Read(ctx, w.partition, w.next+beyondEnd, 0)
+	if errors.Is(err, external.ErrTrimmed) {
+		// The store does not tell how many.
+		return maxMissedRecords + 1, nil
+	}
 	if err != nil {
 		return 0, err
 	}
