--- a/internal/coordination/journal/journal.go
+++ b/internal/coordination/journal/journal.go
@@ -62,6 +62,9 @@
 	pacerTurn chan struct{}
 	progress  progress
 	status    status
+	// partial holds what the reader has read of a snapshot. Only the reader uses
+	// it.
+	partial partialSnapshot
 }
 
 // New returns a journal. It does nothing until its services run.
--- a/internal/coordination/journal/load.go
+++ b/internal/coordination/journal/load.go
@@ -35,6 +35,7 @@
 	r.mu.Lock()
 	r.state = state
 	r.mu.Unlock()
+	r.partial.drop()
 	r.backoff.reset()
 	r.status.set("")
 	r.progress.recordAttempt(time.Now())
--- a/internal/coordination/journal/reader.go
+++ b/internal/coordination/journal/reader.go
@@ -30,6 +30,7 @@
 			r.handleReadError(ctx, err)
 			continue
 		}
+		r.partial.drop()
 		r.backoff.reset()
 		r.status.set("")
 	}
@@ -78,6 +79,7 @@
 	if ctx.Err() != nil {
 		return
 	}
+	r.partial.dropExpired(time.Now())
 	counters.Add(countReadErrors, 1)
 	wait := r.backoff.next()
 	r.event("control_read_failed", "err", err, "wait", wait)
--- a/internal/coordination/journal/snapshotstream.go
+++ b/internal/coordination/journal/snapshotstream.go
@@ -1,10 +1,9 @@
 package journal
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"fmt"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
@@ -68,10 +67,24 @@
 	return j.appendWithRetry(ctx, protocol.SnapshotStream, payload)
 }
 
-// latestSnapshot returns the newest complete snapshot. It skips a manifest
-// whose chunks have left retention or don't match its sum. It returns
-// errNoSnapshot if the stream holds no complete snapshot.
+// latestSnapshot returns the newest complete snapshot. It first continues a
+// snapshot that an earlier call read in part, unless the search for it is too
+// long ago. It returns errNoSnapshot if the stream holds no complete snapshot.
 func (j *Journal) latestSnapshot(ctx context.Context) ([]byte, error) {
+	j.partial.dropExpired(time.Now())
+	if !j.partial.searchedRecently(time.Now()) {
+		return j.searchSnapshot(ctx)
+	}
+	data, err := j.readMissingChunks(ctx)
+	if errors.Is(err, errNoSnapshot) {
+		return j.searchSnapshot(ctx)
+	}
+	return data, err
+}
+
+// searchSnapshot searches the stream backwards for the newest complete snapshot.
+// It skips a manifest whose chunks have left retention or don't match its sum.
+func (j *Journal) searchSnapshot(ctx context.Context) ([]byte, error) {
 	oldest, next, err := j.snapshotBounds(ctx)
 	if err != nil {
 		return nil, err
@@ -134,25 +147,13 @@
 	return entry
 }
 
-// assembleSnapshot reads and joins the chunks that a manifest lists.
+// assembleSnapshot reads and joins the chunks that a manifest lists. It reuses
+// chunks that an earlier try has read.
 func (j *Journal) assembleSnapshot(ctx context.Context, entry snapshotEntry) ([]byte, error) {
 	manifest := entry.Manifest
 	if manifest == nil || manifest.Bytes < 0 || manifest.Bytes > maxSnapshotBytes {
 		return nil, errNoSnapshot
 	}
-	var assembled bytes.Buffer
-	for _, at := range manifest.Chunks {
-		entries, err := j.readSnapshotEntries(ctx, at, 1)
-		if err != nil {
-			return nil, err
-		}
-		if len(entries) == 0 || assembled.Len() > manifest.Bytes {
-			return nil, errNoSnapshot
-		}
-		assembled.Write(entries[0].Chunk)
-	}
-	if assembled.Len() != manifest.Bytes || xxhash.Sum64(assembled.Bytes()) != manifest.Sum {
-		return nil, fmt.Errorf("%w: checksum differs", errNoSnapshot)
-	}
-	return assembled.Bytes(), nil
+	j.partial.begin(manifest, time.Now())
+	return j.readMissingChunks(ctx)
 }
