Batch: one failed read does not end the search for old data

Operators see: while the log rejects a part of the reads, carry_stopped after each pass and no data is appended again. If this lasts as long as the retention, input and results are lost (chunk_input_lost, code "gone").

Cause: the search for the first entry to refresh is a binary search, about twenty reads for a million entries. One failed read ended the pass and discarded the search; the next pass, ten minutes later, began it again.

Fix: DataRefresher reads an entry up to five times, with pauses from 0.2 s to 1.6 s, before it gives up the pass. A read that can't succeed later (trimmed, malformed, no such entry) is not repeated. In an outage a pass costs five reads in place of one, every ten minutes. Other users of entryReader read once as before.

--- a/internal/coordination/batch/datarefresher.go
+++ b/internal/coordination/batch/datarefresher.go
@@ -126,7 +126,7 @@
 // true for an entry that has been removed or can't be decoded: the search then
 // ends at a later entry, and refreshing too much is harmless.
 func (r *DataRefresher) writtenBefore(ctx context.Context, at protocol.Offset, since time.Time) (bool, error) {
-	entry, err := newEntryReader(r.journal).read(ctx, at)
+	entry, err := newPersistentEntryReader(r.journal).read(ctx, at)
 	if isUnrecoverable(err) {
 		return true, nil
 	}
@@ -168,7 +168,7 @@
 	if err := r.limiter.Wait(ctx); err != nil {
 		return trace.Wrap(err)
 	}
-	entry, err := newEntryReader(r.journal).read(ctx, from)
+	entry, err := newPersistentEntryReader(r.journal).read(ctx, from)
 	if err != nil {
 		return err
 	}
