Batch: a download goes on after a failed read of the log

Callers see: while the log rejects a part of the reads, the download of a file or of the results of a job with many chunks is cut, and each new download begins with the first chunk again, so that a large one never arrives whole.

Cause: after the first chunk, the first failed read ended the response.

--- a/internal/coordination/batch/files.go
+++ b/internal/coordination/batch/files.go
@@ -253,6 +253,9 @@
 		if err := writeInput(out, file.Endpoint, items); err != nil {
 			return nil, trace.Wrap(err)
 		}
+		// A refusal is no longer possible, and a failed read would discard what
+		// the client has received.
+		entries.tries = persistentTries
 	}
 	return nil, nil
 }
--- a/internal/coordination/batch/results.go
+++ b/internal/coordination/batch/results.go
@@ -68,6 +68,7 @@
 		if err := writeResults(out, id, number, results); err != nil {
 			return nil, trace.Wrap(err)
 		}
+		reader.entries.tries = persistentTries
 	}
 	return nil, nil
 }
