A partition counts as loaded once the store's end was read

What callers see: a result that was listed is taken back. An owner that was dealt a partition loads it, its next read is rejected, and until one succeeds it answers with the results of some time ago; it also starts items that are done.

Cause: load made the newest records the state at once. They are as old as their first page, and pages kept of a failed read made that up to minutes; without kept pages it is the length of one load.

A load now builds a state of its own and takes effect when a read has reached the store's end after it. Until then calls get "not loaded", no item is started and nothing is published; a replica that was loaded before keeps its complete state, as it did while reading the newest records. A load whose read fails goes on from there with the next attempt, and begins anew only if the store no longer has the next record. That failure is returned, so that the follower's delay applies. A load costs one more read, from the end of its first page on. These reads don't wait for new records.

--- a/internal/coordination/routed/batchjobs/replica.go
+++ b/internal/coordination/routed/batchjobs/replica.go
@@ -38,9 +38,11 @@
 	// onChange, if set, is called after jobs were added, changed or removed.
 	onChange func(*partitionReplica)
 
-	mu      sync.Mutex
-	state   *jobs.Partition
-	loaded  bool
+	mu     sync.Mutex
+	state  *jobs.Partition
+	loaded bool
+	// loading is a load that has not reached the store's end yet.
+	loading *partitionLoad
 	changed chan struct{}
 	// acquiredAt is when the replica was created: for an owned partition, the
 	// start of the ownership.
@@ -63,6 +65,15 @@
 	publishNow  chan struct{}
 }
 
+// partitionLoad is a load of a whole partition.
+type partitionLoad struct {
+	// state holds the newest records and those appended since.
+	state *jobs.Partition
+	// records counts the newest records.
+	records int
+	began   time.Time
+}
+
 // finishedItem is an item that ended, with its result.
 type finishedItem struct {
 	job    string
@@ -115,24 +126,33 @@
 // the store has, or may have, records beyond this read.
 func (p *partitionReplica) read(ctx context.Context, wait time.Duration) (more bool, err error) {
 	p.mu.Lock()
-	loaded, next := p.loaded, p.state.Next()
+	complete, next := p.loaded && p.loading == nil, p.state.Next()
 	p.mu.Unlock()
-	if !loaded {
+	if !complete {
 		return true, p.load(ctx)
 	}
-	page, err := p.opts.Log.Read(ctx, p.partition, next, wait)
+	page, err := p.readFrom(ctx, next, wait)
 	if errors.Is(err, external.ErrTrimmed) {
 		return true, p.load(ctx)
 	}
 	if err != nil {
 		return false, err
 	}
+	p.apply(page)
+	return page.Next < page.End, nil
+}
+
+// readFrom reads records from an offset on.
+func (p *partitionReplica) readFrom(ctx context.Context, next int64, wait time.Duration) (external.KeyedPage, error) {
+	page, err := p.opts.Log.Read(ctx, p.partition, next, wait)
+	if err != nil {
+		return external.KeyedPage{}, err
+	}
 	p.opts.StoreAnswered()
 	if page.Next == next && next < page.End {
-		return false, fmt.Errorf("%w: read at offset %d returned no records, but the log ends at %d", external.ErrUnavailable, next, page.End)
+		return external.KeyedPage{}, fmt.Errorf("%w: read at offset %d returned no records, but the log ends at %d", external.ErrUnavailable, next, page.End)
 	}
-	p.apply(page)
-	return page.Next < page.End, nil
+	return page, nil
 }
 
 // readToEnd applies all records that the store has now.
@@ -149,37 +169,97 @@
 	}
 }
 
-// load replaces the state by the newest records of the partition and wakes the
-// publisher for results that arrived earlier.
+// load replaces the state by the newest records of the partition and those appended since,
+// and wakes the publisher for results that arrived earlier. Until it has read up to the
+// store's end, the state stays as it was. A load that fails goes on with the next call.
+//
+// The newest records may be as old as their first page. If they became the state at once, an
+// owner whose next read fails would answer with fewer results than another owner has
+// published, and would run items that are done.
 //
 // A partition may be reassigned while one of its items ends at another instance. The
 // result can reach the new owner before the store has returned the partition, when
 // the job is not known yet. Nothing else would trigger its publication, and since the
 // item counts as done at this instance, it would not run again either.
 func (p *partitionReplica) load(ctx context.Context) error {
+	load, err := p.currentLoad(ctx)
+	for more := load != nil; more && err == nil; {
+		more, err = p.readLoad(ctx, load)
+	}
+	return err
+}
+
+// currentLoad returns the load to go on with. It begins one if there is none, and returns
+// nil if the newest records are no newer than the state.
+func (p *partitionReplica) currentLoad(ctx context.Context) (*partitionLoad, error) {
+	p.mu.Lock()
+	load := p.loading
+	p.mu.Unlock()
+	if load != nil {
+		return load, nil
+	}
 	began := time.Now()
 	page, err := p.opts.Log.Newest(ctx, p.partition)
 	if err != nil {
 		p.logLoadFailed(time.Since(began), err)
-		return err
+		return nil, err
 	}
 	p.opts.StoreAnswered()
+	load = &partitionLoad{state: jobs.NewPartition(), records: len(page.Records), began: began}
+	if err := load.state.Load(page); err != nil {
+		_ = level.Error(p.logger).Log("event", "job_records_unreadable", "err", err)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.loaded && load.state.Next() <= p.state.Next() {
+		return nil, nil
+	}
+	p.loading = load
+	return load, nil
+}
+
+// readLoad applies records that follow those of a load, and ends the load at the store's
+// end. more says that records are missing.
+func (p *partitionReplica) readLoad(ctx context.Context, load *partitionLoad) (more bool, err error) {
+	p.mu.Lock()
+	next := load.state.Next()
+	p.mu.Unlock()
+	page, err := p.readFrom(ctx, next, 0)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.loaded && page.Next <= p.state.Next() {
-		return nil
+	if p.loading != load {
+		// Another call has ended the load or replaced it.
+		return false, err
 	}
-	state := jobs.NewPartition()
-	if err := state.Load(page); err != nil {
+	if errors.Is(err, external.ErrTrimmed) {
+		p.loading = nil
+	}
+	if err != nil {
+		return false, err
+	}
+	if err := load.state.Apply(page); err != nil {
 		_ = level.Error(p.logger).Log("event", "job_records_unreadable", "err", err)
 	}
-	p.state = state
+	if page.Next < page.End {
+		return true, nil
+	}
+	p.endLoad(load)
+	return false, nil
+}
+
+// endLoad makes a load that has reached the store's end the state, unless the state is as
+// new. The caller holds the lock.
+func (p *partitionReplica) endLoad(load *partitionLoad) {
+	p.loading = nil
+	if p.loaded && load.state.Next() <= p.state.Next() {
+		return
+	}
+	p.state = load.state
 	p.loaded = true
-	_ = level.Info(p.logger).Log("event", "jobs_loaded", "jobs", len(state.Jobs()), "next", state.Next(),
-		"owned", p.owned, "records", len(page.Records), "took_ms", time.Since(began).Milliseconds())
+	_ = level.Info(p.logger).Log("event", "jobs_loaded", "jobs", len(p.state.Jobs()), "next", p.state.Next(),
+		"owned", p.owned, "records", load.records, "took_ms", time.Since(load.began).Milliseconds())
 	p.notifyChange()
 	p.wakePublisher()
-	return nil
 }
 
 // logLoadFailed logs that the partition could not be loaded, with what had been received.
