An owner decides on its jobs only while it reads its partition

What callers see: while the store answers an owner's joins and none of its reads, calls on the jobs of its partition ended with 503 at every instance, for as long as that lasted. If the owner had loaded before, that held for the jobs accepted since. Now they are answered from 8 s after the owner's last read on.

Cause: the owner keeps the partition, since it joins. "Not loaded" counted as the owner's answer without a time limit, so no other instance read the store; and a failed read after Missing counted in the same way. An owner gave its own callers the same answer, also for cancellations.

Fix: the replica notes when the store last answered a read of the partition, at first its acquisition. After 8 s without one (ownerReadLimit), an owner answers NotHeld to calls on jobs that it doesn't have. Builds before this one go on to the two stand-ins on that verdict, and so does this one, also after the second call. The owner's own callers are served through stand-ins as well; the owner is not one of them. Before the limit nothing changes, so stand-ins don't load beside an owner that loads within 8 s.

Logs: a new optional field NotLoaded of the replies tells an owner that does not read from a former owner, so `why` is owner_not_loaded in both job_read_from_store and job_call_not_done. Builds before this one log not_held there.

Red before, green after: TestJobsOfOwnerThatNeverLoadsCanBeRead, TestNewJobsOfOwnerThatReadsNoMoreCanBeRead, daemon/routed TestJobsCanBeReadWhileOneOwnerCannotLoad.

--- a/internal/coordination/routed/batchjobs/calls.go
+++ b/internal/coordination/routed/batchjobs/calls.go
@@ -19,7 +19,7 @@
 	NotDone
 	// Unsure: the call may have taken effect, or may do so later.
 	Unsure
-	// NotHeld: the called instance does not own the partition.
+	// NotHeld: the called instance does not own the partition, or does not read it.
 	NotHeld
 )
 
@@ -53,6 +53,8 @@
 // ResultsReply is a page of a job's results.
 type ResultsReply struct {
 	Verdict Verdict
+	// NotLoaded, with NotHeld: the instance owns the partition and does not read it.
+	NotLoaded bool
 	// Total is the number of the job's items.
 	Total   int
 	Results []jobs.Result
@@ -67,7 +69,9 @@
 // BodyReply carries the body.
 type BodyReply struct {
 	Verdict Verdict
-	Body    []byte
+	// NotLoaded, with NotHeld: the instance owns the partition and does not read it.
+	NotLoaded bool
+	Body      []byte
 }
 
 // JobCall names a job of an organisation.
--- a/internal/coordination/routed/batchjobs/catchup.go
+++ b/internal/coordination/routed/batchjobs/catchup.go
@@ -57,7 +57,9 @@
 		ctx, cancel := context.WithTimeout(context.Background(), catchUpLimit)
 		run.err = p.readToEnd(ctx)
 		cancel()
-		if run.err != nil {
+		if run.err == nil {
+			p.noteRead()
+		} else {
 			p.failNextCatchUp(run.err)
 		}
 		close(run.done)
--- a/internal/coordination/routed/batchjobs/reads.go
+++ b/internal/coordination/routed/batchjobs/reads.go
@@ -6,12 +6,19 @@
 )
 
 // answer is a reply with a verdict.
-type answer interface{ verdict() Verdict }
+type answer interface {
+	verdict() Verdict
+	// notLoaded says, of a reply with NotHeld, that the instance owns the partition.
+	notLoaded() bool
+}
 
 func (r ResultsReply) verdict() Verdict { return r.Verdict }
 func (r BodyReply) verdict() Verdict    { return r.Verdict }
+func (r ResultsReply) notLoaded() bool  { return r.NotLoaded }
+func (r BodyReply) notLoaded() bool     { return r.NotLoaded }
 
-// jobRead is a read of a job whose partition another instance owns.
+// jobRead is a read of a job whose partition another instance owns, or this one, which does
+// not read it.
 type jobRead[R answer] struct {
 	number int
 	// call and job name the read in logs.
@@ -41,11 +48,15 @@
 	return reply
 }
 
-// fromOwner asks the owner. It returns false if no owner is known or reached. The owner's
-// answer counts also if it has not loaded the partition yet: a load by a further instance
-// would take a part of the store's read rate, and the owner would take longer. cause says
-// why the owner did not find the job.
+// fromOwner asks the owner. It returns false if no owner is known or reached, or if the
+// owner has not read the partition for ownerReadLimit. Until then the owner's answer counts
+// also if it has not loaded the partition yet: a load by a further instance would take a
+// part of the store's read rate, and the owner would take longer. cause says why the owner
+// did not find the job.
 func (r *jobRead[R]) fromOwner(ctx context.Context, s *JobService) (reply R, cause readCause, answered bool) {
+	if p, owned := s.owner.replicaOf(r.number); owned {
+		return reply, s.ownCause(p), false
+	}
 	owner, ok := s.opts.Peers.OwnerOf(r.number)
 	if !ok {
 		return reply, readCause{why: noOwnerKnown}, false
@@ -60,7 +71,7 @@
 	case Missing:
 		cause.why = ownerMissing
 	case NotHeld:
-		cause.why = notHeld
+		cause.why = whyNotHeld(reply)
 		return reply, cause, false
 	default:
 		cause.why = ownerNotLoaded
@@ -70,5 +81,20 @@
 	// up to its end.
 	var current R
 	cause.ownerErr = s.callPeer(ctx, owner.Address, viaPeerTimeout, r.storeMethod, r.storeCall, &current)
-	return current, cause, cause.ownerErr == nil
+	if cause.ownerErr != nil {
+		return current, cause, false
+	}
+	if current.verdict() == NotHeld {
+		cause.why = whyNotHeld(current)
+		return current, cause, false
+	}
+	return current, cause, true
+}
+
+// whyNotHeld says why a reply is NotHeld.
+func whyNotHeld(reply answer) readReason {
+	if reply.notLoaded() {
+		return ownerNotLoaded
+	}
+	return notHeld
 }
--- a/internal/coordination/routed/batchjobs/replica.go
+++ b/internal/coordination/routed/batchjobs/replica.go
@@ -45,6 +45,8 @@
 	// acquiredAt is when the replica was created: for an owned partition, the
 	// start of the ownership.
 	acquiredAt time.Time
+	// readAt is when the store last answered a read, at first acquiredAt.
+	readAt time.Time
 	// released says that the ownership has ended. The runner's lock guards it.
 	released bool
 	// onPartialOutput, if set, is called with output that another instance hands
@@ -78,6 +80,7 @@
 		publishNow:     make(chan struct{}, 1),
 		storeNow:       make(chan struct{}, 1),
 		acquiredAt:     time.Now(),
+		readAt:         time.Now(),
 		partialOutputs: map[itemID]PartialOutput{},
 	}
 }
@@ -98,6 +101,7 @@
 	for ctx.Err() == nil {
 		_, err := p.read(ctx, readWait)
 		if err == nil {
+			p.noteRead()
 			retry = minRetryDelay
 			continue
 		}
--- a/internal/coordination/routed/batchjobs/rpc.go
+++ b/internal/coordination/routed/batchjobs/rpc.go
@@ -52,6 +52,10 @@
 // Body returns the body of an item.
 func (r *Receiver) Body(args *BodyCall, reply *BodyReply) error {
 	reply.Verdict = NotHeld
+	if r.service.leavesToStandIns(args.Job) {
+		reply.NotLoaded = true
+		return nil
+	}
 	if p, ok := r.service.owner.replicaOf(r.service.opts.partitionOf(args.Job).Number); ok {
 		*reply = p.body(*args)
 	}
@@ -90,6 +94,10 @@
 
 // EndFor cancels a job for an instance that does not reach the store.
 func (r *Receiver) EndFor(args *JobCall, reply *JobReply) error {
+	if r.service.leavesToStandIns(args.Job) {
+		reply.Verdict = NotHeld
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), viaPeerTimeout)
 	defer cancel()
 	reply.Verdict = r.service.cancelInStore(ctx, *args, readCause{why: forPeer})
@@ -98,6 +106,10 @@
 
 // BodyFor returns the body of an item to an instance that does not reach the store.
 func (r *Receiver) BodyFor(args *BodyCall, reply *BodyReply) error {
+	if r.service.leavesToStandIns(args.Job) {
+		reply.Verdict, reply.NotLoaded = NotHeld, true
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), viaPeerTimeout)
 	defer cancel()
 	*reply = r.service.bodyFromStore(ctx, *args, readCause{why: forPeer})
@@ -106,6 +118,10 @@
 
 // ResultsFor returns results to an instance that does not reach the store.
 func (w *Waiter) ResultsFor(args *ResultsCall, reply *ResultsReply) error {
+	if w.service.leavesToStandIns(args.Job) {
+		reply.Verdict, reply.NotLoaded = NotHeld, true
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), viaPeerTimeout)
 	defer cancel()
 	*reply = w.service.resultsFromStore(ctx, *args, readCause{why: forPeer})
@@ -121,6 +137,10 @@
 // Results returns results of a job.
 func (w *Waiter) Results(args *ResultsCall, reply *ResultsReply) error {
 	reply.Verdict = NotHeld
+	if w.service.leavesToStandIns(args.Job) {
+		reply.NotLoaded = true
+		return nil
+	}
 	if p, ok := w.service.owner.replicaOf(w.service.opts.partitionOf(args.Job).Number); ok {
 		*reply = p.results(context.Background(), *args)
 	}
--- a/internal/coordination/routed/batchjobs/service.go
+++ b/internal/coordination/routed/batchjobs/service.go
@@ -115,7 +115,9 @@
 		if reply := p.results(ctx, call); reply.Verdict == Done {
 			return reply
 		}
-		return s.resultsFromStore(ctx, now, s.ownCause(p))
+		if !p.leavesToStandIns(call.Job) {
+			return s.resultsFromStore(ctx, now, s.ownCause(p))
+		}
 	}
 	read := &jobRead[ResultsReply]{
 		call: callResults, job: call.Job,
@@ -145,7 +147,9 @@
 func (s *JobService) Body(ctx context.Context, call BodyCall) BodyReply {
 	number := s.opts.partitionOf(call.Job).Number
 	if p, ok := s.owner.replicaOf(number); ok {
-		return s.bodyFromStore(ctx, call, s.ownCause(p))
+		if !p.leavesToStandIns(call.Job) {
+			return s.bodyFromStore(ctx, call, s.ownCause(p))
+		}
 	}
 	read := &jobRead[BodyReply]{
 		call: callBody, job: call.Job,
@@ -200,11 +204,17 @@
 	if s.callPeer(ctx, owner.Address, viaPeerTimeout, methodCancelFor, &call, &reply) != nil {
 		return Unsure, false
 	}
+	if reply.Verdict == NotHeld {
+		return NotDone, false
+	}
 	return reply.Verdict, reply.Verdict != Unsure
 }
 
 // cancelAsOwner is cancelAtOwner for a partition that this instance owns.
 func (s *JobService) cancelAsOwner(ctx context.Context, p *partitionReplica, call JobCall) (verdict Verdict, decided bool) {
+	if p.leavesToStandIns(call.Job) {
+		return NotDone, false
+	}
 	if !p.isLoaded() {
 		s.logNotDone(callCancel, call.Job, s.ownCause(p))
 		return NotDone, true
--- a/internal/coordination/routed/batchjobs/standins.go
+++ b/internal/coordination/routed/batchjobs/standins.go
@@ -36,7 +36,7 @@
 			candidates = append(candidates, p.Instance)
 		}
 	}
-	if s.canStandIn() {
+	if s.canStandIn(number) {
 		candidates = append(candidates, s.opts.Peers.Self())
 	}
 	role := fmt.Sprint("jobs/", number)
@@ -46,8 +46,11 @@
 	return candidates[:min(len(candidates), maxStandIns)]
 }
 
-// canStandIn says whether this instance may load a partition that it does not own.
-func (s *JobService) canStandIn() bool {
+// canStandIn says whether this instance may load a partition in place of its owner.
+func (s *JobService) canStandIn(number int) bool {
+	if _, owned := s.owner.replicaOf(number); owned {
+		return false
+	}
 	return time.Since(s.startedAt) >= discoveryTime && s.opts.StoreAge() < storeUnreachableAfter
 }
 
@@ -57,7 +60,7 @@
 	reply, reached := r.notDone, false
 	for _, standIn := range s.standIns(r.number) {
 		answer, err := r.at(ctx, s, standIn, cause)
-		if err != nil {
+		if err != nil || answer.verdict() == NotHeld {
 			continue
 		}
 		reply, reached = answer, true
@@ -65,7 +68,7 @@
 			return reply
 		}
 	}
-	if !reached && s.canStandIn() {
+	if !reached && s.canStandIn(r.number) {
 		return r.here(ctx, cause)
 	}
 	return reply
@@ -85,13 +88,17 @@
 // and here if none of them is reached.
 func (s *JobService) cancelAtStandIns(ctx context.Context, call JobCall, verdict Verdict) Verdict {
 	reached := false
-	for _, standIn := range s.standIns(s.opts.partitionOf(call.Job).Number) {
+	number := s.opts.partitionOf(call.Job).Number
+	for _, standIn := range s.standIns(number) {
 		if standIn.Name == s.opts.Member {
 			reached = true
 			verdict = verdict.then(s.cancelInStore(ctx, call, readCause{why: isCancellation}))
 		} else {
 			reply := JobReply{}
 			err := s.callPeer(ctx, standIn.Address, viaPeerTimeout, methodCancelFor, &call, &reply)
+			if err == nil && reply.Verdict == NotHeld {
+				continue
+			}
 			if err != nil {
 				reply.Verdict = Unsure
 			}
@@ -102,7 +109,7 @@
 			return verdict
 		}
 	}
-	if !reached && s.canStandIn() {
+	if !reached && s.canStandIn(number) {
 		verdict = verdict.then(s.cancelInStore(ctx, call, readCause{why: isCancellation}))
 	}
 	return verdict
--- a/internal/coordination/routed/batchjobs/storereads.go
+++ b/internal/coordination/routed/batchjobs/storereads.go
@@ -16,9 +16,10 @@
 const (
 	noOwnerKnown    readReason = "no_owner_known"
 	ownerNotReached readReason = "owner_not_reached"
-	ownerNotLoaded  readReason = "owner_not_loaded"
-	ownerMissing    readReason = "owner_missing"
-	notHeld         readReason = "not_held"
+	// ownerNotLoaded: the owner has not loaded the partition, or does not read it.
+	ownerNotLoaded readReason = "owner_not_loaded"
+	ownerMissing   readReason = "owner_missing"
+	notHeld        readReason = "not_held"
 	// isCancellation: the store, not the owner, says whether a job can be cancelled.
 	isCancellation readReason = "cancel"
 	// forPeer: another instance asks because it does not reach the store.
@@ -41,7 +42,7 @@
 
 // ownCause says why this instance does not answer from a partition that it owns.
 func (s *JobService) ownCause(p *partitionReplica) readCause {
-	if p.isLoaded() {
+	if p.isLoaded() && !p.readsFail() {
 		return readCause{why: ownerMissing, owner: s.opts.Member}
 	}
 	return readCause{why: ownerNotLoaded, owner: s.opts.Member}
