Stand-ins that are not reached are replaced by the next ones

What callers see: no other answers than before in this case, but while the owner of a partition and both of its stand-ins are not reached, as just after a failure domain is cut off, every instance that was asked for a job loaded the partition itself. Loads grew with the fleet, which keeps a busy store overloaded. The same held for cancellations.

Cause: an instance that reached neither stand-in loaded the partition here, in both loops.

Fix: candidates are asked in the order of their rank until maxStandIns of them were reached or the caller's time is up. Instances that fail to reach the same candidates so go on to the same next ones. An instance loads the partition only at its own turn in that order, which comes when it reaches nobody before it. The load after the loop is gone. A candidate that times out takes 0.9 s of a caller's time (1.2 s for a cancellation), so that a call may end with 503 before a third one is asked, where it had tried a load here in the time that was left.

The first test takes the two preferred stand-ins as the first maxStandIns of standInCandidates, as standIns, which returned these, is gone; what it requires is unchanged.

--- a/internal/coordination/routed/batchjobs/farstandins_test.go
+++ b/internal/coordination/routed/batchjobs/farstandins_test.go
@@ -15,7 +15,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newServiceFleet(t, 40, 300*time.Millisecond)
 		standIns := map[string]bool{}
-		for _, i := range f.instances[0].standIns(f.at.Number) {
+		for _, i := range f.instances[0].standInCandidates(f.at.Number)[:maxStandIns] {
 			standIns[i.Name] = true
 		}
 		var others []*serviceInstance
@@ -31,3 +31,39 @@
 		require.LessOrEqual(t, started, int64(2*maxStandIns), "loads by %d instances", len(others))
 	})
 }
+
+// Cancellations in the same situation. Each instance must ask the same few others, and the
+// call that reaches one of them must take effect.
+func TestFewInstancesLoadPartitionForCancellationsWhileStandInsAreNotReached(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newServiceFleet(t, 40, 300*time.Millisecond)
+		for _, failed := range f.instances[0].standInCandidates(f.at.Number)[:maxStandIns] {
+			f.unreachable[failed.Address] = true
+		}
+		calls := 0
+		for _, i := range f.instances {
+			if f.isUnreachable(i.self.Address) {
+				continue
+			}
+			calls++
+			require.Equal(t, Done, i.Cancel(t.Context(), JobCall{Job: jobID, Organisation: "o"}))
+		}
+		require.Equal(t, 40-maxStandIns, calls)
+		started, _ := f.loads()
+		require.LessOrEqual(t, started, int64(2*maxStandIns))
+	})
+}
+
+// An instance reaches the store and no other instance, all of which still count as up. It
+// must load the partition itself in the end.
+func TestInstanceThatReachesNobodyLoadsPartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newServiceFleet(t, 6, 300*time.Millisecond)
+		for _, alone := range f.instances {
+			for _, i := range f.instances {
+				f.unreachable[i.self.Address] = i != alone
+			}
+			require.Equal(t, Done, alone.read(jobID))
+		}
+	})
+}
--- a/internal/coordination/routed/batchjobs/standins.go
+++ b/internal/coordination/routed/batchjobs/standins.go
@@ -21,14 +21,15 @@
 	discoveryTime = 2 * time.Second
 )
 
-// standIns returns the instances that read a partition in place of an owner that is not
-// reached, the preferred one first. This instance may be one of them.
+// standInCandidates returns the instances that may read a partition in place of its owner,
+// the preferred one first. This instance may be one of them. The first maxStandIns that are
+// reached do so.
 //
-// All instances that know the same others choose the same ones. If each of them loaded the
+// All instances that know the same others return the same order. If each of them loaded the
 // partition itself, the number of loads would grow with the fleet. After a restart of all
 // instances, when each knows other ones, there are no stand-ins for some time. Then the
 // partitions are assigned anew, and the store's read rate is needed for the owners' loads.
-func (s *JobService) standIns(number int) []mesh.Instance {
+func (s *JobService) standInCandidates(number int) []mesh.Instance {
 	var candidates []mesh.Instance
 	for _, p := range s.opts.Peers.Peers() {
 		h := &p.Heartbeat
@@ -43,7 +44,7 @@
 	slices.SortFunc(candidates, func(a, b mesh.Instance) int {
 		return cmp.Compare(mesh.Rank(role, a), mesh.Rank(role, b))
 	})
-	return candidates[:min(len(candidates), maxStandIns)]
+	return candidates
 }
 
 // canStandIn says whether this instance may load a partition in place of its owner.
@@ -54,23 +55,25 @@
 	return time.Since(s.startedAt) >= discoveryTime && s.opts.StoreAge() < storeUnreachableAfter
 }
 
-// fromStandIns reads through stand-ins until one of them succeeds, and here if none of
-// them is reached.
+// fromStandIns reads through candidates until one of them succeeds, maxStandIns of them were
+// reached, or the caller's time is up. An instance whose candidates are not reached does not
+// load the partition itself before its turn: many instances may not reach the same ones.
 func (r *jobRead[R]) fromStandIns(ctx context.Context, s *JobService, cause readCause) R {
-	reply, reached := r.notDone, false
-	for _, standIn := range s.standIns(r.number) {
-		answer, err := r.at(ctx, s, standIn, cause)
+	reply, reached := r.notDone, 0
+	for _, candidate := range s.standInCandidates(r.number) {
+		if reached == maxStandIns || ctx.Err() != nil {
+			break
+		}
+		answer, err := r.at(ctx, s, candidate, cause)
 		if err != nil || answer.verdict() == NotHeld {
 			continue
 		}
-		reply, reached = answer, true
+		reached++
+		reply = answer
 		if reply.verdict().isFinal() {
-			return reply
+			break
 		}
 	}
-	if !reached && s.canStandIn(r.number) {
-		return r.here(ctx, cause)
-	}
 	return reply
 }
 
@@ -84,33 +87,35 @@
 	return reply, err
 }
 
-// cancelAtStandIns cancels a job through stand-ins, after an attempt with another verdict,
-// and here if none of them is reached.
+// cancelAtStandIns cancels a job through candidates, as fromStandIns reads, after an attempt
+// with another verdict.
 func (s *JobService) cancelAtStandIns(ctx context.Context, call JobCall, verdict Verdict) Verdict {
-	reached := false
-	number := s.opts.partitionOf(call.Job).Number
-	for _, standIn := range s.standIns(number) {
-		if standIn.Name == s.opts.Member {
-			reached = true
-			verdict = verdict.then(s.cancelInStore(ctx, call, readCause{why: isCancellation}))
-		} else {
-			reply := JobReply{}
-			err := s.callPeer(ctx, standIn.Address, viaPeerTimeout, methodCancelFor, &call, &reply)
-			if err == nil && reply.Verdict == NotHeld {
-				continue
-			}
-			if err != nil {
-				reply.Verdict = Unsure
-			}
-			reached = reached || err == nil
-			verdict = verdict.then(reply.Verdict)
+	reached := 0
+	for _, candidate := range s.standInCandidates(s.opts.partitionOf(call.Job).Number) {
+		if reached == maxStandIns || verdict.isFinal() || ctx.Err() != nil {
+			break
 		}
-		if verdict.isFinal() {
-			return verdict
+		next, err := s.cancelAt(ctx, candidate, call)
+		if err == nil && next == NotHeld {
+			continue
 		}
-	}
-	if !reached && s.canStandIn(number) {
-		verdict = verdict.then(s.cancelInStore(ctx, call, readCause{why: isCancellation}))
+		if err == nil {
+			reached++
+		}
+		verdict = verdict.then(next)
 	}
 	return verdict
 }
+
+// cancelAt cancels a job at an instance, which may be this one. The call may have taken
+// effect if it fails.
+func (s *JobService) cancelAt(ctx context.Context, i mesh.Instance, call JobCall) (Verdict, error) {
+	if i.Name == s.opts.Member {
+		return s.cancelInStore(ctx, call, readCause{why: isCancellation}), nil
+	}
+	var reply JobReply
+	if err := s.callPeer(ctx, i.Address, viaPeerTimeout, methodCancelFor, &call, &reply); err != nil {
+		return Unsure, err
+	}
+	return reply.Verdict, nil
+}
