--- a/internal/daemon/routed/restart_test.go
+++ b/internal/daemon/routed/restart_test.go
@@ -37,6 +37,10 @@
 	pollInterval = 500 * time.Millisecond
 	pollRetry    = 200 * time.Millisecond
 	pollTimeout  = 2500 * time.Millisecond
+	// largeWindow holds all unread bytes of a connection. net/rpc holds a mutex while it
+	// writes, and virtual time stands still while another goroutine waits for the mutex, so
+	// a write must not wait for its reader.
+	largeWindow = 64 << 20
 	// storePartitions is the number of partitions of the jobs.
 	storePartitions = 12
 )
@@ -235,6 +239,7 @@
 // returns the jobs in the store.
 func (fleet *testFleet) restartAll(finished int) []storedJob {
 	fleet.killAll()
+	fleet.net.SetWindow(largeWindow)
 	stored := fleet.storeJobs(finished)
 	fleet.store.SetReadBytesPerSecond(storeReadRate * float64(len(fleet.instances)))
 	sleep(1600 * time.Millisecond)
--- a/internal/standin/memnet/conn.go
+++ b/internal/standin/memnet/conn.go
@@ -9,7 +9,8 @@
 	"time"
 )
 
-// window is the maximum number of unread bytes in one direction of a connection.
+// window is the maximum number of unread bytes in one direction of a connection, unless
+// SetWindow sets another one.
 const window = 64 << 10
 
 // segment is data that is sent at once, or the end of the stream.
@@ -114,7 +115,7 @@
 		case deadlinePassed(c.writeDeadline):
 			return written, os.ErrDeadlineExceeded
 		}
-		room := window - c.peer.inboxBytes
+		room := n.window - c.peer.inboxBytes
 		if room <= 0 {
 			c.cond.Wait()
 			continue
--- a/internal/standin/memnet/network.go
+++ b/internal/standin/memnet/network.go
@@ -15,6 +15,8 @@
 	delay time.Duration
 
 	mu sync.Mutex
+	// window is the maximum number of unread bytes in one direction of a connection.
+	window int
 	// dialCond wakes the calls of Dial. Each connection and each listener has
 	// a condition variable of its own.
 	dialCond   *sync.Cond
@@ -31,13 +33,20 @@
 // New returns a network with the given one-way packet delay.
 func New(delay time.Duration) *Network {
 	n := &Network{
-		delay: delay, listeners: map[string]*listener{}, conns: map[*conn]struct{}{},
+		delay: delay, window: window, listeners: map[string]*listener{}, conns: map[*conn]struct{}{},
 		blocked: map[path]bool{}, poweredOff: map[string]bool{}, nextPort: 40000,
 	}
 	n.dialCond = sync.NewCond(&n.mu)
 	return n
 }
 
+// SetWindow sets the maximum number of unread bytes in one direction of a connection.
+func (n *Network) SetWindow(bytes int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.window = bytes
+}
+
 // Host is one machine, named by its IP address.
 type Host struct {
 	network *Network
