--- a/internal/coordination/routed/batchjobs/standins.go
+++ b/internal/coordination/routed/batchjobs/fallback.go
@@ -11,25 +11,25 @@
 )
 
 const (
-	// maxStandIns bounds the instances that load a partition in place of its owner.
-	maxStandIns = 2
-	// standInReadTimeout bounds a read through a stand-in: its read of the store, and the
-	// call. A caller's time suffices for the owner and two stand-ins that don't answer.
-	standInReadTimeout = storeReadTimeout + 100*time.Millisecond
+	// maxFallbackReaders bounds the instances that load a partition in place of its owner.
+	maxFallbackReaders = 2
+	// fallbackReadTimeout bounds a read through a fallback reader: its read of the store, and the
+	// call. A caller's time suffices for the owner and two fallback readers that don't answer.
+	fallbackReadTimeout = storeReadTimeout + 100*time.Millisecond
 	// discoveryTime is how long after its start an instance may know a part of the others
 	// only.
 	discoveryTime = 2 * time.Second
 )
 
-// standInCandidates returns the instances that may read a partition in place of its owner,
-// the preferred one first. This instance may be one of them. The first maxStandIns that are
+// fallbackCandidates returns the instances that may read a partition in place of its owner,
+// the preferred one first. This instance may be one of them. The first maxFallbackReaders that are
 // reached do so.
 //
 // All instances that know the same others return the same order. If each of them loaded the
 // partition itself, the number of loads would grow with the fleet. After a restart of all
-// instances, when each knows other ones, there are no stand-ins for some time. Then the
+// instances, when each knows other ones, there are no fallback readers for some time. Then the
 // partitions are assigned anew, and the store's read rate is needed for the owners' loads.
-func (s *JobService) standInCandidates(number int) []mesh.Instance {
+func (s *JobService) fallbackCandidates(number int) []mesh.Instance {
 	var candidates []mesh.Instance
 	for _, p := range s.opts.Peers.Peers() {
 		h := &p.Heartbeat
@@ -37,7 +37,7 @@
 			candidates = append(candidates, p.Instance)
 		}
 	}
-	if s.canStandIn(number) {
+	if s.canBeFallback(number) {
 		candidates = append(candidates, s.opts.Peers.Self())
 	}
 	role := fmt.Sprint("jobs/", number)
@@ -47,21 +47,21 @@
 	return candidates
 }
 
-// canStandIn says whether this instance may load a partition in place of its owner.
-func (s *JobService) canStandIn(number int) bool {
+// canBeFallback says whether this instance may load a partition in place of its owner.
+func (s *JobService) canBeFallback(number int) bool {
 	if _, owned := s.owner.replicaOf(number); owned {
 		return false
 	}
 	return time.Since(s.startedAt) >= discoveryTime && s.opts.StoreAge() < storeUnreachableAfter
 }
 
-// fromStandIns reads through candidates until one of them succeeds, maxStandIns of them were
+// fromFallback reads through candidates until one of them succeeds, maxFallbackReaders of them were
 // reached, or the caller's time is up. An instance whose candidates are not reached does not
 // load the partition itself before its turn: many instances may not reach the same ones.
-func (r *jobRead[R]) fromStandIns(ctx context.Context, s *JobService, cause readCause) R {
+func (r *jobRead[R]) fromFallback(ctx context.Context, s *JobService, cause readCause) R {
 	reply, reached := r.notDone, 0
-	for _, candidate := range s.standInCandidates(r.number) {
-		if reached == maxStandIns || ctx.Err() != nil {
+	for _, candidate := range s.fallbackCandidates(r.number) {
+		if reached == maxFallbackReaders || ctx.Err() != nil {
 			break
 		}
 		answer, err := r.at(ctx, s, candidate, cause)
@@ -83,16 +83,16 @@
 		return r.here(ctx, cause), nil
 	}
 	var reply R
-	err := s.callPeer(ctx, i.Address, standInReadTimeout, r.storeMethod, r.storeCall, &reply)
+	err := s.callPeer(ctx, i.Address, fallbackReadTimeout, r.storeMethod, r.storeCall, &reply)
 	return reply, err
 }
 
-// cancelAtStandIns cancels a job through candidates, as fromStandIns reads, after an attempt
+// cancelAtFallback cancels a job through candidates, as fromFallback reads, after an attempt
 // with another verdict.
-func (s *JobService) cancelAtStandIns(ctx context.Context, call JobCall, verdict Verdict) Verdict {
+func (s *JobService) cancelAtFallback(ctx context.Context, call JobCall, verdict Verdict) Verdict {
 	reached := 0
-	for _, candidate := range s.standInCandidates(s.opts.partitionOf(call.Job).Number) {
-		if reached == maxStandIns || verdict.isFinal() || ctx.Err() != nil {
+	for _, candidate := range s.fallbackCandidates(s.opts.partitionOf(call.Job).Number) {
+		if reached == maxFallbackReaders || verdict.isFinal() || ctx.Err() != nil {
 			break
 		}
 		next, err := s.cancelAt(ctx, candidate, call)
--- a/internal/coordination/routed/batchjobs/farstandins_test.go
+++ b/internal/coordination/routed/batchjobs/farfallback_test.go
@@ -11,16 +11,16 @@
 // The owner and the two instances that load a partition in its place are in a failure domain
 // that has just been cut off, and still count as up. The number of loads by the others must
 // not grow with the fleet.
-func TestFewInstancesLoadPartitionWhileStandInsAreNotReached(t *testing.T) {
+func TestFewInstancesLoadPartitionWhileFallbackReadersAreNotReached(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newServiceFleet(t, 40, 300*time.Millisecond)
-		standIns := map[string]bool{}
-		for _, i := range f.instances[0].standInCandidates(f.at.Number)[:maxStandIns] {
-			standIns[i.Name] = true
+		fallbackReaders := map[string]bool{}
+		for _, i := range f.instances[0].fallbackCandidates(f.at.Number)[:maxFallbackReaders] {
+			fallbackReaders[i.Name] = true
 		}
 		var others []*serviceInstance
 		for _, i := range f.instances {
-			if standIns[i.self.Name] {
+			if fallbackReaders[i.self.Name] {
 				f.fail(i)
 			} else {
 				others = append(others, i)
@@ -28,16 +28,16 @@
 		}
 		f.readEverywhere(others, jobID, 1)
 		started, _ := f.loads()
-		require.LessOrEqual(t, started, int64(2*maxStandIns), "loads by %d instances", len(others))
+		require.LessOrEqual(t, started, int64(2*maxFallbackReaders), "loads by %d instances", len(others))
 	})
 }
 
 // Cancellations in the same situation. Each instance must ask the same few others, and the
 // call that reaches one of them must take effect.
-func TestFewInstancesLoadPartitionForCancellationsWhileStandInsAreNotReached(t *testing.T) {
+func TestFewInstancesLoadPartitionForCancellationsWhileFallbackReadersAreNotReached(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newServiceFleet(t, 40, 300*time.Millisecond)
-		for _, failed := range f.instances[0].standInCandidates(f.at.Number)[:maxStandIns] {
+		for _, failed := range f.instances[0].fallbackCandidates(f.at.Number)[:maxFallbackReaders] {
 			f.unreachable[failed.Address] = true
 		}
 		calls := 0
@@ -48,9 +48,9 @@
 			calls++
 			require.Equal(t, Done, i.Cancel(t.Context(), JobCall{Job: jobID, Organisation: "o"}))
 		}
-		require.Equal(t, 40-maxStandIns, calls)
+		require.Equal(t, 40-maxFallbackReaders, calls)
 		started, _ := f.loads()
-		require.LessOrEqual(t, started, int64(2*maxStandIns))
+		require.LessOrEqual(t, started, int64(2*maxFallbackReaders))
 	})
 }
 
--- a/internal/coordination/routed/batchjobs/readlimit.go
+++ b/internal/coordination/routed/batchjobs/readlimit.go
@@ -3,11 +3,11 @@
 import "time"
 
 // ownerReadLimit is the time without a read of its partition after which an owner leaves
-// calls on jobs that it does not have to stand-ins. The store may still accept the joins of
+// calls on jobs that it does not have to fallback readers. The store may still accept the joins of
 // such an owner, which are small, so that it keeps the partition.
 //
 // The load of a large partition on a busy store takes some seconds. With a shorter limit,
-// stand-ins would load beside owners that make progress and take a part of the read rate.
+// fallback readers would load beside owners that make progress and take a part of the read rate.
 const ownerReadLimit = 8 * time.Second
 
 // noteRead records that the store has answered a read of the partition.
@@ -24,14 +24,14 @@
 	return time.Since(p.readAt) >= ownerReadLimit
 }
 
-// leavesToStandIns says whether the owner leaves calls on a job to stand-ins.
-func (p *partitionReplica) leavesToStandIns(job string) bool {
+// leavesToFallback says whether the owner leaves calls on a job to fallback readers.
+func (p *partitionReplica) leavesToFallback(job string) bool {
 	return p.readsFail() && p.lookUp(job) != Done
 }
 
-// leavesToStandIns says whether this instance owns the partition of a job and leaves calls
-// on the job to stand-ins.
-func (s *JobService) leavesToStandIns(job string) bool {
+// leavesToFallback says whether this instance owns the partition of a job and leaves calls
+// on the job to fallback readers.
+func (s *JobService) leavesToFallback(job string) bool {
 	p, owned := s.owner.replicaOf(s.opts.partitionOf(job).Number)
-	return owned && p.leavesToStandIns(job)
+	return owned && p.leavesToFallback(job)
 }
--- a/internal/coordination/routed/batchjobs/readlimit_test.go
+++ b/internal/coordination/routed/batchjobs/readlimit_test.go
@@ -9,8 +9,8 @@
 )
 
 // An owner never loads its partition, and callers reach that instance. They must get the
-// jobs through stand-ins, as the callers of all others do.
-func TestOwnerThatNeverLoadsReadsThroughStandIns(t *testing.T) {
+// jobs through fallback readers, as the callers of all others do.
+func TestOwnerThatNeverLoadsReadsThroughFallbackReaders(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newServiceFleet(t, 6, 300*time.Millisecond)
 		f.instances[0].log.unreachable.Store(true)
@@ -26,12 +26,12 @@
 		for _, inst := range f.instances[1:] {
 			loads += inst.log.loadsStarted.Load()
 		}
-		require.LessOrEqual(t, loads, int64(maxStandIns))
+		require.LessOrEqual(t, loads, int64(maxFallbackReaders))
 		require.Equal(t, Done, f.instances[0].Cancel(t.Context(), JobCall{Job: jobID, Organisation: "o"}))
 	})
 }
 
-// An owner takes almost ownerReadLimit to load its partition. Stand-ins that loaded it at the
+// An owner takes almost ownerReadLimit to load its partition. Fallback readers that loaded it at the
 // same time would take a part of the store's read rate.
 func TestNobodyElseLoadsBeforeOwnerReadLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -60,8 +60,8 @@
 	})
 }
 
-// Stand-ins fail as well. The line must say that the owner has not loaded the partition.
-func TestCallThatOwnerLeavesToStandInsSaysWhy(t *testing.T) {
+// Fallback readers fail as well. The line must say that the owner has not loaded the partition.
+func TestCallThatOwnerLeavesToFallbackReadersSaysWhy(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		service, p, logs := loggingService(t, noPeers{}, replyingOwner{})
 		service.owner.owned[0] = &ownedPartition{partitionReplica: newPartitionReplica(p.opts, p.at, nil)}
--- a/internal/coordination/routed/batchjobs/reads.go
+++ b/internal/coordination/routed/batchjobs/reads.go
@@ -40,7 +40,7 @@
 func (r *jobRead[R]) do(ctx context.Context, s *JobService) R {
 	reply, cause, answered := r.fromOwner(ctx, s)
 	if !answered {
-		reply = r.fromStandIns(ctx, s, cause)
+		reply = r.fromFallback(ctx, s, cause)
 	}
 	if !reply.verdict().isFinal() {
 		s.logNotDone(r.call, r.job, cause)
--- a/internal/coordination/routed/batchjobs/reads_test.go
+++ b/internal/coordination/routed/batchjobs/reads_test.go
@@ -401,7 +401,7 @@
 				require.Equal(t, map[Verdict]int{Missing: 195}, f.readEverywhere(callers, "unknown", 5))
 				require.Equal(t, Done, callers[0].Cancel(t.Context(), JobCall{Job: jobID, Organisation: "o"}))
 				started, _ := f.loads()
-				require.LessOrEqual(t, started, int64(maxStandIns))
+				require.LessOrEqual(t, started, int64(maxFallbackReaders))
 			})
 		})
 	}
@@ -409,7 +409,7 @@
 
 // The instances that load a partition in place of its owner fail one after the other. The
 // jobs must stay readable at the others.
-func TestReadsSurviveFailureOfStandIns(t *testing.T) {
+func TestReadsSurviveFailureOfFallbackReaders(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newServiceFleet(t, 6, 10*time.Millisecond)
 		for len(f.unreachable) < 5 {
@@ -466,7 +466,7 @@
 
 // The store turns away the instance that a caller asks, and no owner is reached. The
 // caller must get the job through an instance that reaches the store.
-func TestInstanceWithoutStoreReadsThroughStandIn(t *testing.T) {
+func TestInstanceWithoutStoreReadsThroughFallbackReaders(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newServiceFleet(t, 6, 10*time.Millisecond)
 		for _, inst := range f.instances {
--- a/internal/coordination/routed/batchjobs/rpc.go
+++ b/internal/coordination/routed/batchjobs/rpc.go
@@ -52,7 +52,7 @@
 // Body returns the body of an item.
 func (r *Receiver) Body(args *BodyCall, reply *BodyReply) error {
 	reply.Verdict = NotHeld
-	if r.service.leavesToStandIns(args.Job) {
+	if r.service.leavesToFallback(args.Job) {
 		reply.NotLoaded = true
 		return nil
 	}
@@ -94,7 +94,7 @@
 
 // EndFor cancels a job for an instance that does not reach the store.
 func (r *Receiver) EndFor(args *JobCall, reply *JobReply) error {
-	if r.service.leavesToStandIns(args.Job) {
+	if r.service.leavesToFallback(args.Job) {
 		reply.Verdict = NotHeld
 		return nil
 	}
@@ -106,7 +106,7 @@
 
 // BodyFor returns the body of an item to an instance that does not reach the store.
 func (r *Receiver) BodyFor(args *BodyCall, reply *BodyReply) error {
-	if r.service.leavesToStandIns(args.Job) {
+	if r.service.leavesToFallback(args.Job) {
 		reply.Verdict, reply.NotLoaded = NotHeld, true
 		return nil
 	}
@@ -118,7 +118,7 @@
 
 // ResultsFor returns results to an instance that does not reach the store.
 func (w *Waiter) ResultsFor(args *ResultsCall, reply *ResultsReply) error {
-	if w.service.leavesToStandIns(args.Job) {
+	if w.service.leavesToFallback(args.Job) {
 		reply.Verdict, reply.NotLoaded = NotHeld, true
 		return nil
 	}
@@ -137,7 +137,7 @@
 // Results returns results of a job.
 func (w *Waiter) Results(args *ResultsCall, reply *ResultsReply) error {
 	reply.Verdict = NotHeld
-	if w.service.leavesToStandIns(args.Job) {
+	if w.service.leavesToFallback(args.Job) {
 		reply.NotLoaded = true
 		return nil
 	}
--- a/internal/coordination/routed/batchjobs/service.go
+++ b/internal/coordination/routed/batchjobs/service.go
@@ -39,7 +39,7 @@
 
 	mu sync.Mutex
 	// replicas holds, by number, partitions that other instances own. They are
-	// read from the store while this instance is a stand-in for their owners.
+	// read from the store while this instance is a fallback reader for their owners.
 	replicas map[int]*partitionReplica
 }
 
@@ -115,7 +115,7 @@
 		if reply := p.results(ctx, call); reply.Verdict == Done {
 			return reply
 		}
-		if !p.leavesToStandIns(call.Job) {
+		if !p.leavesToFallback(call.Job) {
 			return s.resultsFromStore(ctx, now, s.ownCause(p))
 		}
 	}
@@ -147,7 +147,7 @@
 func (s *JobService) Body(ctx context.Context, call BodyCall) BodyReply {
 	number := s.opts.partitionOf(call.Job).Number
 	if p, ok := s.owner.replicaOf(number); ok {
-		if !p.leavesToStandIns(call.Job) {
+		if !p.leavesToFallback(call.Job) {
 			return s.bodyFromStore(ctx, call, s.ownCause(p))
 		}
 	}
@@ -180,7 +180,7 @@
 func (s *JobService) Cancel(ctx context.Context, call JobCall) Verdict {
 	verdict, decided := s.cancelAtOwner(ctx, call)
 	if !decided {
-		verdict = s.cancelAtStandIns(ctx, call, verdict)
+		verdict = s.cancelAtFallback(ctx, call, verdict)
 	}
 	_ = level.Info(s.opts.Logger).Log("event", "job_ended", "job", call.Job, "outcome", verdict)
 	return verdict
@@ -212,7 +212,7 @@
 
 // cancelAsOwner is cancelAtOwner for a partition that this instance owns.
 func (s *JobService) cancelAsOwner(ctx context.Context, p *partitionReplica, call JobCall) (verdict Verdict, decided bool) {
-	if p.leavesToStandIns(call.Job) {
+	if p.leavesToFallback(call.Job) {
 		return NotDone, false
 	}
 	if !p.isLoaded() {
