Limiter: a line for each refusal, with what it is based on

Cause: a 429 within the rate left no trace. Whether the tokens were used up, the holders did not answer, no slot was claimed or the time was up can't be told apart from the counters admitted, refused, takes and gives. Change: event rate_refused with the request's id, the outcome (no_tokens or out_of_time), the time the decision took beside its limit, the calls by how they ended, the slots and tokens at hand, and the age of what is known of the others. The id reaches the limiter in the request's context, as protocol.RequestID.

--- /dev/null
+++ b/internal/coordination/limiter/attempt.go
@@ -0,0 +1,124 @@
+package limiter
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"merlintiller/internal/protocol"
+)
+
+// callOutcome is how a Take call for a waiting request ended.
+type callOutcome int
+
+const (
+	// callGranted: the holder granted tokens.
+	callGranted callOutcome = iota
+	// callEmpty: the holder had no token.
+	callEmpty
+	// callNotHolder: the instance did not hold the slot.
+	callNotHolder
+	// callUnanswered: no reply arrived in time.
+	callUnanswered
+)
+
+func outcomeOf(call *TakeCall, reply TakeReply, err error) callOutcome {
+	switch {
+	case err != nil:
+		return callUnanswered
+	case !reply.Holder:
+		return callNotHolder
+	case reply.Now < call.Args.Now:
+		return callEmpty
+	default:
+		return callGranted
+	}
+}
+
+// attempt records how a decision came about, for the log line of a refusal.
+type attempt struct {
+	requestID string
+	startedAt time.Time
+	// calls counts the calls by outcome.
+	calls [callUnanswered + 1]int
+}
+
+func newAttempt(ctx context.Context) *attempt {
+	return &attempt{requestID: protocol.RequestID(ctx), startedAt: time.Now()}
+}
+
+func (a *attempt) add(outcome callOutcome) { a.calls[outcome]++ }
+
+// logRefusal logs a refusal with what it is based on. With outcome no_tokens every slot that
+// can be asked had too few. With out_of_time there were slots left to ask.
+func (l *Limiter) logRefusal(request *Request, attempt *attempt, decision Decision) {
+	outcome := "no_tokens"
+	if decision.Call != nil {
+		outcome = "out_of_time"
+	}
+	known := l.holdings(request.Organisation)
+	_ = level.Info(l.Logger).Log("event", "rate_refused", "outcome", outcome,
+		"request", attempt.requestID, "organisation", request.Organisation,
+		"took_ms", time.Since(attempt.startedAt).Milliseconds(), "limit_ms", l.Settings.ExchangeTimeout.Milliseconds(),
+		"granted", attempt.calls[callGranted], "empty", attempt.calls[callEmpty],
+		"not_holder", attempt.calls[callNotHolder], "unanswered", attempt.calls[callUnanswered],
+		"own_slots", known.ownSlots, "own_tokens", known.tokens, "other_slots", known.otherSlots,
+		"skipped", known.skipped, "no_holder", known.noHolder, "level_age_ms", known.levelAge.Milliseconds(),
+		"retry_ms", decision.retryAfter().Milliseconds())
+}
+
+func (l *Limiter) holdings(org protocol.OrganisationID) holdings {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.core.holdings(time.Now(), org)
+}
+
+// holdings is what an instance knows of the tokens of an organisation.
+type holdings struct {
+	// ownSlots are the slots that this instance may use, and tokens what is left in them
+	// and in grants.
+	ownSlots int
+	tokens   float64
+	// otherSlots are held by other instances. skipped are those of them that are not asked
+	// now, because they were empty or their holder did not answer.
+	otherSlots, skipped int
+	// noHolder are the slots that no instance is known to hold, or only this one, which
+	// may not use them.
+	noHolder int
+	// levelAge is the age of the oldest level that is known of another instance's slot.
+	levelAge time.Duration
+}
+
+func (c *Core) holdings(now time.Time, org protocol.OrganisationID) holdings {
+	var known holdings
+	a := c.accounts[org]
+	if a == nil {
+		return known
+	}
+	known.tokens = a.availableGrants(now)
+	for i := range a.slots {
+		s := &a.slots[i]
+		b := c.bucketOf(now, a, s)
+		switch {
+		case b != nil:
+			known.ownSlots++
+			known.tokens += b.tokens
+		case !c.heldByOther(s):
+			known.noHolder++
+		default:
+			known.otherSlots++
+			known.countOther(now, s)
+		}
+	}
+	return known
+}
+
+func (h *holdings) countOther(now time.Time, s *slotState) {
+	if s.skipUntil.After(now) {
+		h.skipped++
+	}
+	if !s.levelAt.IsZero() {
+		h.levelAge = max(h.levelAge, now.Sub(s.levelAt))
+	}
+}
--- a/internal/coordination/limiter/limiter.go
+++ b/internal/coordination/limiter/limiter.go
@@ -99,6 +99,7 @@
 	ctx, cancel := context.WithTimeout(ctx, l.Settings.ExchangeTimeout)
 	defer cancel()
 	request := Request{Organisation: org, Tokens: tokens}
+	attempt := newAttempt(ctx)
 	for {
 		decision := l.decide(&request)
 		switch {
@@ -109,12 +110,13 @@
 		case decision.Unknown:
 			return l.rejectUnknown(org)
 		case decision.Call != nil && ctx.Err() == nil:
-			l.call(ctx, decision.Call)
+			attempt.add(l.call(ctx, decision.Call))
 		default:
 			stats.Add("refused", 1)
 			for _, back := range decision.Returns {
 				l.callInBackground(back)
 			}
+			l.logRefusal(&request, attempt, decision)
 			return protocol.Refuse(protocol.CodeRateLimited, decision.retryAfter(), "organisation %s exceeds its rate", org)
 		}
 	}
@@ -180,8 +182,8 @@
 	l.handleReply(call, TakeReply{}, true)
 }
 
-// call sends a Take call to the holder and applies the reply.
-func (l *Limiter) call(ctx context.Context, call *TakeCall) {
+// call sends a Take call to the holder, applies the reply and returns how the call ended.
+func (l *Limiter) call(ctx context.Context, call *TakeCall) callOutcome {
 	ctx, cancel := context.WithTimeout(ctx, l.Settings.CallTimeout)
 	defer cancel()
 	var reply TakeReply
@@ -194,6 +196,7 @@
 		reply = TakeReply{}
 	}
 	l.handleReply(call, reply, err != nil)
+	return outcomeOf(call, reply, err)
 }
 
 func (l *Limiter) handleReply(call *TakeCall, reply TakeReply, failed bool) {
--- a/internal/transport/edge/routes.go
+++ b/internal/transport/edge/routes.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
@@ -49,8 +48,6 @@
 	writeRefusal(x.w, refusal, refusal.Code.HTTPStatus())
 }
 
-type requestIDKey struct{}
-
 // guard counts the requests in flight, assigns each request an ID, rejects
 // requests with too many header lines, and closes connections after their response
 // while the instance drains.
@@ -69,7 +66,7 @@
 			writeRefusal(w, refusal, http.StatusRequestHeaderFieldsTooLarge)
 			return
 		}
-		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), requestIDKey{}, id)))
+		next.ServeHTTP(w, r.WithContext(protocol.WithRequestID(r.Context(), id)))
 	})
 }
 
@@ -119,8 +116,7 @@
 // the caller.
 func (e *Edge) authenticated(next func(*exchange)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		id, _ := r.Context().Value(requestIDKey{}).(string)
-		x := &exchange{w: w, r: r, id: id}
+		x := &exchange{w: w, r: r, id: protocol.RequestID(r.Context())}
 		if refusal := e.checkServing(); refusal != nil {
 			x.reject(refusal)
 			return
