Limiter: a stall of the process does not refuse requests within the rate

Callers saw: 429 rate_limited, not_run, for an organisation far below its rate. Reproduced on: taskset -c 0-3 provoke ./internal/harness/proctest TestGracefulStopCutsNoRequest 20 9 1, 3 of 180 runs; 0 of 72 with 6 12 40 on 8 cores. Evidence: the new line rate_refused. In all three runs outcome=out_of_time at an instance that is not leaving: took_ms=80 to 105 with limit_ms=50 and no call made, no slot of its own yet (own_slots=0) and six slots at others that were never asked. One shows took_ms=0, since the line's clock began after the limit's. So the limit ran out while the process had no processor, before the first call. Cause: the limit of a decision began with the request and went by the clock. A call that was left to make after it, also the optional one to a nearly full slot, ended in the refusal for an empty bucket, and what the instance held was not spent. Change: Core.Decide knows that the time is up (Request.OutOfTime) and then decides with the tokens at hand. The time is that of the calls, counted by wait.RunTimeLimit: it checks eight times within a limit and does not count the time by which a check is late. So a stall neither uses up the decision's time nor makes a holder silent, which would suspend it for a second. Tokens that expired during a stall are asked for once more. The policy bench had a copy of the old rule. A refusal after the limit says that no instance granted a token in time; its code stays 429.

--- a/internal/coordination/limiter/attempt.go
+++ b/internal/coordination/limiter/attempt.go
@@ -21,9 +21,10 @@
 	callNotHolder
 	// callUnanswered: no reply arrived in time.
 	callUnanswered
+	callOutcomes
 )
 
-func outcomeOf(call *TakeCall, reply TakeReply, err error) callOutcome {
+func outcomeOf(call *TakeCall, reply *TakeReply, err error) callOutcome {
 	switch {
 	case err != nil:
 		return callUnanswered
@@ -36,31 +37,53 @@
 	}
 }
 
-// attempt records how a decision came about, for the log line of a refusal.
+// endedCall describes how a Take call ended. It used this time of its limit, in addition to
+// the time for which this process was stalled.
+type endedCall struct {
+	outcome       callOutcome
+	used, stalled time.Duration
+}
+
+// attempt is the course of a decision: the time that is left for its calls, and what the log
+// line of a refusal shows.
 type attempt struct {
 	requestID string
 	startedAt time.Time
+	timeLeft  time.Duration
 	// calls counts the calls by outcome.
-	calls [callUnanswered + 1]int
+	calls [callOutcomes]int
+	// stalled is the time during calls for which this process did not run, and lockWait
+	// the time for which the decision waited for the lock.
+	stalled, lockWait time.Duration
 }
 
-func newAttempt(ctx context.Context) *attempt {
-	return &attempt{requestID: protocol.RequestID(ctx), startedAt: time.Now()}
+func newAttempt(ctx context.Context, settings Settings) *attempt {
+	return &attempt{requestID: protocol.RequestID(ctx), startedAt: time.Now(), timeLeft: settings.ExchangeTimeout}
 }
 
-func (a *attempt) add(outcome callOutcome) { a.calls[outcome]++ }
+func (a *attempt) add(ended endedCall) {
+	a.calls[ended.outcome]++
+	a.timeLeft -= ended.used
+	a.stalled += ended.stalled
+}
+
+// outOfTime reports whether no more calls may be made for the request.
+func (a *attempt) outOfTime(ctx context.Context) bool {
+	return a.timeLeft <= 0 || ctx.Err() != nil
+}
 
 // logRefusal logs a refusal with what it is based on. With outcome no_tokens every slot that
-// can be asked had too few. With out_of_time there were slots left to ask.
+// can be asked had too few. With out_of_time there may be slots left to ask.
 func (l *Limiter) logRefusal(request *Request, attempt *attempt, decision Decision) {
 	outcome := "no_tokens"
-	if decision.Call != nil {
+	if request.OutOfTime {
 		outcome = "out_of_time"
 	}
 	known := l.holdings(request.Organisation)
 	_ = level.Info(l.Logger).Log("event", "rate_refused", "outcome", outcome,
 		"request", attempt.requestID, "organisation", request.Organisation,
 		"took_ms", time.Since(attempt.startedAt).Milliseconds(), "limit_ms", l.Settings.ExchangeTimeout.Milliseconds(),
+		"stalled_ms", attempt.stalled.Milliseconds(), "lock_wait_ms", attempt.lockWait.Milliseconds(),
 		"granted", attempt.calls[callGranted], "empty", attempt.calls[callEmpty],
 		"not_holder", attempt.calls[callNotHolder], "unanswered", attempt.calls[callUnanswered],
 		"own_slots", known.ownSlots, "own_tokens", known.tokens, "other_slots", known.otherSlots,
--- a/internal/coordination/limiter/decide.go
+++ b/internal/coordination/limiter/decide.go
@@ -12,6 +12,13 @@
 type Request struct {
 	Organisation protocol.OrganisationID
 	Tokens       float64
+	// OutOfTime: no calls may be made any more. The decision is made with the tokens at
+	// hand.
+	OutOfTime bool
+	// granted is the call that granted tokens last. askedAgain is set once its slot may
+	// be asked once more.
+	granted    *TakeCall
+	askedAgain bool
 	// asked and gathered have one bit per slot. A bit in asked is set once the
 	// slot was asked for whole tokens, and in gathered once it was asked for a
 	// fraction.
@@ -53,6 +60,7 @@
 		r.counted = true
 		a.demand.add(now, r.Tokens)
 	}
+	c.askAgainIfExpired(now, r)
 	if call := c.askNearlyFull(now, a, r); call != nil {
 		return Decision{Call: call}
 	}
@@ -69,6 +77,20 @@
 	return Decision{Refused: true, RetryAfter: c.retryAfter(now, a, r.Tokens), Returns: c.refundFractions(now, a)}
 }
 
+// askAgainIfExpired lets a slot be asked once more if the tokens that it granted expired
+// before they could be spent, because this process did not run meanwhile. An organisation
+// may have a single slot.
+func (c *Core) askAgainIfExpired(now time.Time, r *Request) {
+	call := r.granted
+	r.granted = nil
+	if call == nil || r.askedAgain || now.Before(call.Sent.Add(c.settings.ExchangeTimeout)) {
+		return
+	}
+	r.askedAgain = true
+	r.asked &^= 1 << uint(call.slotIndex)
+	r.gathered &^= 1 << uint(call.slotIndex)
+}
+
 // refundFractions returns the calls that give unused fractions back to their
 // holders. The fractions are debited here first, so a lost message loses them
 // and never doubles them.
@@ -119,7 +141,7 @@
 // instance: its tokens would run out while slots held by other instances are
 // full.
 func (c *Core) askNearlyFull(now time.Time, a *account, r *Request) *TakeCall {
-	if r.nearlyFullChecked {
+	if r.nearlyFullChecked || c.callLimitReached(r) {
 		return nil
 	}
 	r.nearlyFullChecked = true
@@ -187,7 +209,7 @@
 const roundingMargin = 1e-9
 
 func (c *Core) callLimitReached(r *Request) bool {
-	return bits.OnesCount64(r.asked)+bits.OnesCount64(r.gathered) >= c.settings.MaxCalls
+	return r.OutOfTime || bits.OnesCount64(r.asked)+bits.OnesCount64(r.gathered) >= c.settings.MaxCalls
 }
 
 func (c *Core) newCall(now time.Time, a *account, slot int, args TakeArgs) *TakeCall {
--- a/internal/coordination/limiter/fakes_test.go
+++ b/internal/coordination/limiter/fakes_test.go
@@ -78,6 +78,8 @@
 	terminated bool
 	mayHold    bool
 	changed    chan struct{}
+	// stall is how long the process does not run at its next use of the session.
+	stall time.Duration
 }
 
 func newFakeJournal(l *fakeLog, instance protocol.InstanceID, domain protocol.Domain, address string) *fakeJournal {
@@ -210,7 +212,26 @@
 	return j.state.Fleet.Fleet()
 }
 
+// stallNext makes the process stall at its next use of the session. Its services must be
+// stopped, since virtual time does not advance while one of them waits for a mutex.
+func (j *fakeJournal) stallNext(d time.Duration) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.stall = d
+}
+
+func (j *fakeJournal) takeStall() time.Duration {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	d := j.stall
+	j.stall = 0
+	return d
+}
+
 func (j *fakeJournal) Session() protocol.SessionID {
+	if d := j.takeStall(); d > 0 {
+		sleep(d)
+	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return j.session
@@ -328,11 +349,15 @@
 	log *fakeLog
 	net *fakeNet
 	all map[protocol.InstanceID]*Limiter
+	// services are running until stopServices.
+	services     context.Context
+	stopServices context.CancelFunc
 }
 
 func newFakeFleet(t *testing.T) *fakeFleet {
 	t.Helper()
 	f := &fakeFleet{t: t, log: &fakeLog{}, net: newFakeNet(), all: map[protocol.InstanceID]*Limiter{}}
+	f.services, f.stopServices = context.WithCancel(t.Context())
 	return f
 }
 
@@ -358,7 +383,7 @@
 	for _, s := range l.Services() {
 		super.Add(s)
 	}
-	super.ServeBackground(f.t.Context())
+	super.ServeBackground(f.services)
 	go journal.renew(f.t.Context())
 	return l
 }
--- a/internal/coordination/limiter/limiter.go
+++ b/internal/coordination/limiter/limiter.go
@@ -12,6 +12,7 @@
 	"merlintiller/internal/coordination"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/ring"
+	"merlintiller/internal/wait"
 )
 
 // ReceiverName is the name under which the Endpoint is registered with net/rpc.
@@ -96,12 +97,11 @@
 
 // Admit implements coordination.Limits.
 func (l *Limiter) Admit(ctx context.Context, org protocol.OrganisationID, tokens float64) *protocol.Refusal {
-	ctx, cancel := context.WithTimeout(ctx, l.Settings.ExchangeTimeout)
-	defer cancel()
 	request := Request{Organisation: org, Tokens: tokens}
-	attempt := newAttempt(ctx)
+	attempt := newAttempt(ctx, l.Settings)
 	for {
-		decision := l.decide(&request)
+		request.OutOfTime = attempt.outOfTime(ctx)
+		decision := l.decide(&request, attempt)
 		switch {
 		case decision.Granted:
 			stats.Add("admitted", 1)
@@ -109,23 +109,32 @@
 			return nil
 		case decision.Unknown:
 			return l.rejectUnknown(org)
-		case decision.Call != nil && ctx.Err() == nil:
-			attempt.add(l.call(ctx, decision.Call))
+		case decision.Call != nil:
+			l.callForRequest(ctx, attempt, &request, decision.Call)
 		default:
 			stats.Add("refused", 1)
 			for _, back := range decision.Returns {
 				l.callInBackground(back)
 			}
 			l.logRefusal(&request, attempt, decision)
-			return protocol.Refuse(protocol.CodeRateLimited, decision.retryAfter(), "organisation %s exceeds its rate", org)
+			return refusal(&request, decision)
 		}
 	}
 }
 
-// rejectUnknown rejects a request of an organisation that the core does not
-// know. Key checks apply a new configuration immediately, but the core applies
-// it up to changeDebounce later. A caller with a new key must not get a
-// permanent rejection in that interval.
+// refusal returns the answer to a request that got no tokens.
+func refusal(request *Request, decision Decision) *protocol.Refusal {
+	org, retryAfter := request.Organisation, decision.retryAfter()
+	switch {
+	case request.OutOfTime:
+		return protocol.Refuse(protocol.CodeRateLimited, retryAfter, "no instance granted organisation %s a token in time", org)
+	default:
+		return protocol.Refuse(protocol.CodeRateLimited, retryAfter, "organisation %s exceeds its rate", org)
+	}
+}
+
+// rejectUnknown rejects a request of an organisation that the core does not know. A caller
+// with a new key must not get a permanent rejection if the configuration arrives just now.
 func (l *Limiter) rejectUnknown(org protocol.OrganisationID) *protocol.Refusal {
 	stats.Add("refused", 1)
 	if _, ok := l.Journal.Fleet().Organisations[org]; ok {
@@ -142,10 +151,12 @@
 	return max(d.RetryAfter, minRetryAfter)
 }
 
-func (l *Limiter) decide(request *Request) Decision {
+func (l *Limiter) decide(request *Request, attempt *attempt) Decision {
+	asked := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
+	attempt.lockWait += now.Sub(asked)
 	l.refreshUsableUntil(now)
 	return l.core.Decide(now, request)
 }
@@ -182,12 +193,24 @@
 	l.handleReply(call, TakeReply{}, true)
 }
 
-// call sends a Take call to the holder, applies the reply and returns how the call ended.
-func (l *Limiter) call(ctx context.Context, call *TakeCall) callOutcome {
-	ctx, cancel := context.WithTimeout(ctx, l.Settings.CallTimeout)
-	defer cancel()
+// callForRequest sends a Take call that a request waits for.
+func (l *Limiter) callForRequest(ctx context.Context, attempt *attempt, request *Request, call *TakeCall) {
+	limit := min(l.Settings.CallTimeout, attempt.timeLeft)
+	ended := l.call(ctx, call, limit)
+	attempt.add(ended)
+	if ended.outcome == callGranted {
+		request.granted = call
+	}
+}
+
+// call sends a Take call to the holder and applies the reply. The limit does not count time
+// for which this process does not run: that is not the holder's silence.
+func (l *Limiter) call(ctx context.Context, call *TakeCall, limit time.Duration) endedCall {
+	callCtx, runTime := wait.WithRunTimeLimit(ctx, limit)
 	var reply TakeReply
-	err := l.Peers.Call(ctx, call.Holder, ReceiverName+".Take", &call.Args, &reply)
+	err := l.Peers.Call(callCtx, call.Holder, ReceiverName+".Take", &call.Args, &reply)
+	remaining, stalled := runTime.Stop()
+	ended := endedCall{outcome: outcomeOf(call, &reply, err), used: limit - remaining, stalled: stalled}
 	stats.Add("takes", 1)
 	if err != nil {
 		stats.Add("takes_failed", 1)
@@ -196,7 +219,7 @@
 		reply = TakeReply{}
 	}
 	l.handleReply(call, reply, err != nil)
-	return outcomeOf(call, reply, err)
+	return ended
 }
 
 func (l *Limiter) handleReply(call *TakeCall, reply TakeReply, failed bool) {
--- a/internal/coordination/limiter/services.go
+++ b/internal/coordination/limiter/services.go
@@ -290,6 +290,6 @@
 		if err != nil {
 			return ctx.Err()
 		}
-		s.limiter.call(ctx, call)
+		s.limiter.call(ctx, call, s.limiter.Settings.CallTimeout)
 	}
 }
--- a/internal/policybench/ratefleet.go
+++ b/internal/policybench/ratefleet.go
@@ -197,6 +197,7 @@
 }
 
 func (f *rateFleet) decide(i int, request *limiter.Request, deadline time.Time, decided func(bool)) {
+	request.OutOfTime = !f.clock.Now().Before(deadline)
 	verdict := f.instances[i].core.Decide(f.clock.Now(), request)
 	for _, returned := range verdict.Returns {
 		f.exchange(i, returned, func() {})
@@ -207,7 +208,7 @@
 	switch {
 	case verdict.Granted:
 		decided(true)
-	case verdict.Call != nil && f.clock.Now().Before(deadline):
+	case verdict.Call != nil:
 		f.exchange(i, verdict.Call, func() { f.decide(i, request, deadline, decided) })
 	default:
 		decided(false)
