Limiter: a caller that leaves and a full queue do not make holders silent

Callers saw: 429 rate_limited within the rate for a second after another caller of the same instance had cancelled its request. Cause: a call for tokens counted as unanswered, and its holder was suspended for a second for all organisations, also if the call ended because the caller had left, or was never sent because the queue of background calls was full. Evidence: found by reading the other ways into the suspension, and shown by the tests. Change: such a call is dropped (Core.DropCall) and tells nothing of its holder. A request whose deadline passed meanwhile is answered deadline_exceeded, not rate_limited.

--- a/internal/coordination/limiter/attempt.go
+++ b/internal/coordination/limiter/attempt.go
@@ -21,11 +21,15 @@
 	callNotHolder
 	// callUnanswered: no reply arrived in time.
 	callUnanswered
+	// callAbandoned: the caller left, or this instance stops.
+	callAbandoned
 	callOutcomes
 )
 
-func outcomeOf(call *TakeCall, reply *TakeReply, err error) callOutcome {
+func outcomeOf(ctx context.Context, call *TakeCall, reply *TakeReply, err error) callOutcome {
 	switch {
+	case err != nil && ctx.Err() != nil:
+		return callAbandoned
 	case err != nil:
 		return callUnanswered
 	case !reply.Holder:
@@ -85,7 +89,7 @@
 		"took_ms", time.Since(attempt.startedAt).Milliseconds(), "limit_ms", l.Settings.ExchangeTimeout.Milliseconds(),
 		"stalled_ms", attempt.stalled.Milliseconds(), "lock_wait_ms", attempt.lockWait.Milliseconds(),
 		"granted", attempt.calls[callGranted], "empty", attempt.calls[callEmpty],
-		"not_holder", attempt.calls[callNotHolder], "unanswered", attempt.calls[callUnanswered],
+		"not_holder", attempt.calls[callNotHolder], "unanswered", attempt.calls[callUnanswered], "abandoned", attempt.calls[callAbandoned],
 		"own_slots", known.ownSlots, "own_tokens", known.tokens, "other_slots", known.otherSlots,
 		"skipped", known.skipped, "no_holder", known.noHolder, "level_age_ms", known.levelAge.Milliseconds(),
 		"retry_ms", decision.retryAfter().Milliseconds())
--- a/internal/coordination/limiter/decide.go
+++ b/internal/coordination/limiter/decide.go
@@ -298,7 +298,7 @@
 	if a == nil {
 		return
 	}
-	if call.Args.Now == 0 && call.Args.GiveBack == 0 {
+	if call.isPrefetch() {
 		a.prefetching = false
 	}
 	if failed || !reply.Holder {
@@ -318,6 +318,14 @@
 	}
 }
 
+// DropCall records that a call was not sent, or that its reply is not awaited any more.
+func (c *Core) DropCall(call *TakeCall) {
+	a := c.accounts[call.Args.Organisation]
+	if a != nil && call.isPrefetch() {
+		a.prefetching = false
+	}
+}
+
 // notHolderBackoff is how long a slot is not asked again after the instance
 // asked was not its holder. The log shows the new holder within that time.
 const notHolderBackoff = 100 * time.Millisecond
--- a/internal/coordination/limiter/limiter.go
+++ b/internal/coordination/limiter/limiter.go
@@ -117,15 +117,17 @@
 				l.callInBackground(back)
 			}
 			l.logRefusal(&request, attempt, decision)
-			return refusal(&request, decision)
+			return refusal(ctx, &request, decision)
 		}
 	}
 }
 
 // refusal returns the answer to a request that got no tokens.
-func refusal(request *Request, decision Decision) *protocol.Refusal {
+func refusal(ctx context.Context, request *Request, decision Decision) *protocol.Refusal {
 	org, retryAfter := request.Organisation, decision.retryAfter()
 	switch {
+	case ctx.Err() != nil:
+		return protocol.Refuse(protocol.CodeDeadline, retryAfter, "the deadline passed before organisation %s was granted a token", org)
 	case request.OutOfTime:
 		return protocol.Refuse(protocol.CodeRateLimited, retryAfter, "no instance granted organisation %s a token in time", org)
 	default:
@@ -190,7 +192,7 @@
 	if call == nil || l.backgroundCalls.Offer(call) {
 		return
 	}
-	l.handleReply(call, TakeReply{}, true)
+	l.dropCall(call)
 }
 
 // callForRequest sends a Take call that a request waits for.
@@ -210,7 +212,7 @@
 	var reply TakeReply
 	err := l.Peers.Call(callCtx, call.Holder, ReceiverName+".Take", &call.Args, &reply)
 	remaining, stalled := runTime.Stop()
-	ended := endedCall{outcome: outcomeOf(call, &reply, err), used: limit - remaining, stalled: stalled}
+	ended := endedCall{outcome: outcomeOf(ctx, call, &reply, err), used: limit - remaining, stalled: stalled}
 	stats.Add("takes", 1)
 	if err != nil {
 		stats.Add("takes_failed", 1)
@@ -218,10 +220,21 @@
 		// the contents are discarded.
 		reply = TakeReply{}
 	}
-	l.handleReply(call, reply, err != nil)
+	if ended.outcome == callAbandoned {
+		l.dropCall(call)
+	} else {
+		l.handleReply(call, reply, err != nil)
+	}
 	return ended
 }
 
+// dropCall records that a call was not sent, or that nobody waits for it any more.
+func (l *Limiter) dropCall(call *TakeCall) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.core.DropCall(call)
+}
+
 func (l *Limiter) handleReply(call *TakeCall, reply TakeReply, failed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/coordination/limiter/messages.go
+++ b/internal/coordination/limiter/messages.go
@@ -51,3 +51,6 @@
 	// slotIndex is the index of the slot in the organisation's account.
 	slotIndex int
 }
+
+// isPrefetch reports whether the call only asks for tokens ahead of requests.
+func (c *TakeCall) isPrefetch() bool { return c.Args.Now == 0 && c.Args.GiveBack == 0 }
--- a/internal/coordination/limiter/stall_test.go
+++ b/internal/coordination/limiter/stall_test.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -50,6 +51,18 @@
 	return ""
 }
 
+// otherThanHolder returns an instance that does not hold the slot of "single".
+func (f *fakeFleet) otherThanHolder() protocol.InstanceID {
+	f.t.Helper()
+	for id := range f.all {
+		if f.slotsOf(id, "single") == 0 {
+			return id
+		}
+	}
+	f.t.Fatal("every instance holds a slot")
+	return ""
+}
+
 // Guards against a stall of the process that refuses a request although the instance holds
 // tokens.
 func TestStalledDecisionSpendsTokensAtHand(t *testing.T) {
@@ -94,3 +107,30 @@
 	}
 	require.True(t, core.Decide(now, request).Refused, "a slot is asked once more only")
 }
+
+// Guards against a caller that leaves and thereby makes the holder of a slot count as
+// silent, for the requests of all organisations.
+func TestCallerThatLeavesDoesNotSuspendTheHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := quietFleet(t)
+		id := f.otherThanHolder()
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Microsecond)
+		defer cancel()
+		refusal := f.all[id].Admit(ctx, "single", 1)
+		require.NotNil(t, refusal)
+		require.Equal(t, protocol.CodeDeadline, refusal.Code)
+		sleep(300 * time.Millisecond)
+		require.Nil(t, f.all[id].Admit(t.Context(), "single", 1))
+	})
+}
+
+// Guards against a full queue of this instance that counts as silence of the holders.
+func TestFullQueueOfBackgroundCallsDoesNotSuspendTheHolders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := quietFleet(t)
+		org := f.findOrganisation("a1", 0)
+		for f.all["a1"].backgroundCalls.Offer(&TakeCall{}) {
+		}
+		require.Equal(t, 30, f.countAdmitted("a1", org, 60))
+	})
+}
