Limiter: the configuration counts at once for a request

Callers saw: at an instance that had just been started, 429 rate_limited "the configuration of organisation X is not yet in effect on this instance" for up to 200 ms after it was ready. Cause: the check of keys uses the replayed configuration at once, the limiter applies it in the next round of reconcile, at least 200 ms after the round before. Change: a request of an organisation that the limiter does not know applies the replayed state first if the limiter's version is older. A lock keeps an older view from being applied after a newer one. At most one extra round for each version.

--- a/internal/coordination/limiter/limiter.go
+++ b/internal/coordination/limiter/limiter.go
@@ -39,6 +39,10 @@
 	Config
 	state *stateReader
 
+	// reconciling is held by reconcile, so that an older view is not applied after a newer
+	// one. It is locked before mu.
+	reconciling sync.Mutex
+
 	mu        sync.Mutex
 	core      *Core
 	claims    *ClaimPolicy
@@ -107,6 +111,7 @@
 			stats.Add("admitted", 1)
 			l.callInBackground(decision.Prefetch)
 			return nil
+		case decision.Unknown && l.catchUp():
 		case decision.Unknown:
 			return l.rejectUnknown(org)
 		case decision.Call != nil:
@@ -135,6 +140,27 @@
 	}
 }
 
+// catchUp applies the replayed state if the core's configuration is older, and reports
+// whether it was. Key checks apply a new configuration immediately, and the core applies it
+// up to changeDebounce later. Without catchUp, an instance that has just started, or whose
+// configuration has just changed, would refuse callers until then.
+func (l *Limiter) catchUp() bool {
+	version := l.Journal.Fleet().Version
+	l.reconciling.Lock()
+	defer l.reconciling.Unlock()
+	if l.configVersion() >= version {
+		return false
+	}
+	l.reconcileLocked()
+	return true
+}
+
+func (l *Limiter) configVersion() protocol.Offset {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.core.Version()
+}
+
 // rejectUnknown rejects a request of an organisation that the core does not know. A caller
 // with a new key must not get a permanent rejection if the configuration arrives just now.
 func (l *Limiter) rejectUnknown(org protocol.OrganisationID) *protocol.Refusal {
--- a/internal/coordination/limiter/limiter_test.go
+++ b/internal/coordination/limiter/limiter_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
 	"merlintiller/internal/protocol"
@@ -75,3 +76,35 @@
 		require.Less(t, refusal.RetryAfter, time.Second)
 	})
 }
+
+// lateJournal has replayed no configuration until it arrives.
+type lateJournal struct {
+	*fakeJournal
+	arrived bool
+}
+
+func (j *lateJournal) Fleet() *protocol.Fleet {
+	if !j.arrived {
+		return &protocol.Fleet{Version: protocol.NoOffset}
+	}
+	return j.fakeJournal.Fleet()
+}
+
+// Guards against an instance that refuses callers after a start or a change because its
+// limiter applies the configuration later than the check of their keys.
+func TestConfigurationCountsForTheLimiterAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := threeDomains(t)
+		journal := &lateJournal{fakeJournal: newFakeJournal(f.log, "b2", "b", "host-b2")}
+		l := New(Config{
+			Self: "b2", Domain: "b", Address: "host-b2", Journal: journal,
+			Peers:    &fakePeers{net: f.net, self: "b2", domain: "b"},
+			Settings: testSettings(), Logger: log.NewNopLogger(),
+		})
+		f.net.limiters["b2"] = l
+		l.reconcile()
+		journal.arrived = true
+		require.Nil(t, l.Admit(t.Context(), "o0", 1))
+		require.Equal(t, protocol.CodeForbidden, l.Admit(t.Context(), "none", 1).Code)
+	})
+}
--- a/internal/coordination/limiter/rolloutcheck.go
+++ b/internal/coordination/limiter/rolloutcheck.go
@@ -36,9 +36,7 @@
 		return
 	}
 	view := l.state.view(l.Journal.Fleet())
-	l.mu.Lock()
-	lowest := l.core.Version()
-	l.mu.Unlock()
+	lowest := l.configVersion()
 	asked := map[protocol.InstanceID]bool{l.Self: true}
 	for _, lease := range view.Leases {
 		if asked[lease.Instance] {
--- a/internal/coordination/limiter/services.go
+++ b/internal/coordination/limiter/services.go
@@ -37,7 +37,7 @@
 func (s *reconcileService) Serve(ctx context.Context) error {
 	for {
 		changed := s.limiter.Journal.Changed()
-		s.limiter.reconcile(time.Now())
+		s.limiter.reconcile()
 		if !wait.For(ctx, changeDebounce) {
 			return ctx.Err()
 		}
@@ -53,7 +53,14 @@
 
 // reconcile applies the current replayed state to the core and queues the
 // claims and releases that follow from it.
-func (l *Limiter) reconcile(now time.Time) {
+func (l *Limiter) reconcile() {
+	l.reconciling.Lock()
+	defer l.reconciling.Unlock()
+	l.reconcileLocked()
+}
+
+// reconcileLocked is reconcile for a caller that holds l.reconciling.
+func (l *Limiter) reconcileLocked() {
 	session := l.Journal.Session()
 	mayHold := l.Journal.MayHold()
 	view := l.state.view(l.Journal.Fleet())
@@ -64,6 +71,7 @@
 
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := time.Now()
 	l.refreshUsableUntil(now)
 	l.core.Configure(now, fleet, l.state.consecutive(l.core.Version(), fleet.Version))
 	l.core.SetHolders(view.holders())
