Peers are called from their sessions before the first heartbeat

Callers saw: 429 rate_limited within the rate for the first second of an instance that had been restarted. Evidence: rate_refused outcome=no_tokens took_ms=0 unanswered=2 other_slots=6 skipped=6: two calls failed at once, and both holders were suspended for a second. They were up. Cause: Heartbeats.Call found no address. Addresses come from the replayed sessions, but were taken over only in the rounds of heartbeats, the first of which begins an interval after the start (1 s by default, longer in a large fleet). Other calls to peers failed as well in that time. Change: an address that is not known is looked up in the replayed sessions.

--- a/internal/coordination/member/heartbeats.go
+++ b/internal/coordination/member/heartbeats.go
@@ -253,11 +253,25 @@
 
 // Call implements coordination.Peers.
 func (h *Heartbeats) Call(ctx context.Context, to protocol.InstanceID, method string, args, reply any) error {
-	h.mu.Lock()
-	address, ok := h.view.Address(to)
-	h.mu.Unlock()
+	address, ok := h.addressOf(to)
 	if !ok {
 		return trace.NotFound("peer address of instance %q is not known", to)
 	}
 	return trace.Wrap(h.opts.Caller.Call(ctx, address, method, args, reply))
 }
+
+// addressOf returns the peer address of an instance. An instance that has just started has
+// read the sessions of its peers before it takes part in a round of heartbeats.
+func (h *Heartbeats) addressOf(id protocol.InstanceID) (string, bool) {
+	h.mu.Lock()
+	address, ok := h.view.Address(id)
+	local := h.local
+	h.mu.Unlock()
+	if ok || local == nil {
+		return address, ok
+	}
+	h.refreshSessions(local)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.view.Address(id)
+}
