A started instance is ready after its first read of the control stream

Callers saw: 401 "the key is not known", which says not to retry, for a valid key at an instance that had just been started. Evidence: state_loaded source="control stream" applied=-1 fleet=-1 in the same millisecond: the instance counted as loaded with an empty state, and the request came before the first page was applied. Change: only a state of a peer, which is as recent as the peer's own, counts at once. Test: TestStartedInstanceIsNotCurrentBeforeItsFirstRead fails without the change to load.go.

--- a/internal/coordination/journal/gap_test.go
+++ b/internal/coordination/journal/gap_test.go
@@ -255,6 +255,25 @@
 	})
 }
 
+// Guards against an instance that rejects valid keys after its start, because it counts as
+// current before it has replayed the control stream.
+func TestStartedInstanceIsNotCurrentBeforeItsFirstRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, a, _ := startTwo(t)
+		require.Equal(t, protocol.Accepted, a.mustSubmit(fleetChange("1", protocol.NoOffset, organisation("o", 1), keyObject("k", "o", "1"))))
+		delayed := func(page external.Page) (external.Page, func() error, bool) {
+			return page, func() error { sleep(time.Second); return nil }, len(page.Entries) > 1
+		}
+		c := startNode(t, log, "c", func(opts *Options) { opts.Log.(*logLink).setReadHook(delayed) })
+		await(t, 5*time.Second, "loaded", c.isLoaded)
+		sleep(500 * time.Millisecond)
+		require.False(t, c.KeyActive("k"), "nothing is replayed yet")
+		require.False(t, c.ConfigCurrent())
+		await(t, 5*time.Second, "current", c.ConfigCurrent)
+		require.True(t, c.KeyActive("k"))
+	})
+}
+
 // An instance that is isolated from the log for a long time must continue to
 // serve with the configuration that it has.
 func TestIsolatedInstanceKeepsConfigCurrent(t *testing.T) {
--- a/internal/coordination/journal/load.go
+++ b/internal/coordination/journal/load.go
@@ -30,29 +30,43 @@
 	}
 }
 
-// adopt sets the loaded state as the journal's state.
-func (r *reader) adopt(state *replica.State, source string) {
+// stateSource is where a loaded state comes from.
+type stateSource string
+
+const (
+	sourcePeer           stateSource = "peer"
+	sourceSnapshotStream stateSource = "snapshot stream"
+	// sourceControlStream: nothing is loaded, the stream is replayed from its first entry.
+	sourceControlStream stateSource = "control stream"
+)
+
+// adopt sets the loaded state as the journal's state. Only a peer's state is as recent as the
+// peer's own. Any other is current after the first read of the control stream: before it,
+// keys and organisations may be missing.
+func (r *reader) adopt(state *replica.State, source stateSource) {
 	r.mu.Lock()
 	r.state = state
 	r.mu.Unlock()
 	r.partial.drop()
 	r.backoff.reset()
 	r.status.set("")
-	r.progress.recordAttempt(time.Now())
+	if source == sourcePeer {
+		r.progress.recordAttempt(time.Now())
+	}
 	r.publishFleet()
 	close(r.status.loaded)
 	r.notifyChanged()
 	r.event("state_loaded", "source", source, "applied", state.Applied(), "fleet", state.Fleet.Fleet().Version)
 }
 
-func (r *reader) findState(ctx context.Context) (*replica.State, string, error) {
+func (r *reader) findState(ctx context.Context) (*replica.State, stateSource, error) {
 	state, err := r.loadFromPeer(ctx)
 	if err == nil {
-		return state, "peer", nil
+		return state, sourcePeer, nil
 	}
 	state, err = r.loadFromSnapshotStream(ctx)
 	if err == nil {
-		return state, "snapshot stream", nil
+		return state, sourceSnapshotStream, nil
 	}
 	if !errors.Is(err, errNoSnapshot) {
 		return nil, "", trace.Wrap(err)
@@ -60,7 +74,7 @@
 	if err := r.checkStreamComplete(ctx); err != nil {
 		return nil, "", trace.Wrap(err)
 	}
-	return replica.New(), "control stream", nil
+	return replica.New(), sourceControlStream, nil
 }
 
 func (r *reader) loadFromPeer(ctx context.Context) (*replica.State, error) {
