Limiter: a configuration that arrives beside a request counts for it

Cause: the round of reconcile may apply the configuration between the decision and catchUp, which then found nothing to apply, and the request was refused without another decision. Change: after catchUp the decision is always made once more.

--- a/internal/coordination/limiter/attempt.go
+++ b/internal/coordination/limiter/attempt.go
@@ -54,6 +54,8 @@
 	requestID string
 	startedAt time.Time
 	timeLeft  time.Duration
+	// caughtUp is set once the replayed state was applied for an unknown organisation.
+	caughtUp bool
 	// calls counts the calls by outcome.
 	calls [callOutcomes]int
 	// stalled is the time during calls for which this process did not run, and lockWait
--- a/internal/coordination/limiter/limiter.go
+++ b/internal/coordination/limiter/limiter.go
@@ -111,7 +111,9 @@
 			stats.Add("admitted", 1)
 			l.callInBackground(decision.Prefetch)
 			return nil
-		case decision.Unknown && l.catchUp():
+		case decision.Unknown && !attempt.caughtUp:
+			attempt.caughtUp = true
+			l.catchUp()
 		case decision.Unknown:
 			return l.rejectUnknown(org)
 		case decision.Call != nil:
@@ -140,19 +142,17 @@
 	}
 }
 
-// catchUp applies the replayed state if the core's configuration is older, and reports
-// whether it was. Key checks apply a new configuration immediately, and the core applies it
-// up to changeDebounce later. Without catchUp, an instance that has just started, or whose
-// configuration has just changed, would refuse callers until then.
-func (l *Limiter) catchUp() bool {
+// catchUp applies the replayed state if the core's configuration is older. Key checks apply a
+// new configuration immediately, and the core applies it up to changeDebounce later. Without
+// catchUp, an instance that has just started, or whose configuration has just changed, would
+// refuse callers until then.
+func (l *Limiter) catchUp() {
 	version := l.Journal.Fleet().Version
 	l.reconciling.Lock()
 	defer l.reconciling.Unlock()
-	if l.configVersion() >= version {
-		return false
+	if l.configVersion() < version {
+		l.reconcileLocked()
 	}
-	l.reconcileLocked()
-	return true
 }
 
 func (l *Limiter) configVersion() protocol.Offset {
