Harness: a port is reserved among test processes

FreeAddress looked whether a port is free and returned it; another test process could choose it before it was bound. Change: a socket in the kernel's abstract namespace reserves the port until the test process ends.

--- a/internal/harness/addresses.go
+++ b/internal/harness/addresses.go
@@ -19,39 +19,46 @@
 	maxPortAttempts = 200
 )
 
-// allocatedPorts holds the ports that this process has returned. No port is
-// returned twice.
-var allocatedPorts struct {
+// reservations holds the reservations of the ports that this process has returned. They last
+// until it ends, so no port is returned twice.
+var reservations struct {
 	sync.Mutex
-	ports map[int]bool
+	held []net.Listener
 }
 
 var errNoPort = errors.New("no free port")
 
-// FreeAddress returns a loopback address with a port that is currently free.
+// FreeAddress returns a loopback address with a port that is currently free, and reserves it
+// among the processes that use this package.
 func FreeAddress() (string, error) {
-	allocatedPorts.Lock()
-	defer allocatedPorts.Unlock()
-	if allocatedPorts.ports == nil {
-		allocatedPorts.ports = map[int]bool{}
-	}
+	reservations.Lock()
+	defer reservations.Unlock()
 	for range maxPortAttempts {
 		port := firstPort + rand.IntN(lastPort-firstPort)
-		if allocatedPorts.ports[port] {
+		reservation, err := reservePort(port)
+		if err != nil {
 			continue
 		}
 		address := fmt.Sprintf("127.0.0.1:%d", port)
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
+			_ = reservation.Close()
 			continue
 		}
 		_ = listener.Close()
-		allocatedPorts.ports[port] = true
+		reservations.held = append(reservations.held, reservation)
 		return address, nil
 	}
 	return "", errNoPort
 }
 
+// reservePort reserves a port by a socket in the kernel's abstract namespace, which ends with
+// the process. The port itself can't be kept bound, since the started process binds it. If it
+// were only looked at, several test processes could choose the same one before it is bound.
+func reservePort(port int) (net.Listener, error) {
+	return net.Listen("unix", fmt.Sprintf("@merlintiller-port-%d", port))
+}
+
 // FreeAddresses returns count different addresses, as FreeAddress does.
 func FreeAddresses(count int) ([]string, error) {
 	addresses := make([]string, 0, count)
