Both daemons open their listeners before they say started

Seen: an instance whose callers', operators', readiness or metrics port another process holds said "started", logged six times "address already in use" and went on without that listener. In a run of TestGracefulStopCutsNoRequest an instance went on like that while a process of another fleet answered its operators' calls. Cause: the services opened their listeners themselves; suture restarts a service that fails, then backs off. Only the peers' listener was opened before the start. Change: listening.Now opens a listener while the daemon is created and hands it to the service, which reopens it only after a failure. A port that is taken ends the process with "opening the listener for operators at ADDRESS: ... address already in use", exit code 1. Tests: TestStartFailsIfAPortIsInUse in both daemons; in the first it fails without the change for callers and operators (no error) and peers (the error named no listener).

--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -11,6 +11,7 @@
 	"merlintiller/internal/coordination/access"
 	"merlintiller/internal/coordination/online"
 	"merlintiller/internal/external"
+	"merlintiller/internal/listening"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/transport/batchapi"
 	"merlintiller/internal/transport/edge"
@@ -26,7 +27,11 @@
 	return append(c.online.Services(), c.edge.Services()...)
 }
 
-func (d *Daemon) setupCallers() {
+func (d *Daemon) setupCallers() error {
+	listen, err := listening.Now("callers", d.settings.Listen.Callers, listenOptionalTLS(d.settings.Listen.Callers, d.tls.Callers.Server()))
+	if err != nil {
+		return trace.Wrap(err)
+	}
 	d.operators.recorder = newRecorder(d.cluster.journal.Fleet)
 	d.callers.online = online.New(online.Options{
 		Fleet:            d.cluster.journal.Fleet,
@@ -45,7 +50,7 @@
 	})
 	batchAPI := batchapi.New(d.batch.service, requestOrganisation, d.logger)
 	d.callers.edge = edge.New(edge.Options{
-		Listen: listenOptionalTLS(d.settings.Listen.Callers, d.tls.Callers.Server()),
+		Listen: listen,
 		Fleet:  d.cluster.journal.Fleet,
 		Keys:   d.keys,
 		Online: d.callers.online,
@@ -54,6 +59,7 @@
 		Logger: d.logger,
 		Limits: edgeLimits(d.settings),
 	})
+	return nil
 }
 
 // ready reports whether the instance has a current configuration. Without one it would
@@ -69,7 +75,7 @@
 
 // listenOptionalTLS returns a function that opens a TLS listener, or a plain TCP listener
 // if the settings contain no certificate.
-func listenOptionalTLS(address string, config *tls.Config) func() (net.Listener, error) {
+func listenOptionalTLS(address string, config *tls.Config) listening.OpenFunc {
 	if config == nil {
 		return listenTCP(address)
 	}
--- a/internal/daemon/cluster.go
+++ b/internal/daemon/cluster.go
@@ -31,7 +31,7 @@
 	s := d.settings
 	listener, err := net.Listen("tcp", s.Listen.Peers)
 	if err != nil {
-		return trace.Wrap(err)
+		return trace.Wrap(err, "opening the listener for peers at %s", s.Listen.Peers)
 	}
 	a := &d.cluster
 	a.peerServer = peer.NewServer(listener, d.tls.Peers.Server(), d.logger)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 
 	"merlintiller/internal/coordination/access"
 	"merlintiller/internal/external"
+	"merlintiller/internal/listening"
 	"merlintiller/internal/settings"
 	"merlintiller/internal/transport/tlsconfig"
 )
@@ -34,7 +35,7 @@
 	supervisor *suture.Supervisor
 }
 
-// New creates an instance. Background services start only in Run.
+// New creates an instance and opens its listeners. Background services start only in Run.
 func New(s *settings.Settings, logger log.Logger) (*Daemon, error) {
 	certificates, err := tlsconfig.OpenAll(s, logger)
 	if err != nil {
@@ -48,8 +49,12 @@
 	d.keys = access.New(d.cluster.journal.Fleet)
 	d.setupFleetPolicy()
 	d.setupBatch()
-	d.setupCallers()
-	d.setupOperators()
+	if err := d.setupCallers(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if err := d.setupOperators(); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	if err := d.registerReceivers(); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -143,6 +148,6 @@
 }
 
 // listenTCP returns a function that opens a TCP listener.
-func listenTCP(address string) func() (net.Listener, error) {
+func listenTCP(address string) listening.OpenFunc {
 	return func() (net.Listener, error) { return external.ListenTCP(address) }
 }
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -7,12 +7,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/thejerf/suture/v4"
 
 	"merlintiller/internal/burn"
 	"merlintiller/internal/coordination/fleetstatus"
 	"merlintiller/internal/coordination/online"
 	"merlintiller/internal/coordination/withdrawal"
+	"merlintiller/internal/listening"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/transport/graceful"
 	"merlintiller/internal/transport/operatorapi"
@@ -64,7 +66,11 @@
 	return burn.NewRecorder(objectives, time.Now)
 }
 
-func (d *Daemon) setupOperators() {
+func (d *Daemon) setupOperators() error {
+	listen, err := listening.Now("operators", d.settings.Listen.Operators, listenOptionalTLS(d.settings.Listen.Operators, d.tls.Operators.Server()))
+	if err != nil {
+		return trace.Wrap(err)
+	}
 	o := &d.operators
 	j := d.cluster.journal
 	peers := d.cluster.heartbeats
@@ -98,7 +104,6 @@
 	mux := http.NewServeMux()
 	mux.Handle("/operator/", handler)
 	mux.Handle("GET /debug/vars", expvar.Handler())
-	listen := listenOptionalTLS(d.settings.Listen.Operators, d.tls.Operators.Server())
 	o.server = &operatorServer{graceful.NewService(listen, func() graceful.Options {
 		return graceful.Options{
 			Name:    "operators",
@@ -107,6 +112,7 @@
 			Logger:  d.logger,
 		}
 	})}
+	return nil
 }
 
 // operatorServer is the HTTP server for operators. It implements suture.Service.
--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -66,6 +65,7 @@
 
 	isolation *isolationDetector
 
+	listeners  listeners
 	leaving    atomic.Bool
 	supervisor *suture.Supervisor
 	// killed stops all background services without a graceful shutdown. Tests use it
@@ -74,7 +74,8 @@
 	kill   context.CancelFunc
 }
 
-// New creates an instance on a network. Background services start only in Run.
+// New creates an instance on a network and opens its listeners. Background services start
+// only in Run.
 func New(s *settings.Routed, network external.Network, logger log.Logger) (*Daemon, error) {
 	debug.SetMemoryLimit(int64(heapShareOfMemory * float64(s.MemoryMB) * (1 << 20)))
 	d := &Daemon{
@@ -110,6 +111,9 @@
 			return table != nil && table.HasAnyBatchRoute()
 		},
 	}
+	if err := d.setupListeners(); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	d.setupFront()
 	if err := d.registerReceivers(); err != nil {
 		return nil, trace.Wrap(err)
@@ -140,7 +144,7 @@
 func (d *Daemon) setupPeers() error {
 	listener, err := d.network.Listen(d.settings.Listen.Peers)
 	if err != nil {
-		return trace.Wrap(err)
+		return trace.Wrap(err, "opening the listener for peers at %s", d.settings.Listen.Peers)
 	}
 	d.peerServer = peer.NewServer(listener, nil, d.logger)
 	d.mesh = mesh.New(mesh.Config{Self: d.self, Seeds: d.settings.Seeds, Caller: d.peerClient, Logger: d.logger})
@@ -175,7 +179,7 @@
 
 func (d *Daemon) setupFront() {
 	d.front = front.New(front.Options{
-		Listen: d.listenOn(d.settings.Listen.Callers),
+		Listen: d.listeners.callers,
 		Codec: front.Codec{
 			DecodeRequest: platform.DecodeRequest, DecodeJobCall: platform.DecodeJobCall,
 			DecodeItems: platform.DecodeItems, EncodeResults: platform.EncodeResults,
@@ -223,9 +227,9 @@
 	d.supervisor.Add(d.runner)
 	d.supervisor.Add(d.partitionOwner)
 	d.supervisor.Add(d.front)
-	d.supervisor.Add(&readinessServer{daemon: d, listen: d.listenOn(d.settings.Listen.Readiness)})
+	d.supervisor.Add(&readinessServer{daemon: d, listen: d.listeners.readiness})
 	if d.settings.Listen.Metrics != "" {
-		d.supervisor.Add(&metricsServer{listen: d.listenOn(d.settings.Listen.Metrics)})
+		d.supervisor.Add(&metricsServer{listen: d.listeners.metrics})
 	}
 }
 
@@ -263,10 +267,6 @@
 	return nil
 }
 
-func (d *Daemon) listenOn(address string) func() (net.Listener, error) {
-	return func() (net.Listener, error) { return d.network.Listen(address) }
-}
-
 var (
 	_ external.KeyedLog = (*platform.Store)(nil)
 	_ external.Groups   = (*platform.Store)(nil)
--- a/internal/daemon/routed/servers.go
+++ b/internal/daemon/routed/servers.go
@@ -12,16 +12,45 @@
 	"github.com/gravitational/trace"
 
 	"merlintiller/internal/closing"
+	"merlintiller/internal/listening"
 )
 
 // headerTimeout limits the time to read the request headers at the readiness and
 // metrics servers.
 const headerTimeout = 2 * time.Second
 
+// listeners are those of callers, the load balancer's readiness checks and, optionally,
+// metrics.
+type listeners struct {
+	callers, readiness, metrics listening.OpenFunc
+}
+
+func (d *Daemon) setupListeners() error {
+	addresses := d.settings.Listen
+	for _, l := range []struct {
+		name, address string
+		to            *listening.OpenFunc
+	}{
+		{"callers", addresses.Callers, &d.listeners.callers},
+		{"readiness checks", addresses.Readiness, &d.listeners.readiness},
+		{"metrics", addresses.Metrics, &d.listeners.metrics},
+	} {
+		if l.address == "" {
+			continue
+		}
+		open, err := listening.Now(l.name, l.address, func() (net.Listener, error) { return d.network.Listen(l.address) })
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		*l.to = open
+	}
+	return nil
+}
+
 // readinessServer serves the readiness checks of the load balancer.
 type readinessServer struct {
 	daemon *Daemon
-	listen func() (net.Listener, error)
+	listen listening.OpenFunc
 }
 
 // String returns the name of the service for the supervisor.
@@ -42,7 +71,7 @@
 
 // metricsServer exposes the metrics of the process.
 type metricsServer struct {
-	listen func() (net.Listener, error)
+	listen listening.OpenFunc
 }
 
 // String returns the name of the service for the supervisor.
@@ -58,7 +87,7 @@
 	return serveHTTP(ctx, m.listen, mux)
 }
 
-func serveHTTP(ctx context.Context, listen func() (net.Listener, error), handler http.Handler) error {
+func serveHTTP(ctx context.Context, listen listening.OpenFunc, handler http.Handler) error {
 	listener, err := listen()
 	if err != nil {
 		return trace.Wrap(err)
