Quota: an instance's own pause is not silence of the others

Callers saw: 429 over_rate within the rate at an instance that had just gone on after a pause, for the requests that had waited for it. The requests are decided before the reports are read that arrived meanwhile; by the clock all others were silent, so the instance took itself for isolated and cut its buckets to its own share. A burst of less than nine then leaves less than a token. Change: the mesh tells the quota of each tick and when the next one is due. Time by which a tick is late counts neither as silence nor as age of the reports. What others used is credited as before, by their last report. A partition is still noticed after the silence timeout of time that the process ran. Tests: TestPausedInstanceRefusesNothingBelowTheRate fails without the change for a pause of 1 s (share 0.11); TestPartitionAfterAPauseIsNoticed.

--- a/internal/coordination/routed/mesh/mesh.go
+++ b/internal/coordination/routed/mesh/mesh.go
@@ -77,6 +77,8 @@
 	// SetDomainSilent reports whether all instances of another failure domain are silent.
 	// It is called in every tick, also without a change.
 	SetDomainSilent(domain string, silent bool)
+	// Ticked is called in every tick, with the time until the next one.
+	Ticked(next time.Duration)
 	// PeerDiscovered reports an instance from which no heartbeat has been received yet.
 	PeerDiscovered(name string)
 }
@@ -231,11 +233,13 @@
 // Serve exchanges messages until ctx ends.
 func (m *Mesh) Serve(ctx context.Context) error {
 	for {
+		period := m.tickPeriod()
+		m.delegate.Ticked(period)
 		m.reportChanges()
 		for _, p := range m.dueExchanges(time.Now()) {
 			go m.exchange(ctx, p)
 		}
-		if !wait.For(ctx, m.tickPeriod()) {
+		if !wait.For(ctx, period) {
 			return ctx.Err()
 		}
 	}
--- a/internal/coordination/routed/quota/limiter.go
+++ b/internal/coordination/routed/quota/limiter.go
@@ -96,6 +96,13 @@
 	return l.buckets.BucketLevels(time.Now())
 }
 
+// Tick records that this process runs, and when Tick will be called next.
+func (l *Limiter) Tick(period time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.buckets.Tick(time.Now(), period)
+}
+
 // AddPeer adds an instance that has not reported yet.
 func (l *Limiter) AddPeer(name string) {
 	l.mu.Lock()
--- a/internal/coordination/routed/quota/quota.go
+++ b/internal/coordination/routed/quota/quota.go
@@ -66,6 +66,7 @@
 type Buckets struct {
 	// startedAt is the start of this incarnation, now the latest time that was passed in.
 	startedAt, now time.Time
+	clock          runClock
 	// hasQuotaState reports that the levels were adopted from an instance that knew them,
 	// or that no instance knows them.
 	hasQuotaState bool
@@ -92,6 +93,8 @@
 type peer struct {
 	start    int64
 	lastSeen time.Time
+	// stalledUntilSeen is the time until lastSeen for which this process did not run.
+	stalledUntilSeen time.Duration
 	// knownSince is when this instance learned of the peer.
 	knownSince time.Time
 	down       bool
@@ -161,6 +164,7 @@
 		bs.applyCounts(now, p, r.Counts)
 	}
 	p.lastSeen, p.hasQuotaState, p.silenceTimeout = now, r.HasQuotaState, r.SilenceTimeout
+	p.stalledUntilSeen = bs.clock.stalledUntil(now)
 	bs.adoptLevels(now, r.Levels)
 }
 
@@ -233,7 +237,7 @@
 		if p.down {
 			bs.changePeers(now, func() { p.down = false })
 		}
-		p.lastSeen = r.At
+		p.lastSeen, p.stalledUntilSeen = r.At, bs.clock.stalledUntil(now)
 	}
 }
 
@@ -300,6 +304,10 @@
 	return true
 }
 
+// Tick records that this process runs, and when Tick will be called next. Time by which it
+// is late does not count as silence of the other instances.
+func (bs *Buckets) Tick(now time.Time, period time.Duration) { bs.clock.tick(now, period) }
+
 // AddPeer adds an instance that has not reported yet.
 func (bs *Buckets) AddPeer(now time.Time, name string) {
 	bs.now = now
--- a/internal/coordination/routed/quota/quota_test.go
+++ b/internal/coordination/routed/quota/quota_test.go
@@ -105,6 +105,39 @@
 // twenty above the rate and the burst.
 func tolerated(l Limit) int { return int((5*l.Rate+l.Burst)*1.1 + 20) }
 
+// Guards against an instance that takes its own pause for silence of all others, and refuses
+// the requests that waited for it although they are within the rate.
+func TestPausedInstanceRefusesNothingBelowTheRate(t *testing.T) {
+	for _, pause := range []time.Duration{200 * time.Millisecond, time.Second, 10 * time.Second} {
+		f := newFleet(t, 9, Limit{Rate: 4, Burst: 7})
+		paused := f.members[0]
+		const tick = 25 * time.Millisecond
+		for range 40 {
+			f.now = f.now.Add(tick)
+			f.exchangeReports()
+			paused.Tick(f.now, tick)
+		}
+		f.now = f.now.Add(pause)
+		for range 4 {
+			d := paused.Admit(f.now, "o")
+			require.True(t, d.Admitted, "pause %s: %+v", pause, d)
+		}
+	}
+}
+
+// Guards against a network partition that is not noticed because it is taken for a pause.
+func TestPartitionAfterAPauseIsNoticed(t *testing.T) {
+	b := newFleet(t, 9, Limit{Rate: 4, Burst: 7}).members[0]
+	now, tick := start, 25*time.Millisecond
+	b.Tick(now, tick)
+	now = now.Add(3 * time.Second)
+	for range int(silenceTimeout/tick) + 2 {
+		b.Tick(now, tick)
+		now = now.Add(tick)
+	}
+	require.InDelta(t, 1.0/9, b.Admit(now, "o").Share, 0.01)
+}
+
 func TestNothingIsRejectedBelowTheRate(t *testing.T) {
 	f := newFleet(t, 9, Limit{Rate: 20, Burst: 20})
 	f.run(rand.New(rand.NewPCG(1, 1)), 17, 30*time.Second)
--- a/internal/coordination/routed/quota/shares.go
+++ b/internal/coordination/routed/quota/shares.go
@@ -36,18 +36,18 @@
 			continue
 		}
 		size++
-		at := p.lastSeenOrKnown()
+		at, silence := p.lastSeenOrKnown(), bs.silence(now, p)
 		credited += at.Sub(bs.startedAt)
-		if q := p.suspicion(now); q > 0 {
+		if q := p.suspicion(silence); q > 0 {
 			suspected += q
 			silentSince = earlier(silentSince, at)
 		}
-		if bs.silent(now, p) {
+		if p.silent(silence) {
 			silentFor += now.Sub(at)
 			continue
 		}
 		reachable++
-		ages += now.Sub(at)
+		ages += silence
 		silenceTimeout = max(silenceTimeout, p.silenceTimeout)
 	}
 	if !bs.resolveQuotaState(now) {
@@ -74,8 +74,15 @@
 	return a
 }
 
-func (bs *Buckets) silent(now time.Time, p *peer) bool {
-	return !p.down && (p.lastSeen.IsZero() || now.Sub(p.lastSeen) > p.silenceTimeout)
+// silence returns the time since an instance was last heard of, without the time for which
+// this process did not run.
+func (bs *Buckets) silence(now time.Time, p *peer) time.Duration {
+	stalled := bs.clock.stalledUntil(now) - p.stalledUntilSeen
+	return max(0, now.Sub(p.lastSeenOrKnown())-stalled)
+}
+
+func (p *peer) silent(silence time.Duration) bool {
+	return !p.down && (p.lastSeen.IsZero() || silence > p.silenceTimeout)
 }
 
 // lastSeenOrKnown returns the time of the last report, or the time at which the instance
@@ -94,12 +101,12 @@
 const trustedShare = 0.5
 
 // suspicion returns the degree to which an instance counts as silent, from 0 to 1.
-func (p *peer) suspicion(now time.Time) float64 {
+func (p *peer) suspicion(silence time.Duration) float64 {
 	if p.lastSeen.IsZero() {
 		return 1
 	}
 	trusted := trustedShare * float64(p.silenceTimeout)
-	beyond := float64(now.Sub(p.lastSeen)) - trusted
+	beyond := float64(silence) - trusted
 	return min(1, max(0, beyond/max(1, float64(p.silenceTimeout)-trusted)))
 }
 
--- a/internal/daemon/routed/delegate.go
+++ b/internal/daemon/routed/delegate.go
@@ -89,5 +89,8 @@
 	m.placer.SetDomainSilent(domain, silent)
 }
 
+// Ticked implements mesh.Delegate.
+func (m *meshDelegate) Ticked(next time.Duration) { m.limiter.Tick(next) }
+
 // PeerDiscovered implements mesh.Delegate.
 func (m *meshDelegate) PeerDiscovered(name string) { m.limiter.AddPeer(name) }
