--- a/internal/harness/caller.go
+++ b/internal/harness/caller.go
@@ -57,11 +57,18 @@
 
 // Post sends one request to one instance.
 func (c *Caller) Post(ctx context.Context, path string, body []byte, header map[string]string) (*Answer, error) {
+	return c.PostFrom(ctx, path, bytes.NewReader(body), len(body), header)
+}
+
+// PostFrom sends one request whose body, of the given length in bytes, is read while it is
+// sent.
+func (c *Caller) PostFrom(ctx context.Context, path string, body io.Reader, length int, header map[string]string) (*Answer, error) {
 	started := time.Now()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.address()+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.address()+path, body)
 	if err != nil {
 		return nil, err
 	}
+	req.ContentLength = int64(length)
 	req.Header.Set("Authorization", "Bearer "+c.Secret)
 	req.Header.Set("Content-Type", "application/json")
 	for name, value := range header {
