A request that comes at the idle timeout of its connection is answered

Callers could see: EOF or "connection reset by peer" without a stop, for a request that reaches the instance as it closes the connection after 75 s (90 s at the routed daemon). It is the same fault as at a stop, in the same place of net/http: the server closes an idle connection without regard to what is on the way. Evidence: TestRequestAtTheIdleTimeoutIsAnswered; without IdleRefusal it ends with "unexpected EOF". It was not seen with real processes. Change: before such a connection is closed it gets a refusal, as at a stop: 408 connection_idle, not_run, which callers' libraries also expect on an idle connection; at the routed daemon the 503 with Retry-After that it sends at a stop. The connection stays open for half a second, until its caller has closed it. New metric connections.expired_idle.

--- a/internal/protocol/runstate.go
+++ b/internal/protocol/runstate.go
@@ -45,6 +45,7 @@
 	CodeInstanceStarting   Code = "instance_starting"
 	CodeMayHaveTakenEffect Code = "may_have_taken_effect"
 	CodeGone               Code = "gone"
+	CodeConnectionIdle     Code = "connection_idle"
 	CodeInternal           Code = "internal"
 )
 
@@ -98,6 +99,7 @@
 	CodeInstanceStarting:   http.StatusServiceUnavailable,
 	CodeMayHaveTakenEffect: http.StatusGatewayTimeout,
 	CodeGone:               http.StatusGone,
+	CodeConnectionIdle:     http.StatusRequestTimeout,
 	CodeInternal:           http.StatusInternalServerError,
 }
 
--- a/internal/transport/edge/errors.go
+++ b/internal/transport/edge/errors.go
@@ -40,7 +40,7 @@
 		return "permission_error"
 	case status == http.StatusTooManyRequests:
 		return "rate_limit_error"
-	case status == http.StatusGatewayTimeout:
+	case status == http.StatusGatewayTimeout, status == http.StatusRequestTimeout:
 		return "timeout_error"
 	case status >= http.StatusInternalServerError:
 		return "server_error"
--- a/internal/transport/edge/routes.go
+++ b/internal/transport/edge/routes.go
@@ -156,6 +156,13 @@
 	writeErrorResponse(w, refusal, refusal.Code.HTTPStatus())
 }
 
+// writeIdleRefusal writes the refusal of a request that arrives as its connection is closed
+// because it was idle.
+func writeIdleRefusal(w http.ResponseWriter) {
+	refusal := protocol.Refuse(protocol.CodeConnectionIdle, drainRetryAfter, "the connection was idle for too long; send the request again")
+	writeErrorResponse(w, refusal, refusal.Code.HTTPStatus())
+}
+
 func (e *Edge) healthz(w http.ResponseWriter, _ *http.Request) {
 	_, _ = w.Write([]byte("ok\n"))
 }
--- a/internal/transport/edge/server.go
+++ b/internal/transport/edge/server.go
@@ -86,8 +86,9 @@
 			MaxHeaderBytes:    e.limits.MaxHeaderBytes,
 			ErrorLog:          errorLog(e.opts.Logger),
 		},
-		Refusal: writeDrainingRefusal,
-		Logger:  e.opts.Logger,
+		Refusal:     writeDrainingRefusal,
+		IdleRefusal: writeIdleRefusal,
+		Logger:      e.opts.Logger,
 	}
 }
 
--- a/internal/transport/front/server.go
+++ b/internal/transport/front/server.go
@@ -124,9 +124,10 @@
 			ErrorLog:          newErrorLog(f.opts.Logger),
 			BaseContext:       func(net.Listener) context.Context { return f.requests },
 		},
-		Refusal:   f.writeDrainingRefusal,
-		Interrupt: func() { f.interrupt(relay.ErrInterrupted) },
-		Logger:    f.opts.Logger,
+		Refusal:     f.writeUnreadRefusal,
+		IdleRefusal: f.writeUnreadRefusal,
+		Interrupt:   func() { f.interrupt(relay.ErrInterrupted) },
+		Logger:      f.opts.Logger,
 	}
 }
 
@@ -146,9 +147,9 @@
 // StartDraining makes each response ask its caller to close the connection.
 func (f *Front) StartDraining() { f.draining.Store(true) }
 
-// writeDrainingRefusal writes the response to a request that the instance does not read
-// because it shuts down.
-func (f *Front) writeDrainingRefusal(w http.ResponseWriter) {
+// writeUnreadRefusal writes the response to a request that the instance does not read because
+// it shuts down, or because the connection was idle for too long.
+func (f *Front) writeUnreadRefusal(w http.ResponseWriter) {
 	w.Header().Set("Retry-After", f.opts.Codec.EncodeRetryAfter(drainRetryAfter))
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
--- a/internal/transport/graceful/conn.go
+++ b/internal/transport/graceful/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"time"
 )
@@ -37,8 +39,9 @@
 // conn is a connection of a caller.
 type conn struct {
 	net.Conn
-	// refusal is the encoded response for a request that is not read.
-	refusal []byte
+	// refusal and idleRefusal are the encoded responses for a request that is not read
+	// because of a shutdown and because its connection was idle for too long.
+	refusal, idleRefusal []byte
 	// since is when the connection was accepted.
 	since time.Time
 
@@ -46,6 +49,8 @@
 	state connState
 	// received reports whether bytes of the next request have arrived.
 	received bool
+	// expired reports whether the connection was refused because it was idle.
+	expired bool
 }
 
 type connKey struct{}
@@ -63,6 +68,9 @@
 		if n > 0 && c.receive() {
 			return n, err
 		}
+		if err != nil && c.refuseIdle(err) {
+			continue
+		}
 		if err != nil {
 			return 0, err
 		}
@@ -143,16 +151,43 @@
 	return c.state == connActive || c.received
 }
 
-// writeRefusal writes the refusal to a connection for which markRefused returned true, and
-// closes its sending side. A caller whose request is on the way takes it for the response,
-// and one that sends nothing finds its connection closed.
+// refuseIdle refuses the next request if a read ended because the connection was idle for too
+// long. A request that crosses the close of the connection would get no answer.
+func (c *conn) refuseIdle(err error) bool {
+	if !errors.Is(err, os.ErrDeadlineExceeded) || !c.markExpired() {
+		return false
+	}
+	expiredIdle.Add(1)
+	c.write(c.idleRefusal)
+	return true
+}
+
+// markExpired marks an idle connection as refused. It returns false if a request has begun.
+func (c *conn) markExpired() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state != connIdle || c.received || c.idleRefusal == nil {
+		return false
+	}
+	c.state, c.expired = connRefused, true
+	return true
+}
+
+// writeRefusal writes the refusal of a shutdown to a connection for which markRefused returned
+// true.
 func (c *conn) writeRefusal() {
 	refusedIdle.Add(1)
+	c.write(c.refusal)
+}
+
+// write writes a refusal and closes the sending side. A caller whose request is on the way
+// takes it for the response, and one that sends nothing finds its connection closed.
+func (c *conn) write(refusal []byte) {
 	// The read deadline comes first: while a TLS handshake waits for the caller, a write
 	// waits for the handshake.
 	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
-	_, _ = c.Conn.Write(c.refusal)
+	_, _ = c.Conn.Write(refusal)
 	_ = c.CloseWrite()
 }
 
--- a/internal/transport/graceful/connset.go
+++ b/internal/transport/graceful/connset.go
@@ -6,7 +6,7 @@
 type connSet struct {
 	mu   sync.Mutex
 	open map[*conn]struct{}
-	// refused is the number of connections that were closed after a refusal.
+	// refused is the number of connections that a shutdown closed after a refusal.
 	refused int
 }
 
@@ -20,7 +20,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.open, c)
-	if c.isRefused() {
+	if c.isRefused() && !c.expired {
 		s.refused++
 	}
 }
--- a/internal/transport/graceful/graceful_test.go
+++ b/internal/transport/graceful/graceful_test.go
@@ -256,3 +256,34 @@
 		})
 	}
 }
+
+// Guards against a request that gets no answer since its connection reaches the idle timeout
+// as it comes.
+func TestRequestAtTheIdleTimeoutIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const idleTimeout = time.Minute
+		server := New(Options{
+			Name:        "test",
+			HTTP:        &http.Server{Handler: http.HandlerFunc(answerOK), IdleTimeout: idleTimeout},
+			Refusal:     func(w http.ResponseWriter) { w.WriteHeader(http.StatusServiceUnavailable) },
+			IdleRefusal: func(w http.ResponseWriter) { w.WriteHeader(http.StatusRequestTimeout) },
+			Logger:      log.NewNopLogger(),
+		})
+		listener := newPipeListener()
+		served := make(chan error, 1)
+		go func() { served <- server.Serve(listener) }()
+		conn := listener.dial()
+		_, err := io.WriteString(conn, request)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, receiveStatus(t, conn))
+		time.Sleep(idleTimeout + time.Millisecond)
+		go func() { _, _ = io.WriteString(conn, request) }()
+		require.Equal(t, http.StatusRequestTimeout, receiveStatus(t, conn))
+		time.Sleep(lingerTimeout)
+		synctest.Wait()
+		require.Zero(t, server.conns.count(), "the connection must be closed")
+		require.NoError(t, server.Shutdown(t.Context()))
+		require.Zero(t, server.conns.refusedCount())
+		<-served
+	})
+}
--- a/internal/transport/graceful/server.go
+++ b/internal/transport/graceful/server.go
@@ -27,6 +27,7 @@
 var (
 	refusedIdle = expvar.NewInt("shutdown.refused_idle")
 	interrupted = expvar.NewInt("shutdown.interrupted")
+	expiredIdle = expvar.NewInt("connections.expired_idle")
 )
 
 const (
@@ -46,6 +47,9 @@
 	// Refusal writes the response that tells a caller that its request was not read and
 	// may be sent to another instance.
 	Refusal func(http.ResponseWriter)
+	// IdleRefusal, if set, writes the response before a connection is closed that was idle
+	// for the idle timeout of HTTP. A request that is on the way takes it for the answer.
+	IdleRefusal func(http.ResponseWriter)
 	// Interrupt, if set, makes the handlers of the requests in flight respond at once.
 	Interrupt func()
 	Logger    log.Logger
@@ -53,9 +57,9 @@
 
 // Server is an HTTP server with a graceful shutdown.
 type Server struct {
-	opts    Options
-	refusal []byte
-	conns   connSet
+	opts                 Options
+	refusal, idleRefusal []byte
+	conns                connSet
 	// stopping is true from the start of Shutdown.
 	stopping atomic.Bool
 
@@ -71,6 +75,9 @@
 func New(opts Options) *Server {
 	s := &Server{opts: opts, served: make(chan struct{})}
 	s.refusal = encodeResponse(opts.Refusal)
+	if opts.IdleRefusal != nil {
+		s.idleRefusal = encodeResponse(opts.IdleRefusal)
+	}
 	s.conns.open = map[*conn]struct{}{}
 	next := opts.HTTP.Handler
 	opts.HTTP.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -216,7 +223,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: accepted, refusal: l.server.refusal, since: time.Now()}
+	c := &conn{Conn: accepted, refusal: l.server.refusal, idleRefusal: l.server.idleRefusal, since: time.Now()}
 	l.server.conns.add(c)
 	return c, nil
 }
