Limiter: a refusal says whether the rate is exceeded or tokens can't be asked for

Callers saw "organisation X exceeds its rate" also while no slot had a holder (the first second of a fleet's start, no_holder=9 in rate_refused) and while holders were silent. Change: the message says then that instances that hold the tokens did not answer in time or are not known yet; the log line has the outcome not_reached. Status, code, run state and time to come back are as before: whether such a caller should be told 503 is for the users to say (docs/QUESTIONS.md). Test: TestRejectionSaysWhetherTheRateIsExceeded.

--- a/internal/coordination/limiter/attempt.go
+++ b/internal/coordination/limiter/attempt.go
@@ -78,12 +78,16 @@
 	return a.timeLeft <= 0 || ctx.Err() != nil
 }
 
-// logRefusal logs a refusal with what it is based on. With outcome no_tokens every slot that
-// can be asked had too few. With out_of_time there may be slots left to ask.
+// logRefusal logs a refusal with what it is based on. With outcome no_tokens every slot had too
+// few. With not_reached that holds for the slots that can be asked, and with out_of_time there
+// may be slots left to ask.
 func (l *Limiter) logRefusal(request *Request, attempt *attempt, decision Decision) {
 	outcome := "no_tokens"
-	if request.OutOfTime {
+	switch {
+	case request.OutOfTime:
 		outcome = "out_of_time"
+	case decision.NotReached:
+		outcome = "not_reached"
 	}
 	known := l.holdings(request.Organisation)
 	_ = level.Info(l.Logger).Log("event", "rate_refused", "outcome", outcome,
--- a/internal/coordination/limiter/decide.go
+++ b/internal/coordination/limiter/decide.go
@@ -42,9 +42,11 @@
 	// Unknown: the configuration has no such organisation.
 	Unknown bool
 	// Refused: the request is rejected, and RetryAfter is the delay until
-	// tokens are expected. Returns are background calls that return fractions
-	// which did not add up to a token.
+	// tokens are expected. NotReached: there may be tokens in slots that can't be
+	// asked now. Returns are background calls that return fractions which did not
+	// add up to a token.
 	Refused    bool
+	NotReached bool
 	RetryAfter time.Duration
 	Returns    []*TakeCall
 }
@@ -74,7 +76,22 @@
 	if call := c.askForFraction(now, a, r, missing); call != nil {
 		return Decision{Call: call}
 	}
-	return Decision{Refused: true, RetryAfter: c.retryAfter(now, a, r.Tokens), Returns: c.refundFractions(now, a)}
+	return Decision{
+		Refused: true, NotReached: c.anyNotReached(now, a),
+		RetryAfter: c.retryAfter(now, a, r.Tokens), Returns: c.refundFractions(now, a),
+	}
+}
+
+// anyNotReached reports whether some slot of an organisation has no usable holder, or one
+// that did not answer.
+func (c *Core) anyNotReached(now time.Time, a *account) bool {
+	for i := range a.slots {
+		s := &a.slots[i]
+		if !c.MayUse(now, s.quota.Key) && (!c.heldByOther(s) || s.unreachableUntil.After(now)) {
+			return true
+		}
+	}
+	return false
 }
 
 // askAgainIfExpired lets a slot be asked once more if the tokens that it granted expired
--- a/internal/coordination/limiter/limiter.go
+++ b/internal/coordination/limiter/limiter.go
@@ -135,8 +135,8 @@
 	switch {
 	case ctx.Err() != nil:
 		return protocol.Refuse(protocol.CodeDeadline, retryAfter, "the deadline passed before organisation %s was granted a token", org)
-	case request.OutOfTime:
-		return protocol.Refuse(protocol.CodeRateLimited, retryAfter, "no instance granted organisation %s a token in time", org)
+	case request.OutOfTime || decision.NotReached:
+		return protocol.Refuse(protocol.CodeRateLimited, retryAfter, "organisation %s got no token: instances that hold its tokens did not answer in time, or are not known yet", org)
 	default:
 		return protocol.Refuse(protocol.CodeRateLimited, retryAfter, "organisation %s exceeds its rate", org)
 	}
--- a/internal/coordination/limiter/limiter_test.go
+++ b/internal/coordination/limiter/limiter_test.go
@@ -65,6 +65,21 @@
 	})
 }
 
+// Guards against an answer that blames a caller for its rate while the tokens of its
+// organisation can't be asked for.
+func TestRejectionSaysWhetherTheRateIsExceeded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := threeDomains(t)
+		f.countAdmitted("b1", "o0", 60)
+		require.Contains(t, f.all["b1"].Admit(t.Context(), "o0", 1).Message, "exceeds its rate")
+		f.net.partitionDomains("a", "b")
+		f.net.partitionDomains("b", "c")
+		sleep(10 * time.Second)
+		f.countAdmitted("b1", "o0", 60)
+		require.Contains(t, f.all["b1"].Admit(t.Context(), "o0", 1).Message, "did not answer in time")
+	})
+}
+
 func TestRejectionStatesRetryAfter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := threeDomains(t)
