tillerd: log lines of the first daemon do not wait for the reader of the output

Cause: the first daemon wrote its lines to stderr synchronously, the other one through logline.Writer. The line rate_refused is on the path of a request, which would have waited for a reader that has stopped. Change: the same writer, a bounded queue that drops and counts lines. The end of the process waits 200 ms at most for the queued ones. Result: logline's tests show that a stopped reader holds nobody up; no run with a stopped reader of this daemon was made. Admit's refusal is a function of its own.

--- a/cmd/tillerd/main.go
+++ b/cmd/tillerd/main.go
@@ -77,7 +77,9 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	logger := daemon.NewLogger(os.Stderr, s.Log)
+	lines := logline.NewWriter(os.Stderr)
+	defer lines.Start()()
+	logger := daemon.NewLogger(lines, s.Log)
 	d, err := daemon.New(s, logger)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/coordination/limiter/limiter.go
+++ b/internal/coordination/limiter/limiter.go
@@ -119,16 +119,21 @@
 		case decision.Call != nil:
 			l.callForRequest(ctx, attempt, &request, decision.Call)
 		default:
-			stats.Add("refused", 1)
-			for _, back := range decision.Returns {
-				l.callInBackground(back)
-			}
-			l.logRefusal(&request, attempt, decision)
-			return refusal(ctx, &request, decision)
+			return l.reject(ctx, &request, attempt, decision)
 		}
 	}
 }
 
+// reject ends a decision that got no tokens.
+func (l *Limiter) reject(ctx context.Context, request *Request, attempt *attempt, decision Decision) *protocol.Refusal {
+	stats.Add("refused", 1)
+	for _, back := range decision.Returns {
+		l.callInBackground(back)
+	}
+	l.logRefusal(request, attempt, decision)
+	return refusal(ctx, request, decision)
+}
+
 // refusal returns the answer to a request that got no tokens.
 func refusal(ctx context.Context, request *Request, decision Decision) *protocol.Refusal {
 	org, retryAfter := request.Organisation, decision.retryAfter()
