--- a/internal/harness/proctest/stops_test.go
+++ b/internal/harness/proctest/stops_test.go
@@ -61,6 +61,7 @@
 		require.NoError(t, f.WaitReady(f.ctx))
 	}
 	callers.awaitAnswers(ctx)
+	require.NoError(t, ctx.Err(), "the callers got too few answers")
 	stop()
 	callers.running.Wait()
 	require.Empty(t, callers.failures)
@@ -111,18 +112,14 @@
 	caller := c.fleet.callerFor(instance, c.fleet.secret)
 	for turn := 0; ctx.Err() == nil; turn++ {
 		prompt := fmt.Sprintf("riser %d of caller %d", turn, n)
-		tokens, stream := 60, (turn+n)%2 == 0
-		var answer *harness.Answer
-		var err error
+		tokens, stream, delay := 60, (turn+n)%2 == 0, time.Duration(0)
 		switch n / len(c.fleet.Instances) {
 		case 0:
 			tokens, stream = longStream, true
-			answer, err = c.post(caller, harness.ChatBody(model, prompt, tokens, stream), 0)
 		case 1:
-			answer, err = c.post(caller, harness.ChatBody(model, prompt, tokens, stream), bodyPieceDelay)
-		default:
-			answer, err = c.post(caller, harness.ChatBody(model, prompt, tokens, stream), 0)
+			delay = bodyPieceDelay
 		}
+		answer, err := c.post(caller, harness.ChatBody(model, prompt, tokens, stream), delay)
 		c.record(instance, answer, err, err == nil && answer.MatchesPrompt(prompt, tokens, stream))
 		if err != nil || answer.Status != http.StatusOK {
 			wait.For(ctx, bodyPieceDelay)
