--- a/internal/coordination/limiter/attempt.go
+++ b/internal/coordination/limiter/attempt.go
@@ -41,10 +41,11 @@
 	}
 }
 
-// endedCall describes how a Take call ended. It used this time of its limit, in addition to
-// the time for which this process was stalled.
+// endedCall describes how a Take call ended.
 type endedCall struct {
-	outcome       callOutcome
+	outcome callOutcome
+	// used is the part of its limit that the call used. stalled is the time for which this
+	// process did not run meanwhile, which is not part of it.
 	used, stalled time.Duration
 }
 
--- a/internal/transport/graceful/conn.go
+++ b/internal/transport/graceful/conn.go
@@ -158,7 +158,7 @@
 		return false
 	}
 	expiredIdle.Add(1)
-	c.write(c.idleRefusal)
+	c.send(c.idleRefusal)
 	return true
 }
 
@@ -177,12 +177,12 @@
 // true.
 func (c *conn) writeRefusal() {
 	refusedIdle.Add(1)
-	c.write(c.refusal)
+	c.send(c.refusal)
 }
 
-// write writes a refusal and closes the sending side. A caller whose request is on the way
+// send writes a refusal and closes the sending side. A caller whose request is on the way
 // takes it for the response, and one that sends nothing finds its connection closed.
-func (c *conn) write(refusal []byte) {
+func (c *conn) send(refusal []byte) {
 	// The read deadline comes first: while a TLS handshake waits for the caller, a write
 	// waits for the handshake.
 	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
