--- a/internal/coordination/routed/batchjobs/task.go
+++ b/internal/coordination/routed/batchjobs/task.go
@@ -134,7 +134,7 @@
 	t.addRunTime(time.Since(start))
 	opts.Placer.Done(choice, result)
 	_ = level.Info(opts.Logger).Log("event", "item_run", "item", t.id.item, "job", t.id.job, "target", choice.ID,
-		"broker", choice.Broker, "busy", choice.Busy, "slots", choice.Slots, "how", outcome.String(), "from", from, "position", t.position, "took_ms", time.Since(start).Milliseconds(),
+		"version", choice.Version, "broker", choice.Broker, "busy", choice.Busy, "slots", choice.Slots, "how", outcome.String(), "from", from, "position", t.position, "took_ms", time.Since(start).Milliseconds(),
 		"due_in_ms", time.Until(t.job.Due).Milliseconds(), "err", err)
 	t.handleOutcome(outcome)
 }
--- a/internal/coordination/routed/relay/forward.go
+++ b/internal/coordination/routed/relay/forward.go
@@ -10,6 +10,7 @@
 
 	"merlintiller/internal/coordination/routed/placement"
 	"merlintiller/internal/external"
+	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/protocol/sse"
 	"merlintiller/internal/state/route"
 )
@@ -28,7 +29,7 @@
 func (c *call) forward(ctx context.Context, choice placement.Choice, monitor *stallMonitor, answer external.OpenAnswer) nextStep {
 	var err error
 	if c.Route.Kind == route.Stream && answer.Head().Success() {
-		err = c.forwardStream(monitor, answer)
+		err = c.forwardStream(choice, monitor, answer)
 	} else {
 		err = c.forwardBody(answer)
 	}
@@ -57,7 +58,7 @@
 // forwardStream forwards complete events only. A target may fail in the middle of
 // an event, and the stream then resumes with that event at another target; the
 // caller must not receive a part of it twice.
-func (c *call) forwardStream(monitor *stallMonitor, answer external.OpenAnswer) error {
+func (c *call) forwardStream(choice placement.Choice, monitor *stallMonitor, answer external.OpenAnswer) error {
 	events := sse.NewReader(answer)
 	var last time.Time
 	for {
@@ -74,6 +75,9 @@
 			eventGap.Update(now.Sub(last).Seconds())
 		}
 		last = now
+		if c.streamVersion == "" && c.lastEvent == exchange.FromStart {
+			c.streamVersion = choice.Version
+		}
 		if err := c.sendHead(answer); err != nil {
 			return err
 		}
--- a/internal/coordination/routed/relay/relay.go
+++ b/internal/coordination/routed/relay/relay.go
@@ -108,6 +108,9 @@
 	// lastEvent is the position of the last stream event that the caller
 	// received.
 	lastEvent int
+	// streamVersion is the software version of the target that sent the first event of
+	// the stream, empty if none was sent or it is not known.
+	streamVersion string
 	// tried holds the ids of the targets that were tried.
 	tried []string
 	// failover is the target that the stall monitor reserved for the next
@@ -319,7 +322,8 @@
 	_ = level.Info(c.opts.Logger).Log("event", "request_placed", "request", c.Request.ID, "target", choice.ID,
 		"domain", choice.Domain, "broker", choice.Broker, "busy", choice.Busy, "slots", choice.Slots,
 		"waited_ms", c.outcome.PlacementTime.Milliseconds(), "left_ms", time.Until(c.Deadline).Milliseconds(),
-		"attempt", c.outcome.Attempts, "position", c.lastEvent)
+		"attempt", c.outcome.Attempts, "position", c.lastEvent,
+		"version", choice.Version, "stream_version", c.streamVersion, "resumes", c.Request.Resumes)
 }
 
 // logFailedAttempt logs an attempt that did not complete the answer.
--- a/internal/explain/causes.go
+++ b/internal/explain/causes.go
@@ -36,8 +36,8 @@
 	case "request":
 		return describeRequest(r)
 	case "request_placed":
-		return fmt.Sprintf("sent to target %s (%s of its %s slots in use) after %s, chosen by %s",
-			r.Fields["target"], r.Fields["busy"], r.Fields["slots"], seconds(r.Number("waited_ms")), placedBy(r))
+		return fmt.Sprintf("sent to target %s (%s of its %s slots in use) after %s, chosen by %s%s",
+			r.Fields["target"], r.Fields["busy"], r.Fields["slots"], seconds(r.Number("waited_ms")), placedBy(r), describeVersions(r))
 	case "attempt_failed":
 		return describeAttempt(r)
 	case "job_submitted":
@@ -63,6 +63,22 @@
 	}
 }
 
+// describeVersions gives the software version of the target, and that of the stream if the
+// request goes on with one. It gives "" for a line without versions.
+func describeVersions(r *Record) string {
+	if r.Fields["version"] == "" {
+		return ""
+	}
+	text := fmt.Sprintf("; its software version is %s", r.Fields["version"])
+	if r.Fields["stream_version"] != "" {
+		text += fmt.Sprintf(", the stream began at %s", r.Fields["stream_version"])
+	}
+	if r.Fields["resumes"] != "" {
+		text += fmt.Sprintf("; it goes on with the stream of request %s", r.Fields["resumes"])
+	}
+	return text
+}
+
 // placedBy names the instance that chose the target.
 func placedBy(r *Record) string {
 	if r.Fields["broker"] == "" {
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -25,6 +25,9 @@
 	// After is the position of the last event of a stream that the caller has
 	// received, FromStart if none.
 	After int
+	// Resumes is the id of the attempt that brought the first event of the stream, empty
+	// if not specified.
+	Resumes string
 	// Prompt describes the size of the model's input and output.
 	Prompt Prompt
 	// Header contains the headers that are forwarded to the target unchanged.
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -11,9 +11,8 @@
 
 // Target is the entry of one target in the platform's list.
 //
-// The field names of Target and Warming and their order are part of the digest by
-// which instances compare their lists (fleetview), and instances exchange them under
-// these names. A renamed field would make lists of different releases differ.
+// Instances exchange the list under the field names of Target. They compare their lists
+// by a digest (fleetview) of the fields that all releases know.
 type Target struct {
 	// ID identifies one process of a target. If a restarted process keeps the id,
 	// Started differs.
@@ -24,6 +23,9 @@
 	Address string
 	// Domain is the target's failure domain.
 	Domain string
+	// Version is the version of the target's software, not of its model weights. Empty:
+	// unknown, since the entry comes from an instance whose release does not send it.
+	Version string
 	// Slots is the number of requests that the target runs concurrently. 0: unknown.
 	Slots int
 	// Leaving is set if the target is shutting down and accepts no new requests.
