--- a/internal/daemon/routed/fleet_test.go
+++ b/internal/daemon/routed/fleet_test.go
@@ -71,6 +71,7 @@
 	fleet   *testFleet
 	id, ip  string
 	domain  string
+	version string
 	state   string
 	started int64
 	silent  bool
@@ -178,7 +179,10 @@
 		opts.Slots, opts.QueueSize, opts.EventInterval = 8, 24, 20*time.Millisecond
 	}
 	target := &target{
-		Engine: engine.New(opts), fleet: fleet, id: id, ip: ip, domain: domain, state: "ready", started: time.Now().UnixMilli(),
+		Engine: engine.New(opts), fleet: fleet, id: id, ip: ip, domain: domain, version: "v1", state: "ready", started: time.Now().UnixMilli(),
+	}
+	if opts.Version != "" {
+		target.version = opts.Version
 	}
 	fleet.targets = append(fleet.targets, target)
 	target.listen()
@@ -197,7 +201,7 @@
 // register writes the target's entry to the list of targets.
 func (t *target) register() {
 	data, err := json.Marshal(map[string]any{
-		"service": "svc", "address": t.ip + ":8000", "zone": t.domain, "version": "v1", "slots": 8,
+		"service": "svc", "address": t.ip + ":8000", "zone": t.domain, "version": t.version, "slots": 8,
 		"state": t.state, "cold_left_ms": max(0, time.Until(t.WarmAt()).Milliseconds()), "born": t.started, "seq": time.Now().UnixMilli(),
 	})
 	require.NoError(t.fleet.t, err)
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -16,6 +16,8 @@
 // Options are the settings of an Engine.
 type Options struct {
 	ID string
+	// Version, if set, is the version of the engine's software. Each event names it.
+	Version string
 	// Slots is the number of requests that run concurrently, QueueSize the
 	// number of requests that may wait. EventInterval is the time before
 	// each event.
@@ -56,7 +58,9 @@
 	// ResumedAfter is the number of the event that the request was resumed
 	// after. It is -1 for a request that began with the first event.
 	ResumedAfter int
-	StartedAt    time.Time
+	// Resumes is the id of the request that began the stream, if the request names it.
+	Resumes   string
+	StartedAt time.Time
 	// EndedAt is zero while the request runs. Complete reports that all events
 	// were sent.
 	EndedAt  time.Time
@@ -110,9 +114,27 @@
 	return e.running, e.waiting
 }
 
-// EventData returns the data of event n. It depends only on the request id and n.
+// EventData returns the data of event n of an engine without a version. It depends only on
+// the id of the request that began the stream and n.
 func EventData(id string, n int) string { return fmt.Sprintf("%s#%d", id, n) }
 
+// VersionedEventData returns the data of event n of an engine with a version.
+func VersionedEventData(id string, n int, version string) string {
+	return EventData(id, n) + "@" + version
+}
+
+// eventData returns the data of event n of a run.
+func (e *Engine) eventData(run *Run, n int) string {
+	id := run.ID
+	if run.Resumes != "" {
+		id = run.Resumes
+	}
+	if e.opts.Version == "" {
+		return EventData(id, n)
+	}
+	return VersionedEventData(id, n, e.opts.Version)
+}
+
 // ServeHTTP implements http.Handler.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header()["Date"] = nil
@@ -175,7 +197,7 @@
 func (e *Engine) run(w http.ResponseWriter, r *http.Request, id, body string) {
 	entry := &Run{
 		ID: id, Organisation: r.Header.Get("Tenant"), Path: r.RequestURI, Body: body,
-		HasAuthorization: r.Header.Get("Authorization") != "", ResumedAfter: -1, StartedAt: time.Now(),
+		HasAuthorization: r.Header.Get("Authorization") != "", ResumedAfter: -1, Resumes: r.Header.Get("Resumes"), StartedAt: time.Now(),
 	}
 	if after, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		entry.ResumedAfter = after
@@ -218,7 +240,7 @@
 	for n := entry.ResumedAfter + 1; n < events; n++ {
 		sent := n - entry.ResumedAfter - 1
 		if fault.BreakAfter > 0 && sent == fault.BreakAfter {
-			_, _ = fmt.Fprintf(out, "id: %d\ndata: %s", n, EventData(entry.ID, n)[:3])
+			_, _ = fmt.Fprintf(out, "id: %d\ndata: %s", n, e.eventData(entry, n)[:3])
 			out.flush()
 			panic(http.ErrAbortHandler)
 		}
@@ -226,7 +248,7 @@
 			<-r.Context().Done()
 			return
 		}
-		_, _ = fmt.Fprintf(out, "id: %d\ndata: %s\n\n", n, EventData(entry.ID, n))
+		_, _ = fmt.Fprintf(out, "id: %d\ndata: %s\n\n", n, e.eventData(entry, n))
 		out.flush()
 		if n+1 < events && !e.waitInterval(r) {
 			return
