--- a/internal/coordination/routed/broker/client.go
+++ b/internal/coordination/routed/broker/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -223,14 +224,14 @@
 	return orderDomains(has, c.opts.Self.Domain, func(string) int { return 0 })
 }
 
-// domainsFor returns the failure domains with targets of a service: the own one first, then
+// domainsFor returns the failure domains with targets that may be chosen: the own one first, then
 // the others by the number of free slots in their last reply, highest first.
 func (c *Client) domainsFor(req placement.Requirements) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	has := map[string]bool{}
 	for _, t := range c.targets {
-		if t.Service == req.Service {
+		if req.Allows(t) {
 			has[t.Domain] = true
 		}
 	}
@@ -248,6 +249,7 @@
 // does not answer.
 func (c *Client) requestSlot(ctx context.Context, request *PlaceRequest) (choice placement.Choice, answered bool) {
 	request.Want.Exclude = append(c.opts.Local.Untrusted(request.Want), request.Want.Exclude...)
+	request.Want.Exclude = append(request.Want.Exclude, c.otherVersions(request)...)
 	request.Want.Connected = c.connected(request.Domain, request.Want.Service)
 	request.Number = c.nextNumber()
 	for _, address := range c.Brokers(request.Domain) {
@@ -257,11 +259,38 @@
 			continue
 		}
 		answeredRequests.Inc()
-		return c.applyReply(address, request, reply), true
+		choice := c.applyReply(address, request, reply)
+		if choice.ID != "" && !request.Want.Allows(choice.Target) {
+			c.Done(choice, placement.Cancelled)
+			c.avoidBroker(address, request.Domain, errVersionIgnored)
+			continue
+		}
+		return choice, true
 	}
 	return placement.Choice{}, false
 }
 
+// errVersionIgnored: a broker chose a target that this instance does not list, or lists with
+// another software version than the required one. A broker of an earlier release does not know
+// the version.
+var errVersionIgnored = errors.New("broker chose a target of another software version")
+
+// otherVersions returns the targets of a request's domain and service with another software
+// version than the required one. A broker of an earlier release knows only such exclusions.
+func (c *Client) otherVersions(request *PlaceRequest) (out []string) {
+	if request.Want.Version == "" {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, t := range c.targets {
+		if t.Domain == request.Domain && t.Service == request.Want.Service && t.Version != request.Want.Version {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 func (c *Client) callBroker(ctx context.Context, address string, request *PlaceRequest) (PlaceReply, error) {
 	request.Told = c.holdReport(address, request.Domain, false)
 	if address == c.opts.Self.Address {
@@ -298,11 +327,25 @@
 		return placement.Choice{}
 	}
 	choice := c.opts.Local.Acquire(reply.Grant.Target, request.Want.Batch)
+	choice.Version = agreedVersion(choice.Version, reply.Grant.Target.Version)
 	choice.Busy, choice.Unaccounted, choice.Slots = reply.Grant.Busy, reply.Grant.Unsure, reply.Grant.Slots
 	choice.Number, choice.Broker = request.Number, address
 	return choice
 }
 
+// agreedVersion returns the software version of a target by two lists, "" if they differ: the
+// target may have started again under its id. A list that does not name the version is ignored.
+func agreedVersion(own, brokers string) string {
+	switch {
+	case own == "":
+		return brokers
+	case brokers == "" || own == brokers:
+		return own
+	default:
+		return ""
+	}
+}
+
 func (c *Client) nextNumber() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -346,8 +389,9 @@
 	}
 }
 
-// HasTargets reports whether the list contains a target of a service.
-func (c *Client) HasTargets(service string) bool { return c.opts.Local.HasTargets(service) }
+// HasTargets reports whether the list contains a target that may be chosen, regardless of its
+// load and health.
+func (c *Client) HasTargets(req placement.Requirements) bool { return c.opts.Local.HasTargets(req) }
 
 // TryPlace chooses another target for an online request that already has one. It does not wait
 // for a slot.
--- a/internal/coordination/routed/fleetview/view.go
+++ b/internal/coordination/routed/fleetview/view.go
@@ -64,6 +64,9 @@
 	// with the View's lock held.
 	OnConfig  func(*route.Table)
 	OnTargets func([]roster.Target)
+	// OnListed is called before OnTargets with all listed targets, also those that get no
+	// new requests. Nil: not called.
+	OnListed func([]roster.Target)
 	// TargetsFromPeers reports whether other instances send the changes of the list
 	// of targets, so that this instance need not read them. Nil: never.
 	TargetsFromPeers func() bool
@@ -93,6 +96,8 @@
 	// lastAnswer is when the store last answered, storeReturned when it first
 	// answered after the last outage.
 	lastAnswer, storeReturned time.Time
+	// targetsReadAt is when the list of targets was last read from the store.
+	targetsReadAt time.Time
 	// configChanged is closed and replaced when the configuration changes.
 	configChanged chan struct{}
 	// graceTimer fires when the next grace period of a target without an entry ends,
@@ -164,6 +169,25 @@
 	return time.Since(v.lastAnswer)
 }
 
+// ListAge returns the time since the list of targets was known to be current: since it was
+// read or, if other instances send it, since the store last answered. A pause of the process
+// or of its machine counts.
+func (v *View) ListAge() time.Duration {
+	fromPeers := v.targetsFromPeers()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	at := v.targetsReadAt
+	if fromPeers {
+		at = v.lastAnswer
+	}
+	if at.IsZero() {
+		return time.Hour
+	}
+	now := time.Now()
+	// The monotonic clock stands still while the machine is suspended.
+	return max(now.Sub(at), now.Round(0).Sub(at.Round(0)))
+}
+
 // StoreAnswered records that the store answered a call.
 func (v *View) StoreAnswered() {
 	now := time.Now()
@@ -225,14 +249,15 @@
 }
 
 // targetsFromPeers reports whether reading the list of targets can be suspended: it is
-// known, and other instances send its changes.
+// known, and other instances send its changes. Instances of releases that do not know the
+// versions of targets leave them out; the list is then read for its versions.
 func (v *View) targetsFromPeers() bool {
 	if v.opts.TargetsFromPeers == nil || !v.opts.TargetsFromPeers() {
 		return false
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.targetsKnown
+	return v.targetsKnown && !v.roster.HasUnknownVersion()
 }
 
 // ConfigChanged returns a channel that is closed at the next change of the
@@ -329,6 +354,9 @@
 func (v *View) publishTargets() {
 	now := time.Now()
 	v.rosterDigest = digestOf(v.roster.All())
+	if v.opts.OnListed != nil {
+		v.opts.OnListed(v.roster.All())
+	}
 	v.opts.OnTargets(v.availableTargets(now))
 	if v.graceTimer != nil {
 		v.graceTimer.Stop()
@@ -354,14 +382,23 @@
 			list = append(list, t)
 		}
 	}
+	v.markTargetsRead()
 	v.AdoptTargets(list, page.End)
 }
 
+// markTargetsRead records that the list of targets was read from the store.
+func (v *View) markTargetsRead() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.targetsReadAt = time.Now()
+}
+
 // applyTargets applies changes of the list that were read from the store.
 func (v *View) applyTargets(page external.KeyedPage) {
 	now := time.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.targetsReadAt = now
 	for _, record := range page.Records {
 		if len(record.Value) == 0 {
 			v.roster.Remove(record.Offset, record.Key, v.graceUntil(now))
--- a/internal/coordination/routed/mesh/mesh.go
+++ b/internal/coordination/routed/mesh/mesh.go
@@ -197,6 +197,13 @@
 	return m.view.Up(time.Now(), domain)
 }
 
+// AllUp returns the instances of all failure domains that are up and not leaving.
+func (m *Mesh) AllUp() []Instance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.AllUp(time.Now())
+}
+
 // CountNotDown returns the number of other instances of a failure domain whose processes
 // are not known to be down, silent ones included.
 func (m *Mesh) CountNotDown(domain string) int {
--- a/internal/coordination/routed/mesh/view.go
+++ b/internal/coordination/routed/mesh/view.go
@@ -197,9 +197,18 @@
 
 // Up returns the instances of a failure domain that are up and not leaving.
 func (v *View) Up(now time.Time, domain string) []Instance {
+	return v.upInstances(now, func(e *entry) bool { return e.Domain == domain })
+}
+
+// AllUp returns the instances of all failure domains that are up and not leaving.
+func (v *View) AllUp(now time.Time) []Instance {
+	return v.upInstances(now, func(*entry) bool { return true })
+}
+
+func (v *View) upInstances(now time.Time, matches func(*entry) bool) []Instance {
 	var out []Instance
 	v.each(now, func(e *entry, state State) {
-		if state == Up && e.Domain == domain && !e.heartbeat.Leaving {
+		if state == Up && matches(e) && !e.heartbeat.Leaving {
 			out = append(out, e.Instance)
 		}
 	})
--- /dev/null
+++ b/internal/coordination/routed/origin/history_test.go
@@ -0,0 +1,96 @@
+package origin
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/state/roster"
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+// targetsOf returns a list with one target of each version, which all started long ago.
+func targetsOf(versions ...string) (out []roster.Target) {
+	for _, version := range versions {
+		out = append(out, roster.Target{ID: "t-" + version, Service: "s", Version: version, Started: start.Add(-time.Hour).UnixMilli()})
+	}
+	return out
+}
+
+func TestOnlyVersionOfService(t *testing.T) {
+	longAgo := start.Add(-time.Hour)
+	for name, c := range map[string]struct {
+		lists [][]roster.Target
+		want  string
+	}{
+		"one":               {[][]roster.Target{targetsOf("v1")}, "v1"},
+		"two":               {[][]roster.Target{targetsOf("v1", "v2")}, ""},
+		"three":             {[][]roster.Target{targetsOf("v1", "v2", "v3")}, ""},
+		"replaced just now": {[][]roster.Target{targetsOf("v1"), targetsOf("v2")}, ""},
+		"unknown":           {[][]roster.Target{targetsOf("")}, ""},
+		"one and unknown":   {[][]roster.Target{targetsOf("v1", "")}, ""},
+		"none":              {[][]roster.Target{nil}, ""},
+		"not listed":        {nil, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHistory()
+			if c.lists != nil {
+				h.setTargets(longAgo, nil)
+			}
+			for _, list := range c.lists {
+				h.setTargets(start, list)
+			}
+			version, ok := h.onlyVersion(start.Add(-streamLifetime), "s")
+			require.Equal(t, c.want, version)
+			require.Equal(t, c.want != "", ok)
+		})
+	}
+}
+
+// Guards against a guess while streams of a version that has left may still be taken up.
+func TestVersionThatLeftCountsForAsLongAsItsStreams(t *testing.T) {
+	h := newHistory()
+	h.setTargets(start.Add(-time.Hour), targetsOf("v1", "v2"))
+	h.setTargets(start, targetsOf("v1", "v2"))
+	for age := time.Duration(0); age <= 2*streamLifetime; age += time.Second {
+		now := start.Add(age)
+		h.setTargets(now, targetsOf("v2"))
+		_, ok := h.onlyVersion(now.Add(-streamLifetime), "s")
+		require.Equal(t, age > streamLifetime, ok, age)
+	}
+}
+
+// Guards against a guess of an instance that has just started: a target that is listed may
+// have replaced one of another version a moment ago. If no target has started lately, none
+// has replaced another.
+func TestStartedInstanceKnowsOnlyVersionIfNoTargetStartedLately(t *testing.T) {
+	list := targetsOf("v2")
+	h := newHistory()
+	h.setTargets(start, list)
+	version, ok := h.onlyVersion(start.Add(-streamLifetime), "s")
+	require.True(t, ok)
+	require.Equal(t, "v2", version)
+
+	list[0].Started = start.Add(-time.Second).UnixMilli()
+	h = newHistory()
+	h.setTargets(start, list)
+	_, ok = h.onlyVersion(start.Add(-streamLifetime), "s")
+	require.False(t, ok)
+	later := start.Add(streamLifetime + time.Millisecond)
+	h.setTargets(later, list)
+	_, ok = h.onlyVersion(later.Add(-streamLifetime), "s")
+	require.True(t, ok)
+}
+
+func TestServicesHaveTheirOwnVersions(t *testing.T) {
+	h := newHistory()
+	h.setTargets(start.Add(-time.Hour), nil)
+	other := targetsOf("v2")
+	other[0].Service = "other"
+	h.setTargets(start, append(targetsOf("v1"), other...))
+	version, ok := h.onlyVersion(start.Add(-streamLifetime), "s")
+	require.True(t, ok)
+	require.Equal(t, "v1", version)
+}
--- /dev/null
+++ b/internal/coordination/routed/origin/registry.go
@@ -0,0 +1,251 @@
+package origin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+
+	"merlintiller/internal/coordination/routed/mesh"
+	"merlintiller/internal/protocol"
+	"merlintiller/internal/state/roster"
+)
+
+const (
+	// streamLifetime is the longest time from the first event of a stream until its caller
+	// takes it up: twice the usual deadline of a caller.
+	streamLifetime = 10 * time.Second
+	// maxListAge is the age up to which the list of targets shows which versions a service
+	// has: three reads.
+	maxListAge = 3 * time.Second
+	// tellInterval is how often untold records are sent that have to be.
+	tellInterval = 250 * time.Millisecond
+	// askTimeout bounds the search for a record. Other instances answer within a few
+	// milliseconds.
+	askTimeout = 80 * time.Millisecond
+	// toldHolders and askedHolders are the numbers of instances of each failure domain to
+	// which a record is sent, and which are asked for it. The first one by rank may have
+	// changed in the meantime.
+	toldHolders, askedHolders = 1, 2
+)
+
+var (
+	recordsTold    = metrics.NewCounter(`stream_origins_told_total`)
+	recordsDropped = metrics.NewCounter(`stream_origins_dropped_total`)
+	tellsFailed    = metrics.NewCounter(`stream_origins_tells_failed_total`)
+	findsAsked     = metrics.NewCounter(`stream_origins_asks_total`)
+)
+
+// Peers are the other instances.
+type Peers interface {
+	// AllUp returns the instances that are reachable and not leaving, without this one.
+	AllUp() []mesh.Instance
+}
+
+// Options configure a Registry.
+type Options struct {
+	Self   mesh.Instance
+	Peers  Peers
+	Caller protocol.Caller
+	// ListAge returns the time since the list of targets was known to be current. It is
+	// called without the registry's lock.
+	ListAge func() time.Duration
+	Logger  log.Logger
+}
+
+// Registry knows at which version each stream began. It is a background service and safe for
+// concurrent use.
+type Registry struct {
+	opts Options
+	// wake is signalled when records have to be sent.
+	wake chan struct{}
+
+	mu       sync.Mutex
+	history  *history
+	records  *table
+	outboxes map[string]*outbox
+}
+
+// New returns a registry without records.
+func New(opts Options) *Registry {
+	r := &Registry{opts: opts, wake: make(chan struct{}, 1), history: newHistory(), records: newTable(), outboxes: map[string]*outbox{}}
+	metrics.GetOrCreateGauge("stream_origin_records", func() float64 {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return float64(len(r.records.records))
+	})
+	return r
+}
+
+// SetTargets applies the complete list of targets, with those that are leaving.
+func (r *Registry) SetTargets(list []roster.Target) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history.setTargets(time.Now(), list)
+	r.wakeSender()
+}
+
+// wakeSender makes Serve send the records that have to be sent now.
+func (r *Registry) wakeSender() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// onlyVersion returns the version of a service if no stream can have begun at another one.
+// The caller must hold r.mu.
+func (r *Registry) onlyVersion(now time.Time, listAge time.Duration, service string) (string, bool) {
+	if listAge > maxListAge {
+		return "", false
+	}
+	return r.history.onlyVersion(now.Add(-streamLifetime), service)
+}
+
+// Began records that a target of a version sends the first event of a stream. It must be
+// called before the event goes to the caller.
+func (r *Registry) Began(service, stream, version string) {
+	now, listAge := time.Now(), r.opts.ListAge()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.records.add(now, stream, record{service: service, version: version, begunAt: now, own: true})
+	if _, only := r.onlyVersion(now, listAge, service); !only {
+		r.tell(now, stream, r.records.records[stream])
+	}
+}
+
+// Find returns at which version a stream began.
+func (r *Registry) Find(ctx context.Context, service, stream string) Origin {
+	found := r.find(ctx, service, stream)
+	metrics.GetOrCreateCounter(`stream_origins_total{source="` + string(found.Source) + `"}`).Inc()
+	return found
+}
+
+func (r *Registry) find(ctx context.Context, service, stream string) Origin {
+	if stream != "" {
+		if found, ok := r.findHere(stream); ok {
+			return found
+		}
+		if found, ok := r.ask(ctx, stream); ok {
+			return found
+		}
+	}
+	listAge := r.opts.ListAge()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if version, only := r.onlyVersion(time.Now(), listAge, service); only {
+		return Origin{Version: version, Source: OnlyVersion, Age: listAge}
+	}
+	return Origin{Source: Unknown}
+}
+
+// findHere returns the origin of a stream whose record this instance has.
+func (r *Registry) findHere(stream string) (Origin, bool) {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	found := r.records.find(now, stream)
+	if found == nil {
+		return Origin{}, false
+	}
+	source := Told
+	if found.own {
+		source = Own
+	}
+	return Origin{Version: found.version, Source: source, Age: now.Sub(found.begunAt)}, true
+}
+
+// ask asks the holders of a stream for its record and returns the first one that is found.
+func (r *Registry) ask(ctx context.Context, stream string) (Origin, bool) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	asked := r.holders(stream, askedHolders)
+	replies := make(chan FindReply, len(asked))
+	for _, holder := range asked {
+		findsAsked.Inc()
+		go func() {
+			var reply FindReply
+			if err := r.opts.Caller.Call(ctx, holder.Address, methodFind, &FindArgs{Stream: stream}, &reply); err != nil {
+				reply = FindReply{}
+			}
+			replies <- reply
+		}()
+	}
+	for range asked {
+		select {
+		case reply := <-replies:
+			if reply.Found {
+				r.keep([]Record{reply.Record})
+				return Origin{Version: reply.Record.Version, Source: Asked, Age: reply.Record.Age}, true
+			}
+		case <-ctx.Done():
+			return Origin{}, false
+		}
+	}
+	return Origin{}, false
+}
+
+// holders returns the other instances that keep the record of a stream.
+func (r *Registry) holders(stream string, perDomain int) (out []mesh.Instance) {
+	for _, holder := range holders(append(r.opts.Peers.AllUp(), r.opts.Self), stream, perDomain) {
+		if holder.Name != r.opts.Self.Name {
+			out = append(out, holder)
+		}
+	}
+	return out
+}
+
+// keep keeps records of other instances.
+func (r *Registry) keep(records []Record) {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, received := range records {
+		r.records.add(now, received.Stream, record{version: received.Version, begunAt: now.Add(-received.Age)})
+	}
+}
+
+// answer answers another instance that asks for the record of a stream.
+func (r *Registry) answer(stream string) FindReply {
+	found, ok := r.findHere(stream)
+	if !ok {
+		return FindReply{}
+	}
+	return FindReply{Found: true, Record: Record{Stream: stream, Version: found.Version, Age: found.Age}}
+}
+
+// String returns the name of the background service.
+func (r *Registry) String() string { return "stream-origins" }
+
+// Serve sends records that were not sent when their streams began, and have to be since a
+// service has several versions now, or may have.
+func (r *Registry) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		r.tellUntold()
+		timer := time.NewTimer(tellInterval)
+		select {
+		case <-timer.C:
+		case <-r.wake:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+	return ctx.Err()
+}
+
+// tellUntold sends the untold records of streams that may still be taken up.
+func (r *Registry) tellUntold() {
+	now, listAge := time.Now(), r.opts.ListAge()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for stream, untold := range r.records.untold(now) {
+		if now.Sub(untold.begunAt) > streamLifetime {
+			continue
+		}
+		if _, only := r.onlyVersion(now, listAge, untold.service); !only {
+			r.tell(now, stream, untold)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/routed/origin/registry_test.go
@@ -0,0 +1,321 @@
+package origin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/coordination/routed/mesh"
+	"merlintiller/internal/state/roster"
+)
+
+// testFleet is a fleet of registries that call each other directly.
+type testFleet struct {
+	mu        sync.Mutex
+	instances []mesh.Instance
+	members   map[string]*member
+	// calls counts the calls between instances, by method.
+	calls map[string]int
+}
+
+// member is one instance of a testFleet.
+type member struct {
+	fleet    *testFleet
+	self     mesh.Instance
+	registry *Registry
+	// down members refuse calls, hung ones do not answer. cut members reach only members
+	// that are cut too.
+	down, hung, cut bool
+	listAge         time.Duration
+}
+
+var errUnreachable = errors.New("unreachable")
+
+// newFleet returns a fleet with a number of instances in each failure domain, all of which have
+// listed the given versions for a minute.
+func newFleet(t *testing.T, domains, perDomain int, versions ...string) *testFleet {
+	f := &testFleet{members: map[string]*member{}, calls: map[string]int{}}
+	for d := range domains {
+		for i := range perDomain {
+			name := fmt.Sprintf("n-%d-%d", d, i)
+			f.instances = append(f.instances, mesh.Instance{Name: name, Domain: fmt.Sprintf("d%d", d), Address: name})
+		}
+	}
+	for _, i := range f.instances {
+		m := &member{fleet: f, self: i}
+		m.registry = New(Options{Self: i, Peers: m, Caller: m, ListAge: m.currentListAge, Logger: log.NewNopLogger()})
+		f.members[i.Name] = m
+		go func() { _ = m.registry.Serve(t.Context()) }()
+	}
+	f.list(versions...)
+	time.Sleep(time.Minute)
+	f.list(versions...)
+	return f
+}
+
+// list makes all instances list targets of the given versions.
+func (f *testFleet) list(versions ...string) {
+	var list []roster.Target
+	for _, version := range versions {
+		list = append(list, roster.Target{ID: "t-" + version, Service: "s", Version: version, Started: 1})
+	}
+	for _, m := range f.members {
+		m.registry.SetTargets(list)
+	}
+}
+
+func (m *member) currentListAge() time.Duration {
+	m.fleet.mu.Lock()
+	defer m.fleet.mu.Unlock()
+	return m.listAge
+}
+
+// AllUp implements Peers: the instances that this one reaches.
+func (m *member) AllUp() (out []mesh.Instance) {
+	m.fleet.mu.Lock()
+	defer m.fleet.mu.Unlock()
+	for _, i := range m.fleet.instances {
+		other := m.fleet.members[i.Name]
+		if other != m && !other.down && other.cut == m.cut {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// Call implements protocol.Caller.
+func (m *member) Call(ctx context.Context, address, method string, args, reply any) error {
+	m.fleet.mu.Lock()
+	m.fleet.calls[method]++
+	other := m.fleet.members[address]
+	down, hung := other.down || other.cut != m.cut, other.hung
+	m.fleet.mu.Unlock()
+	switch {
+	case down:
+		return errUnreachable
+	case hung:
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	time.Sleep(time.Millisecond)
+	receiver := other.registry.Receiver()
+	switch args := args.(type) {
+	case *TellArgs:
+		return receiver.Tell(args, &struct{}{})
+	case *FindArgs:
+		return receiver.Find(args, reply.(*FindReply))
+	default:
+		return errUnreachable
+	}
+}
+
+// set changes the state of some members.
+func (f *testFleet) set(change func(*member), names ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, name := range names {
+		change(f.members[name])
+	}
+}
+
+func (f *testFleet) callCount(method string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls[method]
+}
+
+// find returns the origin of a stream as a member knows it.
+func (f *testFleet) find(t *testing.T, name, stream string) Origin {
+	return f.members[name].registry.Find(t.Context(), "s", stream)
+}
+
+// Guards against streams that can be taken up only at the instance that began them. They are
+// taken up at each other instance, soon and late, while the one that began them is lost.
+func TestStreamIsFoundAtOtherInstancesWithoutTheOneThatBeganIt(t *testing.T) {
+	for name, lose := range map[string]func(*member){
+		"killed": func(m *member) { m.down = true },
+		"paused": func(m *member) { m.hung = true },
+		"cut":    func(m *member) { m.cut = true },
+	} {
+		for _, after := range []time.Duration{time.Millisecond, 50 * time.Millisecond, 2 * time.Second, 9 * time.Second} {
+			t.Run(fmt.Sprint(name, " ", after), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFleet(t, 3, 3, "v1", "v2", "v3")
+					for n := range 30 {
+						stream, version := fmt.Sprint("stream-", n), fmt.Sprint("v", 1+n%3)
+						f.members["n-1-1"].registry.Began("s", stream, version)
+					}
+					// The caller has the first event after a millisecond at the earliest.
+					time.Sleep(after + time.Millisecond)
+					f.set(lose, "n-1-1")
+					for n := range 30 {
+						for _, i := range f.instances {
+							if i.Name == "n-1-1" {
+								continue
+							}
+							found := f.find(t, i.Name, fmt.Sprint("stream-", n))
+							require.Equal(t, fmt.Sprint("v", 1+n%3), found.Version, "%d at %s", n, i.Name)
+							require.Contains(t, []Source{Told, Asked}, found.Source)
+							require.Less(t, found.Age, after+time.Second)
+						}
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against records that are lost with a failure domain, and against a domain on its own
+// that can't take up what it has begun.
+func TestStreamIsFoundOnBothSidesOfPartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, 3, "v1", "v2")
+		for n := range 20 {
+			f.members["n-0-0"].registry.Began("s", fmt.Sprint(n), "v2")
+		}
+		time.Sleep(10 * time.Millisecond)
+		f.set(func(m *member) { m.cut = true }, "n-0-0", "n-0-1", "n-0-2")
+		for n := range 20 {
+			require.Equal(t, "v2", f.find(t, "n-0-1", fmt.Sprint(n)).Version)
+			require.Equal(t, "v2", f.find(t, "n-1-1", fmt.Sprint(n)).Version)
+			require.Equal(t, "v2", f.find(t, "n-2-2", fmt.Sprint(n)).Version)
+		}
+	})
+}
+
+// Guards against a guess: a stream that no instance knows has no version while there are
+// several, also right after all but one have left.
+func TestUnknownStreamHasNoVersionWhileThereAreSeveral(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 2, "v1", "v2")
+		require.Equal(t, Origin{Source: Unknown}, f.find(t, "n-0-0", "lost"))
+		require.Equal(t, Origin{Source: Unknown}, f.find(t, "n-0-0", ""))
+		f.list("v2")
+		require.Equal(t, Origin{Source: Unknown}, f.find(t, "n-0-0", "lost"))
+		time.Sleep(streamLifetime + time.Second)
+		f.list("v2")
+		require.Equal(t, "v2", f.find(t, "n-0-0", "lost").Version)
+		require.Equal(t, OnlyVersion, f.find(t, "n-0-0", "").Source)
+	})
+}
+
+// Guards against messages for a service that has only one version.
+func TestOneVersionCostsNoMessagesUntilStreamIsTakenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, 2, "v1")
+		for n := range 100 {
+			f.members["n-0-0"].registry.Began("s", fmt.Sprint(n), "v1")
+			time.Sleep(10 * time.Millisecond)
+		}
+		require.Zero(t, f.callCount(methodTell))
+		require.Zero(t, f.callCount(methodFind))
+		f.set(func(m *member) { m.down = true }, "n-0-0")
+		require.Equal(t, Origin{Version: "v1", Source: OnlyVersion}, f.find(t, "n-1-1", "7"))
+		require.LessOrEqual(t, f.callCount(methodFind), 2*3)
+	})
+}
+
+// Guards against streams of the time before a release that can't be taken up once it has begun:
+// their records were not sent while there was one version.
+func TestRecordsAreSentWhenSecondVersionAppears(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, 2, "v1")
+		f.members["n-0-0"].registry.Began("s", "old", "v1")
+		time.Sleep(2 * time.Second)
+		f.list("v1", "v2")
+		time.Sleep(5 * time.Millisecond)
+		f.set(func(m *member) { m.down = true }, "n-0-0")
+		for _, name := range []string{"n-0-1", "n-1-0", "n-2-1"} {
+			require.Equal(t, "v1", f.find(t, name, "old").Version, name)
+		}
+	})
+}
+
+// Guards against an instance with an old list that takes its only version for that of all
+// streams, and against its own streams being unknown to others.
+func TestOldListDoesNotShowTheOnlyVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 2, "v1")
+		f.members["n-0-0"].registry.Began("s", "before", "v1")
+		f.set(func(m *member) { m.listAge = maxListAge + time.Millisecond }, "n-0-0")
+		require.Equal(t, Unknown, f.find(t, "n-0-0", "elsewhere").Source)
+		f.members["n-0-0"].registry.Began("s", "during", "v1")
+		time.Sleep(2 * tellInterval)
+		f.list("v1", "v2")
+		f.set(func(m *member) { m.down = true }, "n-0-0")
+		require.Equal(t, "v1", f.find(t, "n-1-0", "before").Version)
+		require.Equal(t, "v1", f.find(t, "n-1-0", "during").Version)
+	})
+}
+
+// Guards against a search that takes longer than a caller notices, while instances that may
+// have the record hang.
+func TestSearchEndsWhileInstancesHang(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, 2, "v1", "v2")
+		for _, i := range f.instances[1:] {
+			f.set(func(m *member) { m.hung = true }, i.Name)
+		}
+		began := time.Now()
+		require.Equal(t, Unknown, f.find(t, "n-0-0", "x").Source)
+		require.LessOrEqual(t, time.Since(began), askTimeout)
+	})
+}
+
+// Guards against records that pile up for an instance that does not answer.
+func TestRecordsForHungInstanceAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 1, "v1", "v2")
+		f.set(func(m *member) { m.hung = true }, "n-1-0")
+		own := f.members["n-0-0"].registry
+		for n := range 3 * maxPending {
+			own.Began("s", fmt.Sprint(n), "v1")
+		}
+		synctest.Wait()
+		own.mu.Lock()
+		require.Len(t, own.outboxes["n-1-0"].pending, maxPending)
+		own.mu.Unlock()
+		time.Sleep(time.Second)
+		own.mu.Lock()
+		defer own.mu.Unlock()
+		require.Empty(t, own.outboxes)
+	})
+}
+
+// Guards against holders on which two instances do not agree, against a single instance that
+// has all records, and against domains without one.
+func TestHoldersFollowFromStreamAndInstances(t *testing.T) {
+	var list []mesh.Instance
+	for n := range 40 {
+		list = append(list, mesh.Instance{Name: fmt.Sprint("n", n), Domain: fmt.Sprint("d", n%4), Strength: 128})
+	}
+	reversed := slices.Clone(list)
+	slices.Reverse(reversed)
+	used := map[string]int{}
+	for n := range 400 {
+		stream := fmt.Sprint("stream-", n)
+		found := holders(list, stream, 1)
+		require.Equal(t, found, holders(reversed, stream, 1))
+		require.Len(t, found, 4)
+		domains := map[string]bool{}
+		for _, holder := range found {
+			domains[holder.Domain] = true
+			used[holder.Name]++
+		}
+		require.Len(t, domains, 4)
+		require.Subset(t, holders(list, stream, 2), found)
+	}
+	require.Greater(t, len(used), 4*buckets/2)
+	require.LessOrEqual(t, len(used), 4*buckets)
+	require.Len(t, holders(list[:1], "x", 1), 1)
+	require.Len(t, holders([]mesh.Instance{list[0], list[4], list[8]}, "x", 1), 2, "one domain")
+	require.Empty(t, holders(nil, "x", 1))
+}
--- a/internal/coordination/routed/placement/core.go
+++ b/internal/coordination/routed/placement/core.go
@@ -75,6 +75,8 @@
 	Service string
 	// Run is the ID under which the target will run the request. Empty: not known yet.
 	Run string
+	// Version is the only software version whose targets may be chosen. Empty: any.
+	Version string
 	// Domain is the only failure domain whose targets may be chosen. Empty: any.
 	Domain string
 	// Batch marks a batch item, which takes free slots only.
@@ -89,9 +91,14 @@
 	Connected []string
 }
 
+// Allows reports whether a listed target is one of those that may be chosen.
+func (r *Requirements) Allows(t roster.Target) bool {
+	return t.Service == r.Service && (r.Domain == "" || t.Domain == r.Domain) && (r.Version == "" || t.Version == r.Version)
+}
+
 // matches reports whether a target may be chosen, regardless of its load and health.
 func (r *Requirements) matches(t *target) bool {
-	return t.listed && t.Service == r.Service && (r.Domain == "" || t.Domain == r.Domain)
+	return t.listed && r.Allows(t.Target)
 }
 
 // Choice is a chosen target at which the request is counted.
@@ -387,10 +394,11 @@
 	return out
 }
 
-// HasTargets reports whether the list contains a target of a service.
-func (c *Core) HasTargets(service string) bool {
+// HasTargets reports whether the list contains a target that may be chosen, regardless of its
+// load and health.
+func (c *Core) HasTargets(req Requirements) bool {
 	for _, t := range c.targets {
-		if t.listed && t.Service == service {
+		if req.matches(t) {
 			return true
 		}
 	}
--- a/internal/coordination/routed/placement/core_test.go
+++ b/internal/coordination/routed/placement/core_test.go
@@ -167,7 +167,7 @@
 	c.Done(start, pick(t, c, start, Requirements{}), Replaced)
 	_, ok := c.Pick(start, Requirements{Service: "s"})
 	require.False(t, ok)
-	require.False(t, c.HasTargets("s"))
+	require.False(t, c.HasTargets(Requirements{Service: "s"}))
 }
 
 // A target restarts under the same ID. Requests counted for its old incarnation must not
--- a/internal/coordination/routed/placement/placer.go
+++ b/internal/coordination/routed/placement/placer.go
@@ -87,7 +87,7 @@
 		if choice, ok := p.Pick(req); ok {
 			return choice, true
 		}
-		if !p.HasTargets(req.Service) || !time.Now().Before(limits.Deadline) {
+		if !p.HasTargets(req) || !time.Now().Before(limits.Deadline) {
 			return Choice{}, false
 		}
 		select {
@@ -150,11 +150,12 @@
 	return p.core.Untrusted(time.Now(), req)
 }
 
-// HasTargets reports whether the list contains a target of a service.
-func (p *Placer) HasTargets(service string) bool {
+// HasTargets reports whether the list contains a target that may be chosen, regardless of its
+// load and health.
+func (p *Placer) HasTargets(req Requirements) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.core.HasTargets(service)
+	return p.core.HasTargets(req)
 }
 
 // MarkStalled records that an exchange is waiting longer than it should. The returned
--- a/internal/coordination/routed/relay/forward.go
+++ b/internal/coordination/routed/relay/forward.go
@@ -10,7 +10,6 @@
 
 	"merlintiller/internal/coordination/routed/placement"
 	"merlintiller/internal/external"
-	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/protocol/sse"
 	"merlintiller/internal/state/route"
 )
@@ -75,9 +74,7 @@
 			eventGap.Update(now.Sub(last).Seconds())
 		}
 		last = now
-		if c.streamVersion == "" && c.lastEvent == exchange.FromStart {
-			c.streamVersion = choice.Version
-		}
+		c.streamBegins(choice, monitor)
 		if err := c.sendHead(answer); err != nil {
 			return err
 		}
--- a/internal/coordination/routed/relay/outcome.go
+++ b/internal/coordination/routed/relay/outcome.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"merlintiller/internal/coordination/routed/origin"
 )
 
 // Reason is the cause of a request's outcome.
@@ -14,6 +16,12 @@
 	Relayed Reason = "relayed"
 	// NoTarget: the service has no known target. The request did not run.
 	NoTarget Reason = "no_target"
+	// VersionUnknown: the caller takes up a stream, and it is not known at which software
+	// version the stream began. The request did not run.
+	VersionUnknown Reason = "version_unknown"
+	// VersionGone: no target has the software version at which the stream began. The request
+	// did not run.
+	VersionGone Reason = "version_gone"
 	// AllFull: no target had a free slot in time. The request did not run.
 	AllFull Reason = "all_full"
 	// NotAccepted: each target that was tried rejected the request or could not
@@ -61,6 +69,8 @@
 	TimeToFirstByte time.Duration
 	// Events is the number of stream events that were forwarded.
 	Events int
+	// Origin is what is known about the beginning of a stream.
+	Origin origin.Origin
 }
 
 // Completed reports whether the caller received the complete answer.
@@ -73,7 +83,7 @@
 // errorStatus returns the HTTP status of an outcome without an answer.
 func (o *Outcome) errorStatus() int {
 	switch o.Reason {
-	case NoTarget, AllFull, NotAccepted:
+	case NoTarget, AllFull, NotAccepted, VersionUnknown, VersionGone:
 		return http.StatusServiceUnavailable
 	case TimedOut:
 		if o.PossibleRuns == 0 {
--- a/internal/coordination/routed/relay/relay.go
+++ b/internal/coordination/routed/relay/relay.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"merlintiller/internal/coordination/routed/origin"
 	"merlintiller/internal/coordination/routed/placement"
 	"merlintiller/internal/external"
 	"merlintiller/internal/protocol/exchange"
@@ -47,13 +48,24 @@
 	Done(placement.Choice, placement.Result)
 	// ReportLoad records the load that a target reported; nil if it reported none.
 	ReportLoad(choice placement.Choice, load *exchange.Load)
-	// HasTargets reports whether any target of a service may be used.
-	HasTargets(service string) bool
+	// HasTargets reports whether any listed target may be used, regardless of its load and
+	// health.
+	HasTargets(placement.Requirements) bool
 	// MarkStalled marks the exchange with a target as stalled. The returned function
 	// removes the mark; it is nil if the target is only busy.
 	MarkStalled(placement.Choice) (resumed func())
 }
 
+// Origins knows at which software version of a target each stream began.
+type Origins interface {
+	// Began records the version of the target that sends the first event of a stream. It is
+	// called before the caller receives the event.
+	Began(service, stream, version string)
+	// Find returns at which version a stream began. stream is the id of the request that
+	// brought its first event.
+	Find(ctx context.Context, service, stream string) origin.Origin
+}
+
 // Sink writes an answer to the caller.
 type Sink interface {
 	// SendHead sends the status and the headers.
@@ -66,6 +78,7 @@
 type Options struct {
 	Targets external.Sender
 	Placer  Placer
+	Origins Origins
 	Logger  log.Logger
 }
 
@@ -92,7 +105,10 @@
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
 	c := &call{Relay: r, RoutedRequest: request, sink: sink, lastEvent: request.Request.After}
-	c.run(ctx)
+	if c.findOrigin(ctx) {
+		c.run(ctx)
+	}
+	c.outcome.Origin = c.origin
 	if !c.outcome.AnswerStarted() && c.outcome.Reason != CallerDisconnected {
 		c.outcome.Status = c.outcome.errorStatus()
 	}
@@ -108,9 +124,10 @@
 	// lastEvent is the position of the last stream event that the caller
 	// received.
 	lastEvent int
-	// streamVersion is the software version of the target that sent the first event of
-	// the stream, empty if none was sent or it is not known.
-	streamVersion string
+	// origin is what is known about the beginning of the stream: its first event was
+	// received by the caller before or was sent to it by this request. It is zero as long as
+	// the request may run at any software version.
+	origin origin.Origin
 	// tried holds the ids of the targets that were tried.
 	tried []string
 	// failover is the target that the stall monitor reserved for the next
@@ -141,6 +158,10 @@
 			return
 		}
 		c.tried = append(c.tried, choice.ID)
+		if !c.origin.Allows(choice.Version) {
+			c.opts.Placer.Done(choice, placement.Cancelled)
+			continue
+		}
 		c.outcome.Target = choice.ID
 		c.outcome.PlacementTime = time.Since(c.ReceivedAt)
 		c.outcome.Busy, c.outcome.Slots, c.outcome.Broker = choice.Busy, choice.Slots, choice.Broker
@@ -157,28 +178,33 @@
 // nextTarget returns the target that the stall monitor reserved, or one that is
 // chosen now.
 func (c *call) nextTarget(ctx context.Context) (placement.Choice, bool) {
-	if c.failover != nil {
+	if c.failover != nil && c.origin.Allows(c.failover.Version) {
 		choice := *c.failover
 		c.failover = nil
 		return choice, true
 	}
+	// The stream may have begun after another target was reserved.
+	c.releaseFailover()
 	return c.opts.Placer.Place(ctx, c.requirements(), c.waitLimits())
 }
 
 // requirements returns what the next target has to satisfy.
 func (c *call) requirements() placement.Requirements {
-	return placement.Requirements{Service: c.Service, Run: c.Request.ID, Exclude: slices.Clone(c.tried), Repeatable: c.Route.Repeatable()}
+	return placement.Requirements{
+		Service: c.Service, Version: c.origin.Version, Run: c.Request.ID, Exclude: slices.Clone(c.tried), Repeatable: c.Route.Repeatable(),
+	}
 }
 
 // waitLimits returns how long the request may wait for a slot.
 func (c *call) waitLimits() placement.WaitLimits {
-	onTime := c.ReceivedAt.Add(c.Route.LatencyObjective - expectedTimeToFirstByte)
+	from, onTime := c.ReceivedAt, c.ReceivedAt.Add(c.Route.LatencyObjective-expectedTimeToFirstByte)
 	if c.headSent {
 		// A resumed stream has to continue before the gap between two events
 		// exceeds its limit.
-		onTime = time.Now().Add(c.gapTimeout())
+		from = time.Now()
+		onTime = from.Add(c.gapTimeout())
 	}
-	return placement.WaitLimits{SendBy: onTime, Deadline: c.ReceivedAt.Add(time.Duration(maxWaitFraction * float64(c.Deadline.Sub(c.ReceivedAt))))}
+	return placement.WaitLimits{SendBy: onTime, Deadline: from.Add(time.Duration(maxWaitFraction * float64(c.Deadline.Sub(from))))}
 }
 
 // releaseFailover releases the slot of a reserved target that is not needed any
@@ -200,8 +226,10 @@
 		c.outcome.Reason = AnswerLost
 	case c.outcome.Attempts > 0:
 		c.outcome.Reason, c.outcome.RetryAfter = NotAccepted, fullRetryAfter
-	case c.opts.Placer.HasTargets(c.Service):
+	case c.opts.Placer.HasTargets(placement.Requirements{Service: c.Service, Version: c.origin.Version}):
 		c.outcome.Reason, c.outcome.RetryAfter = AllFull, fullRetryAfter
+	case c.origin.Known():
+		c.outcome.Reason = VersionGone
 	default:
 		c.outcome.Reason, c.outcome.RetryAfter = NoTarget, noTargetRetryAfter
 	}
@@ -306,7 +334,7 @@
 // afterLostAnswer decides whether a request that may have run is retried.
 func (c *call) afterLostAnswer(choice placement.Choice, key string, cause any) nextStep {
 	c.logFailedAttempt(choice, "lost", key, cause)
-	if c.Route.Repeatable() && c.outcome.PossibleRuns < c.Route.MaxAttempts {
+	if c.Route.Repeatable() && c.outcome.PossibleRuns < c.Route.MaxAttempts && c.mayGoOn() {
 		return tryNext
 	}
 	c.outcome.Reason = AnswerLost
@@ -323,7 +351,8 @@
 		"domain", choice.Domain, "broker", choice.Broker, "busy", choice.Busy, "slots", choice.Slots,
 		"waited_ms", c.outcome.PlacementTime.Milliseconds(), "left_ms", time.Until(c.Deadline).Milliseconds(),
 		"attempt", c.outcome.Attempts, "position", c.lastEvent,
-		"version", choice.Version, "stream_version", c.streamVersion, "resumes", c.Request.Resumes)
+		"version", choice.Version, "stream_version", c.origin.Version, "version_source", c.origin.Source,
+		"version_age_ms", c.origin.Age.Milliseconds(), "resumes", c.Request.Resumes)
 }
 
 // logFailedAttempt logs an attempt that did not complete the answer.
--- a/internal/coordination/routed/relay/relay_test.go
+++ b/internal/coordination/routed/relay/relay_test.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
+	"merlintiller/internal/coordination/routed/origin"
 	"merlintiller/internal/coordination/routed/placement"
 	"merlintiller/internal/external"
 	"merlintiller/internal/protocol/exchange"
@@ -43,6 +44,41 @@
 	results      []placement.Result
 	// noFreeSlot makes Place wait in vain, noTargets makes it fail at once.
 	noFreeSlot, noTargets bool
+	// versions are the software versions of the chosen targets, in their order. The last one
+	// is that of all further targets. Empty: v1.
+	versions []string
+	// reserved is the target that TryPlace returns, if set.
+	reserved *roster.Target
+	// origins are the streams that have begun, and what is known about their beginning.
+	origins map[string]origin.Origin
+	// receivedAtBegin is what the caller had received when a stream began.
+	receivedAtBegin *caller
+	beganUnseen     bool
+}
+
+// Began implements Origins.
+func (f *scriptedFleet) Began(_, stream, version string) {
+	if f.origins == nil {
+		f.origins = map[string]origin.Origin{}
+	}
+	f.origins[stream] = origin.Origin{Version: version, Source: origin.Own}
+	f.beganUnseen = f.receivedAtBegin == nil || f.receivedAtBegin.body.Len() == 0
+}
+
+// Find implements Origins.
+func (f *scriptedFleet) Find(_ context.Context, _, stream string) origin.Origin {
+	if known, ok := f.origins[stream]; ok {
+		return known
+	}
+	return origin.Origin{Source: origin.Unknown}
+}
+
+// version returns the software version of the target with a number.
+func (f *scriptedFleet) version(number int) string {
+	if len(f.versions) == 0 {
+		return "v1"
+	}
+	return f.versions[min(number, len(f.versions)-1)]
 }
 
 func (f *scriptedFleet) Send(ctx context.Context, _ string, d *exchange.Dispatch) (external.OpenAnswer, error) {
@@ -74,19 +110,23 @@
 		}
 		return placement.Choice{}, false
 	}
-	id := fmt.Sprint("t", len(f.requirements)-1)
-	return placement.Choice{Target: roster.Target{ID: id, Address: id + ":1"}}, true
+	number := len(f.requirements) - 1
+	id := fmt.Sprint("t", number)
+	return placement.Choice{Target: roster.Target{ID: id, Address: id + ":1", Version: f.version(number)}}, true
 }
 
 func (f *scriptedFleet) TryPlace(context.Context, placement.Requirements) (placement.Choice, bool) {
-	return placement.Choice{}, false
+	if f.reserved == nil {
+		return placement.Choice{}, false
+	}
+	return placement.Choice{Target: *f.reserved}, true
 }
 func (f *scriptedFleet) DataReceived(string) {}
 func (f *scriptedFleet) Done(_ placement.Choice, result placement.Result) {
 	f.results = append(f.results, result)
 }
 func (f *scriptedFleet) ReportLoad(placement.Choice, *exchange.Load)   {}
-func (f *scriptedFleet) HasTargets(string) bool                        { return !f.noTargets }
+func (f *scriptedFleet) HasTargets(placement.Requirements) bool        { return !f.noTargets }
 func (f *scriptedFleet) MarkStalled(placement.Choice) (resumed func()) { return nil }
 
 // answerReader is the answer of one scripted target.
@@ -158,13 +198,19 @@
 // serve has a Relay serve a request with the targets of f. It returns the outcome,
 // what the caller received and the time that passed.
 func serve(t *testing.T, r route.Route, f *scriptedFleet) (Outcome, *caller, time.Duration) {
+	t.Helper()
+	return serveRequest(t, r, f, &exchange.Request{ID: "r", Method: http.MethodPost, After: exchange.FromStart})
+}
+
+// serveRequest is serve for a given request.
+func serveRequest(t *testing.T, r route.Route, f *scriptedFleet, request *exchange.Request) (Outcome, *caller, time.Duration) {
 	t.Helper()
 	now := time.Now()
 	received := &caller{}
-	relay := New(Options{Targets: f, Placer: f, Logger: log.NewNopLogger()})
+	f.receivedAtBegin = received
+	relay := New(Options{Targets: f, Placer: f, Origins: f, Logger: log.NewNopLogger()})
 	outcome := relay.Serve(t.Context(), &RoutedRequest{
-		Request: &exchange.Request{ID: "r", Method: http.MethodPost, After: exchange.FromStart}, Route: &r, Service: "s",
-		ReceivedAt: now, Deadline: now.Add(requestTime),
+		Request: request, Route: &r, Service: "s", ReceivedAt: now, Deadline: now.Add(requestTime),
 	}, received)
 	return outcome, received, time.Since(now)
 }
--- a/internal/coordination/routed/relay/stall.go
+++ b/internal/coordination/routed/relay/stall.go
@@ -37,13 +37,13 @@
 	cancel context.CancelFunc
 	call   *call
 	choice placement.Choice
+
+	mu sync.Mutex
 	// requirements is what another target has to satisfy.
 	requirements placement.Requirements
-	// mayFailOver is set if the route allows another run of the request.
+	// mayFailOver is set if another run of the request is allowed.
 	mayFailOver bool
-
-	mu    sync.Mutex
-	timer *time.Timer
+	timer       *time.Timer
 	// clearSuspicion removes the mark from a suspect target, nil if the target is
 	// not suspect.
 	clearSuspicion func()
@@ -58,7 +58,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	m := &stallMonitor{
 		ctx: ctx, cancel: cancel, call: c, choice: choice, requirements: c.requirements(),
-		mayFailOver: c.Route.Repeatable() && c.outcome.PossibleRuns+1 < c.Route.MaxAttempts,
+		mayFailOver: c.Route.Repeatable() && c.outcome.PossibleRuns+1 < c.Route.MaxAttempts && c.mayGoOn(),
 	}
 	limit := c.gapTimeout()
 	if !c.headSent {
@@ -86,22 +86,34 @@
 	if m.clearSuspicion == nil {
 		m.clearSuspicion = m.call.opts.Placer.MarkStalled(m.choice)
 	}
+	mayFailOver, requirements := m.mayFailOver, m.requirements
 	m.mu.Unlock()
-	if m.mayFailOver {
-		m.failOver()
+	if mayFailOver {
+		m.failOver(requirements)
 	}
 }
 
+// requireVersion records that the stream has begun at a software version, so that it may go on
+// only there. It may go on nowhere if the version is not known.
+func (m *stallMonitor) requireVersion(version string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.requirements.Version = version
+	m.mayFailOver = m.mayFailOver && version != ""
+}
+
 // failOver tries to reserve a slot at another target and cancels the exchange if
 // that succeeds. Otherwise it is tried again after failoverRetryInterval.
-func (m *stallMonitor) failOver() {
-	choice, found := m.call.opts.Placer.TryPlace(m.ctx, m.requirements)
+func (m *stallMonitor) failOver(requirements placement.Requirements) {
+	choice, found := m.call.opts.Placer.TryPlace(m.ctx, requirements)
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	// The stream may have begun meanwhile.
+	began := m.requirements.Version != requirements.Version || !m.mayFailOver
 	switch {
 	case !found:
 		m.timer.Reset(failoverRetryInterval)
-	case m.stopped:
+	case m.stopped, began:
 		go m.call.opts.Placer.Done(choice, placement.Cancelled)
 	default:
 		m.failover = &choice
--- /dev/null
+++ b/internal/coordination/routed/relay/stream.go
@@ -0,0 +1,47 @@
+package relay
+
+import (
+	"context"
+
+	"merlintiller/internal/coordination/routed/origin"
+	"merlintiller/internal/coordination/routed/placement"
+	"merlintiller/internal/protocol/exchange"
+	"merlintiller/internal/state/route"
+)
+
+// findOrigin finds out at which software version the stream began that the caller takes up.
+// It returns false, with the outcome set, if the stream can't go on anywhere.
+func (c *call) findOrigin(ctx context.Context) bool {
+	if c.Route.Kind != route.Stream || c.Request.After == exchange.FromStart {
+		return true
+	}
+	c.origin = c.opts.Origins.Find(ctx, c.Service, c.Request.Resumes)
+	switch {
+	case c.contextEnded(ctx):
+		return false
+	case !c.origin.Known():
+		c.outcome.Reason = VersionUnknown
+		return false
+	case !c.opts.Placer.HasTargets(placement.Requirements{Service: c.Service, Version: c.origin.Version}):
+		c.outcome.Reason = VersionGone
+		return false
+	}
+	return true
+}
+
+// streamBegins records the software version of the target that sends the first event of the
+// stream. From then on the stream may go on only at targets of that version.
+func (c *call) streamBegins(choice placement.Choice, monitor *stallMonitor) {
+	if c.origin.Source != "" {
+		return
+	}
+	c.origin = origin.Origin{Version: choice.Version, Source: origin.Answer}
+	monitor.requireVersion(choice.Version)
+	if c.origin.Known() {
+		c.opts.Origins.Began(c.Service, c.Request.ID, choice.Version)
+	}
+}
+
+// mayGoOn reports whether the request may run at another target, as far as software versions
+// matter.
+func (c *call) mayGoOn() bool { return c.origin.Source == "" || c.origin.Known() }
--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -17,6 +17,7 @@
 	"merlintiller/internal/coordination/routed/broker"
 	"merlintiller/internal/coordination/routed/fleetview"
 	"merlintiller/internal/coordination/routed/mesh"
+	"merlintiller/internal/coordination/routed/origin"
 	"merlintiller/internal/coordination/routed/placement"
 	"merlintiller/internal/coordination/routed/quota"
 	"merlintiller/internal/coordination/routed/relay"
@@ -56,6 +57,7 @@
 	brokerClient   *broker.Client
 	limiter        *quota.Limiter
 	mesh           *mesh.Mesh
+	origins        *origin.Registry
 	peerServer     *peer.Server
 	peerClient     *peer.Client
 	partitionOwner *batchjobs.PartitionOwner
@@ -103,6 +105,7 @@
 		return nil, trace.Wrap(err)
 	}
 	d.setupBroker()
+	d.setupOrigins()
 	d.setupBatchJobs()
 	d.isolation = &isolationDetector{
 		otherDomainsUnreachable: d.mesh.Isolated, storeAge: d.view.StoreAge, logger: d.logger,
@@ -135,6 +138,7 @@
 		Seed:      xxhash.Sum64String(d.self.Name),
 		OnConfig:  func(t *route.Table) { d.limiter.SetOrganisations(t.Organisations()) },
 		OnTargets: func(list []roster.Target) { d.brokerClient.SetTargets(list) },
+		OnListed:  func(list []roster.Target) { d.origins.SetTargets(list) },
 		// A broker limits the requests that start at targets in their warm-up period, and
 		// peers need not know the warm-up state. So a broker reads the list of targets itself.
 		TargetsFromPeers: func() bool { return d.mesh.GetsTargetListFromRelay() && !d.brokerClient.IsBroker() },
@@ -162,6 +166,12 @@
 	d.broker.SetIsSoleBroker(d.brokerClient.IsSoleBroker)
 }
 
+func (d *Daemon) setupOrigins() {
+	d.origins = origin.New(origin.Options{
+		Self: d.self, Peers: d.mesh, Caller: d.peerClient, ListAge: d.view.ListAge, Logger: d.logger,
+	})
+}
+
 func (d *Daemon) setupBatchJobs() {
 	s := d.settings.Store
 	opts := &batchjobs.Options{
@@ -187,7 +197,7 @@
 		},
 		Table: d.view.Table,
 		Quota: d.limiter,
-		Relay: relay.New(relay.Options{Targets: d.targets, Placer: d.brokerClient, Logger: d.logger}),
+		Relay: relay.New(relay.Options{Targets: d.targets, Placer: d.brokerClient, Origins: d.origins, Logger: d.logger}),
 		Jobs:  d.jobService, JobsUnavailable: d.isolation.jobRetryAfter, Logger: d.logger,
 	})
 }
@@ -196,6 +206,7 @@
 	receivers := map[string]any{
 		mesh.ServiceName:       d.mesh.Receiver(),
 		broker.ReceiverName:    d.broker.Receiver(),
+		origin.ReceiverName:    d.origins.Receiver(),
 		batchjobs.ReceiverName: d.jobService.Receiver(),
 		batchjobs.WaiterName:   d.jobService.Waiter(),
 	}
@@ -220,6 +231,7 @@
 	d.supervisor.Add(newRegistration(d))
 	d.supervisor.Add(d.broker)
 	d.supervisor.Add(d.brokerClient)
+	d.supervisor.Add(d.origins)
 	d.supervisor.Add(&broker.Sweeper{
 		Broker: d.broker, IsBroker: d.brokerClient.IsBroker, Targets: d.targets, FilterOrphans: d.jobService.Orphans, Logger: d.logger,
 	})
--- a/internal/daemon/routed/streams_test.go
+++ b/internal/daemon/routed/streams_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -107,8 +108,11 @@
 
 // faultOnce returns a fault for the first run of each id that has a prefix.
 func faultOnce(prefix string, fault engine.Fault) func(id string) engine.Fault {
+	var mu sync.Mutex
 	seen := map[string]bool{}
 	return func(id string) engine.Fault {
+		mu.Lock()
+		defer mu.Unlock()
 		if seen[id] || !strings.HasPrefix(id, prefix) {
 			return engine.Fault{}
 		}
--- a/internal/explain/causes.go
+++ b/internal/explain/causes.go
@@ -71,14 +71,31 @@
 	}
 	text := fmt.Sprintf("; its software version is %s", r.Fields["version"])
 	if r.Fields["stream_version"] != "" {
-		text += fmt.Sprintf(", the stream began at %s", r.Fields["stream_version"])
+		text += ", and so is " + describeOrigin(r)
 	}
+	return text
+}
+
+// describeOrigin gives the software version at which a stream began, and where it is known
+// from.
+func describeOrigin(r *Record) string {
+	text := fmt.Sprintf("that of the stream, %s (%s, %s ago)", r.Fields["stream_version"],
+		originSources[r.Fields["version_source"]], seconds(r.Number("version_age_ms")))
 	if r.Fields["resumes"] != "" {
-		text += fmt.Sprintf("; it goes on with the stream of request %s", r.Fields["resumes"])
+		text += fmt.Sprintf(", which request %s began", r.Fields["resumes"])
 	}
 	return text
 }
 
+// originSources explains the values of version_source=.
+var originSources = map[string]string{
+	"answer":       "this answer began there",
+	"own":          "it began at this instance",
+	"told":         "the instance at which it began sent it here",
+	"asked":        "another instance knew it",
+	"only_version": "the service has no other one, by the list of targets as read",
+}
+
 // placedBy names the instance that chose the target.
 func placedBy(r *Record) string {
 	if r.Fields["broker"] == "" {
@@ -96,7 +113,7 @@
 }
 
 func describeItemRun(r *Record) string {
-	text := fmt.Sprintf("item %s ran at %s from event %s to %s in %s: %s", r.Fields["item"], r.Fields["target"],
+	text := fmt.Sprintf("item %s ran at %s%s from event %s to %s in %s: %s", r.Fields["item"], r.Fields["target"], ofVersion(r),
 		r.Fields["from"], r.Fields["position"], seconds(r.Number("took_ms")), itemRunOutcomes[r.Fields["how"]])
 	if err := innermostError(r); err != "" {
 		text += " (" + err + ")"
@@ -107,6 +124,14 @@
 	return text
 }
 
+// ofVersion gives the software version of the target of a line, "" for a line without one.
+func ofVersion(r *Record) string {
+	if r.Fields["version"] == "" {
+		return ""
+	}
+	return " (software version " + r.Fields["version"] + ")"
+}
+
 // itemRunOutcomes explains the values of how= in item_run.
 var itemRunOutcomes = map[string]string{
 	"whole":      "complete",
@@ -198,6 +223,10 @@
 		return fmt.Sprintf("none of the %s targets tried accepted it", r.Fields["attempts"])
 	case "no_target":
 		return "no target of its service is listed"
+	case "version_unknown":
+		return fmt.Sprintf("it takes up the stream of request %q, and no instance that answered knows at which software version that began", r.Fields["resumes"])
+	case "version_gone":
+		return fmt.Sprintf("it takes up the stream of request %q, which began at software version %s, and no target of that version is listed", r.Fields["resumes"], r.Fields["stream_version"])
 	case "no_service":
 		return "its route names no service"
 	case "no_config":
@@ -209,7 +238,11 @@
 	case "answer_lost":
 		return fmt.Sprintf("the answer of target %s was lost, and the request must not run twice", r.Fields["target"])
 	case "cut_off":
-		return fmt.Sprintf("target %s stopped in the middle of the answer, and no other target can continue it", r.Fields["target"])
+		text := fmt.Sprintf("target %s stopped in the middle of the answer, and no other target can continue it", r.Fields["target"])
+		if r.Fields["stream_version"] != "" {
+			text += "; it would have had to be one of software version " + r.Fields["stream_version"]
+		}
+		return text
 	case "interrupted":
 		return "the instance exited before the answer was complete"
 	case "timed_out":
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -130,6 +130,9 @@
 	listed := make(map[string]bool, len(list))
 	for _, t := range list {
 		listed[t.ID] = true
+		if known := r.targets[t.ID]; t.Version == "" && known.sameIncarnation(t) {
+			t.Version = known.Version
+		}
 		r.targets[t.ID] = t
 		delete(r.inGrace, t.ID)
 	}
@@ -141,6 +144,21 @@
 	return true
 }
 
+// sameIncarnation reports whether two entries are of the same process of a target.
+func (t Target) sameIncarnation(other Target) bool {
+	return t.ID == other.ID && t.Started == other.Started && t.Address == other.Address
+}
+
+// HasUnknownVersion reports whether the version of any listed target is not known.
+func (r *Roster) HasUnknownVersion() bool {
+	for _, t := range r.targets {
+		if t.Version == "" {
+			return true
+		}
+	}
+	return false
+}
+
 // advance records that the entry at an offset has been applied.
 func (r *Roster) advance(offset int64) {
 	r.mark = max(r.mark, offset+1)
--- a/internal/transport/front/online.go
+++ b/internal/transport/front/online.go
@@ -19,7 +19,7 @@
 
 // serveOnline serves a request at a target.
 func (c *callerRequest) serveOnline() {
-	service, ok := c.route.Choose(c.request.ID)
+	service, ok := c.route.Choose(c.streamID())
 	if !ok {
 		c.reject(http.StatusServiceUnavailable, shortRetryAfter, "no_service")
 		return
@@ -41,6 +41,15 @@
 	c.reportOutcome(&outcome)
 }
 
+// streamID returns the id of the request that began the stream: another one if the caller takes
+// a stream up, which then goes on at the service that it began at.
+func (c *callerRequest) streamID() string {
+	if c.request.After != exchange.FromStart && c.request.Resumes != "" {
+		return c.request.Resumes
+	}
+	return c.request.ID
+}
+
 // timeout returns the maximum duration of the request: the time that the caller
 // waits, but at most the time that the route allows.
 func (c *callerRequest) timeout() time.Duration {
@@ -76,7 +85,9 @@
 	}
 	c.log(outcome, o.Status, string(o.Reason), "target", o.Target, "attempts", o.Attempts, "runs", o.PossibleRuns,
 		"waited_ms", o.PlacementTime.Milliseconds(), "busy", o.Busy, "slots", o.Slots, "broker", o.Broker,
-		"first_byte_ms", o.TimeToFirstByte.Milliseconds(), "events", o.Events, "retry_ms", o.RetryAfter.Milliseconds())
+		"first_byte_ms", o.TimeToFirstByte.Milliseconds(), "events", o.Events, "retry_ms", o.RetryAfter.Milliseconds(),
+		"resumes", c.request.Resumes, "stream_version", o.Origin.Version, "version_source", o.Origin.Source,
+		"version_age_ms", o.Origin.Age.Milliseconds())
 	switch {
 	case o.Completed():
 	case o.AnswerStarted(), o.Reason == relay.CallerDisconnected:
