Streams that are taken up together no longer fail each other's search

Cause: a search that had found its record cancelled its other calls, and a cancelled call closes the connection between two instances, on which the searches for other streams waited. The calls now end by themselves.

Also: an instance that has just started can't tell from its own list whether a service has had one version only; it asks instances that have known the list for longer. Records that no instance has acknowledged, since the one that has them was cut off, are sent again for as long as their streams can be taken up.

--- a/internal/coordination/routed/origin/history.go
+++ b/internal/coordination/routed/origin/history.go
@@ -49,11 +49,7 @@
 	if h.since.IsZero() || h.since.After(since) && h.lastStart[service].After(since) {
 		return "", false
 	}
-	for version, listed := range h.services[service] {
-		if listed.Before(since) {
-			delete(h.services[service], version)
-			continue
-		}
+	for version := range h.versions(since, service) {
 		if only != "" || version == "" {
 			return "", false
 		}
@@ -61,3 +57,24 @@
 	}
 	return only, only != ""
 }
+
+// versions returns the versions that a service has had since a time.
+func (h *history) versions(since time.Time, service string) map[string]time.Time {
+	for version, listed := range h.services[service] {
+		if listed.Before(since) {
+			delete(h.services[service], version)
+		}
+	}
+	return h.services[service]
+}
+
+// hasNoOther reports whether a service has had no other version than the given one since a
+// time, as far as this instance knows.
+func (h *history) hasNoOther(since time.Time, service, version string) bool {
+	for other := range h.versions(since, service) {
+		if other != version {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/coordination/routed/origin/messages.go
+++ b/internal/coordination/routed/origin/messages.go
@@ -16,13 +16,17 @@
 // TellArgs are records of streams that began at the caller.
 type TellArgs struct{ Records []Record }
 
-// FindArgs asks for the record of a stream.
-type FindArgs struct{ Stream string }
+// FindArgs asks for the record of a stream. Stream is empty if the caller does not name it.
+type FindArgs struct{ Service, Stream string }
 
 // FindReply is the record, if the answering instance has it.
 type FindReply struct {
 	Found  bool
 	Record Record
+	// OnlyVersion is set if there is no record and the service has had only this version for
+	// longer than a stream can last. ListAge is the age of the list that shows it.
+	OnlyVersion string
+	ListAge     time.Duration
 }
 
 // Names of the net/rpc methods.
@@ -46,6 +50,6 @@
 
 // Find returns the record of a stream.
 func (r *Receiver) Find(args *FindArgs, reply *FindReply) error {
-	*reply = r.registry.answer(args.Stream)
+	*reply = r.registry.answer(args)
 	return nil
 }
--- a/internal/coordination/routed/origin/origin.go
+++ b/internal/coordination/routed/origin/origin.go
@@ -37,6 +37,14 @@
 // Known reports whether the version is known.
 func (o Origin) Known() bool { return o.Version != "" }
 
+// Versions returns the software versions at which the stream may run. Empty: any.
+func (o Origin) Versions() []string {
+	if !o.Known() {
+		return nil
+	}
+	return []string{o.Version}
+}
+
 // Allows reports whether the stream may go on at a target of a version.
 func (o Origin) Allows(version string) bool {
 	return o.Source == "" || o.Known() && o.Version == version
--- a/internal/coordination/routed/origin/outbox.go
+++ b/internal/coordination/routed/origin/outbox.go
@@ -28,13 +28,13 @@
 
 // tell sends a record to its holders. The caller must hold r.mu.
 func (r *Registry) tell(now time.Time, stream string, told *record) {
-	told.told = true
 	for _, holder := range r.holders(stream, toldHolders) {
 		box := r.outboxes[holder.Address]
 		if box == nil {
 			box = &outbox{}
 			r.outboxes[holder.Address] = box
 		}
+		told.told = true
 		if len(box.pending) >= maxPending {
 			recordsDropped.Inc()
 			continue
@@ -57,6 +57,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
 		err := r.opts.Caller.Call(ctx, address, methodTell, args, &struct{}{})
 		cancel()
+		r.markSent(args.Records, err == nil)
 		if err != nil {
 			tellsFailed.Inc()
 			_ = level.Info(r.opts.Logger).Log("event", "stream_origins_not_told", "peer", address, "records", len(args.Records), "err", err)
@@ -66,6 +67,15 @@
 	}
 }
 
+// markSent records whether an instance has acknowledged records.
+func (r *Registry) markSent(records []Record, acknowledged bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, sent := range records {
+		r.records.sent(sent.Stream, acknowledged)
+	}
+}
+
 // takePending takes the records of an outbox, nil if there are none. The outbox is then
 // removed: it would stay when its instance is gone for good.
 func (r *Registry) takePending(address string, box *outbox) *TellArgs {
--- a/internal/coordination/routed/origin/registry.go
+++ b/internal/coordination/routed/origin/registry.go
@@ -104,6 +104,23 @@
 	return r.history.onlyVersion(now.Add(-streamLifetime), service)
 }
 
+// OnlyVersion returns the version of a service if no stream can have begun at another one.
+func (r *Registry) OnlyVersion(service string) (string, bool) {
+	now, listAge := time.Now(), r.opts.ListAge()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.onlyVersion(now, listAge, service)
+}
+
+// mayBeOnlyVersion reports whether a version can be the only one of a service, as another
+// instance says that has known the list for longer: this one must not know of any other.
+func (r *Registry) mayBeOnlyVersion(service, version string) bool {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.history.hasNoOther(now.Add(-streamLifetime), service, version)
+}
+
 // Began records that a target of a version sends the first event of a stream. It must be
 // called before the event goes to the caller.
 func (r *Registry) Began(service, stream, version string) {
@@ -124,19 +141,17 @@
 }
 
 func (r *Registry) find(ctx context.Context, service, stream string) Origin {
-	if stream != "" {
-		if found, ok := r.findHere(stream); ok {
-			return found
-		}
-		if found, ok := r.ask(ctx, stream); ok {
+	if found, ok := r.findHere(stream); ok {
+		return found
+	}
+	version, only := r.OnlyVersion(service)
+	if stream != "" || !only {
+		if found, ok := r.ask(ctx, service, stream); ok {
 			return found
 		}
 	}
-	listAge := r.opts.ListAge()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if version, only := r.onlyVersion(time.Now(), listAge, service); only {
-		return Origin{Version: version, Source: OnlyVersion, Age: listAge}
+	if only {
+		return Origin{Version: version, Source: OnlyVersion, Age: r.opts.ListAge()}
 	}
 	return Origin{Source: Unknown}
 }
@@ -157,34 +172,65 @@
 	return Origin{Version: found.version, Source: source, Age: now.Sub(found.begunAt)}, true
 }
 
-// ask asks the holders of a stream for its record and returns the first one that is found.
-func (r *Registry) ask(ctx context.Context, stream string) (Origin, bool) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
+// ask asks the holders of a stream for its record, or else whether the service has had only one
+// version, and returns the first record that is found.
+func (r *Registry) ask(ctx context.Context, service, stream string) (Origin, bool) {
+	replies := r.callHolders(service, stream)
+	var only Origin
+	for reply := range replies.until(ctx) {
+		if reply.Found {
+			r.keep([]Record{reply.Record})
+			return Origin{Version: reply.Record.Version, Source: Asked, Age: reply.Record.Age}, true
+		}
+		if reply.OnlyVersion != "" {
+			only = Origin{Version: reply.OnlyVersion, Source: OnlyVersion, Age: reply.ListAge}
+		}
+	}
+	return only, only.Known() && r.mayBeOnlyVersion(service, only.Version)
+}
+
+// findReplies are the replies of the holders of a stream.
+type findReplies struct {
+	replies chan FindReply
+	count   int
+}
+
+// until returns the replies in the order of their arrival, until all have arrived or ctx ends.
+func (f findReplies) until(ctx context.Context) func(yield func(FindReply) bool) {
+	return func(yield func(FindReply) bool) {
+		for range f.count {
+			select {
+			case reply := <-f.replies:
+				if !yield(reply) {
+					return
+				}
+			case <-ctx.Done():
+				return
+			}
+		}
+	}
+}
+
+// callHolders asks the holders of a stream. A holder that does not answer has an empty reply.
+//
+// The calls end by themselves, also once the record was found: ending a call early would close
+// its connection, on which the records of other streams are asked for.
+func (r *Registry) callHolders(service, stream string) findReplies {
 	asked := r.holders(stream, askedHolders)
-	replies := make(chan FindReply, len(asked))
+	out := findReplies{replies: make(chan FindReply, len(asked)), count: len(asked)}
 	for _, holder := range asked {
 		findsAsked.Inc()
 		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+			defer cancel()
 			var reply FindReply
-			if err := r.opts.Caller.Call(ctx, holder.Address, methodFind, &FindArgs{Stream: stream}, &reply); err != nil {
+			if err := r.opts.Caller.Call(ctx, holder.Address, methodFind, &FindArgs{Service: service, Stream: stream}, &reply); err != nil {
 				reply = FindReply{}
 			}
-			replies <- reply
+			out.replies <- reply
 		}()
 	}
-	for range asked {
-		select {
-		case reply := <-replies:
-			if reply.Found {
-				r.keep([]Record{reply.Record})
-				return Origin{Version: reply.Record.Version, Source: Asked, Age: reply.Record.Age}, true
-			}
-		case <-ctx.Done():
-			return Origin{}, false
-		}
-	}
-	return Origin{}, false
+	return out
 }
 
 // holders returns the other instances that keep the record of a stream.
@@ -208,12 +254,13 @@
 }
 
 // answer answers another instance that asks for the record of a stream.
-func (r *Registry) answer(stream string) FindReply {
-	found, ok := r.findHere(stream)
-	if !ok {
-		return FindReply{}
+func (r *Registry) answer(args *FindArgs) FindReply {
+	if found, ok := r.findHere(args.Stream); ok {
+		return FindReply{Found: true, Record: Record{Stream: args.Stream, Version: found.Version, Age: found.Age}}
 	}
-	return FindReply{Found: true, Record: Record{Stream: stream, Version: found.Version, Age: found.Age}}
+	reply := FindReply{ListAge: r.opts.ListAge()}
+	reply.OnlyVersion, _ = r.OnlyVersion(args.Service)
+	return reply
 }
 
 // String returns the name of the background service.
--- a/internal/coordination/routed/origin/table.go
+++ b/internal/coordination/routed/origin/table.go
@@ -14,9 +14,9 @@
 type record struct {
 	service, version string
 	begunAt          time.Time
-	// own is set if the stream began at this instance, told once other instances have been
-	// sent the record.
-	own, told bool
+	// own is set if the stream began at this instance, told while other instances are sent
+	// the record, and kept once one of them has acknowledged it.
+	own, told, kept bool
 }
 
 // table holds the records of an instance. It is pure and not safe for concurrent use.
@@ -59,6 +59,17 @@
 	return nil
 }
 
+// sent records the outcome of sending a record to one instance. The record counts as untold again
+// if no instance keeps it yet.
+func (t *table) sent(stream string, acknowledged bool) {
+	r := t.records[stream]
+	if r == nil {
+		return
+	}
+	r.kept = r.kept || acknowledged
+	r.told = r.kept
+}
+
 // untold returns the own records that no other instance has been sent.
 func (t *table) untold(now time.Time) map[string]*record {
 	t.expire(now)
