The text of a batch item comes from one software version

The text of an item was joined from runs at targets of different software versions, whenever an item yielded its slot or its target broke off.

Cause: an item went on at any target at its position. Neither its output in memory, nor its stored segments, nor what is handed to another owner named a version.

Change: output carries its version (record key 9 of segments, a field of hand-overs; earlier releases ignore both). A free slot goes to the most urgent item that may run there; if none waits without output, brokers are asked for a slot of the versions that wait. An item starts again if its version has left or is not known, or after it was passed over for as long as its output takes to produce again: waiting longer would cost more than it saves. item_restarted says so.

--- a/internal/coordination/routed/batchjobs/handover.go
+++ b/internal/coordination/routed/batchjobs/handover.go
@@ -26,6 +26,9 @@
 	Events    int
 	// Position is the position of its last event.
 	Position int
+	// Version is the software version of the targets that all events come from. Empty: not
+	// known, also if the sender's release does not know it.
+	Version string
 	// Worked is the time that runs have taken so far.
 	Worked time.Duration
 	// Failures counts the runs that targets reported as failed.
@@ -103,7 +106,7 @@
 func (t *task) partialOutput() PartialOutput {
 	return PartialOutput{
 		Job: t.id.job, Item: t.id.item, Text: t.text.String(),
-		Events: t.events, Position: t.position, Worked: t.runTime, Failures: t.failures,
+		Events: t.events, Position: t.position, Version: t.version, Worked: t.runTime, Failures: t.failures,
 	}
 }
 
@@ -118,15 +121,16 @@
 		t.failures = output.Failures
 		t.output.resetAfterFailure(t.failures)
 		t.text.Reset()
-		t.events, t.position, t.runTime = 0, exchange.FromStart, 0
+		t.events, t.position, t.version, t.runTime = 0, exchange.FromStart, "", 0
 	}
 	if !ok || output.Events <= t.events {
 		return
 	}
 	t.text.Reset()
 	t.text.WriteString(output.Text)
-	t.events, t.position, t.runTime = output.Events, output.Position, output.Worked
+	t.events, t.position, t.version, t.runTime = output.Events, output.Position, output.Version, output.Worked
 	t.output.reset()
+	t.output.setVersion(output.Version)
 	t.output.add(output.Text, output.Events, output.Position)
 }
 
--- a/internal/coordination/routed/batchjobs/options.go
+++ b/internal/coordination/routed/batchjobs/options.go
@@ -32,6 +32,9 @@
 	// target in one of them, and waits for a slot for a limited time.
 	Domains() []string
 	PlaceItem(ctx context.Context, domain string, item broker.Item) (placement.Choice, bool)
+	// HasTargets reports whether any listed target may be used, regardless of its load and
+	// health.
+	HasTargets(placement.Requirements) bool
 	// SetRunID records the id under which a target runs an item.
 	SetRunID(choice placement.Choice, id string)
 	Done(placement.Choice, placement.Result)
@@ -68,7 +71,10 @@
 	StoreAnswered func()
 	Targets       external.Sender
 	Placer        Placer
-	Logger        log.Logger
+	// OnlyVersion returns the software version of a service if it has had no other one for
+	// longer than a run lasts.
+	OnlyVersion func(service string) (string, bool)
+	Logger      log.Logger
 }
 
 // partitionOf returns the partition of a job.
--- a/internal/coordination/routed/batchjobs/progress.go
+++ b/internal/coordination/routed/batchjobs/progress.go
@@ -42,6 +42,9 @@
 	text       strings.Builder
 	// events counts the events in text; position is that of the last one.
 	events, position int
+	// version is the software version of the targets that all output of the item comes from,
+	// empty if it is not known.
+	version string
 	// failures counts the failed runs, storedFailures those of them that are stored.
 	failures, storedFailures int
 }
@@ -53,7 +56,14 @@
 	defer o.mu.Unlock()
 	o.followsTag, o.number, o.after, o.offeredTag = 0, 0, exchange.FromStart, 0
 	o.text.Reset()
-	o.events, o.position = 0, exchange.FromStart
+	o.events, o.position, o.version = 0, exchange.FromStart, ""
+}
+
+// setVersion sets the software version of the output.
+func (o *pendingOutput) setVersion(version string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.version = version
 }
 
 // resetAfterFailure resets the output after a failed run and sets the count of failures.
@@ -68,7 +78,7 @@
 func (o *pendingOutput) continueFrom(progress jobs.Progress) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.followsTag, o.number, o.after = progress.Tag, progress.Segments, progress.Position
+	o.followsTag, o.number, o.after, o.version = progress.Tag, progress.Segments, progress.Position, progress.Version
 	o.failures, o.storedFailures = progress.Failures, progress.Failures
 }
 
@@ -100,7 +110,7 @@
 	o.offeredTag = rand.Uint64()
 	return jobs.OutputSegment{
 		ItemIndex: index, Tag: o.offeredTag, Follows: o.followsTag, Number: o.number, After: o.after,
-		Events: o.events, Position: position, Text: o.text.String(), Failures: o.failures,
+		Events: o.events, Position: position, Text: o.text.String(), Version: o.version, Failures: o.failures,
 	}, true
 }
 
@@ -134,6 +144,7 @@
 	}
 	t.text.WriteString(progress.Text)
 	t.events, t.position, t.runTime, t.failures = progress.Events, progress.Position, progress.RunTime, progress.Failures
+	t.version = progress.Version
 	t.output.continueFrom(progress)
 	itemsResumed.Inc()
 }
--- a/internal/coordination/routed/batchjobs/queue.go
+++ b/internal/coordination/routed/batchjobs/queue.go
@@ -38,27 +38,34 @@
 func (r *Runner) mostUrgent(now time.Time) (broker.Item, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t, service := r.firstRunnable(now, "")
-	if t == nil {
+	runnable := r.runnable(now)
+	if len(runnable) == 0 {
 		return broker.Item{}, false
 	}
+	t, service := runnable[0].task, runnable[0].service
 	remaining := r.estimate.remaining(t.events)
 	return broker.Item{
-		Service: service, Deadline: t.job.Due, StartBy: t.job.Due.Add(-remaining),
+		Service: service, Versions: r.acceptedVersions(now, runnable, service), Deadline: t.job.Due, StartBy: t.job.Due.Add(-remaining),
 		MaxRuntime: time.Duration(maxRuntimeFactor * float64(remaining)),
 	}, true
 }
 
-// firstRunnable returns the waiting item that should start first, of one service or, if
-// of is empty, of all. It fails the items that can no longer be done. The caller holds
-// the lock.
-func (r *Runner) firstRunnable(now time.Time, of string) (*task, string) {
+// runnableTask is a waiting item that may start, with its service.
+type runnableTask struct {
+	task    *task
+	service string
+}
+
+// runnable returns the waiting items that may start, the most urgent first. It fails the items
+// that can no longer be done, and restarts those that can't go on. The caller holds the lock.
+func (r *Runner) runnable(now time.Time) (out []runnableTask) {
 	table := r.opts.Table()
 	if r.shuttingDown || table == nil || len(r.waiting) == 0 {
-		return nil, ""
+		return nil
 	}
 	r.sortWaiting(now)
 	r.refreshClaims(now)
+	listed := listedVersions{}
 	for _, t := range slices.Clone(r.waiting) {
 		if now.Before(t.notBefore) || r.claimedByPeers[t.id] {
 			continue
@@ -68,22 +75,28 @@
 			r.dequeue(t)
 			continue
 		}
-		if service, ok := t.service(table); ok && (of == "" || of == service) {
-			return t, service
+		if service, ok := t.service(table); ok {
+			r.settleVersion(t, service, listed)
+			out = append(out, runnableTask{t, service})
 		}
 	}
-	return nil, ""
+	return out
 }
 
-// startItem starts the item of a service that is now the most urgent at a target.
+// startItem starts the item of a service that is now the most urgent of those that may run at
+// a target.
 func (r *Runner) startItem(service string, choice placement.Choice) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t, _ := r.firstRunnable(time.Now(), service)
+	now := time.Now()
+	t := r.taskFor(now, r.runnable(now), service, choice.Version)
 	if t == nil {
 		go r.opts.Placer.Done(choice, placement.Cancelled)
 		return
 	}
+	if !t.mayRunAt(choice.Version) {
+		r.restart(t, versionFull)
+	}
 	r.dequeue(t)
 	r.startRun(t, choice)
 }
@@ -106,7 +119,7 @@
 		r.handOver(t)
 		return
 	}
-	t.notBefore = time.Now().Add(pause)
+	t.notBefore, t.passedOverAt = time.Now().Add(pause), time.Time{}
 	r.waiting = append(r.waiting, t)
 	r.notifyChange()
 }
--- a/internal/coordination/routed/batchjobs/runner.go
+++ b/internal/coordination/routed/batchjobs/runner.go
@@ -173,7 +173,7 @@
 			known.replica = p
 			continue
 		}
-		t := &task{openItem: *o, runner: r, replica: p, position: exchange.FromStart}
+		t := &task{openItem: *o, runner: r, replica: p, position: exchange.FromStart, notBefore: time.Now()}
 		t.output.reset()
 		if o.job.Submitted.Before(acquiredAt) {
 			t.mayRunElsewhere = true
--- a/internal/coordination/routed/batchjobs/task.go
+++ b/internal/coordination/routed/batchjobs/task.go
@@ -59,6 +59,12 @@
 	text     strings.Builder
 	events   int
 	position int
+	// version is the software version of the targets that all output comes from. Empty:
+	// there is no output, or the version is not known.
+	version string
+	// passedOverAt is when a slot of another version was first given to a less urgent item,
+	// zero if that has not happened since the item was queued.
+	passedOverAt time.Time
 	// failures counts the runs that a target reported as failed, interruptions the
 	// interrupted runs in a row.
 	failures, interruptions int
@@ -178,7 +184,7 @@
 	t.runner.mu.Lock()
 	defer t.runner.mu.Unlock()
 	t.failures++
-	t.events, t.position, t.runTime = 0, exchange.FromStart, 0
+	t.events, t.position, t.version, t.runTime = 0, exchange.FromStart, "", 0
 	t.output.resetAfterFailure(t.failures)
 	if t.replica != nil {
 		t.replica.requestStore()
@@ -276,6 +282,9 @@
 	}
 	if t.events > 0 {
 		t.text.WriteByte('\n')
+	} else {
+		t.version = t.choice.Version
+		t.output.setVersion(t.version)
 	}
 	t.events++
 	data := event.Data()
--- a/internal/coordination/routed/broker/client.go
+++ b/internal/coordination/routed/broker/client.go
@@ -181,6 +181,8 @@
 // Item is a batch item that needs a slot.
 type Item struct {
 	Service string
+	// Versions are the software versions at which it may run. Empty: any.
+	Versions []string
 	// Deadline is when the item must be done, StartBy when it must start to meet it.
 	Deadline, StartBy time.Time
 	// MaxRuntime is the longest time that a target is busy with the item.
@@ -196,15 +198,17 @@
 // brokers. Those targets would get twice as many requests as they have slots, and online
 // requests would wait in their queues.
 func (c *Client) PlaceItem(ctx context.Context, name string, item Item) (placement.Choice, bool) {
+	want := placement.Requirements{Service: item.Service, Versions: item.Versions, Batch: true}
 	request := &PlaceRequest{
-		Domain: name, Want: placement.Requirements{Service: item.Service, Batch: true}, Wait: batchWait,
+		Domain: name, Want: want, Wait: batchWait,
 		OnTimeIn: time.Until(item.StartBy), Due: item.Deadline.UnixMilli(), Lasts: item.MaxRuntime,
 	}
 	choice, answered := c.requestSlot(ctx, request)
 	if answered {
 		return choice, choice.ID != ""
 	}
-	choice, ok := c.opts.Local.Pick(placement.Requirements{Service: item.Service, Domain: name, Batch: true})
+	want.Domain = name
+	choice, ok := c.opts.Local.Pick(want)
 	if !ok {
 		wait.For(ctx, batchWait)
 		return choice, false
@@ -275,16 +279,16 @@
 // the version.
 var errVersionIgnored = errors.New("broker chose a target of another software version")
 
-// otherVersions returns the targets of a request's domain and service with another software
-// version than the required one. A broker of an earlier release knows only such exclusions.
+// otherVersions returns the targets of a request's domain and service with a software version
+// that is not required. A broker of an earlier release knows only such exclusions.
 func (c *Client) otherVersions(request *PlaceRequest) (out []string) {
-	if request.Want.Version == "" {
+	if len(request.Want.Versions) == 0 {
 		return nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id, t := range c.targets {
-		if t.Domain == request.Domain && t.Service == request.Want.Service && t.Version != request.Want.Version {
+		if t.Domain == request.Domain && t.Service == request.Want.Service && !request.Want.AllowsVersion(t.Version) {
 			out = append(out, id)
 		}
 	}
--- a/internal/coordination/routed/broker/waitqueue.go
+++ b/internal/coordination/routed/broker/waitqueue.go
@@ -91,9 +91,9 @@
 		if place(w) {
 			continue
 		}
-		// A waiter that excludes some targets, or needs a software version, may find no slot
+		// A waiter that excludes some targets, or needs certain software versions, may find no slot
 		// although others can.
-		full[w.requirements.Service] = len(w.requirements.Exclude) == 0 && w.requirements.Version == ""
+		full[w.requirements.Service] = len(w.requirements.Exclude) == 0 && len(w.requirements.Versions) == 0
 		kept = append(kept, w)
 	}
 	q.waiters = kept
--- a/internal/coordination/routed/placement/core.go
+++ b/internal/coordination/routed/placement/core.go
@@ -75,8 +75,8 @@
 	Service string
 	// Run is the ID under which the target will run the request. Empty: not known yet.
 	Run string
-	// Version is the only software version whose targets may be chosen. Empty: any.
-	Version string
+	// Versions are the software versions whose targets may be chosen. Empty: any.
+	Versions []string
 	// Domain is the only failure domain whose targets may be chosen. Empty: any.
 	Domain string
 	// Batch marks a batch item, which takes free slots only.
@@ -93,7 +93,12 @@
 
 // Allows reports whether a listed target is one of those that may be chosen.
 func (r *Requirements) Allows(t roster.Target) bool {
-	return t.Service == r.Service && (r.Domain == "" || t.Domain == r.Domain) && (r.Version == "" || t.Version == r.Version)
+	return t.Service == r.Service && (r.Domain == "" || t.Domain == r.Domain) && r.AllowsVersion(t.Version)
+}
+
+// AllowsVersion reports whether targets of a software version may be chosen.
+func (r *Requirements) AllowsVersion(version string) bool {
+	return len(r.Versions) == 0 || slices.Contains(r.Versions, version)
 }
 
 // matches reports whether a target may be chosen, regardless of its load and health.
--- a/internal/coordination/routed/relay/relay.go
+++ b/internal/coordination/routed/relay/relay.go
@@ -191,7 +191,7 @@
 // requirements returns what the next target has to satisfy.
 func (c *call) requirements() placement.Requirements {
 	return placement.Requirements{
-		Service: c.Service, Version: c.origin.Version, Run: c.Request.ID, Exclude: slices.Clone(c.tried), Repeatable: c.Route.Repeatable(),
+		Service: c.Service, Versions: c.origin.Versions(), Run: c.Request.ID, Exclude: slices.Clone(c.tried), Repeatable: c.Route.Repeatable(),
 	}
 }
 
@@ -226,7 +226,7 @@
 		c.outcome.Reason = AnswerLost
 	case c.outcome.Attempts > 0:
 		c.outcome.Reason, c.outcome.RetryAfter = NotAccepted, fullRetryAfter
-	case c.opts.Placer.HasTargets(placement.Requirements{Service: c.Service, Version: c.origin.Version}):
+	case c.opts.Placer.HasTargets(placement.Requirements{Service: c.Service, Versions: c.origin.Versions()}):
 		c.outcome.Reason, c.outcome.RetryAfter = AllFull, fullRetryAfter
 	case c.origin.Known():
 		c.outcome.Reason = VersionGone
--- a/internal/coordination/routed/relay/stall.go
+++ b/internal/coordination/routed/relay/stall.go
@@ -98,7 +98,9 @@
 func (m *stallMonitor) requireVersion(version string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.requirements.Version = version
+	if version != "" {
+		m.requirements.Versions = []string{version}
+	}
 	m.mayFailOver = m.mayFailOver && version != ""
 }
 
@@ -109,7 +111,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	// The stream may have begun meanwhile.
-	began := m.requirements.Version != requirements.Version || !m.mayFailOver
+	began := len(m.requirements.Versions) != len(requirements.Versions) || !m.mayFailOver
 	switch {
 	case !found:
 		m.timer.Reset(failoverRetryInterval)
--- a/internal/coordination/routed/relay/stream.go
+++ b/internal/coordination/routed/relay/stream.go
@@ -22,7 +22,7 @@
 	case !c.origin.Known():
 		c.outcome.Reason = VersionUnknown
 		return false
-	case !c.opts.Placer.HasTargets(placement.Requirements{Service: c.Service, Version: c.origin.Version}):
+	case !c.opts.Placer.HasTargets(placement.Requirements{Service: c.Service, Versions: c.origin.Versions()}):
 		c.outcome.Reason = VersionGone
 		return false
 	}
--- a/internal/explain/causes.go
+++ b/internal/explain/causes.go
@@ -52,6 +52,8 @@
 		return describeItemRun(r)
 	case "item_yields":
 		return fmt.Sprintf("item %s yielded its slot at %s to an online request", r.Fields["item"], r.Fields["target"])
+	case "item_restarted":
+		return fmt.Sprintf("item %s starts again, its output up to event %s was discarded: %s", r.Fields["item"], r.Fields["position"], describeRestart(r))
 	case "item_failed":
 		return fmt.Sprintf("item %s failed permanently: %s", r.Fields["item"], itemFailureReasons[r.Fields["reason"]])
 	case "item_handed_over":
@@ -96,6 +98,18 @@
 	"only_version": "the service has no other one, by the list of targets as read",
 }
 
+// describeRestart says why an item could not be continued.
+func describeRestart(r *Record) string {
+	switch r.Fields["reason"] {
+	case "version_gone":
+		return fmt.Sprintf("it began at software version %s, and no target of that version is listed", r.Fields["version"])
+	case "version_full":
+		return fmt.Sprintf("it began at software version %s, whose targets had no free slot for as long as the output takes to produce again", r.Fields["version"])
+	default:
+		return "it is not known at which software version it began"
+	}
+}
+
 // placedBy names the instance that chose the target.
 func placedBy(r *Record) string {
 	if r.Fields["broker"] == "" {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -84,13 +84,14 @@
 at=2026-12-03T10:00:02Z event=request request=r4 outcome=refused reason=version_unknown status=503 took_ms=80 resumes=r0
 at=2026-12-03T10:00:02Z event=request request=r5 outcome=refused reason=version_gone status=503 took_ms=2 resumes=r1 stream_version=v1
 at=2026-12-03T10:00:04Z event=item_run item=i job=j target=t1 version=v1.2 how=left from=-1 position=40 took_ms=900 due_in_ms=9000
+at=2026-12-03T10:00:05Z event=item_restarted item=i job=j reason=version_gone version=v1.2 position=40
 `})
 	requireCause(t, logs.Explain("r2"), "software version is v1.2, and so is that of the stream, v1.2 (another instance knew it, 0.74 s ago), which request r1 began")
 	requireCause(t, logs.Explain("r3"), "software version is v1.2")
 	require.NotContains(t, strings.Join(logs.Explain("r3").Causes, " "), "stream")
 	requireCause(t, logs.Explain("r4"), `the stream of request "r0"`, "no instance that answered knows")
 	requireCause(t, logs.Explain("r5"), "began at software version v1, and no target of that version is listed")
-	requireCause(t, logs.Explain("i"), "ran at t1 (software version v1.2)")
+	requireCause(t, logs.Explain("i"), "ran at t1 (software version v1.2)", "up to event 40 was discarded: it began at software version v1.2")
 }
 
 func TestReadsLogfmtAndJSONAndSkipsOtherLines(t *testing.T) {
--- a/internal/state/jobs/progress.go
+++ b/internal/state/jobs/progress.go
@@ -32,6 +32,9 @@
 	// Events counts the events; Position is the position of the last one.
 	Events, Position int
 	Text             string
+	// Version is the software version of the targets that all events come from. Empty: not
+	// known, or not the same for all.
+	Version string
 	// RunTime is the time that runs took to produce the events.
 	RunTime time.Duration
 	// Failures counts the runs that targets reported as failed, across restarts of the
@@ -51,6 +54,7 @@
 	Number, After    int
 	Events, Position int
 	Text             string
+	Version          string
 	RunTime          time.Duration
 	Failures         int
 }
@@ -66,6 +70,8 @@
 	RunTime  int64  `cbor:"6,keyasint"`
 	Failures int    `cbor:"7,keyasint,omitempty"`
 	Follows  uint64 `cbor:"8,keyasint,omitempty"`
+	// Version is empty in records of releases that do not know it.
+	Version string `cbor:"9,keyasint,omitempty"`
 }
 
 // EncodeSegment returns the record of a segment. A segment that does not fit into a record
@@ -76,7 +82,7 @@
 	}
 	value, err := cbor.Marshal(segmentRecord{
 		Tag: segment.Tag, Follows: segment.Follows, After: segment.After, Position: segment.Position, Events: segment.Events, Text: segment.Text, RunTime: segment.RunTime.Milliseconds(),
-		Failures: segment.Failures,
+		Failures: segment.Failures, Version: segment.Version,
 	})
 	if err != nil {
 		return external.KeyedRecord{}, trace.Wrap(err)
@@ -147,7 +153,7 @@
 	o.Failures = max(o.Failures, record.Failures)
 	switch {
 	case number == 0 && record.After == exchange.FromStart:
-		o.Progress = Progress{Failures: o.Failures}
+		o.Progress = Progress{Failures: o.Failures, Version: record.Version}
 	case o.Segments == 0 || record.Follows != o.Tag || number != o.Segments || record.After != o.Position:
 		return
 	}
@@ -156,6 +162,9 @@
 	} else {
 		o.Text = record.Text
 	}
+	if record.Version != o.Version {
+		o.Version = ""
+	}
 	o.Tag = record.Tag
 	o.Segments++
 	o.Events += record.Events
