First daemon: streams and items go on only at the software version that began them

The platform's list may name a target's software version; targets without one count as of the same version. Routing takes it as a requirement of a call that goes on with a stream; the version is that of the target that sent the first event. A call without an event may run at any version. The partial output of an item names its version: a slot goes first to an item that can be resumed there, and an item that runs at another version starts again. request_placed says at which version a stream goes on.

Callers of this daemon can't take streams up: its interface has no position to resume at.

--- a/internal/coordination/batch/cancelnotice_test.go
+++ b/internal/coordination/batch/cancelnotice_test.go
@@ -31,7 +31,7 @@
 	}
 	stopped := 0
 	for range 2 {
-		_, ok := w.start("reports", now, resolve, func(cause error) {
+		_, ok := w.start("reports", "", now, resolve, func(cause error) {
 			require.ErrorIs(t, cause, errJobEnded)
 			stopped++
 		})
@@ -41,7 +41,7 @@
 	w.stopJob("unknown")
 	require.Equal(t, 2, stopped)
 	for {
-		item, ok := w.start("reports", now, resolve, func(error) {})
+		item, ok := w.start("reports", "", now, resolve, func(error) {})
 		if !ok {
 			break
 		}
--- a/internal/coordination/batch/dispatcher.go
+++ b/internal/coordination/batch/dispatcher.go
@@ -160,7 +160,7 @@
 		return false
 	}
 	runCtx, stop := context.WithCancelCause(ctx)
-	item, ok := d.executor.assignItem(name, stop)
+	item, ok := d.executor.assignItem(name, slot.Pick().Version, stop)
 	if !ok {
 		stop(nil)
 		slot.Release(coordination.CallResult{})
@@ -178,12 +178,12 @@
 
 // assignItem selects the item for a slot that was just acquired. It checks the
 // session again, because the wait for the slot may have been long.
-func (e *Executor) assignItem(name protocol.ServiceName, stop context.CancelCauseFunc) (item Item, ok bool) {
+func (e *Executor) assignItem(name protocol.ServiceName, version string, stop context.CancelCauseFunc) (item Item, ok bool) {
 	if !e.mayStart() {
 		return Item{}, false
 	}
 	e.inspect(func(w *workset) {
-		item, ok = w.start(name, time.Now(), e.serviceFor, stop)
+		item, ok = w.start(name, version, time.Now(), e.serviceFor, stop)
 		if ok {
 			e.started++
 		}
--- a/internal/coordination/batch/runner.go
+++ b/internal/coordination/batch/runner.go
@@ -34,9 +34,10 @@
 	Tokens int
 	// Output is the partial output in an encoding that is private to the Runner.
 	Output []byte
-	// Target is the target that generated the output. Other targets can resume
-	// it as well.
-	Target protocol.TargetID
+	// Target is the target that generated the output. Other targets of the same
+	// software version can resume it as well.
+	Target  protocol.TargetID
+	Version string
 }
 
 // OutcomeKind is the way in which a run of an item ended.
--- a/internal/coordination/batch/stalled_test.go
+++ b/internal/coordination/batch/stalled_test.go
@@ -39,7 +39,7 @@
 	w := newWorkset(time.Minute, equalWeights)
 	id := ledger.ChunkID{Job: "j"}
 	w.add(loadedChunk{id: id, deadline: start.Add(time.Hour), items: []bulk.Item{{CustomID: "a"}}})
-	item, ok := w.start("reports", start, resolve, func(error) {})
+	item, ok := w.start("reports", "", start, resolve, func(error) {})
 	require.True(t, ok)
 	for _, passed := range []time.Duration{0, time.Minute} {
 		require.Empty(t, w.stalled(start.Add(passed), 5*time.Second, resolve, noSlots))
@@ -60,7 +60,7 @@
 	w := newWorkset(time.Minute, equalWeights)
 	id := ledger.ChunkID{Job: "j"}
 	w.add(loadedChunk{id: id, deadline: start.Add(time.Hour), items: []bulk.Item{{CustomID: "a"}, {CustomID: "b"}}})
-	item, ok := w.start("reports", start, resolve, func(error) {})
+	item, ok := w.start("reports", "", start, resolve, func(error) {})
 	require.True(t, ok)
 	w.resultQueued(item)
 	require.Empty(t, w.stalled(start, 5*time.Second, resolve, noSlots))
--- a/internal/coordination/batch/workset.go
+++ b/internal/coordination/batch/workset.go
@@ -135,11 +135,12 @@
 // model.
 type serviceResolver func(protocol.ModelName) (protocol.ServiceName, bool)
 
-// start marks the first waiting item of a service as running and returns it.
-func (w *workset) start(service protocol.ServiceName, now time.Time, resolve serviceResolver, stop context.CancelCauseFunc) (Item, bool) {
+// start marks the first waiting item of a service as running at a target of a software
+// version and returns it.
+func (w *workset) start(service protocol.ServiceName, version string, now time.Time, resolve serviceResolver, stop context.CancelCauseFunc) (Item, bool) {
 	var best *task
 	var bestChunk *heldChunk
-	order := w.ordering(now)
+	order := w.ordering(version, now)
 	for _, c := range w.chunks {
 		if !w.startable(c, now) {
 			continue
@@ -168,13 +169,15 @@
 // ordering compares items by their priority at a given time.
 type ordering struct {
 	work *workset
-	now  time.Time
+	// version is the software version of the target at which the item would run.
+	version string
+	now     time.Time
 	// running is the number of items in flight of each organisation, divided by
 	// its weight.
 	running map[protocol.OrganisationID]float64
 }
 
-func (w *workset) ordering(now time.Time) ordering {
+func (w *workset) ordering(version string, now time.Time) ordering {
 	running := map[protocol.OrganisationID]float64{}
 	for _, c := range w.chunks {
 		for _, t := range c.tasks {
@@ -183,12 +186,12 @@
 			}
 		}
 	}
-	return ordering{work: w, now: now, running: running}
+	return ordering{work: w, version: version, now: now, running: running}
 }
 
 // compare orders items by these criteria: fewer failed attempts, more urgent
 // chunk, organisation with fewer items in flight relative to its weight, earlier
-// claim, partial output present, item number. With an order by deadline alone,
+// claim, partial output that can be resumed before none and before one that can't, item number. With an order by deadline alone,
 // every newly claimed chunk of a job with an early deadline would overtake the
 // chunks of a job with a later one, which might then never run.
 func (o *ordering) compare(a *task, ac *heldChunk, b *task, bc *heldChunk) int {
@@ -197,7 +200,7 @@
 		-cmp.Compare(o.work.urgency(ac, o.now), o.work.urgency(bc, o.now)),
 		cmp.Compare(o.running[ac.organisation], o.running[bc.organisation]),
 		cmp.Compare(ac.claimSeq, bc.claimSeq),
-		-cmp.Compare(resumable(a), resumable(b)),
+		-cmp.Compare(o.resumable(a), o.resumable(b)),
 		cmp.Compare(a.item.Number, b.item.Number),
 	)
 }
@@ -208,13 +211,17 @@
 	return max(0, w.urgentWithin-c.deadline.Sub(now))
 }
 
-// resumable is 1 for a task with partial output and 0 for any other, for use in
-// comparisons.
-func resumable(t *task) int {
-	if t.item.Resume == nil {
+// resumable is 1 for a task with partial output that can be resumed at the target, -1 for one
+// whose partial output would be lost there, and 0 for any other, for use in comparisons.
+func (o *ordering) resumable(t *task) int {
+	switch {
+	case t.item.Resume == nil:
 		return 0
+	case t.item.Resume.Version == o.version:
+		return 1
+	default:
+		return -1
 	}
-	return 1
 }
 
 // find returns the held chunk and the task of an item, nil if absent.
--- a/internal/coordination/batch/workset_test.go
+++ b/internal/coordination/batch/workset_test.go
@@ -26,7 +26,7 @@
 // startNextItem starts the next item in w.
 func startNextItem(w *workset, now time.Time) (Item, bool) {
 	_, stop := context.WithCancelCause(context.Background())
-	return w.start("s", now, anyService, stop)
+	return w.start("s", "", now, anyService, stop)
 }
 
 // A run of an item fails. The item must run again after its backoff, but only after
@@ -92,7 +92,7 @@
 	w := newWorkset(time.Minute, equalWeights)
 	id := addChunk(w, 0, 2, time.Hour)
 	ctx, stop := context.WithCancelCause(context.Background())
-	item, _ := w.start("s", noon, anyService, stop)
+	item, _ := w.start("s", "", noon, anyService, stop)
 	w.reconcile(id, claimStatus{ended: true})
 	require.ErrorIs(t, context.Cause(ctx), errJobEnded)
 	w.requeue(item, 0, time.Time{}, nil)
@@ -134,3 +134,19 @@
 	}
 	require.Equal(t, map[protocol.OrganisationID]int{"light": 10, "heavy": 30}, counts)
 }
+
+// Guards against output that is lost while the same slot could go to an item that can be resumed
+// there, or to one without output.
+func TestSlotGoesToItemWhoseOutputCanBeResumed(t *testing.T) {
+	for version, want := range map[string]int{"v1": 0, "v2": 1, "v3": 2} {
+		w := newWorkset(time.Minute, equalWeights)
+		addChunk(w, 0, 3, time.Hour)
+		first, _ := startNextItem(w, noon)
+		second, _ := startNextItem(w, noon)
+		w.requeue(first, 0, time.Time{}, &Resume{Tokens: 5, Version: "v1"})
+		w.requeue(second, 0, time.Time{}, &Resume{Tokens: 5, Version: "v2"})
+		item, ok := w.start("s", version, noon, anyService, func(error) {})
+		require.True(t, ok)
+		require.Equal(t, want, item.Number, version)
+	}
+}
--- a/internal/coordination/headroom/core.go
+++ b/internal/coordination/headroom/core.go
@@ -13,6 +13,8 @@
 	Service protocol.ServiceName
 	Domain  protocol.Domain
 	Address string
+	// Version is the version of the target's software.
+	Version string
 	// Slots is the number of concurrent streams that the target serves well.
 	Slots int
 	// Usable is false if the target is leaving, dead or ejected.
--- a/internal/coordination/headroom/headroom.go
+++ b/internal/coordination/headroom/headroom.go
@@ -132,7 +132,7 @@
 	s := &slot{
 		headroom: h,
 		id:       id,
-		pick:     coordination.Pick{Target: target.ID, Address: target.Address, Domain: target.Domain},
+		pick:     coordination.Pick{Target: target.ID, Address: target.Address, Domain: target.Domain, Version: target.Version},
 		revoked:  make(chan struct{}),
 	}
 	h.slots[id] = s
--- a/internal/coordination/itemrun/runner.go
+++ b/internal/coordination/itemrun/runner.go
@@ -118,10 +118,10 @@
 }
 
 // restorePartial restores the partial answer of an interrupted run. If the partial
-// answer can't be decoded, the item starts from the beginning, which repeats work
-// but is correct.
+// answer can't be decoded, or comes from a target of another software version, the item
+// starts from the beginning, which repeats work but is correct.
 func (r *run) restorePartial() {
-	if r.item.Resume == nil {
+	if r.item.Resume == nil || r.item.Resume.Version != r.pick.Version {
 		return
 	}
 	if kept, err := decodePartial(r.item.Resume.Output); err == nil {
@@ -257,7 +257,7 @@
 		return outcome
 	}
 	if kept, err := r.partial.encode(); err == nil {
-		outcome.Resume = &batch.Resume{Tokens: r.partial.Position, Output: kept, Target: r.pick.Target}
+		outcome.Resume = &batch.Resume{Tokens: r.partial.Position, Output: kept, Target: r.pick.Target, Version: r.pick.Version}
 	}
 	return outcome
 }
--- a/internal/coordination/itemrun/runner_test.go
+++ b/internal/coordination/itemrun/runner_test.go
@@ -148,3 +148,36 @@
 }
 
 func sseEvent(raw []byte) sse.Event { return sse.Event{Raw: raw} }
+
+// Guards against a result that is joined from the output of targets of two software versions:
+// the item starts again, and its result is complete.
+func TestInterruptedItemStartsAgainAtOtherVersion(t *testing.T) {
+	client := targethttp.New(targethttp.Options{})
+	ctx, cancel := context.WithCancel(t.Context())
+	first := start(t)
+	first.pick.Version = "v1"
+	outcome := New(Options{Target: &cancellingTarget{Target: client, events: 3, cancel: cancel}}).Run(ctx, first, item(body))
+	require.Equal(t, "v1", outcome.Resume.Version)
+	for version, resumedAt := range map[string]int{"v1": 3, "v2": 0} {
+		recorded := &recordingTarget{Target: client}
+		again := item(body)
+		again.Resume = outcome.Resume
+		next := start(t)
+		next.pick.Version = version
+		result := New(Options{Target: recorded}).Run(t.Context(), next, again)
+		require.Equal(t, batch.Done, result.Kind)
+		require.Equal(t, target.AnswerText(target.ChatPrompt("valve"), 8), content(t, result.Result.Body))
+		require.Equal(t, []int{resumedAt}, recorded.resumedAt, version)
+	}
+}
+
+// recordingTarget records at which position each call was resumed.
+type recordingTarget struct {
+	external.Target
+	resumedAt []int
+}
+
+func (r *recordingTarget) Do(ctx context.Context, address string, call external.Call) (*external.Answer, error) {
+	r.resumedAt = append(r.resumedAt, call.ResumeAt)
+	return r.Target.Do(ctx, address, call)
+}
--- a/internal/coordination/online/attempt.go
+++ b/internal/coordination/online/attempt.go
@@ -35,7 +35,7 @@
 		// the first token.
 		callResult.FirstByte = time.Since(started)
 	}
-	outcome, targetOK := c.forward(ctx, response, wd)
+	outcome, targetOK := c.forward(ctx, pick, response, wd)
 	c.logFailedAttempt(attemptCtx, outcome, pick, id, started)
 	keyWithdrawn := wd.stop()
 	callResult.Failed = !targetOK && !keyWithdrawn
@@ -128,13 +128,13 @@
 // forward passes a response on to the caller. targetOK reports whether the
 // target handled the call correctly, also if the caller did not receive all of
 // the response.
-func (c *call) forward(ctx context.Context, response *external.Answer, wd *watchdog) (outcome attemptOutcome, targetOK bool) {
+func (c *call) forward(ctx context.Context, pick coordination.Pick, response *external.Answer, wd *watchdog) (outcome attemptOutcome, targetOK bool) {
 	switch {
 	case response.Status >= http.StatusInternalServerError || response.Status == http.StatusTooManyRequests:
 		c.recordFailure(protocol.MayHaveRun, "the target returned status "+http.StatusText(response.Status), nil)
 		return outcomeRetry, false
 	case c.req.Stream && isEventStream(response.Header):
-		return c.forwardStream(ctx, response, wd)
+		return c.forwardStream(ctx, pick, response, wd)
 	case c.result.Started:
 		c.recordFailure(protocol.MayHaveRun, "the target did not resume the stream", nil)
 		return outcomeRetry, false
--- a/internal/coordination/online/call.go
+++ b/internal/coordination/online/call.go
@@ -27,6 +27,8 @@
 	// event that was sent to the caller. It is 0 if the targets do not number
 	// their events.
 	lastPosition int
+	// version is the software version of the target that sent the first event of the stream.
+	version string
 	// firstEventAt and lastEventAt are the times at which the first and the
 	// last event were sent to the caller.
 	firstEventAt, lastEventAt time.Time
@@ -66,6 +68,7 @@
 		}
 		c.result.Attempts++
 		c.result.Target = pick.Target
+		c.logResumed(pick)
 		outcome, seen := c.attempt(ctx, pick)
 		done(seen)
 		if outcome != outcomeRetry {
@@ -84,6 +87,8 @@
 		Service: c.req.Service,
 		Prefix:  c.req.Prefix,
 		Exclude: c.excluded,
+		Resumes: c.result.Started,
+		Version: c.version,
 	})
 }
 
@@ -110,6 +115,16 @@
 	return c.handler.mayRetry(c.req.Service)
 }
 
+// logResumed logs that a started stream goes on at another target.
+func (c *call) logResumed(pick coordination.Pick) {
+	if !c.result.Started {
+		return
+	}
+	_ = level.Info(c.handler.opts.Logger).Log("event", "request_placed", "request", c.req.ID, "target", pick.Target,
+		"domain", pick.Domain, "attempt", c.result.Attempts, "position", c.lastPosition, "version", pick.Version,
+		"stream_version", c.version, "version_source", "answer", "version_age_ms", time.Since(c.firstEventAt).Milliseconds())
+}
+
 // logFailedAttempt logs an attempt after which another target may be tried. The cause of
 // ctx is set if the watchdog cancelled the attempt.
 func (c *call) logFailedAttempt(ctx context.Context, outcome attemptOutcome, pick coordination.Pick, id protocol.CallID, started time.Time) {
@@ -121,7 +136,8 @@
 		how = "not_run"
 	}
 	_ = level.Info(c.handler.opts.Logger).Log("event", "attempt_failed", "request", c.req.ID, "call", id,
-		"target", pick.Target, "attempt", c.result.Attempts, "how", how, "position", c.lastPosition,
+		"target", pick.Target, "version", pick.Version, "stream_version", c.version,
+		"attempt", c.result.Attempts, "how", how, "position", c.lastPosition,
 		"reason", c.failure.reason, "cancelled", context.Cause(ctx), "took_ms", time.Since(started).Milliseconds(), "err", c.failure.err)
 }
 
--- a/internal/coordination/online/handler_test.go
+++ b/internal/coordination/online/handler_test.go
@@ -72,6 +72,8 @@
 type fakeRouter struct {
 	mu      sync.Mutex
 	results []coordination.CallResult
+	// versions are the software versions of the targets, in their order.
+	versions [5]string
 }
 
 func (r *fakeRouter) Pick(req coordination.PickRequest) (coordination.Pick, func(coordination.CallResult), bool) {
@@ -81,8 +83,8 @@
 		for _, other := range req.Exclude {
 			excluded = excluded || other == id
 		}
-		if !excluded {
-			return coordination.Pick{Target: id, Address: string(id)}, r.done, true
+		if !excluded && (!req.Resumes || req.Version == r.versions[i]) {
+			return coordination.Pick{Target: id, Address: string(id), Version: r.versions[i]}, r.done, true
 		}
 	}
 	return coordination.Pick{}, nil, false
@@ -390,3 +392,31 @@
 	require.Equal(t, "req-1", f.writer.header.Get("X-Request-Id"))
 	require.Equal(t, "completed", f.writer.header.Get("X-Run-State"))
 }
+
+// Guards against a stream that goes on at a target of another software version.
+func TestStreamIsResumedAtItsVersionOnly(t *testing.T) {
+	broken := respond(0, sseType, numberedEvents(1, 3, false), errConnectionCut)
+	f := newFixture(Policy{}, broken, respond(0, sseType, numberedEvents(4, 5, true), io.EOF))
+	f.router.versions = [5]string{"v1", "v2", "v2", "v1"}
+	result := f.serve(idempotentService, true)
+	require.Nil(t, result.Refusal)
+	require.Equal(t, protocol.TargetID("t3"), result.Target)
+	require.Equal(t, numberedEvents(1, 5, true), f.writer.body.String())
+
+	f = newFixture(Policy{}, broken, respond(0, sseType, numberedEvents(4, 5, true), io.EOF))
+	f.router.versions = [5]string{"v1", "v2", "v2", "v2", "v2"}
+	result = f.serve(idempotentService, true)
+	require.Equal(t, protocol.CodeTargetFailed, result.Refusal.Code)
+	require.True(t, result.Started)
+	require.Len(t, f.target.calls, 1)
+}
+
+// Guards against a requirement that no event justifies: until the first one, a call may run at any
+// software version.
+func TestCallWithoutEventIsRetriedAtAnyVersion(t *testing.T) {
+	f := newFixture(Policy{}, failWith(protocol.MayHaveRun, errConnectionCut), respond(0, sseType, numberedEvents(1, 5, true), io.EOF))
+	f.router.versions = [5]string{"v1", "v2"}
+	result := f.serve(idempotentService, true)
+	require.Nil(t, result.Refusal)
+	require.Equal(t, protocol.TargetID("t1"), result.Target)
+}
--- a/internal/coordination/online/stream.go
+++ b/internal/coordination/online/stream.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"merlintiller/internal/coordination"
 	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/protocol/sse"
@@ -16,7 +17,7 @@
 }
 
 // forwardStream passes events on to the caller as they arrive, byte for byte.
-func (c *call) forwardStream(ctx context.Context, response *external.Answer, wd *watchdog) (attemptOutcome, bool) {
+func (c *call) forwardStream(ctx context.Context, pick coordination.Pick, response *external.Answer, wd *watchdog) (attemptOutcome, bool) {
 	events := sse.NewReader(response.Body)
 	resumed := c.result.Started
 	for {
@@ -40,6 +41,9 @@
 			c.result.Resumed++
 			counters.Add("resumed", 1)
 		}
+		if !c.result.Started {
+			c.version = pick.Version
+		}
 		wd.extend(c.handler.policy.StallTimeout)
 		if err := c.writeEvent(event, response, !events.More()); err != nil {
 			return c.callerGone(), true
--- a/internal/coordination/ports.go
+++ b/internal/coordination/ports.go
@@ -36,6 +36,8 @@
 	Target  protocol.TargetID
 	Address string
 	Domain  protocol.Domain
+	// Version is the version of the target's software.
+	Version string
 }
 
 // PickRequest describes the call to route.
@@ -47,6 +49,10 @@
 	Exclude []protocol.TargetID
 	// Batch reports whether the call is a batch item.
 	Batch bool
+	// Resumes reports whether the call goes on with a stream that began at a target of
+	// Version. It may go on only at targets of that version.
+	Resumes bool
+	Version string
 }
 
 // CallResult reports the result of a call to the router.
--- a/internal/coordination/routing/core.go
+++ b/internal/coordination/routing/core.go
@@ -69,7 +69,7 @@
 		return Choice{}, false
 	}
 	c.addInFlight(now, t, req.Batch, 1)
-	pick := coordination.Pick{Target: t.id, Address: t.address, Domain: t.domain}
+	pick := coordination.Pick{Target: t.id, Address: t.address, Domain: t.domain, Version: t.version}
 	return Choice{Pick: pick, target: t, batch: req.Batch}, true
 }
 
@@ -77,11 +77,11 @@
 	if t := c.affinityTarget(now, p, req); t != nil {
 		return t
 	}
-	local := c.bestOfTwo(now, p.local, req.Exclude)
+	local := c.bestOfTwo(now, p.local, req)
 	if local != nil && local.load(now, &c.opts) < c.opts.SpillAt {
 		return local
 	}
-	remote := c.bestOfTwo(now, p.remote, req.Exclude)
+	remote := c.bestOfTwo(now, p.remote, req)
 	switch {
 	case local == nil:
 		return remote
@@ -94,20 +94,25 @@
 	}
 }
 
-// bestOfTwo returns the less loaded of two random targets that are not
-// excluded, or nil if there is none.
-func (c *Core) bestOfTwo(now time.Time, candidates []*target, exclude []protocol.TargetID) *target {
-	first := c.randomTarget(candidates, exclude, nil)
+// mayRun reports whether a call may run at a target, regardless of its load and health.
+func mayRun(t *target, req *coordination.PickRequest) bool {
+	return !slices.Contains(req.Exclude, t.id) && (!req.Resumes || t.version == req.Version)
+}
+
+// bestOfTwo returns the less loaded of two random targets at which the call may
+// run, or nil if there is none.
+func (c *Core) bestOfTwo(now time.Time, candidates []*target, req *coordination.PickRequest) *target {
+	first := c.randomTarget(candidates, req, nil)
 	if first == nil {
 		return nil
 	}
-	return c.lessLoaded(now, first, c.randomTarget(candidates, exclude, first))
+	return c.lessLoaded(now, first, c.randomTarget(candidates, req, first))
 }
 
-// randomTarget returns a random target that is neither excluded nor equal to
-// other, or nil if there is none. It scans from a random index and takes the
+// randomTarget returns a random target other than other at which the call may
+// run, or nil if there is none. It scans from a random index and takes the
 // first match, so it needs at most one pass.
-func (c *Core) randomTarget(candidates []*target, exclude []protocol.TargetID, other *target) *target {
+func (c *Core) randomTarget(candidates []*target, req *coordination.PickRequest, other *target) *target {
 	n := uint64(len(candidates))
 	if n == 0 {
 		return nil
@@ -115,7 +120,7 @@
 	start := c.nextRandom() % n
 	for i := range n {
 		t := candidates[(start+i)%n]
-		if t != other && !slices.Contains(exclude, t.id) {
+		if t != other && mayRun(t, req) {
 			return t
 		}
 	}
@@ -130,7 +135,7 @@
 		return nil
 	}
 	t := p.prefixOwner(req.Prefix)
-	if t == nil || slices.Contains(req.Exclude, t.id) || !t.hasFreshReport(now, &c.opts) {
+	if t == nil || !mayRun(t, req) || !t.hasFreshReport(now, &c.opts) {
 		return nil
 	}
 	maxLoad := (1+c.opts.AffinityMargin)*p.meanLoad() + 1/p.slots
--- a/internal/coordination/routing/core_test.go
+++ b/internal/coordination/routing/core_test.go
@@ -360,3 +360,33 @@
 		}
 	}
 }
+
+// Guards against a stream that goes on at a target of another software version, by load, by
+// domain or by the prefix of its prompt.
+func TestStreamGoesOnAtItsVersionOnly(t *testing.T) {
+	list := append(listedTargets(6, localDomain), listedTargets(6, remoteDomain)...)
+	for i := range list {
+		list[i].Version = []string{"v1", "v2", "v3"}[i%3]
+	}
+	core := newTestCore(Options{AffinityMargin: 0.5}, list...)
+	for n := range 200 {
+		version := []string{"v1", "v2", "v3"}[n%3]
+		req := coordination.PickRequest{Service: service, Prefix: uint64(n), Resumes: true, Version: version}
+		choice, ok := core.Pick(start, req)
+		require.True(t, ok)
+		require.Equal(t, version, choice.Version)
+	}
+	_, ok := core.Pick(start, coordination.PickRequest{Service: service, Resumes: true, Version: "v4"})
+	require.False(t, ok)
+	_, ok = core.Pick(start, coordination.PickRequest{Service: service, Resumes: true})
+	require.False(t, ok, "targets with a version do not go on with streams of targets without one")
+	_, ok = newTestCore(Options{}, listedTargets(1, localDomain)...).Pick(start, coordination.PickRequest{Service: service, Resumes: true})
+	require.True(t, ok, "targets without a version count as of the same one")
+
+	// A target that starts again under its id may have another version.
+	list[0].Version = "v4"
+	core.ApplyListing(start, external.Listing{Targets: list})
+	choice, ok := core.Pick(start, coordination.PickRequest{Service: service, Resumes: true, Version: "v4"})
+	require.True(t, ok)
+	require.Equal(t, list[0].ID, choice.Target)
+}
--- a/internal/coordination/routing/listing.go
+++ b/internal/coordination/routing/listing.go
@@ -64,7 +64,7 @@
 		t.health = health{}
 		t.leavingReportedAt = time.Time{}
 	}
-	t.domain = listed.Domain
+	t.domain, t.version = listed.Domain, listed.Version
 	t.listed = true
 	t.listedLeaving = listed.Leaving
 }
@@ -117,6 +117,7 @@
 	Service protocol.ServiceName `json:"service"`
 	Domain  protocol.Domain      `json:"domain"`
 	Address string               `json:"address"`
+	Version string               `json:"version,omitempty"`
 	// Online and Batch are the numbers of this instance's calls in flight.
 	Online int `json:"online"`
 	Batch  int `json:"batch"`
@@ -168,6 +169,7 @@
 			Service:     t.pool.service,
 			Domain:      t.domain,
 			Address:     t.address,
+			Version:     t.version,
 			Online:      t.online,
 			Batch:       t.batch,
 			PeerStreams: t.estimatedPeerStreams(now, &c.opts),
--- a/internal/coordination/routing/target.go
+++ b/internal/coordination/routing/target.go
@@ -12,6 +12,7 @@
 	id      protocol.TargetID
 	address string
 	domain  protocol.Domain
+	version string
 	hash    uint64
 	pool    *pool
 	slots   float64
--- a/internal/daemon/fleetview.go
+++ b/internal/daemon/fleetview.go
@@ -69,6 +69,7 @@
 			Service:    status.Service,
 			Domain:     status.Domain,
 			Address:    status.Address,
+			Version:    status.Version,
 			Slots:      v.slotsOf(status.Service),
 			Usable:     !status.Ejected && !status.Leaving,
 			Reported:   status.Reported,
--- a/internal/explain/causes.go
+++ b/internal/explain/causes.go
@@ -36,8 +36,7 @@
 	case "request":
 		return describeRequest(r)
 	case "request_placed":
-		return fmt.Sprintf("sent to target %s (%s of its %s slots in use) after %s, chosen by %s%s",
-			r.Fields["target"], r.Fields["busy"], r.Fields["slots"], seconds(r.Number("waited_ms")), placedBy(r), describeVersions(r))
+		return describePlacement(r)
 	case "attempt_failed":
 		return describeAttempt(r)
 	case "job_submitted":
@@ -65,6 +64,14 @@
 	}
 }
 
+func describePlacement(r *Record) string {
+	if r.Fields["slots"] == "" {
+		return fmt.Sprintf("the stream goes on at target %s after event %s%s", r.Fields["target"], r.Fields["position"], describeVersions(r))
+	}
+	return fmt.Sprintf("sent to target %s (%s of its %s slots in use) after %s, chosen by %s%s",
+		r.Fields["target"], r.Fields["busy"], r.Fields["slots"], seconds(r.Number("waited_ms")), placedBy(r), describeVersions(r))
+}
+
 // describeVersions gives the software version of the target, and that of the stream if the
 // request goes on with one. It gives "" for a line without versions.
 func describeVersions(r *Record) string {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -81,6 +81,7 @@
 	logs := readLogs(t, map[string]string{"a": `
 at=2026-12-03T10:00:01Z event=request_placed request=r2 target=t busy=1 slots=8 waited_ms=1 attempt=1 position=9 version=v1.2 stream_version=v1.2 version_source=asked version_age_ms=740 resumes=r1
 at=2026-12-03T10:00:01Z event=request_placed request=r3 target=t busy=1 slots=8 waited_ms=1 attempt=1 position=-1 version=v1.2 stream_version= version_source= version_age_ms=0 resumes=
+at=2026-12-03T10:00:01Z event=request_placed request=r6 target=t2 domain=d attempt=2 position=5 version=v1 stream_version=v1 version_source=answer version_age_ms=300
 at=2026-12-03T10:00:02Z event=request request=r4 outcome=refused reason=version_unknown status=503 took_ms=80 resumes=r0
 at=2026-12-03T10:00:02Z event=request request=r5 outcome=refused reason=version_gone status=503 took_ms=2 resumes=r1 stream_version=v1
 at=2026-12-03T10:00:04Z event=item_run item=i job=j target=t1 version=v1.2 how=left from=-1 position=40 took_ms=900 due_in_ms=9000
@@ -89,6 +90,7 @@
 	requireCause(t, logs.Explain("r2"), "software version is v1.2, and so is that of the stream, v1.2 (another instance knew it, 0.74 s ago), which request r1 began")
 	requireCause(t, logs.Explain("r3"), "software version is v1.2")
 	require.NotContains(t, strings.Join(logs.Explain("r3").Causes, " "), "stream")
+	requireCause(t, logs.Explain("r6"), "goes on at target t2 after event 5", "that of the stream, v1 (this answer began there, 0.30 s ago)")
 	requireCause(t, logs.Explain("r4"), `the stream of request "r0"`, "no instance that answered knows")
 	requireCause(t, logs.Explain("r5"), "began at software version v1, and no target of that version is listed")
 	requireCause(t, logs.Explain("i"), "ran at t1 (software version v1.2)", "up to event 40 was discarded: it began at software version v1.2")
--- a/internal/external/external.go
+++ b/internal/external/external.go
@@ -59,6 +59,9 @@
 	Domain  protocol.Domain      `json:"domain"`
 	// Address is "ip:port".
 	Address string `json:"address"`
+	// Version is the version of the target's software, not of its model weights. Targets
+	// without one count as of the same version.
+	Version string `json:"version,omitempty"`
 	// Leaving reports whether the target is shutting down.
 	Leaving bool `json:"leaving,omitempty"`
 }
