Records of streams go to three instances that differ for each stream

At the target size (340 instances, 3,400 streams/s, several versions) one instance would have received 31 KB/s of records, twice what control may take: holders were the strongest instances, and a record went to each failure domain.

A record goes to one instance of the domain in which the stream began and to one of two others, by rendezvous hashing of stream and instance.

--- a/internal/coordination/routed/origin/outbox.go
+++ b/internal/coordination/routed/origin/outbox.go
@@ -28,7 +28,7 @@
 
 // tell sends a record to its holders. The caller must hold r.mu.
 func (r *Registry) tell(now time.Time, stream string, told *record) {
-	for _, holder := range r.holders(stream, toldHolders) {
+	for _, holder := range r.others(toldHolders(r.instances(), stream, r.opts.Self.Domain)) {
 		box := r.outboxes[holder.Address]
 		if box == nil {
 			box = &outbox{}
--- a/internal/coordination/routed/origin/registry.go
+++ b/internal/coordination/routed/origin/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,10 +26,6 @@
 	// askTimeout bounds the search for a record. Other instances answer within a few
 	// milliseconds.
 	askTimeout = 80 * time.Millisecond
-	// toldHolders and askedHolders are the numbers of instances of each failure domain to
-	// which a record is sent, and which are asked for it. The first one by rank may have
-	// changed in the meantime.
-	toldHolders, askedHolders = 1, 2
 )
 
 var (
@@ -216,7 +213,7 @@
 // The calls end by themselves, also once the record was found: ending a call early would close
 // its connection, on which the records of other streams are asked for.
 func (r *Registry) callHolders(service, stream string) findReplies {
-	asked := r.holders(stream, askedHolders)
+	asked := r.others(askedHolders(r.instances(), stream))
 	out := findReplies{replies: make(chan FindReply, len(asked)), count: len(asked)}
 	for _, holder := range asked {
 		findsAsked.Inc()
@@ -233,14 +230,14 @@
 	return out
 }
 
-// holders returns the other instances that keep the record of a stream.
-func (r *Registry) holders(stream string, perDomain int) (out []mesh.Instance) {
-	for _, holder := range holders(append(r.opts.Peers.AllUp(), r.opts.Self), stream, perDomain) {
-		if holder.Name != r.opts.Self.Name {
-			out = append(out, holder)
-		}
-	}
-	return out
+// instances returns the instances that are up, this one included.
+func (r *Registry) instances() []mesh.Instance {
+	return append(r.opts.Peers.AllUp(), r.opts.Self)
+}
+
+// others returns the given instances without this one.
+func (r *Registry) others(list []mesh.Instance) []mesh.Instance {
+	return slices.DeleteFunc(list, func(i mesh.Instance) bool { return i.Name == r.opts.Self.Name })
 }
 
 // keep keeps records of other instances.
