Counts and starts of a restarted instance reach all peers

A previous incarnation that was stopped with a message in flight took a later start than the next one, and the next one raised its own start again for the answer to a message from before; peers ignored the smaller sequence numbers. An instance that was stopped ignores answers now, and a start is raised only beyond the current one.

In a small fleet an answer could overtake the message with changed counts; the peer ignored the message, and the counts came again with the sixteenth one. Organisations could exceed their rates a little meanwhile. A change is repeated until a message with it was answered.

--- a/internal/coordination/routed/mesh/exchange.go
+++ b/internal/coordination/routed/mesh/exchange.go
@@ -29,10 +29,10 @@
 	readsTargetList      bool
 	// start identifies the incarnation that the sent counts were meant for.
 	start int64
-	// sentCounts are the counts that were sent last. sinceFull is the number of messages
-	// since all counts were sent.
-	sentCounts quota.Counts
-	sinceFull  int
+	// ackedCounts are the counts that the peer is known to have: those of the last message
+	// that it has answered. sinceFull is the number of messages since all counts were sent.
+	ackedCounts quota.Counts
+	sinceFull   int
 }
 
 // dueExchanges returns the instances to which a message is due, and marks their links as in
@@ -96,21 +96,29 @@
 }
 
 // exchange sends a heartbeat to a peer and processes the peer's heartbeat in the answer.
-func (m *Mesh) exchange(ctx context.Context, to Instance) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+func (m *Mesh) exchange(serving context.Context, to Instance) {
+	ctx, cancel := context.WithTimeout(serving, callTimeout)
 	defer cancel()
-	args := m.heartbeatFor(to, false)
+	args, counts := m.heartbeatFor(to, false)
 	args.Pull = m.feedRequestFor(to)
 	var reply Heartbeat
 	err := m.caller.Call(ctx, to.Address, methodExchange, &args, &reply)
+	if serving.Err() != nil {
+		// The next incarnation may be running. An answer that names it must not make this
+		// one take a later start.
+		return
+	}
 	m.mu.Lock()
 	l := m.link(to.Address)
 	l.inFlight = false
 	if err != nil {
-		l.sentCounts, l.failedAt = nil, time.Now()
+		l.ackedCounts, l.failedAt = nil, time.Now()
 		m.exchangeFailed(to.Address, l, err)
 	} else {
 		l.answeredAt, l.storeAge, l.readsTargetList = time.Now(), reply.StoreAge, reply.Reads
+		if args.From == m.self && to.Start == l.start {
+			l.ackedCounts = counts
+		}
 	}
 	m.mu.Unlock()
 	if err != nil {
@@ -131,13 +139,18 @@
 }
 
 // raiseStart moves this instance's start to a later time than the given one, which a peer
-// knows from a previous incarnation.
+// knows from a previous incarnation. The start that this instance has now may be named in an
+// answer to a message from before it was raised.
 func (m *Mesh) raiseStart(start int64) {
 	m.mu.Lock()
 	before := m.self.Start
-	if start >= before {
+	if start > before {
 		m.self.Start = start + 1
 		m.view.SetSelf(m.self)
+		// Peers drop the counts of the earlier start.
+		for _, l := range m.links {
+			l.ackedCounts = nil
+		}
 	}
 	after := m.self
 	m.mu.Unlock()
@@ -160,11 +173,14 @@
 }
 
 // heartbeatFor returns the heartbeat for one peer, without the parts that the peer has
-// already or does not need. In a large fleet an answer has all counts. The reason is that
-// an answer can overtake a message in the same direction; the receiver then ignores the
-// message, and counts that only the message carried would be lost.
-func (m *Mesh) heartbeatFor(to Instance, isAnswer bool) Heartbeat {
-	heartbeat := m.nextHeartbeat(time.Now())
+// already or does not need, and all counts at that time.
+//
+// An answer can overtake a message in the same direction; the receiver then ignores the
+// message. So a change is repeated in each message and answer until a message with it was
+// answered. In a large fleet, where few messages are sent, an answer has all counts.
+func (m *Mesh) heartbeatFor(to Instance, isAnswer bool) (heartbeat Heartbeat, counts quota.Counts) {
+	heartbeat = m.nextHeartbeat(time.Now())
+	counts = heartbeat.Admitted
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	heartbeat.Known = m.view.Digest()
@@ -177,14 +193,14 @@
 	}
 	l := m.link(to.Address)
 	if to.Start != l.start {
-		l.start, l.sentCounts = to.Start, nil
+		l.start, l.ackedCounts = to.Start, nil
 	}
 	if m.view.usesRelays() && isAnswer {
 		heartbeat.Whole = true
-		return heartbeat
+		return heartbeat, counts
 	}
 	l.trimCounts(&heartbeat)
-	return heartbeat
+	return heartbeat, counts
 }
 
 // heartbeatMaxAge is how long a heartbeat is reused for messages to several peers. It is
@@ -213,23 +229,22 @@
 	return m.heartbeat
 }
 
-// trimCounts removes the counts that have not changed since they were sent.
+// trimCounts removes the counts that the peer is known to have.
 func (l *link) trimCounts(heartbeat *Heartbeat) {
 	counts := heartbeat.Admitted
-	heartbeat.Whole = l.sentCounts == nil || l.sinceFull >= fullCountsEvery
+	heartbeat.Whole = l.ackedCounts == nil || l.sinceFull >= fullCountsEvery
 	l.sinceFull++
 	if heartbeat.Whole {
 		l.sinceFull = 0
 	} else {
 		changed := quota.Counts{}
 		for org, count := range counts {
-			if l.sentCounts[org] != count {
+			if l.ackedCounts[org] != count {
 				changed[org] = count
 			}
 		}
 		heartbeat.Admitted = changed
 	}
-	l.sentCounts = counts
 }
 
 // receive processes a message and starts fetching what the sender has that is newer.
--- a/internal/coordination/routed/mesh/rpc.go
+++ b/internal/coordination/routed/mesh/rpc.go
@@ -12,7 +12,7 @@
 // instance.
 func (r *Receiver) Exchange(args *Heartbeat, reply *Heartbeat) error {
 	r.mesh.receive(*args)
-	*reply = r.mesh.heartbeatFor(args.From, true)
+	*reply, _ = r.mesh.heartbeatFor(args.From, true)
 	reply.Superseded = r.mesh.newerStart(args.From)
 	if args.Pull != nil {
 		reply.Feed = r.mesh.answerFeed(*args.Pull)
