tillerctl: an organisation is looked up at an instance that is up to date

If the instance that answers does not have the organisation, all given instances are asked, and the newest configuration counts; the message names its version.

Evidence: TestOrganisationIsFoundAtInstanceThatIsUpToDate.

--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"merlintiller/internal/fleetdir"
+	"merlintiller/internal/protocol"
 	"merlintiller/internal/strictyaml"
 	"merlintiller/internal/transport/operatorapi"
 )
@@ -114,8 +115,36 @@
 }
 
 func fetchFleet(env *Env) (operatorapi.FleetAnswer, error) {
+	return fetchFleetFrom(env, env.Operator)
+}
+
+// fetchFleetWith fetches a configuration that has an organisation. The instance that answers
+// first may not have read yet what was published through another one a moment ago, so all given
+// instances are asked before the organisation counts as unknown.
+func fetchFleetWith(env *Env, org protocol.OrganisationID) (operatorapi.FleetAnswer, error) {
+	answer, err := fetchFleet(env)
+	if err != nil {
+		return answer, err
+	}
+	for _, base := range env.Operator.BaseURLs {
+		if _, ok := answer.Fleet.Organisations[org]; ok {
+			return answer, nil
+		}
+		other, err := fetchFleetFrom(env, &Client{BaseURLs: []string{base}, Secret: env.Operator.Secret, HTTP: env.Operator.HTTP})
+		if err == nil && other.Fleet.Version > answer.Fleet.Version {
+			answer = other
+		}
+	}
+	if _, ok := answer.Fleet.Organisations[org]; ok {
+		return answer, nil
+	}
+	return answer, fail(ExitBadInput, "tillerctl config show lists the organisations",
+		"organisation %q is not in the configuration in force, version %d at %s", org, answer.Fleet.Version, answer.Instance)
+}
+
+func fetchFleetFrom(env *Env, client *Client) (operatorapi.FleetAnswer, error) {
 	var answer operatorapi.FleetAnswer
-	if err := env.Operator.Get(env.Context, operatorapi.PathFleet, &answer); err != nil {
+	if err := client.Get(env.Context, operatorapi.PathFleet, &answer); err != nil {
 		return answer, err
 	}
 	if answer.Fleet == nil {
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -261,3 +261,33 @@
 	require.Contains(t, run("config", "apply", "--help").stdout, "Example: tillerctl config apply")
 	require.Equal(t, ExitOK, run("--help").code)
 }
+
+// laggingInstance is an instance that has not read the latest changes. It passes changes on.
+type laggingInstance struct{ *fleetServer }
+
+func (l laggingInstance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == operatorapi.PathFleet {
+		_ = json.NewEncoder(w).Encode(operatorapi.FleetAnswer{Instance: "lagging", LogUp: true, Fleet: &emptyFleetServer().fleet})
+		return
+	}
+	l.fleetServer.ServeHTTP(w, r)
+}
+
+// Guards against an organisation that counts as bad input right after it was published, because the
+// instance that answers first has not read the change yet.
+func TestOrganisationIsFoundAtInstanceThatIsUpToDate(t *testing.T) {
+	server, current := newFleetServer(t)
+	behind := httptest.NewServer(laggingInstance{server})
+	t.Cleanup(behind.Close)
+	lagging := strings.TrimPrefix(behind.URL, "http://")
+	require.Equal(t, ExitOK, run("config", "apply", exampleFolder, "--instance", current).code)
+	created := run("key", "create", "puget-risers", "--instance", lagging, "--instance", current)
+	require.Equal(t, ExitOK, created.code, created.stderr)
+	require.Len(t, server.fleet.Keys, 1)
+	require.Equal(t, ExitOK, run("org", "show", "puget-risers", "--instance", lagging, "--instance", current).code)
+
+	unknown := run("key", "create", "nobody", "--instance", lagging, "--instance", current)
+	require.Equal(t, ExitBadInput, unknown.code)
+	require.Contains(t, unknown.stderr, `organisation "nobody" is not in the configuration in force, version 1 at a`)
+	require.Equal(t, ExitBadInput, run("key", "create", "puget-risers", "--instance", lagging).code)
+}
--- a/internal/ctl/key.go
+++ b/internal/ctl/key.go
@@ -47,14 +47,11 @@
 
 // Run creates the key and shows its secret once the key is in force.
 func (c *keyCreate) Run(env *Env) error {
-	answer, err := fetchFleet(env)
+	org := protocol.OrganisationID(c.Organisation)
+	answer, err := fetchFleetWith(env, org)
 	if err != nil {
 		return err
 	}
-	org := protocol.OrganisationID(c.Organisation)
-	if _, ok := answer.Fleet.Organisations[org]; !ok {
-		return fail(ExitBadInput, "tillerctl config show lists the organisations", "organisation %q is not in the configuration in force", c.Organisation)
-	}
 	key, secret, err := newKey(env, org)
 	if err != nil {
 		return err
@@ -86,7 +83,7 @@
 		if exit != ExitConflict && exit != ExitMayHaveTakenEffect {
 			return 0, err
 		}
-		answer, fetchErr := fetchFleet(env)
+		answer, fetchErr := fetchFleetWith(env, key.Organisation)
 		if fetchErr != nil {
 			return 0, uncertainKey(err, key.ID)
 		}
--- a/internal/ctl/org.go
+++ b/internal/ctl/org.go
@@ -104,15 +104,12 @@
 
 // Run shows the organisation.
 func (c *orgShow) Run(env *Env) error {
-	answer, err := fetchFleet(env)
+	org := protocol.OrganisationID(c.Organisation)
+	answer, err := fetchFleetWith(env, org)
 	if err != nil {
 		return err
 	}
-	o, ok := answer.Fleet.Organisations[protocol.OrganisationID(c.Organisation)]
-	if !ok {
-		return fail(ExitBadInput, "tillerctl org list", "organisation %q is not in the configuration in force", c.Organisation)
-	}
-	view := newOrganisationView(answer.Fleet, o)
+	view := newOrganisationView(answer.Fleet, answer.Fleet.Organisations[org])
 	return env.show(result{data: view, table: orgTable(view), summary: asOf(answer),
 		next: "tillerctl key list --organisation " + c.Organisation})
 }
