Streams without a request id are not recorded

Read in the diff, not seen in a run: the record of a stream whose request had no id would have been taken for that of any other stream without one, and a retry without Resumes could have gone on at a wrong version. TestStreamWithoutIDIsNotRecorded.

Names: versionWait for how long an item waits for a slot of its version.

--- a/internal/coordination/routed/batchjobs/versions.go
+++ b/internal/coordination/routed/batchjobs/versions.go
@@ -26,9 +26,9 @@
 // versions must not be joined.
 func (t *task) mayRunAt(version string) bool { return t.events == 0 || t.version == version }
 
-// patience is how long the item waits for a slot of its software version while it could start
+// versionWait is how long the item waits for a slot of its software version while it could start
 // again at another one: as long as it takes to produce its output again.
-func (r *Runner) patience(t *task) time.Duration {
+func (r *Runner) versionWait(t *task) time.Duration {
 	return max(minVersionWait, r.estimate.remaining(0)-r.estimate.remaining(t.events))
 }
 
@@ -39,7 +39,7 @@
 		t := candidate.task
 		switch {
 		case candidate.service != service || slices.Contains(out, t.version):
-		case t.events == 0 || now.Sub(t.notBefore) > r.patience(t):
+		case t.events == 0 || now.Sub(t.notBefore) > r.versionWait(t):
 			return nil
 		default:
 			out = append(out, t.version)
@@ -49,10 +49,10 @@
 }
 
 // taskFor returns the item to start in a free slot of a target of a version, nil if there is
-// none: the most urgent one that may run there, unless a more urgent one has lost patience. The
-// caller holds the lock.
+// none: the most urgent one that may run there, unless a more urgent one has waited long enough
+// for its own version. The caller holds the lock.
 func (r *Runner) taskFor(now time.Time, runnable []runnableTask, service, version string) *task {
-	var impatient *task
+	var waitedEnough *task
 	for _, candidate := range runnable {
 		t := candidate.task
 		switch {
@@ -61,14 +61,14 @@
 			return t
 		case t.passedOverAt.IsZero():
 			t.passedOverAt = now
-		case now.Sub(t.passedOverAt) > r.patience(t):
+		case now.Sub(t.passedOverAt) > r.versionWait(t):
 			return t
 		}
-		if impatient == nil && candidate.service == service && now.Sub(t.notBefore) > r.patience(t) {
-			impatient = t
+		if waitedEnough == nil && candidate.service == service && now.Sub(t.notBefore) > r.versionWait(t) {
+			waitedEnough = t
 		}
 	}
-	return impatient
+	return waitedEnough
 }
 
 // listedVersions caches, by service and version, whether a target is listed.
--- a/internal/coordination/routed/origin/registry.go
+++ b/internal/coordination/routed/origin/registry.go
@@ -119,8 +119,11 @@
 }
 
 // Began records that a target of a version sends the first event of a stream. It must be
-// called before the event goes to the caller.
+// called before the event goes to the caller. A stream without an id can't be taken up by it.
 func (r *Registry) Began(service, stream, version string) {
+	if stream == "" {
+		return
+	}
 	now, listAge := time.Now(), r.opts.ListAge()
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/coordination/routed/origin/registry_test.go
+++ b/internal/coordination/routed/origin/registry_test.go
@@ -245,6 +245,17 @@
 	}
 }
 
+// Guards against the record of one stream without an id that is taken for that of another.
+func TestStreamWithoutIDIsNotRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 2, "v1", "v2")
+		f.members["n-0-0"].registry.Began("s", "", "v1")
+		time.Sleep(5 * time.Millisecond)
+		require.Equal(t, Unknown, f.find(t, "n-0-0", "").Source)
+		require.Equal(t, Unknown, f.find(t, "n-1-0", "").Source)
+	})
+}
+
 // Guards against messages for a service that has only one version.
 func TestOneVersionCostsNoMessagesUntilStreamIsTakenUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/daemon/routed/streamloss_test.go
+++ b/internal/daemon/routed/streamloss_test.go
@@ -17,11 +17,11 @@
 // beginStreams begins streams at an instance and returns once their callers have events.
 // Each caller waits for its answer for the given time. ended is closed when all answers have
 // ended.
-func beginStreams(t *testing.T, inst *testInstance, count, events int, patience time.Duration) (streams []*receivedStream, ended chan struct{}) {
+func beginStreams(t *testing.T, inst *testInstance, count, events int, waitsFor time.Duration) (streams []*receivedStream, ended chan struct{}) {
 	ended = make(chan struct{})
 	var callers sync.WaitGroup
 	for n := range count {
-		stream := &receivedStream{patience: patience}
+		stream := &receivedStream{waitsFor: waitsFor}
 		streams = append(streams, stream)
 		callers.Go(func() { stream.attempt(t, inst, fmt.Sprintf("%s-first-%d", inst.name, n), events) })
 	}
@@ -40,7 +40,7 @@
 	var mu sync.Mutex
 	var callers sync.WaitGroup
 	for n, stream := range streams {
-		stream.patience = 0
+		stream.waitsFor = 0
 		callers.Go(func() {
 			before := len(stream.data)
 			got := stream.attempt(t, inst, fmt.Sprintf("%s-second-%d", inst.name, n), events)
@@ -219,7 +219,7 @@
 			require.Empty(t, got.header.Get("Retry-After"))
 			require.Less(t, got.took, 200*time.Millisecond)
 			stream.beginAnew()
-			stream.patience = 0
+			stream.waitsFor = 0
 			stream.attempt(t, fleet.instances[2], fmt.Sprint("anew-", n), events)
 			require.True(t, stream.complete)
 			require.Equal(t, []string{"v2"}, stream.versions())
--- a/internal/daemon/routed/streams_test.go
+++ b/internal/daemon/routed/streams_test.go
@@ -53,8 +53,8 @@
 	complete bool
 	// freshStarts counts the attempts that began the stream anew.
 	freshStarts int
-	// patience is how long the caller waits for an attempt. 0: 6 s.
-	patience time.Duration
+	// waitsFor is how long the caller waits for an attempt. 0: 6 s.
+	waitsFor time.Duration
 }
 
 // beginAnew discards what was received.
@@ -63,7 +63,7 @@
 // attempt sends one attempt for the rest of the stream and adds what it brings.
 func (s *receivedStream) attempt(t *testing.T, inst *testInstance, id string, events int) callerResponse {
 	request := callerRequest{
-		id: id, path: fmt.Sprintf("/again/x/%d", events), key: keyOne, header: map[string]string{}, timeout: s.patience,
+		id: id, path: fmt.Sprintf("/again/x/%d", events), key: keyOne, header: map[string]string{}, timeout: s.waitsFor,
 	}
 	if len(s.data) > 0 {
 		request.header["Resumes"] = s.id
