--- a/internal/coordination/routed/relay/stream.go
+++ b/internal/coordination/routed/relay/stream.go
@@ -30,14 +30,15 @@
 }
 
 // streamBegins records the software version of the target that sends the first event of the
-// stream. From then on the stream may go on only at targets of that version.
+// stream. From then on the stream may go on only at targets of that version. Other instances
+// need to know it only if callers may take the stream up.
 func (c *call) streamBegins(choice placement.Choice, monitor *stallMonitor) {
 	if c.origin.Source != "" {
 		return
 	}
 	c.origin = origin.Origin{Version: choice.Version, Source: origin.Answer}
 	monitor.requireVersion(choice.Version)
-	if c.origin.Known() {
+	if c.origin.Known() && c.Route.Repeatable() {
 		c.opts.Origins.Began(c.Service, c.Request.ID, choice.Version)
 	}
 }
--- a/internal/coordination/routed/relay/stream_test.go
+++ b/internal/coordination/routed/relay/stream_test.go
@@ -38,6 +38,17 @@
 	})
 }
 
+// Guards against records of streams that nobody may take up.
+func TestStreamThatMayNotBeTakenUpIsNotRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &scriptedFleet{script: []scriptedAnswer{streamOf(0, 3)}}
+		outcome, _, _ := serve(t, atMostOnceRoute, f)
+		require.Equal(t, Relayed, outcome.Reason)
+		require.Empty(t, f.origins)
+		require.Equal(t, "v1", outcome.Origin.Version, "the line of the request names it")
+	})
+}
+
 // Guards against a requirement that no event justifies: until the first one, a request may run
 // at any version.
 func TestRequestWithoutEventRunsAtAnyVersion(t *testing.T) {
