Records of streams go to instances whose release keeps them

Found by running two releases of ours as processes beside each other: of 48 streams between instances of the new one, 5 were rejected, since the instances that were sent their records were of the earlier one, and each such record was sent again every 250 ms for 10 s (61 to 206 failed calls an instance in 39 s).

An instance that answers that it does not have the method gets no calls for 10 s, and others take its place, for the record and for a search, which is repeated once then. TestRecordsGoToInstancesThatKeepThem.

--- a/internal/coordination/routed/origin/outbox.go
+++ b/internal/coordination/routed/origin/outbox.go
@@ -59,6 +59,7 @@
 		cancel()
 		r.markSent(args.Records, err == nil)
 		if err != nil {
+			r.markIfUnable(address, err)
 			tellsFailed.Inc()
 			_ = level.Info(r.opts.Logger).Log("event", "stream_origins_not_told", "peer", address, "records", len(args.Records), "err", err)
 			continue
--- a/internal/coordination/routed/origin/registry.go
+++ b/internal/coordination/routed/origin/registry.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net/rpc"
 	"slices"
 	"sync"
 	"time"
@@ -26,6 +28,9 @@
 	// askTimeout bounds the search for a record. Other instances answer within a few
 	// milliseconds.
 	askTimeout = 80 * time.Millisecond
+	// unableFor is how long an instance whose release keeps no records gets no calls. An update
+	// replaces it by one that does.
+	unableFor = 10 * time.Second
 )
 
 var (
@@ -63,11 +68,14 @@
 	history  *history
 	records  *table
 	outboxes map[string]*outbox
+	// unable holds, by address, until when an instance gets no calls because its release keeps
+	// no records.
+	unable map[string]time.Time
 }
 
 // New returns a registry without records.
 func New(opts Options) *Registry {
-	r := &Registry{opts: opts, wake: make(chan struct{}, 1), history: newHistory(), records: newTable(), outboxes: map[string]*outbox{}}
+	r := &Registry{opts: opts, wake: make(chan struct{}, 1), history: newHistory(), records: newTable(), outboxes: map[string]*outbox{}, unable: map[string]time.Time{}}
 	metrics.GetOrCreateGauge("stream_origin_records", func() float64 {
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -175,29 +183,46 @@
 // ask asks the holders of a stream for its record, or else whether the service has had only one
 // version, and returns the first record that is found.
 func (r *Registry) ask(ctx context.Context, service, stream string) (Origin, bool) {
-	replies := r.callHolders(service, stream)
-	var only Origin
-	for reply := range replies.until(ctx) {
-		if reply.Found {
+	found, again := r.askHolders(ctx, service, stream)
+	if again && !found.Known() {
+		// Others take the place of those whose release keeps no records.
+		found, _ = r.askHolders(ctx, service, stream)
+	}
+	return found, found.Source == Asked || found.Known() && r.mayBeOnlyVersion(service, found.Version)
+}
+
+// askHolders asks the holders of a stream once. unable reports that the release of one of them
+// keeps no records.
+func (r *Registry) askHolders(ctx context.Context, service, stream string) (found Origin, unable bool) {
+	for reply := range r.callHolders(service, stream).until(ctx) {
+		switch {
+		case reply.Found:
 			r.keep([]Record{reply.Record})
-			return Origin{Version: reply.Record.Version, Source: Asked, Age: reply.Record.Age}, true
-		}
-		if reply.OnlyVersion != "" {
-			only = Origin{Version: reply.OnlyVersion, Source: OnlyVersion, Age: reply.ListAge}
+			return Origin{Version: reply.Record.Version, Source: Asked, Age: reply.Record.Age}, false
+		case reply.OnlyVersion != "":
+			found = Origin{Version: reply.OnlyVersion, Source: OnlyVersion, Age: reply.ListAge}
 		}
+		unable = unable || reply.unable
 	}
-	return only, only.Known() && r.mayBeOnlyVersion(service, only.Version)
+	return found, unable
 }
 
 // findReplies are the replies of the holders of a stream.
 type findReplies struct {
-	replies chan FindReply
+	replies chan findReply
 	count   int
 }
 
+// findReply is the reply of one holder.
+type findReply struct {
+	FindReply
+	// unable is set if the release of the holder keeps no records.
+	unable bool
+}
+
 // until returns the replies in the order of their arrival, until all have arrived or ctx ends.
-func (f findReplies) until(ctx context.Context) func(yield func(FindReply) bool) {
-	return func(yield func(FindReply) bool) {
+func (f findReplies) until(ctx context.Context) func(yield func(findReply) bool) {
+	return func(yield func(findReply) bool) {
 		for range f.count {
 			select {
 			case reply := <-f.replies:
@@ -216,26 +241,46 @@
 // The calls end by themselves, also once the record was found: ending a call early would close
 // its connection, on which the records of other streams are asked for.
 func (r *Registry) callHolders(service, stream string) findReplies {
+	r.mu.Lock()
 	asked := r.others(askedHolders(r.instances(), stream))
-	out := findReplies{replies: make(chan FindReply, len(asked)), count: len(asked)}
+	r.mu.Unlock()
+	out := findReplies{replies: make(chan findReply, len(asked)), count: len(asked)}
 	for _, holder := range asked {
 		findsAsked.Inc()
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 			defer cancel()
 			var reply FindReply
-			if err := r.opts.Caller.Call(ctx, holder.Address, methodFind, &FindArgs{Service: service, Stream: stream}, &reply); err != nil {
-				reply = FindReply{}
+			err := r.opts.Caller.Call(ctx, holder.Address, methodFind, &FindArgs{Service: service, Stream: stream}, &reply)
+			if err != nil {
+				out.replies <- findReply{unable: r.markIfUnable(holder.Address, err)}
+				return
 			}
-			out.replies <- reply
+			out.replies <- findReply{FindReply: reply}
 		}()
 	}
 	return out
 }
 
-// instances returns the instances that are up, this one included.
+// markIfUnable records that the release of an instance keeps no records, if the error of a call
+// says so: the instance answered that it does not have the method.
+func (r *Registry) markIfUnable(address string, err error) bool {
+	var answered rpc.ServerError
+	if !errors.As(err, &answered) {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unable[address] = time.Now().Add(unableFor)
+	return true
+}
+
+// instances returns the instances that are up and keep records, this one included. The caller
+// must hold r.mu.
 func (r *Registry) instances() []mesh.Instance {
-	return append(r.opts.Peers.AllUp(), r.opts.Self)
+	now := time.Now()
+	able := slices.DeleteFunc(r.opts.Peers.AllUp(), func(i mesh.Instance) bool { return now.Before(r.unable[i.Address]) })
+	return append(able, r.opts.Self)
 }
 
 // others returns the given instances without this one.
--- a/internal/coordination/routed/origin/registry_test.go
+++ b/internal/coordination/routed/origin/registry_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/rpc"
 	"slices"
 	"sync"
 	"testing"
@@ -38,7 +39,9 @@
 	down, hung, cut bool
 	// unreachable members reach nobody, though they do not know it.
 	unreachable bool
-	listAge     time.Duration
+	// earlier members are of a release that keeps no records.
+	earlier bool
+	listAge time.Duration
 }
 
 var errUnreachable = errors.New("unreachable")
@@ -102,6 +105,7 @@
 	m.fleet.mu.Lock()
 	m.fleet.calls[method]++
 	other := m.fleet.members[address]
+	earlier := other.earlier
 	down, hung := other.down || other.cut != m.cut || m.unreachable, other.hung
 	m.fleet.mu.Unlock()
 	switch {
@@ -114,6 +118,9 @@
 	}
 	time.Sleep(time.Millisecond)
 	m.fleet.countCancelled(ctx)
+	if earlier {
+		return fmt.Errorf("calling: %w", rpc.ServerError("rpc: can't find service "+method))
+	}
 	receiver := other.registry.Receiver()
 	switch args := args.(type) {
 	case *TellArgs:
@@ -256,6 +263,27 @@
 	})
 }
 
+// Guards against streams that can't be taken up during an update, because their records went to
+// instances of a release that keeps none, and against calls to those again and again.
+func TestRecordsGoToInstancesThatKeepThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 4, "v1", "v2")
+		for _, name := range []string{"n-0-0", "n-0-1", "n-0-2", "n-1-0", "n-1-1", "n-1-2"} {
+			f.set(func(m *member) { m.earlier = true }, name)
+		}
+		for n := range 40 {
+			f.members["n-0-3"].registry.Began("s", fmt.Sprint(n), "v2")
+			time.Sleep(20 * time.Millisecond)
+		}
+		time.Sleep(2 * tellInterval)
+		f.set(func(m *member) { m.down = true }, "n-0-3")
+		for n := range 40 {
+			require.Equal(t, "v2", f.find(t, "n-1-3", fmt.Sprint(n)).Version, n)
+		}
+		require.Less(t, f.callCount(methodTell), 40+30)
+	})
+}
+
 // Guards against messages for a service that has only one version.
 func TestOneVersionCostsNoMessagesUntilStreamIsTakenUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
