Lines of requests tell on what the decision on the rate was based

Admitted requests logged neither level nor share, and refused ones not whether the levels were adopted, from whom, how many instances were known and how old their reports were.

No decision changes.

--- a/internal/coordination/routed/quota/limiter.go
+++ b/internal/coordination/routed/quota/limiter.go
@@ -42,8 +42,8 @@
 	}
 }
 
-// SetOrganisations applies the limits of a configuration.
-func (l *Limiter) SetOrganisations(list []route.Organisation) {
+// SetOrganisations applies the limits of a version of the configuration.
+func (l *Limiter) SetOrganisations(version int64, list []route.Organisation) {
 	limits := make(map[string]Limit, len(list))
 	for i := range list {
 		limits[list[i].Name] = Limit{Rate: list[i].Rate, Burst: list[i].Burst}
@@ -51,6 +51,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.buckets.SetLimits(time.Now(), limits)
+	l.buckets.limitsVersion = version
 }
 
 // Admit decides whether to admit a request of an organisation.
@@ -96,6 +97,14 @@
 	return l.buckets.BucketLevels(time.Now())
 }
 
+// LevelsFrom returns the instance that the levels were adopted from, LevelsUnknown or
+// LevelsOfNobody.
+func (l *Limiter) LevelsFrom() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buckets.levels.from
+}
+
 // Tick records that this process runs, and when Tick will be called next.
 func (l *Limiter) Tick(period time.Duration) {
 	l.mu.Lock()
--- a/internal/coordination/routed/quota/quota.go
+++ b/internal/coordination/routed/quota/quota.go
@@ -70,7 +70,10 @@
 	// hasQuotaState reports that the levels were adopted from an instance that knew them,
 	// or that no instance knows them.
 	hasQuotaState bool
+	levels        levelsOrigin
 	limits        map[string]Limit
+	// limitsVersion is the version of the configuration that limits are from.
+	limitsVersion int64
 	buckets       map[string]*bucket
 	peers         map[string]*peer
 }
@@ -112,6 +115,7 @@
 	return &Buckets{
 		startedAt: now,
 		now:       now,
+		levels:    levelsOrigin{from: LevelsUnknown, at: now},
 		limits:    map[string]Limit{},
 		buckets:   map[string]*bucket{},
 		peers:     map[string]*peer{},
@@ -165,7 +169,7 @@
 	}
 	p.lastSeen, p.hasQuotaState, p.silenceTimeout = now, r.HasQuotaState, r.SilenceTimeout
 	p.stalledUntilSeen = bs.clock.stalledUntil(now)
-	bs.adoptLevels(now, r.Levels)
+	bs.adoptLevels(now, r.Instance, r.Levels)
 }
 
 // applyCounts takes the requests that a peer has admitted off the buckets. It must be
@@ -243,11 +247,12 @@
 
 // adoptLevels adopts the levels of the buckets, once only, and not before the limits are
 // known: without them the organisations are not known.
-func (bs *Buckets) adoptLevels(now time.Time, levels BucketLevels) {
+func (bs *Buckets) adoptLevels(now time.Time, from string, levels BucketLevels) {
 	if bs.hasQuotaState || levels == nil || len(bs.limits) == 0 {
 		return
 	}
 	bs.changePeers(now, func() { bs.hasQuotaState = true })
+	bs.levels = levelsOrigin{from: from, at: now}
 	s := bs.shares(now)
 	for org, limit := range bs.limits {
 		b := bs.bucket(now, org)
@@ -282,6 +287,7 @@
 func (bs *Buckets) resolveQuotaState(now time.Time) bool {
 	if !bs.hasQuotaState && (bs.quotaStateLost() || now.Sub(bs.startedAt) > stateWaitTimeout) {
 		bs.hasQuotaState = true
+		bs.levels = levelsOrigin{from: LevelsOfNobody, at: now}
 		credited := bs.shares(now).creditedTime
 		for _, b := range bs.buckets {
 			b.creditedTime = credited
@@ -323,20 +329,6 @@
 	}
 }
 
-// Decision is the answer to a request for admission, with the values that it is based on.
-type Decision struct {
-	Admitted bool
-	// Wait is the time until the next request can be admitted. It is set if Admitted is
-	// not.
-	Wait time.Duration
-	// Paced is set if the bucket has a token and this instance has used its share of the
-	// organisation's requests.
-	Paced bool
-	// Level is the bucket's level in tokens before the decision. Share is the share of the
-	// fleet's burst that this instance may use.
-	Level, Share float64
-}
-
 // Admit decides whether to admit a request of an organisation.
 func (bs *Buckets) Admit(now time.Time, org string) Decision {
 	limit, known := bs.limits[org]
@@ -347,7 +339,7 @@
 	b := bs.bucket(now, org)
 	s := bs.shares(now)
 	bs.refill(now, org, s)
-	d := Decision{Level: b.level, Share: b.share}
+	d := bs.decision(now, b, s)
 	if b.level >= 1 && b.pacer.admit(now, limit, b.level, s) {
 		b.level--
 		b.admitted++
--- a/internal/coordination/routed/quota/shares.go
+++ b/internal/coordination/routed/quota/shares.go
@@ -25,6 +25,10 @@
 	// freshShare.
 	reachable, reachableShare float64
 	fresh                     bool
+	// instances is the number of instances that may admit requests, heard the number of
+	// those that report, this one included. reportsAge is the mean age of their reports.
+	instances, heard float64
+	reportsAge       time.Duration
 }
 
 func (bs *Buckets) shares(now time.Time) shares {
@@ -50,10 +54,17 @@
 		ages += silence
 		silenceTimeout = max(silenceTimeout, p.silenceTimeout)
 	}
+	reportsAge := time.Duration(float64(ages) / max(1, reachable-1))
 	if !bs.resolveQuotaState(now) {
-		return shares{own: 1 / size, creditedTime: time.Duration(float64(now.Sub(bs.startedAt)) / size), reachable: 1, reachableShare: 1 / size, fresh: true}
+		return shares{
+			own: 1 / size, creditedTime: time.Duration(float64(now.Sub(bs.startedAt)) / size), reachable: 1, reachableShare: 1 / size, fresh: true,
+			instances: size, heard: reachable, reportsAge: reportsAge,
+		}
+	}
+	out := shares{
+		own: 1, reachable: reachable, reachableShare: reachable / size, silentSince: silentSince,
+		instances: size, heard: reachable, reportsAge: reportsAge,
 	}
-	out := shares{own: 1, reachable: reachable, reachableShare: reachable / size, silentSince: silentSince}
 	out.fresh = float64(ages) <= freshShare*float64(silenceTimeout)*(reachable-1)
 	if suspected/size > presumedDeadShare {
 		out.own = 1 - suspected/size
--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -136,7 +136,7 @@
 		},
 		Logger:    d.logger,
 		Seed:      xxhash.Sum64String(d.self.Name),
-		OnConfig:  func(t *route.Table) { d.limiter.SetOrganisations(t.Organisations()) },
+		OnConfig:  func(t *route.Table) { d.limiter.SetOrganisations(t.Version(), t.Organisations()) },
 		OnTargets: func(list []roster.Target) { d.brokerClient.SetTargets(list) },
 		OnListed:  func(list []roster.Target) { d.origins.SetTargets(list) },
 		// A broker limits the requests that start at targets in their warm-up period, and
--- a/internal/daemon/routed/delegate.go
+++ b/internal/daemon/routed/delegate.go
@@ -4,13 +4,20 @@
 	"maps"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"merlintiller/internal/coordination/routed/mesh"
 	"merlintiller/internal/coordination/routed/quota"
 )
 
 // meshDelegate supplies the data for heartbeats and passes received data to the
 // components of the instance that use it.
-type meshDelegate struct{ *Daemon }
+type meshDelegate struct {
+	*Daemon
+	// levelsFrom is what was last logged of where the levels of the rates are from. Only
+	// Ticked uses it.
+	levelsFrom string
+}
 
 // Versions implements mesh.Delegate.
 func (m *meshDelegate) Versions() mesh.Versions {
@@ -90,7 +97,20 @@
 }
 
 // Ticked implements mesh.Delegate.
-func (m *meshDelegate) Ticked(next time.Duration) { m.limiter.Tick(next) }
+func (m *meshDelegate) Ticked(next time.Duration) {
+	m.limiter.Tick(next)
+	m.logLevels()
+}
+
+// logLevels logs where this instance has the levels of the rates from, once it has them.
+func (m *meshDelegate) logLevels() {
+	from := m.limiter.LevelsFrom()
+	if from == m.levelsFrom || from == quota.LevelsUnknown {
+		return
+	}
+	m.levelsFrom = from
+	_ = level.Info(m.logger).Log("event", "rate_levels", "from", from, "instances", 1+len(m.mesh.Peers()), "config", m.view.Version())
+}
 
 // PeerDiscovered implements mesh.Delegate.
 func (m *meshDelegate) PeerDiscovered(name string) { m.limiter.AddPeer(name) }
--- a/internal/daemon/routed/rates_test.go
+++ b/internal/daemon/routed/rates_test.go
@@ -24,12 +24,12 @@
 		fresh, err := New(&s, fleet.net.Host(inst.ip), inst.daemon.logger)
 		require.NoError(t, err)
 		defer fresh.closeConnections()
-		fresh.limiter.SetOrganisations([]route.Organisation{{Name: "two", Rate: 10, Burst: 10}})
+		fresh.limiter.SetOrganisations(1, []route.Organisation{{Name: "two", Rate: 10, Burst: 10}})
 		heartbeat := mesh.Heartbeat{
 			From: mesh.Instance{Name: "other", Domain: "d0", Address: "10.0.1.9:82", Start: 1},
 			Seq:  1, Informed: true, Whole: true, Uptime: time.Hour,
 		}
-		delegate := &meshDelegate{fresh}
+		delegate := &meshDelegate{Daemon: fresh}
 		delegate.HeartbeatReceived(heartbeat, time.Second)
 		require.Nil(t, fresh.limiter.BucketLevels())
 		heartbeat.Seq, heartbeat.TellsLevels, heartbeat.Levels = 2, true, quota.BucketLevels{"two": -3}
@@ -37,3 +37,28 @@
 		require.NotNil(t, fresh.limiter.BucketLevels())
 	})
 }
+
+// Guards against an organisation that exceeds its rate while no line tells what the instances
+// knew when they admitted its requests.
+func TestLinesTellOnWhatARateWasDecided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newTestFleet(t, fleetSize{domains: 2, instances: 2, targets: 1})
+		restarted := fleet.instances[3]
+		restarted.kill()
+		restarted.start()
+		fleet.awaitReady()
+		restarted.send(callerRequest{id: "first", path: "/once/a", key: keyTwo})
+		for restarted.daemon.limiter.Admit("two").Admitted {
+			continue
+		}
+		restarted.send(callerRequest{id: "last", path: "/once/a", key: keyTwo})
+		lines := restarted.logs.String()
+		require.Regexp(t, `event=rate_levels from=n-\d-\d instances=4 config=3`, lines)
+		admitted, refused := restarted.linesOf("first"), restarted.linesOf("last")
+		for _, line := range []string{admitted, refused} {
+			require.Regexp(t, `level=-?\d+\.\d\d share=1\.00 limits=3 levels_from=n-\d-\d levels_age_ms=\d+ instances=4 reachable=4 reports_age_ms=\d+`, line)
+		}
+		require.Contains(t, admitted, "outcome=answered")
+		require.Contains(t, refused, "reason=over_rate")
+	})
+}
--- a/internal/explain/causes.go
+++ b/internal/explain/causes.go
@@ -34,7 +34,7 @@
 func describe(r *Record) string {
 	switch r.Event {
 	case "request":
-		return describeRequest(r)
+		return describeRequest(r) + describeRate(r)
 	case "request_placed":
 		return describePlacement(r)
 	case "attempt_failed":
@@ -224,6 +224,27 @@
 	}
 }
 
+// describeRate gives what a decision on a rate was based on, "" for a line without one.
+func describeRate(r *Record) string {
+	from := r.Fields["levels_from"]
+	if from == "" {
+		return ""
+	}
+	source, known := levelSources[from]
+	if !known {
+		source = "adopted from " + from
+	}
+	return fmt.Sprintf("; rate of organisation %s by configuration %s: %s tokens left of those that share %s may use, levels %s %s ago, %s of %s instances heard %s ago on the mean",
+		r.Fields["organisation"], r.Fields["limits"], r.Fields["level"], r.Fields["share"], source, seconds(r.Number("levels_age_ms")),
+		r.Fields["reachable"], r.Fields["instances"], seconds(r.Number("reports_age_ms")))
+}
+
+// levelSources explains the values of levels_from= that name no instance.
+var levelSources = map[string]string{
+	"unknown": "not known since a start",
+	"nobody":  "taken as this instance had them, since no other one sent any,",
+}
+
 // countOrNo gives a count for a sentence: "no" if the line has none.
 func countOrNo(text string) string {
 	if text == "" {
@@ -333,6 +354,8 @@
 	switch r.Event {
 	case "config_in_force":
 		return fmt.Sprintf("configuration %s took effect, from %s", r.Fields["version"], r.Fields["from"])
+	case "rate_levels":
+		return fmt.Sprintf("has the levels of the rates from %s, knows %s instances", r.Fields["from"], r.Fields["instances"])
 	case "store_watch_failed":
 		return fmt.Sprintf("the store did not answer (%s)", innermostError(r))
 	case "store_back":
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -79,7 +79,7 @@
 // stateEvents are the events that record a change in the state of an instance or in
 // its view of peers, store and targets.
 var stateEvents = map[string]bool{
-	"started": true, "leaving": true, "left": true, "config_in_force": true, "store_back": true, "store_watch_failed": true,
+	"started": true, "rate_levels": true, "leaving": true, "left": true, "config_in_force": true, "store_back": true, "store_watch_failed": true,
 	"peer_state": true, "domain_silent": true, "target_unlisted": true, "broker_unanswered": true, "jobs_dealt": true,
 	"jobs_given_way": true, "jobs_join_failed": true, "lines_left_out": true, "log_dropped": true,
 }
--- a/internal/transport/front/online.go
+++ b/internal/transport/front/online.go
@@ -25,13 +25,13 @@
 		return
 	}
 	organisation := c.organisationName()
-	if decision := c.opts.Quota.Admit(organisation); !decision.Admitted {
+	c.rate = c.opts.Quota.Admit(organisation)
+	if !c.rate.Admitted {
 		reason := "over_rate"
-		if decision.Paced {
+		if c.rate.Paced {
 			reason = "over_share"
 		}
-		c.reject(http.StatusTooManyRequests, decision.Wait, reason,
-			"level", fmt.Sprintf("%.2f", decision.Level), "share", fmt.Sprintf("%.2f", decision.Share))
+		c.reject(http.StatusTooManyRequests, c.rate.Wait, reason)
 		return
 	}
 	sink := &responseSink{request: c, controller: http.NewResponseController(c.w)}
--- a/internal/transport/front/request.go
+++ b/internal/transport/front/request.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"merlintiller/internal/coordination/routed/quota"
 	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/state/route"
 )
@@ -29,6 +30,8 @@
 	request      exchange.Request
 	route        *route.Route
 	organisation *route.Organisation
+	// rate is the decision on the organisation's rate, zero before it is made.
+	rate quota.Decision
 	// responded is set once the head of a response was written.
 	responded bool
 	// writeErr is the error of writing a part of the response.
@@ -225,6 +228,7 @@
 		"event", "request", "request", c.request.ID, "route", name, "organisation", c.organisationName(),
 		"config", version, "outcome", outcome, "reason", reason, "status", status, "took_ms", elapsed.Milliseconds(),
 	}, more...)
+	fields = append(fields, c.rate.LogFields()...)
 	if c.writeErr != nil {
 		fields = append(fields, "write_err", c.writeErr)
 	}
