Three tests of the incident that fail: restarts give organisations more than their rate

Real meshes and limiters of 73 instances in memory, with a store's list and configuration; targets count what they run in each five seconds. Callers saw nothing; the organisation got more than the users tolerate:

What a heartbeat says of rates moves from the daemon's delegate to mesh/rates.go, so that both use the same.

--- /dev/null
+++ b/internal/coordination/routed/mesh/rates_test.go
@@ -0,0 +1,100 @@
+package mesh
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/coordination/routed/quota"
+)
+
+// restart kills a part of the instances at once and starts them again after a time.
+func (f *rateFleet) restart(share float64, down time.Duration) {
+	var chosen []*place
+	for _, p := range f.places {
+		if f.random.Float64() < share {
+			chosen = append(chosen, p)
+		}
+	}
+	for _, p := range chosen {
+		f.kill(p)
+	}
+	f.serve(down)
+	for _, p := range chosen {
+		f.start(p)
+	}
+}
+
+// setStoreDown makes the store silent for all instances.
+func (f *rateFleet) setStoreDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.storeDown = func(Instance) bool { return down }
+}
+
+// restartInWaves restarts half of the instances each second.
+func (f *rateFleet) restartInWaves(waves int) {
+	for range waves {
+		f.restart(0.5, 300*time.Millisecond)
+		f.serve(700 * time.Millisecond)
+	}
+}
+
+var (
+	someRates = []quota.Limit{{Rate: 97, Burst: 97}, {Rate: 30, Burst: 30}, {Rate: 8, Burst: 8}}
+	// someLoads are what a hot organisation sends, as multiples of its usual load.
+	someLoads = []float64{4, 8, 15}
+)
+
+// requireRateHolds runs a trouble while an organisation sends several times its usual load, and
+// requires that in no window targets ran more of its requests than users tolerate.
+func requireRateHolds(t *testing.T, instances int, run func(f *rateFleet)) {
+	for _, limit := range someRates {
+		for _, times := range someLoads {
+			t.Run(fmt.Sprintf("%v a second, %v times", limit.Rate, times), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newRateFleet(t, 1, instances, map[string]quota.Limit{hotOrg: limit, usualOrg: limit})
+					f.load[hotOrg] = times * usualLoad
+					run(f)
+					most, first := f.most(hotOrg)
+					require.LessOrEqual(t, most, tolerated(limit), "in the window from %+v", f.runs[hotOrg][first])
+				})
+			})
+		}
+	}
+}
+
+// Guards against restarted instances that hear only of each other at first, conclude that nobody
+// knows the levels, and take all buckets for full, while instances that were not restarted know
+// that they are empty.
+func TestRateHoldsWhileHalfOfTheFleetRestarts(t *testing.T) {
+	requireRateHolds(t, 73, func(f *rateFleet) {
+		f.serve(time.Second)
+		f.restartInWaves(4)
+		f.serve(4 * time.Second)
+	})
+}
+
+// Guards against a restart of all instances that gives each organisation a whole burst again.
+func TestRateHoldsAcrossRestartOfAllInstances(t *testing.T) {
+	requireRateHolds(t, 73, func(f *rateFleet) {
+		f.serve(time.Second)
+		f.restart(1, 500*time.Millisecond)
+		f.serve(6 * time.Second)
+	})
+}
+
+// Guards against instances that read the configuration late, after the time to wait for levels has
+// passed, and take all buckets for full without having looked at the levels that they were sent.
+func TestRateHoldsWhenConfigurationComesLate(t *testing.T) {
+	requireRateHolds(t, 73, func(f *rateFleet) {
+		f.serve(time.Second)
+		f.setStoreDown(true)
+		f.restartInWaves(4)
+		f.setStoreDown(false)
+		f.serve(4 * time.Second)
+	})
+}
--- a/internal/daemon/routed/delegate.go
+++ b/internal/daemon/routed/delegate.go
@@ -1,7 +1,6 @@
 package routed
 
 import (
-	"maps"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -29,10 +28,7 @@
 	heartbeat.Leaving = m.leaving.Load()
 	heartbeat.Drains = m.view.Drains()
 	heartbeat.Held = m.placer.InFlight()
-	heartbeat.Admitted = m.limiter.AdmittedCounts()
-	heartbeat.Levels = m.limiter.BucketLevels()
-	heartbeat.Informed = heartbeat.Levels != nil
-	heartbeat.TellsLevels = heartbeat.Informed
+	heartbeat.SetRates(m.limiter)
 	heartbeat.Partitions, heartbeat.Generation = m.partitionOwner.Owned()
 	heartbeat.HasLost = m.partitionOwner.HasLostPartition()
 	heartbeat.Claims = m.runner.Claims()
@@ -61,15 +57,7 @@
 		m.view.AdoptDrains(heartbeat.Drains, "peer")
 		m.placer.SetPeer(heartbeat.From.Name, heartbeat.Held)
 	}
-	var levels quota.BucketLevels
-	if heartbeat.TellsLevels {
-		levels = quota.BucketLevels{}
-		maps.Copy(levels, heartbeat.Levels)
-	}
-	m.limiter.ApplyReport(quota.Report{
-		Instance: heartbeat.From.Name, Start: heartbeat.From.Start, Uptime: heartbeat.Uptime, Counts: heartbeat.Admitted, Full: heartbeat.Whole,
-		HasQuotaState: heartbeat.Informed, Levels: levels, SilenceTimeout: silenceTimeout,
-	})
+	m.limiter.ApplyReport(heartbeat.RateReport(silenceTimeout))
 }
 
 // PeersConfirmedAlive implements mesh.Delegate.
