A start forgets no levels that others know, and gives no second burst

What callers saw: nothing. An organisation that sends several times its rate got more than the users tolerate while instances were restarted.

Cause: an instance that had just started took what it did not know for proof that nobody knows it, and then all buckets for full. - It heard of other started instances first, through a seed, concluded from them that no levels were left, and told everybody that all buckets were full.

Class: missing knowledge taken for knowledge of an absence.

Until then an instance admits nothing (503, rates_unknown), then its share of what a start of the whole fleet yields. If nobody knows the levels, buckets begin with ten tokens and what the rate yields from 0.3 s before the start, and an organisation that empties its bucket within 5 s is charged 1.5 s of its rate for what it may have used before. An instance that has adopted levels goes on lowering them to those that it is told for 2 s.

TestStartedInstancesAdoptTheLevelsOfThoseThatKnowThem fails on the code before.

Changed tests: calls of NewBuckets and AddInstances have one argument more, SetFleetKnown is called where a test has added all instances; no assertion went. TestInstanceWithoutPeersHasNoQuotaState expected an instance without limits to know the levels after a second, which is the fault; it now expects that it does not, nor without the list, and that one that is alone does at once. A heartbeat with levels in the daemon's test names its configuration.

--- a/internal/coordination/routed/mesh/catchup.go
+++ b/internal/coordination/routed/mesh/catchup.go
@@ -75,6 +75,6 @@
 		return
 	}
 	snapshotsFetched.Inc()
-	m.AddInstances(reply.Instances)
+	m.AddInstances(reply.Instances, reply.Complete)
 	m.delegate.ApplySnapshot(reply)
 }
--- a/internal/coordination/routed/mesh/changes.go
+++ b/internal/coordination/routed/mesh/changes.go
@@ -16,6 +16,7 @@
 	removed := m.view.Forget(now)
 	changed := m.changedPeers(now)
 	domains := m.view.SilentDomains(now)
+	fleetKnown := m.fleetKnown
 	for _, p := range removed {
 		delete(m.links, p.Address)
 		delete(m.feedReaders, p.Name)
@@ -32,6 +33,9 @@
 		m.reportedStates[p.Name] = p.State
 		m.reportPeer(p)
 	}
+	if fleetKnown {
+		m.delegate.FleetKnown()
+	}
 }
 
 // changedPeers returns the peers whose state differs from the one reported last.
--- a/internal/coordination/routed/mesh/exchange.go
+++ b/internal/coordination/routed/mesh/exchange.go
@@ -188,7 +188,7 @@
 		// Other failure domains ask the broker of this domain.
 		heartbeat.Held = nil
 	}
-	if m.view.hasQuotaState(to) {
+	if !m.view.needsLevels(to) {
 		heartbeat.TellsLevels, heartbeat.Levels = false, nil
 	}
 	l := m.link(to.Address)
--- a/internal/coordination/routed/mesh/heartbeat.go
+++ b/internal/coordination/routed/mesh/heartbeat.go
@@ -53,9 +53,14 @@
 	Whole    bool
 	// Informed reports that the sender knows the state of the rate buckets.
 	Informed bool
+	// Doubtful reports that the levels have begun without knowledge of what was admitted before.
+	Doubtful bool
+	// Settling reports that the sender has started so recently that it needs the levels that
+	// others know.
+	Settling bool
 	// Levels are the buckets that are not full; they are valid only if TellsLevels is set,
 	// because the encoding drops an empty map. They are left out for a receiver that is
-	// already informed.
+	// informed and not settling.
 	TellsLevels bool
 	Levels      quota.BucketLevels
 	// Partitions are the partitions of batch jobs that the sender owns, as of Generation.
@@ -101,8 +106,10 @@
 	Listed     bool
 	Targets    []roster.Target
 	RosterMark int64
-	// Instances are all instances that the answering instance knows, itself included.
+	// Instances are all instances that the answering instance knows, itself included. Complete
+	// reports that the store's list of instances, or one that includes it, is part of them.
 	Instances []Instance
+	Complete  bool
 }
 
 // Names of the net/rpc methods.
--- a/internal/coordination/routed/mesh/mesh.go
+++ b/internal/coordination/routed/mesh/mesh.go
@@ -81,6 +81,9 @@
 	Ticked(next time.Duration)
 	// PeerDiscovered reports an instance from which no heartbeat has been received yet.
 	PeerDiscovered(name string)
+	// FleetKnown is called in every tick once all instances that are listed in the store have
+	// been reported.
+	FleetKnown()
 }
 
 // Mesh is the background service that exchanges heartbeats with other instances.
@@ -103,6 +106,8 @@
 	// reported to the delegate.
 	reportedStates map[string]State
 	reportedSilent map[string]bool
+	// fleetKnown is set once the instances that are listed in the store are in the view.
+	fleetKnown bool
 	// fetching reports that a snapshot is being fetched. comparedAt is when a snapshot was
 	// last fetched because the sets of known instances differed.
 	fetching   bool
@@ -168,11 +173,13 @@
 	m.seeds = addresses
 }
 
-// AddInstances adds instances that the platform's store or a peer has listed.
-func (m *Mesh) AddInstances(list []Instance) {
+// AddInstances adds instances that the platform's store or a peer has listed. complete reports
+// that the store's list is part of them.
+func (m *Mesh) AddInstances(list []Instance, complete bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.view.AddInstances(time.Now(), list)
+	m.fleetKnown = m.fleetKnown || complete
 }
 
 // PresumedDead returns the instances that are down or have been silent for half of
--- a/internal/coordination/routed/mesh/mesh_test.go
+++ b/internal/coordination/routed/mesh/mesh_test.go
@@ -71,6 +71,7 @@
 func (d *fakeDelegate) PeerDown(string)                          {}
 func (d *fakeDelegate) SetDomainSilent(string, bool)             {}
 func (d *fakeDelegate) PeerDiscovered(string)                    {}
+func (d *fakeDelegate) FleetKnown()                              {}
 func (d *fakeDelegate) Ticked(time.Duration)                     {}
 func (d *fakeDelegate) PeersConfirmedAlive([]quota.Liveness)     {}
 
--- a/internal/coordination/routed/mesh/ratefleet_test.go
+++ b/internal/coordination/routed/mesh/ratefleet_test.go
@@ -135,7 +135,7 @@
 	for _, seed := range f.places[:rateSeeds] {
 		seeds = append(seeds, seed.address)
 	}
-	pr := &process{fleet: f, limiter: quota.NewLimiter(), stop: stop}
+	pr := &process{fleet: f, limiter: quota.NewLimiter(p.name), stop: stop}
 	pr.Mesh = New(Config{Self: self, Seeds: seeds, Caller: rateCaller{f, self}, Logger: log.NewNopLogger()})
 	pr.SetDelegate(pr)
 	p.process = pr
@@ -218,7 +218,7 @@
 				list = append(list, i)
 			}
 			f.mu.Unlock()
-			pr.AddInstances(list)
+			pr.AddInstances(list, true)
 			pause = 10 * time.Second
 			if reads == 1 {
 				pause = time.Second
@@ -299,6 +299,7 @@
 func (pr *process) PeerDown(name string)                       { pr.limiter.MarkDown(name) }
 func (pr *process) SetDomainSilent(string, bool)               {}
 func (pr *process) Ticked(next time.Duration)                  { pr.limiter.Tick(next) }
+func (pr *process) FleetKnown()                                { pr.limiter.SetFleetKnown() }
 func (pr *process) PeerDiscovered(name string)                 { pr.limiter.AddPeer(name) }
 
 // serve sends requests for a duration.
--- a/internal/coordination/routed/mesh/rates_test.go
+++ b/internal/coordination/routed/mesh/rates_test.go
@@ -109,3 +109,30 @@
 		f.serve(4 * time.Second)
 	})
 }
+
+// Guards against instances that start together, hear of each other first, and conclude that nobody
+// knows the levels, or tell others so, while most instances were not restarted.
+func TestStartedInstancesAdoptTheLevelsOfThoseThatKnowThem(t *testing.T) {
+	for _, instances := range []int{9, 73} {
+		for _, storeDown := range []bool{false, true} {
+			synctest.Test(t, func(t *testing.T) {
+				limit := quota.Limit{Rate: 30, Burst: 30}
+				f := newRateFleet(t, 1, instances, map[string]quota.Limit{hotOrg: limit, usualOrg: limit})
+				f.load[hotOrg] = 8 * usualLoad
+				f.serve(time.Second)
+				f.setStoreDown(storeDown)
+				f.restart(0.6, 300*time.Millisecond)
+				f.serve(3 * time.Second)
+				f.setStoreDown(false)
+				f.serve(3 * time.Second)
+				for _, p := range f.places {
+					from := p.process.limiter.LevelsFrom()
+					require.NotEqual(t, quota.LevelsUnknown, from, p.name)
+					if p.starts > 1 {
+						require.NotEqual(t, quota.LevelsOfNobody, from, p.name)
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/coordination/routed/mesh/relay_test.go
+++ b/internal/coordination/routed/mesh/relay_test.go
@@ -88,7 +88,7 @@
 	for _, other := range c.members {
 		list = append(list, other.Self())
 	}
-	m.AddInstances(list)
+	m.AddInstances(list, false)
 	c.members = append(c.members, member)
 	go func() { _ = m.Serve(ctx) }()
 	return member
--- a/internal/coordination/routed/mesh/rpc.go
+++ b/internal/coordination/routed/mesh/rpc.go
@@ -25,6 +25,6 @@
 	*reply = r.mesh.delegate.SnapshotSince(*args)
 	r.mesh.mu.Lock()
 	defer r.mesh.mu.Unlock()
-	reply.Instances = r.mesh.view.Instances()
+	reply.Instances, reply.Complete = r.mesh.view.Instances(), r.mesh.fleetKnown
 	return nil
 }
--- a/internal/coordination/routed/mesh/view.go
+++ b/internal/coordination/routed/mesh/view.go
@@ -93,11 +93,11 @@
 	v.names = slices.DeleteFunc(v.names, func(other string) bool { return other == name })
 }
 
-// hasQuotaState reports whether an incarnation has reported that it knows the state of the
-// rate buckets.
-func (v *View) hasQuotaState(i Instance) bool {
+// needsLevels reports whether an incarnation needs the levels of the rate buckets: it has not
+// reported that it knows them, or reports that it is settling.
+func (v *View) needsLevels(i Instance) bool {
 	e := v.peers[i.Name]
-	return e != nil && e.heartbeat.Informed && e.heartbeat.From.Start == i.Start
+	return e == nil || !e.heartbeat.Informed || e.heartbeat.Settling || e.heartbeat.From.Start != i.Start
 }
 
 // AddInstances adds instances from a list. What an instance has reported itself takes
--- a/internal/coordination/routed/quota/bench_test.go
+++ b/internal/coordination/routed/quota/bench_test.go
@@ -16,7 +16,7 @@
 		limits[fmt.Sprint("o", i)] = Limit{Rate: 20, Burst: 20}
 	}
 	now := start
-	buckets := NewBuckets(now)
+	buckets := NewBuckets(now, "own")
 	buckets.SetLimits(now, limits)
 	report := func(i int, counts Counts) {
 		buckets.ApplyReport(now, Report{Instance: fmt.Sprint("n", i), Start: 2, Counts: counts, Full: true, HasQuotaState: true, Levels: BucketLevels{}, SilenceTimeout: time.Second})
--- a/internal/coordination/routed/quota/decision.go
+++ b/internal/coordination/routed/quota/decision.go
@@ -21,6 +21,9 @@
 	// Paced is set if the bucket has a token and this instance has used its share of the
 	// organisation's requests.
 	Paced bool
+	// Early is set if this instance has just started and does not know enough yet to admit the
+	// request.
+	Early bool
 	// Limited reports that the organisation has a limit. The other values are set only then.
 	Limited bool
 	// Level is the bucket's level in tokens before the decision. Share is the share of the
@@ -52,17 +55,11 @@
 	}
 }
 
-// levelsOrigin says where an instance has the levels from, and since when.
-type levelsOrigin struct {
-	from string
-	at   time.Time
-}
-
 // decision returns the values that a decision about an organisation is based on now.
 func (bs *Buckets) decision(now time.Time, b *bucket, s shares) Decision {
 	return Decision{
 		Limited: true, Level: b.level, Share: b.share, LimitsVersion: bs.limitsVersion,
-		LevelsFrom: bs.levels.from, LevelsAge: now.Sub(bs.levels.at),
+		LevelsFrom: bs.startup.levelsFrom, LevelsAge: now.Sub(bs.startup.levelsAt),
 		Instances: int(s.instances), Reachable: int(s.heard), ReportsAge: s.reportsAge,
 	}
 }
--- a/internal/coordination/routed/quota/limiter.go
+++ b/internal/coordination/routed/quota/limiter.go
@@ -21,8 +21,8 @@
 }
 
 // NewLimiter returns the limiter of an instance that starts now.
-func NewLimiter() *Limiter {
-	l := &Limiter{buckets: NewBuckets(time.Now())}
+func NewLimiter(instance string) *Limiter {
+	l := &Limiter{buckets: NewBuckets(time.Now(), instance)}
 	metrics.RegisterMetricsWriter(l.writeLevels)
 	return l
 }
@@ -102,7 +102,7 @@
 func (l *Limiter) LevelsFrom() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.buckets.levels.from
+	return l.buckets.startup.levelsFrom
 }
 
 // Tick records that this process runs, and when Tick will be called next.
@@ -119,6 +119,29 @@
 	l.buckets.AddPeer(time.Now(), name)
 }
 
+// SetFleetKnown records that all instances of the fleet have been added.
+func (l *Limiter) SetFleetKnown() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.buckets.SetFleetKnown(time.Now())
+}
+
+// WantsLevels reports whether this instance has started so recently that it needs the levels
+// that other instances know.
+func (l *Limiter) WantsLevels() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buckets.WantsLevels(time.Now())
+}
+
+// Doubtful reports whether the levels have begun without knowledge of what was admitted
+// before, so recently that it still matters.
+func (l *Limiter) Doubtful() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buckets.Doubtful(time.Now())
+}
+
 // MarkDown records that an instance can admit no more requests.
 func (l *Limiter) MarkDown(name string) {
 	l.mu.Lock()
--- a/internal/coordination/routed/quota/quota.go
+++ b/internal/coordination/routed/quota/quota.go
@@ -13,8 +13,7 @@
 // its own. So its share of the rate and burst is reserved for it while it is silent. Both
 // sides of a network partition do so, and the shares add up to the whole.
 //
-// An instance that has just started does not know the levels of the buckets. It adopts them
-// from an instance that knows them, and until then uses no more than its share.
+// An instance that has just started does not know the levels of the buckets, see startup.go.
 package quota
 
 import (
@@ -27,9 +26,6 @@
 	// instance's share. With less than one token the instance could admit nothing at all.
 	// With exactly one it would lose the tokens that arrive before the next request.
 	minCapacity = 1.25
-	// stateWaitTimeout is how long a new instance waits for the levels from an instance
-	// that knows them. There may be none, if all instances have been restarted.
-	stateWaitTimeout = time.Second
 	// presumedDeadShare is the share of the fleet up to which silent instances are presumed
 	// dead, so that nothing is reserved for them. Otherwise one instance of nine that has
 	// lost power for good would withhold a ninth of every rate until it is forgotten. If
@@ -67,11 +63,8 @@
 	// startedAt is the start of this incarnation, now the latest time that was passed in.
 	startedAt, now time.Time
 	clock          runClock
-	// hasQuotaState reports that the levels were adopted from an instance that knew them,
-	// or that no instance knows them.
-	hasQuotaState bool
-	levels        levelsOrigin
-	limits        map[string]Limit
+	startup        startup
+	limits         map[string]Limit
 	// limitsVersion is the version of the configuration that limits are from.
 	limitsVersion int64
 	buckets       map[string]*bucket
@@ -81,6 +74,11 @@
 type bucket struct {
 	level    float64
 	admitted int64
+	// counted are the requests that other instances reported before the levels were known.
+	counted int64
+	// owesUnknown reports that the organisation is charged for what it may have used before a
+	// start of the whole fleet once the bucket is empty.
+	owesUnknown bool
 	// share is the share of the burst that this instance may use, as of the last refill.
 	// reserved and reservedDebt are the tokens and the debt set aside for silent instances.
 	share, reserved, reservedDebt float64
@@ -111,11 +109,11 @@
 }
 
 // NewBuckets returns the buckets of an instance that starts now.
-func NewBuckets(now time.Time) *Buckets {
+func NewBuckets(now time.Time, instance string) *Buckets {
 	return &Buckets{
 		startedAt: now,
 		now:       now,
-		levels:    levelsOrigin{from: LevelsUnknown, at: now},
+		startup:   startup{instance: instance, levelsFrom: LevelsUnknown, levelsAt: now},
 		limits:    map[string]Limit{},
 		buckets:   map[string]*bucket{},
 		peers:     map[string]*peer{},
@@ -126,6 +124,9 @@
 // exceeds a smaller burst.
 func (bs *Buckets) SetLimits(now time.Time, limits map[string]Limit) {
 	bs.refillAll(now)
+	if bs.startup.limitsKnownAt.IsZero() {
+		bs.startup.limitsKnownAt = now
+	}
 	bs.limits = limits
 	for name, b := range bs.buckets {
 		limit, known := limits[name]
@@ -152,6 +153,8 @@
 	// message does not carry them.
 	HasQuotaState bool
 	Levels        BucketLevels
+	// Doubtful reports that the levels have begun without knowledge of what was admitted before.
+	Doubtful bool
 	// SilenceTimeout is the time without a report after which the instance's share is
 	// reserved for it.
 	SilenceTimeout time.Duration
@@ -169,7 +172,7 @@
 	}
 	p.lastSeen, p.hasQuotaState, p.silenceTimeout = now, r.HasQuotaState, r.SilenceTimeout
 	p.stalledUntilSeen = bs.clock.stalledUntil(now)
-	bs.adoptLevels(now, r.Instance, r.Levels)
+	bs.receiveLevels(now, r.Instance, r.Levels, r.Doubtful)
 }
 
 // applyCounts takes the requests that a peer has admitted off the buckets. It must be
@@ -181,6 +184,11 @@
 			continue
 		}
 		b := bs.bucket(now, org)
+		if !bs.levelsKnown() {
+			b.counted += count - p.counts[org]
+			p.counts[org] = count
+			continue
+		}
 		if now.Sub(b.refilledAt) > maxRefillAge {
 			bs.refill(now, org, bs.shares(now))
 		}
@@ -245,29 +253,11 @@
 	}
 }
 
-// adoptLevels adopts the levels of the buckets, once only, and not before the limits are
-// known: without them the organisations are not known.
-func (bs *Buckets) adoptLevels(now time.Time, from string, levels BucketLevels) {
-	if bs.hasQuotaState || levels == nil || len(bs.limits) == 0 {
-		return
-	}
-	bs.changePeers(now, func() { bs.hasQuotaState = true })
-	bs.levels = levelsOrigin{from: from, at: now}
-	s := bs.shares(now)
-	for org, limit := range bs.limits {
-		b := bs.bucket(now, org)
-		b.level = bs.capacity(limit, s.own)
-		if level, found := levels[org]; found {
-			b.level = min(b.level, level)
-		}
-	}
-}
-
 // BucketLevels returns the buckets that are not full, nil if the state of the buckets is not
 // known.
 func (bs *Buckets) BucketLevels(now time.Time) BucketLevels {
 	bs.now = now
-	if !bs.resolveQuotaState(now) {
+	if !bs.resolveLevels(now) {
 		return nil
 	}
 	levels := BucketLevels{}
@@ -281,35 +271,6 @@
 	return levels
 }
 
-// resolveQuotaState reports whether the levels are known. If no other instance can know
-// them, or none has sent them within stateWaitTimeout, the levels here become the valid
-// ones.
-func (bs *Buckets) resolveQuotaState(now time.Time) bool {
-	if !bs.hasQuotaState && (bs.quotaStateLost() || now.Sub(bs.startedAt) > stateWaitTimeout) {
-		bs.hasQuotaState = true
-		bs.levels = levelsOrigin{from: LevelsOfNobody, at: now}
-		credited := bs.shares(now).creditedTime
-		for _, b := range bs.buckets {
-			b.creditedTime = credited
-		}
-	}
-	return bs.hasQuotaState
-}
-
-// quotaStateLost reports that no instance that knows the levels is left. That can't be said
-// while no other instance is known.
-func (bs *Buckets) quotaStateLost() bool {
-	if len(bs.peers) == 0 {
-		return false
-	}
-	for _, p := range bs.peers {
-		if !p.down && (p.lastSeen.IsZero() || p.hasQuotaState) {
-			return false
-		}
-	}
-	return true
-}
-
 // Tick records that this process runs, and when Tick will be called next. Time by which it
 // is late does not count as silence of the other instances.
 func (bs *Buckets) Tick(now time.Time, period time.Duration) { bs.clock.tick(now, period) }
@@ -338,6 +299,9 @@
 	bs.now = now
 	b := bs.bucket(now, org)
 	s := bs.shares(now)
+	if !bs.levelsKnown() {
+		return bs.admitBeforeLevels(now, org, b, s)
+	}
 	bs.refill(now, org, s)
 	d := bs.decision(now, b, s)
 	if b.level >= 1 && b.pacer.admit(now, limit, b.level, s) {
@@ -378,7 +342,7 @@
 	if b == nil {
 		s := bs.shares(now)
 		b = &bucket{
-			creditedTime: s.creditedTime, refilledAt: now, share: s.own, level: bs.capacity(bs.limits[org], s.own),
+			creditedTime: s.creditedTime, refilledAt: now, share: s.own, level: bs.newLevel(now, bs.limits[org], s.own),
 			pacer: pacer{updatedAt: now, share: 1 / s.reachable, tokens: minTokens},
 		}
 		bs.buckets[org] = b
--- a/internal/coordination/routed/quota/quota_test.go
+++ b/internal/coordination/routed/quota/quota_test.go
@@ -47,13 +47,14 @@
 // newMember returns an instance that has just started and knows the other instances.
 func (f *fleet) newMember(name string) *member {
 	f.starts++
-	m := &member{Buckets: NewBuckets(f.now), name: name, start: f.starts}
+	m := &member{Buckets: NewBuckets(f.now, name), name: name, start: f.starts}
 	m.SetLimits(f.now, f.limits)
 	for _, other := range f.members {
 		if other.name != name {
 			m.AddPeer(f.now, other.name)
 		}
 	}
+	m.SetFleetKnown(f.now)
 	return m
 }
 
@@ -286,9 +287,10 @@
 // requests within the rate would be rejected here.
 func TestCountsOfOlderInstancesStartWithFullReport(t *testing.T) {
 	const org = "o"
-	buckets := NewBuckets(start)
+	buckets := NewBuckets(start, "own")
 	buckets.SetLimits(start, map[string]Limit{org: {Rate: 10, Burst: 10}})
 	buckets.AddPeer(start, "old")
+	buckets.SetFleetKnown(start)
 	report := func(counts Counts, full bool) {
 		buckets.ApplyReport(start, Report{
 			Instance: "old", Start: 1, Uptime: time.Hour, Counts: counts, Full: full,
@@ -332,8 +334,9 @@
 // If the requests that it admitted before were counted as new, the new instance would
 // reject everything for minutes.
 func TestClockAheadDoesNotRecountOldRequests(t *testing.T) {
-	buckets := NewBuckets(start)
+	buckets := NewBuckets(start, "own")
 	buckets.SetLimits(start, map[string]Limit{"o": {Rate: 10, Burst: 10}})
+	buckets.SetFleetKnown(start)
 	buckets.ApplyReport(start, Report{
 		Instance: "ahead", Start: start.Add(time.Minute).UnixMilli(), Uptime: time.Hour,
 		Counts: Counts{"o": 30_000}, Full: true, HasQuotaState: true, Levels: BucketLevels{}, SilenceTimeout: silenceTimeout,
@@ -344,8 +347,9 @@
 // An instance is known only through liveness reports of other instances. Its share of the
 // rates must not be reserved for it as if it were silent, and must be reserved once it is.
 func TestInstanceConfirmedAliveIsNotSilent(t *testing.T) {
-	buckets := NewBuckets(start)
+	buckets := NewBuckets(start, "own")
 	buckets.SetLimits(start, map[string]Limit{"o": {Rate: 10, Burst: 10}})
+	buckets.SetFleetKnown(start)
 	buckets.ApplyReport(start, Report{Instance: "far", Start: 1, HasQuotaState: true, Levels: BucketLevels{}, Full: true, SilenceTimeout: silenceTimeout})
 	now := start
 	for range 10 {
@@ -365,8 +369,9 @@
 func TestEndOfPartitionRejectsNothingBelowTheRate(t *testing.T) {
 	const peers, relayedSilenceTimeout = 9, 1250 * time.Millisecond
 	limit := Limit{Rate: 40, Burst: 40}
-	buckets, now := NewBuckets(start), start
+	buckets, now := NewBuckets(start, "own"), start
 	buckets.SetLimits(now, map[string]Limit{"o": limit})
+	buckets.SetFleetKnown(now)
 	report := func(count int64) {
 		for i := range peers {
 			buckets.ApplyReport(now, Report{
--- a/internal/coordination/routed/quota/relayed_test.go
+++ b/internal/coordination/routed/quota/relayed_test.go
@@ -178,19 +178,28 @@
 // Guards against a restarted instance that treats all rates as unused because it has not
 // received a report of any other instance yet.
 func TestInstanceWithoutPeersHasNoQuotaState(t *testing.T) {
-	buckets := NewBuckets(start)
+	buckets := NewBuckets(start, "own")
 	buckets.SetLimits(start, map[string]Limit{"o": {Rate: 10, Burst: 10}})
 	require.Nil(t, buckets.BucketLevels(start))
+	buckets.SetFleetKnown(start)
 	buckets.ApplyReport(start, Report{Instance: "old", Start: 1, Uptime: time.Hour, Full: true, HasQuotaState: true, Levels: BucketLevels{"o": -4}, SilenceTimeout: silenceTimeout})
 	require.InDelta(t, -4, buckets.BucketLevels(start)["o"], 0.01)
-	single := NewBuckets(start)
-	require.NotNil(t, single.BucketLevels(start.Add(stateWaitTimeout+1)))
+	single, later := NewBuckets(start, "own"), start.Add(stateWaitTimeout+1)
+	require.Nil(t, single.BucketLevels(later), "no limits are known")
+	single.SetLimits(later, map[string]Limit{"o": {Rate: 10, Burst: 10}})
+	require.Nil(t, single.BucketLevels(later.Add(stateWaitTimeout+1)), "the instances are not known")
+	require.NotNil(t, single.BucketLevels(later.Add(fleetWaitTimeout+stateWaitTimeout+1)))
+	alone := NewBuckets(start, "own")
+	alone.SetLimits(start, map[string]Limit{"o": {Rate: 10, Burst: 10}})
+	alone.SetFleetKnown(start)
+	require.NotNil(t, alone.BucketLevels(start), "there is no other instance")
 }
 
 // Guards against a restarted instance that receives the levels before it has read the
 // limits, drops the levels, and then treats all rates as unused.
 func TestBucketsAreAdoptedOnceLimitsAreKnown(t *testing.T) {
-	buckets := NewBuckets(start)
+	buckets := NewBuckets(start, "own")
+	buckets.SetFleetKnown(start)
 	report := Report{Instance: "old", Start: 1, Uptime: time.Hour, Full: true, HasQuotaState: true, Levels: BucketLevels{"o": -4}, SilenceTimeout: silenceTimeout}
 	buckets.ApplyReport(start, report)
 	buckets.SetLimits(start, map[string]Limit{"o": {Rate: 10, Burst: 10}})
--- a/internal/coordination/routed/quota/shares.go
+++ b/internal/coordination/routed/quota/shares.go
@@ -55,7 +55,7 @@
 		silenceTimeout = max(silenceTimeout, p.silenceTimeout)
 	}
 	reportsAge := time.Duration(float64(ages) / max(1, reachable-1))
-	if !bs.resolveQuotaState(now) {
+	if !bs.resolveLevels(now) {
 		return shares{
 			own: 1 / size, creditedTime: time.Duration(float64(now.Sub(bs.startedAt)) / size), reachable: 1, reachableShare: 1 / size, fresh: true,
 			instances: size, heard: reachable, reportsAge: reportsAge,
@@ -130,6 +130,7 @@
 	b.creditedTime += gained
 	b.refilledAt = now
 	b.level = min(b.level+limit.Rate*gained.Seconds(), bs.capacity(limit, b.share))
+	bs.chargeUnknownDebt(now, b, limit)
 }
 
 // updateReserve reserves shares of a bucket's level, or of its debt, for instances that are
--- a/internal/coordination/routed/quota/startup.go
+++ b/internal/coordination/routed/quota/startup.go
@@ -36,10 +36,11 @@
 	// rate.
 	startTokens = 10
 	startTime   = 300 * time.Millisecond
-	// unknownDebtTime is the time whose yield a bucket may have lacked before a start of the whole
-	// fleet: an organisation that begins to send many times its rate uses that much more than its
-	// burst before the instances have heard of it. An organisation that empties its bucket within
-	// unknownDebtPeriod after the start is charged for it.
+	// An organisation that begins to send several times its rate uses more than its burst until
+	// the instances have heard of each other's requests, and the buckets repay that. A start of
+	// the whole fleet forgets the debt. So an organisation that empties its bucket within
+	// unknownDebtPeriod after the start is charged what its rate yields in unknownDebtTime, less
+	// startTokens.
 	unknownDebtTime   = 1500 * time.Millisecond
 	unknownDebtPeriod = 5 * time.Second
 	// earlyRetryAfter is when a request may come back that came too early after the start.
@@ -140,9 +141,7 @@
 		b := bs.bucket(now, org)
 		bs.refill(now, org, s)
 		b.level = min(b.level, told+limit.Rate*settleMargin.Seconds())
-		if told < 1 {
-			b.unknownDebt = 0
-		}
+		b.owesUnknown = b.owesUnknown && told >= 1
 	}
 }
 
@@ -172,9 +171,7 @@
 		b := bs.bucket(now, org)
 		b.share, b.reservedDebt = 1, 0
 		b.level, b.reserved = levelOf(org, limit), 0
-		if doubtful && b.level >= 1 {
-			b.unknownDebt = max(0, limit.Rate*unknownDebtTime.Seconds()-startTokens)
-		}
+		b.owesUnknown = doubtful && b.level+b.reserved >= 1
 		b.history = history{}
 		b.creditedTime, b.refilledAt = s.creditedTime, now
 		bs.updateReserve(b, s)
@@ -201,14 +198,14 @@
 
 // chargeUnknownDebt takes off what an organisation may have used before a start of the whole
 // fleet, once its bucket is empty.
-func (bs *Buckets) chargeUnknownDebt(now time.Time, b *bucket) {
-	if b.unknownDebt == 0 || b.level+b.reserved >= 1 {
+func (bs *Buckets) chargeUnknownDebt(now time.Time, b *bucket, limit Limit) {
+	if !b.owesUnknown || b.level+b.reserved >= 1 {
 		return
 	}
+	b.owesUnknown = false
 	if bs.Doubtful(now) {
-		b.level -= b.unknownDebt
+		b.level -= max(0, limit.Rate*unknownDebtTime.Seconds()-startTokens)
 	}
-	b.unknownDebt = 0
 }
 
 // newLevel returns the level of a bucket that is new here.
--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -97,7 +97,7 @@
 	}
 	d.storeCalls = &storeCalls{logger: logger, kinds: map[platform.CallKind]*callSums{}}
 	d.store.Observe(d.storeCalls.add)
-	d.limiter = quota.NewLimiter()
+	d.limiter = quota.NewLimiter(d.self.Name)
 	d.killed, d.kill = context.WithCancel(context.Background())
 	d.placer = placement.NewPlacer(d.self.Domain, d.targets.Connected, xxhash.Sum64String(d.self.Name))
 	d.setupView()
--- a/internal/daemon/routed/delegate.go
+++ b/internal/daemon/routed/delegate.go
@@ -100,5 +100,8 @@
 	_ = level.Info(m.logger).Log("event", "rate_levels", "from", from, "instances", 1+len(m.mesh.Peers()), "config", m.view.Version())
 }
 
+// FleetKnown implements mesh.Delegate.
+func (m *meshDelegate) FleetKnown() { m.limiter.SetFleetKnown() }
+
 // PeerDiscovered implements mesh.Delegate.
 func (m *meshDelegate) PeerDiscovered(name string) { m.limiter.AddPeer(name) }
--- a/internal/daemon/routed/rates_test.go
+++ b/internal/daemon/routed/rates_test.go
@@ -1,6 +1,7 @@
 package routed
 
 import (
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,9 +26,10 @@
 		require.NoError(t, err)
 		defer fresh.closeConnections()
 		fresh.limiter.SetOrganisations(1, []route.Organisation{{Name: "two", Rate: 10, Burst: 10}})
+		fresh.limiter.SetFleetKnown()
 		heartbeat := mesh.Heartbeat{
 			From: mesh.Instance{Name: "other", Domain: "d0", Address: "10.0.1.9:82", Start: 1},
-			Seq:  1, Informed: true, Whole: true, Uptime: time.Hour,
+			Seq:  1, ConfigVersion: 1, Informed: true, Whole: true, Uptime: time.Hour,
 		}
 		delegate := &meshDelegate{Daemon: fresh}
 		delegate.HeartbeatReceived(heartbeat, time.Second)
@@ -62,3 +64,26 @@
 		require.Contains(t, refused, "reason=over_rate")
 	})
 }
+
+// Guards against an instance that takes itself for the whole fleet: it has read the configuration
+// and not yet heard which other instances there are, and admits a whole burst.
+func TestInstanceThatDoesNotKnowTheFleetAdmitsNothingOfARate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newTestFleet(t, fleetSize{domains: 1, instances: 1, targets: 1})
+		inst := fleet.instances[0]
+		inst.kill()
+		s := inst.settings
+		fresh, err := New(&s, fleet.net.Host(inst.ip), inst.daemon.logger)
+		require.NoError(t, err)
+		defer fresh.closeConnections()
+		config, _ := fleet.store.Newest("keyed.op", 0, "config")
+		fresh.view.AdoptConfig(config, "peer")
+		fleet.background.Go(func() { _ = fresh.front.Serve(fleet.ctx) })
+		refused := inst.send(callerRequest{id: "early", path: "/once/a", key: keyTwo})
+		require.Equal(t, http.StatusServiceUnavailable, refused.status)
+		require.NotEmpty(t, refused.header.Get("Retry-After"))
+		require.Contains(t, inst.logs.String(), "reason=rates_unknown")
+		fresh.limiter.SetFleetKnown()
+		require.True(t, fresh.limiter.Admit("two").Admitted)
+	})
+}
--- a/internal/daemon/routed/registration.go
+++ b/internal/daemon/routed/registration.go
@@ -117,7 +117,7 @@
 	}
 	d.view.StoreAnswered()
 	list := r.decodeInstances(page)
-	d.mesh.AddInstances(list)
+	d.mesh.AddInstances(list, true)
 	r.reads++
 	listed := map[string]int64{}
 	for _, i := range list {
--- a/internal/explain/causes.go
+++ b/internal/explain/causes.go
@@ -242,7 +242,7 @@
 // levelSources explains the values of levels_from= that name no instance.
 var levelSources = map[string]string{
 	"unknown": "not known since a start",
-	"nobody":  "taken as this instance had them, since no other one sent any,",
+	"nobody":  "begun nearly empty, since no instance knew them,",
 }
 
 // countOrNo gives a count for a sentence: "no" if the line has none.
@@ -262,6 +262,8 @@
 	case "over_share":
 		return fmt.Sprintf("organisation %s has tokens left (%s), but this instance has used its share of them, which it may exceed only while it hears from the others",
 			r.Fields["organisation"], r.Fields["level"])
+	case "rates_unknown":
+		return fmt.Sprintf("the instance had just started and did not know yet what is left of the rate of organisation %s", r.Fields["organisation"])
 	case "all_full":
 		return fmt.Sprintf("no target had a free slot within the %s that the request could wait", seconds(r.Number("took_ms")))
 	case "not_taken":
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -49,7 +49,7 @@
 at=2026-12-03T10:00:01Z event=request request=r1 organisation=one config=7 outcome=answered reason=relayed status=200 took_ms=40 level=14.00 share=1.00 limits=6 levels_from=nobody levels_age_ms=900 instances=1 reachable=1 reports_age_ms=0
 at=2026-12-03T10:00:02Z event=request request=r2 organisation=one config=7 outcome=refused reason=over_rate status=429 took_ms=0 level=-3.00 share=1.00 limits=7 levels_from=b levels_age_ms=2100 instances=73 reachable=70 reports_age_ms=310
 `})
-	requireCause(t, logs.Explain("r1"), "by configuration 6: 14.00 tokens left", "no other one sent any, 0.90 s ago", "1 of 1 instances heard")
+	requireCause(t, logs.Explain("r1"), "by configuration 6: 14.00 tokens left", "no instance knew them, 0.90 s ago", "1 of 1 instances heard")
 	requireCause(t, logs.Explain("r2"), "levels adopted from b 2.10 s ago", "70 of 73 instances heard 0.31 s ago")
 }
 
--- a/internal/transport/front/online.go
+++ b/internal/transport/front/online.go
@@ -27,11 +27,7 @@
 	organisation := c.organisationName()
 	c.rate = c.opts.Quota.Admit(organisation)
 	if !c.rate.Admitted {
-		reason := "over_rate"
-		if c.rate.Paced {
-			reason = "over_share"
-		}
-		c.reject(http.StatusTooManyRequests, c.rate.Wait, reason)
+		c.rejectByRate()
 		return
 	}
 	sink := &responseSink{request: c, controller: http.NewResponseController(c.w)}
@@ -45,6 +41,19 @@
 	c.reportOutcome(&outcome)
 }
 
+// rejectByRate responds to a request that the organisation's rate does not allow, or of which
+// that is not known.
+func (c *callerRequest) rejectByRate() {
+	switch {
+	case c.rate.Early:
+		c.reject(http.StatusServiceUnavailable, c.rate.Wait, "rates_unknown")
+	case c.rate.Paced:
+		c.reject(http.StatusTooManyRequests, c.rate.Wait, "over_share")
+	default:
+		c.reject(http.StatusTooManyRequests, c.rate.Wait, "over_rate")
+	}
+}
+
 // streamID returns the id of the request that began the stream: another one if the caller takes
 // a stream up, which then goes on at the service that it began at.
 func (c *callerRequest) streamID() string {
