The list of instances is read though the own entry is not written

What callers saw: nothing yet. An instance that starts while the store takes no writes knew no other instance until it did, unless a seed answered. The users' record has such a start (append of keyed.instances timed out).

Cause: the list was read only after the own entry was written. TestListIsReadThoughTheOwnEntryIsNotWritten fails without the change. Not shown to be a cause of the incident.

--- a/internal/daemon/routed/registration.go
+++ b/internal/daemon/routed/registration.go
@@ -103,14 +103,22 @@
 
 // refresh adds this instance if it is not listed, and reads the list. At the start it
 // writes before it reads, so that of two instances that start together at least one
-// finds the other.
+// finds the other. The list is read even if the write failed: without it this instance
+// does not know how many others there are.
 func (r *registration) refresh(ctx context.Context) error {
-	d := r.daemon
-	if !r.listed && !d.leaving.Load() {
-		if err := r.addOwnEntry(ctx); err != nil {
-			return err
-		}
+	var notAdded error
+	if !r.listed && !r.daemon.leaving.Load() {
+		notAdded = r.addOwnEntry(ctx)
 	}
+	if err := r.readList(ctx); err != nil {
+		return err
+	}
+	return notAdded
+}
+
+// readList reads the list, and removes dead instances from it.
+func (r *registration) readList(ctx context.Context) error {
+	d := r.daemon
 	page, err := d.store.Newest(ctx, instancesPartition)
 	if err != nil {
 		return err
@@ -123,7 +131,7 @@
 	for _, i := range list {
 		listed[i.Name] = i.Start
 	}
-	if listed[d.self.Name] != d.mesh.Self().Start && !d.leaving.Load() {
+	if r.listed && listed[d.self.Name] != d.mesh.Self().Start && !d.leaving.Load() {
 		if err := r.addOwnEntry(ctx); err != nil {
 			return err
 		}
--- a/internal/daemon/routed/registration_test.go
+++ b/internal/daemon/routed/registration_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"merlintiller/internal/coordination/routed/quota"
 	"merlintiller/internal/standin/sharedstore"
 )
 
@@ -132,3 +133,21 @@
 		require.Greater(t, len(inst.registrationFailures()), 10)
 	})
 }
+
+// Guards against a started instance that does not know the others for as long as the store takes no
+// writes, though it could read which others there are.
+func TestListIsReadThoughTheOwnEntryIsNotWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newTestFleet(t, fleetSize{domains: 2, instances: 2, targets: 1})
+		added := fleet.addInstance("n-new", "d1", "10.1.1.9")
+		added.kill()
+		added.storeAccess.Set(sharedstore.Fault{RejectedCalls: []string{"log-append"}})
+		// Nobody answers at the seed.
+		added.settings.Seeds = []string{"10.0.1.8:82"}
+		added.start()
+		sleep(time.Second)
+		require.Len(t, added.daemon.mesh.Peers(), 4)
+		require.NotEqual(t, quota.LevelsUnknown, added.daemon.limiter.LevelsFrom())
+		require.NotEmpty(t, added.registrationFailures(), "the entry is still not written")
+	})
+}
