--- a/internal/coordination/routed/quota/pacer.go
+++ b/internal/coordination/routed/quota/pacer.go
@@ -11,6 +11,8 @@
 	// drainTime is the time in which the level of a low bucket may be used, in addition to
 	// the rate.
 	drainTime = 250 * time.Millisecond
+	// doubtfulDrainTime is drainTime while levels are doubtful.
+	doubtfulDrainTime = time.Second
 	// usageWindow is the time constant with which the recorded admissions decay.
 	// evenUsageTime is the time for which the rate is counted as if it had been admitted
 	// evenly by all instances.
@@ -76,11 +78,19 @@
 func (p *pacer) rate(limit Limit, level float64, s shares) float64 {
 	rate := limit.Rate * s.reachableShare
 	if s.fresh {
-		rate += level / drainTime.Seconds()
+		rate += level / s.drainTime().Seconds()
 	}
 	return rate
 }
 
+// drainTime returns the time in which the level of a low bucket may be used.
+func (s *shares) drainTime() time.Duration {
+	if s.doubtful {
+		return doubtfulDrainTime
+	}
+	return drainTime
+}
+
 // untilToken returns the time until a request can be admitted that was not admitted now.
 func (p *pacer) untilToken(limit Limit, level float64, s shares) time.Duration {
 	seconds := (1 - p.tokens) / (p.share * p.rate(limit, level, s))
--- a/internal/coordination/routed/quota/shares.go
+++ b/internal/coordination/routed/quota/shares.go
@@ -29,6 +29,8 @@
 	// those that report, this one included. reportsAge is the mean age of their reports.
 	instances, heard float64
 	reportsAge       time.Duration
+	// doubtful reports that the levels are too high by an unknown amount, see startup.doubtful.
+	doubtful bool
 }
 
 func (bs *Buckets) shares(now time.Time) shares {
@@ -63,7 +65,7 @@
 	}
 	out := shares{
 		own: 1, reachable: reachable, reachableShare: reachable / size, silentSince: silentSince,
-		instances: size, heard: reachable, reportsAge: reportsAge,
+		instances: size, heard: reachable, reportsAge: reportsAge, doubtful: bs.Doubtful(now),
 	}
 	out.fresh = float64(ages) <= freshShare*float64(silenceTimeout)*(reachable-1)
 	if suspected/size > presumedDeadShare {
