Counts reach all instances of a fleet of hundreds sooner

Cause: all that an organisation sends until its requests are known everywhere may be admitted; that took 0.45 s through relays. TestRateHoldsFromTheMomentAtWhichAnOrganisationIsHot and ...VeryHot fail on the code before.

Instances send to their relays every 120 ms in fleets of up to 100 (200 ms from 167 on, as before, since a relay of the largest fleet could not process more), and a feed collects changes every 25 ms and keeps as long a history.

--- a/internal/coordination/routed/mesh/exchange.go
+++ b/internal/coordination/routed/mesh/exchange.go
@@ -81,7 +81,7 @@
 // earlySend is how much before its due time a message may be sent.
 func (m *Mesh) earlySend() time.Duration {
 	if m.view.usesRelays() && !m.isRelay {
-		return relayedTickInterval / 2
+		return m.view.timing().sameDomain / 2
 	}
 	return 0
 }
--- a/internal/coordination/routed/mesh/feed.go
+++ b/internal/coordination/routed/mesh/feed.go
@@ -98,10 +98,10 @@
 	ageUnknown = 255
 	// batchInterval is the minimum time between two batches. All requests within that time
 	// share a batch, which is encoded once.
-	batchInterval = 100 * time.Millisecond
+	batchInterval = 25 * time.Millisecond
 	// maxBatches limits the batches that are kept. A reader that is further behind gets the
 	// complete state.
-	maxBatches = 32
+	maxBatches = 128
 )
 
 // feed is the feed that this instance offers. It performs no I/O and is not safe for
--- a/internal/coordination/routed/mesh/mesh.go
+++ b/internal/coordination/routed/mesh/mesh.go
@@ -15,11 +15,10 @@
 )
 
 const (
-	// tickInterval is the period at which due messages are sent, relayedTickInterval the
-	// period for an instance that sends only to relays. Such an instance sends messages up
-	// to half a period early, so that messages to several relays go out together.
-	tickInterval        = 25 * time.Millisecond
-	relayedTickInterval = 200 * time.Millisecond
+	// tickInterval is the period at which due messages are sent. For an instance that sends
+	// only to relays it is the interval between its messages. Such an instance sends messages
+	// up to half a period early, so that messages to several relays go out together.
+	tickInterval = 25 * time.Millisecond
 	// callTimeout bounds a message and its answer. The latency between instances is a few
 	// milliseconds.
 	callTimeout = 300 * time.Millisecond
@@ -264,7 +263,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.view.usesRelays() && !m.isRelay {
-		return relayedTickInterval
+		return m.view.timing().sameDomain
 	}
 	return tickInterval
 }
--- a/internal/coordination/routed/mesh/relays.go
+++ b/internal/coordination/routed/mesh/relays.go
@@ -11,10 +11,7 @@
 	// relaysPerDomain is the number of relays of a failure domain. One may fail without any
 	// effect on the others.
 	relaysPerDomain = 2
-	// relayInterval is the interval between messages of an instance to a relay of its failure
-	// domain, betweenRelays that between two relays. All that an organisation sends until its
-	// requests are known everywhere may be admitted.
-	relayInterval = 200 * time.Millisecond
+	// betweenRelays is the interval between messages of two relays.
 	betweenRelays = 100 * time.Millisecond
 	// partnersMaxAge is how long a choice of partners is reused.
 	partnersMaxAge = 100 * time.Millisecond
@@ -110,7 +107,7 @@
 		top.add(candidate{e, m.candidateOrder(now, e, state)})
 	})
 	m.isRelay = betterRanked < relaysPerDomain
-	interval := relayInterval
+	interval := m.view.timing().sameDomain
 	if m.isRelay {
 		interval = betweenRelays
 	}
--- a/internal/coordination/routed/mesh/timing.go
+++ b/internal/coordination/routed/mesh/timing.go
@@ -20,6 +20,13 @@
 	// a heartbeat from any of its instances. It exceeds two intervals between messages of
 	// different failure domains.
 	SilenceTimeout = 500 * time.Millisecond
+	// relayInterval is the interval between messages of an instance to a relay of its failure
+	// domain in a fleet of up to relayIntervalFleet instances, maxRelayInterval that in the
+	// largest fleets. All that an organisation sends until its requests are known everywhere may
+	// be admitted, so the interval is short; what a relay has to process limits it.
+	relayInterval      = 120 * time.Millisecond
+	maxRelayInterval   = 200 * time.Millisecond
+	relayIntervalFleet = 100
 	// relayedSilenceTimeout is the silence timeout of an instance in a large fleet, whose
 	// heartbeats pass through up to two relays. It allows for the delay of each step and
 	// two lost messages.
@@ -37,7 +44,8 @@
 // timingFor returns the timing for a fleet of the given number of instances.
 func timingFor(instances int) timing {
 	if instances > maxFullMesh {
-		return timing{sameDomain: relayInterval, crossDomain: relayInterval, silenceTimeout: relayedSilenceTimeout}
+		interval := min(maxRelayInterval, max(relayInterval, relayInterval*time.Duration(instances)/relayIntervalFleet))
+		return timing{sameDomain: interval, crossDomain: interval, silenceTimeout: relayedSilenceTimeout}
 	}
 	return timing{sameDomain: sameDomainInterval, crossDomain: crossDomainFactor * sameDomainInterval, silenceTimeout: SilenceTimeout}
 }
--- a/internal/coordination/routed/quota/startup.go
+++ b/internal/coordination/routed/quota/startup.go
@@ -41,7 +41,7 @@
 	// the whole fleet forgets the debt. So an organisation that empties its bucket within
 	// unknownDebtPeriod after the start is charged what its rate yields in unknownDebtTime, less
 	// startTokens.
-	unknownDebtTime   = 2 * time.Second
+	unknownDebtTime   = 1500 * time.Millisecond
 	unknownDebtPeriod = 5 * time.Second
 	// earlyRetryAfter is when a request may come back that came too early after the start.
 	earlyRetryAfter = 200 * time.Millisecond
