--- a/internal/coordination/routed/quota/quota_test.go
+++ b/internal/coordination/routed/quota/quota_test.go
@@ -414,3 +414,14 @@
 	require.False(t, member.Admit(f.now.Add(time.Millisecond), "o").Admitted)
 	require.True(t, member.Admit(f.now.Add(rejected.Wait+time.Millisecond), "o").Admitted)
 }
+
+// Guards against messages that grow with organisations without a limit, whose buckets are never full.
+func TestLevelsOfUnlimitedOrganisationsAreNotTold(t *testing.T) {
+	buckets := NewBuckets(start, "own")
+	buckets.SetLimits(start, map[string]Limit{"limited": {Rate: 100, Burst: 100}, "unlimited": {}})
+	buckets.SetFleetKnown(start)
+	require.True(t, buckets.Admit(start, "unlimited").Admitted)
+	levels := buckets.BucketLevels(start)
+	require.Contains(t, levels, "limited")
+	require.NotContains(t, levels, "unlimited")
+}
--- a/internal/coordination/routed/quota/startup.go
+++ b/internal/coordination/routed/quota/startup.go
@@ -27,20 +27,20 @@
 	// admitted between the adopted levels and the first counts of an instance are missing in
 	// both.
 	settleTime = 2 * time.Second
-	// settleMargin is how much older what an instance tells may be than what is known here.
-	// Levels that are lower by no more than the rate yields in that time are not told to be
-	// wrong.
+	// settleMargin is how much older what another instance tells may be than what is known
+	// here. Levels that are lower by no more than the rate yields in that time don't show that
+	// the own ones are too high.
 	settleMargin = 300 * time.Millisecond
 	// startTokens and startTime give what a bucket holds at a start of the whole fleet: some
 	// tokens and what its rate yields in some time. Users tolerate more than that above the
 	// rate.
 	startTokens = 10
 	startTime   = 300 * time.Millisecond
-	// An organisation that begins to send several times its rate uses more than its burst until
-	// the instances have heard of each other's requests, and the buckets repay that. A start of
-	// the whole fleet forgets the debt. So an organisation that empties its bucket within
-	// unknownDebtPeriod after the start is charged what its rate yields in unknownDebtTime, less
-	// startTokens.
+	// unknownDebtTime and unknownDebtPeriod are for debts that a start of the whole fleet
+	// forgets. An organisation that begins to send several times its rate uses more than its
+	// burst until the instances have heard of each other's requests. So one that empties its
+	// bucket within unknownDebtPeriod after the start is charged what its rate yields in
+	// unknownDebtTime, less startTokens.
 	unknownDebtTime   = 1500 * time.Millisecond
 	unknownDebtPeriod = 5 * time.Second
 	// earlyRetryAfter is when a request may come back that came too early after the start.
@@ -152,7 +152,7 @@
 		return true
 	}
 	since := bs.waitsSince(now)
-	if since.IsZero() || !bs.quotaStateLost() && now.Sub(since) <= stateWaitTimeout {
+	if since.IsZero() || !bs.nobodyKnowsLevels() && now.Sub(since) <= stateWaitTimeout {
 		return false
 	}
 	bs.beginWith(now, LevelsOfNobody, true, func(org string, limit Limit) float64 {
@@ -168,6 +168,9 @@
 	bs.startup.levelsFrom, bs.startup.levelsAt, bs.startup.doubtful = from, now, doubtful
 	s := bs.shares(now)
 	for org, limit := range bs.limits {
+		if limit.Rate <= 0 {
+			continue
+		}
 		b := bs.bucket(now, org)
 		b.share, b.reservedDebt = 1, 0
 		b.level, b.reserved = levelOf(org, limit), 0
@@ -178,8 +181,8 @@
 	}
 }
 
-// quotaStateLost reports that no instance that knows the levels is left.
-func (bs *Buckets) quotaStateLost() bool {
+// nobodyKnowsLevels reports that no instance that knows the levels is left.
+func (bs *Buckets) nobodyKnowsLevels() bool {
 	for _, p := range bs.peers {
 		if !p.down && (p.lastSeen.IsZero() || p.hasQuotaState) {
 			return false
--- a/internal/daemon/routed/rates_test.go
+++ b/internal/daemon/routed/rates_test.go
@@ -13,6 +13,17 @@
 	"merlintiller/internal/state/route"
 )
 
+// restartWithoutServices kills the process and returns a new one that runs no services, so that it
+// knows only what the test tells it.
+func (inst *testInstance) restartWithoutServices() *Daemon {
+	inst.kill()
+	s := inst.settings
+	fresh, err := New(&s, inst.fleet.net.Host(inst.ip), inst.daemon.logger)
+	require.NoError(inst.fleet.t, err)
+	inst.fleet.t.Cleanup(fresh.closeConnections)
+	return fresh
+}
+
 // Guards against a restarted instance that treats all rates as unused. A peer that still
 // remembers the previous incarnation of the instance sends heartbeats without bucket
 // levels, and such a heartbeat must not count as quota state.
@@ -20,11 +31,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		fleet := newTestFleet(t, fleetSize{domains: 1, instances: 1, targets: 1})
 		inst := fleet.instances[0]
-		inst.kill()
-		s := inst.settings
-		fresh, err := New(&s, fleet.net.Host(inst.ip), inst.daemon.logger)
-		require.NoError(t, err)
-		defer fresh.closeConnections()
+		fresh := inst.restartWithoutServices()
 		fresh.limiter.SetOrganisations(1, []route.Organisation{{Name: "two", Rate: 10, Burst: 10}})
 		fresh.limiter.SetFleetKnown()
 		heartbeat := mesh.Heartbeat{
@@ -71,11 +78,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		fleet := newTestFleet(t, fleetSize{domains: 1, instances: 1, targets: 1})
 		inst := fleet.instances[0]
-		inst.kill()
-		s := inst.settings
-		fresh, err := New(&s, fleet.net.Host(inst.ip), inst.daemon.logger)
-		require.NoError(t, err)
-		defer fresh.closeConnections()
+		fresh := inst.restartWithoutServices()
 		config, _ := fleet.store.Newest("keyed.op", 0, "config")
 		fresh.view.AdoptConfig(config, "peer")
 		fleet.background.Go(func() { _ = fresh.front.Serve(fleet.ctx) })
