--- /dev/null
+++ b/internal/coordination/routed/mesh/release_test.go
@@ -0,0 +1,62 @@
+package mesh
+
+import (
+	"bytes"
+	"encoding/gob"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/coordination/routed/quota"
+)
+
+// earlierHeartbeat has the fields of rates that the release before this one sends and reads.
+type earlierHeartbeat struct {
+	From          Instance
+	Seq           uint64
+	ConfigVersion int64
+	Admitted      quota.Counts
+	Whole         bool
+	Informed      bool
+	TellsLevels   bool
+	Levels        quota.BucketLevels
+}
+
+// earlierSnapshotReply is SnapshotReply without Complete.
+type earlierSnapshotReply struct {
+	Instances []Instance
+}
+
+// transfer encodes a value as net/rpc does, and decodes it into another one.
+func transfer(t *testing.T, from, to any) {
+	t.Helper()
+	var wire bytes.Buffer
+	require.NoError(t, gob.NewEncoder(&wire).Encode(from))
+	require.NoError(t, gob.NewDecoder(&wire).Decode(to))
+}
+
+// Guards against instances of two releases side by side that don't understand each other's
+// messages, or believe levels of an instance that has no limits.
+func TestMessagesOfRatesAreUnderstoodByTwoReleases(t *testing.T) {
+	levels := quota.BucketLevels{"o": -3}
+	var earlier earlierHeartbeat
+	transfer(t, Heartbeat{
+		From: instance("a", 1), Seq: 7, ConfigVersion: 3, Admitted: quota.Counts{"o": 9}, Whole: true,
+		Informed: true, TellsLevels: true, Levels: levels, Doubtful: true, Settling: true,
+	}, &earlier)
+	require.Equal(t, earlierHeartbeat{
+		From: instance("a", 1), Seq: 7, ConfigVersion: 3, Admitted: quota.Counts{"o": 9}, Whole: true, Informed: true, TellsLevels: true, Levels: levels,
+	}, earlier)
+	var now Heartbeat
+	transfer(t, earlier, &now)
+	require.Equal(t, levels, now.RateReport(SilenceTimeout).Levels)
+	require.False(t, now.Settling || now.Doubtful)
+	earlier.ConfigVersion, earlier.Levels = 0, nil
+	now = Heartbeat{}
+	transfer(t, earlier, &now)
+	require.Nil(t, now.RateReport(SilenceTimeout).Levels, "told without limits")
+	var reply SnapshotReply
+	transfer(t, earlierSnapshotReply{Instances: []Instance{instance("a", 1)}}, &reply)
+	require.Len(t, reply.Instances, 1)
+	require.False(t, reply.Complete)
+}
