--- a/internal/coordination/routed/mesh/rates_test.go
+++ b/internal/coordination/routed/mesh/rates_test.go
@@ -12,8 +12,10 @@
 	"merlintiller/internal/coordination/routed/quota"
 )
 
-// rateSeedCount is the number of seeds with which each trouble is run.
-var rateSeedCount = flag.Int("rate-seeds", 1, "seeds of the tests of rates")
+var (
+	rateSeedCount = flag.Int("rate-seeds", 1, "seeds with which each trouble of the tests of rates is run")
+	rateInstances = flag.Int("rate-instances", 73, "instances of the large fleet in the tests of rates")
+)
 
 // restart kills a part of the instances at once and starts them again after a time.
 func (f *rateFleet) restart(share float64, down time.Duration) {
@@ -95,7 +97,7 @@
 // knows the levels, and take all buckets for full, while instances that were not restarted know
 // that they are empty.
 func TestRateHoldsWhileHalfOfTheFleetRestarts(t *testing.T) {
-	requireRateHolds(t, 73, someLoads, func(f *rateFleet) {
+	requireRateHolds(t, *rateInstances, someLoads, func(f *rateFleet) {
 		f.serve(time.Second)
 		f.restartInWaves(4)
 		f.serve(4 * time.Second)
@@ -104,7 +106,7 @@
 
 // Guards against a restart of all instances that gives each organisation a whole burst again.
 func TestRateHoldsAcrossRestartOfAllInstances(t *testing.T) {
-	requireRateHolds(t, 73, someLoads, func(f *rateFleet) {
+	requireRateHolds(t, *rateInstances, someLoads, func(f *rateFleet) {
 		f.serve(time.Second)
 		f.restart(1, 500*time.Millisecond)
 		f.serve(6 * time.Second)
@@ -114,7 +116,7 @@
 // Guards against instances that read the configuration late, after the time to wait for levels has
 // passed, and take all buckets for full without having looked at the levels that they were sent.
 func TestRateHoldsWhenConfigurationComesLate(t *testing.T) {
-	requireRateHolds(t, 73, someLoads, func(f *rateFleet) {
+	requireRateHolds(t, *rateInstances, someLoads, func(f *rateFleet) {
 		f.serve(time.Second)
 		f.setStoreDown(true)
 		f.restartInWaves(4)
@@ -154,12 +156,12 @@
 // which hears too late how much the others have admitted.
 func TestRateHoldsFromTheMomentAtWhichAnOrganisationIsHot(t *testing.T) {
 	requireRateHolds(t, 9, mostLoad, serveFromUsualToHot)
-	requireRateHolds(t, 73, someLoads, serveFromUsualToHot)
+	requireRateHolds(t, *rateInstances, someLoads, serveFromUsualToHot)
 }
 
 // As above, with the most that an organisation is expected to send to a large fleet.
 func TestRateHoldsFromTheMomentAtWhichAnOrganisationIsVeryHot(t *testing.T) {
-	requireRateHolds(t, 73, mostLoad, serveFromUsualToHot)
+	requireRateHolds(t, *rateInstances, mostLoad, serveFromUsualToHot)
 }
 
 func serveFromUsualToHot(f *rateFleet) {
@@ -173,7 +175,7 @@
 // As TestRateHoldsAcrossRestartOfAllInstances, with the most that an organisation is expected to
 // send.
 func TestRateHoldsAcrossRestartOfAllInstancesWhileAnOrganisationIsVeryHot(t *testing.T) {
-	requireRateHolds(t, 73, mostLoad, func(f *rateFleet) {
+	requireRateHolds(t, *rateInstances, mostLoad, func(f *rateFleet) {
 		f.serve(time.Second)
 		f.restart(1, 500*time.Millisecond)
 		f.serve(6 * time.Second)
