--- a/internal/coordination/routed/batchjobs/options.go
+++ b/internal/coordination/routed/batchjobs/options.go
@@ -74,6 +74,9 @@
 	// OnlyVersion returns the software version of a service if it has had no other one for
 	// longer than a run lasts.
 	OnlyVersion func(service string) (string, bool)
+	// SharedParts returns the ids of the parts of an item's prompt that other requests may share,
+	// from the item's headers.
+	SharedParts func(header map[string]string) []string
 	Logger      log.Logger
 }
 
--- a/internal/coordination/routed/batchjobs/replica_test.go
+++ b/internal/coordination/routed/batchjobs/replica_test.go
@@ -35,6 +35,7 @@
 	p.opts = &Options{
 		Topic: p.at.Topic, Partitions: 1, RecordBytes: 64 << 10, CallBytes: 256 << 10,
 		Log: p.store, StoreAnswered: func() {}, Peers: noPeers{}, Logger: log.NewNopLogger(),
+		SharedParts: func(map[string]string) []string { return nil },
 	}
 	job := &jobs.Job{ID: jobID, Organisation: "o", Submitted: time.Now()}
 	for i := range items {
--- a/internal/coordination/routed/batchjobs/runner.go
+++ b/internal/coordination/routed/batchjobs/runner.go
@@ -174,6 +174,7 @@
 			continue
 		}
 		t := &task{openItem: *o, runner: r, replica: p, position: exchange.FromStart, notBefore: time.Now()}
+		t.parts = r.opts.SharedParts(o.item.Header)
 		t.output.reset()
 		if o.job.Submitted.Before(acquiredAt) {
 			t.mayRunElsewhere = true
--- a/internal/coordination/routed/batchjobs/task.go
+++ b/internal/coordination/routed/batchjobs/task.go
@@ -38,6 +38,9 @@
 	runner  *Runner
 	replica *partitionReplica
 
+	// parts are the ids of the parts of the prompt that other requests may share.
+	parts []string
+
 	notBefore time.Time
 	cancel    context.CancelFunc
 	choice    placement.Choice
@@ -141,10 +144,18 @@
 	opts.Placer.Done(choice, result)
 	_ = level.Info(opts.Logger).Log("event", "item_run", "item", t.id.item, "job", t.id.job, "target", choice.ID,
 		"version", choice.Version, "broker", choice.Broker, "busy", choice.Busy, "slots", choice.Slots, "how", outcome.String(), "from", from, "position", t.position, "took_ms", time.Since(start).Milliseconds(),
-		"due_in_ms", time.Until(t.job.Due).Milliseconds(), "err", err)
+		"due_in_ms", time.Until(t.job.Due).Milliseconds(), "parts", strings.Join(t.parts, ","), "ended", endOfRun(err), "err", err)
 	t.handleOutcome(outcome)
 }
 
+// endOfRun returns what the target did if a run failed, "" if it did not.
+func endOfRun(err error) external.TargetEnd {
+	if err == nil {
+		return ""
+	}
+	return external.EndOf(err)
+}
+
 // String is the name of the outcome in logs.
 func (o runOutcome) String() string {
 	return [...]string{"whole", "refused", "failed", "impossible", "broken", "left"}[o]
--- a/internal/coordination/routed/relay/forward.go
+++ b/internal/coordination/routed/relay/forward.go
@@ -48,7 +48,7 @@
 		return finish
 	}
 	c.opts.Placer.Done(choice, monitor.result(placement.Broken))
-	return c.afterLostAnswer(choice, "err", err)
+	return c.afterLostAnswer(choice, external.EndOf(err), "err", err)
 }
 
 // errCallerDisconnected: writing to the caller's connection failed.
@@ -85,6 +85,7 @@
 			c.lastEvent = event.Position
 		}
 		c.outcome.Events++
+		c.attemptEvents++
 	}
 }
 
--- a/internal/coordination/routed/relay/relay.go
+++ b/internal/coordination/routed/relay/relay.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 
 	"merlintiller/internal/coordination/routed/origin"
 	"merlintiller/internal/coordination/routed/placement"
@@ -104,7 +103,7 @@
 func (r *Relay) Serve(ctx context.Context, request *RoutedRequest, sink Sink) Outcome {
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
-	c := &call{Relay: r, RoutedRequest: request, sink: sink, lastEvent: request.Request.After}
+	c := &call{Relay: r, RoutedRequest: request, sink: sink, lastEvent: request.Request.After, parts: request.Request.Prompt.SharedParts()}
 	if c.findOrigin(ctx) {
 		c.run(ctx)
 	}
@@ -130,6 +129,10 @@
 	origin origin.Origin
 	// tried holds the ids of the targets that were tried.
 	tried []string
+	// parts are the ids of the parts of the prompt that other requests may share.
+	parts []string
+	// attemptEvents is the number of stream events that the current attempt brought.
+	attemptEvents int
 	// failover is the target that the stall monitor reserved for the next
 	// attempt, nil if there is none.
 	failover *placement.Choice
@@ -237,6 +240,7 @@
 
 // attempt sends the request to one target and forwards its answer.
 func (c *call) attempt(ctx context.Context, choice placement.Choice) nextStep {
+	c.attemptEvents = 0
 	monitor := c.monitorStalls(ctx, choice)
 	defer func() { c.failover = monitor.stop() }()
 	answer, err := c.opts.Targets.Send(monitor.ctx, choice.Address, c.dispatch(choice))
@@ -253,7 +257,7 @@
 		// and did not promise that it did not run.
 		answer.Close()
 		c.opts.Placer.Done(choice, placement.Served)
-		return c.afterLostAnswer(choice, "status", nil)
+		return c.afterLostAnswer(choice, external.EndAnswered, "status", answer.Head().Status)
 	}
 	return c.forward(ctx, choice, monitor, answer)
 }
@@ -285,7 +289,7 @@
 		c.opts.Targets.Forget(choice.Address)
 	}
 	c.opts.Placer.Done(choice, result)
-	c.logFailedAttempt(choice, "not_run", "status", answer.Head().Status)
+	c.logFailedAttempt(choice, "not_run", external.EndAnswered, "status", answer.Head().Status)
 	return tryNext
 }
 
@@ -301,11 +305,11 @@
 	}
 	if notSent {
 		c.opts.Placer.Done(choice, placement.Unreachable)
-		c.logFailedAttempt(choice, "unreachable", "err", err)
+		c.logFailedAttempt(choice, "unreachable", external.EndOf(err), "err", err)
 		return tryNext
 	}
 	c.opts.Placer.Done(choice, monitor.result(placement.Broken))
-	return c.afterLostAnswer(choice, "err", err)
+	return c.afterLostAnswer(choice, external.EndOf(err), "err", err)
 }
 
 // ErrInterrupted is the cause with which the context of a request is cancelled if the
@@ -332,8 +336,8 @@
 }
 
 // afterLostAnswer decides whether a request that may have run is retried.
-func (c *call) afterLostAnswer(choice placement.Choice, key string, cause any) nextStep {
-	c.logFailedAttempt(choice, "lost", key, cause)
+func (c *call) afterLostAnswer(choice placement.Choice, end external.TargetEnd, key string, cause any) nextStep {
+	c.logFailedAttempt(choice, "lost", end, key, cause)
 	if c.Route.Repeatable() && c.outcome.PossibleRuns < c.Route.MaxAttempts && c.mayGoOn() {
 		return tryNext
 	}
@@ -343,20 +347,3 @@
 	}
 	return finish
 }
-
-// logPlacement logs the chosen target before the request is sent. If the process
-// crashes while it serves the request, this is the request's only log line.
-func (c *call) logPlacement(choice placement.Choice) {
-	_ = level.Info(c.opts.Logger).Log("event", "request_placed", "request", c.Request.ID, "target", choice.ID,
-		"domain", choice.Domain, "broker", choice.Broker, "busy", choice.Busy, "slots", choice.Slots,
-		"waited_ms", c.outcome.PlacementTime.Milliseconds(), "left_ms", time.Until(c.Deadline).Milliseconds(),
-		"attempt", c.outcome.Attempts, "position", c.lastEvent,
-		"version", choice.Version, "stream_version", c.origin.Version, "version_source", c.origin.Source,
-		"version_age_ms", c.origin.Age.Milliseconds(), "resumes", c.Request.Resumes)
-}
-
-// logFailedAttempt logs an attempt that did not complete the answer.
-func (c *call) logFailedAttempt(choice placement.Choice, how string, key string, value any) {
-	_ = level.Info(c.opts.Logger).Log("event", "attempt_failed", "request", c.Request.ID, "target", choice.ID, "how", how,
-		"busy", choice.Busy, "slots", choice.Slots, "position", c.lastEvent, "runs", c.outcome.PossibleRuns, key, value)
-}
--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -180,7 +180,8 @@
 		RecordBytes: s.RecordBytes, CallBytes: s.CallBytes, Readable: d.settings.ResultsReadable,
 		Log: d.store, Groups: d.store, Peers: d.mesh, Caller: d.peerClient,
 		Table: d.view.Table, StoreAge: d.view.StoreAge, StoreAnswered: d.view.StoreAnswered,
-		Targets: d.targets, Placer: d.brokerClient, OnlyVersion: d.origins.OnlyVersion, Logger: d.logger,
+		Targets: d.targets, Placer: d.brokerClient, OnlyVersion: d.origins.OnlyVersion,
+		SharedParts: platform.SharedParts, Logger: d.logger,
 	}
 	d.runner = batchjobs.NewRunner(opts)
 	d.partitionOwner = batchjobs.NewPartitionOwner(opts, d.runner)
--- a/internal/explain/causes.go
+++ b/internal/explain/causes.go
@@ -174,10 +174,35 @@
 	case "unreachable":
 		return fmt.Sprintf("target %s could not be reached (%s); the request did not run there", r.Fields["target"], why)
 	default:
-		return fmt.Sprintf("target %s may have run the request but sent no complete answer (%s)", r.Fields["target"], why)
+		return fmt.Sprintf("target %s may have run the request but sent no complete answer (%s)%s", r.Fields["target"], why, describeTargetEnd(r))
 	}
 }
 
+// describeTargetEnd says what a target did that sent no complete answer, "" if a line has no
+// account of it.
+func describeTargetEnd(r *Record) string {
+	end := targetEnds[r.Fields["ended"]]
+	if end == "" {
+		return ""
+	}
+	text := fmt.Sprintf("; %s after %s events", end, r.Fields["events"])
+	if r.Fields["parts"] != "" {
+		text += fmt.Sprintf(", with the prompt parts %s", r.Fields["parts"])
+	}
+	return text
+}
+
+// targetEnds explains the values of ended=.
+var targetEnds = map[string]string{
+	"answered":  "it answered with a status that ends the attempt",
+	"refused":   "nothing listens at its address",
+	"reset":     "it reset the connection",
+	"closed":    "it closed the connection",
+	"silent":    "it sent nothing in time",
+	"left":      "this instance closed the connection",
+	"malformed": "what it sent is no answer",
+}
+
 // innermostError gives the last part of a line's error. Errors are wrapped by each
 // layer, so the cause is the last part.
 func innermostError(r *Record) string {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -158,3 +158,11 @@
 	require.Len(t, explanation.Causes, 2)
 	requireCause(t, explanation, "the caller closed its connection after 3 events", "the store did not answer (reset) (repeated until 10:00:03.000)")
 }
+
+// Guards against lines of lost attempts that don't tell the parts of the prompt, or what the target did.
+func TestLostAttemptTellsPartsAndWhatTargetDid(t *testing.T) {
+	logs := readLogs(t, map[string]string{
+		"a": "at=2026-12-03T10:00:00Z event=attempt_failed request=r1 target=t-1 how=lost ended=closed parts=f1,b7 events=0 err=\"unexpected EOF\"",
+	})
+	require.Contains(t, logs.Explain("r1").Causes[0], "it closed the connection after 0 events, with the prompt parts f1,b7")
+}
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -45,6 +45,15 @@
 	InputTokens, MaxOutputTokens int
 }
 
+// SharedParts returns the ids of the parts that other requests may share: all but the last one.
+func (p *Prompt) SharedParts() []string {
+	var out []string
+	for i := range len(p.Parts) - 1 {
+		out = append(out, p.Parts[i].ID)
+	}
+	return out
+}
+
 // PromptPart is a part of a prompt that other requests may share.
 type PromptPart struct {
 	ID     string
