--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -25,6 +25,10 @@
 	EventInterval    time.Duration
 	// FaultFor, if set, returns the fault for the response to a request.
 	FaultFor func(id string) Fault
+	// Crashes, if set, reports whether the engine crashes when it begins to write the answer to
+	// a request with such a prompt. OnCrash then ends the engine's process.
+	Crashes func(prompt string) bool
+	OnCrash func()
 }
 
 // Fault describes the faults injected into one response.
@@ -61,6 +65,8 @@
 	// Resumes is the id of the request that began the stream, if the request names it.
 	Resumes   string
 	StartedAt time.Time
+	// Prompt lists the parts of the prompt as the request names them.
+	Prompt string
 	// EndedAt is zero while the request runs. Complete reports that all events
 	// were sent.
 	EndedAt  time.Time
@@ -198,6 +204,7 @@
 	entry := &Run{
 		ID: id, Organisation: r.Header.Get("Tenant"), Path: r.RequestURI, Body: body,
 		HasAuthorization: r.Header.Get("Authorization") != "", ResumedAfter: -1, Resumes: r.Header.Get("Resumes"), StartedAt: time.Now(),
+		Prompt: r.Header.Get("Prompt-Prefix"),
 	}
 	if after, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		entry.ResumedAfter = after
@@ -236,6 +243,11 @@
 		return
 	}
 	out := e.writeHead(w, entry, fault)
+	if e.opts.Crashes != nil && e.opts.Crashes(entry.Prompt) {
+		out.flush()
+		e.opts.OnCrash()
+		panic(http.ErrAbortHandler)
+	}
 	events := EventCount(r.URL.Path)
 	for n := entry.ResumedAfter + 1; n < events; n++ {
 		sent := n - entry.ResumedAfter - 1
