--- a/internal/coordination/routed/batchjobs/options.go
+++ b/internal/coordination/routed/batchjobs/options.go
@@ -10,6 +10,7 @@
 	"merlintiller/internal/coordination/routed/broker"
 	"merlintiller/internal/coordination/routed/mesh"
 	"merlintiller/internal/coordination/routed/placement"
+	"merlintiller/internal/coordination/routed/quarantine"
 	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/protocol/exchange"
@@ -42,6 +43,18 @@
 	DataReceived(id string)
 }
 
+// Quarantine decides which items may go to targets.
+type Quarantine interface {
+	// Closed reports whether items whose prompt has the given shared parts have to wait.
+	Closed(parts []string) bool
+	// Check decides whether such an item may go to a target now.
+	Check(parts []string) quarantine.Decision
+	// Began records that a target sent the first event of such an item, Lost that it closed the
+	// connection before.
+	Began(parts []string)
+	Lost(quarantine.LostRequest)
+}
+
 // Options are the settings and dependencies of JobService, PartitionOwner and Runner.
 type Options struct {
 	// Member names the instance in the group. The name stays the same in each incarnation.
@@ -77,6 +90,7 @@
 	// SharedParts returns the ids of the parts of an item's prompt that other requests may share,
 	// from the item's headers.
 	SharedParts func(header map[string]string) []string
+	Quarantine  Quarantine
 	Logger      log.Logger
 }
 
--- a/internal/coordination/routed/batchjobs/queue.go
+++ b/internal/coordination/routed/batchjobs/queue.go
@@ -13,6 +13,10 @@
 // an item. Lengths of items differ by a quarter.
 const maxRuntimeFactor = 1.5
 
+// closedDelay is how long an item with closed parts waits until it is tried again whether it is
+// their trial.
+const closedDelay = time.Second
+
 // sortWaiting sorts the waiting items by deadline, and puts those that can no longer
 // meet their deadlines at the end.
 //
@@ -75,6 +79,9 @@
 			r.dequeue(t)
 			continue
 		}
+		if r.opts.Quarantine.Closed(t.parts) {
+			continue
+		}
 		if service, ok := t.service(table); ok {
 			r.settleVersion(t, service, listed)
 			out = append(out, runnableTask{t, service})
@@ -94,6 +101,11 @@
 		go r.opts.Placer.Done(choice, placement.Cancelled)
 		return
 	}
+	if r.opts.Quarantine.Check(t.parts).Closed {
+		t.notBefore = now.Add(closedDelay)
+		go r.opts.Placer.Done(choice, placement.Cancelled)
+		return
+	}
 	if !t.mayRunAt(choice.Version) {
 		r.restart(t, versionFull)
 	}
--- a/internal/coordination/routed/batchjobs/replica_test.go
+++ b/internal/coordination/routed/batchjobs/replica_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"merlintiller/internal/coordination/routed/mesh"
+	"merlintiller/internal/coordination/routed/quarantine"
 	"merlintiller/internal/external"
 	"merlintiller/internal/standin/sharedstore"
 	"merlintiller/internal/state/jobs"
@@ -36,6 +37,7 @@
 		Topic: p.at.Topic, Partitions: 1, RecordBytes: 64 << 10, CallBytes: 256 << 10,
 		Log: p.store, StoreAnswered: func() {}, Peers: noPeers{}, Logger: log.NewNopLogger(),
 		SharedParts: func(map[string]string) []string { return nil },
+		Quarantine:  quarantine.New(quarantine.Options{Logger: log.NewNopLogger()}),
 	}
 	job := &jobs.Job{ID: jobID, Organisation: "o", Submitted: time.Now()}
 	for i := range items {
--- a/internal/coordination/routed/batchjobs/task.go
+++ b/internal/coordination/routed/batchjobs/task.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log/level"
 
 	"merlintiller/internal/coordination/routed/placement"
+	"merlintiller/internal/coordination/routed/quarantine"
 	"merlintiller/internal/external"
 	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/protocol/sse"
@@ -140,6 +141,9 @@
 	if stalled.Load() {
 		outcome, result = interrupted, placement.TimedOut
 	}
+	if outcome == interrupted && t.position == from {
+		t.reportLost(choice, err)
+	}
 	t.addRunTime(time.Since(start))
 	opts.Placer.Done(choice, result)
 	_ = level.Info(opts.Logger).Log("event", "item_run", "item", t.id.item, "job", t.id.job, "target", choice.ID,
@@ -148,6 +152,17 @@
 	t.handleOutcome(outcome)
 }
 
+// reportLost reports a run that ended before its first event because its target closed the
+// connection.
+func (t *task) reportLost(choice placement.Choice, err error) {
+	if end := endOfRun(err); end != external.EndClosed && end != external.EndReset {
+		return
+	}
+	t.runner.opts.Quarantine.Lost(quarantine.LostRequest{
+		Target: choice.ID, Address: choice.Address, Started: choice.Started, Parts: t.parts, At: time.Now(),
+	})
+}
+
 // endOfRun returns what the target did if a run failed, "" if it did not.
 func endOfRun(err error) external.TargetEnd {
 	if err == nil {
@@ -260,8 +275,13 @@
 // continues after the last complete event.
 func (t *task) read(ctx context.Context, answer external.OpenAnswer, stall *time.Timer) (runOutcome, placement.Result, error) {
 	events := sse.NewReader(answer)
+	began := false
 	for {
 		event, err := events.Next()
+		if err == nil && !began {
+			began = true
+			t.runner.opts.Quarantine.Began(t.parts)
+		}
 		if errors.Is(err, io.EOF) {
 			t.interruptions = 0
 			return completed, placement.Served, nil
--- a/internal/coordination/routed/mesh/exchange.go
+++ b/internal/coordination/routed/mesh/exchange.go
@@ -33,6 +33,7 @@
 	// that it has answered. sinceFull is the number of messages since all counts were sent.
 	ackedCounts quota.Counts
 	sinceFull   int
+	quarantine  quarantineLink
 }
 
 // dueExchanges returns the instances to which a message is due, and marks their links as in
@@ -101,6 +102,7 @@
 	defer cancel()
 	args, counts := m.heartbeatFor(to, false)
 	args.Pull = m.feedRequestFor(to)
+	quarantineVersion := m.addQuarantine(&args, to)
 	var reply Heartbeat
 	err := m.caller.Call(ctx, to.Address, methodExchange, &args, &reply)
 	if serving.Err() != nil {
@@ -118,6 +120,7 @@
 		l.answeredAt, l.storeAge, l.readsTargetList = time.Now(), reply.StoreAge, reply.Reads
 		if args.From == m.self && to.Start == l.start {
 			l.ackedCounts = counts
+			l.quarantineAnswered(quarantineVersion, &reply)
 		}
 	}
 	m.mu.Unlock()
@@ -193,7 +196,7 @@
 	}
 	l := m.link(to.Address)
 	if to.Start != l.start {
-		l.start, l.ackedCounts = to.Start, nil
+		l.start, l.ackedCounts, l.quarantine = to.Start, nil, quarantineLink{}
 	}
 	if m.view.usesRelays() && isAnswer {
 		heartbeat.Whole = true
@@ -249,8 +252,9 @@
 
 // receive processes a message and starts fetching what the sender has that is newer.
 func (m *Mesh) receive(heartbeat Heartbeat) {
+	m.receiveQuarantine(&heartbeat)
 	feed := heartbeat.Feed
-	heartbeat.Pull, heartbeat.Feed = nil, nil
+	heartbeat.Pull, heartbeat.Feed, heartbeat.Quarantine, heartbeat.QuarantineRead = nil, nil, nil, nil
 	if m.apply(heartbeat) {
 		m.catchUp(heartbeat)
 	}
--- a/internal/coordination/routed/mesh/heartbeat.go
+++ b/internal/coordination/routed/mesh/heartbeat.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"merlintiller/internal/coordination/routed/placement"
+	"merlintiller/internal/coordination/routed/quarantine"
 	"merlintiller/internal/coordination/routed/quota"
 	"merlintiller/internal/state/roster"
 )
@@ -79,6 +80,11 @@
 	// Pull requests the receiver's feed, Feed is the answer.
 	Pull *FeedRequest
 	Feed *Feed
+	// Quarantine is what the sender knows of crashes of targets and closed parts of prompts that
+	// the receiver may not know yet, nil if there is nothing. QuarantineRead is how far the sender
+	// has read the receiver's reports; it requests an answer with what came after that.
+	Quarantine     *quarantine.Report
+	QuarantineRead *quarantine.Position
 	// HasLost reports that this incarnation has lost partitions, so that it may still run
 	// items of them.
 	HasLost bool
--- a/internal/coordination/routed/mesh/mesh.go
+++ b/internal/coordination/routed/mesh/mesh.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 
+	"merlintiller/internal/coordination/routed/quarantine"
 	"merlintiller/internal/coordination/routed/quota"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/wait"
@@ -69,6 +70,11 @@
 	// PeersConfirmedAlive processes relays' reports of when they last received heartbeats
 	// from other instances.
 	PeersConfirmedAlive([]quota.Liveness)
+	// QuarantineSince returns the report of crashes and closed parts that changed since a version,
+	// nil if nothing has.
+	QuarantineSince(version uint64) *quarantine.Report
+	// QuarantineReceived processes such a report of another instance.
+	QuarantineReceived(from string, report *quarantine.Report)
 	// PeerSilent reports that an instance has become silent. PeerDown reports that its
 	// process is known not to run, or that the instance was removed after ForgetTimeout.
 	PeerSilent(Instance)
--- a/internal/coordination/routed/mesh/ratefleet_test.go
+++ b/internal/coordination/routed/mesh/ratefleet_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-kit/log"
 
+	"merlintiller/internal/coordination/routed/quarantine"
 	"merlintiller/internal/coordination/routed/quota"
 	"merlintiller/internal/state/route"
 	"merlintiller/internal/wait"
@@ -95,7 +96,9 @@
 	*Mesh
 	fleet   *rateFleet
 	limiter *quota.Limiter
-	stop    context.CancelFunc
+	// guard is set in fleets whose targets crash.
+	guard *quarantine.Guard
+	stop  context.CancelFunc
 
 	mu      sync.Mutex
 	version int64
@@ -319,6 +322,17 @@
 func (pr *process) FleetKnown()                                { pr.limiter.SetFleetKnown() }
 func (pr *process) PeerDiscovered(name string)                 { pr.limiter.AddPeer(name) }
 
+func (pr *process) QuarantineSince(version uint64) *quarantine.Report {
+	if pr.guard == nil {
+		return nil
+	}
+	return pr.guard.Since(version)
+}
+
+func (pr *process) QuarantineReceived(from string, report *quarantine.Report) {
+	pr.guard.Merge(from, report)
+}
+
 // serve sends requests for a duration.
 func (f *rateFleet) serve(d time.Duration) {
 	const step = 5 * time.Millisecond
--- /dev/null
+++ b/internal/coordination/routed/mesh/reports.go
@@ -0,0 +1,55 @@
+package mesh
+
+import "merlintiller/internal/coordination/routed/quarantine"
+
+// quarantineLink is the state of the exchange of quarantine reports with one address. Reports go
+// with messages and with answers. They are repeated until the message was answered, or the next
+// message says that the answer was read.
+type quarantineLink struct {
+	// sent is the version of this instance's reports that the peer is known to have.
+	sent uint64
+	// read is how far this instance has read the reports of the peer.
+	read quarantine.Position
+}
+
+// addQuarantine adds to a message what the peer does not have yet, and requests the peer's news. It
+// returns the version that the peer has once it has answered.
+func (m *Mesh) addQuarantine(args *Heartbeat, to Instance) (version uint64) {
+	m.mu.Lock()
+	state := m.link(to.Address).quarantine
+	m.mu.Unlock()
+	args.QuarantineRead = &state.read
+	args.Quarantine = m.delegate.QuarantineSince(state.sent)
+	if args.Quarantine == nil {
+		return state.sent
+	}
+	return args.Quarantine.Version
+}
+
+// answerQuarantine adds to an answer what the sender of a message has not read yet.
+func (m *Mesh) answerQuarantine(args, reply *Heartbeat) {
+	if args.QuarantineRead == nil {
+		return
+	}
+	version := args.QuarantineRead.Version
+	if args.QuarantineRead.Start != reply.From.Start {
+		version = 0
+	}
+	reply.Quarantine = m.delegate.QuarantineSince(version)
+}
+
+// quarantineAnswered records that a message was answered. The caller must hold mu.
+func (l *link) quarantineAnswered(version uint64, reply *Heartbeat) {
+	l.quarantine.sent = version
+	if reply.Quarantine != nil {
+		l.quarantine.read = quarantine.Position{Start: reply.From.Start, Version: reply.Quarantine.Version}
+	}
+}
+
+// receiveQuarantine passes the report in a message on. Unlike a heartbeat, a report counts even if
+// a later message was received before.
+func (m *Mesh) receiveQuarantine(heartbeat *Heartbeat) {
+	if heartbeat.Quarantine != nil {
+		m.delegate.QuarantineReceived(heartbeat.From.Name, heartbeat.Quarantine)
+	}
+}
--- a/internal/coordination/routed/mesh/rpc.go
+++ b/internal/coordination/routed/mesh/rpc.go
@@ -13,6 +13,7 @@
 func (r *Receiver) Exchange(args *Heartbeat, reply *Heartbeat) error {
 	r.mesh.receive(*args)
 	*reply, _ = r.mesh.heartbeatFor(args.From, true)
+	r.mesh.answerQuarantine(args, reply)
 	reply.Superseded = r.mesh.newerStart(args.From)
 	if args.Pull != nil {
 		reply.Feed = r.mesh.answerFeed(*args.Pull)
--- /dev/null
+++ b/internal/coordination/routed/quarantine/checker.go
@@ -0,0 +1,124 @@
+package quarantine
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"merlintiller/internal/wait"
+)
+
+const (
+	// crashCheckDelay is the time from a lost answer until its target is checked: the process
+	// closes its connections and its listener one after the other.
+	crashCheckDelay = 10 * time.Millisecond
+	// crashCheckTimeout bounds a check.
+	crashCheckTimeout = 250 * time.Millisecond
+)
+
+// LostRequest is a request whose target closed the connection before the first event.
+type LostRequest struct {
+	// Target is the id of the target, Address where it was, and Started the start of its
+	// incarnation in Unix milliseconds.
+	Target, Address string
+	Started         int64
+	Parts           []string
+	At              time.Time
+}
+
+// Lost records that a target closed the connection of a request before its first event. Whether
+// the target has crashed is checked in the background: a connection may break without that.
+func (g *Guard) Lost(lost LostRequest) {
+	if len(lost.Parts) == 0 {
+		return
+	}
+	lost.Parts = bounded(lost.Parts)
+	if !g.lost.Offer(lost) {
+		lostDropped.Inc()
+	}
+}
+
+// Checker finds out whether the targets of lost requests have crashed. It is a background
+// service.
+type Checker struct{ guard *Guard }
+
+// Checker returns the background service that checks targets.
+func (g *Guard) Checker() *Checker { return &Checker{g} }
+
+// String returns the name of the background service.
+func (c *Checker) String() string { return "crash-checker" }
+
+// Serve checks targets until ctx ends.
+func (c *Checker) Serve(ctx context.Context) error {
+	for {
+		lost, err := c.guard.lost.Take(ctx)
+		if err != nil {
+			return err
+		}
+		wait.For(ctx, crashCheckDelay)
+		for _, list := range byTarget(c.withWaiting(lost)) {
+			go c.check(ctx, list)
+		}
+	}
+}
+
+// withWaiting returns a lost request with the others that wait for a check.
+func (c *Checker) withWaiting(lost LostRequest) []LostRequest {
+	batch := []LostRequest{lost}
+	for {
+		further, ok := c.guard.lost.TryTake()
+		if !ok {
+			return batch
+		}
+		batch = append(batch, further)
+	}
+}
+
+// byTarget groups lost requests by the incarnation of their targets.
+func byTarget(batch []LostRequest) (groups [][]LostRequest) {
+	for _, lost := range batch {
+		at := slices.IndexFunc(groups, func(g []LostRequest) bool { return g[0].Target == lost.Target && g[0].Started == lost.Started })
+		if at < 0 {
+			groups = append(groups, nil)
+			at = len(groups) - 1
+		}
+		groups[at] = append(groups[at], lost)
+	}
+	return groups
+}
+
+// check checks the target of lost requests and records its crash.
+func (c *Checker) check(ctx context.Context, lost []LostRequest) {
+	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+	defer cancel()
+	targetProbes.Inc()
+	refused := c.guard.opts.Targets.Refuses(ctx, lost[0].Address)
+	parts := partsOf(lost)
+	_ = level.Info(c.guard.opts.Logger).Log("event", "target_crash_checked", "target", lost[0].Target, "crashed", refused,
+		"parts", strings.Join(parts, ","), "requests", len(lost), "lost_ms", time.Since(lost[0].At).Milliseconds())
+	if !refused {
+		return
+	}
+	crashesSeen.Inc()
+	c.guard.crashed(&lost[0], parts)
+}
+
+// partsOf returns the parts of some requests, each once.
+func partsOf(list []LostRequest) (parts []string) {
+	for _, lost := range list {
+		parts = append(parts, lost.Parts...)
+	}
+	slices.Sort(parts)
+	return slices.Compact(parts)
+}
+
+// crashed records that the target of a lost request has crashed.
+func (g *Guard) crashed(lost *LostRequest, parts []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.evidence.Crashed(lost.At, lost.Target, lost.Started, parts)
+	g.wake()
+}
--- /dev/null
+++ b/internal/coordination/routed/quarantine/closure.go
@@ -0,0 +1,151 @@
+package quarantine
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// firstTrialAfter is the time from the last crash until closed parts are tried again. It
+	// doubles with each trial that ends with a crash, maxTrialDoublings times at most.
+	firstTrialAfter   = 2 * time.Minute
+	maxTrialDoublings = 4
+	// closureTTL is the time since the last crash after which closed parts that nobody asked for
+	// are forgotten.
+	closureTTL = 2 * time.Hour
+	// claimTime is the time from the claim of a trial until the trial. Two instances that claim
+	// it at the same time learn of each other meanwhile.
+	claimTime = 2 * time.Second
+	// claimTTL is the time after which a claimed trial without a result may be claimed again.
+	claimTTL = 15 * time.Second
+	// maxClosures bounds the closures that are kept.
+	maxClosures = 64
+	// maxNamed bounds the targets and instances that a closure names.
+	maxNamed = 6
+)
+
+// closure is a set of closed parts.
+type closure struct {
+	parts             []string
+	crashes, trials   int
+	targets, seenBy   []string
+	closedAt, crashed time.Time
+	// openedAt is when a request with the parts last got its first event, zero if never.
+	openedAt time.Time
+	// trialBy claims the trial since trialAt. trialUsed is set once this instance has let its
+	// request pass.
+	trialBy   string
+	trialAt   time.Time
+	trialUsed bool
+	changed   uint64
+}
+
+// key identifies a closure.
+func keyOf(parts []string) string { return strings.Join(parts, ",") }
+
+// closed reports whether requests are rejected.
+func (c *closure) closed() bool { return !c.openedAt.After(c.crashed) }
+
+// trialFrom is when the parts may be tried again.
+func (c *closure) trialFrom() time.Time {
+	return c.crashed.Add(firstTrialAfter << min(c.trials, maxTrialDoublings))
+}
+
+// concerns reports whether a request with the given parts has all closed parts.
+func (c *closure) concerns(parts []string) bool {
+	for _, part := range c.parts {
+		if !slices.Contains(parts, part) {
+			return false
+		}
+	}
+	return true
+}
+
+// crashedAgain records a crash of which the closed parts are suspects. It returns false if
+// nothing has changed. Parts that were opened need new evidence to be closed.
+func (c *closure) crashedAgain(at time.Time) bool {
+	if !c.closed() || !at.After(c.crashed) {
+		return false
+	}
+	if !at.Before(c.trialFrom()) {
+		c.trials++
+	}
+	c.crashed, c.trialBy, c.trialUsed = at, "", false
+	return true
+}
+
+// open records a first event of a request with the closed parts. It returns false if nothing has
+// changed.
+func (c *closure) open(at time.Time) bool {
+	if !c.closed() || !at.After(c.crashed) {
+		return false
+	}
+	c.openedAt = at
+	return true
+}
+
+// claimed reports whether an instance claims the trial.
+func (c *closure) claimed(now time.Time) bool {
+	return c.trialBy != "" && now.Sub(c.trialAt) < claimTTL
+}
+
+// claim claims the trial for an instance.
+func (c *closure) claim(now time.Time, by string) {
+	c.trialBy, c.trialAt, c.trialUsed = by, now, false
+}
+
+// mergeClaim applies the claim of another instance. Of two claims that of the instance whose name
+// comes first counts. It returns false if nothing has changed.
+func (c *closure) mergeClaim(now time.Time, by string, at time.Time) bool {
+	if by == "" || now.Sub(at) >= claimTTL || !at.After(c.crashed) {
+		return false
+	}
+	if c.claimed(now) && c.trialBy <= by {
+		return false
+	}
+	c.trialBy, c.trialAt, c.trialUsed = by, at, false
+	return true
+}
+
+// merge applies what another instance knows of the same closure. It returns false if nothing has
+// changed.
+func (c *closure) merge(now time.Time, other *Closure) (changed bool) {
+	if other.Trials > c.trials {
+		c.trials, changed = other.Trials, true
+	}
+	if at := now.Add(-other.LastCrashAge); at.After(c.crashed.Add(ageTolerance)) {
+		c.crashed, changed = at, true
+	}
+	if at := now.Add(-other.OpenedAge); other.Opened && c.closed() && at.After(c.crashed) {
+		c.openedAt, changed = at, true
+	}
+	return c.mergeClaim(now, other.TrialBy, now.Add(-other.TrialAge)) || changed
+}
+
+func (c *closure) report(now time.Time) Closure {
+	out := Closure{
+		Parts: c.parts, Crashes: c.crashes, Targets: c.targets, SeenBy: c.seenBy, Trials: c.trials,
+		ClosedAge: now.Sub(c.closedAt), LastCrashAge: now.Sub(c.crashed),
+	}
+	if !c.closed() {
+		out.Opened, out.OpenedAge = true, now.Sub(c.openedAt)
+	}
+	if c.claimed(now) {
+		out.TrialBy, out.TrialAge = c.trialBy, now.Sub(c.trialAt)
+	}
+	return out
+}
+
+// fromReport returns the closure that another instance or the store knows.
+func fromReport(now time.Time, r *Closure) *closure {
+	c := &closure{
+		parts: r.Parts, crashes: r.Crashes, trials: r.Trials, targets: r.Targets, seenBy: r.SeenBy,
+		closedAt: now.Add(-r.ClosedAge), crashed: now.Add(-r.LastCrashAge),
+	}
+	if r.Opened {
+		c.openedAt = now.Add(-r.OpenedAge)
+	}
+	c.mergeClaim(now, r.TrialBy, now.Add(-r.TrialAge))
+	return c
+}
--- /dev/null
+++ b/internal/coordination/routed/quarantine/evidence.go
@@ -0,0 +1,217 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// ageTolerance is the difference up to which the times of one event count as the same, as they
+// come from two instances.
+const ageTolerance = 500 * time.Millisecond
+
+// Evidence holds what an instance knows of crashes and closed parts. It performs no I/O and is not
+// safe for concurrent use.
+type Evidence struct {
+	self string
+	// version is increased with each change; each entry has that of its last change.
+	version  uint64
+	crashes  crashTable
+	began    map[string]firstEvent
+	closures map[string]*closure
+	// recent are the first events that this instance has seen lately, of any part.
+	recent recentParts
+}
+
+// firstEvent is when a request with a suspect last got its first event.
+type firstEvent struct {
+	at      time.Time
+	changed uint64
+}
+
+// NewEvidence returns the evidence of an instance that knows nothing yet.
+func NewEvidence(self string) *Evidence {
+	return &Evidence{
+		self: self, crashes: crashTable{map[incarnation]*crash{}}, began: map[string]firstEvent{},
+		closures: map[string]*closure{}, recent: newRecentParts(),
+	}
+}
+
+func (e *Evidence) nextVersion() uint64 {
+	e.version++
+	return e.version
+}
+
+// Crashed records that a request with the given parts waited for its first event at a target that
+// crashed at some time.
+func (e *Evidence) Crashed(at time.Time, target string, started int64, parts []string) {
+	e.addCrash(at, incarnation{target, started}, parts, []string{e.self})
+}
+
+func (e *Evidence) addCrash(at time.Time, id incarnation, parts, seenBy []string) {
+	c, changed := e.crashes.add(id, at)
+	if c == nil {
+		return
+	}
+	for _, part := range parts {
+		if c.addPart(part) {
+			changed = true
+			e.mergeBegan(part, e.recent.last(part))
+		}
+	}
+	for _, name := range seenBy {
+		changed = c.addWitness(name) || changed
+	}
+	if !changed {
+		return
+	}
+	c.changed = e.nextVersion()
+	for _, known := range e.closures {
+		if c.hasAll(known.parts) && known.crashedAgain(c.at) {
+			known.changed = e.nextVersion()
+		}
+	}
+}
+
+// Began records that a request got its first event from a target. It returns the closures that
+// this opens.
+func (e *Evidence) Began(now time.Time, parts []string) (opened []Closure) {
+	for _, part := range parts {
+		e.recent.add(part, now)
+		if e.isSuspectSince(part, e.began[part].at) {
+			e.mergeBegan(part, now)
+		}
+	}
+	for _, known := range e.closures {
+		if known.concerns(parts) && known.open(now) {
+			known.changed = e.nextVersion()
+			opened = append(opened, known.report(now))
+		}
+	}
+	return opened
+}
+
+// isSuspectSince reports whether a part is a suspect of a crash after some time.
+func (e *Evidence) isSuspectSince(part string, since time.Time) bool {
+	for _, c := range e.crashes.crashes {
+		if c.parts[part] && c.at.After(since) {
+			return true
+		}
+	}
+	return false
+}
+
+// mergeBegan records a first event of a request with a suspect.
+func (e *Evidence) mergeBegan(part string, at time.Time) {
+	if at.After(e.began[part].at) {
+		e.began[part] = firstEvent{at, e.nextVersion()}
+	}
+}
+
+// Evaluate closes the parts under which enough targets have crashed and returns what it has
+// closed.
+func (e *Evidence) Evaluate(now time.Time) (closed []Closure) {
+	e.removeExpired(now)
+	for {
+		parts, under := e.nextToClose(now)
+		if parts == nil || !e.hasRoom() {
+			return closed
+		}
+		targets, seenBy := namedIn(under)
+		c := e.closures[keyOf(parts)]
+		if c == nil {
+			c = &closure{parts: parts}
+			e.closures[keyOf(parts)] = c
+		}
+		c.crashes, c.targets, c.seenBy = len(under), targets, seenBy
+		c.closedAt, c.crashed, c.changed = now, latest(under), e.nextVersion()
+		closed = append(closed, c.report(now))
+	}
+}
+
+// hasRoom reports whether a further closure may be kept.
+func (e *Evidence) hasRoom() bool { return len(e.closures) < maxClosures }
+
+func (e *Evidence) removeExpired(now time.Time) {
+	e.crashes.removeExpired(now)
+	maps.DeleteFunc(e.began, func(part string, _ firstEvent) bool { return !e.crashes.names(part) })
+	maps.DeleteFunc(e.closures, func(_ string, c *closure) bool {
+		opened := !c.closed() && now.Sub(c.openedAt) > crashTTL
+		return opened || now.Sub(c.crashed) > closureTTL
+	})
+}
+
+// Settled returns when the next crash begins to count, false if none is waiting for that.
+func (e *Evidence) Settled(now time.Time) (at time.Time, ok bool) {
+	for _, c := range e.crashes.crashes {
+		if settles := c.at.Add(settleTime); settles.After(now) && (!ok || settles.Before(at)) {
+			at, ok = settles, true
+		}
+	}
+	return at, ok
+}
+
+// Decision says whether a request may go to a target.
+type Decision struct {
+	// Closed reports that the request is rejected because of Closure.
+	Closed  bool
+	Closure Closure
+	// RetryAfter is when the parts may be tried again.
+	RetryAfter time.Duration
+	// Trial reports that the request is the only one that may go to a target, once.
+	Trial bool
+}
+
+// Check decides on a request with the given parts.
+func (e *Evidence) Check(now time.Time, parts []string) Decision {
+	c := e.lastToTry(parts)
+	switch {
+	case c == nil:
+		return Decision{}
+	case e.takeTrial(now, c):
+		return Decision{Trial: true, Closure: c.report(now)}
+	default:
+		return Decision{Closed: true, Closure: c.report(now), RetryAfter: max(c.trialFrom().Sub(now), claimTime)}
+	}
+}
+
+// lastToTry returns the closure that a request is concerned by, nil if there is none. Of several
+// it is the one that may be tried again last.
+func (e *Evidence) lastToTry(parts []string) (last *closure) {
+	for _, c := range e.closures {
+		if c.closed() && c.concerns(parts) && (last == nil || c.trialFrom().After(last.trialFrom())) {
+			last = c
+		}
+	}
+	return last
+}
+
+// takeTrial reports whether a request is the trial of closed parts. The first request that comes
+// when they may be tried again only claims the trial.
+func (e *Evidence) takeTrial(now time.Time, c *closure) bool {
+	if now.Before(c.trialFrom()) {
+		return false
+	}
+	if !c.claimed(now) {
+		c.claim(now, e.self)
+		c.changed = e.nextVersion()
+		return false
+	}
+	if c.trialBy != e.self || c.trialUsed || now.Sub(c.trialAt) < claimTime {
+		return false
+	}
+	c.trialUsed = true
+	return true
+}
+
+// ClosedParts returns what is closed.
+func (e *Evidence) ClosedParts(now time.Time) (out []Closure) {
+	for _, c := range e.closures {
+		if c.closed() {
+			out = append(out, c.report(now))
+		}
+	}
+	slices.SortFunc(out, func(a, b Closure) int { return cmp.Compare(keyOf(a.Parts), keyOf(b.Parts)) })
+	return out
+}
--- /dev/null
+++ b/internal/coordination/routed/quarantine/guard.go
@@ -0,0 +1,226 @@
+package quarantine
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"merlintiller/internal/external"
+	"merlintiller/internal/ring"
+)
+
+const (
+	// maxParts bounds the parts of a prompt that are considered, maxPartLength the length of
+	// their ids in bytes. Longer ids are cut.
+	maxParts      = 12
+	maxPartLength = 64
+	// lostQueueSize is the number of lost requests that wait for the check of their targets.
+	lostQueueSize = 256
+	// idleInterval is how often expired evidence is removed.
+	idleInterval = 30 * time.Second
+)
+
+var (
+	crashesSeen  = metrics.NewCounter(`target_crashes_seen_total`)
+	targetProbes = metrics.NewCounter(`target_crash_checks_total`)
+	lostDropped  = metrics.NewCounter(`target_crash_checks_dropped_total`)
+)
+
+// Listener checks whether a process listens at a target's address.
+type Listener interface {
+	// Refuses reports whether the address refuses connections.
+	Refuses(ctx context.Context, address string) bool
+}
+
+// Options configure a Guard.
+type Options struct {
+	// Self is the name of this instance.
+	Self    string
+	Targets Listener
+	// Store keeps what is closed, in Partition. Seed seeds the jitter of its reads.
+	Store     Store
+	Partition external.Partition
+	Seed      uint64
+	Logger    log.Logger
+}
+
+// Guard decides which requests may go to targets, and collects the evidence for it. It is a
+// background service and safe for concurrent use.
+type Guard struct {
+	opts Options
+	// anyClosed is set while a part may be closed, so that most requests need no lock for Check.
+	anyClosed atomic.Bool
+	lost      *ring.Ring[LostRequest]
+	// changed wakes Serve.
+	changed chan struct{}
+	keeper  *Keeper
+
+	mu       sync.Mutex
+	evidence *Evidence
+}
+
+// New returns a guard without evidence.
+func New(opts Options) *Guard {
+	g := &Guard{
+		opts: opts, lost: ring.New[LostRequest]("crash_checks", lostQueueSize), changed: make(chan struct{}, 1), evidence: NewEvidence(opts.Self),
+	}
+	g.keeper = newKeeper(g)
+	metrics.GetOrCreateGauge("parts_closed", func() float64 { return float64(len(g.ClosedParts())) })
+	return g
+}
+
+// bounded returns the ids of parts within the bounds on their number and length.
+func bounded(parts []string) []string {
+	out := make([]string, 0, min(len(parts), maxParts))
+	for _, part := range parts[:min(len(parts), maxParts)] {
+		out = append(out, part[:min(len(part), maxPartLength)])
+	}
+	return out
+}
+
+// Check decides whether a request whose prompt has the given parts may go to a target.
+func (g *Guard) Check(parts []string) Decision {
+	if len(parts) == 0 || !g.anyClosed.Load() {
+		return Decision{}
+	}
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	decision := g.evidence.Check(now, bounded(parts))
+	if decision.Trial {
+		g.logTrial(&decision.Closure)
+	}
+	return decision
+}
+
+// Closed reports whether requests with the given parts are rejected, without taking a trial.
+func (g *Guard) Closed(parts []string) bool {
+	if len(parts) == 0 || !g.anyClosed.Load() {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := g.evidence.lastToTry(bounded(parts))
+	return c != nil && time.Now().Before(c.trialFrom())
+}
+
+// Began records that a request got its first event from a target.
+func (g *Guard) Began(parts []string) {
+	if len(parts) == 0 {
+		return
+	}
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, opened := range g.evidence.Began(now, bounded(parts)) {
+		g.logOpened("own", &opened)
+		g.keeper.save(opened)
+	}
+}
+
+// Since returns what has changed since a version, nil if nothing has.
+func (g *Guard) Since(version uint64) *Report {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.evidence.Since(time.Now(), version)
+}
+
+// Merge applies a report of another instance.
+func (g *Guard) Merge(from string, report *Report) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	closed, opened := g.evidence.Merge(time.Now(), report)
+	for i := range closed {
+		g.anyClosed.Store(true)
+		g.logClosed(from, &closed[i])
+	}
+	for i := range opened {
+		g.logOpened(from, &opened[i])
+	}
+	if len(report.Crashes) > 0 {
+		g.wake()
+	}
+}
+
+// ClosedParts returns what is closed.
+func (g *Guard) ClosedParts() []Closure {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.evidence.ClosedParts(time.Now())
+}
+
+func (g *Guard) wake() {
+	select {
+	case g.changed <- struct{}{}:
+	default:
+	}
+}
+
+// String returns the name of the background service.
+func (g *Guard) String() string { return "quarantine" }
+
+// Serve closes parts when the evidence suffices, until ctx ends.
+func (g *Guard) Serve(ctx context.Context) error {
+	for {
+		timer := time.NewTimer(g.evaluate())
+		select {
+		case <-timer.C:
+		case <-g.changed:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+}
+
+// evaluate closes parts and returns the time until the next evaluation.
+func (g *Guard) evaluate() time.Duration {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, closed := range g.evidence.Evaluate(now) {
+		g.logClosed("evidence", &closed)
+		// All instances come to the same result; those that saw the crashes write it.
+		if slices.Contains(closed.SeenBy, g.opts.Self) {
+			g.keeper.save(closed)
+		}
+	}
+	g.anyClosed.Store(len(g.evidence.closures) > 0)
+	if at, waiting := g.evidence.Settled(now); waiting {
+		return at.Sub(now)
+	}
+	return idleInterval
+}
+
+// logClosed, logOpened and logTrial log a change of closed parts. from is where it is known from.
+func (g *Guard) logClosed(from string, c *Closure) {
+	g.logClosure([]any{"event", "part_closed", "from", from}, c)
+}
+
+func (g *Guard) logOpened(from string, c *Closure) {
+	g.logClosure([]any{"event", "part_opened", "from", from}, c)
+}
+
+func (g *Guard) logTrial(c *Closure) { g.logClosure([]any{"event", "part_trial"}, c) }
+
+func (g *Guard) logClosure(event []any, c *Closure) {
+	_ = level.Warn(g.opts.Logger).Log(append(event, c.LogFields()...)...)
+}
+
+// LogFields returns the fields that log lines have about closed parts.
+func (c *Closure) LogFields() []any {
+	return []any{
+		"closed_parts", strings.Join(c.Parts, ","), "crashes", c.Crashes, "targets", strings.Join(c.Targets, ","),
+		"seen_by", strings.Join(c.SeenBy, ","), "closed_ms", c.ClosedAge.Milliseconds(),
+		"last_crash_ms", c.LastCrashAge.Milliseconds(), "trials", c.Trials,
+	}
+}
--- /dev/null
+++ b/internal/coordination/routed/quarantine/messages.go
@@ -0,0 +1,63 @@
+package quarantine
+
+import "time"
+
+// Report carries what an instance has learned to another one. It is part of a heartbeat and
+// encoded with gob, so the field names of the types in this file are part of the wire format.
+// Ages are counted back from when the report was made.
+type Report struct {
+	// Version is the sender's version after the last change in the report. The receiver names it
+	// to get what came after.
+	Version  uint64
+	Crashes  []Crash
+	Began    []FirstEvent
+	Closures []Closure
+}
+
+// Crash is the end of one incarnation of a target while requests waited there for their first
+// event.
+type Crash struct {
+	Target string
+	// Started is the start of the target's incarnation in Unix milliseconds, by its own clock.
+	Started int64
+	// Parts are the suspects, sorted.
+	Parts []string
+	// SeenBy are instances that lost requests there.
+	SeenBy []string
+	Age    time.Duration
+}
+
+// FirstEvent tells when a request with a part last got its first event.
+type FirstEvent struct {
+	Part string
+	Age  time.Duration
+}
+
+// Closure is a set of parts whose requests are rejected. A request is concerned if its prompt has
+// all of them.
+type Closure struct {
+	// Parts are sorted. There is more than one if no crash tells them apart.
+	Parts []string
+	// Crashes is the number of crashes that closed them, Targets some of the targets, SeenBy
+	// some of the instances that saw them.
+	Crashes int
+	Targets []string
+	SeenBy  []string
+	// ClosedAge is the time since the parts were closed, LastCrashAge that since the last crash.
+	ClosedAge, LastCrashAge time.Duration
+	// Trials is the number of trials that ended with a crash.
+	Trials int
+	// Opened reports that a request with the parts got its first event OpenedAge ago.
+	Opened    bool
+	OpenedAge time.Duration
+	// TrialBy is the instance that claims the next trial, empty if none does, since TrialAge.
+	TrialBy  string
+	TrialAge time.Duration
+}
+
+// Position is how far an instance has read the reports of another one.
+type Position struct {
+	// Start identifies the incarnation of the other instance.
+	Start   int64
+	Version uint64
+}
--- /dev/null
+++ b/internal/coordination/routed/quarantine/reports.go
@@ -0,0 +1,114 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Since returns what has changed since a version, nil if nothing has. Version 0 returns all.
+func (e *Evidence) Since(now time.Time, version uint64) *Report {
+	if e.version == version {
+		return nil
+	}
+	if version > e.version {
+		// The reader has read another incarnation.
+		version = 0
+	}
+	report := &Report{Version: e.version}
+	for _, c := range e.crashes.byTime() {
+		if c.changed > version {
+			report.Crashes = append(report.Crashes, c.report(now))
+		}
+	}
+	for part, event := range e.began {
+		if event.changed > version {
+			report.Began = append(report.Began, FirstEvent{Part: part, Age: now.Sub(event.at)})
+		}
+	}
+	slices.SortFunc(report.Began, func(a, b FirstEvent) int { return cmp.Compare(a.Part, b.Part) })
+	for _, c := range e.closures {
+		if c.changed > version {
+			report.Closures = append(report.Closures, c.report(now))
+		}
+	}
+	slices.SortFunc(report.Closures, func(a, b Closure) int { return cmp.Compare(keyOf(a.Parts), keyOf(b.Parts)) })
+	return report
+}
+
+// Merge applies a report of another instance. It returns what was closed and opened by it.
+func (e *Evidence) Merge(now time.Time, report *Report) (closed, opened []Closure) {
+	for i := range report.Crashes {
+		c := &report.Crashes[i]
+		if c.Age >= 0 && c.Age < crashTTL {
+			e.addCrash(now.Add(-c.Age), incarnation{c.Target, c.Started}, c.Parts, c.SeenBy)
+		}
+	}
+	for _, event := range report.Began {
+		if event.Age >= 0 && e.crashes.names(event.Part) {
+			e.mergeBeganLater(event.Part, now.Add(-event.Age))
+		}
+	}
+	for i := range report.Closures {
+		was, is := e.mergeClosure(now, &report.Closures[i])
+		switch {
+		case is && !was:
+			closed = append(closed, report.Closures[i])
+		case was && !is:
+			opened = append(opened, report.Closures[i])
+		}
+	}
+	return closed, opened
+}
+
+// mergeBeganLater records a first event that another instance reports, unless it is one that is
+// known already and has come here on two ways.
+func (e *Evidence) mergeBeganLater(part string, at time.Time) {
+	if at.After(e.began[part].at.Add(ageTolerance)) || e.isSuspectBetween(part, e.began[part].at, at) {
+		e.mergeBegan(part, at)
+	}
+}
+
+// isSuspectBetween reports whether a part is a suspect of a crash between two times.
+func (e *Evidence) isSuspectBetween(part string, from, to time.Time) bool {
+	for _, c := range e.crashes.crashes {
+		if c.parts[part] && c.at.After(from) && !c.at.After(to) {
+			return true
+		}
+	}
+	return false
+}
+
+// mergeClosure applies a closure that another instance reports. It returns whether the parts were
+// closed before and are now.
+func (e *Evidence) mergeClosure(now time.Time, reported *Closure) (was, is bool) {
+	if len(reported.Parts) == 0 || reported.LastCrashAge > closureTTL || reported.LastCrashAge < 0 {
+		return false, false
+	}
+	key := keyOf(reported.Parts)
+	known := e.closures[key]
+	if known == nil {
+		if !e.hasRoom() {
+			return false, false
+		}
+		known = fromReport(now, reported)
+		known.changed = e.nextVersion()
+		e.closures[key] = known
+		return false, known.closed()
+	}
+	was = known.closed()
+	if known.merge(now, reported) {
+		known.changed = e.nextVersion()
+	}
+	return was, known.closed()
+}
+
+// Adopt applies a closure that the store has, unless this instance knows the same one: the times
+// of the store are by the clock of the instance that wrote it. It reports whether it was adopted.
+func (e *Evidence) Adopt(now time.Time, stored *Closure) bool {
+	if e.closures[keyOf(stored.Parts)] != nil {
+		return false
+	}
+	_, is := e.mergeClosure(now, stored)
+	return is
+}
--- a/internal/coordination/routed/relay/forward.go
+++ b/internal/coordination/routed/relay/forward.go
@@ -34,6 +34,7 @@
 	}
 	answer.Close()
 	if err == nil {
+		c.opts.Quarantine.Began(c.parts)
 		c.opts.Placer.Done(choice, placement.Served)
 		c.outcome.Reason = Relayed
 		return finish
@@ -48,6 +49,7 @@
 		return finish
 	}
 	c.opts.Placer.Done(choice, monitor.result(placement.Broken))
+	c.reportLost(choice, err)
 	return c.afterLostAnswer(choice, external.EndOf(err), "err", err)
 }
 
@@ -69,6 +71,9 @@
 			return err
 		}
 		monitor.progress()
+		if c.attemptEvents == 0 {
+			c.opts.Quarantine.Began(c.parts)
+		}
 		now := time.Now()
 		if !last.IsZero() {
 			eventGap.Update(now.Sub(last).Seconds())
--- a/internal/coordination/routed/relay/outcome.go
+++ b/internal/coordination/routed/relay/outcome.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"merlintiller/internal/coordination/routed/origin"
+	"merlintiller/internal/coordination/routed/quarantine"
 )
 
 // Reason is the cause of a request's outcome.
@@ -22,6 +23,9 @@
 	// VersionGone: no target has the software version at which the stream began. The request
 	// did not run.
 	VersionGone Reason = "version_gone"
+	// PartClosed: parts of the prompt are closed, since targets crash when they begin to answer
+	// requests with them.
+	PartClosed Reason = "part_closed"
 	// AllFull: no target had a free slot in time. The request did not run.
 	AllFull Reason = "all_full"
 	// NotAccepted: each target that was tried rejected the request or could not
@@ -71,6 +75,8 @@
 	Events int
 	// Origin is what is known about the beginning of a stream.
 	Origin origin.Origin
+	// Closure is what is known of the closed parts of the prompt, nil if none are closed.
+	Closure *quarantine.Closure
 }
 
 // Completed reports whether the caller received the complete answer.
@@ -90,7 +96,7 @@
 			return http.StatusServiceUnavailable
 		}
 		return http.StatusGatewayTimeout
-	case Interrupted:
+	case Interrupted, PartClosed:
 		if o.PossibleRuns == 0 {
 			return http.StatusServiceUnavailable
 		}
--- /dev/null
+++ b/internal/coordination/routed/relay/quarantine.go
@@ -0,0 +1,46 @@
+package relay
+
+import (
+	"time"
+
+	"merlintiller/internal/coordination/routed/placement"
+	"merlintiller/internal/coordination/routed/quarantine"
+	"merlintiller/internal/external"
+)
+
+// isClosed reports whether the request may go to no target, since parts of its prompt are closed,
+// and sets the outcome if so. A request that is the trial of closed parts may go to one target.
+func (c *call) isClosed() bool {
+	if c.isTrial && c.outcome.Attempts == 0 {
+		return false
+	}
+	decision := c.opts.Quarantine.Check(c.parts)
+	if decision.Trial {
+		c.isTrial = true
+		c.outcome.Closure = &decision.Closure
+	}
+	if !decision.Closed {
+		return false
+	}
+	c.outcome.Closure = &decision.Closure
+	c.outcome.Reason = PartClosed
+	switch {
+	case c.headSent:
+		c.outcome.Reason = Truncated
+	case c.outcome.PossibleRuns == 0:
+		c.outcome.RetryAfter = decision.RetryAfter
+	}
+	return true
+}
+
+// reportLost reports a request that was lost before its first event because its target closed the
+// connection.
+func (c *call) reportLost(choice placement.Choice, err error) {
+	end := external.EndOf(err)
+	if c.attemptEvents > 0 || end != external.EndClosed && end != external.EndReset {
+		return
+	}
+	c.opts.Quarantine.Lost(quarantine.LostRequest{
+		Target: choice.ID, Address: choice.Address, Started: choice.Started, Parts: c.parts, At: time.Now(),
+	})
+}
--- /dev/null
+++ b/internal/coordination/routed/relay/quarantine_test.go
@@ -0,0 +1,170 @@
+package relay
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/coordination/routed/placement"
+	"merlintiller/internal/coordination/routed/quarantine"
+	"merlintiller/internal/external"
+	"merlintiller/internal/protocol/exchange"
+	"merlintiller/internal/state/route"
+)
+
+// scriptedQuarantine returns decisions in their order, the last one for all further checks.
+type scriptedQuarantine struct {
+	decisions []quarantine.Decision
+	checked   int
+	began     int
+	lost      []quarantine.LostRequest
+}
+
+func (q *scriptedQuarantine) Check([]string) quarantine.Decision {
+	if len(q.decisions) == 0 {
+		return quarantine.Decision{}
+	}
+	q.checked++
+	return q.decisions[min(q.checked, len(q.decisions))-1]
+}
+func (q *scriptedQuarantine) Began([]string)                   { q.began++ }
+func (q *scriptedQuarantine) Lost(lost quarantine.LostRequest) { q.lost = append(q.lost, lost) }
+
+// quarantine returns the quarantine of the test, one that closes nothing if it has none.
+func (f *scriptedFleet) quarantine() Quarantine {
+	if f.guard == nil {
+		f.guard = &scriptedQuarantine{}
+	}
+	return f.guard
+}
+
+var (
+	partOpen   = quarantine.Decision{}
+	partClosed = quarantine.Decision{Closed: true, Closure: quarantine.Closure{Parts: []string{"p"}}, RetryAfter: time.Minute}
+	partTrial  = quarantine.Decision{Trial: true, Closure: quarantine.Closure{Parts: []string{"p"}}}
+	// crashed is a target that closes the connection before its first event.
+	crashed = scriptedAnswer{reply: exchange.Reply{Status: http.StatusOK}, readErr: io.ErrUnexpectedEOF}
+)
+
+func promptRequest() *exchange.Request {
+	return &exchange.Request{ID: "r", Method: http.MethodPost, After: exchange.FromStart, Prompt: exchange.Prompt{
+		Parts: []exchange.PromptPart{{ID: "f", Tokens: 200}, {ID: "p", Tokens: 100}, {ID: "own", Tokens: 10}},
+	}}
+}
+
+// Guards against requests with a closed part that wait for a slot, or that are told that they may
+// have run.
+func TestRequestWithClosedPartIsRejectedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &scriptedFleet{guard: &scriptedQuarantine{decisions: []quarantine.Decision{partClosed}}}
+		outcome, _, took := serveRequest(t, resumableRoute, f, promptRequest())
+		require.Equal(t, PartClosed, outcome.Reason)
+		require.Equal(t, http.StatusServiceUnavailable, outcome.Status)
+		require.Equal(t, time.Minute, outcome.RetryAfter)
+		require.Equal(t, []string{"p"}, outcome.Closure.Parts)
+		require.Zero(t, took)
+		require.Empty(t, f.requirements)
+	})
+}
+
+// Guards against a request that goes to a target although its part was closed while it waited for
+// a slot.
+func TestPartClosedWhileRequestWaitsForSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &scriptedFleet{guard: &scriptedQuarantine{decisions: []quarantine.Decision{partOpen, partClosed}}}
+		outcome, _, _ := serveRequest(t, atMostOnceRoute, f, promptRequest())
+		require.Equal(t, PartClosed, outcome.Reason)
+		require.Equal(t, http.StatusServiceUnavailable, outcome.Status)
+		require.Equal(t, []placement.Result{placement.Cancelled}, f.results)
+		require.Empty(t, f.sent)
+	})
+}
+
+// Guards against a repeat at a further target once the part is closed, and against a status that
+// says that the request did not run.
+func TestRequestIsNotRepeatedOncePartIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &scriptedFleet{
+			script: []scriptedAnswer{crashed}, guard: &scriptedQuarantine{decisions: []quarantine.Decision{partOpen, partOpen, partClosed}},
+		}
+		outcome, _, _ := serveRequest(t, resumableRoute, f, promptRequest())
+		require.Equal(t, PartClosed, outcome.Reason)
+		require.Equal(t, http.StatusBadGateway, outcome.Status)
+		require.Zero(t, outcome.RetryAfter)
+		require.Len(t, f.sent, 1)
+	})
+}
+
+// Guards against a stream that goes on at further targets once its part is closed, and against an
+// end of it that looks complete.
+func TestResumedStreamWithClosedPartIsCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &scriptedFleet{
+			script: []scriptedAnswer{truncatedAfter(3)}, guard: &scriptedQuarantine{decisions: []quarantine.Decision{partOpen, partOpen, partClosed}},
+		}
+		outcome, received, _ := serveRequest(t, resumableRoute, f, promptRequest())
+		require.Equal(t, Truncated, outcome.Reason)
+		require.Equal(t, events(0, 3), received.body.String())
+		require.Len(t, f.sent, 1)
+
+		resumed := promptRequest()
+		resumed.After, resumed.Resumes = 2, "r0"
+		f = &scriptedFleet{guard: &scriptedQuarantine{decisions: []quarantine.Decision{partClosed}}}
+		outcome, _, _ = serveRequest(t, resumableRoute, f, resumed)
+		require.Equal(t, PartClosed, outcome.Reason)
+		require.Equal(t, http.StatusServiceUnavailable, outcome.Status)
+	})
+}
+
+// Guards against a trial of closed parts that crashes more than one target.
+func TestTrialGoesToOneTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &scriptedFleet{
+			script: []scriptedAnswer{crashed}, guard: &scriptedQuarantine{decisions: []quarantine.Decision{partTrial, partClosed}},
+		}
+		outcome, _, _ := serveRequest(t, resumableRoute, f, promptRequest())
+		require.Equal(t, http.StatusBadGateway, outcome.Status)
+		require.Len(t, f.sent, 1)
+	})
+}
+
+// Guards against lost answers that count as evidence although events came before, this instance
+// ended the exchange, or nothing was sent, and against parts that count as suspects though an
+// answer began.
+func TestOnlyRequestsLostBeforeTheirFirstEventAreReported(t *testing.T) {
+	reset := scriptedAnswer{err: fmt.Errorf("%w: %w", external.ErrMayHaveRun, syscall.ECONNRESET)}
+	for name, c := range map[string]struct {
+		script      []scriptedAnswer
+		route       route.Route
+		lost, began int
+	}{
+		"closed after the head":   {[]scriptedAnswer{crashed}, atMostOnceRoute, 1, 0},
+		"reset before the head":   {[]scriptedAnswer{reset}, atMostOnceRoute, 1, 0},
+		"both targets":            {[]scriptedAnswer{crashed, reset}, resumableRoute, 2, 0},
+		"after events":            {[]scriptedAnswer{truncatedAfter(2)}, atMostOnceRoute, 0, 1},
+		"rejected, then answered": {[]scriptedAnswer{unreachable, notRun, streamOf(0, 2)}, atMostOnceRoute, 0, 1},
+		"silent":                  {[]scriptedAnswer{{neverAnswers: true}}, atMostOnceRoute, 0, 0},
+		"status without events":   {[]scriptedAnswer{{reply: exchange.Reply{Status: http.StatusInternalServerError}, body: "x"}}, atMostOnceRoute, 0, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &scriptedFleet{script: c.script}
+				serveRequest(t, c.route, f, promptRequest())
+				require.Len(t, f.guard.lost, c.lost)
+				require.GreaterOrEqual(t, f.guard.began, c.began)
+				if c.began == 0 {
+					require.Zero(t, f.guard.began)
+				}
+				for _, lost := range f.guard.lost {
+					require.Equal(t, []string{"f", "p"}, lost.Parts)
+				}
+			})
+		})
+	}
+}
--- a/internal/coordination/routed/relay/relay.go
+++ b/internal/coordination/routed/relay/relay.go
@@ -10,6 +10,7 @@
 
 	"merlintiller/internal/coordination/routed/origin"
 	"merlintiller/internal/coordination/routed/placement"
+	"merlintiller/internal/coordination/routed/quarantine"
 	"merlintiller/internal/external"
 	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/state/route"
@@ -65,6 +66,17 @@
 	Find(ctx context.Context, service, stream string) origin.Origin
 }
 
+// Quarantine decides which requests may go to targets.
+type Quarantine interface {
+	// Check decides on a request whose prompt has the given shared parts.
+	Check(parts []string) quarantine.Decision
+	// Began records that a target answered such a request: with the first event of a stream, or
+	// with a whole answer.
+	Began(parts []string)
+	// Lost records that a target closed the connection of such a request before that.
+	Lost(quarantine.LostRequest)
+}
+
 // Sink writes an answer to the caller.
 type Sink interface {
 	// SendHead sends the status and the headers.
@@ -75,10 +87,11 @@
 
 // Options configure a Relay.
 type Options struct {
-	Targets external.Sender
-	Placer  Placer
-	Origins Origins
-	Logger  log.Logger
+	Targets    external.Sender
+	Placer     Placer
+	Origins    Origins
+	Quarantine Quarantine
+	Logger     log.Logger
 }
 
 // Relay serves online requests. It is safe for concurrent use.
@@ -104,7 +117,7 @@
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
 	c := &call{Relay: r, RoutedRequest: request, sink: sink, lastEvent: request.Request.After, parts: request.Request.Prompt.SharedParts()}
-	if c.findOrigin(ctx) {
+	if !c.isClosed() && c.findOrigin(ctx) {
 		c.run(ctx)
 	}
 	c.outcome.Origin = c.origin
@@ -133,6 +146,8 @@
 	parts []string
 	// attemptEvents is the number of stream events that the current attempt brought.
 	attemptEvents int
+	// isTrial is set if the request is the trial of closed parts: it goes to one target.
+	isTrial bool
 	// failover is the target that the stall monitor reserved for the next
 	// attempt, nil if there is none.
 	failover *placement.Choice
@@ -153,6 +168,10 @@
 // run makes attempts until the outcome is final.
 func (c *call) run(ctx context.Context) {
 	for len(c.tried) < maxPlacements {
+		if len(c.tried) > 0 && c.isClosed() {
+			c.releaseFailover()
+			return
+		}
 		choice, ok := c.nextTarget(ctx)
 		if !ok {
 			if !c.contextEnded(ctx) {
@@ -160,6 +179,11 @@
 			}
 			return
 		}
+		if c.isClosed() {
+			// The parts were closed while the request waited for a slot.
+			c.opts.Placer.Done(choice, placement.Cancelled)
+			return
+		}
 		c.tried = append(c.tried, choice.ID)
 		if !c.origin.Allows(choice.Version) {
 			c.opts.Placer.Done(choice, placement.Cancelled)
@@ -309,6 +333,7 @@
 		return tryNext
 	}
 	c.opts.Placer.Done(choice, monitor.result(placement.Broken))
+	c.reportLost(choice, err)
 	return c.afterLostAnswer(choice, external.EndOf(err), "err", err)
 }
 
--- a/internal/coordination/routed/relay/relay_test.go
+++ b/internal/coordination/routed/relay/relay_test.go
@@ -54,6 +54,7 @@
 	// receivedAtBegin is what the caller had received when a stream began.
 	receivedAtBegin *caller
 	beganUnseen     bool
+	guard           *scriptedQuarantine
 }
 
 // Began implements Origins.
@@ -208,7 +209,7 @@
 	now := time.Now()
 	received := &caller{}
 	f.receivedAtBegin = received
-	relay := New(Options{Targets: f, Placer: f, Origins: f, Logger: log.NewNopLogger()})
+	relay := New(Options{Targets: f, Placer: f, Origins: f, Quarantine: f.quarantine(), Logger: log.NewNopLogger()})
 	outcome := relay.Serve(t.Context(), &RoutedRequest{
 		Request: request, Route: &r, Service: "s", ReceivedAt: now, Deadline: now.Add(requestTime),
 	}, received)
--- a/internal/coordination/routed/relay/stream_test.go
+++ b/internal/coordination/routed/relay/stream_test.go
@@ -77,7 +77,7 @@
 func TestReservedTargetOfOtherVersionIsNotUsed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &scriptedFleet{reserved: &roster.Target{ID: "x", Version: "v2"}}
-		c := &call{Relay: New(Options{Targets: f, Placer: f, Origins: f}), RoutedRequest: &RoutedRequest{Route: &resumableRoute, Request: &exchange.Request{}}}
+		c := &call{Relay: New(Options{Targets: f, Placer: f, Origins: f, Quarantine: f.quarantine()}), RoutedRequest: &RoutedRequest{Route: &resumableRoute, Request: &exchange.Request{}}}
 		monitor := c.monitorStalls(t.Context(), placement.Choice{})
 		monitor.onTimeout()
 		c.streamBegins(placement.Choice{Target: roster.Target{ID: "t0", Version: "v1"}}, monitor)
--- a/internal/daemon/routed/crashingparts_test.go
+++ b/internal/daemon/routed/crashingparts_test.go
@@ -191,7 +191,7 @@
 	return count
 }
 
-var closedPart = regexp.MustCompile(`event=part_closed parts=(\S+)`)
+var closedPart = regexp.MustCompile(`event=part_closed from=\S+ closed_parts=(\S+)`)
 
 // closedParts returns the parts that instances closed.
 func (f *crashFleet) closedParts() map[string]int {
@@ -252,9 +252,7 @@
 					require.GreaterOrEqual(t, got.crashes, 4)
 					require.LessOrEqual(t, got.reached, toleratedRequests)
 					require.GreaterOrEqual(t, got.after, soundShare*got.before)
-					for part := range got.closed {
-						require.Equal(t, crashingPart, part)
-					}
+					require.Equal(t, map[string]int{crashingPart: len(f.instances)}, got.closed)
 				})
 			})
 		}
--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -19,6 +19,7 @@
 	"merlintiller/internal/coordination/routed/mesh"
 	"merlintiller/internal/coordination/routed/origin"
 	"merlintiller/internal/coordination/routed/placement"
+	"merlintiller/internal/coordination/routed/quarantine"
 	"merlintiller/internal/coordination/routed/quota"
 	"merlintiller/internal/coordination/routed/relay"
 	"merlintiller/internal/external"
@@ -32,10 +33,12 @@
 )
 
 const (
-	// jobsTopic holds batch jobs, instancesTopic the list of instances.
-	jobsTopic      = "keyed.jobs"
-	instancesTopic = "keyed.instances"
-	jobsGroup      = "jobs"
+	// jobsTopic holds batch jobs, instancesTopic the list of instances, quarantineTopic the closed
+	// parts of prompts.
+	jobsTopic       = "keyed.jobs"
+	instancesTopic  = "keyed.instances"
+	quarantineTopic = "keyed.quarantine"
+	jobsGroup       = "jobs"
 	// heapShareOfMemory is the share of the configured memory that is set as the soft
 	// memory limit of the Go runtime.
 	heapShareOfMemory = 0.6
@@ -58,6 +61,7 @@
 	limiter        *quota.Limiter
 	mesh           *mesh.Mesh
 	origins        *origin.Registry
+	quarantine     *quarantine.Guard
 	peerServer     *peer.Server
 	peerClient     *peer.Client
 	partitionOwner *batchjobs.PartitionOwner
@@ -100,6 +104,10 @@
 	d.limiter = quota.NewLimiter(d.self.Name)
 	d.killed, d.kill = context.WithCancel(context.Background())
 	d.placer = placement.NewPlacer(d.self.Domain, d.targets.Connected, xxhash.Sum64String(d.self.Name))
+	d.quarantine = quarantine.New(quarantine.Options{
+		Self: d.self.Name, Targets: d.targets, Store: d.store, Partition: external.Partition{Topic: quarantineTopic},
+		Seed: xxhash.Sum64String(d.self.Name), Logger: logger,
+	})
 	d.setupView()
 	if err := d.setupPeers(); err != nil {
 		return nil, trace.Wrap(err)
@@ -181,7 +189,7 @@
 		Log: d.store, Groups: d.store, Peers: d.mesh, Caller: d.peerClient,
 		Table: d.view.Table, StoreAge: d.view.StoreAge, StoreAnswered: d.view.StoreAnswered,
 		Targets: d.targets, Placer: d.brokerClient, OnlyVersion: d.origins.OnlyVersion,
-		SharedParts: platform.SharedParts, Logger: d.logger,
+		SharedParts: platform.SharedParts, Quarantine: d.quarantine, Logger: d.logger,
 	}
 	d.runner = batchjobs.NewRunner(opts)
 	d.partitionOwner = batchjobs.NewPartitionOwner(opts, d.runner)
@@ -198,7 +206,7 @@
 		},
 		Table: d.view.Table,
 		Quota: d.limiter,
-		Relay: relay.New(relay.Options{Targets: d.targets, Placer: d.brokerClient, Origins: d.origins, Logger: d.logger}),
+		Relay: relay.New(relay.Options{Targets: d.targets, Placer: d.brokerClient, Origins: d.origins, Quarantine: d.quarantine, Logger: d.logger}),
 		Jobs:  d.jobService, JobsUnavailable: d.isolation.jobRetryAfter, Logger: d.logger,
 	})
 }
@@ -233,6 +241,9 @@
 	d.supervisor.Add(d.broker)
 	d.supervisor.Add(d.brokerClient)
 	d.supervisor.Add(d.origins)
+	d.supervisor.Add(d.quarantine)
+	d.supervisor.Add(d.quarantine.Checker())
+	d.supervisor.Add(d.quarantine.Keeper())
 	d.supervisor.Add(&broker.Sweeper{
 		Broker: d.broker, IsBroker: d.brokerClient.IsBroker, Targets: d.targets, FilterOrphans: d.jobService.Orphans, Logger: d.logger,
 	})
--- a/internal/daemon/routed/delegate.go
+++ b/internal/daemon/routed/delegate.go
@@ -6,6 +6,7 @@
 	"github.com/go-kit/log/level"
 
 	"merlintiller/internal/coordination/routed/mesh"
+	"merlintiller/internal/coordination/routed/quarantine"
 	"merlintiller/internal/coordination/routed/quota"
 )
 
@@ -100,6 +101,16 @@
 	_ = level.Info(m.logger).Log("event", "rate_levels", "from", from, "instances", 1+len(m.mesh.Peers()), "config", m.view.Version())
 }
 
+// QuarantineSince implements mesh.Delegate.
+func (m *meshDelegate) QuarantineSince(version uint64) *quarantine.Report {
+	return m.quarantine.Since(version)
+}
+
+// QuarantineReceived implements mesh.Delegate.
+func (m *meshDelegate) QuarantineReceived(from string, report *quarantine.Report) {
+	m.quarantine.Merge(from, report)
+}
+
 // FleetKnown implements mesh.Delegate.
 func (m *meshDelegate) FleetKnown() { m.limiter.SetFleetKnown() }
 
--- a/internal/explain/causes.go
+++ b/internal/explain/causes.go
@@ -315,6 +315,8 @@
 			text += "; it would have had to be one of software version " + r.Fields["stream_version"]
 		}
 		return text
+	case "part_closed":
+		return describeClosure(r)
 	case "interrupted":
 		return "the instance exited before the answer was complete"
 	case "timed_out":
@@ -324,6 +326,26 @@
 	}
 }
 
+// describeClosure says why requests with some parts in their prompts are rejected.
+func describeClosure(r *Record) string {
+	return fmt.Sprintf("targets crash when they begin to answer requests with the prompt parts %s: %s; the parts may be tried again in %s",
+		r.Fields["closed_parts"], describeEvidence(r), seconds(r.Number("retry_ms")))
+}
+
+// describeEvidence gives the crashes that closed some parts.
+func describeEvidence(r *Record) string {
+	return fmt.Sprintf("%s targets (%s) crashed under them, seen by %s, the last one %s ago, and no request with them got an event since",
+		r.Fields["crashes"], r.Fields["targets"], r.Fields["seen_by"], seconds(r.Number("last_crash_ms")))
+}
+
+// describeCrashCheck gives the result of the check of a target that lost an answer.
+func describeCrashCheck(r *Record) string {
+	if r.Fields["crashed"] == "true" {
+		return fmt.Sprintf("target %s crashed while %s requests with the prompt parts %s waited there for their first event", r.Fields["target"], r.Fields["requests"], r.Fields["parts"])
+	}
+	return fmt.Sprintf("target %s only lost an answer: its process runs", r.Fields["target"])
+}
+
 // explainMissingEnd says why the logs may not record the end of a request that
 // was sent to a target.
 func explainMissingEnd(last *Record, logs *Logs) string {
@@ -383,6 +405,14 @@
 		return fmt.Sprintf("configuration %s took effect, from %s", r.Fields["version"], r.Fields["from"])
 	case "rate_levels":
 		return fmt.Sprintf("has the levels of the rates from %s, knows %s instances", r.Fields["from"], r.Fields["instances"])
+	case "part_closed":
+		return fmt.Sprintf("the prompt parts %s were closed, known from %s: %s", r.Fields["closed_parts"], r.Fields["from"], describeEvidence(r))
+	case "part_opened":
+		return fmt.Sprintf("the prompt parts %s were opened: a request with them got its first event", r.Fields["closed_parts"])
+	case "part_trial":
+		return fmt.Sprintf("one request may try the closed prompt parts %s", r.Fields["closed_parts"])
+	case "target_crash_checked":
+		return describeCrashCheck(r)
 	case "store_watch_failed":
 		return fmt.Sprintf("the store did not answer (%s)", innermostError(r))
 	case "store_back":
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -166,3 +166,18 @@
 	})
 	require.Contains(t, logs.Explain("r1").Causes[0], "it closed the connection after 0 events, with the prompt parts f1,b7")
 }
+
+// Guards against a refusal from which nobody finds the part of the prompt, and the crashes that closed it.
+func TestRefusalLeadsToClosedPartAndItsCrashes(t *testing.T) {
+	logs := readLogs(t, map[string]string{
+		"a": `
+at=2026-12-03T10:00:00Z event=request request=r1 outcome=failed reason=part_closed status=502 took_ms=90 runs=1 closed_parts=b7 crashes=4 targets=t-4,t-3 seen_by=a,c last_crash_ms=700 retry_ms=0
+at=2026-12-03T10:00:03Z event=request request=r2 outcome=refused reason=part_closed status=503 took_ms=0 runs=0 closed_parts=b7 crashes=4 targets=t-4,t-3 seen_by=a,c last_crash_ms=3700 retry_ms=116000
+at=2026-12-03T09:59:59.5Z event=target_crash_checked target=t-4 crashed=true parts=b7,f1 requests=2
+at=2026-12-03T09:59:59.6Z event=part_closed from=c closed_parts=b7 crashes=4 targets=t-4,t-3 seen_by=a,c last_crash_ms=700
+`})
+	requireCause(t, logs.Explain("r1"), "prompt parts b7", "4 targets (t-4,t-3) crashed", "seen by a,c", "0.70 s ago")
+	requireCause(t, logs.Explain("r1"), "target t-4 crashed while 2 requests with the prompt parts b7,f1")
+	requireCause(t, logs.Explain("r1"), "closed, known from c")
+	requireCause(t, logs.Explain("r2"), "may be tried again in 116.00 s")
+}
--- a/internal/transport/front/online.go
+++ b/internal/transport/front/online.go
@@ -96,11 +96,17 @@
 	case o.PossibleRuns > 0:
 		outcome = "failed"
 	}
-	c.log(outcome, o.Status, string(o.Reason), "target", o.Target, "attempts", o.Attempts, "runs", o.PossibleRuns,
+	fields := []any{
+		"target", o.Target, "attempts", o.Attempts, "runs", o.PossibleRuns,
 		"waited_ms", o.PlacementTime.Milliseconds(), "busy", o.Busy, "slots", o.Slots, "broker", o.Broker,
 		"first_byte_ms", o.TimeToFirstByte.Milliseconds(), "events", o.Events, "retry_ms", o.RetryAfter.Milliseconds(),
 		"resumes", c.request.Resumes, "stream_version", o.Origin.Version, "version_source", o.Origin.Source,
-		"version_age_ms", o.Origin.Age.Milliseconds())
+		"version_age_ms", o.Origin.Age.Milliseconds(),
+	}
+	if o.Closure != nil {
+		fields = append(fields, o.Closure.LogFields()...)
+	}
+	c.log(outcome, o.Status, string(o.Reason), fields...)
 	switch {
 	case o.Completed():
 	case o.AnswerStarted(), o.Reason == relay.CallerDisconnected:
--- a/internal/transport/targetconn/client.go
+++ b/internal/transport/targetconn/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -73,6 +74,18 @@
 // Forget closes the idle connections to an address.
 func (c *Client) Forget(address string) { c.pool.closeIdle(address) }
 
+// Refuses reports whether an address refuses connections, so that no process listens there. A
+// connection that is accepted is kept for the next request.
+func (c *Client) Refuses(ctx context.Context, address string) bool {
+	socket, err := c.pool.dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	connectionsOpened.Inc()
+	c.pool.put(newConn(address, socket))
+	return false
+}
+
 // openResponse is a response whose body is still to be read.
 type openResponse struct {
 	reply exchange.Reply
