Closed parts are read from the store before requests are served; tests at scale and beside trouble

After a restart of all instances beside a silent store, the configuration came from a peer 0.6 s before the next read of the closed parts, and two requests with the part reached targets.

--- a/internal/coordination/routed/mesh/ratefleet_test.go
+++ b/internal/coordination/routed/mesh/ratefleet_test.go
@@ -66,6 +66,12 @@
 	storeDown func(Instance) bool
 	storeCall time.Duration
 
+	// guardFor, if set, returns the guard of a process against parts that crash targets.
+	guardFor func(ctx context.Context, name string) *quarantine.Guard
+	// onReport, if set, is called for each quarantine report that an instance sends, nil if a
+	// message has none.
+	onReport func(from string, report *quarantine.Report)
+
 	runs    map[string][]run
 	asked   map[string]int
 	refused map[string]int
@@ -107,7 +113,14 @@
 }
 
 func newRateFleet(t *testing.T, seed uint64, size int, limits map[string]quota.Limit) *rateFleet {
+	return newGuardedFleet(t, seed, size, limits, nil)
+}
+
+// newGuardedFleet returns a fleet whose processes have guards.
+func newGuardedFleet(t *testing.T, seed uint64, size int, limits map[string]quota.Limit, guardFor func(context.Context, string) *quarantine.Guard) *rateFleet {
 	f := &rateFleet{
+		guardFor: guardFor,
+
 		t: t, random: rand.New(rand.NewPCG(seed, 44)), load: map[string]float64{}, at: map[string]*process{},
 		list: map[string]Instance{}, limits: limits, version: 1, storeCall: storeCall,
 		history: []publishedLimits{{time.Now(), limits}},
@@ -156,6 +169,9 @@
 		seeds = append(seeds, seed.address)
 	}
 	pr := &process{fleet: f, limiter: quota.NewLimiter(p.name), stop: stop}
+	if f.guardFor != nil {
+		pr.guard = f.guardFor(ctx, p.name)
+	}
 	pr.Mesh = New(Config{Self: self, Seeds: seeds, Caller: rateCaller{f, self}, Logger: log.NewNopLogger()})
 	pr.SetDelegate(pr)
 	p.process = pr
@@ -198,7 +214,12 @@
 		return syscall.ECONNREFUSED
 	}
 	if method == methodExchange {
-		return to.Receiver().Exchange(args.(*Heartbeat), reply.(*Heartbeat))
+		err := to.Receiver().Exchange(args.(*Heartbeat), reply.(*Heartbeat))
+		if c.onReport != nil {
+			c.onReport(c.from.Name, args.(*Heartbeat).Quarantine)
+			c.onReport(to.Self().Name, reply.(*Heartbeat).Quarantine)
+		}
+		return err
 	}
 	return to.Receiver().Snapshot(args.(*SnapshotArgs), reply.(*SnapshotReply))
 }
--- a/internal/coordination/routed/quarantine/keeper.go
+++ b/internal/coordination/routed/quarantine/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,7 +21,7 @@
 	keptReadInterval = 10 * time.Second
 	// keptRetryDelay is the mean delay after a failed call of the store. It doubles with each
 	// further failure, up to keptReadInterval.
-	keptRetryDelay = time.Second
+	keptRetryDelay = 500 * time.Millisecond
 )
 
 // Store is the part of the platform's store that keeps closed parts.
@@ -50,7 +51,9 @@
 type Keeper struct {
 	guard  *Guard
 	random *rand.Rand
-	// wake is signalled when a write is pending.
+	// loaded is set once the store was read.
+	loaded atomic.Bool
+	// wake is signalled when a write is pending, or the first read is due.
 	wake chan struct{}
 	// pending holds the closures to be written, by their keys. The lock of the guard guards it.
 	pending map[string]Closure
@@ -67,12 +70,24 @@
 // the guard.
 func (k *Keeper) save(c Closure) {
 	k.pending[storeKey(c.Parts)] = c
+	k.signal()
+}
+
+func (k *Keeper) signal() {
 	select {
 	case k.wake <- struct{}{}:
 	default:
 	}
 }
 
+// StoreAnswers records that the store has just answered this instance. If the closed parts were
+// not read yet, they are read at once: requests are served from now on.
+func (k *Keeper) StoreAnswers() {
+	if !k.loaded.Load() {
+		k.signal()
+	}
+}
+
 // String returns the name of the background service.
 func (k *Keeper) String() string { return "quarantine-keeper" }
 
@@ -81,14 +96,14 @@
 	readAt, retry := time.Now(), keptRetryDelay
 	for ctx.Err() == nil {
 		err := k.write(ctx)
-		if err == nil && !time.Now().Before(readAt) {
+		if err == nil && (!k.loaded.Load() || !time.Now().Before(readAt)) {
 			err = k.read(ctx)
 			readAt = time.Now().Add(wait.Jitter(k.random, keptReadInterval))
 		}
 		if err != nil && ctx.Err() == nil {
 			_ = level.Warn(k.guard.opts.Logger).Log("event", "closed_parts_store_failed", "err", err)
 			readAt = time.Now()
-			wait.For(ctx, wait.Jitter(k.random, retry))
+			k.await(ctx, wait.Jitter(k.random, retry))
 			retry = min(2*retry, keptReadInterval)
 			continue
 		}
@@ -159,6 +174,7 @@
 	if err != nil {
 		return err
 	}
+	k.loaded.Store(true)
 	now := time.Now()
 	stored := map[string]Closure{}
 	for _, record := range page.Records {
--- a/internal/daemon/routed/crashingparts_test.go
+++ b/internal/daemon/routed/crashingparts_test.go
@@ -40,6 +40,8 @@
 	soundPrompt func(rng *rand.Rand, own string) string
 	path        string
 	seed        uint64
+	// faultFor, if set, returns the fault of the answer to a request.
+	faultFor func(id string) engine.Fault
 }
 
 // crashFleet is a fleet whose targets crash at requests with crashingPart, and restart under
@@ -65,11 +67,7 @@
 
 func newCrashFleet(t *testing.T, size fleetSize, load crashLoad) *crashFleet {
 	f := &crashFleet{load: load}
-	size.engine = engine.Options{
-		Slots: 8, QueueSize: 24, EventInterval: 20 * time.Millisecond,
-		Crashes: func(prompt string) bool { return strings.Contains(prompt, crashingPart+":") },
-	}
-	f.testFleet = newTestFleet(t, fleetSize{domains: size.domains, instances: size.instances, engine: size.engine})
+	f.testFleet = newTestFleet(t, fleetSize{domains: size.domains, instances: size.instances})
 	for d := range size.domains {
 		for i := range size.targets {
 			f.startTarget(fmt.Sprintf("d%d", d), fmt.Sprintf("10.%d.2.%d", d, i+1))
@@ -83,11 +81,11 @@
 // startTarget starts a target that is replaced by another one when it crashes.
 func (f *crashFleet) startTarget(domain, ip string) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.starts++
 	id := fmt.Sprintf("t-%d", f.starts)
-	f.mu.Unlock()
 	opts := engine.Options{
-		Slots: 8, QueueSize: 24, EventInterval: 20 * time.Millisecond,
+		Slots: 8, QueueSize: 24, EventInterval: 20 * time.Millisecond, FaultFor: f.load.faultFor,
 		Crashes: func(prompt string) bool { return strings.Contains(prompt, crashingPart+":") },
 	}
 	var started *target
@@ -112,8 +110,15 @@
 	})
 }
 
-// serve sends sound requests for a time, and from a moment on others with the crashing part.
-func (f *crashFleet) serve(d, crashingAfter time.Duration) {
+// crashEvent is what happens at some time while requests are sent.
+type crashEvent struct {
+	at time.Duration
+	do func()
+}
+
+// serve sends sound requests for a time, and from a moment on others with the crashing part. The
+// events are in the order of time.
+func (f *crashFleet) serve(d, crashingAfter time.Duration, events ...crashEvent) {
 	rng := rand.New(rand.NewPCG(f.load.seed, 47))
 	var callers sync.WaitGroup
 	from := time.Now()
@@ -127,6 +132,10 @@
 		if next[kind] > d {
 			break
 		}
+		for ; len(events) > 0 && events[0].at <= next[kind]; events = events[1:] {
+			sleep(events[0].at - time.Since(from))
+			events[0].do()
+		}
 		sleep(next[kind] - time.Since(from))
 		next[kind] += time.Duration(rng.ExpFloat64() / rates[kind] * float64(time.Second))
 		own := fmt.Sprintf("%04x", i)
--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -142,9 +142,12 @@
 		Decoders: fleetview.Decoders{
 			Config: platform.DecodeConfiguration, Drain: platform.DecodeDrain, Target: platform.DecodeTarget,
 		},
-		Logger:    d.logger,
-		Seed:      xxhash.Sum64String(d.self.Name),
-		OnConfig:  func(t *route.Table) { d.limiter.SetOrganisations(t.Version(), t.Organisations()) },
+		Logger: d.logger,
+		Seed:   xxhash.Sum64String(d.self.Name),
+		OnConfig: func(t *route.Table) {
+			d.quarantine.Keeper().StoreAnswers()
+			d.limiter.SetOrganisations(t.Version(), t.Organisations())
+		},
 		OnTargets: func(list []roster.Target) { d.brokerClient.SetTargets(list) },
 		OnListed:  func(list []roster.Target) { d.origins.SetTargets(list) },
 		// A broker limits the requests that start at targets in their warm-up period, and
