A stream that ends with its connection before its first event is broken off

An answer may come with neither a length nor chunks and end with its connection. If the target crashed after the head of such an answer, the stream counted as complete: the caller got an empty 200, and an item an empty result.

The head of an answer now tells that its end is that of the connection; a stream of that kind without an event counts as lost, also as evidence of a crash.

--- a/internal/coordination/routed/batchjobs/task.go
+++ b/internal/coordination/routed/batchjobs/task.go
@@ -282,6 +282,9 @@
 			began = true
 			t.runner.opts.Quarantine.Began(t.parts)
 		}
+		if errors.Is(err, io.EOF) && !began && answer.Head().EndsWithConnection {
+			return interrupted, placement.Broken, external.ErrNoEvent
+		}
 		if errors.Is(err, io.EOF) {
 			t.interruptions = 0
 			return completed, placement.Served, nil
--- a/internal/coordination/routed/relay/forward.go
+++ b/internal/coordination/routed/relay/forward.go
@@ -65,6 +65,9 @@
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
+			if answer.Head().EndsWithConnection && c.attemptEvents == 0 {
+				return external.ErrNoEvent
+			}
 			return c.sendHead(answer)
 		}
 		if err != nil {
--- a/internal/coordination/routed/relay/quarantine_test.go
+++ b/internal/coordination/routed/relay/quarantine_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -168,3 +169,36 @@
 		})
 	}
 }
+
+// Guards against a stream without length or chunks that counts as complete although it ended within
+// an event or before its first one, or that is cut although it is whole.
+func TestStreamThatEndsWithItsConnection(t *testing.T) {
+	ended := func(body string) scriptedAnswer {
+		return scriptedAnswer{reply: exchange.Reply{Status: http.StatusOK, EndsWithConnection: true}, body: body}
+	}
+	within := events(0, 3) + "id: 3\nda"
+	for name, c := range map[string]struct {
+		script []scriptedAnswer
+		route  route.Route
+		reason Reason
+		body   string
+	}{
+		"whole":                     {[]scriptedAnswer{ended(events(0, 5))}, atMostOnceRoute, Relayed, events(0, 5)},
+		"within an event":           {[]scriptedAnswer{ended(within)}, atMostOnceRoute, Truncated, events(0, 3)},
+		"within an event, resumed":  {[]scriptedAnswer{ended(within), streamOf(3, 5)}, resumableRoute, Relayed, events(0, 5)},
+		"within the line end":       {[]scriptedAnswer{ended(strings.TrimSuffix(events(0, 3), "\n"))}, atMostOnceRoute, Truncated, events(0, 2)},
+		"before the first event":    {[]scriptedAnswer{ended("")}, atMostOnceRoute, AnswerLost, ""},
+		"before the first, resumed": {[]scriptedAnswer{ended(""), streamOf(0, 5)}, resumableRoute, Relayed, events(0, 5)},
+		"resumed without an event":  {[]scriptedAnswer{truncatedAfter(3), ended("")}, resumableRoute, Truncated, events(0, 3)},
+		"chunked without an event":  {[]scriptedAnswer{streamOf(0, 0)}, atMostOnceRoute, Relayed, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &scriptedFleet{script: c.script}
+				outcome, received, _ := serveRequest(t, c.route, f, promptRequest())
+				require.Equal(t, c.reason, outcome.Reason)
+				require.Equal(t, c.body, received.body.String())
+			})
+		})
+	}
+}
--- a/internal/daemon/routed/faults_test.go
+++ b/internal/daemon/routed/faults_test.go
@@ -94,3 +94,36 @@
 		}
 	})
 }
+
+// Guards against answers without length or chunks that count as complete although their target ended
+// them early: the caller of a request would get an empty or shortened stream that looks whole, and an
+// item a shortened result.
+func TestAnswersThatEndWithTheirConnectionAreWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		faults := map[string]engine.Fault{
+			"whole": {Unframed: true}, "within": {Unframed: true, BreakAfter: 3}, "empty": {Unframed: true, NoEvent: true},
+		}
+		fleet := newFaultyFleet(t, faults)
+		for name := range faults {
+			id := name + "-1"
+			got := fleet.instances[0].send(callerRequest{id: id, path: "/again/a/10", key: keyOne})
+			require.NoError(t, got.err, id)
+			require.Equal(t, streamBody(id, 10), got.body, id)
+			id = name + "-2"
+			got = fleet.instances[0].send(callerRequest{id: id, path: "/once/a/10", key: keyOne})
+			switch name {
+			case "whole":
+				require.NoError(t, got.err, id)
+				require.Equal(t, streamBody(id, 10), got.body, id)
+			case "within":
+				require.Error(t, got.err, id)
+				require.Equal(t, streamBody(id, 3), got.body, id)
+			case "empty":
+				require.Equal(t, http.StatusBadGateway, got.status, id)
+			}
+			job := name + "-job"
+			require.Equal(t, http.StatusAccepted, fleet.instances[0].send(batchJob(job, 4, 10)).status)
+			fleet.requireComplete(job, fleet.instances[0].allResults(job, 10*time.Second), 10)
+		}
+	})
+}
--- a/internal/external/targetend.go
+++ b/internal/external/targetend.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -27,6 +28,10 @@
 	EndMalformed TargetEnd = "malformed"
 )
 
+// ErrNoEvent reports a stream that ended with its connection before its first event. A target that
+// ends at that moment leaves the same, so it does not count as complete.
+var ErrNoEvent = fmt.Errorf("stream ended with its connection before its first event: %w", io.ErrUnexpectedEOF)
+
 // EndOf returns what the target did, from the error of an exchange.
 func EndOf(err error) TargetEnd {
 	switch {
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -116,6 +116,9 @@
 	WrongTarget bool
 	// Load is nil if the target did not report its load.
 	Load *Load
+	// EndsWithConnection reports that the body has neither a length nor chunks, so that the end of
+	// the connection is its end.
+	EndsWithConnection bool
 	// IdleTimeout is how long the target keeps an idle connection open, 0 if not
 	// specified.
 	IdleTimeout time.Duration
--- a/internal/standin/engine/answer.go
+++ b/internal/standin/engine/answer.go
@@ -10,8 +10,9 @@
 type body struct {
 	io.Writer
 	flush func()
-	// end completes a body that was sent without a length.
-	end func()
+	// end completes a body that was sent without a length. cut closes the connection of such a body
+	// before that.
+	end, cut func()
 }
 
 // writeHead sends the response head and returns the body writer.
@@ -26,7 +27,7 @@
 	}
 	control := http.NewResponseController(w)
 	w.WriteHeader(http.StatusOK)
-	return body{Writer: w, flush: func() { _ = control.Flush() }, end: func() {}}
+	return body{Writer: w, flush: func() { _ = control.Flush() }, end: func() {}, cut: func() {}}
 }
 
 // writeRawHead hijacks the connection to send responses that net/http does not
@@ -49,5 +50,6 @@
 			_ = buffered.Flush()
 			_ = conn.Close()
 		},
+		cut: func() { _ = conn.Close() },
 	}
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -41,6 +41,8 @@
 	// before the response.
 	BreakAfter int
 	LoseAnswer bool
+	// NoEvent closes the connection after the head.
+	NoEvent bool
 	// HangAfter, if above 0, sends nothing more after this number of events.
 	HangAfter int
 	// Crossed sends the response to another request first.
@@ -248,12 +250,18 @@
 		e.opts.OnCrash()
 		panic(http.ErrAbortHandler)
 	}
+	if fault.NoEvent {
+		out.flush()
+		out.cut()
+		panic(http.ErrAbortHandler)
+	}
 	events := EventCount(r.URL.Path)
 	for n := entry.ResumedAfter + 1; n < events; n++ {
 		sent := n - entry.ResumedAfter - 1
 		if fault.BreakAfter > 0 && sent == fault.BreakAfter {
 			_, _ = fmt.Fprintf(out, "id: %d\ndata: %s", n, e.eventData(entry, n)[:3])
 			out.flush()
+			out.cut()
 			panic(http.ErrAbortHandler)
 		}
 		if fault.HangAfter > 0 && sent == fault.HangAfter {
--- a/internal/transport/targetconn/client.go
+++ b/internal/transport/targetconn/client.go
@@ -167,6 +167,7 @@
 func (c *Client) open(conn *conn, reply exchange.Reply, response *http.Response, requestDone <-chan struct{}) *openResponse {
 	conn.idleLimit = reply.IdleTimeout
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	reply.EndsWithConnection = !framed
 	return &openResponse{
 		reply: reply, body: response.Body, conn: conn, pool: c.pool,
 		reusable: framed && !response.Close, requestDone: requestDone,
--- a/internal/transport/targetconn/inspect_test.go
+++ b/internal/transport/targetconn/inspect_test.go
@@ -32,8 +32,9 @@
 // inspectFixture is a client with one target.
 type inspectFixture struct {
 	*Client
-	target *engine.Engine
-	dials  *dialCounter
+	target  *engine.Engine
+	dials   *dialCounter
+	network *memnet.Network
 }
 
 // runInspectTest runs a test with one target. The target is an HTTP handler, or an
@@ -44,8 +45,9 @@
 		listener, err := network.Host("10.0.0.2").Listen(targetAddress)
 		require.NoError(t, err)
 		f := &inspectFixture{
-			target: engine.New(engine.Options{ID: "t", Slots: 2, EventInterval: 20 * time.Millisecond}),
-			dials:  &dialCounter{Host: network.Host("10.0.0.1")},
+			target:  engine.New(engine.Options{ID: "t", Slots: 2, EventInterval: 20 * time.Millisecond}),
+			dials:   &dialCounter{Host: network.Host("10.0.0.1")},
+			network: network,
 		}
 		if handler == nil {
 			handler = f.target
