An overloaded instance closes new connections before it reads anything from them

The platform may hand most new connections of a domain or region to one instance. It accepted all of them: beyond what its processor can serve, requests that it had read missed their brokers and slots, were late or were left by their callers, while others had processor left.

The runtime's histogram of waits for the processor is read every 50 ms. While half of the goroutines wait for longer than max_scheduling_lag (5 ms), the requests that wait for their first byte are limited: the limit falls with each such measurement and rises otherwise, and connections beyond it are closed unread. Open connections are bounded by descriptors and memory. A timer does not show this load: the goroutine that it wakes goes before the others.

--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -68,6 +68,7 @@
 	runner         *batchjobs.Runner
 	jobService     *batchjobs.JobService
 	front          *front.Front
+	loadMonitor    *front.LoadMonitor
 
 	isolation *isolationDetector
 
@@ -200,6 +201,7 @@
 }
 
 func (d *Daemon) setupFront() {
+	d.loadMonitor = front.NewLoadMonitor(front.LoadLimits{MemoryMB: d.settings.MemoryMB, SchedulingLag: d.settings.MaxSchedulingLag}, d.logger)
 	d.front = front.New(front.Options{
 		Listen: d.listeners.callers,
 		Codec: front.Codec{
@@ -210,7 +212,7 @@
 		Table: d.view.Table,
 		Quota: d.limiter,
 		Relay: relay.New(relay.Options{Targets: d.targets, Placer: d.brokerClient, Origins: d.origins, Quarantine: d.quarantine, Logger: d.logger}),
-		Jobs:  d.jobService, JobsUnavailable: d.isolation.jobRetryAfter, Logger: d.logger,
+		Jobs:  d.jobService, JobsUnavailable: d.isolation.jobRetryAfter, Admit: d.loadMonitor.Admit, Logger: d.logger,
 	})
 }
 
@@ -254,6 +256,7 @@
 	d.supervisor.Add(d.runner)
 	d.supervisor.Add(d.partitionOwner)
 	d.supervisor.Add(d.front)
+	d.supervisor.Add(d.loadMonitor)
 	d.supervisor.Add(&readinessServer{daemon: d, listen: d.listeners.readiness})
 	if d.settings.Listen.Metrics != "" {
 		d.supervisor.Add(&metricsServer{listen: d.listeners.metrics})
--- a/internal/daemon/routed/fleet_test.go
+++ b/internal/daemon/routed/fleet_test.go
@@ -240,6 +240,8 @@
 	inst.settings.Listen = settings.RoutedListen{Callers: ip + ":80", Readiness: ip + ":81", Peers: ip + ":82"}
 	inst.settings.Store.Address = address
 	inst.settings.Seeds = []string{"10.0.1.1:82"}
+	// The scheduling lag is that of the test process, in real time.
+	inst.settings.MaxSchedulingLag = 0
 	inst.start()
 	return inst
 }
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -36,6 +36,10 @@
 	// CPUCores is the number of processor cores that the process may use; 0.5 is half
 	// a core. Instances with more cores do more work for the other instances.
 	CPUCores float64 `yaml:"processor"`
+	// MaxSchedulingLag is the time for which half of the goroutines wait for the processor above
+	// which the process is overloaded: it closes new connections before it reads anything from
+	// them, so that callers go to other instances. 0 turns this off.
+	MaxSchedulingLag time.Duration `yaml:"max_scheduling_lag"`
 	// Grace is the time from the termination signal to the end of the process.
 	Grace time.Duration `yaml:"grace"`
 	// DrainNotice is how long a draining instance still accepts requests after it
@@ -87,7 +91,9 @@
 		ResultsReadable: 36 * time.Hour,
 		MemoryMB:        256,
 		CPUCores:        1,
-		Grace:           8 * time.Second,
+		// A request waits for the processor about twenty times until its first byte.
+		MaxSchedulingLag: 5 * time.Millisecond,
+		Grace:            8 * time.Second,
 		// Two failed probes one second apart, plus time for the load balancer to act
 		// on the second one.
 		DrainNotice: 2500 * time.Millisecond,
--- a/internal/transport/front/online.go
+++ b/internal/transport/front/online.go
@@ -137,7 +137,7 @@
 		// Prevents net/http from detecting a content type.
 		header["Content-Type"] = nil
 	}
-	s.request.responded = true
+	s.request.responseBegins()
 	s.request.w.WriteHeader(reply.Status)
 }
 
--- a/internal/transport/front/request.go
+++ b/internal/transport/front/request.go
@@ -167,12 +167,20 @@
 	c.log("refused", status, reason, append(more, "retry_ms", retryAfter.Milliseconds())...)
 }
 
+// responseBegins records that the response begins, or that there is none.
+func (c *callerRequest) responseBegins() {
+	if !c.responded {
+		c.responded = true
+		c.unanswered.Add(-1)
+	}
+}
+
 // respond writes a complete response.
 func (c *callerRequest) respond(status int, body []byte, contentType string) {
 	if contentType != "" {
 		c.w.Header().Set("Content-Type", contentType)
 	}
-	c.responded = true
+	c.responseBegins()
 	c.w.WriteHeader(status)
 	if len(body) > 0 {
 		// A failed write means that the caller has closed the connection.
--- a/internal/transport/front/server.go
+++ b/internal/transport/front/server.go
@@ -82,15 +82,19 @@
 	// JobsUnavailable reports whether batch jobs can't be stored now, and the delay
 	// before a retry.
 	JobsUnavailable func() (retryAfter time.Duration, unavailable bool)
-	Logger          log.Logger
+	// Admit reports whether a new connection is accepted while others are open.
+	Admit  func(others Connections) bool
+	Logger log.Logger
 }
 
 // Front is the callers' HTTP server. It implements suture.Service.
 type Front struct {
 	opts     Options
 	inFlight atomic.Int64
-	draining atomic.Bool
-	server   *graceful.Service
+	// unanswered counts the requests in flight whose response has not begun.
+	unanswered atomic.Int64
+	draining   atomic.Bool
+	server     *graceful.Service
 	// requests is the parent of the context of every request. interrupt cancels it.
 	requests  context.Context
 	interrupt context.CancelCauseFunc
@@ -126,6 +130,7 @@
 		},
 		Refusal:     f.writeUnreadRefusal,
 		IdleRefusal: f.writeUnreadRefusal,
+		Admit:       f.admit,
 		Interrupt:   func() { f.interrupt(relay.ErrInterrupted) },
 		Logger:      f.opts.Logger,
 	}
@@ -139,11 +144,22 @@
 	if f.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	f.unanswered.Add(1)
 	c := &callerRequest{Front: f, w: w, r: r, receivedAt: time.Now(), table: f.opts.Table()}
+	defer c.responseBegins()
 	defer c.answerPanic()
 	f.serve(c)
 }
 
+// admit reports whether a new connection is accepted. unread is the number of open ones on which no
+// request has begun.
+func (f *Front) admit(open, unread int) bool {
+	if f.opts.Admit == nil {
+		return true
+	}
+	return f.opts.Admit(Connections{Open: open, Waiting: unread + int(f.unanswered.Load())})
+}
+
 // StartDraining makes each response ask its caller to close the connection.
 func (f *Front) StartDraining() { f.draining.Store(true) }
 
--- a/internal/transport/graceful/conn.go
+++ b/internal/transport/graceful/conn.go
@@ -44,6 +44,8 @@
 	refusal, idleRefusal []byte
 	// since is when the connection was accepted.
 	since time.Time
+	// begun reports whether a request has begun. The lock of the connSet guards it.
+	begun bool
 
 	mu    sync.Mutex
 	state connState
--- a/internal/transport/graceful/connset.go
+++ b/internal/transport/graceful/connset.go
@@ -6,6 +6,8 @@
 type connSet struct {
 	mu   sync.Mutex
 	open map[*conn]struct{}
+	// unread is the number of open connections on which no request has begun.
+	unread int
 	// refused is the number of connections that a shutdown closed after a refusal.
 	refused int
 }
@@ -14,11 +16,30 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.open[c] = struct{}{}
+	s.unread++
+}
+
+// beginsRequest records that the first request of a connection begins.
+func (s *connSet) beginsRequest(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.noLongerUnread(c)
+}
+
+// noLongerUnread is beginsRequest for a caller that holds mu.
+func (s *connSet) noLongerUnread(c *conn) {
+	if !c.begun {
+		c.begun = true
+		s.unread--
+	}
 }
 
 func (s *connSet) remove(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if _, open := s.open[c]; open {
+		s.noLongerUnread(c)
+	}
 	delete(s.open, c)
 	if c.isRefused() && !c.expired {
 		s.refused++
@@ -36,6 +57,13 @@
 	return out
 }
 
+// counts returns the number of open connections, and of those on which no request has begun.
+func (s *connSet) counts() (open, unread int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open), s.unread
+}
+
 func (s *connSet) count() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/transport/graceful/graceful_test.go
+++ b/internal/transport/graceful/graceful_test.go
@@ -287,3 +287,30 @@
 		<-served
 	})
 }
+
+// Guards against a connection that is read although the server is overloaded, and against counts that
+// don't go back when connections end.
+func TestConnectionThatIsNotAdmittedIsClosedUnread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server, listener := startServer(t, answerOK)
+		var seen [][2]int
+		server.opts.Admit = func(open, unread int) bool {
+			seen = append(seen, [2]int{open, unread})
+			return open == 0
+		}
+		first := listener.dial()
+		synctest.Wait()
+		second := listener.dial()
+		_, err := second.Read(make([]byte, 1))
+		require.ErrorIs(t, err, io.EOF)
+		go func() { _, _ = io.WriteString(first, request) }()
+		require.Equal(t, http.StatusOK, receiveStatus(t, first))
+		_ = listener.dial()
+		_ = first.Close()
+		synctest.Wait()
+		third := listener.dial()
+		synctest.Wait()
+		require.Equal(t, [][2]int{{0, 0}, {1, 1}, {1, 0}, {0, 0}}, seen)
+		_ = third.Close()
+	})
+}
--- a/internal/transport/graceful/server.go
+++ b/internal/transport/graceful/server.go
@@ -50,6 +50,10 @@
 	// IdleRefusal, if set, writes the response before a connection is closed that was idle
 	// for the idle timeout of HTTP. A request that is on the way takes it for the answer.
 	IdleRefusal func(http.ResponseWriter)
+	// Admit, if set, reports whether a new connection is accepted while a number of others is
+	// open, and no request has begun yet on some of these. One that is not is closed before
+	// anything is read from it.
+	Admit func(open, unread int) bool
 	// Interrupt, if set, makes the handlers of the requests in flight respond at once.
 	Interrupt func()
 	Logger    log.Logger
@@ -81,9 +85,11 @@
 	s.conns.open = map[*conn]struct{}{}
 	next := opts.HTTP.Handler
 	opts.HTTP.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !connOf(r.Context()).beginRequest() {
+		c := connOf(r.Context())
+		if !c.beginRequest() {
 			panic(http.ErrAbortHandler)
 		}
+		s.conns.beginsRequest(c)
 		next.ServeHTTP(w, r)
 	})
 	opts.HTTP.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
@@ -219,7 +225,7 @@
 
 // Accept implements net.Listener.
 func (l *trackingListener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
+	accepted, err := l.acceptAdmitted()
 	if err != nil {
 		return nil, err
 	}
@@ -227,3 +233,15 @@
 	l.server.conns.add(c)
 	return c, nil
 }
+
+// acceptAdmitted accepts the next connection that is admitted, and closes those that are not.
+func (l *trackingListener) acceptAdmitted() (net.Conn, error) {
+	for {
+		accepted, err := l.Listener.Accept()
+		admit := l.server.opts.Admit
+		if err != nil || admit == nil || admit(l.server.conns.counts()) {
+			return accepted, err
+		}
+		_ = accepted.Close()
+	}
+}
