A started fleet charges organisations that were hot before at once

Each instance took the whole start level for itself, above half the burst without any pacing, until it heard of the others' admissions; callers who had been told to come back arrived at all instances within that time. The debt was charged once the bucket was empty.

Heartbeats now tell what an instance was asked for since its start, admitted or not, for as long as that matters. On the way: a bucket that was made while the levels became known replaced the one that had just begun, and so lost its debt.

TestInstancesOfAStartedFleetTogetherAdmitTheStartLevel: 584 at one moment where the start level is 70 (73 instances, rate 110), now 0.

--- a/internal/coordination/routed/mesh/feed.go
+++ b/internal/coordination/routed/mesh/feed.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -21,6 +22,8 @@
 	Claims          []Claim `cbor:"7,keyasint,omitempty"`
 	// StoreAge is a multiple of storeAgeStep.
 	StoreAge time.Duration `cbor:"8,keyasint,omitempty"`
+	// Asked is Heartbeat.Asked.
+	Asked quota.Counts `cbor:"9,keyasint,omitempty"`
 }
 
 const (
@@ -35,19 +38,19 @@
 	return PeerStatus{
 		Leaving: b.Leaving, HasQuotaState: b.Informed, HasLostPartitions: b.HasLost, RecentlyStarted: b.Young,
 		Partitions: b.Partitions, Generation: b.Generation, Claims: b.Claims,
-		StoreAge: min(b.StoreAge, maxStoreAge).Truncate(storeAgeStep),
+		StoreAge: min(b.StoreAge, maxStoreAge).Truncate(storeAgeStep), Asked: b.Asked,
 	}
 }
 
 func (s *PeerStatus) equal(other *PeerStatus) bool {
 	return s.Leaving == other.Leaving && s.HasQuotaState == other.HasQuotaState && s.HasLostPartitions == other.HasLostPartitions &&
 		s.RecentlyStarted == other.RecentlyStarted && s.Generation == other.Generation && s.StoreAge == other.StoreAge &&
-		slices.Equal(s.Partitions, other.Partitions) && slices.Equal(s.Claims, other.Claims)
+		slices.Equal(s.Partitions, other.Partitions) && slices.Equal(s.Claims, other.Claims) && maps.Equal(s.Asked, other.Asked)
 }
 
 func (s *PeerStatus) apply(b *Heartbeat) {
 	b.Leaving, b.Informed, b.HasLost, b.Young = s.Leaving, s.HasQuotaState, s.HasLostPartitions, s.RecentlyStarted
-	b.Partitions, b.Generation, b.Claims, b.StoreAge = s.Partitions, s.Generation, s.Claims, s.StoreAge
+	b.Partitions, b.Generation, b.Claims, b.StoreAge, b.Asked = s.Partitions, s.Generation, s.Claims, s.StoreAge, s.Asked
 }
 
 // PeerUpdate is what a relay passes on about a peer: the changes since the last batch of
--- a/internal/coordination/routed/mesh/heartbeat.go
+++ b/internal/coordination/routed/mesh/heartbeat.go
@@ -59,6 +59,9 @@
 	// Settling reports that the sender has started so recently that it needs the levels that
 	// others know.
 	Settling bool
+	// Asked are the requests that the sender was asked for since its start, admitted or not, by
+	// organisation, for as long as they tell which organisations were hot before.
+	Asked quota.Counts
 	// Levels are the buckets that are not full; they are valid only if TellsLevels is set,
 	// because the encoding drops an empty map. They are left out for a receiver that is
 	// informed and not settling.
--- a/internal/coordination/routed/mesh/ratefleet_test.go
+++ b/internal/coordination/routed/mesh/ratefleet_test.go
@@ -49,8 +49,10 @@
 	load map[string]float64
 	// again is the part of the requests that run at a second target.
 	again float64
-	stop  context.CancelFunc
-	ctx   context.Context
+	// returns reports that callers who are told when to come back do so once.
+	returns bool
+	stop    context.CancelFunc
+	ctx     context.Context
 
 	mu      sync.Mutex
 	at      map[string]*process
@@ -383,6 +385,9 @@
 	f.asked[org]++
 	if !d.Admitted {
 		f.refused[org]++
+		if f.returns {
+			time.AfterFunc(d.Wait, func() { f.returnOf(org) })
+		}
 		return
 	}
 	f.runs[org] = append(f.runs[org], run{time.Now(), p.name, d})
@@ -391,6 +396,26 @@
 	}
 }
 
+// returnOf sends a request once more, to some instance.
+func (f *rateFleet) returnOf(org string) {
+	f.mu.Lock()
+	p := f.places[f.random.IntN(len(f.places))]
+	process := p.process
+	f.mu.Unlock()
+	if process == nil || process.configured() == 0 {
+		return
+	}
+	d := process.limiter.Admit(org)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asked[org]++
+	if d.Admitted {
+		f.runs[org] = append(f.runs[org], run{time.Now(), p.name, d})
+	} else {
+		f.refused[org]++
+	}
+}
+
 // busyWindow is a window in which targets ran many requests of an organisation.
 type busyWindow struct {
 	from           time.Time
--- a/internal/coordination/routed/mesh/rates.go
+++ b/internal/coordination/routed/mesh/rates.go
@@ -13,6 +13,7 @@
 	b.Levels = limiter.BucketLevels()
 	b.Informed = b.Levels != nil
 	b.TellsLevels = b.Informed
+	b.Asked = limiter.AskedCounts()
 	b.Settling, b.Doubtful = limiter.WantsLevels(), limiter.Doubtful()
 }
 
@@ -27,5 +28,6 @@
 	return quota.Report{
 		Instance: b.From.Name, Start: b.From.Start, Uptime: b.Uptime, Counts: b.Admitted, Full: b.Whole,
 		HasQuotaState: b.Informed, Levels: levels, Doubtful: b.Doubtful, SilenceTimeout: silenceTimeout,
+		Asked: b.Asked,
 	}
 }
--- a/internal/coordination/routed/mesh/rates_test.go
+++ b/internal/coordination/routed/mesh/rates_test.go
@@ -181,3 +181,18 @@
 		f.serve(6 * time.Second)
 	})
 }
+
+// Guards against a restart of all instances after which those who were told to come back do so at one
+// moment, and each instance admits what the whole fleet may.
+func TestRateHoldsAcrossRestartOfAllInstancesWhileCallersReturn(t *testing.T) {
+	for _, instances := range []int{9, *rateInstances} {
+		for _, times := range []float64{5, 7.5, 12} {
+			requireRateHolds(t, instances, []float64{times}, func(f *rateFleet) {
+				f.returns = true
+				f.serve(2 * time.Second)
+				f.restart(1, 500*time.Millisecond)
+				f.serve(6 * time.Second)
+			})
+		}
+	}
+}
--- a/internal/coordination/routed/mesh/release_test.go
+++ b/internal/coordination/routed/mesh/release_test.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"encoding/gob"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"merlintiller/internal/coordination/routed/quarantine"
 	"merlintiller/internal/coordination/routed/quota"
 )
 
@@ -60,3 +62,29 @@
 	require.Len(t, reply.Instances, 1)
 	require.False(t, reply.Complete)
 }
+
+// Guards against instances of an earlier release that can't read messages with reports of crashes, or
+// whose messages can't be read since they have none.
+func TestMessagesWithQuarantineReportsAreUnderstoodByTwoReleases(t *testing.T) {
+	report := &quarantine.Report{
+		Version:  4,
+		Crashes:  []quarantine.Crash{{Target: "t", Started: 5, Parts: []string{"p"}, SeenBy: []string{"a"}, Age: time.Second}},
+		Closures: []quarantine.Closure{{Parts: []string{"p"}, Crashes: 4}},
+	}
+	sent := Heartbeat{From: instance("a", 1), Seq: 7, Quarantine: report, QuarantineRead: &quarantine.Position{Start: 1, Version: 2}, Asked: quota.Counts{"o": 3}}
+	var earlier earlierHeartbeat
+	transfer(t, sent, &earlier)
+	require.Equal(t, earlierHeartbeat{From: instance("a", 1), Seq: 7}, earlier)
+	var now Heartbeat
+	transfer(t, earlier, &now)
+	require.Nil(t, now.Quarantine)
+	require.Nil(t, now.QuarantineRead)
+	require.Nil(t, now.RateReport(SilenceTimeout).Asked)
+	transfer(t, sent, &now)
+	require.Equal(t, report, now.Quarantine)
+
+	m := New(Config{Self: instance("b", 1)})
+	reply := Heartbeat{From: instance("b", 1)}
+	m.answerQuarantine(&Heartbeat{From: instance("a", 1)}, &reply)
+	require.Nil(t, reply.Quarantine, "an earlier release does not ask")
+}
--- a/internal/coordination/routed/quota/decision.go
+++ b/internal/coordination/routed/quota/decision.go
@@ -29,6 +29,9 @@
 	// Level is the bucket's level in tokens before the decision. Share is the share of the
 	// fleet's burst that this instance may use.
 	Level, Share float64
+	// Restrained reports that all instances have started together and the organisation was hot
+	// before, so that this instance uses its share alone.
+	Restrained bool
 	// LimitsVersion is the version of the configuration that the limit is from.
 	LimitsVersion int64
 	// LevelsFrom is the instance that the levels were adopted from, LevelsUnknown or
@@ -51,14 +54,14 @@
 	return []any{
 		"level", fmt.Sprintf("%.2f", d.Level), "share", fmt.Sprintf("%.2f", d.Share), "limits", d.LimitsVersion,
 		"levels_from", d.LevelsFrom, "levels_age_ms", d.LevelsAge.Milliseconds(),
-		"instances", d.Instances, "reachable", d.Reachable, "reports_age_ms", d.ReportsAge.Milliseconds(),
+		"instances", d.Instances, "reachable", d.Reachable, "reports_age_ms", d.ReportsAge.Milliseconds(), "restrained", d.Restrained,
 	}
 }
 
 // decision returns the values that a decision about an organisation is based on now.
 func (bs *Buckets) decision(now time.Time, b *bucket, s shares) Decision {
 	return Decision{
-		Limited: true, Level: b.level, Share: b.share, LimitsVersion: bs.limitsVersion,
+		Limited: true, Level: b.level, Share: b.share, Restrained: b.pacer.restrained, LimitsVersion: bs.limitsVersion,
 		LevelsFrom: bs.startup.levelsFrom, LevelsAge: now.Sub(bs.startup.levelsAt),
 		Instances: int(s.instances), Reachable: int(s.heard), ReportsAge: s.reportsAge,
 	}
--- a/internal/coordination/routed/quota/limiter.go
+++ b/internal/coordination/routed/quota/limiter.go
@@ -75,6 +75,14 @@
 	return l.buckets.AdmittedCounts()
 }
 
+// AskedCounts returns the requests that this instance was asked for since its start, nil once they
+// no longer matter.
+func (l *Limiter) AskedCounts() Counts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buckets.AskedCounts(time.Now())
+}
+
 // ApplyReport processes a report of another instance.
 func (l *Limiter) ApplyReport(r Report) {
 	l.mu.Lock()
--- a/internal/coordination/routed/quota/pacer.go
+++ b/internal/coordination/routed/quota/pacer.go
@@ -45,6 +45,8 @@
 	share     float64
 	tokens    float64
 	updatedAt time.Time
+	// restrained reports that no level of the bucket is high enough to use more than the share.
+	restrained bool
 }
 
 // admit reports whether to admit a request for which the bucket has a token, and counts the
@@ -61,7 +63,7 @@
 		maxTokens = max(maxTokens, maxAheadFactor*p.share*level)
 	}
 	p.tokens = min(maxTokens, p.tokens+p.share*p.rate(limit, level, s)*elapsed)
-	if s.fresh && level >= lowLevelShare*limit.Burst*s.reachableShare {
+	if s.fresh && !p.restrained && level >= lowLevelShare*limit.Burst*s.reachableShare {
 		p.tokens = maxTokens
 		p.recordAdmission()
 		return true
--- a/internal/coordination/routed/quota/quota.go
+++ b/internal/coordination/routed/quota/quota.go
@@ -76,6 +76,8 @@
 	admitted int64
 	// counted are the requests that other instances reported before the levels were known.
 	counted int64
+	// asked counts the requests that this instance was asked for, admitted or not.
+	asked int64
 	// owesUnknown reports that the organisation is charged for what it may have used before a
 	// start of the whole fleet once the bucket is empty.
 	owesUnknown bool
@@ -106,6 +108,8 @@
 	// for it.
 	silenceTimeout time.Duration
 	counts         Counts
+	// asked are the requests that the peer was asked for, as long as it tells them.
+	asked Counts
 }
 
 // NewBuckets returns the buckets of an instance that starts now.
@@ -153,6 +157,9 @@
 	// message does not carry them.
 	HasQuotaState bool
 	Levels        BucketLevels
+	// Asked are the requests that the instance was asked for since its start, nil if it does not
+	// tell them.
+	Asked Counts
 	// Doubtful reports that the levels have begun without knowledge of what was admitted before.
 	Doubtful bool
 	// SilenceTimeout is the time without a report after which the instance's share is
@@ -172,6 +179,9 @@
 	}
 	p.lastSeen, p.hasQuotaState, p.silenceTimeout = now, r.HasQuotaState, r.SilenceTimeout
 	p.stalledUntilSeen = bs.clock.stalledUntil(now)
+	if r.Asked != nil {
+		p.asked = r.Asked
+	}
 	bs.receiveLevels(now, r.Instance, r.Levels, r.Doubtful)
 }
 
@@ -298,11 +308,13 @@
 	}
 	bs.now = now
 	b := bs.bucket(now, org)
+	b.asked++
 	s := bs.shares(now)
 	if !bs.levelsKnown() {
 		return bs.admitBeforeLevels(now, org, b, s)
 	}
 	bs.refill(now, org, s)
+	bs.restrainHot(now, org, b, limit)
 	d := bs.decision(now, b, s)
 	if b.level >= 1 && b.pacer.admit(now, limit, b.level, s) {
 		b.level--
@@ -338,14 +350,18 @@
 }
 
 func (bs *Buckets) bucket(now time.Time, org string) *bucket {
-	b := bs.buckets[org]
-	if b == nil {
-		s := bs.shares(now)
-		b = &bucket{
-			creditedTime: s.creditedTime, refilledAt: now, share: s.own, level: bs.newLevel(now, bs.limits[org], s.own),
-			pacer: pacer{updatedAt: now, share: 1 / s.reachable, tokens: minTokens},
-		}
-		bs.buckets[org] = b
+	if b := bs.buckets[org]; b != nil {
+		return b
+	}
+	s := bs.shares(now)
+	if b := bs.buckets[org]; b != nil {
+		// The levels have become known, and the buckets of all organisations have begun.
+		return b
+	}
+	b := &bucket{
+		creditedTime: s.creditedTime, refilledAt: now, share: s.own, level: bs.newLevel(now, bs.limits[org], s.own),
+		pacer: pacer{updatedAt: now, share: 1 / s.reachable, tokens: minTokens},
 	}
+	bs.buckets[org] = b
 	return b
 }
--- a/internal/coordination/routed/quota/quota_test.go
+++ b/internal/coordination/routed/quota/quota_test.go
@@ -425,3 +425,42 @@
 	require.Contains(t, levels, "limited")
 	require.NotContains(t, levels, "unlimited")
 }
+
+// Guards against instances that start together and each admit what the whole fleet may, since those
+// who were told to come back arrive at one moment, before any of them has reported.
+func TestInstancesOfAStartedFleetTogetherAdmitTheStartLevel(t *testing.T) {
+	for _, limit := range []Limit{{Rate: 110, Burst: 110}, {Rate: 30, Burst: 30}, {Rate: 8, Burst: 8}, {Rate: 50, Burst: 20}} {
+		for _, instances := range []int{9, 73} {
+			t.Run(fmt.Sprint(limit.Rate, " a second, burst ", limit.Burst, ", ", instances), func(t *testing.T) {
+				// As often as ten times the rate, and each of them a second time.
+				askedBefore := int64(20*limit.Rate*0.25/float64(instances)) + 1
+				start := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+				now := start.Add(250 * time.Millisecond)
+				admitted := 0
+				for n := range instances {
+					bs := NewBuckets(start, fmt.Sprint("i-", n))
+					bs.SetLimits(now, map[string]Limit{"hot": limit})
+					for other := range instances {
+						if other != n {
+							bs.AddPeer(now, fmt.Sprint("i-", other))
+							bs.ApplyReport(now, Report{
+								Instance: fmt.Sprint("i-", other), Start: 1, Full: true, SilenceTimeout: time.Second, Asked: Counts{"hot": askedBefore},
+							})
+						}
+					}
+					bs.SetFleetKnown(now)
+					for range 8 {
+						d := bs.Admit(now, "hot")
+						if d.Admitted {
+							admitted++
+						}
+						require.Equal(t, LevelsOfNobody, d.LevelsFrom)
+					}
+				}
+				level := min(limit.Burst, startTokens+limit.Rate*(startTime+250*time.Millisecond).Seconds())
+				t.Logf("%d admitted at one moment, the start level is %.0f", admitted, level)
+				require.LessOrEqual(t, float64(admitted), 1.25*level+5)
+			})
+		}
+	}
+}
--- a/internal/coordination/routed/quota/startup.go
+++ b/internal/coordination/routed/quota/startup.go
@@ -181,6 +181,11 @@
 	}
 }
 
+// roundedShare returns this instance's share of a number of tokens, in whole tokens.
+func (bs *Buckets) roundedShare(org string, tokens float64, s shares) float64 {
+	return math.Floor(max(0, tokens)/s.instances + bs.rounding(org))
+}
+
 // nobodyKnowsLevels reports that no instance that knows the levels is left.
 func (bs *Buckets) nobodyKnowsLevels() bool {
 	for _, p := range bs.peers {
@@ -205,10 +210,15 @@
 	if !b.owesUnknown || b.level+b.reserved >= 1 {
 		return
 	}
-	b.owesUnknown = false
 	if bs.Doubtful(now) {
-		b.level -= max(0, limit.Rate*unknownDebtTime.Seconds()-startTokens)
+		bs.chargeDebt(b, limit)
 	}
+	b.owesUnknown = false
+}
+
+func (bs *Buckets) chargeDebt(b *bucket, limit Limit) {
+	b.owesUnknown = false
+	b.level -= max(0, limit.Rate*unknownDebtTime.Seconds()-startTokens)
 }
 
 // newLevel returns the level of a bucket that is new here.
@@ -225,7 +235,7 @@
 	d := bs.decision(now, b, s)
 	d.Level = 0
 	if !bs.waitsSince(now).IsZero() {
-		d.Level = math.Floor(bs.startLevel(now, bs.limits[org])/s.instances+bs.rounding(org)) - float64(b.admitted)
+		d.Level = bs.roundedShare(org, bs.startLevel(now, bs.limits[org]), s) - float64(b.admitted)
 	}
 	if d.Level < 1 {
 		d.Early, d.Wait = true, earlyRetryAfter
