--- a/internal/coordination/routed/batchjobs/queue.go
+++ b/internal/coordination/routed/batchjobs/queue.go
@@ -3,8 +3,11 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"merlintiller/internal/coordination/routed/broker"
 	"merlintiller/internal/coordination/routed/placement"
 )
@@ -80,6 +83,7 @@
 			continue
 		}
 		if r.opts.Quarantine.Closed(t.parts) {
+			t.logHeld()
 			continue
 		}
 		if service, ok := t.service(table); ok {
@@ -90,6 +94,16 @@
 	return out
 }
 
+// logHeld logs once that an item waits since parts of its prompt are closed.
+func (t *task) logHeld() {
+	if t.held {
+		return
+	}
+	t.held = true
+	_ = level.Info(t.runner.opts.Logger).Log("event", "item_held", "item", t.id.item, "job", t.id.job, "parts", strings.Join(t.parts, ","),
+		"due_in_ms", time.Until(t.job.Due).Milliseconds())
+}
+
 // startItem starts the item of a service that is now the most urgent of those that may run at
 // a target.
 func (r *Runner) startItem(service string, choice placement.Choice) {
--- a/internal/coordination/routed/batchjobs/task.go
+++ b/internal/coordination/routed/batchjobs/task.go
@@ -39,8 +39,10 @@
 	runner  *Runner
 	replica *partitionReplica
 
-	// parts are the ids of the parts of the prompt that other requests may share.
+	// parts are the ids of the parts of the prompt that other requests may share. held reports that
+	// the item has waited since some of them are closed.
 	parts []string
+	held  bool
 
 	notBefore time.Time
 	cancel    context.CancelFunc
--- a/internal/daemon/routed/crashtrouble_test.go
+++ b/internal/daemon/routed/crashtrouble_test.go
@@ -238,6 +238,11 @@
 		t.Logf("%+v", got)
 		require.LessOrEqual(t, got.reached, toleratedRequests)
 		require.Equal(t, map[string]int{crashingPart: 9}, got.closed)
+		held := 0
+		for _, inst := range f.instances {
+			held += strings.Count(inst.logs.String(), "event=item_held")
+		}
+		require.Positive(t, held)
 		done := map[string]bool{}
 		page, status := f.instances[1].results("job-a", 0)
 		require.Equal(t, http.StatusOK, status)
--- a/internal/explain/causes.go
+++ b/internal/explain/causes.go
@@ -51,6 +51,8 @@
 		return describeItemRun(r)
 	case "item_yields":
 		return fmt.Sprintf("item %s yielded its slot at %s to an online request", r.Fields["item"], r.Fields["target"])
+	case "item_held":
+		return fmt.Sprintf("item %s waits: targets crash when they begin to answer some of its prompt parts %s", r.Fields["item"], r.Fields["parts"])
 	case "item_restarted":
 		return fmt.Sprintf("item %s starts again, its output up to event %s was discarded: %s", r.Fields["item"], r.Fields["position"], describeRestart(r))
 	case "item_failed":
