--- a/internal/daemon/routed/crashingparts_test.go
+++ b/internal/daemon/routed/crashingparts_test.go
@@ -6,6 +6,7 @@
 	"regexp"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -54,6 +55,8 @@
 	crashes []time.Time
 	starts  int
 	sound   []soundRequest
+	// mended reports that targets bear the crashing part.
+	mended atomic.Bool
 }
 
 // soundRequest is a request without the crashing part, with all tries of its caller.
@@ -86,7 +89,7 @@
 	id := fmt.Sprintf("t-%d", f.starts)
 	opts := engine.Options{
 		Slots: 8, QueueSize: 24, EventInterval: 20 * time.Millisecond, FaultFor: f.load.faultFor,
-		Crashes: func(prompt string) bool { return strings.Contains(prompt, crashingPart+":") },
+		Crashes: func(prompt string) bool { return !f.mended.Load() && strings.Contains(prompt, crashingPart+":") },
 	}
 	var started *target
 	opts.OnCrash = sync.OnceFunc(func() { f.crash(started) })
--- a/internal/daemon/routed/crashtrouble_test.go
+++ b/internal/daemon/routed/crashtrouble_test.go
@@ -291,3 +291,31 @@
 		}
 	})
 }
+
+// Guards against a part that stays closed although targets bear it again, and against trials that crash
+// more than one target each.
+func TestClosedPartOpensOnceTargetsBearIt(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		load := usualCrashLoad(1, 2)
+		load.soundPerSecond = 2
+		f := newCrashFleet(t, fleetSize{domains: 1, instances: 3, targets: 5}, load)
+		// The first trial comes two minutes after the last crash, the second one four minutes after
+		// the first.
+		const firstTrial, secondTrial = 150 * time.Second, 400 * time.Second
+		start, before := time.Now(), 0
+		f.serve(secondTrial, time.Second,
+			crashEvent{60 * time.Second, func() { before = len(f.crashes) }},
+			crashEvent{firstTrial, func() {
+				require.Equal(t, before+1, len(f.crashes), "one trial")
+				f.mended.Store(true)
+			}})
+		require.Equal(t, before+1, len(f.crashes))
+		opened := 0
+		for _, inst := range f.instances {
+			opened += strings.Count(inst.logs.String(), "event=part_opened")
+		}
+		require.Equal(t, len(f.instances), opened)
+		require.Greater(t, f.reachedAfter(start.Add(secondTrial-10*time.Second)), 10, "served again")
+	})
+}
