A network partition that refuses connections is no crash of targets

Instances of a domain that was cut off had connections reset and new ones refused while the targets beyond ran on; refused connections alone counted as crashes (part_closed seen_by three instances of that domain, four targets that other domains went on using).

A target now counts as crashed if it refuses connections twice, 1.5 s apart, and an instance of its failure domain is up by then.

--- a/internal/coordination/routed/batchjobs/task.go
+++ b/internal/coordination/routed/batchjobs/task.go
@@ -161,7 +161,7 @@
 		return
 	}
 	t.runner.opts.Quarantine.Lost(quarantine.LostRequest{
-		Target: choice.ID, Address: choice.Address, Started: choice.Started, Parts: t.parts, At: time.Now(),
+		Target: choice.ID, Address: choice.Address, Domain: choice.Domain, Started: choice.Started, Parts: t.parts, At: time.Now(),
 	})
 }
 
--- a/internal/coordination/routed/quarantine/checker.go
+++ b/internal/coordination/routed/quarantine/checker.go
@@ -17,6 +17,10 @@
 	crashCheckDelay = 10 * time.Millisecond
 	// crashCheckTimeout bounds a check.
 	crashCheckTimeout = 250 * time.Millisecond
+	// confirmDelay is the time until a target that refused a connection is checked once more. By
+	// then a network partition that refuses connections has been noticed: it is longer than the
+	// silence timeout of instances in a large fleet.
+	confirmDelay = 1500 * time.Millisecond
 )
 
 // LostRequest is a request whose target closed the connection before the first event.
@@ -24,9 +28,11 @@
 	// Target is the id of the target, Address where it was, and Started the start of its
 	// incarnation in Unix milliseconds.
 	Target, Address string
-	Started         int64
-	Parts           []string
-	At              time.Time
+	// Domain is the failure domain of the target.
+	Domain  string
+	Started int64
+	Parts   []string
+	At      time.Time
 }
 
 // Lost records that a target closed the connection of a request before its first event. Whether
@@ -92,10 +98,7 @@
 
 // check checks the target of lost requests and records its crash.
 func (c *Checker) check(ctx context.Context, lost []LostRequest) {
-	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
-	defer cancel()
-	targetProbes.Inc()
-	refused := c.guard.opts.Targets.Refuses(ctx, lost[0].Address)
+	refused := c.refuses(ctx, &lost[0]) && wait.For(ctx, confirmDelay) && c.refuses(ctx, &lost[0]) && c.guard.reaches(lost[0].Domain)
 	parts := partsOf(lost)
 	_ = level.Info(c.guard.opts.Logger).Log("event", "target_crash_checked", "target", lost[0].Target, "crashed", refused,
 		"parts", strings.Join(parts, ","), "requests", len(lost), "lost_ms", time.Since(lost[0].At).Milliseconds())
@@ -106,6 +109,20 @@
 	c.guard.crashed(&lost[0], parts)
 }
 
+// refuses reports whether the target of a lost request refuses connections.
+func (c *Checker) refuses(ctx context.Context, lost *LostRequest) bool {
+	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+	defer cancel()
+	targetProbes.Inc()
+	return c.guard.opts.Targets.Refuses(ctx, lost.Address)
+}
+
+// reaches reports whether this instance reaches others of a failure domain. If it does not, the
+// targets there may refuse it because of a network partition.
+func (g *Guard) reaches(domain string) bool {
+	return g.opts.ReachesDomain == nil || g.opts.ReachesDomain(domain)
+}
+
 // partsOf returns the parts of some requests, each once.
 func partsOf(list []LostRequest) (parts []string) {
 	for _, lost := range list {
--- a/internal/coordination/routed/quarantine/guard.go
+++ b/internal/coordination/routed/quarantine/guard.go
@@ -44,6 +44,9 @@
 	// Self is the name of this instance.
 	Self    string
 	Targets Listener
+	// ReachesDomain reports whether this instance reaches others of a failure domain, or none is
+	// known there. Nil: it always does.
+	ReachesDomain func(domain string) bool
 	// Store keeps what is closed, in Partition. Seed seeds the jitter of its reads.
 	Store     Store
 	Partition external.Partition
--- a/internal/coordination/routed/relay/quarantine.go
+++ b/internal/coordination/routed/relay/quarantine.go
@@ -41,6 +41,6 @@
 		return
 	}
 	c.opts.Quarantine.Lost(quarantine.LostRequest{
-		Target: choice.ID, Address: choice.Address, Started: choice.Started, Parts: c.parts, At: time.Now(),
+		Target: choice.ID, Address: choice.Address, Domain: choice.Domain, Started: choice.Started, Parts: c.parts, At: time.Now(),
 	})
 }
--- a/internal/daemon/routed/crashtrouble_test.go
+++ b/internal/daemon/routed/crashtrouble_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"merlintiller/internal/coordination/routed/quarantine"
 	"merlintiller/internal/standin/engine"
 	"merlintiller/internal/standin/sharedstore"
 )
@@ -318,3 +319,29 @@
 		require.Greater(t, f.reachedAfter(start.Add(secondTrial-10*time.Second)), 10, "served again")
 	})
 }
+
+// Guards against targets that count as crashed since a network partition refuses connections to them.
+func TestPartitionThatRefusesConnectionsIsNoCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newTestFleet(t, fleetSize{domains: 3, instances: 3, targets: 3})
+		var own, others []string
+		for _, inst := range fleet.instances {
+			if inst.domain == "d0" {
+				own = append(own, inst.ip)
+			} else {
+				others = append(others, inst.ip)
+			}
+		}
+		fleet.net.Partition(own, others)
+		guard := fleet.instances[0].daemon.quarantine
+		for n := range 8 {
+			// Nothing listens at the address, as behind such a partition.
+			guard.Lost(quarantine.LostRequest{
+				Target: fmt.Sprint("t-", n), Address: "10.1.2.9:8000", Domain: "d1", Parts: []string{"rare"}, At: time.Now(),
+			})
+			sleep(300 * time.Millisecond)
+		}
+		sleep(4 * time.Second)
+		require.Empty(t, guard.ClosedParts())
+	})
+}
--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -106,7 +107,7 @@
 	d.killed, d.kill = context.WithCancel(context.Background())
 	d.placer = placement.NewPlacer(d.self.Domain, d.targets.Connected, xxhash.Sum64String(d.self.Name))
 	d.quarantine = quarantine.New(quarantine.Options{
-		Self: d.self.Name, Targets: d.targets, Store: d.store, Partition: external.Partition{Topic: quarantineTopic},
+		Self: d.self.Name, Targets: d.targets, ReachesDomain: d.reachesDomain, Store: d.store, Partition: external.Partition{Topic: quarantineTopic},
 		Seed: xxhash.Sum64String(d.self.Name), Logger: logger,
 	})
 	d.setupView()
@@ -157,6 +158,12 @@
 	})
 }
 
+// reachesDomain reports whether another instance of a failure domain is up, or none is known there.
+func (d *Daemon) reachesDomain(domain string) bool {
+	known := slices.ContainsFunc(d.mesh.Peers(), func(p mesh.Peer) bool { return p.Domain == domain })
+	return !known || len(d.mesh.Up(domain)) > 0
+}
+
 func (d *Daemon) setupPeers() error {
 	listener, err := d.network.Listen(d.settings.Listen.Peers)
 	if err != nil {
