A target that was replaced gets no more requests from any instance

Cause: only the instance that got the 421 removed the target, and only until the next list, which still named it. The broker never learned it and preferred the target, whose slots were all free.

Change: the incarnation (id, address, start) stays out of use until the list drops it or the target renews its entry. The instance tells the brokers of the target's domain; its full reports repeat it for the brokers that come after them, and its own requests exclude it. A replaced target no longer counts as one of the four that are tried for a request, and a request without any usable target is rejected at once.

--- a/internal/coordination/routed/broker/client.go
+++ b/internal/coordination/routed/broker/client.go
@@ -138,7 +138,7 @@
 		}
 		waitAt = answered
 		left := time.Until(limits.Deadline)
-		if left <= 0 || ctx.Err() != nil {
+		if left <= 0 || ctx.Err() != nil || !c.HasTargets(req) {
 			return placement.Choice{}, false
 		}
 		choice, _ = c.placeIn(ctx, waitAt, req, limits, arrived, min(left, onlineWait))
@@ -373,6 +373,9 @@
 // Done ends the exchange of a choice.
 func (c *Client) Done(choice placement.Choice, result placement.Result) {
 	c.opts.Local.Done(choice, result)
+	if result == placement.Replaced {
+		c.reportReplaced(choice)
+	}
 	c.reportFailure(choice, result)
 	if choice.Number == 0 {
 		return
--- a/internal/coordination/routed/broker/holdtable.go
+++ b/internal/coordination/routed/broker/holdtable.go
@@ -107,6 +107,9 @@
 	if !report.Whole {
 		return
 	}
+	for _, i := range report.Replaced {
+		t.core.MarkReplaced(i)
+	}
 	listed := make(map[uint64]bool, len(report.Held))
 	for _, h := range report.Held {
 		listed[h.Number] = true
--- a/internal/coordination/routed/broker/messages.go
+++ b/internal/coordination/routed/broker/messages.go
@@ -32,6 +32,9 @@
 	// Released is used.
 	Whole bool
 	Held  []Hold
+	// Replaced are the domain's targets whose addresses other targets use, as far as the
+	// instance has met them. It is set only if Whole is.
+	Replaced []placement.Incarnation
 	// Released are the numbers of holds that the instance has given back.
 	Released []uint64
 }
@@ -85,4 +88,6 @@
 	methodTell   = ReceiverName + ".Tell"
 	methodLoaded = ReceiverName + ".Loaded"
 	methodFailed = ReceiverName + ".Failed"
+
+	methodReplaced = ReceiverName + ".Replaced"
 )
--- a/internal/coordination/routed/broker/reports.go
+++ b/internal/coordination/routed/broker/reports.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"merlintiller/internal/coordination/routed/mesh"
+	"merlintiller/internal/coordination/routed/placement"
 	"merlintiller/internal/wait"
 )
 
@@ -123,6 +124,9 @@
 			report.Held = append(report.Held, h)
 		}
 	}
+	for _, t := range c.opts.Local.Replaced(name) {
+		report.Replaced = append(report.Replaced, placement.IncarnationOf(t))
+	}
 	return report
 }
 
--- a/internal/coordination/routed/placement/core.go
+++ b/internal/coordination/routed/placement/core.go
@@ -60,6 +60,8 @@
 	silentDomains map[string]bool
 	// peers are the latest counts that each other instance reported.
 	peers map[string][]InFlight
+	// replaced are the listed targets whose addresses other targets use, by id.
+	replaced map[string]roster.Target
 }
 
 // InFlight is the number of requests that an instance has in flight at a target. gob sends its
@@ -124,7 +126,7 @@
 
 // New returns a core without targets.
 func New(opts Options) *Core {
-	return &Core{opts: opts, targets: map[string]*target{}, silentDomains: map[string]bool{}, peers: map[string][]InFlight{}}
+	return &Core{opts: opts, targets: map[string]*target{}, silentDomains: map[string]bool{}, peers: map[string][]InFlight{}, replaced: map[string]roster.Target{}}
 }
 
 // SetTargets replaces the list of usable targets. The counts of targets that remain are
@@ -140,11 +142,19 @@
 		}
 		t.Target = entry
 		t.warmUp.apply(entry.Warming)
-		t.listed = true
+		t.listed = !c.isReplaced(entry)
+		if t.listed {
+			delete(c.replaced, entry.ID)
+		}
 		if entry.Slots > 0 {
 			t.slots = entry.Slots
 		}
 	}
+	for id := range c.replaced {
+		if !listed[id] {
+			delete(c.replaced, id)
+		}
+	}
 	for id, t := range c.targets {
 		if listed[id] {
 			continue
@@ -378,10 +388,13 @@
 	return all, free
 }
 
-// Untrusted returns the targets to which a request should not be sent. It returns none if
-// there is no other target: trying one is better than rejecting the request.
+// Untrusted returns the targets to which a request should not be sent. Of those that may answer
+// it returns none if there is no other target: trying one is better than rejecting the request.
 func (c *Core) Untrusted(now time.Time, req Requirements) []string {
-	var out []string
+	var out, replaced []string
+	for id := range c.replaced {
+		replaced = append(replaced, id)
+	}
 	others := false
 	for id, t := range c.targets {
 		if !req.matches(t) || slices.Contains(req.Exclude, id) {
@@ -394,9 +407,9 @@
 		}
 	}
 	if !others {
-		return nil
+		return replaced
 	}
-	return out
+	return append(out, replaced...)
 }
 
 // HasTargets reports whether the list contains a target that may be chosen, regardless of its
--- a/internal/coordination/routed/placement/placer.go
+++ b/internal/coordination/routed/placement/placer.go
@@ -36,6 +36,7 @@
 		_, batch := p.totalInFlight()
 		return float64(batch)
 	})
+	metrics.GetOrCreateGauge("targets_replaced", func() float64 { return float64(len(p.Replaced(""))) })
 	return p
 }
 
@@ -130,6 +131,13 @@
 	p.core.ApplyLoad(time.Now(), id, *load)
 }
 
+// Replaced returns the entries of a failure domain's targets whose addresses other targets use.
+func (p *Placer) Replaced(domain string) []roster.Target {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.core.Replaced(domain)
+}
+
 // Acquire counts a request at a target that a broker chose.
 func (p *Placer) Acquire(target roster.Target, batch bool) Choice {
 	p.mu.Lock()
--- a/internal/coordination/routed/placement/result.go
+++ b/internal/coordination/routed/placement/result.go
@@ -45,8 +45,7 @@
 		t.unaccounted = max(0, t.slots-t.busy(now))
 		t.unaccountedUntil = now.Add(fullTTL)
 	case Replaced:
-		t.listed = false
-		t.health.failed(now, avoidanceThreshold)
+		c.MarkReplaced(IncarnationOf(choice.Target))
 	case Unreachable:
 		t.health.failed(now, avoidanceThreshold)
 	case Broken:
--- a/internal/coordination/routed/relay/relay.go
+++ b/internal/coordination/routed/relay/relay.go
@@ -142,6 +142,8 @@
 	origin origin.Origin
 	// tried holds the ids of the targets that were tried.
 	tried []string
+	// replaced is the number of tried targets whose addresses other targets use.
+	replaced int
 	// parts are the ids of the parts of the prompt that other requests may share.
 	parts []string
 	// attemptEvents is the number of stream events that the current attempt brought.
@@ -167,7 +169,7 @@
 
 // run makes attempts until the outcome is final.
 func (c *call) run(ctx context.Context) {
-	for len(c.tried) < maxPlacements {
+	for c.mayTryTarget() {
 		if len(c.tried) > 0 && c.isClosed() {
 			c.releaseFailover()
 			return
@@ -202,6 +204,16 @@
 	c.setUnplacedReason()
 }
 
+// mayTryTarget reports whether a further target may be tried. Targets that were replaced don't
+// count: another one is found within milliseconds, and after an outage of the store many of the
+// listed ones may be replaced.
+func (c *call) mayTryTarget() bool {
+	if len(c.tried)-c.replaced >= maxPlacements {
+		return false
+	}
+	return c.replaced == 0 || time.Now().Before(c.waitLimits().Deadline)
+}
+
 // nextTarget returns the target that the stall monitor reserved, or one that is
 // chosen now.
 func (c *call) nextTarget(ctx context.Context) (placement.Choice, bool) {
@@ -310,6 +322,7 @@
 	result := placement.Full
 	if answer.Head().WrongTarget {
 		result = placement.Replaced
+		c.replaced++
 		c.opts.Targets.Forget(choice.Address)
 	}
 	c.opts.Placer.Done(choice, result)
--- a/internal/coordination/routed/relay/relay_test.go
+++ b/internal/coordination/routed/relay/relay_test.go
@@ -232,6 +232,17 @@
 	})
 }
 
+// Guards against a request that is rejected although targets have free slots: more targets than
+// are tried for one request were replaced while the list could not be read.
+func TestReplacedTargetsDoNotUseUpAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &scriptedFleet{script: []scriptedAnswer{replaced, replaced, notRun, replaced, replaced, replaced, unreachable, streamOf(0, 5)}}
+		outcome, received, _ := serve(t, atMostOnceRoute, f)
+		require.Equal(t, Relayed, outcome.Reason)
+		require.Equal(t, events(0, 5), received.body.String())
+	})
+}
+
 // Guards against a status that leaves open whether the request ran, or that lacks a
 // Retry-After, when no target ran the request.
 func TestRequestRejectedByAllTargetsFailsAsNotRun(t *testing.T) {
--- a/internal/explain/causes.go
+++ b/internal/explain/causes.go
@@ -431,6 +431,11 @@
 			return ""
 		}
 		return fmt.Sprintf("target %s was no longer listed", r.Fields["target"])
+	case "target_replaced":
+		if !explanation.mentions(r.Fields["target"]) {
+			return ""
+		}
+		return fmt.Sprintf("another target uses the address of target %s, %s brokers were told", r.Fields["target"], r.Fields["brokers"])
 	case "leaving":
 		return "the instance began to shut down"
 	case "jobs_load_failed", "jobs_loaded":
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -181,3 +181,14 @@
 	requireCause(t, logs.Explain("r1"), "closed, known from c")
 	requireCause(t, logs.Explain("r2"), "may be tried again in 116.00 s")
 }
+
+// Guards against a rejected request whose explanation does not tell that its target had been
+// replaced, and who was told.
+func TestExplainsReplacedTarget(t *testing.T) {
+	logs := readLogs(t, map[string]string{"a": `
+at=2026-12-03T10:00:01Z event=request_placed request=r1 target=t-1 busy=0 slots=8 waited_ms=3
+at=2026-12-03T10:00:01Z event=attempt_failed request=r1 target=t-1 how=not_run status=421
+at=2026-12-03T10:00:01Z event=target_replaced target=t-1 address=10.0.0.1:1 granted_by=10.0.1.1:82 brokers=2
+`})
+	requireCause(t, logs.Explain("r1"), "target t-1 did not run the request (status 421)", "another target uses the address of target t-1, 2 brokers were told")
+}
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -32,6 +32,9 @@
 	Leaving bool
 	// Started is when the target started, in Unix milliseconds. 0: unknown.
 	Started int64
+	// Seq is the number that the target gave the entry; it grows each time that the target
+	// renews it. 0: unknown.
+	Seq int64
 	// WarmUp is the remaining warm-up time of the target when the entry was written.
 	WarmUp time.Duration
 	// Warming is the warm-up state by this instance's clock. It is empty in lists
