--- a/internal/coordination/routed/broker/loads.go
+++ b/internal/coordination/routed/broker/loads.go
@@ -12,6 +12,9 @@
 // freed while the answer was in flight.
 const unreportedMargin = 2
 
+// ReportsPace reports whether targets of a service report how long work takes at them.
+func (c *Client) ReportsPace(service string) bool { return c.opts.Local.ReportsPace(service) }
+
 // LoadReport is the load that a target reported in an answer.
 type LoadReport struct {
 	Target string
--- a/internal/coordination/routed/placement/core.go
+++ b/internal/coordination/routed/placement/core.go
@@ -60,6 +60,8 @@
 	silentDomains map[string]bool
 	// peers are the latest counts that each other instance reported.
 	peers map[string][]InFlight
+	// reportsPace has the services with a target that has reported its pace.
+	reportsPace map[string]bool
 	// replaced are the listed targets whose addresses other targets use, by id.
 	replaced map[string]roster.Target
 }
@@ -126,7 +128,7 @@
 
 // New returns a core without targets.
 func New(opts Options) *Core {
-	return &Core{opts: opts, targets: map[string]*target{}, silentDomains: map[string]bool{}, peers: map[string][]InFlight{}, replaced: map[string]roster.Target{}}
+	return &Core{opts: opts, targets: map[string]*target{}, silentDomains: map[string]bool{}, peers: map[string][]InFlight{}, replaced: map[string]roster.Target{}, reportsPace: map[string]bool{}}
 }
 
 // SetTargets replaces the list of usable targets. The counts of targets that remain are
@@ -425,7 +427,16 @@
 
 // ApplyLoad applies a load report of a target.
 func (c *Core) ApplyLoad(now time.Time, id string, load exchange.Load) {
-	if t := c.targets[id]; t != nil {
-		t.applyLoad(now, load)
+	t := c.targets[id]
+	if t == nil {
+		return
+	}
+	t.applyLoad(now, load)
+	if load.Pace > 0 {
+		c.reportsPace[t.Service] = true
 	}
 }
+
+// ReportsPace reports whether targets of a service report how long work takes at them. Their
+// speed changes while they serve, so that fixed times and slot counts don't describe them.
+func (c *Core) ReportsPace(service string) bool { return c.reportsPace[service] }
--- a/internal/coordination/routed/placement/placer.go
+++ b/internal/coordination/routed/placement/placer.go
@@ -138,6 +138,13 @@
 	return p.core.Replaced(domain)
 }
 
+// ReportsPace reports whether targets of a service report how long work takes at them.
+func (p *Placer) ReportsPace(service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.core.ReportsPace(service)
+}
+
 // Acquire counts a request at a target that a broker chose.
 func (p *Placer) Acquire(target roster.Target, batch bool) Choice {
 	p.mu.Lock()
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -87,6 +87,9 @@
 	// Running and Waiting count requests at the target. Slots is the number that the
 	// target can run at the same time, 0 if not reported.
 	Running, Waiting, Slots int
+	// Pace is how long work takes at the target at this moment, in percent of the usual time:
+	// 250 is two and a half times as long. 0: not reported.
+	Pace int
 }
 
 // Report is a target's answer to a status query.
@@ -114,8 +117,11 @@
 	NotRun bool
 	// WrongTarget reports that the address now belongs to another target.
 	WrongTarget bool
-	// Load is nil if the target did not report its load.
+	// Load is nil if the target did not report its load, or not readably.
 	Load *Load
+	// MalformedLoad is a report of the load that could not be read, or not all of it; it may be
+	// cut short. Empty: there is none.
+	MalformedLoad string
 	// EndsWithConnection reports that the body has neither a length nor chunks, so that the end of
 	// the connection is its end.
 	EndsWithConnection bool
