Begin sooner without rate levels; Retry-After until they are known

Cause: after a restart of all instances with one listed instance gone for good, every instance waited a second for the levels of the rates, and told callers to come back after 0.2 s, so that their one retry was rejected too.

It stays at a second if an instance knows the levels, or none responds. Retry-After is the latest time until the levels are known, spread over 0.4 s and at most 1.5 s. The log line rate_levels, the metric rate_levels_wait_seconds and tillerctl explain show it.

--- a/internal/coordination/routed/quota/limiter.go
+++ b/internal/coordination/routed/quota/limiter.go
@@ -34,6 +34,7 @@
 // writeLevels writes the levels of the buckets that are not full as metrics.
 func (l *Limiter) writeLevels(w io.Writer) {
 	levels := l.BucketLevels()
+	metrics.WriteGaugeFloat64(w, "rate_levels_wait_seconds", l.LevelsStart().Wait.Seconds())
 	names := slices.SortedFunc(maps.Keys(levels), func(a, b string) int {
 		return cmp.Or(cmp.Compare(levels[a], levels[b]), cmp.Compare(a, b))
 	})
@@ -113,6 +114,13 @@
 	return l.buckets.startup.levelsFrom
 }
 
+// LevelsStart returns how this instance got the levels after its start.
+func (l *Limiter) LevelsStart() LevelsStart {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buckets.LevelsStart(time.Now())
+}
+
 // Tick records that this process runs, and when Tick will be called next.
 func (l *Limiter) Tick(period time.Duration) {
 	l.mu.Lock()
--- a/internal/coordination/routed/quota/quota.go
+++ b/internal/coordination/routed/quota/quota.go
@@ -117,7 +117,7 @@
 	return &Buckets{
 		startedAt: now,
 		now:       now,
-		startup:   startup{instance: instance, levelsFrom: LevelsUnknown, levelsAt: now},
+		startup:   newStartup(now, instance),
 		limits:    map[string]Limit{},
 		buckets:   map[string]*bucket{},
 		peers:     map[string]*peer{},
--- a/internal/coordination/routed/quota/startup.go
+++ b/internal/coordination/routed/quota/startup.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,6 +20,13 @@
 	// stateWaitTimeout is how long a new instance waits for the levels once it knows the
 	// limits and the other instances. Those that know the levels may be silent.
 	stateWaitTimeout = time.Second
+	// someSilentWait is how long it waits if all instances that respond report that they don't
+	// know the levels, and others have not responded at all. fewSilentWait applies if no more
+	// are silent than are presumed dead. Reports of instances that run arrive within two steps
+	// of maxRelayInterval (package mesh), and levels that arrive later still lower the own
+	// ones, see settleTime.
+	someSilentWait = 700 * time.Millisecond
+	fewSilentWait  = 400 * time.Millisecond
 	// fleetWaitTimeout is how long a new instance waits for a complete list of the instances
 	// once it knows the limits. By then those that can be reached have found each other.
 	fleetWaitTimeout = 2 * time.Second
@@ -43,13 +51,23 @@
 	// unknownDebtTime, less startTokens.
 	unknownDebtTime   = 1500 * time.Millisecond
 	unknownDebtPeriod = 5 * time.Second
-	// earlyRetryAfter is when a request may come back that came too early after the start.
-	earlyRetryAfter = 200 * time.Millisecond
+	// maxEarlyRetryAfter bounds the Retry-After of requests that came too early after the
+	// start. Callers honour it up to a third of their remaining time, which is 5 s at first.
+	maxEarlyRetryAfter = 1500 * time.Millisecond
+	// earlyRetrySpread is the time over which such requests come back. All that were rejected
+	// in a second would otherwise return at one moment, and find fewer tokens and slots than
+	// they need together.
+	earlyRetrySpread = 400 * time.Millisecond
 )
 
 // startup is what an instance knows since its start.
 type startup struct {
 	instance string
+	// random draws the jitter of Retry-After.
+	random *rand.Rand
+	// silentAtLevels is the number of instances that had not responded when the levels became
+	// known.
+	silentAtLevels int
 	// levelsFrom is the instance that the levels were adopted from, LevelsUnknown or
 	// LevelsOfNobody, since levelsAt.
 	levelsFrom string
@@ -62,6 +80,31 @@
 	limitsKnownAt, fleetKnownAt time.Time
 }
 
+func newStartup(now time.Time, instance string) startup {
+	// Instances that start together must not draw the same jitter.
+	random := rand.New(rand.NewPCG(xxhash.Sum64String(instance), uint64(now.UnixNano())))
+	return startup{instance: instance, random: random, levelsFrom: LevelsUnknown, levelsAt: now}
+}
+
+// LevelsStart describes how an instance got the levels of the rates after its start.
+type LevelsStart struct {
+	// From is the instance that the levels were adopted from, LevelsUnknown or LevelsOfNobody.
+	From string
+	// Wait is the time from the start until the levels were known, or until now. Silent is the
+	// number of listed instances that had not responded by then.
+	Wait   time.Duration
+	Silent int
+}
+
+// LevelsStart returns how this instance got the levels.
+func (bs *Buckets) LevelsStart(now time.Time) LevelsStart {
+	u := bs.startup
+	if !bs.levelsKnown() {
+		return LevelsStart{From: u.levelsFrom, Wait: now.Sub(bs.startedAt), Silent: bs.peerAnswers().silent}
+	}
+	return LevelsStart{From: u.levelsFrom, Wait: u.levelsAt.Sub(bs.startedAt), Silent: u.silentAtLevels}
+}
+
 // SetFleetKnown records that all instances of the fleet have been added.
 func (bs *Buckets) SetFleetKnown(now time.Time) {
 	bs.now = now
@@ -81,6 +124,16 @@
 // waitsSince returns since when this instance knows all that it needs to use levels: the
 // limits and the other instances. It returns zero before.
 func (bs *Buckets) waitsSince(now time.Time) time.Time {
+	since := bs.waitBegins()
+	if since.After(now) {
+		return time.Time{}
+	}
+	return since
+}
+
+// waitBegins returns when the wait for the levels began or begins at the latest, zero if the
+// limits are not known.
+func (bs *Buckets) waitBegins() time.Time {
 	u := bs.startup
 	if u.limitsKnownAt.IsZero() {
 		return time.Time{}
@@ -89,9 +142,6 @@
 	if !u.fleetKnownAt.IsZero() {
 		since = earlier(since, later(u.limitsKnownAt, u.fleetKnownAt))
 	}
-	if since.After(now) {
-		return time.Time{}
-	}
 	return since
 }
 
@@ -152,7 +202,7 @@
 		return true
 	}
 	since := bs.waitsSince(now)
-	if since.IsZero() || !bs.nobodyKnowsLevels() && now.Sub(since) <= stateWaitTimeout {
+	if since.IsZero() || now.Sub(since) < bs.levelsWait() {
 		return false
 	}
 	bs.beginWith(now, LevelsOfNobody, true, func(org string, limit Limit) float64 {
@@ -166,6 +216,7 @@
 // instance or nobody. Parts of them are reserved for the instances that are not heard yet.
 func (bs *Buckets) beginWith(now time.Time, from string, doubtful bool, levelOf func(org string, limit Limit) float64) {
 	bs.startup.levelsFrom, bs.startup.levelsAt, bs.startup.doubtful = from, now, doubtful
+	bs.startup.silentAtLevels = bs.peerAnswers().silent
 	s := bs.shares(now)
 	for org, limit := range bs.limits {
 		if limit.Rate <= 0 {
@@ -186,14 +237,53 @@
 	return math.Floor(max(0, tokens)/s.instances + bs.rounding(org))
 }
 
-// nobodyKnowsLevels reports that no instance that knows the levels is left.
-func (bs *Buckets) nobodyKnowsLevels() bool {
+// peerAnswers counts what the other instances that are not down have reported of the levels.
+type peerAnswers struct {
+	// know and unaware are those that reported that they know the levels, or that they don't.
+	// silent have not reported anything.
+	know, unaware, silent int
+}
+
+func (bs *Buckets) peerAnswers() (a peerAnswers) {
 	for _, p := range bs.peers {
-		if !p.down && (p.lastSeen.IsZero() || p.hasQuotaState) {
-			return false
+		switch {
+		case p.down:
+		case p.lastSeen.IsZero():
+			a.silent++
+		case p.hasQuotaState:
+			a.know++
+		default:
+			a.unaware++
 		}
 	}
-	return !bs.startup.fleetKnownAt.IsZero()
+	return a
+}
+
+// levelsWait returns how long this instance waits for the levels before it begins without
+// them.
+func (bs *Buckets) levelsWait() time.Duration {
+	a := bs.peerAnswers()
+	size := float64(1 + a.know + a.unaware + a.silent)
+	switch {
+	case bs.startup.fleetKnownAt.IsZero(), a.know > 0:
+		return stateWaitTimeout
+	case a.silent == 0:
+		return 0
+	case a.unaware == 0:
+		return stateWaitTimeout
+	case float64(a.silent) <= presumedDeadShare*size:
+		return fewSilentWait
+	default:
+		return someSilentWait
+	}
+}
+
+// earlyRetryAfter returns when a request may come back that came before the levels are known:
+// the latest time until they will be known, and a random part of earlyRetrySpread.
+func (bs *Buckets) earlyRetryAfter(now time.Time) time.Duration {
+	latest := max(0, bs.waitBegins().Add(bs.levelsWait()).Sub(now))
+	jitter := time.Duration(bs.startup.random.Int64N(int64(earlyRetrySpread)))
+	return min(latest, maxEarlyRetryAfter-earlyRetrySpread) + jitter
 }
 
 // startLevel returns the level of a bucket for the whole fleet if nobody knows what was
@@ -238,7 +328,7 @@
 		d.Level = bs.roundedShare(org, bs.startLevel(now, bs.limits[org]), s) - float64(b.admitted)
 	}
 	if d.Level < 1 {
-		d.Early, d.Wait = true, earlyRetryAfter
+		d.Early, d.Wait = true, bs.earlyRetryAfter(now)
 		return d
 	}
 	b.admitted++
--- a/internal/daemon/routed/delegate.go
+++ b/internal/daemon/routed/delegate.go
@@ -93,12 +93,14 @@
 
 // logLevels logs where this instance has the levels of the rates from, once it has them.
 func (m *meshDelegate) logLevels() {
-	from := m.limiter.LevelsFrom()
+	start := m.limiter.LevelsStart()
+	from := start.From
 	if from == m.levelsFrom || from == quota.LevelsUnknown {
 		return
 	}
 	m.levelsFrom = from
-	_ = level.Info(m.logger).Log("event", "rate_levels", "from", from, "instances", 1+len(m.mesh.Peers()), "config", m.view.Version())
+	_ = level.Info(m.logger).Log("event", "rate_levels", "from", from, "instances", 1+len(m.mesh.Peers()), "config", m.view.Version(),
+		"waited_ms", start.Wait.Milliseconds(), "silent", start.Silent)
 }
 
 // QuarantineSince implements mesh.Delegate.
--- a/internal/explain/causes.go
+++ b/internal/explain/causes.go
@@ -290,7 +290,8 @@
 		return fmt.Sprintf("organisation %s has tokens left (%s), but this instance has used its share of them, which it may exceed only while it hears from the others",
 			r.Fields["organisation"], r.Fields["level"])
 	case "rates_unknown":
-		return fmt.Sprintf("the instance had just started and did not know yet what is left of the rate of organisation %s", r.Fields["organisation"])
+		return fmt.Sprintf("the instance had just started and did not know yet what is left of the rate of organisation %s (%s of %s instances had reported; callers return when the levels will be known)",
+			r.Fields["organisation"], r.Fields["reachable"], r.Fields["instances"])
 	case "all_full":
 		return fmt.Sprintf("no target had a free slot within the %s that the request could wait", seconds(r.Number("took_ms")))
 	case "not_taken":
