Answers are held for callers that read slowly, within a bound of the memory

Cause: relay wrote each part of an answer before it read the next one from the target, so a caller that reads slowly held its target's slot, and request bodies were bounded only one by one.

Change: package answerbuffer counts what is held for callers and decides what fits; relay writes held parts from a goroutine of its own and releases the slot when the target's answer ends; front counts request bodies and rejects with 503 (reason no_memory) what does not fit. Setting adaptive.answer_buffers_percent, default 0: off, each part is written directly as before. Metrics, log line, fields of the request line, sentences in explain.

--- a/internal/coordination/routed/relay/forward.go
+++ b/internal/coordination/routed/relay/forward.go
@@ -28,7 +28,9 @@
 func (c *call) forward(ctx context.Context, choice placement.Choice, monitor *stallMonitor, answer external.OpenAnswer) nextStep {
 	var err error
 	if c.Route.Kind == route.Stream && answer.Head().Success() {
-		err = c.forwardStream(choice, monitor, answer)
+		err = c.forwardStream(ctx, choice, monitor, answer)
+	} else if c.delivery != nil {
+		err = c.forwardHeldBody(ctx, monitor, answer)
 	} else {
 		err = c.forwardBody(answer)
 	}
@@ -59,7 +61,7 @@
 // forwardStream forwards complete events only. A target may fail in the middle of
 // an event, and the stream then resumes with that event at another target; the
 // caller must not receive a part of it twice.
-func (c *call) forwardStream(choice placement.Choice, monitor *stallMonitor, answer external.OpenAnswer) error {
+func (c *call) forwardStream(ctx context.Context, choice placement.Choice, monitor *stallMonitor, answer external.OpenAnswer) error {
 	events := sse.NewReader(answer)
 	var last time.Time
 	for {
@@ -86,8 +88,8 @@
 		if err := c.sendHead(answer); err != nil {
 			return err
 		}
-		if err := c.sink.SendBody(event.Raw); err != nil {
-			return errors.Join(errCallerDisconnected, err)
+		if err := c.sendEvent(ctx, event.Raw, monitor); err != nil {
+			return err
 		}
 		if event.HasPosition {
 			c.lastEvent = event.Position
@@ -97,6 +99,17 @@
 	}
 }
 
+// sendEvent sends an event to the caller, or takes it over for delivery.
+func (c *call) sendEvent(ctx context.Context, raw []byte, monitor *stallMonitor) error {
+	if c.delivery != nil {
+		return c.delivery.send(ctx, raw, monitor)
+	}
+	if err := c.sink.SendBody(raw); err != nil {
+		return errors.Join(errCallerDisconnected, err)
+	}
+	return nil
+}
+
 // sendHead sends the head of the answer unless a head was sent before. A stream
 // that resumes at another target keeps the head from its first target.
 func (c *call) sendHead(answer external.OpenAnswer) error {
@@ -146,6 +159,49 @@
 	}
 }
 
+// heldReadSize is the number of bytes that are read at once from an answer whose parts are held.
+const heldReadSize = 4 << 10
+
+// forwardHeldBody is forwardBody with parts that are held while the caller does not read. Fewer
+// bytes are buffered before the head if the bound of held bytes is reached.
+func (c *call) forwardHeldBody(ctx context.Context, monitor *stallMonitor, answer external.OpenAnswer) error {
+	part := make([]byte, heldReadSize)
+	held := 0
+	for {
+		n, err := answer.Read(part)
+		ended := errors.Is(err, io.EOF)
+		if err != nil && !ended && !c.headSent {
+			c.delivery.discard()
+			return err
+		}
+		if n > 0 && !c.headSent && held+n <= maxBufferedAnswer && c.delivery.hold(part[:n]) {
+			held += n
+		} else if n > 0 {
+			if err := c.sendHeldPart(ctx, monitor, answer, part[:n]); err != nil {
+				return err
+			}
+		}
+		if ended {
+			return c.sendHeldPart(ctx, monitor, answer, nil)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// sendHeldPart sends the head, if it was not sent, what is held, and a part.
+func (c *call) sendHeldPart(ctx context.Context, monitor *stallMonitor, answer external.OpenAnswer, part []byte) error {
+	if err := c.sendHead(answer); err != nil {
+		return err
+	}
+	if len(part) == 0 {
+		c.delivery.write()
+		return nil
+	}
+	return c.delivery.send(ctx, part, monitor)
+}
+
 // sendPart sends a part of the answer's body, and the head before the first part.
 func (c *call) sendPart(answer external.OpenAnswer, part []byte) error {
 	if err := c.sendHead(answer); err != nil {
--- a/internal/coordination/routed/relay/outcome.go
+++ b/internal/coordination/routed/relay/outcome.go
@@ -73,6 +73,11 @@
 	TimeToFirstByte time.Duration
 	// Events is the number of stream events that were forwarded.
 	Events int
+	// HeldBytes is the largest number of bytes of the answer that were held for the caller,
+	// CallerLag the longest time until it had read a part, and ReadStopped the time for which
+	// the target was not read, since the bound of held bytes was reached.
+	HeldBytes              int
+	CallerLag, ReadStopped time.Duration
 	// Origin is what is known about the beginning of a stream.
 	Origin origin.Origin
 	// Closure is what is known of the closed parts of the prompt, nil if none are closed.
--- a/internal/coordination/routed/relay/relay.go
+++ b/internal/coordination/routed/relay/relay.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log"
 
+	"merlintiller/internal/coordination/routed/answerbuffer"
 	"merlintiller/internal/coordination/routed/origin"
 	"merlintiller/internal/coordination/routed/placement"
 	"merlintiller/internal/coordination/routed/quarantine"
@@ -91,11 +93,21 @@
 	Placer     Placer
 	Origins    Origins
 	Quarantine Quarantine
-	Logger     log.Logger
+	// AnswerBuffers bounds the parts of answers that are held for callers that read slowly. If it
+	// is nil, each part is written before the next one is read from the target.
+	AnswerBuffers *answerbuffer.Budget
+	Logger        log.Logger
 }
 
 // Relay serves online requests. It is safe for concurrent use.
-type Relay struct{ opts Options }
+type Relay struct {
+	opts Options
+
+	stoppedMu sync.Mutex
+	// stoppedLogged is when a stopped read was last logged, stoppedCount the number since then.
+	stoppedLogged time.Time
+	stoppedCount  int
+}
 
 // New returns a Relay with the given options.
 func New(opts Options) *Relay { return &Relay{opts: opts} }
@@ -109,17 +121,30 @@
 	Organisation string
 	// ReceivedAt is when the request arrived, Deadline when it has to end.
 	ReceivedAt, Deadline time.Time
+	// ReleaseBody, if set, is called when the body is not needed any more, since the request is
+	// sent to no further target.
+	ReleaseBody func()
 }
 
 // Serve sends a request to targets until one answers it or no further attempt is
 // allowed. The context has to be cancelled when the caller disconnects.
 func (r *Relay) Serve(ctx context.Context, request *RoutedRequest, sink Sink) Outcome {
+	callerCtx := ctx
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
 	c := &call{Relay: r, RoutedRequest: request, sink: sink, lastEvent: request.Request.After, parts: request.Request.Prompt.SharedParts()}
+	if buffered, ok := sink.(BufferedSink); ok && r.opts.AnswerBuffers != nil {
+		var disconnected context.CancelCauseFunc
+		ctx, disconnected = context.WithCancelCause(ctx)
+		defer disconnected(nil)
+		c.delivery = newDelivery(c, buffered, disconnected)
+		// After a panic, the writer must not use the connection any more.
+		defer c.delivery.abort()
+	}
 	if !c.isClosed() && c.findOrigin(ctx) {
 		c.run(ctx)
 	}
+	c.finishDelivery(callerCtx)
 	c.outcome.Origin = c.origin
 	if !c.outcome.AnswerStarted() && c.outcome.Reason != CallerDisconnected {
 		c.outcome.Status = c.outcome.errorStatus()
@@ -133,8 +158,10 @@
 	*RoutedRequest
 	sink    Sink
 	outcome Outcome
+	// delivery writes the answer to the caller, nil if the parts are written directly.
+	delivery *delivery
 	// lastEvent is the position of the last stream event that the caller
-	// received.
+	// received, or that is held for it.
 	lastEvent int
 	// origin is what is known about the beginning of the stream: its first event was
 	// received by the caller before or was sent to it by this request. It is zero as long as
--- a/internal/coordination/routed/relay/stall.go
+++ b/internal/coordination/routed/relay/stall.go
@@ -51,6 +51,8 @@
 	// cancelled.
 	failover *placement.Choice
 	stopped  bool
+	// paused is set while the target is not read, since the caller does not read.
+	paused bool
 }
 
 // monitorStalls starts the monitor of an exchange.
@@ -79,7 +81,7 @@
 // onTimeout runs when no data arrived within the timeout.
 func (m *stallMonitor) onTimeout() {
 	m.mu.Lock()
-	if m.stopped {
+	if m.stopped || m.paused {
 		m.mu.Unlock()
 		return
 	}
@@ -113,9 +115,10 @@
 	// The stream may have begun meanwhile.
 	began := len(m.requirements.Versions) != len(requirements.Versions) || !m.mayFailOver
 	switch {
+	case !found && m.paused:
 	case !found:
 		m.timer.Reset(failoverRetryInterval)
-	case m.stopped, began:
+	case m.stopped, m.paused, began:
 		go m.call.opts.Placer.Done(choice, placement.Cancelled)
 	default:
 		m.failover = &choice
@@ -136,6 +139,24 @@
 	m.timer.Reset(m.call.gapTimeout())
 }
 
+// pause stops the monitoring while the target is not read.
+func (m *stallMonitor) pause() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.paused = true
+	m.timer.Stop()
+}
+
+// resume continues after pause. The timeout starts anew.
+func (m *stallMonitor) resume() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.paused = false
+	if !m.stopped {
+		m.timer.Reset(m.call.gapTimeout())
+	}
+}
+
 // result returns the result of a failed exchange: a time-out if the target is
 // suspect, a cancellation if the request failed over, fallback otherwise.
 func (m *stallMonitor) result(fallback placement.Result) placement.Result {
--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/gravitational/trace"
 	"github.com/thejerf/suture/v4"
 
+	"merlintiller/internal/coordination/routed/answerbuffer"
 	"merlintiller/internal/coordination/routed/batchjobs"
 	"merlintiller/internal/coordination/routed/broker"
 	"merlintiller/internal/coordination/routed/fleetview"
@@ -70,6 +71,8 @@
 	jobService     *batchjobs.JobService
 	front          *front.Front
 	loadMonitor    *front.LoadMonitor
+	// heldBytes bounds the bytes held for callers, nil if the setting is off.
+	heldBytes *answerbuffer.Budget
 
 	isolation *isolationDetector
 
@@ -208,6 +211,7 @@
 }
 
 func (d *Daemon) setupFront() {
+	d.heldBytes = newHeldBytes(d.settings)
 	d.loadMonitor = front.NewLoadMonitor(front.LoadLimits{MemoryMB: d.settings.MemoryMB, SchedulingLag: d.settings.MaxSchedulingLag}, d.logger)
 	d.front = front.New(front.Options{
 		Listen: d.listeners.callers,
@@ -218,8 +222,11 @@
 		},
 		Table: d.view.Table,
 		Quota: d.limiter,
-		Relay: relay.New(relay.Options{Targets: d.targets, Placer: d.brokerClient, Origins: d.origins, Quarantine: d.quarantine, Logger: d.logger}),
-		Jobs:  d.jobService, JobsUnavailable: d.isolation.jobRetryAfter, Admit: d.loadMonitor.Admit, Logger: d.logger,
+		Relay: relay.New(relay.Options{
+			Targets: d.targets, Placer: d.brokerClient, Origins: d.origins, Quarantine: d.quarantine, AnswerBuffers: d.heldBytes, Logger: d.logger,
+		}),
+		HeldBytes: d.heldBytes,
+		Jobs:      d.jobService, JobsUnavailable: d.isolation.jobRetryAfter, Admit: d.loadMonitor.Admit, Logger: d.logger,
 	})
 }
 
--- /dev/null
+++ b/internal/daemon/routed/heldbytes.go
@@ -0,0 +1,23 @@
+package routed
+
+import (
+	"github.com/VictoriaMetrics/metrics"
+
+	"merlintiller/internal/coordination/routed/answerbuffer"
+	"merlintiller/internal/settings"
+)
+
+// newHeldBytes returns the budget of the bytes held for callers, nil if the setting is off.
+func newHeldBytes(s *settings.Routed) *answerbuffer.Budget {
+	percent := int64(s.Adaptive.AnswerBuffersPercent)
+	if percent == 0 {
+		return nil
+	}
+	budget := answerbuffer.NewBudget(percent * int64(s.MemoryMB) * (1 << 20) / 100)
+	metrics.GetOrCreateGauge(`held_bytes{kind="answers"}`, func() float64 { return float64(budget.Levels().Answers) })
+	metrics.GetOrCreateGauge(`held_bytes{kind="bodies"}`, func() float64 { return float64(budget.Levels().Bodies) })
+	metrics.GetOrCreateGauge(`held_bytes_peak{kind="answers"}`, func() float64 { return float64(budget.Peak().Answers) })
+	metrics.GetOrCreateGauge(`held_bytes_peak{kind="bodies"}`, func() float64 { return float64(budget.Peak().Bodies) })
+	metrics.GetOrCreateGauge("held_bytes_bound", func() float64 { return float64(budget.Levels().Bound) })
+	return budget
+}
--- a/internal/explain/causes.go
+++ b/internal/explain/causes.go
@@ -34,9 +34,11 @@
 func describe(r *Record) string {
 	switch r.Event {
 	case "request":
-		return describeRequest(r) + describeRate(r)
+		return describeRequest(r) + describeSlowCaller(r) + describeRate(r)
 	case "request_placed":
 		return describePlacement(r)
+	case "answer_read_stopped":
+		return describeReadStopped(r)
 	case "attempt_failed":
 		return describeAttempt(r)
 	case "job_submitted":
@@ -251,6 +253,40 @@
 	}
 }
 
+// reportedLag is the number of milliseconds from which on the lag of a caller is reported. An event
+// that reaches its caller later than that is late.
+const reportedLag = 200
+
+// describeSlowCaller says how far a caller lagged behind its answer, "" if it did not.
+func describeSlowCaller(r *Record) string {
+	lag := r.Number("caller_lag_ms")
+	if lag < reportedLag {
+		return ""
+	}
+	text := fmt.Sprintf("; the caller read slowly: up to %s bytes were held for it, and it took a part up to %s after that had arrived",
+		r.Fields["held_bytes"], seconds(lag))
+	if stopped := r.Number("read_stopped_ms"); stopped > 0 {
+		text += fmt.Sprintf("; the target was not read for %s, since no more bytes could be held", seconds(stopped))
+	}
+	return text
+}
+
+// describeReadStopped says why a part of an answer was not held for a slow caller.
+func describeReadStopped(r *Record) string {
+	why := "the bound of held bytes is reached"
+	if r.Fields["why"] == "over_mean" {
+		why = "much of the bound of held bytes is used, and this answer holds more than the mean"
+	}
+	return fmt.Sprintf("reading from target %s stops until the caller reads, with %s bytes held for it: %s (%s)", r.Fields["target"],
+		r.Fields["held_bytes"], why, describeHeldBytes(r))
+}
+
+// describeHeldBytes gives the numbers on which a decision on held bytes is based.
+func describeHeldBytes(r *Record) string {
+	return fmt.Sprintf("%s bytes of %s answers and %s bytes of request bodies, at most %s in all", r.Fields["answers_bytes"],
+		r.Fields["answers"], r.Fields["bodies_bytes"], r.Fields["bound_bytes"])
+}
+
 // describeRate gives what a decision on a rate was based on, "" for a line without one.
 func describeRate(r *Record) string {
 	from := r.Fields["levels_from"]
@@ -301,6 +337,8 @@
 		return fmt.Sprintf("it takes up the stream of request %q, and no instance that answered knows at which software version that began", r.Fields["resumes"])
 	case "version_gone":
 		return fmt.Sprintf("it takes up the stream of request %q, which began at software version %s, and no target of that version is listed", r.Fields["resumes"], r.Fields["stream_version"])
+	case "no_memory":
+		return "its body did not fit into the memory for bytes held for callers: " + describeHeldBytes(r)
 	case "no_service":
 		return "its route names no service"
 	case "no_config":
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -42,6 +42,21 @@
 	requireCause(t, logs.Explain("r4"), "organisation one has tokens left (9.25)", "retry after 0.40 s")
 }
 
+// Guards against a caller that read slowly and is told that the instance was slow, and against a
+// rejection for want of memory without the numbers that led to it.
+func TestExplainsSlowCallers(t *testing.T) {
+	logs := readLogs(t, map[string]string{"a": `
+at=2026-12-03T10:00:02Z event=answer_read_stopped request=r1 target=t1 why=over_mean held_bytes=9000 bytes=300 answers_bytes=70000 bodies_bytes=200 bound_bytes=100000 answers=9 count=1
+at=2026-12-03T10:00:03Z event=request request=r1 config=7 outcome=answered reason=relayed status=200 took_ms=9000 first_byte_ms=60 held_bytes=9300 caller_lag_ms=8100 read_stopped_ms=700
+at=2026-12-03T10:00:03Z event=request request=r2 config=7 outcome=answered reason=relayed status=200 took_ms=700 first_byte_ms=60 held_bytes=30 caller_lag_ms=0 read_stopped_ms=0
+at=2026-12-03T10:00:04Z event=request request=r3 config=7 outcome=refused reason=no_memory status=503 took_ms=1 answers_bytes=70000 bodies_bytes=29000 bound_bytes=100000 answers=9 retry_ms=300
+`})
+	requireCause(t, logs.Explain("r1"), "reading from target t1 stops until the caller reads, with 9000 bytes held for it", "more than the mean",
+		"the caller read slowly: up to 9300 bytes were held for it, and it took a part up to 8.10 s after", "not read for 0.70 s")
+	require.NotContains(t, strings.Join(logs.Explain("r2").Causes, "\n"), "slowly")
+	requireCause(t, logs.Explain("r3"), "its body did not fit", "70000 bytes of 9 answers and 29000 bytes of request bodies, at most 100000", "retry after 0.30 s")
+}
+
 // Guards against a request admitted beyond the rate whose line does not tell what the instance
 // knew of the other instances.
 func TestExplainsOnWhatARateWasDecided(t *testing.T) {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -160,6 +160,8 @@
 var zeroAllowed = map[string]bool{
 	"routing.affinity_load": true,
 	"headroom.spare":        true,
+	// 0 turns the part off.
+	"adaptive.answer_buffers_percent": true,
 }
 
 // checkNumbers rejects negative numbers and durations in all fields, and zero except
@@ -173,7 +175,10 @@
 			checkNumbers(doc, strings.TrimPrefix(field+"."+name, "."), value.Field(i))
 		}
 	case reflect.Int, reflect.Int64:
-		if value.Int() <= 0 {
+		switch {
+		case value.Int() < 0 && zeroAllowed[field]:
+			doc.Report(field, "must not be negative")
+		case value.Int() < 0, value.Int() == 0 && !zeroAllowed[field]:
 			doc.Report(field, "must be above 0")
 		}
 	case reflect.Float64:
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -46,10 +46,22 @@
 	// reports that it is not ready: the load balancer probes once a second and removes
 	// an instance after two failed probes. The default is at most two fifths of grace.
 	DrainNotice time.Duration `yaml:"drain_notice"`
+	// Adaptive holds the settings of how the instance adapts to uneven load.
+	Adaptive Adaptive `yaml:"adaptive"`
 	// Log holds the level and the format of the log.
 	Log Log `yaml:"log"`
 }
 
+// Adaptive holds the settings of how the instance adapts to uneven load. Each of them turns one
+// part on or off.
+type Adaptive struct {
+	// AnswerBuffersPercent is the part of memory_mb, in percent, that may be used for bytes held
+	// for callers: answers that they have not read yet, and bodies of requests. A target is then
+	// read to the end of its answer while its caller reads slowly. 0 turns this off: a caller that
+	// reads slowly holds its target's slot. At most 50.
+	AnswerBuffersPercent int `yaml:"answer_buffers_percent"`
+}
+
 // RoutedListen holds addresses as "ip:port".
 type RoutedListen struct {
 	// Callers is the address for callers' requests.
@@ -134,6 +146,10 @@
 // can hold the header of a job and any item of usual size.
 const minRecordBytes = 4 << 10
 
+// maxAnswerBuffersPercent is the largest accepted adaptive.answer_buffers_percent. It is below the
+// share of the memory that is set as the soft limit of the Go runtime.
+const maxAnswerBuffersPercent = 50
+
 func checkRouted(s *Routed, doc *strictyaml.Document) {
 	if s.Instance == "" {
 		doc.Report("instance", "is missing")
@@ -163,6 +179,10 @@
 	if s.Store.CallBytes < s.Store.RecordBytes {
 		doc.Report("store.call_bytes", "%d must be at least store.record_bytes (%d)", s.Store.CallBytes, s.Store.RecordBytes)
 	}
+	if s.Adaptive.AnswerBuffersPercent > maxAnswerBuffersPercent {
+		doc.Report("adaptive.answer_buffers_percent", "%d must be at most %d, the rest of the memory is needed for connections and the heap's growth",
+			s.Adaptive.AnswerBuffersPercent, maxAnswerBuffersPercent)
+	}
 	if s.DrainNotice >= s.Grace {
 		doc.Report("drain_notice", "%s must be shorter than grace (%s), or a shutdown interrupts requests", s.DrainNotice, s.Grace)
 	}
--- a/internal/settings/routed_test.go
+++ b/internal/settings/routed_test.go
@@ -28,6 +28,7 @@
 	require.NoError(t, err)
 	require.Equal(t, DefaultRouted().DrainNotice, s.DrainNotice)
 	require.Equal(t, DefaultRouted().Store.Timeout, s.Store.Timeout)
+	require.Zero(t, s.Adaptive.AnswerBuffersPercent, "off unless it is set")
 }
 
 // Some deployments give a process a shorter grace time than usual. If the default
@@ -50,6 +51,8 @@
 		"host name of a store": {"address: 10.0.9.1:9000", "address: store:9000", "s.yaml:8: store.address: \"store:9000\" must be an IP address"},
 		"long notice":          {"store:", "grace: 4s\ndrain_notice: 4s\nstore:", "s.yaml:8: drain_notice: 4s must be shorter than grace (4s)"},
 		"small records":        {"store:", "store:\n  record_bytes: 100", "s.yaml:8: store.record_bytes: 100 must be at least 4096"},
+		"negative buffers":     {"store:", "adaptive:\n  answer_buffers_percent: -1\nstore:", "s.yaml:8: adaptive.answer_buffers_percent: must not be negative"},
+		"large buffers":        {"store:", "adaptive:\n  answer_buffers_percent: 51\nstore:", "s.yaml:8: adaptive.answer_buffers_percent: 51 must be at most 50"},
 		"no seeds":             {"store:", "seeds: [nobody]\nstore:", "s.yaml:7: seeds[0]: \"nobody\" must be an IP address"},
 		"spaces":               {"instance: sea-1", "instance: sea 1", "s.yaml:1: instance: \"sea 1\" must not contain spaces"},
 		"empty":                {validRouted, "", "is empty"},
@@ -95,6 +98,7 @@
 		require.NoError(t, err)
 		require.Equal(t, 2500*time.Millisecond, s.Grace)
 		require.Equal(t, 184, s.MemoryMB)
+		require.Equal(t, 25, s.Adaptive.AnswerBuffersPercent)
 		require.InDelta(t, 0.192, s.CPUCores, 0)
 		require.Equal(t, bound != "", s.ResultsReadable == 2*time.Minute)
 	}
--- a/internal/transport/front/online.go
+++ b/internal/transport/front/online.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -33,7 +35,7 @@
 	sink := &responseSink{request: c, controller: http.NewResponseController(c.w)}
 	outcome := c.opts.Relay.Serve(c.r.Context(), &relay.RoutedRequest{
 		Request: &c.request, Route: c.route, Service: service, Organisation: organisation,
-		ReceivedAt: c.receivedAt, Deadline: c.receivedAt.Add(c.timeout()),
+		ReceivedAt: c.receivedAt, Deadline: c.receivedAt.Add(c.timeout()), ReleaseBody: c.releaseBody,
 	}, sink)
 	if outcome.PossibleRuns == 0 {
 		c.opts.Quota.Refund(organisation)
@@ -103,6 +105,9 @@
 		"resumes", c.request.Resumes, "stream_version", o.Origin.Version, "version_source", o.Origin.Source,
 		"version_age_ms", o.Origin.Age.Milliseconds(),
 	}
+	if c.opts.HeldBytes != nil {
+		fields = append(fields, "held_bytes", o.HeldBytes, "caller_lag_ms", o.CallerLag.Milliseconds(), "read_stopped_ms", o.ReadStopped.Milliseconds())
+	}
 	if o.Closure != nil {
 		fields = append(fields, o.Closure.LogFields()...)
 	}
@@ -121,10 +126,14 @@
 	}
 }
 
-// responseSink writes a response to the caller's connection.
+// responseSink writes a response to the caller's connection. It implements relay.BufferedSink.
 type responseSink struct {
 	request    *callerRequest
 	controller *http.ResponseController
+
+	mu sync.Mutex
+	// aborted is set once no write may begin any more.
+	aborted bool
 }
 
 // SendHead implements relay.Sink.
@@ -147,6 +156,46 @@
 	return s.request.writeErr
 }
 
+// SendParts implements relay.BufferedSink.
+func (s *responseSink) SendParts(parts [][]byte) error {
+	s.request.writeErr = s.writeParts(parts)
+	return s.request.writeErr
+}
+
+func (s *responseSink) writeParts(parts [][]byte) error {
+	if err := s.beginWrite(); err != nil {
+		return err
+	}
+	for _, part := range parts {
+		if _, err := s.request.w.Write(part); err != nil {
+			return err
+		}
+	}
+	return s.controller.Flush()
+}
+
+// beginWrite sets the time limit of a write, unless Abort was called.
+func (s *responseSink) beginWrite() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.aborted {
+		return net.ErrClosed
+	}
+	if err := s.controller.SetWriteDeadline(time.Now().Add(heldWriteTimeout)); err != nil {
+		return fmt.Errorf("write deadline: %w", err)
+	}
+	return nil
+}
+
+// Abort implements relay.BufferedSink.
+func (s *responseSink) Abort() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.aborted = true
+	// If it fails, the connection is closed, and the write has failed already.
+	_ = s.controller.SetWriteDeadline(time.Now())
+}
+
 func (s *responseSink) write(part []byte) error {
 	if err := s.controller.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return fmt.Errorf("write deadline: %w", err)
--- a/internal/transport/front/request.go
+++ b/internal/transport/front/request.go
@@ -34,6 +34,8 @@
 	rate quota.Decision
 	// responded is set once the head of a response was written.
 	responded bool
+	// bodyBytes is the number of bytes that are counted for the request's body.
+	bodyBytes int64
 	// writeErr is the error of writing a part of the response.
 	writeErr error
 }
@@ -137,7 +139,7 @@
 	if err := controller.SetReadDeadline(c.receivedAt.Add(c.timeout())); err != nil {
 		c.abortCallerLeft("connection_closed")
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	body, err := c.readAll(http.MaxBytesReader(c.w, c.r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
@@ -146,6 +148,10 @@
 		_ = controller.SetReadDeadline(time.Time{})
 		c.request.Body = body
 		return true
+	case errors.Is(err, errNoMemory):
+		levels := c.opts.HeldBytes.Levels()
+		c.reject(http.StatusServiceUnavailable, shortRetryAfter, "no_memory",
+			"answers_bytes", levels.Answers, "bodies_bytes", levels.Bodies, "bound_bytes", levels.Bound, "answers", levels.Holders)
 	case errors.As(err, &tooLarge):
 		c.reject(http.StatusRequestEntityTooLarge, 0, "body_too_large")
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -158,6 +164,69 @@
 	return false
 }
 
+// errNoMemory: the bytes held for callers have reached their bound.
+var errNoMemory = errors.New("held bytes are at their bound")
+
+// firstBodyRead is the capacity in bytes with which the read of a counted body begins. It is doubled
+// while the body arrives, so that a caller that announces a large body and does not send it
+// takes no room from others.
+const firstBodyRead = 4 << 10
+
+// readAll reads a body to its end and counts its bytes.
+func (c *callerRequest) readAll(from io.Reader) ([]byte, error) {
+	if c.opts.HeldBytes == nil {
+		return io.ReadAll(from)
+	}
+	if c.r.Body == http.NoBody || c.r.ContentLength == 0 {
+		return nil, nil
+	}
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			grown, err := c.growBody(body)
+			if err != nil {
+				return nil, err
+			}
+			body = grown
+		}
+		n, err := from.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// growBody returns a body with more capacity, or errNoMemory if it does not fit. One byte more than
+// the announced length is enough to read the end of the body.
+func (c *callerRequest) growBody(body []byte) ([]byte, error) {
+	size := max(firstBodyRead, 2*cap(body))
+	if announced := c.r.ContentLength + 1; announced > int64(len(body)) {
+		size = int(min(int64(size), announced))
+	}
+	added := int64(size - cap(body))
+	if !c.opts.HeldBytes.TakeBody(added) {
+		return nil, errNoMemory
+	}
+	c.bodyBytes += added
+	grown := make([]byte, len(body), size)
+	copy(grown, body)
+	return grown, nil
+}
+
+// releaseBody ends the count of the request's body, and of the parts of a body that was not read
+// to its end.
+func (c *callerRequest) releaseBody() {
+	if c.bodyBytes > 0 {
+		c.request.Body = nil
+		c.opts.HeldBytes.ReturnBody(c.bodyBytes)
+		c.bodyBytes = 0
+	}
+}
+
 // reject responds to a request that did not run.
 func (c *callerRequest) reject(status int, retryAfter time.Duration, reason string, more ...any) {
 	if retryAfter > 0 {
--- a/internal/transport/front/server.go
+++ b/internal/transport/front/server.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 
+	"merlintiller/internal/coordination/routed/answerbuffer"
 	"merlintiller/internal/coordination/routed/batchjobs"
 	"merlintiller/internal/coordination/routed/quota"
 	"merlintiller/internal/coordination/routed/relay"
@@ -38,6 +39,10 @@
 	defaultTimeout = 30 * time.Second
 	// writeTimeout limits the time of each write to a caller.
 	writeTimeout = 5 * time.Second
+	// heldWriteTimeout limits the time of each write of held parts. It is longer, since held bytes
+	// are bounded. The kernel lets a blocked write go on when a third of the send buffer is free,
+	// which is about 29 KB of the usual 87 KB: as many seconds for a caller that reads 1 KB/s.
+	heldWriteTimeout = 30 * time.Second
 	// drainRetryAfter is the retry delay while the instance shuts down. Another instance
 	// can serve the request at once.
 	drainRetryAfter = 0
@@ -83,8 +88,11 @@
 	// before a retry.
 	JobsUnavailable func() (retryAfter time.Duration, unavailable bool)
 	// Admit reports whether a new connection is accepted while others are open.
-	Admit  func(others Connections) bool
-	Logger log.Logger
+	Admit func(others Connections) bool
+	// HeldBytes counts request bodies and bounds them. If it is nil, only the size of each body
+	// is limited.
+	HeldBytes *answerbuffer.Budget
+	Logger    log.Logger
 }
 
 // Front is the callers' HTTP server. It implements suture.Service.
@@ -147,6 +155,7 @@
 	f.unanswered.Add(1)
 	c := &callerRequest{Front: f, w: w, r: r, receivedAt: time.Now(), table: f.opts.Table()}
 	defer c.responseBegins()
+	defer c.releaseBody()
 	defer c.answerPanic()
 	f.serve(c)
 }
