--- a/internal/coordination/routed/answerbuffer/buffer.go
+++ b/internal/coordination/routed/answerbuffer/buffer.go
@@ -1,14 +1,16 @@
 package answerbuffer
 
-import (
-	"bytes"
-	"time"
+import "time"
+
+const (
+	// chunkOverhead is counted for each chunk in addition to its capacity: its entry in a slice
+	// that grows by doubling, and the rounding of allocations.
+	chunkOverhead = 128
+	// maxSharedChunk is the capacity in bytes of the largest chunk that several parts share. Events
+	// are often smaller than the overhead of a chunk.
+	maxSharedChunk = 4 << 10
 )
 
-// chunkOverhead is counted for each held part in addition to its bytes: its entry in a slice that
-// grows by doubling, and the rounding of allocations.
-const chunkOverhead = 128
-
 // Buffer holds the parts of one answer that the caller has not read. Its owner serializes the
 // calls.
 type Buffer struct {
@@ -21,10 +23,13 @@
 	stats Stats
 }
 
-// chunk is one part of an answer.
+// chunk holds consecutive parts of an answer.
 type chunk struct {
 	data []byte
-	at   time.Time
+	// at is when the first part was added.
+	at time.Time
+	// begun is set once the first bytes are written.
+	begun bool
 	// counted is the number of bytes that are counted for it, 0 for a lent one.
 	counted int64
 }
@@ -33,7 +38,8 @@
 type Stats struct {
 	// PeakBytes is the largest number of bytes held.
 	PeakBytes int
-	// Lag is the longest time from adding a part until it was written.
+	// Lag is the longest time from adding a part until it was written. Of parts that share a
+	// chunk only the first one counts.
 	Lag time.Duration
 }
 
@@ -42,12 +48,22 @@
 
 // Append holds a copy of a part, unless the budget does not permit it.
 func (b *Buffer) Append(now time.Time, part []byte) Verdict {
-	count := int64(len(part)) + chunkOverhead
+	capacity := len(part)
+	if len(b.chunks) > 0 {
+		last := &b.chunks[len(b.chunks)-1]
+		if last.counted > 0 && cap(last.data)-len(last.data) >= len(part) {
+			last.data = append(last.data, part...)
+			b.grow(len(part))
+			return Fits
+		}
+		capacity = max(capacity, min(maxSharedChunk, 2*cap(last.data)))
+	}
+	count := int64(capacity) + chunkOverhead
 	if verdict := b.budget.takeAnswer(b.counted, count); verdict != Fits {
 		return verdict
 	}
 	b.counted += count
-	b.add(chunk{data: bytes.Clone(part), at: now, counted: count})
+	b.add(chunk{data: append(make([]byte, 0, capacity), part...), at: now, counted: count})
 	return Fits
 }
 
@@ -57,7 +73,11 @@
 
 func (b *Buffer) add(c chunk) {
 	b.chunks = append(b.chunks, c)
-	b.size += len(c.data)
+	b.grow(len(c.data))
+}
+
+func (b *Buffer) grow(size int) {
+	b.size += size
 	b.stats.PeakBytes = max(b.stats.PeakBytes, b.size)
 }
 
@@ -86,13 +106,16 @@
 	var freed int64
 	for written > 0 {
 		first := &b.chunks[0]
+		if !first.begun {
+			first.begun = true
+			b.stats.Lag = max(b.stats.Lag, now.Sub(first.at))
+		}
 		n := min(written, len(first.data))
 		first.data = first.data[n:]
 		written -= n
 		if len(first.data) > 0 {
 			break
 		}
-		b.stats.Lag = max(b.stats.Lag, now.Sub(first.at))
 		freed += first.counted
 		*first = chunk{}
 		b.chunks = b.chunks[1:]
--- a/internal/daemon/routed/fleet_test.go
+++ b/internal/daemon/routed/fleet_test.go
@@ -242,6 +242,8 @@
 	inst.settings.Seeds = []string{"10.0.1.1:82"}
 	// The scheduling lag is that of the test process, in real time.
 	inst.settings.MaxSchedulingLag = 0
+	// As in deploy/settings.yaml, so that the tests of faults run with it.
+	inst.settings.Adaptive.AnswerBuffersPercent = 25
 	inst.start()
 	return inst
 }
