--- a/internal/coordination/routed/relay/delivery_test.go
+++ b/internal/coordination/routed/relay/delivery_test.go
@@ -152,8 +152,13 @@
 	opts := Options{Targets: f, Placer: f, Origins: f, Quarantine: f.quarantine(), Logger: log.NewNopLogger()}
 	if bound > 0 {
 		out.budget = answerbuffer.NewBudget(bound)
-		opts.AnswerBuffers = out.budget
 	}
+	return out.serve(ctx, r, opts, c)
+}
+
+// serve serves a caller with the budget of s, nil: without.
+func (out served) serve(ctx context.Context, r route.Route, opts Options, c *slowCaller) served {
+	opts.AnswerBuffers = out.budget
 	request := &exchange.Request{ID: "r", Method: http.MethodPost, After: exchange.FromStart}
 	out.outcome = New(opts).Serve(ctx, &RoutedRequest{
 		Request: request, Route: &r, Service: "s", ReceivedAt: out.began, Deadline: out.began.Add(requestTime),
@@ -361,3 +366,43 @@
 		require.Equal(t, 2*time.Second, got.ended.Sub(got.began))
 	})
 }
+
+// Guards against callers that read slowly and use up the bound, so that those that read, or lag only
+// a little, have their targets stopped too.
+func TestCallersThatLagMostAreStoppedFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		budget := answerbuffer.NewBudget(100_000)
+		results := make([]served, 21)
+		var callers sync.WaitGroup
+		for n := range results {
+			callers.Go(func() {
+				rate, from := 2500, 0*time.Millisecond
+				if n == 20 {
+					// This one lags by a seventh of what arrives, once the others have reached the bound.
+					rate, from = 18_000, 500*time.Millisecond
+				}
+				timer := time.NewTimer(from)
+				defer timer.Stop()
+				<-timer.C
+				f := &timedFleet{answers: []*timedAnswer{timed(io.EOF, eventParts(0, 50, 180)...)}}
+				opts := Options{Targets: f, Placer: f, Origins: f, Quarantine: f.quarantine(), Logger: log.NewNopLogger()}
+				results[n] = served{began: time.Now(), budget: budget}.serve(t.Context(), resumableRoute, opts, newSlowCaller(rate))
+			})
+		}
+		callers.Wait()
+		stopped := 0
+		var total time.Duration
+		for _, r := range results[:20] {
+			require.Equal(t, Relayed, r.outcome.Reason)
+			if r.outcome.ReadStopped > 0 {
+				stopped++
+			}
+			total += r.outcome.ReadStopped
+		}
+		require.Greater(t, stopped, 10)
+		t.Logf("reads stopped for %s on the mean of the 20 that lag, for %s of the other", total/20, results[20].outcome.ReadStopped)
+		require.Less(t, results[20].outcome.ReadStopped, total/20/20)
+		require.LessOrEqual(t, budget.Peak().Answers, int64(75_000))
+		require.Zero(t, budget.Levels().Answers)
+	})
+}
--- a/internal/transport/front/front_test.go
+++ b/internal/transport/front/front_test.go
@@ -16,6 +16,7 @@
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
+	"merlintiller/internal/coordination/routed/answerbuffer"
 	"merlintiller/internal/coordination/routed/quota"
 	"merlintiller/internal/coordination/routed/relay"
 	"merlintiller/internal/protocol/exchange"
@@ -66,10 +67,11 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	return startFrontOn(t, listener, serve)
+	return startFrontOn(t, listener, serve, nil)
 }
 
-func startFrontOn(t *testing.T, listener net.Listener, serve relayFunc) *testFront {
+// startFrontOn starts a Front with a budget of held bytes, nil: without.
+func startFrontOn(t *testing.T, listener net.Listener, serve relayFunc, budget *answerbuffer.Budget) *testFront {
 	t.Helper()
 	table := route.NewTable(route.Config{Version: 1, Routes: []route.Route{{
 		Name: "r", Host: host, Prefix: "/", Kind: route.Idempotent, Timeout: 5 * time.Second, MaxAttempts: 1,
@@ -85,7 +87,7 @@
 			DecodeJobCall:    func(*http.Request) (exchange.JobCall, bool) { return exchange.JobCall{}, false },
 			EncodeRetryAfter: func(d time.Duration) string { return d.String() },
 		},
-		Table: func() *route.Table { return table }, Quota: noQuota{}, Relay: serve,
+		Table: func() *route.Table { return table }, Quota: noQuota{}, Relay: serve, HeldBytes: budget,
 		Logger: log.NewLogfmtLogger(logs),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -160,7 +162,7 @@
 			sink.SendHead(&exchange.Reply{Status: http.StatusOK})
 			require.Error(t, sink.SendBody(make([]byte, 1<<20)))
 			return relay.Outcome{Reason: relay.CallerDisconnected, Status: http.StatusOK, TimeToFirstByte: 1}
-		})
+		}, nil)
 		caller, err := network.Host("10.0.0.1").Dial(t.Context(), "10.0.0.2:80")
 		require.NoError(t, err)
 		_, err = io.WriteString(caller, request("slow", 0, ""))
