--- a/internal/coordination/routed/answerbuffer/answerbuffer_test.go
+++ b/internal/coordination/routed/answerbuffer/answerbuffer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -129,3 +130,37 @@
 	require.Equal(t, Stats{PeakBytes: 6, Lag: 2 * time.Second}, b.Stats(start.Add(2*time.Second)))
 	require.Equal(t, Stats{PeakBytes: 6, Lag: 4 * time.Second}, b.Stats(start.Add(5*time.Second)))
 }
+
+// Guards against a count that is below the memory that held parts take, so that the process exceeds
+// its memory within the bound: 500 answers of small events, and of parts of 4 KB.
+func TestCountCoversMemory(t *testing.T) {
+	for name, c := range map[string]struct{ size, parts int }{"events": {60, 400}, "large parts": {4 << 10, 12}} {
+		t.Run(name, func(t *testing.T) {
+			budget := NewBudget(1 << 30)
+			buffers := make([]*Buffer, 500)
+			part := make([]byte, c.size)
+			before := heapInUse()
+			for i := range buffers {
+				buffers[i] = NewBuffer(budget)
+				for range c.parts {
+					require.Equal(t, Fits, buffers[i].Append(start, part))
+				}
+			}
+			used := heapInUse() - before
+			counted := budget.Levels().Answers
+			t.Logf("%d bytes held, %d counted, %d of memory", len(buffers)*c.size*c.parts, counted, used)
+			require.LessOrEqual(t, used, counted*105/100)
+			require.LessOrEqual(t, counted, int64(len(buffers)*c.size*c.parts)*3/2)
+			runtime.KeepAlive(buffers)
+		})
+	}
+}
+
+// heapInUse returns the bytes of live objects.
+func heapInUse() int64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
--- a/internal/daemon/routed/slowcallers_test.go
+++ b/internal/daemon/routed/slowcallers_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"merlintiller/internal/standin/engine"
+	"merlintiller/internal/standin/sharedstore"
 )
 
 const (
@@ -51,11 +52,11 @@
 }
 
 // sendSlowly sends a request whose caller reads a number of bytes a second. The connection stays open.
-func (inst *testInstance) sendSlowly(t *testing.T, id string, bytesPerSecond int) (net.Conn, func() (string, error)) {
+func (inst *testInstance) sendSlowly(t *testing.T, path, id string, bytesPerSecond int) (net.Conn, func() (string, error)) {
 	conn, err := inst.fleet.net.Host(callerIP).Dial(t.Context(), inst.ip+":80")
 	require.NoError(t, err)
-	_, err = fmt.Fprintf(conn, "POST /once/a/%d HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nAuthorization: Bearer %s\r\nDeadline-Ms: 5000\r\nContent-Length: 4\r\n\r\nbody",
-		slowEvents, host, id, keyOne)
+	_, err = fmt.Fprintf(conn, "POST %sa/%d HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nAuthorization: Bearer %s\r\nDeadline-Ms: 5000\r\nContent-Length: 4\r\n\r\nbody",
+		path, slowEvents, host, id, keyOne)
 	require.NoError(t, err)
 	return conn, func() (string, error) {
 		response, err := http.ReadResponse(bufio.NewReader(&throttledConn{Conn: conn, bytesPerSecond: bytesPerSecond}), nil)
@@ -121,7 +122,7 @@
 		callers.Go(func() {
 			sleep(time.Duration(n) * 2500 * time.Millisecond / time.Duration(slow))
 			id := longID(fmt.Sprint("slow-", n))
-			conn, read := inst.sendSlowly(t, id, 1000)
+			conn, read := inst.sendSlowly(t, "/once/", id, 1000)
 			body, err := read()
 			_ = conn.Close()
 			mu.Lock()
@@ -211,7 +212,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		fleet, inst := newSlowCallerFleet(t, 25)
 		id := longID("leaves")
-		conn, _ := inst.sendSlowly(t, id, 1000)
+		conn, _ := inst.sendSlowly(t, "/once/", id, 1000)
 		sleep(100 * time.Millisecond)
 		require.Positive(t, inst.daemon.heldBytes.Levels().Answers)
 		require.Positive(t, inst.daemon.heldBytes.Levels().Bodies)
@@ -233,7 +234,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		_, inst := newSlowCallerFleet(t, 25)
 		id := longID("held")
-		conn, read := inst.sendSlowly(t, id, 3000)
+		conn, read := inst.sendSlowly(t, "/once/", id, 3000)
 		defer func() { _ = conn.Close() }()
 		sleep(time.Second)
 		require.Greater(t, inst.daemon.heldBytes.Levels().Answers, int64(4000))
@@ -246,3 +247,44 @@
 		require.Contains(t, inst.logs.String(), "interrupted=0")
 	})
 }
+
+// Guards against events that reach a slow caller twice, or not at all, after faults: each target breaks
+// its answer in the middle of an event while earlier ones are held, another instance is killed, and the
+// store does not respond.
+func TestSlowCallersGetWholeStreamsThroughFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fault := faultOnce("", engine.Fault{BreakAfter: 20})
+		fleet := newTestFleet(t, fleetSize{domains: 2, instances: 2, targets: 4, engine: engine.Options{
+			Slots: 8, QueueSize: 24, EventInterval: 4 * time.Millisecond, FaultFor: fault,
+		}})
+		sleep(3 * time.Second)
+		fleet.net.SetWindow(callerWindow)
+		inst := fleet.instances[0]
+		var callers sync.WaitGroup
+		for n := range 60 {
+			callers.Go(func() {
+				sleep(time.Duration(n) * 50 * time.Millisecond)
+				id := longID(fmt.Sprint("slow-", n))
+				conn, read := inst.sendSlowly(t, "/again/", id, 1000)
+				defer func() { _ = conn.Close() }()
+				body, err := read()
+				require.NoError(t, err, inst.logs)
+				require.Equal(t, streamBody(id, slowEvents), body)
+				runs := fleet.runsOf(id)
+				require.Len(t, runs, 2)
+				slices.SortFunc(runs, func(a, b engine.Run) int { return a.StartedAt.Compare(b.StartedAt) })
+				require.Equal(t, 19, runs[1].ResumedAfter)
+				require.Less(t, runs[1].EndedAt.Sub(runs[0].StartedAt), time.Second)
+			})
+		}
+		sleep(time.Second)
+		for _, each := range fleet.instances {
+			each.storeAccess.Set(sharedstore.Fault{Silent: true})
+		}
+		sleep(time.Second)
+		fleet.instances[1].kill()
+		callers.Wait()
+		require.Zero(t, inst.daemon.heldBytes.Levels().Answers)
+		require.Zero(t, inst.daemon.heldBytes.Levels().Bodies)
+	})
+}
