An answer whose head was sent is not continued by another run, unless it is a stream

Cause: an idempotent request whose answer broke off was retried at another target also after its head and first part had been sent. Only events have numbers by which a run can be continued.

Change: after the head of such an answer neither a retry nor a failover follows; the connection is closed, so that the answer does not look complete.

TestBodyThatBreaksOffAfterItsHeadIsNotRunAgain failed before with the outcome "relayed".

--- a/internal/coordination/routed/relay/forward.go
+++ b/internal/coordination/routed/relay/forward.go
@@ -32,7 +32,7 @@
 	} else if c.delivery != nil {
 		err = c.forwardHeldBody(ctx, monitor, answer)
 	} else {
-		err = c.forwardBody(answer)
+		err = c.forwardBody(monitor, answer)
 	}
 	answer.Close()
 	if err == nil {
@@ -123,9 +123,16 @@
 	return nil
 }
 
+// beginBody sends the head of an answer that no other run can continue, unless it was sent.
+func (c *call) beginBody(monitor *stallMonitor, answer external.OpenAnswer) error {
+	c.bodyBegan = true
+	monitor.bodyBegins()
+	return c.sendHead(answer)
+}
+
 // forwardBody forwards an answer that is not an event stream. Up to
 // maxBufferedAnswer bytes are buffered first.
-func (c *call) forwardBody(answer external.OpenAnswer) error {
+func (c *call) forwardBody(monitor *stallMonitor, answer external.OpenAnswer) error {
 	body := make([]byte, 0, 4<<10)
 	for len(body) < maxBufferedAnswer {
 		if len(body) == cap(body) {
@@ -134,19 +141,19 @@
 		n, err := answer.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		if errors.Is(err, io.EOF) {
-			return c.sendPart(answer, body)
+			return c.sendPart(monitor, answer, body)
 		}
 		if err != nil {
 			return err
 		}
 	}
-	if err := c.sendPart(answer, body); err != nil {
+	if err := c.sendPart(monitor, answer, body); err != nil {
 		return err
 	}
 	for {
 		n, err := answer.Read(body[:cap(body)])
 		if n > 0 {
-			if err := c.sendPart(answer, body[:n]); err != nil {
+			if err := c.sendPart(monitor, answer, body[:n]); err != nil {
 				return err
 			}
 		}
@@ -192,7 +199,7 @@
 
 // sendHeldPart sends the head, if it was not sent, what is held, and a part.
 func (c *call) sendHeldPart(ctx context.Context, monitor *stallMonitor, answer external.OpenAnswer, part []byte) error {
-	if err := c.sendHead(answer); err != nil {
+	if err := c.beginBody(monitor, answer); err != nil {
 		return err
 	}
 	if len(part) == 0 {
@@ -203,8 +210,8 @@
 }
 
 // sendPart sends a part of the answer's body, and the head before the first part.
-func (c *call) sendPart(answer external.OpenAnswer, part []byte) error {
-	if err := c.sendHead(answer); err != nil {
+func (c *call) sendPart(monitor *stallMonitor, answer external.OpenAnswer, part []byte) error {
+	if err := c.beginBody(monitor, answer); err != nil {
 		return err
 	}
 	if len(part) == 0 {
--- a/internal/coordination/routed/relay/relay.go
+++ b/internal/coordination/routed/relay/relay.go
@@ -180,8 +180,9 @@
 	// failover is the target that the stall monitor reserved for the next
 	// attempt, nil if there is none.
 	failover *placement.Choice
-	// headSent is set once the caller received the head of the answer.
-	headSent bool
+	// headSent is set once the caller received the head of the answer, bodyBegan once it received
+	// the beginning of one that is not a stream of events.
+	headSent, bodyBegan bool
 }
 
 // nextStep is what follows an attempt.
--- a/internal/coordination/routed/relay/relay_test.go
+++ b/internal/coordination/routed/relay/relay_test.go
@@ -326,3 +326,19 @@
 		require.Equal(t, requestTime, elapsed)
 	})
 }
+
+// Guards against an answer made of two runs: a body without event numbers breaks off after its head
+// was sent, and the answer of another run can't be joined to what the caller has.
+func TestBodyThatBreaksOffAfterItsHeadIsNotRunAgain(t *testing.T) {
+	idempotent := route.Route{Kind: route.Idempotent, LatencyObjective: 300 * time.Millisecond, MaxAttempts: 2}
+	large := strings.Repeat("x", 2*maxBufferedAnswer)
+	broken := scriptedAnswer{reply: exchange.Reply{Status: http.StatusOK}, body: large, readErr: errors.New("reset")}
+	whole := scriptedAnswer{reply: exchange.Reply{Status: http.StatusOK}, body: large}
+	synctest.Test(t, func(t *testing.T) {
+		f := &scriptedFleet{script: []scriptedAnswer{broken, whole}}
+		outcome, received, _ := serve(t, idempotent, f)
+		require.Equal(t, Truncated, outcome.Reason)
+		require.Len(t, f.sent, 1)
+		require.LessOrEqual(t, received.body.Len(), len(large))
+	})
+}
--- a/internal/coordination/routed/relay/stall.go
+++ b/internal/coordination/routed/relay/stall.go
@@ -106,6 +106,14 @@
 	m.mayFailOver = m.mayFailOver && version != ""
 }
 
+// bodyBegins records that the caller receives the beginning of an answer that no other run can
+// continue.
+func (m *stallMonitor) bodyBegins() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.mayFailOver = false
+}
+
 // failOver tries to reserve a slot at another target and cancels the exchange if
 // that succeeds. Otherwise it is tried again after failoverRetryInterval.
 func (m *stallMonitor) failOver(requirements placement.Requirements) {
--- a/internal/coordination/routed/relay/stream.go
+++ b/internal/coordination/routed/relay/stream.go
@@ -44,5 +44,11 @@
 }
 
 // mayGoOn reports whether the request may run at another target, as far as software versions
-// matter.
-func (c *call) mayGoOn() bool { return c.origin.Source == "" || c.origin.Known() }
+// matter, and what the caller has received. Only the events of a stream have numbers by which a
+// further run can be joined to it.
+func (c *call) mayGoOn() bool {
+	if c.bodyBegan {
+		return false
+	}
+	return c.origin.Source == "" || c.origin.Known()
+}
