Targets are ranked by the time that work takes there

Cause: targets were ranked by occupied slots, failure domain and kept connection only. A target that takes four times as long had the same cost, and no component stored the pace that targets report.

Change: package pace estimates each target's pace from its reports and from the times between events, with an age. placement weighs it. Grants state the pace, instances tell brokers what differs from it (Broker.Paced, bounded), and full reports contain recent observations for successors. Malformed load reports are counted and logged, one line a target and minute. The setting adaptive.pace_max_age (1 s, 0 turns the part off), metrics, log fields and a sentence in tillerctl explain.

Messages gain fields only.

--- a/internal/coordination/routed/broker/client.go
+++ b/internal/coordination/routed/broker/client.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log/level"
 
 	"merlintiller/internal/coordination/routed/mesh"
+	"merlintiller/internal/coordination/routed/pace"
 	"merlintiller/internal/coordination/routed/placement"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/state/roster"
@@ -88,6 +89,10 @@
 	rankings map[string]*ranking
 	// failureReportedAt is when the failure of a target was last reported.
 	failureReportedAt map[string]time.Time
+	// paceReports decide which paces are reported to brokers.
+	paceReports  *pace.Reports
+	paceLog      *pace.LineLimit
+	malformedLog *pace.LineLimit
 }
 
 // domain is the state kept for one failure domain.
@@ -102,7 +107,8 @@
 	return &Client{
 		opts: opts, holds: map[uint64]Hold{}, targets: map[string]roster.Target{}, domains: map[string]*domain{},
 		outboxes: map[string]*outbox{}, avoidUntil: map[string]time.Time{}, reportedAt: map[string]time.Time{}, rankings: map[string]*ranking{},
-		failureReportedAt: map[string]time.Time{},
+		failureReportedAt: map[string]time.Time{}, paceReports: pace.NewReports(),
+		paceLog: pace.NewLineLimit(), malformedLog: pace.NewLineLimit(),
 	}
 }
 
@@ -119,6 +125,7 @@
 			c.domains[t.Domain] = &domain{}
 		}
 	}
+	c.paceReports.Keep(func(id string) bool { return c.targets[id].ID != "" })
 }
 
 // Place chooses a target for an online request and counts it there until Done. It waits
@@ -334,6 +341,10 @@
 	choice.Version = agreedVersion(choice.Version, reply.Grant.Target.Version)
 	choice.Busy, choice.Unaccounted, choice.Slots = reply.Grant.Busy, reply.Grant.Unsure, reply.Grant.Slots
 	choice.Number, choice.Broker = request.Number, address
+	reply.Grant.applyPace(&choice)
+	c.mu.Lock()
+	c.paceReports.Stated(choice.ID, choice.Pace.Percent)
+	c.mu.Unlock()
 	return choice
 }
 
--- a/internal/coordination/routed/broker/holdtable.go
+++ b/internal/coordination/routed/broker/holdtable.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"merlintiller/internal/coordination/routed/pace"
 	"merlintiller/internal/coordination/routed/placement"
 	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/state/roster"
@@ -110,6 +111,9 @@
 	for _, i := range report.Replaced {
 		t.core.MarkReplaced(i)
 	}
+	for _, o := range report.Paces[:min(len(report.Paces), pace.MaxObservations)] {
+		t.core.MergePace(now, o)
+	}
 	listed := make(map[uint64]bool, len(report.Held))
 	for _, h := range report.Held {
 		listed[h.Number] = true
@@ -254,6 +258,7 @@
 	t.holds[holdKey{instance, h.Number}] = &trackedHold{Hold: h, instance: instance, choice: choice, since: now}
 	grant = Grant{Number: h.Number, Target: choice.Target, Busy: choice.Busy, Slots: choice.Slots}
 	grant.Unsure = choice.Unaccounted + len(t.pinnedHolds(choice.ID))
+	grant.statePace(choice)
 	return grant, yielding, true
 }
 
@@ -306,3 +311,6 @@
 
 // Free returns the number of free slots.
 func (t *HoldTable) Free(now time.Time) int { return t.core.Free(now) }
+
+// MergePace adds what an instance observed at a target.
+func (t *HoldTable) MergePace(now time.Time, o pace.Observation) { t.core.MergePace(now, o) }
--- a/internal/coordination/routed/broker/loads.go
+++ b/internal/coordination/routed/broker/loads.go
@@ -34,6 +34,7 @@
 		return
 	}
 	c.opts.Local.ApplyLoad(choice.ID, load)
+	c.reportPace(choice, float64(load.Pace))
 	switch {
 	case choice.Broker == "":
 	case choice.Broker == c.opts.Self.Address:
--- a/internal/coordination/routed/broker/messages.go
+++ b/internal/coordination/routed/broker/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"merlintiller/internal/coordination/routed/pace"
 	"merlintiller/internal/coordination/routed/placement"
 	"merlintiller/internal/state/roster"
 )
@@ -35,6 +36,9 @@
 	// Replaced are the domain's targets whose addresses other targets use, as far as the
 	// instance has met them. It is set only if Whole is.
 	Replaced []placement.Incarnation
+	// Paces are what the instance has recently observed of the paces of the domain's targets, at
+	// most pace.MaxObservations. It is set only if Whole is.
+	Paces []pace.Observation
 	// Released are the numbers of holds that the instance has given back.
 	Released []uint64
 }
@@ -71,6 +75,15 @@
 	// on which the choice was based. Unsure is the part of Busy that no instance currently
 	// reports.
 	Busy, Unsure, Slots int
+	// Pace is the pace of the target in percent on which the choice was based, PaceAge its age
+	// and PaceSource where it came from. 0: the broker ranks targets without their paces.
+	Pace       int
+	PaceAge    time.Duration
+	PaceSource pace.Source
+	// MovedFrom is the target that would have been chosen without the paces, and MovedFromPace
+	// its pace in percent. Empty: the same one.
+	MovedFrom     string
+	MovedFromPace int
 }
 
 // PlaceReply is the reply to a PlaceRequest.
@@ -89,5 +102,6 @@
 	methodLoaded = ReceiverName + ".Loaded"
 	methodFailed = ReceiverName + ".Failed"
 
+	methodPaced    = ReceiverName + ".Paced"
 	methodReplaced = ReceiverName + ".Replaced"
 )
--- a/internal/coordination/routed/broker/reports.go
+++ b/internal/coordination/routed/broker/reports.go
@@ -127,6 +127,7 @@
 	for _, t := range c.opts.Local.Replaced(name) {
 		report.Replaced = append(report.Replaced, placement.IncarnationOf(t))
 	}
+	report.Paces = c.opts.Local.PaceObservations(name)
 	return report
 }
 
--- a/internal/coordination/routed/placement/core.go
+++ b/internal/coordination/routed/placement/core.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"merlintiller/internal/coordination/routed/pace"
 	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/state/roster"
 )
@@ -47,6 +48,9 @@
 	// within the rate that those targets can handle. Only a core that decides for all
 	// instances may do so. If nil, no requests are sent to such targets.
 	AllowWarmingUp func() bool
+	// PaceMaxAge is the age up to which paces that targets report are used, see pace.Estimator.
+	// 0: targets are ranked without their paces.
+	PaceMaxAge time.Duration
 }
 
 // Core counts requests in flight and chooses targets. It is not safe for concurrent use.
@@ -64,6 +68,7 @@
 	reportsPace map[string]bool
 	// replaced are the listed targets whose addresses other targets use, by id.
 	replaced map[string]roster.Target
+	paces    *pace.Estimator
 }
 
 // InFlight is the number of requests that an instance has in flight at a target. gob sends its
@@ -123,12 +128,19 @@
 	// the slot. Both are zero if no broker was involved.
 	Number uint64
 	Broker string
-	batch  bool
+	// Pace is the estimate on which the choice was based. It is zero if targets are ranked
+	// without their paces.
+	Pace pace.Estimate
+	// MovedFrom is the target that would have been chosen without the paces, and MovedFromPace
+	// its pace. Empty: the same one.
+	MovedFrom     string
+	MovedFromPace pace.Estimate
+	batch         bool
 }
 
 // New returns a core without targets.
 func New(opts Options) *Core {
-	return &Core{opts: opts, targets: map[string]*target{}, silentDomains: map[string]bool{}, peers: map[string][]InFlight{}, replaced: map[string]roster.Target{}, reportsPace: map[string]bool{}}
+	return &Core{opts: opts, targets: map[string]*target{}, silentDomains: map[string]bool{}, peers: map[string][]InFlight{}, replaced: map[string]roster.Target{}, reportsPace: map[string]bool{}, paces: pace.New(opts.PaceMaxAge)}
 }
 
 // SetTargets replaces the list of usable targets. The counts of targets that remain are
@@ -141,6 +153,7 @@
 		if t == nil || t.Started != entry.Started || t.Address != entry.Address {
 			t = &target{slots: defaultSlots}
 			c.add(entry.ID, t)
+			c.paces.Forget(entry.ID)
 		}
 		t.Target = entry
 		t.warmUp.apply(entry.Warming)
@@ -179,6 +192,7 @@
 
 func (c *Core) remove(id string) {
 	delete(c.targets, id)
+	c.paces.Forget(id)
 	if at, found := slices.BinarySearch(c.ids, id); found {
 		c.ids = slices.Delete(c.ids, at, at+1)
 	}
@@ -254,11 +268,12 @@
 // Pick chooses a target and counts the request there until Done. It fails if no target is
 // known or all are full.
 func (c *Core) Pick(now time.Time, req Requirements) (Choice, bool) {
-	best, exists := c.best(now, req, trusted)
-	if best == nil && !exists && !req.Batch {
+	ranked := c.rank(now, req, trusted)
+	if ranked.best == nil && !ranked.exists && !req.Batch {
 		// No target is trusted. Trying a suspect one is better than rejecting the request.
-		best, _ = c.best(now, req, suspected)
+		ranked = c.rank(now, req, suspected)
 	}
+	best := ranked.best
 	if best == nil {
 		return Choice{}, false
 	}
@@ -267,6 +282,13 @@
 		Target: best.Target, Busy: busy, Unaccounted: best.currentUnaccounted(now), Slots: best.slots, batch: req.Batch,
 		MustPreempt: !req.Batch && busy >= best.slots && best.batchCount() > 0,
 	}
+	if c.usesPace(best.Service) {
+		choice.Pace = c.Pace(now, best.ID)
+		if other := ranked.bestWithoutPace; other != best {
+			choice.MovedFrom, choice.MovedFromPace = other.ID, c.Pace(now, other.ID)
+			movedPlacements.Inc()
+		}
+	}
 	best.acquire(req.Batch)
 	best.started(now)
 	return choice, true
@@ -281,39 +303,66 @@
 // suspected is the opposite of trusted.
 func suspected(now time.Time, t *target, req Requirements) bool { return !trusted(now, t, req) }
 
-// best returns the allowed target with the lowest cost, or nil. exists reports whether any
-// target is allowed, even if it is full.
-func (c *Core) best(now time.Time, req Requirements, allowed func(time.Time, *target, Requirements) bool) (best *target, exists bool) {
-	least := 0.0
+// ranking is the result of ranking the allowed targets.
+type ranking struct {
+	// best is the target with the lowest cost, nil if there is none.
+	best *target
+	// bestWithoutPace is the one with the lowest cost if all had the same pace.
+	bestWithoutPace *target
+	// exists reports whether any target is allowed, even if it is full.
+	exists bool
+}
+
+// rank ranks the allowed targets.
+func (c *Core) rank(now time.Time, req Requirements, allowed func(time.Time, *target, Requirements) bool) (r ranking) {
+	var least, leastWithoutPace, meanPace float64
+	if !req.Batch && c.usesPace(req.Service) {
+		meanPace = c.paces.Mean(now, req.Service)
+	}
 	for _, id := range c.ids {
 		t := c.targets[id]
 		if !req.matches(t) || slices.Contains(req.Exclude, id) || !allowed(now, t, req) {
 			continue
 		}
-		exists = true
+		r.exists = true
 		if !c.mayStart(now, t) {
 			continue
 		}
-		cost, ok := c.cost(now, t, req)
-		if ok && (best == nil || cost < least) {
-			best, least = t, cost
+		cost, paceCost, ok := c.cost(now, t, req, meanPace)
+		if !ok {
+			continue
+		}
+		if r.bestWithoutPace == nil || cost < leastWithoutPace {
+			r.bestWithoutPace, leastWithoutPace = t, cost
+		}
+		if r.best == nil || cost+paceCost < least {
+			r.best, least = t, cost+paceCost
 		}
 	}
-	return best, exists
+	return r
 }
 
-// cost ranks a target: the lowest cost is chosen. The second result is false if the target is
-// full. Batch items yield, so they don't make a target full for online requests.
-func (c *Core) cost(now time.Time, t *target, req Requirements) (float64, bool) {
+// cost ranks a target: the lowest sum of cost and paceCost is chosen. cost does not depend on
+// the target's pace, and paceCost is 0 at the mean pace of the service, which is 0 if targets are
+// ranked without their paces. ok is false if the target
+// is full. Batch items yield, so they don't make a target full for online requests.
+//
+// Batch items are ranked without the pace. An item takes several times as long as a slow phase
+// of a target, and would take the slots of the fast targets from online requests.
+func (c *Core) cost(now time.Time, t *target, req Requirements, meanPace float64) (cost, paceCost float64, ok bool) {
 	busy := t.busy(now)
-	cost := c.localityCost(t, req) + float64(busy)/float64(t.slots)
+	load := float64(busy) / float64(t.slots)
+	cost = c.localityCost(t, req) + load
 	if req.Batch {
-		return cost, busy < t.slots
+		return cost, 0, busy < t.slots
+	}
+	if meanPace > 0 {
+		paceCost = pace.Cost(load, c.paces.Relative(now, meanPace, t.ID)) - load
 	}
 	if busy >= t.slots {
 		cost += fullCost
 	}
-	return cost, busy-t.batchCount() < t.slots
+	return cost, paceCost, busy-t.batchCount() < t.slots
 }
 
 // localityCost is lower for targets of the own failure domain and for those with a kept
@@ -434,6 +483,7 @@
 	t.applyLoad(now, load)
 	if load.Pace > 0 {
 		c.reportsPace[t.Service] = true
+		c.paces.Report(now, t.Service, id, load.Pace)
 	}
 }
 
--- a/internal/coordination/routed/placement/placer.go
+++ b/internal/coordination/routed/placement/placer.go
@@ -37,6 +37,7 @@
 		return float64(batch)
 	})
 	metrics.GetOrCreateGauge("targets_replaced", func() float64 { return float64(len(p.Replaced(""))) })
+	metrics.GetOrCreateGauge("targets_with_pace", func() float64 { return float64(p.targetsWithPace()) })
 	return p
 }
 
--- a/internal/coordination/routed/relay/forward.go
+++ b/internal/coordination/routed/relay/forward.go
@@ -89,6 +89,7 @@
 		if err := c.sink.SendBody(event.Raw); err != nil {
 			return errors.Join(errCallerDisconnected, err)
 		}
+		monitor.delivered()
 		if event.HasPosition {
 			c.lastEvent = event.Position
 		}
--- a/internal/coordination/routed/relay/logging.go
+++ b/internal/coordination/routed/relay/logging.go
@@ -1,9 +1,11 @@
 package relay
 
 import (
+	"math"
 	"strings"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
 	"merlintiller/internal/coordination/routed/placement"
@@ -13,7 +15,12 @@
 // logPlacement logs the chosen target before the request is sent. If the process
 // crashes while it serves the request, this is the request's only log line.
 func (c *call) logPlacement(choice placement.Choice) {
-	_ = level.Info(c.opts.Logger).Log("event", "request_placed", "request", c.Request.ID, "target", choice.ID,
+	logger := level.Info(c.opts.Logger)
+	if choice.Pace.Percent > 0 {
+		logger = log.WithSuffix(logger, "pace", math.Round(choice.Pace.Percent), "pace_age_ms", choice.Pace.Age.Milliseconds(), "pace_source", choice.Pace.Source,
+			"moved_from", choice.MovedFrom, "moved_from_pace", math.Round(choice.MovedFromPace.Percent))
+	}
+	_ = logger.Log("event", "request_placed", "request", c.Request.ID, "target", choice.ID,
 		"domain", choice.Domain, "broker", choice.Broker, "busy", choice.Busy, "slots", choice.Slots,
 		"waited_ms", c.outcome.PlacementTime.Milliseconds(), "left_ms", time.Until(c.Deadline).Milliseconds(),
 		"attempt", c.outcome.Attempts, "position", c.lastEvent,
--- a/internal/coordination/routed/relay/relay.go
+++ b/internal/coordination/routed/relay/relay.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log"
 
 	"merlintiller/internal/coordination/routed/origin"
+	"merlintiller/internal/coordination/routed/pace"
 	"merlintiller/internal/coordination/routed/placement"
 	"merlintiller/internal/coordination/routed/quarantine"
 	"merlintiller/internal/external"
@@ -44,6 +45,9 @@
 	TryPlace(context.Context, placement.Requirements) (placement.Choice, bool)
 	// DataReceived records that data arrived from a target.
 	DataReceived(id string)
+	// Observe records how long a target took until the first event of a stream, or from one event
+	// to the next.
+	Observe(choice placement.Choice, kind pace.Kind, took time.Duration)
 	// Done releases the slot of a choice and records the result.
 	Done(placement.Choice, placement.Result)
 	// ReportLoad records the load that a target reported; nil if it reported none.
--- a/internal/coordination/routed/relay/relay_test.go
+++ b/internal/coordination/routed/relay/relay_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"merlintiller/internal/coordination/routed/origin"
+	"merlintiller/internal/coordination/routed/pace"
 	"merlintiller/internal/coordination/routed/placement"
 	"merlintiller/internal/external"
 	"merlintiller/internal/protocol/exchange"
@@ -122,7 +123,8 @@
 	}
 	return placement.Choice{Target: *f.reserved}, true
 }
-func (f *scriptedFleet) DataReceived(string) {}
+func (f *scriptedFleet) DataReceived(string)                                {}
+func (f *scriptedFleet) Observe(placement.Choice, pace.Kind, time.Duration) {}
 func (f *scriptedFleet) Done(_ placement.Choice, result placement.Result) {
 	f.results = append(f.results, result)
 }
--- a/internal/coordination/routed/relay/stall.go
+++ b/internal/coordination/routed/relay/stall.go
@@ -47,6 +47,7 @@
 	// clearSuspicion removes the mark from a suspect target, nil if the target is
 	// not suspect.
 	clearSuspicion func()
+	times          eventTimes
 	// failover is the target with a reserved slot for which the exchange was
 	// cancelled.
 	failover *placement.Choice
@@ -64,6 +65,7 @@
 	if !c.headSent {
 		limit = max(minFirstByteTimeout, time.Duration(firstByteTimeoutFraction*float64(c.Route.LatencyObjective)))
 	}
+	m.times.sentAt = time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.timer = time.AfterFunc(limit, m.onTimeout)
@@ -127,6 +129,9 @@
 // timeout starts anew.
 func (m *stallMonitor) progress() {
 	m.call.opts.Placer.DataReceived(m.choice.ID)
+	if kind, took := m.times.received(time.Now()); took > 0 {
+		m.call.opts.Placer.Observe(m.choice, kind, took)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.clearSuspicion != nil {
@@ -136,6 +141,9 @@
 	m.timer.Reset(m.call.gapTimeout())
 }
 
+// delivered records that the caller has received the event.
+func (m *stallMonitor) delivered() { m.times.deliveredAt = time.Now() }
+
 // result returns the result of a failed exchange: a time-out if the target is
 // suspect, a cancellation if the request failed over, fallback otherwise.
 func (m *stallMonitor) result(fallback placement.Result) placement.Result {
--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -183,6 +183,9 @@
 		Connected: d.targets.Connected, Logger: d.logger,
 	})
 	d.broker.SetIsSoleBroker(d.brokerClient.IsSoleBroker)
+	d.placer.SetPaceMaxAge(d.settings.Adaptive.PaceMaxAge)
+	d.broker.SetPaceMaxAge(d.settings.Adaptive.PaceMaxAge)
+	d.targets.OnMalformedLoad(d.brokerClient.MalformedLoad)
 }
 
 func (d *Daemon) setupOrigins() {
--- a/internal/explain/causes.go
+++ b/internal/explain/causes.go
@@ -70,8 +70,29 @@
 	if r.Fields["slots"] == "" {
 		return fmt.Sprintf("the stream goes on at target %s after event %s%s", r.Fields["target"], r.Fields["position"], describeVersions(r))
 	}
-	return fmt.Sprintf("sent to target %s (%s of its %s slots in use) after %s, chosen by %s%s",
-		r.Fields["target"], r.Fields["busy"], r.Fields["slots"], seconds(r.Number("waited_ms")), placedBy(r), describeVersions(r))
+	return fmt.Sprintf("sent to target %s (%s of its %s slots in use) after %s, chosen by %s%s%s",
+		r.Fields["target"], r.Fields["busy"], r.Fields["slots"], seconds(r.Number("waited_ms")), placedBy(r), describeVersions(r), describeMove(r))
+}
+
+// describeMove says why the paces of targets moved a request to another one, "" if they did not.
+func describeMove(r *Record) string {
+	if r.Fields["moved_from"] == "" {
+		return ""
+	}
+	return fmt.Sprintf("; without the paces of targets it would have been sent to %s, where work took %s%% of the usual time; here it took %s%%, %s",
+		r.Fields["moved_from"], r.Fields["moved_from_pace"], r.Fields["pace"], describePaceSource(r))
+}
+
+// describePaceSource says where a pace is known from.
+func describePaceSource(r *Record) string {
+	switch age := seconds(r.Number("pace_age_ms")); r.Fields["pace_source"] {
+	case "reported":
+		return fmt.Sprintf("as the target reported %s before", age)
+	case "observed":
+		return fmt.Sprintf("by the times observed there, the last one %s before", age)
+	default:
+		return "the mean of its service"
+	}
 }
 
 // describeVersions gives the software version of the target, and that of the stream if the
@@ -436,6 +457,12 @@
 			return ""
 		}
 		return fmt.Sprintf("another target uses the address of target %s, %s brokers were told", r.Fields["target"], r.Fields["brokers"])
+	case "target_pace_differs":
+		if !explanation.mentions(r.Fields["target"]) {
+			return ""
+		}
+		return fmt.Sprintf("target %s reported that work takes %s%% of the usual time there; broker %s had assumed %s%%", r.Fields["target"],
+			r.Fields["pace"], r.Fields["broker"], r.Fields["stated"])
 	case "leaving":
 		return "the instance began to shut down"
 	case "jobs_load_failed", "jobs_loaded":
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -88,6 +88,21 @@
 	require.Len(t, job.Lines, 4)
 }
 
+// Guards against a request that went to a busier or a farther target because of the targets' paces,
+// and no line tells so.
+func TestExplainsRequestMovedByPace(t *testing.T) {
+	logs := readLogs(t, map[string]string{"a": `
+at=2026-12-03T10:00:00Z event=target_pace_differs target=t2 pace=250 stated=100 broker=10.0.0.1:82 omitted=0
+at=2026-12-03T10:00:01Z event=request_placed pace=60 pace_age_ms=120 pace_source=reported moved_from=t2 moved_from_pace=240 request=r1 target=t1 busy=3 slots=8 waited_ms=1
+at=2026-12-03T10:00:01Z event=request_placed pace=100 pace_age_ms=120 pace_source=observed moved_from= moved_from_pace=0 request=r2 target=t2 busy=3 slots=8 waited_ms=1
+`})
+	requireCause(t, logs.Explain("r1"), "would have been sent to t2, where work took 240% of the usual time; here it took 60%, as the target reported 0.12 s before")
+	requireCause(t, logs.Explain("r2"), "target t2 reported that work takes 250% of the usual time there; broker 10.0.0.1:82 had assumed 100%")
+	for _, cause := range logs.Explain("r2").Causes {
+		require.NotContains(t, cause, "without the paces")
+	}
+}
+
 // Guards against a stream that went on at a target, or was rejected, and no line tells by which
 // software version that was decided and where it was known from.
 func TestExplainsVersionOfStream(t *testing.T) {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -160,6 +160,7 @@
 var zeroAllowed = map[string]bool{
 	"routing.affinity_load": true,
 	"headroom.spare":        true,
+	"adaptive.pace_max_age": true,
 }
 
 // checkNumbers rejects negative numbers and durations in all fields, and zero except
@@ -173,7 +174,7 @@
 			checkNumbers(doc, strings.TrimPrefix(field+"."+name, "."), value.Field(i))
 		}
 	case reflect.Int, reflect.Int64:
-		if value.Int() <= 0 {
+		if value.Int() < 0 || value.Int() == 0 && !zeroAllowed[field] {
 			doc.Report(field, "must be above 0")
 		}
 	case reflect.Float64:
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -48,8 +48,22 @@
 	DrainNotice time.Duration `yaml:"drain_notice"`
 	// Log holds the level and the format of the log.
 	Log Log `yaml:"log"`
+	// Adaptive holds how decisions follow the measured load.
+	Adaptive Adaptive `yaml:"adaptive"`
 }
 
+// Adaptive holds how decisions follow the measured load.
+type Adaptive struct {
+	// PaceMaxAge is the age up to which a target's report of how long work takes there is used
+	// to choose targets. 0 turns this off: targets are chosen by their free slots only. At most
+	// 10s.
+	PaceMaxAge time.Duration `yaml:"pace_max_age"`
+}
+
+// maxPaceMaxAge is the largest accepted adaptive.pace_max_age. The speed of targets changes
+// within a second; an older report says nothing about it.
+const maxPaceMaxAge = 10 * time.Second
+
 // RoutedListen holds addresses as "ip:port".
 type RoutedListen struct {
 	// Callers is the address for callers' requests.
@@ -98,6 +112,11 @@
 		// on the second one.
 		DrainNotice: 2500 * time.Millisecond,
 		Log:         Log{Level: LevelInfo, Format: FormatLogfmt},
+		Adaptive: Adaptive{
+			// Slow phases of targets take about 600 ms, and instances repeat reports every
+			// 400 ms.
+			PaceMaxAge: time.Second,
+		},
 	}
 }
 
@@ -166,5 +185,8 @@
 	if s.DrainNotice >= s.Grace {
 		doc.Report("drain_notice", "%s must be shorter than grace (%s), or a shutdown interrupts requests", s.DrainNotice, s.Grace)
 	}
+	if s.Adaptive.PaceMaxAge > maxPaceMaxAge {
+		doc.Report("adaptive.pace_max_age", "%s must be at most %s", s.Adaptive.PaceMaxAge, maxPaceMaxAge)
+	}
 	checkLog(doc, s.Log)
 }
--- a/internal/settings/routed_test.go
+++ b/internal/settings/routed_test.go
@@ -42,6 +42,14 @@
 	}
 }
 
+// Guards against a setting that its documentation says can be turned off, but whose 0 is rejected.
+func TestPacesCanBeTurnedOff(t *testing.T) {
+	s, err := ParseRouted("s.yaml", []byte(validRouted+"adaptive:\n  pace_max_age: 0s\n"))
+	require.NoError(t, err)
+	require.Zero(t, s.Adaptive.PaceMaxAge)
+	require.Equal(t, time.Second, DefaultRouted().Adaptive.PaceMaxAge)
+}
+
 func TestMistakesInRoutedFiles(t *testing.T) {
 	cases := map[string]struct{ old, new, want string }{
 		"unknown field":        {"domain: pnw-sea", "domian: pnw-sea", "s.yaml:2: domian: unknown field; did you mean domain?"},
@@ -50,6 +58,8 @@
 		"host name of a store": {"address: 10.0.9.1:9000", "address: store:9000", "s.yaml:8: store.address: \"store:9000\" must be an IP address"},
 		"long notice":          {"store:", "grace: 4s\ndrain_notice: 4s\nstore:", "s.yaml:8: drain_notice: 4s must be shorter than grace (4s)"},
 		"small records":        {"store:", "store:\n  record_bytes: 100", "s.yaml:8: store.record_bytes: 100 must be at least 4096"},
+		"old paces":            {"store:", "adaptive:\n  pace_max_age: 11s\nstore:", "s.yaml:8: adaptive.pace_max_age: 11s must be at most 10s"},
+		"negative pace age":    {"store:", "adaptive:\n  pace_max_age: -1s\nstore:", "s.yaml:8: adaptive.pace_max_age: must be above 0"},
 		"no seeds":             {"store:", "seeds: [nobody]\nstore:", "s.yaml:7: seeds[0]: \"nobody\" must be an IP address"},
 		"spaces":               {"instance: sea-1", "instance: sea 1", "s.yaml:1: instance: \"sea 1\" must not contain spaces"},
 		"empty":                {validRouted, "", "is empty"},
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -23,6 +23,9 @@
 	// each event.
 	Slots, QueueSize int
 	EventInterval    time.Duration
+	// Pace, if set, returns how long work takes now, in percent of the usual time. It is the
+	// fourth figure of the load report, and stretches EventInterval.
+	Pace func() int
 	// FaultFor, if set, returns the fault for the response to a request.
 	FaultFor func(id string) Fault
 	// Crashes, if set, reports whether the engine crashes when it begins to write the answer to
@@ -199,7 +202,19 @@
 
 func (e *Engine) load() string {
 	running, waiting := e.Load()
-	return fmt.Sprintf("%d,%d,%d", running, waiting, e.opts.Slots)
+	report := fmt.Sprintf("%d,%d,%d", running, waiting, e.opts.Slots)
+	if e.opts.Pace != nil {
+		report += fmt.Sprintf(",%d", e.opts.Pace())
+	}
+	return report
+}
+
+// eventInterval returns the time before the next event.
+func (e *Engine) eventInterval() time.Duration {
+	if e.opts.Pace == nil {
+		return e.opts.EventInterval
+	}
+	return e.opts.EventInterval * time.Duration(e.opts.Pace()) / 100
 }
 
 func (e *Engine) run(w http.ResponseWriter, r *http.Request, id, body string) {
@@ -283,7 +298,7 @@
 // waitInterval waits for EventInterval. It returns false if the request is
 // cancelled first.
 func (e *Engine) waitInterval(r *http.Request) bool {
-	timer := time.NewTimer(e.opts.EventInterval)
+	timer := time.NewTimer(e.eventInterval())
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/internal/transport/targetconn/client.go
+++ b/internal/transport/targetconn/client.go
@@ -58,6 +58,8 @@
 type Client struct {
 	codec Codec
 	pool  *pool
+	// onMalformedLoad is called with each load report that could not be read. It may be nil.
+	onMalformedLoad func(target, report string)
 }
 
 // New returns a client that connects to targets over a network.
@@ -65,6 +67,10 @@
 	return &Client{codec: codec, pool: newPool(network, time.Now)}
 }
 
+// OnMalformedLoad sets a function that is called with each load report that could not be read, or
+// not all of it. It must be called before the first request.
+func (c *Client) OnMalformedLoad(report func(target, report string)) { c.onMalformedLoad = report }
+
 // Close closes the idle connections.
 func (c *Client) Close() { c.pool.closeAll() }
 
@@ -154,6 +160,9 @@
 		}
 		reply := c.codec.DecodeReply(response.StatusCode, response.Header)
 		if reply.ID == d.ID || reply.ID == "" && reply.NotRun {
+			if reply.MalformedLoad != "" && c.onMalformedLoad != nil {
+				c.onMalformedLoad(d.Target, reply.MalformedLoad)
+			}
 			return c.open(conn, reply, response, requestDone), nil
 		}
 		mismatched.Inc()
