--- a/internal/daemon/routed/fleet_test.go
+++ b/internal/daemon/routed/fleet_test.go
@@ -101,6 +101,8 @@
 	domains, instances, targets int
 	// engine holds the options of all engines. newTestFleet sets the ID.
 	engine engine.Options
+	// paceOf, if set, returns the function that gives the pace of a target.
+	paceOf func(domain, i int) func() int
 }
 
 // newTestFleet starts a fleet and waits until it serves.
@@ -114,7 +116,11 @@
 	fleet.configure(nil)
 	for d := range size.domains {
 		for i := range size.targets {
-			fleet.addTarget(fmt.Sprintf("t-%d-%d", d, i), fmt.Sprintf("d%d", d), fmt.Sprintf("10.%d.2.%d", d, i+1), size.engine)
+			opts := size.engine
+			if size.paceOf != nil {
+				opts.Pace = size.paceOf(d, i)
+			}
+			fleet.addTarget(fmt.Sprintf("t-%d-%d", d, i), fmt.Sprintf("d%d", d), fmt.Sprintf("10.%d.2.%d", d, i+1), opts)
 		}
 	}
 	for d := range size.domains {
