--- a/internal/coordination/routed/relay/forward.go
+++ b/internal/coordination/routed/relay/forward.go
@@ -91,6 +91,7 @@
 		if err := c.sendEvent(ctx, event.Raw, monitor); err != nil {
 			return err
 		}
+		monitor.delivered()
 		if event.HasPosition {
 			c.lastEvent = event.Position
 		}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -162,6 +162,7 @@
 	"headroom.spare":        true,
 	// 0 turns the part off.
 	"adaptive.answer_buffers_percent": true,
+	"adaptive.pace_max_age":           true,
 }
 
 // checkNumbers rejects negative numbers and durations in all fields, and zero except
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -55,6 +55,10 @@
 // Adaptive holds the settings of how the instance adapts to uneven load. Each of them turns one
 // part on or off.
 type Adaptive struct {
+	// PaceMaxAge is the age up to which a target's report of how long work takes there is used
+	// to choose targets. 0 turns this off: targets are chosen by their free slots only. At most
+	// 10s.
+	PaceMaxAge time.Duration `yaml:"pace_max_age"`
 	// AnswerBuffersPercent is the part of memory_mb, in percent, that may be used for bytes held
 	// for callers: answers that they have not read yet, and bodies of requests. A target is then
 	// read to the end of its answer while its caller reads slowly. 0 turns this off: a caller that
@@ -62,6 +66,10 @@
 	AnswerBuffersPercent int `yaml:"answer_buffers_percent"`
 }
 
+// maxPaceMaxAge is the largest accepted adaptive.pace_max_age. The speed of targets changes
+// within a second; an older report says nothing about it.
+const maxPaceMaxAge = 10 * time.Second
+
 // RoutedListen holds addresses as "ip:port".
 type RoutedListen struct {
 	// Callers is the address for callers' requests.
@@ -110,6 +118,11 @@
 		// on the second one.
 		DrainNotice: 2500 * time.Millisecond,
 		Log:         Log{Level: LevelInfo, Format: FormatLogfmt},
+		Adaptive: Adaptive{
+			// Slow phases of targets take about 600 ms, and instances repeat reports every
+			// 400 ms.
+			PaceMaxAge: time.Second,
+		},
 	}
 }
 
@@ -186,5 +199,8 @@
 	if s.DrainNotice >= s.Grace {
 		doc.Report("drain_notice", "%s must be shorter than grace (%s), or a shutdown interrupts requests", s.DrainNotice, s.Grace)
 	}
+	if s.Adaptive.PaceMaxAge > maxPaceMaxAge {
+		doc.Report("adaptive.pace_max_age", "%s must be at most %s", s.Adaptive.PaceMaxAge, maxPaceMaxAge)
+	}
 	checkLog(doc, s.Log)
 }
--- a/internal/settings/routed_test.go
+++ b/internal/settings/routed_test.go
@@ -43,6 +43,14 @@
 	}
 }
 
+// Guards against a setting that its documentation says can be turned off, but whose 0 is rejected.
+func TestPacesCanBeTurnedOff(t *testing.T) {
+	s, err := ParseRouted("s.yaml", []byte(validRouted+"adaptive:\n  pace_max_age: 0s\n"))
+	require.NoError(t, err)
+	require.Zero(t, s.Adaptive.PaceMaxAge)
+	require.Equal(t, time.Second, DefaultRouted().Adaptive.PaceMaxAge)
+}
+
 func TestMistakesInRoutedFiles(t *testing.T) {
 	cases := map[string]struct{ old, new, want string }{
 		"unknown field":        {"domain: pnw-sea", "domian: pnw-sea", "s.yaml:2: domian: unknown field; did you mean domain?"},
@@ -53,6 +61,8 @@
 		"small records":        {"store:", "store:\n  record_bytes: 100", "s.yaml:8: store.record_bytes: 100 must be at least 4096"},
 		"negative buffers":     {"store:", "adaptive:\n  answer_buffers_percent: -1\nstore:", "s.yaml:8: adaptive.answer_buffers_percent: must not be negative"},
 		"large buffers":        {"store:", "adaptive:\n  answer_buffers_percent: 51\nstore:", "s.yaml:8: adaptive.answer_buffers_percent: 51 must be at most 50"},
+		"old paces":            {"store:", "adaptive:\n  pace_max_age: 11s\nstore:", "s.yaml:8: adaptive.pace_max_age: 11s must be at most 10s"},
+		"negative pace age":    {"store:", "adaptive:\n  pace_max_age: -1s\nstore:", "s.yaml:8: adaptive.pace_max_age: must not be negative"},
 		"no seeds":             {"store:", "seeds: [nobody]\nstore:", "s.yaml:7: seeds[0]: \"nobody\" must be an IP address"},
 		"spaces":               {"instance: sea-1", "instance: sea 1", "s.yaml:1: instance: \"sea 1\" must not contain spaces"},
 		"empty":                {validRouted, "", "is empty"},
