Estimate how long answers take, and send requests by that

Cause: the time until the first bytes was a constant of 60 ms. Where the speed of targets differs and changes, requests got slots when their answers would be late, before others that could be on time, and targets that took longer than half of the objective counted as stalled.

Change: the package servicetime estimates for each service, from the answers of the last 10 s at this instance, the time until the first bytes and the time of a whole answer. A request must be sent within the objective less the 90th percentile, at least 60 ms; an exchange counts as stalled after the 90th percentile if that is longer than half of the objective. With fewer than 20 answers, for services whose targets report no pace, and with adaptive.expected_times: false the constants apply. The stand-in engine can report a pace.

--- a/internal/coordination/routed/relay/forward.go
+++ b/internal/coordination/routed/relay/forward.go
@@ -36,6 +36,7 @@
 	if err == nil {
 		c.opts.Quarantine.Began(c.parts)
 		c.opts.Placer.Done(choice, placement.Served)
+		c.answerForwarded(answer.Head())
 		c.outcome.Reason = Relayed
 		return finish
 	}
@@ -105,6 +106,7 @@
 	}
 	c.headSent = true
 	c.outcome.TimeToFirstByte = max(1, time.Since(c.ReceivedAt))
+	c.firstBytesSent(answer.Head())
 	c.outcome.Status = answer.Head().Status
 	c.sink.SendHead(answer.Head())
 	return nil
--- a/internal/coordination/routed/relay/outcome.go
+++ b/internal/coordination/routed/relay/outcome.go
@@ -77,6 +77,8 @@
 	Origin origin.Origin
 	// Closure is what is known of the closed parts of the prompt, nil if none are closed.
 	Closure *quarantine.Closure
+	// Expected is what the time by which the request had to be sent was based on.
+	Expected ExpectedTimes
 }
 
 // Completed reports whether the caller received the complete answer.
--- a/internal/coordination/routed/relay/relay.go
+++ b/internal/coordination/routed/relay/relay.go
@@ -11,6 +11,7 @@
 	"merlintiller/internal/coordination/routed/origin"
 	"merlintiller/internal/coordination/routed/placement"
 	"merlintiller/internal/coordination/routed/quarantine"
+	"merlintiller/internal/coordination/routed/servicetime"
 	"merlintiller/internal/external"
 	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/state/route"
@@ -25,7 +26,8 @@
 	// duration of a stream, within which half of the slots become free.
 	fullRetryAfter = 350 * time.Millisecond
 	// expectedTimeToFirstByte is the time from sending a request to a target with
-	// a free slot until the caller receives the first bytes of the answer.
+	// a free slot until the caller receives the first bytes of the answer. It applies
+	// as long as Options.Times does not know a better one.
 	expectedTimeToFirstByte = 60 * time.Millisecond
 	// maxWaitFraction is the fraction of the time until its deadline that a
 	// request waits for a slot. After that the request is rejected, so that the
@@ -91,7 +93,9 @@
 	Placer     Placer
 	Origins    Origins
 	Quarantine Quarantine
-	Logger     log.Logger
+	// Times estimates how long answers take. It may be nil; constants apply then.
+	Times  *servicetime.Estimator
+	Logger log.Logger
 }
 
 // Relay serves online requests. It is safe for concurrent use.
@@ -155,6 +159,10 @@
 	failover *placement.Choice
 	// headSent is set once the caller received the head of the answer.
 	headSent bool
+	// sentAt is when the current attempt was sent. sentWhole is set if its answer has all
+	// events.
+	sentAt    time.Time
+	sentWhole bool
 }
 
 // nextStep is what follows an attempt.
@@ -236,12 +244,14 @@
 
 // waitLimits returns how long the request may wait for a slot.
 func (c *call) waitLimits() placement.WaitLimits {
-	from, onTime := c.ReceivedAt, c.ReceivedAt.Add(c.Route.LatencyObjective-expectedTimeToFirstByte)
+	from, onTime := c.ReceivedAt, time.Time{}
 	if c.headSent {
 		// A resumed stream has to continue before the gap between two events
 		// exceeds its limit.
 		from = time.Now()
 		onTime = from.Add(c.gapTimeout())
+	} else {
+		onTime = from.Add(c.sendWithin())
 	}
 	return placement.WaitLimits{SendBy: onTime, Deadline: from.Add(time.Duration(maxWaitFraction * float64(c.Deadline.Sub(from))))}
 }
@@ -278,7 +288,11 @@
 func (c *call) attempt(ctx context.Context, choice placement.Choice) nextStep {
 	c.attemptEvents = 0
 	monitor := c.monitorStalls(ctx, choice)
-	defer func() { c.failover = monitor.stop() }()
+	defer func() {
+		c.failover = monitor.stop()
+		c.attemptGivenUp()
+	}()
+	c.attemptBegins()
 	answer, err := c.opts.Targets.Send(monitor.ctx, choice.Address, c.dispatch(choice))
 	if err != nil {
 		return c.handleSendError(ctx, choice, monitor, err)
--- a/internal/coordination/routed/relay/stall.go
+++ b/internal/coordination/routed/relay/stall.go
@@ -62,7 +62,7 @@
 	}
 	limit := c.gapTimeout()
 	if !c.headSent {
-		limit = max(minFirstByteTimeout, time.Duration(firstByteTimeoutFraction*float64(c.Route.LatencyObjective)))
+		limit = c.firstByteTimeout()
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -23,6 +23,7 @@
 	"merlintiller/internal/coordination/routed/quarantine"
 	"merlintiller/internal/coordination/routed/quota"
 	"merlintiller/internal/coordination/routed/relay"
+	"merlintiller/internal/coordination/routed/servicetime"
 	"merlintiller/internal/external"
 	"merlintiller/internal/settings"
 	"merlintiller/internal/state/roster"
@@ -62,6 +63,7 @@
 	limiter        *quota.Limiter
 	mesh           *mesh.Mesh
 	origins        *origin.Registry
+	times          *servicetime.Estimator
 	quarantine     *quarantine.Guard
 	peerServer     *peer.Server
 	peerClient     *peer.Client
@@ -116,6 +118,7 @@
 	}
 	d.setupBroker()
 	d.setupOrigins()
+	d.times = servicetime.New(servicetime.Options{Enabled: d.settings.Adaptive.ExpectedTimes, ReportsPace: d.brokerClient.ReportsPace})
 	d.setupBatchJobs()
 	d.isolation = &isolationDetector{
 		otherDomainsUnreachable: d.mesh.Isolated, storeAge: d.view.StoreAge, logger: d.logger,
@@ -218,8 +221,10 @@
 		},
 		Table: d.view.Table,
 		Quota: d.limiter,
-		Relay: relay.New(relay.Options{Targets: d.targets, Placer: d.brokerClient, Origins: d.origins, Quarantine: d.quarantine, Logger: d.logger}),
-		Jobs:  d.jobService, JobsUnavailable: d.isolation.jobRetryAfter, Admit: d.loadMonitor.Admit, Logger: d.logger,
+		Relay: relay.New(relay.Options{
+			Targets: d.targets, Placer: d.brokerClient, Origins: d.origins, Quarantine: d.quarantine, Times: d.times, Logger: d.logger,
+		}),
+		Jobs: d.jobService, JobsUnavailable: d.isolation.jobRetryAfter, Admit: d.loadMonitor.Admit, Logger: d.logger,
 	})
 }
 
--- a/internal/daemon/routed/restartpeak_test.go
+++ b/internal/daemon/routed/restartpeak_test.go
@@ -33,6 +33,8 @@
 type peakCallers struct {
 	fleet  *testFleet
 	random *rand.Rand
+	// events is the number of events of each answer.
+	events int
 	calls  sync.WaitGroup
 
 	mu      sync.Mutex
@@ -57,7 +59,7 @@
 		}
 		config["tenants"] = tenants
 	})
-	return &peakCallers{fleet: fleet, random: rand.New(rand.NewPCG(seed, 7))}
+	return &peakCallers{fleet: fleet, events: peakEvents, random: rand.New(rand.NewPCG(seed, 7))}
 }
 
 // run sends requests to the given instances for a duration.
@@ -74,21 +76,21 @@
 }
 
 func (p *peakCallers) call(first, second *testInstance, id, key string) {
-	request := callerRequest{id: id, path: fmt.Sprintf("/again/a/%d", peakEvents), key: key}
+	request := callerRequest{id: id, path: fmt.Sprintf("/again/a/%d", p.events), key: key}
 	result := peakResult{sentAt: time.Now()}
 	got := first.send(request)
-	result.status, result.onTime = got.status, onTime(id, got)
+	result.status, result.onTime = got.status, p.onTime(id, got)
 	if delay, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64); err == nil && got.status != http.StatusOK {
 		sleep(time.Duration(delay * float64(time.Second)))
-		result.retriedOnTime = onTime(id, second.send(request))
+		result.retriedOnTime = p.onTime(id, second.send(request))
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.results = append(p.results, result)
 }
 
-func onTime(id string, got callerResponse) bool {
-	return got.err == nil && got.status == http.StatusOK && got.firstByte <= firstEventLimit && got.body == streamBody(id, peakEvents)
+func (p *peakCallers) onTime(id string, got callerResponse) bool {
+	return got.err == nil && got.status == http.StatusOK && got.firstByte <= firstEventLimit && got.body == streamBody(id, p.events)
 }
 
 // served returns the part of the first tries between two times that were served on time, and that
--- a/internal/explain/causes.go
+++ b/internal/explain/causes.go
@@ -34,7 +34,7 @@
 func describe(r *Record) string {
 	switch r.Event {
 	case "request":
-		return describeRequest(r) + describeRate(r)
+		return describeRequest(r) + describeExpectedTimes(r) + describeRate(r)
 	case "request_placed":
 		return describePlacement(r)
 	case "attempt_failed":
@@ -251,6 +251,17 @@
 	}
 }
 
+// describeExpectedTimes says by when a request had to be sent that waited longer, and why. It gives ""
+// for other requests, and if the usual times applied.
+func describeExpectedTimes(r *Record) string {
+	within := r.Number("send_within_ms")
+	if within == 0 || r.Fields["reason"] != "all_full" && r.Number("waited_ms") <= within {
+		return ""
+	}
+	return fmt.Sprintf("; to be on time it had to be sent within %s, and later it came after requests that could be on time: nine in ten of the last %s answers here began within %s (the latest of them %s ago)",
+		seconds(within), r.Fields["expected_answers"], seconds(r.Number("expected_first_byte_90_ms")), seconds(r.Number("expected_age_ms")))
+}
+
 // describeRate gives what a decision on a rate was based on, "" for a line without one.
 func describeRate(r *Record) string {
 	from := r.Fields["levels_from"]
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -53,6 +53,21 @@
 	requireCause(t, logs.Explain("r2"), "levels adopted from b 2.10 s ago", "70 of 73 instances heard 0.31 s ago")
 }
 
+// Guards against a request that waited behind others for a reason that no sentence names: by the times of
+// recent answers it could no longer be on time.
+func TestExplainsRequestThatCouldNoLongerBeOnTime(t *testing.T) {
+	const times = "send_within_ms=110 stall_after_ms=190 expected_first_byte_ms=75 expected_first_byte_90_ms=190 expected_answers=64 expected_age_ms=20"
+	logs := readLogs(t, map[string]string{"a": `
+at=2026-12-03T10:00:01Z event=request request=r1 outcome=answered status=200 took_ms=1200 waited_ms=140 first_byte_ms=330 ` + times + `
+at=2026-12-03T10:00:02Z event=request request=r2 outcome=answered status=200 took_ms=900 waited_ms=10 first_byte_ms=80 ` + times + `
+at=2026-12-03T10:00:03Z event=request request=r3 outcome=refused reason=all_full status=503 took_ms=2000 ` + times + `
+`})
+	const sentence = "it had to be sent within 0.11 s"
+	requireCause(t, logs.Explain("r1"), sentence, "the last 64 answers here began within 0.19 s")
+	requireCause(t, logs.Explain("r3"), sentence)
+	require.NotContains(t, strings.Join(logs.Explain("r2").Causes, "\n"), sentence)
+}
+
 // An instance is killed with a request in flight, so no line records the end of the
 // request. The explanation has to name the restart, or the end of the log.
 func TestExplainsRequestOfKilledProcess(t *testing.T) {
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -46,10 +46,21 @@
 	// reports that it is not ready: the load balancer probes once a second and removes
 	// an instance after two failed probes. The default is at most two fifths of grace.
 	DrainNotice time.Duration `yaml:"drain_notice"`
+	// Adaptive holds what adapts to the load and to the speed of the targets.
+	Adaptive Adaptive `yaml:"adaptive"`
 	// Log holds the level and the format of the log.
 	Log Log `yaml:"log"`
 }
 
+// Adaptive holds what adapts to the load and to the speed of the targets. Each field turns a
+// part of it off.
+type Adaptive struct {
+	// ExpectedTimes makes the instance estimate from recent answers how long answers take, and
+	// decide from that by when a waiting request must be sent, and when a target counts as
+	// stalled. It acts for services whose targets report their pace. false: fixed times apply.
+	ExpectedTimes bool `yaml:"expected_times"`
+}
+
 // RoutedListen holds addresses as "ip:port".
 type RoutedListen struct {
 	// Callers is the address for callers' requests.
@@ -97,6 +108,7 @@
 		// Two failed probes one second apart, plus time for the load balancer to act
 		// on the second one.
 		DrainNotice: 2500 * time.Millisecond,
+		Adaptive:    Adaptive{ExpectedTimes: true},
 		Log:         Log{Level: LevelInfo, Format: FormatLogfmt},
 	}
 }
--- a/internal/settings/routed_test.go
+++ b/internal/settings/routed_test.go
@@ -42,6 +42,18 @@
 	}
 }
 
+// Guards against a part that the settings can't turn off, and one that a file without the section turns
+// off.
+func TestExpectedTimesCanBeTurnedOff(t *testing.T) {
+	for text, on := range map[string]bool{"": true, "adaptive:\n  expected_times: true\n": true, "adaptive:\n  expected_times: false\n": false} {
+		s, err := ParseRouted("s.yaml", []byte(validRouted+text))
+		require.NoError(t, err, text)
+		require.Equal(t, on, s.Adaptive.ExpectedTimes, text)
+	}
+	_, err := ParseRouted("s.yaml", []byte(validRouted+"adaptive:\n  expected_times: 3\n"))
+	require.Error(t, err)
+}
+
 func TestMistakesInRoutedFiles(t *testing.T) {
 	cases := map[string]struct{ old, new, want string }{
 		"unknown field":        {"domain: pnw-sea", "domian: pnw-sea", "s.yaml:2: domian: unknown field; did you mean domain?"},
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -23,6 +23,8 @@
 	// each event.
 	Slots, QueueSize int
 	EventInterval    time.Duration
+	// Pace, if set, returns the pace that the engine reports with its load, in percent.
+	Pace func() int
 	// FaultFor, if set, returns the fault for the response to a request.
 	FaultFor func(id string) Fault
 	// Crashes, if set, reports whether the engine crashes when it begins to write the answer to
@@ -199,7 +201,11 @@
 
 func (e *Engine) load() string {
 	running, waiting := e.Load()
-	return fmt.Sprintf("%d,%d,%d", running, waiting, e.opts.Slots)
+	load := fmt.Sprintf("%d,%d,%d", running, waiting, e.opts.Slots)
+	if e.opts.Pace != nil {
+		load += fmt.Sprintf(",%d", e.opts.Pace())
+	}
+	return load
 }
 
 func (e *Engine) run(w http.ResponseWriter, r *http.Request, id, body string) {
--- a/internal/transport/front/online.go
+++ b/internal/transport/front/online.go
@@ -103,6 +103,7 @@
 		"resumes", c.request.Resumes, "stream_version", o.Origin.Version, "version_source", o.Origin.Source,
 		"version_age_ms", o.Origin.Age.Milliseconds(),
 	}
+	fields = append(fields, o.Expected.LogFields()...)
 	if o.Closure != nil {
 		fields = append(fields, o.Closure.LogFields()...)
 	}
