--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -59,6 +59,10 @@
 	// to choose targets. 0 turns this off: targets are chosen by their free slots only. At most
 	// 10s.
 	PaceMaxAge time.Duration `yaml:"pace_max_age"`
+	// ExpectedTimes makes the instance estimate from recent answers how long answers take, and
+	// decide from that by when a waiting request must be sent, and when a target counts as
+	// stalled. It acts for services whose targets report their pace. false: fixed times apply.
+	ExpectedTimes bool `yaml:"expected_times"`
 	// AnswerBuffersPercent is the part of memory_mb, in percent, that may be used for bytes held
 	// for callers: answers that they have not read yet, and bodies of requests. A target is then
 	// read to the end of its answer while its caller reads slowly. 0 turns this off: a caller that
@@ -121,7 +125,8 @@
 		Adaptive: Adaptive{
 			// Slow phases of targets take about 600 ms, and instances repeat reports every
 			// 400 ms.
-			PaceMaxAge: time.Second,
+			PaceMaxAge:    time.Second,
+			ExpectedTimes: true,
 		},
 	}
 }
--- a/internal/transport/front/online.go
+++ b/internal/transport/front/online.go
@@ -108,6 +108,7 @@
 	if c.opts.HeldBytes != nil {
 		fields = append(fields, "held_bytes", o.HeldBytes, "caller_lag_ms", o.CallerLag.Milliseconds(), "read_stopped_ms", o.ReadStopped.Milliseconds())
 	}
+	fields = append(fields, o.Expected.LogFields()...)
 	if o.Closure != nil {
 		fields = append(fields, o.Closure.LogFields()...)
 	}
