Scarce slots are divided among organisations by weight, and hopeless waits end at once

Cause: the brokers' queue served whoever sent most, and each request waited up to 0.4 of its deadline although the broker knew how many waited and how fast slots became free. All rejected callers were told to return after 350 ms.

The caller gets a Retry-After from the backlog, with jitter. Messages gain fields; zero means as before.

No request is held in vain or rejected while a slot is free.

--- a/internal/coordination/routed/broker/allocator.go
+++ b/internal/coordination/routed/broker/allocator.go
@@ -70,6 +70,7 @@
 		instance: req.Instance, hold: Hold{Number: req.Number, Due: req.Due, Lasts: req.Lasts}, requirements: req.Want,
 		sendBy: now.Add(req.OnTimeIn), arrived: now.Add(-req.Age),
 	}
+	a.setFairFields(now, w, req)
 	a.ApplyReport(now, req.Told)
 	a.queue.add(w)
 	return w
@@ -96,6 +97,9 @@
 		if !ok {
 			return false
 		}
+		if a.queue.fair != nil {
+			a.queue.fair.granted(now, w)
+		}
 		allocation := Allocation{Waiter: w, Grant: grant}
 		if yielding != nil {
 			a.lastYield = now
--- a/internal/coordination/routed/broker/broker.go
+++ b/internal/coordination/routed/broker/broker.go
@@ -38,8 +38,10 @@
 
 	mu        sync.Mutex
 	allocator *SlotAllocator
-	// grants holds a channel for the grant of each waiter. A channel gets at most one.
-	grants map[*Waiter]chan Grant
+	// decisions holds a channel for the decision on each waiter. A channel gets at most one.
+	decisions map[*Waiter]chan decision
+	// queueReport is set if fair queueing is used.
+	queueReport *queueReport
 	// retryScheduled is set while a timer for the next allocation is running.
 	retryScheduled bool
 	sweep          *sweepSchedule
@@ -55,13 +57,19 @@
 	soleBrokerAt time.Time
 }
 
+// decision is a granted slot, or a rejection.
+type decision struct {
+	grant   Grant
+	granted bool
+}
+
 // soleBrokerMaxAge is how long a result of isSoleBroker is used.
 const soleBrokerMaxAge = 50 * time.Millisecond
 
 // New returns a broker of a failure domain.
 func New(domain string, seed uint64, yield func(instance string, number uint64) bool) *Broker {
 	b := &Broker{
-		domain: domain, yield: yield, grants: map[*Waiter]chan Grant{},
+		domain: domain, yield: yield, decisions: map[*Waiter]chan decision{},
 		sweep: newSweepSchedule(time.Now()), sweepStarted: make(chan struct{}, 1),
 		checks: newCheckSchedule(), checkAdded: make(chan struct{}, 1),
 	}
@@ -97,6 +105,7 @@
 func (b *Broker) Serve(ctx context.Context) error {
 	return wait.Every(ctx, expireInterval, func() {
 		b.update(func(now time.Time) { b.allocator.Expire(now) })
+		b.reportQueue()
 	})
 }
 
@@ -158,7 +167,8 @@
 // allocate grants free slots to waiters. The caller must hold b.mu.
 func (b *Broker) allocate(now time.Time) {
 	for _, a := range b.allocator.Allocate(now) {
-		b.grants[a.Waiter] <- a.Grant
+		b.decisions[a.Waiter] <- decision{grant: a.Grant, granted: true}
+		b.queueReport.granted(now, a.Waiter)
 		if a.Waiter.requirements.Batch {
 			batchGrants.Inc()
 		} else {
@@ -169,6 +179,10 @@
 			go b.requestYield(a.Yield)
 		}
 	}
+	for _, w := range b.allocator.RejectUnservable(now) {
+		b.decisions[w] <- decision{}
+		b.queueReport.rejected(w)
+	}
 	b.scheduleRetry()
 }
 
@@ -182,49 +196,50 @@
 // req.Wait.
 func (b *Broker) Place(ctx context.Context, req *PlaceRequest) PlaceReply {
 	now := time.Now()
-	granted := make(chan Grant, 1)
+	decided := make(chan decision, 1)
 	b.mu.Lock()
 	w := b.allocator.Enqueue(now, req)
-	b.grants[w] = granted
+	b.decisions[w] = decided
 	b.allocate(now)
 	b.mu.Unlock()
 	reply := PlaceReply{}
-	reply.Grant, reply.Granted = b.awaitGrant(ctx, w, granted, req.Wait)
+	reply.Grant, reply.Granted = b.awaitGrant(ctx, w, decided, req.Wait)
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	reply.Queue = w.state
 	reply.Free = b.allocator.Free(time.Now())
 	return reply
 }
 
-// awaitGrant waits for a grant, for the given time at most.
-func (b *Broker) awaitGrant(ctx context.Context, w *Waiter, grants <-chan Grant, wait time.Duration) (Grant, bool) {
-	grant, granted := receiveGrant(ctx, grants, wait)
+// awaitGrant waits for a grant, for the given time at most. A rejection ends the wait.
+func (b *Broker) awaitGrant(ctx context.Context, w *Waiter, decided <-chan decision, wait time.Duration) (Grant, bool) {
+	d, ok := receiveDecision(ctx, decided, wait)
 	b.dequeue(w)
-	if granted {
-		return grant, true
+	if !ok {
+		// The grant may have arrived just as the wait ended.
+		d, _ = receiveDecision(ctx, decided, 0)
 	}
-	// The grant may have arrived just as the wait ended.
-	return receiveGrant(ctx, grants, 0)
+	return d.grant, d.granted
 }
 
-func receiveGrant(ctx context.Context, grants <-chan Grant, wait time.Duration) (Grant, bool) {
+func receiveDecision(ctx context.Context, decided <-chan decision, wait time.Duration) (decision, bool) {
 	select {
-	case grant := <-grants:
-		return grant, true
+	case d := <-decided:
+		return d, true
 	default:
 	}
 	if wait <= 0 {
-		return Grant{}, false
+		return decision{}, false
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
-	case grant := <-grants:
-		return grant, true
+	case d := <-decided:
+		return d, true
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return Grant{}, false
+	return decision{}, false
 }
 
 // dequeue removes a waiter that got a slot or stopped waiting.
@@ -232,7 +247,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.allocator.Dequeue(w)
-	delete(b.grants, w)
+	delete(b.decisions, w)
 }
 
 // ApplyReport applies an instance's report of its holds.
--- a/internal/coordination/routed/broker/client.go
+++ b/internal/coordination/routed/broker/client.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -66,6 +67,9 @@
 	Local *placement.Placer
 	// Connected reports whether an idle connection to an address is kept.
 	Connected func(address string) bool
+	// FairQueue asks brokers to divide scarce slots by the weights of organisations, and to
+	// reject requests that cannot get a slot in time.
+	FairQueue bool
 	Logger    log.Logger
 }
 
@@ -122,50 +126,82 @@
 }
 
 // Place chooses a target for an online request and counts it there until Done. It waits
-// while all targets are full. It fails if no target is known, at the deadline, or when ctx
-// ends.
+// while all targets are full. It fails if no target is known, at the deadline, when ctx
+// ends, or if all brokers that answer reject the request. The choice then holds what they knew.
 func (c *Client) Place(ctx context.Context, req placement.Requirements, limits placement.WaitLimits) (placement.Choice, bool) {
 	arrived := time.Now()
-	waitAt := ""
+	waitAt, askAll := "", true
+	var queue placement.QueueState
 	for {
-		choice, answered := c.tryAll(ctx, req, limits, arrived, waitAt != "")
-		if choice.ID != "" {
-			return choice, true
+		round := c.tryAll(ctx, req, limits, arrived, !askAll)
+		if round.choice.ID != "" {
+			round.choice.Queue = queue
+			return round.choice, true
 		}
-		if answered == "" {
+		if round.answered == "" {
 			choicesWithoutBroker.Inc()
 			return c.opts.Local.Place(ctx, req, limits)
 		}
-		waitAt = answered
+		if round.accepting == "" && time.Now().Before(limits.RejectBy) {
+			if !round.skipped {
+				return placement.Choice{Queue: round.rejected}, false
+			}
+			askAll = true
+			continue
+		}
+		waitAt = cmp.Or(round.accepting, round.answered)
 		left := time.Until(limits.Deadline)
 		if left <= 0 || ctx.Err() != nil || !c.HasTargets(req) {
-			return placement.Choice{}, false
+			return placement.Choice{Queue: queue}, false
 		}
-		choice, _ = c.placeIn(ctx, waitAt, req, limits, arrived, min(left, onlineWait))
+		choice, _ := c.placeIn(ctx, waitAt, req, limits, arrived, min(left, onlineWait))
 		if choice.ID != "" {
 			return choice, true
 		}
+		askAll = choice.Queue.Rejected
+		if !askAll {
+			queue = choice.Queue
+		}
 	}
 }
 
-// tryAll asks the brokers of all domains, starting with the own domain. It also returns the
-// first domain whose broker answered. A retry skips domains that had no free slot within
-// freeMaxAge.
-func (c *Client) tryAll(ctx context.Context, req placement.Requirements, limits placement.WaitLimits, arrived time.Time, retry bool) (placement.Choice, string) {
-	answered := ""
+// placeRound is the result of asking the brokers of all domains once.
+type placeRound struct {
+	choice placement.Choice
+	// answered is the first domain whose broker answered, and accepting the first whose broker
+	// also did not reject the request.
+	answered, accepting string
+	// rejected is the rejection with the earliest time to return.
+	rejected placement.QueueState
+	// skipped is set if domains were not asked because they were known to be full.
+	skipped bool
+}
+
+// tryAll asks the brokers of all domains, starting with the own domain. A retry skips domains that
+// had no free slot within freeMaxAge.
+func (c *Client) tryAll(ctx context.Context, req placement.Requirements, limits placement.WaitLimits, arrived time.Time, retry bool) (round placeRound) {
 	for _, name := range c.domainsFor(req) {
 		if retry && name != c.opts.Self.Domain && c.knownFull(name) {
+			round.skipped = true
 			continue
 		}
 		choice, ok := c.placeIn(ctx, name, req, limits, arrived, 0)
 		if choice.ID != "" {
-			return choice, name
+			round.choice = choice
+			return round
+		}
+		if !ok {
+			continue
 		}
-		if ok && answered == "" {
-			answered = name
+		round.answered = cmp.Or(round.answered, name)
+		switch {
+		case !choice.Queue.Rejected:
+			round.accepting = cmp.Or(round.accepting, name)
+		case !round.rejected.Rejected || choice.Queue.RoomIn < round.rejected.RoomIn:
+			round.rejected = choice.Queue
 		}
 	}
-	return placement.Choice{}, answered
+	return round
 }
 
 // placeIn requests a slot from the broker of one domain. ok is false if no broker answers.
@@ -175,6 +211,13 @@
 		Domain: name, Want: req, Wait: wait,
 		OnTimeIn: limits.SendBy.Sub(now), Age: now.Sub(arrived),
 	}
+	if c.opts.FairQueue {
+		request.Organisation, request.Weight = limits.Organisation, limits.Weight
+		request.WaitIn = limits.Deadline.Sub(now)
+		if !limits.RejectBy.IsZero() {
+			request.RejectIn = max(0, limits.RejectBy.Sub(now))
+		}
+	}
 	return c.requestSlot(ctx, request)
 }
 
@@ -328,12 +371,12 @@
 	}
 	c.mu.Unlock()
 	if !reply.Granted {
-		return placement.Choice{}
+		return placement.Choice{Queue: reply.Queue}
 	}
 	choice := c.opts.Local.Acquire(reply.Grant.Target, request.Want.Batch)
 	choice.Version = agreedVersion(choice.Version, reply.Grant.Target.Version)
 	choice.Busy, choice.Unaccounted, choice.Slots = reply.Grant.Busy, reply.Grant.Unsure, reply.Grant.Slots
-	choice.Number, choice.Broker = request.Number, address
+	choice.Number, choice.Broker, choice.Queue = request.Number, address, reply.Queue
 	return choice
 }
 
@@ -404,11 +447,11 @@
 // for a slot.
 func (c *Client) TryPlace(ctx context.Context, req placement.Requirements) (placement.Choice, bool) {
 	now := time.Now()
-	choice, answered := c.tryAll(ctx, req, placement.WaitLimits{SendBy: now, Deadline: now}, now, false)
-	if choice.ID == "" && answered == "" {
+	round := c.tryAll(ctx, req, placement.WaitLimits{SendBy: now, Deadline: now}, now, false)
+	if round.choice.ID == "" && round.answered == "" {
 		return c.opts.Local.Pick(req)
 	}
-	return choice, choice.ID != ""
+	return round.choice, round.choice.ID != ""
 }
 
 // DataReceived records that data arrived from a target.
--- a/internal/coordination/routed/broker/messages.go
+++ b/internal/coordination/routed/broker/messages.go
@@ -61,6 +61,13 @@
 	// that the target is busy with the item.
 	Due   int64
 	Lasts time.Duration
+	// Organisation and Weight decide on the share of scarce slots of an online request. 0: the
+	// requesting instance does not use fair queueing.
+	Organisation string
+	Weight       float64
+	// RejectIn is the time for which the request may be rejected, and WaitIn the time until it
+	// stops waiting at all brokers. 0: it must not be rejected, the time is not known.
+	RejectIn, WaitIn time.Duration
 }
 
 // Grant is a granted slot.
@@ -79,6 +86,9 @@
 	Grant   Grant
 	// Free is the number of free slots that are left in the domain.
 	Free int
+	// Queue is what the broker knew when the request waited. It is zero if the request did not
+	// wait or the broker does not use fair queueing.
+	Queue placement.QueueState
 }
 
 // Names of the net/rpc methods.
--- a/internal/coordination/routed/broker/waitqueue.go
+++ b/internal/coordination/routed/broker/waitqueue.go
@@ -16,6 +16,26 @@
 	// sendBy is when the request must be sent for its answer to be on time. arrived is when
 	// it arrived at the requesting instance.
 	sendBy, arrived time.Time
+
+	// The other fields are used only with fair queueing, see fairness.go.
+
+	// organisation and weight decide on its share of scarce slots.
+	organisation string
+	weight       float64
+	// rejectBy is until when the request may be rejected, zero if it may not be. waitBy is when
+	// it stops waiting, zero if that is not known.
+	rejectBy, waitBy time.Time
+	// queuedAt is when the request entered the queue. waited is set once it found no free slot.
+	queuedAt time.Time
+	waited   bool
+	// counted is set once the request is counted as an arrival.
+	counted bool
+	// rank is its rank while slots are scarce, and lag how far its start tag is ahead of virtual
+	// time, both as of the last ordering.
+	rank int
+	lag  float64
+	// state is the last estimate of its wait.
+	state placement.QueueState
 }
 
 // waitQueue holds the requests and batch items that wait at a broker.
@@ -33,6 +53,8 @@
 // another instance starts items that have a lot of time left.
 type waitQueue struct {
 	waiters []*Waiter
+	// fair divides scarce slots among organisations, nil if that is turned off.
+	fair *fairQueue
 }
 
 func (q *waitQueue) add(w *Waiter) { q.waiters = append(q.waiters, w) }
@@ -43,17 +65,40 @@
 
 func (q *waitQueue) len() int { return len(q.waiters) }
 
-// class returns the priority class of a waiter. There are four: 0 is an online request that can
-// still be on time, 1 a late one, 2 an item that can still meet its deadline, 3 a late item.
+// The priority classes of waiters. classOverdue is a late online request that has to be served,
+// since it can no longer be rejected in time, and that stops waiting soon.
+const (
+	classOverdue = iota - 1
+	classOnTime
+	classLate
+	classItem
+	classLateItem
+)
+
+// overdueLead is the time before a request stops waiting at which it goes before all others.
+// Slots for the requests that were not rejected in time become free in a fraction of it.
+const overdueLead = time.Second
+
+// class returns the priority class of a waiter.
 func (w *Waiter) class(now time.Time) int {
-	class := 0
-	if w.requirements.Batch {
-		class = 2
-	}
-	if now.After(w.sendBy) {
-		class++
+	late := now.After(w.sendBy)
+	switch {
+	case w.requirements.Batch && late:
+		return classLateItem
+	case w.requirements.Batch:
+		return classItem
+	case late && !w.waitBy.IsZero() && !w.mayReject(now) && w.waitBy.Sub(now) < overdueLead:
+		return classOverdue
+	case late:
+		return classLate
+	default:
+		return classOnTime
 	}
-	return class
+}
+
+// mayReject reports whether the request may still be rejected.
+func (w *Waiter) mayReject(now time.Time) bool {
+	return !w.rejectBy.IsZero() && !now.After(w.rejectBy)
 }
 
 // sortKey orders waiters of the same class.
@@ -61,7 +106,9 @@
 	switch {
 	case w.requirements.Batch:
 		return w.hold.Due
-	case class > 0:
+	case class == classOverdue:
+		return w.waitBy.UnixNano()
+	case class == classLate:
 		return w.arrived.UnixNano()
 	default:
 		return w.sendBy.UnixNano()
@@ -83,7 +130,12 @@
 func (q *waitQueue) place(now time.Time, batchPaused bool, place func(*Waiter) bool) {
 	full := map[string]bool{}
 	kept := make([]*Waiter, 0, len(q.waiters))
-	for _, w := range q.sorted(now) {
+	list := q.sorted(now)
+	// A single request, which usually gets a free slot at once, needs no order.
+	if q.fair != nil && len(list) > 1 {
+		list = q.fair.order(now, list)
+	}
+	for _, w := range list {
 		if full[w.requirements.Service] || w.requirements.Batch && batchPaused {
 			kept = append(kept, w)
 			continue
@@ -98,3 +150,19 @@
 	}
 	q.waiters = kept
 }
+
+// rejectUnservable removes and returns the requests that must be rejected. It must be called after
+// place, which grants all free slots.
+func (q *waitQueue) rejectUnservable(now time.Time) []*Waiter {
+	if q.fair == nil || len(q.waiters) == 0 {
+		return nil
+	}
+	if len(q.waiters) == 1 {
+		q.fair.order(now, q.waiters)
+	}
+	rejected := q.fair.estimate(now, q.waiters)
+	if len(rejected) > 0 {
+		q.waiters = slices.DeleteFunc(q.waiters, func(w *Waiter) bool { return w.state.Rejected })
+	}
+	return rejected
+}
--- a/internal/coordination/routed/placement/core.go
+++ b/internal/coordination/routed/placement/core.go
@@ -123,7 +123,10 @@
 	// the slot. Both are zero if no broker was involved.
 	Number uint64
 	Broker string
-	batch  bool
+	// Queue is what the brokers knew while the request waited. It is also set if no target was
+	// chosen: it then says whether the request was rejected, and when to return.
+	Queue QueueState
+	batch bool
 }
 
 // New returns a core without targets.
--- a/internal/coordination/routed/placement/placer.go
+++ b/internal/coordination/routed/placement/placer.go
@@ -76,6 +76,12 @@
 	SendBy time.Time
 	// Deadline is when the request stops waiting.
 	Deadline time.Time
+	// RejectBy is until when the request may be rejected if no broker expects a slot for it.
+	// Zero: it must not be rejected before Deadline.
+	RejectBy time.Time
+	// Organisation and Weight decide on its share while slots are scarce.
+	Organisation string
+	Weight       float64
 }
 
 // Place chooses a target for an online request and counts it there until Done. It waits
--- a/internal/coordination/routed/relay/outcome.go
+++ b/internal/coordination/routed/relay/outcome.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"merlintiller/internal/coordination/routed/origin"
+	"merlintiller/internal/coordination/routed/placement"
 	"merlintiller/internal/coordination/routed/quarantine"
 )
 
@@ -77,6 +78,9 @@
 	Origin origin.Origin
 	// Closure is what is known of the closed parts of the prompt, nil if none are closed.
 	Closure *quarantine.Closure
+	// Queue is what a broker knew while the request waited for a slot, zero if it did not
+	// wait.
+	Queue placement.QueueState
 }
 
 // Completed reports whether the caller received the complete answer.
--- a/internal/coordination/routed/relay/relay.go
+++ b/internal/coordination/routed/relay/relay.go
@@ -107,6 +107,8 @@
 	Route        *route.Route
 	Service      string
 	Organisation string
+	// Weight decides on the organisation's share while slots are scarce.
+	Weight float64
 	// ReceivedAt is when the request arrived, Deadline when it has to end.
 	ReceivedAt, Deadline time.Time
 }
@@ -224,7 +226,9 @@
 	}
 	// The stream may have begun after another target was reserved.
 	c.releaseFailover()
-	return c.opts.Placer.Place(ctx, c.requirements(), c.waitLimits())
+	choice, ok := c.opts.Placer.Place(ctx, c.requirements(), c.queueLimits())
+	c.recordQueue(choice.Queue)
+	return choice, ok
 }
 
 // requirements returns what the next target has to satisfy.
@@ -266,7 +270,7 @@
 	case c.outcome.Attempts > 0:
 		c.outcome.Reason, c.outcome.RetryAfter = NotAccepted, fullRetryAfter
 	case c.opts.Placer.HasTargets(placement.Requirements{Service: c.Service, Versions: c.origin.Versions()}):
-		c.outcome.Reason, c.outcome.RetryAfter = AllFull, fullRetryAfter
+		c.outcome.Reason, c.outcome.RetryAfter = AllFull, c.fullRetryAfter()
 	case c.origin.Known():
 		c.outcome.Reason = VersionGone
 	default:
--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -180,8 +180,11 @@
 	d.broker = broker.New(d.self.Domain, xxhash.Sum64String(d.self.Name), yield)
 	d.brokerClient = broker.NewClient(broker.ClientOptions{
 		Self: d.self, Peers: d.mesh, Caller: d.peerClient, Broker: d.broker, Local: d.placer,
-		Connected: d.targets.Connected, Logger: d.logger,
+		Connected: d.targets.Connected, FairQueue: d.settings.Adaptive.FairQueue, Logger: d.logger,
 	})
+	if d.settings.Adaptive.FairQueue {
+		d.broker.EnableFairQueue(d.logger)
+	}
 	d.broker.SetIsSoleBroker(d.brokerClient.IsSoleBroker)
 }
 
--- a/internal/daemon/routed/fleet_test.go
+++ b/internal/daemon/routed/fleet_test.go
@@ -49,6 +49,8 @@
 	stop       context.CancelFunc
 	ctx        context.Context
 	version    int
+	// editSettings, if set, changes the settings of all instances.
+	editSettings func(*settings.Routed)
 }
 
 // testInstance is one instance of a testFleet.
@@ -101,6 +103,8 @@
 	domains, instances, targets int
 	// engine holds the options of all engines. newTestFleet sets the ID.
 	engine engine.Options
+	// settings, if set, changes the settings of all instances.
+	settings func(*settings.Routed)
 }
 
 // newTestFleet starts a fleet and waits until it serves.
@@ -109,6 +113,7 @@
 	ctx, stop := context.WithCancel(t.Context())
 	fleet := &testFleet{
 		t: t, net: memnet.New(200 * time.Microsecond), store: sharedstore.New(12), ctx: ctx, stop: stop,
+		editSettings: size.settings,
 	}
 	t.Cleanup(fleet.close)
 	fleet.configure(nil)
@@ -242,6 +247,9 @@
 	inst.settings.Seeds = []string{"10.0.1.1:82"}
 	// The scheduling lag is that of the test process, in real time.
 	inst.settings.MaxSchedulingLag = 0
+	if fleet.editSettings != nil {
+		fleet.editSettings(&inst.settings)
+	}
 	inst.start()
 	return inst
 }
--- a/internal/explain/causes.go
+++ b/internal/explain/causes.go
@@ -34,7 +34,7 @@
 func describe(r *Record) string {
 	switch r.Event {
 	case "request":
-		return describeRequest(r) + describeRate(r)
+		return describeRequest(r) + describeQueue(r) + describeRate(r)
 	case "request_placed":
 		return describePlacement(r)
 	case "attempt_failed":
@@ -266,6 +266,30 @@
 		r.Fields["reachable"], r.Fields["instances"], seconds(r.Number("reports_age_ms")))
 }
 
+// describeQueue gives what a broker knew while the request waited for a slot, "" for a line without
+// it.
+func describeQueue(r *Record) string {
+	var text string
+	switch r.Fields["queue"] {
+	case "waited":
+		text = "it waited for a slot at a broker"
+	case "no_slot":
+		text = "it was rejected at once, since more requests waited than could be served"
+	case "over_share":
+		text = fmt.Sprintf("it was rejected at once, since organisation %s had used its share of the scarce slots", r.Fields["organisation"])
+	default:
+		return ""
+	}
+	return fmt.Sprintf("; %s (%s requests ahead of it, %s; %s slots became free and %s requests arrived per second)",
+		text, r.Fields["queue_ahead"], queueOrders[r.Fields["queue_order"]], r.Fields["queue_freed_per_s"], r.Fields["queue_arriving_per_s"])
+}
+
+// queueOrders explains the values of queue_order=.
+var queueOrders = map[string]string{
+	"deadline": "those that must be sent first go first",
+	"share":    "slots divided by the rates of organisations",
+}
+
 // levelSources explains the values of levels_from= that name no instance.
 var levelSources = map[string]string{
 	"unknown": "not known since a start",
@@ -292,6 +316,9 @@
 	case "rates_unknown":
 		return fmt.Sprintf("the instance had just started and did not know yet what is left of the rate of organisation %s", r.Fields["organisation"])
 	case "all_full":
+		if r.Fields["queue"] != "" && r.Fields["queue"] != "waited" {
+			return "no broker expected a slot for it in the time that it could wait"
+		}
 		return fmt.Sprintf("no target had a free slot within the %s that the request could wait", seconds(r.Number("took_ms")))
 	case "not_taken":
 		return fmt.Sprintf("none of the %s targets tried accepted it", r.Fields["attempts"])
@@ -426,6 +453,8 @@
 		return fmt.Sprintf("failure domain %s was reachable again", r.Fields["domain"])
 	case "broker_unanswered":
 		return fmt.Sprintf("broker %s of failure domain %s did not answer", r.Fields["broker"], r.Fields["domain"])
+	case "slots_scarce":
+		return fmt.Sprintf("slots of failure domain %s were scarce (%s free per second, %s requests per second); requests were rejected", r.Fields["domain"], r.Fields["freed_per_s"], r.Fields["arriving_per_s"])
 	case "target_unlisted":
 		if !explanation.mentions(r.Fields["target"]) {
 			return ""
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -46,10 +46,22 @@
 	// reports that it is not ready: the load balancer probes once a second and removes
 	// an instance after two failed probes. The default is at most two fifths of grace.
 	DrainNotice time.Duration `yaml:"drain_notice"`
+	// Adaptive holds the settings of what adapts to uneven load.
+	Adaptive Adaptive `yaml:"adaptive"`
 	// Log holds the level and the format of the log.
 	Log Log `yaml:"log"`
 }
 
+// Adaptive holds the settings of what adapts to uneven load. Each part acts only where the load
+// calls for it, and can be turned off.
+type Adaptive struct {
+	// FairQueue divides the slots of targets among organisations in proportion to their rates
+	// while more online requests wait than can be served in time, and rejects requests at once
+	// that cannot get a slot, with the time when room is expected. Without it, the requests
+	// that must be sent first go first, and all wait.
+	FairQueue bool `yaml:"fair_queue"`
+}
+
 // RoutedListen holds addresses as "ip:port".
 type RoutedListen struct {
 	// Callers is the address for callers' requests.
--- a/internal/standin/memnet/network.go
+++ b/internal/standin/memnet/network.go
@@ -23,6 +23,7 @@
 	listeners  map[string]*listener
 	conns      map[*conn]struct{}
 	blocked    map[path]bool
+	refused    map[path]bool
 	poweredOff map[string]bool
 	nextPort   int
 }
@@ -34,7 +35,7 @@
 func New(delay time.Duration) *Network {
 	n := &Network{
 		delay: delay, window: window, listeners: map[string]*listener{}, conns: map[*conn]struct{}{},
-		blocked: map[path]bool{}, poweredOff: map[string]bool{}, nextPort: 40000,
+		blocked: map[path]bool{}, refused: map[path]bool{}, poweredOff: map[string]bool{}, nextPort: 40000,
 	}
 	n.dialCond = sync.NewCond(&n.mu)
 	return n
@@ -70,6 +71,25 @@
 // HealPartition ends the effect of Partition.
 func (n *Network) HealPartition(one, other []string) { n.forEachPair(one, other, n.Unblock) }
 
+// PartitionRefusing resets all connections between the hosts of two sides and refuses new ones.
+func (n *Network) PartitionRefusing(one, other []string) {
+	n.forEachPair(one, other, func(from, to string) {
+		n.update(func() {
+			n.refused[path{from, to}] = true
+			for c := range n.conns {
+				if c.local.ip == from && c.remote.ip == to {
+					c.abort()
+				}
+			}
+		})
+	})
+}
+
+// HealPartitionRefusing ends the effect of PartitionRefusing.
+func (n *Network) HealPartitionRefusing(one, other []string) {
+	n.forEachPair(one, other, func(from, to string) { n.update(func() { delete(n.refused, path{from, to}) }) })
+}
+
 func (n *Network) forEachPair(one, other []string, do func(from, to string)) {
 	for _, a := range one {
 		for _, b := range other {
@@ -242,7 +262,7 @@
 		n.dialCond.Wait()
 	}
 	l := n.listeners[address]
-	if l == nil {
+	if l == nil || n.refused[path{h.ip, to}] {
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 	}
 	n.nextPort++
--- a/internal/state/route/table.go
+++ b/internal/state/route/table.go
@@ -15,6 +15,8 @@
 	services map[string]*Service
 	bySecret map[string]*Organisation
 	byName   map[string]*Organisation
+	// meanRate is the mean rate of the organisations that have one, 1 if none has.
+	meanRate float64
 }
 
 // NewTable builds the look-up table of a configuration.
@@ -43,9 +45,35 @@
 			t.bySecret[secret] = o
 		}
 	}
+	t.meanRate = meanRate(config.Organisations)
 	return t
 }
 
+// meanRate returns the mean rate of the organisations that have one, 1 if none has.
+func meanRate(list []Organisation) float64 {
+	sum, limited := 0.0, 0
+	for i := range list {
+		if list[i].Rate > 0 {
+			sum += list[i].Rate
+			limited++
+		}
+	}
+	if limited == 0 {
+		return 1
+	}
+	return sum / float64(limited)
+}
+
+// Weight returns the weight of an organisation's requests where slots are divided among
+// organisations: its rate, or the mean of the limited ones if it has none or there is no
+// organisation.
+func (t *Table) Weight(o *Organisation) float64 {
+	if o == nil || o.Rate <= 0 {
+		return t.meanRate
+	}
+	return o.Rate
+}
+
 // Version returns the version of the configuration.
 func (t *Table) Version() int64 { return t.config.Version }
 
--- a/internal/transport/front/online.go
+++ b/internal/transport/front/online.go
@@ -32,7 +32,7 @@
 	}
 	sink := &responseSink{request: c, controller: http.NewResponseController(c.w)}
 	outcome := c.opts.Relay.Serve(c.r.Context(), &relay.RoutedRequest{
-		Request: &c.request, Route: c.route, Service: service, Organisation: organisation,
+		Request: &c.request, Route: c.route, Service: service, Organisation: organisation, Weight: c.table.Weight(c.organisation),
 		ReceivedAt: c.receivedAt, Deadline: c.receivedAt.Add(c.timeout()),
 	}, sink)
 	if outcome.PossibleRuns == 0 {
@@ -103,6 +103,7 @@
 		"resumes", c.request.Resumes, "stream_version", o.Origin.Version, "version_source", o.Origin.Source,
 		"version_age_ms", o.Origin.Age.Milliseconds(),
 	}
+	fields = append(fields, o.QueueFields()...)
 	if o.Closure != nil {
 		fields = append(fields, o.Closure.LogFields()...)
 	}
