--- a/internal/coordination/routed/broker/queuereport.go
+++ b/internal/coordination/routed/broker/queuereport.go
@@ -159,11 +159,11 @@
 }
 
 // writeWaits writes the recent waits of the organisations that waited longest as metrics.
-func (b *Broker) writeWaits(out io.Writer) {
+func (b *Broker) writeWaits(w io.Writer) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, organisation := range b.queueReport.longest() {
-		metrics.WriteGaugeFloat64(out, fmt.Sprintf("broker_queue_organisation_wait_seconds{organisation=%q}", organisation),
+		metrics.WriteGaugeFloat64(w, fmt.Sprintf("broker_queue_organisation_wait_seconds{organisation=%q}", organisation),
 			b.queueReport.waits[organisation].Seconds())
 	}
 }
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -192,3 +192,18 @@
 `})
 	requireCause(t, logs.Explain("r1"), "target t-1 did not run the request (status 421)", "another target uses the address of target t-1, 2 brokers were told")
 }
+
+// Guards against a request that waited for a scarce slot, or was rejected for lack of one, whose
+// explanation does not tell what the decision was based on.
+func TestExplainsScarceSlots(t *testing.T) {
+	logs := readLogs(t, map[string]string{"a": `
+at=2026-12-03T10:00:01Z event=slots_scarce domain=d1 waiting=40 rejected_no_slot=3 rejected_over_share=9 freed_per_s=240 arriving_per_s=310
+at=2026-12-03T10:00:02Z event=request request=r1 organisation=one outcome=refused reason=all_full status=503 took_ms=4 retry_ms=612 queue=over_share queue_order=share queue_ahead=31 queue_expected_ms=3600000 queue_freed_per_s=240 queue_arriving_per_s=310
+at=2026-12-03T10:00:02Z event=request request=r2 organisation=two outcome=answered reason=relayed status=200 took_ms=900 first_byte_ms=180 queue=waited queue_order=deadline queue_ahead=7 queue_expected_ms=33 queue_freed_per_s=240 queue_arriving_per_s=250
+at=2026-12-03T10:00:02Z event=request request=r3 organisation=two outcome=refused reason=all_full status=503 took_ms=4 retry_ms=612 queue=no_slot queue_order=share queue_ahead=60 queue_freed_per_s=240 queue_arriving_per_s=310
+`})
+	requireCause(t, logs.Explain("r1"), "no broker expected a slot", "organisation one had used its share", "31 requests ahead of it", "240 slots became free",
+		"retry after 0.61 s", "slots of failure domain d1 were scarce")
+	requireCause(t, logs.Explain("r2"), "it waited for a slot at a broker (7 requests ahead of it, those that must be sent first go first")
+	requireCause(t, logs.Explain("r3"), "more requests waited than could be served (60 requests ahead")
+}
--- a/internal/state/route/table_test.go
+++ b/internal/state/route/table_test.go
@@ -49,3 +49,15 @@
 	require.True(t, table.RequiresKey())
 	require.False(t, NewTable(Config{}).RequiresKey())
 }
+
+// Guards against organisations without a rate that get no share of scarce slots, or all of them.
+func TestWeightIsRateOrMeanRate(t *testing.T) {
+	table := NewTable(Config{Organisations: []Organisation{{Name: "a", Rate: 10}, {Name: "b", Rate: 30}, {Name: "c"}}})
+	for name, want := range map[string]float64{"a": 10, "b": 30, "c": 20} {
+		organisation, ok := table.Organisation(name)
+		require.True(t, ok)
+		require.InDelta(t, want, table.Weight(organisation), 0, name)
+	}
+	require.InDelta(t, 20, table.Weight(nil), 0)
+	require.InDelta(t, 1, NewTable(Config{}).Weight(nil), 0)
+}
