--- a/internal/coordination/routed/broker/doc.go
+++ b/internal/coordination/routed/broker/doc.go
@@ -13,7 +13,9 @@
 // the slot is free again. The broker knows all slots and grants each of them to one request
 // at a time. Requests that find no free slot wait at the broker. Those that can still be on
 // time go first, regardless of the instance at which they arrived. Batch items get the slots
-// that online requests leave free, and yield them when online requests need them.
+// that online requests leave free, and yield them when online requests need them. If fair queueing
+// is enabled, slots that do not suffice for all waiting requests are divided among organisations by
+// weight, and requests that cannot get one in time are rejected.
 //
 // A broker is not a single point of failure. It stores nothing: instances report their holds
 // periodically, and a new broker learns the holds from these reports. If the broker does not
