--- a/internal/coordination/routed/placement/core.go
+++ b/internal/coordination/routed/placement/core.go
@@ -135,7 +135,10 @@
 	// its pace. Empty: the same one.
 	MovedFrom     string
 	MovedFromPace pace.Estimate
-	batch         bool
+	// Queue is what the brokers knew while the request waited. It is also set if no target was
+	// chosen: it then says whether the request was rejected, and when to return.
+	Queue QueueState
+	batch bool
 }
 
 // New returns a core without targets.
--- a/internal/coordination/routed/relay/outcome.go
+++ b/internal/coordination/routed/relay/outcome.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"merlintiller/internal/coordination/routed/origin"
+	"merlintiller/internal/coordination/routed/placement"
 	"merlintiller/internal/coordination/routed/quarantine"
 )
 
@@ -84,6 +85,9 @@
 	Closure *quarantine.Closure
 	// Expected is what the time by which the request had to be sent was based on.
 	Expected ExpectedTimes
+	// Queue is what a broker knew while the request waited for a slot, zero if it did not
+	// wait.
+	Queue placement.QueueState
 }
 
 // Completed reports whether the caller received the complete answer.
--- a/internal/daemon/routed/fleet_test.go
+++ b/internal/daemon/routed/fleet_test.go
@@ -49,6 +49,8 @@
 	stop       context.CancelFunc
 	ctx        context.Context
 	version    int
+	// editSettings, if set, changes the settings of all instances.
+	editSettings func(*settings.Routed)
 }
 
 // testInstance is one instance of a testFleet.
@@ -103,6 +105,8 @@
 	engine engine.Options
 	// paceOf, if set, returns the function that gives the pace of a target.
 	paceOf func(domain, i int) func() int
+	// settings, if set, changes the settings of all instances.
+	settings func(*settings.Routed)
 }
 
 // newTestFleet starts a fleet and waits until it serves.
@@ -111,6 +115,7 @@
 	ctx, stop := context.WithCancel(t.Context())
 	fleet := &testFleet{
 		t: t, net: memnet.New(200 * time.Microsecond), store: sharedstore.New(12), ctx: ctx, stop: stop,
+		editSettings: size.settings,
 	}
 	t.Cleanup(fleet.close)
 	fleet.configure(nil)
@@ -250,6 +255,9 @@
 	inst.settings.MaxSchedulingLag = 0
 	// As in deploy/settings.yaml, so that the tests of faults run with it.
 	inst.settings.Adaptive.AnswerBuffersPercent = 25
+	if fleet.editSettings != nil {
+		fleet.editSettings(&inst.settings)
+	}
 	inst.start()
 	return inst
 }
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -63,6 +63,11 @@
 	// decide from that by when a waiting request must be sent, and when a target counts as
 	// stalled. It acts for services whose targets report their pace. false: fixed times apply.
 	ExpectedTimes bool `yaml:"expected_times"`
+	// FairQueue divides the slots of targets among organisations in proportion to their rates
+	// while more online requests wait than can be served in time, and rejects requests at once
+	// that cannot get a slot, with the time when room is expected. Without it, the requests
+	// that must be sent first go first, and all wait.
+	FairQueue bool `yaml:"fair_queue"`
 	// AnswerBuffersPercent is the part of memory_mb, in percent, that may be used for bytes held
 	// for callers: answers that they have not read yet, and bodies of requests. A target is then
 	// read to the end of its answer while its caller reads slowly. 0 turns this off: a caller that
--- a/internal/settings/routed_test.go
+++ b/internal/settings/routed_test.go
@@ -121,6 +121,8 @@
 		require.Equal(t, 2500*time.Millisecond, s.Grace)
 		require.Equal(t, 184, s.MemoryMB)
 		require.Equal(t, 25, s.Adaptive.AnswerBuffersPercent)
+		require.True(t, s.Adaptive.FairQueue)
+		require.False(t, DefaultRouted().Adaptive.FairQueue)
 		require.InDelta(t, 0.192, s.CPUCores, 0)
 		require.Equal(t, bound != "", s.ResultsReadable == 2*time.Minute)
 	}
--- a/internal/transport/front/online.go
+++ b/internal/transport/front/online.go
@@ -34,7 +34,7 @@
 	}
 	sink := &responseSink{request: c, controller: http.NewResponseController(c.w)}
 	outcome := c.opts.Relay.Serve(c.r.Context(), &relay.RoutedRequest{
-		Request: &c.request, Route: c.route, Service: service, Organisation: organisation,
+		Request: &c.request, Route: c.route, Service: service, Organisation: organisation, Weight: c.table.Weight(c.organisation),
 		ReceivedAt: c.receivedAt, Deadline: c.receivedAt.Add(c.timeout()), ReleaseBody: c.releaseBody,
 	}, sink)
 	if outcome.PossibleRuns == 0 {
@@ -105,6 +105,7 @@
 		"resumes", c.request.Resumes, "stream_version", o.Origin.Version, "version_source", o.Origin.Source,
 		"version_age_ms", o.Origin.Age.Milliseconds(),
 	}
+	fields = append(fields, o.QueueFields()...)
 	if c.opts.HeldBytes != nil {
 		fields = append(fields, "held_bytes", o.HeldBytes, "caller_lag_ms", o.CallerLag.Milliseconds(), "read_stopped_ms", o.ReadStopped.Milliseconds())
 	}
