The bound on scarce slots is the stated one; tests' map is locked; a lag of 0 can be set

The test of scarce slots required 0.98 on time of each organisation's share where 0.99 is the target.

The faults of a test's engines were chosen by a map that several goroutines changed without a lock, which ended a run of daemon/routed with "concurrent map read and map write".

max_scheduling_lag: 0 is documented as off, and was rejected.

--- a/internal/coordination/routed/broker/fairqueue_test.go
+++ b/internal/coordination/routed/broker/fairqueue_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"encoding/gob"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -17,6 +18,8 @@
 	"merlintiller/internal/state/roster"
 )
 
+var scarceSeeds = flag.Int("scarce-seeds", 1, "seeds of TestScarceSlotsAreDividedByWeight")
+
 // Parameters of the simulated peaks.
 const (
 	peakPeriod, peakLength = 6 * time.Second, 2400 * time.Millisecond
@@ -350,7 +353,13 @@
 // their share, against requests that are held and then not served, and against rejections while
 // slots are free. The queue by deadline alone is the comparison.
 func TestScarceSlotsAreDividedByWeight(t *testing.T) {
-	load := scarceLoad{targetsPerDomain: 22, capacity: 1.3, seed: 1}
+	for seed := range uint64(*scarceSeeds) {
+		t.Run(fmt.Sprint("seed ", seed+1), func(t *testing.T) { checkDivisionByWeight(t, seed+1) })
+	}
+}
+
+func checkDivisionByWeight(t *testing.T, seed uint64) {
+	load := scarceLoad{targetsPerDomain: 22, capacity: 1.3, seed: seed}
 	before, worstBefore := simulateScarcity(load).others()
 	load.fairQueue = true
 	simulation := simulateScarcity(load)
@@ -359,7 +368,7 @@
 	t.Logf("by deadline, others: %s; worst %.4f\nby weight, others: %s; worst %.4f\nby weight, the one with five times its rate: %s", before, worstBefore, others, worst, hot)
 	require.Less(t, before.entitledOnTime/before.entitled, 0.95, "the load must be one that the queue by deadline does not serve")
 	require.GreaterOrEqual(t, others.entitledOnTime/others.entitled, 0.99)
-	require.GreaterOrEqual(t, worst, 0.98, "each organisation, over %d peaks", simulatedPeriods)
+	require.GreaterOrEqual(t, worst, 0.99, "each organisation, over %d peaks", simulatedPeriods)
 	require.Zero(t, others.held+hot.held)
 	require.Zero(t, others.rejectedWhileFree+hot.rejectedWhileFree)
 	require.Less(t, others.rejected, others.offered/1000)
--- a/internal/daemon/routed/faults_test.go
+++ b/internal/daemon/routed/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,11 +17,14 @@
 // selects the fault. Only the first run of an id misbehaves.
 func newFaultyFleet(t *testing.T, faults map[string]engine.Fault) *testFleet {
 	t.Helper()
+	var mu sync.Mutex
 	misbehaved := map[string]bool{}
 	return newTestFleet(t, fleetSize{domains: 1, instances: 2, targets: 3, engine: engine.Options{
 		Slots: 8, QueueSize: 24, EventInterval: 20 * time.Millisecond,
 		FaultFor: func(id string) engine.Fault {
 			name, _, _ := strings.Cut(id, "-")
+			mu.Lock()
+			defer mu.Unlock()
 			if misbehaved[id] {
 				return engine.Fault{}
 			}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -160,6 +160,7 @@
 var zeroAllowed = map[string]bool{
 	"routing.affinity_load": true,
 	"headroom.spare":        true,
+	"max_scheduling_lag":    true,
 	// 0 turns the part off.
 	"adaptive.answer_buffers_percent": true,
 	"adaptive.pace_max_age":           true,
--- a/internal/settings/routed_test.go
+++ b/internal/settings/routed_test.go
@@ -43,10 +43,11 @@
 	}
 }
 
-// Guards against a setting that its documentation says can be turned off, but whose 0 is rejected.
-func TestPacesCanBeTurnedOff(t *testing.T) {
-	s, err := ParseRouted("s.yaml", []byte(validRouted+"adaptive:\n  pace_max_age: 0s\n"))
+// Guards against settings that their documentation says can be turned off, but whose 0 is rejected.
+func TestSettingsCanBeTurnedOff(t *testing.T) {
+	s, err := ParseRouted("s.yaml", []byte(validRouted+"max_scheduling_lag: 0s\nadaptive:\n  pace_max_age: 0s\n"))
 	require.NoError(t, err)
+	require.Zero(t, s.MaxSchedulingLag)
 	require.Zero(t, s.Adaptive.PaceMaxAge)
 	require.Equal(t, time.Second, DefaultRouted().Adaptive.PaceMaxAge)
 }
