A replaced target is reported once, and excluded only from requests that could use it

Each request that was in flight to a replaced target wrote a line and told the brokers again, and the ids of all replaced targets went with each request for a slot, also of other services.

--- a/internal/coordination/routed/broker/client.go
+++ b/internal/coordination/routed/broker/client.go
@@ -426,8 +426,9 @@
 
 // Done ends the exchange of a choice.
 func (c *Client) Done(choice placement.Choice, result placement.Result) {
+	isNews := result == placement.Replaced && !c.opts.Local.KnowsReplaced(choice.Target)
 	c.opts.Local.Done(choice, result)
-	if result == placement.Replaced {
+	if isNews {
 		c.reportReplaced(choice)
 	}
 	c.reportFailure(choice, result)
--- a/internal/coordination/routed/placement/core.go
+++ b/internal/coordination/routed/placement/core.go
@@ -446,8 +446,10 @@
 // it returns none if there is no other target: trying one is better than rejecting the request.
 func (c *Core) Untrusted(now time.Time, req Requirements) []string {
 	var out, replaced []string
-	for id := range c.replaced {
-		replaced = append(replaced, id)
+	for id, t := range c.replaced {
+		if req.Allows(t) {
+			replaced = append(replaced, id)
+		}
 	}
 	others := false
 	for id, t := range c.targets {
--- a/internal/coordination/routed/placement/placer.go
+++ b/internal/coordination/routed/placement/placer.go
@@ -138,6 +138,13 @@
 	p.core.ApplyLoad(time.Now(), id, *load)
 }
 
+// KnowsReplaced reports whether a target is already known to be replaced.
+func (p *Placer) KnowsReplaced(entry roster.Target) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.core.KnowsReplaced(entry)
+}
+
 // Replaced returns the entries of a failure domain's targets whose addresses other targets use.
 func (p *Placer) Replaced(domain string) []roster.Target {
 	p.mu.Lock()
--- a/internal/coordination/routed/placement/replaced.go
+++ b/internal/coordination/routed/placement/replaced.go
@@ -32,6 +32,10 @@
 	return true
 }
 
+// KnowsReplaced reports whether a target, as an entry of the list describes it, is already known
+// to be replaced.
+func (c *Core) KnowsReplaced(entry roster.Target) bool { return c.isReplaced(entry) }
+
 // Replaced returns the entries of a failure domain's targets that are known to be replaced.
 // An empty domain selects all domains.
 func (c *Core) Replaced(domain string) (list []roster.Target) {
