Parts of bodies count as progress, and waits for callers end with the exchange

Cause: forwarding a body never recorded progress, so a body longer than the limit of its first bytes marked its healthy target as stalled until the body ended. Suspending the monitor kept an existing mark. A wait for the caller ended with the call's context only, so a cancelled exchange kept the slot that was reserved for it occupied. A timer that was set again after a failover reserved a second slot and lost the first.

Change: each part of a body is progress; only events are observed. pause and resume of the monitor become suspend and resume, and suspend removes the mark. The wait ends with the exchange. A lent part counts as taken then, and nothing is read into its memory afterwards. take becomes tryAppend and appendOrLend. A body that keeps arriving no longer fails over at the limit of its first bytes.

--- a/internal/coordination/routed/relay/delivery.go
+++ b/internal/coordination/routed/relay/delivery.go
@@ -50,6 +50,8 @@
 	mu      sync.Mutex
 	buffer  *answerbuffer.Buffer
 	started bool
+	// lent is set while send waits for the writer to write a part that is not copied.
+	lent bool
 	// complete is set once no further parts follow.
 	complete bool
 	err      error
@@ -96,27 +98,26 @@
 }
 
 // send takes a part over for delivery. It waits only if the part can't be held: then the target is
-// not read further, as without a buffer.
-func (d *delivery) send(ctx context.Context, part []byte, monitor *stallMonitor) error {
-	if taken, err := d.take(part, nil); taken || err != nil {
+// not read further, as without a buffer. The wait ends with the exchange.
+func (d *delivery) send(part []byte, monitor *stallMonitor) error {
+	if taken, err := d.tryAppend(part); taken || err != nil {
 		return err
 	}
 	// The target is not to blame for the time until the caller reads.
-	monitor.pause()
+	monitor.suspend()
 	defer monitor.resume()
 	began := time.Now()
 	defer func() { d.call.outcome.ReadStopped += time.Since(began) }()
 	readsStopped.Inc()
-	lent := false
 	for {
 		relieved, stop := d.budget.Relieved()
-		taken, err := d.take(part, &lent)
+		taken, err := d.appendOrLend(part)
 		if !taken && err == nil {
 			select {
 			case <-d.written:
 			case <-relieved:
-			case <-ctx.Done():
-				err = ctx.Err()
+			case <-monitor.ctx.Done():
+				taken, err = d.endWait(monitor.ctx.Err())
 			}
 		}
 		stop()
@@ -126,17 +127,41 @@
 	}
 }
 
-// take adds a part to the buffer and has it written. If it does not fit and lent is not nil, the
-// part is lent to the writer once the buffer is empty, and counts as taken when it is written.
-func (d *delivery) take(part []byte, lent *bool) (taken bool, err error) {
+// tryAppend adds a part to the buffer, if it fits, and has it written.
+func (d *delivery) tryAppend(part []byte) (taken bool, err error) {
 	d.mu.Lock()
+	if d.err != nil {
+		defer d.mu.Unlock()
+		return false, d.err
+	}
+	now := time.Now()
+	verdict := d.buffer.Append(now, part)
+	if verdict != answerbuffer.Fits {
+		d.relay.logReadStopped(d.call, now, verdict, d.buffer.Counted(), len(part))
+	}
+	d.mu.Unlock()
+	d.write()
+	return verdict == answerbuffer.Fits, nil
+}
+
+// appendOrLend adds a part to the buffer and has it written. If it does not fit, it is lent to the
+// writer once the buffer is empty, and counts as taken when it is written.
+func (d *delivery) appendOrLend(part []byte) (taken bool, err error) {
+	d.mu.Lock()
+	now := time.Now()
 	switch {
 	case d.err != nil:
 		err = d.err
-	case lent != nil && *lent:
+	case d.lent:
 		taken = d.buffer.Empty()
-	default:
-		taken = d.append(part, lent)
+	case d.buffer.Append(now, part) == answerbuffer.Fits:
+		taken = true
+	case d.buffer.Empty():
+		d.buffer.Lend(now, part)
+		d.lent = true
+	}
+	if taken || err != nil {
+		d.lent = false
 	}
 	d.mu.Unlock()
 	if err == nil {
@@ -145,20 +170,22 @@
 	return taken, err
 }
 
-// append adds a part, as take does. The caller holds mu.
-func (d *delivery) append(part []byte, lent *bool) bool {
-	now := time.Now()
-	verdict := d.buffer.Append(now, part)
+// endWait ends the wait of send because of cause. A lent part counts as taken, since the writer may
+// be writing it: a stream that resumes before it would send it twice. No further part may be read into
+// its memory then.
+func (d *delivery) endWait(cause error) (taken bool, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	lent := d.lent
+	d.lent = false
 	switch {
-	case verdict == answerbuffer.Fits:
-		return true
-	case lent == nil:
-		d.relay.logReadStopped(d.call, now, verdict, d.buffer.Counted(), len(part))
-	case d.buffer.Empty():
-		d.buffer.Lend(now, part)
-		*lent = true
+	case d.err != nil:
+		return false, d.err
+	case lent:
+		return true, nil
+	default:
+		return false, cause
 	}
-	return false
 }
 
 // writeParts writes to the caller what is held, until the answer is complete or a write fails.
--- a/internal/coordination/routed/relay/forward.go
+++ b/internal/coordination/routed/relay/forward.go
@@ -28,9 +28,9 @@
 func (c *call) forward(ctx context.Context, choice placement.Choice, monitor *stallMonitor, answer external.OpenAnswer) nextStep {
 	var err error
 	if c.Route.Kind == route.Stream && answer.Head().Success() {
-		err = c.forwardStream(ctx, choice, monitor, answer)
+		err = c.forwardStream(choice, monitor, answer)
 	} else if c.delivery != nil {
-		err = c.forwardHeldBody(ctx, monitor, answer)
+		err = c.forwardHeldBody(monitor, answer)
 	} else {
 		err = c.forwardBody(monitor, answer)
 	}
@@ -62,7 +62,7 @@
 // forwardStream forwards complete events only. A target may fail in the middle of
 // an event, and the stream then resumes with that event at another target; the
 // caller must not receive a part of it twice.
-func (c *call) forwardStream(ctx context.Context, choice placement.Choice, monitor *stallMonitor, answer external.OpenAnswer) error {
+func (c *call) forwardStream(choice placement.Choice, monitor *stallMonitor, answer external.OpenAnswer) error {
 	events := sse.NewReader(answer)
 	var last time.Time
 	for {
@@ -76,7 +76,7 @@
 		if err != nil {
 			return err
 		}
-		monitor.progress()
+		monitor.eventArrived()
 		if c.attemptEvents == 0 {
 			c.opts.Quarantine.Began(c.parts)
 		}
@@ -89,7 +89,7 @@
 		if err := c.sendHead(answer); err != nil {
 			return err
 		}
-		if err := c.sendEvent(ctx, event.Raw, monitor); err != nil {
+		if err := c.sendEvent(event.Raw, monitor); err != nil {
 			return err
 		}
 		monitor.delivered()
@@ -98,13 +98,17 @@
 		}
 		c.outcome.Events++
 		c.attemptEvents++
+		// After a cancellation the writer may still read a lent event from the buffer of events.
+		if err := monitor.ctx.Err(); err != nil {
+			return err
+		}
 	}
 }
 
 // sendEvent sends an event to the caller, or takes it over for delivery.
-func (c *call) sendEvent(ctx context.Context, raw []byte, monitor *stallMonitor) error {
+func (c *call) sendEvent(raw []byte, monitor *stallMonitor) error {
 	if c.delivery != nil {
-		return c.delivery.send(ctx, raw, monitor)
+		return c.delivery.send(raw, monitor)
 	}
 	if err := c.sink.SendBody(raw); err != nil {
 		return errors.Join(errCallerDisconnected, err)
@@ -143,6 +147,9 @@
 		}
 		n, err := answer.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
+		if n > 0 {
+			monitor.progress()
+		}
 		if errors.Is(err, io.EOF) {
 			return c.sendPart(monitor, answer, body)
 		}
@@ -156,6 +163,7 @@
 	for {
 		n, err := answer.Read(body[:cap(body)])
 		if n > 0 {
+			monitor.progress()
 			if err := c.sendPart(monitor, answer, body[:n]); err != nil {
 				return err
 			}
@@ -174,12 +182,15 @@
 
 // forwardHeldBody is forwardBody with parts that are held while the caller does not read. Fewer
 // bytes are buffered before the head if the bound of held bytes is reached.
-func (c *call) forwardHeldBody(ctx context.Context, monitor *stallMonitor, answer external.OpenAnswer) error {
+func (c *call) forwardHeldBody(monitor *stallMonitor, answer external.OpenAnswer) error {
 	part := make([]byte, heldReadSize)
 	held := 0
 	for {
 		n, err := answer.Read(part)
 		ended := errors.Is(err, io.EOF)
+		if n > 0 {
+			monitor.progress()
+		}
 		if err != nil && !ended && !c.headSent {
 			c.delivery.discard()
 			return err
@@ -187,12 +198,16 @@
 		if n > 0 && !c.headSent && held+n <= maxBufferedAnswer && c.delivery.hold(part[:n]) {
 			held += n
 		} else if n > 0 {
-			if err := c.sendHeldPart(ctx, monitor, answer, part[:n]); err != nil {
+			if err := c.sendHeldPart(monitor, answer, part[:n]); err != nil {
+				return err
+			}
+			// After a cancellation the writer may still read a lent part.
+			if err := monitor.ctx.Err(); err != nil {
 				return err
 			}
 		}
 		if ended {
-			return c.sendHeldPart(ctx, monitor, answer, nil)
+			return c.sendHeldPart(monitor, answer, nil)
 		}
 		if err != nil {
 			return err
@@ -201,7 +216,7 @@
 }
 
 // sendHeldPart sends the head, if it was not sent, what is held, and a part.
-func (c *call) sendHeldPart(ctx context.Context, monitor *stallMonitor, answer external.OpenAnswer, part []byte) error {
+func (c *call) sendHeldPart(monitor *stallMonitor, answer external.OpenAnswer, part []byte) error {
 	if err := c.beginBody(monitor, answer); err != nil {
 		return err
 	}
@@ -209,7 +224,7 @@
 		c.delivery.write()
 		return nil
 	}
-	return c.delivery.send(ctx, part, monitor)
+	return c.delivery.send(part, monitor)
 }
 
 // sendPart sends a part of the answer's body, and the head before the first part.
--- a/internal/coordination/routed/relay/stall.go
+++ b/internal/coordination/routed/relay/stall.go
@@ -52,8 +52,8 @@
 	// cancelled.
 	failover *placement.Choice
 	stopped  bool
-	// paused is set while the target is not read, since the caller does not read.
-	paused bool
+	// suspended is set while the target is not read, since the caller does not read.
+	suspended bool
 }
 
 // monitorStalls starts the monitor of an exchange.
@@ -83,7 +83,7 @@
 // onTimeout runs when no data arrived within the timeout.
 func (m *stallMonitor) onTimeout() {
 	m.mu.Lock()
-	if m.stopped || m.paused {
+	if m.stopped || m.suspended || m.failover != nil {
 		m.mu.Unlock()
 		return
 	}
@@ -108,8 +108,8 @@
 	m.mayFailOver = m.mayFailOver && version != ""
 }
 
-// bodyBegins records that the caller receives the beginning of an answer that no other run can
-// continue.
+// bodyBegins records that the beginning of an answer that no other run can continue is sent to the
+// caller or taken over for delivery.
 func (m *stallMonitor) bodyBegins() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -125,10 +125,10 @@
 	// The stream may have begun meanwhile.
 	began := len(m.requirements.Versions) != len(requirements.Versions) || !m.mayFailOver
 	switch {
-	case !found && m.paused:
+	case !found && m.suspended:
 	case !found:
 		m.timer.Reset(failoverRetryInterval)
-	case m.stopped, m.paused, began:
+	case m.stopped, m.suspended, m.failover != nil, began:
 		go m.call.opts.Placer.Done(choice, placement.Cancelled)
 	default:
 		m.failover = &choice
@@ -136,41 +136,54 @@
 	}
 }
 
+// eventArrived records progress and how long the target took for the event.
+func (m *stallMonitor) eventArrived() {
+	if kind, took := m.times.received(time.Now()); took > 0 {
+		m.call.opts.Placer.Observe(m.choice, kind, took)
+	}
+	m.progress()
+}
+
 // progress records that data arrived: the target is not suspect any more and the
 // timeout starts anew.
 func (m *stallMonitor) progress() {
 	m.call.opts.Placer.DataReceived(m.choice.ID)
-	if kind, took := m.times.received(time.Now()); took > 0 {
-		m.call.opts.Placer.Observe(m.choice, kind, took)
-	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.clearMark()
+	m.timer.Reset(m.call.gapTimeout())
+}
+
+// clearMark removes the mark from a suspect target. The caller holds mu.
+func (m *stallMonitor) clearMark() {
 	if m.clearSuspicion != nil {
 		m.clearSuspicion()
 		m.clearSuspicion = nil
 	}
-	m.timer.Reset(m.call.gapTimeout())
 }
 
-// pause stops the monitoring while the target is not read.
-func (m *stallMonitor) pause() {
+// suspend stops the monitoring while the target is not read. A mark is removed, since a slow caller
+// would keep other requests away from the target.
+func (m *stallMonitor) suspend() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.paused = true
+	m.suspended = true
+	m.clearMark()
 	m.timer.Stop()
 }
 
-// resume continues after pause. The timeout starts anew.
+// resume continues after suspend. The timeout starts anew.
 func (m *stallMonitor) resume() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.paused = false
+	m.suspended = false
 	if !m.stopped {
 		m.timer.Reset(m.call.gapTimeout())
 	}
 }
 
-// delivered records that the caller has received the event.
+// delivered records that the event was taken over for delivery, or without a buffer that it was
+// written to the caller.
 func (m *stallMonitor) delivered() { m.times.deliveredAt = time.Now() }
 
 // result returns the result of a failed exchange: a time-out if the target is
