Logged limits are those that were used, and answers exclude stopped reads

Cause: seeking a target after a replaced one overwrote the recorded times, so stall_after_ms could be logged as 0. The time of an answer included the time for which the target was not read because its caller did not read.

Change: sendWithin, firstByteTimeout and waitLimits record nothing; the limits are recorded where the request is placed and the monitor starts. The time of stopped reads of the attempt is subtracted from the time of the answer.

--- a/internal/coordination/routed/relay/relay.go
+++ b/internal/coordination/routed/relay/relay.go
@@ -197,6 +197,8 @@
 	// events.
 	sentAt    time.Time
 	sentWhole bool
+	// stoppedBefore is the time for which targets of earlier attempts were not read.
+	stoppedBefore time.Duration
 }
 
 // nextStep is what follows an attempt.
@@ -253,7 +255,7 @@
 	if len(c.tried)-c.replaced >= maxPlacements {
 		return false
 	}
-	return c.replaced == 0 || time.Now().Before(c.waitLimits().Deadline)
+	return c.replaced == 0 || time.Now().Before(c.waitDeadline())
 }
 
 // nextTarget returns the target that the stall monitor reserved, or one that is
@@ -266,7 +268,11 @@
 	}
 	// The stream may have begun after another target was reserved.
 	c.releaseFailover()
-	choice, ok := c.opts.Placer.Place(ctx, c.requirements(), c.queueLimits())
+	firstBytes := c.firstBytes()
+	if !c.headSent {
+		c.outcome.Expected.FirstBytes, c.outcome.Expected.SendWithin = firstBytes, c.sendWithin(firstBytes)
+	}
+	choice, ok := c.opts.Placer.Place(ctx, c.requirements(), c.queueLimits(firstBytes))
 	c.recordQueue(choice.Queue)
 	return choice, ok
 }
@@ -279,17 +285,23 @@
 }
 
 // waitLimits returns how long the request may wait for a slot.
-func (c *call) waitLimits() placement.WaitLimits {
-	from, onTime := c.ReceivedAt, time.Time{}
+func (c *call) waitLimits(firstBytes servicetime.Estimate) placement.WaitLimits {
+	onTime := c.ReceivedAt.Add(c.sendWithin(firstBytes))
 	if c.headSent {
 		// A resumed stream has to continue before the gap between two events
 		// exceeds its limit.
+		onTime = time.Now().Add(c.gapTimeout())
+	}
+	return placement.WaitLimits{SendBy: onTime, Deadline: c.waitDeadline()}
+}
+
+// waitDeadline returns the time until which the request may wait for a slot.
+func (c *call) waitDeadline() time.Time {
+	from := c.ReceivedAt
+	if c.headSent {
 		from = time.Now()
-		onTime = from.Add(c.gapTimeout())
-	} else {
-		onTime = from.Add(c.sendWithin())
 	}
-	return placement.WaitLimits{SendBy: onTime, Deadline: from.Add(time.Duration(maxWaitFraction * float64(c.Deadline.Sub(from))))}
+	return from.Add(time.Duration(maxWaitFraction * float64(c.Deadline.Sub(from))))
 }
 
 // releaseFailover releases the slot of a reserved target that is not needed any
--- a/internal/coordination/routed/relay/scarce.go
+++ b/internal/coordination/routed/relay/scarce.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"merlintiller/internal/coordination/routed/placement"
+	"merlintiller/internal/coordination/routed/servicetime"
 )
 
 const (
@@ -23,8 +24,8 @@
 // queueLimits returns how long the request may wait for a slot, and what decides on its place in
 // the queue. Only a request that has not run, and may run at any target, may be rejected: estimates
 // of waits are for all targets of a service.
-func (c *call) queueLimits() placement.WaitLimits {
-	limits := c.waitLimits()
+func (c *call) queueLimits(firstBytes servicetime.Estimate) placement.WaitLimits {
+	limits := c.waitLimits(firstBytes)
 	limits.Organisation, limits.Weight = c.Organisation, c.Weight
 	if len(c.tried) == 0 && !c.headSent && !c.origin.Known() {
 		limits.RejectBy = c.ReceivedAt.Add(time.Duration(rejectFraction*float64(c.Route.LatencyObjective)) - rejectMargin)
--- a/internal/coordination/routed/relay/stall.go
+++ b/internal/coordination/routed/relay/stall.go
@@ -65,7 +65,8 @@
 	}
 	limit := c.gapTimeout()
 	if !c.headSent {
-		limit = c.firstByteTimeout()
+		limit = c.firstByteTimeout(c.firstBytes())
+		c.outcome.Expected.StallAfter = limit
 	}
 	m.times.sentAt = time.Now()
 	m.mu.Lock()
--- a/internal/coordination/routed/relay/times.go
+++ b/internal/coordination/routed/relay/times.go
@@ -35,30 +35,28 @@
 	return servicetime.Work{Service: c.Service, Stream: c.Route.Kind == route.Stream}
 }
 
+// firstBytes returns the estimate of the time until the first bytes of the answer.
+func (c *call) firstBytes() servicetime.Estimate { return c.opts.Times.FirstBytes(c.work()) }
+
 // sendWithin returns the time after its arrival within which the request must be sent for its
 // answer to be on time.
-func (c *call) sendWithin() time.Duration {
-	e := c.opts.Times.FirstBytes(c.work())
-	within := servicetime.SendWithin(c.Route.LatencyObjective, expectedTimeToFirstByte, e)
-	c.outcome.Expected = ExpectedTimes{FirstBytes: e, SendWithin: within}
-	return within
+func (c *call) sendWithin(firstBytes servicetime.Estimate) time.Duration {
+	return servicetime.SendWithin(c.Route.LatencyObjective, expectedTimeToFirstByte, firstBytes)
 }
 
 // firstByteTimeout returns the time without an answer after which an exchange counts as stalled.
-func (c *call) firstByteTimeout() time.Duration {
+func (c *call) firstByteTimeout(firstBytes servicetime.Estimate) time.Duration {
 	usual := max(minFirstByteTimeout, time.Duration(firstByteTimeoutFraction*float64(c.Route.LatencyObjective)))
-	limit := servicetime.StallAfter(c.Route.LatencyObjective, usual, c.opts.Times.FirstBytes(c.work()))
-	c.outcome.Expected.StallAfter = limit
-	return limit
+	return servicetime.StallAfter(c.Route.LatencyObjective, usual, firstBytes)
 }
 
 // attemptBegins records that the request is about to be sent.
 func (c *call) attemptBegins() {
-	c.sentAt = time.Now()
+	c.sentAt, c.stoppedBefore = time.Now(), c.outcome.ReadStopped
 	c.sentWhole = c.lastEvent == exchange.FromStart
 }
 
-// firstBytesSent records that the caller receives the first bytes of an answer. Error statuses
+// firstBytesSent records that the first bytes of an answer are sent or taken over for delivery. Error statuses
 // come sooner than answers.
 func (c *call) firstBytesSent(reply *exchange.Reply) {
 	if reply.Success() {
@@ -66,10 +64,12 @@
 	}
 }
 
-// answerForwarded records that the answer is complete, if this attempt has brought all of it.
+// answerForwarded records that the answer is complete, if this attempt has brought all of it. The
+// time for which the target was not read is that of the caller.
 func (c *call) answerForwarded(reply *exchange.Reply) {
 	if reply.Success() && c.sentWhole {
-		c.opts.Times.AddAnswer(c.Service, time.Since(c.sentAt))
+		stopped := c.outcome.ReadStopped - c.stoppedBefore
+		c.opts.Times.AddAnswer(c.Service, time.Since(c.sentAt)-stopped)
 	}
 }
 
--- a/internal/coordination/routed/relay/times_test.go
+++ b/internal/coordination/routed/relay/times_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -13,6 +14,7 @@
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
+	"merlintiller/internal/coordination/routed/answerbuffer"
 	"merlintiller/internal/coordination/routed/placement"
 	"merlintiller/internal/coordination/routed/servicetime"
 	"merlintiller/internal/external"
@@ -230,3 +232,52 @@
 		require.Greater(t, after, withMedian, "first bytes %s", mean)
 	}
 }
+
+// fullAfterSend has no further target once a request was sent.
+type fullAfterSend struct{ *pacedFleet }
+
+func (f fullAfterSend) Send(ctx context.Context, address string, d *exchange.Dispatch) (external.OpenAnswer, error) {
+	f.noTargets = true
+	return f.pacedFleet.Send(ctx, address, d)
+}
+
+// Guards against a log line with a stall limit of 0: another target was sought after a replaced one.
+func TestStallLimitOfTheLastExchangeIsRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		paced, times := &pacedFleet{firstBytes: 100 * time.Millisecond}, estimator(true, true)
+		for range servicetime.MinAnswers {
+			paced.serveOnce(t, times)
+		}
+		<-time.After(time.Second)
+		paced.scriptedFleet = &scriptedFleet{script: []scriptedAnswer{replaced}}
+		f := fullAfterSend{paced}
+		r, now := resumableRoute, time.Now()
+		relay := New(Options{Targets: f, Placer: f, Origins: f, Quarantine: f.quarantine(), Times: times, Logger: log.NewNopLogger()})
+		outcome := relay.Serve(t.Context(), &RoutedRequest{
+			Request: &exchange.Request{ID: "r", Method: http.MethodPost, After: exchange.FromStart},
+			Route:   &r, Service: "s", ReceivedAt: now, Deadline: now.Add(requestTime),
+		}, &caller{})
+		require.Equal(t, NotAccepted, outcome.Reason)
+		require.Positive(t, outcome.Expected.StallAfter)
+	})
+}
+
+// Guards against estimates of answers that grow by the time for which callers did not read.
+func TestTimeOfAnswerExcludesStoppedReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		times := estimator(true, true)
+		for range servicetime.MinAnswers {
+			answer := timed(io.EOF, eventParts(0, 50, 1000)...)
+			answer.interval = time.Millisecond
+			f := &timedFleet{answers: []*timedAnswer{answer}}
+			opts := Options{Targets: f, Placer: f, Origins: f, Quarantine: f.quarantine(), Times: times, Logger: log.NewNopLogger()}
+			got := served{began: time.Now(), budget: answerbuffer.NewBudget(20_000)}.serve(t.Context(), resumableRoute, opts, newSlowCaller(200_000))
+			require.Equal(t, Relayed, got.outcome.Reason)
+			require.Greater(t, got.outcome.ReadStopped, 50*time.Millisecond)
+		}
+		<-time.After(time.Second)
+		median, known := times.Answer("s")
+		require.True(t, known)
+		require.InDelta(t, 50, median.Milliseconds(), 1)
+	})
+}
