Comments and pages on slow callers state what the code does

Cause: two comments gave different times, 16 s and 29 s, for a write to a caller that reads 1 KB/s.

Change: both comments give 29 s and its reason, and the rest says it as it is.

Result: no change of behaviour.

--- a/internal/coordination/routed/relay/delivery.go
+++ b/internal/coordination/routed/relay/delivery.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// maxWrite bounds the bytes of one write to a caller. A caller that reads 1 KB/s takes 16 s for
-	// it, which is within the time limit of a write of held parts, 30 s.
+	// maxWrite bounds the bytes of one write to a caller. It is below the 29 KB that have to become
+	// free in the kernel's send buffer before a blocked write goes on, so that one write blocks at
+	// most once: for up to 29 s with a caller that reads 1 KB/s, of the time limit of 30 s.
 	maxWrite = 16 << 10
 	// stoppedLogInterval is the time after a line on a stopped read within which there is no
 	// further one. The metric counts all of them.
--- a/internal/coordination/routed/relay/outcome.go
+++ b/internal/coordination/routed/relay/outcome.go
@@ -72,7 +72,8 @@
 	// TimeToFirstByte is the time from receiving the request to the first bytes
 	// of its answer, 0 if there was no answer.
 	TimeToFirstByte time.Duration
-	// Events is the number of stream events that were forwarded.
+	// Events is the number of stream events that were sent to the caller or taken over for
+	// delivery.
 	Events int
 	// HeldBytes is the largest number of bytes of the answer that were held for the caller,
 	// CallerLag the longest time until it had read a part, and ReadStopped the time for which
--- a/internal/coordination/routed/servicetime/doc.go
+++ b/internal/coordination/routed/servicetime/doc.go
@@ -1,5 +1,5 @@
 // Package servicetime estimates how long answers of each service take: from sending a request to
-// a target until the first bytes reach the caller, and until the answer is complete. It decides
+// a target until the first bytes are sent to the caller or taken over for delivery, and until the answer is complete. It decides
 // from that by when a waiting request must be sent, and when an exchange without an answer counts
 // as stalled.
 //
--- a/internal/coordination/routed/servicetime/estimator.go
+++ b/internal/coordination/routed/servicetime/estimator.go
@@ -32,7 +32,8 @@
 	return e
 }
 
-// AddFirstBytes records the time from sending a request until its first bytes reached the caller.
+// AddFirstBytes records the time from sending a request until its first bytes were sent
+// to the caller or taken over for delivery.
 func (e *Estimator) AddFirstBytes(work Work, took time.Duration) {
 	if e.enabled() {
 		e.mu.Lock()
@@ -59,8 +60,8 @@
 	}
 }
 
-// FirstBytes returns the time from sending a request until its first bytes reach the caller, the
-// zero Estimate for a service whose targets don't report their pace.
+// FirstBytes returns the time from sending a request until its first bytes are sent to the caller or
+// taken over for delivery, the zero Estimate for a service whose targets don't report their pace.
 func (e *Estimator) FirstBytes(work Work) Estimate {
 	if !e.enabled() || !e.opts.ReportsPace(work.Service) {
 		return Estimate{}
--- a/internal/coordination/routed/servicetime/times.go
+++ b/internal/coordination/routed/servicetime/times.go
@@ -56,7 +56,8 @@
 	return &Times{firstBytes: map[Work]*series{}, answers: map[string]*series{}}
 }
 
-// AddFirstBytes records the time from sending a request until its first bytes reached the caller.
+// AddFirstBytes records the time from sending a request until its first bytes were sent
+// to the caller or taken over for delivery.
 func (t *Times) AddFirstBytes(now time.Time, work Work, took time.Duration) {
 	seriesOf(t.firstBytes, now, work).add(now, took)
 }
@@ -75,7 +76,8 @@
 	seriesOf(t.answers, now, service).add(now, took)
 }
 
-// FirstBytes returns the time from sending a request until its first bytes reach the caller.
+// FirstBytes returns the time from sending a request until its first bytes are sent to
+// the caller or taken over for delivery.
 func (t *Times) FirstBytes(now time.Time, work Work) Estimate {
 	return t.firstBytes[work].estimate(now)
 }
--- a/internal/transport/front/server.go
+++ b/internal/transport/front/server.go
@@ -41,7 +41,8 @@
 	writeTimeout = 5 * time.Second
 	// heldWriteTimeout limits the time of each write of held parts. It is longer, since held bytes
 	// are bounded. The kernel lets a blocked write go on when a third of the send buffer is free,
-	// which is about 29 KB of the usual 87 KB: as many seconds for a caller that reads 1 KB/s.
+	// which is about 29 KB of the usual 87 KB: a write blocks for up to 29 s with a caller that
+	// reads 1 KB/s. The relay writes less than that at once, so that a write blocks at most once.
 	heldWriteTimeout = 30 * time.Second
 	// drainRetryAfter is the retry delay while the instance shuts down. Another instance
 	// can serve the request at once.
