Test of a lent event also fails if a cancelled exchange is read further

Cause: in the test the second event did not fit either, so the check after a cancellation could be removed unnoticed.

Change: the bound leaves room for the second event.

Result: the test fails with the check disabled and passes with it.

--- a/internal/coordination/routed/relay/delivery_test.go
+++ b/internal/coordination/routed/relay/delivery_test.go
@@ -495,14 +495,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &timedFleet{}
 		r := resumableRoute
-		opts := Options{Targets: f, Placer: f, Quarantine: f.quarantine(), AnswerBuffers: answerbuffer.NewBudget(1000), Logger: log.NewNopLogger()}
+		opts := Options{Targets: f, Placer: f, Quarantine: f.quarantine(), AnswerBuffers: answerbuffer.NewBudget(6000), Logger: log.NewNopLogger()}
 		c := &call{Relay: New(opts), RoutedRequest: &RoutedRequest{Request: &exchange.Request{ID: "r"}, Route: &r, Service: "s"}}
 		c.lastEvent = exchange.FromStart
 		sink := newSlowCaller(1000)
 		c.sink, c.delivery = sink, newDelivery(c, sink, func(error) {})
 		m := c.monitorStalls(t.Context(), placement.Choice{})
 		defer m.stop()
-		first := eventParts(0, 1, 2000)[0]
+		// The first event exceeds the bound, the second one would fit.
+		first := eventParts(0, 1, 9000)[0]
 		answer := timed(io.EOF, first+events(1, 2))
 		answer.ctx = m.ctx
 		timer := time.AfterFunc(100*time.Millisecond, m.cancel)
