Metrics of queues and expected times are written without request locks

The metric writers of the broker's queue and of the expected times held a mutex of the request path while they wrote to the scraper's connection. A scraper that stopped reading blocked placements and requests. They now copy the values under the lock and write after it.

--- a/internal/coordination/routed/broker/queuereport.go
+++ b/internal/coordination/routed/broker/queuereport.go
@@ -158,12 +158,28 @@
 	}
 }
 
-// writeWaits writes the recent waits of the organisations that waited longest as metrics.
+// writeWaits writes the recent waits of the organisations that waited longest as metrics. The lock
+// is not held while it writes, because a scraper that stops reading blocks the writer.
 func (b *Broker) writeWaits(w io.Writer) {
+	for _, recent := range b.longestWaits() {
+		metrics.WriteGaugeFloat64(w, fmt.Sprintf("broker_queue_organisation_wait_seconds{organisation=%q}", recent.organisation),
+			recent.wait.Seconds())
+	}
+}
+
+// organisationWait is the recent wait of an organisation.
+type organisationWait struct {
+	organisation string
+	wait         time.Duration
+}
+
+// longestWaits returns the recent waits of the organisations that waited longest.
+func (b *Broker) longestWaits() []organisationWait {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	var out []organisationWait
 	for _, organisation := range b.queueReport.longest() {
-		metrics.WriteGaugeFloat64(w, fmt.Sprintf("broker_queue_organisation_wait_seconds{organisation=%q}", organisation),
-			b.queueReport.waits[organisation].Seconds())
+		out = append(out, organisationWait{organisation, b.queueReport.waits[organisation]})
 	}
+	return out
 }
--- a/internal/coordination/routed/servicetime/estimator.go
+++ b/internal/coordination/routed/servicetime/estimator.go
@@ -84,16 +84,14 @@
 
 func (e *Estimator) enabled() bool { return e != nil && e.opts.Enabled }
 
-// writeMetrics writes the estimates that are in use.
+// writeMetrics writes the estimates that are in use. The lock is not held while it writes, because
+// a scraper that stops reading blocks the writer.
 func (e *Estimator) writeMetrics(w io.Writer) {
 	if !e.enabled() {
 		return
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	now := time.Now()
-	for work := range e.times.firstBytes {
-		estimate := e.times.FirstBytes(now, work)
+	firstBytes, answers := e.estimates(time.Now())
+	for work, estimate := range firstBytes {
 		labels := fmt.Sprintf("service=%q,stream=\"%t\"", work.Service, work.Stream)
 		metrics.WriteGaugeUint64(w, fmt.Sprintf("expected_times_answers{%s}", labels), uint64(estimate.Count))
 		if estimate.Known() {
@@ -101,9 +99,23 @@
 			metrics.WriteGaugeFloat64(w, fmt.Sprintf("expected_first_byte_seconds{%s,quantile=\"0.9\"}", labels), estimate.P90.Seconds())
 		}
 	}
-	for service := range e.times.answers {
-		if estimate := e.times.Answer(now, service); estimate.Known() {
+	for service, estimate := range answers {
+		if estimate.Known() {
 			metrics.WriteGaugeFloat64(w, fmt.Sprintf("expected_answer_seconds{service=%q}", service), estimate.Median.Seconds())
 		}
 	}
 }
+
+// estimates returns all estimates of first bytes and of whole answers.
+func (e *Estimator) estimates(now time.Time) (firstBytes map[Work]Estimate, answers map[string]Estimate) {
+	firstBytes, answers = map[Work]Estimate{}, map[string]Estimate{}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for work := range e.times.firstBytes {
+		firstBytes[work] = e.times.FirstBytes(now, work)
+	}
+	for service := range e.times.answers {
+		answers[service] = e.times.Answer(now, service)
+	}
+	return firstBytes, answers
+}
