Slots for failover are charged to the request's organisation

TryPlace sent no organisation or weight, so with the fair queue the slots it got were charged to the organisation "" at the mean weight. It now takes the limits of the call and uses the organisation and weight of them; the brokers still may not reject it. Tests check the request that brokers receive and the limits that the stall monitor passes.

--- a/internal/coordination/routed/broker/client.go
+++ b/internal/coordination/routed/broker/client.go
@@ -455,10 +455,11 @@
 func (c *Client) HasTargets(req placement.Requirements) bool { return c.opts.Local.HasTargets(req) }
 
 // TryPlace chooses another target for an online request that already has one. It does not wait
-// for a slot.
-func (c *Client) TryPlace(ctx context.Context, req placement.Requirements) (placement.Choice, bool) {
+// for a slot. Of the limits, only the organisation and its weight are used.
+func (c *Client) TryPlace(ctx context.Context, req placement.Requirements, limits placement.WaitLimits) (placement.Choice, bool) {
 	now := time.Now()
-	round := c.tryAll(ctx, req, placement.WaitLimits{SendBy: now, Deadline: now}, now, false)
+	limits.SendBy, limits.Deadline, limits.RejectBy = now, now, time.Time{}
+	round := c.tryAll(ctx, req, limits, now, false)
 	if round.choice.ID == "" && round.answered == "" {
 		return c.opts.Local.Pick(req)
 	}
--- a/internal/coordination/routed/broker/fairclient_test.go
+++ b/internal/coordination/routed/broker/fairclient_test.go
@@ -51,10 +51,8 @@
 	return nil
 }
 
-// placeScarce places a request of an instance of another domain, with 65 ms to be rejected and 300 ms
-// to wait.
-func placeScarce(t *testing.T, brokers *scarceBrokers, fairQueue bool) (choice placement.Choice, took time.Duration) {
-	t.Helper()
+// newScarceClient returns the client of an instance of another domain than the targets.
+func newScarceClient(brokers *scarceBrokers, fairQueue bool) *Client {
 	client := NewClient(ClientOptions{
 		Self: mesh.Instance{Name: "a", Domain: "d0", Address: "a:1"}, Peers: brokers, Caller: brokers, FairQueue: fairQueue,
 		Broker: New("d0", 1, nil), Local: placement.NewPlacer("d0", func(string) bool { return false }, 1),
@@ -65,6 +63,14 @@
 		list = append(list, roster.Target{ID: "t-" + domain, Service: "s", Address: domain + ":2", Domain: domain, Slots: 8})
 	}
 	client.SetTargets(list)
+	return client
+}
+
+// placeScarce places a request of an instance of another domain, with 65 ms to be rejected and 300 ms
+// to wait.
+func placeScarce(t *testing.T, brokers *scarceBrokers, fairQueue bool) (choice placement.Choice, took time.Duration) {
+	t.Helper()
+	client := newScarceClient(brokers, fairQueue)
 	began := time.Now()
 	choice, ok := client.Place(t.Context(), placement.Requirements{Service: "s"}, placement.WaitLimits{
 		SendBy: began.Add(240 * time.Millisecond), Deadline: began.Add(300 * time.Millisecond),
@@ -100,6 +106,26 @@
 	})
 }
 
+// Guards against slots for failover that are charged to no organisation, and against a reservation that
+// brokers may reject.
+func TestFailoverIsChargedToItsOrganisation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		brokers := &scarceBrokers{}
+		client := newScarceClient(brokers, true)
+		_, ok := client.TryPlace(t.Context(), placement.Requirements{Service: "s"}, placement.WaitLimits{
+			RejectBy: time.Now().Add(time.Second), Organisation: "one", Weight: 4,
+		})
+		require.False(t, ok)
+		require.Len(t, brokers.requests, 2)
+		for _, request := range brokers.requests {
+			require.Equal(t, "one", request.Organisation)
+			require.Equal(t, 4.0, request.Weight)
+			require.Zero(t, request.RejectIn)
+			require.Zero(t, request.Wait)
+		}
+	})
+}
+
 // Guards against requests that brokers may reject although the instance does not use fair queueing.
 func TestClientWithoutFairQueueAsksAsBefore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/coordination/routed/relay/relay.go
+++ b/internal/coordination/routed/relay/relay.go
@@ -45,8 +45,9 @@
 type Placer interface {
 	// Place chooses a target and waits for a free slot if necessary.
 	Place(context.Context, placement.Requirements, placement.WaitLimits) (placement.Choice, bool)
-	// TryPlace chooses a target with a free slot, without waiting for one.
-	TryPlace(context.Context, placement.Requirements) (placement.Choice, bool)
+	// TryPlace chooses a target with a free slot, without waiting for one. Of the limits, only
+	// the organisation and its weight are used.
+	TryPlace(context.Context, placement.Requirements, placement.WaitLimits) (placement.Choice, bool)
 	// DataReceived records that data arrived from a target.
 	DataReceived(id string)
 	// Observe records how long a target took until the first event of a stream, or from one event
--- a/internal/coordination/routed/relay/relay_test.go
+++ b/internal/coordination/routed/relay/relay_test.go
@@ -50,6 +50,8 @@
 	versions []string
 	// reserved is the target that TryPlace returns, if set.
 	reserved *roster.Target
+	// reservedFor are the limits of the last TryPlace.
+	reservedFor placement.WaitLimits
 	// origins are the streams that have begun, and what is known about their beginning.
 	origins map[string]origin.Origin
 	// receivedAtBegin is what the caller had received when a stream began.
@@ -117,7 +119,8 @@
 	return placement.Choice{Target: roster.Target{ID: id, Address: id + ":1", Version: f.version(number)}}, true
 }
 
-func (f *scriptedFleet) TryPlace(context.Context, placement.Requirements) (placement.Choice, bool) {
+func (f *scriptedFleet) TryPlace(_ context.Context, _ placement.Requirements, limits placement.WaitLimits) (placement.Choice, bool) {
+	f.reservedFor = limits
 	if f.reserved == nil {
 		return placement.Choice{}, false
 	}
--- a/internal/coordination/routed/relay/scarce.go
+++ b/internal/coordination/routed/relay/scarce.go
@@ -25,13 +25,20 @@
 // of waits are for all targets of a service.
 func (c *call) queueLimits() placement.WaitLimits {
 	limits := c.waitLimits()
-	limits.Organisation, limits.Weight = c.Organisation, c.Weight
+	share := c.shareLimits()
+	limits.Organisation, limits.Weight = share.Organisation, share.Weight
 	if len(c.tried) == 0 && !c.headSent && !c.origin.Known() {
 		limits.RejectBy = c.ReceivedAt.Add(time.Duration(rejectFraction*float64(c.Route.LatencyObjective)) - rejectMargin)
 	}
 	return limits
 }
 
+// shareLimits returns the organisation that slots are charged to, and its weight. Unlike queueLimits,
+// it may be called while the request is served.
+func (c *call) shareLimits() placement.WaitLimits {
+	return placement.WaitLimits{Organisation: c.Organisation, Weight: c.Weight}
+}
+
 // recordQueue records what brokers knew while the request waited.
 func (c *call) recordQueue(state placement.QueueState) {
 	if state != (placement.QueueState{}) {
--- a/internal/coordination/routed/relay/stall.go
+++ b/internal/coordination/routed/relay/stall.go
@@ -119,7 +119,7 @@
 // failOver tries to reserve a slot at another target and cancels the exchange if
 // that succeeds. Otherwise it is tried again after failoverRetryInterval.
 func (m *stallMonitor) failOver(requirements placement.Requirements) {
-	choice, found := m.call.opts.Placer.TryPlace(m.ctx, requirements)
+	choice, found := m.call.opts.Placer.TryPlace(m.ctx, requirements, m.call.shareLimits())
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	// The stream may have begun meanwhile.
--- a/internal/coordination/routed/relay/stream_test.go
+++ b/internal/coordination/routed/relay/stream_test.go
@@ -77,9 +77,10 @@
 func TestReservedTargetOfOtherVersionIsNotUsed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &scriptedFleet{reserved: &roster.Target{ID: "x", Version: "v2"}}
-		c := &call{Relay: New(Options{Targets: f, Placer: f, Origins: f, Quarantine: f.quarantine()}), RoutedRequest: &RoutedRequest{Route: &resumableRoute, Request: &exchange.Request{}}}
+		c := &call{Relay: New(Options{Targets: f, Placer: f, Origins: f, Quarantine: f.quarantine()}), RoutedRequest: &RoutedRequest{Route: &resumableRoute, Request: &exchange.Request{}, Organisation: "one", Weight: 4}}
 		monitor := c.monitorStalls(t.Context(), placement.Choice{})
 		monitor.onTimeout()
+		require.Equal(t, placement.WaitLimits{Organisation: "one", Weight: 4}, f.reservedFor, "the slot is charged to the organisation")
 		c.streamBegins(placement.Choice{Target: roster.Target{ID: "t0", Version: "v1"}}, monitor)
 		c.failover = monitor.stop()
 		require.NotNil(t, c.failover)
