--- a/internal/coordination/routed/broker/broker.go
+++ b/internal/coordination/routed/broker/broker.go
@@ -181,7 +181,7 @@
 	}
 	for _, w := range b.allocator.RejectUnservable(now) {
 		b.decisions[w] <- decision{}
-		b.queueReport.rejected(w)
+		b.queueReport.rejected(now, w)
 	}
 	b.scheduleRetry()
 }
@@ -247,6 +247,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.allocator.Dequeue(w)
+	b.queueReport.ended(time.Now(), w)
 	delete(b.decisions, w)
 }
 
--- a/internal/coordination/routed/broker/client.go
+++ b/internal/coordination/routed/broker/client.go
@@ -136,7 +136,7 @@
 // while all targets are full. It fails if no target is known, at the deadline, when ctx
 // ends, or if all brokers that answer reject the request. The choice then holds what they knew.
 func (c *Client) Place(ctx context.Context, req placement.Requirements, limits placement.WaitLimits) (placement.Choice, bool) {
-	arrived := time.Now()
+	arrived := &arrival{at: time.Now()}
 	waitAt, askAll := "", true
 	var queue placement.QueueState
 	for {
@@ -186,7 +186,7 @@
 
 // tryAll asks the brokers of all domains, starting with the own domain. A retry skips domains that
 // had no free slot within freeMaxAge.
-func (c *Client) tryAll(ctx context.Context, req placement.Requirements, limits placement.WaitLimits, arrived time.Time, retry bool) (round placeRound) {
+func (c *Client) tryAll(ctx context.Context, req placement.Requirements, limits placement.WaitLimits, arrived *arrival, retry bool) (round placeRound) {
 	for _, name := range c.domainsFor(req) {
 		if retry && name != c.opts.Self.Domain && c.knownFull(name) {
 			round.skipped = true
@@ -212,20 +212,29 @@
 }
 
 // placeIn requests a slot from the broker of one domain. ok is false if no broker answers.
-func (c *Client) placeIn(ctx context.Context, name string, req placement.Requirements, limits placement.WaitLimits, arrived time.Time, wait time.Duration) (choice placement.Choice, ok bool) {
+func (c *Client) placeIn(ctx context.Context, name string, req placement.Requirements, limits placement.WaitLimits, arrived *arrival, wait time.Duration) (choice placement.Choice, ok bool) {
 	now := time.Now()
 	request := &PlaceRequest{
 		Domain: name, Want: req, Wait: wait,
-		OnTimeIn: limits.SendBy.Sub(now), Age: now.Sub(arrived),
+		OnTimeIn: limits.SendBy.Sub(now), Age: now.Sub(arrived.at),
 	}
 	if c.opts.FairQueue {
 		request.Organisation, request.Weight = limits.Organisation, limits.Weight
-		request.WaitIn = limits.Deadline.Sub(now)
+		request.WaitIn, request.FirstWait = limits.Deadline.Sub(now), wait > 0 && !arrived.waited
 		if !limits.RejectBy.IsZero() {
 			request.RejectIn = max(0, limits.RejectBy.Sub(now))
 		}
 	}
-	return c.requestSlot(ctx, request)
+	choice, ok = c.requestSlot(ctx, request)
+	arrived.waited = arrived.waited || ok && wait > 0
+	return choice, ok
+}
+
+// arrival is the arrival of an online request. waited is set once it has waited at a broker that
+// answered.
+type arrival struct {
+	at     time.Time
+	waited bool
 }
 
 // Item is a batch item that needs a slot.
@@ -459,7 +468,7 @@
 func (c *Client) TryPlace(ctx context.Context, req placement.Requirements, limits placement.WaitLimits) (placement.Choice, bool) {
 	now := time.Now()
 	limits.SendBy, limits.Deadline, limits.RejectBy = now, now, time.Time{}
-	round := c.tryAll(ctx, req, limits, now, false)
+	round := c.tryAll(ctx, req, limits, &arrival{at: now}, false)
 	if round.choice.ID == "" && round.answered == "" {
 		return c.opts.Local.Pick(req)
 	}
--- a/internal/coordination/routed/broker/fairness.go
+++ b/internal/coordination/routed/broker/fairness.go
@@ -231,69 +231,98 @@
 	return from, to
 }
 
-// rates are the inputs of estimates that all waiters of a service share.
-type rates struct {
+// serviceLoad holds the inputs of estimates that all waiters of a service share.
+type serviceLoad struct {
+	// known is set if enough slots became free to estimate waits.
 	known bool
 	// freed, arriving, withinShare and surplus are slots and requests per second.
 	freed, arriving, withinShare, surplus float64
-	// ahead and waiting are the numbers of online requests passed and left.
+	// fair is set while slots are divided by weight.
+	fair bool
+	// ahead is the number of online requests that are served before the next one, and waiting
+	// the number of those that wait.
 	ahead, waiting int
 }
 
-func (s *scarcity) rates(now time.Time) *rates {
-	r := &rates{}
-	r.freed, r.known = s.freed.perSecond(now)
-	if !r.known || r.freed <= 0 {
-		return &rates{}
+// load returns the load of the service, without its waiters.
+func (s *scarcity) load(now time.Time) *serviceLoad {
+	freed, known := s.freed.perSecond(now)
+	if !known || freed <= 0 {
+		return &serviceLoad{}
+	}
+	arriving := s.arrivals.highest(now)
+	withinShare, _ := s.withinShare.perSecond(now)
+	return &serviceLoad{
+		known: true, fair: s.fair,
+		freed: freed, arriving: arriving, withinShare: withinShare, surplus: s.freed.lowest(now) - arriving,
+	}
+}
+
+// inputs returns the inputs of the estimate for the next request in the order of the queue.
+func (l *serviceLoad) inputs(now time.Time, w *Waiter) waitInputs {
+	in := waitInputs{
+		ahead: l.ahead, waiting: l.waiting, freed: l.freed, surplus: l.surplus,
+		sendIn: w.sendBy.Sub(now), waitIn: w.waitBy.Sub(now),
+	}
+	if l.fair && w.rank != rankWithinShare {
+		in.overtaking = l.withinShare
 	}
-	r.arriving = s.arrivals.highest(now)
-	r.surplus = s.freed.lowest(now) - r.arriving
-	r.withinShare, _ = s.withinShare.perSecond(now)
-	return r
+	return in
 }
 
-// estimate updates the estimates of all online requests and returns those that must be rejected.
-// list is the queue in the order in which it is served, after all free slots have been granted.
-func (q *fairQueue) estimate(now time.Time, list []*Waiter) (rejected []*Waiter) {
-	services := map[string]*rates{}
+// countWaiters returns the loads of the services of the online requests in a list, and marks these
+// requests as having waited.
+func (q *fairQueue) countWaiters(now time.Time, list []*Waiter) map[string]*serviceLoad {
+	loads := map[string]*serviceLoad{}
 	for _, w := range list {
 		if w.requirements.Batch {
 			continue
 		}
 		name := w.requirements.Service
-		if services[name] == nil {
-			services[name] = q.service(name).rates(now)
+		if loads[name] == nil {
+			loads[name] = q.service(name).load(now)
 		}
-		services[name].waiting++
+		loads[name].waiting++
 		w.waited = true
 	}
+	return loads
+}
+
+// rejectUnservable updates the estimates of all online requests and returns those that must be
+// rejected. list is the queue in the order in which it is served, after all free slots have been
+// granted. A rejected request is no longer ahead of the following ones.
+func (q *fairQueue) rejectUnservable(now time.Time, list []*Waiter) (rejected []*Waiter) {
+	loads := q.countWaiters(now, list)
 	for _, w := range list {
-		r := services[w.requirements.Service]
-		if w.requirements.Batch || !r.known {
+		l := loads[w.requirements.Service]
+		if w.requirements.Batch || !l.known {
 			continue
 		}
-		in := waitInputs{
-			ahead: r.ahead, waiting: r.waiting, freed: r.freed, surplus: r.surplus,
-			sendIn: w.sendBy.Sub(now), waitIn: w.waitBy.Sub(now),
-		}
-		fair := q.service(w.requirements.Service).fair
-		if fair && w.rank != rankWithinShare {
-			in.overtaking = r.withinShare
-		}
-		estimate := estimateWait(in)
-		w.state = placement.QueueState{Ahead: in.ahead, FreedPerSecond: r.freed, ArrivingPerSecond: r.arriving, Expected: estimate.expected, Fair: fair}
-		if !estimate.unservable || !w.mayReject(now) {
-			r.ahead++
+		w.estimate(now, l)
+		if !w.state.Rejected {
+			l.ahead++
 			continue
 		}
-		r.waiting--
-		w.state.Rejected, w.state.OverShare, w.state.RoomIn = true, estimate.overShare, roomIn(in)
+		l.waiting--
 		rejected = append(rejected, w)
 	}
 	return rejected
 }
 
-// arrived counts a request that asks for a slot here for the first time.
+// estimate sets the state of the next waiter in the order of the queue.
+func (w *Waiter) estimate(now time.Time, l *serviceLoad) {
+	in := l.inputs(now, w)
+	estimate := estimateWait(in)
+	w.estimatedAt = now
+	w.state = placement.QueueState{
+		Ahead: in.ahead, FreedPerSecond: l.freed, ArrivingPerSecond: l.arriving, Expected: estimate.expected, Fair: l.fair,
+	}
+	if estimate.unservable && w.mayReject(now) {
+		w.state.Rejected, w.state.OverShare, w.state.RoomIn = true, estimate.overShare, roomIn(in)
+	}
+}
+
+// arrived counts a request as an arrival, unless it is counted already.
 func (q *fairQueue) arrived(now time.Time, w *Waiter) {
 	if !w.counted && !w.requirements.Batch {
 		w.counted = true
--- a/internal/coordination/routed/broker/messages.go
+++ b/internal/coordination/routed/broker/messages.go
@@ -72,6 +72,9 @@
 	// RejectIn is the time for which the request may be rejected, and WaitIn the time until it
 	// stops waiting at all brokers. 0: it must not be rejected, the time is not known.
 	RejectIn, WaitIn time.Duration
+	// FirstWait is set if the request has not waited at a broker that answered, so that it counts
+	// as an arrival whatever its age is. Not set: it counts while its age is below onlineWait.
+	FirstWait bool
 }
 
 // Grant is a granted slot.
--- a/internal/coordination/routed/broker/queuereport.go
+++ b/internal/coordination/routed/broker/queuereport.go
@@ -61,7 +61,7 @@
 	}
 	r.waited++
 	r.last = w
-	r.waits[w.organisation] += now.Sub(w.queuedAt)
+	r.ended(now, w)
 	if w.state.Fair {
 		waitsByShare.Inc()
 	} else {
@@ -69,11 +69,21 @@
 	}
 }
 
+// ended records the wait of a request that got a slot, was rejected or stopped waiting.
+func (r *queueReport) ended(now time.Time, w *Waiter) {
+	if r == nil || !w.waited || w.waitReported {
+		return
+	}
+	w.waitReported = true
+	r.waits[w.organisation] += now.Sub(w.waitsSince)
+}
+
 // rejected counts a rejected request.
-func (r *queueReport) rejected(w *Waiter) {
+func (r *queueReport) rejected(now time.Time, w *Waiter) {
 	if r == nil {
 		return
 	}
+	r.ended(now, w)
 	r.last = w
 	if w.state.OverShare {
 		r.overShare++
@@ -120,13 +130,21 @@
 		"event", "slots_scarce", "domain", domain, "waiting", waiting, "waited", r.waited,
 		"rejected_no_slot", r.noSlot, "rejected_over_share", r.overShare, "order", queueOrder(state.Fair),
 		"freed_per_s", math.Round(state.FreedPerSecond), "arriving_per_s", math.Round(state.ArrivingPerSecond),
-		"expected_ms", state.Expected.Milliseconds(), "inputs_age_ms", now.Sub(r.last.queuedAt).Milliseconds(),
+		"expected_ms", state.Expected.Milliseconds(), "inputs_age_ms", r.last.estimateAge(now).Milliseconds(),
 		"waits_ms", strings.Join(longest, ","),
 	}
 	r.waited, r.noSlot, r.overShare, r.loggedAt = 0, 0, 0, now
 	return fields
 }
 
+// estimateAge returns the age of the last estimate, 0 if there is none.
+func (w *Waiter) estimateAge(now time.Time) time.Duration {
+	if w.estimatedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(w.estimatedAt)
+}
+
 // queueOrder names the order of a queue in logs and metrics.
 func queueOrder(fair bool) string {
 	if fair {
--- a/internal/coordination/routed/broker/waitqueue.go
+++ b/internal/coordination/routed/broker/waitqueue.go
@@ -25,17 +25,21 @@
 	// rejectBy is until when the request may be rejected, zero if it may not be. waitBy is when
 	// it stops waiting, zero if that is not known.
 	rejectBy, waitBy time.Time
-	// queuedAt is when the request entered the queue. waited is set once it found no free slot.
-	queuedAt time.Time
-	waited   bool
+	// waitsSince is when the reported wait began: the arrival of a request that waits for the first
+	// time, and otherwise the time at which it entered the queue. The waits of a request at several
+	// brokers then add up to its whole wait. waited is set once it found no free slot, and
+	// waitReported once its wait has ended and is reported.
+	waitsSince           time.Time
+	waited, waitReported bool
 	// counted is set once the request is counted as an arrival.
 	counted bool
 	// rank is its rank while slots are scarce, and lag how far its start tag is ahead of virtual
 	// time, both as of the last ordering.
 	rank int
 	lag  float64
-	// state is the last estimate of its wait.
-	state placement.QueueState
+	// state is the last estimate of its wait, as of estimatedAt.
+	state       placement.QueueState
+	estimatedAt time.Time
 }
 
 // waitQueue holds the requests and batch items that wait at a broker.
@@ -160,7 +164,7 @@
 	if len(q.waiters) == 1 {
 		q.fair.order(now, q.waiters)
 	}
-	rejected := q.fair.estimate(now, q.waiters)
+	rejected := q.fair.rejectUnservable(now, q.waiters)
 	if len(rejected) > 0 {
 		q.waiters = slices.DeleteFunc(q.waiters, func(w *Waiter) bool { return w.state.Rejected })
 	}
