--- a/internal/coordination/routed/relay/delivery_test.go
+++ b/internal/coordination/routed/relay/delivery_test.go
@@ -522,7 +522,7 @@
 	reserved int
 }
 
-func (f *reservingFleet) TryPlace(context.Context, placement.Requirements) (placement.Choice, bool) {
+func (f *reservingFleet) TryPlace(context.Context, placement.Requirements, placement.WaitLimits) (placement.Choice, bool) {
 	f.reserved++
 	return placement.Choice{}, true
 }
