--- a/internal/coordination/routed/broker/loads.go
+++ b/internal/coordination/routed/broker/loads.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"merlintiller/internal/coordination/routed/pace"
 	"merlintiller/internal/coordination/routed/placement"
 	"merlintiller/internal/protocol/exchange"
 )
@@ -34,7 +35,8 @@
 		return
 	}
 	c.opts.Local.ApplyLoad(choice.ID, load)
-	c.reportPace(choice, float64(load.Pace))
+	// The broker stores and states at most MaxPace. A larger pace would differ from each grant.
+	c.reportPace(choice, pace.Observation{Target: choice.ID, Percent: min(load.Pace, pace.MaxPace)})
 	switch {
 	case choice.Broker == "":
 	case choice.Broker == c.opts.Self.Address:
--- a/internal/coordination/routed/broker/paces.go
+++ b/internal/coordination/routed/broker/paces.go
@@ -54,20 +54,19 @@
 // choice if the target's pace has changed much.
 func (c *Client) Observe(choice placement.Choice, kind pace.Kind, took time.Duration) {
 	if percent := c.opts.Local.Observe(choice.ID, kind, took); percent > 0 {
-		c.reportPace(choice, percent)
+		c.reportPace(choice, pace.Observation{Target: choice.ID, Percent: roundPace(percent), Observed: true})
 	}
 }
 
 // reportPace tells the broker that granted a slot about a pace that differs much from what the
 // broker stated or was told.
-func (c *Client) reportPace(choice placement.Choice, percent float64) {
-	if choice.Broker == "" || percent <= 0 || !c.opts.Local.UsesPaces() {
+func (c *Client) reportPace(choice placement.Choice, observation pace.Observation) {
+	if choice.Broker == "" || observation.Percent <= 0 || !c.opts.Local.UsesPaces() {
 		return
 	}
-	observation := pace.Observation{Target: choice.ID, Percent: roundPace(percent)}
 	now := time.Now()
 	c.mu.Lock()
-	known, due := c.paceReports.Due(now, choice.ID, percent)
+	known, due := c.paceReports.Due(now, choice.ID, float64(observation.Percent))
 	omitted, logged := 0, false
 	if due {
 		omitted, logged = c.paceLog.Allow(now, choice.ID)
--- a/internal/coordination/routed/pace/estimator.go
+++ b/internal/coordination/routed/pace/estimator.go
@@ -10,9 +10,9 @@
 const (
 	// Usual is the pace of a target that takes the usual time.
 	Usual = 100
-	// MaxMaxAge is the largest age up to which reports may be used. A slow phase of a target
+	// MaxReportAge is the largest age up to which reports may be used. A slow phase of a target
 	// takes less than a second; older reports only tell its mean, which is estimated anyway.
-	MaxMaxAge = 10 * time.Second
+	MaxReportAge = 10 * time.Second
 	// meanMaxAge is how long a target's mean is used after its last observation. Targets with
 	// free slots are chosen several times a second unless they are avoided.
 	meanMaxAge = 30 * time.Second
@@ -22,25 +22,29 @@
 	// mergeWeight is the weight of a mean that another instance observed.
 	mergeWeight = 1.0 / 8
 	// usualTimeWeight is the weight of one observed time in the usual time of a service. The
-	// lengths of prompts vary by a factor of several, those of pauses hardly.
+	// lengths of prompts vary by a factor of several, the gaps between events hardly.
 	usualTimeWeight = 1.0 / 512
 	// calibrationWeight is the least weight of a report by which the usual time is calibrated: a
 	// slow phase may have begun or ended since an older one.
 	calibrationWeight = 0.5
-	// maxPace bounds a single reported or observed pace, in percent: a pause of a target that
+	// MaxPace bounds a single reported or observed pace, in percent: a gap of a target that
 	// hangs must not outweigh hundreds of usual ones.
-	maxPace = 1000
+	MaxPace = 1000
+	// minPace bounds a single observed pace, in percent: a gap that is far too short, because the
+	// instance read the event before it late, must not rank the target fastest by far. Targets
+	// report 60 and more.
+	minPace = 25
 	// serviceMeanAge is how long a computed mean of a service is used.
 	serviceMeanAge = 100 * time.Millisecond
 	// maxRelative and minRelative bound the pace of a target relative to its service. The bounds
 	// keep the cost of a target with a free slot below that of a full one; of two targets that are
 	// even slower, either is a bad choice.
 	maxRelative, minRelative = 3, 0.25
-	// recentMaxAge is the longest time between two pauses of a target that count together.
+	// recentMaxAge is the longest time between two observed gaps of a target that count together.
 	recentMaxAge = 500 * time.Millisecond
-	// singleFactor is the factor between a pause and the estimate above which that one pause
-	// replaces the estimate, and pairFactor the one for two pauses in a row. Pauses at a constant
-	// pace vary by about a quarter, and a slow phase takes less than four pauses of a slow target.
+	// singleFactor is the factor between the pace by a gap and the estimate above which that one gap
+	// replaces the estimate, and pairFactor the one for two gaps in a row. Gaps at a constant
+	// pace vary by about a quarter, and a slow phase takes less than four gaps of a slow target.
 	// If an instance was only late to read one event, the next one replaces the estimate again.
 	singleFactor, pairFactor = 1.8, 1.5
 	// differsFactor is the factor between two paces above which they differ much. Targets report
@@ -102,6 +106,8 @@
 	// Mean is the target's mean pace in percent by the times that the instance observed. 0: none
 	// were observed recently.
 	Mean int
+	// Observed tells that Percent is by observed times. false: the target reported it.
+	Observed bool
 }
 
 // Estimator estimates the paces of targets. It is not safe for concurrent use.
@@ -138,9 +144,9 @@
 	current   float64
 	currentAt time.Time
 	observed  bool
-	// lastPause is the pace by the last pause, at lastPauseAt.
-	lastPause   float64
-	lastPauseAt time.Time
+	// lastGap is the pace by the last gap between events, at lastGapAt.
+	lastGap   float64
+	lastGapAt time.Time
 	// mean is the mean of the observed paces in percent, 0 if there are none.
 	mean       float64
 	count      int
@@ -150,7 +156,7 @@
 // New returns an estimator that uses reports up to an age. An age of 0 turns it off: it
 // records nothing.
 func New(maxAge time.Duration) *Estimator {
-	return &Estimator{maxAge: min(maxAge, MaxMaxAge), services: map[string]*service{}, targets: map[string]*target{}}
+	return &Estimator{maxAge: min(maxAge, MaxReportAge), services: map[string]*service{}, targets: map[string]*target{}}
 }
 
 // On reports whether paces are used.
@@ -189,12 +195,22 @@
 	if t.reported > 0 && at.Before(t.reportedAt) {
 		return
 	}
-	t.reported, t.reportedAt = float64(min(percent, maxPace)), at
+	t.reported, t.reportedAt = float64(min(percent, MaxPace)), at
 	if !at.Before(t.currentAt) {
 		t.current, t.currentAt, t.observed = t.reported, at, false
 	}
 }
 
+// mergeObserved records a recent pace that another instance derived from observed times. One that
+// is older than the current pace has no effect.
+func (e *Estimator) mergeObserved(at time.Time, serviceName, id string, percent int) {
+	e.service(serviceName)
+	t := e.target(serviceName, id)
+	if !at.Before(t.currentAt) {
+		t.current, t.currentAt, t.observed = float64(min(max(percent, minPace), MaxPace)), at, true
+	}
+}
+
 // Observe records a time that an instance observed at a target. It returns the recent pace if that
 // has just replaced the estimate, otherwise 0.
 func (e *Estimator) Observe(now time.Time, serviceName, id string, kind Kind, took time.Duration) (changed float64) {
@@ -211,21 +227,21 @@
 	} else if !usual.calibrated {
 		usual.add(took.Seconds())
 	}
-	percent := min(maxPace, Usual*took.Seconds()/usual.seconds)
+	percent := min(max(Usual*took.Seconds()/usual.seconds, minPace), MaxPace)
 	if kind == EventGap {
-		changed = e.addPause(now, serviceName, id, percent)
+		changed = e.addGap(now, serviceName, id, percent)
 	}
 	t.addMean(now, percent, meanWeight)
 	return changed
 }
 
-// addPause adds a pause of a target. The pace by the last pauses replaces the estimate if the two
-// differ very much: a slow phase began or ended since the last report. Targets report at the head
+// addGap adds a gap between events of a target. The pace by the last gaps replaces the estimate if
+// the two differ very much: a slow phase began or ended since the last report. Targets report at the head
 // of an answer only, and a slow target may get less than one request in a slow phase.
-func (e *Estimator) addPause(now time.Time, serviceName, id string, percent float64) (changed float64) {
+func (e *Estimator) addGap(now time.Time, serviceName, id string, percent float64) (changed float64) {
 	t := e.targets[id]
-	last, recent := t.lastPause, now.Sub(t.lastPauseAt) <= recentMaxAge
-	t.lastPause, t.lastPauseAt = percent, now
+	last, recent := t.lastGap, now.Sub(t.lastGapAt) <= recentMaxAge
+	t.lastGap, t.lastGapAt = percent, now
 	estimate := e.Pace(now, serviceName, id)
 	if estimate.Source == Unknown {
 		return 0
@@ -235,7 +251,7 @@
 		percent = (last + percent) / 2
 	} else if !differ(percent, estimate.Percent, singleFactor) {
 		if t.current > 0 && !differ(percent, t.current, pairFactor) {
-			// The pause confirms the pace, which is thus as of now.
+			// The gap confirms the pace, which is thus as of now.
 			t.currentAt = now
 		}
 		return 0
@@ -376,6 +392,7 @@
 		o := dated{Observation: Observation{Target: id}}
 		if t.currentWeight(now, maxAge) > 0 {
 			o.Percent, o.Age, o.at = max(1, int(math.Round(t.current))), max(0, now.Sub(t.currentAt)), t.currentAt
+			o.Observed = t.observed
 		}
 		if t.count > 0 && now.Sub(t.observedAt) < maxAge {
 			o.Mean = max(1, int(math.Round(t.mean)))
@@ -403,11 +420,15 @@
 		return
 	}
 	if o.Percent > 0 && o.Age >= 0 {
-		e.Report(now.Add(-o.Age), serviceName, o.Target, o.Percent)
+		if at := now.Add(-o.Age); o.Observed {
+			e.mergeObserved(at, serviceName, o.Target, o.Percent)
+		} else {
+			e.Report(at, serviceName, o.Target, o.Percent)
+		}
 	}
 	if o.Mean > 0 {
 		e.service(serviceName)
-		e.target(serviceName, o.Target).addMean(now, float64(min(o.Mean, maxPace)), mergeWeight)
+		e.target(serviceName, o.Target).addMean(now, float64(min(o.Mean, MaxPace)), mergeWeight)
 	}
 }
 
--- a/internal/policybench/paces/simulation.go
+++ b/internal/policybench/paces/simulation.go
@@ -351,7 +351,7 @@
 	}
 	inst.core.ApplyLoad(now, e.ID, load)
 	inst.core.Observe(now, e.ID, pace.FirstEvent, took)
-	s.reportPace(inst, d, e, float64(load.Pace))
+	s.reportPace(inst, d, e, float64(min(load.Pace, pace.MaxPace)), false)
 }
 
 // lossBegan reports whether messages are lost now in the scenarios in which some are.
@@ -362,8 +362,9 @@
 	return (s.MessagesLost || s.CutDomain && inst.domain == 0) && s.lossBegan()
 }
 
-// reportPace tells a broker about a pace that differs much from what it knows.
-func (s *simulation) reportPace(inst *instance, d *domainBroker, e *engine, percent float64) {
+// reportPace tells a broker about a pace that differs much from what it knows. observed is set if
+// the pace is by observed times, not the target's report.
+func (s *simulation) reportPace(inst *instance, d *domainBroker, e *engine, percent float64, observed bool) {
 	if _, due := inst.reports.Due(s.clock.Now(), e.ID, percent); !due {
 		return
 	}
@@ -372,7 +373,7 @@
 		return
 	}
 	s.clock.After(messageDelay, func() {
-		d.allocator.MergePace(s.clock.Now(), pace.Observation{Target: e.ID, Percent: int(percent)})
+		d.allocator.MergePace(s.clock.Now(), pace.Observation{Target: e.ID, Percent: int(percent), Observed: observed})
 	})
 }
 
@@ -385,7 +386,7 @@
 	from := s.clock.Now()
 	s.event(e, eventGap, func() {
 		if percent := inst.core.Observe(s.clock.Now(), e.ID, pace.EventGap, s.clock.Now().Sub(from)); percent > 0 {
-			s.reportPace(inst, d, e, percent)
+			s.reportPace(inst, d, e, percent, true)
 		}
 		s.remaining(inst, d, e, grant, events+1)
 	})
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -8,6 +8,7 @@
 
 	"github.com/gravitational/trace"
 
+	"merlintiller/internal/coordination/routed/pace"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/strictyaml"
 )
@@ -75,10 +76,6 @@
 	AnswerBuffersPercent int `yaml:"answer_buffers_percent"`
 }
 
-// maxPaceMaxAge is the largest accepted adaptive.pace_max_age. The speed of targets changes
-// within a second; an older report says nothing about it.
-const maxPaceMaxAge = 10 * time.Second
-
 // RoutedListen holds addresses as "ip:port".
 type RoutedListen struct {
 	// Callers is the address for callers' requests.
@@ -209,8 +206,8 @@
 	if s.DrainNotice >= s.Grace {
 		doc.Report("drain_notice", "%s must be shorter than grace (%s), or a shutdown interrupts requests", s.DrainNotice, s.Grace)
 	}
-	if s.Adaptive.PaceMaxAge > maxPaceMaxAge {
-		doc.Report("adaptive.pace_max_age", "%s must be at most %s", s.Adaptive.PaceMaxAge, maxPaceMaxAge)
+	if s.Adaptive.PaceMaxAge > pace.MaxReportAge {
+		doc.Report("adaptive.pace_max_age", "%s must be at most %s", s.Adaptive.PaceMaxAge, pace.MaxReportAge)
 	}
 	checkLog(doc, s.Log)
 }
