Batch items start and yield by a forecast of the online demand

Cause: items start whenever a slot is free, so most of those that start in a trough lose their slots at the next peak, and the item with the latest deadline yields, however much work it has done.

Change: with adaptive.batch_forecast (default false, on in deploy/settings.yaml) a broker records the slots that online requests need, forecasts them while they vary in a way that repeats, and keeps slots for the rise that is coming. The item that loses least yields.

--- a/internal/coordination/routed/batchjobs/estimate.go
+++ b/internal/coordination/routed/batchjobs/estimate.go
@@ -28,6 +28,11 @@
 	e.events += sampleWeight * (float64(events) - e.events)
 }
 
+// timeOf estimates the run time for a number of events.
+func (e *runEstimate) timeOf(events int) time.Duration {
+	return time.Duration(float64(events) / e.events * float64(e.runTime))
+}
+
 // remaining estimates the run time left for an item that has some events already.
 func (e *runEstimate) remaining(events int) time.Duration {
 	share := max(minRemainingShare, 1-float64(events)/e.events)
--- a/internal/coordination/routed/batchjobs/options.go
+++ b/internal/coordination/routed/batchjobs/options.go
@@ -38,6 +38,9 @@
 	HasTargets(placement.Requirements) bool
 	// SetRunID records the id under which a target runs an item.
 	SetRunID(choice placement.Choice, id string)
+	// SetProgress records how long a running item still needs, and how long its output takes to
+	// produce again that is not stored yet.
+	SetProgress(choice placement.Choice, needs, unstored time.Duration)
 	Done(placement.Choice, placement.Result)
 	ReportLoad(choice placement.Choice, load *exchange.Load)
 	DataReceived(id string)
--- a/internal/coordination/routed/batchjobs/progress.go
+++ b/internal/coordination/routed/batchjobs/progress.go
@@ -42,6 +42,8 @@
 	text       strings.Builder
 	// events counts the events in text; position is that of the last one.
 	events, position int
+	// received counts all events of the item, stored or not.
+	received int
 	// version is the software version of the targets that all output of the item comes from,
 	// empty if it is not known.
 	version string
@@ -57,6 +59,7 @@
 	o.followsTag, o.number, o.after, o.offeredTag = 0, 0, exchange.FromStart, 0
 	o.text.Reset()
 	o.events, o.position, o.version = 0, exchange.FromStart, ""
+	o.received = 0
 }
 
 // setVersion sets the software version of the output.
@@ -79,6 +82,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.followsTag, o.number, o.after, o.version = progress.Tag, progress.Segments, progress.Position, progress.Version
+	o.received = progress.Events
 	o.failures, o.storedFailures = progress.Failures, progress.Failures
 }
 
@@ -91,6 +95,7 @@
 	}
 	o.text.WriteString(text)
 	o.events += events
+	o.received += events
 	o.position = position
 }
 
@@ -114,6 +119,13 @@
 	}, true
 }
 
+// counts returns the number of events received and of those that are not stored yet.
+func (o *pendingOutput) counts() (received, unstored int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.received, o.events
+}
+
 // markStored removes a segment that is now in the log from the pending output.
 func (o *pendingOutput) markStored(stored jobs.OutputSegment) {
 	o.mu.Lock()
@@ -233,6 +245,9 @@
 	}
 	p.applyOwnRecords(records, end)
 	segmentsStored.Add(len(segments))
+	for _, u := range segments {
+		u.task.reportProgress()
+	}
 	return nil
 }
 
@@ -253,3 +268,15 @@
 		_ = level.Error(p.logger).Log("event", "job_records_unreadable", "err", err)
 	}
 }
+
+// reportProgress reports how long a running item still needs, for its broker.
+func (t *task) reportProgress() {
+	r := t.runner
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t.cancel == nil || t.ended {
+		return
+	}
+	received, unstored := t.output.counts()
+	r.opts.Placer.SetProgress(t.choice, r.estimate.remaining(received), r.estimate.timeOf(unstored))
+}
--- a/internal/coordination/routed/batchjobs/queue.go
+++ b/internal/coordination/routed/batchjobs/queue.go
@@ -51,9 +51,11 @@
 	}
 	t, service := runnable[0].task, runnable[0].service
 	remaining := r.estimate.remaining(t.events)
+	_, unstored := t.output.counts()
 	return broker.Item{
 		Service: service, Versions: r.acceptedVersions(now, runnable, service), Deadline: t.job.Due, StartBy: t.job.Due.Add(-remaining),
 		MaxRuntime: time.Duration(maxRuntimeFactor * float64(remaining)),
+		Needs:      remaining, Unstored: r.estimate.timeOf(unstored), ID: t.id.item, Job: t.id.job,
 	}, true
 }
 
--- a/internal/coordination/routed/batchjobs/runner.go
+++ b/internal/coordination/routed/batchjobs/runner.go
@@ -310,7 +310,9 @@
 		t.yielding = true
 		t.cancel()
 		itemYields.Inc()
+		received, unstored := t.output.counts()
 		_ = level.Info(r.opts.Logger).Log("event", "item_yields", "item", t.id.item, "job", t.id.job, "target", t.choice.ID,
+			"ran_ms", time.Since(t.startedAt).Milliseconds(), "events", received, "unstored", unstored,
 			"due_in_ms", time.Until(t.job.Due).Milliseconds())
 		return true
 	}
--- a/internal/coordination/routed/batchjobs/versions_test.go
+++ b/internal/coordination/routed/batchjobs/versions_test.go
@@ -32,10 +32,11 @@
 	}
 	return false
 }
-func (p *listPlacer) SetRunID(placement.Choice, string)           {}
-func (p *listPlacer) Done(placement.Choice, placement.Result)     {}
-func (p *listPlacer) ReportLoad(placement.Choice, *exchange.Load) {}
-func (p *listPlacer) DataReceived(string)                         {}
+func (p *listPlacer) SetRunID(placement.Choice, string)                          {}
+func (p *listPlacer) SetProgress(placement.Choice, time.Duration, time.Duration) {}
+func (p *listPlacer) Done(placement.Choice, placement.Result)                    {}
+func (p *listPlacer) ReportLoad(placement.Choice, *exchange.Load)                {}
+func (p *listPlacer) DataReceived(string)                                        {}
 
 func choiceOf(version string) placement.Choice {
 	return placement.Choice{Target: roster.Target{Version: version}}
--- a/internal/coordination/routed/broker/allocator.go
+++ b/internal/coordination/routed/broker/allocator.go
@@ -41,6 +41,8 @@
 	ReserveAfterYield time.Duration
 	// lastYield is when an item last had to yield.
 	lastYield time.Time
+	// troughs decides which items start, by the forecast of demand.
+	troughs troughs
 }
 
 // Allocation is a slot granted to a waiting request or batch item.
@@ -67,11 +69,12 @@
 // Enqueue adds a request to the queue. Allocate grants its slot.
 func (a *SlotAllocator) Enqueue(now time.Time, req *PlaceRequest) *Waiter {
 	w := &Waiter{
-		instance: req.Instance, hold: Hold{Number: req.Number, Due: req.Due, Lasts: req.Lasts}, requirements: req.Want,
+		instance: req.Instance, hold: Hold{Number: req.Number, Due: req.Due, Lasts: req.Lasts, Needs: req.Needs, Laxity: req.OnTimeIn, Unstored: req.Unstored}, requirements: req.Want,
 		sendBy: now.Add(req.OnTimeIn), arrived: now.Add(-req.Age),
 	}
 	a.ApplyReport(now, req.Told)
 	a.queue.add(w)
+	a.troughs.requested(now)
 	return w
 }
 
@@ -83,6 +86,7 @@
 
 // Allocate grants free slots to waiters.
 func (a *SlotAllocator) Allocate(now time.Time) []Allocation {
+	a.observeDemand(now)
 	if a.queue.len() == 0 {
 		return nil
 	}
@@ -92,6 +96,9 @@
 		if w.requirements.Batch && a.freeSlotsReserved(now, w.requirements.Service) {
 			return false
 		}
+		if w.requirements.Batch && !a.mayStart(now, w) {
+			return false
+		}
 		grant, yielding, ok := a.Place(now, w.instance, w.hold, w.requirements)
 		if !ok {
 			return false
--- a/internal/coordination/routed/broker/broker.go
+++ b/internal/coordination/routed/broker/broker.go
@@ -48,6 +48,8 @@
 	checks       *checkSchedule
 	// checkAdded is signalled when a target needs a health check.
 	checkAdded chan struct{}
+	// decisions counts the items that started by a forecast.
+	decisions forecastDecisions
 	// isSoleBroker reports whether no other broker of the domain grants slots. soleBroker is
 	// its result as of soleBrokerAt.
 	isSoleBroker func() bool
@@ -96,7 +98,10 @@
 // Serve expires the holds of silent instances until ctx ends.
 func (b *Broker) Serve(ctx context.Context) error {
 	return wait.Every(ctx, expireInterval, func() {
-		b.update(func(now time.Time) { b.allocator.Expire(now) })
+		b.update(func(now time.Time) {
+			b.allocator.Expire(now)
+			b.logForecasts(now)
+		})
 	})
 }
 
@@ -161,6 +166,7 @@
 		b.grants[a.Waiter] <- a.Grant
 		if a.Waiter.requirements.Batch {
 			batchGrants.Inc()
+			b.decisions.count(a.Waiter.start)
 		} else {
 			onlineGrants.Inc()
 		}
@@ -193,6 +199,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	reply.Free = b.allocator.Free(time.Now())
+	if !reply.Granted {
+		if reply.Held = b.allocator.held(time.Now(), w); reply.Held.Period > 0 {
+			b.decisions.count(startHeld)
+		}
+	}
 	return reply
 }
 
--- a/internal/coordination/routed/broker/client.go
+++ b/internal/coordination/routed/broker/client.go
@@ -88,6 +88,10 @@
 	rankings map[string]*ranking
 	// failureReportedAt is when the failure of a target was last reported.
 	failureReportedAt map[string]time.Time
+	// progress is by the number of a hold of a batch item.
+	progress map[uint64]itemProgress
+	// waitsLoggedAt is when a line about an item that waits for the forecast was last written.
+	waitsLoggedAt time.Time
 }
 
 // domain is the state kept for one failure domain.
@@ -102,7 +106,7 @@
 	return &Client{
 		opts: opts, holds: map[uint64]Hold{}, targets: map[string]roster.Target{}, domains: map[string]*domain{},
 		outboxes: map[string]*outbox{}, avoidUntil: map[string]time.Time{}, reportedAt: map[string]time.Time{}, rankings: map[string]*ranking{},
-		failureReportedAt: map[string]time.Time{},
+		failureReportedAt: map[string]time.Time{}, progress: map[uint64]itemProgress{},
 	}
 }
 
@@ -187,6 +191,11 @@
 	Deadline, StartBy time.Time
 	// MaxRuntime is the longest time that a target is busy with the item.
 	MaxRuntime time.Duration
+	// Needs is how long the item is expected to run, and Unstored how long its output takes to
+	// produce again that is not stored yet.
+	Needs, Unstored time.Duration
+	// ID and Job name the item and its job in log lines.
+	ID, Job string
 }
 
 // PlaceItem chooses a target of one failure domain for a batch item, and waits up to batchWait
@@ -202,8 +211,12 @@
 	request := &PlaceRequest{
 		Domain: name, Want: want, Wait: batchWait,
 		OnTimeIn: time.Until(item.StartBy), Due: item.Deadline.UnixMilli(), Lasts: item.MaxRuntime,
+		Needs: item.Needs, Unstored: item.Unstored,
+	}
+	choice, held, answered := c.requestItemSlot(ctx, request)
+	if held.Period > 0 {
+		c.logItemWaits(item, name, held)
 	}
-	choice, answered := c.requestSlot(ctx, request)
 	if answered {
 		return choice, choice.ID != ""
 	}
@@ -252,6 +265,12 @@
 // requestSlot sends a request to the broker of its domain, and to the next broker if that one
 // does not answer.
 func (c *Client) requestSlot(ctx context.Context, request *PlaceRequest) (choice placement.Choice, answered bool) {
+	choice, _, answered = c.requestItemSlot(ctx, request)
+	return choice, answered
+}
+
+// requestItemSlot is requestSlot that also returns why a batch item was held.
+func (c *Client) requestItemSlot(ctx context.Context, request *PlaceRequest) (choice placement.Choice, held ForecastHold, answered bool) {
 	request.Want.Exclude = append(c.opts.Local.Untrusted(request.Want), request.Want.Exclude...)
 	request.Want.Exclude = append(request.Want.Exclude, c.otherVersions(request)...)
 	request.Want.Connected = c.connected(request.Domain, request.Want.Service)
@@ -269,9 +288,9 @@
 			c.avoidBroker(address, request.Domain, errVersionIgnored)
 			continue
 		}
-		return choice, true
+		return choice, reply.Held, true
 	}
-	return placement.Choice{}, false
+	return placement.Choice{}, ForecastHold{}, false
 }
 
 // errVersionIgnored: a broker chose a target that this instance does not list, or lists with
@@ -324,6 +343,9 @@
 		d.free, d.freeAt = reply.Free, time.Now()
 	}
 	if reply.Granted {
+		if request.Needs > 0 {
+			c.progress[request.Number] = itemProgress{Needs: request.Needs, Laxity: request.OnTimeIn, Unstored: request.Unstored, at: time.Now()}
+		}
 		c.holds[request.Number] = Hold{Number: request.Number, Target: reply.Grant.Target.ID, Batch: request.Want.Batch, Due: request.Due, Lasts: request.Lasts, Run: request.Want.Run}
 	}
 	c.mu.Unlock()
@@ -382,6 +404,7 @@
 	}
 	c.mu.Lock()
 	delete(c.holds, choice.Number)
+	delete(c.progress, choice.Number)
 	c.mu.Unlock()
 	c.release(choice.Broker, choice.Number)
 }
--- a/internal/coordination/routed/broker/holdtable.go
+++ b/internal/coordination/routed/broker/holdtable.go
@@ -34,6 +34,11 @@
 	targets   map[string]roster.Target
 	// pinned is the number of pinned holds.
 	pinned int
+	// yieldsByCost makes the item yield that loses least, and not the one with the latest
+	// deadline. yieldWait is how long an item that yields is expected to wait for a slot, 0 if
+	// it is not known: then the deadline decides.
+	yieldsByCost bool
+	yieldWait    func(service string) time.Duration
 }
 
 type holdKey struct {
@@ -46,6 +51,8 @@
 	instance string
 	choice   placement.Choice
 	since    time.Time
+	// asOf is the time to which Needs, Laxity and Unstored refer.
+	asOf time.Time
 	// yielding is set once the batch item was asked to yield its slot. pinned is set if the
 	// item cannot be asked, because its instance is not reachable.
 	yielding, pinned bool
@@ -127,11 +134,14 @@
 	key := holdKey{instance, h.Number}
 	if known := t.holds[key]; known != nil {
 		known.Run = h.Run
+		if h.Needs > 0 {
+			known.Needs, known.Laxity, known.Unstored, known.asOf = h.Needs, h.Laxity, h.Unstored, now
+		}
 		return
 	}
 	choice, ok := t.core.Acquire(now, h.Target, h.Batch)
 	if ok {
-		t.holds[key] = &trackedHold{Hold: h, instance: instance, choice: choice, since: now}
+		t.holds[key] = &trackedHold{Hold: h, instance: instance, choice: choice, since: now, asOf: now}
 	}
 }
 
@@ -239,19 +249,16 @@
 // Place grants a slot. If a batch item must yield its slot for it, the item's hold is returned
 // too. The slot of that item counts as free from then on.
 func (t *HoldTable) Place(now time.Time, instance string, h Hold, req placement.Requirements) (grant Grant, yielding *trackedHold, ok bool) {
-	choice, ok := t.core.Pick(now, req)
+	choice, yielding, ok := t.pick(now, req)
 	if !ok {
 		return Grant{}, nil, false
 	}
 	h.Target, h.Batch, h.Run = choice.ID, req.Batch, req.Run
-	if choice.MustPreempt {
-		yielding = t.latestDeadline(choice.ID)
-	}
 	if yielding != nil {
 		yielding.yielding = true
 		t.core.Release(yielding.choice)
 	}
-	t.holds[holdKey{instance, h.Number}] = &trackedHold{Hold: h, instance: instance, choice: choice, since: now}
+	t.holds[holdKey{instance, h.Number}] = &trackedHold{Hold: h, instance: instance, choice: choice, since: now, asOf: now}
 	grant = Grant{Number: h.Number, Target: choice.Target, Busy: choice.Busy, Slots: choice.Slots}
 	grant.Unsure = choice.Unaccounted + len(t.pinnedHolds(choice.ID))
 	return grant, yielding, true
--- a/internal/coordination/routed/broker/messages.go
+++ b/internal/coordination/routed/broker/messages.go
@@ -21,6 +21,11 @@
 	Lasts time.Duration
 	// Run is the ID under which the target runs the request. Empty: not known yet.
 	Run string
+	// Needs is how long a batch item still needs until it ends, as of the message. 0: not
+	// known; then two thirds of Lasts are assumed. Laxity is how long it could wait and still meet its deadline, and Unstored how
+	// long the output takes to produce again that is not stored yet. Both are set only if
+	// Needs is.
+	Needs, Laxity, Unstored time.Duration
 }
 
 // HoldReport is an instance's report of its holds at the targets of one failure domain.
@@ -61,6 +66,10 @@
 	// that the target is busy with the item.
 	Due   int64
 	Lasts time.Duration
+	// Needs is how long a batch item still needs once it runs, and Unstored how long the
+	// output takes to produce again that is not stored yet. 0: not known, the item starts and
+	// yields as at a broker without a forecast.
+	Needs, Unstored time.Duration
 }
 
 // Grant is a granted slot.
@@ -79,6 +88,8 @@
 	Grant   Grant
 	// Free is the number of free slots that are left in the domain.
 	Free int
+	// Held says why a batch item got no slot although one was free.
+	Held ForecastHold
 }
 
 // Names of the net/rpc methods.
--- a/internal/coordination/routed/broker/reports.go
+++ b/internal/coordination/routed/broker/reports.go
@@ -121,7 +121,7 @@
 	report.Whole = true
 	for _, h := range c.holds {
 		if c.targets[h.Target].Domain == name {
-			report.Held = append(report.Held, h)
+			report.Held = append(report.Held, c.progress[h.Number].addTo(now, h))
 		}
 	}
 	for _, t := range c.opts.Local.Replaced(name) {
--- a/internal/coordination/routed/broker/waitqueue.go
+++ b/internal/coordination/routed/broker/waitqueue.go
@@ -16,6 +16,8 @@
 	// sendBy is when the request must be sent for its answer to be on time. arrived is when
 	// it arrived at the requesting instance.
 	sendBy, arrived time.Time
+	// start is the decision about a batch item by the forecast of demand.
+	start startDecision
 }
 
 // waitQueue holds the requests and batch items that wait at a broker.
@@ -93,7 +95,7 @@
 		}
 		// A waiter that excludes some targets, or needs certain software versions, may find no slot
 		// although others can.
-		full[w.requirements.Service] = len(w.requirements.Exclude) == 0 && len(w.requirements.Versions) == 0
+		full[w.requirements.Service] = w.start != startHeld && len(w.requirements.Exclude) == 0 && len(w.requirements.Versions) == 0
 		kept = append(kept, w)
 	}
 	q.waiters = kept
--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -178,6 +178,9 @@
 func (d *Daemon) setupBroker() {
 	yield := func(instance string, number uint64) bool { return d.jobService.Yield(instance, number) }
 	d.broker = broker.New(d.self.Domain, xxhash.Sum64String(d.self.Name), yield)
+	if d.settings.Adaptive.BatchForecast {
+		d.broker.UseForecast(d.logger)
+	}
 	d.brokerClient = broker.NewClient(broker.ClientOptions{
 		Self: d.self, Peers: d.mesh, Caller: d.peerClient, Broker: d.broker, Local: d.placer,
 		Connected: d.targets.Connected, Logger: d.logger,
--- a/internal/explain/causes.go
+++ b/internal/explain/causes.go
@@ -50,7 +50,9 @@
 	case "item_run":
 		return describeItemRun(r)
 	case "item_yields":
-		return fmt.Sprintf("item %s yielded its slot at %s to an online request", r.Fields["item"], r.Fields["target"])
+		return describeItemYields(r)
+	case "item_waits":
+		return describeItemWaits(r)
 	case "item_held":
 		return fmt.Sprintf("item %s waits: targets crash when they begin to answer some of its prompt parts %s", r.Fields["item"], r.Fields["parts"])
 	case "item_restarted":
@@ -147,6 +149,23 @@
 	return text
 }
 
+// describeItemWaits says why an item got no slot although one was free.
+func describeItemWaits(r *Record) string {
+	return fmt.Sprintf("item %s waits in %s: online requests need %s slots and are expected to need %s before it ends, in %s; demand repeats after %s, and the item can wait for %s",
+		r.Fields["item"], r.Fields["domain"], r.Fields["demand"], r.Fields["expected"], seconds(r.Number("needs_ms")),
+		seconds(r.Number("period_ms")), seconds(r.Number("laxity_ms")))
+}
+
+// describeItemYields says what a preempted item had done.
+func describeItemYields(r *Record) string {
+	text := fmt.Sprintf("item %s yielded its slot at %s to an online request", r.Fields["item"], r.Fields["target"])
+	if r.Fields["ran_ms"] == "" {
+		return text
+	}
+	return text + fmt.Sprintf(" after %s; it goes on after its %s events, of which %s were not stored yet",
+		seconds(r.Number("ran_ms")), r.Fields["events"], r.Fields["unstored"])
+}
+
 // ofVersion gives the software version of the target of a line, "" for a line without one.
 func ofVersion(r *Record) string {
 	if r.Fields["version"] == "" {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -77,15 +77,18 @@
 at=2026-12-03T10:00:00Z event=job_submitted job=j items=2 outcome=done
 at=2026-12-03T10:00:04Z event=item_run item=i job=j target=t1 how=left from=-1 position=40 took_ms=900 due_in_ms=9000 err="context canceled"
 at=2026-12-03T10:00:04Z event=item_yields item=i job=j target=t1
+at=2026-12-03T10:00:09Z event=item_waits item=i job=j domain=d1 demand=28 expected=145 room=-12 period_ms=6000 confidence_percent=88 needs_ms=4000 laxity_ms=7500
+at=2026-12-03T10:00:14Z event=item_yields item=i job=j target=t3 ran_ms=900 events=60 unstored=12 due_in_ms=5000
 `, "b": `
 at=2026-12-03T10:00:20Z event=item_run item=i job=j target=t2 how=whole from=40 position=200 took_ms=4000 due_in_ms=-2500 err=null
 `})
 	item := logs.Explain("i")
 	require.Equal(t, Item, item.Kind)
-	requireCause(t, item, "yielded its slot at t1 to an online request", "from event 40 to 200", "2.50 s after its deadline")
+	requireCause(t, item, "yielded its slot at t1 to an online request", "expected to need 145 before it ends, in 4.00 s",
+		"yielded its slot at t3 to an online request after 0.90 s; it goes on after its 60 events, of which 12 were not stored yet", "from event 40 to 200", "2.50 s after its deadline")
 	job := logs.Explain("j")
 	require.Equal(t, Job, job.Kind)
-	require.Len(t, job.Lines, 4)
+	require.Len(t, job.Lines, 6)
 }
 
 // Guards against a stream that went on at a target, or was rejected, and no line tells by which
--- a/internal/policybench/slots/broker.go
+++ b/internal/policybench/slots/broker.go
@@ -1,7 +1,9 @@
 package slots
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"merlintiller/internal/coordination/routed/broker"
@@ -30,6 +32,16 @@
 	yieldFuncs map[uint64]func() bool
 	// requesting has the item requests in flight.
 	requesting map[itemRequestKey]bool
+	// held has the slots that instances hold, by the number of their grants.
+	held map[uint64]heldSlot
+}
+
+// heldSlot is a slot that an instance holds.
+type heldSlot struct {
+	inst   *instance
+	domain string
+	hold   broker.Hold
+	since  time.Time
 }
 
 type itemRequestKey struct {
@@ -50,16 +62,66 @@
 const allDomains = "all"
 
 func newBrokerSource(sim *simulation, strategy Strategy) *brokerSource {
-	b := &brokerSource{simulation: sim, strategy: strategy, brokers: map[string]*domainBroker{}, yieldFuncs: map[uint64]func() bool{}, requesting: map[itemRequestKey]bool{}}
+	b := &brokerSource{simulation: sim, strategy: strategy, brokers: map[string]*domainBroker{}, yieldFuncs: map[uint64]func() bool{}, requesting: map[itemRequestKey]bool{}, held: map[uint64]heldSlot{}}
 	for _, name := range b.brokerDomains() {
-		core := placement.New(placement.Options{Domain: name, Random: rand.New(rand.NewPCG(sim.random.Uint64(), 1))})
-		d := &domainBroker{brokerSource: b, domain: name, allocator: broker.NewSlotAllocator(core), pending: map[*broker.Waiter]func(broker.Grant, bool){}}
-		d.allocator.PauseAfterYield, d.allocator.ReserveAfterYield = strategy.PauseAfterYield, strategy.ReserveAfterYield
+		d := &domainBroker{brokerSource: b, domain: name, pending: map[*broker.Waiter]func(broker.Grant, bool){}}
+		d.newAllocator()
 		b.brokers[name] = d
 	}
+	if sim.NewBrokersAt > 0 {
+		sim.clock.After(sim.NewBrokersAt, b.replaceBrokers)
+	}
 	return b
 }
 
+// newAllocator gives a broker an allocator without holds.
+func (d *domainBroker) newAllocator() {
+	core := placement.New(placement.Options{Domain: d.domain, Random: rand.New(rand.NewPCG(d.random.Uint64(), 1))})
+	d.allocator = broker.NewSlotAllocator(core)
+	d.allocator.PauseAfterYield, d.allocator.ReserveAfterYield = d.strategy.PauseAfterYield, d.strategy.ReserveAfterYield
+	if d.strategy.Forecast {
+		d.allocator.UseForecast()
+	}
+}
+
+// reportInterval is the interval of full reports of the holds.
+const reportInterval = 400 * time.Millisecond
+
+// replaceBrokers replaces each broker by a successor, as when the instance of a broker dies. Its
+// waiters ask again, and each instance reports its holds within reportInterval.
+func (b *brokerSource) replaceBrokers() {
+	for _, name := range b.brokerDomains() {
+		d := b.brokers[name]
+		d.newAllocator()
+		pending := d.pending
+		d.pending = map[*broker.Waiter]func(broker.Grant, bool){}
+		for _, answer := range pending {
+			answer(broker.Grant{}, false)
+		}
+	}
+	b.setTargets(nil)
+	for i, inst := range b.instances {
+		b.clock.After(reportInterval*time.Duration(i)/time.Duration(len(b.instances)), func() { b.reportHolds(inst) })
+	}
+}
+
+// reportHolds sends a full report of an instance to each broker.
+func (b *brokerSource) reportHolds(inst *instance) {
+	for _, name := range b.brokerDomains() {
+		report := broker.HoldReport{Instance: inst.name(), Whole: true}
+		for _, h := range b.held {
+			if h.inst == inst && h.domain == name {
+				if h.hold.Needs > 0 {
+					h.hold.Needs = max(time.Millisecond, h.hold.Needs-b.clock.Now().Sub(h.since))
+				}
+				report.Held = append(report.Held, h.hold)
+			}
+		}
+		slices.SortFunc(report.Held, func(a, b broker.Hold) int { return cmp.Compare(a.Number, b.Number) })
+		b.brokers[name].allocator.ApplyReport(b.clock.Now(), report)
+	}
+}
+
 func (b *brokerSource) brokerDomains() []string {
 	if b.strategy.Ideal {
 		return []string{allDomains}
@@ -142,7 +204,7 @@
 	request.Number, request.Instance = b.lastRequest, inst.name()
 	b.clock.After(delay, func() {
 		d.enqueue(request, wait, func(grant broker.Grant, ok bool) {
-			b.clock.After(delay, func() { answer(b.slot(inst, d, grant), ok) })
+			b.clock.After(delay, func() { answer(b.slot(inst, d, &request, grant), ok) })
 		})
 	})
 }
@@ -150,12 +212,20 @@
 func (inst *instance) name() string { return string(rune('a' + inst.number)) }
 
 // slot returns the slot of a grant.
-func (b *brokerSource) slot(inst *instance, d *domainBroker, grant broker.Grant) slot {
+func (b *brokerSource) slot(inst *instance, d *domainBroker, request *broker.PlaceRequest, grant broker.Grant) slot {
 	number := grant.Number
+	if number > 0 {
+		hold := broker.Hold{
+			Number: number, Target: grant.Target.ID, Batch: request.Want.Batch, Due: request.Due, Lasts: request.Lasts,
+			Needs: request.Needs, Laxity: request.OnTimeIn,
+		}
+		b.held[number] = heldSlot{inst: inst, domain: d.domain, hold: hold, since: b.clock.Now()}
+	}
 	return slot{
 		engine: b.engines[grant.Target.ID],
 		release: func() {
 			delete(b.yieldFuncs, number)
+			delete(b.held, number)
 			b.clock.After(b.brokerDelay(inst, d), func() {
 				d.allocator.ApplyReport(b.clock.Now(), broker.HoldReport{Instance: inst.name(), Released: []uint64{number}})
 				d.allocate()
@@ -184,6 +254,7 @@
 	b.requesting[key] = true
 	request := broker.PlaceRequest{
 		Want: itemRequirements(), Due: it.deadline.UnixMilli(), OnTimeIn: it.startBy().Sub(b.clock.Now()), Lasts: assumedItemTime,
+		Needs: it.needs(),
 	}
 	b.sendRequest(inst, b.brokers[name], request, itemWait, func(s slot, ok bool) {
 		b.requesting[key] = false
--- a/internal/policybench/slots/engine.go
+++ b/internal/policybench/slots/engine.go
@@ -52,6 +52,8 @@
 	roundScheduled bool
 	// lost is set while the target is unreachable.
 	lost bool
+	// stepFactor multiplies the time of a decode step.
+	stepFactor float64
 }
 
 // offer puts a request into the engine's queue and reports whether there was room. A
@@ -108,7 +110,7 @@
 // prompts that are still unread.
 func (e *engine) roundTime() time.Duration {
 	stepTime := decodeStepTime + time.Duration(len(e.running)-1)*stepTimePerRequest
-	took := tokensPerEvent * stepTime
+	took := time.Duration(tokensPerEvent * float64(stepTime) * e.stepFactor)
 	for _, r := range e.running {
 		if r.unreadTokens > 0 {
 			took += time.Duration(r.unreadTokens) * time.Millisecond / promptTokensPerMs
--- a/internal/policybench/slots/load.go
+++ b/internal/policybench/slots/load.go
@@ -1,6 +1,7 @@
 package slots
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -17,6 +18,11 @@
 	// RequestsPerSecond and JobsPerSecond are the mean rates of online requests and
 	// of batch jobs.
 	RequestsPerSecond, JobsPerSecond float64
+	// RequestEvents and ItemEvents are the mean output lengths. 0: meanRequestEvents and
+	// meanItemEvents.
+	RequestEvents, ItemEvents int
+	// StepFactor multiplies the time that engines take for a decode step. 0: 1.
+	StepFactor float64
 }
 
 // Deployments returns both production deployments at their present size, and a
@@ -54,6 +60,16 @@
 	BurstFactor float64
 	// JobFactor multiplies the rate of jobs from second 20 to 23.
 	JobFactor float64
+	// Swing is the factor of the online load by the time since the start of the run. nil: a
+	// square wave.
+	Swing func(at time.Duration) float64
+	// Duration is the time for which load arrives. 0: loadDuration.
+	Duration time.Duration
+	// MeasureFrom is the time from which requests, jobs and yields are counted.
+	MeasureFrom time.Duration
+	// NewBrokersAt is when each broker is replaced by a successor that learns the holds from the
+	// instances. 0: never.
+	NewBrokersAt time.Duration
 	// LostTargets is the number of targets that are unreachable from second 26 to
 	// 31.
 	LostTargets int
@@ -62,16 +78,28 @@
 // onlineFactor returns the factor of the online load at a time since the start of the
 // run.
 func (s Scenario) onlineFactor(at time.Duration) float64 {
-	factor := lowFactor
-	if at%swingPeriod >= lowDuration {
-		factor = highFactor
+	swing := s.Swing
+	if swing == nil {
+		swing = squareSwing
 	}
+	factor := swing(at)
 	if s.BurstFactor > 0 && at >= 14*time.Second && at < 18*time.Second {
 		factor *= s.BurstFactor
 	}
 	return factor
 }
 
+// squareSwing alternates between lowFactor and highFactor.
+func squareSwing(at time.Duration) float64 {
+	if at%swingPeriod >= lowDuration {
+		return highFactor
+	}
+	return lowFactor
+}
+
+// duration returns the time for which load arrives.
+func (s Scenario) duration() time.Duration { return cmp.Or(s.Duration, loadDuration) }
+
 // jobFactor returns the factor of the rate of jobs at a time since the start of the run.
 func (s Scenario) jobFactor(at time.Duration) float64 {
 	if s.JobFactor > 0 && at >= 20*time.Second && at < 23*time.Second {
--- a/internal/policybench/slots/simulation.go
+++ b/internal/policybench/slots/simulation.go
@@ -1,6 +1,7 @@
 package slots
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -40,6 +41,9 @@
 	// their deadline. Runs counts the runs of all items; an item that yields runs
 	// again.
 	Items, ItemsOnTime, Runs int
+	// Jobs counts the jobs submitted, JobsOnTime those whose items all ended before the
+	// deadline. Results counts the items that ended, Yields the runs that were preempted.
+	Jobs, JobsOnTime, Results, Yields int
 }
 
 // Add adds the counts of o.
@@ -51,6 +55,10 @@
 	r.Items += o.Items
 	r.ItemsOnTime += o.ItemsOnTime
 	r.Runs += o.Runs
+	r.Jobs += o.Jobs
+	r.JobsOnTime += o.JobsOnTime
+	r.Results += o.Results
+	r.Yields += o.Yields
 }
 
 // OnTimeShare returns the share of requests served within the objective, 0 to 1.
@@ -59,6 +67,12 @@
 // ItemsOnTimeShare returns the share of items that ended before their deadline, 0 to 1.
 func (r Result) ItemsOnTimeShare() float64 { return float64(r.ItemsOnTime) / float64(max(1, r.Items)) }
 
+// JobsOnTimeShare returns the share of jobs that ended before their deadline, 0 to 1.
+func (r Result) JobsOnTimeShare() float64 { return float64(r.JobsOnTime) / float64(max(1, r.Jobs)) }
+
+// YieldsPerResult returns the number of preempted runs for each item that ended.
+func (r Result) YieldsPerResult() float64 { return float64(r.Yields) / float64(max(1, r.Results)) }
+
 // simulation is the state of one run.
 type simulation struct {
 	Deployment
@@ -103,6 +117,14 @@
 type item struct {
 	deadline         time.Time
 	events, produced int
+	job              *job
+}
+
+// job is a batch job of some items that have not ended yet.
+type job struct {
+	open     int
+	deadline time.Time
+	measured bool
 }
 
 // Simulate runs one simulation with a strategy of allocating slots.
@@ -112,7 +134,7 @@
 		engines: map[string]*engine{},
 	}
 	for _, target := range d.targetList() {
-		sim.engines[target.ID] = &engine{clock: sim.clock, id: target.ID, domain: target.Domain}
+		sim.engines[target.ID] = &engine{clock: sim.clock, id: target.ID, domain: target.Domain, stepFactor: cmp.Or(d.StepFactor, 1)}
 	}
 	for i := range d.Instances {
 		sim.instances = append(sim.instances, &instance{number: i, domain: d.domainOf(i)})
@@ -122,7 +144,7 @@
 	sim.scheduleArrivals(sim.RequestsPerSecond, func(at time.Duration) float64 { return sim.onlineFactor(at) }, sim.submitRequest)
 	sim.scheduleArrivals(sim.Deployment.JobsPerSecond, sim.Scenario.jobFactor, sim.submitJob)
 	sim.scheduleTargetLoss()
-	sim.clock.Run(loadDuration + finishDuration)
+	sim.clock.Run(scenario.duration() + finishDuration)
 	return sim.result
 }
 
@@ -130,7 +152,7 @@
 // times are drawn at the highest rate, and some of them are discarded.
 func (sim *simulation) scheduleArrivals(perSecond float64, factor func(at time.Duration) float64, arrive func()) {
 	at := sim.clock.Now().Sub(virtual.Start)
-	if at >= loadDuration {
+	if at >= sim.duration() {
 		return
 	}
 	// maxFactor is higher than every factor of a run.
@@ -177,20 +199,23 @@
 func (sim *simulation) submitRequest() {
 	inst := sim.instances[sim.random.IntN(len(sim.instances))]
 	arrived := sim.clock.Now()
-	length := randomLength(sim.random, meanRequestEvents)
-	sim.result.Requests++
+	length := randomLength(sim.random, cmp.Or(sim.RequestEvents, meanRequestEvents))
+	measured := sim.measuring()
+	if measured {
+		sim.result.Requests++
+	}
 	sim.slotSource.requestSlot(inst, arrived, func(s slot, ok bool) {
 		if !ok {
-			sim.result.Rejected++
+			sim.count(&sim.result.Rejected, measured)
 			return
 		}
-		sim.sendToEngine(inst, s, arrived, length)
+		sim.sendToEngine(inst, s, arrived, length, measured)
 	})
 }
 
 // sendToEngine sends a request to the engine of its slot and counts the time to the
 // first event.
-func (sim *simulation) sendToEngine(inst *instance, s slot, arrived time.Time, length int) {
+func (sim *simulation) sendToEngine(inst *instance, s slot, arrived time.Time, length int, measured bool) {
 	delay := sim.messageDelay(inst, s.engine.domain)
 	served := false
 	r := &engineRequest{online: true, events: length, unreadTokens: promptTokens, onEnd: s.release}
@@ -200,14 +225,14 @@
 		}
 		served = true
 		if sim.clock.Now().Add(delay).Sub(arrived) <= objective {
-			sim.result.OnTime++
+			sim.count(&sim.result.OnTime, measured)
 		} else {
-			sim.result.Late++
+			sim.count(&sim.result.Late, measured)
 		}
 	}
 	sim.clock.After(delay, func() {
 		if !s.engine.offer(r) {
-			sim.result.Rejected++
+			sim.count(&sim.result.Rejected, measured)
 			s.release()
 		}
 		if s.engine.lost {
@@ -219,9 +244,11 @@
 // submitJob submits a batch job to a random instance.
 func (sim *simulation) submitJob() {
 	inst := sim.instances[sim.random.IntN(len(sim.instances))]
+	j := &job{open: itemsPerJob, deadline: sim.clock.Now().Add(jobDeadline), measured: sim.measuring()}
+	sim.count(&sim.result.Jobs, j.measured)
 	for range itemsPerJob {
-		sim.result.Items++
-		inst.waitingItems = append(inst.waitingItems, &item{deadline: sim.clock.Now().Add(jobDeadline), events: randomLength(sim.random, meanItemEvents)})
+		sim.count(&sim.result.Items, j.measured)
+		inst.waitingItems = append(inst.waitingItems, &item{deadline: j.deadline, events: randomLength(sim.random, cmp.Or(sim.ItemEvents, meanItemEvents)), job: j})
 	}
 	sim.slotSource.startItems(inst)
 }
@@ -243,8 +270,13 @@
 // startBy returns the latest time at which the rest of the item can be started to end
 // before its deadline.
 func (it *item) startBy() time.Time {
+	return it.deadline.Add(-it.needs())
+}
+
+// needs returns the run time expected for the rest of the item.
+func (it *item) needs() time.Duration {
 	remaining := float64(it.events-it.produced) / float64(it.events)
-	return it.deadline.Add(-time.Duration(remaining * float64(assumedItemTime)))
+	return time.Duration(remaining * float64(assumedItemTime))
 }
 
 // startItem runs the most urgent item of an instance in a slot.
@@ -255,14 +287,12 @@
 		return
 	}
 	inst.waitingItems = without(inst.waitingItems, it)
-	sim.result.Runs++
+	sim.count(&sim.result.Runs, sim.measuring())
 	r := &engineRequest{events: it.events - it.produced, unreadTokens: promptTokens + it.produced*tokensPerEvent}
 	r.onEvent = func() { it.produced++ }
 	r.onEnd = func() {
 		s.release()
-		if !sim.clock.Now().After(it.deadline) {
-			sim.result.ItemsOnTime++
-		}
+		sim.finishItem(it)
 	}
 	requeue := func(after time.Duration) {
 		s.engine.remove(r)
@@ -277,6 +307,7 @@
 			if r.removed {
 				return false
 			}
+			sim.count(&sim.result.Yields, sim.measuring())
 			requeue(retryDelay)
 			return true
 		})
@@ -292,6 +323,27 @@
 	})
 }
 
+// measuring reports whether what begins now is counted.
+func (sim *simulation) measuring() bool {
+	return sim.clock.Now().Sub(virtual.Start) >= sim.MeasureFrom
+}
+
+// count increments a count of the result if what it counts is measured.
+func (sim *simulation) count(n *int, measured bool) {
+	if measured {
+		*n++
+	}
+}
+
+// finishItem counts an item that ended, and its job if it was the last one.
+func (sim *simulation) finishItem(it *item) {
+	onTime := !sim.clock.Now().After(it.deadline)
+	sim.count(&sim.result.Results, sim.measuring())
+	sim.count(&sim.result.ItemsOnTime, onTime && it.job.measured)
+	it.job.open--
+	sim.count(&sim.result.JobsOnTime, onTime && it.job.open == 0 && it.job.measured)
+}
+
 func without(list []*item, it *item) []*item {
 	out := list[:0]
 	for _, other := range list {
--- a/internal/policybench/slots/strategies.go
+++ b/internal/policybench/slots/strategies.go
@@ -22,6 +22,8 @@
 	ReserveAfterYield time.Duration
 	// FIFO serves online requests in order of arrival.
 	FIFO bool
+	// Forecast starts and preempts items by a forecast of the online requests.
+	Forecast bool
 	// Ideal has one broker for all failure domains, whose messages take no time. No
 	// strategy can have more information.
 	Ideal bool
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -46,10 +46,21 @@
 	// reports that it is not ready: the load balancer probes once a second and removes
 	// an instance after two failed probes. The default is at most two fifths of grace.
 	DrainNotice time.Duration `yaml:"drain_notice"`
+	// Adaptive holds the settings of decisions that follow the load.
+	Adaptive Adaptive `yaml:"adaptive"`
 	// Log holds the level and the format of the log.
 	Log Log `yaml:"log"`
 }
 
+// Adaptive holds the settings of decisions that follow the load. Each one turns a decision on or
+// off.
+type Adaptive struct {
+	// BatchForecast makes brokers forecast the demand of online requests while it varies in a way
+	// that repeats, and start and preempt batch items by that. Without it, items start whenever a
+	// slot is free.
+	BatchForecast bool `yaml:"batch_forecast"`
+}
+
 // RoutedListen holds addresses as "ip:port".
 type RoutedListen struct {
 	// Callers is the address for callers' requests.
--- a/internal/settings/routed_test.go
+++ b/internal/settings/routed_test.go
@@ -95,6 +95,7 @@
 		require.NoError(t, err)
 		require.Equal(t, 2500*time.Millisecond, s.Grace)
 		require.Equal(t, 184, s.MemoryMB)
+		require.True(t, s.Adaptive.BatchForecast)
 		require.InDelta(t, 0.192, s.CPUCores, 0)
 		require.Equal(t, bound != "", s.ResultsReadable == 2*time.Minute)
 	}
