--- a/internal/coordination/routed/broker/troughs.go
+++ b/internal/coordination/routed/broker/troughs.go
@@ -33,7 +33,7 @@
 	// fullUse is the share of the slots not used by online requests that batch items use on average
 	// from which items start as before already at a laxity of fullPressedPeriods: what is kept free
 	// then is soon missing. useWeight is the weight of a sample in that mean, about ten seconds.
-	fullUse            = 0.7
+	fullUse            = 0.75
 	fullPressedPeriods = 1.25
 	useWeight          = 1.0 / 100
 	// learnHolds is how long items wait at a broker that begins to get requests. It learns within
