--- a/internal/coordination/routed/broker/broker.go
+++ b/internal/coordination/routed/broker/broker.go
@@ -50,6 +50,8 @@
 	checks       *checkSchedule
 	// checkAdded is signalled when a target needs a health check.
 	checkAdded chan struct{}
+	// itemStarts counts the items that started by a forecast.
+	itemStarts forecastDecisions
 	// isSoleBroker reports whether no other broker of the domain grants slots. soleBroker is
 	// its result as of soleBrokerAt.
 	isSoleBroker func() bool
@@ -104,7 +106,10 @@
 // Serve expires the holds of silent instances until ctx ends.
 func (b *Broker) Serve(ctx context.Context) error {
 	return wait.Every(ctx, expireInterval, func() {
-		b.update(func(now time.Time) { b.allocator.Expire(now) })
+		b.update(func(now time.Time) {
+			b.allocator.Expire(now)
+			b.logForecasts(now)
+		})
 		b.reportQueue()
 	})
 }
@@ -171,6 +176,7 @@
 		b.queueReport.granted(now, a.Waiter)
 		if a.Waiter.requirements.Batch {
 			batchGrants.Inc()
+			b.itemStarts.count(a.Waiter.start)
 		} else {
 			onlineGrants.Inc()
 		}
@@ -208,6 +214,11 @@
 	defer b.mu.Unlock()
 	reply.Queue = w.state
 	reply.Free = b.allocator.Free(time.Now())
+	if !reply.Granted {
+		if reply.Held = b.allocator.held(time.Now(), w); reply.Held.Period > 0 {
+			b.itemStarts.count(startHeld)
+		}
+	}
 	return reply
 }
 
--- a/internal/coordination/routed/broker/messages.go
+++ b/internal/coordination/routed/broker/messages.go
@@ -22,6 +22,11 @@
 	Lasts time.Duration
 	// Run is the ID under which the target runs the request. Empty: not known yet.
 	Run string
+	// Needs is how long a batch item still needs until it ends, as of the message. 0: not
+	// known; then two thirds of Lasts are assumed. Laxity is how long it could wait and still meet its deadline, and Unstored how
+	// long the output takes to produce again that is not stored yet. Both are set only if
+	// Needs is.
+	Needs, Laxity, Unstored time.Duration
 }
 
 // HoldReport is an instance's report of its holds at the targets of one failure domain.
@@ -72,6 +77,10 @@
 	// RejectIn is the time for which the request may be rejected, and WaitIn the time until it
 	// stops waiting at all brokers. 0: it must not be rejected, the time is not known.
 	RejectIn, WaitIn time.Duration
+	// Needs is how long a batch item still needs once it runs, and Unstored how long the
+	// output takes to produce again that is not stored yet. 0: not known, the item starts and
+	// yields as at a broker without a forecast.
+	Needs, Unstored time.Duration
 }
 
 // Grant is a granted slot.
@@ -102,6 +111,8 @@
 	// Queue is what the broker knew when the request waited. It is zero if the request did not
 	// wait or the broker does not use fair queueing.
 	Queue placement.QueueState
+	// Held says why a batch item got no slot although one was free.
+	Held ForecastHold
 }
 
 // Names of the net/rpc methods.
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -68,6 +68,10 @@
 	// that cannot get a slot, with the time when room is expected. Without it, the requests
 	// that must be sent first go first, and all wait.
 	FairQueue bool `yaml:"fair_queue"`
+	// BatchForecast makes brokers forecast the demand of online requests while it varies in a way
+	// that repeats, and start and preempt batch items by that. Without it, items start whenever a
+	// slot is free.
+	BatchForecast bool `yaml:"batch_forecast"`
 	// AnswerBuffersPercent is the part of memory_mb, in percent, that may be used for bytes held
 	// for callers: answers that they have not read yet, and bodies of requests. A target is then
 	// read to the end of its answer while its caller reads slowly. 0 turns this off: a caller that
--- a/internal/settings/routed_test.go
+++ b/internal/settings/routed_test.go
@@ -123,6 +123,7 @@
 		require.Equal(t, 25, s.Adaptive.AnswerBuffersPercent)
 		require.True(t, s.Adaptive.FairQueue)
 		require.False(t, DefaultRouted().Adaptive.FairQueue)
+		require.True(t, s.Adaptive.BatchForecast)
 		require.InDelta(t, 0.192, s.CPUCores, 0)
 		require.Equal(t, bound != "", s.ResultsReadable == 2*time.Minute)
 	}
