--- a/internal/settings/routed_test.go
+++ b/internal/settings/routed_test.go
@@ -124,6 +124,7 @@
 		require.Equal(t, 25, s.Adaptive.AnswerBuffersPercent)
 		require.True(t, s.Adaptive.FairQueue)
 		require.False(t, DefaultRouted().Adaptive.FairQueue)
+		require.False(t, s.Adaptive.BatchForecast, "its bound on preempted runs is not met yet")
 		require.InDelta(t, 0.192, s.CPUCores, 0)
 		require.Equal(t, bound != "", s.ResultsReadable == 2*time.Minute)
 	}
