--- a/internal/coordination/routed/quota/startup.go
+++ b/internal/coordination/routed/quota/startup.go
@@ -20,13 +20,6 @@
 	// stateWaitTimeout is how long a new instance waits for the levels once it knows the
 	// limits and the other instances. Those that know the levels may be silent.
 	stateWaitTimeout = time.Second
-	// someSilentWait is how long it waits if all instances that respond report that they don't
-	// know the levels, and others have not responded at all. fewSilentWait applies if no more
-	// are silent than are presumed dead. Reports of instances that run arrive within two steps
-	// of maxRelayInterval (package mesh), and levels that arrive later still lower the own
-	// ones, see settleTime.
-	someSilentWait = 700 * time.Millisecond
-	fewSilentWait  = 400 * time.Millisecond
 	// fleetWaitTimeout is how long a new instance waits for a complete list of the instances
 	// once it knows the limits. By then those that can be reached have found each other.
 	fleetWaitTimeout = 2 * time.Second
@@ -54,6 +47,8 @@
 	// maxEarlyRetryAfter bounds the Retry-After of requests that came too early after the
 	// start. Callers honour it up to a third of their remaining time, which is 5 s at first.
 	maxEarlyRetryAfter = 1500 * time.Millisecond
+	// levelsMessageWait is the time until the next message of an instance that knows the levels.
+	levelsMessageWait = 200 * time.Millisecond
 	// earlyRetrySpread is the time over which such requests come back. All that were rejected
 	// in a second would otherwise return at one moment, and find fewer tokens and slots than
 	// they need together.
@@ -259,31 +254,30 @@
 	return a
 }
 
-// levelsWait returns how long this instance waits for the levels before it begins without
-// them.
+// levelsWait returns how long this instance waits for the levels once it knows the limits and the
+// other instances: not at all if all of them have reported that they don't know them.
 func (bs *Buckets) levelsWait() time.Duration {
 	a := bs.peerAnswers()
-	size := float64(1 + a.know + a.unaware + a.silent)
-	switch {
-	case bs.startup.fleetKnownAt.IsZero(), a.know > 0:
+	if bs.startup.fleetKnownAt.IsZero() || a.know+a.silent > 0 {
 		return stateWaitTimeout
-	case a.silent == 0:
-		return 0
-	case a.unaware == 0:
-		return stateWaitTimeout
-	case float64(a.silent) <= presumedDeadShare*size:
-		return fewSilentWait
-	default:
-		return someSilentWait
 	}
+	return 0
 }
 
-// earlyRetryAfter returns when a request may come back that came before the levels are known:
-// the latest time until they will be known, and a random part of earlyRetrySpread.
+// earlyRetryAfter returns when a request may come back that came before the levels are known: the
+// time until they should be known, and a random part of earlyRetrySpread.
 func (bs *Buckets) earlyRetryAfter(now time.Time) time.Duration {
-	latest := max(0, bs.waitBegins().Add(bs.levelsWait()).Sub(now))
 	jitter := time.Duration(bs.startup.random.Int64N(int64(earlyRetrySpread)))
-	return min(latest, maxEarlyRetryAfter-earlyRetrySpread) + jitter
+	return min(bs.expectedLevelsWait(now), maxEarlyRetryAfter-earlyRetrySpread) + jitter
+}
+
+// expectedLevelsWait returns the time until the levels should be known: the longest one, unless an
+// instance knows them.
+func (bs *Buckets) expectedLevelsWait(now time.Time) time.Duration {
+	if bs.peerAnswers().know > 0 {
+		return levelsMessageWait
+	}
+	return max(0, bs.waitBegins().Add(bs.levelsWait()).Sub(now))
 }
 
 // startLevel returns the level of a bucket for the whole fleet if nobody knows what was
