--- a/internal/daemon/routed/crashingparts_test.go
+++ b/internal/daemon/routed/crashingparts_test.go
@@ -43,6 +43,8 @@
 	seed        uint64
 	// faultFor, if set, returns the fault of the answer to a request.
 	faultFor func(id string) engine.Fault
+	// crashesAt, if set, reports whether a target crashes instead of writing event n of a run.
+	crashesAt func(run *engine.Run, n int) bool
 }
 
 // crashFleet is a fleet whose targets crash at requests with crashingPart, and restart under
@@ -55,8 +57,11 @@
 	crashes []time.Time
 	// crashesOf are the crashes by the part that caused them.
 	crashesOf map[string][]time.Time
-	starts    int
-	sound     []soundRequest
+	// endsOf are the targets that crashed under requests with crashesAt, by the id that the request
+	// had at first.
+	endsOf map[string][]targetEnd
+	starts int
+	sound  []soundRequest
 	// mended reports that targets bear the crashing part.
 	mended atomic.Bool
 }
@@ -71,7 +76,7 @@
 }
 
 func newCrashFleet(t *testing.T, size fleetSize, load crashLoad) *crashFleet {
-	f := &crashFleet{load: load, crashesOf: map[string][]time.Time{}}
+	f := &crashFleet{load: load, crashesOf: map[string][]time.Time{}, endsOf: map[string][]targetEnd{}}
 	f.testFleet = newTestFleet(t, fleetSize{domains: size.domains, instances: size.instances})
 	for d := range size.domains {
 		for i := range size.targets {
@@ -103,6 +108,15 @@
 		part = found
 		return true
 	}
+	if f.load.crashesAt != nil {
+		opts.CrashesAt = func(run *engine.Run, n int) bool {
+			if !f.load.crashesAt(run, n) {
+				return false
+			}
+			f.requestCrashed(started, run, n)
+			return true
+		}
+	}
 	opts.OnCrash = func() {
 		if !started.silent {
 			f.crashesOf[part] = append(f.crashesOf[part], time.Now())
--- /dev/null
+++ b/internal/daemon/routed/crashingrequests_test.go
@@ -0,0 +1,203 @@
+package routed
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/standin/engine"
+)
+
+const (
+	// toleratedEnds is the number of targets that one request may end.
+	toleratedEnds = 3
+	// crashingPrefix begins the ids of requests and the own parts of prompts that crash targets.
+	crashingPrefix = "crashes-"
+)
+
+// targetEnd is the crash of a target under a request.
+type targetEnd struct {
+	target string
+	at     time.Time
+	// events is the number of events that the run had sent.
+	events int
+}
+
+// firstID returns the id of the request that began what a run continues.
+func firstID(run *engine.Run) string {
+	if run.Resumes != "" {
+		return run.Resumes
+	}
+	return run.ID
+}
+
+// requestCrashed records that a run crashes a target instead of sending event n.
+func (f *crashFleet) requestCrashed(on *target, run *engine.Run, n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !on.silent {
+		id := firstID(run)
+		f.endsOf[id] = append(f.endsOf[id], targetEnd{on.id, time.Now(), n - run.ResumedAfter - 1})
+	}
+}
+
+// runsAfterThird returns the number of runs of a request that began after the third target had
+// crashed under it.
+func (f *crashFleet) runsAfterThird(id string) (count int) {
+	ends := f.endsOf[id]
+	if len(ends) < toleratedEnds {
+		return 0
+	}
+	for _, t := range f.targets {
+		for _, run := range t.Runs() {
+			if firstID(&run) == id && run.StartedAt.After(ends[toleratedEnds-1].at) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// crashesRequestsAt returns a crashesAt for the requests whose id begins with crashingPrefix.
+func crashesRequestsAt(position int) func(run *engine.Run, n int) bool {
+	return func(run *engine.Run, n int) bool {
+		return n == position && strings.HasPrefix(firstID(run), crashingPrefix)
+	}
+}
+
+// soundLoad has only sound requests.
+func soundLoad(seed uint64, perSecond float64) crashLoad {
+	return crashLoad{
+		soundPerSecond: perSecond, path: "/again/a/35", seed: seed, soundPrompt: thirtyParts,
+		prompt: func(own string) string { return own },
+	}
+}
+
+// crashingItemsJob returns a job of which the first items crash targets.
+func crashingItemsJob(id string, crashing, items, events int) callerRequest {
+	job := promptJob(id, func(n int) string { return fmt.Sprintf("j1:100,own%d:250", n) }, items)
+	for n := range crashing {
+		job.body = strings.ReplaceAll(job.body, strconv.Quote(itemID(id, n)), strconv.Quote(crashingPrefix+itemID(id, n)))
+	}
+	return job
+}
+
+// logEnds logs what crashed under each request.
+func (f *crashFleet) logEnds() {
+	for id, ends := range f.endsOf {
+		line := fmt.Sprintf("%s: %d targets, %d runs after the third;", id, len(ends), f.runsAfterThird(id))
+		for _, end := range ends[:min(len(ends), 8)] {
+			line += fmt.Sprintf(" %s@%s/%d", end.target, end.at.Format("05.000"), end.events)
+		}
+		f.t.Log(line)
+	}
+	f.t.Logf("crashes %d", len(f.crashes))
+}
+
+// Guards against an item of a job that ends one target after the other.
+func TestItemStopsAfterThreeEndedTargets(t *testing.T) {
+	for _, position := range []int{0, 12} {
+		t.Run(fmt.Sprint("at event ", position), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				load := soundLoad(uint64(position), 10)
+				load.crashesAt = crashesRequestsAt(position)
+				f := newCrashFleet(t, fleetSize{domains: 3, instances: 3, targets: 3}, load)
+				const crashing, items = 2, 12
+				job := crashingItemsJob("job-a", crashing, items, 40)
+				require.Equal(t, http.StatusAccepted, f.instances[0].send(job).status)
+				f.serve(crashEnd, crashEnd)
+				f.logEnds()
+				for id, ends := range f.endsOf {
+					require.LessOrEqual(t, len(ends), toleratedEnds, id)
+					require.LessOrEqual(t, f.runsAfterThird(id), 1, id)
+				}
+				f.requireNeighboursDone("job-a", crashing, items)
+			})
+		})
+	}
+}
+
+// requireNeighboursDone requires that the items of a job that crash no target are done.
+func (f *crashFleet) requireNeighboursDone(job string, crashing, items int) {
+	f.t.Helper()
+	page, status := f.instances[1].results(job, 0)
+	require.Equal(f.t, http.StatusOK, status)
+	done := map[string]bool{}
+	for _, result := range page.Results {
+		require.Equal(f.t, "succeeded", result.State)
+		done[result.ID] = true
+	}
+	for n := crashing; n < items; n++ {
+		require.True(f.t, done[itemID(job, n)], "item %d", n)
+	}
+}
+
+// Guards against a stream that ends one target after the other because its caller resumes it at
+// other instances.
+func TestResumedStreamStopsAfterThreeEndedTargets(t *testing.T) {
+	for _, position := range []int{0, 12} {
+		t.Run(fmt.Sprint("at event ", position), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				load := soundLoad(uint64(position), 10)
+				load.crashesAt = crashesRequestsAt(position)
+				f := newCrashFleet(t, fleetSize{domains: 3, instances: 3, targets: 3}, load)
+				id, after := crashingPrefix+"s", -1
+				for n := range 8 {
+					request := callerRequest{id: fmt.Sprint(id, "-", n), path: "/again/a/35", key: keyOne, header: map[string]string{
+						"Prompt-Prefix": "own:250", "Token-Count": "250,35", "Model": "m",
+					}}
+					if n == 0 {
+						request.id = id
+					} else {
+						request.header["Resumes"] = id
+						if after >= 0 {
+							request.header["Last-Event-Id"] = fmt.Sprint(after)
+						}
+					}
+					got := f.instances[n].send(request)
+					t.Logf("%s: %d, %d bytes, %v", request.id, got.status, len(got.body), got.err)
+					after = max(after, strings.Count(got.body, "\n\n")+after)
+					sleep(300 * time.Millisecond)
+				}
+				sleep(5 * time.Second)
+				f.logEnds()
+				require.NotEmpty(t, f.endsOf)
+				for id, ends := range f.endsOf {
+					require.LessOrEqual(t, len(ends), toleratedEnds, id)
+					require.LessOrEqual(t, f.runsAfterThird(id), 1, id)
+				}
+			})
+		})
+	}
+}
+
+// Guards against repeats of a request, each with an id of its own, that end one target after the
+// other.
+func TestRepeatsStopAfterThreeEndedTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		load := soundLoad(0, 10)
+		load.crashesAt = func(run *engine.Run, n int) bool { return n == 0 && strings.Contains(run.Prompt, crashingPrefix) }
+		f := newCrashFleet(t, fleetSize{domains: 3, instances: 3, targets: 3}, load)
+		rng := rand.New(rand.NewPCG(0, 53))
+		for n := range 6 {
+			got := f.instances[rng.IntN(9)].send(callerRequest{
+				id: fmt.Sprint("r-", n), path: "/again/a/35", key: keyOne, body: "the same body",
+				header: map[string]string{"Prompt-Prefix": "f1:200," + crashingPrefix + ":250", "Token-Count": "250,35", "Model": "m"},
+			})
+			t.Logf("%d: %d", n, got.status)
+			sleep(300 * time.Millisecond)
+		}
+		sleep(3 * time.Second)
+		f.logEnds()
+		require.LessOrEqual(t, len(f.crashes), toleratedEnds)
+	})
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -31,7 +31,9 @@
 	// Crashes, if set, reports whether the engine crashes when it begins to write the answer to
 	// a request with such a prompt. OnCrash then ends the engine's process.
 	Crashes func(prompt string) bool
-	OnCrash func()
+	// CrashesAt, if set, reports whether the engine crashes instead of writing event n of a run.
+	CrashesAt func(run *Run, n int) bool
+	OnCrash   func()
 }
 
 // Fault describes the faults injected into one response.
@@ -272,6 +274,11 @@
 	}
 	events := EventCount(r.URL.Path)
 	for n := entry.ResumedAfter + 1; n < events; n++ {
+		if e.opts.CrashesAt != nil && e.opts.CrashesAt(entry, n) {
+			out.flush()
+			e.opts.OnCrash()
+			panic(http.ErrAbortHandler)
+		}
 		sent := n - entry.ResumedAfter - 1
 		if fault.BreakAfter > 0 && sent == fault.BreakAfter {
 			_, _ = fmt.Fprintf(out, "id: %d\ndata: %s", n, e.eventData(entry, n)[:3])
