Targets that end under a request are recorded, told to all instances and logged

A 502 or a broken item run named its target, but not whether that had ended, and nothing joined the runs of one request at several instances. Each request now has a key that its repeats share. An instance that loses a request checks its target after 10 ms and after 1.5 s, records the end with the number of events, and sends it to the others at once and with the heartbeats. request_target_ended, request_ends_learned and 'tillerctl explain' lead from one id to all of them. Targets that leave count as no crash, those that are back within 1.5 s do if they are listed again.

--- a/internal/coordination/routed/batchjobs/options.go
+++ b/internal/coordination/routed/batchjobs/options.go
@@ -48,13 +48,14 @@
 
 // Quarantine decides which items may go to targets.
 type Quarantine interface {
-	// Closed reports whether items whose prompt has the given shared parts have to wait.
-	Closed(parts []string) bool
-	// Check decides whether such an item may go to a target now.
-	Check(parts []string) quarantine.Decision
-	// Began records that a target sent the first event of such an item, Lost that it closed the
-	// connection before.
-	Began(parts []string)
+	// Closed reports whether an item has to wait.
+	Closed(quarantine.Request) bool
+	// Check decides whether an item may go to a target now.
+	Check(quarantine.Request) quarantine.Decision
+	// Began records that a target sent the first event of an item, Completed that it sent all of
+	// them, and Lost that it closed the connection before.
+	Began(quarantine.Request)
+	Completed(quarantine.Request)
 	Lost(quarantine.LostRequest)
 }
 
--- a/internal/coordination/routed/batchjobs/queue.go
+++ b/internal/coordination/routed/batchjobs/queue.go
@@ -84,7 +84,7 @@
 			r.dequeue(t)
 			continue
 		}
-		if r.opts.Quarantine.Closed(t.parts) {
+		if r.opts.Quarantine.Closed(t.subject) {
 			t.logHeld()
 			continue
 		}
@@ -102,7 +102,7 @@
 		return
 	}
 	t.held = true
-	_ = level.Info(t.runner.opts.Logger).Log("event", "item_held", "item", t.id.item, "job", t.id.job, "parts", strings.Join(t.parts, ","),
+	_ = level.Info(t.runner.opts.Logger).Log("event", "item_held", "item", t.id.item, "job", t.id.job, "parts", strings.Join(t.subject.Parts, ","), "key", t.subject.Key,
 		"due_in_ms", time.Until(t.job.Due).Milliseconds())
 }
 
@@ -117,7 +117,7 @@
 		go r.opts.Placer.Done(choice, placement.Cancelled)
 		return
 	}
-	if r.opts.Quarantine.Check(t.parts).Closed {
+	if r.opts.Quarantine.Check(t.subject).Closed {
 		t.notBefore = now.Add(closedDelay)
 		go r.opts.Placer.Done(choice, placement.Cancelled)
 		return
--- a/internal/coordination/routed/batchjobs/runner.go
+++ b/internal/coordination/routed/batchjobs/runner.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 
 	"merlintiller/internal/coordination/routed/placement"
+	"merlintiller/internal/coordination/routed/quarantine"
 	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/state/jobs"
 	"merlintiller/internal/wait"
@@ -174,7 +175,7 @@
 			continue
 		}
 		t := &task{openItem: *o, runner: r, replica: p, position: exchange.FromStart, notBefore: time.Now()}
-		t.parts = r.opts.SharedParts(o.item.Header)
+		t.subject = quarantine.Request{ID: o.id.item, Key: quarantine.ItemKey(o.id.job, o.id.item), Parts: r.opts.SharedParts(o.item.Header)}
 		t.output.reset()
 		if o.job.Submitted.Before(acquiredAt) {
 			t.mayRunElsewhere = true
--- a/internal/coordination/routed/batchjobs/task.go
+++ b/internal/coordination/routed/batchjobs/task.go
@@ -39,10 +39,10 @@
 	runner  *Runner
 	replica *partitionReplica
 
-	// parts are the ids of the parts of the prompt that other requests may share. held reports that
-	// the item has waited since some of them are closed.
-	parts []string
-	held  bool
+	// subject is what the quarantine decides on. held reports that the item has waited since it or
+	// some of its parts are closed.
+	subject quarantine.Request
+	held    bool
 
 	notBefore time.Time
 	cancel    context.CancelFunc
@@ -138,30 +138,31 @@
 		cancel()
 	})
 	defer stall.Stop()
-	start, from := time.Now(), t.position
+	start, from, eventsBefore := time.Now(), t.position, t.events
 	outcome, result, err := t.sendAndRead(ctx, choice, stall)
 	if stalled.Load() {
 		outcome, result = interrupted, placement.TimedOut
 	}
-	if outcome == interrupted && t.position == from {
-		t.reportLost(choice, err)
+	if outcome == interrupted {
+		t.reportLost(choice, err, t.events-eventsBefore)
 	}
 	t.addRunTime(time.Since(start))
 	opts.Placer.Done(choice, result)
 	_ = level.Info(opts.Logger).Log("event", "item_run", "item", t.id.item, "job", t.id.job, "target", choice.ID,
 		"version", choice.Version, "broker", choice.Broker, "busy", choice.Busy, "slots", choice.Slots, "how", outcome.String(), "from", from, "position", t.position, "took_ms", time.Since(start).Milliseconds(),
-		"due_in_ms", time.Until(t.job.Due).Milliseconds(), "parts", strings.Join(t.parts, ","), "ended", endOfRun(err), "err", err)
+		"due_in_ms", time.Until(t.job.Due).Milliseconds(), "parts", strings.Join(t.subject.Parts, ","), "key", t.subject.Key, "events", t.events-eventsBefore, "ended", endOfRun(err), "err", err)
 	t.handleOutcome(outcome)
 }
 
-// reportLost reports a run that ended before its first event because its target closed the
+// reportLost reports a run that brought some events and ended because its target closed the
 // connection.
-func (t *task) reportLost(choice placement.Choice, err error) {
+func (t *task) reportLost(choice placement.Choice, err error, events int) {
 	if end := endOfRun(err); end != external.EndClosed && end != external.EndReset {
 		return
 	}
 	t.runner.opts.Quarantine.Lost(quarantine.LostRequest{
-		Target: choice.ID, Address: choice.Address, Domain: choice.Domain, Started: choice.Started, Parts: t.parts, At: time.Now(),
+		Request: t.subject, Target: choice.ID, Address: choice.Address, Domain: choice.Domain, Started: choice.Started,
+		Events: events, At: time.Now(),
 	})
 }
 
@@ -282,13 +283,14 @@
 		event, err := events.Next()
 		if err == nil && !began {
 			began = true
-			t.runner.opts.Quarantine.Began(t.parts)
+			t.runner.opts.Quarantine.Began(t.subject)
 		}
 		if errors.Is(err, io.EOF) && !began && answer.Head().EndsWithConnection {
 			return interrupted, placement.Broken, external.ErrNoEvent
 		}
 		if errors.Is(err, io.EOF) {
 			t.interruptions = 0
+			t.runner.opts.Quarantine.Completed(t.subject)
 			return completed, placement.Served, nil
 		}
 		if err != nil {
--- a/internal/coordination/routed/mesh/crashfleet_test.go
+++ b/internal/coordination/routed/mesh/crashfleet_test.go
@@ -199,10 +199,11 @@
 // the first one answered.
 func (f *crashMesh) ask(p *place, parts []string) (first bool) {
 	guard := p.process.guard
+	request := quarantine.Request{Parts: parts}
 	dead := parts[len(parts)-1] == deadPart
 	for attempt := range 2 {
 		t := f.runningTarget()
-		if t == nil || guard.Check(parts).Closed {
+		if t == nil || guard.Check(request).Closed {
 			return false
 		}
 		if dead {
@@ -214,14 +215,14 @@
 		select {
 		case <-timer.C:
 			if !dead {
-				guard.Began(parts)
+				guard.Began(request)
 				return attempt == 0
 			}
 			f.crash(t.id)
 		case <-t.ended:
 			timer.Stop()
 		}
-		guard.Lost(quarantine.LostRequest{Target: t.id, Address: t.id, Started: t.started, Parts: parts, At: time.Now()})
+		guard.Lost(quarantine.LostRequest{Request: request, Target: t.id, Address: t.id, Started: t.started, At: time.Now()})
 	}
 	return false
 }
--- a/internal/coordination/routed/mesh/exchange.go
+++ b/internal/coordination/routed/mesh/exchange.go
@@ -195,9 +195,7 @@
 		heartbeat.TellsLevels, heartbeat.Levels = false, nil
 	}
 	l := m.link(to.Address)
-	if to.Start != l.start {
-		l.start, l.ackedCounts, l.quarantine = to.Start, nil, quarantineLink{}
-	}
+	m.quarantineLink(to)
 	if m.view.usesRelays() && isAnswer {
 		heartbeat.Whole = true
 		return heartbeat, counts
--- a/internal/coordination/routed/mesh/heartbeat.go
+++ b/internal/coordination/routed/mesh/heartbeat.go
@@ -25,7 +25,7 @@
 
 // Heartbeat is the message that an instance sends about itself. It is encoded by net/rpc
 // with gob, so its field names are part of the wire format, and so are those of Instance,
-// Claim, FeedRequest, Feed, SnapshotArgs and SnapshotReply.
+// Claim, FeedRequest, Feed, SnapshotArgs, SnapshotReply and Notice.
 type Heartbeat struct {
 	From Instance
 	// Seq increases with each message of an incarnation.
@@ -126,4 +126,5 @@
 	ServiceName    = "Mesh"
 	methodExchange = ServiceName + ".Exchange"
 	methodSnapshot = ServiceName + ".Snapshot"
+	methodNotify   = ServiceName + ".Notify"
 )
--- a/internal/coordination/routed/mesh/ratefleet_test.go
+++ b/internal/coordination/routed/mesh/ratefleet_test.go
@@ -223,6 +223,12 @@
 		}
 		return err
 	}
+	if method == methodNotify {
+		if c.onReport != nil {
+			c.onReport(c.from.Name, args.(*Notice).Report)
+		}
+		return to.Receiver().Notify(args.(*Notice), reply.(*NoticeReply))
+	}
 	return to.Receiver().Snapshot(args.(*SnapshotArgs), reply.(*SnapshotReply))
 }
 
--- a/internal/coordination/routed/mesh/reports.go
+++ b/internal/coordination/routed/mesh/reports.go
@@ -35,12 +35,15 @@
 	if args.QuarantineRead.Start != reply.From.Start {
 		version = 0
 	}
+	m.mu.Lock()
+	m.quarantineLink(args.From).sent = version
+	m.mu.Unlock()
 	reply.Quarantine = m.delegate.QuarantineSince(version)
 }
 
 // quarantineAnswered records that a message was answered. The caller must hold mu.
 func (l *link) quarantineAnswered(version uint64, reply *Heartbeat) {
-	l.quarantine.sent = version
+	l.quarantine.sent = max(l.quarantine.sent, version)
 	if reply.Quarantine != nil {
 		l.quarantine.read = quarantine.Position{Start: reply.From.Start, Version: reply.Quarantine.Version}
 	}
--- a/internal/coordination/routed/mesh/rpc.go
+++ b/internal/coordination/routed/mesh/rpc.go
@@ -21,6 +21,12 @@
 	return nil
 }
 
+// Notify processes a report that does not wait for the next heartbeat.
+func (r *Receiver) Notify(args *Notice, _ *NoticeReply) error {
+	r.mesh.receiveNotice(args)
+	return nil
+}
+
 // Snapshot returns what is newer here than the caller's versions.
 func (r *Receiver) Snapshot(args *SnapshotArgs, reply *SnapshotReply) error {
 	*reply = r.mesh.delegate.SnapshotSince(*args)
--- a/internal/coordination/routed/quarantine/checker.go
+++ b/internal/coordination/routed/quarantine/checker.go
@@ -23,22 +23,32 @@
 	confirmDelay = 1500 * time.Millisecond
 )
 
-// LostRequest is a request whose target closed the connection before the first event.
+// LostRequest is a request whose target closed the connection before the answer was complete.
 type LostRequest struct {
+	Request
 	// Target is the id of the target, Address where it was, and Started the start of its
 	// incarnation in Unix milliseconds.
 	Target, Address string
 	// Domain is the failure domain of the target.
 	Domain  string
 	Started int64
-	Parts   []string
-	At      time.Time
+	// Events is the number of events that the run had sent.
+	Events int
+	At     time.Time
 }
 
-// Lost records that a target closed the connection of a request before its first event. Whether
-// the target has crashed is checked in the background: a connection may break without that.
+// suspects returns the parts that may have crashed the target: none if the run had sent an event.
+func (l *LostRequest) suspects() []string {
+	if l.Events > 0 {
+		return nil
+	}
+	return l.Parts
+}
+
+// Lost records that a target closed the connection of a request before its answer was complete.
+// Whether the target has crashed is checked in the background: a connection may break without that.
 func (g *Guard) Lost(lost LostRequest) {
-	if len(lost.Parts) == 0 {
+	if lost.Key == "" && len(lost.suspects()) == 0 {
 		return
 	}
 	lost.Parts = bounded(lost.Parts)
@@ -96,17 +106,38 @@
 	return groups
 }
 
-// check checks the target of lost requests and records its crash.
+// check checks the target of lost requests and records its crash. The requests are suspected after
+// the first check, since their callers repeat them before the second one.
 func (c *Checker) check(ctx context.Context, lost []LostRequest) {
-	refused := c.refuses(ctx, &lost[0]) && wait.For(ctx, confirmDelay) && c.refuses(ctx, &lost[0]) && c.guard.reaches(lost[0].Domain)
+	crashed := false
+	if !c.guard.leaving(&lost[0]) && c.refuses(ctx, &lost[0]) {
+		c.guard.targetEnded(lost, EndSuspected)
+		crashed = c.confirm(ctx, &lost[0])
+		state := EndDismissed
+		if crashed {
+			state = EndConfirmed
+		}
+		c.guard.targetEnded(lost, state)
+	}
 	parts := partsOf(lost)
-	_ = level.Info(c.guard.opts.Logger).Log("event", "target_crash_checked", "target", lost[0].Target, "crashed", refused,
+	_ = level.Info(c.guard.opts.Logger).Log("event", "target_crash_checked", "target", lost[0].Target, "crashed", crashed,
 		"parts", strings.Join(parts, ","), "requests", len(lost), "lost_ms", time.Since(lost[0].At).Milliseconds())
-	if !refused {
+	if !crashed {
 		return
 	}
 	crashesSeen.Inc()
-	c.guard.crashed(&lost[0], parts)
+	if len(parts) > 0 {
+		c.guard.crashed(&lost[0], parts)
+	}
+}
+
+// confirm checks a target once more that has refused a connection. A target that is back soon accepts
+// connections, but is listed as another incarnation.
+func (c *Checker) confirm(ctx context.Context, lost *LostRequest) bool {
+	if !wait.For(ctx, confirmDelay) || !c.guard.reaches(lost.Domain) {
+		return false
+	}
+	return c.refuses(ctx, lost) || c.guard.replaced(lost)
 }
 
 // refuses reports whether the target of a lost request refuses connections.
@@ -123,10 +154,20 @@
 	return g.opts.ReachesDomain == nil || g.opts.ReachesDomain(domain)
 }
 
-// partsOf returns the parts of some requests, each once.
+// leaving reports whether the end of a lost request's target is planned.
+func (g *Guard) leaving(lost *LostRequest) bool {
+	return g.opts.Leaving != nil && g.opts.Leaving(lost.Target)
+}
+
+// replaced reports whether the address of a lost request's target now belongs to another incarnation.
+func (g *Guard) replaced(lost *LostRequest) bool {
+	return g.opts.Replaced != nil && g.opts.Replaced(lost.Address, lost.Started)
+}
+
+// partsOf returns the parts that may have crashed the target of some requests, each once.
 func partsOf(list []LostRequest) (parts []string) {
 	for _, lost := range list {
-		parts = append(parts, lost.Parts...)
+		parts = append(parts, lost.suspects()...)
 	}
 	slices.Sort(parts)
 	return slices.Compact(parts)
@@ -139,3 +180,25 @@
 	g.evidence.Crashed(lost.At, lost.Target, lost.Started, parts)
 	g.wake()
 }
+
+// targetEnded records that the target of lost requests ended, or that it did not, and logs it for each
+// of them.
+func (g *Guard) targetEnded(list []LostRequest, state EndState) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i := range list {
+		lost := &list[i]
+		if lost.Key == "" {
+			continue
+		}
+		known, changed := g.evidence.TargetEnded(now, lost, state)
+		if !changed {
+			continue
+		}
+		_ = level.Info(g.opts.Logger).Log("event", "request_target_ended", "request", lost.ID, "key", lost.Key, "target", lost.Target,
+			"started", lost.Started, "state", state, "events", lost.Events, "lost_ms", now.Sub(lost.At).Milliseconds(),
+			"ends", g.evidence.Ends(lost.Key), "known", known.describe())
+	}
+	g.endsChanged()
+}
--- /dev/null
+++ b/internal/coordination/routed/quarantine/endtable.go
@@ -0,0 +1,165 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// maxRequests bounds the requests whose ended targets are kept, maxEnds the ended targets of
+	// one of them.
+	maxRequests = 256
+	maxEnds     = 8
+	// requestTTL is the time since the last end after which a request is forgotten.
+	requestTTL = 2 * time.Hour
+)
+
+// EndState says whether a target really ended. Of two reports the higher state counts. Its values
+// are part of the wire format.
+type EndState int
+
+const (
+	// EndSuspected: the target refused a connection right after it had closed that of the request.
+	// The end counts, since the request may be repeated before the second check.
+	EndSuspected EndState = iota
+	// EndDismissed: the second check found that the target or the path to it had not ended.
+	EndDismissed
+	// EndConfirmed: the second check found the same.
+	EndConfirmed
+)
+
+// String returns the name of the state in logs.
+func (s EndState) String() string {
+	return [...]string{"suspected", "dismissed", "confirmed"}[min(max(s, EndSuspected), EndConfirmed)]
+}
+
+// requestEnd is the end of a target while a request ran there.
+type requestEnd struct {
+	incarnation
+	at time.Time
+	// events is the number of events that the run had sent.
+	events int
+	seenBy string
+	state  EndState
+}
+
+func (e *requestEnd) report(now time.Time) RequestEnd {
+	return RequestEnd{Target: e.target, Started: e.started, Events: e.events, SeenBy: e.seenBy, State: e.state, Age: now.Sub(e.at)}
+}
+
+// endRecord holds the targets that ended under one request.
+type endRecord struct {
+	key string
+	// id is the id of an attempt or item, for logs.
+	id   string
+	ends map[incarnation]*requestEnd
+	// completedAt is when a target last completed the request; ends before do not count.
+	completedAt time.Time
+	changed     uint64
+}
+
+// counted returns the ends that count, the oldest first.
+func (r *endRecord) counted() (out []*requestEnd) {
+	for _, end := range r.ends {
+		if end.state != EndDismissed && end.at.After(r.completedAt) {
+			out = append(out, end)
+		}
+	}
+	slices.SortFunc(out, func(a, b *requestEnd) int {
+		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.target, b.target))
+	})
+	return out
+}
+
+// latest is when something last happened.
+func (r *endRecord) latest() time.Time {
+	at := r.completedAt
+	for _, end := range r.ends {
+		if end.at.After(at) {
+			at = end.at
+		}
+	}
+	return at
+}
+
+func (r *endRecord) report(now time.Time) RequestEnds {
+	out := RequestEnds{Key: r.key, Request: r.id}
+	for _, end := range r.ends {
+		out.Ends = append(out.Ends, end.report(now))
+	}
+	slices.SortFunc(out.Ends, func(a, b RequestEnd) int {
+		return cmp.Or(cmp.Compare(b.Age, a.Age), cmp.Compare(a.Target, b.Target))
+	})
+	if !r.completedAt.IsZero() {
+		out.Completed, out.CompletedAge = true, now.Sub(r.completedAt)
+	}
+	return out
+}
+
+// add adds an end or raises its state. It returns false if nothing has changed.
+func (r *endRecord) add(end requestEnd) bool {
+	if known := r.ends[end.incarnation]; known != nil {
+		if end.state <= known.state {
+			return false
+		}
+		known.state = end.state
+		return true
+	}
+	if !end.at.After(r.completedAt) || len(r.ends) >= maxEnds {
+		return false
+	}
+	r.ends[end.incarnation] = &end
+	return true
+}
+
+// complete records that a target completed the request. It returns false if nothing has changed.
+func (r *endRecord) complete(at time.Time) bool {
+	if !at.After(r.completedAt.Add(ageTolerance)) {
+		return false
+	}
+	r.completedAt = at
+	maps.DeleteFunc(r.ends, func(_ incarnation, end *requestEnd) bool { return !end.at.After(at) })
+	return true
+}
+
+// endTable holds the requests under which targets ended.
+type endTable struct {
+	records map[string]*endRecord
+}
+
+// record returns the record of a request and creates it if necessary. A full table drops the request
+// with the fewest ends, of these the oldest one: a crash leaves sound requests with one end each.
+func (t *endTable) record(key, id string) *endRecord {
+	if known := t.records[key]; known != nil {
+		return known
+	}
+	if len(t.records) >= maxRequests {
+		least := slices.MinFunc(slices.Collect(maps.Values(t.records)), func(a, b *endRecord) int {
+			return cmp.Or(cmp.Compare(len(a.ends), len(b.ends)), a.latest().Compare(b.latest()), cmp.Compare(a.key, b.key))
+		})
+		delete(t.records, least.key)
+	}
+	added := &endRecord{key: key, id: id, ends: map[incarnation]*requestEnd{}}
+	t.records[key] = added
+	return added
+}
+
+// removeExpired removes what no longer counts.
+func (t *endTable) removeExpired(now time.Time) {
+	maps.DeleteFunc(t.records, func(_ string, r *endRecord) bool {
+		completed := len(r.ends) == 0 && now.Sub(r.completedAt) > crashTTL
+		return completed || now.Sub(r.latest()) > requestTTL
+	})
+}
+
+// under returns the requests under which an incarnation ended.
+func (t *endTable) under(id incarnation) (out []*endRecord) {
+	for _, r := range t.records {
+		if end := r.ends[id]; end != nil && end.state != EndDismissed {
+			out = append(out, r)
+		}
+	}
+	return out
+}
--- a/internal/coordination/routed/quarantine/evidence.go
+++ b/internal/coordination/routed/quarantine/evidence.go
@@ -20,6 +20,8 @@
 	crashes  crashTable
 	began    map[string]firstEvent
 	closures map[string]*closure
+	// ends are the requests under which targets ended.
+	ends endTable
 	// recent are the first events that this instance has seen lately, of any part.
 	recent recentParts
 }
@@ -34,7 +36,7 @@
 func NewEvidence(self string) *Evidence {
 	return &Evidence{
 		self: self, crashes: crashTable{map[incarnation]*crash{}}, began: map[string]firstEvent{},
-		closures: map[string]*closure{}, recent: newRecentParts(),
+		closures: map[string]*closure{}, ends: endTable{map[string]*endRecord{}}, recent: newRecentParts(),
 	}
 }
 
@@ -135,6 +137,7 @@
 
 func (e *Evidence) removeExpired(now time.Time) {
 	e.crashes.removeExpired(now)
+	e.ends.removeExpired(now)
 	maps.DeleteFunc(e.began, func(part string, _ firstEvent) bool { return !e.crashes.names(part) })
 	maps.DeleteFunc(e.closures, func(_ string, c *closure) bool {
 		opened := !c.closed() && now.Sub(c.openedAt) > crashTTL
--- a/internal/coordination/routed/quarantine/guard.go
+++ b/internal/coordination/routed/quarantine/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -47,6 +48,10 @@
 	// ReachesDomain reports whether this instance reaches others of a failure domain, or none is
 	// known there. Nil: it always does.
 	ReachesDomain func(domain string) bool
+	// Leaving reports whether a target is leaving or has left, so that its end is planned. Replaced
+	// reports whether a later incarnation than the given one is listed at an address. Nil: none.
+	Leaving  func(target string) bool
+	Replaced func(address string, started int64) bool
 	// Store keeps what is closed, in Partition. Seed seeds the jitter of its reads.
 	Store     Store
 	Partition external.Partition
@@ -60,10 +65,15 @@
 	opts Options
 	// anyClosed is set while a part may be closed, so that most requests need no lock for Check.
 	anyClosed atomic.Bool
-	lost      *ring.Ring[LostRequest]
+	// anyEnds is set while targets may have ended under requests, so that most completed requests
+	// need no lock.
+	anyEnds atomic.Bool
+	lost    *ring.Ring[LostRequest]
 	// changed wakes Serve.
 	changed chan struct{}
-	keeper  *Keeper
+	// urgent is signalled when other instances have to learn of ended targets at once.
+	urgent chan struct{}
+	keeper *Keeper
 
 	mu       sync.Mutex
 	evidence *Evidence
@@ -72,7 +82,8 @@
 // New returns a guard without evidence.
 func New(opts Options) *Guard {
 	g := &Guard{
-		opts: opts, lost: ring.New[LostRequest]("crash_checks", lostQueueSize), changed: make(chan struct{}, 1), evidence: NewEvidence(opts.Self),
+		opts: opts, lost: ring.New[LostRequest]("crash_checks", lostQueueSize), changed: make(chan struct{}, 1), urgent: make(chan struct{}, 1),
+		evidence: NewEvidence(opts.Self),
 	}
 	g.keeper = newKeeper(g)
 	metrics.GetOrCreateGauge("parts_closed", func() float64 { return float64(len(g.ClosedParts())) })
@@ -88,46 +99,59 @@
 	return out
 }
 
-// Check decides whether a request whose prompt has the given parts may go to a target.
-func (g *Guard) Check(parts []string) Decision {
-	if len(parts) == 0 || !g.anyClosed.Load() {
+// Check decides whether a request may go to a target.
+func (g *Guard) Check(r Request) Decision {
+	if !g.anyClosed.Load() {
 		return Decision{}
 	}
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	decision := g.evidence.Check(now, bounded(parts))
+	decision := g.evidence.Check(now, r.subjects())
 	if decision.Trial {
 		g.logTrial(&decision.Closure)
 	}
 	return decision
 }
 
-// Closed reports whether requests with the given parts are rejected, without taking a trial.
-func (g *Guard) Closed(parts []string) bool {
-	if len(parts) == 0 || !g.anyClosed.Load() {
+// Closed reports whether a request is rejected, without taking a trial.
+func (g *Guard) Closed(r Request) bool {
+	if !g.anyClosed.Load() {
 		return false
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c := g.evidence.lastToTry(bounded(parts))
+	c := g.evidence.lastToTry(r.subjects())
 	return c != nil && time.Now().Before(c.trialFrom())
 }
 
 // Began records that a request got its first event from a target.
-func (g *Guard) Began(parts []string) {
-	if len(parts) == 0 {
+func (g *Guard) Began(r Request) {
+	if len(r.Parts) == 0 {
 		return
 	}
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, opened := range g.evidence.Began(now, bounded(parts)) {
+	for _, opened := range g.evidence.Began(now, bounded(r.Parts)) {
 		g.logOpened("own", &opened)
 		g.keeper.save(opened)
 	}
 }
 
+// Completed records that a target answered a request to its end.
+func (g *Guard) Completed(r Request) {
+	if r.Key == "" || !g.anyEnds.Load() {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.evidence.Completed(time.Now(), r.Key) {
+		_ = level.Info(g.opts.Logger).Log("event", "request_ends_acquitted", "request", r.ID, "key", r.Key)
+		g.endsChanged()
+	}
+}
+
 // Since returns what has changed since a version, nil if nothing has.
 func (g *Guard) Since(version uint64) *Report {
 	g.mu.Lock()
@@ -139,7 +163,13 @@
 func (g *Guard) Merge(from string, report *Report) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	closed, opened := g.evidence.Merge(time.Now(), report)
+	closed, opened, learned := g.evidence.Merge(time.Now(), report)
+	for i := range learned {
+		g.logLearned(from, &learned[i])
+	}
+	if len(learned) > 0 {
+		g.endsChanged()
+	}
 	for i := range closed {
 		g.anyClosed.Store(true)
 		g.logClosed(from, &closed[i])
@@ -159,9 +189,22 @@
 	return g.evidence.ClosedParts(time.Now())
 }
 
-func (g *Guard) wake() {
+// Urgent is signalled when other instances have to learn of ended targets at once.
+func (g *Guard) Urgent() <-chan struct{} { return g.urgent }
+
+// endsChanged makes other instances learn of a change of the targets that ended under requests. The
+// caller holds the lock.
+func (g *Guard) endsChanged() {
+	g.anyEnds.Store(len(g.evidence.ends.records) > 0)
+	signal(g.urgent)
+}
+
+func (g *Guard) wake() { signal(g.changed) }
+
+// signal wakes the reader of a channel with a buffer of one.
+func signal(c chan<- struct{}) {
 	select {
-	case g.changed <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -198,6 +241,7 @@
 		}
 	}
 	g.anyClosed.Store(len(g.evidence.closures) > 0)
+	g.anyEnds.Store(len(g.evidence.ends.records) > 0)
 	if at, waiting := g.evidence.Settled(now); waiting {
 		return at.Sub(now)
 	}
@@ -219,6 +263,21 @@
 	_ = level.Warn(g.opts.Logger).Log(append(event, c.LogFields()...)...)
 }
 
+// logLearned logs what this instance learned of the targets that ended under a request.
+func (g *Guard) logLearned(from string, learned *RequestEnds) {
+	_ = level.Info(g.opts.Logger).Log("event", "request_ends_learned", "from", from, "request", learned.Request, "key", learned.Key,
+		"ends", g.evidence.Ends(learned.Key), "completed", learned.Completed, "known", learned.describe())
+}
+
+// describe returns the ended targets for a log line: "target/events/state/age_ms/seen_by" each.
+func (r *RequestEnds) describe() string {
+	var out []string
+	for _, end := range r.Ends {
+		out = append(out, fmt.Sprintf("%s/%d/%s/%d/%s", end.Target, end.Events, end.State, end.Age.Milliseconds(), end.SeenBy))
+	}
+	return strings.Join(out, ",")
+}
+
 // LogFields returns the fields that log lines have about closed parts.
 func (c *Closure) LogFields() []any {
 	return []any{
--- a/internal/coordination/routed/quarantine/keeper.go
+++ b/internal/coordination/routed/quarantine/keeper.go
@@ -73,12 +73,7 @@
 	k.signal()
 }
 
-func (k *Keeper) signal() {
-	select {
-	case k.wake <- struct{}{}:
-	default:
-	}
-}
+func (k *Keeper) signal() { signal(k.wake) }
 
 // StoreAnswers records that the store has just answered this instance. If the closed parts were
 // not read yet, they are read at once: requests are served from now on.
--- a/internal/coordination/routed/quarantine/messages.go
+++ b/internal/coordination/routed/quarantine/messages.go
@@ -12,6 +12,31 @@
 	Crashes  []Crash
 	Began    []FirstEvent
 	Closures []Closure
+	// Requests are those under which targets ended. An earlier release ignores them.
+	Requests []RequestEnds
+}
+
+// RequestEnds are the targets that ended under one request.
+type RequestEnds struct {
+	// Key identifies the request, Request is the id of one of its attempts or of the item.
+	Key, Request string
+	// Ends are the ended targets, the oldest first.
+	Ends []RequestEnd
+	// Completed reports that a target completed the request CompletedAge ago.
+	Completed    bool
+	CompletedAge time.Duration
+}
+
+// RequestEnd is the end of one incarnation of a target while a request ran there.
+type RequestEnd struct {
+	Target  string
+	Started int64
+	// Events is the number of events that the run had sent.
+	Events int
+	// SeenBy is the instance that lost the request.
+	SeenBy string
+	State  EndState
+	Age    time.Duration
 }
 
 // Crash is the end of one incarnation of a target while requests waited there for their first
@@ -36,7 +61,8 @@
 // Closure is a set of parts whose requests are rejected. A request is concerned if its prompt has
 // all of them.
 type Closure struct {
-	// Parts are sorted. There is more than one if no crash tells them apart.
+	// Parts are sorted. There is more than one if no crash tells them apart. The closure of a single
+	// request has its key in their place.
 	Parts []string
 	// Crashes is the number of crashes that closed them, Targets some of the targets, SeenBy
 	// some of the instances that saw them.
--- a/internal/coordination/routed/quarantine/reports.go
+++ b/internal/coordination/routed/quarantine/reports.go
@@ -33,11 +33,18 @@
 		}
 	}
 	slices.SortFunc(report.Closures, func(a, b Closure) int { return cmp.Compare(keyOf(a.Parts), keyOf(b.Parts)) })
+	for _, r := range e.ends.records {
+		if r.changed > version {
+			report.Requests = append(report.Requests, r.report(now))
+		}
+	}
+	slices.SortFunc(report.Requests, func(a, b RequestEnds) int { return cmp.Compare(a.Key, b.Key) })
 	return report
 }
 
-// Merge applies a report of another instance. It returns what was closed and opened by it.
-func (e *Evidence) Merge(now time.Time, report *Report) (closed, opened []Closure) {
+// Merge applies a report of another instance. It returns what was closed and opened by it, and the
+// requests of which it tells something new.
+func (e *Evidence) Merge(now time.Time, report *Report) (closed, opened []Closure, learned []RequestEnds) {
 	for i := range report.Crashes {
 		c := &report.Crashes[i]
 		if c.Age >= 0 && c.Age < crashTTL {
@@ -58,7 +65,12 @@
 			opened = append(opened, report.Closures[i])
 		}
 	}
-	return closed, opened
+	for i := range report.Requests {
+		if e.MergeEnds(now, &report.Requests[i]) {
+			learned = append(learned, report.Requests[i])
+		}
+	}
+	return closed, opened, learned
 }
 
 // mergeBeganLater records a first event that another instance reports, unless it is one that is
--- a/internal/coordination/routed/relay/forward.go
+++ b/internal/coordination/routed/relay/forward.go
@@ -36,7 +36,8 @@
 	}
 	answer.Close()
 	if err == nil {
-		c.opts.Quarantine.Began(c.parts)
+		c.opts.Quarantine.Began(c.subject)
+		c.opts.Quarantine.Completed(c.subject)
 		c.opts.Placer.Done(choice, placement.Served)
 		c.answerForwarded(answer.Head())
 		c.outcome.Reason = Relayed
@@ -78,7 +79,7 @@
 		}
 		monitor.eventArrived()
 		if c.attemptEvents == 0 {
-			c.opts.Quarantine.Began(c.parts)
+			c.opts.Quarantine.Began(c.subject)
 		}
 		now := time.Now()
 		if !last.IsZero() {
--- a/internal/coordination/routed/relay/quarantine.go
+++ b/internal/coordination/routed/relay/quarantine.go
@@ -14,7 +14,7 @@
 	if c.isTrial && c.outcome.Attempts == 0 {
 		return false
 	}
-	decision := c.opts.Quarantine.Check(c.parts)
+	decision := c.opts.Quarantine.Check(c.subject)
 	if decision.Trial {
 		c.isTrial = true
 		c.outcome.Closure = &decision.Closure
@@ -33,14 +33,21 @@
 	return true
 }
 
-// reportLost reports a request that was lost before its first event because its target closed the
-// connection.
+// subjectOf returns what the quarantine decides on.
+func subjectOf(request *RoutedRequest) quarantine.Request {
+	return quarantine.Request{
+		ID: request.Request.ID, Key: quarantine.OnlineKey(request.Organisation, request.Request), Parts: request.Request.Prompt.SharedParts(),
+	}
+}
+
+// reportLost reports a request whose target closed the connection before the answer was complete.
 func (c *call) reportLost(choice placement.Choice, err error) {
 	end := external.EndOf(err)
-	if c.attemptEvents > 0 || end != external.EndClosed && end != external.EndReset {
+	if end != external.EndClosed && end != external.EndReset {
 		return
 	}
 	c.opts.Quarantine.Lost(quarantine.LostRequest{
-		Target: choice.ID, Address: choice.Address, Domain: choice.Domain, Started: choice.Started, Parts: c.parts, At: time.Now(),
+		Request: c.subject, Target: choice.ID, Address: choice.Address, Domain: choice.Domain, Started: choice.Started,
+		Events: c.attemptEvents, At: time.Now(),
 	})
 }
--- a/internal/coordination/routed/relay/quarantine_test.go
+++ b/internal/coordination/routed/relay/quarantine_test.go
@@ -24,17 +24,19 @@
 	decisions []quarantine.Decision
 	checked   int
 	began     int
+	completed int
 	lost      []quarantine.LostRequest
 }
 
-func (q *scriptedQuarantine) Check([]string) quarantine.Decision {
+func (q *scriptedQuarantine) Check(quarantine.Request) quarantine.Decision {
 	if len(q.decisions) == 0 {
 		return quarantine.Decision{}
 	}
 	q.checked++
 	return q.decisions[min(q.checked, len(q.decisions))-1]
 }
-func (q *scriptedQuarantine) Began([]string)                   { q.began++ }
+func (q *scriptedQuarantine) Began(quarantine.Request)         { q.began++ }
+func (q *scriptedQuarantine) Completed(quarantine.Request)     { q.completed++ }
 func (q *scriptedQuarantine) Lost(lost quarantine.LostRequest) { q.lost = append(q.lost, lost) }
 
 // quarantine returns the quarantine of the test, one that closes nothing if it has none.
--- a/internal/coordination/routed/relay/relay.go
+++ b/internal/coordination/routed/relay/relay.go
@@ -77,12 +77,13 @@
 
 // Quarantine decides which requests may go to targets.
 type Quarantine interface {
-	// Check decides on a request whose prompt has the given shared parts.
-	Check(parts []string) quarantine.Decision
-	// Began records that a target answered such a request: with the first event of a stream, or
-	// with a whole answer.
-	Began(parts []string)
-	// Lost records that a target closed the connection of such a request before that.
+	// Check decides on a request.
+	Check(quarantine.Request) quarantine.Decision
+	// Began records that a target answered a request: with the first event of a stream, or with a
+	// whole answer. Completed records that the answer is complete.
+	Began(quarantine.Request)
+	Completed(quarantine.Request)
+	// Lost records that a target closed the connection of a request before that.
 	Lost(quarantine.LostRequest)
 }
 
@@ -143,7 +144,7 @@
 	callerCtx := ctx
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
-	c := &call{Relay: r, RoutedRequest: request, sink: sink, lastEvent: request.Request.After, parts: request.Request.Prompt.SharedParts()}
+	c := &call{Relay: r, RoutedRequest: request, sink: sink, lastEvent: request.Request.After, subject: subjectOf(request)}
 	if buffered, ok := sink.(BufferedSink); ok && r.opts.AnswerBuffers != nil {
 		var disconnected context.CancelCauseFunc
 		ctx, disconnected = context.WithCancelCause(ctx)
@@ -182,8 +183,8 @@
 	tried []string
 	// replaced is the number of tried targets whose addresses other targets use.
 	replaced int
-	// parts are the ids of the parts of the prompt that other requests may share.
-	parts []string
+	// subject is what the quarantine decides on.
+	subject quarantine.Request
 	// attemptEvents is the number of stream events that the current attempt brought.
 	attemptEvents int
 	// isTrial is set if the request is the trial of closed parts: it goes to one target.
--- a/internal/daemon/routed/crashtrouble_test.go
+++ b/internal/daemon/routed/crashtrouble_test.go
@@ -337,7 +337,8 @@
 		for n := range 8 {
 			// Nothing listens at the address, as behind such a partition.
 			guard.Lost(quarantine.LostRequest{
-				Target: fmt.Sprint("t-", n), Address: "10.1.2.9:8000", Domain: "d1", Parts: []string{"rare"}, At: time.Now(),
+				Request: quarantine.Request{ID: fmt.Sprint("r-", n), Key: "request:1", Parts: []string{"rare"}},
+				Target:  fmt.Sprint("t-", n), Address: "10.1.2.9:8000", Domain: "d1", At: time.Now(),
 			})
 			sleep(300 * time.Millisecond)
 		}
--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -66,6 +66,7 @@
 	origins        *origin.Registry
 	times          *servicetime.Estimator
 	quarantine     *quarantine.Guard
+	listed         targetList
 	peerServer     *peer.Server
 	peerClient     *peer.Client
 	partitionOwner *batchjobs.PartitionOwner
@@ -112,7 +113,8 @@
 	d.killed, d.kill = context.WithCancel(context.Background())
 	d.placer = placement.NewPlacer(d.self.Domain, d.targets.Connected, xxhash.Sum64String(d.self.Name))
 	d.quarantine = quarantine.New(quarantine.Options{
-		Self: d.self.Name, Targets: d.targets, ReachesDomain: d.reachesDomain, Store: d.store, Partition: external.Partition{Topic: quarantineTopic},
+		Self: d.self.Name, Targets: d.targets, ReachesDomain: d.reachesDomain, Leaving: d.listed.leaving, Replaced: d.listed.replaced,
+		Store: d.store, Partition: external.Partition{Topic: quarantineTopic},
 		Seed: xxhash.Sum64String(d.self.Name), Logger: logger,
 	})
 	d.setupView()
@@ -157,7 +159,10 @@
 			d.limiter.SetOrganisations(t.Version(), t.Organisations())
 		},
 		OnTargets: func(list []roster.Target) { d.brokerClient.SetTargets(list) },
-		OnListed:  func(list []roster.Target) { d.origins.SetTargets(list) },
+		OnListed: func(list []roster.Target) {
+			d.listed.set(list)
+			d.origins.SetTargets(list)
+		},
 		// A broker limits the requests that start at targets in their warm-up period, and
 		// peers need not know the warm-up state. So a broker reads the list of targets itself.
 		TargetsFromPeers: func() bool { return d.mesh.GetsTargetListFromRelay() && !d.brokerClient.IsBroker() },
@@ -276,6 +281,7 @@
 	d.supervisor.Add(d.quarantine)
 	d.supervisor.Add(d.quarantine.Checker())
 	d.supervisor.Add(d.quarantine.Keeper())
+	d.supervisor.Add(d.mesh.Notifier(d.quarantine.Urgent()))
 	d.supervisor.Add(&broker.Sweeper{
 		Broker: d.broker, IsBroker: d.brokerClient.IsBroker, Targets: d.targets, FilterOrphans: d.jobService.Orphans, Logger: d.logger,
 	})
--- a/internal/explain/causes.go
+++ b/internal/explain/causes.go
@@ -41,6 +41,12 @@
 		return describeReadStopped(r)
 	case "attempt_failed":
 		return describeAttempt(r)
+	case "request_target_ended":
+		return describeTargetEnded(r)
+	case "request_ends_learned":
+		return fmt.Sprintf("%s learned from %s that %s targets ended under it (target/events/state/age in ms/seen by): %s", r.Source, r.Fields["from"], r.Fields["ends"], r.Fields["known"])
+	case "request_ends_acquitted":
+		return "a target completed it, so the targets that ended before don't count"
 	case "job_submitted":
 		return fmt.Sprintf("job with %s items received; outcome reported to the caller: %q", r.Fields["items"], r.Fields["outcome"])
 	case "job_ended":
@@ -465,6 +471,12 @@
 	return fmt.Sprintf("target %s only lost an answer: its process runs", r.Fields["target"])
 }
 
+// describeTargetEnded says that a target ended while a request ran there.
+func describeTargetEnded(r *Record) string {
+	text := fmt.Sprintf("target %s ended %s before, after %s events of the run (%s)", r.Fields["target"], seconds(r.Number("lost_ms")), r.Fields["events"], r.Fields["state"])
+	return fmt.Sprintf("%s; %s targets ended under the request, as known at %s: %s", text, r.Fields["ends"], r.Source, r.Fields["known"])
+}
+
 // explainMissingEnd says why the logs may not record the end of a request that
 // was sent to a target.
 func explainMissingEnd(last *Record, logs *Logs) string {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -56,12 +56,33 @@
 			}
 		}
 	}
+	explanation.Lines = append(explanation.Lines, l.endsOfRepeats(id, explanation.Lines)...)
 	byTime(explanation.Lines)
 	explanation.Background = l.backgroundOf(explanation.Lines)
 	explanation.Causes = causes(&explanation, l)
 	return explanation
 }
 
+// endEvents are the events that tell which targets ended under a request.
+var endEvents = map[string]bool{"request_target_ended": true, "request_ends_learned": true, "request_ends_acquitted": true}
+
+// endsOfRepeats returns the lines on targets that ended under other runs of a request: a caller repeats
+// it, or resumes its stream, under other ids. The lines of all of them have the same key.
+func (l *Logs) endsOfRepeats(id string, lines []Record) (out []Record) {
+	keys := map[string]bool{}
+	for _, line := range lines {
+		if key := line.Fields["key"]; key != "" {
+			keys[key] = true
+		}
+	}
+	for _, record := range l.Records {
+		if _, own := kindOf(&record, id); !own && endEvents[record.Event] && keys[record.Fields["key"]] {
+			out = append(out, record)
+		}
+	}
+	return out
+}
+
 // kindOf reports whether a line names an id, and what the id is.
 func kindOf(record *Record, id string) (Kind, bool) {
 	for _, f := range idFields {
