A request under which three targets ended goes to no further one

Callers saw 502 and 503 while one item, or one request that its caller repeated or resumed, ended one target after the other: an item 5 to 6 in 13 s, a repeated or resumed request all nine.

Cause: nothing counted the targets that ended under a request. An interrupted run of an item only lengthened its pause, in the memory of the partition's owner, and each id under which a caller comes back began a new count of attempts.

The key of a request is one more subject of the quarantine of parts. After three ends that came at the same point of its output, or have no other cause, it is closed at all instances as a part is, with the same trials. Ends travel at once and with heartbeats, and are kept in the store for a start of all instances. An item waits a second from its second end on. Crashes that one request explains no longer count against the parts of its prompt.

--- a/internal/coordination/routed/batchjobs/options.go
+++ b/internal/coordination/routed/batchjobs/options.go
@@ -57,6 +57,8 @@
 	Began(quarantine.Request)
 	Completed(quarantine.Request)
 	Lost(quarantine.LostRequest)
+	// Ends returns the number of targets that ended under an item.
+	Ends(quarantine.Request) int
 }
 
 // Options are the settings and dependencies of JobService, PartitionOwner and Runner.
--- a/internal/coordination/routed/batchjobs/queue.go
+++ b/internal/coordination/routed/batchjobs/queue.go
@@ -96,7 +96,7 @@
 	return out
 }
 
-// logHeld logs once that an item waits since parts of its prompt are closed.
+// logHeld logs once that an item waits since it or parts of its prompt are closed.
 func (t *task) logHeld() {
 	if t.held {
 		return
--- a/internal/coordination/routed/batchjobs/task.go
+++ b/internal/coordination/routed/batchjobs/task.go
@@ -30,6 +30,9 @@
 	// another target, and the first one must not hold the slot for long. An item
 	// that needs more time continues at the next target.
 	maxRunTime = 15 * time.Second
+	// endedTargetPause is how long an item waits at least once a second target may have ended under
+	// it. By then this target was checked, and all instances that may run the item know of it.
+	endedTargetPause = time.Second
 )
 
 // task is an item that has no result yet. The runner's lock guards the fields that
@@ -143,27 +146,26 @@
 	if stalled.Load() {
 		outcome, result = interrupted, placement.TimedOut
 	}
-	if outcome == interrupted {
-		t.reportLost(choice, err, t.events-eventsBefore)
-	}
+	lostToTarget := outcome == interrupted && t.reportLost(choice, err, t.events-eventsBefore)
 	t.addRunTime(time.Since(start))
 	opts.Placer.Done(choice, result)
 	_ = level.Info(opts.Logger).Log("event", "item_run", "item", t.id.item, "job", t.id.job, "target", choice.ID,
 		"version", choice.Version, "broker", choice.Broker, "busy", choice.Busy, "slots", choice.Slots, "how", outcome.String(), "from", from, "position", t.position, "took_ms", time.Since(start).Milliseconds(),
 		"due_in_ms", time.Until(t.job.Due).Milliseconds(), "parts", strings.Join(t.subject.Parts, ","), "key", t.subject.Key, "events", t.events-eventsBefore, "ended", endOfRun(err), "err", err)
-	t.handleOutcome(outcome)
+	t.handleOutcome(outcome, lostToTarget)
 }
 
-// reportLost reports a run that brought some events and ended because its target closed the
-// connection.
-func (t *task) reportLost(choice placement.Choice, err error, events int) {
+// reportLost reports a run that brought some events, if it ended because its target closed the
+// connection. It returns whether that is so.
+func (t *task) reportLost(choice placement.Choice, err error, events int) bool {
 	if end := endOfRun(err); end != external.EndClosed && end != external.EndReset {
-		return
+		return false
 	}
 	t.runner.opts.Quarantine.Lost(quarantine.LostRequest{
 		Request: t.subject, Target: choice.ID, Address: choice.Address, Domain: choice.Domain, Started: choice.Started,
-		Events: events, At: time.Now(),
+		Events: events, Position: t.position, At: time.Now(),
 	})
+	return true
 }
 
 // endOfRun returns what the target did if a run failed, "" if it did not.
@@ -179,8 +181,9 @@
 	return [...]string{"whole", "refused", "failed", "impossible", "broken", "left"}[o]
 }
 
-// handleOutcome finishes the item or queues it for its next run.
-func (t *task) handleOutcome(outcome runOutcome) {
+// handleOutcome finishes the item or queues it for its next run. lostToTarget reports that the target
+// closed the connection, and may have ended.
+func (t *task) handleOutcome(outcome runOutcome, lostToTarget bool) {
 	r := t.runner
 	switch outcome {
 	case completed:
@@ -196,7 +199,11 @@
 		r.requeue(t, failureBackoff<<min(t.failures, 4))
 	case interrupted:
 		t.interruptions++
-		r.requeue(t, min(maxFailureBackoff, failureBackoff<<min(t.interruptions, 5)))
+		pause := min(maxFailureBackoff, failureBackoff<<min(t.interruptions, 5))
+		if lostToTarget && r.opts.Quarantine.Ends(t.subject) > 0 {
+			pause = max(pause, endedTargetPause)
+		}
+		r.requeue(t, pause)
 	}
 }
 
--- a/internal/coordination/routed/quarantine/checker.go
+++ b/internal/coordination/routed/quarantine/checker.go
@@ -32,9 +32,10 @@
 	// Domain is the failure domain of the target.
 	Domain  string
 	Started int64
-	// Events is the number of events that the run had sent.
-	Events int
-	At     time.Time
+	// Events is the number of events that the run had sent, Position that of the last event of all
+	// runs.
+	Events, Position int
+	At               time.Time
 }
 
 // suspects returns the parts that may have crashed the target: none if the run had sent an event.
@@ -197,8 +198,9 @@
 			continue
 		}
 		_ = level.Info(g.opts.Logger).Log("event", "request_target_ended", "request", lost.ID, "key", lost.Key, "target", lost.Target,
-			"started", lost.Started, "state", state, "events", lost.Events, "lost_ms", now.Sub(lost.At).Milliseconds(),
+			"started", lost.Started, "state", state, "events", lost.Events, "position", lost.Position, "lost_ms", now.Sub(lost.At).Milliseconds(),
 			"ends", g.evidence.Ends(lost.Key), "known", known.describe())
+		g.keeper.saveEnds(lost.Key)
 	}
 	g.endsChanged()
 }
--- a/internal/coordination/routed/quarantine/closure.go
+++ b/internal/coordination/routed/quarantine/closure.go
@@ -19,8 +19,9 @@
 	claimTime = 2 * time.Second
 	// claimTTL is the time after which a claimed trial without a result may be claimed again.
 	claimTTL = 15 * time.Second
-	// maxClosures bounds the closures that are kept.
-	maxClosures = 64
+	// maxClosures bounds the closures of parts that are kept, maxClosedRequests those of requests.
+	maxClosures       = 64
+	maxClosedRequests = 128
 	// maxNamed bounds the targets and instances that a closure names.
 	maxNamed = 6
 )
@@ -149,3 +150,6 @@
 	c.mergeClaim(now, r.TrialBy, now.Add(-r.TrialAge))
 	return c
 }
+
+// OfRequest reports whether the closure is that of a single request.
+func (c *Closure) OfRequest() bool { return len(c.Parts) == 1 && isRequestKey(c.Parts[0]) }
--- a/internal/coordination/routed/quarantine/ends.go
+++ b/internal/coordination/routed/quarantine/ends.go
@@ -1,26 +1,38 @@
 package quarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
+
+// MaxEndedTargets is the number of targets that may end under a request before it goes to no
+// further one.
+const MaxEndedTargets = 3
 
 // TargetEnded records that a target ended, or seems to have ended, while a request ran there. It
 // returns what is known of the request then, and false if that has not changed.
 func (e *Evidence) TargetEnded(now time.Time, lost *LostRequest, state EndState) (RequestEnds, bool) {
 	r := e.ends.record(lost.Key, lost.ID)
 	changed := e.addEnd(r, requestEnd{
-		incarnation: incarnation{lost.Target, lost.Started}, at: lost.At, events: lost.Events, seenBy: e.self, state: state,
+		incarnation: incarnation{lost.Target, lost.Started}, at: lost.At, events: lost.Events, position: lost.Position, seenBy: e.self, state: state,
 	})
 	return r.report(now), changed
 }
 
-// Completed records that a target completed a request. It returns false if no target is known to
-// have ended under it.
-func (e *Evidence) Completed(now time.Time, key string) bool {
+// Completed records that a target completed a request. It reports whether a target had ended under it,
+// and returns the closure that this opens, nil if there is none.
+func (e *Evidence) Completed(now time.Time, key string) (acquitted bool, opened *Closure) {
 	r := e.ends.records[key]
 	if r == nil || len(r.ends) == 0 || !r.complete(now) {
-		return false
+		return false, nil
 	}
 	r.changed = e.nextVersion()
-	return true
+	if known := e.closures[key]; known != nil && known.open(now) {
+		known.changed = e.nextVersion()
+		report := known.report(now)
+		opened = &report
+	}
+	return true, opened
 }
 
 // MergeEnds applies what another instance or the store knows of the targets that ended under a
@@ -42,7 +54,7 @@
 			continue
 		}
 		changed = e.addEnd(r, requestEnd{
-			incarnation: incarnation{end.Target, end.Started}, at: now.Add(-end.Age), events: end.Events, seenBy: end.SeenBy, state: end.State,
+			incarnation: incarnation{end.Target, end.Started}, at: now.Add(-end.Age), events: end.Events, position: end.Position, seenBy: end.SeenBy, state: end.State,
 		}) || changed
 	}
 	return changed
@@ -54,6 +66,9 @@
 		return false
 	}
 	r.changed = e.nextVersion()
+	if known := e.closures[r.key]; known != nil && known.crashedAgain(end.at) {
+		known.changed = e.nextVersion()
+	}
 	return true
 }
 
@@ -65,3 +80,74 @@
 	}
 	return len(r.counted())
 }
+
+// closeRequests closes the requests under which MaxEndedTargets targets ended, and opens those that are
+// not to blame for them, as it has turned out since. It returns both.
+func (e *Evidence) closeRequests(now time.Time) (closed, opened []Closure) {
+	for key, r := range e.ends.records {
+		ends := r.counted()
+		if len(ends) < MaxEndedTargets {
+			continue
+		}
+		known := e.closures[key]
+		isClosed := known != nil && known.closed()
+		toBlame := e.isToBlame(r, ends)
+		switch {
+		case !isClosed && toBlame:
+			closed = append(closed, e.closeRequest(now, r, ends))
+		case isClosed && !toBlame:
+			known.openedAt, known.changed = now, e.nextVersion()
+			opened = append(opened, known.report(now))
+		}
+	}
+	return closed, opened
+}
+
+// isToBlame reports whether a request caused the ends of targets under it: they came at the same point of
+// its output, or have no other cause.
+func (e *Evidence) isToBlame(r *endRecord, ends []*requestEnd) bool {
+	unexplained := 0
+	events, positions := map[int]int{}, map[int]int{}
+	for _, end := range ends {
+		events[end.events]++
+		positions[end.position]++
+		if events[end.events] >= MaxEndedTargets || positions[end.position] >= MaxEndedTargets {
+			return true
+		}
+		if !e.explainedByOther(r, end) {
+			unexplained++
+		}
+	}
+	return unexplained >= MaxEndedTargets
+}
+
+// explainedByOther reports whether the end of a target under a request has another cause: a closed part
+// of a prompt, or another request under which more targets ended. A target that ends leaves all requests
+// that ran there with an end, and only one of them is to blame.
+func (e *Evidence) explainedByOther(r *endRecord, end *requestEnd) bool {
+	if c := e.crashes.crashes[end.incarnation]; c != nil && e.explanation(c) != nil {
+		return true
+	}
+	own := len(r.counted())
+	return slices.ContainsFunc(e.ends.under(end.incarnation), func(other *endRecord) bool {
+		ends := len(other.counted())
+		return ends >= MaxEndedTargets && ends > own
+	})
+}
+
+// closeRequest closes a request under which targets ended.
+func (e *Evidence) closeRequest(now time.Time, r *endRecord, ends []*requestEnd) Closure {
+	c := e.closures[r.key]
+	if c == nil {
+		e.makeRoom()
+		c = &closure{parts: []string{r.key}}
+		e.closures[r.key] = c
+	}
+	c.targets, c.seenBy = nil, nil
+	for _, end := range ends {
+		c.targets = appendNew(c.targets, end.target)
+		c.seenBy = appendNew(c.seenBy, end.seenBy)
+	}
+	c.crashes, c.closedAt, c.crashed, c.changed = len(ends), now, ends[len(ends)-1].at, e.nextVersion()
+	return c.report(now)
+}
--- a/internal/coordination/routed/quarantine/endtable.go
+++ b/internal/coordination/routed/quarantine/endtable.go
@@ -39,14 +39,15 @@
 type requestEnd struct {
 	incarnation
 	at time.Time
-	// events is the number of events that the run had sent.
-	events int
-	seenBy string
-	state  EndState
+	// events is the number of events that the run had sent, position that of the last event of all
+	// runs.
+	events, position int
+	seenBy           string
+	state            EndState
 }
 
 func (e *requestEnd) report(now time.Time) RequestEnd {
-	return RequestEnd{Target: e.target, Started: e.started, Events: e.events, SeenBy: e.seenBy, State: e.state, Age: now.Sub(e.at)}
+	return RequestEnd{Target: e.target, Started: e.started, Events: e.events, Position: e.position, SeenBy: e.seenBy, State: e.state, Age: now.Sub(e.at)}
 }
 
 // endRecord holds the targets that ended under one request.
--- a/internal/coordination/routed/quarantine/evidence.go
+++ b/internal/coordination/routed/quarantine/evidence.go
@@ -132,8 +132,34 @@
 	}
 }
 
-// hasRoom reports whether a further closure may be kept.
-func (e *Evidence) hasRoom() bool { return len(e.closures) < maxClosures }
+// hasRoom reports whether a further closure of parts may be kept.
+func (e *Evidence) hasRoom() bool {
+	count := 0
+	for key := range e.closures {
+		if !isRequestKey(key) {
+			count++
+		}
+	}
+	return count < maxClosures
+}
+
+// makeRoom makes room for the closure of a request. It drops the one whose targets ended first.
+func (e *Evidence) makeRoom() {
+	var oldest *closure
+	count := 0
+	for key, c := range e.closures {
+		if !isRequestKey(key) {
+			continue
+		}
+		count++
+		if oldest == nil || c.crashed.Before(oldest.crashed) {
+			oldest = c
+		}
+	}
+	if count >= maxClosedRequests {
+		delete(e.closures, keyOf(oldest.parts))
+	}
+}
 
 func (e *Evidence) removeExpired(now time.Time) {
 	e.crashes.removeExpired(now)
--- a/internal/coordination/routed/quarantine/guard.go
+++ b/internal/coordination/routed/quarantine/guard.go
@@ -86,7 +86,8 @@
 		evidence: NewEvidence(opts.Self),
 	}
 	g.keeper = newKeeper(g)
-	metrics.GetOrCreateGauge("parts_closed", func() float64 { return float64(len(g.ClosedParts())) })
+	metrics.GetOrCreateGauge(`parts_closed`, func() float64 { return float64(g.countClosed(false)) })
+	metrics.GetOrCreateGauge(`requests_closed`, func() float64 { return float64(g.countClosed(true)) })
 	return g
 }
 
@@ -146,10 +147,27 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.evidence.Completed(time.Now(), r.Key) {
-		_ = level.Info(g.opts.Logger).Log("event", "request_ends_acquitted", "request", r.ID, "key", r.Key)
-		g.endsChanged()
+	acquitted, opened := g.evidence.Completed(time.Now(), r.Key)
+	if !acquitted {
+		return
 	}
+	_ = level.Info(g.opts.Logger).Log("event", "request_ends_acquitted", "request", r.ID, "key", r.Key)
+	if opened != nil {
+		g.logOpened("own", opened)
+		g.keeper.save(*opened)
+	}
+	g.keeper.saveEnds(r.Key)
+	g.endsChanged()
+}
+
+// Ends returns the number of targets that ended under a request, as far as this instance knows.
+func (g *Guard) Ends(r Request) int {
+	if !g.anyEnds.Load() {
+		return 0
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.evidence.Ends(r.Key)
 }
 
 // Since returns what has changed since a version, nil if nothing has.
@@ -182,6 +200,16 @@
 	}
 }
 
+// countClosed returns the number of closed requests, or of closed sets of parts.
+func (g *Guard) countClosed(ofRequests bool) (count int) {
+	for _, c := range g.ClosedParts() {
+		if c.OfRequest() == ofRequests {
+			count++
+		}
+	}
+	return count
+}
+
 // ClosedParts returns what is closed.
 func (g *Guard) ClosedParts() []Closure {
 	g.mu.Lock()
@@ -195,6 +223,7 @@
 // endsChanged makes other instances learn of a change of the targets that ended under requests. The
 // caller holds the lock.
 func (g *Guard) endsChanged() {
+	g.evaluateRequests()
 	g.anyEnds.Store(len(g.evidence.ends.records) > 0)
 	signal(g.urgent)
 }
@@ -233,6 +262,7 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.evaluateRequests()
 	for _, closed := range g.evidence.Evaluate(now) {
 		g.logClosed("evidence", &closed)
 		// All instances come to the same result; those that saw the crashes write it.
@@ -248,16 +278,46 @@
 	return idleInterval
 }
 
+// evaluateRequests closes and opens requests. The caller holds the lock.
+func (g *Guard) evaluateRequests() {
+	closed, opened := g.evidence.closeRequests(time.Now())
+	for i := range closed {
+		g.anyClosed.Store(true)
+		g.logClosed("evidence", &closed[i])
+		if slices.Contains(closed[i].SeenBy, g.opts.Self) {
+			g.keeper.save(closed[i])
+		}
+	}
+	for i := range opened {
+		g.logOpened("evidence", &opened[i])
+		g.keeper.save(opened[i])
+	}
+}
+
 // logClosed, logOpened and logTrial log a change of closed parts. from is where it is known from.
 func (g *Guard) logClosed(from string, c *Closure) {
+	if c.OfRequest() {
+		g.logClosure([]any{"event", "request_closed", "from", from}, c)
+		return
+	}
 	g.logClosure([]any{"event", "part_closed", "from", from}, c)
 }
 
 func (g *Guard) logOpened(from string, c *Closure) {
+	if c.OfRequest() {
+		g.logClosure([]any{"event", "request_opened", "from", from}, c)
+		return
+	}
 	g.logClosure([]any{"event", "part_opened", "from", from}, c)
 }
 
-func (g *Guard) logTrial(c *Closure) { g.logClosure([]any{"event", "part_trial"}, c) }
+func (g *Guard) logTrial(c *Closure) {
+	if c.OfRequest() {
+		g.logClosure([]any{"event", "request_trial"}, c)
+		return
+	}
+	g.logClosure([]any{"event", "part_trial"}, c)
+}
 
 func (g *Guard) logClosure(event []any, c *Closure) {
 	_ = level.Warn(g.opts.Logger).Log(append(event, c.LogFields()...)...)
--- a/internal/coordination/routed/quarantine/keeper.go
+++ b/internal/coordination/routed/quarantine/keeper.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -57,10 +59,13 @@
 	wake chan struct{}
 	// pending holds the closures to be written, by their keys. The lock of the guard guards it.
 	pending map[string]Closure
+	// pendingEnds holds the keys of the requests whose ended targets are to be written. It is guarded
+	// in the same way.
+	pendingEnds map[string]bool
 }
 
 func newKeeper(g *Guard) *Keeper {
-	return &Keeper{guard: g, random: rand.New(rand.NewPCG(g.opts.Seed, 4)), wake: make(chan struct{}, 1), pending: map[string]Closure{}}
+	return &Keeper{guard: g, random: rand.New(rand.NewPCG(g.opts.Seed, 4)), wake: make(chan struct{}, 1), pending: map[string]Closure{}, pendingEnds: map[string]bool{}}
 }
 
 // Keeper returns the background service that reads and writes the store.
@@ -121,15 +126,21 @@
 
 // write writes what is pending.
 func (k *Keeper) write(ctx context.Context) error {
+	k.guard.mu.Lock()
 	records, written, err := k.pendingRecords(time.Now())
+	ends := k.pendingEnds
+	k.pendingEnds = map[string]bool{}
+	k.guard.mu.Unlock()
 	if err != nil || len(records) == 0 {
 		return err
 	}
-	if _, err := k.guard.opts.Store.Append(ctx, k.guard.opts.Partition, records, external.AnyEnd); err != nil {
-		return err
-	}
+	_, err = k.guard.opts.Store.Append(ctx, k.guard.opts.Partition, records, external.AnyEnd)
 	k.guard.mu.Lock()
 	defer k.guard.mu.Unlock()
+	if err != nil {
+		maps.Copy(k.pendingEnds, ends)
+		return err
+	}
 	for key, c := range written {
 		if k.pending[key].Opened == c.Opened {
 			delete(k.pending, key)
@@ -138,10 +149,12 @@
 	return nil
 }
 
-// pendingRecords returns the records to be written, and the closures that they are of.
+// pendingRecords returns the records to be written, and the closures among them. The caller holds the lock
+// of the guard.
 func (k *Keeper) pendingRecords(now time.Time) (records []external.KeyedRecord, written map[string]Closure, err error) {
-	k.guard.mu.Lock()
-	defer k.guard.mu.Unlock()
+	if records, err = k.pendingEndRecords(now); err != nil {
+		return nil, nil, err
+	}
 	written = map[string]Closure{}
 	for key, c := range k.pending {
 		record := external.KeyedRecord{Key: key}
@@ -172,7 +185,14 @@
 	k.loaded.Store(true)
 	now := time.Now()
 	stored := map[string]Closure{}
+	var ends []keptEnds
 	for _, record := range page.Records {
+		if strings.HasPrefix(record.Key, endsKeyPrefix) {
+			if kept, ok := k.decodeEnds(&record); ok {
+				ends = append(ends, kept)
+			}
+			continue
+		}
 		var c keptClosure
 		if err := cbor.Unmarshal(record.Value, &c); err != nil || len(c.Parts) == 0 {
 			_ = level.Warn(k.guard.opts.Logger).Log("event", "closed_parts_unreadable", "key", record.Key, "err", err)
@@ -180,7 +200,7 @@
 		}
 		stored[record.Key] = c.closure(now)
 	}
-	k.guard.reconcile(now, stored)
+	k.guard.reconcile(now, stored, ends)
 	return nil
 }
 
@@ -194,9 +214,10 @@
 
 // reconcile adopts the closures in the store that are not known here, removes those that are
 // open or forgotten, and writes those that are missing.
-func (g *Guard) reconcile(now time.Time, stored map[string]Closure) {
+func (g *Guard) reconcile(now time.Time, stored map[string]Closure, ends []keptEnds) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.reconcileEnds(now, ends)
 	for _, c := range stored {
 		if known := g.evidence.closures[keyOf(c.Parts)]; known != nil && !known.closed() || c.LastCrashAge > closureTTL {
 			c.Opened = true
--- a/internal/coordination/routed/quarantine/messages.go
+++ b/internal/coordination/routed/quarantine/messages.go
@@ -31,8 +31,9 @@
 type RequestEnd struct {
 	Target  string
 	Started int64
-	// Events is the number of events that the run had sent.
-	Events int
+	// Events is the number of events that the run had sent, Position that of the last event of all
+	// runs.
+	Events, Position int
 	// SeenBy is the instance that lost the request.
 	SeenBy string
 	State  EndState
--- a/internal/coordination/routed/quarantine/reports.go
+++ b/internal/coordination/routed/quarantine/reports.go
@@ -100,7 +100,10 @@
 	key := keyOf(reported.Parts)
 	known := e.closures[key]
 	if known == nil {
-		if !e.hasRoom() {
+		switch {
+		case isRequestKey(key):
+			e.makeRoom()
+		case !e.hasRoom():
 			return false, false
 		}
 		known = fromReport(now, reported)
--- a/internal/coordination/routed/quarantine/suspects.go
+++ b/internal/coordination/routed/quarantine/suspects.go
@@ -72,7 +72,7 @@
 		if len(under) < closeAfter {
 			return nil, nil
 		}
-		if moments(under) < closeMoments || !slices.ContainsFunc(under, e.unexplained) {
+		if moments(under) < closeMoments || !slices.ContainsFunc(under, e.unexplained) || e.ofOneRequest(under) {
 			continue
 		}
 		parts = inseparable(counted, under)
@@ -83,6 +83,22 @@
 	return nil, nil
 }
 
+// ofOneRequest reports whether a single request may have caused crashes: it ran at all of the targets but
+// one, which may have crashed by itself. A crash of its own request says nothing against a part of its
+// prompt that others have.
+func (e *Evidence) ofOneRequest(list []*crash) bool {
+	runs := map[string]int{}
+	for _, c := range list {
+		for _, r := range e.ends.under(c.incarnation) {
+			runs[r.key]++
+			if runs[r.key] >= len(list)-1 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // inseparable returns the parts that were suspects of all but one of some crashes at least. The
 // crashes don't tell these parts apart: a report may be missing. Only requests that have all of
 // them are rejected, and the next crashes under only some of them tell them apart.
--- a/internal/coordination/routed/relay/outcome.go
+++ b/internal/coordination/routed/relay/outcome.go
@@ -27,6 +27,8 @@
 	// PartClosed: parts of the prompt are closed, since targets crash when they begin to answer
 	// requests with them.
 	PartClosed Reason = "part_closed"
+	// RequestClosed: three targets ended while they ran this request.
+	RequestClosed Reason = "request_closed"
 	// AllFull: no target had a free slot in time. The request did not run.
 	AllFull Reason = "all_full"
 	// NotAccepted: each target that was tried rejected the request or could not
@@ -108,7 +110,7 @@
 			return http.StatusServiceUnavailable
 		}
 		return http.StatusGatewayTimeout
-	case Interrupted, PartClosed:
+	case Interrupted, PartClosed, RequestClosed:
 		if o.PossibleRuns == 0 {
 			return http.StatusServiceUnavailable
 		}
--- a/internal/coordination/routed/relay/quarantine.go
+++ b/internal/coordination/routed/relay/quarantine.go
@@ -24,6 +24,9 @@
 	}
 	c.outcome.Closure = &decision.Closure
 	c.outcome.Reason = PartClosed
+	if decision.Closure.OfRequest() {
+		c.outcome.Reason = RequestClosed
+	}
 	switch {
 	case c.headSent:
 		c.outcome.Reason = Truncated
@@ -46,8 +49,15 @@
 	if end != external.EndClosed && end != external.EndReset {
 		return
 	}
+	c.lostTargets++
 	c.opts.Quarantine.Lost(quarantine.LostRequest{
 		Request: c.subject, Target: choice.ID, Address: choice.Address, Domain: choice.Domain, Started: choice.Started,
-		Events: c.attemptEvents, At: time.Now(),
+		Events: c.attemptEvents, Position: c.lastEvent, At: time.Now(),
 	})
 }
+
+// mayEndNoFurther reports whether the request may have ended as many targets as it may. The check of the
+// targets of this request takes longer than its next attempt, so each lost answer counts here.
+func (c *call) mayEndNoFurther() bool {
+	return c.endedBefore > 0 && c.endedBefore+c.lostTargets >= quarantine.MaxEndedTargets
+}
--- a/internal/coordination/routed/relay/quarantine_test.go
+++ b/internal/coordination/routed/relay/quarantine_test.go
@@ -25,6 +25,7 @@
 	checked   int
 	began     int
 	completed int
+	ends      int
 	lost      []quarantine.LostRequest
 }
 
@@ -37,6 +38,7 @@
 }
 func (q *scriptedQuarantine) Began(quarantine.Request)         { q.began++ }
 func (q *scriptedQuarantine) Completed(quarantine.Request)     { q.completed++ }
+func (q *scriptedQuarantine) Ends(quarantine.Request) int      { return q.ends }
 func (q *scriptedQuarantine) Lost(lost quarantine.LostRequest) { q.lost = append(q.lost, lost) }
 
 // quarantine returns the quarantine of the test, one that closes nothing if it has none.
--- a/internal/coordination/routed/relay/relay.go
+++ b/internal/coordination/routed/relay/relay.go
@@ -85,6 +85,8 @@
 	Completed(quarantine.Request)
 	// Lost records that a target closed the connection of a request before that.
 	Lost(quarantine.LostRequest)
+	// Ends returns the number of targets that ended under a request.
+	Ends(quarantine.Request) int
 }
 
 // Sink writes an answer to the caller.
@@ -153,6 +155,7 @@
 		// After a panic, the writer must not use the connection any more.
 		defer c.delivery.abort()
 	}
+	c.endedBefore = r.opts.Quarantine.Ends(c.subject)
 	if !c.isClosed() && c.findOrigin(ctx) {
 		c.run(ctx)
 	}
@@ -185,6 +188,9 @@
 	replaced int
 	// subject is what the quarantine decides on.
 	subject quarantine.Request
+	// endedBefore is the number of targets that are known to have ended under the request before it
+	// came here, lostTargets the number of those that closed the connection of it here.
+	endedBefore, lostTargets int
 	// attemptEvents is the number of stream events that the current attempt brought.
 	attemptEvents int
 	// isTrial is set if the request is the trial of closed parts: it goes to one target.
@@ -440,7 +446,7 @@
 // afterLostAnswer decides whether a request that may have run is retried.
 func (c *call) afterLostAnswer(choice placement.Choice, end external.TargetEnd, key string, cause any) nextStep {
 	c.logFailedAttempt(choice, "lost", end, key, cause)
-	if c.Route.Repeatable() && c.outcome.PossibleRuns < c.Route.MaxAttempts && c.mayGoOn() {
+	if c.Route.Repeatable() && c.outcome.PossibleRuns < c.Route.MaxAttempts && !c.mayEndNoFurther() && c.mayGoOn() {
 		return tryNext
 	}
 	c.outcome.Reason = AnswerLost
--- a/internal/daemon/routed/crashingrequests_test.go
+++ b/internal/daemon/routed/crashingrequests_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"regexp"
 	"strconv"
 	"strings"
 	"testing"
@@ -201,3 +202,318 @@
 		require.LessOrEqual(t, len(f.crashes), toleratedEnds)
 	})
 }
+
+// crashingKinds are the kinds of requests that crash targets, by the events of a run before the crash.
+var crashingKinds = map[string]func(run *engine.Run, n int) bool{
+	"before the first event":    crashesAfterEvents(0),
+	"after one event of a run":  crashesAfterEvents(1),
+	"after four events of each": crashesAfterEvents(4),
+	"at event 12":               crashesRequestsAt(12),
+}
+
+// crashesAfterEvents returns a crashesAt for the requests whose id begins with crashingPrefix: each run
+// crashes its target after a number of events.
+func crashesAfterEvents(events int) func(run *engine.Run, n int) bool {
+	return func(run *engine.Run, n int) bool {
+		return n-run.ResumedAfter-1 == events && strings.HasPrefix(firstID(run), crashingPrefix)
+	}
+}
+
+// repeatRequest sends a request that crashes targets, and repeats it at random instances soon after each
+// answer. A resumable stream goes on after the events that came.
+func (f *crashFleet) repeatRequest(rng *rand.Rand, id, path string, tries int) {
+	after := -1
+	for n := range tries {
+		request := callerRequest{id: id, path: path, key: keyOne, body: "body of " + id, header: map[string]string{
+			"Prompt-Prefix": "f1:200," + id + ":250", "Token-Count": "450,35", "Model": "m",
+		}}
+		if n > 0 {
+			request.id, request.header["Resumes"] = fmt.Sprint(id, "-", n), id
+			if after >= 0 {
+				request.header["Last-Event-Id"] = fmt.Sprint(after)
+			}
+		}
+		got := f.instances[rng.IntN(len(f.instances))].send(request)
+		after += strings.Count(got.body, "\n\n")
+		sleep(time.Duration(30+rng.IntN(60)) * time.Millisecond)
+	}
+}
+
+// requireFewEnds requires the bounds on the targets that end under each request with crashesAt.
+func (f *crashFleet) requireFewEnds(requests int) {
+	f.t.Helper()
+	f.logEnds()
+	require.NotEmpty(f.t, f.endsOf)
+	require.LessOrEqual(f.t, len(f.endsOf), requests)
+	for id, ends := range f.endsOf {
+		require.LessOrEqual(f.t, len(ends), toleratedEnds, id)
+		require.LessOrEqual(f.t, f.runsAfterThird(id), 1, id)
+	}
+}
+
+// requireSoundServed requires that sound requests were served at the first try as often as before the
+// crashes, from recoveredAfter after the last of them on, and that none was closed.
+func (f *crashFleet) requireSoundServed(start time.Time, before, d time.Duration) {
+	f.t.Helper()
+	last := f.crashes[len(f.crashes)-1]
+	was, is := f.firstShare(start, start.Add(before)), f.firstShare(last.Add(recoveredAfter), start.Add(d))
+	f.t.Logf("sound requests served at the first try: %.3f before, %.3f after", was, is)
+	require.GreaterOrEqual(f.t, is, soundShare*was)
+	require.Empty(f.t, f.closedSoundRequests())
+}
+
+var closedRequest = regexp.MustCompile(`event=request_closed from=evidence closed_parts=(\S+)`)
+
+var lostRequest = regexp.MustCompile(`event=request_target_ended request=(\S+) key=(\S+)`)
+
+// closedSoundRequests returns the requests that instances closed although they crash no target.
+func (f *crashFleet) closedSoundRequests() map[string]bool {
+	crashing, closed := map[string]bool{}, map[string]bool{}
+	for _, inst := range f.instances {
+		for _, match := range lostRequest.FindAllStringSubmatch(inst.logs.String(), -1) {
+			if strings.HasPrefix(match[1], crashingPrefix) {
+				crashing[match[2]] = true
+			}
+		}
+	}
+	for _, inst := range f.instances {
+		for _, match := range closedRequest.FindAllStringSubmatch(inst.logs.String(), -1) {
+			if !crashing[match[1]] {
+				closed[match[1]] = true
+			}
+		}
+	}
+	return closed
+}
+
+// Guards against requests that end more than three targets each, or more sound ones with them, when
+// callers return within some ten milliseconds at other instances, and several do so at once.
+func TestCrashingRequestsOfAllKindsAtOnce(t *testing.T) {
+	for name, crashesAt := range crashingKinds {
+		for _, requests := range []int{1, 4, 20} {
+			t.Run(fmt.Sprint(name, "/", requests), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					load := soundLoad(uint64(requests), 36)
+					load.crashesAt = crashesAt
+					f := newCrashFleet(t, fleetSize{domains: 3, instances: 3, targets: 3}, load)
+					start := time.Now()
+					var events []crashEvent
+					for n := range requests {
+						rng := rand.New(rand.NewPCG(uint64(n), 53))
+						events = append(events, crashEvent{crashBegin, func() {
+							go f.repeatRequest(rng, fmt.Sprint(crashingPrefix, n), "/again/a/35", 10)
+						}})
+					}
+					f.serve(crashEnd, crashEnd, events...)
+					f.requireFewEnds(requests)
+					f.requireSoundServed(start, crashBegin, crashEnd)
+				})
+			})
+		}
+	}
+}
+
+// itemTroubles are what happens after the second target has ended under an item.
+var itemTroubles = map[string]func(f *crashFleet, item string) []crashEvent{
+	"nothing": func(*crashFleet, string) []crashEvent { return nil },
+	"owner killed": func(f *crashFleet, item string) []crashEvent {
+		return []crashEvent{{0, func() { f.runnerOf(item).kill() }}}
+	},
+	"all restarted": func(f *crashFleet, _ string) []crashEvent {
+		return []crashEvent{{0, f.killAll}, {500 * time.Millisecond, f.startAll}}
+	},
+	"in turn": func(f *crashFleet, _ string) (out []crashEvent) {
+		for n, inst := range f.instances {
+			out = append(out, crashEvent{time.Duration(500*n) * time.Millisecond, func() {
+				inst.kill()
+				inst.start()
+			}})
+		}
+		return out
+	},
+}
+
+// runnerOf returns the instance that lost the latest run of an item to its target.
+func (f *crashFleet) runnerOf(item string) *testInstance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	last := f.endsOf[item][len(f.endsOf[item])-1].target
+	for _, inst := range f.instances {
+		if strings.Contains(inst.logs.String(), "event=request_target_ended request="+item+" ") &&
+			strings.Contains(inst.logs.String(), " target="+last+" ") {
+			return inst
+		}
+	}
+	return f.instances[0]
+}
+
+// Guards against an item whose ended targets are forgotten with the instance that saw them, and against
+// other items of its job that wait with it.
+func TestItemsEndedTargetsSurviveTheirInstance(t *testing.T) {
+	for name, trouble := range itemTroubles {
+		for kind, crashesAt := range crashingKinds {
+			t.Run(name+"/"+kind, func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					load := soundLoad(1, 20)
+					load.crashesAt = crashesAt
+					f := newCrashFleet(t, fleetSize{domains: 3, instances: 3, targets: 3}, load)
+					const crashing, items = 1, 12
+					job := crashingItemsJob("job-a", crashing, items, 40)
+					require.Equal(t, http.StatusAccepted, f.instances[0].send(job).status)
+					item := crashingPrefix + itemID("job-a", 0)
+					begin := time.Now()
+					for f.endCount(item) < 2 && time.Since(begin) < 10*time.Second {
+						sleep(5 * time.Millisecond)
+					}
+					// The end is known to its instance and written to the store after some ten milliseconds.
+					sleep(50 * time.Millisecond)
+					f.serve(crashEnd, crashEnd, trouble(f, item)...)
+					f.requireFewEnds(crashing)
+					f.requireNeighboursDone("job-a", crashing, items)
+					require.Empty(t, f.closedSoundRequests())
+				})
+			})
+		}
+	}
+}
+
+func (f *crashFleet) endCount(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.endsOf[id])
+}
+
+// ordinaryTroubles are faults of targets that no request causes.
+var ordinaryTroubles = map[string]struct {
+	// lostPerMille and brokenPerMille are the shares of answers that are lost or broken off.
+	lostPerMille, brokenPerMille int
+	// crashes returns the number of targets that crash at one moment, pause the time to the next one.
+	crashes func(rng *rand.Rand) int
+	pause   func(rng *rand.Rand) time.Duration
+}{
+	"lost answers at 3 percent": {lostPerMille: 30, brokenPerMille: 30},
+	"lost answers at 7 percent": {lostPerMille: 70, brokenPerMille: 70},
+	"crashes": {
+		crashes: func(*rand.Rand) int { return 1 },
+		pause:   func(rng *rand.Rand) time.Duration { return time.Duration(1000+rng.IntN(2000)) * time.Millisecond },
+	},
+	"racks": {
+		crashes: func(*rand.Rand) int { return 3 },
+		pause:   func(rng *rand.Rand) time.Duration { return time.Duration(3000+rng.IntN(3000)) * time.Millisecond },
+	},
+	"crashes and lost answers": {
+		lostPerMille: 30, brokenPerMille: 30,
+		crashes: func(rng *rand.Rand) int { return 1 + rng.IntN(3) },
+		pause:   func(rng *rand.Rand) time.Duration { return time.Duration(2000+rng.IntN(3000)) * time.Millisecond },
+	},
+}
+
+// Guards against sound requests and items that wait or are rejected because they met crashes of targets,
+// racks and lost answers.
+func TestOrdinaryTroubleClosesNoRequest(t *testing.T) {
+	for name, trouble := range ordinaryTroubles {
+		for seed := range uint64(2 * *crashSeeds) {
+			t.Run(fmt.Sprint(name, "/", seed), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					rng := rand.New(rand.NewPCG(seed, 54))
+					load := soundLoad(seed, 30)
+					load.faultFor = func(string) engine.Fault {
+						switch at := rng.IntN(1000); {
+						case at < trouble.lostPerMille:
+							return engine.Fault{LoseAnswer: true}
+						case at < trouble.lostPerMille+trouble.brokenPerMille:
+							return engine.Fault{BreakAfter: 1 + rng.IntN(5)}
+						default:
+							return engine.Fault{}
+						}
+					}
+					f := newCrashFleet(t, fleetSize{domains: 3, instances: 3, targets: 3}, load)
+					const items = 20
+					require.Equal(t, http.StatusAccepted, f.instances[0].send(batchJob("job-a", items, 150)).status)
+					var events []crashEvent
+					if trouble.crashes != nil {
+						for at := time.Second; at < crashEnd; at += trouble.pause(rng) {
+							events = append(events, crashEvent{at, func() { f.crashSome(rng, trouble.crashes(rng)) }})
+						}
+					}
+					f.serve(crashEnd, crashEnd, events...)
+					sleep(15 * time.Second)
+					require.Empty(t, f.closedSoundRequests())
+					require.Empty(t, f.closedParts())
+					f.requireNeighboursDone("job-a", 0, items)
+				})
+			})
+		}
+	}
+}
+
+// Guards against a part that isn't closed because its requests are, and against sound requests that
+// suffer from both.
+func TestCrashingRequestsBesideCrashingPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		load := usualCrashLoad(3, 4)
+		load.crashesAt = crashesAfterEvents(2)
+		f := newCrashFleet(t, fleetSize{domains: 3, instances: 3, targets: 3}, load)
+		start := time.Now()
+		var events []crashEvent
+		for n := range 4 {
+			rng := rand.New(rand.NewPCG(uint64(n), 53))
+			events = append(events, crashEvent{crashBegin, func() {
+				go f.repeatRequest(rng, fmt.Sprint(crashingPrefix, n), "/again/a/35", 10)
+			}})
+		}
+		f.serve(crashEnd, crashBegin, events...)
+		got := f.figures(start, crashBegin, crashEnd)
+		t.Logf("%+v, %d crashes under the part", got, len(f.crashesOf[crashingPart]))
+		require.LessOrEqual(t, f.lateOf(crashingPart), toleratedRequests)
+		require.GreaterOrEqual(t, got.after, soundShare*got.before)
+		f.requireFewEnds(4)
+	})
+}
+
+// Guards against a failure domain that is cut off and forgets, or never tells, which targets ended under
+// a request.
+func TestEndedTargetsAreToldAfterPartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		load := soundLoad(1, 10)
+		load.crashesAt = crashesAfterEvents(0)
+		f := newCrashFleet(t, fleetSize{domains: 3, instances: 3, targets: 3}, load)
+		var own, others []string
+		for _, inst := range f.instances {
+			if inst.domain == "d0" {
+				own = append(own, inst.ip)
+			} else {
+				others = append(others, inst.ip)
+			}
+		}
+		for _, target := range f.targets {
+			if target.domain == "d0" {
+				own = append(own, target.ip)
+			} else {
+				others = append(others, target.ip)
+			}
+		}
+		others = append(others, storeIP)
+		f.net.Partition(own, others)
+		sleep(time.Second)
+		id := crashingPrefix + "s"
+		request := callerRequest{id: id, path: "/again/a/35", key: keyOne, header: map[string]string{
+			"Prompt-Prefix": "own:250", "Token-Count": "250,35", "Model": "m",
+		}}
+		for range 4 {
+			f.instances[0].send(request)
+			sleep(50 * time.Millisecond)
+		}
+		require.LessOrEqual(t, f.endCount(id), toleratedEnds)
+		f.net.HealPartition(own, others)
+		sleep(3 * time.Second)
+		for _, inst := range f.instances {
+			inst.send(request)
+		}
+		f.logEnds()
+		require.LessOrEqual(t, f.endCount(id), toleratedEnds)
+	})
+}
--- a/internal/explain/causes.go
+++ b/internal/explain/causes.go
@@ -62,7 +62,7 @@
 	case "item_waits":
 		return describeItemWaits(r)
 	case "item_held":
-		return fmt.Sprintf("item %s waits: targets crash when they begin to answer some of its prompt parts %s", r.Fields["item"], r.Fields["parts"])
+		return fmt.Sprintf("item %s waits: targets crash when they begin to answer some of its prompt parts %s, or three ended while they ran it (%s)", r.Fields["item"], r.Fields["parts"], r.Fields["key"])
 	case "item_restarted":
 		return fmt.Sprintf("item %s starts again, its output up to event %s was discarded: %s", r.Fields["item"], r.Fields["position"], describeRestart(r))
 	case "item_failed":
@@ -442,6 +442,9 @@
 		return text
 	case "part_closed":
 		return describeClosure(r)
+	case "request_closed":
+		return fmt.Sprintf("%s targets (%s) ended while they ran this request (%s), seen by %s, the last one %s ago; it goes to a target again in %s at the earliest",
+			r.Fields["crashes"], r.Fields["targets"], r.Fields["closed_parts"], r.Fields["seen_by"], seconds(r.Number("last_crash_ms")), seconds(r.Number("retry_ms")))
 	case "interrupted":
 		return "the instance exited before the answer was complete"
 	case "timed_out":
@@ -538,6 +541,12 @@
 		return fmt.Sprintf("has the levels of the rates from %s, knows %s instances", r.Fields["from"], r.Fields["instances"])
 	case "part_closed":
 		return fmt.Sprintf("the prompt parts %s were closed, known from %s: %s", r.Fields["closed_parts"], r.Fields["from"], describeEvidence(r))
+	case "request_closed":
+		return fmt.Sprintf("the request %s was closed, known from %s: targets %s ended while they ran it", r.Fields["closed_parts"], r.Fields["from"], r.Fields["targets"])
+	case "request_opened":
+		return fmt.Sprintf("the request %s was opened: a target completed it, or the targets ended under another one", r.Fields["closed_parts"])
+	case "request_trial":
+		return fmt.Sprintf("the closed request %s may go to one target", r.Fields["closed_parts"])
 	case "part_opened":
 		return fmt.Sprintf("the prompt parts %s were opened: a request with them got its first event", r.Fields["closed_parts"])
 	case "part_trial":
