Bytes without end from a target are cut off at a bound

A target in trouble may send bytes that are no answer until its caller closes.

A head is cut off after 32 KiB, the body of a forwarded answer after 64 MiB, an event after 512 KiB (1 MiB before, grown by doubling, takes more memory than allowed), the output of an item after 1 MiB. The exchange ends as 'oversized' in attempt_failed and item_run, counts in target_answers_too_large_total, and counts against the target as a lost answer. The heads of the store and of the first daemon's clients have the same bound.

--- a/internal/coordination/routed/batchjobs/task.go
+++ b/internal/coordination/routed/batchjobs/task.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log/level"
 
 	"merlintiller/internal/coordination/routed/placement"
@@ -33,6 +35,9 @@
 	// endedTargetPause is how long an item waits at least once a second target may have ended under
 	// it. By then this target was checked, and all instances that may run the item know of it.
 	endedTargetPause = time.Second
+	// maxItemText bounds the output of an item in bytes: a page of results has as many at most. A target
+	// may send events without end.
+	maxItemText = 1 << 20
 )
 
 // task is an item that has no result yet. The runner's lock guards the fields that
@@ -152,9 +157,20 @@
 	_ = level.Info(opts.Logger).Log("event", "item_run", "item", t.id.item, "job", t.id.job, "target", choice.ID,
 		"version", choice.Version, "broker", choice.Broker, "busy", choice.Busy, "slots", choice.Slots, "how", outcome.String(), "from", from, "position", t.position, "took_ms", time.Since(start).Milliseconds(),
 		"due_in_ms", time.Until(t.job.Due).Milliseconds(), "parts", strings.Join(t.subject.Parts, ","), "key", t.subject.Key, "events", t.events-eventsBefore, "ended", endOfRun(err), "err", err)
+	if errors.Is(err, errOutputTooLarge) {
+		outputsTooLarge.Inc()
+		t.discardOutput()
+	}
 	t.handleOutcome(outcome, lostToTarget)
 }
 
+// discardOutput makes the item start again: a target sent events without end.
+func (t *task) discardOutput() {
+	t.runner.mu.Lock()
+	defer t.runner.mu.Unlock()
+	t.runner.restart(t, outputTooLarge)
+}
+
 // reportLost reports a run that brought some events, if it ended because its target closed the
 // connection. It returns whether that is so.
 func (t *task) reportLost(choice placement.Choice, err error, events int) bool {
@@ -277,6 +293,15 @@
 	}
 }
 
+// eventsTooLarge and outputsTooLarge count what targets sent beyond the bounds of an event and an item.
+var (
+	eventsTooLarge  = metrics.GetOrCreateCounter(`target_answers_too_large_total{what="event"}`)
+	outputsTooLarge = metrics.GetOrCreateCounter(`target_answers_too_large_total{what="item"}`)
+)
+
+// errOutputTooLarge means that the output of an item exceeds maxItemText.
+var errOutputTooLarge = fmt.Errorf("%w: output of more than %d bytes", external.ErrTooLarge, maxItemText)
+
 // errGap means that an event is missing, so that later events can't be joined to the
 // output.
 var errGap = errors.New("gap in the numbers of the stream events")
@@ -304,6 +329,10 @@
 			if ctx.Err() != nil {
 				return cancelled, placement.Cancelled, err
 			}
+			if errors.Is(err, sse.ErrTooLong) {
+				eventsTooLarge.Inc()
+				err = fmt.Errorf("%w: %w", external.ErrTooLarge, err)
+			}
 			return interrupted, placement.Broken, err
 		}
 		stall.Reset(stallTimeout)
@@ -333,6 +362,9 @@
 	}
 	t.events++
 	data := event.Data()
+	if t.text.Len()+len(data) > maxItemText {
+		return errOutputTooLarge
+	}
 	t.text.Write(data)
 	t.output.add(string(data), 1, t.position)
 	return nil
--- a/internal/coordination/routed/batchjobs/versions.go
+++ b/internal/coordination/routed/batchjobs/versions.go
@@ -20,6 +20,7 @@
 	versionUnknown = "version_unknown"
 	versionGone    = "version_gone"
 	versionFull    = "version_full"
+	outputTooLarge = "output_too_large"
 )
 
 // mayRunAt reports whether the item may run at a target of a software version: output of two
--- a/internal/coordination/routed/relay/forward.go
+++ b/internal/coordination/routed/relay/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"time"
 
@@ -23,6 +24,9 @@
 // this instance forwards.
 var eventGap = metrics.NewPrometheusHistogram("stream_event_gap_seconds")
 
+// eventsTooLarge counts the events of streams that exceeded their bound.
+var eventsTooLarge = metrics.GetOrCreateCounter(`target_answers_too_large_total{what="event"}`)
+
 // forward sends the target's answer to the caller and reports the result to the
 // placer.
 func (c *call) forward(ctx context.Context, choice placement.Choice, monitor *stallMonitor, answer external.OpenAnswer) nextStep {
@@ -75,7 +79,7 @@
 			return c.sendHead(answer)
 		}
 		if err != nil {
-			return err
+			return eventError(err)
 		}
 		monitor.eventArrived()
 		if c.attemptEvents == 0 {
@@ -106,6 +110,15 @@
 	}
 }
 
+// eventError returns the error of reading an event, as one of the errors of a target.
+func eventError(err error) error {
+	if errors.Is(err, sse.ErrTooLong) {
+		eventsTooLarge.Inc()
+		return fmt.Errorf("%w: %w", external.ErrTooLarge, err)
+	}
+	return err
+}
+
 // sendEvent sends an event to the caller, or takes it over for delivery.
 func (c *call) sendEvent(raw []byte, monitor *stallMonitor) error {
 	if c.delivery != nil {
--- a/internal/explain/causes.go
+++ b/internal/explain/causes.go
@@ -145,6 +145,8 @@
 		return fmt.Sprintf("it began at software version %s, and no target of that version is listed", r.Fields["version"])
 	case "version_full":
 		return fmt.Sprintf("it began at software version %s, whose targets had no free slot for as long as the output takes to produce again", r.Fields["version"])
+	case "output_too_large":
+		return "a target sent more events than an item may have"
 	default:
 		return "it is not known at which software version it began"
 	}
--- a/internal/external/targetend.go
+++ b/internal/external/targetend.go
@@ -26,8 +26,14 @@
 	EndLeft TargetEnd = "left"
 	// EndMalformed: the target sent something that is no answer.
 	EndMalformed TargetEnd = "malformed"
+	// EndOversized: the target sent more bytes than an answer may have.
+	EndOversized TargetEnd = "oversized"
 )
 
+// ErrTooLarge reports that a target sent more bytes than an answer, or a part of it, may have. A faulty
+// target may send bytes without end.
+var ErrTooLarge = errors.New("answer is too large")
+
 // ErrNoEvent reports a stream that ended with its connection before its first event. A target that
 // ends at that moment leaves the same, so it does not count as complete.
 var ErrNoEvent = fmt.Errorf("stream ended with its connection before its first event: %w", io.ErrUnexpectedEOF)
@@ -35,6 +41,8 @@
 // EndOf returns what the target did, from the error of an exchange.
 func EndOf(err error) TargetEnd {
 	switch {
+	case errors.Is(err, ErrTooLarge):
+		return EndOversized
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return EndRefused
 	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
--- a/internal/protocol/sse/sse.go
+++ b/internal/protocol/sse/sse.go
@@ -12,14 +12,14 @@
 )
 
 // MaxEvent is the maximum size of one event in bytes.
-const MaxEvent = 1 << 20
+const MaxEvent = 512 << 10
 
 // initialBufferSize is the initial buffer size in bytes. Most events fit without
 // growing the buffer.
 const initialBufferSize = 4 << 10
 
 // ErrTooLong reports that an event exceeds MaxEvent.
-var ErrTooLong = errors.New("sse: event exceeds 1 MiB")
+var ErrTooLong = errors.New("sse: event exceeds 512 KiB")
 
 // Event is one event as received.
 type Event struct {
@@ -148,7 +148,9 @@
 		if len(r.buf) >= MaxEvent {
 			return ErrTooLong
 		}
-		r.buf = append(r.buf, make([]byte, len(r.buf))...)
+		grown := make([]byte, 2*len(r.buf))
+		copy(grown, r.buf)
+		r.buf = grown
 	}
 	n, err := r.from.Read(r.buf[r.end:])
 	r.end += n
--- a/internal/standin/engine/answer.go
+++ b/internal/standin/engine/answer.go
@@ -4,8 +4,13 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
+	"time"
 )
 
+// endlessChunk is the number of bytes of an endless response that are sent each millisecond.
+const endlessChunk = 8 << 10
+
 // body writes the body of a response.
 type body struct {
 	io.Writer
@@ -53,3 +58,29 @@
 		cut: func() { _ = conn.Close() },
 	}
 }
+
+// writeEndless sends bytes of a response without end until the connection is closed.
+func (e *Engine) writeEndless(w http.ResponseWriter, entry *Run, fault Fault) {
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = conn.Close() }()
+	line := "Padding: x\r\n"
+	_, _ = fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n", entry.ID)
+	if !fault.EndlessHead {
+		line = "data: x\n"
+		_, _ = fmt.Fprint(buffered, "Content-Type: text/event-stream\r\n\r\n")
+	}
+	chunk := strings.Repeat(line, endlessChunk/len(line))
+	for n := entry.ResumedAfter + 1; ; n++ {
+		if fault.EndlessEvents {
+			chunk = fmt.Sprintf("id: %d\ndata: %s\n\n", n, strings.Repeat("x", endlessChunk))
+		}
+		_, err = buffered.WriteString(chunk)
+		if err != nil || buffered.Flush() != nil {
+			return
+		}
+		<-time.After(time.Millisecond)
+	}
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -52,6 +52,9 @@
 	HangAfter int
 	// Crossed sends the response to another request first.
 	Crossed bool
+	// EndlessHead sends header lines, EndlessEvent lines of one event, and EndlessEvents numbered
+	// events, until the connection is closed.
+	EndlessHead, EndlessEvent, EndlessEvents bool
 	// Unframed sends a body without a length, which ends when the connection closes.
 	Unframed bool
 }
@@ -261,6 +264,10 @@
 		w.WriteHeader(fault.Status)
 		return
 	}
+	if fault.EndlessHead || fault.EndlessEvent || fault.EndlessEvents {
+		e.writeEndless(w, entry, fault)
+		return
+	}
 	out := e.writeHead(w, entry, fault)
 	if e.opts.Crashes != nil && e.opts.Crashes(entry.Prompt) {
 		out.flush()
--- a/internal/transport/platformhttp/client.go
+++ b/internal/transport/platformhttp/client.go
@@ -26,6 +26,8 @@
 	replyTimeout = 5 * time.Second
 	// maxPageBytes bounds a response, and so the memory that one read uses.
 	maxPageBytes = 8 << 20
+	// maxResponseHead bounds the head of a response in bytes.
+	maxResponseHead = 32 << 10
 	// maxIdleConns is one connection for each background service that uses the platform.
 	maxIdleConns = 16
 )
@@ -57,6 +59,8 @@
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: maxIdleConns,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxResponseHead,
 	}
 	return &Client{base: "http://" + address, http: &http.Client{Transport: transport}}
 }
--- a/internal/transport/targetconn/client.go
+++ b/internal/transport/targetconn/client.go
@@ -29,12 +29,30 @@
 	maxMismatched = 4
 	// maxMismatchedBytes bounds the bytes read of a response that is skipped.
 	maxMismatchedBytes = 1 << 20
+	// maxBody bounds the body of a response that is forwarded, in bytes. It is never held whole, but
+	// occupies a slot and the links to the target and the caller until the deadline.
+	maxBody = 64 << 20
+)
+
+// What a target sent too much of.
+const (
+	inHead    = "head"
+	inSkipped = "skipped"
+	inControl = "control"
+	inBody    = "body"
 )
 
 var (
 	connectionsOpened = metrics.NewCounter(`target_connections_total{event="opened"}`)
 	connectionsFailed = metrics.NewCounter(`target_connections_total{event="failed"}`)
 	mismatched        = metrics.NewCounter(`target_crossed_answers_total`)
+	// tooLarge counts what targets sent beyond a bound, by what it is.
+	tooLarge = map[string]*metrics.Counter{
+		inHead:    metrics.NewCounter(`target_answers_too_large_total{what="head"}`),
+		inSkipped: metrics.NewCounter(`target_answers_too_large_total{what="skipped"}`),
+		inControl: metrics.NewCounter(`target_answers_too_large_total{what="control"}`),
+		inBody:    metrics.NewCounter(`target_answers_too_large_total{what="body"}`),
+	}
 )
 
 // Codec encodes requests to targets and decodes their responses.
@@ -100,7 +118,8 @@
 	pool  *pool
 	// stopCancel ends the watch that closes conn when the request's context ends.
 	stopCancel func() bool
-	// atEOF reports whether the body was read to its end.
+	// read is the number of bytes of the body that were read, atEOF whether it was read to its end.
+	read  int64
 	atEOF bool
 	// reusable reports whether the response permits another request on conn.
 	reusable bool
@@ -151,7 +170,7 @@
 		return nil, err
 	}
 	for range maxMismatched {
-		response, err := http.ReadResponse(conn.reader, request)
+		response, err := conn.readHead(request)
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", external.ErrMayHaveRun, err)
 		}
@@ -190,7 +209,8 @@
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxMismatchedBytes))
 	if err == nil && n == maxMismatchedBytes {
-		err = errors.New("response to another request is too long")
+		tooLarge[inSkipped].Inc()
+		err = fmt.Errorf("%w: response to another request of more than %d bytes", external.ErrTooLarge, maxMismatchedBytes)
 	}
 	return err
 }
@@ -274,9 +294,14 @@
 // Read implements io.Reader on the response body.
 func (r *openResponse) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
+	r.read += int64(n)
 	if errors.Is(err, io.EOF) {
 		r.atEOF = true
 	}
+	if err == nil && r.read > maxBody {
+		tooLarge[inBody].Inc()
+		return n, fmt.Errorf("%w: body of more than %d bytes", external.ErrTooLarge, maxBody)
+	}
 	return n, err
 }
 
--- a/internal/transport/targetconn/conn.go
+++ b/internal/transport/targetconn/conn.go
@@ -3,18 +3,49 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
+
+	"merlintiller/internal/external"
 )
 
 // readBuffer is the size of a connection's read buffer in bytes. It holds a
 // response head and some events.
 const readBuffer = 4 << 10
 
+// maxHead bounds the head of a response in bytes. http.ReadResponse has no bound of its own: a target that
+// sends a header without end would fill the memory of the instance.
+const maxHead = 32 << 10
+
+var errHeadTooLarge = fmt.Errorf("%w: head of more than %d bytes", external.ErrTooLarge, maxHead)
+
+// boundedReader reads from a connection. While a response head is read, it fails after maxHead bytes.
+type boundedReader struct {
+	net.Conn
+	inHead bool
+	left   int
+}
+
+// Read implements io.Reader.
+func (r *boundedReader) Read(p []byte) (int, error) {
+	if !r.inHead {
+		return r.Conn.Read(p)
+	}
+	if r.left == 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := r.Conn.Read(p[:min(len(p), r.left)])
+	r.left -= n
+	return n, err
+}
+
 // conn is a connection to a target. One exchange uses it at a time.
 type conn struct {
 	net    net.Conn
+	bound  *boundedReader
 	reader *bufio.Reader
 	// address is the target's address.
 	address string
@@ -25,7 +56,21 @@
 }
 
 func newConn(address string, c net.Conn) *conn {
-	return &conn{net: c, reader: bufio.NewReaderSize(c, readBuffer), address: address}
+	bound := &boundedReader{Conn: c}
+	return &conn{net: c, bound: bound, reader: bufio.NewReaderSize(bound, readBuffer), address: address}
+}
+
+// readHead reads the head of a response.
+func (c *conn) readHead(request *http.Request) (*http.Response, error) {
+	c.bound.inHead, c.bound.left = true, maxHead-c.reader.Buffered()
+	defer func() { c.bound.inHead = false }()
+	response, err := http.ReadResponse(c.reader, request)
+	if err != nil && c.bound.left == 0 {
+		// http.ReadResponse may report the line that was cut off as malformed.
+		tooLarge[inHead].Inc()
+		err = fmt.Errorf("%w: %v", errHeadTooLarge, err)
+	}
+	return response, err
 }
 
 // noInput reports whether an idle connection received nothing: neither a close by the
--- a/internal/transport/targetconn/inspect.go
+++ b/internal/transport/targetconn/inspect.go
@@ -9,6 +9,7 @@
 
 	"github.com/gravitational/trace"
 
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol/exchange"
 )
 
@@ -76,14 +77,15 @@
 		conn.close()
 		return 0, nil, nil, trace.Wrap(err)
 	}
-	response, err := http.ReadResponse(conn.reader, request)
+	response, err := conn.readHead(request)
 	if err != nil {
 		conn.close()
 		return 0, nil, nil, trace.Wrap(err)
 	}
 	body, err = io.ReadAll(io.LimitReader(response.Body, maxControlBody+1))
 	if err == nil && len(body) > maxControlBody {
-		err = fmt.Errorf("response of more than %d bytes", maxControlBody)
+		tooLarge[inControl].Inc()
+		err = fmt.Errorf("%w: response of more than %d bytes", external.ErrTooLarge, maxControlBody)
 	}
 	if err != nil || response.Close || conn.reader.Buffered() > 0 || !stop() {
 		conn.close()
--- a/internal/transport/targethttp/client.go
+++ b/internal/transport/targethttp/client.go
@@ -15,6 +15,9 @@
 	"merlintiller/internal/protocol"
 )
 
+// maxResponseHead bounds the head of a response in bytes.
+const maxResponseHead = 32 << 10
+
 // Client calls targets over its own connection pool. Online calls, batch items and
 // calls that are not idempotent each use a separate Client, so that one kind can't
 // exhaust the connections of another.
@@ -42,6 +45,8 @@
 		DisableCompression:  true,
 		DisableKeepAlives:   opts.FreshConnections,
 		Proxy:               nil,
+
+		MaxResponseHeaderBytes: maxResponseHead,
 	}
 	if opts.Name != "" {
 		clientCounts.Set(opts.Name, c.counts)
