--- a/internal/coordination/routed/mesh/crashfleet_test.go
+++ b/internal/coordination/routed/mesh/crashfleet_test.go
@@ -305,7 +305,7 @@
 	closed := strings.Count(text, "event=part_closed")
 	all := 0
 	for _, p := range f.places {
-		report := p.process.guard.Since(0)
+		report := p.process.guard.Since(0, false)
 		require.NotNil(t, report)
 		all = max(all, sizeOf(report))
 	}
--- a/internal/coordination/routed/mesh/mesh.go
+++ b/internal/coordination/routed/mesh/mesh.go
@@ -71,8 +71,9 @@
 	// from other instances.
 	PeersConfirmedAlive([]quota.Liveness)
 	// QuarantineSince returns the report of crashes and closed parts that changed since a version,
-	// nil if nothing has.
-	QuarantineSince(version uint64) *quarantine.Report
+	// nil if nothing has. With ownEnds, it has only those ended targets that this instance has seen
+	// itself.
+	QuarantineSince(version uint64, ownEnds bool) *quarantine.Report
 	// QuarantineReceived processes such a report of another instance.
 	QuarantineReceived(from string, report *quarantine.Report)
 	// PeerSilent reports that an instance has become silent. PeerDown reports that its
@@ -129,6 +130,8 @@
 	partners   []partner
 	partnersAt time.Time
 	isRelay    bool
+	// isFirstRelay reports that this instance is the relay that the others of its domain read first.
+	isFirstRelay bool
 	// startedAt is the start of this incarnation on the monotonic clock.
 	startedAt time.Time
 
--- a/internal/coordination/routed/mesh/mesh_test.go
+++ b/internal/coordination/routed/mesh/mesh_test.go
@@ -66,17 +66,17 @@
 	heartbeat.Admitted = maps.Clone(d.admitted)
 }
 
-func (d *fakeDelegate) SnapshotSince(SnapshotArgs) SnapshotReply      { return SnapshotReply{} }
-func (d *fakeDelegate) ApplySnapshot(SnapshotReply)                   {}
-func (d *fakeDelegate) PeerSilent(Instance)                           {}
-func (d *fakeDelegate) PeerDown(string)                               {}
-func (d *fakeDelegate) SetDomainSilent(string, bool)                  {}
-func (d *fakeDelegate) PeerDiscovered(string)                         {}
-func (d *fakeDelegate) QuarantineSince(uint64) *quarantine.Report     { return nil }
-func (d *fakeDelegate) QuarantineReceived(string, *quarantine.Report) {}
-func (d *fakeDelegate) FleetKnown()                                   {}
-func (d *fakeDelegate) Ticked(time.Duration)                          {}
-func (d *fakeDelegate) PeersConfirmedAlive([]quota.Liveness)          {}
+func (d *fakeDelegate) SnapshotSince(SnapshotArgs) SnapshotReply        { return SnapshotReply{} }
+func (d *fakeDelegate) ApplySnapshot(SnapshotReply)                     {}
+func (d *fakeDelegate) PeerSilent(Instance)                             {}
+func (d *fakeDelegate) PeerDown(string)                                 {}
+func (d *fakeDelegate) SetDomainSilent(string, bool)                    {}
+func (d *fakeDelegate) PeerDiscovered(string)                           {}
+func (d *fakeDelegate) QuarantineSince(uint64, bool) *quarantine.Report { return nil }
+func (d *fakeDelegate) QuarantineReceived(string, *quarantine.Report)   {}
+func (d *fakeDelegate) FleetKnown()                                     {}
+func (d *fakeDelegate) Ticked(time.Duration)                            {}
+func (d *fakeDelegate) PeersConfirmedAlive([]quota.Liveness)            {}
 
 func (d *fakeDelegate) HeartbeatReceived(heartbeat Heartbeat, _ time.Duration) {
 	d.mu.Lock()
--- a/internal/coordination/routed/mesh/notice.go
+++ b/internal/coordination/routed/mesh/notice.go
@@ -61,13 +61,14 @@
 }
 
 // noticeRecipients returns the instances to which this one sends notices: all others of a small fleet, or
-// its relays. A relay passes notices on to its failure domain and to the relays of the others.
+// its relays. A relay passes notices on to the relays of the other domains, and the first one also to the
+// instances of its domain.
 func (m *Mesh) noticeRecipients(now time.Time) (out []Instance) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	relays := m.view.usesRelays()
 	m.view.each(now, func(e *entry, state State) {
-		if state == Up && (!relays || m.isRelay && e.Domain == m.self.Domain) {
+		if state == Up && (!relays || m.isFirstRelay && e.Domain == m.self.Domain) {
 			out = append(out, e.Instance)
 		}
 	})
@@ -75,7 +76,7 @@
 		return out
 	}
 	for _, p := range m.currentPartners(now) {
-		if !m.isRelay || p.Domain != m.self.Domain {
+		if !m.isFirstRelay || p.Domain != m.self.Domain {
 			out = append(out, p.Instance)
 		}
 	}
@@ -88,8 +89,9 @@
 	defer cancel()
 	m.mu.Lock()
 	since := m.quarantineLink(to).sent
+	ownEnds := m.tellsOwnEnds(to)
 	m.mu.Unlock()
-	notice := Notice{From: m.Self(), Since: since, Report: m.delegate.QuarantineSince(since)}
+	notice := Notice{From: m.Self(), Since: since, Report: m.delegate.QuarantineSince(since, ownEnds)}
 	if notice.Report == nil {
 		return
 	}
--- a/internal/coordination/routed/mesh/ratefleet_test.go
+++ b/internal/coordination/routed/mesh/ratefleet_test.go
@@ -181,6 +181,9 @@
 	f.at[p.address] = pr
 	f.mu.Unlock()
 	go func() { _ = pr.Mesh.Serve(ctx) }()
+	if pr.guard != nil {
+		go func() { _ = pr.Mesh.Notifier(pr.guard.Urgent()).Serve(ctx) }()
+	}
 	go pr.register(ctx)
 	go pr.readConfig(ctx)
 }
@@ -351,11 +354,11 @@
 func (pr *process) FleetKnown()                                { pr.limiter.SetFleetKnown() }
 func (pr *process) PeerDiscovered(name string)                 { pr.limiter.AddPeer(name) }
 
-func (pr *process) QuarantineSince(version uint64) *quarantine.Report {
+func (pr *process) QuarantineSince(version uint64, ownEnds bool) *quarantine.Report {
 	if pr.guard == nil {
 		return nil
 	}
-	return pr.guard.Since(version)
+	return pr.guard.Since(version, ownEnds)
 }
 
 func (pr *process) QuarantineReceived(from string, report *quarantine.Report) {
--- a/internal/coordination/routed/mesh/relays.go
+++ b/internal/coordination/routed/mesh/relays.go
@@ -106,7 +106,7 @@
 		}
 		top.add(candidate{e, m.candidateOrder(now, e, state)})
 	})
-	m.isRelay = betterRanked < relaysPerDomain
+	m.isRelay, m.isFirstRelay = betterRanked < relaysPerDomain, betterRanked == 0
 	interval := m.view.timing().sameDomain
 	if m.isRelay {
 		interval = betweenRelays
--- a/internal/coordination/routed/mesh/release_test.go
+++ b/internal/coordination/routed/mesh/release_test.go
@@ -70,7 +70,14 @@
 		Version:  4,
 		Crashes:  []quarantine.Crash{{Target: "t", Started: 5, Parts: []string{"p"}, SeenBy: []string{"a"}, Age: time.Second}},
 		Closures: []quarantine.Closure{{Parts: []string{"p"}, Crashes: 4}},
+		Requests: []quarantine.RequestEnds{{Key: "request:1", Ends: []quarantine.RequestEnd{{Target: "t", State: quarantine.EndConfirmed}}}},
 	}
+	var earlierReport struct {
+		Version uint64
+		Crashes []quarantine.Crash
+	}
+	transfer(t, report, &earlierReport)
+	require.Equal(t, report.Crashes, earlierReport.Crashes, "without requests")
 	sent := Heartbeat{From: instance("a", 1), Seq: 7, Quarantine: report, QuarantineRead: &quarantine.Position{Start: 1, Version: 2}, Asked: quota.Counts{"o": 3}}
 	var earlier earlierHeartbeat
 	transfer(t, sent, &earlier)
--- a/internal/coordination/routed/mesh/reports.go
+++ b/internal/coordination/routed/mesh/reports.go
@@ -1,6 +1,10 @@
 package mesh
 
-import "merlintiller/internal/coordination/routed/quarantine"
+import (
+	"time"
+
+	"merlintiller/internal/coordination/routed/quarantine"
+)
 
 // quarantineLink is the state of the exchange of quarantine reports with one address. Reports go
 // with messages and with answers. They are repeated until the message was answered, or the next
@@ -16,16 +20,26 @@
 // returns the version that the peer has once it has answered.
 func (m *Mesh) addQuarantine(args *Heartbeat, to Instance) (version uint64) {
 	m.mu.Lock()
-	state := m.link(to.Address).quarantine
+	state, ownEnds := m.link(to.Address).quarantine, m.tellsOwnEnds(to)
+	// The relays of a domain know the same.
+	if !m.view.usesRelays() || !m.earlierRelayAnswered(time.Now(), to) {
+		args.QuarantineRead = &state.read
+	}
 	m.mu.Unlock()
-	args.QuarantineRead = &state.read
-	args.Quarantine = m.delegate.QuarantineSince(state.sent)
+	args.Quarantine = m.delegate.QuarantineSince(state.sent, ownEnds)
 	if args.Quarantine == nil {
 		return state.sent
 	}
 	return args.Quarantine.Version
 }
 
+// tellsOwnEnds reports whether an instance is told only of those ended targets that this one has seen
+// itself. Relays tell each other the rest; an incarnation that has just started is told all. The caller
+// holds mu.
+func (m *Mesh) tellsOwnEnds(to Instance) bool {
+	return m.view.usesRelays() && !m.isRelay && m.link(to.Address).quarantine.sent > 0
+}
+
 // answerQuarantine adds to an answer what the sender of a message has not read yet.
 func (m *Mesh) answerQuarantine(args, reply *Heartbeat) {
 	if args.QuarantineRead == nil {
@@ -38,7 +52,7 @@
 	m.mu.Lock()
 	m.quarantineLink(args.From).sent = version
 	m.mu.Unlock()
-	reply.Quarantine = m.delegate.QuarantineSince(version)
+	reply.Quarantine = m.delegate.QuarantineSince(version, false)
 }
 
 // quarantineAnswered records that a message was answered. The caller must hold mu.
--- a/internal/coordination/routed/quarantine/checker.go
+++ b/internal/coordination/routed/quarantine/checker.go
@@ -194,13 +194,12 @@
 			continue
 		}
 		known, changed := g.evidence.TargetEnded(now, lost, state)
-		if !changed {
-			continue
-		}
 		_ = level.Info(g.opts.Logger).Log("event", "request_target_ended", "request", lost.ID, "key", lost.Key, "target", lost.Target,
 			"started", lost.Started, "state", state, "events", lost.Events, "position", lost.Position, "lost_ms", now.Sub(lost.At).Milliseconds(),
 			"ends", g.evidence.Ends(lost.Key), "known", known.describe())
-		g.keeper.saveEnds(lost.Key)
+		if changed {
+			g.keeper.saveEnds(lost.Key)
+			g.endsChanged()
+		}
 	}
-	g.endsChanged()
 }
--- a/internal/coordination/routed/quarantine/ends.go
+++ b/internal/coordination/routed/quarantine/ends.go
@@ -10,12 +10,15 @@
 const MaxEndedTargets = 3
 
 // TargetEnded records that a target ended, or seems to have ended, while a request ran there. It
-// returns what is known of the request then, and false if that has not changed.
+// returns what is known of the request then, and whether other instances have to learn of a change.
 func (e *Evidence) TargetEnded(now time.Time, lost *LostRequest, state EndState) (RequestEnds, bool) {
 	r := e.ends.record(lost.Key, lost.ID)
 	changed := e.addEnd(r, requestEnd{
 		incarnation: incarnation{lost.Target, lost.Started}, at: lost.At, events: lost.Events, position: lost.Position, seenBy: e.self, state: state,
 	})
+	if changed {
+		r.changedHere = r.changed
+	}
 	return r.report(now), changed
 }
 
@@ -27,6 +30,7 @@
 		return false, nil
 	}
 	r.changed = e.nextVersion()
+	r.changedHere = r.changed
 	if known := e.closures[key]; known != nil && known.open(now) {
 		known.changed = e.nextVersion()
 		report := known.report(now)
--- /dev/null
+++ b/internal/coordination/routed/quarantine/ends_test.go
@@ -0,0 +1,204 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/protocol/exchange"
+)
+
+// endUnder records the end of a target under a request, after some events of the run.
+func endUnder(e *Evidence, now time.Time, key, target string, events int) {
+	e.TargetEnded(now, &LostRequest{Request: Request{ID: key, Key: key}, Target: target, At: now, Events: events, Position: events}, EndSuspected)
+}
+
+// closedRequests evaluates the evidence and returns the closed requests.
+func closedRequests(e *Evidence, now time.Time) (out []string) {
+	e.closeRequests(now)
+	return closedKeys(e, now)
+}
+
+// Guards against a request that goes on after three targets ended under it, and against one that is
+// closed after two.
+func TestRequestIsClosedAfterThreeEnds(t *testing.T) {
+	for name, events := range map[string][]int{
+		"before the first event": {0, 0, 0}, "at one event": {4, 4, 4}, "at different events": {9, 2, 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := NewEvidence("a")
+			for n, count := range events {
+				require.Empty(t, closedRequests(e, at(time.Duration(n)*second)))
+				endUnder(e, at(time.Duration(n)*second), "request:1", fmt.Sprint("t-", n), count)
+			}
+			now := at(3 * second)
+			require.Equal(t, []string{"request:1"}, closedRequests(e, now))
+			require.True(t, e.Check(now, []string{"p", "request:1"}).Closed)
+			require.False(t, e.Check(now, []string{"p", "request:2"}).Closed)
+		})
+	}
+}
+
+// Guards against a request that is closed although its targets run on, or that targets complete.
+func TestDismissedAndAcquittedEndsDontCount(t *testing.T) {
+	e := NewEvidence("a")
+	for n := range 2 {
+		endUnder(e, at(time.Duration(n)*second), "request:1", fmt.Sprint("t-", n), 0)
+	}
+	lost := LostRequest{Request: Request{Key: "request:1"}, Target: "t-1"}
+	_, changed := e.TargetEnded(at(2*second), &lost, EndDismissed)
+	require.True(t, changed)
+	require.Equal(t, 1, e.Ends("request:1"))
+	acquitted, _ := e.Completed(at(3*second), "request:1")
+	require.True(t, acquitted)
+	require.Zero(t, e.Ends("request:1"))
+	for n := range 2 {
+		endUnder(e, at(time.Duration(4+n)*second), "request:1", fmt.Sprint("u-", n), 0)
+	}
+	require.Empty(t, closedRequests(e, at(7*second)))
+}
+
+// Guards against a closed request that stays closed although a target completes it in its trial.
+func TestCompletedTrialOpensRequest(t *testing.T) {
+	e := NewEvidence("a")
+	for n := range MaxEndedTargets {
+		endUnder(e, at(time.Duration(n)*second), "request:1", fmt.Sprint("t-", n), 0)
+	}
+	require.NotEmpty(t, closedRequests(e, at(3*second)))
+	claimed := at(2*second + firstTrialAfter)
+	require.True(t, e.Check(claimed, []string{"request:1"}).Closed)
+	require.True(t, e.Check(claimed.Add(claimTime), []string{"request:1"}).Trial)
+	_, opened := e.Completed(claimed.Add(claimTime+second), "request:1")
+	require.NotNil(t, opened)
+	require.Empty(t, closedRequests(e, claimed.Add(claimTime+2*second)))
+}
+
+// Guards against a sound request that is closed because it ran at the targets that others crashed.
+func TestRequestBesideCrashingOnesStaysOpen(t *testing.T) {
+	e := NewEvidence("a")
+	for n := range MaxEndedTargets {
+		for crashing := range 3 {
+			now, target := at(time.Duration(10*n+crashing)*second), fmt.Sprintf("t-%d-%d", n, crashing)
+			endUnder(e, now, fmt.Sprint("request:crashes-", crashing), target, 4)
+			if n == crashing {
+				endUnder(e, now, "request:sound", target, 7+3*n)
+			}
+		}
+	}
+	// A fourth target ends under each, which was on its way.
+	for crashing := range 3 {
+		endUnder(e, at(40*second), fmt.Sprint("request:crashes-", crashing), fmt.Sprint("u-", crashing), 4)
+	}
+	require.Equal(t, 3, e.Ends("request:sound"))
+	require.Equal(t, []string{"request:crashes-0", "request:crashes-1", "request:crashes-2"}, closedRequests(e, at(50*second)))
+}
+
+// Guards against a part that sound requests share and that is closed since one request with it crashes
+// targets.
+func TestCrashesOfOneRequestCloseNoPart(t *testing.T) {
+	for requests, closes := range map[int]bool{1: false, 4: true} {
+		e := NewEvidence("a")
+		for n := range closeAfter {
+			now, target := at(time.Duration(n)*second), fmt.Sprint("t-", n)
+			endUnder(e, now, fmt.Sprint("request:", n%requests), target, 0)
+			e.Crashed(now, target, 0, []string{"p"})
+		}
+		require.Equal(t, closes, len(e.Evaluate(at(10*second))) > 0, "%d requests", requests)
+	}
+}
+
+// Guards against ended targets of many requests that fill the memory, or that push out those of a request
+// with several.
+func TestEndsAreBounded(t *testing.T) {
+	e := NewEvidence("a")
+	for n := range 2 {
+		endUnder(e, at(time.Duration(n)*second), "request:crashes", fmt.Sprint("t-", n), 0)
+	}
+	for n := range 3 * maxRequests {
+		endUnder(e, at(3*second), fmt.Sprint("request:", n), "t-9", 0)
+	}
+	require.Len(t, e.ends.records, maxRequests)
+	require.Equal(t, 2, e.Ends("request:crashes"))
+	for n := range 3 * maxClosedRequests {
+		for target := range MaxEndedTargets {
+			endUnder(e, at(time.Duration(4+n)*second), fmt.Sprint("request:c-", n), fmt.Sprint("t-", n, "-", target), 0)
+		}
+		e.closeRequests(at(time.Duration(5+n) * second))
+	}
+	require.LessOrEqual(t, len(e.closures), maxClosedRequests)
+	e.Evaluate(at(24 * time.Hour))
+	require.Empty(t, e.ends.records)
+	require.Empty(t, e.closures)
+}
+
+// Guards against instances that close different requests although they know the same, whatever the order
+// in which reports came.
+func TestInstancesCloseTheSameRequests(t *testing.T) {
+	for seed := range uint64(50) {
+		rng := rand.New(rand.NewPCG(seed, 53))
+		list := []*Evidence{NewEvidence("a"), NewEvidence("b"), NewEvidence("c")}
+		for n := range 8 {
+			endUnder(list[rng.IntN(3)], at(time.Duration(n)*second), fmt.Sprint("request:", rng.IntN(3)), fmt.Sprint("t-", n), rng.IntN(3))
+		}
+		now := at(20 * second)
+		mergeRandomly(rng, now, list)
+		want := closedRequests(list[0], now)
+		for _, e := range list {
+			require.Equal(t, want, closedRequests(e, now), "seed %d", seed)
+			for n := range 3 {
+				require.Equal(t, list[0].Ends(fmt.Sprint("request:", n)), e.Ends(fmt.Sprint("request:", n)))
+			}
+		}
+	}
+}
+
+// Guards against ended targets that the store does not bring back, and against an earlier release that
+// takes them for closed parts.
+func TestEndedTargetsInStore(t *testing.T) {
+	e := NewEvidence("a")
+	for n := range 2 {
+		endUnder(e, at(time.Duration(n)*second), "request:1", fmt.Sprint("t-", n), 4)
+	}
+	data, err := cbor.Marshal(keptEndsOf(at(2*second), e.ends.records["request:1"].report(at(2*second))))
+	require.NoError(t, err)
+	var kept keptEnds
+	require.NoError(t, cbor.Unmarshal(data, &kept))
+	read, other := kept.ends(at(5*second)), NewEvidence("b")
+	require.True(t, other.MergeEnds(at(5*second), &read))
+	require.Equal(t, 2, other.Ends("request:1"))
+	endUnder(other, at(6*second), "request:1", "t-9", 4)
+	require.Equal(t, []string{"request:1"}, closedRequests(other, at(7*second)))
+	var closure keptClosure
+	require.NoError(t, cbor.Unmarshal(data, &closure))
+	require.Empty(t, closure.Parts)
+}
+
+// Guards against repeats of a request that don't share a key, and against other requests that do.
+func TestOnlineKey(t *testing.T) {
+	request := func(change func(*exchange.Request)) string {
+		r := &exchange.Request{
+			ID: "r-1", Method: "POST", Host: "h", Path: "/a", Query: "q", After: exchange.FromStart, Body: []byte("body"),
+			Prompt: exchange.Prompt{Parts: []exchange.PromptPart{{ID: "f"}, {ID: "own"}}},
+		}
+		change(r)
+		return OnlineKey("one", r)
+	}
+	key := request(func(*exchange.Request) {})
+	require.True(t, isRequestKey(key))
+	require.Equal(t, key, request(func(r *exchange.Request) { r.ID, r.After, r.Resumes, r.Timeout = "r-2", 4, "r-1", second }))
+	for name, change := range map[string]func(*exchange.Request){
+		"method": func(r *exchange.Request) { r.Method = "PUT" },
+		"host":   func(r *exchange.Request) { r.Host = "g" },
+		"path":   func(r *exchange.Request) { r.Path, r.Query = "/aq", "" },
+		"query":  func(r *exchange.Request) { r.Query = "p" },
+		"part":   func(r *exchange.Request) { r.Prompt.Parts[1].ID = "other" },
+		"body":   func(r *exchange.Request) { r.Body = []byte("bodz") },
+	} {
+		require.NotEqual(t, key, request(change), name)
+	}
+	require.NotEqual(t, ItemKey("job-1", "item"), ItemKey("job", "1-item"))
+}
--- a/internal/coordination/routed/quarantine/endtable.go
+++ b/internal/coordination/routed/quarantine/endtable.go
@@ -58,7 +58,9 @@
 	ends map[incarnation]*requestEnd
 	// completedAt is when a target last completed the request; ends before do not count.
 	completedAt time.Time
-	changed     uint64
+	// changed is the version of the last change that others have to learn, changedHere that of the
+	// last one that this instance has seen itself.
+	changed, changedHere uint64
 }
 
 // counted returns the ends that count, the oldest first.
@@ -86,7 +88,10 @@
 }
 
 func (r *endRecord) report(now time.Time) RequestEnds {
-	out := RequestEnds{Key: r.key, Request: r.id}
+	out := RequestEnds{Key: r.key}
+	if len(r.ends) > 0 {
+		out.Request = r.id
+	}
 	for _, end := range r.ends {
 		out.Ends = append(out.Ends, end.report(now))
 	}
@@ -99,14 +104,16 @@
 	return out
 }
 
-// add adds an end or raises its state. It returns false if nothing has changed.
+// add adds an end or raises its state. It returns false if nothing has changed that others have to learn:
+// a suspected end counts as a confirmed one does.
 func (r *endRecord) add(end requestEnd) bool {
 	if known := r.ends[end.incarnation]; known != nil {
 		if end.state <= known.state {
 			return false
 		}
+		counted := known.state != EndDismissed
 		known.state = end.state
-		return true
+		return counted != (end.state != EndDismissed)
 	}
 	if !end.at.After(r.completedAt) || len(r.ends) >= maxEnds {
 		return false
--- a/internal/coordination/routed/quarantine/evidence_test.go
+++ b/internal/coordination/routed/quarantine/evidence_test.go
@@ -162,8 +162,8 @@
 	e.Evaluate(at(10 * second))
 	last := time.Duration(closeAfter-1) * second
 	exchange := func(now time.Time) {
-		other.Merge(now, e.Since(now, 0))
-		e.Merge(now, other.Since(now, 0))
+		other.Merge(now, e.Since(now, 0, false))
+		e.Merge(now, other.Since(now, 0, false))
 	}
 	exchange(at(11 * second))
 	parts := []string{"f1", "dead"}
@@ -208,7 +208,7 @@
 	e.Evaluate(at(10 * second))
 	now := at(firstTrialAfter + 10*second)
 	e.Check(now, []string{"dead"})
-	other.Merge(now, e.Since(now, 0))
+	other.Merge(now, e.Since(now, 0, false))
 	require.False(t, other.Check(now.Add(claimTime), []string{"dead"}).Trial)
 	now = now.Add(claimTTL)
 	other.Check(now, []string{"dead"})
@@ -241,14 +241,14 @@
 func mergeRandomly(rng *rand.Rand, now time.Time, list []*Evidence) {
 	for range 200 {
 		from, to := list[rng.IntN(len(list))], list[rng.IntN(len(list))]
-		if report := from.Since(now, uint64(rng.IntN(3))); report != nil && rng.IntN(4) > 0 {
+		if report := from.Since(now, uint64(rng.IntN(3)), false); report != nil && rng.IntN(4) > 0 {
 			to.Merge(now, report)
 		}
 	}
 	for range 2 {
 		for _, from := range list {
 			for _, to := range list {
-				if report := from.Since(now, 0); report != nil && from != to {
+				if report := from.Since(now, 0, false); report != nil && from != to {
 					to.Merge(now, report)
 				}
 			}
@@ -286,7 +286,7 @@
 		}
 		for _, e := range list {
 			for _, other := range list {
-				report := other.Since(now, 0)
+				report := other.Since(now, 0, false)
 				before := e.version
 				e.Merge(now, report)
 				require.Equal(t, before, e.version, "what is known changes nothing")
@@ -298,17 +298,17 @@
 // Guards against a reader that misses a change, or reads all again with each message.
 func TestReaderGetsWhatChanged(t *testing.T) {
 	e := NewEvidence("a")
-	require.Nil(t, e.Since(start, 0))
+	require.Nil(t, e.Since(start, 0, false))
 	e.Crashed(start, "t-0", 0, []string{"p"})
-	first := e.Since(start, 0)
+	first := e.Since(start, 0, false)
 	require.Len(t, first.Crashes, 1)
-	require.Nil(t, e.Since(start, first.Version))
+	require.Nil(t, e.Since(start, first.Version, false))
 	e.Crashed(start, "t-1", 0, []string{"q"})
 	e.Began(at(second), []string{"q"})
-	next := e.Since(at(second), first.Version)
+	next := e.Since(at(second), first.Version, false)
 	require.Equal(t, []string{"q"}, next.Crashes[0].Parts)
 	require.Equal(t, "q", next.Began[0].Part)
-	require.Len(t, e.Since(at(second), next.Version+100).Crashes, 2, "of another incarnation")
+	require.Len(t, e.Since(at(second), next.Version+100, false).Crashes, 2, "of another incarnation")
 }
 
 // Guards against damaged reports: negative ages, closures without parts, far too old ones.
@@ -319,7 +319,7 @@
 		Began:    []FirstEvent{{Part: "p", Age: -second}, {Part: "never named", Age: second}},
 		Closures: []Closure{{}, {Parts: []string{"p"}, LastCrashAge: 2 * closureTTL}, {Parts: []string{"p"}, LastCrashAge: -second}},
 	})
-	require.Nil(t, e.Since(start, 0))
+	require.Nil(t, e.Since(start, 0, false))
 }
 
 func TestPartsAreBounded(t *testing.T) {
--- a/internal/coordination/routed/quarantine/guard.go
+++ b/internal/coordination/routed/quarantine/guard.go
@@ -157,7 +157,8 @@
 		g.keeper.save(*opened)
 	}
 	g.keeper.saveEnds(r.Key)
-	g.endsChanged()
+	// Nothing depends on the others' learning it before the next heartbeat.
+	g.evaluateRequests()
 }
 
 // Ends returns the number of targets that ended under a request, as far as this instance knows.
@@ -170,11 +171,12 @@
 	return g.evidence.Ends(r.Key)
 }
 
-// Since returns what has changed since a version, nil if nothing has.
-func (g *Guard) Since(version uint64) *Report {
+// Since returns what has changed since a version, nil if nothing has. With ownEnds, it leaves out the ended
+// targets that others have told this instance.
+func (g *Guard) Since(version uint64, ownEnds bool) *Report {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.evidence.Since(time.Now(), version)
+	return g.evidence.Since(time.Now(), version, ownEnds)
 }
 
 // Merge applies a report of another instance.
--- a/internal/coordination/routed/quarantine/reports.go
+++ b/internal/coordination/routed/quarantine/reports.go
@@ -6,8 +6,9 @@
 	"time"
 )
 
-// Since returns what has changed since a version, nil if nothing has. Version 0 returns all.
-func (e *Evidence) Since(now time.Time, version uint64) *Report {
+// Since returns what has changed since a version, nil if nothing has. Version 0 returns all. With
+// ownEnds, it leaves out the ended targets that others have told this instance.
+func (e *Evidence) Since(now time.Time, version uint64, ownEnds bool) *Report {
 	if e.version == version {
 		return nil
 	}
@@ -34,7 +35,7 @@
 	}
 	slices.SortFunc(report.Closures, func(a, b Closure) int { return cmp.Compare(keyOf(a.Parts), keyOf(b.Parts)) })
 	for _, r := range e.ends.records {
-		if r.changed > version {
+		if r.changedHere > version || r.changed > version && !ownEnds {
 			report.Requests = append(report.Requests, r.report(now))
 		}
 	}
--- a/internal/coordination/routed/relay/quarantine_test.go
+++ b/internal/coordination/routed/relay/quarantine_test.go
@@ -206,3 +206,28 @@
 		})
 	}
 }
+
+// Guards against a request that goes to a further target although it may have ended as many as it may:
+// the check of the targets takes longer than the next attempt.
+func TestRequestWithEndedTargetsGetsFewerAttempts(t *testing.T) {
+	for ends, want := range map[int]int{0: 2, 1: 2, 2: 1} {
+		synctest.Test(t, func(t *testing.T) {
+			f := &scriptedFleet{guard: &scriptedQuarantine{ends: ends}, script: []scriptedAnswer{crashed, crashed, crashed}}
+			outcome, _, _ := serveRequest(t, resumableRoute, f, promptRequest())
+			require.Equal(t, want, outcome.PossibleRuns, "%d ended before", ends)
+			require.Equal(t, http.StatusBadGateway, outcome.Status)
+		})
+	}
+}
+
+// Guards against an answer that is complete and does not acquit its request, and against one that is not
+// and does.
+func TestOnlyWholeAnswersAcquitTheirRequest(t *testing.T) {
+	for completed, script := range map[int][]scriptedAnswer{1: {streamOf(0, 5)}, 0: {truncatedAfter(2)}} {
+		synctest.Test(t, func(t *testing.T) {
+			f := &scriptedFleet{script: script}
+			serveRequest(t, atMostOnceRoute, f, promptRequest())
+			require.Equal(t, completed, f.guard.completed)
+		})
+	}
+}
--- a/internal/daemon/routed/delegate.go
+++ b/internal/daemon/routed/delegate.go
@@ -104,8 +104,8 @@
 }
 
 // QuarantineSince implements mesh.Delegate.
-func (m *meshDelegate) QuarantineSince(version uint64) *quarantine.Report {
-	return m.quarantine.Since(version)
+func (m *meshDelegate) QuarantineSince(version uint64, ownEnds bool) *quarantine.Report {
+	return m.quarantine.Since(version, ownEnds)
 }
 
 // QuarantineReceived implements mesh.Delegate.
