--- a/internal/transport/peer/bounded.go
+++ b/internal/transport/peer/bounded.go
@@ -10,7 +10,7 @@
 
 // maxMessage bounds one gob message in bytes. The largest ones carry a batch of items or the whole state of
 // a fleet.
-const maxMessage = 32 << 20
+const maxMessage = 64 << 20
 
 var messagesTooLarge = metrics.NewCounter(`peer_messages_too_large_total`)
 
