--- a/internal/transport/targetconn/endless_test.go
+++ b/internal/transport/targetconn/endless_test.go
@@ -160,6 +160,7 @@
 				require.True(t, conn.closed)
 				require.LessOrEqual(t, conn.sent, 2*maxHead)
 				require.LessOrEqual(t, memory, int64(mostEndlessMemory))
+				t.Logf("%d bytes read, %d bytes of memory, %v", conn.sent, memory, err)
 			})
 		}
 	}
