A closed request is opened once its targets turn out to run; few requests close no part

It is opened now by any instance that knows all of its ends.

A neighbour of two crashing items was held in one of some ten runs of TestItemStopsAfterThreeEndedTargets, since six crashes under two requests closed their shared part. A part is closed now only if its crashes are those of at least three requests. The third attempt of a response waits until it is known whether its target ended, in place of giving up; the pause of an item after its second end holds for each owner. Closures of requests are found by their keys.

--- a/internal/coordination/routed/batchjobs/options.go
+++ b/internal/coordination/routed/batchjobs/options.go
@@ -57,8 +57,8 @@
 	Began(quarantine.Request)
 	Completed(quarantine.Request)
 	Lost(quarantine.LostRequest)
-	// Ends returns the number of targets that ended under an item.
-	Ends(quarantine.Request) int
+	// Ends returns the number of targets that ended under an item, and when the last one did.
+	Ends(quarantine.Request) (count int, last time.Time)
 }
 
 // Options are the settings and dependencies of JobService, PartitionOwner and Runner.
--- a/internal/coordination/routed/batchjobs/queue.go
+++ b/internal/coordination/routed/batchjobs/queue.go
@@ -12,6 +12,10 @@
 	"merlintiller/internal/coordination/routed/placement"
 )
 
+// endedTargetPause is how long an item waits once a second target has ended under it. By then all
+// instances that may run the item know of it, also if its owner changes.
+const endedTargetPause = time.Second
+
 // maxRuntimeFactor is how many times its estimated run time a target may be busy with
 // an item. Lengths of items differ by a quarter.
 const maxRuntimeFactor = 1.5
@@ -88,6 +92,9 @@
 			t.logHeld()
 			continue
 		}
+		if ends, last := r.opts.Quarantine.Ends(t.subject); ends > 1 && now.Sub(last) < endedTargetPause {
+			continue
+		}
 		if service, ok := t.service(table); ok {
 			r.settleVersion(t, service, listed)
 			out = append(out, runnableTask{t, service})
--- a/internal/coordination/routed/batchjobs/task.go
+++ b/internal/coordination/routed/batchjobs/task.go
@@ -32,9 +32,6 @@
 	// another target, and the first one must not hold the slot for long. An item
 	// that needs more time continues at the next target.
 	maxRunTime = 15 * time.Second
-	// endedTargetPause is how long an item waits at least once a second target may have ended under
-	// it. By then this target was checked, and all instances that may run the item know of it.
-	endedTargetPause = time.Second
 	// maxItemText bounds the output of an item in bytes: a page of results has as many at most. A target
 	// may send events without end.
 	maxItemText = 1 << 20
@@ -151,7 +148,9 @@
 	if stalled.Load() {
 		outcome, result = interrupted, placement.TimedOut
 	}
-	lostToTarget := outcome == interrupted && t.reportLost(choice, err, t.events-eventsBefore)
+	if outcome == interrupted {
+		t.reportLost(choice, err, t.events-eventsBefore)
+	}
 	t.addRunTime(time.Since(start))
 	opts.Placer.Done(choice, result)
 	_ = level.Info(opts.Logger).Log("event", "item_run", "item", t.id.item, "job", t.id.job, "target", choice.ID,
@@ -161,7 +160,7 @@
 		outputsTooLarge.Inc()
 		t.discardOutput()
 	}
-	t.handleOutcome(outcome, lostToTarget)
+	t.handleOutcome(outcome)
 }
 
 // discardOutput makes the item start again: a target sent events without end.
@@ -172,16 +171,15 @@
 }
 
 // reportLost reports a run that brought some events, if it ended because its target closed the
-// connection. It returns whether that is so.
-func (t *task) reportLost(choice placement.Choice, err error, events int) bool {
+// connection.
+func (t *task) reportLost(choice placement.Choice, err error, events int) {
 	if end := endOfRun(err); end != external.EndClosed && end != external.EndReset {
-		return false
+		return
 	}
 	t.runner.opts.Quarantine.Lost(quarantine.LostRequest{
 		Request: t.subject, Target: choice.ID, Address: choice.Address, Domain: choice.Domain, Started: choice.Started,
 		Events: events, Position: t.position, At: time.Now(),
 	})
-	return true
 }
 
 // endOfRun returns what the target did if a run failed, "" if it did not.
@@ -197,9 +195,8 @@
 	return [...]string{"whole", "refused", "failed", "impossible", "broken", "left"}[o]
 }
 
-// handleOutcome finishes the item or queues it for its next run. lostToTarget reports that the target
-// closed the connection, and may have ended.
-func (t *task) handleOutcome(outcome runOutcome, lostToTarget bool) {
+// handleOutcome finishes the item or queues it for its next run.
+func (t *task) handleOutcome(outcome runOutcome) {
 	r := t.runner
 	switch outcome {
 	case completed:
@@ -215,11 +212,7 @@
 		r.requeue(t, failureBackoff<<min(t.failures, 4))
 	case interrupted:
 		t.interruptions++
-		pause := min(maxFailureBackoff, failureBackoff<<min(t.interruptions, 5))
-		if lostToTarget && r.opts.Quarantine.Ends(t.subject) > 0 {
-			pause = max(pause, endedTargetPause)
-		}
-		r.requeue(t, pause)
+		r.requeue(t, min(maxFailureBackoff, failureBackoff<<min(t.interruptions, 5)))
 	}
 }
 
--- a/internal/coordination/routed/quarantine/checker.go
+++ b/internal/coordination/routed/quarantine/checker.go
@@ -15,6 +15,9 @@
 	// crashCheckDelay is the time from a lost answer until its target is checked: the process
 	// closes its connections and its listener one after the other.
 	crashCheckDelay = 10 * time.Millisecond
+	// EndKnownAfter is the time after a lost answer by which it is known whether its target ended, if
+	// that refuses the connection of the check. Other targets answer it in the same time.
+	EndKnownAfter = 5 * crashCheckDelay
 	// crashCheckTimeout bounds a check.
 	crashCheckTimeout = 250 * time.Millisecond
 	// confirmDelay is the time until a target that refused a connection is checked once more. By
--- a/internal/coordination/routed/quarantine/ends.go
+++ b/internal/coordination/routed/quarantine/ends.go
@@ -31,7 +31,7 @@
 	}
 	r.changed = e.nextVersion()
 	r.changedHere = r.changed
-	if known := e.closures[key]; known != nil && known.open(now) {
+	if known := e.closures.all[key]; known != nil && known.open(now) {
 		known.changed = e.nextVersion()
 		report := known.report(now)
 		opened = &report
@@ -70,7 +70,7 @@
 		return false
 	}
 	r.changed = e.nextVersion()
-	if known := e.closures[r.key]; known != nil && known.crashedAgain(end.at) {
+	if known := e.closures.all[r.key]; known != nil && known.crashedAgain(end.at) {
 		known.changed = e.nextVersion()
 	}
 	return true
@@ -78,28 +78,38 @@
 
 // Ends returns the number of targets that ended under a request.
 func (e *Evidence) Ends(key string) int {
+	count, _ := e.EndsUnder(key)
+	return count
+}
+
+// EndsUnder returns the number of targets that ended under a request, and when the last one did.
+func (e *Evidence) EndsUnder(key string) (count int, last time.Time) {
 	r := e.ends.records[key]
 	if r == nil {
-		return 0
+		return 0, time.Time{}
+	}
+	ends := r.counted()
+	if len(ends) == 0 {
+		return 0, time.Time{}
 	}
-	return len(r.counted())
+	return len(ends), ends[len(ends)-1].at
 }
 
-// closeRequests closes the requests under which MaxEndedTargets targets ended, and opens those that are
-// not to blame for them, as it has turned out since. It returns both.
+// closeRequests closes the requests under which MaxEndedTargets targets ended, and opens those of which it
+// has turned out since that the targets run or that they are not to blame. It returns both.
 func (e *Evidence) closeRequests(now time.Time) (closed, opened []Closure) {
 	for key, r := range e.ends.records {
+		known := e.closures.all[key]
+		isClosed := known != nil && known.closed()
 		ends := r.counted()
-		if len(ends) < MaxEndedTargets {
+		if !isClosed && len(ends) < MaxEndedTargets {
 			continue
 		}
-		known := e.closures[key]
-		isClosed := known != nil && known.closed()
 		toBlame := e.isToBlame(r, ends)
 		switch {
 		case !isClosed && toBlame:
 			closed = append(closed, e.closeRequest(now, r, ends))
-		case isClosed && !toBlame:
+		case isClosed && !toBlame && r.hasEndsOf(known.targets):
 			known.openedAt, known.changed = now, e.nextVersion()
 			opened = append(opened, known.report(now))
 		}
@@ -141,11 +151,10 @@
 
 // closeRequest closes a request under which targets ended.
 func (e *Evidence) closeRequest(now time.Time, r *endRecord, ends []*requestEnd) Closure {
-	c := e.closures[r.key]
+	c := e.closures.all[r.key]
 	if c == nil {
-		e.makeRoom()
 		c = &closure{parts: []string{r.key}}
-		e.closures[r.key] = c
+		e.closures.add(c)
 	}
 	c.targets, c.seenBy = nil, nil
 	for _, end := range ends {
--- a/internal/coordination/routed/quarantine/endtable.go
+++ b/internal/coordination/routed/quarantine/endtable.go
@@ -76,6 +76,21 @@
 	return out
 }
 
+// hasEndsOf reports whether an end of each target is known, whether or not it counts. Otherwise an
+// instance that has closed the request knows more.
+func (r *endRecord) hasEndsOf(targets []string) bool {
+	known := map[string]bool{}
+	for id := range r.ends {
+		known[id.target] = true
+	}
+	for _, target := range targets {
+		if !known[target] {
+			return false
+		}
+	}
+	return true
+}
+
 // latest is when something last happened.
 func (r *endRecord) latest() time.Time {
 	at := r.completedAt
--- a/internal/coordination/routed/quarantine/evidence.go
+++ b/internal/coordination/routed/quarantine/evidence.go
@@ -19,7 +19,7 @@
 	version  uint64
 	crashes  crashTable
 	began    map[string]firstEvent
-	closures map[string]*closure
+	closures closureTable
 	// ends are the requests under which targets ended.
 	ends endTable
 	// recent are the first events that this instance has seen lately, of any part.
@@ -36,7 +36,7 @@
 func NewEvidence(self string) *Evidence {
 	return &Evidence{
 		self: self, crashes: crashTable{map[incarnation]*crash{}}, began: map[string]firstEvent{},
-		closures: map[string]*closure{}, ends: endTable{map[string]*endRecord{}}, recent: newRecentParts(),
+		closures: newClosureTable(), ends: endTable{map[string]*endRecord{}}, recent: newRecentParts(),
 	}
 }
 
@@ -69,7 +69,7 @@
 		return
 	}
 	c.changed = e.nextVersion()
-	for _, known := range e.closures {
+	for _, known := range e.closures.ofParts {
 		if c.hasAll(known.parts) && known.crashedAgain(c.at) {
 			known.changed = e.nextVersion()
 		}
@@ -85,8 +85,8 @@
 			e.mergeBegan(part, now)
 		}
 	}
-	for _, known := range e.closures {
-		if known.concerns(parts) && known.open(now) {
+	for _, known := range e.closures.concerning(parts) {
+		if known.open(now) {
 			known.changed = e.nextVersion()
 			opened = append(opened, known.report(now))
 		}
@@ -117,14 +117,14 @@
 	e.removeExpired(now)
 	for {
 		parts, under := e.nextToClose(now)
-		if parts == nil || !e.hasRoom() {
+		if parts == nil || !e.closures.hasRoom() {
 			return closed
 		}
 		targets, seenBy := namedIn(under)
-		c := e.closures[keyOf(parts)]
+		c := e.closures.all[keyOf(parts)]
 		if c == nil {
 			c = &closure{parts: parts}
-			e.closures[keyOf(parts)] = c
+			e.closures.add(c)
 		}
 		c.crashes, c.targets, c.seenBy = len(under), targets, seenBy
 		c.closedAt, c.crashed, c.changed = now, latest(under), e.nextVersion()
@@ -132,43 +132,11 @@
 	}
 }
 
-// hasRoom reports whether a further closure of parts may be kept.
-func (e *Evidence) hasRoom() bool {
-	count := 0
-	for key := range e.closures {
-		if !isRequestKey(key) {
-			count++
-		}
-	}
-	return count < maxClosures
-}
-
-// makeRoom makes room for the closure of a request. It drops the one whose targets ended first.
-func (e *Evidence) makeRoom() {
-	var oldest *closure
-	count := 0
-	for key, c := range e.closures {
-		if !isRequestKey(key) {
-			continue
-		}
-		count++
-		if oldest == nil || c.crashed.Before(oldest.crashed) {
-			oldest = c
-		}
-	}
-	if count >= maxClosedRequests {
-		delete(e.closures, keyOf(oldest.parts))
-	}
-}
-
 func (e *Evidence) removeExpired(now time.Time) {
 	e.crashes.removeExpired(now)
 	e.ends.removeExpired(now)
 	maps.DeleteFunc(e.began, func(part string, _ firstEvent) bool { return !e.crashes.names(part) })
-	maps.DeleteFunc(e.closures, func(_ string, c *closure) bool {
-		opened := !c.closed() && now.Sub(c.openedAt) > crashTTL
-		return opened || now.Sub(c.crashed) > closureTTL
-	})
+	e.closures.removeExpired(now)
 }
 
 // Settled returns when the next crash begins to count, false if none is waiting for that.
@@ -208,8 +176,8 @@
 // lastToTry returns the closure that a request is concerned by, nil if there is none. Of several
 // it is the one that may be tried again last.
 func (e *Evidence) lastToTry(parts []string) (last *closure) {
-	for _, c := range e.closures {
-		if c.closed() && c.concerns(parts) && (last == nil || c.trialFrom().After(last.trialFrom())) {
+	for _, c := range e.closures.concerning(parts) {
+		if c.closed() && (last == nil || c.trialFrom().After(last.trialFrom())) {
 			last = c
 		}
 	}
@@ -236,7 +204,7 @@
 
 // ClosedParts returns what is closed.
 func (e *Evidence) ClosedParts(now time.Time) (out []Closure) {
-	for _, c := range e.closures {
+	for _, c := range e.closures.all {
 		if c.closed() {
 			out = append(out, c.report(now))
 		}
--- a/internal/coordination/routed/quarantine/guard.go
+++ b/internal/coordination/routed/quarantine/guard.go
@@ -161,14 +161,15 @@
 	g.evaluateRequests()
 }
 
-// Ends returns the number of targets that ended under a request, as far as this instance knows.
-func (g *Guard) Ends(r Request) int {
+// Ends returns the number of targets that ended under a request, as far as this instance knows, and when
+// the last one did.
+func (g *Guard) Ends(r Request) (count int, last time.Time) {
 	if !g.anyEnds.Load() {
-		return 0
+		return 0, time.Time{}
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.evidence.Ends(r.Key)
+	return g.evidence.EndsUnder(r.Key)
 }
 
 // Since returns what has changed since a version, nil if nothing has. With ownEnds, it leaves out the ended
@@ -272,7 +273,7 @@
 			g.keeper.save(closed)
 		}
 	}
-	g.anyClosed.Store(len(g.evidence.closures) > 0)
+	g.anyClosed.Store(len(g.evidence.closures.all) > 0)
 	g.anyEnds.Store(len(g.evidence.ends.records) > 0)
 	if at, waiting := g.evidence.Settled(now); waiting {
 		return at.Sub(now)
--- a/internal/coordination/routed/quarantine/keeper.go
+++ b/internal/coordination/routed/quarantine/keeper.go
@@ -219,7 +219,7 @@
 	defer g.mu.Unlock()
 	g.reconcileEnds(now, ends)
 	for _, c := range stored {
-		if known := g.evidence.closures[keyOf(c.Parts)]; known != nil && !known.closed() || c.LastCrashAge > closureTTL {
+		if known := g.evidence.closures.all[keyOf(c.Parts)]; known != nil && !known.closed() || c.LastCrashAge > closureTTL {
 			c.Opened = true
 			g.keeper.save(c)
 			continue
--- a/internal/coordination/routed/quarantine/reports.go
+++ b/internal/coordination/routed/quarantine/reports.go
@@ -28,7 +28,7 @@
 		}
 	}
 	slices.SortFunc(report.Began, func(a, b FirstEvent) int { return cmp.Compare(a.Part, b.Part) })
-	for _, c := range e.closures {
+	for _, c := range e.closures.all {
 		if c.changed > version {
 			report.Closures = append(report.Closures, c.report(now))
 		}
@@ -99,17 +99,14 @@
 		return false, false
 	}
 	key := keyOf(reported.Parts)
-	known := e.closures[key]
+	known := e.closures.all[key]
 	if known == nil {
-		switch {
-		case isRequestKey(key):
-			e.makeRoom()
-		case !e.hasRoom():
+		if !isRequestKey(key) && !e.closures.hasRoom() {
 			return false, false
 		}
 		known = fromReport(now, reported)
 		known.changed = e.nextVersion()
-		e.closures[key] = known
+		e.closures.add(known)
 		return false, known.closed()
 	}
 	was = known.closed()
@@ -122,7 +119,7 @@
 // Adopt applies a closure that the store has, unless this instance knows the same one: the times
 // of the store are by the clock of the instance that wrote it. It reports whether it was adopted.
 func (e *Evidence) Adopt(now time.Time, stored *Closure) bool {
-	if e.closures[keyOf(stored.Parts)] != nil {
+	if e.closures.all[keyOf(stored.Parts)] != nil {
 		return false
 	}
 	_, is := e.mergeClosure(now, stored)
--- a/internal/coordination/routed/quarantine/suspects.go
+++ b/internal/coordination/routed/quarantine/suspects.go
@@ -42,7 +42,7 @@
 // explanation returns a closure whose parts are all suspects of a crash, nil if there is none: the
 // one with the fewest parts.
 func (e *Evidence) explanation(c *crash) (fewest *closure) {
-	for _, known := range e.closures {
+	for _, known := range e.closures.ofParts {
 		if !known.closed() || !c.hasAll(known.parts) {
 			continue
 		}
@@ -72,31 +72,46 @@
 		if len(under) < closeAfter {
 			return nil, nil
 		}
-		if moments(under) < closeMoments || !slices.ContainsFunc(under, e.unexplained) || e.ofOneRequest(under) {
+		if moments(under) < closeMoments || !slices.ContainsFunc(under, e.unexplained) || e.ofFewRequests(under) {
 			continue
 		}
 		parts = inseparable(counted, under)
-		if known := e.closures[keyOf(parts)]; known == nil || !known.closed() {
+		if known := e.closures.all[keyOf(parts)]; known == nil || !known.closed() {
 			return parts, under
 		}
 	}
 	return nil, nil
 }
 
-// ofOneRequest reports whether a single request may have caused crashes: it ran at all of the targets but
-// one, which may have crashed by itself. A crash of its own request says nothing against a part of its
-// prompt that others have.
-func (e *Evidence) ofOneRequest(list []*crash) bool {
-	runs := map[string]int{}
+// fewRequests is the number of requests that may crash targets by themselves although they have a part in
+// common.
+const fewRequests = 2
+
+// ofFewRequests reports whether fewRequests may have caused crashes: they ran at all of the targets but one,
+// which may have crashed by itself. Crashes of single requests say nothing against a part of their
+// prompts that others have.
+func (e *Evidence) ofFewRequests(list []*crash) bool {
+	left := slices.Clone(list)
+	for range fewRequests {
+		left = e.withoutMostFrequent(left)
+	}
+	return len(left) <= 1 && len(left) < len(list)
+}
+
+// withoutMostFrequent returns the crashes of some at which the request that ran at most of them did not run.
+func (e *Evidence) withoutMostFrequent(list []*crash) []*crash {
+	runs, most := map[string]int{}, ""
 	for _, c := range list {
 		for _, r := range e.ends.under(c.incarnation) {
 			runs[r.key]++
-			if runs[r.key] >= len(list)-1 {
-				return true
+			if runs[r.key] > runs[most] || runs[r.key] == runs[most] && r.key < most {
+				most = r.key
 			}
 		}
 	}
-	return false
+	return slices.DeleteFunc(list, func(c *crash) bool {
+		return slices.ContainsFunc(e.ends.under(c.incarnation), func(r *endRecord) bool { return r.key == most })
+	})
 }
 
 // inseparable returns the parts that were suspects of all but one of some crashes at least. The
--- a/internal/coordination/routed/relay/quarantine.go
+++ b/internal/coordination/routed/relay/quarantine.go
@@ -1,11 +1,13 @@
 package relay
 
 import (
+	"context"
 	"time"
 
 	"merlintiller/internal/coordination/routed/placement"
 	"merlintiller/internal/coordination/routed/quarantine"
 	"merlintiller/internal/external"
+	"merlintiller/internal/wait"
 )
 
 // isClosed reports whether the request may go to no target, since parts of its prompt are closed,
@@ -56,8 +58,10 @@
 	})
 }
 
-// mayEndNoFurther reports whether the request may have ended as many targets as it may. The check of the
-// targets of this request takes longer than its next attempt, so each lost answer counts here.
-func (c *call) mayEndNoFurther() bool {
-	return c.endedBefore > 0 && c.endedBefore+c.lostTargets >= quarantine.MaxEndedTargets
+// awaitTargetCheck waits until it is known whether the last target ended, if the request may have ended as
+// many as it may: that takes longer than to send it to the next one.
+func (c *call) awaitTargetCheck(ctx context.Context) {
+	if c.endedBefore+c.lostTargets >= quarantine.MaxEndedTargets {
+		wait.For(ctx, quarantine.EndKnownAfter)
+	}
 }
--- a/internal/coordination/routed/relay/relay.go
+++ b/internal/coordination/routed/relay/relay.go
@@ -85,8 +85,8 @@
 	Completed(quarantine.Request)
 	// Lost records that a target closed the connection of a request before that.
 	Lost(quarantine.LostRequest)
-	// Ends returns the number of targets that ended under a request.
-	Ends(quarantine.Request) int
+	// Ends returns the number of targets that ended under a request, and when the last one did.
+	Ends(quarantine.Request) (count int, last time.Time)
 }
 
 // Sink writes an answer to the caller.
@@ -155,7 +155,7 @@
 		// After a panic, the writer must not use the connection any more.
 		defer c.delivery.abort()
 	}
-	c.endedBefore = r.opts.Quarantine.Ends(c.subject)
+	c.endedBefore, _ = r.opts.Quarantine.Ends(c.subject)
 	if !c.isClosed() && c.findOrigin(ctx) {
 		c.run(ctx)
 	}
@@ -222,9 +222,12 @@
 // run makes attempts until the outcome is final.
 func (c *call) run(ctx context.Context) {
 	for c.mayTryTarget() {
-		if len(c.tried) > 0 && c.isClosed() {
-			c.releaseFailover()
-			return
+		if len(c.tried) > 0 {
+			c.awaitTargetCheck(ctx)
+			if c.isClosed() {
+				c.releaseFailover()
+				return
+			}
 		}
 		choice, ok := c.nextTarget(ctx)
 		if !ok {
@@ -446,7 +449,7 @@
 // afterLostAnswer decides whether a request that may have run is retried.
 func (c *call) afterLostAnswer(choice placement.Choice, end external.TargetEnd, key string, cause any) nextStep {
 	c.logFailedAttempt(choice, "lost", end, key, cause)
-	if c.Route.Repeatable() && c.outcome.PossibleRuns < c.Route.MaxAttempts && !c.mayEndNoFurther() && c.mayGoOn() {
+	if c.Route.Repeatable() && c.outcome.PossibleRuns < c.Route.MaxAttempts && c.mayGoOn() {
 		return tryNext
 	}
 	c.outcome.Reason = AnswerLost
--- a/internal/daemon/routed/crashingrequests_test.go
+++ b/internal/daemon/routed/crashingrequests_test.go
@@ -378,6 +378,11 @@
 					f.requireFewEnds(crashing)
 					f.requireNeighboursDone("job-a", crashing, items)
 					require.Empty(t, f.closedSoundRequests())
+					ends := f.endsOf[item]
+					for n := 2; n < len(ends); n++ {
+						// Whoever runs the item next has learned of the second end by then.
+						require.GreaterOrEqual(t, ends[n].at.Sub(ends[n-1].at), time.Second)
+					}
 				})
 			})
 		}
@@ -522,3 +527,41 @@
 		require.LessOrEqual(t, f.endCount(id), toleratedEnds)
 	})
 }
+
+// Guards against items that are left lying since their targets refused connections behind a network
+// partition, which looks like three ended targets until the second check.
+func TestItemsGoOnAfterPartitionThatRefuses(t *testing.T) {
+	for seed := range uint64(2 * *crashSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				rng := rand.New(rand.NewPCG(seed, 55))
+				f := newCrashFleet(t, fleetSize{domains: 3, instances: 3, targets: 3}, soundLoad(seed, 10))
+				const items = 20
+				require.Equal(t, http.StatusAccepted, f.instances[0].send(batchJob("job-a", items, 150)).status)
+				var events []crashEvent
+				for at := 500 * time.Millisecond; at < crashEnd; at += 5 * time.Second {
+					cut := []string{f.instances[rng.IntN(len(f.instances))].ip}
+					var others []string
+					for _, inst := range f.instances {
+						if inst.ip != cut[0] {
+							others = append(others, inst.ip)
+						}
+					}
+					for _, target := range f.targets {
+						others = append(others, target.ip)
+					}
+					others = append(others, storeIP)
+					events = append(events, crashEvent{at, func() { f.net.PartitionRefusing(cut, others) }},
+						crashEvent{at + 3*time.Second, func() { f.net.HealPartitionRefusing(cut, others) }})
+				}
+				f.serve(crashEnd, crashEnd, events...)
+				sleep(10 * time.Second)
+				f.requireNeighboursDone("job-a", 0, items)
+				for _, inst := range f.instances {
+					require.Empty(t, inst.daemon.quarantine.ClosedParts(), inst.name)
+				}
+			})
+		})
+	}
+}
--- a/internal/daemon/routed/crashtrouble_test.go
+++ b/internal/daemon/routed/crashtrouble_test.go
@@ -344,5 +344,8 @@
 		}
 		sleep(4 * time.Second)
 		require.Empty(t, guard.ClosedParts())
+		logs := fleet.instances[0].logs.String()
+		require.Contains(t, logs, "event=request_closed", "until the second check")
+		require.Contains(t, logs, "event=request_opened")
 	})
 }
