A request waits for the check of its target by what is known now; old ends make room

With 340 instances a fourth target ended under one of 20 requests: the news of its second end had arrived after its third attempt began. Ends beyond the eighth of a request replace the oldest, so that its trials keep their pauses. Each completion acquits.

--- a/internal/coordination/routed/mesh/crashrequests_test.go
+++ b/internal/coordination/routed/mesh/crashrequests_test.go
@@ -61,10 +61,9 @@
 // targets that it was sent to, and whether the last one completed it.
 func (f *crashMesh) attempt(p *place, request quarantine.Request, crashing *crashingRequest) (runs int, completed bool) {
 	guard := p.process.guard
-	before, _ := guard.Ends(request)
 	for runs < maxAttempts {
 		t := f.runningTarget()
-		if before+runs >= quarantine.MaxEndedTargets {
+		if known, _ := guard.Ends(request); known+runs >= quarantine.MaxEndedTargets {
 			sleep(quarantine.EndKnownAfter)
 		}
 		if t == nil || guard.Check(request).Closed {
--- a/internal/coordination/routed/quarantine/ends_test.go
+++ b/internal/coordination/routed/quarantine/ends_test.go
@@ -62,6 +62,35 @@
 	require.Empty(t, closedRequests(e, at(7*second)))
 }
 
+// Guards against a closed request whose trials follow each other without a pause once many targets have
+// ended under it.
+func TestManyFailedTrialsLengthenThePause(t *testing.T) {
+	e := NewEvidence("a")
+	now := start
+	for n := range 3 * maxEnds {
+		endUnder(e, now, "request:1", fmt.Sprint("t-", n), 0)
+		e.closeRequests(now)
+		if n >= MaxEndedTargets {
+			require.Greater(t, e.Check(now.Add(second), []string{"request:1"}).RetryAfter, firstTrialAfter/2, "end %d", n)
+		}
+		now = now.Add(firstTrialAfter << min(n, maxTrialDoublings)).Add(second)
+	}
+	require.Len(t, e.ends.records["request:1"].ends, maxEnds)
+}
+
+// Guards against an end that stays although a target completed the request soon after it completed another
+// run.
+func TestEachCompletionAcquits(t *testing.T) {
+	e := NewEvidence("a")
+	for n := range 4 {
+		now := at(time.Duration(n) * 100 * time.Millisecond)
+		endUnder(e, now, "request:1", fmt.Sprint("t-", n), 0)
+		acquitted, _ := e.Completed(now.Add(50*time.Millisecond), "request:1")
+		require.True(t, acquitted)
+		require.Zero(t, e.Ends("request:1"))
+	}
+}
+
 // Guards against an item that is left lying since it was closed during a network partition that refuses
 // connections, and stays closed although its targets run.
 func TestDismissedEndsOpenRequest(t *testing.T) {
--- a/internal/coordination/routed/quarantine/endtable.go
+++ b/internal/coordination/routed/quarantine/endtable.go
@@ -70,9 +70,7 @@
 			out = append(out, end)
 		}
 	}
-	slices.SortFunc(out, func(a, b *requestEnd) int {
-		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.target, b.target))
-	})
+	slices.SortFunc(out, compareEnds)
 	return out
 }
 
@@ -130,20 +128,39 @@
 		known.state = end.state
 		return counted != (end.state != EndDismissed)
 	}
-	if !end.at.After(r.completedAt) || len(r.ends) >= maxEnds {
+	if !end.at.After(r.completedAt) || !r.makeRoom(end.at) {
 		return false
 	}
 	r.ends[end.incarnation] = &end
 	return true
 }
 
-// complete records that a target completed the request. It returns false if nothing has changed.
+// makeRoom drops the oldest end if the record is full. It returns false if a new end is older than all.
+func (r *endRecord) makeRoom(at time.Time) bool {
+	if len(r.ends) < maxEnds {
+		return true
+	}
+	oldest := slices.MinFunc(slices.Collect(maps.Values(r.ends)), compareEnds)
+	if !at.After(oldest.at) {
+		return false
+	}
+	delete(r.ends, oldest.incarnation)
+	return true
+}
+
+func compareEnds(a, b *requestEnd) int {
+	return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.target, b.target))
+}
+
+// complete records that a target completed the request. It returns false if that acquits it of no end, and
+// may be a completion that is known already.
 func (r *endRecord) complete(at time.Time) bool {
-	if !at.After(r.completedAt.Add(ageTolerance)) {
+	before := len(r.ends)
+	maps.DeleteFunc(r.ends, func(_ incarnation, end *requestEnd) bool { return !end.at.After(at) })
+	if len(r.ends) == before && !at.After(r.completedAt.Add(ageTolerance)) {
 		return false
 	}
 	r.completedAt = at
-	maps.DeleteFunc(r.ends, func(_ incarnation, end *requestEnd) bool { return !end.at.After(at) })
 	return true
 }
 
--- a/internal/coordination/routed/relay/quarantine.go
+++ b/internal/coordination/routed/relay/quarantine.go
@@ -61,7 +61,8 @@
 // awaitTargetCheck waits until it is known whether the last target ended, if the request may have ended as
 // many as it may: that takes longer than to send it to the next one.
 func (c *call) awaitTargetCheck(ctx context.Context) {
-	if c.endedBefore+c.lostTargets >= quarantine.MaxEndedTargets {
+	known, _ := c.opts.Quarantine.Ends(c.subject)
+	if known+c.lostTargets >= quarantine.MaxEndedTargets {
 		wait.For(ctx, quarantine.EndKnownAfter)
 	}
 }
--- a/internal/coordination/routed/relay/relay.go
+++ b/internal/coordination/routed/relay/relay.go
@@ -155,7 +155,6 @@
 		// After a panic, the writer must not use the connection any more.
 		defer c.delivery.abort()
 	}
-	c.endedBefore, _ = r.opts.Quarantine.Ends(c.subject)
 	if !c.isClosed() && c.findOrigin(ctx) {
 		c.run(ctx)
 	}
@@ -188,9 +187,8 @@
 	replaced int
 	// subject is what the quarantine decides on.
 	subject quarantine.Request
-	// endedBefore is the number of targets that are known to have ended under the request before it
-	// came here, lostTargets the number of those that closed the connection of it here.
-	endedBefore, lostTargets int
+	// lostTargets is the number of targets that closed the connection of the request.
+	lostTargets int
 	// attemptEvents is the number of stream events that the current attempt brought.
 	attemptEvents int
 	// isTrial is set if the request is the trial of closed parts: it goes to one target.
--- a/internal/transport/targetconn/endless_test.go
+++ b/internal/transport/targetconn/endless_test.go
@@ -81,7 +81,7 @@
 func (n endlessNetwork) Listen(string) (net.Listener, error) { return nil, errors.New("not used") }
 
 // readEndless calls a target that answers without end, and returns the error and the memory that it took.
-func readEndless(t *testing.T, beginning, repeated string, read func(*Client) error) (conn *endlessConn, err error, memory int64) {
+func readEndless(t *testing.T, beginning, repeated string, read func(*Client) error) (conn *endlessConn, memory int64, err error) {
 	t.Helper()
 	conn = &endlessConn{beginning: []byte(beginning), repeated: []byte(repeated)}
 	client := New(endlessNetwork{conn}, Codec{
@@ -90,7 +90,7 @@
 	})
 	before := memoryInUse()
 	err = read(client)
-	return conn, err, int64(conn.most) - int64(before)
+	return conn, int64(conn.most) - int64(before), err
 }
 
 // sendAndReadBody sends a request and reads the body of its answer to the end.
@@ -155,7 +155,7 @@
 	for name, head := range endlessHeads {
 		for call, read := range map[string]func(*Client) error{"request": sendAndReadBody, "report": readReport, "health": readHealth} {
 			t.Run(name+"/"+call, func(t *testing.T) {
-				conn, err, memory := readEndless(t, head.beginning, head.repeated, read)
+				conn, memory, err := readEndless(t, head.beginning, head.repeated, read)
 				require.Error(t, err)
 				require.True(t, conn.closed)
 				require.LessOrEqual(t, conn.sent, 2*maxHead)
@@ -170,7 +170,7 @@
 // request was lost.
 func TestEndlessHeadEndsAsOversized(t *testing.T) {
 	for _, name := range []string{"status line", "one header line", "header lines", "short lines"} {
-		_, err, _ := readEndless(t, endlessHeads[name].beginning, endlessHeads[name].repeated, sendAndReadBody)
+		_, _, err := readEndless(t, endlessHeads[name].beginning, endlessHeads[name].repeated, sendAndReadBody)
 		require.ErrorIs(t, err, external.ErrMayHaveRun, name)
 		require.Equal(t, external.EndOversized, external.EndOf(err), name)
 	}
@@ -201,7 +201,7 @@
 		"bytes after a whole response": {"HTTP/1.1 200 OK\r\nRequest-Id: r\r\nContent-Length: 3\r\n\r\nabc", "x", sendAndClose, maxHead},
 	} {
 		t.Run(name, func(t *testing.T) {
-			conn, err, memory := readEndless(t, c.beginning, c.repeated, c.read)
+			conn, memory, err := readEndless(t, c.beginning, c.repeated, c.read)
 			require.True(t, conn.closed, "%v", err)
 			require.LessOrEqual(t, conn.sent, c.most+2*maxHead)
 			require.LessOrEqual(t, memory, int64(mostEndlessMemory))
