Ends of targets that a closed part explains close no request

It had waited for its first event at three targets that others crashed by a part, so its ends came at the same point of its output. Ends that a closed part explains count for nothing now, and the request is opened when the part is closed.

--- a/internal/coordination/routed/mesh/notice.go
+++ b/internal/coordination/routed/mesh/notice.go
@@ -124,6 +124,6 @@
 	defer m.mu.Unlock()
 	read := &m.quarantineLink(notice.From).read
 	if notice.Since == 0 || read.Start == notice.From.Start && read.Version >= notice.Since {
-		*read = quarantine.Position{Start: notice.From.Start, Version: max(notice.Report.Version, 0)}
+		*read = quarantine.Position{Start: notice.From.Start, Version: notice.Report.Version}
 	}
 }
--- a/internal/coordination/routed/quarantine/doc.go
+++ b/internal/coordination/routed/quarantine/doc.go
@@ -1,5 +1,6 @@
-// Package quarantine keeps requests from targets whose prompt has a part that crashes each
-// target that begins to answer it, a query of death.
+// Package quarantine keeps requests from targets that crash under them, queries of death: those whose
+// prompt has a part that crashes each target that begins to answer it, and single requests that crash the
+// targets that run them, whatever their parts.
 //
 // Each instance notes which of its requests were lost before their first event because their
 // target crashed. The parts of their prompts that other requests may share are suspects of that
@@ -14,6 +15,13 @@
 // written to the store, for a start of the whole fleet and for instances that no heartbeat of
 // this release reaches.
 //
-// A closed part is tried again after some minutes by a single request of the whole fleet. Its
+// A request has a key that its attempts, its repeats by a caller and the runs of an item share. Each target
+// that ends while it runs a request leaves it with an end, before its first event or later. A target that
+// completes the request acquits it. A request with three ends that came at the same point of its output, or
+// that nothing else explains, is closed as a part is. Its caller comes back within milliseconds, so ends count
+// from the first check of the target on, until the second one dismisses them, and travel ahead of the
+// heartbeats.
+//
+// A closed part or request is tried again after some minutes by a single request of the whole fleet. Its
 // first event opens the part. Another crash keeps it closed for twice as long.
 package quarantine
--- a/internal/coordination/routed/quarantine/ends.go
+++ b/internal/coordination/routed/quarantine/ends.go
@@ -1,9 +1,6 @@
 package quarantine
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // MaxEndedTargets is the number of targets that may end under a request before it goes to no
 // further one.
@@ -98,17 +95,14 @@
 // closeRequests closes the requests under which MaxEndedTargets targets ended, and opens those of which it
 // has turned out since that the targets run or that they are not to blame. It returns both.
 func (e *Evidence) closeRequests(now time.Time) (closed, opened []Closure) {
+	blame := e.newBlame()
 	for key, r := range e.ends.records {
 		known := e.closures.all[key]
 		isClosed := known != nil && known.closed()
-		ends := r.counted()
-		if !isClosed && len(ends) < MaxEndedTargets {
-			continue
-		}
-		toBlame := e.isToBlame(r, ends)
+		toBlame := blame.isToBlame(r)
 		switch {
 		case !isClosed && toBlame:
-			closed = append(closed, e.closeRequest(now, r, ends))
+			closed = append(closed, e.closeRequest(now, r, r.counted()))
 		case isClosed && !toBlame && r.hasEndsOf(known.targets):
 			known.openedAt, known.changed = now, e.nextVersion()
 			opened = append(opened, known.report(now))
@@ -117,38 +111,6 @@
 	return closed, opened
 }
 
-// isToBlame reports whether a request caused the ends of targets under it: they came at the same point of
-// its output, or have no other cause.
-func (e *Evidence) isToBlame(r *endRecord, ends []*requestEnd) bool {
-	unexplained := 0
-	events, positions := map[int]int{}, map[int]int{}
-	for _, end := range ends {
-		events[end.events]++
-		positions[end.position]++
-		if events[end.events] >= MaxEndedTargets || positions[end.position] >= MaxEndedTargets {
-			return true
-		}
-		if !e.explainedByOther(r, end) {
-			unexplained++
-		}
-	}
-	return unexplained >= MaxEndedTargets
-}
-
-// explainedByOther reports whether the end of a target under a request has another cause: a closed part
-// of a prompt, or another request under which more targets ended. A target that ends leaves all requests
-// that ran there with an end, and only one of them is to blame.
-func (e *Evidence) explainedByOther(r *endRecord, end *requestEnd) bool {
-	if c := e.crashes.crashes[end.incarnation]; c != nil && e.explanation(c) != nil {
-		return true
-	}
-	own := len(r.counted())
-	return slices.ContainsFunc(e.ends.under(end.incarnation), func(other *endRecord) bool {
-		ends := len(other.counted())
-		return ends >= MaxEndedTargets && ends > own
-	})
-}
-
 // closeRequest closes a request under which targets ended.
 func (e *Evidence) closeRequest(now time.Time, r *endRecord, ends []*requestEnd) Closure {
 	c := e.closures.all[r.key]
--- a/internal/coordination/routed/quarantine/ends_test.go
+++ b/internal/coordination/routed/quarantine/ends_test.go
@@ -148,6 +148,24 @@
 	require.Equal(t, []string{"request:crashes-0", "request:crashes-1", "request:crashes-2"}, closedRequests(e, at(50*second)))
 }
 
+// Guards against a sound item that stays closed since a part that others have crashed the targets where it
+// waited.
+func TestRequestBesideCrashingPartIsOpened(t *testing.T) {
+	e := NewEvidence("a")
+	for n := range closeAfter + 2 {
+		now, target := at(time.Duration(n)*second), fmt.Sprint("t-", n)
+		if n < MaxEndedTargets {
+			endUnder(e, now, "request:sound", target, 0)
+		}
+		endUnder(e, now, fmt.Sprint("request:with-part-", n), target, 0)
+		e.Crashed(now, target, 0, []string{"dead", fmt.Sprint("rare-", n)})
+	}
+	now := at(10 * second)
+	require.Equal(t, []string{"request:sound"}, closedRequests(e, now))
+	require.NotEmpty(t, e.Evaluate(now))
+	require.Equal(t, []string{"dead"}, closedRequests(e, now))
+}
+
 // Guards against a part that sound requests share and that is closed since one or two requests with it
 // crash targets.
 func TestCrashesOfFewRequestsCloseNoPart(t *testing.T) {
--- a/internal/coordination/routed/quarantine/evidence.go
+++ b/internal/coordination/routed/quarantine/evidence.go
@@ -202,8 +202,8 @@
 	return true
 }
 
-// ClosedParts returns what is closed.
-func (e *Evidence) ClosedParts(now time.Time) (out []Closure) {
+// Closures returns what is closed, parts and requests.
+func (e *Evidence) Closures(now time.Time) (out []Closure) {
 	for _, c := range e.closures.all {
 		if c.closed() {
 			out = append(out, c.report(now))
--- a/internal/coordination/routed/quarantine/guard.go
+++ b/internal/coordination/routed/quarantine/guard.go
@@ -205,7 +205,7 @@
 
 // countClosed returns the number of closed requests, or of closed sets of parts.
 func (g *Guard) countClosed(ofRequests bool) (count int) {
-	for _, c := range g.ClosedParts() {
+	for _, c := range g.Closures() {
 		if c.OfRequest() == ofRequests {
 			count++
 		}
@@ -213,11 +213,11 @@
 	return count
 }
 
-// ClosedParts returns what is closed.
-func (g *Guard) ClosedParts() []Closure {
+// Closures returns what is closed, parts and requests.
+func (g *Guard) Closures() []Closure {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.evidence.ClosedParts(time.Now())
+	return g.evidence.Closures(time.Now())
 }
 
 // Urgent is signalled when other instances have to learn of ended targets at once.
--- a/internal/coordination/routed/quarantine/keeper.go
+++ b/internal/coordination/routed/quarantine/keeper.go
@@ -229,7 +229,7 @@
 			g.logClosed("store", &c)
 		}
 	}
-	for _, c := range g.evidence.ClosedParts(now) {
+	for _, c := range g.evidence.Closures(now) {
 		if _, found := stored[storeKey(c.Parts)]; !found {
 			g.keeper.save(c)
 		}
