--- a/internal/coordination/routed/batchjobs/queue.go
+++ b/internal/coordination/routed/batchjobs/queue.go
@@ -6,15 +6,22 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log/level"
 
 	"merlintiller/internal/coordination/routed/broker"
 	"merlintiller/internal/coordination/routed/placement"
 )
 
-// endedTargetPause is how long an item waits once a second target has ended under it. By then all
-// instances that may run the item know of it, also if its owner changes.
-const endedTargetPause = time.Second
+const (
+	// endedTargetPause is how long an item waits at least once a second target has ended under it. By
+	// then all instances that may run the item know of it, also if its owner changes.
+	endedTargetPause = time.Second
+	// endedTargetSpread is the time over which the items that lost a target spread their next runs.
+	// Otherwise sound ones would start together with the one that ends targets, again and again, at
+	// the same target.
+	endedTargetSpread = time.Second
+)
 
 // maxRuntimeFactor is how many times its estimated run time a target may be busy with
 // an item. Lengths of items differ by a quarter.
@@ -92,7 +99,7 @@
 			t.logHeld()
 			continue
 		}
-		if ends, last := r.opts.Quarantine.Ends(t.subject); ends > 1 && now.Sub(last) < endedTargetPause {
+		if ends, last := r.opts.Quarantine.Ends(t.subject); ends > 0 && now.Sub(last) < t.pauseAfterEnds(ends) {
 			continue
 		}
 		if service, ok := t.service(table); ok {
@@ -103,6 +110,15 @@
 	return out
 }
 
+// pauseAfterEnds returns how long the item waits after the last end of a target under it.
+func (t *task) pauseAfterEnds(ends int) time.Duration {
+	pause := time.Duration(xxhash.Sum64String(t.subject.Key) % uint64(endedTargetSpread))
+	if ends > 1 {
+		pause += endedTargetPause
+	}
+	return pause
+}
+
 // logHeld logs once that an item waits since it or parts of its prompt are closed.
 func (t *task) logHeld() {
 	if t.held {
--- a/internal/coordination/routed/quarantine/blame.go
+++ b/internal/coordination/routed/quarantine/blame.go
@@ -59,10 +59,10 @@
 }
 
 // explainedByOther reports whether the end of a target under a request has another cause: a request under
-// which more targets ended.
+// which more targets ended, or under which they ended at the same point of its output, while these did not.
 func (b *blame) explainedByOther(r *endRecord, end *requestEnd) bool {
 	own := len(b.ends[r.key])
 	return slices.ContainsFunc(b.evidence.ends.under(end.incarnation), func(other *endRecord) bool {
-		return len(b.ends[other.key]) > own
+		return other.key != r.key && (len(b.ends[other.key]) > own || atOnePoint(b.ends[other.key]))
 	})
 }
--- a/internal/daemon/routed/crashingparts_test.go
+++ b/internal/daemon/routed/crashingparts_test.go
@@ -118,9 +118,11 @@
 		}
 	}
 	opts.OnCrash = func() {
+		f.mu.Lock()
 		if !started.silent {
 			f.crashesOf[part] = append(f.crashesOf[part], time.Now())
 		}
+		f.mu.Unlock()
 		once()
 	}
 	started = f.addTarget(id, domain, ip, opts)
