--- a/internal/transport/platformhttp/client.go
+++ b/internal/transport/platformhttp/client.go
@@ -55,8 +55,12 @@
 // New returns a client of the platform at "ip:port".
 func New(address string) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	return newClient(address, dialer.DialContext)
+}
+
+func newClient(address string, dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: maxIdleConns,
 		DisableCompression:  true,
 
@@ -178,7 +182,10 @@
 		return nil, fmt.Errorf("%w: %w", external.ErrUnavailable, err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPageBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPageBytes+1))
+	if err == nil && len(body) > maxPageBytes {
+		err = fmt.Errorf("response of more than %d bytes", maxPageBytes)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", external.ErrUnavailable, err)
 	}
--- a/internal/transport/targetconn/endless_test.go
+++ b/internal/transport/targetconn/endless_test.go
@@ -4,9 +4,7 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
-	"runtime"
 	"testing"
 	"time"
 
@@ -15,82 +13,21 @@
 	"merlintiller/internal/external"
 	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/protocol/sse"
+	"merlintiller/internal/standin/endless"
 	"merlintiller/platform"
 )
 
-const (
-	// mostEndlessMemory is the memory that an answer without end may take.
-	mostEndlessMemory = 1 << 20
-	// memorySampleInterval is the number of bytes after which the memory in use is measured.
-	memorySampleInterval = 16 << 10
-	// endlessBytes is what a target sends at most in these tests, far above each bound.
-	endlessBytes = 300 << 20
-)
-
-// endlessConn is a connection to a target that answers with a beginning and then repeats some bytes until
-// it is closed. It measures the memory in use while it is read.
-type endlessConn struct {
-	net.Conn
-	beginning, repeated []byte
-
-	sent, sampled int
-	most          uint64
-	closed        bool
-}
-
-func (c *endlessConn) Write(p []byte) (int, error) { return len(p), nil }
-
-func (c *endlessConn) Close() error {
-	c.closed = true
-	return nil
-}
-
-func (c *endlessConn) Read(p []byte) (n int, err error) {
-	if c.closed || c.sent > endlessBytes {
-		return 0, net.ErrClosed
-	}
-	if c.sent-c.sampled >= memorySampleInterval && c.sent < 2*mostEndlessMemory {
-		c.sampled = c.sent
-		c.most = max(c.most, memoryInUse())
-	}
-	for n < len(p) {
-		if at := c.sent; at < len(c.beginning) {
-			p[n] = c.beginning[at]
-		} else {
-			p[n] = c.repeated[(at-len(c.beginning))%len(c.repeated)]
-		}
-		n++
-		c.sent++
-	}
-	return n, nil
-}
-
-// memoryInUse returns the bytes of the heap that are in use.
-func memoryInUse() uint64 {
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return stats.HeapAlloc
-}
-
-// endlessNetwork connects to one target.
-type endlessNetwork struct{ conn *endlessConn }
-
-func (n endlessNetwork) Dial(context.Context, string) (net.Conn, error) { return n.conn, nil }
-
-func (n endlessNetwork) Listen(string) (net.Listener, error) { return nil, errors.New("not used") }
+// mostEndlessMemory is the memory that an answer without end may take.
+const mostEndlessMemory = 1 << 20
 
-// readEndless calls a target that answers without end, and returns the error and the memory that it took.
-func readEndless(t *testing.T, beginning, repeated string, read func(*Client) error) (conn *endlessConn, memory int64, err error) {
-	t.Helper()
-	conn = &endlessConn{beginning: []byte(beginning), repeated: []byte(repeated)}
-	client := New(endlessNetwork{conn}, Codec{
+// readEndless calls a target that answers without end, and returns the error.
+func readEndless(beginning, repeated string, read func(*Client) error) (*endless.Conn, error) {
+	conn := endless.NewConn(beginning, repeated)
+	client := New(endless.Network{Conn: conn}, Codec{
 		EncodeDispatch: platform.EncodeDispatch, DecodeReply: platform.DecodeReply,
 		ReportPath: platform.ReportPath, DecodeReport: platform.DecodeReport, DecodeHealth: platform.DecodeHealth,
 	})
-	before := memoryInUse()
-	err = read(client)
-	return conn, int64(conn.most) - int64(before), err
+	return conn, read(client)
 }
 
 // sendAndReadBody sends a request and reads the body of its answer to the end.
@@ -155,12 +92,12 @@
 	for name, head := range endlessHeads {
 		for call, read := range map[string]func(*Client) error{"request": sendAndReadBody, "report": readReport, "health": readHealth} {
 			t.Run(name+"/"+call, func(t *testing.T) {
-				conn, memory, err := readEndless(t, head.beginning, head.repeated, read)
+				conn, err := readEndless(head.beginning, head.repeated, read)
 				require.Error(t, err)
-				require.True(t, conn.closed)
-				require.LessOrEqual(t, conn.sent, 2*maxHead)
-				require.LessOrEqual(t, memory, int64(mostEndlessMemory))
-				t.Logf("%d bytes read, %d bytes of memory, %v", conn.sent, memory, err)
+				require.True(t, conn.Closed())
+				require.LessOrEqual(t, conn.Sent(), 2*maxHead)
+				require.LessOrEqual(t, conn.Memory(), int64(mostEndlessMemory))
+				t.Logf("%d bytes read, %d bytes of memory, %v", conn.Sent(), conn.Memory(), err)
 			})
 		}
 	}
@@ -170,7 +107,7 @@
 // request was lost.
 func TestEndlessHeadEndsAsOversized(t *testing.T) {
 	for _, name := range []string{"status line", "one header line", "header lines", "short lines"} {
-		_, _, err := readEndless(t, endlessHeads[name].beginning, endlessHeads[name].repeated, sendAndReadBody)
+		_, err := readEndless(endlessHeads[name].beginning, endlessHeads[name].repeated, sendAndReadBody)
 		require.ErrorIs(t, err, external.ErrMayHaveRun, name)
 		require.Equal(t, external.EndOversized, external.EndOf(err), name)
 	}
@@ -201,11 +138,11 @@
 		"bytes after a whole response": {"HTTP/1.1 200 OK\r\nRequest-Id: r\r\nContent-Length: 3\r\n\r\nabc", "x", sendAndClose, maxHead},
 	} {
 		t.Run(name, func(t *testing.T) {
-			conn, memory, err := readEndless(t, c.beginning, c.repeated, c.read)
-			require.True(t, conn.closed, "%v", err)
-			require.LessOrEqual(t, conn.sent, c.most+2*maxHead)
-			require.LessOrEqual(t, memory, int64(mostEndlessMemory))
-			t.Logf("%d bytes read, %d bytes of memory, %v", conn.sent, memory, err)
+			conn, err := readEndless(c.beginning, c.repeated, c.read)
+			require.True(t, conn.Closed(), "%v", err)
+			require.LessOrEqual(t, conn.Sent(), c.most+2*maxHead)
+			require.LessOrEqual(t, conn.Memory(), int64(mostEndlessMemory))
+			t.Logf("%d bytes read, %d bytes of memory, %v", conn.Sent(), conn.Memory(), err)
 		})
 	}
 }
