--- a/internal/coordination/routed/broker/client.go
+++ b/internal/coordination/routed/broker/client.go
@@ -16,7 +16,6 @@
 	"merlintiller/internal/coordination/routed/placement"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/state/roster"
-	"merlintiller/internal/wait"
 )
 
 const (
@@ -242,79 +241,6 @@
 	waited bool
 }
 
-// Item is a batch item that needs a slot.
-type Item struct {
-	Service string
-	// Versions are the software versions at which it may run. Empty: any.
-	Versions []string
-	// Deadline is when the item must be done, StartBy when it must start to meet it.
-	Deadline, StartBy time.Time
-	// MaxRuntime is the longest time that a target is busy with the item.
-	MaxRuntime time.Duration
-	// Needs is how long the item is expected to run, and Unstored how long its output takes to
-	// produce again that is not stored yet.
-	Needs, Unstored time.Duration
-	// ID and Job name the item and its job in log lines.
-	ID, Job string
-}
-
-// PlaceItem chooses a target of one failure domain for a batch item, and waits up to batchWait
-// for a slot. If no broker of the domain answers, it chooses by itself among the domain's
-// targets.
-//
-// If it then chose among the targets of all domains, a network partition that isolates a
-// failure domain would send each of its items to targets of the other domains, bypassing their
-// brokers. Those targets would get twice as many requests as they have slots, and online
-// requests would wait in their queues.
-func (c *Client) PlaceItem(ctx context.Context, name string, item Item) (placement.Choice, bool) {
-	want := placement.Requirements{Service: item.Service, Versions: item.Versions, Batch: true}
-	request := &PlaceRequest{
-		Domain: name, Want: want, Wait: batchWait,
-		OnTimeIn: time.Until(item.StartBy), Due: item.Deadline.UnixMilli(), Lasts: item.MaxRuntime,
-		Needs: item.Needs, Unstored: item.Unstored,
-	}
-	choice, held, answered := c.requestItemSlot(ctx, request)
-	if held.Period > 0 {
-		c.logItemWaits(item, name, held)
-	}
-	if answered {
-		return choice, choice.ID != ""
-	}
-	want.Domain = name
-	choice, ok := c.opts.Local.Pick(want)
-	if !ok {
-		wait.For(ctx, batchWait)
-		return choice, false
-	}
-	choicesWithoutBroker.Inc()
-	return choice, true
-}
-
-// Domains returns the failure domains that have targets, the own one first.
-func (c *Client) Domains() []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	has := map[string]bool{}
-	for _, t := range c.targets {
-		has[t.Domain] = true
-	}
-	return orderDomains(has, c.opts.Self.Domain, func(string) int { return 0 })
-}
-
-// domainsFor returns the failure domains with targets that may be chosen: the own one first, then
-// the others by the number of free slots in their last reply, highest first.
-func (c *Client) domainsFor(req placement.Requirements) []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	has := map[string]bool{}
-	for _, t := range c.targets {
-		if req.Allows(t) {
-			has[t.Domain] = true
-		}
-	}
-	return orderDomains(has, c.opts.Self.Domain, func(name string) int { return c.domains[name].free })
-}
-
 func (c *Client) knownFull(name string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -329,30 +255,6 @@
 	return choice, answered
 }
 
-// requestItemSlot is requestSlot that also returns why a batch item was held.
-func (c *Client) requestItemSlot(ctx context.Context, request *PlaceRequest) (choice placement.Choice, held ForecastHold, answered bool) {
-	request.Want.Exclude = append(c.opts.Local.Untrusted(request.Want), request.Want.Exclude...)
-	request.Want.Exclude = append(request.Want.Exclude, c.otherVersions(request)...)
-	request.Want.Connected = c.connected(request.Domain, request.Want.Service)
-	request.Number = c.nextNumber()
-	for _, address := range c.Brokers(request.Domain) {
-		reply, err := c.callBroker(ctx, address, request)
-		if err != nil {
-			c.avoidBroker(address, request.Domain, err)
-			continue
-		}
-		answeredRequests.Inc()
-		choice := c.applyReply(address, request, reply)
-		if choice.ID != "" && !request.Want.Allows(choice.Target) {
-			c.Done(choice, placement.Cancelled)
-			c.avoidBroker(address, request.Domain, errVersionIgnored)
-			continue
-		}
-		return choice, reply.Held, true
-	}
-	return placement.Choice{}, ForecastHold{}, false
-}
-
 // errVersionIgnored: a broker chose a target that this instance does not list, or lists with
 // another software version than the required one. A broker of an earlier release does not know
 // the version.
@@ -474,16 +376,6 @@
 	c.release(choice.Broker, choice.Number)
 }
 
-// SetRunID records the ID under which the target of a choice runs a batch item.
-func (c *Client) SetRunID(choice placement.Choice, id string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if h, ok := c.holds[choice.Number]; ok {
-		h.Run = id
-		c.holds[choice.Number] = h
-	}
-}
-
 // HasTargets reports whether the list contains a target that may be chosen, regardless of its
 // load and health.
 func (c *Client) HasTargets(req placement.Requirements) bool { return c.opts.Local.HasTargets(req) }
