Rejected messages of other programs at an instance's port are logged

A connection to the port for other instances that was closed at its bound left a metric only, and nothing that names the program. peer_message_too_large has its address and the reason. Comments on closed requests name requests beside parts.

--- a/internal/coordination/routed/batchjobs/queue.go
+++ b/internal/coordination/routed/batchjobs/queue.go
@@ -27,8 +27,8 @@
 // an item. Lengths of items differ by a quarter.
 const maxRuntimeFactor = 1.5
 
-// closedDelay is how long an item with closed parts waits until it is tried again whether it is
-// their trial.
+// closedDelay is how long an item that is closed, or has closed parts, waits until it is tried again
+// whether it is their trial.
 const closedDelay = time.Second
 
 // sortWaiting sorts the waiting items by deadline, and puts those that can no longer
--- a/internal/coordination/routed/relay/quarantine.go
+++ b/internal/coordination/routed/relay/quarantine.go
@@ -10,8 +10,8 @@
 	"merlintiller/internal/wait"
 )
 
-// isClosed reports whether the request may go to no target, since parts of its prompt are closed,
-// and sets the outcome if so. A request that is the trial of closed parts may go to one target.
+// isClosed reports whether the request may go to no target, since it or parts of its prompt are closed,
+// and sets the outcome if so. A request that is the trial of what is closed may go to one target.
 func (c *call) isClosed() bool {
 	if c.isTrial && c.outcome.Attempts == 0 {
 		return false
--- a/internal/coordination/routed/relay/relay.go
+++ b/internal/coordination/routed/relay/relay.go
@@ -191,7 +191,7 @@
 	lostTargets int
 	// attemptEvents is the number of stream events that the current attempt brought.
 	attemptEvents int
-	// isTrial is set if the request is the trial of closed parts: it goes to one target.
+	// isTrial is set if the request is the trial of what is closed: it goes to one target.
 	isTrial bool
 	// failover is the target that the stall monitor reserved for the next
 	// attempt, nil if there is none.
@@ -235,7 +235,7 @@
 			return
 		}
 		if c.isClosed() {
-			// The parts were closed while the request waited for a slot.
+			// The request or its parts were closed while it waited for a slot.
 			c.opts.Placer.Done(choice, placement.Cancelled)
 			return
 		}
--- a/internal/transport/peer/bounded.go
+++ b/internal/transport/peer/bounded.go
@@ -27,6 +27,8 @@
 	// was read of it.
 	lengthLeft int
 	length     uint64
+	// onTooLarge, if set, is called with the reason for which a message is rejected.
+	onTooLarge func(error)
 }
 
 // Read implements io.Reader.
@@ -34,6 +36,9 @@
 	n, err := c.Conn.Read(p)
 	if tooLarge := c.follow(p[:n]); tooLarge != nil {
 		messagesTooLarge.Inc()
+		if c.onTooLarge != nil {
+			c.onTooLarge(tooLarge)
+		}
 		return 0, tooLarge
 	}
 	return n, err
--- a/internal/transport/peer/endless_test.go
+++ b/internal/transport/peer/endless_test.go
@@ -1,7 +1,9 @@
 package peer
 
 import (
+	"bytes"
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -47,9 +49,11 @@
 	for name, c := range endlessBytes {
 		t.Run(name, func(t *testing.T) {
 			conn := endless.NewConn(c.beginning, c.repeated)
-			server := NewServer(nil, nil, log.NewNopLogger())
+			var logs bytes.Buffer
+			server := NewServer(nil, nil, log.NewLogfmtLogger(&logs))
 			server.serveConn(t.Context(), conn)
 			require.True(t, conn.Closed())
+			require.Equal(t, strings.HasPrefix(name, "length"), strings.Contains(logs.String(), "event=peer_message_too_large remote=10.0.0.2:80"), "%s", logs.String())
 			require.LessOrEqual(t, conn.Memory(), int64(mostEndlessMemory))
 			t.Logf("%d bytes read, %d bytes of memory", conn.Sent(), conn.Memory())
 		})
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -126,7 +126,9 @@
 		}
 		stream = secured
 	}
-	s.rpc.ServeConn(&boundedConn{Conn: stream})
+	s.rpc.ServeConn(&boundedConn{Conn: stream, onTooLarge: func(err error) {
+		_ = level.Warn(s.logger).Log("event", "peer_message_too_large", "remote", conn.RemoteAddr(), "err", err)
+	}})
 }
 
 func (s *Server) handshake(ctx context.Context, conn *tls.Conn) error {
