--- a/internal/coordination/routed/quarantine/ends_test.go
+++ b/internal/coordination/routed/quarantine/ends_test.go
@@ -195,8 +195,11 @@
 		e.closeRequests(at(time.Duration(5+n) * second))
 	}
 	require.LessOrEqual(t, len(e.closures.all), maxClosedRequests)
+	require.Len(t, e.endTimes.at, maxEndTimes)
+	require.Contains(t, e.endTimes.at, incarnation{target: fmt.Sprint("t-", 3*maxClosedRequests-1, "-", 0)}, "the latest are kept")
 	e.Evaluate(at(24 * time.Hour))
 	require.Empty(t, e.ends.records)
+	require.Empty(t, e.endTimes.at)
 	require.Empty(t, e.closures.all)
 	require.Empty(t, e.closures.ofParts)
 }
@@ -343,14 +346,16 @@
 // Guards against a request that goes on since its own ends, a few milliseconds apart, or one failure of a rack
 // seem to be common failures.
 func TestRequestThatEndsTargetsQuicklyIsClosed(t *testing.T) {
-	for name, rack := range map[string]int{"alone": 0, "beside a rack": 2} {
+	for name, c := range map[string]struct{ rack, eventsApart int }{
+		"alone": {0, 0}, "alone, at different events": {0, 5}, "beside a rack": {4, 0},
+	} {
 		t.Run(name, func(t *testing.T) {
 			e, other := NewEvidence("a"), NewEvidence("b")
-			commonFailure(e, start, "rack", rack)
+			commonFailure(e, start, "rack", c.rack)
 			for n, after := range []time.Duration{31, 52, 98} {
-				endUnder(e, at(after*time.Millisecond), "request:crashes", fmt.Sprint("t-", n), 0)
+				endUnder(e, at(after*time.Millisecond), "request:crashes", fmt.Sprint("t-", n), c.eventsApart*n)
 				// Others learn of the end by a sound request first, and a little later.
-				endUnder(e, at(after*time.Millisecond), "request:0", fmt.Sprint("t-", n), 5*n)
+				endUnder(e, at(after*time.Millisecond), "request:0", fmt.Sprint("t-", n), 7*n)
 				other.Merge(at(after*11/10*time.Millisecond), e.Since(at(after*time.Millisecond), 0, false))
 			}
 			require.Contains(t, closedRequests(e, at(second)), "request:crashes")
@@ -359,6 +364,20 @@
 	}
 }
 
+// Guards against a request that goes on since another instance, whose times differ a little, saw its own ends
+// at one moment.
+func TestOwnEndsAreNoCommonFailureElsewhere(t *testing.T) {
+	e := NewEvidence("a")
+	reported := RequestEnds{Key: "request:crashes"}
+	for n := range MaxEndedTargets {
+		reported.Ends = append(reported.Ends, RequestEnd{
+			Target: fmt.Sprint("t-", n), Simultaneous: 1, Age: time.Duration(3-n) * (momentGap + 5*time.Millisecond),
+		})
+	}
+	e.MergeEnds(at(second), &reported)
+	require.NotEmpty(t, closedRequests(e, at(second)))
+}
+
 // Guards against requests that go on since they end targets at the same moments and so seem to meet a common
 // failure.
 func TestRequestsThatEndTargetsTogetherAreClosed(t *testing.T) {
