Log lines tell how many targets ended together with each

The number decides whether a common failure explains the end of a target under a request; without it a request with four ends that is not closed has no reason in the logs.

--- a/internal/coordination/routed/quarantine/guard.go
+++ b/internal/coordination/routed/quarantine/guard.go
@@ -332,11 +332,11 @@
 		"ends", g.evidence.Ends(learned.Key), "completed", learned.Completed, "known", learned.describe())
 }
 
-// describe returns the ended targets for a log line: "target/events/state/age_ms/seen_by" each.
+// describe returns the ended targets for a log line: "target/events/state/age_ms/seen_by/simultaneous" each.
 func (r *RequestEnds) describe() string {
 	var out []string
 	for _, end := range r.Ends {
-		out = append(out, fmt.Sprintf("%s/%d/%s/%d/%s", end.Target, end.Events, end.State, end.Age.Milliseconds(), end.SeenBy))
+		out = append(out, fmt.Sprintf("%s/%d/%s/%d/%s/%d", end.Target, end.Events, end.State, end.Age.Milliseconds(), end.SeenBy, end.Simultaneous))
 	}
 	return strings.Join(out, ",")
 }
