--- a/internal/coordination/routed/mesh/rates_test.go
+++ b/internal/coordination/routed/mesh/rates_test.go
@@ -80,6 +80,7 @@
 	for _, limit := range someRates {
 		for _, times := range loads {
 			t.Run(fmt.Sprintf("seed %d, %v a second, %v times", seed, limit.Rate, times), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					f := newRateFleet(t, seed, instances, map[string]quota.Limit{hotOrg: limit, usualOrg: limit})
 					f.load[hotOrg] = times
