The store learns which targets ended together

An end was written after the first check of its target, and what other instances saw at that moment arrived later: after a start of all instances a request had ends without the common failure that explains them, and could be closed. The record is written again after the second check if others ended together. TestCommonFailureIsInStore fails without that.

--- a/internal/coordination/routed/quarantine/checker.go
+++ b/internal/coordination/routed/quarantine/checker.go
@@ -201,8 +201,11 @@
 			"started", lost.Started, "state", state, "events", lost.Events, "position", lost.Position, "lost_ms", now.Sub(lost.At).Milliseconds(),
 			"ends", g.evidence.Ends(lost.Key), "known", known.describe())
 		if changed {
-			g.keeper.saveEnds(lost.Key)
 			g.endsChanged()
 		}
+		// Targets that ended together with this one may have become known since the first check.
+		if changed || state == EndConfirmed && known.metCommonFailure() {
+			g.keeper.saveEnds(lost.Key)
+		}
 	}
 }
--- a/internal/coordination/routed/quarantine/checker_test.go
+++ b/internal/coordination/routed/quarantine/checker_test.go
@@ -6,8 +6,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/external"
 )
 
 // scriptedListener refuses the connections of some checks, one after the other, and accepts further ones.
@@ -42,6 +45,45 @@
 	return first, second
 }
 
+// endsStore keeps the newest records of ended targets.
+type endsStore struct{ records map[string][]byte }
+
+func (s *endsStore) Append(_ context.Context, _ external.Partition, records []external.KeyedRecord, _ int64) (int64, error) {
+	for _, record := range records {
+		s.records[record.Key] = record.Value
+	}
+	return 0, nil
+}
+
+func (s *endsStore) Newest(context.Context, external.Partition) (external.KeyedPage, error) {
+	return external.KeyedPage{}, nil
+}
+
+// Guards against a start of all instances after which a sound request is closed since the store does not know
+// which targets ended together.
+func TestCommonFailureIsInStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := &endsStore{map[string][]byte{}}
+		listener := &scriptedListener{refuses: []bool{true, true, true, true}}
+		g := New(Options{Self: "a", Targets: listener, Store: store, Logger: log.NewNopLogger()})
+		go func() { _ = g.Checker().Serve(ctx) }()
+		go func() { _ = g.Keeper().Serve(ctx) }()
+		for _, name := range []string{"1", "2"} {
+			g.Lost(LostRequest{Request: Request{ID: name, Key: requestKeyPrefix + name}, Target: "t-" + name, Address: "10.0.0.1:80", At: time.Now()})
+			time.Sleep(momentGap / 2)
+		}
+		time.Sleep(confirmDelay + time.Second)
+		synctest.Wait()
+		for _, name := range []string{"1", "2"} {
+			var kept keptEnds
+			require.NoError(t, cbor.Unmarshal(store.records[endsKeyPrefix+name], &kept))
+			require.Equal(t, 1, kept.Ends[0].Simultaneous, name)
+		}
+	})
+}
+
 // Guards against the planned end of a target, a lost answer, a path that is cut or a connection refused for
 // a moment that counts against a request, and against a crash that does not.
 func TestOnlyCrashesOfTargetsCount(t *testing.T) {
--- a/internal/coordination/routed/quarantine/simultaneous.go
+++ b/internal/coordination/routed/quarantine/simultaneous.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -42,7 +43,7 @@
 	maps.DeleteFunc(t.at, func(_ incarnation, at time.Time) bool { return now.Sub(at) > endTimesTTL })
 }
 
-// others returns the number of targets that ended at the same moment as one under a request, under others.
+// others returns the number of targets that ended at a moment, without those that ended under a request.
 func (t *endTimes) others(r *endRecord, at time.Time) (count int) {
 	for id, ended := range t.at {
 		if r.ends[id] == nil && sameMoment(ended, at) {
@@ -69,6 +70,11 @@
 	}
 }
 
+// metCommonFailure reports whether other targets ended together with one of these.
+func (r *RequestEnds) metCommonFailure() bool {
+	return slices.ContainsFunc(r.Ends, func(end RequestEnd) bool { return end.Simultaneous > 0 })
+}
+
 // raiseSimultaneous applies a count of the targets that ended together with this one. It reports whether these
 // are the first.
 func (e *requestEnd) raiseSimultaneous(count int) (first bool) {
