Tests of fleets are not held to the memory limit of one instance

An instance sets the limit of its process, 96 MB or so; a test plays up to nine of them with their targets, several tests at once.

--- a/internal/daemon/routed/fleet_test.go
+++ b/internal/daemon/routed/fleet_test.go
@@ -6,8 +6,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"testing"
@@ -269,6 +271,9 @@
 	s := inst.settings
 	d, err := New(&s, inst.fleet.net.Host(inst.ip), logger)
 	require.NoError(inst.fleet.t, err)
+	// The limit that an instance sets would count the memory of all instances and stand-ins of the test, and
+	// leave most of the processor to the garbage collector.
+	debug.SetMemoryLimit(math.MaxInt64)
 	ctx, cancel := context.WithCancel(inst.fleet.ctx)
 	inst.daemon, inst.cancel, inst.done = d, cancel, make(chan struct{})
 	done := inst.done
--- a/internal/daemon/routed/slowcallers_test.go
+++ b/internal/daemon/routed/slowcallers_test.go
@@ -4,10 +4,8 @@
 	"bufio"
 	"fmt"
 	"io"
-	"math"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"slices"
 	"strings"
 	"sync"
@@ -76,8 +74,6 @@
 	inst.kill()
 	inst.settings.MemoryMB, inst.settings.Adaptive.AnswerBuffersPercent = 144, percent
 	inst.start()
-	// The limit of the process would count the memory of the stand-ins, too.
-	debug.SetMemoryLimit(math.MaxInt64)
 	fleet.awaitReady()
 	// The warm-up of the targets ends.
 	sleep(3 * time.Second)
