--- a/internal/standin/endless/endless.go
+++ b/internal/standin/endless/endless.go
@@ -24,7 +24,7 @@
 )
 
 // Conn is a connection on which a beginning and then some bytes again and again arrive until it is closed, or
-// an ending after some repetitions. What is written to it is dropped, but may be waited for.
+// an ending after some repetitions. What is written to it is dropped; a response comes after the first write.
 type Conn struct {
 	beginning, repeated, ending []byte
 	// length is the number of bytes up to the ending, negative if there is none.
