--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -40,7 +40,7 @@
 	}
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
-	w := &world{began: time.Now(), ctx: ctx, dir: dir, record: record}
+	w := &world{began: time.Now(), ctx: ctx, dir: dir, record: record, taken: map[string]bool{}}
 	defer func() {
 		if cause := recover(); cause != nil {
 			w.note("the case could not run: %v", cause)
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -46,6 +47,8 @@
 	last   map[string]string
 	stops  []func()
 	broken []string
+	// taken are the addresses that were given out.
+	taken map[string]bool
 
 	store     *sharedstore.Store
 	storeAddr string
@@ -102,12 +105,22 @@
 	return l
 }
 
-// freeAddress returns an address whose port was free a moment ago.
+// freeAddress returns an address whose port was free a moment ago. The ports are below those that the kernel
+// uses for outgoing connections.
 func (w *world) freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	w.must(err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(20000))
+		if w.taken[address] {
+			continue
+		}
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		w.taken[address] = true
+		return address
+	}
 }
 
 // startStore starts the stand-in for the platform's store.
@@ -167,11 +180,7 @@
 	seq := 0
 	write := func() {
 		seq++
-		data, _ := json.Marshal(map[string]any{
-			"service": service, "address": address, "zone": zone, "version": "1.4", "slots": slots, "state": "ready",
-			"cold_left_ms": 0, "seq": seq, "born": born,
-		})
-		w.store.Put("keyed.servers", id, data)
+		w.writeEntry(id, address, zone, slots, born, seq)
 	}
 	write()
 	go func() {
@@ -188,6 +197,15 @@
 	}()
 }
 
+// writeEntry writes the entry of a runner.
+func (w *world) writeEntry(id, address, zone string, slots int, born int64, seq int) {
+	data, _ := json.Marshal(map[string]any{
+		"service": service, "address": address, "zone": zone, "version": "1.4", "slots": slots, "state": "ready",
+		"cold_left_ms": 0, "seq": seq, "born": born,
+	})
+	w.store.Put("keyed.servers", id, data)
+}
+
 // fill fills in the template of the settings for an instance.
 func (w *world) fill(i *instance, seeds []string, storeAddr string) string {
 	data, err := os.ReadFile(template)
