Review case 1: a service without runners holds up the batch jobs of another one

Tried: two services, the only runner of one is lost for good, batch jobs for both in turn. The other cases are now 2 and 3.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 export TROUBLE="${TROUBLE:-1}"
 [ -x target/tillerd ] && [ -x target/review-stand ] || { echo "build first"; exit 2; }
-exec timeout -k 5 110 target/review-stand route-end review/2/record.txt
+exec timeout -k 5 110 target/review-stand three-crashes review/2/record.txt
--- a/review/stand/crashes.go
+++ b/review/stand/crashes.go
@@ -29,6 +29,7 @@
 	w       *world
 	n       int
 	zone    string
+	service string
 	address string
 
 	mu     sync.Mutex
@@ -68,7 +69,7 @@
 			m.w.store.Put("keyed.servers", id, nil)
 			return
 		}
-		m.w.writeEntry(id, m.address, m.zone, 8, born, seq)
+		m.w.writeEntry(id, m.address, m.zone, m.service, 8, born, seq)
 		sleep(heartbeat)
 	}
 }
@@ -115,7 +116,7 @@
 	w.configure([]string{key}, streamRoute("code-cite", "/lohu930/", true, 2), batchRoute(3))
 	machines := []*machine{}
 	for n := range 6 {
-		m := &machine{w: w, n: n, zone: zones[n%3]}
+		m := &machine{w: w, n: n, zone: zones[n%3], service: service}
 		m.start()
 		machines = append(machines, m)
 	}
@@ -131,7 +132,7 @@
 	for n := range 4 {
 		items = append(items, item{id: fmt.Sprintf("e5b2907c14da6f%02d", n), path: "/pule252/3/232"})
 	}
-	if a := w.submit(w.instances[0], job, items...); a.status != http.StatusAccepted {
+	if a := w.submit(w.instances[0], "/pule252/", job, items...); a.status != http.StatusAccepted {
 		w.must(fmt.Errorf("the batch job was not accepted"))
 	}
 	victim := items[0].id
--- a/review/stand/routeend.go
+++ b/review/stand/routeend.go
@@ -20,7 +20,7 @@
 	server := &http.Server{Handler: e}
 	go func() { _ = server.Serve(l) }()
 	w.onEnd(func() { _ = server.Close() })
-	w.register(id, l.Addr().String(), zone, opts.Slots)
+	w.register(id, l.Addr().String(), zone, service, opts.Slots)
 	return e
 }
 
@@ -49,7 +49,7 @@
 		for n := range 4 {
 			items = append(items, item{id: fmt.Sprintf("e5b%s%02d", job.id[:8], n), path: fmt.Sprintf("/pule252/3/%d", job.events)})
 		}
-		if a := w.submit(w.instances[0], job.id, items...); a.status != http.StatusAccepted {
+		if a := w.submit(w.instances[0], "/pule252/", job.id, items...); a.status != http.StatusAccepted {
 			w.must(fmt.Errorf("the batch job was not accepted"))
 		}
 	}
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -155,14 +155,21 @@
 // configure writes the next version of the configuration, with these routes and keys of the tenant.
 func (w *world) configure(keys []string, routes ...operatorRoute) {
 	w.version += 3
+	services, listed := []any{}, map[any]bool{}
+	for _, r := range routes {
+		if !listed[r["service"]] {
+			listed[r["service"]] = true
+			services = append(services, map[string]any{
+				"name": r["service"], "health_path": "/health", "max_conns": 360, "engine": map[string]any{"slots": 8, "kv_capacity_tokens": 134354},
+			})
+		}
+	}
 	config := map[string]any{
-		"version": w.version,
-		"routes":  routes,
-		"services": []any{map[string]any{
-			"name": service, "health_path": "/health", "max_conns": 360, "engine": map[string]any{"slots": 8, "kv_capacity_tokens": 134354},
-		}},
-		"tenants": []any{map[string]any{"name": tenant, "api_keys": keys, "rate_per_s": 0, "burst": 0}},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 15000},
+		"version":  w.version,
+		"routes":   routes,
+		"services": services,
+		"tenants":  []any{map[string]any{"name": tenant, "api_keys": keys, "rate_per_s": 0, "burst": 0}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 15000},
 	}
 	data, err := json.Marshal(config)
 	w.must(err)
@@ -175,12 +182,12 @@
 }
 
 // register keeps the entry of a runner in the store alive.
-func (w *world) register(id, address, zone string, slots int) {
+func (w *world) register(id, address, zone, service string, slots int) {
 	born := time.Now().UnixMilli()
 	seq := 0
 	write := func() {
 		seq++
-		w.writeEntry(id, address, zone, slots, born, seq)
+		w.writeEntry(id, address, zone, service, slots, born, seq)
 	}
 	write()
 	go func() {
@@ -198,7 +205,7 @@
 }
 
 // writeEntry writes the entry of a runner.
-func (w *world) writeEntry(id, address, zone string, slots int, born int64, seq int) {
+func (w *world) writeEntry(id, address, zone, service string, slots int, born int64, seq int) {
 	data, _ := json.Marshal(map[string]any{
 		"service": service, "address": address, "zone": zone, "version": "1.4", "slots": slots, "state": "ready",
 		"cold_left_ms": 0, "seq": seq, "born": born,
@@ -331,7 +338,7 @@
 }
 
 // submit submits a batch job.
-func (w *world) submit(i *instance, job string, items ...item) answer {
+func (w *world) submit(i *instance, prefix, job string, items ...item) answer {
 	list := []map[string]any{}
 	for _, it := range items {
 		list = append(list, map[string]any{
@@ -341,7 +348,7 @@
 	}
 	body, err := json.Marshal(map[string]any{"items": list})
 	w.must(err)
-	a := w.call(i, http.MethodPost, "/pule252/"+job[:6], key, map[string]string{"Request-Id": job, "Content-Type": "application/json"}, body, 4*time.Second)
+	a := w.call(i, http.MethodPost, prefix+job[:6], key, map[string]string{"Request-Id": job, "Content-Type": "application/json"}, body, 4*time.Second)
 	w.note("client sends batch job %s (%d items) to %s: %s", job, len(items), i.name, a)
 	return a
 }
