--- a/review/stand/otherservice.go
+++ b/review/stand/otherservice.go
@@ -70,7 +70,13 @@
 	for n := range 12 {
 		id, items := jobOf(2, n)
 		a, p := w.read(w.instances[n%3], id, 0)
-		w.note("client reads batch job %s at %s: %s, %d of %d results", id, w.instances[n%3].name, a, len(p.Results), p.Total)
+		succeeded := 0
+		for _, r := range p.Results {
+			if r.State == "succeeded" {
+				succeeded++
+			}
+		}
+		w.note("client reads batch job %s at %s: %s, %d of %d results, %d of them succeeded", id, w.instances[n%3].name, a, len(p.Results), p.Total, succeeded)
 		if a.status == http.StatusOK && len(p.Results) < len(items) && busiest == 0 {
 			w.breaks("LOST: %d items of batch job %s are listed neither as succeeded nor as dead_letter, and no runner has them", len(items)-len(p.Results), id)
 		}
