--- a/review/stand/crashes.go
+++ b/review/stand/crashes.go
@@ -153,6 +153,7 @@
 	}
 	w.note("the traffic ends; batch jobs have `finish_s`, 18 s, more")
 	sleep(max(finish, time.Until(lastCrash.Add(failedLately))) + time.Second)
+	listedBefore := w.countListed([]string{job})
 	busiest := 0
 	for range 50 {
 		for _, m := range machines {
@@ -160,7 +161,8 @@
 		}
 		sleep(100 * time.Millisecond)
 	}
-	w.note("%.1f s after the last crash: no runner had more than %d of 8 requests in the last 5 s", time.Since(lastCrash).Seconds(), busiest)
+	finished := w.countListed([]string{job}) - listedBefore
+	w.note("%.1f s after the last crash: in the last 5 s no runner had more than %d of 8 requests, and %d items were finished", time.Since(lastCrash).Seconds(), busiest, finished)
 	for _, i := range w.instances {
 		a, p := w.read(i, job, 0)
 		listed := map[string]string{}
@@ -169,7 +171,7 @@
 		}
 		w.note("client reads batch job %s at %s: %s, %d of %d results", job, i.name, a, len(p.Results), p.Total)
 		for _, it := range items {
-			if a.status == http.StatusOK && listed[it.id] == "" && busiest == 0 {
+			if a.status == http.StatusOK && listed[it.id] == "" && busiest == 0 && finished == 0 {
 				w.breaks("LOST: item %s of batch job %s is listed neither as succeeded nor as dead_letter at %s, and no runner has it", it.id, job, i.name)
 			}
 		}
--- a/review/stand/otherservice.go
+++ b/review/stand/otherservice.go
@@ -5,13 +5,15 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"time"
 )
 
 func init() { cases["other-service"] = otherService }
 
-// otherService: the only runner of one service is lost for good. The batch jobs of another service, whose
-// runners are up and idle, must go on.
+// otherService: the only runner of one service is lost for good; with MOVE set, the operator moves the route to
+// a service without runners instead. The batch jobs of another service, whose runners are up and idle, must go
+// on.
 func otherService(w *world, trouble bool) {
 	zones := []string{"pnw-sea", "pnw-pdx", "pnw-spk"}
 	w.startStore()
@@ -46,7 +48,12 @@
 			w.must(fmt.Errorf("not accepted"))
 		}
 	}
-	if trouble {
+	switch {
+	case trouble && os.Getenv("MOVE") != "":
+		moved := batchRoute(3)
+		moved["name"], moved["path_prefix"], moved["service"] = "code-index", "/node212/", "tiller-codes-2"
+		w.configure([]string{key}, batchRoute(3), moved)
+	case trouble:
 		lost.crash()
 		w.note("runner %s, 1 of 6 and the only one of tiller-codes, crashes and is lost for good", lost.id)
 	}
@@ -59,6 +66,14 @@
 	}
 	w.note("the traffic ends; batch jobs have `finish_s`, 18 s, more")
 	sleep(finish + time.Second)
+	jobs := []string{}
+	for n := range 12 {
+		for kind := 1; kind <= 2; kind++ {
+			id, _ := jobOf(kind, n)
+			jobs = append(jobs, id)
+		}
+	}
+	listed := w.countListed(jobs)
 	busiest := 0
 	for range 50 {
 		for _, m := range machines {
@@ -66,7 +81,8 @@
 		}
 		sleep(100 * time.Millisecond)
 	}
-	w.note("no runner of tiller-reports had more than %d of 8 requests in the last 5 s", busiest)
+	finished := w.countListed(jobs) - listed
+	w.note("in the last 5 s no runner of tiller-reports had more than %d of 8 requests, and %d items of all batch jobs were finished", busiest, finished)
 	for n := range 12 {
 		id, items := jobOf(2, n)
 		a, p := w.read(w.instances[n%3], id, 0)
@@ -77,7 +93,7 @@
 			}
 		}
 		w.note("client reads batch job %s at %s: %s, %d of %d results, %d of them succeeded", id, w.instances[n%3].name, a, len(p.Results), p.Total, succeeded)
-		if a.status == http.StatusOK && len(p.Results) < len(items) && busiest == 0 {
+		if a.status == http.StatusOK && len(p.Results) < len(items) && busiest == 0 && finished == 0 {
 			w.breaks("LOST: %d items of batch job %s are listed neither as succeeded nor as dead_letter, and no runner has them", len(items)-len(p.Results), id)
 		}
 	}
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -376,6 +376,18 @@
 	return a, p
 }
 
+// countListed counts the listed items of batch jobs.
+func (w *world) countListed(jobs []string) (count int) {
+	for n, job := range jobs {
+		a, p := w.read(w.instances[n%len(w.instances)], job, 0)
+		if a.status != http.StatusOK {
+			w.must(fmt.Errorf("batch job %s: %s", job, a))
+		}
+		count += len(p.Results)
+	}
+	return count
+}
+
 // await reads a batch job until all of its items are listed, or the time is up.
 func (w *world) await(i *instance, job string, limit time.Duration) (page, bool) {
 	until := time.Now().Add(limit)
