--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -106,10 +105,11 @@
 }
 
 // freeAddress returns an address whose port was free a moment ago. The ports are below those that the kernel
-// uses for outgoing connections.
+// uses for outgoing connections, and each play has some of its own.
 func (w *world) freeAddress() string {
-	for {
-		address := fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(20000))
+	const first, plays, each = 12000, 400, 50
+	for n := 0; ; n++ {
+		address := fmt.Sprintf("127.0.0.1:%d", first+os.Getpid()%plays*each+n%each)
 		if w.taken[address] {
 			continue
 		}
