A sound item that meets single crashes of targets is run on

Three ends of targets without another known cause closed a request, whatever their points of the output. A crash of a single target needs no request as its cause, so "no other cause known" was taken for "caused by it". A request that crashes its targets at random points looks the same but for how soon they end.

An end now tells how long targets had worked on the request since its last end. Ends at different points close it only if so many are improbable in that time (1%) at a target that ends every 5 s: 2.2 s until the third end, 4.1 s until the fourth, 6.4 s until the fifth. An item that is closed all the same has its one trial when a third of the time until it expires has passed; a failed trial is kept in the store. Equal numbers of events in three runs are no common point if another run brought more. Ends of other targets at the same moment explain an end only if they are no coincidence at the rate of the last ten seconds, and not if a request ran there that ends targets too often for chance: in a large fleet with frequent crashes, or beside other such requests, one went on to eight targets. request_target_ended says ran_ms and the verdict.

Why this works. Chance meets a request the more often the longer it runs; a request that crashes its targets ends them at its point, which it reaches soon. Requests that end targets at one point are closed as before.

Tests. daemon/routed.TestItemThatMetSingleCrashesIsDone (3, 4 and 5 crashes) failed before, as did TestRepeatsThatEndTargetsAtRandomPointsStop with 4 and 20 requests at once (2 runs after the third end).

--- a/internal/coordination/routed/batchjobs/runner.go
+++ b/internal/coordination/routed/batchjobs/runner.go
@@ -175,7 +175,7 @@
 			continue
 		}
 		t := &task{openItem: *o, runner: r, replica: p, position: exchange.FromStart, notBefore: time.Now()}
-		t.subject = quarantine.Request{ID: o.id.item, Key: quarantine.ItemKey(o.id.job, o.id.item), Parts: r.opts.SharedParts(o.item.Header)}
+		t.subject = quarantine.Request{ID: o.id.item, Key: quarantine.ItemKey(o.id.job, o.id.item), Parts: r.opts.SharedParts(o.item.Header), Expires: o.job.GiveUp}
 		t.output.reset()
 		if o.job.Submitted.Before(acquiredAt) {
 			t.mayRunElsewhere = true
--- a/internal/coordination/routed/batchjobs/task.go
+++ b/internal/coordination/routed/batchjobs/task.go
@@ -64,6 +64,11 @@
 	// last run.
 	runTime   time.Duration
 	startedAt time.Time
+	// firstEventAt is when the last run brought its first event, zero if it brought none. ranSinceEnd
+	// is how long targets have worked on the item since one of them last ended under it, counted from
+	// the first event of each run. Both belong to the run.
+	firstEventAt time.Time
+	ranSinceEnd  time.Duration
 
 	// output is what was received since output was last stored.
 	output   pendingOutput
@@ -144,7 +149,11 @@
 	})
 	defer stall.Stop()
 	start, from, eventsBefore := time.Now(), t.position, t.events
+	t.firstEventAt = time.Time{}
 	outcome, result, err := t.sendAndRead(ctx, choice, stall)
+	if !t.firstEventAt.IsZero() {
+		t.ranSinceEnd += time.Since(t.firstEventAt)
+	}
 	if stalled.Load() {
 		outcome, result = interrupted, placement.TimedOut
 	}
@@ -178,8 +187,9 @@
 	}
 	t.runner.opts.Quarantine.Lost(quarantine.LostRequest{
 		Request: t.subject, Target: choice.ID, Address: choice.Address, Domain: choice.Domain, Started: choice.Started,
-		Events: events, Position: t.position, At: time.Now(),
+		Events: events, Position: t.position, Ran: t.ranSinceEnd, At: time.Now(),
 	})
+	t.ranSinceEnd = 0
 }
 
 // endOfRun returns what the target did if a run failed, "" if it did not.
@@ -308,6 +318,7 @@
 		event, err := events.Next()
 		if err == nil && !began {
 			began = true
+			t.firstEventAt = time.Now()
 			t.runner.opts.Quarantine.Began(t.subject)
 		}
 		if errors.Is(err, io.EOF) && !began && answer.Head().EndsWithConnection {
--- a/internal/coordination/routed/quarantine/blame.go
+++ b/internal/coordination/routed/quarantine/blame.go
@@ -28,45 +28,105 @@
 	return c != nil && e.explanation(c) != nil
 }
 
-// atOnePoint reports whether MaxEndedTargets ends came after as many events of the run, or at the same event
-// of the whole output.
+// atOnePoint reports whether MaxEndedTargets ends came at the same event of the whole output, or after as
+// many events of the run.
 func atOnePoint(ends []*requestEnd) bool {
-	events, positions := map[int]int{}, map[int]int{}
+	events, positions := map[int][]*requestEnd{}, map[int]int{}
 	for _, end := range ends {
-		events[end.events]++
+		events[end.events] = append(events[end.events], end)
 		positions[end.position]++
-		if events[end.events] >= MaxEndedTargets || positions[end.position] >= MaxEndedTargets {
+		if positions[end.position] >= MaxEndedTargets {
+			return true
+		}
+	}
+	for _, same := range events {
+		if len(same) >= MaxEndedTargets && !passedPoint(same) {
 			return true
 		}
 	}
 	return false
 }
 
-// isToBlame reports whether a request caused the ends of targets under it: they came at the same point of
-// its output, or have no other cause. A common failure of several targets, of a rack for example, is one.
-func (b *blame) isToBlame(r *endRecord) bool {
-	ends := b.ends[r.key]
-	if len(ends) >= maxEnds {
-		return true
+// passedPoint reports whether targets brought more events in other runs between ends that came after as many
+// events of the run each, so that the request does not end all targets there. Few events are often as many.
+func passedPoint(ends []*requestEnd) bool {
+	for n := 1; n < len(ends); n++ {
+		brought := ends[n].position - ends[n-1].position
+		if others := brought - ends[n].events; others > ends[n].events {
+			return true
+		}
 	}
-	if atOnePoint(ends) {
-		return len(b.ofCommonFailures(r, ends, endedSeveral)) < len(ends)
+	return false
+}
+
+// verdict says whether a request caused the ends of targets under it, and why. Its values appear in logs.
+type verdict string
+
+const (
+	// tooFew: fewer than MaxEndedTargets targets ended that no closed part explains.
+	tooFew verdict = "too_few"
+	// explained: fewer than MaxEndedTargets ends have no other cause.
+	explained verdict = "explained"
+	// chance: the request has run for so long that it may have met targets that ended by themselves.
+	chance verdict = "chance"
+	// onePoint: the targets ended at the same point of the request's output.
+	onePoint verdict = "one_point"
+	// tooFrequent: the targets ended at different points, but too soon one after the other for chance.
+	tooFrequent verdict = "too_frequent"
+	// tooMany: maxEnds targets ended, whatever else explains them.
+	tooMany verdict = "too_many"
+)
+
+// blames reports whether the request caused the ends.
+func (v verdict) blames() bool { return v == onePoint || v == tooFrequent || v == tooMany }
+
+// judge tells whether a request caused the ends of targets under it: they came at the same point of its
+// output, or have no other cause and are too frequent for chance. A common failure of several targets, of a
+// rack for example, is another cause.
+func (b *blame) judge(r *endRecord) verdict {
+	ends := b.ends[r.key]
+	switch {
+	case len(ends) < MaxEndedTargets:
+		return tooFew
+	case len(ends) >= maxEnds:
+		return tooMany
+	case !atOnePoint(ends):
+		return b.judgeAtDifferentPoints(r, ends)
+	case len(b.ofCommonFailures(r, ends, endedSeveral)) < len(ends):
+		return onePoint
+	default:
+		return explained
 	}
-	common := b.ofCommonFailures(r, ends, b.endedAtOnePoint)
+}
+
+// judgeAtDifferentPoints is judge for ends that came at different points of the output.
+func (b *blame) judgeAtDifferentPoints(r *endRecord, ends []*requestEnd) verdict {
+	common := b.ofCommonFailures(r, ends, b.isSuspect)
 	unexplained := 0
 	for _, end := range ends {
 		if !slices.Contains(common, end) && !b.explainedByOther(r, end) {
 			unexplained++
 		}
 	}
-	return unexplained >= MaxEndedTargets
+	switch {
+	case unexplained < MaxEndedTargets:
+		return explained
+	case byChance(unexplained, runTime(ends)):
+		return chance
+	default:
+		return tooFrequent
+	}
 }
 
 // endedSeveral reports whether several targets ended under a request, so that it may have caused the ends.
 func endedSeveral(r *endRecord) bool { return len(r.counted()) > 1 }
 
-// endedAtOnePoint reports whether targets ended at the same point of a request's output.
-func (b *blame) endedAtOnePoint(r *endRecord) bool { return atOnePoint(b.ends[r.key]) }
+// isSuspect reports whether targets ended at the same point of a request's output, or more often than by
+// chance.
+func (b *blame) isSuspect(r *endRecord) bool {
+	ends := r.counted()
+	return atOnePoint(b.ends[r.key]) || len(ends) > 1 && !byChance(len(ends), runTime(ends))
+}
 
 // ofCommonFailures returns the ends of targets under a request that common failures explain. Each of these
 // explains one end at most: a request that ends targets may begin when a rack fails.
--- a/internal/coordination/routed/quarantine/checker.go
+++ b/internal/coordination/routed/quarantine/checker.go
@@ -38,7 +38,10 @@
 	// Events is the number of events that the run had sent, Position that of the last event of all
 	// runs.
 	Events, Position int
-	At               time.Time
+	// Ran is how long targets have worked on the request since its last end, counted from the first
+	// event of each run.
+	Ran time.Duration
+	At  time.Time
 }
 
 // suspects returns the parts that may have crashed the target: none if the run had sent an event.
@@ -185,6 +188,14 @@
 	g.wake()
 }
 
+// saveClosure makes the keeper write the closure of a request again, if it is closed: a start of all
+// instances must not forget that a trial has failed. The caller holds the lock.
+func (g *Guard) saveClosure(key string) {
+	if c := g.evidence.closures.all[key]; c != nil && c.closed() {
+		g.keeper.save(c.report(time.Now()))
+	}
+}
+
 // targetEnded records that the target of lost requests ended, or that it did not, and logs it for each
 // of them.
 func (g *Guard) targetEnded(list []LostRequest, state EndState) {
@@ -199,9 +210,10 @@
 		known, changed := g.evidence.TargetEnded(now, lost, state)
 		_ = level.Info(g.opts.Logger).Log("event", "request_target_ended", "request", lost.ID, "key", lost.Key, "target", lost.Target,
 			"started", lost.Started, "state", state, "events", lost.Events, "position", lost.Position, "lost_ms", now.Sub(lost.At).Milliseconds(),
-			"ends", g.evidence.Ends(lost.Key), "known", known.describe())
+			"ends", g.evidence.Ends(lost.Key), "ran_ms", lost.Ran.Milliseconds(), "verdict", g.evidence.verdictOn(lost.Key), "known", known.describe())
 		if changed {
 			g.endsChanged()
+			g.saveClosure(lost.Key)
 		}
 		// Targets that ended together with this one may have become known since the first check.
 		if changed || state == EndConfirmed && known.metCommonFailure() {
--- a/internal/coordination/routed/quarantine/ends.go
+++ b/internal/coordination/routed/quarantine/ends.go
@@ -11,7 +11,7 @@
 func (e *Evidence) TargetEnded(now time.Time, lost *LostRequest, state EndState) (RequestEnds, bool) {
 	r := e.ends.record(lost.Key, lost.ID)
 	changed := e.addEnd(r, requestEnd{
-		incarnation: incarnation{lost.Target, lost.Started}, at: lost.At, events: lost.Events, position: lost.Position, seenBy: e.self, state: state,
+		incarnation: incarnation{lost.Target, lost.Started}, at: lost.At, events: lost.Events, position: lost.Position, ran: lost.Ran, seenBy: e.self, state: state,
 	})
 	if changed {
 		r.changedHere = r.changed
@@ -56,7 +56,7 @@
 		}
 		changed = e.addEnd(r, requestEnd{
 			incarnation: incarnation{end.Target, end.Started}, at: now.Add(-end.Age), events: end.Events, position: end.Position, seenBy: end.SeenBy, state: end.State,
-			simultaneous: end.Simultaneous,
+			simultaneous: end.Simultaneous, ran: max(0, end.Ran),
 		}) || changed
 	}
 	return changed
@@ -102,6 +102,15 @@
 	return len(ends), ends[len(ends)-1].at
 }
 
+// verdictOn tells whether a request caused the ends of targets under it, as far as this instance knows.
+func (e *Evidence) verdictOn(key string) verdict {
+	r := e.ends.records[key]
+	if r == nil {
+		return tooFew
+	}
+	return e.newBlame().judge(r)
+}
+
 // closeRequests closes the requests under which MaxEndedTargets targets ended, and opens those of which it
 // has turned out since that the targets run or that they are not to blame. It returns both.
 func (e *Evidence) closeRequests(now time.Time) (closed, opened []Closure) {
@@ -109,7 +118,7 @@
 	for key, r := range e.ends.records {
 		known := e.closures.all[key]
 		isClosed := known != nil && known.closed()
-		toBlame := blame.isToBlame(r)
+		toBlame := blame.judge(r).blames()
 		switch {
 		case !isClosed && toBlame:
 			closed = append(closed, e.closeRequest(now, r, r.counted()))
@@ -121,6 +130,13 @@
 	return closed, opened
 }
 
+// mayBeSound reports whether a closed request may have met crashes of targets by chance, since they
+// came at different points of its output.
+func (e *Evidence) mayBeSound(c *closure) bool {
+	r := e.ends.records[keyOf(c.parts)]
+	return r != nil && !atOnePoint(r.counted())
+}
+
 // closeRequest closes a request under which targets ended.
 func (e *Evidence) closeRequest(now time.Time, r *endRecord, ends []*requestEnd) Closure {
 	c := e.closures.all[r.key]
--- a/internal/coordination/routed/quarantine/endtable.go
+++ b/internal/coordination/routed/quarantine/endtable.go
@@ -46,10 +46,12 @@
 	state            EndState
 	// simultaneous is the number of other targets that ended at the same moment.
 	simultaneous int
+	// ran is how long targets had worked on the request since its last end.
+	ran time.Duration
 }
 
 func (e *requestEnd) report(now time.Time) RequestEnd {
-	return RequestEnd{Target: e.target, Started: e.started, Events: e.events, Position: e.position, SeenBy: e.seenBy, State: e.state, Simultaneous: e.simultaneous, Age: now.Sub(e.at)}
+	return RequestEnd{Target: e.target, Started: e.started, Events: e.events, Position: e.position, SeenBy: e.seenBy, State: e.state, Simultaneous: e.simultaneous, Ran: e.ran, Age: now.Sub(e.at)}
 }
 
 // endRecord holds the targets that ended under one request.
--- a/internal/coordination/routed/quarantine/evidence.go
+++ b/internal/coordination/routed/quarantine/evidence.go
@@ -163,36 +163,52 @@
 	Trial bool
 }
 
-// Check decides on a request with the given parts.
+// Check decides on a request with the given parts that does not expire.
 func (e *Evidence) Check(now time.Time, parts []string) Decision {
-	c := e.lastToTry(parts)
+	return e.check(now, parts, time.Time{})
+}
+
+// check decides on a request with some subjects that expires at some time, zero if it does not.
+func (e *Evidence) check(now time.Time, subjects []string, expires time.Time) Decision {
+	c, from := e.lastToTry(subjects, expires)
 	switch {
 	case c == nil:
 		return Decision{}
-	case e.takeTrial(now, c):
+	case !now.Before(from) && e.takeTrial(now, c):
 		return Decision{Trial: true, Closure: c.report(now)}
 	default:
-		return Decision{Closed: true, Closure: c.report(now), RetryAfter: max(c.trialFrom().Sub(now), claimTime)}
+		return Decision{Closed: true, Closure: c.report(now), RetryAfter: max(from.Sub(now), claimTime)}
 	}
 }
 
-// lastToTry returns the closure that a request is concerned by, nil if there is none. Of several
-// it is the one that may be tried again last.
-func (e *Evidence) lastToTry(parts []string) (last *closure) {
-	for _, c := range e.closures.concerning(parts) {
-		if c.closed() && (last == nil || c.trialFrom().After(last.trialFrom())) {
-			last = c
+// lastToTry returns the closure that a request is concerned by, nil if there is none, and when it
+// may be tried again. Of several it is the one for which that is last.
+func (e *Evidence) lastToTry(subjects []string, expires time.Time) (last *closure, from time.Time) {
+	for _, c := range e.closures.concerning(subjects) {
+		if at := e.trialFrom(c, expires); c.closed() && (last == nil || at.After(from)) {
+			last, from = c, at
 		}
 	}
-	return last
+	return last, from
 }
 
-// takeTrial reports whether a request is the trial of closed parts. The first request that comes
-// when they may be tried again only claims the trial.
-func (e *Evidence) takeTrial(now time.Time, c *closure) bool {
-	if now.Before(c.trialFrom()) {
-		return false
+// trialFrom returns when a closure may be tried again for a request that expires at some time. A
+// request that may be closed by mistake has its first trial before it expires: otherwise the mistake
+// would cost its result.
+func (e *Evidence) trialFrom(c *closure, expires time.Time) time.Time {
+	from := c.trialFrom()
+	if expires.IsZero() || c.trials > 0 || !e.mayBeSound(c) {
+		return from
 	}
+	if early := c.crashed.Add(expires.Sub(c.crashed) / expiryTrialFraction); early.Before(from) {
+		return early
+	}
+	return from
+}
+
+// takeTrial reports whether a request is the trial of closed parts that may be tried again. The first
+// request that comes then only claims the trial.
+func (e *Evidence) takeTrial(now time.Time, c *closure) bool {
 	if !c.claimed(now) {
 		c.claim(now, e.self)
 		c.changed = e.nextVersion()
--- a/internal/coordination/routed/quarantine/guard.go
+++ b/internal/coordination/routed/quarantine/guard.go
@@ -108,7 +108,7 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	decision := g.evidence.Check(now, r.subjects())
+	decision := g.evidence.check(now, r.subjects(), r.Expires)
 	if decision.Trial {
 		g.logTrial(&decision.Closure)
 	}
@@ -122,8 +122,8 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c := g.evidence.lastToTry(r.subjects())
-	return c != nil && time.Now().Before(c.trialFrom())
+	c, from := g.evidence.lastToTry(r.subjects(), r.Expires)
+	return c != nil && time.Now().Before(from)
 }
 
 // Began records that a request got its first event from a target.
--- a/internal/coordination/routed/quarantine/keptends.go
+++ b/internal/coordination/routed/quarantine/keptends.go
@@ -35,6 +35,8 @@
 	Position int      `cbor:"7,keyasint,omitempty"`
 	// Simultaneous is the number of other targets that ended at the same moment.
 	Simultaneous int `cbor:"8,keyasint,omitempty"`
+	// Ran is how long targets had worked on the request since its last end, in milliseconds.
+	Ran int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // saveEnds makes the keeper write the ended targets of a request, or remove them if none counts. The caller
@@ -72,7 +74,7 @@
 	for _, end := range r.Ends {
 		out.Ends = append(out.Ends, keptEnd{
 			Target: end.Target, Started: end.Started, Events: end.Events, Position: end.Position, SeenBy: end.SeenBy, State: end.State, At: now.Add(-end.Age).UnixMilli(),
-			Simultaneous: end.Simultaneous,
+			Simultaneous: end.Simultaneous, Ran: end.Ran.Milliseconds(),
 		})
 	}
 	return out
@@ -84,7 +86,7 @@
 	for _, end := range k.Ends {
 		out.Ends = append(out.Ends, RequestEnd{
 			Target: end.Target, Started: end.Started, Events: end.Events, Position: end.Position, SeenBy: end.SeenBy, State: end.State,
-			Simultaneous: end.Simultaneous, Age: max(0, now.Sub(time.UnixMilli(end.At))),
+			Simultaneous: end.Simultaneous, Ran: time.Duration(end.Ran) * time.Millisecond, Age: max(0, now.Sub(time.UnixMilli(end.At))),
 		})
 	}
 	return out
--- a/internal/coordination/routed/quarantine/messages.go
+++ b/internal/coordination/routed/quarantine/messages.go
@@ -39,7 +39,10 @@
 	State  EndState
 	// Simultaneous is the number of other targets that ended at the same moment.
 	Simultaneous int
-	Age          time.Duration
+	// Ran is how long targets had worked on the request since its last end. An earlier release does
+	// not tell it.
+	Ran time.Duration
+	Age time.Duration
 }
 
 // Crash is the end of one incarnation of a target while requests waited there for their first
--- a/internal/coordination/routed/quarantine/request.go
+++ b/internal/coordination/routed/quarantine/request.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -20,6 +21,8 @@
 	Key string
 	// Parts are the ids of the parts of the prompt that other requests may share.
 	Parts []string
+	// Expires is when the request is given up, zero if that is not known.
+	Expires time.Time
 }
 
 // subjects returns what may be closed for a request: its key and its parts.
--- a/internal/coordination/routed/quarantine/simultaneous.go
+++ b/internal/coordination/routed/quarantine/simultaneous.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -11,6 +12,12 @@
 	// of ends at one moment arrive within seconds.
 	maxEndTimes = 256
 	endTimesTTL = time.Minute
+	// coincidenceTime is the time before an end in which the ends of other targets show how many end
+	// at one moment by coincidence.
+	coincidenceTime = 10 * time.Second
+	// leastCoincidence is the probability below which targets that end at one moment do not do so by
+	// coincidence.
+	leastCoincidence = 0.05
 )
 
 // endTimes holds when targets ended lately, whatever they ran. The requests under which they ended may have
@@ -43,16 +50,46 @@
 	maps.DeleteFunc(t.at, func(_ incarnation, at time.Time) bool { return now.Sub(at) > endTimesTTL })
 }
 
-// others returns the number of targets that ended at a moment, without those that ended under a request.
-func (t *endTimes) others(r *endRecord, at time.Time) (count int) {
+// together returns the number of targets that ended together at a moment, without those that ended under a
+// request. It is 0 if so many may have ended then by coincidence: in a large fleet, targets that crash by
+// themselves often do so at about the same time.
+func (t *endTimes) together(r *endRecord, at time.Time) (count int) {
 	for id, ended := range t.at {
 		if r.ends[id] == nil && sameMoment(ended, at) {
 			count++
 		}
 	}
+	if count > 0 && atLeast(count, t.coincident(at)) >= leastCoincidence {
+		return 0
+	}
 	return count
 }
 
+// coincident returns how many targets are expected to end within momentGap of a moment by coincidence. It
+// counts the moments before at which any target ended, as those that end together have one cause.
+func (t *endTimes) coincident(at time.Time) float64 {
+	moments, oldest := map[int64]bool{}, at
+	for _, ended := range t.at {
+		before := at.Sub(ended)
+		if before < momentGap || before > coincidenceTime {
+			continue
+		}
+		moments[int64(before/momentGap)] = true
+		if ended.Before(oldest) {
+			oldest = ended
+		}
+	}
+	span := coincidenceTime
+	if len(t.at) >= maxEndTimes {
+		span = min(span, at.Sub(oldest))
+	}
+	all := max(1, float64(span/momentGap))
+	// In a Poisson process, the share of moments at which none ended is exp(-mean). Half a moment stands
+	// for none.
+	none := max(0.5, all-float64(len(moments)))
+	return -2 * math.Log(none/all)
+}
+
 // sameMoment reports whether two targets ended together, as those of a rack or a failure domain do.
 func sameMoment(a, b time.Time) bool { return a.Sub(b).Abs() < momentGap }
 
@@ -62,7 +99,7 @@
 func (e *Evidence) countSimultaneous(at time.Time) {
 	for _, r := range e.ends.records {
 		for _, end := range r.ends {
-			if sameMoment(end.at, at) && end.raiseSimultaneous(e.endTimes.others(r, end.at)) && end.seenBy == e.self {
+			if sameMoment(end.at, at) && end.raiseSimultaneous(e.endTimes.together(r, end.at)) && end.seenBy == e.self {
 				r.changed = e.nextVersion()
 				r.changedHere = r.changed
 			}
--- a/internal/coordination/routed/relay/forward.go
+++ b/internal/coordination/routed/relay/forward.go
@@ -82,10 +82,11 @@
 			return eventError(err)
 		}
 		monitor.eventArrived()
+		now := time.Now()
 		if c.attemptEvents == 0 {
+			c.firstEventAt = now
 			c.opts.Quarantine.Began(c.subject)
 		}
-		now := time.Now()
 		if !last.IsZero() {
 			eventGap.Update(now.Sub(last).Seconds())
 		}
--- a/internal/coordination/routed/relay/quarantine.go
+++ b/internal/coordination/routed/relay/quarantine.go
@@ -54,10 +54,18 @@
 	c.lostTargets++
 	c.opts.Quarantine.Lost(quarantine.LostRequest{
 		Request: c.subject, Target: choice.ID, Address: choice.Address, Domain: choice.Domain, Started: choice.Started,
-		Events: c.attemptEvents, Position: c.lastEvent, At: time.Now(),
+		Events: c.attemptEvents, Position: c.lastEvent, Ran: c.attemptRan(), At: time.Now(),
 	})
 }
 
+// attemptRan returns how long ago the current attempt brought its first event, 0 if it brought none.
+func (c *call) attemptRan() time.Duration {
+	if c.attemptEvents == 0 {
+		return 0
+	}
+	return time.Since(c.firstEventAt)
+}
+
 // awaitTargetCheck waits until it is known whether the last target ended, if the request may have ended as
 // many as it may: that takes longer than to send it to the next one.
 func (c *call) awaitTargetCheck(ctx context.Context) {
--- a/internal/coordination/routed/relay/relay.go
+++ b/internal/coordination/routed/relay/relay.go
@@ -189,8 +189,10 @@
 	subject quarantine.Request
 	// lostTargets is the number of targets that closed the connection of the request.
 	lostTargets int
-	// attemptEvents is the number of stream events that the current attempt brought.
+	// attemptEvents is the number of stream events that the current attempt brought, firstEventAt
+	// when the first of them came.
 	attemptEvents int
+	firstEventAt  time.Time
 	// isTrial is set if the request is the trial of what is closed: it goes to one target.
 	isTrial bool
 	// failover is the target that the stall monitor reserved for the next
--- a/internal/explain/crashes.go
+++ b/internal/explain/crashes.go
@@ -27,5 +27,18 @@
 // describeTargetEnded says that a target ended while a request ran there.
 func describeTargetEnded(r *Record) string {
 	text := fmt.Sprintf("target %s ended %s before, after %s events of the run (%s)", r.Fields["target"], seconds(r.Number("lost_ms")), r.Fields["events"], r.Fields["state"])
-	return fmt.Sprintf("%s; %s targets ended under the request, as known at %s: %s", text, r.Fields["ends"], r.Source, r.Fields["known"])
+	text = fmt.Sprintf("%s; %s targets ended under the request, as known at %s: %s", text, r.Fields["ends"], r.Source, r.Fields["known"])
+	if meaning, ok := verdictMeanings[r.Fields["verdict"]]; ok {
+		text += "; " + meaning
+	}
+	return text
+}
+
+// verdictMeanings says what an instance takes the targets for that ended under a request.
+var verdictMeanings = map[string]string{
+	"explained":    "other causes explain them",
+	"chance":       "the request has run for so long that it may have met them by chance",
+	"one_point":    "they ended at the same point of its output, so it is closed",
+	"too_frequent": "they ended too soon for chance, so it is closed",
+	"too_many":     "they are so many that it is closed",
 }
