A service whose items yield slots pauses no items of other services

A broker gives batch items no slot for 80 ms after one of them had to yield, and leaves some slots free for 1.5 s. It kept one such time for all services of its failure domain, so one service at a peak, whose items yield every few milliseconds, stopped the items of all others there, whose targets may be idle.

The time is kept for each service. With one service nothing changes but that a yield also pauses what is left of the same pass, in which no slot is free. broker.TestYieldsOfOneServiceHoldUpNoItemsOfAnother failed before: no item of the idle service got one of its four slots.

--- a/internal/coordination/routed/broker/allocator.go
+++ b/internal/coordination/routed/broker/allocator.go
@@ -39,8 +39,8 @@
 	// ReserveAfterYield is how long batch items leave some slots free after an item had to
 	// yield.
 	ReserveAfterYield time.Duration
-	// lastYield is when an item last had to yield.
-	lastYield time.Time
+	// lastYield is when an item of a service last had to yield.
+	lastYield map[string]time.Time
 	// troughs decides which items start, by the forecast of demand.
 	troughs troughs
 }
@@ -63,7 +63,7 @@
 
 // NewSlotAllocator returns an allocator of the targets of a core.
 func NewSlotAllocator(core *placement.Core) *SlotAllocator {
-	return &SlotAllocator{HoldTable: NewHoldTable(core), PauseAfterYield: PauseAfterYield, ReserveAfterYield: ReserveAfterYield}
+	return &SlotAllocator{HoldTable: NewHoldTable(core), PauseAfterYield: PauseAfterYield, ReserveAfterYield: ReserveAfterYield, lastYield: map[string]time.Time{}}
 }
 
 // Enqueue adds a request to the queue. Allocate grants its slot.
@@ -92,8 +92,8 @@
 		return nil
 	}
 	var out []Allocation
-	batchPaused := now.Sub(a.lastYield) < a.PauseAfterYield
-	a.queue.place(now, batchPaused, func(w *Waiter) bool {
+	paused := func(service string) bool { return a.batchPaused(now, service) }
+	a.queue.place(now, paused, func(w *Waiter) bool {
 		if w.requirements.Batch && a.freeSlotsReserved(now, w.requirements.Service) {
 			return false
 		}
@@ -109,7 +109,7 @@
 		}
 		allocation := Allocation{Waiter: w, Grant: grant}
 		if yielding != nil {
-			a.lastYield = now
+			a.lastYield[w.requirements.Service] = now
 			allocation.Yield, allocation.MustYield = Yield{Instance: yielding.instance, Number: yielding.Number}, true
 		}
 		out = append(out, allocation)
@@ -118,10 +118,15 @@
 	return out
 }
 
+// batchPaused reports whether no batch item of a service gets a slot now, since one had to yield.
+func (a *SlotAllocator) batchPaused(now time.Time, service string) bool {
+	return now.Sub(a.lastYield[service]) < a.PauseAfterYield
+}
+
 // freeSlotsReserved reports whether the free slots of a service are reserved for online
 // requests.
 func (a *SlotAllocator) freeSlotsReserved(now time.Time, service string) bool {
-	if now.Sub(a.lastYield) >= a.ReserveAfterYield {
+	if now.Sub(a.lastYield[service]) >= a.ReserveAfterYield {
 		return false
 	}
 	all, free := a.core.Slots(now, service)
--- a/internal/coordination/routed/broker/allocator_test.go
+++ b/internal/coordination/routed/broker/allocator_test.go
@@ -58,3 +58,20 @@
 	require.Empty(t, enqueue(a, resumed, 201, true))
 	require.Len(t, a.Allocate(after(ReserveAfterYield)), 1, "items take all slots after ReserveAfterYield")
 }
+
+// Guards against batch items that get no slot of an idle service while those of another one have to yield theirs
+// again and again.
+func TestYieldsOfOneServiceHoldUpNoItemsOfAnother(t *testing.T) {
+	const slots = 4
+	a := newTestAllocator(slots)
+	for n := range uint64(slots) {
+		require.Len(t, enqueue(a, start, n, true), 1)
+	}
+	preempting := enqueue(a, start, 100, false)
+	require.Len(t, preempting, 1)
+	require.True(t, preempting[0].MustYield)
+	for n := range uint64(slots) {
+		a.Enqueue(start, &PlaceRequest{Told: HoldReport{Instance: "n1"}, Number: 10 + n, OnTimeIn: time.Second, Want: placement.Requirements{Service: "other", Batch: true}})
+		require.Len(t, a.Allocate(start), 1, "slot %d of %d", n, slots)
+	}
+}
--- a/internal/coordination/routed/broker/waitqueue.go
+++ b/internal/coordination/routed/broker/waitqueue.go
@@ -131,9 +131,9 @@
 }
 
 // place calls place for each waiter in order, until a service has no slot left, and removes
-// those that got a slot. Batch items are skipped while batchPaused is set, even if slots are
-// free.
-func (q *waitQueue) place(now time.Time, batchPaused bool, place func(*Waiter) bool) {
+// those that got a slot. Batch items of a service are skipped while it is paused for them, even if
+// slots are free.
+func (q *waitQueue) place(now time.Time, batchPaused func(service string) bool, place func(*Waiter) bool) {
 	full := map[string]bool{}
 	kept := make([]*Waiter, 0, len(q.waiters))
 	list := q.sorted(now)
@@ -142,7 +142,7 @@
 		list = q.fair.order(now, list)
 	}
 	for _, w := range list {
-		if full[w.requirements.Service] || w.requirements.Batch && batchPaused {
+		if full[w.requirements.Service] || w.requirements.Batch && batchPaused(w.requirements.Service) {
 			kept = append(kept, w)
 			continue
 		}
