Items of a service that lacks slots hold up no other service

Each goroutine of an instance that places items, one for each failure domain, asked for a slot for the first item of all services by deadline, waited 200 ms for it, and asked for the same item again.

Each service and failure domain with waiting items has a goroutine of its own, as items of different services need different targets. The more services have waiting items, the longer a request waits at a broker, 2 s at most, so that an instance sends no more than 61 requests a second in three domains with 37 services whose slots are all taken, and none for services without targets.

Why this works. Nothing that one service lacks is waited for by a goroutine that serves another one.

--- a/internal/coordination/routed/batchjobs/queue.go
+++ b/internal/coordination/routed/batchjobs/queue.go
@@ -52,22 +52,16 @@
 	})
 }
 
-// mostUrgent returns the item that should start first.
-func (r *Runner) mostUrgent(now time.Time) (broker.Item, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	runnable := r.runnable(now)
-	if len(runnable) == 0 {
-		return broker.Item{}, false
-	}
-	t, service := runnable[0].task, runnable[0].service
+// request returns the request for a slot for one of the items that may start. The caller holds the lock.
+func (r *Runner) request(now time.Time, runnable []runnableTask, at int) broker.Item {
+	t, service := runnable[at].task, runnable[at].service
 	remaining := r.estimate.remaining(t.events)
 	_, unstored := t.output.counts()
 	return broker.Item{
 		Service: service, Versions: r.acceptedVersions(now, runnable, service), Deadline: t.job.Due, StartBy: t.job.Due.Add(-remaining),
 		MaxRuntime: time.Duration(maxRuntimeFactor * float64(remaining)),
 		Needs:      remaining, Unstored: r.estimate.timeOf(unstored), ID: t.id.item, Job: t.id.job,
-	}, true
+	}
 }
 
 // runnableTask is a waiting item that may start, with its service.
--- a/internal/coordination/routed/batchjobs/runner.go
+++ b/internal/coordination/routed/batchjobs/runner.go
@@ -74,6 +74,12 @@
 	delivering map[itemID]bool
 	// shuttingDown stops new runs.
 	shuttingDown bool
+	// placing holds the queues from which items are being placed.
+	placing map[itemQueue]bool
+	// untargeted holds the queues without targets, and when that was last checked.
+	untargeted map[itemQueue]time.Time
+	// recent is what runnable last returned.
+	recent runnableItems
 	// claimedByPeers holds the items that other instances run, as of claimsReadAt.
 	claimedByPeers map[itemID]bool
 	claimsReadAt   time.Time
@@ -81,7 +87,7 @@
 
 // NewRunner returns a runner without items.
 func NewRunner(opts *Options) *Runner {
-	r := &Runner{opts: opts, changed: make(chan struct{}), estimate: newRunEstimate(), tasks: map[itemID]*task{}, delivering: map[itemID]bool{}}
+	r := &Runner{opts: opts, changed: make(chan struct{}), estimate: newRunEstimate(), tasks: map[itemID]*task{}, delivering: map[itemID]bool{}, placing: map[itemQueue]bool{}, untargeted: map[itemQueue]time.Time{}}
 	metrics.GetOrCreateGauge(`batch_items{state="open"}`, func() float64 {
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -93,40 +99,20 @@
 // String is the name of the background service.
 func (r *Runner) String() string { return "jobs-runner" }
 
-// Serve places waiting items until ctx ends, with one goroutine per failure domain.
+// Serve places waiting items until ctx ends, with one goroutine for each service and failure domain.
 func (r *Runner) Serve(ctx context.Context) error {
 	r.mu.Lock()
 	r.ctx = ctx
 	r.mu.Unlock()
-	var workers sync.WaitGroup
-	for i := range maxDomains {
-		workers.Go(func() { r.placeItems(ctx, i) })
-	}
-	workers.Wait()
-	return ctx.Err()
-}
-
-// maxDomains bounds the failure domains in which items are placed at the same time.
-const maxDomains = 4
-
-// placeItems places items in one failure domain. domainIndex is the index of the domain
-// in this instance's order of domains.
-func (r *Runner) placeItems(ctx context.Context, domainIndex int) {
+	var placing sync.WaitGroup
 	for ctx.Err() == nil {
-		item, ok := r.mostUrgent(time.Now())
-		if !ok {
-			r.waitForWork(ctx)
-			continue
-		}
-		domains := r.opts.Placer.Domains()
-		if domainIndex >= len(domains) {
-			r.waitForWork(ctx)
-			continue
-		}
-		if choice, found := r.opts.Placer.PlaceItem(ctx, domains[domainIndex], item); found {
-			r.startItem(item.Service, choice)
+		for _, q := range r.queuesToPlace(time.Now()) {
+			placing.Go(func() { r.placeItems(ctx, q) })
 		}
+		r.waitForWork(ctx)
 	}
+	placing.Wait()
+	return ctx.Err()
 }
 
 // waitForWork waits until an item may be able to start. It polls only while items wait.
--- a/internal/coordination/routed/broker/itemclient.go
+++ b/internal/coordination/routed/broker/itemclient.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -20,11 +21,13 @@
 	// Needs is how long the item is expected to run, and Unstored how long its output takes to
 	// produce again that is not stored yet.
 	Needs, Unstored time.Duration
+	// Wait is how long it may wait at a broker for a slot. 0: batchWait.
+	Wait time.Duration
 	// ID and Job name the item and its job in log lines.
 	ID, Job string
 }
 
-// PlaceItem chooses a target of one failure domain for a batch item, and waits up to batchWait
+// PlaceItem chooses a target of one failure domain for a batch item, and waits up to item.Wait
 // for a slot. If no broker of the domain answers, it chooses by itself among the domain's
 // targets.
 //
@@ -34,8 +37,9 @@
 // requests would wait in their queues.
 func (c *Client) PlaceItem(ctx context.Context, name string, item Item) (placement.Choice, bool) {
 	want := placement.Requirements{Service: item.Service, Versions: item.Versions, Batch: true}
+	slotWait := cmp.Or(item.Wait, batchWait)
 	request := &PlaceRequest{
-		Domain: name, Want: want, Wait: batchWait,
+		Domain: name, Want: want, Wait: slotWait,
 		OnTimeIn: time.Until(item.StartBy), Due: item.Deadline.UnixMilli(), Lasts: item.MaxRuntime,
 		Needs: item.Needs, Unstored: item.Unstored,
 	}
@@ -49,7 +53,7 @@
 	want.Domain = name
 	choice, ok := c.opts.Local.Pick(want)
 	if !ok {
-		wait.For(ctx, batchWait)
+		wait.For(ctx, slotWait)
 		return choice, false
 	}
 	choicesWithoutBroker.Inc()
