Accepted jobs can be read and cancelled after their route is gone

All of it was in the store.

A request was taken for a call on a job only if the configuration in force had a route for jobs at its host. Else it was routed by its path and rejected before anyone asked the owner of the job's partition or the store. Evidence: the lines of these calls are event=request with an empty request and reason=no_route; no job_not_found follows.

At a host without a route for jobs, a call on a job goes to the job service with the caller's organisation and the host: 404 only if no such job exists, 503 if that can't be known. If another route of the host matches the path, it keeps the request unless the owner of the partition knows a job of that name, and the caller has one at this host, so that a host that never had jobs routes all its paths as before. A call without a known key gets 401 there, as at hosts with jobs, where it was 404.

Why this works. A job is looked up by its id and its owner, not by a table that may be newer or older than the job; the store has host and organisation of each job, so that a start of all instances with the new configuration changes nothing.

--- a/internal/coordination/routed/batchjobs/answer.go
+++ b/internal/coordination/routed/batchjobs/answer.go
@@ -8,7 +8,7 @@
 	defer cancel()
 	for {
 		found, changed := p.job(call.Job)
-		if !found.known || found.organisation != call.Organisation {
+		if !found.belongsTo(call.Organisation, call.Host) {
 			return ResultsReply{Verdict: p.notFound(found, call.Job, call.Organisation)}
 		}
 		if len(found.results) > call.After || !found.open() || call.Wait <= 0 {
@@ -50,7 +50,7 @@
 // body returns the body of an item that has no published result.
 func (p *partitionReplica) body(call BodyCall) BodyReply {
 	found, _ := p.job(call.Job)
-	if !found.known || found.organisation != call.Organisation {
+	if !found.belongsTo(call.Organisation, call.Host) {
 		return BodyReply{Verdict: p.notFound(found, call.Job, call.Organisation)}
 	}
 	p.mu.Lock()
--- a/internal/coordination/routed/batchjobs/calls.go
+++ b/internal/coordination/routed/batchjobs/calls.go
@@ -44,6 +44,8 @@
 type ResultsCall struct {
 	Job          string
 	Organisation string
+	// Host is the only host whose jobs count, "" for any. An earlier release ignores it.
+	Host string
 	// After is the first position wanted, Wait how long to wait for a result at
 	// that position.
 	After int
@@ -64,6 +66,8 @@
 type BodyCall struct {
 	Job, Item    string
 	Organisation string
+	// Host is the only host whose jobs count, "" for any. An earlier release ignores it.
+	Host string
 }
 
 // BodyReply carries the body.
@@ -78,6 +82,8 @@
 type JobCall struct {
 	Job          string
 	Organisation string
+	// Host is the only host whose jobs count, "" for any. An earlier release ignores it.
+	Host string
 }
 
 // JobReply is the reply to a call that returns nothing else.
--- a/internal/coordination/routed/batchjobs/replica.go
+++ b/internal/coordination/routed/batchjobs/replica.go
@@ -13,6 +13,7 @@
 
 	"merlintiller/internal/external"
 	"merlintiller/internal/state/jobs"
+	"merlintiller/internal/state/route"
 	"merlintiller/internal/wait"
 )
 
@@ -306,7 +307,7 @@
 	found.loaded = p.loaded
 	if job, ok := p.state.Job(id); ok {
 		found.known = true
-		found.organisation = job.Organisation
+		found.organisation, found.host = job.Organisation, job.Host
 		found.total = len(job.Items)
 		found.results = job.Results[:len(job.Results):len(job.Results)]
 		found.cancelled = job.Cancelled
@@ -334,11 +335,17 @@
 // jobSnapshot is the state of a job at one moment. Published results never change,
 // so snapshots share them.
 type jobSnapshot struct {
-	loaded, known bool
-	organisation  string
-	total         int
-	results       []jobs.Result
-	cancelled     bool
+	loaded, known      bool
+	organisation, host string
+	total              int
+	results            []jobs.Result
+	cancelled          bool
+}
+
+// belongsTo reports whether the job is known and is one of an organisation and, unless host is "",
+// of a host.
+func (s *jobSnapshot) belongsTo(organisation, host string) bool {
+	return s.known && s.organisation == organisation && (host == "" || route.SameHost(s.host, host))
 }
 
 // open says that results are still missing.
--- a/internal/coordination/routed/batchjobs/service.go
+++ b/internal/coordination/routed/batchjobs/service.go
@@ -49,10 +49,9 @@
 	return &JobService{opts: opts, owner: owner, runner: runner, startedAt: time.Now(), replicas: map[int]*partitionReplica{}}
 }
 
-// jobExists asks the owner whether a job exists already, as after a repeated
-// submission. A positive answer saves writing the job again; without an answer
-// it is written.
-func (s *JobService) jobExists(ctx context.Context, job string) bool {
+// Exists asks the owner whether a job exists. It returns false if the owner does not answer or
+// has not read the job yet. It does not read the store.
+func (s *JobService) Exists(ctx context.Context, job string) bool {
 	number := s.opts.partitionOf(job).Number
 	if p, ok := s.owner.replicaOf(number); ok {
 		return p.lookUp(job) == Done
@@ -243,7 +242,7 @@
 func (s *JobService) cancelIn(ctx context.Context, p *partitionReplica, call JobCall) Verdict {
 	found, _ := p.job(call.Job)
 	switch {
-	case !found.known || found.organisation != call.Organisation:
+	case !found.belongsTo(call.Organisation, call.Host):
 		return p.notFound(found, call.Job, call.Organisation)
 	case found.cancelled:
 		return Done
--- a/internal/coordination/routed/batchjobs/submit.go
+++ b/internal/coordination/routed/batchjobs/submit.go
@@ -56,7 +56,7 @@
 // Otherwise a caller whose attempts reach two rejected instances would have its job
 // rejected, or would wait for the store although the store is available.
 func (s *JobService) submit(ctx context.Context, job *jobs.Job) Verdict {
-	if s.jobExists(ctx, job.ID) {
+	if s.Exists(ctx, job.ID) {
 		return Done
 	}
 	first, second := s.writeJob, s.submitViaPeer
--- a/internal/daemon/routed/fleet_test.go
+++ b/internal/daemon/routed/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -360,8 +361,10 @@
 // callerRequest is one request of a caller.
 type callerRequest struct {
 	id, method, path, key string
-	body                  string
-	header                map[string]string
+	// host is the host that is named. "": the usual one.
+	host   string
+	body   string
+	header map[string]string
 	// timeout is how long the caller waits for the whole response. 0: 6 s.
 	timeout time.Duration
 }
@@ -384,7 +387,7 @@
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, req.method, "http://"+inst.ip+":80"+req.path, strings.NewReader(req.body))
 	require.NoError(inst.fleet.t, err)
-	request.Host = host
+	request.Host = cmp.Or(req.host, host)
 	request.Header.Set("Request-Id", req.id)
 	request.Header.Set("Deadline-Ms", "5000")
 	if req.key != "" {
--- a/internal/state/route/table.go
+++ b/internal/state/route/table.go
@@ -148,6 +148,9 @@
 	return r.Split[len(r.Split)-1].Service, true
 }
 
+// SameHost says that two hosts differ at most in their ports and in case.
+func SameHost(a, b string) bool { return hostKey(a) == hostKey(b) }
+
 // hostKey is a host without its port, in lower case.
 func hostKey(host string) string {
 	host, _, _ = strings.Cut(host, ":")
--- a/internal/transport/front/batch.go
+++ b/internal/transport/front/batch.go
@@ -78,32 +78,62 @@
 		return
 	}
 	c.request.ID = call.Job
+	if !c.answerJobCall(call, "") {
+		c.replyVerdict(batchjobs.Missing, http.StatusOK, operationOf(call.Kind))
+	}
+}
+
+// answerJobCall responds to a call on a job of the caller's organisation and, unless host is "", of a host.
+// It returns false, without a response, if there is no such job.
+func (c *callerRequest) answerJobCall(call exchange.JobCall, host string) (answered bool) {
 	wait := min(call.Wait, maxWait)
 	ctx, cancel := context.WithTimeout(c.r.Context(), wait+jobCallTimeout)
 	defer cancel()
 	organisation := c.organisationName()
 	switch call.Kind {
 	case exchange.JobResults:
-		c.serveResults(ctx, batchjobs.ResultsCall{Job: call.Job, Organisation: organisation, After: call.After, Wait: wait})
+		results := batchjobs.ResultsCall{Job: call.Job, Organisation: organisation, Host: host, After: call.After, Wait: wait}
+		reply := c.opts.Jobs.Results(ctx, results)
+		return c.answerVerdict(reply.Verdict, call.Kind, func() { c.respondResults(&results, &reply) })
 	case exchange.JobItem:
-		reply := c.opts.Jobs.Body(ctx, batchjobs.BodyCall{Job: call.Job, Item: call.Item, Organisation: organisation})
-		if reply.Verdict != batchjobs.Done {
-			c.replyVerdict(reply.Verdict, http.StatusOK, "item")
-			return
-		}
-		c.respond(http.StatusOK, reply.Body, "application/octet-stream")
-		c.log("answered", http.StatusOK, "item")
-	case exchange.JobEnd:
-		c.replyVerdict(c.opts.Jobs.Cancel(ctx, batchjobs.JobCall{Job: call.Job, Organisation: organisation}), http.StatusOK, "end")
+		reply := c.opts.Jobs.Body(ctx, batchjobs.BodyCall{Job: call.Job, Item: call.Item, Organisation: organisation, Host: host})
+		return c.answerVerdict(reply.Verdict, call.Kind, func() {
+			c.respond(http.StatusOK, reply.Body, "application/octet-stream")
+			c.log("answered", http.StatusOK, operationOf(call.Kind))
+		})
+	default:
+		verdict := c.opts.Jobs.Cancel(ctx, batchjobs.JobCall{Job: call.Job, Organisation: organisation, Host: host})
+		return c.answerVerdict(verdict, call.Kind, func() { c.replyVerdict(verdict, http.StatusOK, operationOf(call.Kind)) })
 	}
 }
 
-func (c *callerRequest) serveResults(ctx context.Context, call batchjobs.ResultsCall) {
-	reply := c.opts.Jobs.Results(ctx, call)
-	if reply.Verdict != batchjobs.Done {
-		c.replyVerdict(reply.Verdict, http.StatusOK, "results")
-		return
+// answerVerdict responds to a call on a job, with done if the call has a result. It returns false if there is
+// no such job.
+func (c *callerRequest) answerVerdict(verdict batchjobs.Verdict, kind exchange.JobKind, done func()) (answered bool) {
+	switch verdict {
+	case batchjobs.Missing:
+		return false
+	case batchjobs.Done:
+		done()
+	default:
+		c.replyVerdict(verdict, http.StatusOK, operationOf(kind))
 	}
+	return true
+}
+
+// operationOf names a call on a job in logs.
+func operationOf(kind exchange.JobKind) string {
+	switch kind {
+	case exchange.JobResults:
+		return "results"
+	case exchange.JobItem:
+		return "item"
+	default:
+		return "end"
+	}
+}
+
+func (c *callerRequest) respondResults(call *batchjobs.ResultsCall, reply *batchjobs.ResultsReply) {
 	body, err := c.opts.Codec.EncodeResults(reply.Total, call.After, reply.Results)
 	if err != nil {
 		c.respond(http.StatusInternalServerError, nil, "")
--- a/internal/transport/front/request.go
+++ b/internal/transport/front/request.go
@@ -54,7 +54,8 @@
 		c.reject(http.StatusServiceUnavailable, noConfigRetryAfter, "no_config")
 		return
 	}
-	if call, ok := f.opts.Codec.DecodeJobCall(c.r); ok && c.table.HasBatchRoute(c.r.Host) {
+	call, isJobCall := f.opts.Codec.DecodeJobCall(c.r)
+	if isJobCall && c.table.HasBatchRoute(c.r.Host) {
 		c.serveJobCall(call)
 		return
 	}
@@ -63,8 +64,11 @@
 		return
 	}
 	found, ok := c.table.Match(c.request.Host, c.request.Path)
+	if isJobCall && c.serveEarlierJob(call, ok) {
+		return
+	}
 	if !ok {
-		c.reject(http.StatusNotFound, 0, "no_route")
+		c.rejectUnrouted()
 		return
 	}
 	c.route = found
--- a/internal/transport/front/server.go
+++ b/internal/transport/front/server.go
@@ -75,6 +75,8 @@
 	Results(ctx context.Context, call batchjobs.ResultsCall) batchjobs.ResultsReply
 	Body(ctx context.Context, call batchjobs.BodyCall) batchjobs.BodyReply
 	Cancel(ctx context.Context, call batchjobs.JobCall) batchjobs.Verdict
+	// Exists reports whether a job is known to exist, without a read of the store.
+	Exists(ctx context.Context, job string) bool
 }
 
 // Options configure a Front.
