--- a/internal/coordination/routed/quarantine/ends.go
+++ b/internal/coordination/routed/quarantine/ends.go
@@ -130,11 +130,15 @@
 	return closed, opened
 }
 
-// mayBeSound reports whether a closed request may have met crashes of targets by chance, since they
-// came at different points of its output.
+// mayBeSound reports whether a closed request may have met crashes of targets by chance: they came at
+// different points of its output, and it has run at no further target since.
 func (e *Evidence) mayBeSound(c *closure) bool {
 	r := e.ends.records[keyOf(c.parts)]
-	return r != nil && !atOnePoint(r.counted())
+	if r == nil {
+		return false
+	}
+	ends := r.counted()
+	return len(ends) == MaxEndedTargets && !atOnePoint(ends)
 }
 
 // closeRequest closes a request under which targets ended.
