Placing of items: ended queues are served again, rejected grants ask for fresh items; lines name earlier jobs

Found in the review of the diff. A queue stayed marked as served if its goroutine ended with the context of Serve. After a grant that no item may use, its queue asked for the same item again for up to 40 ms, since the list of items was kept. The line of a call on a job at a host without a route for jobs had no id. A test holds the line.

--- a/internal/coordination/routed/batchjobs/placing.go
+++ b/internal/coordination/routed/batchjobs/placing.go
@@ -83,7 +83,8 @@
 	return r.opts.Placer.HasTargets(placement.Requirements{Service: q.service, Domain: q.domain, Batch: true})
 }
 
-// placeItems places the items of a queue, the most urgent first, until it is empty or has no targets.
+// placeItems places the items of a queue, the most urgent first, until it is empty or has no targets, or ctx
+// ends.
 func (r *Runner) placeItems(ctx context.Context, q itemQueue) {
 	for ctx.Err() == nil {
 		item, ok := r.nextItem(time.Now(), q)
@@ -94,6 +95,9 @@
 			r.startItem(q.service, choice)
 		}
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.placing, q)
 }
 
 // nextItem returns the most urgent item of a queue. If there is none, the queue is no longer served.
--- a/internal/coordination/routed/batchjobs/queue.go
+++ b/internal/coordination/routed/batchjobs/queue.go
@@ -131,11 +131,14 @@
 	now := time.Now()
 	t := r.taskFor(now, r.runnable(now), service, choice.Version)
 	if t == nil {
+		r.recent = runnableItems{}
 		go r.opts.Placer.Done(choice, placement.Cancelled)
 		return
 	}
 	if r.opts.Quarantine.Check(t.subject).Closed {
 		t.notBefore = now.Add(closedDelay)
+		// Otherwise its queue would ask for it again at once.
+		r.recent = runnableItems{}
 		go r.opts.Placer.Done(choice, placement.Cancelled)
 		return
 	}
--- a/internal/coordination/routed/batchjobs/runner.go
+++ b/internal/coordination/routed/batchjobs/runner.go
@@ -87,7 +87,10 @@
 
 // NewRunner returns a runner without items.
 func NewRunner(opts *Options) *Runner {
-	r := &Runner{opts: opts, changed: make(chan struct{}), estimate: newRunEstimate(), tasks: map[itemID]*task{}, delivering: map[itemID]bool{}, placing: map[itemQueue]bool{}, untargeted: map[itemQueue]time.Time{}}
+	r := &Runner{
+		opts: opts, changed: make(chan struct{}), estimate: newRunEstimate(), tasks: map[itemID]*task{}, delivering: map[itemID]bool{},
+		placing: map[itemQueue]bool{}, untargeted: map[itemQueue]time.Time{},
+	}
 	metrics.GetOrCreateGauge(`batch_items{state="open"}`, func() float64 {
 		r.mu.Lock()
 		defer r.mu.Unlock()
--- a/internal/daemon/routed/earlierjobs_test.go
+++ b/internal/daemon/routed/earlierjobs_test.go
@@ -98,6 +98,7 @@
 						require.Equal(t, http.StatusOK, got.status, inst.logs.String())
 						require.Contains(t, got.body, `"total":3`)
 						require.Contains(t, got.body, before.Results[0].Text[:10])
+						require.Contains(t, inst.logs.String(), "event=request request=job-done ", "the line names the job")
 						require.Equal(t, http.StatusOK, call(http.MethodGet, "/lots/job-open", key))
 						if !restart {
 							require.Equal(t, http.StatusOK, call(http.MethodGet, "/items/job-open?id="+itemID("job-open", 0), key))
--- a/internal/transport/front/earlierjobs.go
+++ b/internal/transport/front/earlierjobs.go
@@ -14,8 +14,8 @@
 const existsTimeout = 200 * time.Millisecond
 
 // serveEarlierJob serves a call on a job at a host without a route for jobs: a job that was accepted outlives
-// its route. It returns false if the request is none on such a job. If a route of the host matches the request,
-// it is one on a job only if the caller has a job of that name there.
+// its route. It returns false, without a response, if the request is to be routed as any other: a route of the
+// host matches it, and the caller has no job of that name there.
 func (c *callerRequest) serveEarlierJob(call exchange.JobCall, routed bool) (served bool) {
 	if routed && !c.callerKnown() || routed && !c.jobExists(call.Job) {
 		return false
@@ -23,14 +23,17 @@
 	if !c.authenticate(false) {
 		return true
 	}
+	attempt := c.request.ID
+	c.request.ID = call.Job
 	if c.answerJobCall(call, c.r.Host) {
 		return true
 	}
 	if !routed {
-		c.request.ID = call.Job
 		c.replyVerdict(batchjobs.Missing, http.StatusOK, operationOf(call.Kind))
+		return true
 	}
-	return !routed
+	c.request.ID = attempt
+	return false
 }
 
 // rejectUnrouted rejects a request that no route matches. If it is the repeated submission of a job that was
