--- a/internal/coordination/routed/batchjobs/placing_test.go
+++ b/internal/coordination/routed/batchjobs/placing_test.go
@@ -18,11 +18,10 @@
 	"merlintiller/internal/state/route"
 )
 
-// lack is what a service of a test lacks.
+// lack is what a service of a test lacks. "" is nothing.
 type lack string
 
 const (
-	lacksNothing lack = ""
 	// lacksTargets: none is listed. lacksTargetsHere: none is listed in the own domain.
 	lacksTargets     lack = "targets"
 	lacksTargetsHere lack = "targets in a domain"
