--- a/internal/explain/ends_test.go
+++ b/internal/explain/ends_test.go
@@ -13,7 +13,7 @@
 		"b": `
 at=2026-12-03T10:00:00.02Z event=request_ends_learned from=a request=r1 key=request:7 ends=1 known=t-1/2/suspected/20/a/0
 at=2026-12-03T10:00:01Z event=attempt_failed request=r2 key=request:7 target=t-4 how=lost ended=closed events=0 runs=1 err="unexpected EOF"
-at=2026-12-03T10:00:01.01Z event=request_target_ended request=r2 key=request:7 target=t-4 state=suspected events=0 lost_ms=10 ends=2 verdict=explained known=t-1/2/confirmed/1010/a/0,t-4/0/suspected/10/b/0
+at=2026-12-03T10:00:01.01Z event=request_target_ended request=r2 key=request:7 target=t-4 state=suspected events=0 lost_ms=10 ends=2 known=t-1/2/confirmed/1010/a/0,t-4/0/suspected/10/b/0
 `})
 	requireCause(t, logs.Explain("r2"), "target t-1 ended 0.01 s before, after 2 events of the run (suspected)")
 	requireCause(t, logs.Explain("r2"), "b learned from a that 1 targets ended under it", "t-1/2/suspected/20/a/0")
