Each item that may be sound has a trial before it expires, and ends every 5 s count as chance again

Closed at its fourth end, it had no trial and was left lying. A rule that says so of some items has to try them once before they expire, whatever the number of ends.

Requests that are closed at their third end, within some 2 s of work, still have one further run at most.

An opened request is closed only by a further end (TestRequestThatWasOpenedIsClosedOnlyByFurtherEnds failed before).

--- a/internal/coordination/routed/quarantine/chance.go
+++ b/internal/coordination/routed/quarantine/chance.go
@@ -8,7 +8,7 @@
 const (
 	// chanceEndInterval is the shortest mean time between two ends of one target that no request
 	// causes. Targets that end more often under a request are taken to end because of it.
-	chanceEndInterval = 3 * time.Second
+	chanceEndInterval = 5 * time.Second
 	// leastChance is the probability below which ends of targets under a request do not count as
 	// chance.
 	leastChance = 0.01
--- a/internal/coordination/routed/quarantine/checker.go
+++ b/internal/coordination/routed/quarantine/checker.go
@@ -188,6 +188,14 @@
 	g.wake()
 }
 
+// saveClosure makes the keeper write the closure of a request again, if it is closed: a start of all
+// instances must not forget that a trial has failed. The caller holds the lock.
+func (g *Guard) saveClosure(key string) {
+	if c := g.evidence.closures.all[key]; c != nil && c.closed() {
+		g.keeper.save(c.report(time.Now()))
+	}
+}
+
 // targetEnded records that the target of lost requests ended, or that it did not, and logs it for each
 // of them.
 func (g *Guard) targetEnded(list []LostRequest, state EndState) {
@@ -205,6 +213,7 @@
 			"ends", g.evidence.Ends(lost.Key), "ran_ms", lost.Ran.Milliseconds(), "verdict", g.evidence.verdictOn(lost.Key), "known", known.describe())
 		if changed {
 			g.endsChanged()
+			g.saveClosure(lost.Key)
 		}
 		// Targets that ended together with this one may have become known since the first check.
 		if changed || state == EndConfirmed && known.metCommonFailure() {
--- a/internal/coordination/routed/quarantine/closure.go
+++ b/internal/coordination/routed/quarantine/closure.go
@@ -11,8 +11,8 @@
 	// doubles with each trial that ends with a crash, maxTrialDoublings times at most.
 	firstTrialAfter   = 2 * time.Minute
 	maxTrialDoublings = 4
-	// expiryTrialFraction: an item that may be sound has its trial once this part of the time until it
-	// expires has passed. The rest is enough to run it.
+	// expiryTrialFraction: an item that may be sound has its first trial once this part of the time
+	// until it expires has passed. The rest is enough to run it.
 	expiryTrialFraction = 3
 	// closureTTL is the time since the last crash after which closed parts that nobody asked for
 	// are forgotten.
@@ -72,7 +72,7 @@
 	if !c.closed() || !at.After(c.crashed) {
 		return false
 	}
-	if !at.Before(c.trialFrom()) {
+	if !at.Before(c.trialFrom()) || c.triedAt(at) {
 		c.trials++
 	}
 	c.crashed, c.trialBy, c.trialUsed = at, "", false
@@ -94,6 +94,11 @@
 	return c.trialBy != "" && now.Sub(c.trialAt) < claimTTL
 }
 
+// triedAt reports whether a trial that was claimed may have begun by some time.
+func (c *closure) triedAt(at time.Time) bool {
+	return c.trialBy != "" && !at.Before(c.trialAt.Add(claimTime))
+}
+
 // claim claims the trial for an instance.
 func (c *closure) claim(now time.Time, by string) {
 	c.trialBy, c.trialAt, c.trialUsed = by, now, false
--- a/internal/coordination/routed/quarantine/ends.go
+++ b/internal/coordination/routed/quarantine/ends.go
@@ -120,6 +120,8 @@
 		isClosed := known != nil && known.closed()
 		toBlame := blame.judge(r).blames()
 		switch {
+		case known != nil && known.openedSince(r):
+			// Another instance knows of a cause; only a further end counts against the request.
 		case !isClosed && toBlame:
 			closed = append(closed, e.closeRequest(now, r, r.counted()))
 		case isClosed && !toBlame && r.hasEndsOf(known.targets):
@@ -130,15 +132,17 @@
 	return closed, opened
 }
 
-// mayBeSound reports whether a closed request may have met crashes of targets by chance: they came at
-// different points of its output, and it has run at no further target since.
+// mayBeSound reports whether a closed request may have met crashes of targets by chance, since they
+// came at different points of its output.
 func (e *Evidence) mayBeSound(c *closure) bool {
 	r := e.ends.records[keyOf(c.parts)]
-	if r == nil {
-		return false
-	}
+	return r != nil && !atOnePoint(r.counted())
+}
+
+// openedSince reports whether a request was opened after the last target ended under it.
+func (c *closure) openedSince(r *endRecord) bool {
 	ends := r.counted()
-	return len(ends) == MaxEndedTargets && !atOnePoint(ends)
+	return len(ends) > 0 && c.openedAt.After(ends[len(ends)-1].at)
 }
 
 // closeRequest closes a request under which targets ended.
--- a/internal/coordination/routed/quarantine/evidence.go
+++ b/internal/coordination/routed/quarantine/evidence.go
@@ -193,11 +193,11 @@
 }
 
 // trialFrom returns when a closure may be tried again for a request that expires at some time. A
-// request that may be closed by mistake has a trial before it expires: otherwise the mistake would cost
-// its result.
+// request that may be closed by mistake has its first trial before it expires: otherwise the mistake
+// would cost its result.
 func (e *Evidence) trialFrom(c *closure, expires time.Time) time.Time {
 	from := c.trialFrom()
-	if expires.IsZero() || !e.mayBeSound(c) {
+	if expires.IsZero() || c.trials > 0 || !e.mayBeSound(c) {
 		return from
 	}
 	if early := c.crashed.Add(expires.Sub(c.crashed) / expiryTrialFraction); early.Before(from) {
--- a/internal/coordination/routed/quarantine/reports.go
+++ b/internal/coordination/routed/quarantine/reports.go
@@ -116,10 +116,14 @@
 	return was, known.closed()
 }
 
-// Adopt applies a closure that the store has, unless this instance knows the same one: the times
-// of the store are by the clock of the instance that wrote it. It reports whether it was adopted.
+// Adopt applies a closure that the store has. It reports whether it was adopted. If this instance
+// knows the same one, it only learns of failed trials: the times of the store are by the clock of the
+// instance that wrote it.
 func (e *Evidence) Adopt(now time.Time, stored *Closure) bool {
-	if e.closures.all[keyOf(stored.Parts)] != nil {
+	if known := e.closures.all[keyOf(stored.Parts)]; known != nil {
+		if stored.Trials > known.trials {
+			known.trials, known.changed = stored.Trials, e.nextVersion()
+		}
 		return false
 	}
 	_, is := e.mergeClosure(now, stored)
