--- a/internal/coordination/routed/quarantine/simultaneous.go
+++ b/internal/coordination/routed/quarantine/simultaneous.go
@@ -51,15 +51,15 @@
 }
 
 // together returns the number of targets that ended together at a moment, without those that ended under a
-// request. It is 0 if so many may have ended then by coincidence: in a large fleet, targets that crash by
-// themselves often do so at about the same time.
-func (t *endTimes) together(r *endRecord, at time.Time) (count int) {
+// request. It is 0 if so many may have ended then by coincidence, where coincident are expected to: in a
+// large fleet, targets that crash by themselves often do so at about the same time.
+func (t *endTimes) together(r *endRecord, at time.Time, coincident float64) (count int) {
 	for id, ended := range t.at {
 		if r.ends[id] == nil && sameMoment(ended, at) {
 			count++
 		}
 	}
-	if count > 0 && atLeast(count, t.coincident(at)) >= leastCoincidence {
+	if count > 0 && atLeast(count, coincident) >= leastCoincidence {
 		return 0
 	}
 	return count
@@ -68,14 +68,18 @@
 // coincident returns how many targets are expected to end within momentGap of a moment by coincidence. It
 // counts the moments before at which any target ended, as those that end together have one cause.
 func (t *endTimes) coincident(at time.Time) float64 {
-	moments, oldest, count := map[int64]bool{}, at, 0
+	var moments [coincidenceTime/momentGap + 1]bool
+	oldest, count, distinct := at, 0, 0
 	for _, ended := range t.at {
 		before := at.Sub(ended)
 		if before < momentGap || before > coincidenceTime {
 			continue
 		}
 		count++
-		moments[int64(before/momentGap)] = true
+		if moment := &moments[before/momentGap]; !*moment {
+			*moment = true
+			distinct++
+		}
 		if ended.Before(oldest) {
 			oldest = ended
 		}
@@ -85,7 +89,7 @@
 		span = min(span, at.Sub(oldest))
 	}
 	all := max(1, float64(span/momentGap))
-	if none := all - float64(len(moments)); none >= 1 {
+	if none := all - float64(distinct); none >= 1 {
 		// In a Poisson process, the share of moments at which none ended is exp(-mean).
 		return -2 * math.Log(none/all)
 	}
@@ -99,9 +103,10 @@
 // instance counts those that it learns of. Only the one that saw an end tells the first others, with the next
 // heartbeat, for those that learn of fewer.
 func (e *Evidence) countSimultaneous(at time.Time) {
+	coincident := e.endTimes.coincident(at)
 	for _, r := range e.ends.records {
 		for _, end := range r.ends {
-			if sameMoment(end.at, at) && end.raiseSimultaneous(e.endTimes.together(r, end.at)) && end.seenBy == e.self {
+			if sameMoment(end.at, at) && end.raiseSimultaneous(e.endTimes.together(r, end.at, coincident)) && end.seenBy == e.self {
 				r.changed = e.nextVersion()
 				r.changedHere = r.changed
 			}
