Lines on chosen targets name the lists behind the choice

Callers saw nothing of it: rule DRAIN of the users, requests at a target that had left.

request_placed and item_run now have the state of the target in the own list, and mark and age of the own list and of the broker's. A grant carries mark and age; messages gain fields only. A new line, target_leaving, says when and from where an instance learned that a target leaves, and target_unlisted is also written for lists that come from a peer. No decision changes.

--- a/internal/coordination/routed/batchjobs/task.go
+++ b/internal/coordination/routed/batchjobs/task.go
@@ -162,9 +162,10 @@
 	}
 	t.addRunTime(time.Since(start))
 	opts.Placer.Done(choice, result)
-	_ = level.Info(opts.Logger).Log("event", "item_run", "item", t.id.item, "job", t.id.job, "target", choice.ID,
+	fields := []any{"event", "item_run", "item", t.id.item, "job", t.id.job, "target", choice.ID,
 		"version", choice.Version, "broker", choice.Broker, "busy", choice.Busy, "slots", choice.Slots, "how", outcome.String(), "from", from, "position", t.position, "took_ms", time.Since(start).Milliseconds(),
-		"due_in_ms", time.Until(t.job.Due).Milliseconds(), "parts", strings.Join(t.subject.Parts, ","), "key", t.subject.Key, "events", t.events-eventsBefore, "ended", endOfRun(err), "err", err)
+		"due_in_ms", time.Until(t.job.Due).Milliseconds(), "parts", strings.Join(t.subject.Parts, ","), "key", t.subject.Key, "events", t.events - eventsBefore, "ended", endOfRun(err), "err", err}
+	_ = level.Info(opts.Logger).Log(append(fields, choice.Lists.LogFields()...)...)
 	if errors.Is(err, errOutputTooLarge) {
 		outputsTooLarge.Inc()
 		t.discardOutput()
--- a/internal/coordination/routed/broker/broker.go
+++ b/internal/coordination/routed/broker/broker.go
@@ -36,8 +36,14 @@
 	// instance was not reached.
 	yield func(instance string, number uint64) bool
 
+	// listAge returns the age of the list of targets. It must not be called with mu held: the
+	// list is set while its own lock is held.
+	listAge func() time.Duration
+
 	mu        sync.Mutex
 	allocator *SlotAllocator
+	// listMark is the mark of the list of targets.
+	listMark int64
 	// decisions holds a channel for the decision on each waiter. A channel gets at most one.
 	decisions map[*Waiter]chan decision
 	// queueReport is set if fair queueing is used.
@@ -129,9 +135,14 @@
 	})
 }
 
-// SetTargets replaces the list of usable targets.
-func (b *Broker) SetTargets(list []roster.Target) {
+// SetListAge sets the function that returns the age of the list of targets. It must be called
+// before the first request.
+func (b *Broker) SetListAge(listAge func() time.Duration) { b.listAge = listAge }
+
+// SetTargets replaces the list of usable targets by the one that has been applied up to a mark.
+func (b *Broker) SetTargets(mark int64, list []roster.Target) {
 	b.update(func(now time.Time) {
+		b.listMark = mark
 		b.allocator.SetDomainTargets(b.domain, list)
 		if b.checks.addAssumed(now, b.allocator.targets) {
 			b.wakeChecker()
@@ -172,6 +183,7 @@
 // allocate grants free slots to waiters. The caller must hold b.mu.
 func (b *Broker) allocate(now time.Time) {
 	for _, a := range b.allocator.Allocate(now) {
+		a.Grant.ListMark = b.listMark
 		b.decisions[a.Waiter] <- decision{grant: a.Grant, granted: true}
 		b.queueReport.granted(now, a.Waiter)
 		if a.Waiter.requirements.Batch {
@@ -210,6 +222,9 @@
 	b.mu.Unlock()
 	reply := PlaceReply{}
 	reply.Grant, reply.Granted = b.awaitGrant(ctx, w, decided, req.Wait)
+	if reply.Granted && b.listAge != nil {
+		reply.Grant.ListAge = b.listAge()
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	reply.Queue = w.state
--- a/internal/coordination/routed/broker/broker_test.go
+++ b/internal/coordination/routed/broker/broker_test.go
@@ -18,7 +18,7 @@
 // newTestBroker returns a broker of one target with the given number of slots.
 func newTestBroker(slots int) *Broker {
 	b := New("d", 1, func(string, uint64) bool { return true })
-	b.SetTargets([]roster.Target{{ID: "t", Service: "s", Domain: "d", Address: "10.0.0.1:1", Slots: slots}})
+	b.SetTargets(1, []roster.Target{{ID: "t", Service: "s", Domain: "d", Address: "10.0.0.1:1", Slots: slots}})
 	return b
 }
 
@@ -136,7 +136,7 @@
 func TestSlotIsNotFreeAfterYieldFailed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := New("d", 1, func(string, uint64) bool { return false })
-		b.SetTargets([]roster.Target{{ID: "t", Service: "s", Domain: "d", Address: "10.0.0.1:1", Slots: 1}})
+		b.SetTargets(1, []roster.Target{{ID: "t", Service: "s", Domain: "d", Address: "10.0.0.1:1", Slots: 1}})
 		req := newRequest(1, time.Second, 0)
 		req.Want.Batch, req.Lasts = true, 5*time.Second
 		require.True(t, b.Place(t.Context(), req).Granted)
--- a/internal/coordination/routed/broker/client.go
+++ b/internal/coordination/routed/broker/client.go
@@ -70,7 +70,11 @@
 	// FairQueue asks brokers to divide scarce slots by the weights of organisations, and to
 	// reject requests that cannot get a slot in time.
 	FairQueue bool
-	Logger    log.Logger
+	// ListAge returns the age of the list of targets, and ListedAs the state in which a target is
+	// listed here, for log lines. They are called without the client's lock. Nil: not known.
+	ListAge  func() time.Duration
+	ListedAs func(id string) roster.ListedState
+	Logger   log.Logger
 }
 
 // Client requests slots from brokers. It is a background service and safe for concurrent use.
@@ -81,8 +85,10 @@
 	// lastNumber is the number of the last requested hold.
 	lastNumber uint64
 	holds      map[uint64]Hold
-	targets    map[string]roster.Target
-	domains    map[string]*domain
+	// targets are the usable targets, listMark is the mark of their list.
+	targets  map[string]roster.Target
+	listMark int64
+	domains  map[string]*domain
 	// outboxes, avoidUntil and reportedAt are by the address of a broker: its queued
 	// releases, the time until which it is not asked, and the time of its last full report.
 	outboxes   map[string]*outbox
@@ -120,12 +126,13 @@
 	}
 }
 
-// SetTargets replaces the list of usable targets.
-func (c *Client) SetTargets(list []roster.Target) {
+// SetTargets replaces the list of usable targets by the one that has been applied up to a mark.
+func (c *Client) SetTargets(mark int64, list []roster.Target) {
 	c.opts.Local.SetTargets(list)
-	c.opts.Broker.SetTargets(list)
+	c.opts.Broker.SetTargets(mark, list)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.listMark = mark
 	clear(c.targets)
 	for _, t := range list {
 		c.targets[t.ID] = t
@@ -151,7 +158,8 @@
 		}
 		if round.answered == "" {
 			choicesWithoutBroker.Inc()
-			return c.opts.Local.Place(ctx, req, limits)
+			choice, ok := c.opts.Local.Place(ctx, req, limits)
+			return c.withLists(choice), ok
 		}
 		if round.accepting == "" && time.Now().Before(limits.RejectBy) {
 			if !round.skipped {
@@ -318,6 +326,8 @@
 	choice.Version = agreedVersion(choice.Version, reply.Grant.Target.Version)
 	choice.Busy, choice.Unaccounted, choice.Slots = reply.Grant.Busy, reply.Grant.Unsure, reply.Grant.Slots
 	choice.Number, choice.Broker, choice.Queue = request.Number, address, reply.Queue
+	choice.Lists = c.listsFor(choice.ID)
+	choice.Lists.Broker = roster.ListState{Mark: reply.Grant.ListMark, Age: reply.Grant.ListAge}
 	reply.Grant.applyPace(&choice)
 	c.mu.Lock()
 	c.paceReports.Stated(choice.ID, choice.Pace.Percent)
@@ -387,7 +397,8 @@
 	limits.SendBy, limits.Deadline, limits.RejectBy = now, now, time.Time{}
 	round := c.tryAll(ctx, req, limits, &arrival{at: now}, false)
 	if round.choice.ID == "" && round.answered == "" {
-		return c.opts.Local.Pick(req)
+		choice, ok := c.opts.Local.Pick(req)
+		return c.withLists(choice), ok
 	}
 	return round.choice, round.choice.ID != ""
 }
--- a/internal/coordination/routed/broker/fairclient_test.go
+++ b/internal/coordination/routed/broker/fairclient_test.go
@@ -62,7 +62,7 @@
 	for _, domain := range []string{"d1", "d2"} {
 		list = append(list, roster.Target{ID: "t-" + domain, Service: "s", Address: domain + ":2", Domain: domain, Slots: 8})
 	}
-	client.SetTargets(list)
+	client.SetTargets(1, list)
 	return client
 }
 
--- a/internal/coordination/routed/broker/itemclient.go
+++ b/internal/coordination/routed/broker/itemclient.go
@@ -57,7 +57,7 @@
 		return choice, false
 	}
 	choicesWithoutBroker.Inc()
-	return choice, true
+	return c.withLists(choice), true
 }
 
 // Domains returns the failure domains that have targets, the own one first.
--- a/internal/coordination/routed/broker/messages.go
+++ b/internal/coordination/routed/broker/messages.go
@@ -103,6 +103,10 @@
 	// its pace in percent. Empty: the same one.
 	MovedFrom     string
 	MovedFromPace int
+	// ListMark and ListAge describe the broker's list of targets, see roster.ListState. They are
+	// 0 if the broker is of a release that does not send them.
+	ListMark int64
+	ListAge  time.Duration
 }
 
 // PlaceReply is the reply to a PlaceRequest.
--- a/internal/coordination/routed/broker/paces_test.go
+++ b/internal/coordination/routed/broker/paces_test.go
@@ -23,7 +23,7 @@
 func newPaceBroker() *Broker {
 	b := New("d1", 1, func(string, uint64) bool { return true })
 	b.SetPaceMaxAge(time.Second)
-	b.SetTargets(paceTargets())
+	b.SetTargets(1, paceTargets())
 	return b
 }
 
@@ -126,7 +126,7 @@
 		Caller: paceCaller{t, p.broker.Receiver(), &p.paced, &p.loads, &p.lost}, Broker: New("d0", 1, nil), Local: local,
 		Connected: func(string) bool { return false }, Logger: log.NewLogfmtLogger(p.logs),
 	})
-	p.client.SetTargets(paceTargets())
+	p.client.SetTargets(1, paceTargets())
 	return p
 }
 
--- a/internal/coordination/routed/broker/release_test.go
+++ b/internal/coordination/routed/broker/release_test.go
@@ -113,7 +113,7 @@
 	for i, version := range versions {
 		list = append(list, roster.Target{ID: fmt.Sprint("t", i), Service: "s", Address: fmt.Sprint("t", i, ":1"), Domain: "d1", Slots: 8, Version: version})
 	}
-	client.SetTargets(list)
+	client.SetTargets(1, list)
 	return client, broker
 }
 
--- a/internal/coordination/routed/broker/replaced_test.go
+++ b/internal/coordination/routed/broker/replaced_test.go
@@ -38,7 +38,7 @@
 			Local: placement.NewPlacer("d", func(string) bool { return true }, 1), Connected: func(string) bool { return true },
 			Logger: log.NewLogfmtLogger(&logs),
 		})
-		client.SetTargets(list)
+		client.SetTargets(1, list)
 		var choices []placement.Choice
 		for range 3 {
 			choice, ok := client.Place(t.Context(), placement.Requirements{Service: "s"}, placement.WaitLimits{Deadline: time.Now().Add(time.Second)})
--- a/internal/coordination/routed/fleetview/digest_test.go
+++ b/internal/coordination/routed/fleetview/digest_test.go
@@ -33,24 +33,24 @@
 func TestListOfEarlierReleaseKeepsKnownVersions(t *testing.T) {
 	var listed []roster.Target
 	view := New(Options{
-		Logger: log.NewNopLogger(), OnTargets: func([]roster.Target) {}, OnListed: func(list []roster.Target) { listed = list },
+		Logger: log.NewNopLogger(), OnTargets: func(int64, []roster.Target) {}, OnListed: func(list []roster.Target) { listed = list },
 		TargetsFromPeers: func() bool { return true },
 	})
-	view.AdoptTargets([]roster.Target{{ID: "a", Started: 1, Version: "v1"}, {ID: "b", Started: 1, Version: "v1"}}, 1)
+	view.AdoptTargets([]roster.Target{{ID: "a", Started: 1, Version: "v1"}, {ID: "b", Started: 1, Version: "v1"}}, 1, "peer")
 	require.True(t, view.targetsFromPeers())
-	view.AdoptTargets([]roster.Target{{ID: "a", Started: 1}, {ID: "b", Started: 2}, {ID: "c", Started: 1}}, 2)
+	view.AdoptTargets([]roster.Target{{ID: "a", Started: 1}, {ID: "b", Started: 2}, {ID: "c", Started: 1}}, 2, "peer")
 	require.False(t, view.targetsFromPeers(), "the list has to be read")
 	require.Equal(t, "v1", listed[0].Version)
 	require.Empty(t, listed[1].Version, "started again")
 	require.Empty(t, listed[2].Version)
-	view.AdoptTargets([]roster.Target{{ID: "a", Started: 1, Version: "v1"}, {ID: "b", Started: 2, Version: "v2"}, {ID: "c", Started: 1, Version: "v2"}}, 3)
+	view.AdoptTargets([]roster.Target{{ID: "a", Started: 1, Version: "v1"}, {ID: "b", Started: 2, Version: "v2"}, {ID: "c", Started: 1, Version: "v2"}}, 3, "peer")
 	require.True(t, view.targetsFromPeers())
 }
 
 // Guards against a list that seems current after a pause or an outage.
 func TestListAgeCountsFromLastRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		view := New(Options{Logger: log.NewNopLogger(), OnTargets: func([]roster.Target) {}})
+		view := New(Options{Logger: log.NewNopLogger(), OnTargets: func(int64, []roster.Target) {}})
 		require.Greater(t, view.ListAge(), time.Minute)
 		view.loadTargets(external.KeyedPage{End: 1, Next: 1})
 		require.Zero(t, view.ListAge())
--- a/internal/coordination/routed/fleetview/view.go
+++ b/internal/coordination/routed/fleetview/view.go
@@ -61,9 +61,10 @@
 	// Seed determines the random parts of delays. It has to differ between instances.
 	Seed uint64
 	// OnConfig and OnTargets are called on each change, in order. They are called
-	// with the View's lock held.
+	// with the View's lock held. mark is the offset in the store up to which the list has been
+	// applied.
 	OnConfig  func(*route.Table)
-	OnTargets func([]roster.Target)
+	OnTargets func(mark int64, list []roster.Target)
 	// OnListed is called before OnTargets with all listed targets, also those that get no
 	// new requests. Nil: not called.
 	OnListed func([]roster.Target)
@@ -338,16 +339,37 @@
 
 // AdoptTargets replaces the list of targets by a full list as of a mark, unless the
 // current one is newer.
-func (v *View) AdoptTargets(list []roster.Target, mark int64) {
+// from is its source, for the log.
+func (v *View) AdoptTargets(list []roster.Target, mark int64, from string) {
 	now := time.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	before := v.roster.All()
 	if v.roster.Replace(mark, withWarmUpEnd(now, list), v.graceUntil(now)) {
 		v.targetsKnown = true
+		v.logDepartures(before, from)
 		v.publishTargets()
 	}
 }
 
+// logDepartures logs which targets of an earlier list are leaving now, or are not listed any more.
+// The caller must hold v.mu.
+func (v *View) logDepartures(before []roster.Target, from string) {
+	now := map[string]roster.Target{}
+	for _, t := range v.roster.All() {
+		now[t.ID] = t
+	}
+	for _, t := range before {
+		current, listed := now[t.ID]
+		switch {
+		case !listed:
+			_ = level.Info(v.logger).Log("event", "target_unlisted", "target", t.ID, "from", from, "list_mark", v.roster.Mark())
+		case current.Leaving && !t.Leaving:
+			_ = level.Info(v.logger).Log("event", "target_leaving", "target", t.ID, "from", from, "list_mark", v.roster.Mark())
+		}
+	}
+}
+
 // publishTargets passes the targets that may be used now to OnTargets. It does so again
 // when the next grace period ends, because the next read of the list may come a second
 // later. The caller must hold v.mu.
@@ -357,7 +379,7 @@
 	if v.opts.OnListed != nil {
 		v.opts.OnListed(v.roster.All())
 	}
-	v.opts.OnTargets(v.availableTargets(now))
+	v.opts.OnTargets(v.roster.Mark(), v.availableTargets(now))
 	if v.graceTimer != nil {
 		v.graceTimer.Stop()
 		v.graceTimer = nil
@@ -383,7 +405,7 @@
 		}
 	}
 	v.markTargetsRead()
-	v.AdoptTargets(list, page.End)
+	v.AdoptTargets(list, page.End, "store")
 }
 
 // markTargetsRead records that the list of targets was read from the store.
@@ -399,10 +421,10 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.targetsReadAt = now
+	before := v.roster.All()
 	for _, record := range page.Records {
 		if len(record.Value) == 0 {
 			v.roster.Remove(record.Offset, record.Key, v.graceUntil(now))
-			_ = level.Info(v.logger).Log("event", "target_unlisted", "target", record.Key, "offset", record.Offset)
 			continue
 		}
 		if t, ok := v.decodeTarget(record); ok {
@@ -411,6 +433,7 @@
 			v.roster.Invalidate(record.Offset, record.Key)
 		}
 	}
+	v.logDepartures(before, "store")
 	v.publishTargets()
 }
 
--- a/internal/coordination/routed/fleetview/view_test.go
+++ b/internal/coordination/routed/fleetview/view_test.go
@@ -122,7 +122,7 @@
 		Log: store, Logger: log.NewNopLogger(),
 		Decoders: Decoders{Target: func(id string, _ []byte) (roster.Target, error) { return roster.Target{ID: id}, nil }},
 		OnConfig: func(*route.Table) {},
-		OnTargets: func(targets []roster.Target) {
+		OnTargets: func(_ int64, targets []roster.Target) {
 			out.mu.Lock()
 			defer out.mu.Unlock()
 			out.usableIDs = nil
@@ -224,7 +224,7 @@
 		time.Sleep(5 * time.Second)
 		synctest.Wait()
 		store.remove("own")
-		v.view.AdoptTargets([]roster.Target{{ID: "far"}}, store.end())
+		v.view.AdoptTargets([]roster.Target{{ID: "far"}}, store.end(), "peer")
 		require.Equal(t, []string{"far", "own"}, v.usable())
 
 		store.setDown(false)
--- a/internal/coordination/routed/fleetview/watcher_test.go
+++ b/internal/coordination/routed/fleetview/watcher_test.go
@@ -117,7 +117,7 @@
 		Log: store, Logger: log.NewNopLogger(), Seed: seed,
 		Decoders:  Decoders{Drain: func(key string) (string, bool) { return key, true }},
 		OnConfig:  func(*route.Table) {},
-		OnTargets: func([]roster.Target) {},
+		OnTargets: func(int64, []roster.Target) {},
 	})
 	(&testView{view: view}).watch(t.Context(), "config")
 	return view
--- a/internal/coordination/routed/placement/core.go
+++ b/internal/coordination/routed/placement/core.go
@@ -128,6 +128,8 @@
 	// the slot. Both are zero if no broker was involved.
 	Number uint64
 	Broker string
+	// Lists describe the lists of targets on which the choice was based.
+	Lists Lists
 	// Pace is the estimate on which the choice was based. It is zero if targets are ranked
 	// without their paces.
 	Pace pace.Estimate
--- a/internal/coordination/routed/relay/logging.go
+++ b/internal/coordination/routed/relay/logging.go
@@ -20,12 +20,13 @@
 		logger = log.WithSuffix(logger, "pace", math.Round(choice.Pace.Percent), "pace_age_ms", choice.Pace.Age.Milliseconds(), "pace_source", choice.Pace.Source,
 			"moved_from", choice.MovedFrom, "moved_from_pace", math.Round(choice.MovedFromPace.Percent))
 	}
-	_ = logger.Log("event", "request_placed", "request", c.Request.ID, "target", choice.ID,
+	fields := []any{"event", "request_placed", "request", c.Request.ID, "target", choice.ID,
 		"domain", choice.Domain, "broker", choice.Broker, "busy", choice.Busy, "slots", choice.Slots,
 		"waited_ms", c.outcome.PlacementTime.Milliseconds(), "left_ms", time.Until(c.Deadline).Milliseconds(),
 		"attempt", c.outcome.Attempts, "position", c.lastEvent,
 		"version", choice.Version, "stream_version", c.origin.Version, "version_source", c.origin.Source,
-		"version_age_ms", c.origin.Age.Milliseconds(), "resumes", c.Request.Resumes)
+		"version_age_ms", c.origin.Age.Milliseconds(), "resumes", c.Request.Resumes}
+	_ = logger.Log(append(fields, choice.Lists.LogFields()...)...)
 }
 
 // logFailedAttempt logs an attempt that did not complete the answer.
--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -158,7 +158,7 @@
 			d.quarantine.Keeper().StoreAnswers()
 			d.limiter.SetOrganisations(t.Version(), t.Organisations())
 		},
-		OnTargets: func(list []roster.Target) { d.brokerClient.SetTargets(list) },
+		OnTargets: func(mark int64, list []roster.Target) { d.brokerClient.SetTargets(mark, list) },
 		OnListed: func(list []roster.Target) {
 			d.listed.set(list)
 			d.origins.SetTargets(list)
@@ -194,8 +194,10 @@
 	}
 	d.brokerClient = broker.NewClient(broker.ClientOptions{
 		Self: d.self, Peers: d.mesh, Caller: d.peerClient, Broker: d.broker, Local: d.placer,
-		Connected: d.targets.Connected, FairQueue: d.settings.Adaptive.FairQueue, Logger: d.logger,
+		Connected: d.targets.Connected, FairQueue: d.settings.Adaptive.FairQueue,
+		ListAge: d.view.ListAge, ListedAs: d.listed.state, Logger: d.logger,
 	})
+	d.broker.SetListAge(d.view.ListAge)
 	if d.settings.Adaptive.FairQueue {
 		d.broker.EnableFairQueue(d.logger)
 	}
--- a/internal/daemon/routed/delegate.go
+++ b/internal/daemon/routed/delegate.go
@@ -48,7 +48,7 @@
 		m.view.AdoptConfig(reply.Config, "peer")
 	}
 	if reply.Listed {
-		m.view.AdoptTargets(reply.Targets, reply.RosterMark)
+		m.view.AdoptTargets(reply.Targets, reply.RosterMark, "peer")
 	}
 }
 
--- a/internal/daemon/routed/targetlist.go
+++ b/internal/daemon/routed/targetlist.go
@@ -49,6 +49,24 @@
 	return left || slices.ContainsFunc(t.list, func(entry roster.Target) bool { return entry.ID == id && entry.Leaving })
 }
 
+// state returns the state in which a target is listed.
+func (t *targetList) state(id string) roster.ListedState {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at := slices.IndexFunc(t.list, func(entry roster.Target) bool { return entry.ID == id })
+	_, left := t.left[id]
+	switch {
+	case at >= 0 && t.list[at].Leaving:
+		return roster.ListedLeaving
+	case at >= 0:
+		return roster.ListedReady
+	case left:
+		return roster.ListedBefore
+	default:
+		return roster.NeverListed
+	}
+}
+
 // replaced reports whether a later incarnation than the given one is listed at an address.
 func (t *targetList) replaced(address string, started int64) bool {
 	t.mu.Lock()
--- a/internal/explain/background.go
+++ b/internal/explain/background.go
@@ -67,6 +67,11 @@
 			return ""
 		}
 		return fmt.Sprintf("target %s was no longer listed", r.Fields["target"])
+	case "target_leaving":
+		if !explanation.mentions(r.Fields["target"]) {
+			return ""
+		}
+		return fmt.Sprintf("target %s said that it leaves", r.Fields["target"])
 	case "target_replaced":
 		if !explanation.mentions(r.Fields["target"]) {
 			return ""
