--- a/internal/standin/sharedstore/endpoint.go
+++ b/internal/standin/sharedstore/endpoint.go
@@ -19,6 +19,8 @@
 	// RejectedCalls are the kinds of calls, such as "log-read", that are answered with
 	// status 503.
 	RejectedCalls []string
+	// RejectedTopics are the topics whose calls are answered with status 503.
+	RejectedTopics []string
 	// Silent leaves every call unanswered until the fault is replaced or the
 	// caller gives up. Reset closes the connection of every call.
 	Silent, Reset bool
@@ -101,7 +103,8 @@
 		panic(http.ErrAbortHandler)
 	}
 	kind := strings.TrimPrefix(r.URL.Path, "/")
-	if slices.Contains(fault.RejectedCalls, kind) {
+	topic, _ := topicAndPartition(r)
+	if slices.Contains(fault.RejectedCalls, kind) || slices.Contains(fault.RejectedTopics, topic) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
