A grant by an older list than the own one is not used if its target has left

Cause: an instance uses any grant whose service and version fit. A broker that has just come back from a pause grants by the list from before it, and the instance that asked may have read seconds ago that the target leaves. The class: a decision by the older of two states that are both at hand.

Change: a grant carries the mark of the broker's list. If the own list is as new or newer and does not have the target, or only as leaving, the slot is given back, the target is excluded, and the broker is asked again; after four such grants the next broker is asked. All ways to a slot go through this check: online requests, items, resumed streams, targets that the stall monitor reserves. A target that only the newer list of the broker has is used as before. A broker of an earlier release sends no mark and counts as older.

--- a/internal/coordination/routed/broker/itemclient.go
+++ b/internal/coordination/routed/broker/itemclient.go
@@ -92,21 +92,38 @@
 	request.Want.Connected = c.connected(request.Domain, request.Want.Service)
 	request.Number = c.nextNumber()
 	for _, address := range c.Brokers(request.Domain) {
-		reply, err := c.callBroker(ctx, address, request)
+		choice, held, err := c.requestSlotAt(ctx, address, request)
 		if err != nil {
 			c.avoidBroker(address, request.Domain, err)
 			continue
 		}
+		return choice, held, true
+	}
+	return placement.Choice{}, ForecastHold{}, false
+}
+
+// requestSlotAt requests a slot from one broker. If it grants one at a target that has left by this
+// instance's list, the slot is given back and the broker is asked again without that target.
+func (c *Client) requestSlotAt(ctx context.Context, address string, request *PlaceRequest) (placement.Choice, ForecastHold, error) {
+	for range maxRefusedGrants {
+		reply, err := c.callBroker(ctx, address, request)
+		if err != nil {
+			return placement.Choice{}, ForecastHold{}, err
+		}
 		answeredRequests.Inc()
 		choice := c.applyReply(address, request, reply)
-		if choice.ID != "" && !request.Want.Allows(choice.Target) {
+		switch {
+		case choice.ID == "":
+			return choice, reply.Held, nil
+		case !request.Want.Allows(choice.Target):
 			c.Done(choice, placement.Cancelled)
-			c.avoidBroker(address, request.Domain, errVersionIgnored)
-			continue
+			return placement.Choice{}, ForecastHold{}, errVersionIgnored
+		case !c.hasLeft(choice):
+			return choice, reply.Held, nil
 		}
-		return choice, reply.Held, true
+		c.refuseGrant(request, choice)
 	}
-	return placement.Choice{}, ForecastHold{}, false
+	return placement.Choice{}, ForecastHold{}, errOldList
 }
 
 // SetRunID records the ID under which the target of a choice runs a batch item.
