The list of targets is fetched from a peer by its own age

What callers saw: nothing; requests reach targets that left seconds ago.

Cause: an instance fetches the list from a peer with a newer one if the store has not answered it for 1.2 s. Any answer counted: of the configuration, the jobs, the list of instances. If only the reads of the list fail or are late, the list grows old without end while other instances have a newer one. The class: the age of one thing taken for that of another.

Change: the age of the list decides (mesh.Versions.ListAge). An own read renews it, and in a fleet with relays an answer of the store. A fetch still needs a peer whose list is newer and differs.

--- a/internal/coordination/routed/mesh/catchup.go
+++ b/internal/coordination/routed/mesh/catchup.go
@@ -15,9 +15,9 @@
 	// the sets of known instances differ. The sets differ briefly whenever an instance
 	// starts or ends.
 	compareInterval = 700 * time.Millisecond
-	// staleStoreMargin is the age of the store's last answer from which this instance fetches the
-	// list of targets from a peer, and how much older the answer must be here than at the peer
-	// before it fetches the configuration. It is two periods of this instance's own reads.
+	// staleStoreMargin is the age of the list of targets from which this instance fetches it from a
+	// peer, and how much older the store's last answer must be here than at the peer before it
+	// fetches the configuration. It is two periods of this instance's own reads.
 	staleStoreMargin = 1200 * time.Millisecond
 	// storeGracePeriod is how long an instance of a large fleet waits for the store to
 	// deliver a configuration that a peer already has.
@@ -35,7 +35,7 @@
 	defer m.mu.Unlock()
 	stale := own.StoreAge > heartbeat.StoreAge+staleStoreMargin
 	newer := m.shouldFetchConfig(now, heartbeat.ConfigVersion > own.Config, stale) ||
-		heartbeat.RosterMark > own.RosterMark && heartbeat.RosterDigest != own.RosterDigest && m.needsPeerTargets(now, own.StoreAge)
+		heartbeat.RosterMark > own.RosterMark && heartbeat.RosterDigest != own.RosterDigest && m.needsPeerTargets(now, own.ListAge)
 	if !newer && heartbeat.Known != m.view.Digest() && now.Sub(m.comparedAt) > compareInterval {
 		m.comparedAt = now
 		newer = true
@@ -47,13 +47,14 @@
 	go m.fetch(heartbeat.From.Address, SnapshotArgs{ConfigVersion: own.Config, RosterMark: own.RosterMark})
 }
 
-// needsPeerTargets reports whether the list of targets has to come from peers, since the store
-// does not answer this instance or its relays read the list for it. The caller must hold mu.
+// needsPeerTargets reports whether the list of targets has to come from peers, since this instance
+// has not read it lately or its relays read it. The caller must hold mu.
 //
-// How long the store has been silent to the peer does not matter: if it rejects the relays of a
+// Other answers of the store don't count: it may answer all calls but the reads of the list. How long
+// the store has been silent to the peer does not matter: if it rejects the relays of a
 // failure domain too, they still receive the list from those of other domains.
-func (m *Mesh) needsPeerTargets(now time.Time, storeAge time.Duration) bool {
-	return storeAge > staleStoreMargin || m.getsTargetListFromRelay(now)
+func (m *Mesh) needsPeerTargets(now time.Time, listAge time.Duration) bool {
+	return listAge > staleStoreMargin || m.getsTargetListFromRelay(now)
 }
 
 // shouldFetchConfig reports whether to fetch the configuration from a peer that has a newer
--- a/internal/coordination/routed/mesh/mesh.go
+++ b/internal/coordination/routed/mesh/mesh.go
@@ -49,8 +49,9 @@
 	RosterMark int64
 	// RosterDigest is a digest of the list of targets.
 	RosterDigest uint64
-	// StoreAge is the time since the platform's store last answered.
-	StoreAge time.Duration
+	// StoreAge is the time since the platform's store last answered, ListAge that since the list
+	// of targets was known to be current.
+	StoreAge, ListAge time.Duration
 }
 
 // Delegate supplies the local state that the mesh sends to peers, and receives the state
--- a/internal/daemon/routed/delegate.go
+++ b/internal/daemon/routed/delegate.go
@@ -21,7 +21,7 @@
 
 // Versions implements mesh.Delegate.
 func (m *meshDelegate) Versions() mesh.Versions {
-	return mesh.Versions{Config: m.view.Version(), RosterMark: m.view.RosterMark(), RosterDigest: m.view.RosterDigest(), StoreAge: m.view.StoreAge()}
+	return mesh.Versions{Config: m.view.Version(), RosterMark: m.view.RosterMark(), RosterDigest: m.view.RosterDigest(), StoreAge: m.view.StoreAge(), ListAge: m.view.ListAge()}
 }
 
 // FillHeartbeat implements mesh.Delegate.
