Records below the mark of the list of targets are ignored

What callers saw: nothing seen. A leaving target could get requests again, and a serving one none, for as long as it takes to read one page of changes.

Cause: an instance that adopted the list of a peer goes on reading the store from its own, earlier offset. It applied those older records over the newer list, while the mark stayed that of the newer one. The states end in the same page as a rule; with more than 1 MB of changes, or another reader of the mark in between, they don't.

Change: the list ignores records below its mark, as the drains of domains do.

--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -84,9 +84,12 @@
 // lists the one with the larger mark is the newer, whichever instance read it.
 func (r *Roster) Mark() int64 { return r.mark }
 
-// Put adds or replaces an entry.
+// Put adds or replaces an entry. As with Remove and Invalidate, a record with an offset below the
+// mark is ignored: the list was adopted from an instance that had read further, and contains it.
 func (r *Roster) Put(offset int64, t Target) {
-	r.advance(offset)
+	if !r.advance(offset) {
+		return
+	}
 	r.targets[t.ID] = t
 	delete(r.inGrace, t.ID)
 }
@@ -99,8 +102,9 @@
 // again, although all of them serve; without the grace period all requests would be
 // rejected meanwhile.
 func (r *Roster) Remove(offset int64, id string, graceUntil time.Time) {
-	r.advance(offset)
-	r.remove(id, graceUntil)
+	if r.advance(offset) {
+		r.remove(id, graceUntil)
+	}
 }
 
 func (r *Roster) remove(id string, graceUntil time.Time) {
@@ -117,7 +121,9 @@
 // Invalidate applies an entry that describes no usable target: the target is not used
 // any more, without a grace period.
 func (r *Roster) Invalidate(offset int64, id string) {
-	r.advance(offset)
+	if !r.advance(offset) {
+		return
+	}
 	delete(r.targets, id)
 	delete(r.inGrace, id)
 }
@@ -162,9 +168,14 @@
 	return false
 }
 
-// advance records that the entry at an offset has been applied.
-func (r *Roster) advance(offset int64) {
-	r.mark = max(r.mark, offset+1)
+// advance records that the entry at an offset is applied. It returns false if the list already
+// contains that entry or a later one.
+func (r *Roster) advance(offset int64) bool {
+	if offset < r.mark {
+		return false
+	}
+	r.mark = offset + 1
+	return true
 }
 
 // Usable returns the targets that may get requests at a time, sorted by id.
