A removed target is not taken for a lapsed one while other instances say that the list is current

What callers saw: nothing; requests reached a target 2 s after its entry was removed, sent by instances that the store rejected. Some targets never say that they leave: the removal is all there is.

Cause: entries that disappear in an outage of the store are used for another 1.5 s, since they may only have lapsed. An instance that alone is rejected by the store took that for an outage, though others that the store serves had confirmed its list many times a second. Learning of the removal over two relays took the rest of the 2 s. The class: own silence taken for that of all.

Change: heartbeats say how long ago the list was known to be current. An instance with the same list counts that as its own knowledge. The time of grace begins only if neither the store nor another instance confirmed the list for 2.5 s, as in a partition or an outage for all. A pause of the own process still counts as an outage.

--- a/internal/coordination/routed/fleetview/view.go
+++ b/internal/coordination/routed/fleetview/view.go
@@ -94,9 +94,12 @@
 	drainEndedAt map[string]time.Time
 	// rosterDigest is the digest of the list of targets.
 	rosterDigest uint64
-	// lastAnswer is when the store last answered, storeReturned when it first
-	// answered after the last outage.
-	lastAnswer, storeReturned time.Time
+	// lastAnswer is when the store last answered.
+	lastAnswer time.Time
+	// currentAt is when the list of targets was last known to be current: the store answered, or
+	// an instance with the same list that it answered. storeReturned is when that was so for
+	// the first time after the last outage.
+	currentAt, storeReturned time.Time
 	// targetsReadAt is when the list of targets was last read from the store.
 	targetsReadAt time.Time
 	// configChanged is closed and replaced when the configuration changes.
@@ -195,10 +198,51 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if !v.lastAnswer.IsZero() && now.Sub(v.lastAnswer) > outageThreshold {
-		v.storeReturned = now
 		_ = level.Info(v.logger).Log("event", "store_back", "away_ms", now.Sub(v.lastAnswer).Milliseconds())
 	}
 	v.lastAnswer = now
+	v.markCurrent(now)
+}
+
+// ListConfirmed records that another instance has a list with a digest which was known to be current
+// an age ago. age is 0 if the instance does not tell.
+//
+// Without this, an instance that alone is rejected by the store would take a target that has left for
+// one whose entry lapsed in an outage, and use it for another returnGrace.
+func (v *View) ListConfirmed(digest uint64, age time.Duration) {
+	now := time.Now()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if age > 0 && v.targetsKnown && digest == v.rosterDigest {
+		v.markCurrent(now.Add(-age))
+	}
+}
+
+// ListConfirmedAge returns the time since the list of targets was last known to be current, 0 if it never was.
+func (v *View) ListConfirmedAge() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.currentAt.IsZero() || !v.targetsKnown {
+		return 0
+	}
+	return max(time.Since(v.currentAt), 1)
+}
+
+// markCurrent records that the list of targets was current at a time. The caller must hold v.mu.
+func (v *View) markCurrent(at time.Time) {
+	if !at.After(v.currentAt) {
+		return
+	}
+	if v.isOutage(at) {
+		v.storeReturned = at
+	}
+	v.currentAt = at
+}
+
+// isOutage reports whether the list of targets has been known to be current, and not been so for longer than
+// a lost read explains. The caller must hold v.mu.
+func (v *View) isOutage(now time.Time) bool {
+	return !v.currentAt.IsZero() && now.Sub(v.currentAt) > outageThreshold
 }
 
 // RosterMark returns the offset in the store up to which the list of targets has been
@@ -279,7 +323,7 @@
 // later, and would send all requests to the other domains.
 func (v *View) graceUntil(now time.Time) time.Time {
 	switch {
-	case !v.lastAnswer.IsZero() && now.Sub(v.lastAnswer) > outageThreshold:
+	case v.isOutage(now):
 		return now.Add(returnGrace)
 	case !v.storeReturned.IsZero() && now.Sub(v.storeReturned) < returnWindow:
 		return v.storeReturned.Add(returnGrace)
--- a/internal/coordination/routed/mesh/heartbeat.go
+++ b/internal/coordination/routed/mesh/heartbeat.go
@@ -46,6 +46,9 @@
 	Reads bool
 	// StoreAge is the time since the platform's store last answered the sender.
 	StoreAge time.Duration
+	// ListConfirmedAge is the time since the sender's list of targets was known to be current, by
+	// an answer of the store or by another instance. 0: not known, or not told by the release.
+	ListConfirmedAge time.Duration
 	// Held are the slots that the sender occupies at targets.
 	Held []placement.InFlight
 	// Admitted counts the requests that the sender has admitted, by organisation. It has
--- a/internal/daemon/routed/delegate.go
+++ b/internal/daemon/routed/delegate.go
@@ -28,6 +28,7 @@
 func (m *meshDelegate) FillHeartbeat(heartbeat *mesh.Heartbeat) {
 	heartbeat.Leaving = m.leaving.Load()
 	heartbeat.Drains = m.view.Drains()
+	heartbeat.ListConfirmedAge = m.view.ListConfirmedAge()
 	heartbeat.Held = m.placer.InFlight()
 	heartbeat.SetRates(m.limiter)
 	heartbeat.Partitions, heartbeat.Generation = m.partitionOwner.Owned()
@@ -56,6 +57,7 @@
 func (m *meshDelegate) HeartbeatReceived(heartbeat mesh.Heartbeat, silenceTimeout time.Duration) {
 	if !heartbeat.Relayed {
 		m.view.AdoptDrains(heartbeat.Drains, "peer")
+		m.view.ListConfirmed(heartbeat.RosterDigest, heartbeat.ListConfirmedAge)
 		m.placer.SetPeer(heartbeat.From.Name, heartbeat.Held)
 	}
 	m.limiter.ApplyReport(heartbeat.RateReport(silenceTimeout))
--- a/internal/daemon/routed/leavingtarget_test.go
+++ b/internal/daemon/routed/leavingtarget_test.go
@@ -110,3 +110,33 @@
 		})
 	}
 }
+
+// unlist removes a target's entry while the target goes on serving, as those do that never say that they leave.
+func (t *target) unlist() {
+	t.silent = true
+	t.fleet.store.Put("keyed.servers", t.id, nil)
+}
+
+// Guards against an instance that the store rejects and that takes a removed target for one whose entry has lapsed, though
+// instances that the store serves say all the while that the list is current.
+func TestUnlistedTargetIsNotUsedWhereOnlyTheStoreRejects(t *testing.T) {
+	for name, size := range map[string]fleetSize{"small fleet": {domains: 3, instances: 2, targets: 2}, "with relays": {domains: 3, instances: 7, targets: 2}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet := newTestFleet(t, size)
+				var rejected []*testInstance
+				for _, inst := range fleet.instances {
+					if inst.domain == "d0" {
+						inst.storeAccess.Set(sharedstore.Fault{Status: http.StatusTooManyRequests})
+						rejected = append(rejected, inst)
+					}
+				}
+				sleep(5 * time.Second)
+				gone := fleet.targets[0]
+				gone.unlist()
+				sleep(2 * time.Second)
+				fleet.requireNothingSentBy(t, rejected, gone)
+			})
+		})
+	}
+}
