An instance that has just started concludes nothing from the list about versions that it does not show

Cause: an instance that had just started took the version that the list shows for the only one if no listed target had started in the last 10 s, by the clocks of the targets. Targets of another version that have just left, are not listed yet, or whose entries have lapsed are not in that list. Other instances that had started as lately answered the same, and that counted as knowledge. The class: absence in a state taken for evidence by one who has not seen what came before.

Ruled out: waiting for 10 s in any case keeps streams apart and rejects those of a service that never had a second version.

Change: the past comes from the store. The changes of the list of targets are kept there for some minutes; a summary in a topic of our own, written by the first instance by rank, has the versions up to an offset, so that the changes before it may be deleted. An instance that has known the list for less than 10 s reads both when a stream is taken up that no instance knows; if changes are missing, the past is not known and the caller begins anew. The start times of targets are no longer used.

TestStartedInstanceKnowsOnlyVersionIfNoTargetStartedLately asked for the wrong conclusion. TestStartedInstanceConcludesNothingFromListAlone replaces it: the same instance must not conclude anything before it has known the list for 10 s, whatever the targets' starts, and TestStartedInstanceKnowsVersionsFromThePast asks for the conclusion where the past is known.

--- a/internal/coordination/routed/fleetview/view.go
+++ b/internal/coordination/routed/fleetview/view.go
@@ -381,6 +381,13 @@
 	return withRemainingWarmUp(time.Now(), v.roster.All()), v.roster.Mark(), true
 }
 
+// Targets returns the listed targets, and the mark of the list.
+func (v *View) Targets() ([]roster.Target, int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.roster.All(), v.roster.Mark()
+}
+
 // AdoptTargets replaces the list of targets by a full list as of a mark, unless the
 // current one is newer.
 // from is its source, for the log.
--- a/internal/coordination/routed/origin/history_test.go
+++ b/internal/coordination/routed/origin/history_test.go
@@ -62,26 +62,50 @@
 	}
 }
 
-// Guards against a guess of an instance that has just started: a target that is listed may
-// have replaced one of another version a moment ago. If no target has started lately, none
-// has replaced another.
-func TestStartedInstanceKnowsOnlyVersionIfNoTargetStartedLately(t *testing.T) {
-	list := targetsOf("v2")
-	h := newHistory()
-	h.setTargets(start, list)
-	version, ok := h.onlyVersion(start.Add(-streamLifetime), "s")
-	require.True(t, ok)
-	require.Equal(t, "v2", version)
+// Guards against a conclusion of an instance that has just started about versions that the list does not show, however
+// long ago the listed targets started: targets of another version may have left a moment before, or not be listed yet.
+func TestStartedInstanceConcludesNothingFromListAlone(t *testing.T) {
+	for _, started := range []time.Duration{time.Second, time.Hour, -time.Hour} {
+		list := targetsOf("v2")
+		list[0].Started = start.Add(-started).UnixMilli()
+		h := newHistory()
+		h.setTargets(start, list)
+		for age := time.Duration(0); age <= 2*streamLifetime; age += time.Second {
+			now := start.Add(age)
+			h.setTargets(now, list)
+			_, ok := h.onlyVersion(now.Add(-streamLifetime), "s")
+			require.Equal(t, age >= streamLifetime, ok, age)
+		}
+	}
+}
 
-	list[0].Started = start.Add(-time.Second).UnixMilli()
-	h = newHistory()
-	h.setTargets(start, list)
-	_, ok = h.onlyVersion(start.Add(-streamLifetime), "s")
-	require.False(t, ok)
-	later := start.Add(streamLifetime + time.Millisecond)
-	h.setTargets(later, list)
-	_, ok = h.onlyVersion(later.Add(-streamLifetime), "s")
-	require.True(t, ok)
+// Guards against streams that can't be taken up after a restart though the past shows one version, and against those of a
+// version that only the past shows being continued at another.
+func TestStartedInstanceKnowsVersionsFromThePast(t *testing.T) {
+	for name, c := range map[string]struct {
+		past versionSet
+		want string
+	}{
+		"one version":      {versionSet{"s": {"v2"}}, "v2"},
+		"nothing recorded": {versionSet{}, "v2"},
+		"other service":    {versionSet{"other": {"v1"}}, "v2"},
+		"another version":  {versionSet{"s": {"v1"}}, ""},
+		"two versions":     {versionSet{"s": {"v1", "v2"}}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHistory()
+			h.setTargets(start, targetsOf("v2"))
+			now := start.Add(time.Second)
+			h.setPast(c.past)
+			version, ok := h.onlyVersion(now.Add(-streamLifetime), "s")
+			require.Equal(t, c.want, version)
+			require.Equal(t, c.want != "", ok)
+			later := start.Add(streamLifetime + time.Second)
+			h.setTargets(later, targetsOf("v2"))
+			_, ok = h.onlyVersion(later.Add(-streamLifetime), "s")
+			require.True(t, ok, "streams of the past can't be taken up any more")
+		})
+	}
 }
 
 func TestServicesHaveTheirOwnVersions(t *testing.T) {
--- /dev/null
+++ b/internal/coordination/routed/origin/past.go
@@ -0,0 +1,63 @@
+package origin
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+)
+
+// awaitPast waits until the past versions are read from the store, if this instance needs them. It
+// returns true if they are known now and were not before.
+//
+// They are read only when a stream is taken up whose record no instance has: others know them as
+// a rule, unless all instances have just started.
+func (r *Registry) awaitPast(ctx context.Context) bool {
+	read := r.startPastRead()
+	if read == nil {
+		return false
+	}
+	timer := time.NewTimer(pastWait)
+	defer timer.Stop()
+	select {
+	case <-read:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.history.pastKnown
+}
+
+// startPastRead starts a read of the past versions, unless one is running. It returns a channel that is
+// closed when the read ends, nil if the past is not needed or was asked for a moment ago.
+func (r *Registry) startPastRead() <-chan struct{} {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.pastRead != nil {
+		return r.pastRead
+	}
+	if r.opts.Past == nil || !r.history.needsPast(now.Add(-streamLifetime)) || now.Sub(r.pastReadAt) < pastRetryInterval {
+		return nil
+	}
+	r.pastRead, r.pastReadAt = make(chan struct{}), now
+	go r.readPast(r.pastRead)
+	return r.pastRead
+}
+
+// readPast reads the past versions and closes done.
+func (r *Registry) readPast(done chan struct{}) {
+	defer close(done)
+	ctx, cancel := context.WithTimeout(context.Background(), pastTimeout)
+	defer cancel()
+	start := time.Now()
+	past, err := r.opts.Past(ctx)
+	_ = level.Info(r.opts.Logger).Log("event", "past_versions_read", "versions", past.String(), "took_ms", time.Since(start).Milliseconds(), "err", err)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pastRead = nil
+	if err == nil {
+		r.history.setPast(past)
+	}
+}
--- a/internal/coordination/routed/origin/registry.go
+++ b/internal/coordination/routed/origin/registry.go
@@ -25,6 +25,11 @@
 	maxListAge = 3 * time.Second
 	// tellInterval is how often untold records are sent that have to be.
 	tellInterval = 250 * time.Millisecond
+	// pastTimeout bounds a read of the past versions from the store, and pastWait the time for which
+	// a stream that is taken up waits for it. pastRetryInterval is the time between two reads.
+	pastTimeout       = time.Second
+	pastWait          = 300 * time.Millisecond
+	pastRetryInterval = 200 * time.Millisecond
 	// askTimeout bounds the search for a record. Other instances answer within a few
 	// milliseconds.
 	askTimeout = 80 * time.Millisecond
@@ -54,7 +59,10 @@
 	// ListAge returns the time since the list of targets was known to be current. It is
 	// called without the registry's lock.
 	ListAge func() time.Duration
-	Logger  log.Logger
+	// Past returns, by service, the versions from before this instance started, see
+	// Archive.Past. Nil: not known.
+	Past   func(ctx context.Context) (versionSet, error)
+	Logger log.Logger
 }
 
 // Registry knows at which version each stream began. It is a background service and safe for
@@ -71,6 +79,10 @@
 	// unable holds, by address, until when an instance gets no calls because its release keeps
 	// no records.
 	unable map[string]time.Time
+	// pastRead is closed when the current read of the past versions ends, nil if none runs.
+	// pastReadAt is when the last one began.
+	pastRead   chan struct{}
+	pastReadAt time.Time
 }
 
 // New returns a registry without records.
@@ -158,6 +170,9 @@
 			return found
 		}
 	}
+	if !only && r.awaitPast(ctx) {
+		version, only = r.OnlyVersion(service)
+	}
 	if only {
 		return Origin{Version: version, Source: OnlyVersion, Age: r.opts.ListAge()}
 	}
--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -37,10 +37,11 @@
 
 const (
 	// jobsTopic holds batch jobs, instancesTopic the list of instances, quarantineTopic the closed
-	// parts of prompts.
+	// parts of prompts, versionsTopic which software versions services have had.
 	jobsTopic       = "keyed.jobs"
 	instancesTopic  = "keyed.instances"
 	quarantineTopic = "keyed.quarantine"
+	versionsTopic   = "keyed.versions"
 	jobsGroup       = "jobs"
 	// heapShareOfMemory is the share of the configured memory that is set as the soft
 	// memory limit of the Go runtime.
@@ -64,6 +65,7 @@
 	limiter        *quota.Limiter
 	mesh           *mesh.Mesh
 	origins        *origin.Registry
+	versions       *origin.Archive
 	times          *servicetime.Estimator
 	quarantine     *quarantine.Guard
 	listed         targetList
@@ -208,11 +210,24 @@
 }
 
 func (d *Daemon) setupOrigins() {
+	d.versions = origin.NewArchive(origin.ArchiveOptions{
+		Log: d.store, Summaries: external.Partition{Topic: versionsTopic}, Targets: platform.Targets,
+		DecodeTarget: platform.DecodeTarget, Listed: d.view.Targets, IsWriter: d.writesVersions,
+		Seed: xxhash.Sum64String(d.self.Name), Logger: d.logger,
+	})
 	d.origins = origin.New(origin.Options{
-		Self: d.self, Peers: d.mesh, Caller: d.peerClient, ListAge: d.view.ListAge, Logger: d.logger,
+		Self: d.self, Peers: d.mesh, Caller: d.peerClient, ListAge: d.view.ListAge, Past: d.versions.Past, Logger: d.logger,
 	})
 }
 
+// writesVersions reports whether this instance writes which software versions services have had: it ranks
+// first among the instances that it reaches.
+func (d *Daemon) writesVersions() bool {
+	const purpose = "versions"
+	own := mesh.Rank(purpose, d.self)
+	return !slices.ContainsFunc(d.mesh.AllUp(), func(i mesh.Instance) bool { return mesh.Rank(purpose, i) < own })
+}
+
 func (d *Daemon) setupBatchJobs() {
 	s := d.settings.Store
 	opts := &batchjobs.Options{
@@ -280,6 +295,7 @@
 	d.supervisor.Add(d.broker)
 	d.supervisor.Add(d.brokerClient)
 	d.supervisor.Add(d.origins)
+	d.supervisor.Add(d.versions)
 	d.supervisor.Add(d.quarantine)
 	d.supervisor.Add(d.quarantine.Checker())
 	d.supervisor.Add(d.quarantine.Keeper())
