A pause of the own process is not taken for an outage of the store

Cause: entries that disappear in an outage of the store stay in use for 1.5 s, since they may only have lapsed. The time since the store's last answer counted as an outage also if this process did not run and so could not read any. The class: an own stall taken for silence of the other side, as in docs/incidents/stall-counts-as-silence.md.

Change: the clock that the rates use for this (now wait.RunClock) measures for how long the process did not run, and that time is not counted. An outage in which the process runs is treated as before. If machine and store fail at once, targets whose entries lapsed are not used by that instance until they register again, a second or two.

--- a/internal/coordination/routed/broker/refusedgrants_test.go
+++ b/internal/coordination/routed/broker/refusedgrants_test.go
@@ -108,3 +108,13 @@
 		require.Equal(t, "t1", choice.ID)
 	})
 }
+
+// Guards against requests to a target that has left, by the grant of a broker of a release that does not say how old its
+// list is.
+func TestGrantOfEarlierReleaseIsNotUsedIfTargetLeft(t *testing.T) {
+	client, broker := newReleaseTest(t, []string{"gone", "t0"}, "v1")
+	choice, ok := client.TryPlace(t.Context(), placement.Requirements{Service: "s"}, placement.WaitLimits{})
+	require.True(t, ok)
+	require.Equal(t, "t0", choice.ID)
+	require.Equal(t, 2, broker.calls)
+}
--- a/internal/coordination/routed/fleetview/view.go
+++ b/internal/coordination/routed/fleetview/view.go
@@ -14,6 +14,7 @@
 	"merlintiller/internal/external"
 	"merlintiller/internal/state/roster"
 	"merlintiller/internal/state/route"
+	"merlintiller/internal/wait"
 )
 
 const (
@@ -100,6 +101,9 @@
 	// an instance with the same list that it answered. storeReturned is when that was so for
 	// the first time after the last outage.
 	currentAt, storeReturned time.Time
+	// clock tells for how long this process did not run, stalledBefore until currentAt.
+	clock         wait.RunClock
+	stalledBefore time.Duration
 	// targetsReadAt is when the list of targets was last read from the store.
 	targetsReadAt time.Time
 	// configChanged is closed and replaced when the configuration changes.
@@ -236,13 +240,25 @@
 	if v.isOutage(at) {
 		v.storeReturned = at
 	}
-	v.currentAt = at
+	v.currentAt, v.stalledBefore = at, v.clock.StalledUntil(at)
 }
 
 // isOutage reports whether the list of targets has been known to be current, and not been so for longer than
-// a lost read explains. The caller must hold v.mu.
+// a lost read explains. A pause of this process does not count. The caller must hold v.mu.
 func (v *View) isOutage(now time.Time) bool {
-	return !v.currentAt.IsZero() && now.Sub(v.currentAt) > outageThreshold
+	if v.currentAt.IsZero() {
+		return false
+	}
+	stalled := v.clock.StalledUntil(now) - v.stalledBefore
+	return now.Sub(v.currentAt)-stalled > outageThreshold
+}
+
+// tick records that this process runs.
+func (v *View) tick() {
+	now := time.Now()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.clock.Tick(now, tickInterval)
 }
 
 // RosterMark returns the offset in the store up to which the list of targets has been
--- a/internal/coordination/routed/fleetview/view_test.go
+++ b/internal/coordination/routed/fleetview/view_test.go
@@ -140,7 +140,7 @@
 // watch runs the watcher with a name until ctx ends.
 func (v *testView) watch(ctx context.Context, name string) {
 	for _, service := range v.view.BackgroundServices() {
-		if w := service.(*watcher); w.name == name {
+		if w, ok := service.(*watcher); ok && w.name == name {
 			go func() { _ = w.Serve(ctx) }()
 		}
 	}
--- a/internal/coordination/routed/fleetview/watcher.go
+++ b/internal/coordination/routed/fleetview/watcher.go
@@ -49,6 +49,8 @@
 	// suspendedPollInterval is how often a suspended watcher checks whether it has
 	// to read again.
 	suspendedPollInterval = 500 * time.Millisecond
+	// tickInterval is the interval between two ticks by which pauses of this process are seen.
+	tickInterval = 100 * time.Millisecond
 )
 
 // errEndsEarlier reports that a partition ends before the offset that was already read.
@@ -57,9 +59,10 @@
 // watchFailures counts failed reads of a watched partition.
 var watchFailures = metrics.NewCounter(`store_watch_failures_total`)
 
-// BackgroundServices returns the watchers of the store, to be run by a supervisor.
+// BackgroundServices returns the watchers of the store and the ticker, to be run by a supervisor.
 func (v *View) BackgroundServices() []suture.Service {
 	return []suture.Service{
+		&ticker{v},
 		&watcher{
 			view: v, name: "config", partition: v.opts.Sources.Operators, readWait: configReadWait,
 			load: v.loadOperatorRecords, apply: v.applyOperatorRecords,
@@ -73,6 +76,15 @@
 	}
 }
 
+// ticker records at regular times that this process runs.
+type ticker struct{ view *View }
+
+// String names the service for the supervisor.
+func (t *ticker) String() string { return "view-ticker" }
+
+// Serve ticks until ctx ends.
+func (t *ticker) Serve(ctx context.Context) error { return wait.Every(ctx, tickInterval, t.view.tick) }
+
 // loadOperatorRecords adopts the drains and the configuration among the newest records.
 // The drains come first: an instance that has a configuration serves requests, and must
 // not send them to targets of a drained domain.
--- a/internal/coordination/routed/quota/quota.go
+++ b/internal/coordination/routed/quota/quota.go
@@ -19,6 +19,8 @@
 import (
 	"maps"
 	"time"
+
+	"merlintiller/internal/wait"
 )
 
 const (
@@ -62,7 +64,7 @@
 type Buckets struct {
 	// startedAt is the start of this incarnation, now the latest time that was passed in.
 	startedAt, now time.Time
-	clock          runClock
+	clock          wait.RunClock
 	startup        startup
 	limits         map[string]Limit
 	// limitsVersion is the version of the configuration that limits are from.
@@ -178,7 +180,7 @@
 		bs.applyCounts(now, p, r.Counts)
 	}
 	p.lastSeen, p.hasQuotaState, p.silenceTimeout = now, r.HasQuotaState, r.SilenceTimeout
-	p.stalledUntilSeen = bs.clock.stalledUntil(now)
+	p.stalledUntilSeen = bs.clock.StalledUntil(now)
 	if r.Asked != nil {
 		p.asked = r.Asked
 	}
@@ -259,7 +261,7 @@
 		if p.down {
 			bs.changePeers(now, func() { p.down = false })
 		}
-		p.lastSeen, p.stalledUntilSeen = r.At, bs.clock.stalledUntil(now)
+		p.lastSeen, p.stalledUntilSeen = r.At, bs.clock.StalledUntil(now)
 	}
 }
 
@@ -283,7 +285,7 @@
 
 // Tick records that this process runs, and when Tick will be called next. Time by which it
 // is late does not count as silence of the other instances.
-func (bs *Buckets) Tick(now time.Time, period time.Duration) { bs.clock.tick(now, period) }
+func (bs *Buckets) Tick(now time.Time, period time.Duration) { bs.clock.Tick(now, period) }
 
 // AddPeer adds an instance that has not reported yet.
 func (bs *Buckets) AddPeer(now time.Time, name string) {
--- a/internal/coordination/routed/quota/shares.go
+++ b/internal/coordination/routed/quota/shares.go
@@ -90,7 +90,7 @@
 // silence returns the time since an instance was last heard of, without the time for which
 // this process did not run.
 func (bs *Buckets) silence(now time.Time, p *peer) time.Duration {
-	stalled := bs.clock.stalledUntil(now) - p.stalledUntilSeen
+	stalled := bs.clock.StalledUntil(now) - p.stalledUntilSeen
 	return max(0, now.Sub(p.lastSeenOrKnown())-stalled)
 }
 
