--- a/internal/coordination/routed/origin/archive_test.go
+++ b/internal/coordination/routed/origin/archive_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
@@ -164,3 +166,19 @@
 	require.NoError(a.t, err)
 	return len(page.Records)
 }
+
+// Guards against summaries that grow beyond what an instance may send each second, at the size to design for: 38 services with three
+// versions each.
+func TestSummaryAtTargetSizeIsSmall(t *testing.T) {
+	const services, versions, maxBytes = 38, 3, 4 << 10
+	s := summary{Mark: 1 << 40, Services: versionSet{}}
+	for n := range services {
+		for v := range versions {
+			s.Services.add(fmt.Sprintf("service-of-model-%d", n), fmt.Sprintf("v1.%d.0", v))
+		}
+	}
+	value, err := cbor.Marshal(&s)
+	require.NoError(t, err)
+	t.Logf("%d bytes", len(value))
+	require.LessOrEqual(t, len(value), maxBytes)
+}
