The test of a stopped reader of log lines waits until the writer holds the first line

It failed once in the whole check on, and in 2 of 300 plays on a quiet machine: if the writer's goroutine runs for the first time after the queue is full, the number of dropped lines comes with the first line, and the test looked for it in the second read. The writer is right either way.

--- a/internal/logline/logline_test.go
+++ b/internal/logline/logline_test.go
@@ -50,6 +50,11 @@
 			defer close(ended)
 			_ = w.Serve(ctx)
 		}()
+		_, err := w.Write([]byte("event=request\n"))
+		require.NoError(t, err)
+		// The writer has taken the first line and waits for the reader. Otherwise the number of
+		// dropped lines may come with that line.
+		synctest.Wait()
 		began := time.Now()
 		for range 3 * queueCapacity {
 			n, err := w.Write([]byte("event=request\n"))
@@ -59,7 +64,7 @@
 		require.Equal(t, began, time.Now(), "virtual time passes only while a goroutine waits")
 		// The reader continues and receives the number of dropped lines.
 		data := make([]byte, 1<<10)
-		_, err := reader.Read(data)
+		_, err = reader.Read(data)
 		require.NoError(t, err)
 		n, err := reader.Read(data)
 		require.NoError(t, err)
