A grant says if the broker takes its target for one whose entry lapsed

Cause: a newer list was taken for one that has the target. A broker that takes a disappeared entry for one that lapsed in an outage of the store grants its slots without an entry (listed=removed list_mark=55 broker_list_mark=56).

Change: targets that are used without an entry are marked (roster.Target.Lapsed), and so is the grant. An instance that does not use the target itself refuses it, whatever the marks. One that uses it as well, after an outage for all, goes on.

Evidence: TestGrantOfLapsedTargetIsNotUsedIfOwnListLacksIt failed before for online, resumed and reserved requests and items, and passes now; TestGrantOfLapsedTargetIsUsedIfOwnListHasIt is the other bound.

--- a/internal/coordination/routed/broker/client.go
+++ b/internal/coordination/routed/broker/client.go
@@ -328,6 +328,7 @@
 	choice.Number, choice.Broker, choice.Queue = request.Number, address, reply.Queue
 	choice.Lists = c.listsFor(choice.ID)
 	choice.Lists.Broker = roster.ListState{Mark: reply.Grant.ListMark, Age: reply.Grant.ListAge}
+	choice.Lists.BrokerLapsed = reply.Grant.Target.Lapsed
 	reply.Grant.applyPace(&choice)
 	c.mu.Lock()
 	c.paceReports.Stated(choice.ID, choice.Pace.Percent)
--- a/internal/coordination/routed/broker/refusedgrants.go
+++ b/internal/coordination/routed/broker/refusedgrants.go
@@ -19,14 +19,14 @@
 
 var refusedGrants = metrics.NewCounter(`broker_grants_refused_total`)
 
-// hasLeft reports whether the target of a grant has left: this instance's list is at least as new
-// as that of the broker, and it has the target no more, or only as one that is leaving. A target
-// that only a newer list has may have just started.
+// hasLeft reports whether the target of a grant has left: this instance does not use it, and no newer
+// list has it. A target that only the newer list of the broker has may have just started.
 func (c *Client) hasLeft(choice placement.Choice) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	_, usable := c.targets[choice.ID]
-	return !usable && choice.Lists.Broker.Mark <= c.listMark
+	listedLater := choice.Lists.Broker.Mark > c.listMark && !choice.Lists.BrokerLapsed
+	return !usable && !listedLater
 }
 
 // refuseGrant gives back a granted slot at a target that has left, and excludes the target from the
--- a/internal/coordination/routed/broker/refusedgrants_test.go
+++ b/internal/coordination/routed/broker/refusedgrants_test.go
@@ -118,3 +118,35 @@
 	require.Equal(t, "t0", choice.ID)
 	require.Equal(t, 2, broker.calls)
 }
+
+// Guards against requests to a removed target by the grant of a broker that takes its entry for a lapsed one, while the
+// broker's list is the newer one.
+func TestGrantOfLapsedTargetIsNotUsedIfOwnListLacksIt(t *testing.T) {
+	for name, place := range placements {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				brokers := listOf("t0", "t1")
+				brokers[1].Lapsed = true
+				client, _ := newListTest(t, listOf("t0"), 12, brokers)
+				for range 8 {
+					choice, ok := place(t, client)
+					require.True(t, ok)
+					require.Equal(t, "t0", choice.ID)
+				}
+			})
+		})
+	}
+}
+
+// Guards against an instance without targets after an outage of the store: entries lapsed, and it uses the targets as the
+// broker does.
+func TestGrantOfLapsedTargetIsUsedIfOwnListHasIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lapsed := listOf("t0")
+		lapsed[0].Lapsed = true
+		client, _ := newListTest(t, lapsed, 12, lapsed)
+		choice, ok := placements["online"](t, client)
+		require.True(t, ok)
+		require.Equal(t, "t0", choice.ID)
+	})
+}
--- a/internal/state/roster/roster.go
+++ b/internal/state/roster/roster.go
@@ -30,6 +30,9 @@
 	Slots int
 	// Leaving is set if the target is shutting down and accepts no new requests.
 	Leaving bool
+	// Lapsed is set if the target is used without an entry, which may have lapsed in an outage of
+	// the store. It is not set in lists that are sent to other instances.
+	Lapsed bool
 	// Started is when the target started, in Unix milliseconds. 0: unknown.
 	Started int64
 	// Seq is the number that the target gave the entry; it grows each time that the target
@@ -188,6 +191,7 @@
 	}
 	for id, l := range r.inGrace {
 		if now.Before(l.until) {
+			l.target.Lapsed = true
 			out = append(out, l.target)
 		} else {
 			delete(r.inGrace, id)
--- a/internal/state/roster/roster_test.go
+++ b/internal/state/roster/roster_test.go
@@ -60,3 +60,16 @@
 	require.Empty(t, r.Usable(now))
 	require.EqualValues(t, 2, r.Mark())
 }
+
+// Guards against targets without an entry that other instances take for listed ones.
+func TestTargetWithoutEntryIsMarked(t *testing.T) {
+	r := New()
+	r.Put(0, Target{ID: "a"})
+	r.Put(1, Target{ID: "b"})
+	r.Remove(2, "a", now.Add(time.Second))
+	usable := r.Usable(now)
+	require.True(t, usable[0].Lapsed)
+	require.False(t, usable[1].Lapsed)
+	r.Put(3, Target{ID: "a"})
+	require.False(t, r.Usable(now)[0].Lapsed, "it registered again")
+}
