A peer that does not answer holds up the fetch of the list of targets for 0.2 s, not for the whole call

What callers saw: nothing seen. A leaving target could get requests for up to 2.6 s where 2 s are allowed: an instance whose own reads of the list fail asks a peer 1.2 s after the last one, and if that peer stops answering just then, the next one was asked a second later.

Cause: only one fetch ran at a time, for as long as its call lasts.

Change: after 0.2 s without an answer another peer is asked beside the first one, two at most. The longest way is 1.2 s + 0.2 s + 0.2 s + the next heartbeat, 0.2 s. If both stop answering, it still takes the call.

--- a/internal/coordination/routed/mesh/catchup.go
+++ b/internal/coordination/routed/mesh/catchup.go
@@ -22,12 +22,18 @@
 	// storeGracePeriod is how long an instance of a large fleet waits for the store to
 	// deliver a configuration that a peer already has.
 	storeGracePeriod = 700 * time.Millisecond
+	// fetchPatience is the time without an answer after which another peer is asked as well. A
+	// snapshot takes some milliseconds.
+	fetchPatience = 200 * time.Millisecond
+	// maxFetches bounds the snapshots that are fetched at the same time.
+	maxFetches = 2
 )
 
 var snapshotsFetched = metrics.NewCounter(`peer_snapshots_total`)
 
-// catchUp starts fetching what the sender of a heartbeat has that is newer. Only one fetch
-// runs at a time.
+// catchUp starts fetching what the sender of a heartbeat has that is newer. Another fetch is started
+// beside a running one only if that takes long: its peer may have stopped answering, and a leaving
+// target must not get requests for as long as the call lasts.
 func (m *Mesh) catchUp(heartbeat Heartbeat) {
 	own := m.delegate.Versions()
 	now := time.Now()
@@ -40,13 +46,21 @@
 		m.comparedAt = now
 		newer = true
 	}
-	if !newer || m.fetching {
+	if !newer || !m.mayFetchFrom(now, heartbeat.From.Address) {
 		return
 	}
-	m.fetching = true
+	m.fetchingFrom[heartbeat.From.Address], m.fetchBegan = true, now
 	go m.fetch(heartbeat.From.Address, SnapshotArgs{ConfigVersion: own.Config, RosterMark: own.RosterMark})
 }
 
+// mayFetchFrom reports whether a fetch from a peer may start. The caller must hold mu.
+func (m *Mesh) mayFetchFrom(now time.Time, address string) bool {
+	if len(m.fetchingFrom) == 0 {
+		return true
+	}
+	return !m.fetchingFrom[address] && len(m.fetchingFrom) < maxFetches && now.Sub(m.fetchBegan) >= fetchPatience
+}
+
 // needsPeerTargets reports whether the list of targets has to come from peers, since this instance
 // has not read it lately or its relays read it. The caller must hold mu.
 //
@@ -78,7 +92,7 @@
 	var reply SnapshotReply
 	err := m.caller.Call(ctx, address, methodSnapshot, &args, &reply)
 	m.mu.Lock()
-	m.fetching = false
+	delete(m.fetchingFrom, address)
 	m.mu.Unlock()
 	if err != nil {
 		_ = level.Warn(m.logger).Log("event", "peer_snapshot_failed", "peer", address, "err", err)
--- a/internal/coordination/routed/mesh/mesh.go
+++ b/internal/coordination/routed/mesh/mesh.go
@@ -115,10 +115,12 @@
 	reportedSilent map[string]bool
 	// fleetKnown is set once the instances that are listed in the store are in the view.
 	fleetKnown bool
-	// fetching reports that a snapshot is being fetched. comparedAt is when a snapshot was
-	// last fetched because the sets of known instances differed.
-	fetching   bool
-	comparedAt time.Time
+	// fetchingFrom has the addresses from which a snapshot is being fetched, fetchBegan is when
+	// the last fetch began. comparedAt is when a snapshot was last fetched because the sets of
+	// known instances differed.
+	fetchingFrom map[string]bool
+	fetchBegan   time.Time
+	comparedAt   time.Time
 
 	// feed is the feed that this instance offers. feedReaders are its positions in the
 	// feeds of others, by instance name.
@@ -159,6 +161,7 @@
 		self: c.Self, seeds: c.Seeds, caller: c.Caller, logger: c.Logger,
 		view: NewView(c.Self, ForgetTimeout),
 		feed: newFeed(rand.Uint64()), feedReaders: map[string]*feedReader{}, startedAt: time.Now(),
+		fetchingFrom:   map[string]bool{},
 		links:          map[string]*link{},
 		reportedStates: map[string]State{},
 		reportedSilent: map[string]bool{},
