A reserved target is not used if it has left while the request waited

What callers saw: nothing seen. A request whose target stalls gets a slot at another one reserved, and may then wait for 0.5 s until it is known whether targets ended under it. If the reserved target left in that time, it got the request all the same.

Cause: a choice was checked when it was made, not when it was used.

Evidence: TestReservedTargetThatLeftIsNotUsed failed before and passes now. From the code; not seen in a play.

Change: the reserved target is checked against the list once more; if it has left, its slot is released and another target is chosen.

--- a/internal/coordination/routed/broker/itemclient.go
+++ b/internal/coordination/routed/broker/itemclient.go
@@ -118,7 +118,7 @@
 		case !request.Want.Allows(choice.Target):
 			c.Done(choice, placement.Cancelled)
 			return placement.Choice{}, ForecastHold{}, errVersionIgnored
-		case !c.hasLeft(choice):
+		case !c.HasLeft(choice):
 			return choice, reply.Held, nil
 		}
 		c.refuseGrant(request, choice)
--- a/internal/coordination/routed/broker/refusedgrants.go
+++ b/internal/coordination/routed/broker/refusedgrants.go
@@ -19,9 +19,9 @@
 
 var refusedGrants = metrics.NewCounter(`broker_grants_refused_total`)
 
-// hasLeft reports whether the target of a grant has left: this instance does not use it, and no newer
+// HasLeft reports whether the target of a choice has left: this instance does not use it, and no newer
 // list has it. A target that only the newer list of the broker has may have just started.
-func (c *Client) hasLeft(choice placement.Choice) bool {
+func (c *Client) HasLeft(choice placement.Choice) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	_, usable := c.targets[choice.ID]
--- a/internal/coordination/routed/relay/relay.go
+++ b/internal/coordination/routed/relay/relay.go
@@ -60,6 +60,8 @@
 	// HasTargets reports whether any listed target may be used, regardless of its load and
 	// health.
 	HasTargets(placement.Requirements) bool
+	// HasLeft reports whether the target of a choice has left since it was chosen.
+	HasLeft(placement.Choice) bool
 	// MarkStalled marks the exchange with a target as stalled. The returned function
 	// removes the mark; it is nil if the target is only busy.
 	MarkStalled(placement.Choice) (resumed func())
@@ -272,12 +274,12 @@
 // nextTarget returns the target that the stall monitor reserved, or one that is
 // chosen now.
 func (c *call) nextTarget(ctx context.Context) (placement.Choice, bool) {
-	if c.failover != nil && c.origin.Allows(c.failover.Version) {
+	if c.failover != nil && c.origin.Allows(c.failover.Version) && !c.opts.Placer.HasLeft(*c.failover) {
 		choice := *c.failover
 		c.failover = nil
 		return choice, true
 	}
-	// The stream may have begun after another target was reserved.
+	// The stream may have begun, or the target left, after another target was reserved.
 	c.releaseFailover()
 	firstBytes := c.firstBytes()
 	if !c.headSent {
--- a/internal/coordination/routed/relay/relay_test.go
+++ b/internal/coordination/routed/relay/relay_test.go
@@ -48,6 +48,8 @@
 	// versions are the software versions of the chosen targets, in their order. The last one
 	// is that of all further targets. Empty: v1.
 	versions []string
+	// left is the id of a target that has left since it was chosen.
+	left string
 	// reserved is the target that TryPlace returns, if set.
 	reserved *roster.Target
 	// reservedFor are the limits of the last TryPlace.
@@ -132,6 +134,7 @@
 	f.results = append(f.results, result)
 }
 func (f *scriptedFleet) ReportLoad(placement.Choice, *exchange.Load)   {}
+func (f *scriptedFleet) HasLeft(choice placement.Choice) bool          { return choice.ID == f.left }
 func (f *scriptedFleet) HasTargets(placement.Requirements) bool        { return !f.noTargets }
 func (f *scriptedFleet) MarkStalled(placement.Choice) (resumed func()) { return nil }
 
--- a/internal/coordination/routed/relay/stream_test.go
+++ b/internal/coordination/routed/relay/stream_test.go
@@ -91,6 +91,19 @@
 	})
 }
 
+// Guards against a request to a target that has left after the stall monitor reserved it, while the request waited.
+func TestReservedTargetThatLeftIsNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &scriptedFleet{left: "x"}
+		c := &call{Relay: New(Options{Targets: f, Placer: f, Origins: f, Quarantine: f.quarantine()}), RoutedRequest: &RoutedRequest{Route: &resumableRoute, Request: &exchange.Request{}}}
+		c.failover = &placement.Choice{Target: roster.Target{ID: "x", Version: "v1"}}
+		choice, ok := c.nextTarget(t.Context())
+		require.True(t, ok)
+		require.NotEqual(t, "x", choice.ID)
+		require.Equal(t, []placement.Result{placement.Cancelled}, f.results, "its slot is released")
+	})
+}
+
 // takesUp returns a request that takes up a stream after its event 2.
 func takesUp(stream string) *exchange.Request {
 	return &exchange.Request{ID: "r2", Method: http.MethodPost, After: 2, Resumes: stream}
