--- a/internal/coordination/routed/origin/archive.go
+++ b/internal/coordination/routed/origin/archive.go
@@ -113,6 +113,11 @@
 	if current.equal(next) {
 		return nil
 	}
+	return a.write(ctx, current, next)
+}
+
+// write stores the summary that follows the current one.
+func (a *Archive) write(ctx context.Context, current, next *summary) error {
 	value, err := cbor.Marshal(next)
 	if err != nil {
 		return err
--- a/internal/coordination/routed/origin/doc.go
+++ b/internal/coordination/routed/origin/doc.go
@@ -12,6 +12,6 @@
 //
 // A version is never guessed. It is known from a record, or because the service has had
 // only one version for longer than a stream can last: this instance or another one has known the
-// list of targets for so long, or the store has the versions from before (Archive). Otherwise the caller is told to begin
-// anew.
+// list of targets for so long, or the store has the versions from before (Archive). Otherwise
+// the caller is told to begin anew.
 package origin
