--- a/internal/explain/causes.go
+++ b/internal/explain/causes.go
@@ -41,6 +41,8 @@
 		return describeReadStopped(r)
 	case "attempt_failed":
 		return describeAttempt(r)
+	case "grant_refused":
+		return fmt.Sprintf("broker %s granted a slot at target %s, which had left by the list of %s (%s); the slot was not used", r.Fields["broker"], r.Fields["target"], r.Source, r.Fields["listed"])
 	case "request_target_ended":
 		return describeTargetEnded(r)
 	case "request_ends_learned":
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -255,3 +255,13 @@
 	requireCause(t, logs.Explain("r2"), "it waited for a slot at a broker (7 requests ahead of it, those that must be sent first go first")
 	requireCause(t, logs.Explain("r3"), "more requests waited than could be served (60 requests ahead")
 }
+
+// Guards against a request that waited for another grant, whose explanation does not tell that a broker had offered it a target that
+// had left.
+func TestExplainsRefusedGrant(t *testing.T) {
+	logs := readLogs(t, map[string]string{"a": `
+at=2026-12-03T10:00:01Z event=grant_refused request=r1 target=t-1 broker=10.0.1.1:82 listed=leaving list_mark=9 list_age_ms=40 broker_list_mark=5 broker_list_age_ms=4100 broker_lapsed=false
+at=2026-12-03T10:00:01Z event=request_placed request=r1 target=t-2 broker=10.0.1.1:82 busy=0 slots=8 waited_ms=3
+`})
+	requireCause(t, logs.Explain("r1"), "broker 10.0.1.1:82 granted a slot at target t-1, which had left by the list of a (leaving)")
+}
