The test of connections that are not admitted waits until the server has counted the open ones

Cause: a fault of the test. dial returns when the server has received the connection; the server then asks Admit in a goroutine of its own, and the test closed the first connection meanwhile. If the close came first, Admit saw no open connection, so that the second one was admitted.

The checks are unchanged.

--- a/internal/transport/graceful/graceful_test.go
+++ b/internal/transport/graceful/graceful_test.go
@@ -306,6 +306,8 @@
 		go func() { _, _ = io.WriteString(first, request) }()
 		require.Equal(t, http.StatusOK, receiveStatus(t, first))
 		_ = listener.dial()
+		// Without this, the first connection may be gone before it is counted.
+		synctest.Wait()
 		_ = first.Close()
 		synctest.Wait()
 		third := listener.dial()
