A version counts for as long as the list of targets has it, also where the list does not change

What callers could see: a stream that goes on at another version, from an instance that follows a relay.

Cause: the versions of a service were forgotten ten seconds after the last update of the list, and followers of a relay get updates only with changes. When the last target of a version then left, the remaining version counted as the only one at once, not after ten seconds.

Change: a sighting lasts until the list lacks the version. TestVersionCountsAsLongAsTheListHasIt failed before.

--- a/internal/coordination/routed/origin/history.go
+++ b/internal/coordination/routed/origin/history.go
@@ -6,49 +6,61 @@
 	"merlintiller/internal/state/roster"
 )
 
+// sighting is when a version may last have served.
+type sighting struct {
+	// listed is set while the list has a target of the version, and until is when it last had one.
+	listed bool
+	until  time.Time
+}
+
 // history records which software versions each service has had. It is pure and not safe for
 // concurrent use.
 type history struct {
 	// since is when the list of targets first became known, zero before.
 	since time.Time
-	// services holds, by service and version, when a target was listed last.
-	services map[string]map[string]time.Time
+	// services holds the sightings by service and version.
+	services map[string]map[string]sighting
 	// pastKnown is set once services includes the versions from before since.
 	pastKnown bool
 }
 
-func newHistory() *history { return &history{services: map[string]map[string]time.Time{}} }
+func newHistory() *history { return &history{services: map[string]map[string]sighting{}} }
 
 // setTargets applies the complete list, with the targets that are leaving.
 func (h *history) setTargets(now time.Time, list []roster.Target) {
 	if h.since.IsZero() {
 		h.since = now
 	}
+	for _, versions := range h.services {
+		for version, seen := range versions {
+			if seen.listed {
+				versions[version] = sighting{until: now}
+			}
+		}
+	}
 	for _, t := range list {
-		h.listed(now, t.Service, t.Version)
+		h.versionsOf(t.Service)[t.Version] = sighting{listed: true}
 	}
 }
 
 // setPast applies the versions that services may have had until the list became known.
 func (h *history) setPast(past versionSet) {
 	h.pastKnown = true
-	for service, versions := range past {
-		for _, version := range versions {
-			h.listed(h.since, service, version)
+	for service, names := range past {
+		versions := h.versionsOf(service)
+		for _, version := range names {
+			if seen := versions[version]; !seen.listed && seen.until.Before(h.since) {
+				versions[version] = sighting{until: h.since}
+			}
 		}
 	}
 }
 
-// listed records that a target of a version was listed at a time.
-func (h *history) listed(at time.Time, service, version string) {
-	versions := h.services[service]
-	if versions == nil {
-		versions = map[string]time.Time{}
-		h.services[service] = versions
-	}
-	if at.After(versions[version]) {
-		versions[version] = at
+func (h *history) versionsOf(service string) map[string]sighting {
+	if h.services[service] == nil {
+		h.services[service] = map[string]sighting{}
 	}
+	return h.services[service]
 }
 
 // needsPast reports whether it matters which versions services had before the list became known: it
@@ -77,9 +89,9 @@
 }
 
 // versions returns the versions that a service has had since a time.
-func (h *history) versions(since time.Time, service string) map[string]time.Time {
-	for version, listed := range h.services[service] {
-		if listed.Before(since) {
+func (h *history) versions(since time.Time, service string) map[string]sighting {
+	for version, seen := range h.services[service] {
+		if !seen.listed && seen.until.Before(since) {
 			delete(h.services[service], version)
 		}
 	}
--- a/internal/coordination/routed/origin/history_test.go
+++ b/internal/coordination/routed/origin/history_test.go
@@ -62,6 +62,21 @@
 	}
 }
 
+// Guards against a version that is forgotten while it serves: instances that follow a relay get the list only when it changes.
+func TestVersionCountsAsLongAsTheListHasIt(t *testing.T) {
+	h := newHistory()
+	h.setTargets(start.Add(-time.Hour), targetsOf("v1", "v2"))
+	_, ok := h.onlyVersion(start.Add(-streamLifetime), "s")
+	require.False(t, ok, "both are listed")
+	require.False(t, h.hasNoOther(start.Add(-streamLifetime), "s", "v2"))
+	h.setTargets(start, targetsOf("v2"))
+	for age := time.Duration(0); age <= 2*streamLifetime; age += time.Second {
+		version, ok := h.onlyVersion(start.Add(age-streamLifetime), "s")
+		require.Equal(t, age > streamLifetime, ok, age)
+		require.Equal(t, ok, version == "v2", age)
+	}
+}
+
 // Guards against a conclusion of an instance that has just started about versions that the list does not show, however
 // long ago the listed targets started: targets of another version may have left a moment before, or not be listed yet.
 func TestStartedInstanceConcludesNothingFromListAlone(t *testing.T) {
