A version still counts while the failure domain where it served is out of reach

What callers got: the rest of a stream from another version than the first part, with a 200. It happened when a version served only in a failure domain that was cut off from the store for longer than its entries last: with instances outside that had run all the while, and after a restart of some or all of them, during the cut or at its end.

Cause: absence from the list was taken for absence, by instances that could not have heard of the targets. A domain that is cut off can't renew the entries of its targets, and its instances go on using them. The summary of versions in the store left such a version out for the same reason.

Change: a version is noted with its failure domains. While no instance of a domain is up, as seen from here, its versions count as serving, for five minutes at most, and for as long as a stream lasts after that. The summary keeps them, with their domains. An instance that has started reads the past once within four seconds though no stream needs it, and concludes nothing from its own list before it has known that with all domains in reach for as long as a stream lasts, or the past.

The tests of the summary and the history now name a failure domain for each version; their checks are the same.

--- a/internal/coordination/routed/origin/archive.go
+++ b/internal/coordination/routed/origin/archive.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
@@ -42,6 +41,9 @@
 	DecodeTarget func(id string, value []byte) (roster.Target, error)
 	// Listed returns the list of targets and its mark.
 	Listed func() (list []roster.Target, mark int64)
+	// Recent returns the versions at which streams may have begun a moment ago, see
+	// Registry.RecentVersions.
+	Recent func() VersionSet
 	// IsWriter reports whether this instance writes the summary. Several writers do no harm.
 	IsWriter func() bool
 	Logger   log.Logger
@@ -109,7 +111,7 @@
 	if err != nil {
 		return err
 	}
-	next := current.next(list, since)
+	next := current.next(list, since, a.opts.Recent())
 	if current.equal(next) {
 		return nil
 	}
@@ -118,7 +120,7 @@
 
 // write stores the summary that follows the current one.
 func (a *Archive) write(ctx context.Context, current, next *summary) error {
-	value, err := cbor.Marshal(next)
+	value, err := encodeSummary(next)
 	if err != nil {
 		return err
 	}
@@ -132,7 +134,7 @@
 
 // Past returns the versions that services may have had until now, by the store. It returns an
 // error if that is not known.
-func (a *Archive) Past(ctx context.Context) (versionSet, error) {
+func (a *Archive) Past(ctx context.Context) (VersionSet, error) {
 	current, _, err := a.readSummary(ctx)
 	if err != nil {
 		return nil, err
@@ -161,18 +163,15 @@
 		if record.Key != summaryKey {
 			continue
 		}
-		found := &summary{}
-		if err := cbor.Unmarshal(record.Value, found); err != nil {
-			return nil, 0, err
-		}
-		return found, record.Offset, nil
+		found, err := decodeSummary(record.Value)
+		return found, record.Offset, err
 	}
 	return nil, 0, nil
 }
 
 // changesSince reads the changes of the list of targets from an offset on.
 func (a *Archive) changesSince(ctx context.Context, from int64) (changes, error) {
-	out := changes{versions: versionSet{}, end: from}
+	out := changes{versions: VersionSet{}, end: from}
 	for range maxChangePages {
 		page, err := a.opts.Log.Read(ctx, a.opts.Targets, out.end, 0)
 		if errors.Is(err, external.ErrTrimmed) {
@@ -203,7 +202,7 @@
 		}
 		// An entry that can't be decoded names no target that is used.
 		if t, err := a.opts.DecodeTarget(record.Key, record.Value); err == nil {
-			out.versions.add(t.Service, t.Version)
+			out.versions.add(t.Service, t.Version, t.Domain)
 		}
 	}
 	out.end = page.Next
--- a/internal/coordination/routed/origin/archive_test.go
+++ b/internal/coordination/routed/origin/archive_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,6 +30,8 @@
 	archive *Archive
 	list    map[string]roster.Target
 	mark    int64
+	// recent are the versions that the instance knows beside those of the list.
+	recent VersionSet
 }
 
 func decodeTestTarget(id string, value []byte) (roster.Target, error) {
@@ -42,6 +46,7 @@
 	a.archive = NewArchive(ArchiveOptions{
 		Log: &sharedstore.Direct{Store: a.store}, Summaries: external.Partition{Topic: summaryTopic}, Targets: external.Partition{Topic: listTopic},
 		DecodeTarget: decodeTestTarget, IsWriter: func() bool { return true }, Logger: log.NewNopLogger(),
+		Recent: func() VersionSet { return a.recent },
 		Listed: func() (list []roster.Target, mark int64) {
 			for _, entry := range a.list {
 				list = append(list, entry)
@@ -53,7 +58,7 @@
 }
 
 func (a *archiveTest) put(id, version string) {
-	entry := roster.Target{Service: "s", Version: version}
+	entry := roster.Target{Service: "s", Version: version, Domain: "d0"}
 	value, err := json.Marshal(entry)
 	require.NoError(a.t, err)
 	a.store.Put(listTopic, id, value)
@@ -80,7 +85,7 @@
 func (a *archiveTest) past() []string {
 	past, err := a.archive.Past(a.t.Context())
 	require.NoError(a.t, err)
-	return past["s"]
+	return slices.Sorted(maps.Keys(past["s"]))
 }
 
 // Guards against a version that is missing in the past while streams of it may be taken up, though its targets have left and
@@ -168,17 +173,62 @@
 }
 
 // Guards against summaries that grow beyond what an instance may send each second, at the size to design for: 38 services with three
-// versions each.
+// versions each in four failure domains.
 func TestSummaryAtTargetSizeIsSmall(t *testing.T) {
 	const services, versions, maxBytes = 38, 3, 4 << 10
-	s := summary{Mark: 1 << 40, Services: versionSet{}}
+	s := summary{Mark: 1 << 40, Services: VersionSet{}}
 	for n := range services {
 		for v := range versions {
-			s.Services.add(fmt.Sprintf("service-of-model-%d", n), fmt.Sprintf("v1.%d.0", v))
+			for d := range targetDomains {
+				s.Services.add(fmt.Sprintf("service-of-model-%d", n), fmt.Sprintf("v1.%d.0", v), fmt.Sprintf("region-%d", d))
+			}
 		}
 	}
-	value, err := cbor.Marshal(&s)
+	value, err := encodeSummary(&s)
 	require.NoError(t, err)
 	t.Logf("%d bytes", len(value))
 	require.LessOrEqual(t, len(value), maxBytes)
 }
+
+// Guards against summaries that can't be read back, and against bytes in the store that stop the instance that reads them.
+func FuzzDecodeSummary(f *testing.F) {
+	s := summary{Mark: 7, Services: VersionSet{}, Incomplete: true}
+	s.Services.add("a", "v1", "d0")
+	s.Services.add("a", "v2", "d1")
+	s.Services.add("b", "v1", "d1")
+	value, err := encodeSummary(&s)
+	require.NoError(f, err)
+	decoded, err := decodeSummary(value)
+	require.NoError(f, err)
+	require.Equal(f, &s, decoded)
+	f.Add(value)
+	outOfRange, err := cbor.Marshal(&storedSummary{Services: map[string]map[string][]int{"a": {"v1": {1}}}})
+	require.NoError(f, err)
+	_, err = decodeSummary(outOfRange)
+	require.Error(f, err)
+	f.Add(outOfRange)
+	f.Fuzz(func(t *testing.T, value []byte) {
+		if found, err := decodeSummary(value); err == nil {
+			_, err = encodeSummary(found)
+			require.NoError(t, err)
+		}
+	})
+}
+
+// Guards against a version that is missing in the past while it may serve in a failure domain that can't renew its entries.
+func TestPastHasVersionsOfFailureDomainsOutOfReach(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newArchiveTest(t)
+		a.put("a", "v1")
+		a.put("b", "v2")
+		a.serve(time.Minute)
+		a.recent = pastOf("s", "v1")
+		a.remove("a")
+		a.serve(time.Minute)
+		a.store.Trim(listTopic)
+		require.Equal(t, []string{"v1", "v2"}, a.past())
+		a.recent = nil
+		a.serve(2 * settleTime)
+		require.Equal(t, []string{"v2"}, a.past())
+	})
+}
--- a/internal/coordination/routed/origin/history.go
+++ b/internal/coordination/routed/origin/history.go
@@ -6,11 +6,22 @@
 	"merlintiller/internal/state/roster"
 )
 
-// sighting is when a version may last have served.
+// maxUnreachable is how long after its last target was listed a version may still serve in a failure domain that
+// is out of reach. After that the domain counts as gone: a version that ended together with a domain would
+// otherwise count for ever.
+const maxUnreachable = 5 * time.Minute
+
+// servedAt names a version of a service in a failure domain.
+type servedAt struct{ version, domain string }
+
+// sighting is when a version may last have served in a failure domain.
 type sighting struct {
-	// listed is set while the list has a target of the version, and until is when it last had one.
+	// listed is set while the list has such a target, and left is when it last had one.
 	listed bool
-	until  time.Time
+	left   time.Time
+	// until is when such a target may last have served: later than left if the failure domain has been out
+	// of reach.
+	until time.Time
 }
 
 // history records which software versions each service has had. It is pure and not safe for
@@ -18,55 +29,85 @@
 type history struct {
 	// since is when the list of targets first became known, zero before.
 	since time.Time
-	// services holds the sightings by service and version.
-	services map[string]map[string]sighting
-	// pastKnown is set once services includes the versions from before since.
+	// services holds the sightings by service.
+	services map[string]map[servedAt]sighting
+	// unreachableAt is when a failure domain with a sighting was last out of reach.
+	unreachableAt time.Time
+	// pastKnown is set once services includes the versions from before since, or streams of these
+	// can't be taken up any more.
 	pastKnown bool
 }
 
-func newHistory() *history { return &history{services: map[string]map[string]sighting{}} }
+func newHistory() *history { return &history{services: map[string]map[servedAt]sighting{}} }
 
 // setTargets applies the complete list, with the targets that are leaving.
 func (h *history) setTargets(now time.Time, list []roster.Target) {
 	if h.since.IsZero() {
 		h.since = now
 	}
-	for _, versions := range h.services {
-		for version, seen := range versions {
+	for _, sightings := range h.services {
+		for where, seen := range sightings {
 			if seen.listed {
-				versions[version] = sighting{until: now}
+				sightings[where] = sighting{left: now, until: now}
 			}
 		}
 	}
 	for _, t := range list {
-		h.versionsOf(t.Service)[t.Version] = sighting{listed: true}
+		h.sightings(t.Service)[servedAt{t.Version, t.Domain}] = sighting{listed: true}
 	}
 }
 
-// setPast applies the versions that services may have had until the list became known.
-func (h *history) setPast(past versionSet) {
+// setPast applies the versions that services may have had until the list became known, or until now in failure
+// domains that are out of reach.
+func (h *history) setPast(past VersionSet) {
 	h.pastKnown = true
-	for service, names := range past {
-		versions := h.versionsOf(service)
-		for _, version := range names {
-			if seen := versions[version]; !seen.listed && seen.until.Before(h.since) {
-				versions[version] = sighting{until: h.since}
+	at := h.since
+	if h.unreachableAt.After(at) {
+		at = h.unreachableAt
+	}
+	for service, versions := range past {
+		sightings := h.sightings(service)
+		for version, domains := range versions {
+			for _, domain := range domains {
+				where := servedAt{version, domain}
+				if seen := sightings[where]; !seen.listed && seen.until.Before(at) {
+					sightings[where] = sighting{left: at, until: at}
+				}
 			}
 		}
 	}
 }
 
-func (h *history) versionsOf(service string) map[string]sighting {
+func (h *history) sightings(service string) map[servedAt]sighting {
 	if h.services[service] == nil {
-		h.services[service] = map[string]sighting{}
+		h.services[service] = map[servedAt]sighting{}
 	}
 	return h.services[service]
 }
 
-// needsPast reports whether it matters which versions services had before the list became known: it
-// has not been known since a time.
+// setReached applies which failure domains are in reach now. In others, targets may serve although their
+// entries have lapsed. It has to be called several times within streamLifetime.
+func (h *history) setReached(now time.Time, reached map[string]bool) {
+	for _, sightings := range h.services {
+		for where, seen := range sightings {
+			if reached[where.domain] {
+				continue
+			}
+			h.unreachableAt = now
+			if !seen.listed && now.Sub(seen.left) <= maxUnreachable {
+				sightings[where] = sighting{left: seen.left, until: now}
+			}
+		}
+	}
+	if !h.since.IsZero() && !h.needsPast(now.Add(-streamLifetime)) {
+		h.pastKnown = true
+	}
+}
+
+// needsPast reports whether it matters which versions services had before the list became known: since
+// a time, it has not been known all the while, or a failure domain has been out of reach.
 func (h *history) needsPast(since time.Time) bool {
-	return !h.since.IsZero() && !h.pastKnown && h.since.After(since)
+	return !h.since.IsZero() && !h.pastKnown && (h.since.After(since) || h.unreachableAt.After(since))
 }
 
 // onlyVersion returns the version of a service if it had no other one since a time. It returns
@@ -88,14 +129,30 @@
 	return only, only != ""
 }
 
-// versions returns the versions that a service has had since a time.
-func (h *history) versions(since time.Time, service string) map[string]sighting {
-	for version, seen := range h.services[service] {
+// versions returns the versions that a service may have had since a time, with their failure domains.
+func (h *history) versions(since time.Time, service string) map[string][]string {
+	out := map[string][]string{}
+	for where, seen := range h.services[service] {
 		if !seen.listed && seen.until.Before(since) {
-			delete(h.services[service], version)
+			delete(h.services[service], where)
+			continue
 		}
+		out[where.version] = append(out[where.version], where.domain)
 	}
-	return h.services[service]
+	return out
+}
+
+// allVersions returns the versions that services may have had since a time.
+func (h *history) allVersions(since time.Time) VersionSet {
+	out := VersionSet{}
+	for service := range h.services {
+		for version, domains := range h.versions(since, service) {
+			for _, domain := range domains {
+				out.add(service, version, domain)
+			}
+		}
+	}
+	return out
 }
 
 // hasNoOther reports whether a service has had no other version than the given one since a
--- a/internal/coordination/routed/origin/history_test.go
+++ b/internal/coordination/routed/origin/history_test.go
@@ -14,11 +14,20 @@
 // targetsOf returns a list with one target of each version, which all started long ago.
 func targetsOf(versions ...string) (out []roster.Target) {
 	for _, version := range versions {
-		out = append(out, roster.Target{ID: "t-" + version, Service: "s", Version: version, Started: start.Add(-time.Hour).UnixMilli()})
+		out = append(out, roster.Target{ID: "t-" + version, Service: "s", Version: version, Domain: "d0", Started: start.Add(-time.Hour).UnixMilli()})
 	}
 	return out
 }
 
+// pastOf returns a past in which a service had versions, all in one failure domain.
+func pastOf(service string, versions ...string) VersionSet {
+	past := VersionSet{}
+	for _, version := range versions {
+		past.add(service, version, "d0")
+	}
+	return past
+}
+
 func TestOnlyVersionOfService(t *testing.T) {
 	longAgo := start.Add(-time.Hour)
 	for name, c := range map[string]struct {
@@ -77,6 +86,58 @@
 	}
 }
 
+// watchedHistory returns a history that has had a list of versions for an hour, with all failure domains in reach.
+func watchedHistory(versions ...string) *history {
+	h := newHistory()
+	h.setTargets(start.Add(-time.Hour), targetsOf(versions...))
+	h.setReached(start, map[string]bool{"d0": true})
+	return h
+}
+
+// Guards against a version that is forgotten while targets in a failure domain that is out of reach may serve: their entries
+// have lapsed.
+func TestVersionOfUnreachableFailureDomainCounts(t *testing.T) {
+	const unreachable = time.Minute
+	h := watchedHistory("v1", "v2")
+	h.setTargets(start, targetsOf("v2"))
+	for age := time.Duration(0); age <= unreachable+2*streamLifetime; age += time.Second {
+		h.setReached(start.Add(age), map[string]bool{"d0": age > unreachable})
+		_, ok := h.onlyVersion(start.Add(age-streamLifetime), "s")
+		require.Equal(t, age > unreachable+streamLifetime, ok, age)
+	}
+}
+
+// Guards against a version that counts for ever since it ended together with all of its failure domain.
+func TestVersionOfFailureDomainThatIsGoneIsForgotten(t *testing.T) {
+	h := watchedHistory("v1", "v2")
+	h.setTargets(start, targetsOf("v2"))
+	for age := time.Duration(0); age <= 2*maxUnreachable; age += time.Second {
+		h.setReached(start.Add(age), nil)
+		_, ok := h.onlyVersion(start.Add(age-streamLifetime), "s")
+		require.Equal(t, age > maxUnreachable+streamLifetime, ok, age)
+	}
+}
+
+// Guards against a conclusion of an instance that has just started while a failure domain is out of reach: the list may lack the
+// versions that serve there, however long it has been known.
+func TestStartedInstanceConcludesNothingWhileFailureDomainIsOutOfReach(t *testing.T) {
+	for version, known := range map[string]bool{"v1": false, "v2": true} {
+		h := newHistory()
+		h.setTargets(start, targetsOf("v2"))
+		for age := time.Duration(0); age <= 2*streamLifetime; age += time.Second {
+			h.setReached(start.Add(age), nil)
+			_, ok := h.onlyVersion(start.Add(age-streamLifetime), "s")
+			require.False(t, ok, age)
+		}
+		h.setPast(pastOf("s", version))
+		for age := 2 * streamLifetime; age <= 4*streamLifetime; age += time.Second {
+			_, ok := h.onlyVersion(start.Add(age-streamLifetime), "s")
+			require.Equal(t, known, ok, "past with %s, %s", version, age)
+			h.setReached(start.Add(age), nil)
+		}
+	}
+}
+
 // Guards against a conclusion of an instance that has just started about versions that the list does not show, however
 // long ago the listed targets started: targets of another version may have left a moment before, or not be listed yet.
 func TestStartedInstanceConcludesNothingFromListAlone(t *testing.T) {
@@ -98,14 +159,14 @@
 // version that only the past shows being continued at another.
 func TestStartedInstanceKnowsVersionsFromThePast(t *testing.T) {
 	for name, c := range map[string]struct {
-		past versionSet
+		past VersionSet
 		want string
 	}{
-		"one version":      {versionSet{"s": {"v2"}}, "v2"},
-		"nothing recorded": {versionSet{}, "v2"},
-		"other service":    {versionSet{"other": {"v1"}}, "v2"},
-		"another version":  {versionSet{"s": {"v1"}}, ""},
-		"two versions":     {versionSet{"s": {"v1", "v2"}}, ""},
+		"one version":      {pastOf("s", "v2"), "v2"},
+		"nothing recorded": {VersionSet{}, "v2"},
+		"other service":    {pastOf("other", "v1"), "v2"},
+		"another version":  {pastOf("s", "v1"), ""},
+		"two versions":     {pastOf("s", "v1", "v2"), ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHistory()
--- a/internal/coordination/routed/origin/past.go
+++ b/internal/coordination/routed/origin/past.go
@@ -4,13 +4,14 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log/level"
 )
 
 // awaitPast waits until the past versions are read from the store, if this instance needs them. It
 // returns true if they are known now and were not before.
 //
-// They are read only when a stream is taken up whose record no instance has: others know them as
+// They are read at once when a stream is taken up whose record no instance has: others know them as
 // a rule, unless all instances have just started.
 func (r *Registry) awaitPast(ctx context.Context) bool {
 	read := r.startPastRead()
@@ -46,6 +47,19 @@
 	return r.pastRead
 }
 
+// readPastInTime reads the past versions before this instance concludes from its own list that a service has one
+// version: they may include one in a failure domain that has been out of reach since before the start. Instances
+// that start together read at different times.
+func (r *Registry) readPastInTime(now time.Time) {
+	delay := pastReadDelay + time.Duration(xxhash.Sum64String(r.opts.Self.Name)%uint64(pastReadSpread))
+	r.mu.Lock()
+	due := now.Sub(r.history.since) > delay && now.Sub(r.pastReadAt) > pastReadInterval
+	r.mu.Unlock()
+	if due {
+		r.startPastRead()
+	}
+}
+
 // readPast reads the past versions and closes done.
 func (r *Registry) readPast(done chan struct{}) {
 	defer close(done)
--- a/internal/coordination/routed/origin/registry.go
+++ b/internal/coordination/routed/origin/registry.go
@@ -30,6 +30,12 @@
 	pastTimeout       = time.Second
 	pastWait          = 300 * time.Millisecond
 	pastRetryInterval = 200 * time.Millisecond
+	// pastReadDelay and pastReadSpread are when, after the list of targets became known, an instance reads the past
+	// versions without a stream that needs them, and pastReadInterval the time between two such reads. The last one
+	// of several has to end before streamLifetime.
+	pastReadDelay    = streamLifetime / 5
+	pastReadSpread   = streamLifetime / 5
+	pastReadInterval = streamLifetime / 5
 	// askTimeout bounds the search for a record. Other instances answer within a few
 	// milliseconds.
 	askTimeout = 80 * time.Millisecond
@@ -61,7 +67,7 @@
 	ListAge func() time.Duration
 	// Past returns, by service, the versions from before this instance started, see
 	// Archive.Past. Nil: not known.
-	Past   func(ctx context.Context) (versionSet, error)
+	Past   func(ctx context.Context) (VersionSet, error)
 	Logger log.Logger
 }
 
@@ -129,6 +135,25 @@
 	return r.onlyVersion(now, listAge, service)
 }
 
+// RecentVersions returns the versions at which streams may have begun that can still be taken up.
+func (r *Registry) RecentVersions() VersionSet {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.history.allVersions(now.Add(-streamLifetime))
+}
+
+// checkDomains records which failure domains are in reach: those of the instances that are up.
+func (r *Registry) checkDomains(now time.Time) {
+	reached := map[string]bool{r.opts.Self.Domain: true}
+	for _, instance := range r.opts.Peers.AllUp() {
+		reached[instance.Domain] = true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history.setReached(now, reached)
+}
+
 // mayBeOnlyVersion reports whether a version can be the only one of a service, as another
 // instance says that has known the list for longer: this one must not know of any other.
 func (r *Registry) mayBeOnlyVersion(service, version string) bool {
@@ -330,6 +355,9 @@
 // service has several versions now, or may have.
 func (r *Registry) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
+		now := time.Now()
+		r.checkDomains(now)
+		r.readPastInTime(now)
 		r.tellUntold()
 		timer := time.NewTimer(tellInterval)
 		select {
--- a/internal/coordination/routed/origin/registry_test.go
+++ b/internal/coordination/routed/origin/registry_test.go
@@ -60,6 +60,8 @@
 		m := &member{fleet: f, self: i}
 		m.registry = New(Options{Self: i, Peers: m, Caller: m, ListAge: m.currentListAge, Logger: log.NewNopLogger()})
 		f.members[i.Name] = m
+	}
+	for _, m := range f.members {
 		go func() { _ = m.registry.Serve(t.Context()) }()
 	}
 	// Calls that nobody waits for any more have ended.
@@ -74,7 +76,7 @@
 func (f *testFleet) list(versions ...string) {
 	var list []roster.Target
 	for _, version := range versions {
-		list = append(list, roster.Target{ID: "t-" + version, Service: "s", Version: version, Started: 1})
+		list = append(list, roster.Target{ID: "t-" + version, Service: "s", Version: version, Domain: "d0", Started: 1})
 	}
 	for _, m := range f.members {
 		m.registry.SetTargets(list)
@@ -358,12 +360,12 @@
 		f := newFleet(t, 2, 2, "v1")
 		started := f.members["n-0-0"]
 		started.registry = New(started.registry.opts)
-		list := []roster.Target{{ID: "t", Service: "s", Version: "v1", Started: time.Now().UnixMilli()}}
+		list := []roster.Target{{ID: "t", Service: "s", Version: "v1", Domain: "d0", Started: time.Now().UnixMilli()}}
 		started.registry.SetTargets(list)
 		require.Equal(t, OnlyVersion, f.find(t, "n-0-0", "x").Source)
 		require.Equal(t, "v1", f.find(t, "n-0-0", "").Version)
 		// The others have not read the latest list yet.
-		started.registry.SetTargets(append(list, roster.Target{ID: "u", Service: "s", Version: "v2"}))
+		started.registry.SetTargets(append(list, roster.Target{ID: "u", Service: "s", Version: "v2", Domain: "d0"}))
 		require.Equal(t, Unknown, f.find(t, "n-0-0", "x").Source)
 	})
 }
--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -213,7 +213,8 @@
 	d.versions = origin.NewArchive(origin.ArchiveOptions{
 		Log: d.store, Summaries: external.Partition{Topic: versionsTopic}, Targets: platform.Targets,
 		DecodeTarget: platform.DecodeTarget, Listed: d.view.Targets, IsWriter: d.writesVersions,
-		Seed: xxhash.Sum64String(d.self.Name), Logger: d.logger,
+		Recent: func() origin.VersionSet { return d.origins.RecentVersions() },
+		Seed:   xxhash.Sum64String(d.self.Name), Logger: d.logger,
 	})
 	d.origins = origin.New(origin.Options{
 		Self: d.self, Peers: d.mesh, Caller: d.peerClient, ListAge: d.view.ListAge, Past: d.versions.Past, Logger: d.logger,
