--- a/internal/coordination/routed/origin/doc.go
+++ b/internal/coordination/routed/origin/doc.go
@@ -14,4 +14,7 @@
 // only one version for longer than a stream can last: this instance or another one has known the
 // list of targets for so long, or the store has the versions from before (Archive). Otherwise
 // the caller is told to begin anew.
+//
+// A failure domain that is out of reach can't renew the entries of its targets, which may go on
+// serving there. The versions last listed in it count as serving meanwhile.
 package origin
