A version that left while its failure domain was in reach does not count as serving there later

Cause: an instance begins no stream at a target that it knows to be leaving, and instances that are in reach learn of that within the age up to which a list counts.

--- a/internal/coordination/routed/origin/history.go
+++ b/internal/coordination/routed/origin/history.go
@@ -6,7 +6,7 @@
 	"merlintiller/internal/state/roster"
 )
 
-// maxUnreachable is how long after its last target was listed a version may still serve in a failure domain that
+// maxUnreachable is how long after its last ready target was listed a version may still serve in a failure domain that
 // is out of reach. After that the domain counts as gone: a version that ended together with a domain would
 // otherwise count for ever.
 const maxUnreachable = 5 * time.Minute
@@ -16,11 +16,12 @@
 
 // sighting is when a version may last have served in a failure domain.
 type sighting struct {
-	// listed is set while the list has such a target, and left is when it last had one.
-	listed bool
-	left   time.Time
-	// until is when such a target may last have served: later than left if the failure domain has been out
-	// of reach.
+	// listed is set while the list has such a target, ready while it has one that is not leaving.
+	listed, ready bool
+	// readyUntil is when the list last had one that is not leaving.
+	readyUntil time.Time
+	// until is when such a target may last have served: when the list last had one, or later if the failure
+	// domain has been out of reach.
 	until time.Time
 }
 
@@ -31,14 +32,17 @@
 	since time.Time
 	// services holds the sightings by service.
 	services map[string]map[servedAt]sighting
-	// unreachableAt is when a failure domain with a sighting was last out of reach.
+	// reachedAt is when each failure domain was last in reach, unreachableAt when any with a sighting was not.
+	reachedAt     map[string]time.Time
 	unreachableAt time.Time
 	// pastKnown is set once services includes the versions from before since, or streams of these
 	// can't be taken up any more.
 	pastKnown bool
 }
 
-func newHistory() *history { return &history{services: map[string]map[servedAt]sighting{}} }
+func newHistory() *history {
+	return &history{services: map[string]map[servedAt]sighting{}, reachedAt: map[string]time.Time{}}
+}
 
 // setTargets applies the complete list, with the targets that are leaving.
 func (h *history) setTargets(now time.Time, list []roster.Target) {
@@ -47,16 +51,29 @@
 	}
 	for _, sightings := range h.services {
 		for where, seen := range sightings {
-			if seen.listed {
-				sightings[where] = sighting{left: now, until: now}
-			}
+			sightings[where] = seen.unlist(now)
 		}
 	}
 	for _, t := range list {
-		h.sightings(t.Service)[servedAt{t.Version, t.Domain}] = sighting{listed: true}
+		where := servedAt{t.Version, t.Domain}
+		seen := h.sightings(t.Service)[where]
+		seen.listed, seen.ready = true, seen.ready || !t.Leaving
+		h.sightings(t.Service)[where] = seen
 	}
 }
 
+// unlist returns a sighting of which the list has no target from now on.
+func (s sighting) unlist(now time.Time) sighting {
+	if s.ready {
+		s.readyUntil = now
+	}
+	if s.listed {
+		s.until = now
+	}
+	s.listed, s.ready = false, false
+	return s
+}
+
 // setPast applies the versions that services may have had until the list became known, or until now in failure
 // domains that are out of reach.
 func (h *history) setPast(past VersionSet) {
@@ -71,7 +88,7 @@
 			for _, domain := range domains {
 				where := servedAt{version, domain}
 				if seen := sightings[where]; !seen.listed && seen.until.Before(at) {
-					sightings[where] = sighting{left: at, until: at}
+					sightings[where] = sighting{readyUntil: at, until: at}
 				}
 			}
 		}
@@ -88,14 +105,18 @@
 // setReached applies which failure domains are in reach now. In others, targets may serve although their
 // entries have lapsed. It has to be called several times within streamLifetime.
 func (h *history) setReached(now time.Time, reached map[string]bool) {
+	for domain := range reached {
+		h.reachedAt[domain] = now
+	}
 	for _, sightings := range h.services {
 		for where, seen := range sightings {
 			if reached[where.domain] {
 				continue
 			}
 			h.unreachableAt = now
-			if !seen.listed && now.Sub(seen.left) <= maxUnreachable {
-				sightings[where] = sighting{left: seen.left, until: now}
+			if !seen.listed && h.mayServeUnlisted(now, where, seen) {
+				seen.until = now
+				sightings[where] = seen
 			}
 		}
 	}
@@ -104,6 +125,13 @@
 	}
 }
 
+// mayServeUnlisted reports whether streams may begin at unlisted targets in a failure domain that is out of reach: its
+// instances had not learned that the targets left while they could be reached.
+func (h *history) mayServeUnlisted(now time.Time, where servedAt, seen sighting) bool {
+	knowsUntil := h.reachedAt[where.domain].Add(-maxListAge)
+	return seen.readyUntil.After(knowsUntil) && now.Sub(seen.readyUntil) <= maxUnreachable
+}
+
 // needsPast reports whether it matters which versions services had before the list became known: since
 // a time, it has not been known all the while, or a failure domain has been out of reach.
 func (h *history) needsPast(since time.Time) bool {
--- a/internal/coordination/routed/origin/history_test.go
+++ b/internal/coordination/routed/origin/history_test.go
@@ -101,12 +101,38 @@
 	h := watchedHistory("v1", "v2")
 	h.setTargets(start, targetsOf("v2"))
 	for age := time.Duration(0); age <= unreachable+2*streamLifetime; age += time.Second {
-		h.setReached(start.Add(age), map[string]bool{"d0": age > unreachable})
+		h.setReached(start.Add(age), reachedIf(age > unreachable))
 		_, ok := h.onlyVersion(start.Add(age-streamLifetime), "s")
 		require.Equal(t, age > unreachable+streamLifetime, ok, age)
 	}
 }
 
+// reachedIf returns the failure domains in reach: d0 or none.
+func reachedIf(reached bool) map[string]bool {
+	if reached {
+		return map[string]bool{"d0": true}
+	}
+	return nil
+}
+
+// Guards against streams that can't be taken up all the while that a failure domain is out of reach, though the other version had
+// left before, so that no stream begins at it.
+func TestVersionThatLeftBeforeFailureDomainWasOutOfReachIsForgotten(t *testing.T) {
+	leaving := targetsOf("v1", "v2")
+	leaving[0].Leaving = true
+	for name, list := range map[string][]roster.Target{"unlisted": targetsOf("v2"), "leaving, then unlisted": leaving} {
+		h := watchedHistory("v1", "v2")
+		h.setTargets(start, list)
+		h.setReached(start.Add(maxListAge+time.Second), reachedIf(true))
+		h.setTargets(start.Add(maxListAge+2*time.Second), targetsOf("v2"))
+		for age := maxListAge + 2*time.Second; age <= 3*streamLifetime; age += time.Second {
+			h.setReached(start.Add(age), nil)
+		}
+		_, ok := h.onlyVersion(start.Add(2*streamLifetime), "s")
+		require.True(t, ok, name)
+	}
+}
+
 // Guards against a version that counts for ever since it ended together with all of its failure domain.
 func TestVersionOfFailureDomainThatIsGoneIsForgotten(t *testing.T) {
 	h := watchedHistory("v1", "v2")
--- a/internal/daemon/routed/streamisolation_test.go
+++ b/internal/daemon/routed/streamisolation_test.go
@@ -116,3 +116,22 @@
 		})
 	}
 }
+
+// Guards against streams of an isolated failure domain that can't be taken up elsewhere though the other version had left before the
+// isolation.
+func TestStreamsOfIsolatedDomainGoOnIfOtherVersionLeftBefore(t *testing.T) {
+	const count, events = 12, 60
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newVersionedFleet(t, 3, 1, []string{"v1", "v2"}, nil)
+		sleep(runsForLong)
+		fleet.forVersion("v1", (*target).startLeaving)
+		sleep(time.Second)
+		fleet.forVersion("v1", (*target).removeForGood)
+		sleep(5 * time.Second)
+		fleet.net.Partition(fleet.domainAddresses("d0"))
+		sleep(runsForLong)
+		streams, ended := beginStreams(t, fleet.instances[0], count, events, 500*time.Millisecond)
+		<-ended
+		require.Equal(t, count, takeUp(t, fleet.instances[1], streams, events))
+	})
+}
