--- a/internal/coordination/routed/fleetview/targets.go
+++ b/internal/coordination/routed/fleetview/targets.go
@@ -52,8 +52,7 @@
 }
 
 // AdoptTargets replaces the list of targets by a full list as of a mark, unless the
-// current one is newer.
-// from is its source, for the log.
+// current one is newer. from is its source, for the log.
 func (v *View) AdoptTargets(list []roster.Target, mark int64, from string) {
 	now := time.Now()
 	v.mu.Lock()
--- a/internal/coordination/routed/mesh/catchup.go
+++ b/internal/coordination/routed/mesh/catchup.go
@@ -22,9 +22,9 @@
 	// storeGracePeriod is how long an instance of a large fleet waits for the store to
 	// deliver a configuration that a peer already has.
 	storeGracePeriod = 700 * time.Millisecond
-	// fetchPatience is the time without an answer after which another peer is asked as well. A
+	// hedgeDelay is the time without an answer after which another peer is asked as well. A
 	// snapshot takes some milliseconds.
-	fetchPatience = 200 * time.Millisecond
+	hedgeDelay = 200 * time.Millisecond
 	// maxFetches bounds the snapshots that are fetched at the same time.
 	maxFetches = 2
 )
@@ -58,7 +58,7 @@
 	if len(m.fetchingFrom) == 0 {
 		return true
 	}
-	return !m.fetchingFrom[address] && len(m.fetchingFrom) < maxFetches && now.Sub(m.fetchBegan) >= fetchPatience
+	return !m.fetchingFrom[address] && len(m.fetchingFrom) < maxFetches && now.Sub(m.fetchBegan) >= hedgeDelay
 }
 
 // needsPeerTargets reports whether the list of targets has to come from peers, since this instance
--- a/internal/coordination/routed/origin/past.go
+++ b/internal/coordination/routed/origin/past.go
@@ -75,3 +75,22 @@
 		r.history.setPast(past)
 	}
 }
+
+// RecentVersions returns the versions at which streams may have begun that can still be taken up.
+func (r *Registry) RecentVersions() VersionSet {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.history.allVersions(now.Add(-streamLifetime))
+}
+
+// checkDomains records which failure domains are in reach: those of the instances that are up.
+func (r *Registry) checkDomains(now time.Time) {
+	reached := map[string]bool{r.opts.Self.Domain: true}
+	for _, instance := range r.opts.Peers.AllUp() {
+		reached[instance.Domain] = true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history.setReached(now, reached)
+}
