--- a/internal/coordination/routed/batchjobs/options.go
+++ b/internal/coordination/routed/batchjobs/options.go
@@ -57,6 +57,9 @@
 	Began(quarantine.Request)
 	Completed(quarantine.Request)
 	Lost(quarantine.LostRequest)
+	// TrialEnded records that a trial ended without any of these, after targets had worked on the item for some time
+	// since its last end.
+	TrialEnded(item quarantine.Request, ran time.Duration)
 	// Ends returns the number of targets that ended under an item, and when the last one did.
 	Ends(quarantine.Request) (count int, last time.Time)
 }
--- a/internal/coordination/routed/batchjobs/queue.go
+++ b/internal/coordination/routed/batchjobs/queue.go
@@ -135,7 +135,8 @@
 		go r.opts.Placer.Done(choice, placement.Cancelled)
 		return
 	}
-	if r.opts.Quarantine.Check(t.subject).Closed {
+	decision := r.opts.Quarantine.Check(t.subject)
+	if decision.Closed {
 		t.notBefore = now.Add(closedDelay)
 		// Otherwise its queue would ask for it again at once.
 		r.recent = runnableItems{}
@@ -145,6 +146,7 @@
 	if !t.mayRunAt(choice.Version) {
 		r.restart(t, versionFull)
 	}
+	t.trial = decision.Trial
 	r.dequeue(t)
 	r.startRun(t, choice)
 }
--- a/internal/coordination/routed/batchjobs/task.go
+++ b/internal/coordination/routed/batchjobs/task.go
@@ -48,6 +48,8 @@
 	// some of its parts are closed.
 	subject quarantine.Request
 	held    bool
+	// trial reports that the run is the trial of what is closed.
+	trial bool
 
 	notBefore time.Time
 	cancel    context.CancelFunc
@@ -157,8 +159,9 @@
 	if stalled.Load() {
 		outcome, result = interrupted, placement.TimedOut
 	}
-	if outcome == interrupted {
-		t.reportLost(choice, err, t.events-eventsBefore)
+	lost := outcome == interrupted && t.reportLost(choice, err, t.events-eventsBefore)
+	if t.trial && !lost && outcome != completed {
+		opts.Quarantine.TrialEnded(t.subject, t.ranSinceEnd)
 	}
 	t.addRunTime(time.Since(start))
 	opts.Placer.Done(choice, result)
@@ -181,16 +184,17 @@
 }
 
 // reportLost reports a run that brought some events, if it ended because its target closed the
-// connection.
-func (t *task) reportLost(choice placement.Choice, err error, events int) {
+// connection. It returns false otherwise.
+func (t *task) reportLost(choice placement.Choice, err error, events int) bool {
 	if end := endOfRun(err); end != external.EndClosed && end != external.EndReset {
-		return
+		return false
 	}
 	t.runner.opts.Quarantine.Lost(quarantine.LostRequest{
 		Request: t.subject, Target: choice.ID, Address: choice.Address, Domain: choice.Domain, Started: choice.Started,
-		Events: events, Position: t.position, Ran: t.ranSinceEnd, At: time.Now(),
+		Events: events, Position: t.position, Ran: t.ranSinceEnd, Trial: t.trial, At: time.Now(),
 	})
 	t.ranSinceEnd = 0
+	return true
 }
 
 // endOfRun returns what the target did if a run failed, "" if it did not.
--- a/internal/coordination/routed/quarantine/blame.go
+++ b/internal/coordination/routed/quarantine/blame.go
@@ -111,7 +111,7 @@
 	switch {
 	case unexplained < MaxEndedTargets:
 		return explained
-	case byChance(unexplained, runTime(ends)):
+	case byChance(unexplained, r.runTime(ends)):
 		return chance
 	default:
 		return tooFrequent
@@ -125,7 +125,7 @@
 // chance.
 func (b *blame) isSuspect(r *endRecord) bool {
 	ends := r.counted()
-	return atOnePoint(b.ends[r.key]) || len(ends) > 1 && !byChance(len(ends), runTime(ends))
+	return atOnePoint(b.ends[r.key]) || len(ends) > 1 && !byChance(len(ends), r.runTime(ends))
 }
 
 // ofCommonFailures returns the ends of targets under a request that common failures explain. Each of these
--- a/internal/coordination/routed/quarantine/chance.go
+++ b/internal/coordination/routed/quarantine/chance.go
@@ -32,8 +32,9 @@
 	return 1 - fewer
 }
 
-// runTime returns how long targets have worked on a request until the last of some ends.
-func runTime(ends []*requestEnd) (ran time.Duration) {
+// runTime returns how long targets have worked on a request of which some ends count.
+func (r *endRecord) runTime(ends []*requestEnd) time.Duration {
+	ran := r.ranSinceEnd
 	for _, end := range ends {
 		ran += end.ran
 	}
--- a/internal/coordination/routed/quarantine/checker.go
+++ b/internal/coordination/routed/quarantine/checker.go
@@ -41,7 +41,9 @@
 	// Ran is how long targets have worked on the request since its last end, counted from the first
 	// event of each run.
 	Ran time.Duration
-	At  time.Time
+	// Trial reports that the run was the trial of something closed.
+	Trial bool
+	At    time.Time
 }
 
 // suspects returns the parts that may have crashed the target: none if the run had sent an event.
@@ -117,7 +119,9 @@
 // the first check, since their callers repeat them before the second one.
 func (c *Checker) check(ctx context.Context, lost []LostRequest) {
 	crashed := false
-	if !c.guard.leaving(&lost[0]) && c.refuses(ctx, &lost[0]) {
+	if c.guard.leaving(&lost[0]) || !c.refuses(ctx, &lost[0]) {
+		c.guard.answersLost(lost)
+	} else {
 		c.guard.targetEnded(lost, EndSuspected)
 		crashed = c.confirm(ctx, &lost[0])
 		state := EndDismissed
@@ -196,6 +200,15 @@
 	}
 }
 
+// answersLost records that the answers of requests were lost although their target runs, or its end is planned.
+func (g *Guard) answersLost(list []LostRequest) {
+	for i := range list {
+		if list[i].Trial {
+			g.TrialEnded(list[i].Request, list[i].Ran)
+		}
+	}
+}
+
 // targetEnded records that the target of lost requests ended, or that it did not, and logs it for each
 // of them.
 func (g *Guard) targetEnded(list []LostRequest, state EndState) {
--- a/internal/coordination/routed/quarantine/ends.go
+++ b/internal/coordination/routed/quarantine/ends.go
@@ -70,7 +70,7 @@
 	if !r.add(end) {
 		return false
 	}
-	r.changed = e.nextVersion()
+	r.changed, r.ranSinceEnd = e.nextVersion(), 0
 	if end.state == EndDismissed {
 		e.endTimes.remove(end.incarnation)
 	} else {
--- a/internal/coordination/routed/quarantine/endtable.go
+++ b/internal/coordination/routed/quarantine/endtable.go
@@ -60,6 +60,9 @@
 	// id is the id of an attempt or item, for logs.
 	id   string
 	ends map[incarnation]*requestEnd
+	// ranSinceEnd is how long targets have worked on the request since its last end, as far as trials here have
+	// told. The end that follows tells it to all instances.
+	ranSinceEnd time.Duration
 	// completedAt is when a target last completed the request; ends before do not count.
 	completedAt time.Time
 	// changed is the version of the last change that others have to learn, changedHere that of the
--- a/internal/coordination/routed/quarantine/guard.go
+++ b/internal/coordination/routed/quarantine/guard.go
@@ -170,6 +170,17 @@
 	g.evaluateRequests()
 }
 
+// TrialEnded records that the run of a trial has ended, or was not begun, without its answer and without the end of its
+// target: it yielded its slot, for example. ran is how long targets have worked on the request since its last end.
+func (g *Guard) TrialEnded(r Request, ran time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.evidence.TrialEnded(&r, ran)
+	_ = level.Info(g.opts.Logger).Log("event", "trial_undecided", "request", r.ID, "key", r.Key, "parts", strings.Join(r.Parts, ","),
+		"ran_ms", ran.Milliseconds(), "verdict", g.evidence.verdictOn(r.Key))
+	g.evaluateRequests()
+}
+
 // Ends returns the number of targets that ended under a request, as far as this instance knows, and when
 // the last one did.
 func (g *Guard) Ends(r Request) (count int, last time.Time) {
--- a/internal/coordination/routed/quarantine/trial.go
+++ b/internal/coordination/routed/quarantine/trial.go
@@ -150,3 +150,17 @@
 	c.trialUsed = true
 	return true
 }
+
+// TrialEnded records that the run of a trial has ended without its answer and without the end of its target. It
+// tells only that the target has worked on the request for some time since its last end, so another trial may
+// follow at once.
+func (e *Evidence) TrialEnded(request *Request, ran time.Duration) {
+	for _, c := range e.closures.concerning(request.subjects()) {
+		if c.trialBy == e.self {
+			c.trialUsed = false
+		}
+	}
+	if r := e.ends.records[request.Key]; r != nil {
+		r.ranSinceEnd = max(r.ranSinceEnd, ran)
+	}
+}
--- a/internal/coordination/routed/quarantine/trial_test.go
+++ b/internal/coordination/routed/quarantine/trial_test.go
@@ -51,3 +51,43 @@
 	trial := trialOf(e, last, last.Add(time.Minute))
 	require.GreaterOrEqual(t, trial.Sub(last), 8*second+quietTime)
 }
+
+// takenTrial returns the time at which an item that is closed has taken its trial.
+func takenTrial(t *testing.T, e *Evidence, last time.Time) time.Time {
+	trial := trialOf(e, last, last.Add(time.Minute))
+	require.False(t, trial.IsZero())
+	require.True(t, e.check(trial, []string{"request:item"}, last.Add(time.Minute)).Closed, "only one run")
+	return trial
+}
+
+// Guards against a sound item that lies still until the claim of its trial lapses, since the trial yielded its
+// slot, or was refused by its target, and counted as used.
+func TestUndecidedTrialIsRepeatedAtOnce(t *testing.T) {
+	e, last := closedItem(t, 9, 2, 5)
+	now := takenTrial(t, e, last)
+	for range 3 {
+		now = now.Add(100 * time.Millisecond)
+		e.TrialEnded(&Request{Key: "request:item"}, 0)
+		require.NotEmpty(t, closedRequests(e, now))
+		require.True(t, e.check(now, []string{"request:item"}, last.Add(time.Minute)).Trial)
+	}
+	endUnder(e, now.Add(second), "request:item", "t-9", 7)
+	require.Zero(t, trialOf(e, now.Add(second), last.Add(time.Minute)), "a trial that ends its target is the last one")
+}
+
+// Guards against a sound item that stays closed although its trial has run for so long that its ends may be chance,
+// and then yielded its slot.
+func TestLongTrialOpensRequest(t *testing.T) {
+	e, last := closedItem(t, 9, 2, 5)
+	now := takenTrial(t, e, last)
+	e.TrialEnded(&Request{Key: "request:item"}, 2*second)
+	require.NotEmpty(t, closedRequests(e, now), "so many ends are hardly chance within 2 s")
+	e.TrialEnded(&Request{Key: "request:item"}, 3*second)
+	require.Empty(t, closedRequests(e, now))
+
+	other := NewEvidence("b")
+	other.Merge(now, e.Since(now, 0, false))
+	require.Empty(t, closedRequests(other, now), "other instances learn of it")
+	endAfter(e, now.Add(second), "request:item", "t-9", 3*second+second/2, 77)
+	require.NotEmpty(t, closedRequests(e, now.Add(second)), "the time of the trial is part of that of the next end")
+}
--- a/internal/coordination/routed/relay/quarantine.go
+++ b/internal/coordination/routed/relay/quarantine.go
@@ -54,10 +54,18 @@
 	c.lostTargets++
 	c.opts.Quarantine.Lost(quarantine.LostRequest{
 		Request: c.subject, Target: choice.ID, Address: choice.Address, Domain: choice.Domain, Started: choice.Started,
-		Events: c.attemptEvents, Position: c.lastEvent, Ran: c.attemptRan(), At: time.Now(),
+		Events: c.attemptEvents, Position: c.lastEvent, Ran: c.attemptRan(), Trial: c.isTrial, At: time.Now(),
 	})
 }
 
+// endTrial lets another request be the trial if this one was it and was not sent, or ended for a reason that tells
+// nothing: it was refused, for example, or its caller disconnected.
+func (c *call) endTrial() {
+	if c.isTrial && c.lostTargets == 0 && c.outcome.Reason != Relayed {
+		c.opts.Quarantine.TrialEnded(c.subject, c.attemptRan())
+	}
+}
+
 // attemptRan returns how long ago the current attempt brought its first event, 0 if it brought none.
 func (c *call) attemptRan() time.Duration {
 	if c.attemptEvents == 0 {
--- a/internal/coordination/routed/relay/quarantine_test.go
+++ b/internal/coordination/routed/relay/quarantine_test.go
@@ -27,6 +27,8 @@
 	completed int
 	ends      int
 	lost      []quarantine.LostRequest
+	// undecided is the number of trials that ended without telling anything.
+	undecided int
 }
 
 func (q *scriptedQuarantine) Check(quarantine.Request) quarantine.Decision {
@@ -36,8 +38,11 @@
 	q.checked++
 	return q.decisions[min(q.checked, len(q.decisions))-1]
 }
-func (q *scriptedQuarantine) Began(quarantine.Request)                 { q.began++ }
-func (q *scriptedQuarantine) Completed(quarantine.Request)             { q.completed++ }
+func (q *scriptedQuarantine) Began(quarantine.Request)     { q.began++ }
+func (q *scriptedQuarantine) Completed(quarantine.Request) { q.completed++ }
+func (q *scriptedQuarantine) TrialEnded(quarantine.Request, time.Duration) {
+	q.undecided++
+}
 func (q *scriptedQuarantine) Ends(quarantine.Request) (int, time.Time) { return q.ends, time.Time{} }
 func (q *scriptedQuarantine) Lost(lost quarantine.LostRequest)         { q.lost = append(q.lost, lost) }
 
@@ -139,6 +144,31 @@
 	})
 }
 
+// Guards against a request that stays closed until the claim of its trial lapses, since the trial went to no target,
+// and against a further trial after one that was answered or lost its target.
+func TestTrialThatTellsNothingIsGivenBack(t *testing.T) {
+	for name, c := range map[string]struct {
+		fleet     scriptedFleet
+		undecided int
+	}{
+		"no free slot": {scriptedFleet{noFreeSlot: true}, 1},
+		"not sent":     {scriptedFleet{script: []scriptedAnswer{unreachable}}, 1},
+		"not run":      {scriptedFleet{script: []scriptedAnswer{notRun}}, 1},
+		"silent":       {scriptedFleet{script: []scriptedAnswer{{neverAnswers: true}}}, 1},
+		"answered":     {scriptedFleet{script: []scriptedAnswer{streamOf(0, 2)}}, 0},
+		"lost":         {scriptedFleet{script: []scriptedAnswer{crashed}}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &c.fleet
+				f.guard = &scriptedQuarantine{decisions: []quarantine.Decision{partTrial, partClosed}}
+				serveRequest(t, atMostOnceRoute, f, promptRequest())
+				require.Equal(t, c.undecided, f.guard.undecided)
+			})
+		})
+	}
+}
+
 // Guards against lost answers that count as evidence although events came before, this instance
 // ended the exchange, or nothing was sent, and against parts that count as suspects though an
 // answer began.
--- a/internal/coordination/routed/relay/relay.go
+++ b/internal/coordination/routed/relay/relay.go
@@ -87,6 +87,8 @@
 	Completed(quarantine.Request)
 	// Lost records that a target closed the connection of a request before that.
 	Lost(quarantine.LostRequest)
+	// TrialEnded records that a trial ended without any of these.
+	TrialEnded(request quarantine.Request, ran time.Duration)
 	// Ends returns the number of targets that ended under a request, and when the last one did.
 	Ends(quarantine.Request) (count int, last time.Time)
 }
@@ -160,6 +162,7 @@
 	if !c.isClosed() && c.findOrigin(ctx) {
 		c.run(ctx)
 	}
+	c.endTrial()
 	c.finishDelivery(callerCtx)
 	c.outcome.Origin = c.origin
 	if !c.outcome.AnswerStarted() && c.outcome.Reason != CallerDisconnected {
--- a/internal/daemon/routed/stillitems_test.go
+++ b/internal/daemon/routed/stillitems_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,6 +27,16 @@
 	"nothing":       func(*crashFleet, string) {},
 	"owner killed":  func(f *crashFleet, item string) { f.ownerOf(item).kill() },
 	"all restarted": func(f *crashFleet, _ string) { f.killAll(); sleep(500 * time.Millisecond); f.startAll() },
+	"domain cut off": func(f *crashFleet, item string) {
+		own := f.domainIPs(f.ownerOf(item).domain)
+		var others []string
+		for _, domain := range []string{"d0", "d1", "d2"} {
+			if domain != f.ownerOf(item).domain {
+				others = append(others, f.domainIPs(domain)...)
+			}
+		}
+		f.net.Partition(own, append(others, storeIP))
+	},
 }
 
 // ownerOf returns the instance that holds an item back.
@@ -118,3 +129,27 @@
 		}
 	}
 }
+
+// Guards against a sound item that lies still until the claim of its trial lapses, since the trial yielded its slot
+// to online requests.
+func TestTrialThatYieldsIsRepeatedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCrashFleet(t, fleetSize{domains: 3, instances: 3, targets: 3}, soundLoad(0, 10))
+		item := f.closeByCrashes("job-0")
+		owner := f.ownerOf(item)
+		for begin := time.Now(); !strings.Contains(owner.logs.String(), "event=request_trial "); {
+			require.Less(t, time.Since(begin), stillBound)
+			sleep(10 * time.Millisecond)
+		}
+		// More requests at once than the targets have slots.
+		var callers sync.WaitGroup
+		for n := range 150 {
+			callers.Go(func() { f.request(true, fmt.Sprint("r-", n), fmt.Sprint("own-", n), []int{n % len(f.instances)}) })
+		}
+		longest := f.longestStill([]string{item})
+		callers.Wait()
+		t.Logf("longest %v", longest)
+		require.Contains(t, owner.logs.String(), "event=item_yields item="+item+" ")
+		require.LessOrEqual(t, longest, stillBound)
+	})
+}
--- a/internal/explain/background.go
+++ b/internal/explain/background.go
@@ -43,6 +43,8 @@
 		return fmt.Sprintf("the request %s was opened: a target completed it, or the targets ended under another one", r.Fields["closed_parts"])
 	case "request_trial":
 		return fmt.Sprintf("the closed request %s may go to one target", r.Fields["closed_parts"])
+	case "trial_undecided":
+		return fmt.Sprintf("the trial of request %s ended without a result after targets had worked on it for %s", r.Fields["request"], seconds(r.Number("ran_ms")))
 	case "part_opened":
 		return fmt.Sprintf("the prompt parts %s were opened: a request with them got its first event", r.Fields["closed_parts"])
 	case "part_trial":
