--- a/internal/coordination/routed/quarantine/evidence.go
+++ b/internal/coordination/routed/quarantine/evidence.go
@@ -76,7 +76,7 @@
 	}
 	c.changed = e.nextVersion()
 	for _, known := range e.closures.ofParts {
-		if c.hasAll(known.parts) && known.crashedAgain(c.at) {
+		if c.hasAll(known.parts) && known.crashedAgain(c.at, id) {
 			known.changed = e.nextVersion()
 		}
 	}
--- a/internal/coordination/routed/quarantine/trial.go
+++ b/internal/coordination/routed/quarantine/trial.go
@@ -70,7 +70,7 @@
 // may be idle, and the mistake costs its result if the trial comes too late for it.
 func (e *Evidence) trialFrom(c *closure, expires time.Time) time.Time {
 	from := c.trialFrom()
-	if c.trials > 0 {
+	if e.failedTrials(c) > 0 {
 		return from
 	}
 	early := latestOf(c.crashed, e.quietSince()).Add(quietTime)
@@ -151,6 +151,19 @@
 	return true
 }
 
+// failedTrials returns the number of trials that ended with their target. The last one does not count if its
+// target runs after all, or has ended for another reason: it tells nothing about the request then.
+func (e *Evidence) failedTrials(c *closure) int {
+	r := e.ends.records[keyOf(c.parts)]
+	if c.trials == 0 || r == nil {
+		return c.trials
+	}
+	if end := r.ends[c.trialEnd]; end != nil && (end.state == EndDismissed || e.newBlame().hasOtherCause(r, end)) {
+		return c.trials - 1
+	}
+	return c.trials
+}
+
 // TrialEnded records that the run of a trial has ended without its answer and without the end of its target. It
 // tells only that the target has worked on the request for some time since its last end, so another trial may
 // follow at once.
