--- a/internal/coordination/routed/quarantine/blame.go
+++ b/internal/coordination/routed/quarantine/blame.go
@@ -30,21 +30,26 @@
 
 // atOnePoint reports whether MaxEndedTargets ends came at the same event of the whole output, or after as
 // many events of the run.
-func atOnePoint(ends []*requestEnd) bool {
-	events, positions := map[int][]*requestEnd{}, map[int]int{}
+func atOnePoint(ends []*requestEnd) bool { return len(endsAtOnePoint(ends)) > 0 }
+
+// endsAtOnePoint returns the ends for which atOnePoint is true, none if it is not.
+func endsAtOnePoint(ends []*requestEnd) []*requestEnd {
+	events, positions := map[int][]*requestEnd{}, map[int][]*requestEnd{}
 	for _, end := range ends {
 		events[end.events] = append(events[end.events], end)
-		positions[end.position]++
-		if positions[end.position] >= MaxEndedTargets {
-			return true
+		positions[end.position] = append(positions[end.position], end)
+	}
+	for _, same := range positions {
+		if len(same) >= MaxEndedTargets {
+			return same
 		}
 	}
 	for _, same := range events {
 		if len(same) >= MaxEndedTargets && !passedPoint(same) {
-			return true
+			return same
 		}
 	}
-	return false
+	return nil
 }
 
 // passedPoint reports whether targets brought more events in other runs between ends that came after as many
--- a/internal/coordination/routed/quarantine/trial.go
+++ b/internal/coordination/routed/quarantine/trial.go
@@ -12,6 +12,9 @@
 	// quietShare is the part of all targets that may end within quietTime all the same. In a large fleet some
 	// target ends at each moment, and a trial is as unlikely to meet it.
 	quietShare = 0.02
+	// unbegunTrialDelay is the time from the last end until a request that targets may not have begun has its
+	// trial. Little speaks for it, but an accepted item runs again within 20 s of its last failure.
+	unbegunTrialDelay = 18 * time.Second
 	// expiryTrialFraction: an item that may be sound has its trial once this part of the time until it expires
 	// has passed, although targets still end. The rest is enough to run it.
 	expiryTrialFraction = 3
@@ -77,6 +80,8 @@
 	switch e.doubtOn(c) {
 	case noDoubt:
 		return from
+	case unbegun:
+		early = latestOf(early, c.crashed.Add(unbegunTrialDelay))
 	case differentPoints:
 		if latest := c.crashed.Add(expires.Sub(c.crashed) / expiryTrialFraction); !expires.IsZero() && latest.Before(early) {
 			early = latest
@@ -92,8 +97,11 @@
 type doubt int
 
 const (
-	// noDoubt: targets ended at one point of the output, or parts are closed.
+	// noDoubt: targets ended at one point of the output that several of them had reached, or parts are closed.
 	noDoubt doubt = iota
+	// unbegun: targets ended at one point, but most of them before the first event of their run. They may have
+	// ended for their own reasons while the request waited there.
+	unbegun
 	// differentPoints: the ends came at different points of the output.
 	differentPoints
 )
@@ -104,10 +112,21 @@
 	if r == nil {
 		return noDoubt
 	}
-	if atOnePoint(r.counted()) {
+	begun := 0
+	ends := endsAtOnePoint(r.counted())
+	for _, end := range ends {
+		if end.events > 0 {
+			begun++
+		}
+	}
+	switch {
+	case len(ends) == 0:
+		return differentPoints
+	case begun <= 1:
+		return unbegun
+	default:
 		return noDoubt
 	}
-	return differentPoints
 }
 
 // quietSince returns the time since which only a small part of the targets has ended, as far as this instance
