--- a/internal/coordination/routed/quarantine/blame.go
+++ b/internal/coordination/routed/quarantine/blame.go
@@ -30,13 +30,15 @@
 
 // atOnePoint reports whether MaxEndedTargets ends came at the same event of the whole output, or after as
 // many events of the run.
-func atOnePoint(ends []*requestEnd) bool { return len(endsAtOnePoint(ends)) > 0 }
+func atOnePoint(ends []*requestEnd) bool {
+	return len(endsAtOnePosition(ends)) > 0 || afterAsManyEvents(ends)
+}
 
-// endsAtOnePoint returns the ends for which atOnePoint is true, none if it is not.
-func endsAtOnePoint(ends []*requestEnd) []*requestEnd {
-	events, positions := map[int][]*requestEnd{}, map[int][]*requestEnd{}
+// endsAtOnePosition returns MaxEndedTargets ends or more that came at the same event of the whole output, none if
+// there are fewer.
+func endsAtOnePosition(ends []*requestEnd) []*requestEnd {
+	positions := map[int][]*requestEnd{}
 	for _, end := range ends {
-		events[end.events] = append(events[end.events], end)
 		positions[end.position] = append(positions[end.position], end)
 	}
 	for _, same := range positions {
@@ -44,12 +46,21 @@
 			return same
 		}
 	}
+	return nil
+}
+
+// afterAsManyEvents reports whether MaxEndedTargets ends came after as many events of the run.
+func afterAsManyEvents(ends []*requestEnd) bool {
+	events := map[int][]*requestEnd{}
+	for _, end := range ends {
+		events[end.events] = append(events[end.events], end)
+	}
 	for _, same := range events {
 		if len(same) >= MaxEndedTargets && !passedPoint(same) {
-			return same
+			return true
 		}
 	}
-	return nil
+	return false
 }
 
 // passedPoint reports whether targets brought more events in other runs between ends that came after as many
--- a/internal/coordination/routed/quarantine/trial.go
+++ b/internal/coordination/routed/quarantine/trial.go
@@ -12,9 +12,9 @@
 	// quietShare is the part of all targets that may end within quietTime all the same. In a large fleet some
 	// target ends at each moment, and a trial is as unlikely to meet it.
 	quietShare = 0.02
-	// unbegunTrialDelay is the time from the last end until a request that targets may not have begun has its
-	// trial. Little speaks for it, but an accepted item runs again within 20 s of its last failure.
-	unbegunTrialDelay = 18 * time.Second
+	// onePointTrialDelay is the time from the last end until a request whose targets ended at one point, but perhaps
+	// by chance, has its trial. Little speaks for it, but an accepted item runs again within 20 s of its last failure.
+	onePointTrialDelay = 18 * time.Second
 	// latestTrial is the part of the time until an item expires after which it has its trial although targets
 	// still end: the rest is left to run it. An earlier trial would meet another end, and be the only one.
 	latestTrial = 2. / 3
@@ -80,8 +80,8 @@
 	switch e.doubtOn(c) {
 	case noDoubt:
 		return from
-	case unbegun:
-		early = latestOf(early, c.crashed.Add(unbegunTrialDelay))
+	case samePoint:
+		early = latestOf(early, c.crashed.Add(onePointTrialDelay))
 	case differentPoints:
 		latest := c.crashed.Add(time.Duration(latestTrial * float64(expires.Sub(c.crashed))))
 		if !expires.IsZero() && latest.Before(early) {
@@ -98,11 +98,11 @@
 type doubt int
 
 const (
-	// noDoubt: targets ended at one point of the output that several of them had reached, or parts are closed.
+	// noDoubt: targets ended at one position of the output that several of them had reached, or parts are closed.
 	noDoubt doubt = iota
-	// unbegun: targets ended at one point, but most of them before the first event of their run. They may have
-	// ended for their own reasons while the request waited there.
-	unbegun
+	// samePoint: targets ended at one point, but before the first event of their runs, while the request may have
+	// waited there, or only after as many events of each run: so many requests meet ends that some do by chance.
+	samePoint
 	// differentPoints: the ends came at different points of the output.
 	differentPoints
 )
@@ -113,20 +113,20 @@
 	if r == nil {
 		return noDoubt
 	}
-	begun := 0
-	ends := endsAtOnePoint(r.counted())
-	for _, end := range ends {
+	ends := r.counted()
+	reached := 0
+	for _, end := range endsAtOnePosition(ends) {
 		if end.events > 0 {
-			begun++
+			reached++
 		}
 	}
 	switch {
-	case len(ends) == 0:
-		return differentPoints
-	case begun <= 1:
-		return unbegun
-	default:
+	case reached > 1:
 		return noDoubt
+	case atOnePoint(ends):
+		return samePoint
+	default:
+		return differentPoints
 	}
 }
 
--- a/internal/coordination/routed/quarantine/trial_test.go
+++ b/internal/coordination/routed/quarantine/trial_test.go
@@ -121,23 +121,27 @@
 }
 
 // Guards against a sound item that is held until it expires, since three targets ended before they had begun to run
-// it; and against more than one run of an item that crashes its targets when they begin.
-func TestItemThatTargetsMayNotHaveBegunIsTriedOnce(t *testing.T) {
-	for name, events := range map[string][]int{"never begun": {0, 0, 0}, "resumed, not begun": {12, 0, 0}} {
+// it, or by chance after as many events of their runs; and against more than one run of an item that does crash them.
+func TestItemWhoseTargetsEndedAtOnePointByChanceIsTriedOnce(t *testing.T) {
+	for name, c := range map[string]struct{ events, positions []int }{
+		"never begun":        {[]int{0, 0, 0}, []int{-1, -1, -1}},
+		"resumed, not begun": {[]int{12, 0, 0}, []int{11, 11, 11}},
+		"as many events":     {[]int{52, 52, 52}, []int{79, 168, 221}},
+	} {
 		t.Run(name, func(t *testing.T) {
 			e := NewEvidence("a")
 			var last time.Time
-			for n, count := range events {
+			for n, count := range c.events {
 				last = at(time.Duration(2*n) * second)
 				e.TargetEnded(last, &LostRequest{
-					Request: Request{ID: "item", Key: "request:item"}, Target: fmt.Sprint("t-", n), At: last, Events: count, Position: events[0] - 1,
+					Request: Request{ID: "item", Key: "request:item"}, Target: fmt.Sprint("t-", n), At: last, Events: count, Position: c.positions[n],
 				}, EndSuspected)
 			}
 			require.NotEmpty(t, closedRequests(e, last))
 			trial := trialOf(e, last, last.Add(time.Minute))
-			require.GreaterOrEqual(t, trial.Sub(last), unbegunTrialDelay)
-			require.LessOrEqual(t, trial.Sub(last), unbegunTrialDelay+claimTime+second)
-			endUnder(e, trial.Add(second), "request:item", "t-9", 0)
+			require.GreaterOrEqual(t, trial.Sub(last), onePointTrialDelay)
+			require.LessOrEqual(t, trial.Sub(last), onePointTrialDelay+claimTime+second)
+			endUnder(e, trial.Add(second), "request:item", "t-9", c.events[2])
 			require.NotEmpty(t, closedRequests(e, trial.Add(second)))
 			require.Zero(t, trialOf(e, trial.Add(second), last.Add(time.Minute)))
 		})
