--- a/internal/standin/memnet/conn.go
+++ b/internal/standin/memnet/conn.go
@@ -37,6 +37,8 @@
 	// reset marks that the other end aborted the connection, hostDown that the
 	// host of this end was powered off.
 	reset, hostDown bool
+	// resetOnClose makes Close reset the connection.
+	resetOnClose bool
 
 	readDeadline, writeDeadline time.Time
 }
@@ -135,14 +137,14 @@
 	c.network.broadcastAfter(c.peer.cond, c.network.delay)
 }
 
-// Close implements net.Conn. If received bytes are unread, the connection is reset.
+// Close implements net.Conn. If received bytes are unread, or SetLinger asks for it, the connection is reset.
 func (c *conn) Close() error {
 	c.network.mu.Lock()
 	defer c.network.mu.Unlock()
 	if c.closed {
 		return nil
 	}
-	if len(c.inbox) > 0 && c.readable() && !c.inbox[0].fin {
+	if c.resetOnClose || len(c.inbox) > 0 && c.readable() && !c.inbox[0].fin {
 		c.abort()
 		return nil
 	}
@@ -154,6 +156,14 @@
 	return nil
 }
 
+// SetLinger makes Close reset the connection if seconds is 0, as net.TCPConn does.
+func (c *conn) SetLinger(seconds int) error {
+	c.network.mu.Lock()
+	defer c.network.mu.Unlock()
+	c.resetOnClose = seconds == 0
+	return nil
+}
+
 // abort ends the connection at both ends. The caller holds Network.mu.
 func (c *conn) abort() {
 	c.closed = true
--- a/internal/transport/batchapi/files.go
+++ b/internal/transport/batchapi/files.go
@@ -8,6 +8,7 @@
 
 	"merlintiller/internal/coordination/batch"
 	"merlintiller/internal/protocol"
+	"merlintiller/internal/transport/graceful"
 )
 
 // fileObject is OpenAI's file object.
@@ -140,6 +141,6 @@
 	}
 	if err != nil {
 		_ = a.logger.Log("event", "content_cut", "file", r.PathValue("id"), "err", err)
-		panic(http.ErrAbortHandler)
+		graceful.AbortResponse(r)
 	}
 }
--- a/internal/transport/edge/completion.go
+++ b/internal/transport/edge/completion.go
@@ -12,6 +12,7 @@
 
 	"merlintiller/internal/coordination/online"
 	"merlintiller/internal/protocol"
+	"merlintiller/internal/transport/graceful"
 )
 
 // envelope holds the fields of a completion request that the edge reads. The body
@@ -138,9 +139,8 @@
 	if _, err := w.Write(errorEvent(result.Refusal)); err == nil {
 		_ = w.Flush()
 	}
-	// The connection is closed before the end of the body, so that a client
-	// that ignores error events also detects the incomplete response.
-	panic(http.ErrAbortHandler)
+	// A client that ignores error events also detects the incomplete response.
+	graceful.AbortResponse(x.r)
 }
 
 // Request headers that set the deadline of a call.
--- a/internal/transport/edge/server.go
+++ b/internal/transport/edge/server.go
@@ -163,6 +163,9 @@
 	return err
 }
 
+// NetConn returns the connection that is limited.
+func (c *limitedConn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite closes the sending side of the connection.
 func (c *limitedConn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/transport/front/online.go
+++ b/internal/transport/front/online.go
@@ -12,6 +12,7 @@
 	"merlintiller/internal/coordination/routed/relay"
 	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/state/route"
+	"merlintiller/internal/transport/graceful"
 )
 
 var (
@@ -117,9 +118,7 @@
 	switch {
 	case o.Completed():
 	case o.AnswerStarted(), o.Reason == relay.CallerDisconnected:
-		// Closes the connection, so that a truncated response does not look
-		// complete.
-		panic(http.ErrAbortHandler)
+		graceful.AbortResponse(c.r)
 	default:
 		if o.RetryAfter > 0 {
 			c.w.Header().Set("Retry-After", c.opts.Codec.EncodeRetryAfter(o.RetryAfter))
--- a/internal/transport/front/request.go
+++ b/internal/transport/front/request.go
@@ -17,6 +17,7 @@
 	"merlintiller/internal/coordination/routed/quota"
 	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/state/route"
+	"merlintiller/internal/transport/graceful"
 )
 
 // callerRequest is the state of one request of a caller.
@@ -288,7 +289,7 @@
 	}
 	c.log(outcome, http.StatusInternalServerError, "panic", "err", fmt.Sprint(cause), "stack", string(debug.Stack()))
 	if c.responded {
-		panic(http.ErrAbortHandler)
+		graceful.AbortResponse(c.r)
 	}
 	c.respond(http.StatusInternalServerError, nil, "")
 }
--- a/internal/transport/graceful/conn.go
+++ b/internal/transport/graceful/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"time"
@@ -119,6 +120,31 @@
 	return nil
 }
 
+// AbortResponse ends the handler of a request whose response has begun and can't be completed. It closes the
+// connection so that the response does not look complete: callers of HTTP/1.0 get no chunks and take the close for the
+// end of the body, so for them the connection is reset.
+func AbortResponse(r *http.Request) {
+	if c := connOf(r.Context()); c != nil && !r.ProtoAtLeast(1, 1) {
+		c.resetOnClose()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetOnClose makes the close of the connection reset it.
+func (c *conn) resetOnClose() {
+	socket := c.Conn
+	for {
+		wrapper, ok := socket.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		socket = wrapper.NetConn()
+	}
+	if lingering, ok := socket.(interface{ SetLinger(seconds int) error }); ok {
+		_ = lingering.SetLinger(0)
+	}
+}
+
 // beginRequest records that the handler of a request begins. It returns false if the
 // request was refused already and must not run.
 func (c *conn) beginRequest() bool {
