--- a/internal/coordination/routed/quarantine/blame.go
+++ b/internal/coordination/routed/quarantine/blame.go
@@ -134,11 +134,6 @@
 	}
 }
 
-// hasOtherCause reports whether something else than the request explains the end of a target under it.
-func (b *blame) hasOtherCause(r *endRecord, end *requestEnd) bool {
-	return b.evidence.explainedByPart(end) || b.ofCommonFailure(r, end, b.isSuspect) || b.explainedByOther(r, end)
-}
-
 // endedSeveral reports whether several targets ended under a request, so that it may have caused the ends.
 func endedSeveral(r *endRecord) bool { return len(r.counted()) > 1 }
 
--- a/internal/coordination/routed/quarantine/chance_test.go
+++ b/internal/coordination/routed/quarantine/chance_test.go
@@ -267,7 +267,7 @@
 			s.e.Completed(s.now, "request:item")
 			break
 		}
-		work, position = work-ran, position+int(ran/eventInterval)
+		work, position = work-ran, position+1+int(ran/eventInterval)
 		s.end(ran, position)
 		s.e.closeRequests(s.now)
 		held = held || len(closedKeys(s.e, s.now)) > 0
@@ -291,7 +291,7 @@
 	position := 0
 	for s.mayRun(expires) && s.crashes < maxEnds+MaxEndedTargets {
 		ran := time.Duration(s.rng.Float64() * float64(work))
-		work, position = work-ran, position+int(ran/eventInterval)
+		work, position = work-ran, position+1+int(ran/eventInterval)
 		s.end(ran, position)
 		s.pause()
 	}
--- a/internal/coordination/routed/quarantine/trial.go
+++ b/internal/coordination/routed/quarantine/trial.go
@@ -172,13 +172,14 @@
 }
 
 // failedTrials returns the number of trials that ended with their target. The last one does not count if its
-// target runs after all, or has ended for another reason: it tells nothing about the request then.
+// target runs after all. One that ended beside others does: in a large fleet some end at each moment, and a request that
+// crashes its targets would go to a further one for each coincidence.
 func (e *Evidence) failedTrials(c *closure) int {
 	r := e.ends.records[keyOf(c.parts)]
 	if c.trials == 0 || r == nil {
 		return c.trials
 	}
-	if end := r.ends[c.trialEnd]; end != nil && (end.state == EndDismissed || e.newBlame().hasOtherCause(r, end)) {
+	if end := r.ends[c.trialEnd]; end != nil && end.state == EndDismissed {
 		return c.trials - 1
 	}
 	return c.trials
