--- a/internal/transport/edge/cutanswers_test.go
+++ b/internal/transport/edge/cutanswers_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -25,36 +24,10 @@
 
 // ServeHTTP implements http.Handler.
 func (c *cutTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	recorder := httptest.NewRecorder()
-	c.next.ServeHTTP(recorder, r)
-	whole := rawResponse(recorder, c.chunked)
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		panic(err)
-	}
+	whole := rawanswer.Recorded(c.next, r, c.chunked)
 	c.asked.Add(1)
 	c.length.Store(int64(len(whole)))
-	_, _ = io.WriteString(conn, whole[:min(int(c.cut.Load()), len(whole))])
-	_ = conn.Close()
-}
-
-// rawResponse returns the bytes of a recorded response.
-func rawResponse(recorder *httptest.ResponseRecorder, chunked bool) string {
-	body := recorder.Body.String()
-	framing := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
-	if chunked {
-		framing = "Transfer-Encoding: chunked\r\n\r\n"
-		for part := range strings.SplitAfterSeq(body, "\n\n") {
-			if part != "" {
-				framing += fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
-			}
-		}
-		framing += "0\r\n\r\n"
-	}
-	var head strings.Builder
-	_, _ = fmt.Fprintf(&head, "HTTP/1.1 %d Some Reason\r\n", recorder.Code)
-	_ = recorder.Header().Write(&head)
-	return head.String() + framing
+	rawanswer.SendCut(w, whole, int(c.cut.Load()))
 }
 
 // Guards against a target that stops within its answer, at any byte of the head or in the body, and closes: callers
--- a/internal/transport/targetconn/inspect_test.go
+++ b/internal/transport/targetconn/inspect_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"testing"
@@ -13,6 +14,7 @@
 	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/standin/engine"
 	"merlintiller/internal/standin/memnet"
+	"merlintiller/internal/standin/rawanswer"
 	"merlintiller/platform"
 )
 
@@ -116,6 +118,29 @@
 	}
 }
 
+// Guards against a report, or an answer to a health check, that is cut at any byte and counts as whole: the target would
+// look idle or healthy.
+func TestControlResponseThatIsCutIsAnError(t *testing.T) {
+	const report = `{"running":0,"waiting":0,"slots":8,"runs":[]}`
+	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(report), report)
+	var cut int
+	answer := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		rawanswer.SendCut(w, whole, cut)
+	})
+	runInspectTest(t, answer, func(t *testing.T, f *inspectFixture) {
+		f.codec.DecodeHealth = platform.DecodeHealth
+		for cut = range len(whole) {
+			_, err := f.Report(t.Context(), targetAddress)
+			require.Error(t, err, "cut at %d", cut)
+			_, err = f.Health(t.Context(), targetAddress, "/health")
+			require.Error(t, err, "cut at %d", cut)
+		}
+		cut = len(whole)
+		_, err := f.Health(t.Context(), targetAddress, "/health")
+		require.NoError(t, err)
+	})
+}
+
 // A target never responds. A call to it must return when its context ends.
 func TestUnresponsiveTargetTimesOut(t *testing.T) {
 	silent := func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
