--- a/internal/coordination/routed/quarantine/chance_test.go
+++ b/internal/coordination/routed/quarantine/chance_test.go
@@ -243,9 +243,7 @@
 func (s *crashScene) mayRun(expires time.Time) bool {
 	s.e.closeRequests(s.now)
 	for s.now.Before(expires) {
-		if from := s.now.Add(-second); from.After(s.othersUntil) {
-			s.crashOthers(from, s.now)
-		}
+		s.crashOthers(s.now.Add(-coincidenceTime), s.now)
 		if !s.e.check(s.now, []string{"request:item"}, expires).Closed {
 			return true
 		}
