--- a/internal/coordination/routed/quarantine/chance_test.go
+++ b/internal/coordination/routed/quarantine/chance_test.go
@@ -171,9 +171,9 @@
 	// met is the number of sound items that met MaxEndedTargets crashes, held that of those that were closed,
 	// and lost that of those that were not done before they expired.
 	met, held, lost int
-	// still is the time for which sound items waited since they were closed, longest that of one wait while
+	// waited is the time for which sound items waited since they were closed, longest that of one wait while
 	// targets were calm.
-	still, longest time.Duration
+	waited, longest time.Duration
 	// after is the number of runs after the third end of a crashing request, by their count.
 	after [maxEnds + 1]int
 }
@@ -257,7 +257,7 @@
 	expires := s.now.Add(time.Minute)
 	held, position := false, 0
 	for from := s.now; s.mayRun(expires); from = s.now {
-		out.still += s.now.Sub(from)
+		out.waited += s.now.Sub(from)
 		out.longest = max(out.longest, s.now.Sub(later(from, s.calmFrom)))
 		ran := time.Duration(s.rng.ExpFloat64() * float64(s.interval))
 		if calm := !s.calmFrom.IsZero() && !s.now.Add(ran).Before(s.calmFrom); calm || ran >= work {
@@ -322,7 +322,7 @@
 		}
 	}
 	t.Logf("of %d sound items %d met three ends; %d of these were held, %d were not done; those done waited for %.1f s each, %v at most",
-		*chanceSeeds*len(outputs), got.met, got.held, got.lost, got.still.Seconds()/max(1, float64(got.held)), got.longest)
+		*chanceSeeds*len(outputs), got.met, got.held, got.lost, got.waited.Seconds()/max(1, float64(got.held)), got.longest)
 	if interval > 2*chanceEndInterval {
 		require.Zero(t, got.lost)
 	}
@@ -344,7 +344,7 @@
 const troubleTime = 27 * time.Second
 
 // Guards against a whole fleet in which some of many sound items are closed by mistake in a time of trouble, and then
-// lie still or expire although targets are calm. It logs the figures of docs/design/25-crashes-by-chance.md.
+// wait or expire although targets are calm. It logs the figures of docs/design/25-crashes-by-chance.md.
 func TestSoundItemsOfAWholeFleetAreDoneAfterTrouble(t *testing.T) {
 	for _, targets := range []int{22, 182, 850} {
 		for _, interval := range []time.Duration{20 * second, 6 * second} {
@@ -359,7 +359,7 @@
 					scene.soundItem(8*second, &got)
 				}
 				t.Logf("of %d items %d met three ends; %d of these were held, %d not done; they waited for %.1f s each, %v at most while targets were calm",
-					items, got.met, got.held, got.lost, got.still.Seconds()/max(1, float64(got.held)), got.longest)
+					items, got.met, got.held, got.lost, got.waited.Seconds()/max(1, float64(got.held)), got.longest)
 				require.Zero(t, got.lost)
 				require.LessOrEqual(t, got.longest, 10*second)
 			})
--- a/internal/coordination/routed/quarantine/trial_test.go
+++ b/internal/coordination/routed/quarantine/trial_test.go
@@ -60,7 +60,7 @@
 	return trial
 }
 
-// Guards against a sound item that lies still until the claim of its trial lapses, since the trial yielded its
+// Guards against a sound item that waits until the claim of its trial lapses, since the trial yielded its
 // slot, or was refused by its target, and counted as used.
 func TestUndecidedTrialIsRepeatedAtOnce(t *testing.T) {
 	e, last := closedItem(t, 9, 2, 5)
--- a/internal/daemon/routed/stillitems_test.go
+++ b/internal/daemon/routed/closeditems_test.go
@@ -13,17 +13,17 @@
 )
 
 const (
-	// stillBound is the longest time that an accepted item may wait while targets are idle, from the last end of a
+	// maxWait is the longest time that an accepted item may wait while targets are idle, from the last end of a
 	// target or other fault on.
-	stillBound = 10 * time.Second
-	// stillEvents is the number of events of each item.
-	stillEvents = 500
-	// itemsEnd is the time until all items have to be done, from the last fault on.
-	itemsEnd = 40 * time.Second
+	maxWait = 10 * time.Second
+	// closedItemEvents is the number of events of each item.
+	closedItemEvents = 500
+	// itemsDeadline is the time until all items have to be done, from the last fault on.
+	itemsDeadline = 40 * time.Second
 )
 
-// stillFaults are what happens once items are closed.
-var stillFaults = map[string]func(f *crashFleet, item string){
+// closedItemFaults are what happens once items are closed.
+var closedItemFaults = map[string]func(f *crashFleet, item string){
 	"nothing":       func(*crashFleet, string) {},
 	"owner killed":  func(f *crashFleet, item string) { f.ownerOf(item).kill() },
 	"all restarted": func(f *crashFleet, _ string) { f.killAll(); sleep(500 * time.Millisecond); f.startAll() },
@@ -55,7 +55,7 @@
 func (f *crashFleet) closeByCrashes(job string) (item string) {
 	f.t.Helper()
 	item = itemID(job, 0)
-	require.Equal(f.t, http.StatusAccepted, f.instances[0].send(batchJob(job, 1, stillEvents)).status)
+	require.Equal(f.t, http.StatusAccepted, f.instances[0].send(batchJob(job, 1, closedItemEvents)).status)
 	for n := range toleratedEnds {
 		f.crashUnder(item, time.Duration(100+60*n)*time.Millisecond)
 	}
@@ -71,14 +71,14 @@
 	return ""
 }
 
-// longestStill returns the longest time for which no target ran one of some items until all of them were done, from
+// longestWait returns the longest time for which no target ran one of some items until all of them were done, from
 // now on.
-func (f *crashFleet) longestStill(items []string) (longest time.Duration) {
+func (f *crashFleet) longestWait(items []string) (longest time.Duration) {
 	f.t.Helper()
 	from := time.Now()
 	ranAt := map[string]time.Time{}
 	for left := len(items); left > 0; {
-		require.Less(f.t, time.Since(from), itemsEnd, "%d items are left: %s", left, f.linesOf(items[0]))
+		require.Less(f.t, time.Since(from), itemsDeadline, "%d items are left: %s", left, f.linesOf(items[0]))
 		left = 0
 		for _, id := range items {
 			if f.completed(id) {
@@ -107,10 +107,10 @@
 	return false
 }
 
-// Guards against sound items that were closed by mistake and lie still while all targets are idle: for a part of the
+// Guards against sound items that were closed by mistake and wait although all targets are idle: for a part of the
 // time until they expire, and beyond a kill of their owner, a restart of all instances or a partition.
-func TestClosedSoundItemsDoNotLieStillWhileTargetsAreIdle(t *testing.T) {
-	for name, fault := range stillFaults {
+func TestClosedSoundItemsRunSoonWhileTargetsAreIdle(t *testing.T) {
+	for name, fault := range closedItemFaults {
 		for closings := 1; closings <= 3; closings++ {
 			t.Run(fmt.Sprint(name, "/", closings), func(t *testing.T) {
 				t.Parallel()
@@ -121,16 +121,16 @@
 						items = append(items, f.closeByCrashes(fmt.Sprint("job-", n)))
 					}
 					fault(f, items[closings-1])
-					longest := f.longestStill(items)
+					longest := f.longestWait(items)
 					t.Logf("longest %v", longest)
-					require.LessOrEqual(t, longest, stillBound)
+					require.LessOrEqual(t, longest, maxWait)
 				})
 			})
 		}
 	}
 }
 
-// Guards against a sound item that lies still until the claim of its trial lapses, since the trial yielded its slot
+// Guards against a sound item that waits until the claim of its trial lapses, since the trial yielded its slot
 // to online requests.
 func TestTrialThatYieldsIsRepeatedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -138,7 +138,7 @@
 		item := f.closeByCrashes("job-0")
 		owner := f.ownerOf(item)
 		for begin := time.Now(); !strings.Contains(owner.logs.String(), "event=request_trial "); {
-			require.Less(t, time.Since(begin), stillBound)
+			require.Less(t, time.Since(begin), maxWait)
 			sleep(10 * time.Millisecond)
 		}
 		// More requests at once than the targets have slots.
@@ -146,10 +146,10 @@
 		for n := range 150 {
 			callers.Go(func() { f.request(true, fmt.Sprint("r-", n), fmt.Sprint("own-", n), []int{n % len(f.instances)}) })
 		}
-		longest := f.longestStill([]string{item})
+		longest := f.longestWait([]string{item})
 		callers.Wait()
 		t.Logf("longest %v", longest)
 		require.Contains(t, owner.logs.String(), "event=item_yields item="+item+" ")
-		require.LessOrEqual(t, longest, stillBound)
+		require.LessOrEqual(t, longest, maxWait)
 	})
 }
