--- a/internal/daemon/routed/cutanswers_test.go
+++ b/internal/daemon/routed/cutanswers_test.go
@@ -61,9 +61,9 @@
 // cutAnswers are the answers by the first part of the path below the route.
 func cutAnswers() map[string]cutAnswer {
 	length := fmt.Sprintf("Content-Length: %d\r\n", len(plainContent))
-	plain := func(string) func(int) string { return func(int) string { return plainContent } }("")
+	plain := func(int) string { return plainContent }
 	chunks := func(int) string { return "5\r\nhello\r\n8\r\n, caller\r\n0\r\n\r\n" }
-	withStatus := func(before string, head func(id string) string) func(id string) string {
+	precededBy := func(before string, head func(id string) string) func(id string) string {
 		return func(id string) string { return before + head(id) }
 	}
 	crossed := plainHead(length)("another") + plainContent
@@ -77,8 +77,8 @@
 		"folded":   {head: plainHead(length + "X-Folded: one\r\n two\r\n"), body: plain, content: plainContent},
 		"chunks":   {head: plainHead("Transfer-Encoding: chunked\r\n"), body: chunks, content: plainContent},
 		"unframed": {head: plainHead(""), body: plain, content: plainContent, endsWithConnection: true},
-		"interim":  {head: withStatus("HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n", plainHead(length)), body: plain, content: plainContent},
-		"crossed":  {head: withStatus(crossed, plainHead(length)), body: plain, content: plainContent},
+		"interim":  {head: precededBy("HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n", plainHead(length)), body: plain, content: plainContent},
+		"crossed":  {head: precededBy(crossed, plainHead(length)), body: plain, content: plainContent},
 		"events": {
 			head: plainHead("Transfer-Encoding: chunked\r\n"), body: stream(true), content: allEvents, stream: true,
 		},
@@ -205,7 +205,7 @@
 				require.True(t, whole, "%q", got.Raw)
 				require.Equal(t, answer.content, body)
 			case answer.endsWithConnection && cut >= headLength:
-				// The pages allow such an answer, and it ends here for all that an instance sees; but never within an event.
+				// Nothing tells the end of such an answer from its connection's; but it never ends within an event.
 				require.True(t, strings.HasPrefix(answer.content, body))
 				require.True(t, !whole || !answer.stream || strings.HasSuffix(body, "\n\n"), "cut at %d: %q", cut, got.Raw)
 			case whole:
