--- a/internal/transport/edge/cutanswers_test.go
+++ b/internal/transport/edge/cutanswers_test.go
@@ -80,14 +80,17 @@
 	require.NotEmpty(t, content)
 	s := newCutSystem()
 	for n := range length.Load() {
-		if n%8 == 0 {
-			// A target that loses several answers in a row is not asked for some time.
-			s = newCutSystem()
-		}
 		cut.Store(n)
 		before := asked.Load()
 		body, whole, answer := receive(s)
-		require.Greater(t, asked.Load(), before, "no target was asked")
+		if asked.Load() == before {
+			// The request crossed the close of a kept connection, or no target is asked for some time since they lost
+			// several answers in a row.
+			require.False(t, whole, "%q", answer.Raw)
+			s = newCutSystem()
+			body, whole, answer = receive(s)
+		}
+		require.Greater(t, asked.Load(), before, "no target was asked: %q", answer.Raw)
 		if whole {
 			// A stream that other targets continue may be whole. Only ids differ from answer to answer, and are as long.
 			require.True(t, events, "cut at %d: %q", n, answer.Raw)
