--- a/internal/daemon/routed/crashingparts_test.go
+++ b/internal/daemon/routed/crashingparts_test.go
@@ -64,6 +64,9 @@
 	sound  []soundRequest
 	// mended reports that targets bear the crashing part.
 	mended atomic.Bool
+	// restart, if set, replaces a target that has crashed. By default another one is at its address after
+	// targetRestartTime.
+	restart func(crashed *target)
 }
 
 // soundRequest is a request without the crashing part, with all tries of its caller.
@@ -93,7 +96,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.starts++
-	id := fmt.Sprintf("t-%d", f.starts)
+	started := f.newCrashingTarget(fmt.Sprintf("t-%d", f.starts), domain, ip)
+	started.listen()
+	started.register()
+	f.background.Go(started.heartbeatLoop)
+}
+
+// newCrashingTarget returns a target that neither listens nor is listed yet. The caller holds the lock.
+func (f *crashFleet) newCrashingTarget(id, domain, ip string) *target {
 	opts := engine.Options{
 		Slots: 8, QueueSize: 24, EventInterval: 20 * time.Millisecond, FaultFor: f.load.faultFor,
 	}
@@ -125,7 +135,8 @@
 		f.mu.Unlock()
 		once()
 	}
-	started = f.addTarget(id, domain, ip, opts)
+	started = f.newTarget(id, domain, ip, opts)
+	return started
 }
 
 // crashingPartOf returns the part of a prompt that crashes targets, "" if there is none.
@@ -163,6 +174,10 @@
 	f.mu.Unlock()
 	f.net.Kill(t.ip)
 	_ = t.server.Close()
+	if f.restart != nil {
+		f.restart(t)
+		return
+	}
 	time.AfterFunc(targetRestartTime, func() {
 		if f.ctx.Err() != nil {
 			return
--- a/internal/daemon/routed/fleettarget_test.go
+++ b/internal/daemon/routed/fleettarget_test.go
@@ -19,25 +19,34 @@
 	version string
 	state   string
 	started int64
-	silent  bool
-	server  *http.Server
+	// listedAt is when a target that comes back was listed, zero if it has not been.
+	listedAt time.Time
+	silent   bool
+	server   *http.Server
 }
 
+// addTarget starts a target that is listed at once.
 func (fleet *testFleet) addTarget(id, domain, ip string, opts engine.Options) *target {
-	opts.ID = id
+	target := fleet.newTarget(id, domain, ip, opts)
+	target.listen()
+	target.register()
+	fleet.background.Go(target.heartbeatLoop)
+	return target
+}
+
+// newTarget returns a target that neither listens nor is listed yet.
+func (fleet *testFleet) newTarget(id, domain, ip string, opts engine.Options) *target {
+	opts.ID, opts.Born = id, time.Now().UnixMilli()
 	if opts.Slots == 0 {
 		opts.Slots, opts.QueueSize, opts.EventInterval = 8, 24, 20*time.Millisecond
 	}
 	target := &target{
-		Engine: engine.New(opts), fleet: fleet, id: id, ip: ip, domain: domain, version: "v1", state: "ready", started: time.Now().UnixMilli(),
+		Engine: engine.New(opts), fleet: fleet, id: id, ip: ip, domain: domain, version: "v1", state: "ready", started: opts.Born,
 	}
 	if opts.Version != "" {
 		target.version = opts.Version
 	}
 	fleet.targets = append(fleet.targets, target)
-	target.listen()
-	target.register()
-	fleet.background.Go(target.heartbeatLoop)
 	return target
 }
 
--- a/internal/harness/proctest/crowd_test.go
+++ b/internal/harness/proctest/crowd_test.go
@@ -36,6 +36,9 @@
 const (
 	routedHost = "calls.example"
 	routedKey  = "secret"
+	// maxAttempts is the number of targets that may run one request of a caller, and the number of failed runs
+	// of an item.
+	maxAttempts = 2
 	// crowdShare is the part of the new connections that one instance gets.
 	crowdShare = 0.95
 	// servedShare is the part of what was served before, at the first try, of the requests that an
@@ -49,12 +52,17 @@
 	t         *testing.T
 	ctx       context.Context
 	store     *sharedstore.Store
-	instances []routedInstance
+	instances []*routedInstance
+	// listedAt is when the entry of each target process was last renewed.
+	listedMu sync.Mutex
+	listedAt map[string]time.Time
 }
 
 type routedInstance struct {
 	callers, readiness string
 	process            *harness.Process
+	// start starts another process with the same settings.
+	start func()
 }
 
 // listen serves HTTP at a free address of loopback until the test ends.
@@ -72,13 +80,20 @@
 // startRouted starts instances in three failure domains with as many targets, each instance on one
 // processor core.
 func startRouted(t *testing.T, count int) *routedFleet {
+	return startRoutedWith(t, count, func(f *routedFleet) {
+		for n := range count {
+			f.addTarget(n)
+		}
+	})
+}
+
+// startRoutedWith is startRouted with other targets.
+func startRoutedWith(t *testing.T, count int, addTargets func(f *routedFleet)) *routedFleet {
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	t.Cleanup(cancel)
-	f := &routedFleet{t: t, ctx: ctx, store: sharedstore.New(12)}
+	f := &routedFleet{t: t, ctx: ctx, store: sharedstore.New(12), listedAt: map[string]time.Time{}}
 	f.configure()
-	for n := range count {
-		f.addTarget(n)
-	}
+	addTargets(f)
 	storeAddress := listen(t, f.store.NewEndpoint())
 	var seeds []string
 	dir := t.TempDir()
@@ -97,7 +112,10 @@
 		"version": 3,
 		"routes": []any{map[string]any{
 			"name": "r", "host": routedHost, "path_prefix": "/r/", "kind": "streaming", "timeout_ms": 5000, "resumable": true,
-			"target_latency_ms": 300, "gap_target_ms": 600, "priority": 0, "service": "svc", "max_attempts": 2,
+			"target_latency_ms": 300, "gap_target_ms": 600, "priority": 0, "service": "svc", "max_attempts": maxAttempts,
+		}, map[string]any{
+			"name": "jobs", "host": routedHost, "path_prefix": "/jobs/", "kind": "batch", "service": "svc",
+			"target_latency_ms": 500, "result_due_ms": 18000, "retention_s": 60, "max_attempts": maxAttempts, "priority": 2,
 		}},
 		"services": []any{map[string]any{"name": "svc", "health_path": "/health", "max_conns": 1000, "engine": map[string]any{"slots": 64}}},
 		"tenants":  []any{map[string]any{"name": "o", "api_keys": []string{routedKey}, "rate_per_s": 0, "burst": 0}},
@@ -137,10 +155,15 @@
 		name, domains[n%len(domains)], addresses[0], addresses[1], addresses[2], quoted(*seeds), store)
 	path := filepath.Join(dir, name+".yaml")
 	require.NoError(f.t, os.WriteFile(path, []byte(settings), 0o600))
-	process, err := harness.StartProcess(dir, name, "env", "GOMAXPROCS=1", filepath.Join(programs, "tillerd"), "--routed", "--settings", path)
-	require.NoError(f.t, err)
-	f.t.Cleanup(process.Kill)
-	f.instances = append(f.instances, routedInstance{addresses[0], addresses[1], process})
+	added := &routedInstance{callers: addresses[0], readiness: addresses[1]}
+	added.start = func() {
+		process, err := harness.StartProcess(dir, name, "env", "GOMAXPROCS=1", filepath.Join(programs, "tillerd"), "--routed", "--settings", path)
+		require.NoError(f.t, err)
+		f.t.Cleanup(process.Kill)
+		added.process = process
+	}
+	added.start()
+	f.instances = append(f.instances, added)
 }
 
 func quoted(list []string) string {
@@ -151,7 +174,7 @@
 	return strings.Join(out, ",")
 }
 
-func (f *routedFleet) awaitReady(i routedInstance) {
+func (f *routedFleet) awaitReady(i *routedInstance) {
 	for f.ctx.Err() == nil {
 		response, err := http.Get("http://" + i.readiness + "/ready")
 		if err == nil {
--- a/internal/harness/proctest/main_test.go
+++ b/internal/harness/proctest/main_test.go
@@ -15,6 +15,9 @@
 
 // TestMain builds the programs once for all tests.
 func TestMain(m *testing.M) {
+	if encoded := os.Getenv(targetSettingsVariable); encoded != "" {
+		serveTarget(encoded)
+	}
 	os.Exit(run(m))
 }
 
--- a/internal/standin/engine/control.go
+++ b/internal/standin/engine/control.go
@@ -64,6 +64,9 @@
 	}
 	out := map[string]any{"running": e.running, "waiting": e.waiting, "runs": runs}
 	e.mu.Unlock()
+	if e.opts.Born != 0 {
+		out["born"] = e.opts.Born
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(out)
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -18,6 +18,8 @@
 	ID string
 	// Version, if set, is the version of the engine's software. Each event names it.
 	Version string
+	// Born, if set, is when the engine's process started, in Unix milliseconds. Its report tells it.
+	Born int64
 	// Slots is the number of requests that run concurrently, QueueSize the
 	// number of requests that may wait. EventInterval is the time before
 	// each event.
