The log line of a checked target tells what each check found, and when the target says that it started

What callers saw: nothing new; target_crash_checked did not tell the hypotheses on restarted targets apart. It said only whether the end counts.

Change: the line has what both checks found, the start of the incarnation that the request was sent to, and the start that the process at the address tells in its report. No decision depends on it yet; a checked target gets one more call if it accepts connections.

--- a/internal/coordination/routed/quarantine/checker.go
+++ b/internal/coordination/routed/quarantine/checker.go
@@ -118,12 +118,16 @@
 // check checks the target of lost requests and records its crash. The requests are suspected after
 // the first check, since their callers repeat them before the second one.
 func (c *Checker) check(ctx context.Context, lost []LostRequest) {
+	found := findings{leaving: c.guard.leaving(&lost[0])}
+	if !found.leaving {
+		found.first = c.probe(ctx, &lost[0])
+	}
 	crashed := false
-	if c.guard.leaving(&lost[0]) || !c.refuses(ctx, &lost[0]) {
+	if !found.first.refused {
 		c.guard.answersLost(lost)
 	} else {
 		c.guard.targetEnded(lost, EndSuspected)
-		crashed = c.confirm(ctx, &lost[0])
+		crashed = c.confirm(ctx, &lost[0], &found)
 		state := EndDismissed
 		if crashed {
 			state = EndConfirmed
@@ -131,8 +135,9 @@
 		c.guard.targetEnded(lost, state)
 	}
 	parts := partsOf(lost)
-	_ = level.Info(c.guard.opts.Logger).Log("event", "target_crash_checked", "target", lost[0].Target, "crashed", crashed,
-		"parts", strings.Join(parts, ","), "requests", len(lost), "lost_ms", time.Since(lost[0].At).Milliseconds())
+	fields := []any{"event", "target_crash_checked", "target", lost[0].Target, "started", lost[0].Started, "crashed", crashed,
+		"parts", strings.Join(parts, ","), "requests", len(lost), "lost_ms", time.Since(lost[0].At).Milliseconds()}
+	_ = level.Info(c.guard.opts.Logger).Log(append(fields, found.logFields()...)...)
 	if !crashed {
 		return
 	}
@@ -144,19 +149,71 @@
 
 // confirm checks a target once more that has refused a connection. A target that is back soon accepts
 // connections, but is listed as another incarnation.
-func (c *Checker) confirm(ctx context.Context, lost *LostRequest) bool {
-	if !wait.For(ctx, confirmDelay) || !c.guard.reaches(lost.Domain) {
+func (c *Checker) confirm(ctx context.Context, lost *LostRequest, found *findings) bool {
+	if !wait.For(ctx, confirmDelay) {
+		return false
+	}
+	if found.unreachable = !c.guard.reaches(lost.Domain); found.unreachable {
 		return false
 	}
-	return c.refuses(ctx, lost) || c.guard.replaced(lost)
+	found.second = c.probe(ctx, lost)
+	if found.second.refused {
+		return true
+	}
+	found.replaced = c.guard.replaced(lost)
+	return found.replaced
+}
+
+// findings are what the checks of a target found.
+type findings struct {
+	first, second probe
+	// leaving reports that the end of the target is planned, unreachable that no instance of its failure domain is
+	// reached, replaced that another incarnation is listed at its address.
+	leaving, unreachable, replaced bool
+}
+
+// logFields returns the fields that the log line of a check has about what it found.
+func (f *findings) logFields() []any {
+	return []any{
+		"first", f.first.String(), "first_started", f.first.started, "second", f.second.String(), "second_started", f.second.started,
+		"leaving", f.leaving, "unreachable", f.unreachable, "replaced", f.replaced,
+	}
+}
+
+// probe is what a connection to a target's address found. It is zero if none was made.
+type probe struct {
+	accepted, refused bool
+	// started is when the process there started, as it tells, 0 if it did not tell.
+	started int64
+}
+
+// String returns the result of a probe in logs.
+func (p probe) String() string {
+	switch {
+	case p.refused:
+		return "refused"
+	case p.accepted:
+		return "accepted"
+	default:
+		return "none"
+	}
 }
 
-// refuses reports whether the target of a lost request refuses connections.
-func (c *Checker) refuses(ctx context.Context, lost *LostRequest) bool {
+// probe finds out whether the address of a lost request's target refuses connections and, if not, when the process
+// there started.
+func (c *Checker) probe(ctx context.Context, lost *LostRequest) probe {
 	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
 	defer cancel()
 	targetProbes.Inc()
-	return c.guard.opts.Targets.Refuses(ctx, lost.Address)
+	opts := &c.guard.opts
+	if opts.Targets.Refuses(ctx, lost.Address) {
+		return probe{refused: true}
+	}
+	found := probe{accepted: true}
+	if opts.StartOf != nil {
+		found.started = opts.StartOf(ctx, lost.Address)
+	}
+	return found
 }
 
 // reaches reports whether this instance reaches others of a failure domain. If it does not, the
--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -116,7 +116,8 @@
 	d.placer = placement.NewPlacer(d.self.Domain, d.targets.Connected, xxhash.Sum64String(d.self.Name))
 	d.quarantine = quarantine.New(quarantine.Options{
 		Self: d.self.Name, Targets: d.targets, ReachesDomain: d.reachesDomain, Leaving: d.listed.leaving, Replaced: d.listed.replaced, Listed: d.listed.count,
-		Store: d.store, Partition: external.Partition{Topic: quarantineTopic},
+		StartOf: d.startOf,
+		Store:   d.store, Partition: external.Partition{Topic: quarantineTopic},
 		Seed: xxhash.Sum64String(d.self.Name), Logger: logger,
 	})
 	d.setupView()
@@ -171,6 +172,15 @@
 	})
 }
 
+// startOf asks the target at an address when its process started. It returns 0 if the target does not tell.
+func (d *Daemon) startOf(ctx context.Context, address string) int64 {
+	report, err := d.targets.Report(ctx, address)
+	if err != nil {
+		return 0
+	}
+	return report.Started
+}
+
 // reachesDomain reports whether another instance of a failure domain is up, or none is known there.
 func (d *Daemon) reachesDomain(domain string) bool {
 	known := slices.ContainsFunc(d.mesh.Peers(), func(p mesh.Peer) bool { return p.Domain == domain })
--- a/internal/harness/proctest/crowd_test.go
+++ b/internal/harness/proctest/crowd_test.go
@@ -80,15 +80,15 @@
 // startRouted starts instances in three failure domains with as many targets, each instance on one
 // processor core.
 func startRouted(t *testing.T, count int) *routedFleet {
-	return startRoutedWith(t, count, func(f *routedFleet) {
+	return startRoutedWith(t, t.TempDir(), count, func(f *routedFleet) {
 		for n := range count {
 			f.addTarget(n)
 		}
 	})
 }
 
-// startRoutedWith is startRouted with other targets.
-func startRoutedWith(t *testing.T, count int, addTargets func(f *routedFleet)) *routedFleet {
+// startRoutedWith is startRouted with other targets, and with the logs of all processes in a folder.
+func startRoutedWith(t *testing.T, dir string, count int, addTargets func(f *routedFleet)) *routedFleet {
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	t.Cleanup(cancel)
 	f := &routedFleet{t: t, ctx: ctx, store: sharedstore.New(12), listedAt: map[string]time.Time{}}
@@ -96,7 +96,6 @@
 	addTargets(f)
 	storeAddress := listen(t, f.store.NewEndpoint())
 	var seeds []string
-	dir := t.TempDir()
 	for n := range count {
 		f.startInstance(dir, n, storeAddress, &seeds)
 	}
--- a/internal/harness/proctest/restart_test.go
+++ b/internal/harness/proctest/restart_test.go
@@ -305,7 +305,7 @@
 				dir += "/" + strings.ReplaceAll(strings.ReplaceAll(c.name, " ", "-"), ",", "")
 				require.NoError(t, os.MkdirAll(dir, 0o700))
 			}
-			f := startRoutedWith(t, restartInstances, func(f *routedFleet) {
+			f := startRoutedWith(t, dir, restartInstances, func(f *routedFleet) {
 				for n := range restartInstances {
 					f.superviseTarget(dir, n, crashesAt, c.restart)
 				}
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -97,6 +97,8 @@
 	Load Load
 	// Runs are the ids of the requests that the target is working on.
 	Runs []string
+	// Started is when the target's process started, in Unix milliseconds. 0: it does not tell.
+	Started int64
 }
 
 // Health is a target's answer to a health check.
