A connection that is accepted does not prove that a target runs

What callers saw: a request, an item or requests with a part under which targets crash went on to end targets without bound if these were back soon: 18 runs of an item in 30 s, 143 of a stream in 8 s, 92 requests with a part later than 3 s after the fifth crash, with targets behind a port that stays open; 11, 34 and 28 with targets that refuse for 0.3 s and are listed 3 s later.

Cause: the end of a target was concluded from a refused connection, 10 ms after the loss and again 1.5 s later, and an accepted one counted as proof that the target runs. Another process accepts connections too: one that was started again by then, or the one that a supervisor holds the port for. The first check then took the end for a lost answer, the second one dismissed it unless the list already had the next incarnation. Class: the absence of a sign at a chosen moment stands for a fact, and the identity of a process for that of its address.

Change: a target proves that it runs by telling the start of the process to which the request was sent. Another start confirms the end at the first check, wherever the list is. Without an answer by 40 ms after the loss the end counts as suspected, 1.5 s later as confirmed if an instance of its failure domain is reached. Targets that tell no start are judged as before.

The other error: lost answers at targets that run are told apart by the start, TestLostAnswersAtRestartedTargetsCloseNoRequest passes.

--- a/internal/coordination/routed/quarantine/checker.go
+++ b/internal/coordination/routed/quarantine/checker.go
@@ -24,6 +24,12 @@
 	// then a network partition that refuses connections has been noticed: it is longer than the
 	// silence timeout of instances in a large fleet.
 	confirmDelay = 1500 * time.Millisecond
+	// proofTimeout is the time from the first check by which a target has to prove that it runs, or else the
+	// requests count as suspected. Together with crashCheckDelay it is less than EndKnownAfter.
+	proofTimeout = 3 * crashCheckDelay
+	// probeTries is the number of times that a check asks a target that accepts connections when it started. One
+	// that resets some of its connections runs.
+	probeTries = 3
 )
 
 // LostRequest is a request whose target closed the connection before the answer was complete.
@@ -115,29 +121,15 @@
 	return groups
 }
 
-// check checks the target of lost requests and records its crash. The requests are suspected after
-// the first check, since their callers repeat them before the second one.
+// check checks the target of lost requests, and records its end and the crash of its prompts' parts.
 func (c *Checker) check(ctx context.Context, lost []LostRequest) {
-	found := findings{leaving: c.guard.leaving(&lost[0])}
-	if !found.leaving {
-		found.first = c.probe(ctx, &lost[0])
-	}
-	crashed := false
-	if !found.first.refused {
-		c.guard.answersLost(lost)
-	} else {
-		c.guard.targetEnded(lost, EndSuspected)
-		crashed = c.confirm(ctx, &lost[0], &found)
-		state := EndDismissed
-		if crashed {
-			state = EndConfirmed
-		}
-		c.guard.targetEnded(lost, state)
-	}
+	found := c.examine(ctx, lost)
+	crashed := found.state == EndConfirmed
 	parts := partsOf(lost)
 	fields := []any{"event", "target_crash_checked", "target", lost[0].Target, "started", lost[0].Started, "crashed", crashed,
 		"parts", strings.Join(parts, ","), "requests", len(lost), "lost_ms", time.Since(lost[0].At).Milliseconds()}
 	_ = level.Info(c.guard.opts.Logger).Log(append(fields, found.logFields()...)...)
+	endChecks[found.reason].Inc()
 	if !crashed {
 		return
 	}
@@ -147,73 +139,83 @@
 	}
 }
 
-// confirm checks a target once more that has refused a connection. A target that is back soon accepts
-// connections, but is listed as another incarnation.
-func (c *Checker) confirm(ctx context.Context, lost *LostRequest, found *findings) bool {
-	if !wait.For(ctx, confirmDelay) {
-		return false
+// examine finds out whether the target of lost requests has ended. Without a proof that it runs, the requests are
+// suspected after the first check, since their callers repeat them before the second one.
+func (c *Checker) examine(ctx context.Context, lost []LostRequest) finding {
+	if c.guard.leaving(&lost[0]) {
+		c.guard.answersLost(lost)
+		return finding{state: EndDismissed, reason: endPlanned}
 	}
-	if found.unreachable = !c.guard.reaches(lost.Domain); found.unreachable {
-		return false
+	first, suspected := c.firstProbe(ctx, lost)
+	found := first.judgeFirst(lost[0].Started)
+	if found.state == EndSuspected {
+		if !suspected {
+			c.guard.targetEnded(lost, EndSuspected)
+		}
+		suspected = true
+		found = c.secondCheck(ctx, &lost[0])
 	}
-	found.second = c.probe(ctx, lost)
-	if found.second.refused {
-		return true
+	found.first = first
+	if suspected || found.state == EndConfirmed {
+		c.guard.targetEnded(lost, found.state)
+	} else {
+		c.guard.answersLost(lost)
 	}
-	found.replaced = c.guard.replaced(lost)
-	return found.replaced
-}
-
-// findings are what the checks of a target found.
-type findings struct {
-	first, second probe
-	// leaving reports that the end of the target is planned, unreachable that no instance of its failure domain is
-	// reached, replaced that another incarnation is listed at its address.
-	leaving, unreachable, replaced bool
+	return found
 }
 
-// logFields returns the fields that the log line of a check has about what it found.
-func (f *findings) logFields() []any {
-	return []any{
-		"first", f.first.String(), "first_started", f.first.started, "second", f.second.String(), "second_started", f.second.started,
-		"leaving", f.leaving, "unreachable", f.unreachable, "replaced", f.replaced,
+// firstProbe checks a target for the first time. It reports whether the requests are suspected already, because the
+// target has not answered by the time at which a repeat has to know.
+func (c *Checker) firstProbe(ctx context.Context, lost []LostRequest) (first probe, suspected bool) {
+	done := make(chan probe, 1)
+	go func() { done <- c.probe(ctx, &lost[0]) }()
+	overdue := time.NewTimer(proofTimeout)
+	defer overdue.Stop()
+	select {
+	case first = <-done:
+		return first, false
+	case <-overdue.C:
+		c.guard.targetEnded(lost, EndSuspected)
+		return <-done, true
 	}
 }
 
-// probe is what a connection to a target's address found. It is zero if none was made.
-type probe struct {
-	accepted, refused bool
-	// started is when the process there started, as it tells, 0 if it did not tell.
-	started int64
-}
-
-// String returns the result of a probe in logs.
-func (p probe) String() string {
-	switch {
-	case p.refused:
-		return "refused"
-	case p.accepted:
-		return "accepted"
-	default:
-		return "none"
+// secondCheck checks once more a target that gave no proof that it runs.
+func (c *Checker) secondCheck(ctx context.Context, lost *LostRequest) finding {
+	if !wait.For(ctx, confirmDelay) {
+		return finding{state: EndSuspected, reason: endUnknown}
 	}
+	second := c.probe(ctx, lost)
+	found := second.judgeSecond(lost.Started, c.guard.reaches(lost.Domain), c.guard.replaced(lost))
+	found.second = second
+	return found
 }
 
-// probe finds out whether the address of a lost request's target refuses connections and, if not, when the process
-// there started.
+// probe finds out whether a process listens at the address of a lost request's target, and which.
 func (c *Checker) probe(ctx context.Context, lost *LostRequest) probe {
 	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
 	defer cancel()
 	targetProbes.Inc()
 	opts := &c.guard.opts
 	if opts.Targets.Refuses(ctx, lost.Address) {
-		return probe{refused: true}
+		return probe{result: probeRefused}
 	}
-	found := probe{accepted: true}
-	if opts.StartOf != nil {
-		found.started = opts.StartOf(ctx, lost.Address)
+	if opts.StartOf == nil {
+		return probe{result: probeAccepted}
 	}
-	return found
+	for range probeTries {
+		started, err := opts.StartOf(ctx, lost.Address)
+		if err == nil && started != 0 {
+			return probe{probeTold, started}
+		}
+		if err == nil {
+			return probe{result: probeAccepted}
+		}
+		if !wait.For(ctx, crashCheckDelay) {
+			break
+		}
+	}
+	return probe{result: probeSilent}
 }
 
 // reaches reports whether this instance reaches others of a failure domain. If it does not, the
--- a/internal/coordination/routed/quarantine/guard.go
+++ b/internal/coordination/routed/quarantine/guard.go
@@ -55,9 +55,9 @@
 	// reports whether a later incarnation than the given one is listed at an address. Nil: none.
 	Leaving  func(target string) bool
 	Replaced func(address string, started int64) bool
-	// StartOf asks the process at an address when it started, in Unix milliseconds. 0: it did not tell. Nil: no
-	// process tells.
-	StartOf func(ctx context.Context, address string) int64
+	// StartOf asks the process at an address when it started, in Unix milliseconds. 0: it does not tell. Nil: no
+	// process does.
+	StartOf func(ctx context.Context, address string) (int64, error)
 	// Listed returns the number of listed targets. Nil: it is not known.
 	Listed func() int
 	// Store keeps what is closed, in Partition. Seed seeds the jitter of its reads.
--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -173,12 +173,9 @@
 }
 
 // startOf asks the target at an address when its process started. It returns 0 if the target does not tell.
-func (d *Daemon) startOf(ctx context.Context, address string) int64 {
+func (d *Daemon) startOf(ctx context.Context, address string) (int64, error) {
 	report, err := d.targets.Report(ctx, address)
-	if err != nil {
-		return 0
-	}
-	return report.Started
+	return report.Started, trace.Wrap(err)
 }
 
 // reachesDomain reports whether another instance of a failure domain is up, or none is known there.
