Ends of processes that are back under the id of their target count each

Cause: an end is named by the target and its start as listed. Until the list has the next start, each further process there has the name of the first one, whose end is known already. The same cause takes a lost answer of the new process for an end, as its start differs from the listed one.

Change: a request for a target whose listed process is known to have ended asks it for its start first, and is sent to the process that answers; if none does within 50 ms, it goes to another target. Checks of targets tell the next process as well. No other request asks.

Evidence: quarantine.TestEndsOfUnlistedProcessesCountEach, TestTargetWithoutProcessGetsNoRequest, TestLostAnswerOfUnlistedProcessIsNoEnd; all 30 fleets of daemon/routed.Test...WheneverEndedTargetsAreBack pass, 24 failed on. harness/proctest.TestRepeatsStopWheneverTargetProcessesAreBack, seven ways of a restart: item 4 runs (the last one is its trial), stream 3, late requests with the part 0 (before: up to 18, 136 and 92).

--- a/internal/coordination/routed/batchjobs/options.go
+++ b/internal/coordination/routed/batchjobs/options.go
@@ -100,7 +100,9 @@
 	// from the item's headers.
 	SharedParts func(header map[string]string) []string
 	Quarantine  Quarantine
-	Logger      log.Logger
+	// Incarnations may be nil: the listed processes of targets run.
+	Incarnations placement.Incarnations
+	Logger       log.Logger
 }
 
 // partitionOf returns the partition of a job.
--- a/internal/coordination/routed/batchjobs/task.go
+++ b/internal/coordination/routed/batchjobs/task.go
@@ -71,6 +71,8 @@
 	// the first event of each run. Both belong to the run.
 	firstEventAt time.Time
 	ranSinceEnd  time.Duration
+	// targetStarted is the start of the process that the run was sent to. It belongs to the run.
+	targetStarted int64
 
 	// output is what was received since output was last stored.
 	output   pendingOutput
@@ -190,7 +192,7 @@
 		return false
 	}
 	t.runner.opts.Quarantine.Lost(quarantine.LostRequest{
-		Request: t.subject, Target: choice.ID, Address: choice.Address, Domain: choice.Domain, Started: choice.Started,
+		Request: t.subject, Target: choice.ID, Address: choice.Address, Domain: choice.Domain, Started: t.targetStarted,
 		Events: events, Position: t.position, Ran: t.ranSinceEnd, Trial: t.trial, At: time.Now(),
 	})
 	t.ranSinceEnd = 0
@@ -254,6 +256,11 @@
 // sendAndRead sends the item to a target and reads the answer.
 func (t *task) sendAndRead(ctx context.Context, choice placement.Choice, stall *time.Timer) (runOutcome, placement.Result, error) {
 	opts := t.runner.opts
+	started, ok := placement.StartOf(ctx, opts.Incarnations, choice)
+	if !ok {
+		return rejected, placement.Unreachable, external.ErrNoProcess
+	}
+	t.targetStarted = started
 	answer, err := opts.Targets.Send(ctx, choice.Address, t.dispatch(choice))
 	if err != nil {
 		switch {
--- a/internal/coordination/routed/quarantine/checker.go
+++ b/internal/coordination/routed/quarantine/checker.go
@@ -156,6 +156,9 @@
 		found = c.secondCheck(ctx, &lost[0])
 	}
 	found.first = first
+	if found.reason == endReplaced {
+		c.guard.targetReplaced(&lost[0], &found)
+	}
 	if suspected || found.state == EndConfirmed {
 		c.guard.targetEnded(lost, found.state)
 	} else {
@@ -234,6 +237,17 @@
 	return g.opts.Replaced != nil && g.opts.Replaced(lost.Address, lost.Started)
 }
 
+// targetReplaced records which process has told that it runs in place of a lost request's target.
+func (g *Guard) targetReplaced(lost *LostRequest, found *finding) {
+	told := found.second
+	if told.result != probeTold {
+		told = found.first
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.processFollows(incarnation{lost.Target, lost.Started}, told.started)
+}
+
 // partsOf returns the parts that may have crashed the target of some requests, each once.
 func partsOf(list []LostRequest) (parts []string) {
 	for _, lost := range list {
--- a/internal/coordination/routed/quarantine/guard.go
+++ b/internal/coordination/routed/quarantine/guard.go
@@ -76,7 +76,10 @@
 	// anyEnds is set while targets may have ended under requests, so that most completed requests
 	// need no lock.
 	anyEnds atomic.Bool
-	lost    *ring.Ring[LostRequest]
+	// anyEnded is set while a target has ended lately, or was replaced under its id, so that most requests
+	// need no lock for Running.
+	anyEnded atomic.Bool
+	lost     *ring.Ring[LostRequest]
 	// changed wakes Serve.
 	changed chan struct{}
 	// urgent is signalled when other instances have to learn of ended targets at once.
@@ -251,10 +254,16 @@
 // caller holds the lock.
 func (g *Guard) endsChanged() {
 	g.evaluateRequests()
-	g.anyEnds.Store(len(g.evidence.ends.records) > 0)
+	g.updateEndFlags()
 	signal(g.urgent)
 }
 
+// updateEndFlags sets the flags that spare most requests the lock. The caller holds the lock.
+func (g *Guard) updateEndFlags() {
+	g.anyEnds.Store(len(g.evidence.ends.records) > 0)
+	g.anyEnded.Store(len(g.evidence.endTimes.at)+len(g.evidence.followers.of) > 0)
+}
+
 func (g *Guard) wake() { signal(g.changed) }
 
 // signal wakes the reader of a channel with a buffer of one.
@@ -299,7 +308,7 @@
 		}
 	}
 	g.anyClosed.Store(len(g.evidence.closures.all) > 0)
-	g.anyEnds.Store(len(g.evidence.ends.records) > 0)
+	g.updateEndFlags()
 	next := idleInterval
 	if g.anyClosed.Load() {
 		next = watchInterval
--- /dev/null
+++ b/internal/coordination/routed/quarantine/running.go
@@ -0,0 +1,106 @@
+package quarantine
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"github.com/go-kit/log/level"
+)
+
+const (
+	// maxFollowers bounds the processes of targets of which the next one is known.
+	maxFollowers = 256
+	// runningTimeout bounds the question which process of a target runs, before a request is sent there. Another
+	// target can take the request sooner than one that does not answer by then.
+	runningTimeout = EndKnownAfter
+)
+
+// follower is the process that runs in place of another one.
+type follower struct {
+	started int64
+	toldAt  time.Time
+}
+
+// followers holds the processes that have replaced others under the same id. The list of targets tells them with
+// the next heartbeat, or much later while the store is away.
+type followers struct {
+	of map[incarnation]follower
+}
+
+// add records that a process runs in place of an incarnation. A full table drops what was told first.
+func (f *followers) add(now time.Time, id incarnation, started int64) {
+	if id.started == started {
+		return
+	}
+	if _, known := f.of[id]; !known && len(f.of) >= maxFollowers {
+		oldest := id
+		for other, told := range f.of {
+			if oldest == id || told.toldAt.Before(f.of[oldest].toldAt) {
+				oldest = other
+			}
+		}
+		delete(f.of, oldest)
+	}
+	f.of[id] = follower{started, now}
+}
+
+// last returns the last of the processes that have replaced an incarnation, one after the other.
+func (f *followers) last(id incarnation) incarnation {
+	for range maxFollowers {
+		next, known := f.of[id]
+		if !known {
+			break
+		}
+		id.started = next.started
+	}
+	return id
+}
+
+func (f *followers) removeExpired(now time.Time) {
+	maps.DeleteFunc(f.of, func(_ incarnation, told follower) bool { return now.Sub(told.toldAt) > requestTTL })
+}
+
+// running returns the process of a target that runs, as far as it is known, for an incarnation that is listed.
+// unknown reports that this one has ended and the next one is not known.
+func (e *Evidence) running(listed incarnation) (id incarnation, unknown bool) {
+	id = e.followers.last(listed)
+	_, ended := e.endTimes.at[id]
+	return id, ended
+}
+
+// Running returns the start of the process that runs at a target, for an incarnation that is listed, false if none
+// answers. A request is sent to that process: a target may be back under its id before the list says so, and an end
+// of it would be taken for the known one of the process before. The target is asked only if its listed incarnation
+// is known to have ended.
+func (g *Guard) Running(ctx context.Context, target, address string, listed int64) (started int64, ok bool) {
+	if !g.anyEnded.Load() || g.opts.StartOf == nil {
+		return listed, true
+	}
+	g.mu.Lock()
+	id, unknown := g.evidence.running(incarnation{target, listed})
+	g.mu.Unlock()
+	if !unknown {
+		return id.started, true
+	}
+	ctx, cancel := context.WithTimeout(ctx, runningTimeout)
+	defer cancel()
+	targetProbes.Inc()
+	started, err := g.opts.StartOf(ctx, address)
+	switch {
+	case err != nil:
+		return listed, false
+	case started == 0 || started == id.started:
+		return id.started, true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.processFollows(id, started)
+	return started, true
+}
+
+// processFollows records that a process runs in place of an incarnation that has ended. The caller holds the lock.
+func (g *Guard) processFollows(ended incarnation, started int64) {
+	g.evidence.followers.add(time.Now(), ended, started)
+	_ = level.Info(g.opts.Logger).Log("event", "target_process_replaced", "target", ended.target, "ended", ended.started, "started", started)
+}
--- a/internal/coordination/routed/relay/quarantine.go
+++ b/internal/coordination/routed/relay/quarantine.go
@@ -53,7 +53,7 @@
 	}
 	c.lostTargets++
 	c.opts.Quarantine.Lost(quarantine.LostRequest{
-		Request: c.subject, Target: choice.ID, Address: choice.Address, Domain: choice.Domain, Started: choice.Started,
+		Request: c.subject, Target: choice.ID, Address: choice.Address, Domain: choice.Domain, Started: c.started,
 		Events: c.attemptEvents, Position: c.lastEvent, Ran: c.attemptRan(), Trial: c.isTrial, At: time.Now(),
 	})
 }
--- a/internal/coordination/routed/relay/relay.go
+++ b/internal/coordination/routed/relay/relay.go
@@ -107,6 +107,8 @@
 	Placer     Placer
 	Origins    Origins
 	Quarantine Quarantine
+	// Incarnations may be nil: the listed processes run.
+	Incarnations placement.Incarnations
 	// AnswerBuffers bounds the parts of answers that are held for callers that read slowly. If it
 	// is nil, each part is written before the next one is read from the target.
 	AnswerBuffers *answerbuffer.Budget
@@ -198,6 +200,8 @@
 	// when the first of them came.
 	attemptEvents int
 	firstEventAt  time.Time
+	// started is the start of the process that the current attempt is sent to.
+	started int64
 	// isTrial is set if the request is the trial of what is closed: it goes to one target.
 	isTrial bool
 	// failover is the target that the stall monitor reserved for the next
@@ -356,6 +360,11 @@
 		c.failover = monitor.stop()
 		c.attemptGivenUp()
 	}()
+	started, ok := placement.StartOf(monitor.ctx, c.opts.Incarnations, choice)
+	if !ok {
+		return c.handleSendError(ctx, choice, monitor, external.ErrNoProcess)
+	}
+	c.started = started
 	c.attemptBegins()
 	answer, err := c.opts.Targets.Send(monitor.ctx, choice.Address, c.dispatch(choice))
 	if err != nil {
--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -245,7 +245,7 @@
 		Log: d.store, Groups: d.store, Peers: d.mesh, Caller: d.peerClient,
 		Table: d.view.Table, StoreAge: d.view.StoreAge, StoreAnswered: d.view.StoreAnswered,
 		Targets: d.targets, Placer: d.brokerClient, OnlyVersion: d.origins.OnlyVersion,
-		SharedParts: platform.SharedParts, Quarantine: d.quarantine, Logger: d.logger,
+		SharedParts: platform.SharedParts, Quarantine: d.quarantine, Incarnations: d.quarantine, Logger: d.logger,
 	}
 	d.runner = batchjobs.NewRunner(opts)
 	d.partitionOwner = batchjobs.NewPartitionOwner(opts, d.runner)
@@ -265,7 +265,7 @@
 		Table: d.view.Table,
 		Quota: d.limiter,
 		Relay: relay.New(relay.Options{
-			Targets: d.targets, Placer: d.brokerClient, Origins: d.origins, Quarantine: d.quarantine, AnswerBuffers: d.heldBytes,
+			Targets: d.targets, Placer: d.brokerClient, Origins: d.origins, Quarantine: d.quarantine, Incarnations: d.quarantine, AnswerBuffers: d.heldBytes,
 			Times: d.times, Logger: d.logger,
 		}),
 		HeldBytes: d.heldBytes,
--- a/internal/external/targetend.go
+++ b/internal/external/targetend.go
@@ -43,7 +43,7 @@
 	switch {
 	case errors.Is(err, ErrTooLarge):
 		return EndOversized
-	case errors.Is(err, syscall.ECONNREFUSED):
+	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, ErrNoProcess):
 		return EndRefused
 	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
 		return EndReset
--- a/internal/external/targets.go
+++ b/internal/external/targets.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 
 	"merlintiller/internal/protocol/exchange"
@@ -13,6 +14,8 @@
 	// ErrNotSent: no byte of the request was sent, so the request did not and will not
 	// run.
 	ErrNotSent = errors.New("request was not sent")
+	// ErrNoProcess: the listed process of the target has ended, and no other one answers at its address.
+	ErrNoProcess = fmt.Errorf("%w: no process of the target answers", ErrNotSent)
 	// ErrMayHaveRun: the request was sent and no answer was received.
 	ErrMayHaveRun = errors.New("request was sent and no answer was received")
 )
--- a/internal/harness/proctest/targetprocess_test.go
+++ b/internal/harness/proctest/targetprocess_test.go
@@ -138,12 +138,7 @@
 	require.NoError(f.t, err)
 	s := &supervisedTarget{fleet: f, name: fmt.Sprint("t-", n), domain: string(domains[n%len(domains)]), dir: dir, restart: restart, address: address}
 	if restart.portStaysOpen {
-		listener, err := net.Listen("tcp", address)
-		require.NoError(f.t, err)
-		s.listener, err = listener.(*net.TCPListener).File()
-		require.NoError(f.t, err)
-		require.NoError(f.t, listener.Close())
-		f.t.Cleanup(func() { _ = s.listener.Close() })
+		s.holdPort()
 	}
 	done := make(chan struct{})
 	go func() {
@@ -155,6 +150,18 @@
 	f.t.Cleanup(func() { <-done })
 }
 
+// holdPort opens a listener that the processes inherit, one after the other.
+func (s *supervisedTarget) holdPort() {
+	t := s.fleet.t
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s.address = listener.Addr().String()
+	s.listener, err = listener.(*net.TCPListener).File()
+	require.NoError(t, err)
+	require.NoError(t, listener.Close())
+	t.Cleanup(func() { _ = s.listener.Close() })
+}
+
 // runOnce runs one process until it has crashed or the test ends, and waits until the next one is due.
 func (s *supervisedTarget) runOnce(crashAt int) {
 	settings := targetSettings{ID: s.name, Address: s.address, Born: time.Now().UnixMilli(), CrashAt: crashAt}
