The end of a target is planned only if it was leaving before

What callers saw: nothing that was reported. As processes, with targets that are listed late, two ends under a request counted as planned though the targets had crashed, so that the request went on to others.

Cause: an end was planned if the target is leaving, or not listed any more, at the time of the check. The entry of a target that crashes expires as well, and an instance that was paused, or waits for a processor, learns of the end and of the expiry at once. The entry of the process before counted for the next one under the same id, too. Class: what is known at the time of a check stands for what was so at the time of the event.

Change: the list keeps since when each incarnation is known to leave. An end is planned if that is half a second or more before the connection broke; a target serves on for longer after it has said that it leaves. Targets that tell no start are judged as before. The other error: an end within half a second of the notice counts, as one of the three that close a request.

Evidence: quarantine.TestEndIsPlannedOnlyIfTargetWasLeavingBefore fails in two of its four cases if the time is not compared; daemon/routed.TestIncarnationsAreKnownToLeaveSinceTheyWereListedSo.

--- a/internal/coordination/routed/quarantine/checker.go
+++ b/internal/coordination/routed/quarantine/checker.go
@@ -27,6 +27,9 @@
 	// proofTimeout is the time from the first check by which a target has to prove that it runs, or else the
 	// requests count as suspected. Together with crashCheckDelay it is less than EndKnownAfter.
 	proofTimeout = 3 * crashCheckDelay
+	// leaveNotice is the time for which a target is known to leave before an end of it is a planned one. It serves on
+	// for longer than that after it has said so.
+	leaveNotice = 500 * time.Millisecond
 	// probeTries is the number of times that a check asks a target that accepts connections when it started. One
 	// that resets some of its connections runs.
 	probeTries = 3
@@ -227,8 +230,13 @@
 	return g.opts.ReachesDomain == nil || g.opts.ReachesDomain(domain)
 }
 
-// leaving reports whether the end of a lost request's target is planned.
+// leaving reports whether the end of a lost request's target is planned. The entry of a target that has crashed
+// leaves the list too, and an instance that was paused learns of both at once.
 func (g *Guard) leaving(lost *LostRequest) bool {
+	if g.opts.LeavingSince != nil && lost.Started != 0 {
+		since, ok := g.opts.LeavingSince(lost.Target, lost.Started)
+		return ok && lost.At.Sub(since) >= leaveNotice
+	}
 	return g.opts.Leaving != nil && g.opts.Leaving(lost.Target)
 }
 
--- a/internal/coordination/routed/quarantine/guard.go
+++ b/internal/coordination/routed/quarantine/guard.go
@@ -55,6 +55,9 @@
 	// reports whether a later incarnation than the given one is listed at an address. Nil: none.
 	Leaving  func(target string) bool
 	Replaced func(address string, started int64) bool
+	// LeavingSince returns since when an incarnation of a target is known to leave, false if it is not. Leaving, which
+	// doesn't tell whether the target left before it ended, is for targets whose start is not known. Nil: no start is.
+	LeavingSince func(target string, started int64) (time.Time, bool)
 	// StartOf asks the process at an address when it started, in Unix milliseconds. 0: it does not tell. Nil: no
 	// process does.
 	StartOf func(ctx context.Context, address string) (int64, error)
--- a/internal/coordination/routed/quarantine/probe_test.go
+++ b/internal/coordination/routed/quarantine/probe_test.go
@@ -112,3 +112,30 @@
 		require.Len(t, g.Since(0, false).Crashes, 1)
 	})
 }
+
+// Guards against a crash that counts as a planned end, since the target's entry has left the list by the time at
+// which an instance that was paused checks it, and against a planned end that counts as a crash.
+func TestEndIsPlannedOnlyIfTargetWasLeavingBefore(t *testing.T) {
+	for name, c := range map[string]struct {
+		leavingFor time.Duration
+		started    int64
+		ends       int
+	}{
+		"leaving for seconds":              {2 * time.Second, sentTo, 0},
+		"left the list at the same moment": {0, sentTo, 1},
+		"left the list after it ended":     {-2 * time.Second, sentTo, 1},
+		"the process before was leaving":   {2 * time.Second, sentTo - 1, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var since time.Time
+			leavingSince := func(_ string, started int64) (time.Time, bool) {
+				if since.IsZero() {
+					since = time.Now().Add(-crashCheckDelay - c.leavingFor)
+				}
+				return since, started == c.started
+			}
+			s := &scriptedTarget{results: []probe{{result: probeRefused}}}
+			require.Equal(t, []int{c.ends}, endsOf(t, s, Options{LeavingSince: leavingSince}, EndKnownAfter))
+		})
+	}
+}
--- a/internal/daemon/routed/targetlist.go
+++ b/internal/daemon/routed/targetlist.go
@@ -1,6 +1,7 @@
 package routed
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -18,6 +19,14 @@
 	list []roster.Target
 	// left are the targets that were listed before, with the time since when they are not.
 	left map[string]time.Time
+	// leavingSince holds since when incarnations of targets are known to leave: listed so, or not listed any more.
+	leavingSince map[incarnation]time.Time
+}
+
+// incarnation is one process of a target.
+type incarnation struct {
+	target  string
+	started int64
 }
 
 func (t *targetList) set(list []roster.Target) {
@@ -25,8 +34,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.left == nil {
-		t.left = map[string]time.Time{}
+		t.left, t.leavingSince = map[string]time.Time{}, map[incarnation]time.Time{}
 	}
+	t.updateLeaving(now, list)
 	for id, since := range t.left {
 		if now.Sub(since) > leftTargetTTL {
 			delete(t.left, id)
@@ -41,6 +51,44 @@
 	t.list = list
 }
 
+// updateLeaving updates which incarnations leave, before a new list replaces the old one. An incarnation that is
+// listed again as ready does not leave.
+func (t *targetList) updateLeaving(now time.Time, list []roster.Target) {
+	ready := map[incarnation]bool{}
+	leave := func(id incarnation) {
+		if _, known := t.leavingSince[id]; !known {
+			t.leavingSince[id] = now
+		}
+	}
+	for _, entry := range list {
+		id := incarnation{entry.ID, entry.Started}
+		if entry.Leaving {
+			leave(id)
+		} else {
+			ready[id] = true
+		}
+	}
+	listed := func(id incarnation) bool {
+		return slices.ContainsFunc(list, func(entry roster.Target) bool { return entry.ID == id.target && entry.Started == id.started })
+	}
+	for _, entry := range t.list {
+		if id := (incarnation{entry.ID, entry.Started}); !listed(id) {
+			leave(id)
+		}
+	}
+	maps.DeleteFunc(t.leavingSince, func(id incarnation, since time.Time) bool {
+		return ready[id] || now.Sub(since) > leftTargetTTL && !listed(id)
+	})
+}
+
+// leaves returns since when an incarnation of a target is known to leave, false if it is not.
+func (t *targetList) leaves(target string, started int64) (since time.Time, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	since, ok = t.leavingSince[incarnation{target, started}]
+	return since, ok
+}
+
 // count returns the number of listed targets.
 func (t *targetList) count() int {
 	t.mu.Lock()
--- a/internal/daemon/routed/targetlist_test.go
+++ b/internal/daemon/routed/targetlist_test.go
@@ -31,6 +31,34 @@
 	})
 }
 
+// Guards against a process that counts as leaving since the one before it under the same id did, and against a
+// leaving target of which it is forgotten since when it leaves.
+func TestIncarnationsAreKnownToLeaveSinceTheyWereListedSo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var list targetList
+		start := time.Now()
+		list.set([]roster.Target{{ID: "a", Started: 1}, {ID: "b", Started: 1, Leaving: true}})
+		_, ok := list.leaves("a", 1)
+		require.False(t, ok)
+		time.Sleep(time.Second)
+		list.set(nil)
+		for target, since := range map[string]time.Time{"a": start.Add(time.Second), "b": start} {
+			got, ok := list.leaves(target, 1)
+			require.True(t, ok, target)
+			require.Equal(t, since, got, target)
+		}
+		list.set([]roster.Target{{ID: "a", Started: 2}, {ID: "b", Started: 1}})
+		_, ok = list.leaves("a", 2)
+		require.False(t, ok, "another process")
+		_, ok = list.leaves("b", 1)
+		require.False(t, ok, "listed again")
+		time.Sleep(2 * leftTargetTTL)
+		list.set([]roster.Target{{ID: "b", Started: 1}})
+		_, ok = list.leaves("a", 1)
+		require.False(t, ok, "forgotten")
+	})
+}
+
 // Guards against a target that is back at once under another id and does not count as crashed.
 func TestReplacedTargetsAreTold(t *testing.T) {
 	var list targetList
--- a/internal/harness/proctest/restart_test.go
+++ b/internal/harness/proctest/restart_test.go
@@ -60,20 +60,23 @@
 		{"port stays open, new ids", targetRestart{portStaysOpen: true, newIDs: true}, nil},
 		{"back after 1 s, listed late", targetRestart{back: time.Second, listed: 1200 * time.Millisecond}, nil},
 		{"back after 4 s", targetRestart{back: 4 * time.Second}, nil},
-		{"back after 300 ms, instances paused in turn", targetRestart{back: 300 * time.Millisecond}, pauseInTurn},
+		{"back after 300 ms, instances paused in turn", targetRestart{back: 300 * time.Millisecond}, pauseInTurn(time.Second)},
+		{"back after 8 s, instances paused past the expiry of entries", targetRestart{back: 8 * time.Second}, pauseInTurn(entryTTL + 2*time.Second)},
 		{"back after 300 ms, instances killed in turn", targetRestart{back: 300 * time.Millisecond}, killInTurn(0)},
 		{"back after 300 ms, instances killed and back late", targetRestart{back: 300 * time.Millisecond}, killInTurn(2 * time.Second)},
 	}...)
 }
 
-// pauseInTurn pauses one instance after the other for a second.
-func pauseInTurn(ctx context.Context, f *routedFleet) {
-	for n := 0; ctx.Err() == nil; n++ {
-		i := f.instances[n%len(f.instances)]
-		_ = i.process.Pause()
-		wait.For(ctx, time.Second)
-		_ = i.process.Continue()
-		wait.For(ctx, 300*time.Millisecond)
+// pauseInTurn pauses one instance after the other for a time.
+func pauseInTurn(d time.Duration) func(context.Context, *routedFleet) {
+	return func(ctx context.Context, f *routedFleet) {
+		for n := 0; ctx.Err() == nil; n++ {
+			i := f.instances[n%len(f.instances)]
+			_ = i.process.Pause()
+			wait.For(ctx, d)
+			_ = i.process.Continue()
+			wait.For(ctx, 300*time.Millisecond)
+		}
 	}
 }
 
