An end that could not be confirmed is checked again once its failure domain is in reach

What callers saw: a request that crashes its targets has further runs if no instance of the failure domain of one of them is in reach at the second check, as after a kill of the only one there: its end was dismissed and never looked at again.

Cause: the check of such a target ended without a result, and "not known" was kept as "the target runs". Class: dismissed for want of proof.

Change: the target is checked again, after 3 s and then every 6 to 12 s for five minutes. A process that tells another start, or no process once the domain is in reach, confirms the end after all; the same start leaves it dismissed. Such an end has a state of its own, confirmed_later: the request may have had a further run meanwhile, so it has no early trial, as before. The other error: a target that a partition hides is dismissed as before, and one that still refuses connections once its domain is in reach counts as at any second check.

Evidence: quarantine.TestEndThatCouldNotBeConfirmedIsCheckedAgain fails in two of four cases before.

--- a/internal/coordination/routed/quarantine/checker.go
+++ b/internal/coordination/routed/quarantine/checker.go
@@ -24,6 +24,9 @@
 	// then a network partition that refuses connections has been noticed: it is longer than the
 	// silence timeout of instances in a large fleet.
 	confirmDelay = 1500 * time.Millisecond
+	// maxRecheckDelay bounds the time between two checks of a target whose end could not be confirmed since its
+	// failure domain is out of reach. It doubles from confirmDelay.
+	maxRecheckDelay = 12 * time.Second
 	// proofTimeout is the time from the first check by which a target has to prove that it runs, or else the
 	// requests count as suspected. Together with crashCheckDelay it is less than EndKnownAfter.
 	proofTimeout = 3 * crashCheckDelay
@@ -124,50 +127,65 @@
 	return groups
 }
 
-// check checks the target of lost requests, and records its end and the crash of its prompts' parts.
+// check checks the target of lost requests until it is known whether that has ended.
 func (c *Checker) check(ctx context.Context, lost []LostRequest) {
-	found := c.examine(ctx, lost)
-	crashed := found.state == EndConfirmed
-	parts := partsOf(lost)
-	fields := []any{"event", "target_crash_checked", "target", lost[0].Target, "started", lost[0].Started, "crashed", crashed,
-		"parts", strings.Join(parts, ","), "requests", len(lost), "lost_ms", time.Since(lost[0].At).Milliseconds()}
-	_ = level.Info(c.guard.opts.Logger).Log(append(fields, found.logFields()...)...)
-	endChecks[found.reason].Inc()
-	if !crashed {
-		return
+	found, suspected := c.firstCheck(ctx, lost)
+	if found.state == EndSuspected {
+		suspected = true
+		found = c.checkAgain(ctx, &lost[0], confirmDelay)
 	}
-	crashesSeen.Inc()
-	if len(parts) > 0 {
-		c.guard.crashed(&lost[0], parts)
+	c.conclude(lost, &found, suspected)
+	unconfirmedSince, delay := time.Now(), confirmDelay
+	for found.reason == endUnreachable && time.Since(unconfirmedSince) < crashTTL {
+		delay = min(2*delay, maxRecheckDelay)
+		if found = c.checkAgain(ctx, &lost[0], delay); found.state == EndConfirmed {
+			found.state = EndConfirmedLater
+		}
+		if found.reason != endUnreachable {
+			c.conclude(lost, &found, true)
+		}
 	}
 }
 
-// examine finds out whether the target of lost requests has ended. Without a proof that it runs, the requests are
-// suspected after the first check, since their callers repeat them before the second one.
-func (c *Checker) examine(ctx context.Context, lost []LostRequest) finding {
+// firstCheck checks a target for the first time. Without a proof that it runs, the requests are suspected: their callers
+// repeat them before the second check.
+func (c *Checker) firstCheck(ctx context.Context, lost []LostRequest) (found finding, suspected bool) {
 	if c.guard.leaving(&lost[0]) {
-		c.guard.answersLost(lost)
-		return finding{state: EndDismissed, reason: endPlanned}
+		return finding{state: EndDismissed, reason: endPlanned}, false
 	}
 	first, suspected := c.firstProbe(ctx, lost)
-	found := first.judgeFirst(lost[0].Started)
-	if found.state == EndSuspected {
-		if !suspected {
-			c.guard.targetEnded(lost, EndSuspected)
-		}
-		suspected = true
-		found = c.secondCheck(ctx, &lost[0])
+	found = first.judgeFirst(lost[0].Started)
+	found.probe = first
+	if found.state == EndSuspected && !suspected {
+		c.guard.targetEnded(lost, EndSuspected)
 	}
-	found.first = first
+	return found, suspected
+}
+
+// conclude records and logs what checks of a target have found. suspected reports that its end has counted until now,
+// or is known as dismissed.
+func (c *Checker) conclude(lost []LostRequest, found *finding, suspected bool) {
 	if found.reason == endReplaced {
-		c.guard.targetReplaced(&lost[0], &found)
+		c.guard.processFollows(incarnation{lost[0].Target, lost[0].Started}, found.probe.started)
 	}
-	if suspected || found.state == EndConfirmed {
+	crashed := found.state >= EndConfirmed
+	if suspected || crashed {
 		c.guard.targetEnded(lost, found.state)
 	} else {
 		c.guard.answersLost(lost)
 	}
-	return found
+	parts := partsOf(lost)
+	_ = level.Info(c.guard.opts.Logger).Log("event", "target_crash_checked", "target", lost[0].Target, "started", lost[0].Started, "crashed", crashed,
+		"parts", strings.Join(parts, ","), "requests", len(lost), "lost_ms", time.Since(lost[0].At).Milliseconds(),
+		"why", found.reason, "found", found.probe.result, "found_started", found.probe.started)
+	endChecks[found.reason].Inc()
+	if !crashed {
+		return
+	}
+	crashesSeen.Inc()
+	if len(parts) > 0 {
+		c.guard.crashed(&lost[0], parts)
+	}
 }
 
 // firstProbe checks a target for the first time. It reports whether the requests are suspected already, because the
@@ -186,14 +204,14 @@
 	}
 }
 
-// secondCheck checks once more a target that gave no proof that it runs.
-func (c *Checker) secondCheck(ctx context.Context, lost *LostRequest) finding {
-	if !wait.For(ctx, confirmDelay) {
+// checkAgain checks once more, after a delay, a target that gave no proof that it runs.
+func (c *Checker) checkAgain(ctx context.Context, lost *LostRequest, delay time.Duration) finding {
+	if !wait.For(ctx, delay) {
 		return finding{state: EndSuspected, reason: endUnknown}
 	}
-	second := c.probe(ctx, lost)
-	found := second.judgeSecond(lost.Started, c.guard.reaches(lost.Domain), c.guard.replaced(lost))
-	found.second = second
+	again := c.probe(ctx, lost)
+	found := again.judgeSecond(lost.Started, c.guard.reaches(lost.Domain), c.guard.replaced(lost))
+	found.probe = again
 	return found
 }
 
@@ -245,17 +263,6 @@
 	return g.opts.Replaced != nil && g.opts.Replaced(lost.Address, lost.Started)
 }
 
-// targetReplaced records which process has told that it runs in place of a lost request's target.
-func (g *Guard) targetReplaced(lost *LostRequest, found *finding) {
-	told := found.second
-	if told.result != probeTold {
-		told = found.first
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.processFollows(incarnation{lost.Target, lost.Started}, told.started)
-}
-
 // partsOf returns the parts that may have crashed the target of some requests, each once.
 func partsOf(list []LostRequest) (parts []string) {
 	for _, lost := range list {
--- a/internal/coordination/routed/quarantine/endtable.go
+++ b/internal/coordination/routed/quarantine/endtable.go
@@ -26,13 +26,15 @@
 	EndSuspected EndState = iota
 	// EndDismissed: the second check found that the target or the path to it had not ended.
 	EndDismissed
-	// EndConfirmed: the second check found the same.
+	// EndConfirmed: it is known that the target ended.
 	EndConfirmed
+	// EndConfirmedLater: the same, after the end had been dismissed, so that the request may have had a further run.
+	EndConfirmedLater
 )
 
 // String returns the name of the state in logs.
 func (s EndState) String() string {
-	return [...]string{"suspected", "dismissed", "confirmed"}[min(max(s, EndSuspected), EndConfirmed)]
+	return [...]string{"suspected", "dismissed", "confirmed", "confirmed_later"}[min(max(s, EndSuspected), EndConfirmedLater)]
 }
 
 // requestEnd is the end of a target while a request ran there.
@@ -81,10 +83,10 @@
 	return out
 }
 
-// hasDismissed reports whether the second check did not confirm one of the ends.
+// hasDismissed reports whether one of the ends is, or was for a while, dismissed since it could not be confirmed.
 func (r *endRecord) hasDismissed() bool {
 	for _, end := range r.ends {
-		if end.state == EndDismissed {
+		if end.state == EndDismissed || end.state == EndConfirmedLater {
 			return true
 		}
 	}
--- a/internal/coordination/routed/quarantine/probe.go
+++ b/internal/coordination/routed/quarantine/probe.go
@@ -64,18 +64,11 @@
 	return out
 }
 
-// finding is what the checks of a target have found in all.
+// finding is what a check of a target has found.
 type finding struct {
-	state         EndState
-	reason        endReason
-	first, second probe
-}
-
-// logFields returns the fields that the log line of a checked target has.
-func (f *finding) logFields() []any {
-	return []any{
-		"why", f.reason, "first", f.first.result, "first_started", f.first.started, "second", f.second.result, "second_started", f.second.started,
-	}
+	state  EndState
+	reason endReason
+	probe  probe
 }
 
 // judgeProcess judges by the process that answered, if it told when it started. A connection that is accepted proves
--- a/internal/coordination/routed/quarantine/probe_test.go
+++ b/internal/coordination/routed/quarantine/probe_test.go
@@ -139,3 +139,31 @@
 		})
 	}
 }
+
+// Guards against a crash that never counts since the second check came while no instance of the target's failure domain
+// was in reach, and against a partition that counts as a crash once it is over.
+func TestEndThatCouldNotBeConfirmedIsCheckedAgain(t *testing.T) {
+	refused := probe{result: probeRefused}
+	for name, c := range map[string]struct {
+		results      []probe
+		cutFor       time.Duration
+		during, then int
+	}{
+		"replaced since":                  {[]probe{refused, refused, {probeTold, replacement}}, 10 * time.Second, 0, 1},
+		"still gone once it is in reach":  {[]probe{refused}, 10 * time.Second, 0, 1},
+		"a partition, and the target ran": {[]probe{refused, refused, refused, {probeTold, sentTo}}, 10 * time.Second, 0, 0},
+		"never in reach":                  {[]probe{refused}, time.Hour, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var cutUntil time.Time
+			reaches := func(string) bool {
+				if cutUntil.IsZero() {
+					cutUntil = time.Now().Add(c.cutFor)
+				}
+				return time.Now().After(cutUntil)
+			}
+			got := endsOf(t, &scriptedTarget{results: c.results}, Options{ReachesDomain: reaches}, 2*time.Second, crashTTL+time.Minute)
+			require.Equal(t, []int{c.during, c.then}, got)
+		})
+	}
+}
--- a/internal/coordination/routed/quarantine/running.go
+++ b/internal/coordination/routed/quarantine/running.go
@@ -93,14 +93,14 @@
 	case started == 0 || started == id.started:
 		return id.started, true
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	g.processFollows(id, started)
 	return started, true
 }
 
-// processFollows records that a process runs in place of an incarnation that has ended. The caller holds the lock.
+// processFollows records that a process runs in place of an incarnation that has ended.
 func (g *Guard) processFollows(ended incarnation, started int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.evidence.followers.add(time.Now(), ended, started)
 	_ = level.Info(g.opts.Logger).Log("event", "target_process_replaced", "target", ended.target, "ended", ended.started, "started", started)
 }
