Streams that may be taken up begin at a version once all current lists have it

Cause: an instance whose list counts as current, up to 3 s old, concludes from it that a service has one version if nobody answers it. Others begin streams at a version as soon as they have read of it. Class: what a list lacks is taken for what there is, though another instance may act on a later one.

Change: streams that may be taken up begin at a version only after it has been listed for 3.5 s at the instance, while another version that was listed before has a ready target. A list that counts as current then has the version as well. Other requests and items go to the new targets at once, as do all where no other version is ready.

The price is 3.5 s without such streams at the first targets of a version.

--- a/internal/coordination/routed/origin/history.go
+++ b/internal/coordination/routed/origin/history.go
@@ -11,6 +11,9 @@
 // otherwise count for ever.
 const maxUnreachable = 5 * time.Minute
 
+// serviceVersion names a version of a service.
+type serviceVersion struct{ service, version string }
+
 // servedAt names a version of a service in a failure domain.
 type servedAt struct{ version, domain string }
 
@@ -30,6 +33,8 @@
 type history struct {
 	// since is when the list of targets first became known, zero before.
 	since time.Time
+	// listedSince holds since when each version of a service has been listed, zero for those of the first list.
+	listedSince map[serviceVersion]time.Time
 	// services holds the sightings by service.
 	services map[string]map[servedAt]sighting
 	// reachedAt is when each failure domain was last in reach, unreachableAt when any with a sighting was not.
@@ -41,11 +46,12 @@
 }
 
 func newHistory() *history {
-	return &history{services: map[string]map[servedAt]sighting{}, reachedAt: map[string]time.Time{}}
+	return &history{services: map[string]map[servedAt]sighting{}, listedSince: map[serviceVersion]time.Time{}, reachedAt: map[string]time.Time{}}
 }
 
 // setTargets applies the complete list, with the targets that are leaving.
 func (h *history) setTargets(now time.Time, list []roster.Target) {
+	h.updateListedSince(now, list)
 	if h.since.IsZero() {
 		h.since = now
 	}
@@ -62,6 +68,49 @@
 	}
 }
 
+// updateListedSince records since when the versions of a complete list have been listed.
+func (h *history) updateListedSince(now time.Time, list []roster.Target) {
+	before := h.listedSince
+	h.listedSince = make(map[serviceVersion]time.Time, len(before))
+	for _, t := range list {
+		listed := serviceVersion{t.Service, t.Version}
+		since, known := before[listed]
+		if !known && !h.since.IsZero() {
+			since = now
+		}
+		h.listedSince[listed] = since
+	}
+}
+
+// settled returns the versions of a service that have been listed since a time, empty if all have, or if none of
+// those has a target that is not leaving.
+func (h *history) settled(since time.Time, service string) (versions []string) {
+	unsettled := false
+	for listed, at := range h.listedSince {
+		switch {
+		case listed.service != service:
+		case at.After(since):
+			unsettled = true
+		case h.isReady(listed):
+			versions = append(versions, listed.version)
+		}
+	}
+	if !unsettled {
+		return nil
+	}
+	return versions
+}
+
+// isReady reports whether a version of a service has a listed target that is not leaving.
+func (h *history) isReady(v serviceVersion) bool {
+	for where, seen := range h.services[v.service] {
+		if where.version == v.version && seen.ready {
+			return true
+		}
+	}
+	return false
+}
+
 // unlist returns a sighting of which the list has no target from now on.
 func (s sighting) unlist(now time.Time) sighting {
 	if s.ready {
--- a/internal/coordination/routed/origin/history_test.go
+++ b/internal/coordination/routed/origin/history_test.go
@@ -220,3 +220,36 @@
 	require.True(t, ok)
 	require.Equal(t, "v1", version)
 }
+
+// Guards against streams that begin at a version which other instances have not read of though their lists count as
+// current, and against a service without targets since all of its versions are new.
+func TestStreamsBeginAtVersionsThatAreListedForLong(t *testing.T) {
+	leaving := func(list []roster.Target) []roster.Target {
+		for i := range list {
+			list[i].Leaving = list[i].Version == "v1"
+		}
+		return list
+	}
+	settled := start.Add(time.Minute)
+	for name, c := range map[string]struct {
+		lists [][]roster.Target
+		after time.Duration
+		want  []string
+	}{
+		"one version":                      {[][]roster.Target{targetsOf("v1")}, 0, nil},
+		"several in the first list":        {[][]roster.Target{targetsOf("v1", "v2")}, 0, nil},
+		"a second one has just joined":     {[][]roster.Target{targetsOf("v1"), targetsOf("v1", "v2")}, 0, []string{"v1"}},
+		"a second one has joined long ago": {[][]roster.Target{targetsOf("v1"), targetsOf("v1", "v2")}, versionSettleTime, nil},
+		"the first one is gone":            {[][]roster.Target{targetsOf("v1"), targetsOf("v2")}, 0, nil},
+		"the first one is leaving":         {[][]roster.Target{targetsOf("v1"), leaving(targetsOf("v1", "v2"))}, 0, nil},
+		"it left and joined again":         {[][]roster.Target{targetsOf("v1", "v2"), targetsOf("v1"), targetsOf("v1", "v2")}, 0, []string{"v1"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHistory()
+			for i, list := range c.lists {
+				h.setTargets(settled.Add(time.Duration(i-len(c.lists)+1)*time.Second), list)
+			}
+			require.Equal(t, c.want, h.settled(settled.Add(c.after-versionSettleTime), "s"))
+		})
+	}
+}
--- a/internal/coordination/routed/origin/registry.go
+++ b/internal/coordination/routed/origin/registry.go
@@ -23,6 +23,9 @@
 	// maxListAge is the age up to which the list of targets shows which versions a service
 	// has: three reads.
 	maxListAge = 3 * time.Second
+	// versionSettleTime is the time for which a version has to be listed here before streams that may be taken up begin at it.
+	// By then each instance whose list counts as current has read it too, and the others know that they don't know.
+	versionSettleTime = maxListAge + 500*time.Millisecond
 	// tellInterval is how often untold records are sent that have to be.
 	tellInterval = 250 * time.Millisecond
 	// pastTimeout bounds a read of the past versions from the store, and pastWait the time for which
@@ -135,6 +138,17 @@
 	return r.onlyVersion(now, listAge, service)
 }
 
+// VersionsForNew returns the versions at which streams that may be taken up elsewhere may begin. Empty: any.
+//
+// An instance that is cut off, or does not run, goes by its list as long as that counts as current. If a stream began at
+// a version that the list lacks, and were taken up there, it would go on at another one.
+func (r *Registry) VersionsForNew(service string) []string {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.history.settled(now.Add(-versionSettleTime), service)
+}
+
 // mayBeOnlyVersion reports whether a version can be the only one of a service, as another
 // instance says that has known the list for longer: this one must not know of any other.
 func (r *Registry) mayBeOnlyVersion(service, version string) bool {
--- a/internal/coordination/routed/relay/relay.go
+++ b/internal/coordination/routed/relay/relay.go
@@ -103,10 +103,13 @@
 
 // Options configure a Relay.
 type Options struct {
-	Targets    external.Sender
-	Placer     Placer
-	Origins    Origins
-	Quarantine Quarantine
+	Targets external.Sender
+	Placer  Placer
+	Origins Origins
+	// VersionsForNew returns the software versions of a service at which streams that may be taken up may begin,
+	// empty for any. Nil: any.
+	VersionsForNew func(service string) []string
+	Quarantine     Quarantine
 	// Incarnations may be nil: the listed processes run.
 	Incarnations placement.Incarnations
 	// AnswerBuffers bounds the parts of answers that are held for callers that read slowly. If it
@@ -300,10 +303,19 @@
 // requirements returns what the next target has to satisfy.
 func (c *call) requirements() placement.Requirements {
 	return placement.Requirements{
-		Service: c.Service, Versions: c.origin.Versions(), Run: c.Request.ID, Exclude: slices.Clone(c.tried), Repeatable: c.Route.Repeatable(),
+		Service: c.Service, Versions: c.allowedVersions(), Run: c.Request.ID, Exclude: slices.Clone(c.tried), Repeatable: c.Route.Repeatable(),
 	}
 }
 
+// allowedVersions returns the software versions at which the request may run. Empty: any.
+func (c *call) allowedVersions() []string {
+	begins := c.origin.Source == "" && c.Route.Kind == route.Stream && c.Route.Repeatable()
+	if begins && c.opts.VersionsForNew != nil {
+		return c.opts.VersionsForNew(c.Service)
+	}
+	return c.origin.Versions()
+}
+
 // waitLimits returns how long the request may wait for a slot.
 func (c *call) waitLimits(firstBytes servicetime.Estimate) placement.WaitLimits {
 	onTime := c.ReceivedAt.Add(c.sendWithin(firstBytes))
--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -265,7 +265,7 @@
 		Table: d.view.Table,
 		Quota: d.limiter,
 		Relay: relay.New(relay.Options{
-			Targets: d.targets, Placer: d.brokerClient, Origins: d.origins, Quarantine: d.quarantine, Incarnations: d.quarantine, AnswerBuffers: d.heldBytes,
+			Targets: d.targets, Placer: d.brokerClient, Origins: d.origins, VersionsForNew: d.origins.VersionsForNew, Quarantine: d.quarantine, Incarnations: d.quarantine, AnswerBuffers: d.heldBytes,
 			Times: d.times, Logger: d.logger,
 		}),
 		HeldBytes: d.heldBytes,
