A line that cannot be read is left out of the list of processes

What callers saw: nothing that is shown.

Cause: the list is decoded as a whole, and one field of another type fails all of it. Class: one bad element rejects all that come with it. The shared store has a record for each entry and is not concerned.

Change: each line is decoded by itself, and left out and counted if it can not be read or its address has no port. target_list_lines_unreadable says how many are.

Evidence: transport/platformhttp.TestOddLinesOfListAreLeftOut; on the code before the call fails with "cannot unmarshal number into Go struct field".

--- a/internal/coordination/routing/pollers.go
+++ b/internal/coordination/routing/pollers.go
@@ -64,8 +64,10 @@
 // listPoller periodically passes the platform's list to the router.
 type listPoller struct {
 	opts PollOptions
-	// unreadable says that the last read of the list failed.
-	unreadable bool
+	// unreadable says that the last read of the list failed, unreadableLines how many lines of the last list could
+	// not be read.
+	unreadable      bool
+	unreadableLines int
 }
 
 // String returns the name of the background service.
@@ -97,6 +99,10 @@
 		_ = l.opts.Logger.Log("event", "target_list_readable")
 	}
 	l.unreadable = false
+	if listing.Unreadable != l.unreadableLines {
+		l.unreadableLines = listing.Unreadable
+		_ = l.opts.Logger.Log("event", "target_list_lines_unreadable", "lines", listing.Unreadable)
+	}
 	l.opts.Router.SetServices(l.opts.Fleet().Services)
 	l.opts.Router.ApplyListing(listing)
 	if l.opts.OnListing != nil {
--- a/internal/external/external.go
+++ b/internal/external/external.go
@@ -79,6 +79,8 @@
 type Listing struct {
 	Targets   []ListedTarget   `json:"targets"`
 	Instances []ListedInstance `json:"instances"`
+	// Unreadable is the number of lines that could not be read and are left out.
+	Unreadable int `json:"-"`
 }
 
 // InstanceList is the platform's list of live and leaving processes.
--- a/internal/transport/platformhttp/client.go
+++ b/internal/transport/platformhttp/client.go
@@ -128,8 +128,8 @@
 	if err := statusError(reply.status); err != nil {
 		return external.Listing{}, err
 	}
-	var listing external.Listing
-	if err := json.Unmarshal(reply.body, &listing); err != nil {
+	listing, err := decodeListing(reply.body)
+	if err != nil {
 		return external.Listing{}, fmt.Errorf("%w: list: %w", external.ErrUnavailable, err)
 	}
 	c.lastListing, c.lastETag = listing, reply.etag
