--- a/internal/coordination/routed/quarantine/checker.go
+++ b/internal/coordination/routed/quarantine/checker.go
@@ -15,12 +15,12 @@
 	// crashCheckDelay is the time from a lost answer until its target is checked: the process
 	// closes its connections and its listener one after the other.
 	crashCheckDelay = 10 * time.Millisecond
-	// EndKnownAfter is the time after a lost answer by which it is known whether its target ended, if
-	// that refuses the connection of the check. Other targets answer it in the same time.
+	// EndKnownAfter is the time after a lost answer by which its target has proved that it runs, or else its end is
+	// suspected.
 	EndKnownAfter = 5 * crashCheckDelay
 	// crashCheckTimeout bounds a check.
 	crashCheckTimeout = 250 * time.Millisecond
-	// confirmDelay is the time until a target that refused a connection is checked once more. By
+	// confirmDelay is the time until a target that did not prove that it runs is checked once more. By
 	// then a network partition that refuses connections has been noticed: it is longer than the
 	// silence timeout of instances in a large fleet.
 	confirmDelay = 1500 * time.Millisecond
@@ -170,7 +170,7 @@
 // or is known as dismissed.
 func (c *Checker) conclude(lost []LostRequest, found *finding, suspected bool) {
 	if found.reason == endReplaced {
-		c.guard.processFollows(incarnation{lost[0].Target, lost[0].Started}, found.probe.started)
+		c.guard.recordSuccessor(incarnation{lost[0].Target, lost[0].Started}, found.probe.started)
 	}
 	crashed := found.state >= EndConfirmed
 	if suspected || crashed {
--- a/internal/coordination/routed/quarantine/evidence.go
+++ b/internal/coordination/routed/quarantine/evidence.go
@@ -24,8 +24,8 @@
 	ends endTable
 	// endTimes are the targets that ended lately.
 	endTimes endTimes
-	// followers are the processes that have replaced others of these targets.
-	followers followers
+	// successors are the processes that have replaced others of these targets.
+	successors successors
 	// recent are the first events that this instance has seen lately, of any part.
 	recent recentParts
 	// listed is the number of targets, watchedSince when this instance began to learn of their ends without
@@ -44,7 +44,7 @@
 func NewEvidence(self string) *Evidence {
 	return &Evidence{
 		self: self, crashes: crashTable{map[incarnation]*crash{}}, began: map[string]firstEvent{},
-		closures: newClosureTable(), ends: endTable{map[string]*endRecord{}}, endTimes: endTimes{map[incarnation]time.Time{}}, followers: followers{map[incarnation]follower{}}, recent: newRecentParts(),
+		closures: newClosureTable(), ends: endTable{map[string]*endRecord{}}, endTimes: endTimes{map[incarnation]time.Time{}}, successors: successors{map[incarnation]successor{}}, recent: newRecentParts(),
 	}
 }
 
@@ -144,7 +144,7 @@
 	e.crashes.removeExpired(now)
 	e.ends.removeExpired(now)
 	e.endTimes.removeExpired(now)
-	e.followers.removeExpired(now)
+	e.successors.removeExpired(now)
 	maps.DeleteFunc(e.began, func(part string, _ firstEvent) bool { return !e.crashes.names(part) })
 	e.closures.removeExpired(now)
 }
--- a/internal/coordination/routed/quarantine/guard.go
+++ b/internal/coordination/routed/quarantine/guard.go
@@ -264,7 +264,7 @@
 // updateEndFlags sets the flags that spare most requests the lock. The caller holds the lock.
 func (g *Guard) updateEndFlags() {
 	g.anyEnds.Store(len(g.evidence.ends.records) > 0)
-	g.anyEnded.Store(len(g.evidence.endTimes.at)+len(g.evidence.followers.of) > 0)
+	g.anyEnded.Store(len(g.evidence.endTimes.at)+len(g.evidence.successors.of) > 0)
 }
 
 func (g *Guard) wake() { signal(g.changed) }
--- a/internal/coordination/routed/quarantine/running.go
+++ b/internal/coordination/routed/quarantine/running.go
@@ -9,31 +9,31 @@
 )
 
 const (
-	// maxFollowers bounds the processes of targets of which the next one is known.
-	maxFollowers = 256
+	// maxSuccessors bounds the processes of targets of which the next one is known.
+	maxSuccessors = 256
 	// runningTimeout bounds the question which process of a target runs, before a request is sent there. Another
 	// target can take the request sooner than one that does not answer by then.
 	runningTimeout = EndKnownAfter
 )
 
-// follower is the process that runs in place of another one.
-type follower struct {
+// successor is the process that runs in place of another one.
+type successor struct {
 	started int64
 	toldAt  time.Time
 }
 
-// followers holds the processes that have replaced others under the same id. The list of targets tells them with
+// successors holds the processes that have replaced others under the same id. The list of targets tells them with
 // the next heartbeat, or much later while the store is away.
-type followers struct {
-	of map[incarnation]follower
+type successors struct {
+	of map[incarnation]successor
 }
 
 // add records that a process runs in place of an incarnation. A full table drops what was told first.
-func (f *followers) add(now time.Time, id incarnation, started int64) {
+func (f *successors) add(now time.Time, id incarnation, started int64) {
 	if id.started == started {
 		return
 	}
-	if _, known := f.of[id]; !known && len(f.of) >= maxFollowers {
+	if _, known := f.of[id]; !known && len(f.of) >= maxSuccessors {
 		oldest := id
 		for other, told := range f.of {
 			if oldest == id || told.toldAt.Before(f.of[oldest].toldAt) {
@@ -42,12 +42,12 @@
 		}
 		delete(f.of, oldest)
 	}
-	f.of[id] = follower{started, now}
+	f.of[id] = successor{started, now}
 }
 
 // last returns the last of the processes that have replaced an incarnation, one after the other.
-func (f *followers) last(id incarnation) incarnation {
-	for range maxFollowers {
+func (f *successors) last(id incarnation) incarnation {
+	for range maxSuccessors {
 		next, known := f.of[id]
 		if !known {
 			break
@@ -57,14 +57,14 @@
 	return id
 }
 
-func (f *followers) removeExpired(now time.Time) {
-	maps.DeleteFunc(f.of, func(_ incarnation, told follower) bool { return now.Sub(told.toldAt) > requestTTL })
+func (f *successors) removeExpired(now time.Time) {
+	maps.DeleteFunc(f.of, func(_ incarnation, told successor) bool { return now.Sub(told.toldAt) > requestTTL })
 }
 
 // running returns the process of a target that runs, as far as it is known, for an incarnation that is listed.
 // unknown reports that this one has ended and the next one is not known.
 func (e *Evidence) running(listed incarnation) (id incarnation, unknown bool) {
-	id = e.followers.last(listed)
+	id = e.successors.last(listed)
 	_, ended := e.endTimes.at[id]
 	return id, ended
 }
@@ -93,14 +93,14 @@
 	case started == 0 || started == id.started:
 		return id.started, true
 	}
-	g.processFollows(id, started)
+	g.recordSuccessor(id, started)
 	return started, true
 }
 
-// processFollows records that a process runs in place of an incarnation that has ended.
-func (g *Guard) processFollows(ended incarnation, started int64) {
+// recordSuccessor records that a process runs in place of an incarnation that has ended.
+func (g *Guard) recordSuccessor(ended incarnation, started int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.evidence.followers.add(time.Now(), ended, started)
+	g.evidence.successors.add(time.Now(), ended, started)
 	_ = level.Info(g.opts.Logger).Log("event", "target_process_replaced", "target", ended.target, "ended", ended.started, "started", started)
 }
--- a/internal/daemon/routed/crashingparts_test.go
+++ b/internal/daemon/routed/crashingparts_test.go
@@ -170,7 +170,7 @@
 func (f *crashFleet) crash(t *target) {
 	f.mu.Lock()
 	f.crashes = append(f.crashes, time.Now())
-	t.silent = true
+	t.silent, t.endedAt = true, time.Now()
 	f.mu.Unlock()
 	f.net.Kill(t.ip)
 	_ = t.server.Close()
--- a/internal/daemon/routed/fleettarget_test.go
+++ b/internal/daemon/routed/fleettarget_test.go
@@ -20,9 +20,10 @@
 	state   string
 	started int64
 	// listedAt is when a target that comes back was listed, zero if it has not been.
-	listedAt time.Time
-	silent   bool
-	server   *http.Server
+	// endedAt is when a target of a crashFleet crashed.
+	listedAt, endedAt time.Time
+	silent            bool
+	server            *http.Server
 }
 
 // addTarget starts a target that is listed at once.
--- a/internal/daemon/routed/restartedtargets_test.go
+++ b/internal/daemon/routed/restartedtargets_test.go
@@ -5,7 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"strings"
+	"regexp"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -170,6 +171,32 @@
 	})
 }
 
+var checkedTarget = regexp.MustCompile(`at=(\S+) event=target_crash_checked target=(\S+) started=(\d+) crashed=(\w+) .*lost_ms=(\d+)`)
+
+// checksOfTargets returns the number of checks of targets by whether these had ended, and whether their end counted.
+func (f *crashFleet) checksOfTargets() map[bool]map[bool]int {
+	endedAt := map[string]time.Time{}
+	for _, t := range f.targets {
+		if t.silent {
+			endedAt[fmt.Sprint(t.id, " ", t.started)] = t.endedAt
+		}
+	}
+	out := map[bool]map[bool]int{true: {}, false: {}}
+	for _, inst := range f.instances {
+		for _, match := range checkedTarget.FindAllStringSubmatch(inst.logs.String(), -1) {
+			checkedAt, err := time.Parse(time.RFC3339Nano, match[1])
+			require.NoError(f.t, err)
+			lost, err := strconv.Atoi(match[5])
+			require.NoError(f.t, err)
+			at, ended := endedAt[match[2]+" "+match[3]]
+			// The age of the loss is rounded down.
+			lostAt := checkedAt.Add(-time.Duration(lost) * time.Millisecond)
+			out[ended && !lostAt.Before(at)][match[4] == "true"]++
+		}
+	}
+	return out
+}
+
 // losesAnswers returns faults by which targets lose a share of their answers.
 func losesAnswers(seed uint64, share float64) func(id string) engine.Fault {
 	var mu sync.Mutex
@@ -199,6 +226,9 @@
 		f.requireNoSoundRequestClosed()
 		f.requireNeighboursDone("job-a", 0, 12)
 		require.Empty(t, f.closedParts())
-		t.Log(strings.Count(f.linesOf("job-a"), "\n"), "crashes", len(f.crashes))
+		checks := f.checksOfTargets()
+		t.Logf("checks of targets that ended: %d counted, %d not; of others: %d not counted, %d counted", checks[true][true], checks[true][false], checks[false][false], checks[false][true])
+		require.Zero(t, checks[true][false], "ends that do not count")
+		require.Zero(t, checks[false][true], "lost answers that count as ends")
 	})
 }
