--- a/internal/coordination/routed/quarantine/probe.go
+++ b/internal/coordination/routed/quarantine/probe.go
@@ -6,10 +6,8 @@
 type probeResult int
 
 const (
-	// notProbed: no check was made.
-	notProbed probeResult = iota
-	// probeRefused: no process listens.
-	probeRefused
+	// probeRefused: no process listens. The zero value stands for no check.
+	probeRefused probeResult = iota + 1
 	// probeSilent: a connection was accepted, perhaps by a supervisor that holds the port, and no process answered.
 	probeSilent
 	// probeAccepted: a process accepts connections and does not tell when it started.
--- a/internal/harness/proctest/targetprocess_test.go
+++ b/internal/harness/proctest/targetprocess_test.go
@@ -58,14 +58,6 @@
 	Deadline string
 }
 
-// key is the same for all repeats of a request.
-func (r *targetRun) key() string {
-	if !strings.Contains(r.ID, "/") {
-		return r.ID
-	}
-	return r.ID[:strings.LastIndex(r.ID, "/")]
-}
-
 // serveTarget is the main function of a target process.
 func serveTarget(encoded string) {
 	var s targetSettings
