The list of targets is compared with the one before in one pass

The incarnations that leave were looked up in the whole list, one by one: at 850 targets, some 700,000 comparisons for each change of the list. They are looked up by their name now; what is found is the same (daemon/routed.TestIncarnationsAreKnownToLeaveSinceTheyWereListedSo, TestLeavingTargetsAreTold).

--- a/internal/daemon/routed/targetlist.go
+++ b/internal/daemon/routed/targetlist.go
@@ -54,30 +54,30 @@
 // updateLeaving updates which incarnations leave, before a new list replaces the old one. An incarnation that is
 // listed again as ready does not leave.
 func (t *targetList) updateLeaving(now time.Time, list []roster.Target) {
-	ready := map[incarnation]bool{}
+	// leaving tells for each listed incarnation whether it is listed so.
+	leaving := make(map[incarnation]bool, len(list))
+	for _, entry := range list {
+		leaving[incarnation{entry.ID, entry.Started}] = entry.Leaving
+	}
 	leave := func(id incarnation) {
 		if _, known := t.leavingSince[id]; !known {
 			t.leavingSince[id] = now
 		}
 	}
-	for _, entry := range list {
-		id := incarnation{entry.ID, entry.Started}
-		if entry.Leaving {
+	for id, listedSo := range leaving {
+		if listedSo {
 			leave(id)
-		} else {
-			ready[id] = true
 		}
 	}
-	listed := func(id incarnation) bool {
-		return slices.ContainsFunc(list, func(entry roster.Target) bool { return entry.ID == id.target && entry.Started == id.started })
-	}
 	for _, entry := range t.list {
-		if id := (incarnation{entry.ID, entry.Started}); !listed(id) {
+		id := incarnation{entry.ID, entry.Started}
+		if _, listed := leaving[id]; !listed {
 			leave(id)
 		}
 	}
 	maps.DeleteFunc(t.leavingSince, func(id incarnation, since time.Time) bool {
-		return ready[id] || now.Sub(since) > leftTargetTTL && !listed(id)
+		listedSo, listed := leaving[id]
+		return listed && !listedSo || !listed && now.Sub(since) > leftTargetTTL
 	})
 }
 
