--- a/internal/transport/platformhttp/listing.go
+++ b/internal/transport/platformhttp/listing.go
@@ -24,7 +24,7 @@
 	var out external.Listing
 	for _, line := range wire.Targets {
 		var target external.ListedTarget
-		if json.Unmarshal(line, &target) != nil || checkAddress(target.Address) != nil {
+		if json.Unmarshal(line, &target) != nil || target.ID == "" || checkAddress(target.Address) != nil {
 			out.Unreadable++
 			continue
 		}
@@ -32,7 +32,7 @@
 	}
 	for _, line := range wire.Instances {
 		var instance external.ListedInstance
-		if json.Unmarshal(line, &instance) != nil || checkAddress(instance.Address) != nil {
+		if json.Unmarshal(line, &instance) != nil || instance.ID == "" || checkAddress(instance.Address) != nil {
 			out.Unreadable++
 			continue
 		}
@@ -41,8 +41,12 @@
 	return out, nil
 }
 
-// checkAddress returns an error unless an address is "ip:port" with a port that can be connected to.
+// checkAddress returns an error unless an address is "ip:port" with a port that can be connected to. A line may have
+// none.
 func checkAddress(address string) error {
+	if address == "" {
+		return nil
+	}
 	parsed, err := netip.ParseAddrPort(address)
 	if err == nil && parsed.Port() == 0 {
 		err = fmt.Errorf("port 0 in %s", address)
