--- a/internal/transport/platformhttp/listing_test.go
+++ b/internal/transport/platformhttp/listing_test.go
@@ -16,7 +16,7 @@
 	good := external.ListedTarget{ID: "t-1", Service: "s", Domain: "d", Address: "10.0.0.1:80", Leaving: true}
 	for _, odd := range []string{
 		`7`, `null`, `"t-2"`, `{}`, `{"id":7}`, `{"id":"t-2","address":"10.0.0.2:80","leaving":"yes"}`, `{"id":"t-2","address":"10.0.0.2:99999"}`,
-		`{"id":"t-2","address":"10.0.0.2:0"}`, `{"id":"t-2","address":"10.0.0.2:-1"}`, `{"id":"t-2","service":` + strings.Repeat("[", 5000) + strings.Repeat("]", 5000) + `}`,
+		`{"id":"t-2","address":"10.0.0.2:0"}`, `{"id":"t-2","address":"10.0.0.2:-1"}`, `{"id":"t-2","domain":` + strings.Repeat("[", 5000) + strings.Repeat("]", 5000) + `}`,
 	} {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			_, _ = w.Write([]byte(`{"targets":[` + odd + `,{"id":"t-1","service":"s","domain":"d","address":"10.0.0.1:80","leaving":true}],"instances":[` + odd + `]}`))
