The store of a process test has its port before targets are started; all ways of a restart on the code that lands

It fits that each failed at a bind right after targets had been started; it was not provoked. The port is bound before that now, nothing else changes. The two default ways that start so and the test of odd entries pass.

--- a/internal/harness/proctest/crowd_test.go
+++ b/internal/harness/proctest/crowd_test.go
@@ -93,8 +93,10 @@
 	t.Cleanup(cancel)
 	f := &routedFleet{t: t, ctx: ctx, store: sharedstore.New(12), listedAt: map[string]time.Time{}}
 	f.configure()
-	addTargets(f)
+	// A process that is being started holds all open listeners of this one for a moment, so that a port which was just
+	// found free can't be bound. The store's port is bound before targets are started.
 	storeAddress := listen(t, f.store.NewEndpoint())
+	addTargets(f)
 	var seeds []string
 	for n := range count {
 		f.startInstance(dir, n, storeAddress, &seeds)
