--- a/internal/coordination/routed/batchjobs/task.go
+++ b/internal/coordination/routed/batchjobs/task.go
@@ -71,8 +71,10 @@
 	// the first event of each run. Both belong to the run.
 	firstEventAt time.Time
 	ranSinceEnd  time.Duration
-	// targetStarted is the start of the process that the run was sent to. It belongs to the run.
+	// targetStarted is the start of the process that the run was sent to, lastDataAt when it was sent or last brought
+	// something. Both belong to the run.
 	targetStarted int64
+	lastDataAt    time.Time
 
 	// output is what was received since output was last stored.
 	output   pendingOutput
@@ -153,7 +155,7 @@
 	})
 	defer stall.Stop()
 	start, from, eventsBefore := time.Now(), t.position, t.events
-	t.firstEventAt = time.Time{}
+	t.firstEventAt, t.lastDataAt = time.Time{}, start
 	outcome, result, err := t.sendAndRead(ctx, choice, stall)
 	if !t.firstEventAt.IsZero() {
 		t.ranSinceEnd += time.Since(t.firstEventAt)
@@ -169,7 +171,8 @@
 	opts.Placer.Done(choice, result)
 	fields := []any{"event", "item_run", "item", t.id.item, "job", t.id.job, "target", choice.ID,
 		"version", choice.Version, "broker", choice.Broker, "busy", choice.Busy, "slots", choice.Slots, "how", outcome.String(), "from", from, "position", t.position, "took_ms", time.Since(start).Milliseconds(),
-		"due_in_ms", time.Until(t.job.Due).Milliseconds(), "parts", strings.Join(t.subject.Parts, ","), "key", t.subject.Key, "events", t.events - eventsBefore, "ended", endOfRun(err), "err", err}
+		"due_in_ms", time.Until(t.job.Due).Milliseconds(), "parts", strings.Join(t.subject.Parts, ","), "key", t.subject.Key, "events", t.events - eventsBefore, "ended", endOfRun(err),
+		"started", t.targetStarted, "silent_ms", time.Since(t.lastDataAt).Milliseconds(), "err", err}
 	_ = level.Info(opts.Logger).Log(append(fields, choice.Lists.LogFields()...)...)
 	if errors.Is(err, errOutputTooLarge) {
 		outputsTooLarge.Inc()
@@ -352,6 +355,7 @@
 			return interrupted, placement.Broken, err
 		}
 		stall.Reset(stallTimeout)
+		t.lastDataAt = time.Now()
 		t.runner.opts.Placer.DataReceived(t.choice.ID)
 		if err := t.addEvent(&event); err != nil {
 			return interrupted, placement.Broken, err
--- a/internal/coordination/routed/relay/forward.go
+++ b/internal/coordination/routed/relay/forward.go
@@ -83,6 +83,7 @@
 		}
 		monitor.eventArrived()
 		now := time.Now()
+		c.lastDataAt = now
 		if c.attemptEvents == 0 {
 			c.firstEventAt = now
 			c.opts.Quarantine.Began(c.subject)
--- a/internal/coordination/routed/relay/logging.go
+++ b/internal/coordination/routed/relay/logging.go
@@ -33,5 +33,6 @@
 func (c *call) logFailedAttempt(choice placement.Choice, how string, end external.TargetEnd, key string, value any) {
 	_ = level.Info(c.opts.Logger).Log("event", "attempt_failed", "request", c.Request.ID, "target", choice.ID, "how", how, "ended", end,
 		"parts", strings.Join(c.subject.Parts, ","), "key", c.subject.Key, "events", c.attemptEvents,
-		"busy", choice.Busy, "slots", choice.Slots, "position", c.lastEvent, "runs", c.outcome.PossibleRuns, key, value)
+		"busy", choice.Busy, "slots", choice.Slots, "position", c.lastEvent, "runs", c.outcome.PossibleRuns,
+		"started", c.started, "silent_ms", time.Since(c.lastDataAt).Milliseconds(), key, value)
 }
--- a/internal/coordination/routed/relay/relay.go
+++ b/internal/coordination/routed/relay/relay.go
@@ -203,6 +203,8 @@
 	// when the first of them came.
 	attemptEvents int
 	firstEventAt  time.Time
+	// lastDataAt is when the current attempt was sent, or last brought something.
+	lastDataAt time.Time
 	// started is the start of the process that the current attempt is sent to.
 	started int64
 	// isTrial is set if the request is the trial of what is closed: it goes to one target.
--- a/internal/coordination/routed/relay/times.go
+++ b/internal/coordination/routed/relay/times.go
@@ -53,6 +53,7 @@
 // attemptBegins records that the request is about to be sent.
 func (c *call) attemptBegins() {
 	c.sentAt, c.stoppedBefore = time.Now(), c.outcome.ReadStopped
+	c.lastDataAt = c.sentAt
 	c.sentWhole = c.lastEvent == exchange.FromStart
 }
 
--- a/internal/harness/proctest/restart_test.go
+++ b/internal/harness/proctest/restart_test.go
@@ -300,22 +300,25 @@
 // since target processes are back, or listed, sooner or later than a check of them expects.
 func TestRepeatsStopWheneverTargetProcessesAreBack(t *testing.T) {
 	for _, c := range restartCases() {
-		t.Run(c.name, func(t *testing.T) {
-			dir := *keepLogs
-			if dir == "" {
-				dir = t.TempDir()
-			} else {
-				dir += "/" + strings.ReplaceAll(strings.ReplaceAll(c.name, " ", "-"), ",", "")
-				require.NoError(t, os.MkdirAll(dir, 0o700))
-			}
-			f := startRoutedWith(t, dir, restartInstances, func(f *routedFleet) {
-				for n := range restartInstances {
-					f.superviseTarget(dir, n, crashesAt, c.restart)
-				}
-			})
-			f.playRestarts(dir, c)
-		})
+		t.Run(c.name, func(t *testing.T) { playCase(t, c) })
+	}
+}
+
+// playCase plays a way in which targets end and are back.
+func playCase(t *testing.T, c restartCase) {
+	dir := *keepLogs
+	if dir == "" {
+		dir = t.TempDir()
+	} else {
+		dir += "/" + strings.ReplaceAll(strings.ReplaceAll(c.name, " ", "-"), ",", "")
+		require.NoError(t, os.MkdirAll(dir, 0o700))
 	}
+	f := startRoutedWith(t, dir, restartInstances, func(f *routedFleet) {
+		for n := range restartInstances {
+			f.superviseTarget(dir, n, crashesAt, c.restart)
+		}
+	})
+	f.playRestarts(dir, c)
 }
 
 func (f *routedFleet) playRestarts(dir string, c restartCase) {
--- /dev/null
+++ b/internal/harness/proctest/silentends_test.go
@@ -0,0 +1,86 @@
+package proctest
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// silentEndCases are ways in which target processes end, or tell less of themselves than others, so that an instance
+// does not notice the end when it comes.
+func silentEndCases() []restartCase {
+	usual := []restartCase{
+		{"stopped, killed after 3 s", targetRestart{back: 300 * time.Millisecond, ending: stops, killedAfter: 3 * time.Second}, nil},
+		{"hangs, killed after 3 s", targetRestart{back: 300 * time.Millisecond, ending: hangs, killedAfter: 3 * time.Second, renews: true}, nil},
+		{"report tells no start, port stays open", targetRestart{portStaysOpen: true, report: tellsNoStart}, nil},
+	}
+	if !*allRestarts {
+		return usual
+	}
+	return append(usual, []restartCase{
+		{"stopped, killed after 1 s", targetRestart{back: 300 * time.Millisecond, ending: stops, killedAfter: time.Second}, nil},
+		{"stopped past the expiry of its entry", targetRestart{back: 300 * time.Millisecond, ending: stops, killedAfter: entryTTL + 2*time.Second}, nil},
+		{"stopped, its entry renewed, killed after 6 s", targetRestart{back: 300 * time.Millisecond, ending: stops, killedAfter: 6 * time.Second, renews: true}, nil},
+		{"hangs, killed after 8 s", targetRestart{back: 300 * time.Millisecond, ending: hangs, killedAfter: 8 * time.Second, renews: true}, nil},
+		{"hangs past the expiry of its entry", targetRestart{back: 300 * time.Millisecond, ending: hangs, killedAfter: entryTTL + 2*time.Second}, nil},
+		{"host falls silent", targetRestart{back: 2 * time.Second, newIDs: true, ending: stops, staysSilent: true}, nil},
+		{"stopped, instances paused in turn", targetRestart{back: 300 * time.Millisecond, ending: stops, killedAfter: 2 * time.Second}, pauseInTurn(time.Second)},
+		{"stopped, instances killed in turn", targetRestart{back: 300 * time.Millisecond, ending: stops, killedAfter: 2 * time.Second}, killInTurn(0)},
+		{"instances paused for longer than a stall", targetRestart{back: 300 * time.Millisecond}, pauseInTurn(2500 * time.Millisecond)},
+		{"no report, port stays open", targetRestart{portStaysOpen: true, report: tellsNothing}, nil},
+		{"report tells no start, listed late", targetRestart{back: 300 * time.Millisecond, listed: 3 * time.Second, report: tellsNoStart}, nil},
+		{"failed items answered after 2 s", targetRestart{back: 2 * time.Second, failAfter: 2 * time.Second}, nil},
+	}...)
+}
+
+// Guards against items, repeats of a request and requests with a crashing part that end one target after the other,
+// since their targets end without closing the connection, or do not tell which process they are.
+func TestRepeatsStopWhenTargetsEndSilently(t *testing.T) {
+	for _, c := range silentEndCases() {
+		t.Run(c.name, func(t *testing.T) { playCase(t, c) })
+	}
+}
+
+// Guards against sound requests that are closed, or wait, since their targets were paused and went on.
+func TestPausedTargetsCloseNoRequest(t *testing.T) {
+	dir := t.TempDir()
+	var targets []*supervisedTarget
+	f := startRoutedWith(t, dir, restartInstances, func(f *routedFleet) {
+		for n := range restartInstances {
+			targets = append(targets, f.superviseTarget(dir, n, crashesAt, targetRestart{}))
+		}
+	})
+	ctx, stop := context.WithTimeout(f.ctx, 20*time.Second)
+	defer stop()
+	var items []string
+	for n := range 20 {
+		items = append(items, fmt.Sprint("good-", n))
+	}
+	f.submit("job-a", jobOf(items...))
+	paused := make(chan struct{})
+	go func() {
+		defer close(paused)
+		pauseTargets(ctx, targets)
+	}()
+	sound := f.sendSound(ctx, 1, 20)
+	<-paused
+	t.Logf("sound requests: %d of %d served, %v", sound.served, sound.sent, sound.status)
+	require.Zero(t, f.countLogged("event=request_closed"))
+	require.Zero(t, f.countLogged("event=part_closed"))
+	require.Zero(t, f.countLogged("event=item_held"))
+}
+
+// countLogged returns the number of lines of instances with a text.
+func (f *routedFleet) countLogged(text string) (count int) {
+	for _, i := range f.instances {
+		log, err := os.ReadFile(i.process.LogFile)
+		require.NoError(f.t, err)
+		count += strings.Count(string(log), text)
+	}
+	return count
+}
--- a/internal/harness/proctest/targetprocess_test.go
+++ b/internal/harness/proctest/targetprocess_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"cmp"
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -28,6 +29,12 @@
 // a target.
 const targetSettingsVariable = "PROCTEST_TARGET"
 
+// The files that a target process inherits.
+const (
+	listenerFile = 3
+	crashPipe    = 4
+)
+
 const (
 	// crashesPrefix begins the ids of requests and items that crash targets, failsPrefix those of items that targets
 	// answer with 500, and impossiblePrefix those that they answer with 422.
@@ -47,8 +54,38 @@
 	Born        int64
 	// CrashAt is the event instead of which it crashes.
 	CrashAt int
+	// Ending is what it does when it crashes, Report what its report tells.
+	Ending targetEnding
+	Report targetReport
+	// FailAfter is how long it works on an item before it answers with an error. It does not notice meanwhile that the
+	// connection was closed.
+	FailAfter time.Duration
 }
 
+// targetEnding is what a target process does when it crashes.
+type targetEnding string
+
+const (
+	// exits: it exits at once.
+	exits targetEnding = ""
+	// stops: it runs no more, with its connections and its port open, like a process that writes a core dump.
+	stops targetEnding = "stops"
+	// hangs: all its answers go no further, but it accepts connections and tells its report.
+	hangs targetEnding = "hangs"
+)
+
+// targetReport is what the report of a target process tells.
+type targetReport string
+
+const (
+	// tellsStart: when the process started.
+	tellsStart targetReport = ""
+	// tellsNoStart: all but that.
+	tellsNoStart targetReport = "no start"
+	// tellsNothing: there is no report.
+	tellsNothing targetReport = "nothing"
+)
+
 // targetRun is a run that a target logs when it begins.
 type targetRun struct {
 	ID       string
@@ -56,6 +93,8 @@
 	Born, At int64
 	// Deadline is the time that the instance allows, in milliseconds, as the header has it.
 	Deadline string
+	// Failed is set in the line for an answer with an error that the target has written.
+	Failed bool
 }
 
 // serveTarget is the main function of a target process.
@@ -65,23 +104,34 @@
 		panic(err)
 	}
 	var deadlines sync.Map
+	ending := &endingProcess{kind: s.Ending, hung: make(chan struct{})}
+	born := s.Born
+	if s.Report == tellsNoStart {
+		born = 0
+	}
 	answers := engine.New(engine.Options{
-		ID: s.ID, Born: s.Born, Slots: 8, QueueSize: 24, EventInterval: 20 * time.Millisecond,
+		ID: s.ID, Born: born, Slots: 8, QueueSize: 24, EventInterval: 20 * time.Millisecond,
 		FaultFor: func(id string) engine.Fault {
 			deadline, _ := deadlines.Load(id)
 			line, _ := json.Marshal(targetRun{ID: id, Target: s.ID, Born: s.Born, At: time.Now().UnixNano(), Deadline: deadline.(string)})
 			fmt.Println(string(line))
+			fault := engine.Fault{}
 			switch {
 			case strings.HasPrefix(id, failsPrefix):
-				return engine.Fault{Status: http.StatusInternalServerError}
+				fault.Status = http.StatusInternalServerError
 			case strings.HasPrefix(id, impossiblePrefix):
-				return engine.Fault{Status: http.StatusUnprocessableEntity}
+				fault.Status = http.StatusUnprocessableEntity
+			}
+			if fault.Status != 0 {
+				time.Sleep(s.FailAfter)
+				line, _ := json.Marshal(targetRun{ID: id, Target: s.ID, At: time.Now().UnixNano(), Failed: true})
+				fmt.Println(string(line))
 			}
-			return engine.Fault{}
+			return fault
 		},
 		Crashes:   func(prompt string) bool { return strings.Contains(prompt, crashesPart) },
 		CrashesAt: func(run *engine.Run, n int) bool { return n == s.CrashAt && strings.HasPrefix(run.ID, crashesPrefix) },
-		OnCrash:   func() { os.Exit(3) },
+		OnCrash:   ending.crash,
 	})
 	listener, err := s.listen()
 	if err != nil {
@@ -89,15 +139,64 @@
 	}
 	panic(http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		deadlines.Store(r.Header.Get("Request-Id"), r.Header.Get("Deadline-Ms"))
+		switch {
+		case r.URL.Path != "/report":
+			w = &hangingWriter{w, ending}
+		case s.Report == tellsNothing:
+			http.NotFound(w, r)
+			return
+		}
 		answers.ServeHTTP(w, r)
 	})))
 }
 
+// endingProcess ends a target process.
+type endingProcess struct {
+	kind targetEnding
+	once sync.Once
+	// hung is closed once answers go no further.
+	hung chan struct{}
+}
+
+// crash is called when the process crashes. A supervisor that waits for it is told through crashPipe.
+func (e *endingProcess) crash() {
+	if e.kind == exits {
+		os.Exit(3)
+	}
+	e.once.Do(func() {
+		_, _ = os.NewFile(crashPipe, "crash").Write([]byte{1})
+		if e.kind == stops {
+			_ = syscall.Kill(os.Getpid(), syscall.SIGSTOP)
+		}
+		close(e.hung)
+	})
+	select {}
+}
+
+// hangingWriter writes no more once its process hangs.
+type hangingWriter struct {
+	http.ResponseWriter
+	ending *endingProcess
+}
+
+// Write implements http.ResponseWriter.
+func (w *hangingWriter) Write(p []byte) (int, error) {
+	select {
+	case <-w.ending.hung:
+		select {}
+	default:
+		return w.ResponseWriter.Write(p)
+	}
+}
+
+// Unwrap returns the writer for http.ResponseController.
+func (w *hangingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 func (s *targetSettings) listen() (net.Listener, error) {
 	if s.Address != "" {
 		return net.Listen("tcp", s.Address)
 	}
-	return net.FileListener(os.NewFile(3, "listener"))
+	return net.FileListener(os.NewFile(listenerFile, "listener"))
 }
 
 // targetRestart is how target processes are started again after they have crashed.
@@ -109,6 +208,15 @@
 	portStaysOpen bool
 	// newIDs is set if each process has another id.
 	newIDs bool
+	// ending is what a process does when it crashes. One that does not exit is killed after killedAfter, and renews its
+	// entry until then if renews is set.
+	ending      targetEnding
+	killedAfter time.Duration
+	renews      bool
+	// staysSilent is set if it is not killed, like one whose host falls silent. The next process is at another address.
+	staysSilent bool
+	report      targetReport
+	failAfter   time.Duration
 }
 
 // supervisedTarget starts target processes at one address, one after the other.
@@ -122,10 +230,33 @@
 	// listener is held open for the processes if the port stays open.
 	listener *os.File
 	starts   int
+
+	mu sync.Mutex
+	// running is the process that was started last, nil before the first one.
+	running *os.Process
+}
+
+// pauseTargets pauses one target after the other, for longer each time, until ctx ends.
+func pauseTargets(ctx context.Context, targets []*supervisedTarget) {
+	for n := 0; ctx.Err() == nil; n++ {
+		s := targets[n%len(targets)]
+		s.signal(syscall.SIGSTOP)
+		wait.For(ctx, time.Duration(1+n%3)*time.Second)
+		s.signal(syscall.SIGCONT)
+		wait.For(ctx, 300*time.Millisecond)
+	}
+}
+
+func (s *supervisedTarget) signal(signal os.Signal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running != nil {
+		_ = s.running.Signal(signal)
+	}
 }
 
 // superviseTarget starts a target whose process is replaced when it has crashed, until the test ends.
-func (f *routedFleet) superviseTarget(dir string, n, crashAt int, restart targetRestart) {
+func (f *routedFleet) superviseTarget(dir string, n, crashAt int, restart targetRestart) *supervisedTarget {
 	address, err := harness.FreeAddress()
 	require.NoError(f.t, err)
 	s := &supervisedTarget{fleet: f, name: fmt.Sprint("t-", n), domain: string(domains[n%len(domains)]), dir: dir, restart: restart, address: address}
@@ -140,6 +271,7 @@
 		}
 	}()
 	f.t.Cleanup(func() { <-done })
+	return s
 }
 
 // holdPort opens a listener that the processes inherit, one after the other.
@@ -156,11 +288,14 @@
 
 // runOnce runs one process until it has crashed or the test ends, and waits until the next one is due.
 func (s *supervisedTarget) runOnce(crashAt int) {
-	settings := targetSettings{ID: s.name, Address: s.address, Born: time.Now().UnixMilli(), CrashAt: crashAt}
+	settings := targetSettings{
+		ID: s.name, Address: s.address, Born: time.Now().UnixMilli(), CrashAt: crashAt,
+		Ending: s.restart.ending, Report: s.restart.report, FailAfter: s.restart.failAfter,
+	}
 	if s.restart.newIDs {
 		settings.ID = fmt.Sprintf("%s-%d", s.name, s.starts)
 	}
-	exited := s.startProcess(settings)
+	process := s.startProcess(settings)
 	listed := time.Now().Add(s.restart.listed)
 	if s.starts == 0 {
 		listed = time.Now()
@@ -168,14 +303,31 @@
 	s.starts++
 	ticker := time.NewTicker(time.Millisecond)
 	defer ticker.Stop()
+	var killAt time.Time
+	crashed := process.crashed
 	for nextHeartbeat := listed; ; {
 		select {
-		case <-exited:
-			crashed := time.Now()
-			time.AfterFunc(entryTTL, func() { s.fleet.expireEntry(settings.ID, crashed) })
+		case <-process.exited:
+			s.fleet.expireLater(settings.ID)
 			wait.For(s.fleet.ctx, s.restart.back)
 			return
+		case <-crashed:
+			crashed = nil
+			if s.restart.staysSilent {
+				s.fleet.expireLater(settings.ID)
+				s.moveAddress()
+				wait.For(s.fleet.ctx, s.restart.back)
+				return
+			}
+			killAt = time.Now().Add(s.restart.killedAfter)
+			if !s.restart.renews {
+				s.fleet.expireLater(settings.ID)
+				nextHeartbeat = killAt.Add(time.Hour)
+			}
 		case <-ticker.C:
+			if !killAt.IsZero() && !time.Now().Before(killAt) {
+				process.kill()
+			}
 			if !time.Now().Before(nextHeartbeat) {
 				s.fleet.listTarget(settings, s.address, s.domain)
 				nextHeartbeat = time.Now().Add(heartbeatInterval)
@@ -184,8 +336,23 @@
 	}
 }
 
-// startProcess starts a process and returns a channel that is closed when it has ended. It is ended with the test.
-func (s *supervisedTarget) startProcess(settings targetSettings) <-chan struct{} {
+// moveAddress gives the next process another address.
+func (s *supervisedTarget) moveAddress() {
+	address, err := harness.FreeAddress()
+	if err == nil {
+		s.address = address
+	}
+}
+
+// targetProcess is a started process of a target.
+type targetProcess struct {
+	// exited is closed when it has ended. crashed is closed when it stops or hangs.
+	exited, crashed <-chan struct{}
+	kill            func()
+}
+
+// startProcess starts a process. It is ended with the test.
+func (s *supervisedTarget) startProcess(settings targetSettings) targetProcess {
 	out, err := os.OpenFile(filepath.Join(s.dir, s.name+".runs"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	require.NoError(s.fleet.t, err)
 	defer func() { _ = out.Close() }()
@@ -198,19 +365,31 @@
 	cmd.Env = append(os.Environ(), targetSettingsVariable+"="+string(encoded), "GOMAXPROCS=1")
 	cmd.Stdout, cmd.Stderr = out, out
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if s.listener != nil {
-		cmd.ExtraFiles = []*os.File{s.listener}
-	}
-	exited := make(chan struct{})
+	crashReader, crashWriter, err := os.Pipe()
+	require.NoError(s.fleet.t, err)
+	defer func() { _ = crashWriter.Close() }()
+	// A missing listener leaves its place empty.
+	cmd.ExtraFiles = []*os.File{s.listener, crashWriter}
+	exited, crashed := make(chan struct{}), make(chan struct{})
 	if err := cmd.Start(); err != nil {
+		_ = crashReader.Close()
 		close(exited)
-		return exited
+		return targetProcess{exited, crashed, func() {}}
 	}
+	s.mu.Lock()
+	s.running = cmd.Process
+	s.mu.Unlock()
+	go func() {
+		defer func() { _ = crashReader.Close() }()
+		if _, err := crashReader.Read(make([]byte, 1)); err == nil {
+			close(crashed)
+		}
+	}()
 	go func() {
 		defer close(exited)
 		_ = cmd.Wait()
 	}()
-	return exited
+	return targetProcess{exited, crashed, func() { _ = cmd.Process.Kill() }}
 }
 
 // listTarget writes the entry of a target.
@@ -225,6 +404,12 @@
 	f.store.Put("keyed.servers", s.ID, data)
 }
 
+// expireLater removes the entry of a target once it was not renewed for entryTTL.
+func (f *routedFleet) expireLater(id string) {
+	since := time.Now()
+	time.AfterFunc(entryTTL, func() { f.expireEntry(id, since) })
+}
+
 // expireEntry removes the entry of a target that was not renewed since some time.
 func (f *routedFleet) expireEntry(id string, since time.Time) {
 	f.listedMu.Lock()
@@ -244,7 +429,7 @@
 		lines := bufio.NewScanner(file)
 		for lines.Scan() {
 			var run targetRun
-			if json.Unmarshal(lines.Bytes(), &run) == nil && run.ID != "" {
+			if json.Unmarshal(lines.Bytes(), &run) == nil && run.ID != "" && !run.Failed {
 				out = append(out, run)
 			}
 		}
