An item that fails slowly waits longer for its first event

Cause: the owner leaves a run without an event after 1.5 s. The target answers all the same, if it does not notice that the connection is closed, but nobody counts that. The limit was the same for each run, so none was ever counted.

The wait for the first event doubles with each run in a row that was left without one, 12 s at most. A sound item that meets two hanging targets in a row without an event waits 1.5 s longer at the second one.

--- a/internal/coordination/routed/batchjobs/task.go
+++ b/internal/coordination/routed/batchjobs/task.go
@@ -27,6 +27,10 @@
 	// at another target. Slow targets send several events in that time; a full
 	// target may keep an item waiting.
 	stallTimeout = 1500 * time.Millisecond
+	// maxFirstEventWait bounds the wait for the first event of a run. It is stallTimeout, and doubles with each run in
+	// a row that was left without an event: a target may take longer to answer with an error, and one that does not
+	// notice that the connection is closed answers all the same.
+	maxFirstEventWait = 12 * time.Second
 	// maxRunTime bounds the run time granted to a target: twice the usual run time
 	// and a reserve. If the path to a target is interrupted, the item continues at
 	// another target, and the first one must not hold the slot for long. An item
@@ -88,8 +92,8 @@
 	// zero if that has not happened since the item was queued.
 	passedOverAt time.Time
 	// failures counts the runs that a target reported as failed, interruptions the
-	// interrupted runs in a row.
-	failures, interruptions int
+	// interrupted runs in a row, and unanswered those in a row that were left without an event.
+	failures, interruptions, unanswered int
 }
 
 // service returns the service for the item under the configuration in force.
@@ -149,7 +153,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var stalled atomic.Bool
-	stall := time.AfterFunc(stallTimeout, func() {
+	stall := time.AfterFunc(t.firstEventWait(), func() {
 		stalled.Store(true)
 		cancel()
 	})
@@ -163,6 +167,11 @@
 	if stalled.Load() {
 		outcome, result = interrupted, placement.TimedOut
 	}
+	if t.events > eventsBefore {
+		t.unanswered = 0
+	} else if stalled.Load() {
+		t.unanswered++
+	}
 	lost := outcome == interrupted && t.reportLost(choice, err, t.events-eventsBefore)
 	if t.trial && !lost && outcome != completed {
 		opts.Quarantine.TrialEnded(t.subject, t.ranSinceEnd)
@@ -181,6 +190,11 @@
 	t.handleOutcome(outcome)
 }
 
+// firstEventWait returns how long the next run waits for its first event.
+func (t *task) firstEventWait() time.Duration {
+	return min(maxFirstEventWait, stallTimeout<<min(t.unanswered, 4))
+}
+
 // discardOutput makes the item start again: a target sent events without end.
 func (t *task) discardOutput() {
 	t.runner.mu.Lock()
