An instance that was paused reads what has come before it gives up a run of an item

An item had five runs where four are allowed, in the play 'instances paused for longer than a stall'. Traced: the target ended while the owner was paused. When the owner went on, its timer closed the connection (ended=left) before it had read that, so nobody learned of the end. The answer of a failed item is lost in the same way.

The timer of a run gives the process 0.1 s to read if it is late by 0.3 s or more, since the process did not run. Covered by wait.IdleTimer's tests and, as processes, by that play of TestRepeatsStopWhenTargetsEndSilently.

--- a/internal/coordination/routed/batchjobs/task.go
+++ b/internal/coordination/routed/batchjobs/task.go
@@ -20,6 +20,7 @@
 	"merlintiller/internal/protocol/sse"
 	"merlintiller/internal/state/jobs"
 	"merlintiller/internal/state/route"
+	"merlintiller/internal/wait"
 )
 
 const (
@@ -153,7 +154,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var stalled atomic.Bool
-	stall := time.AfterFunc(t.firstEventWait(), func() {
+	stall := wait.NewIdleTimer(t.firstEventWait(), func() {
 		stalled.Store(true)
 		cancel()
 	})
@@ -271,7 +272,7 @@
 }
 
 // sendAndRead sends the item to a target and reads the answer.
-func (t *task) sendAndRead(ctx context.Context, choice placement.Choice, stall *time.Timer) (runOutcome, placement.Result, error) {
+func (t *task) sendAndRead(ctx context.Context, choice placement.Choice, stall *wait.IdleTimer) (runOutcome, placement.Result, error) {
 	opts := t.runner.opts
 	started, ok := placement.StartOf(ctx, opts.Incarnations, choice)
 	if !ok {
@@ -340,7 +341,7 @@
 
 // read reads the output event by event, so that after an interruption the next run
 // continues after the last complete event.
-func (t *task) read(ctx context.Context, answer external.OpenAnswer, stall *time.Timer) (runOutcome, placement.Result, error) {
+func (t *task) read(ctx context.Context, answer external.OpenAnswer, stall *wait.IdleTimer) (runOutcome, placement.Result, error) {
 	events := sse.NewReader(answer)
 	began := false
 	for {
