A target that hangs or stops and is killed later ends under the requests that were left there

Cause: only a connection that the target closes was checked. An instance leaves a silent target after 0.15 to 1.5 s, and the process ends seconds later, when nobody holds a connection to it for that request: attempt_failed and item_run with ended=left, and no request_target_ended of their key. An end counted by how it was noticed, not by when the process ended.

Requests that are left in silence are checked as well. The checks of one process share one watch. A process that goes on refutes its end, also one that was taken for gone while it was paused; that does not speak against an early trial, as an end that can't be confirmed does. Work is counted until the last event, so that standing still is not taken for chance.

The stand-in's report tells the events of each run, as the protocol says.

--- a/internal/coordination/routed/batchjobs/options.go
+++ b/internal/coordination/routed/batchjobs/options.go
@@ -57,6 +57,8 @@
 	Began(quarantine.Request)
 	Completed(quarantine.Request)
 	Lost(quarantine.LostRequest)
+	// Left records that this instance ended the run of an item at a target that was silent.
+	Left(quarantine.LostRequest)
 	// TrialEnded records that a trial ended without any of these, after targets had worked on the item for some time
 	// since its last end.
 	TrialEnded(item quarantine.Request, ran time.Duration)
--- a/internal/coordination/routed/batchjobs/task.go
+++ b/internal/coordination/routed/batchjobs/task.go
@@ -53,8 +53,9 @@
 	// some of its parts are closed.
 	subject quarantine.Request
 	held    bool
-	// trial reports that the run is the trial of what is closed.
-	trial bool
+	// trial reports that the run is the trial of what is closed. leftSilent reports that the last run was left since its
+	// target was silent. It belongs to the run.
+	trial, leftSilent bool
 
 	notBefore time.Time
 	cancel    context.CancelFunc
@@ -76,10 +77,10 @@
 	// the first event of each run. Both belong to the run.
 	firstEventAt time.Time
 	ranSinceEnd  time.Duration
-	// targetStarted is the start of the process that the run was sent to, lastDataAt when it was sent or last brought
-	// something. Both belong to the run.
-	targetStarted int64
-	lastDataAt    time.Time
+	// targetStarted is the start of the process that the run was sent to, sentAt when it was sent, and lastDataAt
+	// when it last brought something. They belong to the run.
+	targetStarted      int64
+	sentAt, lastDataAt time.Time
 
 	// output is what was received since output was last stored.
 	output   pendingOutput
@@ -160,10 +161,10 @@
 	})
 	defer stall.Stop()
 	start, from, eventsBefore := time.Now(), t.position, t.events
-	t.firstEventAt, t.lastDataAt = time.Time{}, start
+	t.firstEventAt, t.sentAt, t.lastDataAt, t.leftSilent = time.Time{}, start, start, false
 	outcome, result, err := t.sendAndRead(ctx, choice, stall)
 	if !t.firstEventAt.IsZero() {
-		t.ranSinceEnd += time.Since(t.firstEventAt)
+		t.ranSinceEnd += t.lastDataAt.Sub(t.firstEventAt)
 	}
 	if stalled.Load() {
 		outcome, result = interrupted, placement.TimedOut
@@ -173,7 +174,7 @@
 	} else if stalled.Load() {
 		t.unanswered++
 	}
-	lost := outcome == interrupted && t.reportLost(choice, err, t.events-eventsBefore)
+	lost := (outcome == interrupted || outcome == cancelled) && t.reportLost(choice, err, t.events-eventsBefore)
 	if t.trial && !lost && outcome != completed {
 		opts.Quarantine.TrialEnded(t.subject, t.ranSinceEnd)
 	}
@@ -203,18 +204,32 @@
 	t.runner.restart(t, outputTooLarge)
 }
 
-// reportLost reports a run that brought some events, if it ended because its target closed the
-// connection. It returns false otherwise.
+// silenceLimit is the time without data from a target after which a run that ends tells that the target may have ended.
+const silenceLimit = stallTimeout / 2
+
+// reportLost reports a run that brought some events, if it ended because its target closed the connection, or after the
+// target was silent. It returns true if the target closed the connection.
 func (t *task) reportLost(choice placement.Choice, err error, events int) bool {
-	if end := endOfRun(err); end != external.EndClosed && end != external.EndReset {
+	if err == nil {
 		return false
 	}
-	t.runner.opts.Quarantine.Lost(quarantine.LostRequest{
+	lost := quarantine.LostRequest{
 		Request: t.subject, Target: choice.ID, Address: choice.Address, Domain: choice.Domain, Started: t.targetStarted,
-		Events: events, Position: t.position, Ran: t.ranSinceEnd, Trial: t.trial, At: time.Now(),
-	})
-	t.ranSinceEnd = 0
-	return true
+		Events: events, Position: t.position, Ran: t.ranSinceEnd, Trial: t.trial, SentAt: t.sentAt, At: time.Now(), DataAt: t.lastDataAt,
+	}
+	switch endOfRun(err) {
+	case external.EndClosed, external.EndReset:
+		t.runner.opts.Quarantine.Lost(lost)
+		t.ranSinceEnd = 0
+		return true
+	case external.EndRefused:
+		return false
+	}
+	t.leftSilent = time.Since(t.lastDataAt) >= silenceLimit
+	if t.leftSilent {
+		t.runner.opts.Quarantine.Left(lost)
+	}
+	return false
 }
 
 // endOfRun returns what the target did if a run failed, "" if it did not.
@@ -247,7 +262,11 @@
 		r.requeue(t, failureBackoff<<min(t.failures, 4))
 	case interrupted:
 		t.interruptions++
-		r.requeue(t, min(maxFailureBackoff, failureBackoff<<min(t.interruptions, 5)))
+		delay := min(maxFailureBackoff, failureBackoff<<min(t.interruptions, 5))
+		if t.leftSilent {
+			delay = max(delay, quarantine.WorkKnownAfter)
+		}
+		r.requeue(t, delay)
 	}
 }
 
--- a/internal/coordination/routed/placement/placer.go
+++ b/internal/coordination/routed/placement/placer.go
@@ -209,3 +209,10 @@
 	defer p.mu.Unlock()
 	p.core.DataReceived(time.Now(), id)
 }
+
+// DataAt returns when data last arrived from a target, zero if none has.
+func (p *Placer) DataAt(id string) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.core.DataAt(id)
+}
--- a/internal/coordination/routed/placement/result.go
+++ b/internal/coordination/routed/placement/result.go
@@ -91,6 +91,14 @@
 	}
 }
 
+// DataAt returns when data last arrived from a target, zero if none has.
+func (c *Core) DataAt(id string) time.Time {
+	if t := c.targets[id]; t != nil {
+		return t.lastData
+	}
+	return time.Time{}
+}
+
 // MarkStalled records that an exchange is waiting longer than it should. The target is
 // avoided until ClearStalled is called. It returns false, and records nothing, if data
 // arrived from the target within recentData: the target is then only busy.
--- a/internal/coordination/routed/quarantine/blame.go
+++ b/internal/coordination/routed/quarantine/blame.go
@@ -14,7 +14,7 @@
 func (e *Evidence) newBlame() *blame {
 	b := &blame{evidence: e, ends: map[string][]*requestEnd{}}
 	for key, r := range e.ends.records {
-		ends := slices.DeleteFunc(r.counted(), e.explainedByPart)
+		ends := slices.DeleteFunc(r.countedOrUndecided(), e.explainedByPart)
 		if len(ends) >= MaxEndedTargets {
 			b.ends[key] = ends
 		}
--- a/internal/coordination/routed/quarantine/checker.go
+++ b/internal/coordination/routed/quarantine/checker.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"slices"
-	"strings"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
 
+	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/wait"
 )
 
@@ -20,6 +21,17 @@
 	EndKnownAfter = 5 * crashCheckDelay
 	// crashCheckTimeout bounds a check.
 	crashCheckTimeout = 250 * time.Millisecond
+	// workDelay is the time until a target that tells its start, but was silent, is checked once more: what it reports
+	// of its runs may be some hundred ms old.
+	workDelay = 600 * time.Millisecond
+	// WorkKnownAfter is the time after a silent target was left by which it has shown that it works, or else its end is
+	// suspected.
+	WorkKnownAfter = workDelay + 3*EndKnownAfter
+	// silentTTL is how long a target that neither answers nor is replaced, or whose work does not go on, is checked.
+	// The processes that others supervise are killed within that time.
+	silentTTL = time.Minute
+	// listedTTL is the time by which the list has the next process of a target, after several heartbeats of it.
+	listedTTL = 5 * time.Second
 	// confirmDelay is the time until a target that did not prove that it runs is checked once more. By
 	// then a network partition that refuses connections has been noticed: it is longer than the
 	// silence timeout of instances in a large fleet.
@@ -34,6 +46,8 @@
 	// proofTimeout is the time from the first check by which a target has to prove that it runs, or else the
 	// requests count as suspected. Together with crashCheckDelay it is less than EndKnownAfter.
 	proofTimeout = 3 * crashCheckDelay
+	// silentTime is the time without data from a target after which it may have stopped while its connections are open.
+	silentTime = time.Second
 	// leaveNotice is the time for which a target is known to leave before an end of it is a planned one. It serves on
 	// for longer than that after it has said so.
 	leaveNotice = 500 * time.Millisecond
@@ -42,7 +56,8 @@
 	probeTries = 3
 )
 
-// LostRequest is a request whose target closed the connection before the answer was complete.
+// LostRequest is a request whose target closed the connection before the answer was complete, or was silent until this
+// instance closed it.
 type LostRequest struct {
 	Request
 	// Target is the id of the target, Address where it was, and Started the start of its
@@ -59,7 +74,22 @@
 	Ran time.Duration
 	// Trial reports that the run was the trial of something closed.
 	Trial bool
-	At    time.Time
+	// Left reports that this instance closed the connection since the target was silent. It is set by Guard.Left.
+	Left bool
+	// SentAt is when the run was sent, At when the target closed the connection. Of a run that was left, it is set to
+	// DataAt.
+	SentAt, At time.Time
+	// DataAt is when the run was sent or last brought something, zero if that is not known.
+	DataAt time.Time
+}
+
+// lived returns the last sign of life that the request had from its target. One that closes the connection after a
+// long silence may have stood still until it was killed.
+func (l *LostRequest) lived() time.Time {
+	if l.DataAt.IsZero() || l.At.Sub(l.DataAt) < silentTime {
+		return l.At
+	}
+	return l.DataAt
 }
 
 // suspects returns the parts that may have crashed the target: none if the run had sent an event.
@@ -70,8 +100,8 @@
 	return l.Parts
 }
 
-// Lost records that a target closed the connection of a request before its answer was complete.
-// Whether the target has crashed is checked in the background: a connection may break without that.
+// Lost records that a target closed the connection of a request before its answer was complete, or was silent.
+// Whether the target has ended is checked in the background: a connection may break, and a target be slow, without that.
 func (g *Guard) Lost(lost LostRequest) {
 	if lost.Key == "" && len(lost.suspects()) == 0 {
 		return
@@ -82,12 +112,29 @@
 	}
 }
 
-// Checker finds out whether the targets of lost requests have crashed. It is a background
-// service.
-type Checker struct{ guard *Guard }
+// Left records that this instance has ended an exchange with a target that was silent. The target may have ended
+// without closing the connection, or hang and be killed later.
+func (g *Guard) Left(lost LostRequest) {
+	lost.Left, lost.At = true, lost.DataAt
+	if lost.Trial {
+		g.mu.Lock()
+		g.openTrials[lost.Key] = time.Now()
+		g.mu.Unlock()
+	}
+	g.Lost(lost)
+}
+
+// Checker finds out whether the targets of lost requests have ended. It is a background service.
+type Checker struct {
+	guard *Guard
+
+	mu sync.Mutex
+	// watches are the processes that are checked.
+	watches map[incarnation]*watch
+}
 
 // Checker returns the background service that checks targets.
-func (g *Guard) Checker() *Checker { return &Checker{g} }
+func (g *Guard) Checker() *Checker { return &Checker{guard: g, watches: map[incarnation]*watch{}} }
 
 // String returns the name of the background service.
 func (c *Checker) String() string { return "crash-checker" }
@@ -101,7 +148,7 @@
 		}
 		wait.For(ctx, crashCheckDelay)
 		for _, list := range byTarget(c.withWaiting(lost)) {
-			go c.check(ctx, list)
+			c.watch(ctx, list)
 		}
 	}
 }
@@ -131,105 +178,23 @@
 	return groups
 }
 
-// check checks the target of lost requests until it is known whether that has ended.
-func (c *Checker) check(ctx context.Context, lost []LostRequest) {
-	found, suspected := c.firstCheck(ctx, lost)
-	if found.state == EndSuspected {
-		suspected = true
-		found = c.checkAgain(ctx, &lost[0], confirmDelay)
-	}
-	c.conclude(lost, &found, suspected)
-	unconfirmedSince, delay := time.Now(), confirmDelay
-	for found.reason == endUnreachable && time.Since(unconfirmedSince) < crashTTL {
-		delay = min(2*delay, maxRecheckDelay)
-		if found = c.checkAgain(ctx, &lost[0], delay); found.state == EndConfirmed {
-			found.state = EndConfirmedLater
-		}
-		if found.reason != endUnreachable {
-			c.conclude(lost, &found, true)
-		}
-	}
-}
-
-// firstCheck checks a target for the first time. Without a proof that it runs, the requests are suspected: their callers
-// repeat them before the second check.
-func (c *Checker) firstCheck(ctx context.Context, lost []LostRequest) (found finding, suspected bool) {
-	if c.guard.leaving(&lost[0]) {
-		return finding{state: EndDismissed, reason: endPlanned}, false
-	}
-	first, suspected := c.firstProbe(ctx, lost)
-	found = first.judgeFirst(lost[0].Started)
-	found.probe = first
-	if found.state == EndSuspected && !suspected {
-		c.guard.targetEnded(lost, EndSuspected)
-	}
-	return found, suspected
-}
-
-// conclude records and logs what checks of a target have found. suspected reports that its end has counted until now,
-// or is known as dismissed.
-func (c *Checker) conclude(lost []LostRequest, found *finding, suspected bool) {
-	if found.reason == endReplaced {
-		c.guard.recordSuccessor(incarnation{lost[0].Target, lost[0].Started}, found.probe.started)
-	}
-	crashed := found.state >= EndConfirmed
-	if suspected || crashed {
-		c.guard.targetEnded(lost, found.state)
-	} else {
-		c.guard.answersLost(lost)
-	}
-	parts := partsOf(lost)
-	_ = level.Info(c.guard.opts.Logger).Log("event", "target_crash_checked", "target", lost[0].Target, "started", lost[0].Started, "crashed", crashed,
-		"parts", strings.Join(parts, ","), "requests", len(lost), "lost_ms", time.Since(lost[0].At).Milliseconds(),
-		"why", found.reason, "found", found.probe.result, "found_started", found.probe.started)
-	endChecks[found.reason].Inc()
-	if !crashed {
-		return
-	}
-	crashesSeen.Inc()
-	if len(parts) > 0 {
-		c.guard.crashed(&lost[0], parts)
-	}
-}
-
-// firstProbe checks a target for the first time. It reports whether the requests are suspected already, because the
-// target has not answered by the time at which a repeat has to know.
-func (c *Checker) firstProbe(ctx context.Context, lost []LostRequest) (first probe, suspected bool) {
-	done := make(chan probe, 1)
-	go func() { done <- c.probe(ctx, &lost[0]) }()
-	overdue := time.NewTimer(proofTimeout)
-	defer overdue.Stop()
-	select {
-	case first = <-done:
-		return first, false
-	case <-overdue.C:
-		c.guard.targetEnded(lost, EndSuspected)
-		return <-done, true
-	}
-}
-
-// checkAgain checks once more, after a delay, a target that gave no proof that it runs.
-func (c *Checker) checkAgain(ctx context.Context, lost *LostRequest, delay time.Duration) finding {
-	if !c.waitRunning(ctx, delay) {
-		return finding{state: EndSuspected, reason: endUnknown}
-	}
-	again := c.probe(ctx, lost)
-	found := again.judgeSecond(lost.Started, c.guard.reaches(lost.Domain), c.guard.replaced(lost))
-	found.probe = again
-	return found
-}
-
 // waitRunning waits until this process has run for some time without a longer stall. When a paused process goes on, all
-// instances seem out of reach until their next heartbeats. It returns false if ctx is done first.
-func (c *Checker) waitRunning(ctx context.Context, d time.Duration) bool {
+// instances seem out of reach until their next heartbeats. It ends early when wake is signalled, and returns false if
+// ctx is done first.
+func (c *Checker) waitRunning(ctx context.Context, d time.Duration, wake <-chan struct{}) bool {
 	for range maxStalledWaits {
 		running, limit := wait.WithRunTimeLimit(ctx, d)
-		<-running.Done()
+		woken := false
+		select {
+		case <-running.Done():
+		case <-wake:
+			woken = true
+		}
 		_, stalled := limit.Stop()
 		if ctx.Err() != nil {
 			return false
 		}
-		if stalled < tolerableStall {
+		if woken || stalled < tolerableStall {
 			break
 		}
 	}
@@ -263,14 +228,23 @@
 	return probe{result: probeSilent}
 }
 
+// report asks the process at an address for its report.
+func (c *Checker) report(ctx context.Context, address string) (exchange.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+	defer cancel()
+	targetProbes.Inc()
+	return c.guard.opts.ReportOf(ctx, address)
+}
+
 // reaches reports whether this instance reaches others of a failure domain. If it does not, the
 // targets there may refuse it because of a network partition.
 func (g *Guard) reaches(domain string) bool {
 	return g.opts.ReachesDomain == nil || g.opts.ReachesDomain(domain)
 }
 
-// leaving reports whether the end of a lost request's target is planned. The entry of a target that has crashed
-// leaves the list too, and an instance that was paused learns of both at once.
+// leaving reports whether the end of a lost request's target is planned: the target ran on after it was known to
+// leave. The entry of a target that has crashed or is silent leaves the list too, and an instance that was paused
+// learns of both at once.
 func (g *Guard) leaving(lost *LostRequest) bool {
 	if g.opts.LeavingSince != nil && lost.Started != 0 {
 		since, ok := g.opts.LeavingSince(lost.Target, lost.Started)
@@ -313,14 +287,33 @@
 func (g *Guard) answersLost(list []LostRequest) {
 	for i := range list {
 		if list[i].Trial {
+			g.closeOpenTrial(list[i].Key)
 			g.TrialEnded(list[i].Request, list[i].Ran)
 		}
 	}
 }
 
+// setStuck records whether the runs of a process go on.
+func (g *Guard) setStuck(id incarnation, stuck bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if stuck {
+		g.stuck[id] = true
+	} else {
+		delete(g.stuck, id)
+	}
+}
+
+// closeOpenTrial records that it is known how the trial of a request ended that was left.
+func (g *Guard) closeOpenTrial(key string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.openTrials, key)
+}
+
 // targetEnded records that the target of lost requests ended, or that it did not, and logs it for each
 // of them.
-func (g *Guard) targetEnded(list []LostRequest, state EndState) {
+func (g *Guard) targetEnded(list []LostRequest, state EndState, why endReason) {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -329,9 +322,10 @@
 		if lost.Key == "" {
 			continue
 		}
+		delete(g.openTrials, lost.Key)
 		known, changed := g.evidence.TargetEnded(now, lost, state)
 		_ = level.Info(g.opts.Logger).Log("event", "request_target_ended", "request", lost.ID, "key", lost.Key, "target", lost.Target,
-			"started", lost.Started, "state", state, "events", lost.Events, "position", lost.Position, "lost_ms", now.Sub(lost.At).Milliseconds(),
+			"started", lost.Started, "state", state, "why", why, "left", lost.Left, "events", lost.Events, "position", lost.Position, "lost_ms", now.Sub(lost.At).Milliseconds(),
 			"ends", g.evidence.Ends(lost.Key), "ran_ms", lost.Ran.Milliseconds(), "verdict", g.evidence.verdictOn(lost.Key), "known", known.describe())
 		if changed {
 			g.endsChanged()
--- a/internal/coordination/routed/quarantine/ends.go
+++ b/internal/coordination/routed/quarantine/ends.go
@@ -9,9 +9,17 @@
 // TargetEnded records that a target ended, or seems to have ended, while a request ran there. It
 // returns what is known of the request then, and whether other instances have to learn of a change.
 func (e *Evidence) TargetEnded(now time.Time, lost *LostRequest, state EndState) (RequestEnds, bool) {
+	if e.sentAfterEnd(lost) {
+		return RequestEnds{Key: lost.Key, Request: lost.ID}, false
+	}
 	r := e.ends.record(lost.Key, lost.ID)
+	id := incarnation{lost.Target, lost.Started}
+	losses := 1
+	if known := r.ends[id]; known != nil {
+		losses += known.losses
+	}
 	changed := e.addEnd(r, requestEnd{
-		incarnation: incarnation{lost.Target, lost.Started}, at: lost.At, events: lost.Events, position: lost.Position, ran: lost.Ran, seenBy: e.self, state: state,
+		incarnation: id, at: lost.At, events: lost.Events, position: lost.Position, ran: lost.Ran, seenBy: e.self, state: state, losses: losses,
 	})
 	if changed {
 		r.changedHere = r.changed
@@ -19,6 +27,18 @@
 	return r.report(now), changed
 }
 
+// sentAfterEnd reports whether a request that was left at a silent target was sent there after that had ended, as far as
+// is known: it waited in the queue of a process that no longer ran.
+func (e *Evidence) sentAfterEnd(lost *LostRequest) bool {
+	id := incarnation{lost.Target, lost.Started}
+	endedAt, known := e.endTimes.at[id]
+	if !known || !lost.Left || lost.SentAt.Sub(endedAt) < momentGap {
+		return false
+	}
+	r := e.ends.records[lost.Key]
+	return r == nil || r.ends[id] == nil
+}
+
 // Completed records that a target completed a request. It reports whether a target had ended under it,
 // and returns the closure that this opens, nil if there is none.
 func (e *Evidence) Completed(now time.Time, key string) (acquitted bool, opened *Closure) {
@@ -56,7 +76,7 @@
 		}
 		changed = e.addEnd(r, requestEnd{
 			incarnation: incarnation{end.Target, end.Started}, at: now.Add(-end.Age), events: end.Events, position: end.Position, seenBy: end.SeenBy, state: end.State,
-			simultaneous: end.Simultaneous, ran: max(0, end.Ran),
+			simultaneous: end.Simultaneous, ran: max(0, end.Ran), losses: end.Losses,
 		}) || changed
 	}
 	return changed
@@ -71,11 +91,17 @@
 		return false
 	}
 	r.changed, r.ranSinceEnd = e.nextVersion(), 0
-	if end.state == EndDismissed {
-		e.endTimes.remove(end.incarnation)
-	} else {
+	switch {
+	case end.state.counts():
 		e.endTimes.add(end.incarnation, end.at)
 		e.countSimultaneous(end.at)
+	case end.state == EndUndecided:
+		return true
+	default:
+		e.endTimes.remove(end.incarnation)
+	}
+	if end.state == EndRefuted {
+		delete(e.crashes.crashes, end.incarnation)
 	}
 	if known := e.closures.all[r.key]; known != nil && known.crashedAgain(end.at) {
 		known.changed = e.nextVersion()
@@ -123,7 +149,7 @@
 		case known != nil && known.openedSince(r):
 			// Another instance knows of a cause; only a further end counts against the request.
 		case !isClosed && toBlame:
-			closed = append(closed, e.closeRequest(now, r, r.counted()))
+			closed = append(closed, e.closeRequest(now, r, r.countedOrUndecided()))
 		case isClosed && !toBlame && r.hasEndsOf(known.targets):
 			known.openedAt, known.changed = now, e.nextVersion()
 			opened = append(opened, known.report(now))
@@ -134,7 +160,7 @@
 
 // openedSince reports whether a request was opened after the last target ended under it.
 func (c *closure) openedSince(r *endRecord) bool {
-	ends := r.counted()
+	ends := r.countedOrUndecided()
 	return len(ends) > 0 && c.openedAt.After(ends[len(ends)-1].at)
 }
 
--- a/internal/coordination/routed/quarantine/endtable.go
+++ b/internal/coordination/routed/quarantine/endtable.go
@@ -21,20 +21,32 @@
 type EndState int
 
 const (
+	// endOpen: nothing is known. It is not sent.
+	endOpen EndState = iota - 2
+	// EndUndecided: a process answers at the address that does not tell when it started. It does not count as an end,
+	// but the request may have to wait until the list tells whether it is another one.
+	EndUndecided
 	// EndSuspected: the target refused a connection right after it had closed that of the request.
 	// The end counts, since the request may be repeated before the second check.
-	EndSuspected EndState = iota
+	EndSuspected
 	// EndDismissed: the second check found that the target or the path to it had not ended.
 	EndDismissed
 	// EndConfirmed: it is known that the target ended.
 	EndConfirmed
 	// EndConfirmedLater: the same, after the end had been dismissed, so that the request may have had a further run.
 	EndConfirmedLater
+	// EndRefuted: the process has proved since that it runs. An earlier release takes it for confirmed.
+	EndRefuted
 )
 
+// counts reports whether the target counts as ended.
+func (s EndState) counts() bool {
+	return s == EndSuspected || s == EndConfirmed || s == EndConfirmedLater
+}
+
 // String returns the name of the state in logs.
 func (s EndState) String() string {
-	return [...]string{"suspected", "dismissed", "confirmed", "confirmed_later"}[min(max(s, EndSuspected), EndConfirmedLater)]
+	return [...]string{"undecided", "suspected", "dismissed", "confirmed", "confirmed_later", "refuted"}[min(max(s, EndUndecided), EndRefuted)-EndUndecided]
 }
 
 // requestEnd is the end of a target while a request ran there.
@@ -50,10 +62,13 @@
 	simultaneous int
 	// ran is how long targets had worked on the request since its last end.
 	ran time.Duration
+	// losses is the number of times that the process lost the request while undecided: it may have been another one
+	// each time.
+	losses int
 }
 
 func (e *requestEnd) report(now time.Time) RequestEnd {
-	return RequestEnd{Target: e.target, Started: e.started, Events: e.events, Position: e.position, SeenBy: e.seenBy, State: e.state, Simultaneous: e.simultaneous, Ran: e.ran, Age: now.Sub(e.at)}
+	return RequestEnd{Target: e.target, Started: e.started, Events: e.events, Position: e.position, SeenBy: e.seenBy, State: e.state, Simultaneous: e.simultaneous, Ran: e.ran, Losses: e.losses, Age: now.Sub(e.at)}
 }
 
 // endRecord holds the targets that ended under one request.
@@ -73,9 +88,24 @@
 }
 
 // counted returns the ends that count, the oldest first.
-func (r *endRecord) counted() (out []*requestEnd) {
+func (r *endRecord) counted() []*requestEnd { return r.ended(EndState.counts) }
+
+// countedOrUndecided returns the ends that count, or may turn out to, the oldest first. One that was undecided is in it
+// once for each loss: the list names only the last process.
+func (r *endRecord) countedOrUndecided() (out []*requestEnd) {
+	for _, end := range r.ended(func(s EndState) bool { return s.counts() || s == EndUndecided }) {
+		out = append(out, end)
+		for n := 1; n < end.losses; n++ {
+			out = append(out, end)
+		}
+	}
+	return out
+}
+
+// ended returns the ends in some states since the request was completed, the oldest first.
+func (r *endRecord) ended(in func(EndState) bool) (out []*requestEnd) {
 	for _, end := range r.ends {
-		if end.state != EndDismissed && end.at.After(r.completedAt) {
+		if in(end.state) && end.at.After(r.completedAt) {
 			out = append(out, end)
 		}
 	}
@@ -140,12 +170,16 @@
 // a suspected end counts as a confirmed one does.
 func (r *endRecord) add(end requestEnd) bool {
 	if known := r.ends[end.incarnation]; known != nil {
+		if end.state == EndUndecided && known.state == EndUndecided && end.losses > known.losses {
+			known.losses = end.losses
+			return true
+		}
 		if end.state <= known.state {
 			return false
 		}
-		counted := known.state != EndDismissed
+		before := known.state
 		known.state = end.state
-		return counted != (end.state != EndDismissed)
+		return before == EndUndecided || before.counts() != end.state.counts()
 	}
 	if !end.at.After(r.completedAt) || !r.makeRoom(end.at) {
 		return false
@@ -216,7 +250,7 @@
 // under returns the requests under which an incarnation ended.
 func (t *endTable) under(id incarnation) (out []*endRecord) {
 	for _, r := range t.records {
-		if end := r.ends[id]; end != nil && end.state != EndDismissed {
+		if end := r.ends[id]; end != nil && end.state.counts() {
 			out = append(out, r)
 		}
 	}
--- a/internal/coordination/routed/quarantine/guard.go
+++ b/internal/coordination/routed/quarantine/guard.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log/level"
 
 	"merlintiller/internal/external"
+	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/ring"
 	"merlintiller/internal/wait"
 )
@@ -61,6 +62,10 @@
 	// StartOf asks the process at an address when it started, in Unix milliseconds. 0: it does not tell. Nil: no
 	// process does.
 	StartOf func(ctx context.Context, address string) (int64, error)
+	// ReportOf asks the process at an address for its report. Nil: its work is not known. DataAt returns when this
+	// instance last received data from a target, zero if it has not. Nil: that is not known.
+	ReportOf func(ctx context.Context, address string) (exchange.Report, error)
+	DataAt   func(target string) time.Time
 	// Listed returns the number of listed targets. Nil: it is not known.
 	Listed func() int
 	// Store keeps what is closed, in Partition. Seed seeds the jitter of its reads.
@@ -91,6 +96,10 @@
 
 	mu       sync.Mutex
 	evidence *Evidence
+	// openTrials are the requests whose trial was left in silence, and since when.
+	openTrials map[string]time.Time
+	// stuck are the processes of targets whose runs do not go on, as this instance has found.
+	stuck map[incarnation]bool
 	// clock tells for how long this process did not run, stalled is what it told last.
 	clock   wait.RunClock
 	stalled time.Duration
@@ -100,7 +109,7 @@
 func New(opts Options) *Guard {
 	g := &Guard{
 		opts: opts, lost: ring.New[LostRequest]("crash_checks", lostQueueSize), changed: make(chan struct{}, 1), urgent: make(chan struct{}, 1),
-		evidence: NewEvidence(opts.Self),
+		evidence: NewEvidence(opts.Self), openTrials: map[string]time.Time{}, stuck: map[incarnation]bool{},
 	}
 	g.evidence.watchedSince = time.Now()
 	g.keeper = newKeeper(g)
@@ -184,6 +193,11 @@
 func (g *Guard) TrialEnded(r Request, ran time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if at, open := g.openTrials[r.Key]; open && time.Since(at) < claimTTL {
+		// Its target was silent, and may have ended.
+		return
+	}
+	delete(g.openTrials, r.Key)
 	g.evidence.TrialEnded(&r, ran)
 	_ = level.Info(g.opts.Logger).Log("event", "trial_undecided", "request", r.ID, "key", r.Key, "parts", strings.Join(r.Parts, ","),
 		"ran_ms", ran.Milliseconds(), "verdict", g.evidence.verdictOn(r.Key))
--- a/internal/coordination/routed/quarantine/messages.go
+++ b/internal/coordination/routed/quarantine/messages.go
@@ -42,7 +42,9 @@
 	// Ran is how long targets had worked on the request since its last end. An earlier release does
 	// not tell it.
 	Ran time.Duration
-	Age time.Duration
+	// Losses is the number of times that the target lost the request, while it is undecided whether it ended.
+	Losses int
+	Age    time.Duration
 }
 
 // Crash is the end of one incarnation of a target while requests waited there for their first
--- a/internal/coordination/routed/quarantine/probe.go
+++ b/internal/coordination/routed/quarantine/probe.go
@@ -47,7 +47,9 @@
 	endUnreachable endReason = "unreachable"
 	// endAccepts: a process accepts connections at its address, and does not tell which it is.
 	endAccepts endReason = "accepts"
-	// endUnknown: the check was interrupted, or is not complete.
+	// endStuck: the process that the request was sent to tells its start, but works on nothing.
+	endStuck endReason = "stuck"
+	// endUnknown: the check is not complete.
 	endUnknown endReason = "unknown"
 )
 
@@ -56,57 +58,8 @@
 
 func newEndChecks() map[endReason]*metrics.Counter {
 	out := map[endReason]*metrics.Counter{}
-	for _, reason := range []endReason{endPlanned, endRuns, endReplaced, endListedAnew, endGone, endUnreachable, endAccepts, endUnknown} {
+	for _, reason := range []endReason{endPlanned, endRuns, endReplaced, endListedAnew, endGone, endUnreachable, endAccepts, endStuck, endUnknown} {
 		out[reason] = metrics.NewCounter(`target_end_checks_total{result="` + string(reason) + `"}`)
 	}
 	return out
 }
-
-// finding is what a check of a target has found.
-type finding struct {
-	state  EndState
-	reason endReason
-	probe  probe
-}
-
-// judgeProcess judges by the process that answered, if it told when it started. A connection that is accepted proves
-// nothing: the process may be another one, started at once in place of the one that ended.
-func (p probe) judgeProcess(started int64) (finding, bool) {
-	switch {
-	case p.result != probeTold || started == 0:
-		return finding{}, false
-	case p.started == started:
-		return finding{state: EndDismissed, reason: endRuns}, true
-	default:
-		return finding{state: EndConfirmed, reason: endReplaced}, true
-	}
-}
-
-// judgeFirst judges by the first check of a target whose process started at some time, 0 if that is not known.
-func (p probe) judgeFirst(started int64) finding {
-	if found, ok := p.judgeProcess(started); ok {
-		return found
-	}
-	if p.result == probeRefused || p.result == probeSilent {
-		return finding{state: EndSuspected, reason: endUnknown}
-	}
-	return finding{state: EndDismissed, reason: endAccepts}
-}
-
-// judgeSecond judges by the second check. reached reports whether an instance of the target's failure domain is
-// reached, listedAnew whether another incarnation is listed at the address.
-func (p probe) judgeSecond(started int64, reached, listedAnew bool) finding {
-	if found, ok := p.judgeProcess(started); ok {
-		return found
-	}
-	switch {
-	case !reached:
-		return finding{state: EndDismissed, reason: endUnreachable}
-	case p.result == probeRefused || p.result == probeSilent:
-		return finding{state: EndConfirmed, reason: endGone}
-	case listedAnew:
-		return finding{state: EndConfirmed, reason: endListedAnew}
-	default:
-		return finding{state: EndDismissed, reason: endAccepts}
-	}
-}
--- a/internal/coordination/routed/quarantine/running.go
+++ b/internal/coordination/routed/quarantine/running.go
@@ -70,7 +70,7 @@
 }
 
 // Running returns the start of the process that runs at a target, for an incarnation that is listed, false if none
-// answers. A request is sent to that process: a target may be back under its id before the list says so, and an end
+// answers or works. A request is sent to that process: a target may be back under its id before the list says so, and an end
 // of it would be taken for the known one of the process before. The target is asked only if its listed incarnation
 // is known to have ended.
 func (g *Guard) Running(ctx context.Context, target, address string, listed int64) (started int64, ok bool) {
@@ -79,8 +79,12 @@
 	}
 	g.mu.Lock()
 	id, unknown := g.evidence.running(incarnation{target, listed})
+	stuck := g.stuck[id]
 	g.mu.Unlock()
-	if !unknown {
+	switch {
+	case stuck:
+		return listed, false
+	case !unknown:
 		return id.started, true
 	}
 	ctx, cancel := context.WithTimeout(ctx, runningTimeout)
--- /dev/null
+++ b/internal/coordination/routed/quarantine/watch.go
@@ -0,0 +1,236 @@
+package quarantine
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log/level"
+)
+
+// watch checks the process of a target until it is known whether it ended under the requests that were lost there.
+type watch struct {
+	checker *Checker
+	id      incarnation
+	// wake is signalled when requests are added.
+	wake chan struct{}
+	// added are requests that were lost since the last check. The checker's lock guards it.
+	added []LostRequest
+
+	// record and requests belong to the goroutine of the watch.
+	record   processRecord
+	requests []*watchedRequest
+}
+
+// watchedRequest is a lost request with what was found of it.
+type watchedRequest struct {
+	LostRequest
+	since time.Time
+	known EndState
+	final bool
+}
+
+// watch checks the process of lost requests, together with those that were lost there before.
+func (c *Checker) watch(ctx context.Context, lost []LostRequest) {
+	id := incarnation{lost[0].Target, lost[0].Started}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if known := c.watches[id]; known != nil {
+		known.added = append(known.added, lost...)
+		signal(known.wake)
+		return
+	}
+	w := &watch{checker: c, id: id, wake: make(chan struct{}, 1), added: lost}
+	w.record.started, w.record.tellsStart = id.started, c.guard.opts.StartOf != nil
+	c.watches[id] = w
+	go w.run(ctx)
+}
+
+// run checks the process again and again.
+func (w *watch) run(ctx context.Context) {
+	for checks := 0; w.takeAdded(); checks++ {
+		if len(w.requests) > 0 {
+			w.check(ctx)
+		}
+		if w.ended() {
+			continue
+		}
+		select {
+		case <-w.wake:
+			checks = -1
+			continue
+		default:
+		}
+		if !w.checker.waitRunning(ctx, w.delay(checks), w.wake) {
+			return
+		}
+	}
+}
+
+// delay returns the time until the next check. A process that stopped may be replaced within a second, which proves at
+// once that it ended.
+func (w *watch) delay(checks int) time.Duration {
+	switch {
+	case !w.record.answers() && w.anyLeft() && time.Since(w.record.unansweredSince) < confirmDelay:
+		return workDelay
+	case !w.record.answers():
+		return min(confirmDelay<<min(checks, 4), maxRecheckDelay)
+	case w.anyUndecided():
+		return confirmDelay
+	case checks == 0, w.record.stuck(workDelay) && !w.record.stuck(2*workDelay):
+		return workDelay
+	default:
+		return min(confirmDelay<<min(checks-1, 4), maxRecheckDelay)
+	}
+}
+
+func (w *watch) anyLeft() bool {
+	return slices.ContainsFunc(w.requests, func(r *watchedRequest) bool { return r.Left })
+}
+
+func (w *watch) anyUndecided() bool {
+	return slices.ContainsFunc(w.requests, func(r *watchedRequest) bool { return r.known == EndUndecided })
+}
+
+// takeAdded takes over the requests that were lost since the last check. It returns false, and ends the watch, if no
+// request is left.
+func (w *watch) takeAdded() bool {
+	w.checker.mu.Lock()
+	defer w.checker.mu.Unlock()
+	now := time.Now()
+	for _, lost := range w.added {
+		w.requests = append(w.requests, &watchedRequest{LostRequest: lost, since: now, known: endOpen})
+	}
+	w.added = nil
+	if len(w.requests) == 0 {
+		delete(w.checker.watches, w.id)
+		return false
+	}
+	return true
+}
+
+// check checks the process once and decides on each request.
+func (w *watch) check(ctx context.Context) {
+	guard := w.checker.guard
+	planned, others := w.splitPlanned()
+	w.conclude(planned, finding{EndDismissed, endPlanned, true})
+	if len(others) == 0 {
+		return
+	}
+	w.probe(ctx, others)
+	lost := &others[0].LostRequest
+	now := time.Now()
+	w.record.reached, w.record.listedAnew = guard.reaches(lost.Domain), guard.replaced(lost)
+	if guard.opts.DataAt != nil {
+		w.record.dataAt = guard.opts.DataAt(lost.Target)
+	}
+	found := map[finding][]*watchedRequest{}
+	for _, r := range others {
+		f := w.record.judge(now, &r.LostRequest, r.known, now.Sub(r.since))
+		found[f] = append(found[f], r)
+	}
+	for f, list := range found {
+		w.conclude(list, f)
+	}
+}
+
+// splitPlanned returns the requests whose target was known to leave, of those that are checked for the first time, and
+// the others.
+func (w *watch) splitPlanned() (planned, others []*watchedRequest) {
+	for _, r := range w.requests {
+		if r.known == endOpen && w.checker.guard.leaving(&r.LostRequest) {
+			planned = append(planned, r)
+		} else {
+			others = append(others, r)
+		}
+	}
+	return planned, others
+}
+
+// probe checks the process. Requests that were lost lately are suspected if it has not answered by the time at which a
+// repeat has to know.
+func (w *watch) probe(ctx context.Context, list []*watchedRequest) {
+	done := make(chan probe, 1)
+	go func() { done <- w.checker.probe(ctx, &list[0].LostRequest) }()
+	overdue := time.NewTimer(proofTimeout)
+	defer overdue.Stop()
+	var found probe
+	select {
+	case found = <-done:
+	case <-overdue.C:
+		w.suspect(list)
+		found = <-done
+	}
+	w.record.addProbe(time.Now(), found)
+	if !w.anyLeft() || !w.record.answers() || w.checker.guard.opts.ReportOf == nil {
+		return
+	}
+	if report, err := w.checker.report(ctx, list[0].Address); err == nil {
+		w.record.addReport(time.Now(), &report)
+	}
+}
+
+// suspect records that requests of which nothing is known yet count as met by the end of their target.
+func (w *watch) suspect(list []*watchedRequest) {
+	open := slices.DeleteFunc(slices.Clone(list), func(r *watchedRequest) bool { return r.known != endOpen })
+	w.conclude(open, finding{EndSuspected, endUnknown, false})
+}
+
+// conclude records and logs what was found of requests.
+func (w *watch) conclude(list []*watchedRequest, found finding) {
+	var lost, counted []LostRequest
+	state := found.state
+	for _, r := range list {
+		r.final = found.final
+		if r.known == state && !found.final {
+			continue
+		}
+		if r.known == EndDismissed && state == EndConfirmed {
+			state = EndConfirmedLater
+		}
+		if r.known != endOpen || state != EndDismissed && state != EndRefuted {
+			counted = append(counted, r.LostRequest)
+		}
+		lost = append(lost, r.LostRequest)
+		r.known = state
+	}
+	guard := w.checker.guard
+	guard.setStuck(w.id, found.reason == endStuck && !found.final)
+	switch {
+	case len(lost) == 0, state == endOpen:
+	case len(counted) > 0:
+		guard.targetEnded(counted, state, found.reason)
+	default:
+		guard.answersLost(lost)
+	}
+	w.requests = slices.DeleteFunc(w.requests, func(r *watchedRequest) bool { return r.final })
+	if len(lost) == 0 || state == endOpen || found.reason == endUnknown {
+		return
+	}
+	w.logConclusion(lost, state, found.reason)
+}
+
+// logConclusion logs and counts what was found, and records a crash.
+func (w *watch) logConclusion(lost []LostRequest, state EndState, reason endReason) {
+	guard := w.checker.guard
+	if reason == endReplaced {
+		guard.recordSuccessor(w.id, w.record.probe.started)
+	}
+	ended := state == EndConfirmed || state == EndConfirmedLater
+	parts := partsOf(lost)
+	_ = level.Info(guard.opts.Logger).Log("event", "target_crash_checked", "target", w.id.target, "started", w.id.started, "crashed", ended,
+		"parts", strings.Join(parts, ","), "requests", len(lost), "left", lost[0].Left, "lost_ms", time.Since(lost[0].At).Milliseconds(),
+		"why", reason, "found", w.record.probe.result, "found_started", w.record.probe.started)
+	endChecks[reason].Inc()
+	if !ended {
+		return
+	}
+	crashesSeen.Inc()
+	if len(parts) > 0 {
+		guard.crashed(&lost[0], parts)
+	}
+}
+
+// ended reports whether nothing is left to check.
+func (w *watch) ended() bool { return len(w.requests) == 0 }
--- a/internal/coordination/routed/relay/forward.go
+++ b/internal/coordination/routed/relay/forward.go
@@ -49,6 +49,7 @@
 	}
 	if c.contextEnded(ctx) {
 		c.opts.Placer.Done(choice, monitor.result(placement.Cancelled))
+		c.reportLost(choice, err)
 		return finish
 	}
 	if errors.Is(err, errCallerDisconnected) {
--- a/internal/coordination/routed/relay/quarantine.go
+++ b/internal/coordination/routed/relay/quarantine.go
@@ -45,17 +45,33 @@
 	}
 }
 
-// reportLost reports a request whose target closed the connection before the answer was complete.
+// silenceLimit is the time without data from a target after which an attempt that ends tells that the target may have
+// ended: less than that until an attempt counts as stalled.
+const silenceLimit = minFirstByteTimeout
+
+// reportLost reports an attempt that ended without its whole answer, if the target closed the connection or was silent:
+// one that hangs, or whose host is gone, closes no connection.
 func (c *call) reportLost(choice placement.Choice, err error) {
 	end := external.EndOf(err)
-	if end != external.EndClosed && end != external.EndReset {
+	left := end != external.EndClosed && end != external.EndReset
+	if left && (end == external.EndRefused || time.Since(c.lastDataAt) < silenceLimit) {
+		return
+	}
+	if left {
+		c.leftTargets++
+		c.opts.Quarantine.Left(c.lostRequest(choice))
 		return
 	}
 	c.lostTargets++
-	c.opts.Quarantine.Lost(quarantine.LostRequest{
+	c.opts.Quarantine.Lost(c.lostRequest(choice))
+}
+
+// lostRequest returns what the quarantine is told of the current attempt.
+func (c *call) lostRequest(choice placement.Choice) quarantine.LostRequest {
+	return quarantine.LostRequest{
 		Request: c.subject, Target: choice.ID, Address: choice.Address, Domain: choice.Domain, Started: c.started,
-		Events: c.attemptEvents, Position: c.lastEvent, Ran: c.attemptRan(), Trial: c.isTrial, At: time.Now(),
-	})
+		Events: c.attemptEvents, Position: c.lastEvent, Ran: c.attemptRan(), Trial: c.isTrial, SentAt: c.sentAt, At: time.Now(), DataAt: c.lastDataAt,
+	}
 }
 
 // endTrial lets another request be the trial if this one was it and was not sent, or ended for a reason that tells
@@ -66,19 +82,20 @@
 	}
 }
 
-// attemptRan returns how long ago the current attempt brought its first event, 0 if it brought none.
+// attemptRan returns the time from the first to the last event of the current attempt, 0 if it brought none. A target
+// that hangs does not work.
 func (c *call) attemptRan() time.Duration {
 	if c.attemptEvents == 0 {
 		return 0
 	}
-	return time.Since(c.firstEventAt)
+	return c.lastDataAt.Sub(c.firstEventAt)
 }
 
 // awaitTargetCheck waits until it is known whether the last target ended, if the request may have ended as
 // many as it may: that takes longer than to send it to the next one.
 func (c *call) awaitTargetCheck(ctx context.Context) {
 	known, _ := c.opts.Quarantine.Ends(c.subject)
-	if known+c.lostTargets >= quarantine.MaxEndedTargets {
+	if known+c.lostTargets+c.leftTargets >= quarantine.MaxEndedTargets {
 		wait.For(ctx, quarantine.EndKnownAfter)
 	}
 }
--- a/internal/coordination/routed/relay/quarantine_test.go
+++ b/internal/coordination/routed/relay/quarantine_test.go
@@ -27,6 +27,7 @@
 	completed int
 	ends      int
 	lost      []quarantine.LostRequest
+	left      []quarantine.LostRequest
 	// undecided is the number of trials that ended without telling anything.
 	undecided int
 }
@@ -45,6 +46,7 @@
 }
 func (q *scriptedQuarantine) Ends(quarantine.Request) (int, time.Time) { return q.ends, time.Time{} }
 func (q *scriptedQuarantine) Lost(lost quarantine.LostRequest)         { q.lost = append(q.lost, lost) }
+func (q *scriptedQuarantine) Left(lost quarantine.LostRequest)         { q.left = append(q.left, lost) }
 
 // quarantine returns the quarantine of the test, one that closes nothing if it has none.
 func (f *scriptedFleet) quarantine() Quarantine {
--- a/internal/coordination/routed/relay/relay.go
+++ b/internal/coordination/routed/relay/relay.go
@@ -87,7 +87,9 @@
 	Completed(quarantine.Request)
 	// Lost records that a target closed the connection of a request before that.
 	Lost(quarantine.LostRequest)
-	// TrialEnded records that a trial ended without any of these.
+	// Left records that this instance ended an attempt at a target that was silent.
+	Left(quarantine.LostRequest)
+	// TrialEnded records that a trial ended without any of the others.
 	TrialEnded(request quarantine.Request, ran time.Duration)
 	// Ends returns the number of targets that ended under a request, and when the last one did.
 	Ends(quarantine.Request) (count int, last time.Time)
@@ -197,8 +199,9 @@
 	replaced int
 	// subject is what the quarantine decides on.
 	subject quarantine.Request
-	// lostTargets is the number of targets that closed the connection of the request.
-	lostTargets int
+	// lostTargets is the number of targets that closed the connection of the request, leftTargets that of those that
+	// were silent until this instance closed it.
+	lostTargets, leftTargets int
 	// attemptEvents is the number of stream events that the current attempt brought, firstEventAt
 	// when the first of them came.
 	attemptEvents int
@@ -439,6 +442,9 @@
 	}
 	if ended := c.contextEnded(ctx); ended {
 		c.opts.Placer.Done(choice, monitor.result(placement.Cancelled))
+		if !notSent {
+			c.reportLost(choice, err)
+		}
 		return finish
 	}
 	if notSent {
--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -116,7 +116,7 @@
 	d.placer = placement.NewPlacer(d.self.Domain, d.targets.Connected, xxhash.Sum64String(d.self.Name))
 	d.quarantine = quarantine.New(quarantine.Options{
 		Self: d.self.Name, Targets: d.targets, ReachesDomain: d.reachesDomain, Leaving: d.listed.leaving, Replaced: d.listed.replaced, Listed: d.listed.count,
-		LeavingSince: d.listed.leaves, StartOf: d.startOf,
+		LeavingSince: d.listed.leaves, StartOf: d.startOf, ReportOf: d.targets.Report, DataAt: d.placer.DataAt,
 		Store: d.store, Partition: external.Partition{Topic: quarantineTopic},
 		Seed: xxhash.Sum64String(d.self.Name), Logger: logger,
 	})
--- a/internal/protocol/exchange/exchange.go
+++ b/internal/protocol/exchange/exchange.go
@@ -95,8 +95,10 @@
 // Report is a target's answer to a status query.
 type Report struct {
 	Load Load
-	// Runs are the ids of the requests that the target is working on.
-	Runs []string
+	// Runs are the ids of the requests that the target is working on. Progress has a number for each that changes
+	// while it does.
+	Runs     []string
+	Progress []uint64
 	// Started is when the target's process started, in Unix milliseconds. 0: it does not tell.
 	Started int64
 }
--- a/internal/standin/engine/control.go
+++ b/internal/standin/engine/control.go
@@ -59,7 +59,7 @@
 	runs := [][]any{}
 	for _, run := range e.history {
 		if run.EndedAt.IsZero() {
-			runs = append(runs, []any{run.ID, 100, 1, 5})
+			runs = append(runs, []any{run.ID, 100, run.events, 5})
 		}
 	}
 	out := map[string]any{"running": e.running, "waiting": e.waiting, "runs": runs}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -86,7 +86,9 @@
 	// MovedTo is the address of the target that the cached state was moved to
 	// when the run was ended by a move. Otherwise it is empty.
 	MovedTo string
-	end     context.CancelFunc
+	// events is the number of events made.
+	events int
+	end    context.CancelFunc
 }
 
 // Engine simulates one model server. It is an http.Handler.
@@ -301,6 +303,9 @@
 		}
 		_, _ = fmt.Fprintf(out, "id: %d\ndata: %s\n\n", n, e.eventData(entry, n))
 		out.flush()
+		e.mu.Lock()
+		entry.events++
+		e.mu.Unlock()
 		if n+1 < events && !e.waitInterval(r) {
 			return
 		}
