Losses at a target that does not tell its start wait until the list has the next process

Cause: a process that accepts connections and does not tell its start dismissed the end at the first check, before the list could name the next process. An answer that could not be read, for example 404, counted as no process instead.

Such a loss is undecided now: no end, but a request with three of them or ends waits until the list has another incarnation at the address, or 5 s are over. Price: a sound request that loses three answers at such targets within 5 s waits for that time.

--- a/internal/coordination/routed/quarantine/checker.go
+++ b/internal/coordination/routed/quarantine/checker.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+	"github.com/gravitational/trace"
 
 	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/wait"
@@ -218,7 +219,8 @@
 		if err == nil && started != 0 {
 			return probe{probeTold, started}
 		}
-		if err == nil {
+		if err == nil || trace.IsBadParameter(err) {
+			// An answer that can't be read is that of a process as well.
 			return probe{result: probeAccepted}
 		}
 		if !wait.For(ctx, crashCheckDelay) {
--- a/internal/coordination/routed/quarantine/process.go
+++ b/internal/coordination/routed/quarantine/process.go
@@ -138,7 +138,7 @@
 // another one, some heartbeats later.
 func (p *processRecord) judgeUntold(lost *LostRequest, known EndState, watched time.Duration) finding {
 	switch {
-	case !p.listedAnew && !lost.Left:
+	case !p.tellsStart && !p.listedAnew, watched > listedTTL && !p.stuck(workDelay):
 		return finding{EndDismissed, endAccepts, true}
 	case !p.reached && known != endOpen:
 		return finding{EndDismissed, endUnreachable, watched > crashTTL}
--- a/internal/coordination/routed/quarantine/process_test.go
+++ b/internal/coordination/routed/quarantine/process_test.go
@@ -51,7 +51,7 @@
 func TestEndCountsByWhenTheProcessEnded(t *testing.T) {
 	const soon, then, later, late = 300 * time.Millisecond, time.Second, 2 * time.Second, 10 * time.Second
 	runs, other := probe{probeTold, sentTo}, probe{probeTold, replacement}
-	refused, silent := probe{result: probeRefused}, probe{result: probeSilent}
+	refused, silent, untold := probe{result: probeRefused}, probe{result: probeSilent}, probe{result: probeAccepted}
 	for name, c := range map[string]struct {
 		left   bool
 		steps  []processStep
@@ -80,6 +80,11 @@
 		"has nothing to do": {true, []processStep{{after: soon, found: runs}}, []EndState{EndRefuted}, true},
 		"its domain is out of reach": {true, []processStep{{after: soon, found: silent, cut: true}, {after: later, found: silent, cut: true}, {after: late, found: runs}},
 			[]EndState{EndSuspected, EndDismissed, EndRefuted}, true},
+		"tells no start, listed anew late": {false, []processStep{{after: soon, found: untold}, {after: later, found: untold}, {after: 2 * later, found: untold, listed: true}},
+			[]EndState{EndUndecided, EndUndecided, EndConfirmed}, true},
+		"tells no start, never listed anew": {false, []processStep{{after: soon, found: untold}, {after: later, found: untold}, {after: late, found: untold}},
+			[]EndState{EndUndecided, EndUndecided, EndDismissed}, true},
+		"tells no start, ends later": {false, []processStep{{after: soon, found: untold}, {after: later, found: refused}}, []EndState{EndUndecided, EndDismissed}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var states []EndState
