The end of a target that stood still before its entry expired is not planned

Cause: an entry that is not renewed leaves the list after 3.6 s, which counts as leaving. When the process is killed 2 s later, it closes the connections that were left there, and that was a planned end (why=planned).

An end is planned if the last sign of life of the target came half a second after it was known to leave or later. For a connection that is closed after a second of silence or more, that is the last data.

TestEndIsNotPlannedIfTargetStoodStillBeforeItLeft: two of four cases failed before.

--- a/internal/coordination/routed/quarantine/checker.go
+++ b/internal/coordination/routed/quarantine/checker.go
@@ -250,7 +250,7 @@
 func (g *Guard) leaving(lost *LostRequest) bool {
 	if g.opts.LeavingSince != nil && lost.Started != 0 {
 		since, ok := g.opts.LeavingSince(lost.Target, lost.Started)
-		return ok && lost.At.Sub(since) >= leaveNotice
+		return ok && lost.lived().Sub(since) >= leaveNotice
 	}
 	return g.opts.Leaving != nil && g.opts.Leaving(lost.Target)
 }
