A target that tells no start is judged by the list when the time for that is over

With targets whose report tells no start, which are back after 0.3 s and listed 3 s later, an item had nine runs (four are allowed). Traced: the first check was refused, so the end was suspected, the next checks came after 1.5, 3 and 6 s, and the last one dismissed the end since 5 s were over, though the list had the next process by then.

The list is looked at first, and such targets are checked each 1.5 s. The new case of TestEndCountsByWhenTheProcessEnded failed before.

--- a/internal/coordination/routed/quarantine/process.go
+++ b/internal/coordination/routed/quarantine/process.go
@@ -138,12 +138,12 @@
 // another one, some heartbeats later.
 func (p *processRecord) judgeUntold(lost *LostRequest, known EndState, watched time.Duration) finding {
 	switch {
-	case !p.tellsStart && !p.listedAnew, watched > listedTTL && !p.stuck(workDelay):
+	case p.listedAnew:
+		return finding{EndConfirmed, endListedAnew, true}
+	case !p.tellsStart, watched > listedTTL && !p.stuck(workDelay):
 		return finding{EndDismissed, endAccepts, true}
 	case !p.reached && known != endOpen:
 		return finding{EndDismissed, endUnreachable, watched > crashTTL}
-	case p.listedAnew:
-		return finding{EndConfirmed, endListedAnew, true}
 	case lost.Left:
 		return p.judgeSilentRun(known, watched)
 	default:
--- a/internal/coordination/routed/quarantine/process_test.go
+++ b/internal/coordination/routed/quarantine/process_test.go
@@ -82,6 +82,8 @@
 			[]EndState{EndSuspected, EndDismissed, EndRefuted}, true},
 		"tells no start, listed anew late": {false, []processStep{{after: soon, found: untold}, {after: later, found: untold}, {after: 2 * later, found: untold, listed: true}},
 			[]EndState{EndUndecided, EndUndecided, EndConfirmed}, true},
+		"tells no start, refuses at first, listed anew when the time is over": {false, []processStep{{after: soon, found: refused}, {after: later, found: untold}, {after: late, found: untold, listed: true}},
+			[]EndState{EndSuspected, EndSuspected, EndConfirmed}, true},
 		"tells no start, never listed anew": {false, []processStep{{after: soon, found: untold}, {after: later, found: untold}, {after: late, found: untold}},
 			[]EndState{EndUndecided, EndUndecided, EndDismissed}, true},
 		"tells no start, ends later": {false, []processStep{{after: soon, found: untold}, {after: later, found: refused}}, []EndState{EndUndecided, EndDismissed}, true},
--- a/internal/coordination/routed/quarantine/watch.go
+++ b/internal/coordination/routed/quarantine/watch.go
@@ -76,7 +76,8 @@
 		return workDelay
 	case !w.record.answers():
 		return min(confirmDelay<<min(checks, 4), maxRecheckDelay)
-	case w.anyUndecided():
+	case w.record.probe.result == probeAccepted:
+		// The list may have the next process at any time.
 		return confirmDelay
 	case checks == 0, w.record.stuck(workDelay) && !w.record.stuck(2*workDelay):
 		return workDelay
@@ -89,10 +90,6 @@
 	return slices.ContainsFunc(w.requests, func(r *watchedRequest) bool { return r.Left })
 }
 
-func (w *watch) anyUndecided() bool {
-	return slices.ContainsFunc(w.requests, func(r *watchedRequest) bool { return r.known == EndUndecided })
-}
-
 // takeAdded takes over the requests that were lost since the last check. It returns false, and ends the watch, if no
 // request is left.
 func (w *watch) takeAdded() bool {
