Requests at one process are concluded apart if different things were known of them

Of requests that were concluded together, a trial that was not lost was not given back if another one counted, an end was logged twice when its check became final, and a process could be taken for stuck or not by the order of its requests.

Requests are grouped by what was known before, an unchanged finding is not recorded again, and whether the process is stuck is set once for each check.

--- a/internal/coordination/routed/quarantine/watch.go
+++ b/internal/coordination/routed/quarantine/watch.go
@@ -21,13 +21,17 @@
 	// record and requests belong to the goroutine of the watch.
 	record   processRecord
 	requests []*watchedRequest
+	// checks is the number of checks since the last request was added, without the first one.
+	checks int
 }
 
 // watchedRequest is a lost request with what was found of it.
 type watchedRequest struct {
 	LostRequest
+	// since is when it was checked for the first time.
 	since time.Time
 	known EndState
+	// final reports that it needs no further check.
 	final bool
 }
 
@@ -47,45 +51,40 @@
 	go w.run(ctx)
 }
 
-// run checks the process again and again.
+// run checks the process again and again, until it is known of each request whether it ended under that.
 func (w *watch) run(ctx context.Context) {
-	for checks := 0; w.takeAdded(); checks++ {
-		if len(w.requests) > 0 {
-			w.check(ctx)
-		}
-		if w.ended() {
-			continue
-		}
-		select {
-		case <-w.wake:
-			checks = -1
-			continue
-		default:
-		}
-		if !w.checker.waitRunning(ctx, w.delay(checks), w.wake) {
+	for w.takeAdded() {
+		w.check(ctx)
+		if len(w.requests) > 0 && !w.checker.waitRunning(ctx, w.delay(), w.wake) {
 			return
 		}
+		w.checks++
 	}
 }
 
 // delay returns the time until the next check. A process that stopped may be replaced within a second, which proves at
 // once that it ended.
-func (w *watch) delay(checks int) time.Duration {
+func (w *watch) delay() time.Duration {
 	switch {
 	case !w.record.answers() && w.anyLeft() && time.Since(w.record.unansweredSince) < confirmDelay:
 		return workDelay
 	case !w.record.answers():
-		return min(confirmDelay<<min(checks, 4), maxRecheckDelay)
+		return backoff(w.checks)
 	case w.record.probe.result == probeAccepted:
 		// The list may have the next process at any time.
 		return confirmDelay
-	case checks == 0, w.record.stuck(workDelay) && !w.record.stuck(2*workDelay):
+	case w.checks == 0, w.record.stuck(workDelay) && !w.record.stuck(2*workDelay):
 		return workDelay
 	default:
-		return min(confirmDelay<<min(checks-1, 4), maxRecheckDelay)
+		return backoff(w.checks - 1)
 	}
 }
 
+// backoff returns the time until a further check after some without a result.
+func backoff(checks int) time.Duration {
+	return min(confirmDelay<<min(checks, 4), maxRecheckDelay)
+}
+
 func (w *watch) anyLeft() bool {
 	return slices.ContainsFunc(w.requests, func(r *watchedRequest) bool { return r.Left })
 }
@@ -98,10 +97,12 @@
 	now := time.Now()
 	for _, lost := range w.added {
 		w.requests = append(w.requests, &watchedRequest{LostRequest: lost, since: now, known: endOpen})
+		w.checks = 0
 	}
 	w.added = nil
 	if len(w.requests) == 0 {
 		delete(w.checker.watches, w.id)
+		w.checker.guard.setStuck(w.id, false)
 		return false
 	}
 	return true
@@ -122,13 +123,18 @@
 	if guard.opts.DataAt != nil {
 		w.record.dataAt = guard.opts.DataAt(lost.Target)
 	}
-	found := map[finding][]*watchedRequest{}
+	guard.setStuck(w.id, w.record.answers() && w.record.stuck(workDelay))
+	type change struct {
+		before EndState
+		found  finding
+	}
+	changes := map[change][]*watchedRequest{}
 	for _, r := range others {
-		f := w.record.judge(now, &r.LostRequest, r.known, now.Sub(r.since))
-		found[f] = append(found[f], r)
+		found := w.record.judge(now, &r.LostRequest, r.known, now.Sub(r.since))
+		changes[change{r.known, found}] = append(changes[change{r.known, found}], r)
 	}
-	for f, list := range found {
-		w.conclude(list, f)
+	for c, list := range changes {
+		w.conclude(list, c.found)
 	}
 }
 
@@ -174,38 +180,33 @@
 	w.conclude(open, finding{EndSuspected, endUnknown, false})
 }
 
-// conclude records and logs what was found of requests.
+// conclude records and logs what was found of requests of which the same was known before.
 func (w *watch) conclude(list []*watchedRequest, found finding) {
-	var lost, counted []LostRequest
-	state := found.state
+	if len(list) == 0 {
+		return
+	}
+	before, state := list[0].known, found.state
+	if state == EndConfirmed && (before == EndDismissed || before == EndConfirmedLater) {
+		state = EndConfirmedLater
+	}
+	lost := make([]LostRequest, 0, len(list))
 	for _, r := range list {
-		r.final = found.final
-		if r.known == state && !found.final {
-			continue
-		}
-		if r.known == EndDismissed && state == EndConfirmed {
-			state = EndConfirmedLater
-		}
-		if r.known != endOpen || state != EndDismissed && state != EndRefuted {
-			counted = append(counted, r.LostRequest)
-		}
+		r.known, r.final = state, found.final
 		lost = append(lost, r.LostRequest)
-		r.known = state
-	}
-	guard := w.checker.guard
-	guard.setStuck(w.id, found.reason == endStuck && !found.final)
-	switch {
-	case len(lost) == 0, state == endOpen:
-	case len(counted) > 0:
-		guard.targetEnded(counted, state, found.reason)
-	default:
-		guard.answersLost(lost)
 	}
 	w.requests = slices.DeleteFunc(w.requests, func(r *watchedRequest) bool { return r.final })
-	if len(lost) == 0 || state == endOpen || found.reason == endUnknown {
+	if state == before {
 		return
 	}
-	w.logConclusion(lost, state, found.reason)
+	runs := state == EndDismissed || state == EndRefuted
+	if runs && before == endOpen {
+		w.checker.guard.answersLost(lost)
+	} else {
+		w.checker.guard.targetEnded(lost, state, found.reason)
+	}
+	if found.reason != endUnknown {
+		w.logConclusion(lost, state, found.reason)
+	}
 }
 
 // logConclusion logs and counts what was found, and records a crash.
@@ -228,6 +229,3 @@
 		guard.crashed(&lost[0], parts)
 	}
 }
-
-// ended reports whether nothing is left to check.
-func (w *watch) ended() bool { return len(w.requests) == 0 }
