--- a/internal/wait/idletimer_test.go
+++ b/internal/wait/idletimer_test.go
@@ -1,6 +1,7 @@
 package wait
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,15 +11,15 @@
 
 func TestIdleTimerExpiresOnceIdle(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		expired := 0
-		timer := NewIdleTimer(time.Second, func() { expired++ })
+		var expired atomic.Int64
+		timer := NewIdleTimer(time.Second, func() { expired.Add(1) })
 		defer timer.Stop()
 		time.Sleep(900 * time.Millisecond)
 		timer.Reset(time.Second)
 		time.Sleep(900 * time.Millisecond)
-		require.Zero(t, expired)
+		require.Zero(t, expired.Load())
 		time.Sleep(200 * time.Millisecond)
-		require.Equal(t, 1, expired)
+		require.Equal(t, int64(1), expired.Load())
 	})
 }
 
