A slow target is not taken for one that hangs, and a later end of it counts

Traced: a target was slow for 1.5 s, so that the item was left there and its end suspected. It went on, but its reports, seconds apart, named other runs each time, which told nothing, so that the end was never refuted. When the item came back and ended the same process, that end had the position of the earlier one, and the verdict was 'explained'.

A check with a report is one call instead of two. TestEndCountsAfterAnEarlierOneWasRefuted and the case 'works on other runs each time' failed before.

--- a/internal/coordination/routed/quarantine/checker.go
+++ b/internal/coordination/routed/quarantine/checker.go
@@ -202,40 +202,43 @@
 	return true
 }
 
-// probe finds out whether a process listens at the address of a lost request's target, and which.
-func (c *Checker) probe(ctx context.Context, lost *LostRequest) probe {
+// probe finds out whether a process listens at the address of a lost request's target, and which. It returns the
+// report of that process if it was asked for.
+func (c *Checker) probe(ctx context.Context, lost *LostRequest, withReport bool) (found probe, report *exchange.Report) {
 	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
 	defer cancel()
 	targetProbes.Inc()
 	opts := &c.guard.opts
 	if opts.Targets.Refuses(ctx, lost.Address) {
-		return probe{result: probeRefused}
+		return probe{result: probeRefused}, nil
 	}
 	if opts.StartOf == nil {
-		return probe{result: probeAccepted}
+		return probe{result: probeAccepted}, nil
+	}
+	startOf := opts.StartOf
+	if withReport && opts.ReportOf != nil {
+		startOf = func(ctx context.Context, address string) (int64, error) {
+			got, err := opts.ReportOf(ctx, address)
+			if err == nil {
+				report = &got
+			}
+			return got.Started, err
+		}
 	}
 	for range probeTries {
-		started, err := opts.StartOf(ctx, lost.Address)
+		started, err := startOf(ctx, lost.Address)
 		if err == nil && started != 0 {
-			return probe{probeTold, started}
+			return probe{probeTold, started}, report
 		}
 		if err == nil || trace.IsBadParameter(err) {
 			// An answer that can't be read is that of a process as well.
-			return probe{result: probeAccepted}
+			return probe{result: probeAccepted}, report
 		}
 		if !wait.For(ctx, crashCheckDelay) {
 			break
 		}
 	}
-	return probe{result: probeSilent}
-}
-
-// report asks the process at an address for its report.
-func (c *Checker) report(ctx context.Context, address string) (exchange.Report, error) {
-	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
-	defer cancel()
-	targetProbes.Inc()
-	return c.guard.opts.ReportOf(ctx, address)
+	return probe{result: probeSilent}, nil
 }
 
 // reaches reports whether this instance reaches others of a failure domain. If it does not, the
--- a/internal/coordination/routed/quarantine/endtable.go
+++ b/internal/coordination/routed/quarantine/endtable.go
@@ -166,10 +166,19 @@
 	return out
 }
 
-// add adds an end or raises its state. It returns false if nothing has changed that others have to learn:
-// a suspected end counts as a confirmed one does.
+// add adds an end, raises its state, or replaces it by a later one of the same process. It returns false if nothing has
+// changed that others have to learn: a suspected end counts as a confirmed one does.
 func (r *endRecord) add(end requestEnd) bool {
 	if known := r.ends[end.incarnation]; known != nil {
+		switch later := end.at.Sub(known.at); {
+		case later > ageTolerance:
+			// The process lived on after what was taken for its end.
+			end.losses = max(end.losses, known.losses)
+			*known = end
+			return true
+		case later < -ageTolerance && !end.at.IsZero():
+			return false
+		}
 		if end.state == EndUndecided && known.state == EndUndecided && end.losses > known.losses {
 			known.losses = end.losses
 			return true
--- a/internal/coordination/routed/quarantine/process.go
+++ b/internal/coordination/routed/quarantine/process.go
@@ -20,10 +20,10 @@
 	probe probe
 	// unansweredSince is since when no check was answered, zero if the last one was. answeredAt is when one last was.
 	unansweredSince, answeredAt time.Time
-	// runs is the last report, at reportedAt. stuckSince is the earliest report since which none of its runs has gone
-	// on, progressedAt the last one in which one had.
-	runs                                 *exchange.Report
-	reportedAt, stuckSince, progressedAt time.Time
+	// runs is the last report, at reportedAt. stuckSince is the earliest report since which no run has gone on, workedAt
+	// the last one in which one had, or in which there were others.
+	runs                             *exchange.Report
+	reportedAt, stuckSince, workedAt time.Time
 	// dataAt is when this instance last received data from the target.
 	dataAt time.Time
 	// reached reports whether an instance of the target's failure domain is reached, listedAnew whether another
@@ -49,20 +49,27 @@
 	switch {
 	case p.runs == nil:
 		p.stuckSince = now
-	case anyProgressed(p.runs, report):
-		p.stuckSince, p.progressedAt = now, now
+	case !standsStill(p.runs, report):
+		p.stuckSince, p.workedAt = now, now
 	}
 	p.runs, p.reportedAt = report, now
 }
 
-// anyProgressed reports whether a run that is in two reports has gone on. A process that hangs may accept further runs.
-func anyProgressed(before, after *exchange.Report) bool {
+// standsStill reports whether runs are in two reports, and none of them has gone on. A process that hangs may accept
+// further runs.
+func standsStill(before, after *exchange.Report) bool {
+	common := 0
 	for n, id := range after.Runs {
-		if at := slices.Index(before.Runs, id); at >= 0 && before.Progress[at] != after.Progress[n] {
-			return true
+		at := slices.Index(before.Runs, id)
+		if at < 0 {
+			continue
 		}
+		if before.Progress[at] != after.Progress[n] {
+			return false
+		}
+		common++
 	}
-	return false
+	return common > 0
 }
 
 // worksSince reports whether the process is known to have worked for a while after a time: it has sent data, its runs
@@ -70,7 +77,7 @@
 func (p *processRecord) worksSince(t time.Time) bool {
 	idle := p.runs != nil && p.runs.Load.Running == 0
 	// A report may be some hundred ms old, and a process that hangs may have sent data to others right before.
-	return idle || p.progressedAt.Sub(t) >= workDelay || p.dataAt.Sub(t) >= workDelay
+	return idle || p.workedAt.Sub(t) >= workDelay || p.dataAt.Sub(t) >= workDelay
 }
 
 // stuck reports whether the process has had runs for some time that have not gone on.
--- a/internal/coordination/routed/quarantine/process_test.go
+++ b/internal/coordination/routed/quarantine/process_test.go
@@ -13,8 +13,9 @@
 type processStep struct {
 	after time.Duration
 	found probe
-	// running and progress are what the process reports of its runs, dataAfter when data last came from it.
+	// running, run and progress are what the process reports of its runs, dataAfter when data last came from it.
 	running   int
+	run       string
 	progress  uint64
 	dataAfter time.Duration
 	listed    bool
@@ -33,7 +34,7 @@
 		if left && record.answers() {
 			report := exchange.Report{Load: exchange.Load{Running: step.running}}
 			if step.running > 0 {
-				report.Runs, report.Progress = []string{"r"}, []uint64{step.progress}
+				report.Runs, report.Progress = []string{step.run}, []uint64{step.progress}
 			}
 			record.addReport(now, &report)
 		}
@@ -70,6 +71,9 @@
 		"is slow": {true, []processStep{
 			{after: soon, found: runs, running: 2, progress: 7}, {after: later, found: runs, running: 2, progress: 8}},
 			[]EndState{endOpen, EndRefuted}, true},
+		"works on other runs each time": {true, []processStep{
+			{after: soon, found: runs, running: 2, run: "a"}, {after: then, found: runs, running: 2, run: "b"}},
+			[]EndState{endOpen, EndRefuted}, true},
 		"hangs for a while": {true, []processStep{
 			{after: soon, found: runs, running: 2, progress: 7}, {after: then, found: runs, running: 2, progress: 7}, {after: late, found: runs, running: 2, progress: 9}},
 			[]EndState{endOpen, EndSuspected, EndRefuted}, true},
--- a/internal/coordination/routed/quarantine/silentend_test.go
+++ b/internal/coordination/routed/quarantine/silentend_test.go
@@ -44,3 +44,27 @@
 		})
 	}
 }
+
+// Guards against the end of a target that does not count, since the same request was left there before while the target
+// was slow: the target proved then that it runs, and ended later.
+func TestEndCountsAfterAnEarlierOneWasRefuted(t *testing.T) {
+	e, other := NewEvidence("a"), NewEvidence("b")
+	end := func(at time.Time, events int, state EndState) {
+		lost := LostRequest{Request: Request{Key: "request:1"}, Target: "t", Started: sentTo, Events: events, At: at}
+		_, changed := e.TargetEnded(at, &lost, state)
+		require.True(t, changed)
+	}
+	slow, ended := at(0), at(10*second)
+	end(slow, 1, EndSuspected)
+	end(slow, 1, EndRefuted)
+	require.Zero(t, e.Ends("request:1"))
+	end(ended, 12, EndSuspected)
+	require.Equal(t, 1, e.Ends("request:1"))
+	require.Equal(t, 12, e.ends.records["request:1"].counted()[0].events)
+	other.Merge(ended, e.Since(ended, 0, false))
+	require.Equal(t, 1, other.Ends("request:1"))
+	// What is found of the earlier loss by now says nothing of the later one.
+	_, changed := e.TargetEnded(ended, &LostRequest{Request: Request{Key: "request:1"}, Target: "t", Started: sentTo, At: slow}, EndRefuted)
+	require.False(t, changed)
+	require.Equal(t, 1, e.Ends("request:1"))
+}
--- a/internal/coordination/routed/quarantine/watch.go
+++ b/internal/coordination/routed/quarantine/watch.go
@@ -7,8 +7,13 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+
+	"merlintiller/internal/protocol/exchange"
 )
 
+// workChecks is the number of checks after workDelay each of a process that answers, before they become rarer.
+const workChecks = 4
+
 // watch checks the process of a target until it is known whether it ended under the requests that were lost there.
 type watch struct {
 	checker *Checker
@@ -73,10 +78,11 @@
 	case w.record.probe.result == probeAccepted:
 		// The list may have the next process at any time.
 		return confirmDelay
-	case w.checks == 0, w.record.stuck(workDelay) && !w.record.stuck(2*workDelay):
+	case w.checks < workChecks:
+		// Two reports tell whether a process works only if some run is in both.
 		return workDelay
 	default:
-		return backoff(w.checks - 1)
+		return backoff(w.checks - workChecks)
 	}
 }
 
@@ -154,23 +160,28 @@
 // probe checks the process. Requests that were lost lately are suspected if it has not answered by the time at which a
 // repeat has to know.
 func (w *watch) probe(ctx context.Context, list []*watchedRequest) {
-	done := make(chan probe, 1)
-	go func() { done <- w.checker.probe(ctx, &list[0].LostRequest) }()
+	type result struct {
+		found  probe
+		report *exchange.Report
+	}
+	done := make(chan result, 1)
+	go func() {
+		found, report := w.checker.probe(ctx, &list[0].LostRequest, w.anyLeft())
+		done <- result{found, report}
+	}()
 	overdue := time.NewTimer(proofTimeout)
 	defer overdue.Stop()
-	var found probe
+	var got result
 	select {
-	case found = <-done:
+	case got = <-done:
 	case <-overdue.C:
 		w.suspect(list)
-		found = <-done
+		got = <-done
 	}
-	w.record.addProbe(time.Now(), found)
-	if !w.anyLeft() || !w.record.answers() || w.checker.guard.opts.ReportOf == nil {
-		return
-	}
-	if report, err := w.checker.report(ctx, list[0].Address); err == nil {
-		w.record.addReport(time.Now(), &report)
+	now := time.Now()
+	w.record.addProbe(now, got.found)
+	if got.report != nil {
+		w.record.addReport(now, got.report)
 	}
 }
 
