--- a/internal/coordination/routed/quarantine/process.go
+++ b/internal/coordination/routed/quarantine/process.go
@@ -20,9 +20,9 @@
 	probe probe
 	// unansweredSince is since when no check was answered, zero if the last one was. answeredAt is when one last was.
 	unansweredSince, answeredAt time.Time
-	// runs is the last report, at reportedAt. stuckSince is the earliest report since which no run has gone on, workedAt
-	// the last one in which one had, or in which there were others.
-	runs                             *exchange.Report
+	// report is the last report, at reportedAt. stuckSince is the time of the earliest one since which no run has gone on,
+	// workedAt that of the last one in which one had, or in which there were other runs.
+	report                           *exchange.Report
 	reportedAt, stuckSince, workedAt time.Time
 	// dataAt is when this instance last received data from the target.
 	dataAt time.Time
@@ -45,14 +45,14 @@
 }
 
 // addReport adds what the process reports of its runs.
-func (p *processRecord) addReport(now time.Time, report *exchange.Report) {
+func (p *processRecord) addReport(now time.Time, latest *exchange.Report) {
 	switch {
-	case p.runs == nil:
+	case p.report == nil:
 		p.stuckSince = now
-	case !standsStill(p.runs, report):
+	case !standsStill(p.report, latest):
 		p.stuckSince, p.workedAt = now, now
 	}
-	p.runs, p.reportedAt = report, now
+	p.report, p.reportedAt = latest, now
 }
 
 // standsStill reports whether runs are in two reports, and none of them has gone on. A process that hangs may accept
@@ -75,14 +75,14 @@
 // worksSince reports whether the process is known to have worked for a while after a time: it has sent data, its runs
 // have gone on, or it has none.
 func (p *processRecord) worksSince(t time.Time) bool {
-	idle := p.runs != nil && p.runs.Load.Running == 0
+	idle := p.report != nil && p.report.Load.Running == 0
 	// A report may be some hundred ms old, and a process that hangs may have sent data to others right before.
 	return idle || p.workedAt.Sub(t) >= workDelay || p.dataAt.Sub(t) >= workDelay
 }
 
 // stuck reports whether the process has had runs for some time that have not gone on.
 func (p *processRecord) stuck(d time.Duration) bool {
-	return p.runs != nil && p.runs.Load.Running > 0 && p.reportedAt.Sub(p.stuckSince) >= d
+	return p.report != nil && p.report.Load.Running > 0 && p.reportedAt.Sub(p.stuckSince) >= d
 }
 
 // finding says whether a process ended under a request.
@@ -128,16 +128,17 @@
 // judgeSilentRun is judge for a process that runs, but was silent until this instance left. It may hang and be killed
 // later.
 func (p *processRecord) judgeSilentRun(known EndState, watched time.Duration) finding {
+	over := watched > silentTTL
 	switch {
-	case watched > silentTTL && known == endOpen:
-		return finding{EndRefuted, endRuns, true}
 	case p.stuck(2 * workDelay):
 		// It is as good as ended, and may still go on.
-		return finding{max(known, EndConfirmed), endStuck, watched > silentTTL}
+		return finding{max(known, EndConfirmed), endStuck, over}
 	case p.stuck(workDelay):
-		return finding{max(known, EndSuspected), endStuck, watched > silentTTL}
+		return finding{max(known, EndSuspected), endStuck, over}
+	case over:
+		return finding{EndRefuted, endRuns, true}
 	default:
-		return finding{known, endUnknown, watched > silentTTL}
+		return finding{known, endUnknown, false}
 	}
 }
 
--- a/internal/coordination/routed/quarantine/process_test.go
+++ b/internal/coordination/routed/quarantine/process_test.go
@@ -20,6 +20,7 @@
 	dataAfter time.Duration
 	listed    bool
 	cut       bool
+	noReport  bool
 }
 
 // judgeSteps returns what is found of a request that was lost at a process, after each check of that.
@@ -31,7 +32,7 @@
 	for _, step := range steps {
 		now := start.Add(step.after)
 		record.addProbe(now, step.found)
-		if left && record.answers() {
+		if left && record.answers() && !step.noReport {
 			report := exchange.Report{Load: exchange.Load{Running: step.running}}
 			if step.running > 0 {
 				report.Runs, report.Progress = []string{step.run}, []uint64{step.progress}
@@ -82,6 +83,9 @@
 			{after: soon, found: runs, running: 2, dataAfter: soon / 2}, {after: then, found: runs, running: 2, dataAfter: soon / 2}, {after: late, found: runs, running: 2}},
 			[]EndState{endOpen, EndSuspected, EndConfirmed}, false},
 		"has nothing to do": {true, []processStep{{after: soon, found: runs}}, []EndState{EndRefuted}, true},
+		"tells its start, and nothing of its work": {true, []processStep{
+			{after: soon, found: silent}, {after: later, found: runs, noReport: true}, {after: silentTTL + late, found: runs, noReport: true}},
+			[]EndState{EndSuspected, EndSuspected, EndRefuted}, true},
 		"its domain is out of reach": {true, []processStep{{after: soon, found: silent, cut: true}, {after: later, found: silent, cut: true}, {after: late, found: runs}},
 			[]EndState{EndSuspected, EndDismissed, EndRefuted}, true},
 		"tells no start, listed anew late": {false, []processStep{{after: soon, found: untold}, {after: later, found: untold}, {after: 2 * later, found: untold, listed: true}},
