A body that comes in parts tells when data last came from its target

Only events of streams set the time of the last data, so that an answer of another kind that took a second or longer seemed to have brought nothing. A planned end of its target would have counted against the request. TestLostBodyTellsWhenDataLastCame failed before.

--- a/internal/coordination/routed/batchjobs/task.go
+++ b/internal/coordination/routed/batchjobs/task.go
@@ -204,7 +204,7 @@
 	t.runner.restart(t, outputTooLarge)
 }
 
-// silenceLimit is the time without data from a target after which a run that ends tells that the target may have ended.
+// silenceLimit is the time without data from a target after which the target of a run that ends is checked.
 const silenceLimit = stallTimeout / 2
 
 // reportLost reports a run that brought some events, if it ended because its target closed the connection, or after the
--- a/internal/coordination/routed/relay/forward.go
+++ b/internal/coordination/routed/relay/forward.go
@@ -165,7 +165,7 @@
 		n, err := answer.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		if n > 0 {
-			monitor.progress()
+			c.dataArrived(monitor)
 		}
 		if errors.Is(err, io.EOF) {
 			return c.sendPart(monitor, answer, body)
@@ -180,7 +180,7 @@
 	for {
 		n, err := answer.Read(body[:cap(body)])
 		if n > 0 {
-			monitor.progress()
+			c.dataArrived(monitor)
 			if err := c.sendPart(monitor, answer, body[:n]); err != nil {
 				return err
 			}
@@ -194,6 +194,12 @@
 	}
 }
 
+// dataArrived records that a part of a body arrived.
+func (c *call) dataArrived(monitor *stallMonitor) {
+	c.lastDataAt = time.Now()
+	monitor.progress()
+}
+
 // heldReadSize is the number of bytes that are read at once from an answer whose parts are held.
 const heldReadSize = 4 << 10
 
@@ -206,7 +212,7 @@
 		n, err := answer.Read(part)
 		ended := errors.Is(err, io.EOF)
 		if n > 0 {
-			monitor.progress()
+			c.dataArrived(monitor)
 		}
 		if err != nil && !ended && !c.headSent {
 			c.delivery.discard()
--- a/internal/coordination/routed/relay/quarantine.go
+++ b/internal/coordination/routed/relay/quarantine.go
@@ -45,8 +45,8 @@
 	}
 }
 
-// silenceLimit is the time without data from a target after which an attempt that ends tells that the target may have
-// ended: less than that until an attempt counts as stalled.
+// silenceLimit is the time without data from a target after which the target of an attempt that ends is checked. It is
+// no longer than that after which an attempt counts as stalled.
 const silenceLimit = minFirstByteTimeout
 
 // reportLost reports an attempt that ended without its whole answer, if the target closed the connection or was silent:
--- a/internal/coordination/routed/relay/silenttarget_test.go
+++ b/internal/coordination/routed/relay/silenttarget_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,8 +11,10 @@
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol/exchange"
 	"merlintiller/internal/state/roster"
+	"merlintiller/internal/state/route"
 )
 
 // serveUntil has a relay serve a resumable stream whose caller disconnects after some time.
@@ -55,3 +58,41 @@
 		})
 	}
 }
+
+// slowBodyFleet answers with a body that comes in parts and breaks off.
+type slowBodyFleet struct{ *scriptedFleet }
+
+// slowBody brings a byte each 0.1 s until its connection is reset.
+type slowBody struct {
+	answerReader
+	left int
+}
+
+func (f *slowBodyFleet) Send(_ context.Context, _ string, d *exchange.Dispatch) (external.OpenAnswer, error) {
+	f.sent = append(f.sent, *d)
+	return &slowBody{answerReader{head: exchange.Reply{Status: http.StatusOK}}, 5}, nil
+}
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	if b.left == 0 {
+		return 0, syscall.ECONNRESET
+	}
+	<-time.After(100 * time.Millisecond)
+	b.left--
+	return copy(p, "x"), nil
+}
+
+// Guards against a planned end that counts against a request, since its answer is not a stream and so seems to have
+// brought nothing for a while.
+func TestLostBodyTellsWhenDataLastCame(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &slowBodyFleet{&scriptedFleet{}}
+		idempotent := route.Route{Kind: route.Idempotent, LatencyObjective: 300 * time.Millisecond, MaxAttempts: 1}
+		New(Options{Targets: f, Placer: f, Origins: f, Quarantine: f.quarantine(), Logger: log.NewNopLogger()}).Serve(t.Context(), &RoutedRequest{
+			Request: &exchange.Request{ID: "r", Method: http.MethodPost, After: exchange.FromStart},
+			Route:   &idempotent, Service: "s", ReceivedAt: time.Now(), Deadline: time.Now().Add(requestTime),
+		}, &caller{})
+		require.Len(t, f.guard.lost, 1)
+		require.Equal(t, f.guard.lost[0].At, f.guard.lost[0].DataAt)
+	})
+}
