--- a/internal/harness/proctest/targetprocess_test.go
+++ b/internal/harness/proctest/targetprocess_test.go
@@ -106,7 +106,7 @@
 	var deadlines sync.Map
 	ending := &endingProcess{kind: s.Ending, hung: make(chan struct{})}
 	born := s.Born
-	if s.Report == tellsNoStart {
+	if s.Report != tellsStart {
 		born = 0
 	}
 	answers := engine.New(engine.Options{
