--- a/internal/harness/proctest/crowd_test.go
+++ b/internal/harness/proctest/crowd_test.go
@@ -53,6 +53,8 @@
 	ctx       context.Context
 	store     *sharedstore.Store
 	instances []*routedInstance
+	// supervised are the targets that are processes of their own.
+	supervised []*supervisedTarget
 	// listedAt is when the entry of each target process was last renewed.
 	listedMu sync.Mutex
 	listedAt map[string]time.Time
--- a/internal/harness/proctest/silentends_test.go
+++ b/internal/harness/proctest/silentends_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"strings"
 	"testing"
@@ -11,6 +13,37 @@
 	"github.com/stretchr/testify/require"
 )
 
+var silentSeeds = flag.Int("silent-seeds", 0, "number of drawn ways in which targets end, of TestRepeatsStopHoweverTargetsEnd")
+
+// drawnCase draws a way in which targets end, are back and tell of themselves.
+func drawnCase(seed int) restartCase {
+	rng := rand.New(rand.NewPCG(uint64(seed), 71))
+	between := func(least, most time.Duration) time.Duration {
+		return (least + time.Duration(rng.Int64N(int64(most-least)))).Round(100 * time.Millisecond)
+	}
+	r := targetRestart{
+		ending: []targetEnding{exits, stops, stops, hangs}[rng.IntN(4)], killedAfter: between(200*time.Millisecond, 5*time.Second),
+		back: between(300*time.Millisecond, 8*time.Second), listed: []time.Duration{0, time.Second, 3 * time.Second}[rng.IntN(3)],
+		renews: rng.IntN(2) == 0, newIDs: rng.IntN(2) == 0, report: []targetReport{tellsStart, tellsStart, tellsNoStart}[rng.IntN(3)],
+	}
+	c := restartCase{restart: r}
+	pauses := rng.IntN(3) == 0
+	if pauses {
+		c.disturb = func(ctx context.Context, f *routedFleet) { pauseTargets(ctx, f.supervised) }
+	}
+	c.name = fmt.Sprintf("seed %d, %q after %v, back after %v, listed %v later, renews %v, new ids %v, report tells %q, targets paused %v",
+		seed, r.ending, r.killedAfter, r.back, r.listed, r.renews, r.newIDs, r.report, pauses)
+	return c
+}
+
+// Guards against repeats without bound in a way of an end that nobody has listed.
+func TestRepeatsStopHoweverTargetsEnd(t *testing.T) {
+	for seed := range *silentSeeds {
+		c := drawnCase(seed + 1)
+		t.Run(c.name, func(t *testing.T) { playCase(t, c) })
+	}
+}
+
 // silentEndCases are ways in which target processes end, or tell less of themselves than others, so that an instance
 // does not notice the end when it comes.
 func silentEndCases() []restartCase {
@@ -34,6 +67,7 @@
 		{"instances paused for longer than a stall", targetRestart{back: 300 * time.Millisecond}, pauseInTurn(2500 * time.Millisecond)},
 		{"no report, port stays open", targetRestart{portStaysOpen: true, report: tellsNothing}, nil},
 		{"report tells no start, listed late", targetRestart{back: 300 * time.Millisecond, listed: 3 * time.Second, report: tellsNoStart}, nil},
+		{"targets paused, and read later what was given up", targetRestart{back: 300 * time.Millisecond}, func(ctx context.Context, f *routedFleet) { pauseTargets(ctx, f.supervised) }},
 		{"failed items answered after 2 s", targetRestart{back: 2 * time.Second, failAfter: 2 * time.Second}, nil},
 	}...)
 }
@@ -49,10 +83,9 @@
 // Guards against sound requests that are closed, or wait, since their targets were paused and went on.
 func TestPausedTargetsCloseNoRequest(t *testing.T) {
 	dir := t.TempDir()
-	var targets []*supervisedTarget
 	f := startRoutedWith(t, dir, restartInstances, func(f *routedFleet) {
 		for n := range restartInstances {
-			targets = append(targets, f.superviseTarget(dir, n, crashesAt, targetRestart{}))
+			f.superviseTarget(dir, n, crashesAt, targetRestart{})
 		}
 	})
 	ctx, stop := context.WithTimeout(f.ctx, 20*time.Second)
@@ -65,7 +98,7 @@
 	paused := make(chan struct{})
 	go func() {
 		defer close(paused)
-		pauseTargets(ctx, targets)
+		pauseTargets(ctx, f.supervised)
 	}()
 	sound := f.sendSound(ctx, 1, 20)
 	<-paused
--- a/internal/harness/proctest/targetprocess_test.go
+++ b/internal/harness/proctest/targetprocess_test.go
@@ -256,7 +256,7 @@
 }
 
 // superviseTarget starts a target whose process is replaced when it has crashed, until the test ends.
-func (f *routedFleet) superviseTarget(dir string, n, crashAt int, restart targetRestart) *supervisedTarget {
+func (f *routedFleet) superviseTarget(dir string, n, crashAt int, restart targetRestart) {
 	address, err := harness.FreeAddress()
 	require.NoError(f.t, err)
 	s := &supervisedTarget{fleet: f, name: fmt.Sprint("t-", n), domain: string(domains[n%len(domains)]), dir: dir, restart: restart, address: address}
@@ -271,7 +271,7 @@
 		}
 	}()
 	f.t.Cleanup(func() { <-done })
-	return s
+	f.supervised = append(f.supervised, s)
 }
 
 // holdPort opens a listener that the processes inherit, one after the other.
