A repeat waits for the check of a third target that tells no start

Callers saw a stream with five runs at targets whose report does not tell when they started and whose port stays open; four are allowed.

Cause: before a request goes to another target, the relay waits for the check of the last one if that may be the third to end. It counted only ends that count already. The end of a target that tells no start is undecided until the list has the next process, so a caller that repeats its request within 100 ms had its fourth run while two ends were undecided and the third loss was not checked yet; the trial was the fifth. The class: a decision that takes an end that is not known yet for one that did not happen.

The relay now counts undecided ends as well (Guard.PossibleEnds).

TestUndecidedEndsMayBeEndsOfTargets covers the count alone.

Looked for elsewhere: an item starts its next run 300 ms or more after a loss, when the undecided end is known and closes it; the first daemon joins no repeats.

--- a/internal/coordination/routed/quarantine/ends.go
+++ b/internal/coordination/routed/quarantine/ends.go
@@ -113,6 +113,15 @@
 	return len(ends), ends[len(ends)-1].at
 }
 
+// possibleEnds returns the number of targets that ended under a request, or may turn out to have ended.
+func (e *Evidence) possibleEnds(key string) int {
+	r := e.ends.records[key]
+	if r == nil {
+		return 0
+	}
+	return len(r.countedOrUndecided())
+}
+
 // verdictOn tells whether a request caused the ends of targets under it, as far as this instance knows.
 func (e *Evidence) verdictOn(key string) verdict {
 	r := e.ends.records[key]
--- a/internal/coordination/routed/quarantine/guard.go
+++ b/internal/coordination/routed/quarantine/guard.go
@@ -215,6 +215,17 @@
 	return g.evidence.EndsUnder(r.Key)
 }
 
+// PossibleEnds returns the number of targets that ended under a request, or may turn out to have ended: of one that does
+// not tell when it started, that is known only once the list has the next one.
+func (g *Guard) PossibleEnds(r Request) int {
+	if !g.anyEnds.Load() {
+		return 0
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.evidence.possibleEnds(r.Key)
+}
+
 // Since returns what has changed since a version, nil if nothing has. With ownEnds, it leaves out the ended
 // targets that others have told this instance.
 func (g *Guard) Since(version uint64, ownEnds bool) *Report {
--- a/internal/coordination/routed/quarantine/silentend_test.go
+++ b/internal/coordination/routed/quarantine/silentend_test.go
@@ -80,3 +80,28 @@
 	e.TargetEnded(sent, &lost, EndConfirmed)
 	require.Equal(t, 1, e.Ends("request:2"))
 }
+
+// Guards against a repeat that is sent on while a third target may have ended, since targets that do not tell when they
+// started have no ends until the list has the next ones.
+func TestUndecidedEndsMayBeEndsOfTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := &scriptedTarget{results: []probe{{result: probeAccepted}}}
+		g := New(Options{Self: "a", Targets: s, StartOf: s.startOf, Logger: log.NewNopLogger()})
+		go func() { _ = g.Checker().Serve(ctx) }()
+		request := Request{ID: "r", Key: "request:1"}
+		for lost, address := range []string{"10.0.0.1:80", "10.0.0.2:80"} {
+			require.Equal(t, lost, g.PossibleEnds(request))
+			g.Lost(LostRequest{Request: request, Target: address, Started: sentTo, Address: address, At: time.Now()})
+			time.Sleep(EndKnownAfter)
+			synctest.Wait()
+		}
+		require.Equal(t, 2, g.PossibleEnds(request))
+		ends, _ := g.Ends(request)
+		require.Zero(t, ends)
+		time.Sleep(2 * listedTTL)
+		synctest.Wait()
+		require.Zero(t, g.PossibleEnds(request), "the list has no next ones")
+	})
+}
--- a/internal/coordination/routed/relay/quarantine.go
+++ b/internal/coordination/routed/relay/quarantine.go
@@ -94,7 +94,7 @@
 // awaitTargetCheck waits until it is known whether the last target ended, if the request may have ended as
 // many as it may: that takes longer than to send it to the next one.
 func (c *call) awaitTargetCheck(ctx context.Context) {
-	known, _ := c.opts.Quarantine.Ends(c.subject)
+	known := c.opts.Quarantine.PossibleEnds(c.subject)
 	if known+c.lostTargets+c.leftTargets >= quarantine.MaxEndedTargets {
 		wait.For(ctx, quarantine.EndKnownAfter)
 	}
--- a/internal/coordination/routed/relay/quarantine_test.go
+++ b/internal/coordination/routed/relay/quarantine_test.go
@@ -44,9 +44,9 @@
 func (q *scriptedQuarantine) TrialEnded(quarantine.Request, time.Duration) {
 	q.undecided++
 }
-func (q *scriptedQuarantine) Ends(quarantine.Request) (int, time.Time) { return q.ends, time.Time{} }
-func (q *scriptedQuarantine) Lost(lost quarantine.LostRequest)         { q.lost = append(q.lost, lost) }
-func (q *scriptedQuarantine) Left(lost quarantine.LostRequest)         { q.left = append(q.left, lost) }
+func (q *scriptedQuarantine) PossibleEnds(quarantine.Request) int { return q.ends }
+func (q *scriptedQuarantine) Lost(lost quarantine.LostRequest)    { q.lost = append(q.lost, lost) }
+func (q *scriptedQuarantine) Left(lost quarantine.LostRequest)    { q.left = append(q.left, lost) }
 
 // quarantine returns the quarantine of the test, one that closes nothing if it has none.
 func (f *scriptedFleet) quarantine() Quarantine {
--- a/internal/coordination/routed/relay/relay.go
+++ b/internal/coordination/routed/relay/relay.go
@@ -91,8 +91,8 @@
 	Left(quarantine.LostRequest)
 	// TrialEnded records that a trial ended without any of the others.
 	TrialEnded(request quarantine.Request, ran time.Duration)
-	// Ends returns the number of targets that ended under a request, and when the last one did.
-	Ends(quarantine.Request) (count int, last time.Time)
+	// PossibleEnds returns the number of targets that ended under a request, or may turn out to have ended.
+	PossibleEnds(quarantine.Request) int
 }
 
 // Sink writes an answer to the caller.
