request_target_ended says when the run was sent

An engineer on call could not tell from one line for how long a request had been at a target that ended: events, and the time since it was lost, say nothing of a run that waited before its first event. sent_ms does. SentAt of LostRequest had no reader before.

--- a/internal/coordination/routed/quarantine/checker.go
+++ b/internal/coordination/routed/quarantine/checker.go
@@ -330,7 +330,8 @@
 		delete(g.openTrials, lost.Key)
 		known, changed := g.evidence.TargetEnded(now, lost, state)
 		_ = level.Info(g.opts.Logger).Log("event", "request_target_ended", "request", lost.ID, "key", lost.Key, "target", lost.Target,
-			"started", lost.Started, "state", state, "why", why, "left", lost.Left, "events", lost.Events, "position", lost.Position, "lost_ms", now.Sub(lost.At).Milliseconds(),
+			"started", lost.Started, "state", state, "why", why, "left", lost.Left, "events", lost.Events, "position", lost.Position,
+			"sent_ms", now.Sub(lost.SentAt).Milliseconds(), "lost_ms", now.Sub(lost.At).Milliseconds(),
 			"ends", g.evidence.Ends(lost.Key), "ran_ms", lost.Ran.Milliseconds(), "verdict", g.evidence.verdictOn(lost.Key), "known", known.describe())
 		if changed {
 			g.endsChanged()
