An instance that was paused reads what came before it sends a request

Timeline of a play with logs: the owner of the item is paused for 5.6 s after two ends. Another instance takes the item over and sends it on; its target ends, and all instances but the paused one close the item within 1 ms. The paused one goes on 3.7 s later, gives the item the slot that it had waited for, and sends it to a fourth target. It reads "closed" 5 ms after that.

Cause: a process that goes on after a pause decides with what it knew before, since its own timers and answers come first. The class is that of RunClock: a pause taken for time in which nothing happened. It holds for requests of callers as well, which wait in the sockets of the paused instance.

The relay and the runner of items now wait, between the slot and the check whether a request is closed, until this process has run for 100 ms since its last pause (Guard.CatchUp). A process that always runs never waits.

--- a/internal/coordination/routed/batchjobs/options.go
+++ b/internal/coordination/routed/batchjobs/options.go
@@ -59,6 +59,8 @@
 	Lost(quarantine.LostRequest)
 	// Left records that this instance ended the run of an item at a target that was silent.
 	Left(quarantine.LostRequest)
+	// CatchUp returns once it is known what others decided while this process did not run, or ctx is done.
+	CatchUp(ctx context.Context)
 	// TrialEnded records that a trial ended without any of these, after targets had worked on the item for some time
 	// since its last end.
 	TrialEnded(item quarantine.Request, ran time.Duration)
--- a/internal/coordination/routed/batchjobs/placing.go
+++ b/internal/coordination/routed/batchjobs/placing.go
@@ -92,6 +92,7 @@
 			return
 		}
 		if choice, found := r.opts.Placer.PlaceItem(ctx, q.domain, item); found {
+			r.opts.Quarantine.CatchUp(ctx)
 			r.startItem(q.service, choice)
 		}
 	}
--- a/internal/coordination/routed/fleetview/outage.go
+++ b/internal/coordination/routed/fleetview/outage.go
@@ -87,6 +87,13 @@
 	v.clock.Tick(now, tickInterval)
 }
 
+// ResumedAt returns when this process last went on after it had not run for a time, zero if it always ran.
+func (v *View) ResumedAt() time.Time {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.clock.ResumedAt(time.Now())
+}
+
 // graceUntil returns until when targets are used whose entries disappear now, zero if
 // they are not used any more.
 //
--- a/internal/coordination/routed/quarantine/guard.go
+++ b/internal/coordination/routed/quarantine/guard.go
@@ -30,6 +30,8 @@
 	// watchInterval, to notice that the process did not run.
 	idleInterval  = 30 * time.Second
 	watchInterval = time.Second
+	// catchUpTime is the time after a pause of this process by which it has read what others sent meanwhile.
+	catchUpTime = 100 * time.Millisecond
 )
 
 var (
@@ -68,6 +70,9 @@
 	DataAt   func(target string) time.Time
 	// Listed returns the number of listed targets. Nil: it is not known.
 	Listed func() int
+	// ResumedAt returns when this process last went on after it had not run for a time, zero if it always ran. Nil: it
+	// always runs.
+	ResumedAt func() time.Time
 	// Store keeps what is closed, in Partition. Seed seeds the jitter of its reads.
 	Store     Store
 	Partition external.Partition
@@ -142,6 +147,17 @@
 	return decision
 }
 
+// CatchUp returns once this process has run for catchUpTime since its last pause, or ctx is done. A process that goes on
+// decides before it has read which requests others have closed meanwhile, and would send them to a further target.
+func (g *Guard) CatchUp(ctx context.Context) {
+	for g.opts.ResumedAt != nil {
+		left := catchUpTime - time.Since(g.opts.ResumedAt())
+		if left <= 0 || !wait.For(ctx, left) {
+			return
+		}
+	}
+}
+
 // Closed reports whether a request is rejected, without taking a trial.
 func (g *Guard) Closed(r Request) bool {
 	if !g.anyClosed.Load() {
--- a/internal/coordination/routed/quarantine/silentend_test.go
+++ b/internal/coordination/routed/quarantine/silentend_test.go
@@ -105,3 +105,17 @@
 		require.Zero(t, g.PossibleEnds(request), "the list has no next ones")
 	})
 }
+
+// Guards against an instance that was paused and decides before it has read what others sent meanwhile, and against one
+// that always waits.
+func TestCatchUpWaitsAfterAPause(t *testing.T) {
+	for running, want := range map[time.Duration]time.Duration{0: catchUpTime, catchUpTime / 4: catchUpTime * 3 / 4, catchUpTime: 0, time.Hour: 0} {
+		synctest.Test(t, func(t *testing.T) {
+			start := time.Now()
+			resumed := start.Add(-running)
+			g := New(Options{Self: "a", Logger: log.NewNopLogger(), ResumedAt: func() time.Time { return resumed }})
+			g.CatchUp(t.Context())
+			require.Equal(t, want, time.Since(start))
+		})
+	}
+}
--- a/internal/coordination/routed/relay/quarantine_test.go
+++ b/internal/coordination/routed/relay/quarantine_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -30,6 +31,8 @@
 	left      []quarantine.LostRequest
 	// undecided is the number of trials that ended without telling anything.
 	undecided int
+	// caughtUp are the decisions once what came during a pause is read, nil for the same.
+	caughtUp []quarantine.Decision
 }
 
 func (q *scriptedQuarantine) Check(quarantine.Request) quarantine.Decision {
@@ -44,6 +47,11 @@
 func (q *scriptedQuarantine) TrialEnded(quarantine.Request, time.Duration) {
 	q.undecided++
 }
+func (q *scriptedQuarantine) CatchUp(context.Context) {
+	if q.caughtUp != nil {
+		q.decisions, q.checked = q.caughtUp, 0
+	}
+}
 func (q *scriptedQuarantine) PossibleEnds(quarantine.Request) int { return q.ends }
 func (q *scriptedQuarantine) Lost(lost quarantine.LostRequest)    { q.lost = append(q.lost, lost) }
 func (q *scriptedQuarantine) Left(lost quarantine.LostRequest)    { q.left = append(q.left, lost) }
@@ -98,6 +106,18 @@
 	})
 }
 
+// Guards against a request that goes to a target since this instance was paused, and has not read yet that others have
+// closed it.
+func TestRequestClosedByOthersDuringPauseGoesToNoTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &scriptedFleet{guard: &scriptedQuarantine{caughtUp: []quarantine.Decision{requestClosed}}}
+		outcome, _, _ := serveRequest(t, atMostOnceRoute, f, promptRequest())
+		require.Equal(t, RequestClosed, outcome.Reason)
+		require.Equal(t, []placement.Result{placement.Cancelled}, f.results)
+		require.Empty(t, f.sent)
+	})
+}
+
 // Guards against a repeat at a further target once the part is closed, and against a status that
 // says that the request did not run.
 func TestRequestIsNotRepeatedOncePartIsClosed(t *testing.T) {
--- a/internal/coordination/routed/relay/relay.go
+++ b/internal/coordination/routed/relay/relay.go
@@ -89,6 +89,8 @@
 	Lost(quarantine.LostRequest)
 	// Left records that this instance ended an attempt at a target that was silent.
 	Left(quarantine.LostRequest)
+	// CatchUp returns once it is known what others decided while this process did not run, or ctx is done.
+	CatchUp(ctx context.Context)
 	// TrialEnded records that a trial ended without any of the others.
 	TrialEnded(request quarantine.Request, ran time.Duration)
 	// PossibleEnds returns the number of targets that ended under a request, or may turn out to have ended.
@@ -253,6 +255,7 @@
 			}
 			return
 		}
+		c.opts.Quarantine.CatchUp(ctx)
 		if c.isClosed() {
 			// The request or its parts were closed while it waited for a slot.
 			c.opts.Placer.Done(choice, placement.Cancelled)
--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -117,7 +117,8 @@
 	d.quarantine = quarantine.New(quarantine.Options{
 		Self: d.self.Name, Targets: d.targets, ReachesDomain: d.reachesDomain, Leaving: d.listed.leaving, Replaced: d.listed.replaced, Listed: d.listed.count,
 		LeavingSince: d.listed.leaves, StartOf: d.startOf, ReportOf: d.targets.Report, DataAt: d.placer.DataAt,
-		Store: d.store, Partition: external.Partition{Topic: quarantineTopic},
+		ResumedAt: func() time.Time { return d.view.ResumedAt() },
+		Store:     d.store, Partition: external.Partition{Topic: quarantineTopic},
 		Seed: xxhash.Sum64String(d.self.Name), Logger: logger,
 	})
 	d.setupView()
--- a/internal/harness/proctest/silentends_test.go
+++ b/internal/harness/proctest/silentends_test.go
@@ -117,3 +117,35 @@
 	}
 	return count
 }
+
+// Guards against an instance that was paused, goes on, and sends an item to a further target before it has read that
+// others have closed it meanwhile.
+func TestPausedInstancesSendNoClosedItem(t *testing.T) {
+	dir := t.TempDir()
+	f := startRoutedWith(t, dir, restartInstances, func(f *routedFleet) {
+		for n := range restartInstances {
+			f.superviseTarget(dir, n, crashesAt, targetRestart{back: 8 * time.Second})
+		}
+	})
+	// The trial of the item comes 18 s after its third end.
+	ctx, stop := context.WithTimeout(f.ctx, 15*time.Second)
+	defer stop()
+	paused := make(chan struct{})
+	go func() {
+		defer close(paused)
+		pauseInTurn(entryTTL+2*time.Second)(ctx, f)
+	}()
+	f.submit("job-a", jobOf(crashesPrefix+"item", "good-0"))
+	<-paused
+	f.requireFewRuns(dir, crashesPrefix+"item", toleratedEnds)
+}
+
+// requireFewRuns requires that targets began to run a request, but not more often than it may end them.
+func (f *routedFleet) requireFewRuns(dir, id string, most int) {
+	runs := runsOf(f.runsIn(dir), id)
+	for _, run := range runs {
+		f.t.Logf("%s at %s, %s", run.ID, run.Target, time.Unix(0, run.At).Format("05.000"))
+	}
+	require.NotEmpty(f.t, runs)
+	require.LessOrEqual(f.t, len(runs), most)
+}
