Clients that misbehave at each listener of both daemons: failing tests

450 connections at one listener at a time, in sixteen forms: heads in short and long lines, lines, empty lines, chunk extensions and trailers without end, silent connections, bodies held, answers unread, resets, messages of other instances without end. The process has to run on, within 64 MB (96 MB at the first daemon) and 400 descriptors, and to answer an ordinary request afterwards.

--- a/internal/harness/proctest/crowd_test.go
+++ b/internal/harness/proctest/crowd_test.go
@@ -56,6 +56,8 @@
 	instances []*routedInstance
 	// maxAttempts is what the routes allow, see the constant of this name.
 	maxAttempts int
+	// limited starts instances on small machines: with little memory, few descriptors, and a listener for metrics.
+	limited bool
 	// supervised are the targets that are processes of their own.
 	supervised []*supervisedTarget
 	// listedAt is when the entry of each target process was last renewed.
@@ -64,8 +66,8 @@
 }
 
 type routedInstance struct {
-	callers, readiness string
-	process            *harness.Process
+	callers, readiness, peers, metrics string
+	process                            *harness.Process
 	// pid is the id of the process that was started last.
 	pid atomic.Int64
 	// start starts another process with the same settings.
@@ -96,6 +98,16 @@
 	})
 }
 
+// startRoutedLimited is startRouted on small machines.
+func startRoutedLimited(t *testing.T, count int) *routedFleet {
+	return startRoutedWith(t, t.TempDir(), count, func(f *routedFleet) {
+		f.limited = true
+		for n := range count {
+			f.addTarget(n)
+		}
+	})
+}
+
 // startRoutedWith is startRouted with other targets, and with the logs of all processes in a folder.
 func startRoutedWith(t *testing.T, dir string, count int, addTargets func(f *routedFleet)) *routedFleet {
 	return startRoutedAllowing(t, dir, count, maxAttempts, addTargets)
@@ -156,7 +168,7 @@
 }
 
 func (f *routedFleet) startInstance(dir string, n int, store string, seeds *[]string) {
-	var addresses [3]string
+	var addresses [4]string
 	for i := range addresses {
 		address, err := harness.FreeAddress()
 		require.NoError(f.t, err)
@@ -166,13 +178,22 @@
 		*seeds = append(*seeds, addresses[2])
 	}
 	name := fmt.Sprintf("entry-%d", n)
-	settings := fmt.Sprintf("instance: %s\ndomain: %s\nlisten: {callers: %q, readiness: %q, peers: %q}\nseeds: [%s]\nstore: {address: %q}\nlog: {level: info}\n",
-		name, domains[n%len(domains)], addresses[0], addresses[1], addresses[2], quoted(*seeds), store)
+	metricsAddress, memory := "", ""
+	if f.limited {
+		metricsAddress, memory = fmt.Sprintf(", metrics: %q", addresses[3]), fmt.Sprintf("memory_mb: %d\n", lowMemoryMB)
+	}
+	settings := fmt.Sprintf("instance: %s\ndomain: %s\nlisten: {callers: %q, readiness: %q, peers: %q%s}\nseeds: [%s]\nstore: {address: %q}\nlog: {level: info}\n%s",
+		name, domains[n%len(domains)], addresses[0], addresses[1], addresses[2], metricsAddress, quoted(*seeds), store, memory)
+	command := []string{"env", "GOMAXPROCS=1", filepath.Join(programs, "tillerd"), "--routed", "--settings"}
+	if f.limited {
+		command = append([]string{"sh", "-c", fmt.Sprintf(`ulimit -n %d; exec "$@"`, lowDescriptors), "sh"}, command...)
+	}
 	path := filepath.Join(dir, name+".yaml")
 	require.NoError(f.t, os.WriteFile(path, []byte(settings), 0o600))
-	added := &routedInstance{callers: addresses[0], readiness: addresses[1]}
+	command = append(command, path)
+	added := &routedInstance{callers: addresses[0], readiness: addresses[1], peers: addresses[2], metrics: addresses[3]}
 	added.start = func() {
-		process, err := harness.StartProcess(dir, name, "env", "GOMAXPROCS=1", filepath.Join(programs, "tillerd"), "--routed", "--settings", path)
+		process, err := harness.StartProcess(dir, name, command[0], command[1:]...)
 		require.NoError(f.t, err)
 		f.t.Cleanup(process.Kill)
 		added.process = process
