What clients make a process hold is bounded at each listener

What callers saw: clients with heads over the limit or without end made a process run out of memory. With 450 connections an instance of 64 MB took 296 MB at the listener of callers, 309 MB at that for readiness, 369 MB for metrics and 963 MB for other instances; the first daemon 1152 MB at that of operators.

Cause: limits held for each connection, and nothing bounded all of them together. A head of 256 KB was read whatever the configuration allows, and takes several times its length once it is parsed; three listeners had no bound on connections; gob takes memory for a message before that has come; bodies were bounded only where answers are buffered.

Change: one budget of the process for incomplete heads, which closes the connection whose head has been incomplete for the longest; 431 while a head is read that the configuration does not allow; a bound on connections at each listener, at which the one that has waited for its first request for the longest goes; a budget for messages of other instances by the length that they claim; a budget for bodies where none was set.

--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -58,6 +58,7 @@
 		Ready:  d.ready,
 		Logger: d.logger,
 		Limits: edgeLimits(d.settings),
+		Input:  d.input,
 	})
 	return nil
 }
--- a/internal/daemon/cluster.go
+++ b/internal/daemon/cluster.go
@@ -12,6 +12,7 @@
 	"merlintiller/internal/coordination/journal"
 	"merlintiller/internal/coordination/member"
 	"merlintiller/internal/coordination/withdrawal"
+	"merlintiller/internal/transport/inputbudget"
 	"merlintiller/internal/transport/peer"
 )
 
@@ -35,6 +36,9 @@
 	}
 	a := &d.cluster
 	a.peerServer = peer.NewServer(listener, d.tls.Peers.Server(), d.logger)
+	limits := inputLimitsOf(s.Limits)
+	a.peerServer.BoundConnections(limits.peerConnections)
+	a.peerServer.BoundInput(inputbudget.New(limits.messages))
 	a.peerClient = peer.NewClient(d.tls.Peers.Client())
 	a.heartbeats = member.NewHeartbeats(member.Options{
 		Instance: s.Instance,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"merlintiller/internal/external"
 	"merlintiller/internal/listening"
 	"merlintiller/internal/settings"
+	"merlintiller/internal/transport/inputbudget"
 	"merlintiller/internal/transport/tlsconfig"
 )
 
@@ -31,6 +32,8 @@
 	callers   callerAPI
 	operators operatorAPI
 	keys      *access.Keys
+	// input bounds the memory that incomplete input takes at all listeners.
+	input *inputbudget.Budget
 
 	supervisor *suture.Supervisor
 }
@@ -41,7 +44,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	d := &Daemon{settings: s, logger: logger, tls: certificates}
+	d := &Daemon{settings: s, logger: logger, tls: certificates, input: inputbudget.New(inputLimitsOf(s.Limits).heads)}
 	d.adapters = newAdapters(s)
 	if err := d.setupCluster(); err != nil {
 		return nil, trace.Wrap(err)
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -106,15 +106,23 @@
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	o.server = &operatorServer{graceful.NewService(listen, func() graceful.Options {
 		return graceful.Options{
-			Name:    "operators",
-			HTTP:    &http.Server{Handler: mux, ReadHeaderTimeout: d.settings.Limits.HeaderTimeout},
-			Refusal: operatorapi.WriteLeavingRefusal,
-			Logger:  d.logger,
+			Name: "operators",
+			HTTP: &http.Server{
+				Handler: mux, ReadHeaderTimeout: d.settings.Limits.HeaderTimeout, IdleTimeout: d.settings.Limits.IdleTimeout,
+				MaxHeaderBytes: d.settings.Limits.HeaderBytes,
+			},
+			Refusal:        operatorapi.WriteLeavingRefusal,
+			MaxConnections: operatorConnections,
+			Input:          d.input,
+			Logger:         d.logger,
 		}
 	})}
 	return nil
 }
 
+// operatorConnections bounds the connections of operators and their tools, which may leave some of them open.
+const operatorConnections = 256
+
 // operatorServer is the HTTP server for operators. It implements suture.Service.
 type operatorServer struct {
 	*graceful.Service
--- a/internal/daemon/options.go
+++ b/internal/daemon/options.go
@@ -87,6 +87,17 @@
 	}
 }
 
+// inputLimits bound what connections may make the process hold before a request or a message is complete.
+type inputLimits struct {
+	// heads and messages are in bytes.
+	heads, messages int64
+	peerConnections int
+}
+
+func inputLimitsOf(l settings.Limits) inputLimits {
+	return inputLimits{heads: l.HeldHeaderBytes, messages: l.HeldMessageBytes, peerConnections: l.PeerConnections}
+}
+
 func edgeLimits(s *settings.Settings) edge.Limits {
 	return edge.Limits{
 		MaxConnections: s.Limits.Connections,
--- a/internal/daemon/options_test.go
+++ b/internal/daemon/options_test.go
@@ -19,7 +19,7 @@
 }
 
 func mappedOptions(s *settings.Settings) []any {
-	return []any{journalTimings(s.Timings), viewLimits(s.Timings), batchOptions(s), onlinePolicy(s.Calls), routingOptions(s), pollOptions(s), edgeLimits(s)}
+	return []any{journalTimings(s.Timings), viewLimits(s.Timings), batchOptions(s), onlinePolicy(s.Calls), routingOptions(s), pollOptions(s), edgeLimits(s), inputLimitsOf(s.Limits)}
 }
 
 // Guards against a setting that is documented but not passed to any component, so that an
--- a/internal/daemon/routed/daemon.go
+++ b/internal/daemon/routed/daemon.go
@@ -1,6 +1,7 @@
 package routed
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"runtime/debug"
@@ -31,6 +32,7 @@
 	"merlintiller/internal/state/roster"
 	"merlintiller/internal/state/route"
 	"merlintiller/internal/transport/front"
+	"merlintiller/internal/transport/inputbudget"
 	"merlintiller/internal/transport/peer"
 	"merlintiller/internal/transport/targetconn"
 	"merlintiller/platform"
@@ -81,6 +83,8 @@
 	loadMonitor    *front.LoadMonitor
 	// heldBytes bounds the bytes held for callers, nil if the setting is off.
 	heldBytes *answerbuffer.Budget
+	// input bounds the memory that incomplete input takes at all listeners.
+	input *inputbudget.Budget
 
 	isolation *isolationDetector
 
@@ -196,6 +200,7 @@
 		return trace.Wrap(err, "opening the listener for peers at %s", d.settings.Listen.Peers)
 	}
 	d.peerServer = peer.NewServer(listener, nil, d.logger)
+	d.peerServer.BoundInput(newInputBudget(messagesPercent, d.settings.MemoryMB))
 	d.mesh = mesh.New(mesh.Config{Self: d.self, Seeds: d.settings.Seeds, Caller: d.peerClient, Logger: d.logger})
 	d.mesh.SetDelegate(&meshDelegate{Daemon: d})
 	return nil
@@ -289,6 +294,7 @@
 }
 
 func (d *Daemon) setupFront() {
+	d.input = newInputBudget(inputPercent, d.settings.MemoryMB)
 	d.heldBytes = newHeldBytes(d.settings)
 	d.loadMonitor = front.NewLoadMonitor(front.LoadLimits{MemoryMB: d.settings.MemoryMB, SchedulingLag: d.settings.MaxSchedulingLag}, d.logger)
 	d.front = front.New(front.Options{
@@ -304,8 +310,8 @@
 			Targets: d.targets, Placer: d.brokerClient, Origins: d.origins, VersionsForNew: d.origins.VersionsForNew, Quarantine: d.quarantine, Incarnations: d.quarantine, InFlight: d.runsSent, AnswerBuffers: d.heldBytes,
 			Times: d.times, Logger: d.logger,
 		}),
-		HeldBytes: d.heldBytes,
-		Jobs:      d.jobService, JobsUnavailable: d.isolation.jobRetryAfter, Admit: d.loadMonitor.Admit, Logger: d.logger,
+		HeldBytes: cmp.Or(d.heldBytes, newHeldBodies(d.settings.MemoryMB)), Input: d.input, MaxConnections: d.loadMonitor.MaxConnections(),
+		Jobs: d.jobService, JobsUnavailable: d.isolation.jobRetryAfter, Admit: d.loadMonitor.Admit, Logger: d.logger,
 	})
 }
 
@@ -356,7 +362,7 @@
 	d.supervisor.Add(d.loadMonitor)
 	d.supervisor.Add(&readinessServer{daemon: d, listen: d.listeners.readiness})
 	if d.settings.Listen.Metrics != "" {
-		d.supervisor.Add(&metricsServer{listen: d.listeners.metrics})
+		d.supervisor.Add(&metricsServer{daemon: d, listen: d.listeners.metrics})
 	}
 }
 
--- a/internal/daemon/routed/heldbytes.go
+++ b/internal/daemon/routed/heldbytes.go
@@ -21,3 +21,12 @@
 	metrics.GetOrCreateGauge("held_bytes_bound", func() float64 { return float64(budget.Levels().Bound) })
 	return budget
 }
+
+// heldBodiesPercent is the part of the process's memory, in percent, that the bodies of requests may take where no
+// setting tells it.
+const heldBodiesPercent = 25
+
+// newHeldBodies returns a budget for the bodies of requests alone.
+func newHeldBodies(memoryMB int) *answerbuffer.Budget {
+	return answerbuffer.NewBudget(heldBodiesPercent * int64(memoryMB) * (1 << 20) / 100)
+}
--- a/internal/harness/proctest/misbehaving_test.go
+++ b/internal/harness/proctest/misbehaving_test.go
@@ -27,8 +27,8 @@
 	lowMemoryMB = 64
 	// firstDaemonMemoryMB is the same for an instance of the first daemon, whose settings do not tell it.
 	firstDaemonMemoryMB = 96
-	// lowLimits holds settings of the first daemon with few connections.
-	lowLimits = "limits: {connections: 300}\n"
+	// lowLimits holds settings of the first daemon with few connections and small messages of other instances.
+	lowLimits = "limits: {connections: 300, peer_connections: 100, held_message_bytes: 16777216}\n"
 	// largeHead is the size of a head that is over all limits.
 	largeHead = 240 << 10
 )
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -49,10 +49,16 @@
 		FileBytes: 512 << 20,
 		// Keys, ids and the usual client headers stay below 4 KB.
 		HeaderBytes: 16 << 10,
+		// Several thousand usual headers of twenty lines.
+		HeldHeaderBytes: 32 << 20,
 		// Clients and load balancers send about twenty header lines.
 		Headers: 100,
 		// At about 40 KB a connection, the maximum is 80 MB.
 		Connections: 2048,
+		// A few for each instance that has this one in its partial view.
+		PeerConnections: 512,
+		// Two of the largest messages, the state of a whole fleet.
+		HeldMessageBytes: 128 << 20,
 		// The network latency to a caller is a few milliseconds and a header
 		// fits in a few packets, so 5 s allows for several lost packets.
 		HeaderTimeout: 5 * time.Second,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -131,10 +131,18 @@
 	FileBytes int64 `yaml:"file_bytes"`
 	// HeaderBytes is the largest request header, in bytes.
 	HeaderBytes int `yaml:"header_bytes"`
+	// HeldHeaderBytes is the largest total size of the request headers in memory, with what their lines take once they
+	// are parsed, in bytes. Connections whose header is incomplete are closed beyond it.
+	HeldHeaderBytes int64 `yaml:"held_header_bytes"`
 	// Headers is the largest number of lines in a request header.
 	Headers int `yaml:"headers"`
 	// Connections is the largest number of open connections from callers.
 	Connections int `yaml:"connections"`
+	// PeerConnections is the largest number of open connections from other instances.
+	PeerConnections int `yaml:"peer_connections"`
+	// HeldMessageBytes is the largest total size of the messages of other instances that are being received, in bytes.
+	// Connections whose message is incomplete are closed beyond it.
+	HeldMessageBytes int64 `yaml:"held_message_bytes"`
 	// HeaderTimeout ends a connection that does not send a complete header within it.
 	HeaderTimeout time.Duration `yaml:"header_timeout"`
 	// BodyTimeout ends a call whose body is not complete within it.
--- a/internal/transport/edge/options.go
+++ b/internal/transport/edge/options.go
@@ -16,6 +16,7 @@
 	"merlintiller/internal/coordination/online"
 	"merlintiller/internal/defaults"
 	"merlintiller/internal/protocol"
+	"merlintiller/internal/transport/inputbudget"
 )
 
 // OnlineHandler serves online calls. *online.Handler implements it.
@@ -40,14 +41,16 @@
 	Ready  func() bool
 	Logger log.Logger
 	Limits Limits
+	// Input bounds the memory that request headers take, with those of other listeners. Nil: they are not bounded.
+	Input *inputbudget.Budget
 }
 
 // Limits protect the instance from excessive or slow requests. A zero field takes
 // its default.
 type Limits struct {
-	// MaxConnections is the maximum number of open connections. Connections
-	// beyond the limit are closed immediately. Default 10,000: at about 25 KB
-	// each, they fit into the memory of a small instance.
+	// MaxConnections is the maximum number of open connections. One beyond
+	// the limit takes the place of one without a request. Default 10,000: at
+	// about 25 KB each, they fit into the memory of a small instance.
 	MaxConnections int
 	// MaxBody is the maximum size of a request body in bytes. Default 4 MiB.
 	MaxBody int64
--- a/internal/transport/edge/server.go
+++ b/internal/transport/edge/server.go
@@ -5,7 +5,6 @@
 	"expvar"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,8 +15,7 @@
 	"merlintiller/internal/transport/graceful"
 )
 
-// counters holds the number of refusals by code and of connections closed at the
-// connection limit.
+// counters holds the number of refusals by code.
 var counters = expvar.NewMap("edge")
 
 // Edge is the callers' HTTP server. It implements suture.Service.
@@ -68,13 +66,7 @@
 	return e.server.Serve(ctx)
 }
 
-func (e *Edge) listen() (net.Listener, error) {
-	listener, err := e.opts.Listen()
-	if err != nil {
-		return nil, err
-	}
-	return limitConnections(listener, e.limits.MaxConnections), nil
-}
+func (e *Edge) listen() (net.Listener, error) { return e.opts.Listen() }
 
 func (e *Edge) serverOptions() graceful.Options {
 	return graceful.Options{
@@ -86,9 +78,11 @@
 			MaxHeaderBytes:    e.limits.MaxHeaderBytes,
 			ErrorLog:          errorLog(e.opts.Logger),
 		},
-		Refusal:     writeDrainingRefusal,
-		IdleRefusal: writeIdleRefusal,
-		Logger:      e.opts.Logger,
+		Refusal:        writeDrainingRefusal,
+		IdleRefusal:    writeIdleRefusal,
+		MaxConnections: e.limits.MaxConnections,
+		Input:          e.opts.Input,
+		Logger:         e.opts.Logger,
 	}
 }
 
@@ -114,62 +108,3 @@
 
 // InFlight returns the number of requests in flight.
 func (e *Edge) InFlight() int64 { return e.inFlight.Load() }
-
-// limitConnections returns a listener that immediately closes connections beyond
-// maxOpen.
-//
-// Without the limit, a flood of idle connections exhausts memory and file
-// descriptors until the instance can't connect to its targets, and the requests of
-// well-behaved callers fail.
-func limitConnections(listener net.Listener, maxOpen int) net.Listener {
-	return &limitedListener{Listener: listener, slots: make(chan struct{}, maxOpen)}
-}
-
-type limitedListener struct {
-	net.Listener
-	slots chan struct{}
-}
-
-// Unwrap returns the listener that l limits.
-func (l *limitedListener) Unwrap() net.Listener { return l.Listener }
-
-// Accept implements net.Listener.
-func (l *limitedListener) Accept() (net.Conn, error) {
-	for {
-		conn, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		select {
-		case l.slots <- struct{}{}:
-			return &limitedConn{Conn: conn, release: func() { <-l.slots }}, nil
-		default:
-			counters.Add("connections_shed", 1)
-			_ = conn.Close()
-		}
-	}
-}
-
-type limitedConn struct {
-	net.Conn
-	once    sync.Once
-	release func()
-}
-
-// Close implements net.Conn.
-func (c *limitedConn) Close() error {
-	err := c.Conn.Close()
-	c.once.Do(c.release)
-	return err
-}
-
-// NetConn returns the connection that is limited.
-func (c *limitedConn) NetConn() net.Conn { return c.Conn }
-
-// CloseWrite closes the sending side of the connection.
-func (c *limitedConn) CloseWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
-	}
-	return nil
-}
--- a/internal/transport/front/overload.go
+++ b/internal/transport/front/overload.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"merlintiller/internal/descriptors"
 	"merlintiller/internal/wait"
 )
 
@@ -89,7 +89,7 @@
 // NewLoadMonitor returns a monitor that refuses nothing yet.
 func NewLoadMonitor(limits LoadLimits, logger log.Logger) *LoadMonitor {
 	m := &LoadMonitor{
-		logger: logger, maxConnections: maxConnections(limits.MemoryMB, descriptorLimit()), maxLag: limits.SchedulingLag, latency: newLatencyReader(),
+		logger: logger, maxConnections: maxConnections(limits.MemoryMB, descriptors.Limit()), maxLag: limits.SchedulingLag, latency: newLatencyReader(),
 	}
 	metrics.GetOrCreateGauge("scheduling_lag_seconds", func() float64 {
 		m.mu.Lock()
@@ -100,22 +100,16 @@
 }
 
 // maxConnections returns the bound on open connections of callers; 0 is no bound.
-func maxConnections(memoryMB int, descriptors uint64) int {
-	most := int(connectionShare * float64(min(descriptors, 1<<30)))
+func maxConnections(memoryMB, descriptors int) int {
+	most := int(connectionShare * float64(descriptors))
 	if memoryMB > 0 {
 		most = min(most, memoryMB*connectionsPerMB)
 	}
 	return most
 }
 
-// descriptorLimit returns the number of file descriptors that this process may open.
-func descriptorLimit() uint64 {
-	var limit syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
-		return 1 << 10
-	}
-	return limit.Cur
-}
+// MaxConnections returns the bound on open connections of callers; 0 is no bound.
+func (m *LoadMonitor) MaxConnections() int { return m.maxConnections }
 
 // String returns the name of the background service.
 func (m *LoadMonitor) String() string { return "load-monitor" }
--- a/internal/transport/front/server.go
+++ b/internal/transport/front/server.go
@@ -18,6 +18,7 @@
 	"merlintiller/internal/state/jobs"
 	"merlintiller/internal/state/route"
 	"merlintiller/internal/transport/graceful"
+	"merlintiller/internal/transport/inputbudget"
 )
 
 const (
@@ -92,6 +93,10 @@
 	JobsUnavailable func() (retryAfter time.Duration, unavailable bool)
 	// Admit reports whether a new connection is accepted while others are open.
 	Admit func(others Connections) bool
+	// MaxConnections bounds the open connections, 0 if they are not bounded. Input, if set, bounds the memory that request
+	// heads take.
+	MaxConnections int
+	Input          *inputbudget.Budget
 	// HeldBytes counts request bodies and bounds them. If it is nil, only the size of each body
 	// is limited.
 	HeldBytes *answerbuffer.Budget
@@ -144,8 +149,13 @@
 		Refusal:     f.writeUnreadRefusal,
 		IdleRefusal: f.writeUnreadRefusal,
 		Admit:       f.admit,
-		Interrupt:   func() { f.interrupt(relay.ErrInterrupted) },
-		Logger:      f.opts.Logger,
+
+		MaxConnections: f.opts.MaxConnections,
+		MaxHead:        f.maxHead,
+		Input:          f.opts.Input,
+
+		Interrupt: func() { f.interrupt(relay.ErrInterrupted) },
+		Logger:    f.opts.Logger,
 	}
 }
 
@@ -165,6 +175,14 @@
 	f.serve(c)
 }
 
+// maxHead returns the largest size of a request header that is read.
+func (f *Front) maxHead() int {
+	if limit := f.opts.Table().Limits().HeaderBytes; limit > 0 {
+		return int(min(limit+headerSlack, maxHeaderBytes))
+	}
+	return maxHeaderBytes
+}
+
 // admit reports whether a new connection is accepted. unread is the number of open ones on which no
 // request has begun.
 func (f *Front) admit(open, unread int) bool {
--- a/internal/transport/graceful/conn.go
+++ b/internal/transport/graceful/conn.go
@@ -1,6 +1,7 @@
 package graceful
 
 import (
+	"container/list"
 	"context"
 	"errors"
 	"net"
@@ -8,6 +9,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"merlintiller/internal/transport/inputbudget"
 )
 
 const (
@@ -22,6 +25,8 @@
 	// closes it. The close of a connection with unread bytes would reset it, and the caller
 	// might lose the refusal.
 	lingerTimeout = 500 * time.Millisecond
+	// readAhead is the number of bytes behind a head that the server of net/http may read with it.
+	readAhead = 4 << 10
 )
 
 type connState int
@@ -43,15 +48,23 @@
 	// refusal and idleRefusal are the encoded responses for a request that is not read
 	// because of a shutdown and because its connection was idle for too long.
 	refusal, idleRefusal []byte
+	// tooLarge is the encoded response for a head that is larger than maxHead returns.
+	tooLarge []byte
+	maxHead  func() int
+	// head is what the head of the current request takes.
+	head *inputbudget.Charge
 	// since is when the connection was accepted.
 	since time.Time
+	// silent is the place among the connections on which no request has begun. The lock of the connSet guards it.
+	silent *list.Element
 	// begun reports whether a request has begun. The lock of the connSet guards it.
 	begun bool
 
 	mu    sync.Mutex
 	state connState
-	// received reports whether bytes of the next request have arrived.
-	received bool
+	// received reports whether bytes of the next request have arrived, headBytes how many of its head.
+	received  bool
+	headBytes int
 	// expired reports whether the connection was refused because it was idle.
 	expired bool
 }
@@ -68,7 +81,7 @@
 func (c *conn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
-		if n > 0 && c.receive() {
+		if n > 0 && c.receive(p[:n]) {
 			return n, err
 		}
 		if err != nil && c.refuseIdle(err) {
@@ -83,15 +96,55 @@
 	}
 }
 
-// receive records that bytes have arrived. It returns false if they must be dropped.
-func (c *conn) receive() bool {
+// receive records bytes that have arrived. It returns false if they must be dropped.
+func (c *conn) receive(p []byte) bool {
+	switch c.addToHead(p) {
+	case headDropped:
+		return false
+	case headLarger:
+		headsLarge.Add(1)
+		c.send(c.tooLarge)
+		return false
+	case headPart:
+		if !c.head.Add(inputbudget.HeadCost(p)) {
+			_ = c.Conn.Close()
+			return false
+		}
+	}
+	return true
+}
+
+// headResult says what becomes of bytes that have arrived.
+type headResult int
+
+const (
+	// headComplete: the handler runs, so that they belong to the body, or to a further request.
+	headComplete headResult = iota
+	// headPart: they belong to the head of the next request.
+	headPart
+	// headLarger: the head is larger than it may be.
+	headLarger
+	// headDropped: the connection was refused before.
+	headDropped
+)
+
+// addToHead adds bytes that have arrived to the head of the next request.
+func (c *conn) addToHead(p []byte) headResult {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.state == connRefused {
-		return false
+		return headDropped
 	}
 	c.received = true
-	return true
+	if c.state == connActive {
+		return headComplete
+	}
+	c.headBytes += len(p)
+	if c.maxHead != nil && c.headBytes > c.maxHead()+readAhead {
+		c.state = connRefused
+		return headLarger
+	}
+	return headPart
 }
 
 // Write implements net.Conn.
@@ -153,7 +206,8 @@
 	if c.state == connRefused {
 		return false
 	}
-	c.state = connActive
+	c.state, c.headBytes = connActive, 0
+	c.head.Complete()
 	return true
 }
 
@@ -164,6 +218,7 @@
 	if c.state == connActive {
 		c.state = connIdle
 		c.received = false
+		c.head.Release()
 	}
 }
 
--- a/internal/transport/graceful/connset.go
+++ b/internal/transport/graceful/connset.go
@@ -1,6 +1,9 @@
 package graceful
 
-import "sync"
+import (
+	"container/list"
+	"sync"
+)
 
 // connSet holds the open connections of a server.
 type connSet struct {
@@ -8,6 +11,8 @@
 	open map[*conn]struct{}
 	// unread is the number of open connections on which no request has begun.
 	unread int
+	// silent are the connections on which no request has begun, the oldest first.
+	silent list.List
 	// refused is the number of connections that a shutdown closed after a refusal.
 	refused int
 }
@@ -17,6 +22,27 @@
 	defer s.mu.Unlock()
 	s.open[c] = struct{}{}
 	s.unread++
+	c.silent = s.silent.PushBack(c)
+}
+
+// makeRoom evicts the connection that has waited for its first request for the longest, if as many are open as may be:
+// callers send it at once. It returns false if there is none.
+func (s *connSet) makeRoom(maxOpen int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.open) < maxOpen {
+		return true
+	}
+	longest := s.silent.Front()
+	if longest == nil {
+		return false
+	}
+	c := longest.Value.(*conn)
+	s.noLongerUnread(c)
+	delete(s.open, c)
+	evicted.Add(1)
+	_ = c.Conn.Close()
+	return true
 }
 
 // beginsRequest records that the first request of a connection begins.
@@ -30,6 +56,7 @@
 func (s *connSet) noLongerUnread(c *conn) {
 	if !c.begun {
 		c.begun = true
+		s.silent.Remove(c.silent)
 		s.unread--
 	}
 }
@@ -41,6 +68,7 @@
 		s.noLongerUnread(c)
 	}
 	delete(s.open, c)
+	c.head.Release()
 	if c.isRefused() && !c.expired {
 		s.refused++
 	}
--- a/internal/transport/graceful/server.go
+++ b/internal/transport/graceful/server.go
@@ -21,6 +21,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/gravitational/trace"
 
+	"merlintiller/internal/transport/inputbudget"
 	"merlintiller/internal/wait"
 )
 
@@ -28,6 +29,8 @@
 	refusedIdle = expvar.NewInt("shutdown.refused_idle")
 	interrupted = expvar.NewInt("shutdown.interrupted")
 	expiredIdle = expvar.NewInt("connections.expired_idle")
+	evicted     = expvar.NewInt("connections.evicted")
+	headsLarge  = expvar.NewInt("connections.closed_head_too_large")
 )
 
 const (
@@ -54,6 +57,13 @@
 	// open, and no request has begun yet on some of these. One that is not is closed before
 	// anything is read from it.
 	Admit func(open, unread int) bool
+	// MaxConnections bounds the open connections, 0 if they are not bounded. A new one beyond it takes the place of one
+	// on which no request has begun, or is closed.
+	MaxConnections int
+	// MaxHead, if set, returns the largest size of the head of a request. Larger ones are refused while they are read.
+	MaxHead func() int
+	// Input, if set, bounds the memory that the heads of requests take, with other input.
+	Input *inputbudget.Budget
 	// Interrupt, if set, makes the handlers of the requests in flight respond at once.
 	Interrupt func()
 	Logger    log.Logger
@@ -63,6 +73,7 @@
 type Server struct {
 	opts                 Options
 	refusal, idleRefusal []byte
+	tooLarge             []byte
 	conns                connSet
 	// stopping is true from the start of Shutdown.
 	stopping atomic.Bool
@@ -82,6 +93,7 @@
 	if opts.IdleRefusal != nil {
 		s.idleRefusal = encodeResponse(opts.IdleRefusal)
 	}
+	s.tooLarge = encodeResponse(func(w http.ResponseWriter) { w.WriteHeader(http.StatusRequestHeaderFieldsTooLarge) })
 	s.conns.open = map[*conn]struct{}{}
 	next := opts.HTTP.Handler
 	opts.HTTP.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -229,7 +241,12 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: accepted, refusal: l.server.refusal, idleRefusal: l.server.idleRefusal, since: time.Now()}
+	opts := &l.server.opts
+	c := &conn{
+		Conn: accepted, refusal: l.server.refusal, idleRefusal: l.server.idleRefusal, tooLarge: l.server.tooLarge,
+		maxHead: opts.MaxHead, since: time.Now(),
+	}
+	c.head = opts.Input.NewCharge(func() { _ = accepted.Close() })
 	l.server.conns.add(c)
 	return c, nil
 }
@@ -238,10 +255,17 @@
 func (l *trackingListener) acceptAdmitted() (net.Conn, error) {
 	for {
 		accepted, err := l.Listener.Accept()
-		admit := l.server.opts.Admit
-		if err != nil || admit == nil || admit(l.server.conns.counts()) {
+		if err != nil || l.server.admits() {
 			return accepted, err
 		}
 		_ = accepted.Close()
 	}
 }
+
+// admits reports whether a new connection is accepted, and makes room for it.
+func (s *Server) admits() bool {
+	if s.opts.MaxConnections > 0 && !s.conns.makeRoom(s.opts.MaxConnections) {
+		return false
+	}
+	return s.opts.Admit == nil || s.opts.Admit(s.conns.counts())
+}
--- a/internal/transport/peer/bounded.go
+++ b/internal/transport/peer/bounded.go
@@ -6,6 +6,8 @@
 	"net"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"merlintiller/internal/transport/inputbudget"
 )
 
 // maxMessage bounds one gob message in bytes. The largest ones carry a batch of items or the whole state of
@@ -17,6 +19,9 @@
 // errMessageTooLarge reports a message of more than maxMessage bytes.
 var errMessageTooLarge = errors.New("message from another instance is too large")
 
+// errNoRoom reports that the messages of all connections together take more memory than they may.
+var errNoRoom = errors.New("no room for a message from another instance")
+
 // boundedConn fails on a gob message that is too large. The address of an instance that is gone may belong
 // to another program, and gob itself accepts messages of gigabytes.
 type boundedConn struct {
@@ -27,6 +32,10 @@
 	// was read of it.
 	lengthLeft int
 	length     uint64
+	// input is what the current message takes, nil if that is not counted.
+	input *inputbudget.Charge
+	// onMessage, if set, is called when a message is complete.
+	onMessage func()
 	// onTooLarge, if set, is called with the reason for which a message is rejected.
 	onTooLarge func(error)
 }
@@ -41,6 +50,12 @@
 		}
 		return 0, tooLarge
 	}
+	if n > 0 && c.left == 0 && c.lengthLeft == 0 {
+		c.input.Release()
+		if c.onMessage != nil {
+			c.onMessage()
+		}
+	}
 	return n, err
 }
 
@@ -76,6 +91,10 @@
 		if c.length > maxMessage {
 			return fmt.Errorf("%w: %d bytes, %d are allowed", errMessageTooLarge, c.length, maxMessage)
 		}
+		// gob takes memory for the whole message, or megabytes of it, before that has come.
+		if !c.input.Add(int64(c.length)) {
+			return fmt.Errorf("%w: %d bytes beside those of others", errNoRoom, c.length)
+		}
 		c.left = c.length
 	}
 	return nil
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -5,6 +5,7 @@
 package peer
 
 import (
+	"container/list"
 	"context"
 	"crypto/tls"
 	"expvar"
@@ -18,6 +19,8 @@
 	"github.com/gravitational/trace"
 
 	"merlintiller/internal/closing"
+	"merlintiller/internal/descriptors"
+	"merlintiller/internal/transport/inputbudget"
 )
 
 var (
@@ -26,9 +29,13 @@
 	rejected     = expvar.NewInt("peer.refused")
 )
 
-// maxConnections bounds the connections accepted from other instances: a few
-// receivers for each instance that has this one in its partial view.
-const maxConnections = 512
+const (
+	// maxConnections bounds the connections accepted from other instances: a few
+	// receivers for each instance that has this one in its partial view.
+	maxConnections = 512
+	// connectionShare bounds them by the file descriptors: callers and targets need most of these.
+	connectionShare = 0.2
+)
 
 // Server serves receivers to other instances. It is a suture service.
 type Server struct {
@@ -36,10 +43,17 @@
 	tls      *tls.Config
 	rpc      *rpc.Server
 	logger   log.Logger
+	// input bounds the memory that messages take while they are received, nil if it is not bounded.
+	input *inputbudget.Budget
 
 	mu     sync.Mutex
 	closed bool
-	conns  map[net.Conn]struct{}
+	// conns are the open connections, with their places among the silent ones, nil for those on which a message has come.
+	conns map[net.Conn]*list.Element
+	// maxOpen bounds the connections. silent are those on which no message has come yet, the oldest first: a new one takes
+	// the place of the first of them.
+	maxOpen int
+	silent  *list.List
 }
 
 // NewServer returns a server that accepts connections on listener and closes it when
@@ -51,7 +65,19 @@
 		tls:      tlsConfig,
 		rpc:      rpc.NewServer(),
 		logger:   logger,
-		conns:    map[net.Conn]struct{}{},
+		conns:    map[net.Conn]*list.Element{},
+		maxOpen:  min(maxConnections, int(connectionShare*float64(descriptors.Limit()))),
+		silent:   list.New(),
+	}
+}
+
+// BoundInput bounds the memory that messages take while they are received, with other input. It is called before Serve.
+func (s *Server) BoundInput(b *inputbudget.Budget) { s.input = b }
+
+// BoundConnections lowers the bound on connections, unless most is 0. It is called before Serve.
+func (s *Server) BoundConnections(most int) {
+	if most > 0 {
+		s.maxOpen = min(s.maxOpen, most)
 	}
 }
 
@@ -84,19 +110,43 @@
 	}
 }
 
+// add adds a connection. It returns false if there is no room for it.
 func (s *Server) add(conn net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || len(s.conns) >= maxConnections {
+	if first := s.silent.Front(); len(s.conns) >= s.maxOpen && first != nil {
+		oldest := first.Value.(net.Conn)
+		s.drop(oldest)
+		rejected.Add(1)
+	}
+	if s.closed || len(s.conns) >= s.maxOpen {
 		return false
 	}
-	s.conns[conn] = struct{}{}
+	s.conns[conn] = s.silent.PushBack(conn)
 	return true
 }
 
+// speaks records that a message of a connection has come.
+func (s *Server) speaks(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if silent := s.conns[conn]; silent != nil {
+		s.silent.Remove(silent)
+		s.conns[conn] = nil
+	}
+}
+
 func (s *Server) remove(conn net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.drop(conn)
+}
+
+// drop closes a connection. The caller holds mu.
+func (s *Server) drop(conn net.Conn) {
+	if silent := s.conns[conn]; silent != nil {
+		s.silent.Remove(silent)
+	}
 	delete(s.conns, conn)
 	_ = conn.Close()
 }
@@ -126,7 +176,10 @@
 		}
 		stream = secured
 	}
-	s.rpc.ServeConn(&boundedConn{Conn: stream, onTooLarge: func(err error) {
+	input := s.input.NewCharge(func() { _ = conn.Close() })
+	defer input.Release()
+	onMessage := sync.OnceFunc(func() { s.speaks(conn) })
+	s.rpc.ServeConn(&boundedConn{Conn: stream, input: input, onMessage: onMessage, onTooLarge: func(err error) {
 		_ = level.Warn(s.logger).Log("event", "peer_message_too_large", "remote", conn.RemoteAddr(), "err", err)
 	}})
 }
