A request before the first configuration is answered, and not cut off

What callers saw: since the bound on heads while they are read, an instance without a configuration closed each connection. Cause: the bound was asked of the configuration in force, which is missing then.

--- a/internal/transport/front/server.go
+++ b/internal/transport/front/server.go
@@ -177,10 +177,11 @@
 
 // maxHead returns the largest size of a request header that is read.
 func (f *Front) maxHead() int {
-	if limit := f.opts.Table().Limits().HeaderBytes; limit > 0 {
-		return int(min(limit+headerSlack, maxHeaderBytes))
+	table := f.opts.Table()
+	if table == nil || table.Limits().HeaderBytes == 0 {
+		return maxHeaderBytes
 	}
-	return maxHeaderBytes
+	return int(min(table.Limits().HeaderBytes+headerSlack, maxHeaderBytes))
 }
 
 // admit reports whether a new connection is accepted. unread is the number of open ones on which no
