--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -17,7 +17,7 @@
 		fmt.Println("usage: review2 CASE REPOSITORY RECORD")
 		os.Exit(couldNot)
 	}
-	play, ok := map[string]func(*lab, bool){"bytes": playBytes, "heads": playHeads, "sameid": playSameID, "unread": playUnread, "path": playPath, "full": playFull, "many": playMany}[os.Args[1]]
+	play, ok := map[string]func(*lab, bool){"bytes": playBytes, "heads": playHeads, "sameid": playSameID, "unread": playUnread, "path": playPath, "full": playFull, "many": playMany, "tenant": playTenant}[os.Args[1]]
 	if !ok {
 		fmt.Println("unknown case")
 		os.Exit(couldNot)
--- a/review/_stand2/runner.go
+++ b/review/_stand2/runner.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -34,6 +35,8 @@
 	events int
 	gap    time.Duration
 	text   func(id string, n int) []byte
+	// breaksOn is a part of prompts under which an answer is broken off after its first event.
+	breaksOn string
 
 	mu      sync.Mutex
 	running map[string]int
@@ -188,6 +191,9 @@
 			return
 		}
 		w.(http.Flusher).Flush()
+		if r.breaksOn != "" && strings.Contains(request.Header.Get("Prompt-Prefix"), r.breaksOn) {
+			panic(http.ErrAbortHandler)
+		}
 		r.mu.Lock()
 		r.running[id] = n + 1
 		r.mu.Unlock()
