review: cases 6 and 7 with more connections, plays side by side apart

Five plays at the same time shared cores and one network: cases 6 and 7 held then (one machine had three ends), and one play did not become ready. Each play now has cores and a network of its own, and the two cases play more connections.

--- a/review/_stand2/heads.go
+++ b/review/_stand2/heads.go
@@ -100,10 +100,10 @@
 	return sent, served
 }
 
-// playHeads: a client that nobody controls submits batch jobs over three connections, one after the other on each. The
+// playHeads: a client that nobody controls submits batch jobs over six connections, one after the other on each. The
 // items have many headers. Each body, and the head of each item, is within the limits of the configuration.
 func playHeads(l *lab, trouble bool) {
-	const jobs, connections, headers = 48, 3, 1400
+	const jobs, connections, headers = 90, 6, 1400
 	l.setUp(func(r *runner) { r.events, r.gap = 5, 5*time.Millisecond })
 	time.Sleep(settleTime)
 	p := l.supervise()
--- a/review/_stand2/lab.go
+++ b/review/_stand2/lab.go
@@ -97,16 +97,46 @@
 	l.storeAddr = listener.Addr().String()
 	l.store.SetReadBytesPerSecond(readBytesPerSec)
 	go func() { _ = http.Serve(listener, l.limits) }()
+	nextCore.Store(int32(os.Getpid()))
+	net := freeNet(zones, machinesPerZone)
 	for z := range zones {
 		for n := range machinesPerZone {
-			l.machines = append(l.machines, &machine{
-				name: fmt.Sprintf("edge-z%d-%d", z, n), zone: fmt.Sprintf("z%d", z), ip: fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%200, z, 1+n),
-			})
+			l.machines = append(l.machines, &machine{name: fmt.Sprintf("edge-z%d-%d", z, n), zone: fmt.Sprintf("z%d", z), ip: machineIP(net, z, n)})
 		}
 	}
 	return l, nil
 }
 
+// machineIP returns the address of a machine in one of the networks 127.X.0.0.
+func machineIP(net, zone, number int) string { return fmt.Sprintf("127.%d.%d.%d", net, zone, 1+number) }
+
+// metricsPort is the port of the metrics in deploy/settings.yaml.
+const metricsPort = "9464"
+
+// freeNet returns the X of a network 127.X.0.0 in which the port of the metrics is free at all machines. Several plays may run
+// at the same time.
+func freeNet(zones, machinesPerZone int) int {
+	const first, count = 20, 200
+	for try := range count {
+		x := first + (os.Getpid()+try)%count
+		free := true
+		for z := range zones {
+			for n := range machinesPerZone {
+				listener, err := net.Listen("tcp", machineIP(x, z, n)+":"+metricsPort)
+				if err != nil {
+					free = false
+					continue
+				}
+				_ = listener.Close()
+			}
+		}
+		if free {
+			return x
+		}
+	}
+	return first
+}
+
 // freePort returns an address of an ip that nothing listens on.
 func freePort(ip string) (string, error) {
 	listener, err := net.Listen("tcp", ip+":0")
@@ -199,7 +229,7 @@
 		}
 	}
 	for _, m := range l.machines {
-		if err := l.awaitReady(m, 15*time.Second); err != nil {
+		if err := l.awaitReady(m, 30*time.Second); err != nil {
 			return err
 		}
 	}
@@ -243,7 +273,7 @@
 			cores = append(cores, n)
 		}
 	}
-	core := cores[int(nextCore.Add(1))%len(cores)]
+	core := cores[int(uint32(nextCore.Add(1)))%len(cores)]
 	one[core/8] = 1 << (core % 8)
 	if _, _, errno := syscall.RawSyscall(syscall.SYS_SCHED_SETAFFINITY, 0, unsafe.Sizeof(one), uintptr(unsafe.Pointer(&one))); errno != 0 {
 		return errno
--- a/review/_stand2/unread.go
+++ b/review/_stand2/unread.go
@@ -12,7 +12,7 @@
 // playUnread: a client asks for the results of its job on many connections, several times on each, and does not read
 // the answers.
 func playUnread(l *lab, trouble bool) {
-	const waves, connections, requests, items = 4, 1600, 8, 20
+	const waves, connections, requests, items = 6, 2400, 8, 20
 	l.setUp(func(r *runner) {
 		r.events, r.gap = 200, 2*time.Millisecond
 		r.text = func(string, int) []byte { return []byte(strings.Repeat("word ", 60)) }
@@ -50,7 +50,7 @@
 		}
 		var open []net.Conn
 		for n := range connections {
-			m := l.machines[n%2]
+			m := l.machines[n%len(l.machines)]
 			c, err := dialSmall(m.front)
 			if err != nil {
 				continue
