An answer with a status below 100 is malformed

What callers saw: a target answered with status 000. In `tillerd` the status went to the server of net/http, which panics on it, so that the caller's connection was closed; orders and cancels counted as carried out; a connection without a body was used again.

Cause: http.ReadResponse and http.Transport accept any three digits as a status, and a sign with two. Nothing between them and the readers of answers looked at it.

Change: one check, `internal/transport/httpresponse`, used by all HTTP clients: targetconn where it reads a head, and targethttp, platformhttp, the client of the store and tillerctl through a RoundTripper. The attempt has failed and may have run, the connection is closed. A report with such a status is still the answer of a process, for the check of a new connection and for that of an ended target. `target_answers_malformed_total`, `target.NAME.malformed`, and the error in the line of the attempt.

Odd but sound answers pass before and after.

--- a/internal/ctl/connect.go
+++ b/internal/ctl/connect.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"os"
 	"strings"
+
+	"merlintiller/internal/transport/httpresponse"
 )
 
 // baseURLsOf returns the address of each instance with its scheme: http for --plaintext
@@ -27,7 +29,7 @@
 	return urls, nil
 }
 
-func newTransport(options Options) (*http.Transport, error) {
+func newTransport(options Options) (http.RoundTripper, error) {
 	config := &tls.Config{MinVersion: tls.VersionTLS13}
 	if options.CA != "" {
 		pem, err := os.ReadFile(options.CA)
@@ -46,7 +48,7 @@
 		}
 		config.Certificates = []tls.Certificate{pair}
 	}
-	return &http.Transport{TLSClientConfig: config}, nil
+	return httpresponse.Transport{Transport: &http.Transport{TLSClientConfig: config}}, nil
 }
 
 // joinLines joins lines of text, such as those of a long help text.
--- /dev/null
+++ b/internal/daemon/routed/brokenanswers_test.go
@@ -0,0 +1,218 @@
+package routed
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/external"
+	"merlintiller/internal/standin/rawserver"
+)
+
+// socketNetwork is an in-memory network from which targets on the loopback interface are reached over real sockets.
+type socketNetwork struct {
+	external.Network
+}
+
+// Dial implements external.Network.
+func (n socketNetwork) Dial(ctx context.Context, address string) (net.Conn, error) {
+	if strings.HasPrefix(address, "127.") {
+		return external.OSNetwork{Timeout: time.Second}.Dial(ctx, address)
+	}
+	return n.Network.Dial(ctx, address)
+}
+
+const (
+	socketTargets = 2
+	// soundName is the last part of the path of requests with a sound answer.
+	soundName = "sound"
+	// resumed and repeated are parts of the path: only the second run of the stream, or the first run of the item, gets the
+	// answer that the path names.
+	resumed  = "resumed"
+	repeated = "repeated"
+)
+
+// newSocketFleet starts an instance before targets that answer over real sockets as the paths of requests say.
+func newSocketFleet(t *testing.T) *testFleet {
+	fleet := newTestFleet(t, fleetSize{
+		domains: 1, instances: 1,
+		network: func(host external.Network) external.Network { return socketNetwork{host} },
+	})
+	fleet.configure(func(config map[string]any) {
+		plainRoute := func(name, kind string, attempts int) map[string]any {
+			return map[string]any{
+				"name": name, "host": host, "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": 5000,
+				"target_latency_ms": 300, "priority": 0, "service": "svc", "max_attempts": attempts,
+			}
+		}
+		config["routes"] = append(config["routes"].([]any), plainRoute("plain", "idempotent", 2), plainRoute("single", "non_idempotent", 1))
+	})
+	ran := &ranItems{ids: map[string]bool{}}
+	for n := range socketTargets {
+		target := &socketTarget{id: fmt.Sprintf("t-%d", n), started: time.Now().UnixMilli(), ran: ran}
+		target.start(t, fleet)
+	}
+	sleep(4 * time.Second)
+	return fleet
+}
+
+// socketTarget is a target that answers over real sockets as the paths of requests say.
+type socketTarget struct {
+	id      string
+	started int64
+	// ran are the items that have run at any target.
+	ran *ranItems
+}
+
+// start starts the target and lists it.
+func (s *socketTarget) start(t *testing.T, fleet *testFleet) {
+	server, err := rawserver.Start(s.answer)
+	require.NoError(t, err)
+	t.Cleanup(server.Close)
+	register := func() {
+		data, _ := json.Marshal(map[string]any{
+			"service": "svc", "address": server.Address(), "zone": "d0", "version": "v1", "slots": 8, "state": "ready",
+			"cold_left_ms": 0, "born": s.started, "seq": time.Now().UnixMilli(),
+		})
+		fleet.store.Put("keyed.servers", s.id, data)
+	}
+	register()
+	fleet.background.Go(func() {
+		ticker := time.NewTicker(time.Second)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				register()
+			case <-fleet.ctx.Done():
+				return
+			}
+		}
+	})
+}
+
+// sendReport sends the target's report.
+func (s *socketTarget) sendReport(conn *net.TCPConn) {
+	report := fmt.Sprintf(`{"running":0,"waiting":0,"slots":8,"runs":[],"born":%d}`, s.started)
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(report), report)
+}
+
+// answer sends the answer that the last part of the path names, "/ROUTE/NAME", or the target's report.
+func (s *socketTarget) answer(conn *net.TCPConn, request *http.Request) (keep bool) {
+	parts := strings.Split(request.URL.Path, "/")
+	if len(parts) < 3 {
+		s.sendReport(conn)
+		return true
+	}
+	name, id := parts[len(parts)-1], request.Header.Get("Request-Id")
+	echo := "Request-Id: " + id + "\r\nResponse-Seal: seal-of-" + id + "\r\n"
+	switch {
+	case parts[2] == resumed && request.Header.Get("Last-Event-Id") == "":
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+echo+"Transfer-Encoding: chunked\r\n\r\n16\r\nid: 0\ndata: part-0\n\n\r\n")
+		return false
+	case parts[2] == repeated && s.ran.add(id), name == soundName && (parts[1] == "again" || parts[1] == "once"):
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+echo+"Transfer-Encoding: chunked\r\n\r\n"+eventsAfter(-1, true))
+		return true
+	case name == soundName:
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", echo, len(rawserver.Body), rawserver.Body)
+		return true
+	}
+	_, _ = io.WriteString(conn, malformedAnswers(echo)[strings.ReplaceAll(name, "_", " ")])
+	return true
+}
+
+// malformedAnswers are answers that are no valid HTTP, by name. The body is an event, so that it would count as the whole
+// output of a stream or an item.
+func malformedAnswers(echo string) map[string]string {
+	const event = "id: 0\ndata: part-0\n\n"
+	return rawserver.InvalidStatuses(echo, event)
+}
+
+// sendForAnswer sends a request for an answer with a name, on a route of some kind.
+func (fleet *testFleet) sendForAnswer(route, name, id string, upload int) callerResponse {
+	return fleet.instances[0].send(callerRequest{
+		id: id, path: "/" + route + "/" + strings.ReplaceAll(name, " ", "_"), key: keyOne, body: strings.Repeat("x", upload),
+	})
+}
+
+// Guards against a broken answer of a target that reaches a caller as an answer, or as a promise that the request did not
+// run: it is a failed attempt, and 502 after the last one. The log says what was wrong, and no target counts as crashed.
+func TestMalformedAnswerDoesNotReachTheCaller(t *testing.T) {
+	t.Parallel()
+	fleet := newSocketFleet(t)
+	for _, route := range []string{"plain", "single", "again", "once"} {
+		for name := range malformedAnswers("") {
+			t.Run(route+"/"+name, func(t *testing.T) {
+				id := route + "-" + strings.ReplaceAll(name, " ", "-")
+				// Targets that lose two answers in a row are avoided for some time.
+				for n := range socketTargets {
+					sound := fleet.sendForAnswer(route, soundName, fmt.Sprintf("sound-%d-%s", n, id), 1)
+					require.Equal(t, http.StatusOK, sound.status)
+				}
+				got := fleet.sendForAnswer(route, name, id, 1)
+				require.NoError(t, got.err)
+				require.Equal(t, http.StatusBadGateway, got.status, "%+v", got)
+				require.Empty(t, got.body)
+				require.Less(t, got.took, 2*time.Second)
+				logs := fleet.instances[0].logs.String()
+				require.Contains(t, logs, "event=attempt_failed request="+id+" ")
+				require.Contains(t, logs, "ended=malformed")
+			})
+		}
+	}
+	require.NotContains(t, fleet.instances[0].logs.String(), "crashed=true")
+}
+
+// Guards against a stream that goes on with a broken answer, or is complete with it.
+func TestMalformedAnswerDoesNotContinueAStream(t *testing.T) {
+	t.Parallel()
+	fleet := newSocketFleet(t)
+	for name := range malformedAnswers("") {
+		t.Run(name, func(t *testing.T) {
+			got := fleet.sendForAnswer("again/"+resumed, name, "resumed-"+strings.ReplaceAll(name, " ", "-"), 1)
+			require.Error(t, got.err, "the stream is not complete: %+v", got)
+			require.Equal(t, "id: 0\ndata: part-0\n\n", got.body)
+			require.Less(t, got.took, 2*time.Second)
+			sleep(500 * time.Millisecond)
+		})
+	}
+}
+
+// Guards against an item whose result is that of a broken answer: it runs again.
+func TestMalformedAnswerIsNoResultOfAnItem(t *testing.T) {
+	t.Parallel()
+	fleet := newSocketFleet(t)
+	for name := range malformedAnswers("") {
+		t.Run(name, func(t *testing.T) {
+			fleet.runItemsAgain(t, "job-"+strings.ReplaceAll(name, " ", "-"), name, 2, 1)
+		})
+	}
+}
+
+// runItemsAgain submits a job whose items get an answer with a name in their first runs, and a whole one afterwards.
+func (fleet *testFleet) runItemsAgain(t *testing.T, job, name string, items, size int) {
+	var list []map[string]any
+	for n := range items {
+		list = append(list, map[string]any{
+			"id": itemID(job, n), "path": "/jobs/" + repeated + "/" + strings.ReplaceAll(name, " ", "_"), "tokens": 200,
+			"body": make([]byte, size), "headers": map[string]string{"Model": "m", "Token-Count": "100,100"},
+		})
+	}
+	data, err := json.Marshal(map[string]any{"items": list})
+	require.NoError(t, err)
+	submitted := fleet.instances[0].send(callerRequest{id: job, path: "/jobs/submit", key: keyOne, body: string(data)})
+	require.Equal(t, http.StatusAccepted, submitted.status, submitted.body)
+	for _, result := range fleet.instances[0].allResults(job, 50*time.Second).Results {
+		require.Equal(t, "succeeded", result.State, result.ID)
+		require.Equal(t, "part-0\npart-1\npart-2", result.Text, result.ID)
+	}
+}
--- a/internal/daemon/routed/fleet_test.go
+++ b/internal/daemon/routed/fleet_test.go
@@ -19,6 +19,7 @@
 	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
+	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
 	"merlintiller/internal/settings"
 	"merlintiller/internal/standin/engine"
@@ -54,6 +55,8 @@
 	version    int
 	// editSettings, if set, changes the settings of all instances.
 	editSettings func(*settings.Routed)
+	// networkOf, if set, returns the network of an instance, given its host in the in-memory one.
+	networkOf func(host external.Network) external.Network
 }
 
 // testInstance is one instance of a testFleet.
@@ -97,6 +100,8 @@
 	paceOf func(domain, i int) func() int
 	// settings, if set, changes the settings of all instances.
 	settings func(*settings.Routed)
+	// network, if set, returns the network of an instance, given its host in the in-memory one.
+	network func(host external.Network) external.Network
 }
 
 // newTestFleet starts a fleet and waits until it serves.
@@ -105,7 +110,7 @@
 	ctx, stop := context.WithCancel(t.Context())
 	fleet := &testFleet{
 		t: t, net: memnet.New(200 * time.Microsecond), store: sharedstore.New(12), ctx: ctx, stop: stop,
-		editSettings: size.settings,
+		editSettings: size.settings, networkOf: size.network,
 	}
 	t.Cleanup(fleet.close)
 	fleet.configure(nil)
@@ -206,7 +211,11 @@
 	inst.logs = &lockedBuffer{}
 	logger := log.With(log.NewLogfmtLogger(inst.logs), "at", log.DefaultTimestampUTC)
 	s := inst.settings
-	d, err := New(&s, inst.fleet.net.Host(inst.ip), logger)
+	var network external.Network = inst.fleet.net.Host(inst.ip)
+	if inst.fleet.networkOf != nil {
+		network = inst.fleet.networkOf(network)
+	}
+	d, err := New(&s, network, logger)
 	require.NoError(inst.fleet.t, err)
 	// The limit that an instance sets would count the memory of all instances and stand-ins of the test, and
 	// leave most of the processor to the garbage collector.
--- /dev/null
+++ b/internal/standin/rawserver/answers.go
@@ -0,0 +1,47 @@
+package rawserver
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Body is the body of the answers that are sent early or late.
+const Body = "hello, caller"
+
+// withLength returns the end of a head with the length of a body, and the body.
+func withLength(body string) string {
+	return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// InvalidStatuses returns answers with a status below 100, by name. They contain the header line echo, with which a client
+// finds the request that an answer belongs to.
+func InvalidStatuses(echo, body string) map[string]string {
+	return map[string]string{
+		"status 000":                      "HTTP/1.1 000 Some Reason\r\n" + echo + withLength(body),
+		"status 001":                      "HTTP/1.1 001 Some Reason\r\n" + echo + withLength(body),
+		"status 099":                      "HTTP/1.1 099 Some Reason\r\n" + echo + withLength(body),
+		"status with a sign":              "HTTP/1.1 +99 Some Reason\r\n" + echo + withLength(body),
+		"status 000 without length":       "HTTP/1.1 000 Some Reason\r\n" + echo + "\r\n" + body,
+		"status 000 without body":         "HTTP/1.1 000 Some Reason\r\n" + echo + "Content-Length: 0\r\n\r\n",
+		"status 000 with another as body": "HTTP/1.1 000 Some Reason\r\n" + echo + withLength("HTTP/1.1 200 OK\r\n"+echo+withLength(body)),
+		"status 000 before another":       "HTTP/1.1 000 Early\r\n\r\nHTTP/1.1 200 OK\r\n" + echo + withLength(body),
+	}
+}
+
+// Sound returns answers that look odd and are valid HTTP, all with status 200.
+func Sound(echo, body string) map[string]string {
+	// The name has each character that is allowed in one (RFC 9110, section 5.6.2).
+	const allCharacters = "x!#$%&'*+-.^_`|~09azAZ"
+	return map[string]string{
+		"all characters in a name": "HTTP/1.1 200 OK\r\n" + echo + allCharacters + ": value\r\n" + withLength(body),
+		"name of one character":    "HTTP/1.1 200 OK\r\n" + echo + "!: value\r\n" + withLength(body),
+		"name of digits":           "HTTP/1.1 200 OK\r\n" + echo + "42: value\r\n" + withLength(body),
+		"blanks around a value":    "HTTP/1.1 200 OK\r\n" + echo + "X-Detail:  \tvalue \t\r\n" + withLength(body),
+		"empty value":              "HTTP/1.1 200 OK\r\n" + echo + "X-Detail:\r\n" + withLength(body),
+		"value beyond ASCII":       "HTTP/1.1 200 OK\r\n" + echo + "X-Detail: d\xc3\xa9tail \xff\r\n" + withLength(body),
+		"folded value":             "HTTP/1.1 200 OK\r\n" + echo + "X-Detail: one\r\n two: three\r\n" + withLength(body),
+		"no reason":                "HTTP/1.1 200 \r\n" + echo + withLength(body),
+		"interim answers":          strings.Repeat("HTTP/1.1 103 Early Hints\r\nX-Detail: value\r\n\r\n", 3) + "HTTP/1.1 200 OK\r\n" + echo + withLength(body),
+		"no length":                "HTTP/1.1 200 OK\r\n" + echo + "\r\n" + body,
+	}
+}
--- /dev/null
+++ b/internal/transport/httpresponse/transport.go
@@ -0,0 +1,32 @@
+package httpresponse
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+)
+
+// Transport is an http.Transport that fails instead of returning a malformed response.
+type Transport struct {
+	*http.Transport
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	var used atomic.Pointer[net.Conn]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { used.Store(&info.Conn) }}
+	response, err := t.Transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if err := Check(response); err != nil {
+		// A response without a body has returned its connection to the pool already.
+		if conn := used.Load(); conn != nil {
+			_ = (*conn).Close()
+		}
+		_ = response.Body.Close()
+		return nil, err
+	}
+	return response, nil
+}
--- a/internal/transport/platformhttp/client.go
+++ b/internal/transport/platformhttp/client.go
@@ -15,6 +15,7 @@
 
 	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
+	"merlintiller/internal/transport/httpresponse"
 )
 
 const (
@@ -66,7 +67,7 @@
 
 		MaxResponseHeaderBytes: maxResponseHead,
 	}
-	return &Client{base: "http://" + address, http: &http.Client{Transport: transport}}
+	return &Client{base: "http://" + address, http: &http.Client{Transport: httpresponse.Transport{Transport: transport}}}
 }
 
 // Append implements external.Log. net/http sends a POST once: an append whose response
--- /dev/null
+++ b/internal/transport/targetconn/brokenanswers_test.go
@@ -0,0 +1,130 @@
+package targetconn
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/external"
+	"merlintiller/internal/protocol/exchange"
+	"merlintiller/internal/standin/rawserver"
+	"merlintiller/platform"
+)
+
+const (
+	echoLine = "Request-Id: r\r\n"
+	// answerTimeout ends a test whose client waits for an answer that does not come.
+	answerTimeout = 2 * time.Second
+)
+
+func startRawServer(t *testing.T, answer rawserver.Answer) *rawserver.Server {
+	server, err := rawserver.Start(answer)
+	require.NoError(t, err)
+	t.Cleanup(server.Close)
+	return server
+}
+
+// sending returns an answer to each request that keeps the connection open.
+func sending(answer string) rawserver.Answer {
+	return func(conn *net.TCPConn, _ *http.Request) bool {
+		_, _ = io.WriteString(conn, answer)
+		return true
+	}
+}
+
+func newSocketClient(t *testing.T) *Client {
+	client := New(external.OSNetwork{Timeout: time.Second}, Codec{
+		EncodeDispatch: platform.EncodeDispatch, DecodeReply: platform.DecodeReply,
+		ReportPath: platform.ReportPath, DecodeReport: platform.DecodeReport, DecodeHealth: platform.DecodeHealth,
+		EndRunPath: platform.EndRunPath, EncodeEndRun: platform.EncodeEndRun, DecodeEndRun: platform.DecodeEndRun,
+		HandlePath: platform.HandlePath,
+	})
+	t.Cleanup(client.Close)
+	return client
+}
+
+// receive sends a request with a body of some bytes, and returns the head and the body of the answer.
+func receive(t *testing.T, client *Client, address string, upload int) (*exchange.Reply, string, error) {
+	ctx, cancel := context.WithTimeout(t.Context(), answerTimeout)
+	defer cancel()
+	answer, err := client.Send(ctx, address, &exchange.Dispatch{
+		ID: "r", Method: http.MethodPost, Host: "h", Path: "/a", Target: "t", TimeLeft: time.Minute, After: exchange.FromStart,
+		Header: http.Header{}, Body: make([]byte, upload),
+	})
+	if err != nil {
+		return nil, "", err
+	}
+	defer answer.Close()
+	body, err := io.ReadAll(answer)
+	return answer.Head(), string(body), err
+}
+
+// Guards against an answer with a status below 100 that counts as an interim one, so that the caller waits although the
+// answer is there, or gets an answer that follows.
+func TestAnswerWithInvalidStatusIsAFailedAttempt(t *testing.T) {
+	testMalformedAnswers(t, rawserver.InvalidStatuses(echoLine, rawserver.Body))
+}
+
+func testMalformedAnswers(t *testing.T, answers map[string]string) {
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			server := startRawServer(t, sending(answer))
+			client := newSocketClient(t)
+			began := time.Now()
+			head, body, err := receive(t, client, server.Address(), 0)
+			require.Error(t, err, "%+v %q", head, body)
+			require.Less(t, time.Since(began), answerTimeout)
+			require.ErrorIs(t, err, external.ErrMayHaveRun)
+			require.NotErrorIs(t, err, external.ErrNotSent)
+			require.Equal(t, external.EndMalformed, external.EndOf(err), "%v", err)
+			require.False(t, client.Connected(server.Address()))
+		})
+	}
+}
+
+// Guards against an answer that is refused although it is valid HTTP.
+func TestOddButSoundAnswerIsServed(t *testing.T) {
+	for name, answer := range rawserver.Sound(echoLine, rawserver.Body) {
+		t.Run(name, func(t *testing.T) {
+			server := startRawServer(t, func(conn *net.TCPConn, _ *http.Request) bool {
+				_, _ = io.WriteString(conn, answer)
+				return false
+			})
+			head, body, err := receive(t, newSocketClient(t), server.Address(), 0)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, head.Status)
+			require.Equal(t, rawserver.Body, body)
+		})
+	}
+}
+
+const soundReport = `{"running":0,"waiting":0,"slots":8,"runs":[],"born":1}`
+
+// Guards against a broken answer to a report, a health check or the call that ends a run that counts as sound.
+func TestControlResponseWithInvalidStatusIsAnError(t *testing.T) {
+	testMalformedControlResponses(t, rawserver.InvalidStatuses("Instance-Id: t\r\n", soundReport))
+}
+
+func testMalformedControlResponses(t *testing.T, responses map[string]string) {
+	for name, response := range responses {
+		t.Run(name, func(t *testing.T) {
+			server := startRawServer(t, sending(response))
+			client := newSocketClient(t)
+			ctx, cancel := context.WithTimeout(t.Context(), answerTimeout)
+			defer cancel()
+			_, err := client.Report(ctx, server.Address())
+			assert.Error(t, err, "report")
+			health, err := client.Health(ctx, server.Address(), "/health")
+			assert.Error(t, err, "health check: %+v", health)
+			assert.Error(t, client.EndRun(ctx, server.Address(), "r", "127.0.0.1:1"), "end of a run")
+			require.NoError(t, ctx.Err(), "the client waits for a response that is there")
+			require.Equal(t, 3, server.Connections(), "a connection is used again")
+		})
+	}
+}
--- a/internal/transport/targetconn/client.go
+++ b/internal/transport/targetconn/client.go
@@ -18,6 +18,7 @@
 
 	"merlintiller/internal/external"
 	"merlintiller/internal/protocol/exchange"
+	"merlintiller/internal/transport/httpresponse"
 )
 
 const (
@@ -60,8 +61,20 @@
 		inControl: metrics.NewCounter(`target_answers_too_large_total{what="control"}`),
 		inBody:    metrics.NewCounter(`target_answers_too_large_total{what="body"}`),
 	}
+	// malformed counts the responses of targets that are no valid HTTP, by the part that is wrong.
+	malformed = map[httpresponse.Part]*metrics.Counter{
+		httpresponse.PartStatus: metrics.NewCounter(`target_answers_malformed_total{what="status"}`),
+	}
 )
 
+// countMalformed counts a response if that is what an error reports.
+func countMalformed(err error) {
+	var failed *httpresponse.MalformedError
+	if errors.As(err, &failed) {
+		malformed[failed.Part].Inc()
+	}
+}
+
 // Codec encodes requests to targets and decodes their responses.
 type Codec struct {
 	EncodeDispatch func(*exchange.Dispatch) http.Header
@@ -187,7 +200,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", external.ErrMayHaveRun, err)
 		}
-		if response.StatusCode < http.StatusOK {
+		if isInterim(response) {
 			continue
 		}
 		reply := c.codec.DecodeReply(response.StatusCode, response.Header)
--- a/internal/transport/targetconn/conn.go
+++ b/internal/transport/targetconn/conn.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"merlintiller/internal/external"
+	"merlintiller/internal/transport/httpresponse"
 )
 
 // readBuffer is the size of a connection's read buffer in bytes. It holds a
@@ -63,18 +64,30 @@
 	return &conn{net: c, bound: bound, reader: bufio.NewReaderSize(bound, readBuffer), address: address}
 }
 
-// readHead reads the head of a response.
+// readHead reads the head of a response. An interim response is dropped by the caller, so its fields may be malformed.
 func (c *conn) readHead(request *http.Request) (*http.Response, error) {
 	c.bound.inHead, c.bound.left = true, maxHead-c.reader.Buffered()
 	defer func() { c.bound.inHead = false }()
 	response, err := http.ReadResponse(c.reader, request)
-	if err != nil && c.bound.left == 0 {
+	switch {
+	case err != nil && c.bound.left == 0:
 		// http.ReadResponse may report the line that was cut off as malformed.
 		tooLarge[inHead].Inc()
-		err = fmt.Errorf("%w: %v", errHeadTooLarge, err)
+		return nil, fmt.Errorf("%w: %v", errHeadTooLarge, err)
+	case err == nil && !isInterim(response):
+		err = httpresponse.Check(response)
 	}
 	c.answered = c.answered || err == nil
-	return response, err
+	if err != nil {
+		countMalformed(err)
+		return nil, err
+	}
+	return response, nil
+}
+
+// isInterim reports whether another response to the request follows.
+func isInterim(response *http.Response) bool {
+	return response.StatusCode >= http.StatusContinue && response.StatusCode < http.StatusOK
 }
 
 // noInput reports whether an idle connection received nothing: neither a close by the
--- a/internal/transport/targetconn/inspect.go
+++ b/internal/transport/targetconn/inspect.go
@@ -11,6 +11,7 @@
 
 	"merlintiller/internal/external"
 	"merlintiller/internal/protocol/exchange"
+	"merlintiller/internal/transport/httpresponse"
 )
 
 // maxControlBody bounds the response to a call that is not a caller's request, in
@@ -20,6 +21,10 @@
 // Report implements external.Inspector.
 func (c *Client) Report(ctx context.Context, address string) (exchange.Report, error) {
 	status, _, body, err := c.call(ctx, address, http.MethodGet, c.codec.ReportPath, nil)
+	if httpresponse.IsMalformed(err) {
+		// A process answers at the address: without this, the target would count as silent, as one that hangs.
+		return exchange.Report{}, trace.BadParameter("report of the target at %s: %v", address, err)
+	}
 	if err != nil {
 		return exchange.Report{}, trace.Wrap(err)
 	}
@@ -117,10 +122,10 @@
 		return conn, nil
 	}
 	conn.close()
-	if response == nil {
+	if response == nil && !httpresponse.IsMalformed(err) {
 		connectionsUnserved.Inc()
 		return nil, trace.Wrap(err, "no process answers on a new connection to %s", address)
 	}
-	// It closes each connection after one response.
+	// A process answers. It closes each connection after one response, or its report is malformed.
 	return c.connect(ctx, address)
 }
--- /dev/null
+++ b/internal/transport/targethttp/brokenanswers_test.go
@@ -0,0 +1,135 @@
+package targethttp
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"merlintiller/internal/external"
+	"merlintiller/internal/protocol"
+	"merlintiller/internal/standin/rawserver"
+)
+
+const (
+	echoLine = "X-Call-Id: r\r\n"
+	// answerTimeout ends a test whose client waits for an answer that does not come.
+	answerTimeout = 2 * time.Second
+)
+
+func startRawServer(t *testing.T, answer rawserver.Answer) *rawserver.Server {
+	server, err := rawserver.Start(answer)
+	require.NoError(t, err)
+	t.Cleanup(server.Close)
+	return server
+}
+
+// sending returns an answer to each request that keeps the connection open.
+func sending(answer string) rawserver.Answer {
+	return func(conn *net.TCPConn, _ *http.Request) bool {
+		_, _ = io.WriteString(conn, answer)
+		return true
+	}
+}
+
+// receive sends a call with a body of some bytes, and returns the status and the body of the answer.
+func receive(t *testing.T, client *Client, address string, upload int) (int, string, error) {
+	ctx, cancel := context.WithTimeout(t.Context(), answerTimeout)
+	defer cancel()
+	answer, err := client.Do(ctx, address, external.Call{ID: "r", Method: http.MethodPost, Path: "/work", Body: make([]byte, upload)})
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	body, err := io.ReadAll(answer.Body)
+	return answer.Status, string(body), err
+}
+
+// Guards against an answer with a status below 100 that reaches the caller.
+func TestAnswerWithInvalidStatusIsAFailedCall(t *testing.T) {
+	testMalformedAnswers(t, rawserver.InvalidStatuses(echoLine, rawserver.Body))
+}
+
+func testMalformedAnswers(t *testing.T, answers map[string]string) {
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			server := startRawServer(t, sending(answer))
+			client := newTestClient(t, Options{})
+			began := time.Now()
+			for range 2 {
+				status, body, err := receive(t, client, server.Address(), 0)
+				require.Error(t, err, "%d %q", status, body)
+				require.Equal(t, protocol.MayHaveRun, runState(t, err))
+			}
+			require.Less(t, time.Since(began), answerTimeout)
+			require.Equal(t, 2, server.Connections(), "a connection is used again")
+		})
+	}
+}
+
+// Guards against an answer that is refused although it is valid HTTP.
+func TestOddButSoundAnswerIsServed(t *testing.T) {
+	for name, answer := range rawserver.Sound(echoLine, rawserver.Body) {
+		t.Run(name, func(t *testing.T) {
+			server := startRawServer(t, func(conn *net.TCPConn, _ *http.Request) bool {
+				_, _ = io.WriteString(conn, answer)
+				return false
+			})
+			status, body, err := receive(t, newTestClient(t, Options{}), server.Address(), 0)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, status)
+			require.Equal(t, rawserver.Body, body)
+		})
+	}
+}
+
+// controlCalls are the calls that are not callers' requests, with the body of a sound response.
+var controlCalls = map[string]struct {
+	body string
+	do   func(ctx context.Context, c *Client, address string) error
+}{
+	"load": {`{"target":"t"}`, func(ctx context.Context, c *Client, address string) error {
+		_, err := c.Load(ctx, address)
+		return err
+	}},
+	"events": {`[]`, func(ctx context.Context, c *Client, address string) error {
+		_, err := c.Events(ctx, address, 0)
+		return err
+	}},
+	"order": {`{}`, func(ctx context.Context, c *Client, address string) error {
+		return c.Send(ctx, address, external.Order{})
+	}},
+	"current order": {`{}`, func(ctx context.Context, c *Client, address string) error {
+		_, err := c.Current(ctx, address)
+		return err
+	}},
+	"cancel": {`{}`, func(ctx context.Context, c *Client, address string) error { return c.Cancel(ctx, address, "r") }},
+}
+
+// Guards against an order or a cancel that counts as carried out, or a report that counts as sound, although the status of
+// the response is below 100.
+func TestControlResponseWithInvalidStatusIsAnError(t *testing.T) {
+	testMalformedControlResponses(t, rawserver.InvalidStatuses)
+}
+
+func testMalformedControlResponses(t *testing.T, responsesWith func(echo, body string) map[string]string) {
+	for call, c := range controlCalls {
+		for name, response := range responsesWith("", c.body) {
+			t.Run(call+"/"+name, func(t *testing.T) {
+				server := startRawServer(t, sending(response))
+				client := newTestClient(t, Options{})
+				for range 2 {
+					ctx, cancel := context.WithTimeout(t.Context(), answerTimeout)
+					defer cancel()
+					require.Error(t, c.do(ctx, client, server.Address()))
+					require.NoError(t, ctx.Err(), "the client waits for a response that is there")
+				}
+				require.Equal(t, 2, server.Connections(), "a connection is used again")
+			})
+		}
+	}
+}
--- a/internal/transport/targethttp/client.go
+++ b/internal/transport/targethttp/client.go
@@ -13,6 +13,7 @@
 
 	"merlintiller/internal/external"
 	"merlintiller/internal/protocol"
+	"merlintiller/internal/transport/httpresponse"
 )
 
 // maxResponseHead bounds the head of a response in bytes.
@@ -23,7 +24,7 @@
 // exhaust the connections of another.
 type Client struct {
 	opts      Options
-	transport *http.Transport
+	transport httpresponse.Transport
 	counts    *expvar.Map
 }
 
@@ -37,7 +38,7 @@
 func newClient(opts Options, dial dialFunc) *Client {
 	opts = opts.withDefaults()
 	c := &Client{opts: opts, counts: new(expvar.Map).Init()}
-	c.transport = &http.Transport{
+	c.transport = httpresponse.Transport{Transport: &http.Transport{
 		DialContext:         countWrites(dial),
 		MaxIdleConns:        0,
 		MaxIdleConnsPerHost: opts.MaxIdlePerTarget,
@@ -47,7 +48,7 @@
 		Proxy:               nil,
 
 		MaxResponseHeaderBytes: maxResponseHead,
-	}
+	}}
 	if opts.Name != "" {
 		clientCounts.Set(opts.Name, c.counts)
 	}
@@ -57,7 +58,8 @@
 var clientCounts = expvar.NewMap("target")
 
 // Count returns the value of one of the client's counters: "crossed" (responses to
-// another call), "not_run" or "may_have_run".
+// another call), "malformed" (responses that are no valid HTTP), "not_run" or
+// "may_have_run".
 func (c *Client) Count(name string) int64 {
 	if n, ok := c.counts.Get(name).(*expvar.Int); ok {
 		return n.Value()
@@ -82,7 +84,7 @@
 	}
 	// RoundTrip does not follow redirects, unlike http.Client. Following one would
 	// send the call again.
-	resp, err := c.transport.RoundTrip(req)
+	resp, err := c.roundTrip(req)
 	if err != nil {
 		cancel()
 		run := protocol.MayHaveRun
@@ -94,6 +96,15 @@
 	return c.checkResponse(call, resp, cancel)
 }
 
+// roundTrip sends a request and counts a response that is no valid HTTP.
+func (c *Client) roundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := c.transport.RoundTrip(req)
+	if httpresponse.IsMalformed(err) {
+		c.counts.Add("malformed", 1)
+	}
+	return resp, err
+}
+
 // newRequest builds a request that net/http can't send twice.
 //
 // http.Transport sends a request again if a reused connection turns out to be closed,
--- a/internal/transport/targethttp/control.go
+++ b/internal/transport/targethttp/control.go
@@ -150,7 +150,7 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	resp, err := c.transport.RoundTrip(req)
+	resp, err := c.roundTrip(req)
 	if err != nil {
 		return 0, nil, err
 	}
