An answer with a field name that is no token is malformed

What callers saw: the head of an answer had a field name with a blank in it. The caller got a whole 200, without that line. With the blank before the colon of Content-Length the body was of another length or the caller got 504 at its deadline, with Transfer-Encoding the sizes of the chunks were part of the body. A 503 with Not-Executed beside such a name was passed on as a promise. An item got the answer as its whole output, a resumed stream as its rest.

Cause: net/textproto accepts blanks in a field name, and keeps the name as it is. So the field is not found under its name, also not by net/http when it decides where the body ends.

Change: the check of a response's head refuses names that are no token (RFC 9110, section 5.6.2). Names with control bytes and other characters were an error of net/http before; their tests pass before and after. The fields of an interim response are not checked: it is dropped.

Odd but legal names and values pass before and after.

--- a/internal/ctl/brokenanswers_test.go
+++ b/internal/ctl/brokenanswers_test.go
@@ -32,6 +32,11 @@
 	testMalformedAnswers(t, rawserver.InvalidStatuses("", "{}"))
 }
 
+// Guards against an answer of an instance with a field name that is no token, which counts as sound.
+func TestAnswerWithInvalidFieldNameMayHaveTakenEffect(t *testing.T) {
+	testMalformedAnswers(t, rawserver.InvalidFieldNames("", "{}"))
+}
+
 func testMalformedAnswers(t *testing.T, answers map[string]string) {
 	for name, answer := range answers {
 		t.Run(name, func(t *testing.T) {
--- a/internal/daemon/routed/brokenanswers_test.go
+++ b/internal/daemon/routed/brokenanswers_test.go
@@ -134,7 +134,17 @@
 // output of a stream or an item.
 func malformedAnswers(echo string) map[string]string {
 	const event = "id: 0\ndata: part-0\n\n"
-	return rawserver.InvalidStatuses(echo, event)
+	all, some := rawserver.InvalidStatuses(echo, event), map[string]string{}
+	for name, answer := range rawserver.InvalidFieldNames(echo, event) {
+		all[name] = answer
+	}
+	for _, name := range []string{
+		"status 000", "status 000 without length", "status 000 without body",
+		"name with blank", "length with blank", "chunks with blank", "promise with blank", "name with bell",
+	} {
+		some[name] = all[name]
+	}
+	return some
 }
 
 // sendForAnswer sends a request for an answer with a name, on a route of some kind.
--- a/internal/standin/rawserver/answers.go
+++ b/internal/standin/rawserver/answers.go
@@ -28,6 +28,24 @@
 	}
 }
 
+// InvalidFieldNames returns answers in whose heads the name of a field is no token, by name. They contain the header line
+// echo, as those of InvalidStatuses.
+func InvalidFieldNames(echo, body string) map[string]string {
+	answers := map[string]string{
+		"length with blank":                "HTTP/1.1 200 OK\r\n" + echo + fmt.Sprintf("Content-Length : %d\r\n\r\n%s", len(body), body),
+		"length with blank beside another": "HTTP/1.1 200 OK\r\n" + echo + "Content-Length : 1\r\n" + withLength(body),
+		"chunks with blank":                "HTTP/1.1 200 OK\r\n" + echo + fmt.Sprintf("Transfer-Encoding : chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body),
+		"promise with blank":               "HTTP/1.1 503 Full\r\n" + echo + "Not-Executed: 1\r\nX-Not-Run: true\r\nX Detail: value\r\n" + withLength(body),
+	}
+	for name, field := range map[string]string{
+		"blank": "X Detail", "blank at its end": "X-Detail ", "tab": "X\tDetail", "bell": "X\aDetail", "zero byte": "X\x00Detail",
+		"delete": "X\x7fDetail", "carriage return": "X\rDetail", "non-ASCII": "X-D\xc3\xa9tail", "nothing": "", "quotes": `"X"`,
+	} {
+		answers["name with "+name] = "HTTP/1.1 200 OK\r\n" + echo + field + ": value\r\n" + withLength(body)
+	}
+	return answers
+}
+
 // Sound returns answers that look odd and are valid HTTP, all with status 200.
 func Sound(echo, body string) map[string]string {
 	// The name has each character that is allowed in one (RFC 9110, section 5.6.2).
--- a/internal/transport/edge/brokenanswers_test.go
+++ b/internal/transport/edge/brokenanswers_test.go
@@ -54,6 +54,12 @@
 	testMalformedAnswersForCallers(t, rawserver.InvalidStatuses)
 }
 
+// Guards against an answer of a target with a field name that is no token that reaches the caller, or a promise in it that
+// the call did not run.
+func TestAnswerWithInvalidFieldNameDoesNotReachTheCaller(t *testing.T) {
+	testMalformedAnswersForCallers(t, rawserver.InvalidFieldNames)
+}
+
 func testMalformedAnswersForCallers(t *testing.T, answersWith func(echo, body string) map[string]string) {
 	for kind, call := range brokenCalls {
 		for name := range answersWith("", "") {
--- a/internal/transport/httpresponse/check_test.go
+++ b/internal/transport/httpresponse/check_test.go
@@ -29,12 +29,32 @@
 	}
 }
 
+// Guards against a response with a field name that is no token that counts as sound, and the other way round.
+func TestFieldNameThatIsNoTokenIsMalformed(t *testing.T) {
+	for _, name := range []string{"X Detail", "X-Detail ", "Content-Length ", "Transfer-Encoding  "} {
+		err := Check(readResponse(t, "HTTP/1.1 200 OK", "X-First: 1", name+": 1", "X-Last: 1"))
+		require.True(t, IsMalformed(err), name)
+		require.ErrorContains(t, err, `field_name: "`+name+`"`)
+	}
+	for _, name := range []string{"x", "!", "42", "x!#$%&'*+-.^_`|~09azAZ", "content-length", "-", "X_Y"} {
+		require.NoError(t, Check(readResponse(t, "HTTP/1.1 200 OK", name+": 1")), name)
+	}
+	for c := range 256 {
+		// Letters and digits, and the symbols of RFC 9110, section 5.6.2.
+		valid := strings.ContainsRune("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ", rune(c))
+		response := &http.Response{StatusCode: http.StatusOK, Header: http.Header{"X" + string([]byte{byte(c)}): {"1"}}}
+		require.Equal(t, !valid, IsMalformed(Check(response)), "%q", byte(c))
+	}
+	require.True(t, IsMalformed(Check(&http.Response{StatusCode: http.StatusOK, Header: http.Header{"": {"1"}}})))
+}
+
 // Guards against a log line that a server fills with what it likes: what an error quotes is escaped and short.
 func TestErrorsQuoteLittleAndEscaped(t *testing.T) {
 	const most = 512
 	long := strings.Repeat("\x01 \xff\n", 8<<10)
 	for _, err := range []error{
 		Check(&http.Response{StatusCode: 0, Status: long}),
+		Check(&http.Response{StatusCode: http.StatusOK, Header: http.Header{long: {"1"}}}),
 	} {
 		require.Less(t, len(err.Error()), most)
 		require.NotContains(t, err.Error(), "\n")
--- a/internal/transport/platformhttp/brokenanswers_test.go
+++ b/internal/transport/platformhttp/brokenanswers_test.go
@@ -59,6 +59,12 @@
 	testMalformedResponses(t, rawserver.InvalidStatuses)
 }
 
+// Guards against a response of the platform with a field name that is no token, which counts as sound: an entry may count
+// as appended.
+func TestResponseWithInvalidFieldNameIsAnError(t *testing.T) {
+	testMalformedResponses(t, rawserver.InvalidFieldNames)
+}
+
 func testMalformedResponses(t *testing.T, responsesWith func(echo, body string) map[string]string) {
 	for call, c := range platformCalls(t) {
 		for name, response := range responsesWith("", c.body) {
--- a/internal/transport/targetconn/brokenanswers_test.go
+++ b/internal/transport/targetconn/brokenanswers_test.go
@@ -71,6 +71,12 @@
 	testMalformedAnswers(t, rawserver.InvalidStatuses(echoLine, rawserver.Body))
 }
 
+// Guards against an answer with a field name that is no token, which reaches the caller with a body of another length, or
+// counts as a promise that the request did not run.
+func TestAnswerWithInvalidFieldNameIsAFailedAttempt(t *testing.T) {
+	testMalformedAnswers(t, rawserver.InvalidFieldNames(echoLine, rawserver.Body))
+}
+
 func testMalformedAnswers(t *testing.T, answers map[string]string) {
 	for name, answer := range answers {
 		t.Run(name, func(t *testing.T) {
@@ -111,6 +117,11 @@
 	testMalformedControlResponses(t, rawserver.InvalidStatuses("Instance-Id: t\r\n", soundReport))
 }
 
+// Guards against the same with a field name that is no token.
+func TestControlResponseWithInvalidFieldNameIsAnError(t *testing.T) {
+	testMalformedControlResponses(t, rawserver.InvalidFieldNames("Instance-Id: t\r\n", soundReport))
+}
+
 func testMalformedControlResponses(t *testing.T, responses map[string]string) {
 	for name, response := range responses {
 		t.Run(name, func(t *testing.T) {
--- a/internal/transport/targetconn/client.go
+++ b/internal/transport/targetconn/client.go
@@ -63,7 +63,8 @@
 	}
 	// malformed counts the responses of targets that are no valid HTTP, by the part that is wrong.
 	malformed = map[httpresponse.Part]*metrics.Counter{
-		httpresponse.PartStatus: metrics.NewCounter(`target_answers_malformed_total{what="status"}`),
+		httpresponse.PartStatus:    metrics.NewCounter(`target_answers_malformed_total{what="status"}`),
+		httpresponse.PartFieldName: metrics.NewCounter(`target_answers_malformed_total{what="field_name"}`),
 	}
 )
 
--- a/internal/transport/targethttp/brokenanswers_test.go
+++ b/internal/transport/targethttp/brokenanswers_test.go
@@ -54,6 +54,12 @@
 	testMalformedAnswers(t, rawserver.InvalidStatuses(echoLine, rawserver.Body))
 }
 
+// Guards against an answer with a field name that is no token, which reaches the caller with a body of another length, or
+// counts as a promise that the call did not run.
+func TestAnswerWithInvalidFieldNameIsAFailedCall(t *testing.T) {
+	testMalformedAnswers(t, rawserver.InvalidFieldNames(echoLine, rawserver.Body))
+}
+
 func testMalformedAnswers(t *testing.T, answers map[string]string) {
 	for name, answer := range answers {
 		t.Run(name, func(t *testing.T) {
@@ -116,6 +122,11 @@
 	testMalformedControlResponses(t, rawserver.InvalidStatuses)
 }
 
+// Guards against the same with a field name that is no token.
+func TestControlResponseWithInvalidFieldNameIsAnError(t *testing.T) {
+	testMalformedControlResponses(t, rawserver.InvalidFieldNames)
+}
+
 func testMalformedControlResponses(t *testing.T, responsesWith func(echo, body string) map[string]string) {
 	for call, c := range controlCalls {
 		for name, response := range responsesWith("", c.body) {
