A reset that a write finds is an error of the read, too

What callers saw: a target answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer. An item got the events of that part as its whole output, and `succeeded`.

Cause: the kernel reports a reset once, to whichever of read and write comes first. The write of the request took it, and the read returned io.EOF, which is the end of a body without a length. Closing the connection after the failed write came too late for the read in most tries.

Change: httpresponse.WatchResets, on the connections of all HTTP clients. A read that ends asks what the last write found. One that is still in progress is ended by a deadline: it may have found the reset and not returned yet, or waits for a target that reads nothing. EPIPE is no reset: the kernel returns it if the target had ended its side before, and then the body is whole. Nothing waits for the target.

Why it works: a read returns io.EOF only after the end of the other side, or after another call has taken the reset. That call is the write, it records the error before it lets go of its lock, and the read takes that lock before it reports the end.

--- a/internal/ctl/brokenanswers_test.go
+++ b/internal/ctl/brokenanswers_test.go
@@ -69,3 +69,20 @@
 		})
 	}
 }
+
+// Guards against a command that counts as done although the instance reset the connection while the command was still being
+// written: an answer without a length ended with the connection.
+func TestAnswerThatIsResetWhileTheCommandIsWrittenIsLost(t *testing.T) {
+	client, _ := newSocketClient(t, func(conn *net.TCPConn, _ *http.Request) bool {
+		rawserver.ResetEarly(conn, "", "{}")
+		return false
+	})
+	whole := 0
+	for range 100 {
+		_, err := client.Bytes(t.Context(), request{method: http.MethodPost, path: "/v1/files", body: make([]byte, 1<<20)})
+		if err == nil {
+			whole++
+		}
+	}
+	require.Zero(t, whole, "of 100 answers that were reset")
+}
--- a/internal/ctl/connect.go
+++ b/internal/ctl/connect.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -48,7 +49,9 @@
 		}
 		config.Certificates = []tls.Certificate{pair}
 	}
-	return httpresponse.Transport{Transport: &http.Transport{TLSClientConfig: config}}, nil
+	var dialer net.Dialer
+	transport := &http.Transport{DialContext: httpresponse.Dialer(dialer.DialContext), TLSClientConfig: config}
+	return httpresponse.Transport{Transport: transport}, nil
 }
 
 // joinLines joins lines of text, such as those of a long help text.
--- a/internal/daemon/routed/brokenanswers_test.go
+++ b/internal/daemon/routed/brokenanswers_test.go
@@ -32,7 +32,12 @@
 
 const (
 	socketTargets = 2
-	// soundName is the last part of the path of requests with a sound answer.
+	// longUpload is the size in bytes of a request's body that does not fit into the buffers of its connection.
+	longUpload = 1 << 20
+	// longItem is the size in bytes of an item's body that is written beside reading the answer.
+	longItem = 150 << 10
+	// resetName is the last part of the path of requests whose answer is reset, soundName of those with a sound one.
+	resetName = "reset"
 	soundName = "sound"
 	// resumed and repeated are parts of the path: only the second run of the stream, or the first run of the item, gets the
 	// answer that the path names.
@@ -123,8 +128,11 @@
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+echo+"Transfer-Encoding: chunked\r\n\r\n"+eventsAfter(-1, true))
 		return true
 	case name == soundName:
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", echo, len(rawserver.Body), rawserver.Body)
-		return true
+		rawserver.WholeAnswers["at once with a length"](conn, request, echo)
+		return false
+	case name == resetName:
+		rawserver.ResetEarly(conn, echo, "id: 0\ndata: part-0\n\n")
+		return false
 	}
 	_, _ = io.WriteString(conn, malformedAnswers(echo)[strings.ReplaceAll(name, "_", " ")])
 	return true
@@ -208,6 +216,16 @@
 	}
 }
 
+// Guards against an item with a part of its output as its result: the target reset the connection while the item was still
+// being written.
+func TestAnswerThatIsResetWhileTheItemIsWrittenIsNoResult(t *testing.T) {
+	t.Parallel()
+	fleet := newSocketFleet(t)
+	for n := range 10 {
+		fleet.runItemsAgain(t, fmt.Sprintf("job-%d", n), resetName, 2, longItem)
+	}
+}
+
 // runItemsAgain submits a job whose items get an answer with a name in their first runs, and a whole one afterwards.
 func (fleet *testFleet) runItemsAgain(t *testing.T, job, name string, items, size int) {
 	var list []map[string]any
@@ -226,3 +244,22 @@
 		require.Equal(t, "part-0\npart-1\npart-2", result.Text, result.ID)
 	}
 }
+
+// Guards against a part of an answer that a caller gets as a whole one, since its target reset the connection while the
+// request was still being written.
+func TestResetWhileTheRequestIsWrittenDoesNotReachTheCaller(t *testing.T) {
+	t.Parallel()
+	const requests = 60
+	fleet := newSocketFleet(t)
+	whole := 0
+	for n := range requests {
+		got := fleet.sendForAnswer("plain", resetName, fmt.Sprintf("reset-%d", n), longUpload)
+		if got.err == nil && got.status == http.StatusOK {
+			whole++
+		}
+	}
+	require.Zero(t, whole, "of %d requests", requests)
+	sound := fleet.sendForAnswer("plain", soundName, "sound", longUpload)
+	require.Equal(t, http.StatusOK, sound.status, "%+v", sound)
+	require.Equal(t, rawserver.Body, sound.body)
+}
--- a/internal/standin/rawserver/answers.go
+++ b/internal/standin/rawserver/answers.go
@@ -2,7 +2,11 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"strings"
+	"time"
 )
 
 // Body is the body of the answers that are sent early or late.
@@ -63,3 +67,59 @@
 		"no length":                "HTTP/1.1 200 OK\r\n" + echo + "\r\n" + body,
 	}
 }
+
+const (
+	// earlyPause gives the client time to read what was sent before the connection ends.
+	earlyPause = 2 * time.Millisecond
+	// longPause gives it time to read all of a short answer, also on a busy machine.
+	longPause = 50 * time.Millisecond
+)
+
+// ResetEarly answers at once with a part of a body without a length, and resets the connection while the request is still
+// being written.
+func ResetEarly(conn *net.TCPConn, echo, part string) {
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+echo+"\r\n"+part)
+	<-time.After(earlyPause)
+	Reset(conn)
+}
+
+// WholeAnswers are ways to send a whole answer with status 200 and the body Body to a long request, by name.
+var WholeAnswers = map[string]func(conn *net.TCPConn, request *http.Request, echo string){
+	"at once with a length": func(conn *net.TCPConn, request *http.Request, echo string) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n"+echo+withLength(Body))
+		<-time.After(earlyPause)
+		_, _ = io.Copy(io.Discard, request.Body)
+	},
+	"at once with a length, then a reset": func(conn *net.TCPConn, _ *http.Request, echo string) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+echo+withLength(Body))
+		<-time.After(longPause)
+		Reset(conn)
+	},
+	"at once without a length": func(conn *net.TCPConn, request *http.Request, echo string) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+echo+"\r\n"+Body)
+		_ = conn.CloseWrite()
+		<-time.After(earlyPause)
+		_, _ = io.Copy(io.Discard, request.Body)
+	},
+	"at once without a length, request never read": func(conn *net.TCPConn, _ *http.Request, echo string) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+echo+"\r\n"+Body)
+		_ = conn.CloseWrite()
+		<-time.After(longPause)
+	},
+	"begun before the request was read, without a length": func(conn *net.TCPConn, request *http.Request, echo string) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+echo+"\r\n"+Body[:5])
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, _ = io.WriteString(conn, Body[5:])
+	},
+	"after the request without a length": func(conn *net.TCPConn, request *http.Request, echo string) {
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+echo+"\r\n"+Body)
+	},
+}
+
+// PromiseEarly promises at once, with a length, that the request does not run, and then resets the connection.
+func PromiseEarly(conn *net.TCPConn, echo string) {
+	_, _ = io.WriteString(conn, "HTTP/1.1 503 Full\r\n"+echo+"Not-Executed: 1\r\nX-Not-Run: true\r\n"+withLength(Body))
+	<-time.After(longPause)
+	Reset(conn)
+}
--- a/internal/standin/rawserver/rawserver.go
+++ b/internal/standin/rawserver/rawserver.go
@@ -108,3 +108,9 @@
 		}
 	}
 }
+
+// Reset resets a connection, with all that was sent on it delivered before.
+func Reset(conn *net.TCPConn) {
+	_ = conn.SetLinger(0)
+	_ = conn.Close()
+}
--- a/internal/transport/edge/brokenanswers_test.go
+++ b/internal/transport/edge/brokenanswers_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -76,3 +77,19 @@
 		}
 	}
 }
+
+// Guards against a part of an answer that a caller gets as a whole one, since the target reset the connection while the
+// call was still being written.
+func TestResetWhileTheCallIsWrittenDoesNotReachTheCaller(t *testing.T) {
+	const calls = 60
+	s := newSocketSystem(t, func(conn *net.TCPConn, echo string) { rawserver.ResetEarly(conn, echo, rawserver.Body) })
+	whole := 0
+	for range calls {
+		if _, ok := s.receiveRaw(t, plainPath, strings.Repeat("x", 512<<10)).WholeSuccess(); ok {
+			whole++
+		}
+		// Targets that lose several answers in a row are avoided for some time.
+		s.router.ApplyListing(s.listing)
+	}
+	require.Zero(t, whole, "of %d calls", calls)
+}
--- a/internal/transport/platformhttp/brokenanswers_test.go
+++ b/internal/transport/platformhttp/brokenanswers_test.go
@@ -99,3 +99,19 @@
 		}
 	}
 }
+
+// Guards against an append that counts as done although the platform reset the connection while the entry was still being
+// written: a response without a length ended with the connection.
+func TestResponseThatIsResetWhileTheCallIsWrittenIsAnError(t *testing.T) {
+	client, _ := newSocketClient(t, func(conn *net.TCPConn, _ *http.Request) bool {
+		rawserver.ResetEarly(conn, "", `{"offset":3}`)
+		return false
+	})
+	whole := 0
+	for range 100 {
+		if _, err := client.Append(t.Context(), "s", make([]byte, 1<<20)); err == nil {
+			whole++
+		}
+	}
+	require.Zero(t, whole, "of 100 responses that were reset")
+}
--- a/internal/transport/platformhttp/client.go
+++ b/internal/transport/platformhttp/client.go
@@ -59,9 +59,9 @@
 	return newClient(address, dialer.DialContext)
 }
 
-func newClient(address string, dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
+func newClient(address string, dial httpresponse.DialFunc) *Client {
 	transport := &http.Transport{
-		DialContext:         dial,
+		DialContext:         httpresponse.Dialer(dial),
 		MaxIdleConnsPerHost: maxIdleConns,
 		DisableCompression:  true,
 
--- a/internal/transport/targetconn/brokenanswers_test.go
+++ b/internal/transport/targetconn/brokenanswers_test.go
@@ -21,6 +21,8 @@
 	echoLine = "Request-Id: r\r\n"
 	// answerTimeout ends a test whose client waits for an answer that does not come.
 	answerTimeout = 2 * time.Second
+	// longUpload is the size in bytes of a request's body that does not fit into the buffers of its connection.
+	longUpload = 1 << 20
 )
 
 func startRawServer(t *testing.T, answer rawserver.Answer) *rawserver.Server {
@@ -110,6 +112,59 @@
 	}
 }
 
+// resets is the number of answers that are reset: only some of them show that a reset is lost.
+const resets = 300
+
+// Guards against a part of an answer without a length that counts as whole: its target reset the connection while the
+// request was still being written, and the write took the error that the read should have got.
+func TestAnswerThatIsResetWhileTheRequestIsWrittenIsNotWhole(t *testing.T) {
+	server := startRawServer(t, func(conn *net.TCPConn, _ *http.Request) bool {
+		rawserver.ResetEarly(conn, echoLine, rawserver.Body)
+		return false
+	})
+	client := newSocketClient(t)
+	whole := 0
+	for range resets {
+		if _, _, err := receive(t, client, server.Address(), longUpload); err == nil {
+			whole++
+		}
+	}
+	require.Zero(t, whole, "of %d answers that were reset", resets)
+}
+
+// Guards against a whole answer that is lost since it came before the request was written, or without a length.
+func TestWholeAnswerBesideALongRequestIsServed(t *testing.T) {
+	for name, answer := range rawserver.WholeAnswers {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := startRawServer(t, func(conn *net.TCPConn, r *http.Request) bool {
+				answer(conn, r, echoLine)
+				return false
+			})
+			client := newSocketClient(t)
+			for range 20 {
+				_, body, err := receive(t, client, server.Address(), longUpload)
+				require.NoError(t, err)
+				require.Equal(t, rawserver.Body, body)
+			}
+		})
+	}
+}
+
+// Guards against a promise that the request does not run that is lost since it came before the request was written.
+func TestPromiseBesideALongRequestHolds(t *testing.T) {
+	server := startRawServer(t, func(conn *net.TCPConn, _ *http.Request) bool {
+		rawserver.PromiseEarly(conn, echoLine)
+		return false
+	})
+	client := newSocketClient(t)
+	for range 20 {
+		head, _, err := receive(t, client, server.Address(), longUpload)
+		require.NoError(t, err)
+		require.True(t, head.NotRun)
+	}
+}
+
 const soundReport = `{"running":0,"waiting":0,"slots":8,"runs":[],"born":1}`
 
 // Guards against a broken answer to a report, a health check or the call that ends a run that counts as sound.
--- a/internal/transport/targetconn/conn.go
+++ b/internal/transport/targetconn/conn.go
@@ -45,6 +45,8 @@
 
 // conn is a connection to a target. One exchange uses it at a time.
 type conn struct {
+	// socket is the connection itself, net the one that is written to and read from.
+	socket net.Conn
 	net    net.Conn
 	bound  *boundedReader
 	reader *bufio.Reader
@@ -60,8 +62,9 @@
 }
 
 func newConn(address string, c net.Conn) *conn {
-	bound := &boundedReader{Conn: c}
-	return &conn{net: c, bound: bound, reader: bufio.NewReaderSize(bound, readBuffer), address: address}
+	watched := httpresponse.WatchResets(c)
+	bound := &boundedReader{Conn: watched}
+	return &conn{socket: c, net: watched, bound: bound, reader: bufio.NewReaderSize(bound, readBuffer), address: address}
 }
 
 // readHead reads the head of a response. An interim response is dropped by the caller, so its fields may be malformed.
@@ -96,7 +99,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	socket, ok := c.net.(syscall.Conn)
+	socket, ok := c.socket.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/internal/transport/targethttp/brokenanswers_test.go
+++ b/internal/transport/targethttp/brokenanswers_test.go
@@ -19,6 +19,8 @@
 	echoLine = "X-Call-Id: r\r\n"
 	// answerTimeout ends a test whose client waits for an answer that does not come.
 	answerTimeout = 2 * time.Second
+	// longUpload is the size in bytes of a call's body that does not fit into the buffers of its connection.
+	longUpload = 1 << 20
 )
 
 func startRawServer(t *testing.T, answer rawserver.Answer) *rawserver.Server {
@@ -93,6 +95,58 @@
 	}
 }
 
+// resets is the number of answers that are reset: only some of them show that a reset is lost.
+const resets = 300
+
+// Guards against a part of an answer without a length that counts as whole: its target reset the connection while the
+// call was still being written, and the write took the error that the read should have got.
+func TestAnswerThatIsResetWhileTheCallIsWrittenIsNotWhole(t *testing.T) {
+	server := startRawServer(t, func(conn *net.TCPConn, _ *http.Request) bool {
+		rawserver.ResetEarly(conn, echoLine, rawserver.Body)
+		return false
+	})
+	client := newTestClient(t, Options{})
+	whole := 0
+	for range resets {
+		if _, _, err := receive(t, client, server.Address(), longUpload); err == nil {
+			whole++
+		}
+	}
+	require.Zero(t, whole, "of %d answers that were reset", resets)
+}
+
+// Guards against a whole answer that is lost since it came before the call was written, or without a length.
+func TestWholeAnswerBesideALongCallIsServed(t *testing.T) {
+	for name, answer := range rawserver.WholeAnswers {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := startRawServer(t, func(conn *net.TCPConn, r *http.Request) bool {
+				answer(conn, r, echoLine)
+				return false
+			})
+			client := newTestClient(t, Options{})
+			for range 20 {
+				_, body, err := receive(t, client, server.Address(), longUpload)
+				require.NoError(t, err)
+				require.Equal(t, rawserver.Body, body)
+			}
+		})
+	}
+}
+
+// Guards against a promise that the call does not run that is lost since it came before the call was written.
+func TestPromiseBesideALongCallHolds(t *testing.T) {
+	server := startRawServer(t, func(conn *net.TCPConn, _ *http.Request) bool {
+		rawserver.PromiseEarly(conn, echoLine)
+		return false
+	})
+	client := newTestClient(t, Options{})
+	for range 20 {
+		_, _, err := receive(t, client, server.Address(), longUpload)
+		require.Equal(t, protocol.NotRun, runState(t, err))
+	}
+}
+
 // controlCalls are the calls that are not callers' requests, with the body of a sound response.
 var controlCalls = map[string]struct {
 	body string
--- a/internal/transport/targethttp/client.go
+++ b/internal/transport/targethttp/client.go
@@ -35,11 +35,11 @@
 	return newClient(opts, dialer.DialContext)
 }
 
-func newClient(opts Options, dial dialFunc) *Client {
+func newClient(opts Options, dial httpresponse.DialFunc) *Client {
 	opts = opts.withDefaults()
 	c := &Client{opts: opts, counts: new(expvar.Map).Init()}
 	c.transport = httpresponse.Transport{Transport: &http.Transport{
-		DialContext:         countWrites(dial),
+		DialContext:         countWrites(httpresponse.Dialer(dial)),
 		MaxIdleConns:        0,
 		MaxIdleConnsPerHost: opts.MaxIdlePerTarget,
 		IdleConnTimeout:     opts.IdleTimeout,
--- a/internal/transport/targethttp/conn.go
+++ b/internal/transport/targethttp/conn.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http/httptrace"
 	"sync/atomic"
+
+	"merlintiller/internal/transport/httpresponse"
 )
 
 // countingConn counts the bytes written to the network, before they are written.
@@ -21,10 +23,8 @@
 	return c.Conn.Write(p)
 }
 
-type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
 // countWrites makes dial return connections that count the bytes written to them.
-func countWrites(dial dialFunc) dialFunc {
+func countWrites(dial httpresponse.DialFunc) httpresponse.DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
