--- a/internal/daemon/routed/brokenanswers_test.go
+++ b/internal/daemon/routed/brokenanswers_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -39,6 +40,8 @@
 	// resetName is the last part of the path of requests whose answer is reset, soundName of those with a sound one.
 	resetName = "reset"
 	soundName = "sound"
+	// lostName is that of requests whose answer is lost. The reports of the target are malformed from then on.
+	lostName = "lost"
 	// resumed and repeated are parts of the path: only the second run of the stream, or the first run of the item, gets the
 	// answer that the path names.
 	resumed  = "resumed"
@@ -75,6 +78,8 @@
 	started int64
 	// ran are the items that have run at any target.
 	ran *ranItems
+	// reportsMalformed makes its reports malformed.
+	reportsMalformed atomic.Bool
 }
 
 // start starts the target and lists it.
@@ -106,8 +111,12 @@
 
 // sendReport sends the target's report.
 func (s *socketTarget) sendReport(conn *net.TCPConn) {
+	field := ""
+	if s.reportsMalformed.Load() {
+		field = "X\aDetail: value\r\n"
+	}
 	report := fmt.Sprintf(`{"running":0,"waiting":0,"slots":8,"runs":[],"born":%d}`, s.started)
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(report), report)
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", field, len(report), report)
 }
 
 // answer sends the answer that the last part of the path names, "/ROUTE/NAME", or the target's report.
@@ -130,6 +139,9 @@
 	case name == soundName:
 		rawserver.WholeAnswers["at once with a length"](conn, request, echo)
 		return false
+	case name == lostName:
+		s.reportsMalformed.Store(true)
+		return false
 	case name == resetName:
 		rawserver.ResetEarly(conn, echo, "id: 0\ndata: part-0\n\n")
 		return false
@@ -181,9 +193,7 @@
 				require.Equal(t, http.StatusBadGateway, got.status, "%+v", got)
 				require.Empty(t, got.body)
 				require.Less(t, got.took, 2*time.Second)
-				logs := fleet.instances[0].logs.String()
-				require.Contains(t, logs, "event=attempt_failed request="+id+" ")
-				require.Contains(t, logs, "ended=malformed")
+				require.Regexp(t, "event=attempt_failed request="+id+" .*ended=malformed .*err=.*malformed HTTP response: ", fleet.instances[0].logs.String())
 			})
 		}
 	}
@@ -263,3 +273,19 @@
 	require.Equal(t, http.StatusOK, sound.status, "%+v", sound)
 	require.Equal(t, rawserver.Body, sound.body)
 }
+
+// Guards against a target that counts as crashed, since its report is malformed when it is checked after a lost answer, and
+// against requests that are not sent to it any more.
+func TestTargetWithMalformedReportsHasNotCrashed(t *testing.T) {
+	t.Parallel()
+	fleet := newSocketFleet(t)
+	lost := fleet.sendForAnswer("plain", lostName, "lost", 1)
+	require.Equal(t, http.StatusBadGateway, lost.status)
+	sleep(8 * time.Second)
+	logs := fleet.instances[0].logs.String()
+	require.Contains(t, logs, "event=target_crash_checked")
+	require.NotContains(t, logs, "crashed=true")
+	require.NotContains(t, logs, "state=confirmed")
+	sound := fleet.sendForAnswer("plain", soundName, "sound", 1)
+	require.Equal(t, http.StatusOK, sound.status, "%+v", sound)
+}
--- a/internal/transport/httpresponse/check.go
+++ b/internal/transport/httpresponse/check.go
@@ -15,6 +15,8 @@
 	PartStatus Part = "status"
 	// PartFieldName: the name of a header field is no token.
 	PartFieldName Part = "field_name"
+	// PartHead: net/http could not read the head.
+	PartHead Part = "head"
 )
 
 // MalformedError reports a response that is no valid HTTP. The request may have been executed.
@@ -42,6 +44,12 @@
 	maxQuoted = 64
 )
 
+// Unreadable returns the error of a response whose head net/http could not read, for another reason than that reading from
+// the connection failed.
+func Unreadable(err error) error {
+	return &MalformedError{Part: PartHead, Detail: BoundText(err).Error()}
+}
+
 // Check returns a *MalformedError if a response that net/http has read is no valid HTTP. The connection must not be used
 // again then: a header field that was not recognised may have determined where the response ends.
 func Check(response *http.Response) error {
@@ -74,3 +82,26 @@
 
 // quote escapes the beginning of a text.
 func quote(text string) string { return fmt.Sprintf("%q", text[:min(len(text), maxQuoted)]) }
+
+// maxErrorText bounds the text of an error in bytes.
+const maxErrorText = 256
+
+// boundedError is an error with a bounded text.
+type boundedError struct{ error }
+
+// Error returns the beginning of the text.
+func (e boundedError) Error() string {
+	text := e.error.Error()
+	return text[:min(len(text), maxErrorText)]
+}
+
+// Unwrap returns the error itself.
+func (e boundedError) Unwrap() error { return e.error }
+
+// BoundText bounds the text of an error of net/http, which quotes whole lines of a head.
+func BoundText(err error) error {
+	if len(err.Error()) <= maxErrorText {
+		return err
+	}
+	return boundedError{err}
+}
--- a/internal/transport/httpresponse/check_test.go
+++ b/internal/transport/httpresponse/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"net/http"
 	"strings"
 	"testing"
@@ -60,4 +61,8 @@
 		require.NotContains(t, err.Error(), "\n")
 		require.NotContains(t, err.Error(), "\x01")
 	}
+	cause := errors.New(strings.Repeat("x", 32<<10))
+	require.Less(t, len(Unreadable(cause).Error()), most)
+	require.Less(t, len(BoundText(cause).Error()), most)
+	require.ErrorIs(t, BoundText(cause), cause)
 }
--- a/internal/transport/httpresponse/transport.go
+++ b/internal/transport/httpresponse/transport.go
@@ -1,9 +1,11 @@
 package httpresponse
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync/atomic"
 )
 
@@ -17,8 +19,12 @@
 	var used atomic.Pointer[net.Conn]
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { used.Store(&info.Conn) }}
 	response, err := t.Transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	var unreadable textproto.ProtocolError
+	if errors.As(err, &unreadable) {
+		return nil, Unreadable(err)
+	}
 	if err != nil {
-		return nil, err
+		return nil, BoundText(err)
 	}
 	if err := Check(response); err != nil {
 		// A response without a body has returned its connection to the pool already.
--- a/internal/transport/targetconn/brokenanswers_test.go
+++ b/internal/transport/targetconn/brokenanswers_test.go
@@ -84,7 +84,7 @@
 		t.Run(name, func(t *testing.T) {
 			server := startRawServer(t, sending(answer))
 			client := newSocketClient(t)
-			began := time.Now()
+			began, counted := time.Now(), malformedCount()
 			head, body, err := receive(t, client, server.Address(), 0)
 			require.Error(t, err, "%+v %q", head, body)
 			require.Less(t, time.Since(began), answerTimeout)
@@ -92,10 +92,19 @@
 			require.NotErrorIs(t, err, external.ErrNotSent)
 			require.Equal(t, external.EndMalformed, external.EndOf(err), "%v", err)
 			require.False(t, client.Connected(server.Address()))
+			require.Equal(t, counted+1, malformedCount())
 		})
 	}
 }
 
+// malformedCount returns the number of malformed responses that were counted.
+func malformedCount() (count uint64) {
+	for _, counter := range malformed {
+		count += counter.Get()
+	}
+	return count
+}
+
 // Guards against an answer that is refused although it is valid HTTP.
 func TestOddButSoundAnswerIsServed(t *testing.T) {
 	for name, answer := range rawserver.Sound(echoLine, rawserver.Body) {
--- a/internal/transport/targetconn/client.go
+++ b/internal/transport/targetconn/client.go
@@ -65,6 +65,7 @@
 	malformed = map[httpresponse.Part]*metrics.Counter{
 		httpresponse.PartStatus:    metrics.NewCounter(`target_answers_malformed_total{what="status"}`),
 		httpresponse.PartFieldName: metrics.NewCounter(`target_answers_malformed_total{what="field_name"}`),
+		httpresponse.PartHead:      metrics.NewCounter(`target_answers_malformed_total{what="head"}`),
 	}
 )
 
--- a/internal/transport/targetconn/conn.go
+++ b/internal/transport/targetconn/conn.go
@@ -28,6 +28,8 @@
 	net.Conn
 	inHead bool
 	left   int
+	// failed reports that a read from the connection failed.
+	failed bool
 }
 
 // Read implements io.Reader.
@@ -40,6 +42,7 @@
 	}
 	n, err := r.Conn.Read(p[:min(len(p), r.left)])
 	r.left -= n
+	r.failed = err != nil
 	return n, err
 }
 
@@ -69,7 +72,7 @@
 
 // readHead reads the head of a response. An interim response is dropped by the caller, so its fields may be malformed.
 func (c *conn) readHead(request *http.Request) (*http.Response, error) {
-	c.bound.inHead, c.bound.left = true, maxHead-c.reader.Buffered()
+	c.bound.inHead, c.bound.left, c.bound.failed = true, maxHead-c.reader.Buffered(), false
 	defer func() { c.bound.inHead = false }()
 	response, err := http.ReadResponse(c.reader, request)
 	switch {
@@ -77,6 +80,8 @@
 		// http.ReadResponse may report the line that was cut off as malformed.
 		tooLarge[inHead].Inc()
 		return nil, fmt.Errorf("%w: %v", errHeadTooLarge, err)
+	case err != nil && !c.bound.failed:
+		err = httpresponse.Unreadable(err)
 	case err == nil && !isInterim(response):
 		err = httpresponse.Check(response)
 	}
--- a/internal/transport/targethttp/brokenanswers_test.go
+++ b/internal/transport/targethttp/brokenanswers_test.go
@@ -75,6 +75,7 @@
 			}
 			require.Less(t, time.Since(began), answerTimeout)
 			require.Equal(t, 2, server.Connections(), "a connection is used again")
+			require.EqualValues(t, 2, client.Count("malformed"))
 		})
 	}
 }
