An answer of another major version of HTTP is malformed

What callers saw: a target answered "HTTP/2.0 200 OK", "HTTP/0.9 200 OK" or "HTTP/3.0 200 OK" on a connection of HTTP/1. The caller got it as a whole 200.

Change: the check of a response's head refuses other major versions. A later minor version is sound (RFC 9110, section 6.2), and HTTP/1.2 is served as before.

--- a/internal/daemon/routed/brokenanswers_test.go
+++ b/internal/daemon/routed/brokenanswers_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -146,23 +147,22 @@
 		rawserver.ResetEarly(conn, echo, "id: 0\ndata: part-0\n\n")
 		return false
 	}
-	_, _ = io.WriteString(conn, malformedAnswers(echo)[strings.ReplaceAll(name, "_", " ")])
+	_, _ = io.WriteString(conn, malformedAnswers(echo)[name])
 	return true
 }
 
-// malformedAnswers are answers that are no valid HTTP, by name. The body is an event, so that it would count as the whole
-// output of a stream or an item.
+// malformedAnswers are answers that are no valid HTTP, by names that stand in paths and ids. The body is an event, so that it
+// would count as the whole output of a stream or an item.
 func malformedAnswers(echo string) map[string]string {
 	const event = "id: 0\ndata: part-0\n\n"
 	all, some := rawserver.InvalidStatuses(echo, event), map[string]string{}
-	for name, answer := range rawserver.InvalidFieldNames(echo, event) {
-		all[name] = answer
-	}
+	maps.Copy(all, rawserver.InvalidFieldNames(echo, event))
+	maps.Copy(all, rawserver.InvalidVersions(echo, event))
 	for _, name := range []string{
-		"status 000", "status 000 without length", "status 000 without body",
+		"status 000", "status 000 without length", "status 000 without body", "status 000 with another as body", "version 2.0",
 		"name with blank", "length with blank", "chunks with blank", "promise with blank", "name with bell",
 	} {
-		some[name] = all[name]
+		some[strings.ReplaceAll(name, " ", "-")] = all[name]
 	}
 	return some
 }
@@ -170,7 +170,7 @@
 // sendForAnswer sends a request for an answer with a name, on a route of some kind.
 func (fleet *testFleet) sendForAnswer(route, name, id string, upload int) callerResponse {
 	return fleet.instances[0].send(callerRequest{
-		id: id, path: "/" + route + "/" + strings.ReplaceAll(name, " ", "_"), key: keyOne, body: strings.Repeat("x", upload),
+		id: id, path: "/" + route + "/" + name, key: keyOne, body: strings.Repeat("x", upload),
 	})
 }
 
@@ -182,7 +182,7 @@
 	for _, route := range []string{"plain", "single", "again", "once"} {
 		for name := range malformedAnswers("") {
 			t.Run(route+"/"+name, func(t *testing.T) {
-				id := route + "-" + strings.ReplaceAll(name, " ", "-")
+				id := route + "-" + name
 				// Targets that lose two answers in a row are avoided for some time.
 				for n := range socketTargets {
 					sound := fleet.sendForAnswer(route, soundName, fmt.Sprintf("sound-%d-%s", n, id), 1)
@@ -206,7 +206,7 @@
 	fleet := newSocketFleet(t)
 	for name := range malformedAnswers("") {
 		t.Run(name, func(t *testing.T) {
-			got := fleet.sendForAnswer("again/"+resumed, name, "resumed-"+strings.ReplaceAll(name, " ", "-"), 1)
+			got := fleet.sendForAnswer("again/"+resumed, name, "resumed-"+name, 1)
 			require.Error(t, got.err, "the stream is not complete: %+v", got)
 			require.Equal(t, "id: 0\ndata: part-0\n\n", got.body)
 			require.Less(t, got.took, 2*time.Second)
@@ -221,7 +221,7 @@
 	fleet := newSocketFleet(t)
 	for name := range malformedAnswers("") {
 		t.Run(name, func(t *testing.T) {
-			fleet.runItemsAgain(t, "job-"+strings.ReplaceAll(name, " ", "-"), name, 2, 1)
+			fleet.runItemsAgain(t, "job-"+name, name, 2, 1)
 		})
 	}
 }
@@ -241,7 +241,7 @@
 	var list []map[string]any
 	for n := range items {
 		list = append(list, map[string]any{
-			"id": itemID(job, n), "path": "/jobs/" + repeated + "/" + strings.ReplaceAll(name, " ", "_"), "tokens": 200,
+			"id": itemID(job, n), "path": "/jobs/" + repeated + "/" + name, "tokens": 200,
 			"body": make([]byte, size), "headers": map[string]string{"Model": "m", "Token-Count": "100,100"},
 		})
 	}
--- a/internal/standin/rawserver/answers.go
+++ b/internal/standin/rawserver/answers.go
@@ -32,6 +32,16 @@
 	}
 }
 
+// InvalidVersions returns answers whose protocol version is not one of HTTP/1, by name. They contain the header line echo, as
+// those of InvalidStatuses.
+func InvalidVersions(echo, body string) map[string]string {
+	answers := map[string]string{}
+	for _, version := range []string{"0.9", "2.0", "3.0"} {
+		answers["version "+version] = "HTTP/" + version + " 200 OK\r\n" + echo + withLength(body)
+	}
+	return answers
+}
+
 // InvalidFieldNames returns answers in whose heads the name of a field is no token, by name. They contain the header line
 // echo, as those of InvalidStatuses.
 func InvalidFieldNames(echo, body string) map[string]string {
@@ -62,6 +72,7 @@
 		"empty value":              "HTTP/1.1 200 OK\r\n" + echo + "X-Detail:\r\n" + withLength(body),
 		"value beyond ASCII":       "HTTP/1.1 200 OK\r\n" + echo + "X-Detail: d\xc3\xa9tail \xff\r\n" + withLength(body),
 		"folded value":             "HTTP/1.1 200 OK\r\n" + echo + "X-Detail: one\r\n two: three\r\n" + withLength(body),
+		"higher minor version":     "HTTP/1.2 200 OK\r\n" + echo + withLength(body),
 		"no reason":                "HTTP/1.1 200 \r\n" + echo + withLength(body),
 		"interim answers":          strings.Repeat("HTTP/1.1 103 Early Hints\r\nX-Detail: value\r\n\r\n", 3) + "HTTP/1.1 200 OK\r\n" + echo + withLength(body),
 		"no length":                "HTTP/1.1 200 OK\r\n" + echo + "\r\n" + body,
--- a/internal/transport/httpresponse/check.go
+++ b/internal/transport/httpresponse/check.go
@@ -11,6 +11,8 @@
 type Part string
 
 const (
+	// PartVersion: the version of the protocol is not one of HTTP/1.
+	PartVersion Part = "version"
 	// PartStatus: the status code is below 100.
 	PartStatus Part = "status"
 	// PartFieldName: the name of a header field is no token.
@@ -53,6 +55,9 @@
 // Check returns a *MalformedError if a response that net/http has read is no valid HTTP. The connection must not be used
 // again then: a header field that was not recognised may have determined where the response ends.
 func Check(response *http.Response) error {
+	if response.ProtoMajor != 1 {
+		return &MalformedError{Part: PartVersion, Detail: quote(response.Proto)}
+	}
 	if response.StatusCode < lowestStatus {
 		return &MalformedError{Part: PartStatus, Detail: quote(response.Status)}
 	}
--- a/internal/transport/httpresponse/check_test.go
+++ b/internal/transport/httpresponse/check_test.go
@@ -43,10 +43,23 @@
 	for c := range 256 {
 		// Letters and digits, and the symbols of RFC 9110, section 5.6.2.
 		valid := strings.ContainsRune("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ", rune(c))
-		response := &http.Response{StatusCode: http.StatusOK, Header: http.Header{"X" + string([]byte{byte(c)}): {"1"}}}
+		response := &http.Response{ProtoMajor: 1, StatusCode: http.StatusOK, Header: http.Header{"X" + string([]byte{byte(c)}): {"1"}}}
 		require.Equal(t, !valid, IsMalformed(Check(response)), "%q", byte(c))
 	}
-	require.True(t, IsMalformed(Check(&http.Response{StatusCode: http.StatusOK, Header: http.Header{"": {"1"}}})))
+	require.True(t, IsMalformed(Check(&http.Response{ProtoMajor: 1, StatusCode: http.StatusOK, Header: http.Header{"": {"1"}}})))
+}
+
+// Guards against a response of another protocol that counts as sound, and against one of a later minor version that does not
+// (RFC 9110, section 6.2).
+func TestOtherMajorVersionIsMalformed(t *testing.T) {
+	for _, version := range []string{"HTTP/0.9", "HTTP/2.0", "HTTP/3.0"} {
+		err := Check(readResponse(t, version+" 200 OK"))
+		require.True(t, IsMalformed(err), version)
+		require.ErrorContains(t, err, `version: "`+version+`"`)
+	}
+	for _, version := range []string{"HTTP/1.0", "HTTP/1.1", "HTTP/1.2"} {
+		require.NoError(t, Check(readResponse(t, version+" 200 OK")), version)
+	}
 }
 
 // Guards against a log line that a server fills with what it likes: what an error quotes is escaped and short.
@@ -54,8 +67,8 @@
 	const most = 512
 	long := strings.Repeat("\x01 \xff\n", 8<<10)
 	for _, err := range []error{
-		Check(&http.Response{StatusCode: 0, Status: long}),
-		Check(&http.Response{StatusCode: http.StatusOK, Header: http.Header{long: {"1"}}}),
+		Check(&http.Response{ProtoMajor: 1, StatusCode: 0, Status: long}),
+		Check(&http.Response{ProtoMajor: 1, StatusCode: http.StatusOK, Header: http.Header{long: {"1"}}}),
 	} {
 		require.Less(t, len(err.Error()), most)
 		require.NotContains(t, err.Error(), "\n")
--- a/internal/transport/targetconn/brokenanswers_test.go
+++ b/internal/transport/targetconn/brokenanswers_test.go
@@ -79,6 +79,11 @@
 	testMalformedAnswers(t, rawserver.InvalidFieldNames(echoLine, rawserver.Body))
 }
 
+// Guards against an answer of another version of the protocol that reaches the caller.
+func TestAnswerWithInvalidVersionIsAFailedAttempt(t *testing.T) {
+	testMalformedAnswers(t, rawserver.InvalidVersions(echoLine, rawserver.Body))
+}
+
 func testMalformedAnswers(t *testing.T, answers map[string]string) {
 	for name, answer := range answers {
 		t.Run(name, func(t *testing.T) {
--- a/internal/transport/targetconn/client.go
+++ b/internal/transport/targetconn/client.go
@@ -63,6 +63,7 @@
 	}
 	// malformed counts the responses of targets that are no valid HTTP, by the part that is wrong.
 	malformed = map[httpresponse.Part]*metrics.Counter{
+		httpresponse.PartVersion:   metrics.NewCounter(`target_answers_malformed_total{what="version"}`),
 		httpresponse.PartStatus:    metrics.NewCounter(`target_answers_malformed_total{what="status"}`),
 		httpresponse.PartFieldName: metrics.NewCounter(`target_answers_malformed_total{what="field_name"}`),
 		httpresponse.PartHead:      metrics.NewCounter(`target_answers_malformed_total{what="head"}`),
--- a/internal/transport/targethttp/brokenanswers_test.go
+++ b/internal/transport/targethttp/brokenanswers_test.go
@@ -62,6 +62,11 @@
 	testMalformedAnswers(t, rawserver.InvalidFieldNames(echoLine, rawserver.Body))
 }
 
+// Guards against an answer of another version of the protocol that reaches the caller.
+func TestAnswerWithInvalidVersionIsAFailedCall(t *testing.T) {
+	testMalformedAnswers(t, rawserver.InvalidVersions(echoLine, rawserver.Body))
+}
+
 func testMalformedAnswers(t *testing.T, answers map[string]string) {
 	for name, answer := range answers {
 		t.Run(name, func(t *testing.T) {
