A status of 101 that nobody asked for is malformed

What callers saw: a target answered 101, though no request asks for another protocol. Callers of `tillerd` got no byte of an answer; its client reads the body of such an answer without the limit of its call.

Change: the check of a response's head refuses it. No request carries Upgrade: targets get no headers that concern one connection.

--- a/internal/standin/rawserver/answers.go
+++ b/internal/standin/rawserver/answers.go
@@ -17,7 +17,7 @@
 	return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
 }
 
-// InvalidStatuses returns answers with a status below 100, by name. They contain the header line echo, with which a client
+// InvalidStatuses returns answers with a status below 100, or that switch to a protocol that no client asks for, by name. They contain the header line echo, with which a client
 // finds the request that an answer belongs to.
 func InvalidStatuses(echo, body string) map[string]string {
 	return map[string]string{
@@ -28,6 +28,7 @@
 		"status 000 without length":       "HTTP/1.1 000 Some Reason\r\n" + echo + "\r\n" + body,
 		"status 000 without body":         "HTTP/1.1 000 Some Reason\r\n" + echo + "Content-Length: 0\r\n\r\n",
 		"status 000 with another as body": "HTTP/1.1 000 Some Reason\r\n" + echo + withLength("HTTP/1.1 200 OK\r\n"+echo+withLength(body)),
+		"status 101":                      "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: other\r\n" + echo + "\r\n" + body,
 		"status 000 before another":       "HTTP/1.1 000 Early\r\n\r\nHTTP/1.1 200 OK\r\n" + echo + withLength(body),
 	}
 }
--- a/internal/transport/httpresponse/check.go
+++ b/internal/transport/httpresponse/check.go
@@ -13,7 +13,7 @@
 const (
 	// PartVersion: the version of the protocol is not one of HTTP/1.
 	PartVersion Part = "version"
-	// PartStatus: the status code is below 100.
+	// PartStatus: the status code is below 100, or announces another protocol, which no client of this project asks for.
 	PartStatus Part = "status"
 	// PartFieldName: the name of a header field is no token.
 	PartFieldName Part = "field_name"
@@ -58,7 +58,7 @@
 	if response.ProtoMajor != 1 {
 		return &MalformedError{Part: PartVersion, Detail: quote(response.Proto)}
 	}
-	if response.StatusCode < lowestStatus {
+	if response.StatusCode < lowestStatus || response.StatusCode == http.StatusSwitchingProtocols {
 		return &MalformedError{Part: PartStatus, Detail: quote(response.Status)}
 	}
 	for name := range response.Header {
--- a/internal/transport/httpresponse/check_test.go
+++ b/internal/transport/httpresponse/check_test.go
@@ -19,8 +19,8 @@
 }
 
 // Guards against a response with an invalid status that counts as sound, and the other way round.
-func TestStatusBelow100IsMalformed(t *testing.T) {
-	for _, status := range []string{"000", "001", "099", "+99", "-00"} {
+func TestInvalidStatusIsMalformed(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "+99", "-00", "101"} {
 		err := Check(readResponse(t, "HTTP/1.1 "+status+" Some Reason"))
 		require.True(t, IsMalformed(err), status)
 		require.ErrorContains(t, err, `status: "`+status)
--- a/internal/transport/targetconn/conn.go
+++ b/internal/transport/targetconn/conn.go
@@ -93,9 +93,10 @@
 	return response, nil
 }
 
-// isInterim reports whether another response to the request follows.
+// isInterim reports whether another response to the request follows. After 101 another protocol would follow.
 func isInterim(response *http.Response) bool {
-	return response.StatusCode >= http.StatusContinue && response.StatusCode < http.StatusOK
+	status := response.StatusCode
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
 }
 
 // noInput reports whether an idle connection received nothing: neither a close by the
