--- a/internal/standin/rawserver/rawserver.go
+++ b/internal/standin/rawserver/rawserver.go
@@ -24,8 +24,9 @@
 	connections atomic.Int64
 	running     sync.WaitGroup
 
-	mu   sync.Mutex
-	open map[net.Conn]struct{}
+	mu     sync.Mutex
+	closed bool
+	open   map[net.Conn]struct{}
 }
 
 const (
@@ -69,6 +70,7 @@
 func (s *Server) Close() {
 	_ = s.listener.Close()
 	s.mu.Lock()
+	s.closed = true
 	for conn := range s.open {
 		_ = conn.Close()
 	}
@@ -82,14 +84,26 @@
 		if err != nil {
 			return
 		}
+		if !s.track(conn) {
+			_ = conn.Close()
+			return
+		}
 		s.connections.Add(1)
-		s.mu.Lock()
-		s.open[conn] = struct{}{}
-		s.mu.Unlock()
 		s.running.Go(func() { s.serve(conn.(*net.TCPConn)) })
 	}
 }
 
+// track adds a connection to those that Close closes. It returns false if the server is closed.
+func (s *Server) track(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.open[conn] = struct{}{}
+	return true
+}
+
 func (s *Server) serve(conn *net.TCPConn) {
 	defer func() {
 		_ = conn.Close()
