--- a/internal/transport/httpresponse/transport.go
+++ b/internal/transport/httpresponse/transport.go
@@ -9,7 +9,8 @@
 	"sync/atomic"
 )
 
-// Transport is an http.Transport that fails instead of returning a malformed response.
+// Transport is an http.Transport that fails instead of returning a malformed response. It is for HTTP/1 only: a response of
+// HTTP/2 counts as malformed.
 type Transport struct {
 	*http.Transport
 }
