--- a/internal/daemon/routed/brokenanswers_test.go
+++ b/internal/daemon/routed/brokenanswers_test.go
@@ -43,8 +43,8 @@
 	soundName = "sound"
 	// lostName is that of requests whose answer is lost. The reports of the target are malformed from then on.
 	lostName = "lost"
-	// resumed and repeated are parts of the path: only the second run of the stream, or the first run of the item, gets the
-	// answer that the path names.
+	// resumed and repeated are parts of the path: only the second run of the stream, or the first run of the request or item,
+	// gets the answer that the path names.
 	resumed  = "resumed"
 	repeated = "repeated"
 )
@@ -174,6 +174,14 @@
 	})
 }
 
+// requireSoundAnswers has the targets send sound answers: those that lose two answers in a row are avoided for some time.
+func (fleet *testFleet) requireSoundAnswers(t *testing.T, route, before string) {
+	for n := range socketTargets {
+		sound := fleet.sendForAnswer(route, soundName, fmt.Sprintf("sound-%d-before-%s", n, before), 1)
+		require.Equal(t, http.StatusOK, sound.status)
+	}
+}
+
 // Guards against a broken answer of a target that reaches a caller as an answer, or as a promise that the request did not
 // run: it is a failed attempt, and 502 after the last one. The log says what was wrong, and no target counts as crashed.
 func TestMalformedAnswerDoesNotReachTheCaller(t *testing.T) {
@@ -183,11 +191,7 @@
 		for name := range malformedAnswers("") {
 			t.Run(route+"/"+name, func(t *testing.T) {
 				id := route + "-" + name
-				// Targets that lose two answers in a row are avoided for some time.
-				for n := range socketTargets {
-					sound := fleet.sendForAnswer(route, soundName, fmt.Sprintf("sound-%d-%s", n, id), 1)
-					require.Equal(t, http.StatusOK, sound.status)
-				}
+				fleet.requireSoundAnswers(t, route, id)
 				got := fleet.sendForAnswer(route, name, id, 1)
 				require.NoError(t, got.err)
 				require.Equal(t, http.StatusBadGateway, got.status, "%+v", got)
@@ -199,6 +203,28 @@
 	require.NotContains(t, fleet.instances[0].logs.String(), "crashed=true")
 }
 
+// Guards against a broken answer after which a request is not repeated although its route allows that, or is repeated although
+// its route does not.
+func TestMalformedAnswerIsRepeatedAsTheRouteAllows(t *testing.T) {
+	t.Parallel()
+	fleet := newSocketFleet(t)
+	for name := range malformedAnswers("") {
+		for route, status := range map[string]int{"plain": http.StatusOK, "single": http.StatusBadGateway} {
+			t.Run(route+"/"+name, func(t *testing.T) {
+				id := "repeated-" + route + "-" + name
+				fleet.requireSoundAnswers(t, route, id)
+				got := fleet.sendForAnswer(route+"/"+repeated, name, id, 1)
+				require.Equal(t, status, got.status, "%+v", got)
+				if status == http.StatusOK {
+					require.NoError(t, got.err)
+					require.Equal(t, eventsAfter(-1, false), got.body)
+				}
+				require.Equal(t, 1, strings.Count(fleet.instances[0].logs.String(), "event=attempt_failed request="+id+" "))
+			})
+		}
+	}
+}
+
 // Guards against a stream that goes on with a broken answer, or is complete with it.
 func TestMalformedAnswerDoesNotContinueAStream(t *testing.T) {
 	t.Parallel()
