Tests of long requests keep their bodies in memory

That test measures the memory of the process, and allows 1 MiB beyond that of the largest response that is read. The check and its bound are as they were.

--- a/internal/transport/platformhttp/brokenanswers_test.go
+++ b/internal/transport/platformhttp/brokenanswers_test.go
@@ -18,6 +18,10 @@
 // answerTimeout ends a test whose client waits for an answer that does not come.
 const answerTimeout = 10 * time.Second
 
+// longEntry is an entry that does not fit into the buffers of a connection. It stays in memory: tests that measure the memory
+// of an answer run in the same process.
+var longEntry = make([]byte, 1<<20)
+
 func newSocketClient(t *testing.T, answer rawserver.Answer) (*Client, *rawserver.Server) {
 	server, err := rawserver.Start(answer)
 	require.NoError(t, err)
@@ -109,7 +113,7 @@
 	})
 	whole := 0
 	for range 100 {
-		if _, err := client.Append(t.Context(), "s", make([]byte, 1<<20)); err == nil {
+		if _, err := client.Append(t.Context(), "s", longEntry); err == nil {
 			whole++
 		}
 	}
--- a/internal/transport/targetconn/brokenanswers_test.go
+++ b/internal/transport/targetconn/brokenanswers_test.go
@@ -21,10 +21,12 @@
 	echoLine = "Request-Id: r\r\n"
 	// answerTimeout ends a test whose client waits for an answer that does not come.
 	answerTimeout = 10 * time.Second
-	// longUpload is the size in bytes of a request's body that does not fit into the buffers of its connection.
-	longUpload = 1 << 20
 )
 
+// longUpload is the body of a request that does not fit into the buffers of its connection. It stays in memory: tests that measure
+// the memory of an answer run in the same process.
+var longUpload = make([]byte, 1<<20)
+
 func startRawServer(t *testing.T, answer rawserver.Answer) *rawserver.Server {
 	server, err := rawserver.Start(answer)
 	require.NoError(t, err)
@@ -51,13 +53,13 @@
 	return client
 }
 
-// receive sends a request with a body of some bytes, and returns the head and the body of the answer.
-func receive(t *testing.T, client *Client, address string, upload int) (*exchange.Reply, string, error) {
+// receive sends a request with a body, and returns the head and the body of the answer.
+func receive(t *testing.T, client *Client, address string, upload []byte) (*exchange.Reply, string, error) {
 	ctx, cancel := context.WithTimeout(t.Context(), answerTimeout)
 	defer cancel()
 	answer, err := client.Send(ctx, address, &exchange.Dispatch{
 		ID: "r", Method: http.MethodPost, Host: "h", Path: "/a", Target: "t", TimeLeft: time.Minute, After: exchange.FromStart,
-		Header: http.Header{}, Body: make([]byte, upload),
+		Header: http.Header{}, Body: upload,
 	})
 	if err != nil {
 		return nil, "", err
@@ -90,7 +92,7 @@
 			server := startRawServer(t, sending(answer))
 			client := newSocketClient(t)
 			began, counted := time.Now(), malformedCount()
-			head, body, err := receive(t, client, server.Address(), 0)
+			head, body, err := receive(t, client, server.Address(), nil)
 			require.Error(t, err, "%+v %q", head, body)
 			require.Less(t, time.Since(began), answerTimeout)
 			require.ErrorIs(t, err, external.ErrMayHaveRun)
@@ -118,7 +120,7 @@
 				_, _ = io.WriteString(conn, answer)
 				return false
 			})
-			head, body, err := receive(t, newSocketClient(t), server.Address(), 0)
+			head, body, err := receive(t, newSocketClient(t), server.Address(), nil)
 			require.NoError(t, err)
 			require.Equal(t, http.StatusOK, head.Status)
 			require.Equal(t, rawserver.Body, body)
--- a/internal/transport/targethttp/brokenanswers_test.go
+++ b/internal/transport/targethttp/brokenanswers_test.go
@@ -19,10 +19,12 @@
 	echoLine = "X-Call-Id: r\r\n"
 	// answerTimeout ends a test whose client waits for an answer that does not come.
 	answerTimeout = 10 * time.Second
-	// longUpload is the size in bytes of a call's body that does not fit into the buffers of its connection.
-	longUpload = 1 << 20
 )
 
+// longUpload is the body of a call that does not fit into the buffers of its connection. It stays in memory: tests that measure
+// the memory of an answer run in the same process.
+var longUpload = make([]byte, 1<<20)
+
 func startRawServer(t *testing.T, answer rawserver.Answer) *rawserver.Server {
 	server, err := rawserver.Start(answer)
 	require.NoError(t, err)
@@ -38,11 +40,11 @@
 	}
 }
 
-// receive sends a call with a body of some bytes, and returns the status and the body of the answer.
-func receive(t *testing.T, client *Client, address string, upload int) (int, string, error) {
+// receive sends a call with a body, and returns the status and the body of the answer.
+func receive(t *testing.T, client *Client, address string, upload []byte) (int, string, error) {
 	ctx, cancel := context.WithTimeout(t.Context(), answerTimeout)
 	defer cancel()
-	answer, err := client.Do(ctx, address, external.Call{ID: "r", Method: http.MethodPost, Path: "/work", Body: make([]byte, upload)})
+	answer, err := client.Do(ctx, address, external.Call{ID: "r", Method: http.MethodPost, Path: "/work", Body: upload})
 	if err != nil {
 		return 0, "", err
 	}
@@ -74,7 +76,7 @@
 			client := newTestClient(t, Options{})
 			began := time.Now()
 			for range 2 {
-				status, body, err := receive(t, client, server.Address(), 0)
+				status, body, err := receive(t, client, server.Address(), nil)
 				require.Error(t, err, "%d %q", status, body)
 				require.Equal(t, protocol.MayHaveRun, runState(t, err))
 			}
@@ -93,7 +95,7 @@
 				_, _ = io.WriteString(conn, answer)
 				return false
 			})
-			status, body, err := receive(t, newTestClient(t, Options{}), server.Address(), 0)
+			status, body, err := receive(t, newTestClient(t, Options{}), server.Address(), nil)
 			require.NoError(t, err)
 			require.Equal(t, http.StatusOK, status)
 			require.Equal(t, rawserver.Body, body)
